--- a/drill/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,8 +1,7 @@
-//! Drives quartzdeal's decision module over a line protocol on standard input and output.
+//! Drives martenlatch's decision module over a line protocol on standard input and output.
 //!
 //! It translates and never decides: names to small integers, lines to events, actions to lines.
 
-mod settings;
 mod wire;
 
 use std::io;
@@ -13,7 +12,7 @@
     match wire::serve(input, io::BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("quartzdeal-drill: {message}");
+            eprintln!("martenlatch-adapter: {message}");
             ExitCode::FAILURE
         }
     }
--- a/drill/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,8 +1,8 @@
 //! The wire: batches of event lines in, one reply of action lines out for each.
 
-use crate::settings::{self, Boot};
-use quartzdeal::Policy;
-use quartzdeal::interface::*;
+use martenlatch::Policy;
+use martenlatch::interface::*;
+use martenlatch::settings::{self, Boot};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,8 @@
 //! # A sender's loop
 //!
 //! ```
-//! use quartzdeal::Policy;
-//! use quartzdeal::interface::*;
+//! use martenlatch::Policy;
+//! use martenlatch::interface::*;
 //!
 //! let second = 1_000_000_000;
 //! let settings = Settings {
@@ -119,6 +119,7 @@
 
 pub mod interface;
 mod policy;
+pub mod settings;
 
 pub use policy::Policy;
 
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,76 @@
+//! The sender's start: its configuration, its signals, and nothing else. What it does on the network is in `net`;
+//! what it decides is in the library. It must never serve with a configuration that it could not read whole.
+#![allow(missing_docs)]
+
+mod net;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use martenlatch::settings::{self, Boot};
+use serde_json::Value;
+
+/// What the sender is told at its start.
+#[allow(dead_code)]
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub state: PathBuf,
+    pub seed: u64,
+    pub sockets: usize,
+    pub disk: u64,
+    /// The service table as this sender last had it.
+    pub known: Value,
+    pub boot: Boot,
+}
+
+fn address(json: &Value, field: &str, variable: &str) -> Result<SocketAddr, String> {
+    let told = std::env::var(variable).ok().or_else(|| Some(json.get(field)?.as_str()?.to_string()));
+    let told = told.ok_or_else(|| format!("{field}: neither {variable} nor the configuration names it"))?;
+    told.parse().map_err(|_| format!("{field}: {told:?} is not an address with a port"))
+}
+
+impl Config {
+    /// Reads `$PROXY_CONFIG`; the error is one line that names the field.
+    fn read() -> Result<Config, String> {
+        let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG: the variable is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
+        let json: Value = serde_json::from_str(&text).map_err(|e| format!("PROXY_CONFIG: not JSON: {e}"))?;
+        let state = std::env::var("PROXY_STATE").map_err(|_| "PROXY_STATE: the variable is not set")?;
+        let limit = |field: &str, least: f64| {
+            let value = json.get("limits").and_then(|l| l.get(field)).and_then(Value::as_f64);
+            value
+                .filter(|v| *v >= least && v.is_finite())
+                .ok_or(format!("limits.{field}: not a number of {least} or more"))
+        };
+        let seed = json.get("seed").and_then(Value::as_str).and_then(|s| u64::from_str_radix(s, 16).ok());
+        let told = json.get("settings").filter(|s| s.is_object()).ok_or("settings: an object is wanted")?;
+        let known = json.get("known").cloned().unwrap_or(Value::Null);
+        if !known.is_null() && !known.is_object() {
+            return Err("known: an object is wanted".into());
+        }
+        Ok(Config {
+            name: std::env::var("PROXY_NAME").unwrap_or_else(|_| "sender".into()),
+            listen: address(&json, "listen", "PROXY_LISTEN")?,
+            discovery: address(&json, "discovery", "PROXY_DISCOVERY")?,
+            state: state.into(),
+            seed: seed.ok_or("seed: hex digits are wanted")?,
+            sockets: limit("sockets", 32.0)? as usize,
+            disk: (limit("disk_mb", 0.05)? * 1e6) as u64,
+            known,
+            boot: settings::read(&told.to_string())?,
+        })
+    }
+}
+
+fn main() -> ExitCode {
+    match Config::read().and_then(net::run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("martenlatch: {message}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/drill/src/settings.rs
+++ b/src/settings.rs
@@ -1,16 +1,23 @@
-//! Reads the settings object of the wire.
+//! Reads the settings object, which the adapter finds on its wire and the sender in its configuration: one reader
+//! for both. It owns the names of the settings and must never decide, open a file or look at a clock.
 
-use quartzdeal::interface::{Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId};
+use crate::interface::{Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId};
 use serde_json::Value;
 
 /// Settings, with the names that the wire uses for places in their lists.
 #[derive(Debug)]
 pub struct Boot {
+    /// What the module works with.
     pub settings: Settings,
+    /// Names of the zones, in their places.
     pub zones: Vec<String>,
+    /// Names of the kinds.
     pub kinds: Vec<String>,
+    /// Names of the classes.
     pub classes: Vec<String>,
+    /// Names of the tenants.
     pub tenants: Vec<String>,
+    /// Names of the values in a load report.
     pub fields: Vec<String>,
 }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small hand-driven sender for the tests.
 #![allow(dead_code)]
 
-use quartzdeal::Policy;
-use quartzdeal::interface::*;
+use martenlatch::Policy;
+use martenlatch::interface::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use quartzdeal::Policy;
-use quartzdeal::interface::*;
+use martenlatch::Policy;
+use martenlatch::interface::*;
 use std::collections::BTreeMap;
 
 const SENDERS: usize = 200;
