--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,12 +280,14 @@
     Withdrawn,
     /// Not sent; it never ran, and counts as an attempt.
     Void,
+    /// Not sent, since the message has had all its attempts; it never ran, and none can follow.
+    Spent,
 }
 
 impl Outcome {
     /// True if this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Overloaded { .. } | Outcome::Unreachable | Outcome::Void)
+        matches!(self, Outcome::Overloaded { .. } | Outcome::Unreachable | Outcome::Void | Outcome::Spent)
     }
 }
 
@@ -313,6 +315,23 @@
         /// What it is about, where its class is ordered.
         key: Option<KeyId>,
     },
+    /// A message that this sender took on before it was started again, and that has not ended.
+    Resumed {
+        /// Its id.
+        id: MessageId,
+        /// Where it goes.
+        destination: DestinationId,
+        /// Its class.
+        class: ClassId,
+        /// Until when it may be delivered (an instant).
+        deadline: Nanos,
+        /// Attempts that it has had; the next one's number.
+        attempts: u32,
+        /// When the first of them was sent that is not proven never to have run.
+        ran: Option<Nanos>,
+    },
+    /// The sender is told to end: no call may be out past this instant.
+    Closing(Nanos),
     /// An attempt ended; exactly one for each [`Action::Send`].
     Ended {
         /// The message.
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,7 +12,6 @@
 use serde_json::Value;
 
 /// What the sender is told at its start.
-#[allow(dead_code)]
 pub struct Config {
     pub name: String,
     pub listen: SocketAddr,
--- /dev/null
+++ b/src/net/counters.rs
@@ -0,0 +1,62 @@
+//! Owns the counts of what was taken in, sent and answered, and their one line in the log. It must never decide
+//! anything, nor name a transaction.
+
+use std::fmt;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        #[derive(Default)]
+        pub struct Counters {
+            $($(#[$doc])* pub $name: u64,)*
+        }
+
+        impl fmt::Display for Counters {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(f, concat!(" ", stringify!($name), "={}"), self.$name)?;)*
+                Ok(())
+            }
+        }
+    };
+}
+
+counters! {
+    /// Client connections accepted.
+    clients,
+    /// Transactions taken on.
+    taken,
+    /// Transactions brought back from an earlier life.
+    resumed,
+    /// Requests that named a transaction already taken on.
+    repeated,
+    /// Requests answered 503.
+    turned_away,
+    /// Requests answered with a fault of theirs.
+    bad,
+    /// Clients that had left before they could hear.
+    left,
+    /// Routed tasks started.
+    sent,
+    /// Connections opened to regions.
+    connections,
+    /// How routed tasks ended.
+    success,
+    failure,
+    short_on_capacity,
+    timed_out,
+    unreachable,
+    broken,
+    withdrawn,
+    not_sent,
+    /// Transactions delivered.
+    delivered,
+    /// Transactions that a region called over.
+    called_over,
+    /// Notices confirmed.
+    deferred,
+    undeliverable,
+    /// Transactions that had to be ended after their time.
+    late,
+    /// Turns of the decision module, and the longest round in whole milliseconds.
+    turns,
+    longest_round_ms,
+}
--- /dev/null
+++ b/src/net/ledger.rs
@@ -0,0 +1,469 @@
+//! Owns the durable journal in the folder that lasts: what was taken on, each routed task before its first byte,
+//! proofs that one never ran, and ends. It must never lose a record that it has confirmed, hold more than its part
+//! of the disk (old and new file together), or bring the program down: full or unwritable, it refuses new work.
+//!
+//! A record is its length, a CRC-32 and that many bytes. Only a process that dies tears one, and only the last:
+//! reading stops there and the tail is cut. SIGKILL loses nothing that `write` took, so there is no sync.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use super::clock::Millis;
+
+/// How a transaction that was not delivered ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Notice {
+    Undeliverable,
+    /// With the milliseconds after which the client may return, if any.
+    Deferred(Option<u64>),
+}
+
+/// One routed task: when it was sent, and whether it is proven that it never ran.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Task {
+    pub sent: Millis,
+    pub never_ran: bool,
+}
+
+/// What lasts of a transaction.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Taken {
+    /// Its number; never used twice, over all lives.
+    pub no: u64,
+    pub id: Rc<str>,
+    pub class: Rc<str>,
+    pub destination: u64,
+    pub deadline: Millis,
+    pub key: Option<Rc<str>>,
+    pub body: Rc<[u8]>,
+    pub tasks: Vec<Task>,
+    /// Its end is settled, and the platform has not confirmed it yet.
+    pub ending: Option<Notice>,
+}
+
+/// Ids of transactions that are over, kept so that one handed in twice is not taken on twice.
+const OVER_KEPT: usize = 512;
+/// Parts of the disk limit: all that we use, the file at most, and what may stand in it of work not over.
+const PARTS: (f64, f64, f64) = (0.92, 0.52, 0.36);
+/// Longest record; a longer length is a torn one.
+const LONGEST: usize = 80 * 1024;
+/// More tasks than any transaction has.
+const TASKS: usize = 64;
+const MAGIC: &[u8; 8] = b"mlatch1\n";
+
+pub struct Ledger {
+    path: PathBuf,
+    file: Option<File>,
+    size: u64,
+    cap: f64,
+    /// Bytes that a compacted file would hold of each transaction not over.
+    live: BTreeMap<u64, u64>,
+    live_bytes: u64,
+    pub over: VecDeque<Rc<str>>,
+    /// Not written to before: after a failure, for a second.
+    rest_until: Millis,
+}
+
+/// A payload being written or read.
+#[derive(Default)]
+struct Bytes(Vec<u8>);
+
+impl Bytes {
+    fn num(mut self, value: u64) -> Bytes {
+        self.0.extend(value.to_le_bytes());
+        self
+    }
+    fn text(mut self, value: &[u8]) -> Bytes {
+        self.0.extend((value.len() as u32).to_le_bytes());
+        self.0.extend(value);
+        self
+    }
+}
+
+struct Cursor<'a>(&'a [u8]);
+
+impl<'a> Cursor<'a> {
+    fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (head, rest) = self.0.split_at_checked(count)?;
+        self.0 = rest;
+        Some(head)
+    }
+    fn num(&mut self) -> Option<u64> {
+        Some(u64::from_le_bytes(self.take(8)?.try_into().ok()?))
+    }
+    fn bytes(&mut self) -> Option<&'a [u8]> {
+        let count = u32::from_le_bytes(self.take(4)?.try_into().ok()?);
+        self.take(count as usize)
+    }
+    fn text(&mut self) -> Option<Rc<str>> {
+        std::str::from_utf8(self.bytes()?).ok().map(Rc::from)
+    }
+}
+
+fn framed(payload: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(payload.len() + 8);
+    out.extend((payload.len() as u32).to_le_bytes());
+    out.extend(crc32fast::hash(payload).to_le_bytes());
+    out.extend(payload);
+    out
+}
+
+fn taken(t: &Taken) -> Vec<u8> {
+    let bytes = Bytes(vec![b'T']).num(t.no).num(t.destination).num(t.deadline.to_bits());
+    let bytes = bytes.text(t.id.as_bytes()).text(t.class.as_bytes());
+    // An absent key is told apart from an empty one by its mark.
+    let key = t.key.as_ref().map_or(vec![0], |k| [&[1], k.as_bytes()].concat());
+    framed(&bytes.text(&key).text(&t.body).0)
+}
+
+fn task(no: u64, attempt: usize, sent: Millis) -> Vec<u8> {
+    framed(&Bytes(vec![b'R']).num(no).num(attempt as u64).num(sent.to_bits()).0)
+}
+
+fn never_ran(no: u64, attempt: usize) -> Vec<u8> {
+    framed(&Bytes(vec![b'N']).num(no).num(attempt as u64).0)
+}
+
+fn ending(no: u64, notice: Notice) -> Vec<u8> {
+    let (status, again) = match notice {
+        Notice::Undeliverable => (0, 0),
+        Notice::Deferred(None) => (1, 0),
+        Notice::Deferred(Some(ms)) => (2, ms),
+    };
+    framed(&Bytes(vec![b'E']).num(no).num(status).num(again).0)
+}
+
+fn over(no: u64, id: &str) -> Vec<u8> {
+    framed(&Bytes(vec![b'O']).num(no).text(id.as_bytes()).0)
+}
+
+/// What is left of earlier lives.
+#[derive(Default)]
+pub struct Past {
+    pub open: BTreeMap<u64, Taken>,
+    pub over: VecDeque<Rc<str>>,
+    pub next: u64,
+    /// Bytes of the file that hold whole records.
+    good: u64,
+}
+
+impl Past {
+    fn record(&mut self, payload: &[u8]) -> Option<()> {
+        let mut c = Cursor(payload.get(1..)?);
+        let no = c.num()?;
+        self.next = self.next.max(no.saturating_add(1));
+        match payload[0] {
+            b'T' => {
+                let (destination, deadline) = (c.num()?, f64::from_bits(c.num()?));
+                let (id, class, key) = (c.text()?, c.text()?, c.bytes()?);
+                let key = match key.split_first()? {
+                    (0, _) => None,
+                    (_, key) => Some(Rc::from(std::str::from_utf8(key).ok()?)),
+                };
+                let body = Rc::from(c.bytes()?);
+                let (tasks, ending) = (Vec::new(), None);
+                let t = Taken { no, id, class, destination, deadline, key, body, tasks, ending };
+                self.open.insert(no, t);
+            }
+            b'R' => {
+                let (attempt, sent) = (c.num()? as usize, f64::from_bits(c.num()?));
+                let tasks = self.open.get_mut(&no).map(|t| &mut t.tasks);
+                if let Some(tasks) = tasks.filter(|t| t.len() <= attempt && attempt < TASKS) {
+                    // One whose record did not fit was never sent.
+                    tasks.resize(attempt, Task { sent, never_ran: true });
+                    tasks.push(Task { sent, never_ran: false });
+                }
+            }
+            b'N' => {
+                let attempt = c.num()? as usize;
+                let task = self.open.get_mut(&no).and_then(|t| t.tasks.get_mut(attempt));
+                task.into_iter().for_each(|t| t.never_ran = true);
+            }
+            b'E' => {
+                let notice = match (c.num()?, c.num()?) {
+                    (0, _) => Notice::Undeliverable,
+                    (1, _) => Notice::Deferred(None),
+                    (_, ms) => Notice::Deferred(Some(ms)),
+                };
+                self.open.get_mut(&no).into_iter().for_each(|t| t.ending = Some(notice));
+            }
+            b'O' => {
+                self.open.remove(&no);
+                self.over.push_back(c.text()?);
+                if self.over.len() > OVER_KEPT {
+                    self.over.pop_front();
+                }
+            }
+            // Written by a later version: its meaning is not known, its frame is whole.
+            _ => {}
+        }
+        Some(())
+    }
+
+    fn read(bytes: &[u8]) -> Past {
+        let mut past = Past::default();
+        let mut c = Cursor(bytes);
+        if c.take(MAGIC.len()) != Some(MAGIC) {
+            return past;
+        }
+        loop {
+            past.good = (bytes.len() - c.0.len()) as u64;
+            let head = c.take(8);
+            let Some((length, sum)) = head.and_then(|h| {
+                let mut h = Cursor(h);
+                let mut word = || Some(u32::from_le_bytes(h.take(4)?.try_into().ok()?));
+                Some((word()? as usize, word()?))
+            }) else {
+                return past;
+            };
+            let payload = c.take(length).filter(|p| length <= LONGEST && crc32fast::hash(p) == sum);
+            // Guards against a tail that a dying process tore: nothing after it was ever confirmed.
+            if payload.and_then(|p| past.record(p)).is_none() {
+                return past;
+            }
+        }
+    }
+}
+
+impl Ledger {
+    /// Opens the journal and reads what earlier lives left. An unusable one is told, and starts refusing.
+    pub fn open(folder: &std::path::Path, disk: u64) -> (Ledger, Past) {
+        let path = folder.join("ledger");
+        // A compaction that was cut short leaves its new file; the old one is still whole.
+        let _ = std::fs::remove_file(folder.join("ledger.new"));
+        let mut bytes = Vec::new();
+        let read = File::open(&path).and_then(|mut f| f.read_to_end(&mut bytes));
+        let past = Past::read(&bytes);
+        if let Err(e) = read.as_ref().map_err(std::io::Error::kind)
+            && e != std::io::ErrorKind::NotFound
+        {
+            eprintln!("ledger unreadable error={e}");
+        }
+        if past.good < bytes.len() as u64 {
+            eprintln!("ledger tail cut bytes={}", bytes.len() as u64 - past.good);
+        }
+        let (file, size, cap) = (None, past.good, disk as f64 * PARTS.0);
+        let (live, over) = (BTreeMap::new(), past.over.clone());
+        let mut ledger = Ledger { path, file, size, cap, live, live_bytes: 0, over, rest_until: 0.0 };
+        for t in past.open.values() {
+            ledger.count(t.no, Ledger::whole(t));
+        }
+        // A new file at each start: the tail is gone, and so is what is over.
+        ledger.compact(past.open.values());
+        (ledger, past)
+    }
+
+    fn whole(t: &Taken) -> u64 {
+        (taken(t).len() + t.tasks.len() * 60 + 40) as u64
+    }
+
+    fn count(&mut self, no: u64, bytes: u64) {
+        *self.live.entry(no).or_insert(0) += bytes;
+        self.live_bytes += bytes;
+    }
+
+    /// Appends whole records; a write that fails halfway is taken back, as the next would stand behind a torn one.
+    fn append(&mut self, bytes: &[u8], most: f64) -> bool {
+        if (self.size + bytes.len() as u64) as f64 > most {
+            return false;
+        }
+        let Some(file) = self.file.as_mut() else { return false };
+        match file.write_all(bytes) {
+            Ok(()) => {
+                self.size += bytes.len() as u64;
+                true
+            }
+            Err(e) => {
+                eprintln!("ledger unwritable error={:?}", e.kind());
+                let undone = file.set_len(self.size).and_then(|()| file.seek(SeekFrom::Start(self.size)));
+                if undone.is_err() {
+                    self.file = None;
+                }
+                false
+            }
+        }
+    }
+
+    /// Records a transaction as taken on. False: it must be refused.
+    pub fn take(&mut self, t: &Taken) -> bool {
+        let record = taken(t);
+        // Leaves room behind it for its tasks and its end, which must not fail for want of it.
+        let fits = (self.live_bytes + record.len() as u64) as f64 <= self.cap * PARTS.2;
+        if !fits || !self.append(&record, self.cap * (PARTS.1 - 0.06)) {
+            return false;
+        }
+        self.count(t.no, Ledger::whole(t));
+        true
+    }
+
+    /// Records a routed task. False: its call must not start.
+    pub fn route(&mut self, no: u64, attempt: usize, sent: Millis) -> bool {
+        let done = self.append(&task(no, attempt, sent), self.cap * PARTS.1);
+        if done {
+            self.count(no, 60);
+        }
+        done
+    }
+
+    /// Records that a routed task never ran. Losing this one is safe: the task then counts as one that may have.
+    pub fn never_ran(&mut self, no: u64, attempt: usize) {
+        self.append(&never_ran(no, attempt), self.cap * PARTS.1);
+    }
+
+    /// Records how a transaction will end. Losing this one is safe: it comes back, and ends again.
+    pub fn ending(&mut self, no: u64, notice: Notice) {
+        self.append(&ending(no, notice), self.cap * PARTS.1);
+    }
+
+    /// Records that nothing more is owed.
+    pub fn over(&mut self, no: u64, id: &Rc<str>) {
+        self.append(&over(no, id), self.cap * PARTS.1);
+        self.live_bytes -= self.live.remove(&no).unwrap_or(0);
+        self.over.push_back(id.clone());
+        if self.over.len() > OVER_KEPT {
+            self.over.pop_front();
+        }
+    }
+
+    /// True once a compaction would free room, or must be tried since there is no file to write to.
+    pub fn wants_compaction(&self, now: Millis) -> bool {
+        let kept = self.live_bytes as f64 + self.over.len() as f64 * 60.0;
+        let full = self.size as f64 > (self.cap * 0.25).max(2.0 * kept);
+        let near = self.size as f64 > self.cap * (PARTS.1 - 0.1) && self.size as f64 > 1.1 * kept;
+        (full || near || self.file.is_none()) && now >= self.rest_until
+    }
+
+    /// A failed compaction is tried again only after a while.
+    pub fn compaction_failed(&mut self, now: Millis) {
+        self.rest_until = now + 1000.0;
+    }
+
+    /// Writes what is not over to a new file and puts it in the old one's place. On failure the old one stands.
+    pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a Taken>) -> bool {
+        let mut all = MAGIC.to_vec();
+        self.over.iter().for_each(|id| all.extend(over(0, id)));
+        let mut live = BTreeMap::new();
+        for t in open {
+            all.extend(taken(t));
+            live.insert(t.no, Ledger::whole(t));
+            for (attempt, done) in t.tasks.iter().enumerate() {
+                all.extend(task(t.no, attempt, done.sent));
+                if done.never_ran {
+                    all.extend(never_ran(t.no, attempt));
+                }
+            }
+            t.ending.into_iter().for_each(|notice| all.extend(ending(t.no, notice)));
+        }
+        let fresh = self.path.with_extension("new");
+        let written =
+            OpenOptions::new().create(true).write(true).truncate(true).open(&fresh).and_then(|mut f| {
+                f.write_all(&all)?;
+                std::fs::rename(&fresh, &self.path)?;
+                Ok(f)
+            });
+        match written {
+            Ok(file) => {
+                self.file = Some(file);
+                self.size = all.len() as u64;
+                self.live_bytes = live.values().sum();
+                self.live = live;
+                true
+            }
+            Err(e) => {
+                eprintln!("ledger compaction failed error={:?}", e.kind());
+                let _ = std::fs::remove_file(&fresh);
+                false
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let folder = std::env::temp_dir().join(format!("martenlatch-ledger-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(&folder).unwrap();
+        folder
+    }
+
+    fn some(no: u64, size: usize) -> Taken {
+        Taken {
+            no,
+            id: Rc::from(format!("id{no}")),
+            class: Rc::from("notice"),
+            destination: 7,
+            deadline: 1_796_121_600_016.25,
+            key: Some(Rc::from("")),
+            body: Rc::from(vec![9; size]),
+            tasks: Vec::new(),
+            ending: None,
+        }
+    }
+
+    #[test]
+    fn what_was_taken_on_comes_back_and_a_torn_tail_is_dropped() {
+        let folder = folder("torn");
+        let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
+        for no in 0..3 {
+            assert!(ledger.take(&some(no, 200)));
+        }
+        assert!(ledger.route(0, 0, 5.0) && ledger.route(0, 1, 6.0));
+        ledger.never_ran(0, 0);
+        ledger.over(1, &Rc::from("id1"));
+        ledger.ending(2, Notice::Deferred(Some(700)));
+        assert!(ledger.take(&some(3, 200)));
+        drop(ledger);
+        let whole = std::fs::read(folder.join("ledger")).unwrap();
+        std::fs::write(folder.join("ledger"), &whole[..whole.len() - 3]).unwrap();
+        std::fs::write(folder.join("ledger.new"), b"cut short").unwrap();
+        for _ in 0..2 {
+            let (_, past) = Ledger::open(&folder, 3_000_000);
+            assert_eq!(
+                past.open.keys().copied().collect::<Vec<_>>(),
+                [0, 2],
+                "the torn one was not confirmed"
+            );
+            let first = &past.open[&0];
+            let tasks = [Task { sent: 5.0, never_ran: true }, Task { sent: 6.0, never_ran: false }];
+            assert_eq!((first.tasks.as_slice(), first.key.as_deref()), (&tasks[..], Some("")));
+            assert_eq!(past.open[&2].ending, Some(Notice::Deferred(Some(700))));
+            assert_eq!((past.over.len(), &*past.over[0]), (1, "id1"));
+            assert!(!folder.join("ledger.new").exists());
+        }
+    }
+
+    #[test]
+    fn the_disk_limit_holds_with_old_and_new_file_and_full_means_refusing() {
+        let (folder, disk) = (folder("full"), 1_000_000);
+        let (mut ledger, _) = Ledger::open(&folder, disk);
+        let mut open = BTreeMap::new();
+        let mut refused = 0;
+        for no in 0..400 {
+            let t = some(no, 4_000);
+            match ledger.take(&t) {
+                true => drop(open.insert(no, t)),
+                false => refused += 1,
+            }
+            if no % 3 == 0
+                && let Some((no, t)) = open.pop_first()
+            {
+                ledger.over(no, &t.id);
+            }
+            if ledger.wants_compaction(0.0) {
+                let old = ledger.size;
+                assert!(ledger.compact(open.values()));
+                assert!(old + ledger.size < disk, "{old} and {}", ledger.size);
+            }
+        }
+        assert!(refused > 0, "the limit was never met");
+        assert!(ledger.route(*open.keys().next().unwrap(), 0, 1.0), "what was taken on can still be sent");
+        let (_, past) = Ledger::open(&folder, disk);
+        assert_eq!(past.open.len(), open.len());
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,12 +1,63 @@
-//! The network side of the sender. Each file owns one concern and says so in its first lines.
+//! The network side of the sender: one loop on one thread. Each file owns one concern and says so in its first
+//! lines. This one owns the loop and its signals, and must never hold a transaction or read a byte.
+
+pub mod clock;
+pub mod counters;
+pub mod http;
+pub mod ledger;
+pub mod pool;
+pub mod regions;
+pub mod stages;
+pub mod table;
+
+use std::time::Duration;
+
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use socket2::{Domain, Protocol, Socket, Type};
 
 use crate::Config;
+use clock::Clock;
+use http::Ready;
+
+/// Connections that may wait to be accepted: a burst of clients must not be met with silence.
+const BACKLOG: i32 = 1024;
+
+fn listen(config: &Config) -> std::io::Result<std::net::TcpListener> {
+    let socket = Socket::new(Domain::for_address(config.listen), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&config.listen.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
 
-/// Binds the sender's address. Serving follows with the stages.
+/// Serves until the sender is told to end.
 pub fn run(config: Config) -> Result<(), String> {
-    let listener = std::net::TcpListener::bind(config.listen);
-    let _listener = listener.map_err(|e| format!("listen: cannot bind {}: {e}", config.listen))?;
+    let clock = Clock::system();
+    let mut events = EventLoop::<Ready>::try_new().map_err(|e| format!("no event loop: {e}"))?;
+    let handle = events.handle();
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+        .map_err(|e| format!("no signals: {e}"))?;
+    let told =
+        handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
+    told.map_err(|e| format!("no signals: {e}"))?;
+    let listener = listen(&config).map_err(|e| format!("listen: cannot bind {}: {e}", config.listen))?;
+    let mut driver = stages::Driver::new(config, listener, &handle, clock)?;
+    let mut ready = Ready::default();
     loop {
-        std::thread::park();
+        for signal in std::mem::take(&mut ready.signals) {
+            match signal {
+                Signal::SIGUSR1 => driver.print_counters(),
+                _ => driver.end(),
+            }
+        }
+        if !driver.round(std::mem::take(&mut ready.keys)) {
+            break;
+        }
+        let sleep = Duration::from_secs_f64(driver.sleep() / 1e3);
+        events.dispatch(sleep, &mut ready).map_err(|e| format!("the event loop failed: {e}"))?;
     }
+    driver.print_counters();
+    Ok(())
 }
--- /dev/null
+++ b/src/net/regions.rs
@@ -0,0 +1,301 @@
+//! Owns the connections to regions: opened at need, kept alive, one call on each at a time. It must never send a
+//! call again by itself, choose a region, or keep a connection past its time; how a call ends is classed here by
+//! what was written and what came back, and judged elsewhere.
+
+use std::net::SocketAddr;
+
+use martenlatch::interface::{EndpointId, MessageId, Outcome};
+use slab::Slab;
+
+use super::clock::{Millis, nanos};
+use super::http::{self, Body, Handle, Key, Link};
+use super::pool::Pool;
+
+/// Part of the idle limit after which we close: the rest is for travel, as a crossing request ends as a reset.
+const IDLE_PART: f64 = 0.9;
+/// An answer's body may take so long after its head; the outcome is known by then.
+const BODY_TIME: Millis = 1_000.0;
+
+/// A routed task that has ended.
+#[derive(Debug)]
+pub struct Done {
+    pub id: MessageId,
+    pub attempt: u32,
+    pub outcome: Outcome,
+    pub took: Millis,
+    /// Status 410: the transaction is over, and nothing more is owed.
+    pub over: bool,
+}
+
+/// A call to start.
+pub struct Call<'a> {
+    pub id: MessageId,
+    pub attempt: u32,
+    pub region: EndpointId,
+    pub destination: u64,
+    pub timeout: Millis,
+    pub head: &'a [u8],
+    pub body: &'a [u8],
+}
+
+#[derive(Clone, Copy)]
+struct Task {
+    id: MessageId,
+    attempt: u32,
+    destination: u64,
+    sent: Millis,
+    due: Millis,
+}
+
+struct Conn {
+    link: Link,
+    region: EndpointId,
+    address: SocketAddr,
+    task: Option<Task>,
+    up: bool,
+    opened: Millis,
+    /// The rest of an answer whose outcome has been told.
+    rest: Option<Body>,
+    since: Millis,
+}
+
+pub struct Regions {
+    handle: Handle,
+    pool: Pool,
+    conns: Slab<Conn>,
+    /// Idle connections, the most recently used last.
+    idle: Vec<usize>,
+    connect_timeout: Millis,
+    idle_limit: Millis,
+    pub done: Vec<Done>,
+    pub opened: u64,
+}
+
+impl Regions {
+    pub fn new(handle: &Handle, pool: &Pool, connect_timeout: Millis, idle_limit: Millis) -> Regions {
+        Regions {
+            handle: handle.clone(),
+            pool: pool.clone(),
+            conns: Slab::new(),
+            idle: Vec::new(),
+            connect_timeout,
+            idle_limit: idle_limit * IDLE_PART,
+            done: Vec::new(),
+            opened: 0,
+        }
+    }
+
+    pub fn tasks(&self) -> usize {
+        self.conns.iter().filter(|(_, c)| c.task.is_some()).count()
+    }
+
+    /// Starts a call. One that cannot start has an outcome at once, which proves that it never ran.
+    pub fn call(&mut self, call: &Call, address: SocketAddr, now: Millis) {
+        let task = Task {
+            id: call.id,
+            attempt: call.attempt,
+            destination: call.destination,
+            sent: now,
+            due: now + call.timeout,
+        };
+        let at = match self.reusable(call.region, address) {
+            Some(at) => at,
+            None => match self.open(call.region, address, now) {
+                Ok(at) => at,
+                Err(e) => {
+                    // Out of descriptors is our own lack and says nothing of the region.
+                    let ours = matches!(e.raw_os_error(), Some(23 | 24));
+                    eprintln!("region not reached error={:?}", e.kind());
+                    return self.tell(task, if ours { Outcome::Void } else { Outcome::Unreachable }, now);
+                }
+            },
+        };
+        let conn = &mut self.conns[at];
+        if !(conn.link.queue(call.head) && conn.link.queue(call.body)) {
+            self.conns.remove(at);
+            return self.tell(task, Outcome::Void, now);
+        }
+        conn.link.written = 0;
+        conn.task = Some(task);
+        self.progress(at, now);
+    }
+
+    /// The most recently used idle connection that is still good. One that its region has closed is found here,
+    /// before a request is lost on it.
+    fn reusable(&mut self, region: EndpointId, address: SocketAddr) -> Option<usize> {
+        while let Some(place) = self.idle.iter().rposition(|at| self.conns[*at].region == region) {
+            let at = self.idle.remove(place);
+            let conn = &mut self.conns[at];
+            conn.link.fill();
+            if conn.address == address && !conn.link.eof && !conn.link.broken && conn.link.bytes().is_empty()
+            {
+                return Some(at);
+            }
+            self.conns.remove(at);
+        }
+        None
+    }
+
+    fn open(&mut self, region: EndpointId, address: SocketAddr, now: Millis) -> std::io::Result<usize> {
+        let key = Key::Region(self.conns.vacant_key());
+        let link = match Link::connect(address, &self.handle, &self.pool, key) {
+            // Out of descriptors: an idle connection makes room.
+            Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) && !self.idle.is_empty() => {
+                let oldest = self.idle.remove(0);
+                self.conns.remove(oldest);
+                let key = Key::Region(self.conns.vacant_key());
+                Link::connect(address, &self.handle, &self.pool, key)
+            }
+            link => link,
+        }?;
+        self.opened += 1;
+        let (up, opened, rest, since) = (false, now, None, now);
+        Ok(self.conns.insert(Conn { link, region, address, task: None, up, opened, rest, since }))
+    }
+
+    fn tell(&mut self, task: Task, outcome: Outcome, now: Millis) {
+        let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
+        self.done.push(Done { id, attempt, outcome, took, over: false });
+    }
+
+    /// Ends a task and its connection. Before its last byte has left, a call cannot have run.
+    fn fail(&mut self, at: usize, sent: Outcome, unsent: Outcome, now: Millis) {
+        let Some(conn) = self.conns.try_remove(at) else { return };
+        self.idle.retain(|i| *i != at);
+        if let Some(task) = conn.task {
+            let outcome = if conn.link.flushed() && conn.up { sent } else { unsent };
+            self.tell(task, outcome, now);
+        }
+    }
+
+    /// A connection is ready. True if there may be more to read.
+    pub fn ready(&mut self, at: usize, now: Millis) -> bool {
+        self.conns.contains(at) && self.progress(at, now)
+    }
+
+    fn progress(&mut self, at: usize, now: Millis) -> bool {
+        let conn = &mut self.conns[at];
+        conn.link.flush();
+        conn.up |= conn.link.written > 0;
+        let more = conn.link.fill();
+        if conn.task.is_some() {
+            match http::answer(conn.link.bytes()) {
+                // A word that the answer is still to come.
+                Ok(Some(answer)) if answer.status < 200 => {
+                    conn.link.used(answer.used);
+                    return true;
+                }
+                Ok(Some(answer)) => self.answered(at, answer, now),
+                Ok(None) if conn.link.broken || conn.link.eof => {
+                    self.fail(at, Outcome::Broken, Outcome::Unreachable, now);
+                    return false;
+                }
+                Ok(None) => return more,
+                Err(()) => {
+                    self.fail(at, Outcome::Broken, Outcome::Unreachable, now);
+                    return false;
+                }
+            }
+        }
+        self.settle(at, now);
+        more && self.conns.contains(at)
+    }
+
+    fn answered(&mut self, at: usize, answer: http::Answer, now: Millis) {
+        let conn = &mut self.conns[at];
+        let Some(task) = conn.task.take() else { return };
+        conn.link.used(answer.used);
+        // An answer before the request was out whole: the connection is in no state to be used again.
+        let keep = answer.keep && conn.link.flushed();
+        let wait = answer.header("x-backoff-ms").and_then(|w| w.parse::<f64>().ok());
+        let wait = nanos(wait.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(0.0).min(3.6e6));
+        let full = answer.header("x-egress-full") == Some("1");
+        let outcome = match answer.status {
+            200 => Outcome::Success,
+            503 if full => Outcome::Void,
+            429 | 503 => Outcome::Overloaded { wait },
+            504 => Outcome::Spent,
+            410 => Outcome::Void,
+            _ => Outcome::Failure,
+        };
+        conn.rest = Some(if keep { answer.body } else { Body::ToEnd });
+        conn.since = now;
+        let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
+        self.done.push(Done { id, attempt, outcome, took, over: answer.status == 410 });
+    }
+
+    /// Reads what is left of an answer, and puts the connection among the idle ones, or closes it.
+    fn settle(&mut self, at: usize, now: Millis) {
+        let conn = &mut self.conns[at];
+        let input = conn.link.bytes();
+        let read = match conn.rest.as_mut() {
+            Some(Body::ToEnd) => None,
+            Some(body) => body.feed(input, |_| {}),
+            // Idle: nothing may come.
+            None => input.is_empty().then_some((0, true)),
+        };
+        let gone = conn.link.eof || conn.link.broken;
+        match read {
+            Some((used, true)) if !gone => {
+                conn.link.used(used);
+                if conn.rest.take().is_some() {
+                    conn.since = now;
+                    self.idle.push(at);
+                }
+            }
+            Some((used, false)) if !gone => conn.link.used(used),
+            _ => {
+                self.conns.remove(at);
+                self.idle.retain(|i| *i != at);
+            }
+        }
+    }
+
+    /// Gives up a routed task by closing its connection. One that never left whole never ran.
+    pub fn cancel(&mut self, id: MessageId, attempt: u32, now: Millis) {
+        let mine = |c: &Conn| c.task.is_some_and(|t| t.id == id && t.attempt == attempt);
+        if let Some(at) = self.conns.iter().find(|(_, c)| mine(c)).map(|(at, _)| at) {
+            self.fail(at, Outcome::Withdrawn, Outcome::Void, now);
+        }
+    }
+
+    /// Takes back calls of which no byte has left: to a destination that has told us to wait, or a region that
+    /// drains. Guards against a slow connection that carries a call into what forbids it.
+    pub fn hold_back(&mut self, which: impl Fn(u64, EndpointId) -> bool, now: Millis) {
+        let unsent = |c: &Conn| c.link.written == 0 && c.task.is_some_and(|t| which(t.destination, c.region));
+        let held: Vec<usize> = self.conns.iter().filter(|(_, c)| unsent(c)).map(|(at, _)| at).collect();
+        held.into_iter().for_each(|at| self.fail(at, Outcome::Void, Outcome::Void, now));
+    }
+
+    /// Closes the idle connections to a region.
+    pub fn close(&mut self, region: EndpointId) {
+        let conns = &mut self.conns;
+        self.idle.retain(|at| {
+            let keep = conns[*at].region != region;
+            if !keep {
+                conns.remove(*at);
+            }
+            keep
+        });
+    }
+
+    /// What is over its time at an instant: a call, a connection that does not come up, an idle one.
+    fn time(&self, conn: &Conn) -> Millis {
+        match (conn.task, &conn.rest) {
+            (Some(task), _) if conn.up => task.due,
+            (Some(task), _) => task.due.min(conn.opened + self.connect_timeout),
+            (None, Some(_)) => conn.since + BODY_TIME,
+            (None, None) => conn.since + self.idle_limit,
+        }
+    }
+
+    pub fn due(&self) -> Millis {
+        self.conns.iter().map(|(_, c)| self.time(c)).fold(f64::INFINITY, f64::min)
+    }
+
+    pub fn expire(&mut self, now: Millis) {
+        let late =
+            self.conns.iter().filter(|(_, c)| self.time(c) <= now).map(|(at, _)| at).collect::<Vec<_>>();
+        late.into_iter().for_each(|at| self.fail(at, Outcome::TimedOut, Outcome::Unreachable, now));
+    }
+}
--- /dev/null
+++ b/src/net/stages.rs
@@ -0,0 +1,897 @@
+//! Owns the chain that a transaction passes: take in, admit, route, send, relay, book, and the driver that runs it
+//! once a round. It must never decide what the module decides; only the driver speaks with the module, in types
+//! that know no protocol, so that another protocol can stand before the same decisions.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use martenlatch::Policy;
+use martenlatch::interface::{
+    Action, ClassId, DestinationId, EndpointId, Event, MessageId, Outcome, Report, Stage,
+};
+use slab::Slab;
+
+use super::clock::{Clock, Millis, millis, nanos};
+use super::counters::Counters;
+use super::http::{self, Handle, Key, Link, Parsed};
+use super::ledger::{Ledger, Notice, Taken, Task};
+use super::pool::Pool;
+use super::regions::{Call, Done, Regions};
+use super::table::{Change, Table};
+use crate::Config;
+
+/// A client that has sent part of a request may take so long over the rest.
+const REQUEST_TIME: Millis = 10_000.0;
+/// A closed connection's late bytes are read away for so long, as closing on them would destroy our answer.
+const LINGER: Millis = 500.0;
+/// Connections accepted, and requests read from one of them, in a round: no peer may stall the loop.
+const ACCEPTS: usize = 64;
+const REQUESTS: usize = 16;
+/// How often client connections are looked over.
+const SWEEP: Millis = 250.0;
+/// Longest id, key; and longest time that a client may grant.
+const NAME: usize = 256;
+const LONGEST: f64 = 86_400.0;
+
+/// SIGTERM: so long work is still taken on, and so long in all, as SIGKILL comes 3.7 s after it at the earliest.
+const LAST_WORK: Millis = 600.0;
+const LAST_CALL: Millis = 3_300.0;
+/// A transaction not ended so long after its time is ended here, well before it counts as lost.
+const OVERDUE: Millis = 120.0;
+
+// ---- Take in ---------------------------------------------------------------------------------------------------
+
+struct Client {
+    link: Link,
+    /// Waits for the answer to its request.
+    busy: bool,
+    close: bool,
+    /// Told to go on with a body.
+    continued: bool,
+    /// When it was last heard of, or asked to end.
+    since: Millis,
+    closing: bool,
+}
+
+/// What a client has handed in.
+pub struct HandedIn {
+    client: usize,
+    id: Rc<str>,
+    class: usize,
+    destination: u64,
+    deadline: Millis,
+    key: Option<Rc<str>>,
+    body: Rc<[u8]>,
+}
+
+/// Owns the clients' connections; reads requests and writes answers. Knows paths and classes, not their meaning.
+pub struct TakeIn {
+    listener: Option<Rc<TcpListener>>,
+    token: Option<calloop::RegistrationToken>,
+    handle: Handle,
+    pool: Pool,
+    clients: Slab<Client>,
+    most: usize,
+    classes: Vec<(String, bool)>,
+    next_sweep: Millis,
+    /// Accepting rests after running out of descriptors.
+    accept_at: Option<Millis>,
+    ending: bool,
+}
+
+impl TakeIn {
+    fn accept(&mut self, now: Millis, counters: &mut Counters) -> bool {
+        self.accept_at = None;
+        let Some(listener) = self.listener.clone() else { return false };
+        for _ in 0..ACCEPTS {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    counters.clients += 1;
+                    if self.clients.len() >= self.most {
+                        self.evict();
+                    }
+                    let entry = self.clients.vacant_entry();
+                    if let Ok(link) = Link::new(stream, &self.handle, &self.pool, Key::Client(entry.key())) {
+                        let (busy, close, continued, closing) = (false, false, false, false);
+                        entry.insert(Client { link, busy, close, continued, since: now, closing });
+                    }
+                }
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
+                // EMFILE, ENFILE: the edge is spent, so it is tried again soon. An idle client makes room.
+                Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
+                    eprintln!("accept rests error={:?}", e.kind());
+                    self.evict();
+                    self.accept_at = Some(now + 50.0);
+                    return false;
+                }
+                Err(_) => {}
+            }
+        }
+        true
+    }
+
+    /// Closes the client that was quiet the longest; one that waits for an answer stays.
+    fn evict(&mut self) {
+        let quiet = self.clients.iter().filter(|(_, c)| !c.busy);
+        let oldest = quiet.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(at, _)| at);
+        if let Some(at) = oldest {
+            self.clients.remove(at);
+        }
+    }
+
+    /// Reads what a client sent. True if there may be more.
+    fn ready(&mut self, at: usize, now: Millis, out: &mut Vec<HandedIn>, counters: &mut Counters) -> bool {
+        for _ in 0..REQUESTS {
+            let Some(client) = self.clients.get_mut(at) else { return false };
+            client.link.flush();
+            let more = client.link.fill();
+            if client.closing {
+                let rest = client.link.bytes().len();
+                client.link.used(rest);
+                if client.link.eof || client.link.broken {
+                    self.clients.remove(at);
+                    return false;
+                }
+                return more;
+            }
+            if client.busy {
+                return false;
+            }
+            if client.link.broken {
+                counters.left += u64::from(!client.link.bytes().is_empty());
+                self.clients.remove(at);
+                return false;
+            }
+            if client.link.bytes().is_empty() {
+                if client.link.eof {
+                    self.clients.remove(at);
+                    return false;
+                }
+                if more {
+                    return true;
+                }
+                return false;
+            }
+            match http::request(client.link.bytes()) {
+                Parsed::Partial(waits) => {
+                    if client.link.eof {
+                        self.clients.remove(at);
+                    } else if waits && !client.continued {
+                        client.continued = true;
+                        client.link.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        client.link.flush();
+                    }
+                    return more;
+                }
+                Parsed::Bad(status) => {
+                    client.close = true;
+                    counters.bad += 1;
+                    self.answer(at, status, "", now);
+                    return true;
+                }
+                Parsed::Whole(request) => {
+                    client.link.used(request.used);
+                    (client.since, client.continued) = (now, false);
+                    client.close = request.close || client.link.eof || self.ending;
+                    match self.meaning(&request, at, now) {
+                        Ok(handed) => {
+                            self.clients[at].busy = true;
+                            out.push(handed);
+                            return true;
+                        }
+                        Err(status) => {
+                            counters.bad += u64::from(status != 200);
+                            self.clients[at].close |= status == 400;
+                            self.answer(at, status, if status == 405 { "Allow: POST\r\n" } else { "" }, now);
+                        }
+                    }
+                }
+            }
+        }
+        true
+    }
+
+    /// What a request hands in, or the status that answers it.
+    fn meaning(&self, request: &http::Request, client: usize, now: Millis) -> Result<HandedIn, u16> {
+        let path = request.path.split(['?', '#']).next().unwrap_or("");
+        if path == "/healthz" {
+            return Err(if matches!(request.method.as_str(), "GET" | "HEAD") { 200 } else { 405 });
+        }
+        let first = path.strip_prefix('/').and_then(|p| p.split('/').next()).unwrap_or("");
+        let class = self.classes.iter().position(|(name, _)| name == first).ok_or(404u16)?;
+        if request.method != "POST" {
+            return Err(405);
+        }
+        let name = |header: &str| {
+            let value = request.header(header).filter(|v| !v.is_empty() && v.len() <= NAME);
+            value.filter(|v| v.bytes().all(|b| b.is_ascii_graphic() || b == b' ')).map(Rc::<str>::from)
+        };
+        let id = name("x-request-id").ok_or(400u16)?;
+        let left = request.header("x-timeout").and_then(|t| t.parse::<f64>().ok());
+        let left = left.filter(|l| *l > 0.0 && *l <= LONGEST).ok_or(400u16)?;
+        let route = request.header("x-route-to").unwrap_or("");
+        let mut parts = route.split([',', ';', ' ']).filter_map(|p| p.trim().strip_prefix("dest="));
+        let destination = parts.next().and_then(|d| d.parse().ok()).ok_or(400u16)?;
+        // Without its key a repeat would take effect twice.
+        let key = name("idempotency-key");
+        if self.classes[class].1 && key.is_none() {
+            return Err(400);
+        }
+        let (deadline, body) = (now + left * 1e3, request.body.clone());
+        Ok(HandedIn { client, id, class, destination, deadline, key, body })
+    }
+
+    /// Answers a client. False if it had left before it could hear.
+    fn answer(&mut self, at: usize, status: u16, extra: &str, now: Millis) -> bool {
+        let Some(client) = self.clients.get_mut(at) else { return false };
+        client.busy = false;
+        client.close |= self.ending;
+        let queued = client.link.queue(&http::reply(status, extra, client.close));
+        client.link.flush();
+        // An end of its sending may be all, or it may have left: then our answer was reset at once.
+        let gone = !queued || client.link.broken || (client.link.eof && client.link.reset());
+        if gone {
+            self.clients.remove(at);
+        } else if client.close {
+            client.link.end_sending();
+            (client.closing, client.since) = (true, now);
+        }
+        !gone
+    }
+
+    fn due(&self) -> Millis {
+        self.next_sweep.min(self.accept_at.unwrap_or(f64::INFINITY))
+    }
+
+    /// Ends connections that are over their time.
+    fn sweep(&mut self, now: Millis) {
+        if now < self.next_sweep {
+            return;
+        }
+        self.next_sweep = now + SWEEP;
+        let mut slow = Vec::new();
+        self.clients.retain(|at, c| {
+            if !c.closing && !c.busy && !c.link.bytes().is_empty() && now > c.since + REQUEST_TIME {
+                slow.push(at);
+            }
+            !(c.closing && now > c.since + LINGER)
+        });
+        for at in slow {
+            self.clients[at].close = true;
+            self.answer(at, 408, "", now);
+        }
+    }
+
+    /// Takes no more connections, and closes those between requests.
+    fn stop(&mut self) {
+        if let Some(token) = self.token.take() {
+            self.handle.remove(token);
+        }
+        self.listener = None;
+        self.clients.retain(|_, c| c.busy || c.closing || !c.link.bytes().is_empty());
+    }
+}
+
+// ---- Admit -----------------------------------------------------------------------------------------------------
+
+#[derive(Clone, Copy, PartialEq)]
+enum State {
+    Open,
+    /// Its notice is on the way.
+    Ending,
+    Over,
+}
+
+/// A transaction that we have taken on.
+struct Transaction {
+    taken: Taken,
+    state: State,
+    /// Routed tasks without an outcome.
+    out: u32,
+}
+
+/// What the stages share: the transactions that are not over.
+struct Desk {
+    held: BTreeMap<u64, Transaction>,
+    numbers: HashMap<Rc<str>, u64>,
+    open: usize,
+    next: u64,
+    ledger: Ledger,
+    counters: Counters,
+}
+
+impl Desk {
+    fn insert(&mut self, taken: Taken, state: State) {
+        self.numbers.insert(taken.id.clone(), taken.no);
+        self.open += usize::from(state == State::Open);
+        self.held.insert(taken.no, Transaction { taken, state, out: 0 });
+    }
+
+    /// Takes a transaction from one state to the next.
+    fn pass(&mut self, no: u64, to: State) {
+        let Some(t) = self.held.get_mut(&no) else { return };
+        self.open -= usize::from(t.state == State::Open);
+        t.state = to;
+        if to == State::Over {
+            self.ledger.over(no, &t.taken.id);
+        }
+        self.forget(no);
+    }
+
+    fn forget(&mut self, no: u64) {
+        if self.held.get(&no).is_some_and(|t| t.state == State::Over && t.out == 0)
+            && let Some(t) = self.held.remove(&no)
+        {
+            self.numbers.remove(&t.taken.id);
+        }
+    }
+}
+
+/// Decides nothing but whether there is room: records first, answers then.
+struct Admit {
+    hold_limit: usize,
+    classes: Vec<String>,
+}
+
+impl Admit {
+    fn admit(
+        &self, h: HandedIn, desk: &mut Desk, take_in: &mut TakeIn, stopped: bool, now: Millis,
+    ) -> Option<Event> {
+        if desk.numbers.contains_key(&h.id) || desk.ledger.over.contains(&h.id) {
+            desk.counters.repeated += 1;
+            take_in.answer(h.client, 202, "", now);
+            return None;
+        }
+        let (no, tasks) = (desk.next, Vec::new());
+        let class = Rc::from(self.classes[h.class].as_str());
+        let (id, destination, deadline, ending) = (h.id, h.destination, h.deadline, None);
+        let taken = Taken { no, id, class, destination, deadline, key: h.key, body: h.body, tasks, ending };
+        if stopped || desk.open >= self.hold_limit || !desk.ledger.take(&taken) {
+            desk.counters.turned_away += 1;
+            take_in.answer(h.client, 503, "Retry-After: 1\r\n", now);
+            return None;
+        }
+        desk.next += 1;
+        if !take_in.answer(h.client, 202, "", now) {
+            desk.counters.left += 1;
+            desk.ledger.over(no, &taken.id);
+            return None;
+        }
+        desk.counters.taken += 1;
+        let (id, destination, class) = (MessageId(no), DestinationId(h.destination), ClassId(h.class));
+        let deadline = nanos(taken.deadline);
+        desk.insert(taken, State::Open);
+        Some(Event::Message { id, destination, class, tenant: None, deadline, key: None })
+    }
+
+    /// What an earlier life took on and did not end.
+    fn resume(&self, taken: Taken, desk: &mut Desk, relay: &mut Relay) -> Option<Event> {
+        desk.counters.resumed += 1;
+        let class = self.classes.iter().position(|c| **c == *taken.class);
+        let event = class.map(|class| Event::Resumed {
+            id: MessageId(taken.no),
+            destination: DestinationId(taken.destination),
+            class: ClassId(class),
+            deadline: nanos(taken.deadline),
+            attempts: taken.tasks.len() as u32,
+            ran: taken.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(t.sent)),
+        });
+        let (no, settled) = (taken.no, taken.ending.is_some() || event.is_none());
+        desk.insert(taken, if settled { State::Ending } else { State::Open });
+        if settled {
+            // Its end was decided, or its class is gone from the settings: what may have run is not promised.
+            relay.queue.push_back(no);
+            return None;
+        }
+        event
+    }
+}
+
+// ---- Route -----------------------------------------------------------------------------------------------------
+
+/// Owns the module: gathers a round's events, and calls it once.
+struct Route {
+    policy: Policy,
+    events: Vec<Event>,
+    wake: Option<Millis>,
+}
+
+impl Route {
+    fn turn(&mut self, now: Millis) -> Vec<Action> {
+        if self.wake.is_some_and(|at| at <= now) {
+            self.wake = None;
+            self.events.push(Event::Wake);
+        }
+        let mut actions = Vec::new();
+        if !self.events.is_empty() {
+            self.policy.turn(nanos(now), &self.events, &mut actions);
+            self.events.clear();
+        }
+        actions
+    }
+}
+
+// ---- Send ------------------------------------------------------------------------------------------------------
+
+/// A routed task's transaction and its goal.
+struct To {
+    id: MessageId,
+    region: EndpointId,
+    address: SocketAddr,
+}
+
+/// Carries a routed task to its region: its record first, then its first byte.
+struct Send;
+
+impl Send {
+    fn send(&self, to: To, timeout: Millis, desk: &mut Desk, regions: &mut Regions, now: Millis) {
+        let To { id, region, address } = to;
+        let Some(t) = desk.held.get_mut(&id.0) else { return };
+        let attempt = t.taken.tasks.len();
+        let recorded = desk.ledger.route(id.0, attempt, now);
+        t.taken.tasks.push(Task { sent: now, never_ran: !recorded });
+        t.out += 1;
+        if !recorded {
+            // What has no record is not sent: after a crash it would be taken for one that never ran.
+            let (attempt, outcome) = (attempt as u32, Outcome::Void);
+            return regions.done.push(Done { id, attempt, outcome, took: 0.0, over: false });
+        }
+        let taken = &t.taken;
+        let key = taken.key.as_ref().map_or(String::new(), |k| format!("Idempotency-Key: {k}\r\n"));
+        let head = format!(
+            "POST /v1/messages HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {}\r\n{key}X-Timeout: {:.3}\r\n\
+             Content-Length: {}\r\n\r\n",
+            taken.id,
+            timeout / 1e3,
+            taken.body.len()
+        );
+        desk.counters.sent += 1;
+        let (head, body, destination) = (head.as_bytes(), &*taken.body, taken.destination);
+        regions.call(
+            &Call { id, attempt: attempt as u32, region, destination, timeout, head, body },
+            address,
+            now,
+        );
+    }
+}
+
+// ---- Relay -----------------------------------------------------------------------------------------------------
+
+/// Most notices in one report; how long its answer may take; pauses between tries.
+const NOTICES: usize = 32;
+const CONFIRM: Millis = 1_000.0;
+const RETRY: (Millis, Millis) = (50.0, 1_000.0);
+
+/// Tells the platform the ends that it is owed, each until it is confirmed.
+struct Relay {
+    platform: SocketAddr,
+    handle: Handle,
+    pool: Pool,
+    link: Option<Link>,
+    queue: VecDeque<u64>,
+    flying: Vec<u64>,
+    sent: Millis,
+    next_try: Millis,
+    pause: Millis,
+    /// Halved after a report that the platform could not read, so that one bad notice holds up no other.
+    batch: usize,
+}
+
+impl Relay {
+    fn tend(&mut self, desk: &Desk, now: Millis) {
+        if !self.flying.is_empty() && now >= self.sent + CONFIRM {
+            self.failed(now, "silent");
+        }
+        if !self.flying.is_empty() || self.queue.is_empty() || now < self.next_try {
+            return;
+        }
+        let mut lines = String::new();
+        while let Some(no) = self.queue.pop_front() {
+            let Some(t) = desk.held.get(&no) else { continue };
+            let id = serde_json::Value::from(&*t.taken.id);
+            lines += &match t.taken.ending.unwrap_or(Notice::Undeliverable) {
+                Notice::Undeliverable => format!("{{\"id\":{id},\"status\":\"undeliverable\"}}\n"),
+                Notice::Deferred(None) => format!("{{\"id\":{id},\"status\":\"deferred\"}}\n"),
+                Notice::Deferred(Some(ms)) => {
+                    format!("{{\"id\":{id},\"status\":\"deferred\",\"again_ms\":{ms}}}\n")
+                }
+            };
+            self.flying.push(no);
+            if self.flying.len() >= self.batch {
+                break;
+            }
+        }
+        if self.flying.is_empty() {
+            return;
+        }
+        self.sent = now;
+        // A connection that the platform has closed meanwhile is found before a report is lost on it.
+        if let Some(link) = self.link.as_mut() {
+            link.fill();
+        }
+        self.link = self.link.take().filter(|l| !l.eof && !l.broken);
+        if self.link.is_none() {
+            self.link = Link::connect(self.platform, &self.handle, &self.pool, Key::Notices).ok();
+        }
+        let head = format!(
+            "POST /reports HTTP/1.1\r\nHost: {}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
+            self.platform,
+            lines.len()
+        );
+        let queued = self.link.as_mut().is_some_and(|l| {
+            l.queue(head.as_bytes()) && l.queue(lines.as_bytes()) && {
+                l.flush();
+                !l.broken
+            }
+        });
+        if !queued {
+            self.failed(now, "no connection");
+        }
+    }
+
+    fn failed(&mut self, now: Millis, reason: &str) {
+        eprintln!("notices unconfirmed count={} reason={reason}", self.flying.len());
+        self.link = None;
+        self.flying.drain(..).rev().for_each(|no| self.queue.push_front(no));
+        self.next_try = now + self.pause;
+        self.pause = (self.pause * 2.0).min(RETRY.1);
+    }
+
+    fn due(&self) -> Millis {
+        match (self.flying.is_empty(), self.queue.is_empty()) {
+            (false, _) => self.sent + CONFIRM,
+            (true, false) => self.next_try,
+            (true, true) => f64::INFINITY,
+        }
+    }
+
+    /// Reads the platform's answer, and says which ends it has confirmed.
+    fn ready(&mut self, now: Millis) -> Vec<u64> {
+        let Some(link) = self.link.as_mut() else { return Vec::new() };
+        link.flush();
+        link.fill();
+        match http::answer(link.bytes()) {
+            Ok(Some(answer)) if !self.flying.is_empty() => {
+                let length = if let http::Body::Left(n) = answer.body { n } else { usize::MAX };
+                // An answer with a body is not waited out: the connection goes.
+                let keep = answer.keep && link.bytes().len() == answer.used + length;
+                link.used(answer.used + length.min(link.bytes().len()));
+                if (200..300).contains(&answer.status) {
+                    if !keep {
+                        self.link = None;
+                    }
+                    (self.pause, self.batch) = (RETRY.0, NOTICES);
+                    return std::mem::take(&mut self.flying);
+                }
+                self.batch = (self.batch / 2).max(1);
+                self.flying.rotate_left(1);
+                self.failed(now, "refused");
+            }
+            Ok(None) if !link.eof && !link.broken => {}
+            _ if self.flying.is_empty() => self.link = None,
+            _ => self.failed(now, "connection lost"),
+        }
+        Vec::new()
+    }
+}
+
+// ---- Book ------------------------------------------------------------------------------------------------------
+
+/// Enters how routed tasks and transactions end.
+struct Book;
+
+impl Book {
+    /// A routed task has ended: the record of a proof that it never ran, and what the module is told.
+    fn task(&self, done: Done, desk: &mut Desk) -> Option<Event> {
+        let (id, attempt, outcome) = (done.id, done.attempt, done.outcome);
+        let count = &mut desk.counters;
+        *match outcome {
+            Outcome::Success => &mut count.success,
+            Outcome::Failure => &mut count.failure,
+            Outcome::Overloaded { .. } => &mut count.short_on_capacity,
+            Outcome::TimedOut => &mut count.timed_out,
+            Outcome::Unreachable => &mut count.unreachable,
+            Outcome::Broken => &mut count.broken,
+            Outcome::Withdrawn => &mut count.withdrawn,
+            Outcome::Void | Outcome::Spent => &mut count.not_sent,
+        } += 1;
+        let t = desk.held.get_mut(&id.0)?;
+        t.out = t.out.saturating_sub(1);
+        if outcome.never_ran()
+            && let Some(task) = t.taken.tasks.get_mut(attempt as usize).filter(|t| !t.never_ran)
+        {
+            task.never_ran = true;
+            desk.ledger.never_ran(id.0, attempt as usize);
+        }
+        if t.state == State::Open && (outcome == Outcome::Success || done.over) {
+            desk.counters.delivered += u64::from(!done.over);
+            desk.counters.called_over += u64::from(done.over);
+            desk.pass(id.0, State::Over);
+        } else {
+            desk.forget(id.0);
+        }
+        let finished = desk.held.get(&id.0).is_none_or(|t| t.state != State::Open);
+        let (took, report) = (nanos(done.took), Report::default());
+        Some(Event::Ended { id, attempt, outcome, took, finished, report })
+    }
+
+    /// A transaction ends undelivered: its notice is owed from here on.
+    fn end(&self, id: MessageId, notice: Notice, desk: &mut Desk, relay: &mut Relay) {
+        let Some(t) = desk.held.get_mut(&id.0).filter(|t| t.state == State::Open) else { return };
+        t.taken.ending = Some(notice);
+        desk.ledger.ending(id.0, notice);
+        desk.pass(id.0, State::Ending);
+        relay.queue.push_back(id.0);
+    }
+
+    /// The platform has confirmed an end.
+    fn confirmed(&self, no: u64, desk: &mut Desk) {
+        match desk.held.get(&no).and_then(|t| t.taken.ending) {
+            Some(Notice::Deferred(_)) => desk.counters.deferred += 1,
+            _ => desk.counters.undeliverable += 1,
+        }
+        desk.pass(no, State::Over);
+    }
+
+    fn tidy(&self, desk: &mut Desk, now: Millis) {
+        if desk.ledger.wants_compaction(now) {
+            let held = desk.held.values().filter(|t| t.state != State::Over);
+            if !desk.ledger.compact(held.map(|t| &t.taken)) {
+                desk.ledger.compaction_failed(now);
+            }
+        }
+    }
+}
+
+// ---- The driver ------------------------------------------------------------------------------------------------
+
+/// Runs the chain, a round at a time.
+pub struct Driver {
+    clock: Clock,
+    handle: Handle,
+    pool: Pool,
+    take_in: TakeIn,
+    admit: Admit,
+    route: Route,
+    send: Send,
+    relay: Relay,
+    book: Book,
+    desk: Desk,
+    regions: Regions,
+    table: Table,
+    /// Sockets that had more to read than one round takes.
+    again: Vec<Key>,
+    /// When the sender was told to end.
+    told_to_end: Option<Millis>,
+}
+
+impl Driver {
+    pub fn new(
+        config: Config, listener: TcpListener, handle: &Handle, clock: Clock,
+    ) -> Result<Driver, String> {
+        let boot = &config.boot;
+        let set = boot.settings.clone();
+        let policy = Policy::new(set.clone(), config.seed).map_err(|e| format!("settings: {e}"))?;
+        // Half of the descriptors for clients: the rest is for regions, discovery and files.
+        let most = (config.sockets / 2).min(512);
+        let pool = Pool::new(512);
+        let listener = Rc::new(listener);
+        let token = http::register(handle, listener.clone(), Key::Listener)
+            .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
+        let keyed = |c: &martenlatch::interface::Class| {
+            matches!(c.effect, martenlatch::interface::Effect::Keyed { .. })
+        };
+        let classes = boot.classes.iter().cloned().zip(set.classes.iter().map(keyed)).collect();
+        let take_in = TakeIn {
+            listener: Some(listener),
+            token: Some(token),
+            handle: handle.clone(),
+            pool: pool.clone(),
+            clients: Slab::new(),
+            most,
+            classes,
+            next_sweep: 0.0,
+            accept_at: None,
+            ending: false,
+        };
+        let (ledger, past) = Ledger::open(&config.state, config.disk);
+        let (next, counters) = (past.next, Counters::default());
+        let (held, numbers) = (BTreeMap::new(), HashMap::new());
+        let mut desk = Desk { held, numbers, open: 0, next, ledger, counters };
+        let mut relay = Relay {
+            platform: config.discovery,
+            handle: handle.clone(),
+            pool: pool.clone(),
+            link: None,
+            queue: VecDeque::new(),
+            flying: Vec::new(),
+            sent: 0.0,
+            next_try: 0.0,
+            pause: RETRY.0,
+            batch: NOTICES,
+        };
+        let admit = Admit { hold_limit: set.hold_limit, classes: boot.classes.clone() };
+        let resumed =
+            past.open.into_values().filter_map(|t| admit.resume(t, &mut desk, &mut relay)).collect();
+        let mut driver = Driver {
+            admit,
+            route: Route { policy, events: Vec::new(), wake: None },
+            send: Send,
+            relay,
+            book: Book,
+            desk,
+            take_in,
+            regions: Regions::new(handle, &pool, millis(set.connect_timeout), millis(set.conn_idle)),
+            table: Table::new(config.discovery, boot),
+            again: Vec::new(),
+            told_to_end: None,
+            clock,
+            handle: handle.clone(),
+            pool,
+        };
+        if config.known.is_object()
+            && let Some(known) = driver.table.line(&config.known)
+        {
+            driver.listed(Change { whole: true, ..known });
+        }
+        driver.route.events.extend::<Vec<Event>>(resumed);
+        println!("started name={} resumed={}", config.name, driver.desk.counters.resumed);
+        Ok(driver)
+    }
+
+    /// A change of the table, in the turn that brings it. Calls not yet begun are taken back where they may not go.
+    fn listed(&mut self, change: Change) {
+        let on = |e: &EndpointId| change.entries.iter().any(|c| c.endpoint == *e && c.stage == Stage::On);
+        let off = |e: &EndpointId| change.entries.iter().any(|c| c.endpoint == *e && c.stage != Stage::On);
+        let whole = change.whole;
+        let now = self.clock.now();
+        self.regions.hold_back(|_, region| if whole { !on(&region) } else { off(&region) }, now);
+        let entries = change.entries;
+        self.route.events.push(if whole { Event::List(entries) } else { Event::ListChanges(entries) });
+    }
+
+    /// How long the loop may sleep, in milliseconds.
+    pub fn sleep(&self) -> Millis {
+        if !self.again.is_empty() || !self.route.events.is_empty() || !self.regions.done.is_empty() {
+            return 0.0;
+        }
+        let dues = [self.regions.due(), self.table.due(), self.relay.due(), self.take_in.due()];
+        let due = dues.into_iter().chain(self.route.wake).fold(f64::INFINITY, f64::min);
+        (due - self.clock.now()).clamp(0.0, 250.0)
+    }
+
+    pub fn print_counters(&mut self) {
+        self.desk.counters.connections = self.regions.opened;
+        println!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
+    }
+
+    /// SIGTERM: serve what comes for a moment more, start no call that cannot end, and go.
+    pub fn end(&mut self) {
+        if self.told_to_end.is_none() {
+            let now = self.clock.now();
+            println!("ending open={}", self.desk.open);
+            self.told_to_end = Some(now);
+            self.take_in.ending = true;
+            self.route.events.push(Event::Closing(nanos(now + LAST_CALL)));
+        }
+    }
+
+    /// One round: what is ready, what is due, one turn, its actions. False once the sender may exit.
+    pub fn round(&mut self, mut ready: Vec<Key>) -> bool {
+        let now = self.clock.now();
+        let mut handed = Vec::new();
+        ready.append(&mut self.again);
+        ready.sort_unstable();
+        ready.dedup();
+        if self.take_in.accept_at.is_some_and(|at| at <= now) {
+            ready.push(Key::Listener);
+        }
+        for key in ready {
+            let more = match key {
+                Key::Listener => self.take_in.accept(now, &mut self.desk.counters),
+                Key::Client(at) => self.take_in.ready(at, now, &mut handed, &mut self.desk.counters),
+                Key::Region(at) => self.regions.ready(at, now),
+                Key::Watch => {
+                    let (changes, more) = self.table.ready(now);
+                    changes.into_iter().for_each(|c| self.listed(c));
+                    more
+                }
+                Key::Notices => {
+                    let confirmed = self.relay.ready(now);
+                    confirmed.into_iter().for_each(|no| self.book.confirmed(no, &mut self.desk));
+                    false
+                }
+            };
+            if more {
+                self.again.push(key);
+            }
+        }
+        self.regions.expire(now);
+        self.take_in.sweep(now);
+        let stopped = self.told_to_end.is_some_and(|at| now >= at + LAST_WORK);
+        if stopped {
+            self.take_in.stop();
+        }
+        for h in handed {
+            let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, stopped, now);
+            self.route.events.extend(event);
+        }
+        self.outcomes(now);
+        self.overdue(now);
+        self.table.tend(now, &self.handle, &self.pool);
+        let actions = self.route.turn(now);
+        self.desk.counters.turns += u64::from(!actions.is_empty());
+        self.carry_out(actions, now);
+        self.relay.tend(&self.desk, now);
+        self.book.tidy(&mut self.desk, now);
+        let took = (self.clock.now() - now) as u64;
+        self.desk.counters.longest_round_ms = self.desk.counters.longest_round_ms.max(took);
+        !self.may_exit(now)
+    }
+
+    /// What came back from regions becomes events. A told wait binds the destination's calls not yet begun.
+    fn outcomes(&mut self, now: Millis) {
+        let told = self
+            .regions
+            .done
+            .iter()
+            .filter(|d| matches!(d.outcome, Outcome::Overloaded { wait } if wait > 0));
+        let held = told.filter_map(|d| self.desk.held.get(&d.id.0)).map(|t| t.taken.destination);
+        let waits: Vec<u64> = held.collect();
+        if !waits.is_empty() {
+            self.regions.hold_back(|destination, _| waits.contains(&destination), now);
+        }
+        for done in std::mem::take(&mut self.regions.done) {
+            self.route.events.extend(self.book.task(done, &mut self.desk));
+        }
+    }
+
+    /// Ends what the module should have ended. Guards the owed notice, whatever goes wrong elsewhere.
+    fn overdue(&mut self, now: Millis) {
+        let late = |t: &&Transaction| t.state == State::Open && now > t.taken.deadline + OVERDUE;
+        let late: Vec<u64> = self.desk.held.values().filter(late).map(|t| t.taken.no).collect();
+        for no in late {
+            eprintln!("transaction ended late no={no}");
+            self.desk.counters.late += 1;
+            self.book.end(MessageId(no), Notice::Undeliverable, &mut self.desk, &mut self.relay);
+            self.route.events.push(Event::Left(MessageId(no)));
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>, now: Millis) {
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, timeout } => {
+                    let Some(address) = self.table.addresses.get(endpoint.0 as usize).copied() else {
+                        continue;
+                    };
+                    let (desk, regions) = (&mut self.desk, &mut self.regions);
+                    self.send.send(To { id, region: endpoint, address }, millis(timeout), desk, regions, now);
+                }
+                Action::Cancel { id, attempt } => self.regions.cancel(id, attempt, now),
+                Action::Refuse { id, return_after } => {
+                    let again = return_after.map(|r| millis(r).round() as u64);
+                    self.book.end(id, Notice::Deferred(again), &mut self.desk, &mut self.relay);
+                }
+                Action::Fail { id } => {
+                    self.book.end(id, Notice::Undeliverable, &mut self.desk, &mut self.relay);
+                }
+                Action::WakeAfter(span) => {
+                    let at = now + millis(span);
+                    self.route.wake = Some(self.route.wake.map_or(at, |w| w.min(at)));
+                }
+                Action::Close(endpoint) => self.regions.close(endpoint),
+                // The watch is always open.
+                Action::Subscribe => {}
+            }
+        }
+    }
+
+    fn may_exit(&self, now: Millis) -> bool {
+        let Some(told) = self.told_to_end else { return false };
+        let busy = self.take_in.clients.iter().any(|(_, c)| c.busy);
+        let calm = self.regions.tasks() == 0 && self.relay.flying.is_empty() && self.desk.open == 0;
+        now >= told + LAST_WORK && !busy && (calm || now >= told + LAST_CALL + 100.0)
+    }
+}
--- /dev/null
+++ b/src/net/table.rs
@@ -0,0 +1,217 @@
+//! Owns the service table as discovery tells it: the watch, its lines, and the regions' names and addresses. It
+//! must never forget a region because discovery is silent, and never judge one: health is not in the table.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use martenlatch::interface::{DestinationId, EndpointId, Entry, KindId, Stage, ZoneId};
+use martenlatch::settings::Boot;
+use serde_json::Value;
+
+use super::clock::Millis;
+use super::http::{self, Handle, Key, Link};
+use super::pool::Pool;
+
+/// Longest line of the watch, and most regions ever named; past these discovery is not believed.
+const LINE: usize = 4 << 20;
+const REGIONS: usize = 1 << 16;
+/// An empty line comes every 2 s: after this long the watch's other end may have vanished without a word.
+const SILENT: Millis = 7_000.0;
+const BACKOFF: (Millis, Millis) = (100.0, 2_000.0);
+
+/// What a line of the table changed, in the module's terms. A region keeps its number for the life of the process.
+pub struct Change {
+    pub whole: bool,
+    pub entries: Vec<Entry>,
+}
+
+pub struct Table {
+    discovery: SocketAddr,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    rev: u64,
+    numbers: HashMap<String, EndpointId>,
+    /// Where each region is now.
+    pub addresses: Vec<SocketAddr>,
+    watch: Option<Watch>,
+    heard: Millis,
+    backoff: Millis,
+    next_try: Millis,
+}
+
+struct Watch {
+    link: Link,
+    body: Option<http::Body>,
+    line: Vec<u8>,
+}
+
+impl Table {
+    pub fn new(discovery: SocketAddr, boot: &Boot) -> Table {
+        Table {
+            discovery,
+            zones: boot.zones.clone(),
+            kinds: boot.kinds.clone(),
+            rev: 0,
+            numbers: HashMap::new(),
+            addresses: Vec::new(),
+            watch: None,
+            heard: 0.0,
+            backoff: BACKOFF.0,
+            next_try: 0.0,
+        }
+    }
+
+    /// Takes one object of the table. Bad entries are logged and skipped, and so is a bad line.
+    pub fn line(&mut self, json: &Value) -> Option<Change> {
+        let Some(targets) = json.get("targets").and_then(Value::as_array) else {
+            eprintln!("table line skipped reason=no list of targets");
+            return None;
+        };
+        let whole = json.get("all").and_then(Value::as_bool).unwrap_or(false);
+        if let Some(rev) = json.get("rev").and_then(Value::as_u64) {
+            self.rev = rev;
+        }
+        let mut entries = Vec::new();
+        for target in targets {
+            match self.entry(target) {
+                Ok(entry) => entries.push(entry),
+                Err(field) => eprintln!("table entry skipped field={field}"),
+            }
+        }
+        Some(Change { whole, entries })
+    }
+
+    fn entry(&mut self, json: &Value) -> Result<Entry, &'static str> {
+        let text = |field: &'static str| json.get(field).and_then(Value::as_str).ok_or(field);
+        let uid = text("uid")?;
+        let stage = match text("state")? {
+            "in_service" => Stage::On,
+            "terminating" => Stage::Draining,
+            "terminated" => Stage::Gone,
+            _ => return Err("state"),
+        };
+        let address = text("endpoint").and_then(|a| a.parse::<SocketAddr>().map_err(|_| "endpoint"));
+        let known = self.numbers.get(uid).copied();
+        // One that is removed needs no address any more.
+        let address = match (address, known) {
+            (Ok(address), _) => address,
+            (Err(_), Some(known)) if stage != Stage::On => self.addresses[known.0 as usize],
+            (Err(field), _) => return Err(field),
+        };
+        let place = |names: &[String], field: &'static str| {
+            let name = text(field)?;
+            names.iter().position(|n| n == name).ok_or(field)
+        };
+        let zone = ZoneId(place(&self.zones, "az")?);
+        let kind = KindId(place(&self.kinds, "model")?);
+        let destination = DestinationId(json.get("pod_group").and_then(Value::as_u64).ok_or("pod_group")?);
+        let weight = json.get("capacity_hint").and_then(Value::as_f64).unwrap_or(0.0);
+        let endpoint = match known {
+            Some(known) => known,
+            None if self.addresses.len() >= REGIONS => return Err("uid (too many regions)"),
+            None => {
+                let fresh = EndpointId(self.addresses.len() as u32);
+                self.numbers.insert(uid.to_string(), fresh);
+                self.addresses.push(address);
+                fresh
+            }
+        };
+        self.addresses[endpoint.0 as usize] = address;
+        Ok(Entry { endpoint, zone, kind, destination, stage, weight })
+    }
+
+    fn drop_watch(&mut self, now: Millis, reason: &str) {
+        if self.watch.take().is_some() {
+            eprintln!("watch lost reason={reason} rev={}", self.rev);
+        }
+        self.next_try = now + self.backoff;
+        self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
+    }
+
+    /// Opens the watch when it is due, from the version that we have.
+    pub fn tend(&mut self, now: Millis, handle: &Handle, pool: &Pool) {
+        if self.watch.is_some() && now > self.heard + SILENT {
+            self.drop_watch(now, "silent");
+        }
+        if self.watch.is_some() || now < self.next_try {
+            return;
+        }
+        self.heard = now;
+        match Link::connect(self.discovery, handle, pool, Key::Watch) {
+            Ok(mut link) => {
+                let (host, from) = (self.discovery, self.rev);
+                let ask = format!("GET /v1/servers?watch=1&from={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+                link.queue(ask.as_bytes());
+                link.flush();
+                self.watch = Some(Watch { link, body: None, line: Vec::new() });
+            }
+            Err(e) => {
+                eprintln!("watch not opened error={:?}", e.kind());
+                self.drop_watch(now, "");
+            }
+        }
+    }
+
+    /// When [`Table::tend`] has something to do.
+    pub fn due(&self) -> Millis {
+        if self.watch.is_some() { self.heard + SILENT + 1.0 } else { self.next_try }
+    }
+
+    /// Reads what the watch has brought. The flag says that there may be more to read.
+    pub fn ready(&mut self, now: Millis) -> (Vec<Change>, bool) {
+        let Some(mut watch) = self.watch.take() else { return (Vec::new(), false) };
+        watch.link.flush();
+        let more = watch.link.fill();
+        let mut lines = Vec::new();
+        let fault = watch.read(&mut lines);
+        if !lines.is_empty() {
+            self.heard = now;
+            self.backoff = BACKOFF.0;
+        }
+        let mut changes = Vec::new();
+        for line in lines.iter().filter(|l| !l.trim_ascii().is_empty()) {
+            match serde_json::from_slice::<Value>(line) {
+                Ok(json) => changes.extend(self.line(&json)),
+                Err(_) => eprintln!("table line skipped reason=not JSON"),
+            }
+        }
+        let fault = fault.or((watch.link.eof || watch.link.broken).then_some("closed"));
+        self.watch = Some(watch);
+        if let Some(reason) = fault {
+            self.drop_watch(now, reason);
+        }
+        (changes, more && fault.is_none())
+    }
+}
+
+impl Watch {
+    /// Gathers whole lines; says what is wrong where the watch cannot go on.
+    fn read(&mut self, lines: &mut Vec<Vec<u8>>) -> Option<&'static str> {
+        if self.body.is_none() {
+            match http::answer(self.link.bytes()) {
+                Ok(None) => return None,
+                Ok(Some(answer)) if answer.status == 200 => {
+                    self.link.used(answer.used);
+                    self.body = Some(answer.body);
+                }
+                _ => return Some("refused"),
+            }
+        }
+        let (body, line) = (self.body.as_mut()?, &mut self.line);
+        let mut take = |bytes: &[u8]| {
+            for part in bytes.split_inclusive(|b| *b == b'\n') {
+                line.extend(part);
+                if part.ends_with(b"\n") {
+                    lines.push(std::mem::take(line));
+                }
+            }
+        };
+        let Some((used, over)) = body.feed(self.link.bytes(), &mut take) else { return Some("malformed") };
+        self.link.used(used);
+        // Guards against a line without end, which would grow without bound.
+        if self.line.len() > LINE {
+            return Some("line too long");
+        }
+        over.then_some("ended")
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -197,6 +197,7 @@
     attempts: Vec<Attempt>,
     not_before: Nanos,
     copied: bool,
+    spent: bool,
     done: bool,
     streaming: bool,
 }
@@ -227,6 +228,8 @@
 pub struct Policy {
     set: Settings,
     now: Nanos,
+    /// No call may be out past this: the sender ends.
+    closing: Option<Nanos>,
     random: u64,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     /// The endpoints of each destination.
@@ -333,6 +336,8 @@
             // Discovery may be overloaded: ask again well within the time after which we count as told.
             Event::ListFailed => self.ask_at = self.set.ask_every.map(|every| self.now + every / 8),
             Event::Message { .. } => self.message(event),
+            Event::Resumed { .. } => self.resumed(event),
+            Event::Closing(at) => self.closing = Some(*at),
             Event::Ended { .. } => self.ended(event, actions),
             Event::Started { id, attempt } => {
                 let Some(m) = self.messages.get_mut(id) else { return };
@@ -387,6 +392,19 @@
         self.messages.insert(id, message);
     }
 
+    /// A message of an earlier life: of its attempts, one stands for all that may have run.
+    fn resumed(&mut self, event: &Event) {
+        let Event::Resumed { id, destination, class, deadline, attempts, ran } = *event else { return };
+        self.message(&Event::Message { id, destination, class, tenant: None, deadline, key: None });
+        let Some(m) = self.messages.get_mut(&id) else { return };
+        for no in 0..attempts.min(self.set.max_attempts).max(u32::from(ran.is_some())) {
+            // The endpoint is not known any more: no group of one zone holds it.
+            let (endpoint, first) = (EndpointId(u32::MAX), if no == 0 { ran } else { None });
+            let end = Some(if first.is_some() { Outcome::Broken } else { Outcome::Void });
+            m.attempts.push(Attempt { endpoint, sent: first.unwrap_or(0), end, ..Attempt::default() });
+        }
+    }
+
     /// What a message earns if it is delivered at an instant.
     fn earns(&self, m: &Message, at: Nanos) -> f64 {
         let class = &self.set.classes[m.class.0];
@@ -524,7 +542,8 @@
     /// Patient where a repeat cannot follow; else long enough for a slow call, as one timed out may run on.
     fn time_limit(&self, id: MessageId, at: EndpointId) -> Nanos {
         let m = &self.messages[&id];
-        let left = m.deadline.saturating_sub(self.now).max(1);
+        let end = self.closing.unwrap_or(Nanos::MAX).min(m.deadline);
+        let left = end.saturating_sub(self.now).max(1);
         let limit = (LIMIT * self.p95(self.endpoints[&at].route)).max(SILENT_LEAST);
         if self.set.classes[m.class.0].effect == Effect::Unsafe { left } else { limit.min(left) }
     }
@@ -575,7 +594,8 @@
         let (m, e) = (&self.messages[&id], &self.endpoints[&at]);
         // Drains: nothing new once told. The message's time and attempts; a second copy where it is allowed.
         let listed = e.stage == Stage::On && e.destination == m.destination;
-        let open = !m.done && m.deadline > self.now && m.attempts.len() < self.set.max_attempts as usize;
+        let open =
+            !m.done && !m.spent && m.deadline > self.now && m.attempts.len() < self.set.max_attempts as usize;
         let copy = self.set.second_copies || m.out().next().is_none();
         listed && open && copy && self.may_repeat(m, e) && self.in_turn(id, m) && self.route_takes(m, at, e)
     }
@@ -614,6 +634,7 @@
             return false;
         }
         let trial = !route.down() || route.out.iter().all(|(_, _, sent)| *sent < route.rest_until);
+        let in_time = self.closing.is_none_or(|end| self.now + self.p95(e.route) <= end);
         // Saves the last attempts of a message from a partner that is refusing: once spent, it is given up.
         let refusing = route.refused_run > 0 && self.now < route.rise + 2 * GAP_CAP;
         let burns = refusing && m.attempts.len() + 2 >= self.set.max_attempts as usize;
@@ -622,7 +643,7 @@
         let gathers = self.set.kinds[e.kind.0].per_call > 1 && e.out > 0 && e.last_send > fresh;
         let gap = route.gap.max(self.share_gap(e.kind, route));
         let paced = route.last_send.is_none_or(|t| self.now >= t + gap);
-        trial && !burns && (joins || (!gathers && paced && self.slot_for(e, route)))
+        trial && in_time && !burns && (joins || (!gathers && paced && self.slot_for(e, route)))
     }
 
     /// Where tries after a refusal are mostly refused, refused calls use up that kind's limits, and first
@@ -661,6 +682,7 @@
         let Some(m) = self.messages.get_mut(&id) else { return };
         let Some(a) = m.attempts.get_mut(attempt as usize).filter(|a| a.end.is_none()) else { return };
         a.end = Some(outcome);
+        m.spent |= outcome == Outcome::Spent;
         let (endpoint, sent, call, counted) = (a.endpoint, a.sent, a.call, a.overdue);
         let left = self.calls.get_mut(&call).map(|left| std::mem::replace(left, *left - 1));
         let (over, mut stale) = (left == Some(1), false);
@@ -795,7 +817,7 @@
                 let gone = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
                 self.failed_trial(at, if gone { DOUBT } else { 1.0 });
             }
-            Outcome::Withdrawn | Outcome::Void => {}
+            Outcome::Withdrawn | Outcome::Void | Outcome::Spent => {}
         }
     }
 
@@ -891,7 +913,7 @@
     /// No send can follow that would still deliver.
     fn hopeless(&self, m: &Message) -> bool {
         let margin = 2 * self.set.tick.max(PULSE);
-        let spent = m.attempts.len() >= self.set.max_attempts as usize;
+        let spent = m.spent || m.attempts.len() >= self.set.max_attempts as usize;
         let barred = self.now >= self.repeat_until(m);
         let back = self.routes_of(m).map(|r| r.rest_until).min().unwrap_or(0);
         spent || barred || back.max(self.now) + margin >= m.deadline
