Tell stories over sockets, and guard pools, clients and the end against slow peers

Stories start the program and speak with scripted peers: delivery, bad input, kills with calls out, notices until confirmed, a lost watch, a drain, stale and reset connections, a full disk, a client that left, SIGTERM, bad configuration.

Seen while writing them, and corrected: - http.rs Link::fill kept an empty buffer on every quiet connection, so idle peers could lend out the whole pool; it now goes back at once. - stages.rs evict and stop could close a client whose request was there unread; both read first, and what asks is answered before the exit. - stages.rs ready counted a request's time from the last request's end: a kept connection that rested ten seconds would have got 408 on its next first byte. - stages.rs Relay added a told length to an offset without a check, and a notice refused by itself held up all behind it. - log lines went through a macro that panics when nobody reads; a line that cannot be written is now dropped, and a second holds 100 at most. - clients and regions shared one pool: slow clients could starve the regions.

--- a/src/main.rs
+++ b/src/main.rs
@@ -20,6 +20,7 @@
     pub seed: u64,
     pub sockets: usize,
     pub disk: u64,
+    pub memory: u64,
     /// The service table as this sender last had it.
     pub known: Value,
     pub boot: Boot,
@@ -38,6 +39,9 @@
         let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
         let json: Value = serde_json::from_str(&text).map_err(|e| format!("PROXY_CONFIG: not JSON: {e}"))?;
         let state = std::env::var("PROXY_STATE").map_err(|_| "PROXY_STATE: the variable is not set")?;
+        if !std::path::Path::new(&state).is_dir() {
+            return Err(format!("PROXY_STATE: {state}: not a folder"));
+        }
         let limit = |field: &str, least: f64| {
             let value = json.get("limits").and_then(|l| l.get(field)).and_then(Value::as_f64);
             value
@@ -58,6 +62,7 @@
             seed: seed.ok_or("seed: hex digits are wanted")?,
             sockets: limit("sockets", 32.0)? as usize,
             disk: (limit("disk_mb", 0.05)? * 1e6) as u64,
+            memory: (limit("memory_mb", 16.0)? * 1e6) as u64,
             known,
             boot: settings::read(&told.to_string())?,
         })
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -135,6 +135,8 @@
                 Err(_) => self.broken = true,
             }
         }
+        // Guards the pool: a quiet connection holds no buffer.
+        self.used(0);
         false
     }
 
--- a/src/net/ledger.rs
+++ b/src/net/ledger.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 
 use super::clock::Millis;
+use super::counters::say;
 
 /// How a transaction that was not delivered ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -240,10 +241,10 @@
         if let Err(e) = read.as_ref().map_err(std::io::Error::kind)
             && e != std::io::ErrorKind::NotFound
         {
-            eprintln!("ledger unreadable error={e}");
+            say!("ledger unreadable error={e}");
         }
         if past.good < bytes.len() as u64 {
-            eprintln!("ledger tail cut bytes={}", bytes.len() as u64 - past.good);
+            say!("ledger tail cut bytes={}", bytes.len() as u64 - past.good);
         }
         let (file, size, cap) = (None, past.good, disk as f64 * PARTS.0);
         let (live, over) = (BTreeMap::new(), past.over.clone());
@@ -277,7 +278,7 @@
                 true
             }
             Err(e) => {
-                eprintln!("ledger unwritable error={:?}", e.kind());
+                say!("ledger unwritable error={:?}", e.kind());
                 let undone = file.set_len(self.size).and_then(|()| file.seek(SeekFrom::Start(self.size)));
                 if undone.is_err() {
                     self.file = None;
@@ -373,7 +374,7 @@
                 true
             }
             Err(e) => {
-                eprintln!("ledger compaction failed error={:?}", e.kind());
+                say!("ledger compaction failed error={:?}", e.kind());
                 let _ = std::fs::remove_file(&fresh);
                 false
             }
--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -8,6 +8,7 @@
 use slab::Slab;
 
 use super::clock::{Millis, nanos};
+use super::counters::say;
 use super::http::{self, Body, Handle, Key, Link};
 use super::pool::Pool;
 
@@ -105,7 +106,7 @@
                 Err(e) => {
                     // Out of descriptors is our own lack and says nothing of the region.
                     let ours = matches!(e.raw_os_error(), Some(23 | 24));
-                    eprintln!("region not reached error={:?}", e.kind());
+                    say!("region not reached error={:?}", e.kind());
                     return self.tell(task, if ours { Outcome::Void } else { Outcome::Unreachable }, now);
                 }
             },
--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -13,7 +13,7 @@
 use slab::Slab;
 
 use super::clock::{Clock, Millis, millis, nanos};
-use super::counters::Counters;
+use super::counters::{self, Counters, say};
 use super::http::{self, Handle, Key, Link, Parsed};
 use super::ledger::{Ledger, Notice, Taken, Task};
 use super::pool::Pool;
@@ -28,6 +28,8 @@
 /// Connections accepted, and requests read from one of them, in a round: no peer may stall the loop.
 const ACCEPTS: usize = 64;
 const REQUESTS: usize = 16;
+/// Most client connections; past them the one quiet the longest goes.
+const CLIENTS: usize = 400;
 /// How often client connections are looked over.
 const SWEEP: Millis = 250.0;
 /// Longest id, key; and longest time that a client may grant.
@@ -100,7 +102,7 @@
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
                 // EMFILE, ENFILE: the edge is spent, so it is tried again soon. An idle client makes room.
                 Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
-                    eprintln!("accept rests error={:?}", e.kind());
+                    say!("accept rests error={:?}", e.kind());
                     self.evict();
                     self.accept_at = Some(now + 50.0);
                     return false;
@@ -111,12 +113,19 @@
         true
     }
 
-    /// Closes the client that was quiet the longest; one that waits for an answer stays.
+    /// Closes the client that was quiet the longest. One that waits for an answer, or whose request is there
+    /// unread, stays: ending it unanswered would lose a transaction.
     fn evict(&mut self) {
-        let quiet = self.clients.iter().filter(|(_, c)| !c.busy);
-        let oldest = quiet.min_by(|a, b| a.1.since.total_cmp(&b.1.since)).map(|(at, _)| at);
-        if let Some(at) = oldest {
-            self.clients.remove(at);
+        let quiet = self.clients.iter().filter(|(_, c)| !c.busy).map(|(at, c)| (c.since, at));
+        let mut quiet: Vec<(Millis, usize)> = quiet.collect();
+        quiet.sort_by(|a, b| a.0.total_cmp(&b.0));
+        for (_, at) in quiet {
+            let client = &mut self.clients[at];
+            client.link.fill();
+            if client.closing || client.link.bytes().is_empty() {
+                self.clients.remove(at);
+                return;
+            }
         }
     }
 
@@ -125,7 +134,12 @@
         for _ in 0..REQUESTS {
             let Some(client) = self.clients.get_mut(at) else { return false };
             client.link.flush();
+            let quiet = client.link.bytes().is_empty();
             let more = client.link.fill();
+            if quiet && !client.closing && !client.link.bytes().is_empty() {
+                // The time of a request counts from its first byte, not from the last one's end.
+                client.since = now;
+            }
             if client.closing {
                 let rest = client.link.bytes().len();
                 client.link.used(rest);
@@ -263,13 +277,25 @@
         }
     }
 
-    /// Takes no more connections, and closes those between requests.
-    fn stop(&mut self) {
+    /// Takes no more connections, once those that wait are in, and closes those between requests. Returns the ones
+    /// whose requests still want an answer.
+    fn stop(&mut self, now: Millis, counters: &mut Counters) -> Vec<Key> {
         if let Some(token) = self.token.take() {
+            while self.accept(now, counters) {}
             self.handle.remove(token);
         }
         self.listener = None;
-        self.clients.retain(|_, c| c.busy || c.closing || !c.link.bytes().is_empty());
+        let mut wanted = Vec::new();
+        self.clients.retain(|at, c| {
+            c.link.fill();
+            let asks = !c.closing && !c.link.bytes().is_empty();
+            if asks {
+                wanted.push(Key::Client(at));
+            }
+            // One that has just come may have its request on the way.
+            asks || c.busy || c.closing || now < c.since + SWEEP
+        });
+        wanted
     }
 }
 
@@ -531,7 +557,7 @@
     }
 
     fn failed(&mut self, now: Millis, reason: &str) {
-        eprintln!("notices unconfirmed count={} reason={reason}", self.flying.len());
+        say!("notices unconfirmed count={} reason={reason}", self.flying.len());
         self.link = None;
         self.flying.drain(..).rev().for_each(|no| self.queue.push_front(no));
         self.next_try = now + self.pause;
@@ -553,10 +579,10 @@
         link.fill();
         match http::answer(link.bytes()) {
             Ok(Some(answer)) if !self.flying.is_empty() => {
-                let length = if let http::Body::Left(n) = answer.body { n } else { usize::MAX };
-                // An answer with a body is not waited out: the connection goes.
-                let keep = answer.keep && link.bytes().len() == answer.used + length;
-                link.used(answer.used + length.min(link.bytes().len()));
+                // An answer whose body is not all there is not waited out: the connection goes.
+                let rest = link.bytes().len() - answer.used;
+                let keep = answer.keep && answer.body == http::Body::Left(rest);
+                link.used(answer.used + rest);
                 if (200..300).contains(&answer.status) {
                     if !keep {
                         self.link = None;
@@ -565,8 +591,10 @@
                     return std::mem::take(&mut self.flying);
                 }
                 self.batch = (self.batch / 2).max(1);
-                self.flying.rotate_left(1);
+                // One that is refused by itself goes behind the others, which it must not hold up.
+                let alone = if self.flying.len() == 1 { self.flying.pop() } else { None };
                 self.failed(now, "refused");
+                self.queue.extend(alone);
             }
             Ok(None) if !link.eof && !link.broken => {}
             _ if self.flying.is_empty() => self.link = None,
@@ -673,9 +701,11 @@
         let boot = &config.boot;
         let set = boot.settings.clone();
         let policy = Policy::new(set.clone(), config.seed).map_err(|e| format!("settings: {e}"))?;
-        // Half of the descriptors for clients: the rest is for regions, discovery and files.
-        let most = (config.sockets / 2).min(512);
-        let pool = Pool::new(512);
+        // Half of the descriptors for clients: the rest is for regions, discovery and files. Clients have buffers
+        // of their own, two each, so that slow ones cannot starve the regions.
+        let buffers = (config.memory / 2 / super::pool::SIZE as u64).min(1_200) as usize;
+        let most = (config.sockets / 2).min(buffers / 3).clamp(1, CLIENTS);
+        let (pool, clients_pool) = (Pool::new(buffers - 2 * most.min(buffers / 3)), Pool::new(2 * most));
         let listener = Rc::new(listener);
         let token = http::register(handle, listener.clone(), Key::Listener)
             .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
@@ -687,7 +717,7 @@
             listener: Some(listener),
             token: Some(token),
             handle: handle.clone(),
-            pool: pool.clone(),
+            pool: clients_pool,
             clients: Slab::new(),
             most,
             classes,
@@ -736,7 +766,7 @@
             driver.listed(Change { whole: true, ..known });
         }
         driver.route.events.extend::<Vec<Event>>(resumed);
-        println!("started name={} resumed={}", config.name, driver.desk.counters.resumed);
+        say!("started name={} resumed={}", config.name, driver.desk.counters.resumed);
         Ok(driver)
     }
 
@@ -763,14 +793,14 @@
 
     pub fn print_counters(&mut self) {
         self.desk.counters.connections = self.regions.opened;
-        println!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
+        say!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
     }
 
     /// SIGTERM: serve what comes for a moment more, start no call that cannot end, and go.
     pub fn end(&mut self) {
         if self.told_to_end.is_none() {
             let now = self.clock.now();
-            println!("ending open={}", self.desk.open);
+            say!("ending open={}", self.desk.open);
             self.told_to_end = Some(now);
             self.take_in.ending = true;
             self.route.events.push(Event::Closing(nanos(now + LAST_CALL)));
@@ -780,6 +810,7 @@
     /// One round: what is ready, what is due, one turn, its actions. False once the sender may exit.
     pub fn round(&mut self, mut ready: Vec<Key>) -> bool {
         let now = self.clock.now();
+        counters::round(now);
         let mut handed = Vec::new();
         ready.append(&mut self.again);
         ready.sort_unstable();
@@ -811,7 +842,7 @@
         self.take_in.sweep(now);
         let stopped = self.told_to_end.is_some_and(|at| now >= at + LAST_WORK);
         if stopped {
-            self.take_in.stop();
+            self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
         }
         for h in handed {
             let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, stopped, now);
@@ -852,7 +883,7 @@
         let late = |t: &&Transaction| t.state == State::Open && now > t.taken.deadline + OVERDUE;
         let late: Vec<u64> = self.desk.held.values().filter(late).map(|t| t.taken.no).collect();
         for no in late {
-            eprintln!("transaction ended late no={no}");
+            say!("transaction ended late no={no}");
             self.desk.counters.late += 1;
             self.book.end(MessageId(no), Notice::Undeliverable, &mut self.desk, &mut self.relay);
             self.route.events.push(Event::Left(MessageId(no)));
@@ -888,10 +919,15 @@
         }
     }
 
-    fn may_exit(&self, now: Millis) -> bool {
-        let Some(told) = self.told_to_end else { return false };
-        let busy = self.take_in.clients.iter().any(|(_, c)| c.busy);
+    /// All that was owed in this life is done, or time is up; and no client that has asked is left unanswered.
+    fn may_exit(&mut self, now: Millis) -> bool {
+        let Some(told) = self.told_to_end.filter(|told| now >= told + LAST_WORK) else { return false };
         let calm = self.regions.tasks() == 0 && self.relay.flying.is_empty() && self.desk.open == 0;
-        now >= told + LAST_WORK && !busy && (calm || now >= told + LAST_CALL + 100.0)
+        if !calm && now < told + LAST_CALL + 100.0 {
+            return false;
+        }
+        self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
+        let asking = self.take_in.clients.iter().any(|(_, c)| !c.closing);
+        !asking || now >= told + LAST_CALL + 300.0
     }
 }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -9,6 +9,7 @@
 use serde_json::Value;
 
 use super::clock::Millis;
+use super::counters::say;
 use super::http::{self, Handle, Key, Link};
 use super::pool::Pool;
 
@@ -64,7 +65,7 @@
     /// Takes one object of the table. Bad entries are logged and skipped, and so is a bad line.
     pub fn line(&mut self, json: &Value) -> Option<Change> {
         let Some(targets) = json.get("targets").and_then(Value::as_array) else {
-            eprintln!("table line skipped reason=no list of targets");
+            say!("table line skipped reason=no list of targets");
             return None;
         };
         let whole = json.get("all").and_then(Value::as_bool).unwrap_or(false);
@@ -75,7 +76,7 @@
         for target in targets {
             match self.entry(target) {
                 Ok(entry) => entries.push(entry),
-                Err(field) => eprintln!("table entry skipped field={field}"),
+                Err(field) => say!("table entry skipped field={field}"),
             }
         }
         Some(Change { whole, entries })
@@ -122,7 +123,7 @@
 
     fn drop_watch(&mut self, now: Millis, reason: &str) {
         if self.watch.take().is_some() {
-            eprintln!("watch lost reason={reason} rev={}", self.rev);
+            say!("watch lost reason={reason} rev={}", self.rev);
         }
         self.next_try = now + self.backoff;
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
@@ -146,7 +147,7 @@
                 self.watch = Some(Watch { link, body: None, line: Vec::new() });
             }
             Err(e) => {
-                eprintln!("watch not opened error={:?}", e.kind());
+                say!("watch not opened error={:?}", e.kind());
                 self.drop_watch(now, "");
             }
         }
@@ -172,7 +173,7 @@
         for line in lines.iter().filter(|l| !l.trim_ascii().is_empty()) {
             match serde_json::from_slice::<Value>(line) {
                 Ok(json) => changes.extend(self.line(&json)),
-                Err(_) => eprintln!("table line skipped reason=not JSON"),
+                Err(_) => say!("table line skipped reason=not JSON"),
             }
         }
         let fault = fault.or((watch.link.eof || watch.link.broken).then_some("closed"));
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,325 @@
+//! Scripted peers for the stories: a program under test, the platform and its regions, all on loopback. Times here
+//! only end a test that hangs; no test's verdict hangs on a clock.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{Receiver, Sender as Tell, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::Duration;
+
+const HANG: Duration = Duration::from_secs(40);
+
+/// A request as a peer has read it.
+#[derive(Debug)]
+pub struct Heard {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+    /// Which connection it came on.
+    pub conn: usize,
+}
+
+impl Heard {
+    pub fn header(&self, name: &str) -> &str {
+        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        found.map_or("", |(_, v)| v.as_str())
+    }
+    pub fn id(&self) -> &str {
+        self.header("X-Request-ID")
+    }
+}
+
+/// Reads one message; the first line is a request's or an answer's.
+pub fn read(stream: &mut BufReader<TcpStream>, conn: usize) -> Option<Heard> {
+    let (mut line, mut headers) = (String::new(), Vec::new());
+    stream.read_line(&mut line).ok().filter(|n| *n > 0)?;
+    loop {
+        let mut header = String::new();
+        stream.read_line(&mut header).ok().filter(|n| *n > 0)?;
+        let Some((name, value)) = header.trim_end().split_once(": ") else { break };
+        headers.push((name.to_string(), value.to_string()));
+    }
+    let heard = Heard { line: line.trim_end().to_string(), headers, body: Vec::new(), conn };
+    let mut body = vec![0; heard.header("Content-Length").parse().unwrap_or(0)];
+    stream.read_exact(&mut body).ok()?;
+    Some(Heard { body, ..heard })
+}
+
+/// What a region does with a call: bytes to write, and whether it closes the connection then. No bytes: silence.
+pub type Reply = (String, bool);
+
+pub fn status(status: u16, headers: &str) -> Reply {
+    (format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{headers}\r\n"), false)
+}
+
+pub fn silence() -> Reply {
+    (String::new(), false)
+}
+
+/// A region that answers by its script: the place of a call among all of them decides.
+pub struct Region {
+    pub address: SocketAddr,
+    calls: Receiver<Heard>,
+    /// Connections that the sender has ended.
+    pub ended: Receiver<usize>,
+}
+
+impl Region {
+    pub fn new(script: impl Fn(usize, &Heard) -> Reply + Send + Sync + 'static) -> Region {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let ((tell, calls), (end, ended)) = (channel(), channel());
+        let (script, count) = (Arc::new(script), Arc::new(Mutex::new(0usize)));
+        thread::spawn(move || {
+            for (conn, stream) in listener.incoming().enumerate() {
+                let (script, count, tell, end) = (script.clone(), count.clone(), tell.clone(), end.clone());
+                thread::spawn(move || {
+                    let mut stream = BufReader::new(stream.unwrap());
+                    while let Some(heard) = read(&mut stream, conn) {
+                        let no = {
+                            let mut count = count.lock().unwrap();
+                            *count += 1;
+                            *count - 1
+                        };
+                        let (bytes, close) = script(no, &heard);
+                        // The test hears of a call only once its answer, or its end, has been written.
+                        let _ = stream.get_mut().write_all(bytes.as_bytes());
+                        if close {
+                            let _ = stream.get_ref().shutdown(Shutdown::Both);
+                        }
+                        let _ = tell.send(heard);
+                        if close {
+                            return;
+                        }
+                    }
+                    let _ = end.send(conn);
+                });
+            }
+        });
+        Region { address, calls, ended }
+    }
+
+    pub fn call(&self) -> Heard {
+        self.calls.recv_timeout(HANG).expect("no call came")
+    }
+
+    pub fn calls_so_far(&self) -> usize {
+        self.calls.try_iter().count()
+    }
+}
+
+/// Discovery and the receiver of notices.
+pub struct Platform {
+    pub address: SocketAddr,
+    pub notices: Receiver<String>,
+    watchers: Arc<Mutex<Vec<TcpStream>>>,
+    watched: Receiver<String>,
+}
+
+impl Platform {
+    /// Answers the first reports with the given statuses, and all others with 204. Status 0 closes unanswered.
+    pub fn new(first: &'static [u16]) -> Platform {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let ((tell, notices), (seen, watched)) = (channel(), channel());
+        let watchers = Arc::new(Mutex::new(Vec::new()));
+        let (kept, count) = (watchers.clone(), Arc::new(Mutex::new(0)));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (tell, seen, kept, count) = (tell.clone(), seen.clone(), kept.clone(), count.clone());
+                thread::spawn(move || Platform::serve(stream.unwrap(), first, tell, seen, kept, count));
+            }
+        });
+        Platform { address, notices, watchers, watched }
+    }
+
+    fn serve(
+        stream: TcpStream, first: &[u16], tell: Tell<String>, seen: Tell<String>,
+        kept: Arc<Mutex<Vec<TcpStream>>>, count: Arc<Mutex<usize>>,
+    ) {
+        let mut stream = BufReader::new(stream);
+        while let Some(heard) = read(&mut stream, 0) {
+            if heard.line.starts_with("GET /v1/servers?watch=1") {
+                let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                stream.get_mut().write_all(head).unwrap();
+                kept.lock().unwrap().push(stream.get_ref().try_clone().unwrap());
+                let _ = seen.send(heard.line);
+                continue;
+            }
+            let mut count = count.lock().unwrap();
+            let status = first.get(*count).copied().unwrap_or(204);
+            *count += 1;
+            if status == 0 {
+                return;
+            }
+            let text = format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n");
+            let _ = stream.get_mut().write_all(text.as_bytes());
+            if status == 204 {
+                let lines = String::from_utf8(heard.body).unwrap();
+                lines.lines().for_each(|l| drop(tell.send(l.to_string())));
+            }
+        }
+    }
+
+    pub fn notice(&self) -> String {
+        self.notices.recv_timeout(HANG).expect("no notice came")
+    }
+
+    /// Waits for a watch, and sends it a line.
+    pub fn push(&self, line: &str) {
+        self.watch();
+        self.push_raw(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+    }
+
+    /// The first line of the next watch.
+    pub fn watch(&self) -> String {
+        self.watched.recv_timeout(HANG).expect("nobody watches")
+    }
+
+    pub fn push_raw(&self, bytes: &str) {
+        for stream in self.watchers.lock().unwrap().iter_mut() {
+            let _ = stream.write_all(bytes.as_bytes());
+        }
+    }
+}
+
+pub fn listed(uid: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"k","pod_group":7,"state":"{state}","capacity_hint":20.0,"boot_ms":0}}"#
+    )
+}
+
+pub fn table(rev: u64, all: bool, targets: &[String]) -> String {
+    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
+}
+
+const SETTINGS: &str = r#"{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"WeightKind":"rough","Categories":[
+{"Name":"debit","Target":3000000000,"Deadline":16000000000,"Effect":"side_effect","Worth":1,"LateWorth":0.4},
+{"Name":"meter","Target":3000000000,"Deadline":16000000000,"Effect":"token","KeyScope":"all","MemorySpan":60000000000,"Worth":1,"LateWorth":0.4}],
+"FamilyInfo":{"CallsOut":8,"LosesWorth":"halving"},
+"Limits":{"OpenCap":50,"AttemptsCap":8,"Cancel":true,"SecondCopies":true,"ConnectTimeout":1000000000,"ConnIdle":15000000000,"RetryAfter":true,"MaxRetryAfter":3000000000},
+"Guarantees":{"StopSendingWithin":1000000000,"GraceToAnswer":20000000,"OverloadFactor":2,"OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
+
+/// The program under test, with its folder that lasts.
+pub struct Sender {
+    pub address: SocketAddr,
+    folder: PathBuf,
+    child: Child,
+}
+
+impl Sender {
+    pub fn start(story: &str, platform: &Platform, known: &str, disk_mb: f64) -> Sender {
+        let folder = std::env::temp_dir().join(format!("martenlatch-{story}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        std::fs::create_dir_all(folder.join("state")).unwrap();
+        // An address of its own for each sender: on a shared one, another story's peer may get the freed port.
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let (no, process) = (STARTED.fetch_add(1, Ordering::Relaxed), std::process::id());
+        let own = Ipv4Addr::new(127, 1 + (process % 200) as u8, (process / 200 % 250) as u8, 1 + no as u8);
+        // Below the ports that connections are given: one that tried this address too early could hold it itself.
+        let free = (20_000..30_000).find_map(|port| TcpListener::bind((own, port)).ok());
+        let free = free.expect("no free port").local_addr().unwrap();
+        let config = format!(
+            r#"{{"name":"n0","listen":"{free}","discovery":"{}","seed":"8c1f30d27a5be964",
+            "limits":{{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":{disk_mb}}},"known":{known},"settings":{SETTINGS}}}"#,
+            platform.address
+        );
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        let child = Sender::spawn(&folder);
+        Sender { address: free, folder, child }.ready()
+    }
+
+    pub fn spawn(folder: &std::path::Path) -> Child {
+        Command::new(env!("CARGO_BIN_EXE_martenlatch"))
+            .env("PROXY_CONFIG", folder.join("config.json"))
+            .env("PROXY_STATE", folder.join("state"))
+            .env_remove("PROXY_LISTEN")
+            .env_remove("PROXY_DISCOVERY")
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap()
+    }
+
+    fn ready(self) -> Sender {
+        let hang = std::time::Instant::now();
+        while TcpStream::connect(self.address).is_err() {
+            assert!(hang.elapsed() < HANG, "the sender never listened");
+            thread::sleep(Duration::from_millis(5));
+        }
+        assert_eq!(self.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200);
+        self
+    }
+
+    pub fn kill_and_restart(mut self) -> Sender {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = Sender::spawn(&self.folder);
+        self.ready()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let command = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &command]).status().unwrap().success());
+    }
+
+    /// Starts it with its configuration changed, which must end it: its exit code and what it wrote to standard error.
+    pub fn restart_with(mut self, from: &str, to: &str) -> (Option<i32>, String) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        let path = self.folder.join("config.json");
+        let config = std::fs::read_to_string(&path).unwrap();
+        assert!(config.contains(from), "{from} is not in the configuration");
+        std::fs::write(&path, config.replace(from, to)).unwrap();
+        let output = Sender::spawn(&self.folder).wait_with_output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    }
+
+    /// Waits for its end; its exit code and what it printed.
+    pub fn finish(mut self) -> (Option<i32>, String) {
+        let mut log = String::new();
+        self.child.stdout.take().unwrap().read_to_string(&mut log).unwrap();
+        (self.child.wait().unwrap().code(), log)
+    }
+
+    pub fn connect(&self) -> BufReader<TcpStream> {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(HANG)).unwrap();
+        BufReader::new(stream)
+    }
+
+    /// Writes bytes on a new connection, and returns the answer's status.
+    pub fn exchange(&self, text: &str) -> u16 {
+        let mut stream = self.connect();
+        let _ = stream.get_mut().write_all(text.as_bytes());
+        answered(&read(&mut stream, 0).expect("no answer came"))
+    }
+
+    pub fn hand_in(&self, class: &str, id: &str, timeout: &str) -> u16 {
+        self.exchange(&request(class, id, timeout, "hello"))
+    }
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+pub fn answered(answer: &Heard) -> u16 {
+    answer.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("an answer's first line")
+}
+
+pub fn request(class: &str, id: &str, timeout: &str, body: &str) -> String {
+    format!(
+        "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id}\r\nX-Timeout: {timeout}\r\n\
+         Idempotency-Key: k-{id}\r\nContent-Length: {}\r\nX-Route-To: dest=7\r\n\r\n{body}",
+        body.len()
+    )
+}
