--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -95,7 +95,8 @@
     undeliverable,
     /// Transactions that had to be ended after their time.
     late,
-    /// Turns of the decision module, and the longest round in whole milliseconds.
+    /// Rounds of the loop, turns of the decision module with actions, and the longest round in whole milliseconds.
+    rounds,
     turns,
     longest_round_ms,
 }
--- a/src/net/ledger.rs
+++ b/src/net/ledger.rs
@@ -238,10 +238,9 @@
         let mut bytes = Vec::new();
         let read = File::open(&path).and_then(|mut f| f.read_to_end(&mut bytes));
         let past = Past::read(&bytes);
-        if let Err(e) = read.as_ref().map_err(std::io::Error::kind)
-            && e != std::io::ErrorKind::NotFound
-        {
-            say!("ledger unreadable error={e}");
+        let unreadable = read.map_err(|e| e.kind()).err().filter(|e| *e != std::io::ErrorKind::NotFound);
+        if let Some(e) = unreadable {
+            say!("ledger unreadable error={e:?}");
         }
         if past.good < bytes.len() as u64 {
             say!("ledger tail cut bytes={}", bytes.len() as u64 - past.good);
@@ -252,8 +251,17 @@
         for t in past.open.values() {
             ledger.count(t.no, Ledger::whole(t));
         }
-        // A new file at each start: the tail is gone, and so is what is over.
-        ledger.compact(past.open.values());
+        // Guards what an unreadable file may still hold: it is never written over, and no work is taken on.
+        if unreadable.is_some() {
+            ledger.rest_until = f64::INFINITY;
+            return (ledger, past);
+        }
+        // A new file at each start: the tail is gone, and so is what is over. Without room for one, the old goes on.
+        if !ledger.compact(past.open.values()) && past.good > 0 {
+            let old = OpenOptions::new().write(true).open(&ledger.path);
+            ledger.file = old.ok().filter(|f| f.set_len(past.good).is_ok());
+            ledger.file = ledger.file.take().filter(|mut f| f.seek(SeekFrom::End(0)).is_ok());
+        }
         (ledger, past)
     }
 
@@ -439,6 +447,22 @@
         }
     }
 
+    #[test]
+    fn an_unreadable_journal_is_left_alone_and_a_file_that_cannot_be_replaced_is_written_on() {
+        let (unreadable, stuck) = (folder("unreadable"), folder("stuck"));
+        std::fs::create_dir(unreadable.join("ledger")).unwrap();
+        let (mut ledger, _) = Ledger::open(&unreadable, 3_000_000);
+        assert!(!ledger.take(&some(1, 10)) && !ledger.wants_compaction(1e15));
+        assert!(unreadable.join("ledger").is_dir());
+        assert!(Ledger::open(&stuck, 3_000_000).0.take(&some(1, 10)));
+        // A folder in the new file's place stands for a disk that has no room for it.
+        std::fs::create_dir(stuck.join("ledger.new")).unwrap();
+        let (mut ledger, past) = Ledger::open(&stuck, 3_000_000);
+        assert!(past.open.contains_key(&1) && ledger.route(1, 0, 7.0));
+        let (_, past) = Ledger::open(&stuck, 3_000_000);
+        assert_eq!(past.open[&1].tasks.len(), 1);
+    }
+
     #[test]
     fn the_disk_limit_holds_with_old_and_new_file_and_full_means_refusing() {
         let (folder, disk) = (folder("full"), 1_000_000);
--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -811,6 +811,7 @@
     pub fn round(&mut self, mut ready: Vec<Key>) -> bool {
         let now = self.clock.now();
         counters::round(now);
+        self.desk.counters.rounds += 1;
         let mut handed = Vec::new();
         ready.append(&mut self.again);
         ready.sort_unstable();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -231,3 +231,51 @@
 fn equal_events_give_equal_actions() {
     assert_eq!(day(5), day(5));
 }
+
+fn resumed(rig: &mut Rig, id: u64, class: usize, attempts: u32, ran: Option<Nanos>) -> Vec<Action> {
+    let (id, destination, class, deadline) =
+        (MessageId(id), DestinationId(1), ClassId(class), rig.now + 10 * S);
+    rig.turn(&[Event::Resumed { id, destination, class, deadline, attempts, ran }])
+}
+
+#[test]
+fn a_message_of_an_earlier_life_keeps_its_rule_on_repeats_and_its_attempts() {
+    let keyed = Effect::Keyed { by_zone: false, memory: 6 * S };
+    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe), class(keyed)]));
+    rig.now = 100 * S;
+    rig.list(&[(0, 1, 0, 0)]);
+    let ran = Some(rig.now - 2 * S);
+    let actions = resumed(&mut rig, 1, 0, 1, ran);
+    assert!(failed(&actions, MessageId(1)) && sends(&actions).is_empty(), "unsafe, and it may have run");
+    assert_eq!(sends(&resumed(&mut rig, 2, 0, 3, None)).len(), 1, "unsafe, and it never ran");
+    rig.end(MessageId(2), 3, Outcome::Success, MS);
+    assert_eq!(sends(&resumed(&mut rig, 3, 1, 1, ran)).len(), 1, "keyed, inside its window");
+    rig.end(MessageId(3), 1, Outcome::Success, MS);
+    let long_ago = Some(rig.now - 7 * S);
+    let actions = resumed(&mut rig, 4, 1, 1, long_ago);
+    assert!(refused(&actions, MessageId(4)) && sends(&actions).is_empty(), "keyed, outside it");
+    let actions = resumed(&mut rig, 5, 1, 6, ran);
+    assert!(refused(&actions, MessageId(5)) && sends(&actions).is_empty(), "all attempts were used");
+}
+
+#[test]
+fn a_sender_that_ends_starts_no_call_that_cannot_end_before_it() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe)]));
+    rig.list(&[(0, 1, 0, 0)]);
+    rig.warm(1, 0, 10, 400 * MS);
+    let end = rig.now + S;
+    rig.turn(&[Event::Closing(end)]);
+    let sent = sends(&rig.hand_in(1, 0).1);
+    assert!(sent.len() == 1 && rig.now + sent[0].2 <= end, "its time is cut to the end");
+    rig.now += 700 * MS;
+    assert!(sends(&rig.hand_in(1, 0).1).is_empty(), "300 ms are less than a call");
+}
+
+#[test]
+fn a_message_that_has_had_all_its_attempts_elsewhere_ends_at_once() {
+    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe)]));
+    rig.list(&[(0, 1, 0, 0)]);
+    let (id, _) = rig.hand_in(1, 0);
+    let actions = rig.end(id, 0, Outcome::Spent, MS);
+    assert!(refused(&actions, id) && sends(&actions).is_empty(), "it never ran, and none can follow");
+}
