Open a silent watch again within 3.2 s, and cap connections to regions

Seen in review against the protocol: what discovery has to tell counts as told after 6 s whether it arrived or not, but table.rs gave a watch whose other end had vanished 7 s: a drain could then be broken without being heard. It is now opened again after 3.2 s of silence (an empty line comes every 2 s). regions.rs had no bound on idle connections but their age; past a third of the descriptors the one idle longest now goes. stages.rs accept tried again at once after an error that was not a lack of descriptors, and could have spun; it now rests for 50 ms after any but a client that had gone.

--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -66,6 +66,8 @@
     conns: Slab<Conn>,
     /// Idle connections, the most recently used last.
     idle: Vec<usize>,
+    /// Most connections, idle ones counted, before the one idle the longest goes.
+    most: usize,
     connect_timeout: Millis,
     idle_limit: Millis,
     pub done: Vec<Done>,
@@ -73,8 +75,11 @@
 }
 
 impl Regions {
-    pub fn new(handle: &Handle, pool: &Pool, connect_timeout: Millis, idle_limit: Millis) -> Regions {
+    pub fn new(
+        handle: &Handle, pool: &Pool, most: usize, connect_timeout: Millis, idle_limit: Millis,
+    ) -> Regions {
         Regions {
+            most,
             handle: handle.clone(),
             pool: pool.clone(),
             conns: Slab::new(),
@@ -138,6 +143,11 @@
     }
 
     fn open(&mut self, region: EndpointId, address: SocketAddr, now: Millis) -> std::io::Result<usize> {
+        // Guards the limit on descriptors, which many regions with a few idle connections each would reach.
+        if self.conns.len() >= self.most && !self.idle.is_empty() {
+            let oldest = self.idle.remove(0);
+            self.conns.remove(oldest);
+        }
         let key = Key::Region(self.conns.vacant_key());
         let link = match Link::connect(address, &self.handle, &self.pool, key) {
             // Out of descriptors: an idle connection makes room.
@@ -300,3 +310,38 @@
         late.into_iter().for_each(|at| self.fail(at, Outcome::TimedOut, Outcome::Unreachable, now));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::{Read, Write};
+
+    #[test]
+    fn idle_connections_make_room_for_new_ones_and_one_that_idled_too_long_is_closed() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 1, 1_000.0, 15_000.0);
+        for region in 0..3 {
+            let (id, region) = (MessageId(region), EndpointId(region as u32));
+            let (attempt, destination, timeout, head, body) = (0, 7, 1e9, &b"x"[..], &b""[..]);
+            regions.call(&Call { id, attempt, region, destination, timeout, head, body }, address, 5.0);
+            let (mut peer, _) = listener.accept().unwrap();
+            while regions.conns.iter().any(|(_, c)| !c.link.flushed()) {
+                regions.ready(0, 5.0);
+                regions.ready(1, 5.0);
+            }
+            peer.read_exact(&mut [0]).unwrap();
+            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+            while regions.done.is_empty() {
+                regions.ready(0, 6.0);
+                regions.ready(1, 6.0);
+            }
+            assert_eq!(regions.done.pop().unwrap().outcome, Outcome::Success);
+            assert_eq!((regions.conns.len(), regions.idle.len()), (1, 1), "the one before went");
+        }
+        assert!(regions.due() < 15_000.0, "before the region's own limit");
+        regions.expire(regions.due());
+        assert!(regions.conns.is_empty() && regions.idle.is_empty() && regions.done.is_empty());
+    }
+}
--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -3,6 +3,7 @@
 //! that know no protocol, so that another protocol can stand before the same decisions.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
@@ -99,15 +100,17 @@
                         entry.insert(Client { link, busy, close, continued, since: now, closing });
                     }
                 }
-                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return false,
-                // EMFILE, ENFILE: the edge is spent, so it is tried again soon. An idle client makes room.
-                Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) => {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                // The client had gone again, or a signal came.
+                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                // EMFILE and its like: the edge is spent, so it is tried again soon, but not in a busy loop. An
+                // idle client makes room.
+                Err(e) => {
                     say!("accept rests error={:?}", e.kind());
                     self.evict();
                     self.accept_at = Some(now + 50.0);
                     return false;
                 }
-                Err(_) => {}
             }
         }
         true
@@ -752,7 +755,13 @@
             book: Book,
             desk,
             take_in,
-            regions: Regions::new(handle, &pool, millis(set.connect_timeout), millis(set.conn_idle)),
+            regions: Regions::new(
+                handle,
+                &pool,
+                (config.sockets / 3).max(set.slots),
+                millis(set.connect_timeout),
+                millis(set.conn_idle),
+            ),
             table: Table::new(config.discovery, boot),
             again: Vec::new(),
             told_to_end: None,
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -16,8 +16,9 @@
 /// Longest line of the watch, and most regions ever named; past these discovery is not believed.
 const LINE: usize = 4 << 20;
 const REGIONS: usize = 1 << 16;
-/// An empty line comes every 2 s: after this long the watch's other end may have vanished without a word.
-const SILENT: Millis = 7_000.0;
+/// An empty line comes every 2 s: after this long the watch's other end may have vanished without a word. What
+/// discovery has to tell counts as told after 6 s, so that a drain must be heard on a new watch before that.
+const SILENT: Millis = 3_200.0;
 const BACKOFF: (Millis, Millis) = (100.0, 2_000.0);
 
 /// What a line of the table changed, in the module's terms. A region keeps its number for the life of the process.
@@ -216,3 +217,30 @@
         over.then_some("ended")
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use martenlatch::interface::Settings;
+
+    #[test]
+    fn a_watch_that_falls_silent_is_opened_again_before_its_news_count_as_told() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let (handle, pool) = (events.handle(), Pool::new(8));
+        let names = || vec!["x".to_string()];
+        let (zones, kinds, classes, tenants, fields) = (names(), names(), names(), vec![], vec![]);
+        let boot = Boot { settings: Settings::default(), zones, kinds, classes, tenants, fields };
+        let mut table = Table::new(listener.local_addr().unwrap(), &boot);
+        table.tend(1_000.0, &handle, &pool);
+        let first = listener.accept().unwrap();
+        table.tend(3_000.0, &handle, &pool);
+        assert!(table.watch.is_some() && table.due() < 1_000.0 + 6_000.0);
+        let lost = table.due();
+        table.tend(lost, &handle, &pool);
+        assert!(table.watch.is_none(), "it is given up");
+        table.tend(table.due(), &handle, &pool);
+        let second = listener.accept().unwrap();
+        assert_ne!(first.1, second.1);
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -242,6 +242,19 @@
     assert_eq!(region.call().id(), "half", "nothing is sent for the one that left");
 }
 
+#[test]
+fn idle_clients_make_room_for_one_that_has_work() {
+    let (region, known) = one_region(|_, _| status(200, ""));
+    let platform = Platform::new(&[]);
+    let sender = Sender::start("crowd", &platform, &known, 3.0);
+    let crowd: Vec<_> = (0..450).map(|_| sender.connect()).collect();
+    assert_eq!(sender.hand_in("debit", "k1", "16.0"), 202);
+    assert_eq!(region.call().id(), "k1");
+    let (mut first, mut last) = (crowd.into_iter(), String::new());
+    let mut oldest = first.next().unwrap();
+    assert_eq!(std::io::BufRead::read_line(&mut oldest, &mut last).unwrap(), 0, "the oldest idle one went");
+}
+
 #[test]
 fn a_full_disk_refuses_new_work_and_keeps_what_was_taken_on() {
     let (region, known) = one_region(|_, _| silence());
