Wait at the end for queued notices too, and tell the story of a call that hangs then

Seen in review: stages.rs may_exit looked at the notices on the way but not at those still queued for a repeat; the sender could leave 3 s early and owe them until its next life. Both count now, within the same 3.4 s. Checked: a story ends the sender with a silent call out: it exits by itself, and the unsafe transaction ends as undeliverable in the next life, sent once.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decisions of an outbound gateway: when a repeat-safe delivery has no answer after a delay near its
 //! destination's learned p95 latency, one identical copy goes out, preferably to another endpoint, and the
-//! first successful answer is kept. Around that ordinary path it paces each destination, and keeps six rules
-//! when partners fail: see the pages in `docs/`.
+//! first successful answer is kept. Around that ordinary path it paces each destination, and keeps the rules on
+//! endings, repeats, drains, returns, waits and order when partners fail.
 //!
 //! The library decides and does nothing else: no clock, no network, no threads. A sender feeds [`Policy::turn`]
 //! with all that has happened, in the order in which it happened, and carries out the actions in theirs.
@@ -107,11 +107,15 @@
 //! * Sends of one turn to one endpoint may share a call, up to [`interface::Kind::per_call`] of them, in order.
 //! * After [`Action::Refuse`] or [`Action::Fail`] the client has its answer; outcomes still out are reported as
 //!   before, with `finished` set.
+//! * A sender that starts again names what it had taken on with [`Event::Resumed`], after the list; one that is told
+//!   to end says by when with [`Event::Closing`].
 //! * [`Action::WakeAfter`] asks for one later turn with [`interface::Event::Wake`]. A turn may come at any time.
 //! * Events on unknown or finished messages, attempts or endpoints, and outcomes that come twice, are ignored.
 //!
 //! [`Action::Send`]: interface::Action::Send
 //! [`Event::Ended`]: interface::Event::Ended
+//! [`Event::Resumed`]: interface::Event::Resumed
+//! [`Event::Closing`]: interface::Event::Closing
 //! [`Action::Refuse`]: interface::Action::Refuse
 //! [`Action::Fail`]: interface::Action::Fail
 //! [`Action::WakeAfter`]: interface::Action::WakeAfter
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -172,7 +172,15 @@
     }
 }
 
+/// Linux's numbers for what the standard library has no name for.
 const EINPROGRESS: i32 = 115;
+const ENFILE: i32 = 23;
+const EMFILE: i32 = 24;
+
+/// Whether an error tells of our own lack of descriptors, which says nothing of a peer.
+pub fn no_descriptors(e: &std::io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
+}
 
 /// How a body ends.
 #[derive(Debug, PartialEq, Eq)]
--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -110,7 +110,7 @@
                 Ok(at) => at,
                 Err(e) => {
                     // Out of descriptors is our own lack and says nothing of the region.
-                    let ours = matches!(e.raw_os_error(), Some(23 | 24));
+                    let ours = http::no_descriptors(&e);
                     say!("region not reached error={:?}", e.kind());
                     return self.tell(task, if ours { Outcome::Void } else { Outcome::Unreachable }, now);
                 }
@@ -151,7 +151,7 @@
         let key = Key::Region(self.conns.vacant_key());
         let link = match Link::connect(address, &self.handle, &self.pool, key) {
             // Out of descriptors: an idle connection makes room.
-            Err(e) if matches!(e.raw_os_error(), Some(23 | 24)) && !self.idle.is_empty() => {
+            Err(e) if http::no_descriptors(&e) && !self.idle.is_empty() => {
                 let oldest = self.idle.remove(0);
                 self.conns.remove(oldest);
                 let key = Key::Region(self.conns.vacant_key());
--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -932,7 +932,8 @@
     /// All that was owed in this life is done, or time is up; and no client that has asked is left unanswered.
     fn may_exit(&mut self, now: Millis) -> bool {
         let Some(told) = self.told_to_end.filter(|told| now >= told + LAST_WORK) else { return false };
-        let calm = self.regions.tasks() == 0 && self.relay.flying.is_empty() && self.desk.open == 0;
+        let told_all = self.relay.flying.is_empty() && self.relay.queue.is_empty();
+        let calm = self.regions.tasks() == 0 && told_all && self.desk.open == 0;
         if !calm && now < told + LAST_CALL + 100.0 {
             return false;
         }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -262,6 +262,14 @@
         self.ready()
     }
 
+    /// Tells it to end, waits until it has, and starts it again.
+    pub fn end_and_restart(mut self) -> Sender {
+        self.signal("TERM");
+        assert_eq!(self.child.wait().unwrap().code(), Some(0));
+        self.child = Sender::spawn(&self.folder);
+        self.ready()
+    }
+
     pub fn signal(&self, name: &str) {
         let command = format!("kill -{name} {}", self.child.id());
         assert!(Command::new("sh").args(["-c", &command]).status().unwrap().success());
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -271,6 +271,18 @@
     assert_eq!(sender.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200);
 }
 
+#[test]
+fn a_call_that_hangs_at_sigterm_does_not_hold_the_sender_and_ends_in_the_next_life() {
+    let (region, known) = one_region(|_, _| silence());
+    let platform = Platform::new(&[]);
+    let sender = Sender::start("term-hang", &platform, &known, 3.0);
+    assert_eq!(sender.hand_in("debit", "h1", "16.0"), 202);
+    assert_eq!(region.call().id(), "h1");
+    let _sender = sender.end_and_restart();
+    assert_eq!(platform.notice(), r#"{"id":"h1","status":"undeliverable"}"#);
+    assert_eq!(region.calls_so_far(), 0);
+}
+
 #[test]
 fn at_sigterm_what_was_sent_to_us_is_answered_and_the_sender_exits_with_its_counters() {
     let (region, known) = one_region(|_, _| status(200, ""));
