Test on a set clock that a transaction nothing answers ends with its time

The driver is played against a silent region and a closed one on a clock set by hand: the first ends as undeliverable, the second as deferred, both within 100 ms of their time on that clock.

--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -942,3 +942,67 @@
         !asking || now >= told + LAST_CALL + 300.0
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use martenlatch::settings;
+
+    const SETTINGS: &str = r#"{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"Categories":[
+        {"Name":"debit","Target":3000000000,"Deadline":16000000000,"Effect":"side_effect","Worth":1}],
+        "FamilyInfo":{"CallsOut":4},
+        "Limits":{"OpenCap":9,"AttemptsCap":8,"Cancel":true,"ConnectTimeout":1000000000},
+        "Guarantees":{"StopSendingWithin":1000000000,"GraceToAnswer":20000000,"OverloadFactor":2,
+        "OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
+
+    /// Plays a transaction's time out against a region that takes calls and answers none, on a clock set by hand:
+    /// what ended it, and when.
+    fn outlived(story: &str, region: SocketAddr) -> (Option<Notice>, Millis) {
+        let state = std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&state);
+        std::fs::create_dir_all(&state).unwrap();
+        let start = 1_796_121_600_000.0;
+        let (id, class, key, body) = (Rc::from("a"), Rc::from("debit"), None, Rc::from(&b"x"[..]));
+        let (deadline, tasks, ending) = (start + 2_000.0, Vec::new(), None);
+        let taken = Taken { no: 3, id, class, destination: 7, deadline, key, body, tasks, ending };
+        assert!(Ledger::open(&state, 3_000_000).0.take(&taken));
+        let target = format!(
+            r#"{{"targets":[{{"uid":"s","endpoint":"{region}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
+        );
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let config = Config {
+            name: "n0".into(),
+            listen: listener.local_addr().unwrap(),
+            discovery: region,
+            state,
+            seed: 1,
+            sockets: 64,
+            disk: 3_000_000,
+            memory: 64_000_000,
+            known: serde_json::from_str(&target).unwrap(),
+            boot: settings::read(SETTINGS).unwrap(),
+        };
+        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let clock = Clock::at(start);
+        let mut driver = Driver::new(config, listener, &events.handle(), clock.clone()).unwrap();
+        let mut now = start;
+        while driver.desk.open > 0 && now < start + 9_000.0 {
+            assert!(driver.round(vec![Key::Region(0)]), "nothing tells it to end");
+            now += 10.0;
+            clock.set(now);
+        }
+        (driver.desk.held.get(&3).and_then(|t| t.taken.ending), now - deadline)
+    }
+
+    #[test]
+    fn a_transaction_that_nothing_answers_ends_with_its_time_by_what_may_have_run() {
+        let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (notice, late) = outlived("silent", silent.local_addr().unwrap());
+        assert_eq!(notice, Some(Notice::Undeliverable), "it was out and may have run");
+        assert!(late < 100.0, "{late} ms after its time");
+        // Nobody listens there: each task is proven never to have run, so the client may come again.
+        let (notice, late) = outlived("closed", "127.77.0.1:9".parse().unwrap());
+        assert!(matches!(notice, Some(Notice::Deferred(_))), "{notice:?}");
+        assert!(late < 100.0, "{late} ms after its time");
+    }
+}
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -5,7 +5,7 @@
 use peers::*;
 use rstest::rstest;
 use std::io::Write;
-use std::net::{Shutdown, TcpListener};
+use std::net::Shutdown;
 
 fn one_region(script: impl Fn(usize, &Heard) -> Reply + Send + Sync + 'static) -> (Region, String) {
     let region = Region::new(script);
@@ -143,7 +143,8 @@
 
 #[test]
 fn a_region_that_moves_keeps_its_name_and_a_refused_connection_never_ran() {
-    let dead = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // An address of its own: a port given back on a shared one may be another story's in a moment.
+    let dead = "127.77.0.1:9".parse().unwrap();
     let region = Region::new(|_, _| status(200, ""));
     let platform = Platform::new(&[]);
     let known = table(41, true, &[listed("s-1", dead, "in_service")]);
