Wait in a story until a confirmation has been entered before the second kill

Seen: under load one run in five of the story of an unsafe call failed: the second SIGKILL came between the platform's 204 and the sender's reading it, so the notice was repeated, as it must be. The story now lets two rounds pass. The sender's lines were right; nothing in it was changed.

--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -84,7 +84,9 @@
     let sender = sender.kill_and_restart();
     assert_eq!(platform.notice(), r#"{"id":"u1","status":"undeliverable"}"#);
     assert_eq!(region.calls_so_far(), 0, "it may have run");
-    // Its end is recorded: a third life owes nothing and does not take it on again.
+    // Its end is recorded: a third life owes nothing and does not take it on again. The second of two rounds
+    // begins once the confirmation has been read and entered.
+    (0..2).for_each(|_| assert_eq!(sender.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200));
     let sender = sender.kill_and_restart();
     assert_eq!(sender.hand_in("debit", "u1", "16.0"), 202);
     assert_eq!(sender.hand_in("debit", "u2", "16.0"), 202);
