Look again within 20 ms while ending, so that the exit comes before SIGKILL

Seen in review: stages.rs sleep could rest 250 ms past the last instant, so the exit came up to 3.85 s after SIGTERM where SIGKILL may come at 3.7 s.

--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -797,7 +797,8 @@
         }
         let dues = [self.regions.due(), self.table.due(), self.relay.due(), self.take_in.due()];
         let due = dues.into_iter().chain(self.route.wake).fold(f64::INFINITY, f64::min);
-        (due - self.clock.now()).clamp(0.0, 250.0)
+        // Near its end the sender must not sleep past the instants at which it stops and goes.
+        (due - self.clock.now()).clamp(0.0, if self.told_to_end.is_some() { 20.0 } else { 250.0 })
     }
 
     pub fn print_counters(&mut self) {
@@ -955,21 +956,22 @@
         "Guarantees":{"StopSendingWithin":1000000000,"GraceToAnswer":20000000,"OverloadFactor":2,
         "OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
 
-    /// Plays a transaction's time out against a region that takes calls and answers none, on a clock set by hand:
-    /// what ended it, and when.
-    fn outlived(story: &str, region: SocketAddr) -> (Option<Notice>, Millis) {
+    const START: Millis = 1_796_121_600_000.0;
+
+    /// A driver on a clock set by hand that resumes one unsafe transaction, with two seconds left.
+    fn resumed(story: &str, region: SocketAddr) -> (Driver, Clock, calloop::EventLoop<'static, http::Ready>) {
         let state = std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&state);
         std::fs::create_dir_all(&state).unwrap();
-        let start = 1_796_121_600_000.0;
         let (id, class, key, body) = (Rc::from("a"), Rc::from("debit"), None, Rc::from(&b"x"[..]));
-        let (deadline, tasks, ending) = (start + 2_000.0, Vec::new(), None);
+        let (deadline, tasks, ending) = (START + 2_000.0, Vec::new(), None);
         let taken = Taken { no: 3, id, class, destination: 7, deadline, key, body, tasks, ending };
         assert!(Ledger::open(&state, 3_000_000).0.take(&taken));
         let target = format!(
             r#"{{"targets":[{{"uid":"s","endpoint":"{region}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
         );
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
         let config = Config {
             name: "n0".into(),
             listen: listener.local_addr().unwrap(),
@@ -983,15 +985,33 @@
             boot: settings::read(SETTINGS).unwrap(),
         };
         let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
-        let clock = Clock::at(start);
-        let mut driver = Driver::new(config, listener, &events.handle(), clock.clone()).unwrap();
-        let mut now = start;
-        while driver.desk.open > 0 && now < start + 9_000.0 {
+        let clock = Clock::at(START);
+        let driver = Driver::new(config, listener, &events.handle(), clock.clone()).unwrap();
+        (driver, clock, events)
+    }
+
+    /// Plays the transaction's time out: what ended it, and how long after its time.
+    fn outlived(story: &str, region: SocketAddr) -> (Option<Notice>, Millis) {
+        let (mut driver, clock, _events) = resumed(story, region);
+        while driver.desk.open > 0 && clock.now() < START + 9_000.0 {
             assert!(driver.round(vec![Key::Region(0)]), "nothing tells it to end");
-            now += 10.0;
-            clock.set(now);
+            clock.set(clock.now() + 10.0);
+        }
+        (driver.desk.held.get(&3).and_then(|t| t.taken.ending), clock.now() - START - 2_000.0)
+    }
+
+    #[test]
+    fn told_to_end_the_sender_is_gone_before_it_can_be_killed() {
+        // Guards against sleeping past the last instant: the loop looks again within 20 ms, whatever is due.
+        let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut driver, clock, _events) = resumed("end", silent.local_addr().unwrap());
+        driver.end();
+        while driver.round(vec![Key::Region(0)]) {
+            assert!(driver.sleep() <= 20.0);
+            clock.set(clock.now() + driver.sleep().max(1.0) + 5.0);
+            assert!(clock.now() < START + 3_690.0, "SIGKILL may come at 3.7 s");
         }
-        (driver.desk.held.get(&3).and_then(|t| t.taken.ending), now - deadline)
+        assert!(clock.now() >= START + LAST_WORK, "clients may come for a moment more");
     }
 
     #[test]
