Read the configuration again on SIGHUP and move the watch and the notices to its discovery

SIGHUP was not among the signals that src/net/mod.rs takes, and its default ends a process. Ruled out: a fault of the file, which reads well at a start; the counters line that each proper exit prints was missing.

Now SIGHUP reads the file again through the same checks as a start, but without PROXY_DISCOVERY, which would hide the new address. The watch opens there from version 0, as the versions of another agent need not be ours. Notices in flight go again to the new address at once: twice does no harm, late does. A bad file is one log line.

--- a/src/main.rs
+++ b/src/main.rs
@@ -27,14 +27,24 @@
 }
 
 fn address(json: &Value, field: &str, variable: &str) -> Result<SocketAddr, String> {
-    let told = std::env::var(variable).ok().or_else(|| Some(json.get(field)?.as_str()?.to_string()));
-    let told = told.ok_or_else(|| format!("{field}: neither {variable} nor the configuration names it"))?;
+    let outranks = if variable.is_empty() { None } else { std::env::var(variable).ok() };
+    let told = outranks.or_else(|| Some(json.get(field)?.as_str()?.to_string()));
+    let told = told.ok_or_else(|| format!("{field}: nothing names it"))?;
     told.parse().map_err(|_| format!("{field}: {told:?} is not an address with a port"))
 }
 
 impl Config {
     /// Reads `$PROXY_CONFIG`; the error is one line that names the field.
     fn read() -> Result<Config, String> {
+        Config::from_file("PROXY_DISCOVERY")
+    }
+
+    /// Reads the file again for a running sender. What the variable said at the start must not hide the file now.
+    pub fn read_again() -> Result<Config, String> {
+        Config::from_file("")
+    }
+
+    fn from_file(discovery: &str) -> Result<Config, String> {
         let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG: the variable is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
         let json: Value = serde_json::from_str(&text).map_err(|e| format!("PROXY_CONFIG: not JSON: {e}"))?;
@@ -57,7 +67,7 @@
         Ok(Config {
             name: std::env::var("PROXY_NAME").unwrap_or_else(|_| "sender".into()),
             listen: address(&json, "listen", "PROXY_LISTEN")?,
-            discovery: address(&json, "discovery", "PROXY_DISCOVERY")?,
+            discovery: address(&json, "discovery", discovery)?,
             state: state.into(),
             seed: seed.ok_or("seed: hex digits are wanted")?,
             sockets: limit("sockets", 32.0)? as usize,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -37,7 +37,7 @@
     let clock = Clock::system();
     let mut events = EventLoop::<Ready>::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1])
+    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
         .map_err(|e| format!("no signals: {e}"))?;
     let told =
         handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
@@ -49,6 +49,7 @@
         for signal in std::mem::take(&mut ready.signals) {
             match signal {
                 Signal::SIGUSR1 => driver.print_counters(),
+                Signal::SIGHUP => driver.reload(Config::read_again()),
                 _ => driver.end(),
             }
         }
--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -559,6 +559,14 @@
         }
     }
 
+    /// The platform is elsewhere from now on. What is not confirmed is told there, at once: a notice that comes
+    /// twice does no harm, and one that waits for an answer from the old address may come too late.
+    fn move_to(&mut self, platform: SocketAddr, now: Millis) {
+        self.link = None;
+        self.flying.drain(..).rev().for_each(|no| self.queue.push_front(no));
+        (self.platform, self.next_try, self.pause) = (platform, now, RETRY.0);
+    }
+
     fn failed(&mut self, now: Millis, reason: &str) {
         say!("notices unconfirmed count={} reason={reason}", self.flying.len());
         self.link = None;
@@ -806,6 +814,22 @@
         say!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
     }
 
+    /// SIGHUP: the configuration was read again. Of it, `discovery` counts at once, the rest from the next start on.
+    /// One that cannot be used must not harm a sender at work: the old one stands.
+    pub fn reload(&mut self, told: Result<Config, String>) {
+        match told {
+            Ok(config) => {
+                let now = self.clock.now();
+                say!("configuration read discovery={}", config.discovery);
+                if config.discovery != self.relay.platform {
+                    self.relay.move_to(config.discovery, now);
+                    self.table.move_to(config.discovery, now);
+                }
+            }
+            Err(e) => say!("configuration kept reason={e}"),
+        }
+    }
+
     /// SIGTERM: serve what comes for a moment more, start no call that cannot end, and go.
     pub fn end(&mut self) {
         if self.told_to_end.is_none() {
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -130,6 +130,14 @@
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
     }
 
+    /// Discovery is elsewhere from now on. Its versions may be others there, so that the whole list is asked for;
+    /// until it comes, the table stands.
+    pub fn move_to(&mut self, discovery: SocketAddr, now: Millis) {
+        self.watch = None;
+        (self.discovery, self.rev) = (discovery, 0);
+        (self.backoff, self.next_try) = (BACKOFF.0, now);
+    }
+
     /// Opens the watch when it is due, from the version that we have.
     pub fn tend(&mut self, now: Millis, handle: &Handle, pool: &Pool) {
         if self.watch.is_some() && now > self.heard + SILENT {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -172,7 +172,7 @@
     /// Waits for a watch, and sends it a line.
     pub fn push(&self, line: &str) {
         self.watch();
-        self.push_raw(&format!("{:x}\r\n{line}\n\r\n", line.len() + 1));
+        self.push_raw(&chunk(line));
     }
 
     /// The first line of the next watch.
@@ -187,6 +187,11 @@
     }
 }
 
+/// A line of the watch, as the chunk that carries it.
+pub fn chunk(line: &str) -> String {
+    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+}
+
 pub fn listed(uid: &str, address: SocketAddr, state: &str) -> String {
     format!(
         r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"k","pod_group":7,"state":"{state}","capacity_hint":20.0,"boot_ms":0}}"#
@@ -208,6 +213,8 @@
 pub struct Sender {
     pub address: SocketAddr,
     folder: PathBuf,
+    /// What `PROXY_DISCOVERY` says at each start.
+    discovery: SocketAddr,
     child: Child,
 }
 
@@ -229,16 +236,16 @@
             platform.address
         );
         std::fs::write(folder.join("config.json"), config).unwrap();
-        let child = Sender::spawn(&folder);
-        Sender { address: free, folder, child }.ready()
+        let child = Sender::spawn(&folder, platform.address);
+        Sender { address: free, folder, discovery: platform.address, child }.ready()
     }
 
-    pub fn spawn(folder: &std::path::Path) -> Child {
+    fn spawn(folder: &std::path::Path, discovery: SocketAddr) -> Child {
         Command::new(env!("CARGO_BIN_EXE_martenlatch"))
             .env("PROXY_CONFIG", folder.join("config.json"))
             .env("PROXY_STATE", folder.join("state"))
             .env_remove("PROXY_LISTEN")
-            .env_remove("PROXY_DISCOVERY")
+            .env("PROXY_DISCOVERY", discovery.to_string())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
             .spawn()
@@ -258,7 +265,7 @@
     pub fn kill_and_restart(mut self) -> Sender {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
-        self.child = Sender::spawn(&self.folder);
+        self.child = Sender::spawn(&self.folder, self.discovery);
         self.ready()
     }
 
@@ -266,7 +273,7 @@
     pub fn end_and_restart(mut self) -> Sender {
         self.signal("TERM");
         assert_eq!(self.child.wait().unwrap().code(), Some(0));
-        self.child = Sender::spawn(&self.folder);
+        self.child = Sender::spawn(&self.folder, self.discovery);
         self.ready()
     }
 
@@ -279,12 +286,23 @@
     pub fn restart_with(mut self, from: &str, to: &str) -> (Option<i32>, String) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
+        self.configure(from, to);
+        let output = Sender::spawn(&self.folder, self.discovery).wait_with_output().unwrap();
+        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    }
+
+    fn configure(&self, from: &str, to: &str) {
         let path = self.folder.join("config.json");
         let config = std::fs::read_to_string(&path).unwrap();
         assert!(config.contains(from), "{from} is not in the configuration");
         std::fs::write(&path, config.replace(from, to)).unwrap();
-        let output = Sender::spawn(&self.folder).wait_with_output().unwrap();
-        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+    }
+
+    /// Changes its configuration while it runs, and tells it so. It has read it once it answers again.
+    pub fn reload(&self, from: &str, to: &str) {
+        self.configure(from, to);
+        self.signal("HUP");
+        (0..2).for_each(|_| assert_eq!(self.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200));
     }
 
     /// Waits for its end; its exit code and what it printed.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -306,6 +306,30 @@
     assert!(!log.contains("k-t1"), "no key in the log");
 }
 
+#[test]
+fn a_configuration_read_again_moves_watch_and_notices_and_a_bad_one_changes_nothing() {
+    let (old, new) = (Platform::new(&[0; 64]), Platform::new(&[]));
+    let region = Region::new(|_, _| status(200, ""));
+    let sender = Sender::start("reload", &old, &table(41, true, &[]), 3.0);
+    old.watch();
+    assert_eq!(sender.hand_in("debit", "l1", "0.3"), 202);
+    // Its notice is never confirmed at the old address, which a bad configuration does not change.
+    sender.reload(r#""seed":"#, r#""seed":!"#);
+    assert!(new.notices.try_recv().is_err());
+    sender.reload(r#""seed":!"#, r#""seed":"#);
+    sender.reload(&old.address.to_string(), &new.address.to_string());
+    assert!(new.notice().starts_with(r#"{"id":"l1","status":"deferred""#));
+    assert_eq!(new.watch(), "GET /v1/servers?watch=1&from=0 HTTP/1.1", "its versions are its own");
+    new.push_raw(&chunk(&table(3, true, &[listed("s-1", region.address, "in_service")])));
+    assert_eq!(sender.hand_in("debit", "l2", "16.0"), 202);
+    assert_eq!(region.call().id(), "l2");
+    sender.signal("TERM");
+    let (code, log) = sender.finish();
+    assert_eq!(code, Some(0));
+    let kept = log.lines().find(|l| l.starts_with("configuration kept")).expect("the bad one is logged");
+    assert!(kept.contains("PROXY_CONFIG: not JSON"), "{kept}");
+}
+
 #[rstest]
 #[case::settings(r#""OpenCap":50,"#, "", "OpenCap")]
 #[case::listen(r#""listen":"127"#, r#""listen":"nowhere"#, "listen")]
