Count a first line of 200 as a delivery, and only a whole answer as a refusal

Checked in the code beside PROTOCOL: progress() in src/net/regions.rs called every unreadable head Broken, also one whose first line says 200; answer() in src/net/http.rs took a 429 or 503 with contradicting or boundless lengths for a proof that the call never ran; a head or body that never ended held its slot until the call's time-out, for an unsafe transaction until its deadline; a body of 3 GB was read for a second at full speed. Broken also taught the module wrongly: it stands for a region that is gone (doubt of 2, a rest from the route), and after a rest of 300 ms for a connection that went stale, which shortens idle_safe and renews connections. Ruled out: processor (0.12 s in a second) and memory (1 of 48 MB).

Now a whole first line of 200 is a success, any other spoilt answer a failure that may have run, an answer that has begun must be whole within a second, and what claims more than 64 KiB is closed on.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -183,7 +183,7 @@
 }
 
 /// How a body ends.
-#[derive(Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Body {
     Left(usize),
     /// Chunked: bytes left of this chunk with its line end, or none while a size line is due.
@@ -255,12 +255,12 @@
 }
 
 impl Request {
+    /// A header's value; none where it says two things.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers
-            .iter()
-            .find(|(n, _)| n == name)
-            .and_then(|(_, v)| std::str::from_utf8(v).ok())
-            .map(str::trim)
+        let mut values = self.headers.iter().filter(|(n, _)| n == name).map(|(_, v)| v.trim_ascii());
+        let first = values.next()?;
+        let plain = values.all(|v| v == first);
+        std::str::from_utf8(first).ok().filter(|_| plain)
     }
 }
 
@@ -333,6 +333,8 @@
     pub body: Body,
     /// The connection may carry another call.
     pub keep: bool,
+    /// Its lengths contradict each other or cannot be read, or it claims more than any answer here may hold.
+    pub spoilt: bool,
     headers: Vec<(String, String)>,
     pub used: usize,
 }
@@ -348,12 +350,14 @@
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Response::new(&mut headers);
     let used = match head.parse(input) {
-        Ok(httparse::Status::Complete(used)) => used,
+        Ok(httparse::Status::Complete(used)) if used <= HEAD => used,
         Ok(httparse::Status::Partial) if input.len() < HEAD => return Ok(None),
         _ => return Err(()),
     };
     let status = head.code.ok_or(())?;
-    let body = match told_length(head.headers) {
+    let told = told_length(head.headers);
+    let spoilt = told.is_err() || told.is_ok_and(|t| t.is_some_and(|t| t > BODY));
+    let body = match told {
         _ if matches!(status, 100..=199 | 204 | 304) => Body::Left(0),
         _ if says(head.headers, "transfer-encoding", "chunked") => Body::Chunks { left: 0, last: false },
         // A status that has come stands, whatever the length says; the connection just ends with it.
@@ -361,11 +365,19 @@
         _ => Body::ToEnd,
     };
     let keep = body != Body::ToEnd
+        && !spoilt
         && !says(head.headers, "connection", "close")
         && (head.version == Some(1) || says(head.headers, "connection", "keep-alive"));
     let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
     let headers = head.headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
-    Ok(Some(Answer { status, body, keep, headers, used }))
+    Ok(Some(Answer { status, body, keep, spoilt, headers, used }))
+}
+
+/// Whether a whole first line says 200, whatever comes behind it.
+pub fn says_200(input: &[u8]) -> bool {
+    let line = input.split(|b| *b == b'\n').next().filter(|l| l.len() < input.len()).unwrap_or(b"");
+    matches!(line.trim_ascii_end(), [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', b'2', b'0', b'0', rest @ ..]
+        if rest.first().is_none_or(|b| *b == b' '))
 }
 
 /// The bytes of an answer to a client.
--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -10,7 +10,7 @@
 use super::clock::{Millis, nanos};
 use super::counters::say;
 use super::http::{self, Body, Handle, Key, Link};
-use super::pool::Pool;
+use super::pool::{BODY, Pool};
 
 /// Part of the idle limit after which we close: the rest is for travel, as a crossing request ends as a reset.
 const IDLE_PART: f64 = 0.9;
@@ -28,6 +28,20 @@
     pub over: bool,
 }
 
+/// Whether an answer other than 200 is all there; false for a spoilt one. Guards the transactions that must not be
+/// repeated: only a whole answer proves that a call was turned away, as a spoilt one comes after it has run.
+fn whole(answer: &http::Answer, link: &Link) -> Option<bool> {
+    let rest = &link.bytes()[answer.used..];
+    match answer.body.clone().feed(rest, |_| {}) {
+        _ if answer.spoilt => Some(false),
+        None => Some(false),
+        Some((_, true)) => Some(true),
+        Some((_, false)) if link.eof || link.broken => Some(answer.body == Body::ToEnd),
+        Some((_, false)) if rest.len() >= BODY => Some(false),
+        Some((_, false)) => None,
+    }
+}
+
 /// A call to start.
 pub struct Call<'a> {
     pub id: MessageId,
@@ -174,7 +188,17 @@
         let Some(conn) = self.conns.try_remove(at) else { return };
         self.idle.retain(|i| *i != at);
         if let Some(task) = conn.task {
-            let outcome = if conn.link.flushed() && conn.up { sent } else { unsent };
+            // Guards against repeating, or calling failed, what a spoilt answer has confirmed in its first line.
+            let said = http::says_200(conn.link.bytes());
+            let begun = sent == Outcome::TimedOut && !conn.link.bytes().is_empty();
+            let sent = if begun { Outcome::Failure } else { sent };
+            let outcome = if said {
+                Outcome::Success
+            } else if conn.link.flushed() && conn.up {
+                sent
+            } else {
+                unsent
+            };
             self.tell(task, outcome, now);
         }
     }
@@ -196,14 +220,28 @@
                     conn.link.used(answer.used);
                     return true;
                 }
-                Ok(Some(answer)) => self.answered(at, answer, now),
+                Ok(Some(answer)) if answer.status == 200 => self.answered(at, answer, now),
+                Ok(Some(answer)) => match whole(&answer, &conn.link) {
+                    Some(true) => self.answered(at, answer, now),
+                    Some(false) => {
+                        self.fail(at, Outcome::Failure, Outcome::Unreachable, now);
+                        return false;
+                    }
+                    None => return self.begun(at, now, more),
+                },
+                // Its head may never end: what the first line says is all that is needed.
+                Ok(None) if http::says_200(conn.link.bytes()) => {
+                    self.fail(at, Outcome::Success, Outcome::Success, now);
+                    return false;
+                }
                 Ok(None) if conn.link.broken || conn.link.eof => {
                     self.fail(at, Outcome::Broken, Outcome::Unreachable, now);
                     return false;
                 }
-                Ok(None) => return more,
+                Ok(None) => return self.begun(at, now, more),
+                // Spoilt: it has run, and the region is well, so that this is not the reset of one that has gone.
                 Err(()) => {
-                    self.fail(at, Outcome::Broken, Outcome::Unreachable, now);
+                    self.fail(at, Outcome::Failure, Outcome::Unreachable, now);
                     return false;
                 }
             }
@@ -212,6 +250,15 @@
         more && self.conns.contains(at)
     }
 
+    /// An answer that has begun must soon be whole: one that never ends would hold a slot for all of its time.
+    fn begun(&mut self, at: usize, now: Millis, more: bool) -> bool {
+        let conn = &mut self.conns[at];
+        if let Some(task) = conn.task.as_mut().filter(|_| !conn.link.bytes().is_empty()) {
+            task.due = task.due.min(now + BODY_TIME);
+        }
+        more
+    }
+
     fn answered(&mut self, at: usize, answer: http::Answer, now: Millis) {
         let conn = &mut self.conns[at];
         let Some(task) = conn.task.take() else { return };
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::Duration;
 
-const HANG: Duration = Duration::from_secs(40);
+pub const HANG: Duration = Duration::from_secs(40);
 
 /// A request as a peer has read it.
 #[derive(Debug)]
@@ -305,6 +305,13 @@
         (0..2).for_each(|_| assert_eq!(self.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200));
     }
 
+    /// Tells it to end, and returns the counters that it prints then.
+    pub fn counters(self) -> String {
+        self.signal("TERM");
+        let log = self.finish().1;
+        log.lines().rfind(|l| l.starts_with("counters ")).expect("counters at the exit").to_string()
+    }
+
     /// Waits for its end; its exit code and what it printed.
     pub fn finish(mut self) -> (Option<i32>, String) {
         let mut log = String::new();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -121,6 +121,48 @@
     assert_eq!((region.call().id(), region.call().id()), ("w1", "w1"));
 }
 
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\nnot a header\u{1}\r\n\r\n")]
+#[case::endless_head("HTTP/1.1 200 OK\r\nX-More: and more")]
+#[case::length("HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n")]
+#[case::three_gigabytes("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx")]
+fn a_spoilt_answer_whose_first_line_says_200_is_a_delivery(#[case] answer: &'static str) {
+    let (region, known) = one_region(move |_, _| (answer.into(), false));
+    let platform = Platform::new(&[]);
+    let case = answer.bytes().fold(7u64, |h, b| h.wrapping_mul(31) ^ u64::from(b));
+    let sender = Sender::start(&format!("true-{case:x}"), &platform, &known, 3.0);
+    for id in ["g1", "g2"] {
+        assert_eq!(sender.hand_in("debit", id, "16.0"), 202);
+        assert_eq!(region.call().id(), id);
+        region.ended.recv_timeout(HANG).expect("its connection is of no further use");
+    }
+    let counters = sender.counters();
+    assert!(counters.contains(" delivered=2 ") && counters.contains(" failure=0 "), "{counters}");
+    assert!(platform.notices.try_recv().is_err());
+}
+
+#[rstest]
+#[case::noise("\u{0}\u{7}noise\r\n\r\n")]
+#[case::two_lengths("HTTP/1.1 429 X\r\nContent-Length: 0\r\nContent-Length: 7\r\n\r\n")]
+#[case::three_gigabytes("HTTP/1.1 503 X\r\nContent-Length: 3000000000\r\n\r\nxxxx")]
+#[case::body_that_never_comes("HTTP/1.1 503 X\r\nContent-Length: 300\r\n\r\nxxxx")]
+#[case::endless_head("HTTP/1.1 503 X\r\nX-More: and more")]
+fn any_other_spoilt_answer_may_have_run_and_says_nothing_of_its_region(#[case] answer: &'static str) {
+    let (region, known) =
+        one_region(move |no, _| if no == 0 { (answer.into(), false) } else { status(200, "") });
+    let platform = Platform::new(&[]);
+    let case = answer.bytes().fold(7u64, |h, b| h.wrapping_mul(31) ^ u64::from(b));
+    let sender = Sender::start(&format!("spoilt-{case:x}"), &platform, &known, 3.0);
+    assert_eq!(sender.hand_in("debit", "s1", "16.0"), 202);
+    assert_eq!(region.call().id(), "s1");
+    assert_eq!(platform.notice(), r#"{"id":"s1","status":"undeliverable"}"#, "it may have run");
+    // A region that seemed gone would be left alone for seconds.
+    assert_eq!(sender.hand_in("debit", "s2", "2.0"), 202);
+    assert_eq!(region.call().id(), "s2");
+    let counters = sender.counters();
+    assert!(counters.contains(" failure=1 ") && counters.contains(" broken=0 "), "{counters}");
+}
+
 #[test]
 fn a_reset_after_the_last_byte_may_have_run() {
     let (region, known) = one_region(|_, _| (String::new(), true));
