Answer or close bad clients within 2.4 s, and take on no destination that nothing lists

Checked in src/net/stages.rs beside PROTOCOL: REQUEST_TIME was 10 s, past the 3 s owed; a connection that said nothing was never ended; meaning() took on any number as dest; a request with more behind it than its length was cut and taken on; of two ids the first counted; a 404 or 405 kept the connection for the next; evict() closed the client idle the longest, which in a crowd of newcomers is a usual one, and with all of them halfway through a request closed nothing and accepted all the same. Ruled out: processor (0.10 s in a second), memory, descriptors (214 of 384).

CLIENTS is gone: the limit follows from sockets and memory alone.

--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -22,15 +22,18 @@
 use super::table::{Change, Table};
 use crate::Config;
 
-/// A client that has sent part of a request may take so long over the rest.
-const REQUEST_TIME: Millis = 10_000.0;
+/// A client may take so long over a request, the first one counted from its connection: an error or a close is owed
+/// within 3 s. And so long between two requests: it may keep its connection for good, and we have only so many.
+const REQUEST_TIME: Millis = 2_400.0;
+const IDLE_TIME: Millis = 6_000.0;
+/// One that has just connected is about to ask; past this it is the first to make room.
+const NEWCOMER: Millis = 300.0;
 /// A closed connection's late bytes are read away for so long, as closing on them would destroy our answer.
+/// No more than so much is read: a body of 60 MB would cost more time than it is worth.
 const LINGER: Millis = 500.0;
-/// Connections accepted, and requests read from one of them, in a round: no peer may stall the loop.
+const LINGER_BYTES: usize = 1 << 20;
+/// Connections accepted in a round: no crowd may stall the loop.
 const ACCEPTS: usize = 64;
-const REQUESTS: usize = 16;
-/// Most client connections; past them the one quiet the longest goes.
-const CLIENTS: usize = 400;
 /// How often client connections are looked over.
 const SWEEP: Millis = 250.0;
 /// Longest id, key; and longest time that a client may grant.
@@ -52,9 +55,13 @@
     close: bool,
     /// Told to go on with a body.
     continued: bool,
+    /// It has handed in a transaction, or asked for our health.
+    served: bool,
     /// When it was last heard of, or asked to end.
     since: Millis,
     closing: bool,
+    /// Bytes read since then.
+    drained: usize,
 }
 
 /// What a client has handed in.
@@ -92,12 +99,22 @@
                 Ok((stream, _)) => {
                     counters.clients += 1;
                     if self.clients.len() >= self.most {
-                        self.evict();
+                        self.evict(now);
                     }
                     let entry = self.clients.vacant_entry();
                     if let Ok(link) = Link::new(stream, &self.handle, &self.pool, Key::Client(entry.key())) {
-                        let (busy, close, continued, closing) = (false, false, false, false);
-                        entry.insert(Client { link, busy, close, continued, since: now, closing });
+                        let (busy, close, continued, served, closing) = (false, false, false, false, false);
+                        let (since, drained) = (now, 0);
+                        entry.insert(Client {
+                            link,
+                            busy,
+                            close,
+                            continued,
+                            served,
+                            since,
+                            closing,
+                            drained,
+                        });
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
@@ -107,7 +124,7 @@
                 // idle client makes room.
                 Err(e) => {
                     say!("accept rests error={:?}", e.kind());
-                    self.evict();
+                    self.evict(now);
                     self.accept_at = Some(now + 50.0);
                     return false;
                 }
@@ -116,96 +133,120 @@
         true
     }
 
-    /// Closes the client that was quiet the longest. One that waits for an answer, or whose request is there
-    /// unread, stays: ending it unanswered would lose a transaction.
-    fn evict(&mut self) {
-        let quiet = self.clients.iter().filter(|(_, c)| !c.busy).map(|(at, c)| (c.since, at));
-        let mut quiet: Vec<(Millis, usize)> = quiet.collect();
-        quiet.sort_by(|a, b| a.0.total_cmp(&b.0));
-        for (_, at) in quiet {
-            let client = &mut self.clients[at];
+    /// Closes one client to make room: one that has its answer, else one that has connected and says nothing, else
+    /// the one idle the longest. One whose request is there unread stays: ending it unanswered would lose a
+    /// transaction. Guards usual clients against a crowd of silent ones, which are younger than they are. Where
+    /// all have begun a request, the one at it the longest is turned away.
+    fn evict(&mut self, now: Millis) {
+        let place = |c: &Client| match () {
+            () if c.closing => 0,
+            () if !c.link.bytes().is_empty() => 4,
+            () if c.served => 2,
+            () if now > c.since + NEWCOMER => 1,
+            () => 3,
+        };
+        let order = self.clients.iter().filter(|(_, c)| !c.busy).map(|(at, c)| (place(c), c.since, at));
+        let mut order: Vec<(u8, Millis, usize)> = order.collect();
+        order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        for (place, _, at) in &order {
+            let client = &mut self.clients[*at];
             client.link.fill();
             if client.closing || client.link.bytes().is_empty() {
-                self.clients.remove(at);
+                self.clients.remove(*at);
                 return;
             }
+            if *place == 4 {
+                break;
+            }
+        }
+        if let Some((_, _, at)) = order.iter().find(|(place, ..)| *place == 4) {
+            self.clients[*at].close = true;
+            self.answer(*at, 503, "Retry-After: 1\r\n", now);
+            self.clients.try_remove(*at);
         }
     }
 
     /// Reads what a client sent. True if there may be more.
     fn ready(&mut self, at: usize, now: Millis, out: &mut Vec<HandedIn>, counters: &mut Counters) -> bool {
-        for _ in 0..REQUESTS {
-            let Some(client) = self.clients.get_mut(at) else { return false };
-            client.link.flush();
-            let quiet = client.link.bytes().is_empty();
-            let more = client.link.fill();
-            if quiet && !client.closing && !client.link.bytes().is_empty() {
-                // The time of a request counts from its first byte, not from the last one's end.
-                client.since = now;
-            }
-            if client.closing {
-                let rest = client.link.bytes().len();
-                client.link.used(rest);
-                if client.link.eof || client.link.broken {
-                    self.clients.remove(at);
-                    return false;
-                }
-                return more;
-            }
-            if client.busy {
+        let Some(client) = self.clients.get_mut(at) else { return false };
+        client.link.flush();
+        let quiet = client.link.bytes().is_empty();
+        let more = client.link.fill();
+        if quiet && client.served && !client.closing && !client.link.bytes().is_empty() {
+            // The time of a request counts from its first byte, not from the last one's end; that of a first
+            // one from the connection.
+            client.since = now;
+        }
+        if client.closing {
+            let rest = client.link.bytes().len();
+            client.link.used(rest);
+            client.drained += rest;
+            if client.link.eof || client.link.broken || client.drained > LINGER_BYTES {
+                self.clients.remove(at);
                 return false;
             }
-            if client.link.broken {
-                counters.left += u64::from(!client.link.bytes().is_empty());
+            return more;
+        }
+        if client.busy {
+            return false;
+        }
+        if client.link.broken {
+            counters.left += u64::from(!client.link.bytes().is_empty());
+            self.clients.remove(at);
+            return false;
+        }
+        if client.link.bytes().is_empty() {
+            if client.link.eof {
                 self.clients.remove(at);
                 return false;
             }
-            if client.link.bytes().is_empty() {
+            if more {
+                return true;
+            }
+            return false;
+        }
+        match http::request(client.link.bytes()) {
+            Parsed::Partial(waits) => {
                 if client.link.eof {
                     self.clients.remove(at);
-                    return false;
-                }
-                if more {
-                    return true;
+                } else if waits && !client.continued {
+                    client.continued = true;
+                    client.link.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    client.link.flush();
                 }
-                return false;
+                return more;
             }
-            match http::request(client.link.bytes()) {
-                Parsed::Partial(waits) => {
-                    if client.link.eof {
-                        self.clients.remove(at);
-                    } else if waits && !client.continued {
-                        client.continued = true;
-                        client.link.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
-                        client.link.flush();
+            Parsed::Bad(status) => {
+                client.close = true;
+                counters.bad += 1;
+                self.answer(at, status, "", now);
+                return true;
+            }
+            Parsed::Whole(request) => {
+                client.link.used(request.used);
+                (client.since, client.continued) = (now, false);
+                client.close = request.close || client.link.eof || self.ending;
+                // Clients ask one at a time. What stands behind a request belongs to it, so that its length is
+                // wrong, or it is a flood; taking it on would cut the body, or carry what hides in one.
+                let alone = client.link.bytes().is_empty();
+                match if alone { self.meaning(&request, at, now) } else { Err(400) } {
+                    Ok(handed) => {
+                        let client = &mut self.clients[at];
+                        (client.busy, client.served) = (true, true);
+                        out.push(handed);
                     }
-                    return more;
-                }
-                Parsed::Bad(status) => {
-                    client.close = true;
-                    counters.bad += 1;
-                    self.answer(at, status, "", now);
-                    return true;
-                }
-                Parsed::Whole(request) => {
-                    client.link.used(request.used);
-                    (client.since, client.continued) = (now, false);
-                    client.close = request.close || client.link.eof || self.ending;
-                    match self.meaning(&request, at, now) {
-                        Ok(handed) => {
-                            self.clients[at].busy = true;
-                            out.push(handed);
-                            return true;
-                        }
-                        Err(status) => {
-                            counters.bad += u64::from(status != 200);
-                            self.clients[at].close |= status == 400;
-                            self.answer(at, status, if status == 405 { "Allow: POST\r\n" } else { "" }, now);
-                        }
+                    Err(status) => {
+                        counters.bad += u64::from(status != 200);
+                        let client = &mut self.clients[at];
+                        // Whoever sends what is of no use may do so at full speed: each costs it a connection.
+                        client.close |= status != 200;
+                        client.served |= status == 200;
+                        self.answer(at, status, if status == 405 { "Allow: POST\r\n" } else { "" }, now);
                     }
                 }
             }
         }
+
         true
     }
 
@@ -257,27 +298,49 @@
         !gone
     }
 
+    /// Has a client's connection end with its next answer.
+    fn close(&mut self, at: usize) {
+        if let Some(client) = self.clients.get_mut(at) {
+            client.close = true;
+        }
+    }
+
     fn due(&self) -> Millis {
         self.next_sweep.min(self.accept_at.unwrap_or(f64::INFINITY))
     }
 
-    /// Ends connections that are over their time.
-    fn sweep(&mut self, now: Millis) {
+    /// Ends connections that are over their time. Returns those that had just asked after all.
+    fn sweep(&mut self, now: Millis) -> Vec<Key> {
+        let (mut slow, mut asked) = (Vec::new(), Vec::new());
         if now < self.next_sweep {
-            return;
+            return asked;
         }
         self.next_sweep = now + SWEEP;
-        let mut slow = Vec::new();
         self.clients.retain(|at, c| {
-            if !c.closing && !c.busy && !c.link.bytes().is_empty() && now > c.since + REQUEST_TIME {
+            let age = now - c.since;
+            if c.closing {
+                return age <= LINGER;
+            }
+            let begun = !c.link.bytes().is_empty();
+            if c.busy || age <= if c.served && !begun { IDLE_TIME } else { REQUEST_TIME } {
+                return true;
+            }
+            if begun {
                 slow.push(at);
+                return true;
             }
-            !(c.closing && now > c.since + LINGER)
+            c.link.fill();
+            let asks = !c.link.bytes().is_empty();
+            if asks {
+                asked.push(Key::Client(at));
+            }
+            asks
         });
         for at in slow {
             self.clients[at].close = true;
             self.answer(at, 408, "", now);
         }
+        asked
     }
 
     /// Takes no more connections, once those that wait are in, and closes those between requests. Returns the ones
@@ -365,13 +428,29 @@
 
 impl Admit {
     fn admit(
-        &self, h: HandedIn, desk: &mut Desk, take_in: &mut TakeIn, stopped: bool, now: Millis,
+        &self, h: HandedIn, desk: &mut Desk, take_in: &mut TakeIn, table: &Table, stopped: bool, now: Millis,
     ) -> Option<Event> {
         if desk.numbers.contains_key(&h.id) || desk.ledger.over.contains(&h.id) {
             desk.counters.repeated += 1;
             take_in.answer(h.client, 202, "", now);
             return None;
         }
+        // A destination that discovery has never listed cannot be served; until it has spoken in this life, it
+        // may be a new one.
+        match table.serves(h.destination) {
+            Some(true) => {}
+            Some(false) => {
+                desk.counters.bad += 1;
+                take_in.close(h.client);
+                take_in.answer(h.client, 404, "", now);
+                return None;
+            }
+            None => {
+                desk.counters.turned_away += 1;
+                take_in.answer(h.client, 503, "Retry-After: 1\r\n", now);
+                return None;
+            }
+        }
         let (no, tasks) = (desk.next, Vec::new());
         let class = Rc::from(self.classes[h.class].as_str());
         let (id, destination, deadline, ending) = (h.id, h.destination, h.deadline, None);
@@ -714,8 +793,8 @@
         let policy = Policy::new(set.clone(), config.seed).map_err(|e| format!("settings: {e}"))?;
         // Half of the descriptors for clients: the rest is for regions, discovery and files. Clients have buffers
         // of their own, two each, so that slow ones cannot starve the regions.
-        let buffers = (config.memory / 2 / super::pool::SIZE as u64).min(1_200) as usize;
-        let most = (config.sockets / 2).min(buffers / 3).clamp(1, CLIENTS);
+        let buffers = (config.memory / 2 / super::pool::SIZE as u64) as usize;
+        let most = (config.sockets / 2).min(buffers / 3).max(1);
         let (pool, clients_pool) = (Pool::new(buffers - 2 * most.min(buffers / 3)), Pool::new(2 * most));
         let listener = Rc::new(listener);
         let token = http::register(handle, listener.clone(), Key::Listener)
@@ -874,13 +953,13 @@
             }
         }
         self.regions.expire(now);
-        self.take_in.sweep(now);
+        self.again.extend(self.take_in.sweep(now));
         let stopped = self.told_to_end.is_some_and(|at| now >= at + LAST_WORK);
         if stopped {
             self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
         }
         for h in handed {
-            let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, stopped, now);
+            let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, &self.table, stopped, now);
             self.route.events.extend(event);
         }
         self.outcomes(now);
@@ -1024,6 +1103,43 @@
         (driver.desk.held.get(&3).and_then(|t| t.taken.ending), clock.now() - START - 2_000.0)
     }
 
+    #[test]
+    fn a_silent_crowd_makes_room_before_usual_clients_and_is_ended_within_its_time() {
+        use std::io::{Read, Write};
+        let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
+        let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+        let connect = || std::net::TcpStream::connect(address).unwrap();
+        let open = |s: &mut std::net::TcpStream| {
+            s.set_nonblocking(true).unwrap();
+            s.read(&mut [0; 4096]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        };
+        let mut usual = connect();
+        usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+        while driver.take_in.clients.iter().all(|(_, c)| !c.served) {
+            driver.round(vec![Key::Listener, Key::Client(0)]);
+        }
+        assert!(usual.read(&mut [0; 4096]).unwrap() > 0);
+        let mut crowd: Vec<_> = (1..driver.take_in.most).map(|_| connect()).collect();
+        while driver.take_in.clients.len() < driver.take_in.most {
+            driver.round(vec![Key::Listener]);
+        }
+        clock.set(clock.now() + NEWCOMER + 1.0);
+        let late = connect();
+        while driver.desk.counters.clients <= driver.take_in.most as u64 {
+            driver.round(vec![Key::Listener]);
+        }
+        assert!(
+            open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]),
+            "the oldest silent one goes"
+        );
+        clock.set(START + REQUEST_TIME + 1.0);
+        driver.round(Vec::new());
+        assert!(open(&mut usual) && crowd.iter_mut().all(|c| !open(c)), "3 s are owed");
+        assert_eq!(driver.take_in.clients.len(), 2, "and the one that came late");
+        drop(late);
+    }
+
     #[test]
     fn told_to_end_the_sender_is_gone_before_it_can_be_killed() {
         // Guards against sleeping past the last instant: the loop looks again within 20 ms, whatever is due.
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -1,7 +1,7 @@
 //! Owns the service table as discovery tells it: the watch, its lines, and the regions' names and addresses. It
 //! must never forget a region because discovery is silent, and never judge one: health is not in the table.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use martenlatch::interface::{DestinationId, EndpointId, Entry, KindId, Stage, ZoneId};
@@ -32,6 +32,10 @@
     zones: Vec<String>,
     kinds: Vec<String>,
     rev: u64,
+    /// Destinations that were ever listed: one whose regions have all gone may have new ones soon.
+    destinations: BTreeSet<u64>,
+    /// Discovery has spoken in this life.
+    told: bool,
     numbers: HashMap<String, EndpointId>,
     /// Where each region is now.
     pub addresses: Vec<SocketAddr>,
@@ -54,6 +58,8 @@
             zones: boot.zones.clone(),
             kinds: boot.kinds.clone(),
             rev: 0,
+            destinations: BTreeSet::new(),
+            told: false,
             numbers: HashMap::new(),
             addresses: Vec::new(),
             watch: None,
@@ -107,6 +113,7 @@
         let zone = ZoneId(place(&self.zones, "az")?);
         let kind = KindId(place(&self.kinds, "model")?);
         let destination = DestinationId(json.get("pod_group").and_then(Value::as_u64).ok_or("pod_group")?);
+        self.destinations.insert(destination.0);
         let weight = json.get("capacity_hint").and_then(Value::as_f64).unwrap_or(0.0);
         let endpoint = match known {
             Some(known) => known,
@@ -130,6 +137,12 @@
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
     }
 
+    /// Whether a destination is served by any region; nothing while discovery has not said.
+    pub fn serves(&self, destination: u64) -> Option<bool> {
+        let listed = self.destinations.contains(&destination) || self.destinations.is_empty();
+        (listed || self.told).then_some(listed)
+    }
+
     /// Discovery is elsewhere from now on. Its versions may be others there, so that the whole list is asked for;
     /// until it comes, the table stands.
     pub fn move_to(&mut self, discovery: SocketAddr, now: Millis) {
@@ -175,6 +188,7 @@
         let mut lines = Vec::new();
         let fault = watch.read(&mut lines);
         if !lines.is_empty() {
+            self.told = true;
             self.heard = now;
             self.backoff = BACKOFF.0;
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -58,6 +58,19 @@
 #[case::endless_length("POST /debit HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", 413)]
 #[case::too_large("POST /debit HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413)]
 #[case::chunked("POST /debit HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 411)]
+#[case::no_such_dest(
+    "POST /debit HTTP/1.1\r\nX-Request-ID: a\r\nX-Timeout: 1\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n",
+    404
+)]
+#[case::two_ids(
+    "POST /debit HTTP/1.1\r\nX-Request-ID: a\r\nX-Request-ID: b\r\nX-Timeout: 1\r\nX-Route-To: dest=7\r\n\
+     Content-Length: 0\r\n\r\n",
+    400
+)]
+#[case::more_than_its_length(
+    "POST /debit HTTP/1.1\r\nX-Request-ID: a\r\nX-Timeout: 1\r\nX-Route-To: dest=7\r\nContent-Length: 2\r\n\r\nhello",
+    400
+)]
 #[case::no_http("\x00\x01\x02nonsense\r\n\r\n", 400)]
 #[case::no_class("POST /nothing HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 404)]
 #[case::no_path("GET / HTTP/1.1\r\n\r\n", 404)]
@@ -68,6 +81,7 @@
     let platform = Platform::new(&[]);
     let case = text.bytes().fold(7u64, |h, b| h.wrapping_mul(31) ^ u64::from(b));
     let sender = Sender::start(&format!("bad-{case:x}"), &platform, &known, 3.0);
+    platform.push(&known);
     assert_eq!(sender.exchange(text), want);
     let long = format!("GET /healthz HTTP/1.1\r\nX-Long: {}\r\n\r\n", "x".repeat(9_000));
     assert_eq!(sender.exchange(&long), 431);
@@ -300,6 +314,23 @@
     assert_eq!(std::io::BufRead::read_line(&mut oldest, &mut last).unwrap(), 0, "the oldest idle one went");
 }
 
+#[test]
+fn clients_that_say_nothing_or_half_a_request_are_ended() {
+    let (_region, known) = one_region(|_, _| status(200, ""));
+    let platform = Platform::new(&[]);
+    let sender = Sender::start("silent", &platform, &known, 3.0);
+    let mut crowd: Vec<_> = (0..550).map(|_| sender.connect()).collect();
+    for half in crowd.iter_mut().skip(500) {
+        let _ = half.get_mut().write_all(b"POST /debit HTTP/1.1\r\nX-Re");
+    }
+    // All are ended, by an answer or without, and none waits for the test's own limit.
+    for mut one in crowd {
+        let heard = read(&mut one, 0).map_or(408, |a| answered(&a));
+        assert!(matches!(heard, 408 | 503), "{heard}");
+    }
+    assert_eq!(sender.hand_in("debit", "after", "16.0"), 202);
+}
+
 #[test]
 fn a_full_disk_refuses_new_work_and_keeps_what_was_taken_on() {
     let (region, known) = one_region(|_, _| silence());
