Forget regions that have gone, in the service table and in the module

A send to a region that the table had dropped was skipped without an outcome, and its attempt would have stayed out for good; now it is one that never ran. Keyed classes bound to a zone remember the zone of their first call.

Conclusion: what is kept per region id is bounded by the regions listed.

--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -526,7 +526,8 @@
 struct To {
     id: MessageId,
     region: EndpointId,
-    address: SocketAddr,
+    /// None where the table lists it no more.
+    address: Option<SocketAddr>,
 }
 
 /// Carries a routed task to its region: its record first, then its first byte.
@@ -537,14 +538,14 @@
         let To { id, region, address } = to;
         let Some(t) = desk.held.get_mut(&id.0) else { return };
         let attempt = t.taken.tasks.len();
-        let recorded = desk.ledger.route(id.0, attempt, now);
+        let recorded = address.is_some() && desk.ledger.route(id.0, attempt, now);
         t.taken.tasks.push(Task { sent: now, never_ran: !recorded });
         t.out += 1;
-        if !recorded {
+        let Some(address) = address.filter(|_| recorded) else {
             // What has no record is not sent: after a crash it would be taken for one that never ran.
             let (attempt, outcome) = (attempt as u32, Outcome::Void);
             return regions.done.push(Done { id, attempt, outcome, took: 0.0, over: false });
-        }
+        };
         let taken = &t.taken;
         let key = taken.key.as_ref().map_or(String::new(), |k| format!("Idempotency-Key: {k}\r\n"));
         let head = format!(
@@ -1008,9 +1009,7 @@
         for action in actions {
             match action {
                 Action::Send { id, endpoint, timeout } => {
-                    let Some(address) = self.table.addresses.get(endpoint.0 as usize).copied() else {
-                        continue;
-                    };
+                    let address = self.table.addresses.get(&endpoint).copied();
                     let (desk, regions) = (&mut self.desk, &mut self.regions);
                     self.send.send(To { id, region: endpoint, address }, millis(timeout), desk, regions, now);
                 }
--- a/src/net/table.rs
+++ b/src/net/table.rs
@@ -13,7 +13,7 @@
 use super::http::{self, Handle, Key, Link};
 use super::pool::Pool;
 
-/// Longest line of the watch, and most regions ever named; past these discovery is not believed.
+/// Longest line of the watch, and most regions at a time; past these discovery is not believed.
 const LINE: usize = 4 << 20;
 const REGIONS: usize = 1 << 16;
 /// An empty line comes every 2 s: after this long the watch's other end may have vanished without a word. What
@@ -21,7 +21,8 @@
 const SILENT: Millis = 3_200.0;
 const BACKOFF: (Millis, Millis) = (100.0, 2_000.0);
 
-/// What a line of the table changed, in the module's terms. A region keeps its number for the life of the process.
+/// What a line of the table changed, in the module's terms. A region keeps its number while it is listed; no other
+/// ever gets it.
 pub struct Change {
     pub whole: bool,
     pub entries: Vec<Entry>,
@@ -37,8 +38,10 @@
     /// Discovery has spoken in this life.
     told: bool,
     numbers: HashMap<String, EndpointId>,
+    /// The next region's number.
+    next: u32,
     /// Where each region is now.
-    pub addresses: Vec<SocketAddr>,
+    pub addresses: HashMap<EndpointId, SocketAddr>,
     watch: Option<Watch>,
     heard: Millis,
     backoff: Millis,
@@ -61,7 +64,8 @@
             destinations: BTreeSet::new(),
             told: false,
             numbers: HashMap::new(),
-            addresses: Vec::new(),
+            next: 0,
+            addresses: HashMap::new(),
             watch: None,
             heard: 0.0,
             backoff: BACKOFF.0,
@@ -82,14 +86,25 @@
         let mut entries = Vec::new();
         for target in targets {
             match self.entry(target) {
-                Ok(entry) => entries.push(entry),
+                Ok(entry) => entries.extend(entry),
                 Err(field) => say!("table entry skipped field={field}"),
             }
         }
+        // Guards memory: regions are replaced by ones with new names all day long, and none that has gone returns.
+        let mut gone: Vec<EndpointId> = Vec::new();
+        gone.extend(entries.iter().filter(|e| e.stage == Stage::Gone).map(|e| e.endpoint));
+        if whole {
+            let listed: BTreeSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
+            gone.extend(self.addresses.keys().filter(|e| !listed.contains(e)));
+        }
+        if !gone.is_empty() {
+            self.numbers.retain(|_, e| !gone.contains(e));
+            self.addresses.retain(|e, _| !gone.contains(e));
+        }
         Some(Change { whole, entries })
     }
 
-    fn entry(&mut self, json: &Value) -> Result<Entry, &'static str> {
+    fn entry(&mut self, json: &Value) -> Result<Option<Entry>, &'static str> {
         let text = |field: &'static str| json.get(field).and_then(Value::as_str).ok_or(field);
         let uid = text("uid")?;
         let stage = match text("state")? {
@@ -100,10 +115,13 @@
         };
         let address = text("endpoint").and_then(|a| a.parse::<SocketAddr>().map_err(|_| "endpoint"));
         let known = self.numbers.get(uid).copied();
+        if stage == Stage::Gone && known.is_none() {
+            return Ok(None);
+        }
         // One that is removed needs no address any more.
         let address = match (address, known) {
             (Ok(address), _) => address,
-            (Err(_), Some(known)) if stage != Stage::On => self.addresses[known.0 as usize],
+            (Err(_), Some(known)) if stage != Stage::On => self.addresses[&known],
             (Err(field), _) => return Err(field),
         };
         let place = |names: &[String], field: &'static str| {
@@ -119,14 +137,14 @@
             Some(known) => known,
             None if self.addresses.len() >= REGIONS => return Err("uid (too many regions)"),
             None => {
-                let fresh = EndpointId(self.addresses.len() as u32);
+                let fresh = EndpointId(self.next);
+                self.next += 1;
                 self.numbers.insert(uid.to_string(), fresh);
-                self.addresses.push(address);
                 fresh
             }
         };
-        self.addresses[endpoint.0 as usize] = address;
-        Ok(Entry { endpoint, zone, kind, destination, stage, weight })
+        self.addresses.insert(endpoint, address);
+        Ok(Some(Entry { endpoint, zone, kind, destination, stage, weight }))
     }
 
     fn drop_watch(&mut self, now: Millis, reason: &str) {
@@ -245,6 +263,27 @@
     use super::*;
     use martenlatch::interface::Settings;
 
+    #[test]
+    fn regions_that_have_gone_are_forgotten_and_their_numbers_are_not_used_again() {
+        let names = || vec!["x".to_string()];
+        let (zones, kinds, classes, tenants, fields) = (names(), names(), names(), vec![], vec![]);
+        let boot = Boot { settings: Settings::default(), zones, kinds, classes, tenants, fields };
+        let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot);
+        let mut line = |all: bool, uid: usize, state: &str| {
+            let target = serde_json::json!({"uid": format!("s-{uid}"), "endpoint": "127.0.0.1:9", "az": "x",
+                "model": "x", "pod_group": 7, "state": state});
+            let change = table.line(&serde_json::json!({"rev": uid, "all": all, "targets": [target]}));
+            (change.unwrap().entries, table.numbers.len() + table.addresses.len())
+        };
+        for uid in 0..50 {
+            assert_eq!(line(false, uid, "in_service").0[0].endpoint, EndpointId(uid as u32));
+            assert_eq!(line(false, uid, "terminated").1, 0, "its number was {uid}");
+        }
+        assert!(line(false, 1, "terminated").0.is_empty(), "one that is not known any more tells nothing");
+        line(false, 60, "terminating");
+        assert_eq!(line(true, 61, "in_service").1, 2, "a whole list says what is left");
+    }
+
     #[test]
     fn a_watch_that_falls_silent_is_opened_again_before_its_news_count_as_told() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -180,6 +180,7 @@
 #[derive(Debug, Default)]
 struct Attempt {
     endpoint: EndpointId,
+    zone: Option<ZoneId>,
     sent: Nanos,
     call: u64,
     end: Option<Outcome>,
@@ -285,6 +286,7 @@
             actions.push(Action::Subscribe);
         }
         self.messages.retain(|_, m| !m.done || m.out().next().is_some());
+        self.forget_gone();
         self.wake(actions);
     }
 
@@ -368,6 +370,17 @@
         route.limit = told.filter(|l| *l > 0.0).or(route.limit);
     }
 
+    /// Endpoints are replaced all day long: one that has gone is forgotten once nothing is out there.
+    fn forget_gone(&mut self) {
+        let gone = |e: &Endpoint| e.stage == Stage::Gone && e.out == 0;
+        if self.endpoints.values().any(gone) {
+            self.endpoints.retain(|_, e| !gone(e));
+            let left = &self.endpoints;
+            self.of.values_mut().for_each(|list| list.retain(|e| left.contains_key(e)));
+            self.routes.retain(|(_, apart), _| apart.is_none_or(|e| left.contains_key(&e)));
+        }
+    }
+
     fn message(&mut self, event: &Event) {
         let Event::Message { id, destination, class, tenant, deadline, key } = *event else { return };
         if class.0 >= self.set.classes.len() || self.messages.contains_key(&id) {
@@ -524,7 +537,8 @@
             actions.push(Action::Close(at));
         }
         e.in_use = e.last_send > 0 && now < e.last_send + self.set.conn_idle;
-        m.attempts.push(Attempt { endpoint: at, sent: now, call, ..Attempt::default() });
+        let zone = Some(e.zone);
+        m.attempts.push(Attempt { endpoint: at, zone, sent: now, call, ..Attempt::default() });
         let no = m.attempts.len() as u32 - 1;
         e.out += 1;
         e.last_send = now;
@@ -602,7 +616,7 @@
 
     /// No effect twice: whether the class allows one more send there after those that may have run.
     fn may_repeat(&self, m: &Message, e: &Endpoint) -> bool {
-        let alike = |f: &Attempt| self.endpoints.get(&f.endpoint).is_some_and(|f| f.zone == e.zone);
+        let alike = |f: &Attempt| f.zone == Some(e.zone);
         let by_zone = matches!(self.set.classes[m.class.0].effect, Effect::Keyed { by_zone: true, .. });
         self.now < self.repeat_until(m) && m.first_run().is_none_or(|first| !by_zone || alike(first))
     }
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -261,3 +261,26 @@
     }
     assert!((1..25).contains(&early), "{early} of 100 within two seconds of the end");
 }
+
+#[test]
+fn endpoints_that_are_replaced_all_day_leave_nothing_behind() {
+    // Guards memory on long days: each endpoint that comes has a name of its own, and none that has gone returns.
+    let mut rig = Rig::new(settings(vec![class(Effect::Safe)]));
+    let mut sizes = Vec::new();
+    for no in 0..400 {
+        let (kind, destination) = (KindId(no as usize % 2), DestinationId(u64::from(no % 2)));
+        let entry = |no: u32, stage| {
+            let (endpoint, zone) = (EndpointId(no), ZoneId(0));
+            Entry { endpoint, zone, kind, destination, stage, weight: 50.0 }
+        };
+        rig.turn(&[Event::ListChanges(vec![entry(no, Stage::On)])]);
+        let (id, actions) = rig.hand_in(destination.0, 0);
+        assert_eq!(sends(&actions)[0].1, EndpointId(no));
+        // It goes while its call is out: what is known of it stays until that has ended.
+        rig.turn(&[Event::ListChanges(vec![entry(no, Stage::Gone)])]);
+        rig.now += 300 * MS;
+        rig.end(id, 0, Outcome::Success, 300 * MS);
+        sizes.push(format!("{:?}", rig.policy).len());
+    }
+    assert!(sizes[399] < sizes[99] + sizes[99] / 10, "{} then {}", sizes[99], sizes[399]);
+}
