Tell stale connections and lone resets from outages of the partner

Ruled out: processor, memory, descriptors, refusals (gap 0).

At fault: fail() in src/net/regions.rs called these Broken, as if the region had reset them; the module's own guess (rest of the endpoint over 300 ms) knows nothing of the connection. learn() in src/policy.rs counted a reset like an error or a refused connection, though a partner that dies refuses the next one.

Now a kept connection that ends at once is Stale, which may have run and teaches nothing; calls that must not be repeated, and second attempts, avoid rests that were seen to be too long; a reset by itself is no bad outcome.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -276,6 +276,8 @@
     Unreachable,
     /// The connection broke; it may have run.
     Broken,
+    /// A connection that had rested was no good any more; it may have run. Says nothing of the partner.
+    Stale,
     /// Called off; it may have run.
     Withdrawn,
     /// Not sent; it never ran, and counts as an attempt.
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -84,6 +84,7 @@
     timed_out,
     unreachable,
     broken,
+    stale,
     withdrawn,
     not_sent,
     /// Transactions delivered.
--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -17,6 +17,13 @@
 /// An answer's body may take so long after its head; the outcome is known by then.
 const BODY_TIME: Millis = 1_000.0;
 
+/// A kept connection that ends so soon under a new call, with no byte of an answer, was no good before the call.
+const STALE_WITHIN: Millis = 50.0;
+/// What is remembered of such ends: how much of them makes kept connections doubtful, and what a good one takes off.
+const STALE: (f64, f64, f64) = (2.0, 0.5, 0.98);
+/// How far under the rest of one that was stale a rest is safe, and how that grows with each that was good.
+const SAFE: (f64, f64) = (0.8, 1.01);
+
 /// A routed task that has ended.
 #[derive(Debug)]
 pub struct Done {
@@ -49,6 +56,8 @@
     pub region: EndpointId,
     pub destination: u64,
     pub timeout: Millis,
+    /// Must not be lost on a connection that may have gone stale.
+    pub dear: bool,
     pub head: &'a [u8],
     pub body: &'a [u8],
 }
@@ -68,6 +77,8 @@
     address: SocketAddr,
     task: Option<Task>,
     up: bool,
+    /// How long it had rested when its call came, where it had carried one before.
+    rested: Option<Millis>,
     opened: Millis,
     /// The rest of an answer whose outcome has been told.
     rest: Option<Body>,
@@ -84,6 +95,10 @@
     most: usize,
     connect_timeout: Millis,
     idle_limit: Millis,
+    /// How many kept connections were found stale, fading; and the longest rest that none of them had.
+    stale: f64,
+    doubted: bool,
+    safe_rest: Millis,
     pub done: Vec<Done>,
     pub opened: u64,
 }
@@ -100,6 +115,9 @@
             idle: Vec::new(),
             connect_timeout,
             idle_limit: idle_limit * IDLE_PART,
+            stale: 0.0,
+            doubted: false,
+            safe_rest: f64::INFINITY,
             done: Vec::new(),
             opened: 0,
         }
@@ -118,7 +136,8 @@
             sent: now,
             due: now + call.timeout,
         };
-        let at = match self.reusable(call.region, address) {
+        let most_rest = if call.dear && self.doubted { self.safe_rest } else { f64::INFINITY };
+        let at = match self.reusable(call.region, address, now - most_rest) {
             Some(at) => at,
             None => match self.open(call.region, address, now) {
                 Ok(at) => at,
@@ -136,14 +155,18 @@
             return self.tell(task, Outcome::Void, now);
         }
         conn.link.written = 0;
+        conn.rested = conn.up.then_some(now - conn.since);
         conn.task = Some(task);
         self.progress(at, now);
     }
 
-    /// The most recently used idle connection that is still good. One that its region has closed is found here,
-    /// before a request is lost on it.
-    fn reusable(&mut self, region: EndpointId, address: SocketAddr) -> Option<usize> {
+    /// The most recently used idle connection that is still good, if it was used since an instant. One that its
+    /// region has closed is found here, before a request is lost on it.
+    fn reusable(&mut self, region: EndpointId, address: SocketAddr, since: Millis) -> Option<usize> {
         while let Some(place) = self.idle.iter().rposition(|at| self.conns[*at].region == region) {
+            if self.conns[self.idle[place]].since < since {
+                return None;
+            }
             let at = self.idle.remove(place);
             let conn = &mut self.conns[at];
             conn.link.fill();
@@ -174,8 +197,9 @@
             link => link,
         }?;
         self.opened += 1;
-        let (up, opened, rest, since) = (false, now, None, now);
-        Ok(self.conns.insert(Conn { link, region, address, task: None, up, opened, rest, since }))
+        let (task, up, rested, rest) = (None, false, None, None);
+        let (opened, since) = (now, now);
+        Ok(self.conns.insert(Conn { link, region, address, task, up, rested, opened, rest, since }))
     }
 
     fn tell(&mut self, task: Task, outcome: Outcome, now: Millis) {
@@ -192,6 +216,18 @@
             let said = http::says_200(conn.link.bytes());
             let begun = sent == Outcome::TimedOut && !conn.link.bytes().is_empty();
             let sent = if begun { Outcome::Failure } else { sent };
+            // Guards against taking a connection for its region: one closed or dropped while it rested, by the
+            // region or on the way, ends at once under the next call. A region that has gone shows on a new one.
+            let kept = conn.rested.filter(|_| sent == Outcome::Broken && conn.link.bytes().is_empty());
+            let (sent, unsent) = match kept.filter(|_| now < task.sent + STALE_WITHIN) {
+                Some(rested) => {
+                    self.stale += 1.0;
+                    self.doubted |= self.stale >= STALE.0;
+                    self.safe_rest = self.safe_rest.min(rested * SAFE.0);
+                    (Outcome::Stale, Outcome::Void)
+                }
+                None => (sent, unsent),
+            };
             let outcome = if said {
                 Outcome::Success
             } else if conn.link.flushed() && conn.up {
@@ -276,6 +312,14 @@
             410 => Outcome::Void,
             _ => Outcome::Failure,
         };
+        if conn.rested.is_some() {
+            self.stale *= STALE.2;
+            if self.stale < STALE.1 {
+                (self.doubted, self.safe_rest) = (false, f64::INFINITY);
+            } else if conn.rested.is_some_and(|r| r > self.safe_rest) {
+                self.safe_rest *= SAFE.1;
+            }
+        }
         conn.rest = Some(if keep { answer.body } else { Body::ToEnd });
         conn.since = now;
         let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
@@ -363,6 +407,54 @@
     use super::*;
     use std::io::{Read, Write};
 
+    #[test]
+    fn a_kept_connection_that_ends_under_a_call_is_stale_and_dear_calls_then_avoid_such_rests() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
+        let start = |regions: &mut Regions, dear: bool, now: Millis| {
+            let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 1e9);
+            let (head, body) = (&b"x"[..], &b""[..]);
+            regions.call(&Call { id, attempt, region, destination, timeout, dear, head, body }, address, now);
+        };
+        let ended = |regions: &mut Regions, now: Millis| {
+            while regions.done.is_empty() {
+                (0..9).for_each(|at| drop(regions.ready(at, now)));
+            }
+            regions.done.pop().unwrap().outcome
+        };
+        let answer = |peer: &mut std::net::TcpStream| {
+            peer.read_exact(&mut [0]).unwrap();
+            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+        };
+        for _ in 0..2 {
+            start(&mut regions, false, 0.0);
+            let (mut peer, _) = listener.accept().unwrap();
+            (0..9).for_each(|at| drop(regions.ready(at, 0.0)));
+            answer(&mut peer);
+            assert_eq!(ended(&mut regions, 5.0), Outcome::Success);
+            start(&mut regions, true, 105.0);
+            peer.read_exact(&mut [0]).unwrap();
+            drop(peer);
+            assert_eq!(ended(&mut regions, 106.0), Outcome::Stale, "it had rested for 100 ms");
+        }
+        start(&mut regions, true, 1_000.0);
+        let (mut peer, _) = listener.accept().unwrap();
+        (0..9).for_each(|at| drop(regions.ready(at, 1_000.0)));
+        answer(&mut peer);
+        assert_eq!(ended(&mut regions, 1_000.0), Outcome::Success);
+        for (dear, rest, opened) in [(true, 79.0, 3), (false, 200.0, 3), (true, 90.0, 4)] {
+            let now = 1_000.0 + rest;
+            start(&mut regions, dear, now);
+            assert_eq!(regions.opened, opened, "dear={dear} after {rest} ms");
+            if opened == 3 {
+                answer(&mut peer);
+                assert_eq!(ended(&mut regions, 1_000.0), Outcome::Success);
+            }
+        }
+    }
+
     #[test]
     fn idle_connections_make_room_for_new_ones_and_one_that_idled_too_long_is_closed() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -371,8 +463,9 @@
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 1, 1_000.0, 15_000.0);
         for region in 0..3 {
             let (id, region) = (MessageId(region), EndpointId(region as u32));
-            let (attempt, destination, timeout, head, body) = (0, 7, 1e9, &b"x"[..], &b""[..]);
-            regions.call(&Call { id, attempt, region, destination, timeout, head, body }, address, 5.0);
+            let (attempt, destination, timeout, dear) = (0, 7, 1e9, false);
+            let (head, body) = (&b"x"[..], &b""[..]);
+            regions.call(&Call { id, attempt, region, destination, timeout, dear, head, body }, address, 5.0);
             let (mut peer, _) = listener.accept().unwrap();
             while regions.conns.iter().any(|(_, c)| !c.link.flushed()) {
                 regions.ready(0, 5.0);
--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -424,6 +424,8 @@
 struct Admit {
     hold_limit: usize,
     classes: Vec<String>,
+    /// Those whose transactions must not be repeated once they may have run.
+    once: Vec<Rc<str>>,
 }
 
 impl Admit {
@@ -525,6 +527,8 @@
 /// A routed task's transaction and its goal.
 struct To {
     id: MessageId,
+    /// Its class must not be repeated once it may have run.
+    once: bool,
     region: EndpointId,
     /// None where the table lists it no more.
     address: Option<SocketAddr>,
@@ -535,7 +539,7 @@
 
 impl Send {
     fn send(&self, to: To, timeout: Millis, desk: &mut Desk, regions: &mut Regions, now: Millis) {
-        let To { id, region, address } = to;
+        let To { id, once, region, address } = to;
         let Some(t) = desk.held.get_mut(&id.0) else { return };
         let attempt = t.taken.tasks.len();
         let recorded = address.is_some() && desk.ledger.route(id.0, attempt, now);
@@ -557,11 +561,10 @@
         );
         desk.counters.sent += 1;
         let (head, body, destination) = (head.as_bytes(), &*taken.body, taken.destination);
-        regions.call(
-            &Call { id, attempt: attempt as u32, region, destination, timeout, head, body },
-            address,
-            now,
-        );
+        // A further attempt has failed once, and should not do so again for the sake of a connection.
+        let (dear, attempt) = (once || attempt > 0, attempt as u32);
+        let call = Call { id, attempt, region, destination, timeout, dear, head, body };
+        regions.call(&call, address, now);
     }
 }
 
@@ -712,6 +715,7 @@
             Outcome::TimedOut => &mut count.timed_out,
             Outcome::Unreachable => &mut count.unreachable,
             Outcome::Broken => &mut count.broken,
+            Outcome::Stale => &mut count.stale,
             Outcome::Withdrawn => &mut count.withdrawn,
             Outcome::Void | Outcome::Spent => &mut count.not_sent,
         } += 1;
@@ -832,7 +836,10 @@
             pause: RETRY.0,
             batch: NOTICES,
         };
-        let admit = Admit { hold_limit: set.hold_limit, classes: boot.classes.clone() };
+        let unsafe_ones = set.classes.iter().map(|c| c.effect == martenlatch::interface::Effect::Unsafe);
+        let once =
+            boot.classes.iter().zip(unsafe_ones).filter(|(_, u)| *u).map(|(c, _)| Rc::from(c.as_str()));
+        let admit = Admit { hold_limit: set.hold_limit, classes: boot.classes.clone(), once: once.collect() };
         let resumed =
             past.open.into_values().filter_map(|t| admit.resume(t, &mut desk, &mut relay)).collect();
         let mut driver = Driver {
@@ -1011,7 +1018,10 @@
                 Action::Send { id, endpoint, timeout } => {
                     let address = self.table.addresses.get(&endpoint).copied();
                     let (desk, regions) = (&mut self.desk, &mut self.regions);
-                    self.send.send(To { id, region: endpoint, address }, millis(timeout), desk, regions, now);
+                    let class = desk.held.get(&id.0).map(|t| &t.taken.class);
+                    let once = class.is_none_or(|class| self.admit.once.contains(class));
+                    let to = To { id, once, region: endpoint, address };
+                    self.send.send(to, millis(timeout), desk, regions, now);
                 }
                 Action::Cancel { id, attempt } => self.regions.cancel(id, attempt, now),
                 Action::Refuse { id, return_after } => {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -721,7 +721,7 @@
             }
         }
         if let Some(key) = m.key.and_then(|k| self.keys.get_mut(&k))
-            && matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Withdrawn)
+            && matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Stale | Outcome::Withdrawn)
         {
             key.quiet_until = key.quiet_until.max(now + self.set.key_quiet);
         }
@@ -824,6 +824,9 @@
                 let free = report.left.is_some_and(|left| left > LEFT_FREE);
                 self.failed_trial(at, if shut { DOUBT } else { f64::from(free) });
             }
+            // A partner that dies refuses its next connections: a reset alone, where these come up, is the
+            // network's, and no outage that the partner would come back cold from.
+            Outcome::Broken if !route.on_trial() => e.fails += 1,
             Outcome::Failure | Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut => {
                 e.fails += 1;
                 route.bad = route.bad << 1 | 1;
@@ -831,7 +834,7 @@
                 let gone = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
                 self.failed_trial(at, if gone { DOUBT } else { 1.0 });
             }
-            Outcome::Withdrawn | Outcome::Void | Outcome::Spent => {}
+            Outcome::Withdrawn | Outcome::Stale | Outcome::Void | Outcome::Spent => {}
         }
     }
 
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -283,6 +283,42 @@
     }
 }
 
+#[test]
+fn stale_connections_are_no_outage_and_an_unsafe_message_that_met_one_is_not_repeated() {
+    let mut rig = two_endpoints(vec![class(Effect::Safe), class(Effect::Unsafe)]);
+    rig.warm(1, 0, 10, 100 * MS);
+    for _ in 0..12 {
+        let (id, actions) = rig.hand_in(1, 0);
+        assert_eq!(sends(&actions).len(), 1, "the partner is well");
+        assert_eq!(sends(&rig.end(id, 0, Outcome::Stale, MS)).len(), 1, "it goes again at once");
+        rig.end(id, 1, Outcome::Success, 100 * MS);
+    }
+    let (id, _) = rig.hand_in(1, 1);
+    assert!(failed(&rig.end(id, 0, Outcome::Stale, MS), id), "it may have run");
+}
+
+#[test]
+fn resets_alone_are_no_outage_but_one_that_fails_otherwise_is_still_found() {
+    let mut rig = two_endpoints(vec![class(Effect::Safe), class(Effect::Unsafe)]);
+    rig.warm(1, 0, 20, 100 * MS);
+    for _ in 0..10 {
+        let (id, actions) = rig.hand_in(1, 0);
+        assert_eq!(sends(&actions).len(), 1, "it is sent to as before");
+        rig.end(id, 0, Outcome::Broken, MS);
+        let again = rig.pass(90 * MS);
+        assert_eq!(sends(&again).len(), 1, "and again after a pause");
+        rig.end(id, 1, Outcome::Success, 100 * MS);
+    }
+    let (id, _) = rig.hand_in(1, 1);
+    rig.end(id, 0, Outcome::Unreachable, MS);
+    let mut tries = 1;
+    while sends(&rig.pass(300 * MS)).len() == 1 && tries < 6 {
+        rig.end(id, tries, Outcome::Unreachable, MS);
+        tries += 1;
+    }
+    assert_eq!(tries, 4, "then it rests from it");
+}
+
 #[test]
 fn three_bad_outcomes_in_a_row_are_no_outage_yet() {
     let mut rig = two_endpoints(vec![class(SAFE)]);
