--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -420,7 +420,9 @@
         };
         let ended = |regions: &mut Regions, now: Millis| {
             while regions.done.is_empty() {
-                (0..9).for_each(|at| drop(regions.ready(at, now)));
+                for at in 0..9 {
+                    regions.ready(at, now);
+                }
             }
             regions.done.pop().unwrap().outcome
         };
@@ -431,7 +433,9 @@
         for _ in 0..2 {
             start(&mut regions, false, 0.0);
             let (mut peer, _) = listener.accept().unwrap();
-            (0..9).for_each(|at| drop(regions.ready(at, 0.0)));
+            for at in 0..9 {
+                regions.ready(at, 0.0);
+            }
             answer(&mut peer);
             assert_eq!(ended(&mut regions, 5.0), Outcome::Success);
             start(&mut regions, true, 105.0);
@@ -441,7 +445,9 @@
         }
         start(&mut regions, true, 1_000.0);
         let (mut peer, _) = listener.accept().unwrap();
-        (0..9).for_each(|at| drop(regions.ready(at, 1_000.0)));
+        for at in 0..9 {
+            regions.ready(at, 1_000.0);
+        }
         answer(&mut peer);
         assert_eq!(ended(&mut regions, 1_000.0), Outcome::Success);
         for (dear, rest, opened) in [(true, 79.0, 3), (false, 200.0, 3), (true, 90.0, 4)] {
