Hold the last byte of a dear call for 3 ms while connections are being reset

Now, once a connection has ended under a call and until about 35 good answers after it, calls that must not be repeated (and second attempts) leave but for their last byte, which follows 3 ms later if the connection stands. One that ends before is Void: never run, nothing learned, and tried again at once, later with a pause.

--- a/src/net/regions.rs
+++ b/src/net/regions.rs
@@ -24,6 +24,12 @@
 /// How far under the rest of one that was stale a rest is safe, and how that grows with each that was good.
 const SAFE: (f64, f64) = (0.8, 1.01);
 
+/// While connections are being reset, the last byte of a dear call waits so long behind the others: a call whose
+/// connection ends before its last byte has left never ran. For so many recent ends, each good call taking its part
+/// off.
+const LAST_BYTE: Millis = 3.0;
+const RESETS: (f64, f64) = (0.5, 0.98);
+
 /// A routed task that has ended.
 #[derive(Debug)]
 pub struct Done {
@@ -56,7 +62,7 @@
     pub region: EndpointId,
     pub destination: u64,
     pub timeout: Millis,
-    /// Must not be lost on a connection that may have gone stale.
+    /// Must not be lost on a connection that may be no good.
     pub dear: bool,
     pub head: &'a [u8],
     pub body: &'a [u8],
@@ -77,6 +83,8 @@
     address: SocketAddr,
     task: Option<Task>,
     up: bool,
+    /// The last byte of its call, not yet written, and when it may be.
+    last: Option<(u8, Millis)>,
     /// How long it had rested when its call came, where it had carried one before.
     rested: Option<Millis>,
     opened: Millis,
@@ -99,6 +107,8 @@
     stale: f64,
     doubted: bool,
     safe_rest: Millis,
+    /// Connections that ended under a call, fading.
+    resets: f64,
     pub done: Vec<Done>,
     pub opened: u64,
 }
@@ -118,6 +128,7 @@
             stale: 0.0,
             doubted: false,
             safe_rest: f64::INFINITY,
+            resets: 0.0,
             done: Vec::new(),
             opened: 0,
         }
@@ -150,12 +161,19 @@
             },
         };
         let conn = &mut self.conns[at];
-        if !(conn.link.queue(call.head) && conn.link.queue(call.body)) {
+        let (mut head, mut body, mut last) = (call.head, call.body, None);
+        if call.dear && self.resets >= RESETS.0 {
+            let end = if body.is_empty() { &mut head } else { &mut body };
+            if let Some((byte, rest)) = end.split_last() {
+                (last, *end) = (Some((*byte, f64::INFINITY)), rest);
+            }
+        }
+        if !(conn.link.queue(head) && conn.link.queue(body)) {
             self.conns.remove(at);
             return self.tell(task, Outcome::Void, now);
         }
         conn.link.written = 0;
-        conn.rested = conn.up.then_some(now - conn.since);
+        (conn.last, conn.rested) = (last, conn.up.then_some(now - conn.since));
         conn.task = Some(task);
         self.progress(at, now);
     }
@@ -197,9 +215,9 @@
             link => link,
         }?;
         self.opened += 1;
-        let (task, up, rested, rest) = (None, false, None, None);
+        let (task, up, last, rested, rest) = (None, false, None, None, None);
         let (opened, since) = (now, now);
-        Ok(self.conns.insert(Conn { link, region, address, task, up, rested, opened, rest, since }))
+        Ok(self.conns.insert(Conn { link, region, address, task, up, last, rested, opened, rest, since }))
     }
 
     fn tell(&mut self, task: Task, outcome: Outcome, now: Millis) {
@@ -228,9 +246,12 @@
                 }
                 None => (sent, unsent),
             };
+            self.resets += f64::from(sent == Outcome::Broken || sent == Outcome::Stale);
+            // The connection stood, and its end says nothing of the region.
+            let unsent = if conn.up && conn.last.is_some() { Outcome::Void } else { unsent };
             let outcome = if said {
                 Outcome::Success
-            } else if conn.link.flushed() && conn.up {
+            } else if conn.link.flushed() && conn.up && conn.last.is_none() {
                 sent
             } else {
                 unsent
@@ -249,6 +270,13 @@
         conn.link.flush();
         conn.up |= conn.link.written > 0;
         let more = conn.link.fill();
+        if let Some((byte, when)) = conn.last.as_mut().filter(|_| conn.up && conn.link.flushed()) {
+            *when = when.min(now + LAST_BYTE);
+            if now >= *when && !conn.link.eof && !conn.link.broken && conn.link.queue(&[*byte]) {
+                conn.last = None;
+                conn.link.flush();
+            }
+        }
         if conn.task.is_some() {
             match http::answer(conn.link.bytes()) {
                 // A word that the answer is still to come.
@@ -300,7 +328,8 @@
         let Some(task) = conn.task.take() else { return };
         conn.link.used(answer.used);
         // An answer before the request was out whole: the connection is in no state to be used again.
-        let keep = answer.keep && conn.link.flushed();
+        let keep = answer.keep && conn.link.flushed() && conn.last.is_none();
+        self.resets *= RESETS.1;
         let wait = answer.header("x-backoff-ms").and_then(|w| w.parse::<f64>().ok());
         let wait = nanos(wait.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(0.0).min(3.6e6));
         let full = answer.header("x-egress-full") == Some("1");
@@ -383,12 +412,14 @@
 
     /// What is over its time at an instant: a call, a connection that does not come up, an idle one.
     fn time(&self, conn: &Conn) -> Millis {
-        match (conn.task, &conn.rest) {
+        let last = conn.last.map_or(f64::INFINITY, |(_, when)| when);
+        let over = match (conn.task, &conn.rest) {
             (Some(task), _) if conn.up => task.due,
             (Some(task), _) => task.due.min(conn.opened + self.connect_timeout),
             (None, Some(_)) => conn.since + BODY_TIME,
             (None, None) => conn.since + self.idle_limit,
-        }
+        };
+        over.min(last)
     }
 
     pub fn due(&self) -> Millis {
@@ -398,7 +429,15 @@
     pub fn expire(&mut self, now: Millis) {
         let late =
             self.conns.iter().filter(|(_, c)| self.time(c) <= now).map(|(at, _)| at).collect::<Vec<_>>();
-        late.into_iter().for_each(|at| self.fail(at, Outcome::TimedOut, Outcome::Unreachable, now));
+        for at in late {
+            // A last byte may leave now; whatever else is over its time ends.
+            if self.conns.get(at).is_some_and(|c| c.last.is_some()) {
+                self.progress(at, now);
+            }
+            if self.conns.get(at).is_some_and(|c| self.time(c) <= now) {
+                self.fail(at, Outcome::TimedOut, Outcome::Unreachable, now);
+            }
+        }
     }
 }
 
@@ -415,8 +454,14 @@
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
         let start = |regions: &mut Regions, dear: bool, now: Millis| {
             let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 1e9);
-            let (head, body) = (&b"x"[..], &b""[..]);
+            let (head, body) = (&b"xy"[..], &b""[..]);
             regions.call(&Call { id, attempt, region, destination, timeout, dear, head, body }, address, now);
+            // Once a reset has been met, its last byte leaves a little later.
+            for now in [now, now + LAST_BYTE] {
+                for at in 0..9 {
+                    regions.ready(at, now);
+                }
+            }
         };
         let ended = |regions: &mut Regions, now: Millis| {
             while regions.done.is_empty() {
@@ -427,7 +472,7 @@
             regions.done.pop().unwrap().outcome
         };
         let answer = |peer: &mut std::net::TcpStream| {
-            peer.read_exact(&mut [0]).unwrap();
+            peer.read_exact(&mut [0; 2]).unwrap();
             peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
         };
         for _ in 0..2 {
@@ -439,7 +484,7 @@
             answer(&mut peer);
             assert_eq!(ended(&mut regions, 5.0), Outcome::Success);
             start(&mut regions, true, 105.0);
-            peer.read_exact(&mut [0]).unwrap();
+            peer.read_exact(&mut [0; 2]).unwrap();
             drop(peer);
             assert_eq!(ended(&mut regions, 106.0), Outcome::Stale, "it had rested for 100 ms");
         }
@@ -461,6 +506,37 @@
         }
     }
 
+    #[test]
+    fn while_connections_are_reset_a_dear_call_that_meets_one_is_proven_never_to_have_run() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
+        let mut dear_call = |now: Millis, whole: bool| {
+            let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 1e9);
+            let (dear, head, body) = (true, &b"he"[..], &b"body"[..]);
+            regions.call(&Call { id, attempt, region, destination, timeout, dear, head, body }, address, now);
+            let (mut peer, _) = listener.accept().unwrap();
+            while regions.conns.iter().any(|(at, c)| !c.up || !c.link.flushed() || at > 0) {
+                regions.ready(0, now);
+            }
+            peer.read_exact(&mut [0; 5]).unwrap();
+            if whole {
+                assert!(regions.due() <= now + LAST_BYTE, "it is not forgotten");
+                regions.expire(now + LAST_BYTE);
+                peer.read_exact(&mut [0]).unwrap();
+            }
+            drop(peer);
+            while regions.done.is_empty() {
+                regions.ready(0, if whole { now + LAST_BYTE } else { now });
+            }
+            regions.done.pop().unwrap().outcome
+        };
+        assert_eq!(dear_call(0.0, false), Outcome::Broken, "nothing was known: all of it had left");
+        assert_eq!(dear_call(10.0, false), Outcome::Void, "its last byte had not left");
+        assert_eq!(dear_call(20.0, true), Outcome::Broken, "it had");
+    }
+
     #[test]
     fn idle_connections_make_room_for_new_ones_and_one_that_idled_too_long_is_closed() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -736,6 +736,7 @@
         let pause = match outcome {
             Outcome::Overloaded { .. } => (gap.max(GAP_STEP) << (tries - 1).min(4)).min(GAP_CAP),
             Outcome::Failure | Outcome::Unreachable | Outcome::Broken => usual / 2 * tries,
+            Outcome::Void | Outcome::Stale => usual / 2 * (tries - 1),
             _ => 0,
         };
         m.not_before = now + (pause as f64 * jitter) as Nanos;
