--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -93,6 +93,32 @@
     assert!(pauses.iter().all(|p| *p <= 1000 * MS + 10 * MS), "it is capped: {pauses:?}");
 }
 
+#[test]
+fn a_gap_far_over_the_even_share_of_a_limit_is_left_within_a_few_served_calls() {
+    // Guards against a jam: a backlog of a partner of 20 a second was served a call a second for ten seconds.
+    let mut rig = two_endpoints(vec![class(Effect::Unsafe)]);
+    rig.warm(1, 0, 20, 100 * MS);
+    let backlog: Vec<Event> = (0..30).map(|_| rig.message(1, 0, 20 * S, None)).collect();
+    let mut out = sends(&rig.turn(&backlog));
+    let mut served: Vec<Nanos> = Vec::new();
+    let mut refusals = 0;
+    while served.len() < 8 {
+        rig.now += 5 * MS;
+        let mut events = vec![Event::Wake];
+        for (id, ..) in std::mem::take(&mut out) {
+            let outcome = if refusals < 8 { FULL } else { Outcome::Success };
+            refusals += 1;
+            served.extend((outcome == Outcome::Success).then_some(rig.now));
+            let (attempt, finished) = (rig.attempts[&id.0] - 1, outcome == Outcome::Success);
+            let (took, report) = (100 * MS, Report::default());
+            events.push(Event::Ended { id, attempt, outcome, took, finished, report });
+        }
+        out = sends(&rig.turn(&events));
+        assert!(rig.now < 60 * S, "they are all served");
+    }
+    assert!(served[7] - served[0] < S, "{} ms", (served[7] - served[0]) / MS);
+}
+
 #[test]
 fn refusals_of_calls_sent_before_the_last_rise_raise_nothing() {
     let mut rig = two_endpoints(vec![class(SAFE)]);
