Do not spin on half a request while the sender ends

Checked: stop() in src/net/stages.rs runs in each round of the end and returned every client with bytes unread, so that one with half a request was looked at again at once and the loop never slept until the exit. Ruled out: the ledger and the module, which had 8 transactions open.

Now such a client is looked at again only once more has come. It is still answered when whole, or ended in time.

Conclusion: a busy core at the end of a life was ours, and on part of a core it would have delayed the answers of the other sender.

--- a/src/net/stages.rs
+++ b/src/net/stages.rs
@@ -353,9 +353,11 @@
         self.listener = None;
         let mut wanted = Vec::new();
         self.clients.retain(|at, c| {
+            let had = c.link.bytes().len();
             c.link.fill();
             let asks = !c.closing && !c.link.bytes().is_empty();
-            if asks {
+            // Half a request is looked at again only once more of it has come: the loop must not spin on it.
+            if asks && c.link.bytes().len() > had {
                 wanted.push(Key::Client(at));
             }
             // One that has just come may have its request on the way.
@@ -1149,6 +1151,24 @@
         drop(late);
     }
 
+    #[test]
+    fn half_a_request_does_not_keep_the_loop_awake_while_the_sender_ends() {
+        use std::io::Write;
+        let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
+        let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+        let mut half = std::net::TcpStream::connect(address).unwrap();
+        half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
+        while driver.take_in.clients.iter().all(|(_, c)| c.link.bytes().is_empty()) {
+            driver.round(vec![Key::Listener, Key::Client(0)]);
+        }
+        driver.end();
+        clock.set(clock.now() + LAST_WORK + 1.0);
+        (0..3).for_each(|_| assert!(driver.round(Vec::new())));
+        assert_eq!(driver.take_in.clients.len(), 1, "it may still be asked whole");
+        assert!(driver.again.is_empty() && driver.sleep() > 0.0);
+    }
+
     #[test]
     fn told_to_end_the_sender_is_gone_before_it_can_be_killed() {
         // Guards against sleeping past the last instant: the loop looks again within 20 ms, whatever is due.
