Lay the program out as a workspace with a command line, settings and structured logs

The sender grows into a product; one package of eight thousand lines with its stages in one file and a hand-written log could not carry what comes next.

A crate a concern (policy, clock, http, ledger, settings, sender, martenlatch, adapter, lab), arrows one way; a file a stage. Commands serve, check, ledger show, ledger verify and version on clap, with documented exit codes. The program's own settings are protobuf text with a schema, read whole or not at all; a fault names file, line, field and the nearest known name. The log goes through tracing, as key=value or JSON lines, bounded a second as before.

Nothing that decides has changed.

--- a/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -1,8 +1,8 @@
 //! The wire: batches of event lines in, one reply of action lines out for each.
 
-use martenlatch::Policy;
-use martenlatch::interface::*;
-use martenlatch::settings::{self, Boot};
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::*;
+use martenlatch_settings::platform::{self as settings, Boot};
 use std::collections::{BTreeMap, HashMap};
 use std::fmt::Write as _;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/src/net/clock.rs
+++ b/crates/clock/src/lib.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-use martenlatch::interface::Nanos;
+/// The decision module's instants and spans.
+pub type Nanos = u64;
 
 /// Milliseconds: an instant counts from the Unix epoch, so that the ledger's instants outlast the process.
 pub type Millis = f64;
@@ -18,7 +19,6 @@
     /// The wall clock at the start, and what has passed since: a step of the wall clock moves nothing.
     System(Millis, Instant),
     /// Time that a test sets.
-    #[cfg_attr(not(test), allow(dead_code))]
     Set(Cell<Millis>),
 }
 
@@ -30,13 +30,11 @@
     }
 
     /// A clock that stands still until [`Clock::set`].
-    #[cfg(test)]
     pub fn at(now: Millis) -> Clock {
         Clock(Rc::new(Source::Set(Cell::new(now))))
     }
 
     /// Moves a test's clock.
-    #[cfg(test)]
     pub fn set(&self, now: Millis) {
         if let Source::Set(at) = &*self.0 {
             at.set(now);
--- a/src/net/http.rs
+++ b/crates/http/src/frame.rs
@@ -1,186 +1,9 @@
-//! Owns HTTP/1.1 framing in both directions, and the sockets that carry it: heads, bodies, partial reads and
-//! writes. It must never decide anything: it knows no classes, regions or rules, and nothing a peer sends may
-//! make it panic, block or hold more than the buffers it was lent.
+//! Owns HTTP/1.1 framing in both directions: heads, bodies and partial reads. It must never decide anything: it
+//! knows no classes, regions or rules, and nothing a peer sends may make it panic or hold more than it was given.
 
-use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::os::fd::AsFd;
 use std::rc::Rc;
 
-use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use socket2::{Domain, Protocol, Socket, Type};
-
-use super::pool::{BODY, Buffer, HEAD, Pool};
-
-/// What a socket belongs to; the loop hands it back when the socket is ready.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Key {
-    Listener,
-    Client(usize),
-    Region(usize),
-    Watch,
-    Notices,
-}
-
-/// What the loop collects between two rounds.
-#[derive(Default)]
-pub struct Ready {
-    pub keys: Vec<Key>,
-    pub signals: Vec<calloop::signals::Signal>,
-}
-
-pub type Handle = LoopHandle<'static, Ready>;
-
-/// Registers a socket once, for both directions; its owner reads and writes until the socket would block.
-pub fn register<F: AsFd + 'static>(
-    handle: &Handle, socket: F, key: Key,
-) -> std::io::Result<RegistrationToken> {
-    let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
-    let told = handle.insert_source(source, move |_, _, ready: &mut Ready| {
-        ready.keys.push(key);
-        Ok(PostAction::Continue)
-    });
-    told.map_err(|e| std::io::Error::other(e.to_string()))
-}
-
-/// One non-blocking connection and its two buffers, held only while there is something in them.
-pub struct Link {
-    stream: Rc<TcpStream>,
-    handle: Handle,
-    token: RegistrationToken,
-    pool: Pool,
-    pub input: Option<Buffer>,
-    output: Option<Buffer>,
-    /// Bytes written so far: none means that it may not even be up.
-    pub written: u64,
-    /// The peer has ended its sending.
-    pub eof: bool,
-    /// The connection is gone.
-    pub broken: bool,
-}
-
-impl Link {
-    pub fn new(stream: TcpStream, handle: &Handle, pool: &Pool, key: Key) -> std::io::Result<Link> {
-        stream.set_nonblocking(true)?;
-        stream.set_nodelay(true)?;
-        let stream = Rc::new(stream);
-        let token = register(handle, stream.clone(), key)?;
-        let (handle, pool) = (handle.clone(), pool.clone());
-        let (input, output) = (None, None);
-        Ok(Link { stream, handle, token, pool, input, output, written: 0, eof: false, broken: false })
-    }
-
-    /// Starts a connection; whether it comes up shows in the first write.
-    pub fn connect(to: SocketAddr, handle: &Handle, pool: &Pool, key: Key) -> std::io::Result<Link> {
-        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        match socket.connect(&to.into()) {
-            Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) => Err(e),
-            _ => Link::new(socket.into(), handle, pool, key),
-        }
-    }
-
-    /// Puts bytes behind those not yet written; false if they don't fit or no buffer is free.
-    pub fn queue(&mut self, bytes: &[u8]) -> bool {
-        if self.output.is_none() {
-            self.output = self.pool.take();
-        }
-        self.output.as_mut().is_some_and(|o| o.put(bytes))
-    }
-
-    /// Writes what the socket takes. True once nothing is left.
-    pub fn flush(&mut self) -> bool {
-        while let Some(output) = self.output.as_mut().filter(|_| !self.broken) {
-            if output.is_empty() {
-                self.output = None;
-                break;
-            }
-            match (&*self.stream).write(output.bytes()) {
-                Ok(0) => self.broken = true,
-                Ok(count) => {
-                    output.used(count);
-                    self.written += count as u64;
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
-                // A connection that never came up says so here, and one that was reset too.
-                Err(_) => self.broken = true,
-            }
-        }
-        !self.broken
-    }
-
-    pub fn flushed(&self) -> bool {
-        self.output.as_ref().is_none_or(Buffer::is_empty)
-    }
-
-    /// Reads until the socket would block or the buffer is full. True if there may be more to read.
-    pub fn fill(&mut self) -> bool {
-        while !self.eof && !self.broken {
-            if self.input.is_none() {
-                self.input = self.pool.take();
-            }
-            // No buffer free: the bytes wait in the kernel, and the peer is slowed.
-            let Some(input) = self.input.as_mut() else { return true };
-            let room = input.room();
-            if room.is_empty() {
-                return true;
-            }
-            match (&*self.stream).read(room) {
-                Ok(0) => self.eof = true,
-                Ok(count) => input.filled(count),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => self.broken = true,
-            }
-        }
-        // Guards the pool: a quiet connection holds no buffer.
-        self.used(0);
-        false
-    }
-
-    /// Uses up input, and gives the buffer back once it is empty.
-    pub fn used(&mut self, count: usize) {
-        if let Some(input) = self.input.as_mut() {
-            input.used(count);
-            if input.is_empty() {
-                self.input = None;
-            }
-        }
-    }
-
-    pub fn bytes(&self) -> &[u8] {
-        self.input.as_ref().map_or(&[], Buffer::bytes)
-    }
-
-    /// Whether the peer has reset the connection by now: after a write, this tells a peer that had gone before
-    /// from one that has only ended its sending.
-    pub fn reset(&mut self) -> bool {
-        self.broken |= self.stream.take_error().map_or(true, |e| e.is_some());
-        self.broken
-    }
-
-    pub fn end_sending(&self) {
-        let _ = self.stream.shutdown(std::net::Shutdown::Write);
-    }
-}
-
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.handle.remove(self.token);
-    }
-}
-
-/// Linux's numbers for what the standard library has no name for.
-const EINPROGRESS: i32 = 115;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-
-/// Whether an error tells of our own lack of descriptors, which says nothing of a peer.
-pub fn no_descriptors(e: &std::io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
-}
+use crate::pool::{BODY, HEAD};
 
 /// How a body ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -345,16 +168,20 @@
     }
 }
 
+/// What came is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Malformed;
+
 /// Reads the head of an answer: `Ok(None)` while it is not whole, an error if it is none.
-pub fn answer(input: &[u8]) -> Result<Option<Answer>, ()> {
+pub fn answer(input: &[u8]) -> Result<Option<Answer>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Response::new(&mut headers);
     let used = match head.parse(input) {
         Ok(httparse::Status::Complete(used)) if used <= HEAD => used,
         Ok(httparse::Status::Partial) if input.len() < HEAD => return Ok(None),
-        _ => return Err(()),
+        _ => return Err(Malformed),
     };
-    let status = head.code.ok_or(())?;
+    let status = head.code.ok_or(Malformed)?;
     let told = told_length(head.headers);
     let spoilt = told.is_err() || told.is_ok_and(|t| t.is_some_and(|t| t > BODY));
     let body = match told {
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! The laboratory.
--- a/src/net/ledger.rs
+++ b/crates/ledger/src/lib.rs
@@ -5,14 +5,16 @@
 //! A record is its length, a CRC-32 and that many bytes. Only a process that dies tears one, and only the last:
 //! reading stops there and the tail is cut. SIGKILL loses nothing that `write` took, so there is no sync.
 
+#![allow(missing_docs)]
+
 use std::collections::{BTreeMap, VecDeque};
 use std::fs::{File, OpenOptions};
 use std::io::{Read, Seek, SeekFrom, Write};
 use std::path::PathBuf;
 use std::rc::Rc;
 
-use super::clock::Millis;
-use super::counters::say;
+use martenlatch_clock::Millis;
+use tracing::{error, warn};
 
 /// How a transaction that was not delivered ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -147,6 +149,8 @@
     pub open: BTreeMap<u64, Taken>,
     pub over: VecDeque<Rc<str>>,
     pub next: u64,
+    /// Whole records read.
+    pub records: u64,
     /// Bytes of the file that hold whole records.
     good: u64,
 }
@@ -225,10 +229,41 @@
             if payload.and_then(|p| past.record(p)).is_none() {
                 return past;
             }
+            past.records += 1;
         }
     }
 }
 
+/// A ledger looked into and left as it is, also while a sender writes to it.
+#[derive(Default)]
+pub struct Look {
+    pub past: Past,
+    /// Bytes of the file.
+    pub size: u64,
+}
+
+impl Look {
+    /// Reads the ledger of a folder; one that was never written to is empty.
+    ///
+    /// # Errors
+    /// Where the folder is none, or its ledger cannot be read.
+    pub fn into(folder: &std::path::Path) -> std::io::Result<Look> {
+        if !folder.is_dir() {
+            return Err(std::io::Error::new(std::io::ErrorKind::NotFound, "not a folder"));
+        }
+        match std::fs::read(folder.join("ledger")) {
+            Ok(bytes) => Ok(Look { past: Past::read(&bytes), size: bytes.len() as u64 }),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Look::default()),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Bytes that belong to whole records.
+    pub fn good(&self) -> u64 {
+        self.past.good
+    }
+}
+
 impl Ledger {
     /// Opens the journal and reads what earlier lives left. An unusable one is told, and starts refusing.
     pub fn open(folder: &std::path::Path, disk: u64) -> (Ledger, Past) {
@@ -240,10 +275,10 @@
         let past = Past::read(&bytes);
         let unreadable = read.map_err(|e| e.kind()).err().filter(|e| *e != std::io::ErrorKind::NotFound);
         if let Some(e) = unreadable {
-            say!("ledger unreadable error={e:?}");
+            error!(error = ?e, "ledger unreadable");
         }
         if past.good < bytes.len() as u64 {
-            say!("ledger tail cut bytes={}", bytes.len() as u64 - past.good);
+            warn!(bytes = bytes.len() as u64 - past.good, "ledger tail cut");
         }
         let (file, size, cap) = (None, past.good, disk as f64 * PARTS.0);
         let (live, over) = (BTreeMap::new(), past.over.clone());
@@ -286,7 +321,7 @@
                 true
             }
             Err(e) => {
-                say!("ledger unwritable error={:?}", e.kind());
+                error!(error = ?e.kind(), "ledger unwritable");
                 let undone = file.set_len(self.size).and_then(|()| file.seek(SeekFrom::Start(self.size)));
                 if undone.is_err() {
                     self.file = None;
@@ -382,7 +417,7 @@
                 true
             }
             Err(e) => {
-                say!("ledger compaction failed error={:?}", e.kind());
+                error!(error = ?e.kind(), "ledger compaction failed");
                 let _ = std::fs::remove_file(&fresh);
                 false
             }
--- /dev/null
+++ b/crates/martenlatch/src/inspect.rs
@@ -0,0 +1,57 @@
+//! Owns the read-only commands on a ledger. It must never change the folder, or print a body or a key.
+
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use martenlatch_ledger::{Look, Notice, Taken};
+
+fn look(folder: &Path) -> Result<Look, String> {
+    Look::into(folder).map_err(|e| format!("ledger: {}: {e}", folder.display()))
+}
+
+fn end(taken: &Taken) -> &'static str {
+    match taken.ending {
+        None => "open",
+        Some(Notice::Undeliverable) => "undeliverable",
+        Some(Notice::Deferred(_)) => "deferred",
+    }
+}
+
+pub fn show(folder: &Path, json: bool) -> Result<(), String> {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3;
+    let look = look(folder)?;
+    for taken in look.past.open.values() {
+        let may_have_run = taken.tasks.iter().filter(|t| !t.never_ran).count();
+        let (no, id, class, destination) = (taken.no, &taken.id, &taken.class, taken.destination);
+        let (left, tasks, end, bytes) =
+            (taken.deadline - now, taken.tasks.len(), end(taken), taken.body.len());
+        if json {
+            let line = serde_json::json!({"no": no, "id": &**id, "class": &**class, "destination": destination,
+                "left_ms": left.round(), "tasks": tasks, "may_have_run": may_have_run, "end": end, "bytes": bytes});
+            println!("{line}");
+        } else {
+            println!(
+                "no={no} id={id:?} class={class} destination={destination} left_ms={left:.0} tasks={tasks} \
+                 may_have_run={may_have_run} end={end} bytes={bytes}"
+            );
+        }
+    }
+    Ok(())
+}
+
+/// True where every byte belongs to a whole record.
+pub fn verify(folder: &Path) -> Result<bool, String> {
+    let look = look(folder)?;
+    let torn = look.size - look.good();
+    let (open, owed) = look.past.open.values().partition::<Vec<_>, _>(|t| t.ending.is_none());
+    println!(
+        "{} bytes={} records={} open={} ends_owed={} over={} damaged_bytes={torn}",
+        if torn == 0 { "whole" } else { "damaged" },
+        look.size,
+        look.past.records,
+        open.len(),
+        owed.len(),
+        look.past.over.len(),
+    );
+    Ok(torn == 0)
+}
--- a/tests/peers/mod.rs
+++ b/crates/martenlatch/tests/peers/mod.rs
@@ -309,7 +309,7 @@
     pub fn counters(self) -> String {
         self.signal("TERM");
         let log = self.finish().1;
-        log.lines().rfind(|l| l.starts_with("counters ")).expect("counters at the exit").to_string()
+        log.lines().rfind(|l| l.contains(" counters held=")).expect("counters at the exit").to_string()
     }
 
     /// Waits for its end; its exit code and what it printed.
--- a/tests/stories.rs
+++ b/crates/martenlatch/tests/stories.rs
@@ -373,7 +373,7 @@
     assert_eq!(region.call().id(), "t1");
     let (code, log) = sender.finish();
     assert_eq!(code, Some(0));
-    let counters: Vec<&str> = log.lines().filter(|l| l.starts_with("counters ")).collect();
+    let counters: Vec<&str> = log.lines().filter(|l| l.contains(" counters held=")).collect();
     assert_eq!(counters.len(), 2, "on request and at exit: {log}");
     assert!(counters[1].contains(" taken=1 ") && counters[1].contains(" delivered=1 "), "{log}");
     assert!(!log.contains("k-t1"), "no key in the log");
@@ -399,7 +399,7 @@
     sender.signal("TERM");
     let (code, log) = sender.finish();
     assert_eq!(code, Some(0));
-    let kept = log.lines().find(|l| l.starts_with("configuration kept")).expect("the bad one is logged");
+    let kept = log.lines().find(|l| l.contains(" configuration kept ")).expect("the bad one is logged");
     assert!(kept.contains("PROXY_CONFIG: not JSON"), "{kept}");
 }
 
--- a/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,8 +9,8 @@
 //! # A sender's loop
 //!
 //! ```
-//! use martenlatch::Policy;
-//! use martenlatch::interface::*;
+//! use martenlatch_policy::Policy;
+//! use martenlatch_policy::interface::*;
 //!
 //! let second = 1_000_000_000;
 //! let settings = Settings {
@@ -123,11 +123,5 @@
 
 pub mod interface;
 mod policy;
-pub mod settings;
 
 pub use policy::Policy;
-
-/// Keeps the example of the front page compiled and run.
-#[cfg(doctest)]
-#[doc = include_str!("../README.md")]
-struct FrontPage;
--- a/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small hand-driven sender for the tests.
 #![allow(dead_code)]
 
-use martenlatch::Policy;
-use martenlatch::interface::*;
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::*;
 
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
--- a/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use martenlatch::Policy;
-use martenlatch::interface::*;
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::*;
 
 const SAFE: Effect = Effect::Safe;
 const FULL: Outcome = Outcome::Overloaded { wait: 0 };
--- a/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -2,8 +2,8 @@
 
 mod common;
 use common::*;
-use martenlatch::Policy;
-use martenlatch::interface::*;
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::*;
 use std::collections::BTreeMap;
 
 const SENDERS: usize = 200;
--- a/src/main.rs
+++ b/crates/sender/src/config.rs
@@ -1,14 +1,11 @@
-//! The sender's start: its configuration, its signals, and nothing else. What it does on the network is in `net`;
-//! what it decides is in the library. It must never serve with a configuration that it could not read whole.
-#![allow(missing_docs)]
-
-mod net;
+//! Owns what the platform tells a sender: `$PROXY_CONFIG` and the variables that outrank it. It must never take a
+//! configuration that it could not read whole.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::ExitCode;
 
-use martenlatch::settings::{self, Boot};
+use martenlatch_settings::platform::{self, Boot};
+use martenlatch_settings::program::Clients;
 use serde_json::Value;
 
 /// What the sender is told at its start.
@@ -24,6 +21,8 @@
     /// The service table as this sender last had it.
     pub known: Value,
     pub boot: Boot,
+    /// From the program's own settings.
+    pub clients: Clients,
 }
 
 fn address(json: &Value, field: &str, variable: &str) -> Result<SocketAddr, String> {
@@ -35,7 +34,10 @@
 
 impl Config {
     /// Reads `$PROXY_CONFIG`; the error is one line that names the field.
-    fn read() -> Result<Config, String> {
+    ///
+    /// # Errors
+    /// What is wrong, in one line.
+    pub fn read() -> Result<Config, String> {
         Config::from_file("PROXY_DISCOVERY")
     }
 
@@ -74,17 +76,8 @@
             disk: (limit("disk_mb", 0.05)? * 1e6) as u64,
             memory: (limit("memory_mb", 16.0)? * 1e6) as u64,
             known,
-            boot: settings::read(&told.to_string())?,
+            boot: platform::read(&told.to_string())?,
+            clients: martenlatch_settings::program::Program::default().clients,
         })
     }
 }
-
-fn main() -> ExitCode {
-    match Config::read().and_then(net::run) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("martenlatch: {message}");
-            ExitCode::FAILURE
-        }
-    }
-}
--- a/src/net/mod.rs
+++ b/crates/sender/src/lib.rs
@@ -1,14 +1,12 @@
 //! The network side of the sender: one loop on one thread. Each file owns one concern and says so in its first
 //! lines. This one owns the loop and its signals, and must never hold a transaction or read a byte.
+#![allow(missing_docs)]
 
-pub mod clock;
-pub mod counters;
-pub mod http;
-pub mod ledger;
-pub mod pool;
-pub mod regions;
-pub mod stages;
-pub mod table;
+mod config;
+mod counters;
+mod regions;
+mod stages;
+mod table;
 
 use std::time::Duration;
 
@@ -16,9 +14,9 @@
 use calloop::signals::{Signal, Signals};
 use socket2::{Domain, Protocol, Socket, Type};
 
-use crate::Config;
-use clock::Clock;
-use http::Ready;
+pub use config::Config;
+use martenlatch_clock::Clock;
+use martenlatch_http::Ready;
 
 /// Connections that may wait to be accepted: a burst of clients must not be met with silence.
 const BACKLOG: i32 = 1024;
--- a/src/net/regions.rs
+++ b/crates/sender/src/regions.rs
@@ -4,13 +4,13 @@
 
 use std::net::SocketAddr;
 
-use martenlatch::interface::{EndpointId, MessageId, Outcome};
+use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
 use slab::Slab;
+use tracing::warn;
 
-use super::clock::{Millis, nanos};
-use super::counters::say;
-use super::http::{self, Body, Handle, Key, Link};
-use super::pool::{BODY, Pool};
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_http::pool::{BODY, Pool};
+use martenlatch_http::{self as http, Body, Handle, Key, Link};
 
 /// Part of the idle limit after which we close: the rest is for travel, as a crossing request ends as a reset.
 const IDLE_PART: f64 = 0.9;
@@ -155,7 +155,7 @@
                 Err(e) => {
                     // Out of descriptors is our own lack and says nothing of the region.
                     let ours = http::no_descriptors(&e);
-                    say!("region not reached error={:?}", e.kind());
+                    warn!(error = ?e.kind(), "region not reached");
                     return self.tell(task, if ours { Outcome::Void } else { Outcome::Unreachable }, now);
                 }
             },
@@ -304,7 +304,7 @@
                 }
                 Ok(None) => return self.begun(at, now, more),
                 // Spoilt: it has run, and the region is well, so that this is not the reset of one that has gone.
-                Err(()) => {
+                Err(http::Malformed) => {
                     self.fail(at, Outcome::Failure, Outcome::Unreachable, now);
                     return false;
                 }
--- /dev/null
+++ b/crates/sender/src/stages/admit.rs
@@ -0,0 +1,91 @@
+//! Owns the step from a request to a transaction: the record first, the answer then. It decides nothing but whether
+//! there is room, and must never answer 202 before the ledger has the record.
+
+use std::rc::Rc;
+
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_ledger::Taken;
+use martenlatch_policy::interface::{ClassId, DestinationId, Event, MessageId};
+
+use super::desk::{Desk, State};
+use super::relay::Relay;
+use super::take_in::{HandedIn, TakeIn};
+use crate::table::Table;
+
+/// Decides nothing but whether there is room: records first, answers then.
+pub struct Admit {
+    pub(super) hold_limit: usize,
+    pub(super) classes: Vec<String>,
+    /// Those whose transactions must not be repeated once they may have run.
+    pub(super) once: Vec<Rc<str>>,
+}
+
+impl Admit {
+    pub(super) fn admit(
+        &self, h: HandedIn, desk: &mut Desk, take_in: &mut TakeIn, table: &Table, stopped: bool, now: Millis,
+    ) -> Option<Event> {
+        if desk.numbers.contains_key(&h.id) || desk.ledger.over.contains(&h.id) {
+            desk.counters.repeated += 1;
+            take_in.answer(h.client, 202, "", now);
+            return None;
+        }
+        // A destination that discovery has never listed cannot be served; until it has spoken in this life, it
+        // may be a new one.
+        match table.serves(h.destination) {
+            Some(true) => {}
+            Some(false) => {
+                desk.counters.bad += 1;
+                take_in.close(h.client);
+                take_in.answer(h.client, 404, "", now);
+                return None;
+            }
+            None => {
+                desk.counters.turned_away += 1;
+                take_in.answer(h.client, 503, "Retry-After: 1\r\n", now);
+                return None;
+            }
+        }
+        let (no, tasks) = (desk.next, Vec::new());
+        let class = Rc::from(self.classes[h.class].as_str());
+        let (id, destination, deadline, ending) = (h.id, h.destination, h.deadline, None);
+        let taken = Taken { no, id, class, destination, deadline, key: h.key, body: h.body, tasks, ending };
+        if stopped || desk.open >= self.hold_limit || !desk.ledger.take(&taken) {
+            desk.counters.turned_away += 1;
+            take_in.answer(h.client, 503, "Retry-After: 1\r\n", now);
+            return None;
+        }
+        desk.next += 1;
+        if !take_in.answer(h.client, 202, "", now) {
+            desk.counters.left += 1;
+            desk.ledger.over(no, &taken.id);
+            return None;
+        }
+        desk.counters.taken += 1;
+        let (id, destination, class) = (MessageId(no), DestinationId(h.destination), ClassId(h.class));
+        let deadline = nanos(taken.deadline);
+        desk.insert(taken, State::Open);
+        Some(Event::Message { id, destination, class, tenant: None, deadline, key: None })
+    }
+
+    /// What an earlier life took on and did not end.
+    pub(super) fn resume(&self, taken: Taken, desk: &mut Desk, relay: &mut Relay) -> Option<Event> {
+        desk.counters.resumed += 1;
+        let class = self.classes.iter().position(|c| **c == *taken.class);
+        let event = class.map(|class| Event::Resumed {
+            id: MessageId(taken.no),
+            destination: DestinationId(taken.destination),
+            class: ClassId(class),
+            deadline: nanos(taken.deadline),
+            attempts: taken.tasks.len() as u32,
+            ran: taken.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(t.sent)),
+        });
+        let (no, settled) = (taken.no, taken.ending.is_some() || event.is_none());
+        desk.insert(taken, if settled { State::Ending } else { State::Open });
+        if settled {
+            // Its end was decided, or its class is gone from the settings: what may have run is not promised.
+            relay.queue.push_back(no);
+            return None;
+        }
+        event
+    }
+}
--- /dev/null
+++ b/crates/sender/src/stages/mod.rs
@@ -0,0 +1,329 @@
+//! Owns the chain that a transaction passes (take in, admit, route, send, relay, book) and the driver that runs it
+//! once a round. It must never decide what the module decides; only the driver speaks with the module, in types
+//! that know no protocol, so that another protocol can stand before the same decisions.
+
+mod admit;
+mod book;
+mod desk;
+mod relay;
+mod route;
+mod send;
+mod take_in;
+#[cfg(test)]
+mod tests;
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use martenlatch_clock::{Clock, Millis, millis, nanos};
+use martenlatch_http::pool::Pool;
+use martenlatch_http::{self as http, Handle, Key};
+use martenlatch_ledger::{Ledger, Notice};
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::{Action, Class, Effect, EndpointId, Event, MessageId, Outcome, Stage};
+use slab::Slab;
+use tracing::{error, info, warn};
+
+use crate::Config;
+use crate::counters::Counters;
+use crate::regions::Regions;
+use crate::table::{Change, Table};
+use admit::Admit;
+use book::Book;
+use desk::{Desk, State, Transaction};
+use relay::{NOTICES, RETRY, Relay};
+use route::Route;
+use send::{Send, To};
+use take_in::TakeIn;
+
+/// SIGTERM: so long work is still taken on, and so long in all, as SIGKILL comes 3.7 s after it at the earliest.
+const LAST_WORK: Millis = 600.0;
+const LAST_CALL: Millis = 3_300.0;
+/// A transaction not ended so long after its time is ended here, well before it counts as lost.
+const OVERDUE: Millis = 120.0;
+
+/// Runs the chain, a round at a time.
+pub struct Driver {
+    clock: Clock,
+    handle: Handle,
+    pool: Pool,
+    take_in: TakeIn,
+    admit: Admit,
+    route: Route,
+    send: Send,
+    relay: Relay,
+    book: Book,
+    desk: Desk,
+    regions: Regions,
+    table: Table,
+    /// Sockets that had more to read than one round takes.
+    again: Vec<Key>,
+    /// When the sender was told to end.
+    told_to_end: Option<Millis>,
+}
+
+impl Driver {
+    pub fn new(
+        config: Config, listener: TcpListener, handle: &Handle, clock: Clock,
+    ) -> Result<Driver, String> {
+        let boot = &config.boot;
+        let set = boot.settings.clone();
+        let policy = Policy::new(set.clone(), config.seed).map_err(|e| format!("settings: {e}"))?;
+        // Half of the descriptors for clients: the rest is for regions, discovery and files. Clients have buffers
+        // of their own, two each, so that slow ones cannot starve the regions.
+        let buffers = (config.memory / 2 / http::pool::SIZE as u64) as usize;
+        let most = (config.sockets / 2).min(buffers / 3).max(1);
+        let (pool, clients_pool) = (Pool::new(buffers - 2 * most.min(buffers / 3)), Pool::new(2 * most));
+        let listener = Rc::new(listener);
+        let token = http::register(handle, listener.clone(), Key::Listener)
+            .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
+        let keyed = |c: &Class| matches!(c.effect, Effect::Keyed { .. });
+        let classes = boot.classes.iter().cloned().zip(set.classes.iter().map(keyed)).collect();
+        let take_in = TakeIn {
+            listener: Some(listener),
+            token: Some(token),
+            handle: handle.clone(),
+            pool: clients_pool,
+            clients: Slab::new(),
+            most,
+            times: config.clients,
+            classes,
+            next_sweep: 0.0,
+            accept_at: None,
+            ending: false,
+        };
+        let (ledger, past) = Ledger::open(&config.state, config.disk);
+        let (next, counters) = (past.next, Counters::default());
+        let (held, numbers) = (BTreeMap::new(), HashMap::new());
+        let mut desk = Desk { held, numbers, open: 0, next, ledger, counters };
+        let mut relay = Relay {
+            platform: config.discovery,
+            handle: handle.clone(),
+            pool: pool.clone(),
+            link: None,
+            queue: VecDeque::new(),
+            flying: Vec::new(),
+            sent: 0.0,
+            next_try: 0.0,
+            pause: RETRY.0,
+            batch: NOTICES,
+        };
+        let unsafe_ones = set.classes.iter().map(|c| c.effect == Effect::Unsafe);
+        let once =
+            boot.classes.iter().zip(unsafe_ones).filter(|(_, u)| *u).map(|(c, _)| Rc::from(c.as_str()));
+        let admit = Admit { hold_limit: set.hold_limit, classes: boot.classes.clone(), once: once.collect() };
+        let resumed =
+            past.open.into_values().filter_map(|t| admit.resume(t, &mut desk, &mut relay)).collect();
+        let mut driver = Driver {
+            admit,
+            route: Route { policy, events: Vec::new(), wake: None },
+            send: Send,
+            relay,
+            book: Book,
+            desk,
+            take_in,
+            regions: Regions::new(
+                handle,
+                &pool,
+                (config.sockets / 3).max(set.slots),
+                millis(set.connect_timeout),
+                millis(set.conn_idle),
+            ),
+            table: Table::new(config.discovery, boot),
+            again: Vec::new(),
+            told_to_end: None,
+            clock,
+            handle: handle.clone(),
+            pool,
+        };
+        if config.known.is_object()
+            && let Some(known) = driver.table.line(&config.known)
+        {
+            driver.listed(Change { whole: true, ..known });
+        }
+        driver.route.events.extend::<Vec<Event>>(resumed);
+        info!(name = %config.name, resumed = driver.desk.counters.resumed, "started");
+        Ok(driver)
+    }
+
+    /// A change of the table, in the turn that brings it. Calls not yet begun are taken back where they may not go.
+    fn listed(&mut self, change: Change) {
+        let on = |e: &EndpointId| change.entries.iter().any(|c| c.endpoint == *e && c.stage == Stage::On);
+        let off = |e: &EndpointId| change.entries.iter().any(|c| c.endpoint == *e && c.stage != Stage::On);
+        let whole = change.whole;
+        let now = self.clock.now();
+        self.regions.hold_back(|_, region| if whole { !on(&region) } else { off(&region) }, now);
+        let entries = change.entries;
+        self.route.events.push(if whole { Event::List(entries) } else { Event::ListChanges(entries) });
+    }
+
+    /// How long the loop may sleep, in milliseconds.
+    pub fn sleep(&self) -> Millis {
+        if !self.again.is_empty() || !self.route.events.is_empty() || !self.regions.done.is_empty() {
+            return 0.0;
+        }
+        let dues = [self.regions.due(), self.table.due(), self.relay.due(), self.take_in.due()];
+        let due = dues.into_iter().chain(self.route.wake).fold(f64::INFINITY, f64::min);
+        // Near its end the sender must not sleep past the instants at which it stops and goes.
+        (due - self.clock.now()).clamp(0.0, if self.told_to_end.is_some() { 20.0 } else { 250.0 })
+    }
+
+    pub fn print_counters(&mut self) {
+        self.desk.counters.connections = self.regions.opened;
+        info!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
+    }
+
+    /// SIGHUP: the configuration was read again. Of it, `discovery` counts at once, the rest from the next start on.
+    /// One that cannot be used must not harm a sender at work: the old one stands.
+    pub fn reload(&mut self, told: Result<Config, String>) {
+        match told {
+            Ok(config) => {
+                let now = self.clock.now();
+                info!(discovery = %config.discovery, "configuration read");
+                if config.discovery != self.relay.platform {
+                    self.relay.move_to(config.discovery, now);
+                    self.table.move_to(config.discovery, now);
+                }
+            }
+            Err(e) => warn!(reason = %e, "configuration kept"),
+        }
+    }
+
+    /// SIGTERM: serve what comes for a moment more, start no call that cannot end, and go.
+    pub fn end(&mut self) {
+        if self.told_to_end.is_none() {
+            let now = self.clock.now();
+            info!(open = self.desk.open, "ending");
+            self.told_to_end = Some(now);
+            self.take_in.ending = true;
+            self.route.events.push(Event::Closing(nanos(now + LAST_CALL)));
+        }
+    }
+
+    /// One round: what is ready, what is due, one turn, its actions. False once the sender may exit.
+    pub fn round(&mut self, mut ready: Vec<Key>) -> bool {
+        let now = self.clock.now();
+        self.desk.counters.rounds += 1;
+        let mut handed = Vec::new();
+        ready.append(&mut self.again);
+        ready.sort_unstable();
+        ready.dedup();
+        if self.take_in.accept_at.is_some_and(|at| at <= now) {
+            ready.push(Key::Listener);
+        }
+        for key in ready {
+            let more = match key {
+                Key::Listener => self.take_in.accept(now, &mut self.desk.counters),
+                Key::Client(at) => self.take_in.ready(at, now, &mut handed, &mut self.desk.counters),
+                Key::Region(at) => self.regions.ready(at, now),
+                Key::Watch => {
+                    let (changes, more) = self.table.ready(now);
+                    changes.into_iter().for_each(|c| self.listed(c));
+                    more
+                }
+                Key::Notices => {
+                    let confirmed = self.relay.ready(now);
+                    confirmed.into_iter().for_each(|no| self.book.confirmed(no, &mut self.desk));
+                    false
+                }
+            };
+            if more {
+                self.again.push(key);
+            }
+        }
+        self.regions.expire(now);
+        self.again.extend(self.take_in.sweep(now));
+        let stopped = self.told_to_end.is_some_and(|at| now >= at + LAST_WORK);
+        if stopped {
+            self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
+        }
+        for h in handed {
+            let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, &self.table, stopped, now);
+            self.route.events.extend(event);
+        }
+        self.outcomes(now);
+        self.overdue(now);
+        self.table.tend(now, &self.handle, &self.pool);
+        let actions = self.route.turn(now);
+        self.desk.counters.turns += u64::from(!actions.is_empty());
+        self.carry_out(actions, now);
+        self.relay.tend(&self.desk, now);
+        self.book.tidy(&mut self.desk, now);
+        let took = (self.clock.now() - now) as u64;
+        self.desk.counters.longest_round_ms = self.desk.counters.longest_round_ms.max(took);
+        !self.may_exit(now)
+    }
+
+    /// What came back from regions becomes events. A told wait binds the destination's calls not yet begun.
+    fn outcomes(&mut self, now: Millis) {
+        let told = self
+            .regions
+            .done
+            .iter()
+            .filter(|d| matches!(d.outcome, Outcome::Overloaded { wait } if wait > 0));
+        let held = told.filter_map(|d| self.desk.held.get(&d.id.0)).map(|t| t.taken.destination);
+        let waits: Vec<u64> = held.collect();
+        if !waits.is_empty() {
+            self.regions.hold_back(|destination, _| waits.contains(&destination), now);
+        }
+        for done in std::mem::take(&mut self.regions.done) {
+            self.route.events.extend(self.book.task(done, &mut self.desk));
+        }
+    }
+
+    /// Ends what the module should have ended. Guards the owed notice, whatever goes wrong elsewhere.
+    fn overdue(&mut self, now: Millis) {
+        let late = |t: &&Transaction| t.state == State::Open && now > t.taken.deadline + OVERDUE;
+        let late: Vec<u64> = self.desk.held.values().filter(late).map(|t| t.taken.no).collect();
+        for no in late {
+            error!(no, "transaction ended late");
+            self.desk.counters.late += 1;
+            self.book.end(MessageId(no), Notice::Undeliverable, &mut self.desk, &mut self.relay);
+            self.route.events.push(Event::Left(MessageId(no)));
+        }
+    }
+
+    fn carry_out(&mut self, actions: Vec<Action>, now: Millis) {
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, timeout } => {
+                    let address = self.table.addresses.get(&endpoint).copied();
+                    let (desk, regions) = (&mut self.desk, &mut self.regions);
+                    let class = desk.held.get(&id.0).map(|t| &t.taken.class);
+                    let once = class.is_none_or(|class| self.admit.once.contains(class));
+                    let to = To { id, once, region: endpoint, address };
+                    self.send.send(to, millis(timeout), desk, regions, now);
+                }
+                Action::Cancel { id, attempt } => self.regions.cancel(id, attempt, now),
+                Action::Refuse { id, return_after } => {
+                    let again = return_after.map(|r| millis(r).round() as u64);
+                    self.book.end(id, Notice::Deferred(again), &mut self.desk, &mut self.relay);
+                }
+                Action::Fail { id } => {
+                    self.book.end(id, Notice::Undeliverable, &mut self.desk, &mut self.relay);
+                }
+                Action::WakeAfter(span) => {
+                    let at = now + millis(span);
+                    self.route.wake = Some(self.route.wake.map_or(at, |w| w.min(at)));
+                }
+                Action::Close(endpoint) => self.regions.close(endpoint),
+                // The watch is always open.
+                Action::Subscribe => {}
+            }
+        }
+    }
+
+    /// All that was owed in this life is done, or time is up; and no client that has asked is left unanswered.
+    fn may_exit(&mut self, now: Millis) -> bool {
+        let Some(told) = self.told_to_end.filter(|told| now >= told + LAST_WORK) else { return false };
+        let told_all = self.relay.flying.is_empty() && self.relay.queue.is_empty();
+        let calm = self.regions.tasks() == 0 && told_all && self.desk.open == 0;
+        if !calm && now < told + LAST_CALL + 100.0 {
+            return false;
+        }
+        self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
+        let asking = self.take_in.clients.iter().any(|(_, c)| !c.closing);
+        !asking || now >= told + LAST_CALL + 300.0
+    }
+}
--- /dev/null
+++ b/crates/sender/src/stages/send.rs
@@ -0,0 +1,55 @@
+//! Owns the step from an action to a call: the routed task's record first, then its first byte. It must never send
+//! what has no record.
+
+use std::net::SocketAddr;
+
+use martenlatch_clock::Millis;
+use martenlatch_ledger::Task;
+use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
+
+use super::desk::Desk;
+use crate::regions::{Call, Done, Regions};
+
+/// A routed task's transaction and its goal.
+pub struct To {
+    pub(super) id: MessageId,
+    /// Its class must not be repeated once it may have run.
+    pub(super) once: bool,
+    pub(super) region: EndpointId,
+    /// None where the table lists it no more.
+    pub(super) address: Option<SocketAddr>,
+}
+
+/// Carries a routed task to its region: its record first, then its first byte.
+pub struct Send;
+
+impl Send {
+    pub(super) fn send(&self, to: To, timeout: Millis, desk: &mut Desk, regions: &mut Regions, now: Millis) {
+        let To { id, once, region, address } = to;
+        let Some(t) = desk.held.get_mut(&id.0) else { return };
+        let attempt = t.taken.tasks.len();
+        let recorded = address.is_some() && desk.ledger.route(id.0, attempt, now);
+        t.taken.tasks.push(Task { sent: now, never_ran: !recorded });
+        t.out += 1;
+        let Some(address) = address.filter(|_| recorded) else {
+            // What has no record is not sent: after a crash it would be taken for one that never ran.
+            let (attempt, outcome) = (attempt as u32, Outcome::Void);
+            return regions.done.push(Done { id, attempt, outcome, took: 0.0, over: false });
+        };
+        let taken = &t.taken;
+        let key = taken.key.as_ref().map_or(String::new(), |k| format!("Idempotency-Key: {k}\r\n"));
+        let head = format!(
+            "POST /v1/messages HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {}\r\n{key}X-Timeout: {:.3}\r\n\
+             Content-Length: {}\r\n\r\n",
+            taken.id,
+            timeout / 1e3,
+            taken.body.len()
+        );
+        desk.counters.sent += 1;
+        let (head, body, destination) = (head.as_bytes(), &*taken.body, taken.destination);
+        // A further attempt has failed once, and should not do so again for the sake of a connection.
+        let (dear, attempt) = (once || attempt > 0, attempt as u32);
+        let call = Call { id, attempt, region, destination, timeout, dear, head, body };
+        regions.call(&call, address, now);
+    }
+}
--- /dev/null
+++ b/crates/sender/src/stages/tests.rs
@@ -0,0 +1,140 @@
+//! The driver on a clock set by hand: what ends when, with nothing answering.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+
+use martenlatch_ledger::Taken;
+use martenlatch_settings::platform as settings;
+
+use super::take_in::NEWCOMER;
+use super::*;
+
+const SETTINGS: &str = r#"{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"Categories":[
+    {"Name":"debit","Target":3000000000,"Deadline":16000000000,"Effect":"side_effect","Worth":1}],
+    "FamilyInfo":{"CallsOut":4},
+    "Limits":{"OpenCap":9,"AttemptsCap":8,"Cancel":true,"ConnectTimeout":1000000000},
+    "Guarantees":{"StopSendingWithin":1000000000,"GraceToAnswer":20000000,"OverloadFactor":2,
+    "OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
+
+const START: Millis = 1_796_121_600_000.0;
+
+/// A driver on a clock set by hand that resumes one unsafe transaction, with two seconds left.
+fn resumed(story: &str, region: SocketAddr) -> (Driver, Clock, calloop::EventLoop<'static, http::Ready>) {
+    let state = std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&state);
+    std::fs::create_dir_all(&state).unwrap();
+    let (id, class, key, body) = (Rc::from("a"), Rc::from("debit"), None, Rc::from(&b"x"[..]));
+    let (deadline, tasks, ending) = (START + 2_000.0, Vec::new(), None);
+    let taken = Taken { no: 3, id, class, destination: 7, deadline, key, body, tasks, ending };
+    assert!(Ledger::open(&state, 3_000_000).0.take(&taken));
+    let target = format!(
+        r#"{{"targets":[{{"uid":"s","endpoint":"{region}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
+    );
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let config = Config {
+        name: "n0".into(),
+        listen: listener.local_addr().unwrap(),
+        discovery: region,
+        state,
+        seed: 1,
+        sockets: 64,
+        disk: 3_000_000,
+        memory: 64_000_000,
+        known: serde_json::from_str(&target).unwrap(),
+        clients: martenlatch_settings::program::Program::default().clients,
+        boot: settings::read(SETTINGS).unwrap(),
+    };
+    let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+    let clock = Clock::at(START);
+    let driver = Driver::new(config, listener, &events.handle(), clock.clone()).unwrap();
+    (driver, clock, events)
+}
+
+/// Plays the transaction's time out: what ended it, and how long after its time.
+fn outlived(story: &str, region: SocketAddr) -> (Option<Notice>, Millis) {
+    let (mut driver, clock, _events) = resumed(story, region);
+    while driver.desk.open > 0 && clock.now() < START + 9_000.0 {
+        assert!(driver.round(vec![Key::Region(0)]), "nothing tells it to end");
+        clock.set(clock.now() + 10.0);
+    }
+    (driver.desk.held.get(&3).and_then(|t| t.taken.ending), clock.now() - START - 2_000.0)
+}
+
+#[test]
+fn a_silent_crowd_makes_room_before_usual_clients_and_is_ended_within_its_time() {
+    use std::io::{Read, Write};
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
+    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let connect = || std::net::TcpStream::connect(address).unwrap();
+    let open = |s: &mut std::net::TcpStream| {
+        s.set_nonblocking(true).unwrap();
+        s.read(&mut [0; 4096]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    };
+    let mut usual = connect();
+    usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+    while driver.take_in.clients.iter().all(|(_, c)| !c.served) {
+        driver.round(vec![Key::Listener, Key::Client(0)]);
+    }
+    assert!(usual.read(&mut [0; 4096]).unwrap() > 0);
+    let mut crowd: Vec<_> = (1..driver.take_in.most).map(|_| connect()).collect();
+    while driver.take_in.clients.len() < driver.take_in.most {
+        driver.round(vec![Key::Listener]);
+    }
+    clock.set(clock.now() + NEWCOMER + 1.0);
+    let late = connect();
+    while driver.desk.counters.clients <= driver.take_in.most as u64 {
+        driver.round(vec![Key::Listener]);
+    }
+    assert!(open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]), "the oldest silent one goes");
+    clock.set(START + driver.take_in.times.request_ms + 1.0);
+    driver.round(Vec::new());
+    assert!(open(&mut usual) && crowd.iter_mut().all(|c| !open(c)), "3 s are owed");
+    assert_eq!(driver.take_in.clients.len(), 2, "and the one that came late");
+    drop(late);
+}
+
+#[test]
+fn half_a_request_does_not_keep_the_loop_awake_while_the_sender_ends() {
+    use std::io::Write;
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
+    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let mut half = std::net::TcpStream::connect(address).unwrap();
+    half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
+    while driver.take_in.clients.iter().all(|(_, c)| c.link.bytes().is_empty()) {
+        driver.round(vec![Key::Listener, Key::Client(0)]);
+    }
+    driver.end();
+    clock.set(clock.now() + LAST_WORK + 1.0);
+    (0..3).for_each(|_| assert!(driver.round(Vec::new())));
+    assert_eq!(driver.take_in.clients.len(), 1, "it may still be asked whole");
+    assert!(driver.again.is_empty() && driver.sleep() > 0.0);
+}
+
+#[test]
+fn told_to_end_the_sender_is_gone_before_it_can_be_killed() {
+    // Guards against sleeping past the last instant: the loop looks again within 20 ms, whatever is due.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("end", silent.local_addr().unwrap());
+    driver.end();
+    while driver.round(vec![Key::Region(0)]) {
+        assert!(driver.sleep() <= 20.0);
+        clock.set(clock.now() + driver.sleep().max(1.0) + 5.0);
+        assert!(clock.now() < START + 3_690.0, "SIGKILL may come at 3.7 s");
+    }
+    assert!(clock.now() >= START + LAST_WORK, "clients may come for a moment more");
+}
+
+#[test]
+fn a_transaction_that_nothing_answers_ends_with_its_time_by_what_may_have_run() {
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (notice, late) = outlived("silent", silent.local_addr().unwrap());
+    assert_eq!(notice, Some(Notice::Undeliverable), "it was out and may have run");
+    assert!(late < 100.0, "{late} ms after its time");
+    // Nobody listens there: each task is proven never to have run, so the client may come again.
+    let (notice, late) = outlived("closed", "127.77.0.1:9".parse().unwrap());
+    assert!(matches!(notice, Some(Notice::Deferred(_))), "{notice:?}");
+    assert!(late < 100.0, "{late} ms after its time");
+}
--- a/src/net/table.rs
+++ b/crates/sender/src/table.rs
@@ -4,14 +4,14 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
-use martenlatch::interface::{DestinationId, EndpointId, Entry, KindId, Stage, ZoneId};
-use martenlatch::settings::Boot;
+use martenlatch_policy::interface::{DestinationId, EndpointId, Entry, KindId, Stage, ZoneId};
+use martenlatch_settings::platform::Boot;
 use serde_json::Value;
+use tracing::warn;
 
-use super::clock::Millis;
-use super::counters::say;
-use super::http::{self, Handle, Key, Link};
-use super::pool::Pool;
+use martenlatch_clock::Millis;
+use martenlatch_http::pool::Pool;
+use martenlatch_http::{self as http, Handle, Key, Link};
 
 /// Longest line of the watch, and most regions at a time; past these discovery is not believed.
 const LINE: usize = 4 << 20;
@@ -76,7 +76,7 @@
     /// Takes one object of the table. Bad entries are logged and skipped, and so is a bad line.
     pub fn line(&mut self, json: &Value) -> Option<Change> {
         let Some(targets) = json.get("targets").and_then(Value::as_array) else {
-            say!("table line skipped reason=no list of targets");
+            warn!(reason = "no list of targets", "table line skipped");
             return None;
         };
         let whole = json.get("all").and_then(Value::as_bool).unwrap_or(false);
@@ -87,7 +87,7 @@
         for target in targets {
             match self.entry(target) {
                 Ok(entry) => entries.extend(entry),
-                Err(field) => say!("table entry skipped field={field}"),
+                Err(field) => warn!(field, "table entry skipped"),
             }
         }
         // Guards memory: regions are replaced by ones with new names all day long, and none that has gone returns.
@@ -149,7 +149,7 @@
 
     fn drop_watch(&mut self, now: Millis, reason: &str) {
         if self.watch.take().is_some() {
-            say!("watch lost reason={reason} rev={}", self.rev);
+            warn!(reason, rev = self.rev, "watch lost");
         }
         self.next_try = now + self.backoff;
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
@@ -187,7 +187,7 @@
                 self.watch = Some(Watch { link, body: None, line: Vec::new() });
             }
             Err(e) => {
-                say!("watch not opened error={:?}", e.kind());
+                warn!(error = ?e.kind(), "watch not opened");
                 self.drop_watch(now, "");
             }
         }
@@ -214,7 +214,7 @@
         for line in lines.iter().filter(|l| !l.trim_ascii().is_empty()) {
             match serde_json::from_slice::<Value>(line) {
                 Ok(json) => changes.extend(self.line(&json)),
-                Err(_) => say!("table line skipped reason=not JSON"),
+                Err(_) => warn!(reason = "not JSON", "table line skipped"),
             }
         }
         let fault = fault.or((watch.link.eof || watch.link.broken).then_some("closed"));
@@ -261,7 +261,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use martenlatch::interface::Settings;
+    use martenlatch_policy::interface::Settings;
 
     #[test]
     fn regions_that_have_gone_are_forgotten_and_their_numbers_are_not_used_again() {
--- a/src/settings.rs
+++ b/crates/settings/src/platform.rs
@@ -1,7 +1,7 @@
 //! Reads the settings object, which the adapter finds on its wire and the sender in its configuration: one reader
 //! for both. It owns the names of the settings and must never decide, open a file or look at a clock.
 
-use crate::interface::{Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId};
+use martenlatch_policy::interface::{Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId};
 use serde_json::Value;
 
 /// Settings, with the names that the wire uses for places in their lists.
