Begin the laboratory: a model of partners in simulated time, a judge and a tally

crates/lab holds the experiment reader (proto/experiment.proto, checked with file, line and field), a pure model of partners and their failures, an open-loop load, a simulation that drives the decision module with no sockets, a judge that reads only facts, and a tally of figures.

The judge names breaches of the key window whose cause is still to be traced.

--- /dev/null
+++ b/crates/lab/src/judge.rs
@@ -0,0 +1,456 @@
+//! Owns the rules, as one who reads only what crossed: facts in the order of time, breaches out. It must never ask
+//! the model or the sender what was meant, and never forgive a breach because of what came of it.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::fmt;
+
+use martenlatch_clock::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::experiment::Effect;
+use crate::fact::{Fact, Silence, What};
+use crate::model::partner::{FALL, Reply};
+
+/// Every time limit is so much longer than the rule says.
+const SLACK: Millis = 50.0;
+/// After its time is up, a message's end may still be on the way for so long.
+const LOST_AFTER: Millis = 300.0;
+/// No notice is overdue until so long after a sender is ready again.
+const AFTER_START: Millis = 1_500.0;
+/// Calls that come so soon after a wait was told had left before.
+const TRAVEL: Millis = 100.0;
+/// A drain must be kept so long after it was told.
+const DRAIN: Millis = 1_000.0;
+
+/// A rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Rule {
+    /// Each message that was taken on gets one final answer, and nothing is sent for it afterwards.
+    OneAnswer,
+    /// And it gets it by its time.
+    Lost,
+    /// What may have run and must not be repeated is not sent again, nor given up as harmless to repeat.
+    NoSecondEffect,
+    /// What carries a key is not repeated once the key may be forgotten.
+    KeyWindow,
+    /// Nothing is sent to a partner that told to wait.
+    Waits,
+    /// Nothing new goes to an endpoint that drains, 1 s after that was told.
+    Drains,
+    /// No cold partner is pushed over by senders that saw it fail.
+    NoneToppled,
+    /// At most so many attempts for one handing in.
+    Attempts,
+    /// A message goes to its own partner's endpoints.
+    RightPartner,
+}
+
+/// A rule that was broken.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// The handing in that it is about; none where it is about a partner.
+    pub id: Option<u64>,
+    /// When.
+    pub at: Millis,
+    /// What happened, with its instants.
+    pub text: String,
+}
+
+impl fmt::Display for Breach {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let id = self.id.map_or(String::new(), |id| format!(" message {id}"));
+        write!(f, "{:?} at {:.1} ms:{id} {}", self.rule, self.at, self.text)
+    }
+}
+
+/// What the rules need to know of a class.
+#[derive(Clone, Copy, Debug)]
+pub struct ClassRule {
+    /// What a repeat does.
+    pub effect: Effect,
+    /// How long a key is remembered, in milliseconds.
+    pub window: Millis,
+}
+
+#[derive(Debug)]
+struct Held {
+    origin: u64,
+    sender: u32,
+    class: u32,
+    partner: u32,
+    deadline: Millis,
+    /// Its client has heard that it is taken on, or that it is not.
+    taken: Option<bool>,
+    delivered: Option<Millis>,
+    ended: Option<(Millis, bool)>,
+    calls: u32,
+    out: u32,
+    closed: bool,
+}
+
+#[derive(Debug)]
+struct Call {
+    id: u64,
+    origin: u64,
+    sender: u32,
+    partner: u32,
+    class: u32,
+    since: Millis,
+}
+
+/// Reads a history, and keeps what the rules say of it.
+#[derive(Debug)]
+pub struct Judge {
+    classes: Vec<ClassRule>,
+    max_attempts: u32,
+    held: HashMap<u64, Held>,
+    calls: HashMap<u64, Call>,
+    /// Of each message that may have run: the calls that may, with when the first of them left.
+    may_have_run: HashMap<u64, (Millis, HashSet<u64>)>,
+    /// Whose time is up when, by sender.
+    due: BinaryHeap<Reverse<(u64, u64)>>,
+    waits: HashMap<(u32, u32), (Millis, Millis)>,
+    /// Endpoints that drain, since when, by sender.
+    drains: HashMap<(u32, u32), Millis>,
+    owner: HashMap<u32, u32>,
+    /// Until when a sender's ends are not overdue: it is down, or has just come back.
+    excused: HashMap<u32, Millis>,
+    out: HashSet<u32>,
+    /// Senders that saw a partner fail during its present or latest outage.
+    saw: HashMap<u32, HashSet<u32>>,
+    recent: HashMap<u32, VecDeque<(Millis, u32)>>,
+    last: Millis,
+    breaches: Vec<Breach>,
+    /// Messages over which are counted, not kept.
+    most: usize,
+    /// How many breaches there were of each rule.
+    pub counts: std::collections::BTreeMap<Rule, u64>,
+}
+
+impl Judge {
+    /// A judge for classes in their order, who lets each handing in have so many attempts.
+    pub fn new(classes: Vec<ClassRule>, max_attempts: u32) -> Judge {
+        Judge {
+            classes,
+            max_attempts,
+            held: HashMap::new(),
+            calls: HashMap::new(),
+            may_have_run: HashMap::new(),
+            due: BinaryHeap::new(),
+            waits: HashMap::new(),
+            drains: HashMap::new(),
+            owner: HashMap::new(),
+            excused: HashMap::new(),
+            out: HashSet::new(),
+            saw: HashMap::new(),
+            recent: HashMap::new(),
+            last: 0.0,
+            breaches: Vec::new(),
+            most: 100,
+            counts: Default::default(),
+        }
+    }
+
+    fn breach(&mut self, rule: Rule, id: Option<u64>, at: Millis, text: String) {
+        *self.counts.entry(rule).or_insert(0) += 1;
+        if self.breaches.len() < self.most {
+            self.breaches.push(Breach { rule, id, at, text });
+        }
+    }
+
+    /// Takes the next fact; facts must come in the order of time.
+    pub fn hear(&mut self, fact: &Fact) {
+        let at = fact.at;
+        self.look_at_the_clock(at);
+        self.last = self.last.max(at);
+        match fact.what {
+            What::HandedIn { origin, id, sender, class, partner, deadline, .. } => {
+                let (taken, delivered, ended) = (None, None, None);
+                let (calls, out, closed) = (0, 0, false);
+                self.due.push(Reverse(((deadline + LOST_AFTER).to_bits(), id)));
+                self.held.insert(
+                    id,
+                    Held {
+                        origin,
+                        sender,
+                        class,
+                        partner,
+                        deadline,
+                        taken,
+                        delivered,
+                        ended,
+                        calls,
+                        out,
+                        closed,
+                    },
+                );
+            }
+            What::Answered { id, status } => self.answered(id, status, at),
+            What::Listed { sender, endpoint, partner, on } => {
+                self.owner.insert(endpoint, partner);
+                if on {
+                    self.drains.remove(&(sender, endpoint));
+                } else {
+                    self.drains.entry((sender, endpoint)).or_insert(at);
+                }
+            }
+            What::Call { call, id, sender, partner, endpoint, .. } => {
+                self.call(call, id, (sender, partner, endpoint), at);
+            }
+            What::Arrived { call } => self.arrived(call, at),
+            What::Ran { .. } => {}
+            What::Replied { call, reply } => self.replied(call, reply, at),
+            What::Ended { call, how } => self.silent(call, how, at),
+            What::Notice { id, deferred, .. } => self.notice(id, deferred, at),
+            What::Out { partner, out } => {
+                if out && self.out.insert(partner) {
+                    self.saw.remove(&partner);
+                }
+                if !out {
+                    self.out.remove(&partner);
+                }
+            }
+            What::Toppled { partner } => self.toppled(partner, at),
+            What::Ready { sender } => {
+                self.excused.insert(sender, at + AFTER_START);
+                self.waits.retain(|(s, _), _| *s != sender);
+            }
+            What::Told { sender } | What::Gone { sender } => {
+                self.excused.insert(sender, f64::INFINITY);
+            }
+        }
+    }
+
+    /// Whatever should have ended by now.
+    fn look_at_the_clock(&mut self, now: Millis) {
+        while let Some(Reverse((due, id))) =
+            self.due.peek().copied().filter(|Reverse((d, _))| f64::from_bits(*d) < now)
+        {
+            self.due.pop();
+            let Some(held) = self.held.get_mut(&id) else { continue };
+            if held.delivered.is_some() || held.ended.is_some() || held.taken != Some(true) {
+                held.closed = true;
+                self.forget(id);
+                continue;
+            }
+            let excused = self.excused.get(&held.sender).copied().unwrap_or(0.0);
+            if excused.is_infinite() {
+                // Looked at again once its sender is back.
+                self.due.push(Reverse(((now + 1_000.0).to_bits(), id)));
+                continue;
+            }
+            if excused > f64::from_bits(due) {
+                self.due.push(Reverse((excused.to_bits(), id)));
+                continue;
+            }
+            held.closed = true;
+            let (sender, deadline) = (held.sender, held.deadline);
+            let text = format!("taken on by sender {sender}, had no end by its time, {deadline:.1} ms");
+            self.breach(Rule::Lost, Some(id), f64::from_bits(due), text);
+            self.forget(id);
+        }
+    }
+
+    /// A message whose time is over and that has nothing out is not kept.
+    fn forget(&mut self, id: u64) {
+        if self.held.get(&id).is_some_and(|h| h.out == 0 && h.closed) {
+            self.held.remove(&id);
+        }
+    }
+
+    fn answered(&mut self, id: u64, status: u16, at: Millis) {
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let taken = matches!(status, 200 | 202);
+        held.taken = Some(taken);
+        if !taken && held.calls > 0 && matches!(status, 429 | 503) {
+            let text = format!("{} calls had left for it when it was refused with {status}", held.calls);
+            self.breach(Rule::OneAnswer, Some(id), at, text);
+        }
+    }
+
+    fn call(&mut self, call: u64, id: u64, to: (u32, u32, u32), at: Millis) {
+        let (sender, partner, endpoint) = to;
+        let Some(held) = self.held.get_mut(&id) else {
+            let text =
+                format!("a call to partner {partner} for a message that is over or was never handed in");
+            return self.breach(Rule::OneAnswer, Some(id), at, text);
+        };
+        held.calls += 1;
+        held.out += 1;
+        let (origin, class, calls, own) = (held.origin, held.class, held.calls, held.partner);
+        let (ended, delivered, refused) = (held.ended, held.delivered, held.taken == Some(false));
+        let since = at;
+        self.calls.insert(call, Call { id, origin, sender, partner, class, since });
+        if own != partner || self.owner.get(&endpoint).is_some_and(|o| *o != own) {
+            let text =
+                format!("it is for partner {own} and went to endpoint {endpoint} of partner {partner}");
+            self.breach(Rule::RightPartner, Some(id), at, text);
+        }
+        if calls > self.max_attempts {
+            self.breach(Rule::Attempts, Some(id), at, format!("attempt {calls} of {}", self.max_attempts));
+        }
+        if let Some((when, _)) = ended {
+            self.breach(Rule::OneAnswer, Some(id), at, format!("a call after its notice of {when:.1} ms"));
+        } else if refused {
+            self.breach(Rule::OneAnswer, Some(id), at, "a call after its client was refused".into());
+        } else if let Some(when) = delivered.filter(|when| at > when + TRAVEL + SLACK) {
+            self.breach(Rule::OneAnswer, Some(id), at, format!("a call after its delivery at {when:.1} ms"));
+        }
+        if let Some(told) = self.drains.get(&(sender, endpoint)).copied().filter(|t| at > t + DRAIN + SLACK) {
+            let text =
+                format!("sender {sender} began a call to endpoint {endpoint}, told to drain at {told:.1} ms");
+            self.breach(Rule::Drains, Some(id), at, text);
+        }
+        let recent = self.recent.entry(partner).or_default();
+        recent.push_back((at, sender));
+        while recent.front().is_some_and(|(t, _)| *t < at - FALL.1) {
+            recent.pop_front();
+        }
+    }
+
+    fn arrived(&mut self, call: u64, at: Millis) {
+        let Some(c) = self.calls.get(&call) else { return };
+        let (id, origin, class, since) = (c.id, c.origin, c.class, c.since);
+        let (sender, partner) = (c.sender, c.partner);
+        if let Some((told, until)) = self.waits.get(&(sender, partner)).copied()
+            && at > told + TRAVEL + SLACK
+            && at < until - SLACK
+        {
+            let text = format!(
+                "came to partner {partner}, which told sender {sender} at {told:.1} ms to wait until {until:.1} ms"
+            );
+            self.breach(Rule::Waits, Some(id), at, text);
+        }
+        let Some(rule) = self.classes.get(class as usize).copied() else { return };
+        let before = self.may_have_run.get(&origin).filter(|(_, calls)| calls.iter().any(|c| *c != call));
+        if let Some((first, _)) = before {
+            let first = *first;
+            match rule.effect {
+                Effect::Unsafe => {
+                    let text = format!("sent again though the call of {first:.1} ms may have run");
+                    self.breach(Rule::NoSecondEffect, Some(id), at, text);
+                }
+                Effect::Keyed if at > first + rule.window + SLACK => {
+                    let text = format!(
+                        "repeated {:.1} ms after its first call, its key lasts {:.1}",
+                        at - first,
+                        rule.window
+                    );
+                    self.breach(Rule::KeyWindow, Some(id), at, text);
+                }
+                _ => {}
+            }
+        }
+        let entry = self.may_have_run.entry(origin).or_insert((since, HashSet::new()));
+        entry.1.insert(call);
+    }
+
+    /// A call is over; `ran`: it may have.
+    fn over(&mut self, call: u64, ran: bool) -> Option<Call> {
+        let c = self.calls.remove(&call)?;
+        if !ran && let Some((_, calls)) = self.may_have_run.get_mut(&c.origin) {
+            calls.remove(&call);
+            if calls.is_empty() {
+                self.may_have_run.remove(&c.origin);
+            }
+        }
+        if let Some(held) = self.held.get_mut(&c.id) {
+            held.out -= 1;
+        }
+        Some(c)
+    }
+
+    fn replied(&mut self, call: u64, reply: Reply, at: Millis) {
+        let Some(c) = self.over(call, !matches!(reply, Reply::Refused(_))) else { return };
+        if reply != Reply::Served && self.out.contains(&c.partner) {
+            self.saw.entry(c.partner).or_default().insert(c.sender);
+        }
+        match reply {
+            Reply::Served => {
+                if let Some(held) = self.held.get_mut(&c.id) {
+                    held.delivered.get_or_insert(at);
+                    if held.ended.is_some_and(|(_, deferred)| deferred) {
+                        let text = "served after it was given up as never run".to_string();
+                        self.breach(Rule::OneAnswer, Some(c.id), at, text);
+                    }
+                }
+            }
+            Reply::Refused(Some(wait)) => {
+                let until = at + wait;
+                let told = self.waits.entry((c.sender, c.partner)).or_insert((at, until));
+                // A longer wait that was told before holds as well.
+                if until >= told.1 {
+                    *told = (at, until);
+                }
+            }
+            _ => {}
+        }
+        self.forget(c.id);
+    }
+
+    fn silent(&mut self, call: u64, how: Silence, _at: Millis) {
+        let Some(c) = self.over(call, how != Silence::NeverSent) else { return };
+        if self.out.contains(&c.partner) && how != Silence::Died {
+            self.saw.entry(c.partner).or_default().insert(c.sender);
+        }
+        self.forget(c.id);
+    }
+
+    fn notice(&mut self, id: u64, deferred: bool, at: Millis) {
+        // One for a message that is already over does no harm.
+        let Some(held) = self.held.get_mut(&id).filter(|h| h.delivered.is_none()) else { return };
+        if let Some((when, before)) = held.ended {
+            if before != deferred {
+                let text = format!("a second and different end; the first came at {when:.1} ms");
+                self.breach(Rule::OneAnswer, Some(id), at, text);
+            }
+            return;
+        }
+        held.ended = Some((at, deferred));
+        let (origin, class) = (held.origin, held.class);
+        let unsafe_one = self.classes.get(class as usize).is_some_and(|c| c.effect == Effect::Unsafe);
+        if deferred && unsafe_one && self.may_have_run.contains_key(&origin) {
+            let text = "given up as harmless to repeat, though it may have run".to_string();
+            self.breach(Rule::NoSecondEffect, Some(id), at, text);
+        }
+        self.forget(id);
+    }
+
+    fn toppled(&mut self, partner: u32, at: Millis) {
+        let none = HashSet::new();
+        let saw = self.saw.get(&partner).unwrap_or(&none);
+        let all = self.recent.get(&partner).map_or(0, VecDeque::len);
+        let blamed = self.recent.get(&partner).into_iter().flatten().filter(|(_, s)| saw.contains(s)).count();
+        if all > 0 && blamed * 3 >= all * 2 {
+            let text = format!(
+                "partner {partner} fell over; {blamed} of {all} calls came from senders that saw it fail"
+            );
+            self.breach(Rule::NoneToppled, None, at, text);
+        }
+    }
+
+    /// Ends the history at an instant, and says what was broken.
+    pub fn end(mut self, at: Millis) -> Verdict {
+        self.look_at_the_clock(at);
+        Verdict { breaches: self.breaches, counts: self.counts }
+    }
+}
+
+/// What the judge found.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Verdict {
+    /// The first hundred breaches.
+    pub breaches: Vec<Breach>,
+    /// All of them, by rule.
+    pub counts: std::collections::BTreeMap<Rule, u64>,
+}
+
+impl Verdict {
+    /// Whether every rule was kept.
+    pub fn clean(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,1 +1,12 @@
-//! The laboratory.
+//! The laboratory: our own model of partners and their failures, a judge of the rules that reads only what crossed,
+//! and experiments that compare variants of the sender on the same seeds. It measures and never decides; nothing in
+//! it is part of the sender.
+
+pub mod draw;
+pub mod experiment;
+pub mod fact;
+pub mod judge;
+pub mod load;
+pub mod model;
+pub mod sim;
+pub mod tally;
--- /dev/null
+++ b/crates/lab/src/sim.rs
@@ -0,0 +1,970 @@
+//! Owns simulated time: the decision module of each sender against the model's partners, with no sockets and no
+//! waiting. It carries out the module's actions as the sender does (slots, records, restarts) and must never decide
+//! for it; every fact goes to the judge and the tally in the order of time, and equal seeds give equal facts.
+
+use std::cmp::{Ordering, Reverse};
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::Instant;
+
+use martenlatch_clock::{Millis, millis, nanos};
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::{
+    Action, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event, FailBack,
+    KindId, MessageId, Outcome, Report, Settings, Stage, Weights, ZoneId,
+};
+
+use crate::draw::{Stream, draw, happens, within};
+use crate::experiment::{Effect, Experiment, Variant, What as Fails};
+use crate::fact::{Fact, Silence, What};
+use crate::judge::{ClassRule, Judge, Verdict};
+use crate::load::{self, Intended};
+use crate::model::partner::{self, Partner, Reply, Taken};
+use crate::model::site::Site;
+use crate::model::weather::Forecast;
+use crate::tally::{Figures, Tally};
+
+/// The module's clock at the start of a run.
+const ORIGIN: Millis = 1e6;
+const TICK: Millis = 5.0;
+const CONNECT: Millis = 1_000.0;
+/// SIGTERM: so long work is still taken on, and so long in all.
+const LAST_WORK: Millis = 600.0;
+const LAST_CALL: Millis = 3_300.0;
+/// A message that the module has not ended so long after its time is ended for it.
+const OVERDUE: Millis = 120.0;
+/// A replaced endpoint is gone so long after its successor has come.
+const REPLACED: Millis = 8_000.0;
+const SAMPLE: Millis = 100.0;
+
+/// What the module's turns cost, by how many messages were held. Not part of a result: it is the machine's, not the
+/// seed's.
+#[derive(Clone, Debug, Default)]
+pub struct Turns {
+    /// For each power of two of messages held: turns, nanoseconds in all, and the longest.
+    pub by_held: BTreeMap<u32, (u64, u64, u64)>,
+}
+
+impl Turns {
+    fn add(&mut self, held: usize, took: u64) {
+        let entry = self.by_held.entry(usize::BITS - held.leading_zeros()).or_default();
+        *entry = (entry.0 + 1, entry.1 + took, entry.2.max(took));
+    }
+}
+
+/// Where a run's facts also go.
+pub type Sink<'a> = Box<dyn FnMut(&Fact) + 'a>;
+
+/// What a run was.
+#[derive(Debug)]
+pub struct Played {
+    /// Its figures.
+    pub figures: Figures,
+    /// What the judge found.
+    pub verdict: Verdict,
+    /// What turns cost.
+    pub turns: Turns,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Ev {
+    /// The next message of the plan comes.
+    Come(usize),
+    HandIn {
+        origin: u64,
+        sender: u32,
+    },
+    Turn {
+        sender: u32,
+        life: u32,
+    },
+    Wake {
+        sender: u32,
+        life: u32,
+    },
+    CallIn {
+        call: u64,
+    },
+    Due {
+        partner: u32,
+    },
+    AnswerIn {
+        call: u64,
+        reply: Reply,
+    },
+    SilentIn {
+        call: u64,
+        how: Silence,
+        outcome: Outcome,
+    },
+    TimeOut {
+        call: u64,
+    },
+    NoticeIn {
+        sender: u32,
+        id: u64,
+        again: Option<Millis>,
+        deferred: bool,
+    },
+    Edge,
+    Fails {
+        failure: usize,
+    },
+    Replace {
+        failure: usize,
+        turn: usize,
+    },
+    Retire {
+        endpoint: u32,
+    },
+    ListIn {
+        sender: u32,
+        endpoint: u32,
+        stage: Stage,
+    },
+    Exit {
+        sender: u32,
+        life: u32,
+    },
+    Start {
+        sender: u32,
+    },
+    Overdue {
+        sender: u32,
+        id: u64,
+    },
+    Sample,
+}
+
+struct Timed {
+    at: Millis,
+    seq: u64,
+    ev: Ev,
+}
+
+impl PartialEq for Timed {
+    fn eq(&self, other: &Timed) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+impl Eq for Timed {}
+impl PartialOrd for Timed {
+    fn partial_cmp(&self, other: &Timed) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Timed {
+    fn cmp(&self, other: &Timed) -> Ordering {
+        self.at.total_cmp(&other.at).then(self.seq.cmp(&other.seq))
+    }
+}
+
+/// A client's message, over all its handings in.
+struct Origin {
+    planned: Intended,
+    deadline: Millis,
+    tries: u32,
+}
+
+struct Call {
+    id: u64,
+    origin: u64,
+    attempt: u32,
+    sender: u32,
+    partner: u32,
+    endpoint: u32,
+    sent: Millis,
+    /// It has come to its partner; its connection may be used again if it is answered.
+    arrived: bool,
+    /// Its connection breaks behind its last byte.
+    breaks: bool,
+}
+
+struct Task {
+    sent: Millis,
+    never_ran: bool,
+}
+
+struct Held {
+    origin: u64,
+    deadline: Millis,
+    tasks: Vec<Task>,
+    out: BTreeMap<u32, u64>,
+    open: bool,
+}
+
+#[derive(Default)]
+struct Sender {
+    policy: Option<Policy>,
+    life: u32,
+    events: Vec<Event>,
+    turn_due: bool,
+    last_turn: Millis,
+    /// When its process began.
+    ready: Millis,
+    told_to_end: Option<Millis>,
+    restart_after: Millis,
+    held: BTreeMap<u64, Held>,
+    open: usize,
+    out: usize,
+    /// Idle connections to each endpoint, since when; the most recently used last.
+    idle: HashMap<u32, Vec<Millis>>,
+    known: BTreeMap<u32, Entry>,
+}
+
+struct Sim<'a> {
+    x: &'a Experiment,
+    v: &'a Variant,
+    seed: u64,
+    site: Site,
+    forecast: Forecast,
+    settings: Settings,
+    partners: Vec<Partner>,
+    out: Vec<bool>,
+    due: Vec<Option<Millis>>,
+    /// The partner of each endpoint that ever was.
+    owner: Vec<u32>,
+    /// Endpoints of each partner that are in service, oldest first.
+    serving: Vec<Vec<u32>>,
+    connections: Vec<u32>,
+    now: Millis,
+    seq: u64,
+    queue: BinaryHeap<Reverse<Timed>>,
+    plan: Vec<Intended>,
+    origins: Vec<Origin>,
+    senders: Vec<Sender>,
+    calls: HashMap<u64, Call>,
+    next_call: u64,
+    next_id: u64,
+    judge: Judge,
+    tally: Tally,
+    sink: Option<Sink<'a>>,
+    turns: Turns,
+}
+
+/// The settings that a variant's senders get in a world.
+pub fn settings(experiment: &Experiment, variant: &Variant, site: &Site) -> Settings {
+    let world = &experiment.world;
+    let each = world.full_rate / f64::from(world.senders);
+    let busy = site.partners.iter().map(|p| p.part * p.speed).sum::<f64>() * each * site.work / 1e3;
+    let ms = |at: Millis| nanos(at);
+    Settings {
+        senders: world.senders,
+        zone: ZoneId(0),
+        zones: vec![0.0],
+        kinds: vec![martenlatch_policy::interface::Kind { apart: false, per_call: 1 }; world.kinds.len()],
+        classes: world
+            .classes
+            .iter()
+            .map(|c| martenlatch_policy::interface::Class {
+                aim: ms(c.aim),
+                deadline: ms(c.deadline),
+                worth: 1.0,
+                late_worth: c.late_worth,
+                effect: match c.effect {
+                    Effect::Safe => PolicyEffect::Safe,
+                    Effect::Keyed => PolicyEffect::Keyed { by_zone: false, memory: ms(c.window) },
+                    Effect::Unsafe => PolicyEffect::Unsafe,
+                },
+                ordered: false,
+                stream: false,
+            })
+            .collect(),
+        tenants: vec![],
+        over_share_worth: 1.0,
+        decay: Decay::Halving,
+        weights: Weights::Rough,
+        slots: variant.slots.unwrap_or(((2.2 * busy).round() as usize).max(3)),
+        hold_limit: variant.hold_limit.unwrap_or(((9.0 * each).round() as usize).max(8)),
+        max_attempts: variant.max_attempts,
+        cancel: variant.cancel,
+        second_copies: variant.second_copies,
+        max_advice: Some(ms(3_000.0)),
+        ask_every: None,
+        drain_grace: ms(1_000.0),
+        answer_grace: ms(20.0),
+        fail_back: FailBack {
+            factor: partner::FALL.0,
+            span: ms(partner::FALL.1),
+            cold_from: world.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min),
+            cold: ms(world.kinds.iter().map(|k| k.cold).fold(0.0, f64::max)),
+        },
+        key_quiet: 0,
+        connect_timeout: ms(CONNECT),
+        conn_idle: ms(world.idle),
+        tick: ms(TICK),
+        cross_zone_price: 0.0,
+    }
+}
+
+/// Plays one variant with one seed. Every fact also goes to `sink`.
+///
+/// # Errors
+/// Where the module turns the settings down.
+pub fn play<'a>(
+    experiment: &'a Experiment, variant: &'a Variant, seed: u64, sink: Option<Sink<'a>>,
+) -> Result<Played, String> {
+    let mut sim = Sim::new(experiment, variant, seed, sink)?;
+    let longest = experiment.world.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let end = experiment.length + longest + 6_000.0;
+    sim.start();
+    while let Some(Reverse(next)) = sim.queue.pop() {
+        if next.at > end {
+            break;
+        }
+        sim.now = next.at.max(sim.now);
+        sim.take(next.ev);
+    }
+    Ok(Played { figures: sim.tally.end(), verdict: sim.judge.end(end), turns: sim.turns })
+}
+
+impl<'a> Sim<'a> {
+    fn new(x: &'a Experiment, v: &'a Variant, seed: u64, sink: Option<Sink<'a>>) -> Result<Sim<'a>, String> {
+        let site = Site::new(&x.world, seed);
+        let forecast = Forecast::new(x, &site);
+        let settings = settings(x, v, &site);
+        settings.check().map_err(|e| format!("variant {:?}: {e}", v.name))?;
+        let plan = load::plan(x, &site, &forecast, seed);
+        let (mut owner, mut serving, mut partners) = (Vec::new(), Vec::new(), Vec::new());
+        for (i, drawn) in site.partners.iter().enumerate() {
+            let first = owner.len() as u32;
+            owner.extend(std::iter::repeat_n(i as u32, drawn.endpoints as usize));
+            let own: Vec<u32> = (first..owner.len() as u32).collect();
+            let kind = &x.world.kinds[drawn.kind];
+            partners.push(Partner::new(drawn, kind, site.work, seed, own.iter().copied()));
+            serving.push(own);
+        }
+        let rules =
+            x.world.classes.iter().map(|c| ClassRule { effect: c.effect, window: c.window }).collect();
+        Ok(Sim {
+            out: vec![false; partners.len()],
+            due: vec![None; partners.len()],
+            connections: vec![0; owner.len()],
+            senders: (0..x.world.senders).map(|_| Sender::default()).collect(),
+            judge: Judge::new(rules, v.max_attempts),
+            tally: Tally::new(&x.world.classes, 0.0, x.length),
+            origins: Vec::with_capacity(plan.len()),
+            turns: Turns::default(),
+            calls: HashMap::new(),
+            queue: BinaryHeap::new(),
+            now: 0.0,
+            seq: 0,
+            next_call: 0,
+            next_id: 0,
+            x,
+            v,
+            seed,
+            site,
+            forecast,
+            settings,
+            partners,
+            owner,
+            serving,
+            plan,
+            sink,
+        })
+    }
+
+    fn at(&mut self, at: Millis, ev: Ev) {
+        self.seq += 1;
+        self.queue.push(Reverse(Timed { at, seq: self.seq, ev }));
+    }
+
+    fn fact(&mut self, what: What) {
+        let fact = Fact { at: self.now, what };
+        self.judge.hear(&fact);
+        self.tally.hear(&fact);
+        if let Some(sink) = self.sink.as_mut() {
+            sink(&fact);
+        }
+    }
+
+    /// One way between two machines.
+    fn travel(&self, a: u64, b: u64) -> Millis {
+        within(&mut draw(self.seed, Stream::Travel, a, b), self.x.world.latency)
+    }
+
+    fn start(&mut self) {
+        for sender in 0..self.senders.len() as u32 {
+            for endpoint in 0..self.owner.len() as u32 {
+                let entry = self.entry(endpoint, Stage::On);
+                self.senders[sender as usize].known.insert(endpoint, entry);
+            }
+            self.begin(sender);
+        }
+        if !self.plan.is_empty() {
+            self.at(self.plan[0].at, Ev::Come(0));
+        }
+        for (i, f) in self.x.failures.iter().enumerate() {
+            let first = if f.what == Fails::Replace {
+                Ev::Replace { failure: i, turn: 0 }
+            } else {
+                Ev::Fails { failure: i }
+            };
+            self.at(f.start, first);
+            self.at(f.end, Ev::Edge);
+        }
+        self.at(0.0, Ev::Sample);
+    }
+
+    fn entry(&self, endpoint: u32, stage: Stage) -> Entry {
+        let partner = self.owner[endpoint as usize];
+        let drawn = &self.site.partners[partner as usize];
+        Entry {
+            endpoint: EndpointId(endpoint),
+            zone: ZoneId(0),
+            kind: KindId(drawn.kind),
+            destination: DestinationId(partner.into()),
+            stage,
+            weight: drawn.hint,
+        }
+    }
+
+    /// A sender's process starts, with what its folder and its agent hold.
+    fn begin(&mut self, sender: u32) {
+        let seed = self.seed ^ (u64::from(sender) << 32) ^ u64::from(self.senders[sender as usize].life);
+        let Ok(policy) = Policy::new(self.settings.clone(), seed) else { return };
+        let listed: Vec<Entry> = self.senders[sender as usize].known.values().cloned().collect();
+        for e in &listed {
+            let (endpoint, partner, on) = (e.endpoint.0, e.destination.0 as u32, e.stage == Stage::On);
+            self.fact(What::Listed { sender, endpoint, partner, on });
+        }
+        let classes: Vec<(u64, u32, u32)> = self.senders[sender as usize]
+            .held
+            .iter()
+            .filter(|(_, h)| h.open)
+            .map(|(id, h)| {
+                (
+                    *id,
+                    self.origins[h.origin as usize].planned.class,
+                    self.origins[h.origin as usize].planned.partner,
+                )
+            })
+            .collect();
+        let s = &mut self.senders[sender as usize];
+        let now = self.now;
+        (s.policy, s.told_to_end, s.out, s.last_turn, s.ready) =
+            (Some(policy), None, 0, f64::NEG_INFINITY, now);
+        s.idle.clear();
+        s.events = vec![Event::List(listed)];
+        for (id, class, partner) in classes {
+            let h = &s.held[&id];
+            s.events.push(Event::Resumed {
+                id: MessageId(id),
+                destination: DestinationId(partner.into()),
+                class: ClassId(class as usize),
+                deadline: nanos(ORIGIN + h.deadline),
+                attempts: h.tasks.len() as u32,
+                ran: h.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(ORIGIN + t.sent)),
+            });
+        }
+        self.fact(What::Ready { sender });
+        self.want_turn(sender);
+    }
+
+    fn want_turn(&mut self, sender: u32) {
+        let s = &mut self.senders[sender as usize];
+        if s.policy.is_some() && !s.turn_due {
+            s.turn_due = true;
+            let (at, life) = (self.now.max(s.last_turn + TICK), s.life);
+            self.at(at, Ev::Turn { sender, life });
+        }
+    }
+
+    fn tell(&mut self, sender: u32, event: Event) {
+        self.senders[sender as usize].events.push(event);
+        self.want_turn(sender);
+    }
+
+    fn take(&mut self, ev: Ev) {
+        match ev {
+            Ev::Come(at) => {
+                let planned = self.plan[at];
+                let deadline = planned.at + self.x.world.classes[planned.class as usize].deadline;
+                self.origins.push(Origin { planned, deadline, tries: 0 });
+                self.hand_in(at as u64);
+                if at + 1 < self.plan.len() {
+                    self.at(self.plan[at + 1].at, Ev::Come(at + 1));
+                }
+            }
+            Ev::HandIn { origin, sender } => self.handed_in(origin, sender),
+            Ev::Turn { sender, life } => self.turn(sender, life),
+            Ev::Wake { sender, life } => {
+                if self.senders[sender as usize].life == life {
+                    self.tell(sender, Event::Wake);
+                }
+            }
+            Ev::CallIn { call } => self.call_in(call),
+            Ev::Due { partner } => self.partner_due(partner),
+            Ev::AnswerIn { call, reply } => self.answer_in(call, reply),
+            Ev::SilentIn { call, how, outcome } => self.silent(call, how, outcome),
+            Ev::TimeOut { call } => self.silent(call, Silence::TimedOut, Outcome::TimedOut),
+            Ev::NoticeIn { sender, id, again, deferred } => self.notice_in(sender, id, deferred, again),
+            Ev::Edge => self.edge(),
+            Ev::Fails { failure } => self.fails(failure),
+            Ev::Replace { failure, turn } => self.replace(failure, turn),
+            Ev::Retire { endpoint } => {
+                let partner = self.owner[endpoint as usize] as usize;
+                self.partners[partner].endpoint(endpoint, false);
+            }
+            Ev::ListIn { sender, endpoint, stage } => {
+                let entry = self.entry(endpoint, stage);
+                let partner = entry.destination.0 as u32;
+                let s = &mut self.senders[sender as usize];
+                if stage == Stage::Gone {
+                    s.known.remove(&endpoint);
+                } else {
+                    s.known.insert(endpoint, entry.clone());
+                }
+                if s.policy.is_some() {
+                    self.fact(What::Listed { sender, endpoint, partner, on: stage == Stage::On });
+                    self.tell(sender, Event::ListChanges(vec![entry]));
+                }
+            }
+            Ev::Exit { sender, life } => {
+                if self.senders[sender as usize].life == life {
+                    self.die(sender);
+                }
+            }
+            Ev::Start { sender } => self.begin(sender),
+            Ev::Overdue { sender, id } => self.overdue(sender, id),
+            Ev::Sample => {
+                let held = self.senders.iter().map(|s| s.open as u64).sum();
+                self.tally.held(self.now, held);
+                if self.now < self.x.length {
+                    self.at(self.now + SAMPLE, Ev::Sample);
+                }
+            }
+        }
+    }
+
+    // ---- Clients -----------------------------------------------------------------------------------------------
+
+    /// A client hands a message in, through a front that deals requests out over the senders that are up.
+    fn hand_in(&mut self, origin: u64) {
+        let tries = self.origins[origin as usize].tries;
+        let up: Vec<u32> =
+            (0..self.senders.len() as u32).filter(|s| self.senders[*s as usize].policy.is_some()).collect();
+        let mut rng = draw(self.seed, Stream::Client, origin, tries.into());
+        if up.is_empty() {
+            // Nobody listens: the connection is refused, and the client comes again.
+            return self.again(origin, None, false);
+        }
+        let sender = up[within(&mut rng, (0.0, up.len() as f64 - 0.001)) as usize];
+        let at = self.now + within(&mut rng, (0.28, 1.0));
+        self.at(at, Ev::HandIn { origin, sender });
+    }
+
+    fn again(&mut self, origin: u64, told: Option<Millis>, counts: bool) {
+        let o = &mut self.origins[origin as usize];
+        if o.tries >= self.x.load.retries + if counts { 0 } else { 100 } {
+            return;
+        }
+        o.tries += 1;
+        let mut rng = draw(self.seed, Stream::Client, origin, 1_000 + u64::from(o.tries));
+        let own = within(&mut rng, self.x.load.backoff);
+        let wait = told.map_or(own, |told| told.max(own.min(told + 100.0)));
+        if self.now + wait + 50.0 < o.deadline {
+            let sender = u32::MAX;
+            self.at(self.now + wait, Ev::HandIn { origin, sender });
+        }
+    }
+
+    fn handed_in(&mut self, origin: u64, sender: u32) {
+        if sender == u32::MAX {
+            return self.hand_in(origin);
+        }
+        let (planned, deadline) =
+            (self.origins[origin as usize].planned, self.origins[origin as usize].deadline);
+        if self.senders[sender as usize].policy.is_none() {
+            return self.again(origin, None, false);
+        }
+        let id = self.next_id;
+        self.next_id += 1;
+        let (class, partner, first) = (planned.class, planned.partner, planned.at);
+        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline });
+        let full_disk = self.forecast.disk_full(self.now);
+        let s = &mut self.senders[sender as usize];
+        let stopped = s.told_to_end.is_some_and(|told| self.now >= told + LAST_WORK);
+        if stopped || full_disk || s.open >= self.settings.hold_limit {
+            self.fact(What::Answered { id, status: 503 });
+            return self.again(origin, Some(1_000.0), true);
+        }
+        s.open += 1;
+        s.held.insert(id, Held { origin, deadline, tasks: Vec::new(), out: BTreeMap::new(), open: true });
+        self.fact(What::Answered { id, status: 202 });
+        self.at(deadline + OVERDUE, Ev::Overdue { sender, id });
+        let event = Event::Message {
+            id: MessageId(id),
+            destination: DestinationId(partner.into()),
+            class: ClassId(class as usize),
+            tenant: None,
+            deadline: nanos(ORIGIN + deadline),
+            key: None,
+        };
+        self.tell(sender, event);
+    }
+
+    fn notice_in(&mut self, sender: u32, id: u64, deferred: bool, again: Option<Millis>) {
+        self.fact(What::Notice { sender, id, deferred, again });
+        let Some(h) = self.senders[sender as usize].held.get(&id) else { return };
+        let origin = h.origin;
+        self.forget(sender, id);
+        if deferred {
+            self.again(origin, again, true);
+        }
+    }
+
+    // ---- Senders -----------------------------------------------------------------------------------------------
+
+    fn turn(&mut self, sender: u32, life: u32) {
+        let s = &mut self.senders[sender as usize];
+        if s.life != life {
+            return;
+        }
+        s.turn_due = false;
+        s.last_turn = self.now;
+        let Some(policy) = s.policy.as_mut() else { return };
+        let (events, mut actions) = (std::mem::take(&mut s.events), Vec::new());
+        let clock = Instant::now();
+        policy.turn(nanos(ORIGIN + self.now), &events, &mut actions);
+        self.turns.add(s.open, clock.elapsed().as_nanos() as u64);
+        for action in actions {
+            match action {
+                Action::Send { id, endpoint, timeout } => {
+                    self.send(sender, id.0, endpoint.0, millis(timeout))
+                }
+                Action::Cancel { id, attempt } => {
+                    let call =
+                        self.senders[sender as usize].held.get(&id.0).and_then(|h| h.out.get(&attempt));
+                    if let Some(call) = call.copied() {
+                        self.silent(call, Silence::CalledOff, Outcome::Withdrawn);
+                    }
+                }
+                Action::Refuse { id, return_after } => self.end(sender, id.0, true, return_after.map(millis)),
+                Action::Fail { id } => self.end(sender, id.0, false, None),
+                Action::WakeAfter(span) => self.at(self.now + millis(span), Ev::Wake { sender, life }),
+                Action::Close(endpoint) => {
+                    let idle = self.senders[sender as usize].idle.remove(&endpoint.0).map_or(0, |i| i.len());
+                    self.connections[endpoint.0 as usize] -= idle as u32;
+                }
+                Action::Subscribe => {}
+            }
+        }
+        let s = &self.senders[sender as usize];
+        if s.told_to_end.is_some_and(|told| self.now >= told + LAST_WORK) && s.open == 0 && s.out == 0 {
+            self.die(sender);
+        }
+    }
+
+    /// The module has given a message up.
+    fn end(&mut self, sender: u32, id: u64, deferred: bool, again: Option<Millis>) {
+        let s = &mut self.senders[sender as usize];
+        let Some(h) = s.held.get_mut(&id).filter(|h| h.open) else { return };
+        h.open = false;
+        s.open -= 1;
+        self.at(self.now + 1.0, Ev::NoticeIn { sender, id, again, deferred });
+    }
+
+    /// Ends what the module should have ended, as the sender does.
+    fn overdue(&mut self, sender: u32, id: u64) {
+        let s = &self.senders[sender as usize];
+        if s.held.get(&id).is_none_or(|h| !h.open) {
+            return;
+        }
+        if s.policy.is_none() || self.now < s.ready + OVERDUE {
+            return self.at(self.now + OVERDUE, Ev::Overdue { sender, id });
+        }
+        self.end(sender, id, false, None);
+        self.tell(sender, Event::Left(MessageId(id)));
+    }
+
+    fn forget(&mut self, sender: u32, id: u64) {
+        let s = &mut self.senders[sender as usize];
+        if s.held.get(&id).is_some_and(|h| !h.open && h.out.is_empty()) {
+            s.held.remove(&id);
+        }
+    }
+
+    fn send(&mut self, sender: u32, id: u64, endpoint: u32, timeout: Millis) {
+        let partner = self.owner[endpoint as usize];
+        let weather = self.forecast.at(partner as usize, self.now);
+        let idle_limit = self.x.world.idle * 0.9;
+        let s = &mut self.senders[sender as usize];
+        let Some(h) = s.held.get_mut(&id) else { return };
+        let (attempt, origin) = (h.tasks.len() as u32, h.origin);
+        let full = s.out >= self.settings.slots;
+        h.tasks.push(Task { sent: self.now, never_ran: full });
+        if full {
+            let finished = !h.open;
+            let (id, outcome, took, report) = (MessageId(id), Outcome::Void, 0, Report::default());
+            return self.tell(sender, Event::Ended { id, attempt, outcome, took, finished, report });
+        }
+        let call = self.next_call;
+        self.next_call += 1;
+        h.out.insert(attempt, call);
+        s.out += 1;
+        // The most recently used connection that has not idled for too long.
+        let idle = s.idle.entry(endpoint).or_default();
+        let before = idle.len();
+        idle.retain(|since| self.now - since < idle_limit);
+        let kept = idle.pop();
+        let fresh = kept.is_none();
+        let gone = before - idle.len() - usize::from(!fresh);
+        self.connections[endpoint as usize] -= gone as u32;
+        self.connections[endpoint as usize] += u32::from(fresh);
+        let arrived = false;
+        let mut rng = draw(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
+        let (before, after) = (happens(&mut rng, weather.reset.0), happens(&mut rng, weather.reset.1));
+        let sent = self.now;
+        self.calls.insert(
+            call,
+            Call { id, origin, attempt, sender, partner, endpoint, sent, arrived, breaks: after },
+        );
+        self.fact(What::Call { call, id, sender, partner, endpoint, fresh });
+        self.at(self.now + timeout, Ev::TimeOut { call });
+        let way = self.travel(call, 0);
+        // A new connection has its own round trip first.
+        let there = self.now + way * if fresh { 3.0 } else { 1.0 };
+        let stale = kept.is_some_and(|since| self.now - since >= weather.closes);
+        if weather.cut {
+            if fresh {
+                let (how, outcome) = (Silence::NeverSent, Outcome::Unreachable);
+                self.at(self.now + CONNECT, Ev::SilentIn { call, how, outcome });
+            }
+        } else if stale {
+            let (how, outcome) = (Silence::Reset, Outcome::Stale);
+            self.at(there + way, Ev::SilentIn { call, how, outcome });
+        } else if before {
+            let outcome = if fresh { Outcome::Unreachable } else { Outcome::Void };
+            self.at(there, Ev::SilentIn { call, how: Silence::NeverSent, outcome });
+        } else {
+            self.at(there, Ev::CallIn { call });
+        }
+    }
+
+    /// A call has ended for its sender.
+    fn ended(&mut self, call: u64, outcome: Outcome) -> Option<Call> {
+        let c = self.calls.remove(&call)?;
+        let s = &mut self.senders[c.sender as usize];
+        s.out -= 1;
+        let h = s.held.get_mut(&c.id)?;
+        h.out.remove(&c.attempt);
+        if outcome.never_ran() {
+            h.tasks[c.attempt as usize].never_ran = true;
+        }
+        if outcome == Outcome::Success && h.open {
+            h.open = false;
+            s.open -= 1;
+        }
+        let finished = !h.open;
+        let (id, attempt, took, report) =
+            (MessageId(c.id), c.attempt, nanos(self.now - c.sent), Report::default());
+        self.forget(c.sender, c.id);
+        self.tell(c.sender, Event::Ended { id, attempt, outcome, took, finished, report });
+        Some(c)
+    }
+
+    fn silent(&mut self, call: u64, how: Silence, outcome: Outcome) {
+        if !self.calls.contains_key(&call) {
+            return;
+        }
+        self.fact(What::Ended { call, how });
+        if let Some(c) = self.ended(call, outcome) {
+            self.connections[c.endpoint as usize] -= 1;
+        }
+    }
+
+    fn answer_in(&mut self, call: u64, reply: Reply) {
+        let outcome = match reply {
+            Reply::Served => Outcome::Success,
+            Reply::Failed | Reply::Spoilt => Outcome::Failure,
+            Reply::Refused(wait) => Outcome::Overloaded { wait: nanos(wait.unwrap_or(0.0)) },
+        };
+        let Some(c) = self.ended(call, outcome) else { return };
+        if reply == Reply::Spoilt {
+            self.connections[c.endpoint as usize] -= 1;
+        } else {
+            let idle = self.senders[c.sender as usize].idle.entry(c.endpoint).or_default();
+            idle.push(self.now);
+        }
+    }
+
+    /// A sender's process ends, in whatever way: its calls end with it, and only its folder stays.
+    fn die(&mut self, sender: u32) {
+        let s = &mut self.senders[sender as usize];
+        if s.policy.take().is_none() {
+            return;
+        }
+        s.life += 1;
+        (s.turn_due, s.out) = (false, 0);
+        s.events.clear();
+        let mut calls: Vec<u64> = s.held.values().flat_map(|h| h.out.values().copied()).collect();
+        calls.sort_unstable();
+        s.held.values_mut().for_each(|h| h.out.clear());
+        let idle: Vec<(u32, usize)> = s.idle.drain().map(|(e, i)| (e, i.len())).collect();
+        let after = s.restart_after;
+        idle.into_iter().for_each(|(e, count)| self.connections[e as usize] -= count as u32);
+        for call in calls {
+            self.fact(What::Ended { call, how: Silence::Died });
+            if let Some(c) = self.calls.remove(&call) {
+                self.connections[c.endpoint as usize] -= 1;
+            }
+        }
+        self.fact(What::Gone { sender });
+        self.at(self.now + after, Ev::Start { sender });
+    }
+
+    // ---- Partners ----------------------------------------------------------------------------------------------
+
+    fn call_in(&mut self, call: u64) {
+        let Some(c) = self.calls.get_mut(&call) else { return };
+        c.arrived = true;
+        let (origin, attempt, partner, endpoint, breaks) =
+            (c.origin, c.attempt, c.partner, c.endpoint, c.breaks);
+        self.fact(What::Arrived { call });
+        let weather = self.forecast.at(partner as usize, self.now);
+        let class = &self.x.world.classes[self.origins[origin as usize].planned.class as usize];
+        // The mean work of a message is drawn once for its class in this world.
+        let work = within(
+            &mut draw(self.seed, Stream::Work, u64::MAX, self.origins[origin as usize].planned.class.into()),
+            class.work,
+        );
+        let told = partner::Call { no: call, origin, attempt, work: (work, class.cv) };
+        if self.connections[endpoint as usize] > self.x.world.connections {
+            return self.reply(call, Reply::Refused(None));
+        }
+        let was = self.partners[partner as usize].toppled();
+        let taken = self.partners[partner as usize].call(endpoint, told, &weather, self.now);
+        if !was && self.partners[partner as usize].toppled() {
+            self.fact(What::Toppled { partner });
+        }
+        match taken {
+            Taken::Reply(reply) => self.reply(call, reply),
+            Taken::Runs => {
+                self.fact(What::Ran { call });
+                if breaks {
+                    let way = self.travel(call, 1);
+                    let (how, outcome) = (Silence::Reset, Outcome::Broken);
+                    self.at(self.now + way, Ev::SilentIn { call, how, outcome });
+                }
+                self.look_at(partner);
+            }
+            Taken::Queued => {}
+        }
+    }
+
+    /// A partner writes its answer; it comes a little later.
+    fn reply(&mut self, call: u64, reply: Reply) {
+        if self.calls.contains_key(&call) {
+            self.fact(What::Replied { call, reply });
+            let way = self.travel(call, 1);
+            self.at(self.now + way, Ev::AnswerIn { call, reply });
+        }
+    }
+
+    fn look_at(&mut self, partner: u32) {
+        let due = self.partners[partner as usize].due();
+        let known = &mut self.due[partner as usize];
+        if let Some(at) = due.filter(|at| known.is_none_or(|k| *at < k)) {
+            *known = Some(at);
+            self.at(at.max(self.now), Ev::Due { partner });
+        }
+    }
+
+    fn partner_due(&mut self, partner: u32) {
+        if self.due[partner as usize].is_none_or(|at| at > self.now) {
+            return;
+        }
+        self.due[partner as usize] = None;
+        let weather = self.forecast.at(partner as usize, self.now);
+        let (answers, begun) = self.partners[partner as usize].advance(&weather, self.now);
+        for (call, reply) in answers {
+            if self.calls.get(&call).is_none_or(|c| !c.breaks) {
+                self.reply(call, reply);
+            }
+        }
+        for call in begun {
+            if self.calls.contains_key(&call) {
+                self.fact(What::Ran { call });
+            }
+        }
+        self.look_at(partner);
+    }
+
+    // ---- What goes wrong ---------------------------------------------------------------------------------------
+
+    /// A failure has begun or ended: partners go out, or come back.
+    fn edge(&mut self) {
+        for partner in 0..self.partners.len() {
+            let out = self.forecast.out(partner, self.now);
+            if out != self.out[partner] {
+                self.out[partner] = out;
+                self.partners[partner].turn_out(out, self.now);
+                self.fact(What::Out { partner: partner as u32, out });
+            }
+        }
+    }
+
+    fn fails(&mut self, failure: usize) {
+        let f = &self.x.failures[failure];
+        let (what, sender, size) = (f.what, f.sender, f.size);
+        match what {
+            Fails::Sigkill => {
+                self.senders[sender as usize].restart_after = size;
+                self.die(sender);
+            }
+            Fails::Sigterm => {
+                let (now, s) = (self.now, &mut self.senders[sender as usize]);
+                if s.policy.is_none() || s.told_to_end.is_some() {
+                    return;
+                }
+                (s.told_to_end, s.restart_after) = (Some(now), size);
+                let life = s.life;
+                self.fact(What::Told { sender });
+                self.tell(sender, Event::Closing(nanos(ORIGIN + now + LAST_CALL)));
+                self.at(now + LAST_CALL + 100.0, Ev::Exit { sender, life });
+            }
+            _ => self.edge(),
+        }
+    }
+
+    /// Tells every sender of an endpoint, as late as the list is now.
+    fn list(&mut self, endpoint: u32, stage: Stage, least: Millis) {
+        for sender in 0..self.senders.len() as u32 {
+            let mut rng =
+                draw(self.seed, Stream::List, u64::from(endpoint) << 2 | stage as u64, sender.into());
+            let late = within(&mut rng, self.x.world.list);
+            let at = match self.forecast.list(self.now) {
+                Ok(times) => self.now + least + late * times,
+                Err(end) => end + least + late,
+            };
+            self.at(at, Ev::ListIn { sender, endpoint, stage });
+        }
+    }
+
+    fn replace(&mut self, failure: usize, turn: usize) {
+        let f = &self.x.failures[failure];
+        if self.now >= f.end {
+            return;
+        }
+        let hit: Vec<u32> = {
+            let mut all = self.forecast.all();
+            let hit = all.nth(failure).map_or(&[][..], |(_, hit)| hit);
+            hit.iter().enumerate().filter(|(_, h)| **h).map(|(p, _)| p as u32).collect()
+        };
+        let every = f.every;
+        if let Some(partner) = hit.get(turn % hit.len().max(1)).copied() {
+            let old = self.serving[partner as usize].remove(0);
+            let new = self.owner.len() as u32;
+            self.owner.push(partner);
+            self.connections.push(0);
+            self.serving[partner as usize].push(new);
+            self.partners[partner as usize].endpoint(new, true);
+            self.list(new, Stage::On, 0.0);
+            self.list(old, Stage::Draining, 0.0);
+            self.list(old, Stage::Gone, REPLACED);
+            self.at(self.now + REPLACED, Ev::Retire { endpoint: old });
+        }
+        self.at(self.now + every, Ev::Replace { failure, turn: turn + 1 });
+    }
+}
