Play the laboratory's experiments on sockets, with the sender as a child

The simulation drives the decision module alone; framing, ledger, restarts and the watch are met on sockets only.

The same partners, weather, load, judge and tally on loopback in one loop: a port an endpoint, discovery and reports a sender, open-loop clients, the senders as child processes with a folder of their own. The sockets' keys move from the HTTP crate to the sender, so that both programs use one connection type.

--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -8,35 +8,32 @@
 
 use calloop::generic::Generic;
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use crate::pool::{Buffer, Pool};
 
-/// What a socket belongs to; the loop hands it back when the socket is ready.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Key {
-    Listener,
-    Client(usize),
-    Region(usize),
-    Watch,
-    Notices,
-}
-
 /// What the loop collects between two rounds.
-#[derive(Default)]
-pub struct Ready {
-    pub keys: Vec<Key>,
+pub struct Ready<K> {
+    /// The keys of the sockets that are ready.
+    pub keys: Vec<K>,
     pub signals: Vec<calloop::signals::Signal>,
 }
 
-pub type Handle = LoopHandle<'static, Ready>;
+impl<K> Default for Ready<K> {
+    fn default() -> Ready<K> {
+        Ready { keys: Vec::new(), signals: Vec::new() }
+    }
+}
+
+/// A loop whose sockets are told apart by keys of the caller's.
+pub type Handle<K> = LoopHandle<'static, Ready<K>>;
 
 /// Registers a socket once, for both directions; its owner reads and writes until the socket would block.
-pub fn register<F: AsFd + 'static>(
-    handle: &Handle, socket: F, key: Key,
+pub fn register<F: AsFd + 'static, K: Copy + 'static>(
+    handle: &Handle<K>, socket: F, key: K,
 ) -> std::io::Result<RegistrationToken> {
     let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
-    let told = handle.insert_source(source, move |_, _, ready: &mut Ready| {
+    let told = handle.insert_source(source, move |_, _, ready: &mut Ready<K>| {
         ready.keys.push(key);
         Ok(PostAction::Continue)
     });
@@ -44,9 +41,9 @@
 }
 
 /// One non-blocking connection and its two buffers, held only while there is something in them.
-pub struct Link {
+pub struct Link<K: Copy + 'static> {
     stream: Rc<TcpStream>,
-    handle: Handle,
+    handle: Handle<K>,
     token: RegistrationToken,
     pool: Pool,
     pub input: Option<Buffer>,
@@ -59,8 +56,8 @@
     pub broken: bool,
 }
 
-impl Link {
-    pub fn new(stream: TcpStream, handle: &Handle, pool: &Pool, key: Key) -> std::io::Result<Link> {
+impl<K: Copy + 'static> Link<K> {
+    pub fn new(stream: TcpStream, handle: &Handle<K>, pool: &Pool, key: K) -> std::io::Result<Link<K>> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
@@ -71,7 +68,7 @@
     }
 
     /// Starts a connection; whether it comes up shows in the first write.
-    pub fn connect(to: SocketAddr, handle: &Handle, pool: &Pool, key: Key) -> std::io::Result<Link> {
+    pub fn connect(to: SocketAddr, handle: &Handle<K>, pool: &Pool, key: K) -> std::io::Result<Link<K>> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
@@ -160,12 +157,17 @@
         self.broken
     }
 
+    /// Has the connection end as a reset once it is dropped, whatever is on its way.
+    pub fn abort_on_drop(&self) {
+        let _ = SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
+    }
+
     pub fn end_sending(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 }
 
-impl Drop for Link {
+impl<K: Copy + 'static> Drop for Link<K> {
     fn drop(&mut self) {
         self.handle.remove(self.token);
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,5 +12,7 @@
 pub mod report;
 pub mod run;
 pub mod sim;
+pub mod sockets;
 pub mod tally;
+pub mod timed;
 pub mod turns;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -12,7 +12,8 @@
 use martenlatch_lab::fact::Fact;
 use martenlatch_lab::judge::{ClassRule, Judge};
 use martenlatch_lab::outcome::{FIGURES, Outcome, paired, spread};
-use martenlatch_lab::run::Machine;
+use martenlatch_lab::run::{Machine, Use};
+use martenlatch_lab::sockets::child::Used;
 use martenlatch_lab::{report, run, sim, turns};
 
 const AFTER: &str = "Exit codes:
@@ -42,8 +43,11 @@
         #[arg(long)]
         repeats: Option<u32>,
         /// In simulated time, with no sockets (the default)
-        #[arg(long)]
+        #[arg(long, conflicts_with = "sockets")]
         sim: bool,
+        /// On loopback sockets, with the senders as processes of their own
+        #[arg(long)]
+        sockets: bool,
         /// Where result.json and report.html go
         #[arg(long, value_name = "DIR", default_value = "lab-out")]
         out: PathBuf,
@@ -133,19 +137,52 @@
     html + "</table>"
 }
 
-fn play(
-    file: &Path, seed: Option<u64>, repeats: Option<u32>, out: &Path, facts: bool, quiet: bool,
-) -> Result<bool, String> {
-    let mut experiment = Experiment::open(&find(file))?;
-    experiment.seed = seed.unwrap_or(experiment.seed);
-    experiment.repeats = repeats.unwrap_or(experiment.repeats).max(1);
-    std::fs::create_dir_all(out).map_err(|e| format!("{}: {e}", out.display()))?;
+/// What senders used on sockets, as a part of the page.
+fn uses(used: &Use) -> String {
+    let line = |of: fn(&[Used], usize) -> f64| {
+        used.iter()
+            .map(|(name, seed, all)| {
+                let line = (1..all.len()).map(|at| (at as f64, of(all, at))).collect();
+                (format!("{name}, seed {seed}"), line)
+            })
+            .collect::<Vec<_>>()
+    };
+    let memory = line(|all, at| all[at].memory_kb as f64 / 1024.0);
+    let cpu = line(|all, at| (all[at].cpu_ms - all[at - 1].cpu_ms) / 10.0);
+    String::from("<h2>What the senders used on this machine</h2>")
+        + &report::plot("Memory of all senders, MiB", "seconds", &memory, &[], false)
+        + &report::plot("Processor of all senders, percent of a core", "seconds", &cpu, &[], false)
+}
+
+/// How an experiment is played, and what of it is kept.
+struct Play<'a> {
+    file: &'a Path,
+    seed: Option<u64>,
+    repeats: Option<u32>,
+    sockets: bool,
+    out: &'a Path,
+    facts: bool,
+    quiet: bool,
+}
+
+fn play(told: &Play) -> Result<bool, String> {
+    let file = find(told.file);
+    let mut experiment = Experiment::open(&file)?;
+    experiment.seed = told.seed.unwrap_or(experiment.seed);
+    experiment.repeats = told.repeats.unwrap_or(experiment.repeats).max(1);
     let stop = stop_on_signal()?;
-    let (outcome, machine) = run::simulate(&experiment, &stop, quiet)?;
+    let (outcome, machine) = if told.sockets {
+        let (outcome, used) = run::on_sockets(&experiment, &stop, told.quiet)?;
+        (outcome, uses(&used))
+    } else {
+        let (outcome, machine) = run::simulate(&experiment, &stop, told.quiet)?;
+        (outcome, costs(&machine))
+    };
+    let out = told.out;
     outcome.write(out)?;
-    write(&out.join("report.html"), &report::page(&outcome, &[costs(&machine)]))?;
-    if facts {
-        keep_facts(&experiment, &find(file), out)?;
+    write(&out.join("report.html"), &report::page(&outcome, &[machine]))?;
+    if told.facts {
+        keep_facts(&experiment, &file, out)?;
     }
     print!("{}", outcome.table());
     for variant in &outcome.variants {
@@ -266,8 +303,8 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Run { file, seed, repeats, sim: _, out, facts, quiet } => {
-            play(&file, seed, repeats, &out, facts, quiet)
+        Command::Run { file, seed, repeats, sim: _, sockets, out, facts, quiet } => {
+            play(&Play { file: &file, seed, repeats, sockets, out: &out, facts, quiet })
         }
         Command::Compare { base, other } => compare(&base, &other).map(|()| true),
         Command::Judge { dir } => judge(&dir),
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -9,6 +9,7 @@
 use crate::experiment::Experiment;
 use crate::outcome::{Outcome, Run, Shade, Variant};
 use crate::sim::{self, Turns};
+use crate::sockets::{self, child::Used};
 
 /// What a machine measured beside the outcome: turns by messages held, one entry a variant.
 pub type Machine = Vec<(String, Turns)>;
@@ -23,11 +24,7 @@
     let seeds: Vec<u64> = (0..u64::from(experiment.repeats)).map(|i| experiment.seed + i).collect();
     let jobs: Vec<(usize, u64)> =
         seeds.iter().flat_map(|s| (0..experiment.variants.len()).map(move |v| (v, *s))).collect();
-    let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(jobs.len() as u64) };
-    if let Ok(style) = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}") {
-        bar.set_style(style);
-    }
-    bar.set_message(experiment.name.clone());
+    let bar = progress(experiment, jobs.len() as u64, quiet);
     let next = AtomicUsize::new(0);
     let done = Mutex::new(Vec::new());
     let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(jobs.len());
@@ -60,6 +57,51 @@
     Ok((outcome(experiment, "sim", variants, cut_short), machine))
 }
 
+/// What senders used in each run on sockets: the variant, the seed, and the use by the second.
+pub type Use = Vec<(String, u64, Vec<Used>)>;
+
+/// Plays an experiment on sockets, a run at a time, as each wants the machine for itself. Once `stop` is set, the run
+/// that is on ends and counts for nothing; what was played is kept.
+///
+/// # Errors
+/// Where a sender does not start or ends by itself, or a port is taken.
+pub fn on_sockets(
+    experiment: &Experiment, stop: &Arc<AtomicBool>, quiet: bool,
+) -> Result<(Outcome, Use), String> {
+    let bar = progress(experiment, u64::from(experiment.repeats) * experiment.variants.len() as u64, quiet);
+    let name = |v: &crate::experiment::Variant| Variant { name: v.name.clone(), runs: Vec::new() };
+    let mut variants: Vec<Variant> = experiment.variants.iter().map(name).collect();
+    let (mut used, mut cut_short) = (Vec::new(), false);
+    // Variants take turns within a seed, so that a machine that grows slower does so for all.
+    'all: for seed in (0..u64::from(experiment.repeats)).map(|i| experiment.seed + i) {
+        for (variant, told) in variants.iter_mut().zip(&experiment.variants) {
+            match sockets::play(experiment, told, seed, stop) {
+                Ok(played) => {
+                    variant.runs.push(Run { seed, figures: played.figures, verdict: played.verdict });
+                    used.push((told.name.clone(), seed, played.used));
+                }
+                Err(_) if stop.load(Ordering::Relaxed) => {
+                    cut_short = true;
+                    break 'all;
+                }
+                Err(e) => return Err(e),
+            }
+            bar.inc(1);
+        }
+    }
+    bar.finish_and_clear();
+    Ok((outcome(experiment, "sockets", variants, cut_short), used))
+}
+
+fn progress(experiment: &Experiment, jobs: u64, quiet: bool) -> ProgressBar {
+    let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(jobs) };
+    if let Ok(style) = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}") {
+        bar.set_style(style);
+    }
+    bar.set_message(experiment.name.clone());
+    bar
+}
+
 /// An outcome of an experiment, with its failures to be shaded.
 pub fn outcome(experiment: &Experiment, form: &str, variants: Vec<Variant>, cut_short: bool) -> Outcome {
     let shade = |f: &crate::experiment::Failure| Shade {
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -2,7 +2,7 @@
 //! waiting. It carries out the module's actions as the sender does (slots, records, restarts) and must never decide
 //! for it; every fact goes to the judge and the tally in the order of time, and equal seeds give equal facts.
 
-use std::cmp::{Ordering, Reverse};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
 use std::time::Instant;
 
@@ -22,6 +22,7 @@
 use crate::model::site::Site;
 use crate::model::weather::Forecast;
 use crate::tally::{Figures, Tally};
+use crate::timed::Timed;
 
 /// The module's clock at the start of a run.
 const ORIGIN: Millis = 1e6;
@@ -143,29 +144,6 @@
     Sample,
 }
 
-struct Timed {
-    at: Millis,
-    seq: u64,
-    ev: Ev,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Timed) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-impl Eq for Timed {}
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Timed) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-impl Ord for Timed {
-    fn cmp(&self, other: &Timed) -> Ordering {
-        self.at.total_cmp(&other.at).then(self.seq.cmp(&other.seq))
-    }
-}
-
 /// A client's message, over all its handings in.
 struct Origin {
     planned: Intended,
@@ -237,7 +215,7 @@
     connections: Vec<u32>,
     now: Millis,
     seq: u64,
-    queue: BinaryHeap<Reverse<Timed>>,
+    queue: BinaryHeap<Reverse<Timed<Ev>>>,
     plan: Vec<Intended>,
     origins: Vec<Origin>,
     senders: Vec<Sender>,
--- /dev/null
+++ b/crates/lab/src/sockets/child.rs
@@ -0,0 +1,235 @@
+//! Owns a sender under test: its folder, its configuration, its process and what that costs. It must never leave a
+//! process or a folder behind, or end one that it did not start.
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+use martenlatch_policy::interface::{Effect, Settings};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::{Value, json};
+
+/// A sender that is not ready by then has not started.
+const START: Duration = Duration::from_secs(10);
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Used {
+    /// Processor time in milliseconds, in all.
+    pub cpu_ms: f64,
+    /// Memory now, in KiB.
+    pub memory_kb: u64,
+}
+
+/// A sender under test.
+#[derive(Debug)]
+pub struct Sender {
+    /// Where clients reach it.
+    pub address: SocketAddr,
+    name: String,
+    folder: tempfile::TempDir,
+    program: PathBuf,
+    settings: Option<PathBuf>,
+    child: Option<Child>,
+    ready: Option<Receiver<Result<(), String>>>,
+    /// Processor time of earlier lives.
+    before_ms: f64,
+    latest: Used,
+}
+
+/// The settings as a platform gives them.
+pub fn platform_settings(set: &Settings, classes: &[String], kinds: &[String]) -> Value {
+    let class = |(name, c): (&String, &martenlatch_policy::interface::Class)| {
+        let mut it = json!({"Name": name, "Target": c.aim, "Deadline": c.deadline, "Worth": c.worth, "LateWorth": c.late_worth});
+        match c.effect {
+            Effect::Safe => it["Effect"] = json!("pure"),
+            Effect::Unsafe => it["Effect"] = json!("side_effect"),
+            Effect::Keyed { memory, .. } => {
+                it["Effect"] = json!("token");
+                it["KeyScope"] = json!("all");
+                it["MemorySpan"] = json!(memory);
+            }
+        }
+        it
+    };
+    json!({
+        "Areas": ["a"], "Zone": "a", "Balancers": set.senders, "Kinds": kinds, "WeightKind": "rough",
+        "Categories": classes.iter().zip(&set.classes).map(class).collect::<Vec<_>>(),
+        "FamilyInfo": {"CallsOut": set.slots, "LosesWorth": "halving"},
+        "Limits": {"OpenCap": set.hold_limit, "AttemptsCap": set.max_attempts, "Cancel": set.cancel,
+            "SecondCopies": set.second_copies, "ConnectTimeout": set.connect_timeout, "ConnIdle": set.conn_idle,
+            "RetryAfter": true, "MaxRetryAfter": set.max_advice.unwrap_or(0)},
+        "Guarantees": {"StopSendingWithin": set.drain_grace, "GraceToAnswer": set.answer_grace,
+            "OverloadFactor": set.fail_back.factor, "OverloadFor": set.fail_back.span,
+            "ColdFrom": set.fail_back.cold_from, "Cold": set.fail_back.cold},
+        "Tick": set.tick
+    })
+}
+
+/// An address of its own for each sender, below the ports that connections are given.
+fn free(no: u32) -> Result<SocketAddr, String> {
+    let process = std::process::id();
+    let own =
+        Ipv4Addr::new(127, 1 + (process % 200) as u8, (process / 200 % 250) as u8, 1 + (no % 250) as u8);
+    let found = (20_000..30_000).find_map(|port| TcpListener::bind((own, port)).ok());
+    found.and_then(|l| l.local_addr().ok()).ok_or_else(|| format!("no free port at {own}"))
+}
+
+impl Sender {
+    /// Prepares a sender's folder and configuration; nothing runs yet.
+    ///
+    /// # Errors
+    /// Where there is no such program, no free port or no room for the folder.
+    pub fn new(
+        no: u32, program: &Path, settings: Option<&Path>, discovery: SocketAddr, known: &Value, set: &Value,
+        seed: u64,
+    ) -> Result<Sender, String> {
+        if !program.is_file() {
+            return Err(format!(
+                "{}: no such program; build it, or name one in the variant",
+                program.display()
+            ));
+        }
+        let folder = tempfile::Builder::new().prefix("martenlatch-lab-").tempdir();
+        let folder = folder.map_err(|e| format!("no temporary folder: {e}"))?;
+        let (address, name) = (free(no)?, format!("n{no}"));
+        let config = json!({"name": name, "listen": address.to_string(), "discovery": discovery.to_string(),
+            "seed": format!("{:016x}", seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ u64::from(no)),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096, "disk_mb": 64},
+            "known": known, "settings": set});
+        let state = folder.path().join("state");
+        let written = std::fs::create_dir(&state)
+            .and_then(|()| std::fs::write(folder.path().join("config.json"), config.to_string()));
+        written.map_err(|e| format!("{}: {e}", folder.path().display()))?;
+        let (program, settings) = (program.to_path_buf(), settings.map(Path::to_path_buf));
+        let (child, ready, before_ms, latest) = (None, None, 0.0, Used::default());
+        Ok(Sender { address, name, folder, program, settings, child, ready, before_ms, latest })
+    }
+
+    /// Starts its process; [`Sender::ready`] tells when it serves.
+    ///
+    /// # Errors
+    /// Where the program cannot be started.
+    pub fn start(&mut self) -> Result<(), String> {
+        let failed = |e: std::io::Error| format!("sender {}: {}: {e}", self.name, self.program.display());
+        let log = |name: &str| {
+            std::fs::OpenOptions::new()
+                .create(true)
+                .append(true)
+                .open(self.folder.path().join(name))
+                .map_err(failed)
+        };
+        let mut command = Command::new(&self.program);
+        command
+            .env("PROXY_CONFIG", self.folder.path().join("config.json"))
+            .env("PROXY_STATE", self.folder.path().join("state"))
+            .env("PROXY_NAME", &self.name)
+            .env_remove("PROXY_LISTEN")
+            .env_remove("PROXY_DISCOVERY")
+            .env_remove("MARTENLATCH_SETTINGS")
+            .stdin(Stdio::null())
+            .stdout(log("log")?)
+            .stderr(log("errors")?);
+        if let Some(settings) = &self.settings {
+            command.env("MARTENLATCH_SETTINGS", settings);
+        }
+        self.child = Some(command.spawn().map_err(failed)?);
+        let (tell, ready) = channel();
+        let (address, name) = (self.address, self.name.clone());
+        std::thread::spawn(move || drop(tell.send(until_healthy(address, &name))));
+        self.ready = Some(ready);
+        Ok(())
+    }
+
+    /// Whether it has come to serve since it was started: once true, then none again until the next start.
+    ///
+    /// # Errors
+    /// Where it has not come to serve in its time.
+    pub fn ready(&mut self) -> Result<bool, String> {
+        let Some(told) = self.ready.as_ref().and_then(|r| r.try_recv().ok()) else { return Ok(false) };
+        self.ready = None;
+        told.map(|()| true).map_err(|e| format!("{e}{}", self.last_words()))
+    }
+
+    fn last_words(&self) -> String {
+        let errors = std::fs::read_to_string(self.folder.path().join("errors")).unwrap_or_default();
+        errors.lines().last().map_or(String::new(), |l| format!(": {l}"))
+    }
+
+    /// Sends a signal to the process that was started here.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(child) = &self.child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Looks whether it has ended: none while it runs; then its exit code, none for a signal.
+    pub fn ended(&mut self) -> Option<Option<i32>> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        self.before_ms = self.latest.cpu_ms;
+        Some(status.code())
+    }
+
+    /// What went wrong with one that has ended by itself.
+    pub fn obituary(&self, code: Option<i32>) -> String {
+        let how = code.map_or("on a signal".into(), |c| format!("with exit code {c}"));
+        format!("sender {} ended {how}{}", self.name, self.last_words())
+    }
+
+    /// Kills it and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+            self.before_ms = self.latest.cpu_ms;
+        }
+    }
+
+    /// What it has used, over all its lives.
+    pub fn used(&mut self) -> Used {
+        if let Some(now) = self.child.as_ref().and_then(|c| used(c.id())) {
+            self.latest = Used { cpu_ms: self.before_ms + now.cpu_ms, memory_kb: now.memory_kb };
+        }
+        self.latest
+    }
+}
+
+impl Drop for Sender {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Reads what a process has used from the system's tables.
+fn used(process: u32) -> Option<Used> {
+    let stat = std::fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+    // The name may hold anything; what is behind its bracket does not. Fields 14 and 15, in hundredths of a second.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
+    let pages: u64 = fields.get(21)?.parse().ok()?;
+    Some(Used { cpu_ms: ticks * 10.0, memory_kb: pages * 4 })
+}
+
+fn until_healthy(address: SocketAddr, name: &str) -> Result<(), String> {
+    use std::io::{Read, Write};
+    let start = Instant::now();
+    while start.elapsed() < START {
+        let asked =
+            std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)).and_then(|mut s| {
+                s.set_read_timeout(Some(Duration::from_millis(500)))?;
+                s.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n")?;
+                let mut head = [0; 12];
+                s.read_exact(&mut head)?;
+                Ok(&head == b"HTTP/1.1 200")
+            });
+        if asked.is_ok_and(|yes| yes) {
+            return Ok(());
+        }
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    Err(format!("sender {name} was not ready within {} s", START.as_secs()))
+}
--- /dev/null
+++ b/crates/sender/src/key.rs
@@ -0,0 +1,15 @@
+//! Owns the names of the loop's sockets. It must never hold one.
+
+/// What a socket belongs to; the loop hands it back when the socket is ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Key {
+    Listener,
+    Client(usize),
+    Region(usize),
+    Watch,
+    Notices,
+}
+
+pub type Handle = martenlatch_http::Handle<Key>;
+pub type Link = martenlatch_http::Link<Key>;
+pub type Ready = martenlatch_http::Ready<Key>;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod config;
 mod counters;
+mod key;
 mod regions;
 mod stages;
 mod table;
@@ -15,8 +16,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 pub use config::Config;
+use key::Ready;
 use martenlatch_clock::Clock;
-use martenlatch_http::Ready;
 
 /// Connections that may wait to be accepted: a burst of clients must not be met with silence.
 const BACKLOG: i32 = 1024;
--- a/crates/sender/src/regions.rs
+++ b/crates/sender/src/regions.rs
@@ -8,9 +8,10 @@
 use slab::Slab;
 use tracing::warn;
 
+use crate::key::{Handle, Key, Link};
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_http::pool::{BODY, Pool};
-use martenlatch_http::{self as http, Body, Handle, Key, Link};
+use martenlatch_http::{self as http, Body};
 
 /// Part of the idle limit after which we close: the rest is for travel, as a crossing request ends as a reset.
 const IDLE_PART: f64 = 0.9;
@@ -450,7 +451,7 @@
     fn a_kept_connection_that_ends_under_a_call_is_stale_and_dear_calls_then_avoid_such_rests() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
         let start = |regions: &mut Regions, dear: bool, now: Millis| {
             let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 1e9);
@@ -510,7 +511,7 @@
     fn while_connections_are_reset_a_dear_call_that_meets_one_is_proven_never_to_have_run() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
         let mut dear_call = |now: Millis, whole: bool| {
             let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 1e9);
@@ -541,7 +542,7 @@
     fn idle_connections_make_room_for_new_ones_and_one_that_idled_too_long_is_closed() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 1, 1_000.0, 15_000.0);
         for region in 0..3 {
             let (id, region) = (MessageId(region), EndpointId(region as u32));
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -16,9 +16,10 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
+use crate::key::{Handle, Key};
 use martenlatch_clock::{Clock, Millis, millis, nanos};
+use martenlatch_http as http;
 use martenlatch_http::pool::Pool;
-use martenlatch_http::{self as http, Handle, Key};
 use martenlatch_ledger::{Ledger, Notice};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{Action, Class, Effect, EndpointId, Event, MessageId, Outcome, Stage};
--- a/crates/sender/src/stages/relay.rs
+++ b/crates/sender/src/stages/relay.rs
@@ -4,9 +4,10 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
+use crate::key::{Handle, Key, Link};
 use martenlatch_clock::Millis;
+use martenlatch_http as http;
 use martenlatch_http::pool::Pool;
-use martenlatch_http::{self as http, Handle, Key, Link};
 use martenlatch_ledger::Notice;
 use tracing::warn;
 
--- a/crates/sender/src/stages/take_in.rs
+++ b/crates/sender/src/stages/take_in.rs
@@ -5,9 +5,10 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
+use crate::key::{Handle, Key, Link};
 use martenlatch_clock::Millis;
 use martenlatch_http::pool::Pool;
-use martenlatch_http::{self as http, Handle, Key, Link, Parsed};
+use martenlatch_http::{self as http, Parsed};
 use martenlatch_settings::program::Clients;
 use slab::Slab;
 use tracing::warn;
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -19,7 +19,9 @@
 const START: Millis = 1_796_121_600_000.0;
 
 /// A driver on a clock set by hand that resumes one unsafe transaction, with two seconds left.
-fn resumed(story: &str, region: SocketAddr) -> (Driver, Clock, calloop::EventLoop<'static, http::Ready>) {
+fn resumed(
+    story: &str, region: SocketAddr,
+) -> (Driver, Clock, calloop::EventLoop<'static, crate::key::Ready>) {
     let state = std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&state);
     std::fs::create_dir_all(&state).unwrap();
@@ -45,7 +47,7 @@
         clients: martenlatch_settings::program::Program::default().clients,
         boot: settings::read(SETTINGS).unwrap(),
     };
-    let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+    let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
     let clock = Clock::at(START);
     let driver = Driver::new(config, listener, &events.handle(), clock.clone()).unwrap();
     (driver, clock, events)
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -9,9 +9,10 @@
 use serde_json::Value;
 use tracing::warn;
 
+use crate::key::{Handle, Key, Link};
 use martenlatch_clock::Millis;
+use martenlatch_http as http;
 use martenlatch_http::pool::Pool;
-use martenlatch_http::{self as http, Handle, Key, Link};
 
 /// Longest line of the watch, and most regions at a time; past these discovery is not believed.
 const LINE: usize = 4 << 20;
@@ -287,7 +288,7 @@
     #[test]
     fn a_watch_that_falls_silent_is_opened_again_before_its_news_count_as_told() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events = calloop::EventLoop::<http::Ready>::try_new().unwrap();
+        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let (handle, pool) = (events.handle(), Pool::new(8));
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes, tenants, fields) = (names(), names(), names(), vec![], vec![]);
