Do not hold a sender to a wait that it called off too soon to hear

An answer written within 150 ms before its call was called off binds no more, and the wait that held before it holds again. Hand-written histories cover both.

--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -142,6 +142,44 @@
     assert_eq!(verdict(&history(parts)), want);
 }
 
+#[test]
+fn a_wait_that_a_sender_called_off_too_soon_to_hear_does_not_bind_it_and_one_heard_before_still_does() {
+    let off = |at: f64| {
+        let told = vec![
+            replied(1, Reply::Refused(Some(2_000.0)), 50.0),
+            (at, What::Ended { call: 1, how: Silence::CalledOff }),
+        ];
+        let end = vec![notice(1, true, 900.0), replied(2, Reply::Served, 1_300.0)];
+        verdict(&history(vec![
+            taken(1, KEYED),
+            sent(1, 1, 1, 5.0),
+            told,
+            taken(2, KEYED),
+            sent(2, 2, 2, 1_000.0),
+            end,
+        ]))
+    };
+    assert_eq!((off(55.0), off(400.0)), (vec![], vec![Rule::Waits]));
+    let first = vec![replied(1, Reply::Refused(Some(2_000.0)), 50.0), notice(1, true, 60.0)];
+    let second = vec![
+        replied(2, Reply::Refused(Some(9_000.0)), 120.0),
+        (125.0, What::Ended { call: 2, how: Silence::CalledOff }),
+    ];
+    let end = vec![notice(2, true, 900.0), replied(3, Reply::Served, 1_300.0)];
+    let parts = vec![
+        taken(1, KEYED),
+        sent(1, 1, 1, 5.0),
+        first,
+        taken(2, KEYED),
+        sent(2, 2, 1, 40.0),
+        second,
+        taken(3, KEYED),
+        sent(3, 3, 1, 1_000.0),
+        end,
+    ];
+    assert_eq!(verdict(&history(parts)), [Rule::Waits], "the one before holds on");
+}
+
 #[test]
 fn a_restart_ends_a_wait_and_excuses_an_end_for_a_moment() {
     let told = vec![replied(1, Reply::Refused(Some(9_000.0)), 50.0), notice(1, true, 60.0)];
