--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -7,6 +7,8 @@
 use martenlatch_settings::schema::experiment as schema;
 use martenlatch_settings::text::{self, Fault, Read};
 
+use crate::draw;
+
 pub use schema::class::Effect;
 pub use schema::failure::What;
 pub use schema::kind::Limit;
@@ -128,6 +130,7 @@
     pub partners: Vec<u32>,
     pub traffic: Option<f64>,
     pub sender: u32,
+    pub reuse: bool,
 }
 
 /// What is compared; see the schema.
@@ -155,6 +158,13 @@
         Experiment::read(&name, &file.display().to_string(), &text).map_err(|e| e.to_string())
     }
 
+    /// The mean work of a class's messages in milliseconds, drawn once for a world, and its spread.
+    pub fn work(&self, seed: u64, class: u32) -> (f64, f64) {
+        let class_of = &self.world.classes[class as usize];
+        let mut rng = draw::draw(seed, draw::Stream::Work, u64::MAX, class.into());
+        (draw::within(&mut rng, class_of.work), class_of.cv)
+    }
+
     /// Reads an experiment's text.
     ///
     /// # Errors
@@ -391,6 +401,7 @@
         }
         Ok(())
     };
+    used("reuse", it.reuse, what == What::Replace)?;
     used("size", it.size.is_some(), wants.size.is_some())?;
     used("part", it.part.is_some(), wants.part.is_some())?;
     used("every_s", it.every_s.is_some(), wants.every.is_some())?;
@@ -413,6 +424,7 @@
         partners: it.partner.clone(),
         traffic,
         sender,
+        reuse: it.reuse,
     })
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -2,6 +2,7 @@
 //! and experiments that compare variants of the sender on the same seeds. It measures and never decides; nothing in
 //! it is part of the sender.
 
+pub mod clients;
 pub mod draw;
 pub mod experiment;
 pub mod fact;
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -13,14 +13,15 @@
     KindId, MessageId, Outcome, Report, Settings, Stage, Weights, ZoneId,
 };
 
+use crate::clients::{Clients, Origin};
 use crate::draw::{Stream, draw, happens, within};
 use crate::experiment::{Effect, Experiment, Variant, What as Fails};
 use crate::fact::{Fact, Silence, What};
 use crate::judge::{ClassRule, Judge, Verdict};
 use crate::load::{self, Intended};
-use crate::model::partner::{self, Partner, Reply, Taken};
+use crate::model::ground::{Ground, REPLACED, State};
+use crate::model::partner::{self, Reply, Taken};
 use crate::model::site::Site;
-use crate::model::weather::Forecast;
 use crate::tally::{Figures, Tally};
 use crate::timed::Timed;
 
@@ -33,8 +34,6 @@
 const LAST_CALL: Millis = 3_300.0;
 /// A message that the module has not ended so long after its time is ended for it.
 const OVERDUE: Millis = 120.0;
-/// A replaced endpoint is gone so long after its successor has come.
-const REPLACED: Millis = 8_000.0;
 const SAMPLE: Millis = 100.0;
 
 /// What the module's turns cost, by how many messages were held. Not part of a result: it is the machine's, not the
@@ -82,6 +81,9 @@
         origin: u64,
         sender: u32,
     },
+    Again {
+        origin: u64,
+    },
     Turn {
         sender: u32,
         life: u32,
@@ -144,15 +146,6 @@
     Sample,
 }
 
-/// A client's message, over all its handings in.
-struct Origin {
-    planned: Intended,
-    deadline: Millis,
-    tries: u32,
-    /// A keyed one that may have run is not handed in again after this.
-    until: Millis,
-}
-
 struct Call {
     id: u64,
     origin: u64,
@@ -202,22 +195,14 @@
 struct Sim<'a> {
     x: &'a Experiment,
     seed: u64,
-    site: Site,
-    forecast: Forecast,
+    ground: Ground,
+    clients: Clients<'a>,
     settings: Settings,
-    partners: Vec<Partner>,
-    out: Vec<bool>,
-    due: Vec<Option<Millis>>,
-    /// The partner of each endpoint that ever was.
-    owner: Vec<u32>,
-    /// Endpoints of each partner that are in service, oldest first.
-    serving: Vec<Vec<u32>>,
     connections: Vec<u32>,
     now: Millis,
     seq: u64,
     queue: BinaryHeap<Reverse<Timed<Ev>>>,
     plan: Vec<Intended>,
-    origins: Vec<Origin>,
     senders: Vec<Sender>,
     calls: HashMap<u64, Call>,
     next_call: u64,
@@ -306,30 +291,18 @@
 
 impl<'a> Sim<'a> {
     fn new(x: &'a Experiment, v: &'a Variant, seed: u64, sink: Option<Sink<'a>>) -> Result<Sim<'a>, String> {
-        let site = Site::new(&x.world, seed);
-        let forecast = Forecast::new(x, &site);
-        let settings = settings(x, v, &site);
+        let ground = Ground::new(x, seed);
+        let settings = settings(x, v, &ground.site);
         settings.check().map_err(|e| format!("variant {:?}: {e}", v.name))?;
-        let plan = load::plan(x, &site, &forecast, seed);
-        let (mut owner, mut serving, mut partners) = (Vec::new(), Vec::new(), Vec::new());
-        for (i, drawn) in site.partners.iter().enumerate() {
-            let first = owner.len() as u32;
-            owner.extend(std::iter::repeat_n(i as u32, drawn.endpoints as usize));
-            let own: Vec<u32> = (first..owner.len() as u32).collect();
-            let kind = &x.world.kinds[drawn.kind];
-            partners.push(Partner::new(drawn, kind, site.work, seed, own.iter().copied()));
-            serving.push(own);
-        }
         let rules =
             x.world.classes.iter().map(|c| ClassRule { effect: c.effect, window: c.window }).collect();
         Ok(Sim {
-            out: vec![false; partners.len()],
-            due: vec![None; partners.len()],
-            connections: vec![0; owner.len()],
+            connections: vec![0; ground.owner.len()],
             senders: (0..x.world.senders).map(|_| Sender::default()).collect(),
             judge: Judge::new(rules, v.max_attempts),
             tally: Tally::new(&x.world.classes, 0.0, x.length),
-            origins: Vec::with_capacity(plan.len()),
+            plan: load::plan(x, &ground.site, &ground.forecast, seed),
+            clients: Clients::new(x, seed),
             turns: Turns::default(),
             calls: HashMap::new(),
             queue: BinaryHeap::new(),
@@ -339,13 +312,8 @@
             next_id: 0,
             x,
             seed,
-            site,
-            forecast,
+            ground,
             settings,
-            partners,
-            owner,
-            serving,
-            plan,
             sink,
         })
     }
@@ -371,7 +339,7 @@
 
     fn start(&mut self) {
         for sender in 0..self.senders.len() as u32 {
-            for endpoint in 0..self.owner.len() as u32 {
+            for endpoint in 0..self.ground.owner.len() as u32 {
                 let entry = self.entry(endpoint, Stage::On);
                 self.senders[sender as usize].known.insert(endpoint, entry);
             }
@@ -393,8 +361,8 @@
     }
 
     fn entry(&self, endpoint: u32, stage: Stage) -> Entry {
-        let partner = self.owner[endpoint as usize];
-        let drawn = &self.site.partners[partner as usize];
+        let partner = self.ground.partner(endpoint);
+        let drawn = &self.ground.site.partners[partner as usize];
         Entry {
             endpoint: EndpointId(endpoint),
             zone: ZoneId(0),
@@ -419,11 +387,8 @@
             .iter()
             .filter(|(_, h)| h.open)
             .map(|(id, h)| {
-                (
-                    *id,
-                    self.origins[h.origin as usize].planned.class,
-                    self.origins[h.origin as usize].planned.partner,
-                )
+                let planned = self.clients.origin(h.origin).planned;
+                (*id, planned.class, planned.partner)
             })
             .collect();
         let s = &mut self.senders[sender as usize];
@@ -464,15 +429,14 @@
     fn take(&mut self, ev: Ev) {
         match ev {
             Ev::Come(at) => {
-                let planned = self.plan[at];
-                let deadline = planned.at + self.x.world.classes[planned.class as usize].deadline;
-                self.origins.push(Origin { planned, deadline, tries: 0, until: f64::INFINITY });
-                self.hand_in(at as u64);
+                let origin = self.clients.comes(self.plan[at]);
+                self.hand_in(origin);
                 if at + 1 < self.plan.len() {
                     self.at(self.plan[at + 1].at, Ev::Come(at + 1));
                 }
             }
             Ev::HandIn { origin, sender } => self.handed_in(origin, sender),
+            Ev::Again { origin } => self.hand_in(origin),
             Ev::Turn { sender, life } => self.turn(sender, life),
             Ev::Wake { sender, life } => {
                 if self.senders[sender as usize].life == life {
@@ -488,10 +452,7 @@
             Ev::Edge => self.edge(),
             Ev::Fails { failure } => self.fails(failure),
             Ev::Replace { failure, turn } => self.replace(failure, turn),
-            Ev::Retire { endpoint } => {
-                let partner = self.owner[endpoint as usize] as usize;
-                self.partners[partner].endpoint(endpoint, false);
-            }
+            Ev::Retire { endpoint } => self.ground.retire(endpoint),
             Ev::ListIn { sender, endpoint, stage } => {
                 let entry = self.entry(endpoint, stage);
                 let partner = entry.destination.0 as u32;
@@ -527,40 +488,23 @@
 
     /// A client hands a message in, through a front that deals requests out over the senders that are up.
     fn hand_in(&mut self, origin: u64) {
-        let tries = self.origins[origin as usize].tries;
         let up: Vec<u32> =
             (0..self.senders.len() as u32).filter(|s| self.senders[*s as usize].policy.is_some()).collect();
-        let mut rng = draw(self.seed, Stream::Client, origin, tries.into());
-        if up.is_empty() {
+        match self.clients.dealt(origin, &up) {
+            Some((sender, way)) => self.at(self.now + way, Ev::HandIn { origin, sender }),
             // Nobody listens: the connection is refused, and the client comes again.
-            return self.again(origin, None, false);
+            None => self.again(origin, None, false),
         }
-        let sender = up[within(&mut rng, (0.0, up.len() as f64 - 0.001)) as usize];
-        let at = self.now + within(&mut rng, (0.28, 1.0));
-        self.at(at, Ev::HandIn { origin, sender });
     }
 
-    fn again(&mut self, origin: u64, told: Option<Millis>, counts: bool) {
-        let o = &mut self.origins[origin as usize];
-        if o.tries >= self.x.load.retries + if counts { 0 } else { 100 } {
-            return;
-        }
-        o.tries += 1;
-        let mut rng = draw(self.seed, Stream::Client, origin, 1_000 + u64::from(o.tries));
-        let own = within(&mut rng, self.x.load.backoff);
-        let wait = told.map_or(own, |told| told.max(own.min(told + 100.0)));
-        if self.now + wait + 50.0 < o.deadline.min(o.until) {
-            let sender = u32::MAX;
-            self.at(self.now + wait, Ev::HandIn { origin, sender });
+    fn again(&mut self, origin: u64, told: Option<Millis>, heard: bool) {
+        if let Some(at) = self.clients.again(origin, told, heard, self.now) {
+            self.at(at, Ev::Again { origin });
         }
     }
 
     fn handed_in(&mut self, origin: u64, sender: u32) {
-        if sender == u32::MAX {
-            return self.hand_in(origin);
-        }
-        let (planned, deadline) =
-            (self.origins[origin as usize].planned, self.origins[origin as usize].deadline);
+        let Origin { planned, deadline, .. } = *self.clients.origin(origin);
         if self.senders[sender as usize].policy.is_none() {
             return self.again(origin, None, false);
         }
@@ -568,7 +512,7 @@
         self.next_id += 1;
         let (class, partner, first) = (planned.class, planned.partner, planned.at);
         self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline });
-        let full_disk = self.forecast.disk_full(self.now);
+        let full_disk = self.ground.forecast.disk_full(self.now);
         let s = &mut self.senders[sender as usize];
         let stopped = s.told_to_end.is_some_and(|told| self.now >= told + LAST_WORK);
         if stopped || full_disk || s.open >= self.settings.hold_limit {
@@ -594,11 +538,8 @@
         self.fact(What::Notice { sender, id, deferred, again });
         let Some(h) = self.senders[sender as usize].held.get(&id) else { return };
         let origin = h.origin;
-        let ran = h.tasks.iter().find(|t| !t.never_ran).map(|t| t.sent);
-        let class = &self.x.world.classes[self.origins[origin as usize].planned.class as usize];
-        if let Some(ran) = ran.filter(|_| class.effect == Effect::Keyed) {
-            let o = &mut self.origins[origin as usize];
-            o.until = o.until.min(ran + class.window);
+        if let Some(ran) = h.tasks.iter().find(|t| !t.never_ran).map(|t| t.sent) {
+            self.clients.may_have_run(origin, ran);
         }
         self.forget(sender, id);
         if deferred {
@@ -678,8 +619,8 @@
     }
 
     fn send(&mut self, sender: u32, id: u64, endpoint: u32, timeout: Millis) {
-        let partner = self.owner[endpoint as usize];
-        let weather = self.forecast.at(partner as usize, self.now);
+        let partner = self.ground.partner(endpoint);
+        let weather = self.ground.weather(partner, self.now);
         let idle_limit = self.x.world.idle * 0.9;
         let s = &mut self.senders[sender as usize];
         let Some(h) = s.held.get_mut(&id) else { return };
@@ -814,20 +755,13 @@
         let (origin, attempt, partner, endpoint, breaks) =
             (c.origin, c.attempt, c.partner, c.endpoint, c.breaks);
         self.fact(What::Arrived { call });
-        let weather = self.forecast.at(partner as usize, self.now);
-        let class = &self.x.world.classes[self.origins[origin as usize].planned.class as usize];
-        // The mean work of a message is drawn once for its class in this world.
-        let work = within(
-            &mut draw(self.seed, Stream::Work, u64::MAX, self.origins[origin as usize].planned.class.into()),
-            class.work,
-        );
-        let told = partner::Call { no: call, origin, attempt, work: (work, class.cv) };
+        let class = self.clients.origin(origin).planned.class;
+        let told = partner::Call { no: call, origin, attempt, work: self.x.work(self.seed, class) };
         if self.connections[endpoint as usize] > self.x.world.connections {
             return self.reply(call, Reply::Refused(None));
         }
-        let was = self.partners[partner as usize].toppled();
-        let taken = self.partners[partner as usize].call(endpoint, told, &weather, self.now);
-        if !was && self.partners[partner as usize].toppled() {
+        let (taken, toppled) = self.ground.call(endpoint, told, self.now);
+        if toppled {
             self.fact(What::Toppled { partner });
         }
         match taken {
@@ -855,21 +789,13 @@
     }
 
     fn look_at(&mut self, partner: u32) {
-        let due = self.partners[partner as usize].due();
-        let known = &mut self.due[partner as usize];
-        if let Some(at) = due.filter(|at| known.is_none_or(|k| *at < k)) {
-            *known = Some(at);
+        if let Some(at) = self.ground.sooner(partner) {
             self.at(at.max(self.now), Ev::Due { partner });
         }
     }
 
     fn partner_due(&mut self, partner: u32) {
-        if self.due[partner as usize].is_none_or(|at| at > self.now) {
-            return;
-        }
-        self.due[partner as usize] = None;
-        let weather = self.forecast.at(partner as usize, self.now);
-        let (answers, begun) = self.partners[partner as usize].advance(&weather, self.now);
+        let (answers, begun) = self.ground.advance(partner, self.now);
         for (call, reply) in answers {
             if self.calls.get(&call).is_none_or(|c| !c.breaks) {
                 self.reply(call, reply);
@@ -887,13 +813,8 @@
 
     /// A failure has begun or ended: partners go out, or come back.
     fn edge(&mut self) {
-        for partner in 0..self.partners.len() {
-            let out = self.forecast.out(partner, self.now);
-            if out != self.out[partner] {
-                self.out[partner] = out;
-                self.partners[partner].turn_out(out, self.now);
-                self.fact(What::Out { partner: partner as u32, out });
-            }
+        for (partner, out) in self.ground.edge(self.now) {
+            self.fact(What::Out { partner, out });
         }
     }
 
@@ -921,14 +842,13 @@
     }
 
     /// Tells every sender of an endpoint, as late as the list is now.
-    fn list(&mut self, endpoint: u32, stage: Stage, least: Millis) {
+    fn list(&mut self, endpoint: u32, state: State) {
         for sender in 0..self.senders.len() as u32 {
-            let mut rng =
-                draw(self.seed, Stream::List, u64::from(endpoint) << 2 | stage as u64, sender.into());
-            let late = within(&mut rng, self.x.world.list);
-            let at = match self.forecast.list(self.now) {
-                Ok(times) => self.now + least + late * times,
-                Err(end) => end + least + late,
+            let at = self.ground.heard(sender, endpoint, state, self.now);
+            let stage = match state {
+                State::On => Stage::On,
+                State::Draining => Stage::Draining,
+                State::Gone => Stage::Gone,
             };
             self.at(at, Ev::ListIn { sender, endpoint, stage });
         }
@@ -939,24 +859,14 @@
         if self.now >= f.end {
             return;
         }
-        let hit: Vec<u32> = {
-            let mut all = self.forecast.all();
-            let hit = all.nth(failure).map_or(&[][..], |(_, hit)| hit);
-            hit.iter().enumerate().filter(|(_, h)| **h).map(|(p, _)| p as u32).collect()
-        };
-        let every = f.every;
-        if let Some(partner) = hit.get(turn % hit.len().max(1)).copied() {
-            let old = self.serving[partner as usize].remove(0);
-            let new = self.owner.len() as u32;
-            self.owner.push(partner);
+        if let Some(partner) = self.ground.next_replaced(failure, turn) {
+            let (old, new) = self.ground.replace(partner);
             self.connections.push(0);
-            self.serving[partner as usize].push(new);
-            self.partners[partner as usize].endpoint(new, true);
-            self.list(new, Stage::On, 0.0);
-            self.list(old, Stage::Draining, 0.0);
-            self.list(old, Stage::Gone, REPLACED);
+            self.list(new, State::On);
+            self.list(old, State::Draining);
+            self.list(old, State::Gone);
             self.at(self.now + REPLACED, Ev::Retire { endpoint: old });
         }
-        self.at(self.now + every, Ev::Replace { failure, turn: turn + 1 });
+        self.at(self.now + f.every, Ev::Replace { failure, turn: turn + 1 });
     }
 }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -20,14 +20,14 @@
 use serde_json::{Value, json};
 use slab::Slab;
 
+use crate::clients::{Clients, Origin};
 use crate::draw::{Stream, draw, happens, within};
 use crate::experiment::{Effect, Experiment, Variant, What as Fails};
 use crate::fact::{Fact, Silence, What};
 use crate::judge::{ClassRule, Judge, Verdict};
 use crate::load::{self, Intended};
-use crate::model::partner::{self, Partner, Reply, Taken};
-use crate::model::site::Site;
-use crate::model::weather::Forecast;
+use crate::model::ground::{Ground, REPLACED, State};
+use crate::model::partner::{self, Reply, Taken};
 use crate::sim;
 use crate::tally::{Figures, Tally};
 use crate::timed::Timed;
@@ -35,7 +35,6 @@
 
 /// A client waits so long for the answer to a handing in.
 const CLIENT_WAIT: Millis = 400.0;
-const REPLACED: Millis = 8_000.0;
 const SAMPLE: Millis = 100.0;
 /// Discovery says at least this often that it is there.
 const HEARTBEAT: Millis = 2_000.0;
@@ -115,13 +114,6 @@
     },
 }
 
-struct Origin {
-    planned: Intended,
-    deadline: Millis,
-    tries: u32,
-    until: Millis,
-}
-
 struct Held {
     origin: u64,
     sender: u32,
@@ -154,27 +146,23 @@
 struct Rig<'a> {
     x: &'a Experiment,
     seed: u64,
-    site: Site,
-    forecast: Forecast,
-    partners: Vec<Partner>,
-    out: Vec<bool>,
-    due: Vec<Option<Millis>>,
-    owner: Vec<u32>,
+    ground: Ground,
+    clients: Clients<'a>,
     addresses: Vec<SocketAddr>,
     open: Vec<u32>,
-    serving: Vec<Vec<u32>>,
     clock: Clock,
     start: Millis,
     queue: BinaryHeap<Reverse<Timed<Ev>>>,
     seq: u64,
     plan: Vec<Intended>,
-    origins: Vec<Origin>,
     held: HashMap<u64, Held>,
     calls: HashMap<u64, Call>,
     next_call: u64,
     next_id: u64,
     peers: Slab<Peer>,
     seats: Vec<Seat>,
+    /// Listeners of endpoints that have gone.
+    vacant: Vec<usize>,
     handle: Handle<usize>,
     pool: Pool,
     judge: Judge,
@@ -259,36 +247,30 @@
 
 impl<'a> Rig<'a> {
     fn new(x: &'a Experiment, v: &Variant, seed: u64, handle: Handle<usize>) -> Result<Rig<'a>, String> {
-        let site = Site::new(&x.world, seed);
-        let forecast = Forecast::new(x, &site);
-        let settings = sim::settings(x, v, &site);
+        let ground = Ground::new(x, seed);
+        let settings = sim::settings(x, v, &ground.site);
         settings.check().map_err(|e| format!("variant {:?}: {e}", v.name))?;
         let names = |all: &mut dyn Iterator<Item = &String>| all.cloned().collect::<Vec<String>>();
         let classes = names(&mut x.world.classes.iter().map(|c| &c.name));
         let kinds = names(&mut x.world.kinds.iter().map(|k| &k.name));
         let rules =
             x.world.classes.iter().map(|c| ClassRule { effect: c.effect, window: c.window }).collect();
-        let plan = load::plan(x, &site, &forecast, seed);
         let mut rig = Rig {
-            out: vec![false; site.partners.len()],
-            due: vec![None; site.partners.len()],
-            partners: Vec::new(),
-            owner: Vec::new(),
+            plan: load::plan(x, &ground.site, &ground.forecast, seed),
+            clients: Clients::new(x, seed),
             addresses: Vec::new(),
             open: Vec::new(),
-            serving: vec![Vec::new(); site.partners.len()],
             clock: Clock::system(),
             start: 0.0,
             queue: BinaryHeap::new(),
             seq: 0,
-            origins: Vec::with_capacity(plan.len()),
-            plan,
             held: HashMap::new(),
             calls: HashMap::new(),
             next_call: 0,
             next_id: 0,
             peers: Slab::new(),
             seats: Vec::new(),
+            vacant: Vec::new(),
             handle,
             pool: Pool::new(BUFFERS),
             judge: Judge::new(rules, v.max_attempts),
@@ -299,20 +281,14 @@
             fault: None,
             x,
             seed,
-            site,
-            forecast,
+            ground,
         };
-        for at in 0..rig.site.partners.len() {
-            let drawn = rig.site.partners[at].clone();
-            let own =
-                (0..drawn.endpoints).map(|_| rig.endpoint(at as u32)).collect::<Result<Vec<u32>, _>>()?;
-            let kind = &x.world.kinds[drawn.kind];
-            rig.partners.push(Partner::new(&drawn, kind, rig.site.work, seed, own.iter().copied()));
-            rig.serving[at] = own;
+        for endpoint in 0..rig.ground.owner.len() as u32 {
+            rig.endpoint(endpoint)?;
         }
         let set = child::platform_settings(&settings, &classes, &kinds);
         let known: HashMap<u32, &'static str> =
-            (0..rig.owner.len() as u32).map(|e| (e, "in_service")).collect();
+            (0..rig.ground.owner.len() as u32).map(|e| (e, "in_service")).collect();
         for no in 0..x.world.senders {
             let (listener, address) = bound()?;
             let program = v.program.clone().unwrap_or_else(beside);
@@ -332,20 +308,17 @@
         http::register(&self.handle, listener, at).map(drop).map_err(|e| format!("no socket: {e}"))
     }
 
-    /// A new endpoint of a partner, with a port of its own.
-    fn endpoint(&mut self, partner: u32) -> Result<u32, String> {
+    /// Gives a new endpoint a port of its own.
+    fn endpoint(&mut self, endpoint: u32) -> Result<(), String> {
         let (listener, address) = bound()?;
-        let endpoint = self.owner.len() as u32;
-        self.owner.push(partner);
         self.addresses.push(address);
         self.open.push(0);
-        self.listen(listener, |listener| Peer::Endpoint { endpoint, listener })?;
-        Ok(endpoint)
+        self.listen(listener, |listener| Peer::Endpoint { endpoint, listener })
     }
 
     fn entry(&self, endpoint: u32, state: &str) -> Value {
-        let partner = self.owner[endpoint as usize];
-        let drawn = &self.site.partners[partner as usize];
+        let partner = self.ground.partner(endpoint);
+        let drawn = &self.ground.site.partners[partner as usize];
         json!({"uid": format!("s-{endpoint}"), "endpoint": self.addresses[endpoint as usize].to_string(), "az": "a",
             "model": self.x.world.kinds[drawn.kind].name, "pod_group": partner, "state": state,
             "capacity_hint": drawn.hint, "boot_ms": 0})
@@ -427,7 +400,7 @@
         let mut known: Vec<(u32, bool)> = seat.known.iter().map(|(e, s)| (*e, *s == "in_service")).collect();
         known.sort_unstable();
         for (endpoint, on) in known {
-            let partner = self.owner[endpoint as usize];
+            let partner = self.ground.partner(endpoint);
             self.fact(What::Listed { sender, endpoint, partner, on });
         }
         self.fact(What::Ready { sender });
@@ -454,10 +427,8 @@
     fn take(&mut self, ev: Ev) {
         match ev {
             Ev::Come(at) => {
-                let planned = self.plan[at];
-                let deadline = planned.at + self.x.world.classes[planned.class as usize].deadline;
-                self.origins.push(Origin { planned, deadline, tries: 0, until: f64::INFINITY });
-                self.hand_in(at as u64);
+                let origin = self.clients.comes(self.plan[at]);
+                self.hand_in(origin);
                 if at + 1 < self.plan.len() {
                     self.at(self.plan[at + 1].at, Ev::Come(at + 1));
                 }
@@ -470,10 +441,7 @@
             Ev::Edge => self.edge(),
             Ev::Fails { failure } => self.fails(failure),
             Ev::Replace { failure, turn } => self.replace(failure, turn),
-            Ev::Retire { endpoint } => {
-                let partner = self.owner[endpoint as usize] as usize;
-                self.partners[partner].endpoint(endpoint, false);
-            }
+            Ev::Retire { endpoint } => self.retire(endpoint),
             Ev::Tell { sender, endpoint, state } => self.tell(sender, endpoint, state),
             Ev::Kill { sender, life } => {
                 if self.seats[sender as usize].life == life && self.seats[sender as usize].ending.is_some() {
@@ -489,7 +457,7 @@
             Ev::Sample => self.sample(),
             Ev::Beat => {
                 let now = self.now();
-                if self.forecast.list(now).is_ok() {
+                if self.ground.forecast.list(now).is_ok() {
                     let watches: Vec<usize> = self.watches(None);
                     watches.into_iter().for_each(|at| self.push(at, "1\r\n\n\r\n"));
                 }
@@ -534,9 +502,14 @@
         match self.peers.get_mut(at) {
             Some(Peer::Endpoint { endpoint, listener }) => {
                 let (endpoint, listener) = (*endpoint, listener.clone());
-                let partner = self.owner[endpoint as usize] as usize;
+                let partner = self.ground.partner(endpoint);
+                // Nobody is there any more: a connection is refused as far as a listener can do so.
+                if self.vacant.contains(&at) {
+                    while listener.accept().is_ok() {}
+                    return;
+                }
                 // One that cannot be reached says nothing: what comes stays where the system keeps it.
-                while !self.forecast.at(partner, self.now()).cut
+                while !self.ground.weather(partner, self.now()).cut
                     && let Ok((stream, _)) = listener.accept()
                 {
                     let since = self.now();
@@ -593,8 +566,8 @@
         link.flush();
         while link.fill() && link.bytes().len() < http::pool::SIZE {}
         let endpoint = *endpoint;
-        let partner = self.owner[endpoint as usize];
-        let weather = self.forecast.at(partner as usize, now);
+        let partner = self.ground.partner(endpoint);
+        let weather = self.ground.weather(partner, now);
         if weather.cut {
             // What is sent there is never heard of.
             let count = link.bytes().len();
@@ -634,8 +607,7 @@
                     return;
                 };
                 let origin = held.origin;
-                let keyed = self.x.world.classes[self.origins[origin as usize].planned.class as usize].effect
-                    == Effect::Keyed;
+                let keyed = self.clients.effect(origin) == Effect::Keyed;
                 let key = request.header("idempotency-key").unwrap_or("");
                 let same = *request.body == *body(id).as_bytes() && (!keyed || key == format!("k{origin}"));
                 if !same || request.method != "POST" || request.path != "/v1/messages" {
@@ -681,17 +653,13 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let (origin, attempt) = (held.origin, held.attempts - 1);
         held.ran.get_or_insert(now);
-        let class = self.origins[origin as usize].planned.class;
-        let spec = &self.x.world.classes[class as usize];
-        let work = within(&mut draw(self.seed, Stream::Work, u64::MAX, class.into()), spec.work);
-        let told = partner::Call { no: call, origin, attempt, work: (work, spec.cv) };
+        let class = self.clients.origin(origin).planned.class;
+        let told = partner::Call { no: call, origin, attempt, work: self.x.work(self.seed, class) };
         if self.open[endpoint as usize] > self.x.world.connections {
             return self.reply(call, Reply::Refused(None));
         }
-        let weather = self.forecast.at(partner as usize, now);
-        let was = self.partners[partner as usize].toppled();
-        let taken = self.partners[partner as usize].call(endpoint, told, &weather, now);
-        if !was && self.partners[partner as usize].toppled() {
+        let (taken, toppled) = self.ground.call(endpoint, told, now);
+        if toppled {
             self.fact(What::Toppled { partner });
         }
         match taken {
@@ -718,7 +686,7 @@
     fn write(&mut self, call: u64, reply: Reply) {
         let Some(c) = self.calls.remove(&call) else { return };
         let now = self.now();
-        if self.forecast.at(c.partner as usize, now).cut {
+        if self.ground.weather(c.partner, now).cut {
             self.calls.insert(call, c);
             return;
         }
@@ -757,22 +725,13 @@
     }
 
     fn look_at(&mut self, partner: u32) {
-        let due = self.partners[partner as usize].due();
-        let known = &mut self.due[partner as usize];
-        if let Some(at) = due.filter(|at| known.is_none_or(|k| *at < k)) {
-            *known = Some(at);
+        if let Some(at) = self.ground.sooner(partner) {
             self.at(at, Ev::Due { partner });
         }
     }
 
     fn partner_due(&mut self, partner: u32) {
-        let now = self.now();
-        if self.due[partner as usize].is_none_or(|at| at > now) {
-            return;
-        }
-        self.due[partner as usize] = None;
-        let weather = self.forecast.at(partner as usize, now);
-        let (answers, begun) = self.partners[partner as usize].advance(&weather, now);
+        let (answers, begun) = self.ground.advance(partner, self.now());
         for (call, reply) in answers {
             if self.calls.contains_key(&call) {
                 self.reply(call, reply);
@@ -849,10 +808,8 @@
             return;
         }
         self.open_messages = self.open_messages.saturating_sub(1);
-        let spec = &self.x.world.classes[self.origins[origin as usize].planned.class as usize];
-        if let Some(ran) = ran.filter(|_| spec.effect == Effect::Keyed) {
-            let o = &mut self.origins[origin as usize];
-            o.until = o.until.min(ran + spec.window);
+        if let Some(ran) = ran {
+            self.clients.may_have_run(origin, ran);
         }
         if deferred {
             self.again(origin, again, true);
@@ -872,7 +829,7 @@
             json!({"rev": rev, "all": false, "targets": [self.entry(endpoint, state)]}).to_string() + "\n";
         let watches = self.watches(Some(sender));
         if self.seats[sender as usize].up && !watches.is_empty() {
-            let partner = self.owner[endpoint as usize];
+            let partner = self.ground.partner(endpoint);
             self.fact(What::Listed { sender, endpoint, partner, on: state == "in_service" });
         }
         watches.into_iter().for_each(|at| self.push(at, &format!("{:x}\r\n{line}\r\n", line.len())));
@@ -882,14 +839,11 @@
 
     fn hand_in(&mut self, origin: u64) {
         let now = self.now();
-        let o = &self.origins[origin as usize];
-        let (planned, deadline, tries) = (o.planned, o.deadline, o.tries);
+        let Origin { planned, deadline, .. } = *self.clients.origin(origin);
         let up: Vec<u32> = (0..self.seats.len() as u32).filter(|s| self.seats[*s as usize].up).collect();
-        if up.is_empty() || now >= deadline {
+        let Some((sender, _)) = self.clients.dealt(origin, &up).filter(|_| now < deadline) else {
             return self.again(origin, None, false);
-        }
-        let mut rng = draw(self.seed, Stream::Client, origin, tries.into());
-        let sender = up[within(&mut rng, (0.0, up.len() as f64 - 0.001)) as usize];
+        };
         let id = self.next_id;
         self.next_id += 1;
         let class = &self.x.world.classes[planned.class as usize];
@@ -989,24 +943,14 @@
             self.open_messages = self.open_messages.saturating_sub(1);
         }
         // What no answer came to may have been taken on: only what may be repeated is handed in again.
-        let class = self.origins[origin as usize].planned.class as usize;
-        if answered || self.x.world.classes[class].effect != Effect::Unsafe {
+        if answered || self.clients.effect(origin) != Effect::Unsafe {
             self.again(origin, told, answered);
         }
     }
 
-    fn again(&mut self, origin: u64, told: Option<Millis>, counts: bool) {
-        let now = self.now();
-        let o = &mut self.origins[origin as usize];
-        if o.tries >= self.x.load.retries + if counts { 0 } else { 100 } {
-            return;
-        }
-        o.tries += 1;
-        let mut rng = draw(self.seed, Stream::Client, origin, 1_000 + u64::from(o.tries));
-        let own = within(&mut rng, self.x.load.backoff);
-        let wait = told.map_or(own, |told| told.max(own.min(told + 100.0)));
-        if now + wait + 50.0 < o.deadline.min(o.until) {
-            self.at(now + wait, Ev::HandIn { origin });
+    fn again(&mut self, origin: u64, told: Option<Millis>, heard: bool) {
+        if let Some(at) = self.clients.again(origin, told, heard, self.now()) {
+            self.at(at, Ev::HandIn { origin });
         }
     }
 
@@ -1014,13 +958,8 @@
 
     fn edge(&mut self) {
         let now = self.now();
-        for partner in 0..self.partners.len() {
-            let out = self.forecast.out(partner, now);
-            if out != self.out[partner] {
-                self.out[partner] = out;
-                self.partners[partner].turn_out(out, now);
-                self.fact(What::Out { partner: partner as u32, out });
-            }
+        for (partner, out) in self.ground.edge(now) {
+            self.fact(What::Out { partner, out });
         }
         // Those that could not be reached hear now what waited for them.
         let wake: Vec<usize> =
@@ -1051,45 +990,66 @@
         }
     }
 
-    fn list(&mut self, endpoint: u32, state: &'static str, least: Millis) {
+    /// Tells every sender of an endpoint, as late as the list is now.
+    fn list(&mut self, endpoint: u32, state: State) {
         let now = self.now();
         for sender in 0..self.seats.len() as u32 {
-            let stream = (u64::from(endpoint) << 2) | (state.len() as u64 % 4);
-            let late = within(&mut draw(self.seed, Stream::List, stream, sender.into()), self.x.world.list);
-            let at = match self.forecast.list(now) {
-                Ok(times) => now + least + late * times,
-                Err(end) => end + least + late,
+            let at = self.ground.heard(sender, endpoint, state, now);
+            let state = match state {
+                State::On => "in_service",
+                State::Draining => "terminating",
+                State::Gone => "terminated",
             };
             self.at(at, Ev::Tell { sender, endpoint, state });
         }
     }
 
+    /// An endpoint's machine is gone: its connections end, and its address is free for another one.
+    fn retire(&mut self, endpoint: u32) {
+        self.ground.retire(endpoint);
+        let own = |p: &Peer| matches!(p, Peer::Call { endpoint: e, .. } if *e == endpoint);
+        let gone: Vec<usize> = self.peers.iter().filter(|(_, p)| own(p)).map(|(at, _)| at).collect();
+        for at in gone {
+            if let Some(Peer::Call { busy: Some(call), .. }) = self.peers.get(at) {
+                let call = *call;
+                self.calls.remove(&call);
+                self.fact(What::Ended { call, how: Silence::Reset });
+            }
+            self.drop_call(at, true);
+        }
+        let listens = |p: &Peer| matches!(p, Peer::Endpoint { endpoint: e, .. } if *e == endpoint);
+        let listener = self.peers.iter().find(|(_, p)| listens(p)).map(|(at, _)| at);
+        self.vacant.extend(listener);
+    }
+
+    /// Puts a new endpoint at the address of one that has gone; false where there is none.
+    fn moved_in(&mut self, new: u32) -> bool {
+        let Some(at) = self.vacant.pop() else { return false };
+        let Some(Peer::Endpoint { endpoint, .. }) = self.peers.get_mut(at) else { return false };
+        let old = std::mem::replace(endpoint, new);
+        self.addresses.push(self.addresses[old as usize]);
+        self.open.push(0);
+        true
+    }
+
     fn replace(&mut self, failure: usize, turn: usize) {
         let now = self.now();
         let f = &self.x.failures[failure];
         if now >= f.end {
             return;
         }
-        let every = f.every;
-        let hit: Vec<u32> = {
-            let mut all = self.forecast.all();
-            let hit = all.nth(failure).map_or(&[][..], |(_, hit)| hit);
-            hit.iter().enumerate().filter(|(_, h)| **h).map(|(p, _)| p as u32).collect()
-        };
-        if let Some(partner) = hit.get(turn % hit.len().max(1)).copied() {
-            match self.endpoint(partner) {
-                Ok(new) => {
-                    let old = self.serving[partner as usize].remove(0);
-                    self.serving[partner as usize].push(new);
-                    self.partners[partner as usize].endpoint(new, true);
-                    self.list(new, "in_service", 0.0);
-                    self.list(old, "terminating", 0.0);
-                    self.list(old, "terminated", REPLACED);
-                    self.at(now + REPLACED, Ev::Retire { endpoint: old });
-                }
-                Err(e) => self.fault = Some(e),
+        if let Some(partner) = self.ground.next_replaced(failure, turn) {
+            let (old, new) = self.ground.replace(partner);
+            if !(f.reuse && self.moved_in(new))
+                && let Err(e) = self.endpoint(new)
+            {
+                return self.fault = Some(e);
             }
+            self.list(new, State::On);
+            self.list(old, State::Draining);
+            self.list(old, State::Gone);
+            self.at(now + REPLACED, Ev::Retire { endpoint: old });
         }
-        self.at(now + every, Ev::Replace { failure, turn: turn + 1 });
+        self.at(now + f.every, Ev::Replace { failure, turn: turn + 1 });
     }
 }
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -826,10 +826,6 @@
                 }
                 // A wait longer than a limit's tells of an outage: all who were told would come at its end.
                 let shut = wait > self.set.fail_back.span;
-                if shut {
-                    // And it is cold when it opens: few senders do not rest, and would push it over.
-                    route.returning = Some(route.wait_until);
-                }
                 let free = report.left.is_some_and(|left| left > LEFT_FREE);
                 self.failed_trial(at, if shut { DOUBT } else { f64::from(free) });
             }
@@ -865,6 +861,9 @@
         {
             let spread = if route.wait_until > now { jitter - 0.5 } else { jitter };
             route.rest_until = now.max(route.wait_until) + (rest as f64 * spread) as Nanos;
+        } else if route.wait_until > now + set.fail_back.span {
+            // It told when it opens, and is cold then: few senders do not rest, and would push it over.
+            route.returning = Some(route.wait_until);
         }
         let shut = route.refused_run >= SHUT_RUN && now >= route.unrefused + SHUT_SPANS * set.fail_back.span;
         if route.down() {
