--- a/crates/lab/tests/sockets.rs
+++ b/crates/lab/tests/sockets.rs
@@ -131,6 +131,20 @@
     let _ = std::fs::remove_file(script);
 }
 
+#[test]
+fn a_port_that_is_taken_is_one_clear_line() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let port = listener.local_addr().unwrap().to_string();
+    let mut relay = Command::new(env!("CARGO_BIN_EXE_martenlatch-lab"));
+    let done = relay.args(["relay", "--calls", "1", "--listen", &port, &taken.to_string()]).output().unwrap();
+    let errors = String::from_utf8_lossy(&done.stderr);
+    assert!(
+        done.status.code() == Some(1) && errors.lines().count() == 1 && errors.contains(&port),
+        "{errors}"
+    );
+}
+
 #[test]
 fn ctrl_c_ends_the_children_and_writes_what_was_measured() {
     let sender = program();
