Let refused calls keep a limit used up where they count

Found on reading the change again: a window limit whose refused calls count behaved like one whose do not, and its test asked for the same figure in both cases, so that it could not fail.

Where refused calls count, the span now slides and holds them too, so that who goes on asking keeps the partner shut. The test asks twice as often as is taken for 6 s: 60 calls are taken where refused ones do not count, 20 where they do (60 before). The list of unplayed variants is written once.

--- a/crates/lab/src/model/partner.rs
+++ b/crates/lab/src/model/partner.rs
@@ -68,6 +68,8 @@
     endpoints: BTreeMap<u32, Endpoint>,
     /// The span of a window limit, and how many it has taken in it.
     window: (u64, f64),
+    /// Calls of the last span where refused ones count too: who goes on asking keeps it shut.
+    counted: VecDeque<Millis>,
     /// Tokens of a rate limit, and when they were last filled.
     tokens: (f64, Millis),
     /// Since when it is out, or back.
@@ -95,6 +97,7 @@
             seed,
             endpoints: endpoints.into_iter().map(|e| (e, Endpoint::default())).collect(),
             window: (0, 0.0),
+            counted: VecDeque::new(),
             tokens: (f64::INFINITY, 0.0),
             out: false,
             back: None,
@@ -151,13 +154,23 @@
         let rate = self.drawn.limit? * weather.limit;
         match self.kind.limit {
             Limit::None => None,
+            Limit::Window if self.kind.refused_count => {
+                while self.counted.front().is_some_and(|at| *at <= now - self.kind.window) {
+                    self.counted.pop_front();
+                }
+                let most = (rate * self.kind.window / 1e3).max(1.0) as usize;
+                self.counted.push_back(now);
+                // There is room again once as many have left the span as are over the limit.
+                let over = self.counted.len().checked_sub(most + 1)?;
+                Some(self.counted[over] + self.kind.window - now)
+            }
             Limit::Window => {
                 let span = (now / self.kind.window) as u64;
                 if self.window.0 != span {
                     self.window = (span, 0.0);
                 }
                 let full = self.window.1 + 1.0 > (rate * self.kind.window / 1e3).max(1.0);
-                if !full || self.kind.refused_count {
+                if !full {
                     self.window.1 += 1.0;
                 }
                 full.then(|| (span + 1) as f64 * self.kind.window - now)
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -46,8 +46,7 @@
     let mut done = done.into_inner().unwrap_or_else(|e| e.into_inner());
     done.sort_by_key(|(variant, seed, _)| (*variant, *seed));
     let cut_short = done.len() < jobs.len();
-    let name = |v: &experiment::Variant| Variant { name: v.name.clone(), runs: Vec::new() };
-    let mut variants: Vec<Variant> = experiment.variants.iter().map(name).collect();
+    let mut variants = unplayed(experiment);
     let mut machine: Machine = variants.iter().map(|v| (v.name.clone(), Turns::default())).collect();
     for (variant, seed, played) in done {
         let played = played?;
@@ -69,8 +68,7 @@
     experiment: &Experiment, stop: &Arc<AtomicBool>, quiet: bool,
 ) -> Result<(Outcome, Use), String> {
     let bar = progress(experiment, u64::from(experiment.repeats) * experiment.variants.len() as u64, quiet);
-    let name = |v: &experiment::Variant| Variant { name: v.name.clone(), runs: Vec::new() };
-    let mut variants: Vec<Variant> = experiment.variants.iter().map(name).collect();
+    let mut variants = unplayed(experiment);
     let (mut used, mut cut_short) = (Vec::new(), false);
     // Variants take turns within a seed, so that a machine that grows slower does so for all.
     'all: for seed in (0..u64::from(experiment.repeats)).map(|i| experiment.seed + i) {
@@ -110,6 +108,12 @@
     ))
 }
 
+/// The variants of an experiment, with no run yet.
+fn unplayed(experiment: &Experiment) -> Vec<Variant> {
+    let name = |v: &experiment::Variant| Variant { name: v.name.clone(), runs: Vec::new() };
+    experiment.variants.iter().map(name).collect()
+}
+
 fn progress(experiment: &Experiment, jobs: u64, quiet: bool) -> ProgressBar {
     let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(jobs) };
     if let Ok(style) = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}") {
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -44,15 +44,16 @@
 
 #[test]
 fn refused_calls_use_up_a_limit_only_where_they_count() {
-    for (counts, want) in [(false, 20), (true, 20)] {
+    // Twice as many as are taken, for 6 s: where refused calls count, asking on keeps the partner shut.
+    for (counts, want) in [(false, 60), (true, 20)] {
         let kind = format!(
-            "limit: WINDOW window_ms: 2000 headroom {{ least: 1 most: 1 }} refused_count: {counts} queue {{ least: 99 most: 99 }}"
+            "limit: WINDOW window_ms: 2000 headroom {{ least: 1 most: 1 }} least_rate {{ }}
+             refused_count: {counts} queue {{ least: 99 most: 99 }}"
         );
         let (x, site, mut partner) = lone(&kind);
         let weather = fair(&x, &site);
-        let taken =
-            (0..60).filter(|no| !matches!(partner.call(0, call(*no), &weather, 100.0), Taken::Reply(_)));
-        assert_eq!(taken.count(), want);
+        let call = |no: u64| partner.call(0, call(no), &weather, 50.0 * no as f64);
+        assert_eq!((0..120).map(call).filter(|taken| !matches!(taken, Taken::Reply(_))).count(), want);
     }
 }
 
