End a simulated run in its middle on Ctrl-C, and write what was measured

Ctrl-C was heeded between simulated runs only, so that the large experiment went on for minutes.

The simulation looks at the stop before every event; a run that was stopped counts for nothing.

--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -35,7 +35,12 @@
                     if stop.load(Ordering::Relaxed) {
                         return;
                     }
-                    let played = sim::play(experiment, &experiment.variants[*variant], *seed, None);
+                    let played =
+                        sim::play_until(experiment, &experiment.variants[*variant], *seed, None, stop);
+                    // One that was stopped counts for nothing.
+                    if played.is_err() && stop.load(Ordering::Relaxed) {
+                        return;
+                    }
                     done.lock().unwrap_or_else(|e| e.into_inner()).push((*variant, *seed, played));
                     bar.inc(1);
                 }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -4,6 +4,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 use martenlatch_clock::{Millis, millis, nanos};
@@ -268,12 +269,22 @@
     }
 }
 
-/// Plays one variant with one seed. Every fact also goes to `sink`.
+/// Plays one variant with one seed to its end. Every fact also goes to `sink`.
 ///
 /// # Errors
 /// Where the module turns the settings down.
 pub fn play<'a>(
     experiment: &'a Experiment, variant: &'a Variant, seed: u64, sink: Option<Sink<'a>>,
+) -> Result<Played, String> {
+    play_until(experiment, variant, seed, sink, &AtomicBool::new(false))
+}
+
+/// Plays one variant with one seed, unless `stop` is set before its end. Every fact also goes to `sink`.
+///
+/// # Errors
+/// Where the module turns the settings down, or the run was stopped.
+pub fn play_until<'a>(
+    experiment: &'a Experiment, variant: &'a Variant, seed: u64, sink: Option<Sink<'a>>, stop: &AtomicBool,
 ) -> Result<Played, String> {
     let mut sim = Sim::new(experiment, variant, seed, sink)?;
     let longest = experiment.world.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
@@ -283,6 +294,9 @@
         if next.at > end {
             break;
         }
+        if stop.load(Ordering::Relaxed) {
+            return Err("stopped".into());
+        }
         sim.now = next.at.max(sim.now);
         sim.take(next.ev);
     }
--- a/crates/lab/tests/runs.rs
+++ b/crates/lab/tests/runs.rs
@@ -66,6 +66,17 @@
     assert!(count("cold-return", |w| matches!(w, What::Replied { reply: Reply::Refused(Some(_)), .. })) > 20);
 }
 
+#[test]
+fn a_run_that_is_stopped_ends_in_its_middle_and_counts_for_nothing() {
+    use std::sync::Arc;
+    use std::sync::atomic::AtomicBool;
+    let x = shipped("calm");
+    let stop = Arc::new(AtomicBool::new(true));
+    assert_eq!(sim::play_until(&x, &x.variants[0], 1, None, &stop).unwrap_err(), "stopped");
+    let (outcome, _) = martenlatch_lab::run::simulate(&x, &stop, true).unwrap();
+    assert!(outcome.cut_short && outcome.variants.iter().all(|v| v.runs.is_empty()));
+}
+
 fn lab(args: &[&str]) -> (Option<i32>, String, String) {
     let done = Command::new(env!("CARGO_BIN_EXE_martenlatch-lab")).args(args).output().unwrap();
     (done.status.code(), String::from_utf8(done.stdout).unwrap(), String::from_utf8(done.stderr).unwrap())
