--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -145,9 +145,18 @@
     pub cancel: bool,
     pub program: Option<PathBuf>,
     pub settings: Option<PathBuf>,
+    /// A sender that starts learns from those that run, and how old that is in simulated time.
+    pub learns: bool,
+    pub told_age: Millis,
 }
 
 impl Experiment {
+    /// When a sender starts that is not there from the beginning.
+    pub fn joins(&self, sender: u32) -> Option<Millis> {
+        let join = self.failures.iter().find(|f| f.what == What::Join && f.sender == sender);
+        join.map(|f| f.start)
+    }
+
     /// Reads an experiment's file.
     ///
     /// # Errors
@@ -446,5 +455,7 @@
         cancel: it.cancel.unwrap_or(true),
         program: (!it.program.is_empty()).then(|| it.program.clone().into()),
         settings: (!it.settings.is_empty()).then(|| it.settings.clone().into()),
+        learns: it.learns,
+        told_age: read.within(&at("told_age_s"), it.told_age_s.unwrap_or(0.0), 0.0, 86_400.0)? * 1e3,
     })
 }
--- a/crates/lab/src/fact.rs
+++ b/crates/lab/src/fact.rs
@@ -99,6 +99,10 @@
     Toppled {
         partner: u32,
     },
+    /// A sender that was not there before starts.
+    Joins {
+        sender: u32,
+    },
     /// A sender is ready, or is told to end, or has ended.
     Ready {
         sender: u32,
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -237,6 +237,7 @@
                 }
             }
             What::Toppled { partner } => self.toppled(partner, at),
+            What::Joins { .. } => {}
             What::Ready { sender } => {
                 self.excused.insert(sender, at + AFTER_START);
                 self.waits.retain(|(s, _), _| *s != sender);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fact;
 pub mod judge;
 pub mod load;
+pub mod members;
 pub mod model;
 pub mod outcome;
 pub mod relay;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -17,7 +17,7 @@
 use martenlatch_lab::run::{Machine, Use};
 use martenlatch_lab::sockets::beside;
 use martenlatch_lab::sockets::child::Used;
-use martenlatch_lab::{relay, report, roof, run, sim, turns};
+use martenlatch_lab::{members, relay, report, roof, run, sim, turns};
 
 const AFTER: &str = "Exit codes:
   0  done, and every rule was kept
@@ -100,6 +100,18 @@
         #[arg(required = true)]
         regions: Vec<SocketAddr>,
     },
+    /// Measure membership in simulated time: its cost, how soon a death and a join are known, false deaths
+    Members {
+        /// Members
+        #[arg(default_values_t = [2, 8, 32, 128])]
+        members: Vec<usize>,
+        /// Shares of datagrams that are lost
+        #[arg(long, value_delimiter = ',', default_values_t = [0.0, 0.05, 0.2])]
+        loss: Vec<f64>,
+        /// Seeds of each
+        #[arg(long, default_value_t = 3)]
+        repeats: u64,
+    },
     /// Measure one turn of the decision module with so many messages held
     Turns {
         /// Messages held
@@ -341,6 +353,51 @@
     Ok(())
 }
 
+/// A span's median and longest over seeds, in seconds; those that did not come to an end are counted.
+fn spans(all: &[Option<f64>]) -> String {
+    let mut done: Vec<f64> = all.iter().flatten().copied().collect();
+    done.sort_by(f64::total_cmp);
+    let Some(longest) = done.last() else { return "never".into() };
+    let never = all.len() - done.len();
+    let text = format!("{:.1} ({:.1})", done[done.len() / 2] / 1e3, longest / 1e3);
+    if never > 0 { format!("{text}, {never} never") } else { text }
+}
+
+fn members(counts: &[usize], losses: &[f64], repeats: u64) -> Result<(), String> {
+    if counts.iter().any(|c| !(1..=1_000).contains(c)) || losses.iter().any(|l| !(0.0..1.0).contains(l)) {
+        return Err("members are 1 to 1000, --loss is 0 to under 1".into());
+    }
+    println!(
+        "{:>8} {:>6} {:>11} {:>13} {:>18} {:>18} {:>13} {:>8}",
+        "members",
+        "loss",
+        "bytes/s",
+        "datagrams/s",
+        "death s (most)",
+        "join s (most)",
+        "false deaths",
+        "unknown"
+    );
+    for count in counts {
+        for loss in losses {
+            let all: Vec<_> =
+                (1..=repeats.max(1)).map(|seed| members::measure(*count, *loss, seed)).collect();
+            let mean = |of: fn(&members::Figures) -> f64| spread(&all.iter().map(of).collect::<Vec<_>>()).0;
+            println!(
+                "{count:>8} {loss:>6} {:>11.0} {:>13.2} {:>18} {:>18} {:>13.1} {:>8.1}",
+                mean(|f| f.bytes),
+                mean(|f| f.datagrams),
+                spans(&all.iter().map(|f| f.death).collect::<Vec<_>>()),
+                spans(&all.iter().map(|f| f.join).collect::<Vec<_>>()),
+                mean(|f| f.false_deaths as f64),
+                mean(|f| f.unknown as f64),
+            );
+        }
+    }
+    println!("bytes and datagrams: sent by a member; false deaths: in a minute, over all members and views");
+    Ok(())
+}
+
 fn list() -> Result<(), String> {
     for file in experiments()? {
         let experiment = Experiment::open(&file)?;
@@ -361,6 +418,9 @@
         }
         Command::Relay { listen, calls, regions } => relay::serve(listen, regions, calls).map(|()| true),
         Command::List => list().map(|()| true),
+        Command::Members { members: counts, loss, repeats } => {
+            members(&counts, &loss, repeats).map(|()| true)
+        }
         Command::Turns { held, turns, plot } => measure(&held, turns, plot.as_deref()).map(|()| true),
     };
     match done {
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -67,6 +67,10 @@
     ("wasted calls a message", |f| f.wasted),
     ("connections a message", |f| f.connections),
     ("held at most", |f| f.held_most as f64),
+    ("toppled", |f| f.toppled as f64),
+    ("newcomer refused in 10 s", |f| f.newcomer_refused as f64),
+    ("newcomer calls in 10 s", |f| f.newcomer_calls as f64),
+    ("calls into known waits", |f| f.into_waits as f64),
 ];
 
 /// Mean and standard deviation (of a sample).
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use martenlatch_clock::{Millis, millis, nanos};
+use martenlatch_peers::known::{Bounds, Known, Telling};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     Action, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event, FailBack,
@@ -140,6 +141,10 @@
     Start {
         sender: u32,
     },
+    /// What the others know is put down for one that joins later.
+    Ask {
+        sender: u32,
+    },
     Overdue {
         sender: u32,
         id: u64,
@@ -191,6 +196,8 @@
     /// Idle connections to each endpoint, since when; the most recently used last.
     idle: HashMap<u32, Vec<Millis>>,
     known: BTreeMap<u32, Entry>,
+    /// What it is told when it starts, where that was put down before.
+    told: Option<Known>,
 }
 
 struct Sim<'a> {
@@ -212,6 +219,8 @@
     tally: Tally,
     sink: Option<Sink<'a>>,
     turns: Turns,
+    learns: bool,
+    told_age: Millis,
 }
 
 /// The settings that a variant's senders get in a world.
@@ -329,6 +338,8 @@
             ground,
             settings,
             sink,
+            learns: v.learns,
+            told_age: v.told_age,
         })
     }
 
@@ -357,7 +368,13 @@
                 let entry = self.entry(endpoint, Stage::On);
                 self.senders[sender as usize].known.insert(endpoint, entry);
             }
-            self.begin(sender);
+            match self.x.joins(sender) {
+                None => self.begin(sender),
+                Some(at) if self.learns && self.told_age > 0.0 => {
+                    self.at((at - self.told_age).max(0.0), Ev::Ask { sender });
+                }
+                Some(_) => {}
+            }
         }
         if !self.plan.is_empty() {
             self.at(self.plan[0].at, Ev::Come(0));
@@ -387,6 +404,27 @@
         }
     }
 
+    /// What up to three others that run can tell a newcomer now, in the form in which it crosses the network.
+    fn ask(&self, newcomer: u32) -> Known {
+        let (mut known, bounds) = (Known::default(), Bounds::default());
+        let others = self.senders.iter().enumerate().filter(|(no, _)| *no as u32 != newcomer);
+        for (no, policy) in others.filter_map(|(no, s)| Some((no, s.policy.as_ref()?))).take(3) {
+            let mut after = None;
+            loop {
+                let (sights, next) = policy.sights(nanos(ORIGIN + self.now), after, 32);
+                for sight in &sights {
+                    let name = sight.endpoint.map(|e| e.0.to_string());
+                    known.hear(&no.to_string(), &Telling::of(sight, name), self.now, &bounds);
+                }
+                if next.is_none() {
+                    break;
+                }
+                after = next;
+            }
+        }
+        known
+    }
+
     /// A sender's process starts, with what its folder and its agent hold.
     fn begin(&mut self, sender: u32) {
         let seed = self.seed ^ (u64::from(sender) << 32) ^ u64::from(self.senders[sender as usize].life);
@@ -405,12 +443,22 @@
                 (*id, planned.class, planned.partner)
             })
             .collect();
+        let known = match self.senders[sender as usize].told.take() {
+            Some(told) => told,
+            None if self.learns && self.now > 0.0 => self.ask(sender),
+            None => Known::default(),
+        };
         let s = &mut self.senders[sender as usize];
         let now = self.now;
         (s.policy, s.told_to_end, s.out, s.last_turn, s.ready) =
             (Some(policy), None, 0, f64::NEG_INFINITY, now);
         s.idle.clear();
         s.events = vec![Event::List(listed)];
+        let number = |_, name: Option<&str>| match name {
+            Some(name) => name.parse().ok().map(|no| Some(EndpointId(no))),
+            None => Some(None),
+        };
+        s.events.extend(known.told(now, &Bounds::default(), number).into_iter().map(Event::Told));
         for (id, class, partner) in classes {
             let h = &s.held[&id];
             s.events.push(Event::Resumed {
@@ -487,6 +535,7 @@
                 }
             }
             Ev::Start { sender } => self.begin(sender),
+            Ev::Ask { sender } => self.senders[sender as usize].told = Some(self.ask(sender)),
             Ev::Overdue { sender, id } => self.overdue(sender, id),
             Ev::Sample => {
                 let held = self.senders.iter().map(|s| s.open as u64).sum();
@@ -836,6 +885,10 @@
         let f = &self.x.failures[failure];
         let (what, sender, size) = (f.what, f.sender, f.size);
         match what {
+            Fails::Join => {
+                self.fact(What::Joins { sender });
+                self.begin(sender);
+            }
             Fails::Sigkill => {
                 self.senders[sender as usize].restart_after = size;
                 self.die(sender);
--- a/crates/lab/src/sockets/child.rs
+++ b/crates/lab/src/sockets/child.rs
@@ -71,12 +71,16 @@
     })
 }
 
-/// An address of its own for each sender, below the ports that connections are given.
-fn free(no: u32) -> Result<SocketAddr, String> {
+/// Ports of senders for clients and for one another, below those that connections are given.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+const PEER_PORTS: std::ops::Range<u16> = 30_000..32_000;
+
+/// An address of its own for each sender.
+fn free(no: u32, mut ports: std::ops::Range<u16>) -> Result<SocketAddr, String> {
     let process = std::process::id();
     let own =
         Ipv4Addr::new(127, 1 + (process % 200) as u8, (process / 200 % 250) as u8, 1 + (no % 250) as u8);
-    let found = (20_000..30_000).find_map(|port| TcpListener::bind((own, port)).ok());
+    let found = ports.find_map(|port| TcpListener::bind((own, port)).ok());
     found.and_then(|l| l.local_addr().ok()).ok_or_else(|| format!("no free port at {own}"))
 }
 
@@ -96,7 +100,7 @@
         }
         let folder = tempfile::Builder::new().prefix("martenlatch-lab-").tempdir();
         let folder = folder.map_err(|e| format!("no temporary folder: {e}"))?;
-        let (address, name) = (free(no)?, format!("n{no}"));
+        let (address, name) = (free(no, PORTS)?, format!("n{no}"));
         let config = json!({"name": name, "listen": address.to_string(), "discovery": discovery.to_string(),
             "seed": format!("{:016x}", seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ u64::from(no)),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 4096, "disk_mb": 64},
@@ -108,6 +112,38 @@
         Ok(Sender { address, name, folder, program, settings, config, child, ready, before_ms, latest })
     }
 
+    /// Where others reach it that it knows.
+    ///
+    /// # Errors
+    /// Where no port is free.
+    pub fn peer_address(&self, no: u32) -> Result<SocketAddr, String> {
+        free(no, PEER_PORTS)
+    }
+
+    /// Has it know others: its own settings, with what they say of peers put behind.
+    ///
+    /// # Errors
+    /// Where its files cannot be read or written.
+    pub fn meets(&mut self, own: SocketAddr, seeds: &[SocketAddr]) -> Result<(), String> {
+        let failed = |file: &Path, e: std::io::Error| format!("{}: {e}", file.display());
+        let (file, secret) =
+            (self.folder.path().join("settings.textproto"), self.folder.path().join("secret"));
+        let mut text = match &self.settings {
+            Some(told) => std::fs::read_to_string(told).map_err(|e| failed(told, e))?,
+            None => String::new(),
+        };
+        text += &format!(
+            "\npeers {{ listen: \"{own}\" secret_file: {:?} keep: true",
+            secret.display().to_string()
+        );
+        seeds.iter().for_each(|seed| text += &format!(" seed: \"{seed}\""));
+        text += " }\n";
+        std::fs::write(&secret, "the laboratory's own secret").map_err(|e| failed(&secret, e))?;
+        std::fs::write(&file, text).map_err(|e| failed(&file, e))?;
+        self.settings = Some(file);
+        Ok(())
+    }
+
     /// Writes its configuration, with the list as it was last told.
     ///
     /// # Errors
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -298,6 +298,13 @@
             rig.seats.push(Seat { child, up, life, ending, known, rev, idle });
             rig.listen(listener, |listener| Peer::Agent { sender: no, listener })?;
         }
+        if v.learns {
+            let all = rig.seats.iter().enumerate().map(|(no, s)| s.child.peer_address(no as u32));
+            let all: Vec<SocketAddr> = all.collect::<Result<_, _>>()?;
+            for (seat, own) in rig.seats.iter_mut().zip(&all) {
+                seat.child.meets(*own, &all)?;
+            }
+        }
         Ok(rig)
     }
 
@@ -345,11 +352,13 @@
 
     /// Starts every sender, waits until all serve, and begins the run's time.
     fn begin(&mut self) -> Result<(), String> {
-        for no in 0..self.seats.len() {
-            self.launch(no as u32)?;
+        let first: Vec<usize> =
+            (0..self.seats.len()).filter(|no| self.x.joins(*no as u32).is_none()).collect();
+        for no in &first {
+            self.launch(*no as u32)?;
         }
         self.start = self.clock.now();
-        for no in 0..self.seats.len() {
+        for no in first.iter().copied() {
             while !self.seats[no].child.ready()? {
                 if let Some(code) = self.seats[no].child.ended() {
                     return Err(self.seats[no].child.obituary(code));
@@ -358,7 +367,7 @@
             }
         }
         self.start = self.clock.now();
-        for no in 0..self.seats.len() {
+        for no in first {
             self.came_up(no as u32);
         }
         if !self.plan.is_empty() {
@@ -999,6 +1008,12 @@
                     self.at(now + KILL_AFTER, Ev::Kill { sender, life });
                 }
             }
+            Fails::Join => {
+                self.fact(What::Joins { sender });
+                if let Err(e) = self.launch(sender) {
+                    self.fault = Some(e);
+                }
+            }
             Fails::Sighup => self.seats[sender as usize].child.signal(Signal::SIGHUP),
             _ => self.edge(),
         }
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -1,8 +1,8 @@
 //! Owns the figures of a run, made of the same facts that the judge reads: worth asked for and delivered, latencies,
 //! refusals, attempts, connections, over the whole and by the second. It must never change what it counts.
 
-use std::collections::HashMap;
 use std::collections::hash_map::Entry;
+use std::collections::{HashMap, HashSet};
 
 use hdrhistogram::Histogram;
 use martenlatch_clock::Millis;
@@ -54,6 +54,13 @@
     pub undeliverable: u64,
     pub turned_away: u64,
     pub held_most: u64,
+    /// Cold partners that fell over.
+    pub toppled: u64,
+    /// Of senders that joined: calls refused in their first ten seconds, and calls made there at all.
+    pub newcomer_refused: u64,
+    pub newcomer_calls: u64,
+    /// Calls of theirs, at any time, into a wait that another had been told before they started.
+    pub into_waits: u64,
     pub seconds: Vec<Second>,
 }
 
@@ -63,6 +70,17 @@
     delivered: bool,
 }
 
+/// A sender that joined: since when, and the waits that were in force then.
+struct Newcomer {
+    since: Millis,
+    waits: HashMap<u32, Millis>,
+}
+
+/// What counts as a newcomer's first seconds.
+const EARLY: Millis = 10_000.0;
+/// A told wait has come to its sender by then.
+const ON_ITS_WAY: Millis = 100.0;
+
 /// Counts facts.
 pub struct Tally {
     classes: Vec<Class>,
@@ -70,6 +88,12 @@
     messages: HashMap<u64, Message>,
     origin: HashMap<u64, u64>,
     calls: HashMap<u64, (u64, bool)>,
+    /// Until when each partner has told anyone to wait, and when it told that.
+    waits: HashMap<u32, (Millis, Millis)>,
+    newcomers: HashMap<u32, Newcomer>,
+    /// Calls of newcomers within their first seconds.
+    early: HashSet<u64>,
+    callers: HashMap<u64, u32>,
     latency: Histogram<u64>,
     by_class: Vec<(f64, f64)>,
     connections: u64,
@@ -86,6 +110,10 @@
             messages: HashMap::new(),
             origin: HashMap::new(),
             calls: HashMap::new(),
+            waits: HashMap::new(),
+            newcomers: HashMap::new(),
+            early: HashSet::new(),
+            callers: HashMap::new(),
             // Tenths of a millisecond up to an hour, to three digits.
             latency: Histogram::new_with_bounds(1, 36_000_000, 3).expect("bounds of a histogram"),
             by_class: vec![(0.0, 0.0); classes.len()],
@@ -119,7 +147,23 @@
                 self.figures.turned_away += 1;
                 self.second(fact.at).turned_away += 1;
             }
-            What::Call { call, id, fresh, .. } => {
+            What::Joins { sender } => {
+                // One that is on its way to its sender is not known yet.
+                let known = self.waits.iter().filter(|(_, (_, told))| *told + ON_ITS_WAY < fact.at);
+                let waits = known.map(|(p, (until, _))| (*p, *until)).collect();
+                self.newcomers.insert(sender, Newcomer { since: fact.at, waits });
+            }
+            What::Toppled { .. } => self.figures.toppled += 1,
+            What::Call { call, id, fresh, sender, partner, .. } => {
+                self.callers.insert(call, partner);
+                if let Some(newcomer) = self.newcomers.get(&sender) {
+                    let told = newcomer.waits.get(&partner).is_some_and(|until| fact.at < *until);
+                    self.figures.into_waits += u64::from(told);
+                    if fact.at < newcomer.since + EARLY {
+                        self.figures.newcomer_calls += 1;
+                        self.early.insert(call);
+                    }
+                }
                 self.connections += u64::from(fresh);
                 self.second(fact.at).calls += 1;
                 self.figures.calls += 1.0;
@@ -129,6 +173,15 @@
             }
             What::Ran { call } => self.calls.get_mut(&call).into_iter().for_each(|c| c.1 = true),
             What::Replied { call, reply } => {
+                let (early, partner) = (self.early.remove(&call), self.callers.remove(&call));
+                if let (Reply::Refused(wait), Some(partner)) = (reply, partner) {
+                    self.figures.newcomer_refused += u64::from(early);
+                    let until = fact.at + wait.unwrap_or(0.0);
+                    let known = self.waits.entry(partner).or_default();
+                    if until > known.0 {
+                        *known = (until, fact.at);
+                    }
+                }
                 let Some((origin, _)) = self.calls.remove(&call) else { return };
                 match reply {
                     Reply::Served => self.served(origin, fact.at),
@@ -140,6 +193,8 @@
                 }
             }
             What::Ended { call, .. } => {
+                self.early.remove(&call);
+                self.callers.remove(&call);
                 if let Some((_, ran)) = self.calls.remove(&call) {
                     self.wasted += u64::from(ran);
                 }
--- a/crates/martenlatch/src/main.rs
+++ b/crates/martenlatch/src/main.rs
@@ -3,6 +3,7 @@
 
 mod inspect;
 mod logging;
+mod members;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -46,6 +47,12 @@
     Serve,
     /// Read the configuration and the settings, say what is wrong with them, and serve nothing
     Check,
+    /// Ask the running sender that the settings name whom it holds for members
+    Members {
+        /// One JSON object a line
+        #[arg(long)]
+        json: bool,
+    },
     /// Look into a ledger without changing it
     Ledger {
         #[command(subcommand)]
@@ -83,7 +90,7 @@
 fn configured(file: Option<&PathBuf>) -> Result<(Program, Config), String> {
     let program = own(file)?;
     let config = Config::read()?;
-    Ok((program.clone(), Config { clients: program.clients, ..config }))
+    Ok((program.clone(), Config { clients: program.clients, peers: program.peers, ..config }))
 }
 
 fn run(cli: Cli) -> Result<ExitCode, String> {
@@ -95,6 +102,9 @@
         }
         Command::Check => {
             let (_, config) = configured(cli.own.settings.as_ref())?;
+            if let Some(peers) = &config.peers {
+                martenlatch_sender::secret(&peers.secret_file)?;
+            }
             println!(
                 "usable: listen={} discovery={} classes={} slots={} hold_limit={}",
                 config.listen,
@@ -104,6 +114,11 @@
                 config.boot.settings.hold_limit
             );
         }
+        Command::Members { json } => {
+            let program = own(cli.own.settings.as_ref())?;
+            let peers = program.peers.ok_or("peers: the settings name none; give a file with --settings")?;
+            members::show(&peers, json)?;
+        }
         Command::Ledger { what: Ledger::Show { folder, json } } => inspect::show(&folder, json)?,
         Command::Ledger { what: Ledger::Verify { folder } } => {
             return Ok(if inspect::verify(&folder)? { ExitCode::SUCCESS } else { ExitCode::from(3) });
--- a/crates/martenlatch/tests/peers/mod.rs
+++ b/crates/martenlatch/tests/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Scripted peers for the stories: a program under test, the platform and its regions, all on loopback. Times here
-//! only end a test that hangs; no test's verdict hangs on a clock.
+//! only end a test that hangs; no test's verdict hangs on a clock. Each file of stories uses its part.
+#![allow(dead_code)]
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -215,11 +216,27 @@
     folder: PathBuf,
     /// What `PROXY_DISCOVERY` says at each start.
     discovery: SocketAddr,
+    name: String,
+    settings: Option<PathBuf>,
     child: Child,
 }
 
 impl Sender {
     pub fn start(story: &str, platform: &Platform, known: &str, disk_mb: f64) -> Sender {
+        Sender::start_as(story, platform, known, disk_mb, "n0", None)
+    }
+
+    /// One of several, by its name, with settings of its own.
+    pub fn start_with(
+        story: &str, platform: &Platform, known: &str, name: &str, settings: Option<&std::path::Path>,
+    ) -> Sender {
+        Sender::start_as(story, platform, known, 3.0, name, settings)
+    }
+
+    fn start_as(
+        story: &str, platform: &Platform, known: &str, disk_mb: f64, name: &str,
+        settings: Option<&std::path::Path>,
+    ) -> Sender {
         let folder = std::env::temp_dir().join(format!("martenlatch-{story}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("state")).unwrap();
@@ -236,15 +253,27 @@
             platform.address
         );
         std::fs::write(folder.join("config.json"), config).unwrap();
-        let child = Sender::spawn(&folder, platform.address);
-        Sender { address: free, folder, discovery: platform.address, child }.ready()
+        let (name, settings) = (name.to_string(), settings.map(std::path::Path::to_path_buf));
+        let child = Sender::spawn(&folder, platform.address, &name, settings.as_deref());
+        Sender { address: free, folder, discovery: platform.address, name, settings, child }.ready()
     }
 
-    fn spawn(folder: &std::path::Path, discovery: SocketAddr) -> Child {
-        Command::new(env!("CARGO_BIN_EXE_martenlatch"))
+    fn spawn_again(&self) -> Child {
+        Sender::spawn(&self.folder, self.discovery, &self.name, self.settings.as_deref())
+    }
+
+    fn spawn(
+        folder: &std::path::Path, discovery: SocketAddr, name: &str, settings: Option<&std::path::Path>,
+    ) -> Child {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_martenlatch"));
+        if let Some(settings) = settings {
+            command.env("MARTENLATCH_SETTINGS", settings);
+        }
+        command
             .env("PROXY_CONFIG", folder.join("config.json"))
             .env("PROXY_STATE", folder.join("state"))
             .env_remove("PROXY_LISTEN")
+            .env("PROXY_NAME", name)
             .env("PROXY_DISCOVERY", discovery.to_string())
             .stdout(Stdio::piped())
             .stderr(Stdio::piped())
@@ -265,15 +294,27 @@
     pub fn kill_and_restart(mut self) -> Sender {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
-        self.child = Sender::spawn(&self.folder, self.discovery);
+        self.child = self.spawn_again();
         self.ready()
     }
 
+    pub fn kill(mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// What it holds of the machine's memory now.
+    pub fn memory_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Tells it to end, waits until it has, and starts it again.
     pub fn end_and_restart(mut self) -> Sender {
         self.signal("TERM");
         assert_eq!(self.child.wait().unwrap().code(), Some(0));
-        self.child = Sender::spawn(&self.folder, self.discovery);
+        self.child = self.spawn_again();
         self.ready()
     }
 
@@ -287,7 +328,7 @@
         self.child.kill().unwrap();
         self.child.wait().unwrap();
         self.configure(from, to);
-        let output = Sender::spawn(&self.folder, self.discovery).wait_with_output().unwrap();
+        let output = self.spawn_again().wait_with_output().unwrap();
         (output.status.code(), String::from_utf8(output.stderr).unwrap())
     }
 
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,10 @@
+//! Who else sends, and what they know of partners. [`member`] keeps a view of the other senders by a protocol like
+//! SWIM, [`known`] merges what they tell and weighs it by its age, [`wire`] is the form of both on the network.
+//!
+//! Nothing in here opens a socket or looks at a clock: time and datagrams go in, datagrams and changes come out. What
+//! is done with what is known stays the decision module's.
+
+pub mod known;
+pub mod member;
+pub mod sketch;
+pub mod wire;
--- /dev/null
+++ b/crates/peers/tests/members.rs
@@ -0,0 +1,137 @@
+//! Stories of the membership protocol, each over a simulated network that loses, cuts and delays: one a failure.
+
+mod net;
+
+use martenlatch_peers::member::{Body, Change, Datagram, Members, Rumour, Settings, State};
+use net::{Net, address, name};
+
+#[test]
+fn newcomers_are_known_to_all_and_know_all() {
+    let mut net = Net::of(12, 0.0, 1);
+    net.run(8_000.0);
+    assert_eq!(net.unknown(), 0, "pairs that do not know each other");
+    net.add(12);
+    net.run(5_000.0);
+    assert_eq!(net.unknown(), 0);
+}
+
+#[test]
+fn one_that_is_killed_is_held_for_dead_and_one_that_leaves_for_left() {
+    let mut net = Net::of(8, 0.0, 2);
+    net.run(8_000.0);
+    net.kill(3);
+    net.leave(4);
+    net.run(12_000.0);
+    for no in [0, 1, 2, 5, 6, 7] {
+        assert_eq!(net.state(no, 3), Some(State::Dead), "seen by {no}");
+        assert_eq!(net.state(no, 4), Some(State::Left), "seen by {no}");
+    }
+}
+
+#[test]
+fn one_that_comes_back_under_its_name_is_a_member_again() {
+    let mut net = Net::of(5, 0.0, 3);
+    net.run(6_000.0);
+    net.kill(2);
+    net.run(10_000.0);
+    // Its file was lost too: it begins under the incarnation that it is dead with.
+    net.add(2);
+    net.run(10_000.0);
+    assert_eq!(net.unknown(), 0);
+    assert!(net.node(2).me().incarnation > 1, "it has refuted its death");
+}
+
+#[test]
+fn a_suspect_that_lives_refutes_it() {
+    let mut net = Net::of(5, 0.0, 4);
+    net.run(6_000.0);
+    net.deafen(2, 900.0);
+    net.run(15_000.0);
+    assert!(net.changes(0).iter().any(|c| *c == Change::Suspected(name(2))), "it was suspected");
+    assert!(net.changes(0).iter().all(|c| *c != Change::Died(name(2))), "it never died");
+    assert_eq!(net.state(0, 2), Some(State::Alive));
+}
+
+#[test]
+fn halves_of_a_split_network_meet_again() {
+    let mut net = Net::of(8, 0.0, 5);
+    net.run(8_000.0);
+    net.split(Some(4));
+    net.run(30_000.0);
+    assert_eq!(net.state(0, 7), Some(State::Dead));
+    assert_eq!(net.state(7, 0), Some(State::Dead));
+    net.split(None);
+    net.run(20_000.0);
+    assert_eq!(net.unknown(), 0);
+}
+
+#[test]
+fn a_lossy_network_kills_few_and_none_for_good() {
+    let mut net = Net::of(16, 0.2, 6);
+    net.run(60_000.0);
+    net.loss = 0.0;
+    net.run(20_000.0);
+    assert_eq!(net.unknown(), 0);
+}
+
+#[test]
+fn a_view_is_bounded_and_the_dead_give_way_to_the_living() {
+    let set = Settings { most: 4, ..Settings::default() };
+    let mut members = Members::new("s0", address(0), 1, &[], set, 1, 0.0);
+    let tell = |members: &mut Members, no: usize, state: State| {
+        let from = Rumour { name: name(no), address: address(no), incarnation: 1, state: State::Alive };
+        let rumours = vec![Rumour { state, ..from.clone() }];
+        members.hear(Datagram { from, digest: 0, body: Body::View, rumours }, 0.0);
+    };
+    (1..=4).for_each(|no| tell(&mut members, no, State::Alive));
+    tell(&mut members, 5, State::Alive);
+    assert_eq!(
+        (members.others().count(), members.turned_away),
+        (4, 2),
+        "the living stay; its own word and the rumour do not count"
+    );
+    tell(&mut members, 4, State::Dead);
+    tell(&mut members, 5, State::Alive);
+    assert!(members.others().any(|r| r.name == "s5"), "the dead give way");
+    assert_eq!(members.others().count(), 4);
+    for no in 10..10_000 {
+        tell(&mut members, no, State::Alive);
+        members.take_out();
+    }
+    assert_eq!(members.others().count(), 4);
+}
+
+#[test]
+fn a_second_sender_of_the_name_is_said_and_does_not_make_them_outbid_each_other() {
+    let mut net = Net::of(4, 0.0, 7);
+    net.run(6_000.0);
+    net.add_as(9, 1);
+    net.run(30_000.0);
+    let taken = net.changes(1).iter().filter(|c| matches!(c, Change::NameTaken(_))).count();
+    assert!((1..=10).contains(&taken), "{taken} times in 30 s");
+    assert!(net.node(1).me().incarnation < 40, "{}", net.node(1).me().incarnation);
+}
+
+#[test]
+fn our_own_stall_makes_nobody_a_suspect() {
+    let mut net = Net::of(4, 0.0, 8);
+    net.run(6_000.0);
+    net.stall(0, 3_000.0);
+    net.run(8_000.0);
+    let suspected =
+        net.changes(0).iter().filter(|c| matches!(c, Change::Suspected(n) if *n != name(0))).count();
+    assert_eq!(suspected, 0);
+    assert_eq!(net.unknown(), 0, "and it is a member still");
+}
+
+#[test]
+fn a_flood_of_keyed_datagrams_grows_nothing() {
+    let mut members = Members::new("s0", address(0), 1, &[], Settings::default(), 1, 0.0);
+    for no in 0..100_000u64 {
+        let from = Rumour { name: "s1".into(), address: address(1), incarnation: 1, state: State::Alive };
+        let body = if no % 2 == 0 { Body::Ask { no, address: address(2) } } else { Body::Ack { no } };
+        members.hear(Datagram { from, digest: no, body, rumours: vec![] }, no as f64);
+        assert!(members.take_out().len() <= 2, "one answer each, and at times a question");
+    }
+    assert!(format!("{members:?}").len() < 20_000);
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -293,6 +293,64 @@
     }
 }
 
+/// What was seen amiss with a destination, or with an endpoint that is a route of its own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// It does not answer.
+    Down,
+    /// It turns everything away.
+    Shut,
+    /// It answers again.
+    Back {
+        /// Since so long.
+        since: Nanos,
+    },
+}
+
+/// What one sender has itself seen of a route, to be told to others; see [`Policy::sights`](crate::Policy::sights).
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sight {
+    /// The destination.
+    pub destination: DestinationId,
+    /// The endpoint, where it is a route of its own.
+    pub endpoint: Option<EndpointId>,
+    /// Since the latest call.
+    pub age: Nanos,
+    /// How long nothing may be sent there yet.
+    pub wait: Nanos,
+    /// The pacing gap.
+    pub gap: Nanos,
+    /// Calls a second that it takes from all senders, where that is known and no outage stands between.
+    pub limit: Option<f64>,
+    /// Served calls, each halving with age, and refused ones.
+    pub served: f64,
+    /// See `served`.
+    pub refused: f64,
+    /// Latencies of the latest served calls, by size.
+    pub latencies: Vec<Nanos>,
+    /// What was seen amiss.
+    pub outage: Option<Outage>,
+}
+
+/// What other senders know of a route, weighed before it is told: a prior, which gives way to what is seen here.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// The destination.
+    pub destination: DestinationId,
+    /// The endpoint, where it is a route of its own.
+    pub endpoint: Option<EndpointId>,
+    /// Nothing may be sent there for so long yet. Binds at once and wholly.
+    pub wait: Nanos,
+    /// A pacing gap to begin with.
+    pub gap: Nanos,
+    /// Calls a second that it takes from all senders.
+    pub limit: Option<f64>,
+    /// As many latencies as the prior stands for calls.
+    pub latencies: Vec<Nanos>,
+    /// What was seen amiss. Makes this sender one of those that saw it.
+    pub outage: Option<Outage>,
+}
+
 /// What a sender tells its policy.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -332,6 +390,8 @@
         /// When the first of them was sent that is not proven never to have run.
         ran: Option<Nanos>,
     },
+    /// What others know of a route that is listed.
+    Told(Told),
     /// The sender is told to end: no call may be out past this instant.
     Closing(Nanos),
     /// An attempt ended; exactly one for each [`Action::Send`].
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -3,6 +3,8 @@
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
+mod sights;
+
 const MS: Nanos = 1_000_000;
 /// Delay of a copy, as a percentile of served latencies: the design's p95.
 const COPY_PERCENTILE: f64 = 0.95;
@@ -74,13 +76,17 @@
 struct Recent {
     by_age: VecDeque<Nanos>,
     by_size: Vec<Nanos>,
+    /// The first so many are hearsay.
+    hearsay: usize,
 }
 
 impl Recent {
     fn learn(&mut self, took: Nanos) {
         self.by_age.push_back(took);
         self.by_size.insert(self.by_size.partition_point(|t| *t < took), took);
-        if self.by_age.len() > MEMORY {
+        // Each call of its own takes the place of one that was only heard of.
+        if self.by_age.len() > MEMORY || self.hearsay > 0 {
+            self.hearsay = self.hearsay.saturating_sub(1);
             let old = self.by_age.pop_front().unwrap();
             self.by_size.remove(self.by_size.partition_point(|t| *t < old));
         }
@@ -116,6 +122,7 @@
     unrefused: Nanos,
     /// When the latest of the served calls was sent.
     served_sent: Nanos,
+    seen: sights::Seen,
     /// Attempts out (message, attempt, time of sending), and the calls that carry them.
     out: Vec<(MessageId, u32, Nanos)>,
     calls: usize,
@@ -340,6 +347,7 @@
             Event::ListFailed => self.ask_at = self.set.ask_every.map(|every| self.now + every / 8),
             Event::Message { .. } => self.message(event),
             Event::Resumed { .. } => self.resumed(event),
+            Event::Told(told) => self.told(told),
             Event::Closing(at) => self.closing = Some(*at),
             Event::Ended { .. } => self.ended(event, actions),
             Event::Started { id, attempt } => {
@@ -419,6 +427,39 @@
         }
     }
 
+    /// Hearsay: a wait binds at once; the rest stands for a route where nothing was sent yet.
+    fn told(&mut self, told: &Told) {
+        let (now, key) = (self.now, (told.destination, told.endpoint));
+        let of = self.of.get(&told.destination).into_iter().flatten();
+        let Some(at) = of.copied().find(|e| self.endpoints[e].route == key) else { return };
+        let route = self.routes.get_mut(&key).unwrap();
+        route.wait_until = route.wait_until.max(now.saturating_add(told.wait));
+        if route.last_send.is_some() || route.recent.hearsay > 0 {
+            return;
+        }
+        route.gap = route.gap.max(told.gap.min(GAP_CAP));
+        route.limit = route.limit.or(told.limit.filter(|l| *l > 0.0));
+        for took in told.latencies.iter().take(MEMORY / 2) {
+            route.recent.learn(*took);
+            self.pooled.learn(*took);
+        }
+        route.recent.hearsay = route.recent.by_age.len();
+        match told.outage {
+            Some(Outage::Down) => route.bad = (1 << BAD_RUN) - 1,
+            Some(Outage::Shut) => route.refused_run = if told.wait > 0 { 1 } else { BAD_RUN },
+            Some(Outage::Back { since }) => route.returning = Some(now.saturating_sub(since)),
+            None => {}
+        }
+        // One of those that saw it: it rests, tries and returns as they do.
+        if let Some(Outage::Down | Outage::Shut) = told.outage {
+            self.failed_trial(at, DOUBT);
+        }
+        if told.outage == Some(Outage::Shut) {
+            let route = self.routes.get_mut(&key).unwrap();
+            route.returning = Some(now.max(route.wait_until));
+        }
+    }
+
     /// What a message earns if it is delivered at an instant.
     fn earns(&self, m: &Message, at: Nanos) -> f64 {
         let class = &self.set.classes[m.class.0];
@@ -781,6 +822,7 @@
             route.limit = report.limit;
         }
         let step = route.limit.map_or(GAP_STEP, |l| (0.5e9 * self.set.senders as f64 / l) as Nanos);
+        route.seen.count(outcome, now);
         match outcome {
             Outcome::Success => {
                 // Times measured across a stall say nothing of a pace.
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 
 use martenlatch_settings::platform::{self, Boot};
-use martenlatch_settings::program::Clients;
+use martenlatch_settings::program::{Clients, Peers};
 use serde_json::Value;
 
 /// What the sender is told at its start.
@@ -23,6 +23,8 @@
     pub boot: Boot,
     /// From the program's own settings.
     pub clients: Clients,
+    /// Senders that know one another.
+    pub peers: Option<Peers>,
 }
 
 fn address(json: &Value, field: &str, variable: &str) -> Result<SocketAddr, String> {
@@ -78,6 +80,7 @@
             known,
             boot: platform::read(&told.to_string())?,
             clients: martenlatch_settings::program::Program::default().clients,
+            peers: None,
         })
     }
 }
--- /dev/null
+++ b/crates/sender/src/kept.rs
@@ -0,0 +1,86 @@
+//! Owns the small file in the folder that lasts in which a sender keeps its incarnation and what it has itself seen of
+//! partners. It must never grow past its bound, leave a half-written file in place of a whole one, or stop a sender
+//! because what it held cannot be read.
+
+use std::path::{Path, PathBuf};
+
+use martenlatch_clock::Millis;
+use martenlatch_peers::known::{Telling, Trouble};
+use serde::{Deserialize, Serialize};
+use tracing::warn;
+
+/// Says what the file is, and in which version.
+const MAGIC: &[u8; 8] = b"mlpeer1\n";
+
+/// What an earlier life has left.
+#[derive(Default, Serialize, Deserialize)]
+pub struct Past {
+    pub incarnation: u64,
+    /// When it was written, in milliseconds of Unix time.
+    at: Millis,
+    pub tellings: Vec<Telling>,
+}
+
+/// The file.
+pub struct Kept {
+    file: PathBuf,
+}
+
+impl Kept {
+    /// Most partners that are kept.
+    pub const MOST: usize = 4_096;
+
+    /// Finds what an earlier life has left, as old as it is now. What cannot be read is said and passed over.
+    ///
+    /// # Errors
+    /// Where the file is there and cannot be read at all.
+    pub fn open(folder: &Path, now: Millis) -> Result<(Kept, Past), String> {
+        let file = folder.join("peers");
+        let past = match std::fs::read(&file) {
+            Ok(bytes) => Kept::read(&bytes, now).unwrap_or_else(|reason| {
+                warn!(file = %file.display(), reason, "knowledge passed over");
+                Past::default()
+            }),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Past::default(),
+            Err(e) => return Err(format!("{}: {e}", file.display())),
+        };
+        Ok((Kept { file }, past))
+    }
+
+    fn read(bytes: &[u8], now: Millis) -> Result<Past, &'static str> {
+        let rest = bytes.strip_prefix(MAGIC).ok_or("not of this version")?;
+        let (sum, body) = rest.split_first_chunk::<4>().ok_or("cut short")?;
+        if crc32fast::hash(body).to_le_bytes() != *sum {
+            return Err("damaged");
+        }
+        let mut past: Past = postcard::from_bytes(body).map_err(|_| "malformed")?;
+        let passed = (now - past.at) as f32;
+        if passed.is_nan() || passed < 0.0 {
+            // The clock was put back: how old it is cannot be told.
+            past.tellings.clear();
+        }
+        for telling in &mut past.tellings {
+            telling.age += passed;
+            if let Some(Trouble::Back { since }) = &mut telling.trouble {
+                *since += passed;
+            }
+        }
+        Ok(past)
+    }
+
+    /// Puts down what is known now.
+    ///
+    /// # Errors
+    /// Where it cannot be written; what was there before stands.
+    pub fn write(&mut self, incarnation: u64, at: Millis, tellings: Vec<Telling>) -> Result<(), String> {
+        let failed = |e: std::io::Error| format!("{}: {e}", self.file.display());
+        let past = Past { incarnation, at, tellings };
+        let body = postcard::to_allocvec(&past).map_err(|e| format!("{}: {e}", self.file.display()))?;
+        let mut bytes = MAGIC.to_vec();
+        bytes.extend(crc32fast::hash(&body).to_le_bytes());
+        bytes.extend(body);
+        let fresh = self.file.with_extension("new");
+        std::fs::write(&fresh, bytes).map_err(failed)?;
+        std::fs::rename(&fresh, &self.file).map_err(failed)
+    }
+}
--- a/crates/sender/src/key.rs
+++ b/crates/sender/src/key.rs
@@ -8,6 +8,11 @@
     Region(usize),
     Watch,
     Notices,
+    /// Other senders: their datagrams, their connections, one of these, one of ours to them.
+    Datagrams,
+    Tellers,
+    Talk(usize),
+    Ask(usize),
 }
 
 pub type Handle = martenlatch_http::Handle<Key>;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -4,7 +4,9 @@
 
 mod config;
 mod counters;
+mod kept;
 mod key;
+mod peers;
 mod regions;
 mod stages;
 mod table;
@@ -18,6 +20,8 @@
 pub use config::Config;
 use key::Ready;
 use martenlatch_clock::Clock;
+use martenlatch_settings::program::Peers;
+pub use peers::secret;
 
 /// Connections that may wait to be accepted: a burst of clients must not be met with silence.
 const BACKLOG: i32 = 1024;
@@ -31,6 +35,32 @@
     Ok(socket.into())
 }
 
+/// Asks others what they know, before clients can come: for a bounded time, and not at all where nobody is there.
+fn learn(
+    set: &Peers, config: &Config, events: &mut EventLoop<'static, Ready>, ready: &mut Ready, clock: &Clock,
+) -> Result<peers::Peers, String> {
+    let apart = config.boot.settings.kinds.iter().map(|k| k.apart).collect();
+    let handle = events.handle();
+    let mut peers =
+        peers::Peers::open(set, &config.name, &config.state, apart, config.seed, &handle, clock.now())?;
+    // A signal to end is taken up as soon as the sender can.
+    while peers.learning(clock.now()) && ready.signals.is_empty() {
+        events
+            .dispatch(Duration::from_millis(5), ready)
+            .map_err(|e| format!("the event loop failed: {e}"))?;
+        let (now, mut again) = (clock.now(), Vec::new());
+        for key in std::mem::take(&mut ready.keys) {
+            if peers.ready(key, now) {
+                again.push(key);
+            }
+        }
+        ready.keys = again;
+        peers.tend(now, None);
+    }
+    peers.learned(clock.now());
+    Ok(peers)
+}
+
 /// Serves until the sender is told to end.
 pub fn run(config: Config) -> Result<(), String> {
     let clock = Clock::system();
@@ -41,9 +71,13 @@
     let told =
         handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
     told.map_err(|e| format!("no signals: {e}"))?;
-    let listener = listen(&config).map_err(|e| format!("listen: cannot bind {}: {e}", config.listen))?;
-    let mut driver = stages::Driver::new(config, listener, &handle, clock)?;
     let mut ready = Ready::default();
+    let peers = match &config.peers {
+        Some(set) => Some(learn(set, &config, &mut events, &mut ready, &clock)?),
+        None => None,
+    };
+    let listener = listen(&config).map_err(|e| format!("listen: cannot bind {}: {e}", config.listen))?;
+    let mut driver = stages::Driver::new(config, listener, peers, &handle, clock)?;
     loop {
         for signal in std::mem::take(&mut ready.signals) {
             match signal {
--- /dev/null
+++ b/crates/sender/src/peers.rs
@@ -0,0 +1,493 @@
+//! Owns the sockets by which senders speak with one another: datagrams for membership, connections for what is known.
+//! Off unless the settings name a listener. It must never decide anything (who is a member is `martenlatch-peers`', what
+//! knowledge is worth is the module's), take a byte that is not keyed, or keep deliveries waiting past the time that
+//! the settings give a newcomer to learn.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::Path;
+use std::rc::Rc;
+
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_http::pool::Pool;
+use martenlatch_http::register;
+use martenlatch_peers::known::{Bounds, Known, Telling};
+use martenlatch_peers::member::{Change, Members, Settings};
+use martenlatch_peers::wire::{Asking, DATAGRAM, Fault, MEMBERS, Page, Secret, TELLINGS};
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::{DestinationId, EndpointId, Entry, Event, KindId, Stage};
+use martenlatch_settings::program;
+use slab::Slab;
+use tracing::{info, warn};
+
+use crate::kept::Kept;
+use crate::key::{Handle, Key, Link};
+
+/// Datagrams read and connections taken in one round, at most: a flood costs a round no more than that.
+const READ: usize = 64;
+/// Connections of others at a time, and of ours to others.
+const TALKS: usize = 4;
+const ASKS: usize = 3;
+/// A connection that has not asked by then is closed, and one that has not taken its answer.
+const PATIENCE: (Millis, Millis) = (1_000.0, 10_000.0);
+/// Buffers for all of it.
+const BUFFERS: usize = 2 * (TALKS + ASKS);
+/// What was heard at the start is dropped after so many half-lives: it weighs nothing any more.
+const FORGET: f64 = 4.0;
+/// How often what is known is kept in the folder that lasts.
+const KEEP_EVERY: Millis = 10_000.0;
+
+/// Gives a region the name by which discovery lists it.
+type Names<'a> = &'a dyn Fn(EndpointId) -> Option<String>;
+
+type RouteName = (DestinationId, Option<EndpointId>);
+
+/// Another that was asked for what it knows.
+struct Ask {
+    link: Link,
+    asking: Asking,
+    teller: SocketAddr,
+}
+
+/// Another that asks.
+struct Talk {
+    link: Link,
+    since: Millis,
+    telling: Option<Tale>,
+    done: bool,
+}
+
+/// How far a telling has come.
+struct Tale {
+    no: u64,
+    page: u32,
+    after: Option<RouteName>,
+    /// Members are told, not partners.
+    who: bool,
+    over: bool,
+}
+
+/// Datagrams and connections that were turned away, by what was wrong with them.
+#[derive(Default)]
+struct TurnedAway {
+    key: u64,
+    version: u64,
+    form: u64,
+    talks: u64,
+}
+
+impl TurnedAway {
+    fn count(&mut self, fault: Fault) {
+        match fault {
+            Fault::Key => self.key += 1,
+            Fault::Version => self.version += 1,
+            _ => self.form += 1,
+        }
+    }
+}
+
+/// The other senders, as this one meets them.
+pub struct Peers {
+    set: program::Peers,
+    secret: Secret,
+    handle: Handle,
+    pool: Pool,
+    socket: Rc<UdpSocket>,
+    listener: Rc<TcpListener>,
+    members: Members,
+    known: Known,
+    bounds: Bounds,
+    /// Which kinds have endpoints that are routes of their own.
+    apart: Vec<bool>,
+    asks: Vec<Option<Ask>>,
+    talks: Slab<Talk>,
+    started: Millis,
+    kept: Option<Kept>,
+    /// What is being gathered for the folder: how far it is, and what it is so far.
+    gathering: Option<(Option<RouteName>, Vec<Telling>)>,
+    next_keep: Millis,
+    turned_away: TurnedAway,
+    told: u64,
+    learned: u64,
+    next_no: u64,
+}
+
+/// Reads the secret that all members share. What stands at its ends (a line's end) does not count.
+///
+/// # Errors
+/// One line that names the file.
+pub fn secret(file: &Path) -> Result<Secret, String> {
+    let bytes = std::fs::read(file).map_err(|e| format!("peers.secret_file: {}: {e}", file.display()))?;
+    let bytes = bytes.trim_ascii();
+    if bytes.len() < 16 {
+        return Err(format!("peers.secret_file: {}: at least 16 bytes are wanted", file.display()));
+    }
+    Ok(Secret::new(bytes))
+}
+
+impl Peers {
+    /// Listens, takes up what the folder holds of an earlier life, and asks the seeds. `apart` says of each kind whether
+    /// its endpoints are routes of their own.
+    ///
+    /// # Errors
+    /// One line on what cannot be bound, read or written.
+    pub fn open(
+        set: &program::Peers, name: &str, folder: &Path, apart: Vec<bool>, seed: u64, handle: &Handle,
+        now: Millis,
+    ) -> Result<Peers, String> {
+        let secret = secret(&set.secret_file)?;
+        let failed = |e: std::io::Error| format!("peers.listen: cannot bind {}: {e}", set.listen);
+        let socket = UdpSocket::bind(set.listen).map_err(failed)?;
+        // Both at one port: where the settings name none, TCP takes the one that UDP was given.
+        let address = socket.local_addr().map_err(failed)?;
+        let listener = TcpListener::bind(address).map_err(failed)?;
+        socket.set_nonblocking(true).map_err(failed)?;
+        listener.set_nonblocking(true).map_err(failed)?;
+        let (socket, listener) = (Rc::new(socket), Rc::new(listener));
+        register(handle, socket.clone(), Key::Datagrams).map_err(failed)?;
+        register(handle, listener.clone(), Key::Tellers).map_err(failed)?;
+        let bounds = Bounds { half_life: set.half_life_ms, wait: set.longest_wait_ms, ..Bounds::default() };
+        let (mut kept, past) = Kept::open(folder, now)?;
+        let mut known = Known::default();
+        if set.keep {
+            for telling in &past.tellings {
+                known.hear("before", telling, now, &bounds);
+            }
+            // What was told to an earlier life binds this one no more.
+            known.forget_waits();
+        }
+        // The incarnation is down before it is told to anyone.
+        kept.write(past.incarnation + 1, now, past.tellings)?;
+        let protocol = Settings {
+            period: set.period_ms,
+            ack: set.period_ms * 0.3,
+            suspect: set.suspect_periods,
+            ..Settings::default()
+        };
+        let mut members = Members::new(name, address, past.incarnation + 1, &set.seeds, protocol, seed, now);
+        members.join();
+        info!(
+            name = %members.me().name, address = %address, incarnation = members.me().incarnation,
+            kept = known.len(), seeds = set.seeds.len(), "peers started"
+        );
+        let mut peers = Peers {
+            secret,
+            handle: handle.clone(),
+            pool: Pool::new(BUFFERS),
+            socket,
+            listener,
+            members,
+            known,
+            bounds,
+            apart,
+            asks: Vec::new(),
+            talks: Slab::new(),
+            started: now,
+            kept: Some(kept),
+            gathering: None,
+            next_keep: now + KEEP_EVERY,
+            turned_away: TurnedAway::default(),
+            told: 0,
+            learned: 0,
+            next_no: seed | 1,
+            set: set.clone(),
+        };
+        peers.ask_seeds(address);
+        peers.flush();
+        Ok(peers)
+    }
+
+    fn ask_seeds(&mut self, own: SocketAddr) {
+        let seeds: Vec<SocketAddr> =
+            self.set.seeds.iter().copied().filter(|s| *s != own).take(ASKS).collect();
+        for (at, teller) in seeds.into_iter().enumerate() {
+            self.next_no = self.next_no.wrapping_add(1);
+            let (no, name) = (self.next_no, self.members.me().name.clone());
+            let Ok(mut link) = Link::connect(teller, &self.handle, &self.pool, Key::Ask(at)) else {
+                self.asks.push(None);
+                continue;
+            };
+            link.queue(&self.secret.seal_page(&Page::Ask { no, name }));
+            link.flush();
+            self.asks.push(Some(Ask { link, asking: Asking::new(no), teller }));
+        }
+    }
+
+    /// Whether there is somebody yet who may tell something, and time for it. With nobody there it is over at once.
+    pub fn learning(&self, now: Millis) -> bool {
+        now < self.started + self.set.learn_ms && self.asks.iter().any(Option::is_some)
+    }
+
+    /// Says what was learned; what comes later does not count.
+    pub fn learned(&mut self, now: Millis) {
+        for ask in self.asks.iter_mut().filter_map(Option::take) {
+            warn!(teller = %ask.teller, reason = "not whole in time", "snapshot cut");
+        }
+        let took_ms = (now - self.started) as u64;
+        info!(partners = self.known.len(), tellings = self.learned, took_ms, "learned from peers");
+    }
+
+    /// When [`Peers::tend`] has something to do.
+    pub fn due(&self) -> Millis {
+        let telling =
+            self.talks.iter().any(|(_, t)| t.link.flushed() && t.telling.as_ref().is_some_and(|t| !t.over));
+        if telling || self.gathering.is_some() {
+            return 0.0;
+        }
+        let slow = self.talks.iter().map(|(_, t)| t.since + PATIENCE.0);
+        slow.chain([self.members.due()]).fold(f64::INFINITY, f64::min)
+    }
+
+    /// Reads what a socket has brought. True where there may be more.
+    pub fn ready(&mut self, key: Key, now: Millis) -> bool {
+        match key {
+            Key::Datagrams => self.datagrams(now),
+            Key::Tellers => self.accept(now),
+            Key::Talk(at) => self.talk(at),
+            Key::Ask(at) => self.answer(at, now),
+            _ => false,
+        }
+    }
+
+    fn datagrams(&mut self, now: Millis) -> bool {
+        let mut bytes = [0; DATAGRAM + 1];
+        for _ in 0..READ {
+            match self.socket.recv_from(&mut bytes) {
+                Ok((count, _)) => match self.secret.open_datagram(&bytes[..count]) {
+                    Ok(datagram) => self.members.hear(datagram, now),
+                    Err(fault) => self.turned_away.count(fault),
+                },
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                // An answer that one of ours has met nobody; there may be datagrams behind it.
+                Err(_) => {}
+            }
+        }
+        true
+    }
+
+    fn accept(&mut self, now: Millis) -> bool {
+        for _ in 0..TALKS {
+            let stream = match self.listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(_) => continue,
+            };
+            let entry = self.talks.vacant_entry();
+            let key = Key::Talk(entry.key());
+            if entry.key() >= TALKS {
+                self.turned_away.talks += 1;
+                continue;
+            }
+            if let Ok(link) = Link::new(stream, &self.handle, &self.pool, key) {
+                entry.insert(Talk { link, since: now, telling: None, done: false });
+            }
+        }
+        true
+    }
+
+    fn talk(&mut self, at: usize) -> bool {
+        let Some(talk) = self.talks.get_mut(at) else { return false };
+        let more = talk.link.fill();
+        if talk.telling.is_none() && !talk.done {
+            let (no, who) = match self.secret.open_page(talk.link.bytes()) {
+                Ok((Page::Ask { no, .. }, _)) => (no, false),
+                Ok((Page::Who { no }, _)) => (no, true),
+                Err(Fault::Short) if !talk.link.eof => return more,
+                Ok(_) => {
+                    self.turned_away.count(Fault::Kind);
+                    talk.done = true;
+                    return false;
+                }
+                Err(fault) => {
+                    self.turned_away.count(fault);
+                    talk.done = true;
+                    return false;
+                }
+            };
+            talk.telling = Some(Tale { no, page: 0, after: None, who, over: false });
+        }
+        // Whatever else it says is not listened to.
+        let said = talk.link.bytes().len();
+        talk.link.used(said);
+        talk.link.flush();
+        more && !talk.link.broken
+    }
+
+    /// Takes what one that was asked has told.
+    fn answer(&mut self, at: usize, now: Millis) -> bool {
+        let Some(mut ask) = self.asks.get_mut(at).and_then(Option::take) else { return false };
+        ask.link.flush();
+        let more = ask.link.fill();
+        let fault = loop {
+            match self.secret.open_page(ask.link.bytes()) {
+                Ok((page, used)) => {
+                    ask.link.used(used);
+                    let Some(tellings) = ask.asking.take(page) else { break Some("out of order") };
+                    let teller = format!("asked {at}");
+                    for telling in &tellings {
+                        self.learned += u64::from(self.known.hear(&teller, telling, now, &self.bounds));
+                    }
+                    if ask.asking.whole {
+                        return false;
+                    }
+                }
+                Err(Fault::Short) if ask.link.eof || ask.link.broken => break Some("not reached, or closed"),
+                Err(Fault::Short) => break None,
+                Err(Fault::Key) => break Some("not keyed by our secret"),
+                Err(_) => break Some("malformed"),
+            }
+        };
+        match fault {
+            // What came before stands: each telling is whole by itself.
+            Some(reason) => {
+                info!(teller = %ask.teller, reason, learned = self.learned, "snapshot cut");
+                false
+            }
+            None => {
+                self.asks[at] = Some(ask);
+                more
+            }
+        }
+    }
+
+    /// Does what is due: pings, the next page of each telling, and what is kept. There is no policy yet while this
+    /// sender itself learns: it has seen nothing, and says so.
+    pub fn tend(&mut self, now: Millis, seen: Option<(&Policy, Names)>) {
+        if now >= self.members.due() {
+            self.members.tick(now);
+        }
+        self.flush();
+        for at in 0..TALKS {
+            let Some(talk) = self.talks.get_mut(at) else { continue };
+            talk.link.flush();
+            let late = now > talk.since + if talk.telling.is_some() { PATIENCE.1 } else { PATIENCE.0 };
+            let over = talk.telling.as_ref().is_some_and(|t| t.over);
+            if late || talk.done || talk.link.broken || (over && talk.link.flushed()) {
+                self.talks.remove(at);
+                continue;
+            }
+            let Some(tale) = talk.telling.as_mut().filter(|t| !t.over && talk.link.flushed()) else {
+                continue;
+            };
+            let (no, page) = (tale.no, tale.page);
+            let told = if tale.who {
+                let from = page as usize * MEMBERS;
+                let me = std::iter::once(self.members.me());
+                let rumours: Vec<_> =
+                    me.chain(self.members.others()).skip(from).take(MEMBERS).cloned().collect();
+                (!rumours.is_empty()).then_some(Page::Members { no, page, rumours })
+            } else {
+                let first = page == 0 || tale.after.is_some();
+                seen.filter(|_| first).map(|(policy, name)| {
+                    let (sights, after) = policy.sights(nanos(now), tale.after, TELLINGS);
+                    tale.after = after;
+                    let tellings: Vec<Telling> =
+                        sights.iter().map(|s| Telling::of(s, s.endpoint.and_then(name))).collect();
+                    self.told += tellings.len() as u64;
+                    Page::Told { no, page, tellings }
+                })
+            };
+            let told = told.unwrap_or_else(|| {
+                tale.over = true;
+                Page::End { no, pages: page }
+            });
+            tale.page += 1;
+            talk.link.queue(&self.secret.seal_page(&told));
+            talk.link.flush();
+        }
+        if let Some((policy, name)) = seen {
+            self.keep(now, policy, name);
+        }
+        if !self.known.is_empty() && now > self.started + FORGET * self.bounds.half_life {
+            self.known = Known::default();
+        }
+    }
+
+    /// Gathers what is to be kept a page a round, and writes it once it is whole.
+    fn keep(&mut self, now: Millis, policy: &Policy, name: Names) {
+        if !self.set.keep || (self.gathering.is_none() && now < self.next_keep) {
+            return;
+        }
+        let (after, mut tellings) = self.gathering.take().unwrap_or_default();
+        let (sights, next) = policy.sights(nanos(now), after, TELLINGS);
+        tellings.extend(sights.iter().map(|s| Telling::of(s, s.endpoint.and_then(name))));
+        if next.is_some() && tellings.len() < Kept::MOST {
+            self.gathering = Some((next, tellings));
+            return;
+        }
+        self.next_keep = now + KEEP_EVERY;
+        if let Some(kept) = &mut self.kept
+            && let Err(reason) = kept.write(self.members.me().incarnation, now, tellings)
+        {
+            warn!(reason, "knowledge not kept");
+        }
+    }
+
+    /// Sends what the membership has to say, and logs what has changed in it.
+    fn flush(&mut self) {
+        for (to, datagram) in self.members.take_out() {
+            // One that is lost is one lost: the protocol reckons with it.
+            let _ = self.socket.send_to(&self.secret.seal_datagram(&datagram), to);
+        }
+        for change in self.members.take_changes() {
+            match change {
+                Change::Joined(who) => {
+                    info!(name = %who.name, address = %who.address, incarnation = who.incarnation, "member joined");
+                }
+                Change::Suspected(name) => info!(name = %name, "member suspected"),
+                Change::Refuted(name) => info!(name = %name, "member refuted the suspicion"),
+                Change::Died(name) => warn!(name = %name, "member died"),
+                Change::Left(name) => info!(name = %name, "member left"),
+                Change::Forgotten(name) => info!(name = %name, "member forgotten"),
+                Change::NameTaken(address) => {
+                    warn!(name = %self.members.me().name, address = %address, "another goes by our name");
+                }
+            }
+        }
+    }
+
+    /// What the module is to be told of routes that were just listed.
+    pub fn hearsay(&self, listed: &[Entry], name: Names, now: Millis) -> Vec<Event> {
+        if self.known.is_empty() {
+            return Vec::new();
+        }
+        let mut told: Vec<RouteName> = Vec::new();
+        let apart = |kind: KindId| self.apart.get(kind.0).copied().unwrap_or(false);
+        for entry in listed.iter().filter(|e| e.stage == Stage::On) {
+            told.push((entry.destination, apart(entry.kind).then_some(entry.endpoint)));
+        }
+        told.sort_unstable();
+        told.dedup();
+        let one = |(destination, endpoint): RouteName| {
+            let named = match endpoint {
+                Some(endpoint) => Some(name(endpoint)?),
+                None => None,
+            };
+            self.known.told_of(&(destination.0, named), endpoint, now, &self.bounds)
+        };
+        told.into_iter().filter_map(one).map(Event::Told).collect()
+    }
+
+    /// This sender goes: some are told, and what it knows is kept once more.
+    pub fn leave(&mut self) {
+        self.next_keep = 0.0;
+        self.members.leave();
+        self.flush();
+    }
+
+    /// One line of counts.
+    pub fn print_counters(&self) {
+        let t = &self.turned_away;
+        info!(
+            members = self.members.live() + 1,
+            told = self.told,
+            learned = self.learned,
+            not_keyed = t.key,
+            other_version = t.version,
+            malformed = t.form,
+            talks_refused = t.talks,
+            view_full = self.members.turned_away,
+            "counters of peers"
+        );
+    }
+}
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::Config;
 use crate::counters::Counters;
+use crate::peers::Peers;
 use crate::regions::Regions;
 use crate::table::{Change, Table};
 use admit::Admit;
@@ -58,6 +59,8 @@
     desk: Desk,
     regions: Regions,
     table: Table,
+    /// Other senders, where these know one another.
+    peers: Option<Peers>,
     /// Sockets that had more to read than one round takes.
     again: Vec<Key>,
     /// When the sender was told to end.
@@ -66,7 +69,7 @@
 
 impl Driver {
     pub fn new(
-        config: Config, listener: TcpListener, handle: &Handle, clock: Clock,
+        config: Config, listener: TcpListener, peers: Option<Peers>, handle: &Handle, clock: Clock,
     ) -> Result<Driver, String> {
         let boot = &config.boot;
         let set = boot.settings.clone();
@@ -132,6 +135,7 @@
                 millis(set.conn_idle),
             ),
             table: Table::new(config.discovery, boot),
+            peers,
             again: Vec::new(),
             told_to_end: None,
             clock,
@@ -156,7 +160,11 @@
         let now = self.clock.now();
         self.regions.hold_back(|_, region| if whole { !on(&region) } else { off(&region) }, now);
         let entries = change.entries;
+        // What others know of a route is told in the turn that lists it: before anything can be sent there.
+        let table = &self.table;
+        let hearsay = self.peers.as_ref().map(|p| p.hearsay(&entries, &|region| table.name(region), now));
         self.route.events.push(if whole { Event::List(entries) } else { Event::ListChanges(entries) });
+        self.route.events.extend(hearsay.into_iter().flatten());
     }
 
     /// How long the loop may sleep, in milliseconds.
@@ -165,13 +173,20 @@
             return 0.0;
         }
         let dues = [self.regions.due(), self.table.due(), self.relay.due(), self.take_in.due()];
-        let due = dues.into_iter().chain(self.route.wake).fold(f64::INFINITY, f64::min);
+        let due = dues
+            .into_iter()
+            .chain(self.route.wake)
+            .chain(self.peers.as_ref().map(Peers::due))
+            .fold(f64::INFINITY, f64::min);
         // Near its end the sender must not sleep past the instants at which it stops and goes.
         (due - self.clock.now()).clamp(0.0, if self.told_to_end.is_some() { 20.0 } else { 250.0 })
     }
 
     pub fn print_counters(&mut self) {
         self.desk.counters.connections = self.regions.opened;
+        if let Some(peers) = &self.peers {
+            peers.print_counters();
+        }
         info!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
     }
 
@@ -198,6 +213,9 @@
             info!(open = self.desk.open, "ending");
             self.told_to_end = Some(now);
             self.take_in.ending = true;
+            if let Some(peers) = &mut self.peers {
+                peers.leave();
+            }
             self.route.events.push(Event::Closing(nanos(now + LAST_CALL)));
         }
     }
@@ -223,6 +241,9 @@
                     changes.into_iter().for_each(|c| self.listed(c));
                     more
                 }
+                Key::Datagrams | Key::Tellers | Key::Talk(_) | Key::Ask(_) => {
+                    self.peers.as_mut().is_some_and(|p| p.ready(key, now))
+                }
                 Key::Notices => {
                     let confirmed = self.relay.ready(now);
                     confirmed.into_iter().for_each(|no| self.book.confirmed(no, &mut self.desk));
@@ -251,6 +272,10 @@
         self.carry_out(actions, now);
         self.relay.tend(&self.desk, now);
         self.book.tidy(&mut self.desk, now);
+        if let Some(peers) = &mut self.peers {
+            let table = &self.table;
+            peers.tend(now, Some((&self.route.policy, &|region| table.name(region))));
+        }
         let took = (self.clock.now() - now) as u64;
         self.desk.counters.longest_round_ms = self.desk.counters.longest_round_ms.max(took);
         !self.may_exit(now)
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -45,11 +45,12 @@
         memory: 64_000_000,
         known: serde_json::from_str(&target).unwrap(),
         clients: martenlatch_settings::program::Program::default().clients,
+        peers: None,
         boot: settings::read(SETTINGS).unwrap(),
     };
     let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
     let clock = Clock::at(START);
-    let driver = Driver::new(config, listener, &events.handle(), clock.clone()).unwrap();
+    let driver = Driver::new(config, listener, None, &events.handle(), clock.clone()).unwrap();
     (driver, clock, events)
 }
 
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use martenlatch_policy::interface::{DestinationId, EndpointId, Entry, KindId, Stage, ZoneId};
 use martenlatch_settings::platform::Boot;
@@ -38,7 +39,8 @@
     destinations: BTreeSet<u64>,
     /// Discovery has spoken in this life.
     told: bool,
-    numbers: HashMap<String, EndpointId>,
+    numbers: HashMap<Rc<str>, EndpointId>,
+    names: HashMap<EndpointId, Rc<str>>,
     /// The next region's number.
     next: u32,
     /// Where each region is now.
@@ -65,6 +67,7 @@
             destinations: BTreeSet::new(),
             told: false,
             numbers: HashMap::new(),
+            names: HashMap::new(),
             next: 0,
             addresses: HashMap::new(),
             watch: None,
@@ -100,6 +103,7 @@
         }
         if !gone.is_empty() {
             self.numbers.retain(|_, e| !gone.contains(e));
+            self.names.retain(|e, _| !gone.contains(e));
             self.addresses.retain(|e, _| !gone.contains(e));
         }
         Some(Change { whole, entries })
@@ -140,7 +144,9 @@
             None => {
                 let fresh = EndpointId(self.next);
                 self.next += 1;
-                self.numbers.insert(uid.to_string(), fresh);
+                let name: Rc<str> = Rc::from(uid);
+                self.numbers.insert(name.clone(), fresh);
+                self.names.insert(fresh, name);
                 fresh
             }
         };
@@ -156,6 +162,11 @@
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
     }
 
+    /// The name by which discovery lists a region.
+    pub fn name(&self, region: EndpointId) -> Option<String> {
+        self.names.get(&region).map(|n| n.to_string())
+    }
+
     /// Whether a destination is served by any region; nothing while discovery has not said.
     pub fn serves(&self, destination: u64) -> Option<bool> {
         let listed = self.destinations.contains(&destination) || self.destinations.is_empty();
