Find transactions past their time by their order, not by a walk over all

Need: every round walked all that is held to look for transactions that the decision module had not ended; the cost of a round grew with the backlog.

The desk keeps the open ones by deadline. A round looks at the first only. The module's own walks stay; they are the next part of decisions at large size.

--- a/crates/sender/src/stages/desk.rs
+++ b/crates/sender/src/stages/desk.rs
@@ -1,9 +1,10 @@
 //! Owns what the stages share: the transactions that are not over, by number and by id. It must never lose one that
 //! the ledger holds, nor keep one that is over and has no routed task out.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
+use martenlatch_clock::Millis;
 use martenlatch_ledger::{Ledger, Taken};
 
 use crate::counters::Counters;
@@ -28,6 +29,8 @@
 pub struct Desk {
     pub(super) held: BTreeMap<u64, Transaction>,
     pub(super) numbers: HashMap<Rc<str>, u64>,
+    /// The open ones by deadline: positive numbers keep their order as bits.
+    pub(super) due: BTreeSet<(u64, u64)>,
     pub(super) open: usize,
     pub(super) next: u64,
     pub(super) ledger: Ledger,
@@ -37,14 +40,20 @@
 impl Desk {
     pub(super) fn insert(&mut self, taken: Taken, state: State) {
         self.numbers.insert(taken.id.clone(), taken.no);
-        self.open += usize::from(state == State::Open);
+        if state == State::Open {
+            self.open += 1;
+            self.due.insert((taken.deadline.max(0.0).to_bits(), taken.no));
+        }
         self.held.insert(taken.no, Transaction { taken, state, out: 0 });
     }
 
     /// Takes a transaction from one state to the next.
     pub(super) fn pass(&mut self, no: u64, to: State) {
         let Some(t) = self.held.get_mut(&no) else { return };
-        self.open -= usize::from(t.state == State::Open);
+        if t.state == State::Open {
+            self.open -= 1;
+            self.due.remove(&(t.taken.deadline.max(0.0).to_bits(), no));
+        }
         t.state = to;
         if to == State::Over {
             self.ledger.over(no, &t.taken.id);
@@ -52,6 +61,12 @@
         self.forget(no);
     }
 
+    /// Takes the open transaction whose deadline is first out of the order, if that is before an instant.
+    pub(super) fn take_due(&mut self, before: Millis) -> Option<u64> {
+        let first = *self.due.first()?;
+        (f64::from_bits(first.0) < before && self.due.remove(&first)).then_some(first.1)
+    }
+
     pub(super) fn forget(&mut self, no: u64) {
         if self.held.get(&no).is_some_and(|t| t.state == State::Over && t.out == 0)
             && let Some(t) = self.held.remove(&no)
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -12,7 +12,7 @@
 #[cfg(test)]
 mod tests;
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::TcpListener;
 use std::rc::Rc;
 
@@ -33,7 +33,7 @@
 use crate::table::{Change, Table};
 use admit::Admit;
 use book::Book;
-use desk::{Desk, State, Transaction};
+use desk::Desk;
 use relay::{NOTICES, RETRY, Relay};
 use route::Route;
 use send::{Send, To};
@@ -100,7 +100,7 @@
         let (ledger, past) = Ledger::open(&config.state, config.disk);
         let (next, counters) = (past.next, Counters::default());
         let (held, numbers) = (BTreeMap::new(), HashMap::new());
-        let mut desk = Desk { held, numbers, open: 0, next, ledger, counters };
+        let mut desk = Desk { held, numbers, due: BTreeSet::new(), open: 0, next, ledger, counters };
         let mut relay = Relay {
             platform: config.discovery,
             handle: handle.clone(),
@@ -300,9 +300,7 @@
 
     /// Ends what the module should have ended. Guards the owed notice, whatever goes wrong elsewhere.
     fn overdue(&mut self, now: Millis) {
-        let late = |t: &&Transaction| t.state == State::Open && now > t.taken.deadline + OVERDUE;
-        let late: Vec<u64> = self.desk.held.values().filter(late).map(|t| t.taken.no).collect();
-        for no in late {
+        while let Some(no) = self.desk.take_due(now - OVERDUE) {
             error!(no, "transaction ended late");
             self.desk.counters.late += 1;
             self.book.end(MessageId(no), Notice::Undeliverable, &mut self.desk, &mut self.relay);
