--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -182,6 +182,22 @@
     assert!(took < 9_000, "it waited for nobody: {took} ms");
 }
 
+#[test]
+fn with_the_first_seeds_gone_the_next_are_asked() {
+    let (_region, known) = one_region(|_, _| status(200, ""));
+    for alive in [1, 3, 6] {
+        let (platform, group) = (Platform::new(&[]), Group::of("gone", 7));
+        teller(group.seeds[alive], |no, stream| {
+            stream.write_all(&page(&Page::Told { no, page: 0, tellings: vec![telling(7)] })).unwrap();
+            stream.write_all(&page(&Page::End { no, pages: 1 })).unwrap();
+        });
+        let sender = group.start(0, &platform, &known, "");
+        sender.signal("TERM");
+        let log = sender.finish().1;
+        assert!(line(&log, "learned from peers").contains("partners=1"), "{alive}: {log}");
+    }
+}
+
 #[test]
 fn members_are_seen_come_die_and_leave() {
     let (_region, known) = one_region(|_, _| status(200, ""));
--- a/crates/peers/tests/known.rs
+++ b/crates/peers/tests/known.rs
@@ -47,6 +47,18 @@
     assert_eq!(known.told(1.0, &bounds, listed)[0].wait, 0, "not over a restart");
 }
 
+#[test]
+fn clocks_that_differ_do_not_matter_as_spans_are_told() {
+    let told = |clock: f64| {
+        let (mut known, bounds) = (Known::default(), Bounds::default());
+        let trouble = Some(Trouble::Back { since: 2_000.0 });
+        known.hear("t", &Telling { age: 700.0, wait: 4_000.0, trouble, ..telling(1) }, clock, &bounds);
+        known.told(clock + 1_000.0, &bounds, listed)
+    };
+    assert_eq!(told(1e6), told(1e6 + 7_000.0));
+    assert_eq!(told(1e6)[0].outage, Some(Outage::Back { since: 3_000 * MS }));
+}
+
 #[test]
 fn what_is_known_of_a_pace_halves_with_age() {
     let told = |age: f32| {
--- a/crates/policy/tests/told.rs
+++ b/crates/policy/tests/told.rs
@@ -108,6 +108,23 @@
     assert!(back(0) < back(5 * S) && back(5 * S) < back(30 * S), "warm again after its cold time");
 }
 
+#[test]
+fn what_was_told_before_an_outage_does_not_raise_the_pace_after_it() {
+    // Where no limit is listed. The partner fails at the first calls, and comes back.
+    let returned = |told: Option<Told>| {
+        let mut set = settings(vec![class(SAFE)]);
+        set.weights = Weights::Off;
+        let mut rig = Rig::new(set);
+        rig.now = 100 * S;
+        rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
+        rig.turn(&told.into_iter().map(Event::Told).collect::<Vec<_>>());
+        served(&mut rig, 4 * S, 100 * MS, Outcome::Unreachable);
+        served(&mut rig, 2 * S, 25 * MS, Outcome::Success).len()
+    };
+    let known = Told { latencies: vec![50 * MS; 12], ..told(1) };
+    assert!(returned(Some(known)) <= returned(None));
+}
+
 #[test]
 fn a_told_gap_paces_from_the_first_call_and_falls_as_calls_are_served() {
     let sent = served(&mut newcomer(Told { gap: 400 * MS, ..told(1) }), 4 * S, 100 * MS, Outcome::Success);
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -3,6 +3,7 @@
 //! knowledge is worth is the module's), take a byte that is not keyed, or keep deliveries waiting past the time that
 //! the settings give a newcomer to learn.
 
+use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::Path;
@@ -100,6 +101,8 @@
     /// Which kinds have endpoints that are routes of their own.
     apart: Vec<bool>,
     asks: Vec<Option<Ask>>,
+    /// Seeds not asked yet.
+    waiting: VecDeque<SocketAddr>,
     talks: Slab<Talk>,
     started: Millis,
     kept: Option<Kept>,
@@ -170,6 +173,10 @@
             name = %members.me().name, address = %address, incarnation = members.me().incarnation,
             kept = known.len(), seeds = set.seeds.len(), "peers started"
         );
+        // Each newcomer begins at another seed, so that they do not all ask the same.
+        let mut seeds: Vec<SocketAddr> = set.seeds.iter().copied().filter(|s| *s != address).collect();
+        let first = (seed as usize).checked_rem(seeds.len()).unwrap_or(0);
+        seeds.rotate_left(first);
         let mut peers = Peers {
             secret,
             handle: handle.clone(),
@@ -180,7 +187,8 @@
             known,
             bounds,
             apart,
-            asks: Vec::new(),
+            asks: (0..ASKS).map(|_| None).collect(),
+            waiting: seeds.into(),
             talks: Slab::new(),
             started: now,
             kept: Some(kept),
@@ -192,24 +200,23 @@
             next_no: seed | 1,
             set: set.clone(),
         };
-        peers.ask_seeds(address);
+        (0..ASKS).for_each(|at| peers.ask_next(at));
         peers.flush();
         Ok(peers)
     }
 
-    fn ask_seeds(&mut self, own: SocketAddr) {
-        let seeds: Vec<SocketAddr> =
-            self.set.seeds.iter().copied().filter(|s| *s != own).take(ASKS).collect();
-        for (at, teller) in seeds.into_iter().enumerate() {
+    /// Asks the next seed in a place that is free, if there is one that was not asked.
+    fn ask_next(&mut self, at: usize) {
+        while let Some(teller) = self.waiting.pop_front() {
             self.next_no = self.next_no.wrapping_add(1);
             let (no, name) = (self.next_no, self.members.me().name.clone());
             let Ok(mut link) = Link::connect(teller, &self.handle, &self.pool, Key::Ask(at)) else {
-                self.asks.push(None);
                 continue;
             };
             link.queue(&self.secret.seal_page(&Page::Ask { no, name }));
             link.flush();
-            self.asks.push(Some(Ask { link, asking: Asking::new(no), teller }));
+            self.asks[at] = Some(Ask { link, asking: Asking::new(no), teller });
+            return;
         }
     }
 
@@ -341,6 +348,7 @@
             // What came before stands: each telling is whole by itself.
             Some(reason) => {
                 info!(teller = %ask.teller, reason, learned = self.learned, "snapshot cut");
+                self.ask_next(at);
                 false
             }
             None => {
