Keep one simulated network of members for the tests and the laboratory

Need: the stories and the measurement had a network each, alike in all but names.

martenlatch_peers::net holds it; the laboratory's module is the measurement only.

--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -123,18 +123,7 @@
 }
 
 fn telling(destination: u64) -> Telling {
-    Telling {
-        destination,
-        endpoint: None,
-        age: 0.0,
-        wait: 0.0,
-        gap: 0.0,
-        limit: None,
-        served: 9.0,
-        refused: 0.0,
-        latency: Sketch::of([200.0; 9]),
-        trouble: None,
-    }
+    Telling { served: 9.0, latency: Sketch::of([200.0; 9]), ..Telling::new(destination) }
 }
 
 fn one_region(script: impl Fn(usize, &Heard) -> Reply + Send + Sync + 'static) -> (Region, String) {
--- a/crates/peers/src/known.rs
+++ b/crates/peers/src/known.rs
@@ -64,6 +64,22 @@
 }
 
 impl Telling {
+    /// Of a destination of which nothing was seen.
+    pub fn new(destination: u64) -> Telling {
+        Telling {
+            destination,
+            endpoint: None,
+            age: 0.0,
+            wait: 0.0,
+            gap: 0.0,
+            limit: None,
+            served: 0.0,
+            refused: 0.0,
+            latency: Sketch::default(),
+            trouble: None,
+        }
+    }
+
     /// What the decision module says that it has seen, under the name that the list gives an endpoint.
     pub fn of(sight: &Sight, name: Option<String>) -> Telling {
         let span = |nanos| millis(nanos) as f32;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod known;
 pub mod member;
+pub mod net;
 pub mod sketch;
 pub mod wire;
--- a/crates/peers/tests/known.rs
+++ b/crates/peers/tests/known.rs
@@ -10,18 +10,7 @@
 const MS: u64 = 1_000_000;
 
 fn telling(destination: u64) -> Telling {
-    Telling {
-        destination,
-        endpoint: None,
-        age: 0.0,
-        wait: 0.0,
-        gap: 0.0,
-        limit: None,
-        served: 20.0,
-        refused: 0.0,
-        latency: Sketch::of([300.0; 20]),
-        trouble: None,
-    }
+    Telling { served: 20.0, latency: Sketch::of([300.0; 20]), ..Telling::new(destination) }
 }
 
 fn listed(_: u64, _: Option<&str>) -> Option<Option<EndpointId>> {
--- a/crates/peers/tests/members.rs
+++ b/crates/peers/tests/members.rs
@@ -1,13 +1,16 @@
 //! Stories of the membership protocol, each over a simulated network that loses, cuts and delays: one a failure.
 
-mod net;
-
 use martenlatch_peers::member::{Body, Change, Datagram, Members, Rumour, Settings, State};
-use net::{Net, address, name};
+use martenlatch_peers::net::{Net, address, name};
+
+fn net(count: usize, loss: f64, seed: u64) -> Net {
+    println!("seed {seed}");
+    Net::of(count, loss, seed)
+}
 
 #[test]
 fn newcomers_are_known_to_all_and_know_all() {
-    let mut net = Net::of(12, 0.0, 1);
+    let mut net = net(12, 0.0, 1);
     net.run(8_000.0);
     assert_eq!(net.unknown(), 0, "pairs that do not know each other");
     net.add(12);
@@ -17,7 +20,7 @@
 
 #[test]
 fn one_that_is_killed_is_held_for_dead_and_one_that_leaves_for_left() {
-    let mut net = Net::of(8, 0.0, 2);
+    let mut net = net(8, 0.0, 2);
     net.run(8_000.0);
     net.kill(3);
     net.leave(4);
@@ -30,7 +33,7 @@
 
 #[test]
 fn one_that_comes_back_under_its_name_is_a_member_again() {
-    let mut net = Net::of(5, 0.0, 3);
+    let mut net = net(5, 0.0, 3);
     net.run(6_000.0);
     net.kill(2);
     net.run(10_000.0);
@@ -43,7 +46,7 @@
 
 #[test]
 fn a_suspect_that_lives_refutes_it() {
-    let mut net = Net::of(5, 0.0, 4);
+    let mut net = net(5, 0.0, 4);
     net.run(6_000.0);
     net.deafen(2, 900.0);
     net.run(15_000.0);
@@ -54,7 +57,7 @@
 
 #[test]
 fn halves_of_a_split_network_meet_again() {
-    let mut net = Net::of(8, 0.0, 5);
+    let mut net = net(8, 0.0, 5);
     net.run(8_000.0);
     net.split(Some(4));
     net.run(30_000.0);
@@ -67,7 +70,7 @@
 
 #[test]
 fn a_lossy_network_kills_few_and_none_for_good() {
-    let mut net = Net::of(16, 0.2, 6);
+    let mut net = net(16, 0.2, 6);
     net.run(60_000.0);
     net.loss = 0.0;
     net.run(20_000.0);
@@ -103,7 +106,7 @@
 
 #[test]
 fn a_second_sender_of_the_name_is_said_and_does_not_make_them_outbid_each_other() {
-    let mut net = Net::of(4, 0.0, 7);
+    let mut net = net(4, 0.0, 7);
     net.run(6_000.0);
     net.add_as(9, 1);
     net.run(30_000.0);
@@ -114,7 +117,7 @@
 
 #[test]
 fn our_own_stall_makes_nobody_a_suspect() {
-    let mut net = Net::of(4, 0.0, 8);
+    let mut net = net(4, 0.0, 8);
     net.run(6_000.0);
     net.stall(0, 3_000.0);
     net.run(8_000.0);
--- a/crates/sender/src/kept.rs
+++ b/crates/sender/src/kept.rs
@@ -88,21 +88,9 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use martenlatch_peers::sketch::Sketch;
 
     fn telling() -> Telling {
-        Telling {
-            destination: 7,
-            endpoint: None,
-            age: 500.0,
-            wait: 0.0,
-            gap: 0.0,
-            limit: None,
-            served: 1.0,
-            refused: 0.0,
-            latency: Sketch::of([300.0]),
-            trouble: Some(Trouble::Back { since: 2_000.0 }),
-        }
+        Telling { age: 500.0, trouble: Some(Trouble::Back { since: 2_000.0 }), ..Telling::new(7) }
     }
 
     #[test]
