Let no stuck asker spin the loop, and no unwritable folder stop a start

Found on a second reading of the senders that know one another. An asker that took its answer slowly left a time already past as the loop's next due, so that the loop turned without sleeping for up to 9 s. A folder that gave or took no file ended the start, against the rule that a full disk never does. And what was heard of a partner was told to the module again with each change of its list: an outage told twice counts twice, and puts its trial off.

A slow asker is due when it is given up; both file faults are logged and the sender starts; each subject is told once, and what was known of it is dropped.

The spin is shown by no test: with one partner an answer never outgrows a socket's buffers.

--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -346,6 +346,24 @@
     assert!(line(&log, "learned from peers").contains("partners=10000"), "{log}");
 }
 
+#[test]
+fn a_folder_that_takes_no_file_stops_no_sender() {
+    let (region, known) = one_region(|_, _| status(200, ""));
+    let (platform, group) = (Platform::new(&[]), Group::of("stuck", 1));
+    let sender = group.start(0, &platform, &known, "keep: true");
+    // Folders in the places of both files stand for a disk that neither gives nor takes them.
+    let sender = sender.restart_after(|state| {
+        std::fs::remove_file(state.join("peers")).unwrap();
+        std::fs::create_dir(state.join("peers")).unwrap();
+        std::fs::create_dir(state.join("peers.new")).unwrap();
+    });
+    assert_eq!(sender.hand_in("meter", "a", "5.0"), 202);
+    region.call();
+    sender.signal("TERM");
+    let log = sender.finish().1;
+    assert!(log.contains("knowledge passed over") && log.contains("knowledge not kept"), "{log}");
+}
+
 #[test]
 fn what_was_kept_serves_the_next_life_without_its_waits() {
     let (region, known) =
--- a/crates/martenlatch/tests/peers/mod.rs
+++ b/crates/martenlatch/tests/peers/mod.rs
@@ -298,6 +298,15 @@
         self.ready()
     }
 
+    /// Kills it, has its folder that lasts changed, and starts it again.
+    pub fn restart_after(mut self, change: impl FnOnce(&std::path::Path)) -> Sender {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        change(&self.folder.join("state"));
+        self.child = self.spawn_again();
+        self.ready()
+    }
+
     pub fn kill(mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
--- a/crates/peers/src/known.rs
+++ b/crates/peers/src/known.rs
@@ -266,11 +266,12 @@
         self.of.values_mut().for_each(|h| h.wait_until = 0.0);
     }
 
-    /// What the decision module is told of one subject, weighed by its age; `endpoint` is its number on the list.
-    pub fn told_of(
-        &self, subject: &Subject, endpoint: Option<EndpointId>, now: Millis, bounds: &Bounds,
+    /// What the decision module is told of one subject, weighed by its age; `endpoint` is its number on the list. Told
+    /// once: what is known of it is forgotten.
+    pub fn take_told(
+        &mut self, subject: &Subject, endpoint: Option<EndpointId>, now: Millis, bounds: &Bounds,
     ) -> Option<Told> {
-        weigh(subject.0, endpoint, self.of.get(subject)?, now, bounds)
+        weigh(subject.0, endpoint, &self.of.remove(subject)?, now, bounds)
     }
 
     /// What the decision module is told, each piece weighed by its age. `number` gives an endpoint its number on the
--- a/crates/sender/src/kept.rs
+++ b/crates/sender/src/kept.rs
@@ -31,20 +31,18 @@
     pub const MOST: usize = 4_096;
 
     /// Finds what an earlier life has left, as old as it is now. What cannot be read is said and passed over.
-    ///
-    /// # Errors
-    /// Where the file is there and cannot be read at all.
-    pub fn open(folder: &Path, now: Millis) -> Result<(Kept, Past), String> {
+    pub fn open(folder: &Path, now: Millis) -> (Kept, Past) {
         let file = folder.join("peers");
         let past = match std::fs::read(&file) {
-            Ok(bytes) => Kept::read(&bytes, now).unwrap_or_else(|reason| {
-                warn!(file = %file.display(), reason, "knowledge passed over");
-                Past::default()
-            }),
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Past::default(),
-            Err(e) => return Err(format!("{}: {e}", file.display())),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Past::default()),
+            Err(e) => Err(e.to_string()),
+            Ok(bytes) => Kept::read(&bytes, now).map_err(str::to_string),
         };
-        Ok((Kept { file }, past))
+        let past = past.unwrap_or_else(|reason| {
+            warn!(file = %file.display(), reason, "knowledge passed over");
+            Past::default()
+        });
+        (Kept { file }, past)
     }
 
     fn read(bytes: &[u8], now: Millis) -> Result<Past, &'static str> {
@@ -98,7 +96,7 @@
         let folder = std::env::temp_dir().join(format!("martenlatch-kept-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
-        let open = |now: Millis| Kept::open(&folder, now).unwrap();
+        let open = |now: Millis| Kept::open(&folder, now);
         assert_eq!(open(1e6).1.incarnation, 0, "nothing yet");
         open(1e6).0.write(4, 1e6, vec![telling()]).unwrap();
         let past = open(1e6 + 3_000.0).1;
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -58,6 +58,13 @@
     done: bool,
 }
 
+impl Talk {
+    /// When it is given up: one that takes its answer slowly must not wake the loop before that either.
+    fn late_at(&self) -> Millis {
+        self.since + if self.telling.is_some() { PATIENCE.1 } else { PATIENCE.0 }
+    }
+}
+
 /// How far a telling has come.
 struct Tale {
     no: u64,
@@ -105,7 +112,7 @@
     waiting: VecDeque<SocketAddr>,
     talks: Slab<Talk>,
     started: Millis,
-    kept: Option<Kept>,
+    kept: Kept,
     /// What is being gathered for the folder: how far it is, and what it is so far.
     gathering: Option<(Option<RouteName>, Vec<Telling>)>,
     next_keep: Millis,
@@ -141,16 +148,14 @@
         let secret = secret(&set.secret_file)?;
         let failed = |e: std::io::Error| format!("peers.listen: cannot bind {}: {e}", set.listen);
         let socket = UdpSocket::bind(set.listen).map_err(failed)?;
-        // Both at one port: where the settings name none, TCP takes the one that UDP was given.
-        let address = socket.local_addr().map_err(failed)?;
-        let listener = TcpListener::bind(address).map_err(failed)?;
+        let (address, listener) = (set.listen, TcpListener::bind(set.listen).map_err(failed)?);
         socket.set_nonblocking(true).map_err(failed)?;
         listener.set_nonblocking(true).map_err(failed)?;
         let (socket, listener) = (Rc::new(socket), Rc::new(listener));
         register(handle, socket.clone(), Key::Datagrams).map_err(failed)?;
         register(handle, listener.clone(), Key::Tellers).map_err(failed)?;
         let bounds = Bounds { half_life: set.half_life_ms, wait: set.longest_wait_ms, ..Bounds::default() };
-        let (mut kept, past) = Kept::open(folder, now)?;
+        let (mut kept, past) = Kept::open(folder, now);
         let mut known = Known::default();
         if set.keep {
             for telling in &past.tellings {
@@ -159,8 +164,10 @@
             // What was told to an earlier life binds this one no more.
             known.forget_waits();
         }
-        // The incarnation is down before it is told to anyone.
-        kept.write(past.incarnation + 1, now, past.tellings)?;
+        // The incarnation is down before it is told to anyone. On a full disk it is not, and others have it raised.
+        if let Err(reason) = kept.write(past.incarnation + 1, now, past.tellings) {
+            warn!(reason, "knowledge not kept");
+        }
         let protocol = Settings {
             period: set.period_ms,
             ack: set.period_ms * 0.3,
@@ -191,7 +198,7 @@
             waiting: seeds.into(),
             talks: Slab::new(),
             started: now,
-            kept: Some(kept),
+            kept,
             gathering: None,
             next_keep: now + KEEP_EVERY,
             turned_away: TurnedAway::default(),
@@ -241,7 +248,7 @@
         if telling || self.gathering.is_some() {
             return 0.0;
         }
-        let slow = self.talks.iter().map(|(_, t)| t.since + PATIENCE.0);
+        let slow = self.talks.iter().map(|(_, t)| t.late_at());
         slow.chain([self.members.due()]).fold(f64::INFINITY, f64::min)
     }
 
@@ -368,7 +375,7 @@
         for at in 0..TALKS {
             let Some(talk) = self.talks.get_mut(at) else { continue };
             talk.link.flush();
-            let late = now > talk.since + if talk.telling.is_some() { PATIENCE.1 } else { PATIENCE.0 };
+            let late = now > talk.late_at();
             let over = talk.telling.as_ref().is_some_and(|t| t.over);
             if late || talk.done || talk.link.broken || (over && talk.link.flushed()) {
                 self.talks.remove(at);
@@ -424,9 +431,7 @@
             return;
         }
         self.next_keep = now + KEEP_EVERY;
-        if let Some(kept) = &mut self.kept
-            && let Err(reason) = kept.write(self.members.me().incarnation, now, tellings)
-        {
+        if let Err(reason) = self.kept.write(self.members.me().incarnation, now, tellings) {
             warn!(reason, "knowledge not kept");
         }
     }
@@ -454,8 +459,8 @@
         }
     }
 
-    /// What the module is to be told of routes that were just listed.
-    pub fn hearsay(&self, listed: &[Entry], name: Names, now: Millis) -> Vec<Event> {
+    /// What the module is to be told of routes that were just listed; each is told once.
+    pub fn hearsay(&mut self, listed: &[Entry], name: Names, now: Millis) -> Vec<Event> {
         if self.known.is_empty() {
             return Vec::new();
         }
@@ -471,7 +476,7 @@
                 Some(endpoint) => Some(name(endpoint)?),
                 None => None,
             };
-            self.known.told_of(&(destination.0, named), endpoint, now, &self.bounds)
+            self.known.take_told(&(destination.0, named), endpoint, now, &self.bounds)
         };
         told.into_iter().filter_map(one).map(Event::Told).collect()
     }
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -162,7 +162,7 @@
         let entries = change.entries;
         // What others know of a route is told in the turn that lists it: before anything can be sent there.
         let table = &self.table;
-        let hearsay = self.peers.as_ref().map(|p| p.hearsay(&entries, &|region| table.name(region), now));
+        let hearsay = self.peers.as_mut().map(|p| p.hearsay(&entries, &|region| table.name(region), now));
         self.route.events.push(if whole { Event::List(entries) } else { Event::ListChanges(entries) });
         self.route.events.extend(hearsay.into_iter().flatten());
     }
