Delete what the module has for no installation: shared calls, streams, tenants and more

The adapter reads those lines as before and makes nothing of them; settings that want streams or a list to be asked for are turned down by name.

--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -128,19 +128,18 @@
                 let (who, sheet): (u64, &str) = (fields.num("Who")?, fields.next("Sheet")?);
                 let mode = fields.next("Mode")?;
                 let sender = self.senders.get_mut(&who).ok_or("no such instance was opened")?;
-                let event = if mode == "failed" {
-                    Event::ListFailed
-                } else {
-                    let sheet: u64 = sheet.parse().map_err(|_| "expected a number for Sheet")?;
-                    let listed = self.sheets.get(&sheet).ok_or("no inventory has this Sheet")?;
-                    let entries = listed.iter().map(|l| sender.entry(l)).collect::<Result<_, _>>()?;
-                    match mode {
-                        "delta" => Event::ListChanges(entries),
-                        "full" | "cached" => Event::List(entries),
-                        _ => return Err("expected delta, full, cached or failed for Mode".into()),
-                    }
-                };
-                sender.events.push(event);
+                // The old list holds.
+                if mode == "failed" {
+                    return Ok(None);
+                }
+                let sheet: u64 = sheet.parse().map_err(|_| "expected a number for Sheet")?;
+                let listed = self.sheets.get(&sheet).ok_or("no inventory has this Sheet")?;
+                let entries = listed.iter().map(|l| sender.entry(l)).collect::<Result<_, _>>()?;
+                sender.events.push(match mode {
+                    "delta" => Event::ListChanges(entries),
+                    "full" | "cached" => Event::List(entries),
+                    _ => return Err("expected delta, full, cached or failed for Mode".into()),
+                });
             }
             name => {
                 let who: u64 = fields.num("Who")?;
@@ -251,27 +250,6 @@
         id
     }
 
-    fn report(&self, row: Option<&str>) -> Result<Report, String> {
-        let mut report = Report::default();
-        let Some(row) = row else { return Ok(report) };
-        for (field, value) in self.boot.fields.iter().zip(row.split(',')) {
-            let value: f64 = match value {
-                "" | "-" => continue,
-                text => text.parse().map_err(|_| "expected numbers for Feedback")?,
-            };
-            match field.as_str() {
-                "x0" => report.left = Some(value),
-                "x1" => report.limit = (value > 0.0).then_some(value),
-                _ => {}
-            }
-        }
-        // Without a limit the share that is left means nothing.
-        if self.boot.fields.iter().any(|f| f == "x1") && report.limit.is_none() {
-            report.left = None;
-        }
-        Ok(report)
-    }
-
     fn event(&mut self, name: &str, fields: &mut Fields) -> Result<(), String> {
         match name {
             "new_request" => self.request(fields)?,
@@ -284,19 +262,18 @@
                     self.settle(id, true, 0);
                 }
             }
+            // Answers are whole here: the start of one says nothing yet.
             "headers" => {
-                let known = self.message_ids.get(fields.next("Rid")?).copied();
+                fields.next("Rid")?;
                 fields.next("CostTime")?;
                 fields.next("Receiver")?;
-                let attempt = fields.num("Trial")?;
-                self.events.extend(known.map(|id| Event::Started { id, attempt }));
+                fields.num::<u32>("Trial")?;
             }
             // The policy never probes, so this answers nothing; a malformed one is named all the same.
             "pong" => {
                 fields.next("CostTime")?;
                 outcome(fields.next("Reason")?, None)?;
                 fields.next("Receiver")?;
-                self.report(fields.opt())?;
             }
             // Senders of this project share nothing: what a peer says is not heard.
             "peer" => {}
@@ -310,10 +287,7 @@
         fields.next("Predicted")?;
         let destination = DestinationId(fields.num("Destination")?);
         fields.next("Attrs")?;
-        let tenant = match fields.next("Org")? {
-            "-" | "0" => None,
-            org => Some(place(&self.boot.tenants, org, TenantId, "tenant")?),
-        };
+        fields.next("Org")?;
         let class = place(&self.boot.classes, fields.next("Qos")?, ClassId, "class")?;
         let deadline = fields.num("Deadline")?;
         let id = MessageId(self.next_message);
@@ -321,7 +295,7 @@
         self.message_ids.insert(name.to_string(), id);
         self.messages.insert(id.0, Held { name: name.to_string(), finished: false, out: 0 });
         let key = fields.opt().map(key_id);
-        self.events.push(Event::Message { id, destination, class, tenant, deadline, key });
+        self.events.push(Event::Message { id, destination, class, deadline, key });
         Ok(())
     }
 
@@ -333,9 +307,8 @@
         let took = fields.num("CostTime")?;
         let finished = bit(fields.next("Closed")?)?;
         let outcome = outcome(reason, fields.opt())?;
-        let report = self.report(fields.opt())?;
         if let Some(id) = known {
-            self.events.push(Event::Ended { id, attempt, outcome, took, finished, report });
+            self.events.push(Event::Ended { id, attempt, outcome, took, finished });
             self.settle(id, finished, 1);
         }
         Ok(())
@@ -394,7 +367,6 @@
             Action::Fail { id } => writeln!(out, "report_failure {who} {}", name(id, true, 0)),
             Action::WakeAfter(span) => writeln!(out, "sleep {who} {span} 0"),
             Action::Close(endpoint) => writeln!(out, "free_links {who} {}", receiver(endpoint)),
-            Action::Subscribe => writeln!(out, "keep_informed {who} 1"),
         };
     }
 }
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -27,8 +27,6 @@
     KindId(usize);
     /// Place in [`Settings::classes`].
     ClassId(usize);
-    /// Place in [`Settings::tenants`].
-    TenantId(usize);
     /// What an ordered message is about.
     KeyId(u64);
 }
@@ -65,8 +63,6 @@
     pub effect: Effect,
     /// Messages of one key go one at a time, in the order taken.
     pub ordered: bool,
-    /// The answer is a stream; once it has started the attempt is the client's.
-    pub stream: bool,
 }
 
 /// A kind of destination.
@@ -74,8 +70,6 @@
 pub struct Kind {
     /// Each endpoint is a route of its own, with its own limit, pace and outages.
     pub apart: bool,
-    /// Most messages that sends of one turn to one endpoint put into one call.
-    pub per_call: u32,
 }
 
 /// How worth falls after the aim.
@@ -126,10 +120,6 @@
     pub kinds: Vec<Kind>,
     /// Classes of message.
     pub classes: Vec<Class>,
-    /// One entry a tenant: messages a second, over all senders, inside its share. May be empty.
-    pub tenants: Vec<f64>,
-    /// Share of its worth that a message over its tenant's share keeps.
-    pub over_share_worth: f64,
     /// How worth falls after the aim.
     pub decay: Decay,
     /// What listed weights mean.
@@ -146,12 +136,6 @@
     pub second_copies: bool,
     /// Longest advice that a client follows on when to return; `None` where none may be given.
     pub max_advice: Option<Nanos>,
-    /// List changes come only when asked for: the span after which an idle sender counts as told.
-    pub ask_every: Option<Nanos>,
-    /// Time to stop sending to an endpoint after being told that it drains or is gone.
-    pub drain_grace: Nanos,
-    /// How long after the deadline a final answer still counts.
-    pub answer_grace: Nanos,
     /// Figures on returning destinations.
     pub fail_back: FailBack,
     /// How long a key rests after an attempt that may still be running.
@@ -187,9 +171,6 @@
         if self.zone.0 >= self.zones.len() {
             return err("zone: it is not among the zones");
         }
-        if self.kinds.iter().any(|k| k.per_call == 0) {
-            return err("kinds: per_call must be at least one");
-        }
         if fall.span == 0 || !(fall.factor > 0.0 && fall.factor.is_finite()) || !share(fall.cold_from) {
             return err("fail_back: span and factor must be above zero, cold_from a share");
         }
@@ -201,9 +182,6 @@
                 return err("classes: worth must not be negative, late_worth a share");
             }
         }
-        if !share(self.over_share_worth) || !self.tenants.iter().all(|q| *q >= 0.0) {
-            return err("tenants: quotas must not be negative, over_share_worth a share");
-        }
         Ok(())
     }
 }
@@ -249,15 +227,6 @@
     pub weight: f64,
 }
 
-/// What a destination told of its limit in an answer; a field is absent where it told nothing.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Report {
-    /// Share of the limit that is left.
-    pub left: Option<f64>,
-    /// The limit, in calls a second; above zero.
-    pub limit: Option<f64>,
-}
-
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -358,8 +327,6 @@
     List(Vec<Entry>),
     /// The entries of the list that changed.
     ListChanges(Vec<Entry>),
-    /// A call to the list failed, or the subscription broke; the old list holds.
-    ListFailed,
     /// A message was handed in.
     Message {
         /// Its id.
@@ -368,8 +335,6 @@
         destination: DestinationId,
         /// Its class.
         class: ClassId,
-        /// Whose it is, where there are tenants.
-        tenant: Option<TenantId>,
         /// Until when it may be delivered (an instant).
         deadline: Nanos,
         /// What it is about, where its class is ordered.
@@ -406,15 +371,6 @@
         took: Nanos,
         /// The message is finished; nothing more is owed for it.
         finished: bool,
-        /// What the destination told of its limit.
-        report: Report,
-    },
-    /// The answer of a streamed message has started: the attempt is the client's from here on.
-    Started {
-        /// The message.
-        id: MessageId,
-        /// The attempt.
-        attempt: u32,
     },
     /// The client has left; nothing more is owed.
     Left(MessageId),
@@ -457,6 +413,4 @@
     WakeAfter(Nanos),
     /// Close this sender's idle connections to an endpoint.
     Close(EndpointId),
-    /// Ask the list to send changes from now on.
-    Subscribe,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,7 +17,7 @@
 //!     senders: 1,
 //!     zone: ZoneId(0),
 //!     zones: vec![0.0],
-//!     kinds: vec![Kind { apart: false, per_call: 1 }],
+//!     kinds: vec![Kind { apart: false }],
 //!     classes: vec![Class {
 //!         aim: second,
 //!         deadline: 8 * second,
@@ -25,10 +25,7 @@
 //!         late_worth: 0.1,
 //!         effect: Effect::Safe,
 //!         ordered: false,
-//!         stream: false,
 //!     }],
-//!     tenants: vec![],
-//!     over_share_worth: 1.0,
 //!     decay: Decay::Halving,
 //!     weights: Weights::Off,
 //!     slots: 4,
@@ -38,9 +35,6 @@
 //!     second_copies: true,
 //!     conn_idle: 15_000_000_000,
 //!     max_advice: None,
-//!     ask_every: None,
-//!     drain_grace: second,
-//!     answer_grace: second / 50,
 //!     fail_back: FailBack { factor: 2.0, span: 2 * second, cold_from: 0.2, cold: 10 * second },
 //!     key_quiet: 0,
 //!     connect_timeout: second,
@@ -63,7 +57,6 @@
 //!     id: MessageId(0),
 //!     destination: DestinationId(9),
 //!     class: ClassId(0),
-//!     tenant: None,
 //!     deadline: now + 8 * second,
 //!     key: None,
 //! };
@@ -92,7 +85,6 @@
 //!     outcome: Outcome::Success,
 //!     took: second / 4,
 //!     finished: true,
-//!     report: Report::default(),
 //! };
 //! actions.clear();
 //! policy.turn(now + second / 4, &[ended], &mut actions);
@@ -104,7 +96,6 @@
 //!
 //! * Each [`Action::Send`] ends in exactly one [`Event::Ended`]; attempts of a message are counted from 0 in the
 //!   order of the sends. The first success finishes the message: say so in `finished`.
-//! * Sends of one turn to one endpoint may share a call, up to [`interface::Kind::per_call`] of them, in order.
 //! * After [`Action::Refuse`] or [`Action::Fail`] the client has its answer; outcomes still out are reported as
 //!   before, with `finished` set.
 //! * A sender that starts again names what it had taken on with [`Event::Resumed`], after the list; one that is told
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -35,8 +35,6 @@
 const DOUBT: f64 = 2.0;
 /// Longest rest, in cold times: with one, 200 senders that saw an outage come back too close together.
 const REST_COLDS: Nanos = 2;
-/// Where a told allowance is this free, it is no limit that refuses.
-const LEFT_FREE: f64 = 0.6;
 /// How well tries after a refusal pay: where it starts, its least, and its memory.
 const PAYS_FIRST: f64 = 0.5;
 const PAYS_LEAST: f64 = 0.03;
@@ -50,8 +48,6 @@
 const TRIAL_CAP: Nanos = 2000 * MS;
 /// Part of the return budget that is used; the rest is for chance and for what travels at the same time.
 const BUDGET_PART: f64 = 0.8;
-/// Weight of a message that joins a call already counted in the budget: "a little more than one".
-const JOINED_WEIGHT: f64 = 0.3;
 /// A told rough figure may be half too high.
 const ROUGH: f64 = 1.5;
 /// Part of a key's memory that is used: the rest is for travel, there and into the queue.
@@ -112,8 +108,8 @@
     last_send: Option<Nanos>,
     wait_until: Nanos,
     limit: Option<f64>,
-    /// Time and weight of what was sent in the span of the fail-back rule.
-    sent: VecDeque<(Nanos, f64)>,
+    /// When calls were sent in the span of the fail-back rule.
+    sent: VecDeque<Nanos>,
     /// Most that was served in such a span, for where no limit is told.
     peak: f64,
     /// The last eight outcomes, newest lowest; a bit is set for a bad one.
@@ -123,9 +119,8 @@
     /// When the latest of the served calls was sent.
     served_sent: Nanos,
     seen: sights::Seen,
-    /// Attempts out (message, attempt, time of sending), and the calls that carry them.
+    /// Attempts out: message, attempt, time of sending.
     out: Vec<(MessageId, u32, Nanos)>,
-    calls: usize,
 }
 
 impl Route {
@@ -180,8 +175,7 @@
     fails: u32,
     out: usize,
     last_send: Nanos,
-    /// When its connection was last in use, and whether a call is likely to follow before that idles out.
-    last_use: Nanos,
+    /// A call is likely to follow before its connection idles out.
     in_use: bool,
 }
 
@@ -190,7 +184,6 @@
     endpoint: EndpointId,
     zone: Option<ZoneId>,
     sent: Nanos,
-    call: u64,
     end: Option<Outcome>,
     cancelled: bool,
     overdue: bool,
@@ -202,13 +195,11 @@
     class: ClassId,
     deadline: Nanos,
     key: Option<KeyId>,
-    worth: f64,
     attempts: Vec<Attempt>,
     not_before: Nanos,
     copied: bool,
     spent: bool,
     done: bool,
-    streaming: bool,
 }
 
 impl Message {
@@ -246,20 +237,12 @@
     routes: BTreeMap<RouteKey, Route>,
     messages: BTreeMap<MessageId, Message>,
     keys: BTreeMap<KeyId, Key>,
-    /// Live calls: how many of their messages have no outcome yet.
-    calls: BTreeMap<u64, u32>,
-    next_call: u64,
-    /// Calls of this turn that further sends may join.
-    joinable: BTreeMap<EndpointId, (u64, u32)>,
-    /// In-share tokens of each tenant, and when they were last filled.
-    tokens: Vec<(f64, Nanos)>,
+    /// Calls out, over all routes.
+    calls: usize,
     wake_due: Option<Nanos>,
     no_copies_until: Nanos,
-    ask_at: Option<Nanos>,
     /// Latencies over all routes: what is known of one that this sender has hardly met.
     pooled: Recent,
-    /// Idle time that connections were seen to survive, at most.
-    idle_safe: Nanos,
     stalled: bool,
     /// For each kind of destination: how often a try is served where the last was refused.
     pays: Vec<f64>,
@@ -269,16 +252,13 @@
     /// A sender that has just started and knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Result<Policy, SettingsError> {
         settings.check()?;
-        let tokens = settings.tenants.iter().map(|q| ((q / settings.senders as f64).max(1.0), 0)).collect();
-        let (ask_at, kinds) = (settings.ask_every.map(|_| 0), settings.kinds.len());
-        let (set, idle_safe, pays) = (settings, Nanos::MAX, vec![PAYS_FIRST; kinds]);
-        Ok(Policy { set, random: seed, tokens, ask_at, idle_safe, pays, ..Policy::default() })
+        let pays = vec![PAYS_FIRST; settings.kinds.len()];
+        Ok(Policy { set: settings, random: seed, pays, ..Policy::default() })
     }
 
     /// Takes in what happened and says what to do now. Call it once for all that has come in by `now`.
     pub fn turn(&mut self, now: Nanos, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now.max(self.now);
-        self.joinable.clear();
         // A stalled sender finds every held call past its delay at once; copies would leave in a wave.
         self.stalled = self.wake_due.is_some_and(|due| self.now > due + STALL);
         if self.stalled {
@@ -289,10 +269,6 @@
         self.dispatch(actions);
         self.copy_slow(actions);
         self.give_up(actions);
-        if self.ask_at.is_some_and(|at| at <= self.now) {
-            self.ask_at = None;
-            actions.push(Action::Subscribe);
-        }
         self.messages.retain(|_, m| !m.done || m.out().next().is_some());
         self.forget_gone();
         self.wake(actions);
@@ -302,7 +278,7 @@
         // The caller's timers may be a little early.
         self.wake_due = self.wake_due.filter(|due| *due > self.now + self.set.tick);
         let looks = self.messages.values().map(|m| self.next_look(m));
-        let Some(next) = looks.chain(self.ask_at).min() else { return };
+        let Some(next) = looks.min() else { return };
         let next = next.max(self.now + self.set.tick.max(MS));
         if self.wake_due.is_none_or(|due| next < due) {
             self.wake_due = Some(next);
@@ -343,18 +319,11 @@
                 entries.iter().for_each(|e| self.list(e));
             }
             Event::ListChanges(entries) => entries.iter().for_each(|e| self.list(e)),
-            // Discovery may be overloaded: ask again well within the time after which we count as told.
-            Event::ListFailed => self.ask_at = self.set.ask_every.map(|every| self.now + every / 8),
             Event::Message { .. } => self.message(event),
             Event::Resumed { .. } => self.resumed(event),
             Event::Told(told) => self.told(told),
             Event::Closing(at) => self.closing = Some(*at),
             Event::Ended { .. } => self.ended(event, actions),
-            Event::Started { id, attempt } => {
-                let Some(m) = self.messages.get_mut(id) else { return };
-                m.streaming = true;
-                self.cancel_others(*id, Some(*attempt as usize), actions);
-            }
             Event::Left(id) => self.finish(*id, actions),
             Event::Wake => {}
         }
@@ -391,33 +360,22 @@
     }
 
     fn message(&mut self, event: &Event) {
-        let Event::Message { id, destination, class, tenant, deadline, key } = *event else { return };
+        let Event::Message { id, destination, class, deadline, key } = *event else { return };
         if class.0 >= self.set.classes.len() || self.messages.contains_key(&id) {
             return;
         }
-        let class_set = &self.set.classes[class.0];
-        let mut worth = class_set.worth;
-        if let Some(tenant) = tenant.filter(|t| t.0 < self.tokens.len()) {
-            let rate = self.set.tenants[tenant.0] / self.set.senders as f64;
-            let (tokens, filled) = &mut self.tokens[tenant.0];
-            *tokens = (*tokens + (self.now - *filled) as f64 / 1e9 * rate).min(rate.max(1.0));
-            *filled = self.now;
-            let inside = *tokens >= 1.0;
-            *tokens -= f64::from(inside);
-            worth *= if inside { 1.0 } else { self.set.over_share_worth };
-        }
-        let key = key.filter(|_| class_set.ordered);
+        let key = key.filter(|_| self.set.classes[class.0].ordered);
         if let Some(key) = key {
             self.keys.entry(key).or_default().queue.push_back(id);
         }
-        let message = Message { destination, class, deadline, key, worth, ..Message::default() };
+        let message = Message { destination, class, deadline, key, ..Message::default() };
         self.messages.insert(id, message);
     }
 
     /// A message of an earlier life: of its attempts, one stands for all that may have run.
     fn resumed(&mut self, event: &Event) {
         let Event::Resumed { id, destination, class, deadline, attempts, ran } = *event else { return };
-        self.message(&Event::Message { id, destination, class, tenant: None, deadline, key: None });
+        self.message(&Event::Message { id, destination, class, deadline, key: None });
         let Some(m) = self.messages.get_mut(&id) else { return };
         for no in 0..attempts.min(self.set.max_attempts).max(u32::from(ran.is_some())) {
             // The endpoint is not known any more: no group of one zone holds it.
@@ -474,7 +432,7 @@
             }
             Decay::Halving => 0.5f64.powf(late / class.aim as f64),
         };
-        m.worth * left.max(class.late_worth)
+        class.worth * left.max(class.late_worth)
     }
 
     /// A usual call's time at a route: at first that of all routes, giving way to its own as it is met.
@@ -504,11 +462,11 @@
 
     // ---- The ordinary path -------------------------------------------------------------------------------
 
-    /// Sends what waits: most worth at risk first; then, as trials of outages, what it costs least to lose.
+    /// Sends what waits: most worth at risk first.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         let ready = self.messages.iter().filter(|(_, m)| m.waiting() && m.not_before <= self.now);
-        let mut waiting: Vec<_> = ready.map(|(id, m)| (self.rank(m), *id)).collect();
-        waiting.sort_by(|((a, x), i), ((b, y), j)| a.cmp(b).then(x.total_cmp(y)).then(i.cmp(j)));
+        let mut waiting: Vec<_> = ready.map(|(id, m)| (self.at_risk(m), *id)).collect();
+        waiting.sort_by(|(x, i), (y, j)| y.total_cmp(x).then(i.cmp(j)));
         for (_, id) in waiting {
             if let Some(endpoint) = self.best_endpoint(id, None) {
                 self.send(id, endpoint, actions);
@@ -516,15 +474,6 @@
         }
     }
 
-    /// Place of a message in the order of sending; the least goes first.
-    fn rank(&self, m: &Message) -> ((bool, bool, usize), f64) {
-        if self.routes_of(m).all(|r| r.on_trial()) {
-            let lost = self.set.classes[m.class.0].effect == Effect::Unsafe;
-            return ((true, lost, m.attempts.len()), m.worth);
-        }
-        ((false, false, 0), -self.at_risk(m))
-    }
-
     fn at_risk(&self, m: &Message) -> f64 {
         let done = self.now + UNKNOWN_CALL / 2;
         let (soon, later) = (self.earns(m, done), self.earns(m, done + HORIZON));
@@ -557,41 +506,29 @@
         let loss = (self.earns(m, self.now) - self.earns(m, self.now + call)) / class.worth.max(1e-9);
         let toll = e.route.1.and(self.set.zones.get(e.zone.0)).copied().unwrap_or(0.0);
         let cross = if e.zone == self.set.zone { 0.0 } else { self.set.cross_zone_price };
-        let joins = f64::from(self.joinable.contains_key(&at));
         let trial = f64::from(self.routes[&e.route].on_trial());
         let amiss = 0.2 * e.fails.min(5) as f64 + trial;
-        loss + toll + cross - joins + amiss + 0.1 * call as f64 / class.aim as f64
+        loss + toll + cross + amiss + 0.1 * call as f64 / class.aim as f64
     }
 
     fn send(&mut self, id: MessageId, at: EndpointId, actions: &mut Vec<Action>) {
         let now = self.now;
         let timeout = self.time_limit(id, at);
         let (m, e) = (self.messages.get_mut(&id).unwrap(), self.endpoints.get_mut(&at).unwrap());
-        let room = self.set.kinds[e.kind.0].per_call;
-        let joined = self.joinable.get(&at).is_some_and(|(_, count)| *count < room);
-        self.next_call += u64::from(!joined);
-        let open = self.joinable.entry(at).or_default();
-        *open = if joined { (open.0, open.1 + 1) } else { (self.next_call, 1) };
-        let call = open.0;
-        *self.calls.entry(call).or_insert(0) += 1;
-        // An idle connection may be dropped unseen: one that rested longer than others survived is renewed.
-        if e.out == 0 && e.last_use > 0 && now > e.last_use.saturating_add(self.idle_safe) {
-            actions.push(Action::Close(at));
-        }
+        self.calls += 1;
         e.in_use = e.last_send > 0 && now < e.last_send + self.set.conn_idle;
         let zone = Some(e.zone);
-        m.attempts.push(Attempt { endpoint: at, zone, sent: now, call, ..Attempt::default() });
+        m.attempts.push(Attempt { endpoint: at, zone, sent: now, ..Attempt::default() });
         let no = m.attempts.len() as u32 - 1;
         e.out += 1;
         e.last_send = now;
         let route = self.routes.get_mut(&e.route).unwrap();
         route.last_send = Some(now);
         route.out.push((id, no, now));
-        route.calls += usize::from(!joined);
-        while route.sent.front().is_some_and(|(t, _)| *t + self.set.fail_back.span < now) {
+        while route.sent.front().is_some_and(|t| *t + self.set.fail_back.span < now) {
             route.sent.pop_front();
         }
-        route.sent.push_back((now, if joined { JOINED_WEIGHT } else { 1.0 }));
+        route.sent.push_back(now);
         actions.push(Action::Send { id, endpoint: at, timeout });
     }
 
@@ -622,7 +559,7 @@
 
     fn wants_copy(&self, id: MessageId) -> Option<EndpointId> {
         let m = &self.messages[&id];
-        if m.done || m.copied || m.streaming || self.set.classes[m.class.0].effect == Effect::Unsafe {
+        if m.done || m.copied || self.set.classes[m.class.0].effect == Effect::Unsafe {
             return None;
         }
         let mut out = m.out();
@@ -631,7 +568,7 @@
         let route = &self.routes[&key];
         let (delay, left) = (self.p95(key), m.deadline.saturating_sub(self.now));
         let calm = route.warm(self.now, &self.set)
-            && self.calls.len() + if self.set.slots > FEW_SLOTS { 2 } else { 1 } <= self.set.slots
+            && self.calls + if self.set.slots > FEW_SLOTS { 2 } else { 1 } <= self.set.slots
             && route.gap == 0
             && route.doubt < DOUBT
             && self.pooled.by_age.len() >= SEEN_ENOUGH
@@ -653,7 +590,7 @@
         let open =
             !m.done && !m.spent && m.deadline > self.now && m.attempts.len() < self.set.max_attempts as usize;
         let copy = self.set.second_copies || m.out().next().is_none();
-        listed && open && copy && self.may_repeat(m, e) && self.in_turn(id, m) && self.route_takes(m, at, e)
+        listed && open && copy && self.may_repeat(m, e) && self.in_turn(id, m) && self.route_takes(m, e)
     }
 
     /// No effect twice: whether the class allows one more send there after those that may have run.
@@ -680,13 +617,10 @@
         key.queue.front() == Some(&id) && (!m.attempts.is_empty() || self.now >= key.quiet_until)
     }
 
-    fn route_takes(&self, m: &Message, at: EndpointId, e: &Endpoint) -> bool {
+    fn route_takes(&self, m: &Message, e: &Endpoint) -> bool {
         let route = &self.routes[&e.route];
-        let joins = self.joinable.get(&at).is_some_and(|(_, n)| *n < self.set.kinds[e.kind.0].per_call);
         // Waits: nothing to the route, for any message. Fail-back: a rest in doubt, and the return budget.
-        if self.now < route.wait_until.max(route.rest_until)
-            || !self.has_room(route, if joins { JOINED_WEIGHT } else { 1.0 })
-        {
+        if self.now < route.wait_until.max(route.rest_until) || !self.has_room(route) {
             return false;
         }
         let trial = !route.down() || route.out.iter().all(|(_, _, sent)| *sent < route.rest_until);
@@ -694,12 +628,9 @@
         // Saves the last attempts of a message from a partner that is refusing: once spent, it is given up.
         let refusing = route.refused_run > 0 && self.now < route.rise + 2 * GAP_CAP;
         let burns = refusing && m.attempts.len() + 2 >= self.set.max_attempts as usize;
-        // Gathering: where messages share calls, one leaves at a time. Guards against a crowd of small calls.
-        let fresh = self.now.saturating_sub(self.usual(e.route) * 3 / 2);
-        let gathers = self.set.kinds[e.kind.0].per_call > 1 && e.out > 0 && e.last_send > fresh;
         let gap = route.gap.max(self.share_gap(e.kind, route));
         let paced = route.last_send.is_none_or(|t| self.now >= t + gap);
-        trial && in_time && !burns && (joins || (!gathers && paced && self.slot_for(e, route)))
+        trial && in_time && !burns && paced && self.slot_for(e, route)
     }
 
     /// Where tries after a refusal are mostly refused, refused calls use up that kind's limits, and first
@@ -710,56 +641,45 @@
     }
 
     /// Fail-back: all that was sent in the span counts, refused calls and probes too.
-    fn has_room(&self, route: &Route, weight: f64) -> bool {
+    fn has_room(&self, route: &Route) -> bool {
         let (now, set) = (self.now, &self.set);
-        let recent = route.sent.iter().filter(|(t, _)| t + set.fail_back.span >= now);
-        let (spent, budget) = (recent.map(|(_, w)| w).sum::<f64>(), route.budget(now, set));
+        let spent = route.sent.iter().filter(|t| *t + set.fail_back.span >= now).count() as f64;
+        let budget = route.budget(now, set);
         let spaced = budget < 1.0 && route.last_send.is_none_or(|t| now >= t + route.spacing(budget, set));
-        route.warm(now, set) || spaced || spent + weight <= budget + 1e-9
+        route.warm(now, set) || spaced || spent + 1.0 <= budget + 1e-9
     }
 
     /// Slots are shared, so that a destination that hangs cannot hold them all.
     fn slot_for(&self, e: &Endpoint, route: &Route) -> bool {
         let late = 2 * self.p95(e.route);
         let late = |sent: Nanos| self.now > sent + late && sent >= route.served_sent;
-        let free = self.calls.len() < self.set.slots;
+        let free = self.calls < self.set.slots;
         let answering = route.warm(self.now, &self.set) && !route.out.iter().any(|(_, _, sent)| late(*sent));
         let share = if answering { SLOT_SHARE.0 } else { SLOT_SHARE.1 };
         let most = (self.set.slots as f64 * share).ceil() as usize;
-        let last = self.calls.len() + 1 == self.set.slots && self.set.slots > 2;
-        free && (route.calls == 0 || (route.calls < most.max(1) && !last))
+        let last = self.calls + 1 == self.set.slots && self.set.slots > 2;
+        free && (route.out.is_empty() || (route.out.len() < most.max(1) && !last))
     }
 
     // ---- Learning ----------------------------------------------------------------------------------------
 
     fn ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
-        let Event::Ended { id, attempt, outcome, took, finished, report } = *event else { return };
+        let Event::Ended { id, attempt, outcome, took, finished } = *event else { return };
         let now = self.now;
         let Some(m) = self.messages.get_mut(&id) else { return };
         let Some(a) = m.attempts.get_mut(attempt as usize).filter(|a| a.end.is_none()) else { return };
         a.end = Some(outcome);
         m.spent |= outcome == Outcome::Spent;
-        let (endpoint, sent, call, counted) = (a.endpoint, a.sent, a.call, a.overdue);
-        let left = self.calls.get_mut(&call).map(|left| std::mem::replace(left, *left - 1));
-        let (over, mut stale) = (left == Some(1), false);
-        self.calls.retain(|_, left| *left > 0);
+        let (endpoint, sent, counted) = (a.endpoint, a.sent, a.overdue);
+        self.calls -= 1;
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.out = e.out.saturating_sub(1);
-            // The reset of a first call after a rest speaks of the connection, not of the partner.
-            let rested = sent.saturating_sub(e.last_use);
-            stale = outcome == Outcome::Broken && e.last_use > 0 && rested > SILENT_LEAST / 4;
-            if stale {
-                self.idle_safe = self.idle_safe.min(rested / 2);
-            }
-            e.last_use = now;
             // Partners take few connections, idle ones counted: one not soon used again is given back.
             if e.out == 0 && !e.in_use {
-                e.last_use = 0;
                 actions.push(Action::Close(endpoint));
             }
             if let Some(route) = self.routes.get_mut(&e.route) {
                 route.out.retain(|(m, no, _)| (*m, *no) != (id, attempt));
-                route.calls -= usize::from(over);
             }
         }
         if let Some(key) = m.key.and_then(|k| self.keys.get_mut(&k))
@@ -768,9 +688,8 @@
             key.quiet_until = key.quiet_until.max(now + self.set.key_quiet);
         }
         // An overdue call was counted when it became so.
-        let seen =
-            if stale || (counted && outcome == Outcome::TimedOut) { Outcome::Withdrawn } else { outcome };
-        self.learn(endpoint, sent, seen, Some(took), &report);
+        let seen = if counted && outcome == Outcome::TimedOut { Outcome::Withdrawn } else { outcome };
+        self.learn(endpoint, sent, seen, Some(took));
         let Some(key) = self.endpoints.get(&endpoint).map(|e| e.route) else { return };
         let (gap, usual, jitter) = (self.routes[&key].gap, self.usual(key), 0.75 + 0.5 * self.random());
         let m = self.messages.get_mut(&id).unwrap();
@@ -788,10 +707,10 @@
         self.settle_key(id);
     }
 
-    fn cancel_others(&mut self, id: MessageId, but: Option<usize>, actions: &mut Vec<Action>) {
+    fn cancel_all(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(m) = self.messages.get_mut(&id).filter(|_| self.set.cancel) else { return };
         for (no, a) in m.attempts.iter_mut().enumerate() {
-            if a.end.is_none() && !a.cancelled && Some(no) != but {
+            if a.end.is_none() && !a.cancelled {
                 a.cancelled = true;
                 actions.push(Action::Cancel { id, attempt: no as u32 });
             }
@@ -801,7 +720,7 @@
     fn finish(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let Some(m) = self.messages.get_mut(&id) else { return };
         m.done = true;
-        self.cancel_others(id, None, actions);
+        self.cancel_all(id, actions);
         self.settle_key(id);
     }
 
@@ -814,13 +733,10 @@
         self.keys.retain(|_, k| !k.queue.is_empty() || k.quiet_until > self.now);
     }
 
-    fn learn(&mut self, at: EndpointId, sent: Nanos, outcome: Outcome, took: Option<Nanos>, report: &Report) {
+    fn learn(&mut self, at: EndpointId, sent: Nanos, outcome: Outcome, took: Option<Nanos>) {
         let now = self.now;
         let Some(e) = self.endpoints.get_mut(&at) else { return };
         let Some(route) = self.routes.get_mut(&e.route) else { return };
-        if report.limit.is_some() {
-            route.limit = report.limit;
-        }
         let step = route.limit.map_or(GAP_STEP, |l| (0.5e9 * self.set.senders as f64 / l) as Nanos);
         route.seen.count(outcome, now);
         match outcome {
@@ -868,8 +784,7 @@
                 }
                 // A wait longer than a limit's tells of an outage: all who were told would come at its end.
                 let shut = wait > self.set.fail_back.span;
-                let free = report.left.is_some_and(|left| left > LEFT_FREE);
-                self.failed_trial(at, if shut { DOUBT } else { f64::from(free) });
+                self.failed_trial(at, if shut { DOUBT } else { 0.0 });
             }
             // A partner that dies refuses its next connections: a reset alone, where these come up, is the
             // network's, and no outage that the partner would come back cold from.
@@ -922,11 +837,13 @@
     /// short it keeps others waiting: it is called off. May waste a call that is only very slow.
     fn judge_overdue(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let (taken, few) = (self.calls.len(), self.set.slots <= FEW_SLOTS);
+        let (taken, few) = (self.calls, self.set.slots <= FEW_SLOTS);
         let wanted = self.messages.values().any(|m| m.waiting() && m.not_before <= now);
         let pressed = if few { taken >= self.set.slots && wanted } else { taken + 1 >= self.set.slots };
-        let out = self.messages.iter().filter(|(_, m)| !m.streaming);
-        let out = out.flat_map(|(id, m)| m.out().filter(|(_, a)| !a.cancelled).map(|(no, a)| (*id, no, a)));
+        let out = self
+            .messages
+            .iter()
+            .flat_map(|(id, m)| m.out().filter(|(_, a)| !a.cancelled).map(|(no, a)| (*id, no, a)));
         let out: Vec<_> = out.map(|(id, no, a)| (id, no, a.endpoint, a.sent, a.overdue)).collect();
         for (id, no, at, sent, counted) in out {
             let e = &self.endpoints[&at];
@@ -943,7 +860,7 @@
                 && !m.done;
             if age > bound && !counted {
                 self.messages.get_mut(&id).unwrap().attempts[no].overdue = true;
-                self.learn(at, sent, Outcome::TimedOut, None, &Report::default());
+                self.learn(at, sent, Outcome::TimedOut, None);
             }
             if give {
                 self.messages.get_mut(&id).unwrap().attempts[no].cancelled = true;
@@ -958,7 +875,7 @@
     fn give_up(&mut self, actions: &mut Vec<Action>) {
         let mut over: Vec<MessageId> = Vec::new();
         let mut held: BTreeMap<DestinationId, Vec<(f64, MessageId)>> = BTreeMap::new();
-        for (id, m) in self.messages.iter().filter(|(_, m)| m.waiting() && !m.streaming) {
+        for (id, m) in self.messages.iter().filter(|(_, m)| m.waiting()) {
             match self.hopeless(m) {
                 true => over.push(*id),
                 false => held.entry(m.destination).or_default().push((self.at_risk(m), *id)),
--- a/crates/policy/src/policy/sights.rs
+++ b/crates/policy/src/policy/sights.rs
@@ -1,5 +1,5 @@
-//! What a sender has itself seen of its partners, read out for others. It decides nothing, and must never change what
-//! the decisions rest on.
+//! What a sender has itself seen of its partners, read out for others. It decides nothing, and must never
+//! change what the decisions rest on.
 
 use super::*;
 use std::ops::Bound::{Excluded, Unbounded};
@@ -44,9 +44,9 @@
 }
 
 impl Policy {
-    /// What this sender has itself seen of up to `most` routes after `after`, in the order of their names, as it stands
-    /// after the latest turn; and the route to go on from, where there are more. Hearsay is not among it, except for a
-    /// wait at a route that was called here too.
+    /// What this sender has itself seen of up to `most` routes after `after`, in the order of their names, as
+    /// it stands after the latest turn; and the route to go on from, where there are more. Hearsay is not
+    /// among it, except for a wait at a route that was called here too.
     pub fn sights(
         &self, now: Nanos, after: Option<(DestinationId, Option<EndpointId>)>, most: usize,
     ) -> (Vec<Sight>, Option<(DestinationId, Option<EndpointId>)>) {
--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/stages/admit.rs
@@ -64,7 +64,7 @@
         let (id, destination, class) = (MessageId(no), DestinationId(h.destination), ClassId(h.class));
         let deadline = nanos(taken.deadline);
         desk.insert(taken, State::Open);
-        Some(Event::Message { id, destination, class, tenant: None, deadline, key: None })
+        Some(Event::Message { id, destination, class, deadline, key: None })
     }
 
     /// What an earlier life took on and did not end.
--- a/crates/sender/src/stages/book.rs
+++ b/crates/sender/src/stages/book.rs
@@ -3,7 +3,7 @@
 
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_ledger::Notice;
-use martenlatch_policy::interface::{Event, MessageId, Outcome, Report};
+use martenlatch_policy::interface::{Event, MessageId, Outcome};
 
 use super::desk::{Desk, State};
 use super::relay::Relay;
@@ -44,8 +44,8 @@
             desk.forget(id.0);
         }
         let finished = desk.held.get(&id.0).is_none_or(|t| t.state != State::Open);
-        let (took, report) = (nanos(done.took), Report::default());
-        Some(Event::Ended { id, attempt, outcome, took, finished, report })
+        let took = nanos(done.took);
+        Some(Event::Ended { id, attempt, outcome, took, finished })
     }
 
     /// A transaction ends undelivered: its notice is owed from here on.
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -332,8 +332,6 @@
                     self.route.wake = Some(self.route.wake.map_or(at, |w| w.min(at)));
                 }
                 Action::Close(endpoint) => self.regions.close(endpoint),
-                // The watch is always open.
-                Action::Subscribe => {}
             }
         }
     }
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -13,7 +13,7 @@
     {"Name":"debit","Target":3000000000,"Deadline":16000000000,"Effect":"side_effect","Worth":1}],
     "FamilyInfo":{"CallsOut":4},
     "Limits":{"OpenCap":9,"AttemptsCap":8,"Cancel":true,"ConnectTimeout":1000000000},
-    "Guarantees":{"StopSendingWithin":1000000000,"GraceToAnswer":20000000,"OverloadFactor":2,
+    "Guarantees":{"OverloadFactor":2,
     "OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
 
 const START: Millis = 1_796_121_600_000.0;
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -278,8 +278,8 @@
     #[test]
     fn regions_that_have_gone_are_forgotten_and_their_numbers_are_not_used_again() {
         let names = || vec!["x".to_string()];
-        let (zones, kinds, classes, tenants, fields) = (names(), names(), names(), vec![], vec![]);
-        let boot = Boot { settings: Settings::default(), zones, kinds, classes, tenants, fields };
+        let (zones, kinds, classes) = (names(), names(), names());
+        let boot = Boot { settings: Settings::default(), zones, kinds, classes };
         let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot);
         let mut line = |all: bool, uid: usize, state: &str| {
             let target = serde_json::json!({"uid": format!("s-{uid}"), "endpoint": "127.0.0.1:9", "az": "x",
@@ -302,8 +302,8 @@
         let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let (handle, pool) = (events.handle(), Pool::new(8));
         let names = || vec!["x".to_string()];
-        let (zones, kinds, classes, tenants, fields) = (names(), names(), names(), vec![], vec![]);
-        let boot = Boot { settings: Settings::default(), zones, kinds, classes, tenants, fields };
+        let (zones, kinds, classes) = (names(), names(), names());
+        let boot = Boot { settings: Settings::default(), zones, kinds, classes };
         let mut table = Table::new(listener.local_addr().unwrap(), &boot);
         table.tend(1_000.0, &handle, &pool);
         let first = listener.accept().unwrap();
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -15,10 +15,6 @@
     pub kinds: Vec<String>,
     /// Names of the classes.
     pub classes: Vec<String>,
-    /// Names of the tenants.
-    pub tenants: Vec<String>,
-    /// Names of the values in a load report.
-    pub fields: Vec<String>,
 }
 
 /// One JSON object, and its path for messages.
@@ -93,27 +89,18 @@
         class_names.push(node.text_or("Name", "")?.to_string());
         classes.push(class(&node)?);
     }
-    let (mut quotas, mut tenants) = (Vec::new(), Vec::new());
-    for value in root.list("Tenants")? {
-        let node = Node(value, "Tenants[].");
-        tenants.push(node.text_or("Name", "")?.to_string());
-        quotas.push(node.num("QuotaRps")?);
-    }
-    let (apart, per_call, toll) = (family.list("OwnLimits")?, family.list("PerCall")?, family.list("Toll")?);
-    let kind = |i: usize| Kind {
-        apart: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
-        per_call: per_call.get(i).and_then(Value::as_u64).unwrap_or(1).clamp(1, u32::MAX.into()) as u32,
-    };
+    let (apart, toll) = (family.list("OwnLimits")?, family.list("Toll")?);
+    let kind = |i: usize| Kind { apart: apart.get(i).and_then(Value::as_bool).unwrap_or(false) };
     let deductions = root.object("Deductions", "Deductions.").unwrap_or(Node(&Value::Null, "Deductions."));
-    let asks = root.text_or("RegistryMode", "push")? == "ask";
+    if root.text_or("RegistryMode", "push")? == "ask" {
+        return root.wrong("RegistryMode", "push: the list is watched, not asked for");
+    }
     let settings = Settings {
         senders: root.int("Balancers")?.min(u32::MAX.into()) as u32,
         zone: ZoneId(zone),
         zones: (0..zones.len()).map(|i| toll.get(i).and_then(Value::as_f64).unwrap_or(0.0)).collect(),
         kinds: (0..kinds.len()).map(kind).collect(),
         classes,
-        tenants: quotas,
-        over_share_worth: root.num_or("OverShareWorth", 1.0)?,
         decay: match family.text_or("LosesWorth", "linear")? {
             "halving" => Decay::Halving,
             _ => Decay::Linear,
@@ -129,9 +116,6 @@
         cancel: limits.flag("Cancel")?,
         second_copies: limits.flag("SecondCopies")?,
         max_advice: limits.flag("RetryAfter")?.then_some(limits.int_or("MaxRetryAfter", 0)?),
-        ask_every: if asks { Some(rules.int("AskEvery")?) } else { None },
-        drain_grace: rules.int("StopSendingWithin")?,
-        answer_grace: rules.int("GraceToAnswer")?,
         fail_back: FailBack {
             factor: rules.num("OverloadFactor")?,
             span: rules.int("OverloadFor")?,
@@ -145,10 +129,13 @@
         cross_zone_price: deductions.num_or("CrossZone", 0.0)?,
     };
     settings.check().map_err(|e| e.to_string())?;
-    Ok(Boot { settings, zones, kinds, classes: class_names, tenants, fields: report_fields(&root)? })
+    Ok(Boot { settings, zones, kinds, classes: class_names })
 }
 
 fn class(node: &Node) -> Result<Class, String> {
+    if node.flag("Stream")? {
+        return node.wrong("Stream", "false: answers are whole");
+    }
     let effect = match node.text_or("Effect", "")? {
         "pure" => Effect::Safe,
         "side_effect" => Effect::Unsafe,
@@ -165,13 +152,5 @@
         late_worth: node.num_or("LateWorth", 0.0)?,
         effect,
         ordered: node.flag("SerialByKey")?,
-        stream: node.flag("Stream")?,
     })
 }
-
-fn report_fields(root: &Node) -> Result<Vec<String>, String> {
-    match root.object("Report", "Report.") {
-        Ok(report) => report.names("Fields"),
-        Err(_) => Ok(Vec::new()),
-    }
-}
