Keep the module's latest wake, and no earlier one, in the sender

The module counts on its latest wake alone; the sender kept the earlier of two, and once that had passed nothing was due. Lines at fault: stages/mod.rs, Action::WakeAfter, min of the old and the new. A quiet sender then sends, copies or gives up only at the next event or 120 ms after the deadline. Change: the latest wake stands for all before it; the library's page says so. Story: the_latest_wake_that_the_module_asked_for_is_kept_behind_an_earlier_one, seen to fail before (left: None) and to pass after.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -100,7 +100,8 @@
 //!   before, with `finished` set.
 //! * A sender that starts again names what it had taken on with [`Event::Resumed`], after the list; one that is told
 //!   to end says by when with [`Event::Closing`].
-//! * [`Action::WakeAfter`] asks for one later turn with [`interface::Event::Wake`]. A turn may come at any time.
+//! * [`Action::WakeAfter`] asks for one later turn with [`interface::Event::Wake`]; the latest stands for all before it. A
+//!   turn may come at any time.
 //! * Events on unknown or finished messages, attempts or endpoints, and outcomes that come twice, are ignored.
 //!
 //! [`Action::Send`]: interface::Action::Send
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -327,10 +327,8 @@
                 Action::Fail { id } => {
                     self.book.end(id, Notice::Undeliverable, &mut self.desk, &mut self.relay);
                 }
-                Action::WakeAfter(span) => {
-                    let at = now + millis(span);
-                    self.route.wake = Some(self.route.wake.map_or(at, |w| w.min(at)));
-                }
+                // The module counts on its latest wake: it stands for all before it.
+                Action::WakeAfter(span) => self.route.wake = Some(now + millis(span)),
                 Action::Close(endpoint) => self.regions.close(endpoint),
             }
         }
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -141,3 +141,14 @@
     assert!(matches!(notice, Some(Notice::Deferred(_))), "{notice:?}");
     assert!(late < 100.0, "{late} ms after its time");
 }
+
+#[test]
+fn the_latest_wake_that_the_module_asked_for_is_kept_behind_an_earlier_one() {
+    // Guards a quiet sender: the module counts on its latest wake alone. Lost behind an earlier one, nothing looks at
+    // what waits before the next event, or before its time is over.
+    let (mut driver, ..) = resumed("wake", "127.77.0.1:9".parse().unwrap());
+    driver.carry_out(vec![Action::WakeAfter(nanos(10.0))], START);
+    driver.carry_out(vec![Action::WakeAfter(nanos(300.0))], START + 8.0);
+    driver.route.turn(START + 10.0);
+    assert_eq!(driver.route.wake, Some(START + 308.0));
+}
