--- a/crates/lab/src/fact.rs
+++ b/crates/lab/src/fact.rs
@@ -43,6 +43,9 @@
         partner: u32,
         first: Millis,
         deadline: Millis,
+        /// What it must keep its order by, if anything.
+        #[serde(default)]
+        key: Option<u64>,
     },
     /// The client has its answer; 0: the connection ended without one.
     Answered {
@@ -83,6 +86,10 @@
         call: u64,
         how: Silence,
     },
+    /// An endpoint has said that the message is over: withdrawn, or out of time. Nothing more is owed.
+    Withdrawn {
+        id: u64,
+    },
     /// The platform has a notice; with when to come again, where it is `deferred`.
     Notice {
         sender: u32,
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -44,6 +44,8 @@
     Attempts,
     /// A message goes to its own partner's endpoints.
     RightPartner,
+    /// Messages of one key go one at a time, in the order taken.
+    Order,
 }
 
 /// A rule that was broken.
@@ -91,6 +93,7 @@
     calls: u32,
     out: u32,
     closed: bool,
+    key: Option<u64>,
 }
 
 #[derive(Debug)]
@@ -136,6 +139,8 @@
     waits: HashMap<(u32, u32), (Millis, Millis)>,
     /// Endpoints that drain, since when, by sender.
     drains: HashMap<(u32, u32), Millis>,
+    /// What was handed in with a key and is not over, by sender and key, in the order taken.
+    turns: HashMap<(u32, u64), VecDeque<u64>>,
     owner: HashMap<u32, u32>,
     /// Until when a sender's ends are not overdue: it is down, or has just come back.
     excused: HashMap<u32, Millis>,
@@ -164,6 +169,7 @@
             due: BinaryHeap::new(),
             waits: HashMap::new(),
             drains: HashMap::new(),
+            turns: HashMap::new(),
             owner: HashMap::new(),
             excused: HashMap::new(),
             out: HashSet::new(),
@@ -189,7 +195,10 @@
         self.look_at_the_clock(at);
         self.last = self.last.max(at);
         match fact.what {
-            What::HandedIn { origin, id, sender, class, partner, deadline, .. } => {
+            What::HandedIn { origin, id, sender, class, partner, deadline, key, .. } => {
+                if let Some(key) = key {
+                    self.turns.entry((sender, key)).or_default().push_back(id);
+                }
                 let (taken, delivered, ended) = (None, None, None);
                 let (calls, out, closed) = (0, 0, false);
                 self.due.push(Reverse(((deadline + LOST_AFTER).to_bits(), id)));
@@ -208,6 +217,7 @@
                         calls,
                         out,
                         closed,
+                        key,
                     },
                 );
             }
@@ -228,6 +238,11 @@
             What::Replied { call, reply } => self.replied(call, reply, at),
             What::Ended { call, how } => self.silent(call, how, at),
             What::Notice { id, deferred, .. } => self.notice(id, deferred, at),
+            What::Withdrawn { id } => {
+                if let Some(held) = self.held.get_mut(&id) {
+                    held.ended.get_or_insert((at, false));
+                }
+            }
             What::Out { partner, out } => {
                 if out && self.out.insert(partner) {
                     self.saw.remove(&partner);
@@ -336,6 +351,7 @@
                 format!("sender {sender} began a call to endpoint {endpoint}, told to drain at {told:.1} ms");
             self.breach(Rule::Drains, Some(id), at, text);
         }
+        self.in_turn(id, at);
         let recent = self.recent.entry(partner).or_default();
         recent.push_back((at, sender));
         while recent.front().is_some_and(|(t, _)| *t < at - FALL.1) {
@@ -343,6 +359,23 @@
         }
     }
 
+    /// Whether all that was taken before it with its key is over, with nothing out.
+    fn in_turn(&mut self, id: u64, at: Millis) {
+        let Some((sender, key)) = self.held.get(&id).and_then(|h| Some((h.sender, h.key?))) else { return };
+        let over = |id: &u64| {
+            let open = |h: &Held| h.out > 0 || (h.delivered.is_none() && h.ended.is_none());
+            !self.held.get(id).is_some_and(open)
+        };
+        let turns = self.turns.entry((sender, key)).or_default();
+        while turns.front().is_some_and(|first| *first != id && over(first)) {
+            turns.pop_front();
+        }
+        if let Some(first) = turns.front().copied().filter(|first| *first < id) {
+            let text = format!("sent before message {first} of its key was over");
+            self.breach(Rule::Order, Some(id), at, text);
+        }
+    }
+
     fn arrived(&mut self, call: u64, at: Millis) {
         let Some(c) = self.calls.get(&call) else { return };
         let (id, origin, class, since) = (c.id, c.origin, c.class, c.since);
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -568,7 +568,7 @@
         let id = self.next_id;
         self.next_id += 1;
         let (class, partner, first) = (planned.class, planned.partner, planned.at);
-        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline });
+        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline, key: None });
         let full_disk = self.ground.forecast.disk_full(self.now);
         let s = &mut self.senders[sender as usize];
         let stopped = s.told_to_end.is_some_and(|told| self.now >= told + LAST_WORK);
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -875,7 +875,7 @@
         let (class, partner, first) = (planned.class, planned.partner, planned.at);
         self.held.insert(id, Held { origin, sender, attempts: 0, ran: None, over: false });
         self.open_messages += 1;
-        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline });
+        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline, key: None });
         if let Some(Peer::Client { link, id: asks, .. }) = self.peers.get_mut(client) {
             *asks = Some(id);
             link.queue(text.as_bytes());
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -34,7 +34,7 @@
 fn again(origin: u64, id: u64, class: u32, at: f64) -> Vec<(f64, What)> {
     let (sender, partner, first, deadline) = (0, 7, 0.0, 16_000.0);
     vec![
-        (at, What::HandedIn { origin, id, sender, class, partner, first, deadline }),
+        (at, What::HandedIn { origin, id, sender, class, partner, first, deadline, key: None }),
         (at, What::Answered { id, status: 202 }),
     ]
 }
