Do not take a transaction for over whose client left before its 202

Seen: a request whose client resets its connection between our reading and our 202 was entered in the ledger as over, the same record that a delivered one gets. The same request on a new connection was then answered 202 and delivered by nobody, in this life and the next. Lines at fault: stages/admit.rs, ledger.over for a client that left. Ruled out: a client whose connection ends before its request is read whole (it is never taken on).

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -143,6 +143,13 @@
     framed(&Bytes(vec![b'O']).num(no).text(id.as_bytes()).0)
 }
 
+fn keep(over: &mut VecDeque<Rc<str>>, id: Rc<str>) {
+    over.push_back(id);
+    if over.len() > OVER_KEPT {
+        over.pop_front();
+    }
+}
+
 /// What is left of earlier lives.
 #[derive(Default)]
 pub struct Past {
@@ -197,9 +204,9 @@
             }
             b'O' => {
                 self.open.remove(&no);
-                self.over.push_back(c.text()?);
-                if self.over.len() > OVER_KEPT {
-                    self.over.pop_front();
+                let id = c.text()?;
+                if !id.is_empty() {
+                    keep(&mut self.over, id);
                 }
             }
             // Written by a later version: its meaning is not known, its frame is whole.
@@ -364,12 +371,18 @@
 
     /// Records that nothing more is owed.
     pub fn over(&mut self, no: u64, id: &Rc<str>) {
+        self.settle(no, id);
+        keep(&mut self.over, id.clone());
+    }
+
+    /// Records that a transaction was not taken on after all. Its id stays unknown: who hands it in again is new.
+    pub fn never_taken(&mut self, no: u64) {
+        self.settle(no, "");
+    }
+
+    fn settle(&mut self, no: u64, id: &str) {
         self.append(&over(no, id), self.cap * PARTS.1);
         self.live_bytes -= self.live.remove(&no).unwrap_or(0);
-        self.over.push_back(id.clone());
-        if self.over.len() > OVER_KEPT {
-            self.over.pop_front();
-        }
     }
 
     /// True once a compaction would free room, or must be tried since there is no file to write to.
--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/stages/admit.rs
@@ -56,8 +56,9 @@
         }
         desk.next += 1;
         if !take_in.answer(h.client, 202, "", now) {
+            // Nobody has it: the same request on a new connection must not be taken for one that is over.
             desk.counters.left += 1;
-            desk.ledger.over(no, &taken.id);
+            desk.ledger.never_taken(no);
             return None;
         }
         desk.counters.taken += 1;
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -152,3 +152,43 @@
     driver.route.turn(START + 10.0);
     assert_eq!(driver.route.wake, Some(START + 308.0));
 }
+
+#[test]
+fn a_client_that_left_before_its_202_may_hand_the_same_transaction_in_again() {
+    use std::io::Write;
+    // Guards the request that a front sends once more on a new connection: answered 202 as one that is over, nobody
+    // would deliver it.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("left", silent.local_addr().unwrap());
+    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let mut hand_in = |leaves: bool| {
+        let mut client = std::net::TcpStream::connect(address).unwrap();
+        let head = "POST /debit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\n";
+        client.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).unwrap();
+        let (now, mut handed) = (clock.now(), Vec::new());
+        while handed.is_empty() {
+            driver.take_in.accept(now, &mut driver.desk.counters);
+            (0..9).for_each(|at| {
+                driver.take_in.ready(at, now, &mut handed, &mut driver.desk.counters);
+            });
+        }
+        let client = (!leaves).then_some(client);
+        while leaves && !driver.take_in.clients[handed[0].client].link.reset() {
+            // Bytes of ours that a closed client never reads have its machine reset the connection.
+            driver.take_in.clients[handed[0].client].link.queue(b" ");
+            driver.take_in.clients[handed[0].client].link.flush();
+        }
+        let h = handed.pop().unwrap();
+        let event = driver.admit.admit(h, &mut driver.desk, &mut driver.take_in, &driver.table, false, now);
+        drop(client);
+        event
+    };
+    assert!(hand_in(true).is_none(), "it has not heard");
+    assert!(hand_in(false).is_some(), "nobody has it");
+    assert!(hand_in(false).is_none(), "now it is held");
+    let (_, past) = Ledger::open(
+        &std::env::temp_dir().join(format!("martenlatch-stages-left-{}", std::process::id())),
+        9,
+    );
+    assert!(past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"), "and in a next life too");
+}
