Hear an answer that has come before its call is called off or timed out

Seen: a 429 with X-Backoff-Ms that had arrived on the loser of two copies was thrown away when the call was called off, and the partner was called inside a wait that binds from the moment when it was written. The same at a time-out. Lines at fault: regions.rs, cancel and expire closed the connection without reading it. Ruled out: a call not yet written whole, on which nothing may leave any more; it is not looked at. Change: a last look before a call is given up; what is there is its outcome. Story: an_answer_that_has_come_is_heard_though_its_call_is_called_off_or_out_of_time, seen to fail before (Withdrawn) and to pass after (Overloaded, 900 ms).

--- a/crates/sender/src/regions.rs
+++ b/crates/sender/src/regions.rs
@@ -386,11 +386,24 @@
     /// Gives up a routed task by closing its connection. One that never left whole never ran.
     pub fn cancel(&mut self, id: MessageId, attempt: u32, now: Millis) {
         let mine = |c: &Conn| c.task.is_some_and(|t| t.id == id && t.attempt == attempt);
-        if let Some(at) = self.conns.iter().find(|(_, c)| mine(c)).map(|(at, _)| at) {
+        if let Some(at) = self.conns.iter().find(|(_, c)| mine(c)).map(|(at, _)| at)
+            && !self.heard(at, now)
+        {
             self.fail(at, Outcome::Withdrawn, Outcome::Void, now);
         }
     }
 
+    /// A last look at a call that is about to be given up: true if its answer has come meanwhile. Guards the wait that
+    /// a loser was told, which binds from the moment when it was written. Nothing of the call leaves here.
+    fn heard(&mut self, at: usize, now: Millis) -> bool {
+        let conn = &mut self.conns[at];
+        if conn.task.is_none() || !conn.up || conn.last.is_some() || !conn.link.flushed() {
+            return false;
+        }
+        self.progress(at, now);
+        self.conns.get(at).is_none_or(|c| c.task.is_none())
+    }
+
     /// Takes back calls of which no byte has left: to a destination that has told us to wait, or a region that
     /// drains. Guards against a slow connection that carries a call into what forbids it.
     pub fn hold_back(&mut self, which: impl Fn(u64, EndpointId) -> bool, now: Millis) {
@@ -435,7 +448,7 @@
             if self.conns.get(at).is_some_and(|c| c.last.is_some()) {
                 self.progress(at, now);
             }
-            if self.conns.get(at).is_some_and(|c| self.time(c) <= now) {
+            if self.conns.get(at).is_some_and(|c| self.time(c) <= now) && !self.heard(at, now) {
                 self.fail(at, Outcome::TimedOut, Outcome::Unreachable, now);
             }
         }
@@ -507,6 +520,39 @@
         }
     }
 
+    #[test]
+    fn an_answer_that_has_come_is_heard_though_its_call_is_called_off_or_out_of_time() {
+        // Guards the wait of a loser: it binds from when it was written, whoever stops listening then.
+        for called_off in [true, false] {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let mut events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
+            let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
+            let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 500.0);
+            let (dear, head, body) = (false, &b"xy"[..], &b""[..]);
+            regions.call(&Call { id, attempt, region, destination, timeout, dear, head, body }, address, 0.0);
+            let (mut peer, _) = listener.accept().unwrap();
+            while !regions.conns[0].link.flushed() || !regions.conns[0].up {
+                regions.ready(0, 0.0);
+            }
+            peer.read_exact(&mut [0; 2]).unwrap();
+            let mut ready = crate::key::Ready::default();
+            events.dispatch(Some(std::time::Duration::ZERO), &mut ready).unwrap();
+            ready.keys.clear();
+            peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n").unwrap();
+            while ready.keys.is_empty() {
+                events.dispatch(None, &mut ready).unwrap();
+            }
+            if called_off {
+                regions.cancel(id, attempt, 100.0)
+            } else {
+                regions.expire(500.0)
+            }
+            let outcomes: Vec<Outcome> = regions.done.drain(..).map(|d| d.outcome).collect();
+            assert_eq!(outcomes, [Outcome::Overloaded { wait: 900_000_000 }], "called off: {called_off}");
+        }
+    }
+
     #[test]
     fn while_connections_are_reset_a_dear_call_that_meets_one_is_proven_never_to_have_run() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
