Leave a ledger of another version alone, and take on no work

Seen: a ledger that does not begin with mlatch1 was read as empty and replaced at the start. A release that is rolled back would have lost all that the later one had taken on. Lines at fault: ledger/src/lib.rs, open, which took a foreign file for a torn tail. Ruled out: a start torn by a crash; the file is put in place whole. Change: such a file counts as unreadable: it is said, left as it is, and no work is taken on. Test: a_ledger_of_another_version_is_left_as_it_is_and_no_work_is_taken_on, seen to fail before and to pass after.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -280,11 +280,15 @@
         let mut bytes = Vec::new();
         let read = File::open(&path).and_then(|mut f| f.read_to_end(&mut bytes));
         let past = Past::read(&bytes);
-        let unreadable = read.map_err(|e| e.kind()).err().filter(|e| *e != std::io::ErrorKind::NotFound);
+        let read = read.map_err(|e| e.kind()).err().filter(|e| *e != std::io::ErrorKind::NotFound);
+        // A file is put in place whole: one that does not begin as ours is of another version, and may be owed for.
+        let foreign =
+            (!bytes.is_empty() && !bytes.starts_with(MAGIC)).then_some(std::io::ErrorKind::InvalidData);
+        let unreadable = read.or(foreign);
         if let Some(e) = unreadable {
             error!(error = ?e, "ledger unreadable");
         }
-        if past.good < bytes.len() as u64 {
+        if unreadable.is_none() && past.good < bytes.len() as u64 {
             warn!(bytes = bytes.len() as u64 - past.good, "ledger tail cut");
         }
         let (file, size, cap) = (None, past.good, disk as f64 * PARTS.0);
@@ -511,6 +515,17 @@
         assert_eq!(past.open[&1].tasks.len(), 1);
     }
 
+    #[test]
+    fn a_ledger_of_another_version_is_left_as_it_is_and_no_work_is_taken_on() {
+        // Guards what a later release has taken on, where an earlier one is started on its folder.
+        let folder = folder("version");
+        let later = b"mlatch2\nwhatever it holds".to_vec();
+        std::fs::write(folder.join("ledger"), &later).unwrap();
+        let (mut ledger, past) = Ledger::open(&folder, 3_000_000);
+        assert!(past.open.is_empty() && !ledger.take(&some(1, 10)) && !ledger.wants_compaction(1e15));
+        assert_eq!(std::fs::read(folder.join("ledger")).unwrap(), later);
+    }
+
     #[test]
     fn the_disk_limit_holds_with_old_and_new_file_and_full_means_refusing() {
         let (folder, disk) = (folder("full"), 1_000_000);
