Turn down settings that ask for an order by key, which no client can name

Seen: with SerialByKey the module keeps order, but the sender gives it no key, as the protocol has none: the order was silently not kept.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -64,6 +64,14 @@
         };
         let seed = json.get("seed").and_then(Value::as_str).and_then(|s| u64::from_str_radix(s, 16).ok());
         let told = json.get("settings").filter(|s| s.is_object()).ok_or("settings: an object is wanted")?;
+        let boot = platform::read(&told.to_string())?;
+        // The protocol has nothing by which a client could name what its messages are about.
+        if boot.settings.classes.iter().any(|c| c.ordered) {
+            return Err(
+                "setting Categories[].SerialByKey should be false: messages name no key to keep in order"
+                    .into(),
+            );
+        }
         let known = json.get("known").cloned().unwrap_or(Value::Null);
         if !known.is_null() && !known.is_object() {
             return Err("known: an object is wanted".into());
@@ -78,7 +86,7 @@
             disk: (limit("disk_mb", 0.05)? * 1e6) as u64,
             memory: (limit("memory_mb", 16.0)? * 1e6) as u64,
             known,
-            boot: platform::read(&told.to_string())?,
+            boot,
             clients: martenlatch_settings::program::Program::default().clients,
             peers: None,
         })
