Spread Retry-After, notices tried again and watches by the sender's own seed

Seen: 503 named a fixed second, so that a crowd turned away together came back together; notices and watches backed off by doubling with no spread, the same over all senders. Change: Spread draws from the configuration's seed: Retry-After is 1 to 1.5 s, the two back-offs lie within a quarter of their step. Nothing that was told is shortened. Measured: what_met_one_moment_does_not_come_back_at_one_moment: twelve clients turned away in one round were told one value, now at least nine; tries again of twelve seeds lie more than 200 ms apart, at 0 ms before.

--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -8,6 +8,7 @@
 mod key;
 mod peers;
 mod regions;
+mod spread;
 mod stages;
 mod table;
 
--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/stages/admit.rs
@@ -41,7 +41,7 @@
             }
             None => {
                 desk.counters.turned_away += 1;
-                take_in.answer(h.client, 503, "Retry-After: 1\r\n", now);
+                take_in.busy(h.client, now);
                 return None;
             }
         }
@@ -51,7 +51,7 @@
         let taken = Taken { no, id, class, destination, deadline, key: h.key, body: h.body, tasks, ending };
         if stopped || desk.open >= self.hold_limit || !desk.ledger.take(&taken) {
             desk.counters.turned_away += 1;
-            take_in.answer(h.client, 503, "Retry-After: 1\r\n", now);
+            take_in.busy(h.client, now);
             return None;
         }
         desk.next += 1;
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -30,6 +30,7 @@
 use crate::counters::Counters;
 use crate::peers::Peers;
 use crate::regions::Regions;
+use crate::spread::Spread;
 use crate::table::{Change, Table};
 use admit::Admit;
 use book::Book;
@@ -79,7 +80,7 @@
         let buffers = (config.memory / 2 / http::pool::SIZE as u64) as usize;
         let most = (config.sockets / 2).min(buffers / 3).max(1);
         let (pool, clients_pool) = (Pool::new(buffers - 2 * most.min(buffers / 3)), Pool::new(2 * most));
-        let listener = Rc::new(listener);
+        let (listener, spread) = (Rc::new(listener), Spread::new(config.seed));
         let token = http::register(handle, listener.clone(), Key::Listener)
             .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
         let keyed = |c: &Class| matches!(c.effect, Effect::Keyed { .. });
@@ -96,6 +97,7 @@
             next_sweep: 0.0,
             accept_at: None,
             ending: false,
+            spread: spread.clone(),
         };
         let (ledger, past) = Ledger::open(&config.state, config.disk);
         let (next, counters) = (past.next, Counters::default());
@@ -112,6 +114,7 @@
             next_try: 0.0,
             pause: RETRY.0,
             batch: NOTICES,
+            spread: spread.clone(),
         };
         let unsafe_ones = set.classes.iter().map(|c| c.effect == Effect::Unsafe);
         let once =
@@ -134,7 +137,7 @@
                 millis(set.connect_timeout),
                 millis(set.conn_idle),
             ),
-            table: Table::new(config.discovery, boot),
+            table: Table::new(config.discovery, boot, spread),
             peers,
             again: Vec::new(),
             told_to_end: None,
--- a/crates/sender/src/stages/relay.rs
+++ b/crates/sender/src/stages/relay.rs
@@ -12,6 +12,7 @@
 use tracing::warn;
 
 use super::desk::Desk;
+use crate::spread::Spread;
 
 /// Most notices in one report; how long its answer may take; pauses between tries.
 pub(super) const NOTICES: usize = 32;
@@ -31,6 +32,7 @@
     pub(super) pause: Millis,
     /// Halved after a report that the platform could not read, so that one bad notice holds up no other.
     pub(super) batch: usize,
+    pub(super) spread: Spread,
 }
 
 impl Relay {
@@ -97,7 +99,7 @@
         warn!(count = self.flying.len(), reason, "notices unconfirmed");
         self.link = None;
         self.flying.drain(..).rev().for_each(|no| self.queue.push_front(no));
-        self.next_try = now + self.pause;
+        self.next_try = now + self.spread.around(self.pause);
         self.pause = (self.pause * 2.0).min(RETRY.1);
     }
 
--- a/crates/sender/src/stages/take_in.rs
+++ b/crates/sender/src/stages/take_in.rs
@@ -14,6 +14,7 @@
 use tracing::warn;
 
 use crate::counters::Counters;
+use crate::spread::Spread;
 
 /// One that has just connected is about to ask; past this it is the first to make room.
 pub(super) const NEWCOMER: Millis = 300.0;
@@ -25,6 +26,9 @@
 const ACCEPTS: usize = 64;
 /// How often client connections are looked over.
 const SWEEP: Millis = 250.0;
+/// Who is turned away may come again after so long: nothing here knows more, and a crowd that met one full moment is
+/// spread over half as long again.
+const AGAIN: Millis = 1_000.0;
 /// Longest id, key; and longest time that a client may grant.
 const NAME: usize = 256;
 const LONGEST: f64 = 86_400.0;
@@ -73,6 +77,7 @@
     /// Accepting rests after running out of descriptors.
     pub(super) accept_at: Option<Millis>,
     pub(super) ending: bool,
+    pub(super) spread: Spread,
 }
 
 impl TakeIn {
@@ -146,7 +151,7 @@
         }
         if let Some((_, _, at)) = order.iter().find(|(place, ..)| *place == 4) {
             self.clients[*at].close = true;
-            self.answer(*at, 503, "Retry-After: 1\r\n", now);
+            self.busy(*at, now);
             self.clients.try_remove(*at);
         }
     }
@@ -287,6 +292,12 @@
         !gone
     }
 
+    /// Turns a client away for now.
+    pub(super) fn busy(&mut self, at: usize, now: Millis) {
+        let again = self.spread.after(AGAIN) / 1e3;
+        self.answer(at, 503, &format!("Retry-After: {again:.3}\r\n"), now);
+    }
+
     /// Has a client's connection end with its next answer.
     pub(super) fn close(&mut self, at: usize) {
         if let Some(client) = self.clients.get_mut(at) {
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -192,3 +192,39 @@
     );
     assert!(past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"), "and in a next life too");
 }
+
+#[test]
+fn what_met_one_moment_does_not_come_back_at_one_moment() {
+    use std::io::{Read, Write};
+    // Clients of a destination that the table does not have yet are turned away together.
+    let (mut driver, clock, _events) = resumed("apart", "127.77.0.1:9".parse().unwrap());
+    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
+    let mut crowd: Vec<_> = (0..12).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
+    crowd.iter_mut().for_each(|client| client.write_all(head.as_bytes()).unwrap());
+    while driver.desk.counters.turned_away < 12 {
+        driver.round([Key::Listener].into_iter().chain((0..20).map(Key::Client)).collect());
+    }
+    let told = |client: &mut std::net::TcpStream| {
+        let mut text = [0; 200];
+        let count = client.read(&mut text).unwrap();
+        let text = String::from_utf8_lossy(&text[..count]).into_owned();
+        text.split("Retry-After: ").nth(1).and_then(|t| t.lines().next()?.parse::<f64>().ok()).unwrap()
+    };
+    let mut told: Vec<f64> = crowd.iter_mut().map(told).collect();
+    assert!(told.iter().all(|t| (1.0..=1.5).contains(t)), "{told:?}");
+    told.sort_by(f64::total_cmp);
+    told.dedup();
+    assert!(told.len() > 8, "{told:?}");
+    // Nor do notices of senders with other seeds, once the platform is back.
+    let mut tries: Vec<f64> = Vec::new();
+    for seed in 0..12 {
+        driver.relay.spread = Spread::new(seed);
+        driver.relay.pause = RETRY.1;
+        driver.relay.failed(clock.now(), "silent");
+        tries.push(driver.relay.next_try - clock.now());
+    }
+    assert!(tries.iter().all(|t| (750.0..=1_250.0).contains(t)), "{tries:?}");
+    tries.sort_by(f64::total_cmp);
+    assert!(tries[11] - tries[0] > 200.0, "{tries:?}");
+}
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -11,6 +11,7 @@
 use tracing::warn;
 
 use crate::key::{Handle, Key, Link};
+use crate::spread::Spread;
 use martenlatch_clock::Millis;
 use martenlatch_http as http;
 use martenlatch_http::pool::Pool;
@@ -49,6 +50,7 @@
     heard: Millis,
     backoff: Millis,
     next_try: Millis,
+    spread: Spread,
 }
 
 struct Watch {
@@ -58,7 +60,7 @@
 }
 
 impl Table {
-    pub fn new(discovery: SocketAddr, boot: &Boot) -> Table {
+    pub fn new(discovery: SocketAddr, boot: &Boot, spread: Spread) -> Table {
         Table {
             discovery,
             zones: boot.zones.clone(),
@@ -74,6 +76,7 @@
             heard: 0.0,
             backoff: BACKOFF.0,
             next_try: 0.0,
+            spread,
         }
     }
 
@@ -158,7 +161,7 @@
         if self.watch.take().is_some() {
             warn!(reason, rev = self.rev, "watch lost");
         }
-        self.next_try = now + self.backoff;
+        self.next_try = now + self.spread.around(self.backoff);
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
     }
 
@@ -280,7 +283,7 @@
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
         let boot = Boot { settings: Settings::default(), zones, kinds, classes };
-        let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot);
+        let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot, Spread::new(1));
         let mut line = |all: bool, uid: usize, state: &str| {
             let target = serde_json::json!({"uid": format!("s-{uid}"), "endpoint": "127.0.0.1:9", "az": "x",
                 "model": "x", "pod_group": 7, "state": state});
@@ -304,7 +307,7 @@
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
         let boot = Boot { settings: Settings::default(), zones, kinds, classes };
-        let mut table = Table::new(listener.local_addr().unwrap(), &boot);
+        let mut table = Table::new(listener.local_addr().unwrap(), &boot, Spread::new(1));
         table.tend(1_000.0, &handle, &pool);
         let first = listener.accept().unwrap();
         table.tend(3_000.0, &handle, &pool);
