Answer at once what a told wait leaves no time for

Seen: a message whose partner told to wait past its deadline was held until that deadline, its client with it, though nothing could be sent any more. The giving up looked at rests, not at waits. Lines at fault: policy.rs, hopeless, rest_until alone. Ruled out: a wait that is called off early; waits only grow within a life. Change: the later of rest and wait counts. Test: a_message_whose_partner_opens_only_after_its_time_is_answered_at_once, seen to fail before and to pass after.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -899,7 +899,7 @@
         let margin = 2 * self.set.tick.max(PULSE);
         let spent = m.spent || m.attempts.len() >= self.set.max_attempts as usize;
         let barred = self.now >= self.repeat_until(m);
-        let back = self.routes_of(m).map(|r| r.rest_until).min().unwrap_or(0);
+        let back = self.routes_of(m).map(|r| r.rest_until.max(r.wait_until)).min().unwrap_or(0);
         spent || barred || back.max(self.now) + margin >= m.deadline
     }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -244,6 +244,16 @@
     assert!(refused(&rig.end(id, 0, Outcome::TimedOut, 300 * MS), id));
 }
 
+#[test]
+fn a_message_whose_partner_opens_only_after_its_time_is_answered_at_once() {
+    // Guards against keeping a client waiting for a deadline that nothing can be sent before.
+    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let (id, _) = rig.hand_in(1, 0);
+    let actions = rig.end(id, 0, Outcome::Overloaded { wait: 30 * S }, 5 * MS);
+    assert!(refused(&actions, id), "its 20 s are over before the partner opens: {actions:?}");
+    assert!(refused(&rig.hand_in(1, 0).1, MessageId(id.0 + 1)), "and so for one that comes now");
+}
+
 #[test]
 fn an_outage_leaves_single_trials_and_the_return_keeps_to_the_budget() {
     let mut set = settings(vec![class(SAFE)]);
