Spread a fleet behind waits, outages and advice, each sender by its own seed

Seen, with twelve senders of one history and a seed each (crates/policy/tests/fleet.rs): told of one short wait, all twelve came in the same millisecond; after an outage all twelve tried first at the same instant, where the span of the return budget let them; all clients refused in one turn were told the same instant to return. Copies of a common stall leave together where the same latencies were learned, but land on all endpoints (3, 2, 4, 3): left as it is. Ruled out: ties between endpoints (the random choice spreads them) and the pauses of retries (they have spread). Change: up to 100 ms behind a told wait, never into it; 0 to 100 ms on each span of the return budget, fixed by the seed; advice between the opening and a quarter behind it, and within the longest that clients follow. Measured: sends behind the wait and first trials spread over 100 ms, at most half of them within 20 ms; of 60 advices at most a quarter within 20 ms.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -65,6 +65,8 @@
 const PULSE: Nanos = 20 * MS;
 /// A turn that comes this much after its due time follows a stall.
 const STALL: Nanos = 100 * MS;
+/// Senders with one history are spread over so long, each by its seed.
+const SPREAD: Nanos = 100 * MS;
 
 type RouteKey = (DestinationId, Option<EndpointId>);
 
@@ -231,6 +233,8 @@
     /// No call may be out past this: the sender ends.
     closing: Option<Nanos>,
     random: u64,
+    /// What this sender adds to each span of its return budgets, by its seed.
+    stagger: Nanos,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     /// The endpoints of each destination.
     of: BTreeMap<DestinationId, Vec<EndpointId>>,
@@ -253,7 +257,9 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Policy, SettingsError> {
         settings.check()?;
         let pays = vec![PAYS_FIRST; settings.kinds.len()];
-        Ok(Policy { set: settings, random: seed, pays, ..Policy::default() })
+        let stagger = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40;
+        let stagger = stagger * SPREAD >> 24;
+        Ok(Policy { set: settings, random: seed, stagger, pays, ..Policy::default() })
     }
 
     /// Takes in what happened and says what to do now. Call it once for all that has come in by `now`.
@@ -525,7 +531,7 @@
         let route = self.routes.get_mut(&e.route).unwrap();
         route.last_send = Some(now);
         route.out.push((id, no, now));
-        while route.sent.front().is_some_and(|t| *t + self.set.fail_back.span < now) {
+        while route.sent.front().is_some_and(|t| *t + self.stagger + self.set.fail_back.span < now) {
             route.sent.pop_front();
         }
         route.sent.push_back(now);
@@ -643,9 +649,12 @@
     /// Fail-back: all that was sent in the span counts, refused calls and probes too.
     fn has_room(&self, route: &Route) -> bool {
         let (now, set) = (self.now, &self.set);
-        let spent = route.sent.iter().filter(|t| *t + set.fail_back.span >= now).count() as f64;
+        // Senders with one history keep to spans that end apart.
+        let spent =
+            route.sent.iter().filter(|t| *t + self.stagger + set.fail_back.span >= now).count() as f64;
         let budget = route.budget(now, set);
-        let spaced = budget < 1.0 && route.last_send.is_none_or(|t| now >= t + route.spacing(budget, set));
+        let spaced = budget < 1.0
+            && route.last_send.is_none_or(|t| now >= t + self.stagger + route.spacing(budget, set));
         route.warm(now, set) || spaced || spent + 1.0 <= budget + 1e-9
     }
 
@@ -735,6 +744,8 @@
 
     fn learn(&mut self, at: EndpointId, sent: Nanos, outcome: Outcome, took: Option<Nanos>) {
         let now = self.now;
+        let told = matches!(outcome, Outcome::Overloaded { wait } if wait > 0);
+        let chance = if told { self.random() } else { 0.0 };
         let Some(e) = self.endpoints.get_mut(&at) else { return };
         let Some(route) = self.routes.get_mut(&e.route) else { return };
         let step = route.limit.map_or(GAP_STEP, |l| (0.5e9 * self.set.senders as f64 / l) as Nanos);
@@ -770,7 +781,6 @@
                 route.doubt = 0.0;
             }
             Outcome::Overloaded { wait } => {
-                route.wait_until = route.wait_until.max(now + wait);
                 if route.refused_run == 0 {
                     route.unrefused = now;
                 } else {
@@ -782,6 +792,9 @@
                     route.rise = now;
                     route.gap = (route.gap * 2).max(step).min(GAP_CAP);
                 }
+                // Senders that were told one end come spread behind it, by some part of a turn of theirs.
+                let late = (route.gap.min(SPREAD) as f64 * chance) as Nanos;
+                route.wait_until = route.wait_until.max(now + wait + if wait > 0 { late } else { 0 });
                 // A wait longer than a limit's tells of an outage: all who were told would come at its end.
                 let shut = wait > self.set.fail_back.span;
                 self.failed_trial(at, if shut { DOUBT } else { 0.0 });
@@ -911,8 +924,14 @@
         if harmless {
             // The client is told when a route is likely to take it, as far as clients follow advice.
             let back = self.routes_of(m).map(|r| r.ready_at()).min().unwrap_or(0);
+            // Clients refused together come back spread out, and none before the route opens.
             let back = back.saturating_sub(self.now).max(GAP_CAP);
-            let return_after = self.set.max_advice.map(|most| back.min(most));
+            let chance = self.random();
+            let return_after = self.set.max_advice.map(|most| {
+                let (least, most) = (back.min(most * 3 / 4), most.min(back + back / 4));
+                let least = if back < most { back } else { least };
+                least + ((most - least) as f64 * chance) as Nanos
+            });
             actions.push(Action::Refuse { id, return_after });
         } else {
             actions.push(Action::Fail { id });
--- /dev/null
+++ b/crates/policy/tests/fleet.rs
@@ -0,0 +1,131 @@
+//! A fleet of senders with one history and a seed each: what they do at the same instant, and where it lands.
+
+mod common;
+use common::*;
+use martenlatch_policy::interface::*;
+use std::collections::BTreeMap;
+
+const FLEET: u64 = 12;
+
+/// Senders of a fleet that have each had the same calls served by the same endpoints of partner 1.
+fn fleet(endpoints: u32) -> Vec<Rig> {
+    let set =
+        || Settings { senders: FLEET as u32, max_advice: Some(3 * S), ..settings(vec![class(Effect::Safe)]) };
+    let mut all: Vec<Rig> = (1..=FLEET).map(|seed| Rig::seeded(set(), seed)).collect();
+    let listed: Vec<_> = (0..endpoints).map(|e| (e, 1, 0, 0)).collect();
+    for rig in &mut all {
+        rig.list(&listed);
+        rig.warm(1, 0, 12, 100 * MS);
+    }
+    all
+}
+
+/// How many of the fleet did something in the fullest window of so long, of instants that lie together.
+fn fullest(mut at: Vec<Nanos>, window: Nanos) -> usize {
+    at.sort_unstable();
+    at.iter()
+        .map(|from| at.iter().filter(|t| **t >= *from && **t < *from + window).count())
+        .max()
+        .unwrap_or(0)
+}
+
+/// When each sender's next call leaves, within a span.
+fn next_sends(all: &mut [Rig], span: Nanos) -> Vec<Nanos> {
+    let first = |rig: &mut Rig| {
+        let until = rig.now + span;
+        while rig.now < until {
+            rig.now += 5 * MS;
+            if !sends(&rig.turn(&[Event::Wake])).is_empty() {
+                return Some(rig.now);
+            }
+        }
+        None
+    };
+    all.iter_mut().filter_map(first).collect()
+}
+
+#[test]
+fn senders_told_of_one_short_wait_come_spread_behind_its_end() {
+    let mut all = fleet(2);
+    let wait = 1_000 * MS;
+    let ends: Vec<Nanos> = all
+        .iter_mut()
+        .map(|rig| {
+            let (id, _) = rig.hand_in(1, 0);
+            rig.end(id, 0, Outcome::Overloaded { wait }, 5 * MS);
+            rig.now + wait
+        })
+        .collect();
+    let sent = next_sends(&mut all, 4 * S);
+    assert_eq!(sent.len() as u64, FLEET, "all come");
+    let after: Vec<Nanos> =
+        sent.iter().zip(&ends).map(|(at, end)| at.checked_sub(*end).expect("never early")).collect();
+    println!("after the end of the wait, ms: {:?}", after.iter().map(|a| a / MS).collect::<Vec<_>>());
+    assert!(fullest(after, 20 * MS) as u64 <= FLEET / 2, "they come together");
+}
+
+#[test]
+fn clients_refused_together_are_told_to_return_apart_and_never_before_the_partner_opens() {
+    for (wait, least) in [(30 * S, 2_250 * MS), (1_500 * MS, 1_500 * MS)] {
+        let mut all = fleet(2);
+        let mut told = Vec::new();
+        for rig in &mut all {
+            let (id, _) = rig.hand_in(1, 0);
+            let mut actions = rig.end(id, 0, Outcome::Overloaded { wait }, 5 * MS);
+            // With no time left behind the wait nothing can be sent any more.
+            let late: Vec<Event> = (0..4).map(|_| rig.message(1, 0, wait.min(S), None)).collect();
+            actions.extend(rig.turn(&late));
+            let advice = |a: &Action| match a {
+                Action::Refuse { return_after, .. } => *return_after,
+                _ => None,
+            };
+            let advice: Vec<Nanos> = actions.iter().filter_map(advice).collect();
+            assert!(advice.len() >= 4, "{actions:?}");
+            told.extend(advice);
+        }
+        assert!(told.iter().all(|t| (least..=3 * S).contains(t)), "{told:?}");
+        let most = fullest(told.clone(), 20 * MS);
+        println!("{} told, at most {most} within 20 ms", told.len());
+        assert!(most * 4 <= told.len(), "{most} of {} are told the same: {told:?}", told.len());
+    }
+}
+
+#[test]
+fn trials_of_an_outage_and_the_return_do_not_fall_together() {
+    let mut all = fleet(2);
+    for rig in &mut all {
+        let ids: Vec<MessageId> = (0..5).map(|_| rig.hand_in(1, 0).0).collect();
+        rig.now += 50 * MS;
+        ids.into_iter().for_each(|id| drop(rig.end(id, 0, Outcome::Unreachable, 50 * MS)));
+    }
+    let sent = next_sends(&mut all, 8 * S);
+    println!("first trials, ms: {:?}", sent.iter().map(|a| a / MS).collect::<Vec<_>>());
+    assert_eq!(sent.len() as u64, FLEET, "all try");
+    assert!(fullest(sent, 20 * MS) as u64 <= FLEET / 2, "they try together");
+}
+
+#[test]
+fn copies_of_a_common_stall_are_spread_over_the_endpoints_that_are_left() {
+    // The endpoint that each sender would choose stops answering; three are left, one of them a little quicker.
+    let mut all = fleet(4);
+    let mut landed: BTreeMap<u32, usize> = BTreeMap::new();
+    let mut copies = Vec::new();
+    for rig in &mut all {
+        let first = sends(&rig.hand_in(1, 0).1)[0].1;
+        let from = rig.now;
+        while rig.now < from + 400 * MS {
+            rig.now += 5 * MS;
+            for (_, endpoint, _) in sends(&rig.turn(&[Event::Wake])) {
+                assert_ne!(endpoint, first, "a copy prefers another endpoint");
+                *landed.entry(endpoint.0).or_default() += 1;
+                copies.push(rig.now - from);
+            }
+        }
+    }
+    println!(
+        "copies after, ms: {:?}; by endpoint: {landed:?}",
+        copies.iter().map(|c| c / MS).collect::<Vec<_>>()
+    );
+    assert_eq!(copies.len() as u64, FLEET, "one each");
+    assert!(landed.len() >= 3, "{landed:?}");
+}
