Let the tests' peers wait for an address that a starting process still holds

A process that another thread starts holds the probing socket between fork and exec. Ruled out: the sender, which had not begun to listen. Change: the stand-in tries to listen again, bounded; a sender counts as ready once its health has been answered.

--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -101,7 +101,16 @@
 
 /// A seed of ours in place of a sender: it answers the first asking with what the script makes of its number, and ends.
 fn teller(at: SocketAddr, script: impl FnOnce(u64, &mut TcpStream) + Send + 'static) {
-    let listener = TcpListener::bind(at).unwrap();
+    // The socket that found this address free may live on for a moment in a process that is being started.
+    let hang = Instant::now();
+    let listener = loop {
+        match TcpListener::bind(at) {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && hang.elapsed() < HANG => {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            bound => break bound.unwrap(),
+        }
+    };
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
         let (secret, mut bytes) = (Secret::new(SECRET.as_bytes()), Vec::new());
--- a/crates/martenlatch/tests/peers/mod.rs
+++ b/crates/martenlatch/tests/peers/mod.rs
@@ -283,14 +283,22 @@
 
     fn ready(self) -> Sender {
         let hang = std::time::Instant::now();
-        while TcpStream::connect(self.address).is_err() {
-            assert!(hang.elapsed() < HANG, "the sender never listened");
+        while !self.healthy() {
+            assert!(hang.elapsed() < HANG, "the sender never served");
             thread::sleep(Duration::from_millis(5));
         }
-        assert_eq!(self.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200);
         self
     }
 
+    /// A socket that was only tried lives on for a moment in a process that another thread starts just then: a
+    /// connection may still come up there, and end unanswered.
+    fn healthy(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
+        stream.set_read_timeout(Some(HANG)).unwrap();
+        let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n");
+        read(&mut BufReader::new(stream), 0).is_some_and(|said| answered(&said) == 200)
+    }
+
     pub fn kill_and_restart(mut self) -> Sender {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
