Delete the saving of last attempts and the peak of routes with no limit told

Both proved idle: the test of the first passed without it (a test that cannot fail, deleted with it), no test met the second, and here a limit is told for every partner. Change: a message at a refusing partner may use its eighth attempt; a route with no limit told keeps to the least budget, which is the stricter side.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -112,8 +112,6 @@
     limit: Option<f64>,
     /// When calls were sent in the span of the fail-back rule.
     sent: VecDeque<Nanos>,
-    /// Most that was served in such a span, for where no limit is told.
-    peak: f64,
     /// The last eight outcomes, newest lowest; a bit is set for a bad one.
     bad: u8,
     refused_run: u32,
@@ -151,7 +149,7 @@
     fn share(&self, set: &Settings) -> f64 {
         let span_s = set.fail_back.span as f64 / 1e9;
         let least = set.fail_back.span as f64 / set.fail_back.cold.max(1) as f64;
-        self.limit.map_or((self.peak - 1.0).max(least), |l| l * span_s / set.senders as f64)
+        self.limit.map_or(least, |l| l * span_s / set.senders as f64)
     }
 
     /// Time between calls at which all senders together keep to a budget; a few cold times are enough.
@@ -595,7 +593,7 @@
         let open =
             !m.done && !m.spent && m.deadline > self.now && m.attempts.len() < self.set.max_attempts as usize;
         let copy = self.set.second_copies || m.out().next().is_none();
-        listed && open && copy && self.may_repeat(m, e) && self.in_turn(id, m) && self.route_takes(m, e)
+        listed && open && copy && self.may_repeat(m, e) && self.in_turn(id, m) && self.route_takes(e)
     }
 
     /// No effect twice: whether the class allows one more send there after those that may have run.
@@ -622,7 +620,7 @@
         key.queue.front() == Some(&id) && (!m.attempts.is_empty() || self.now >= key.quiet_until)
     }
 
-    fn route_takes(&self, m: &Message, e: &Endpoint) -> bool {
+    fn route_takes(&self, e: &Endpoint) -> bool {
         let route = &self.routes[&e.route];
         // Waits: nothing to the route, for any message. Fail-back: a rest in doubt, and the return budget.
         if self.now < route.wait_until.max(route.rest_until) || !self.has_room(route) {
@@ -630,12 +628,9 @@
         }
         let trial = !route.down() || route.out.iter().all(|(_, _, sent)| *sent < route.rest_until);
         let in_time = self.closing.is_none_or(|end| self.now + self.p95(e.route) <= end);
-        // Saves the last attempts of a message from a partner that is refusing: once spent, it is given up.
-        let refusing = route.refused_run > 0 && self.now < route.rise + 2 * GAP_CAP;
-        let burns = refusing && m.attempts.len() + 2 >= self.set.max_attempts as usize;
         let gap = route.gap.max(self.share_gap(e.kind, route));
         let paced = route.last_send.is_none_or(|t| self.now >= t + gap);
-        trial && in_time && !burns && paced && self.slot_for(e, route)
+        trial && in_time && paced && self.slot_for(e, route)
     }
 
     /// Where tries after a refusal are mostly refused, refused calls use up that kind's limits, and first
@@ -771,9 +766,6 @@
                 let back = route.down() || (route.doubt >= DOUBT && route.rest_until > 0);
                 (route.bad, route.refused_run, route.rest_until) = (route.bad << 1, 0, 0);
                 route.served_sent = route.served_sent.max(sent);
-                if !back && route.warm(now, &self.set) {
-                    route.peak = route.peak.max(route.sent.len() as f64);
-                }
                 if back {
                     route.returning = Some(now);
                 }
