Show that routes of partners that have gone are kept, in a test expected to fail

Seen: a route that belongs to a partner and not to one endpoint is never forgotten, nor is its number in the service table; both grow with every partner ever listed, by some hundred bytes each. Ruled out for now: forgetting it with its last endpoint, as waits and outages must outlast a replacement. Change: partners_that_have_gone_are_forgotten, #[should_panic], so that a mend turns it red.

--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -220,6 +220,22 @@
     assert!((1..25).contains(&early), "{early} of 100 within two seconds of the end");
 }
 
+#[test]
+// Not mended: the route of a partner stays when its last endpoint has gone, as its waits and outages must outlast one
+// that is replaced, and nothing says when it has gone for good. A mend turns this red.
+#[should_panic(expected = "partners that have gone are kept")]
+fn partners_that_have_gone_are_forgotten() {
+    let mut rig = Rig::new(sparse());
+    for destination in 0..50 {
+        rig.turn(&[Event::List(vec![entry(destination, destination.into())])]);
+        rig.warm(destination.into(), 0, 1, 100 * MS);
+    }
+    rig.turn(&[Event::List(vec![entry(50, 50)])]);
+    rig.pass(60 * S);
+    let kept = rig.policy.sights(rig.now, None, 100).0.len();
+    assert!(kept <= 1, "{kept} partners that have gone are kept");
+}
+
 #[test]
 fn endpoints_that_are_replaced_all_day_leave_nothing_behind() {
     // Guards memory on long days: each endpoint that comes has a name of its own, and none that has gone returns.
