Take an idle limit that is not told for one that never comes

Seen: with settings that name no ConnIdle the longest span stands for it, and the module added it to an instant: a panic in checked builds at the second call to an endpoint, and in the released build a sum that wrapped, so that every connection was given back after each call. Lines at fault: policy.rs, send, last_send + conn_idle. Ruled out: the sender's own limit, which is a fraction of it in floating point. Change: the sum saturates. Test: connections_that_nobody_closes_are_kept_for_good, seen to fail before (attempt to add with overflow) and to pass after.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -519,7 +519,7 @@
         let timeout = self.time_limit(id, at);
         let (m, e) = (self.messages.get_mut(&id).unwrap(), self.endpoints.get_mut(&at).unwrap());
         self.calls += 1;
-        e.in_use = e.last_send > 0 && now < e.last_send + self.set.conn_idle;
+        e.in_use = e.last_send > 0 && now < e.last_send.saturating_add(self.set.conn_idle);
         let zone = Some(e.zone);
         m.attempts.push(Attempt { endpoint: at, zone, sent: now, ..Attempt::default() });
         let no = m.attempts.len() as u32 - 1;
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -442,6 +442,18 @@
     assert!(sends(&rig.end(id, 7, Outcome::Failure, 0)).is_empty());
 }
 
+#[test]
+fn connections_that_nobody_closes_are_kept_for_good() {
+    // Guards settings that name no idle limit: as the longest span it overflowed when added to an instant.
+    let mut rig = Rig::new(Settings { conn_idle: Nanos::MAX, ..settings(vec![class(SAFE)]) });
+    rig.list(&[(0, 1, 0, 0)]);
+    rig.warm(1, 0, 1, 100 * MS);
+    let (id, actions) = rig.hand_in(1, 0);
+    assert_eq!(sends(&actions).len(), 1);
+    rig.now += 100 * MS;
+    assert!(!rig.end(id, 0, Outcome::Success, 100 * MS).contains(&Action::Close(EndpointId(0))));
+}
+
 #[test]
 fn unusable_settings_say_which() {
     let mut none = settings(vec![class(SAFE)]);
