Give a round's room to those with most time left

Seen: of twelve transactions with a millisecond left and one usual, handed in in one round, the flood took the whole hold limit and the usual client got 503, though the module ended every one of the flood in that round. Ruled out: rounds that follow; what is ended holds no room, and the flood's clients get 503 and its notices as before. Lines at fault: stages/mod.rs, admission in the order of the sockets. Change: a round's transactions are admitted by the time that they have left, most first. Test: a_flood_with_no_time_left_takes_no_room_from_the_usual, seen to fail before (the usual client is turned away) and to pass after.

--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -263,6 +263,9 @@
         if stopped {
             self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
         }
+        // Room is given before the module sees what the round brings: a flood with no time left, which it ends in
+        // this round, must not take it from the usual ones.
+        handed.sort_by(|a, b| b.deadline.total_cmp(&a.deadline));
         for h in handed {
             let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, &self.table, stopped, now);
             self.route.events.extend(event);
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -228,3 +228,35 @@
     tries.sort_by(f64::total_cmp);
     assert!(tries[11] - tries[0] > 200.0, "{tries:?}");
 }
+
+#[test]
+fn a_flood_with_no_time_left_takes_no_room_from_the_usual() {
+    use std::io::{Read, Write};
+    // Guards the room of usual clients against one whose transactions are ended in the round that brings them.
+    let (mut driver, clock, _events) = resumed("flood", "127.77.0.1:9".parse().unwrap());
+    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let hand_in = |id: usize, seconds: f64| {
+        let mut client = std::net::TcpStream::connect(address).unwrap();
+        let head = "POST /debit HTTP/1.1\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
+        client
+            .write_all(format!("{head}X-Request-ID: f{id}\r\nX-Timeout: {seconds}\r\n\r\n").as_bytes())
+            .unwrap();
+        client
+    };
+    let mut clients: Vec<_> = (0..12).map(|id| hand_in(id, 0.001)).collect();
+    clients.push(hand_in(12, 9.0));
+    // All that they wrote is read in one round.
+    while driver.take_in.clients.len() < 13 {
+        driver.take_in.accept(clock.now(), &mut driver.desk.counters);
+    }
+    driver.round((0..20).map(Key::Client).collect());
+    assert_eq!(
+        driver.desk.counters.taken + driver.desk.counters.turned_away,
+        13,
+        "each has its answer at once"
+    );
+    assert!(driver.desk.open <= 2, "the flood is ended in its round");
+    let mut answer = [0; 12];
+    clients[12].read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 202", "the usual client is turned away");
+}
