Probe a fleet's start and its watches, and sharpen the test of the even share

Change: tests only. Twelve fresh senders (fleet.rs), twelve watches that fall silent together (table.rs), and the even share's test looks at all that is sent.

--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -129,3 +129,25 @@
     assert_eq!(copies.len() as u64, FLEET, "one each");
     assert!(landed.len() >= 3, "{landed:?}");
 }
+
+#[test]
+fn a_fleet_that_starts_at_once_spreads_its_first_calls_over_the_endpoints_and_sends_no_wave_of_copies() {
+    let set = || Settings { senders: FLEET as u32, ..settings(vec![class(Effect::Safe)]) };
+    let mut landed: BTreeMap<u32, usize> = BTreeMap::new();
+    let mut copies = Vec::new();
+    for seed in 1..=FLEET {
+        let mut rig = Rig::seeded(set(), seed);
+        rig.list(&[(0, 1, 0, 0), (1, 1, 0, 0), (2, 1, 0, 0)]);
+        let (id, actions) = rig.hand_in(1, 0);
+        *landed.entry(sends(&actions)[0].1.0).or_default() += 1;
+        let from = rig.now;
+        while rig.now < from + 900 * MS {
+            rig.now += 5 * MS;
+            copies.extend(sends(&rig.turn(&[Event::Wake])).iter().map(|_| rig.now - from));
+        }
+        rig.end(id, 0, Outcome::Success, 900 * MS);
+    }
+    println!("first calls by endpoint: {landed:?}; copies of unanswered first calls: {}", copies.len());
+    assert!(landed.len() == 3 && landed.values().all(|count| count * 3 <= FLEET as usize * 2), "{landed:?}");
+    assert!(copies.is_empty(), "nothing is known yet that a copy could go by: {copies:?}");
+}
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -152,8 +152,9 @@
     assert_eq!(sends(&actions).len(), 1);
     rig.now += 100 * MS;
     rig.end(id, 0, Outcome::Success, 100 * MS);
-    rig.hand_in(59, 0);
-    assert!(sends(&rig.pass(3 * S)).is_empty(), "a second one would use up the share of others");
+    let (_, actions) = rig.hand_in(59, 0);
+    let sent = sends(&[actions, rig.pass(3 * S)].concat());
+    assert!(sent.is_empty(), "a second one would use up the share of others");
 }
 
 #[test]
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -319,4 +319,26 @@
         let second = listener.accept().unwrap();
         assert_ne!(first.1, second.1);
     }
+
+    #[test]
+    fn watches_that_fall_silent_together_are_not_opened_again_together() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
+        let names = || vec!["x".to_string()];
+        let boot = Boot { settings: Settings::default(), zones: names(), kinds: names(), classes: names() };
+        let again = |seed: u64| {
+            let (handle, pool) = (events.handle(), Pool::new(8));
+            let mut table = Table::new(listener.local_addr().unwrap(), &boot, Spread::new(seed));
+            table.backoff = BACKOFF.1;
+            table.tend(1_000.0, &handle, &pool);
+            let lost = table.due();
+            table.tend(lost, &handle, &pool);
+            table.due() - lost
+        };
+        let mut tries: Vec<Millis> = (0..12).map(again).collect();
+        tries.sort_by(f64::total_cmp);
+        println!("opened again after, ms: {tries:.0?}");
+        assert!(tries[0] >= BACKOFF.1 * 0.75 && tries[11] <= BACKOFF.1 * 1.25);
+        assert!(tries.windows(4).all(|few| few[3] - few[0] > 20.0), "four within 20 ms: {tries:?}");
+    }
 }
