Do not give up a connection that is read before it is up

A trace of every socket call showed, in one round: 'connect 72 127.11.0.13:8443 InProgress', 'write 72 WouldBlock', 'read 72 NotConnected', 58 times in n3. Ruled out: descriptors (17 of 640), the ledger (clients had 202), time-outs (given up in the round that opened it). At fault: link.rs, fill, took any error but would-block for the end, and regions.rs reads behind each write. Linux answers such a read with EAGAIN, other systems with ENOTCONN; until a byte is written that tells nothing.

--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -162,6 +162,8 @@
                 Ok(count) => input.filled(count),
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => break,
+                // One of ours that is not up yet. Guards against giving it up: systems may answer a read so meanwhile.
+                Err(e) if e.kind() == ErrorKind::NotConnected && self.written == 0 => break,
                 Err(_) => self.broken = true,
             }
         }
@@ -222,3 +224,34 @@
 pub fn no_descriptors(e: &std::io::Error) -> bool {
     matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_that_is_read_before_it_is_up_is_not_given_up() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let to = listener.local_addr().unwrap();
+        let events = calloop::EventLoop::<Ready<u8>>::try_new().unwrap();
+        // A socket that nothing was asked of answers a read as some systems answer it while a connection comes up.
+        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).unwrap();
+        let same = socket.try_clone().unwrap();
+        let early = (&socket).read(&mut [0]).unwrap_err().kind();
+        assert_eq!(early, ErrorKind::NotConnected);
+        let mut link = Link::new(socket.into(), &events.handle(), &Pool::new(2), 1).unwrap();
+        assert!(!link.fill() && !link.broken && !link.eof, "nothing is said of it");
+        same.set_nonblocking(false).unwrap();
+        same.connect(&to.into()).unwrap();
+        assert!(link.queue(b"ask") && link.flush());
+        let (mut peer, _) = listener.accept().unwrap();
+        peer.read_exact(&mut [0; 3]).unwrap();
+        peer.write_all(b"yes").unwrap();
+        drop(peer);
+        while !link.eof {
+            assert!(!link.broken);
+            link.fill();
+        }
+        assert_eq!(link.bytes(), b"yes");
+    }
+}
