Halve a gap only down to a sender's even share of the told limit

Served in a window and refused in the one before come to 1,300 throughout: refused calls count, and 288 senders together offer just the limit. Ruled out: too few attempts, an outage (it serves in every window), slow calls (15 to 30 ms each). At fault: policy.rs, learn: the quick way down from the gap's cap went on to half of the even share, where all senders together offer twice what is told. It ends at the even share now, from the settings' senders and the told limit. The test failed before.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -21,7 +21,7 @@
 /// The pacing gap's cap, from the design.
 const GAP_CAP: Nanos = 1000 * MS;
 /// Share of the gap that a served call takes off: refusals level out near one call in eight. The second where
-/// it is wider than a step, half of the sender's even share of a told limit.
+/// it is wider than two steps, the sender's whole even share of a told limit.
 const GAP_SHRINK: (f64, f64) = (0.1, 0.5);
 /// Bad outcomes in a row that make an outage, and among the last eight that start the return budget: most.
 const BAD_RUN: u32 = 4;
@@ -765,7 +765,7 @@
                 }
                 // The cap suits a slow partner. A quick one, on the way down from it, would be sent a call a
                 // second for ten while its backlog runs out of time.
-                let shrink = if route.gap > step { GAP_SHRINK.1 } else { GAP_SHRINK.0 };
+                let shrink = if route.gap > 2 * step { GAP_SHRINK.1 } else { GAP_SHRINK.0 };
                 route.gap = (route.gap as f64 * (1.0 - shrink)) as Nanos;
                 if route.gap < step.min(GAP_CAP) / 4 {
                     route.gap = 0;
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -157,6 +157,29 @@
     assert!(sent.is_empty(), "a second one would use up the share of others");
 }
 
+#[test]
+fn a_gap_of_an_even_share_is_not_halved_by_one_served_call() {
+    // Guards a large partner whose refused calls count: 300 senders that halve it together keep it shut for all.
+    let weights = Weights::Nominal;
+    let mut rig = Rig::new(Settings { senders: 300, weights, ..settings(vec![class(Effect::Safe)]) });
+    rig.turn(&[Event::List(vec![Entry { weight: 600.0, ..entry(0, 1) }])]);
+    let call = |rig: &mut Rig, outcome: Outcome| {
+        rig.now += 2 * S;
+        let (id, actions) = rig.hand_in(1, 0);
+        assert_eq!(sends(&actions).len(), 1);
+        rig.now += 10 * MS;
+        rig.end(id, 0, outcome, 10 * MS);
+        rig.turn(&[Event::Left(id)]);
+    };
+    // A step of 250 ms, then the even share: 300 senders at 600 calls a second.
+    call(&mut rig, FULL);
+    call(&mut rig, FULL);
+    call(&mut rig, Outcome::Success);
+    rig.hand_in(1, 0);
+    assert!(sends(&rig.pass(400 * MS)).is_empty(), "nine tenths of it are left");
+    assert_eq!(sends(&rig.pass(100 * MS)).len(), 1);
+}
+
 #[test]
 fn a_copy_is_sent_at_a_destination_hardly_met_by_what_others_show() {
     let mut rig = Rig::new(Settings { slots: 3, ..settings(vec![class(Effect::Safe)]) });
