--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -821,12 +821,12 @@
         let most = route.spacing(cold, set);
         // Refused calls may use up a limit: where tries after a refusal are mostly refused too, all senders
         // together keep it shut. Each rests longer with each refusal, and the longer the less such tries pay.
-        let refused = GAP_CAP << route.refused_run.saturating_sub(1).min(8);
+        let even = route.limit.map_or(GAP_CAP, |l| (set.senders as f64 / l * 1e9) as Nanos).max(GAP_CAP);
+        let refused = even << route.refused_run.saturating_sub(1).min(8);
         let refused = refused as f64 * (PAYS_FIRST / self.pays[self.endpoints[&at].kind.0]).powi(2);
         let rest = if route.doubt >= DOUBT { most } else { most.min(refused as Nanos) };
         let lost = route.doubt >= DOUBT && most > 2 * TRIAL_CAP;
-        if lost || (route.refused_run > 0 && most > if set.senders > FEW_SENDERS { 1 } else { 4 } * TRIAL_CAP)
-        {
+        if lost || (route.refused_run > 0 && (set.senders > FEW_SENDERS || most > 4 * TRIAL_CAP)) {
             let spread = if route.wait_until > now { jitter - 0.5 } else { jitter };
             route.rest_until = now.max(route.wait_until) + (rest as f64 * spread) as Nanos;
         } else if route.wait_until > now + set.fail_back.span {
