Rest two even shares, spread what is resumed, and price new connections

At fault, policy.rs: (1) failed_trial: with a rest of one even share the fleet offers the limit itself, where refused calls, which count in the next span too, are never paid off; a rest was doubled for each call that was out when the first was refused; few senders had another rule. (2) resumed: all that was resumed left at once. (3) cost: an endpoint without a connection cost nothing. Changed: two even shares, however many senders, lengthened once for the calls sent since the last rise; what is resumed leaves within an even share, half of its time or window at most; a new connection costs the settings' price.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -269,6 +269,7 @@
         conn_idle: ms(world.idle),
         tick: ms(TICK),
         cross_zone_price: 0.0,
+        handshake_price: 0.0,
     }
 }
 
--- a/crates/lab/tests/orders.rs
+++ b/crates/lab/tests/orders.rs
@@ -148,6 +148,7 @@
         conn_idle: nanos(15_000.0),
         tick: nanos(5.0),
         cross_zone_price: 0.0,
+        handshake_price: 0.0,
     }
 }
 
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -150,6 +150,8 @@
     pub tick: Nanos,
     /// Points for an attempt that crosses zones.
     pub cross_zone_price: f64,
+    /// What a new connection costs, as a share of a message's worth.
+    pub handshake_price: f64,
 }
 
 impl Settings {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -40,6 +40,7 @@
 //!     connect_timeout: second,
 //!     tick: 5_000_000,
 //!     cross_zone_price: 0.0,
+//!     handshake_price: 0.0,
 //! };
 //! let mut policy = Policy::new(settings, 7)?;
 //!
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -41,8 +41,6 @@
 const PAYS_FIRST: f64 = 0.5;
 const PAYS_LEAST: f64 = 0.03;
 const PAYS_MEMORY: f64 = 0.25;
-/// Up to so many senders each sees enough of a partner for its gap to pace it after refusals.
-const FEW_SENDERS: u32 = 8;
 /// Slots up to which one free slot is enough for a copy, and a lone hung call is called off for others.
 const FEW_SLOTS: usize = 3;
 /// Pause between single trials of a route in an outage, doubled up to the cap.
@@ -149,9 +147,13 @@
 
     /// This sender's even share of what the route takes in a span; a lone call tells nothing of a rate.
     fn share(&self, set: &Settings) -> f64 {
-        let span_s = set.fail_back.span as f64 / 1e9;
-        let least = set.fail_back.span as f64 / set.fail_back.cold.max(1) as f64;
-        self.limit.map_or(least, |l| l * span_s / set.senders as f64)
+        let in_time = |time: Nanos| set.fail_back.span as f64 / time.max(1) as f64;
+        in_time(self.limit.map_or(set.fail_back.cold, |_| self.even(set)))
+    }
+
+    /// Time in which all senders together send what the route is told to take.
+    fn even(&self, set: &Settings) -> Nanos {
+        self.limit.map_or(GAP_STEP * Nanos::from(set.senders), |l| (set.senders as f64 / l * 1e9) as Nanos)
     }
 
     /// Time between calls at which all senders together keep to a budget; a few cold times are enough.
@@ -300,13 +302,13 @@
             });
             return dues.filter(|due| *due > self.now).min().unwrap_or(self.now + 4 * PULSE).min(end);
         }
-        let ready = self.routes_of(m).map(|r| r.ready_at()).min();
+        let ready = self.routes_of(m.destination).map(|r| r.ready_at()).min();
         let ready = ready.unwrap_or(Nanos::MAX).max(m.not_before);
         if ready > self.now { ready.min(end) } else { (self.now + PULSE).min(end) }
     }
 
-    fn routes_of(&self, m: &Message) -> impl Iterator<Item = &Route> {
-        self.of.get(&m.destination).into_iter().flatten().map(|e| &self.routes[&self.endpoints[e].route])
+    fn routes_of(&self, to: DestinationId) -> impl Iterator<Item = &Route> {
+        self.of.get(&to).into_iter().flatten().map(|e| &self.routes[&self.endpoints[e].route])
     }
 
     fn random(&mut self) -> f64 {
@@ -393,6 +395,11 @@
             let end = Some(if first.is_some() { Outcome::Broken } else { Outcome::Void });
             m.attempts.push(Attempt { endpoint, sent: first.unwrap_or(0), end, ..Attempt::default() });
         }
+        // A fleet killed at once comes back at once: what each held is spread, within half of its time left.
+        let until = self.repeat_until(&self.messages[&id]).min(deadline);
+        let even = self.routes_of(destination).map(|r| r.even(&self.set)).min().unwrap_or(0);
+        let late = even.min(until.saturating_sub(self.now) / 2) as f64 * self.random();
+        self.messages.get_mut(&id).unwrap().not_before = self.now + late as Nanos;
     }
 
     /// Hearsay: a wait binds at once; the rest stands for a route where nothing was sent yet.
@@ -516,9 +523,10 @@
         let loss = (self.earns(m, self.now) - self.earns(m, self.now + call)) / class.worth.max(1e-9);
         let toll = e.route.1.and(self.set.zones.get(e.zone.0)).copied().unwrap_or(0.0);
         let cross = if e.zone == self.set.zone { 0.0 } else { self.set.cross_zone_price };
-        let trial = f64::from(self.routes[&e.route].on_trial());
-        let amiss = 0.2 * e.fails.min(5) as f64 + trial;
-        loss + toll + cross + amiss + 0.1 * call as f64 / class.aim as f64
+        let open = e.last_send > 0 && self.now < e.last_send.saturating_add(self.set.conn_idle);
+        let opening = if open { 0.0 } else { self.set.handshake_price };
+        let amiss = 0.2 * e.fails.min(5) as f64 + f64::from(self.routes[&e.route].on_trial());
+        loss + toll + cross + opening + amiss + 0.1 * call as f64 / class.aim as f64
     }
 
     fn send(&mut self, id: MessageId, at: EndpointId, actions: &mut Vec<Action>) {
@@ -644,7 +652,7 @@
     /// sends alone would keep them shut: each sender then keeps to its even share of a told limit.
     fn share_gap(&self, kind: KindId, route: &Route) -> Nanos {
         let surplus = (1.0 - self.pays[kind.0] / PAYS_FIRST).max(0.0);
-        route.limit.map_or(0, |l| (surplus * self.set.senders as f64 / l * 1e9) as Nanos)
+        if route.limit.is_some() { (surplus * route.even(&self.set) as f64) as Nanos } else { 0 }
     }
 
     /// Fail-back: all that was sent in the span counts, refused calls and probes too.
@@ -661,8 +669,7 @@
 
     /// Slots are shared, so that a destination that hangs cannot hold them all.
     fn slot_for(&self, e: &Endpoint, route: &Route) -> bool {
-        let late = 2 * self.p95(e.route);
-        let late = |sent: Nanos| self.now > sent + late && sent >= route.served_sent;
+        let late = |sent: Nanos| self.now > sent + 2 * self.p95(e.route) && sent >= route.served_sent;
         let free = self.calls < self.set.slots;
         let answering = route.warm(self.now, &self.set) && !route.out.iter().any(|(_, _, sent)| late(*sent));
         let share = if answering { SLOT_SHARE.0 } else { SLOT_SHARE.1 };
@@ -745,11 +752,9 @@
 
     fn learn(&mut self, at: EndpointId, sent: Nanos, outcome: Outcome, took: Option<Nanos>) {
         let now = self.now;
-        let told = matches!(outcome, Outcome::Overloaded { wait } if wait > 0);
-        let chance = if told { self.random() } else { 0.0 };
         let Some(e) = self.endpoints.get_mut(&at) else { return };
         let Some(route) = self.routes.get_mut(&e.route) else { return };
-        let step = route.limit.map_or(GAP_STEP, |l| (0.5e9 * self.set.senders as f64 / l) as Nanos);
+        let step = route.limit.map_or(GAP_STEP, |_| route.even(&self.set) / 2);
         route.seen.count(outcome, now);
         match outcome {
             Outcome::Success => {
@@ -779,23 +784,20 @@
                 route.doubt = 0.0;
             }
             Outcome::Overloaded { wait } => {
-                if route.refused_run == 0 {
-                    route.unrefused = now;
-                } else {
-                    self.pays[e.kind.0] = (self.pays[e.kind.0] * (1.0 - PAYS_MEMORY)).max(PAYS_LEAST);
-                }
-                route.refused_run += 1;
-                // At most one rise for the calls sent since the last.
+                // At most one rise for the calls sent since the last: they were no tries after a refusal.
                 if sent >= route.rise {
                     route.rise = now;
                     route.gap = (route.gap * 2).max(step).min(GAP_CAP);
+                    if route.refused_run == 0 {
+                        route.unrefused = now;
+                    } else {
+                        self.pays[e.kind.0] = (self.pays[e.kind.0] * (1.0 - PAYS_MEMORY)).max(PAYS_LEAST);
+                    }
+                    route.refused_run += 1;
                 }
-                // Senders that were told one end come spread behind it, by some part of a turn of theirs.
-                let late = (route.gap.min(SPREAD) as f64 * chance) as Nanos;
-                route.wait_until = route.wait_until.max(now + wait + if wait > 0 { late } else { 0 });
+                route.wait_until = route.wait_until.max(now + wait);
                 // A wait longer than a limit's tells of an outage: all who were told would come at its end.
-                let shut = wait > self.set.fail_back.span;
-                self.failed_trial(at, if shut { DOUBT } else { 0.0 });
+                self.failed_trial(at, if wait > self.set.fail_back.span { DOUBT } else { 0.0 });
             }
             // A partner that dies refuses its next connections: a reset alone, where these come up, is the
             // network's, and no outage that the partner would come back cold from.
@@ -821,16 +823,15 @@
         let most = route.spacing(cold, set);
         // Refused calls may use up a limit: where tries after a refusal are mostly refused too, all senders
         // together keep it shut. Each rests longer with each refusal, and the longer the less such tries pay.
-        let even = route.limit.map_or(GAP_CAP, |l| (set.senders as f64 / l * 1e9) as Nanos).max(GAP_CAP);
-        let refused = even << route.refused_run.saturating_sub(1).min(8);
+        let refused = (2 * route.even(set)) << route.refused_run.saturating_sub(1).min(8);
         let refused = refused as f64 * (PAYS_FIRST / self.pays[self.endpoints[&at].kind.0]).powi(2);
         let rest = if route.doubt >= DOUBT { most } else { most.min(refused as Nanos) };
-        let lost = route.doubt >= DOUBT && most > 2 * TRIAL_CAP;
-        if lost || (route.refused_run > 0 && (set.senders > FEW_SENDERS || most > 4 * TRIAL_CAP)) {
+        if route.refused_run > 0 || (route.doubt >= DOUBT && most > 2 * TRIAL_CAP) {
             let spread = if route.wait_until > now { jitter - 0.5 } else { jitter };
             route.rest_until = now.max(route.wait_until) + (rest as f64 * spread) as Nanos;
-        } else if route.wait_until > now + set.fail_back.span {
-            // It told when it opens, and is cold then: few senders do not rest, and would push it over.
+        }
+        if most <= 2 * TRIAL_CAP && route.wait_until > now + set.fail_back.span {
+            // It told when it opens, and is cold then: few senders rest too briefly, and would push it over.
             route.returning = Some(route.wait_until);
         }
         let shut = route.refused_run >= SHUT_RUN && now >= route.unrefused + SHUT_SPANS * set.fail_back.span;
@@ -912,7 +913,7 @@
         let margin = 2 * self.set.tick.max(PULSE);
         let spent = m.spent || m.attempts.len() >= self.set.max_attempts as usize;
         let barred = self.now >= self.repeat_until(m);
-        let back = self.routes_of(m).map(|r| r.rest_until.max(r.wait_until)).min().unwrap_or(0);
+        let back = self.routes_of(m.destination).map(|r| r.rest_until.max(r.wait_until)).min().unwrap_or(0);
         spent || barred || back.max(self.now) + margin >= m.deadline
     }
 
@@ -923,7 +924,7 @@
         let harmless = repeats || m.first_run().is_none();
         if harmless {
             // The client is told when a route is likely to take it, as far as clients follow advice.
-            let back = self.routes_of(m).map(|r| r.ready_at()).min().unwrap_or(0);
+            let back = self.routes_of(m.destination).map(|r| r.ready_at()).min().unwrap_or(0);
             // Clients refused together come back spread out, and none before the route opens.
             let back = back.saturating_sub(self.now).max(GAP_CAP);
             let chance = self.random();
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -32,6 +32,7 @@
         conn_idle: 15 * S,
         tick: 5 * MS,
         cross_zone_price: 0.0,
+        handshake_price: 0.0,
     }
 }
 
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -257,6 +257,10 @@
     // Guards the room of usual clients against one whose transactions are ended in the round that brings them.
     let (mut driver, clock, _events) = resumed("flood", "127.77.0.1:9".parse().unwrap());
     let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    // What it resumed has left.
+    driver.round(vec![]);
+    clock.set(START + 100.0);
+    driver.round(vec![]);
     let hand_in = |id: usize, seconds: f64| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         let head = "POST /debit HTTP/1.1\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -126,6 +126,7 @@
         conn_idle: limits.int_or("ConnIdle", u64::MAX)?,
         tick: root.int_or("Tick", 1_000_000)?,
         cross_zone_price: deductions.num_or("CrossZone", 0.0)?,
+        handshake_price: deductions.num_or("Handshake", 0.0)?,
     };
     settings.check().map_err(|e| e.to_string())?;
     let asked = root.text_or("RegistryMode", "push")? == "ask";
