Spare the price of a new connection only where the one that is open is free

At fault: policy.rs, cost: an endpoint with a call out counted as connected, though one connection carries one call; a second call waited for or opened one there, and the partner's other endpoints went idle. Test: an_open_connection_..., seen to fail without it.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -523,7 +523,7 @@
         let loss = (self.earns(m, self.now) - self.earns(m, self.now + call)) / class.worth.max(1e-9);
         let toll = e.route.1.and(self.set.zones.get(e.zone.0)).copied().unwrap_or(0.0);
         let cross = if e.zone == self.set.zone { 0.0 } else { self.set.cross_zone_price };
-        let open = e.last_send > 0 && self.now < e.last_send.saturating_add(self.set.conn_idle);
+        let open = e.out == 0 && e.last_send > 0 && self.now < e.last_send.saturating_add(self.set.conn_idle);
         let opening = if open { 0.0 } else { self.set.handshake_price };
         let amiss = 0.2 * e.fails.min(5) as f64 + f64::from(self.routes[&e.route].on_trial());
         loss + toll + cross + opening + amiss + 0.1 * call as f64 / class.aim as f64
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -222,19 +222,26 @@
     // Guards against a connection from each sender to each endpoint of a partner that it calls now and then.
     let mut rig = Rig::new(Settings { handshake_price: 0.06, ..settings(vec![class(Effect::Safe)]) });
     rig.turn(&[Event::List(vec![entry(0, 1), entry(1, 1)])]);
-    let mut call = |idle: Nanos, outcome: Outcome| {
+    let call = |rig: &mut Rig, idle: Nanos, outcome: Outcome| {
         rig.now += idle;
         let (id, actions) = rig.hand_in(1, 0);
         rig.end(id, 0, outcome, 100 * MS);
         rig.turn(&[Event::Left(id)]);
         sends(&actions)[0].1
     };
-    let first = call(S, Outcome::Success);
-    assert!((0..12).all(|_| call(S, Outcome::Success) == first), "it stays where it is connected");
-    let rested: std::collections::BTreeSet<_> = (0..40).map(|_| call(16 * S, Outcome::Success)).collect();
+    let first = call(&mut rig, S, Outcome::Success);
+    assert!((0..12).all(|_| call(&mut rig, S, Outcome::Success) == first), "it stays where it is connected");
+    rig.now += S;
+    let pair = [rig.hand_in(1, 0).1, rig.hand_in(1, 0).1].concat();
+    assert_ne!(sends(&pair)[0].1, sends(&pair)[1].1, "a connection with a call out is not free for another");
+    for (id, ..) in sends(&pair) {
+        rig.end(id, 0, Outcome::Success, 100 * MS);
+    }
+    let rested: std::collections::BTreeSet<_> =
+        (0..40).map(|_| call(&mut rig, 16 * S, Outcome::Success)).collect();
     assert_eq!(rested.len(), 2, "connections that have rested too long are all new ones");
-    let last = call(S, Outcome::Failure);
-    assert_ne!(call(S, Outcome::Success), last, "it does not stay where it fares worse");
+    let last = call(&mut rig, S, Outcome::Failure);
+    assert_ne!(call(&mut rig, S, Outcome::Success), last, "it does not stay where it fares worse");
 }
 
 #[test]
