Make the tests of a refused sender's rest and gap fail where they should

Read again: refusals_of_calls_sent_before_the_last_rise_... could not fail any more, as a rest now hides the gap that it measured; that a rest is lengthened once for all calls that were out had no test; nor had the reading of Deductions.Handshake, or its fault with the field's name. Changed: the first looks at the gap behind the first served call; the rests have a case with three calls out; a test of the setting. No program code is touched.

--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -127,7 +127,18 @@
     for id in ids {
         rig.end(id, 0, FULL, 10 * MS);
     }
-    assert!(!sends(&rig.pass(300 * MS)).is_empty(), "one rise and one rest, not four times it");
+    let mut next = vec![];
+    while next.is_empty() && rig.now < 2 * S {
+        next = sends(&rig.pass(5 * MS));
+    }
+    let attempt = rig.attempts[&next[0].0.0] - 1;
+    rig.now += 5 * MS;
+    let served = rig.end(next[0].0, attempt, Outcome::Success, 5 * MS);
+    // A step of 25 ms, less a tenth; four times it, halved, would be 50.
+    assert!(
+        !sends(&[served, rig.pass(25 * MS)].concat()).is_empty(),
+        "one rise: the first step, not four times it"
+    );
 }
 
 #[test]
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -158,10 +158,14 @@
 }
 
 #[rstest]
-#[case::few(2, 80)]
-#[case::many(48, 1_600)]
-#[case::fleet(300, 10_000)]
-fn a_refused_sender_rests_for_the_time_of_two_even_shares(#[case] senders: u32, #[case] mean_ms: u64) {
+#[case::few(2, 1, 80)]
+#[case::many(48, 1, 1_600)]
+#[case::fleet(300, 1, 10_000)]
+// Three that were out together are one refusal.
+#[case::fleet_with_three_out(300, 3, 10_000)]
+fn a_refused_sender_rests_for_the_time_of_two_even_shares(
+    #[case] senders: u32, #[case] calls: usize, #[case] mean_ms: u64,
+) {
     // Guards a partner whose refused calls count: one call a second from each of a fleet keeps it shut for all,
     // though each has seen only one refusal or two. The refused calls of a span count in the next one too.
     let mut rests = vec![];
@@ -169,8 +173,9 @@
         let set = Settings { senders, ..settings(vec![class(Effect::Safe)]) };
         let mut rig = Rig::seeded(set, seed);
         rig.turn(&[Event::List(vec![Entry { weight: 60.0, ..entry(0, 1) }])]);
-        let (id, _) = rig.hand_in(1, 0);
-        rig.end(id, 0, FULL, 0);
+        let out: Vec<_> = (0..calls).map(|_| rig.hand_in(1, 0).0).collect();
+        rig.now += MS;
+        out.into_iter().for_each(|id| drop(rig.end(id, 0, FULL, MS)));
         let from = rig.now;
         while sends(&rig.pass(20 * MS)).is_empty() && rig.now < from + 19 * S {}
         rests.push((rig.now - from) / MS);
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -16,6 +16,15 @@
     "Guarantees":{"OverloadFactor":2,
     "OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
 
+#[test]
+fn the_price_of_a_new_connection_is_read_from_the_settings() {
+    let priced = SETTINGS.replacen('{', r#"{"Deductions":{"Handshake":0.06},"#, 1);
+    assert_eq!(settings::read(&priced).unwrap().settings.handshake_price, 0.06);
+    assert_eq!(settings::read(SETTINGS).unwrap().settings.handshake_price, 0.0, "none where none is told");
+    let wrong = priced.replace("0.06", "\"dear\"");
+    assert!(settings::read(&wrong).is_err_and(|e| e.contains("Deductions.Handshake")), "it names the field");
+}
+
 const START: Millis = 1_796_121_600_000.0;
 
 /// A driver on a clock set by hand that resumes one unsafe transaction, with two seconds left.
