Keep a sender going whose list tells a rate that no partner has

Both sums now stop at the end of the range. Test: a_figure_that_no_partner_has_stops_no_sender, rates too small and too large to count; without the change the first case panics (1 of 23 tests in the file), with it all 23 pass.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -644,7 +644,7 @@
         let trial = !route.down() || route.out.iter().all(|(_, _, sent)| *sent < route.rest_until);
         let in_time = self.closing.is_none_or(|end| self.now + self.p95(e.route) <= end);
         let gap = route.gap.max(self.share_gap(e.kind, route));
-        let paced = route.last_send.is_none_or(|t| self.now >= t + gap);
+        let paced = route.last_send.is_none_or(|t| self.now >= t.saturating_add(gap));
         trial && in_time && paced && self.slot_for(e, route)
     }
 
@@ -823,7 +823,7 @@
         let most = route.spacing(cold, set);
         // Refused calls may use up a limit: where tries after a refusal are mostly refused too, all senders
         // together keep it shut. Each rests longer with each refusal, and the longer the less such tries pay.
-        let refused = (2 * route.even(set)) << route.refused_run.saturating_sub(1).min(8);
+        let refused = route.even(set).saturating_mul(2 << route.refused_run.saturating_sub(1).min(8));
         let refused = refused as f64 * (PAYS_FIRST / self.pays[self.endpoints[&at].kind.0]).powi(2);
         let rest = if route.doubt >= DOUBT { most } else { most.min(refused as Nanos) };
         if route.refused_run > 0 || (route.doubt >= DOUBT && most > 2 * TRIAL_CAP) {
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -187,6 +187,33 @@
     assert!(most - least > mean_ms / 10, "spread by their seeds: {rests:?}");
 }
 
+#[rstest]
+#[case::too_small_to_count(1e-300)]
+#[case::too_large_to_count(1e300)]
+fn a_figure_that_no_partner_has_stops_no_sender(#[case] weight: f64) {
+    // Guards the sender against what discovery may tell: times that follow from it are beyond any clock.
+    let mut rig = Rig::new(Settings { senders: 300, ..settings(vec![class(Effect::Safe)]) });
+    // Clocks that count from 1970 are a tenth of the way to the end of their range.
+    rig.now = 1_800_000_000 * S;
+    let list = (0..9).map(|n| Entry { weight, ..entry(n, u64::from(n)) }).collect();
+    rig.turn(&[Event::List(list)]);
+    let (id, destination, class, deadline) = (MessageId(900), DestinationId(0), ClassId(0), rig.now + 12 * S);
+    rig.turn(&[Event::Resumed { id, destination, class, deadline, attempts: 0, ran: None }]);
+    for round in 0..9 {
+        for destination in 0..9 {
+            let (id, actions) = rig.hand_in(destination, 0);
+            for (sent, _, _) in sends(&[actions, rig.pass(S)].concat()).into_iter().filter(|s| s.0 == id) {
+                let (attempt, end) =
+                    (rig.attempts[&sent.0] - 1, if round < 8 { FULL } else { Outcome::Success });
+                rig.end(sent, attempt, end, MS);
+            }
+            rig.turn(&[Event::Left(id)]);
+        }
+        rig.now += 40 * S;
+    }
+    assert!(rig.attempts.len() >= 9, "each partner is called: {:?}", rig.attempts);
+}
+
 #[rstest]
 #[case::few(2, 33, None)]
 #[case::many(48, 800, None)]
