Tell of each routed task in the debug log, so that a fleet can be counted

At level DEBUG a sender now writes a line when a transaction is taken on, resumed, turned away or ends, for each routed task and what came back of it, and for each region listed: numbers, classes and times, no body and no key. At INFO nothing changes; decisions do not.

--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/stages/admit.rs
@@ -6,6 +6,7 @@
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_ledger::Taken;
 use martenlatch_policy::interface::{ClassId, DestinationId, Event, MessageId};
+use tracing::debug;
 
 use super::desk::{Desk, State};
 use super::relay::Relay;
@@ -64,11 +65,14 @@
         desk.counters.taken += 1;
         let (id, destination, class) = (MessageId(no), DestinationId(taken.destination), ClassId(class));
         let deadline = nanos(taken.deadline);
+        let (left_ms, to) = ((taken.deadline - now) as u64, taken.destination);
+        debug!(no, destination = to, class = %taken.class, left_ms, "taken on");
         desk.insert(taken, State::Open);
         Some(Event::Message { id, destination, class, deadline, key: None })
     }
 
     fn turn_away(&self, class: usize, client: usize, desk: &mut Desk, take_in: &mut TakeIn, now: Millis) {
+        debug!(class = %self.classes[class], open = desk.open, "turned away");
         desk.counters.turned_away += 1;
         desk.figures.of(&self.classes[class]).into_iter().for_each(|g| g.deferred += 1);
         take_in.busy(client, now);
@@ -87,6 +91,8 @@
             ran: taken.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(t.sent)),
         });
         let (no, settled) = (taken.no, taken.ending.is_some() || event.is_none());
+        let (attempts, to) = (taken.tasks.len(), taken.destination);
+        debug!(no, destination = to, class = %taken.class, attempts, settled, "resumed");
         desk.insert(taken, if settled { State::Ending } else { State::Open });
         if settled {
             // Its end was decided, or its class is gone from the settings: what may have run is not promised.
--- a/crates/sender/src/stages/book.rs
+++ b/crates/sender/src/stages/book.rs
@@ -4,6 +4,7 @@
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_ledger::Notice;
 use martenlatch_policy::interface::{Event, MessageId, Outcome};
+use tracing::debug;
 
 use super::desk::{Desk, State};
 use super::relay::Relay;
@@ -29,6 +30,8 @@
             Outcome::Void | Outcome::Spent => &mut count.not_sent,
         } += 1;
         let t = desk.held.get_mut(&id.0)?;
+        let (no, took_ms, to) = (id.0, done.took as u64, t.taken.destination);
+        debug!(no, attempt, destination = to, ?outcome, took_ms, "came back");
         t.out = t.out.saturating_sub(1);
         if outcome.never_ran()
             && let Some(task) = t.taken.tasks.get_mut(attempt as usize).filter(|t| !t.never_ran)
@@ -54,6 +57,7 @@
     pub(super) fn end(&self, id: MessageId, notice: Notice, desk: &mut Desk, relay: &mut Relay) {
         let Some(t) = desk.held.get_mut(&id.0).filter(|t| t.state == State::Open) else { return };
         t.taken.ending = Some(notice);
+        debug!(no = id.0, destination = t.taken.destination, ?notice, "ends");
         desk.ledger.ending(id.0, notice);
         desk.pass(id.0, State::Ending);
         relay.queue.push_back(id.0);
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -25,7 +25,7 @@
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{Action, Class, Effect, EndpointId, Event, MessageId, Outcome, Stage};
 use slab::Slab;
-use tracing::{error, info, warn};
+use tracing::{debug, error, info, warn};
 
 use crate::Config;
 use crate::counters::Counters;
@@ -228,6 +228,10 @@
         let now = self.clock.now();
         self.regions.hold_back(|_, region| if whole { !on(&region) } else { off(&region) }, now);
         let entries = change.entries;
+        for e in &entries {
+            let (region, destination) = (e.endpoint.0, e.destination.0);
+            debug!(region, destination, stage = ?e.stage, weight = e.weight, whole, "listed");
+        }
         // What others know of a route is told in the turn that lists it: before anything can be sent there.
         let table = &self.table;
         let hearsay = self.peers.as_mut().map(|p| p.hearsay(&entries, &|region| table.name(region), now));
--- a/crates/sender/src/stages/send.rs
+++ b/crates/sender/src/stages/send.rs
@@ -6,6 +6,7 @@
 use martenlatch_clock::Millis;
 use martenlatch_ledger::Task;
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
+use tracing::debug;
 
 use super::desk::Desk;
 use crate::regions::{Call, Done, Regions};
@@ -36,7 +37,8 @@
             let (attempt, outcome) = (attempt as u32, Outcome::Void);
             return regions.done.push(Done { id, attempt, outcome, took: 0.0, over: false });
         };
-        let taken = &t.taken;
+        let (taken, no, at) = (&t.taken, id.0, region.0);
+        debug!(no, attempt, destination = taken.destination, region = at, copy = t.out > 1, "routed");
         let key = taken.key.as_ref().map_or(String::new(), |k| format!("Idempotency-Key: {k}\r\n"));
         let head = format!(
             "POST /v1/messages HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {}\r\n{key}X-Timeout: {:.3}\r\n\
