Give a partner that is back its whole budget, from half way to the last failure

Ruled out: refusals (235 of 4,100 calls, nearly all behind 22 s), slots (5 of 8 at most), waits told (none before 22 s), connections.

At fault: policy.rs, has_room: a budget of a call and a part in a span let one call through, and a third of what a partner takes was lost to rounding; learn: the return began with the sender's own first success, up to a rest of 5 s after it, and its nine seconds of warming with it.

Mended: the spacing of a budget holds for budgets over one call too, never over the next whole call in a span; a return is taken to have begun half way back to the last failure or end of a told wait, at most a span of the rule. In the mean over the senders that is when it was.

Test: a_return_gets_its_budget_evenly_from_when_it_began (2, 48, 100, 300 senders); without has_room's part 48 and 100 fail (9 of 11.4 and 3 of 4.7 calls).

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -102,8 +102,9 @@
     /// Back from an outage, or failing in part: within the return budget, which ramps from then.
     returning: Option<Nanos>,
     recent: Recent,
-    /// What was seen amiss since it last served, and until when the sender rests from it for that.
+    /// What was seen amiss since it last served, when last, and until when the sender rests from it for that.
     doubt: f64,
+    failed: Nanos,
     rest_until: Nanos,
     gap: Nanos,
     rise: Nanos,
@@ -147,8 +148,7 @@
 
     /// This sender's even share of what the route takes in a span; a lone call tells nothing of a rate.
     fn share(&self, set: &Settings) -> f64 {
-        let in_time = |time: Nanos| set.fail_back.span as f64 / time.max(1) as f64;
-        in_time(self.limit.map_or(set.fail_back.cold, |_| self.even(set)))
+        set.fail_back.span as f64 / self.limit.map_or(set.fail_back.cold, |_| self.even(set)).max(1) as f64
     }
 
     /// Time in which all senders together send what the route is told to take.
@@ -162,8 +162,7 @@
     }
 
     fn ready_at(&self) -> Nanos {
-        let paced = self.last_send.map_or(0, |t| t + self.gap);
-        paced.max(self.wait_until).max(self.rest_until)
+        self.last_send.map_or(0, |t| t + self.gap).max(self.wait_until).max(self.rest_until)
     }
 }
 
@@ -659,12 +658,11 @@
     fn has_room(&self, route: &Route) -> bool {
         let (now, set) = (self.now, &self.set);
         // Senders with one history keep to spans that end apart.
-        let spent =
-            route.sent.iter().filter(|t| *t + self.stagger + set.fail_back.span >= now).count() as f64;
+        let span = self.stagger + set.fail_back.span;
+        let spent = route.sent.iter().filter(|t| *t + span >= now).count() as f64;
         let budget = route.budget(now, set);
-        let spaced = budget < 1.0
-            && route.last_send.is_none_or(|t| now >= t + self.stagger + route.spacing(budget, set));
-        route.warm(now, set) || spaced || spent + 1.0 <= budget + 1e-9
+        let spaced = route.last_send.is_none_or(|t| now >= t + self.stagger + route.spacing(budget, set));
+        route.warm(now, set) || spent + 1.0 <= budget + 1e-9 || (spaced && spent < budget)
     }
 
     /// Slots are shared, so that a destination that hangs cannot hold them all.
@@ -779,7 +777,9 @@
                 (route.bad, route.refused_run, route.rest_until) = (route.bad << 1, 0, 0);
                 route.served_sent = route.served_sent.max(sent);
                 if back {
-                    route.returning = Some(now);
+                    // Since it last failed, or the end of a wait: half way, in the mean over senders.
+                    let late = (now - route.failed.max(route.wait_until).min(now)) / 2;
+                    route.returning = Some(now - late.min(self.set.fail_back.span));
                 }
                 route.doubt = 0.0;
             }
@@ -818,7 +818,7 @@
         let (now, jitter) = (self.now, 0.5 + self.random());
         let (key, set) = (self.endpoints[&at].route, &self.set);
         let route = self.routes.get_mut(&key).unwrap();
-        route.doubt += doubt;
+        (route.doubt, route.failed) = (route.doubt + doubt, now);
         let cold = BUDGET_PART * set.fail_back.factor * set.fail_back.cold_from * route.share(set);
         let most = route.spacing(cold, set);
         // Refused calls may use up a limit: where tries after a refusal are mostly refused too, all senders
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -110,6 +110,53 @@
     }
 }
 
+/// One sender of many before a partner that is out for 5 s, and back for the rest: when its calls went there.
+fn one_of_many(senders: u32, length: Nanos) -> Vec<Nanos> {
+    let mut rig = Rig::new(Settings { senders, ..settings(vec![class(Effect::Safe)]) });
+    rig.turn(&[Event::List(vec![Entry { weight: 60.0, ..entry(0, 1) }])]);
+    rig.warm(1, 0, 8, 50 * MS);
+    let (begin, mut sent, mut waits) = (rig.now, vec![], false);
+    while rig.now < begin + length {
+        // One message always waits.
+        let actions = if waits { rig.pass(5 * MS) } else { rig.hand_in(1, 0).1 };
+        waits = !actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+        rig.now += MS;
+        let end = if rig.now < begin + 5 * S { Outcome::Unreachable } else { Outcome::Success };
+        for (id, _, _) in sends(&actions) {
+            sent.push(rig.now - begin);
+            rig.end(id, rig.attempts[&id.0] - 1, end, MS);
+            rig.turn(&[Event::Left(id)]);
+            waits = false;
+        }
+    }
+    sent
+}
+
+#[rstest]
+#[case::few(2)]
+#[case::many(48)]
+#[case::a_hundred(100)]
+#[case::fleet(300)]
+fn a_return_gets_its_budget_evenly_from_when_it_began(#[case] senders: u32) {
+    // Guards a partner that is back against standing idle: each sender of many may send it a call and a part in a
+    // span, and the parts are a third of what it takes; and one that learns late that it is back is late to the end.
+    let set = Settings { senders, ..settings(vec![class(Effect::Safe)]) };
+    let sent = one_of_many(senders, 60 * S);
+    let failed = *sent.iter().rfind(|t| **t < 5 * S).unwrap();
+    let served = *sent.iter().find(|t| **t >= 5 * S).unwrap();
+    // Its share of the told limit, the used part of the factor, warming up from half way.
+    let fall = set.fail_back;
+    let back = served - ((served - failed) / 2).min(fall.span);
+    let warmth = |t: Nanos| (0.2 + 0.8 * (t.saturating_sub(back) as f64 / fall.cold as f64)).min(1.0);
+    let owed = |t: Nanos| 0.8 * fall.factor * 60.0 / f64::from(senders) * warmth(t) / 1e9;
+    let steps = (served..back + fall.cold).step_by(MS as usize);
+    let budget: f64 = steps.map(|t| owed(t) * MS as f64).sum();
+    let within = sent.iter().filter(|t| (served..back + fall.cold).contains(*t)).count() as f64;
+    println!("{senders} senders: out until {failed}, served at {served}: {within} of {budget:.1}");
+    assert!(within <= 1.2 * budget + 2.0, "no more than its budget");
+    assert!(within >= 0.9 * budget - 0.5, "and most of it");
+}
+
 #[test]
 fn one_refused_connection_rests_the_route_where_shares_are_small() {
     let mut rig = Rig::new(sparse());
