Rest one even share after a refusal, and take a twenty-fifth off the gap a call

At fault: policy.rs, failed_trial: a refused call counts once, and a rest of two even shares takes out two; GAP_SHRINK: the sum grew by a tenth with each call of each sender, faster than a count over a second or two tells of it.

Mended: one even share, a twenty-fifth.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -20,9 +20,9 @@
 const GAP_STEP: Nanos = 50 * MS;
 /// The pacing gap's cap, from the design.
 const GAP_CAP: Nanos = 1000 * MS;
-/// Share of the gap that a served call takes off: refusals level out near one call in eight. The second where
-/// it is wider than two steps, the sender's whole even share of a told limit.
-const GAP_SHRINK: (f64, f64) = (0.1, 0.5);
+/// Share of the gap that a served call takes off: refusals, which may use limits up, level out at one in 17.
+/// The second where it is wider than two steps, the sender's whole even share of a told limit.
+const GAP_SHRINK: (f64, f64) = (0.04, 0.5);
 /// Bad outcomes in a row that make an outage, and among the last eight that start the return budget: most.
 const BAD_RUN: u32 = 4;
 const BAD_AMONG: u32 = 5;
@@ -823,7 +823,7 @@
         let most = route.spacing(cold, set);
         // Refused calls may use up a limit: where tries after a refusal are mostly refused too, all senders
         // together keep it shut. Each rests longer with each refusal, and the longer the less such tries pay.
-        let refused = route.even(set).saturating_mul(2 << route.refused_run.saturating_sub(1).min(8));
+        let refused = route.even(set).saturating_mul(1 << route.refused_run.saturating_sub(1).min(8));
         let refused = refused as f64 * (PAYS_FIRST / self.pays[self.endpoints[&at].kind.0]).powi(2);
         let rest = if route.doubt >= DOUBT { most } else { most.min(refused as Nanos) };
         if route.refused_run > 0 || (route.doubt >= DOUBT && most > 2 * TRIAL_CAP) {
