Test that a return began before it was seen, by a span at most

Read again: nothing failed when a return began at the sender's own first success, nor without the bound of a span. The test rests a sender 40 s after one refused connection and asks when its return began: 2 s ago.

--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -173,6 +173,21 @@
     );
 }
 
+#[test]
+fn a_return_began_before_it_was_seen_by_a_span_at_most() {
+    // Guards a cold partner against those that rested long: half way back alone would have them think it warm.
+    let mut rig = Rig::new(sparse());
+    rig.turn(&[Event::List(vec![entry(0, 1)])]);
+    let (id, _) = rig.hand_in(1, 0);
+    rig.end(id, 0, Outcome::Unreachable, 0);
+    rig.now += 40 * S;
+    let (id, actions) = rig.hand_in(1, 0);
+    assert_eq!(sends(&actions).len(), 1);
+    rig.end(id, 0, Outcome::Success, MS);
+    let outage = rig.policy.sights(rig.now, None, 1).0[0].outage;
+    assert_eq!(outage, Some(Outage::Back { since: 2 * S }));
+}
+
 #[test]
 fn a_single_error_does_not_lock_a_partner_out() {
     let mut rig = Rig::new(sparse());
