--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -17,11 +17,17 @@
         let reply = adapter.line(line.trim_end_matches('\r'));
         let reply = reply.map_err(|e| format!("line {}: {e}: {}", number + 1, shorten(&line)))?;
         if let Some(reply) = reply {
-            let sent = output.write_all(reply.as_bytes()).and_then(|()| output.flush());
+            let sent = output
+                .write_all(reply.as_bytes())
+                .and_then(|()| output.flush());
             sent.map_err(|e| format!("cannot write the reply: {e}"))?;
         }
     }
-    if adapter.batch.is_some() { Err("the input ended inside a batch: expected end".into()) } else { Ok(()) }
+    if adapter.batch.is_some() {
+        Err("the input ended inside a batch: expected end".into())
+    } else {
+        Ok(())
+    }
 }
 
 fn shorten(line: &str) -> String {
@@ -41,13 +47,19 @@
             None => (rest, None),
         };
         self.rest = rest;
-        if value.is_empty() { Err(format!("expected {name}")) } else { Ok(value) }
+        if value.is_empty() {
+            Err(format!("expected {name}"))
+        } else {
+            Ok(value)
+        }
     }
     fn opt(&mut self) -> Option<&'a str> {
         self.next("").ok().filter(|v| *v != "-")
     }
     fn num<T: std::str::FromStr>(&mut self, name: &str) -> Result<T, String> {
-        self.next(name)?.parse().map_err(|_| format!("expected a number for {name}"))
+        self.next(name)?
+            .parse()
+            .map_err(|_| format!("expected a number for {name}"))
     }
     fn text(&mut self, name: &str) -> Result<&'a str, String> {
         self.rest.take().ok_or_else(|| format!("expected {name}"))
@@ -107,11 +119,19 @@
             if fields.next("frame")? != "frame" {
                 return Err("expected frame".into());
             }
-            self.batch = Some((fields.num("the clock")?, fields.next("the batch's number")?.to_string()));
+            self.batch = Some((
+                fields.num("the clock")?,
+                fields.next("the batch's number")?.to_string(),
+            ));
             return Ok(None);
         }
         match fields.next("an event or end")? {
-            "end" => return Ok(self.batch.take().map(|(now, number)| self.reply(now, &number))),
+            "end" => {
+                return Ok(self
+                    .batch
+                    .take()
+                    .map(|(now, number)| self.reply(now, &number)));
+            }
             "inventory" => {
                 let (sheet, count): (u64, usize) = (fields.num("Sheet")?, fields.num("Records")?);
                 self.sheets.insert(sheet, Vec::new());
@@ -119,7 +139,8 @@
             }
             "open_instance" => {
                 let (who, seed): (u64, u64) = (fields.num("Who")?, fields.num("Seed")?);
-                self.senders.insert(who, Sender::open(fields.text("BootInfo")?, seed)?);
+                self.senders
+                    .insert(who, Sender::open(fields.text("BootInfo")?, seed)?);
             }
             "exit" => {
                 self.senders.remove(&fields.num("Who")?);
@@ -127,14 +148,23 @@
             "announce" => {
                 let (who, sheet): (u64, &str) = (fields.num("Who")?, fields.next("Sheet")?);
                 let mode = fields.next("Mode")?;
-                let sender = self.senders.get_mut(&who).ok_or("no such instance was opened")?;
+                let sender = self
+                    .senders
+                    .get_mut(&who)
+                    .ok_or("no such instance was opened")?;
                 // The old list holds.
                 if mode == "failed" {
                     return Ok(None);
                 }
                 let sheet: u64 = sheet.parse().map_err(|_| "expected a number for Sheet")?;
-                let listed = self.sheets.get(&sheet).ok_or("no inventory has this Sheet")?;
-                let entries = listed.iter().map(|l| sender.entry(l)).collect::<Result<_, _>>()?;
+                let listed = self
+                    .sheets
+                    .get(&sheet)
+                    .ok_or("no inventory has this Sheet")?;
+                let entries = listed
+                    .iter()
+                    .map(|l| sender.entry(l))
+                    .collect::<Result<_, _>>()?;
                 sender.events.push(match mode {
                     "delta" => Event::ListChanges(entries),
                     "full" | "cached" => Event::List(entries),
@@ -143,7 +173,10 @@
             }
             name => {
                 let who: u64 = fields.num("Who")?;
-                let sender = self.senders.get_mut(&who).ok_or("no such instance was opened")?;
+                let sender = self
+                    .senders
+                    .get_mut(&who)
+                    .ok_or("no such instance was opened")?;
                 sender.event(name, &mut fields)?;
             }
         }
@@ -165,7 +198,10 @@
                 "off" => Stage::Gone,
                 _ => return Err("expected on, fading or off for StageState".into()),
             },
-            weight: fields.opt().map_or(Ok(1.0), str::parse).map_err(|_| "expected a number for Heft")?,
+            weight: fields
+                .opt()
+                .map_or(Ok(1.0), str::parse)
+                .map_err(|_| "expected a number for Heft")?,
         };
         self.sheets.entry(sheet).or_default().push(listed);
         Ok(())
@@ -185,7 +221,8 @@
 
 fn place<T>(names: &[String], name: &str, make: fn(usize) -> T, what: &str) -> Result<T, String> {
     let at = names.iter().position(|n| n == name);
-    at.map(make).ok_or_else(|| format!("the settings name no {what} {name:?}"))
+    at.map(make)
+        .ok_or_else(|| format!("the settings name no {what} {name:?}"))
 }
 
 fn outcome(reason: &str, note: Option<&str>) -> Result<Outcome, String> {
@@ -193,8 +230,12 @@
         "success" => Outcome::Success,
         "failure" => Outcome::Failure,
         "overloaded" => {
-            let told: u64 = note.map_or(Ok(0), str::parse).map_err(|_| "expected a number for WaitMs")?;
-            Outcome::Overloaded { wait: told.saturating_mul(1_000_000) }
+            let told: u64 = note
+                .map_or(Ok(0), str::parse)
+                .map_err(|_| "expected a number for WaitMs")?;
+            Outcome::Overloaded {
+                wait: told.saturating_mul(1_000_000),
+            }
         }
         "timed_out" => Outcome::TimedOut,
         "unreachable" => Outcome::Unreachable,
@@ -217,7 +258,9 @@
     fn open(boot: &str, seed: u64) -> Result<Sender, String> {
         let boot = settings::read(boot)?;
         if boot.asked {
-            return Err("setting RegistryMode should be push: nothing here asks for the list".into());
+            return Err(
+                "setting RegistryMode should be push: nothing here asks for the list".into(),
+            );
         }
         let policy = Policy::new(boot.settings.clone(), seed).map_err(|e| e.to_string())?;
         Ok(Sender {
@@ -296,9 +339,22 @@
         let id = MessageId(self.next_message);
         self.next_message += 1;
         self.message_ids.insert(name.to_string(), id);
-        self.messages.insert(id.0, Held { name: name.to_string(), finished: false, out: 0 });
+        self.messages.insert(
+            id.0,
+            Held {
+                name: name.to_string(),
+                finished: false,
+                out: 0,
+            },
+        );
         let key = fields.opt().map(key_id);
-        self.events.push(Event::Message { id, destination, class, deadline, key });
+        self.events.push(Event::Message {
+            id,
+            destination,
+            class,
+            deadline,
+            key,
+        });
         Ok(())
     }
 
@@ -311,7 +367,13 @@
         let finished = bit(fields.next("Closed")?)?;
         let outcome = outcome(reason, fields.opt())?;
         if let Some(id) = known {
-            self.events.push(Event::Ended { id, attempt, outcome, took, finished });
+            self.events.push(Event::Ended {
+                id,
+                attempt,
+                outcome,
+                took,
+                finished,
+            });
             self.settle(id, finished, 1);
         }
         Ok(())
@@ -319,7 +381,9 @@
 
     /// Keeps count of what may still be named, so that names are dropped when nothing more can come.
     fn settle(&mut self, id: MessageId, finished: bool, ended: u32) {
-        let Some(held) = self.messages.get_mut(&id.0) else { return };
+        let Some(held) = self.messages.get_mut(&id.0) else {
+            return;
+        };
         held.finished |= finished;
         held.out = held.out.saturating_sub(ended);
     }
@@ -360,12 +424,29 @@
         };
         let receiver = |id: &EndpointId| &self.receivers[id.0 as usize];
         let _ = match action {
-            Action::Send { id, endpoint, timeout, .. } => {
-                writeln!(out, "deliver {who} {} {timeout} {}", name(id, false, 1), receiver(endpoint))
+            Action::Send {
+                id,
+                endpoint,
+                timeout,
+                ..
+            } => {
+                writeln!(
+                    out,
+                    "deliver {who} {} {timeout} {}",
+                    name(id, false, 1),
+                    receiver(endpoint)
+                )
+            }
+            Action::Cancel { id, attempt } => {
+                writeln!(out, "revoke {who} {} {attempt}", name(id, false, 0))
             }
-            Action::Cancel { id, attempt } => writeln!(out, "revoke {who} {} {attempt}", name(id, false, 0)),
             Action::Refuse { id, return_after } => {
-                writeln!(out, "reject {who} {} {}", name(id, true, 0), return_after.unwrap_or(0))
+                writeln!(
+                    out,
+                    "reject {who} {} {}",
+                    name(id, true, 0),
+                    return_after.unwrap_or(0)
+                )
             }
             Action::Fail { id } => writeln!(out, "report_failure {who} {}", name(id, true, 0)),
             Action::WakeAfter(span) => writeln!(out, "sleep {who} {span} 0"),
@@ -384,5 +465,6 @@
 fn panic_text(panic: &(dyn std::any::Any + Send)) -> String {
     let text = panic.downcast_ref::<&str>().map(|s| s.to_string());
     let text = text.or_else(|| panic.downcast_ref::<String>().cloned());
-    text.unwrap_or_else(|| "panic without a text".into()).replace('\n', " ")
+    text.unwrap_or_else(|| "panic without a text".into())
+        .replace('\n', " ")
 }
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -12,7 +12,12 @@
         .stderr(Stdio::piped())
         .spawn()
         .unwrap();
-    child.stdin.take().unwrap().write_all(input.as_bytes()).unwrap();
+    child
+        .stdin
+        .take()
+        .unwrap()
+        .write_all(input.as_bytes())
+        .unwrap();
     child.wait_with_output().unwrap()
 }
 
@@ -29,7 +34,10 @@
     let text = String::from_utf8(out.stdout).unwrap();
     assert!(out.status.success());
     assert!(text.starts_with("eor 0\ndeliver 0 c:1 "), "{text}");
-    assert!(text.contains(" r1\n") && text.ends_with("eor 2\n"), "{text}");
+    assert!(
+        text.contains(" r1\n") && text.ends_with("eor 2\n"),
+        "{text}"
+    );
 }
 
 #[test]
@@ -44,7 +52,10 @@
         let out = run(&format!("{}{bad}end\n", opening()));
         let text = String::from_utf8(out.stderr).unwrap();
         assert!(!out.status.success(), "{bad}");
-        assert!(text.contains("line 6") && text.contains(want) && text.lines().count() == 1, "{text}");
+        assert!(
+            text.contains("line 6") && text.contains(want) && text.lines().count() == 1,
+            "{text}"
+        );
     }
 }
 
@@ -52,5 +63,9 @@
 fn a_missing_setting_is_named() {
     let out = run(&opening().replace("\"OpenCap\":20,", ""));
     assert!(!out.status.success());
-    assert!(String::from_utf8(out.stderr).unwrap().contains("Limits.OpenCap is missing"));
+    assert!(
+        String::from_utf8(out.stderr)
+            .unwrap()
+            .contains("Limits.OpenCap is missing")
+    );
 }
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -28,15 +28,24 @@
 impl Clock {
     /// The machine's time.
     pub fn system() -> Clock {
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock(Rc::new(Source::System(wall.as_secs_f64() * 1e3, Instant::now())))
+        let wall = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        Clock(Rc::new(Source::System(
+            wall.as_secs_f64() * 1e3,
+            Instant::now(),
+        )))
     }
 
     /// The machine's time for a process that goes on where another stood at an instant: never before that, and not far
     /// from it where the wall clock was put elsewhere meanwhile.
     pub fn carried_on(at: Millis) -> Clock {
         let wall = Clock::system().now();
-        let wall = if (at..at + FAR).contains(&wall) { wall } else { at };
+        let wall = if (at..at + FAR).contains(&wall) {
+            wall
+        } else {
+            at
+        };
         Clock(Rc::new(Source::System(wall, Instant::now())))
     }
 
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -16,8 +16,8 @@
 use std::time::Duration;
 
 use rustix::net::{
-    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
-    SendFlags,
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
 };
 
 /// The version of what passes, the shape of the bytes included. Another one is not spoken.
@@ -42,7 +42,11 @@
     /// # Errors
     /// Where the file cannot be made.
     pub fn take(folder: &Path, name: &str) -> io::Result<Option<Lock>> {
-        let file = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(name))?;
+        let file = OpenOptions::new()
+            .create(true)
+            .truncate(false)
+            .write(true)
+            .open(folder.join(name))?;
         match file.try_lock() {
             Ok(()) => Ok(Some(Lock(file))),
             Err(TryLockError::WouldBlock) => Ok(None),
@@ -77,7 +81,10 @@
     }
 
     fn read(line: &[u8]) -> Option<Ask> {
-        let mut words = std::str::from_utf8(line).ok()?.strip_suffix('\n')?.split(' ');
+        let mut words = std::str::from_utf8(line)
+            .ok()?
+            .strip_suffix('\n')?
+            .split(' ');
         let ours = words.next() == Some("martenlatch");
         let (version, listen) = (words.next()?.parse().ok()?, words.next()?.parse().ok()?);
         (ours && words.next().is_none()).then_some(Ask { version, listen })
@@ -94,12 +101,18 @@
     };
     let folder = File::open(folder)?;
     let number = std::os::fd::AsRawFd::as_raw_fd(&folder);
-    Ok((Path::new("/proc/self/fd").join(number.to_string()).join(name), Some(folder)))
+    Ok((
+        Path::new("/proc/self/fd")
+            .join(number.to_string())
+            .join(name),
+        Some(folder),
+    ))
 }
 
 /// Whether the other end is a process of the same user.
 fn ours(stream: &UnixStream) -> bool {
-    rustix::net::sockopt::socket_peercred(stream).is_ok_and(|peer| peer.uid == rustix::process::geteuid())
+    rustix::net::sockopt::socket_peercred(stream)
+        .is_ok_and(|peer| peer.uid == rustix::process::geteuid())
 }
 
 /// Where a serving process waits for its successor.
@@ -118,13 +131,19 @@
         let (name, _folder) = short(path)?;
         let listener = UnixListener::bind(name)?;
         listener.set_nonblocking(true)?;
-        Ok(Offer { listener, path: path.to_path_buf() })
+        Ok(Offer {
+            listener,
+            path: path.to_path_buf(),
+        })
     }
 
     /// Who has come, if anybody. One of another user is turned away unheard.
     pub fn accept(&self) -> Option<Asker> {
         let (stream, _) = self.listener.accept().ok()?;
-        (ours(&stream) && stream.set_nonblocking(true).is_ok()).then_some(Asker { stream, line: Vec::new() })
+        (ours(&stream) && stream.set_nonblocking(true).is_ok()).then_some(Asker {
+            stream,
+            line: Vec::new(),
+        })
     }
 
     /// Takes the path away, as nobody will wait there. Who has given way must not call this.
@@ -290,13 +309,21 @@
         stream.set_nonblocking(false)?;
         stream.set_read_timeout(Some(STEP))?;
         stream.set_write_timeout(Some(STEP))?;
-        Ok(Pipe { stream, bytes: Vec::new(), fds: Vec::new() })
+        Ok(Pipe {
+            stream,
+            bytes: Vec::new(),
+            fds: Vec::new(),
+        })
     }
 
     /// Whether an error only means that a step's time is over; an end of the time that is left is one of its own.
     fn goes_on(e: &io::Error, left: &dyn Fn() -> f64) -> io::Result<()> {
         match e.kind() {
-            ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted if left() > 0.0 => Ok(()),
+            ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted
+                if left() > 0.0 =>
+            {
+                Ok(())
+            }
             ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => Err(late()),
             kind => Err(kind.into()),
         }
@@ -312,11 +339,19 @@
         Ok(())
     }
 
-    fn give(&mut self, bytes: &[u8], fds: &[BorrowedFd<'_>], left: &dyn Fn() -> f64) -> io::Result<()> {
+    fn give(
+        &mut self,
+        bytes: &[u8],
+        fds: &[BorrowedFd<'_>],
+        left: &dyn Fn() -> f64,
+    ) -> io::Result<()> {
         if fds.len() > DESCRIPTORS || bytes.len() > BYTES {
             return Err(io::Error::new(ErrorKind::InvalidInput, "too much to pass"));
         }
-        self.write(format!("yes {} {}\n", bytes.len(), fds.len()).as_bytes(), left)?;
+        self.write(
+            format!("yes {} {}\n", bytes.len(), fds.len()).as_bytes(),
+            left,
+        )?;
         for batch in fds.chunks(BATCH) {
             loop {
                 let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(BATCH))];
@@ -387,8 +422,11 @@
         if let Some(reason) = line.strip_prefix("no ") {
             return Err(reason.to_string());
         }
-        let sizes = line.strip_prefix("yes ").and_then(|sizes| sizes.split_once(' '));
-        let sizes = sizes.and_then(|(b, d)| Some((b.parse::<usize>().ok()?, d.parse::<usize>().ok()?)));
+        let sizes = line
+            .strip_prefix("yes ")
+            .and_then(|sizes| sizes.split_once(' '));
+        let sizes =
+            sizes.and_then(|(b, d)| Some((b.parse::<usize>().ok()?, d.parse::<usize>().ok()?)));
         let sizes = sizes.filter(|(bytes, fds)| *bytes <= BYTES && *fds <= DESCRIPTORS);
         let (bytes, fds) = sizes.ok_or("the answer cannot be read")?;
         // A byte stands for each batch of descriptors.
@@ -407,6 +445,10 @@
         while self.bytes.len() < TAKEN.len() {
             self.fill(left)?;
         }
-        if self.bytes == TAKEN { Ok(()) } else { Err(ErrorKind::InvalidData.into()) }
+        if self.bytes == TAKEN {
+            Ok(())
+        } else {
+            Err(ErrorKind::InvalidData.into())
+        }
     }
 }
--- a/crates/handover/tests/steps.rs
+++ b/crates/handover/tests/steps.rs
@@ -13,7 +13,10 @@
 use rstest::rstest;
 
 fn asking(version: u32) -> Ask {
-    Ask { version, listen: "127.0.0.1:7".parse().unwrap() }
+    Ask {
+        version,
+        listen: "127.0.0.1:7".parse().unwrap(),
+    }
 }
 
 /// Time that is over after so many looks at it: no clock decides.
@@ -31,13 +34,19 @@
         thread::sleep(std::time::Duration::from_millis(1));
         look()
     };
-    std::iter::repeat_with(again).take(20_000).flatten().next().expect("it came")
+    std::iter::repeat_with(again)
+        .take(20_000)
+        .flatten()
+        .next()
+        .expect("it came")
 }
 
 fn heard(offer: &Offer) -> (Asker, Ask) {
     let mut asker = soon(|| offer.accept());
     let heard = soon(|| Some(asker.hear()).filter(|heard| *heard != Heard::Part));
-    let Heard::Whole(ask) = heard else { panic!("it asked") };
+    let Heard::Whole(ask) = heard else {
+        panic!("it asked")
+    };
     (asker, ask)
 }
 
@@ -52,7 +61,9 @@
 fn bytes_and_descriptors_pass_whole_and_both_agree_on_who_serves() {
     let folder = tempfile::tempdir().unwrap();
     let (offer, asked) = meet(folder.path());
-    let sockets: Vec<TcpListener> = (0..150).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    let sockets: Vec<TcpListener> = (0..150)
+        .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
+        .collect();
     let bytes: Vec<u8> = (0..3_000_000u32).map(|n| (n % 251) as u8).collect();
     let wanted = bytes.clone();
     let addresses: Vec<_> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
@@ -60,7 +71,10 @@
         let mut passed = asked.receive(&looks(1_000)).unwrap();
         assert!(passed.bytes == wanted, "the bytes are other ones");
         let fds = std::mem::take(&mut passed.fds);
-        let got: Vec<_> = fds.into_iter().map(|fd| TcpListener::from(fd).local_addr().unwrap()).collect();
+        let got: Vec<_> = fds
+            .into_iter()
+            .map(|fd| TcpListener::from(fd).local_addr().unwrap())
+            .collect();
         assert_eq!(got, addresses, "in their order");
         passed.taken().unwrap();
     });
@@ -96,12 +110,21 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("meet.sock");
     let offer = Offer::open(&path).unwrap();
-    let bytes = vec![7; if new == New::GoneHalfway { 4 << 20 } else { 100 }];
+    let bytes = vec![
+        7;
+        if new == New::GoneHalfway {
+            4 << 20
+        } else {
+            100
+        }
+    ];
     let (done, over) = std::sync::mpsc::channel::<()>();
     let other = thread::spawn(move || {
         if matches!(new, New::GoneHalfway | New::Nonsense | New::GoneBeforeAll) {
             let mut stream = UnixStream::connect(&path).unwrap();
-            stream.write_all(format!("martenlatch {VERSION} 127.0.0.1:7\n").as_bytes()).unwrap();
+            stream
+                .write_all(format!("martenlatch {VERSION} 127.0.0.1:7\n").as_bytes())
+                .unwrap();
             if new != New::GoneBeforeAll {
                 stream.read_exact(&mut [0; 100]).unwrap();
             }
@@ -111,7 +134,10 @@
             let _ = (new == New::Nonsense).then(|| over.recv());
             return None;
         }
-        let passed = ask(&path, &asking(VERSION)).unwrap().receive(&looks(1_000)).unwrap();
+        let passed = ask(&path, &asking(VERSION))
+            .unwrap()
+            .receive(&looks(1_000))
+            .unwrap();
         if new == New::GoneWithAll {
             return None;
         }
@@ -124,8 +150,14 @@
     assert!(matches!(given, Given::Kept(_)), "{given:?}");
     let _ = done.send(());
     let late = other.join().unwrap();
-    assert!(late.is_none_or(|taken| taken.is_err()), "a word that comes late cannot be written");
-    assert!(Lock::take(folder.path(), "lock").unwrap().is_none(), "the old process holds the lock still");
+    assert!(
+        late.is_none_or(|taken| taken.is_err()),
+        "a word that comes late cannot be written"
+    );
+    assert!(
+        Lock::take(folder.path(), "lock").unwrap().is_none(),
+        "the old process holds the lock still"
+    );
 }
 
 #[rstest]
@@ -152,7 +184,10 @@
     let (mut old, _) = listener.accept().unwrap();
     old.write_all(answer.as_bytes()).unwrap();
     drop(old);
-    let said = asked.receive(&looks(50)).map(|_| ()).expect_err("there is nothing to take");
+    let said = asked
+        .receive(&looks(50))
+        .map(|_| ())
+        .expect_err("there is nothing to take");
     assert!(said.contains(reason), "{said}");
 }
 
@@ -168,9 +203,15 @@
     });
     let passed = asked.receive(&looks(1_000)).unwrap();
     assert!(matches!(old.join().unwrap(), Given::Kept(_)));
-    assert!(Lock::take(folder.path(), "lock").unwrap().is_none(), "what was passed holds it yet");
+    assert!(
+        Lock::take(folder.path(), "lock").unwrap().is_none(),
+        "what was passed holds it yet"
+    );
     assert!(passed.taken().is_err());
-    assert!(Lock::take(folder.path(), "lock").unwrap().is_some(), "free, once that is dropped");
+    assert!(
+        Lock::take(folder.path(), "lock").unwrap().is_some(),
+        "free, once that is dropped"
+    );
 }
 
 #[test]
@@ -180,7 +221,10 @@
     std::fs::create_dir(&deep).unwrap();
     let path = deep.join("meet.sock");
     drop(Offer::open(&path).unwrap());
-    assert!(ask(&path, &asking(VERSION)).is_err(), "its process has gone");
+    assert!(
+        ask(&path, &asking(VERSION)).is_err(),
+        "its process has gone"
+    );
     let offer = Offer::open(&path).unwrap();
     for text in [
         "\n",
@@ -196,13 +240,19 @@
         let mut asker = soon(|| offer.accept());
         assert_eq!(asker.hear(), Heard::Part);
         let _ = stream.write_all(text.as_bytes());
-        assert_eq!(soon(|| Some(asker.hear()).filter(|heard| *heard != Heard::Part)), Heard::Nonsense);
+        assert_eq!(
+            soon(|| Some(asker.hear()).filter(|heard| *heard != Heard::Part)),
+            Heard::Nonsense
+        );
     }
     let asked = ask(&path, &asking(VERSION + 1)).unwrap();
     let (asker, said) = heard(&offer);
     assert_eq!(said.version, VERSION + 1);
     asker.refuse("version 1 is spoken here");
-    assert_eq!(asked.receive(&looks(50)).map(|_| ()), Err("version 1 is spoken here".into()));
+    assert_eq!(
+        asked.receive(&looks(50)).map(|_| ()),
+        Err("version 1 is spoken here".into())
+    );
     offer.close();
     assert!(!path.exists());
 }
--- a/crates/http/src/frame.rs
+++ b/crates/http/src/frame.rs
@@ -43,7 +43,9 @@
                         at += count;
                     } else if *last {
                         // After the last chunk: lines of a trailer up to an empty one.
-                        let Some(end) = input[at..].iter().position(|b| *b == b'\n') else { break };
+                        let Some(end) = input[at..].iter().position(|b| *b == b'\n') else {
+                            break;
+                        };
                         let empty = input[at..at + end].iter().all(|b| *b == b'\r');
                         at += end + 1;
                         if empty {
@@ -54,7 +56,11 @@
                             Ok(httparse::Status::Complete((used, size))) => {
                                 at += used;
                                 *last = size == 0;
-                                *left = if *last { 0 } else { usize::try_from(size).ok()?.checked_add(2)? };
+                                *left = if *last {
+                                    0
+                                } else {
+                                    usize::try_from(size).ok()?.checked_add(2)?
+                                };
                             }
                             Ok(httparse::Status::Partial) if input.len() - at < HEAD => break,
                             _ => return None,
@@ -80,7 +86,11 @@
 impl Request {
     /// A header's value; none where it says two things.
     pub fn header(&self, name: &str) -> Option<&str> {
-        let mut values = self.headers.iter().filter(|(n, _)| n == name).map(|(_, v)| v.trim_ascii());
+        let mut values = self
+            .headers
+            .iter()
+            .filter(|(n, _)| n == name)
+            .map(|(_, v)| v.trim_ascii());
         let first = values.next()?;
         let plain = values.all(|v| v == first);
         std::str::from_utf8(first).ok().filter(|_| plain)
@@ -98,7 +108,10 @@
 
 fn told_length(headers: &[httparse::Header]) -> Result<Option<usize>, ()> {
     let mut told = None;
-    for header in headers.iter().filter(|h| h.name.eq_ignore_ascii_case("content-length")) {
+    for header in headers
+        .iter()
+        .filter(|h| h.name.eq_ignore_ascii_case("content-length"))
+    {
         let text = std::str::from_utf8(header.value).map_err(|_| ())?.trim();
         if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
             return Err(());
@@ -114,7 +127,9 @@
 
 fn says(headers: &[httparse::Header], name: &str, word: &str) -> bool {
     let lists = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
-    let mut words = lists.filter_map(|h| std::str::from_utf8(h.value).ok()).flat_map(|v| v.split(','));
+    let mut words = lists
+        .filter_map(|h| std::str::from_utf8(h.value).ok())
+        .flat_map(|v| v.split(','));
     words.any(|w| w.trim().eq_ignore_ascii_case(word))
 }
 
@@ -128,7 +143,11 @@
         Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Bad(431),
         Err(_) => return Parsed::Bad(400),
     };
-    if head.headers.iter().any(|h| h.name.eq_ignore_ascii_case("transfer-encoding")) {
+    if head
+        .headers
+        .iter()
+        .any(|h| h.name.eq_ignore_ascii_case("transfer-encoding"))
+    {
         return Parsed::Bad(411);
     }
     let (method, path) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
@@ -145,9 +164,20 @@
     }
     let close = says(head.headers, "connection", "close")
         || (head.version == Some(0) && !says(head.headers, "connection", "keep-alive"));
-    let headers = head.headers.iter().map(|h| (h.name.to_ascii_lowercase(), h.value.to_vec())).collect();
+    let headers = head
+        .headers
+        .iter()
+        .map(|h| (h.name.to_ascii_lowercase(), h.value.to_vec()))
+        .collect();
     let (body, used) = (Rc::from(&input[start..start + length]), start + length);
-    Parsed::Whole(Request { method: method.into(), path: path.into(), headers, body, close, used })
+    Parsed::Whole(Request {
+        method: method.into(),
+        path: path.into(),
+        headers,
+        body,
+        close,
+        used,
+    })
 }
 
 /// The head of an answer.
@@ -164,7 +194,10 @@
 
 impl Answer {
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.trim())
+        self.headers
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, v)| v.trim())
     }
 }
 
@@ -186,7 +219,10 @@
     let spoilt = told.is_err() || told.is_ok_and(|t| t.is_some_and(|t| t > BODY));
     let body = match told {
         _ if matches!(status, 100..=199 | 204 | 304) => Body::Left(0),
-        _ if says(head.headers, "transfer-encoding", "chunked") => Body::Chunks { left: 0, last: false },
+        _ if says(head.headers, "transfer-encoding", "chunked") => Body::Chunks {
+            left: 0,
+            last: false,
+        },
         // A status that has come stands, whatever the length says; the connection just ends with it.
         Ok(Some(length)) => Body::Left(length),
         _ => Body::ToEnd,
@@ -196,13 +232,28 @@
         && !says(head.headers, "connection", "close")
         && (head.version == Some(1) || says(head.headers, "connection", "keep-alive"));
     let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
-    let headers = head.headers.iter().map(|h| (h.name.to_ascii_lowercase(), text(h.value))).collect();
-    Ok(Some(Answer { status, body, keep, spoilt, headers, used }))
+    let headers = head
+        .headers
+        .iter()
+        .map(|h| (h.name.to_ascii_lowercase(), text(h.value)))
+        .collect();
+    Ok(Some(Answer {
+        status,
+        body,
+        keep,
+        spoilt,
+        headers,
+        used,
+    }))
 }
 
 /// Whether a whole first line says 200, whatever comes behind it.
 pub fn says_200(input: &[u8]) -> bool {
-    let line = input.split(|b| *b == b'\n').next().filter(|l| l.len() < input.len()).unwrap_or(b"");
+    let line = input
+        .split(|b| *b == b'\n')
+        .next()
+        .filter(|l| l.len() < input.len())
+        .unwrap_or(b"");
     matches!(line.trim_ascii_end(), [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', b'2', b'0', b'0', rest @ ..]
         if rest.first().is_none_or(|b| *b == b' '))
 }
--- a/crates/http/src/link.rs
+++ b/crates/http/src/link.rs
@@ -21,7 +21,10 @@
 
 impl<K> Default for Ready<K> {
     fn default() -> Ready<K> {
-        Ready { keys: Vec::new(), signals: Vec::new() }
+        Ready {
+            keys: Vec::new(),
+            signals: Vec::new(),
+        }
     }
 }
 
@@ -30,7 +33,9 @@
 
 /// Registers a socket once, for both directions; its owner reads and writes until the socket would block.
 pub fn register<F: AsFd + 'static, K: Copy + 'static>(
-    handle: &Handle<K>, socket: F, key: K,
+    handle: &Handle<K>,
+    socket: F,
+    key: K,
 ) -> std::io::Result<RegistrationToken> {
     let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
     let told = handle.insert_source(source, move |_, _, ready: &mut Ready<K>| {
@@ -70,7 +75,12 @@
 }
 
 impl<K: Copy + 'static> Link<K> {
-    pub fn new(stream: TcpStream, handle: &Handle<K>, pool: &Pool, key: K) -> std::io::Result<Link<K>> {
+    pub fn new(
+        stream: TcpStream,
+        handle: &Handle<K>,
+        pool: &Pool,
+        key: K,
+    ) -> std::io::Result<Link<K>> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
@@ -95,20 +105,34 @@
     pub fn carried(&self) -> Carried {
         let output = self.output.as_ref().map_or(&[][..], Buffer::bytes).to_vec();
         let (written, eof, broken, corked) = (self.written, self.eof, self.broken, self.corked);
-        Carried { input: self.bytes().to_vec(), output, written, eof, broken, corked }
+        Carried {
+            input: self.bytes().to_vec(),
+            output,
+            written,
+            eof,
+            broken,
+            corked,
+        }
     }
 
     /// A connection that an earlier process has passed. Fails where no buffer is left for what goes with it.
     pub fn carried_on(
-        stream: TcpStream, carried: &Carried, handle: &Handle<K>, pool: &Pool, key: K,
+        stream: TcpStream,
+        carried: &Carried,
+        handle: &Handle<K>,
+        pool: &Pool,
+        key: K,
     ) -> std::io::Result<Link<K>> {
         let mut link = Link::new(stream, handle, pool, key)?;
         let lent = |bytes: &[u8]| -> std::io::Result<Option<Buffer>> {
             if bytes.is_empty() {
                 return Ok(None);
             }
-            let held = pool.take().and_then(|mut buffer| buffer.put(bytes).then_some(buffer));
-            held.ok_or_else(|| std::io::Error::other("no buffer is left")).map(Some)
+            let held = pool
+                .take()
+                .and_then(|mut buffer| buffer.put(bytes).then_some(buffer));
+            held.ok_or_else(|| std::io::Error::other("no buffer is left"))
+                .map(Some)
         };
         (link.input, link.output) = (lent(&carried.input)?, lent(&carried.output)?);
         (link.written, link.eof, link.broken) = (carried.written, carried.eof, carried.broken);
@@ -117,11 +141,20 @@
     }
 
     /// Starts a connection; whether it comes up shows in the first write.
-    pub fn connect(to: SocketAddr, handle: &Handle<K>, pool: &Pool, key: K) -> std::io::Result<Link<K>> {
+    pub fn connect(
+        to: SocketAddr,
+        handle: &Handle<K>,
+        pool: &Pool,
+        key: K,
+    ) -> std::io::Result<Link<K>> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
-            Err(e) if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) => Err(e),
+            Err(e)
+                if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) =>
+            {
+                Err(e)
+            }
             _ => Link::new(socket.into(), handle, pool, key),
         }
     }
@@ -178,7 +211,9 @@
                 self.input = self.pool.take();
             }
             // No buffer free: the bytes wait in the kernel, and the peer is slowed.
-            let Some(input) = self.input.as_mut() else { return true };
+            let Some(input) = self.input.as_mut() else {
+                return true;
+            };
             let room = input.room();
             if room.is_empty() {
                 return true;
@@ -261,12 +296,16 @@
         let to = listener.local_addr().unwrap();
         let events = calloop::EventLoop::<Ready<u8>>::try_new().unwrap();
         // A socket that nothing was asked of answers a read as some systems answer it while a connection comes up.
-        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).unwrap();
+        let socket =
+            Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).unwrap();
         let same = socket.try_clone().unwrap();
         let early = (&socket).read(&mut [0]).unwrap_err().kind();
         assert_eq!(early, ErrorKind::NotConnected);
         let mut link = Link::new(socket.into(), &events.handle(), &Pool::new(2), 1).unwrap();
-        assert!(!link.fill() && !link.broken && !link.eof, "nothing is said of it");
+        assert!(
+            !link.fill() && !link.broken && !link.eof,
+            "nothing is said of it"
+        );
         same.set_nonblocking(false).unwrap();
         same.connect(&to.into()).unwrap();
         assert!(link.queue(b"ask") && link.flush());
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/pool.rs
@@ -24,7 +24,10 @@
 
 impl Pool {
     pub fn new(cap: usize) -> Pool {
-        Pool(Rc::new(RefCell::new(Shelf { cap, ..Shelf::default() })))
+        Pool(Rc::new(RefCell::new(Shelf {
+            cap,
+            ..Shelf::default()
+        })))
     }
 
     /// None is left to lend.
@@ -40,8 +43,16 @@
             return None;
         }
         shelf.lent += 1;
-        let data = shelf.free.pop().unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
-        Some(Buffer { data, start: 0, end: 0, home: self.clone() })
+        let data = shelf
+            .free
+            .pop()
+            .unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+        Some(Buffer {
+            data,
+            start: 0,
+            end: 0,
+            home: self.clone(),
+        })
     }
 }
 
@@ -111,7 +122,10 @@
         let pool = Pool::new(2);
         let (mut a, b) = (pool.take().unwrap(), pool.take().unwrap());
         assert!(pool.take().is_none(), "the cap holds");
-        assert!(a.put(b"secret") && !a.put(&[0; SIZE]), "what does not fit is not put in part");
+        assert!(
+            a.put(b"secret") && !a.put(&[0; SIZE]),
+            "what does not fit is not put in part"
+        );
         a.used(2);
         assert_eq!(a.bytes(), b"cret");
         drop((a, b));
--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -33,13 +33,22 @@
 impl<'a> Clients<'a> {
     /// Clients that have handed in nothing yet.
     pub fn new(x: &'a Experiment, seed: u64) -> Clients<'a> {
-        Clients { x, seed, origins: Vec::new() }
+        Clients {
+            x,
+            seed,
+            origins: Vec::new(),
+        }
     }
 
     /// A message comes for the first time; its number.
     pub fn comes(&mut self, planned: Intended) -> u64 {
         let deadline = planned.at + self.x.world.classes[planned.class as usize].deadline;
-        self.origins.push(Origin { planned, deadline, tries: 0, until: f64::INFINITY });
+        self.origins.push(Origin {
+            planned,
+            deadline,
+            tries: 0,
+            until: f64::INFINITY,
+        });
         self.origins.len() as u64 - 1
     }
 
@@ -55,9 +64,15 @@
 
     /// Whom of those that are up a message is handed to, through a front that deals them out, and how long that takes.
     pub fn dealt(&self, origin: u64, up: &[u32]) -> Option<(u32, Millis)> {
-        let mut rng = draw(self.seed, Stream::Client, origin, self.origin(origin).tries.into());
+        let mut rng = draw(
+            self.seed,
+            Stream::Client,
+            origin,
+            self.origin(origin).tries.into(),
+        );
         let place = within(&mut rng, (0.0, up.len() as f64 - 0.001)) as usize;
-        up.get(place).map(|sender| (*sender, within(&mut rng, (0.28, 1.0))))
+        up.get(place)
+            .map(|sender| (*sender, within(&mut rng, (0.28, 1.0))))
     }
 
     /// It was sent at an instant, and that call may have run: its key is remembered from then.
@@ -70,13 +85,24 @@
     }
 
     /// When a message is handed in again that was refused, or that nobody heard of (`heard` is false); none: never.
-    pub fn again(&mut self, origin: u64, told: Option<Millis>, heard: bool, now: Millis) -> Option<Millis> {
+    pub fn again(
+        &mut self,
+        origin: u64,
+        told: Option<Millis>,
+        heard: bool,
+        now: Millis,
+    ) -> Option<Millis> {
         let o = &mut self.origins[origin as usize];
         if o.tries >= self.x.load.retries + if heard { 0 } else { KNOCKS } {
             return None;
         }
         o.tries += 1;
-        let mut rng = draw(self.seed, Stream::Client, origin, 1_000 + u64::from(o.tries));
+        let mut rng = draw(
+            self.seed,
+            Stream::Client,
+            origin,
+            1_000 + u64::from(o.tries),
+        );
         let own = within(&mut rng, self.x.load.backoff);
         let at = now + told.map_or(own, |told| told.max(own.min(told + 100.0)));
         (at + 50.0 < o.deadline.min(o.until)).then_some(at)
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -100,7 +100,9 @@
         if after > self.deadline {
             return 0.0;
         }
-        0.5f64.powf(((after - self.aim) / self.aim).max(0.0)).max(self.late_worth)
+        0.5f64
+            .powf(((after - self.aim) / self.aim).max(0.0))
+            .max(self.late_worth)
     }
 }
 
@@ -153,7 +155,10 @@
 impl Experiment {
     /// When a sender starts that is not there from the beginning.
     pub fn joins(&self, sender: u32) -> Option<Millis> {
-        let join = self.failures.iter().find(|f| f.what == What::Join && f.sender == sender);
+        let join = self
+            .failures
+            .iter()
+            .find(|f| f.what == What::Join && f.sender == sender);
         join.map(|f| f.start)
     }
 
@@ -163,7 +168,9 @@
     /// One line that names the file, and the line and the field where it is the text that is wrong.
     pub fn open(file: &Path) -> Result<Experiment, String> {
         let text = std::fs::read_to_string(file).map_err(|e| format!("{}: {e}", file.display()))?;
-        let name = file.file_stem().map_or("experiment".into(), |n| n.to_string_lossy().into_owned());
+        let name = file
+            .file_stem()
+            .map_or("experiment".into(), |n| n.to_string_lossy().into_owned());
         Experiment::read(&name, &file.display().to_string(), &text).map_err(|e| e.to_string())
     }
 
@@ -179,13 +186,18 @@
     /// # Errors
     /// The first fault of form or of bounds.
     pub fn read(name: &str, file: &str, text: &str) -> Result<Experiment, Fault> {
-        let read = text::read::<schema::Experiment>(file, text, "martenlatch.experiment.Experiment")?;
+        let read =
+            text::read::<schema::Experiment>(file, text, "martenlatch.experiment.Experiment")?;
         let it = &read.message;
         let seconds = read.within("length_s", it.length_s, 1.0, 86_400.0)?;
         let repeats = it.repeats.unwrap_or(3);
         read.within("repeats", repeats.into(), 1.0, 1_000.0)?;
         let world = world(&read)?;
-        let failures = it.failure.iter().enumerate().map(|(i, f)| failure(&read, i, f, &world, seconds));
+        let failures = it
+            .failure
+            .iter()
+            .enumerate()
+            .map(|(i, f)| failure(&read, i, f, &world, seconds));
         let failures = failures.collect::<Result<Vec<_>, _>>()?;
         let mut variants = it
             .variant
@@ -194,13 +206,21 @@
             .map(|(i, v)| variant(&read, i, v))
             .collect::<Result<Vec<_>, _>>()?;
         if variants.is_empty() {
-            variants.push(variant(&read, 0, &schema::Variant { name: "base".into(), ..Default::default() })?);
+            variants.push(variant(
+                &read,
+                0,
+                &schema::Variant {
+                    name: "base".into(),
+                    ..Default::default()
+                },
+            )?);
         }
         for (i, v) in variants.iter().enumerate() {
             if variants[..i].iter().any(|w| w.name == v.name) {
-                return Err(
-                    read.fault(&format!("variant[{i}].name"), format!("{:?} is there already", v.name))
-                );
+                return Err(read.fault(
+                    &format!("variant[{i}].name"),
+                    format!("{:?} is there already", v.name),
+                ));
             }
         }
         Ok(Experiment {
@@ -220,7 +240,11 @@
 type In = Read<schema::Experiment>;
 
 fn span(
-    read: &In, field: &str, told: Option<&schema::Span>, absent: Span, bounds: Span,
+    read: &In,
+    field: &str,
+    told: Option<&schema::Span>,
+    absent: Span,
+    bounds: Span,
 ) -> Result<Span, Fault> {
     let Some(told) = told else { return Ok(absent) };
     read.within(&format!("{field}.least"), told.least, bounds.0, bounds.1)?;
@@ -232,25 +256,59 @@
     let it = read.message.world.clone().unwrap_or_default();
     let count = |field: &str, told: Option<u32>, absent: u32, most: u32| {
         let value = told.unwrap_or(absent);
-        read.within(&format!("world.{field}"), value.into(), 1.0, most.into()).map(|_| value)
+        read.within(&format!("world.{field}"), value.into(), 1.0, most.into())
+            .map(|_| value)
     };
     let number = |field: &str, told: Option<f64>, absent: f64, least: f64, most: f64| {
-        read.within(&format!("world.{field}"), told.unwrap_or(absent), least, most)
+        read.within(
+            &format!("world.{field}"),
+            told.unwrap_or(absent),
+            least,
+            most,
+        )
+    };
+    let kinds = if it.kind.is_empty() {
+        usual_kinds()
+    } else {
+        it.kind.clone()
+    };
+    let classes = if it.class.is_empty() {
+        usual_classes()
+    } else {
+        it.class.clone()
     };
-    let kinds = if it.kind.is_empty() { usual_kinds() } else { it.kind.clone() };
-    let classes = if it.class.is_empty() { usual_classes() } else { it.class.clone() };
     Ok(World {
         senders: count("senders", it.senders, 2, 1_000)?,
         partners: count("partners", it.partners, 12, 100_000)?,
         endpoints: number("endpoints", it.endpoints, 1.8, 1.0, 4.0)?,
         zipf: number("zipf", it.zipf, 0.76, 0.0, 3.0)?,
         full_rate: number("full_rate", it.full_rate, 55.0, 0.01, 1e6)?,
-        latency: span(read, "world.latency_ms", it.latency_ms.as_ref(), (5.0, 15.0), (0.01, 5_000.0))?,
+        latency: span(
+            read,
+            "world.latency_ms",
+            it.latency_ms.as_ref(),
+            (5.0, 15.0),
+            (0.01, 5_000.0),
+        )?,
         idle: number("idle_s", it.idle_s, 15.0, 0.1, 3_600.0)? * 1e3,
         connections: count("connections", it.connections, 64, 65_536)?,
-        list: span(read, "world.list_ms", it.list_ms.as_ref(), (600.0, 5_000.0), (0.0, 60_000.0))?,
-        kinds: kinds.iter().enumerate().map(|(i, k)| kind(read, i, k)).collect::<Result<_, _>>()?,
-        classes: classes.iter().enumerate().map(|(i, c)| class(read, i, c)).collect::<Result<_, _>>()?,
+        list: span(
+            read,
+            "world.list_ms",
+            it.list_ms.as_ref(),
+            (600.0, 5_000.0),
+            (0.0, 60_000.0),
+        )?,
+        kinds: kinds
+            .iter()
+            .enumerate()
+            .map(|(i, k)| kind(read, i, k))
+            .collect::<Result<_, _>>()?,
+        classes: classes
+            .iter()
+            .enumerate()
+            .map(|(i, c)| class(read, i, c))
+            .collect::<Result<_, _>>()?,
     })
 }
 
@@ -299,7 +357,14 @@
     };
     vec![
         class("direct-debit", 0.51, 220.0, 390.0, Effect::Unsafe, None),
-        class("meter-reading", 0.49, 340.0, 580.0, Effect::Keyed, Some(6_000.0)),
+        class(
+            "meter-reading",
+            0.49,
+            340.0,
+            580.0,
+            Effect::Keyed,
+            Some(6_000.0),
+        ),
     ]
 }
 
@@ -341,14 +406,23 @@
     if it.name.is_empty() {
         return Err(read.fault(&at("name"), "a name is wanted"));
     }
-    let (effect, aim) = (it.effect(), number("aim_ms", it.aim_ms, 3_000.0, 1.0, 3.6e6)?);
+    let (effect, aim) = (
+        it.effect(),
+        number("aim_ms", it.aim_ms, 3_000.0, 1.0, 3.6e6)?,
+    );
     if effect == Effect::Keyed && it.window_ms.is_none() {
         return Err(read.fault(&at("window_ms"), "a KEYED class needs it"));
     }
     Ok(Class {
         name: it.name.clone(),
         share: number("share", Some(it.share), 0.0, 1e-6, 1e6)?,
-        work: span(read, &at("work_ms"), it.work_ms.as_ref(), (300.0, 400.0), (0.1, 3.6e6))?,
+        work: span(
+            read,
+            &at("work_ms"),
+            it.work_ms.as_ref(),
+            (300.0, 400.0),
+            (0.1, 3.6e6),
+        )?,
         cv: number("cv", it.cv, 0.9, 0.01, 10.0)?,
         effect,
         window: number("window_ms", it.window_ms, 0.0, 0.0, 8.64e7)?,
@@ -361,16 +435,33 @@
 fn load(read: &In) -> Result<Load, Fault> {
     let it = read.message.load.unwrap_or_default();
     let number = |field: &str, told: Option<f64>, absent: f64, least: f64, most: f64| {
-        read.within(&format!("load.{field}"), told.unwrap_or(absent), least, most)
+        read.within(
+            &format!("load.{field}"),
+            told.unwrap_or(absent),
+            least,
+            most,
+        )
     };
     Ok(Load {
         level: number("level", Some(it.level), 0.0, 0.001, 1_000.0)?,
         clumps: number("clump_share", it.clump_share, 0.1, 0.0, 1.0)?,
-        clump: span(read, "load.clump_s", it.clump_s.as_ref(), (1.0, 3.5), (0.0, 600.0))?,
+        clump: span(
+            read,
+            "load.clump_s",
+            it.clump_s.as_ref(),
+            (1.0, 3.5),
+            (0.0, 600.0),
+        )?,
         swing: number("swing", it.swing, 0.0, 0.0, 1.0)?,
         swing_period: number("swing_s", it.swing_s, 60.0, 0.1, 86_400.0)? * 1e3,
         retries: number("retries", it.retries.map(f64::from), 2.0, 0.0, 100.0)? as u32,
-        backoff: span(read, "load.backoff_ms", it.backoff_ms.as_ref(), (510.0, 1_400.0), (1.0, 3.6e6))?,
+        backoff: span(
+            read,
+            "load.backoff_ms",
+            it.backoff_ms.as_ref(),
+            (510.0, 1_400.0),
+            (1.0, 3.6e6),
+        )?,
     })
 }
 
@@ -398,7 +489,13 @@
     Wants { size, part, every }
 }
 
-fn failure(read: &In, i: usize, it: &schema::Failure, world: &World, length: f64) -> Result<Failure, Fault> {
+fn failure(
+    read: &In,
+    i: usize,
+    it: &schema::Failure,
+    world: &World,
+    length: f64,
+) -> Result<Failure, Fault> {
     let at = |field: &str| format!("failure[{i}].{field}");
     let (what, wants) = (it.what(), wants(it.what()));
     if what == What::Nothing {
@@ -406,7 +503,10 @@
     }
     let used = |field: &str, told: bool, wanted: bool| {
         if told && !wanted {
-            return Err(read.fault(&at(field), format!("{} does not use it", what.as_str_name())));
+            return Err(read.fault(
+                &at(field),
+                format!("{} does not use it", what.as_str_name()),
+            ));
         }
         Ok(())
     };
@@ -418,18 +518,34 @@
     let start = read.within(&at("start_s"), it.start_s, 0.0, length)?;
     let lasts = read.within(&at("length_s"), it.length_s, 0.0, 86_400.0)?;
     if let Some(odd) = it.partner.iter().find(|p| **p >= world.partners) {
-        return Err(read.fault(&at("partner"), format!("{odd} is not under {}", world.partners)));
+        return Err(read.fault(
+            &at("partner"),
+            format!("{odd} is not under {}", world.partners),
+        ));
     }
     let sender = it.sender.unwrap_or(0);
-    read.within(&at("sender"), sender.into(), 0.0, f64::from(world.senders) - 1.0)?;
-    let traffic = it.traffic.map(|t| read.within(&at("traffic"), t, 0.0, 1.0)).transpose()?;
+    read.within(
+        &at("sender"),
+        sender.into(),
+        0.0,
+        f64::from(world.senders) - 1.0,
+    )?;
+    let traffic = it
+        .traffic
+        .map(|t| read.within(&at("traffic"), t, 0.0, 1.0))
+        .transpose()?;
     Ok(Failure {
         what,
         start: start * 1e3,
         end: (start + lasts) * 1e3,
         size: read.within(&at("size"), it.size.unwrap_or(absent), least, most)?,
         part: read.within(&at("part"), it.part.or(wants.part).unwrap_or(1.0), 0.0, 1.0)?,
-        every: read.within(&at("every_s"), it.every_s.or(wants.every).unwrap_or(1.0), 0.01, 3_600.0)? * 1e3,
+        every: read.within(
+            &at("every_s"),
+            it.every_s.or(wants.every).unwrap_or(1.0),
+            0.01,
+            3_600.0,
+        )? * 1e3,
         partners: it.partner.clone(),
         traffic,
         sender,
@@ -443,7 +559,9 @@
         return Err(read.fault(&at("name"), "a name is wanted"));
     }
     let count = |field: &str, told: Option<u32>| match told {
-        Some(value) => read.within(&at(field), value.into(), 1.0, 1e7).map(|v| Some(v as usize)),
+        Some(value) => read
+            .within(&at(field), value.into(), 1.0, 1e7)
+            .map(|v| Some(v as usize)),
         None => Ok(None),
     };
     Ok(Variant {
@@ -456,6 +574,11 @@
         program: (!it.program.is_empty()).then(|| it.program.clone().into()),
         settings: (!it.settings.is_empty()).then(|| it.settings.clone().into()),
         learns: it.learns,
-        told_age: read.within(&at("told_age_s"), it.told_age_s.unwrap_or(0.0), 0.0, 86_400.0)? * 1e3,
+        told_age: read.within(
+            &at("told_age_s"),
+            it.told_age_s.unwrap_or(0.0),
+            0.0,
+            86_400.0,
+        )? * 1e3,
     })
 }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -195,13 +195,23 @@
         self.look_at_the_clock(at);
         self.last = self.last.max(at);
         match fact.what {
-            What::HandedIn { origin, id, sender, class, partner, deadline, key, .. } => {
+            What::HandedIn {
+                origin,
+                id,
+                sender,
+                class,
+                partner,
+                deadline,
+                key,
+                ..
+            } => {
                 if let Some(key) = key {
                     self.turns.entry((sender, key)).or_default().push_back(id);
                 }
                 let (taken, delivered, ended) = (None, None, None);
                 let (calls, out, closed) = (0, 0, false);
-                self.due.push(Reverse(((deadline + LOST_AFTER).to_bits(), id)));
+                self.due
+                    .push(Reverse(((deadline + LOST_AFTER).to_bits(), id)));
                 self.held.insert(
                     id,
                     Held {
@@ -222,7 +232,12 @@
                 );
             }
             What::Answered { id, status } => self.answered(id, status, at),
-            What::Listed { sender, endpoint, partner, on } => {
+            What::Listed {
+                sender,
+                endpoint,
+                partner,
+                on,
+            } => {
                 self.owner.insert(endpoint, partner);
                 if on {
                     self.drains.remove(&(sender, endpoint));
@@ -230,7 +245,14 @@
                     self.drains.entry((sender, endpoint)).or_insert(at);
                 }
             }
-            What::Call { call, id, sender, partner, endpoint, .. } => {
+            What::Call {
+                call,
+                id,
+                sender,
+                partner,
+                endpoint,
+                ..
+            } => {
                 self.call(call, id, (sender, partner, endpoint), at);
             }
             What::Arrived { call } => self.arrived(call, at),
@@ -264,18 +286,26 @@
                 self.excused.insert(sender, f64::INFINITY);
                 // Its next life may not know of a delivery. What may be repeated is answered as delivered once more;
                 // what may not is looked at by its own rule.
-                self.held.values_mut().filter(|h| h.sender == sender).for_each(|h| h.unheard = true);
+                self.held
+                    .values_mut()
+                    .filter(|h| h.sender == sender)
+                    .for_each(|h| h.unheard = true);
             }
         }
     }
 
     /// Whatever should have ended by now.
     fn look_at_the_clock(&mut self, now: Millis) {
-        while let Some(Reverse((due, id))) =
-            self.due.peek().copied().filter(|Reverse((d, _))| f64::from_bits(*d) < now)
+        while let Some(Reverse((due, id))) = self
+            .due
+            .peek()
+            .copied()
+            .filter(|Reverse((d, _))| f64::from_bits(*d) < now)
         {
             self.due.pop();
-            let Some(held) = self.held.get_mut(&id) else { continue };
+            let Some(held) = self.held.get_mut(&id) else {
+                continue;
+            };
             if held.delivered.is_some() || held.ended.is_some() || held.taken != Some(true) {
                 held.closed = true;
                 self.forget(id);
@@ -293,7 +323,8 @@
             }
             held.closed = true;
             let (sender, deadline) = (held.sender, held.deadline);
-            let text = format!("taken on by sender {sender}, had no end by its time, {deadline:.1} ms");
+            let text =
+                format!("taken on by sender {sender}, had no end by its time, {deadline:.1} ms");
             self.breach(Rule::Lost, Some(id), f64::from_bits(due), text);
             self.forget(id);
         }
@@ -308,11 +339,16 @@
     }
 
     fn answered(&mut self, id: u64, status: u16, at: Millis) {
-        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
         let taken = matches!(status, 200 | 202);
         held.taken = Some(taken);
         if !taken && held.calls > 0 && matches!(status, 429 | 503) {
-            let text = format!("{} calls had left for it when it was refused with {status}", held.calls);
+            let text = format!(
+                "{} calls had left for it when it was refused with {status}",
+                held.calls
+            );
             self.breach(Rule::OneAnswer, Some(id), at, text);
         }
     }
@@ -320,8 +356,9 @@
     fn call(&mut self, call: u64, id: u64, to: (u32, u32, u32), at: Millis) {
         let (sender, partner, endpoint) = to;
         let Some(held) = self.held.get_mut(&id) else {
-            let text =
-                format!("a call to partner {partner} for a message that is over or was never handed in");
+            let text = format!(
+                "a call to partner {partner} for a message that is over or was never handed in"
+            );
             return self.breach(Rule::OneAnswer, Some(id), at, text);
         };
         held.calls += 1;
@@ -330,25 +367,62 @@
         let heard = held.delivered.filter(|_| !held.unheard);
         let (ended, delivered, refused) = (held.ended, heard, held.taken == Some(false));
         let since = at;
-        self.calls.insert(call, Call { id, origin, sender, partner, class, since });
+        self.calls.insert(
+            call,
+            Call {
+                id,
+                origin,
+                sender,
+                partner,
+                class,
+                since,
+            },
+        );
         if own != partner || self.owner.get(&endpoint).is_some_and(|o| *o != own) {
-            let text =
-                format!("it is for partner {own} and went to endpoint {endpoint} of partner {partner}");
+            let text = format!(
+                "it is for partner {own} and went to endpoint {endpoint} of partner {partner}"
+            );
             self.breach(Rule::RightPartner, Some(id), at, text);
         }
         if calls > self.max_attempts {
-            self.breach(Rule::Attempts, Some(id), at, format!("attempt {calls} of {}", self.max_attempts));
+            self.breach(
+                Rule::Attempts,
+                Some(id),
+                at,
+                format!("attempt {calls} of {}", self.max_attempts),
+            );
         }
         if let Some((when, _)) = ended {
-            self.breach(Rule::OneAnswer, Some(id), at, format!("a call after its notice of {when:.1} ms"));
+            self.breach(
+                Rule::OneAnswer,
+                Some(id),
+                at,
+                format!("a call after its notice of {when:.1} ms"),
+            );
         } else if refused {
-            self.breach(Rule::OneAnswer, Some(id), at, "a call after its client was refused".into());
+            self.breach(
+                Rule::OneAnswer,
+                Some(id),
+                at,
+                "a call after its client was refused".into(),
+            );
         } else if let Some(when) = delivered.filter(|when| at > when + TRAVEL + SLACK) {
-            self.breach(Rule::OneAnswer, Some(id), at, format!("a call after its delivery at {when:.1} ms"));
+            self.breach(
+                Rule::OneAnswer,
+                Some(id),
+                at,
+                format!("a call after its delivery at {when:.1} ms"),
+            );
         }
-        if let Some(told) = self.drains.get(&(sender, endpoint)).copied().filter(|t| at > t + DRAIN + SLACK) {
-            let text =
-                format!("sender {sender} began a call to endpoint {endpoint}, told to drain at {told:.1} ms");
+        if let Some(told) = self
+            .drains
+            .get(&(sender, endpoint))
+            .copied()
+            .filter(|t| at > t + DRAIN + SLACK)
+        {
+            let text = format!(
+                "sender {sender} began a call to endpoint {endpoint}, told to drain at {told:.1} ms"
+            );
             self.breach(Rule::Drains, Some(id), at, text);
         }
         self.in_turn(id, at);
@@ -361,13 +435,18 @@
 
     /// Whether all that was taken before it with its key is over, with nothing out.
     fn in_turn(&mut self, id: u64, at: Millis) {
-        let Some((sender, key)) = self.held.get(&id).and_then(|h| Some((h.sender, h.key?))) else { return };
+        let Some((sender, key)) = self.held.get(&id).and_then(|h| Some((h.sender, h.key?))) else {
+            return;
+        };
         let over = |id: &u64| {
             let open = |h: &Held| h.out > 0 || (h.delivered.is_none() && h.ended.is_none());
             !self.held.get(id).is_some_and(open)
         };
         let turns = self.turns.entry((sender, key)).or_default();
-        while turns.front().is_some_and(|first| *first != id && over(first)) {
+        while turns
+            .front()
+            .is_some_and(|first| *first != id && over(first))
+        {
             turns.pop_front();
         }
         if let Some(first) = turns.front().copied().filter(|first| *first < id) {
@@ -377,7 +456,9 @@
     }
 
     fn arrived(&mut self, call: u64, at: Millis) {
-        let Some(c) = self.calls.get(&call) else { return };
+        let Some(c) = self.calls.get(&call) else {
+            return;
+        };
         let (id, origin, class, since) = (c.id, c.origin, c.class, c.since);
         let (sender, partner) = (c.sender, c.partner);
         if let Some((told, until)) = self.waits.get(&(sender, partner)).copied()
@@ -389,9 +470,14 @@
             );
             self.breach(Rule::Waits, Some(id), at, text);
         }
-        let Some(rule) = self.classes.get(class as usize).copied() else { return };
+        let Some(rule) = self.classes.get(class as usize).copied() else {
+            return;
+        };
         let same = self.same(class, origin, id);
-        let before = self.may_have_run.get(&same).filter(|(_, calls)| calls.iter().any(|c| *c != call));
+        let before = self
+            .may_have_run
+            .get(&same)
+            .filter(|(_, calls)| calls.iter().any(|c| *c != call));
         if let Some((first, _)) = before {
             let first = *first;
             match rule.effect {
@@ -410,7 +496,10 @@
                 _ => {}
             }
         }
-        let entry = self.may_have_run.entry(same).or_insert((since, HashSet::new()));
+        let entry = self
+            .may_have_run
+            .entry(same)
+            .or_insert((since, HashSet::new()));
         entry.1.insert(call);
     }
 
@@ -438,7 +527,9 @@
     }
 
     fn replied(&mut self, call: u64, reply: Reply, at: Millis) {
-        let Some(c) = self.over(call, !matches!(reply, Reply::Refused(_))) else { return };
+        let Some(c) = self.over(call, !matches!(reply, Reply::Refused(_))) else {
+            return;
+        };
         if reply != Reply::Served && self.out.contains(&c.partner) {
             self.saw.entry(c.partner).or_default().insert(c.sender);
         }
@@ -460,7 +551,8 @@
                 // A longer wait that was told before holds as well.
                 if before.is_none_or(|(_, earlier)| until >= earlier) {
                     self.waits.insert(who, (at, until));
-                    self.written.push_back((at, call, Written::Wait(who, before)));
+                    self.written
+                        .push_back((at, call, Written::Wait(who, before)));
                 }
             }
             _ => {}
@@ -469,10 +561,19 @@
     }
 
     fn silent(&mut self, call: u64, how: Silence, at: Millis) {
-        while self.written.front().is_some_and(|(when, ..)| *when < at - TRAVEL - SLACK) {
+        while self
+            .written
+            .front()
+            .is_some_and(|(when, ..)| *when < at - TRAVEL - SLACK)
+        {
             self.written.pop_front();
         }
-        match self.written.iter().find(|(_, c, _)| *c == call).map(|(.., what)| *what) {
+        match self
+            .written
+            .iter()
+            .find(|(_, c, _)| *c == call)
+            .map(|(.., what)| *what)
+        {
             Some(Written::Served(id)) => {
                 if let Some(held) = self.held.get_mut(&id) {
                     held.unheard = true;
@@ -484,7 +585,9 @@
             }
             None => {}
         }
-        let Some(c) = self.over(call, how != Silence::NeverSent) else { return };
+        let Some(c) = self.over(call, how != Silence::NeverSent) else {
+            return;
+        };
         if self.out.contains(&c.partner) && how != Silence::Died {
             self.saw.entry(c.partner).or_default().insert(c.sender);
         }
@@ -493,7 +596,9 @@
 
     fn notice(&mut self, id: u64, deferred: bool, at: Millis) {
         // One for a message that is already over does no harm.
-        let Some(held) = self.held.get_mut(&id).filter(|h| h.delivered.is_none()) else { return };
+        let Some(held) = self.held.get_mut(&id).filter(|h| h.delivered.is_none()) else {
+            return;
+        };
         if let Some((when, before)) = held.ended {
             if before != deferred {
                 let text = format!("a second and different end; the first came at {when:.1} ms");
@@ -503,7 +608,10 @@
         }
         held.ended = Some((at, deferred));
         let (origin, class) = (held.origin, held.class);
-        let unsafe_one = self.classes.get(class as usize).is_some_and(|c| c.effect == Effect::Unsafe);
+        let unsafe_one = self
+            .classes
+            .get(class as usize)
+            .is_some_and(|c| c.effect == Effect::Unsafe);
         if deferred && unsafe_one && self.may_have_run.contains_key(&Same::Origin(origin)) {
             let text = "given up as harmless to repeat, though it may have run".to_string();
             self.breach(Rule::NoSecondEffect, Some(id), at, text);
@@ -515,7 +623,13 @@
         let none = HashSet::new();
         let saw = self.saw.get(&partner).unwrap_or(&none);
         let all = self.recent.get(&partner).map_or(0, VecDeque::len);
-        let blamed = self.recent.get(&partner).into_iter().flatten().filter(|(_, s)| saw.contains(s)).count();
+        let blamed = self
+            .recent
+            .get(&partner)
+            .into_iter()
+            .flatten()
+            .filter(|(_, s)| saw.contains(s))
+            .count();
         if all > 0 && blamed * 3 >= all * 2 {
             let text = format!(
                 "partner {partner} fell over; {blamed} of {all} calls came from senders that saw it fail"
@@ -527,7 +641,10 @@
     /// Ends the history at an instant, and says what was broken.
     pub fn end(mut self, at: Millis) -> Verdict {
         self.look_at_the_clock(at);
-        Verdict { breaches: self.breaches, counts: self.counts }
+        Verdict {
+            breaches: self.breaches,
+            counts: self.counts,
+        }
     }
 }
 
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -45,8 +45,11 @@
         (site.partners[partner].full * long).max(1.0)
     };
     let parts = || site.partners.iter().map(|p| p.part);
-    let per_clump: f64 = (0..site.partners.len()).map(|i| site.partners[i].part * clump(i)).sum();
-    let clumpy = load.clumps / per_clump / (load.clumps / per_clump + (1.0 - load.clumps)).max(1e-9);
+    let per_clump: f64 = (0..site.partners.len())
+        .map(|i| site.partners[i].part * clump(i))
+        .sum();
+    let clumpy =
+        load.clumps / per_clump / (load.clumps / per_clump + (1.0 - load.clumps)).max(1e-9);
     let per_arrival = clumpy * per_clump + (1.0 - clumpy);
     let usual = world.full_rate * load.level / 1e3;
     loop {
@@ -63,14 +66,23 @@
         }
         let partner = place(parts(), rng.random::<f64>());
         let count = if happens(&mut rng, clumpy) {
-            (site.partners[partner].full * within(&mut rng, load.clump)).round().max(1.0) as usize
+            (site.partners[partner].full * within(&mut rng, load.clump))
+                .round()
+                .max(1.0) as usize
         } else {
             1
         };
         for i in 0..count {
-            let class = place(world.classes.iter().map(|c| c.share / classes), rng.random::<f64>());
+            let class = place(
+                world.classes.iter().map(|c| c.share / classes),
+                rng.random::<f64>(),
+            );
             let at = at + i as f64 * 2.0 * rng.random::<f64>();
-            all.push(Intended { at, partner: partner as u32, class: class as u32 });
+            all.push(Intended {
+                at,
+                partner: partner as u32,
+                class: class as u32,
+            });
         }
     }
     all.retain(|m| m.at < experiment.length);
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -129,7 +129,11 @@
 /// Where the shipped experiments are: beside the working folder, or where the laboratory was built.
 fn shipped() -> PathBuf {
     let here = PathBuf::from("lab/experiments");
-    if here.is_dir() { here } else { Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/experiments") }
+    if here.is_dir() {
+        here
+    } else {
+        Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/experiments")
+    }
 }
 
 fn experiments() -> Result<Vec<PathBuf>, String> {
@@ -152,7 +156,8 @@
 fn stop_on_signal() -> Result<Arc<AtomicBool>, String> {
     let stop = Arc::new(AtomicBool::new(false));
     let set = stop.clone();
-    ctrlc::set_handler(move || set.store(true, Ordering::Relaxed)).map_err(|e| format!("no signals: {e}"))?;
+    ctrlc::set_handler(move || set.store(true, Ordering::Relaxed))
+        .map_err(|e| format!("no signals: {e}"))?;
     Ok(stop)
 }
 
@@ -170,8 +175,10 @@
         let name = report::escaped(name);
         for (bits, (count, total, longest)) in &turns.by_held {
             let (most, mean) = ((1u64 << bits) - 1, *total as f64 / *count as f64 / 1e3);
-            html +=
-                &format!("<tr><td>{name}<td>{most}<td>{count}<td>{mean:.1}<td>{:.1}", *longest as f64 / 1e3);
+            html += &format!(
+                "<tr><td>{name}<td>{most}<td>{count}<td>{mean:.1}<td>{:.1}",
+                *longest as f64 / 1e3
+            );
         }
     }
     html + "</table>"
@@ -191,7 +198,13 @@
     let cpu = line(|all, at| (all[at].cpu_ms - all[at - 1].cpu_ms) / 10.0);
     String::from("<h2>What the senders used on this machine</h2>")
         + &report::plot("Memory of all senders, MiB", "seconds", &memory, &[], false)
-        + &report::plot("Processor of all senders, percent of a core", "seconds", &cpu, &[], false)
+        + &report::plot(
+            "Processor of all senders, percent of a core",
+            "seconds",
+            &cpu,
+            &[],
+            false,
+        )
 }
 
 /// How an experiment is played, and what of it is kept.
@@ -220,7 +233,10 @@
     };
     let out = told.out;
     outcome.write(out)?;
-    write(&out.join("report.html"), &report::page(&outcome, &[machine]))?;
+    write(
+        &out.join("report.html"),
+        &report::page(&outcome, &[machine]),
+    )?;
     if told.facts {
         keep_facts(&experiment, &file, out)?;
     }
@@ -248,26 +264,40 @@
             fault.get_or_insert(e);
         }
     };
-    sim::play(experiment, &experiment.variants[0], experiment.seed, Some(Box::new(sink)))?;
+    sim::play(
+        experiment,
+        &experiment.variants[0],
+        experiment.seed,
+        Some(Box::new(sink)),
+    )?;
     to.flush().map_err(|e| failed(&e))?;
     if let Some(e) = fault {
         return Err(failed(&e));
     }
-    std::fs::copy(file, out.join("experiment.textproto")).map_err(|e| format!("{}: {e}", out.display()))?;
+    std::fs::copy(file, out.join("experiment.textproto"))
+        .map_err(|e| format!("{}: {e}", out.display()))?;
     Ok(())
 }
 
 fn judge(dir: &Path) -> Result<bool, String> {
     let experiment = Experiment::open(&dir.join("experiment.textproto"))?;
     let path = dir.join("facts.jsonl");
-    let lines = BufReader::new(std::fs::File::open(&path).map_err(|e| format!("{}: {e}", path.display()))?);
-    let rules =
-        experiment.world.classes.iter().map(|c| ClassRule { effect: c.effect, window: c.window }).collect();
+    let lines =
+        BufReader::new(std::fs::File::open(&path).map_err(|e| format!("{}: {e}", path.display()))?);
+    let rules = experiment
+        .world
+        .classes
+        .iter()
+        .map(|c| ClassRule {
+            effect: c.effect,
+            window: c.window,
+        })
+        .collect();
     let (mut judge, mut last) = (Judge::new(rules, experiment.variants[0].max_attempts), 0.0);
     for (no, line) in lines.lines().enumerate() {
         let line = line.map_err(|e| format!("{}: {e}", path.display()))?;
-        let fact: Fact =
-            serde_json::from_str(&line).map_err(|e| format!("{}:{}: {e}", path.display(), no + 1))?;
+        let fact: Fact = serde_json::from_str(&line)
+            .map_err(|e| format!("{}:{}: {e}", path.display(), no + 1))?;
         if fact.at < last {
             return Err(format!(
                 "{}:{}: at: {} is before the fact above it",
@@ -290,9 +320,17 @@
 fn compare(base: &Path, other: &Path) -> Result<(), String> {
     let (a, b) = (Outcome::open(base)?, Outcome::open(other)?);
     if a.experiment != b.experiment {
-        return Err(format!("{:?} and {:?} are not the same experiment", a.experiment, b.experiment));
+        return Err(format!(
+            "{:?} and {:?} are not the same experiment",
+            a.experiment, b.experiment
+        ));
     }
-    println!("{}: {} against {}", a.experiment, other.display(), base.display());
+    println!(
+        "{}: {} against {}",
+        a.experiment,
+        other.display(),
+        base.display()
+    );
     for ours in &b.variants {
         let Some(theirs) = a.variants.iter().find(|v| v.name == ours.name) else {
             println!("{}: only in {}", ours.name, other.display());
@@ -304,7 +342,10 @@
             let (diff, dev) = spread(&all);
             // Two standard errors: what the seeds alone would rarely make.
             let sure = all.len() > 1 && diff.abs() > 2.0 * dev / (all.len() as f64).sqrt();
-            println!("  {name:<24}{diff:>+10.4} ±{dev:<9.4}{}", if sure { "*" } else { "" });
+            println!(
+                "  {name:<24}{diff:>+10.4} ±{dev:<9.4}{}",
+                if sure { "*" } else { "" }
+            );
         }
     }
     println!("* more than two standard errors over the seeds");
@@ -327,8 +368,17 @@
     }
     if let Some(file) = plot {
         let title = "Median of a turn, microseconds";
-        let svg = report::plot(title, "messages held", &[("a turn".into(), line)], &[], true);
-        write(file, &format!("<!doctype html><meta charset=utf-8><title>{title}</title>{svg}\n"))?;
+        let svg = report::plot(
+            title,
+            "messages held",
+            &[("a turn".into(), line)],
+            &[],
+            true,
+        );
+        write(
+            file,
+            &format!("<!doctype html><meta charset=utf-8><title>{title}</title>{svg}\n"),
+        )?;
     }
     Ok(())
 }
@@ -337,16 +387,30 @@
     if !(0.1..=600.0).contains(&seconds) || !(1..=1_000).contains(&turns) {
         return Err("--seconds is 0.1 to 600, --turns 1 to 1000".into());
     }
-    let roof = roof::measure(program, turns, std::time::Duration::from_secs_f64(seconds), held.max(1))?;
+    let roof = roof::measure(
+        program,
+        turns,
+        std::time::Duration::from_secs_f64(seconds),
+        held.max(1),
+    )?;
     let figure = |of: fn(&Turn) -> f64| {
         let line = |all: &[Turn]| spread(&all.iter().map(of).collect::<Vec<_>>());
-        let ratios: Vec<f64> = roof.sender.iter().zip(&roof.relay).map(|(s, r)| of(s) / of(r)).collect();
+        let ratios: Vec<f64> = roof
+            .sender
+            .iter()
+            .zip(&roof.relay)
+            .map(|(s, r)| of(s) / of(r))
+            .collect();
         (line(&roof.sender), line(&roof.relay), spread(&ratios))
     };
-    println!("{:<28}{:>18}{:>18}{:>16}", "", "sender", "relay", "sender/relay");
-    for (name, of) in
-        [("messages a second", (|t| t.rate) as fn(&Turn) -> f64), ("processor us a message", |t| t.cost_us)]
-    {
+    println!(
+        "{:<28}{:>18}{:>18}{:>16}",
+        "", "sender", "relay", "sender/relay"
+    );
+    for (name, of) in [
+        ("messages a second", (|t| t.rate) as fn(&Turn) -> f64),
+        ("processor us a message", |t| t.cost_us),
+    ] {
         let ((a, da), (b, db), (r, dr)) = figure(of);
         println!("{name:<28}{a:>10.1} ±{da:<6.1}{b:>10.1} ±{db:<6.1}{r:>9.3} ±{dr:<.3}");
     }
@@ -357,14 +421,22 @@
 fn spans(all: &[Option<f64>]) -> String {
     let mut done: Vec<f64> = all.iter().flatten().copied().collect();
     done.sort_by(f64::total_cmp);
-    let Some(longest) = done.last() else { return "never".into() };
+    let Some(longest) = done.last() else {
+        return "never".into();
+    };
     let never = all.len() - done.len();
     let text = format!("{:.1} ({:.1})", done[done.len() / 2] / 1e3, longest / 1e3);
-    if never > 0 { format!("{text}, {never} never") } else { text }
+    if never > 0 {
+        format!("{text}, {never} never")
+    } else {
+        text
+    }
 }
 
 fn members(counts: &[usize], losses: &[f64], repeats: u64) -> Result<(), String> {
-    if counts.iter().any(|c| !(1..=1_000).contains(c)) || losses.iter().any(|l| !(0.0..1.0).contains(l)) {
+    if counts.iter().any(|c| !(1..=1_000).contains(c))
+        || losses.iter().any(|l| !(0.0..1.0).contains(l))
+    {
         return Err("members are 1 to 1000, --loss is 0 to under 1".into());
     }
     println!(
@@ -380,9 +452,12 @@
     );
     for count in counts {
         for loss in losses {
-            let all: Vec<_> =
-                (1..=repeats.max(1)).map(|seed| members::measure(*count, *loss, seed)).collect();
-            let mean = |of: fn(&members::Figures) -> f64| spread(&all.iter().map(of).collect::<Vec<_>>()).0;
+            let all: Vec<_> = (1..=repeats.max(1))
+                .map(|seed| members::measure(*count, *loss, seed))
+                .collect();
+            let mean = |of: fn(&members::Figures) -> f64| {
+                spread(&all.iter().map(of).collect::<Vec<_>>()).0
+            };
             println!(
                 "{count:>8} {loss:>6} {:>11.0} {:>13.2} {:>18} {:>18} {:>13.1} {:>8.1}",
                 mean(|f| f.bytes),
@@ -394,7 +469,9 @@
             );
         }
     }
-    println!("bytes and datagrams: sent by a member; false deaths: in a minute, over all members and views");
+    println!(
+        "bytes and datagrams: sent by a member; false deaths: in a minute, over all members and views"
+    );
     Ok(())
 }
 
@@ -408,20 +485,46 @@
 
 fn main() -> ExitCode {
     let done = match Cli::parse().command {
-        Command::Run { file, seed, repeats, sim: _, sockets, out, facts, quiet } => {
-            play(&Play { file: &file, seed, repeats, sockets, out: &out, facts, quiet })
-        }
+        Command::Run {
+            file,
+            seed,
+            repeats,
+            sim: _,
+            sockets,
+            out,
+            facts,
+            quiet,
+        } => play(&Play {
+            file: &file,
+            seed,
+            repeats,
+            sockets,
+            out: &out,
+            facts,
+            quiet,
+        }),
         Command::Compare { base, other } => compare(&base, &other).map(|()| true),
         Command::Judge { dir } => judge(&dir),
-        Command::Roof { program, turns, seconds, held } => {
-            roof(&program.unwrap_or_else(beside), turns, seconds, held).map(|()| true)
-        }
-        Command::Relay { listen, calls, regions } => relay::serve(listen, regions, calls).map(|()| true),
+        Command::Roof {
+            program,
+            turns,
+            seconds,
+            held,
+        } => roof(&program.unwrap_or_else(beside), turns, seconds, held).map(|()| true),
+        Command::Relay {
+            listen,
+            calls,
+            regions,
+        } => relay::serve(listen, regions, calls).map(|()| true),
         Command::List => list().map(|()| true),
-        Command::Members { members: counts, loss, repeats } => {
-            members(&counts, &loss, repeats).map(|()| true)
+        Command::Members {
+            members: counts,
+            loss,
+            repeats,
+        } => members(&counts, &loss, repeats).map(|()| true),
+        Command::Turns { held, turns, plot } => {
+            measure(&held, turns, plot.as_deref()).map(|()| true)
         }
-        Command::Turns { held, turns, plot } => measure(&held, turns, plot.as_deref()).map(|()| true),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/lab/src/model/ground.rs
+++ b/crates/lab/src/model/ground.rs
@@ -52,11 +52,31 @@
             owner.extend(std::iter::repeat_n(i as u32, drawn.endpoints as usize));
             let own: Vec<u32> = (first..owner.len() as u32).collect();
             let kind = &x.world.kinds[drawn.kind];
-            partners.push(Partner::new(drawn, kind, site.work, seed, own.iter().copied()));
+            partners.push(Partner::new(
+                drawn,
+                kind,
+                site.work,
+                seed,
+                own.iter().copied(),
+            ));
             serving.push(own);
         }
-        let (out, due, list) = (vec![false; partners.len()], vec![None; partners.len()], x.world.list);
-        Ground { site, forecast, owner, partners, out, due, serving, seed, list }
+        let (out, due, list) = (
+            vec![false; partners.len()],
+            vec![None; partners.len()],
+            x.world.list,
+        );
+        Ground {
+            site,
+            forecast,
+            owner,
+            partners,
+            out,
+            due,
+            serving,
+            seed,
+            list,
+        }
     }
 
     /// The partner of an endpoint.
@@ -115,7 +135,12 @@
     /// The partner whose turn it is to have an endpoint replaced by a failure.
     pub fn next_replaced(&self, failure: usize, turn: usize) -> Option<u32> {
         let (_, hit) = self.forecast.all().nth(failure)?;
-        let hit: Vec<usize> = hit.iter().enumerate().filter(|(_, h)| **h).map(|(p, _)| p).collect();
+        let hit: Vec<usize> = hit
+            .iter()
+            .enumerate()
+            .filter(|(_, h)| **h)
+            .map(|(p, _)| p)
+            .collect();
         hit.get(turn % hit.len().max(1)).map(|p| *p as u32)
     }
 
@@ -137,7 +162,10 @@
     /// When a sender hears of a change that is made now.
     pub fn heard(&self, sender: u32, endpoint: u32, state: State, now: Millis) -> Millis {
         let stream = (u64::from(endpoint) << 2) | state as u64;
-        let late = within(&mut draw(self.seed, Stream::List, stream, sender.into()), self.list);
+        let late = within(
+            &mut draw(self.seed, Stream::List, stream, sender.into()),
+            self.list,
+        );
         let least = if state == State::Gone { REPLACED } else { 0.0 };
         match self.forecast.list(now) {
             Ok(times) => now + least + late * times,
--- a/crates/lab/src/model/partner.rs
+++ b/crates/lab/src/model/partner.rs
@@ -88,14 +88,21 @@
 impl Partner {
     /// A partner that has long been there, with its first endpoints.
     pub fn new(
-        drawn: &Drawn, kind: &Kind, work: f64, seed: u64, endpoints: impl IntoIterator<Item = u32>,
+        drawn: &Drawn,
+        kind: &Kind,
+        work: f64,
+        seed: u64,
+        endpoints: impl IntoIterator<Item = u32>,
     ) -> Partner {
         Partner {
             capacity: drawn.capacity(work),
             drawn: drawn.clone(),
             kind: kind.clone(),
             seed,
-            endpoints: endpoints.into_iter().map(|e| (e, Endpoint::default())).collect(),
+            endpoints: endpoints
+                .into_iter()
+                .map(|e| (e, Endpoint::default()))
+                .collect(),
             window: (0, 0.0),
             counted: VecDeque::new(),
             tokens: (f64::INFINITY, 0.0),
@@ -139,7 +146,9 @@
 
     /// The share of its capacity that it has.
     pub fn warmth(&self, now: Millis) -> f64 {
-        let Some(back) = self.back.filter(|_| self.kind.cold > 0.0) else { return 1.0 };
+        let Some(back) = self.back.filter(|_| self.kind.cold > 0.0) else {
+            return 1.0;
+        };
         let warm = ((now - back) / self.kind.cold).clamp(0.0, 1.0);
         self.kind.cold_from + (1.0 - self.kind.cold_from) * warm
     }
@@ -155,7 +164,11 @@
         match self.kind.limit {
             Limit::None => None,
             Limit::Window if self.kind.refused_count => {
-                while self.counted.front().is_some_and(|at| *at <= now - self.kind.window) {
+                while self
+                    .counted
+                    .front()
+                    .is_some_and(|at| *at <= now - self.kind.window)
+                {
                     self.counted.pop_front();
                 }
                 let most = (rate * self.kind.window / 1e3).max(1.0) as usize;
@@ -184,7 +197,10 @@
                     self.tokens.0 -= 1.0;
                     return None;
                 }
-                Some(within(&mut draw(self.seed, Stream::Call, call.no, 2), self.kind.wait))
+                Some(within(
+                    &mut draw(self.seed, Stream::Call, call.no, 2),
+                    self.kind.wait,
+                ))
             }
         }
     }
@@ -223,7 +239,9 @@
         if weather.hung {
             return Taken::Queued;
         }
-        let Some(e) = self.endpoints.get_mut(&endpoint) else { return refused(None) };
+        let Some(e) = self.endpoints.get_mut(&endpoint) else {
+            return refused(None);
+        };
         if e.running.len() < cores {
             self.start(endpoint, call, weather, now);
             return Taken::Runs;
@@ -236,10 +254,19 @@
     }
 
     fn start(&mut self, endpoint: u32, call: Call, weather: &Weather, now: Millis) {
-        let mut noise = draw(self.seed, Stream::Call, call.origin, 100 + u64::from(call.attempt));
+        let mut noise = draw(
+            self.seed,
+            Stream::Call,
+            call.origin,
+            100 + u64::from(call.attempt),
+        );
         // A message has its work; each call of it takes that with a noise of its own.
-        let own = spread(&mut draw(self.seed, Stream::Work, call.origin, 0), call.work.1);
-        let mut took = call.work.0 * own * spread(&mut noise, 0.3) * self.drawn.speed * weather.slow;
+        let own = spread(
+            &mut draw(self.seed, Stream::Work, call.origin, 0),
+            call.work.1,
+        );
+        let mut took =
+            call.work.0 * own * spread(&mut noise, 0.3) * self.drawn.speed * weather.slow;
         if happens(&mut noise, weather.tail.0) {
             took *= weather.tail.1;
         }
@@ -253,7 +280,11 @@
     /// When the next call is done.
     pub fn due(&self) -> Option<Millis> {
         let first = |e: &Endpoint| e.running.first_key_value().map(|((at, _), _)| *at);
-        self.endpoints.values().filter_map(first).min().map(f64::from_bits)
+        self.endpoints
+            .values()
+            .filter_map(first)
+            .min()
+            .map(f64::from_bits)
     }
 
     /// Finishes what is done by an instant, and starts what waited. Returns the answers, and the calls that run now.
@@ -262,11 +293,16 @@
         let names: Vec<u32> = self.endpoints.keys().copied().collect();
         for name in names {
             while let Some(e) = self.endpoints.get_mut(&name) {
-                let Some((&(at, no), _)) = e.running.first_key_value().filter(|((at, _), _)| *at <= key(now))
+                let Some((&(at, no), _)) = e
+                    .running
+                    .first_key_value()
+                    .filter(|((at, _), _)| *at <= key(now))
                 else {
                     break;
                 };
-                let Some(call) = e.running.remove(&(at, no)) else { break };
+                let Some(call) = e.running.remove(&(at, no)) else {
+                    break;
+                };
                 if let Some(until) = weather.still.filter(|until| *until > now) {
                     e.running.insert((key(until), no), call);
                     continue;
@@ -286,7 +322,8 @@
                 }
             }
         }
-        self.endpoints.retain(|_, e| !e.draining || !e.running.is_empty() || !e.queue.is_empty());
+        self.endpoints
+            .retain(|_, e| !e.draining || !e.running.is_empty() || !e.queue.is_empty());
         (answers, begun)
     }
 }
--- a/crates/lab/src/model/site.rs
+++ b/crates/lab/src/model/site.rs
@@ -70,13 +70,20 @@
             .iter()
             .enumerate()
             .map(|(at, kind)| {
-                (at, draw(seed, Stream::World, 1, at as u64).random::<f64>() - 0.3 * world.kinds[*kind].lean)
+                (
+                    at,
+                    draw(seed, Stream::World, 1, at as u64).random::<f64>()
+                        - 0.3 * world.kinds[*kind].lean,
+                )
             })
             .collect();
         order.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
         let ranks: Vec<usize> = {
             let mut ranks = vec![0; kinds.len()];
-            order.iter().enumerate().for_each(|(rank, (at, _))| ranks[*at] = rank);
+            order
+                .iter()
+                .enumerate()
+                .for_each(|(rank, (at, _))| ranks[*at] = rank);
             ranks
         };
         for rank in &ranks {
@@ -88,30 +95,53 @@
             let mut rng = draw(seed, Stream::World, 2, at as u64);
             let part = parts[at] / all;
             let full = part * world.full_rate;
-            let (headroom, least) = (within(&mut rng, kind.headroom), within(&mut rng, kind.least_rate));
+            let (headroom, least) = (
+                within(&mut rng, kind.headroom),
+                within(&mut rng, kind.least_rate),
+            );
             let limit = (headroom * full).max(least);
             let speed = within(&mut rng, kind.speed);
             // Busier partners have more endpoints: the upper half by rank gets those over the mean.
-            let more = 2.0 * (world.endpoints - 1.0) * (1.0 - ranks[at] as f64 / parts.len() as f64);
-            let endpoints = (1.0 + more + rng.random::<f64>() - 0.5).round().clamp(1.0, 4.0) as u32;
+            let more =
+                2.0 * (world.endpoints - 1.0) * (1.0 - ranks[at] as f64 / parts.len() as f64);
+            let endpoints = (1.0 + more + rng.random::<f64>() - 0.5)
+                .round()
+                .clamp(1.0, 4.0) as u32;
             let spare = 1.2 + 0.3 * rng.random::<f64>();
             let busy = limit * work * speed / 1e3 * spare;
             let cores = (busy / f64::from(endpoints)).ceil().max(1.0) as u32;
             let queue = (within(&mut rng, kind.queue) * f64::from(cores)).round() as u32;
             let rough = 2f64.powf(1.17 * (rng.random::<f64>() - 0.5));
             let told = (kind.limit != Limit::None).then_some(limit);
-            let mut drawn =
-                Drawn { kind: kinds[at], part, full, limit: told, speed, endpoints, cores, queue, hint: 0.0 };
+            let mut drawn = Drawn {
+                kind: kinds[at],
+                part,
+                full,
+                limit: told,
+                speed,
+                endpoints,
+                cores,
+                queue,
+                hint: 0.0,
+            };
             drawn.hint = drawn.capacity(work) * rough;
             drawn
         };
-        Site { partners: (0..kinds.len()).map(partner).collect(), work }
+        Site {
+            partners: (0..kinds.len()).map(partner).collect(),
+            work,
+        }
     }
 
     /// The partners' numbers, the one with the most traffic first.
     pub fn by_traffic(&self) -> Vec<usize> {
         let mut ranked: Vec<usize> = (0..self.partners.len()).collect();
-        ranked.sort_by(|a, b| self.partners[*b].part.total_cmp(&self.partners[*a].part).then(a.cmp(b)));
+        ranked.sort_by(|a, b| {
+            self.partners[*b]
+                .part
+                .total_cmp(&self.partners[*a].part)
+                .then(a.cmp(b))
+        });
         ranked
     }
 }
--- a/crates/lab/src/model/weather.rs
+++ b/crates/lab/src/model/weather.rs
@@ -43,7 +43,9 @@
         let ranked = site.by_traffic();
         let of = |f: &Failure| {
             let mut hit = vec![f.partners.is_empty() && f.traffic.is_none(); site.partners.len()];
-            f.partners.iter().for_each(|rank| hit[ranked[*rank as usize]] = true);
+            f.partners
+                .iter()
+                .for_each(|rank| hit[ranked[*rank as usize]] = true);
             if let Some(traffic) = f.traffic {
                 let mut sum = 0.0;
                 for (place, at) in ranked.iter().enumerate() {
@@ -56,11 +58,19 @@
             }
             hit
         };
-        Forecast { failures: experiment.failures.iter().map(|f| (f.clone(), of(f))).collect() }
+        Forecast {
+            failures: experiment
+                .failures
+                .iter()
+                .map(|f| (f.clone(), of(f)))
+                .collect(),
+        }
     }
 
     fn active(&self, now: Millis) -> impl Iterator<Item = &(Failure, Vec<bool>)> {
-        self.failures.iter().filter(move |(f, _)| now >= f.start && now < f.end)
+        self.failures
+            .iter()
+            .filter(move |(f, _)| now >= f.start && now < f.end)
     }
 
     /// The weather of a partner at an instant.
@@ -109,12 +119,18 @@
 
     /// How many times the usual load comes at an instant.
     pub fn load(&self, now: Millis) -> f64 {
-        self.active(now).filter(|(f, _)| f.what == What::Burst).map(|(f, _)| f.size).product()
+        self.active(now)
+            .filter(|(f, _)| f.what == What::Burst)
+            .map(|(f, _)| f.size)
+            .product()
     }
 
     /// How many times as late the list is; none while it says nothing, which is until the instant that is told.
     pub fn list(&self, now: Millis) -> Result<f64, Millis> {
-        let down = self.active(now).filter(|(f, _)| f.what == What::DiscoveryDown).map(|(f, _)| f.end);
+        let down = self
+            .active(now)
+            .filter(|(f, _)| f.what == What::DiscoveryDown)
+            .map(|(f, _)| f.end);
         match down.fold(None, |a: Option<f64>, b| Some(a.map_or(b, |a| a.max(b)))) {
             Some(end) => Err(end),
             None => Ok(self
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -81,19 +81,32 @@
     }
     let mean = values.iter().sum::<f64>() / count;
     let square = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>();
-    (mean, if values.len() > 1 { (square / (count - 1.0)).sqrt() } else { 0.0 })
+    (
+        mean,
+        if values.len() > 1 {
+            (square / (count - 1.0)).sqrt()
+        } else {
+            0.0
+        },
+    )
 }
 
 /// The differences of a figure between two variants, seed by seed where both have played it.
 pub fn paired(base: &Variant, other: &Variant, figure: fn(&Figures) -> f64) -> Vec<f64> {
     let of = |seed| base.runs.iter().find(|r: &&Run| r.seed == seed);
-    other.runs.iter().filter_map(|r| of(r.seed).map(|b| figure(&r.figures) - figure(&b.figures))).collect()
+    other
+        .runs
+        .iter()
+        .filter_map(|r| of(r.seed).map(|b| figure(&r.figures) - figure(&b.figures)))
+        .collect()
 }
 
 impl Outcome {
     /// Whether every rule was kept in every run.
     pub fn clean(&self) -> bool {
-        self.variants.iter().all(|v| v.runs.iter().all(|r| r.verdict.clean()))
+        self.variants
+            .iter()
+            .all(|v| v.runs.iter().all(|r| r.verdict.clean()))
     }
 
     /// Writes `result.json` into a folder.
@@ -103,10 +116,12 @@
     pub fn write(&self, folder: &Path) -> Result<(), String> {
         std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let file = folder.join("result.json");
-        let text = serde_json::to_string_pretty(self).map_err(|e| format!("{}: {e}", file.display()))?;
+        let text =
+            serde_json::to_string_pretty(self).map_err(|e| format!("{}: {e}", file.display()))?;
         // Whole or not at all, whatever ends us.
         let fresh = folder.join("result.json.new");
-        let done = std::fs::write(&fresh, text + "\n").and_then(|()| std::fs::rename(&fresh, &file));
+        let done =
+            std::fs::write(&fresh, text + "\n").and_then(|()| std::fs::rename(&fresh, &file));
         done.map_err(|e| format!("{}: {e}", file.display()))
     }
 
@@ -116,17 +131,28 @@
     /// Where it is not there, or is none; the text names the file.
     pub fn open(folder: &Path) -> Result<Outcome, String> {
         let file = folder.join("result.json");
-        let text = std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+        let text =
+            std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
         serde_json::from_str(&text).map_err(|e| format!("{}: {e}", file.display()))
     }
 
     /// A table in plain text: each variant, and its difference from the first with the spread over the seeds.
     pub fn table(&self) -> String {
         let mut text = format!("{} ({})\n", self.experiment, self.form);
-        let Some(base) = self.variants.first() else { return text };
+        let Some(base) = self.variants.first() else {
+            return text;
+        };
         for variant in &self.variants {
-            let broken: u64 = variant.runs.iter().flat_map(|r| r.verdict.counts.values()).sum();
-            text += &format!("\n{} ({} seeds, {broken} breaches)\n", variant.name, variant.runs.len());
+            let broken: u64 = variant
+                .runs
+                .iter()
+                .flat_map(|r| r.verdict.counts.values())
+                .sum();
+            text += &format!(
+                "\n{} ({} seeds, {broken} breaches)\n",
+                variant.name,
+                variant.runs.len()
+            );
             for (name, figure) in FIGURES {
                 let own: Vec<f64> = variant.runs.iter().map(|r| figure(&r.figures)).collect();
                 let (mean, dev) = spread(&own);
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -49,9 +49,11 @@
     let listener = TcpListener::bind(listen).map_err(|e| failed(&e))?;
     listener.set_nonblocking(true).map_err(|e| failed(&e))?;
     let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| failed(&e))?;
-    let told = events.handle().insert_source(signals, |event, _, ready: &mut Ready<usize>| {
-        ready.signals.push(event.signal());
-    });
+    let told = events
+        .handle()
+        .insert_source(signals, |event, _, ready: &mut Ready<usize>| {
+            ready.signals.push(event.signal());
+        });
     told.map_err(|e| failed(&e))?;
     let mut relay = Relay {
         handle: events.handle(),
@@ -72,7 +74,9 @@
         let keys = std::mem::take(&mut ready.keys);
         keys.into_iter().for_each(|at| relay.ready(at));
         relay.pass_on();
-        events.dispatch(Duration::from_millis(100), &mut ready).map_err(|e| failed(&e))?;
+        events
+            .dispatch(Duration::from_millis(100), &mut ready)
+            .map_err(|e| failed(&e))?;
     }
     Ok(())
 }
@@ -104,7 +108,8 @@
                              Content-Length: {}\r\n\r\n",
                             request.body.len()
                         );
-                        self.waiting.push_back([head.as_bytes(), &request.body].concat());
+                        self.waiting
+                            .push_back([head.as_bytes(), &request.body].concat());
                         link.queue(&http::reply(202, "", false));
                     }
                     link.flush();
@@ -141,7 +146,9 @@
                     let to = self.regions[self.next % self.regions.len()];
                     self.next += 1;
                     let at = self.peers.vacant_key();
-                    let Ok(link) = Link::connect(to, &self.handle, &self.pool, at) else { return };
+                    let Ok(link) = Link::connect(to, &self.handle, &self.pool, at) else {
+                        return;
+                    };
                     self.connections += 1;
                     self.peers.insert(Peer::Region { link, busy: false })
                 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -22,38 +22,72 @@
 
 /// Text as it may stand in a page.
 pub fn escaped(text: &str) -> String {
-    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
+    text.replace('&', "&amp;")
+        .replace('<', "&lt;")
+        .replace('>', "&gt;")
+        .replace('"', "&quot;")
 }
 
 /// A plot of lines over an x axis, with what went wrong shaded. Empty where nothing can be drawn.
 pub fn plot(title: &str, x: &str, lines: &[(String, Line)], shades: &[Shade], log: bool) -> String {
     let mut svg = String::new();
-    let points =
-        || lines.iter().flat_map(|(_, l)| l.iter().copied()).filter(|(a, b)| a.is_finite() && b.is_finite());
+    let points = || {
+        lines
+            .iter()
+            .flat_map(|(_, l)| l.iter().copied())
+            .filter(|(a, b)| a.is_finite() && b.is_finite())
+    };
     let most_x = points().map(|p| p.0).fold(0.0, f64::max);
     let most_y = points().map(|p| p.1).fold(0.0, f64::max) * 1.05;
     if most_x <= 0.0 || most_y <= 0.0 {
         return svg;
     }
-    let least_x = if log { points().map(|p| p.0).fold(f64::INFINITY, f64::min).max(1.0) } else { 0.0 };
-    let least_y = if log { points().map(|p| p.1).fold(f64::INFINITY, f64::min).max(1e-3) * 0.8 } else { 0.0 };
+    let least_x = if log {
+        points().map(|p| p.0).fold(f64::INFINITY, f64::min).max(1.0)
+    } else {
+        0.0
+    };
+    let least_y = if log {
+        points()
+            .map(|p| p.1)
+            .fold(f64::INFINITY, f64::min)
+            .max(1e-3)
+            * 0.8
+    } else {
+        0.0
+    };
     let drawn = (|| -> Result<(), Box<dyn std::error::Error>> {
         let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         let mut builder = ChartBuilder::on(&root);
-        builder.caption(title, ("sans-serif", 15)).margin(6).x_label_area_size(32).y_label_area_size(56);
+        builder
+            .caption(title, ("sans-serif", 15))
+            .margin(6)
+            .x_label_area_size(32)
+            .y_label_area_size(56);
         macro_rules! draw {
             ($chart:expr) => {{
                 let mut chart = $chart;
-                chart.configure_mesh().x_desc(x).light_line_style(WHITE.mix(0.0)).draw()?;
+                chart
+                    .configure_mesh()
+                    .x_desc(x)
+                    .light_line_style(WHITE.mix(0.0))
+                    .draw()?;
                 for shade in shades {
                     let corners = [(shade.start_s, least_y), (shade.end_s.min(most_x), most_y)];
-                    chart.draw_series(std::iter::once(Rectangle::new(corners, BLACK.mix(0.08).filled())))?;
+                    chart.draw_series(std::iter::once(Rectangle::new(
+                        corners,
+                        BLACK.mix(0.08).filled(),
+                    )))?;
                 }
                 for (i, (name, line)) in lines.iter().enumerate() {
                     let colour = COLOURS[i % COLOURS.len()];
-                    let series =
-                        chart.draw_series(LineSeries::new(line.iter().copied(), colour.stroke_width(2)))?;
-                    series.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
+                    let series = chart.draw_series(LineSeries::new(
+                        line.iter().copied(),
+                        colour.stroke_width(2),
+                    ))?;
+                    series
+                        .label(name)
+                        .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour));
                 }
                 chart
                     .configure_series_labels()
@@ -63,7 +97,10 @@
             }};
         }
         if log {
-            draw!(builder.build_cartesian_2d((least_x..most_x).log_scale(), (least_y..most_y).log_scale())?);
+            draw!(builder.build_cartesian_2d(
+                (least_x..most_x).log_scale(),
+                (least_y..most_y).log_scale()
+            )?);
         } else {
             draw!(builder.build_cartesian_2d(least_x..most_x, least_y..most_y)?);
         }
@@ -75,9 +112,19 @@
 
 /// One figure of each second, the mean over the seeds.
 fn over_time(variant: &Variant, of: fn(&Second) -> f64) -> Line {
-    let longest = variant.runs.iter().map(|r| r.figures.seconds.len()).max().unwrap_or(0);
+    let longest = variant
+        .runs
+        .iter()
+        .map(|r| r.figures.seconds.len())
+        .max()
+        .unwrap_or(0);
     let mean = |s: usize| {
-        let all: Vec<f64> = variant.runs.iter().filter_map(|r| r.figures.seconds.get(s)).map(of).collect();
+        let all: Vec<f64> = variant
+            .runs
+            .iter()
+            .filter_map(|r| r.figures.seconds.get(s))
+            .map(of)
+            .collect();
         (s as f64 + 0.5, spread(&all).0)
     };
     (0..longest).map(mean).collect()
@@ -85,9 +132,15 @@
 
 /// The share that was served of what was asked for in each second, smoothed over three.
 fn served(variant: &Variant) -> Line {
-    let (asked, got) = (over_time(variant, |s| s.asked), over_time(variant, |s| s.got));
+    let (asked, got) = (
+        over_time(variant, |s| s.asked),
+        over_time(variant, |s| s.got),
+    );
     let sum = |line: &Line, at: usize| {
-        line[at.saturating_sub(1)..(at + 2).min(line.len())].iter().map(|p| p.1).sum::<f64>()
+        line[at.saturating_sub(1)..(at + 2).min(line.len())]
+            .iter()
+            .map(|p| p.1)
+            .sum::<f64>()
     };
     (0..asked.len())
         .filter(|at| sum(&asked, *at) > 0.0)
@@ -99,10 +152,19 @@
     let mut text = String::new();
     for run in runs {
         for breach in run.verdict.breaches.iter().take(20) {
-            let _ = writeln!(text, "<li>seed {}: {}</li>", run.seed, escaped(&breach.to_string()));
+            let _ = writeln!(
+                text,
+                "<li>seed {}: {}</li>",
+                run.seed,
+                escaped(&breach.to_string())
+            );
         }
     }
-    if text.is_empty() { "<p>Every rule was kept.</p>".into() } else { format!("<ul class=bad>{text}</ul>") }
+    if text.is_empty() {
+        "<p>Every rule was kept.</p>".into()
+    } else {
+        format!("<ul class=bad>{text}</ul>")
+    }
 }
 
 /// The page. `machine` holds what is the machine's and not the seed's, as ready parts of the page.
@@ -114,9 +176,17 @@
          .bad{{color:#a00}}</style><h1>{0}</h1><p>{1}</p><p>{2}, {3:.0} s{4}.</p>",
         escaped(&outcome.experiment),
         escaped(&outcome.about),
-        if outcome.form == "sim" { "In simulated time" } else { "On sockets" },
+        if outcome.form == "sim" {
+            "In simulated time"
+        } else {
+            "On sockets"
+        },
         outcome.length_s,
-        if outcome.cut_short { ", <b>cut short: not every run was played</b>" } else { "" },
+        if outcome.cut_short {
+            ", <b>cut short: not every run was played</b>"
+        } else {
+            ""
+        },
     );
     html += "<h2>Compared</h2><table><tr><th>";
     let base = outcome.variants.first();
@@ -138,7 +208,11 @@
     }
     html += "</table><p>Means over the seeds, with their standard deviation; differences are taken seed by seed.</p>";
     let lines = |of: &dyn Fn(&Variant) -> Line| -> Vec<(String, Line)> {
-        outcome.variants.iter().map(|v| (v.name.clone(), of(v))).collect()
+        outcome
+            .variants
+            .iter()
+            .map(|v| (v.name.clone(), of(v)))
+            .collect()
     };
     let mut add = |title: &str, of: &dyn Fn(&Variant) -> Line| {
         html += &plot(title, "seconds", &lines(of), &outcome.shades, false);
@@ -150,15 +224,34 @@
     add("Messages held", &|v| over_time(v, |s| s.held as f64));
     let quantiles = |v: &Variant| -> Line {
         let at = |q: f64, of: fn(&crate::tally::Figures) -> f64| {
-            (q, spread(&v.runs.iter().map(|r| of(&r.figures)).collect::<Vec<_>>()).0)
+            (
+                q,
+                spread(&v.runs.iter().map(|r| of(&r.figures)).collect::<Vec<_>>()).0,
+            )
         };
-        vec![at(50.0, |f| f.p50), at(90.0, |f| f.p90), at(99.0, |f| f.p99)]
+        vec![
+            at(50.0, |f| f.p50),
+            at(90.0, |f| f.p90),
+            at(99.0, |f| f.p99),
+        ]
     };
-    html += &plot("Latency from the intended arrival, ms", "percentile", &lines(&quantiles), &[], false);
+    html += &plot(
+        "Latency from the intended arrival, ms",
+        "percentile",
+        &lines(&quantiles),
+        &[],
+        false,
+    );
     if !outcome.shades.is_empty() {
         html += "<h2>What went wrong</h2><ul>";
         for s in &outcome.shades {
-            let _ = write!(html, "<li>{}: {:.1} to {:.1} s</li>", escaped(&s.what), s.start_s, s.end_s);
+            let _ = write!(
+                html,
+                "<li>{}: {:.1} to {:.1} s</li>",
+                escaped(&s.what),
+                s.start_s,
+                s.end_s
+            );
         }
         html += "</ul>";
     }
--- a/crates/lab/src/roof.rs
+++ b/crates/lab/src/roof.rs
@@ -59,14 +59,26 @@
 
 impl Floor {
     fn new() -> Result<Floor, String> {
-        let (served, stop) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicBool::new(false)));
-        let listeners =
-            (0..ENDPOINTS).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<Vec<_>, _>>();
+        let (served, stop) = (
+            Arc::new(AtomicU64::new(0)),
+            Arc::new(AtomicBool::new(false)),
+        );
+        let listeners = (0..ENDPOINTS)
+            .map(|_| TcpListener::bind("127.0.0.1:0"))
+            .collect::<Result<Vec<_>, _>>();
         let listeners = listeners.map_err(|e| format!("no port for an endpoint: {e}"))?;
-        let addresses = listeners.iter().filter_map(|l| l.local_addr().ok()).collect();
+        let addresses = listeners
+            .iter()
+            .filter_map(|l| l.local_addr().ok())
+            .collect();
         let (count, end) = (served.clone(), stop.clone());
         let thread = std::thread::spawn(move || serve(listeners, &count, &end));
-        Ok(Floor { addresses, served, stop, thread: Some(thread) })
+        Ok(Floor {
+            addresses,
+            served,
+            stop,
+            thread: Some(thread),
+        })
     }
 }
 
@@ -80,7 +92,9 @@
 }
 
 fn serve(listeners: Vec<TcpListener>, served: &AtomicU64, stop: &AtomicBool) {
-    let Ok(mut events) = EventLoop::<Ready<usize>>::try_new() else { return };
+    let Ok(mut events) = EventLoop::<Ready<usize>>::try_new() else {
+        return;
+    };
     let (handle, pool) = (events.handle(), Pool::new(4_096));
     let listeners: Vec<Rc<TcpListener>> = listeners.into_iter().map(Rc::new).collect();
     let mut links: Slab<Link> = Slab::new();
@@ -102,7 +116,9 @@
                 }
                 continue;
             }
-            let Some(link) = links.get_mut(at) else { continue };
+            let Some(link) = links.get_mut(at) else {
+                continue;
+            };
             link.fill();
             while let Parsed::Whole(request) = http::request(link.bytes()) {
                 link.used(request.used);
@@ -119,13 +135,20 @@
 }
 
 /// Hands messages in as fast as they are delivered, for a time; how many were delivered a second.
-fn load(to: SocketAddr, floor: &Floor, window: u64, span: Duration, ids: &mut u64) -> Result<f64, String> {
-    let mut events = EventLoop::<Ready<usize>>::try_new().map_err(|e| format!("no event loop: {e}"))?;
+fn load(
+    to: SocketAddr,
+    floor: &Floor,
+    window: u64,
+    span: Duration,
+    ids: &mut u64,
+) -> Result<f64, String> {
+    let mut events =
+        EventLoop::<Ready<usize>>::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let (handle, pool) = (events.handle(), Pool::new(CLIENTS * 4));
     let mut links: Vec<(Link, bool)> = Vec::new();
     for at in 0..CLIENTS {
-        let link =
-            Link::connect(to, &handle, &pool, at).map_err(|e| format!("no connection to {to}: {e}"))?;
+        let link = Link::connect(to, &handle, &pool, at)
+            .map_err(|e| format!("no connection to {to}: {e}"))?;
         links.push((link, false));
     }
     let body = "x".repeat(BODY);
@@ -165,14 +188,28 @@
 
 /// One turn: what was delivered, and the processor time that the program took for it.
 fn turn(
-    process: u32, to: SocketAddr, floor: &Floor, window: u64, span: Duration, ids: &mut u64,
+    process: u32,
+    to: SocketAddr,
+    floor: &Floor,
+    window: u64,
+    span: Duration,
+    ids: &mut u64,
 ) -> Result<Turn, String> {
     let lost = || "the program under test has ended".to_string();
-    let before = (used(process).ok_or_else(lost)?, floor.served.load(Ordering::Relaxed));
+    let before = (
+        used(process).ok_or_else(lost)?,
+        floor.served.load(Ordering::Relaxed),
+    );
     let rate = load(to, floor, window, span, ids)?;
-    let after = (used(process).ok_or_else(lost)?, floor.served.load(Ordering::Relaxed));
+    let after = (
+        used(process).ok_or_else(lost)?,
+        floor.served.load(Ordering::Relaxed),
+    );
     let count = (after.1 - before.1).max(1) as f64;
-    Ok(Turn { rate, cost_us: (after.0.cpu_ms - before.0.cpu_ms) * 1e3 / count })
+    Ok(Turn {
+        rate,
+        cost_us: (after.0.cpu_ms - before.0.cpu_ms) * 1e3 / count,
+    })
 }
 
 /// A relay as a child, ended with its owner.
@@ -189,7 +226,9 @@
 fn pin(process: u32) -> Result<(), String> {
     let cores = std::thread::available_parallelism().map_or(1, |n| n.get());
     let mut set = CpuSet::new();
-    let set_to = set.set(cores - 1).and_then(|()| sched_setaffinity(Pid::from_raw(process as i32), &set));
+    let set_to = set
+        .set(cores - 1)
+        .and_then(|()| sched_setaffinity(Pid::from_raw(process as i32), &set));
     set_to.map_err(|e| format!("process {process} cannot be put on one core: {e}"))
 }
 
@@ -208,8 +247,11 @@
     );
     let x = Experiment::read("roof", "roof", &text).map_err(|e| e.to_string())?;
     let site = Site::new(&x.world, 1);
-    let mut set =
-        platform_settings(&sim::settings(&x, &x.variants[0], &site), &["load".into()], &["k".into()]);
+    let mut set = platform_settings(
+        &sim::settings(&x, &x.variants[0], &site),
+        &["load".into()],
+        &["k".into()],
+    );
     set["WeightKind"] = json!("off");
     let target = |(i, a): (usize, &SocketAddr)| {
         json!({"uid": format!("s-{i}"), "endpoint": a.to_string(), "az": "a", "model": "k", "pod_group": 0,
@@ -229,12 +271,24 @@
         }
         std::thread::sleep(Duration::from_millis(5));
     }
-    let free =
-        TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| format!("no port: {e}"))?;
+    let free = TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .map_err(|e| format!("no port: {e}"))?;
     let mut command = Command::new(std::env::current_exe().map_err(|e| e.to_string())?);
-    command.args(["relay", "--listen", &free.to_string(), "--calls", &SLOTS.to_string()]);
+    command.args([
+        "relay",
+        "--listen",
+        &free.to_string(),
+        "--calls",
+        &SLOTS.to_string(),
+    ]);
     command.args(floor.addresses.iter().map(SocketAddr::to_string));
-    let relay = Relay(command.stdin(Stdio::null()).spawn().map_err(|e| format!("relay: {e}"))?);
+    let relay = Relay(
+        command
+            .stdin(Stdio::null())
+            .spawn()
+            .map_err(|e| format!("relay: {e}"))?,
+    );
     let start = Instant::now();
     while std::net::TcpStream::connect(free).is_err() {
         if start.elapsed() > Duration::from_secs(5) {
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -19,15 +19,23 @@
 /// # Errors
 /// Where the module turns a variant's settings down.
 pub fn simulate(
-    experiment: &Experiment, stop: &Arc<AtomicBool>, quiet: bool,
+    experiment: &Experiment,
+    stop: &Arc<AtomicBool>,
+    quiet: bool,
 ) -> Result<(Outcome, Machine), String> {
-    let seeds: Vec<u64> = (0..u64::from(experiment.repeats)).map(|i| experiment.seed + i).collect();
-    let jobs: Vec<(usize, u64)> =
-        seeds.iter().flat_map(|s| (0..experiment.variants.len()).map(move |v| (v, *s))).collect();
+    let seeds: Vec<u64> = (0..u64::from(experiment.repeats))
+        .map(|i| experiment.seed + i)
+        .collect();
+    let jobs: Vec<(usize, u64)> = seeds
+        .iter()
+        .flat_map(|s| (0..experiment.variants.len()).map(move |v| (v, *s)))
+        .collect();
     let bar = progress(experiment, jobs.len() as u64, quiet);
     let next = AtomicUsize::new(0);
     let done = Mutex::new(Vec::new());
-    let threads = std::thread::available_parallelism().map_or(1, |n| n.get()).min(jobs.len());
+    let threads = std::thread::available_parallelism()
+        .map_or(1, |n| n.get())
+        .min(jobs.len());
     std::thread::scope(|scope| {
         for _ in 0..threads {
             scope.spawn(|| {
@@ -35,13 +43,20 @@
                     if stop.load(Ordering::Relaxed) {
                         return;
                     }
-                    let played =
-                        sim::play_until(experiment, &experiment.variants[*variant], *seed, None, stop);
+                    let played = sim::play_until(
+                        experiment,
+                        &experiment.variants[*variant],
+                        *seed,
+                        None,
+                        stop,
+                    );
                     // One that was stopped counts for nothing.
                     if played.is_err() && stop.load(Ordering::Relaxed) {
                         return;
                     }
-                    done.lock().unwrap_or_else(|e| e.into_inner()).push((*variant, *seed, played));
+                    done.lock()
+                        .unwrap_or_else(|e| e.into_inner())
+                        .push((*variant, *seed, played));
                     bar.inc(1);
                 }
             });
@@ -52,11 +67,18 @@
     done.sort_by_key(|(variant, seed, _)| (*variant, *seed));
     let cut_short = done.len() < jobs.len();
     let mut variants = unplayed(experiment);
-    let mut machine: Machine = variants.iter().map(|v| (v.name.clone(), Turns::default())).collect();
+    let mut machine: Machine = variants
+        .iter()
+        .map(|v| (v.name.clone(), Turns::default()))
+        .collect();
     for (variant, seed, played) in done {
         let played = played?;
         machine[variant].1.add_all(&played.turns);
-        variants[variant].runs.push(Run { seed, figures: played.figures, verdict: played.verdict });
+        variants[variant].runs.push(Run {
+            seed,
+            figures: played.figures,
+            verdict: played.verdict,
+        });
     }
     Ok((outcome(experiment, "sim", variants, cut_short), machine))
 }
@@ -70,9 +92,15 @@
 /// # Errors
 /// Where a sender does not start or ends by itself, or a port is taken.
 pub fn on_sockets(
-    experiment: &Experiment, stop: &Arc<AtomicBool>, quiet: bool,
+    experiment: &Experiment,
+    stop: &Arc<AtomicBool>,
+    quiet: bool,
 ) -> Result<(Outcome, Use), String> {
-    let bar = progress(experiment, u64::from(experiment.repeats) * experiment.variants.len() as u64, quiet);
+    let bar = progress(
+        experiment,
+        u64::from(experiment.repeats) * experiment.variants.len() as u64,
+        quiet,
+    );
     let mut variants = unplayed(experiment);
     let (mut used, mut cut_short) = (Vec::new(), false);
     // Variants take turns within a seed, so that a machine that grows slower does so for all.
@@ -80,7 +108,11 @@
         for (variant, told) in variants.iter_mut().zip(&experiment.variants) {
             match in_time(experiment, told, seed, stop) {
                 Ok(played) => {
-                    variant.runs.push(Run { seed, figures: played.figures, verdict: played.verdict });
+                    variant.runs.push(Run {
+                        seed,
+                        figures: played.figures,
+                        verdict: played.verdict,
+                    });
                     used.push((told.name.clone(), seed, played.used));
                 }
                 Err(_) if stop.load(Ordering::Relaxed) => {
@@ -98,7 +130,10 @@
 
 /// Plays a run, and again where the machine was too busy for the laboratory itself to keep its times.
 fn in_time(
-    experiment: &Experiment, variant: &experiment::Variant, seed: u64, stop: &AtomicBool,
+    experiment: &Experiment,
+    variant: &experiment::Variant,
+    seed: u64,
+    stop: &AtomicBool,
 ) -> Result<sockets::Played, String> {
     let mut late = 0.0;
     for _ in 0..3 {
@@ -115,12 +150,19 @@
 
 /// The variants of an experiment, with no run yet.
 fn unplayed(experiment: &Experiment) -> Vec<Variant> {
-    let name = |v: &experiment::Variant| Variant { name: v.name.clone(), runs: Vec::new() };
+    let name = |v: &experiment::Variant| Variant {
+        name: v.name.clone(),
+        runs: Vec::new(),
+    };
     experiment.variants.iter().map(name).collect()
 }
 
 fn progress(experiment: &Experiment, jobs: u64, quiet: bool) -> ProgressBar {
-    let bar = if quiet { ProgressBar::hidden() } else { ProgressBar::new(jobs) };
+    let bar = if quiet {
+        ProgressBar::hidden()
+    } else {
+        ProgressBar::new(jobs)
+    };
     if let Ok(style) = ProgressStyle::with_template("{msg} {wide_bar} {pos}/{len} {eta}") {
         bar.set_style(style);
     }
@@ -129,7 +171,12 @@
 }
 
 /// An outcome of an experiment, with its failures to be shaded.
-pub fn outcome(experiment: &Experiment, form: &str, variants: Vec<Variant>, cut_short: bool) -> Outcome {
+pub fn outcome(
+    experiment: &Experiment,
+    form: &str,
+    variants: Vec<Variant>,
+    cut_short: bool,
+) -> Outcome {
     let shade = |f: &experiment::Failure| Shade {
         what: f.what.as_str_name().to_lowercase().replace('_', " "),
         start_s: f.start / 1e3,
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -11,8 +11,8 @@
 use martenlatch_peers::known::{Bounds, Known, Telling};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event, FailBack,
-    KindId, MessageId, Outcome, Settings, Stage, Weights, ZoneId,
+    Action, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event,
+    FailBack, KindId, MessageId, Outcome, Settings, Stage, Weights, ZoneId,
 };
 
 use crate::clients::{Clients, Origin};
@@ -56,7 +56,10 @@
     }
 
     fn add(&mut self, held: usize, took: u64) {
-        let entry = self.by_held.entry(usize::BITS - held.leading_zeros()).or_default();
+        let entry = self
+            .by_held
+            .entry(usize::BITS - held.leading_zeros())
+            .or_default();
         *entry = (entry.0 + 1, entry.1 + took, entry.2.max(took));
     }
 }
@@ -244,7 +247,10 @@
                 late_worth: c.late_worth,
                 effect: match c.effect {
                     Effect::Safe => PolicyEffect::Safe,
-                    Effect::Keyed => PolicyEffect::Keyed { by_zone: false, memory: ms(c.window) },
+                    Effect::Keyed => PolicyEffect::Keyed {
+                        by_zone: false,
+                        memory: ms(c.window),
+                    },
                     Effect::Unsafe => PolicyEffect::Unsafe,
                 },
                 ordered: false,
@@ -252,8 +258,12 @@
             .collect(),
         decay: Decay::Halving,
         weights: Weights::Rough,
-        slots: variant.slots.unwrap_or(((2.2 * busy).round() as usize).max(3)),
-        hold_limit: variant.hold_limit.unwrap_or(((9.0 * each).round() as usize).max(8)),
+        slots: variant
+            .slots
+            .unwrap_or(((2.2 * busy).round() as usize).max(3)),
+        hold_limit: variant
+            .hold_limit
+            .unwrap_or(((9.0 * each).round() as usize).max(8)),
         max_attempts: variant.max_attempts,
         cancel: variant.cancel,
         second_copies: variant.second_copies,
@@ -278,7 +288,10 @@
 /// # Errors
 /// Where the module turns the settings down.
 pub fn play<'a>(
-    experiment: &'a Experiment, variant: &'a Variant, seed: u64, sink: Option<Sink<'a>>,
+    experiment: &'a Experiment,
+    variant: &'a Variant,
+    seed: u64,
+    sink: Option<Sink<'a>>,
 ) -> Result<Played, String> {
     play_until(experiment, variant, seed, sink, &AtomicBool::new(false))
 }
@@ -288,10 +301,19 @@
 /// # Errors
 /// Where the module turns the settings down, or the run was stopped.
 pub fn play_until<'a>(
-    experiment: &'a Experiment, variant: &'a Variant, seed: u64, sink: Option<Sink<'a>>, stop: &AtomicBool,
+    experiment: &'a Experiment,
+    variant: &'a Variant,
+    seed: u64,
+    sink: Option<Sink<'a>>,
+    stop: &AtomicBool,
 ) -> Result<Played, String> {
     let mut sim = Sim::new(experiment, variant, seed, sink)?;
-    let longest = experiment.world.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let longest = experiment
+        .world
+        .classes
+        .iter()
+        .map(|c| c.deadline)
+        .fold(0.0, f64::max);
     let end = experiment.length + longest + 6_000.0;
     sim.start();
     while let Some(Reverse(next)) = sim.queue.pop() {
@@ -304,16 +326,34 @@
         sim.now = next.at.max(sim.now);
         sim.take(next.ev);
     }
-    Ok(Played { figures: sim.tally.end(), verdict: sim.judge.end(end), turns: sim.turns })
+    Ok(Played {
+        figures: sim.tally.end(),
+        verdict: sim.judge.end(end),
+        turns: sim.turns,
+    })
 }
 
 impl<'a> Sim<'a> {
-    fn new(x: &'a Experiment, v: &'a Variant, seed: u64, sink: Option<Sink<'a>>) -> Result<Sim<'a>, String> {
+    fn new(
+        x: &'a Experiment,
+        v: &'a Variant,
+        seed: u64,
+        sink: Option<Sink<'a>>,
+    ) -> Result<Sim<'a>, String> {
         let ground = Ground::new(x, seed);
         let settings = settings(x, v, &ground.site);
-        settings.check().map_err(|e| format!("variant {:?}: {e}", v.name))?;
-        let rules =
-            x.world.classes.iter().map(|c| ClassRule { effect: c.effect, window: c.window }).collect();
+        settings
+            .check()
+            .map_err(|e| format!("variant {:?}: {e}", v.name))?;
+        let rules = x
+            .world
+            .classes
+            .iter()
+            .map(|c| ClassRule {
+                effect: c.effect,
+                window: c.window,
+            })
+            .collect();
         Ok(Sim {
             connections: vec![0; ground.owner.len()],
             senders: (0..x.world.senders).map(|_| Sender::default()).collect(),
@@ -340,7 +380,11 @@
 
     fn at(&mut self, at: Millis, ev: Ev) {
         self.seq += 1;
-        self.queue.push(Reverse(Timed { at, seq: self.seq, ev }));
+        self.queue.push(Reverse(Timed {
+            at,
+            seq: self.seq,
+            ev,
+        }));
     }
 
     fn fact(&mut self, what: What) {
@@ -354,7 +398,10 @@
 
     /// One way between two machines.
     fn travel(&self, a: u64, b: u64) -> Millis {
-        within(&mut draw(self.seed, Stream::Travel, a, b), self.x.world.latency)
+        within(
+            &mut draw(self.seed, Stream::Travel, a, b),
+            self.x.world.latency,
+        )
     }
 
     fn start(&mut self) {
@@ -376,7 +423,10 @@
         }
         for (i, f) in self.x.failures.iter().enumerate() {
             let first = if f.what == Fails::Replace {
-                Ev::Replace { failure: i, turn: 0 }
+                Ev::Replace {
+                    failure: i,
+                    turn: 0,
+                }
             } else {
                 Ev::Fails { failure: i }
             };
@@ -402,14 +452,26 @@
     /// What up to three others that run can tell a newcomer now, in the form in which it crosses the network.
     fn ask(&self, newcomer: u32) -> Known {
         let (mut known, bounds) = (Known::default(), Bounds::default());
-        let others = self.senders.iter().enumerate().filter(|(no, _)| *no as u32 != newcomer);
-        for (no, policy) in others.filter_map(|(no, s)| Some((no, s.policy.as_ref()?))).take(3) {
+        let others = self
+            .senders
+            .iter()
+            .enumerate()
+            .filter(|(no, _)| *no as u32 != newcomer);
+        for (no, policy) in others
+            .filter_map(|(no, s)| Some((no, s.policy.as_ref()?)))
+            .take(3)
+        {
             let mut after = None;
             loop {
                 let (sights, next) = policy.sights(nanos(ORIGIN + self.now), after, 32);
                 for sight in &sights {
                     let name = sight.endpoint.map(|e| e.0.to_string());
-                    known.hear(&no.to_string(), &Telling::of(sight, name), self.now, &bounds);
+                    known.hear(
+                        &no.to_string(),
+                        &Telling::of(sight, name),
+                        self.now,
+                        &bounds,
+                    );
                 }
                 if next.is_none() {
                     break;
@@ -422,12 +484,25 @@
 
     /// A sender's process starts, with what its folder and its agent hold.
     fn begin(&mut self, sender: u32) {
-        let seed = self.seed ^ (u64::from(sender) << 32) ^ u64::from(self.senders[sender as usize].life);
-        let Ok(policy) = Policy::new(self.settings.clone(), seed) else { return };
-        let listed: Vec<Entry> = self.senders[sender as usize].known.values().cloned().collect();
+        let seed =
+            self.seed ^ (u64::from(sender) << 32) ^ u64::from(self.senders[sender as usize].life);
+        let Ok(policy) = Policy::new(self.settings.clone(), seed) else {
+            return;
+        };
+        let listed: Vec<Entry> = self.senders[sender as usize]
+            .known
+            .values()
+            .cloned()
+            .collect();
         for e in &listed {
-            let (endpoint, partner, on) = (e.endpoint.0, e.destination.0 as u32, e.stage == Stage::On);
-            self.fact(What::Listed { sender, endpoint, partner, on });
+            let (endpoint, partner, on) =
+                (e.endpoint.0, e.destination.0 as u32, e.stage == Stage::On);
+            self.fact(What::Listed {
+                sender,
+                endpoint,
+                partner,
+                on,
+            });
         }
         let classes: Vec<(u64, u32, u32)> = self.senders[sender as usize]
             .held
@@ -453,7 +528,12 @@
             Some(name) => name.parse().ok().map(|no| Some(EndpointId(no))),
             None => Some(None),
         };
-        s.events.extend(known.told(now, &Bounds::default(), number).into_iter().map(Event::Told));
+        s.events.extend(
+            known
+                .told(now, &Bounds::default(), number)
+                .into_iter()
+                .map(Event::Told),
+        );
         for (id, class, partner) in classes {
             let h = &s.held[&id];
             s.events.push(Event::Resumed {
@@ -462,7 +542,11 @@
                 class: ClassId(class as usize),
                 deadline: nanos(ORIGIN + h.deadline),
                 attempts: h.tasks.len() as u32,
-                ran: h.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(ORIGIN + t.sent)),
+                ran: h
+                    .tasks
+                    .iter()
+                    .find(|t| !t.never_ran)
+                    .map(|t| nanos(ORIGIN + t.sent)),
             });
         }
         self.fact(What::Ready { sender });
@@ -505,12 +589,21 @@
             Ev::AnswerIn { call, reply } => self.answer_in(call, reply),
             Ev::SilentIn { call, how, outcome } => self.silent(call, how, outcome),
             Ev::TimeOut { call } => self.silent(call, Silence::TimedOut, Outcome::TimedOut),
-            Ev::NoticeIn { sender, id, again, deferred } => self.notice_in(sender, id, deferred, again),
+            Ev::NoticeIn {
+                sender,
+                id,
+                again,
+                deferred,
+            } => self.notice_in(sender, id, deferred, again),
             Ev::Edge => self.edge(),
             Ev::Fails { failure } => self.fails(failure),
             Ev::Replace { failure, turn } => self.replace(failure, turn),
             Ev::Retire { endpoint } => self.ground.retire(endpoint),
-            Ev::ListIn { sender, endpoint, stage } => {
+            Ev::ListIn {
+                sender,
+                endpoint,
+                stage,
+            } => {
                 let entry = self.entry(endpoint, stage);
                 let partner = entry.destination.0 as u32;
                 let s = &mut self.senders[sender as usize];
@@ -520,7 +613,12 @@
                     s.known.insert(endpoint, entry.clone());
                 }
                 if s.policy.is_some() {
-                    self.fact(What::Listed { sender, endpoint, partner, on: stage == Stage::On });
+                    self.fact(What::Listed {
+                        sender,
+                        endpoint,
+                        partner,
+                        on: stage == Stage::On,
+                    });
                     self.tell(sender, Event::ListChanges(vec![entry]));
                 }
             }
@@ -546,8 +644,9 @@
 
     /// A client hands a message in, through a front that deals requests out over the senders that are up.
     fn hand_in(&mut self, origin: u64) {
-        let up: Vec<u32> =
-            (0..self.senders.len() as u32).filter(|s| self.senders[*s as usize].policy.is_some()).collect();
+        let up: Vec<u32> = (0..self.senders.len() as u32)
+            .filter(|s| self.senders[*s as usize].policy.is_some())
+            .collect();
         match self.clients.dealt(origin, &up) {
             Some((sender, way)) => self.at(self.now + way, Ev::HandIn { origin, sender }),
             // Nobody listens: the connection is refused, and the client comes again.
@@ -562,23 +661,45 @@
     }
 
     fn handed_in(&mut self, origin: u64, sender: u32) {
-        let Origin { planned, deadline, .. } = *self.clients.origin(origin);
+        let Origin {
+            planned, deadline, ..
+        } = *self.clients.origin(origin);
         if self.senders[sender as usize].policy.is_none() {
             return self.again(origin, None, false);
         }
         let id = self.next_id;
         self.next_id += 1;
         let (class, partner, first) = (planned.class, planned.partner, planned.at);
-        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline, key: None });
+        self.fact(What::HandedIn {
+            origin,
+            id,
+            sender,
+            class,
+            partner,
+            first,
+            deadline,
+            key: None,
+        });
         let full_disk = self.ground.forecast.disk_full(self.now);
         let s = &mut self.senders[sender as usize];
-        let stopped = s.told_to_end.is_some_and(|told| self.now >= told + LAST_WORK);
+        let stopped = s
+            .told_to_end
+            .is_some_and(|told| self.now >= told + LAST_WORK);
         if stopped || full_disk || s.open >= self.settings.hold_limit {
             self.fact(What::Answered { id, status: 503 });
             return self.again(origin, Some(1_000.0), true);
         }
         s.open += 1;
-        s.held.insert(id, Held { origin, deadline, tasks: Vec::new(), out: BTreeMap::new(), open: true });
+        s.held.insert(
+            id,
+            Held {
+                origin,
+                deadline,
+                tasks: Vec::new(),
+                out: BTreeMap::new(),
+                open: true,
+            },
+        );
         self.fact(What::Answered { id, status: 202 });
         self.at(deadline + OVERDUE, Ev::Overdue { sender, id });
         let event = Event::Message {
@@ -592,8 +713,15 @@
     }
 
     fn notice_in(&mut self, sender: u32, id: u64, deferred: bool, again: Option<Millis>) {
-        self.fact(What::Notice { sender, id, deferred, again });
-        let Some(h) = self.senders[sender as usize].held.get(&id) else { return };
+        self.fact(What::Notice {
+            sender,
+            id,
+            deferred,
+            again,
+        });
+        let Some(h) = self.senders[sender as usize].held.get(&id) else {
+            return;
+        };
         let origin = h.origin;
         if let Some(ran) = h.tasks.iter().find(|t| !t.never_ran).map(|t| t.sent) {
             self.clients.may_have_run(origin, ran);
@@ -613,34 +741,52 @@
         }
         s.turn_due = false;
         s.last_turn = self.now;
-        let Some(policy) = s.policy.as_mut() else { return };
+        let Some(policy) = s.policy.as_mut() else {
+            return;
+        };
         let (events, mut actions) = (std::mem::take(&mut s.events), Vec::new());
         let clock = Instant::now();
         policy.turn(nanos(ORIGIN + self.now), &events, &mut actions);
         self.turns.add(s.open, clock.elapsed().as_nanos() as u64);
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout, .. } => {
-                    self.send(sender, id.0, endpoint.0, millis(timeout))
-                }
+                Action::Send {
+                    id,
+                    endpoint,
+                    timeout,
+                    ..
+                } => self.send(sender, id.0, endpoint.0, millis(timeout)),
                 Action::Cancel { id, attempt } => {
-                    let call =
-                        self.senders[sender as usize].held.get(&id.0).and_then(|h| h.out.get(&attempt));
+                    let call = self.senders[sender as usize]
+                        .held
+                        .get(&id.0)
+                        .and_then(|h| h.out.get(&attempt));
                     if let Some(call) = call.copied() {
                         self.silent(call, Silence::CalledOff, Outcome::Withdrawn);
                     }
                 }
-                Action::Refuse { id, return_after } => self.end(sender, id.0, true, return_after.map(millis)),
+                Action::Refuse { id, return_after } => {
+                    self.end(sender, id.0, true, return_after.map(millis))
+                }
                 Action::Fail { id } => self.end(sender, id.0, false, None),
-                Action::WakeAfter(span) => self.at(self.now + millis(span), Ev::Wake { sender, life }),
+                Action::WakeAfter(span) => {
+                    self.at(self.now + millis(span), Ev::Wake { sender, life })
+                }
                 Action::Close(endpoint) => {
-                    let idle = self.senders[sender as usize].idle.remove(&endpoint.0).map_or(0, |i| i.len());
+                    let idle = self.senders[sender as usize]
+                        .idle
+                        .remove(&endpoint.0)
+                        .map_or(0, |i| i.len());
                     self.connections[endpoint.0 as usize] -= idle as u32;
                 }
             }
         }
         let s = &self.senders[sender as usize];
-        if s.told_to_end.is_some_and(|told| self.now >= told + LAST_WORK) && s.open == 0 && s.out == 0 {
+        if s.told_to_end
+            .is_some_and(|told| self.now >= told + LAST_WORK)
+            && s.open == 0
+            && s.out == 0
+        {
             self.die(sender);
         }
     }
@@ -648,10 +794,20 @@
     /// The module has given a message up.
     fn end(&mut self, sender: u32, id: u64, deferred: bool, again: Option<Millis>) {
         let s = &mut self.senders[sender as usize];
-        let Some(h) = s.held.get_mut(&id).filter(|h| h.open) else { return };
+        let Some(h) = s.held.get_mut(&id).filter(|h| h.open) else {
+            return;
+        };
         h.open = false;
         s.open -= 1;
-        self.at(self.now + 1.0, Ev::NoticeIn { sender, id, again, deferred });
+        self.at(
+            self.now + 1.0,
+            Ev::NoticeIn {
+                sender,
+                id,
+                again,
+                deferred,
+            },
+        );
     }
 
     /// Ends what the module should have ended, as the sender does.
@@ -682,11 +838,23 @@
         let Some(h) = s.held.get_mut(&id) else { return };
         let (attempt, origin) = (h.tasks.len() as u32, h.origin);
         let full = s.out >= self.settings.slots;
-        h.tasks.push(Task { sent: self.now, never_ran: full });
+        h.tasks.push(Task {
+            sent: self.now,
+            never_ran: full,
+        });
         if full {
             let finished = !h.open;
             let (id, outcome, took) = (MessageId(id), Outcome::Void, 0);
-            return self.tell(sender, Event::Ended { id, attempt, outcome, took, finished });
+            return self.tell(
+                sender,
+                Event::Ended {
+                    id,
+                    attempt,
+                    outcome,
+                    took,
+                    finished,
+                },
+            );
         }
         let call = self.next_call;
         self.next_call += 1;
@@ -703,13 +871,33 @@
         self.connections[endpoint as usize] += u32::from(fresh);
         let arrived = false;
         let mut rng = draw(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
-        let (before, after) = (happens(&mut rng, weather.reset.0), happens(&mut rng, weather.reset.1));
+        let (before, after) = (
+            happens(&mut rng, weather.reset.0),
+            happens(&mut rng, weather.reset.1),
+        );
         let sent = self.now;
         self.calls.insert(
             call,
-            Call { id, origin, attempt, sender, partner, endpoint, sent, arrived, breaks: after },
+            Call {
+                id,
+                origin,
+                attempt,
+                sender,
+                partner,
+                endpoint,
+                sent,
+                arrived,
+                breaks: after,
+            },
         );
-        self.fact(What::Call { call, id, sender, partner, endpoint, fresh });
+        self.fact(What::Call {
+            call,
+            id,
+            sender,
+            partner,
+            endpoint,
+            fresh,
+        });
         self.at(self.now + timeout, Ev::TimeOut { call });
         let way = self.travel(call, 0);
         // A new connection has its own round trip first.
@@ -724,8 +912,19 @@
             let (how, outcome) = (Silence::Reset, Outcome::Stale);
             self.at(there + way, Ev::SilentIn { call, how, outcome });
         } else if before {
-            let outcome = if fresh { Outcome::Unreachable } else { Outcome::Void };
-            self.at(there, Ev::SilentIn { call, how: Silence::NeverSent, outcome });
+            let outcome = if fresh {
+                Outcome::Unreachable
+            } else {
+                Outcome::Void
+            };
+            self.at(
+                there,
+                Ev::SilentIn {
+                    call,
+                    how: Silence::NeverSent,
+                    outcome,
+                },
+            );
         } else {
             self.at(there, Ev::CallIn { call });
         }
@@ -748,7 +947,16 @@
         let finished = !h.open;
         let (id, attempt, took) = (MessageId(c.id), c.attempt, nanos(self.now - c.sent));
         self.forget(c.sender, c.id);
-        self.tell(c.sender, Event::Ended { id, attempt, outcome, took, finished });
+        self.tell(
+            c.sender,
+            Event::Ended {
+                id,
+                attempt,
+                outcome,
+                took,
+                finished,
+            },
+        );
         Some(c)
     }
 
@@ -766,13 +974,20 @@
         let outcome = match reply {
             Reply::Served => Outcome::Success,
             Reply::Failed | Reply::Spoilt => Outcome::Failure,
-            Reply::Refused(wait) => Outcome::Overloaded { wait: nanos(wait.unwrap_or(0.0)) },
+            Reply::Refused(wait) => Outcome::Overloaded {
+                wait: nanos(wait.unwrap_or(0.0)),
+            },
+        };
+        let Some(c) = self.ended(call, outcome) else {
+            return;
         };
-        let Some(c) = self.ended(call, outcome) else { return };
         if reply == Reply::Spoilt {
             self.connections[c.endpoint as usize] -= 1;
         } else {
-            let idle = self.senders[c.sender as usize].idle.entry(c.endpoint).or_default();
+            let idle = self.senders[c.sender as usize]
+                .idle
+                .entry(c.endpoint)
+                .or_default();
             idle.push(self.now);
         }
     }
@@ -786,14 +1001,22 @@
         s.life += 1;
         (s.turn_due, s.out) = (false, 0);
         s.events.clear();
-        let mut calls: Vec<u64> = s.held.values().flat_map(|h| h.out.values().copied()).collect();
+        let mut calls: Vec<u64> = s
+            .held
+            .values()
+            .flat_map(|h| h.out.values().copied())
+            .collect();
         calls.sort_unstable();
         s.held.values_mut().for_each(|h| h.out.clear());
         let idle: Vec<(u32, usize)> = s.idle.drain().map(|(e, i)| (e, i.len())).collect();
         let after = s.restart_after;
-        idle.into_iter().for_each(|(e, count)| self.connections[e as usize] -= count as u32);
+        idle.into_iter()
+            .for_each(|(e, count)| self.connections[e as usize] -= count as u32);
         for call in calls {
-            self.fact(What::Ended { call, how: Silence::Died });
+            self.fact(What::Ended {
+                call,
+                how: Silence::Died,
+            });
             if let Some(c) = self.calls.remove(&call) {
                 self.connections[c.endpoint as usize] -= 1;
             }
@@ -805,13 +1028,20 @@
     // ---- Partners ----------------------------------------------------------------------------------------------
 
     fn call_in(&mut self, call: u64) {
-        let Some(c) = self.calls.get_mut(&call) else { return };
+        let Some(c) = self.calls.get_mut(&call) else {
+            return;
+        };
         c.arrived = true;
         let (origin, attempt, partner, endpoint, breaks) =
             (c.origin, c.attempt, c.partner, c.endpoint, c.breaks);
         self.fact(What::Arrived { call });
         let class = self.clients.origin(origin).planned.class;
-        let told = partner::Call { no: call, origin, attempt, work: self.x.work(self.seed, class) };
+        let told = partner::Call {
+            no: call,
+            origin,
+            attempt,
+            work: self.x.work(self.seed, class),
+        };
         if self.connections[endpoint as usize] > self.x.world.connections {
             return self.reply(call, Reply::Refused(None));
         }
@@ -909,7 +1139,14 @@
                 State::Draining => Stage::Draining,
                 State::Gone => Stage::Gone,
             };
-            self.at(at, Ev::ListIn { sender, endpoint, stage });
+            self.at(
+                at,
+                Ev::ListIn {
+                    sender,
+                    endpoint,
+                    stage,
+                },
+            );
         }
     }
 
@@ -926,6 +1163,12 @@
             self.list(old, State::Gone);
             self.at(self.now + REPLACED, Ev::Retire { endpoint: old });
         }
-        self.at(self.now + f.every, Ev::Replace { failure, turn: turn + 1 });
+        self.at(
+            self.now + f.every,
+            Ev::Replace {
+                failure,
+                turn: turn + 1,
+            },
+        );
     }
 }
--- a/crates/lab/src/sockets/child.rs
+++ b/crates/lab/src/sockets/child.rs
@@ -79,10 +79,16 @@
 /// An address of its own for each sender.
 fn free(no: u32, mut ports: std::ops::Range<u16>) -> Result<SocketAddr, String> {
     let process = std::process::id();
-    let own =
-        Ipv4Addr::new(127, 1 + (process % 200) as u8, (process / 200 % 250) as u8, 1 + (no % 250) as u8);
+    let own = Ipv4Addr::new(
+        127,
+        1 + (process % 200) as u8,
+        (process / 200 % 250) as u8,
+        1 + (no % 250) as u8,
+    );
     let found = ports.find_map(|port| TcpListener::bind((own, port)).ok());
-    found.and_then(|l| l.local_addr().ok()).ok_or_else(|| format!("no free port at {own}"))
+    found
+        .and_then(|l| l.local_addr().ok())
+        .ok_or_else(|| format!("no free port at {own}"))
 }
 
 impl Sender {
@@ -91,7 +97,12 @@
     /// # Errors
     /// Where there is no such program, no free port or no room for the folder.
     pub fn new(
-        no: u32, program: &Path, settings: Option<&Path>, discovery: SocketAddr, set: &Value, seed: u64,
+        no: u32,
+        program: &Path,
+        settings: Option<&Path>,
+        discovery: SocketAddr,
+        set: &Value,
+        seed: u64,
     ) -> Result<Sender, String> {
         if !program.is_file() {
             return Err(format!(
@@ -99,7 +110,9 @@
                 program.display()
             ));
         }
-        let folder = tempfile::Builder::new().prefix("martenlatch-lab-").tempdir();
+        let folder = tempfile::Builder::new()
+            .prefix("martenlatch-lab-")
+            .tempdir();
         let folder = folder.map_err(|e| format!("no temporary folder: {e}"))?;
         let (address, name) = (free(no, PORTS)?, format!("n{no}"));
         let config = json!({"name": name, "listen": address.to_string(), "discovery": discovery.to_string(),
@@ -110,7 +123,18 @@
         std::fs::create_dir(&state).map_err(|e| format!("{}: {e}", state.display()))?;
         let (program, settings) = (program.to_path_buf(), settings.map(Path::to_path_buf));
         let (child, ready, before_ms, latest) = (None, None, 0.0, Used::default());
-        Ok(Sender { address, name, folder, program, settings, config, child, ready, before_ms, latest })
+        Ok(Sender {
+            address,
+            name,
+            folder,
+            program,
+            settings,
+            config,
+            child,
+            ready,
+            before_ms,
+            latest,
+        })
     }
 
     /// Where others reach it that it knows.
@@ -127,8 +151,10 @@
     /// Where its files cannot be read or written.
     pub fn meets(&mut self, own: SocketAddr, seeds: &[SocketAddr]) -> Result<(), String> {
         let failed = |file: &Path, e: std::io::Error| format!("{}: {e}", file.display());
-        let (file, secret) =
-            (self.folder.path().join("settings.textproto"), self.folder.path().join("secret"));
+        let (file, secret) = (
+            self.folder.path().join("settings.textproto"),
+            self.folder.path().join("secret"),
+        );
         let mut text = match &self.settings {
             Some(told) => std::fs::read_to_string(told).map_err(|e| failed(told, e))?,
             None => String::new(),
@@ -137,7 +163,9 @@
             "\npeers {{ listen: \"{own}\" secret_file: {:?} keep: true",
             secret.display().to_string()
         );
-        seeds.iter().for_each(|seed| text += &format!(" seed: \"{seed}\""));
+        seeds
+            .iter()
+            .for_each(|seed| text += &format!(" seed: \"{seed}\""));
         text += " }\n";
         std::fs::write(&secret, "the laboratory's own secret").map_err(|e| failed(&secret, e))?;
         std::fs::write(&file, text).map_err(|e| failed(&file, e))?;
@@ -152,7 +180,8 @@
     pub fn configure(&mut self, known: Value) -> Result<(), String> {
         self.config["known"] = known;
         let file = self.folder.path().join("config.json");
-        std::fs::write(&file, self.config.to_string()).map_err(|e| format!("{}: {e}", file.display()))
+        std::fs::write(&file, self.config.to_string())
+            .map_err(|e| format!("{}: {e}", file.display()))
     }
 
     /// Starts its process; [`Sender::ready`] tells when it serves.
@@ -160,7 +189,8 @@
     /// # Errors
     /// Where the program cannot be started.
     pub fn start(&mut self) -> Result<(), String> {
-        let failed = |e: std::io::Error| format!("sender {}: {}: {e}", self.name, self.program.display());
+        let failed =
+            |e: std::io::Error| format!("sender {}: {}: {e}", self.name, self.program.display());
         let log = |name: &str| {
             std::fs::OpenOptions::new()
                 .create(true)
@@ -200,14 +230,20 @@
     /// # Errors
     /// Where it has not come to serve in its time.
     pub fn ready(&mut self) -> Result<bool, String> {
-        let Some(told) = self.ready.as_ref().and_then(|r| r.try_recv().ok()) else { return Ok(false) };
+        let Some(told) = self.ready.as_ref().and_then(|r| r.try_recv().ok()) else {
+            return Ok(false);
+        };
         self.ready = None;
-        told.map(|()| true).map_err(|e| format!("{e}{}", self.last_words()))
+        told.map(|()| true)
+            .map_err(|e| format!("{e}{}", self.last_words()))
     }
 
     fn last_words(&self) -> String {
         let errors = std::fs::read_to_string(self.folder.path().join("errors")).unwrap_or_default();
-        errors.lines().last().map_or(String::new(), |l| format!(": {l}"))
+        errors
+            .lines()
+            .last()
+            .map_or(String::new(), |l| format!(": {l}"))
     }
 
     /// Sends a signal to the process that was started here.
@@ -222,12 +258,23 @@
     /// # Errors
     /// Where the limit of the process cannot be set.
     pub fn full_disk(&self, full: bool) -> Result<(), String> {
-        let Some(child) = &self.child else { return Ok(()) };
-        let size = if full { "--fsize=0:unlimited" } else { "--fsize=unlimited:unlimited" };
-        let set = Command::new("prlimit").args(["--pid", &child.id().to_string(), size]).output();
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        let size = if full {
+            "--fsize=0:unlimited"
+        } else {
+            "--fsize=unlimited:unlimited"
+        };
+        let set = Command::new("prlimit")
+            .args(["--pid", &child.id().to_string(), size])
+            .output();
         match set {
             Ok(done) if done.status.success() => Ok(()),
-            Ok(done) => Err(format!("prlimit: {}", String::from_utf8_lossy(&done.stderr).trim())),
+            Ok(done) => Err(format!(
+                "prlimit: {}",
+                String::from_utf8_lossy(&done.stderr).trim()
+            )),
             Err(e) => Err(format!("prlimit: {e}")),
         }
     }
@@ -263,7 +310,10 @@
     /// What it has used, over all its lives.
     pub fn used(&mut self) -> Used {
         if let Some(now) = self.child.as_ref().and_then(|c| used(c.id())) {
-            self.latest = Used { cpu_ms: self.before_ms + now.cpu_ms, memory_kb: now.memory_kb };
+            self.latest = Used {
+                cpu_ms: self.before_ms + now.cpu_ms,
+                memory_kb: now.memory_kb,
+            };
         }
         self.latest
     }
@@ -282,15 +332,18 @@
     let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
     let ticks: f64 = fields.get(11)?.parse::<f64>().ok()? + fields.get(12)?.parse::<f64>().ok()?;
     let pages: u64 = fields.get(21)?.parse().ok()?;
-    Some(Used { cpu_ms: ticks * 10.0, memory_kb: pages * 4 })
+    Some(Used {
+        cpu_ms: ticks * 10.0,
+        memory_kb: pages * 4,
+    })
 }
 
 fn until_healthy(address: SocketAddr, name: &str) -> Result<(), String> {
     use std::io::{Read, Write};
     let start = Instant::now();
     while start.elapsed() < START {
-        let asked =
-            std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200)).and_then(|mut s| {
+        let asked = std::net::TcpStream::connect_timeout(&address, Duration::from_millis(200))
+            .and_then(|mut s| {
                 s.set_read_timeout(Some(Duration::from_millis(500)))?;
                 s.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n")?;
                 let mut head = [0; 12];
@@ -302,5 +355,8 @@
         }
         std::thread::sleep(Duration::from_millis(10));
     }
-    Err(format!("sender {name} was not ready within {} s", START.as_secs()))
+    Err(format!(
+        "sender {name} was not ready within {} s",
+        START.as_secs()
+    ))
 }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -64,18 +64,46 @@
 #[derive(Clone, Copy, Debug)]
 enum Ev {
     Come(usize),
-    HandIn { origin: u64 },
-    Silent { client: usize, id: u64 },
-    CallIn { call: u64 },
-    Write { call: u64, reply: Reply },
-    Due { partner: u32 },
+    HandIn {
+        origin: u64,
+    },
+    Silent {
+        client: usize,
+        id: u64,
+    },
+    CallIn {
+        call: u64,
+    },
+    Write {
+        call: u64,
+        reply: Reply,
+    },
+    Due {
+        partner: u32,
+    },
     Edge,
-    Fails { failure: usize },
-    Replace { failure: usize, turn: usize },
-    Retire { endpoint: u32 },
-    Tell { sender: u32, endpoint: u32, state: &'static str },
-    Kill { sender: u32, life: u32 },
-    Start { sender: u32 },
+    Fails {
+        failure: usize,
+    },
+    Replace {
+        failure: usize,
+        turn: usize,
+    },
+    Retire {
+        endpoint: u32,
+    },
+    Tell {
+        sender: u32,
+        endpoint: u32,
+        state: &'static str,
+    },
+    Kill {
+        sender: u32,
+        life: u32,
+    },
+    Start {
+        sender: u32,
+    },
     Sample,
     Beat,
 }
@@ -178,8 +206,16 @@
 /// The sender beside the laboratory: the same folder, or the one above for tests.
 pub fn beside() -> PathBuf {
     let here = std::env::current_exe().unwrap_or_default();
-    let folder = here.parent().map(|f| if f.ends_with("deps") { f.parent().unwrap_or(f) } else { f });
-    folder.unwrap_or(std::path::Path::new(".")).join("martenlatch")
+    let folder = here.parent().map(|f| {
+        if f.ends_with("deps") {
+            f.parent().unwrap_or(f)
+        } else {
+            f
+        }
+    });
+    folder
+        .unwrap_or(std::path::Path::new("."))
+        .join("martenlatch")
 }
 
 /// Plays one variant with one seed on sockets. Once `stop` is set, it ends at once and the run counts for nothing.
@@ -187,11 +223,20 @@
 /// # Errors
 /// Where a sender does not start or ends by itself, a port is taken, or the run was stopped.
 pub fn play(
-    experiment: &Experiment, variant: &Variant, seed: u64, stop: &AtomicBool,
+    experiment: &Experiment,
+    variant: &Variant,
+    seed: u64,
+    stop: &AtomicBool,
 ) -> Result<Played, String> {
-    let mut events = EventLoop::<Ready<usize>>::try_new().map_err(|e| format!("no event loop: {e}"))?;
+    let mut events =
+        EventLoop::<Ready<usize>>::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let mut rig = Rig::new(experiment, variant, seed, events.handle())?;
-    let longest = experiment.world.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let longest = experiment
+        .world
+        .classes
+        .iter()
+        .map(|c| c.deadline)
+        .fold(0.0, f64::max);
     let end = experiment.length + longest + 2_000.0;
     rig.begin()?;
     let mut ready = Ready::default();
@@ -205,11 +250,16 @@
         }
         // Nothing is owed any more: the rest of the time would only be waited out.
         let idle = rig.now() > experiment.length && rig.open_messages == 0 && rig.calls.is_empty();
-        let settled = idle && rig.seats.iter().all(|s| s.up) && rig.now() > experiment.length + 4_000.0;
+        let settled =
+            idle && rig.seats.iter().all(|s| s.up) && rig.now() > experiment.length + 4_000.0;
         if rig.now() > end || settled {
             break;
         }
-        let due = rig.queue.peek().map_or(5.0, |Reverse(t)| t.at - rig.now()).clamp(0.0, 5.0);
+        let due = rig
+            .queue
+            .peek()
+            .map_or(5.0, |Reverse(t)| t.at - rig.now())
+            .clamp(0.0, 5.0);
         events
             .dispatch(Duration::from_secs_f64(due / 1e3), &mut ready)
             .map_err(|e| format!("the loop failed: {e}"))?;
@@ -245,15 +295,29 @@
 }
 
 impl<'a> Rig<'a> {
-    fn new(x: &'a Experiment, v: &Variant, seed: u64, handle: Handle<usize>) -> Result<Rig<'a>, String> {
+    fn new(
+        x: &'a Experiment,
+        v: &Variant,
+        seed: u64,
+        handle: Handle<usize>,
+    ) -> Result<Rig<'a>, String> {
         let ground = Ground::new(x, seed);
         let settings = sim::settings(x, v, &ground.site);
-        settings.check().map_err(|e| format!("variant {:?}: {e}", v.name))?;
+        settings
+            .check()
+            .map_err(|e| format!("variant {:?}: {e}", v.name))?;
         let names = |all: &mut dyn Iterator<Item = &String>| all.cloned().collect::<Vec<String>>();
         let classes = names(&mut x.world.classes.iter().map(|c| &c.name));
         let kinds = names(&mut x.world.kinds.iter().map(|k| &k.name));
-        let rules =
-            x.world.classes.iter().map(|c| ClassRule { effect: c.effect, window: c.window }).collect();
+        let rules = x
+            .world
+            .classes
+            .iter()
+            .map(|c| ClassRule {
+                effect: c.effect,
+                window: c.window,
+            })
+            .collect();
         let mut rig = Rig {
             plan: load::plan(x, &ground.site, &ground.forecast, seed),
             clients: Clients::new(x, seed),
@@ -287,19 +351,35 @@
             rig.endpoint(endpoint)?;
         }
         let set = child::platform_settings(&settings, &classes, &kinds);
-        let known: HashMap<u32, &'static str> =
-            (0..rig.ground.owner.len() as u32).map(|e| (e, "in_service")).collect();
+        let known: HashMap<u32, &'static str> = (0..rig.ground.owner.len() as u32)
+            .map(|e| (e, "in_service"))
+            .collect();
         for no in 0..x.world.senders {
             let (listener, address) = bound()?;
             let program = v.program.clone().unwrap_or_else(beside);
             let child = Sender::new(no, &program, v.settings.as_deref(), address, &set, seed)?;
             let known = known.clone();
             let (up, life, ending, rev, idle) = (false, 0, None, 1, Vec::new());
-            rig.seats.push(Seat { child, up, life, ending, known, rev, idle });
-            rig.listen(listener, |listener| Peer::Agent { sender: no, listener })?;
+            rig.seats.push(Seat {
+                child,
+                up,
+                life,
+                ending,
+                known,
+                rev,
+                idle,
+            });
+            rig.listen(listener, |listener| Peer::Agent {
+                sender: no,
+                listener,
+            })?;
         }
         if v.learns {
-            let all = rig.seats.iter().enumerate().map(|(no, s)| s.child.peer_address(no as u32));
+            let all = rig
+                .seats
+                .iter()
+                .enumerate()
+                .map(|(no, s)| s.child.peer_address(no as u32));
             let all: Vec<SocketAddr> = all.collect::<Result<_, _>>()?;
             for (seat, own) in rig.seats.iter_mut().zip(&all) {
                 seat.child.meets(*own, &all)?;
@@ -309,10 +389,14 @@
     }
 
     fn listen(
-        &mut self, listener: Rc<TcpListener>, peer: impl FnOnce(Rc<TcpListener>) -> Peer,
+        &mut self,
+        listener: Rc<TcpListener>,
+        peer: impl FnOnce(Rc<TcpListener>) -> Peer,
     ) -> Result<(), String> {
         let at = self.peers.insert(peer(listener.clone()));
-        http::register(&self.handle, listener, at).map(drop).map_err(|e| format!("no socket: {e}"))
+        http::register(&self.handle, listener, at)
+            .map(drop)
+            .map_err(|e| format!("no socket: {e}"))
     }
 
     /// Gives a new endpoint a port of its own.
@@ -337,23 +421,34 @@
 
     fn at(&mut self, at: Millis, ev: Ev) {
         self.seq += 1;
-        self.queue.push(Reverse(Timed { at, seq: self.seq, ev }));
+        self.queue.push(Reverse(Timed {
+            at,
+            seq: self.seq,
+            ev,
+        }));
     }
 
     fn fact(&mut self, what: What) {
-        let fact = Fact { at: self.now(), what };
+        let fact = Fact {
+            at: self.now(),
+            what,
+        };
         self.judge.hear(&fact);
         self.tally.hear(&fact);
     }
 
     fn travel(&self, a: u64, b: u64) -> Millis {
-        within(&mut draw(self.seed, Stream::Travel, a, b), self.x.world.latency)
+        within(
+            &mut draw(self.seed, Stream::Travel, a, b),
+            self.x.world.latency,
+        )
     }
 
     /// Starts every sender, waits until all serve, and begins the run's time.
     fn begin(&mut self) -> Result<(), String> {
-        let first: Vec<usize> =
-            (0..self.seats.len()).filter(|no| self.x.joins(*no as u32).is_none()).collect();
+        let first: Vec<usize> = (0..self.seats.len())
+            .filter(|no| self.x.joins(*no as u32).is_none())
+            .collect();
         for no in &first {
             self.launch(*no as u32)?;
         }
@@ -375,7 +470,10 @@
         }
         for (i, f) in self.x.failures.iter().enumerate() {
             let first = if f.what == Fails::Replace {
-                Ev::Replace { failure: i, turn: 0 }
+                Ev::Replace {
+                    failure: i,
+                    turn: 0,
+                }
             } else {
                 Ev::Fails { failure: i }
             };
@@ -390,7 +488,8 @@
     /// The list as a sender was last told it.
     fn whole_list(&self, sender: u32) -> Value {
         let seat = &self.seats[sender as usize];
-        let mut known: Vec<(u32, &'static str)> = seat.known.iter().map(|(e, s)| (*e, *s)).collect();
+        let mut known: Vec<(u32, &'static str)> =
+            seat.known.iter().map(|(e, s)| (*e, *s)).collect();
         known.sort_unstable();
         let entries: Vec<Value> = known.into_iter().map(|(e, s)| self.entry(e, s)).collect();
         json!({"rev": seat.rev, "all": true, "targets": entries})
@@ -401,17 +500,30 @@
         let child = &mut self.seats[sender as usize].child;
         child.configure(known)?;
         child.start()?;
-        if self.full { child.full_disk(true) } else { Ok(()) }
+        if self.full {
+            child.full_disk(true)
+        } else {
+            Ok(())
+        }
     }
 
     fn came_up(&mut self, sender: u32) {
         let seat = &mut self.seats[sender as usize];
         (seat.up, seat.ending) = (true, None);
-        let mut known: Vec<(u32, bool)> = seat.known.iter().map(|(e, s)| (*e, *s == "in_service")).collect();
+        let mut known: Vec<(u32, bool)> = seat
+            .known
+            .iter()
+            .map(|(e, s)| (*e, *s == "in_service"))
+            .collect();
         known.sort_unstable();
         for (endpoint, on) in known {
             let partner = self.ground.partner(endpoint);
-            self.fact(What::Listed { sender, endpoint, partner, on });
+            self.fact(What::Listed {
+                sender,
+                endpoint,
+                partner,
+                on,
+            });
         }
         self.fact(What::Ready { sender });
     }
@@ -420,8 +532,14 @@
         for at in ready {
             self.ready(at);
         }
-        while self.queue.peek().is_some_and(|Reverse(t)| t.at <= self.now()) {
-            let Some(Reverse(next)) = self.queue.pop() else { break };
+        while self
+            .queue
+            .peek()
+            .is_some_and(|Reverse(t)| t.at <= self.now())
+        {
+            let Some(Reverse(next)) = self.queue.pop() else {
+                break;
+            };
             self.late = self.late.max(self.now() - next.at);
             self.take(next.ev);
         }
@@ -452,9 +570,15 @@
             Ev::Fails { failure } => self.fails(failure),
             Ev::Replace { failure, turn } => self.replace(failure, turn),
             Ev::Retire { endpoint } => self.retire(endpoint),
-            Ev::Tell { sender, endpoint, state } => self.tell(sender, endpoint, state),
+            Ev::Tell {
+                sender,
+                endpoint,
+                state,
+            } => self.tell(sender, endpoint, state),
             Ev::Kill { sender, life } => {
-                if self.seats[sender as usize].life == life && self.seats[sender as usize].ending.is_some() {
+                if self.seats[sender as usize].life == life
+                    && self.seats[sender as usize].ending.is_some()
+                {
                     self.seats[sender as usize].child.kill();
                     self.gone(sender);
                 }
@@ -469,7 +593,9 @@
                 let now = self.now();
                 if self.ground.forecast.list(now).is_ok() {
                     let watches: Vec<usize> = self.watches(None);
-                    watches.into_iter().for_each(|at| self.push(at, "1\r\n\n\r\n"));
+                    watches
+                        .into_iter()
+                        .for_each(|at| self.push(at, "1\r\n\n\r\n"));
                 }
                 self.at(now + HEARTBEAT, Ev::Beat);
             }
@@ -482,7 +608,8 @@
         let mut sum = Used::default();
         for no in 0..self.seats.len() {
             let used = self.seats[no].child.used();
-            (sum.cpu_ms, sum.memory_kb) = (sum.cpu_ms + used.cpu_ms, sum.memory_kb + used.memory_kb);
+            (sum.cpu_ms, sum.memory_kb) =
+                (sum.cpu_ms + used.cpu_ms, sum.memory_kb + used.memory_kb);
             if let Some(code) = self.seats[no].child.ended() {
                 if self.seats[no].ending.is_none() || code != Some(0) {
                     self.fault = Some(self.seats[no].child.obituary(code));
@@ -524,7 +651,14 @@
                 {
                     let since = self.now();
                     let (busy, calls, dead) = (None, 0, false);
-                    let made = |link| Peer::Call { endpoint, link, busy, calls, since, dead };
+                    let made = |link| Peer::Call {
+                        endpoint,
+                        link,
+                        busy,
+                        calls,
+                        since,
+                        dead,
+                    };
                     if let Some(at) = self.accept(stream, made) {
                         self.open[endpoint as usize] += 1;
                         self.ready(at);
@@ -551,7 +685,11 @@
         }
     }
 
-    fn accept(&mut self, stream: std::net::TcpStream, made: impl FnOnce(Link) -> Peer) -> Option<usize> {
+    fn accept(
+        &mut self,
+        stream: std::net::TcpStream,
+        made: impl FnOnce(Link) -> Peer,
+    ) -> Option<usize> {
         let at = self.peers.vacant_key();
         let link = Link::new(stream, &self.handle, &self.pool, at).ok()?;
         Some(self.peers.insert(made(link)))
@@ -570,7 +708,15 @@
     /// A sender's bytes on a connection to an endpoint.
     fn heard_call(&mut self, at: usize) {
         let now = self.now();
-        let Some(Peer::Call { endpoint, link, busy, calls, since, dead }) = self.peers.get_mut(at) else {
+        let Some(Peer::Call {
+            endpoint,
+            link,
+            busy,
+            calls,
+            since,
+            dead,
+        }) = self.peers.get_mut(at)
+        else {
             return;
         };
         link.flush();
@@ -585,7 +731,8 @@
             *dead = true;
             return;
         }
-        *dead |= busy.is_none() && *calls > 0 && now - *since >= weather.closes.min(self.x.world.idle);
+        *dead |=
+            busy.is_none() && *calls > 0 && now - *since >= weather.closes.min(self.x.world.idle);
         if link.eof || link.broken {
             let out = *busy;
             self.drop_call(at, false);
@@ -600,7 +747,9 @@
         match http::request(link.bytes()) {
             Parsed::Partial(_) => {}
             Parsed::Bad(_) => {
-                self.fault = Some(format!("a sender wrote what is no request to endpoint {endpoint}"));
+                self.fault = Some(format!(
+                    "a sender wrote what is no request to endpoint {endpoint}"
+                ));
             }
             Parsed::Whole(request) => {
                 link.used(request.used);
@@ -610,7 +759,9 @@
                     .header("x-request-id")
                     .and_then(|i| i.strip_prefix('m'))
                     .and_then(|i| i.parse().ok());
-                let Some((id, held)) = id.and_then(|id: u64| self.held.get_mut(&id).map(|h| (id, h))) else {
+                let Some((id, held)) =
+                    id.and_then(|id: u64| self.held.get_mut(&id).map(|h| (id, h)))
+                else {
                     self.fault = Some(format!(
                         "a call for a message that nobody handed in came to endpoint {endpoint}"
                     ));
@@ -619,7 +770,8 @@
                 let origin = held.origin;
                 let keyed = self.clients.effect(origin) == Effect::Keyed;
                 let key = request.header("idempotency-key").unwrap_or("");
-                let same = *request.body == *body(id).as_bytes() && (!keyed || key == format!("k{origin}"));
+                let same = *request.body == *body(id).as_bytes()
+                    && (!keyed || key == format!("k{origin}"));
                 if !same || request.method != "POST" || request.path != "/v1/messages" {
                     self.fault = Some(format!("message {id} came changed to endpoint {endpoint}"));
                     return;
@@ -630,13 +782,34 @@
                 self.next_call += 1;
                 *busy = Some(call);
                 let mut rng = draw(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
-                let (before, after) =
-                    (happens(&mut rng, weather.reset.0), happens(&mut rng, weather.reset.1));
-                self.calls.insert(call, Call { id, peer: at, partner, endpoint, breaks: after });
-                self.fact(What::Call { call, id, sender, partner, endpoint, fresh });
+                let (before, after) = (
+                    happens(&mut rng, weather.reset.0),
+                    happens(&mut rng, weather.reset.1),
+                );
+                self.calls.insert(
+                    call,
+                    Call {
+                        id,
+                        peer: at,
+                        partner,
+                        endpoint,
+                        breaks: after,
+                    },
+                );
+                self.fact(What::Call {
+                    call,
+                    id,
+                    sender,
+                    partner,
+                    endpoint,
+                    fresh,
+                });
                 if before || dead {
                     // Its sender cannot tell this from one that has run.
-                    self.fact(What::Ended { call, how: Silence::Reset });
+                    self.fact(What::Ended {
+                        call,
+                        how: Silence::Reset,
+                    });
                     self.calls.remove(&call);
                     return self.drop_call(at, true);
                 }
@@ -651,20 +824,36 @@
         if let Some(c) = self.calls.remove(&call) {
             let sender = self.held.get(&c.id).map_or(0, |h| h.sender);
             let died = !self.seats[sender as usize].up;
-            self.fact(What::Ended { call, how: if died { Silence::Died } else { Silence::CalledOff } });
+            self.fact(What::Ended {
+                call,
+                how: if died {
+                    Silence::Died
+                } else {
+                    Silence::CalledOff
+                },
+            });
         }
     }
 
     fn call_in(&mut self, call: u64) {
         let now = self.now();
-        let Some(c) = self.calls.get(&call) else { return };
+        let Some(c) = self.calls.get(&call) else {
+            return;
+        };
         let (id, partner, endpoint, breaks, peer) = (c.id, c.partner, c.endpoint, c.breaks, c.peer);
         self.fact(What::Arrived { call });
-        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
         let (origin, attempt) = (held.origin, held.attempts - 1);
         held.ran.get_or_insert(now);
         let class = self.clients.origin(origin).planned.class;
-        let told = partner::Call { no: call, origin, attempt, work: self.x.work(self.seed, class) };
+        let told = partner::Call {
+            no: call,
+            origin,
+            attempt,
+            work: self.x.work(self.seed, class),
+        };
         if self.open[endpoint as usize] > self.x.world.connections {
             return self.reply(call, Reply::Refused(None));
         }
@@ -678,7 +867,10 @@
                 self.fact(What::Ran { call });
                 self.look_at(partner);
                 if breaks {
-                    self.fact(What::Ended { call, how: Silence::Reset });
+                    self.fact(What::Ended {
+                        call,
+                        how: Silence::Reset,
+                    });
                     self.calls.remove(&call);
                     self.drop_call(peer, true);
                 }
@@ -694,7 +886,9 @@
 
     /// An endpoint's answer leaves.
     fn write(&mut self, call: u64, reply: Reply) {
-        let Some(c) = self.calls.remove(&call) else { return };
+        let Some(c) = self.calls.remove(&call) else {
+            return;
+        };
         let now = self.now();
         if self.ground.weather(c.partner, now).cut {
             self.calls.insert(call, c);
@@ -717,7 +911,12 @@
             }
             Reply::Refused(None) => "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n".to_string(),
         };
-        let Some(Peer::Call { link, busy, since, .. }) = self.peers.get_mut(c.peer) else { return };
+        let Some(Peer::Call {
+            link, busy, since, ..
+        }) = self.peers.get_mut(c.peer)
+        else {
+            return;
+        };
         (*busy, *since) = (None, now);
         let queued = link.queue(text.as_bytes());
         link.flush();
@@ -730,7 +929,10 @@
                 self.open_messages = self.open_messages.saturating_sub(1);
             }
         } else {
-            self.fact(What::Ended { call, how: Silence::CalledOff });
+            self.fact(What::Ended {
+                call,
+                how: Silence::CalledOff,
+            });
         }
     }
 
@@ -758,9 +960,12 @@
     // ---- The platform ------------------------------------------------------------------------------------------
 
     fn watches(&self, of: Option<u32>) -> Vec<usize> {
-        let mine =
-            |p: &Peer| matches!(p, Peer::Asks { sender, watch: true, .. } if of.is_none_or(|s| s == *sender));
-        self.peers.iter().filter(|(_, p)| mine(p)).map(|(at, _)| at).collect()
+        let mine = |p: &Peer| matches!(p, Peer::Asks { sender, watch: true, .. } if of.is_none_or(|s| s == *sender));
+        self.peers
+            .iter()
+            .filter(|(_, p)| mine(p))
+            .map(|(at, _)| at)
+            .collect()
     }
 
     fn push(&mut self, at: usize, text: &str) {
@@ -771,7 +976,15 @@
     }
 
     fn heard_ask(&mut self, at: usize) {
-        let Some(Peer::Asks { sender, link, watch, pending }) = self.peers.get_mut(at) else { return };
+        let Some(Peer::Asks {
+            sender,
+            link,
+            watch,
+            pending,
+        }) = self.peers.get_mut(at)
+        else {
+            return;
+        };
         let sender = *sender;
         drain(link, pending);
         link.fill();
@@ -781,7 +994,9 @@
             }
             return;
         }
-        let Parsed::Whole(request) = http::request(link.bytes()) else { return };
+        let Parsed::Whole(request) = http::request(link.bytes()) else {
+            return;
+        };
         link.used(request.used);
         if request.path.starts_with("/v1/servers?watch=1") {
             *watch = true;
@@ -801,18 +1016,30 @@
 
     fn notice(&mut self, sender: u32, line: &str) {
         let json: Value = serde_json::from_str(line).unwrap_or_default();
-        let id = json["id"].as_str().and_then(|i| i.strip_prefix('m')).and_then(|i| i.parse::<u64>().ok());
+        let id = json["id"]
+            .as_str()
+            .and_then(|i| i.strip_prefix('m'))
+            .and_then(|i| i.parse::<u64>().ok());
         let deferred = match json["status"].as_str() {
             Some("deferred") => true,
             Some("undeliverable") => false,
             _ => return self.fault = Some(format!("a notice that cannot be read: {line}")),
         };
         let Some(id) = id.filter(|id| self.held.contains_key(id)) else {
-            return self.fault = Some(format!("a notice for a message that nobody handed in: {line}"));
+            return self.fault = Some(format!(
+                "a notice for a message that nobody handed in: {line}"
+            ));
         };
         let again = json["again_ms"].as_f64();
-        self.fact(What::Notice { sender, id, deferred, again });
-        let Some(held) = self.held.get_mut(&id) else { return };
+        self.fact(What::Notice {
+            sender,
+            id,
+            deferred,
+            again,
+        });
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
         let (origin, ran) = (held.origin, held.ran);
         if std::mem::replace(&mut held.over, true) {
             return;
@@ -835,22 +1062,34 @@
             seat.known.insert(endpoint, state);
         }
         let rev = seat.rev;
-        let line =
-            json!({"rev": rev, "all": false, "targets": [self.entry(endpoint, state)]}).to_string() + "\n";
+        let line = json!({"rev": rev, "all": false, "targets": [self.entry(endpoint, state)]})
+            .to_string()
+            + "\n";
         let watches = self.watches(Some(sender));
         if self.seats[sender as usize].up && !watches.is_empty() {
             let partner = self.ground.partner(endpoint);
-            self.fact(What::Listed { sender, endpoint, partner, on: state == "in_service" });
+            self.fact(What::Listed {
+                sender,
+                endpoint,
+                partner,
+                on: state == "in_service",
+            });
         }
-        watches.into_iter().for_each(|at| self.push(at, &format!("{:x}\r\n{line}\r\n", line.len())));
+        watches
+            .into_iter()
+            .for_each(|at| self.push(at, &format!("{:x}\r\n{line}\r\n", line.len())));
     }
 
     // ---- Clients -----------------------------------------------------------------------------------------------
 
     fn hand_in(&mut self, origin: u64) {
         let now = self.now();
-        let Origin { planned, deadline, .. } = *self.clients.origin(origin);
-        let up: Vec<u32> = (0..self.seats.len() as u32).filter(|s| self.seats[*s as usize].up).collect();
+        let Origin {
+            planned, deadline, ..
+        } = *self.clients.origin(origin);
+        let up: Vec<u32> = (0..self.seats.len() as u32)
+            .filter(|s| self.seats[*s as usize].up)
+            .collect();
         let Some((sender, _)) = self.clients.dealt(origin, &up).filter(|_| now < deadline) else {
             return self.again(origin, None, false);
         };
@@ -871,11 +1110,31 @@
             planned.partner,
             body.len()
         );
-        let Some(client) = self.client(sender) else { return self.again(origin, None, false) };
+        let Some(client) = self.client(sender) else {
+            return self.again(origin, None, false);
+        };
         let (class, partner, first) = (planned.class, planned.partner, planned.at);
-        self.held.insert(id, Held { origin, sender, attempts: 0, ran: None, over: false });
+        self.held.insert(
+            id,
+            Held {
+                origin,
+                sender,
+                attempts: 0,
+                ran: None,
+                over: false,
+            },
+        );
         self.open_messages += 1;
-        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline, key: None });
+        self.fact(What::HandedIn {
+            origin,
+            id,
+            sender,
+            class,
+            partner,
+            first,
+            deadline,
+            key: None,
+        });
         if let Some(Peer::Client { link, id: asks, .. }) = self.peers.get_mut(client) {
             *asks = Some(id);
             link.queue(text.as_bytes());
@@ -887,7 +1146,11 @@
     /// An idle connection to a sender, or a new one.
     fn client(&mut self, sender: u32) -> Option<usize> {
         while let Some(at) = self.seats[sender as usize].idle.pop() {
-            if let Some(Peer::Client { link, id: None, sender: own }) = self.peers.get_mut(at)
+            if let Some(Peer::Client {
+                link,
+                id: None,
+                sender: own,
+            }) = self.peers.get_mut(at)
                 && *own == sender
             {
                 link.fill();
@@ -897,13 +1160,22 @@
                 self.peers.remove(at);
             }
         }
-        let (to, at) = (self.seats[sender as usize].child.address, self.peers.vacant_key());
+        let (to, at) = (
+            self.seats[sender as usize].child.address,
+            self.peers.vacant_key(),
+        );
         let link = Link::connect(to, &self.handle, &self.pool, at).ok()?;
-        Some(self.peers.insert(Peer::Client { sender, link, id: None }))
+        Some(self.peers.insert(Peer::Client {
+            sender,
+            link,
+            id: None,
+        }))
     }
 
     fn heard_answer(&mut self, at: usize) {
-        let Some(Peer::Client { sender, link, id }) = self.peers.get_mut(at) else { return };
+        let Some(Peer::Client { sender, link, id }) = self.peers.get_mut(at) else {
+            return;
+        };
         let (sender, asked) = (*sender, *id);
         link.flush();
         link.fill();
@@ -917,7 +1189,10 @@
         match answer {
             Ok(Some(answer)) if answer.status >= 200 => {
                 let keep = answer.keep;
-                let told = answer.header("retry-after").and_then(|t| t.parse::<f64>().ok()).map(|s| s * 1e3);
+                let told = answer
+                    .header("retry-after")
+                    .and_then(|t| t.parse::<f64>().ok())
+                    .map(|s| s * 1e3);
                 link.used(answer.used);
                 *id = None;
                 if keep {
@@ -925,7 +1200,10 @@
                 } else {
                     self.peers.remove(at);
                 }
-                self.fact(What::Answered { id: asked, status: answer.status });
+                self.fact(What::Answered {
+                    id: asked,
+                    status: answer.status,
+                });
                 if !matches!(answer.status, 200 | 202) {
                     self.not_taken(asked, told, true);
                 }
@@ -940,14 +1218,17 @@
 
     /// A client has waited long enough for a sender's answer.
     fn gave_up(&mut self, client: usize, id: u64) {
-        if matches!(self.peers.get(client), Some(Peer::Client { id: Some(asks), .. }) if *asks == id) {
+        if matches!(self.peers.get(client), Some(Peer::Client { id: Some(asks), .. }) if *asks == id)
+        {
             self.peers.remove(client);
             self.not_taken(id, None, false);
         }
     }
 
     fn not_taken(&mut self, id: u64, told: Option<Millis>, answered: bool) {
-        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
         let origin = held.origin;
         if !std::mem::replace(&mut held.over, true) {
             self.open_messages = self.open_messages.saturating_sub(1);
@@ -973,8 +1254,12 @@
             self.fact(What::Out { partner, out });
         }
         // Those that could not be reached hear now what waited for them.
-        let wake: Vec<usize> =
-            self.peers.iter().filter(|(_, p)| matches!(p, Peer::Endpoint { .. })).map(|(at, _)| at).collect();
+        let wake: Vec<usize> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| matches!(p, Peer::Endpoint { .. }))
+            .map(|(at, _)| at)
+            .collect();
         wake.into_iter().for_each(|at| self.ready(at));
     }
 
@@ -1029,7 +1314,14 @@
                 State::Draining => "terminating",
                 State::Gone => "terminated",
             };
-            self.at(at, Ev::Tell { sender, endpoint, state });
+            self.at(
+                at,
+                Ev::Tell {
+                    sender,
+                    endpoint,
+                    state,
+                },
+            );
         }
     }
 
@@ -1037,24 +1329,43 @@
     fn retire(&mut self, endpoint: u32) {
         self.ground.retire(endpoint);
         let own = |p: &Peer| matches!(p, Peer::Call { endpoint: e, .. } if *e == endpoint);
-        let gone: Vec<usize> = self.peers.iter().filter(|(_, p)| own(p)).map(|(at, _)| at).collect();
+        let gone: Vec<usize> = self
+            .peers
+            .iter()
+            .filter(|(_, p)| own(p))
+            .map(|(at, _)| at)
+            .collect();
         for at in gone {
-            if let Some(Peer::Call { busy: Some(call), .. }) = self.peers.get(at) {
+            if let Some(Peer::Call {
+                busy: Some(call), ..
+            }) = self.peers.get(at)
+            {
                 let call = *call;
                 self.calls.remove(&call);
-                self.fact(What::Ended { call, how: Silence::Reset });
+                self.fact(What::Ended {
+                    call,
+                    how: Silence::Reset,
+                });
             }
             self.drop_call(at, true);
         }
         let listens = |p: &Peer| matches!(p, Peer::Endpoint { endpoint: e, .. } if *e == endpoint);
-        let listener = self.peers.iter().find(|(_, p)| listens(p)).map(|(at, _)| at);
+        let listener = self
+            .peers
+            .iter()
+            .find(|(_, p)| listens(p))
+            .map(|(at, _)| at);
         self.vacant.extend(listener);
     }
 
     /// Puts a new endpoint at the address of one that has gone; false where there is none.
     fn moved_in(&mut self, new: u32) -> bool {
-        let Some(at) = self.vacant.pop() else { return false };
-        let Some(Peer::Endpoint { endpoint, .. }) = self.peers.get_mut(at) else { return false };
+        let Some(at) = self.vacant.pop() else {
+            return false;
+        };
+        let Some(Peer::Endpoint { endpoint, .. }) = self.peers.get_mut(at) else {
+            return false;
+        };
         let old = std::mem::replace(endpoint, new);
         self.addresses.push(self.addresses[old as usize]);
         self.open.push(0);
@@ -1079,6 +1390,12 @@
             self.list(old, State::Gone);
             self.at(now + REPLACED, Ev::Retire { endpoint: old });
         }
-        self.at(now + f.every, Ev::Replace { failure, turn: turn + 1 });
+        self.at(
+            now + f.every,
+            Ev::Replace {
+                failure,
+                turn: turn + 1,
+            },
+        );
     }
 }
