--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -135,10 +135,20 @@
     /// Takes the next fact.
     pub fn hear(&mut self, fact: &Fact) {
         match fact.what {
-            What::HandedIn { origin, id, class, first, .. } => {
+            What::HandedIn {
+                origin,
+                id,
+                class,
+                first,
+                ..
+            } => {
                 self.origin.insert(id, origin);
                 if let Entry::Vacant(fresh) = self.messages.entry(origin) {
-                    fresh.insert(Message { class, first, delivered: false });
+                    fresh.insert(Message {
+                        class,
+                        first,
+                        delivered: false,
+                    });
                     self.figures.messages += 1;
                     self.second(first).asked += 1.0;
                     self.by_class[class as usize].0 += 1.0;
@@ -150,20 +160,39 @@
             }
             What::Joins { sender } => {
                 // One that is on its way to its sender is not known yet.
-                let known = self.waits.iter().filter(|(_, (_, told))| *told + ON_ITS_WAY < fact.at);
+                let known = self
+                    .waits
+                    .iter()
+                    .filter(|(_, (_, told))| *told + ON_ITS_WAY < fact.at);
                 let mut waits = HashMap::<u32, Millis>::new();
                 for ((partner, _), (until, _)) in known {
                     let longest = waits.entry(*partner).or_default();
                     *longest = longest.max(*until);
                 }
-                self.newcomers.insert(sender, Newcomer { since: fact.at, waits });
+                self.newcomers.insert(
+                    sender,
+                    Newcomer {
+                        since: fact.at,
+                        waits,
+                    },
+                );
             }
             What::Gone { sender } => self.waits.retain(|(_, told), _| *told != sender),
             What::Toppled { .. } => self.figures.toppled += 1,
-            What::Call { call, id, fresh, sender, partner, .. } => {
+            What::Call {
+                call,
+                id,
+                fresh,
+                sender,
+                partner,
+                ..
+            } => {
                 self.callers.insert(call, (partner, sender));
                 if let Some(newcomer) = self.newcomers.get(&sender) {
-                    let told = newcomer.waits.get(&partner).is_some_and(|until| fact.at < *until);
+                    let told = newcomer
+                        .waits
+                        .get(&partner)
+                        .is_some_and(|until| fact.at < *until);
                     self.figures.into_waits += u64::from(told);
                     if fact.at < newcomer.since + EARLY {
                         self.figures.newcomer_calls += 1;
@@ -177,7 +206,11 @@
                     self.calls.insert(call, (*origin, false));
                 }
             }
-            What::Ran { call } => self.calls.get_mut(&call).into_iter().for_each(|c| c.1 = true),
+            What::Ran { call } => self
+                .calls
+                .get_mut(&call)
+                .into_iter()
+                .for_each(|c| c.1 = true),
             What::Replied { call, reply } => {
                 let (early, caller) = (self.early.remove(&call), self.callers.remove(&call));
                 if let (Reply::Refused(wait), Some(caller)) = (reply, caller) {
@@ -188,7 +221,9 @@
                         *known = (until, fact.at);
                     }
                 }
-                let Some((origin, _)) = self.calls.remove(&call) else { return };
+                let Some((origin, _)) = self.calls.remove(&call) else {
+                    return;
+                };
                 match reply {
                     Reply::Served => self.served(origin, fact.at),
                     Reply::Refused(_) => {
@@ -206,14 +241,20 @@
                 }
             }
             What::Notice { deferred, .. } => {
-                *if deferred { &mut self.figures.deferred } else { &mut self.figures.undeliverable } += 1;
+                *if deferred {
+                    &mut self.figures.deferred
+                } else {
+                    &mut self.figures.undeliverable
+                } += 1;
             }
             _ => {}
         }
     }
 
     fn served(&mut self, origin: u64, at: Millis) {
-        let Some(message) = self.messages.get_mut(&origin) else { return };
+        let Some(message) = self.messages.get_mut(&origin) else {
+            return;
+        };
         if std::mem::replace(&mut message.delivered, true) {
             self.wasted += 1;
             return;
@@ -223,7 +264,8 @@
         self.by_class[class].1 += worth;
         self.second(first).got += worth;
         self.figures.delivered += 1;
-        self.latency.saturating_record((((at - first) * 10.0) as u64).max(1));
+        self.latency
+            .saturating_record((((at - first) * 10.0) as u64).max(1));
     }
 
     /// Notes how many messages are held now.
@@ -237,14 +279,27 @@
     pub fn end(mut self) -> Figures {
         let f = &mut self.figures;
         let share = |asked: f64, got: f64| if asked > 0.0 { got / asked } else { 1.0 };
-        let (asked, got) = f.seconds.iter().fold((0.0, 0.0), |(a, g), s| (a + s.asked, g + s.got));
+        let (asked, got) = f
+            .seconds
+            .iter()
+            .fold((0.0, 0.0), |(a, g), s| (a + s.asked, g + s.got));
         f.share = share(asked, got);
         let window = |w: &[Second]| {
-            let (asked, got) = w.iter().fold((0.0, 0.0), |(a, g), s| (a + s.asked, g + s.got));
+            let (asked, got) = w
+                .iter()
+                .fold((0.0, 0.0), |(a, g), s| (a + s.asked, g + s.got));
             share(asked, got)
         };
-        f.worst_window = f.seconds.windows(10.min(f.seconds.len())).map(window).fold(1.0, f64::min);
-        f.worst_class = self.by_class.iter().map(|(a, g)| share(*a, *g)).fold(1.0, f64::min);
+        f.worst_window = f
+            .seconds
+            .windows(10.min(f.seconds.len()))
+            .map(window)
+            .fold(1.0, f64::min);
+        f.worst_class = self
+            .by_class
+            .iter()
+            .map(|(a, g)| share(*a, *g))
+            .fold(1.0, f64::min);
         let each = f.messages.max(1) as f64;
         (f.calls, f.refusals) = (f.calls / each, f.refusals / each);
         (f.connections, f.wasted) = (self.connections as f64 / each, self.wasted as f64 / each);
--- a/crates/lab/src/turns.rs
+++ b/crates/lab/src/turns.rs
@@ -6,7 +6,8 @@
 
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, ClassId, DestinationId, EndpointId, Entry, Event, KindId, MessageId, Outcome, Stage, ZoneId,
+    Action, ClassId, DestinationId, EndpointId, Entry, Event, KindId, MessageId, Outcome, Stage,
+    ZoneId,
 };
 
 use crate::experiment::Experiment;
@@ -56,7 +57,11 @@
     let mut now = 1_000_000 * MS;
     let (mut out, mut next, mut open) = (Vec::new(), 0u64, 0usize);
     let mut actions = Vec::new();
-    policy.turn(now, &[Event::List((0..destinations * 2).map(entry).collect())], &mut actions);
+    policy.turn(
+        now,
+        &[Event::List((0..destinations * 2).map(entry).collect())],
+        &mut actions,
+    );
     let mut message = |now: u64| {
         next += 1;
         Event::Message {
@@ -78,7 +83,13 @@
         }
         if let Some((id, attempt)) = out.pop().filter(|_| turn > 0) {
             let outcome = Outcome::Success;
-            events.push(Event::Ended { id, attempt, outcome, took: 5 * MS, finished: true });
+            events.push(Event::Ended {
+                id,
+                attempt,
+                outcome,
+                took: 5 * MS,
+                finished: true,
+            });
             open -= 1;
         }
         events.push(Event::Wake);
@@ -98,5 +109,12 @@
     }
     took.sort_by(f64::total_cmp);
     let at = |q: f64| took[((took.len() - 1) as f64 * q) as usize];
-    Ok(Cost { held, destinations, turns, median: at(0.5), p99: at(0.99), longest: at(1.0) })
+    Ok(Cost {
+        held,
+        destinations,
+        turns,
+        median: at(0.5),
+        p99: at(0.99),
+        longest: at(1.0),
+    })
 }
--- a/crates/lab/tests/hostile.rs
+++ b/crates/lab/tests/hostile.rs
@@ -24,16 +24,30 @@
 fn others(failures: &str, seed: u64) -> Others {
     let text = format!("length_s: 60 load {{ level: 0.7 }} {failures}");
     let x = Experiment::read("t", "t", &text).unwrap_or_else(|e| panic!("{e}"));
-    let parts: Vec<f64> = Site::new(&x.world, seed).partners.iter().map(|p| p.part).collect();
-    let hostile = (0..parts.len()).max_by(|a, b| parts[*a].total_cmp(&parts[*b])).unwrap() as u32;
+    let parts: Vec<f64> = Site::new(&x.world, seed)
+        .partners
+        .iter()
+        .map(|p| p.part)
+        .collect();
+    let hostile = (0..parts.len())
+        .max_by(|a, b| parts[*a].total_cmp(&parts[*b]))
+        .unwrap() as u32;
     let mut first: HashMap<u64, Option<f64>> = HashMap::new();
     let (mut origins, mut calls, mut sum) = (HashMap::new(), HashMap::new(), Others::default());
     let sink = |fact: &Fact| match fact.what {
-        What::HandedIn { origin, id, partner, first: at, .. } if partner != hostile => {
+        What::HandedIn {
+            origin,
+            id,
+            partner,
+            first: at,
+            ..
+        } if partner != hostile => {
             origins.insert(id, (origin, at));
             first.entry(origin).or_insert(None);
         }
-        What::Call { call, id, partner, .. } if partner != hostile => {
+        What::Call {
+            call, id, partner, ..
+        } if partner != hostile => {
             calls.insert(call, id);
             sum.calls += 1.0;
         }
@@ -48,7 +62,11 @@
         _ => {}
     };
     let played = sim::play(&x, &x.variants[0], seed, Some(Box::new(sink))).unwrap();
-    assert!(played.verdict.clean(), "seed {seed}: {:?}", played.verdict.breaches);
+    assert!(
+        played.verdict.clean(),
+        "seed {seed}: {:?}",
+        played.verdict.breaches
+    );
     let all = first.len() as f64;
     let took: Vec<f64> = first.into_values().flatten().collect();
     let late = took.iter().filter(|t| **t > 3_000.0).count() as f64;
@@ -70,7 +88,10 @@
 #[case::refuses_nearly_all("failure { what: TIGHT length_s: 60 size: 0.05 partner: 0 }", 0.03)]
 #[case::shut_all_day("failure { what: REFUSE length_s: 60 partner: 0 }", 0.03)]
 #[case::answers_nothing_all_day("failure { what: HANG length_s: 60 partner: 0 }", 0.03)]
-#[case::stands_still_by_turns("failure { what: PAUSES length_s: 60 size: 900 every_s: 2 partner: 0 }", 0.03)]
+#[case::stands_still_by_turns(
+    "failure { what: PAUSES length_s: 60 size: 900 every_s: 2 partner: 0 }",
+    0.03
+)]
 fn one_partner_that_misbehaves_costs_the_others_little(#[case] failures: &str, #[case] most: f64) {
     let mut sums = [Others::default(); 2];
     let mut lost = Vec::new();
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -11,17 +11,29 @@
 
 fn verdict(facts: &[(f64, What)]) -> Vec<Rule> {
     let classes = vec![
-        ClassRule { effect: Effect::Unsafe, window: 0.0 },
-        ClassRule { effect: Effect::Keyed, window: 6_000.0 },
+        ClassRule {
+            effect: Effect::Unsafe,
+            window: 0.0,
+        },
+        ClassRule {
+            effect: Effect::Keyed,
+            window: 6_000.0,
+        },
     ];
     let mut judge = Judge::new(classes, 3);
     for (at, what) in facts {
-        judge.hear(&Fact { at: *at, what: what.clone() });
+        judge.hear(&Fact {
+            at: *at,
+            what: what.clone(),
+        });
     }
     let verdict = judge.end(100_000.0);
     for breach in &verdict.breaches {
         let text = breach.to_string();
-        assert!(text.contains(&format!("{:?} at ", breach.rule)) && text.contains(" ms"), "{text}");
+        assert!(
+            text.contains(&format!("{:?} at ", breach.rule)) && text.contains(" ms"),
+            "{text}"
+        );
     }
     verdict.counts.into_keys().collect()
 }
@@ -34,7 +46,19 @@
 fn again(origin: u64, id: u64, class: u32, at: f64) -> Vec<(f64, What)> {
     let (sender, partner, first, deadline) = (0, 7, 0.0, 16_000.0);
     vec![
-        (at, What::HandedIn { origin, id, sender, class, partner, first, deadline, key: None }),
+        (
+            at,
+            What::HandedIn {
+                origin,
+                id,
+                sender,
+                class,
+                partner,
+                first,
+                deadline,
+                key: None,
+            },
+        ),
         (at, What::Answered { id, status: 202 }),
     ]
 }
@@ -42,7 +66,20 @@
 /// A call of a message to an endpoint, whose last byte comes 10 ms later.
 fn sent(call: u64, id: u64, endpoint: u32, at: f64) -> Vec<(f64, What)> {
     let (sender, partner, fresh) = (0, 7, false);
-    vec![(at, What::Call { call, id, sender, partner, endpoint, fresh }), (at + 10.0, What::Arrived { call })]
+    vec![
+        (
+            at,
+            What::Call {
+                call,
+                id,
+                sender,
+                partner,
+                endpoint,
+                fresh,
+            },
+        ),
+        (at + 10.0, What::Arrived { call }),
+    ]
 }
 
 fn replied(call: u64, reply: Reply, at: f64) -> (f64, What) {
@@ -50,11 +87,27 @@
 }
 
 fn notice(id: u64, deferred: bool, at: f64) -> (f64, What) {
-    (at, What::Notice { sender: 0, id, deferred, again: None })
+    (
+        at,
+        What::Notice {
+            sender: 0,
+            id,
+            deferred,
+            again: None,
+        },
+    )
 }
 
 fn listed(endpoint: u32, partner: u32, on: bool, at: f64) -> (f64, What) {
-    (at, What::Listed { sender: 0, endpoint, partner, on })
+    (
+        at,
+        What::Listed {
+            sender: 0,
+            endpoint,
+            partner,
+            on,
+        },
+    )
 }
 
 fn history(mut parts: Vec<Vec<(f64, What)>>) -> Vec<(f64, What)> {
@@ -95,7 +148,10 @@
     vec![taken(1, UNSAFE), sent(1, 1, 1, 5.0), vec![replied(1, Reply::Served, 50.0), (60.0, What::Gone { sender: 0 }),
          (700.0, What::Ready { sender: 0 })], sent(2, 1, 1, 900.0), vec![replied(2, Reply::Served, 950.0)]],
     &[Rule::NoSecondEffect])]
-fn each_message_has_one_answer_by_its_time(#[case] parts: Vec<Vec<(f64, What)>>, #[case] want: &[Rule]) {
+fn each_message_has_one_answer_by_its_time(
+    #[case] parts: Vec<Vec<(f64, What)>>,
+    #[case] want: &[Rule],
+) {
     assert_eq!(verdict(&history(parts)), want);
 }
 
@@ -110,21 +166,47 @@
 #[case::keyed_out_of_it(None, Some(Silence::TimedOut), KEYED, 6_100.0, &[Rule::KeyWindow])]
 #[case::keyed_that_never_ran(Some(Reply::Refused(None)), None, KEYED, 9_000.0, &[])]
 fn what_may_have_run_is_repeated_only_where_its_class_allows(
-    #[case] reply: Option<Reply>, #[case] silence: Option<Silence>, #[case] class: u32, #[case] second: f64,
+    #[case] reply: Option<Reply>,
+    #[case] silence: Option<Silence>,
+    #[case] class: u32,
+    #[case] second: f64,
     #[case] want: &[Rule],
 ) {
     let first: Vec<_> = reply.map(|r| replied(1, r, 100.0)).into_iter().collect();
-    let ended: Vec<_> = silence.map(|how| (100.0, What::Ended { call: 1, how })).into_iter().collect();
+    let ended: Vec<_> = silence
+        .map(|how| (100.0, What::Ended { call: 1, how }))
+        .into_iter()
+        .collect();
     let last = vec![replied(2, Reply::Served, second + 300.0)];
-    let parts = vec![taken(1, class), sent(1, 1, 1, 5.0), first, ended, sent(2, 1, 1, second), last];
+    let parts = vec![
+        taken(1, class),
+        sent(1, 1, 1, 5.0),
+        first,
+        ended,
+        sent(2, 1, 1, second),
+        last,
+    ];
     assert_eq!(verdict(&history(parts)), want);
 }
 
 #[test]
 fn an_unsafe_message_is_one_whoever_hands_it_in_and_may_not_be_called_harmless_to_repeat() {
-    let lost = vec![(100.0, What::Ended { call: 1, how: Silence::TimedOut }), notice(1, true, 110.0)];
+    let lost = vec![
+        (
+            100.0,
+            What::Ended {
+                call: 1,
+                how: Silence::TimedOut,
+            },
+        ),
+        notice(1, true, 110.0),
+    ];
     let parts = vec![taken(1, UNSAFE), sent(1, 1, 1, 5.0), lost.clone()];
-    assert_eq!(verdict(&history(parts)), [Rule::NoSecondEffect], "given up as never run");
+    assert_eq!(
+        verdict(&history(parts)),
+        [Rule::NoSecondEffect],
+        "given up as never run"
+    );
     let end = vec![replied(2, Reply::Served, 900.0)];
     let undeliverable = vec![lost[0].clone(), notice(1, false, 110.0)];
     let parts = vec![
@@ -135,7 +217,11 @@
         sent(2, 2, 1, 600.0),
         end,
     ];
-    assert_eq!(verdict(&history(parts)), [Rule::NoSecondEffect], "another sender sends it again");
+    assert_eq!(
+        verdict(&history(parts)),
+        [Rule::NoSecondEffect],
+        "another sender sends it again"
+    );
 }
 
 #[rstest]
@@ -143,18 +229,35 @@
 #[case::too_early(1_000.0, &[Rule::Waits])]
 #[case::when_it_is_over(2_060.0, &[])]
 fn a_told_wait_binds_all_messages(#[case] at: f64, #[case] want: &[Rule]) {
-    let told = vec![replied(1, Reply::Refused(Some(2_000.0)), 50.0), notice(1, true, 60.0)];
+    let told = vec![
+        replied(1, Reply::Refused(Some(2_000.0)), 50.0),
+        notice(1, true, 60.0),
+    ];
     let end = vec![replied(2, Reply::Served, at + 300.0)];
-    let parts = vec![taken(1, UNSAFE), sent(1, 1, 1, 5.0), told, taken(2, KEYED), sent(2, 2, 2, at), end];
+    let parts = vec![
+        taken(1, UNSAFE),
+        sent(1, 1, 1, 5.0),
+        told,
+        taken(2, KEYED),
+        sent(2, 2, 2, at),
+        end,
+    ];
     assert_eq!(verdict(&history(parts)), want);
 }
 
 #[test]
-fn a_wait_that_a_sender_called_off_too_soon_to_hear_does_not_bind_it_and_one_heard_before_still_does() {
+fn a_wait_that_a_sender_called_off_too_soon_to_hear_does_not_bind_it_and_one_heard_before_still_does()
+ {
     let off = |at: f64| {
         let told = vec![
             replied(1, Reply::Refused(Some(2_000.0)), 50.0),
-            (at, What::Ended { call: 1, how: Silence::CalledOff }),
+            (
+                at,
+                What::Ended {
+                    call: 1,
+                    how: Silence::CalledOff,
+                },
+            ),
         ];
         let end = vec![notice(1, true, 900.0), replied(2, Reply::Served, 1_300.0)];
         verdict(&history(vec![
@@ -167,10 +270,19 @@
         ]))
     };
     assert_eq!((off(55.0), off(400.0)), (vec![], vec![Rule::Waits]));
-    let first = vec![replied(1, Reply::Refused(Some(2_000.0)), 50.0), notice(1, true, 60.0)];
+    let first = vec![
+        replied(1, Reply::Refused(Some(2_000.0)), 50.0),
+        notice(1, true, 60.0),
+    ];
     let second = vec![
         replied(2, Reply::Refused(Some(9_000.0)), 120.0),
-        (125.0, What::Ended { call: 2, how: Silence::CalledOff }),
+        (
+            125.0,
+            What::Ended {
+                call: 2,
+                how: Silence::CalledOff,
+            },
+        ),
     ];
     let end = vec![notice(2, true, 900.0), replied(3, Reply::Served, 1_300.0)];
     let parts = vec![
@@ -184,13 +296,23 @@
         sent(3, 3, 1, 1_000.0),
         end,
     ];
-    assert_eq!(verdict(&history(parts)), [Rule::Waits], "the one before holds on");
+    assert_eq!(
+        verdict(&history(parts)),
+        [Rule::Waits],
+        "the one before holds on"
+    );
 }
 
 #[test]
 fn a_restart_ends_a_wait_and_excuses_an_end_for_a_moment() {
-    let told = vec![replied(1, Reply::Refused(Some(9_000.0)), 50.0), notice(1, true, 60.0)];
-    let life = vec![(100.0, What::Gone { sender: 0 }), (900.0, What::Ready { sender: 0 })];
+    let told = vec![
+        replied(1, Reply::Refused(Some(9_000.0)), 50.0),
+        notice(1, true, 60.0),
+    ];
+    let life = vec![
+        (100.0, What::Gone { sender: 0 }),
+        (900.0, What::Ready { sender: 0 }),
+    ];
     let end = vec![replied(2, Reply::Served, 1_500.0)];
     let parts = vec![
         taken(1, UNSAFE),
@@ -208,7 +330,11 @@
             (15_900.0, What::Gone { sender: 0 }),
             (ready, What::Ready { sender: 0 }),
         ];
-        verdict(&history(vec![taken(1, UNSAFE), life, vec![notice(1, true, end)]]))
+        verdict(&history(vec![
+            taken(1, UNSAFE),
+            life,
+            vec![notice(1, true, end)],
+        ]))
     };
     assert_eq!(down(17_000.0, 18_400.0), []);
     assert_eq!(down(17_000.0, 18_700.0), [Rule::Lost]);
@@ -218,9 +344,21 @@
 #[case::in_time(1_040.0, &[])]
 #[case::too_late(1_200.0, &[Rule::Drains])]
 fn a_drain_binds_a_second_after_it_was_told(#[case] at: f64, #[case] want: &[Rule]) {
-    let list = vec![listed(1, 7, true, 0.0), listed(1, 7, false, 100.0), listed(1, 7, false, 600.0)];
+    let list = vec![
+        listed(1, 7, true, 0.0),
+        listed(1, 7, false, 100.0),
+        listed(1, 7, false, 600.0),
+    ];
     let end = vec![replied(1, Reply::Served, at + 400.0)];
-    assert_eq!(verdict(&history(vec![list, taken(1, UNSAFE), sent(1, 1, 1, at + 0.0), end])), want);
+    assert_eq!(
+        verdict(&history(vec![
+            list,
+            taken(1, UNSAFE),
+            sent(1, 1, 1, at + 0.0),
+            end
+        ])),
+        want
+    );
 }
 
 #[test]
@@ -228,14 +366,22 @@
     let list = vec![listed(9, 8, true, 0.0)];
     let end = vec![replied(1, Reply::Served, 400.0)];
     assert_eq!(
-        verdict(&history(vec![list, taken(1, UNSAFE), sent(1, 1, 9, 5.0), end])),
+        verdict(&history(vec![
+            list,
+            taken(1, UNSAFE),
+            sent(1, 1, 9, 5.0),
+            end
+        ])),
         [Rule::RightPartner]
     );
     let tries = |count: u64| {
         let mut parts = vec![taken(1, UNSAFE), vec![notice(1, true, 9_000.0)]];
         for call in 0..count {
             let at = 500.0 * call as f64;
-            parts.extend([sent(call, 1, 1, at), vec![replied(call, Reply::Refused(None), at + 100.0)]]);
+            parts.extend([
+                sent(call, 1, 1, at),
+                vec![replied(call, Reply::Refused(None), at + 100.0)],
+            ]);
         }
         verdict(&history(parts))
     };
@@ -245,17 +391,44 @@
 #[rstest]
 #[case::by_one_that_saw(true, &[Rule::NoneToppled])]
 #[case::by_one_that_did_not(false, &[])]
-fn a_cold_partner_is_not_pushed_over_by_those_that_saw_it_fail(#[case] saw: bool, #[case] want: &[Rule]) {
-    let out =
-        vec![(0.0, What::Out { partner: 7, out: true }), (5_000.0, What::Out { partner: 7, out: false })];
+fn a_cold_partner_is_not_pushed_over_by_those_that_saw_it_fail(
+    #[case] saw: bool,
+    #[case] want: &[Rule],
+) {
+    let out = vec![
+        (
+            0.0,
+            What::Out {
+                partner: 7,
+                out: true,
+            },
+        ),
+        (
+            5_000.0,
+            What::Out {
+                partner: 7,
+                out: false,
+            },
+        ),
+    ];
     let mut parts = vec![out, vec![(7_000.0, What::Toppled { partner: 7 })]];
     for call in 0..10 {
         let at = 5_500.0 + 100.0 * call as f64;
-        let ended = vec![replied(call, Reply::Refused(None), at + 40.0), notice(call, true, at + 50.0)];
-        parts.extend([again(call, call, UNSAFE, at), sent(call, call, 1, at), ended]);
+        let ended = vec![
+            replied(call, Reply::Refused(None), at + 40.0),
+            notice(call, true, at + 50.0),
+        ];
+        parts.extend([
+            again(call, call, UNSAFE, at),
+            sent(call, call, 1, at),
+            ended,
+        ]);
     }
     if saw {
-        let ended = vec![replied(90, Reply::Refused(None), 60.0), notice(90, true, 80.0)];
+        let ended = vec![
+            replied(90, Reply::Refused(None), 60.0),
+            notice(90, true, 80.0),
+        ];
         parts.extend([taken(90, UNSAFE), sent(90, 90, 1, 5.0), ended]);
     }
     assert_eq!(verdict(&history(parts)), want);
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -27,7 +27,12 @@
 }
 
 fn call(no: u64) -> Call {
-    Call { no, origin: no, attempt: 0, work: (100.0, 0.01) }
+    Call {
+        no,
+        origin: no,
+        attempt: 0,
+        work: (100.0, 0.01),
+    }
 }
 
 #[test]
@@ -36,10 +41,24 @@
     let (x, site, mut partner) = lone(kind);
     assert_eq!(site.partners[0].limit, Some(10.0));
     let weather = fair(&x, &site);
-    let taken: Vec<Taken> = (0..25).map(|no| partner.call(0, call(no), &weather, 2_500.0)).collect();
-    assert_eq!(taken.iter().filter(|t| !matches!(t, Taken::Reply(_))).count(), 20);
+    let taken: Vec<Taken> = (0..25)
+        .map(|no| partner.call(0, call(no), &weather, 2_500.0))
+        .collect();
+    assert_eq!(
+        taken
+            .iter()
+            .filter(|t| !matches!(t, Taken::Reply(_)))
+            .count(),
+        20
+    );
     assert_eq!(taken[24], Taken::Reply(Reply::Refused(Some(1_500.0))));
-    assert!(!matches!(partner.call(0, call(30), &weather, 4_000.0), Taken::Reply(_)), "a new span");
+    assert!(
+        !matches!(
+            partner.call(0, call(30), &weather, 4_000.0),
+            Taken::Reply(_)
+        ),
+        "a new span"
+    );
 }
 
 #[test]
@@ -53,16 +72,27 @@
         let (x, site, mut partner) = lone(&kind);
         let weather = fair(&x, &site);
         let call = |no: u64| partner.call(0, call(no), &weather, 50.0 * no as f64);
-        assert_eq!((0..120).map(call).filter(|taken| !matches!(taken, Taken::Reply(_))).count(), want);
+        assert_eq!(
+            (0..120)
+                .map(call)
+                .filter(|taken| !matches!(taken, Taken::Reply(_)))
+                .count(),
+            want
+        );
     }
 }
 
 #[test]
 fn an_endpoint_runs_so_many_queues_some_and_refuses_the_rest() {
     let (x, site, mut partner) = lone("limit: NONE queue { least: 2 most: 2 }");
-    assert_eq!((x.world.kinds[0].limit, site.partners[0].limit), (Limit::None, None));
+    assert_eq!(
+        (x.world.kinds[0].limit, site.partners[0].limit),
+        (Limit::None, None)
+    );
     let (weather, cores) = (fair(&x, &site), u64::from(site.partners[0].cores));
-    let taken: Vec<Taken> = (0..cores * 4).map(|no| partner.call(0, call(no), &weather, 0.0)).collect();
+    let taken: Vec<Taken> = (0..cores * 4)
+        .map(|no| partner.call(0, call(no), &weather, 0.0))
+        .collect();
     let count = |of: fn(&Taken) -> bool| taken.iter().filter(|t| of(t)).count() as u64;
     assert_eq!(count(|t| *t == Taken::Runs), cores);
     assert_eq!(count(|t| *t == Taken::Queued), 2 * cores);
@@ -72,21 +102,30 @@
         now = due;
         answers.extend(partner.advance(&weather, now).0);
     }
-    assert_eq!(answers.len() as u64, 3 * cores, "every call that was taken is answered once");
+    assert_eq!(
+        answers.len() as u64,
+        3 * cores,
+        "every call that was taken is answered once"
+    );
 }
 
 #[test]
 fn an_outage_loses_what_runs_and_a_cold_partner_that_is_pushed_falls_over_for_good() {
-    let (x, site, mut partner) = lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
+    let (x, site, mut partner) =
+        lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
     let weather = fair(&x, &site);
     partner.call(0, call(1), &weather, 0.0);
     partner.turn_out(true, 1.0);
     assert_eq!(partner.due(), None, "what ran there is lost");
     partner.turn_out(false, 10_000.0);
-    assert_eq!((partner.warmth(10_000.0), partner.warmth(18_000.0)), (0.25, 1.0));
+    assert_eq!(
+        (partner.warmth(10_000.0), partner.warmth(18_000.0)),
+        (0.25, 1.0)
+    );
     let can = site.partners[0].capacity(site.work);
     let push = |times: f64| {
-        let (_, _, mut partner) = lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
+        let (_, _, mut partner) =
+            lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
         partner.turn_out(true, 1.0);
         partner.turn_out(false, 10_000.0);
         let gap = 1e3 / (can * times);
@@ -112,13 +151,22 @@
     let forecast = Forecast::new(&x, &site);
     let ranked = site.by_traffic();
     let slow = |at: f64| forecast.at(ranked[5], at * 1e3).slow;
-    assert_eq!([slow(9.0), slow(12.0), slow(17.0), slow(22.0), slow(26.0)], [1.0, 2.0, 6.0, 3.0, 1.0]);
+    assert_eq!(
+        [slow(9.0), slow(12.0), slow(17.0), slow(22.0), slow(26.0)],
+        [1.0, 2.0, 6.0, 3.0, 1.0]
+    );
     assert!(
-        forecast.out(ranked[0], 12e3) && !forecast.out(ranked[1], 12e3) && !forecast.out(ranked[0], 15e3)
+        forecast.out(ranked[0], 12e3)
+            && !forecast.out(ranked[1], 12e3)
+            && !forecast.out(ranked[0], 15e3)
     );
     assert_eq!(forecast.at(ranked[0], 32_100.0).still, Some(32_300.0));
     assert_eq!(forecast.at(ranked[0], 32_400.0).still, None);
-    assert_eq!(forecast.at(ranked[9], 32_100.0).still, None, "the smallest is not among half of the traffic");
+    assert_eq!(
+        forecast.at(ranked[9], 32_100.0).still,
+        None,
+        "the smallest is not among half of the traffic"
+    );
     assert_eq!(forecast.at(ranked[9], 41e3).reset.1, 0.75);
 }
 
@@ -129,13 +177,29 @@
     );
     let site = Site::new(&x.world, 7);
     let plan = load::plan(&x, &site, &Forecast::new(&x, &site), 7);
-    let within =
-        |from: f64, to: f64| plan.iter().filter(|m| m.at >= from * 1e3 && m.at < to * 1e3).count() as f64;
+    let within = |from: f64, to: f64| {
+        plan.iter()
+            .filter(|m| m.at >= from * 1e3 && m.at < to * 1e3)
+            .count() as f64
+    };
     let (before, burst) = (within(0.0, 30.0) / 30.0, within(30.0, 40.0) / 10.0);
-    assert!((40.0..60.0).contains(&before), "{before} a second at half of a hundred");
-    assert!((2.4..3.6).contains(&(burst / before)), "{burst} after {before}");
+    assert!(
+        (40.0..60.0).contains(&before),
+        "{before} a second at half of a hundred"
+    );
+    assert!(
+        (2.4..3.6).contains(&(burst / before)),
+        "{burst} after {before}"
+    );
     let biggest = site.by_traffic()[0];
-    let share = plan.iter().filter(|m| m.partner as usize == biggest).count() as f64 / plan.len() as f64;
-    assert!((share / site.partners[biggest].part - 1.0).abs() < 0.35, "{share}");
+    let share = plan
+        .iter()
+        .filter(|m| m.partner as usize == biggest)
+        .count() as f64
+        / plan.len() as f64;
+    assert!(
+        (share / site.partners[biggest].part - 1.0).abs() < 0.35,
+        "{share}"
+    );
     assert!(plan.is_sorted_by(|a, b| a.at <= b.at));
 }
--- a/crates/lab/tests/orders.rs
+++ b/crates/lab/tests/orders.rs
@@ -14,8 +14,8 @@
 use martenlatch_ledger::{Ledger, Notice, Taken, Task};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, Class, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event, FailBack,
-    KeyId, Kind, KindId, MessageId, Outcome, Settings, Stage, Weights, ZoneId,
+    Action, Class, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event,
+    FailBack, KeyId, Kind, KindId, MessageId, Outcome, Settings, Stage, Weights, ZoneId,
 };
 use rstest::rstest;
 
@@ -131,7 +131,13 @@
         kinds: vec![Kind { apart: false }],
         classes: vec![
             class(PolicyEffect::Unsafe, false),
-            class(PolicyEffect::Keyed { by_zone: false, memory: nanos(WINDOW) }, false),
+            class(
+                PolicyEffect::Keyed {
+                    by_zone: false,
+                    memory: nanos(WINDOW),
+                },
+                false,
+            ),
             class(PolicyEffect::Unsafe, true),
         ],
         decay: Decay::Halving,
@@ -142,7 +148,12 @@
         cancel: true,
         second_copies: true,
         max_advice: Some(nanos(3_000.0)),
-        fail_back: FailBack { factor: FALL.0, span: nanos(FALL.1), cold_from: COLD.0, cold: nanos(COLD.1) },
+        fail_back: FailBack {
+            factor: FALL.0,
+            span: nanos(FALL.1),
+            cold_from: COLD.0,
+            cold: nanos(COLD.1),
+        },
         key_quiet: nanos(300.0),
         connect_timeout: nanos(1_000.0),
         conn_idle: nanos(15_000.0),
@@ -154,9 +165,18 @@
 
 impl Fleet {
     fn new(folder: &std::path::Path) -> Fleet {
-        let rule = |effect| ClassRule { effect, window: WINDOW };
-        let judge =
-            Judge::new(vec![rule(Effect::Unsafe), rule(Effect::Keyed), rule(Effect::Unsafe)], ATTEMPTS);
+        let rule = |effect| ClassRule {
+            effect,
+            window: WINDOW,
+        };
+        let judge = Judge::new(
+            vec![
+                rule(Effect::Unsafe),
+                rule(Effect::Keyed),
+                rule(Effect::Unsafe),
+            ],
+            ATTEMPTS,
+        );
         let sender = |no: usize| Sender {
             policy: None,
             ledger: None,
@@ -206,14 +226,23 @@
             zone: ZoneId(0),
             kind: KindId(0),
             destination: DestinationId(OWNER[endpoint as usize].into()),
-            stage: if self.off.contains(&endpoint) { Stage::Draining } else { Stage::On },
+            stage: if self.off.contains(&endpoint) {
+                Stage::Draining
+            } else {
+                Stage::On
+            },
             weight: CAPACITY,
         }
     }
 
     fn listed(&mut self, sender: usize, endpoint: u32) {
         let (partner, on) = (OWNER[endpoint as usize], !self.off.contains(&endpoint));
-        self.fact(What::Listed { sender: sender as u32, endpoint, partner, on });
+        self.fact(What::Listed {
+            sender: sender as u32,
+            endpoint,
+            partner,
+            on,
+        });
     }
 
     fn start(&mut self, no: usize) {
@@ -236,7 +265,11 @@
                 class: ClassId(taken.class.parse().unwrap()),
                 deadline: nanos(taken.deadline),
                 attempts: taken.tasks.len() as u32,
-                ran: taken.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(t.sent)),
+                ran: taken
+                    .tasks
+                    .iter()
+                    .find(|t| !t.never_ran)
+                    .map(|t| nanos(t.sent)),
             });
             s.held.insert(id, Held { taken, open: true });
         }
@@ -249,10 +282,18 @@
         if self.senders[no].policy.is_none() {
             return;
         }
-        let died: Vec<u64> = self.calls.iter().filter(|(_, c)| c.sender == no).map(|(n, _)| *n).collect();
+        let died: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, c)| c.sender == no)
+            .map(|(n, _)| *n)
+            .collect();
         for call in died {
             self.calls.remove(&call);
-            self.fact(What::Ended { call, how: Silence::Died });
+            self.fact(What::Ended {
+                call,
+                how: Silence::Died,
+            });
         }
         self.fact(What::Gone { sender: no as u32 });
         let s = &mut self.senders[no];
@@ -267,7 +308,16 @@
         self.next_id += 1;
         let key = (class == ORDERED).then_some(1);
         let (origin, first) = (id, self.now);
-        self.fact(What::HandedIn { origin, id, sender, class, partner, first, deadline, key });
+        self.fact(What::HandedIn {
+            origin,
+            id,
+            sender,
+            class,
+            partner,
+            first,
+            deadline,
+            key,
+        });
         let taken = Taken {
             no: id,
             id: Rc::from(id.to_string()),
@@ -301,10 +351,15 @@
 
     fn turn(&mut self, no: usize, mut events: Vec<Event>) {
         loop {
-            let Some(policy) = self.senders[no].policy.as_mut() else { return };
+            let Some(policy) = self.senders[no].policy.as_mut() else {
+                return;
+            };
             let mut actions = Vec::new();
             policy.turn(nanos(self.now), &events, &mut actions);
-            events = actions.into_iter().filter_map(|action| self.carry_out(no, action)).collect();
+            events = actions
+                .into_iter()
+                .filter_map(|action| self.carry_out(no, action))
+                .collect();
             if events.is_empty() {
                 return;
             }
@@ -313,11 +368,19 @@
 
     fn carry_out(&mut self, no: usize, action: Action) -> Option<Event> {
         match action {
-            Action::Send { id, endpoint, timeout, .. } => self.send(no, id.0, endpoint.0, millis(timeout)),
+            Action::Send {
+                id,
+                endpoint,
+                timeout,
+                ..
+            } => self.send(no, id.0, endpoint.0, millis(timeout)),
             Action::Cancel { id, attempt } => {
                 let mine = |c: &Call| (c.sender, c.id, c.attempt) == (no, id.0, attempt);
                 let call = *self.calls.iter().find(|(_, c)| mine(c))?.0;
-                self.fact(What::Ended { call, how: Silence::CalledOff });
+                self.fact(What::Ended {
+                    call,
+                    how: Silence::CalledOff,
+                });
                 self.ended(call, Outcome::Withdrawn).map(|(_, event)| event)
             }
             Action::Refuse { id, .. } => self.end(no, id.0, Notice::Deferred(None)),
@@ -336,16 +399,41 @@
         let h = s.held.get_mut(&id)?;
         let attempt = h.taken.tasks.len() as u32;
         assert!(s.ledger.as_mut().unwrap().route(id, attempt as usize, now));
-        h.taken.tasks.push(Task { sent: now, never_ran: false });
+        h.taken.tasks.push(Task {
+            sent: now,
+            never_ran: false,
+        });
         let (call, sender, partner) = (self.next_call, no as u32, OWNER[endpoint as usize]);
         self.next_call += 1;
         self.met.again += usize::from(attempt > 0);
         self.met.copies += usize::from(self.calls.values().any(|c| (c.sender, c.id) == (no, id)));
-        self.fact(What::Call { call, id, sender, partner, endpoint, fresh: true });
-        self.calls.insert(call, Call { id, attempt, sender: no, partner, sent: now, due: now + timeout });
+        self.fact(What::Call {
+            call,
+            id,
+            sender,
+            partner,
+            endpoint,
+            fresh: true,
+        });
+        self.calls.insert(
+            call,
+            Call {
+                id,
+                attempt,
+                sender: no,
+                partner,
+                sent: now,
+                due: now + timeout,
+            },
+        );
         if self.out.contains(&partner) {
-            self.fact(What::Ended { call, how: Silence::NeverSent });
-            return self.ended(call, Outcome::Unreachable).map(|(_, event)| event);
+            self.fact(What::Ended {
+                call,
+                how: Silence::NeverSent,
+            });
+            return self
+                .ended(call, Outcome::Unreachable)
+                .map(|(_, event)| event);
         }
         self.fact(What::Arrived { call });
         if let Some(back) = self.back.get(&partner).filter(|back| now < **back + COLD.1) {
@@ -364,7 +452,13 @@
 
     /// A call is over for its sender; the event that says so.
     fn ended(&mut self, call: u64, outcome: Outcome) -> Option<(usize, Event)> {
-        let Call { id, attempt, sender, sent, .. } = self.calls.remove(&call)?;
+        let Call {
+            id,
+            attempt,
+            sender,
+            sent,
+            ..
+        } = self.calls.remove(&call)?;
         let s = &mut self.senders[sender];
         let (h, ledger) = (s.held.get_mut(&id)?, s.ledger.as_mut()?);
         if outcome.never_ran() {
@@ -376,7 +470,16 @@
             ledger.over(id, &h.taken.id);
         }
         let (finished, took) = (!h.open, nanos(self.now - sent));
-        Some((sender, Event::Ended { id: MessageId(id), attempt, outcome, took, finished }))
+        Some((
+            sender,
+            Event::Ended {
+                id: MessageId(id),
+                attempt,
+                outcome,
+                took,
+                finished,
+            },
+        ))
     }
 
     /// The platform confirms each notice at once.
@@ -388,25 +491,46 @@
         ledger.over(id, &h.taken.id);
         if !self.mute {
             let deferred = matches!(notice, Notice::Deferred(_));
-            self.fact(What::Notice { sender: no as u32, id, deferred, again: None });
+            self.fact(What::Notice {
+                sender: no as u32,
+                id,
+                deferred,
+                again: None,
+            });
         }
         None
     }
 
     fn answer(&mut self, pick: Pick, reply: Reply, outcome: Outcome) {
         let well = |c: &Call| !self.out.contains(&c.partner);
-        let mut calls = self.calls.iter().filter(|(_, c)| well(c)).map(|(call, _)| *call);
-        let Some(call) = (if pick == Oldest { calls.next() } else { calls.next_back() }) else { return };
+        let mut calls = self
+            .calls
+            .iter()
+            .filter(|(_, c)| well(c))
+            .map(|(call, _)| *call);
+        let Some(call) = (if pick == Oldest {
+            calls.next()
+        } else {
+            calls.next_back()
+        }) else {
+            return;
+        };
         self.met.waits += usize::from(matches!(reply, Reply::Refused(Some(_))));
         self.fact(What::Replied { call, reply });
         let told = self.ended(call, outcome);
-        told.into_iter().for_each(|(no, event)| self.turn(no, vec![event]));
+        told.into_iter()
+            .for_each(|(no, event)| self.turn(no, vec![event]));
     }
 
     fn silent(&mut self, pick: Option<Pick>, call: Option<u64>, how: Silence, outcome: Outcome) {
-        let last =
-            if pick == Some(Newest) { self.calls.keys().next_back() } else { self.calls.keys().next() };
-        let Some(call) = call.or(last.copied()) else { return };
+        let last = if pick == Some(Newest) {
+            self.calls.keys().next_back()
+        } else {
+            self.calls.keys().next()
+        };
+        let Some(call) = call.or(last.copied()) else {
+            return;
+        };
         if outcome == Outcome::Void {
             let (no, id) = (self.calls[&call].sender, self.calls[&call].id);
             let s = &mut self.senders[no];
@@ -419,7 +543,8 @@
         }
         self.fact(What::Ended { call, how });
         let told = self.ended(call, outcome);
-        told.into_iter().for_each(|(no, event)| self.turn(no, vec![event]));
+        told.into_iter()
+            .for_each(|(no, event)| self.turn(no, vec![event]));
     }
 
     /// Time goes by: wakes and time-outs in their order.
@@ -428,9 +553,15 @@
         loop {
             let call = self.calls.iter().min_by(|a, b| a.1.due.total_cmp(&b.1.due));
             let call = call.map(|(call, c)| (c.due, *call));
-            let wakes = self.senders.iter().enumerate().filter_map(|(no, s)| Some((s.wake?, no)));
+            let wakes = self
+                .senders
+                .iter()
+                .enumerate()
+                .filter_map(|(no, s)| Some((s.wake?, no)));
             let wake = wakes.min_by(|a, b| a.0.total_cmp(&b.0));
-            let at = call.map_or(f64::INFINITY, |c| c.0).min(wake.map_or(f64::INFINITY, |w| w.0));
+            let at = call
+                .map_or(f64::INFINITY, |c| c.0)
+                .min(wake.map_or(f64::INFINITY, |w| w.0));
             if at > until {
                 break;
             }
@@ -456,10 +587,16 @@
             Step::Served(pick) => self.answer(pick, Reply::Served, Outcome::Success),
             Step::Failed(pick) => self.answer(pick, Reply::Failed, Outcome::Failure),
             Step::Refused(pick, wait) => {
-                self.answer(pick, Reply::Refused(Some(wait)), Outcome::Overloaded { wait: nanos(wait) });
+                self.answer(
+                    pick,
+                    Reply::Refused(Some(wait)),
+                    Outcome::Overloaded { wait: nanos(wait) },
+                );
             }
             Step::Reset(pick) => self.silent(Some(pick), None, Silence::Reset, Outcome::Broken),
-            Step::Withdrawn(pick) => self.silent(Some(pick), None, Silence::NeverSent, Outcome::Void),
+            Step::Withdrawn(pick) => {
+                self.silent(Some(pick), None, Silence::NeverSent, Outcome::Void)
+            }
             Step::Pass(span) => self.pass(span),
             Step::Drain(endpoint) => {
                 self.off.insert(endpoint);
@@ -479,7 +616,10 @@
             }
             Step::Back(partner) if self.out.remove(&partner) => {
                 self.back.insert(partner, self.now);
-                self.fact(What::Out { partner, out: false });
+                self.fact(What::Out {
+                    partner,
+                    out: false,
+                });
             }
             Step::Back(_) => {}
             Step::Kill(no) => self.kill(no),
@@ -499,7 +639,10 @@
             self.take(*step);
             self.pass(STEP);
             let broken = self.broken();
-            assert!(broken.is_empty(), "{broken:?} after event {at} of {order:?}");
+            assert!(
+                broken.is_empty(),
+                "{broken:?} after event {at} of {order:?}"
+            );
         }
         (0..2).for_each(|no| self.start(no));
         // Nobody answers any more: all must end by itself.
@@ -508,8 +651,17 @@
             let broken = self.broken();
             assert!(broken.is_empty(), "{broken:?} at the end of {order:?}");
         }
-        let open = self.senders.iter().flat_map(|s| s.held.values()).filter(|h| h.open).count();
-        assert_eq!((open, self.calls.len()), (0, 0), "left over after {order:?}");
+        let open = self
+            .senders
+            .iter()
+            .flat_map(|s| s.held.values())
+            .filter(|h| h.open)
+            .count();
+        assert_eq!(
+            (open, self.calls.len()),
+            (0, 0),
+            "left over after {order:?}"
+        );
     }
 }
 
@@ -575,11 +727,16 @@
       Step::Reset(Newest), Step::Withdrawn(Oldest), Step::Pass(600.0), Step::Drain(0)],
     6_720, |m: &Met| vec![m.withdrawals, m.drains])]
 fn every_order_keeps_every_rule(
-    #[case] events: &[Step], #[case] count: usize, #[case] met: fn(&Met) -> Vec<usize>,
+    #[case] events: &[Step],
+    #[case] count: usize,
+    #[case] met: fn(&Met) -> Vec<usize>,
 ) {
     let found = search(events);
     assert_eq!(found.orders, count);
-    assert!(met(&found).iter().all(|times| *times > 0), "not all was met: {found:?}");
+    assert!(
+        met(&found).iter().all(|times| *times > 0),
+        "not all was met: {found:?}"
+    );
 }
 
 /// Has a sender do what the module would not, and says what the judge makes of it.
--- a/crates/lab/tests/runs.rs
+++ b/crates/lab/tests/runs.rs
@@ -10,7 +10,8 @@
 
 fn shipped(name: &str) -> Experiment {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../lab/experiments");
-    Experiment::open(&folder.join(name).with_extension("textproto")).unwrap_or_else(|e| panic!("{e}"))
+    Experiment::open(&folder.join(name).with_extension("textproto"))
+        .unwrap_or_else(|e| panic!("{e}"))
 }
 
 #[rstest]
@@ -28,7 +29,11 @@
     let x = shipped(name);
     let played = sim::play(&x, &x.variants[0], x.seed, None).unwrap();
     assert!(played.verdict.clean(), "{:#?}", played.verdict);
-    assert!(played.figures.messages > 1_000 && played.figures.share > 0.5, "{:?}", played.figures.share);
+    assert!(
+        played.figures.messages > 1_000 && played.figures.share > 0.5,
+        "{:?}",
+        played.figures.share
+    );
 }
 
 #[test]
@@ -60,10 +65,36 @@
     assert!(count("restart", |w| matches!(w, What::Ended { how: Died, .. })) > 3);
     assert!(count("hang", |w| matches!(w, What::Ended { how: TimedOut, .. })) > 20);
     assert!(count("network", |w| matches!(w, What::Ended { how: Reset, .. })) > 20);
-    assert!(count("network", |w| matches!(w, What::Ended { how: NeverSent, .. })) > 20);
-    assert!(count("network", |w| matches!(w, What::Replied { reply: Reply::Spoilt, .. })) > 5);
-    assert!(count("rolling-replacement", |w| matches!(w, What::Listed { on: false, .. })) > 80);
-    assert!(count("cold-return", |w| matches!(w, What::Replied { reply: Reply::Refused(Some(_)), .. })) > 20);
+    assert!(
+        count("network", |w| matches!(
+            w,
+            What::Ended { how: NeverSent, .. }
+        )) > 20
+    );
+    assert!(
+        count("network", |w| matches!(
+            w,
+            What::Replied {
+                reply: Reply::Spoilt,
+                ..
+            }
+        )) > 5
+    );
+    assert!(
+        count("rolling-replacement", |w| matches!(
+            w,
+            What::Listed { on: false, .. }
+        )) > 80
+    );
+    assert!(
+        count("cold-return", |w| matches!(
+            w,
+            What::Replied {
+                reply: Reply::Refused(Some(_)),
+                ..
+            }
+        )) > 20
+    );
 }
 
 #[test]
@@ -72,19 +103,32 @@
     use std::sync::atomic::AtomicBool;
     let x = shipped("calm");
     let stop = Arc::new(AtomicBool::new(true));
-    assert_eq!(sim::play_until(&x, &x.variants[0], 1, None, &stop).unwrap_err(), "stopped");
+    assert_eq!(
+        sim::play_until(&x, &x.variants[0], 1, None, &stop).unwrap_err(),
+        "stopped"
+    );
     let (outcome, _) = martenlatch_lab::run::simulate(&x, &stop, true).unwrap();
     assert!(outcome.cut_short && outcome.variants.iter().all(|v| v.runs.is_empty()));
 }
 
 fn lab(args: &[&str]) -> (Option<i32>, String, String) {
-    let done = Command::new(env!("CARGO_BIN_EXE_martenlatch-lab")).args(args).output().unwrap();
-    (done.status.code(), String::from_utf8(done.stdout).unwrap(), String::from_utf8(done.stderr).unwrap())
+    let done = Command::new(env!("CARGO_BIN_EXE_martenlatch-lab"))
+        .args(args)
+        .output()
+        .unwrap();
+    (
+        done.status.code(),
+        String::from_utf8(done.stdout).unwrap(),
+        String::from_utf8(done.stderr).unwrap(),
+    )
 }
 
 fn folder(name: &str) -> PathBuf {
     static MADE: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-    let (no, process) = (MADE.fetch_add(1, std::sync::atomic::Ordering::Relaxed), std::process::id());
+    let (no, process) = (
+        MADE.fetch_add(1, std::sync::atomic::Ordering::Relaxed),
+        std::process::id(),
+    );
     let folder = std::env::temp_dir().join(format!("martenlatch-lab-{name}-{process}-{no}"));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
@@ -121,11 +165,21 @@
         page.matches("<svg").count() >= 5 && page.contains("&lt;b&gt;") && !page.contains("<b>"),
         "whole and escaped"
     );
-    assert!(!page.contains("src=") && !page.contains("href="), "it needs nothing else");
+    assert!(
+        !page.contains("src=") && !page.contains("href="),
+        "it needs nothing else"
+    );
     let (code, text, _) = lab(&["judge", dirs[0].to_str().unwrap()]);
     assert_eq!((code, text.as_str()), (Some(0), "0 breaches\n"));
-    let (code, text, _) = lab(&["compare", dirs[0].to_str().unwrap(), dirs[1].to_str().unwrap()]);
-    assert!(code == Some(0) && text.contains("+0.0000") && !text.contains("+0.0001"), "{text}");
+    let (code, text, _) = lab(&[
+        "compare",
+        dirs[0].to_str().unwrap(),
+        dirs[1].to_str().unwrap(),
+    ]);
+    assert!(
+        code == Some(0) && text.contains("+0.0000") && !text.contains("+0.0001"),
+        "{text}"
+    );
     // A history that breaks a rule is told by exit code and text.
     let broken = read(&dirs[0], "facts.jsonl")
         .lines()
@@ -163,13 +217,24 @@
     "length_s: 5\nload { level: 1 }\nvariant { name: \"a\" }\nvariant { name: \"a\" }",
     ":4: variant[1].name: \"a\" is there already"
 )]
-fn a_wrong_experiment_is_one_line_that_names_file_line_and_field(#[case] text: &str, #[case] want: &str) {
+fn a_wrong_experiment_is_one_line_that_names_file_line_and_field(
+    #[case] text: &str,
+    #[case] want: &str,
+) {
     let out = folder("bad");
     let file = out.join("bad.textproto");
     std::fs::write(&file, text).unwrap();
-    let (code, _, errors) = lab(&["run", file.to_str().unwrap(), "--out", out.join("o").to_str().unwrap()]);
+    let (code, _, errors) = lab(&[
+        "run",
+        file.to_str().unwrap(),
+        "--out",
+        out.join("o").to_str().unwrap(),
+    ]);
     assert!(code == Some(1) && errors.lines().count() == 1, "{errors}");
-    assert!(errors.contains(&format!("{}{want}", file.display())), "{errors}");
+    assert!(
+        errors.contains(&format!("{}{want}", file.display())),
+        "{errors}"
+    );
     assert!(!out.join("o").exists(), "nothing is left behind");
     let _ = std::fs::remove_dir_all(out);
 }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -130,20 +130,38 @@
 }
 
 fn taken(t: &Taken) -> Vec<u8> {
-    let bytes = Bytes(vec![b'T']).num(t.no).num(t.destination).num(t.deadline.to_bits());
+    let bytes = Bytes(vec![b'T'])
+        .num(t.no)
+        .num(t.destination)
+        .num(t.deadline.to_bits());
     let bytes = bytes.text(t.id.as_bytes()).text(t.class.as_bytes());
     // An absent key is told apart from an empty one by its mark.
-    let key = t.key.as_ref().map_or(vec![0], |k| [&[1], k.as_bytes()].concat());
+    let key = t
+        .key
+        .as_ref()
+        .map_or(vec![0], |k| [&[1], k.as_bytes()].concat());
     framed(&bytes.text(&key).text(&t.body).0)
 }
 
 /// The rules of a class, for what is taken on behind this record.
 fn rules(class: &str, rules: &[u8]) -> Vec<u8> {
-    framed(&Bytes(vec![b'C']).num(0).text(class.as_bytes()).text(rules).0)
+    framed(
+        &Bytes(vec![b'C'])
+            .num(0)
+            .text(class.as_bytes())
+            .text(rules)
+            .0,
+    )
 }
 
 fn task(no: u64, attempt: usize, sent: Millis) -> Vec<u8> {
-    framed(&Bytes(vec![b'R']).num(no).num(attempt as u64).num(sent.to_bits()).0)
+    framed(
+        &Bytes(vec![b'R'])
+            .num(no)
+            .num(attempt as u64)
+            .num(sent.to_bits())
+            .0,
+    )
 }
 
 fn never_ran(no: u64, attempt: usize) -> Vec<u8> {
@@ -199,7 +217,18 @@
                 let body = Rc::from(c.bytes()?);
                 let (tasks, ending) = (Vec::new(), None);
                 let rules = self.rules.get(&class).cloned().unwrap_or_default();
-                let t = Taken { no, id, class, destination, deadline, key, body, tasks, ending, rules };
+                let t = Taken {
+                    no,
+                    id,
+                    class,
+                    destination,
+                    deadline,
+                    key,
+                    body,
+                    tasks,
+                    ending,
+                    rules,
+                };
                 self.open.insert(no, t);
             }
             b'C' => {
@@ -213,13 +242,25 @@
                     // One whose record did not fit was never sent. One that a compaction found not yet begun is known
                     // for one that never ran, and begins here.
                     let least = tasks.len().max(attempt + 1);
-                    tasks.resize(least, Task { sent, never_ran: true });
-                    tasks[attempt] = Task { sent, never_ran: false };
+                    tasks.resize(
+                        least,
+                        Task {
+                            sent,
+                            never_ran: true,
+                        },
+                    );
+                    tasks[attempt] = Task {
+                        sent,
+                        never_ran: false,
+                    };
                 }
             }
             b'N' => {
                 let attempt = c.num()? as usize;
-                let task = self.open.get_mut(&no).and_then(|t| t.tasks.get_mut(attempt));
+                let task = self
+                    .open
+                    .get_mut(&no)
+                    .and_then(|t| t.tasks.get_mut(attempt));
                 task.into_iter().for_each(|t| t.never_ran = true);
             }
             b'E' => {
@@ -228,7 +269,10 @@
                     (1, _) => Notice::Deferred(None),
                     (_, ms) => Notice::Deferred(Some(ms)),
                 };
-                self.open.get_mut(&no).into_iter().for_each(|t| t.ending = Some(notice));
+                self.open
+                    .get_mut(&no)
+                    .into_iter()
+                    .for_each(|t| t.ending = Some(notice));
             }
             b'O' => {
                 self.open.remove(&no);
@@ -259,7 +303,9 @@
             }) else {
                 return past;
             };
-            let payload = c.take(length).filter(|p| length <= LONGEST && crc32fast::hash(p) == sum);
+            let payload = c
+                .take(length)
+                .filter(|p| length <= LONGEST && crc32fast::hash(p) == sum);
             // Guards against a tail that a dying process tore: nothing after it was ever confirmed.
             if payload.and_then(|p| past.record(p)).is_none() {
                 return past;
@@ -284,10 +330,16 @@
     /// Where the folder is none, or its ledger cannot be read.
     pub fn into(folder: &std::path::Path) -> std::io::Result<Look> {
         if !folder.is_dir() {
-            return Err(std::io::Error::new(std::io::ErrorKind::NotFound, "not a folder"));
+            return Err(std::io::Error::new(
+                std::io::ErrorKind::NotFound,
+                "not a folder",
+            ));
         }
         match std::fs::read(folder.join("ledger")) {
-            Ok(bytes) => Ok(Look { past: Past::read(&bytes), size: bytes.len() as u64 }),
+            Ok(bytes) => Ok(Look {
+                past: Past::read(&bytes),
+                size: bytes.len() as u64,
+            }),
             Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Look::default()),
             Err(e) => Err(e),
         }
@@ -308,10 +360,13 @@
         let mut bytes = Vec::new();
         let read = File::open(&path).and_then(|mut f| f.read_to_end(&mut bytes));
         let past = Past::read(&bytes);
-        let read = read.map_err(|e| e.kind()).err().filter(|e| *e != std::io::ErrorKind::NotFound);
+        let read = read
+            .map_err(|e| e.kind())
+            .err()
+            .filter(|e| *e != std::io::ErrorKind::NotFound);
         // A file is put in place whole: one that does not begin as ours is of another version, and may be owed for.
-        let foreign =
-            (!bytes.is_empty() && !bytes.starts_with(MAGIC)).then_some(std::io::ErrorKind::InvalidData);
+        let foreign = (!bytes.is_empty() && !bytes.starts_with(MAGIC))
+            .then_some(std::io::ErrorKind::InvalidData);
         let unreadable = read.or(foreign);
         if let Some(e) = unreadable {
             error!(error = ?e, "ledger unreadable");
@@ -322,7 +377,17 @@
         let (file, size, cap) = (None, past.good, disk as f64 * PARTS.0);
         let (live, over) = (BTreeMap::new(), past.over.clone());
         let rules = past.rules.clone();
-        let mut ledger = Ledger { path, file, size, cap, live, live_bytes: 0, over, rules, rest_until: 0.0 };
+        let mut ledger = Ledger {
+            path,
+            file,
+            size,
+            cap,
+            live,
+            live_bytes: 0,
+            over,
+            rules,
+            rest_until: 0.0,
+        };
         for t in past.open.values() {
             ledger.count(t.no, Ledger::whole(t));
         }
@@ -335,7 +400,10 @@
         if !ledger.compact(past.open.values()) && past.good > 0 {
             let old = OpenOptions::new().write(true).open(&ledger.path);
             ledger.file = old.ok().filter(|f| f.set_len(past.good).is_ok());
-            ledger.file = ledger.file.take().filter(|mut f| f.seek(SeekFrom::End(0)).is_ok());
+            ledger.file = ledger
+                .file
+                .take()
+                .filter(|mut f| f.seek(SeekFrom::End(0)).is_ok());
         }
         (ledger, past)
     }
@@ -343,7 +411,12 @@
     /// Where this process stands in the file. It must not write to it once another has gone on from there.
     pub fn place(&self) -> Place {
         let (size, over, rest_until) = (self.size, self.over.clone(), self.rest_until);
-        Place { size, over, rest_until, open: self.file.is_some() }
+        Place {
+            size,
+            over,
+            rest_until,
+            open: self.file.is_some(),
+        }
     }
 
     /// Goes on where an earlier process stood, with what is held and not over. Writes nothing.
@@ -351,7 +424,10 @@
     /// # Errors
     /// Where the file is not as that process left it.
     pub fn carried_on<'a>(
-        folder: &std::path::Path, disk: u64, place: Place, open: impl Iterator<Item = &'a Taken>,
+        folder: &std::path::Path,
+        disk: u64,
+        place: Place,
+        open: impl Iterator<Item = &'a Taken>,
     ) -> std::io::Result<Ledger> {
         let path = folder.join("ledger");
         let file = if place.open {
@@ -366,7 +442,17 @@
         let (size, cap, rest_until) = (place.size, disk as f64 * PARTS.0, place.rest_until);
         // What the file says of classes is said again.
         let (live, over, rules) = (BTreeMap::new(), place.over, HashMap::new());
-        let mut ledger = Ledger { path, file, size, cap, live, live_bytes: 0, over, rules, rest_until };
+        let mut ledger = Ledger {
+            path,
+            file,
+            size,
+            cap,
+            live,
+            live_bytes: 0,
+            over,
+            rules,
+            rest_until,
+        };
         for t in open {
             ledger.count(t.no, Ledger::whole(t));
         }
@@ -387,7 +473,9 @@
         if (self.size + bytes.len() as u64) as f64 > most {
             return false;
         }
-        let Some(file) = self.file.as_mut() else { return false };
+        let Some(file) = self.file.as_mut() else {
+            return false;
+        };
         match file.write_all(bytes) {
             Ok(()) => {
                 self.size += bytes.len() as u64;
@@ -395,7 +483,9 @@
             }
             Err(e) => {
                 error!(error = ?e.kind(), "ledger unwritable");
-                let undone = file.set_len(self.size).and_then(|()| file.seek(SeekFrom::Start(self.size)));
+                let undone = file
+                    .set_len(self.size)
+                    .and_then(|()| file.seek(SeekFrom::Start(self.size)));
                 if undone.is_err() {
                     self.file = None;
                 }
@@ -406,8 +496,15 @@
 
     /// Records a transaction as taken on. False: it must be refused.
     pub fn take(&mut self, t: &Taken) -> bool {
-        let known = self.rules.get(&t.class).is_some_and(|known| *known == t.rules);
-        let mut record = if known { Vec::new() } else { rules(&t.class, &t.rules) };
+        let known = self
+            .rules
+            .get(&t.class)
+            .is_some_and(|known| *known == t.rules);
+        let mut record = if known {
+            Vec::new()
+        } else {
+            rules(&t.class, &t.rules)
+        };
         record.extend(taken(t));
         // Leaves room behind it for its tasks and its end, which must not fail for want of it.
         let fits = (self.live_bytes + record.len() as u64) as f64 <= self.cap * PARTS.2;
@@ -475,7 +572,10 @@
         self.over.iter().for_each(|id| all.extend(over(0, id)));
         let (mut live, mut said) = (BTreeMap::new(), HashMap::new());
         for t in open {
-            if said.insert(t.class.clone(), t.rules.clone()).is_none_or(|before| before != t.rules) {
+            if said
+                .insert(t.class.clone(), t.rules.clone())
+                .is_none_or(|before| before != t.rules)
+            {
                 all.extend(rules(&t.class, &t.rules));
             }
             all.extend(taken(t));
@@ -486,11 +586,17 @@
                     all.extend(never_ran(t.no, attempt));
                 }
             }
-            t.ending.into_iter().for_each(|notice| all.extend(ending(t.no, notice)));
+            t.ending
+                .into_iter()
+                .for_each(|notice| all.extend(ending(t.no, notice)));
         }
         let fresh = self.path.with_extension("new");
-        let written =
-            OpenOptions::new().create(true).write(true).truncate(true).open(&fresh).and_then(|mut f| {
+        let written = OpenOptions::new()
+            .create(true)
+            .write(true)
+            .truncate(true)
+            .open(&fresh)
+            .and_then(|mut f| {
                 f.write_all(&all)?;
                 std::fs::rename(&fresh, &self.path)?;
                 Ok(f)
@@ -517,7 +623,8 @@
     use super::*;
 
     fn folder(name: &str) -> PathBuf {
-        let folder = std::env::temp_dir().join(format!("martenlatch-ledger-{name}-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("martenlatch-ledger-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         folder
@@ -562,8 +669,20 @@
                 "the torn one was not confirmed"
             );
             let first = &past.open[&0];
-            let tasks = [Task { sent: 5.0, never_ran: true }, Task { sent: 6.0, never_ran: false }];
-            assert_eq!((first.tasks.as_slice(), first.key.as_deref()), (&tasks[..], Some("")));
+            let tasks = [
+                Task {
+                    sent: 5.0,
+                    never_ran: true,
+                },
+                Task {
+                    sent: 6.0,
+                    never_ran: false,
+                },
+            ];
+            assert_eq!(
+                (first.tasks.as_slice(), first.key.as_deref()),
+                (&tasks[..], Some(""))
+            );
             assert_eq!(past.open[&2].ending, Some(Notice::Deferred(Some(700))));
             assert_eq!((past.over.len(), &*past.over[0]), (1, "id1"));
             assert!(!folder.join("ledger.new").exists());
@@ -593,7 +712,9 @@
         let later = b"mlatch2\nwhatever it holds".to_vec();
         std::fs::write(folder.join("ledger"), &later).unwrap();
         let (mut ledger, past) = Ledger::open(&folder, 3_000_000);
-        assert!(past.open.is_empty() && !ledger.take(&some(1, 10)) && !ledger.wants_compaction(1e15));
+        assert!(
+            past.open.is_empty() && !ledger.take(&some(1, 10)) && !ledger.wants_compaction(1e15)
+        );
         assert_eq!(std::fs::read(folder.join("ledger")).unwrap(), later);
     }
 
@@ -621,7 +742,10 @@
             }
         }
         assert!(refused > 0, "the limit was never met");
-        assert!(ledger.route(*open.keys().next().unwrap(), 0, 1.0), "what was taken on can still be sent");
+        assert!(
+            ledger.route(*open.keys().next().unwrap(), 0, 1.0),
+            "what was taken on can still be sent"
+        );
         let (_, past) = Ledger::open(&folder, disk);
         assert_eq!(past.open.len(), open.len());
     }
@@ -629,11 +753,15 @@
     #[test]
     fn a_task_that_begins_behind_a_compaction_may_have_run() {
         // Guards against a second effect: a compaction that meets it before it begins writes it as one that never ran.
-        let folder = std::env::temp_dir().join(format!("martenlatch-ledger-begins-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("martenlatch-ledger-begins-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
-        let tasks = vec![Task { sent: 5.0, never_ran: true }];
+        let tasks = vec![Task {
+            sent: 5.0,
+            never_ran: true,
+        }];
         let (id, class, body) = (Rc::from("a"), Rc::from("debit"), Rc::from(&b"x"[..]));
         let t = Taken {
             no: 0,
@@ -648,17 +776,30 @@
             rules: Rc::from([]),
         };
         assert!(ledger.take(&t) && ledger.compact(std::iter::once(&t)));
-        assert_eq!(Look::into(&folder).unwrap().past.open[&0].tasks, t.tasks, "it has not begun");
+        assert_eq!(
+            Look::into(&folder).unwrap().past.open[&0].tasks,
+            t.tasks,
+            "it has not begun"
+        );
         assert!(ledger.route(0, 0, 6.0));
-        let begun = [Task { sent: 6.0, never_ran: false }];
+        let begun = [Task {
+            sent: 6.0,
+            never_ran: false,
+        }];
         assert_eq!(Look::into(&folder).unwrap().past.open[&0].tasks, begun);
     }
 
     #[test]
     fn what_a_class_promised_at_intake_comes_back_whatever_the_name_stands_for_since() {
         let folder = folder("rules");
-        let under = |no: u64, rules: &[u8]| Taken { rules: Rc::from(rules), ..some(no, 100) };
-        let lives = [[under(0, b"once"), under(1, b"once")], [under(2, b"safe"), under(3, b"safe")]];
+        let under = |no: u64, rules: &[u8]| Taken {
+            rules: Rc::from(rules),
+            ..some(no, 100)
+        };
+        let lives = [
+            [under(0, b"once"), under(1, b"once")],
+            [under(2, b"safe"), under(3, b"safe")],
+        ];
         for life in &lives {
             let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
             assert!(life.iter().all(|t| ledger.take(t)));
@@ -676,8 +817,13 @@
         let folder = folder("many");
         let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
         assert!(ledger.take(&some(0, 10)));
-        let begun = (0..2 * TASKS).filter(|attempt| ledger.route(0, *attempt, 5.0)).count();
+        let begun = (0..2 * TASKS)
+            .filter(|attempt| ledger.route(0, *attempt, 5.0))
+            .count();
         let read = &Look::into(&folder).unwrap().past.open[&0].tasks;
-        assert_eq!((begun, read.iter().filter(|t| !t.never_ran).count()), (TASKS, TASKS));
+        assert_eq!(
+            (begun, read.iter().filter(|t| !t.never_ran).count()),
+            (TASKS, TASKS)
+        );
     }
 }
--- a/crates/martenlatch/src/inspect.rs
+++ b/crates/martenlatch/src/inspect.rs
@@ -18,13 +18,21 @@
 }
 
 pub fn show(folder: &Path, json: bool) -> Result<(), String> {
-    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64() * 1e3;
+    let now = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+        .as_secs_f64()
+        * 1e3;
     let look = look(folder)?;
     for taken in look.past.open.values() {
         let may_have_run = taken.tasks.iter().filter(|t| !t.never_ran).count();
         let (no, id, class, destination) = (taken.no, &taken.id, &taken.class, taken.destination);
-        let (left, tasks, end, bytes) =
-            (taken.deadline - now, taken.tasks.len(), end(taken), taken.body.len());
+        let (left, tasks, end, bytes) = (
+            taken.deadline - now,
+            taken.tasks.len(),
+            end(taken),
+            taken.body.len(),
+        );
         if json {
             let line = serde_json::json!({"no": no, "id": &**id, "class": &**class, "destination": destination,
                 "left_ms": left.round(), "tasks": tasks, "may_have_run": may_have_run, "end": end, "bytes": bytes});
@@ -43,7 +51,11 @@
 pub fn verify(folder: &Path) -> Result<bool, String> {
     let look = look(folder)?;
     let torn = look.size - look.good();
-    let (open, owed) = look.past.open.values().partition::<Vec<_>, _>(|t| t.ending.is_none());
+    let (open, owed) = look
+        .past
+        .open
+        .values()
+        .partition::<Vec<_>, _>(|t| t.ending.is_none());
     println!(
         "{} bytes={} records={} open={} ends_owed={} over={} damaged_bytes={torn}",
         if torn == 0 { "whole" } else { "damaged" },
--- a/crates/martenlatch/src/logging.rs
+++ b/crates/martenlatch/src/logging.rs
@@ -72,12 +72,23 @@
         Level::Debug => LevelFilter::DEBUG,
         Level::Info | Level::Unset => LevelFilter::INFO,
     };
-    let bound = Bound { most: log.lines_per_second, start: Instant::now(), state: Mutex::new((0, 0, 0)) };
-    let lines = tracing_subscriber::fmt().with_max_level(level).with_target(false).with_ansi(false);
+    let bound = Bound {
+        most: log.lines_per_second,
+        start: Instant::now(),
+        state: Mutex::new((0, 0, 0)),
+    };
+    let lines = tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_target(false)
+        .with_ansi(false);
     let lines = lines.with_writer(bound);
     // A second start in one process keeps the first log.
     let _ = if log.json {
-        lines.json().flatten_event(true).with_current_span(false).try_init()
+        lines
+            .json()
+            .flatten_event(true)
+            .with_current_span(false)
+            .try_init()
     } else {
         lines.try_init()
     };
@@ -89,7 +100,11 @@
 
     #[test]
     fn lines_over_the_bound_are_held_back_and_told_in_the_next_second() {
-        let bound = Bound { most: 2, start: Instant::now(), state: Mutex::new((0, 0, 0)) };
+        let bound = Bound {
+            most: 2,
+            start: Instant::now(),
+            state: Mutex::new((0, 0, 0)),
+        };
         let passed: Vec<(bool, u32)> = (0..5).map(|_| bound.pass(7)).collect();
         assert_eq!(passed.iter().filter(|(pass, _)| *pass).count(), 2);
         assert_eq!((bound.pass(8), bound.pass(8)), ((true, 3), (true, 0)));
--- a/crates/martenlatch/src/main.rs
+++ b/crates/martenlatch/src/main.rs
@@ -84,15 +84,25 @@
 }
 
 fn own(file: Option<&PathBuf>) -> Result<Program, String> {
-    let Some(file) = file else { return Ok(Program::default()) };
-    let text = std::fs::read_to_string(file).map_err(|e| format!("settings: {}: {e}", file.display()))?;
+    let Some(file) = file else {
+        return Ok(Program::default());
+    };
+    let text =
+        std::fs::read_to_string(file).map_err(|e| format!("settings: {}: {e}", file.display()))?;
     program::read(&file.display().to_string(), &text).map_err(|e| e.to_string())
 }
 
 fn configured(file: Option<&PathBuf>) -> Result<(Program, Config), String> {
     let program = own(file)?;
     let config = Config::read()?;
-    Ok((program.clone(), Config { clients: program.clients, peers: program.peers, ..config }))
+    Ok((
+        program.clone(),
+        Config {
+            clients: program.clients,
+            peers: program.peers,
+            ..config
+        },
+    ))
 }
 
 fn run(cli: Cli) -> Result<ExitCode, String> {
@@ -111,7 +121,9 @@
                 "usable: listen={} discovery={} operator={} classes={} slots={} hold_limit={}",
                 config.listen,
                 config.discovery,
-                config.operator.map_or("none".to_string(), |at| at.to_string()),
+                config
+                    .operator
+                    .map_or("none".to_string(), |at| at.to_string()),
                 config.boot.classes.len(),
                 config.boot.settings.slots,
                 config.boot.settings.hold_limit
@@ -119,12 +131,22 @@
         }
         Command::Members { json } => {
             let program = own(cli.own.settings.as_ref())?;
-            let peers = program.peers.ok_or("peers: the settings name none; give a file with --settings")?;
+            let peers = program
+                .peers
+                .ok_or("peers: the settings name none; give a file with --settings")?;
             members::show(&peers, json)?;
         }
-        Command::Ledger { what: Ledger::Show { folder, json } } => inspect::show(&folder, json)?,
-        Command::Ledger { what: Ledger::Verify { folder } } => {
-            return Ok(if inspect::verify(&folder)? { ExitCode::SUCCESS } else { ExitCode::from(3) });
+        Command::Ledger {
+            what: Ledger::Show { folder, json },
+        } => inspect::show(&folder, json)?,
+        Command::Ledger {
+            what: Ledger::Verify { folder },
+        } => {
+            return Ok(if inspect::verify(&folder)? {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(3)
+            });
         }
         Command::Version => println!("martenlatch {}", env!("CARGO_PKG_VERSION")),
     }
--- a/crates/martenlatch/src/members.rs
+++ b/crates/martenlatch/src/members.rs
@@ -19,11 +19,20 @@
     stream.set_read_timeout(Some(PATIENCE)).map_err(failed)?;
     // Any number will do that an earlier answer does not bear.
     let no = u64::from(std::process::id());
-    stream.write_all(&secret.seal_page(&Page::Who { no })).map_err(failed)?;
+    stream
+        .write_all(&secret.seal_page(&Page::Who { no }))
+        .map_err(failed)?;
     let (mut bytes, mut all, mut next, start) = (Vec::new(), Vec::new(), 0, Instant::now());
     while start.elapsed() < PATIENCE {
         match secret.open_page(&bytes) {
-            Ok((Page::Members { no: n, page, rumours }, used)) if (n, page) == (no, next) => {
+            Ok((
+                Page::Members {
+                    no: n,
+                    page,
+                    rumours,
+                },
+                used,
+            )) if (n, page) == (no, next) => {
                 bytes.drain(..used);
                 all.extend(rumours);
                 next += 1;
@@ -34,7 +43,10 @@
                 let mut part = [0; 4096];
                 let count = stream.read(&mut part).map_err(failed)?;
                 if count == 0 {
-                    return Err(format!("{}: closed; is its secret another one?", peers.listen));
+                    return Err(format!(
+                        "{}: closed; is its secret another one?",
+                        peers.listen
+                    ));
                 }
                 bytes.extend(&part[..count]);
             }
@@ -65,7 +77,10 @@
             );
         } else {
             let own = if at == 0 { " (itself)" } else { "" };
-            println!("{:<32} {state:<8} {:<24} {}{own}", member.name, member.address, member.incarnation);
+            println!(
+                "{:<32} {state:<8} {:<24} {}{own}",
+                member.name, member.address, member.incarnation
+            );
         }
     }
     Ok(())
--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -34,21 +34,37 @@
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let seeds = (0..count).map(|_| {
             let no = NEXT.fetch_add(1, Ordering::Relaxed) as u8 + 1;
-            let own = Ipv4Addr::new(127, 1 + (process % 200) as u8, 251 + (process / 200 % 4) as u8, no);
+            let own = Ipv4Addr::new(
+                127,
+                1 + (process % 200) as u8,
+                251 + (process / 200 % 4) as u8,
+                no,
+            );
             let free = (20_000..30_000).find(|port| {
                 TcpListener::bind((own, *port)).is_ok() && UdpSocket::bind((own, *port)).is_ok()
             });
             SocketAddr::from((own, free.expect("no free port")))
         });
-        Group { seeds: seeds.collect(), folder }
+        Group {
+            seeds: seeds.collect(),
+            folder,
+        }
     }
 
     /// The settings file of one of them.
     fn file(&self, no: usize, more: &str) -> PathBuf {
         let file = self.folder.join(format!("settings-{no}"));
-        let seeds: String = self.seeds.iter().map(|s| format!(" seed: \"{s}\"")).collect();
+        let seeds: String = self
+            .seeds
+            .iter()
+            .map(|s| format!(" seed: \"{s}\""))
+            .collect();
         let secret = self.folder.join("secret");
-        let learn = if more.contains("learn_ms") { "" } else { "learn_ms: 5000" };
+        let learn = if more.contains("learn_ms") {
+            ""
+        } else {
+            "learn_ms: 5000"
+        };
         let text = format!(
             "peers {{ listen: \"{}\" secret_file: {:?} {learn} period_ms: 100 {seeds} {more} }}\n",
             self.seeds[no],
@@ -59,8 +75,17 @@
     }
 
     fn start(&self, no: usize, platform: &Platform, known: &str, more: &str) -> Sender {
-        let story = format!("{}-{no}", self.folder.file_name().unwrap().to_string_lossy());
-        Sender::start_with(&story, platform, known, &format!("n{no}"), Some(&self.file(no, more)))
+        let story = format!(
+            "{}-{no}",
+            self.folder.file_name().unwrap().to_string_lossy()
+        );
+        Sender::start_with(
+            &story,
+            platform,
+            known,
+            &format!("n{no}"),
+            Some(&self.file(no, more)),
+        )
     }
 
     /// What `martenlatch members` prints of one.
@@ -71,7 +96,11 @@
             .arg(file)
             .output()
             .unwrap();
-        let said = if asked.status.success() { asked.stdout } else { asked.stderr };
+        let said = if asked.status.success() {
+            asked.stdout
+        } else {
+            asked.stderr
+        };
         (asked.status.success(), String::from_utf8(said).unwrap())
     }
 
@@ -87,7 +116,10 @@
             if found {
                 return;
             }
-            assert!(hang.elapsed() < HANG, "{other} never was {state} to n{no}:\n{said}");
+            assert!(
+                hang.elapsed() < HANG,
+                "{other} never was {state} to n{no}:\n{said}"
+            );
             std::thread::sleep(Duration::from_millis(50));
         }
     }
@@ -132,7 +164,11 @@
 }
 
 fn telling(destination: u64) -> Telling {
-    Telling { served: 9.0, latency: Sketch::of([200.0; 9]), ..Telling::new(destination) }
+    Telling {
+        served: 9.0,
+        latency: Sketch::of([200.0; 9]),
+        ..Telling::new(destination)
+    }
 }
 
 fn one_region(script: impl Fn(usize, &Heard) -> Reply + Send + Sync + 'static) -> (Region, String) {
@@ -144,7 +180,9 @@
 /// The log's line with this in it.
 fn line(log: &str, with: &str) -> String {
     let found = log.lines().find(|l| l.contains(with));
-    found.unwrap_or_else(|| panic!("no line with {with:?} in\n{log}")).to_string()
+    found
+        .unwrap_or_else(|| panic!("no line with {with:?} in\n{log}"))
+        .to_string()
 }
 
 #[test]
@@ -161,8 +199,14 @@
     assert!(platform.notice().contains("\"b\""));
     newcomer.signal("TERM");
     let log = newcomer.finish().1;
-    assert!(line(&log, "learned from peers").contains("partners=1"), "{log}");
-    assert!(line(&log, " counters held=").contains(" success=0 "), "{log}");
+    assert!(
+        line(&log, "learned from peers").contains("partners=1"),
+        "{log}"
+    );
+    assert!(
+        line(&log, " counters held=").contains(" success=0 "),
+        "{log}"
+    );
     assert_eq!(region.calls_so_far(), 0);
 }
 
@@ -176,7 +220,15 @@
     sender.signal("TERM");
     let log = sender.finish().1;
     let took = line(&log, "learned from peers");
-    let took: u64 = took.rsplit("took_ms=").next().unwrap().split(' ').next().unwrap().parse().unwrap();
+    let took: u64 = took
+        .rsplit("took_ms=")
+        .next()
+        .unwrap()
+        .split(' ')
+        .next()
+        .unwrap()
+        .parse()
+        .unwrap();
     assert!(took < 9_000, "it waited for nobody: {took} ms");
 }
 
@@ -186,13 +238,24 @@
     for alive in [1, 3, 6] {
         let (platform, group) = (Platform::new(&[]), Group::of("gone", 7));
         teller(group.seeds[alive], |no, stream| {
-            stream.write_all(&page(&Page::Told { no, page: 0, tellings: vec![telling(7)] })).unwrap();
-            stream.write_all(&page(&Page::End { no, pages: 1 })).unwrap();
+            stream
+                .write_all(&page(&Page::Told {
+                    no,
+                    page: 0,
+                    tellings: vec![telling(7)],
+                }))
+                .unwrap();
+            stream
+                .write_all(&page(&Page::End { no, pages: 1 }))
+                .unwrap();
         });
         let sender = group.start(0, &platform, &known, "");
         sender.signal("TERM");
         let log = sender.finish().1;
-        assert!(line(&log, "learned from peers").contains("partners=1"), "{alive}: {log}");
+        assert!(
+            line(&log, "learned from peers").contains("partners=1"),
+            "{alive}: {log}"
+        );
     }
 }
 
@@ -214,7 +277,10 @@
     assert_eq!(leaves.finish().0, Some(0));
     group.until(0, "n2", "left");
     let (done, said) = group.members(0);
-    assert!(done && said.lines().next().unwrap().contains("(itself)"), "{said}");
+    assert!(
+        done && said.lines().next().unwrap().contains("(itself)"),
+        "{said}"
+    );
     // One that comes back under its name has a higher incarnation, and is a member again.
     let again = others.remove(0).kill_and_restart();
     group.until(0, "n1", "alive");
@@ -228,8 +294,16 @@
     let (_region, known) = one_region(|_, _| status(200, ""));
     let (platform, group) = (Platform::new(&[]), Group::of("cut", 2));
     teller(group.seeds[1], |no, stream| {
-        let whole = page(&Page::Told { no, page: 0, tellings: vec![telling(7), telling(8)] });
-        let half = page(&Page::Told { no, page: 1, tellings: vec![telling(9)] });
+        let whole = page(&Page::Told {
+            no,
+            page: 0,
+            tellings: vec![telling(7), telling(8)],
+        });
+        let half = page(&Page::Told {
+            no,
+            page: 1,
+            tellings: vec![telling(9)],
+        });
         stream.write_all(&whole).unwrap();
         stream.write_all(&half[..half.len() / 2]).unwrap();
     });
@@ -237,21 +311,35 @@
     sender.signal("TERM");
     let log = sender.finish().1;
     assert!(line(&log, "snapshot cut").contains("closed"), "{log}");
-    assert!(line(&log, "learned from peers").contains("partners=2"), "{log}");
+    assert!(
+        line(&log, "learned from peers").contains("partners=2"),
+        "{log}"
+    );
 }
 
 #[test]
 fn what_is_spoilt_too_large_or_of_another_version_is_turned_away_and_the_sender_serves() {
     let (region, known) = one_region(|_, _| status(200, ""));
     for (story, spoil) in [
-        ("spoilt", (|bytes: &mut Vec<u8>| bytes[9] ^= 1) as fn(&mut Vec<u8>)),
+        (
+            "spoilt",
+            (|bytes: &mut Vec<u8>| bytes[9] ^= 1) as fn(&mut Vec<u8>),
+        ),
         ("large", |bytes| bytes[3] = 0xff),
         ("version", |bytes| bytes[0] = 9),
     ] {
         let (platform, group) = (Platform::new(&[]), Group::of(story, 2));
         teller(group.seeds[1], move |no, stream| {
-            let told = Telling { wait: 60_000.0, trouble: Some(Trouble::Shut), ..telling(7) };
-            let mut bytes = page(&Page::Told { no, page: 0, tellings: vec![told] });
+            let told = Telling {
+                wait: 60_000.0,
+                trouble: Some(Trouble::Shut),
+                ..telling(7)
+            };
+            let mut bytes = page(&Page::Told {
+                no,
+                page: 0,
+                tellings: vec![told],
+            });
             spoil(&mut bytes);
             let _ = stream.write_all(&bytes);
             // It stays there, and says no more.
@@ -262,7 +350,10 @@
         assert_eq!(region.call().id(), story);
         sender.signal("TERM");
         let log = sender.finish().1;
-        assert!(line(&log, "learned from peers").contains("partners=0"), "{story}: {log}");
+        assert!(
+            line(&log, "learned from peers").contains("partners=0"),
+            "{story}: {log}"
+        );
     }
 }
 
@@ -272,7 +363,11 @@
     let (platform, group) = (Platform::new(&[]), Group::of("slow", 2));
     teller(group.seeds[1], |no, stream| {
         for at in 0..100_000 {
-            let told = page(&Page::Told { no, page: at, tellings: vec![telling(u64::from(at))] });
+            let told = page(&Page::Told {
+                no,
+                page: at,
+                tellings: vec![telling(u64::from(at))],
+            });
             if stream.write_all(&told).is_err() {
                 return;
             }
@@ -305,9 +400,20 @@
     let log = sender.finish().1;
     let counters = line(&log, "counters of peers");
     let count = |name: &str| -> u64 {
-        counters.split(name).nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
+        counters
+            .split(name)
+            .nth(1)
+            .unwrap()
+            .split(' ')
+            .next()
+            .unwrap()
+            .parse()
+            .unwrap()
     };
-    assert!(count("other_version=") + count("malformed=") + count("not_keyed=") > 1_000, "{counters}");
+    assert!(
+        count("other_version=") + count("malformed=") + count("not_keyed=") > 1_000,
+        "{counters}"
+    );
     assert!(count("talks_refused=") > 0, "{counters}");
     assert!(counters.contains("members=1 "), "{counters}");
 }
@@ -319,7 +425,9 @@
     let _sender = group.start(0, &platform, &known, "");
     let mut stream = TcpStream::connect(group.seeds[0]).unwrap();
     let theirs = Secret::new(b"another secret altogether");
-    stream.write_all(&theirs.seal_page(&Page::Who { no: 1 })).unwrap();
+    stream
+        .write_all(&theirs.seal_page(&Page::Who { no: 1 }))
+        .unwrap();
     stream.set_read_timeout(Some(HANG)).unwrap();
     let mut said = Vec::new();
     let _ = stream.read_to_end(&mut said);
@@ -335,11 +443,21 @@
     let (platform, group) = (Platform::new(&[]), Group::of("many", 2));
     teller(group.seeds[1], |no, stream| {
         let wide = Sketch::of((0..40).map(|i| 100.0 * 1.05f64.powi(i)));
-        let all: Vec<Telling> =
-            (0..10_000).map(|d| Telling { latency: wide.clone(), ..telling(d) }).collect();
+        let all: Vec<Telling> = (0..10_000)
+            .map(|d| Telling {
+                latency: wide.clone(),
+                ..telling(d)
+            })
+            .collect();
         let mut pages = 0;
         for part in all.chunks(32) {
-            stream.write_all(&page(&Page::Told { no, page: pages, tellings: part.to_vec() })).unwrap();
+            stream
+                .write_all(&page(&Page::Told {
+                    no,
+                    page: pages,
+                    tellings: part.to_vec(),
+                }))
+                .unwrap();
             pages += 1;
         }
         stream.write_all(&page(&Page::End { no, pages })).unwrap();
@@ -352,7 +470,10 @@
     assert!(kb < 32 * 1024, "{kb} KiB");
     sender.signal("TERM");
     let log = sender.finish().1;
-    assert!(line(&log, "learned from peers").contains("partners=10000"), "{log}");
+    assert!(
+        line(&log, "learned from peers").contains("partners=10000"),
+        "{log}"
+    );
 }
 
 #[test]
@@ -370,13 +491,21 @@
     region.call();
     sender.signal("TERM");
     let log = sender.finish().1;
-    assert!(log.contains("knowledge passed over") && log.contains("knowledge not kept"), "{log}");
+    assert!(
+        log.contains("knowledge passed over") && log.contains("knowledge not kept"),
+        "{log}"
+    );
 }
 
 #[test]
 fn what_was_kept_serves_the_next_life_without_its_waits() {
-    let (region, known) =
-        one_region(|no, _| if no == 0 { status(429, "X-Backoff-Ms: 9000\r\n") } else { status(200, "") });
+    let (region, known) = one_region(|no, _| {
+        if no == 0 {
+            status(429, "X-Backoff-Ms: 9000\r\n")
+        } else {
+            status(200, "")
+        }
+    });
     let (platform, group) = (Platform::new(&[]), Group::of("kept", 1));
     let sender = group.start(0, &platform, &known, "keep: true");
     assert_eq!(sender.hand_in("meter", "a", "0.5"), 202);
@@ -385,9 +514,16 @@
     // It keeps what it knows at its end too.
     let sender = sender.end_and_restart();
     assert_eq!(sender.hand_in("meter", "b", "5.0"), 202);
-    assert_eq!(region.call().id(), "b", "a wait is not carried over a restart");
+    assert_eq!(
+        region.call().id(),
+        "b",
+        "a wait is not carried over a restart"
+    );
     sender.signal("TERM");
     let log = sender.finish().1;
     let started = line(&log, "peers started");
-    assert!(started.contains("kept=1") && started.contains("incarnation=2"), "{started}");
+    assert!(
+        started.contains("kept=1") && started.contains("incarnation=2"),
+        "{started}"
+    );
 }
--- a/crates/martenlatch/tests/operation.rs
+++ b/crates/martenlatch/tests/operation.rs
@@ -119,7 +119,10 @@
     "restart\n",
     "NAK unknown call restart; health, counters, cordon ID and uncordon ID are known\n"
 )]
-#[case::empty("\r\n", "NAK an empty line; health, counters, cordon ID and uncordon ID are known\n")]
+#[case::empty(
+    "\r\n",
+    "NAK an empty line; health, counters, cordon ID and uncordon ID are known\n"
+)]
 #[case::surplus("health please\n", "NAK health was given more than it takes\n")]
 #[case::no_id("cordon\r\n", "NAK cordon wants the id of an endpoint\n")]
 #[case::http("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "NAK unknown call GET; ")]
@@ -127,11 +130,23 @@
 #[case::whole("health\r\ncounters\n", "ACK serving\n")]
 fn a_call_has_one_answer_and_a_bad_one_is_told_why(#[case] text: &str, #[case] want: &str) {
     let platform = Platform::new(&[]);
-    let case = text.bytes().take(99).fold(7u64, |h, b| h.wrapping_mul(31) ^ u64::from(b));
-    let sender = Sender::start(&format!("call-{case:x}"), &platform, &table(1, true, &[]), 3.0);
+    let case = text
+        .bytes()
+        .take(99)
+        .fold(7u64, |h, b| h.wrapping_mul(31) ^ u64::from(b));
+    let sender = Sender::start(
+        &format!("call-{case:x}"),
+        &platform,
+        &table(1, true, &[]),
+        3.0,
+    );
     let said = sender.operate(text);
     assert!(said.starts_with(want), "{said:?}");
-    assert_eq!(sender.operate("health\n"), "ACK serving\n", "the sender still answers");
+    assert_eq!(
+        sender.operate("health\n"),
+        "ACK serving\n",
+        "the sender still answers"
+    );
     // A last line needs no end of its own, and a line may come byte by byte.
     let mut stream = std::net::TcpStream::connect(sender.operator).unwrap();
     for byte in b"health" {
@@ -164,24 +179,43 @@
 fn an_address_that_cannot_be_had_ends_the_start_with_one_line_that_names_the_field() {
     let platform = Platform::new(&[]);
     let sender = Sender::start("no-operator", &platform, &table(1, true, &[]), 3.0);
-    let (from, to) = (format!("\"operator\":\"{}\"", sender.operator), "\"operator\":7".to_string());
+    let (from, to) = (
+        format!("\"operator\":\"{}\"", sender.operator),
+        "\"operator\":7".to_string(),
+    );
     let (code, said) = sender.restart_with(&from, &to);
     assert_eq!(code, Some(1), "{said}");
-    assert!(said.starts_with("martenlatch: operator: ") && said.lines().count() == 1, "{said}");
+    assert!(
+        said.starts_with("martenlatch: operator: ") && said.lines().count() == 1,
+        "{said}"
+    );
 }
 
 #[test]
 fn a_region_out_by_hand_gets_nothing_whatever_the_list_says_until_one_call_puts_it_back() {
-    let (a, b) = (Region::new(|_, _| status(200, "")), Region::new(|_, _| status(200, "")));
+    let (a, b) = (
+        Region::new(|_, _| status(200, "")),
+        Region::new(|_, _| status(200, "")),
+    );
     let moved = Region::new(|_, _| status(200, ""));
-    let both = [listed("s-a", a.address, "in_service"), listed("s-b", b.address, "in_service")];
+    let both = [
+        listed("s-a", a.address, "in_service"),
+        listed("s-b", b.address, "in_service"),
+    ];
     let platform = Platform::new(&[]);
     let mut sender = Sender::start("hand", &platform, &table(1, true, &both), 3.0);
     for bad in ["cordon s-c\n", "uncordon s-c\n", "cordon \u{1b}[0m\n"] {
         let said = sender.operate(bad);
-        assert!(said.starts_with("NAK ") && said.ends_with(" was never listed\n"), "{said:?}");
+        assert!(
+            said.starts_with("NAK ") && said.ends_with(" was never listed\n"),
+            "{said:?}"
+        );
     }
-    assert_eq!(sender.operate("uncordon s-a\n"), "ACK in\n", "not out: a harmless yes");
+    assert_eq!(
+        sender.operate("uncordon s-a\n"),
+        "ACK in\n",
+        "not out: a harmless yes"
+    );
     (0..3).for_each(|_| assert_eq!(sender.operate("cordon s-a\n"), "ACK out\n"));
     let mut handed = 0;
     let mut only_b = |sender: &Sender, when: &str| {
@@ -196,11 +230,22 @@
     only_b(&sender, "from the yes");
     platform.push(&table(2, true, &both));
     only_b(&sender, "a whole new list names it as in service");
-    platform.push_raw(&chunk(&table(3, false, &[listed("s-a", a.address, "terminated")])));
+    platform.push_raw(&chunk(&table(
+        3,
+        false,
+        &[listed("s-a", a.address, "terminated")],
+    )));
     until("one is listed", || sender.figures()["cluster_size"] == 1);
-    platform.push_raw(&chunk(&table(4, false, &[listed("s-a", moved.address, "in_service")])));
+    platform.push_raw(&chunk(&table(
+        4,
+        false,
+        &[listed("s-a", moved.address, "in_service")],
+    )));
     until("both are listed", || sender.figures()["cluster_size"] == 2);
-    only_b(&sender, "it was removed, and is listed anew at another address");
+    only_b(
+        &sender,
+        "it was removed, and is listed anew at another address",
+    );
     sender = sender.kill_and_restart();
     only_b(&sender, "after a kill");
     sender = sender.end_and_restart();
@@ -208,11 +253,20 @@
     // A disk that takes no file: the ban can neither be lifted nor another put in force, and the caller is told.
     sender = sender.restart_after(|state| std::fs::create_dir(state.join("cordons.new")).unwrap());
     for call in ["cordon s-b\n", "uncordon s-a\n"] {
-        assert!(sender.operate(call).starts_with("NAK the ban cannot be written: "), "{call}");
+        assert!(
+            sender
+                .operate(call)
+                .starts_with("NAK the ban cannot be written: "),
+            "{call}"
+        );
     }
     only_b(&sender, "after a refused call");
     sender = sender.restart_after(|state| std::fs::remove_dir(state.join("cordons.new")).unwrap());
-    assert_eq!(sender.operate("uncordon s-a\n"), "ACK in\n", "one call, however many took it out");
+    assert_eq!(
+        sender.operate("uncordon s-a\n"),
+        "ACK in\n",
+        "one call, however many took it out"
+    );
     assert_eq!(sender.operate("cordon s-b\n"), "ACK out\n");
     assert_eq!(sender.hand_in("debit", "back", "16.0"), 202);
     assert_eq!(a.call().id(), "back");
@@ -225,7 +279,10 @@
     let known = table(
         1,
         true,
-        &[listed("s-a", region.address, "in_service"), listed("s-b", region.address, "in_service")],
+        &[
+            listed("s-a", region.address, "in_service"),
+            listed("s-b", region.address, "in_service"),
+        ],
     );
     let sender = Sender::start("hand-damaged", &platform, &known, 3.0);
     assert_eq!(sender.operate("cordon s-a\n"), "ACK out\n");
@@ -237,7 +294,10 @@
     assert_eq!(sender.figures()["cluster_unhealthy"], 1);
     sender.signal("TERM");
     let log = sender.finish().1;
-    assert!(log.contains("ERROR cordons damaged lines=1 kept=1"), "{log}");
+    assert!(
+        log.contains("ERROR cordons damaged lines=1 kept=1"),
+        "{log}"
+    );
 }
 
 #[test]
@@ -250,7 +310,10 @@
     // A request cut short is never taken on, whichever byte was its last.
     for cut in 0..whole.len() {
         let mut client = sender.connect();
-        client.get_mut().write_all(&whole.as_bytes()[..cut]).unwrap();
+        client
+            .get_mut()
+            .write_all(&whole.as_bytes()[..cut])
+            .unwrap();
     }
     let mut client = sender.connect();
     client.get_ref().set_nodelay(true).unwrap();
@@ -260,7 +323,10 @@
     assert_eq!(answered(&read(&mut client, 0).unwrap()), 202);
     assert_eq!(region.call().id(), "pieces");
     assert_eq!(
-        (region.calls_so_far(), sender.figures()["transactions{group=\"debit\",state=\"answered\"}"]),
+        (
+            region.calls_so_far(),
+            sender.figures()["transactions{group=\"debit\",state=\"answered\"}"]
+        ),
         (0, 1)
     );
     platform.watch();
--- a/crates/martenlatch/tests/peers/mod.rs
+++ b/crates/martenlatch/tests/peers/mod.rs
@@ -26,7 +26,10 @@
 
 impl Heard {
     pub fn header(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, v)| v.as_str())
     }
     pub fn id(&self) -> &str {
@@ -41,10 +44,17 @@
     loop {
         let mut header = String::new();
         stream.read_line(&mut header).ok().filter(|n| *n > 0)?;
-        let Some((name, value)) = header.trim_end().split_once(": ") else { break };
+        let Some((name, value)) = header.trim_end().split_once(": ") else {
+            break;
+        };
         headers.push((name.to_string(), value.to_string()));
     }
-    let heard = Heard { line: line.trim_end().to_string(), headers, body: Vec::new(), conn };
+    let heard = Heard {
+        line: line.trim_end().to_string(),
+        headers,
+        body: Vec::new(),
+        conn,
+    };
     let mut body = vec![0; heard.header("Content-Length").parse().unwrap_or(0)];
     stream.read_exact(&mut body).ok()?;
     Some(Heard { body, ..heard })
@@ -54,7 +64,10 @@
 pub type Reply = (String, bool);
 
 pub fn status(status: u16, headers: &str) -> Reply {
-    (format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{headers}\r\n"), false)
+    (
+        format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n{headers}\r\n"),
+        false,
+    )
 }
 
 pub fn silence() -> Reply {
@@ -77,7 +90,8 @@
         let (script, count) = (Arc::new(script), Arc::new(Mutex::new(0usize)));
         thread::spawn(move || {
             for (conn, stream) in listener.incoming().enumerate() {
-                let (script, count, tell, end) = (script.clone(), count.clone(), tell.clone(), end.clone());
+                let (script, count, tell, end) =
+                    (script.clone(), count.clone(), tell.clone(), end.clone());
                 thread::spawn(move || {
                     let mut stream = BufReader::new(stream.unwrap());
                     while let Some(heard) = read(&mut stream, conn) {
@@ -101,7 +115,11 @@
                 });
             }
         });
-        Region { address, calls, ended }
+        Region {
+            address,
+            calls,
+            ended,
+        }
     }
 
     pub fn call(&self) -> Heard {
@@ -135,23 +153,37 @@
         let (kept, count) = (watchers.clone(), Arc::new(Mutex::new(0)));
         thread::spawn(move || {
             for stream in listener.incoming() {
-                let (tell, seen, kept, count) = (tell.clone(), seen.clone(), kept.clone(), count.clone());
-                thread::spawn(move || Platform::serve(stream.unwrap(), first, tell, seen, kept, count));
+                let (tell, seen, kept, count) =
+                    (tell.clone(), seen.clone(), kept.clone(), count.clone());
+                thread::spawn(move || {
+                    Platform::serve(stream.unwrap(), first, tell, seen, kept, count)
+                });
             }
         });
-        Platform { address, notices, watchers, watched }
+        Platform {
+            address,
+            notices,
+            watchers,
+            watched,
+        }
     }
 
     fn serve(
-        stream: TcpStream, first: &[u16], tell: Tell<String>, seen: Tell<String>,
-        kept: Arc<Mutex<Vec<TcpStream>>>, count: Arc<Mutex<usize>>,
+        stream: TcpStream,
+        first: &[u16],
+        tell: Tell<String>,
+        seen: Tell<String>,
+        kept: Arc<Mutex<Vec<TcpStream>>>,
+        count: Arc<Mutex<usize>>,
     ) {
         let mut stream = BufReader::new(stream);
         while let Some(heard) = read(&mut stream, 0) {
             if heard.line.starts_with("GET /v1/servers?watch=1") {
                 let head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
                 stream.get_mut().write_all(head).unwrap();
-                kept.lock().unwrap().push(stream.get_ref().try_clone().unwrap());
+                kept.lock()
+                    .unwrap()
+                    .push(stream.get_ref().try_clone().unwrap());
                 let _ = seen.send(heard.line);
                 continue;
             }
@@ -186,7 +218,11 @@
     }
 
     pub fn push_raw(&self, bytes: &str) {
-        self.watchers.lock().unwrap().iter_mut().for_each(|stream| in_pieces(stream, bytes));
+        self.watchers
+            .lock()
+            .unwrap()
+            .iter_mut()
+            .for_each(|stream| in_pieces(stream, bytes));
     }
 }
 
@@ -202,7 +238,10 @@
 }
 
 pub fn table(rev: u64, all: bool, targets: &[String]) -> String {
-    format!(r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#, targets.join(","))
+    format!(
+        r#"{{"rev":{rev},"all":{all},"targets":[{}]}}"#,
+        targets.join(",")
+    )
 }
 
 const SETTINGS: &str = r#"{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"WeightKind":"rough","Categories":[
@@ -234,23 +273,37 @@
 
     /// One of several, by its name, with settings of its own.
     pub fn start_with(
-        story: &str, platform: &Platform, known: &str, name: &str, settings: Option<&std::path::Path>,
+        story: &str,
+        platform: &Platform,
+        known: &str,
+        name: &str,
+        settings: Option<&std::path::Path>,
     ) -> Sender {
         Sender::start_as(story, platform, known, 3.0, name, settings)
     }
 
     fn start_as(
-        story: &str, platform: &Platform, known: &str, disk_mb: f64, name: &str,
+        story: &str,
+        platform: &Platform,
+        known: &str,
+        disk_mb: f64,
+        name: &str,
         settings: Option<&std::path::Path>,
     ) -> Sender {
-        let folder = std::env::temp_dir().join(format!("martenlatch-{story}-{}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("martenlatch-{story}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(folder.join("state")).unwrap();
         std::fs::create_dir_all(folder.join("tmp")).unwrap();
         // An address of its own for each sender: on a shared one, another story's peer may get the freed port.
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let (no, process) = (STARTED.fetch_add(1, Ordering::Relaxed), std::process::id());
-        let own = Ipv4Addr::new(127, 1 + (process % 200) as u8, (process / 200 % 250) as u8, 1 + no as u8);
+        let own = Ipv4Addr::new(
+            127,
+            1 + (process % 200) as u8,
+            (process / 200 % 250) as u8,
+            1 + no as u8,
+        );
         // Below the ports that connections are given: one that tried this address too early could hold it itself.
         let mut ports = free_ports(own.into());
         let (free, operator) = (ports.next().expect("a port"), ports.next().expect("a port"));
@@ -263,23 +316,44 @@
         let (name, settings) = (name.to_string(), settings.map(std::path::Path::to_path_buf));
         let child = Sender::spawn(&folder, platform.address, &name, settings.as_deref(), None);
         let (discovery, outranks) = (platform.address, None);
-        Sender { address: free, operator, folder, discovery, name, settings, outranks, child }.ready()
+        Sender {
+            address: free,
+            operator,
+            folder,
+            discovery,
+            name,
+            settings,
+            outranks,
+            child,
+        }
+        .ready()
     }
 
     fn spawn_again(&self) -> Child {
-        Sender::spawn(&self.folder, self.discovery, &self.name, self.settings.as_deref(), self.outranks)
+        Sender::spawn(
+            &self.folder,
+            self.discovery,
+            &self.name,
+            self.settings.as_deref(),
+            self.outranks,
+        )
     }
 
     /// Starts the program once more beside the one that serves, where operators call elsewhere.
     pub fn beside(&self) -> (Child, SocketAddr) {
         let operator = free_ports(self.address.ip()).next().expect("a port");
         let (folder, settings) = (&self.folder, self.settings.as_deref());
-        (Sender::spawn(folder, self.discovery, &self.name, settings, Some(operator)), operator)
+        (
+            Sender::spawn(folder, self.discovery, &self.name, settings, Some(operator)),
+            operator,
+        )
     }
 
     /// Waits until a process beside it says that it serves, and for the end of this one: its exit code and log.
     pub fn give_way(&mut self, (child, operator): (Child, SocketAddr)) -> (Option<i32>, String) {
-        until("it serves", || called(operator, "health\n").starts_with("ACK"));
+        until("it serves", || {
+            called(operator, "health\n").starts_with("ACK")
+        });
         (self.operator, self.outranks) = (operator, Some(operator));
         let mut old = std::mem::replace(&mut self.child, child);
         let mut log = String::new();
@@ -294,12 +368,17 @@
 
     /// Where processes of its folder meet.
     pub fn meeting(&self) -> PathBuf {
-        let mut files = std::fs::read_dir(self.folder.join("tmp")).unwrap().flatten();
+        let mut files = std::fs::read_dir(self.folder.join("tmp"))
+            .unwrap()
+            .flatten();
         files.next().expect("a socket").path()
     }
 
     fn spawn(
-        folder: &std::path::Path, discovery: SocketAddr, name: &str, settings: Option<&std::path::Path>,
+        folder: &std::path::Path,
+        discovery: SocketAddr,
+        name: &str,
+        settings: Option<&std::path::Path>,
         operator: Option<SocketAddr>,
     ) -> Child {
         let mut command = Command::new(env!("CARGO_BIN_EXE_martenlatch"));
@@ -335,7 +414,9 @@
     /// A socket that was only tried lives on for a moment in a process that another thread starts just then: a
     /// connection may still come up there, and end unanswered.
     fn healthy(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.address) else { return false };
+        let Ok(mut stream) = TcpStream::connect(self.address) else {
+            return false;
+        };
         stream.set_read_timeout(Some(HANG)).unwrap();
         let _ = stream.write_all(b"GET /healthz HTTP/1.1\r\n\r\n");
         read(&mut BufReader::new(stream), 0).is_some_and(|said| answered(&said) == 200)
@@ -386,7 +467,13 @@
 
     pub fn signal(&self, name: &str) {
         let command = format!("kill -{name} {}", self.child.id());
-        assert!(Command::new("sh").args(["-c", &command]).status().unwrap().success());
+        assert!(
+            Command::new("sh")
+                .args(["-c", &command])
+                .status()
+                .unwrap()
+                .success()
+        );
     }
 
     /// Starts it with its configuration changed, which must end it: its exit code and what it wrote to standard error.
@@ -395,7 +482,10 @@
         self.child.wait().unwrap();
         self.configure(from, to);
         let output = self.spawn_again().wait_with_output().unwrap();
-        (output.status.code(), String::from_utf8(output.stderr).unwrap())
+        (
+            output.status.code(),
+            String::from_utf8(output.stderr).unwrap(),
+        )
     }
 
     pub fn configure(&self, from: &str, to: &str) {
@@ -416,13 +506,21 @@
     pub fn counters(self) -> String {
         self.signal("TERM");
         let log = self.finish().1;
-        log.lines().rfind(|l| l.contains(" counters held=")).expect("counters at the exit").to_string()
+        log.lines()
+            .rfind(|l| l.contains(" counters held="))
+            .expect("counters at the exit")
+            .to_string()
     }
 
     /// Waits for its end; its exit code and what it printed.
     pub fn finish(mut self) -> (Option<i32>, String) {
         let mut log = String::new();
-        self.child.stdout.take().unwrap().read_to_string(&mut log).unwrap();
+        self.child
+            .stdout
+            .take()
+            .unwrap()
+            .read_to_string(&mut log)
+            .unwrap();
         (self.child.wait().unwrap().code(), log)
     }
 
@@ -435,7 +533,10 @@
     pub fn figures(&self) -> std::collections::BTreeMap<String, u64> {
         (0..2).for_each(|_| assert_eq!(self.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200));
         let said = self.operate("counters\n");
-        let lines = said.strip_prefix("ACK figures\n").and_then(|l| l.strip_suffix("--\n")).expect("figures");
+        let lines = said
+            .strip_prefix("ACK figures\n")
+            .and_then(|l| l.strip_suffix("--\n"))
+            .expect("figures");
         let figure = |line: &str| {
             let (name, value) = line.rsplit_once(' ').unwrap();
             (name.replace("sender_", ""), value.parse().unwrap())
@@ -503,7 +604,12 @@
 }
 
 pub fn answered(answer: &Heard) -> u16 {
-    answer.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("an answer's first line")
+    answer
+        .line
+        .split(' ')
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .expect("an answer's first line")
 }
 
 pub fn request(class: &str, id: &str, timeout: &str, body: &str) -> String {
--- a/crates/peers/src/known.rs
+++ b/crates/peers/src/known.rs
@@ -108,9 +108,21 @@
             Some(Trouble::Back { since }) => since,
             _ => 0.0,
         };
-        [self.age, self.wait, self.gap, self.served, self.refused, since].into_iter().all(span)
+        [
+            self.age,
+            self.wait,
+            self.gap,
+            self.served,
+            self.refused,
+            since,
+        ]
+        .into_iter()
+        .all(span)
             && self.limit.is_none_or(|l| l.is_finite() && l > 0.0)
-            && self.endpoint.as_ref().is_none_or(|e| !e.is_empty() && e.len() <= ENDPOINT)
+            && self
+                .endpoint
+                .as_ref()
+                .is_none_or(|e| !e.is_empty() && e.len() <= ENDPOINT)
             && self.latency.sound()
     }
 }
@@ -130,7 +142,12 @@
 
 impl Default for Bounds {
     fn default() -> Bounds {
-        Bounds { half_life: 20_000.0, wait: 120_000.0, latency: (20.0, 30_000.0), most: 16_384 }
+        Bounds {
+            half_life: 20_000.0,
+            wait: 120_000.0,
+            latency: (20.0, 30_000.0),
+            most: 16_384,
+        }
     }
 }
 
@@ -150,11 +167,23 @@
     /// Of two views of one teller the greater is the later; a total order, so that merging in any order agrees.
     fn order(&self, other: &View) -> std::cmp::Ordering {
         let key = |v: &View| {
-            [v.seen, v.gap.into(), v.limit.map_or(-1.0, f64::from), v.served.into(), v.refused.into()]
+            [
+                v.seen,
+                v.gap.into(),
+                v.limit.map_or(-1.0, f64::from),
+                v.served.into(),
+                v.refused.into(),
+            ]
         };
         let (a, b) = (key(self), key(other));
-        let first = a.iter().zip(&b).map(|(x, y)| x.total_cmp(y)).find(|o| o.is_ne());
-        first.unwrap_or_else(|| self.latency.cmp(&other.latency)).then_with(|| self.teller.cmp(&other.teller))
+        let first = a
+            .iter()
+            .zip(&b)
+            .map(|(x, y)| x.total_cmp(y))
+            .find(|o| o.is_ne());
+        first
+            .unwrap_or_else(|| self.latency.cmp(&other.latency))
+            .then_with(|| self.teller.cmp(&other.teller))
     }
 }
 
@@ -192,7 +221,9 @@
     /// The latest instant that this rests on; what is older gives way in a full store.
     fn latest(&self) -> Millis {
         let seen = self.views.iter().map(|v| v.seen).reduce(f64::max);
-        later(later(self.down, self.shut), later(self.back, seen)).unwrap_or(0.0).max(self.wait_until)
+        later(later(self.down, self.shut), later(self.back, seen))
+            .unwrap_or(0.0)
+            .max(self.wait_until)
     }
 }
 
@@ -223,8 +254,10 @@
             return false;
         }
         let seen = now - f64::from(telling.age);
-        let mut heard =
-            Heard { wait_until: now + f64::from(telling.wait).min(bounds.wait), ..Heard::default() };
+        let mut heard = Heard {
+            wait_until: now + f64::from(telling.wait).min(bounds.wait),
+            ..Heard::default()
+        };
         match telling.trouble {
             Some(Trouble::Down) => heard.down = Some(seen),
             Some(Trouble::Shut) => heard.shut = Some(seen),
@@ -253,11 +286,15 @@
             }
         }
         if self.of.len() > most {
-            let mut ages: Vec<(Millis, Subject)> =
-                self.of.iter().map(|(s, h)| (h.latest(), s.clone())).collect();
+            let mut ages: Vec<(Millis, Subject)> = self
+                .of
+                .iter()
+                .map(|(s, h)| (h.latest(), s.clone()))
+                .collect();
             ages.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
             ages.drain(..most);
-            ages.into_iter().for_each(|(_, subject)| drop(self.of.remove(&subject)));
+            ages.into_iter()
+                .for_each(|(_, subject)| drop(self.of.remove(&subject)));
         }
     }
 
@@ -269,7 +306,11 @@
     /// What the decision module is told of one subject, weighed by its age; `endpoint` is its number on the list. Told
     /// once: what is known of it is forgotten.
     pub fn take_told(
-        &mut self, subject: &Subject, endpoint: Option<EndpointId>, now: Millis, bounds: &Bounds,
+        &mut self,
+        subject: &Subject,
+        endpoint: Option<EndpointId>,
+        now: Millis,
+        bounds: &Bounds,
     ) -> Option<Told> {
         weigh(subject.0, endpoint, &self.of.remove(subject)?, now, bounds)
     }
@@ -277,34 +318,57 @@
     /// What the decision module is told, each piece weighed by its age. `number` gives an endpoint its number on the
     /// list, or nothing where it is not listed.
     pub fn told(
-        &self, now: Millis, bounds: &Bounds,
+        &self,
+        now: Millis,
+        bounds: &Bounds,
         mut number: impl FnMut(u64, Option<&str>) -> Option<Option<EndpointId>>,
     ) -> Vec<Told> {
-        let listed = self.of.iter().filter_map(|(s, h)| Some((s.0, number(s.0, s.1.as_deref())?, h)));
+        let listed = self
+            .of
+            .iter()
+            .filter_map(|(s, h)| Some((s.0, number(s.0, s.1.as_deref())?, h)));
         listed
-            .filter_map(|(destination, endpoint, heard)| weigh(destination, endpoint, heard, now, bounds))
+            .filter_map(|(destination, endpoint, heard)| {
+                weigh(destination, endpoint, heard, now, bounds)
+            })
             .collect()
     }
 }
 
 fn weigh(
-    destination: u64, endpoint: Option<EndpointId>, heard: &Heard, now: Millis, bounds: &Bounds,
+    destination: u64,
+    endpoint: Option<EndpointId>,
+    heard: &Heard,
+    now: Millis,
+    bounds: &Bounds,
 ) -> Option<Told> {
     let weight = |at: Millis| 0.5f64.powf((now - at).max(0.0) / bounds.half_life);
     let wait = (heard.wait_until - now).max(0.0);
-    let served = heard.views.iter().filter(|v| v.latency.count() > 0).map(|v| v.seen).reduce(f64::max);
+    let served = heard
+        .views
+        .iter()
+        .filter(|v| v.latency.count() > 0)
+        .map(|v| v.seen)
+        .reduce(f64::max);
     let out = later(heard.down, heard.shut);
     // One that was seen out, and to serve later, is back since it was seen out at the earliest.
     let outage = match out {
         Some(at) if served.is_none_or(|s| s <= at) && heard.back.is_none_or(|b| b <= at) => {
             // Long ago it may have come back since, unseen: no more is known than by a cold start.
             let fresh = weight(at) >= 0.5 || wait > 0.0;
-            fresh.then_some(if heard.down == Some(at) { Outage::Down } else { Outage::Shut })
+            fresh.then_some(if heard.down == Some(at) {
+                Outage::Down
+            } else {
+                Outage::Shut
+            })
         }
-        _ => later(out, heard.back).map(|at| Outage::Back { since: nanos((now - at).max(0.0)) }),
+        _ => later(out, heard.back).map(|at| Outage::Back {
+            since: nanos((now - at).max(0.0)),
+        }),
     };
     let trouble = later(out, heard.back);
-    let (mut gap, mut limit, mut latency, mut calls) = (0.0f64, None::<f64>, Sketch::default(), 0.0f64);
+    let (mut gap, mut limit, mut latency, mut calls) =
+        (0.0f64, None::<f64>, Sketch::default(), 0.0f64);
     for view in &heard.views {
         let age = weight(view.seen);
         gap = gap.max(f64::from(view.gap).min(GAP) * age);
@@ -318,8 +382,11 @@
     }
     let many = (STANDS_FOR * calls.min(1.0)).round() as usize;
     let (least, most) = bounds.latency;
-    let latencies: Vec<u64> =
-        latency.stand_for(many).into_iter().map(|l| nanos(l.clamp(least, most))).collect();
+    let latencies: Vec<u64> = latency
+        .stand_for(many)
+        .into_iter()
+        .map(|l| nanos(l.clamp(least, most)))
+        .collect();
     let gap = if gap < 1.0 { 0 } else { nanos(gap) };
     let told = Told {
         destination: DestinationId(destination),
@@ -330,6 +397,7 @@
         latencies,
         outage,
     };
-    let nothing = told.wait == 0 && told.gap == 0 && told.limit.is_none() && told.latencies.is_empty();
+    let nothing =
+        told.wait == 0 && told.gap == 0 && told.limit.is_none() && told.latencies.is_empty();
     (!nothing || told.outage.is_some()).then_some(told)
 }
--- a/crates/peers/src/member.rs
+++ b/crates/peers/src/member.rs
@@ -116,7 +116,14 @@
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { period: 500.0, ack: 150.0, asked: 3, suspect: 5.0, forget: 120_000.0, most: 256 }
+        Settings {
+            period: 500.0,
+            ack: 150.0,
+            asked: 3,
+            suspect: 5.0,
+            forget: 120_000.0,
+            most: 256,
+        }
     }
 }
 
@@ -190,21 +197,33 @@
 fn hash(rumour: &Rumour) -> u64 {
     // FNV-1a, the same on every machine.
     let bytes = rumour.name.bytes().chain(rumour.incarnation.to_le_bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3)
+    })
 }
 
 impl Members {
     /// One that knows nobody but its seeds. `name` is cut at [`NAME`] bytes; `incarnation` is to be higher than that of
     /// its earlier lives, and is raised when it is found not to be.
     pub fn new(
-        name: &str, address: SocketAddr, incarnation: u64, seeds: &[SocketAddr], set: Settings, seed: u64,
+        name: &str,
+        address: SocketAddr,
+        incarnation: u64,
+        seeds: &[SocketAddr],
+        set: Settings,
+        seed: u64,
         now: Millis,
     ) -> Members {
         let name = name.chars().scan(0, |len, c| {
             *len += c.len_utf8();
             (*len <= NAME).then_some(c)
         });
-        let me = Rumour { name: name.collect(), address, incarnation, state: State::Alive };
+        let me = Rumour {
+            name: name.collect(),
+            address,
+            incarnation,
+            state: State::Alive,
+        };
         Members {
             digest: hash(&me),
             me,
@@ -259,9 +278,16 @@
 
     /// When [`Members::tick`] has something to do.
     pub fn due(&self) -> Millis {
-        let ask = self.probe.as_ref().filter(|p| !p.asked).map(|p| p.sent + self.set.ack);
+        let ask = self
+            .probe
+            .as_ref()
+            .filter(|p| !p.asked)
+            .map(|p| p.sent + self.set.ack);
         let due = self.dues.first().map(|d| d.0 as Millis);
-        [ask, due].into_iter().flatten().fold(self.next_period, f64::min)
+        [ask, due]
+            .into_iter()
+            .flatten()
+            .fold(self.next_period, f64::min)
     }
 
     /// Asks the seeds for their views, at once.
@@ -285,18 +311,27 @@
         while let Some(due) = self.dues.first().filter(|d| d.0 as Millis <= now).cloned() {
             self.dues.remove(&due);
             let (_, name, incarnation, state) = due;
-            let Some(known) = self.view.get(&name) else { continue };
+            let Some(known) = self.view.get(&name) else {
+                continue;
+            };
             if (known.incarnation, known.state) != (incarnation, state) {
                 continue;
             }
             if state == State::Suspect {
-                let dead = Rumour { state: State::Dead, ..known.clone() };
+                let dead = Rumour {
+                    state: State::Dead,
+                    ..known.clone()
+                };
                 self.merge(dead, now);
             } else {
                 self.remove(&name);
             }
         }
-        if let Some(probe) = self.probe.as_mut().filter(|p| !p.asked && now >= p.sent + self.set.ack) {
+        if let Some(probe) = self
+            .probe
+            .as_mut()
+            .filter(|p| !p.asked && now >= p.sent + self.set.ack)
+        {
             probe.asked = true;
             let (no, name) = (probe.no, probe.name.clone());
             if let Some(address) = self.view.get(&name).map(|r| r.address) {
@@ -314,14 +349,24 @@
     fn period(&mut self, now: Millis) {
         let late = now > self.next_period + self.set.period * STALL;
         self.periods += 1;
-        self.next_period = if late { now + self.set.period } else { self.next_period + self.set.period };
+        self.next_period = if late {
+            now + self.set.period
+        } else {
+            self.next_period + self.set.period
+        };
         let silent = self.probe.take().filter(|_| !late);
-        let known = silent.as_ref().and_then(|p| self.view.get(&p.name)).filter(|r| r.state == State::Alive);
+        let known = silent
+            .as_ref()
+            .and_then(|p| self.view.get(&p.name))
+            .filter(|r| r.state == State::Alive);
         match (silent.as_ref().is_some_and(|p| p.second), known.cloned()) {
             // On a lossy network one silence says little; two in a row are the exception.
             (false, Some(known)) => self.ping(known, true, now),
             (true, Some(known)) => {
-                let suspect = Rumour { state: State::Suspect, ..known };
+                let suspect = Rumour {
+                    state: State::Suspect,
+                    ..known
+                };
                 self.merge(suspect.clone(), now);
                 self.ping_next(now);
                 // It can refute the suspicion at once, and need not wait until the rumour comes round to it.
@@ -337,7 +382,13 @@
 
     fn ping(&mut self, target: Rumour, second: bool, now: Millis) {
         let no = self.number();
-        self.probe = Some(Probe { name: target.name.clone(), no, sent: now, asked: false, second });
+        self.probe = Some(Probe {
+            name: target.name.clone(),
+            no,
+            sent: now,
+            asked: false,
+            second,
+        });
         self.send(target.address, Body::Ping { no }, Some(target));
     }
 
@@ -352,7 +403,12 @@
     fn next_target(&mut self) -> Option<String> {
         if self.order.is_empty() {
             // Once in a turn through the view: each is pinged once in it, in an order that no other shares.
-            self.order = self.view.values().filter(|r| r.state.live()).map(|r| r.name.clone()).collect();
+            self.order = self
+                .view
+                .values()
+                .filter(|r| r.state.live())
+                .map(|r| r.name.clone())
+                .collect();
             self.order.shuffle(&mut self.rng);
         }
         self.order.pop()
@@ -361,8 +417,15 @@
     /// Tries one that was lost, and a seed that is not among the live: a split network meets again by this.
     fn revive(&mut self) {
         for _ in 0..self.lost.len().min(4) {
-            let Some(name) = self.lost.pop_front() else { break };
-            let Some(known) = self.view.get(&name).filter(|r| r.state == State::Dead).cloned() else {
+            let Some(name) = self.lost.pop_front() else {
+                break;
+            };
+            let Some(known) = self
+                .view
+                .get(&name)
+                .filter(|r| r.state == State::Dead)
+                .cloned()
+            else {
                 continue;
             };
             self.lost.push_back(name);
@@ -372,7 +435,10 @@
         }
         if !self.seeds.is_empty() {
             let seed = self.seeds[self.rng.random_range(0..self.seeds.len())];
-            let known = self.view.values().any(|r| r.address == seed && r.state.live());
+            let known = self
+                .view
+                .values()
+                .any(|r| r.address == seed && r.state.live());
             if !known {
                 self.send(seed, Body::Sync, None);
             }
@@ -386,7 +452,10 @@
 
     /// Up to so many live others, drawn.
     fn some(&mut self, count: usize, but: Option<&str>) -> Vec<String> {
-        let live = self.view.values().filter(|r| r.state == State::Alive && Some(r.name.as_str()) != but);
+        let live = self
+            .view
+            .values()
+            .filter(|r| r.state == State::Alive && Some(r.name.as_str()) != but);
         let mut names: Vec<String> = live.map(|r| r.name.clone()).collect();
         let (drawn, _) = names.partial_shuffle(&mut self.rng, count);
         drawn.to_vec()
@@ -394,14 +463,21 @@
 
     /// Sends with what is new; `about` its receiver goes first, so that it can refute that.
     fn send(&mut self, to: SocketAddr, body: Body, about: Option<Rumour>) {
-        let mut rumours: Vec<Rumour> = about.into_iter().filter(|r| r.state != State::Alive).collect();
+        let mut rumours: Vec<Rumour> = about
+            .into_iter()
+            .filter(|r| r.state != State::Alive)
+            .collect();
         // Passed on three times the logarithm of the members: enough to reach all, with loss.
         let often = 3 * (usize::BITS - (self.live + 1).leading_zeros());
         let mut again = Vec::new();
         while rumours.len() < RUMOURS {
-            let Some((times, name)) = self.fresh.pop_first() else { break };
+            let Some((times, name)) = self.fresh.pop_first() else {
+                break;
+            };
             self.told.remove(&name);
-            let Some(rumour) = self.view.get(&name) else { continue };
+            let Some(rumour) = self.view.get(&name) else {
+                continue;
+            };
             if rumours.first().is_none_or(|r| r.name != name) {
                 rumours.push(rumour.clone());
             }
@@ -413,34 +489,61 @@
             self.told.insert(name.clone(), times);
             self.fresh.insert((times, name));
         }
-        self.out.push((to, Datagram { from: self.me.clone(), digest: self.digest, body, rumours }));
+        self.out.push((
+            to,
+            Datagram {
+                from: self.me.clone(),
+                digest: self.digest,
+                body,
+                rumours,
+            },
+        ));
     }
 
     /// Takes a datagram that was found to be keyed.
     pub fn hear(&mut self, datagram: Datagram, now: Millis) {
-        let Datagram { from, digest, body, rumours } = datagram;
+        let Datagram {
+            from,
+            digest,
+            body,
+            rumours,
+        } = datagram;
         if from.name == self.me.name {
             return self.own_name(&from);
         }
         let (name, address) = (from.name.clone(), from.address);
         self.merge(from, now);
-        rumours.into_iter().take(RUMOURS).for_each(|r| self.merge(r, now));
+        rumours
+            .into_iter()
+            .take(RUMOURS)
+            .for_each(|r| self.merge(r, now));
         let known = self.view.get(&name).cloned();
         match body {
             Body::Ping { no } => self.send(address, Body::Ack { no }, known),
             Body::Ack { no } => self.acked(no),
-            Body::Ask { no, address: target } => {
+            Body::Ask {
+                no,
+                address: target,
+            } => {
                 let ours = self.number();
                 if self.relayed.len() >= RELAYS {
                     self.relayed.pop_front();
                 }
-                self.relayed.push_back(Relayed { no: ours, to: address, theirs: no });
+                self.relayed.push_back(Relayed {
+                    no: ours,
+                    to: address,
+                    theirs: no,
+                });
                 self.send(target, Body::Ping { no: ours }, None);
             }
             Body::Sync => return self.tell_all(address),
             Body::View => return,
         }
-        self.unlike = if digest == self.digest { 0 } else { self.unlike + 1 };
+        self.unlike = if digest == self.digest {
+            0
+        } else {
+            self.unlike + 1
+        };
         if self.unlike >= UNLIKE && self.periods >= self.synced + SYNC_EVERY {
             (self.unlike, self.synced) = (0, self.periods);
             self.send(address, Body::Sync, None);
@@ -460,11 +563,23 @@
 
     /// The whole view, in as many datagrams as it takes.
     fn tell_all(&mut self, to: SocketAddr) {
-        let all: Vec<Rumour> =
-            self.view.values().filter(|r| r.address != to || !r.state.live()).cloned().collect();
+        let all: Vec<Rumour> = self
+            .view
+            .values()
+            .filter(|r| r.address != to || !r.state.live())
+            .cloned()
+            .collect();
         for part in all.chunks(RUMOURS) {
             let (from, rumours) = (self.me.clone(), part.to_vec());
-            self.out.push((to, Datagram { from, digest: self.digest, body: Body::View, rumours }));
+            self.out.push((
+                to,
+                Datagram {
+                    from,
+                    digest: self.digest,
+                    body: Body::View,
+                    rumours,
+                },
+            ));
         }
         if all.is_empty() {
             self.send(to, Body::View, None);
@@ -475,7 +590,8 @@
     fn own_name(&mut self, rumour: &Rumour) {
         let elsewhere = rumour.address != self.me.address;
         let higher = rumour.incarnation >= self.me.incarnation;
-        if self.me.state != State::Alive || !higher || (rumour.state == State::Alive && !elsewhere) {
+        if self.me.state != State::Alive || !higher || (rumour.state == State::Alive && !elsewhere)
+        {
             return;
         }
         if elsewhere && rumour.state == State::Alive {
@@ -512,7 +628,10 @@
             return;
         }
         let name = rumour.name.clone();
-        let (was, is) = (old.as_ref().is_some_and(|o| o.state.live()), rumour.state.live());
+        let (was, is) = (
+            old.as_ref().is_some_and(|o| o.state.live()),
+            rumour.state.live(),
+        );
         if let Some(old) = old.as_ref().filter(|_| was) {
             self.digest ^= hash(old);
         }
@@ -528,7 +647,9 @@
                 self.order.insert(at, name.clone());
                 self.changes.push(Change::Joined(rumour.clone()));
             }
-            (Some(State::Suspect), State::Alive) => self.changes.push(Change::Refuted(name.clone())),
+            (Some(State::Suspect), State::Alive) => {
+                self.changes.push(Change::Refuted(name.clone()))
+            }
             (Some(State::Suspect), State::Suspect) | (_, State::Alive) => {}
             (was, State::Suspect) => {
                 if was.is_none_or(|s| !s.live()) {
@@ -549,7 +670,12 @@
             State::Dead | State::Left => Some(self.set.forget),
         };
         if let Some(after) = after {
-            self.dues.insert(((now + after).ceil() as u64, name.clone(), rumour.incarnation, rumour.state));
+            self.dues.insert((
+                (now + after).ceil() as u64,
+                name.clone(),
+                rumour.incarnation,
+                rumour.state,
+            ));
         }
         if rumour.state == State::Dead && !self.lost.contains(&name) {
             self.lost.push_back(name.clone());
@@ -571,9 +697,14 @@
         }
         let gone = self.dues.iter().find(|(_, name, incarnation, state)| {
             !state.live()
-                && self.view.get(name).is_some_and(|r| (r.incarnation, r.state) == (*incarnation, *state))
+                && self
+                    .view
+                    .get(name)
+                    .is_some_and(|r| (r.incarnation, r.state) == (*incarnation, *state))
         });
-        let Some(name) = gone.map(|g| g.1.clone()) else { return false };
+        let Some(name) = gone.map(|g| g.1.clone()) else {
+            return false;
+        };
         self.remove(&name);
         true
     }
--- a/crates/peers/src/net.rs
+++ b/crates/peers/src/net.rs
@@ -59,7 +59,10 @@
 impl Net {
     /// So many members that know nobody but the first two.
     pub fn of(count: usize, loss: f64, seed: u64) -> Net {
-        let set = Settings { most: 4 * count.max(64), ..Settings::default() };
+        let set = Settings {
+            most: 4 * count.max(64),
+            ..Settings::default()
+        };
         let mut net = Net {
             loss,
             sent: (0, 0),
@@ -88,7 +91,11 @@
 
     /// Starts a member at its own address under another's name.
     pub fn add_as(&mut self, no: usize, called: usize) {
-        let (seeds, seed, set) = ([address(0), address(1)], self.rng.random(), self.set.clone());
+        let (seeds, seed, set) = (
+            [address(0), address(1)],
+            self.rng.random(),
+            self.set.clone(),
+        );
         let mut members = Members::new(&name(called), address(no), 1, &seeds, set, seed, self.now);
         members.join();
         self.nodes.insert(no, members);
@@ -145,7 +152,10 @@
 
     /// How one member sees another.
     pub fn state(&self, by: usize, no: usize) -> Option<State> {
-        self.nodes[&by].others().find(|r| r.name == name(no)).map(|r| r.state)
+        self.nodes[&by]
+            .others()
+            .find(|r| r.name == name(no))
+            .map(|r| r.state)
     }
 
     /// Pairs of which one does not hold the other for a member.
@@ -153,14 +163,21 @@
         let knows = |by: &usize| {
             let live = self.nodes[by].others().filter(|r| r.state.live());
             let numbers = live.map(|r| usize::from(r.address.port()) - 7_000);
-            numbers.filter(|no| no != by && self.nodes.contains_key(no)).count()
+            numbers
+                .filter(|no| no != by && self.nodes.contains_key(no))
+                .count()
         };
-        self.nodes.keys().map(|by| self.nodes.len() - 1 - knows(by)).sum()
+        self.nodes
+            .keys()
+            .map(|by| self.nodes.len() - 1 - knows(by))
+            .sum()
     }
 
     /// Whether every other member holds one for a member.
     pub fn all_know(&self, no: usize) -> bool {
-        self.nodes.keys().all(|by| *by == no || self.state(*by, no).is_some_and(State::live))
+        self.nodes
+            .keys()
+            .all(|by| *by == no || self.state(*by, no).is_some_and(State::live))
     }
 
     /// Times that a death was seen so far, over all members.
@@ -170,14 +187,25 @@
     }
 
     fn stalled(&self, no: usize) -> Option<Millis> {
-        self.stalled.get(&no).copied().filter(|until| self.now < *until)
+        self.stalled
+            .get(&no)
+            .copied()
+            .filter(|until| self.now < *until)
     }
 
     fn collect(&mut self, no: usize) {
         let stalled = self.stalled(no);
-        let Some(members) = self.nodes.get_mut(&no) else { return };
-        self.changes.entry(no).or_default().extend(members.take_changes());
-        let (out, due) = (members.take_out(), key(members.due().max(stalled.unwrap_or(0.0))));
+        let Some(members) = self.nodes.get_mut(&no) else {
+            return;
+        };
+        self.changes
+            .entry(no)
+            .or_default()
+            .extend(members.take_changes());
+        let (out, due) = (
+            members.take_out(),
+            key(members.due().max(stalled.unwrap_or(0.0))),
+        );
         if let Some(old) = self.due_of.insert(no, due) {
             self.dues.remove(&(old, no));
         }
@@ -185,10 +213,16 @@
         for (to, datagram) in out {
             let bytes = self.secret.seal_datagram(&datagram).len() as u64 + HEADERS;
             self.sent = (self.sent.0 + 1, self.sent.1 + bytes);
-            let (lost, way) = (self.rng.random::<f64>() < self.loss, self.rng.random::<f64>());
+            let (lost, way) = (
+                self.rng.random::<f64>() < self.loss,
+                self.rng.random::<f64>(),
+            );
             if !lost {
                 let at = self.now + WAY.0 + (WAY.1 - WAY.0) * way;
-                self.fly(at, (no, usize::from(to.port()).saturating_sub(7_000), datagram));
+                self.fly(
+                    at,
+                    (no, usize::from(to.port()).saturating_sub(7_000), datagram),
+                );
             }
         }
     }
@@ -206,7 +240,11 @@
     }
 
     /// Lets time pass until `done` says so, looked at every 50 ms: when that was.
-    pub fn run_until(&mut self, span: Millis, mut done: impl FnMut(&Net) -> bool) -> Option<Millis> {
+    pub fn run_until(
+        &mut self,
+        span: Millis,
+        mut done: impl FnMut(&Net) -> bool,
+    ) -> Option<Millis> {
         let end = self.now + span;
         while self.now < end {
             self.run(50.0);
@@ -235,7 +273,9 @@
             self.collect(tick.1);
             return true;
         }
-        let Some((from, to, datagram)) = next.and_then(|k| self.flying.remove(&k)) else { return false };
+        let Some((from, to, datagram)) = next.and_then(|k| self.flying.remove(&k)) else {
+            return false;
+        };
         if let Some(until) = self.stalled(to) {
             // Read after the tick that is due then, as by a process that was stopped.
             self.fly(until + 1.0, (from, to, datagram));
--- a/crates/peers/src/sketch.rs
+++ b/crates/peers/src/sketch.rs
@@ -31,7 +31,9 @@
             let count = counts.entry(bucket).or_default();
             *count = count.saturating_add(1);
         }
-        Sketch { counts: counts.into_iter().collect() }
+        Sketch {
+            counts: counts.into_iter().collect(),
+        }
     }
 
     /// How many latencies it stands for.
@@ -41,7 +43,8 @@
 
     /// Whether it is as [`Sketch::of`] makes them: buckets in order, none twice, none empty or past the last.
     pub fn sound(&self) -> bool {
-        self.counts.is_sorted_by(|a, b| a.0 < b.0) && self.counts.iter().all(|c| c.0 <= LAST && c.1 > 0)
+        self.counts.is_sorted_by(|a, b| a.0 < b.0)
+            && self.counts.iter().all(|c| c.0 <= LAST && c.1 > 0)
     }
 
     /// Adds another's counts.
@@ -62,7 +65,9 @@
             sum += f64::from(*count);
             (sum, *bucket)
         });
-        let Some(mut at) = steps.next() else { return Vec::new() };
+        let Some(mut at) = steps.next() else {
+            return Vec::new();
+        };
         (0..many)
             .map(|i| {
                 let wanted = (i as f64 + 0.5) / many as f64 * total;
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -64,13 +64,21 @@
     /// taken for this one's.
     Ask { no: u64, name: String },
     /// The next page, and which it is from 0.
-    Told { no: u64, page: u32, tellings: Vec<Telling> },
+    Told {
+        no: u64,
+        page: u32,
+        tellings: Vec<Telling>,
+    },
     /// That was all: so many pages.
     End { no: u64, pages: u32 },
     /// Tell me whom you hold for members: an operator's question.
     Who { no: u64 },
     /// The answer, the asked one first; the next page, and which it is from 0.
-    Members { no: u64, page: u32, rumours: Vec<Rumour> },
+    Members {
+        no: u64,
+        page: u32,
+        rumours: Vec<Rumour>,
+    },
 }
 
 /// The shared secret.
@@ -107,7 +115,12 @@
     }
 
     /// Opens the frame at the start of `bytes`: the value and how many bytes it took.
-    fn open<T: DeserializeOwned>(&self, kind: Kind, most: usize, bytes: &[u8]) -> Result<(T, usize), Fault> {
+    fn open<T: DeserializeOwned>(
+        &self,
+        kind: Kind,
+        most: usize,
+        bytes: &[u8],
+    ) -> Result<(T, usize), Fault> {
         let head = bytes.get(..HEAD).ok_or(Fault::Short)?;
         if head[0] != VERSION {
             return Err(Fault::Version);
@@ -120,8 +133,14 @@
             return Err(Fault::Long);
         }
         let body = bytes.get(..HEAD + length).ok_or(Fault::Short)?;
-        let tag = bytes.get(HEAD + length..HEAD + length + TAG).ok_or(Fault::Short)?;
-        self.0.clone().chain_update(body).verify_truncated_left(tag).map_err(|_| Fault::Key)?;
+        let tag = bytes
+            .get(HEAD + length..HEAD + length + TAG)
+            .ok_or(Fault::Short)?;
+        self.0
+            .clone()
+            .chain_update(body)
+            .verify_truncated_left(tag)
+            .map_err(|_| Fault::Key)?;
         let (value, rest) = postcard::take_from_bytes(&body[HEAD..]).map_err(|_| Fault::Form)?;
         if !rest.is_empty() {
             return Err(Fault::Form);
@@ -140,7 +159,11 @@
     /// What is wrong with it.
     pub fn open_datagram(&self, bytes: &[u8]) -> Result<Datagram, Fault> {
         let (datagram, used) = self.open(Kind::Datagram, DATAGRAM, bytes)?;
-        if used == bytes.len() { Ok(datagram) } else { Err(Fault::Long) }
+        if used == bytes.len() {
+            Ok(datagram)
+        } else {
+            Err(Fault::Long)
+        }
     }
 
     /// A page's bytes.
@@ -169,13 +192,19 @@
 impl Asking {
     /// Of this number.
     pub fn new(no: u64) -> Asking {
-        Asking { no, next: 0, whole: false }
+        Asking {
+            no,
+            next: 0,
+            whole: false,
+        }
     }
 
     /// Takes a page: its tellings, or nothing where it is not the next of this asking.
     pub fn take(&mut self, page: Page) -> Option<Vec<Telling>> {
         match page {
-            Page::Told { no, page, tellings } if (no, page) == (self.no, self.next) && !self.whole => {
+            Page::Told { no, page, tellings }
+                if (no, page) == (self.no, self.next) && !self.whole =>
+            {
                 self.next += 1;
                 Some(tellings)
             }
--- a/crates/peers/tests/known.rs
+++ b/crates/peers/tests/known.rs
@@ -10,7 +10,11 @@
 const MS: u64 = 1_000_000;
 
 fn telling(destination: u64) -> Telling {
-    Telling { served: 20.0, latency: Sketch::of([300.0; 20]), ..Telling::new(destination) }
+    Telling {
+        served: 20.0,
+        latency: Sketch::of([300.0; 20]),
+        ..Telling::new(destination)
+    }
 }
 
 fn listed(_: u64, _: Option<&str>) -> Option<Option<EndpointId>> {
@@ -20,20 +24,33 @@
 fn heard(tellings: &[Telling], now: f64) -> Vec<Told> {
     let (mut known, bounds) = (Known::default(), Bounds::default());
     for (i, t) in tellings.iter().enumerate() {
-        assert!(known.hear(&format!("t{i}"), t, 1_000_000.0, &bounds), "{t:?}");
+        assert!(
+            known.hear(&format!("t{i}"), t, 1_000_000.0, &bounds),
+            "{t:?}"
+        );
     }
     known.told(1_000_000.0 + now, &bounds, listed)
 }
 
 #[test]
 fn a_wait_in_force_binds_and_one_that_has_run_out_binds_nobody() {
-    let waiting = Telling { wait: 4_000.0, ..telling(1) };
-    assert_eq!(heard(std::slice::from_ref(&waiting), 1_000.0)[0].wait, 3_000 * MS);
+    let waiting = Telling {
+        wait: 4_000.0,
+        ..telling(1)
+    };
+    assert_eq!(
+        heard(std::slice::from_ref(&waiting), 1_000.0)[0].wait,
+        3_000 * MS
+    );
     assert_eq!(heard(std::slice::from_ref(&waiting), 4_001.0)[0].wait, 0);
     let (mut known, bounds) = (Known::default(), Bounds::default());
     known.hear("t", &waiting, 0.0, &bounds);
     known.forget_waits();
-    assert_eq!(known.told(1.0, &bounds, listed)[0].wait, 0, "not over a restart");
+    assert_eq!(
+        known.told(1.0, &bounds, listed)[0].wait,
+        0,
+        "not over a restart"
+    );
 }
 
 #[test]
@@ -41,18 +58,39 @@
     let told = |clock: f64| {
         let (mut known, bounds) = (Known::default(), Bounds::default());
         let trouble = Some(Trouble::Back { since: 2_000.0 });
-        known.hear("t", &Telling { age: 700.0, wait: 4_000.0, trouble, ..telling(1) }, clock, &bounds);
+        known.hear(
+            "t",
+            &Telling {
+                age: 700.0,
+                wait: 4_000.0,
+                trouble,
+                ..telling(1)
+            },
+            clock,
+            &bounds,
+        );
         known.told(clock + 1_000.0, &bounds, listed)
     };
     assert_eq!(told(1e6), told(1e6 + 7_000.0));
-    assert_eq!(told(1e6)[0].outage, Some(Outage::Back { since: 3_000 * MS }));
+    assert_eq!(
+        told(1e6)[0].outage,
+        Some(Outage::Back { since: 3_000 * MS })
+    );
 }
 
 #[test]
 fn what_is_known_of_a_pace_halves_with_age() {
     let told = |age: f32| {
-        let told = heard(&[Telling { age, gap: 400.0, ..telling(1) }], 0.0);
-        told.first().map_or((0, 0), |t| (t.latencies.len(), t.gap / MS))
+        let told = heard(
+            &[Telling {
+                age,
+                gap: 400.0,
+                ..telling(1)
+            }],
+            0.0,
+        );
+        told.first()
+            .map_or((0, 0), |t| (t.latencies.len(), t.gap / MS))
     };
     assert_eq!(told(0.0), (12, 400));
     assert_eq!(told(20_000.0), (6, 200));
@@ -62,38 +100,80 @@
 
 #[test]
 fn an_outage_is_believed_while_it_is_fresh() {
-    let down = |age: f32| Telling { age, trouble: Some(Trouble::Down), ..telling(1) };
+    let down = |age: f32| Telling {
+        age,
+        trouble: Some(Trouble::Down),
+        ..telling(1)
+    };
     assert_eq!(heard(&[down(5_000.0)], 0.0)[0].outage, Some(Outage::Down));
-    assert_eq!(heard(&[down(30_000.0)], 0.0)[0].outage, None, "it may have come back unseen");
-    let shut = Telling { wait: 40_000.0, trouble: Some(Trouble::Shut), ..telling(1) };
-    assert_eq!(heard(&[shut], 30_000.0)[0].outage, Some(Outage::Shut), "its wait still runs");
+    assert_eq!(
+        heard(&[down(30_000.0)], 0.0)[0].outage,
+        None,
+        "it may have come back unseen"
+    );
+    let shut = Telling {
+        wait: 40_000.0,
+        trouble: Some(Trouble::Shut),
+        ..telling(1)
+    };
+    assert_eq!(
+        heard(&[shut], 30_000.0)[0].outage,
+        Some(Outage::Shut),
+        "its wait still runs"
+    );
 }
 
 #[test]
 fn one_seen_out_by_one_and_serving_later_by_another_is_back_since() {
-    let down = Telling { age: 4_000.0, trouble: Some(Trouble::Down), ..telling(1) };
-    let well = Telling { age: 1_000.0, ..telling(1) };
+    let down = Telling {
+        age: 4_000.0,
+        trouble: Some(Trouble::Down),
+        ..telling(1)
+    };
+    let well = Telling {
+        age: 1_000.0,
+        ..telling(1)
+    };
     let outage = heard(&[down, well], 0.0)[0].outage;
     assert_eq!(outage, Some(Outage::Back { since: 4_000 * MS }));
 }
 
 #[test]
 fn a_limit_from_before_an_outage_is_not_told_on() {
-    let before = Telling { age: 6_000.0, limit: Some(50.0), ..telling(1) };
-    assert_eq!(heard(std::slice::from_ref(&before), 0.0)[0].limit, Some(50.0));
-    let out = Telling { age: 3_000.0, trouble: Some(Trouble::Down), ..telling(1) };
+    let before = Telling {
+        age: 6_000.0,
+        limit: Some(50.0),
+        ..telling(1)
+    };
+    assert_eq!(
+        heard(std::slice::from_ref(&before), 0.0)[0].limit,
+        Some(50.0)
+    );
+    let out = Telling {
+        age: 3_000.0,
+        trouble: Some(Trouble::Down),
+        ..telling(1)
+    };
     assert_eq!(heard(&[before, out], 0.0)[0].limit, None);
 }
 
 #[test]
 fn of_two_limits_the_lower_counts() {
-    let limit = |l: f32| Telling { limit: Some(l), ..telling(1) };
+    let limit = |l: f32| Telling {
+        limit: Some(l),
+        ..telling(1)
+    };
     assert_eq!(heard(&[limit(9.0), limit(4.0)], 0.0)[0].limit, Some(4.0));
 }
 
 #[test]
 fn lies_within_the_form_are_capped() {
-    let lie = Telling { wait: 3.2e10, gap: 1e9, latency: Sketch::of([0.0; 40]), ..telling(1) };
+    let lie = Telling {
+        wait: 3.2e10,
+        gap: 1e9,
+        latency: Sketch::of([0.0; 40]),
+        ..telling(1)
+    };
     let told = &heard(&[lie], 0.0)[0];
     assert_eq!(told.wait, 120_000 * MS, "a wait of a year");
     assert_eq!(told.gap, 1_000 * MS);
@@ -104,12 +184,30 @@
 fn figures_that_are_none_are_turned_away() {
     let (mut known, bounds) = (Known::default(), Bounds::default());
     for bad in [
-        Telling { age: f32::NAN, ..telling(1) },
-        Telling { wait: -1.0, ..telling(1) },
-        Telling { gap: f32::INFINITY, ..telling(1) },
-        Telling { limit: Some(0.0), ..telling(1) },
-        Telling { endpoint: Some("x".repeat(200)), ..telling(1) },
-        Telling { trouble: Some(Trouble::Back { since: f32::NAN }), ..telling(1) },
+        Telling {
+            age: f32::NAN,
+            ..telling(1)
+        },
+        Telling {
+            wait: -1.0,
+            ..telling(1)
+        },
+        Telling {
+            gap: f32::INFINITY,
+            ..telling(1)
+        },
+        Telling {
+            limit: Some(0.0),
+            ..telling(1)
+        },
+        Telling {
+            endpoint: Some("x".repeat(200)),
+            ..telling(1)
+        },
+        Telling {
+            trouble: Some(Trouble::Back { since: f32::NAN }),
+            ..telling(1)
+        },
     ] {
         assert!(!known.hear("t", &bad, 0.0, &bounds), "{bad:?}");
     }
@@ -119,10 +217,21 @@
 
 #[test]
 fn a_store_is_bounded_and_partners_that_are_not_listed_are_told_to_nobody() {
-    let (mut known, bounds) = (Known::default(), Bounds { most: 100, ..Bounds::default() });
-    let taken = (0..1_000).filter(|d| known.hear("t", &telling(*d), 0.0, &bounds)).count();
+    let (mut known, bounds) = (
+        Known::default(),
+        Bounds {
+            most: 100,
+            ..Bounds::default()
+        },
+    );
+    let taken = (0..1_000)
+        .filter(|d| known.hear("t", &telling(*d), 0.0, &bounds))
+        .count();
     assert_eq!((taken, known.len()), (100, 100));
-    assert!(known.hear("u", &telling(5), 1.0, &bounds), "one that is there already has room");
+    assert!(
+        known.hear("u", &telling(5), 1.0, &bounds),
+        "one that is there already has room"
+    );
     let told = known.told(1.0, &bounds, |d, _| (d < 10).then_some(None));
     assert_eq!(told.len(), 10);
 }
@@ -133,10 +242,20 @@
     let wide = Sketch::of((0..40).map(|i| 100.0 * 1.05f64.powi(i)));
     for destination in 0..10_000 {
         for teller in ["a", "b", "c"] {
-            known.hear(teller, &Telling { latency: wide.clone(), ..telling(destination) }, 0.0, &bounds);
+            known.hear(
+                teller,
+                &Telling {
+                    latency: wide.clone(),
+                    ..telling(destination)
+                },
+                0.0,
+                &bounds,
+            );
         }
     }
-    let bytes = postcard::to_allocvec(&known).expect("it can be encoded").len();
+    let bytes = postcard::to_allocvec(&known)
+        .expect("it can be encoded")
+        .len();
     assert_eq!(known.len(), 10_000);
     assert!(bytes < 3_000_000, "{bytes} bytes");
 }
@@ -146,7 +265,9 @@
         Just(None),
         Just(Some(Trouble::Down)),
         Just(Some(Trouble::Shut)),
-        (0u32..20).prop_map(|s| Some(Trouble::Back { since: s as f32 * 500.0 })),
+        (0u32..20).prop_map(|s| Some(Trouble::Back {
+            since: s as f32 * 500.0
+        })),
     ]
 }
 
@@ -154,19 +275,29 @@
 fn any_hearing() -> impl Strategy<Value = (String, Telling, f64)> {
     let who = (0u8..4).prop_map(|t| format!("t{t}"));
     let latencies = prop::collection::vec(1.0f64..60_000.0, 0..6);
-    (who, 0u64..3, 0u32..6, 0u32..4, any_trouble(), latencies, prop::option::of(1u32..4), 0u32..8).prop_map(
-        |(who, destination, age, wait, trouble, latencies, limit, at)| {
-            let telling = Telling {
-                age: age as f32 * 1_000.0,
-                wait: wait as f32 * 700.0,
-                limit: limit.map(|l| l as f32),
-                latency: Sketch::of(latencies),
-                trouble,
-                ..telling(destination)
-            };
-            (who, telling, 10_000.0 + f64::from(at) * 1_000.0)
-        },
+    (
+        who,
+        0u64..3,
+        0u32..6,
+        0u32..4,
+        any_trouble(),
+        latencies,
+        prop::option::of(1u32..4),
+        0u32..8,
     )
+        .prop_map(
+            |(who, destination, age, wait, trouble, latencies, limit, at)| {
+                let telling = Telling {
+                    age: age as f32 * 1_000.0,
+                    wait: wait as f32 * 700.0,
+                    limit: limit.map(|l| l as f32),
+                    latency: Sketch::of(latencies),
+                    trouble,
+                    ..telling(destination)
+                };
+                (who, telling, 10_000.0 + f64::from(at) * 1_000.0)
+            },
+        )
 }
 
 fn store(hearings: &[(String, Telling, f64)]) -> Known {
@@ -267,17 +398,31 @@
         trouble: Some(Trouble::Back { since: 1.0 }),
         ..telling(1)
     };
-    let page = Page::Told { no: u64::MAX, page: u32::MAX, tellings: vec![largest; TELLINGS] };
+    let page = Page::Told {
+        no: u64::MAX,
+        page: u32::MAX,
+        tellings: vec![largest; TELLINGS],
+    };
     assert!(secret.seal_page(&page).len() <= PAGE);
     let rumour = Rumour {
         name: "n".repeat(NAME),
-        address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().unwrap(),
+        address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+            .parse()
+            .unwrap(),
         incarnation: u64::MAX,
         state: State::Left,
     };
-    let body = Body::Ask { no: u64::MAX, address: rumour.address };
+    let body = Body::Ask {
+        no: u64::MAX,
+        address: rumour.address,
+    };
     let rumours = vec![rumour.clone(); RUMOURS];
-    let bytes = secret.seal_datagram(&Datagram { from: rumour, digest: u64::MAX, body, rumours });
+    let bytes = secret.seal_datagram(&Datagram {
+        from: rumour,
+        digest: u64::MAX,
+        body,
+        rumours,
+    });
     assert!(bytes.len() <= 1_200 && 1_200 <= DATAGRAM, "{}", bytes.len());
     assert!(secret.open_datagram(&bytes).is_ok());
 }
@@ -289,16 +434,32 @@
     bytes[0] = 2;
     assert_eq!(secret.open_page(&bytes), Err(Fault::Version));
     (bytes[0], bytes[3]) = (1, 0xff);
-    assert_eq!(secret.open_page(&bytes), Err(Fault::Long), "before more of it is waited for");
+    assert_eq!(
+        secret.open_page(&bytes),
+        Err(Fault::Long),
+        "before more of it is waited for"
+    );
 }
 
 #[test]
 fn a_snapshot_cut_in_the_middle_keeps_what_came_and_is_not_whole() {
     let mut asking = Asking::new(9);
-    let page = |page: u32| Page::Told { no: 9, page, tellings: vec![telling(page.into())] };
+    let page = |page: u32| Page::Told {
+        no: 9,
+        page,
+        tellings: vec![telling(page.into())],
+    };
     assert_eq!(asking.take(page(0)).map(|t| t.len()), Some(1));
     assert_eq!(asking.take(page(2)), None, "a page is missing");
-    assert_eq!(asking.take(Page::Told { no: 8, page: 1, tellings: vec![] }), None, "of another asking");
+    assert_eq!(
+        asking.take(Page::Told {
+            no: 8,
+            page: 1,
+            tellings: vec![]
+        }),
+        None,
+        "of another asking"
+    );
     assert_eq!(asking.take(Page::End { no: 9, pages: 5 }), None);
     assert!(!asking.whole);
     assert_eq!(asking.take(page(1)).map(|t| t.len()), Some(1));
--- a/crates/peers/tests/members.rs
+++ b/crates/peers/tests/members.rs
@@ -50,8 +50,16 @@
     net.run(6_000.0);
     net.deafen(2, 900.0);
     net.run(15_000.0);
-    assert!(net.changes(0).iter().any(|c| *c == Change::Suspected(name(2))), "it was suspected");
-    assert!(net.changes(0).iter().all(|c| *c != Change::Died(name(2))), "it never died");
+    assert!(
+        net.changes(0)
+            .iter()
+            .any(|c| *c == Change::Suspected(name(2))),
+        "it was suspected"
+    );
+    assert!(
+        net.changes(0).iter().all(|c| *c != Change::Died(name(2))),
+        "it never died"
+    );
     assert_eq!(net.state(0, 2), Some(State::Alive));
 }
 
@@ -79,12 +87,31 @@
 
 #[test]
 fn a_view_is_bounded_and_the_dead_give_way_to_the_living() {
-    let set = Settings { most: 4, ..Settings::default() };
+    let set = Settings {
+        most: 4,
+        ..Settings::default()
+    };
     let mut members = Members::new("s0", address(0), 1, &[], set, 1, 0.0);
     let tell = |members: &mut Members, no: usize, state: State| {
-        let from = Rumour { name: name(no), address: address(no), incarnation: 1, state: State::Alive };
-        let rumours = vec![Rumour { state, ..from.clone() }];
-        members.hear(Datagram { from, digest: 0, body: Body::View, rumours }, 0.0);
+        let from = Rumour {
+            name: name(no),
+            address: address(no),
+            incarnation: 1,
+            state: State::Alive,
+        };
+        let rumours = vec![Rumour {
+            state,
+            ..from.clone()
+        }];
+        members.hear(
+            Datagram {
+                from,
+                digest: 0,
+                body: Body::View,
+                rumours,
+            },
+            0.0,
+        );
     };
     (1..=4).for_each(|no| tell(&mut members, no, State::Alive));
     tell(&mut members, 5, State::Alive);
@@ -95,7 +122,10 @@
     );
     tell(&mut members, 4, State::Dead);
     tell(&mut members, 5, State::Alive);
-    assert!(members.others().any(|r| r.name == "s5"), "the dead give way");
+    assert!(
+        members.others().any(|r| r.name == "s5"),
+        "the dead give way"
+    );
     assert_eq!(members.others().count(), 4);
     for no in 10..10_000 {
         tell(&mut members, no, State::Alive);
@@ -110,9 +140,17 @@
     net.run(6_000.0);
     net.add_as(9, 1);
     net.run(30_000.0);
-    let taken = net.changes(1).iter().filter(|c| matches!(c, Change::NameTaken(_))).count();
+    let taken = net
+        .changes(1)
+        .iter()
+        .filter(|c| matches!(c, Change::NameTaken(_)))
+        .count();
     assert!((1..=10).contains(&taken), "{taken} times in 30 s");
-    assert!(net.node(1).me().incarnation < 40, "{}", net.node(1).me().incarnation);
+    assert!(
+        net.node(1).me().incarnation < 40,
+        "{}",
+        net.node(1).me().incarnation
+    );
 }
 
 #[test]
@@ -121,8 +159,11 @@
     net.run(6_000.0);
     net.stall(0, 3_000.0);
     net.run(8_000.0);
-    let suspected =
-        net.changes(0).iter().filter(|c| matches!(c, Change::Suspected(n) if *n != name(0))).count();
+    let suspected = net
+        .changes(0)
+        .iter()
+        .filter(|c| matches!(c, Change::Suspected(n) if *n != name(0)))
+        .count();
     assert_eq!(suspected, 0);
     assert_eq!(net.unknown(), 0, "and it is a member still");
 }
@@ -131,10 +172,33 @@
 fn a_flood_of_keyed_datagrams_grows_nothing() {
     let mut members = Members::new("s0", address(0), 1, &[], Settings::default(), 1, 0.0);
     for no in 0..100_000u64 {
-        let from = Rumour { name: "s1".into(), address: address(1), incarnation: 1, state: State::Alive };
-        let body = if no % 2 == 0 { Body::Ask { no, address: address(2) } } else { Body::Ack { no } };
-        members.hear(Datagram { from, digest: no, body, rumours: vec![] }, no as f64);
-        assert!(members.take_out().len() <= 2, "one answer each, and at times a question");
+        let from = Rumour {
+            name: "s1".into(),
+            address: address(1),
+            incarnation: 1,
+            state: State::Alive,
+        };
+        let body = if no % 2 == 0 {
+            Body::Ask {
+                no,
+                address: address(2),
+            }
+        } else {
+            Body::Ack { no }
+        };
+        members.hear(
+            Datagram {
+                from,
+                digest: no,
+                body,
+                rumours: vec![],
+            },
+            no as f64,
+        );
+        assert!(
+            members.take_out().len() <= 2,
+            "one answer each, and at times a question"
+        );
     }
     assert!(format!("{members:?}").len() < 20_000);
 }
--- a/crates/peers/tests/model.rs
+++ b/crates/peers/tests/model.rs
@@ -19,7 +19,14 @@
 }
 
 fn settings() -> Settings {
-    Settings { period: 100.0, ack: 50.0, asked: 1, suspect: 3.0, forget: 1e9, most: 8 }
+    Settings {
+        period: 100.0,
+        ack: 50.0,
+        asked: 1,
+        suspect: 3.0,
+        forget: 1e9,
+        most: 8,
+    }
 }
 
 /// A member as a part of a state; two are the same where they are the same in everything.
@@ -85,7 +92,8 @@
 impl Bounds {
     /// Whether what one sends in a step cannot come to another.
     fn apart(&self, step: u32, from: usize, to: usize) -> bool {
-        (self.split.contains(&step) && (from == 0) != (to == 0)) || (self.deaf.contains(&step) && to == 0)
+        (self.split.contains(&step) && (from == 0) != (to == 0))
+            || (self.deaf.contains(&step) && to == 0)
     }
 
     /// Gives every member its due, then puts what it sends on the way.
@@ -115,11 +123,25 @@
     fn init_states(&self) -> Vec<Net> {
         let nodes = (0..3).map(|no| {
             let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
-            let mut members = Members::new(&name(no), address(no), 1, &seeds, settings(), no as u64, 0.0);
+            let mut members = Members::new(
+                &name(no),
+                address(no),
+                1,
+                &seeds,
+                settings(),
+                no as u64,
+                0.0,
+            );
             for other in (0..3).filter(|o| *o != no) {
-                let from =
-                    Members::new(&name(other), address(other), 1, &[], settings(), 0, 0.0).me().clone();
-                let datagram = Datagram { from, digest: 0, body: Body::View, rumours: vec![] };
+                let from = Members::new(&name(other), address(other), 1, &[], settings(), 0, 0.0)
+                    .me()
+                    .clone();
+                let datagram = Datagram {
+                    from,
+                    digest: 0,
+                    body: Body::View,
+                    rumours: vec![],
+                };
                 members.hear(datagram, 0.0);
             }
             members.take_out();
@@ -127,7 +149,14 @@
             Some(Node::new(members))
         });
         let nodes = nodes.collect();
-        vec![Net { nodes, flying: vec![], step: 0, losses: 0, quiet: 0, back: false }]
+        vec![Net {
+            nodes,
+            flying: vec![],
+            step: 0,
+            losses: 0,
+            quiet: 0,
+            back: false,
+        }]
     }
 
     fn actions(&self, net: &Net, acts: &mut Vec<Act>) {
@@ -149,7 +178,9 @@
         match act {
             Act::Deliver(at) => {
                 let (to, datagram) = net.flying.remove(at);
-                let Some(Node(was, _)) = net.nodes[to].clone() else { return Some(net) };
+                let Some(Node(was, _)) = net.nodes[to].clone() else {
+                    return Some(net);
+                };
                 let mut members = was.clone();
                 members.hear(datagram, now);
                 self.collect(&mut net, to, members, Some(&was));
@@ -161,12 +192,18 @@
             }
             Act::Step => {
                 net.step += 1;
-                net.quiet = if self.split.contains(&net.step) { 0 } else { net.quiet + 1 };
+                net.quiet = if self.split.contains(&net.step) {
+                    0
+                } else {
+                    net.quiet + 1
+                };
                 if self.dies == Some(net.step) {
                     net.nodes[2] = None;
                 }
                 for no in 0..net.nodes.len() {
-                    let Some(Node(was, _)) = net.nodes[no].clone() else { continue };
+                    let Some(Node(was, _)) = net.nodes[no].clone() else {
+                        continue;
+                    };
                     let mut members = was.clone();
                     members.tick(f64::from(net.step) * STEP);
                     self.collect(&mut net, no, members, Some(&was));
@@ -189,52 +226,95 @@
                     !settled || apart_from(net).is_empty()
                 },
             ),
-            Property::always("two lost datagrams make nobody a suspect", |b: &Bounds, net: &Net| {
-                b.dies.is_some() || !b.split.is_empty() || !b.deaf.is_empty() || suspects(net).is_empty()
-            }),
-            Property::always("one that is deaf for a moment is never dead", |b: &Bounds, net: &Net| {
-                b.deaf.is_empty() || dead(net).is_empty()
-            }),
-            Property::always("one that died is held for dead by all in time", |b: &Bounds, net: &Net| {
-                let late = b.dies.is_some_and(|at| net.step >= at + b.settles) && net.quiet >= b.settles;
-                !late || !net.flying.is_empty() || net.nodes.iter().flatten().all(|n| !lives(&n.0, 2))
+            Property::always(
+                "two lost datagrams make nobody a suspect",
+                |b: &Bounds, net: &Net| {
+                    b.dies.is_some()
+                        || !b.split.is_empty()
+                        || !b.deaf.is_empty()
+                        || suspects(net).is_empty()
+                },
+            ),
+            Property::always(
+                "one that is deaf for a moment is never dead",
+                |b: &Bounds, net: &Net| b.deaf.is_empty() || dead(net).is_empty(),
+            ),
+            Property::always(
+                "one that died is held for dead by all in time",
+                |b: &Bounds, net: &Net| {
+                    let late = b.dies.is_some_and(|at| net.step >= at + b.settles)
+                        && net.quiet >= b.settles;
+                    !late
+                        || !net.flying.is_empty()
+                        || net.nodes.iter().flatten().all(|n| !lives(&n.0, 2))
+                },
+            ),
+            Property::sometimes("somebody is suspected", |_, net: &Net| {
+                !suspects(net).is_empty()
             }),
-            Property::sometimes("somebody is suspected", |_, net: &Net| !suspects(net).is_empty()),
         ]
     }
 }
 
 fn lives(members: &Members, no: usize) -> bool {
-    members.others().any(|r| r.name == name(no) && r.state.live())
+    members
+        .others()
+        .any(|r| r.name == name(no) && r.state.live())
 }
 
 /// Pairs of running members of which one does not hold the other for a member.
 fn apart_from(net: &Net) -> BTreeSet<(usize, usize)> {
     let running: Vec<usize> = (0..3).filter(|n| net.nodes[*n].is_some()).collect();
-    let pairs = running.iter().flat_map(|a| running.iter().map(|b| (*a, *b))).filter(|(a, b)| a != b);
-    pairs.filter(|(a, b)| net.nodes[*a].as_ref().is_some_and(|n| !lives(&n.0, *b))).collect()
+    let pairs = running
+        .iter()
+        .flat_map(|a| running.iter().map(|b| (*a, *b)))
+        .filter(|(a, b)| a != b);
+    pairs
+        .filter(|(a, b)| net.nodes[*a].as_ref().is_some_and(|n| !lives(&n.0, *b)))
+        .collect()
 }
 
 fn suspects(net: &Net) -> Vec<String> {
     let views = net.nodes.iter().flatten().flat_map(|n| n.0.others());
-    views.filter(|r| r.state == State::Suspect).map(|r| r.name.clone()).collect()
+    views
+        .filter(|r| r.state == State::Suspect)
+        .map(|r| r.name.clone())
+        .collect()
 }
 
 fn dead(net: &Net) -> Vec<String> {
     let views = net.nodes.iter().flatten().flat_map(|n| n.0.others());
-    views.filter(|r| !r.state.live()).map(|r| r.name.clone()).collect()
+    views
+        .filter(|r| !r.state.live())
+        .map(|r| r.name.clone())
+        .collect()
 }
 
 fn check(what: &str, bounds: Bounds) {
     let steps = bounds.steps;
     let (losses, quiet) = (bounds.losses, bounds.losses == 2);
     let checker = bounds.checker().threads(4).spawn_bfs().join();
-    println!("{what}: {} states within {steps} steps and {losses} losses", checker.unique_state_count());
-    for found in ["a refuted suspicion", "none that runs", "two lost datagrams", "one that"] {
-        let broken = checker.discoveries().into_iter().find(|(name, _)| name.starts_with(found));
+    println!(
+        "{what}: {} states within {steps} steps and {losses} losses",
+        checker.unique_state_count()
+    );
+    for found in [
+        "a refuted suspicion",
+        "none that runs",
+        "two lost datagrams",
+        "one that",
+    ] {
+        let broken = checker
+            .discoveries()
+            .into_iter()
+            .find(|(name, _)| name.starts_with(found));
         if let Some((name, path)) = broken {
             let last = path.last_state().clone();
-            panic!("{what}: {name}: broken after {:?}; views {:?}", path.into_actions(), last.nodes);
+            panic!(
+                "{what}: {name}: broken after {:?}; views {:?}",
+                path.into_actions(),
+                last.nodes
+            );
         }
     }
     let suspected = checker.discovery("somebody is suspected").is_some();
@@ -242,25 +322,63 @@
 }
 
 fn calm() -> Bounds {
-    Bounds { steps: 13, losses: 0, split: 0..0, deaf: 0..0, dies: None, any_order: true, settles: 16 }
+    Bounds {
+        steps: 13,
+        losses: 0,
+        split: 0..0,
+        deaf: 0..0,
+        dies: None,
+        any_order: true,
+        settles: 16,
+    }
 }
 
 #[test]
 fn any_two_datagrams_lost_and_any_order() {
-    check("two losses", Bounds { losses: 2, settles: 10, ..calm() });
+    check(
+        "two losses",
+        Bounds {
+            losses: 2,
+            settles: 10,
+            ..calm()
+        },
+    );
 }
 
 #[test]
 fn a_member_dies_and_any_one_datagram_is_lost() {
-    check("a death", Bounds { steps: 20, losses: 1, dies: Some(2), ..calm() });
+    check(
+        "a death",
+        Bounds {
+            steps: 20,
+            losses: 1,
+            dies: Some(2),
+            ..calm()
+        },
+    );
 }
 
 #[test]
 fn a_member_that_hears_nothing_for_a_while_refutes_what_was_said_of_it() {
-    check("a deaf member", Bounds { steps: 24, deaf: 2..7, ..calm() });
+    check(
+        "a deaf member",
+        Bounds {
+            steps: 24,
+            deaf: 2..7,
+            ..calm()
+        },
+    );
 }
 
 #[test]
 fn two_halves_that_had_held_each_other_for_dead_meet_again() {
-    check("a split", Bounds { steps: 36, split: 2..18, any_order: false, ..calm() });
+    check(
+        "a split",
+        Bounds {
+            steps: 36,
+            split: 2..18,
+            any_order: false,
+            ..calm()
+        },
+    );
 }
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -31,10 +31,15 @@
 }
 
 fn address(json: &Value, field: &str, variable: &str) -> Result<SocketAddr, String> {
-    let outranks = if variable.is_empty() { None } else { std::env::var(variable).ok() };
+    let outranks = if variable.is_empty() {
+        None
+    } else {
+        std::env::var(variable).ok()
+    };
     let told = outranks.or_else(|| Some(json.get(field)?.as_str()?.to_string()));
     let told = told.ok_or_else(|| format!("{field}: nothing names it"))?;
-    told.parse().map_err(|_| format!("{field}: {told:?} is not an address with a port"))
+    told.parse()
+        .map_err(|_| format!("{field}: {told:?} is not an address with a port"))
 }
 
 /// Where operators call: named by nothing, there is no such address.
@@ -61,21 +66,34 @@
     }
 
     fn from_file(discovery: &str) -> Result<Config, String> {
-        let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG: the variable is not set")?;
-        let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
-        let json: Value = serde_json::from_str(&text).map_err(|e| format!("PROXY_CONFIG: not JSON: {e}"))?;
-        let state = std::env::var("PROXY_STATE").map_err(|_| "PROXY_STATE: the variable is not set")?;
+        let path =
+            std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG: the variable is not set")?;
+        let text =
+            std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))?;
+        let json: Value =
+            serde_json::from_str(&text).map_err(|e| format!("PROXY_CONFIG: not JSON: {e}"))?;
+        let state =
+            std::env::var("PROXY_STATE").map_err(|_| "PROXY_STATE: the variable is not set")?;
         if !std::path::Path::new(&state).is_dir() {
             return Err(format!("PROXY_STATE: {state}: not a folder"));
         }
         let limit = |field: &str, least: f64| {
-            let value = json.get("limits").and_then(|l| l.get(field)).and_then(Value::as_f64);
+            let value = json
+                .get("limits")
+                .and_then(|l| l.get(field))
+                .and_then(Value::as_f64);
             value
                 .filter(|v| *v >= least && v.is_finite())
                 .ok_or(format!("limits.{field}: not a number of {least} or more"))
         };
-        let seed = json.get("seed").and_then(Value::as_str).and_then(|s| u64::from_str_radix(s, 16).ok());
-        let told = json.get("settings").filter(|s| s.is_object()).ok_or("settings: an object is wanted")?;
+        let seed = json
+            .get("seed")
+            .and_then(Value::as_str)
+            .and_then(|s| u64::from_str_radix(s, 16).ok());
+        let told = json
+            .get("settings")
+            .filter(|s| s.is_object())
+            .ok_or("settings: an object is wanted")?;
         let boot = platform::read(&told.to_string())?;
         // The protocol has nothing by which a client could name what its messages are about.
         if boot.settings.classes.iter().any(|c| c.ordered) {
--- a/crates/sender/src/crowd.rs
+++ b/crates/sender/src/crowd.rs
@@ -43,7 +43,9 @@
 
     /// Whether an idle connection to a region of a kind keeps others out.
     pub fn is(&self, kind: usize) -> bool {
-        let Some([new, kept]) = self.0.get(kind) else { return false };
+        let Some([new, kept]) = self.0.get(kind) else {
+            return false;
+        };
         new.turned_away >= CROWDED.1
             && new.turned_away >= CROWDED.0 * new.all
             && kept.turned_away <= CROWDED.2 * kept.all
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/figures.rs
@@ -40,7 +40,9 @@
             errored: 0,
             sends: 0,
         };
-        Figures { groups: classes.iter().map(group).collect() }
+        Figures {
+            groups: classes.iter().map(group).collect(),
+        }
     }
 
     /// The counts of a class; none for one that the settings no longer have.
@@ -52,14 +54,25 @@
     pub fn text(&self, present: &Present) -> String {
         let mut text = String::new();
         for g in &self.groups {
-            let states = [("answered", g.answered), ("deferred", g.deferred), ("errored", g.errored)];
+            let states = [
+                ("answered", g.answered),
+                ("deferred", g.deferred),
+                ("errored", g.errored),
+            ];
             for (state, count) in states {
-                let _ =
-                    writeln!(text, "sender_transactions{{group=\"{}\",state=\"{state}\"}} {count}", g.name);
+                let _ = writeln!(
+                    text,
+                    "sender_transactions{{group=\"{}\",state=\"{state}\"}} {count}",
+                    g.name
+                );
             }
             let _ = writeln!(text, "sender_sends{{group=\"{}\"}} {}", g.name, g.sends);
         }
-        let Present { current, cluster_size, cluster_unhealthy } = present;
+        let Present {
+            current,
+            cluster_size,
+            cluster_unhealthy,
+        } = present;
         let _ = writeln!(
             text,
             "sender_current {current}\nsender_cluster_size {cluster_size}\n\
@@ -71,12 +84,22 @@
     /// The same figures for the log, a line a class.
     pub fn print(&self, present: &Present) {
         for g in &self.groups {
-            let Group { name, answered, deferred, errored, sends } = g;
+            let Group {
+                name,
+                answered,
+                deferred,
+                errored,
+                sends,
+            } = g;
             tracing::info!(
                 "figures group={name} answered={answered} deferred={deferred} errored={errored} sends={sends}"
             );
         }
-        let Present { current, cluster_size, cluster_unhealthy } = present;
+        let Present {
+            current,
+            cluster_size,
+            cluster_unhealthy,
+        } = present;
         tracing::info!(
             "figures current={current} cluster_size={cluster_size} cluster_unhealthy={cluster_unhealthy}"
         );
--- a/crates/sender/src/hand.rs
+++ b/crates/sender/src/hand.rs
@@ -49,7 +49,11 @@
                 }
             }
         }
-        Hand { file, most: (disk as f64 * PART / 2.0) as usize, out }
+        Hand {
+            file,
+            most: (disk as f64 * PART / 2.0) as usize,
+            out,
+        }
     }
 
     /// Whether operators have taken out the region of that name.
@@ -76,10 +80,15 @@
         } else {
             next.remove(name)
         };
-        let lines = next.iter().map(|name| format!("{:08x} {name}\n", sum(name)));
+        let lines = next
+            .iter()
+            .map(|name| format!("{:08x} {name}\n", sum(name)));
         let text: String = std::iter::once(format!("{MAGIC}\n")).chain(lines).collect();
         if out && text.len() > self.most {
-            return Err(format!("no room on disk for more than the {} that are out", self.out.len()));
+            return Err(format!(
+                "no room on disk for more than the {} that are out",
+                self.out.len()
+            ));
         }
         crate::whole::replace(&self.file, text.as_bytes())
             .map_err(|e| format!("the ban cannot be written: {e}"))?;
@@ -99,13 +108,21 @@
         std::fs::create_dir_all(&folder).unwrap();
         let name = |n: &str| Rc::<str>::from(n);
         let mut hand = Hand::open(&folder, 3_000_000);
-        for (id, out, changed) in
-            [("a", true, true), ("a", true, false), ("b", true, true), ("c", true, true)]
-        {
+        for (id, out, changed) in [
+            ("a", true, true),
+            ("a", true, false),
+            ("b", true, true),
+            ("c", true, true),
+        ] {
             assert_eq!(hand.put(&name(id), out), Ok(changed));
         }
         assert_eq!(hand.put(&name("c"), false), Ok(true));
-        let names = || Hand::open(&folder, 3_000_000).names().map(|n| n.to_string()).collect::<Vec<_>>();
+        let names = || {
+            Hand::open(&folder, 3_000_000)
+                .names()
+                .map(|n| n.to_string())
+                .collect::<Vec<_>>()
+        };
         assert_eq!(names(), ["a", "b"]);
         // A disk that takes no new file: the call fails, and what held before holds.
         std::fs::create_dir(folder.join("cordons.new")).unwrap();
@@ -121,15 +138,21 @@
             let left = names();
             // A damaged line end makes one damaged line of two.
             assert!(
-                (whole[at] == b'\n' || !left.is_empty()) && left.iter().all(|n| n == "a" || n == "b"),
+                (whole[at] == b'\n' || !left.is_empty())
+                    && left.iter().all(|n| n == "a" || n == "b"),
                 "byte {at}: {left:?}"
             );
             std::fs::write(folder.join("cordons"), &whole[..at]).unwrap();
             assert!(names().iter().all(|n| n == "a" || n == "b"), "cut at {at}");
         }
         let mut full = Hand::open(&folder, 1_000);
-        let more = (0..9).map(|n| full.put(&name(&format!("long-{n}")), true).is_ok()).collect::<Vec<_>>();
-        assert!(!more[8] && full.put(&name("long-0"), false).is_ok(), "{more:?}: putting back needs no room");
+        let more = (0..9)
+            .map(|n| full.put(&name(&format!("long-{n}")), true).is_ok())
+            .collect::<Vec<_>>();
+        assert!(
+            !more[8] && full.put(&name("long-0"), false).is_ok(),
+            "{more:?}: putting back needs no room"
+        );
         let _ = std::fs::remove_dir_all(&folder);
     }
 }
--- a/crates/sender/src/kept.rs
+++ b/crates/sender/src/kept.rs
@@ -70,13 +70,24 @@
     ///
     /// # Errors
     /// Where it cannot be written; what was there before stands.
-    pub fn write(&mut self, incarnation: u64, at: Millis, tellings: Vec<Telling>) -> Result<(), String> {
-        let past = Past { incarnation, at, tellings };
-        let body = postcard::to_allocvec(&past).map_err(|e| format!("{}: {e}", self.file.display()))?;
+    pub fn write(
+        &mut self,
+        incarnation: u64,
+        at: Millis,
+        tellings: Vec<Telling>,
+    ) -> Result<(), String> {
+        let past = Past {
+            incarnation,
+            at,
+            tellings,
+        };
+        let body =
+            postcard::to_allocvec(&past).map_err(|e| format!("{}: {e}", self.file.display()))?;
         let mut bytes = MAGIC.to_vec();
         bytes.extend(crc32fast::hash(&body).to_le_bytes());
         bytes.extend(body);
-        crate::whole::replace(&self.file, &bytes).map_err(|e| format!("{}: {e}", self.file.display()))
+        crate::whole::replace(&self.file, &bytes)
+            .map_err(|e| format!("{}: {e}", self.file.display()))
     }
 }
 
@@ -85,7 +96,11 @@
     use super::*;
 
     fn telling() -> Telling {
-        Telling { age: 500.0, trouble: Some(Trouble::Back { since: 2_000.0 }), ..Telling::new(7) }
+        Telling {
+            age: 500.0,
+            trouble: Some(Trouble::Back { since: 2_000.0 }),
+            ..Telling::new(7)
+        }
     }
 
     #[test]
@@ -98,9 +113,16 @@
         open(1e6).0.write(4, 1e6, vec![telling()]).unwrap();
         let past = open(1e6 + 3_000.0).1;
         assert_eq!((past.incarnation, past.tellings[0].age), (4, 3_500.0));
-        assert_eq!(past.tellings[0].trouble, Some(Trouble::Back { since: 5_000.0 }));
+        assert_eq!(
+            past.tellings[0].trouble,
+            Some(Trouble::Back { since: 5_000.0 })
+        );
         let past = open(1e6 - 1.0).1;
-        assert_eq!((past.incarnation, past.tellings.len()), (4, 0), "the clock was put back");
+        assert_eq!(
+            (past.incarnation, past.tellings.len()),
+            (4, 0),
+            "the clock was put back"
+        );
         let whole = std::fs::read(folder.join("peers")).unwrap();
         for at in 0..whole.len() {
             let mut spoilt = whole.clone();
--- a/crates/sender/src/key.rs
+++ b/crates/sender/src/key.rs
@@ -15,7 +15,9 @@
     /// # Errors
     /// Where fewer were passed than are wanted.
     pub fn take(&mut self) -> std::io::Result<OwnedFd> {
-        self.0.next().ok_or_else(|| std::io::Error::other("a descriptor is missing"))
+        self.0
+            .next()
+            .ok_or_else(|| std::io::Error::other("a descriptor is missing"))
     }
 
     /// The next one, as a connection.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -43,7 +43,11 @@
 const LEFT: Millis = 2_000.0;
 
 fn listen(address: std::net::SocketAddr) -> std::io::Result<std::net::TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
@@ -53,13 +57,24 @@
 
 /// Asks others what they know, before clients can come: for a bounded time, and not at all where nobody is there.
 fn learn(
-    set: &Peers, config: &Config, events: &mut EventLoop<'static, Ready>, ready: &mut Ready,
-    operators: &mut Option<Operators>, clock: &Clock,
+    set: &Peers,
+    config: &Config,
+    events: &mut EventLoop<'static, Ready>,
+    ready: &mut Ready,
+    operators: &mut Option<Operators>,
+    clock: &Clock,
 ) -> Result<peers::Peers, String> {
     let apart = config.boot.settings.kinds.iter().map(|k| k.apart).collect();
     let handle = events.handle();
-    let mut peers =
-        peers::Peers::open(set, &config.name, &config.state, apart, config.seed, &handle, clock.now())?;
+    let mut peers = peers::Peers::open(
+        set,
+        &config.name,
+        &config.state,
+        apart,
+        config.seed,
+        &handle,
+        clock.now(),
+    )?;
     // A signal to end is taken up as soon as the sender can.
     while peers.learning(clock.now()) && ready.signals.is_empty() {
         events
@@ -67,7 +82,9 @@
             .map_err(|e| format!("the event loop failed: {e}"))?;
         let (now, mut again) = (clock.now(), Vec::new());
         for key in std::mem::take(&mut ready.keys) {
-            let called = operators.as_mut().is_some_and(|o| o.turn_down(key, "not serving yet", now));
+            let called = operators
+                .as_mut()
+                .is_some_and(|o| o.turn_down(key, "not serving yet", now));
             if !called && peers.ready(key, now) {
                 again.push(key);
             }
@@ -81,8 +98,12 @@
 
 /// A sender that begins: it learns from others where it may, and goes on with what the ledger holds.
 fn begin(
-    config: Config, events: &mut EventLoop<'static, Ready>, ready: &mut Ready,
-    operators: &mut Option<Operators>, clock: &Clock, patience: Millis,
+    config: Config,
+    events: &mut EventLoop<'static, Ready>,
+    ready: &mut Ready,
+    operators: &mut Option<Operators>,
+    clock: &Clock,
+    patience: Millis,
 ) -> Result<Driver, String> {
     let peers = match &config.peers {
         Some(set) => Some(learn(set, &config, events, ready, operators, clock)?),
@@ -99,7 +120,13 @@
             Err(e) => return Err(format!("listen: cannot bind {}: {e}", config.listen)),
         }
     };
-    Driver::new(config, Start::Fresh(listener), peers, &events.handle(), clock.clone())
+    Driver::new(
+        config,
+        Start::Fresh(listener),
+        peers,
+        &events.handle(),
+        clock.clone(),
+    )
 }
 
 /// Builds this process from all that the one before it was. Nothing outside is touched before that is told.
@@ -108,14 +135,22 @@
     let lock = Lock::passed(fds.take().map_err(|e| e.to_string())?);
     let estate = Estate::read(&passed.bytes, config)?;
     let clock = Clock::carried_on(estate.at());
-    let driver = Driver::new(config.clone(), Start::Passed(Box::new(estate), fds), None, handle, clock)?;
+    let driver = Driver::new(
+        config.clone(),
+        Start::Passed(Box::new(estate), fds),
+        None,
+        handle,
+        clock,
+    )?;
     Ok((driver, lock))
 }
 
 /// Waits until this process may serve, which it does from here on: the lock is free, or the one that held it has given
 /// way. None where it is told to end first.
 fn arrive(
-    config: Config, events: &mut EventLoop<'static, Ready>, ready: &mut Ready,
+    config: Config,
+    events: &mut EventLoop<'static, Ready>,
+    ready: &mut Ready,
     operators: &mut Option<Operators>,
 ) -> Result<Option<(Driver, Option<Lock>)>, String> {
     let clock = Clock::system();
@@ -129,15 +164,24 @@
         }
     };
     if let Some(lock) = lock {
-        return Ok(Some((begin(config, events, ready, operators, &clock, 0.0)?, lock)));
+        return Ok(Some((
+            begin(config, events, ready, operators, &clock, 0.0)?,
+            lock,
+        )));
     }
     let mut waiting = Waiting::open(&config, &events.handle())?;
     // A signal to end is taken up at once: nothing has been begun.
-    while !ready.signals.iter().any(|s| matches!(s, Signal::SIGTERM | Signal::SIGINT)) {
+    while !ready
+        .signals
+        .iter()
+        .any(|s| matches!(s, Signal::SIGTERM | Signal::SIGINT))
+    {
         let now = clock.now();
         let mut found = waiting.look(now);
         for key in std::mem::take(&mut ready.keys) {
-            let called = operators.as_mut().is_some_and(|o| o.turn_down(key, "not serving yet", now));
+            let called = operators
+                .as_mut()
+                .is_some_and(|o| o.turn_down(key, "not serving yet", now));
             if !called && key == Key::Predecessor {
                 found = waiting.ready(&clock);
             }
@@ -167,7 +211,9 @@
             },
         }
         let look = Duration::from_secs_f64(LOOK / 1e3);
-        events.dispatch(look, ready).map_err(|e| format!("the event loop failed: {e}"))?;
+        events
+            .dispatch(look, ready)
+            .map_err(|e| format!("the event loop failed: {e}"))?;
     }
     Ok(None)
 }
@@ -176,13 +222,22 @@
 pub fn run(config: Config) -> Result<(), String> {
     let mut events = EventLoop::<Ready>::try_new().map_err(|e| format!("no event loop: {e}"))?;
     let handle = events.handle();
-    let signals = Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGUSR1, Signal::SIGHUP])
-        .map_err(|e| format!("no signals: {e}"))?;
-    let told =
-        handle.insert_source(signals, |event, _, ready: &mut Ready| ready.signals.push(event.signal()));
+    let signals = Signals::new(&[
+        Signal::SIGTERM,
+        Signal::SIGINT,
+        Signal::SIGUSR1,
+        Signal::SIGHUP,
+    ])
+    .map_err(|e| format!("no signals: {e}"))?;
+    let told = handle.insert_source(signals, |event, _, ready: &mut Ready| {
+        ready.signals.push(event.signal())
+    });
     told.map_err(|e| format!("no signals: {e}"))?;
     let mut ready = Ready::default();
-    let mut operators = config.operator.map(|at| Operators::open(at, &handle)).transpose()?;
+    let mut operators = config
+        .operator
+        .map(|at| Operators::open(at, &handle))
+        .transpose()?;
     let state = config.state.clone();
     let Some((mut driver, lock)) = arrive(config, &mut events, &mut ready, &mut operators)? else {
         return Ok(());
@@ -207,7 +262,9 @@
             break;
         }
         let sleep = Duration::from_secs_f64(driver.sleep() / 1e3);
-        events.dispatch(sleep, &mut ready).map_err(|e| format!("the event loop failed: {e}"))?;
+        events
+            .dispatch(sleep, &mut ready)
+            .map_err(|e| format!("the event loop failed: {e}"))?;
     }
     driver.print_counters();
     Ok(())
