--- a/crates/sender/src/operator.rs
+++ b/crates/sender/src/operator.rs
@@ -40,16 +40,29 @@
 fn call(line: &[u8]) -> Result<Call, String> {
     let text = std::str::from_utf8(line).map_err(|_| "the line is not UTF-8".to_string())?;
     let mut words = text.split_ascii_whitespace();
-    let word = words.next().ok_or("an empty line; health, counters, cordon ID and uncordon ID are known")?;
+    let word = words
+        .next()
+        .ok_or("an empty line; health, counters, cordon ID and uncordon ID are known")?;
     let call = match word {
         "health" => Call::Health,
         "counters" => Call::Counters,
         "cordon" | "uncordon" => {
-            let id = words.next().ok_or(format!("{word} wants the id of an endpoint"))?.to_string();
-            if word == "cordon" { Call::Cordon(id) } else { Call::Uncordon(id) }
+            let id = words
+                .next()
+                .ok_or(format!("{word} wants the id of an endpoint"))?
+                .to_string();
+            if word == "cordon" {
+                Call::Cordon(id)
+            } else {
+                Call::Uncordon(id)
+            }
         }
         other => {
-            let shown: String = other.chars().take(40).flat_map(char::escape_default).collect();
+            let shown: String = other
+                .chars()
+                .take(40)
+                .flat_map(char::escape_default)
+                .collect();
             return Err(format!(
                 "unknown call {shown}; health, counters, cordon ID and uncordon ID are known"
             ));
@@ -66,12 +79,18 @@
     let end = bytes.iter().take(LINE + 2).position(|b| *b == b'\n');
     let line = match end {
         Some(end) => &bytes[..end],
-        None if bytes.len() > LINE + 1 => return Some(Err(format!("the line is over {LINE} bytes"))),
+        None if bytes.len() > LINE + 1 => {
+            return Some(Err(format!("the line is over {LINE} bytes")));
+        }
         None if over => bytes,
         None => return None,
     };
     let line = line.strip_suffix(b"\r").unwrap_or(line);
-    Some(if line.len() > LINE { Err(format!("the line is over {LINE} bytes")) } else { call(line) })
+    Some(if line.len() > LINE {
+        Err(format!("the line is over {LINE} bytes"))
+    } else {
+        call(line)
+    })
 }
 
 /// An answer as it is written.
@@ -106,12 +125,20 @@
     /// # Errors
     /// One line that names the field.
     pub fn open(address: SocketAddr, handle: &Handle) -> Result<Operators, String> {
-        let listener = crate::listen(address).map_err(|e| format!("operator: cannot bind {address}: {e}"))?;
+        let listener =
+            crate::listen(address).map_err(|e| format!("operator: cannot bind {address}: {e}"))?;
         let listener = Rc::new(listener);
         let token = martenlatch_http::register(handle, listener.clone(), Key::Operators)
             .map_err(|e| format!("operator: cannot watch the socket: {e}"))?;
         let (pool, callers) = (Pool::new(2 * CALLERS), Slab::new());
-        Ok(Operators { listener, token, handle: handle.clone(), pool, callers, accept_at: None })
+        Ok(Operators {
+            listener,
+            token,
+            handle: handle.clone(),
+            pool,
+            callers,
+            accept_at: None,
+        })
     }
 
     /// Takes those in who call. True if there may be more.
@@ -126,11 +153,19 @@
                     let entry = self.callers.vacant_entry();
                     let key = Key::Operator(entry.key());
                     if let Ok(link) = Link::new(stream, &self.handle, &self.pool, key) {
-                        entry.insert(Caller { link, since: now, answered: false });
+                        entry.insert(Caller {
+                            link,
+                            since: now,
+                            answered: false,
+                        });
                     }
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
+                    ) => {}
                 // Out of descriptors, whoever holds them: one of ours that has had its time makes room.
                 Err(e) => {
                     warn!(error = ?e.kind(), "operators' calls rest");
@@ -145,10 +180,11 @@
 
     /// The oldest goes, before all those that have their answer. Guards calls against callers who finish none.
     fn make_room(&mut self) {
-        let oldest = self
-            .callers
-            .iter()
-            .min_by(|(_, a), (_, b)| (!a.answered).cmp(&!b.answered).then(a.since.total_cmp(&b.since)));
+        let oldest = self.callers.iter().min_by(|(_, a), (_, b)| {
+            (!a.answered)
+                .cmp(&!b.answered)
+                .then(a.since.total_cmp(&b.since))
+        });
         if let Some(at) = oldest.map(|(at, _)| at) {
             self.callers.remove(at);
         }
@@ -163,16 +199,24 @@
             let rest = caller.link.bytes().len();
             caller.link.used(rest);
         }
-        if caller.link.broken || (caller.link.eof && (caller.answered || caller.link.bytes().is_empty())) {
+        if caller.link.broken
+            || (caller.link.eof && (caller.answered || caller.link.bytes().is_empty()))
+        {
             self.callers.remove(at);
             return None;
         }
-        if caller.answered { None } else { line(caller.link.bytes(), caller.link.eof) }
+        if caller.answered {
+            None
+        } else {
+            line(caller.link.bytes(), caller.link.eof)
+        }
     }
 
     /// Answers a caller, and ends.
     pub fn answer(&mut self, at: usize, text: &str, now: Millis) {
-        let Some(caller) = self.callers.get_mut(at) else { return };
+        let Some(caller) = self.callers.get_mut(at) else {
+            return;
+        };
         caller.link.queue(text.as_bytes());
         let gone = !caller.link.flush() && caller.link.broken;
         let rest = caller.link.bytes().len();
@@ -207,7 +251,8 @@
 
     /// Ends callers that are over their time, and takes calls again that rested.
     pub fn tend(&mut self, now: Millis) {
-        self.callers.retain(|_, c| now < c.since + if c.answered { LINGER } else { TIME });
+        self.callers
+            .retain(|_, c| now < c.since + if c.answered { LINGER } else { TIME });
         if self.accept_at.is_some_and(|at| at <= now) && self.accept(now) {
             self.accept_at = Some(now);
         }
@@ -215,7 +260,10 @@
 
     /// When [`Operators::tend`] has something to do.
     pub fn due(&self) -> Millis {
-        let ends = self.callers.iter().map(|(_, c)| c.since + if c.answered { LINGER } else { TIME });
+        let ends = self
+            .callers
+            .iter()
+            .map(|(_, c)| c.since + if c.answered { LINGER } else { TIME });
         ends.chain(self.accept_at).fold(f64::INFINITY, f64::min)
     }
 }
@@ -255,7 +303,9 @@
             (long.as_bytes(), "over 512 bytes"),
             (&[long.as_bytes(), b"\n"].concat(), "over 512 bytes"),
         ] {
-            let reason = line(text, false).expect("it is whole").expect_err("it asks for nothing");
+            let reason = line(text, false)
+                .expect("it is whole")
+                .expect_err("it asks for nothing");
             assert!(reason.contains(word) && !reason.contains('\n'), "{reason}");
         }
     }
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -61,7 +61,12 @@
 impl Talk {
     /// When it is given up: one that takes its answer slowly must not wake the loop before that either.
     fn late_at(&self) -> Millis {
-        self.since + if self.telling.is_some() { PATIENCE.1 } else { PATIENCE.0 }
+        self.since
+            + if self.telling.is_some() {
+                PATIENCE.1
+            } else {
+                PATIENCE.0
+            }
     }
 }
 
@@ -127,10 +132,14 @@
 /// # Errors
 /// One line that names the file.
 pub fn secret(file: &Path) -> Result<Secret, String> {
-    let bytes = std::fs::read(file).map_err(|e| format!("peers.secret_file: {}: {e}", file.display()))?;
+    let bytes =
+        std::fs::read(file).map_err(|e| format!("peers.secret_file: {}: {e}", file.display()))?;
     let bytes = bytes.trim_ascii();
     if bytes.len() < 16 {
-        return Err(format!("peers.secret_file: {}: at least 16 bytes are wanted", file.display()));
+        return Err(format!(
+            "peers.secret_file: {}: at least 16 bytes are wanted",
+            file.display()
+        ));
     }
     Ok(Secret::new(bytes))
 }
@@ -142,7 +151,12 @@
     /// # Errors
     /// One line on what cannot be bound, read or written.
     pub fn open(
-        set: &program::Peers, name: &str, folder: &Path, apart: Vec<bool>, seed: u64, handle: &Handle,
+        set: &program::Peers,
+        name: &str,
+        folder: &Path,
+        apart: Vec<bool>,
+        seed: u64,
+        handle: &Handle,
         now: Millis,
     ) -> Result<Peers, String> {
         let secret = secret(&set.secret_file)?;
@@ -154,7 +168,11 @@
         let (socket, listener) = (Rc::new(socket), Rc::new(listener));
         register(handle, socket.clone(), Key::Datagrams).map_err(failed)?;
         register(handle, listener.clone(), Key::Tellers).map_err(failed)?;
-        let bounds = Bounds { half_life: set.half_life_ms, wait: set.longest_wait_ms, ..Bounds::default() };
+        let bounds = Bounds {
+            half_life: set.half_life_ms,
+            wait: set.longest_wait_ms,
+            ..Bounds::default()
+        };
         let (mut kept, past) = Kept::open(folder, now);
         let mut known = Known::default();
         if set.keep {
@@ -174,14 +192,27 @@
             suspect: set.suspect_periods,
             ..Settings::default()
         };
-        let mut members = Members::new(name, address, past.incarnation + 1, &set.seeds, protocol, seed, now);
+        let mut members = Members::new(
+            name,
+            address,
+            past.incarnation + 1,
+            &set.seeds,
+            protocol,
+            seed,
+            now,
+        );
         members.join();
         info!(
             name = %members.me().name, address = %address, incarnation = members.me().incarnation,
             kept = known.len(), seeds = set.seeds.len(), "peers started"
         );
         // Each newcomer begins at another seed, so that they do not all ask the same.
-        let mut seeds: Vec<SocketAddr> = set.seeds.iter().copied().filter(|s| *s != address).collect();
+        let mut seeds: Vec<SocketAddr> = set
+            .seeds
+            .iter()
+            .copied()
+            .filter(|s| *s != address)
+            .collect();
         let first = (seed as usize).checked_rem(seeds.len()).unwrap_or(0);
         seeds.rotate_left(first);
         let mut peers = Peers {
@@ -222,7 +253,11 @@
             };
             link.queue(&self.secret.seal_page(&Page::Ask { no, name }));
             link.flush();
-            self.asks[at] = Some(Ask { link, asking: Asking::new(no), teller });
+            self.asks[at] = Some(Ask {
+                link,
+                asking: Asking::new(no),
+                teller,
+            });
             return;
         }
     }
@@ -238,18 +273,26 @@
             warn!(teller = %ask.teller, reason = "not whole in time", "snapshot cut");
         }
         let took_ms = (now - self.started) as u64;
-        info!(partners = self.known.len(), tellings = self.learned, took_ms, "learned from peers");
+        info!(
+            partners = self.known.len(),
+            tellings = self.learned,
+            took_ms,
+            "learned from peers"
+        );
     }
 
     /// When [`Peers::tend`] has something to do.
     pub fn due(&self) -> Millis {
-        let telling =
-            self.talks.iter().any(|(_, t)| t.link.flushed() && t.telling.as_ref().is_some_and(|t| !t.over));
+        let telling = self
+            .talks
+            .iter()
+            .any(|(_, t)| t.link.flushed() && t.telling.as_ref().is_some_and(|t| !t.over));
         if telling || self.gathering.is_some() {
             return 0.0;
         }
         let slow = self.talks.iter().map(|(_, t)| t.late_at());
-        slow.chain([self.members.due()]).fold(f64::INFINITY, f64::min)
+        slow.chain([self.members.due()])
+            .fold(f64::INFINITY, f64::min)
     }
 
     /// Reads what a socket has brought. True where there may be more.
@@ -293,14 +336,21 @@
                 continue;
             }
             if let Ok(link) = Link::new(stream, &self.handle, &self.pool, key) {
-                entry.insert(Talk { link, since: now, telling: None, done: false });
+                entry.insert(Talk {
+                    link,
+                    since: now,
+                    telling: None,
+                    done: false,
+                });
             }
         }
         true
     }
 
     fn talk(&mut self, at: usize) -> bool {
-        let Some(talk) = self.talks.get_mut(at) else { return false };
+        let Some(talk) = self.talks.get_mut(at) else {
+            return false;
+        };
         let more = talk.link.fill();
         if talk.telling.is_none() && !talk.done {
             let (no, who) = match self.secret.open_page(talk.link.bytes()) {
@@ -318,7 +368,13 @@
                     return false;
                 }
             };
-            talk.telling = Some(Tale { no, page: 0, after: None, who, over: false });
+            talk.telling = Some(Tale {
+                no,
+                page: 0,
+                after: None,
+                who,
+                over: false,
+            });
         }
         // Whatever else it says is not listened to.
         let said = talk.link.bytes().len();
@@ -329,23 +385,30 @@
 
     /// Takes what one that was asked has told.
     fn answer(&mut self, at: usize, now: Millis) -> bool {
-        let Some(mut ask) = self.asks.get_mut(at).and_then(Option::take) else { return false };
+        let Some(mut ask) = self.asks.get_mut(at).and_then(Option::take) else {
+            return false;
+        };
         ask.link.flush();
         let more = ask.link.fill();
         let fault = loop {
             match self.secret.open_page(ask.link.bytes()) {
                 Ok((page, used)) => {
                     ask.link.used(used);
-                    let Some(tellings) = ask.asking.take(page) else { break Some("out of order") };
+                    let Some(tellings) = ask.asking.take(page) else {
+                        break Some("out of order");
+                    };
                     let teller = format!("asked {at}");
                     for telling in &tellings {
-                        self.learned += u64::from(self.known.hear(&teller, telling, now, &self.bounds));
+                        self.learned +=
+                            u64::from(self.known.hear(&teller, telling, now, &self.bounds));
                     }
                     if ask.asking.whole {
                         return false;
                     }
                 }
-                Err(Fault::Short) if ask.link.eof || ask.link.broken => break Some("not reached, or closed"),
+                Err(Fault::Short) if ask.link.eof || ask.link.broken => {
+                    break Some("not reached, or closed");
+                }
                 Err(Fault::Short) => break None,
                 Err(Fault::Key) => break Some("not keyed by our secret"),
                 Err(_) => break Some("malformed"),
@@ -373,7 +436,9 @@
         }
         self.flush();
         for at in 0..TALKS {
-            let Some(talk) = self.talks.get_mut(at) else { continue };
+            let Some(talk) = self.talks.get_mut(at) else {
+                continue;
+            };
             talk.link.flush();
             let late = now > talk.late_at();
             let over = talk.telling.as_ref().is_some_and(|t| t.over);
@@ -381,23 +446,33 @@
                 self.talks.remove(at);
                 continue;
             }
-            let Some(tale) = talk.telling.as_mut().filter(|t| !t.over && talk.link.flushed()) else {
+            let Some(tale) = talk
+                .telling
+                .as_mut()
+                .filter(|t| !t.over && talk.link.flushed())
+            else {
                 continue;
             };
             let (no, page) = (tale.no, tale.page);
             let told = if tale.who {
                 let from = page as usize * MEMBERS;
                 let me = std::iter::once(self.members.me());
-                let rumours: Vec<_> =
-                    me.chain(self.members.others()).skip(from).take(MEMBERS).cloned().collect();
+                let rumours: Vec<_> = me
+                    .chain(self.members.others())
+                    .skip(from)
+                    .take(MEMBERS)
+                    .cloned()
+                    .collect();
                 (!rumours.is_empty()).then_some(Page::Members { no, page, rumours })
             } else {
                 let first = page == 0 || tale.after.is_some();
                 seen.filter(|_| first).map(|(policy, name)| {
                     let (sights, after) = policy.sights(nanos(now), tale.after, TELLINGS);
                     tale.after = after;
-                    let tellings: Vec<Telling> =
-                        sights.iter().map(|s| Telling::of(s, s.endpoint.and_then(name))).collect();
+                    let tellings: Vec<Telling> = sights
+                        .iter()
+                        .map(|s| Telling::of(s, s.endpoint.and_then(name)))
+                        .collect();
                     self.told += tellings.len() as u64;
                     Page::Told { no, page, tellings }
                 })
@@ -425,13 +500,20 @@
         }
         let (after, mut tellings) = self.gathering.take().unwrap_or_default();
         let (sights, next) = policy.sights(nanos(now), after, TELLINGS);
-        tellings.extend(sights.iter().map(|s| Telling::of(s, s.endpoint.and_then(name))));
+        tellings.extend(
+            sights
+                .iter()
+                .map(|s| Telling::of(s, s.endpoint.and_then(name))),
+        );
         if next.is_some() && tellings.len() < Kept::MOST {
             self.gathering = Some((next, tellings));
             return;
         }
         self.next_keep = now + KEEP_EVERY;
-        if let Err(reason) = self.kept.write(self.members.me().incarnation, now, tellings) {
+        if let Err(reason) = self
+            .kept
+            .write(self.members.me().incarnation, now, tellings)
+        {
             warn!(reason, "knowledge not kept");
         }
     }
@@ -440,7 +522,9 @@
     fn flush(&mut self) {
         for (to, datagram) in self.members.take_out() {
             // One that is lost is one lost: the protocol reckons with it.
-            let _ = self.socket.send_to(&self.secret.seal_datagram(&datagram), to);
+            let _ = self
+                .socket
+                .send_to(&self.secret.seal_datagram(&datagram), to);
         }
         for change in self.members.take_changes() {
             match change {
@@ -467,7 +551,10 @@
         let mut told: Vec<RouteName> = Vec::new();
         let apart = |kind: KindId| self.apart.get(kind.0).copied().unwrap_or(false);
         for entry in listed.iter().filter(|e| e.stage == Stage::On) {
-            told.push((entry.destination, apart(entry.kind).then_some(entry.endpoint)));
+            told.push((
+                entry.destination,
+                apart(entry.kind).then_some(entry.endpoint),
+            ));
         }
         told.sort_unstable();
         told.dedup();
@@ -476,7 +563,8 @@
                 Some(endpoint) => Some(name(endpoint)?),
                 None => None,
             };
-            self.known.take_told(&(destination.0, named), endpoint, now, &self.bounds)
+            self.known
+                .take_told(&(destination.0, named), endpoint, now, &self.bounds)
         };
         told.into_iter().filter_map(one).map(Event::Told).collect()
     }
--- a/crates/sender/src/promises.rs
+++ b/crates/sender/src/promises.rs
@@ -23,7 +23,11 @@
     /// Those of the settings alone.
     pub fn new(names: &[String], classes: &[Class]) -> Promises {
         let named = names.iter().zip(classes);
-        Promises(named.map(|(name, class)| Promise::new(Rc::from(name.as_str()), class)).collect())
+        Promises(
+            named
+                .map(|(name, class)| Promise::new(Rc::from(name.as_str()), class))
+                .collect(),
+        )
     }
 
     /// Those of the settings, with what an earlier process had behind its own. None where that had other classes.
@@ -32,7 +36,9 @@
         if own != self.0 {
             return None;
         }
-        let classes = earlier.iter().map(|p| postcard::from_bytes::<Class>(&p.rules).ok());
+        let classes = earlier
+            .iter()
+            .map(|p| postcard::from_bytes::<Class>(&p.rules).ok());
         set.classes.extend(classes.collect::<Option<Vec<_>>>()?);
         Some(passed)
     }
@@ -41,11 +47,16 @@
     /// taken on by a version that kept no rules goes by the class that has its name, if any.
     pub fn keep(&mut self, name: &Rc<str>, rules: &Rc<[u8]>, set: &mut Settings) -> Option<usize> {
         let known = self.place(name, rules);
-        let Ok(class) = postcard::from_bytes::<Class>(rules) else { return known };
+        let Ok(class) = postcard::from_bytes::<Class>(rules) else {
+            return known;
+        };
         if known.is_some_and(|at| self.0[at].rules == *rules) {
             return known;
         }
-        set.classes.push(Class { ordered: false, ..class });
+        set.classes.push(Class {
+            ordered: false,
+            ..class
+        });
         if set.check().is_err() {
             set.classes.pop();
             return known;
@@ -60,7 +71,10 @@
 
     /// Where a class stands: the one of these rules, else the one of this name in the settings.
     pub fn place(&self, name: &str, rules: &[u8]) -> Option<usize> {
-        let same = self.0.iter().position(|p| *p.name == *name && *p.rules == *rules);
+        let same = self
+            .0
+            .iter()
+            .position(|p| *p.name == *name && *p.rules == *rules);
         same.or_else(|| self.0.iter().position(|p| *p.name == *name))
     }
 
@@ -77,7 +91,13 @@
 
 impl Promise {
     fn new(name: Rc<str>, class: &Class) -> Promise {
-        let rules = postcard::to_allocvec(class).map(Rc::from).unwrap_or_default();
-        Promise { name, rules, once: class.effect == Effect::Unsafe }
+        let rules = postcard::to_allocvec(class)
+            .map(Rc::from)
+            .unwrap_or_default();
+        Promise {
+            name,
+            rules,
+            once: class.effect == Effect::Unsafe,
+        }
     }
 }
--- a/crates/sender/src/regions.rs
+++ b/crates/sender/src/regions.rs
@@ -123,8 +123,22 @@
     fn with<M>(&self, link: M) -> Conn<M> {
         let (region, kind, address) = (self.region, self.kind, self.address);
         let (task, up, admitted, last) = (self.task, self.up, self.admitted, self.last);
-        let (rested, opened, rest, since) = (self.rested, self.opened, self.rest.clone(), self.since);
-        Conn { link, region, kind, address, task, up, admitted, last, rested, opened, rest, since }
+        let (rested, opened, rest, since) =
+            (self.rested, self.opened, self.rest.clone(), self.since);
+        Conn {
+            link,
+            region,
+            kind,
+            address,
+            task,
+            up,
+            admitted,
+            last,
+            rested,
+            opened,
+            rest,
+            since,
+        }
     }
 }
 
@@ -169,7 +183,11 @@
 
 impl Regions {
     pub fn new(
-        handle: &Handle, pool: &Pool, most: usize, connect_timeout: Millis, idle_limit: Millis,
+        handle: &Handle,
+        pool: &Pool,
+        most: usize,
+        connect_timeout: Millis,
+        idle_limit: Millis,
     ) -> Regions {
         Regions {
             most,
@@ -194,12 +212,28 @@
     /// What is passed to a later process, the descriptors in the order of the connections.
     pub fn carried(&self) -> (Carried, Vec<BorrowedFd<'_>>) {
         let place: HashMap<usize, usize> = self.conns.iter().map(|(at, _)| at).zip(0..).collect();
-        let conns = self.conns.iter().map(|(_, c)| c.with(c.link.carried())).collect();
+        let conns = self
+            .conns
+            .iter()
+            .map(|(_, c)| c.with(c.link.carried()))
+            .collect();
         let idle = self.idle.iter().map(|at| place[at]).collect();
-        let (stale, doubted, safe_rest, resets) = (self.stale, self.doubted, self.safe_rest, self.resets);
+        let (stale, doubted, safe_rest, resets) =
+            (self.stale, self.doubted, self.safe_rest, self.resets);
         let fds = self.conns.iter().map(|(_, c)| c.link.as_fd()).collect();
         let crowd = self.crowd.clone();
-        (Carried { conns, idle, stale, doubted, safe_rest, resets, crowd }, fds)
+        (
+            Carried {
+                conns,
+                idle,
+                stale,
+                doubted,
+                safe_rest,
+                resets,
+                crowd,
+            },
+            fds,
+        )
     }
 
     /// Goes on with what an earlier process has passed. The keys of its connections want a look.
@@ -215,7 +249,11 @@
             keys.push(key);
         }
         // The table of connections was empty: they stand in their order.
-        self.idle = passed.idle.into_iter().filter(|at| self.conns.contains(*at)).collect();
+        self.idle = passed
+            .idle
+            .into_iter()
+            .filter(|at| self.conns.contains(*at))
+            .collect();
         (self.stale, self.doubted) = (passed.stale, passed.doubted);
         (self.safe_rest, self.resets, self.crowd) = (passed.safe_rest, passed.resets, passed.crowd);
         Ok(keys)
@@ -245,7 +283,11 @@
             latest: call.latest,
             whole: false,
         };
-        let most_rest = if call.dear && self.doubted { self.safe_rest } else { f64::INFINITY };
+        let most_rest = if call.dear && self.doubted {
+            self.safe_rest
+        } else {
+            f64::INFINITY
+        };
         let at = match self.reusable(call.region, address, now - most_rest) {
             Some(at) => at,
             None => match self.open(call.region, call.kind, address, now) {
@@ -254,14 +296,26 @@
                     // Out of descriptors is our own lack and says nothing of the region.
                     let ours = http::no_descriptors(&e);
                     warn!(error = ?e.kind(), "region not reached");
-                    return self.tell(task, if ours { Outcome::Void } else { Outcome::Unreachable }, now);
+                    return self.tell(
+                        task,
+                        if ours {
+                            Outcome::Void
+                        } else {
+                            Outcome::Unreachable
+                        },
+                        now,
+                    );
                 }
             },
         };
         let conn = &mut self.conns[at];
         let (mut head, mut body, mut last) = (call.head, call.body, None);
         if call.dear && self.resets >= RESETS.0 {
-            let end = if body.is_empty() { &mut head } else { &mut body };
+            let end = if body.is_empty() {
+                &mut head
+            } else {
+                &mut body
+            };
             if let Some((byte, rest)) = end.split_last() {
                 (last, *end) = (Some((*byte, f64::INFINITY)), rest);
             }
@@ -279,15 +333,27 @@
 
     /// The most recently used idle connection that is still good, if it was used since an instant. One that its
     /// region has closed is found here, before a request is lost on it.
-    fn reusable(&mut self, region: EndpointId, address: SocketAddr, since: Millis) -> Option<usize> {
-        while let Some(place) = self.idle.iter().rposition(|at| self.conns[*at].region == region) {
+    fn reusable(
+        &mut self,
+        region: EndpointId,
+        address: SocketAddr,
+        since: Millis,
+    ) -> Option<usize> {
+        while let Some(place) = self
+            .idle
+            .iter()
+            .rposition(|at| self.conns[*at].region == region)
+        {
             if self.conns[self.idle[place]].since < since {
                 return None;
             }
             let at = self.idle.remove(place);
             let conn = &mut self.conns[at];
             conn.link.fill();
-            if conn.address == address && !conn.link.eof && !conn.link.broken && conn.link.bytes().is_empty()
+            if conn.address == address
+                && !conn.link.eof
+                && !conn.link.broken
+                && conn.link.bytes().is_empty()
             {
                 return Some(at);
             }
@@ -297,7 +363,11 @@
     }
 
     fn open(
-        &mut self, region: EndpointId, kind: usize, address: SocketAddr, now: Millis,
+        &mut self,
+        region: EndpointId,
+        kind: usize,
+        address: SocketAddr,
+        now: Millis,
     ) -> std::io::Result<usize> {
         // Guards the limit on descriptors, which many regions with a few idle connections each would reach.
         if self.conns.len() >= self.most && !self.idle.is_empty() {
@@ -318,19 +388,39 @@
         self.opened += 1;
         let (task, up, admitted, last, rested, rest) = (None, false, false, None, None, None);
         let (opened, since) = (now, now);
-        let conn =
-            Conn { link, region, kind, address, task, up, admitted, last, rested, opened, rest, since };
+        let conn = Conn {
+            link,
+            region,
+            kind,
+            address,
+            task,
+            up,
+            admitted,
+            last,
+            rested,
+            opened,
+            rest,
+            since,
+        };
         Ok(self.conns.insert(conn))
     }
 
     fn tell(&mut self, task: Task, outcome: Outcome, now: Millis) {
         let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
-        self.done.push(Done { id, attempt, outcome, took, over: false });
+        self.done.push(Done {
+            id,
+            attempt,
+            outcome,
+            took,
+            over: false,
+        });
     }
 
     /// Ends a task and its connection. Before its last byte has left, a call cannot have run.
     fn fail(&mut self, at: usize, sent: Outcome, unsent: Outcome, now: Millis) {
-        let Some(conn) = self.conns.try_remove(at) else { return };
+        let Some(conn) = self.conns.try_remove(at) else {
+            return;
+        };
         self.idle.retain(|i| *i != at);
         if let Some(task) = conn.task {
             // Guards against repeating, or calling failed, what a spoilt answer has confirmed in its first line.
@@ -339,7 +429,9 @@
             let sent = if begun { Outcome::Failure } else { sent };
             // Guards against taking a connection for its region: one closed or dropped while it rested, by the
             // region or on the way, ends at once under the next call. A region that has gone shows on a new one.
-            let kept = conn.rested.filter(|_| sent == Outcome::Broken && conn.link.bytes().is_empty());
+            let kept = conn
+                .rested
+                .filter(|_| sent == Outcome::Broken && conn.link.bytes().is_empty());
             let (sent, unsent) = match kept.filter(|_| now < task.sent + STALE_WITHIN) {
                 Some(rested) => {
                     self.stale += 1.0;
@@ -351,7 +443,11 @@
             };
             self.resets += f64::from(sent == Outcome::Broken || sent == Outcome::Stale);
             // The connection stood, and its end says nothing of the region.
-            let unsent = if conn.up && conn.last.is_some() { Outcome::Void } else { unsent };
+            let unsent = if conn.up && conn.last.is_some() {
+                Outcome::Void
+            } else {
+                unsent
+            };
             let outcome = if said {
                 Outcome::Success
             } else if conn.link.flushed() && conn.up && conn.last.is_none() {
@@ -367,7 +463,11 @@
     /// that must not be repeated: with a record from before its connection was up, a kill meanwhile ended one untried.
     pub fn begin(&mut self, mut record: impl FnMut(MessageId, u32) -> bool, now: Millis) {
         for at in std::mem::take(&mut self.coming) {
-            let Some(conn) = self.conns.get_mut(at).filter(|c| c.link.corked && c.link.is_up()) else {
+            let Some(conn) = self
+                .conns
+                .get_mut(at)
+                .filter(|c| c.link.corked && c.link.is_up())
+            else {
                 continue;
             };
             let Some(task) = conn.task else { continue };
@@ -471,8 +571,14 @@
         conn.link.used(answer.used);
         // An answer before the request was out whole: the connection is in no state to be used again.
         let keep = answer.keep && conn.link.flushed() && conn.last.is_none();
-        let wait = answer.header("x-backoff-ms").and_then(|w| w.parse::<f64>().ok());
-        let wait = nanos(wait.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(0.0).min(3.6e6));
+        let wait = answer
+            .header("x-backoff-ms")
+            .and_then(|w| w.parse::<f64>().ok());
+        let wait = nanos(
+            wait.filter(|w| w.is_finite() && *w > 0.0)
+                .unwrap_or(0.0)
+                .min(3.6e6),
+        );
         let full = answer.header("x-egress-full") == Some("1");
         let outcome = match answer.status {
             200 => Outcome::Success,
@@ -486,7 +592,13 @@
         conn.rest = Some(Rest::Body(if keep { answer.body } else { Body::ToEnd }));
         conn.since = now;
         let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
-        self.done.push(Done { id, attempt, outcome, took, over: answer.status == 410 });
+        self.done.push(Done {
+            id,
+            attempt,
+            outcome,
+            took,
+            over: answer.status == 410,
+        });
         self.was_good(rested);
         self.admitted(at, matches!(outcome, Outcome::Overloaded { .. }), wait > 0);
     }
@@ -538,7 +650,11 @@
             match http::answer(conn.link.bytes()) {
                 Ok(Some(answer)) => {
                     conn.link.used(answer.used);
-                    let body = if answer.keep && !answer.spoilt { answer.body } else { Body::ToEnd };
+                    let body = if answer.keep && !answer.spoilt {
+                        answer.body
+                    } else {
+                        Body::ToEnd
+                    };
                     conn.rest = Some(Rest::Body(body));
                 }
                 Ok(None) if !conn.link.eof && !conn.link.broken => return,
@@ -599,16 +715,30 @@
 
     /// A look at all that is out, before the process goes: what has been answered must not count as what may have run.
     pub fn last_look(&mut self, now: Millis) {
-        let out: Vec<usize> = self.conns.iter().filter(|(_, c)| c.task.is_some()).map(|(at, _)| at).collect();
-        out.into_iter().for_each(|at| _ = self.conns.contains(at) && self.heard(at, now));
+        let out: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| c.task.is_some())
+            .map(|(at, _)| at)
+            .collect();
+        out.into_iter()
+            .for_each(|at| _ = self.conns.contains(at) && self.heard(at, now));
     }
 
     /// Takes back calls of which no byte has left: to a destination that has told us to wait, or a region that
     /// drains. Guards against a slow connection that carries a call into what forbids it.
     pub fn hold_back(&mut self, which: impl Fn(u64, EndpointId) -> bool, now: Millis) {
-        let unsent = |c: &Conn| c.link.written == 0 && c.task.is_some_and(|t| which(t.destination, c.region));
-        let held: Vec<usize> = self.conns.iter().filter(|(_, c)| unsent(c)).map(|(at, _)| at).collect();
-        held.into_iter().for_each(|at| self.fail(at, Outcome::Void, Outcome::Void, now));
+        let unsent = |c: &Conn| {
+            c.link.written == 0 && c.task.is_some_and(|t| which(t.destination, c.region))
+        };
+        let held: Vec<usize> = self
+            .conns
+            .iter()
+            .filter(|(_, c)| unsent(c))
+            .map(|(at, _)| at)
+            .collect();
+        held.into_iter()
+            .for_each(|at| self.fail(at, Outcome::Void, Outcome::Void, now));
     }
 
     /// Closes the idle connections to a region.
@@ -639,19 +769,31 @@
 
     /// When a connection wants a look, if nothing comes: it is over its time, or a last byte may leave.
     fn time(&self, conn: &Conn) -> Millis {
-        self.over(conn).min(conn.last.map_or(f64::INFINITY, |(_, when)| when))
+        self.over(conn)
+            .min(conn.last.map_or(f64::INFINITY, |(_, when)| when))
     }
 
     pub fn due(&self) -> Millis {
-        self.conns.iter().map(|(_, c)| self.time(c)).fold(f64::INFINITY, f64::min)
+        self.conns
+            .iter()
+            .map(|(_, c)| self.time(c))
+            .fold(f64::INFINITY, f64::min)
     }
 
     pub fn expire(&mut self, now: Millis) {
-        let late =
-            self.conns.iter().filter(|(_, c)| self.time(c) <= now).map(|(at, _)| at).collect::<Vec<_>>();
+        let late = self
+            .conns
+            .iter()
+            .filter(|(_, c)| self.time(c) <= now)
+            .map(|(at, _)| at)
+            .collect::<Vec<_>>();
         for at in late {
             // A last byte may leave now, but not of a call that is over its time, which would run for nobody.
-            if self.conns.get(at).is_some_and(|c| c.last.is_some() && self.over(c) > now) {
+            if self
+                .conns
+                .get(at)
+                .is_some_and(|c| c.last.is_some() && self.over(c) > now)
+            {
                 self.progress(at, now);
             }
             if self.conns.get(at).is_some_and(|c| self.over(c) <= now) && !self.heard(at, now) {
@@ -670,7 +812,18 @@
     fn two_bytes(dear: bool) -> Call<'static> {
         let (id, region, attempt, destination) = (MessageId(1), EndpointId(1), 0, 7);
         let (timeout, latest, head, body) = (1e9, f64::INFINITY, &b"xy"[..], &b""[..]);
-        Call { id, attempt, region, kind: 0, destination, timeout, latest, dear, head, body }
+        Call {
+            id,
+            attempt,
+            region,
+            kind: 0,
+            destination,
+            timeout,
+            latest,
+            dear,
+            head,
+            body,
+        }
     }
 
     /// A look at a connection; what is up begins.
@@ -705,7 +858,8 @@
         };
         let answer = |peer: &mut std::net::TcpStream| {
             peer.read_exact(&mut [0; 2]).unwrap();
-            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                .unwrap();
         };
         for _ in 0..2 {
             start(&mut regions, false, 0.0);
@@ -718,7 +872,11 @@
             start(&mut regions, true, 105.0);
             peer.read_exact(&mut [0; 2]).unwrap();
             drop(peer);
-            assert_eq!(ended(&mut regions, 106.0), Outcome::Stale, "it had rested for 100 ms");
+            assert_eq!(
+                ended(&mut regions, 106.0),
+                Outcome::Stale,
+                "it had rested for 100 ms"
+            );
         }
         start(&mut regions, true, 1_000.0);
         let (mut peer, _) = listener.accept().unwrap();
@@ -747,16 +905,26 @@
             let mut events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
             let pool = Pool::new(8);
             let mut regions = Regions::new(&events.handle(), &pool, 9, 1_000.0, 15_000.0);
-            regions.call(&Call { timeout: 500.0, ..two_bytes(false) }, address, 0.0);
+            regions.call(
+                &Call {
+                    timeout: 500.0,
+                    ..two_bytes(false)
+                },
+                address,
+                0.0,
+            );
             let (mut peer, _) = listener.accept().unwrap();
             while !regions.conns[0].link.flushed() || !regions.conns[0].up {
                 step(&mut regions, 0, 0.0);
             }
             peer.read_exact(&mut [0; 2]).unwrap();
             let mut ready = crate::key::Ready::default();
-            events.dispatch(Some(std::time::Duration::ZERO), &mut ready).unwrap();
+            events
+                .dispatch(Some(std::time::Duration::ZERO), &mut ready)
+                .unwrap();
             ready.keys.clear();
-            peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n").unwrap();
+            peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+                .unwrap();
             while ready.keys.is_empty() {
                 events.dispatch(None, &mut ready).unwrap();
             }
@@ -766,7 +934,11 @@
                 regions.expire(500.0)
             }
             let outcomes: Vec<Outcome> = regions.done.drain(..).map(|d| d.outcome).collect();
-            assert_eq!(outcomes, [Outcome::Overloaded { wait: 900_000_000 }], "called off: {called_off}");
+            assert_eq!(
+                outcomes,
+                [Outcome::Overloaded { wait: 900_000_000 }],
+                "called off: {called_off}"
+            );
             let lent: Vec<_> = (0..9).map_while(|_| pool.take()).collect();
             assert_eq!(lent.len(), 8, "all its buffers are back, once");
         }
@@ -779,9 +951,21 @@
         let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
         let mut dear_call = |now: Millis, whole: bool| {
-            regions.call(&Call { head: b"he", body: b"body", ..two_bytes(true) }, address, now);
+            regions.call(
+                &Call {
+                    head: b"he",
+                    body: b"body",
+                    ..two_bytes(true)
+                },
+                address,
+                now,
+            );
             let (mut peer, _) = listener.accept().unwrap();
-            while regions.conns.iter().any(|(at, c)| !c.up || !c.link.flushed() || at > 0) {
+            while regions
+                .conns
+                .iter()
+                .any(|(at, c)| !c.up || !c.link.flushed() || at > 0)
+            {
                 step(&mut regions, 0, now);
             }
             peer.read_exact(&mut [0; 5]).unwrap();
@@ -796,8 +980,16 @@
             }
             regions.done.pop().unwrap().outcome
         };
-        assert_eq!(dear_call(0.0, false), Outcome::Broken, "nothing was known: all of it had left");
-        assert_eq!(dear_call(10.0, false), Outcome::Void, "its last byte had not left");
+        assert_eq!(
+            dear_call(0.0, false),
+            Outcome::Broken,
+            "nothing was known: all of it had left"
+        );
+        assert_eq!(
+            dear_call(10.0, false),
+            Outcome::Void,
+            "its last byte had not left"
+        );
         assert_eq!(dear_call(20.0, true), Outcome::Broken, "it had");
     }
 
@@ -833,7 +1025,9 @@
         }
         peer.read_exact(&mut [0; 2]).unwrap();
         let mut ready = crate::key::Ready::default();
-        events.dispatch(Some(std::time::Duration::ZERO), &mut ready).unwrap();
+        events
+            .dispatch(Some(std::time::Duration::ZERO), &mut ready)
+            .unwrap();
         ready.keys.clear();
         let mut look = |regions: &mut Regions, wanted: bool| {
             // What was written is on its way: the loop says when it is there.
@@ -843,7 +1037,9 @@
             ready.keys.clear();
             step(regions, 0, 1.0);
         };
-        let mut pieces = answer[..cut.unwrap_or(answer.len())].chunks(size).peekable();
+        let mut pieces = answer[..cut.unwrap_or(answer.len())]
+            .chunks(size)
+            .peekable();
         while let Some(piece) = pieces.next() {
             peer.write_all(piece).unwrap();
             if pieces.peek().is_some() || cut.is_none() {
@@ -856,7 +1052,11 @@
             let there = regions.conns.contains(0);
             look(&mut regions, there);
         }
-        assert_eq!(regions.done.len(), 1, "one outcome, of {answer:?} cut at {cut:?}");
+        assert_eq!(
+            regions.done.len(),
+            1,
+            "one outcome, of {answer:?} cut at {cut:?}"
+        );
         (regions.done.pop().unwrap().outcome, regions.idle == [0])
     }
 
@@ -865,19 +1065,37 @@
         // Guards against a handshake for each answer whose head comes in more than one piece.
         let full = Outcome::Overloaded { wait: 900_000_000 };
         for (answer, outcome) in [
-            ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Outcome::Success),
-            ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", Outcome::Success),
-            ("HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 2\r\n\r\nno", full),
-            ("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", Outcome::Failure),
+            (
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                Outcome::Success,
+            ),
+            (
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                Outcome::Success,
+            ),
+            (
+                "HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 2\r\n\r\nno",
+                full,
+            ),
+            (
+                "HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n",
+                Outcome::Failure,
+            ),
         ] {
-            assert_eq!(heard_in_pieces(answer.as_bytes(), None, 1), (outcome, true), "{answer}");
+            assert_eq!(
+                heard_in_pieces(answer.as_bytes(), None, 1),
+                (outcome, true),
+                "{answer}"
+            );
             let line = answer.find('\n').unwrap();
             for (cut, size) in (0..answer.len()).flat_map(|cut| [(cut, 1), (cut, answer.len())]) {
                 let (heard, kept) = heard_in_pieces(answer.as_bytes(), Some(cut), size);
                 assert!(!kept, "{answer} cut at {cut}");
                 match (outcome, heard) {
                     // A first line of 200 is a delivery; what else is not whole proves nothing.
-                    (Outcome::Success, Outcome::Success) => assert!(cut > line, "{answer} cut at {cut}"),
+                    (Outcome::Success, Outcome::Success) => {
+                        assert!(cut > line, "{answer} cut at {cut}")
+                    }
                     (_, Outcome::Broken) => {
                         assert!(outcome != Outcome::Success || cut <= line, "{answer} {cut}")
                     }
@@ -919,13 +1137,18 @@
                 step(&mut regions, 1, 5.0);
             }
             peer.read_exact(&mut [0]).unwrap();
-            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+            peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                .unwrap();
             while regions.done.is_empty() {
                 step(&mut regions, 0, 6.0);
                 step(&mut regions, 1, 6.0);
             }
             assert_eq!(regions.done.pop().unwrap().outcome, Outcome::Success);
-            assert_eq!((regions.conns.len(), regions.idle.len()), (1, 1), "the one before went");
+            assert_eq!(
+                (regions.conns.len(), regions.idle.len()),
+                (1, 1),
+                "the one before went"
+            );
         }
         assert!(regions.due() < 15_000.0, "before the region's own limit");
         regions.expire(regions.due());
@@ -937,7 +1160,10 @@
     #[case::above_a_told_limit("429 Full", "X-Backoff-Ms: 900\r\n", 0, false)]
     #[case::at_another_kind("503 Full", "", 1, false)]
     fn idle_connections_are_given_back_where_a_kind_has_none_to_spare(
-        #[case] status: &str, #[case] wait: &str, #[case] kind: usize, #[case] given_back: bool,
+        #[case] status: &str,
+        #[case] wait: &str,
+        #[case] kind: usize,
+        #[case] given_back: bool,
     ) {
         // Guards those who have no connection: who has one never meets a refusal, and would keep it for good.
         let listener = || std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -977,29 +1203,49 @@
         };
         let (mut kept, idle) = exchange(0, 0, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         assert_eq!(idle, 1, "it is kept while nothing speaks against it");
-        let away = format!("HTTP/1.1 {status}\r\n{wait}Content-Length: 0\r\nConnection: close\r\n\r\n");
-        let left = (0..3).map(|_| exchange(1, kind, &away).1).collect::<Vec<_>>();
-        assert_eq!(left, [1, 1, usize::from(!given_back)], "from the third on it is beyond chance");
+        let away =
+            format!("HTTP/1.1 {status}\r\n{wait}Content-Length: 0\r\nConnection: close\r\n\r\n");
+        let left = (0..3)
+            .map(|_| exchange(1, kind, &away).1)
+            .collect::<Vec<_>>();
+        assert_eq!(
+            left,
+            [1, 1, usize::from(!given_back)],
+            "from the third on it is beyond chance"
+        );
         kept.set_nonblocking(true).unwrap();
-        assert_eq!(kept.read(&mut [0]).is_ok_and(|n| n == 0), given_back, "its region sees it end");
+        assert_eq!(
+            kept.read(&mut [0]).is_ok_and(|n| n == 0),
+            given_back,
+            "its region sees it end"
+        );
     }
 
     /// Regions with one call to a peer, which has its connection; dear calls hold their last byte back.
     fn one_call(
         latest: Millis,
-    ) -> (Regions, std::net::TcpStream, calloop::EventLoop<'static, crate::key::Ready>) {
+    ) -> (
+        Regions,
+        std::net::TcpStream,
+        calloop::EventLoop<'static, crate::key::Ready>,
+    ) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
         let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
         regions.resets = RESETS.0;
-        let call = Call { timeout: 500.0, latest, ..two_bytes(true) };
+        let call = Call {
+            timeout: 500.0,
+            latest,
+            ..two_bytes(true)
+        };
         regions.call(&call, listener.local_addr().unwrap(), 0.0);
         let (peer, _) = listener.accept().unwrap();
         (regions, peer, events)
     }
 
     fn all_of(mut peer: std::net::TcpStream) -> Vec<u8> {
-        peer.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+        peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
+            .unwrap();
         let mut text = Vec::new();
         let _ = peer.read_to_end(&mut text);
         text
@@ -1009,7 +1255,8 @@
     #[case::within_its_window(100.0, b"xy")]
     #[case::past_it(99.0, b"")]
     fn a_call_whose_connection_comes_up_past_its_window_never_begins(
-        #[case] latest: Millis, #[case] left: &[u8],
+        #[case] latest: Millis,
+        #[case] left: &[u8],
     ) {
         // Guards against a second effect: decided within what the partner remembers of a key, it would run behind it.
         let (mut regions, peer, _events) = one_call(latest);
@@ -1021,7 +1268,10 @@
             regions.begin(|_, _| true, 100.0);
             regions.ready(0, 100.0 + LAST_BYTE);
         }
-        assert_eq!(regions.done.pop().map(|d| d.outcome), left.is_empty().then_some(Outcome::Void));
+        assert_eq!(
+            regions.done.pop().map(|d| d.outcome),
+            left.is_empty().then_some(Outcome::Void)
+        );
         drop(regions);
         assert_eq!(all_of(peer), left);
     }
@@ -1031,12 +1281,15 @@
     #[case::turned_away_and_out_of_time("429 Full", false, Outcome::Overloaded { wait: 900_000_000 })]
     #[case::confirmed_and_called_off("200 OK", true, Outcome::Void)]
     fn what_is_answered_before_a_calls_last_byte_counts_for_what_it_can_be(
-        #[case] status: &str, #[case] called_off: bool, #[case] outcome: Outcome,
+        #[case] status: &str,
+        #[case] called_off: bool,
+        #[case] outcome: Outcome,
     ) {
         // Guards a told wait, which binds from when it was written; and a message that a stray 200 would have ended with
         // no call, as nothing runs before its last byte.
         let (mut regions, mut peer, _events) = one_call(f64::INFINITY);
-        peer.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+        peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
+            .unwrap();
         for _ in 0..100_000 {
             if regions.conns[0].link.written > 0 {
                 break;
@@ -1046,14 +1299,18 @@
         }
         peer.read_exact(&mut [0]).unwrap();
         peer.write_all(
-            format!("HTTP/1.1 {status}\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n").as_bytes(),
+            format!("HTTP/1.1 {status}\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+                .as_bytes(),
         )
         .unwrap();
         match called_off {
             true => regions.cancel(MessageId(1), 0, 2.0),
             false => regions.expire(500.0),
         }
-        assert_eq!(regions.done.iter().map(|d| d.outcome).collect::<Vec<_>>(), [outcome]);
+        assert_eq!(
+            regions.done.iter().map(|d| d.outcome).collect::<Vec<_>>(),
+            [outcome]
+        );
         drop(regions);
         assert_eq!(all_of(peer), b"", "its last byte has not left");
     }
@@ -1063,12 +1320,20 @@
     #[case::by_a_wait_of_its_destination(EndpointId(9), 7, true)]
     #[case::not_by_those_of_others(EndpointId(9), 9, false)]
     fn a_call_that_has_not_begun_is_held_back(
-        #[case] drains: EndpointId, #[case] waits: u64, #[case] held: bool,
+        #[case] drains: EndpointId,
+        #[case] waits: u64,
+        #[case] held: bool,
     ) {
         // Guards a drain and a told wait against a connection that comes up behind them.
         let (mut regions, peer, _events) = one_call(f64::INFINITY);
-        regions.hold_back(|destination, region| region == drains || destination == waits, 1.0);
-        assert_eq!(regions.done.pop().map(|d| d.outcome), held.then_some(Outcome::Void));
+        regions.hold_back(
+            |destination, region| region == drains || destination == waits,
+            1.0,
+        );
+        assert_eq!(
+            regions.done.pop().map(|d| d.outcome),
+            held.then_some(Outcome::Void)
+        );
         for _ in 0..100 {
             step(&mut regions, 0, 1.0);
             step(&mut regions, 0, 1.0 + LAST_BYTE);
--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/stages/admit.rs
@@ -21,7 +21,13 @@
 
 impl Admit {
     pub(super) fn admit(
-        &self, h: HandedIn, desk: &mut Desk, take_in: &mut TakeIn, table: &Table, stopped: bool, now: Millis,
+        &self,
+        h: HandedIn,
+        desk: &mut Desk,
+        take_in: &mut TakeIn,
+        table: &Table,
+        stopped: bool,
+        now: Millis,
     ) -> Option<Event> {
         if desk.numbers.contains_key(&h.id) || desk.ledger.over.contains(&h.id) {
             desk.counters.repeated += 1;
@@ -34,7 +40,10 @@
             Some(true) => {}
             Some(false) => {
                 desk.counters.bad += 1;
-                desk.figures.of(&self.classes[h.class]).into_iter().for_each(|g| g.errored += 1);
+                desk.figures
+                    .of(&self.classes[h.class])
+                    .into_iter()
+                    .for_each(|g| g.errored += 1);
                 take_in.close(h.client);
                 take_in.answer(h.client, 404, "", now);
                 return None;
@@ -72,18 +81,38 @@
             return None;
         }
         desk.counters.taken += 1;
-        let (id, destination, class) = (MessageId(no), DestinationId(taken.destination), ClassId(class));
+        let (id, destination, class) = (
+            MessageId(no),
+            DestinationId(taken.destination),
+            ClassId(class),
+        );
         let deadline = nanos(taken.deadline);
         let (left_ms, to) = ((taken.deadline - now) as u64, taken.destination);
         debug!(no, destination = to, class = %taken.class, left_ms, "taken on");
         desk.insert(taken, State::Open);
-        Some(Event::Message { id, destination, class, deadline, key: None })
+        Some(Event::Message {
+            id,
+            destination,
+            class,
+            deadline,
+            key: None,
+        })
     }
 
-    fn turn_away(&self, class: usize, client: usize, desk: &mut Desk, take_in: &mut TakeIn, now: Millis) {
+    fn turn_away(
+        &self,
+        class: usize,
+        client: usize,
+        desk: &mut Desk,
+        take_in: &mut TakeIn,
+        now: Millis,
+    ) {
         debug!(class = %self.classes[class], open = desk.open, "turned away");
         desk.counters.turned_away += 1;
-        desk.figures.of(&self.classes[class]).into_iter().for_each(|g| g.deferred += 1);
+        desk.figures
+            .of(&self.classes[class])
+            .into_iter()
+            .for_each(|g| g.deferred += 1);
         take_in.busy(client, now);
     }
 
@@ -97,7 +126,11 @@
             class: ClassId(class),
             deadline: nanos(taken.deadline),
             attempts: taken.tasks.len() as u32,
-            ran: taken.tasks.iter().find(|t| !t.never_ran).map(|t| nanos(t.sent)),
+            ran: taken
+                .tasks
+                .iter()
+                .find(|t| !t.never_ran)
+                .map(|t| nanos(t.sent)),
         });
         let (no, settled) = (taken.no, taken.ending.is_some() || event.is_none());
         let (attempts, to) = (taken.tasks.len(), taken.destination);
@@ -105,7 +138,10 @@
         desk.insert(taken, if settled { State::Ending } else { State::Open });
         let untried = attempts == 0 && !settled;
         desk.counters.untried += u64::from(untried);
-        desk.held.get_mut(&no).into_iter().for_each(|t| t.untried = untried);
+        desk.held
+            .get_mut(&no)
+            .into_iter()
+            .for_each(|t| t.untried = untried);
         if settled {
             // Its end was decided, or nothing says what its class promised.
             relay.queue.push_back(no);
--- a/crates/sender/src/stages/book.rs
+++ b/crates/sender/src/stages/book.rs
@@ -31,10 +31,21 @@
         } += 1;
         let t = desk.held.get_mut(&id.0)?;
         let (no, took_ms, to) = (id.0, done.took as u64, t.taken.destination);
-        debug!(no, attempt, destination = to, ?outcome, took_ms, "came back");
+        debug!(
+            no,
+            attempt,
+            destination = to,
+            ?outcome,
+            took_ms,
+            "came back"
+        );
         t.out = t.out.saturating_sub(1);
         if outcome.never_ran()
-            && let Some(task) = t.taken.tasks.get_mut(attempt as usize).filter(|t| !t.never_ran)
+            && let Some(task) = t
+                .taken
+                .tasks
+                .get_mut(attempt as usize)
+                .filter(|t| !t.never_ran)
         {
             task.never_ran = true;
             desk.ledger.never_ran(id.0, attempt as usize);
@@ -45,7 +56,11 @@
         if open && (outcome == Outcome::Success || done.over) {
             desk.counters.called_over += u64::from(done.over);
             if let Some(group) = desk.figures.of(&t.taken.class) {
-                *if done.over { &mut group.errored } else { &mut group.answered } += 1;
+                *if done.over {
+                    &mut group.errored
+                } else {
+                    &mut group.answered
+                } += 1;
             }
             desk.pass(id.0, State::Over);
         } else {
@@ -53,15 +68,28 @@
         }
         let finished = desk.held.get(&id.0).is_none_or(|t| t.state != State::Open);
         let took = nanos(done.took);
-        Some(Event::Ended { id, attempt, outcome, took, finished })
+        Some(Event::Ended {
+            id,
+            attempt,
+            outcome,
+            took,
+            finished,
+        })
     }
 
     /// A transaction ends undelivered: its notice is owed from here on.
     pub(super) fn end(&self, id: MessageId, notice: Notice, desk: &mut Desk, relay: &mut Relay) {
-        let Some(t) = desk.held.get_mut(&id.0).filter(|t| t.state == State::Open) else { return };
+        let Some(t) = desk.held.get_mut(&id.0).filter(|t| t.state == State::Open) else {
+            return;
+        };
         t.taken.ending = Some(notice);
         desk.counters.untried_ended += u64::from(std::mem::take(&mut t.untried));
-        debug!(no = id.0, destination = t.taken.destination, ?notice, "ends");
+        debug!(
+            no = id.0,
+            destination = t.taken.destination,
+            ?notice,
+            "ends"
+        );
         desk.ledger.ending(id.0, notice);
         desk.pass(id.0, State::Ending);
         relay.queue.push_back(id.0);
--- a/crates/sender/src/stages/desk.rs
+++ b/crates/sender/src/stages/desk.rs
@@ -46,14 +46,25 @@
         self.numbers.insert(taken.id.clone(), taken.no);
         if state == State::Open {
             self.open += 1;
-            self.due.insert((taken.deadline.max(0.0).to_bits(), taken.no));
+            self.due
+                .insert((taken.deadline.max(0.0).to_bits(), taken.no));
         }
-        self.held.insert(taken.no, Transaction { taken, state, out: 0, untried: false });
+        self.held.insert(
+            taken.no,
+            Transaction {
+                taken,
+                state,
+                out: 0,
+                untried: false,
+            },
+        );
     }
 
     /// Takes a transaction from one state to the next.
     pub(super) fn pass(&mut self, no: u64, to: State) {
-        let Some(t) = self.held.get_mut(&no) else { return };
+        let Some(t) = self.held.get_mut(&no) else {
+            return;
+        };
         if t.state == State::Open {
             self.open -= 1;
             self.due.remove(&(t.taken.deadline.max(0.0).to_bits(), no));
@@ -72,7 +83,10 @@
     }
 
     pub(super) fn forget(&mut self, no: u64) {
-        if self.held.get(&no).is_some_and(|t| t.state == State::Over && t.out == 0)
+        if self
+            .held
+            .get(&no)
+            .is_some_and(|t| t.state == State::Over && t.out == 0)
             && let Some(t) = self.held.remove(&no)
         {
             self.numbers.remove(&t.taken.id);
--- a/crates/sender/src/stages/estate.rs
+++ b/crates/sender/src/stages/estate.rs
@@ -45,10 +45,12 @@
     /// # Errors
     /// What cannot be used of it.
     pub fn read(bytes: &[u8], config: &Config) -> Result<Estate<Policy>, String> {
-        let estate: Estate<Policy> =
-            postcard::from_bytes(bytes).map_err(|e| format!("what was passed cannot be read: {e}"))?;
+        let estate: Estate<Policy> = postcard::from_bytes(bytes)
+            .map_err(|e| format!("what was passed cannot be read: {e}"))?;
         if estate.names != names(config) {
-            return Err("settings: other zones, kinds or classes than the process that serves has".into());
+            return Err(
+                "settings: other zones, kinds or classes than the process that serves has".into(),
+            );
         }
         Ok(estate)
     }
@@ -60,8 +62,20 @@
 
     /// The module's state and the ledger's place apart from the rest.
     pub(super) fn split(self) -> (Policy, Place, Estate<(), ()>) {
-        let Estate { at, names, promises, policy, wake, held, next, place, owed, table, clients, regions } =
-            self;
+        let Estate {
+            at,
+            names,
+            promises,
+            policy,
+            wake,
+            held,
+            next,
+            place,
+            owed,
+            table,
+            clients,
+            regions,
+        } = self;
         let rest = Estate {
             at,
             names,
@@ -83,13 +97,20 @@
 impl Estate<(), ()> {
     /// What is held and not over.
     pub(super) fn open(&self) -> impl Iterator<Item = &Taken> {
-        self.held.iter().filter(|(_, state, _)| *state != State::Over).map(|(taken, ..)| taken)
+        self.held
+            .iter()
+            .filter(|(_, state, _)| *state != State::Over)
+            .map(|(taken, ..)| taken)
     }
 }
 
 /// Zones, kinds and classes by name.
 pub fn names(config: &Config) -> [Vec<String>; 3] {
-    [config.boot.zones.clone(), config.boot.kinds.clone(), config.boot.classes.clone()]
+    [
+        config.boot.zones.clone(),
+        config.boot.kinds.clone(),
+        config.boot.classes.clone(),
+    ]
 }
 
 impl Driver {
@@ -115,9 +136,14 @@
         let most = (self.sockets / 2).saturating_sub(OTHERS);
         let clients = self.take_in.clients.len();
         let regions = self.regions.lighten(most.saturating_sub(clients));
-        let clients = self.take_in.lighten(most.saturating_sub(regions), self.clock.now());
+        let clients = self
+            .take_in
+            .lighten(most.saturating_sub(regions), self.clock.now());
         if clients + regions > most {
-            return Err(format!("{} connections in use are too many to pass at once", clients + regions));
+            return Err(format!(
+                "{} connections in use are too many to pass at once",
+                clients + regions
+            ));
         }
         Ok(())
     }
@@ -127,9 +153,17 @@
     /// # Errors
     /// Where it takes no clients any more, or cannot be written.
     pub fn estate(&self) -> Result<(Vec<u8>, Vec<BorrowedFd<'_>>), String> {
-        let listener = self.take_in.listener.as_ref().ok_or("takes no clients any more")?;
+        let listener = self
+            .take_in
+            .listener
+            .as_ref()
+            .ok_or("takes no clients any more")?;
         let (regions, region_fds) = self.regions.carried();
-        let held = self.desk.held.values().map(|t| (t.taken.clone(), t.state, t.out));
+        let held = self
+            .desk
+            .held
+            .values()
+            .map(|t| (t.taken.clone(), t.state, t.out));
         let estate = Estate {
             at: self.clock.now(),
             names: self.names.clone(),
@@ -139,22 +173,47 @@
             held: held.collect(),
             next: self.desk.next,
             place: self.desk.ledger.place(),
-            owed: self.relay.flying.iter().chain(&self.relay.queue).copied().collect(),
+            owed: self
+                .relay
+                .flying
+                .iter()
+                .chain(&self.relay.queue)
+                .copied()
+                .collect(),
             table: self.table.carried(),
-            clients: self.take_in.clients.iter().map(|(_, c)| c.with(c.link.carried())).collect(),
+            clients: self
+                .take_in
+                .clients
+                .iter()
+                .map(|(_, c)| c.with(c.link.carried()))
+                .collect(),
             regions,
         };
         let bytes = postcard::to_allocvec(&estate).map_err(|e| e.to_string())?;
         let clients = self.take_in.clients.iter().map(|(_, c)| c.link.as_fd());
-        Ok((bytes, std::iter::once(listener.as_fd()).chain(clients).chain(region_fds).collect()))
+        Ok((
+            bytes,
+            std::iter::once(listener.as_fd())
+                .chain(clients)
+                .chain(region_fds)
+                .collect(),
+        ))
     }
 
     /// Takes up what passed beside the module, the ledger and the listener. All of its sockets want a look.
-    pub(super) fn carry_on(&mut self, estate: Estate<(), ()>, fds: &mut Fds) -> std::io::Result<()> {
+    pub(super) fn carry_on(
+        &mut self,
+        estate: Estate<(), ()>,
+        fds: &mut Fds,
+    ) -> std::io::Result<()> {
         for (taken, state, out) in estate.held {
             let no = taken.no;
             self.desk.insert(taken, state);
-            self.desk.held.get_mut(&no).into_iter().for_each(|t| t.out = out);
+            self.desk
+                .held
+                .get_mut(&no)
+                .into_iter()
+                .for_each(|t| t.out = out);
         }
         self.route.wake = estate.wake;
         self.relay.queue.extend(estate.owed);
@@ -162,17 +221,28 @@
         for client in estate.clients {
             let take_in = &mut self.take_in;
             let key = Key::Client(take_in.clients.vacant_key());
-            let link = Link::carried_on(fds.stream()?, &client.link, &take_in.handle, &take_in.pool, key)?;
+            let link = Link::carried_on(
+                fds.stream()?,
+                &client.link,
+                &take_in.handle,
+                &take_in.pool,
+                key,
+            )?;
             take_in.clients.insert(client.with(link));
             self.again.push(key);
         }
-        self.again.extend(self.regions.carry_on(estate.regions, fds)?);
+        self.again
+            .extend(self.regions.carry_on(estate.regions, fds)?);
         self.again.push(Key::Listener);
         Ok(())
     }
 
     /// What a log line tells of a process that passes: connections of clients, calls out, transactions held.
     pub fn load(&self) -> (usize, usize, usize) {
-        (self.take_in.clients.len(), self.regions.tasks(), self.desk.held.len())
+        (
+            self.take_in.clients.len(),
+            self.regions.tasks(),
+            self.desk.held.len(),
+        )
     }
 }
--- a/crates/sender/src/stages/lives.rs
+++ b/crates/sender/src/stages/lives.rs
@@ -22,7 +22,12 @@
             r#"{{"Name":"{name}","Target":3000000000,"Deadline":16000000000,"Effect":"{effect}","Worth":1,"MemorySpan":6000000000}}"#
         )
     };
-    let classes = [class("debit", "side_effect"), class("bill", "token"), class("reading", "pure")].join(",");
+    let classes = [
+        class("debit", "side_effect"),
+        class("bill", "token"),
+        class("reading", "pure"),
+    ]
+    .join(",");
     format!(
         r#"{{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"Categories":[{classes}],"FamilyInfo":{{"CallsOut":4}},
         "Limits":{{"OpenCap":{hold},"AttemptsCap":8,"Cancel":true,"ConnectTimeout":1000000000}},"Tick":5000000,
@@ -63,7 +68,15 @@
         };
         let (region, platform, peers) = (listener(), listener(), Vec::new());
         let (calls, notices, watches) = (Vec::new(), Vec::new(), 0);
-        World { region, platform, peers, script, calls, notices, watches }
+        World {
+            region,
+            platform,
+            peers,
+            script,
+            calls,
+            notices,
+            watches,
+        }
     }
 
     fn target(&self) -> String {
@@ -98,8 +111,12 @@
     /// Answers a request that is whole; false ends the connection.
     fn answer(&mut self, peer: &mut TcpStream, text: &mut Vec<u8>) -> bool {
         let all = String::from_utf8_lossy(text).into_owned();
-        let Some((head, body)) = all.split_once("\r\n\r\n") else { return true };
-        let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")?.parse::<usize>().ok());
+        let Some((head, body)) = all.split_once("\r\n\r\n") else {
+            return true;
+        };
+        let length = head
+            .lines()
+            .find_map(|l| l.strip_prefix("Content-Length: ")?.parse::<usize>().ok());
         if length.is_some_and(|length| body.len() < length) {
             return true;
         }
@@ -113,9 +130,16 @@
             self.notices.extend(body.lines().map(str::to_string));
             return say("HTTP/1.1 204 No Content\r\n\r\n");
         }
-        let id = head.lines().find_map(|l| l.strip_prefix("X-Request-ID: ")).unwrap().to_string();
-        let script =
-            if self.calls.is_empty() || self.script == Script::Hangs { self.script } else { Script::Serves };
+        let id = head
+            .lines()
+            .find_map(|l| l.strip_prefix("X-Request-ID: "))
+            .unwrap()
+            .to_string();
+        let script = if self.calls.is_empty() || self.script == Script::Hangs {
+            self.script
+        } else {
+            Script::Serves
+        };
         self.calls.push((id, script != Script::Refuses));
         match script {
             Script::Serves => say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"),
@@ -127,7 +151,8 @@
 }
 
 fn folder(story: &str) -> PathBuf {
-    let state = std::env::temp_dir().join(format!("martenlatch-lives-{story}-{}", std::process::id()));
+    let state =
+        std::env::temp_dir().join(format!("martenlatch-lives-{story}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&state);
     std::fs::create_dir_all(&state).unwrap();
     state
@@ -139,7 +164,11 @@
 fn life(state: &Path, site: &str, world: &World, listed: bool, clock: &Clock) -> (Driver, Events) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.set_nonblocking(true).unwrap();
-    let known = if listed { format!(r#"{{"targets":[{}]}}"#, world.target()) } else { "null".into() };
+    let known = if listed {
+        format!(r#"{{"targets":[{}]}}"#, world.target())
+    } else {
+        "null".into()
+    };
     let config = Config {
         name: "n0".into(),
         listen: listener.local_addr().unwrap(),
@@ -156,7 +185,14 @@
         boot: settings::read(site).unwrap(),
     };
     let events = Events::try_new().unwrap();
-    let driver = Driver::new(config, Start::Fresh(listener), None, &events.handle(), clock.clone()).unwrap();
+    let driver = Driver::new(
+        config,
+        Start::Fresh(listener),
+        None,
+        &events.handle(),
+        clock.clone(),
+    )
+    .unwrap();
     (driver, events)
 }
 
@@ -174,8 +210,12 @@
 /// A client that hands one transaction in.
 fn hand_in(driver: &Driver, class: &str) -> TcpStream {
     let mut client = TcpStream::connect(driver.listens()).unwrap();
-    let head = "X-Request-ID: a\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\nContent-Length: 1\r\n";
-    let text = format!("POST /{class} HTTP/1.1\r\n{head}X-Timeout: {}\r\n\r\nx", TIME / 1e3);
+    let head =
+        "X-Request-ID: a\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\nContent-Length: 1\r\n";
+    let text = format!(
+        "POST /{class} HTTP/1.1\r\n{head}X-Timeout: {}\r\n\r\nx",
+        TIME / 1e3
+    );
     client.write_all(text.as_bytes()).unwrap();
     client.set_nonblocking(true).unwrap();
     client
@@ -225,15 +265,27 @@
         let refused = world.calls.len() == 1 && !world.calls[0].1;
         since_refused = if refused { since_refused + 1 } else { 0 };
         let proven = kept(&state).is_none_or(|t| t.tasks.first().is_some_and(|t| t.never_ran));
-        assert!(since_refused < 2 || proven, "{story}: a refused call never ran");
+        assert!(
+            since_refused < 2 || proven,
+            "{story}: a refused call never ran"
+        );
         // Each record stands before anybody outside can know of what it says.
         let (held, past) = (kept(&state), Look::into(&state).unwrap().past);
         let over = !past.over.is_empty();
-        assert!(heard.is_empty() || held.is_some() || over, "{story}: 202 before its record");
+        assert!(
+            heard.is_empty() || held.is_some() || over,
+            "{story}: 202 before its record"
+        );
         let tasks = held.as_ref().map_or(0, |t| t.tasks.len());
-        assert!(over || world.calls.len() <= tasks, "{story}: a call before its record");
+        assert!(
+            over || world.calls.len() <= tasks,
+            "{story}: a call before its record"
+        );
         let ending = held.is_some_and(|t| t.ending.is_some());
-        assert!(over || world.notices.is_empty() || ending, "{story}: a notice before its record");
+        assert!(
+            over || world.notices.is_empty() || ending,
+            "{story}: a notice before its record"
+        );
     }
     if matches!(stop, Stop::Kill(at) | Stop::Term(at) if (steps as usize) < at) {
         return false;
@@ -242,13 +294,18 @@
         let told = clock.now();
         driver.end();
         while step(&mut driver, &mut world, &clock) {
-            assert!(clock.now() < told + 3_690.0, "{story}: SIGKILL may come at 3.7 s");
+            assert!(
+                clock.now() < told + 3_690.0,
+                "{story}: SIGKILL may come at 3.7 s"
+            );
         }
     }
     drop((driver, events, client));
     let bytes = std::fs::read(state.join("ledger")).unwrap();
     if let Stop::Record(at) = stop {
-        let Some(end) = records(&bytes).get(at).copied() else { return false };
+        let Some(end) = records(&bytes).get(at).copied() else {
+            return false;
+        };
         std::fs::write(state.join("ledger"), &bytes[..end]).unwrap();
         // What the first life did behind that record is not done.
         let done = kept(&state).map_or(0, |t| t.tasks.len());
@@ -275,7 +332,9 @@
     let ran = |t: &Taken| t.tasks.iter().any(|t| !t.never_ran);
     match found {
         None => assert_eq!((called, told), (0, 0), "{story}: nothing is owed"),
-        Some(t) if t.ending.is_some() => assert_eq!((called, told), (0, 1), "{story}: its notice is owed"),
+        Some(t) if t.ending.is_some() => {
+            assert_eq!((called, told), (0, 1), "{story}: its notice is owed")
+        }
         Some(t) if class == "debit" && ran(&t) => {
             assert_eq!((called, told), (0, 1), "{story}: it may have run")
         }
@@ -286,7 +345,10 @@
     }
     let effects = world.calls.iter().filter(|(_, ran)| *ran).count();
     assert!(class != "debit" || effects <= 1, "{story}: a second effect");
-    assert!(Look::into(&state).unwrap().past.open.is_empty(), "{story}: nothing is left");
+    assert!(
+        Look::into(&state).unwrap().past.open.is_empty(),
+        "{story}: nothing is left"
+    );
     std::fs::remove_dir_all(&state).unwrap();
     true
 }
@@ -302,7 +364,9 @@
         stops += usize::from(two_lives(class, script, Stop::Kill(at)));
         stops += usize::from(two_lives(class, script, Stop::Term(at)));
     }
-    let between = (0..99).take_while(|at| two_lives(class, script, Stop::Record(*at))).count();
+    let between = (0..99)
+        .take_while(|at| two_lives(class, script, Stop::Record(*at)))
+        .count();
     println!("{class} {script:?}: {stops} stops, {between} records");
     assert!(stops > 20 && between >= 4, "taken on, sent, over");
 }
@@ -321,10 +385,25 @@
 }
 
 fn one(no: u64, class: &str, tasks: Vec<Task>, rules: &[u8]) -> Taken {
-    let (id, class, body, rules) =
-        (Rc::from(format!("a{no}")), Rc::from(class), Rc::from(&b"x"[..]), Rc::from(rules));
+    let (id, class, body, rules) = (
+        Rc::from(format!("a{no}")),
+        Rc::from(class),
+        Rc::from(&b"x"[..]),
+        Rc::from(rules),
+    );
     let (deadline, key, ending) = (START + TIME, Some(Rc::from("k")), None);
-    Taken { no, id, class, destination: 7, deadline, key, body, tasks, ending, rules }
+    Taken {
+        no,
+        id,
+        class,
+        destination: 7,
+        deadline,
+        key,
+        body,
+        tasks,
+        ending,
+        rules,
+    }
 }
 
 #[rstest::rstest]
@@ -334,12 +413,21 @@
 #[case::a_safe_one_whose_class_is_gone("gone", Effect::Safe, true, 1)]
 #[case::an_untried_one_whose_class_is_gone("gone", Effect::Unsafe, false, 1)]
 fn what_was_promised_at_intake_holds_under_other_settings(
-    #[case] name: &str, #[case] effect: Effect, #[case] tried: bool, #[case] calls: usize,
+    #[case] name: &str,
+    #[case] effect: Effect,
+    #[case] tried: bool,
+    #[case] calls: usize,
 ) {
     // Guards against a second effect, and against an end without a call, where a name stands for something else since.
-    let class = Class { effect, ..settings::read(&site(9)).unwrap().settings.classes[0].clone() };
+    let class = Class {
+        effect,
+        ..settings::read(&site(9)).unwrap().settings.classes[0].clone()
+    };
     let rules = postcard::to_allocvec(&class).unwrap();
-    let tasks = tried.then_some(Task { sent: START - 500.0, never_ran: false });
+    let tasks = tried.then_some(Task {
+        sent: START - 500.0,
+        never_ran: false,
+    });
     let state = held(
         &format!("promised-{name}-{tried}"),
         [one(3, name, tasks.into_iter().collect(), &rules)].into_iter(),
@@ -353,14 +441,19 @@
     // What is taken on now goes by the settings, also where that name stands for both.
     assert_eq!(driver.desk.open, 0);
     let current = driver.admit.promises.at(0);
-    assert!(current.name.as_ref() == "debit" && driver.admit.promises.once("debit", &current.rules));
+    assert!(
+        current.name.as_ref() == "debit" && driver.admit.promises.once("debit", &current.rules)
+    );
 }
 
 #[rstest::rstest]
 #[case::listed_at_the_start(true)]
 #[case::once_discovery_speaks(false)]
 fn what_was_taken_on_is_tried_once_its_destination_is_listed(#[case] listed: bool) {
-    let state = held(&format!("listed-{listed}"), [one(3, "debit", Vec::new(), &[])].into_iter());
+    let state = held(
+        &format!("listed-{listed}"),
+        [one(3, "debit", Vec::new(), &[])].into_iter(),
+    );
     let (mut world, clock) = (World::new(Script::Serves), Clock::at(START));
     let (mut driver, _events) = life(&state, &site(9), &world, listed, &clock);
     for _ in 0..40 {
@@ -369,21 +462,32 @@
     assert_eq!(world.calls.len(), usize::from(listed));
     if !listed {
         assert_eq!(world.watches, 1);
-        let list = format!("{{\"rev\":2,\"all\":true,\"targets\":[{}]}}\n", world.target());
-        let text =
-            format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n", list.len());
+        let list = format!(
+            "{{\"rev\":2,\"all\":true,\"targets\":[{}]}}\n",
+            world.target()
+        );
+        let text = format!(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n",
+            list.len()
+        );
         world.peers[0].0.write_all(text.as_bytes()).unwrap();
     }
     for _ in 0..100 {
         step(&mut driver, &mut world, &clock);
     }
-    assert_eq!((world.calls.len(), world.notices.len(), driver.desk.open), (1, 0, 0));
+    assert_eq!(
+        (world.calls.len(), world.notices.len(), driver.desk.open),
+        (1, 0, 0)
+    );
 }
 
 #[test]
 fn a_restart_with_the_hold_full_tries_what_it_finds_while_clients_come() {
     const HOLD: usize = 60;
-    let state = held("full", (0..HOLD as u64).map(|no| one(no, "debit", Vec::new(), &[])));
+    let state = held(
+        "full",
+        (0..HOLD as u64).map(|no| one(no, "debit", Vec::new(), &[])),
+    );
     let (mut world, clock) = (World::new(Script::Serves), Clock::at(START));
     let (mut driver, _events) = life(&state, &site(HOLD), &world, true, &clock);
     let mut clients = Vec::new();
@@ -395,6 +499,12 @@
         step(&mut driver, &mut world, &clock);
     }
     let count = &driver.desk.counters;
-    println!("untried {} called {} ended {}", count.untried, count.untried_called, count.untried_ended);
-    assert_eq!((count.untried, count.untried_called, count.untried_ended), (HOLD as u64, HOLD as u64, 0));
+    println!(
+        "untried {} called {} ended {}",
+        count.untried, count.untried_called, count.untried_ended
+    );
+    assert_eq!(
+        (count.untried, count.untried_called, count.untried_ended),
+        (HOLD as u64, HOLD as u64, 0)
+    );
 }
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -25,7 +25,9 @@
 use martenlatch_http::pool::Pool;
 use martenlatch_ledger::{Ledger, Notice, Past};
 use martenlatch_policy::Policy;
-use martenlatch_policy::interface::{Action, Class, Effect, EndpointId, Event, MessageId, Outcome, Stage};
+use martenlatch_policy::interface::{
+    Action, Class, Effect, EndpointId, Event, MessageId, Outcome, Stage,
+};
 use slab::Slab;
 use tracing::{debug, error, info, warn};
 
@@ -99,7 +101,11 @@
 
 impl Driver {
     pub fn new(
-        config: Config, start: Start, peers: Option<Peers>, handle: &Handle, clock: Clock,
+        config: Config,
+        start: Start,
+        peers: Option<Peers>,
+        handle: &Handle,
+        clock: Clock,
     ) -> Result<Driver, String> {
         let boot = &config.boot;
         let mut set = boot.settings.clone();
@@ -107,10 +113,17 @@
         let mut promises = Promises::new(&boot.classes, &set.classes);
         // Half of the descriptors for clients: the rest is for regions, discovery and files. Clients have buffers
         // of their own, two each, so that slow ones cannot starve the regions.
-        let callers = if config.operator.is_some() { operator::CALLERS + 1 } else { 0 };
+        let callers = if config.operator.is_some() {
+            operator::CALLERS + 1
+        } else {
+            0
+        };
         let buffers = (config.memory / 2 / http::pool::SIZE as u64) as usize;
         let buffers = buffers.saturating_sub(2 * callers);
-        let most = (config.sockets / 2).saturating_sub(callers).min(buffers / 3).max(1);
+        let most = (config.sockets / 2)
+            .saturating_sub(callers)
+            .min(buffers / 3)
+            .max(1);
         let left = buffers - 2 * most.min(buffers / 3);
         let (own, clients_pool) = (Pool::new(OWN), Pool::new(2 * most));
         let pool = Pool::new(left.saturating_sub(OWN).max(1));
@@ -130,20 +143,32 @@
                 let (policy, place, mut estate) = estate.split();
                 let passed = std::mem::replace(&mut estate.promises, Promises::new(&[], &[]));
                 let carried = promises.carried_on(passed, &mut set);
-                promises = carried
-                    .ok_or("settings: classes with other rules than those of the process that serves")?;
+                promises = carried.ok_or(
+                    "settings: classes with other rules than those of the process that serves",
+                )?;
                 let policy = policy.carried_on(set.clone()).map_err(unusable)?;
                 let ledger = Ledger::carried_on(&config.state, config.disk, place, estate.open());
                 let mut past = Past::default();
                 past.next = estate.next;
-                (listener, policy, ledger.map_err(failed)?, past, Some((estate, fds)))
+                (
+                    listener,
+                    policy,
+                    ledger.map_err(failed)?,
+                    past,
+                    Some((estate, fds)),
+                )
             }
         };
         let (listener, spread) = (Rc::new(listener), Spread::new(config.seed));
         let token = http::register(handle, listener.clone(), Key::Listener)
             .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
         let keyed = |c: &Class| matches!(c.effect, Effect::Keyed { .. });
-        let classes = boot.classes.iter().cloned().zip(boot.settings.classes.iter().map(keyed)).collect();
+        let classes = boot
+            .classes
+            .iter()
+            .cloned()
+            .zip(boot.settings.classes.iter().map(keyed))
+            .collect();
         let take_in = TakeIn {
             listener: Some(listener),
             token: Some(token),
@@ -163,7 +188,16 @@
         let (next, counters) = (past.next, Counters::default());
         let (held, numbers) = (BTreeMap::new(), HashMap::new());
         let figures = Figures::new(&boot.classes);
-        let mut desk = Desk { held, numbers, due: BTreeSet::new(), open: 0, next, ledger, counters, figures };
+        let mut desk = Desk {
+            held,
+            numbers,
+            due: BTreeSet::new(),
+            open: 0,
+            next,
+            ledger,
+            counters,
+            figures,
+        };
         let mut relay = Relay {
             platform: config.discovery,
             handle: handle.clone(),
@@ -177,15 +211,26 @@
             batch: NOTICES,
             spread: spread.clone(),
         };
-        let admit = Admit { hold_limit: set.hold_limit, classes: boot.classes.clone(), promises };
-        let resumed =
-            past.open.into_values().filter_map(|t| admit.resume(t, &mut desk, &mut relay)).collect();
+        let admit = Admit {
+            hold_limit: set.hold_limit,
+            classes: boot.classes.clone(),
+            promises,
+        };
+        let resumed = past
+            .open
+            .into_values()
+            .filter_map(|t| admit.resume(t, &mut desk, &mut relay))
+            .collect();
         let mut driver = Driver {
             names: estate::names(&config),
             listen: config.listen,
             sockets: config.sockets,
             admit,
-            route: Route { policy, events: Vec::new(), wake: None },
+            route: Route {
+                policy,
+                events: Vec::new(),
+                wake: None,
+            },
             send: Send,
             relay,
             book: Book,
@@ -198,7 +243,12 @@
                 millis(set.connect_timeout),
                 millis(set.conn_idle),
             ),
-            table: Table::new(config.discovery, boot, Hand::open(&config.state, config.disk), spread),
+            table: Table::new(
+                config.discovery,
+                boot,
+                Hand::open(&config.state, config.disk),
+                spread,
+            ),
             operators: None,
             peers,
             again: Vec::new(),
@@ -214,7 +264,10 @@
         if config.known.is_object()
             && let Some(known) = driver.table.line(&config.known)
         {
-            driver.listed(Change { whole: true, ..known });
+            driver.listed(Change {
+                whole: true,
+                ..known
+            });
             driver.table.calm(driver.clock.now());
         }
         driver.route.events.extend::<Vec<Event>>(resumed);
@@ -239,11 +292,24 @@
 
     /// A change of the table, in the turn that brings it. Calls not yet begun are taken back where they may not go.
     fn listed(&mut self, change: Change) {
-        let on = |e: &EndpointId| change.entries.iter().any(|c| c.endpoint == *e && c.stage == Stage::On);
-        let off = |e: &EndpointId| change.entries.iter().any(|c| c.endpoint == *e && c.stage != Stage::On);
+        let on = |e: &EndpointId| {
+            change
+                .entries
+                .iter()
+                .any(|c| c.endpoint == *e && c.stage == Stage::On)
+        };
+        let off = |e: &EndpointId| {
+            change
+                .entries
+                .iter()
+                .any(|c| c.endpoint == *e && c.stage != Stage::On)
+        };
         let whole = change.whole;
         let now = self.clock.now();
-        self.regions.hold_back(|_, region| if whole { !on(&region) } else { off(&region) }, now);
+        self.regions.hold_back(
+            |_, region| if whole { !on(&region) } else { off(&region) },
+            now,
+        );
         let entries = change.entries;
         for e in &entries {
             let (region, destination) = (e.endpoint.0, e.destination.0);
@@ -251,22 +317,41 @@
         }
         // What others know of a route is told in the turn that lists it: before anything can be sent there.
         let table = &self.table;
-        let hearsay = self.peers.as_mut().map(|p| p.hearsay(&entries, &|region| table.name(region), now));
-        self.route.events.push(if whole { Event::List(entries) } else { Event::ListChanges(entries) });
+        let hearsay = self
+            .peers
+            .as_mut()
+            .map(|p| p.hearsay(&entries, &|region| table.name(region), now));
+        self.route.events.push(if whole {
+            Event::List(entries)
+        } else {
+            Event::ListChanges(entries)
+        });
         self.route.events.extend(hearsay.into_iter().flatten());
     }
 
     /// How long the loop may sleep, in milliseconds.
     pub fn sleep(&self) -> Millis {
         // Who waits for a buffer is looked at again soon, but not in a busy loop.
-        let spent = [&self.take_in.pool, &self.regions.pool, &self.own].into_iter().any(Pool::spent);
-        if !self.again.is_empty() && spent && self.route.events.is_empty() && self.regions.done.is_empty() {
+        let spent = [&self.take_in.pool, &self.regions.pool, &self.own]
+            .into_iter()
+            .any(Pool::spent);
+        if !self.again.is_empty()
+            && spent
+            && self.route.events.is_empty()
+            && self.regions.done.is_empty()
+        {
             return WANTS;
         }
-        if !self.again.is_empty() || !self.route.events.is_empty() || !self.regions.done.is_empty() {
+        if !self.again.is_empty() || !self.route.events.is_empty() || !self.regions.done.is_empty()
+        {
             return 0.0;
         }
-        let dues = [self.regions.due(), self.table.due(), self.relay.due(), self.take_in.due()];
+        let dues = [
+            self.regions.due(),
+            self.table.due(),
+            self.relay.due(),
+            self.take_in.due(),
+        ];
         let due = dues
             .into_iter()
             .chain(self.route.wake)
@@ -274,7 +359,14 @@
             .chain(self.peers.as_ref().map(Peers::due))
             .fold(f64::INFINITY, f64::min);
         // Near its end the sender must not sleep past the instants at which it stops and goes.
-        (due - self.clock.now()).clamp(0.0, if self.told_to_end.is_some() { 20.0 } else { 250.0 })
+        (due - self.clock.now()).clamp(
+            0.0,
+            if self.told_to_end.is_some() {
+                20.0
+            } else {
+                250.0
+            },
+        )
     }
 
     pub fn print_counters(&mut self) {
@@ -282,7 +374,12 @@
         if let Some(peers) = &self.peers {
             peers.print_counters();
         }
-        info!("counters held={} open={}{}", self.desk.held.len(), self.desk.open, self.desk.counters);
+        info!(
+            "counters held={} open={}{}",
+            self.desk.held.len(),
+            self.desk.open,
+            self.desk.counters
+        );
         let present = self.present();
         self.desk.figures.print(&present);
     }
@@ -290,8 +387,10 @@
     /// What is held and listed now, with all counted that has happened.
     fn present(&mut self) -> Present {
         self.count();
-        let unhealthy = |(region, out): &(EndpointId, bool)| *out || self.route.policy.avoids(*region);
-        let (healthy, rest): (Vec<_>, Vec<_>) = self.table.listed().partition(|row| !unhealthy(row));
+        let unhealthy =
+            |(region, out): &(EndpointId, bool)| *out || self.route.policy.avoids(*region);
+        let (healthy, rest): (Vec<_>, Vec<_>) =
+            self.table.listed().partition(|row| !unhealthy(row));
         Present {
             current: self.desk.open + self.relay.queue.len() + self.relay.flying.len(),
             cluster_size: healthy.len() + rest.len(),
@@ -303,7 +402,10 @@
     fn count(&mut self) {
         for id in std::mem::take(&mut self.regions.written) {
             let class = self.desk.held.get(&id.0).map(|t| &t.taken.class);
-            class.and_then(|c| self.desk.figures.of(c)).into_iter().for_each(|g| g.sends += 1);
+            class
+                .and_then(|c| self.desk.figures.of(c))
+                .into_iter()
+                .for_each(|g| g.sends += 1);
         }
         for class in std::mem::take(&mut self.take_in.cut_off) {
             self.desk.counters.turned_away += 1;
@@ -364,7 +466,9 @@
             if let Some(peers) = &mut self.peers {
                 peers.leave();
             }
-            self.route.events.push(Event::Closing(nanos(now + LAST_CALL)));
+            self.route
+                .events
+                .push(Event::Closing(nanos(now + LAST_CALL)));
         }
     }
 
@@ -385,12 +489,18 @@
                 Key::Operator(at) => {
                     if let Some(call) = self.operators.as_mut().and_then(|o| o.ready(at)) {
                         let said = self.called(call);
-                        self.operators.as_mut().into_iter().for_each(|o| o.answer(at, &said, now));
+                        self.operators
+                            .as_mut()
+                            .into_iter()
+                            .for_each(|o| o.answer(at, &said, now));
                     }
                     false
                 }
                 Key::Listener => self.take_in.accept(now, &mut self.desk.counters),
-                Key::Client(at) => self.take_in.ready(at, now, &mut handed, &mut self.desk.counters),
+                Key::Client(at) => {
+                    self.take_in
+                        .ready(at, now, &mut handed, &mut self.desk.counters)
+                }
                 Key::Region(at) => self.regions.ready(at, now),
                 Key::Watch => {
                     let (changes, more) = self.table.ready(now);
@@ -403,7 +513,9 @@
                 Key::Offer | Key::Asker | Key::Predecessor => false,
                 Key::Notices => {
                     let confirmed = self.relay.ready(now);
-                    confirmed.into_iter().for_each(|no| self.book.confirmed(no, &mut self.desk));
+                    confirmed
+                        .into_iter()
+                        .for_each(|no| self.book.confirmed(no, &mut self.desk));
                     false
                 }
             };
@@ -415,13 +527,21 @@
         self.again.extend(self.take_in.sweep(now));
         let stopped = self.told_to_end.is_some_and(|at| now >= at + LAST_WORK);
         if stopped {
-            self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
+            self.again
+                .extend(self.take_in.stop(now, &mut self.desk.counters));
         }
         // Room is given before the module sees what the round brings: a flood with no time left, which it ends in
         // this round, must not take it from the usual ones.
         handed.sort_by(|a, b| b.deadline.total_cmp(&a.deadline));
         for h in handed {
-            let event = self.admit.admit(h, &mut self.desk, &mut self.take_in, &self.table, stopped, now);
+            let event = self.admit.admit(
+                h,
+                &mut self.desk,
+                &mut self.take_in,
+                &self.table,
+                stopped,
+                now,
+            );
             self.route.events.extend(event);
         }
         self.outcomes(now);
@@ -436,9 +556,15 @@
         self.book.tidy(&mut self.desk, now);
         if let Some(peers) = &mut self.peers {
             let table = &self.table;
-            peers.tend(now, Some((&self.route.policy, &|region| table.name(region))));
+            peers.tend(
+                now,
+                Some((&self.route.policy, &|region| table.name(region))),
+            );
         }
-        self.operators.as_mut().into_iter().for_each(|o| o.tend(now));
+        self.operators
+            .as_mut()
+            .into_iter()
+            .for_each(|o| o.tend(now));
         let took = (self.clock.now() - now) as u64;
         self.desk.counters.longest_round_ms = self.desk.counters.longest_round_ms.max(took);
         !self.may_exit(now)
@@ -452,13 +578,18 @@
             .done
             .iter()
             .filter(|d| matches!(d.outcome, Outcome::Overloaded { wait } if wait > 0));
-        let held = told.filter_map(|d| self.desk.held.get(&d.id.0)).map(|t| t.taken.destination);
+        let held = told
+            .filter_map(|d| self.desk.held.get(&d.id.0))
+            .map(|t| t.taken.destination);
         let waits: Vec<u64> = held.collect();
         if !waits.is_empty() {
-            self.regions.hold_back(|destination, _| waits.contains(&destination), now);
+            self.regions
+                .hold_back(|destination, _| waits.contains(&destination), now);
         }
         for done in std::mem::take(&mut self.regions.done) {
-            self.route.events.extend(self.book.task(done, &mut self.desk, &mut self.relay));
+            self.route
+                .events
+                .extend(self.book.task(done, &mut self.desk, &mut self.relay));
         }
     }
 
@@ -467,7 +598,12 @@
         while let Some(no) = self.desk.take_due(now - OVERDUE) {
             error!(no, "transaction ended late");
             self.desk.counters.late += 1;
-            self.book.end(MessageId(no), Notice::Undeliverable, &mut self.desk, &mut self.relay);
+            self.book.end(
+                MessageId(no),
+                Notice::Undeliverable,
+                &mut self.desk,
+                &mut self.relay,
+            );
             self.route.events.push(Event::Left(MessageId(no)));
         }
     }
@@ -483,23 +619,36 @@
     fn carry_out(&mut self, actions: Vec<Action>, now: Millis) {
         for action in actions {
             match action {
-                Action::Send { id, endpoint, timeout, latest } => {
+                Action::Send {
+                    id,
+                    endpoint,
+                    timeout,
+                    latest,
+                } => {
                     let address = self.table.address(endpoint);
                     let (desk, regions) = (&mut self.desk, &mut self.regions);
                     let taken = desk.held.get(&id.0).map(|t| &t.taken);
                     let once = taken.is_none_or(|t| self.admit.promises.once(&t.class, &t.rules));
                     let kind = self.table.kind(endpoint);
-                    let to = To { id, once, region: endpoint, kind, address };
+                    let to = To {
+                        id,
+                        once,
+                        region: endpoint,
+                        kind,
+                        address,
+                    };
                     let (timeout, latest) = (millis(timeout), millis(latest));
                     self.send.send(to, timeout, latest, desk, regions, now);
                 }
                 Action::Cancel { id, attempt } => self.regions.cancel(id, attempt, now),
                 Action::Refuse { id, return_after } => {
                     let again = return_after.map(|r| millis(r).round() as u64);
-                    self.book.end(id, Notice::Deferred(again), &mut self.desk, &mut self.relay);
+                    self.book
+                        .end(id, Notice::Deferred(again), &mut self.desk, &mut self.relay);
                 }
                 Action::Fail { id } => {
-                    self.book.end(id, Notice::Undeliverable, &mut self.desk, &mut self.relay);
+                    self.book
+                        .end(id, Notice::Undeliverable, &mut self.desk, &mut self.relay);
                 }
                 // The module counts on its latest wake: it stands for all before it.
                 Action::WakeAfter(span) => self.route.wake = Some(now + millis(span)),
@@ -510,13 +659,16 @@
 
     /// All that was owed in this life is done, or time is up; and no client that has asked is left unanswered.
     fn may_exit(&mut self, now: Millis) -> bool {
-        let Some(told) = self.told_to_end.filter(|told| now >= told + LAST_WORK) else { return false };
+        let Some(told) = self.told_to_end.filter(|told| now >= told + LAST_WORK) else {
+            return false;
+        };
         let told_all = self.relay.flying.is_empty() && self.relay.queue.is_empty();
         let calm = self.regions.tasks() == 0 && told_all && self.desk.open == 0;
         if !calm && now < told + LAST_CALL + 100.0 {
             return false;
         }
-        self.again.extend(self.take_in.stop(now, &mut self.desk.counters));
+        self.again
+            .extend(self.take_in.stop(now, &mut self.desk.counters));
         if now >= told + LAST_CALL + 200.0 {
             self.take_in.turn_all_away(now);
         }
--- a/crates/sender/src/stages/relay.rs
+++ b/crates/sender/src/stages/relay.rs
@@ -45,7 +45,9 @@
         }
         let mut lines = String::new();
         while let Some(no) = self.queue.pop_front() {
-            let Some(t) = desk.held.get(&no) else { continue };
+            let Some(t) = desk.held.get(&no) else {
+                continue;
+            };
             let id = serde_json::Value::from(&*t.taken.id);
             lines += &match t.taken.ending.unwrap_or(Notice::Undeliverable) {
                 Notice::Undeliverable => format!("{{\"id\":{id},\"status\":\"undeliverable\"}}\n"),
@@ -91,7 +93,10 @@
     /// twice does no harm, and one that waits for an answer from the old address may come too late.
     pub(super) fn move_to(&mut self, platform: SocketAddr, now: Millis) {
         self.link = None;
-        self.flying.drain(..).rev().for_each(|no| self.queue.push_front(no));
+        self.flying
+            .drain(..)
+            .rev()
+            .for_each(|no| self.queue.push_front(no));
         (self.platform, self.next_try, self.pause) = (platform, now, RETRY.0);
     }
 
@@ -104,7 +109,10 @@
     pub(super) fn failed(&mut self, now: Millis, reason: &str) {
         warn!(count = self.flying.len(), reason, "notices unconfirmed");
         self.link = None;
-        self.flying.drain(..).rev().for_each(|no| self.queue.push_front(no));
+        self.flying
+            .drain(..)
+            .rev()
+            .for_each(|no| self.queue.push_front(no));
         self.next_try = now + self.spread.around(self.pause);
         self.pause = (self.pause * 2.0).min(RETRY.1);
     }
@@ -119,7 +127,9 @@
 
     /// Reads the platform's answer, and says which ends it has confirmed.
     pub(super) fn ready(&mut self, now: Millis) -> Vec<u64> {
-        let Some(link) = self.link.as_mut() else { return Vec::new() };
+        let Some(link) = self.link.as_mut() else {
+            return Vec::new();
+        };
         link.flush();
         link.fill();
         match http::answer(link.bytes()) {
@@ -137,7 +147,11 @@
                 }
                 self.batch = (self.batch / 2).max(1);
                 // One that is refused by itself goes behind the others, which it must not hold up.
-                let alone = if self.flying.len() == 1 { self.flying.pop() } else { None };
+                let alone = if self.flying.len() == 1 {
+                    self.flying.pop()
+                } else {
+                    None
+                };
                 self.failed(now, "refused");
                 self.queue.extend(alone);
             }
--- a/crates/sender/src/stages/take_in.rs
+++ b/crates/sender/src/stages/take_in.rs
@@ -56,8 +56,26 @@
 
 impl<L> Client<L> {
     pub(super) fn with<M>(&self, link: M) -> Client<M> {
-        let Client { busy, close, continued, served, since, closing, drained, .. } = *self;
-        Client { link, busy, close, continued, served, since, closing, drained }
+        let Client {
+            busy,
+            close,
+            continued,
+            served,
+            since,
+            closing,
+            drained,
+            ..
+        } = *self;
+        Client {
+            link,
+            busy,
+            close,
+            continued,
+            served,
+            since,
+            closing,
+            drained,
+        }
     }
 }
 
@@ -99,14 +117,19 @@
 impl Drop for TakeIn {
     /// Lets go of the listener. Guards the address: the loop would hold it on behalf of a take-over that broke off.
     fn drop(&mut self) {
-        self.token.take().into_iter().for_each(|token| self.handle.remove(token));
+        self.token
+            .take()
+            .into_iter()
+            .for_each(|token| self.handle.remove(token));
     }
 }
 
 impl TakeIn {
     pub(super) fn accept(&mut self, now: Millis, counters: &mut Counters) -> bool {
         self.accept_at = None;
-        let Some(listener) = self.listener.clone() else { return false };
+        let Some(listener) = self.listener.clone() else {
+            return false;
+        };
         for _ in 0..ACCEPTS {
             match listener.accept() {
                 Ok((stream, _)) => {
@@ -115,8 +138,11 @@
                         self.evict(now, true);
                     }
                     let entry = self.clients.vacant_entry();
-                    if let Ok(link) = Link::new(stream, &self.handle, &self.pool, Key::Client(entry.key())) {
-                        let (busy, close, continued, served, closing) = (false, false, false, false, false);
+                    if let Ok(link) =
+                        Link::new(stream, &self.handle, &self.pool, Key::Client(entry.key()))
+                    {
+                        let (busy, close, continued, served, closing) =
+                            (false, false, false, false, false);
                         let (since, drained) = (now, 0);
                         entry.insert(Client {
                             link,
@@ -132,7 +158,11 @@
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 // The client had gone again, or a signal came.
-                Err(e) if matches!(e.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
+                Err(e)
+                    if matches!(
+                        e.kind(),
+                        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
+                    ) => {}
                 // EMFILE and its like: the edge is spent, so it is tried again soon, but not in a busy loop. An
                 // idle client makes room.
                 Err(e) => {
@@ -155,7 +185,11 @@
             () if now > c.since + NEWCOMER => 1,
             () => 3,
         };
-        let order = self.clients.iter().filter(|(_, c)| !c.busy).map(|(at, c)| (place(c), c.since, at));
+        let order = self
+            .clients
+            .iter()
+            .filter(|(_, c)| !c.busy)
+            .map(|(at, c)| (place(c), c.since, at));
         let mut order: Vec<(u8, Millis, usize)> = order.collect();
         order.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
         order
@@ -196,7 +230,9 @@
     fn turn_away(&mut self, at: usize, now: Millis) {
         let begun = std::str::from_utf8(self.clients[at].link.bytes()).unwrap_or("");
         // Its class is known once its path is there, with the space behind it.
-        let path = begun.split_once(' ').and_then(|(_, rest)| rest.split_once(' '));
+        let path = begun
+            .split_once(' ')
+            .and_then(|(_, rest)| rest.split_once(' '));
         let class = path.and_then(|(path, _)| self.class(path));
         self.cut_off.extend(class);
         self.clients[at].close = true;
@@ -206,15 +242,26 @@
     /// The last look before the process goes: who has begun a request has an answer, as its last byte may be on the way.
     pub(super) fn turn_all_away(&mut self, now: Millis) {
         let begun = |c: &Client| !c.closing && !c.busy && !c.link.bytes().is_empty();
-        let begun: Vec<usize> = self.clients.iter().filter(|(_, c)| begun(c)).map(|(at, _)| at).collect();
+        let begun: Vec<usize> = self
+            .clients
+            .iter()
+            .filter(|(_, c)| begun(c))
+            .map(|(at, _)| at)
+            .collect();
         begun.into_iter().for_each(|at| self.turn_away(at, now));
     }
 
     /// Reads what a client sent. True if there may be more.
     pub(super) fn ready(
-        &mut self, at: usize, now: Millis, out: &mut Vec<HandedIn>, counters: &mut Counters,
+        &mut self,
+        at: usize,
+        now: Millis,
+        out: &mut Vec<HandedIn>,
+        counters: &mut Counters,
     ) -> bool {
-        let Some(client) = self.clients.get_mut(at) else { return false };
+        let Some(client) = self.clients.get_mut(at) else {
+            return false;
+        };
         client.link.flush();
         let quiet = client.link.bytes().is_empty();
         let more = client.link.fill();
@@ -275,7 +322,11 @@
                 // Clients ask one at a time. What stands behind a request belongs to it, so that its length is
                 // wrong, or it is a flood; taking it on would cut the body, or carry what hides in one.
                 let alone = client.link.bytes().is_empty();
-                match if alone { self.meaning(&request, at, now) } else { Err(400) } {
+                match if alone {
+                    self.meaning(&request, at, now)
+                } else {
+                    Err(400)
+                } {
                     Ok(handed) => {
                         let client = &mut self.clients[at];
                         (client.busy, client.served) = (true, true);
@@ -287,7 +338,12 @@
                         // Whoever sends what is of no use may do so at full speed: each costs it a connection.
                         client.close |= status != 200;
                         client.served |= status == 200;
-                        self.answer(at, status, if status == 405 { "Allow: POST\r\n" } else { "" }, now);
+                        self.answer(
+                            at,
+                            status,
+                            if status == 405 { "Allow: POST\r\n" } else { "" },
+                            now,
+                        );
                     }
                 }
             }
@@ -298,25 +354,40 @@
 
     /// What a request hands in, or the status that answers it.
     pub(super) fn meaning(
-        &self, request: &http::Request, client: usize, now: Millis,
+        &self,
+        request: &http::Request,
+        client: usize,
+        now: Millis,
     ) -> Result<HandedIn, u16> {
         let path = request.path.split(['?', '#']).next().unwrap_or("");
         if path == "/healthz" {
-            return Err(if matches!(request.method.as_str(), "GET" | "HEAD") { 200 } else { 405 });
+            return Err(if matches!(request.method.as_str(), "GET" | "HEAD") {
+                200
+            } else {
+                405
+            });
         }
         let class = self.class(path).ok_or(404u16)?;
         if request.method != "POST" {
             return Err(405);
         }
         let name = |header: &str| {
-            let value = request.header(header).filter(|v| !v.is_empty() && v.len() <= NAME);
-            value.filter(|v| v.bytes().all(|b| b.is_ascii_graphic() || b == b' ')).map(Rc::<str>::from)
+            let value = request
+                .header(header)
+                .filter(|v| !v.is_empty() && v.len() <= NAME);
+            value
+                .filter(|v| v.bytes().all(|b| b.is_ascii_graphic() || b == b' '))
+                .map(Rc::<str>::from)
         };
         let id = name("x-request-id").ok_or(400u16)?;
-        let left = request.header("x-timeout").and_then(|t| t.parse::<f64>().ok());
+        let left = request
+            .header("x-timeout")
+            .and_then(|t| t.parse::<f64>().ok());
         let left = left.filter(|l| *l > 0.0 && *l <= LONGEST).ok_or(400u16)?;
         let route = request.header("x-route-to").unwrap_or("");
-        let mut parts = route.split([',', ';', ' ']).filter_map(|p| p.trim().strip_prefix("dest="));
+        let mut parts = route
+            .split([',', ';', ' '])
+            .filter_map(|p| p.trim().strip_prefix("dest="));
         let destination = parts.next().and_then(|d| d.parse().ok()).ok_or(400u16)?;
         // Without its key a repeat would take effect twice.
         let key = name("idempotency-key");
@@ -324,7 +395,15 @@
             return Err(400);
         }
         let (deadline, body) = (now + left * 1e3, request.body.clone());
-        Ok(HandedIn { client, id, class, destination, deadline, key, body })
+        Ok(HandedIn {
+            client,
+            id,
+            class,
+            destination,
+            deadline,
+            key,
+            body,
+        })
     }
 
     /// The class that the first part of a path names.
@@ -335,7 +414,9 @@
 
     /// Answers a client. False if it had left before it could hear.
     pub(super) fn answer(&mut self, at: usize, status: u16, extra: &str, now: Millis) -> bool {
-        let Some(client) = self.clients.get_mut(at) else { return false };
+        let Some(client) = self.clients.get_mut(at) else {
+            return false;
+        };
         client.busy = false;
         client.close |= self.ending;
         let queued = client.link.queue(&http::reply(status, extra, client.close));
@@ -357,7 +438,12 @@
             let least = AGAIN.min(most * 0.75);
             (least + self.spread.up_to((AGAIN * 1.5).min(most) - least)) / 1e3
         });
-        self.answer(at, 503, &again.map_or(String::new(), |s| format!("Retry-After: {s:.3}\r\n")), now);
+        self.answer(
+            at,
+            503,
+            &again.map_or(String::new(), |s| format!("Retry-After: {s:.3}\r\n")),
+            now,
+        );
     }
 
     /// Has a client's connection end with its next answer.
@@ -401,7 +487,14 @@
                 return age <= LINGER;
             }
             let begun = !c.link.bytes().is_empty();
-            if c.busy || age <= if c.served && !begun { times.idle_ms } else { times.request_ms } {
+            if c.busy
+                || age
+                    <= if c.served && !begun {
+                        times.idle_ms
+                    } else {
+                        times.request_ms
+                    }
+            {
                 return true;
             }
             if begun {
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/stages/tests.rs
@@ -20,32 +20,64 @@
 #[test]
 fn the_price_of_a_new_connection_is_read_from_the_settings() {
     let priced = SETTINGS.replacen('{', r#"{"Deductions":{"Handshake":0.06},"#, 1);
-    assert_eq!(settings::read(&priced).unwrap().settings.handshake_price, 0.06);
-    assert_eq!(settings::read(SETTINGS).unwrap().settings.handshake_price, 0.0, "none where none is told");
+    assert_eq!(
+        settings::read(&priced).unwrap().settings.handshake_price,
+        0.06
+    );
+    assert_eq!(
+        settings::read(SETTINGS).unwrap().settings.handshake_price,
+        0.0,
+        "none where none is told"
+    );
     let wrong = priced.replace("0.06", "\"dear\"");
-    assert!(settings::read(&wrong).is_err_and(|e| e.contains("Deductions.Handshake")), "it names the field");
+    assert!(
+        settings::read(&wrong).is_err_and(|e| e.contains("Deductions.Handshake")),
+        "it names the field"
+    );
 }
 
 const START: Millis = 1_796_121_600_000.0;
 
 /// A driver on a clock set by hand that resumes one unsafe transaction, with two seconds left.
 fn resumed(
-    story: &str, region: SocketAddr,
-) -> (Driver, Clock, calloop::EventLoop<'static, crate::key::Ready>) {
+    story: &str,
+    region: SocketAddr,
+) -> (
+    Driver,
+    Clock,
+    calloop::EventLoop<'static, crate::key::Ready>,
+) {
     resumed_with(story, 2_000.0, region)
 }
 
 /// The same with so much time left.
 fn resumed_with(
-    story: &str, left: Millis, region: SocketAddr,
-) -> (Driver, Clock, calloop::EventLoop<'static, crate::key::Ready>) {
-    let state = std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
+    story: &str,
+    left: Millis,
+    region: SocketAddr,
+) -> (
+    Driver,
+    Clock,
+    calloop::EventLoop<'static, crate::key::Ready>,
+) {
+    let state =
+        std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&state);
     std::fs::create_dir_all(&state).unwrap();
     let (id, class, key, body) = (Rc::from("a"), Rc::from("debit"), None, Rc::from(&b"x"[..]));
     let (deadline, tasks, ending) = (START + left, Vec::new(), None);
-    let taken =
-        Taken { no: 3, id, class, destination: 7, deadline, key, body, tasks, ending, rules: Rc::from([]) };
+    let taken = Taken {
+        no: 3,
+        id,
+        class,
+        destination: 7,
+        deadline,
+        key,
+        body,
+        tasks,
+        ending,
+        rules: Rc::from([]),
+    };
     assert!(Ledger::open(&state, 3_000_000).0.take(&taken));
     let target = format!(
         r#"{{"targets":[{{"uid":"s","endpoint":"{region}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
@@ -69,7 +101,14 @@
     };
     let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
     let clock = Clock::at(START);
-    let driver = Driver::new(config, Start::Fresh(listener), None, &events.handle(), clock.clone()).unwrap();
+    let driver = Driver::new(
+        config,
+        Start::Fresh(listener),
+        None,
+        &events.handle(),
+        clock.clone(),
+    )
+    .unwrap();
     (driver, clock, events)
 }
 
@@ -77,10 +116,16 @@
 fn outlived(story: &str, region: SocketAddr) -> (Option<Notice>, Millis) {
     let (mut driver, clock, _events) = resumed(story, region);
     while driver.desk.open > 0 && clock.now() < START + 9_000.0 {
-        assert!(driver.round(vec![Key::Region(0)]), "nothing tells it to end");
+        assert!(
+            driver.round(vec![Key::Region(0)]),
+            "nothing tells it to end"
+        );
         clock.set(clock.now() + 10.0);
     }
-    (driver.desk.held.get(&3).and_then(|t| t.taken.ending), clock.now() - START - 2_000.0)
+    (
+        driver.desk.held.get(&3).and_then(|t| t.taken.ending),
+        clock.now() - START - 2_000.0,
+    )
 }
 
 #[test]
@@ -88,11 +133,18 @@
     use std::io::{Read, Write};
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let connect = || std::net::TcpStream::connect(address).unwrap();
     let open = |s: &mut std::net::TcpStream| {
         s.set_nonblocking(true).unwrap();
-        s.read(&mut [0; 4096]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        s.read(&mut [0; 4096])
+            .is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     };
     let mut usual = connect();
     usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
@@ -109,11 +161,21 @@
     while driver.desk.counters.clients <= driver.take_in.most as u64 {
         driver.round(vec![Key::Listener]);
     }
-    assert!(open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]), "the oldest silent one goes");
+    assert!(
+        open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]),
+        "the oldest silent one goes"
+    );
     clock.set(START + driver.take_in.times.request_ms + 1.0);
     driver.round(Vec::new());
-    assert!(open(&mut usual) && crowd.iter_mut().all(|c| !open(c)), "3 s are owed");
-    assert_eq!(driver.take_in.clients.len(), 2, "and the one that came late");
+    assert!(
+        open(&mut usual) && crowd.iter_mut().all(|c| !open(c)),
+        "3 s are owed"
+    );
+    assert_eq!(
+        driver.take_in.clients.len(),
+        2,
+        "and the one that came late"
+    );
     drop(late);
 }
 
@@ -122,16 +184,31 @@
     use std::io::Write;
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let mut half = std::net::TcpStream::connect(address).unwrap();
     half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
-    while driver.take_in.clients.iter().all(|(_, c)| c.link.bytes().is_empty()) {
+    while driver
+        .take_in
+        .clients
+        .iter()
+        .all(|(_, c)| c.link.bytes().is_empty())
+    {
         driver.round(vec![Key::Listener, Key::Client(0)]);
     }
     driver.end();
     clock.set(clock.now() + LAST_WORK + 1.0);
     (0..3).for_each(|_| assert!(driver.round(Vec::new())));
-    assert_eq!(driver.take_in.clients.len(), 1, "it may still be asked whole");
+    assert_eq!(
+        driver.take_in.clients.len(),
+        1,
+        "it may still be asked whole"
+    );
     assert!(driver.again.is_empty() && driver.sleep() > 0.0);
 }
 
@@ -146,14 +223,21 @@
         clock.set(clock.now() + driver.sleep().max(1.0) + 5.0);
         assert!(clock.now() < START + 3_690.0, "SIGKILL may come at 3.7 s");
     }
-    assert!(clock.now() >= START + LAST_WORK, "clients may come for a moment more");
+    assert!(
+        clock.now() >= START + LAST_WORK,
+        "clients may come for a moment more"
+    );
 }
 
 #[test]
 fn a_transaction_that_nothing_answers_ends_with_its_time_by_what_may_have_run() {
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (notice, late) = outlived("silent", silent.local_addr().unwrap());
-    assert_eq!(notice, Some(Notice::Undeliverable), "it was out and may have run");
+    assert_eq!(
+        notice,
+        Some(Notice::Undeliverable),
+        "it was out and may have run"
+    );
     assert!(late < 100.0, "{late} ms after its time");
     // Nobody listens there: each task is proven never to have run, so the client may come again.
     let (notice, late) = outlived("closed", "127.77.0.1:9".parse().unwrap());
@@ -179,16 +263,27 @@
     // would deliver it.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("left", silent.local_addr().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let mut hand_in = |leaves: bool| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
-        let head = "POST /debit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\n";
-        client.write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).unwrap();
+        let head =
+            "POST /debit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\n";
+        client
+            .write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes())
+            .unwrap();
         let (now, mut handed) = (clock.now(), Vec::new());
         while handed.is_empty() {
             driver.take_in.accept(now, &mut driver.desk.counters);
             (0..9).for_each(|at| {
-                driver.take_in.ready(at, now, &mut handed, &mut driver.desk.counters);
+                driver
+                    .take_in
+                    .ready(at, now, &mut handed, &mut driver.desk.counters);
             });
         }
         let client = (!leaves).then_some(client);
@@ -198,7 +293,14 @@
             driver.take_in.clients[handed[0].client].link.flush();
         }
         let h = handed.pop().unwrap();
-        let event = driver.admit.admit(h, &mut driver.desk, &mut driver.take_in, &driver.table, false, now);
+        let event = driver.admit.admit(
+            h,
+            &mut driver.desk,
+            &mut driver.take_in,
+            &driver.table,
+            false,
+            now,
+        );
         drop(client);
         event
     };
@@ -209,7 +311,10 @@
         &std::env::temp_dir().join(format!("martenlatch-stages-left-{}", std::process::id())),
         9,
     );
-    assert!(past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"), "and in a next life too");
+    assert!(
+        past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"),
+        "and in a next life too"
+    );
 }
 
 #[test]
@@ -217,18 +322,36 @@
     use std::io::{Read, Write};
     // Clients of a destination that the table does not have yet are turned away together.
     let (mut driver, clock, _events) = resumed("apart", "127.77.0.1:9".parse().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
-    let mut crowd: Vec<_> = (0..12).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
-    crowd.iter_mut().for_each(|client| client.write_all(head.as_bytes()).unwrap());
+    let mut crowd: Vec<_> = (0..12)
+        .map(|_| std::net::TcpStream::connect(address).unwrap())
+        .collect();
+    crowd
+        .iter_mut()
+        .for_each(|client| client.write_all(head.as_bytes()).unwrap());
     while driver.desk.counters.turned_away < 12 {
-        driver.round([Key::Listener].into_iter().chain((0..20).map(Key::Client)).collect());
+        driver.round(
+            [Key::Listener]
+                .into_iter()
+                .chain((0..20).map(Key::Client))
+                .collect(),
+        );
     }
     let told = |client: &mut std::net::TcpStream| {
         let mut text = [0; 200];
         let count = client.read(&mut text).unwrap();
         let text = String::from_utf8_lossy(&text[..count]).into_owned();
-        text.split("Retry-After: ").nth(1).and_then(|t| t.lines().next()?.parse::<f64>().ok()).unwrap()
+        text.split("Retry-After: ")
+            .nth(1)
+            .and_then(|t| t.lines().next()?.parse::<f64>().ok())
+            .unwrap()
     };
     let mut told: Vec<f64> = crowd.iter_mut().map(told).collect();
     assert!(told.iter().all(|t| (1.0..=1.5).contains(t)), "{told:?}");
@@ -243,7 +366,10 @@
         driver.relay.failed(clock.now(), "silent");
         tries.push(driver.relay.next_try - clock.now());
     }
-    assert!(tries.iter().all(|t| (750.0..=1_250.0).contains(t)), "{tries:?}");
+    assert!(
+        tries.iter().all(|t| (750.0..=1_250.0).contains(t)),
+        "{tries:?}"
+    );
     tries.sort_by(f64::total_cmp);
     assert!(tries[11] - tries[0] > 200.0, "{tries:?}");
 }
@@ -252,18 +378,37 @@
 fn who_is_turned_away_over_half_a_request_is_deferred_where_its_class_could_be_read() {
     use std::io::Write;
     let (mut driver, clock, _events) = resumed("cut-off", "127.77.0.1:9".parse().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
-    let half =
-        [("POST /debit?x HTTP/1.1\r\nX-", 1), ("POST /deb", 1), ("POST /other HTTP", 1), ("GET /debit H", 2)];
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let half = [
+        ("POST /debit?x HTTP/1.1\r\nX-", 1),
+        ("POST /deb", 1),
+        ("POST /other HTTP", 1),
+        ("GET /debit H", 2),
+    ];
     for (text, deferred) in half {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(text.as_bytes()).unwrap();
-        while driver.take_in.clients.iter().all(|(_, c)| c.link.bytes().is_empty()) {
+        while driver
+            .take_in
+            .clients
+            .iter()
+            .all(|(_, c)| c.link.bytes().is_empty())
+        {
             driver.round(vec![Key::Listener, Key::Client(0)]);
         }
         driver.take_in.evict(clock.now(), false);
         driver.present();
-        assert_eq!(driver.desk.figures.of("debit").unwrap().deferred, deferred, "{text}");
+        assert_eq!(
+            driver.desk.figures.of("debit").unwrap().deferred,
+            deferred,
+            "{text}"
+        );
         assert!(driver.take_in.clients.is_empty());
     }
     assert_eq!(driver.desk.counters.turned_away, 2);
@@ -274,7 +419,13 @@
     use std::io::{Read, Write};
     // Guards the room of usual clients against one whose transactions are ended in the round that brings them.
     let (mut driver, clock, _events) = resumed("flood", "127.77.0.1:9".parse().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     // What it resumed has left.
     driver.round(vec![]);
     clock.set(START + 100.0);
@@ -283,7 +434,9 @@
         let mut client = std::net::TcpStream::connect(address).unwrap();
         let head = "POST /debit HTTP/1.1\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
         client
-            .write_all(format!("{head}X-Request-ID: f{id}\r\nX-Timeout: {seconds}\r\n\r\n").as_bytes())
+            .write_all(
+                format!("{head}X-Request-ID: f{id}\r\nX-Timeout: {seconds}\r\n\r\n").as_bytes(),
+            )
             .unwrap();
         client
     };
@@ -291,7 +444,9 @@
     clients.push(hand_in(12, 9.0));
     // All that they wrote is read in one round.
     while driver.take_in.clients.len() < 13 {
-        driver.take_in.accept(clock.now(), &mut driver.desk.counters);
+        driver
+            .take_in
+            .accept(clock.now(), &mut driver.desk.counters);
     }
     driver.round((0..20).map(Key::Client).collect());
     assert_eq!(
@@ -321,9 +476,15 @@
         assert!(driver.round(vec![Key::Watch, Key::Notices]));
         let (mut peer, _) = platform.accept().unwrap();
         let mut text = [0; 512];
-        peer.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+        peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
+            .unwrap();
         let count = peer.read(&mut text).expect("nothing was asked");
-        asked.insert(String::from_utf8_lossy(&text[..count]).split(' ').nth(1).map(str::to_string));
+        asked.insert(
+            String::from_utf8_lossy(&text[..count])
+                .split(' ')
+                .nth(1)
+                .map(str::to_string),
+        );
     }
     let asked: Vec<String> = asked.into_iter().flatten().collect();
     assert_eq!(asked, ["/reports", "/v1/servers?watch=1&from=0"]);
@@ -355,13 +516,16 @@
 fn a_kill_leaves_a_record_of_a_call_only_once_its_connection_is_up(#[case] up: bool) {
     // Guards an unsafe message: with a record from before its connection was up it ended with no call.
     let region = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    region.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    region
+        .bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into())
+        .unwrap();
     region.listen(if up { 9 } else { 0 }).unwrap();
     let address = region.local_addr().unwrap().as_socket().unwrap();
     // Where its queue is full, a further connection waits.
     let crowd: Vec<_> = (0..if up { 0 } else { 2 })
         .map(|_| {
-            let one = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+            let one =
+                socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
             one.set_nonblocking(true).unwrap();
             let _ = one.connect(&address.into());
             one
@@ -379,7 +543,8 @@
         driver.round(vec![Key::Region(0)]);
     }
     drop(driver);
-    let state = std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
+    let state =
+        std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
     let past = martenlatch_ledger::Look::into(&state).unwrap().past;
     let may_have_run = past.open[&3].tasks.iter().filter(|t| !t.never_ran).count();
     assert_eq!(may_have_run, usize::from(up));
@@ -408,7 +573,8 @@
             text.extend(peer.read(&mut some).map_or(&[][..], |n| &some[..n]));
         }
         // Its body is one byte.
-        let whole = |text: &[u8]| text.starts_with(b"POST /v1/messages") && text.ends_with(b"\r\n\r\nx");
+        let whole =
+            |text: &[u8]| text.starts_with(b"POST /v1/messages") && text.ends_with(b"\r\n\r\nx");
         call = peers.iter().position(|(_, text)| whole(text));
         call.is_some()
     });
@@ -426,7 +592,10 @@
     let mut peer = called(&mut driver, &clock, &region);
     peer.write_all(OK).unwrap();
     let (id, attempt) = (MessageId(3), 0);
-    driver.act(vec![Action::Fail { id }, Action::Cancel { id, attempt }], clock.now());
+    driver.act(
+        vec![Action::Fail { id }, Action::Cancel { id, attempt }],
+        clock.now(),
+    );
     assert_eq!(
         (driver.relay.queue.len(), driver.desk.open),
         (0, 0),
@@ -441,15 +610,37 @@
     let region = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("loser", region.local_addr().unwrap());
     let mut peer = called(&mut driver, &clock, &region);
-    let other = Taken { no: 4, id: Rc::from("b"), tasks: Vec::new(), ..driver.desk.held[&3].taken.clone() };
+    let other = Taken {
+        no: 4,
+        id: Rc::from("b"),
+        tasks: Vec::new(),
+        ..driver.desk.held[&3].taken.clone()
+    };
     driver.desk.insert(other, State::Open);
-    peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n").unwrap();
+    peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
     let (now, endpoint, timeout, latest) = (clock.now(), EndpointId(0), nanos(500.0), u64::MAX);
-    let off = Action::Cancel { id: MessageId(3), attempt: 0 };
-    driver.act(vec![Action::Send { id: MessageId(4), endpoint, timeout, latest }, off], now);
+    let off = Action::Cancel {
+        id: MessageId(3),
+        attempt: 0,
+    };
+    driver.act(
+        vec![
+            Action::Send {
+                id: MessageId(4),
+                endpoint,
+                timeout,
+                latest,
+            },
+            off,
+        ],
+        now,
+    );
     driver.round((0..9).map(Key::Region).collect());
     // It waits as the module has been told, and its connection has brought nothing.
-    assert!(driver.regions.tasks() == 0 && driver.desk.held[&4].taken.tasks.iter().all(|t| t.never_ran));
+    assert!(
+        driver.regions.tasks() == 0 && driver.desk.held[&4].taken.tasks.iter().all(|t| t.never_ran)
+    );
     drop(driver);
     region.set_nonblocking(true).unwrap();
     while let Ok((mut peer, _)) = region.accept() {
@@ -470,11 +661,21 @@
     driver.end();
     clock.set(clock.now() + LAST_CALL + 101.0);
     peer.write_all(OK).unwrap();
-    assert!(!driver.round(Vec::new()), "it goes, with no word that anything has come");
+    assert!(
+        !driver.round(Vec::new()),
+        "it goes, with no word that anything has come"
+    );
     assert_eq!(driver.desk.open, 0);
     drop(driver);
-    let state = std::env::temp_dir().join(format!("martenlatch-stages-exit-{}", std::process::id()));
-    assert!(martenlatch_ledger::Look::into(&state).unwrap().past.open.is_empty());
+    let state =
+        std::env::temp_dir().join(format!("martenlatch-stages-exit-{}", std::process::id()));
+    assert!(
+        martenlatch_ledger::Look::into(&state)
+            .unwrap()
+            .past
+            .open
+            .is_empty()
+    );
 }
 
 #[test]
@@ -482,27 +683,42 @@
     use std::io::{Read, Write};
     // Guards the answer: a close over bytes that arrive is a reset, which takes it along.
     let (mut driver, clock, _events) = resumed("rest", "127.77.0.1:9".parse().unwrap());
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let most = driver.take_in.most;
     let begin = |driver: &mut Driver, at: usize| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
         until(|| {
             driver.round(vec![Key::Listener, Key::Client(at)]);
-            driver.take_in.clients.get(at).is_some_and(|c| !c.link.bytes().is_empty())
+            driver
+                .take_in
+                .clients
+                .get(at)
+                .is_some_and(|c| !c.link.bytes().is_empty())
         });
         clock.set(clock.now() + 0.1);
         client
     };
     let mut crowd: Vec<_> = (0..most).map(|at| begin(&mut driver, at)).collect();
     let _late = begin(&mut driver, most);
-    assert!(driver.take_in.clients[0].closing, "the one at it the longest is turned away");
+    assert!(
+        driver.take_in.clients[0].closing,
+        "the one at it the longest is turned away"
+    );
     for part in ["quest-ID: a\r\n", "Content-Length: 0\r\n\r\n"] {
         crowd[0].write_all(part.as_bytes()).unwrap();
         driver.round(vec![Key::Client(0)]);
     }
     let mut answer = String::new();
-    crowd[0].set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+    crowd[0]
+        .set_read_timeout(Some(std::time::Duration::from_secs(20)))
+        .unwrap();
     crowd[0].read_to_string(&mut answer).expect("reset");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     // There is an end to it: however many come, few linger.
@@ -512,7 +728,11 @@
         crowd.push(client);
         let before = driver.desk.counters.clients;
         until(|| {
-            driver.round(std::iter::once(Key::Listener).chain((0..3 * most).map(Key::Client)).collect());
+            driver.round(
+                std::iter::once(Key::Listener)
+                    .chain((0..3 * most).map(Key::Client))
+                    .collect(),
+            );
             driver.desk.counters.clients > before
         });
         assert!(driver.take_in.clients.len() <= most + most / 8);
@@ -525,28 +745,48 @@
 #[case::of_no_length(Some(0.0), None)]
 #[case::where_none_may_be_given(None, None)]
 fn who_is_turned_away_is_advised_as_the_settings_allow(
-    #[case] advice: Option<Millis>, #[case] told: Option<(f64, f64)>,
+    #[case] advice: Option<Millis>,
+    #[case] told: Option<(f64, f64)>,
 ) {
     use std::io::{Read, Write};
-    let (mut driver, _clock, _events) =
-        resumed(&format!("advice-{advice:?}"), "127.77.0.1:9".parse().unwrap());
+    let (mut driver, _clock, _events) = resumed(
+        &format!("advice-{advice:?}"),
+        "127.77.0.1:9".parse().unwrap(),
+    );
     driver.take_in.advice = advice;
-    let address = driver.take_in.listener.as_ref().unwrap().local_addr().unwrap();
+    let address = driver
+        .take_in
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
     for _ in 0..8 {
         let before = driver.desk.counters.turned_away;
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(head.as_bytes()).unwrap();
         until(|| {
-            driver.round([Key::Listener].into_iter().chain((0..20).map(Key::Client)).collect());
+            driver.round(
+                [Key::Listener]
+                    .into_iter()
+                    .chain((0..20).map(Key::Client))
+                    .collect(),
+            );
             driver.desk.counters.turned_away > before
         });
         let mut text = [0; 200];
         let count = client.read(&mut text).unwrap();
         let text = String::from_utf8_lossy(&text[..count]).into_owned();
-        let said = text.split("Retry-After: ").nth(1).and_then(|t| t.lines().next()?.parse::<f64>().ok());
+        let said = text
+            .split("Retry-After: ")
+            .nth(1)
+            .and_then(|t| t.lines().next()?.parse::<f64>().ok());
         assert_eq!(said.is_some(), told.is_some(), "{text}");
-        assert!(said.is_none_or(|s| told.is_some_and(|(least, most)| s >= least && s <= most)), "{text}");
+        assert!(
+            said.is_none_or(|s| told.is_some_and(|(least, most)| s >= least && s <= most)),
+            "{text}"
+        );
     }
 }
 
@@ -563,10 +803,14 @@
         driver.round(keys());
         !driver.again.is_empty()
     });
-    assert!(driver.sleep() > 0.0, "there is more to read, and nothing to read it into");
+    assert!(
+        driver.sleep() > 0.0,
+        "there is more to read, and nothing to read it into"
+    );
     drop(lent);
     driver.round(keys());
-    peer.write_all(b"00 OK\r\nContent-Length: 0\r\n\r\n").unwrap();
+    peer.write_all(b"00 OK\r\nContent-Length: 0\r\n\r\n")
+        .unwrap();
     until(|| {
         driver.round(keys());
         driver.desk.open == 0
@@ -611,8 +855,10 @@
 fn a_request_that_comes_as_its_connection_is_to_end_is_answered(#[case] moment: &str) {
     use std::io::Write;
     // Guards the request whose last byte is there: nothing has told the loop of it yet.
-    let (mut driver, clock, _events) =
-        resumed(&format!("crossing-{moment}"), "127.77.0.1:9".parse().unwrap());
+    let (mut driver, clock, _events) = resumed(
+        &format!("crossing-{moment}"),
+        "127.77.0.1:9".parse().unwrap(),
+    );
     let mut client = resting(&mut driver);
     client.write_all(ASKS).unwrap();
     match moment {
@@ -643,13 +889,22 @@
         // The loop hears of it now, and the sender ends some time.
         driver.round(vec![Key::Client(0)]);
         driver.take_in.close(0);
-        client.write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+        client
+            .write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n")
+            .unwrap();
     }
     driver.round(vec![Key::Client(0)]);
     drop(driver);
     let text = all_read(&mut client).expect("reset");
-    assert!(text.starts_with("HTTP/1.1 202") || text.starts_with("HTTP/1.1 503"), "{moment}: {text:?}");
-    assert_eq!(text.contains("HTTP/1.1 503"), moment == "stopped" || moment == "gone", "{text}");
+    assert!(
+        text.starts_with("HTTP/1.1 202") || text.starts_with("HTTP/1.1 503"),
+        "{moment}: {text:?}"
+    );
+    assert_eq!(
+        text.contains("HTTP/1.1 503"),
+        moment == "stopped" || moment == "gone",
+        "{text}"
+    );
 }
 
 #[test]
@@ -664,10 +919,19 @@
         driver.round(vec![Key::Client(0)]);
         driver.desk.counters.taken == 1
     });
-    client.write_all(&String::from_utf8_lossy(ASKS).replace("ID: q", "ID: r").into_bytes()).unwrap();
+    client
+        .write_all(
+            &String::from_utf8_lossy(ASKS)
+                .replace("ID: q", "ID: r")
+                .into_bytes(),
+        )
+        .unwrap();
     (0..50).for_each(|_| _ = driver.round(vec![Key::Client(0)]));
     assert_eq!(driver.desk.counters.taken, 1);
     let text = all_read(&mut client).expect("reset");
-    assert!(text.starts_with("HTTP/1.1 202") && text.contains("Connection: close"), "{text}");
+    assert!(
+        text.starts_with("HTTP/1.1 202") && text.contains("Connection: close"),
+        "{text}"
+    );
     assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
 }
--- a/crates/sender/src/succession.rs
+++ b/crates/sender/src/succession.rs
@@ -39,7 +39,13 @@
 impl Serving {
     /// Holds the lock, and waits for a successor. Without a lock, or a socket, there can be none.
     pub fn open(lock: Option<Lock>, state: &Path, handle: &Handle) -> Serving {
-        let mut serving = Serving { handle: handle.clone(), lock, offer: None, asker: None, asked: None };
+        let mut serving = Serving {
+            handle: handle.clone(),
+            lock,
+            offer: None,
+            asker: None,
+            asked: None,
+        };
         if serving.lock.is_some() {
             let offer = meeting(state).and_then(|path| {
                 let offer = Rc::new(Offer::open(&path)?);
@@ -65,9 +71,9 @@
                     }
                     // One that says nothing makes room.
                     self.forget_asker();
-                    let watched = asker
-                        .watched()
-                        .and_then(|stream| martenlatch_http::register(&self.handle, stream, Key::Asker));
+                    let watched = asker.watched().and_then(|stream| {
+                        martenlatch_http::register(&self.handle, stream, Key::Asker)
+                    });
                     if let Ok(token) = watched {
                         self.asker = Some((asker, token));
                         self.hear();
@@ -84,7 +90,12 @@
     }
 
     fn hear(&mut self) {
-        match self.asker.as_mut().filter(|_| self.asked.is_none()).map(|(asker, _)| asker.hear()) {
+        match self
+            .asker
+            .as_mut()
+            .filter(|_| self.asked.is_none())
+            .map(|(asker, _)| asker.hear())
+        {
             Some(Heard::Whole(ask)) => self.asked = Some(ask),
             Some(Heard::Nonsense) => drop(self.forget_asker()),
             Some(Heard::Part) | None => {}
@@ -100,17 +111,24 @@
 
     /// Gives way to a process that has asked, between two rounds. True once that one serves.
     pub fn give_way(&mut self, driver: &mut Driver) -> bool {
-        let Some(ask) = self.asked.clone() else { return false };
+        let Some(ask) = self.asked.clone() else {
+            return false;
+        };
         let reason = match driver.bound() {
-            _ if ask.version != VERSION => {
-                Some(format!("version {VERSION} is spoken here, not {}", ask.version))
+            _ if ask.version != VERSION => Some(format!(
+                "version {VERSION} is spoken here, not {}",
+                ask.version
+            )),
+            _ if ask.listen != driver.listens() => {
+                Some(format!("clients connect to {}", driver.listens()))
             }
-            _ if ask.listen != driver.listens() => Some(format!("clients connect to {}", driver.listens())),
             Some(bound) => Some(bound.to_string()),
             None if !driver.quiet() => return false,
             None => driver.lighten().err(),
         };
-        let Some(asker) = self.forget_asker() else { return false };
+        let Some(asker) = self.forget_asker() else {
+            return false;
+        };
         if let Some(reason) = reason {
             warn!(reason, "replacement refused");
             asker.refuse(&reason);
@@ -125,12 +143,21 @@
                 return false;
             }
         };
-        let fds: Vec<_> = std::iter::once(std::os::fd::AsFd::as_fd(lock)).chain(passed).collect();
+        let fds: Vec<_> = std::iter::once(std::os::fd::AsFd::as_fd(lock))
+            .chain(passed)
+            .collect();
         let (clock, (clients, calls, held)) = (driver.clock(), driver.load());
         let until = clock.now() + CUT;
         match asker.give(&bytes, &fds, &|| until - clock.now()) {
             Given::Taken => {
-                info!(clients, calls, held, descriptors = fds.len(), bytes = bytes.len(), "gave way");
+                info!(
+                    clients,
+                    calls,
+                    held,
+                    descriptors = fds.len(),
+                    bytes = bytes.len(),
+                    "gave way"
+                );
                 true
             }
             Given::Kept(reason) => {
@@ -161,7 +188,10 @@
 
 impl Drop for Waiting {
     fn drop(&mut self) {
-        self.asking.take().into_iter().for_each(|(_, token)| self.handle.remove(token));
+        self.asking
+            .take()
+            .into_iter()
+            .for_each(|(_, token)| self.handle.remove(token));
     }
 }
 
@@ -183,12 +213,22 @@
     pub fn open(config: &Config, handle: &Handle) -> Result<Waiting, String> {
         let turn = Lock::take(&config.state, "successor");
         if matches!(turn, Ok(None)) {
-            return Err("PROXY_STATE: a process serves from there, and another one is replacing it".into());
+            return Err(
+                "PROXY_STATE: a process serves from there, and another one is replacing it".into(),
+            );
         }
         let (state, listen) = (config.state.clone(), config.listen);
         let (asking, turn) = (None, turn.ok().flatten());
         info!("waiting for the process that serves");
-        Ok(Waiting { handle: handle.clone(), state, listen, _turn: turn, asking, next_ask: 0.0, alone: true })
+        Ok(Waiting {
+            handle: handle.clone(),
+            state,
+            listen,
+            _turn: turn,
+            asking,
+            next_ask: 0.0,
+            alone: true,
+        })
     }
 
     /// Asks, and looks whether the lock is free.
@@ -199,9 +239,13 @@
         if self.asking.is_none() && now >= self.next_ask {
             self.next_ask = now + ASK_AGAIN;
             let asking = meeting(&self.state).and_then(|path| {
-                let ask = Ask { version: VERSION, listen: self.listen };
+                let ask = Ask {
+                    version: VERSION,
+                    listen: self.listen,
+                };
                 let asking = martenlatch_handover::ask(&path, &ask)?;
-                let token = martenlatch_http::register(&self.handle, asking.watched()?, Key::Predecessor)?;
+                let token =
+                    martenlatch_http::register(&self.handle, asking.watched()?, Key::Predecessor)?;
                 Ok((asking, token))
             });
             match asking {
@@ -216,7 +260,9 @@
 
     /// The process that serves has something to say. What it gives must be built upon, and then taken.
     pub fn ready(&mut self, clock: &Clock) -> Look {
-        let Some((asking, token)) = self.asking.take() else { return Look::Nothing };
+        let Some((asking, token)) = self.asking.take() else {
+            return Look::Nothing;
+        };
         self.handle.remove(token);
         let until = clock.now() + RECEIVE;
         match asking.receive(&|| until - clock.now()) {
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -162,13 +162,24 @@
     pub fn carried(&self) -> Carried {
         let rows = self.rows.iter().map(|(e, row)| (*e, row.clone())).collect();
         let (rev, destinations, told) = (self.rev, self.destinations.clone(), self.told);
-        Carried { rev, destinations, told, rows, next: self.next, gone: self.gone.clone() }
+        Carried {
+            rev,
+            destinations,
+            told,
+            rows,
+            next: self.next,
+            gone: self.gone.clone(),
+        }
     }
 
     /// Goes on with what an earlier process has passed; the watch is opened anew, from its version.
     pub fn carry_on(&mut self, passed: Carried) {
         (self.rev, self.destinations, self.told) = (passed.rev, passed.destinations, passed.told);
-        self.numbers = passed.rows.iter().map(|(e, row)| (row.name.clone(), *e)).collect();
+        self.numbers = passed
+            .rows
+            .iter()
+            .map(|(e, row)| (row.name.clone(), *e))
+            .collect();
         self.rows = passed.rows.into_iter().collect();
         self.next = passed.next;
         passed.gone.into_iter().for_each(|name| self.forget(name));
@@ -190,15 +201,22 @@
                 Err(field) => {
                     warn!(field, "table entry skipped");
                     unread |= !matches!(field, "az" | "model" | TOO_MANY);
-                    let known =
-                        target.get("uid").and_then(Value::as_str).and_then(|uid| self.numbers.get(uid));
+                    let known = target
+                        .get("uid")
+                        .and_then(Value::as_str)
+                        .and_then(|uid| self.numbers.get(uid));
                     stand.extend(known);
                 }
             }
         }
         if whole {
             // What a whole list does not name is gone: these are named.
-            entries.extend(stand.iter().filter_map(|e| self.rows.get(e)).map(|row| self.told(row)));
+            entries.extend(
+                stand
+                    .iter()
+                    .filter_map(|e| self.rows.get(e))
+                    .map(|row| self.told(row)),
+            );
         }
         match json.get("rev").and_then(Value::as_u64) {
             Some(rev) if !unread => self.rev = rev,
@@ -207,12 +225,21 @@
         self.unread |= unread;
         // Guards memory: regions are replaced by ones with new names all day long, and none that has gone returns.
         let mut gone: Vec<EndpointId> = Vec::new();
-        gone.extend(entries.iter().filter(|e| e.stage == Stage::Gone).map(|e| e.endpoint));
+        gone.extend(
+            entries
+                .iter()
+                .filter(|e| e.stage == Stage::Gone)
+                .map(|e| e.endpoint),
+        );
         if whole {
             let listed: BTreeSet<EndpointId> = entries.iter().map(|e| e.endpoint).collect();
             gone.extend(self.rows.keys().filter(|e| !listed.contains(e)));
         }
-        for row in gone.iter().filter_map(|e| self.rows.remove(e)).collect::<Vec<_>>() {
+        for row in gone
+            .iter()
+            .filter_map(|e| self.rows.remove(e))
+            .collect::<Vec<_>>()
+        {
             self.numbers.remove(&row.name);
             self.forget(row.name);
         }
@@ -234,7 +261,14 @@
     /// What the module hears of a region: the stricter of discovery's word and the operators'.
     fn told(&self, row: &Row) -> Entry {
         let out = row.entry.stage == Stage::On && self.hand.holds(&row.name);
-        Entry { stage: if out { Stage::Draining } else { row.entry.stage }, ..row.entry.clone() }
+        Entry {
+            stage: if out {
+                Stage::Draining
+            } else {
+                row.entry.stage
+            },
+            ..row.entry.clone()
+        }
     }
 
     /// An operator takes a region out, or puts it back: what the module is to hear of it, if it is listed.
@@ -244,7 +278,11 @@
     pub fn by_hand(&mut self, name: &str, out: bool) -> Result<Option<Change>, String> {
         let listed = self.numbers.get(name).copied();
         if listed.is_none() && !self.gone_names.contains(name) && !self.hand.holds(name) {
-            let shown: String = name.chars().take(80).flat_map(char::escape_default).collect();
+            let shown: String = name
+                .chars()
+                .take(80)
+                .flat_map(char::escape_default)
+                .collect();
             return Err(format!("{shown} was never listed"));
         }
         if name.len() > hand::NAME {
@@ -253,12 +291,17 @@
         if !self.hand.put(&Rc::from(name), out)? {
             return Ok(None);
         }
-        Ok(listed.map(|e| Change { whole: false, entries: vec![self.told(&self.rows[&e])] }))
+        Ok(listed.map(|e| Change {
+            whole: false,
+            entries: vec![self.told(&self.rows[&e])],
+        }))
     }
 
     /// Whether operators have taken a region out, for each region that is listed.
     pub fn listed(&self) -> impl Iterator<Item = (EndpointId, bool)> {
-        self.rows.iter().map(|(e, row)| (*e, self.hand.holds(&row.name)))
+        self.rows
+            .iter()
+            .map(|(e, row)| (*e, self.hand.holds(&row.name)))
     }
 
     /// Where a region is now; none where it is not listed.
@@ -280,7 +323,8 @@
             "terminated" => Stage::Gone,
             _ => return Err("state"),
         };
-        let address = text("endpoint").and_then(|a| a.parse::<SocketAddr>().map_err(|_| "endpoint"));
+        let address =
+            text("endpoint").and_then(|a| a.parse::<SocketAddr>().map_err(|_| "endpoint"));
         let known = self.numbers.get(uid).copied();
         if stage == Stage::Gone && known.is_none() {
             return Ok(None);
@@ -297,9 +341,16 @@
         };
         let zone = ZoneId(place(&self.zones, "az")?);
         let kind = KindId(place(&self.kinds, "model")?);
-        let destination = DestinationId(json.get("pod_group").and_then(Value::as_u64).ok_or("pod_group")?);
+        let destination = DestinationId(
+            json.get("pod_group")
+                .and_then(Value::as_u64)
+                .ok_or("pod_group")?,
+        );
         self.destinations.insert(destination.0);
-        let weight = json.get("capacity_hint").and_then(Value::as_f64).unwrap_or(0.0);
+        let weight = json
+            .get("capacity_hint")
+            .and_then(Value::as_f64)
+            .unwrap_or(0.0);
         let endpoint = match known {
             Some(known) => known,
             None if self.rows.len() >= REGIONS => return Err(TOO_MANY),
@@ -310,8 +361,19 @@
                 fresh
             }
         };
-        let entry = Entry { endpoint, zone, kind, destination, stage, weight };
-        let row = Row { name: Rc::from(uid), address, entry };
+        let entry = Entry {
+            endpoint,
+            zone,
+            kind,
+            destination,
+            stage,
+            weight,
+        };
+        let row = Row {
+            name: Rc::from(uid),
+            address,
+            entry,
+        };
         let told = self.told(&row);
         self.rows.insert(endpoint, row);
         Ok(Some(told))
@@ -321,16 +383,27 @@
         if self.watch.take().is_some() {
             warn!(reason, rev = self.rev, "watch lost");
         }
-        let (herd, longest) =
-            if self.asked { ((self.senders / HERD).max(1.0), LONGEST) } else { (1.0, AGENT) };
-        let longest = if self.backoff > BACKOFF.0 { longest } else { longest / 2.0 };
+        let (herd, longest) = if self.asked {
+            ((self.senders / HERD).max(1.0), LONGEST)
+        } else {
+            (1.0, AGENT)
+        };
+        let longest = if self.backoff > BACKOFF.0 {
+            longest
+        } else {
+            longest / 2.0
+        };
         self.next_try = now + self.spread.around((self.backoff * herd).min(longest));
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
     }
 
     /// A list is known: the first watch need not be opened with those of all other senders, where it costs discovery.
     pub fn calm(&mut self, now: Millis) {
-        let over = if self.asked { (FIRST * self.senders).min(LONGEST / 2.0) } else { 0.0 };
+        let over = if self.asked {
+            (FIRST * self.senders).min(LONGEST / 2.0)
+        } else {
+            0.0
+        };
         self.next_try = now + self.spread.up_to(over);
     }
 
@@ -356,7 +429,11 @@
 
     /// Opens the watch when it is due, from the version that we have.
     pub fn tend(&mut self, now: Millis, handle: &Handle, pool: &Pool) {
-        if self.watch.as_ref().is_some_and(|w| now > self.heard + self.patience(w)) {
+        if self
+            .watch
+            .as_ref()
+            .is_some_and(|w| now > self.heard + self.patience(w))
+        {
             self.drop_watch(now, "silent");
         }
         if self.watch.is_some() || now < self.next_try {
@@ -366,10 +443,16 @@
         match Link::connect(self.discovery, handle, pool, Key::Watch) {
             Ok(mut link) => {
                 let (host, from) = (self.discovery, self.rev);
-                let ask = format!("GET /v1/servers?watch=1&from={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
+                let ask =
+                    format!("GET /v1/servers?watch=1&from={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
                 link.queue(ask.as_bytes());
                 link.flush();
-                self.watch = Some(Watch { link, body: None, line: Vec::new(), nest: Nest::default() });
+                self.watch = Some(Watch {
+                    link,
+                    body: None,
+                    line: Vec::new(),
+                    nest: Nest::default(),
+                });
             }
             Err(e) => {
                 warn!(error = ?e.kind(), "watch not opened");
@@ -380,12 +463,18 @@
 
     /// How long a watch may say nothing. Asking costs where lists are asked for: there each is waited for as long.
     fn patience(&self, watch: &Watch) -> Millis {
-        if watch.body.is_none() && !self.asked { FIRST_WORD } else { SILENT }
+        if watch.body.is_none() && !self.asked {
+            FIRST_WORD
+        } else {
+            SILENT
+        }
     }
 
     /// When [`Table::tend`] has something to do.
     pub fn due(&self) -> Millis {
-        self.watch.as_ref().map_or(self.next_try, |w| self.heard + self.patience(w) + 1.0)
+        self.watch
+            .as_ref()
+            .map_or(self.next_try, |w| self.heard + self.patience(w) + 1.0)
     }
 
     /// Takes the objects of a watch, up to one that cannot be read: what stands behind it would move the version past it.
@@ -406,7 +495,9 @@
 
     /// Reads what the watch has brought. The flag says that there may be more to read.
     pub fn ready(&mut self, now: Millis) -> (Vec<Change>, bool) {
-        let Some(mut watch) = self.watch.take() else { return (Vec::new(), false) };
+        let Some(mut watch) = self.watch.take() else {
+            return (Vec::new(), false);
+        };
         watch.link.flush();
         let more = watch.link.fill();
         let mut lines = Vec::new();
@@ -458,7 +549,9 @@
                 }
             }
         };
-        let Some((used, over)) = body.feed(self.link.bytes(), &mut take) else { return Some("malformed") };
+        let Some((used, over)) = body.feed(self.link.bytes(), &mut take) else {
+            return Some("malformed");
+        };
         self.link.used(used);
         // Guards against a line without end, which would grow without bound.
         if self.line.len() > LINE {
@@ -481,28 +574,54 @@
     fn regions_that_have_gone_are_forgotten_and_their_numbers_are_not_used_again() {
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
-        let boot = Boot { settings: Settings::default(), zones, kinds, classes, asked: false };
-        let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot, nobody(), Spread::new(1));
+        let boot = Boot {
+            settings: Settings::default(),
+            zones,
+            kinds,
+            classes,
+            asked: false,
+        };
+        let mut table = Table::new(
+            "127.0.0.1:9".parse().unwrap(),
+            &boot,
+            nobody(),
+            Spread::new(1),
+        );
         let mut line = |all: bool, uid: usize, state: &str| {
             let target = serde_json::json!({"uid": format!("s-{uid}"), "endpoint": "127.0.0.1:9", "az": "x",
                 "model": "x", "pod_group": 7, "state": state});
-            let change = table.line(&serde_json::json!({"rev": uid, "all": all, "targets": [target]}));
-            (change.unwrap().entries, table.numbers.len() + table.rows.len())
+            let change =
+                table.line(&serde_json::json!({"rev": uid, "all": all, "targets": [target]}));
+            (
+                change.unwrap().entries,
+                table.numbers.len() + table.rows.len(),
+            )
         };
         for uid in 0..50 {
-            assert_eq!(line(false, uid, "in_service").0[0].endpoint, EndpointId(uid as u32));
+            assert_eq!(
+                line(false, uid, "in_service").0[0].endpoint,
+                EndpointId(uid as u32)
+            );
             assert_eq!(line(false, uid, "terminated").1, 0, "its number was {uid}");
         }
-        assert!(line(false, 1, "terminated").0.is_empty(), "one that is not known any more tells nothing");
+        assert!(
+            line(false, 1, "terminated").0.is_empty(),
+            "one that is not known any more tells nothing"
+        );
         line(false, 60, "terminating");
-        assert_eq!(line(true, 61, "in_service").1, 2, "a whole list says what is left");
+        assert_eq!(
+            line(true, 61, "in_service").1,
+            2,
+            "a whole list says what is left"
+        );
     }
 
     #[rstest::rstest]
     #[case::pushed_by_an_agent(false, 3)]
     #[case::asked_for_where_each_costs(true, 1)]
     fn watches_that_fall_silent_are_opened_again_before_their_news_count_as_told(
-        #[case] asked: bool, #[case] more: usize,
+        #[case] asked: bool,
+        #[case] more: usize,
     ) {
         use std::io::Write;
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -510,12 +629,25 @@
         let (handle, pool) = (events.handle(), Pool::new(8));
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
-        let boot = Boot { settings: Settings::default(), zones, kinds, classes, asked };
-        let mut table = Table::new(listener.local_addr().unwrap(), &boot, nobody(), Spread::new(1));
+        let boot = Boot {
+            settings: Settings::default(),
+            zones,
+            kinds,
+            classes,
+            asked,
+        };
+        let mut table = Table::new(
+            listener.local_addr().unwrap(),
+            &boot,
+            nobody(),
+            Spread::new(1),
+        );
         table.tend(1_000.0, &handle, &pool);
         let (mut first, _) = listener.accept().unwrap();
         // It begins to speak, and then falls silent: the empty line of every 2 s is waited for.
-        first.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n").unwrap();
+        first
+            .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+            .unwrap();
         assert!((0..200_000).any(|_| {
             table.ready(1_000.0);
             table.told
@@ -549,7 +681,12 @@
         };
         let again = |seed: u64| {
             let (handle, pool) = (events.handle(), Pool::new(8));
-            let mut table = Table::new(listener.local_addr().unwrap(), &boot, nobody(), Spread::new(seed));
+            let mut table = Table::new(
+                listener.local_addr().unwrap(),
+                &boot,
+                nobody(),
+                Spread::new(seed),
+            );
             table.backoff = BACKOFF.1;
             table.tend(1_000.0, &handle, &pool);
             let lost = table.due();
@@ -560,14 +697,26 @@
         tries.sort_by(f64::total_cmp);
         println!("opened again after, ms: {tries:.0?}");
         assert!(tries[0] >= BACKOFF.1 * 0.75 && tries[11] <= BACKOFF.1 * 1.25);
-        assert!(tries.windows(4).all(|few| few[3] - few[0] > 20.0), "four within 20 ms: {tries:?}");
+        assert!(
+            tries.windows(4).all(|few| few[3] - few[0] > 20.0),
+            "four within 20 ms: {tries:?}"
+        );
     }
 
     /// When each of a fleet's senders opens its watches, in a minute in which all are refused.
     fn tries(senders: u32, asked: bool) -> Vec<Vec<Millis>> {
         let names = || vec!["x".to_string()];
-        let settings = Settings { senders, ..Settings::default() };
-        let boot = Boot { settings, zones: names(), kinds: names(), classes: names(), asked };
+        let settings = Settings {
+            senders,
+            ..Settings::default()
+        };
+        let boot = Boot {
+            settings,
+            zones: names(),
+            kinds: names(),
+            classes: names(),
+            asked,
+        };
         let one = |seed: u32| {
             let spread = Spread::new(seed.into());
             let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot, nobody(), spread);
@@ -597,8 +746,14 @@
             let mut all = tries(senders, true).concat();
             all.sort_by(f64::total_cmp);
             let most = senders as usize / 2;
-            let crowded = all.windows(most).filter(|w| w[most - 1] - w[0] < 500.0).count();
-            assert!(crowded == 0, "{crowded} times half of {senders} within half a second");
+            let crowded = all
+                .windows(most)
+                .filter(|w| w[most - 1] - w[0] < 500.0)
+                .count();
+            assert!(
+                crowded == 0,
+                "{crowded} times half of {senders} within half a second"
+            );
         }
     }
 
@@ -611,12 +766,19 @@
         for tries in tries(senders, true) {
             let pauses = tries.windows(2).map(|w| w[1] - w[0]);
             let longest = pauses.fold(tries[0], f64::max);
-            assert!(longest < 6_500.0, "{longest:.0} ms between two watches of one of {senders}");
+            assert!(
+                longest < 6_500.0,
+                "{longest:.0} ms between two watches of one of {senders}"
+            );
         }
         // What is pushed counts as told once the agent beside us has it.
         for tries in tries(senders, false) {
             let longest = tries.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max);
-            assert!(tries[0] == 0.0 && longest <= 500.0, "{:.0} ms, then {longest:.0} ms", tries[0]);
+            assert!(
+                tries[0] == 0.0 && longest <= 500.0,
+                "{:.0} ms, then {longest:.0} ms",
+                tries[0]
+            );
         }
     }
 
@@ -628,8 +790,19 @@
         let (handle, pool) = (events.handle(), Pool::new(8));
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
-        let boot = Boot { settings: Settings::default(), zones, kinds, classes, asked: false };
-        let mut table = Table::new(listener.local_addr().unwrap(), &boot, nobody(), Spread::new(1));
+        let boot = Boot {
+            settings: Settings::default(),
+            zones,
+            kinds,
+            classes,
+            asked: false,
+        };
+        let mut table = Table::new(
+            listener.local_addr().unwrap(),
+            &boot,
+            nobody(),
+            Spread::new(1),
+        );
         let first = serde_json::json!({"rev": 5, "all": true, "targets": [
             {"uid": "a", "endpoint": "127.0.0.1:9", "az": "x", "model": "x", "pod_group": 7, "state": "in_service"}]});
         table.line(&first).unwrap();
@@ -639,7 +812,8 @@
             table.ready(0.0);
         }
         assert!(peer.read(&mut [0; 512]).unwrap() > 0);
-        peer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").unwrap();
+        peer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            .unwrap();
         write!(peer, "{:x}\r\n{text}\r\n", text.len()).unwrap();
         // Its end comes behind what it has told.
         peer.write_all(b"0\r\n\r\n").unwrap();
@@ -673,7 +847,10 @@
         DRAIN.replace("false", "true").replace("127.0.0.1:9", "odd").replace("terminating", "in_service") + "\n",
         &[(true, 1)], 5, false)]
     fn what_cannot_be_read_of_a_list_is_asked_for_again_and_takes_nothing_away(
-        #[case] text: String, #[case] changes: &[(bool, usize)], #[case] rev: u64, #[case] goes_on: bool,
+        #[case] text: String,
+        #[case] changes: &[(bool, usize)],
+        #[case] rev: u64,
+        #[case] goes_on: bool,
     ) {
         // Guards a drain that the version would move past, and a region that would count as gone.
         let (heard, version, on) = told(&text);
--- a/crates/sender/src/whole.rs
+++ b/crates/sender/src/whole.rs
@@ -9,7 +9,9 @@
 /// Where they cannot be written; what was there before stands.
 pub fn replace(file: &Path, bytes: &[u8]) -> std::io::Result<()> {
     let fresh = file.with_extension("new");
-    std::fs::write(&fresh, bytes).and_then(|()| std::fs::rename(&fresh, file)).inspect_err(|_| {
-        let _ = std::fs::remove_file(&fresh);
-    })
+    std::fs::write(&fresh, bytes)
+        .and_then(|()| std::fs::rename(&fresh, file))
+        .inspect_err(|_| {
+            let _ = std::fs::remove_file(&fresh);
+        })
 }
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -1,7 +1,9 @@
 //! Reads the settings object, which the adapter finds on its wire and the sender in its configuration: one reader
 //! for both. It owns the names of the settings and must never decide, open a file or look at a clock.
 
-use martenlatch_policy::interface::{Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId};
+use martenlatch_policy::interface::{
+    Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId,
+};
 use serde_json::Value;
 
 /// Settings, with the names that the wire uses for places in their lists.
@@ -24,31 +26,51 @@
 
 impl<'a> Node<'a> {
     fn get(&self, key: &str) -> Result<&'a Value, String> {
-        self.0.get(key).ok_or_else(|| format!("setting {}{key} is missing", self.1))
+        self.0
+            .get(key)
+            .ok_or_else(|| format!("setting {}{key} is missing", self.1))
     }
     fn wrong<T>(&self, key: &str, want: &str) -> Result<T, String> {
         Err(format!("setting {}{key} should be {want}", self.1))
     }
     fn object(&self, key: &'a str, path: &'a str) -> Result<Node<'a>, String> {
         let value = self.get(key)?;
-        if value.is_object() { Ok(Node(value, path)) } else { self.wrong(key, "an object") }
+        if value.is_object() {
+            Ok(Node(value, path))
+        } else {
+            self.wrong(key, "an object")
+        }
     }
     fn int(&self, key: &str) -> Result<u64, String> {
-        self.get(key)?.as_u64().map_or_else(|| self.wrong(key, "a whole number, not negative"), Ok)
+        self.get(key)?
+            .as_u64()
+            .map_or_else(|| self.wrong(key, "a whole number, not negative"), Ok)
     }
     fn int_or(&self, key: &str, absent: u64) -> Result<u64, String> {
-        if self.0.get(key).is_some() { self.int(key) } else { Ok(absent) }
+        if self.0.get(key).is_some() {
+            self.int(key)
+        } else {
+            Ok(absent)
+        }
     }
     fn num(&self, key: &str) -> Result<f64, String> {
-        self.get(key)?.as_f64().map_or_else(|| self.wrong(key, "a number"), Ok)
+        self.get(key)?
+            .as_f64()
+            .map_or_else(|| self.wrong(key, "a number"), Ok)
     }
     fn num_or(&self, key: &str, absent: f64) -> Result<f64, String> {
-        if self.0.get(key).is_some() { self.num(key) } else { Ok(absent) }
+        if self.0.get(key).is_some() {
+            self.num(key)
+        } else {
+            Ok(absent)
+        }
     }
     fn flag(&self, key: &str) -> Result<bool, String> {
         match self.0.get(key) {
             None => Ok(false),
-            Some(value) => value.as_bool().map_or_else(|| self.wrong(key, "true or false"), Ok),
+            Some(value) => value
+                .as_bool()
+                .map_or_else(|| self.wrong(key, "true or false"), Ok),
         }
     }
     fn text_or(&self, key: &str, absent: &'a str) -> Result<&'a str, String> {
@@ -75,7 +97,8 @@
 
 /// Reads the settings; keys that are not known are skipped.
 pub fn read(text: &str) -> Result<Boot, String> {
-    let json: Value = serde_json::from_str(text).map_err(|e| format!("the settings are not JSON: {e}"))?;
+    let json: Value =
+        serde_json::from_str(text).map_err(|e| format!("the settings are not JSON: {e}"))?;
     let root = Node(&json, "");
     let family = root.object("FamilyInfo", "FamilyInfo.")?;
     let limits = root.object("Limits", "Limits.")?;
@@ -84,7 +107,8 @@
     let kinds = root.names("Kinds")?;
     let zone_name = root.text_or("Zone", "")?;
     let zone = zones.iter().position(|z| z == zone_name);
-    let zone = zone.ok_or_else(|| format!("setting Zone names {zone_name:?}, which Areas does not list"))?;
+    let zone =
+        zone.ok_or_else(|| format!("setting Zone names {zone_name:?}, which Areas does not list"))?;
     let (mut classes, mut class_names) = (Vec::new(), Vec::new());
     for value in root.list("Categories")? {
         let node = Node(value, "Categories[].");
@@ -92,12 +116,18 @@
         classes.push(class(&node)?);
     }
     let (apart, toll) = (family.list("OwnLimits")?, family.list("Toll")?);
-    let kind = |i: usize| Kind { apart: apart.get(i).and_then(Value::as_bool).unwrap_or(false) };
-    let deductions = root.object("Deductions", "Deductions.").unwrap_or(Node(&Value::Null, "Deductions."));
+    let kind = |i: usize| Kind {
+        apart: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
+    };
+    let deductions = root
+        .object("Deductions", "Deductions.")
+        .unwrap_or(Node(&Value::Null, "Deductions."));
     let settings = Settings {
         senders: root.int("Balancers")?.min(u32::MAX.into()) as u32,
         zone: ZoneId(zone),
-        zones: (0..zones.len()).map(|i| toll.get(i).and_then(Value::as_f64).unwrap_or(0.0)).collect(),
+        zones: (0..zones.len())
+            .map(|i| toll.get(i).and_then(Value::as_f64).unwrap_or(0.0))
+            .collect(),
         kinds: (0..kinds.len()).map(kind).collect(),
         classes,
         decay: match family.text_or("LosesWorth", "linear")? {
@@ -114,7 +144,9 @@
         max_attempts: limits.int("AttemptsCap")?.min(u32::MAX.into()) as u32,
         cancel: limits.flag("Cancel")?,
         second_copies: limits.flag("SecondCopies")?,
-        max_advice: limits.flag("RetryAfter")?.then_some(limits.int_or("MaxRetryAfter", 0)?),
+        max_advice: limits
+            .flag("RetryAfter")?
+            .then_some(limits.int_or("MaxRetryAfter", 0)?),
         fail_back: FailBack {
             factor: rules.num("OverloadFactor")?,
             span: rules.int("OverloadFor")?,
@@ -130,7 +162,13 @@
     };
     settings.check().map_err(|e| e.to_string())?;
     let asked = root.text_or("RegistryMode", "push")? == "ask";
-    Ok(Boot { settings, zones, kinds, classes: class_names, asked })
+    Ok(Boot {
+        settings,
+        zones,
+        kinds,
+        classes: class_names,
+        asked,
+    })
 }
 
 fn class(node: &Node) -> Result<Class, String> {
@@ -142,7 +180,10 @@
         "side_effect" => Effect::Unsafe,
         "token" => {
             let by_zone = node.text_or("KeyScope", "all")? != "all";
-            Effect::Keyed { by_zone, memory: node.int("MemorySpan")? }
+            Effect::Keyed {
+                by_zone,
+                memory: node.int("MemorySpan")?,
+            }
         }
         _ => return node.wrong("Effect", "pure, token or side_effect"),
     };
--- a/crates/settings/src/program.rs
+++ b/crates/settings/src/program.rs
@@ -58,15 +58,27 @@
         parsed.ok_or_else(|| read.fault(field, format!("{text:?} is not an address with a port")))
     };
     let number = |field: &str, told: Option<f64>, absent: f64, least: f64, most: f64| {
-        read.within(&format!("peers.{field}"), told.unwrap_or(absent), least, most)
+        read.within(
+            &format!("peers.{field}"),
+            told.unwrap_or(absent),
+            least,
+            most,
+        )
     };
     if it.secret_file.is_empty() {
-        return Err(read.fault("peers.secret_file", "a file is wanted that all members share"));
+        return Err(read.fault(
+            "peers.secret_file",
+            "a file is wanted that all members share",
+        ));
     }
     if it.seed.len() > SEEDS {
         return Err(read.fault("peers.seed", format!("more than {SEEDS}")));
     }
-    let seeds = it.seed.iter().enumerate().map(|(i, s)| address(&format!("peers.seed[{i}]"), s));
+    let seeds = it
+        .seed
+        .iter()
+        .enumerate()
+        .map(|(i, s)| address(&format!("peers.seed[{i}]"), s));
     Ok(Peers {
         listen: address("peers.listen", &it.listen)?,
         seeds: seeds.collect::<Result<_, _>>()?,
@@ -94,8 +106,15 @@
 impl Default for Program {
     fn default() -> Program {
         Program {
-            log: Log { json: false, level: log::Level::Info, lines_per_second: 100 },
-            clients: Clients { request_ms: 2_400.0, idle_ms: 6_000.0 },
+            log: Log {
+                json: false,
+                level: log::Level::Info,
+                lines_per_second: 100,
+            },
+            clients: Clients {
+                request_ms: 2_400.0,
+                idle_ms: 6_000.0,
+            },
             peers: None,
         }
     }
@@ -127,7 +146,12 @@
             program.clients.idle_ms = read.within("clients.idle_ms", ms, 500.0, 3_600_000.0)?;
         }
     }
-    program.peers = read.message.peers.as_ref().map(|it| peers(&read, it)).transpose()?;
+    program.peers = read
+        .message
+        .peers
+        .as_ref()
+        .map(|it| peers(&read, it))
+        .transpose()?;
     Ok(program)
 }
 
@@ -138,16 +162,34 @@
     #[test]
     fn peers_are_off_unless_they_are_named_and_checked_whole() {
         let some = |more: &str| {
-            read("f", &format!("peers {{\n listen: \"127.0.0.1:7300\"\n secret_file: \"s\"\n {more}\n}}"))
+            read(
+                "f",
+                &format!("peers {{\n listen: \"127.0.0.1:7300\"\n secret_file: \"s\"\n {more}\n}}"),
+            )
         };
-        let peers = some("seed: \"127.0.0.1:7301\" learn_ms: 200").unwrap().peers.unwrap();
-        assert_eq!((peers.seeds.len(), peers.learn_ms, peers.half_life_ms), (1, 200.0, 20_000.0));
+        let peers = some("seed: \"127.0.0.1:7301\" learn_ms: 200")
+            .unwrap()
+            .peers
+            .unwrap();
+        assert_eq!(
+            (peers.seeds.len(), peers.learn_ms, peers.half_life_ms),
+            (1, 200.0, 20_000.0)
+        );
         let fault = |text: Result<Program, Fault>| text.unwrap_err().to_string();
         let odd = fault(some("seed: \"127.0.0.1:7301\" seed: \"here\""));
-        assert_eq!(odd, "f:4: peers.seed[1]: \"here\" is not an address with a port");
-        assert_eq!(fault(some("learn_ms: -1")), "f:4: peers.learn_ms: -1 is not within 0 and 10000");
+        assert_eq!(
+            odd,
+            "f:4: peers.seed[1]: \"here\" is not an address with a port"
+        );
+        assert_eq!(
+            fault(some("learn_ms: -1")),
+            "f:4: peers.learn_ms: -1 is not within 0 and 10000"
+        );
         let none = fault(read("f", "peers { listen: \"127.0.0.1:1\" }"));
-        assert_eq!(none, "f:1: peers.secret_file: a file is wanted that all members share");
+        assert_eq!(
+            none,
+            "f:1: peers.secret_file: a file is wanted that all members share"
+        );
         assert!(fault(read("f", "peers { secret_file: \"s\" }")).contains("peers.listen"));
     }
 
@@ -157,6 +199,9 @@
         assert_eq!(read("shipped", shipped), Ok(Program::default()));
         assert_eq!(read("empty", ""), Ok(Program::default()));
         let fault = read("f", "clients { request_ms: nan }").unwrap_err();
-        assert_eq!(fault.to_string(), "f:1: clients.request_ms: NaN is not within 100 and 2900");
+        assert_eq!(
+            fault.to_string(),
+            "f:1: clients.request_ms: NaN is not within 100 and 2900"
+        );
     }
 }
--- a/crates/settings/src/text.rs
+++ b/crates/settings/src/text.rs
@@ -28,7 +28,12 @@
 
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Fault { file, line, field, reason } = self;
+        let Fault {
+            file,
+            line,
+            field,
+            reason,
+        } = self;
         if field.is_empty() {
             return write!(f, "{file}:{line}: {reason}");
         }
@@ -86,7 +91,13 @@
 
 /// `a.b[1]` with every place written out: `a[0].b[1]`.
 fn indexed(field: &str) -> String {
-    let part = |p: &str| if p.ends_with(']') { p.to_string() } else { format!("{p}[0]") };
+    let part = |p: &str| {
+        if p.ends_with(']') {
+            p.to_string()
+        } else {
+            format!("{p}[0]")
+        }
+    };
     field.split('.').map(part).collect::<Vec<_>>().join(".")
 }
 
@@ -97,7 +108,12 @@
 
 fn fault(file: &str, text: &str, at: usize, field: &str, reason: String) -> Fault {
     let line = 1 + text.bytes().take(at).filter(|b| *b == b'\n').count();
-    Fault { file: file.into(), line, field: field.into(), reason }
+    Fault {
+        file: file.into(),
+        line,
+        field: field.into(),
+        reason,
+    }
 }
 
 /// Reads a file's text as a message of the schemas, by its full name (`martenlatch.settings.Settings`).
@@ -107,18 +123,33 @@
 ///
 /// # Panics
 /// Where no schema has a message of that name.
-pub fn read<T: prost::Message + Default>(file: &str, text: &str, name: &str) -> Result<Read<T>, Fault> {
-    let descriptor = POOL.get_message_by_name(name).expect("a message of the schemas");
+pub fn read<T: prost::Message + Default>(
+    file: &str,
+    text: &str,
+    name: &str,
+) -> Result<Read<T>, Fault> {
+    let descriptor = POOL
+        .get_message_by_name(name)
+        .expect("a message of the schemas");
     let places = places(text);
     match DynamicMessage::parse_text_format(descriptor.clone(), text) {
         Ok(dynamic) => {
             let message = dynamic.transcode_to().expect("one schema made both types");
-            Ok(Read { message, file: file.into(), text: text.into(), places })
+            Ok(Read {
+                message,
+                file: file.into(),
+                text: text.into(),
+                places,
+            })
         }
         Err(e) => {
             let spans = e.labels().and_then(|mut labels| labels.next());
             let at = spans.map_or(text.len(), |label| label.offset());
-            let path = places.iter().rev().find(|p| p.at <= at).map_or("", |p| p.path.as_str());
+            let path = places
+                .iter()
+                .rev()
+                .find(|p| p.at <= at)
+                .map_or("", |p| p.path.as_str());
             let reason = match unknown(&descriptor, path, &text[at.min(text.len())..]) {
                 Some(reason) => reason,
                 None => e.to_string(),
@@ -130,11 +161,17 @@
 
 /// The reason for a name that the schema does not have, with the nearest one that it has.
 fn unknown(top: &MessageDescriptor, path: &str, rest: &str) -> Option<String> {
-    let word: String = rest.chars().take_while(|c| c.is_alphanumeric() || *c == '_').collect();
+    let word: String = rest
+        .chars()
+        .take_while(|c| c.is_alphanumeric() || *c == '_')
+        .collect();
     if word.is_empty() {
         return None;
     }
-    let mut names = path.split('.').map(|p| p.split('[').next().unwrap_or(p)).peekable();
+    let mut names = path
+        .split('.')
+        .map(|p| p.split('[').next().unwrap_or(p))
+        .peekable();
     let mut message = top.clone();
     while let Some(name) = names.next() {
         let Some(field) = message.get_field_by_name(name) else {
@@ -154,7 +191,9 @@
 }
 
 fn nearest(word: &str, known: &[String]) -> String {
-    let near = known.iter().min_by_key(|k| strsim::damerau_levenshtein(word, k));
+    let near = known
+        .iter()
+        .min_by_key(|k| strsim::damerau_levenshtein(word, k));
     near.map_or(String::new(), |n| format!("; the nearest is {n:?}"))
 }
 
@@ -195,7 +234,10 @@
                     let dot = if parent.is_empty() { "" } else { "." };
                     last = format!("{parent}{dot}{word}[{count}]");
                     *count += 1;
-                    found.push(Place { path: last.clone(), at });
+                    found.push(Place {
+                        path: last.clone(),
+                        at,
+                    });
                 }
                 (at, value) = (at + word.len(), false);
             }
@@ -218,22 +260,39 @@
     use crate::schema::settings::Settings;
 
     fn fault_of(text: &str) -> String {
-        read::<Settings>("f", text, "martenlatch.settings.Settings").unwrap_err().to_string()
+        read::<Settings>("f", text, "martenlatch.settings.Settings")
+            .unwrap_err()
+            .to_string()
     }
 
     #[test]
     fn faults_name_file_line_field_and_the_nearest_known_name() {
         let cases = [
-            ("log {\n  levle: INFO\n}", "f:2: log.levle: no such field; the nearest is \"level\""),
-            ("\n\nclientz {}", "f:3: clientz: no such field; the nearest is \"clients\""),
+            (
+                "log {\n  levle: INFO\n}",
+                "f:2: log.levle: no such field; the nearest is \"level\"",
+            ),
+            (
+                "\n\nclientz {}",
+                "f:3: clientz: no such field; the nearest is \"clients\"",
+            ),
             (
                 "log {\n level: LOUD }",
                 "f:2: log.level: \"LOUD\" is not one of UNSET, ERROR, WARN, INFO, DEBUG",
             ),
-            ("# a \"{\nclients {\n idle_ms: \"x\" }", "f:3: clients.idle_ms: expected"),
-            ("log { level: INFO\n level: WARN }", "f:2: log.level[1]: 'level' is already set"),
+            (
+                "# a \"{\nclients {\n idle_ms: \"x\" }",
+                "f:3: clients.idle_ms: expected",
+            ),
+            (
+                "log { level: INFO\n level: WARN }",
+                "f:2: log.level[1]: 'level' is already set",
+            ),
             ("log {\n level: INFO\n", "f:3: log.level: expected"),
-            ("log { lines_per_second: -1 }", "f:1: log.lines_per_second: expected"),
+            (
+                "log { lines_per_second: -1 }",
+                "f:1: log.lines_per_second: expected",
+            ),
             ("log: \u{e9}", "f:1: log: "),
         ];
         for (text, want) in cases {
@@ -246,8 +305,17 @@
     fn what_is_checked_later_is_placed_too() {
         let text = "log { }\nclients {\n  request_ms: 5\n}";
         let read = read::<Settings>("f", text, "martenlatch.settings.Settings").unwrap();
-        let fault = read.within("clients.request_ms", 5.0, 100.0, 2900.0).unwrap_err();
-        assert_eq!(fault.to_string(), "f:3: clients.request_ms: 5 is not within 100 and 2900");
-        assert_eq!(read.fault("clients.idle_ms", "absent").line, 2, "at its parent");
+        let fault = read
+            .within("clients.request_ms", 5.0, 100.0, 2900.0)
+            .unwrap_err();
+        assert_eq!(
+            fault.to_string(),
+            "f:3: clients.request_ms: 5 is not within 100 and 2900"
+        );
+        assert_eq!(
+            read.fault("clients.idle_ms", "absent").line,
+            2,
+            "at its parent"
+        );
     }
 }
