--- a/crates/adapter/src/wire.rs
+++ b/crates/adapter/src/wire.rs
@@ -73,7 +73,7 @@
     zone: String,
     kind: String,
     owner: u64,
-    stage: Stage,
+    stage: EndpointState,
     weight: f64,
 }
 
@@ -166,8 +166,8 @@
                     .map(|l| sender.entry(l))
                     .collect::<Result<_, _>>()?;
                 sender.events.push(match mode {
-                    "delta" => Event::ListChanges(entries),
-                    "full" | "cached" => Event::List(entries),
+                    "delta" => Event::EndpointChanges(entries),
+                    "full" | "cached" => Event::EndpointList(entries),
                     _ => return Err("expected delta, full, cached or failed for Mode".into()),
                 });
             }
@@ -193,9 +193,9 @@
             kind: fields.next("ClassOfHost")?.to_string(),
             owner: fields.num("OwnerNo")?,
             stage: match fields.next("StageState")? {
-                "on" => Stage::On,
-                "fading" => Stage::Draining,
-                "off" => Stage::Gone,
+                "on" => EndpointState::Active,
+                "fading" => EndpointState::Draining,
+                "off" => EndpointState::Removed,
                 _ => return Err("expected on, fading or off for StageState".into()),
             },
             weight: fields
@@ -234,14 +234,14 @@
                 .map_or(Ok(0), str::parse)
                 .map_err(|_| "expected a number for WaitMs")?;
             Outcome::Overloaded {
-                wait: told.saturating_mul(1_000_000),
+                retry_after: told.saturating_mul(1_000_000),
             }
         }
         "timed_out" => Outcome::TimedOut,
         "unreachable" => Outcome::Unreachable,
-        "broken" => Outcome::Broken,
-        "withdrawn" => Outcome::Withdrawn,
-        "void" => Outcome::Void,
+        "broken" => Outcome::ConnectionLost,
+        "withdrawn" => Outcome::Cancelled,
+        "void" => Outcome::NotSent,
         _ => return Err("expected an outcome for Reason".into()),
     })
 }
@@ -275,8 +275,8 @@
         })
     }
 
-    fn entry(&mut self, listed: &Listed) -> Result<Entry, String> {
-        Ok(Entry {
+    fn entry(&mut self, listed: &Listed) -> Result<EndpointEntry, String> {
+        Ok(EndpointEntry {
             endpoint: self.receiver(&listed.receiver),
             zone: place(&self.boot.zones, &listed.zone, ZoneId, "zone")?,
             kind: place(&self.boot.kinds, &listed.kind, KindId, "kind")?,
@@ -304,7 +304,7 @@
             "client_left" => {
                 let known = self.message_ids.get(fields.next("Rid")?).copied();
                 if let Some(id) = known {
-                    self.events.push(Event::Left(id));
+                    self.events.push(Event::ClientLeft(id));
                     self.settle(id, true, 0);
                 }
             }
@@ -348,7 +348,7 @@
             },
         );
         let key = fields.opt().map(key_id);
-        self.events.push(Event::Message {
+        self.events.push(Event::MessageAccepted {
             id,
             destination,
             class,
@@ -367,7 +367,7 @@
         let finished = bit(fields.next("Closed")?)?;
         let outcome = outcome(reason, fields.opt())?;
         if let Some(id) = known {
-            self.events.push(Event::Ended {
+            self.events.push(Event::AttemptEnded {
                 id,
                 attempt,
                 outcome,
@@ -440,17 +440,17 @@
             Action::Cancel { id, attempt } => {
                 writeln!(out, "revoke {who} {} {attempt}", name(id, false, 0))
             }
-            Action::Refuse { id, return_after } => {
+            Action::Reject { id, retry_after } => {
                 writeln!(
                     out,
                     "reject {who} {} {}",
                     name(id, true, 0),
-                    return_after.unwrap_or(0)
+                    retry_after.unwrap_or(0)
                 )
             }
             Action::Fail { id } => writeln!(out, "report_failure {who} {}", name(id, true, 0)),
             Action::WakeAfter(span) => writeln!(out, "sleep {who} {span} 0"),
-            Action::Close(endpoint) => writeln!(out, "free_links {who} {}", receiver(endpoint)),
+            Action::CloseIdle(endpoint) => writeln!(out, "free_links {who} {}", receiver(endpoint)),
         };
     }
 }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -11,8 +11,9 @@
 use martenlatch_peers::known::{Bounds, Known, Telling};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event,
-    FailBack, KindId, MessageId, Outcome, Settings, Stage, Weights, ZoneId,
+    Action, ClassId, Decay, DestinationId, EndpointEntry, EndpointId, EndpointState,
+    EndpointWeights, Event, Idempotency, KindId, MessageId, Outcome, RecoveryRamp, Settings,
+    ZoneId,
 };
 
 use crate::clients::{Clients, Origin};
@@ -135,7 +136,7 @@
     ListIn {
         sender: u32,
         endpoint: u32,
-        stage: Stage,
+        stage: EndpointState,
     },
     Exit {
         sender: u32,
@@ -198,7 +199,7 @@
     out: usize,
     /// Idle connections to each endpoint, since when; the most recently used last.
     idle: HashMap<u32, Vec<Millis>>,
-    known: BTreeMap<u32, Entry>,
+    known: BTreeMap<u32, EndpointEntry>,
     /// What it is told when it starts, where that was put down before.
     told: Option<Known>,
 }
@@ -235,49 +236,54 @@
     Settings {
         senders: world.senders,
         zone: ZoneId(0),
-        zones: vec![0.0],
-        kinds: vec![martenlatch_policy::interface::Kind { apart: false }; world.kinds.len()],
+        zone_prices: vec![0.0],
+        kinds: vec![
+            martenlatch_policy::interface::DestinationKind {
+                per_endpoint: false
+            };
+            world.kinds.len()
+        ],
         classes: world
             .classes
             .iter()
-            .map(|c| martenlatch_policy::interface::Class {
-                aim: ms(c.aim),
+            .map(|c| martenlatch_policy::interface::MessageClass {
+                latency_objective: ms(c.aim),
                 deadline: ms(c.deadline),
-                worth: 1.0,
-                late_worth: c.late_worth,
-                effect: match c.effect {
-                    Effect::Safe => PolicyEffect::Safe,
-                    Effect::Keyed => PolicyEffect::Keyed {
-                        by_zone: false,
-                        memory: ms(c.window),
+                priority_weight: 1.0,
+                late_weight_share: c.late_worth,
+                idempotency: match c.effect {
+                    Effect::Safe => Idempotency::Idempotent,
+                    Effect::Keyed => Idempotency::IdempotencyKey {
+                        per_zone: false,
+                        window: ms(c.window),
                     },
-                    Effect::Unsafe => PolicyEffect::Unsafe,
+                    Effect::Unsafe => Idempotency::NonIdempotent,
                 },
                 ordered: false,
             })
             .collect(),
         decay: Decay::Halving,
-        weights: Weights::Rough,
-        slots: variant
+        weight_meaning: EndpointWeights::Approximate,
+        max_in_flight: variant
             .slots
             .unwrap_or(((2.2 * busy).round() as usize).max(3)),
-        hold_limit: variant
+        max_held: variant
             .hold_limit
             .unwrap_or(((9.0 * each).round() as usize).max(8)),
         max_attempts: variant.max_attempts,
-        cancel: variant.cancel,
-        second_copies: variant.second_copies,
-        max_advice: Some(ms(3_000.0)),
-        fail_back: FailBack {
-            factor: partner::FALL.0,
-            span: ms(partner::FALL.1),
-            cold_from: world.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min),
-            cold: ms(world.kinds.iter().map(|k| k.cold).fold(0.0, f64::max)),
+        may_cancel: variant.cancel,
+        may_hedge: variant.second_copies,
+        max_retry_after: Some(ms(3_000.0)),
+        recovery: RecoveryRamp {
+            overload_factor: partner::FALL.0,
+            overload_window: ms(partner::FALL.1),
+            initial_share: world.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min),
+            duration: ms(world.kinds.iter().map(|k| k.cold).fold(0.0, f64::max)),
         },
-        key_quiet: 0,
+        key_quiet_period: 0,
         connect_timeout: ms(CONNECT),
-        conn_idle: ms(world.idle),
-        tick: ms(TICK),
+        idle_timeout: ms(world.idle),
+        turn_interval: ms(TICK),
         cross_zone_price: 0.0,
         handshake_price: 0.0,
     }
@@ -407,7 +413,7 @@
     fn start(&mut self) {
         for sender in 0..self.senders.len() as u32 {
             for endpoint in 0..self.ground.owner.len() as u32 {
-                let entry = self.entry(endpoint, Stage::On);
+                let entry = self.entry(endpoint, EndpointState::Active);
                 self.senders[sender as usize].known.insert(endpoint, entry);
             }
             match self.x.joins(sender) {
@@ -436,10 +442,10 @@
         self.at(0.0, Ev::Sample);
     }
 
-    fn entry(&self, endpoint: u32, stage: Stage) -> Entry {
+    fn entry(&self, endpoint: u32, stage: EndpointState) -> EndpointEntry {
         let partner = self.ground.partner(endpoint);
         let drawn = &self.ground.site.partners[partner as usize];
-        Entry {
+        EndpointEntry {
             endpoint: EndpointId(endpoint),
             zone: ZoneId(0),
             kind: KindId(drawn.kind),
@@ -463,8 +469,8 @@
         {
             let mut after = None;
             loop {
-                let (sights, next) = policy.sights(nanos(ORIGIN + self.now), after, 32);
-                for sight in &sights {
+                let (observations, next) = policy.observations(nanos(ORIGIN + self.now), after, 32);
+                for sight in &observations {
                     let name = sight.endpoint.map(|e| e.0.to_string());
                     known.hear(
                         &no.to_string(),
@@ -489,14 +495,17 @@
         let Ok(policy) = Policy::new(self.settings.clone(), seed) else {
             return;
         };
-        let listed: Vec<Entry> = self.senders[sender as usize]
+        let listed: Vec<EndpointEntry> = self.senders[sender as usize]
             .known
             .values()
             .cloned()
             .collect();
         for e in &listed {
-            let (endpoint, partner, on) =
-                (e.endpoint.0, e.destination.0 as u32, e.stage == Stage::On);
+            let (endpoint, partner, on) = (
+                e.endpoint.0,
+                e.destination.0 as u32,
+                e.stage == EndpointState::Active,
+            );
             self.fact(What::Listed {
                 sender,
                 endpoint,
@@ -523,7 +532,7 @@
         (s.policy, s.told_to_end, s.out, s.last_turn, s.ready) =
             (Some(policy), None, 0, f64::NEG_INFINITY, now);
         s.idle.clear();
-        s.events = vec![Event::List(listed)];
+        s.events = vec![Event::EndpointList(listed)];
         let number = |_, name: Option<&str>| match name {
             Some(name) => name.parse().ok().map(|no| Some(EndpointId(no))),
             None => Some(None),
@@ -532,11 +541,11 @@
             known
                 .told(now, &Bounds::default(), number)
                 .into_iter()
-                .map(Event::Told),
+                .map(Event::Gossip),
         );
         for (id, class, partner) in classes {
             let h = &s.held[&id];
-            s.events.push(Event::Resumed {
+            s.events.push(Event::MessageResumed {
                 id: MessageId(id),
                 destination: DestinationId(partner.into()),
                 class: ClassId(class as usize),
@@ -607,7 +616,7 @@
                 let entry = self.entry(endpoint, stage);
                 let partner = entry.destination.0 as u32;
                 let s = &mut self.senders[sender as usize];
-                if stage == Stage::Gone {
+                if stage == EndpointState::Removed {
                     s.known.remove(&endpoint);
                 } else {
                     s.known.insert(endpoint, entry.clone());
@@ -617,9 +626,9 @@
                         sender,
                         endpoint,
                         partner,
-                        on: stage == Stage::On,
+                        on: stage == EndpointState::Active,
                     });
-                    self.tell(sender, Event::ListChanges(vec![entry]));
+                    self.tell(sender, Event::EndpointChanges(vec![entry]));
                 }
             }
             Ev::Exit { sender, life } => {
@@ -685,7 +694,7 @@
         let stopped = s
             .told_to_end
             .is_some_and(|told| self.now >= told + LAST_WORK);
-        if stopped || full_disk || s.open >= self.settings.hold_limit {
+        if stopped || full_disk || s.open >= self.settings.max_held {
             self.fact(What::Answered { id, status: 503 });
             return self.again(origin, Some(1_000.0), true);
         }
@@ -702,7 +711,7 @@
         );
         self.fact(What::Answered { id, status: 202 });
         self.at(deadline + OVERDUE, Ev::Overdue { sender, id });
-        let event = Event::Message {
+        let event = Event::MessageAccepted {
             id: MessageId(id),
             destination: DestinationId(partner.into()),
             class: ClassId(class as usize),
@@ -762,17 +771,17 @@
                         .get(&id.0)
                         .and_then(|h| h.out.get(&attempt));
                     if let Some(call) = call.copied() {
-                        self.silent(call, Silence::CalledOff, Outcome::Withdrawn);
+                        self.silent(call, Silence::CalledOff, Outcome::Cancelled);
                     }
                 }
-                Action::Refuse { id, return_after } => {
-                    self.end(sender, id.0, true, return_after.map(millis))
+                Action::Reject { id, retry_after } => {
+                    self.end(sender, id.0, true, retry_after.map(millis))
                 }
                 Action::Fail { id } => self.end(sender, id.0, false, None),
                 Action::WakeAfter(span) => {
                     self.at(self.now + millis(span), Ev::Wake { sender, life })
                 }
-                Action::Close(endpoint) => {
+                Action::CloseIdle(endpoint) => {
                     let idle = self.senders[sender as usize]
                         .idle
                         .remove(&endpoint.0)
@@ -820,7 +829,7 @@
             return self.at(self.now + OVERDUE, Ev::Overdue { sender, id });
         }
         self.end(sender, id, false, None);
-        self.tell(sender, Event::Left(MessageId(id)));
+        self.tell(sender, Event::ClientLeft(MessageId(id)));
     }
 
     fn forget(&mut self, sender: u32, id: u64) {
@@ -837,17 +846,17 @@
         let s = &mut self.senders[sender as usize];
         let Some(h) = s.held.get_mut(&id) else { return };
         let (attempt, origin) = (h.tasks.len() as u32, h.origin);
-        let full = s.out >= self.settings.slots;
+        let full = s.out >= self.settings.max_in_flight;
         h.tasks.push(Task {
             sent: self.now,
             never_ran: full,
         });
         if full {
             let finished = !h.open;
-            let (id, outcome, took) = (MessageId(id), Outcome::Void, 0);
+            let (id, outcome, took) = (MessageId(id), Outcome::NotSent, 0);
             return self.tell(
                 sender,
-                Event::Ended {
+                Event::AttemptEnded {
                     id,
                     attempt,
                     outcome,
@@ -909,13 +918,13 @@
                 self.at(self.now + CONNECT, Ev::SilentIn { call, how, outcome });
             }
         } else if stale {
-            let (how, outcome) = (Silence::Reset, Outcome::Stale);
+            let (how, outcome) = (Silence::Reset, Outcome::StaleConnection);
             self.at(there + way, Ev::SilentIn { call, how, outcome });
         } else if before {
             let outcome = if fresh {
                 Outcome::Unreachable
             } else {
-                Outcome::Void
+                Outcome::NotSent
             };
             self.at(
                 there,
@@ -949,7 +958,7 @@
         self.forget(c.sender, c.id);
         self.tell(
             c.sender,
-            Event::Ended {
+            Event::AttemptEnded {
                 id,
                 attempt,
                 outcome,
@@ -975,7 +984,7 @@
             Reply::Served => Outcome::Success,
             Reply::Failed | Reply::Spoilt => Outcome::Failure,
             Reply::Refused(wait) => Outcome::Overloaded {
-                wait: nanos(wait.unwrap_or(0.0)),
+                retry_after: nanos(wait.unwrap_or(0.0)),
             },
         };
         let Some(c) = self.ended(call, outcome) else {
@@ -1055,7 +1064,7 @@
                 self.fact(What::Ran { call });
                 if breaks {
                     let way = self.travel(call, 1);
-                    let (how, outcome) = (Silence::Reset, Outcome::Broken);
+                    let (how, outcome) = (Silence::Reset, Outcome::ConnectionLost);
                     self.at(self.now + way, Ev::SilentIn { call, how, outcome });
                 }
                 self.look_at(partner);
@@ -1123,7 +1132,10 @@
                 (s.told_to_end, s.restart_after) = (Some(now), size);
                 let life = s.life;
                 self.fact(What::Told { sender });
-                self.tell(sender, Event::Closing(nanos(ORIGIN + now + LAST_CALL)));
+                self.tell(
+                    sender,
+                    Event::ShutdownDeadline(nanos(ORIGIN + now + LAST_CALL)),
+                );
                 self.at(now + LAST_CALL + 100.0, Ev::Exit { sender, life });
             }
             _ => self.edge(),
@@ -1135,9 +1147,9 @@
         for sender in 0..self.senders.len() as u32 {
             let at = self.ground.heard(sender, endpoint, state, self.now);
             let stage = match state {
-                State::On => Stage::On,
-                State::Draining => Stage::Draining,
-                State::Gone => Stage::Gone,
+                State::On => EndpointState::Active,
+                State::Draining => EndpointState::Draining,
+                State::Gone => EndpointState::Removed,
             };
             self.at(
                 at,
--- a/crates/lab/src/sockets/child.rs
+++ b/crates/lab/src/sockets/child.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
-use martenlatch_policy::interface::{Effect, Settings};
+use martenlatch_policy::interface::{Idempotency, Settings};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use serde_json::{Value, json};
@@ -44,15 +44,15 @@
 
 /// The settings as a platform gives them.
 pub fn platform_settings(set: &Settings, classes: &[String], kinds: &[String]) -> Value {
-    let class = |(name, c): (&String, &martenlatch_policy::interface::Class)| {
-        let mut it = json!({"Name": name, "Target": c.aim, "Deadline": c.deadline, "Worth": c.worth, "LateWorth": c.late_worth});
-        match c.effect {
-            Effect::Safe => it["Effect"] = json!("pure"),
-            Effect::Unsafe => it["Effect"] = json!("side_effect"),
-            Effect::Keyed { memory, .. } => {
+    let class = |(name, c): (&String, &martenlatch_policy::interface::MessageClass)| {
+        let mut it = json!({"Name": name, "Target": c.latency_objective, "Deadline": c.deadline, "Worth": c.priority_weight, "LateWorth": c.late_weight_share});
+        match c.idempotency {
+            Idempotency::Idempotent => it["Effect"] = json!("pure"),
+            Idempotency::NonIdempotent => it["Effect"] = json!("side_effect"),
+            Idempotency::IdempotencyKey { window, .. } => {
                 it["Effect"] = json!("token");
                 it["KeyScope"] = json!("all");
-                it["MemorySpan"] = json!(memory);
+                it["MemorySpan"] = json!(window);
             }
         }
         it
@@ -60,15 +60,15 @@
     json!({
         "Areas": ["a"], "Zone": "a", "Balancers": set.senders, "Kinds": kinds, "WeightKind": "rough",
         "Categories": classes.iter().zip(&set.classes).map(class).collect::<Vec<_>>(),
-        "FamilyInfo": {"CallsOut": set.slots, "LosesWorth": "halving"},
-        "Limits": {"OpenCap": set.hold_limit, "AttemptsCap": set.max_attempts, "Cancel": set.cancel,
-            "SecondCopies": set.second_copies, "ConnectTimeout": set.connect_timeout, "ConnIdle": set.conn_idle,
-            "RetryAfter": true, "MaxRetryAfter": set.max_advice.unwrap_or(0)},
+        "FamilyInfo": {"CallsOut": set.max_in_flight, "LosesWorth": "halving"},
+        "Limits": {"OpenCap": set.max_held, "AttemptsCap": set.max_attempts, "Cancel": set.may_cancel,
+            "SecondCopies": set.may_hedge, "ConnectTimeout": set.connect_timeout, "ConnIdle": set.idle_timeout,
+            "RetryAfter": true, "MaxRetryAfter": set.max_retry_after.unwrap_or(0)},
         // The first two are for programs before 0.3.
         "Guarantees": {"StopSendingWithin": 1_000_000_000u64, "GraceToAnswer": 20_000_000u64,
-            "OverloadFactor": set.fail_back.factor, "OverloadFor": set.fail_back.span,
-            "ColdFrom": set.fail_back.cold_from, "Cold": set.fail_back.cold},
-        "Tick": set.tick
+            "OverloadFactor": set.recovery.overload_factor, "OverloadFor": set.recovery.overload_window,
+            "ColdFrom": set.recovery.initial_share, "Cold": set.recovery.duration},
+        "Tick": set.turn_interval
     })
 }
 
--- a/crates/lab/src/turns.rs
+++ b/crates/lab/src/turns.rs
@@ -6,8 +6,8 @@
 
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, ClassId, DestinationId, EndpointId, Entry, Event, KindId, MessageId, Outcome, Stage,
-    ZoneId,
+    Action, ClassId, DestinationId, EndpointEntry, EndpointId, EndpointState, Event, KindId,
+    MessageId, Outcome, ZoneId,
 };
 
 use crate::experiment::Experiment;
@@ -46,12 +46,12 @@
     let site = Site::new(&experiment.world, 1);
     let settings = sim::settings(&experiment, &experiment.variants[0], &site);
     let mut policy = Policy::new(settings, 1).map_err(|e| e.to_string())?;
-    let entry = |i: usize| Entry {
+    let entry = |i: usize| EndpointEntry {
         endpoint: EndpointId(i as u32),
         zone: ZoneId(0),
         kind: KindId(0),
         destination: DestinationId((i / 2) as u64),
-        stage: Stage::On,
+        stage: EndpointState::Active,
         weight: 1e3,
     };
     let mut now = 1_000_000 * MS;
@@ -59,12 +59,14 @@
     let mut actions = Vec::new();
     policy.turn(
         now,
-        &[Event::List((0..destinations * 2).map(entry).collect())],
+        &[Event::EndpointList(
+            (0..destinations * 2).map(entry).collect(),
+        )],
         &mut actions,
     );
     let mut message = |now: u64| {
         next += 1;
-        Event::Message {
+        Event::MessageAccepted {
             id: MessageId(next),
             destination: DestinationId(next * 7919 % destinations as u64),
             class: ClassId((next % 2) as usize),
@@ -83,7 +85,7 @@
         }
         if let Some((id, attempt)) = out.pop().filter(|_| turn > 0) {
             let outcome = Outcome::Success;
-            events.push(Event::Ended {
+            events.push(Event::AttemptEnded {
                 id,
                 attempt,
                 outcome,
@@ -102,7 +104,7 @@
         for action in &actions {
             match action {
                 Action::Send { id, .. } => out.insert(0, (*id, 0)),
-                Action::Refuse { .. } | Action::Fail { .. } => open -= 1,
+                Action::Reject { .. } | Action::Fail { .. } => open -= 1,
                 _ => {}
             }
         }
--- a/crates/lab/tests/orders.rs
+++ b/crates/lab/tests/orders.rs
@@ -14,8 +14,9 @@
 use martenlatch_ledger::{Ledger, Notice, Taken, Task};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, Class, ClassId, Decay, DestinationId, Effect as PolicyEffect, EndpointId, Entry, Event,
-    FailBack, KeyId, Kind, KindId, MessageId, Outcome, Settings, Stage, Weights, ZoneId,
+    Action, ClassId, Decay, DestinationId, DestinationKind, EndpointEntry, EndpointId,
+    EndpointState, EndpointWeights, Event, Idempotency, KeyId, KindId, MessageClass, MessageId,
+    Outcome, RecoveryRamp, Settings, ZoneId,
 };
 use rstest::rstest;
 
@@ -116,48 +117,50 @@
 }
 
 fn settings() -> Settings {
-    let class = |effect, ordered| Class {
-        aim: nanos(2_000.0),
+    let class = |idempotency, ordered| MessageClass {
+        latency_objective: nanos(2_000.0),
         deadline: nanos(DEADLINE),
-        worth: 1.0,
-        late_worth: 0.4,
-        effect,
+        priority_weight: 1.0,
+        late_weight_share: 0.4,
+        idempotency,
         ordered,
     };
     Settings {
         senders: 2,
         zone: ZoneId(0),
-        zones: vec![0.0],
-        kinds: vec![Kind { apart: false }],
+        zone_prices: vec![0.0],
+        kinds: vec![DestinationKind {
+            per_endpoint: false,
+        }],
         classes: vec![
-            class(PolicyEffect::Unsafe, false),
+            class(Idempotency::NonIdempotent, false),
             class(
-                PolicyEffect::Keyed {
-                    by_zone: false,
-                    memory: nanos(WINDOW),
+                Idempotency::IdempotencyKey {
+                    per_zone: false,
+                    window: nanos(WINDOW),
                 },
                 false,
             ),
-            class(PolicyEffect::Unsafe, true),
+            class(Idempotency::NonIdempotent, true),
         ],
         decay: Decay::Halving,
-        weights: Weights::Nominal,
-        slots: 4,
-        hold_limit: 8,
+        weight_meaning: EndpointWeights::Nominal,
+        max_in_flight: 4,
+        max_held: 8,
         max_attempts: ATTEMPTS,
-        cancel: true,
-        second_copies: true,
-        max_advice: Some(nanos(3_000.0)),
-        fail_back: FailBack {
-            factor: FALL.0,
-            span: nanos(FALL.1),
-            cold_from: COLD.0,
-            cold: nanos(COLD.1),
+        may_cancel: true,
+        may_hedge: true,
+        max_retry_after: Some(nanos(3_000.0)),
+        recovery: RecoveryRamp {
+            overload_factor: FALL.0,
+            overload_window: nanos(FALL.1),
+            initial_share: COLD.0,
+            duration: nanos(COLD.1),
         },
-        key_quiet: nanos(300.0),
+        key_quiet_period: nanos(300.0),
         connect_timeout: nanos(1_000.0),
-        conn_idle: nanos(15_000.0),
-        tick: nanos(5.0),
+        idle_timeout: nanos(15_000.0),
+        turn_interval: nanos(5.0),
         cross_zone_price: 0.0,
         handshake_price: 0.0,
     }
@@ -220,16 +223,16 @@
         self.judge.hear(&Fact { at: self.now, what });
     }
 
-    fn entry(&self, endpoint: u32) -> Entry {
-        Entry {
+    fn entry(&self, endpoint: u32) -> EndpointEntry {
+        EndpointEntry {
             endpoint: EndpointId(endpoint),
             zone: ZoneId(0),
             kind: KindId(0),
             destination: DestinationId(OWNER[endpoint as usize].into()),
             stage: if self.off.contains(&endpoint) {
-                Stage::Draining
+                EndpointState::Draining
             } else {
-                Stage::On
+                EndpointState::Active
             },
             weight: CAPACITY,
         }
@@ -251,7 +254,7 @@
         }
         (0..3).for_each(|endpoint| self.listed(no, endpoint));
         self.fact(What::Ready { sender: no as u32 });
-        let mut events = vec![Event::List((0..3).map(|e| self.entry(e)).collect())];
+        let mut events = vec![Event::EndpointList((0..3).map(|e| self.entry(e)).collect())];
         let s = &mut self.senders[no];
         let (ledger, past) = Ledger::open(&s.folder, 3_000_000);
         s.ledger = Some(ledger);
@@ -259,7 +262,7 @@
         for (id, taken) in past.open {
             self.met.resumed += 1;
             assert_eq!(taken.ending, None, "ends are confirmed at once here");
-            events.push(Event::Resumed {
+            events.push(Event::MessageResumed {
                 id: MessageId(id),
                 destination: DestinationId(taken.destination),
                 class: ClassId(taken.class.parse().unwrap()),
@@ -339,7 +342,7 @@
         }
         s.held.insert(id, Held { taken, open: true });
         self.fact(What::Answered { id, status: 202 });
-        let event = Event::Message {
+        let event = Event::MessageAccepted {
             id: MessageId(id),
             destination: DestinationId(partner.into()),
             class: ClassId(class as usize),
@@ -381,15 +384,15 @@
                     call,
                     how: Silence::CalledOff,
                 });
-                self.ended(call, Outcome::Withdrawn).map(|(_, event)| event)
+                self.ended(call, Outcome::Cancelled).map(|(_, event)| event)
             }
-            Action::Refuse { id, .. } => self.end(no, id.0, Notice::Deferred(None)),
+            Action::Reject { id, .. } => self.end(no, id.0, Notice::Deferred(None)),
             Action::Fail { id } => self.end(no, id.0, Notice::Undeliverable),
             Action::WakeAfter(span) => {
                 self.senders[no].wake = Some(self.now + millis(span));
                 None
             }
-            Action::Close(_) => None,
+            Action::CloseIdle(_) => None,
         }
     }
 
@@ -472,7 +475,7 @@
         let (finished, took) = (!h.open, nanos(self.now - sent));
         Some((
             sender,
-            Event::Ended {
+            Event::AttemptEnded {
                 id: MessageId(id),
                 attempt,
                 outcome,
@@ -531,7 +534,7 @@
         let Some(call) = call.or(last.copied()) else {
             return;
         };
-        if outcome == Outcome::Void {
+        if outcome == Outcome::NotSent {
             let (no, id) = (self.calls[&call].sender, self.calls[&call].id);
             let s = &mut self.senders[no];
             if let Some(h) = s.held.get_mut(&id).filter(|h| h.open) {
@@ -590,12 +593,16 @@
                 self.answer(
                     pick,
                     Reply::Refused(Some(wait)),
-                    Outcome::Overloaded { wait: nanos(wait) },
+                    Outcome::Overloaded {
+                        retry_after: nanos(wait),
+                    },
                 );
             }
-            Step::Reset(pick) => self.silent(Some(pick), None, Silence::Reset, Outcome::Broken),
+            Step::Reset(pick) => {
+                self.silent(Some(pick), None, Silence::Reset, Outcome::ConnectionLost)
+            }
             Step::Withdrawn(pick) => {
-                self.silent(Some(pick), None, Silence::NeverSent, Outcome::Void)
+                self.silent(Some(pick), None, Silence::NeverSent, Outcome::NotSent)
             }
             Step::Pass(span) => self.pass(span),
             Step::Drain(endpoint) => {
@@ -604,7 +611,7 @@
                 for no in 0..2 {
                     if self.senders[no].policy.is_some() {
                         self.listed(no, endpoint);
-                        let change = Event::ListChanges(vec![self.entry(endpoint)]);
+                        let change = Event::EndpointChanges(vec![self.entry(endpoint)]);
                         self.turn(no, vec![change]);
                     }
                 }
--- a/crates/martenlatch/src/main.rs
+++ b/crates/martenlatch/src/main.rs
@@ -125,8 +125,8 @@
                     .operator
                     .map_or("none".to_string(), |at| at.to_string()),
                 config.boot.classes.len(),
-                config.boot.settings.slots,
-                config.boot.settings.hold_limit
+                config.boot.settings.max_in_flight,
+                config.boot.settings.max_held
             );
         }
         Command::Members { json } => {
--- a/crates/peers/src/known.rs
+++ b/crates/peers/src/known.rs
@@ -6,7 +6,9 @@
 use std::collections::btree_map::Entry;
 
 use martenlatch_clock::{Millis, millis, nanos};
-use martenlatch_policy::interface::{DestinationId, EndpointId, Outage, Sight, Told};
+use martenlatch_policy::interface::{
+    DestinationId, EndpointId, GossipedState, Observation, Outage,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::member::NAME;
@@ -81,7 +83,7 @@
     }
 
     /// What the decision module says that it has seen, under the name that the list gives an endpoint.
-    pub fn of(sight: &Sight, name: Option<String>) -> Telling {
+    pub fn of(sight: &Observation, name: Option<String>) -> Telling {
         let span = |nanos| millis(nanos) as f32;
         Telling {
             destination: sight.destination.0,
@@ -94,9 +96,9 @@
             refused: sight.refused as f32,
             latency: Sketch::of(sight.latencies.iter().map(|l| millis(*l))),
             trouble: sight.outage.map(|outage| match outage {
-                Outage::Down => Trouble::Down,
-                Outage::Shut => Trouble::Shut,
-                Outage::Back { since } => Trouble::Back { since: span(since) },
+                Outage::Unresponsive => Trouble::Down,
+                Outage::Rejecting => Trouble::Shut,
+                Outage::Recovering { since } => Trouble::Back { since: span(since) },
             }),
         }
     }
@@ -311,7 +313,7 @@
         endpoint: Option<EndpointId>,
         now: Millis,
         bounds: &Bounds,
-    ) -> Option<Told> {
+    ) -> Option<GossipedState> {
         weigh(subject.0, endpoint, &self.of.remove(subject)?, now, bounds)
     }
 
@@ -322,7 +324,7 @@
         now: Millis,
         bounds: &Bounds,
         mut number: impl FnMut(u64, Option<&str>) -> Option<Option<EndpointId>>,
-    ) -> Vec<Told> {
+    ) -> Vec<GossipedState> {
         let listed = self
             .of
             .iter()
@@ -341,7 +343,7 @@
     heard: &Heard,
     now: Millis,
     bounds: &Bounds,
-) -> Option<Told> {
+) -> Option<GossipedState> {
     let weight = |at: Millis| 0.5f64.powf((now - at).max(0.0) / bounds.half_life);
     let wait = (heard.wait_until - now).max(0.0);
     let served = heard
@@ -357,12 +359,12 @@
             // Long ago it may have come back since, unseen: no more is known than by a cold start.
             let fresh = weight(at) >= 0.5 || wait > 0.0;
             fresh.then_some(if heard.down == Some(at) {
-                Outage::Down
+                Outage::Unresponsive
             } else {
-                Outage::Shut
+                Outage::Rejecting
             })
         }
-        _ => later(out, heard.back).map(|at| Outage::Back {
+        _ => later(out, heard.back).map(|at| Outage::Recovering {
             since: nanos((now - at).max(0.0)),
         }),
     };
@@ -388,7 +390,7 @@
         .map(|l| nanos(l.clamp(least, most)))
         .collect();
     let gap = if gap < 1.0 { 0 } else { nanos(gap) };
-    let told = Told {
+    let told = GossipedState {
         destination: DestinationId(destination),
         endpoint,
         wait: nanos(wait),
--- a/crates/peers/tests/known.rs
+++ b/crates/peers/tests/known.rs
@@ -4,7 +4,7 @@
 use martenlatch_peers::known::{Bounds, Known, Telling, Trouble};
 use martenlatch_peers::sketch::Sketch;
 use martenlatch_peers::wire::{Asking, Fault, PAGE, Page, Secret, TELLINGS};
-use martenlatch_policy::interface::{EndpointId, Outage, Told};
+use martenlatch_policy::interface::{EndpointId, GossipedState, Outage};
 use proptest::prelude::*;
 
 const MS: u64 = 1_000_000;
@@ -21,7 +21,7 @@
     Some(None)
 }
 
-fn heard(tellings: &[Telling], now: f64) -> Vec<Told> {
+fn heard(tellings: &[Telling], now: f64) -> Vec<GossipedState> {
     let (mut known, bounds) = (Known::default(), Bounds::default());
     for (i, t) in tellings.iter().enumerate() {
         assert!(
@@ -74,7 +74,7 @@
     assert_eq!(told(1e6), told(1e6 + 7_000.0));
     assert_eq!(
         told(1e6)[0].outage,
-        Some(Outage::Back { since: 3_000 * MS })
+        Some(Outage::Recovering { since: 3_000 * MS })
     );
 }
 
@@ -105,7 +105,10 @@
         trouble: Some(Trouble::Down),
         ..telling(1)
     };
-    assert_eq!(heard(&[down(5_000.0)], 0.0)[0].outage, Some(Outage::Down));
+    assert_eq!(
+        heard(&[down(5_000.0)], 0.0)[0].outage,
+        Some(Outage::Unresponsive)
+    );
     assert_eq!(
         heard(&[down(30_000.0)], 0.0)[0].outage,
         None,
@@ -118,7 +121,7 @@
     };
     assert_eq!(
         heard(&[shut], 30_000.0)[0].outage,
-        Some(Outage::Shut),
+        Some(Outage::Rejecting),
         "its wait still runs"
     );
 }
@@ -135,7 +138,7 @@
         ..telling(1)
     };
     let outage = heard(&[down, well], 0.0)[0].outage;
-    assert_eq!(outage, Some(Outage::Back { since: 4_000 * MS }));
+    assert_eq!(outage, Some(Outage::Recovering { since: 4_000 * MS }));
 }
 
 #[test]
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -23,7 +23,7 @@
     DestinationId(u64);
     /// An endpoint (a receiver) of one destination.
     EndpointId(u32);
-    /// Place in [`Settings::zones`].
+    /// Place in [`Settings::zone_prices`].
     ZoneId(usize);
     /// Place in [`Settings::kinds`].
     KindId(usize);
@@ -35,43 +35,43 @@
 
 /// What a repeat of a message does at its destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Effect {
+pub enum Idempotency {
     /// A repeat is harmless at any time.
-    Safe,
+    Idempotent,
     /// A repeat is dropped for `memory` after the sending of the first attempt that might have run, by all
     /// endpoints of the destination, or only by those of that attempt's zone.
-    Keyed {
+    IdempotencyKey {
         /// True where only endpoints of one zone share what they remember.
-        by_zone: bool,
+        per_zone: bool,
         /// How long a repeat is dropped.
-        memory: Nanos,
+        window: Nanos,
     },
     /// A repeat takes effect again.
-    Unsafe,
+    NonIdempotent,
 }
 
 /// A class of message.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Class {
+pub struct MessageClass {
     /// Delivered within this span of being handed in first, a message earns its full worth.
-    pub aim: Nanos,
+    pub latency_objective: Nanos,
     /// Span from being handed in first to the end of a message's time.
     pub deadline: Nanos,
     /// Worth of a message.
-    pub worth: f64,
+    pub priority_weight: f64,
     /// Share of the worth that is left at the deadline.
-    pub late_worth: f64,
+    pub late_weight_share: f64,
     /// What a repeat does.
-    pub effect: Effect,
+    pub idempotency: Idempotency,
     /// Messages of one key go one at a time, in the order taken.
     pub ordered: bool,
 }
 
 /// A kind of destination.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Kind {
+pub struct DestinationKind {
     /// Each endpoint is a route of its own, with its own limit, pace and outages.
-    pub apart: bool,
+    pub per_endpoint: bool,
 }
 
 /// How worth falls after the aim.
@@ -86,27 +86,27 @@
 
 /// What the weight of a listed endpoint means.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Weights {
+pub enum EndpointWeights {
     /// Nothing.
     #[default]
-    Off,
+    Ignored,
     /// Calls a second that its destination (or route) takes from all senders together.
     Nominal,
     /// The same, up to half too high or too low.
-    Rough,
+    Approximate,
 }
 
 /// Figures about falling over after an outage.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct FailBack {
+pub struct RecoveryRamp {
     /// Sent over this many times its present capacity ...
-    pub factor: f64,
+    pub overload_factor: f64,
     /// ... for this long, a cold destination falls over.
-    pub span: Nanos,
+    pub overload_window: Nanos,
     /// Share of its capacity that it has at least when it returns.
-    pub cold_from: f64,
+    pub initial_share: f64,
     /// Time by which it has all of it.
-    pub cold: Nanos,
+    pub duration: Nanos,
 }
 
 /// What holds for a sender from its start to its end. The default is empty, and [`Settings::check`] turns it down.
@@ -117,37 +117,37 @@
     /// This sender's zone.
     pub zone: ZoneId,
     /// One entry a zone: points of the result for a message that a route apart there takes on.
-    pub zones: Vec<f64>,
+    pub zone_prices: Vec<f64>,
     /// Kinds of destination.
-    pub kinds: Vec<Kind>,
+    pub kinds: Vec<DestinationKind>,
     /// Classes of message.
-    pub classes: Vec<Class>,
+    pub classes: Vec<MessageClass>,
     /// How worth falls after the aim.
     pub decay: Decay,
     /// What listed weights mean.
-    pub weights: Weights,
+    pub weight_meaning: EndpointWeights,
     /// Calls that may be out at once.
-    pub slots: usize,
+    pub max_in_flight: usize,
     /// Messages that may be held at once, sent or not.
-    pub hold_limit: usize,
+    pub max_held: usize,
     /// Most attempts for one message.
     pub max_attempts: u32,
     /// [`Action::Cancel`] may be used.
-    pub cancel: bool,
+    pub may_cancel: bool,
     /// A message may have two attempts out at once.
-    pub second_copies: bool,
+    pub may_hedge: bool,
     /// Longest advice that a client follows on when to return; `None` where none may be given.
-    pub max_advice: Option<Nanos>,
+    pub max_retry_after: Option<Nanos>,
     /// Figures on returning destinations.
-    pub fail_back: FailBack,
+    pub recovery: RecoveryRamp,
     /// How long a key rests after an attempt that may still be running.
-    pub key_quiet: Nanos,
+    pub key_quiet_period: Nanos,
     /// A connection that is not up by then has failed.
     pub connect_timeout: Nanos,
     /// Idle connections are closed after this long.
-    pub conn_idle: Nanos,
+    pub idle_timeout: Nanos,
     /// Shortest gap between two turns.
-    pub tick: Nanos,
+    pub turn_interval: Nanos,
     /// Points for an attempt that crosses zones.
     pub cross_zone_price: f64,
     /// What a new connection costs, as a share of a message's worth.
@@ -159,30 +159,36 @@
     pub fn check(&self) -> Result<(), SettingsError> {
         let err = |what: &str| Err(SettingsError(what.to_string()));
         let share = |x: f64| (0.0..=1.0).contains(&x);
-        let fall = &self.fail_back;
+        let fall = &self.recovery;
         if self.senders == 0 {
             return err("senders: at least one is needed");
         }
-        if self.slots == 0 {
+        if self.max_in_flight == 0 {
             return err("slots: at least one is needed");
         }
-        if self.hold_limit == 0 || self.max_attempts == 0 {
+        if self.max_held == 0 || self.max_attempts == 0 {
             return err("hold_limit and max_attempts: at least one is needed");
         }
-        if self.classes.is_empty() || self.kinds.is_empty() || self.zones.is_empty() {
+        if self.classes.is_empty() || self.kinds.is_empty() || self.zone_prices.is_empty() {
             return err("classes, kinds and zones: at least one of each is needed");
         }
-        if self.zone.0 >= self.zones.len() {
+        if self.zone.0 >= self.zone_prices.len() {
             return err("zone: it is not among the zones");
         }
-        if fall.span == 0 || !(fall.factor > 0.0 && fall.factor.is_finite()) || !share(fall.cold_from) {
+        if fall.overload_window == 0
+            || !(fall.overload_factor > 0.0 && fall.overload_factor.is_finite())
+            || !share(fall.initial_share)
+        {
             return err("fail_back: span and factor must be above zero, cold_from a share");
         }
         for class in &self.classes {
-            if class.aim == 0 || class.deadline < class.aim {
+            if class.latency_objective == 0 || class.deadline < class.latency_objective {
                 return err("classes: the aim must be above zero and not past the deadline");
             }
-            if !(class.worth >= 0.0 && class.worth.is_finite() && share(class.late_worth)) {
+            if !(class.priority_weight >= 0.0
+                && class.priority_weight.is_finite()
+                && share(class.late_weight_share))
+            {
                 return err("classes: worth must not be negative, late_worth a share");
             }
         }
@@ -204,19 +210,19 @@
 
 /// How the list speaks of an endpoint; never of its health.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Stage {
+pub enum EndpointState {
     /// Listed.
     #[default]
-    On,
+    Active,
     /// Nothing new may go there.
     Draining,
     /// Removed.
-    Gone,
+    Removed,
 }
 
 /// One line of the list of endpoints.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Entry {
+pub struct EndpointEntry {
     /// Which endpoint.
     pub endpoint: EndpointId,
     /// Where it stands.
@@ -226,8 +232,8 @@
     /// The destination that it belongs to.
     pub destination: DestinationId,
     /// On, draining or gone.
-    pub stage: Stage,
-    /// See [`Weights`].
+    pub stage: EndpointState,
+    /// See [`EndpointWeights`].
     pub weight: f64,
 }
 
@@ -241,28 +247,31 @@
     /// Turned away unseen; it never ran.
     Overloaded {
         /// How long nothing may be sent there; zero where nothing is told.
-        wait: Nanos,
+        retry_after: Nanos,
     },
     /// No answer in time; it may run still.
     TimedOut,
     /// No connection; it never ran.
     Unreachable,
     /// The connection broke; it may have run.
-    Broken,
+    ConnectionLost,
     /// A connection that had rested was no good any more; it may have run. Says nothing of the partner.
-    Stale,
+    StaleConnection,
     /// Called off; it may have run.
-    Withdrawn,
+    Cancelled,
     /// Not sent; it never ran, and counts as an attempt.
-    Void,
+    NotSent,
     /// Not sent, since the message has had all its attempts; it never ran, and none can follow.
-    Spent,
+    AttemptsExhausted,
 }
 
 impl Outcome {
     /// True if this outcome proves that the attempt never ran.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Overloaded { .. } | Outcome::Unreachable | Outcome::Void | Outcome::Spent)
+        matches!(
+            self,
+            Outcome::Overloaded { .. } | Outcome::Unreachable | Outcome::NotSent | Outcome::AttemptsExhausted
+        )
     }
 }
 
@@ -270,19 +279,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outage {
     /// It does not answer.
-    Down,
+    Unresponsive,
     /// It turns everything away.
-    Shut,
+    Rejecting,
     /// It answers again.
-    Back {
+    Recovering {
         /// Since so long.
         since: Nanos,
     },
 }
 
-/// What one sender has itself seen of a route, to be told to others; see [`Policy::sights`](crate::Policy::sights).
+/// What one sender has itself seen of a route, to be told to others; see [`Policy::observations`](crate::Policy::sights).
 #[derive(Clone, Debug, PartialEq)]
-pub struct Sight {
+pub struct Observation {
     /// The destination.
     pub destination: DestinationId,
     /// The endpoint, where it is a route of its own.
@@ -307,7 +316,7 @@
 
 /// What other senders know of a route, weighed before it is told: a prior, which gives way to what is seen here.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Told {
+pub struct GossipedState {
     /// The destination.
     pub destination: DestinationId,
     /// The endpoint, where it is a route of its own.
@@ -328,11 +337,11 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// The whole list, replacing the old one: what it does not name is gone.
-    List(Vec<Entry>),
+    EndpointList(Vec<EndpointEntry>),
     /// The entries of the list that changed.
-    ListChanges(Vec<Entry>),
+    EndpointChanges(Vec<EndpointEntry>),
     /// A message was handed in.
-    Message {
+    MessageAccepted {
         /// Its id.
         id: MessageId,
         /// Where it goes.
@@ -345,7 +354,7 @@
         key: Option<KeyId>,
     },
     /// A message that this sender took on before it was started again, and that has not ended.
-    Resumed {
+    MessageResumed {
         /// Its id.
         id: MessageId,
         /// Where it goes.
@@ -360,11 +369,11 @@
         ran: Option<Nanos>,
     },
     /// What others know of a route that is listed.
-    Told(Told),
+    Gossip(GossipedState),
     /// The sender is told to end: no call may be out past this instant.
-    Closing(Nanos),
+    ShutdownDeadline(Nanos),
     /// An attempt ended; exactly one for each [`Action::Send`].
-    Ended {
+    AttemptEnded {
         /// The message.
         id: MessageId,
         /// Which of its attempts; the first is 0.
@@ -377,7 +386,7 @@
         finished: bool,
     },
     /// The client has left; nothing more is owed.
-    Left(MessageId),
+    ClientLeft(MessageId),
     /// A wake-up that was asked for is due.
     Wake,
 }
@@ -404,11 +413,11 @@
         attempt: u32,
     },
     /// Final answer: not delivered, and trying again is harmless.
-    Refuse {
+    Reject {
         /// The message.
         id: MessageId,
         /// When the client should return, where such advice may be given.
-        return_after: Option<Nanos>,
+        retry_after: Option<Nanos>,
     },
     /// Final answer: failed; it promises nothing.
     Fail {
@@ -418,5 +427,5 @@
     /// Call a turn with [`Event::Wake`] once this span has passed.
     WakeAfter(Nanos),
     /// Close this sender's idle connections to an endpoint.
-    Close(EndpointId),
+    CloseIdle(EndpointId),
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,29 +16,29 @@
 //! let settings = Settings {
 //!     senders: 1,
 //!     zone: ZoneId(0),
-//!     zones: vec![0.0],
-//!     kinds: vec![Kind { apart: false }],
-//!     classes: vec![Class {
-//!         aim: second,
+//!     zone_prices: vec![0.0],
+//!     kinds: vec![DestinationKind { per_endpoint: false }],
+//!     classes: vec![MessageClass {
+//!         latency_objective: second,
 //!         deadline: 8 * second,
-//!         worth: 1.0,
-//!         late_worth: 0.1,
-//!         effect: Effect::Safe,
+//!         priority_weight: 1.0,
+//!         late_weight_share: 0.1,
+//!         idempotency: Idempotency::Idempotent,
 //!         ordered: false,
 //!     }],
 //!     decay: Decay::Halving,
-//!     weights: Weights::Off,
-//!     slots: 4,
-//!     hold_limit: 100,
+//!     weight_meaning: EndpointWeights::Ignored,
+//!     max_in_flight: 4,
+//!     max_held: 100,
 //!     max_attempts: 4,
-//!     cancel: true,
-//!     second_copies: true,
-//!     conn_idle: 15_000_000_000,
-//!     max_advice: None,
-//!     fail_back: FailBack { factor: 2.0, span: 2 * second, cold_from: 0.2, cold: 10 * second },
-//!     key_quiet: 0,
+//!     may_cancel: true,
+//!     may_hedge: true,
+//!     idle_timeout: 15_000_000_000,
+//!     max_retry_after: None,
+//!     recovery: RecoveryRamp { overload_factor: 2.0, overload_window: 2 * second, initial_share: 0.2, duration: 10 * second },
+//!     key_quiet_period: 0,
 //!     connect_timeout: second,
-//!     tick: 5_000_000,
+//!     turn_interval: 5_000_000,
 //!     cross_zone_price: 0.0,
 //!     handshake_price: 0.0,
 //! };
@@ -46,15 +46,15 @@
 //!
 //! // One turn for all that has come in: the list of endpoints and a message.
 //! let now = 1_000;
-//! let entry = Entry {
+//! let entry = EndpointEntry {
 //!     endpoint: EndpointId(0),
 //!     zone: ZoneId(0),
 //!     kind: KindId(0),
 //!     destination: DestinationId(9),
-//!     stage: Stage::On,
+//!     stage: EndpointState::Active,
 //!     weight: 1.0,
 //! };
-//! let message = Event::Message {
+//! let message = Event::MessageAccepted {
 //!     id: MessageId(0),
 //!     destination: DestinationId(9),
 //!     class: ClassId(0),
@@ -62,7 +62,7 @@
 //!     key: None,
 //! };
 //! let mut actions = Vec::new();
-//! policy.turn(now, &[Event::List(vec![entry]), message], &mut actions);
+//! policy.turn(now, &[Event::EndpointList(vec![entry]), message], &mut actions);
 //!
 //! // Carry the actions out, in their order.
 //! let mut sent = 0;
@@ -71,7 +71,7 @@
 //!         Action::Send { id, endpoint, timeout, .. } => {
 //!             assert_eq!((*id, *endpoint), (MessageId(0), EndpointId(0)));
 //!             assert!(*timeout <= 8 * second);
-//!             sent += 1; // call the endpoint; its outcome comes back as `Event::Ended`
+//!             sent += 1; // call the endpoint; its outcome comes back as `Event::AttemptEnded`
 //!         }
 //!         Action::WakeAfter(_) => {} // start a timer; call a turn with `Event::Wake` when it is due
 //!         _ => {}
@@ -80,7 +80,7 @@
 //! assert_eq!(sent, 1);
 //!
 //! // Later: the answer. A success that came first finishes its message.
-//! let ended = Event::Ended {
+//! let ended = Event::AttemptEnded {
 //!     id: MessageId(0),
 //!     attempt: 0,
 //!     outcome: Outcome::Success,
@@ -95,26 +95,29 @@
 //!
 //! # What the caller owes
 //!
-//! * Each [`Action::Send`] ends in exactly one [`Event::Ended`]; attempts of a message are counted from 0 in the
+//! * Each [`Action::Send`] ends in exactly one [`Event::AttemptEnded`]; attempts of a message are counted from 0 in the
 //!   order of the sends. The first success finishes the message: say so in `finished`.
-//! * After [`Action::Refuse`] or [`Action::Fail`] the client has its answer; outcomes still out are reported as
+//! * After [`Action::Reject`] or [`Action::Fail`] the client has its answer; outcomes still out are reported as
 //!   before, with `finished` set.
-//! * A sender that starts again names what it had taken on with [`Event::Resumed`], after the list; one that is told
-//!   to end says by when with [`Event::Closing`].
+//! * A sender that starts again names what it had taken on with [`Event::MessageResumed`], after the list; one that is told
+//!   to end says by when with [`Event::ShutdownDeadline`].
 //! * [`Action::WakeAfter`] asks for one later turn with [`interface::Event::Wake`]; the latest stands for all before it. A
 //!   turn may come at any time.
 //! * Events on unknown or finished messages, attempts or endpoints, and outcomes that come twice, are ignored.
 //!
 //! [`Action::Send`]: interface::Action::Send
-//! [`Event::Ended`]: interface::Event::Ended
-//! [`Event::Resumed`]: interface::Event::Resumed
-//! [`Event::Closing`]: interface::Event::Closing
-//! [`Action::Refuse`]: interface::Action::Refuse
+//! [`Event::AttemptEnded`]: interface::Event::AttemptEnded
+//! [`Event::MessageResumed`]: interface::Event::MessageResumed
+//! [`Event::ShutdownDeadline`]: interface::Event::ShutdownDeadline
+//! [`Action::Reject`]: interface::Action::Reject
 //! [`Action::Fail`]: interface::Action::Fail
 //! [`Action::WakeAfter`]: interface::Action::WakeAfter
 #![warn(missing_docs)]
 
+mod call_counts;
 pub mod interface;
+mod latency_window;
 mod policy;
+mod random;
 
 pub use policy::Policy;
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -1,17 +1,20 @@
 //! Every decision of a sender. The types that it works on (events, actions, settings) are in `interface.rs`.
 
+use crate::call_counts::CallCounts;
 use crate::interface::*;
+use crate::latency_window::LatencyWindow;
+use crate::random::Random;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
-mod carried;
-mod sights;
+mod observations;
+mod restore;
 
 const MS: Nanos = 1_000_000;
 /// Delay of a copy, as a percentile of served latencies: the design's p95.
 const COPY_PERCENTILE: f64 = 0.95;
 /// Served calls that the estimator remembers: enough for a p95, few enough to follow a change of pace.
-const MEMORY: usize = 40;
+const LATENCIES: usize = LatencyWindow::CAPACITY;
 /// Served calls before a percentile is believed; under these the delay would wobble low.
 const SEEN_ENOUGH: usize = 6;
 /// Stands for a call's time while nothing is learned: a second, long for a call and short for a client.
@@ -68,38 +71,12 @@
 
 type RouteKey = (DestinationId, Option<EndpointId>);
 
-#[derive(Debug, Default, Serialize, Deserialize)]
-struct Recent {
-    by_age: VecDeque<Nanos>,
-    by_size: Vec<Nanos>,
-    /// The first so many are hearsay.
-    hearsay: usize,
-}
-
-impl Recent {
-    fn learn(&mut self, took: Nanos) {
-        self.by_age.push_back(took);
-        self.by_size.insert(self.by_size.partition_point(|t| *t < took), took);
-        // Each call of its own takes the place of one that was only heard of.
-        if self.by_age.len() > MEMORY || self.hearsay > 0 {
-            self.hearsay = self.hearsay.saturating_sub(1);
-            let old = self.by_age.pop_front().unwrap();
-            self.by_size.remove(self.by_size.partition_point(|t| *t < old));
-        }
-    }
-
-    fn at(&self, share: f64) -> Nanos {
-        let last = self.by_size.len().saturating_sub(1) as f64;
-        self.by_size.get((last * share).round() as usize).copied().unwrap_or(0)
-    }
-}
-
 /// A pace, a limit and outages of their own: an endpoint where routes are apart, else a destination.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Route {
     /// Back from an outage, or failing in part: within the return budget, which ramps from then.
     returning: Option<Nanos>,
-    recent: Recent,
+    latencies: LatencyWindow,
     /// What was seen amiss since it last served, when last, and until when the sender rests from it for that.
     doubt: f64,
     failed: Nanos,
@@ -117,7 +94,7 @@
     unrefused: Nanos,
     /// When the latest of the served calls was sent.
     served_sent: Nanos,
-    seen: sights::Seen,
+    calls: CallCounts,
     /// Attempts out: message, attempt, time of sending.
     out: Vec<(MessageId, u32, Nanos)>,
 }
@@ -133,20 +110,24 @@
     }
 
     fn warm(&self, now: Nanos, set: &Settings) -> bool {
-        !self.down() && self.returning.is_none_or(|since| now >= since + set.fail_back.cold)
+        !self.down() && self.returning.is_none_or(|since| now >= since + set.recovery.duration)
     }
 
     /// What it may send a cold route in a span of the fail-back rule: of many senders, far under one call.
     fn budget(&self, now: Nanos, set: &Settings) -> f64 {
-        let (fall, down) = (&set.fail_back, self.down());
+        let (fall, down) = (&set.recovery, self.down());
         let back = self.returning.filter(|_| !down).map_or(0, |since| now.saturating_sub(since));
-        let warmth = (back as f64 / fall.cold.max(1) as f64).min(1.0);
-        BUDGET_PART * fall.factor * (fall.cold_from + (1.0 - fall.cold_from) * warmth) * self.share(set)
+        let warmth = (back as f64 / fall.duration.max(1) as f64).min(1.0);
+        BUDGET_PART
+            * fall.overload_factor
+            * (fall.initial_share + (1.0 - fall.initial_share) * warmth)
+            * self.share(set)
     }
 
     /// This sender's even share of what the route takes in a span; a lone call tells nothing of a rate.
     fn share(&self, set: &Settings) -> f64 {
-        set.fail_back.span as f64 / self.limit.map_or(set.fail_back.cold, |_| self.even(set)).max(1) as f64
+        set.recovery.overload_window as f64
+            / self.limit.map_or(set.recovery.duration, |_| self.even(set)).max(1) as f64
     }
 
     /// Time in which all senders together send what a route takes; told none, it is fit for a fleet.
@@ -157,7 +138,8 @@
 
     /// Time between calls at which all senders together keep to a budget; a few cold times are enough.
     fn spacing(&self, budget: f64, set: &Settings) -> Nanos {
-        ((set.fail_back.span as f64 / budget.max(1e-9)) as Nanos).min(REST_COLDS * set.fail_back.cold)
+        ((set.recovery.overload_window as f64 / budget.max(1e-9)) as Nanos)
+            .min(REST_COLDS * set.recovery.duration)
     }
 
     fn ready_at(&self) -> Nanos {
@@ -170,7 +152,7 @@
     destination: DestinationId,
     zone: ZoneId,
     kind: KindId,
-    stage: Stage,
+    stage: EndpointState,
     route: RouteKey,
     /// Smoothed latency of served calls; 0 until there is one.
     pace: Nanos,
@@ -232,7 +214,7 @@
     now: Nanos,
     /// No call may be out past this: the sender ends.
     closing: Option<Nanos>,
-    random: u64,
+    random: Random,
     /// What this sender adds to each span of its return budgets, by its seed.
     stagger: Nanos,
     endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -246,7 +228,7 @@
     wake_due: Option<Nanos>,
     no_copies_until: Nanos,
     /// Latencies over all routes: what is known of one that this sender has hardly met.
-    pooled: Recent,
+    pooled: LatencyWindow,
     stalled: bool,
     /// For each kind of destination: how often a try is served where the last was refused.
     pays: Vec<f64>,
@@ -258,7 +240,7 @@
         settings.check()?;
         let pays = vec![PAYS_FIRST; settings.kinds.len()];
         let stagger = ((seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 40) * SPREAD) >> 24;
-        Ok(Policy { set: settings, random: seed, stagger, pays, ..Policy::default() })
+        Ok(Policy { set: settings, random: Random::new(seed), stagger, pays, ..Policy::default() })
     }
 
     /// Takes in what happened and says what to do now. Call it once for all that has come in by `now`.
@@ -281,10 +263,10 @@
 
     fn wake(&mut self, actions: &mut Vec<Action>) {
         // The caller's timers may be a little early.
-        self.wake_due = self.wake_due.filter(|due| *due > self.now + self.set.tick);
+        self.wake_due = self.wake_due.filter(|due| *due > self.now + self.set.turn_interval);
         let looks = self.messages.values().map(|m| self.next_look(m));
         let Some(next) = looks.min() else { return };
-        let next = next.max(self.now + self.set.tick.max(MS));
+        let next = next.max(self.now + self.set.turn_interval.max(MS));
         if self.wake_due.is_none_or(|due| next < due) {
             self.wake_due = Some(next);
             actions.push(Action::WakeAfter(next - self.now));
@@ -292,7 +274,7 @@
     }
 
     fn next_look(&self, m: &Message) -> Nanos {
-        let end = m.deadline.saturating_sub(2 * self.set.tick).max(self.now + PULSE);
+        let end = m.deadline.saturating_sub(2 * self.set.turn_interval).max(self.now + PULSE);
         if !m.waiting() {
             let dues = m.out().filter(|(_, a)| !a.cancelled).flat_map(|(_, a)| {
                 let key = self.endpoints[&a.endpoint].route;
@@ -309,49 +291,41 @@
         self.of.get(&to).into_iter().flatten().map(|e| &self.routes[&self.endpoints[e].route])
     }
 
-    fn random(&mut self) -> f64 {
-        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
-        let mut z = self.random;
-        z = (z ^ (z >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
-    }
-
     fn take(&mut self, event: &Event, actions: &mut Vec<Action>) {
         match event {
-            Event::List(entries) => {
-                self.endpoints.values_mut().for_each(|e| e.stage = Stage::Gone);
+            Event::EndpointList(entries) => {
+                self.endpoints.values_mut().for_each(|e| e.stage = EndpointState::Removed);
                 entries.iter().for_each(|e| self.list(e));
             }
-            Event::ListChanges(entries) => entries.iter().for_each(|e| self.list(e)),
-            Event::Message { .. } => self.message(event),
-            Event::Resumed { .. } => self.resumed(event),
-            Event::Told(told) => self.told(told),
-            Event::Closing(at) => self.closing = Some(*at),
-            Event::Ended { .. } => self.ended(event, actions),
-            Event::Left(id) => self.finish(*id, actions),
+            Event::EndpointChanges(entries) => entries.iter().for_each(|e| self.list(e)),
+            Event::MessageAccepted { .. } => self.message(event),
+            Event::MessageResumed { .. } => self.resumed(event),
+            Event::Gossip(told) => self.told(told),
+            Event::ShutdownDeadline(at) => self.closing = Some(*at),
+            Event::AttemptEnded { .. } => self.ended(event, actions),
+            Event::ClientLeft(id) => self.finish(*id, actions),
             Event::Wake => {}
         }
     }
 
-    fn list(&mut self, entry: &Entry) {
+    fn list(&mut self, entry: &EndpointEntry) {
         let Some(kind) = self.set.kinds.get(entry.kind.0) else { return };
-        let route = (entry.destination, kind.apart.then_some(entry.endpoint));
+        let route = (entry.destination, kind.per_endpoint.then_some(entry.endpoint));
         let (destination, zone, kind) = (entry.destination, entry.zone, entry.kind);
         let fresh = Endpoint { destination, zone, kind, route, ..Endpoint::default() };
         if !self.endpoints.contains_key(&entry.endpoint) {
             self.of.entry(destination).or_default().push(entry.endpoint);
         }
-        let route_on = |e: &Endpoint| e.route == route && e.stage == Stage::On;
+        let route_on = |e: &Endpoint| e.route == route && e.stage == EndpointState::Active;
         let alone = !self.of[&destination].iter().filter_map(|e| self.endpoints.get(e)).any(route_on);
         let endpoint = self.endpoints.entry(entry.endpoint).or_insert(fresh);
         // Put back after a drain it was started again, and is cold: alone, it is all that its route has.
-        let back = endpoint.stage == Stage::Draining && entry.stage == Stage::On && alone;
+        let back = endpoint.stage == EndpointState::Draining && entry.stage == EndpointState::Active && alone;
         endpoint.stage = entry.stage;
-        let told = match self.set.weights {
-            Weights::Off => None,
-            Weights::Nominal => Some(entry.weight),
-            Weights::Rough => Some(entry.weight / ROUGH),
+        let told = match self.set.weight_meaning {
+            EndpointWeights::Ignored => None,
+            EndpointWeights::Nominal => Some(entry.weight),
+            EndpointWeights::Approximate => Some(entry.weight / ROUGH),
         };
         let route = self.routes.entry(route).or_default();
         route.limit = told.filter(|l| *l > 0.0).or(route.limit);
@@ -360,7 +334,7 @@
 
     /// Endpoints are replaced all day long: one that has gone is forgotten once nothing is out there.
     fn forget_gone(&mut self) {
-        let gone = |e: &Endpoint| e.stage == Stage::Gone && e.out == 0;
+        let gone = |e: &Endpoint| e.stage == EndpointState::Removed && e.out == 0;
         if self.endpoints.values().any(gone) {
             self.endpoints.retain(|_, e| !gone(e));
             let left = &self.endpoints;
@@ -370,7 +344,7 @@
     }
 
     fn message(&mut self, event: &Event) {
-        let Event::Message { id, destination, class, deadline, key } = *event else { return };
+        let Event::MessageAccepted { id, destination, class, deadline, key } = *event else { return };
         if class.0 >= self.set.classes.len() || self.messages.contains_key(&id) {
             return;
         }
@@ -384,50 +358,52 @@
 
     /// A message of an earlier life: of its attempts, one stands for all that may have run.
     fn resumed(&mut self, event: &Event) {
-        let Event::Resumed { id, destination, class, deadline, attempts, ran } = *event else { return };
-        self.message(&Event::Message { id, destination, class, deadline, key: None });
+        let Event::MessageResumed { id, destination, class, deadline, attempts, ran } = *event else {
+            return;
+        };
+        self.message(&Event::MessageAccepted { id, destination, class, deadline, key: None });
         let Some(m) = self.messages.get_mut(&id) else { return };
         for no in 0..attempts.min(self.set.max_attempts).max(u32::from(ran.is_some())) {
             // The endpoint is not known any more: no group of one zone holds it.
             let (endpoint, first) = (EndpointId(u32::MAX), if no == 0 { ran } else { None });
-            let end = Some(if first.is_some() { Outcome::Broken } else { Outcome::Void });
+            let end = Some(if first.is_some() { Outcome::ConnectionLost } else { Outcome::NotSent });
             m.attempts.push(Attempt { endpoint, sent: first.unwrap_or(0), end, ..Attempt::default() });
         }
         // A fleet killed at once comes back at once: what each held is spread, within half of its time left.
         let until = self.repeat_until(&self.messages[&id]).min(deadline);
         let even = self.routes_of(destination).map(|r| r.even(&self.set)).min().unwrap_or(0);
-        let late = even.min(until.saturating_sub(self.now) / 2) as f64 * self.random();
+        let late = even.min(until.saturating_sub(self.now) / 2) as f64 * self.random.unit();
         self.messages.get_mut(&id).unwrap().not_before = self.now + late as Nanos;
     }
 
     /// Hearsay: a wait binds at once; the rest stands for a route where nothing was sent yet.
-    fn told(&mut self, told: &Told) {
+    fn told(&mut self, told: &GossipedState) {
         let (now, key) = (self.now, (told.destination, told.endpoint));
         let of = self.of.get(&told.destination).into_iter().flatten();
         let Some(at) = of.copied().find(|e| self.endpoints[e].route == key) else { return };
         let route = self.routes.get_mut(&key).unwrap();
         route.wait_until = route.wait_until.max(now.saturating_add(told.wait));
-        if route.last_send.is_some() || route.recent.hearsay > 0 {
+        if route.last_send.is_some() || route.latencies.has_priors() {
             return;
         }
         route.gap = route.gap.max(told.gap.min(GAP_CAP));
         route.limit = route.limit.or(told.limit.filter(|l| *l > 0.0));
-        for took in told.latencies.iter().take(MEMORY / 2) {
-            route.recent.learn(*took);
+        for took in told.latencies.iter().take(LATENCIES / 2) {
+            route.latencies.learn(*took);
             self.pooled.learn(*took);
         }
-        route.recent.hearsay = route.recent.by_age.len();
+        route.latencies.mark_as_priors();
         match told.outage {
-            Some(Outage::Down) => route.bad = (1 << BAD_RUN) - 1,
-            Some(Outage::Shut) => {
+            Some(Outage::Unresponsive) => route.bad = (1 << BAD_RUN) - 1,
+            Some(Outage::Rejecting) => {
                 route.refused_run = if told.wait > 0 { 1 } else { BAD_RUN };
                 route.returning = Some(now.max(route.wait_until));
             }
-            Some(Outage::Back { since }) => route.returning = Some(now.saturating_sub(since)),
+            Some(Outage::Recovering { since }) => route.returning = Some(now.saturating_sub(since)),
             None => {}
         }
         // One of those that saw it: it rests, tries and returns as they do.
-        if let Some(Outage::Down | Outage::Shut) = told.outage {
+        if let Some(Outage::Unresponsive | Outage::Rejecting) = told.outage {
             self.failed_trial(at, DOUBT);
         }
     }
@@ -436,37 +412,38 @@
     fn earns(&self, m: &Message, at: Nanos) -> f64 {
         let class = &self.set.classes[m.class.0];
         let handed = m.deadline.saturating_sub(class.deadline);
-        let late = at.saturating_sub(handed).saturating_sub(class.aim) as f64;
+        let late = at.saturating_sub(handed).saturating_sub(class.latency_objective) as f64;
         if at > m.deadline {
             return 0.0;
         }
         let left = match self.set.decay {
             Decay::Linear => {
-                1.0 - (1.0 - class.late_worth) * late / (class.deadline - class.aim).max(1) as f64
+                1.0 - (1.0 - class.late_weight_share) * late
+                    / (class.deadline - class.latency_objective).max(1) as f64
             }
-            Decay::Halving => 0.5f64.powf(late / class.aim as f64),
+            Decay::Halving => 0.5f64.powf(late / class.latency_objective as f64),
         };
-        class.worth * left.max(class.late_worth)
+        class.priority_weight * left.max(class.late_weight_share)
     }
 
     /// A usual call's time at a route: at first that of all routes, giving way to its own as it is met.
     fn usual(&self, key: RouteKey) -> Nanos {
-        let all = if self.pooled.by_age.is_empty() { UNKNOWN_CALL } else { self.pooled.at(0.5) };
-        let own = &self.routes[&key].recent;
-        let seen = own.by_age.len().min(SEEN_ENOUGH) as Nanos;
-        (own.at(0.5) * seen + all * (SEEN_ENOUGH as Nanos - seen)) / SEEN_ENOUGH as Nanos
+        let all = if self.pooled.is_empty() { UNKNOWN_CALL } else { self.pooled.quantile(0.5) };
+        let own = &self.routes[&key].latencies;
+        let seen = own.len().min(SEEN_ENOUGH) as Nanos;
+        (own.quantile(0.5) * seen + all * (SEEN_ENOUGH as Nanos - seen)) / SEEN_ENOUGH as Nanos
     }
 
     /// The delay of a copy. A route that is hardly met has the spread of all routes around its usual pace.
     fn p95(&self, key: RouteKey) -> Nanos {
-        let own = &self.routes[&key].recent;
-        if own.by_age.len() >= SEEN_ENOUGH {
-            return own.at(COPY_PERCENTILE);
+        let own = &self.routes[&key].latencies;
+        if own.len() >= SEEN_ENOUGH {
+            return own.quantile(COPY_PERCENTILE);
         }
-        if self.pooled.by_age.len() < SEEN_ENOUGH {
+        if self.pooled.len() < SEEN_ENOUGH {
             return 3 * self.usual(key);
         }
-        let spread = self.pooled.at(COPY_PERCENTILE) as f64 / self.pooled.at(0.5).max(1) as f64;
+        let spread = self.pooled.quantile(COPY_PERCENTILE) as f64 / self.pooled.quantile(0.5).max(1) as f64;
         (self.usual(key) as f64 * spread) as Nanos
     }
 
@@ -505,7 +482,7 @@
                 continue;
             }
             let same = f64::from(other_than == Some(endpoint));
-            let cost = self.cost(id, endpoint) + same + self.random() * 1e-3;
+            let cost = self.cost(id, endpoint) + same + self.random.unit() * 1e-3;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, endpoint));
             }
@@ -518,13 +495,15 @@
         let pace = if e.pace > 0 { e.pace } else { self.usual(e.route) } as f64;
         let call = (pace * (1.0 + 0.5 * e.out as f64)) as Nanos;
         let class = &self.set.classes[m.class.0];
-        let loss = (self.earns(m, self.now) - self.earns(m, self.now + call)) / class.worth.max(1e-9);
-        let toll = e.route.1.and(self.set.zones.get(e.zone.0)).copied().unwrap_or(0.0);
+        let loss =
+            (self.earns(m, self.now) - self.earns(m, self.now + call)) / class.priority_weight.max(1e-9);
+        let toll = e.route.1.and(self.set.zone_prices.get(e.zone.0)).copied().unwrap_or(0.0);
         let cross = if e.zone == self.set.zone { 0.0 } else { self.set.cross_zone_price };
-        let open = e.out == 0 && e.last_send > 0 && self.now < e.last_send.saturating_add(self.set.conn_idle);
+        let open =
+            e.out == 0 && e.last_send > 0 && self.now < e.last_send.saturating_add(self.set.idle_timeout);
         let opening = if open { 0.0 } else { self.set.handshake_price };
         let amiss = 0.2 * e.fails.min(5) as f64 + f64::from(self.routes[&e.route].on_trial());
-        loss + toll + cross + opening + amiss + 0.1 * call as f64 / class.aim as f64
+        loss + toll + cross + opening + amiss + 0.1 * call as f64 / class.latency_objective as f64
     }
 
     fn send(&mut self, id: MessageId, at: EndpointId, actions: &mut Vec<Action>) {
@@ -532,7 +511,7 @@
         let (timeout, latest) = (self.time_limit(id, at), self.repeat_until(&self.messages[&id]));
         let (m, e) = (self.messages.get_mut(&id).unwrap(), self.endpoints.get_mut(&at).unwrap());
         self.calls += 1;
-        e.in_use = e.last_send == 0 || now < e.last_send.saturating_add(self.set.conn_idle);
+        e.in_use = e.last_send == 0 || now < e.last_send.saturating_add(self.set.idle_timeout);
         let zone = Some(e.zone);
         m.attempts.push(Attempt { endpoint: at, zone, sent: now, ..Attempt::default() });
         let no = m.attempts.len() as u32 - 1;
@@ -541,7 +520,8 @@
         let route = self.routes.get_mut(&e.route).unwrap();
         route.last_send = Some(now);
         route.out.push((id, no, now));
-        while route.sent.front().is_some_and(|t| *t + self.stagger + self.set.fail_back.span < now) {
+        while route.sent.front().is_some_and(|t| *t + self.stagger + self.set.recovery.overload_window < now)
+        {
             route.sent.pop_front();
         }
         route.sent.push_back(now);
@@ -554,12 +534,16 @@
         let end = self.closing.unwrap_or(Nanos::MAX).min(m.deadline);
         let left = end.saturating_sub(self.now).max(1);
         let limit = (LIMIT * self.p95(self.endpoints[&at].route)).max(SILENT_LEAST);
-        if self.set.classes[m.class.0].effect == Effect::Unsafe { left } else { limit.min(left) }
+        if self.set.classes[m.class.0].idempotency == Idempotency::NonIdempotent {
+            left
+        } else {
+            limit.min(left)
+        }
     }
 
     /// One copy of a repeat-safe message that has no answer at its destination's p95.
     fn copy_slow(&mut self, actions: &mut Vec<Action>) {
-        if !self.set.second_copies || self.now < self.no_copies_until {
+        if !self.set.may_hedge || self.now < self.no_copies_until {
             return;
         }
         let ids: Vec<MessageId> = self.messages.keys().copied().collect();
@@ -575,7 +559,7 @@
 
     fn wants_copy(&self, id: MessageId) -> Option<EndpointId> {
         let m = &self.messages[&id];
-        if m.done || m.copied || self.set.classes[m.class.0].effect == Effect::Unsafe {
+        if m.done || m.copied || self.set.classes[m.class.0].idempotency == Idempotency::NonIdempotent {
             return None;
         }
         let mut out = m.out();
@@ -584,10 +568,10 @@
         let route = &self.routes[&key];
         let (delay, left) = (self.p95(key), m.deadline.saturating_sub(self.now));
         let calm = route.warm(self.now, &self.set)
-            && self.calls + if self.set.slots > FEW_SLOTS { 2 } else { 1 } <= self.set.slots
+            && self.calls + if self.set.max_in_flight > FEW_SLOTS { 2 } else { 1 } <= self.set.max_in_flight
             && route.gap == 0
             && route.doubt < DOUBT
-            && self.pooled.by_age.len() >= SEEN_ENOUGH
+            && self.pooled.len() >= SEEN_ENOUGH
             && self.now > route.rise + GAP_CAP;
         if !calm || attempt.cancelled || self.now < attempt.sent + delay || left <= self.usual(key) {
             return None;
@@ -602,27 +586,30 @@
     fn may_send(&self, id: MessageId, at: EndpointId) -> bool {
         let (m, e) = (&self.messages[&id], &self.endpoints[&at]);
         // Drains: nothing new once told. The message's time and attempts; a second copy where it is allowed.
-        let listed = e.stage == Stage::On && e.destination == m.destination;
+        let listed = e.stage == EndpointState::Active && e.destination == m.destination;
         let open =
             !m.done && !m.spent && m.deadline > self.now && m.attempts.len() < self.set.max_attempts as usize;
-        let copy = self.set.second_copies || m.out().next().is_none();
+        let copy = self.set.may_hedge || m.out().next().is_none();
         listed && open && copy && self.may_repeat(m, e) && self.in_turn(id, m) && self.route_takes(e)
     }
 
     /// No effect twice: whether the class allows one more send there after those that may have run.
     fn may_repeat(&self, m: &Message, e: &Endpoint) -> bool {
         let alike = |f: &Attempt| f.zone == Some(e.zone);
-        let by_zone = matches!(self.set.classes[m.class.0].effect, Effect::Keyed { by_zone: true, .. });
-        self.now < self.repeat_until(m) && m.first_run().is_none_or(|first| !by_zone || alike(first))
+        let per_zone = matches!(
+            self.set.classes[m.class.0].idempotency,
+            Idempotency::IdempotencyKey { per_zone: true, .. }
+        );
+        self.now < self.repeat_until(m) && m.first_run().is_none_or(|first| !per_zone || alike(first))
     }
 
     /// Until when a message may be sent again.
     fn repeat_until(&self, m: &Message) -> Nanos {
-        match (m.first_run(), self.set.classes[m.class.0].effect) {
-            (None, _) | (_, Effect::Safe) => Nanos::MAX,
-            (_, Effect::Unsafe) => 0,
-            (Some(first), Effect::Keyed { memory, .. }) => {
-                first.sent + (memory as f64 * MEMORY_PART) as Nanos
+        match (m.first_run(), self.set.classes[m.class.0].idempotency) {
+            (None, _) | (_, Idempotency::Idempotent) => Nanos::MAX,
+            (_, Idempotency::NonIdempotent) => 0,
+            (Some(first), Idempotency::IdempotencyKey { window, .. }) => {
+                first.sent + (window as f64 * MEMORY_PART) as Nanos
             }
         }
     }
@@ -657,7 +644,7 @@
     fn has_room(&self, route: &Route) -> bool {
         let (now, set) = (self.now, &self.set);
         // Senders with one history keep to spans that end apart.
-        let span = self.stagger + set.fail_back.span;
+        let span = self.stagger + set.recovery.overload_window;
         let spent = route.sent.iter().filter(|t| *t + span >= now).count() as f64;
         let budget = route.budget(now, set);
         let spaced = route.last_send.is_none_or(|t| now >= t + self.stagger + route.spacing(budget, set));
@@ -667,51 +654,54 @@
     /// Slots are shared, so that a destination that hangs cannot hold them all.
     fn slot_for(&self, e: &Endpoint, route: &Route) -> bool {
         let late = |sent: Nanos| self.now > sent + 2 * self.p95(e.route) && sent >= route.served_sent;
-        let free = self.calls < self.set.slots;
+        let free = self.calls < self.set.max_in_flight;
         let answering = route.warm(self.now, &self.set) && !route.out.iter().any(|(_, _, sent)| late(*sent));
         let share = if answering { SLOT_SHARE.0 } else { SLOT_SHARE.1 };
-        let most = (self.set.slots as f64 * share).ceil() as usize;
-        let last = self.calls + 1 == self.set.slots && self.set.slots > 2;
+        let most = (self.set.max_in_flight as f64 * share).ceil() as usize;
+        let last = self.calls + 1 == self.set.max_in_flight && self.set.max_in_flight > 2;
         free && (route.out.is_empty() || (route.out.len() < most.max(1) && !last))
     }
 
     // ---- Learning ----------------------------------------------------------------------------------------
 
     fn ended(&mut self, event: &Event, actions: &mut Vec<Action>) {
-        let Event::Ended { id, attempt, outcome, took, finished } = *event else { return };
+        let Event::AttemptEnded { id, attempt, outcome, took, finished } = *event else { return };
         let now = self.now;
         let Some(m) = self.messages.get_mut(&id) else { return };
         let Some(a) = m.attempts.get_mut(attempt as usize).filter(|a| a.end.is_none()) else { return };
         a.end = Some(outcome);
-        m.spent |= outcome == Outcome::Spent;
+        m.spent |= outcome == Outcome::AttemptsExhausted;
         let (endpoint, sent, counted) = (a.endpoint, a.sent, a.overdue);
         self.calls -= 1;
         if let Some(e) = self.endpoints.get_mut(&endpoint) {
             e.out = e.out.saturating_sub(1);
             // Partners take few connections, idle ones counted: one not soon used again is given back.
             if e.out == 0 && !e.in_use {
-                actions.push(Action::Close(endpoint));
+                actions.push(Action::CloseIdle(endpoint));
             }
             if let Some(route) = self.routes.get_mut(&e.route) {
                 route.out.retain(|(m, no, _)| (*m, *no) != (id, attempt));
             }
         }
         if let Some(key) = m.key.and_then(|k| self.keys.get_mut(&k))
-            && matches!(outcome, Outcome::TimedOut | Outcome::Broken | Outcome::Stale | Outcome::Withdrawn)
+            && matches!(
+                outcome,
+                Outcome::TimedOut | Outcome::ConnectionLost | Outcome::StaleConnection | Outcome::Cancelled
+            )
         {
-            key.quiet_until = key.quiet_until.max(now + self.set.key_quiet);
+            key.quiet_until = key.quiet_until.max(now + self.set.key_quiet_period);
         }
         // An overdue call was counted when it became so.
-        let seen = if counted && outcome == Outcome::TimedOut { Outcome::Withdrawn } else { outcome };
+        let seen = if counted && outcome == Outcome::TimedOut { Outcome::Cancelled } else { outcome };
         self.learn(endpoint, sent, seen, Some(took));
         let Some(key) = self.endpoints.get(&endpoint).map(|e| e.route) else { return };
-        let (gap, usual, jitter) = (self.routes[&key].gap, self.usual(key), 0.75 + 0.5 * self.random());
+        let (gap, usual, jitter) = (self.routes[&key].gap, self.usual(key), 0.75 + 0.5 * self.random.unit());
         let m = self.messages.get_mut(&id).unwrap();
         let tries = m.attempts.len() as Nanos;
         let pause = match outcome {
             Outcome::Overloaded { .. } => (gap.max(GAP_STEP) << (tries - 1).min(4)).min(GAP_CAP),
-            Outcome::Failure | Outcome::Unreachable | Outcome::Broken => usual / 2 * tries,
-            Outcome::Void | Outcome::Stale => usual / 2 * (tries - 1),
+            Outcome::Failure | Outcome::Unreachable | Outcome::ConnectionLost => usual / 2 * tries,
+            Outcome::NotSent | Outcome::StaleConnection => usual / 2 * (tries - 1),
             _ => 0,
         };
         m.not_before = now + (pause as f64 * jitter) as Nanos;
@@ -722,7 +712,7 @@
     }
 
     fn cancel_all(&mut self, id: MessageId, actions: &mut Vec<Action>) {
-        let Some(m) = self.messages.get_mut(&id).filter(|_| self.set.cancel) else { return };
+        let Some(m) = self.messages.get_mut(&id).filter(|_| self.set.may_cancel) else { return };
         for (no, a) in m.attempts.iter_mut().enumerate() {
             if a.end.is_none() && !a.cancelled {
                 a.cancelled = true;
@@ -752,12 +742,12 @@
         let Some(e) = self.endpoints.get_mut(&at) else { return };
         let Some(route) = self.routes.get_mut(&e.route) else { return };
         let step = route.limit.map_or(GAP_STEP, |_| route.even(&self.set) / 2);
-        route.seen.count(outcome, now);
+        route.calls.count(outcome, now);
         match outcome {
             Outcome::Success => {
                 // Times measured across a stall say nothing of a pace.
                 if let Some(took) = took.filter(|_| !self.stalled) {
-                    route.recent.learn(took);
+                    route.latencies.learn(took);
                     self.pooled.learn(took);
                     e.pace = if e.pace == 0 { took } else { (e.pace * 7 + took) / 8 };
                 }
@@ -778,11 +768,11 @@
                 if back {
                     // Since it last failed, or the end of a wait: half way, in the mean over senders.
                     let late = (now - route.failed.max(route.wait_until).min(now)) / 2;
-                    route.returning = Some(now - late.min(self.set.fail_back.span));
+                    route.returning = Some(now - late.min(self.set.recovery.overload_window));
                 }
                 route.doubt = 0.0;
             }
-            Outcome::Overloaded { wait } => {
+            Outcome::Overloaded { retry_after } => {
                 // At most one rise for the calls sent since the last: they were no tries after a refusal.
                 if sent >= route.rise {
                     route.rise = now;
@@ -794,31 +784,35 @@
                     }
                     route.refused_run += 1;
                 }
-                route.wait_until = route.wait_until.max(now + wait);
+                route.wait_until = route.wait_until.max(now + retry_after);
                 // A wait longer than a limit's tells of an outage: all who were told would come at its end.
-                self.failed_trial(at, if wait > self.set.fail_back.span { DOUBT } else { 0.0 });
+                self.failed_trial(
+                    at,
+                    if retry_after > self.set.recovery.overload_window { DOUBT } else { 0.0 },
+                );
             }
             // A partner that dies refuses its next connections: a reset alone, where these come up, is the
             // network's, and no outage that the partner would come back cold from.
-            Outcome::Broken if !route.on_trial() => e.fails += 1,
-            Outcome::Failure | Outcome::Unreachable | Outcome::Broken | Outcome::TimedOut => {
+            Outcome::ConnectionLost if !route.on_trial() => e.fails += 1,
+            Outcome::Failure | Outcome::Unreachable | Outcome::ConnectionLost | Outcome::TimedOut => {
                 e.fails += 1;
                 route.bad = route.bad << 1 | 1;
                 // Well partners lose a call or answer an error now and then, but they take connections.
-                let gone = matches!(outcome, Outcome::Unreachable | Outcome::Broken);
+                let gone = matches!(outcome, Outcome::Unreachable | Outcome::ConnectionLost);
                 self.failed_trial(at, if gone { DOUBT } else { 1.0 });
             }
-            Outcome::Withdrawn | Outcome::Stale | Outcome::Void | Outcome::Spent => {}
+            Outcome::Cancelled | Outcome::StaleConnection | Outcome::NotSent | Outcome::AttemptsExhausted => {
+            }
         }
     }
 
     /// Counts what speaks against a route, and moves it between well, outage and return.
     fn failed_trial(&mut self, at: EndpointId, doubt: f64) {
-        let (now, jitter) = (self.now, 0.5 + self.random());
+        let (now, jitter) = (self.now, 0.5 + self.random.unit());
         let (key, set) = (self.endpoints[&at].route, &self.set);
         let route = self.routes.get_mut(&key).unwrap();
         (route.doubt, route.failed) = (route.doubt + doubt, now);
-        let cold = BUDGET_PART * set.fail_back.factor * set.fail_back.cold_from * route.share(set);
+        let cold = BUDGET_PART * set.recovery.overload_factor * set.recovery.initial_share * route.share(set);
         let most = route.spacing(cold, set);
         // Refused calls may use up a limit: where tries after a refusal are mostly refused too, all senders
         // together keep it shut. Each rests longer with each refusal, and the longer the less such tries pay.
@@ -829,11 +823,12 @@
             let spread = if route.wait_until > now { jitter - 0.5 } else { jitter };
             route.rest_until = now.max(route.wait_until) + (rest as f64 * spread) as Nanos;
         }
-        if most <= 2 * TRIAL_CAP && route.wait_until > now + set.fail_back.span {
+        if most <= 2 * TRIAL_CAP && route.wait_until > now + set.recovery.overload_window {
             // It told when it opens, and is cold then: few senders rest too briefly, and would push it over.
             route.returning = Some(route.wait_until);
         }
-        let shut = route.refused_run >= SHUT_RUN && now >= route.unrefused + SHUT_SPANS * set.fail_back.span;
+        let shut = route.refused_run >= SHUT_RUN
+            && now >= route.unrefused + SHUT_SPANS * set.recovery.overload_window;
         if route.down() {
             let tries = (route.bad.trailing_ones() - BAD_RUN).min(4);
             let pause = ((TRIAL_FIRST << tries).min(TRIAL_CAP) as f64 * jitter) as Nanos;
@@ -848,9 +843,10 @@
     /// short it keeps others waiting: it is called off. May waste a call that is only very slow.
     fn judge_overdue(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let (taken, few) = (self.calls, self.set.slots <= FEW_SLOTS);
+        let (taken, few) = (self.calls, self.set.max_in_flight <= FEW_SLOTS);
         let wanted = self.messages.values().any(|m| m.waiting() && m.not_before <= now);
-        let pressed = if few { taken >= self.set.slots && wanted } else { taken + 1 >= self.set.slots };
+        let pressed =
+            if few { taken >= self.set.max_in_flight && wanted } else { taken + 1 >= self.set.max_in_flight };
         let out = self
             .messages
             .iter()
@@ -867,7 +863,7 @@
             let give = match more {
                 true => age > 2 * p95 && ((lost && pressed) || (age > bound && (lost || (pressed && spare)))),
                 false => pressed && age > 2 * bound && spare,
-            } && self.set.cancel
+            } && self.set.may_cancel
                 && !m.done;
             if age > bound && !counted {
                 self.messages.get_mut(&id).unwrap().attempts[no].overdue = true;
@@ -894,10 +890,10 @@
             }
         }
         let live = self.messages.values().filter(|m| !m.done).count() - over.len();
-        let part = |share: f64| (self.set.hold_limit as f64 * share) as usize;
+        let part = |share: f64| (self.set.max_held as f64 * share) as usize;
         // Room is left for what comes until the next turn: a flood brings more than one message a turn.
         let (most, free) = (part(HOLD_SHARE.0).max(1), part(HOLD_SHARE.1) + 1);
-        let short = (live + free).saturating_sub(self.set.hold_limit);
+        let short = (live + free).saturating_sub(self.set.max_held);
         let shed = |held: usize| short.min(held.saturating_sub(most / 2)).max(held.saturating_sub(most));
         for list in held.values_mut().filter(|list| shed(list.len()) > 0) {
             list.sort_by(|a, b| a.0.total_cmp(&b.0).then(b.1.cmp(&a.1)));
@@ -910,7 +906,7 @@
 
     /// No send can follow that would still deliver.
     fn hopeless(&self, m: &Message) -> bool {
-        let margin = 2 * self.set.tick.max(PULSE);
+        let margin = 2 * self.set.turn_interval.max(PULSE);
         let spent = m.spent || m.attempts.len() >= self.set.max_attempts as usize;
         let barred = self.now >= self.repeat_until(m);
         let back = self.routes_of(m.destination).map(|r| r.rest_until.max(r.wait_until)).min().unwrap_or(0);
@@ -919,21 +915,22 @@
 
     fn end(&mut self, id: MessageId, actions: &mut Vec<Action>) {
         let m = &self.messages[&id];
-        let effect = self.set.classes[m.class.0].effect;
-        let repeats = matches!(effect, Effect::Safe | Effect::Keyed { by_zone: false, .. });
+        let effect = self.set.classes[m.class.0].idempotency;
+        let repeats =
+            matches!(effect, Idempotency::Idempotent | Idempotency::IdempotencyKey { per_zone: false, .. });
         let harmless = repeats || m.first_run().is_none();
         if harmless {
             // The client is told when a route is likely to take it, as far as clients follow advice.
             let back = self.routes_of(m.destination).map(|r| r.ready_at()).min().unwrap_or(0);
             // Clients refused together come back spread out, and none before the route opens.
             let back = back.saturating_sub(self.now).max(GAP_CAP);
-            let chance = self.random();
-            let return_after = self.set.max_advice.map(|most| {
+            let chance = self.random.unit();
+            let retry_after = self.set.max_retry_after.map(|most| {
                 let (least, most) = (back.min(most * 3 / 4), most.min(back + back / 4));
                 let least = if back < most { back } else { least };
                 least + ((most - least) as f64 * chance) as Nanos
             });
-            actions.push(Action::Refuse { id, return_after });
+            actions.push(Action::Reject { id, retry_after });
         } else {
             actions.push(Action::Fail { id });
         }
--- a/crates/policy/src/policy/carried.rs
+++ b/crates/policy/src/policy/restore.rs
@@ -1,11 +1,9 @@
-//! Carries the decisions' state into a later process of the same sender. It decides nothing, and must never take up a
-//! state whose kinds or classes are not those of the settings.
+//! Restores the decision state that an earlier process of the same sender has passed on.
 
 use super::*;
 
 impl Policy {
-    /// This state, that an earlier process had written, under the settings of this one. All goes on: waits, budgets,
-    /// attempts out and what was learned.
+    /// Continues this state, passed on by an earlier process, under the settings of this one.
     ///
     /// # Errors
     /// Where the settings are unusable, or have other kinds or fewer classes than the state speaks of.
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -7,30 +7,42 @@
 pub const MS: Nanos = 1_000_000;
 pub const S: Nanos = 1_000 * MS;
 
-pub fn class(effect: Effect) -> Class {
-    Class { aim: 2 * S, deadline: 20 * S, worth: 1.0, late_worth: 0.3, effect, ordered: false }
+pub fn class(idempotency: Idempotency) -> MessageClass {
+    MessageClass {
+        latency_objective: 2 * S,
+        deadline: 20 * S,
+        priority_weight: 1.0,
+        late_weight_share: 0.3,
+        idempotency,
+        ordered: false,
+    }
 }
 
-pub fn settings(classes: Vec<Class>) -> Settings {
+pub fn settings(classes: Vec<MessageClass>) -> Settings {
     Settings {
         senders: 1,
         zone: ZoneId(0),
-        zones: vec![0.0, 0.0],
-        kinds: vec![Kind { apart: false }, Kind { apart: true }],
+        zone_prices: vec![0.0, 0.0],
+        kinds: vec![DestinationKind { per_endpoint: false }, DestinationKind { per_endpoint: true }],
         classes,
         decay: Decay::Halving,
-        weights: Weights::Nominal,
-        slots: 8,
-        hold_limit: 100,
+        weight_meaning: EndpointWeights::Nominal,
+        max_in_flight: 8,
+        max_held: 100,
         max_attempts: 6,
-        cancel: true,
-        second_copies: true,
-        max_advice: None,
-        fail_back: FailBack { factor: 2.0, span: 2 * S, cold_from: 0.2, cold: 10 * S },
-        key_quiet: 300 * MS,
+        may_cancel: true,
+        may_hedge: true,
+        max_retry_after: None,
+        recovery: RecoveryRamp {
+            overload_factor: 2.0,
+            overload_window: 2 * S,
+            initial_share: 0.2,
+            duration: 10 * S,
+        },
+        key_quiet_period: 300 * MS,
         connect_timeout: 1500 * MS,
-        conn_idle: 15 * S,
-        tick: 5 * MS,
+        idle_timeout: 15 * S,
+        turn_interval: 5 * MS,
         cross_zone_price: 0.0,
         handshake_price: 0.0,
     }
@@ -74,20 +86,20 @@
     }
 
     pub fn list(&mut self, endpoints: &[(u32, u64, usize, usize)]) {
-        let entry = |&(endpoint, destination, zone, kind): &(u32, u64, usize, usize)| Entry {
+        let entry = |&(endpoint, destination, zone, kind): &(u32, u64, usize, usize)| EndpointEntry {
             endpoint: EndpointId(endpoint),
             zone: ZoneId(zone),
             kind: KindId(kind),
             destination: DestinationId(destination),
-            stage: Stage::On,
+            stage: EndpointState::Active,
             weight: 20.0,
         };
-        self.turn(&[Event::List(endpoints.iter().map(entry).collect())]);
+        self.turn(&[Event::EndpointList(endpoints.iter().map(entry).collect())]);
     }
 
     pub fn message(&mut self, destination: u64, class: usize, span: Nanos, key: Option<u64>) -> Event {
         self.next += 1;
-        Event::Message {
+        Event::MessageAccepted {
             id: MessageId(self.next),
             destination: DestinationId(destination),
             class: ClassId(class),
@@ -106,7 +118,7 @@
 
     pub fn end(&mut self, id: MessageId, attempt: u32, outcome: Outcome, took: Nanos) -> Vec<Action> {
         let finished = outcome == Outcome::Success;
-        self.turn(&[Event::Ended { id, attempt, outcome, took, finished }])
+        self.turn(&[Event::AttemptEnded { id, attempt, outcome, took, finished }])
     }
 
     /// Serves messages so that the destination's usual pace is known.
@@ -129,7 +141,7 @@
 }
 
 pub fn refused(actions: &[Action], id: MessageId) -> bool {
-    actions.iter().any(|a| matches!(a, Action::Refuse { id: i, .. } if *i == id))
+    actions.iter().any(|a| matches!(a, Action::Reject { id: i, .. } if *i == id))
 }
 
 pub fn failed(actions: &[Action], id: MessageId) -> bool {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -5,10 +5,10 @@
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::*;
 
-const SAFE: Effect = Effect::Safe;
-const FULL: Outcome = Outcome::Overloaded { wait: 0 };
+const SAFE: Idempotency = Idempotency::Idempotent;
+const FULL: Outcome = Outcome::Overloaded { retry_after: 0 };
 
-fn two_endpoints(classes: Vec<Class>) -> Rig {
+fn two_endpoints(classes: Vec<MessageClass>) -> Rig {
     let mut rig = Rig::new(settings(classes));
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
     rig
@@ -40,12 +40,12 @@
 
 #[test]
 fn no_copy_of_an_unsafe_message_nor_where_copies_are_not_allowed() {
-    let mut rig = two_endpoints(vec![class(SAFE), class(Effect::Unsafe)]);
+    let mut rig = two_endpoints(vec![class(SAFE), class(Idempotency::NonIdempotent)]);
     rig.warm(1, 0, 20, 100 * MS);
     rig.hand_in(1, 1);
     assert!(sends(&rig.pass(800 * MS)).is_empty());
     let mut set = settings(vec![class(SAFE)]);
-    set.second_copies = false;
+    set.may_hedge = false;
     let mut rig = Rig::new(set);
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
     rig.warm(1, 0, 20, 100 * MS);
@@ -96,7 +96,7 @@
 #[test]
 fn a_gap_far_over_the_even_share_of_a_limit_is_left_within_a_few_served_calls() {
     // Guards against a jam: a backlog of a partner of 20 a second was served a call a second for ten seconds.
-    let mut rig = two_endpoints(vec![class(Effect::Unsafe)]);
+    let mut rig = two_endpoints(vec![class(Idempotency::NonIdempotent)]);
     rig.warm(1, 0, 20, 100 * MS);
     let backlog: Vec<Event> = (0..30).map(|_| rig.message(1, 0, 20 * S, None)).collect();
     let mut out = sends(&rig.turn(&backlog));
@@ -111,7 +111,7 @@
             served.extend((outcome == Outcome::Success).then_some(rig.now));
             let (attempt, finished) = (rig.attempts[&id.0] - 1, outcome == Outcome::Success);
             let took = 100 * MS;
-            events.push(Event::Ended { id, attempt, outcome, took, finished });
+            events.push(Event::AttemptEnded { id, attempt, outcome, took, finished });
         }
         out = sends(&rig.turn(&events));
         assert!(rig.now < 60 * S, "they are all served");
@@ -143,8 +143,8 @@
 
 #[test]
 fn an_unsafe_message_that_may_have_run_fails_at_once_and_is_never_sent_again() {
-    for outcome in [Outcome::Failure, Outcome::TimedOut, Outcome::Broken, Outcome::Withdrawn] {
-        let mut rig = two_endpoints(vec![class(Effect::Unsafe)]);
+    for outcome in [Outcome::Failure, Outcome::TimedOut, Outcome::ConnectionLost, Outcome::Cancelled] {
+        let mut rig = two_endpoints(vec![class(Idempotency::NonIdempotent)]);
         let (id, _) = rig.hand_in(1, 0);
         rig.now += 100 * MS;
         let actions = rig.end(id, 0, outcome, 100 * MS);
@@ -155,8 +155,8 @@
 
 #[test]
 fn an_unsafe_message_that_never_ran_is_sent_again() {
-    for outcome in [FULL, Outcome::Unreachable, Outcome::Void] {
-        let mut rig = two_endpoints(vec![class(Effect::Unsafe)]);
+    for outcome in [FULL, Outcome::Unreachable, Outcome::NotSent] {
+        let mut rig = two_endpoints(vec![class(Idempotency::NonIdempotent)]);
         let (id, _) = rig.hand_in(1, 0);
         rig.now += 10 * MS;
         let mut actions = rig.end(id, 0, outcome, 10 * MS);
@@ -167,13 +167,13 @@
 
 #[test]
 fn a_keyed_message_stays_in_its_zone_and_window_and_is_not_refused_after() {
-    let keyed = Effect::Keyed { by_zone: true, memory: 6 * S };
+    let keyed = Idempotency::IdempotencyKey { per_zone: true, window: 6 * S };
     let mut rig = two_endpoints(vec![class(keyed)]);
     let (id, actions) = rig.hand_in(1, 0);
     let (first, sent) = (sends(&actions)[0].1, rig.now);
     rig.now += 100 * MS;
     let mut last = rig.now;
-    let mut actions = rig.end(id, 0, Outcome::Broken, 100 * MS);
+    let mut actions = rig.end(id, 0, Outcome::ConnectionLost, 100 * MS);
     loop {
         if let Some((_, endpoint, _)) = sends(&actions).first() {
             assert_eq!(*endpoint, first, "another zone would not drop the repeat");
@@ -199,15 +199,15 @@
         let (_, actions) = rig.hand_in(1, 0);
         assert!(sends(&actions).iter().all(|s| s.1 == EndpointId(1)));
     }
-    let drain = Entry {
+    let drain = EndpointEntry {
         endpoint: EndpointId(1),
         zone: ZoneId(1),
         kind: KindId(0),
         destination: DestinationId(1),
-        stage: Stage::Draining,
+        stage: EndpointState::Draining,
         weight: 20.0,
     };
-    rig.turn(&[Event::ListChanges(vec![drain])]);
+    rig.turn(&[Event::EndpointChanges(vec![drain])]);
     assert!(sends(&rig.hand_in(1, 0).1).is_empty());
 }
 
@@ -216,13 +216,13 @@
     let mut rig = Rig::new(settings(vec![class(SAFE)]));
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0), (2, 2, 0, 1), (3, 2, 1, 1)]);
     let (id, _) = rig.hand_in(1, 0);
-    rig.end(id, 0, Outcome::Overloaded { wait: 700 * MS }, 0);
+    rig.end(id, 0, Outcome::Overloaded { retry_after: 700 * MS }, 0);
     rig.hand_in(1, 0);
     assert!(sends(&rig.pass(690 * MS)).is_empty());
     assert!(!sends(&rig.pass(800 * MS)).is_empty());
     let (id, actions) = rig.hand_in(2, 0);
     let at = sends(&actions)[0].1;
-    let again = rig.end(id, 0, Outcome::Overloaded { wait: 700 * MS }, 0);
+    let again = rig.end(id, 0, Outcome::Overloaded { retry_after: 700 * MS }, 0);
     let again = [again, rig.pass(600 * MS)].concat();
     let other = sends(&again).into_iter().find(|s| s.0 == id).expect("the other route is free");
     assert_ne!(other.1, at);
@@ -230,7 +230,7 @@
 
 #[test]
 fn messages_of_a_key_go_in_order_and_the_key_rests() {
-    let mut ordered = class(Effect::Unsafe);
+    let mut ordered = class(Idempotency::NonIdempotent);
     ordered.ordered = true;
     let mut rig = two_endpoints(vec![ordered]);
     let (a, b) = (rig.message(1, 0, 20 * S, Some(5)), rig.message(1, 0, 20 * S, Some(5)));
@@ -260,7 +260,7 @@
     // Guards against keeping a client waiting for a deadline that nothing can be sent before.
     let mut rig = two_endpoints(vec![class(SAFE)]);
     let (id, _) = rig.hand_in(1, 0);
-    let actions = rig.end(id, 0, Outcome::Overloaded { wait: 30 * S }, 5 * MS);
+    let actions = rig.end(id, 0, Outcome::Overloaded { retry_after: 30 * S }, 5 * MS);
     assert!(refused(&actions, id), "its 20 s are over before the partner opens: {actions:?}");
     assert!(refused(&rig.hand_in(1, 0).1, MessageId(id.0 + 1)), "and so for one that comes now");
 }
@@ -268,7 +268,7 @@
 #[test]
 fn an_outage_leaves_single_trials_and_the_return_keeps_to_the_budget() {
     let mut set = settings(vec![class(SAFE)]);
-    set.second_copies = false;
+    set.may_hedge = false;
     let mut rig = Rig::new(set);
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 10, 50 * MS);
@@ -315,13 +315,13 @@
 fn a_partner_that_told_when_it_opens_is_cold_then_and_gets_the_budget() {
     // Found in the laboratory's cold return: the backlog of a told closure came all at once when it ended.
     let mut set = settings(vec![class(SAFE)]);
-    (set.second_copies, set.senders) = (false, 3);
+    (set.may_hedge, set.senders) = (false, 3);
     let mut rig = Rig::new(set);
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 10, 50 * MS);
     let wait = 6 * S;
     let (id, _) = rig.hand_in(1, 0);
-    let mut out = rig.end(id, 0, Outcome::Overloaded { wait }, 0);
+    let mut out = rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 0);
     (0..60).for_each(|_| out.extend(rig.hand_in(1, 0).1));
     assert!(sends(&rig.pass(wait - 5 * MS)).is_empty() && sends(&out).is_empty(), "the wait is kept");
     let mut count = 0.0;
@@ -347,7 +347,7 @@
         let (id, _) = rig.hand_in(1, 0);
         rig.now += 50 * MS;
         if round % 3 == 0 {
-            rig.end(id, 0, Outcome::Broken, 50 * MS);
+            rig.end(id, 0, Outcome::ConnectionLost, 50 * MS);
             rig.now += 200 * MS;
             let again = sends(&rig.turn(&[]));
             assert_eq!(again.len(), 1, "it is tried again soon");
@@ -360,26 +360,26 @@
 
 #[test]
 fn stale_connections_are_no_outage_and_an_unsafe_message_that_met_one_is_not_repeated() {
-    let mut rig = two_endpoints(vec![class(Effect::Safe), class(Effect::Unsafe)]);
+    let mut rig = two_endpoints(vec![class(Idempotency::Idempotent), class(Idempotency::NonIdempotent)]);
     rig.warm(1, 0, 10, 100 * MS);
     for _ in 0..12 {
         let (id, actions) = rig.hand_in(1, 0);
         assert_eq!(sends(&actions).len(), 1, "the partner is well");
-        assert_eq!(sends(&rig.end(id, 0, Outcome::Stale, MS)).len(), 1, "it goes again at once");
+        assert_eq!(sends(&rig.end(id, 0, Outcome::StaleConnection, MS)).len(), 1, "it goes again at once");
         rig.end(id, 1, Outcome::Success, 100 * MS);
     }
     let (id, _) = rig.hand_in(1, 1);
-    assert!(failed(&rig.end(id, 0, Outcome::Stale, MS), id), "it may have run");
+    assert!(failed(&rig.end(id, 0, Outcome::StaleConnection, MS), id), "it may have run");
 }
 
 #[test]
 fn resets_alone_are_no_outage_but_one_that_fails_otherwise_is_still_found() {
-    let mut rig = two_endpoints(vec![class(Effect::Safe), class(Effect::Unsafe)]);
+    let mut rig = two_endpoints(vec![class(Idempotency::Idempotent), class(Idempotency::NonIdempotent)]);
     rig.warm(1, 0, 20, 100 * MS);
     for _ in 0..10 {
         let (id, actions) = rig.hand_in(1, 0);
         assert_eq!(sends(&actions).len(), 1, "it is sent to as before");
-        rig.end(id, 0, Outcome::Broken, MS);
+        rig.end(id, 0, Outcome::ConnectionLost, MS);
         let again = rig.pass(90 * MS);
         assert_eq!(sends(&again).len(), 1, "and again after a pause");
         rig.end(id, 1, Outcome::Success, 100 * MS);
@@ -399,8 +399,8 @@
     let mut rig = two_endpoints(vec![class(SAFE)]);
     for _ in 0..3 {
         let (id, _) = rig.hand_in(1, 0);
-        rig.end(id, 0, Outcome::Broken, 0);
-        rig.turn(&[Event::Left(id)]);
+        rig.end(id, 0, Outcome::ConnectionLost, 0);
+        rig.turn(&[Event::ClientLeft(id)]);
     }
     let sent: usize = (0..3).map(|_| sends(&rig.hand_in(1, 0).1).len()).sum();
     assert_eq!(sent, 3, "no single trials yet");
@@ -408,7 +408,7 @@
 
 #[test]
 fn a_hung_destination_leaves_slots_to_others() {
-    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent)]));
     rig.list(&[(0, 1, 0, 0), (1, 2, 0, 0)]);
     for _ in 0..20 {
         rig.hand_in(1, 0);
@@ -420,7 +420,7 @@
 #[test]
 fn a_call_is_called_off_once_a_later_one_was_served() {
     let mut set = settings(vec![class(SAFE)]);
-    set.second_copies = false;
+    set.may_hedge = false;
     let mut rig = Rig::new(set);
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 20, 100 * MS);
@@ -436,7 +436,7 @@
     let mut shed = 0;
     for _ in 0..90 {
         let (_, actions) = rig.hand_in(1, 0);
-        shed += actions.iter().filter(|a| matches!(a, Action::Refuse { .. })).count();
+        shed += actions.iter().filter(|a| matches!(a, Action::Reject { .. })).count();
     }
     assert!((20..40).contains(&shed), "{shed} shed of 90, with room for 100");
 }
@@ -448,7 +448,7 @@
     let (id, _) = rig.hand_in(1, 0);
     rig.end(id, 0, Outcome::Success, 50 * MS);
     assert!(sends(&rig.end(id, 0, Outcome::Failure, 50 * MS)).is_empty());
-    assert!(sends(&rig.turn(&[Event::Left(id), Event::Left(MessageId(98))])).is_empty());
+    assert!(sends(&rig.turn(&[Event::ClientLeft(id), Event::ClientLeft(MessageId(98))])).is_empty());
     let (id, _) = rig.hand_in(1, 0);
     assert!(sends(&rig.end(id, 7, Outcome::Failure, 0)).is_empty());
 }
@@ -456,19 +456,19 @@
 #[test]
 fn connections_that_nobody_closes_are_kept_for_good() {
     // Guards settings that name no idle limit: as the longest span it overflowed when added to an instant.
-    let mut rig = Rig::new(Settings { conn_idle: Nanos::MAX, ..settings(vec![class(SAFE)]) });
+    let mut rig = Rig::new(Settings { idle_timeout: Nanos::MAX, ..settings(vec![class(SAFE)]) });
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 1, 100 * MS);
     let (id, actions) = rig.hand_in(1, 0);
     assert_eq!(sends(&actions).len(), 1);
     rig.now += 100 * MS;
-    assert!(!rig.end(id, 0, Outcome::Success, 100 * MS).contains(&Action::Close(EndpointId(0))));
+    assert!(!rig.end(id, 0, Outcome::Success, 100 * MS).contains(&Action::CloseIdle(EndpointId(0))));
 }
 
 #[test]
 fn unusable_settings_say_which() {
     let mut none = settings(vec![class(SAFE)]);
-    none.slots = 0;
+    none.max_in_flight = 0;
     assert!(Policy::new(none, 1).unwrap_err().to_string().contains("slots"));
     assert!(Policy::new(settings(vec![]), 1).unwrap_err().to_string().contains("classes"));
 }
@@ -477,7 +477,8 @@
 fn the_module_keeps_its_limits() {
     // All that `deploy/balancer.toml` names under `policy`.
     let read = |file: &str| std::fs::read_to_string(format!("{}/src/{file}", env!("CARGO_MANIFEST_DIR")));
-    let text: String = ["policy.rs", "policy/sights.rs"].map(|file| read(file).unwrap()).concat();
+    let text: String =
+        ["policy.rs", "policy/observations.rs", "policy/restore.rs"].map(|file| read(file).unwrap()).concat();
     let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
     assert!(lines <= 950, "{lines} lines");
     assert!(text.lines().all(|l| l.chars().count() <= 110));
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -9,8 +9,11 @@
 
 /// Senders of a fleet that have each had the same calls served by the same endpoints of partner 1.
 fn fleet(endpoints: u32) -> Vec<Rig> {
-    let set =
-        || Settings { senders: FLEET as u32, max_advice: Some(3 * S), ..settings(vec![class(Effect::Safe)]) };
+    let set = || Settings {
+        senders: FLEET as u32,
+        max_retry_after: Some(3 * S),
+        ..settings(vec![class(Idempotency::Idempotent)])
+    };
     let mut all: Vec<Rig> = (1..=FLEET).map(|seed| Rig::seeded(set(), seed)).collect();
     let listed: Vec<_> = (0..endpoints).map(|e| (e, 1, 0, 0)).collect();
     for rig in &mut all {
@@ -52,7 +55,7 @@
         .iter_mut()
         .map(|rig| {
             let (id, _) = rig.hand_in(1, 0);
-            rig.end(id, 0, Outcome::Overloaded { wait }, 5 * MS);
+            rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 5 * MS);
             rig.now + wait
         })
         .collect();
@@ -71,12 +74,12 @@
         let mut told = Vec::new();
         for rig in &mut all {
             let (id, _) = rig.hand_in(1, 0);
-            let mut actions = rig.end(id, 0, Outcome::Overloaded { wait }, 5 * MS);
+            let mut actions = rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 5 * MS);
             // With no time left behind the wait nothing can be sent any more.
             let late: Vec<Event> = (0..4).map(|_| rig.message(1, 0, wait.min(S), None)).collect();
             actions.extend(rig.turn(&late));
             let advice = |a: &Action| match a {
-                Action::Refuse { return_after, .. } => *return_after,
+                Action::Reject { retry_after, .. } => *retry_after,
                 _ => None,
             };
             let advice: Vec<Nanos> = actions.iter().filter_map(advice).collect();
@@ -132,7 +135,7 @@
 
 #[test]
 fn a_fleet_that_starts_at_once_spreads_its_first_calls_over_the_endpoints_and_sends_no_wave_of_copies() {
-    let set = || Settings { senders: FLEET as u32, ..settings(vec![class(Effect::Safe)]) };
+    let set = || Settings { senders: FLEET as u32, ..settings(vec![class(Idempotency::Idempotent)]) };
     let mut landed: BTreeMap<u32, usize> = BTreeMap::new();
     let mut copies = Vec::new();
     for seed in 1..=FLEET {
@@ -155,8 +158,8 @@
 /// Of messages to a well partner for 20 s, how many were served and how many turned away, beside a flood to another:
 /// so many messages every 5 ms with so long left, which that partner never answers.
 fn beside_a_flood(seed: u64, flood: usize, left: Nanos) -> (usize, usize) {
-    let set = settings(vec![class(Effect::Safe)]);
-    let (slots, hold) = (set.slots, set.hold_limit);
+    let set = settings(vec![class(Idempotency::Idempotent)]);
+    let (slots, hold) = (set.max_in_flight, set.max_held);
     let mut rig = Rig::seeded(set, seed);
     rig.list(&[(0, 1, 0, 0), (1, 1, 0, 0), (2, 2, 0, 0)]);
     rig.warm(1, 0, 8, 100 * MS);
@@ -172,12 +175,12 @@
         for (id, attempt, well) in due {
             let outcome = if well { Outcome::Success } else { Outcome::TimedOut };
             served += usize::from(well && live.remove(&id).is_some());
-            events.push(Event::Ended { id, attempt, outcome, took: 100 * MS, finished: well });
+            events.push(Event::AttemptEnded { id, attempt, outcome, took: 100 * MS, finished: well });
         }
         for (destination, span) in (0..flood).map(|_| (2, left)).chain((step % 20 == 0).then_some((1, 8 * S)))
         {
             let event = rig.message(destination, 0, span, None);
-            let Event::Message { id, .. } = event else { unreachable!() };
+            let Event::MessageAccepted { id, .. } = event else { unreachable!() };
             // As the sender does: room is counted before the module has seen what comes.
             if live.len() < hold {
                 live.insert(id, destination);
@@ -198,7 +201,7 @@
                         .filter(|o| (o.1, o.2) == (id, attempt))
                         .for_each(|o| (o.0, o.3) = (0, false));
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => drop(live.remove(&id)),
+                Action::Reject { id, .. } | Action::Fail { id } => drop(live.remove(&id)),
                 _ => {}
             }
         }
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -9,21 +9,26 @@
 
 const SENDERS: usize = 200;
 const LIMIT: f64 = 10.0;
-const FULL: Outcome = Outcome::Overloaded { wait: 0 };
+const FULL: Outcome = Outcome::Overloaded { retry_after: 0 };
 
-fn entry(endpoint: u32, destination: u64) -> Entry {
-    Entry {
+fn entry(endpoint: u32, destination: u64) -> EndpointEntry {
+    EndpointEntry {
         endpoint: EndpointId(endpoint),
         zone: ZoneId(0),
         kind: KindId(0),
         destination: DestinationId(destination),
-        stage: Stage::On,
+        stage: EndpointState::Active,
         weight: LIMIT,
     }
 }
 
 fn sparse() -> Settings {
-    Settings { senders: SENDERS as u32, slots: 3, hold_limit: 12, ..settings(vec![class(Effect::Safe)]) }
+    Settings {
+        senders: SENDERS as u32,
+        max_in_flight: 3,
+        max_held: 12,
+        ..settings(vec![class(Idempotency::Idempotent)])
+    }
 }
 
 struct Sender {
@@ -61,8 +66,8 @@
             fresh.insert(who, next);
         }
         for (who, sender) in senders.iter_mut().enumerate() {
-            let mut events = if step == 0 { vec![Event::List(vec![entry(0, 1)])] } else { vec![] };
-            events.extend(fresh.get(&who).map(|id| Event::Message {
+            let mut events = if step == 0 { vec![Event::EndpointList(vec![entry(0, 1)])] } else { vec![] };
+            events.extend(fresh.get(&who).map(|id| Event::MessageAccepted {
                 id: MessageId(*id),
                 destination: DestinationId(1),
                 class: ClassId(0),
@@ -74,7 +79,7 @@
             for (_, id, attempt, outcome) in over {
                 sender.told |= outcome != Outcome::Success;
                 let finished = outcome == Outcome::Success;
-                events.push(Event::Ended { id, attempt, outcome, took: 100 * MS, finished });
+                events.push(Event::AttemptEnded { id, attempt, outcome, took: 100 * MS, finished });
             }
             events.push(Event::Wake);
             let mut actions = Vec::new();
@@ -112,20 +117,20 @@
 
 /// One sender of many before a partner that is out for 5 s, and back for the rest: when its calls went there.
 fn one_of_many(senders: u32, length: Nanos) -> Vec<Nanos> {
-    let mut rig = Rig::new(Settings { senders, ..settings(vec![class(Effect::Safe)]) });
-    rig.turn(&[Event::List(vec![Entry { weight: 60.0, ..entry(0, 1) }])]);
+    let mut rig = Rig::new(Settings { senders, ..settings(vec![class(Idempotency::Idempotent)]) });
+    rig.turn(&[Event::EndpointList(vec![EndpointEntry { weight: 60.0, ..entry(0, 1) }])]);
     rig.warm(1, 0, 8, 50 * MS);
     let (begin, mut sent, mut waits) = (rig.now, vec![], false);
     while rig.now < begin + length {
         // One message always waits.
         let actions = if waits { rig.pass(5 * MS) } else { rig.hand_in(1, 0).1 };
-        waits = !actions.iter().any(|a| matches!(a, Action::Refuse { .. }));
+        waits = !actions.iter().any(|a| matches!(a, Action::Reject { .. }));
         rig.now += MS;
         let end = if rig.now < begin + 5 * S { Outcome::Unreachable } else { Outcome::Success };
         for (id, _, _) in sends(&actions) {
             sent.push(rig.now - begin);
             rig.end(id, rig.attempts[&id.0] - 1, end, MS);
-            rig.turn(&[Event::Left(id)]);
+            rig.turn(&[Event::ClientLeft(id)]);
             waits = false;
         }
     }
@@ -140,18 +145,18 @@
 fn a_return_gets_its_budget_evenly_from_when_it_began(#[case] senders: u32) {
     // Guards a partner that is back against standing idle: each sender of many may send it a call and a part in a
     // span, and the parts are a third of what it takes; and one that learns late that it is back is late to the end.
-    let set = Settings { senders, ..settings(vec![class(Effect::Safe)]) };
+    let set = Settings { senders, ..settings(vec![class(Idempotency::Idempotent)]) };
     let sent = one_of_many(senders, 60 * S);
     let failed = *sent.iter().rfind(|t| **t < 5 * S).unwrap();
     let served = *sent.iter().find(|t| **t >= 5 * S).unwrap();
     // Its share of the told limit, the used part of the factor, warming up from half way.
-    let fall = set.fail_back;
-    let back = served - ((served - failed) / 2).min(fall.span);
-    let warmth = |t: Nanos| (0.2 + 0.8 * (t.saturating_sub(back) as f64 / fall.cold as f64)).min(1.0);
-    let owed = |t: Nanos| 0.8 * fall.factor * 60.0 / f64::from(senders) * warmth(t) / 1e9;
-    let steps = (served..back + fall.cold).step_by(MS as usize);
+    let fall = set.recovery;
+    let back = served - ((served - failed) / 2).min(fall.overload_window);
+    let warmth = |t: Nanos| (0.2 + 0.8 * (t.saturating_sub(back) as f64 / fall.duration as f64)).min(1.0);
+    let owed = |t: Nanos| 0.8 * fall.overload_factor * 60.0 / f64::from(senders) * warmth(t) / 1e9;
+    let steps = (served..back + fall.duration).step_by(MS as usize);
     let budget: f64 = steps.map(|t| owed(t) * MS as f64).sum();
-    let within = sent.iter().filter(|t| (served..back + fall.cold).contains(*t)).count() as f64;
+    let within = sent.iter().filter(|t| (served..back + fall.duration).contains(*t)).count() as f64;
     println!("{senders} senders: out until {failed}, served at {served}: {within} of {budget:.1}");
     assert!(within <= 1.2 * budget + 2.0, "no more than its budget");
     assert!(within >= 0.9 * budget - 0.5, "and most of it");
@@ -160,7 +165,7 @@
 #[test]
 fn one_refused_connection_rests_the_route_where_shares_are_small() {
     let mut rig = Rig::new(sparse());
-    rig.turn(&[Event::List(vec![entry(0, 1), entry(1, 2)])]);
+    rig.turn(&[Event::EndpointList(vec![entry(0, 1), entry(1, 2)])]);
     let (id, _) = rig.hand_in(1, 0);
     rig.end(id, 0, Outcome::Unreachable, 0);
     assert!(sends(&rig.pass(4 * S)).is_empty(), "all that saw it would come back at once");
@@ -177,21 +182,21 @@
 fn a_return_began_before_it_was_seen_by_a_span_at_most() {
     // Guards a cold partner against those that rested long: half way back alone would have them think it warm.
     let mut rig = Rig::new(sparse());
-    rig.turn(&[Event::List(vec![entry(0, 1)])]);
+    rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
     let (id, _) = rig.hand_in(1, 0);
     rig.end(id, 0, Outcome::Unreachable, 0);
     rig.now += 40 * S;
     let (id, actions) = rig.hand_in(1, 0);
     assert_eq!(sends(&actions).len(), 1);
     rig.end(id, 0, Outcome::Success, MS);
-    let outage = rig.policy.sights(rig.now, None, 1).0[0].outage;
-    assert_eq!(outage, Some(Outage::Back { since: 2 * S }));
+    let outage = rig.policy.observations(rig.now, None, 1).0[0].outage;
+    assert_eq!(outage, Some(Outage::Recovering { since: 2 * S }));
 }
 
 #[test]
 fn a_single_error_does_not_lock_a_partner_out() {
     let mut rig = Rig::new(sparse());
-    rig.turn(&[Event::List(vec![entry(0, 1)])]);
+    rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
     let (id, _) = rig.hand_in(1, 0);
     rig.end(id, 0, Outcome::Failure, 0);
     assert_eq!(sends(&rig.pass(2 * S)).len(), 1);
@@ -200,13 +205,13 @@
 #[test]
 fn first_sends_keep_to_the_share_where_tries_after_refusals_do_not_pay() {
     let mut rig = Rig::new(sparse());
-    rig.turn(&[Event::List((0..60).map(|n| entry(n, u64::from(n))).collect())]);
+    rig.turn(&[Event::EndpointList((0..60).map(|n| entry(n, u64::from(n))).collect())]);
     for destination in 0..59 {
         for _ in 0..2 {
             let (id, actions) = rig.hand_in(destination, 0);
             assert_eq!(sends(&actions).len(), 1);
             rig.end(id, 0, FULL, 0);
-            rig.turn(&[Event::Left(id)]);
+            rig.turn(&[Event::ClientLeft(id)]);
             rig.now += 40 * S; // a refused sender rests
         }
     }
@@ -233,9 +238,9 @@
     // though each has seen only one refusal or two. A refused call counts once: a rest of two shares took out two.
     let mut rests = vec![];
     for seed in 0..20 {
-        let set = Settings { senders, ..settings(vec![class(Effect::Safe)]) };
+        let set = Settings { senders, ..settings(vec![class(Idempotency::Idempotent)]) };
         let mut rig = Rig::seeded(set, seed);
-        rig.turn(&[Event::List(vec![Entry { weight: 60.0, ..entry(0, 1) }])]);
+        rig.turn(&[Event::EndpointList(vec![EndpointEntry { weight: 60.0, ..entry(0, 1) }])]);
         let out: Vec<_> = (0..calls).map(|_| rig.hand_in(1, 0).0).collect();
         rig.now += MS;
         out.into_iter().for_each(|id| drop(rig.end(id, 0, FULL, MS)));
@@ -255,13 +260,13 @@
 #[case::too_large_to_count(1e300)]
 fn a_figure_that_no_partner_has_stops_no_sender(#[case] weight: f64) {
     // Guards the sender against what discovery may tell: times that follow from it are beyond any clock.
-    let mut rig = Rig::new(Settings { senders: 300, ..settings(vec![class(Effect::Safe)]) });
+    let mut rig = Rig::new(Settings { senders: 300, ..settings(vec![class(Idempotency::Idempotent)]) });
     // Clocks that count from 1970 are a tenth of the way to the end of their range.
     rig.now = 1_800_000_000 * S;
-    let list = (0..9).map(|n| Entry { weight, ..entry(n, u64::from(n)) }).collect();
-    rig.turn(&[Event::List(list)]);
+    let list = (0..9).map(|n| EndpointEntry { weight, ..entry(n, u64::from(n)) }).collect();
+    rig.turn(&[Event::EndpointList(list)]);
     let (id, destination, class, deadline) = (MessageId(900), DestinationId(0), ClassId(0), rig.now + 12 * S);
-    rig.turn(&[Event::Resumed { id, destination, class, deadline, attempts: 0, ran: None }]);
+    rig.turn(&[Event::MessageResumed { id, destination, class, deadline, attempts: 0, ran: None }]);
     for round in 0..9 {
         for destination in 0..9 {
             let (id, actions) = rig.hand_in(destination, 0);
@@ -270,7 +275,7 @@
                     (rig.attempts[&sent.0] - 1, if round < 8 { FULL } else { Outcome::Success });
                 rig.end(sent, attempt, end, MS);
             }
-            rig.turn(&[Event::Left(id)]);
+            rig.turn(&[Event::ClientLeft(id)]);
         }
         rig.now += 40 * S;
     }
@@ -288,18 +293,18 @@
 ) {
     // Guards partners against seven in ten senders that were killed together and come back at one instant, each
     // with what it held.
-    let keyed = Effect::Keyed { by_zone: false, memory: 5 * S + 300 * MS };
+    let keyed = Idempotency::IdempotencyKey { per_zone: false, window: 5 * S + 300 * MS };
     let mut left = vec![];
     for seed in 0..40 {
         let mut rig = Rig::seeded(Settings { senders, ..settings(vec![class(keyed)]) }, seed);
         rig.now = 100 * S;
-        rig.turn(&[Event::List(vec![Entry { weight: 60.0, ..entry(0, 1) }])]);
+        rig.turn(&[Event::EndpointList(vec![EndpointEntry { weight: 60.0, ..entry(0, 1) }])]);
         let (id, destination, class, deadline) =
             (MessageId(1), DestinationId(1), ClassId(0), rig.now + 12 * S);
         let ran = ran_ago.map(|ago| rig.now - ago);
         let (from, attempts) = (rig.now, u32::from(ran.is_some()));
         let mut sent =
-            sends(&rig.turn(&[Event::Resumed { id, destination, class, deadline, attempts, ran }]));
+            sends(&rig.turn(&[Event::MessageResumed { id, destination, class, deadline, attempts, ran }]));
         while sent.is_empty() && rig.now < deadline {
             sent = sends(&rig.pass(5 * MS));
         }
@@ -315,13 +320,14 @@
 #[test]
 fn an_open_connection_is_preferred_by_the_price_of_a_new_one() {
     // Guards against a connection from each sender to each endpoint of a partner that it calls now and then.
-    let mut rig = Rig::new(Settings { handshake_price: 0.06, ..settings(vec![class(Effect::Safe)]) });
-    rig.turn(&[Event::List(vec![entry(0, 1), entry(1, 1)])]);
+    let mut rig =
+        Rig::new(Settings { handshake_price: 0.06, ..settings(vec![class(Idempotency::Idempotent)]) });
+    rig.turn(&[Event::EndpointList(vec![entry(0, 1), entry(1, 1)])]);
     let call = |rig: &mut Rig, idle: Nanos, outcome: Outcome| {
         rig.now += idle;
         let (id, actions) = rig.hand_in(1, 0);
         rig.end(id, 0, outcome, 100 * MS);
-        rig.turn(&[Event::Left(id)]);
+        rig.turn(&[Event::ClientLeft(id)]);
         sends(&actions)[0].1
     };
     let first = call(&mut rig, S, Outcome::Success);
@@ -342,16 +348,20 @@
 #[test]
 fn a_gap_of_an_even_share_is_not_halved_by_one_served_call() {
     // Guards a large partner whose refused calls count: 300 senders that halve it together keep it shut for all.
-    let weights = Weights::Nominal;
-    let mut rig = Rig::new(Settings { senders: 300, weights, ..settings(vec![class(Effect::Safe)]) });
-    rig.turn(&[Event::List(vec![Entry { weight: 600.0, ..entry(0, 1) }])]);
+    let weights = EndpointWeights::Nominal;
+    let mut rig = Rig::new(Settings {
+        senders: 300,
+        weight_meaning: weights,
+        ..settings(vec![class(Idempotency::Idempotent)])
+    });
+    rig.turn(&[Event::EndpointList(vec![EndpointEntry { weight: 600.0, ..entry(0, 1) }])]);
     let call = |rig: &mut Rig, outcome: Outcome| {
         rig.now += 2 * S;
         let (id, actions) = rig.hand_in(1, 0);
         assert_eq!(sends(&actions).len(), 1);
         rig.now += 10 * MS;
         rig.end(id, 0, outcome, 10 * MS);
-        rig.turn(&[Event::Left(id)]);
+        rig.turn(&[Event::ClientLeft(id)]);
     };
     // A step of 250 ms, then the even share: 300 senders at 600 calls a second.
     call(&mut rig, FULL);
@@ -364,7 +374,7 @@
 
 #[test]
 fn a_copy_is_sent_at_a_destination_hardly_met_by_what_others_show() {
-    let mut rig = Rig::new(Settings { slots: 3, ..settings(vec![class(Effect::Safe)]) });
+    let mut rig = Rig::new(Settings { max_in_flight: 3, ..settings(vec![class(Idempotency::Idempotent)]) });
     rig.list(&[(0, 1, 0, 0), (1, 2, 0, 0), (2, 2, 1, 0)]);
     rig.warm(1, 0, 20, 100 * MS);
     assert_eq!(sends(&rig.hand_in(2, 0).1).len(), 1);
@@ -373,9 +383,9 @@
 
 #[test]
 fn a_connection_not_soon_used_again_is_given_back_and_one_in_use_is_kept() {
-    let mut rig = Rig::new(settings(vec![class(Effect::Safe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::Idempotent)]));
     rig.list(&[(0, 1, 0, 0)]);
-    let close = Action::Close(EndpointId(0));
+    let close = Action::CloseIdle(EndpointId(0));
     let once = |rig: &mut Rig| {
         let (id, _) = rig.hand_in(1, 0);
         rig.now += 50 * MS;
@@ -388,13 +398,13 @@
     );
     rig.now += S;
     assert!(!once(&mut rig), "calls follow each other within the idle time");
-    rig.now += settings(Vec::new()).conn_idle;
+    rig.now += settings(Vec::new()).idle_timeout;
     assert!(once(&mut rig), "this one is used more seldom than it may rest");
 }
 
 #[test]
 fn times_across_a_stall_teach_no_pace() {
-    let mut rig = Rig::new(settings(vec![class(Effect::Safe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::Idempotent)]));
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
     rig.warm(1, 0, 6, 100 * MS);
     for _ in 0..3 {
@@ -410,7 +420,7 @@
 #[test]
 fn an_idle_sender_is_not_woken() {
     let mut rig = Rig::new(sparse());
-    rig.turn(&[Event::List(vec![entry(0, 1)])]);
+    rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
     let (id, _) = rig.hand_in(1, 0);
     let done = rig.end(id, 0, Outcome::Success, 50 * MS);
     assert!(!done.iter().any(|a| matches!(a, Action::WakeAfter(_))), "{done:?}");
@@ -423,9 +433,9 @@
         let mut policy = Policy::new(sparse(), seed).unwrap();
         let mut rig = Rig::new(sparse());
         std::mem::swap(&mut rig.policy, &mut policy);
-        rig.turn(&[Event::List(vec![entry(0, 1)])]);
+        rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
         let (id, _) = rig.hand_in(1, 0);
-        rig.end(id, 0, Outcome::Overloaded { wait }, 0);
+        rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 0);
         assert!(sends(&rig.pass(wait)).is_empty(), "the wait is kept");
         early += sends(&rig.pass(2 * S)).len();
     }
@@ -439,31 +449,31 @@
 fn partners_that_have_gone_are_forgotten() {
     let mut rig = Rig::new(sparse());
     for destination in 0..50 {
-        rig.turn(&[Event::List(vec![entry(destination, destination.into())])]);
+        rig.turn(&[Event::EndpointList(vec![entry(destination, destination.into())])]);
         rig.warm(destination.into(), 0, 1, 100 * MS);
     }
-    rig.turn(&[Event::List(vec![entry(50, 50)])]);
+    rig.turn(&[Event::EndpointList(vec![entry(50, 50)])]);
     rig.pass(60 * S);
-    let kept = rig.policy.sights(rig.now, None, 100).0.len();
+    let kept = rig.policy.observations(rig.now, None, 100).0.len();
     assert!(kept <= 1, "{kept} partners that have gone are kept");
 }
 
 #[test]
 fn endpoints_that_are_replaced_all_day_leave_nothing_behind() {
     // Guards memory on long days: each endpoint that comes has a name of its own, and none that has gone returns.
-    let mut rig = Rig::new(settings(vec![class(Effect::Safe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::Idempotent)]));
     let mut sizes = Vec::new();
     for no in 0..400 {
         let (kind, destination) = (KindId(no as usize % 2), DestinationId(u64::from(no % 2)));
         let entry = |no: u32, stage| {
             let (endpoint, zone) = (EndpointId(no), ZoneId(0));
-            Entry { endpoint, zone, kind, destination, stage, weight: 50.0 }
+            EndpointEntry { endpoint, zone, kind, destination, stage, weight: 50.0 }
         };
-        rig.turn(&[Event::ListChanges(vec![entry(no, Stage::On)])]);
+        rig.turn(&[Event::EndpointChanges(vec![entry(no, EndpointState::Active)])]);
         let (id, actions) = rig.hand_in(destination.0, 0);
         assert_eq!(sends(&actions)[0].1, EndpointId(no));
         // It goes while its call is out: what is known of it stays until that has ended.
-        rig.turn(&[Event::ListChanges(vec![entry(no, Stage::Gone)])]);
+        rig.turn(&[Event::EndpointChanges(vec![entry(no, EndpointState::Removed)])]);
         rig.now += 300 * MS;
         rig.end(id, 0, Outcome::Success, 300 * MS);
         sizes.push(format!("{:?}", rig.policy).len());
@@ -474,7 +484,7 @@
 /// What an earlier life took on and never tried.
 fn untried(id: u64, destination: u64, deadline: Nanos) -> Event {
     let (id, destination) = (MessageId(id), DestinationId(destination));
-    Event::Resumed { id, destination, class: ClassId(0), deadline, attempts: 0, ran: None }
+    Event::MessageResumed { id, destination, class: ClassId(0), deadline, attempts: 0, ran: None }
 }
 
 #[rstest]
@@ -483,9 +493,9 @@
 #[case::beside_new_work(1, 2)]
 fn a_restart_with_a_full_hold_tries_all_of_it(#[case] partners: u64, #[case] new_a_turn: usize) {
     // Guards what was taken on: shedding what is held before its first call ended it untried.
-    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe)]));
-    let listed = (0..partners).map(|p| Entry { weight: 60.0, ..entry(p as u32, p) }).collect();
-    rig.turn(&[Event::List(listed)]);
+    let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent)]));
+    let listed = (0..partners).map(|p| EndpointEntry { weight: 60.0, ..entry(p as u32, p) }).collect();
+    rig.turn(&[Event::EndpointList(listed)]);
     let (held, deadline) = (100, rig.now + 12 * S);
     let mut events: Vec<Event> =
         (0..held).map(|no| untried(1_000_000 + no, no % partners, deadline)).collect();
@@ -499,7 +509,7 @@
         rig.now += 5 * MS;
         let (done, left) = out.into_iter().partition::<Vec<_>, _>(|(_, sent)| rig.now >= sent + 60 * MS);
         out = left;
-        let ended = |&(id, sent): &(MessageId, Nanos)| Event::Ended {
+        let ended = |&(id, sent): &(MessageId, Nanos)| Event::AttemptEnded {
             id,
             attempt: 0,
             outcome: Outcome::Success,
@@ -513,9 +523,9 @@
 
 #[test]
 fn what_was_taken_on_before_goes_before_what_is_new() {
-    let mut rig = Rig::new(Settings { slots: 1, ..settings(vec![class(Effect::Safe)]) });
+    let mut rig = Rig::new(Settings { max_in_flight: 1, ..settings(vec![class(Idempotency::Idempotent)]) });
     rig.now = 100 * S;
-    rig.turn(&[Event::List(vec![entry(0, 1)])]);
+    rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
     let (busy, actions) = rig.hand_in(1, 0);
     assert_eq!(sends(&actions).len(), 1);
     // Late for its aim, it earns less than a new one; both are ready before the slot is free.
@@ -537,13 +547,17 @@
     #[case] senders: u32, #[case] most_ms: u64,
 ) {
     // Guards partners that tell no limit: a rest that grew with the fleet alone kept 300 senders away for 15 s.
-    let untold = Settings { senders, weights: Weights::Off, ..settings(vec![class(Effect::Safe)]) };
+    let untold = Settings {
+        senders,
+        weight_meaning: EndpointWeights::Ignored,
+        ..settings(vec![class(Idempotency::Idempotent)])
+    };
     for seed in 0..20 {
         let mut rig = Rig::seeded(untold.clone(), seed);
-        rig.turn(&[Event::List(vec![entry(0, 1)])]);
+        rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
         let (id, _) = rig.hand_in(1, 0);
         let from = rig.now;
-        rig.end(id, 0, Outcome::Overloaded { wait: 0 }, 5 * MS);
+        rig.end(id, 0, Outcome::Overloaded { retry_after: 0 }, 5 * MS);
         let mut sent = Vec::new();
         while sent.is_empty() && rig.now < from + 19 * S {
             sent = sends(&rig.pass(5 * MS));
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -37,8 +37,8 @@
 const KINDS: [usize; 6] = [0, 0, 0, 1, 1, 0];
 const OWNER: [u64; 6] = [1, 1, 1, 2, 2, 3];
 
-fn entry(at: usize, stage: Stage) -> Entry {
-    Entry {
+fn entry(at: usize, stage: EndpointState) -> EndpointEntry {
+    EndpointEntry {
         endpoint: EndpointId(at as u32),
         zone: ZoneId(at % 2),
         kind: KindId(KINDS[at]),
@@ -49,17 +49,20 @@
 }
 
 fn varied(dice: &mut Dice) -> Settings {
-    let ordered = Class { ordered: true, deadline: 12 * S, ..class(Effect::Unsafe) };
-    let by_zone = dice.roll(2) == 0;
+    let ordered = MessageClass { ordered: true, deadline: 12 * S, ..class(Idempotency::NonIdempotent) };
+    let per_zone = dice.roll(2) == 0;
     let mut set = settings(vec![
-        class(Effect::Safe),
-        class(Effect::Keyed { by_zone, memory: (2 + dice.roll(8)) * S }),
+        class(Idempotency::Idempotent),
+        class(Idempotency::IdempotencyKey { per_zone, window: (2 + dice.roll(8)) * S }),
         ordered,
-        Class { ordered: true, ..class(Effect::Keyed { by_zone: false, memory: 5 * S }) },
+        MessageClass {
+            ordered: true,
+            ..class(Idempotency::IdempotencyKey { per_zone: false, window: 5 * S })
+        },
     ]);
-    set.second_copies = dice.roll(3) > 0;
-    set.cancel = dice.roll(3) > 0;
-    set.slots = 2 + dice.roll(8) as usize;
+    set.may_hedge = dice.roll(3) > 0;
+    set.may_cancel = dice.roll(3) > 0;
+    set.max_in_flight = 2 + dice.roll(8) as usize;
     set.max_attempts = 2 + dice.roll(6) as u32;
     set
 }
@@ -70,14 +73,14 @@
     assert_eq!(OWNER[at], m.destination);
     assert!(m.tries.len() < set.max_attempts as usize);
     let out = m.tries.iter().any(|t| t.end.is_none());
-    assert!(set.second_copies || !out, "two out at once");
+    assert!(set.may_hedge || !out, "two out at once");
     let ran = m.tries.iter().find(|t| t.end.is_none_or(|o| !o.never_ran()));
-    match (set.classes[m.class].effect, ran) {
-        (Effect::Safe, _) | (_, None) => {}
-        (Effect::Unsafe, Some(_)) => panic!("an unsafe effect twice"),
-        (Effect::Keyed { by_zone, memory }, Some(first)) => {
-            assert!(now <= first.sent + memory, "outside the window");
-            assert!(!by_zone || first.endpoint % 2 == at % 2, "outside the group");
+    match (set.classes[m.class].idempotency, ran) {
+        (Idempotency::Idempotent, _) | (_, None) => {}
+        (Idempotency::NonIdempotent, Some(_)) => panic!("an unsafe effect twice"),
+        (Idempotency::IdempotencyKey { per_zone, window }, Some(first)) => {
+            assert!(now <= first.sent + window, "outside the window");
+            assert!(!per_zone || first.endpoint % 2 == at % 2, "outside the group");
         }
     }
     for (_, earlier) in msgs.range(..id).filter(|(_, e)| m.key.is_some() && e.key == m.key) {
@@ -94,7 +97,7 @@
     let mut stopped = [false; 6];
     let mut wait = [0; 6];
     let (mut now, mut next, mut all) = (S, 0u64, Vec::new());
-    let mut events = vec![Event::List((0..6).map(|at| entry(at, Stage::On)).collect())];
+    let mut events = vec![Event::EndpointList((0..6).map(|at| entry(at, EndpointState::Active)).collect())];
     for _ in 0..6000 {
         now += 5 * MS + if dice.roll(400) == 0 { dice.roll(2000) * MS } else { 0 };
         let mut fresh_waits = Vec::new();
@@ -107,29 +110,29 @@
                 let outcome = match dice.roll(12) {
                     0 => Outcome::Failure,
                     1 => Outcome::Unreachable,
-                    2 => Outcome::Broken,
+                    2 => Outcome::ConnectionLost,
                     3 => Outcome::TimedOut,
-                    4 | 5 => Outcome::Overloaded { wait: dice.roll(2) * dice.roll(900) * MS },
+                    4 | 5 => Outcome::Overloaded { retry_after: dice.roll(2) * dice.roll(900) * MS },
                     _ => Outcome::Success,
                 };
                 let outcome = if now >= m.deadline { Outcome::TimedOut } else { outcome };
                 m.tries[no].end = Some(outcome);
                 m.over |= outcome == Outcome::Success;
-                if matches!(outcome, Outcome::TimedOut | Outcome::Broken) {
-                    m.rest = now + set.key_quiet;
+                if matches!(outcome, Outcome::TimedOut | Outcome::ConnectionLost) {
+                    m.rest = now + set.key_quiet_period;
                 }
-                if let Outcome::Overloaded { wait } = outcome {
-                    fresh_waits.push((at, now + wait));
+                if let Outcome::Overloaded { retry_after } = outcome {
+                    fresh_waits.push((at, now + retry_after));
                 }
                 let (id, attempt, took) = (MessageId(*id), no as u32, now - m.tries[no].sent);
-                events.push(Event::Ended { id, attempt, outcome, took, finished: m.over });
+                events.push(Event::AttemptEnded { id, attempt, outcome, took, finished: m.over });
             }
         }
         if dice.roll(8) == 0 {
             let (destination, class) = (1 + dice.roll(3), dice.roll(4) as usize);
             let deadline = now + set.classes[class].deadline - dice.roll(2) * dice.roll(9000) * MS;
             let key = (class >= 2).then(|| dice.roll(4));
-            events.push(Event::Message {
+            events.push(Event::MessageAccepted {
                 id: MessageId(next),
                 destination: DestinationId(destination),
                 class: ClassId(class),
@@ -143,8 +146,8 @@
         if dice.roll(600) == 0 {
             let at = dice.roll(6) as usize;
             stopped[at] = !stopped[at];
-            let stage = if stopped[at] { Stage::Draining } else { Stage::On };
-            events.push(Event::ListChanges(vec![entry(at, stage)]));
+            let stage = if stopped[at] { EndpointState::Draining } else { EndpointState::Active };
+            events.push(Event::EndpointChanges(vec![entry(at, stage)]));
         }
         events.push(Event::Wake);
         let mut actions = Vec::new();
@@ -164,24 +167,24 @@
                     *calls.entry(at).or_insert(0) += 1;
                 }
                 Action::Cancel { id, attempt } => {
-                    assert!(set.cancel);
+                    assert!(set.may_cancel);
                     let m = msgs.get_mut(&id.0).unwrap();
                     let (no, took) = (*attempt as usize, now - m.tries[*attempt as usize].sent);
                     if m.tries[no].end.is_none() {
-                        m.tries[no].end = Some(Outcome::Withdrawn);
-                        m.rest = now + 5 * MS + set.key_quiet;
-                        let (id, outcome) = (*id, Outcome::Withdrawn);
+                        m.tries[no].end = Some(Outcome::Cancelled);
+                        m.rest = now + 5 * MS + set.key_quiet_period;
+                        let (id, outcome) = (*id, Outcome::Cancelled);
                         let (attempt, finished) = (*attempt, m.over);
-                        events.push(Event::Ended { id, attempt, outcome, took, finished });
+                        events.push(Event::AttemptEnded { id, attempt, outcome, took, finished });
                     }
                 }
-                Action::Refuse { id, .. } => {
+                Action::Reject { id, .. } => {
                     let m = msgs.get_mut(&id.0).unwrap();
                     let ran = m.tries.iter().any(|t| t.end.is_none_or(|o| !o.never_ran()));
-                    let harmless = match set.classes[m.class].effect {
-                        Effect::Safe => true,
-                        Effect::Unsafe => !ran,
-                        Effect::Keyed { by_zone, .. } => !ran || !by_zone,
+                    let harmless = match set.classes[m.class].idempotency {
+                        Idempotency::Idempotent => true,
+                        Idempotency::NonIdempotent => !ran,
+                        Idempotency::IdempotencyKey { per_zone, .. } => !ran || !per_zone,
                     };
                     assert!(harmless && !m.over, "a refusal that is not harmless, or a second answer");
                     m.over = true;
@@ -202,7 +205,7 @@
         }
         let due = |m: &Msg| !m.over && m.tries.iter().all(|t| t.end.is_some()) && now > m.deadline;
         assert!(!msgs.values().any(due), "no final answer in time");
-        assert!(calls.values().sum::<u64>() as usize <= set.slots);
+        assert!(calls.values().sum::<u64>() as usize <= set.max_in_flight);
         all.extend(actions);
     }
     all
@@ -229,15 +232,15 @@
 fn resumed(rig: &mut Rig, id: u64, class: usize, attempts: u32, ran: Option<Nanos>) -> Vec<Action> {
     let (id, destination, class, deadline) =
         (MessageId(id), DestinationId(1), ClassId(class), rig.now + 10 * S);
-    let at_once = rig.turn(&[Event::Resumed { id, destination, class, deadline, attempts, ran }]);
+    let at_once = rig.turn(&[Event::MessageResumed { id, destination, class, deadline, attempts, ran }]);
     // An even share of a lone sender at ten calls a second.
     [at_once, rig.pass(100 * MS)].concat()
 }
 
 #[test]
 fn a_message_of_an_earlier_life_keeps_its_rule_on_repeats_and_its_attempts() {
-    let keyed = Effect::Keyed { by_zone: false, memory: 6 * S };
-    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe), class(keyed)]));
+    let keyed = Idempotency::IdempotencyKey { per_zone: false, window: 6 * S };
+    let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent), class(keyed)]));
     rig.now = 100 * S;
     rig.list(&[(0, 1, 0, 0)]);
     let ran = Some(rig.now - 2 * S);
@@ -256,11 +259,11 @@
 
 #[test]
 fn a_sender_that_ends_starts_no_call_that_cannot_end_before_it() {
-    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent)]));
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 10, 400 * MS);
     let end = rig.now + S;
-    rig.turn(&[Event::Closing(end)]);
+    rig.turn(&[Event::ShutdownDeadline(end)]);
     let sent = sends(&rig.hand_in(1, 0).1);
     assert!(sent.len() == 1 && rig.now + sent[0].2 <= end, "its time is cut to the end");
     rig.now += 700 * MS;
@@ -269,29 +272,29 @@
 
 #[test]
 fn a_message_that_has_had_all_its_attempts_elsewhere_ends_at_once() {
-    let mut rig = Rig::new(settings(vec![class(Effect::Unsafe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent)]));
     rig.list(&[(0, 1, 0, 0)]);
     let (id, _) = rig.hand_in(1, 0);
-    let actions = rig.end(id, 0, Outcome::Spent, MS);
+    let actions = rig.end(id, 0, Outcome::AttemptsExhausted, MS);
     assert!(refused(&actions, id) && sends(&actions).is_empty(), "it never ran, and none can follow");
 }
 
 /// What a partner of two endpoints is sent in the span of the fail-back rule with 60 messages held for it: put back after
 /// a drain, or listed all the time.
 fn put_back(drained: bool) -> usize {
-    let mut rig = Rig::new(settings(vec![class(Effect::Safe)]));
+    let mut rig = Rig::new(settings(vec![class(Idempotency::Idempotent)]));
     let stage = |rig: &mut Rig, which: &[usize], stage| {
         let entries = which.iter().map(|at| entry(*at, stage)).collect();
-        rig.turn(&[Event::ListChanges(entries)])
+        rig.turn(&[Event::EndpointChanges(entries)])
     };
-    stage(&mut rig, &[0, 1], Stage::On);
+    stage(&mut rig, &[0, 1], EndpointState::Active);
     rig.warm(1, 0, 10, 50 * MS);
     let all = if drained { &[0, 1][..] } else { &[] };
-    stage(&mut rig, all, Stage::Draining);
+    stage(&mut rig, all, EndpointState::Draining);
     let held: Vec<Event> = (0..60).map(|_| rig.message(1, 0, 60 * S, None)).collect();
     let mut sent = rig.turn(&held);
     assert!(!drained || sends(&sent).is_empty(), "nothing goes to one that drains");
-    sent.extend(stage(&mut rig, all, Stage::On));
+    sent.extend(stage(&mut rig, all, EndpointState::Active));
     let until = rig.now + 2 * S;
     let mut count = 0;
     while rig.now < until {
@@ -320,7 +323,7 @@
 #[test]
 fn being_asked_what_it_avoids_changes_no_decision() {
     let play = |ask: bool| {
-        let mut rig = Rig::new(settings(vec![class(Effect::Safe)]));
+        let mut rig = Rig::new(settings(vec![class(Idempotency::Idempotent)]));
         rig.list(&[(0, 1, 0, 0), (1, 2, 0, 0)]);
         let (mut all, mut avoided) = (Vec::new(), 0);
         for no in 0..40 {
@@ -332,8 +335,8 @@
             }
             all.extend(actions);
             if ask {
-                avoided += u32::from(rig.policy.avoids(EndpointId(0)));
-                assert!(!rig.policy.avoids(EndpointId(1)) && !rig.policy.avoids(EndpointId(9)));
+                avoided += u32::from(rig.policy.is_avoided(EndpointId(0)));
+                assert!(!rig.policy.is_avoided(EndpointId(1)) && !rig.policy.is_avoided(EndpointId(9)));
             }
         }
         (all, avoided)
--- a/crates/policy/tests/told.rs
+++ b/crates/policy/tests/told.rs
@@ -4,10 +4,10 @@
 use common::*;
 use martenlatch_policy::interface::*;
 
-const SAFE: Effect = Effect::Safe;
+const SAFE: Idempotency = Idempotency::Idempotent;
 
-fn told(destination: u64) -> Told {
-    Told {
+fn told(destination: u64) -> GossipedState {
+    GossipedState {
         destination: DestinationId(destination),
         endpoint: None,
         wait: 0,
@@ -18,11 +18,11 @@
     }
 }
 
-fn newcomer(told: Told) -> Rig {
+fn newcomer(told: GossipedState) -> Rig {
     let mut rig = Rig::new(settings(vec![class(SAFE)]));
     rig.now = 100 * S;
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0), (2, 2, 0, 0)]);
-    rig.turn(&[Event::Told(told)]);
+    rig.turn(&[Event::Gossip(told)]);
     rig
 }
 
@@ -44,7 +44,7 @@
         for (id, attempt) in due {
             let finished = outcome == Outcome::Success;
             let took = 50 * MS;
-            events.push(Event::Ended { id, attempt, outcome, took, finished });
+            events.push(Event::AttemptEnded { id, attempt, outcome, took, finished });
         }
         for (id, ..) in sends(&rig.turn(&events)) {
             sent.push(rig.now);
@@ -56,7 +56,7 @@
 
 #[test]
 fn a_wait_that_was_only_told_of_binds_wholly_and_no_longer() {
-    let mut rig = newcomer(Told { wait: 3 * S, ..told(1) });
+    let mut rig = newcomer(GossipedState { wait: 3 * S, ..told(1) });
     let (id, actions) = rig.hand_in(1, 0);
     assert!(sends(&actions).is_empty());
     assert!(sends(&rig.pass(2_990 * MS)).is_empty());
@@ -68,7 +68,12 @@
 fn a_wait_binds_one_that_has_sent_there_before_too() {
     let mut rig = newcomer(told(2));
     rig.warm(1, 0, 3, 100 * MS);
-    rig.turn(&[Event::Told(Told { wait: S, gap: S, outage: Some(Outage::Down), ..told(1) })]);
+    rig.turn(&[Event::Gossip(GossipedState {
+        wait: S,
+        gap: S,
+        outage: Some(Outage::Unresponsive),
+        ..told(1)
+    })]);
     assert!(sends(&rig.hand_in(1, 0).1).is_empty());
     assert_eq!(sends(&rig.pass(1_010 * MS)).len(), 1, "but what it has seen itself is not unseen: no outage");
 }
@@ -78,7 +83,7 @@
     // 20 a second are listed: a fifth of 40, rising to a third, twice over, in two seconds at most when it is back.
     let cold = served(&mut newcomer(told(1)), 3 * S, 40 * MS, Outcome::Success);
     let learned = served(
-        &mut newcomer(Told { outage: Some(Outage::Down), ..told(1) }),
+        &mut newcomer(GossipedState { outage: Some(Outage::Unresponsive), ..told(1) }),
         3 * S,
         40 * MS,
         Outcome::Success,
@@ -91,7 +96,7 @@
 
 #[test]
 fn one_told_of_a_shut_partner_does_not_push_it_over_at_the_end_of_its_wait() {
-    let shut = Told { wait: 4 * S, outage: Some(Outage::Shut), ..told(1) };
+    let shut = GossipedState { wait: 4 * S, outage: Some(Outage::Rejecting), ..told(1) };
     let sent = served(&mut newcomer(shut), 6 * S, 40 * MS, Outcome::Success);
     assert!(sent.iter().all(|at| *at >= 104 * S));
     // Twice what it can take in the two seconds after its wait.
@@ -101,7 +106,7 @@
 #[test]
 fn one_told_that_a_partner_is_just_back_keeps_within_its_ramp() {
     let back = |since: Nanos| {
-        let told = Told { outage: Some(Outage::Back { since }), ..told(1) };
+        let told = GossipedState { outage: Some(Outage::Recovering { since }), ..told(1) };
         served(&mut newcomer(told), 2 * S, 40 * MS, Outcome::Success).len()
     };
     assert!(back(0) <= 25, "{}", back(0));
@@ -111,23 +116,24 @@
 #[test]
 fn what_was_told_before_an_outage_does_not_raise_the_pace_after_it() {
     // Where no limit is listed. The partner fails at the first calls, and comes back.
-    let returned = |told: Option<Told>| {
+    let returned = |told: Option<GossipedState>| {
         let mut set = settings(vec![class(SAFE)]);
-        set.weights = Weights::Off;
+        set.weight_meaning = EndpointWeights::Ignored;
         let mut rig = Rig::new(set);
         rig.now = 100 * S;
         rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
-        rig.turn(&told.into_iter().map(Event::Told).collect::<Vec<_>>());
+        rig.turn(&told.into_iter().map(Event::Gossip).collect::<Vec<_>>());
         served(&mut rig, 4 * S, 100 * MS, Outcome::Unreachable);
         served(&mut rig, 2 * S, 25 * MS, Outcome::Success).len()
     };
-    let known = Told { latencies: vec![50 * MS; 12], ..told(1) };
+    let known = GossipedState { latencies: vec![50 * MS; 12], ..told(1) };
     assert!(returned(Some(known)) <= returned(None));
 }
 
 #[test]
 fn a_told_gap_paces_from_the_first_call_and_falls_as_calls_are_served() {
-    let sent = served(&mut newcomer(Told { gap: 400 * MS, ..told(1) }), 4 * S, 100 * MS, Outcome::Success);
+    let sent =
+        served(&mut newcomer(GossipedState { gap: 400 * MS, ..told(1) }), 4 * S, 100 * MS, Outcome::Success);
     assert!(sent[1] - sent[0] >= 200 * MS);
     let last = sent.len() - 1;
     assert!(sent[last] - sent[last - 1] <= 110 * MS, "it is gone by then");
@@ -135,7 +141,7 @@
 
 #[test]
 fn told_latencies_delay_the_first_copies_and_give_way_to_its_own() {
-    let rig = |latencies: Vec<Nanos>| newcomer(Told { latencies, ..told(1) });
+    let rig = |latencies: Vec<Nanos>| newcomer(GossipedState { latencies, ..told(1) });
     let copies = |rig: &mut Rig, span: Nanos| {
         rig.hand_in(1, 0);
         sends(&rig.pass(span)).len()
@@ -149,7 +155,7 @@
 
 #[test]
 fn a_lie_about_speed_gives_way_within_a_few_calls() {
-    let mut rig = newcomer(Told { latencies: vec![20 * MS; 12], ..told(1) });
+    let mut rig = newcomer(GossipedState { latencies: vec![20 * MS; 12], ..told(1) });
     let mut copied = 0;
     for _ in 0..12 {
         let (id, actions) = rig.hand_in(1, 0);
@@ -163,26 +169,26 @@
 
 #[test]
 fn hearsay_of_what_is_not_listed_is_nothing() {
-    let mut rig = newcomer(Told { wait: 10 * S, ..told(77) });
-    rig.turn(&[Event::Told(Told { endpoint: Some(EndpointId(0)), wait: 10 * S, ..told(1) })]);
+    let mut rig = newcomer(GossipedState { wait: 10 * S, ..told(77) });
+    rig.turn(&[Event::Gossip(GossipedState { endpoint: Some(EndpointId(0)), wait: 10 * S, ..told(1) })]);
     assert_eq!(sends(&rig.hand_in(1, 0).1).len(), 1);
 }
 
 #[test]
 fn what_a_sender_has_seen_is_told_and_hearsay_is_not() {
-    let mut rig = newcomer(Told { latencies: vec![300 * MS; 12], gap: 100 * MS, ..told(2) });
+    let mut rig = newcomer(GossipedState { latencies: vec![300 * MS; 12], gap: 100 * MS, ..told(2) });
     rig.warm(1, 0, 8, 100 * MS);
     let (id, _) = rig.hand_in(1, 0);
-    rig.end(id, 0, Outcome::Overloaded { wait: 4 * S }, 10 * MS);
+    rig.end(id, 0, Outcome::Overloaded { retry_after: 4 * S }, 10 * MS);
     rig.now += S;
-    let (sights, next) = rig.policy.sights(rig.now, None, 100);
-    assert_eq!((sights.len(), next), (1, None), "nothing was sent to the other");
-    let s = &sights[0];
+    let (observations, next) = rig.policy.observations(rig.now, None, 100);
+    assert_eq!((observations.len(), next), (1, None), "nothing was sent to the other");
+    let s = &observations[0];
     assert_eq!((s.destination, s.endpoint, s.age), (DestinationId(1), None, S));
     assert!((3 * S..=3 * S + 100 * MS).contains(&s.wait), "with its own spread behind it");
     assert_eq!(s.latencies, vec![100 * MS; 8]);
     assert!(s.gap > 0 && s.served > 6.0 && s.refused > 0.9, "{s:?}");
-    assert_eq!(s.outage, Some(Outage::Shut), "a wait so long is an outage's");
+    assert_eq!(s.outage, Some(Outage::Rejecting), "a wait so long is an outage's");
     assert_eq!(s.limit, None, "none is told over an outage");
 }
 
@@ -190,12 +196,12 @@
 fn an_outage_is_told_as_it_passes() {
     let mut rig = newcomer(told(2));
     rig.warm(1, 0, 4, 100 * MS);
-    let outage = |rig: &Rig| rig.policy.sights(rig.now, None, 10).0[0].outage;
+    let outage = |rig: &Rig| rig.policy.observations(rig.now, None, 10).0[0].outage;
     assert_eq!(outage(&rig), None);
     served(&mut rig, 4 * S, 100 * MS, Outcome::Unreachable);
-    assert_eq!(outage(&rig), Some(Outage::Down));
+    assert_eq!(outage(&rig), Some(Outage::Unresponsive));
     served(&mut rig, 4 * S, 100 * MS, Outcome::Success);
-    assert!(matches!(outage(&rig), Some(Outage::Back { since }) if since < 6 * S));
+    assert!(matches!(outage(&rig), Some(Outage::Recovering { since }) if since < 6 * S));
     served(&mut rig, 10 * S, 100 * MS, Outcome::Success);
     assert_eq!(outage(&rig), None);
 }
@@ -207,8 +213,8 @@
     (0..25).filter(|d| d % 3 != 0).for_each(|d| rig.warm(d, 0, 1, 10 * MS));
     let (mut after, mut all, mut pages) = (None, Vec::new(), 0);
     loop {
-        let (sights, next) = rig.policy.sights(rig.now, after, 4);
-        all.extend(sights.iter().map(|s| s.destination.0));
+        let (observations, next) = rig.policy.observations(rig.now, after, 4);
+        all.extend(observations.iter().map(|s| s.destination.0));
         pages += 1;
         if next.is_none() {
             break;
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -64,7 +64,13 @@
     operators: &mut Option<Operators>,
     clock: &Clock,
 ) -> Result<peers::Peers, String> {
-    let apart = config.boot.settings.kinds.iter().map(|k| k.apart).collect();
+    let apart = config
+        .boot
+        .settings
+        .kinds
+        .iter()
+        .map(|k| k.per_endpoint)
+        .collect();
     let handle = events.handle();
     let mut peers = peers::Peers::open(
         set,
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peers.rs
@@ -16,7 +16,9 @@
 use martenlatch_peers::member::{Change, Members, Settings};
 use martenlatch_peers::wire::{Asking, DATAGRAM, Fault, MEMBERS, Page, Secret, TELLINGS};
 use martenlatch_policy::Policy;
-use martenlatch_policy::interface::{DestinationId, EndpointId, Entry, Event, KindId, Stage};
+use martenlatch_policy::interface::{
+    DestinationId, EndpointEntry, EndpointId, EndpointState, Event, KindId,
+};
 use martenlatch_settings::program;
 use slab::Slab;
 use tracing::{info, warn};
@@ -467,9 +469,10 @@
             } else {
                 let first = page == 0 || tale.after.is_some();
                 seen.filter(|_| first).map(|(policy, name)| {
-                    let (sights, after) = policy.sights(nanos(now), tale.after, TELLINGS);
+                    let (observations, after) =
+                        policy.observations(nanos(now), tale.after, TELLINGS);
                     tale.after = after;
-                    let tellings: Vec<Telling> = sights
+                    let tellings: Vec<Telling> = observations
                         .iter()
                         .map(|s| Telling::of(s, s.endpoint.and_then(name)))
                         .collect();
@@ -499,9 +502,9 @@
             return;
         }
         let (after, mut tellings) = self.gathering.take().unwrap_or_default();
-        let (sights, next) = policy.sights(nanos(now), after, TELLINGS);
+        let (observations, next) = policy.observations(nanos(now), after, TELLINGS);
         tellings.extend(
-            sights
+            observations
                 .iter()
                 .map(|s| Telling::of(s, s.endpoint.and_then(name))),
         );
@@ -544,13 +547,13 @@
     }
 
     /// What the module is to be told of routes that were just listed; each is told once.
-    pub fn hearsay(&mut self, listed: &[Entry], name: Names, now: Millis) -> Vec<Event> {
+    pub fn hearsay(&mut self, listed: &[EndpointEntry], name: Names, now: Millis) -> Vec<Event> {
         if self.known.is_empty() {
             return Vec::new();
         }
         let mut told: Vec<RouteName> = Vec::new();
         let apart = |kind: KindId| self.apart.get(kind.0).copied().unwrap_or(false);
-        for entry in listed.iter().filter(|e| e.stage == Stage::On) {
+        for entry in listed.iter().filter(|e| e.stage == EndpointState::Active) {
             told.push((
                 entry.destination,
                 apart(entry.kind).then_some(entry.endpoint),
@@ -566,7 +569,10 @@
             self.known
                 .take_told(&(destination.0, named), endpoint, now, &self.bounds)
         };
-        told.into_iter().filter_map(one).map(Event::Told).collect()
+        told.into_iter()
+            .filter_map(one)
+            .map(Event::Gossip)
+            .collect()
     }
 
     /// This sender goes: some are told, and what it knows is kept once more.
--- a/crates/sender/src/promises.rs
+++ b/crates/sender/src/promises.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use martenlatch_policy::interface::{Class, Effect, Settings};
+use martenlatch_policy::interface::{Idempotency, MessageClass, Settings};
 use serde::{Deserialize, Serialize};
 
 /// A class by its name, with its rules as the ledger keeps them.
@@ -21,7 +21,7 @@
 
 impl Promises {
     /// Those of the settings alone.
-    pub fn new(names: &[String], classes: &[Class]) -> Promises {
+    pub fn new(names: &[String], classes: &[MessageClass]) -> Promises {
         let named = names.iter().zip(classes);
         Promises(
             named
@@ -38,7 +38,7 @@
         }
         let classes = earlier
             .iter()
-            .map(|p| postcard::from_bytes::<Class>(&p.rules).ok());
+            .map(|p| postcard::from_bytes::<MessageClass>(&p.rules).ok());
         set.classes.extend(classes.collect::<Option<Vec<_>>>()?);
         Some(passed)
     }
@@ -47,13 +47,13 @@
     /// taken on by a version that kept no rules goes by the class that has its name, if any.
     pub fn keep(&mut self, name: &Rc<str>, rules: &Rc<[u8]>, set: &mut Settings) -> Option<usize> {
         let known = self.place(name, rules);
-        let Ok(class) = postcard::from_bytes::<Class>(rules) else {
+        let Ok(class) = postcard::from_bytes::<MessageClass>(rules) else {
             return known;
         };
         if known.is_some_and(|at| self.0[at].rules == *rules) {
             return known;
         }
-        set.classes.push(Class {
+        set.classes.push(MessageClass {
             ordered: false,
             ..class
         });
@@ -64,7 +64,7 @@
         self.0.push(Promise {
             name: name.clone(),
             rules: rules.clone(),
-            once: class.effect == Effect::Unsafe,
+            once: class.idempotency == Idempotency::NonIdempotent,
         });
         Some(self.0.len() - 1)
     }
@@ -90,14 +90,14 @@
 }
 
 impl Promise {
-    fn new(name: Rc<str>, class: &Class) -> Promise {
+    fn new(name: Rc<str>, class: &MessageClass) -> Promise {
         let rules = postcard::to_allocvec(class)
             .map(Rc::from)
             .unwrap_or_default();
         Promise {
             name,
             rules,
-            once: class.effect == Effect::Unsafe,
+            once: class.idempotency == Idempotency::NonIdempotent,
         }
     }
 }
--- a/crates/sender/src/regions.rs
+++ b/crates/sender/src/regions.rs
@@ -299,7 +299,7 @@
                     return self.tell(
                         task,
                         if ours {
-                            Outcome::Void
+                            Outcome::NotSent
                         } else {
                             Outcome::Unreachable
                         },
@@ -322,7 +322,7 @@
         }
         if !(conn.link.queue(head) && conn.link.queue(body)) {
             self.conns.remove(at);
-            return self.tell(task, Outcome::Void, now);
+            return self.tell(task, Outcome::NotSent, now);
         }
         conn.link.written = 0;
         (conn.last, conn.rested) = (last, conn.up.then_some(now - conn.since));
@@ -431,20 +431,21 @@
             // region or on the way, ends at once under the next call. A region that has gone shows on a new one.
             let kept = conn
                 .rested
-                .filter(|_| sent == Outcome::Broken && conn.link.bytes().is_empty());
+                .filter(|_| sent == Outcome::ConnectionLost && conn.link.bytes().is_empty());
             let (sent, unsent) = match kept.filter(|_| now < task.sent + STALE_WITHIN) {
                 Some(rested) => {
                     self.stale += 1.0;
                     self.doubted |= self.stale >= STALE.0;
                     self.safe_rest = self.safe_rest.min(rested * SAFE.0);
-                    (Outcome::Stale, Outcome::Void)
+                    (Outcome::StaleConnection, Outcome::NotSent)
                 }
                 None => (sent, unsent),
             };
-            self.resets += f64::from(sent == Outcome::Broken || sent == Outcome::Stale);
+            self.resets +=
+                f64::from(sent == Outcome::ConnectionLost || sent == Outcome::StaleConnection);
             // The connection stood, and its end says nothing of the region.
             let unsent = if conn.up && conn.last.is_some() {
-                Outcome::Void
+                Outcome::NotSent
             } else {
                 unsent
             };
@@ -474,7 +475,7 @@
             // Guards against a second effect: a connection that comes up late carries no repeat past its window.
             let late = now > task.latest;
             if late || conn.link.eof || conn.link.broken || !record(task.id, task.attempt) {
-                self.fail(at, Outcome::Void, Outcome::Void, now);
+                self.fail(at, Outcome::NotSent, Outcome::NotSent, now);
                 continue;
             }
             conn.link.corked = false;
@@ -521,7 +522,7 @@
                 // Guards against taking for delivered what never left: what an earlier answer had behind it says nothing of
                 // this call, which begins to run with its last byte.
                 Ok(Some(answer)) if answer.status == 200 && !task.whole => {
-                    self.fail(at, Outcome::Failure, Outcome::Void, now);
+                    self.fail(at, Outcome::Failure, Outcome::NotSent, now);
                     return false;
                 }
                 Ok(Some(answer)) if answer.status == 200 => self.answered(at, answer, now),
@@ -541,7 +542,7 @@
                     }
                 }
                 Ok(None) if conn.link.broken || conn.link.eof => {
-                    self.fail(at, Outcome::Broken, Outcome::Unreachable, now);
+                    self.fail(at, Outcome::ConnectionLost, Outcome::Unreachable, now);
                     return false;
                 }
                 Ok(None) => return self.begun(at, now, more),
@@ -582,10 +583,10 @@
         let full = answer.header("x-egress-full") == Some("1");
         let outcome = match answer.status {
             200 => Outcome::Success,
-            503 if full => Outcome::Void,
-            429 | 503 => Outcome::Overloaded { wait },
-            504 => Outcome::Spent,
-            410 => Outcome::Void,
+            503 if full => Outcome::NotSent,
+            429 | 503 => Outcome::Overloaded { retry_after: wait },
+            504 => Outcome::AttemptsExhausted,
+            410 => Outcome::NotSent,
             _ => Outcome::Failure,
         };
         let rested = conn.rested;
@@ -609,7 +610,7 @@
         let conn = &mut self.conns[at];
         let stands = !conn.link.eof && !conn.link.broken;
         let Some(task) = conn.task.take_if(|t| t.whole && stands) else {
-            return self.fail(at, Outcome::Success, Outcome::Void, now);
+            return self.fail(at, Outcome::Success, Outcome::NotSent, now);
         };
         (conn.rest, conn.since) = (Some(Rest::Head), now);
         let rested = conn.rested;
@@ -696,7 +697,7 @@
         if let Some(at) = self.conns.iter().find(|(_, c)| mine(c)).map(|(at, _)| at)
             && !self.heard(at, now)
         {
-            self.fail(at, Outcome::Withdrawn, Outcome::Void, now);
+            self.fail(at, Outcome::Cancelled, Outcome::NotSent, now);
         }
     }
 
@@ -738,7 +739,7 @@
             .map(|(at, _)| at)
             .collect();
         held.into_iter()
-            .for_each(|at| self.fail(at, Outcome::Void, Outcome::Void, now));
+            .for_each(|at| self.fail(at, Outcome::NotSent, Outcome::NotSent, now));
     }
 
     /// Closes the idle connections to a region.
@@ -874,7 +875,7 @@
             drop(peer);
             assert_eq!(
                 ended(&mut regions, 106.0),
-                Outcome::Stale,
+                Outcome::StaleConnection,
                 "it had rested for 100 ms"
             );
         }
@@ -936,7 +937,9 @@
             let outcomes: Vec<Outcome> = regions.done.drain(..).map(|d| d.outcome).collect();
             assert_eq!(
                 outcomes,
-                [Outcome::Overloaded { wait: 900_000_000 }],
+                [Outcome::Overloaded {
+                    retry_after: 900_000_000
+                }],
                 "called off: {called_off}"
             );
             let lent: Vec<_> = (0..9).map_while(|_| pool.take()).collect();
@@ -982,15 +985,15 @@
         };
         assert_eq!(
             dear_call(0.0, false),
-            Outcome::Broken,
+            Outcome::ConnectionLost,
             "nothing was known: all of it had left"
         );
         assert_eq!(
             dear_call(10.0, false),
-            Outcome::Void,
+            Outcome::NotSent,
             "its last byte had not left"
         );
-        assert_eq!(dear_call(20.0, true), Outcome::Broken, "it had");
+        assert_eq!(dear_call(20.0, true), Outcome::ConnectionLost, "it had");
     }
 
     /// What an answer's bytes come to, written in pieces of such a size with a look behind each; after a cut, the region
@@ -1063,7 +1066,9 @@
     #[test]
     fn an_answer_in_pieces_means_what_it_means_whole_and_its_connection_is_kept() {
         // Guards against a handshake for each answer whose head comes in more than one piece.
-        let full = Outcome::Overloaded { wait: 900_000_000 };
+        let full = Outcome::Overloaded {
+            retry_after: 900_000_000,
+        };
         for (answer, outcome) in [
             (
                 "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
@@ -1096,7 +1101,7 @@
                     (Outcome::Success, Outcome::Success) => {
                         assert!(cut > line, "{answer} cut at {cut}")
                     }
-                    (_, Outcome::Broken) => {
+                    (_, Outcome::ConnectionLost) => {
                         assert!(outcome != Outcome::Success || cut <= line, "{answer} {cut}")
                     }
                     (_, heard) => assert_eq!(heard, Outcome::Failure, "{answer} cut at {cut}"),
@@ -1270,16 +1275,16 @@
         }
         assert_eq!(
             regions.done.pop().map(|d| d.outcome),
-            left.is_empty().then_some(Outcome::Void)
+            left.is_empty().then_some(Outcome::NotSent)
         );
         drop(regions);
         assert_eq!(all_of(peer), left);
     }
 
     #[rstest::rstest]
-    #[case::turned_away_and_called_off("429 Full", true, Outcome::Overloaded { wait: 900_000_000 })]
-    #[case::turned_away_and_out_of_time("429 Full", false, Outcome::Overloaded { wait: 900_000_000 })]
-    #[case::confirmed_and_called_off("200 OK", true, Outcome::Void)]
+    #[case::turned_away_and_called_off("429 Full", true, Outcome::Overloaded { retry_after: 900_000_000 })]
+    #[case::turned_away_and_out_of_time("429 Full", false, Outcome::Overloaded { retry_after: 900_000_000 })]
+    #[case::confirmed_and_called_off("200 OK", true, Outcome::NotSent)]
     fn what_is_answered_before_a_calls_last_byte_counts_for_what_it_can_be(
         #[case] status: &str,
         #[case] called_off: bool,
@@ -1332,7 +1337,7 @@
         );
         assert_eq!(
             regions.done.pop().map(|d| d.outcome),
-            held.then_some(Outcome::Void)
+            held.then_some(Outcome::NotSent)
         );
         for _ in 0..100 {
             step(&mut regions, 0, 1.0);
--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/stages/admit.rs
@@ -14,7 +14,7 @@
 
 /// Decides nothing but whether there is room: records first, answers then.
 pub struct Admit {
-    pub(super) hold_limit: usize,
+    pub(super) max_held: usize,
     pub(super) classes: Vec<String>,
     pub(super) promises: Promises,
 }
@@ -69,7 +69,7 @@
             ending,
             rules,
         };
-        if stopped || desk.open >= self.hold_limit || !desk.ledger.take(&taken) {
+        if stopped || desk.open >= self.max_held || !desk.ledger.take(&taken) {
             self.turn_away(class, client, desk, take_in, now);
             return None;
         }
@@ -90,7 +90,7 @@
         let (left_ms, to) = ((taken.deadline - now) as u64, taken.destination);
         debug!(no, destination = to, class = %taken.class, left_ms, "taken on");
         desk.insert(taken, State::Open);
-        Some(Event::Message {
+        Some(Event::MessageAccepted {
             id,
             destination,
             class,
@@ -120,7 +120,7 @@
     pub(super) fn resume(&self, taken: Taken, desk: &mut Desk, relay: &mut Relay) -> Option<Event> {
         desk.counters.resumed += 1;
         let class = self.promises.place(&taken.class, &taken.rules);
-        let event = class.map(|class| Event::Resumed {
+        let event = class.map(|class| Event::MessageResumed {
             id: MessageId(taken.no),
             destination: DestinationId(taken.destination),
             class: ClassId(class),
--- a/crates/sender/src/stages/book.rs
+++ b/crates/sender/src/stages/book.rs
@@ -24,10 +24,10 @@
             Outcome::Overloaded { .. } => &mut count.short_on_capacity,
             Outcome::TimedOut => &mut count.timed_out,
             Outcome::Unreachable => &mut count.unreachable,
-            Outcome::Broken => &mut count.broken,
-            Outcome::Stale => &mut count.stale,
-            Outcome::Withdrawn => &mut count.withdrawn,
-            Outcome::Void | Outcome::Spent => &mut count.not_sent,
+            Outcome::ConnectionLost => &mut count.broken,
+            Outcome::StaleConnection => &mut count.stale,
+            Outcome::Cancelled => &mut count.withdrawn,
+            Outcome::NotSent | Outcome::AttemptsExhausted => &mut count.not_sent,
         } += 1;
         let t = desk.held.get_mut(&id.0)?;
         let (no, took_ms, to) = (id.0, done.took as u64, t.taken.destination);
@@ -68,7 +68,7 @@
         }
         let finished = desk.held.get(&id.0).is_none_or(|t| t.state != State::Open);
         let took = nanos(done.took);
-        Some(Event::Ended {
+        Some(Event::AttemptEnded {
             id,
             attempt,
             outcome,
--- a/crates/sender/src/stages/lives.rs
+++ b/crates/sender/src/stages/lives.rs
@@ -407,20 +407,20 @@
 }
 
 #[rstest::rstest]
-#[case::an_unsafe_one_that_is_safe_now("reading", Effect::Unsafe, true, 0)]
-#[case::a_safe_one_that_is_unsafe_now("debit", Effect::Safe, true, 1)]
-#[case::a_keyed_one_whose_key_holds_longer_now("bill", Effect::Keyed { by_zone: false, memory: 400_000_000 }, true, 0)]
-#[case::a_safe_one_whose_class_is_gone("gone", Effect::Safe, true, 1)]
-#[case::an_untried_one_whose_class_is_gone("gone", Effect::Unsafe, false, 1)]
+#[case::an_unsafe_one_that_is_safe_now("reading", Idempotency::NonIdempotent, true, 0)]
+#[case::a_safe_one_that_is_unsafe_now("debit", Idempotency::Idempotent, true, 1)]
+#[case::a_keyed_one_whose_key_holds_longer_now("bill", Idempotency::IdempotencyKey { per_zone: false, window: 400_000_000 }, true, 0)]
+#[case::a_safe_one_whose_class_is_gone("gone", Idempotency::Idempotent, true, 1)]
+#[case::an_untried_one_whose_class_is_gone("gone", Idempotency::NonIdempotent, false, 1)]
 fn what_was_promised_at_intake_holds_under_other_settings(
     #[case] name: &str,
-    #[case] effect: Effect,
+    #[case] idempotency: Idempotency,
     #[case] tried: bool,
     #[case] calls: usize,
 ) {
     // Guards against a second effect, and against an end without a call, where a name stands for something else since.
-    let class = Class {
-        effect,
+    let class = MessageClass {
+        idempotency,
         ..settings::read(&site(9)).unwrap().settings.classes[0].clone()
     };
     let rules = postcard::to_allocvec(&class).unwrap();
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/stages/mod.rs
@@ -26,7 +26,7 @@
 use martenlatch_ledger::{Ledger, Notice, Past};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
-    Action, Class, Effect, EndpointId, Event, MessageId, Outcome, Stage,
+    Action, EndpointId, EndpointState, Event, Idempotency, MessageClass, MessageId, Outcome,
 };
 use slab::Slab;
 use tracing::{debug, error, info, warn};
@@ -162,7 +162,7 @@
         let (listener, spread) = (Rc::new(listener), Spread::new(config.seed));
         let token = http::register(handle, listener.clone(), Key::Listener)
             .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
-        let keyed = |c: &Class| matches!(c.effect, Effect::Keyed { .. });
+        let keyed = |c: &MessageClass| matches!(c.idempotency, Idempotency::IdempotencyKey { .. });
         let classes = boot
             .classes
             .iter()
@@ -183,7 +183,7 @@
             ending: false,
             cut_off: Vec::new(),
             spread: spread.clone(),
-            advice: set.max_advice.map(millis),
+            advice: set.max_retry_after.map(millis),
         };
         let (next, counters) = (past.next, Counters::default());
         let (held, numbers) = (BTreeMap::new(), HashMap::new());
@@ -212,7 +212,7 @@
             spread: spread.clone(),
         };
         let admit = Admit {
-            hold_limit: set.hold_limit,
+            max_held: set.max_held,
             classes: boot.classes.clone(),
             promises,
         };
@@ -239,9 +239,9 @@
             regions: Regions::new(
                 handle,
                 &pool,
-                (config.sockets / 3).max(set.slots),
+                (config.sockets / 3).max(set.max_in_flight),
                 millis(set.connect_timeout),
-                millis(set.conn_idle),
+                millis(set.idle_timeout),
             ),
             table: Table::new(
                 config.discovery,
@@ -296,13 +296,13 @@
             change
                 .entries
                 .iter()
-                .any(|c| c.endpoint == *e && c.stage == Stage::On)
+                .any(|c| c.endpoint == *e && c.stage == EndpointState::Active)
         };
         let off = |e: &EndpointId| {
             change
                 .entries
                 .iter()
-                .any(|c| c.endpoint == *e && c.stage != Stage::On)
+                .any(|c| c.endpoint == *e && c.stage != EndpointState::Active)
         };
         let whole = change.whole;
         let now = self.clock.now();
@@ -322,9 +322,9 @@
             .as_mut()
             .map(|p| p.hearsay(&entries, &|region| table.name(region), now));
         self.route.events.push(if whole {
-            Event::List(entries)
+            Event::EndpointList(entries)
         } else {
-            Event::ListChanges(entries)
+            Event::EndpointChanges(entries)
         });
         self.route.events.extend(hearsay.into_iter().flatten());
     }
@@ -388,7 +388,7 @@
     fn present(&mut self) -> Present {
         self.count();
         let unhealthy =
-            |(region, out): &(EndpointId, bool)| *out || self.route.policy.avoids(*region);
+            |(region, out): &(EndpointId, bool)| *out || self.route.policy.is_avoided(*region);
         let (healthy, rest): (Vec<_>, Vec<_>) =
             self.table.listed().partition(|row| !unhealthy(row));
         Present {
@@ -468,7 +468,7 @@
             }
             self.route
                 .events
-                .push(Event::Closing(nanos(now + LAST_CALL)));
+                .push(Event::ShutdownDeadline(nanos(now + LAST_CALL)));
         }
     }
 
@@ -573,11 +573,9 @@
     /// What came back from regions becomes events. A told wait binds the destination's calls not yet begun.
     fn outcomes(&mut self, now: Millis) {
         self.count();
-        let told = self
-            .regions
-            .done
-            .iter()
-            .filter(|d| matches!(d.outcome, Outcome::Overloaded { wait } if wait > 0));
+        let told = self.regions.done.iter().filter(
+            |d| matches!(d.outcome, Outcome::Overloaded { retry_after } if retry_after > 0),
+        );
         let held = told
             .filter_map(|d| self.desk.held.get(&d.id.0))
             .map(|t| t.taken.destination);
@@ -604,7 +602,7 @@
                 &mut self.desk,
                 &mut self.relay,
             );
-            self.route.events.push(Event::Left(MessageId(no)));
+            self.route.events.push(Event::ClientLeft(MessageId(no)));
         }
     }
 
@@ -641,8 +639,8 @@
                     self.send.send(to, timeout, latest, desk, regions, now);
                 }
                 Action::Cancel { id, attempt } => self.regions.cancel(id, attempt, now),
-                Action::Refuse { id, return_after } => {
-                    let again = return_after.map(|r| millis(r).round() as u64);
+                Action::Reject { id, retry_after } => {
+                    let again = retry_after.map(|r| millis(r).round() as u64);
                     self.book
                         .end(id, Notice::Deferred(again), &mut self.desk, &mut self.relay);
                 }
@@ -652,7 +650,7 @@
                 }
                 // The module counts on its latest wake: it stands for all before it.
                 Action::WakeAfter(span) => self.route.wake = Some(now + millis(span)),
-                Action::Close(endpoint) => self.regions.close(endpoint),
+                Action::CloseIdle(endpoint) => self.regions.close(endpoint),
             }
         }
     }
--- a/crates/sender/src/stages/send.rs
+++ b/crates/sender/src/stages/send.rs
@@ -55,7 +55,7 @@
         t.out += 1;
         desk.counters.untried_called += u64::from(std::mem::take(&mut t.untried));
         let Some(address) = address else {
-            let (attempt, outcome) = (attempt as u32, Outcome::Void);
+            let (attempt, outcome) = (attempt as u32, Outcome::NotSent);
             return regions.done.push(Done {
                 id,
                 attempt,
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/table.rs
@@ -5,7 +5,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use martenlatch_policy::interface::{DestinationId, EndpointId, Entry, KindId, Stage, ZoneId};
+use martenlatch_policy::interface::{
+    DestinationId, EndpointEntry, EndpointId, EndpointState, KindId, ZoneId,
+};
 use martenlatch_settings::platform::Boot;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -48,7 +50,7 @@
 /// ever gets it.
 pub struct Change {
     pub whole: bool,
-    pub entries: Vec<Entry>,
+    pub entries: Vec<EndpointEntry>,
 }
 
 pub struct Table {
@@ -88,7 +90,7 @@
     name: Rc<str>,
     /// Where it is now.
     address: SocketAddr,
-    entry: Entry,
+    entry: EndpointEntry,
 }
 
 /// The table, as it is passed to a later process. Bans are read from their file.
@@ -228,7 +230,7 @@
         gone.extend(
             entries
                 .iter()
-                .filter(|e| e.stage == Stage::Gone)
+                .filter(|e| e.stage == EndpointState::Removed)
                 .map(|e| e.endpoint),
         );
         if whole {
@@ -259,11 +261,11 @@
     }
 
     /// What the module hears of a region: the stricter of discovery's word and the operators'.
-    fn told(&self, row: &Row) -> Entry {
-        let out = row.entry.stage == Stage::On && self.hand.holds(&row.name);
-        Entry {
+    fn told(&self, row: &Row) -> EndpointEntry {
+        let out = row.entry.stage == EndpointState::Active && self.hand.holds(&row.name);
+        EndpointEntry {
             stage: if out {
-                Stage::Draining
+                EndpointState::Draining
             } else {
                 row.entry.stage
             },
@@ -314,25 +316,25 @@
         self.rows.get(&region).map_or(0, |row| row.entry.kind.0)
     }
 
-    fn entry(&mut self, json: &Value) -> Result<Option<Entry>, &'static str> {
+    fn entry(&mut self, json: &Value) -> Result<Option<EndpointEntry>, &'static str> {
         let text = |field: &'static str| json.get(field).and_then(Value::as_str).ok_or(field);
         let uid = text("uid")?;
         let stage = match text("state")? {
-            "in_service" => Stage::On,
-            "terminating" => Stage::Draining,
-            "terminated" => Stage::Gone,
+            "in_service" => EndpointState::Active,
+            "terminating" => EndpointState::Draining,
+            "terminated" => EndpointState::Removed,
             _ => return Err("state"),
         };
         let address =
             text("endpoint").and_then(|a| a.parse::<SocketAddr>().map_err(|_| "endpoint"));
         let known = self.numbers.get(uid).copied();
-        if stage == Stage::Gone && known.is_none() {
+        if stage == EndpointState::Removed && known.is_none() {
             return Ok(None);
         }
         // One that is removed needs no address any more.
         let address = match (address, known) {
             (Ok(address), _) => address,
-            (Err(_), Some(known)) if stage != Stage::On => self.rows[&known].address,
+            (Err(_), Some(known)) if stage != EndpointState::Active => self.rows[&known].address,
             (Err(field), _) => return Err(field),
         };
         let place = |names: &[String], field: &'static str| {
@@ -361,7 +363,7 @@
                 fresh
             }
         };
-        let entry = Entry {
+        let entry = EndpointEntry {
             endpoint,
             zone,
             kind,
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -2,7 +2,8 @@
 //! for both. It owns the names of the settings and must never decide, open a file or look at a clock.
 
 use martenlatch_policy::interface::{
-    Class, Decay, Effect, FailBack, Kind, Settings, Weights, ZoneId,
+    Decay, DestinationKind, EndpointWeights, Idempotency, MessageClass, RecoveryRamp, Settings,
+    ZoneId,
 };
 use serde_json::Value;
 
@@ -116,8 +117,8 @@
         classes.push(class(&node)?);
     }
     let (apart, toll) = (family.list("OwnLimits")?, family.list("Toll")?);
-    let kind = |i: usize| Kind {
-        apart: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
+    let kind = |i: usize| DestinationKind {
+        per_endpoint: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
     };
     let deductions = root
         .object("Deductions", "Deductions.")
@@ -125,7 +126,7 @@
     let settings = Settings {
         senders: root.int("Balancers")?.min(u32::MAX.into()) as u32,
         zone: ZoneId(zone),
-        zones: (0..zones.len())
+        zone_prices: (0..zones.len())
             .map(|i| toll.get(i).and_then(Value::as_f64).unwrap_or(0.0))
             .collect(),
         kinds: (0..kinds.len()).map(kind).collect(),
@@ -134,29 +135,29 @@
             "halving" => Decay::Halving,
             _ => Decay::Linear,
         },
-        weights: match root.text_or("WeightKind", "off")? {
-            "nominal" => Weights::Nominal,
-            "rough" => Weights::Rough,
-            _ => Weights::Off,
+        weight_meaning: match root.text_or("WeightKind", "off")? {
+            "nominal" => EndpointWeights::Nominal,
+            "rough" => EndpointWeights::Approximate,
+            _ => EndpointWeights::Ignored,
         },
-        slots: family.int("CallsOut")? as usize,
-        hold_limit: limits.int("OpenCap")? as usize,
+        max_in_flight: family.int("CallsOut")? as usize,
+        max_held: limits.int("OpenCap")? as usize,
         max_attempts: limits.int("AttemptsCap")?.min(u32::MAX.into()) as u32,
-        cancel: limits.flag("Cancel")?,
-        second_copies: limits.flag("SecondCopies")?,
-        max_advice: limits
+        may_cancel: limits.flag("Cancel")?,
+        may_hedge: limits.flag("SecondCopies")?,
+        max_retry_after: limits
             .flag("RetryAfter")?
             .then_some(limits.int_or("MaxRetryAfter", 0)?),
-        fail_back: FailBack {
-            factor: rules.num("OverloadFactor")?,
-            span: rules.int("OverloadFor")?,
-            cold_from: rules.num("ColdFrom")?,
-            cold: rules.int("Cold")?,
+        recovery: RecoveryRamp {
+            overload_factor: rules.num("OverloadFactor")?,
+            overload_window: rules.int("OverloadFor")?,
+            initial_share: rules.num("ColdFrom")?,
+            duration: rules.int("Cold")?,
         },
-        key_quiet: rules.int_or("KeyQuiet", 0)?,
+        key_quiet_period: rules.int_or("KeyQuiet", 0)?,
         connect_timeout: limits.int("ConnectTimeout")?,
-        conn_idle: limits.int_or("ConnIdle", u64::MAX)?,
-        tick: root.int_or("Tick", 1_000_000)?,
+        idle_timeout: limits.int_or("ConnIdle", u64::MAX)?,
+        turn_interval: root.int_or("Tick", 1_000_000)?,
         cross_zone_price: deductions.num_or("CrossZone", 0.0)?,
         handshake_price: deductions.num_or("Handshake", 0.0)?,
     };
@@ -171,28 +172,28 @@
     })
 }
 
-fn class(node: &Node) -> Result<Class, String> {
+fn class(node: &Node) -> Result<MessageClass, String> {
     if node.flag("Stream")? {
         return node.wrong("Stream", "false: answers are whole");
     }
     let effect = match node.text_or("Effect", "")? {
-        "pure" => Effect::Safe,
-        "side_effect" => Effect::Unsafe,
+        "pure" => Idempotency::Idempotent,
+        "side_effect" => Idempotency::NonIdempotent,
         "token" => {
-            let by_zone = node.text_or("KeyScope", "all")? != "all";
-            Effect::Keyed {
-                by_zone,
-                memory: node.int("MemorySpan")?,
+            let per_zone = node.text_or("KeyScope", "all")? != "all";
+            Idempotency::IdempotencyKey {
+                per_zone,
+                window: node.int("MemorySpan")?,
             }
         }
         _ => return node.wrong("Effect", "pure, token or side_effect"),
     };
-    Ok(Class {
-        aim: node.int("Target")?,
+    Ok(MessageClass {
+        latency_objective: node.int("Target")?,
         deadline: node.int("Deadline")?,
-        worth: node.num("Worth")?,
-        late_worth: node.num_or("LateWorth", 0.0)?,
-        effect,
+        priority_weight: node.num("Worth")?,
+        late_weight_share: node.num_or("LateWorth", 0.0)?,
+        idempotency: effect,
         ordered: node.flag("SerialByKey")?,
     })
 }
