--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -39,7 +39,7 @@
 
     /// The machine's time for a process that goes on where another stood at an instant: never before that, and not far
     /// from it where the wall clock was put elsewhere meanwhile.
-    pub fn carried_on(at: Millis) -> Clock {
+    pub fn restore(at: Millis) -> Clock {
         let wall = Clock::system().now();
         let wall = if (at..at + FAR).contains(&wall) {
             wall
--- a/crates/http/src/pool.rs
+++ b/crates/http/src/buffer_pool.rs
@@ -9,7 +9,7 @@
 /// Longest body.
 pub const BODY: usize = 64 * 1024;
 /// One buffer holds one whole message.
-pub const SIZE: usize = HEAD + BODY;
+pub const BUFFER_SIZE: usize = HEAD + BODY;
 
 #[derive(Default)]
 struct Shelf {
@@ -20,11 +20,11 @@
 
 /// Where buffers come from and go back to.
 #[derive(Clone, Default)]
-pub struct Pool(Rc<RefCell<Shelf>>);
+pub struct BufferPool(Rc<RefCell<Shelf>>);
 
-impl Pool {
-    pub fn new(cap: usize) -> Pool {
-        Pool(Rc::new(RefCell::new(Shelf {
+impl BufferPool {
+    pub fn new(cap: usize) -> BufferPool {
+        BufferPool(Rc::new(RefCell::new(Shelf {
             cap,
             ..Shelf::default()
         })))
@@ -46,7 +46,7 @@
         let data = shelf
             .free
             .pop()
-            .unwrap_or_else(|| vec![0; SIZE].into_boxed_slice());
+            .unwrap_or_else(|| vec![0; BUFFER_SIZE].into_boxed_slice());
         Some(Buffer {
             data,
             start: 0,
@@ -61,7 +61,7 @@
     data: Box<[u8]>,
     start: usize,
     end: usize,
-    home: Pool,
+    home: BufferPool,
 }
 
 impl Buffer {
@@ -86,7 +86,7 @@
         self.end = (self.end + count).min(self.data.len());
     }
 
-    pub fn used(&mut self, count: usize) {
+    pub fn consume(&mut self, count: usize) {
         self.start = (self.start + count).min(self.end);
         if self.start == self.end {
             (self.start, self.end) = (0, 0);
@@ -119,14 +119,14 @@
 
     #[test]
     fn buffers_come_back_empty_and_never_exceed_the_cap() {
-        let pool = Pool::new(2);
+        let pool = BufferPool::new(2);
         let (mut a, b) = (pool.take().unwrap(), pool.take().unwrap());
         assert!(pool.take().is_none(), "the cap holds");
         assert!(
-            a.put(b"secret") && !a.put(&[0; SIZE]),
+            a.put(b"secret") && !a.put(&[0; BUFFER_SIZE]),
             "what does not fit is not put in part"
         );
-        a.used(2);
+        a.consume(2);
         assert_eq!(a.bytes(), b"cret");
         drop((a, b));
         assert!(pool.take().unwrap().is_empty());
--- a/crates/http/src/frame.rs
+++ b/crates/http/src/codec.rs
@@ -3,7 +3,7 @@
 
 use std::rc::Rc;
 
-use crate::pool::{BODY, HEAD};
+use crate::buffer_pool::{BODY, HEAD};
 
 /// How a body ends.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -18,7 +18,7 @@
 }
 
 impl Body {
-    /// Passes on what is there. Returns how much was used and whether the body is over, or nothing if malformed.
+    /// Passes on what is there. Returns how much was consumed and whether the body is over, or nothing if malformed.
     pub fn feed(&mut self, input: &[u8], mut out: impl FnMut(&[u8])) -> Option<(usize, bool)> {
         match self {
             Body::Left(left) => {
@@ -53,8 +53,8 @@
                         }
                     } else {
                         match httparse::parse_chunk_size(&input[at..]) {
-                            Ok(httparse::Status::Complete((used, size))) => {
-                                at += used;
+                            Ok(httparse::Status::Complete((consumed, size))) => {
+                                at += consumed;
                                 *last = size == 0;
                                 *left = if *last {
                                     0
@@ -80,7 +80,7 @@
     headers: Vec<(String, Vec<u8>)>,
     pub body: Rc<[u8]>,
     pub close: bool,
-    pub used: usize,
+    pub consumed: usize,
 }
 
 impl Request {
@@ -102,8 +102,8 @@
     /// Not whole yet; true if the client waits for a word before it sends the body.
     Partial(bool),
     /// Malformed: the status to answer with, before closing.
-    Bad(u16),
-    Whole(Request),
+    Invalid(u16),
+    Complete(Request),
 }
 
 fn told_length(headers: &[httparse::Header]) -> Result<Option<usize>, ()> {
@@ -134,30 +134,30 @@
 }
 
 /// Reads one request from the front of the input.
-pub fn request(input: &[u8]) -> Parsed {
+pub fn parse_request(input: &[u8]) -> Parsed {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Request::new(&mut headers);
     let start = match head.parse(input) {
         Ok(httparse::Status::Complete(start)) if start <= HEAD => start,
         Ok(httparse::Status::Partial) if input.len() < HEAD => return Parsed::Partial(false),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Bad(431),
-        Err(_) => return Parsed::Bad(400),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Invalid(431),
+        Err(_) => return Parsed::Invalid(400),
     };
     if head
         .headers
         .iter()
         .any(|h| h.name.eq_ignore_ascii_case("transfer-encoding"))
     {
-        return Parsed::Bad(411);
+        return Parsed::Invalid(411);
     }
     let (method, path) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
     let length = match told_length(head.headers) {
         Ok(Some(length)) => length,
         Ok(None) if matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") => 0,
-        _ => return Parsed::Bad(400),
+        _ => return Parsed::Invalid(400),
     };
     if length > BODY {
-        return Parsed::Bad(413);
+        return Parsed::Invalid(413);
     }
     if input.len() - start < length {
         return Parsed::Partial(says(head.headers, "expect", "100-continue"));
@@ -169,19 +169,19 @@
         .iter()
         .map(|h| (h.name.to_ascii_lowercase(), h.value.to_vec()))
         .collect();
-    let (body, used) = (Rc::from(&input[start..start + length]), start + length);
-    Parsed::Whole(Request {
+    let (body, consumed) = (Rc::from(&input[start..start + length]), start + length);
+    Parsed::Complete(Request {
         method: method.into(),
         path: path.into(),
         headers,
         body,
         close,
-        used,
+        consumed,
     })
 }
 
 /// The head of an answer.
-pub struct Answer {
+pub struct Response {
     pub status: u16,
     pub body: Body,
     /// The connection may carry another call.
@@ -189,10 +189,10 @@
     /// Its lengths contradict each other or cannot be read, or it claims more than any answer here may hold.
     pub spoilt: bool,
     headers: Vec<(String, String)>,
-    pub used: usize,
+    pub consumed: usize,
 }
 
-impl Answer {
+impl Response {
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
@@ -206,11 +206,11 @@
 pub struct Malformed;
 
 /// Reads the head of an answer: `Ok(None)` while it is not whole, an error if it is none.
-pub fn answer(input: &[u8]) -> Result<Option<Answer>, Malformed> {
+pub fn parse_response(input: &[u8]) -> Result<Option<Response>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; 64];
     let mut head = httparse::Response::new(&mut headers);
-    let used = match head.parse(input) {
-        Ok(httparse::Status::Complete(used)) if used <= HEAD => used,
+    let consumed = match head.parse(input) {
+        Ok(httparse::Status::Complete(consumed)) if consumed <= HEAD => consumed,
         Ok(httparse::Status::Partial) if input.len() < HEAD => return Ok(None),
         _ => return Err(Malformed),
     };
@@ -237,18 +237,18 @@
         .iter()
         .map(|h| (h.name.to_ascii_lowercase(), text(h.value)))
         .collect();
-    Ok(Some(Answer {
+    Ok(Some(Response {
         status,
         body,
         keep,
         spoilt,
         headers,
-        used,
+        consumed,
     }))
 }
 
 /// Whether a whole first line says 200, whatever comes behind it.
-pub fn says_200(input: &[u8]) -> bool {
+pub fn starts_with_status_200(input: &[u8]) -> bool {
     let line = input
         .split(|b| *b == b'\n')
         .next()
@@ -259,7 +259,7 @@
 }
 
 /// The bytes of an answer to a client.
-pub fn reply(status: u16, extra: &str, close: bool) -> Vec<u8> {
+pub fn encode_response(status: u16, extra: &str, close: bool) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         202 => "Accepted",
--- a/crates/http/src/link.rs
+++ b/crates/http/src/connection.rs
@@ -10,7 +10,7 @@
 use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
-use crate::pool::{Buffer, Pool};
+use crate::buffer_pool::{Buffer, BufferPool};
 
 /// What the loop collects between two rounds.
 pub struct Ready<K> {
@@ -47,7 +47,7 @@
 
 /// What goes with a connection that is passed to a later process.
 #[derive(serde::Serialize, serde::Deserialize)]
-pub struct Carried {
+pub struct ConnectionSnapshot {
     input: Vec<u8>,
     output: Vec<u8>,
     written: u64,
@@ -57,11 +57,11 @@
 }
 
 /// One non-blocking connection and its two buffers, held only while there is something in them.
-pub struct Link<K: Copy + 'static> {
+pub struct Connection<K: Copy + 'static> {
     stream: Rc<TcpStream>,
     handle: Handle<K>,
     token: RegistrationToken,
-    pool: Pool,
+    pool: BufferPool,
     pub input: Option<Buffer>,
     output: Option<Buffer>,
     /// Bytes written so far: none means that it may not even be up.
@@ -74,20 +74,20 @@
     pub corked: bool,
 }
 
-impl<K: Copy + 'static> Link<K> {
+impl<K: Copy + 'static> Connection<K> {
     pub fn new(
         stream: TcpStream,
         handle: &Handle<K>,
-        pool: &Pool,
+        pool: &BufferPool,
         key: K,
-    ) -> std::io::Result<Link<K>> {
+    ) -> std::io::Result<Connection<K>> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
         let token = register(handle, stream.clone(), key)?;
         let (handle, pool) = (handle.clone(), pool.clone());
         let (input, output) = (None, None);
-        Ok(Link {
+        Ok(Connection {
             stream,
             handle,
             token,
@@ -102,10 +102,10 @@
     }
 
     /// What goes with its descriptor to a later process.
-    pub fn carried(&self) -> Carried {
+    pub fn snapshot(&self) -> ConnectionSnapshot {
         let output = self.output.as_ref().map_or(&[][..], Buffer::bytes).to_vec();
         let (written, eof, broken, corked) = (self.written, self.eof, self.broken, self.corked);
-        Carried {
+        ConnectionSnapshot {
             input: self.bytes().to_vec(),
             output,
             written,
@@ -116,14 +116,14 @@
     }
 
     /// A connection that an earlier process has passed. Fails where no buffer is left for what goes with it.
-    pub fn carried_on(
+    pub fn restore(
         stream: TcpStream,
-        carried: &Carried,
+        snapshot: &ConnectionSnapshot,
         handle: &Handle<K>,
-        pool: &Pool,
+        pool: &BufferPool,
         key: K,
-    ) -> std::io::Result<Link<K>> {
-        let mut link = Link::new(stream, handle, pool, key)?;
+    ) -> std::io::Result<Connection<K>> {
+        let mut connection = Connection::new(stream, handle, pool, key)?;
         let lent = |bytes: &[u8]| -> std::io::Result<Option<Buffer>> {
             if bytes.is_empty() {
                 return Ok(None);
@@ -134,19 +134,20 @@
             held.ok_or_else(|| std::io::Error::other("no buffer is left"))
                 .map(Some)
         };
-        (link.input, link.output) = (lent(&carried.input)?, lent(&carried.output)?);
-        (link.written, link.eof, link.broken) = (carried.written, carried.eof, carried.broken);
-        link.corked = carried.corked;
-        Ok(link)
+        (connection.input, connection.output) = (lent(&snapshot.input)?, lent(&snapshot.output)?);
+        (connection.written, connection.eof, connection.broken) =
+            (snapshot.written, snapshot.eof, snapshot.broken);
+        connection.corked = snapshot.corked;
+        Ok(connection)
     }
 
     /// Starts a connection; whether it comes up shows in the first write.
     pub fn connect(
         to: SocketAddr,
         handle: &Handle<K>,
-        pool: &Pool,
+        pool: &BufferPool,
         key: K,
-    ) -> std::io::Result<Link<K>> {
+    ) -> std::io::Result<Connection<K>> {
         let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&to.into()) {
@@ -155,7 +156,7 @@
             {
                 Err(e)
             }
-            _ => Link::new(socket.into(), handle, pool, key),
+            _ => Connection::new(socket.into(), handle, pool, key),
         }
     }
 
@@ -168,7 +169,7 @@
     }
 
     /// Whether the connection is up: it has a peer.
-    pub fn is_up(&self) -> bool {
+    pub fn is_connected(&self) -> bool {
         self.stream.peer_addr().is_ok()
     }
 
@@ -185,14 +186,14 @@
             match (&*self.stream).write(output.bytes()) {
                 Ok(0) => self.broken = true,
                 Ok(count) => {
-                    output.used(count);
+                    output.consume(count);
                     self.written += count as u64;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
                 // A connection that never came up says so here, and one that was reset too. What it had said before is read.
                 Err(_) => {
-                    self.fill();
+                    self.receive();
                     self.broken = true;
                 }
             }
@@ -200,12 +201,12 @@
         !self.broken
     }
 
-    pub fn flushed(&self) -> bool {
+    pub fn is_flushed(&self) -> bool {
         self.output.as_ref().is_none_or(Buffer::is_empty)
     }
 
     /// Reads until the socket would block or the buffer is full. True if there may be more to read.
-    pub fn fill(&mut self) -> bool {
+    pub fn receive(&mut self) -> bool {
         while !self.eof && !self.broken {
             if self.input.is_none() {
                 self.input = self.pool.take();
@@ -229,14 +230,14 @@
             }
         }
         // Guards the pool: a quiet connection holds no buffer.
-        self.used(0);
+        self.consume(0);
         false
     }
 
     /// Uses up input, and gives the buffer back once it is empty.
-    pub fn used(&mut self, count: usize) {
+    pub fn consume(&mut self, count: usize) {
         if let Some(input) = self.input.as_mut() {
-            input.used(count);
+            input.consume(count);
             if input.is_empty() {
                 self.input = None;
             }
@@ -249,7 +250,7 @@
 
     /// Whether the peer has reset the connection by now: after a write, this tells a peer that had gone before
     /// from one that has only ended its sending.
-    pub fn reset(&mut self) -> bool {
+    pub fn peer_reset(&mut self) -> bool {
         self.broken |= self.stream.take_error().map_or(true, |e| e.is_some());
         self.broken
     }
@@ -259,18 +260,18 @@
         let _ = SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
     }
 
-    pub fn end_sending(&self) {
+    pub fn shutdown_write(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 }
 
-impl<K: Copy + 'static> AsFd for Link<K> {
+impl<K: Copy + 'static> AsFd for Connection<K> {
     fn as_fd(&self) -> BorrowedFd<'_> {
         self.stream.as_fd()
     }
 }
 
-impl<K: Copy + 'static> Drop for Link<K> {
+impl<K: Copy + 'static> Drop for Connection<K> {
     fn drop(&mut self) {
         self.handle.remove(self.token);
     }
@@ -282,7 +283,7 @@
 const EMFILE: i32 = 24;
 
 /// Whether an error tells of our own lack of descriptors, which says nothing of a peer.
-pub fn no_descriptors(e: &std::io::Error) -> bool {
+pub fn is_descriptor_exhaustion(e: &std::io::Error) -> bool {
     matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
 }
 
@@ -301,23 +302,24 @@
         let same = socket.try_clone().unwrap();
         let early = (&socket).read(&mut [0]).unwrap_err().kind();
         assert_eq!(early, ErrorKind::NotConnected);
-        let mut link = Link::new(socket.into(), &events.handle(), &Pool::new(2), 1).unwrap();
+        let mut connection =
+            Connection::new(socket.into(), &events.handle(), &BufferPool::new(2), 1).unwrap();
         assert!(
-            !link.fill() && !link.broken && !link.eof,
+            !connection.receive() && !connection.broken && !connection.eof,
             "nothing is said of it"
         );
         same.set_nonblocking(false).unwrap();
         same.connect(&to.into()).unwrap();
-        assert!(link.queue(b"ask") && link.flush());
+        assert!(connection.queue(b"ask") && connection.flush());
         let (mut peer, _) = listener.accept().unwrap();
         peer.read_exact(&mut [0; 3]).unwrap();
         peer.write_all(b"yes").unwrap();
         drop(peer);
-        while !link.eof {
-            assert!(!link.broken);
-            link.fill();
+        while !connection.eof {
+            assert!(!connection.broken);
+            connection.receive();
         }
-        assert_eq!(link.bytes(), b"yes");
+        assert_eq!(connection.bytes(), b"yes");
     }
 
     #[test]
@@ -326,18 +328,19 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let events = calloop::EventLoop::<Ready<u8>>::try_new().unwrap();
         let to = listener.local_addr().unwrap();
-        let mut link = Link::connect(to, &events.handle(), &Pool::new(2), 1).unwrap();
+        let mut connection =
+            Connection::connect(to, &events.handle(), &BufferPool::new(2), 1).unwrap();
         let (mut peer, _) = listener.accept().unwrap();
         peer.write_all(b"no").unwrap();
-        assert!(link.queue(b"ask") && link.flush());
+        assert!(connection.queue(b"ask") && connection.flush());
         // Closed over unread bytes.
         peer.peek(&mut [0; 3]).unwrap();
         drop(peer);
         assert!((0..200_000).any(|_| {
-            link.queue(b"more");
-            link.flush();
-            link.broken
+            connection.queue(b"more");
+            connection.flush();
+            connection.broken
         }));
-        assert_eq!(link.bytes(), b"no");
+        assert_eq!(connection.bytes(), b"no");
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -2,9 +2,14 @@
 //! on. It must never decide anything: it knows no classes, regions or rules.
 #![allow(missing_docs)]
 
-mod frame;
-mod link;
-pub mod pool;
+pub mod buffer_pool;
+mod codec;
+mod connection;
 
-pub use frame::{Answer, Body, Malformed, Parsed, Request, answer, reply, request, says_200};
-pub use link::{Carried, Handle, Link, Ready, no_descriptors, register};
+pub use codec::{
+    Body, Malformed, Parsed, Request, Response, encode_response, parse_request, parse_response,
+    starts_with_status_200,
+};
+pub use connection::{
+    Connection, ConnectionSnapshot, Handle, Ready, is_descriptor_exhaustion, register,
+};
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -2,8 +2,8 @@
 //! join are known to all, and how often one that runs is held for dead. Its figures are a seed's, not the machine's.
 
 use martenlatch_clock::Millis;
-use martenlatch_peers::member::State;
-use martenlatch_peers::net::Net;
+use martenlatch_peers::membership::State;
+use martenlatch_peers::simulated_network::SimulatedNetwork;
 
 /// From an empty network until figures are taken, how long they are taken for, and for how long a death or a join is
 /// waited for.
@@ -30,7 +30,7 @@
 
 /// Measures one network. The same figures for the same seed.
 pub fn measure(members: usize, loss: f64, seed: u64) -> Figures {
-    let mut net = Net::of(members, loss, seed);
+    let mut net = SimulatedNetwork::of(members, loss, seed);
     net.run(SETTLE);
     let (before, deaths) = (net.sent, net.deaths());
     net.run(STEADY);
@@ -44,11 +44,13 @@
     };
     let (newcomer, joined) = (members, net.now());
     net.add(newcomer);
-    let knows_all = |net: &Net| net.all_know(newcomer) && net.node(newcomer).live() >= members;
+    let knows_all =
+        |net: &SimulatedNetwork| net.all_know(newcomer) && net.node(newcomer).live() >= members;
     figures.join = net.run_until(PATIENCE, knows_all).map(|at| at - joined);
     let died = net.now();
     net.kill(newcomer);
-    let gone = |net: &Net, by| net.state(by, newcomer).is_none_or(|s| s == State::Dead);
+    let gone =
+        |net: &SimulatedNetwork, by| net.state(by, newcomer).is_none_or(|s| s == State::Dead);
     let known = net.run_until(PATIENCE, |net| (0..members).all(|by| gone(net, by)));
     figures.death = known.map(|at| at - died);
     figures
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -9,11 +9,11 @@
 
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_http::{self as http, Handle, Parsed, Ready};
 use slab::Slab;
 
-type Link = martenlatch_http::Link<usize>;
+type Connection = martenlatch_http::Connection<usize>;
 
 /// Buffers, and so connections, that it holds.
 const BUFFERS: usize = 1_024;
@@ -22,13 +22,13 @@
 
 enum Peer {
     Listener,
-    Client(Link),
-    Region { link: Link, busy: bool },
+    Client(Connection),
+    Region { connection: Connection, busy: bool },
 }
 
 struct Relay {
     handle: Handle<usize>,
-    pool: Pool,
+    pool: BufferPool,
     listener: Rc<TcpListener>,
     peers: Slab<Peer>,
     idle: Vec<usize>,
@@ -57,7 +57,7 @@
     told.map_err(|e| failed(&e))?;
     let mut relay = Relay {
         handle: events.handle(),
-        pool: Pool::new(BUFFERS),
+        pool: BufferPool::new(BUFFERS),
         listener: Rc::new(listener),
         peers: Slab::new(),
         idle: Vec::new(),
@@ -87,20 +87,22 @@
             Some(Peer::Listener) => {
                 while let Ok((stream, _)) = self.listener.accept() {
                     let entry = self.peers.vacant_entry();
-                    if let Ok(link) = Link::new(stream, &self.handle, &self.pool, entry.key()) {
-                        entry.insert(Peer::Client(link));
+                    if let Ok(connection) =
+                        Connection::new(stream, &self.handle, &self.pool, entry.key())
+                    {
+                        entry.insert(Peer::Client(connection));
                     }
                 }
             }
-            Some(Peer::Client(link)) => {
-                link.flush();
-                link.fill();
-                while let Parsed::Whole(request) = http::request(link.bytes()) {
-                    link.used(request.used);
+            Some(Peer::Client(connection)) => {
+                connection.flush();
+                connection.receive();
+                while let Parsed::Complete(request) = http::parse_request(connection.bytes()) {
+                    connection.consume(request.consumed);
                     if request.method != "POST" {
-                        link.queue(&http::reply(200, "", false));
+                        connection.queue(&http::encode_response(200, "", false));
                     } else if self.waiting.len() >= WAITING {
-                        link.queue(&http::reply(503, "Retry-After: 1\r\n", false));
+                        connection.queue(&http::encode_response(503, "Retry-After: 1\r\n", false));
                     } else {
                         let id = request.header("x-request-id").unwrap_or("");
                         let head = format!(
@@ -110,24 +112,24 @@
                         );
                         self.waiting
                             .push_back([head.as_bytes(), &request.body].concat());
-                        link.queue(&http::reply(202, "", false));
+                        connection.queue(&http::encode_response(202, "", false));
                     }
-                    link.flush();
+                    connection.flush();
                 }
-                if link.eof || link.broken {
+                if connection.eof || connection.broken {
                     self.peers.remove(at);
                 }
             }
-            Some(Peer::Region { link, busy }) => {
-                link.flush();
-                link.fill();
-                if let Ok(Some(answer)) = http::answer(link.bytes()) {
-                    link.used(answer.used);
+            Some(Peer::Region { connection, busy }) => {
+                connection.flush();
+                connection.receive();
+                if let Ok(Some(answer)) = http::parse_response(connection.bytes()) {
+                    connection.consume(answer.consumed);
                     if std::mem::replace(busy, false) {
                         self.idle.push(at);
                     }
                 }
-                if link.eof || link.broken {
+                if connection.eof || connection.broken {
                     self.peers.remove(at);
                     self.idle.retain(|i| *i != at);
                     self.connections -= 1;
@@ -146,19 +148,23 @@
                     let to = self.regions[self.next % self.regions.len()];
                     self.next += 1;
                     let at = self.peers.vacant_key();
-                    let Ok(link) = Link::connect(to, &self.handle, &self.pool, at) else {
+                    let Ok(connection) = Connection::connect(to, &self.handle, &self.pool, at)
+                    else {
                         return;
                     };
                     self.connections += 1;
-                    self.peers.insert(Peer::Region { link, busy: false })
+                    self.peers.insert(Peer::Region {
+                        connection,
+                        busy: false,
+                    })
                 }
             };
-            if let Some(Peer::Region { link, busy }) = self.peers.get_mut(at)
+            if let Some(Peer::Region { connection, busy }) = self.peers.get_mut(at)
                 && let Some(call) = self.waiting.pop_front()
             {
                 *busy = true;
-                link.queue(&call);
-                link.flush();
+                connection.queue(&call);
+                connection.flush();
             }
         }
     }
--- a/crates/lab/src/roof.rs
+++ b/crates/lab/src/roof.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use calloop::EventLoop;
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_http::{self as http, Parsed, Ready};
 use nix::sched::{CpuSet, sched_setaffinity};
 use nix::unistd::Pid;
@@ -23,7 +23,7 @@
 use crate::sim;
 use crate::sockets::child::{Sender, platform_settings, used};
 
-type Link = martenlatch_http::Link<usize>;
+type Connection = martenlatch_http::Connection<usize>;
 
 /// Connections of the load, messages under way at most, endpoints, and calls out at most.
 const CLIENTS: usize = 32;
@@ -95,9 +95,9 @@
     let Ok(mut events) = EventLoop::<Ready<usize>>::try_new() else {
         return;
     };
-    let (handle, pool) = (events.handle(), Pool::new(4_096));
+    let (handle, pool) = (events.handle(), BufferPool::new(4_096));
     let listeners: Vec<Rc<TcpListener>> = listeners.into_iter().map(Rc::new).collect();
-    let mut links: Slab<Link> = Slab::new();
+    let mut links: Slab<Connection> = Slab::new();
     const LISTENERS: usize = 1 << 32;
     for (i, listener) in listeners.iter().enumerate() {
         let _ = listener.set_nonblocking(true);
@@ -110,23 +110,23 @@
             if at >= LISTENERS {
                 while let Ok((stream, _)) = listeners[at - LISTENERS].accept() {
                     let entry = links.vacant_entry();
-                    if let Ok(link) = Link::new(stream, &handle, &pool, entry.key()) {
-                        entry.insert(link);
+                    if let Ok(connection) = Connection::new(stream, &handle, &pool, entry.key()) {
+                        entry.insert(connection);
                     }
                 }
                 continue;
             }
-            let Some(link) = links.get_mut(at) else {
+            let Some(connection) = links.get_mut(at) else {
                 continue;
             };
-            link.fill();
-            while let Parsed::Whole(request) = http::request(link.bytes()) {
-                link.used(request.used);
+            connection.receive();
+            while let Parsed::Complete(request) = http::parse_request(connection.bytes()) {
+                connection.consume(request.consumed);
                 served.fetch_add(1, Ordering::Relaxed);
-                link.queue(answer);
+                connection.queue(answer);
             }
-            link.flush();
-            if link.eof || link.broken {
+            connection.flush();
+            if connection.eof || connection.broken {
                 links.remove(at);
             }
         }
@@ -144,25 +144,25 @@
 ) -> Result<f64, String> {
     let mut events =
         EventLoop::<Ready<usize>>::try_new().map_err(|e| format!("no event loop: {e}"))?;
-    let (handle, pool) = (events.handle(), Pool::new(CLIENTS * 4));
-    let mut links: Vec<(Link, bool)> = Vec::new();
+    let (handle, pool) = (events.handle(), BufferPool::new(CLIENTS * 4));
+    let mut links: Vec<(Connection, bool)> = Vec::new();
     for at in 0..CLIENTS {
-        let link = Link::connect(to, &handle, &pool, at)
+        let connection = Connection::connect(to, &handle, &pool, at)
             .map_err(|e| format!("no connection to {to}: {e}"))?;
-        links.push((link, false));
+        links.push((connection, false));
     }
     let body = "x".repeat(BODY);
     let (start, before) = (Instant::now(), floor.served.load(Ordering::Relaxed));
     let (mut taken, mut ready) = (0u64, Ready::default());
     while start.elapsed() < span {
-        for (link, asking) in &mut links {
-            link.fill();
-            if *asking && let Ok(Some(answer)) = http::answer(link.bytes()) {
-                link.used(answer.used);
+        for (connection, asking) in &mut links {
+            connection.receive();
+            if *asking && let Ok(Some(answer)) = http::parse_response(connection.bytes()) {
+                connection.consume(answer.consumed);
                 *asking = false;
                 taken += u64::from(answer.status == 202);
             }
-            if link.eof || link.broken {
+            if connection.eof || connection.broken {
                 return Err(format!("{to} closed a connection under load"));
             }
             let out = (before + taken).saturating_sub(floor.served.load(Ordering::Relaxed));
@@ -173,8 +173,8 @@
                      Content-Length: {BODY}\r\n\r\n{body}"
                 );
                 *asking = true;
-                link.queue(text.as_bytes());
-                link.flush();
+                connection.queue(text.as_bytes());
+                connection.flush();
             }
         }
         events
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use martenlatch_clock::{Millis, millis, nanos};
-use martenlatch_peers::known::{Bounds, Known, Telling};
+use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     Action, ClassId, Decay, DestinationId, EndpointEntry, EndpointId, EndpointState,
@@ -201,7 +201,7 @@
     idle: HashMap<u32, Vec<Millis>>,
     known: BTreeMap<u32, EndpointEntry>,
     /// What it is told when it starts, where that was put down before.
-    told: Option<Known>,
+    told: Option<PartnerKnowledge>,
 }
 
 struct Sim<'a> {
@@ -456,8 +456,8 @@
     }
 
     /// What up to three others that run can tell a newcomer now, in the form in which it crosses the network.
-    fn ask(&self, newcomer: u32) -> Known {
-        let (mut known, bounds) = (Known::default(), Bounds::default());
+    fn ask(&self, newcomer: u32) -> PartnerKnowledge {
+        let (mut known, bounds) = (PartnerKnowledge::default(), Bounds::default());
         let others = self
             .senders
             .iter()
@@ -472,12 +472,7 @@
                 let (observations, next) = policy.observations(nanos(ORIGIN + self.now), after, 32);
                 for sight in &observations {
                     let name = sight.endpoint.map(|e| e.0.to_string());
-                    known.hear(
-                        &no.to_string(),
-                        &Telling::of(sight, name),
-                        self.now,
-                        &bounds,
-                    );
+                    known.hear(&no.to_string(), &Digest::of(sight, name), self.now, &bounds);
                 }
                 if next.is_none() {
                     break;
@@ -525,7 +520,7 @@
         let known = match self.senders[sender as usize].told.take() {
             Some(told) => told,
             None if self.learns && self.now > 0.0 => self.ask(sender),
-            None => Known::default(),
+            None => PartnerKnowledge::default(),
         };
         let s = &mut self.senders[sender as usize];
         let now = self.now;
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -14,7 +14,7 @@
 
 use calloop::EventLoop;
 use martenlatch_clock::{Clock, Millis};
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_http::{self as http, Handle, Parsed, Ready};
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
@@ -43,7 +43,7 @@
 /// Connections of clients that may idle, and the buffers of all.
 const BUFFERS: usize = 4_096;
 
-type Link = martenlatch_http::Link<usize>;
+type Connection = martenlatch_http::Connection<usize>;
 
 /// What a run on sockets was.
 #[derive(Debug)]
@@ -121,7 +121,7 @@
     /// A sender's connection to an endpoint; `calls` counts what came on it.
     Call {
         endpoint: u32,
-        link: Link,
+        connection: Connection,
         busy: Option<u64>,
         calls: u32,
         since: Millis,
@@ -130,14 +130,14 @@
     /// A sender's connection to its agent.
     Asks {
         sender: u32,
-        link: Link,
+        connection: Connection,
         watch: bool,
         /// What its socket has not taken yet.
         pending: VecDeque<u8>,
     },
     Client {
         sender: u32,
-        link: Link,
+        connection: Connection,
         id: Option<u64>,
     },
 }
@@ -192,7 +192,7 @@
     /// Listeners of endpoints that have gone.
     vacant: Vec<usize>,
     handle: Handle<usize>,
-    pool: Pool,
+    pool: BufferPool,
     judge: Judge,
     tally: Tally,
     used: Vec<Used>,
@@ -282,10 +282,10 @@
 }
 
 /// Moves what waits into a connection, as far as that takes it: a whole list may be more than a buffer holds.
-fn drain(link: &mut Link, pending: &mut VecDeque<u8>) {
-    while link.flush() && !pending.is_empty() {
+fn drain(connection: &mut Connection, pending: &mut VecDeque<u8>) {
+    while connection.flush() && !pending.is_empty() {
         let part: Vec<u8> = pending.drain(..pending.len().min(32 * 1024)).collect();
-        link.queue(&part);
+        connection.queue(&part);
     }
 }
 
@@ -335,7 +335,7 @@
             seats: Vec::new(),
             vacant: Vec::new(),
             handle,
-            pool: Pool::new(BUFFERS),
+            pool: BufferPool::new(BUFFERS),
             judge: Judge::new(rules, v.max_attempts),
             tally: Tally::new(&x.world.classes, 0.0, x.length),
             used: Vec::new(),
@@ -651,9 +651,9 @@
                 {
                     let since = self.now();
                     let (busy, calls, dead) = (None, 0, false);
-                    let made = |link| Peer::Call {
+                    let made = |connection| Peer::Call {
                         endpoint,
-                        link,
+                        connection,
                         busy,
                         calls,
                         since,
@@ -668,9 +668,9 @@
             Some(Peer::Agent { sender, listener }) => {
                 let (sender, listener) = (*sender, listener.clone());
                 while let Ok((stream, _)) = listener.accept() {
-                    if let Some(at) = self.accept(stream, |link| Peer::Asks {
+                    if let Some(at) = self.accept(stream, |connection| Peer::Asks {
                         sender,
-                        link,
+                        connection,
                         watch: false,
                         pending: VecDeque::new(),
                     }) {
@@ -688,19 +688,24 @@
     fn accept(
         &mut self,
         stream: std::net::TcpStream,
-        made: impl FnOnce(Link) -> Peer,
+        made: impl FnOnce(Connection) -> Peer,
     ) -> Option<usize> {
         let at = self.peers.vacant_key();
-        let link = Link::new(stream, &self.handle, &self.pool, at).ok()?;
-        Some(self.peers.insert(made(link)))
+        let connection = Connection::new(stream, &self.handle, &self.pool, at).ok()?;
+        Some(self.peers.insert(made(connection)))
     }
 
     /// Drops a connection of a sender's to an endpoint; with `reset`, what is on its way is lost.
     fn drop_call(&mut self, at: usize, reset: bool) {
-        if let Some(Peer::Call { endpoint, link, .. }) = self.peers.try_remove(at) {
+        if let Some(Peer::Call {
+            endpoint,
+            connection,
+            ..
+        }) = self.peers.try_remove(at)
+        {
             self.open[endpoint as usize] -= 1;
             if reset {
-                link.abort_on_drop();
+                connection.abort_on_drop();
             }
         }
     }
@@ -710,7 +715,7 @@
         let now = self.now();
         let Some(Peer::Call {
             endpoint,
-            link,
+            connection,
             busy,
             calls,
             since,
@@ -719,21 +724,21 @@
         else {
             return;
         };
-        link.flush();
-        while link.fill() && link.bytes().len() < http::pool::SIZE {}
+        connection.flush();
+        while connection.receive() && connection.bytes().len() < http::buffer_pool::BUFFER_SIZE {}
         let endpoint = *endpoint;
         let partner = self.ground.partner(endpoint);
         let weather = self.ground.weather(partner, now);
         if weather.cut {
             // What is sent there is never heard of.
-            let count = link.bytes().len();
-            link.used(count);
+            let count = connection.bytes().len();
+            connection.consume(count);
             *dead = true;
             return;
         }
         *dead |=
             busy.is_none() && *calls > 0 && now - *since >= weather.closes.min(self.x.world.idle);
-        if link.eof || link.broken {
+        if connection.eof || connection.broken {
             let out = *busy;
             self.drop_call(at, false);
             if let Some(call) = out {
@@ -741,18 +746,18 @@
             }
             return;
         }
-        if busy.is_some() || link.bytes().is_empty() {
+        if busy.is_some() || connection.bytes().is_empty() {
             return;
         }
-        match http::request(link.bytes()) {
+        match http::parse_request(connection.bytes()) {
             Parsed::Partial(_) => {}
-            Parsed::Bad(_) => {
+            Parsed::Invalid(_) => {
                 self.fault = Some(format!(
                     "a sender wrote what is no request to endpoint {endpoint}"
                 ));
             }
-            Parsed::Whole(request) => {
-                link.used(request.used);
+            Parsed::Complete(request) => {
+                connection.consume(request.consumed);
                 let (fresh, dead) = (*calls == 0, *dead);
                 *calls += 1;
                 let id = request
@@ -912,15 +917,18 @@
             Reply::Refused(None) => "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n".to_string(),
         };
         let Some(Peer::Call {
-            link, busy, since, ..
+            connection,
+            busy,
+            since,
+            ..
         }) = self.peers.get_mut(c.peer)
         else {
             return;
         };
         (*busy, *since) = (None, now);
-        let queued = link.queue(text.as_bytes());
-        link.flush();
-        if queued && !link.broken {
+        let queued = connection.queue(text.as_bytes());
+        connection.flush();
+        if queued && !connection.broken {
             self.fact(What::Replied { call, reply });
             if reply == Reply::Served
                 && let Some(held) = self.held.get_mut(&c.id)
@@ -969,16 +977,21 @@
     }
 
     fn push(&mut self, at: usize, text: &str) {
-        if let Some(Peer::Asks { link, pending, .. }) = self.peers.get_mut(at) {
+        if let Some(Peer::Asks {
+            connection,
+            pending,
+            ..
+        }) = self.peers.get_mut(at)
+        {
             pending.extend(text.as_bytes());
-            drain(link, pending);
+            drain(connection, pending);
         }
     }
 
     fn heard_ask(&mut self, at: usize) {
         let Some(Peer::Asks {
             sender,
-            link,
+            connection,
             watch,
             pending,
         }) = self.peers.get_mut(at)
@@ -986,18 +999,18 @@
             return;
         };
         let sender = *sender;
-        drain(link, pending);
-        link.fill();
-        if link.bytes().is_empty() {
-            if link.eof || link.broken {
+        drain(connection, pending);
+        connection.receive();
+        if connection.bytes().is_empty() {
+            if connection.eof || connection.broken {
                 self.peers.remove(at);
             }
             return;
         }
-        let Parsed::Whole(request) = http::request(link.bytes()) else {
+        let Parsed::Complete(request) = http::parse_request(connection.bytes()) else {
             return;
         };
-        link.used(request.used);
+        connection.consume(request.consumed);
         if request.path.starts_with("/v1/servers?watch=1") {
             *watch = true;
             let line = self.whole_list(sender).to_string();
@@ -1135,10 +1148,15 @@
             deadline,
             key: None,
         });
-        if let Some(Peer::Client { link, id: asks, .. }) = self.peers.get_mut(client) {
+        if let Some(Peer::Client {
+            connection,
+            id: asks,
+            ..
+        }) = self.peers.get_mut(client)
+        {
             *asks = Some(id);
-            link.queue(text.as_bytes());
-            link.flush();
+            connection.queue(text.as_bytes());
+            connection.flush();
         }
         self.at(now + CLIENT_WAIT, Ev::Silent { client, id });
     }
@@ -1147,14 +1165,14 @@
     fn client(&mut self, sender: u32) -> Option<usize> {
         while let Some(at) = self.seats[sender as usize].idle.pop() {
             if let Some(Peer::Client {
-                link,
+                connection,
                 id: None,
                 sender: own,
             }) = self.peers.get_mut(at)
                 && *own == sender
             {
-                link.fill();
-                if !link.eof && !link.broken && link.bytes().is_empty() {
+                connection.receive();
+                if !connection.eof && !connection.broken && connection.bytes().is_empty() {
                     return Some(at);
                 }
                 self.peers.remove(at);
@@ -1164,24 +1182,29 @@
             self.seats[sender as usize].child.address,
             self.peers.vacant_key(),
         );
-        let link = Link::connect(to, &self.handle, &self.pool, at).ok()?;
+        let connection = Connection::connect(to, &self.handle, &self.pool, at).ok()?;
         Some(self.peers.insert(Peer::Client {
             sender,
-            link,
+            connection,
             id: None,
         }))
     }
 
     fn heard_answer(&mut self, at: usize) {
-        let Some(Peer::Client { sender, link, id }) = self.peers.get_mut(at) else {
+        let Some(Peer::Client {
+            sender,
+            connection,
+            id,
+        }) = self.peers.get_mut(at)
+        else {
             return;
         };
         let (sender, asked) = (*sender, *id);
-        link.flush();
-        link.fill();
-        let answer = http::answer(link.bytes());
+        connection.flush();
+        connection.receive();
+        let answer = http::parse_response(connection.bytes());
         let Some(asked) = asked else {
-            if link.eof || link.broken {
+            if connection.eof || connection.broken {
                 self.peers.remove(at);
             }
             return;
@@ -1193,7 +1216,7 @@
                     .header("retry-after")
                     .and_then(|t| t.parse::<f64>().ok())
                     .map(|s| s * 1e3);
-                link.used(answer.used);
+                connection.consume(answer.consumed);
                 *id = None;
                 if keep {
                     self.seats[sender as usize].idle.push(at);
@@ -1208,7 +1231,7 @@
                     self.not_taken(asked, told, true);
                 }
             }
-            Ok(_) if !link.eof && !link.broken => {}
+            Ok(_) if !connection.eof && !connection.broken => {}
             _ => {
                 self.peers.remove(at);
                 self.not_taken(asked, None, false);
--- a/crates/lab/tests/orders.rs
+++ b/crates/lab/tests/orders.rs
@@ -1,5 +1,5 @@
 //! All orders of a few events on a tiny fleet: two senders, three endpoints of two partners. The decision module and
-//! the ledger are the project's own, the laboratory's judge is asked after each event, and what is sent, told and
+//! the wal are the project's own, the laboratory's judge is asked after each event, and what is sent, told and
 //! written between them is carried out as the sender does. Nothing here knows a rule.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -11,13 +11,13 @@
 use martenlatch_lab::fact::{Fact, Silence, What};
 use martenlatch_lab::judge::{ClassRule, Judge, Rule};
 use martenlatch_lab::model::partner::{FALL, Reply};
-use martenlatch_ledger::{Ledger, Notice, Taken, Task};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     Action, ClassId, Decay, DestinationId, DestinationKind, EndpointEntry, EndpointId,
     EndpointState, EndpointWeights, Event, Idempotency, KeyId, KindId, MessageClass, MessageId,
     Outcome, RecoveryRamp, Settings, ZoneId,
 };
+use martenlatch_wal::{AttemptRecord, FinalStatus, MessageRecord, WriteAheadLog};
 use rstest::rstest;
 
 const UNSAFE: u32 = 0;
@@ -72,13 +72,13 @@
 }
 
 struct Held {
-    taken: Taken,
+    taken: MessageRecord,
     open: bool,
 }
 
 struct Sender {
     policy: Option<Policy>,
-    ledger: Option<Ledger>,
+    wal: Option<WriteAheadLog>,
     folder: PathBuf,
     held: BTreeMap<u64, Held>,
     wake: Option<Millis>,
@@ -182,7 +182,7 @@
         );
         let sender = |no: usize| Sender {
             policy: None,
-            ledger: None,
+            wal: None,
             folder: folder.join(no.to_string()),
             held: BTreeMap::new(),
             wake: None,
@@ -256,20 +256,20 @@
         self.fact(What::Ready { sender: no as u32 });
         let mut events = vec![Event::EndpointList((0..3).map(|e| self.entry(e)).collect())];
         let s = &mut self.senders[no];
-        let (ledger, past) = Ledger::open(&s.folder, 3_000_000);
-        s.ledger = Some(ledger);
+        let (wal, past) = WriteAheadLog::open(&s.folder, 3_000_000);
+        s.wal = Some(wal);
         s.held.clear();
         for (id, taken) in past.open {
             self.met.resumed += 1;
-            assert_eq!(taken.ending, None, "ends are confirmed at once here");
+            assert_eq!(taken.final_status, None, "ends are confirmed at once here");
             events.push(Event::MessageResumed {
                 id: MessageId(id),
                 destination: DestinationId(taken.destination),
                 class: ClassId(taken.class.parse().unwrap()),
                 deadline: nanos(taken.deadline),
-                attempts: taken.tasks.len() as u32,
+                attempts: taken.attempts.len() as u32,
                 ran: taken
-                    .tasks
+                    .attempts
                     .iter()
                     .find(|t| !t.never_ran)
                     .map(|t| nanos(t.sent)),
@@ -300,7 +300,7 @@
         }
         self.fact(What::Gone { sender: no as u32 });
         let s = &mut self.senders[no];
-        (s.policy, s.ledger, s.wake) = (None, None, None);
+        (s.policy, s.wal, s.wake) = (None, None, None);
     }
 
     fn hand_in(&mut self, no: usize, class: u32, partner: u32, stays: bool) {
@@ -321,7 +321,7 @@
             deadline,
             key,
         });
-        let taken = Taken {
+        let taken = MessageRecord {
             no: id,
             id: Rc::from(id.to_string()),
             class: Rc::from(class.to_string()),
@@ -329,14 +329,14 @@
             deadline,
             key: None,
             body: Rc::from([]),
-            tasks: Vec::new(),
-            ending: None,
+            attempts: Vec::new(),
+            final_status: None,
             rules: Rc::from([]),
         };
         let s = &mut self.senders[no];
-        assert!(s.ledger.as_mut().unwrap().take(&taken));
+        assert!(s.wal.as_mut().unwrap().append_message(&taken));
         if !stays {
-            s.ledger.as_mut().unwrap().over(id, &taken.id);
+            s.wal.as_mut().unwrap().append_closed(id, &taken.id);
             self.met.left += 1;
             return self.fact(What::Answered { id, status: 0 });
         }
@@ -386,8 +386,8 @@
                 });
                 self.ended(call, Outcome::Cancelled).map(|(_, event)| event)
             }
-            Action::Reject { id, .. } => self.end(no, id.0, Notice::Deferred(None)),
-            Action::Fail { id } => self.end(no, id.0, Notice::Undeliverable),
+            Action::Reject { id, .. } => self.end(no, id.0, FinalStatus::Deferred(None)),
+            Action::Fail { id } => self.end(no, id.0, FinalStatus::Undeliverable),
             Action::WakeAfter(span) => {
                 self.senders[no].wake = Some(self.now + millis(span));
                 None
@@ -400,9 +400,14 @@
         let now = self.now;
         let s = &mut self.senders[no];
         let h = s.held.get_mut(&id)?;
-        let attempt = h.taken.tasks.len() as u32;
-        assert!(s.ledger.as_mut().unwrap().route(id, attempt as usize, now));
-        h.taken.tasks.push(Task {
+        let attempt = h.taken.attempts.len() as u32;
+        assert!(
+            s.wal
+                .as_mut()
+                .unwrap()
+                .append_attempt(id, attempt as usize, now)
+        );
+        h.taken.attempts.push(AttemptRecord {
             sent: now,
             never_ran: false,
         });
@@ -463,14 +468,14 @@
             ..
         } = self.calls.remove(&call)?;
         let s = &mut self.senders[sender];
-        let (h, ledger) = (s.held.get_mut(&id)?, s.ledger.as_mut()?);
+        let (h, wal) = (s.held.get_mut(&id)?, s.wal.as_mut()?);
         if outcome.never_ran() {
-            h.taken.tasks[attempt as usize].never_ran = true;
-            ledger.never_ran(id, attempt as usize);
+            h.taken.attempts[attempt as usize].never_ran = true;
+            wal.append_never_ran(id, attempt as usize);
         }
         if outcome == Outcome::Success && h.open {
             h.open = false;
-            ledger.over(id, &h.taken.id);
+            wal.append_closed(id, &h.taken.id);
         }
         let (finished, took) = (!h.open, nanos(self.now - sent));
         Some((
@@ -486,14 +491,14 @@
     }
 
     /// The platform confirms each notice at once.
-    fn end(&mut self, no: usize, id: u64, notice: Notice) -> Option<Event> {
+    fn end(&mut self, no: usize, id: u64, notice: FinalStatus) -> Option<Event> {
         let s = &mut self.senders[no];
-        let (h, ledger) = (s.held.get_mut(&id).filter(|h| h.open)?, s.ledger.as_mut()?);
+        let (h, wal) = (s.held.get_mut(&id).filter(|h| h.open)?, s.wal.as_mut()?);
         h.open = false;
-        ledger.ending(id, notice);
-        ledger.over(id, &h.taken.id);
+        wal.append_final_status(id, notice);
+        wal.append_closed(id, &h.taken.id);
         if !self.mute {
-            let deferred = matches!(notice, Notice::Deferred(_));
+            let deferred = matches!(notice, FinalStatus::Deferred(_));
             self.fact(What::Notice {
                 sender: no as u32,
                 id,
@@ -539,7 +544,7 @@
             let s = &mut self.senders[no];
             if let Some(h) = s.held.get_mut(&id).filter(|h| h.open) {
                 h.open = false;
-                s.ledger.as_mut().unwrap().over(id, &h.taken.id);
+                s.wal.as_mut().unwrap().append_closed(id, &h.taken.id);
                 self.met.withdrawals += 1;
                 self.fact(What::Withdrawn { id });
             }
--- a/crates/martenlatch/src/inspect.rs
+++ b/crates/martenlatch/src/inspect.rs
@@ -1,19 +1,19 @@
-//! Owns the read-only commands on a ledger. It must never change the folder, or print a body or a key.
+//! Owns the read-only commands on a wal. It must never change the folder, or print a body or a key.
 
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
-use martenlatch_ledger::{Look, Notice, Taken};
+use martenlatch_wal::{FinalStatus, LogInspection, MessageRecord};
 
-fn look(folder: &Path) -> Result<Look, String> {
-    Look::into(folder).map_err(|e| format!("ledger: {}: {e}", folder.display()))
+fn look(folder: &Path) -> Result<LogInspection, String> {
+    LogInspection::open(folder).map_err(|e| format!("ledger: {}: {e}", folder.display()))
 }
 
-fn end(taken: &Taken) -> &'static str {
-    match taken.ending {
+fn end(taken: &MessageRecord) -> &'static str {
+    match taken.final_status {
         None => "open",
-        Some(Notice::Undeliverable) => "undeliverable",
-        Some(Notice::Deferred(_)) => "deferred",
+        Some(FinalStatus::Undeliverable) => "undeliverable",
+        Some(FinalStatus::Deferred(_)) => "deferred",
     }
 }
 
@@ -25,11 +25,11 @@
         * 1e3;
     let look = look(folder)?;
     for taken in look.past.open.values() {
-        let may_have_run = taken.tasks.iter().filter(|t| !t.never_ran).count();
+        let may_have_run = taken.attempts.iter().filter(|t| !t.never_ran).count();
         let (no, id, class, destination) = (taken.no, &taken.id, &taken.class, taken.destination);
         let (left, tasks, end, bytes) = (
             taken.deadline - now,
-            taken.tasks.len(),
+            taken.attempts.len(),
             end(taken),
             taken.body.len(),
         );
@@ -50,12 +50,12 @@
 /// True where every byte belongs to a whole record.
 pub fn verify(folder: &Path) -> Result<bool, String> {
     let look = look(folder)?;
-    let torn = look.size - look.good();
+    let torn = look.size - look.valid_bytes();
     let (open, owed) = look
         .past
         .open
         .values()
-        .partition::<Vec<_>, _>(|t| t.ending.is_none());
+        .partition::<Vec<_>, _>(|t| t.final_status.is_none());
     println!(
         "{} bytes={} records={} open={} ends_owed={} over={} damaged_bytes={torn}",
         if torn == 0 { "whole" } else { "damaged" },
--- a/crates/martenlatch/src/main.rs
+++ b/crates/martenlatch/src/main.rs
@@ -16,7 +16,7 @@
   0  done
   1  the configuration or the settings cannot be used, or serving failed
   2  the command line cannot be read
-  3  `ledger verify` found damage
+  3  `wal verify` found damage
 
 Environment of `serve` and `check`:
   PROXY_CONFIG     the platform's configuration, a JSON file
@@ -55,17 +55,18 @@
         #[arg(long)]
         json: bool,
     },
-    /// Look into a ledger without changing it
-    Ledger {
+    /// Look into a write-ahead log without changing it
+    #[command(name = "wal", alias = "ledger")]
+    WriteAheadLog {
         #[command(subcommand)]
-        what: Ledger,
+        what: WriteAheadLog,
     },
     /// Print the version
     Version,
 }
 
 #[derive(Subcommand)]
-enum Ledger {
+enum WriteAheadLog {
     /// List what is not over: number, class, destination, time left, routed tasks, end owed
     Show {
         /// The folder that lasts
@@ -136,11 +137,11 @@
                 .ok_or("peers: the settings name none; give a file with --settings")?;
             members::show(&peers, json)?;
         }
-        Command::Ledger {
-            what: Ledger::Show { folder, json },
+        Command::WriteAheadLog {
+            what: WriteAheadLog::Show { folder, json },
         } => inspect::show(&folder, json)?,
-        Command::Ledger {
-            what: Ledger::Verify { folder },
+        Command::WriteAheadLog {
+            what: WriteAheadLog::Verify { folder },
         } => {
             return Ok(if inspect::verify(&folder)? {
                 ExitCode::SUCCESS
--- a/crates/martenlatch/src/members.rs
+++ b/crates/martenlatch/src/members.rs
@@ -5,14 +5,14 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use martenlatch_peers::member::{Rumour, State};
+use martenlatch_peers::membership::{MemberUpdate, State};
 use martenlatch_peers::wire::{Fault, Page};
 use martenlatch_settings::program::Peers;
 use serde_json::json;
 
 const PATIENCE: Duration = Duration::from_secs(3);
 
-fn ask(peers: &Peers) -> Result<Vec<Rumour>, String> {
+fn ask(peers: &Peers) -> Result<Vec<MemberUpdate>, String> {
     let secret = martenlatch_sender::secret(&peers.secret_file)?;
     let failed = |e: std::io::Error| format!("{}: nobody answers: {e}", peers.listen);
     let mut stream = TcpStream::connect_timeout(&peers.listen, PATIENCE).map_err(failed)?;
@@ -26,7 +26,7 @@
     while start.elapsed() < PATIENCE {
         match secret.open_page(&bytes) {
             Ok((
-                Page::Members {
+                Page::Membership {
                     no: n,
                     page,
                     rumours,
--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -11,8 +11,8 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-use martenlatch_peers::known::{Telling, Trouble};
-use martenlatch_peers::sketch::Sketch;
+use martenlatch_peers::latency_sketch::LatencySketch;
+use martenlatch_peers::partner_knowledge::{Digest, ReportedOutage};
 use martenlatch_peers::wire::{Page, Secret};
 
 const SECRET: &str = "a secret of these stories";
@@ -163,11 +163,11 @@
     Secret::new(SECRET.as_bytes()).seal_page(page)
 }
 
-fn telling(destination: u64) -> Telling {
-    Telling {
+fn digest(destination: u64) -> Digest {
+    Digest {
         served: 9.0,
-        latency: Sketch::of([200.0; 9]),
-        ..Telling::new(destination)
+        latency: LatencySketch::of([200.0; 9]),
+        ..Digest::new(destination)
     }
 }
 
@@ -239,10 +239,10 @@
         let (platform, group) = (Platform::new(&[]), Group::of("gone", 7));
         teller(group.seeds[alive], |no, stream| {
             stream
-                .write_all(&page(&Page::Told {
+                .write_all(&page(&Page::Digests {
                     no,
                     page: 0,
-                    tellings: vec![telling(7)],
+                    digests: vec![digest(7)],
                 }))
                 .unwrap();
             stream
@@ -294,15 +294,15 @@
     let (_region, known) = one_region(|_, _| status(200, ""));
     let (platform, group) = (Platform::new(&[]), Group::of("cut", 2));
     teller(group.seeds[1], |no, stream| {
-        let whole = page(&Page::Told {
+        let whole = page(&Page::Digests {
             no,
             page: 0,
-            tellings: vec![telling(7), telling(8)],
+            digests: vec![digest(7), digest(8)],
         });
-        let half = page(&Page::Told {
+        let half = page(&Page::Digests {
             no,
             page: 1,
-            tellings: vec![telling(9)],
+            digests: vec![digest(9)],
         });
         stream.write_all(&whole).unwrap();
         stream.write_all(&half[..half.len() / 2]).unwrap();
@@ -330,15 +330,15 @@
     ] {
         let (platform, group) = (Platform::new(&[]), Group::of(story, 2));
         teller(group.seeds[1], move |no, stream| {
-            let told = Telling {
+            let told = Digest {
                 wait: 60_000.0,
-                trouble: Some(Trouble::Shut),
-                ..telling(7)
+                outage: Some(ReportedOutage::Rejecting),
+                ..digest(7)
             };
-            let mut bytes = page(&Page::Told {
+            let mut bytes = page(&Page::Digests {
                 no,
                 page: 0,
-                tellings: vec![told],
+                digests: vec![told],
             });
             spoil(&mut bytes);
             let _ = stream.write_all(&bytes);
@@ -363,10 +363,10 @@
     let (platform, group) = (Platform::new(&[]), Group::of("slow", 2));
     teller(group.seeds[1], |no, stream| {
         for at in 0..100_000 {
-            let told = page(&Page::Told {
+            let told = page(&Page::Digests {
                 no,
                 page: at,
-                tellings: vec![telling(u64::from(at))],
+                digests: vec![digest(u64::from(at))],
             });
             if stream.write_all(&told).is_err() {
                 return;
@@ -442,20 +442,20 @@
     let (region, known) = one_region(|_, _| status(200, ""));
     let (platform, group) = (Platform::new(&[]), Group::of("many", 2));
     teller(group.seeds[1], |no, stream| {
-        let wide = Sketch::of((0..40).map(|i| 100.0 * 1.05f64.powi(i)));
-        let all: Vec<Telling> = (0..10_000)
-            .map(|d| Telling {
+        let wide = LatencySketch::of((0..40).map(|i| 100.0 * 1.05f64.powi(i)));
+        let all: Vec<Digest> = (0..10_000)
+            .map(|d| Digest {
                 latency: wide.clone(),
-                ..telling(d)
+                ..digest(d)
             })
             .collect();
         let mut pages = 0;
         for part in all.chunks(32) {
             stream
-                .write_all(&page(&Page::Told {
+                .write_all(&page(&Page::Digests {
                     no,
                     page: pages,
-                    tellings: part.to_vec(),
+                    digests: part.to_vec(),
                 }))
                 .unwrap();
             pages += 1;
--- a/crates/peers/src/sketch.rs
+++ b/crates/peers/src/latency_sketch.rs
@@ -13,7 +13,7 @@
 
 /// Counts of latencies by size.
 #[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Sketch {
+pub struct LatencySketch {
     counts: Vec<(u8, u16)>,
 }
 
@@ -22,16 +22,16 @@
     2f64.powf((f64::from(bucket) + 0.5) / FINE)
 }
 
-impl Sketch {
+impl LatencySketch {
     /// Of these latencies, in milliseconds.
-    pub fn of(latencies: impl IntoIterator<Item = Millis>) -> Sketch {
+    pub fn of(latencies: impl IntoIterator<Item = Millis>) -> LatencySketch {
         let mut counts = BTreeMap::<u8, u16>::new();
         for latency in latencies {
             let bucket = (latency.max(1.0).log2() * FINE).min(f64::from(LAST)) as u8;
             let count = counts.entry(bucket).or_default();
             *count = count.saturating_add(1);
         }
-        Sketch {
+        LatencySketch {
             counts: counts.into_iter().collect(),
         }
     }
@@ -41,14 +41,14 @@
         self.counts.iter().map(|c| u32::from(c.1)).sum()
     }
 
-    /// Whether it is as [`Sketch::of`] makes them: buckets in order, none twice, none empty or past the last.
+    /// Whether it is as [`LatencySketch::of`] makes them: buckets in order, none twice, none empty or past the last.
     pub fn sound(&self) -> bool {
         self.counts.is_sorted_by(|a, b| a.0 < b.0)
             && self.counts.iter().all(|c| c.0 <= LAST && c.1 > 0)
     }
 
     /// Adds another's counts.
-    pub fn add(&mut self, other: &Sketch) {
+    pub fn add(&mut self, other: &LatencySketch) {
         let mut counts: BTreeMap<u8, u16> = self.counts.iter().copied().collect();
         for (bucket, count) in &other.counts {
             let sum = counts.entry(*bucket).or_default();
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -4,8 +4,8 @@
 //! Nothing in here opens a socket or looks at a clock: time and datagrams go in, datagrams and changes come out. What
 //! is done with what is known stays the decision module's.
 
-pub mod known;
-pub mod member;
-pub mod net;
-pub mod sketch;
+pub mod latency_sketch;
+pub mod membership;
+pub mod partner_knowledge;
+pub mod simulated_network;
 pub mod wire;
--- a/crates/peers/src/member.rs
+++ b/crates/peers/src/membership.rs
@@ -15,7 +15,7 @@
 /// Longest name, in bytes; it bounds the size of a datagram.
 pub const NAME: usize = 32;
 /// Most rumours in one datagram: with the longest names they stay under the 1,200 bytes that any path takes.
-pub const RUMOURS: usize = 12;
+pub const MAX_UPDATES: usize = 12;
 /// Calls of others that are passed on and not yet answered, at most.
 const RELAYS: usize = 64;
 /// Every so many periods one that is held for dead, or a seed that is not known, is tried again.
@@ -49,7 +49,7 @@
 /// What is told of a member. Only the member itself raises its incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[allow(missing_docs)]
-pub struct Rumour {
+pub struct MemberUpdate {
     pub name: String,
     /// Where its datagrams go; its knowledge is told at the same port over TCP.
     pub address: SocketAddr,
@@ -57,7 +57,7 @@
     pub state: State,
 }
 
-impl Rumour {
+impl MemberUpdate {
     /// Which of two rumours on one member holds: the greater. A total order, so that merging in any order agrees.
     fn rank(&self) -> (u64, State, SocketAddr) {
         (self.incarnation, self.state, self.address)
@@ -90,11 +90,11 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[allow(missing_docs)]
 pub struct Datagram {
-    pub from: Rumour,
+    pub from: MemberUpdate,
     /// Over the live members of the sender's view.
     pub digest: u64,
     pub body: Body,
-    pub rumours: Vec<Rumour>,
+    pub rumours: Vec<MemberUpdate>,
 }
 
 /// How the protocol is paced. Times in milliseconds.
@@ -131,7 +131,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[allow(missing_docs)]
 pub enum Change {
-    Joined(Rumour),
+    Joined(MemberUpdate),
     Suspected(String),
     /// A suspect lives.
     Refuted(String),
@@ -162,11 +162,11 @@
 
 /// One sender's view of the others.
 #[derive(Clone, Debug)]
-pub struct Members {
-    me: Rumour,
+pub struct Membership {
+    me: MemberUpdate,
     set: Settings,
     seeds: Vec<SocketAddr>,
-    view: BTreeMap<String, Rumour>,
+    view: BTreeMap<String, MemberUpdate>,
     live: usize,
     digest: u64,
     /// Who is pinged in this turn through the view.
@@ -194,7 +194,7 @@
     changes: Vec<Change>,
 }
 
-fn hash(rumour: &Rumour) -> u64 {
+fn hash(rumour: &MemberUpdate) -> u64 {
     // FNV-1a, the same on every machine.
     let bytes = rumour.name.bytes().chain(rumour.incarnation.to_le_bytes());
     bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| {
@@ -202,7 +202,7 @@
     })
 }
 
-impl Members {
+impl Membership {
     /// One that knows nobody but its seeds. `name` is cut at [`NAME`] bytes; `incarnation` is to be higher than that of
     /// its earlier lives, and is raised when it is found not to be.
     pub fn new(
@@ -213,18 +213,18 @@
         set: Settings,
         seed: u64,
         now: Millis,
-    ) -> Members {
+    ) -> Membership {
         let name = name.chars().scan(0, |len, c| {
             *len += c.len_utf8();
             (*len <= NAME).then_some(c)
         });
-        let me = Rumour {
+        let me = MemberUpdate {
             name: name.collect(),
             address,
             incarnation,
             state: State::Alive,
         };
-        Members {
+        Membership {
             digest: hash(&me),
             me,
             seeds: seeds.iter().copied().filter(|s| *s != address).collect(),
@@ -252,12 +252,12 @@
     }
 
     /// This member as it tells of itself.
-    pub fn me(&self) -> &Rumour {
+    pub fn me(&self) -> &MemberUpdate {
         &self.me
     }
 
     /// The others, by name; those remembered as dead or gone too.
-    pub fn others(&self) -> impl Iterator<Item = &Rumour> {
+    pub fn others(&self) -> impl Iterator<Item = &MemberUpdate> {
         self.view.values()
     }
 
@@ -276,7 +276,7 @@
         std::mem::take(&mut self.changes)
     }
 
-    /// When [`Members::tick`] has something to do.
+    /// When [`Membership::tick`] has something to do.
     pub fn due(&self) -> Millis {
         let ask = self
             .probe
@@ -318,7 +318,7 @@
                 continue;
             }
             if state == State::Suspect {
-                let dead = Rumour {
+                let dead = MemberUpdate {
                     state: State::Dead,
                     ..known.clone()
                 };
@@ -363,7 +363,7 @@
             // On a lossy network one silence says little; two in a row are the exception.
             (false, Some(known)) => self.ping(known, true, now),
             (true, Some(known)) => {
-                let suspect = Rumour {
+                let suspect = MemberUpdate {
                     state: State::Suspect,
                     ..known
                 };
@@ -380,7 +380,7 @@
         }
     }
 
-    fn ping(&mut self, target: Rumour, second: bool, now: Millis) {
+    fn ping(&mut self, target: MemberUpdate, second: bool, now: Millis) {
         let no = self.number();
         self.probe = Some(Probe {
             name: target.name.clone(),
@@ -462,15 +462,15 @@
     }
 
     /// Sends with what is new; `about` its receiver goes first, so that it can refute that.
-    fn send(&mut self, to: SocketAddr, body: Body, about: Option<Rumour>) {
-        let mut rumours: Vec<Rumour> = about
+    fn send(&mut self, to: SocketAddr, body: Body, about: Option<MemberUpdate>) {
+        let mut rumours: Vec<MemberUpdate> = about
             .into_iter()
             .filter(|r| r.state != State::Alive)
             .collect();
         // Passed on three times the logarithm of the members: enough to reach all, with loss.
         let often = 3 * (usize::BITS - (self.live + 1).leading_zeros());
         let mut again = Vec::new();
-        while rumours.len() < RUMOURS {
+        while rumours.len() < MAX_UPDATES {
             let Some((times, name)) = self.fresh.pop_first() else {
                 break;
             };
@@ -515,7 +515,7 @@
         self.merge(from, now);
         rumours
             .into_iter()
-            .take(RUMOURS)
+            .take(MAX_UPDATES)
             .for_each(|r| self.merge(r, now));
         let known = self.view.get(&name).cloned();
         match body {
@@ -563,13 +563,13 @@
 
     /// The whole view, in as many datagrams as it takes.
     fn tell_all(&mut self, to: SocketAddr) {
-        let all: Vec<Rumour> = self
+        let all: Vec<MemberUpdate> = self
             .view
             .values()
             .filter(|r| r.address != to || !r.state.live())
             .cloned()
             .collect();
-        for part in all.chunks(RUMOURS) {
+        for part in all.chunks(MAX_UPDATES) {
             let (from, rumours) = (self.me.clone(), part.to_vec());
             self.out.push((
                 to,
@@ -587,7 +587,7 @@
     }
 
     /// Somebody speaks of us, or under our name.
-    fn own_name(&mut self, rumour: &Rumour) {
+    fn own_name(&mut self, rumour: &MemberUpdate) {
         let elsewhere = rumour.address != self.me.address;
         let higher = rumour.incarnation >= self.me.incarnation;
         if self.me.state != State::Alive || !higher || (rumour.state == State::Alive && !elsewhere)
@@ -612,7 +612,7 @@
         }
     }
 
-    fn merge(&mut self, rumour: Rumour, now: Millis) {
+    fn merge(&mut self, rumour: MemberUpdate, now: Millis) {
         if rumour.name == self.me.name {
             return self.own_name(&rumour);
         }
@@ -688,7 +688,7 @@
     }
 
     /// Makes room in a full view: the dead give way, the living do not.
-    fn room(&mut self, newcomer: &Rumour) -> bool {
+    fn room(&mut self, newcomer: &MemberUpdate) -> bool {
         if self.view.len() < self.set.most {
             return true;
         }
--- a/crates/peers/src/known.rs
+++ b/crates/peers/src/partner_knowledge.rs
@@ -11,8 +11,8 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::member::NAME;
-use crate::sketch::Sketch;
+use crate::latency_sketch::LatencySketch;
+use crate::membership::NAME;
 
 /// Longest name of an endpoint, in bytes.
 pub const ENDPOINT: usize = 128;
@@ -31,18 +31,18 @@
 /// How an outage is told; times are spans before the telling.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[allow(missing_docs)]
-pub enum Trouble {
+pub enum ReportedOutage {
     /// It does not answer.
-    Down,
+    Unresponsive,
     /// It turns everything away.
-    Shut,
+    Rejecting,
     /// It answers again since so long.
-    Back { since: f32 },
+    Recovering { since: f32 },
 }
 
 /// What one sender itself has seen of a partner. Times are spans in milliseconds: clocks may differ.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Telling {
+pub struct Digest {
     /// The destination's number on the platform's list.
     pub destination: u64,
     /// The endpoint's name there, where endpoints are apart.
@@ -60,15 +60,15 @@
     /// See `served`.
     pub refused: f32,
     /// Latencies of served calls.
-    pub latency: Sketch,
+    pub latency: LatencySketch,
     /// What was seen amiss.
-    pub trouble: Option<Trouble>,
+    pub outage: Option<ReportedOutage>,
 }
 
-impl Telling {
+impl Digest {
     /// Of a destination of which nothing was seen.
-    pub fn new(destination: u64) -> Telling {
-        Telling {
+    pub fn new(destination: u64) -> Digest {
+        Digest {
             destination,
             endpoint: None,
             age: 0.0,
@@ -77,15 +77,15 @@
             limit: None,
             served: 0.0,
             refused: 0.0,
-            latency: Sketch::default(),
-            trouble: None,
+            latency: LatencySketch::default(),
+            outage: None,
         }
     }
 
     /// What the decision module says that it has seen, under the name that the list gives an endpoint.
-    pub fn of(sight: &Observation, name: Option<String>) -> Telling {
+    pub fn of(sight: &Observation, name: Option<String>) -> Digest {
         let span = |nanos| millis(nanos) as f32;
-        Telling {
+        Digest {
             destination: sight.destination.0,
             endpoint: name,
             age: span(sight.age),
@@ -94,11 +94,11 @@
             limit: sight.limit.map(|l| l as f32),
             served: sight.served as f32,
             refused: sight.refused as f32,
-            latency: Sketch::of(sight.latencies.iter().map(|l| millis(*l))),
-            trouble: sight.outage.map(|outage| match outage {
-                Outage::Unresponsive => Trouble::Down,
-                Outage::Rejecting => Trouble::Shut,
-                Outage::Recovering { since } => Trouble::Back { since: span(since) },
+            latency: LatencySketch::of(sight.latencies.iter().map(|l| millis(*l))),
+            outage: sight.outage.map(|outage| match outage {
+                Outage::Unresponsive => ReportedOutage::Unresponsive,
+                Outage::Rejecting => ReportedOutage::Rejecting,
+                Outage::Recovering { since } => ReportedOutage::Recovering { since: span(since) },
             }),
         }
     }
@@ -106,8 +106,8 @@
     /// Whether every figure is one: spans and counts finite and not negative, a limit above zero, names not too long.
     pub fn sound(&self) -> bool {
         let span = |s: f32| s.is_finite() && s >= 0.0;
-        let since = match self.trouble {
-            Some(Trouble::Back { since }) => since,
+        let since = match self.outage {
+            Some(ReportedOutage::Recovering { since }) => since,
             _ => 0.0,
         };
         [
@@ -162,7 +162,7 @@
     limit: Option<f32>,
     served: f32,
     refused: f32,
-    latency: Sketch,
+    latency: LatencySketch,
 }
 
 impl View {
@@ -231,11 +231,11 @@
 
 /// What is known by hearsay.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Known {
+pub struct PartnerKnowledge {
     of: BTreeMap<Subject, Heard>,
 }
 
-impl Known {
+impl PartnerKnowledge {
     /// How many partners (or endpoints) something is known of.
     pub fn len(&self) -> usize {
         self.of.len()
@@ -247,40 +247,40 @@
     }
 
     /// Takes what a teller has told of itself, as heard now. False if it is not sound, or there is no room.
-    pub fn hear(&mut self, teller: &str, telling: &Telling, now: Millis, bounds: &Bounds) -> bool {
-        if !telling.sound() || teller.is_empty() || teller.len() > NAME {
+    pub fn hear(&mut self, teller: &str, digest: &Digest, now: Millis, bounds: &Bounds) -> bool {
+        if !digest.sound() || teller.is_empty() || teller.len() > NAME {
             return false;
         }
-        let subject = (telling.destination, telling.endpoint.clone());
+        let subject = (digest.destination, digest.endpoint.clone());
         if self.of.len() >= bounds.most && !self.of.contains_key(&subject) {
             return false;
         }
-        let seen = now - f64::from(telling.age);
+        let seen = now - f64::from(digest.age);
         let mut heard = Heard {
-            wait_until: now + f64::from(telling.wait).min(bounds.wait),
+            wait_until: now + f64::from(digest.wait).min(bounds.wait),
             ..Heard::default()
         };
-        match telling.trouble {
-            Some(Trouble::Down) => heard.down = Some(seen),
-            Some(Trouble::Shut) => heard.shut = Some(seen),
-            Some(Trouble::Back { since }) => heard.back = Some(now - f64::from(since)),
+        match digest.outage {
+            Some(ReportedOutage::Unresponsive) => heard.down = Some(seen),
+            Some(ReportedOutage::Rejecting) => heard.shut = Some(seen),
+            Some(ReportedOutage::Recovering { since }) => heard.back = Some(now - f64::from(since)),
             None => {}
         }
         heard.views.push(View {
             teller: teller.into(),
             seen,
-            gap: telling.gap,
-            limit: telling.limit,
-            served: telling.served,
-            refused: telling.refused,
-            latency: telling.latency.clone(),
+            gap: digest.gap,
+            limit: digest.limit,
+            served: digest.served,
+            refused: digest.refused,
+            latency: digest.latency.clone(),
         });
         self.of.entry(subject).or_default().merge(&heard);
         true
     }
 
     /// Takes all that another store knows. Past `most` the oldest give way, whichever store they came from.
-    pub fn merge(&mut self, other: &Known, most: usize) {
+    pub fn merge(&mut self, other: &PartnerKnowledge, most: usize) {
         for (subject, heard) in &other.of {
             match self.of.entry(subject.clone()) {
                 Entry::Occupied(mut own) => own.get_mut().merge(heard),
@@ -368,14 +368,14 @@
             since: nanos((now - at).max(0.0)),
         }),
     };
-    let trouble = later(out, heard.back);
+    let outage_at = later(out, heard.back);
     let (mut gap, mut limit, mut latency, mut calls) =
-        (0.0f64, None::<f64>, Sketch::default(), 0.0f64);
+        (0.0f64, None::<f64>, LatencySketch::default(), 0.0f64);
     for view in &heard.views {
         let age = weight(view.seen);
         gap = gap.max(f64::from(view.gap).min(GAP) * age);
         // Of several the least is safe; one from before an outage would raise the pace after it.
-        let before = trouble.is_some_and(|at| view.seen <= at);
+        let before = outage_at.is_some_and(|at| view.seen <= at);
         if let Some(told) = view.limit.filter(|_| age >= 0.5 && !before) {
             limit = Some(limit.map_or(f64::from(told), |l| l.min(told.into())));
         }
--- a/crates/peers/src/net.rs
+++ b/crates/peers/src/simulated_network.rs
@@ -9,7 +9,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::member::{Change, Datagram, Members, Settings, State};
+use crate::membership::{Change, Datagram, Membership, Settings, State};
 use crate::wire::Secret;
 
 /// One way between two members.
@@ -34,12 +34,12 @@
 
 /// Members and what is between them.
 #[derive(Debug)]
-pub struct Net {
+pub struct SimulatedNetwork {
     /// Share of datagrams that are lost.
     pub loss: f64,
     /// Datagrams and bytes sent so far.
     pub sent: (u64, u64),
-    nodes: BTreeMap<usize, Members>,
+    nodes: BTreeMap<usize, Membership>,
     changes: BTreeMap<usize, Vec<Change>>,
     flying: BTreeMap<(u64, u64), (usize, usize, Datagram)>,
     /// When each member has something to do, both ways.
@@ -56,14 +56,14 @@
     secret: Secret,
 }
 
-impl Net {
+impl SimulatedNetwork {
     /// So many members that know nobody but the first two.
-    pub fn of(count: usize, loss: f64, seed: u64) -> Net {
+    pub fn of(count: usize, loss: f64, seed: u64) -> SimulatedNetwork {
         let set = Settings {
             most: 4 * count.max(64),
             ..Settings::default()
         };
-        let mut net = Net {
+        let mut net = SimulatedNetwork {
             loss,
             sent: (0, 0),
             nodes: BTreeMap::new(),
@@ -96,14 +96,15 @@
             self.rng.random(),
             self.set.clone(),
         );
-        let mut members = Members::new(&name(called), address(no), 1, &seeds, set, seed, self.now);
+        let mut members =
+            Membership::new(&name(called), address(no), 1, &seeds, set, seed, self.now);
         members.join();
         self.nodes.insert(no, members);
         self.collect(no);
     }
 
     /// One that runs.
-    pub fn node(&self, no: usize) -> &Members {
+    pub fn node(&self, no: usize) -> &Membership {
         &self.nodes[&no]
     }
 
@@ -243,7 +244,7 @@
     pub fn run_until(
         &mut self,
         span: Millis,
-        mut done: impl FnMut(&Net) -> bool,
+        mut done: impl FnMut(&SimulatedNetwork) -> bool,
     ) -> Option<Millis> {
         let end = self.now + span;
         while self.now < end {
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -7,8 +7,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 
-use crate::known::Telling;
-use crate::member::{Datagram, Rumour};
+use crate::membership::{Datagram, MemberUpdate};
+use crate::partner_knowledge::Digest;
 
 /// The version of the form. Others are turned away: an older sender and a newer one share nothing.
 pub const VERSION: u8 = 1;
@@ -17,7 +17,7 @@
 /// Largest page of told knowledge, and most tellings in one.
 pub const PAGE: usize = 16 << 10;
 /// Most tellings in one page: with the longest names and sketches they fit.
-pub const TELLINGS: usize = 32;
+pub const MAX_DIGESTS: usize = 32;
 /// Most members in one page.
 pub const MEMBERS: usize = 128;
 /// Version, kind, length; and the hash at the end.
@@ -64,20 +64,20 @@
     /// taken for this one's.
     Ask { no: u64, name: String },
     /// The next page, and which it is from 0.
-    Told {
+    Digests {
         no: u64,
         page: u32,
-        tellings: Vec<Telling>,
+        digests: Vec<Digest>,
     },
     /// That was all: so many pages.
     End { no: u64, pages: u32 },
     /// Tell me whom you hold for members: an operator's question.
     Who { no: u64 },
     /// The answer, the asked one first; the next page, and which it is from 0.
-    Members {
+    Membership {
         no: u64,
         page: u32,
-        rumours: Vec<Rumour>,
+        rumours: Vec<MemberUpdate>,
     },
 }
 
@@ -182,17 +182,17 @@
 
 /// Gathers the pages of one asking in their order.
 #[derive(Debug)]
-pub struct Asking {
+pub struct PageAssembler {
     no: u64,
     next: u32,
     /// All has come.
     pub whole: bool,
 }
 
-impl Asking {
+impl PageAssembler {
     /// Of this number.
-    pub fn new(no: u64) -> Asking {
-        Asking {
+    pub fn new(no: u64) -> PageAssembler {
+        PageAssembler {
             no,
             next: 0,
             whole: false,
@@ -200,13 +200,13 @@
     }
 
     /// Takes a page: its tellings, or nothing where it is not the next of this asking.
-    pub fn take(&mut self, page: Page) -> Option<Vec<Telling>> {
+    pub fn take(&mut self, page: Page) -> Option<Vec<Digest>> {
         match page {
-            Page::Told { no, page, tellings }
+            Page::Digests { no, page, digests }
                 if (no, page) == (self.no, self.next) && !self.whole =>
             {
                 self.next += 1;
-                Some(tellings)
+                Some(digests)
             }
             Page::End { no, pages } if (no, pages) == (self.no, self.next) => {
                 self.whole = true;
--- a/crates/peers/tests/known.rs
+++ b/crates/peers/tests/known.rs
@@ -1,19 +1,19 @@
 //! What is told of partners: merging in any order, ageing, caps on what is believed, and what spoilt, cut or strange
 //! bytes do. Seeds of found cases are printed by the property tests.
 
-use martenlatch_peers::known::{Bounds, Known, Telling, Trouble};
-use martenlatch_peers::sketch::Sketch;
-use martenlatch_peers::wire::{Asking, Fault, PAGE, Page, Secret, TELLINGS};
+use martenlatch_peers::latency_sketch::LatencySketch;
+use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge, ReportedOutage};
+use martenlatch_peers::wire::{Fault, MAX_DIGESTS, PAGE, Page, PageAssembler, Secret};
 use martenlatch_policy::interface::{EndpointId, GossipedState, Outage};
 use proptest::prelude::*;
 
 const MS: u64 = 1_000_000;
 
-fn telling(destination: u64) -> Telling {
-    Telling {
+fn digest(destination: u64) -> Digest {
+    Digest {
         served: 20.0,
-        latency: Sketch::of([300.0; 20]),
-        ..Telling::new(destination)
+        latency: LatencySketch::of([300.0; 20]),
+        ..Digest::new(destination)
     }
 }
 
@@ -21,9 +21,9 @@
     Some(None)
 }
 
-fn heard(tellings: &[Telling], now: f64) -> Vec<GossipedState> {
-    let (mut known, bounds) = (Known::default(), Bounds::default());
-    for (i, t) in tellings.iter().enumerate() {
+fn heard(digests: &[Digest], now: f64) -> Vec<GossipedState> {
+    let (mut known, bounds) = (PartnerKnowledge::default(), Bounds::default());
+    for (i, t) in digests.iter().enumerate() {
         assert!(
             known.hear(&format!("t{i}"), t, 1_000_000.0, &bounds),
             "{t:?}"
@@ -34,16 +34,16 @@
 
 #[test]
 fn a_wait_in_force_binds_and_one_that_has_run_out_binds_nobody() {
-    let waiting = Telling {
+    let waiting = Digest {
         wait: 4_000.0,
-        ..telling(1)
+        ..digest(1)
     };
     assert_eq!(
         heard(std::slice::from_ref(&waiting), 1_000.0)[0].wait,
         3_000 * MS
     );
     assert_eq!(heard(std::slice::from_ref(&waiting), 4_001.0)[0].wait, 0);
-    let (mut known, bounds) = (Known::default(), Bounds::default());
+    let (mut known, bounds) = (PartnerKnowledge::default(), Bounds::default());
     known.hear("t", &waiting, 0.0, &bounds);
     known.forget_waits();
     assert_eq!(
@@ -56,15 +56,15 @@
 #[test]
 fn clocks_that_differ_do_not_matter_as_spans_are_told() {
     let told = |clock: f64| {
-        let (mut known, bounds) = (Known::default(), Bounds::default());
-        let trouble = Some(Trouble::Back { since: 2_000.0 });
+        let (mut known, bounds) = (PartnerKnowledge::default(), Bounds::default());
+        let outage = Some(ReportedOutage::Recovering { since: 2_000.0 });
         known.hear(
             "t",
-            &Telling {
+            &Digest {
                 age: 700.0,
                 wait: 4_000.0,
-                trouble,
-                ..telling(1)
+                outage,
+                ..digest(1)
             },
             clock,
             &bounds,
@@ -82,10 +82,10 @@
 fn what_is_known_of_a_pace_halves_with_age() {
     let told = |age: f32| {
         let told = heard(
-            &[Telling {
+            &[Digest {
                 age,
                 gap: 400.0,
-                ..telling(1)
+                ..digest(1)
             }],
             0.0,
         );
@@ -100,10 +100,10 @@
 
 #[test]
 fn an_outage_is_believed_while_it_is_fresh() {
-    let down = |age: f32| Telling {
+    let down = |age: f32| Digest {
         age,
-        trouble: Some(Trouble::Down),
-        ..telling(1)
+        outage: Some(ReportedOutage::Unresponsive),
+        ..digest(1)
     };
     assert_eq!(
         heard(&[down(5_000.0)], 0.0)[0].outage,
@@ -114,10 +114,10 @@
         None,
         "it may have come back unseen"
     );
-    let shut = Telling {
+    let shut = Digest {
         wait: 40_000.0,
-        trouble: Some(Trouble::Shut),
-        ..telling(1)
+        outage: Some(ReportedOutage::Rejecting),
+        ..digest(1)
     };
     assert_eq!(
         heard(&[shut], 30_000.0)[0].outage,
@@ -128,14 +128,14 @@
 
 #[test]
 fn one_seen_out_by_one_and_serving_later_by_another_is_back_since() {
-    let down = Telling {
+    let down = Digest {
         age: 4_000.0,
-        trouble: Some(Trouble::Down),
-        ..telling(1)
+        outage: Some(ReportedOutage::Unresponsive),
+        ..digest(1)
     };
-    let well = Telling {
+    let well = Digest {
         age: 1_000.0,
-        ..telling(1)
+        ..digest(1)
     };
     let outage = heard(&[down, well], 0.0)[0].outage;
     assert_eq!(outage, Some(Outage::Recovering { since: 4_000 * MS }));
@@ -143,39 +143,39 @@
 
 #[test]
 fn a_limit_from_before_an_outage_is_not_told_on() {
-    let before = Telling {
+    let before = Digest {
         age: 6_000.0,
         limit: Some(50.0),
-        ..telling(1)
+        ..digest(1)
     };
     assert_eq!(
         heard(std::slice::from_ref(&before), 0.0)[0].limit,
         Some(50.0)
     );
-    let out = Telling {
+    let out = Digest {
         age: 3_000.0,
-        trouble: Some(Trouble::Down),
-        ..telling(1)
+        outage: Some(ReportedOutage::Unresponsive),
+        ..digest(1)
     };
     assert_eq!(heard(&[before, out], 0.0)[0].limit, None);
 }
 
 #[test]
 fn of_two_limits_the_lower_counts() {
-    let limit = |l: f32| Telling {
+    let limit = |l: f32| Digest {
         limit: Some(l),
-        ..telling(1)
+        ..digest(1)
     };
     assert_eq!(heard(&[limit(9.0), limit(4.0)], 0.0)[0].limit, Some(4.0));
 }
 
 #[test]
 fn lies_within_the_form_are_capped() {
-    let lie = Telling {
+    let lie = Digest {
         wait: 3.2e10,
         gap: 1e9,
-        latency: Sketch::of([0.0; 40]),
-        ..telling(1)
+        latency: LatencySketch::of([0.0; 40]),
+        ..digest(1)
     };
     let told = &heard(&[lie], 0.0)[0];
     assert_eq!(told.wait, 120_000 * MS, "a wait of a year");
@@ -185,54 +185,54 @@
 
 #[test]
 fn figures_that_are_none_are_turned_away() {
-    let (mut known, bounds) = (Known::default(), Bounds::default());
+    let (mut known, bounds) = (PartnerKnowledge::default(), Bounds::default());
     for bad in [
-        Telling {
+        Digest {
             age: f32::NAN,
-            ..telling(1)
+            ..digest(1)
         },
-        Telling {
+        Digest {
             wait: -1.0,
-            ..telling(1)
+            ..digest(1)
         },
-        Telling {
+        Digest {
             gap: f32::INFINITY,
-            ..telling(1)
+            ..digest(1)
         },
-        Telling {
+        Digest {
             limit: Some(0.0),
-            ..telling(1)
+            ..digest(1)
         },
-        Telling {
+        Digest {
             endpoint: Some("x".repeat(200)),
-            ..telling(1)
+            ..digest(1)
         },
-        Telling {
-            trouble: Some(Trouble::Back { since: f32::NAN }),
-            ..telling(1)
+        Digest {
+            outage: Some(ReportedOutage::Recovering { since: f32::NAN }),
+            ..digest(1)
         },
     ] {
         assert!(!known.hear("t", &bad, 0.0, &bounds), "{bad:?}");
     }
-    assert!(!known.hear("", &telling(1), 0.0, &bounds));
+    assert!(!known.hear("", &digest(1), 0.0, &bounds));
     assert!(known.is_empty());
 }
 
 #[test]
 fn a_store_is_bounded_and_partners_that_are_not_listed_are_told_to_nobody() {
     let (mut known, bounds) = (
-        Known::default(),
+        PartnerKnowledge::default(),
         Bounds {
             most: 100,
             ..Bounds::default()
         },
     );
     let taken = (0..1_000)
-        .filter(|d| known.hear("t", &telling(*d), 0.0, &bounds))
+        .filter(|d| known.hear("t", &digest(*d), 0.0, &bounds))
         .count();
     assert_eq!((taken, known.len()), (100, 100));
     assert!(
-        known.hear("u", &telling(5), 1.0, &bounds),
+        known.hear("u", &digest(5), 1.0, &bounds),
         "one that is there already has room"
     );
     let told = known.told(1.0, &bounds, |d, _| (d < 10).then_some(None));
@@ -241,15 +241,15 @@
 
 #[test]
 fn ten_thousand_partners_are_kept_in_little() {
-    let (mut known, bounds) = (Known::default(), Bounds::default());
-    let wide = Sketch::of((0..40).map(|i| 100.0 * 1.05f64.powi(i)));
+    let (mut known, bounds) = (PartnerKnowledge::default(), Bounds::default());
+    let wide = LatencySketch::of((0..40).map(|i| 100.0 * 1.05f64.powi(i)));
     for destination in 0..10_000 {
         for teller in ["a", "b", "c"] {
             known.hear(
                 teller,
-                &Telling {
+                &Digest {
                     latency: wide.clone(),
-                    ..telling(destination)
+                    ..digest(destination)
                 },
                 0.0,
                 &bounds,
@@ -263,19 +263,19 @@
     assert!(bytes < 3_000_000, "{bytes} bytes");
 }
 
-fn any_trouble() -> impl Strategy<Value = Option<Trouble>> {
+fn any_trouble() -> impl Strategy<Value = Option<ReportedOutage>> {
     prop_oneof![
         Just(None),
-        Just(Some(Trouble::Down)),
-        Just(Some(Trouble::Shut)),
-        (0u32..20).prop_map(|s| Some(Trouble::Back {
+        Just(Some(ReportedOutage::Unresponsive)),
+        Just(Some(ReportedOutage::Rejecting)),
+        (0u32..20).prop_map(|s| Some(ReportedOutage::Recovering {
             since: s as f32 * 500.0
         })),
     ]
 }
 
 /// A telling, its teller and when it is heard; few of each, so that they meet.
-fn any_hearing() -> impl Strategy<Value = (String, Telling, f64)> {
+fn any_hearing() -> impl Strategy<Value = (String, Digest, f64)> {
     let who = (0u8..4).prop_map(|t| format!("t{t}"));
     let latencies = prop::collection::vec(1.0f64..60_000.0, 0..6);
     (
@@ -289,30 +289,30 @@
         0u32..8,
     )
         .prop_map(
-            |(who, destination, age, wait, trouble, latencies, limit, at)| {
-                let telling = Telling {
+            |(who, destination, age, wait, outage, latencies, limit, at)| {
+                let digest = Digest {
                     age: age as f32 * 1_000.0,
                     wait: wait as f32 * 700.0,
                     limit: limit.map(|l| l as f32),
-                    latency: Sketch::of(latencies),
-                    trouble,
-                    ..telling(destination)
+                    latency: LatencySketch::of(latencies),
+                    outage,
+                    ..digest(destination)
                 };
-                (who, telling, 10_000.0 + f64::from(at) * 1_000.0)
+                (who, digest, 10_000.0 + f64::from(at) * 1_000.0)
             },
         )
 }
 
-fn store(hearings: &[(String, Telling, f64)]) -> Known {
-    let mut known = Known::default();
-    for (who, telling, at) in hearings {
-        known.hear(who, telling, *at, &Bounds::default());
+fn store(hearings: &[(String, Digest, f64)]) -> PartnerKnowledge {
+    let mut known = PartnerKnowledge::default();
+    for (who, digest, at) in hearings {
+        known.hear(who, digest, *at, &Bounds::default());
     }
     known
 }
 
-fn merged(stores: &[&Known]) -> Known {
-    let mut all = Known::default();
+fn merged(stores: &[&PartnerKnowledge]) -> PartnerKnowledge {
+    let mut all = PartnerKnowledge::default();
     stores.iter().for_each(|s| all.merge(s, 1_000));
     all
 }
@@ -356,7 +356,7 @@
     fn a_sketch_stands_for_what_it_was_made_of(latencies in prop::collection::vec(1.0f64..50_000.0, 1..40)) {
         let mut sorted = latencies.clone();
         sorted.sort_by(f64::total_cmp);
-        let stands = Sketch::of(latencies).stand_for(sorted.len());
+        let stands = LatencySketch::of(latencies).stand_for(sorted.len());
         for (a, b) in sorted.iter().zip(&stands) {
             prop_assert!((a / b).log2().abs() < 0.26, "{a} and {b}");
         }
@@ -374,8 +374,8 @@
         hearings in prop::collection::vec(any_hearing(), 0..4), at in any::<prop::sample::Index>(), flip in 1u8..=255,
     ) {
         let secret = Secret::new(b"ours");
-        let tellings: Vec<Telling> = hearings.into_iter().map(|h| h.1).collect();
-        let page = Page::Told { no: 7, page: 0, tellings };
+        let digests: Vec<Digest> = hearings.into_iter().map(|h| h.1).collect();
+        let page = Page::Digests { no: 7, page: 0, digests };
         let bytes = secret.seal_page(&page);
         prop_assert_eq!(secret.open_page(&bytes), Ok((page, bytes.len())));
         let at = at.index(bytes.len());
@@ -389,25 +389,25 @@
 
 #[test]
 fn the_largest_page_and_datagram_fit() {
-    use martenlatch_peers::member::{Body, Datagram, NAME, RUMOURS, Rumour, State};
+    use martenlatch_peers::membership::{Body, Datagram, MAX_UPDATES, MemberUpdate, NAME, State};
     use martenlatch_peers::wire::DATAGRAM;
     let secret = Secret::new(b"ours");
-    let latency = Sketch::of((0..64).map(|i| 2f64.powf((f64::from(i) + 0.5) / 4.0)));
-    let largest = Telling {
+    let latency = LatencySketch::of((0..64).map(|i| 2f64.powf((f64::from(i) + 0.5) / 4.0)));
+    let largest = Digest {
         destination: u64::MAX,
         endpoint: Some("e".repeat(128)),
         limit: Some(1.0),
         latency,
-        trouble: Some(Trouble::Back { since: 1.0 }),
-        ..telling(1)
+        outage: Some(ReportedOutage::Recovering { since: 1.0 }),
+        ..digest(1)
     };
-    let page = Page::Told {
+    let page = Page::Digests {
         no: u64::MAX,
         page: u32::MAX,
-        tellings: vec![largest; TELLINGS],
+        digests: vec![largest; MAX_DIGESTS],
     };
     assert!(secret.seal_page(&page).len() <= PAGE);
-    let rumour = Rumour {
+    let rumour = MemberUpdate {
         name: "n".repeat(NAME),
         address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
             .parse()
@@ -419,7 +419,7 @@
         no: u64::MAX,
         address: rumour.address,
     };
-    let rumours = vec![rumour.clone(); RUMOURS];
+    let rumours = vec![rumour.clone(); MAX_UPDATES];
     let bytes = secret.seal_datagram(&Datagram {
         from: rumour,
         digest: u64::MAX,
@@ -446,19 +446,19 @@
 
 #[test]
 fn a_snapshot_cut_in_the_middle_keeps_what_came_and_is_not_whole() {
-    let mut asking = Asking::new(9);
-    let page = |page: u32| Page::Told {
+    let mut asking = PageAssembler::new(9);
+    let page = |page: u32| Page::Digests {
         no: 9,
         page,
-        tellings: vec![telling(page.into())],
+        digests: vec![digest(page.into())],
     };
     assert_eq!(asking.take(page(0)).map(|t| t.len()), Some(1));
     assert_eq!(asking.take(page(2)), None, "a page is missing");
     assert_eq!(
-        asking.take(Page::Told {
+        asking.take(Page::Digests {
             no: 8,
             page: 1,
-            tellings: vec![]
+            digests: vec![]
         }),
         None,
         "of another asking"
--- a/crates/peers/tests/members.rs
+++ b/crates/peers/tests/members.rs
@@ -1,11 +1,13 @@
 //! Stories of the membership protocol, each over a simulated network that loses, cuts and delays: one a failure.
 
-use martenlatch_peers::member::{Body, Change, Datagram, Members, Rumour, Settings, State};
-use martenlatch_peers::net::{Net, address, name};
+use martenlatch_peers::membership::{
+    Body, Change, Datagram, MemberUpdate, Membership, Settings, State,
+};
+use martenlatch_peers::simulated_network::{SimulatedNetwork, address, name};
 
-fn net(count: usize, loss: f64, seed: u64) -> Net {
+fn net(count: usize, loss: f64, seed: u64) -> SimulatedNetwork {
     println!("seed {seed}");
-    Net::of(count, loss, seed)
+    SimulatedNetwork::of(count, loss, seed)
 }
 
 #[test]
@@ -91,15 +93,15 @@
         most: 4,
         ..Settings::default()
     };
-    let mut members = Members::new("s0", address(0), 1, &[], set, 1, 0.0);
-    let tell = |members: &mut Members, no: usize, state: State| {
-        let from = Rumour {
+    let mut members = Membership::new("s0", address(0), 1, &[], set, 1, 0.0);
+    let tell = |members: &mut Membership, no: usize, state: State| {
+        let from = MemberUpdate {
             name: name(no),
             address: address(no),
             incarnation: 1,
             state: State::Alive,
         };
-        let rumours = vec![Rumour {
+        let rumours = vec![MemberUpdate {
             state,
             ..from.clone()
         }];
@@ -170,9 +172,9 @@
 
 #[test]
 fn a_flood_of_keyed_datagrams_grows_nothing() {
-    let mut members = Members::new("s0", address(0), 1, &[], Settings::default(), 1, 0.0);
+    let mut members = Membership::new("s0", address(0), 1, &[], Settings::default(), 1, 0.0);
     for no in 0..100_000u64 {
-        let from = Rumour {
+        let from = MemberUpdate {
             name: "s1".into(),
             address: address(1),
             incarnation: 1,
--- a/crates/peers/tests/model.rs
+++ b/crates/peers/tests/model.rs
@@ -5,7 +5,7 @@
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
 
-use martenlatch_peers::member::{Body, Datagram, Members, Settings, State};
+use martenlatch_peers::membership::{Body, Datagram, Membership, Settings, State};
 use stateright::{Checker, Model, Property};
 
 const STEP: f64 = 50.0;
@@ -31,10 +31,10 @@
 
 /// A member as a part of a state; two are the same where they are the same in everything.
 #[derive(Clone, Debug)]
-struct Node(Members, String);
+struct Node(Membership, String);
 
 impl Node {
-    fn new(members: Members) -> Node {
+    fn new(members: Membership) -> Node {
         let whole = format!("{members:?}");
         Node(members, whole)
     }
@@ -55,7 +55,7 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Net {
+struct SimulatedNetwork {
     nodes: Vec<Option<Node>>,
     /// Where to, and what.
     flying: Vec<(usize, Datagram)>,
@@ -97,7 +97,13 @@
     }
 
     /// Gives every member its due, then puts what it sends on the way.
-    fn collect(&self, net: &mut Net, no: usize, members: Members, was: Option<&Members>) {
+    fn collect(
+        &self,
+        net: &mut SimulatedNetwork,
+        no: usize,
+        members: Membership,
+        was: Option<&Membership>,
+    ) {
         let mut members = members;
         for (to, datagram) in members.take_out() {
             let to = usize::from(to.port() - 7_000);
@@ -117,13 +123,13 @@
 }
 
 impl Model for Bounds {
-    type State = Net;
+    type State = SimulatedNetwork;
     type Action = Act;
 
-    fn init_states(&self) -> Vec<Net> {
+    fn init_states(&self) -> Vec<SimulatedNetwork> {
         let nodes = (0..3).map(|no| {
             let seeds: Vec<SocketAddr> = (0..3).map(address).collect();
-            let mut members = Members::new(
+            let mut members = Membership::new(
                 &name(no),
                 address(no),
                 1,
@@ -133,9 +139,10 @@
                 0.0,
             );
             for other in (0..3).filter(|o| *o != no) {
-                let from = Members::new(&name(other), address(other), 1, &[], settings(), 0, 0.0)
-                    .me()
-                    .clone();
+                let from =
+                    Membership::new(&name(other), address(other), 1, &[], settings(), 0, 0.0)
+                        .me()
+                        .clone();
                 let datagram = Datagram {
                     from,
                     digest: 0,
@@ -149,7 +156,7 @@
             Some(Node::new(members))
         });
         let nodes = nodes.collect();
-        vec![Net {
+        vec![SimulatedNetwork {
             nodes,
             flying: vec![],
             step: 0,
@@ -159,7 +166,7 @@
         }]
     }
 
-    fn actions(&self, net: &Net, acts: &mut Vec<Act>) {
+    fn actions(&self, net: &SimulatedNetwork, acts: &mut Vec<Act>) {
         // All that is on the way in a step comes or is lost in it, in any order.
         let first = net.flying.iter().map(|f| f.0).min();
         let open = |at: &usize| self.any_order || Some(net.flying[*at].0) == first;
@@ -172,7 +179,7 @@
         }
     }
 
-    fn next_state(&self, last: &Net, act: Act) -> Option<Net> {
+    fn next_state(&self, last: &SimulatedNetwork, act: Act) -> Option<SimulatedNetwork> {
         let mut net = last.clone();
         let now = f64::from(net.step) * STEP;
         match act {
@@ -217,18 +224,18 @@
         vec![
             Property::always(
                 "a refuted suspicion never kills, and nothing known goes back",
-                |_, net: &Net| !net.back,
+                |_, net: &SimulatedNetwork| !net.back,
             ),
             Property::always(
                 "none that runs and is reached is forgotten for good",
-                |b: &Bounds, net: &Net| {
+                |b: &Bounds, net: &SimulatedNetwork| {
                     let settled = net.quiet >= b.settles && net.flying.is_empty();
                     !settled || apart_from(net).is_empty()
                 },
             ),
             Property::always(
                 "two lost datagrams make nobody a suspect",
-                |b: &Bounds, net: &Net| {
+                |b: &Bounds, net: &SimulatedNetwork| {
                     b.dies.is_some()
                         || !b.split.is_empty()
                         || !b.deaf.is_empty()
@@ -237,11 +244,11 @@
             ),
             Property::always(
                 "one that is deaf for a moment is never dead",
-                |b: &Bounds, net: &Net| b.deaf.is_empty() || dead(net).is_empty(),
+                |b: &Bounds, net: &SimulatedNetwork| b.deaf.is_empty() || dead(net).is_empty(),
             ),
             Property::always(
                 "one that died is held for dead by all in time",
-                |b: &Bounds, net: &Net| {
+                |b: &Bounds, net: &SimulatedNetwork| {
                     let late = b.dies.is_some_and(|at| net.step >= at + b.settles)
                         && net.quiet >= b.settles;
                     !late
@@ -249,21 +256,21 @@
                         || net.nodes.iter().flatten().all(|n| !lives(&n.0, 2))
                 },
             ),
-            Property::sometimes("somebody is suspected", |_, net: &Net| {
+            Property::sometimes("somebody is suspected", |_, net: &SimulatedNetwork| {
                 !suspects(net).is_empty()
             }),
         ]
     }
 }
 
-fn lives(members: &Members, no: usize) -> bool {
+fn lives(members: &Membership, no: usize) -> bool {
     members
         .others()
         .any(|r| r.name == name(no) && r.state.live())
 }
 
 /// Pairs of running members of which one does not hold the other for a member.
-fn apart_from(net: &Net) -> BTreeSet<(usize, usize)> {
+fn apart_from(net: &SimulatedNetwork) -> BTreeSet<(usize, usize)> {
     let running: Vec<usize> = (0..3).filter(|n| net.nodes[*n].is_some()).collect();
     let pairs = running
         .iter()
@@ -274,7 +281,7 @@
         .collect()
 }
 
-fn suspects(net: &Net) -> Vec<String> {
+fn suspects(net: &SimulatedNetwork) -> Vec<String> {
     let views = net.nodes.iter().flatten().flat_map(|n| n.0.others());
     views
         .filter(|r| r.state == State::Suspect)
@@ -282,7 +289,7 @@
         .collect()
 }
 
-fn dead(net: &Net) -> Vec<String> {
+fn dead(net: &SimulatedNetwork) -> Vec<String> {
     let views = net.nodes.iter().flatten().flat_map(|n| n.0.others());
     views
         .filter(|r| !r.state.live())
--- a/crates/policy/src/policy/observations.rs
+++ b/crates/policy/src/policy/observations.rs
@@ -50,8 +50,8 @@
                 wait: route.wait_until.saturating_sub(now),
                 gap: route.gap,
                 limit: route.limit.filter(|_| outage.is_none()),
-                served: served,
-                refused: refused,
+                served,
+                refused,
                 latencies,
                 outage,
             });
--- a/crates/policy/src/policy/restore.rs
+++ b/crates/policy/src/policy/restore.rs
@@ -7,7 +7,7 @@
     ///
     /// # Errors
     /// Where the settings are unusable, or have other kinds or fewer classes than the state speaks of.
-    pub fn carried_on(mut self, settings: Settings) -> Result<Policy, SettingsError> {
+    pub fn restore(mut self, settings: Settings) -> Result<Policy, SettingsError> {
         settings.check()?;
         let classes = self.messages.values().all(|m| m.class.0 < settings.classes.len());
         let kinds = self.endpoints.values().all(|e| e.kind.0 < settings.kinds.len());
--- a/crates/sender/src/figures.rs
+++ b/crates/sender/src/class_metrics.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 /// What became of the transactions of one class, since the start of the process.
-pub struct Group {
+pub struct ClassCounts {
     name: Rc<str>,
     /// Delivered: a first line 200 was read while it was open.
     pub answered: u64,
@@ -18,12 +18,12 @@
 }
 
 /// The figures of all classes, each there from the start.
-pub struct Figures {
-    groups: Vec<Group>,
+pub struct ClassMetrics {
+    groups: Vec<ClassCounts>,
 }
 
 /// What is computed when it is asked for.
-pub struct Present {
+pub struct Gauges {
     /// Transactions taken on whose end the platform does not have.
     pub current: usize,
     /// Regions in the service table, and those of them that get nothing now.
@@ -31,27 +31,27 @@
     pub cluster_unhealthy: usize,
 }
 
-impl Figures {
-    pub fn new(classes: &[String]) -> Figures {
-        let group = |name: &String| Group {
+impl ClassMetrics {
+    pub fn new(classes: &[String]) -> ClassMetrics {
+        let group = |name: &String| ClassCounts {
             name: Rc::from(name.as_str()),
             answered: 0,
             deferred: 0,
             errored: 0,
             sends: 0,
         };
-        Figures {
+        ClassMetrics {
             groups: classes.iter().map(group).collect(),
         }
     }
 
     /// The counts of a class; none for one that the settings no longer have.
-    pub fn of(&mut self, class: &str) -> Option<&mut Group> {
+    pub fn of(&mut self, class: &str) -> Option<&mut ClassCounts> {
         self.groups.iter_mut().find(|g| *g.name == *class)
     }
 
     /// The answer to operators: a figure a line, then the line that ends them.
-    pub fn text(&self, present: &Present) -> String {
+    pub fn text(&self, present: &Gauges) -> String {
         let mut text = String::new();
         for g in &self.groups {
             let states = [
@@ -68,7 +68,7 @@
             }
             let _ = writeln!(text, "sender_sends{{group=\"{}\"}} {}", g.name, g.sends);
         }
-        let Present {
+        let Gauges {
             current,
             cluster_size,
             cluster_unhealthy,
@@ -82,9 +82,9 @@
     }
 
     /// The same figures for the log, a line a class.
-    pub fn print(&self, present: &Present) {
+    pub fn print(&self, present: &Gauges) {
         for g in &self.groups {
-            let Group {
+            let ClassCounts {
                 name,
                 answered,
                 deferred,
@@ -95,7 +95,7 @@
                 "figures group={name} answered={answered} deferred={deferred} errored={errored} sends={sends}"
             );
         }
-        let Present {
+        let Gauges {
             current,
             cluster_size,
             cluster_unhealthy,
--- a/crates/sender/src/promises.rs
+++ b/crates/sender/src/class_rules.rs
@@ -6,9 +6,9 @@
 use martenlatch_policy::interface::{Idempotency, MessageClass, Settings};
 use serde::{Deserialize, Serialize};
 
-/// A class by its name, with its rules as the ledger keeps them.
+/// A class by its name, with its rules as the wal keeps them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Promise {
+pub struct ClassRule {
     pub name: Rc<str>,
     pub rules: Rc<[u8]>,
     /// What may have run must not be repeated.
@@ -17,21 +17,21 @@
 
 /// The classes, in the places by which the module knows them.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Promises(Vec<Promise>);
+pub struct ClassRules(Vec<ClassRule>);
 
-impl Promises {
+impl ClassRules {
     /// Those of the settings alone.
-    pub fn new(names: &[String], classes: &[MessageClass]) -> Promises {
+    pub fn new(names: &[String], classes: &[MessageClass]) -> ClassRules {
         let named = names.iter().zip(classes);
-        Promises(
+        ClassRules(
             named
-                .map(|(name, class)| Promise::new(Rc::from(name.as_str()), class))
+                .map(|(name, class)| ClassRule::new(Rc::from(name.as_str()), class))
                 .collect(),
         )
     }
 
     /// Those of the settings, with what an earlier process had behind its own. None where that had other classes.
-    pub fn carried_on(self, passed: Promises, set: &mut Settings) -> Option<Promises> {
+    pub fn restore(self, passed: ClassRules, set: &mut Settings) -> Option<ClassRules> {
         let (own, earlier) = passed.0.split_at_checked(self.0.len())?;
         if own != self.0 {
             return None;
@@ -61,7 +61,7 @@
             set.classes.pop();
             return known;
         }
-        self.0.push(Promise {
+        self.0.push(ClassRule {
             name: name.clone(),
             rules: rules.clone(),
             once: class.idempotency == Idempotency::NonIdempotent,
@@ -84,17 +84,17 @@
     }
 
     /// A class by its place.
-    pub fn at(&self, place: usize) -> &Promise {
+    pub fn at(&self, place: usize) -> &ClassRule {
         &self.0[place]
     }
 }
 
-impl Promise {
-    fn new(name: Rc<str>, class: &MessageClass) -> Promise {
+impl ClassRule {
+    fn new(name: Rc<str>, class: &MessageClass) -> ClassRule {
         let rules = postcard::to_allocvec(class)
             .map(Rc::from)
             .unwrap_or_default();
-        Promise {
+        ClassRule {
             name,
             rules,
             once: class.idempotency == Idempotency::NonIdempotent,
--- a/crates/sender/src/hand.rs
+++ b/crates/sender/src/cordons.rs
@@ -9,13 +9,13 @@
 
 /// Says what the file is, and in which version.
 const MAGIC: &str = "mlhand1";
-/// Part of the disk limit that the file may take, old and new together: the ledger leaves that much.
+/// Part of the disk limit that the file may take, old and new together: the wal leaves that much.
 const PART: f64 = 0.06;
 /// Longest name that can be taken out; a caller's line is not much longer.
 pub const NAME: usize = 256;
 
 /// The bans.
-pub struct Hand {
+pub struct Cordons {
     file: PathBuf,
     /// Bytes that the file may have.
     most: usize,
@@ -26,9 +26,9 @@
     crc32fast::hash(name.as_bytes())
 }
 
-impl Hand {
+impl Cordons {
     /// Reads the bans of earlier lives. What cannot be read is said, and costs nothing else.
-    pub fn open(folder: &Path, disk: u64) -> Hand {
+    pub fn open(folder: &Path, disk: u64) -> Cordons {
         let file = folder.join("cordons");
         let mut out = BTreeSet::new();
         match std::fs::read(&file) {
@@ -49,7 +49,7 @@
                 }
             }
         }
-        Hand {
+        Cordons {
             file,
             most: (disk as f64 * PART / 2.0) as usize,
             out,
@@ -90,7 +90,7 @@
                 self.out.len()
             ));
         }
-        crate::whole::replace(&self.file, text.as_bytes())
+        crate::atomic_file::replace(&self.file, text.as_bytes())
             .map_err(|e| format!("the ban cannot be written: {e}"))?;
         self.out = next;
         Ok(true)
@@ -107,18 +107,18 @@
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         let name = |n: &str| Rc::<str>::from(n);
-        let mut hand = Hand::open(&folder, 3_000_000);
+        let mut cordons = Cordons::open(&folder, 3_000_000);
         for (id, out, changed) in [
             ("a", true, true),
             ("a", true, false),
             ("b", true, true),
             ("c", true, true),
         ] {
-            assert_eq!(hand.put(&name(id), out), Ok(changed));
+            assert_eq!(cordons.put(&name(id), out), Ok(changed));
         }
-        assert_eq!(hand.put(&name("c"), false), Ok(true));
+        assert_eq!(cordons.put(&name("c"), false), Ok(true));
         let names = || {
-            Hand::open(&folder, 3_000_000)
+            Cordons::open(&folder, 3_000_000)
                 .names()
                 .map(|n| n.to_string())
                 .collect::<Vec<_>>()
@@ -126,8 +126,8 @@
         assert_eq!(names(), ["a", "b"]);
         // A disk that takes no new file: the call fails, and what held before holds.
         std::fs::create_dir(folder.join("cordons.new")).unwrap();
-        assert!(hand.put(&name("d"), true).is_err() && hand.put(&name("a"), false).is_err());
-        assert!(hand.holds("a") && !hand.holds("d"));
+        assert!(cordons.put(&name("d"), true).is_err() && cordons.put(&name("a"), false).is_err());
+        assert!(cordons.holds("a") && !cordons.holds("d"));
         std::fs::remove_dir(folder.join("cordons.new")).unwrap();
         // However it is damaged: no panic, no name that was not there, and a line costs itself alone.
         let whole = std::fs::read(folder.join("cordons")).unwrap();
@@ -145,7 +145,7 @@
             std::fs::write(folder.join("cordons"), &whole[..at]).unwrap();
             assert!(names().iter().all(|n| n == "a" || n == "b"), "cut at {at}");
         }
-        let mut full = Hand::open(&folder, 1_000);
+        let mut full = Cordons::open(&folder, 1_000);
         let more = (0..9)
             .map(|n| full.put(&name(&format!("long-{n}")), true).is_ok())
             .collect::<Vec<_>>();
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -1,4 +1,4 @@
-//! Owns the counts of what happens on the way; what became of transactions is in `figures`. It must never decide anything.
+//! Owns the counts of what happens on the way; what became of transactions is in `class_metrics`. It must never decide anything.
 
 use std::fmt;
 
--- a/crates/sender/src/table.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -13,12 +13,12 @@
 use serde_json::Value;
 use tracing::warn;
 
-use crate::hand::{self, Hand};
-use crate::key::{Handle, Key, Link};
-use crate::spread::Spread;
+use crate::cordons::{self, Cordons};
+use crate::event_source::{Connection, EventSource, Handle};
+use crate::jitter::Jitter;
 use martenlatch_clock::Millis;
 use martenlatch_http as http;
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 
 /// Longest line of the watch, and most regions at a time; past these discovery is not believed.
 const LINE: usize = 4 << 20;
@@ -53,7 +53,7 @@
     pub entries: Vec<EndpointEntry>,
 }
 
-pub struct Table {
+pub struct EndpointDirectory {
     discovery: SocketAddr,
     zones: Vec<String>,
     kinds: Vec<String>,
@@ -70,7 +70,7 @@
     /// The next region's number.
     next: u32,
     /// What operators have taken out.
-    hand: Hand,
+    cordons: Cordons,
     /// Names of regions that have gone, the latest last, each once.
     gone: VecDeque<Rc<str>>,
     gone_names: HashSet<Rc<str>>,
@@ -78,7 +78,7 @@
     heard: Millis,
     backoff: Millis,
     next_try: Millis,
-    spread: Spread,
+    jitter: Jitter,
     senders: f64,
     /// Lists come only to who asks for them.
     asked: bool,
@@ -95,7 +95,7 @@
 
 /// The table, as it is passed to a later process. Bans are read from their file.
 #[derive(Serialize, Deserialize)]
-pub struct Carried {
+pub struct ConnectionSnapshot {
     rev: u64,
     destinations: BTreeSet<u64>,
     told: bool,
@@ -105,7 +105,7 @@
 }
 
 struct Watch {
-    link: Link,
+    connection: Connection,
     body: Option<http::Body>,
     /// What has come of an object, which may be indented over several lines.
     line: Vec<u8>,
@@ -134,9 +134,14 @@
     }
 }
 
-impl Table {
-    pub fn new(discovery: SocketAddr, boot: &Boot, hand: Hand, spread: Spread) -> Table {
-        Table {
+impl EndpointDirectory {
+    pub fn new(
+        discovery: SocketAddr,
+        boot: &Boot,
+        cordons: Cordons,
+        jitter: Jitter,
+    ) -> EndpointDirectory {
+        EndpointDirectory {
             discovery,
             zones: boot.zones.clone(),
             kinds: boot.kinds.clone(),
@@ -147,24 +152,24 @@
             numbers: HashMap::new(),
             rows: HashMap::new(),
             next: 0,
-            hand,
+            cordons,
             gone: VecDeque::new(),
             gone_names: HashSet::new(),
             watch: None,
             heard: 0.0,
             backoff: BACKOFF.0,
             next_try: 0.0,
-            spread,
+            jitter,
             senders: f64::from(boot.settings.senders),
             asked: boot.asked,
         }
     }
 
     /// What is passed to a later process.
-    pub fn carried(&self) -> Carried {
+    pub fn snapshot(&self) -> ConnectionSnapshot {
         let rows = self.rows.iter().map(|(e, row)| (*e, row.clone())).collect();
         let (rev, destinations, told) = (self.rev, self.destinations.clone(), self.told);
-        Carried {
+        ConnectionSnapshot {
             rev,
             destinations,
             told,
@@ -175,7 +180,7 @@
     }
 
     /// Goes on with what an earlier process has passed; the watch is opened anew, from its version.
-    pub fn carry_on(&mut self, passed: Carried) {
+    pub fn restore_state(&mut self, passed: ConnectionSnapshot) {
         (self.rev, self.destinations, self.told) = (passed.rev, passed.destinations, passed.told);
         self.numbers = passed
             .rows
@@ -190,7 +195,7 @@
     /// Takes one object of the table; none where it is no such object. Of entries that cannot be read the regions stand as
     /// they are, and the version with them: what it brought is asked for again. One that names what the settings lack is
     /// not: it would come back the same.
-    pub fn line(&mut self, json: &Value) -> Option<Change> {
+    pub fn apply(&mut self, json: &Value) -> Option<Change> {
         let Some(targets) = json.get("targets").and_then(Value::as_array) else {
             warn!(reason = "no list of targets", "table line skipped");
             return None;
@@ -262,7 +267,7 @@
 
     /// What the module hears of a region: the stricter of discovery's word and the operators'.
     fn told(&self, row: &Row) -> EndpointEntry {
-        let out = row.entry.stage == EndpointState::Active && self.hand.holds(&row.name);
+        let out = row.entry.stage == EndpointState::Active && self.cordons.holds(&row.name);
         EndpointEntry {
             stage: if out {
                 EndpointState::Draining
@@ -277,9 +282,9 @@
     ///
     /// # Errors
     /// Why that does not hold.
-    pub fn by_hand(&mut self, name: &str, out: bool) -> Result<Option<Change>, String> {
+    pub fn set_cordon(&mut self, name: &str, out: bool) -> Result<Option<Change>, String> {
         let listed = self.numbers.get(name).copied();
-        if listed.is_none() && !self.gone_names.contains(name) && !self.hand.holds(name) {
+        if listed.is_none() && !self.gone_names.contains(name) && !self.cordons.holds(name) {
             let shown: String = name
                 .chars()
                 .take(80)
@@ -287,10 +292,10 @@
                 .collect();
             return Err(format!("{shown} was never listed"));
         }
-        if name.len() > hand::NAME {
-            return Err(format!("the id is over {} bytes", hand::NAME));
+        if name.len() > cordons::NAME {
+            return Err(format!("the id is over {} bytes", cordons::NAME));
         }
-        if !self.hand.put(&Rc::from(name), out)? {
+        if !self.cordons.put(&Rc::from(name), out)? {
             return Ok(None);
         }
         Ok(listed.map(|e| Change {
@@ -300,10 +305,10 @@
     }
 
     /// Whether operators have taken a region out, for each region that is listed.
-    pub fn listed(&self) -> impl Iterator<Item = (EndpointId, bool)> {
+    pub fn endpoints(&self) -> impl Iterator<Item = (EndpointId, bool)> {
         self.rows
             .iter()
-            .map(|(e, row)| (*e, self.hand.holds(&row.name)))
+            .map(|(e, row)| (*e, self.cordons.holds(&row.name)))
     }
 
     /// Where a region is now; none where it is not listed.
@@ -395,22 +400,22 @@
         } else {
             longest / 2.0
         };
-        self.next_try = now + self.spread.around((self.backoff * herd).min(longest));
+        self.next_try = now + self.jitter.around((self.backoff * herd).min(longest));
         self.backoff = (self.backoff * 2.0).min(BACKOFF.1);
     }
 
     /// A list is known: the first watch need not be opened with those of all other senders, where it costs discovery.
-    pub fn calm(&mut self, now: Millis) {
+    pub fn delay_first_watch(&mut self, now: Millis) {
         let over = if self.asked {
             (FIRST * self.senders).min(LONGEST / 2.0)
         } else {
             0.0
         };
-        self.next_try = now + self.spread.up_to(over);
+        self.next_try = now + self.jitter.up_to(over);
     }
 
     /// The name by which discovery lists a region.
-    pub fn name(&self, region: EndpointId) -> Option<String> {
+    pub fn endpoint_name(&self, region: EndpointId) -> Option<String> {
         self.rows.get(&region).map(|row| row.name.to_string())
     }
 
@@ -426,11 +431,11 @@
         self.watch = None;
         (self.discovery, self.rev) = (discovery, 0);
         self.backoff = BACKOFF.0;
-        self.calm(now);
+        self.delay_first_watch(now);
     }
 
     /// Opens the watch when it is due, from the version that we have.
-    pub fn tend(&mut self, now: Millis, handle: &Handle, pool: &Pool) {
+    pub fn run_due(&mut self, now: Millis, handle: &Handle, pool: &BufferPool) {
         if self
             .watch
             .as_ref()
@@ -442,15 +447,15 @@
             return;
         }
         (self.heard, self.unread) = (now, false);
-        match Link::connect(self.discovery, handle, pool, Key::Watch) {
-            Ok(mut link) => {
+        match Connection::connect(self.discovery, handle, pool, EventSource::Watch) {
+            Ok(mut connection) => {
                 let (host, from) = (self.discovery, self.rev);
                 let ask =
                     format!("GET /v1/servers?watch=1&from={from} HTTP/1.1\r\nHost: {host}\r\n\r\n");
-                link.queue(ask.as_bytes());
-                link.flush();
+                connection.queue(ask.as_bytes());
+                connection.flush();
                 self.watch = Some(Watch {
-                    link,
+                    connection,
                     body: None,
                     line: Vec::new(),
                     nest: Nest::default(),
@@ -472,8 +477,8 @@
         }
     }
 
-    /// When [`Table::tend`] has something to do.
-    pub fn due(&self) -> Millis {
+    /// When [`EndpointDirectory::run_due`] has something to do.
+    pub fn next_deadline(&self) -> Millis {
         self.watch
             .as_ref()
             .map_or(self.next_try, |w| self.heard + self.patience(w) + 1.0)
@@ -485,7 +490,7 @@
         let mut changes = Vec::new();
         for line in lines.iter().filter(|l| !l.trim_ascii().is_empty()) {
             let json = serde_json::from_slice::<Value>(line);
-            let change = json.ok().and_then(|json| self.line(&json));
+            let change = json.ok().and_then(|json| self.apply(&json));
             self.unread |= change.is_none();
             changes.extend(change);
             if self.unread {
@@ -496,12 +501,12 @@
     }
 
     /// Reads what the watch has brought. The flag says that there may be more to read.
-    pub fn ready(&mut self, now: Millis) -> (Vec<Change>, bool) {
+    pub fn on_ready(&mut self, now: Millis) -> (Vec<Change>, bool) {
         let Some(mut watch) = self.watch.take() else {
             return (Vec::new(), false);
         };
-        watch.link.flush();
-        let more = watch.link.fill();
+        watch.connection.flush();
+        let more = watch.connection.receive();
         let mut lines = Vec::new();
         let fault = watch.read(&mut lines);
         if !lines.is_empty() {
@@ -514,7 +519,7 @@
         }
         let fault = fault
             .or(unread.then_some("unreadable"))
-            .or((watch.link.eof || watch.link.broken).then_some("closed"));
+            .or((watch.connection.eof || watch.connection.broken).then_some("closed"));
         self.watch = Some(watch);
         if let Some(reason) = fault {
             self.drop_watch(now, reason);
@@ -527,10 +532,10 @@
     /// Gathers whole lines; says what is wrong where the watch cannot go on.
     fn read(&mut self, lines: &mut Vec<Vec<u8>>) -> Option<&'static str> {
         if self.body.is_none() {
-            match http::answer(self.link.bytes()) {
+            match http::parse_response(self.connection.bytes()) {
                 Ok(None) => return None,
                 Ok(Some(answer)) if answer.status == 200 => {
-                    self.link.used(answer.used);
+                    self.connection.consume(answer.consumed);
                     self.body = Some(answer.body);
                 }
                 Ok(Some(_)) => return Some("refused"),
@@ -551,10 +556,10 @@
                 }
             }
         };
-        let Some((used, over)) = body.feed(self.link.bytes(), &mut take) else {
+        let Some((used, over)) = body.feed(self.connection.bytes(), &mut take) else {
             return Some("malformed");
         };
-        self.link.used(used);
+        self.connection.consume(used);
         // Guards against a line without end, which would grow without bound.
         if self.line.len() > LINE {
             return Some("line too long");
@@ -568,8 +573,8 @@
     use super::*;
     use martenlatch_policy::interface::Settings;
 
-    fn nobody() -> Hand {
-        Hand::open(std::path::Path::new("/nowhere"), 3_000_000)
+    fn nobody() -> Cordons {
+        Cordons::open(std::path::Path::new("/nowhere"), 3_000_000)
     }
 
     #[test]
@@ -583,20 +588,20 @@
             classes,
             asked: false,
         };
-        let mut table = Table::new(
+        let mut directory = EndpointDirectory::new(
             "127.0.0.1:9".parse().unwrap(),
             &boot,
             nobody(),
-            Spread::new(1),
+            Jitter::new(1),
         );
         let mut line = |all: bool, uid: usize, state: &str| {
             let target = serde_json::json!({"uid": format!("s-{uid}"), "endpoint": "127.0.0.1:9", "az": "x",
                 "model": "x", "pod_group": 7, "state": state});
             let change =
-                table.line(&serde_json::json!({"rev": uid, "all": all, "targets": [target]}));
+                directory.apply(&serde_json::json!({"rev": uid, "all": all, "targets": [target]}));
             (
                 change.unwrap().entries,
-                table.numbers.len() + table.rows.len(),
+                directory.numbers.len() + directory.rows.len(),
             )
         };
         for uid in 0..50 {
@@ -627,8 +632,8 @@
     ) {
         use std::io::Write;
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let (handle, pool) = (events.handle(), Pool::new(8));
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let (handle, pool) = (events.handle(), BufferPool::new(8));
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
         let boot = Boot {
@@ -638,32 +643,32 @@
             classes,
             asked,
         };
-        let mut table = Table::new(
+        let mut directory = EndpointDirectory::new(
             listener.local_addr().unwrap(),
             &boot,
             nobody(),
-            Spread::new(1),
+            Jitter::new(1),
         );
-        table.tend(1_000.0, &handle, &pool);
+        directory.run_due(1_000.0, &handle, &pool);
         let (mut first, _) = listener.accept().unwrap();
         // It begins to speak, and then falls silent: the empty line of every 2 s is waited for.
         first
             .write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
             .unwrap();
         assert!((0..200_000).any(|_| {
-            table.ready(1_000.0);
-            table.told
+            directory.on_ready(1_000.0);
+            directory.told
         }));
-        table.tend(3_000.0, &handle, &pool);
-        assert!(table.watch.is_some() && table.due() < 1_000.0 + 6_000.0);
-        let lost = table.due();
-        table.tend(lost, &handle, &pool);
-        assert!(table.watch.is_none(), "it is given up");
+        directory.run_due(3_000.0, &handle, &pool);
+        assert!(directory.watch.is_some() && directory.next_deadline() < 1_000.0 + 6_000.0);
+        let lost = directory.next_deadline();
+        directory.run_due(lost, &handle, &pool);
+        assert!(directory.watch.is_none(), "it is given up");
         // Those behind it come up and never speak.
         let mut opened = 0;
-        while table.due() < 1_000.0 + 6_000.0 {
-            table.tend(table.due(), &handle, &pool);
-            opened += usize::from(table.watch.is_some());
+        while directory.next_deadline() < 1_000.0 + 6_000.0 {
+            directory.run_due(directory.next_deadline(), &handle, &pool);
+            opened += usize::from(directory.watch.is_some());
         }
         assert!(opened >= more, "{opened} before its news count as told");
         (0..opened).for_each(|_| drop(listener.accept().unwrap()));
@@ -672,7 +677,7 @@
     #[test]
     fn watches_that_fall_silent_together_are_not_opened_again_together() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
         let names = || vec!["x".to_string()];
         let boot = Boot {
             settings: Settings::default(),
@@ -682,18 +687,18 @@
             asked: true,
         };
         let again = |seed: u64| {
-            let (handle, pool) = (events.handle(), Pool::new(8));
-            let mut table = Table::new(
+            let (handle, pool) = (events.handle(), BufferPool::new(8));
+            let mut directory = EndpointDirectory::new(
                 listener.local_addr().unwrap(),
                 &boot,
                 nobody(),
-                Spread::new(seed),
+                Jitter::new(seed),
             );
-            table.backoff = BACKOFF.1;
-            table.tend(1_000.0, &handle, &pool);
-            let lost = table.due();
-            table.tend(lost, &handle, &pool);
-            table.due() - lost
+            directory.backoff = BACKOFF.1;
+            directory.run_due(1_000.0, &handle, &pool);
+            let lost = directory.next_deadline();
+            directory.run_due(lost, &handle, &pool);
+            directory.next_deadline() - lost
         };
         let mut tries: Vec<Millis> = (0..12).map(again).collect();
         tries.sort_by(f64::total_cmp);
@@ -720,14 +725,15 @@
             asked,
         };
         let one = |seed: u32| {
-            let spread = Spread::new(seed.into());
-            let mut table = Table::new("127.0.0.1:9".parse().unwrap(), &boot, nobody(), spread);
-            table.calm(0.0);
+            let jitter = Jitter::new(seed.into());
+            let mut directory =
+                EndpointDirectory::new("127.0.0.1:9".parse().unwrap(), &boot, nobody(), jitter);
+            directory.delay_first_watch(0.0);
             let mut tries = Vec::new();
-            while table.due() < 60_000.0 {
-                let now = table.due();
+            while directory.next_deadline() < 60_000.0 {
+                let now = directory.next_deadline();
                 tries.push(now);
-                table.drop_watch(now, "");
+                directory.drop_watch(now, "");
             }
             tries
         };
@@ -788,8 +794,8 @@
     fn told(text: &str) -> (Vec<(bool, usize)>, u64, bool) {
         use std::io::{Read, Write};
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let (handle, pool) = (events.handle(), Pool::new(8));
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let (handle, pool) = (events.handle(), BufferPool::new(8));
         let names = || vec!["x".to_string()];
         let (zones, kinds, classes) = (names(), names(), names());
         let boot = Boot {
@@ -799,19 +805,23 @@
             classes,
             asked: false,
         };
-        let mut table = Table::new(
+        let mut directory = EndpointDirectory::new(
             listener.local_addr().unwrap(),
             &boot,
             nobody(),
-            Spread::new(1),
+            Jitter::new(1),
         );
         let first = serde_json::json!({"rev": 5, "all": true, "targets": [
             {"uid": "a", "endpoint": "127.0.0.1:9", "az": "x", "model": "x", "pod_group": 7, "state": "in_service"}]});
-        table.line(&first).unwrap();
-        table.tend(0.0, &handle, &pool);
+        directory.apply(&first).unwrap();
+        directory.run_due(0.0, &handle, &pool);
         let (mut peer, _) = listener.accept().unwrap();
-        while table.watch.as_ref().is_some_and(|w| !w.link.flushed()) {
-            table.ready(0.0);
+        while directory
+            .watch
+            .as_ref()
+            .is_some_and(|w| !w.connection.is_flushed())
+        {
+            directory.on_ready(0.0);
         }
         assert!(peer.read(&mut [0; 512]).unwrap() > 0);
         peer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -821,16 +831,16 @@
         peer.write_all(b"0\r\n\r\n").unwrap();
         let (mut changes, mut reason) = (Vec::new(), None);
         while reason.is_none() {
-            let mut watch = table.watch.take().unwrap();
-            watch.link.fill();
+            let mut watch = directory.watch.take().unwrap();
+            watch.connection.receive();
             let mut lines = Vec::new();
             let fault = watch.read(&mut lines);
-            table.watch = Some(watch);
-            let (heard, unread) = table.take(&lines);
+            directory.watch = Some(watch);
+            let (heard, unread) = directory.take(&lines);
             changes.extend(heard.iter().map(|c| (c.whole, c.entries.len())));
             reason = if unread { Some("unreadable") } else { fault };
         }
-        (changes, table.rev, reason == Some("ended"))
+        (changes, directory.rev, reason == Some("ended"))
     }
 
     const DRAIN: &str = r#"{"rev":6,"all":false,"targets":[{"uid":"a","endpoint":"127.0.0.1:9","az":"x","model":"x","pod_group":7,"state":"terminating"}]}"#;
--- a/crates/sender/src/crowd.rs
+++ b/crates/sender/src/egress/connection_scarcity.rs
@@ -28,9 +28,9 @@
 /// serves what comes on those it has: so who has one never meets a refusal, and who has none is never served. A sender that
 /// sees this at any region of a kind keeps no idle connection to those of that kind: each is another sender's call.
 #[derive(Clone, Default, Serialize, Deserialize)]
-pub struct Crowd(Vec<[Share; 2]>);
+pub struct ConnectionScarcity(Vec<[Share; 2]>);
 
-impl Crowd {
+impl ConnectionScarcity {
     /// A call was answered. A told wait is a limit's, and no lack of connections.
     pub fn learn(&mut self, kind: usize, kept: bool, turned_away: bool, told_wait: bool) {
         if kind >= self.0.len() {
--- a/crates/sender/src/regions.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -2,6 +2,8 @@
 //! call again by itself, choose a region, or keep a connection past its time; how a call ends is classed here by
 //! what was written and what came back, and judged elsewhere.
 
+mod connection_scarcity;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, BorrowedFd};
@@ -11,10 +13,10 @@
 use slab::Slab;
 use tracing::warn;
 
-use crate::crowd::Crowd;
-use crate::key::{Fds, Handle, Key, Link};
+use crate::event_source::{Connection, EventSource, Handle, InheritedDescriptors};
+use connection_scarcity::ConnectionScarcity;
 use martenlatch_clock::{Millis, nanos};
-use martenlatch_http::pool::{BODY, Pool};
+use martenlatch_http::buffer_pool::{BODY, BufferPool};
 use martenlatch_http::{self as http, Body};
 
 /// Part of the idle limit after which we close: the rest is for travel, as a crossing request ends as a reset.
@@ -37,7 +39,7 @@
 
 /// A routed task that has ended.
 #[derive(Debug)]
-pub struct Done {
+pub struct AttemptResult {
     pub id: MessageId,
     pub attempt: u32,
     pub outcome: Outcome,
@@ -48,13 +50,13 @@
 
 /// Whether an answer other than 200 is all there; false for a spoilt one. Guards the transactions that must not be
 /// repeated: only a whole answer proves that a call was turned away, as a spoilt one comes after it has run.
-fn whole(answer: &http::Answer, link: &Link) -> Option<bool> {
-    let rest = &link.bytes()[answer.used..];
+fn whole(answer: &http::Response, connection: &Connection) -> Option<bool> {
+    let rest = &connection.bytes()[answer.consumed..];
     match answer.body.clone().feed(rest, |_| {}) {
         _ if answer.spoilt => Some(false),
         None => Some(false),
         Some((_, true)) => Some(true),
-        Some((_, false)) if link.eof || link.broken => Some(answer.body == Body::ToEnd),
+        Some((_, false)) if connection.eof || connection.broken => Some(answer.body == Body::ToEnd),
         Some((_, false)) if rest.len() >= BODY => Some(false),
         Some((_, false)) => None,
     }
@@ -83,7 +85,7 @@
     attempt: u32,
     destination: u64,
     sent: Millis,
-    due: Millis,
+    deadline: Millis,
     /// When it has to begin, or not at all.
     latest: Millis,
     /// Its last byte has been written.
@@ -100,8 +102,8 @@
 
 /// A connection; passed to a later process, what goes with it stands in its place.
 #[derive(Serialize, Deserialize)]
-struct Conn<L = Link> {
-    link: L,
+struct Conn<L = Connection> {
+    connection: L,
     region: EndpointId,
     kind: usize,
     address: SocketAddr,
@@ -120,13 +122,13 @@
 }
 
 impl<L> Conn<L> {
-    fn with<M>(&self, link: M) -> Conn<M> {
+    fn with<M>(&self, connection: M) -> Conn<M> {
         let (region, kind, address) = (self.region, self.kind, self.address);
         let (task, up, admitted, last) = (self.task, self.up, self.admitted, self.last);
         let (rested, opened, rest, since) =
             (self.rested, self.opened, self.rest.clone(), self.since);
         Conn {
-            link,
+            connection,
             region,
             kind,
             address,
@@ -144,20 +146,20 @@
 
 /// All connections to regions, as they are passed to a later process.
 #[derive(Serialize, Deserialize)]
-pub struct Carried {
-    conns: Vec<Conn<http::Carried>>,
+pub struct ConnectionSnapshot {
+    conns: Vec<Conn<http::ConnectionSnapshot>>,
     /// The idle ones among them, the most recently used last.
     idle: Vec<usize>,
     stale: f64,
     doubted: bool,
     safe_rest: Millis,
     resets: f64,
-    crowd: Crowd,
+    crowd: ConnectionScarcity,
 }
 
-pub struct Regions {
+pub struct Egress {
     handle: Handle,
-    pub(crate) pool: Pool,
+    pub(crate) pool: BufferPool,
     conns: Slab<Conn>,
     /// Idle connections, the most recently used last.
     idle: Vec<usize>,
@@ -172,24 +174,24 @@
     /// Connections that ended under a call, fading.
     resets: f64,
     /// Kinds whose regions have no connection to spare.
-    crowd: Crowd,
-    pub done: Vec<Done>,
+    crowd: ConnectionScarcity,
+    pub results: Vec<AttemptResult>,
     /// Connections that are up and whose calls have not begun: each wants its record first.
     coming: Vec<usize>,
     /// Whose calls were written whole since these were last looked at.
-    pub written: Vec<MessageId>,
-    pub opened: u64,
+    pub sent: Vec<MessageId>,
+    pub connections_opened: u64,
 }
 
-impl Regions {
+impl Egress {
     pub fn new(
         handle: &Handle,
-        pool: &Pool,
+        pool: &BufferPool,
         most: usize,
         connect_timeout: Millis,
         idle_limit: Millis,
-    ) -> Regions {
-        Regions {
+    ) -> Egress {
+        Egress {
             most,
             handle: handle.clone(),
             pool: pool.clone(),
@@ -201,29 +203,33 @@
             doubted: false,
             safe_rest: f64::INFINITY,
             resets: 0.0,
-            crowd: Crowd::default(),
-            done: Vec::new(),
+            crowd: ConnectionScarcity::default(),
+            results: Vec::new(),
             coming: Vec::new(),
-            written: Vec::new(),
-            opened: 0,
+            sent: Vec::new(),
+            connections_opened: 0,
         }
     }
 
     /// What is passed to a later process, the descriptors in the order of the connections.
-    pub fn carried(&self) -> (Carried, Vec<BorrowedFd<'_>>) {
+    pub fn snapshot(&self) -> (ConnectionSnapshot, Vec<BorrowedFd<'_>>) {
         let place: HashMap<usize, usize> = self.conns.iter().map(|(at, _)| at).zip(0..).collect();
         let conns = self
             .conns
             .iter()
-            .map(|(_, c)| c.with(c.link.carried()))
+            .map(|(_, c)| c.with(c.connection.snapshot()))
             .collect();
         let idle = self.idle.iter().map(|at| place[at]).collect();
         let (stale, doubted, safe_rest, resets) =
             (self.stale, self.doubted, self.safe_rest, self.resets);
-        let fds = self.conns.iter().map(|(_, c)| c.link.as_fd()).collect();
+        let fds = self
+            .conns
+            .iter()
+            .map(|(_, c)| c.connection.as_fd())
+            .collect();
         let crowd = self.crowd.clone();
         (
-            Carried {
+            ConnectionSnapshot {
                 conns,
                 idle,
                 stale,
@@ -240,12 +246,22 @@
     ///
     /// # Errors
     /// Where a connection cannot be held.
-    pub fn carry_on(&mut self, passed: Carried, fds: &mut Fds) -> std::io::Result<Vec<Key>> {
+    pub fn restore_state(
+        &mut self,
+        passed: ConnectionSnapshot,
+        fds: &mut InheritedDescriptors,
+    ) -> std::io::Result<Vec<EventSource>> {
         let mut keys = Vec::new();
         for conn in passed.conns {
-            let key = Key::Region(self.conns.vacant_key());
-            let link = Link::carried_on(fds.stream()?, &conn.link, &self.handle, &self.pool, key)?;
-            self.conns.insert(conn.with(link));
+            let key = EventSource::Region(self.conns.vacant_key());
+            let connection = Connection::restore(
+                fds.stream()?,
+                &conn.connection,
+                &self.handle,
+                &self.pool,
+                key,
+            )?;
+            self.conns.insert(conn.with(connection));
             keys.push(key);
         }
         // The table of connections was empty: they stand in their order.
@@ -260,7 +276,7 @@
     }
 
     /// How many connections there are; closes idle ones, the longest idle first, until there are at most so many.
-    pub fn lighten(&mut self, most: usize) -> usize {
+    pub fn close_idle_connections(&mut self, most: usize) -> usize {
         while self.conns.len() > most && !self.idle.is_empty() {
             let oldest = self.idle.remove(0);
             self.conns.remove(oldest);
@@ -268,18 +284,18 @@
         self.conns.len()
     }
 
-    pub fn tasks(&self) -> usize {
+    pub fn active_attempts(&self) -> usize {
         self.conns.iter().filter(|(_, c)| c.task.is_some()).count()
     }
 
     /// Starts a call. One that cannot start has an outcome at once, which proves that it never ran.
-    pub fn call(&mut self, call: &Call, address: SocketAddr, now: Millis) {
+    pub fn start(&mut self, call: &Call, address: SocketAddr, now: Millis) {
         let task = Task {
             id: call.id,
             attempt: call.attempt,
             destination: call.destination,
             sent: now,
-            due: now + call.timeout,
+            deadline: now + call.timeout,
             latest: call.latest,
             whole: false,
         };
@@ -294,7 +310,7 @@
                 Ok(at) => at,
                 Err(e) => {
                     // Out of descriptors is our own lack and says nothing of the region.
-                    let ours = http::no_descriptors(&e);
+                    let ours = http::is_descriptor_exhaustion(&e);
                     warn!(error = ?e.kind(), "region not reached");
                     return self.tell(
                         task,
@@ -320,14 +336,14 @@
                 (last, *end) = (Some((*byte, f64::INFINITY)), rest);
             }
         }
-        if !(conn.link.queue(head) && conn.link.queue(body)) {
+        if !(conn.connection.queue(head) && conn.connection.queue(body)) {
             self.conns.remove(at);
             return self.tell(task, Outcome::NotSent, now);
         }
-        conn.link.written = 0;
+        conn.connection.written = 0;
         (conn.last, conn.rested) = (last, conn.up.then_some(now - conn.since));
         conn.task = Some(task);
-        conn.link.corked = true;
+        conn.connection.corked = true;
         self.progress(at, now);
     }
 
@@ -349,11 +365,11 @@
             }
             let at = self.idle.remove(place);
             let conn = &mut self.conns[at];
-            conn.link.fill();
+            conn.connection.receive();
             if conn.address == address
-                && !conn.link.eof
-                && !conn.link.broken
-                && conn.link.bytes().is_empty()
+                && !conn.connection.eof
+                && !conn.connection.broken
+                && conn.connection.bytes().is_empty()
             {
                 return Some(at);
             }
@@ -374,22 +390,22 @@
             let oldest = self.idle.remove(0);
             self.conns.remove(oldest);
         }
-        let key = Key::Region(self.conns.vacant_key());
-        let link = match Link::connect(address, &self.handle, &self.pool, key) {
+        let key = EventSource::Region(self.conns.vacant_key());
+        let connection = match Connection::connect(address, &self.handle, &self.pool, key) {
             // Out of descriptors: an idle connection makes room.
-            Err(e) if http::no_descriptors(&e) && !self.idle.is_empty() => {
+            Err(e) if http::is_descriptor_exhaustion(&e) && !self.idle.is_empty() => {
                 let oldest = self.idle.remove(0);
                 self.conns.remove(oldest);
-                let key = Key::Region(self.conns.vacant_key());
-                Link::connect(address, &self.handle, &self.pool, key)
+                let key = EventSource::Region(self.conns.vacant_key());
+                Connection::connect(address, &self.handle, &self.pool, key)
             }
-            link => link,
+            connection => connection,
         }?;
-        self.opened += 1;
+        self.connections_opened += 1;
         let (task, up, admitted, last, rested, rest) = (None, false, false, None, None, None);
         let (opened, since) = (now, now);
         let conn = Conn {
-            link,
+            connection,
             region,
             kind,
             address,
@@ -407,7 +423,7 @@
 
     fn tell(&mut self, task: Task, outcome: Outcome, now: Millis) {
         let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
-        self.done.push(Done {
+        self.results.push(AttemptResult {
             id,
             attempt,
             outcome,
@@ -424,14 +440,14 @@
         self.idle.retain(|i| *i != at);
         if let Some(task) = conn.task {
             // Guards against repeating, or calling failed, what a spoilt answer has confirmed in its first line.
-            let said = task.whole && http::says_200(conn.link.bytes());
-            let begun = sent == Outcome::TimedOut && !conn.link.bytes().is_empty();
+            let said = task.whole && http::starts_with_status_200(conn.connection.bytes());
+            let begun = sent == Outcome::TimedOut && !conn.connection.bytes().is_empty();
             let sent = if begun { Outcome::Failure } else { sent };
             // Guards against taking a connection for its region: one closed or dropped while it rested, by the
             // region or on the way, ends at once under the next call. A region that has gone shows on a new one.
             let kept = conn
                 .rested
-                .filter(|_| sent == Outcome::ConnectionLost && conn.link.bytes().is_empty());
+                .filter(|_| sent == Outcome::ConnectionLost && conn.connection.bytes().is_empty());
             let (sent, unsent) = match kept.filter(|_| now < task.sent + STALE_WITHIN) {
                 Some(rested) => {
                     self.stale += 1.0;
@@ -451,7 +467,7 @@
             };
             let outcome = if said {
                 Outcome::Success
-            } else if conn.link.flushed() && conn.up && conn.last.is_none() {
+            } else if conn.connection.is_flushed() && conn.up && conn.last.is_none() {
                 sent
             } else {
                 unsent
@@ -462,61 +478,65 @@
 
     /// Lets calls begin whose connections are up, each once its record stands; one that has none never ran. Guards messages
     /// that must not be repeated: with a record from before its connection was up, a kill meanwhile ended one untried.
-    pub fn begin(&mut self, mut record: impl FnMut(MessageId, u32) -> bool, now: Millis) {
+    pub fn send_ready(&mut self, mut record: impl FnMut(MessageId, u32) -> bool, now: Millis) {
         for at in std::mem::take(&mut self.coming) {
             let Some(conn) = self
                 .conns
                 .get_mut(at)
-                .filter(|c| c.link.corked && c.link.is_up())
+                .filter(|c| c.connection.corked && c.connection.is_connected())
             else {
                 continue;
             };
             let Some(task) = conn.task else { continue };
             // Guards against a second effect: a connection that comes up late carries no repeat past its window.
             let late = now > task.latest;
-            if late || conn.link.eof || conn.link.broken || !record(task.id, task.attempt) {
+            if late
+                || conn.connection.eof
+                || conn.connection.broken
+                || !record(task.id, task.attempt)
+            {
                 self.fail(at, Outcome::NotSent, Outcome::NotSent, now);
                 continue;
             }
-            conn.link.corked = false;
+            conn.connection.corked = false;
             self.progress(at, now);
         }
     }
 
     /// A connection is ready. True if there may be more to read.
-    pub fn ready(&mut self, at: usize, now: Millis) -> bool {
+    pub fn on_ready(&mut self, at: usize, now: Millis) -> bool {
         self.conns.contains(at) && self.progress(at, now)
     }
 
     fn progress(&mut self, at: usize, now: Millis) -> bool {
         let conn = &mut self.conns[at];
-        if conn.link.corked && conn.link.is_up() && !self.coming.contains(&at) {
+        if conn.connection.corked && conn.connection.is_connected() && !self.coming.contains(&at) {
             self.coming.push(at);
         }
-        conn.link.flush();
-        conn.up |= conn.link.written > 0;
-        let more = conn.link.fill();
-        let free = conn.up && conn.link.flushed() && !conn.link.corked;
+        conn.connection.flush();
+        conn.up |= conn.connection.written > 0;
+        let more = conn.connection.receive();
+        let free = conn.up && conn.connection.is_flushed() && !conn.connection.corked;
         if let Some((byte, when)) = conn.last.as_mut().filter(|_| free) {
             *when = when.min(now + LAST_BYTE);
-            if now >= *when && !conn.link.eof && !conn.link.broken {
+            if now >= *when && !conn.connection.eof && !conn.connection.broken {
                 // Without a buffer it is looked at again, but not in a busy loop.
                 *when = now + LAST_BYTE;
-                if conn.link.queue(&[*byte]) {
+                if conn.connection.queue(&[*byte]) {
                     conn.last = None;
-                    conn.link.flush();
+                    conn.connection.flush();
                 }
             }
         }
         if let Some(task) = conn.task.as_mut() {
-            if !task.whole && conn.up && conn.last.is_none() && conn.link.flushed() {
+            if !task.whole && conn.up && conn.last.is_none() && conn.connection.is_flushed() {
                 task.whole = true;
-                self.written.push(task.id);
+                self.sent.push(task.id);
             }
-            match http::answer(conn.link.bytes()) {
+            match http::parse_response(conn.connection.bytes()) {
                 // A word that the answer is still to come.
                 Ok(Some(answer)) if answer.status < 200 => {
-                    conn.link.used(answer.used);
+                    conn.connection.consume(answer.consumed);
                     return true;
                 }
                 // Guards against taking for delivered what never left: what an earlier answer had behind it says nothing of
@@ -526,7 +546,7 @@
                     return false;
                 }
                 Ok(Some(answer)) if answer.status == 200 => self.answered(at, answer, now),
-                Ok(Some(answer)) => match whole(&answer, &conn.link) {
+                Ok(Some(answer)) => match whole(&answer, &conn.connection) {
                     Some(true) => self.answered(at, answer, now),
                     Some(false) => {
                         self.fail(at, Outcome::Failure, Outcome::Unreachable, now);
@@ -535,13 +555,13 @@
                     None => return self.begun(at, now, more),
                 },
                 // Its head may never end: what the first line says is all that is needed.
-                Ok(None) if http::says_200(conn.link.bytes()) => {
+                Ok(None) if http::starts_with_status_200(conn.connection.bytes()) => {
                     self.said_200(at, now);
                     if !self.conns.contains(at) {
                         return false;
                     }
                 }
-                Ok(None) if conn.link.broken || conn.link.eof => {
+                Ok(None) if conn.connection.broken || conn.connection.eof => {
                     self.fail(at, Outcome::ConnectionLost, Outcome::Unreachable, now);
                     return false;
                 }
@@ -560,18 +580,22 @@
     /// An answer that has begun must soon be whole: one that never ends would hold a slot for all of its time.
     fn begun(&mut self, at: usize, now: Millis, more: bool) -> bool {
         let conn = &mut self.conns[at];
-        if let Some(task) = conn.task.as_mut().filter(|_| !conn.link.bytes().is_empty()) {
-            task.due = task.due.min(now + BODY_TIME);
+        if let Some(task) = conn
+            .task
+            .as_mut()
+            .filter(|_| !conn.connection.bytes().is_empty())
+        {
+            task.deadline = task.deadline.min(now + BODY_TIME);
         }
         more
     }
 
-    fn answered(&mut self, at: usize, answer: http::Answer, now: Millis) {
+    fn answered(&mut self, at: usize, answer: http::Response, now: Millis) {
         let conn = &mut self.conns[at];
         let Some(task) = conn.task.take() else { return };
-        conn.link.used(answer.used);
+        conn.connection.consume(answer.consumed);
         // An answer before the request was out whole: the connection is in no state to be used again.
-        let keep = answer.keep && conn.link.flushed() && conn.last.is_none();
+        let keep = answer.keep && conn.connection.is_flushed() && conn.last.is_none();
         let wait = answer
             .header("x-backoff-ms")
             .and_then(|w| w.parse::<f64>().ok());
@@ -593,7 +617,7 @@
         conn.rest = Some(Rest::Body(if keep { answer.body } else { Body::ToEnd }));
         conn.since = now;
         let (id, attempt, took) = (task.id, task.attempt, now - task.sent);
-        self.done.push(Done {
+        self.results.push(AttemptResult {
             id,
             attempt,
             outcome,
@@ -608,7 +632,7 @@
     /// Guards against a handshake for each answer that comes in pieces.
     fn said_200(&mut self, at: usize, now: Millis) {
         let conn = &mut self.conns[at];
-        let stands = !conn.link.eof && !conn.link.broken;
+        let stands = !conn.connection.eof && !conn.connection.broken;
         let Some(task) = conn.task.take_if(|t| t.whole && stands) else {
             return self.fail(at, Outcome::Success, Outcome::NotSent, now);
         };
@@ -627,7 +651,7 @@
         self.crowd.learn(kind, conn.admitted, away, told);
         conn.admitted |= !away;
         if away && self.crowd.is(kind) {
-            self.close_idle(|conn| conn.kind == kind);
+            self.close_idle_where(|conn| conn.kind == kind);
         }
     }
 
@@ -648,9 +672,9 @@
     fn settle(&mut self, at: usize, now: Millis) {
         let conn = &mut self.conns[at];
         if let Some(Rest::Head) = conn.rest {
-            match http::answer(conn.link.bytes()) {
+            match http::parse_response(conn.connection.bytes()) {
                 Ok(Some(answer)) => {
-                    conn.link.used(answer.used);
+                    conn.connection.consume(answer.consumed);
                     let body = if answer.keep && !answer.spoilt {
                         answer.body
                     } else {
@@ -658,18 +682,18 @@
                     };
                     conn.rest = Some(Rest::Body(body));
                 }
-                Ok(None) if !conn.link.eof && !conn.link.broken => return,
+                Ok(None) if !conn.connection.eof && !conn.connection.broken => return,
                 _ => conn.rest = Some(Rest::Body(Body::ToEnd)),
             }
         }
-        let input = conn.link.bytes();
+        let input = conn.connection.bytes();
         let read = match conn.rest.as_mut() {
             Some(Rest::Head | Rest::Body(Body::ToEnd)) => None,
             Some(Rest::Body(body)) => body.feed(input, |_| {}),
             // Idle: nothing may come.
             None => input.is_empty().then_some((0, true)),
         };
-        let gone = conn.link.eof || conn.link.broken;
+        let gone = conn.connection.eof || conn.connection.broken;
         match read {
             // Where regions have none to spare, one that rests keeps another sender's call out.
             Some((_, true)) if self.crowd.is(conn.kind) => {
@@ -677,13 +701,13 @@
                 self.idle.retain(|i| *i != at);
             }
             Some((used, true)) if !gone => {
-                conn.link.used(used);
+                conn.connection.consume(used);
                 if conn.rest.take().is_some() {
                     conn.since = now;
                     self.idle.push(at);
                 }
             }
-            Some((used, false)) if !gone => conn.link.used(used),
+            Some((used, false)) if !gone => conn.connection.consume(used),
             _ => {
                 self.conns.remove(at);
                 self.idle.retain(|i| *i != at);
@@ -709,13 +733,13 @@
             return false;
         }
         // One that is turned away before its last byte has left is told to wait like any other.
-        conn.link.corked = conn.last.is_some() || !conn.link.flushed();
+        conn.connection.corked = conn.last.is_some() || !conn.connection.is_flushed();
         self.progress(at, now);
         self.conns.get(at).is_none_or(|c| c.task.is_none())
     }
 
     /// A look at all that is out, before the process goes: what has been answered must not count as what may have run.
-    pub fn last_look(&mut self, now: Millis) {
+    pub fn read_final_responses(&mut self, now: Millis) {
         let out: Vec<usize> = self
             .conns
             .iter()
@@ -728,9 +752,9 @@
 
     /// Takes back calls of which no byte has left: to a destination that has told us to wait, or a region that
     /// drains. Guards against a slow connection that carries a call into what forbids it.
-    pub fn hold_back(&mut self, which: impl Fn(u64, EndpointId) -> bool, now: Millis) {
+    pub fn cancel_unsent(&mut self, which: impl Fn(u64, EndpointId) -> bool, now: Millis) {
         let unsent = |c: &Conn| {
-            c.link.written == 0 && c.task.is_some_and(|t| which(t.destination, c.region))
+            c.connection.written == 0 && c.task.is_some_and(|t| which(t.destination, c.region))
         };
         let held: Vec<usize> = self
             .conns
@@ -743,11 +767,11 @@
     }
 
     /// Closes the idle connections to a region.
-    pub fn close(&mut self, region: EndpointId) {
-        self.close_idle(|conn| conn.region == region);
+    pub fn close_idle(&mut self, region: EndpointId) {
+        self.close_idle_where(|conn| conn.region == region);
     }
 
-    fn close_idle(&mut self, which: impl Fn(&Conn) -> bool) {
+    fn close_idle_where(&mut self, which: impl Fn(&Conn) -> bool) {
         let conns = &mut self.conns;
         self.idle.retain(|at| {
             let keep = !which(&conns[*at]);
@@ -761,8 +785,8 @@
     /// When a connection is over its time: its call, its coming up, what is left of an answer, its rest.
     fn over(&self, conn: &Conn) -> Millis {
         match (conn.task, &conn.rest) {
-            (Some(task), _) if conn.up => task.due,
-            (Some(task), _) => task.due.min(conn.opened + self.connect_timeout),
+            (Some(task), _) if conn.up => task.deadline,
+            (Some(task), _) => task.deadline.min(conn.opened + self.connect_timeout),
             (None, Some(_)) => conn.since + BODY_TIME,
             (None, None) => conn.since + self.idle_limit,
         }
@@ -774,14 +798,14 @@
             .min(conn.last.map_or(f64::INFINITY, |(_, when)| when))
     }
 
-    pub fn due(&self) -> Millis {
+    pub fn next_deadline(&self) -> Millis {
         self.conns
             .iter()
             .map(|(_, c)| self.time(c))
             .fold(f64::INFINITY, f64::min)
     }
 
-    pub fn expire(&mut self, now: Millis) {
+    pub fn expire_timeouts(&mut self, now: Millis) {
         let late = self
             .conns
             .iter()
@@ -828,9 +852,9 @@
     }
 
     /// A look at a connection; what is up begins.
-    fn step(regions: &mut Regions, at: usize, now: Millis) -> bool {
-        let more = regions.ready(at, now);
-        regions.begin(|_, _| true, now);
+    fn step(egress: &mut Egress, at: usize, now: Millis) -> bool {
+        let more = egress.on_ready(at, now);
+        egress.send_ready(|_, _| true, now);
         more
     }
 
@@ -838,24 +862,24 @@
     fn a_kept_connection_that_ends_under_a_call_is_stale_and_dear_calls_then_avoid_such_rests() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
-        let start = |regions: &mut Regions, dear: bool, now: Millis| {
-            regions.call(&two_bytes(dear), address, now);
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
+        let start = |egress: &mut Egress, dear: bool, now: Millis| {
+            egress.start(&two_bytes(dear), address, now);
             // Once a reset has been met, its last byte leaves a little later.
             for now in [now, now + LAST_BYTE] {
                 for at in 0..9 {
-                    step(regions, at, now);
+                    step(egress, at, now);
                 }
             }
         };
-        let ended = |regions: &mut Regions, now: Millis| {
-            while regions.done.is_empty() {
+        let ended = |egress: &mut Egress, now: Millis| {
+            while egress.results.is_empty() {
                 for at in 0..9 {
-                    step(regions, at, now);
+                    step(egress, at, now);
                 }
             }
-            regions.done.pop().unwrap().outcome
+            egress.results.pop().unwrap().outcome
         };
         let answer = |peer: &mut std::net::TcpStream| {
             peer.read_exact(&mut [0; 2]).unwrap();
@@ -863,36 +887,39 @@
                 .unwrap();
         };
         for _ in 0..2 {
-            start(&mut regions, false, 0.0);
+            start(&mut egress, false, 0.0);
             let (mut peer, _) = listener.accept().unwrap();
             for at in 0..9 {
-                step(&mut regions, at, 0.0);
+                step(&mut egress, at, 0.0);
             }
             answer(&mut peer);
-            assert_eq!(ended(&mut regions, 5.0), Outcome::Success);
-            start(&mut regions, true, 105.0);
+            assert_eq!(ended(&mut egress, 5.0), Outcome::Success);
+            start(&mut egress, true, 105.0);
             peer.read_exact(&mut [0; 2]).unwrap();
             drop(peer);
             assert_eq!(
-                ended(&mut regions, 106.0),
+                ended(&mut egress, 106.0),
                 Outcome::StaleConnection,
                 "it had rested for 100 ms"
             );
         }
-        start(&mut regions, true, 1_000.0);
+        start(&mut egress, true, 1_000.0);
         let (mut peer, _) = listener.accept().unwrap();
         for at in 0..9 {
-            step(&mut regions, at, 1_000.0);
+            step(&mut egress, at, 1_000.0);
         }
         answer(&mut peer);
-        assert_eq!(ended(&mut regions, 1_000.0), Outcome::Success);
+        assert_eq!(ended(&mut egress, 1_000.0), Outcome::Success);
         for (dear, rest, opened) in [(true, 79.0, 3), (false, 200.0, 3), (true, 90.0, 4)] {
             let now = 1_000.0 + rest;
-            start(&mut regions, dear, now);
-            assert_eq!(regions.opened, opened, "dear={dear} after {rest} ms");
+            start(&mut egress, dear, now);
+            assert_eq!(
+                egress.connections_opened, opened,
+                "dear={dear} after {rest} ms"
+            );
             if opened == 3 {
                 answer(&mut peer);
-                assert_eq!(ended(&mut regions, 1_000.0), Outcome::Success);
+                assert_eq!(ended(&mut egress, 1_000.0), Outcome::Success);
             }
         }
     }
@@ -903,10 +930,10 @@
         for called_off in [true, false] {
             let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
             let address = listener.local_addr().unwrap();
-            let mut events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-            let pool = Pool::new(8);
-            let mut regions = Regions::new(&events.handle(), &pool, 9, 1_000.0, 15_000.0);
-            regions.call(
+            let mut events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+            let pool = BufferPool::new(8);
+            let mut egress = Egress::new(&events.handle(), &pool, 9, 1_000.0, 15_000.0);
+            egress.start(
                 &Call {
                     timeout: 500.0,
                     ..two_bytes(false)
@@ -915,11 +942,11 @@
                 0.0,
             );
             let (mut peer, _) = listener.accept().unwrap();
-            while !regions.conns[0].link.flushed() || !regions.conns[0].up {
-                step(&mut regions, 0, 0.0);
+            while !egress.conns[0].connection.is_flushed() || !egress.conns[0].up {
+                step(&mut egress, 0, 0.0);
             }
             peer.read_exact(&mut [0; 2]).unwrap();
-            let mut ready = crate::key::Ready::default();
+            let mut ready = crate::event_source::Ready::default();
             events
                 .dispatch(Some(std::time::Duration::ZERO), &mut ready)
                 .unwrap();
@@ -930,11 +957,11 @@
                 events.dispatch(None, &mut ready).unwrap();
             }
             if called_off {
-                regions.cancel(MessageId(1), 0, 100.0)
+                egress.cancel(MessageId(1), 0, 100.0)
             } else {
-                regions.expire(500.0)
+                egress.expire_timeouts(500.0)
             }
-            let outcomes: Vec<Outcome> = regions.done.drain(..).map(|d| d.outcome).collect();
+            let outcomes: Vec<Outcome> = egress.results.drain(..).map(|d| d.outcome).collect();
             assert_eq!(
                 outcomes,
                 [Outcome::Overloaded {
@@ -951,10 +978,10 @@
     fn while_connections_are_reset_a_dear_call_that_meets_one_is_proven_never_to_have_run() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
         let mut dear_call = |now: Millis, whole: bool| {
-            regions.call(
+            egress.start(
                 &Call {
                     head: b"he",
                     body: b"body",
@@ -964,24 +991,27 @@
                 now,
             );
             let (mut peer, _) = listener.accept().unwrap();
-            while regions
+            while egress
                 .conns
                 .iter()
-                .any(|(at, c)| !c.up || !c.link.flushed() || at > 0)
+                .any(|(at, c)| !c.up || !c.connection.is_flushed() || at > 0)
             {
-                step(&mut regions, 0, now);
+                step(&mut egress, 0, now);
             }
             peer.read_exact(&mut [0; 5]).unwrap();
             if whole {
-                assert!(regions.due() <= now + LAST_BYTE, "it is not forgotten");
-                regions.expire(now + LAST_BYTE);
+                assert!(
+                    egress.next_deadline() <= now + LAST_BYTE,
+                    "it is not forgotten"
+                );
+                egress.expire_timeouts(now + LAST_BYTE);
                 peer.read_exact(&mut [0]).unwrap();
             }
             drop(peer);
-            while regions.done.is_empty() {
-                step(&mut regions, 0, if whole { now + LAST_BYTE } else { now });
+            while egress.results.is_empty() {
+                step(&mut egress, 0, if whole { now + LAST_BYTE } else { now });
             }
-            regions.done.pop().unwrap().outcome
+            egress.results.pop().unwrap().outcome
         };
         assert_eq!(
             dear_call(0.0, false),
@@ -1001,11 +1031,11 @@
     fn heard_in_pieces(answer: &[u8], cut: Option<usize>, size: usize) -> (Outcome, bool) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let mut events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
+        let mut events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
         let (id, region, attempt, destination, timeout) = (MessageId(1), EndpointId(1), 0, 7, 1e9);
         let (dear, head, body) = (true, &b"xy"[..], &b""[..]);
-        regions.call(
+        egress.start(
             &Call {
                 id,
                 attempt,
@@ -1023,22 +1053,22 @@
         );
         let (mut peer, _) = listener.accept().unwrap();
         peer.set_nodelay(true).unwrap();
-        while regions.written.is_empty() {
-            step(&mut regions, 0, 0.0);
+        while egress.sent.is_empty() {
+            step(&mut egress, 0, 0.0);
         }
         peer.read_exact(&mut [0; 2]).unwrap();
-        let mut ready = crate::key::Ready::default();
+        let mut ready = crate::event_source::Ready::default();
         events
             .dispatch(Some(std::time::Duration::ZERO), &mut ready)
             .unwrap();
         ready.keys.clear();
-        let mut look = |regions: &mut Regions, wanted: bool| {
+        let mut look = |egress: &mut Egress, wanted: bool| {
             // What was written is on its way: the loop says when it is there.
             while wanted && ready.keys.is_empty() {
                 events.dispatch(None, &mut ready).unwrap();
             }
             ready.keys.clear();
-            step(regions, 0, 1.0);
+            step(egress, 0, 1.0);
         };
         let mut pieces = answer[..cut.unwrap_or(answer.len())]
             .chunks(size)
@@ -1046,21 +1076,21 @@
         while let Some(piece) = pieces.next() {
             peer.write_all(piece).unwrap();
             if pieces.peek().is_some() || cut.is_none() {
-                let there = regions.conns.contains(0);
-                look(&mut regions, there);
+                let there = egress.conns.contains(0);
+                look(&mut egress, there);
             }
         }
         if cut.is_some() {
             drop(peer);
-            let there = regions.conns.contains(0);
-            look(&mut regions, there);
+            let there = egress.conns.contains(0);
+            look(&mut egress, there);
         }
         assert_eq!(
-            regions.done.len(),
+            egress.results.len(),
             1,
             "one outcome, of {answer:?} cut at {cut:?}"
         );
-        (regions.done.pop().unwrap().outcome, regions.idle == [0])
+        (egress.results.pop().unwrap().outcome, egress.idle == [0])
     }
 
     #[test]
@@ -1114,13 +1144,13 @@
     fn idle_connections_make_room_for_new_ones_and_one_that_idled_too_long_is_closed() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 1, 1_000.0, 15_000.0);
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 1, 1_000.0, 15_000.0);
         for region in 0..3 {
             let (id, region) = (MessageId(region), EndpointId(region as u32));
             let (attempt, destination, timeout, dear) = (0, 7, 1e9, false);
             let (head, body) = (&b"x"[..], &b""[..]);
-            regions.call(
+            egress.start(
                 &Call {
                     id,
                     attempt,
@@ -1137,27 +1167,30 @@
                 5.0,
             );
             let (mut peer, _) = listener.accept().unwrap();
-            while regions.conns.iter().any(|(_, c)| !c.link.flushed()) {
-                step(&mut regions, 0, 5.0);
-                step(&mut regions, 1, 5.0);
+            while egress.conns.iter().any(|(_, c)| !c.connection.is_flushed()) {
+                step(&mut egress, 0, 5.0);
+                step(&mut egress, 1, 5.0);
             }
             peer.read_exact(&mut [0]).unwrap();
             peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
                 .unwrap();
-            while regions.done.is_empty() {
-                step(&mut regions, 0, 6.0);
-                step(&mut regions, 1, 6.0);
+            while egress.results.is_empty() {
+                step(&mut egress, 0, 6.0);
+                step(&mut egress, 1, 6.0);
             }
-            assert_eq!(regions.done.pop().unwrap().outcome, Outcome::Success);
+            assert_eq!(egress.results.pop().unwrap().outcome, Outcome::Success);
             assert_eq!(
-                (regions.conns.len(), regions.idle.len()),
+                (egress.conns.len(), egress.idle.len()),
                 (1, 1),
                 "the one before went"
             );
         }
-        assert!(regions.due() < 15_000.0, "before the region's own limit");
-        regions.expire(regions.due());
-        assert!(regions.conns.is_empty() && regions.idle.is_empty() && regions.done.is_empty());
+        assert!(
+            egress.next_deadline() < 15_000.0,
+            "before the region's own limit"
+        );
+        egress.expire_timeouts(egress.next_deadline());
+        assert!(egress.conns.is_empty() && egress.idle.is_empty() && egress.results.is_empty());
     }
 
     #[rstest::rstest]
@@ -1173,12 +1206,13 @@
         // Guards those who have no connection: who has one never meets a refusal, and would keep it for good.
         let listener = || std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let regions_at = [listener(), listener()];
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
         let mut exchange = |region: usize, kind: usize, answer: &str| {
             let (id, at) = (MessageId(1), regions_at[region].local_addr().unwrap());
             let (head, body, region_id) = (&b"xy"[..], &b""[..], EndpointId(region as u32));
-            let (attempt, destination, timeout, dear, opened) = (0, 7, 1e9, false, regions.opened);
+            let (attempt, destination, timeout, dear, opened) =
+                (0, 7, 1e9, false, egress.connections_opened);
             let call = Call {
                 id,
                 attempt,
@@ -1191,20 +1225,20 @@
                 head,
                 body,
             };
-            regions.call(&call, at, 0.0);
+            egress.start(&call, at, 0.0);
             // Each is answered on a connection of its own, which its region ends where it has turned it away.
-            assert_eq!(regions.opened, opened + 1);
+            assert_eq!(egress.connections_opened, opened + 1);
             let (mut peer, _) = regions_at[region].accept().unwrap();
-            while regions.written.is_empty() {
-                (0..9).for_each(|at| _ = step(&mut regions, at, 0.0));
+            while egress.sent.is_empty() {
+                (0..9).for_each(|at| _ = step(&mut egress, at, 0.0));
             }
-            regions.written.clear();
+            egress.sent.clear();
             peer.read_exact(&mut [0; 2]).unwrap();
             peer.write_all(answer.as_bytes()).unwrap();
-            while regions.done.pop().is_none() {
-                (0..9).for_each(|at| _ = step(&mut regions, at, 0.0));
+            while egress.results.pop().is_none() {
+                (0..9).for_each(|at| _ = step(&mut egress, at, 0.0));
             }
-            (peer, regions.idle.len())
+            (peer, egress.idle.len())
         };
         let (mut kept, idle) = exchange(0, 0, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         assert_eq!(idle, 1, "it is kept while nothing speaks against it");
@@ -1230,22 +1264,22 @@
     fn one_call(
         latest: Millis,
     ) -> (
-        Regions,
+        Egress,
         std::net::TcpStream,
-        calloop::EventLoop<'static, crate::key::Ready>,
+        calloop::EventLoop<'static, crate::event_source::Ready>,
     ) {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
-        let mut regions = Regions::new(&events.handle(), &Pool::new(8), 9, 1_000.0, 15_000.0);
-        regions.resets = RESETS.0;
+        let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
+        let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
+        egress.resets = RESETS.0;
         let call = Call {
             timeout: 500.0,
             latest,
             ..two_bytes(true)
         };
-        regions.call(&call, listener.local_addr().unwrap(), 0.0);
+        egress.start(&call, listener.local_addr().unwrap(), 0.0);
         let (peer, _) = listener.accept().unwrap();
-        (regions, peer, events)
+        (egress, peer, events)
     }
 
     fn all_of(mut peer: std::net::TcpStream) -> Vec<u8> {
@@ -1264,20 +1298,20 @@
         #[case] left: &[u8],
     ) {
         // Guards against a second effect: decided within what the partner remembers of a key, it would run behind it.
-        let (mut regions, peer, _events) = one_call(latest);
+        let (mut egress, peer, _events) = one_call(latest);
         for _ in 0..100_000 {
-            if !regions.done.is_empty() || !regions.written.is_empty() {
+            if !egress.results.is_empty() || !egress.sent.is_empty() {
                 break;
             }
-            regions.ready(0, 100.0);
-            regions.begin(|_, _| true, 100.0);
-            regions.ready(0, 100.0 + LAST_BYTE);
+            egress.on_ready(0, 100.0);
+            egress.send_ready(|_, _| true, 100.0);
+            egress.on_ready(0, 100.0 + LAST_BYTE);
         }
         assert_eq!(
-            regions.done.pop().map(|d| d.outcome),
+            egress.results.pop().map(|d| d.outcome),
             left.is_empty().then_some(Outcome::NotSent)
         );
-        drop(regions);
+        drop(egress);
         assert_eq!(all_of(peer), left);
     }
 
@@ -1292,15 +1326,15 @@
     ) {
         // Guards a told wait, which binds from when it was written; and a message that a stray 200 would have ended with
         // no call, as nothing runs before its last byte.
-        let (mut regions, mut peer, _events) = one_call(f64::INFINITY);
+        let (mut egress, mut peer, _events) = one_call(f64::INFINITY);
         peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
             .unwrap();
         for _ in 0..100_000 {
-            if regions.conns[0].link.written > 0 {
+            if egress.conns[0].connection.written > 0 {
                 break;
             }
-            regions.ready(0, 1.0);
-            regions.begin(|_, _| true, 1.0);
+            egress.on_ready(0, 1.0);
+            egress.send_ready(|_, _| true, 1.0);
         }
         peer.read_exact(&mut [0]).unwrap();
         peer.write_all(
@@ -1309,14 +1343,14 @@
         )
         .unwrap();
         match called_off {
-            true => regions.cancel(MessageId(1), 0, 2.0),
-            false => regions.expire(500.0),
+            true => egress.cancel(MessageId(1), 0, 2.0),
+            false => egress.expire_timeouts(500.0),
         }
         assert_eq!(
-            regions.done.iter().map(|d| d.outcome).collect::<Vec<_>>(),
+            egress.results.iter().map(|d| d.outcome).collect::<Vec<_>>(),
             [outcome]
         );
-        drop(regions);
+        drop(egress);
         assert_eq!(all_of(peer), b"", "its last byte has not left");
     }
 
@@ -1330,20 +1364,20 @@
         #[case] held: bool,
     ) {
         // Guards a drain and a told wait against a connection that comes up behind them.
-        let (mut regions, peer, _events) = one_call(f64::INFINITY);
-        regions.hold_back(
+        let (mut egress, peer, _events) = one_call(f64::INFINITY);
+        egress.cancel_unsent(
             |destination, region| region == drains || destination == waits,
             1.0,
         );
         assert_eq!(
-            regions.done.pop().map(|d| d.outcome),
+            egress.results.pop().map(|d| d.outcome),
             held.then_some(Outcome::NotSent)
         );
         for _ in 0..100 {
-            step(&mut regions, 0, 1.0);
-            step(&mut regions, 0, 1.0 + LAST_BYTE);
+            step(&mut egress, 0, 1.0);
+            step(&mut egress, 0, 1.0 + LAST_BYTE);
         }
-        drop(regions);
+        drop(egress);
         assert_eq!(all_of(peer), if held { &b""[..] } else { b"xy" });
     }
 }
--- a/crates/sender/src/key.rs
+++ b/crates/sender/src/event_source.rs
@@ -3,11 +3,11 @@
 use std::os::fd::OwnedFd;
 
 /// Descriptors that an earlier process has passed, in the order in which they are asked for.
-pub struct Fds(std::vec::IntoIter<OwnedFd>);
+pub struct InheritedDescriptors(std::vec::IntoIter<OwnedFd>);
 
-impl Fds {
-    pub fn new(fds: Vec<OwnedFd>) -> Fds {
-        Fds(fds.into_iter())
+impl InheritedDescriptors {
+    pub fn new(fds: Vec<OwnedFd>) -> InheritedDescriptors {
+        InheritedDescriptors(fds.into_iter())
     }
 
     /// The next one.
@@ -23,7 +23,7 @@
     /// The next one, as a connection.
     ///
     /// # Errors
-    /// As [`Fds::take`].
+    /// As [`InheritedDescriptors::take`].
     pub fn stream(&mut self) -> std::io::Result<std::net::TcpStream> {
         self.take().map(Into::into)
     }
@@ -31,7 +31,7 @@
 
 /// What a socket belongs to; the loop hands it back when the socket is ready.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Key {
+pub enum EventSource {
     /// Where operators call, and one of the callers: first, so that a round answers them before all else.
     Operators,
     Operator(usize),
@@ -51,6 +51,6 @@
     Ask(usize),
 }
 
-pub type Handle = martenlatch_http::Handle<Key>;
-pub type Link = martenlatch_http::Link<Key>;
-pub type Ready = martenlatch_http::Ready<Key>;
+pub type Handle = martenlatch_http::Handle<EventSource>;
+pub type Connection = martenlatch_http::Connection<EventSource>;
+pub type Ready = martenlatch_http::Ready<EventSource>;
--- a/crates/sender/src/spread.rs
+++ b/crates/sender/src/jitter.rs
@@ -10,11 +10,11 @@
 
 /// Draws from the sender's own seed. Clones share them.
 #[derive(Clone)]
-pub struct Spread(Rc<RefCell<Pcg32>>);
+pub struct Jitter(Rc<RefCell<Pcg32>>);
 
-impl Spread {
-    pub fn new(seed: u64) -> Spread {
-        Spread(Rc::new(RefCell::new(Pcg32::seed_from_u64(seed))))
+impl Jitter {
+    pub fn new(seed: u64) -> Jitter {
+        Jitter(Rc::new(RefCell::new(Pcg32::seed_from_u64(seed))))
     }
 
     /// Any part of a span: for what many begin together.
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -2,22 +2,21 @@
 //! lines. This one owns the loop and its signals, and must never hold a transaction or read a byte.
 #![allow(missing_docs)]
 
+mod atomic_file;
+mod class_metrics;
+mod class_rules;
 mod config;
+mod cordons;
 mod counters;
-mod crowd;
-mod figures;
-mod hand;
-mod kept;
-mod key;
+mod discovery;
+mod egress;
+mod event_source;
+mod jitter;
 mod operator;
-mod peers;
-mod promises;
-mod regions;
-mod spread;
-mod stages;
-mod succession;
-mod table;
-mod whole;
+mod peer_service;
+mod peer_snapshot;
+mod pipeline;
+mod process_replacement;
 
 use std::io::ErrorKind;
 use std::time::Duration;
@@ -27,14 +26,14 @@
 use socket2::{Domain, Protocol, Socket, Type};
 
 pub use config::Config;
-use key::{Fds, Handle, Key, Ready};
+use event_source::{EventSource, Handle, InheritedDescriptors, Ready};
 use martenlatch_clock::{Clock, Millis};
 use martenlatch_handover::{Lock, Passed};
 use martenlatch_settings::program::Peers;
 use operator::Operators;
-pub use peers::secret;
-use stages::{Driver, Estate, Start};
-use succession::{LOOK, Look, Serving, Waiting};
+pub use peer_service::secret;
+use pipeline::{Driver, ProcessState, Start};
+use process_replacement::{LOOK, Look, ReplacementCandidate, ReplacementListener};
 use tracing::{info, warn};
 
 /// Connections that may wait to be accepted: a burst of clients must not be met with silence.
@@ -63,7 +62,7 @@
     ready: &mut Ready,
     operators: &mut Option<Operators>,
     clock: &Clock,
-) -> Result<peers::Peers, String> {
+) -> Result<peer_service::Peers, String> {
     let apart = config
         .boot
         .settings
@@ -72,7 +71,7 @@
         .map(|k| k.per_endpoint)
         .collect();
     let handle = events.handle();
-    let mut peers = peers::Peers::open(
+    let mut peers = peer_service::Peers::open(
         set,
         &config.name,
         &config.state,
@@ -96,13 +95,13 @@
             }
         }
         ready.keys = again;
-        peers.tend(now, None);
+        peers.run_due(now, None);
     }
     peers.learned(clock.now());
     Ok(peers)
 }
 
-/// A sender that begins: it learns from others where it may, and goes on with what the ledger holds.
+/// A sender that begins: it learns from others where it may, and goes on with what the wal holds.
 fn begin(
     config: Config,
     events: &mut EventLoop<'static, Ready>,
@@ -137,13 +136,13 @@
 
 /// Builds this process from all that the one before it was. Nothing outside is touched before that is told.
 fn build(config: &Config, passed: &mut Passed, handle: &Handle) -> Result<(Driver, Lock), String> {
-    let mut fds = Fds::new(std::mem::take(&mut passed.fds));
+    let mut fds = InheritedDescriptors::new(std::mem::take(&mut passed.fds));
     let lock = Lock::passed(fds.take().map_err(|e| e.to_string())?);
-    let estate = Estate::read(&passed.bytes, config)?;
-    let clock = Clock::carried_on(estate.at());
+    let process_state = ProcessState::read(&passed.bytes, config)?;
+    let clock = Clock::restore(process_state.at());
     let driver = Driver::new(
         config.clone(),
-        Start::Passed(Box::new(estate), fds),
+        Start::Passed(Box::new(process_state), fds),
         None,
         handle,
         clock,
@@ -175,7 +174,7 @@
             lock,
         )));
     }
-    let mut waiting = Waiting::open(&config, &events.handle())?;
+    let mut waiting = ReplacementCandidate::open(&config, &events.handle())?;
     // A signal to end is taken up at once: nothing has been begun.
     while !ready
         .signals
@@ -188,11 +187,11 @@
             let called = operators
                 .as_mut()
                 .is_some_and(|o| o.turn_down(key, "not serving yet", now));
-            if !called && key == Key::Predecessor {
+            if !called && key == EventSource::Predecessor {
                 found = waiting.ready(&clock);
             }
         }
-        operators.as_mut().into_iter().for_each(|o| o.tend(now));
+        operators.as_mut().into_iter().for_each(|o| o.run_due(now));
         match found {
             Look::Nothing => {}
             Look::Free(lock) => {
@@ -249,7 +248,7 @@
         return Ok(());
     };
     driver.answer_operators(operators);
-    let mut serving = Serving::open(lock, &state, &handle);
+    let mut serving = ReplacementListener::open(lock, &state, &handle);
     loop {
         for signal in std::mem::take(&mut ready.signals) {
             match signal {
