--- a/crates/sender/src/operator.rs
+++ b/crates/sender/src/operator.rs
@@ -7,11 +7,11 @@
 
 use calloop::RegistrationToken;
 use martenlatch_clock::Millis;
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 use slab::Slab;
 use tracing::warn;
 
-use crate::key::{Handle, Key, Link};
+use crate::event_source::{Connection, EventSource, Handle};
 
 /// Longest line, its end not counted.
 const LINE: usize = 512;
@@ -102,7 +102,7 @@
 }
 
 struct Caller {
-    link: Link,
+    connection: Connection,
     /// When it connected, or was answered.
     since: Millis,
     answered: bool,
@@ -113,7 +113,7 @@
     listener: Rc<std::net::TcpListener>,
     token: RegistrationToken,
     handle: Handle,
-    pool: Pool,
+    pool: BufferPool,
     callers: Slab<Caller>,
     /// Accepting rests after running out of descriptors.
     accept_at: Option<Millis>,
@@ -128,9 +128,9 @@
         let listener =
             crate::listen(address).map_err(|e| format!("operator: cannot bind {address}: {e}"))?;
         let listener = Rc::new(listener);
-        let token = martenlatch_http::register(handle, listener.clone(), Key::Operators)
+        let token = martenlatch_http::register(handle, listener.clone(), EventSource::Operators)
             .map_err(|e| format!("operator: cannot watch the socket: {e}"))?;
-        let (pool, callers) = (Pool::new(2 * CALLERS), Slab::new());
+        let (pool, callers) = (BufferPool::new(2 * CALLERS), Slab::new());
         Ok(Operators {
             listener,
             token,
@@ -151,10 +151,10 @@
                         self.make_room();
                     }
                     let entry = self.callers.vacant_entry();
-                    let key = Key::Operator(entry.key());
-                    if let Ok(link) = Link::new(stream, &self.handle, &self.pool, key) {
+                    let key = EventSource::Operator(entry.key());
+                    if let Ok(connection) = Connection::new(stream, &self.handle, &self.pool, key) {
                         entry.insert(Caller {
-                            link,
+                            connection,
                             since: now,
                             answered: false,
                         });
@@ -193,14 +193,14 @@
     /// Reads from a caller. What its line asks for, once it is there; nothing more is read as a call behind it.
     pub fn ready(&mut self, at: usize) -> Option<Result<Call, String>> {
         let caller = self.callers.get_mut(at)?;
-        caller.link.flush();
-        caller.link.fill();
+        caller.connection.flush();
+        caller.connection.receive();
         if caller.answered {
-            let rest = caller.link.bytes().len();
-            caller.link.used(rest);
+            let rest = caller.connection.bytes().len();
+            caller.connection.consume(rest);
         }
-        if caller.link.broken
-            || (caller.link.eof && (caller.answered || caller.link.bytes().is_empty()))
+        if caller.connection.broken
+            || (caller.connection.eof && (caller.answered || caller.connection.bytes().is_empty()))
         {
             self.callers.remove(at);
             return None;
@@ -208,7 +208,7 @@
         if caller.answered {
             None
         } else {
-            line(caller.link.bytes(), caller.link.eof)
+            line(caller.connection.bytes(), caller.connection.eof)
         }
     }
 
@@ -217,29 +217,29 @@
         let Some(caller) = self.callers.get_mut(at) else {
             return;
         };
-        caller.link.queue(text.as_bytes());
-        let gone = !caller.link.flush() && caller.link.broken;
-        let rest = caller.link.bytes().len();
-        caller.link.used(rest);
-        if gone || caller.link.eof && caller.link.flushed() {
+        caller.connection.queue(text.as_bytes());
+        let gone = !caller.connection.flush() && caller.connection.broken;
+        let rest = caller.connection.bytes().len();
+        caller.connection.consume(rest);
+        if gone || caller.connection.eof && caller.connection.is_flushed() {
             self.callers.remove(at);
             return;
         }
-        if caller.link.flushed() {
-            caller.link.end_sending();
+        if caller.connection.is_flushed() {
+            caller.connection.shutdown_write();
         }
         (caller.answered, caller.since) = (true, now);
     }
 
     /// Answers all who call with one reason why nothing is done for them here. True if the key is one of its sockets.
-    pub fn turn_down(&mut self, key: Key, reason: &str, now: Millis) -> bool {
+    pub fn turn_down(&mut self, key: EventSource, reason: &str, now: Millis) -> bool {
         match key {
-            Key::Operators => {
+            EventSource::Operators => {
                 if self.accept(now) {
                     self.accept_at = Some(now);
                 }
             }
-            Key::Operator(at) => {
+            EventSource::Operator(at) => {
                 if let Some(call) = self.ready(at) {
                     self.answer(at, &said(call.and(Err(reason.to_string()))), now);
                 }
@@ -250,7 +250,7 @@
     }
 
     /// Ends callers that are over their time, and takes calls again that rested.
-    pub fn tend(&mut self, now: Millis) {
+    pub fn run_due(&mut self, now: Millis) {
         self.callers
             .retain(|_, c| now < c.since + if c.answered { LINGER } else { TIME });
         if self.accept_at.is_some_and(|at| at <= now) && self.accept(now) {
@@ -258,8 +258,8 @@
         }
     }
 
-    /// When [`Operators::tend`] has something to do.
-    pub fn due(&self) -> Millis {
+    /// When [`Operators::run_due`] has something to do.
+    pub fn next_deadline(&self) -> Millis {
         let ends = self
             .callers
             .iter()
--- a/crates/sender/src/peers.rs
+++ b/crates/sender/src/peer_service.rs
@@ -10,11 +10,11 @@
 use std::rc::Rc;
 
 use martenlatch_clock::{Millis, nanos};
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_http::register;
-use martenlatch_peers::known::{Bounds, Known, Telling};
-use martenlatch_peers::member::{Change, Members, Settings};
-use martenlatch_peers::wire::{Asking, DATAGRAM, Fault, MEMBERS, Page, Secret, TELLINGS};
+use martenlatch_peers::membership::{Change, Membership, Settings};
+use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge};
+use martenlatch_peers::wire::{DATAGRAM, Fault, MAX_DIGESTS, MEMBERS, Page, PageAssembler, Secret};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     DestinationId, EndpointEntry, EndpointId, EndpointState, Event, KindId,
@@ -23,8 +23,8 @@
 use slab::Slab;
 use tracing::{info, warn};
 
-use crate::kept::Kept;
-use crate::key::{Handle, Key, Link};
+use crate::event_source::{Connection, EventSource, Handle};
+use crate::peer_snapshot::PeerSnapshotFile;
 
 /// Datagrams read and connections taken in one round, at most: a flood costs a round no more than that.
 const READ: usize = 64;
@@ -47,16 +47,16 @@
 
 /// Another that was asked for what it knows.
 struct Ask {
-    link: Link,
-    asking: Asking,
+    connection: Connection,
+    asking: PageAssembler,
     teller: SocketAddr,
 }
 
 /// Another that asks.
 struct Talk {
-    link: Link,
+    connection: Connection,
     since: Millis,
-    telling: Option<Tale>,
+    digest: Option<Tale>,
     done: bool,
 }
 
@@ -64,7 +64,7 @@
     /// When it is given up: one that takes its answer slowly must not wake the loop before that either.
     fn late_at(&self) -> Millis {
         self.since
-            + if self.telling.is_some() {
+            + if self.digest.is_some() {
                 PATIENCE.1
             } else {
                 PATIENCE.0
@@ -106,11 +106,11 @@
     set: program::Peers,
     secret: Secret,
     handle: Handle,
-    pool: Pool,
+    pool: BufferPool,
     socket: Rc<UdpSocket>,
     listener: Rc<TcpListener>,
-    members: Members,
-    known: Known,
+    members: Membership,
+    known: PartnerKnowledge,
     bounds: Bounds,
     /// Which kinds have endpoints that are routes of their own.
     apart: Vec<bool>,
@@ -119,9 +119,9 @@
     waiting: VecDeque<SocketAddr>,
     talks: Slab<Talk>,
     started: Millis,
-    kept: Kept,
+    kept: PeerSnapshotFile,
     /// What is being gathered for the folder: how far it is, and what it is so far.
-    gathering: Option<(Option<RouteName>, Vec<Telling>)>,
+    gathering: Option<(Option<RouteName>, Vec<Digest>)>,
     next_keep: Millis,
     turned_away: TurnedAway,
     told: u64,
@@ -168,24 +168,24 @@
         socket.set_nonblocking(true).map_err(failed)?;
         listener.set_nonblocking(true).map_err(failed)?;
         let (socket, listener) = (Rc::new(socket), Rc::new(listener));
-        register(handle, socket.clone(), Key::Datagrams).map_err(failed)?;
-        register(handle, listener.clone(), Key::Tellers).map_err(failed)?;
+        register(handle, socket.clone(), EventSource::Datagrams).map_err(failed)?;
+        register(handle, listener.clone(), EventSource::Tellers).map_err(failed)?;
         let bounds = Bounds {
             half_life: set.half_life_ms,
             wait: set.longest_wait_ms,
             ..Bounds::default()
         };
-        let (mut kept, past) = Kept::open(folder, now);
-        let mut known = Known::default();
+        let (mut kept, past) = PeerSnapshotFile::open(folder, now);
+        let mut known = PartnerKnowledge::default();
         if set.keep {
-            for telling in &past.tellings {
-                known.hear("before", telling, now, &bounds);
+            for digest in &past.digests {
+                known.hear("before", digest, now, &bounds);
             }
             // What was told to an earlier life binds this one no more.
             known.forget_waits();
         }
         // The incarnation is down before it is told to anyone. On a full disk it is not, and others have it raised.
-        if let Err(reason) = kept.write(past.incarnation + 1, now, past.tellings) {
+        if let Err(reason) = kept.write(past.incarnation + 1, now, past.digests) {
             warn!(reason, "knowledge not kept");
         }
         let protocol = Settings {
@@ -194,7 +194,7 @@
             suspect: set.suspect_periods,
             ..Settings::default()
         };
-        let mut members = Members::new(
+        let mut members = Membership::new(
             name,
             address,
             past.incarnation + 1,
@@ -220,7 +220,7 @@
         let mut peers = Peers {
             secret,
             handle: handle.clone(),
-            pool: Pool::new(BUFFERS),
+            pool: BufferPool::new(BUFFERS),
             socket,
             listener,
             members,
@@ -250,14 +250,16 @@
         while let Some(teller) = self.waiting.pop_front() {
             self.next_no = self.next_no.wrapping_add(1);
             let (no, name) = (self.next_no, self.members.me().name.clone());
-            let Ok(mut link) = Link::connect(teller, &self.handle, &self.pool, Key::Ask(at)) else {
+            let Ok(mut connection) =
+                Connection::connect(teller, &self.handle, &self.pool, EventSource::Ask(at))
+            else {
                 continue;
             };
-            link.queue(&self.secret.seal_page(&Page::Ask { no, name }));
-            link.flush();
+            connection.queue(&self.secret.seal_page(&Page::Ask { no, name }));
+            connection.flush();
             self.asks[at] = Some(Ask {
-                link,
-                asking: Asking::new(no),
+                connection,
+                asking: PageAssembler::new(no),
                 teller,
             });
             return;
@@ -277,19 +279,19 @@
         let took_ms = (now - self.started) as u64;
         info!(
             partners = self.known.len(),
-            tellings = self.learned,
+            digests = self.learned,
             took_ms,
             "learned from peers"
         );
     }
 
-    /// When [`Peers::tend`] has something to do.
-    pub fn due(&self) -> Millis {
-        let telling = self
+    /// When [`Peers::run_due`] has something to do.
+    pub fn next_deadline(&self) -> Millis {
+        let digest = self
             .talks
             .iter()
-            .any(|(_, t)| t.link.flushed() && t.telling.as_ref().is_some_and(|t| !t.over));
-        if telling || self.gathering.is_some() {
+            .any(|(_, t)| t.connection.is_flushed() && t.digest.as_ref().is_some_and(|t| !t.over));
+        if digest || self.gathering.is_some() {
             return 0.0;
         }
         let slow = self.talks.iter().map(|(_, t)| t.late_at());
@@ -298,12 +300,12 @@
     }
 
     /// Reads what a socket has brought. True where there may be more.
-    pub fn ready(&mut self, key: Key, now: Millis) -> bool {
+    pub fn ready(&mut self, key: EventSource, now: Millis) -> bool {
         match key {
-            Key::Datagrams => self.datagrams(now),
-            Key::Tellers => self.accept(now),
-            Key::Talk(at) => self.talk(at),
-            Key::Ask(at) => self.answer(at, now),
+            EventSource::Datagrams => self.datagrams(now),
+            EventSource::Tellers => self.accept(now),
+            EventSource::Talk(at) => self.talk(at),
+            EventSource::Ask(at) => self.answer(at, now),
             _ => false,
         }
     }
@@ -332,16 +334,16 @@
                 Err(_) => continue,
             };
             let entry = self.talks.vacant_entry();
-            let key = Key::Talk(entry.key());
+            let key = EventSource::Talk(entry.key());
             if entry.key() >= TALKS {
                 self.turned_away.talks += 1;
                 continue;
             }
-            if let Ok(link) = Link::new(stream, &self.handle, &self.pool, key) {
+            if let Ok(connection) = Connection::new(stream, &self.handle, &self.pool, key) {
                 entry.insert(Talk {
-                    link,
+                    connection,
                     since: now,
-                    telling: None,
+                    digest: None,
                     done: false,
                 });
             }
@@ -353,12 +355,12 @@
         let Some(talk) = self.talks.get_mut(at) else {
             return false;
         };
-        let more = talk.link.fill();
-        if talk.telling.is_none() && !talk.done {
-            let (no, who) = match self.secret.open_page(talk.link.bytes()) {
+        let more = talk.connection.receive();
+        if talk.digest.is_none() && !talk.done {
+            let (no, who) = match self.secret.open_page(talk.connection.bytes()) {
                 Ok((Page::Ask { no, .. }, _)) => (no, false),
                 Ok((Page::Who { no }, _)) => (no, true),
-                Err(Fault::Short) if !talk.link.eof => return more,
+                Err(Fault::Short) if !talk.connection.eof => return more,
                 Ok(_) => {
                     self.turned_away.count(Fault::Kind);
                     talk.done = true;
@@ -370,7 +372,7 @@
                     return false;
                 }
             };
-            talk.telling = Some(Tale {
+            talk.digest = Some(Tale {
                 no,
                 page: 0,
                 after: None,
@@ -379,10 +381,10 @@
             });
         }
         // Whatever else it says is not listened to.
-        let said = talk.link.bytes().len();
-        talk.link.used(said);
-        talk.link.flush();
-        more && !talk.link.broken
+        let said = talk.connection.bytes().len();
+        talk.connection.consume(said);
+        talk.connection.flush();
+        more && !talk.connection.broken
     }
 
     /// Takes what one that was asked has told.
@@ -390,25 +392,25 @@
         let Some(mut ask) = self.asks.get_mut(at).and_then(Option::take) else {
             return false;
         };
-        ask.link.flush();
-        let more = ask.link.fill();
+        ask.connection.flush();
+        let more = ask.connection.receive();
         let fault = loop {
-            match self.secret.open_page(ask.link.bytes()) {
+            match self.secret.open_page(ask.connection.bytes()) {
                 Ok((page, used)) => {
-                    ask.link.used(used);
-                    let Some(tellings) = ask.asking.take(page) else {
+                    ask.connection.consume(used);
+                    let Some(digests) = ask.asking.take(page) else {
                         break Some("out of order");
                     };
                     let teller = format!("asked {at}");
-                    for telling in &tellings {
+                    for digest in &digests {
                         self.learned +=
-                            u64::from(self.known.hear(&teller, telling, now, &self.bounds));
+                            u64::from(self.known.hear(&teller, digest, now, &self.bounds));
                     }
                     if ask.asking.whole {
                         return false;
                     }
                 }
-                Err(Fault::Short) if ask.link.eof || ask.link.broken => {
+                Err(Fault::Short) if ask.connection.eof || ask.connection.broken => {
                     break Some("not reached, or closed");
                 }
                 Err(Fault::Short) => break None,
@@ -432,7 +434,7 @@
 
     /// Does what is due: pings, the next page of each telling, and what is kept. There is no policy yet while this
     /// sender itself learns: it has seen nothing, and says so.
-    pub fn tend(&mut self, now: Millis, seen: Option<(&Policy, Names)>) {
+    pub fn run_due(&mut self, now: Millis, seen: Option<(&Policy, Names)>) {
         if now >= self.members.due() {
             self.members.tick(now);
         }
@@ -441,17 +443,18 @@
             let Some(talk) = self.talks.get_mut(at) else {
                 continue;
             };
-            talk.link.flush();
+            talk.connection.flush();
             let late = now > talk.late_at();
-            let over = talk.telling.as_ref().is_some_and(|t| t.over);
-            if late || talk.done || talk.link.broken || (over && talk.link.flushed()) {
+            let over = talk.digest.as_ref().is_some_and(|t| t.over);
+            if late || talk.done || talk.connection.broken || (over && talk.connection.is_flushed())
+            {
                 self.talks.remove(at);
                 continue;
             }
             let Some(tale) = talk
-                .telling
+                .digest
                 .as_mut()
-                .filter(|t| !t.over && talk.link.flushed())
+                .filter(|t| !t.over && talk.connection.is_flushed())
             else {
                 continue;
             };
@@ -465,19 +468,19 @@
                     .take(MEMBERS)
                     .cloned()
                     .collect();
-                (!rumours.is_empty()).then_some(Page::Members { no, page, rumours })
+                (!rumours.is_empty()).then_some(Page::Membership { no, page, rumours })
             } else {
                 let first = page == 0 || tale.after.is_some();
                 seen.filter(|_| first).map(|(policy, name)| {
                     let (observations, after) =
-                        policy.observations(nanos(now), tale.after, TELLINGS);
+                        policy.observations(nanos(now), tale.after, MAX_DIGESTS);
                     tale.after = after;
-                    let tellings: Vec<Telling> = observations
+                    let digests: Vec<Digest> = observations
                         .iter()
-                        .map(|s| Telling::of(s, s.endpoint.and_then(name)))
+                        .map(|s| Digest::of(s, s.endpoint.and_then(name)))
                         .collect();
-                    self.told += tellings.len() as u64;
-                    Page::Told { no, page, tellings }
+                    self.told += digests.len() as u64;
+                    Page::Digests { no, page, digests }
                 })
             };
             let told = told.unwrap_or_else(|| {
@@ -485,14 +488,14 @@
                 Page::End { no, pages: page }
             });
             tale.page += 1;
-            talk.link.queue(&self.secret.seal_page(&told));
-            talk.link.flush();
+            talk.connection.queue(&self.secret.seal_page(&told));
+            talk.connection.flush();
         }
         if let Some((policy, name)) = seen {
             self.keep(now, policy, name);
         }
         if !self.known.is_empty() && now > self.started + FORGET * self.bounds.half_life {
-            self.known = Known::default();
+            self.known = PartnerKnowledge::default();
         }
     }
 
@@ -501,22 +504,19 @@
         if !self.set.keep || (self.gathering.is_none() && now < self.next_keep) {
             return;
         }
-        let (after, mut tellings) = self.gathering.take().unwrap_or_default();
-        let (observations, next) = policy.observations(nanos(now), after, TELLINGS);
-        tellings.extend(
+        let (after, mut digests) = self.gathering.take().unwrap_or_default();
+        let (observations, next) = policy.observations(nanos(now), after, MAX_DIGESTS);
+        digests.extend(
             observations
                 .iter()
-                .map(|s| Telling::of(s, s.endpoint.and_then(name))),
+                .map(|s| Digest::of(s, s.endpoint.and_then(name))),
         );
-        if next.is_some() && tellings.len() < Kept::MOST {
-            self.gathering = Some((next, tellings));
+        if next.is_some() && digests.len() < PeerSnapshotFile::MOST {
+            self.gathering = Some((next, digests));
             return;
         }
         self.next_keep = now + KEEP_EVERY;
-        if let Err(reason) = self
-            .kept
-            .write(self.members.me().incarnation, now, tellings)
-        {
+        if let Err(reason) = self.kept.write(self.members.me().incarnation, now, digests) {
             warn!(reason, "knowledge not kept");
         }
     }
@@ -547,7 +547,7 @@
     }
 
     /// What the module is to be told of routes that were just listed; each is told once.
-    pub fn hearsay(&mut self, listed: &[EndpointEntry], name: Names, now: Millis) -> Vec<Event> {
+    pub fn gossip(&mut self, listed: &[EndpointEntry], name: Names, now: Millis) -> Vec<Event> {
         if self.known.is_empty() {
             return Vec::new();
         }
--- a/crates/sender/src/kept.rs
+++ b/crates/sender/src/peer_snapshot.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 use martenlatch_clock::Millis;
-use martenlatch_peers::known::{Telling, Trouble};
+use martenlatch_peers::partner_knowledge::{Digest, ReportedOutage};
 use serde::{Deserialize, Serialize};
 use tracing::warn;
 
@@ -18,31 +18,31 @@
     pub incarnation: u64,
     /// When it was written, in milliseconds of Unix time.
     at: Millis,
-    pub tellings: Vec<Telling>,
+    pub digests: Vec<Digest>,
 }
 
 /// The file.
-pub struct Kept {
+pub struct PeerSnapshotFile {
     file: PathBuf,
 }
 
-impl Kept {
+impl PeerSnapshotFile {
     /// Most partners that are kept.
     pub const MOST: usize = 4_096;
 
     /// Finds what an earlier life has left, as old as it is now. What cannot be read is said and passed over.
-    pub fn open(folder: &Path, now: Millis) -> (Kept, Past) {
+    pub fn open(folder: &Path, now: Millis) -> (PeerSnapshotFile, Past) {
         let file = folder.join("peers");
         let past = match std::fs::read(&file) {
             Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Past::default()),
             Err(e) => Err(e.to_string()),
-            Ok(bytes) => Kept::read(&bytes, now).map_err(str::to_string),
+            Ok(bytes) => PeerSnapshotFile::read(&bytes, now).map_err(str::to_string),
         };
         let past = past.unwrap_or_else(|reason| {
             warn!(file = %file.display(), reason, "knowledge passed over");
             Past::default()
         });
-        (Kept { file }, past)
+        (PeerSnapshotFile { file }, past)
     }
 
     fn read(bytes: &[u8], now: Millis) -> Result<Past, &'static str> {
@@ -55,11 +55,11 @@
         let passed = (now - past.at) as f32;
         if passed.is_nan() || passed < 0.0 {
             // The clock was put back: how old it is cannot be told.
-            past.tellings.clear();
+            past.digests.clear();
         }
-        for telling in &mut past.tellings {
-            telling.age += passed;
-            if let Some(Trouble::Back { since }) = &mut telling.trouble {
+        for digest in &mut past.digests {
+            digest.age += passed;
+            if let Some(ReportedOutage::Recovering { since }) = &mut digest.outage {
                 *since += passed;
             }
         }
@@ -74,19 +74,19 @@
         &mut self,
         incarnation: u64,
         at: Millis,
-        tellings: Vec<Telling>,
+        digests: Vec<Digest>,
     ) -> Result<(), String> {
         let past = Past {
             incarnation,
             at,
-            tellings,
+            digests,
         };
         let body =
             postcard::to_allocvec(&past).map_err(|e| format!("{}: {e}", self.file.display()))?;
         let mut bytes = MAGIC.to_vec();
         bytes.extend(crc32fast::hash(&body).to_le_bytes());
         bytes.extend(body);
-        crate::whole::replace(&self.file, &bytes)
+        crate::atomic_file::replace(&self.file, &bytes)
             .map_err(|e| format!("{}: {e}", self.file.display()))
     }
 }
@@ -95,11 +95,11 @@
 mod tests {
     use super::*;
 
-    fn telling() -> Telling {
-        Telling {
+    fn digest() -> Digest {
+        Digest {
             age: 500.0,
-            trouble: Some(Trouble::Back { since: 2_000.0 }),
-            ..Telling::new(7)
+            outage: Some(ReportedOutage::Recovering { since: 2_000.0 }),
+            ..Digest::new(7)
         }
     }
 
@@ -108,18 +108,18 @@
         let folder = std::env::temp_dir().join(format!("martenlatch-kept-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
-        let open = |now: Millis| Kept::open(&folder, now);
+        let open = |now: Millis| PeerSnapshotFile::open(&folder, now);
         assert_eq!(open(1e6).1.incarnation, 0, "nothing yet");
-        open(1e6).0.write(4, 1e6, vec![telling()]).unwrap();
+        open(1e6).0.write(4, 1e6, vec![digest()]).unwrap();
         let past = open(1e6 + 3_000.0).1;
-        assert_eq!((past.incarnation, past.tellings[0].age), (4, 3_500.0));
+        assert_eq!((past.incarnation, past.digests[0].age), (4, 3_500.0));
         assert_eq!(
-            past.tellings[0].trouble,
-            Some(Trouble::Back { since: 5_000.0 })
+            past.digests[0].outage,
+            Some(ReportedOutage::Recovering { since: 5_000.0 })
         );
         let past = open(1e6 - 1.0).1;
         assert_eq!(
-            (past.incarnation, past.tellings.len()),
+            (past.incarnation, past.digests.len()),
             (4, 0),
             "the clock was put back"
         );
--- a/crates/sender/src/stages/admit.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -1,63 +1,64 @@
 //! Owns the step from a request to a transaction: the record first, the answer then. It decides nothing but whether
-//! there is room, and must never answer 202 before the ledger has the record.
+//! there is room, and must never answer 202 before the wal has the record.
 
 use martenlatch_clock::{Millis, nanos};
-use martenlatch_ledger::Taken;
 use martenlatch_policy::interface::{ClassId, DestinationId, Event, MessageId};
+use martenlatch_wal::MessageRecord;
 use tracing::debug;
 
-use super::desk::{Desk, State};
-use super::relay::Relay;
-use super::take_in::{HandedIn, TakeIn};
-use crate::promises::Promises;
-use crate::table::Table;
+use super::ingress::{IncomingMessage, Ingress};
+use super::message_store::{MessageStore, State};
+use super::status_reports::StatusReporter;
+use crate::class_rules::ClassRules;
+use crate::discovery::EndpointDirectory;
 
 /// Decides nothing but whether there is room: records first, answers then.
-pub struct Admit {
+pub struct Admission {
     pub(super) max_held: usize,
     pub(super) classes: Vec<String>,
-    pub(super) promises: Promises,
+    pub(super) class_rules: ClassRules,
 }
 
-impl Admit {
+impl Admission {
     pub(super) fn admit(
         &self,
-        h: HandedIn,
-        desk: &mut Desk,
-        take_in: &mut TakeIn,
-        table: &Table,
+        h: IncomingMessage,
+        store: &mut MessageStore,
+        ingress: &mut Ingress,
+        directory: &EndpointDirectory,
         stopped: bool,
         now: Millis,
     ) -> Option<Event> {
-        if desk.numbers.contains_key(&h.id) || desk.ledger.over.contains(&h.id) {
-            desk.counters.repeated += 1;
-            take_in.answer(h.client, 202, "", now);
+        if store.numbers.contains_key(&h.id) || store.wal.over.contains(&h.id) {
+            store.counters.repeated += 1;
+            ingress.answer(h.client, 202, "", now);
             return None;
         }
         // A destination that discovery has never listed cannot be served; until it has spoken in this life, it
         // may be a new one.
-        match table.serves(h.destination) {
+        match directory.serves(h.destination) {
             Some(true) => {}
             Some(false) => {
-                desk.counters.bad += 1;
-                desk.figures
+                store.counters.bad += 1;
+                store
+                    .class_metrics
                     .of(&self.classes[h.class])
                     .into_iter()
                     .for_each(|g| g.errored += 1);
-                take_in.close(h.client);
-                take_in.answer(h.client, 404, "", now);
+                ingress.close(h.client);
+                ingress.answer(h.client, 404, "", now);
                 return None;
             }
             None => {
-                self.turn_away(h.class, h.client, desk, take_in, now);
+                self.turn_away(h.class, h.client, store, ingress, now);
                 return None;
             }
         }
-        let (no, tasks, class, client) = (desk.next, Vec::new(), h.class, h.client);
-        let promise = self.promises.at(class);
+        let (no, attempts, class, client) = (store.next, Vec::new(), h.class, h.client);
+        let promise = self.class_rules.at(class);
         let (name, rules) = (promise.name.clone(), promise.rules.clone());
-        let (id, destination, deadline, ending) = (h.id, h.destination, h.deadline, None);
-        let taken = Taken {
+        let (id, destination, deadline, final_status) = (h.id, h.destination, h.deadline, None);
+        let taken = MessageRecord {
             no,
             id,
             class: name,
@@ -65,22 +66,22 @@
             deadline,
             key: h.key,
             body: h.body,
-            tasks,
-            ending,
+            attempts,
+            final_status,
             rules,
         };
-        if stopped || desk.open >= self.max_held || !desk.ledger.take(&taken) {
-            self.turn_away(class, client, desk, take_in, now);
+        if stopped || store.open >= self.max_held || !store.wal.append_message(&taken) {
+            self.turn_away(class, client, store, ingress, now);
             return None;
         }
-        desk.next += 1;
-        if !take_in.answer(client, 202, "", now) {
+        store.next += 1;
+        if !ingress.answer(client, 202, "", now) {
             // Nobody has it: the same request on a new connection must not be taken for one that is over.
-            desk.counters.left += 1;
-            desk.ledger.never_taken(no);
+            store.counters.left += 1;
+            store.wal.append_revoked(no);
             return None;
         }
-        desk.counters.taken += 1;
+        store.counters.taken += 1;
         let (id, destination, class) = (
             MessageId(no),
             DestinationId(taken.destination),
@@ -89,7 +90,7 @@
         let deadline = nanos(taken.deadline);
         let (left_ms, to) = ((taken.deadline - now) as u64, taken.destination);
         debug!(no, destination = to, class = %taken.class, left_ms, "taken on");
-        desk.insert(taken, State::Open);
+        store.insert(taken, State::Open);
         Some(Event::MessageAccepted {
             id,
             destination,
@@ -103,48 +104,55 @@
         &self,
         class: usize,
         client: usize,
-        desk: &mut Desk,
-        take_in: &mut TakeIn,
+        store: &mut MessageStore,
+        ingress: &mut Ingress,
         now: Millis,
     ) {
-        debug!(class = %self.classes[class], open = desk.open, "turned away");
-        desk.counters.turned_away += 1;
-        desk.figures
+        debug!(class = %self.classes[class], open = store.open, "turned away");
+        store.counters.turned_away += 1;
+        store
+            .class_metrics
             .of(&self.classes[class])
             .into_iter()
             .for_each(|g| g.deferred += 1);
-        take_in.busy(client, now);
+        ingress.busy(client, now);
     }
 
     /// What an earlier life took on and did not end.
-    pub(super) fn resume(&self, taken: Taken, desk: &mut Desk, relay: &mut Relay) -> Option<Event> {
-        desk.counters.resumed += 1;
-        let class = self.promises.place(&taken.class, &taken.rules);
+    pub(super) fn resume(
+        &self,
+        taken: MessageRecord,
+        store: &mut MessageStore,
+        status_reporter: &mut StatusReporter,
+    ) -> Option<Event> {
+        store.counters.resumed += 1;
+        let class = self.class_rules.place(&taken.class, &taken.rules);
         let event = class.map(|class| Event::MessageResumed {
             id: MessageId(taken.no),
             destination: DestinationId(taken.destination),
             class: ClassId(class),
             deadline: nanos(taken.deadline),
-            attempts: taken.tasks.len() as u32,
+            attempts: taken.attempts.len() as u32,
             ran: taken
-                .tasks
+                .attempts
                 .iter()
                 .find(|t| !t.never_ran)
                 .map(|t| nanos(t.sent)),
         });
-        let (no, settled) = (taken.no, taken.ending.is_some() || event.is_none());
-        let (attempts, to) = (taken.tasks.len(), taken.destination);
+        let (no, settled) = (taken.no, taken.final_status.is_some() || event.is_none());
+        let (attempts, to) = (taken.attempts.len(), taken.destination);
         debug!(no, destination = to, class = %taken.class, attempts, settled, "resumed");
-        desk.insert(taken, if settled { State::Ending } else { State::Open });
+        store.insert(taken, if settled { State::Ending } else { State::Open });
         let untried = attempts == 0 && !settled;
-        desk.counters.untried += u64::from(untried);
-        desk.held
+        store.counters.untried += u64::from(untried);
+        store
+            .held
             .get_mut(&no)
             .into_iter()
             .for_each(|t| t.untried = untried);
         if settled {
             // Its end was decided, or nothing says what its class promised.
-            relay.queue.push_back(no);
+            status_reporter.queue.push_back(no);
             return None;
         }
         event
--- a/crates/sender/src/stages/lives.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests.rs
@@ -5,8 +5,8 @@
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
 
-use martenlatch_ledger::{Look, Taken, Task};
 use martenlatch_settings::platform as settings;
+use martenlatch_wal::{AttemptRecord, LogInspection, MessageRecord};
 
 use super::*;
 
@@ -158,7 +158,7 @@
     state
 }
 
-type Events = calloop::EventLoop<'static, crate::key::Ready>;
+type Events = calloop::EventLoop<'static, crate::event_source::Ready>;
 
 /// A life on a folder. Without a list, discovery has still to speak.
 fn life(state: &Path, site: &str, world: &World, listed: bool, clock: &Clock) -> (Driver, Events) {
@@ -199,8 +199,13 @@
 /// One step of a life: what has come is read, a round is run, and the peers answer. False once it has gone.
 fn step(driver: &mut Driver, world: &mut World, clock: &Clock) -> bool {
     world.pump();
-    let keys = [Key::Listener, Key::Watch, Key::Notices].into_iter();
-    let keys = keys.chain((0..9).flat_map(|at| [Key::Client(at), Key::Region(at)]));
+    let keys = [
+        EventSource::Listener,
+        EventSource::Watch,
+        EventSource::Notices,
+    ]
+    .into_iter();
+    let keys = keys.chain((0..9).flat_map(|at| [EventSource::Client(at), EventSource::Region(at)]));
     let stays = driver.round(keys.collect());
     world.pump();
     clock.set(clock.now() + STEP);
@@ -222,8 +227,13 @@
 }
 
 /// What the folder holds of the transaction, if it holds it.
-fn kept(state: &Path) -> Option<Taken> {
-    Look::into(state).unwrap().past.open.into_values().next()
+fn kept(state: &Path) -> Option<MessageRecord> {
+    LogInspection::open(state)
+        .unwrap()
+        .past
+        .open
+        .into_values()
+        .next()
 }
 
 /// How a life is stopped: behind so many steps killed, or told to end and killed when its time is up.
@@ -231,11 +241,11 @@
 enum Stop {
     Kill(usize),
     Term(usize),
-    /// Between two records of its ledger.
+    /// Between two records of its wal.
     Record(usize),
 }
 
-/// Lengths of a ledger at which a kill can leave it, from the empty one on.
+/// Lengths of a wal at which a kill can leave it, from the empty one on.
 fn records(bytes: &[u8]) -> Vec<usize> {
     let (mut at, mut ends) = (8, vec![8]);
     while at + 8 <= bytes.len() {
@@ -264,24 +274,24 @@
         // A refusal is booked in the round that reads it.
         let refused = world.calls.len() == 1 && !world.calls[0].1;
         since_refused = if refused { since_refused + 1 } else { 0 };
-        let proven = kept(&state).is_none_or(|t| t.tasks.first().is_some_and(|t| t.never_ran));
+        let proven = kept(&state).is_none_or(|t| t.attempts.first().is_some_and(|t| t.never_ran));
         assert!(
             since_refused < 2 || proven,
             "{story}: a refused call never ran"
         );
         // Each record stands before anybody outside can know of what it says.
-        let (held, past) = (kept(&state), Look::into(&state).unwrap().past);
+        let (held, past) = (kept(&state), LogInspection::open(&state).unwrap().past);
         let over = !past.over.is_empty();
         assert!(
             heard.is_empty() || held.is_some() || over,
             "{story}: 202 before its record"
         );
-        let tasks = held.as_ref().map_or(0, |t| t.tasks.len());
+        let tasks = held.as_ref().map_or(0, |t| t.attempts.len());
         assert!(
             over || world.calls.len() <= tasks,
             "{story}: a call before its record"
         );
-        let ending = held.is_some_and(|t| t.ending.is_some());
+        let ending = held.is_some_and(|t| t.final_status.is_some());
         assert!(
             over || world.notices.is_empty() || ending,
             "{story}: a notice before its record"
@@ -308,7 +318,7 @@
         };
         std::fs::write(state.join("ledger"), &bytes[..end]).unwrap();
         // What the first life did behind that record is not done.
-        let done = kept(&state).map_or(0, |t| t.tasks.len());
+        let done = kept(&state).map_or(0, |t| t.attempts.len());
         world.calls.truncate(done);
         world.notices.clear();
     }
@@ -321,7 +331,10 @@
     let begun = clock.now();
     let (mut driver, _events) = life(&state, &site(9), &world, true, &clock);
     let mut left = (TIME + 4_500.0) / STEP;
-    while driver.desk.open + driver.relay.queue.len() + driver.relay.flying.len() > 0
+    while driver.store.open
+        + driver.status_reporter.queue.len()
+        + driver.status_reporter.flying.len()
+        > 0
         || left > (TIME + 4_000.0) / STEP
     {
         step(&mut driver, &mut world, &clock);
@@ -329,10 +342,10 @@
         assert!(left > 0.0, "{story}: it never ends");
     }
     let (called, told) = (world.calls.len() - calls, world.notices.len() - notices);
-    let ran = |t: &Taken| t.tasks.iter().any(|t| !t.never_ran);
+    let ran = |t: &MessageRecord| t.attempts.iter().any(|t| !t.never_ran);
     match found {
         None => assert_eq!((called, told), (0, 0), "{story}: nothing is owed"),
-        Some(t) if t.ending.is_some() => {
+        Some(t) if t.final_status.is_some() => {
             assert_eq!((called, told), (0, 1), "{story}: its notice is owed")
         }
         Some(t) if class == "debit" && ran(&t) => {
@@ -346,7 +359,7 @@
     let effects = world.calls.iter().filter(|(_, ran)| *ran).count();
     assert!(class != "debit" || effects <= 1, "{story}: a second effect");
     assert!(
-        Look::into(&state).unwrap().past.open.is_empty(),
+        LogInspection::open(&state).unwrap().past.open.is_empty(),
         "{story}: nothing is left"
     );
     std::fs::remove_dir_all(&state).unwrap();
@@ -372,19 +385,19 @@
 }
 
 /// A folder that holds transactions of an earlier life.
-fn held(story: &str, taken: impl Iterator<Item = Taken>) -> PathBuf {
+fn held(story: &str, taken: impl Iterator<Item = MessageRecord>) -> PathBuf {
     let state = folder(story);
-    let (mut ledger, _) = Ledger::open(&state, 3_000_000);
+    let (mut wal, _) = WriteAheadLog::open(&state, 3_000_000);
     for t in taken {
-        assert!(ledger.take(&t));
-        for (attempt, task) in t.tasks.iter().enumerate() {
-            assert!(ledger.route(t.no, attempt, task.sent));
+        assert!(wal.append_message(&t));
+        for (attempt, task) in t.attempts.iter().enumerate() {
+            assert!(wal.append_attempt(t.no, attempt, task.sent));
         }
     }
     state
 }
 
-fn one(no: u64, class: &str, tasks: Vec<Task>, rules: &[u8]) -> Taken {
+fn one(no: u64, class: &str, attempts: Vec<AttemptRecord>, rules: &[u8]) -> MessageRecord {
     let (id, class, body, rules) = (
         Rc::from(format!("a{no}")),
         Rc::from(class),
@@ -392,7 +405,7 @@
         Rc::from(rules),
     );
     let (deadline, key, ending) = (START + TIME, Some(Rc::from("k")), None);
-    Taken {
+    MessageRecord {
         no,
         id,
         class,
@@ -400,8 +413,8 @@
         deadline,
         key,
         body,
-        tasks,
-        ending,
+        attempts,
+        final_status: ending,
         rules,
     }
 }
@@ -424,7 +437,7 @@
         ..settings::read(&site(9)).unwrap().settings.classes[0].clone()
     };
     let rules = postcard::to_allocvec(&class).unwrap();
-    let tasks = tried.then_some(Task {
+    let tasks = tried.then_some(AttemptRecord {
         sent: START - 500.0,
         never_ran: false,
     });
@@ -439,10 +452,11 @@
     }
     assert_eq!((world.calls.len(), world.notices.len()), (calls, 1 - calls));
     // What is taken on now goes by the settings, also where that name stands for both.
-    assert_eq!(driver.desk.open, 0);
-    let current = driver.admit.promises.at(0);
+    assert_eq!(driver.store.open, 0);
+    let current = driver.admission.class_rules.at(0);
     assert!(
-        current.name.as_ref() == "debit" && driver.admit.promises.once("debit", &current.rules)
+        current.name.as_ref() == "debit"
+            && driver.admission.class_rules.once("debit", &current.rules)
     );
 }
 
@@ -476,7 +490,7 @@
         step(&mut driver, &mut world, &clock);
     }
     assert_eq!(
-        (world.calls.len(), world.notices.len(), driver.desk.open),
+        (world.calls.len(), world.notices.len(), driver.store.open),
         (1, 0, 0)
     );
 }
@@ -498,7 +512,7 @@
         }
         step(&mut driver, &mut world, &clock);
     }
-    let count = &driver.desk.counters;
+    let count = &driver.store.counters;
     println!(
         "untried {} called {} ended {}",
         count.untried, count.untried_called, count.untried_ended
--- a/crates/sender/src/stages/route.rs
+++ b/crates/sender/src/pipeline/decision.rs
@@ -5,13 +5,13 @@
 use martenlatch_policy::interface::{Action, Event};
 
 /// Owns the module: gathers a round's events, and calls it once.
-pub struct Route {
+pub struct Decision {
     pub(super) policy: Policy,
     pub(super) events: Vec<Event>,
     pub(super) wake: Option<Millis>,
 }
 
-impl Route {
+impl Decision {
     pub(super) fn turn(&mut self, now: Millis) -> Vec<Action> {
         if self.wake.is_some_and(|at| at <= now) {
             self.wake = None;
--- a/crates/sender/src/stages/send.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -4,15 +4,15 @@
 use std::net::SocketAddr;
 
 use martenlatch_clock::Millis;
-use martenlatch_ledger::Task;
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
+use martenlatch_wal::AttemptRecord;
 use tracing::debug;
 
-use super::desk::Desk;
-use crate::regions::{Call, Done, Regions};
+use super::message_store::MessageStore;
+use crate::egress::{AttemptResult, Call, Egress};
 
 /// A routed task's transaction and its goal.
-pub struct To {
+pub struct DispatchTarget {
     pub(super) id: MessageId,
     /// Its class must not be repeated once it may have run.
     pub(super) once: bool,
@@ -24,39 +24,39 @@
 }
 
 /// Carries a routed task to its region: its connection, its record, then its first byte.
-pub struct Send;
+pub struct Dispatch;
 
-impl Send {
+impl Dispatch {
     pub(super) fn send(
         &self,
-        to: To,
+        target: DispatchTarget,
         timeout: Millis,
         latest: Millis,
-        desk: &mut Desk,
-        regions: &mut Regions,
+        store: &mut MessageStore,
+        egress: &mut Egress,
         now: Millis,
     ) {
-        let To {
+        let DispatchTarget {
             id,
             once,
             region,
             kind,
             address,
-        } = to;
-        let Some(t) = desk.held.get_mut(&id.0) else {
+        } = target;
+        let Some(t) = store.held.get_mut(&id.0) else {
             return;
         };
-        let attempt = t.taken.tasks.len();
+        let attempt = t.taken.attempts.len();
         // It has not begun: its record comes once its connection is up, and before its first byte.
-        t.taken.tasks.push(Task {
+        t.taken.attempts.push(AttemptRecord {
             sent: now,
             never_ran: true,
         });
         t.out += 1;
-        desk.counters.untried_called += u64::from(std::mem::take(&mut t.untried));
+        store.counters.untried_called += u64::from(std::mem::take(&mut t.untried));
         let Some(address) = address else {
             let (attempt, outcome) = (attempt as u32, Outcome::NotSent);
-            return regions.done.push(Done {
+            return egress.results.push(AttemptResult {
                 id,
                 attempt,
                 outcome,
@@ -99,21 +99,21 @@
             head,
             body,
         };
-        regions.call(&call, address, now);
+        egress.start(&call, address, now);
     }
 
     /// Begins the calls whose connections are up. What has no record is not sent: after a crash it would be taken for one
     /// that never ran.
-    pub(super) fn begin(&self, desk: &mut Desk, regions: &mut Regions, now: Millis) {
-        let Desk { held, ledger, .. } = desk;
-        regions.begin(
+    pub(super) fn begin(&self, store: &mut MessageStore, egress: &mut Egress, now: Millis) {
+        let MessageStore { held, wal, .. } = store;
+        egress.send_ready(
             |id, attempt| {
                 let task = held
                     .get_mut(&id.0)
-                    .and_then(|t| t.taken.tasks.get_mut(attempt as usize));
-                let recorded = task.is_some() && ledger.route(id.0, attempt as usize, now);
+                    .and_then(|t| t.taken.attempts.get_mut(attempt as usize));
+                let recorded = task.is_some() && wal.append_attempt(id.0, attempt as usize, now);
                 task.filter(|_| recorded).into_iter().for_each(|t| {
-                    *t = Task {
+                    *t = AttemptRecord {
                         sent: now,
                         never_ran: false,
                     }
--- a/crates/sender/src/stages/take_in.rs
+++ b/crates/sender/src/pipeline/ingress.rs
@@ -5,9 +5,9 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 
-use crate::key::{Handle, Key, Link};
+use crate::event_source::{Connection, EventSource, Handle};
 use martenlatch_clock::Millis;
-use martenlatch_http::pool::Pool;
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_http::{self as http, Parsed};
 use martenlatch_settings::program::Clients;
 use serde::{Deserialize, Serialize};
@@ -15,7 +15,7 @@
 use tracing::warn;
 
 use crate::counters::Counters;
-use crate::spread::Spread;
+use crate::jitter::Jitter;
 
 /// One that has just connected is about to ask; past this it is the first to make room.
 pub(super) const NEWCOMER: Millis = 300.0;
@@ -38,8 +38,8 @@
 
 /// A connection; passed to a later process, what goes with it stands in its place.
 #[derive(Serialize, Deserialize)]
-pub struct Client<L = Link> {
-    pub(super) link: L,
+pub struct Client<L = Connection> {
+    pub(super) connection: L,
     /// Waits for the answer to its request.
     pub(super) busy: bool,
     pub(super) close: bool,
@@ -55,7 +55,7 @@
 }
 
 impl<L> Client<L> {
-    pub(super) fn with<M>(&self, link: M) -> Client<M> {
+    pub(super) fn with<M>(&self, connection: M) -> Client<M> {
         let Client {
             busy,
             close,
@@ -67,7 +67,7 @@
             ..
         } = *self;
         Client {
-            link,
+            connection,
             busy,
             close,
             continued,
@@ -80,7 +80,7 @@
 }
 
 /// What a client has handed in.
-pub struct HandedIn {
+pub struct IncomingMessage {
     pub(super) client: usize,
     pub(super) id: Rc<str>,
     pub(super) class: usize,
@@ -91,11 +91,11 @@
 }
 
 /// Owns the clients' connections; reads requests and writes answers. Knows paths and classes, not their meaning.
-pub struct TakeIn {
+pub struct Ingress {
     pub(super) listener: Option<Rc<TcpListener>>,
     pub(super) token: Option<calloop::RegistrationToken>,
     pub(super) handle: Handle,
-    pub(super) pool: Pool,
+    pub(super) pool: BufferPool,
     pub(super) clients: Slab<Client>,
     pub(super) most: usize,
     /// A client may take so long over a request, the first one counted from its connection: an error or a close is
@@ -106,15 +106,15 @@
     pub(super) next_sweep: Millis,
     /// Accepting rests after running out of descriptors.
     pub(super) accept_at: Option<Millis>,
-    pub(super) ending: bool,
+    pub(super) final_status: bool,
     /// Classes of those that were turned away over half a request, since these were last looked at.
     pub(super) cut_off: Vec<usize>,
-    pub(super) spread: Spread,
+    pub(super) jitter: Jitter,
     /// The longest advice that a client follows; none where none may be given.
     pub(super) advice: Option<Millis>,
 }
 
-impl Drop for TakeIn {
+impl Drop for Ingress {
     /// Lets go of the listener. Guards the address: the loop would hold it on behalf of a take-over that broke off.
     fn drop(&mut self) {
         self.token
@@ -124,7 +124,7 @@
     }
 }
 
-impl TakeIn {
+impl Ingress {
     pub(super) fn accept(&mut self, now: Millis, counters: &mut Counters) -> bool {
         self.accept_at = None;
         let Some(listener) = self.listener.clone() else {
@@ -138,14 +138,17 @@
                         self.evict(now, true);
                     }
                     let entry = self.clients.vacant_entry();
-                    if let Ok(link) =
-                        Link::new(stream, &self.handle, &self.pool, Key::Client(entry.key()))
-                    {
+                    if let Ok(connection) = Connection::new(
+                        stream,
+                        &self.handle,
+                        &self.pool,
+                        EventSource::Client(entry.key()),
+                    ) {
                         let (busy, close, continued, served, closing) =
                             (false, false, false, false, false);
                         let (since, drained) = (now, 0);
                         entry.insert(Client {
-                            link,
+                            connection,
                             busy,
                             close,
                             continued,
@@ -180,7 +183,7 @@
     fn who_goes_first(&self, now: Millis) -> Vec<(u8, Millis, usize)> {
         let place = |c: &Client| match () {
             () if c.closing => 0,
-            () if !c.link.bytes().is_empty() => 4,
+            () if !c.connection.bytes().is_empty() => 4,
             () if c.served => 2,
             () if now > c.since + NEWCOMER => 1,
             () => 3,
@@ -208,8 +211,8 @@
         }
         for (place, _, at) in order.iter().skip(if lingers { answered } else { 0 }) {
             let client = &mut self.clients[*at];
-            client.link.fill();
-            if client.closing || client.link.bytes().is_empty() {
+            client.connection.receive();
+            if client.closing || client.connection.bytes().is_empty() {
                 self.clients.remove(*at);
                 return;
             }
@@ -228,7 +231,7 @@
 
     /// Turns away a client over half a request.
     fn turn_away(&mut self, at: usize, now: Millis) {
-        let begun = std::str::from_utf8(self.clients[at].link.bytes()).unwrap_or("");
+        let begun = std::str::from_utf8(self.clients[at].connection.bytes()).unwrap_or("");
         // Its class is known once its path is there, with the space behind it.
         let path = begun
             .split_once(' ')
@@ -241,7 +244,7 @@
 
     /// The last look before the process goes: who has begun a request has an answer, as its last byte may be on the way.
     pub(super) fn turn_all_away(&mut self, now: Millis) {
-        let begun = |c: &Client| !c.closing && !c.busy && !c.link.bytes().is_empty();
+        let begun = |c: &Client| !c.closing && !c.busy && !c.connection.bytes().is_empty();
         let begun: Vec<usize> = self
             .clients
             .iter()
@@ -256,25 +259,25 @@
         &mut self,
         at: usize,
         now: Millis,
-        out: &mut Vec<HandedIn>,
+        out: &mut Vec<IncomingMessage>,
         counters: &mut Counters,
     ) -> bool {
         let Some(client) = self.clients.get_mut(at) else {
             return false;
         };
-        client.link.flush();
-        let quiet = client.link.bytes().is_empty();
-        let more = client.link.fill();
-        if quiet && client.served && !client.closing && !client.link.bytes().is_empty() {
+        client.connection.flush();
+        let quiet = client.connection.bytes().is_empty();
+        let more = client.connection.receive();
+        if quiet && client.served && !client.closing && !client.connection.bytes().is_empty() {
             // The time of a request counts from its first byte, not from the last one's end; that of a first
             // one from the connection.
             client.since = now;
         }
         if client.closing {
-            let rest = client.link.bytes().len();
-            client.link.used(rest);
+            let rest = client.connection.bytes().len();
+            client.connection.consume(rest);
             client.drained += rest;
-            if client.link.eof || client.link.broken || client.drained > LINGER_BYTES {
+            if client.connection.eof || client.connection.broken || client.drained > LINGER_BYTES {
                 self.clients.remove(at);
                 return false;
             }
@@ -283,13 +286,13 @@
         if client.busy {
             return false;
         }
-        if client.link.broken {
-            counters.left += u64::from(!client.link.bytes().is_empty());
+        if client.connection.broken {
+            counters.left += u64::from(!client.connection.bytes().is_empty());
             self.clients.remove(at);
             return false;
         }
-        if client.link.bytes().is_empty() {
-            if client.link.eof {
+        if client.connection.bytes().is_empty() {
+            if client.connection.eof {
                 self.clients.remove(at);
                 return false;
             }
@@ -298,30 +301,30 @@
             }
             return false;
         }
-        match http::request(client.link.bytes()) {
+        match http::parse_request(client.connection.bytes()) {
             Parsed::Partial(waits) => {
-                if client.link.eof {
+                if client.connection.eof {
                     self.clients.remove(at);
                 } else if waits && !client.continued {
                     client.continued = true;
-                    client.link.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
-                    client.link.flush();
+                    client.connection.queue(b"HTTP/1.1 100 Continue\r\n\r\n");
+                    client.connection.flush();
                 }
                 return more;
             }
-            Parsed::Bad(status) => {
+            Parsed::Invalid(status) => {
                 client.close = true;
                 counters.bad += 1;
                 self.answer(at, status, "", now);
                 return true;
             }
-            Parsed::Whole(request) => {
-                client.link.used(request.used);
+            Parsed::Complete(request) => {
+                client.connection.consume(request.consumed);
                 (client.since, client.continued) = (now, false);
-                client.close = request.close || client.link.eof || self.ending;
+                client.close = request.close || client.connection.eof || self.final_status;
                 // Clients ask one at a time. What stands behind a request belongs to it, so that its length is
                 // wrong, or it is a flood; taking it on would cut the body, or carry what hides in one.
-                let alone = client.link.bytes().is_empty();
+                let alone = client.connection.bytes().is_empty();
                 match if alone {
                     self.meaning(&request, at, now)
                 } else {
@@ -358,7 +361,7 @@
         request: &http::Request,
         client: usize,
         now: Millis,
-    ) -> Result<HandedIn, u16> {
+    ) -> Result<IncomingMessage, u16> {
         let path = request.path.split(['?', '#']).next().unwrap_or("");
         if path == "/healthz" {
             return Err(if matches!(request.method.as_str(), "GET" | "HEAD") {
@@ -395,7 +398,7 @@
             return Err(400);
         }
         let (deadline, body) = (now + left * 1e3, request.body.clone());
-        Ok(HandedIn {
+        Ok(IncomingMessage {
             client,
             id,
             class,
@@ -418,15 +421,19 @@
             return false;
         };
         client.busy = false;
-        client.close |= self.ending;
-        let queued = client.link.queue(&http::reply(status, extra, client.close));
-        client.link.flush();
+        client.close |= self.final_status;
+        let queued = client
+            .connection
+            .queue(&http::encode_response(status, extra, client.close));
+        client.connection.flush();
         // An end of its sending may be all, or it may have left: then our answer was reset at once.
-        let gone = !queued || client.link.broken || (client.link.eof && client.link.reset());
+        let gone = !queued
+            || client.connection.broken
+            || (client.connection.eof && client.connection.peer_reset());
         if gone {
             self.clients.remove(at);
         } else if client.close {
-            client.link.end_sending();
+            client.connection.shutdown_write();
             (client.closing, client.since) = (true, now);
         }
         !gone
@@ -436,7 +443,7 @@
     pub(super) fn busy(&mut self, at: usize, now: Millis) {
         let again = self.advice.filter(|most| *most > 0.0).map(|most| {
             let least = AGAIN.min(most * 0.75);
-            (least + self.spread.up_to((AGAIN * 1.5).min(most) - least)) / 1e3
+            (least + self.jitter.up_to((AGAIN * 1.5).min(most) - least)) / 1e3
         });
         self.answer(
             at,
@@ -455,26 +462,26 @@
 
     /// How many connections there are; closes those without a request until there are at most so many. A client whose
     /// request crosses this sends it once more.
-    pub(super) fn lighten(&mut self, most: usize, now: Millis) -> usize {
+    pub(super) fn close_idle_connections(&mut self, most: usize, now: Millis) -> usize {
         for (_, _, at) in self.who_goes_first(now) {
             if self.clients.len() <= most {
                 break;
             }
             let client = &mut self.clients[at];
-            client.link.fill();
-            if client.closing || client.link.bytes().is_empty() {
+            client.connection.receive();
+            if client.closing || client.connection.bytes().is_empty() {
                 self.clients.remove(at);
             }
         }
         self.clients.len()
     }
 
-    pub(super) fn due(&self) -> Millis {
+    pub(super) fn next_deadline(&self) -> Millis {
         self.next_sweep.min(self.accept_at.unwrap_or(f64::INFINITY))
     }
 
     /// Ends connections that are over their time. Returns those that had just asked after all.
-    pub(super) fn sweep(&mut self, now: Millis) -> Vec<Key> {
+    pub(super) fn sweep(&mut self, now: Millis) -> Vec<EventSource> {
         let (mut slow, mut asked) = (Vec::new(), Vec::new());
         if now < self.next_sweep {
             return asked;
@@ -486,7 +493,7 @@
             if c.closing {
                 return age <= LINGER;
             }
-            let begun = !c.link.bytes().is_empty();
+            let begun = !c.connection.bytes().is_empty();
             if c.busy
                 || age
                     <= if c.served && !begun {
@@ -501,10 +508,10 @@
                 slow.push(at);
                 return true;
             }
-            c.link.fill();
-            let asks = !c.link.bytes().is_empty();
+            c.connection.receive();
+            let asks = !c.connection.bytes().is_empty();
             if asks {
-                asked.push(Key::Client(at));
+                asked.push(EventSource::Client(at));
             }
             asks
         });
@@ -517,7 +524,7 @@
 
     /// Takes no more connections, once those that wait are in, and closes those between requests. Returns the ones
     /// whose requests still want an answer.
-    pub(super) fn stop(&mut self, now: Millis, counters: &mut Counters) -> Vec<Key> {
+    pub(super) fn stop(&mut self, now: Millis, counters: &mut Counters) -> Vec<EventSource> {
         if let Some(token) = self.token.take() {
             while self.accept(now, counters) {}
             self.handle.remove(token);
@@ -525,12 +532,12 @@
         self.listener = None;
         let mut wanted = Vec::new();
         self.clients.retain(|at, c| {
-            let had = c.link.bytes().len();
-            c.link.fill();
-            let asks = !c.closing && !c.link.bytes().is_empty();
+            let had = c.connection.bytes().len();
+            c.connection.receive();
+            let asks = !c.closing && !c.connection.bytes().is_empty();
             // Half a request is looked at again only once more of it has come: the loop must not spin on it.
-            if asks && c.link.bytes().len() > had {
-                wanted.push(Key::Client(at));
+            if asks && c.connection.bytes().len() > had {
+                wanted.push(EventSource::Client(at));
             }
             // One that has just come may have its request on the way.
             asks || c.busy || c.closing || now < c.since + SWEEP
--- a/crates/sender/src/stages/desk.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -1,14 +1,14 @@
 //! Owns what the stages share: the transactions that are not over, by number and by id. It must never lose one that
-//! the ledger holds, nor keep one that is over and has no routed task out.
+//! the wal holds, nor keep one that is over and has no routed task out.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
 use martenlatch_clock::Millis;
-use martenlatch_ledger::{Ledger, Taken};
+use martenlatch_wal::{MessageRecord, WriteAheadLog};
 
+use crate::class_metrics::ClassMetrics;
 use crate::counters::Counters;
-use crate::figures::Figures;
 
 #[derive(Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum State {
@@ -19,8 +19,8 @@
 }
 
 /// A transaction that we have taken on.
-pub struct Transaction {
-    pub(super) taken: Taken,
+pub struct StoredMessage {
+    pub(super) taken: MessageRecord,
     pub(super) state: State,
     /// Routed tasks without an outcome.
     pub(super) out: u32,
@@ -29,29 +29,29 @@
 }
 
 /// What the stages share: the transactions that are not over.
-pub struct Desk {
-    pub(super) held: BTreeMap<u64, Transaction>,
+pub struct MessageStore {
+    pub(super) held: BTreeMap<u64, StoredMessage>,
     pub(super) numbers: HashMap<Rc<str>, u64>,
     /// The open ones by deadline: positive numbers keep their order as bits.
-    pub(super) due: BTreeSet<(u64, u64)>,
+    pub(super) by_deadline: BTreeSet<(u64, u64)>,
     pub(super) open: usize,
     pub(super) next: u64,
-    pub(super) ledger: Ledger,
+    pub(super) wal: WriteAheadLog,
     pub(super) counters: Counters,
-    pub(super) figures: Figures,
+    pub(super) class_metrics: ClassMetrics,
 }
 
-impl Desk {
-    pub(super) fn insert(&mut self, taken: Taken, state: State) {
+impl MessageStore {
+    pub(super) fn insert(&mut self, taken: MessageRecord, state: State) {
         self.numbers.insert(taken.id.clone(), taken.no);
         if state == State::Open {
             self.open += 1;
-            self.due
+            self.by_deadline
                 .insert((taken.deadline.max(0.0).to_bits(), taken.no));
         }
         self.held.insert(
             taken.no,
-            Transaction {
+            StoredMessage {
                 taken,
                 state,
                 out: 0,
@@ -67,19 +67,20 @@
         };
         if t.state == State::Open {
             self.open -= 1;
-            self.due.remove(&(t.taken.deadline.max(0.0).to_bits(), no));
+            self.by_deadline
+                .remove(&(t.taken.deadline.max(0.0).to_bits(), no));
         }
         t.state = to;
         if to == State::Over {
-            self.ledger.over(no, &t.taken.id);
+            self.wal.append_closed(no, &t.taken.id);
         }
         self.forget(no);
     }
 
     /// Takes the open transaction whose deadline is first out of the order, if that is before an instant.
     pub(super) fn take_due(&mut self, before: Millis) -> Option<u64> {
-        let first = *self.due.first()?;
-        (f64::from_bits(first.0) < before && self.due.remove(&first)).then_some(first.1)
+        let first = *self.by_deadline.first()?;
+        (f64::from_bits(first.0) < before && self.by_deadline.remove(&first)).then_some(first.1)
     }
 
     pub(super) fn forget(&mut self, no: u64) {
--- a/crates/sender/src/stages/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -2,16 +2,18 @@
 //! once a round. It must never decide what the module decides; only the driver speaks with the module, in types
 //! that know no protocol, so that another protocol can stand before the same decisions.
 
-mod admit;
-mod book;
-mod desk;
-mod estate;
+mod admission;
 #[cfg(test)]
-mod lives;
-mod relay;
-mod route;
-mod send;
-mod take_in;
+mod compatibility_tests;
+mod completion;
+#[cfg(test)]
+mod crash_recovery_tests;
+mod decision;
+mod dispatch;
+mod ingress;
+mod message_store;
+mod process_state;
+mod status_reports;
 #[cfg(test)]
 mod tests;
 
@@ -19,36 +21,36 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 
-use crate::key::{Fds, Handle, Key};
+use crate::event_source::{EventSource, Handle, InheritedDescriptors};
 use martenlatch_clock::{Clock, Millis, millis, nanos};
 use martenlatch_http as http;
-use martenlatch_http::pool::Pool;
-use martenlatch_ledger::{Ledger, Notice, Past};
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     Action, EndpointId, EndpointState, Event, Idempotency, MessageClass, MessageId, Outcome,
 };
+use martenlatch_wal::{FinalStatus, RecoveredState, WriteAheadLog};
 use slab::Slab;
 use tracing::{debug, error, info, warn};
 
 use crate::Config;
+use crate::class_metrics::{ClassMetrics, Gauges};
+use crate::class_rules::ClassRules;
+use crate::cordons::Cordons;
 use crate::counters::Counters;
-use crate::figures::{Figures, Present};
-use crate::hand::Hand;
+use crate::discovery::{Change, EndpointDirectory};
+use crate::egress::Egress;
+use crate::jitter::Jitter;
 use crate::operator::{self, Call, Operators};
-use crate::peers::Peers;
-use crate::promises::Promises;
-use crate::regions::Regions;
-use crate::spread::Spread;
-use crate::table::{Change, Table};
-use admit::Admit;
-use book::Book;
-use desk::Desk;
-pub use estate::Estate;
-use relay::{NOTICES, RETRY, Relay};
-use route::Route;
-use send::{Send, To};
-use take_in::TakeIn;
+use crate::peer_service::Peers;
+use admission::Admission;
+use completion::Completion;
+use decision::Decision;
+use dispatch::{Dispatch, DispatchTarget};
+use ingress::Ingress;
+use message_store::MessageStore;
+pub use process_state::ProcessState;
+use status_reports::{NOTICES, RETRY, StatusReporter};
 
 /// SIGTERM: so long work is still taken on, and so long in all, as SIGKILL comes 3.7 s after it at the earliest.
 const LAST_WORK: Millis = 600.0;
@@ -62,10 +64,10 @@
 
 /// What a process starts with.
 pub enum Start {
-    /// Its own listener; the ledger holds what earlier lives have left.
+    /// Its own listener; the wal holds what earlier lives have left.
     Fresh(TcpListener),
     /// All that the process before it was, and its descriptors, those of the listener first.
-    Passed(Box<Estate<Policy>>, Fds),
+    Passed(Box<ProcessState<Policy>>, InheritedDescriptors),
 }
 
 /// Runs the chain, a round at a time.
@@ -79,22 +81,22 @@
     clock: Clock,
     handle: Handle,
     /// Buffers for what the sender owes, the watch and the notices: calls to regions must not take their last one.
-    own: Pool,
-    take_in: TakeIn,
-    admit: Admit,
-    route: Route,
-    send: Send,
-    relay: Relay,
-    book: Book,
-    desk: Desk,
-    regions: Regions,
-    table: Table,
+    own: BufferPool,
+    ingress: Ingress,
+    admission: Admission,
+    decision: Decision,
+    dispatch: Dispatch,
+    status_reporter: StatusReporter,
+    completion: Completion,
+    store: MessageStore,
+    egress: Egress,
+    directory: EndpointDirectory,
     /// Where operators call, if anywhere.
     operators: Option<Operators>,
     /// Other senders, where these know one another.
     peers: Option<Peers>,
     /// Sockets that had more to read than one round takes.
-    again: Vec<Key>,
+    again: Vec<EventSource>,
     /// When the sender was told to end.
     told_to_end: Option<Millis>,
 }
@@ -109,8 +111,8 @@
     ) -> Result<Driver, String> {
         let boot = &config.boot;
         let mut set = boot.settings.clone();
-        set.max_attempts = set.max_attempts.min(martenlatch_ledger::TASKS as u32);
-        let mut promises = Promises::new(&boot.classes, &set.classes);
+        set.max_attempts = set.max_attempts.min(martenlatch_wal::MAX_ATTEMPTS as u32);
+        let mut class_rules = ClassRules::new(&boot.classes, &set.classes);
         // Half of the descriptors for clients: the rest is for regions, discovery and files. Clients have buffers
         // of their own, two each, so that slow ones cannot starve the regions.
         let callers = if config.operator.is_some() {
@@ -118,49 +120,51 @@
         } else {
             0
         };
-        let buffers = (config.memory / 2 / http::pool::SIZE as u64) as usize;
+        let buffers = (config.memory / 2 / http::buffer_pool::BUFFER_SIZE as u64) as usize;
         let buffers = buffers.saturating_sub(2 * callers);
         let most = (config.sockets / 2)
             .saturating_sub(callers)
             .min(buffers / 3)
             .max(1);
         let left = buffers - 2 * most.min(buffers / 3);
-        let (own, clients_pool) = (Pool::new(OWN), Pool::new(2 * most));
-        let pool = Pool::new(left.saturating_sub(OWN).max(1));
+        let (own, clients_pool) = (BufferPool::new(OWN), BufferPool::new(2 * most));
+        let pool = BufferPool::new(left.saturating_sub(OWN).max(1));
         let failed = |e: std::io::Error| format!("what was passed cannot be taken up: {e}");
         let unusable = |e| format!("settings: {e}");
-        let (listener, policy, ledger, past, passed) = match start {
+        let (listener, policy, wal, past, passed) = match start {
             Start::Fresh(listener) => {
-                let (ledger, past) = Ledger::open(&config.state, config.disk);
+                let (wal, past) = WriteAheadLog::open(&config.state, config.disk);
                 for t in past.open.values() {
-                    promises.keep(&t.class, &t.rules, &mut set);
+                    class_rules.keep(&t.class, &t.rules, &mut set);
                 }
                 let policy = Policy::new(set.clone(), config.seed).map_err(unusable)?;
-                (listener, policy, ledger, past, None)
+                (listener, policy, wal, past, None)
             }
-            Start::Passed(estate, mut fds) => {
+            Start::Passed(process_state, mut fds) => {
                 let listener = TcpListener::from(fds.take().map_err(failed)?);
-                let (policy, place, mut estate) = estate.split();
-                let passed = std::mem::replace(&mut estate.promises, Promises::new(&[], &[]));
-                let carried = promises.carried_on(passed, &mut set);
-                promises = carried.ok_or(
+                let (policy, place, mut process_state) = process_state.split();
+                let passed =
+                    std::mem::replace(&mut process_state.class_rules, ClassRules::new(&[], &[]));
+                let snapshot = class_rules.restore(passed, &mut set);
+                class_rules = snapshot.ok_or(
                     "settings: classes with other rules than those of the process that serves",
                 )?;
-                let policy = policy.carried_on(set.clone()).map_err(unusable)?;
-                let ledger = Ledger::carried_on(&config.state, config.disk, place, estate.open());
-                let mut past = Past::default();
-                past.next = estate.next;
+                let policy = policy.restore(set.clone()).map_err(unusable)?;
+                let wal =
+                    WriteAheadLog::restore(&config.state, config.disk, place, process_state.open());
+                let mut past = RecoveredState::default();
+                past.next = process_state.next;
                 (
                     listener,
                     policy,
-                    ledger.map_err(failed)?,
+                    wal.map_err(failed)?,
                     past,
-                    Some((estate, fds)),
+                    Some((process_state, fds)),
                 )
             }
         };
-        let (listener, spread) = (Rc::new(listener), Spread::new(config.seed));
-        let token = http::register(handle, listener.clone(), Key::Listener)
+        let (listener, jitter) = (Rc::new(listener), Jitter::new(config.seed));
+        let token = http::register(handle, listener.clone(), EventSource::Listener)
             .map_err(|e| format!("listen: cannot watch the socket: {e}"))?;
         let keyed = |c: &MessageClass| matches!(c.idempotency, Idempotency::IdempotencyKey { .. });
         let classes = boot
@@ -169,7 +173,7 @@
             .cloned()
             .zip(boot.settings.classes.iter().map(keyed))
             .collect();
-        let take_in = TakeIn {
+        let ingress = Ingress {
             listener: Some(listener),
             token: Some(token),
             handle: handle.clone(),
@@ -180,74 +184,74 @@
             classes,
             next_sweep: 0.0,
             accept_at: None,
-            ending: false,
+            final_status: false,
             cut_off: Vec::new(),
-            spread: spread.clone(),
+            jitter: jitter.clone(),
             advice: set.max_retry_after.map(millis),
         };
         let (next, counters) = (past.next, Counters::default());
         let (held, numbers) = (BTreeMap::new(), HashMap::new());
-        let figures = Figures::new(&boot.classes);
-        let mut desk = Desk {
+        let class_metrics = ClassMetrics::new(&boot.classes);
+        let mut store = MessageStore {
             held,
             numbers,
-            due: BTreeSet::new(),
+            by_deadline: BTreeSet::new(),
             open: 0,
             next,
-            ledger,
+            wal,
             counters,
-            figures,
+            class_metrics,
         };
-        let mut relay = Relay {
+        let mut status_reporter = StatusReporter {
             platform: config.discovery,
             handle: handle.clone(),
             pool: own.clone(),
-            link: None,
+            connection: None,
             queue: VecDeque::new(),
             flying: Vec::new(),
             sent: 0.0,
             next_try: 0.0,
             pause: RETRY.0,
             batch: NOTICES,
-            spread: spread.clone(),
+            jitter: jitter.clone(),
         };
-        let admit = Admit {
+        let admission = Admission {
             max_held: set.max_held,
             classes: boot.classes.clone(),
-            promises,
+            class_rules,
         };
         let resumed = past
             .open
             .into_values()
-            .filter_map(|t| admit.resume(t, &mut desk, &mut relay))
+            .filter_map(|t| admission.resume(t, &mut store, &mut status_reporter))
             .collect();
         let mut driver = Driver {
-            names: estate::names(&config),
+            names: process_state::names(&config),
             listen: config.listen,
             sockets: config.sockets,
-            admit,
-            route: Route {
+            admission,
+            decision: Decision {
                 policy,
                 events: Vec::new(),
                 wake: None,
             },
-            send: Send,
-            relay,
-            book: Book,
-            desk,
-            take_in,
-            regions: Regions::new(
+            dispatch: Dispatch,
+            status_reporter,
+            completion: Completion,
+            store,
+            ingress,
+            egress: Egress::new(
                 handle,
                 &pool,
                 (config.sockets / 3).max(set.max_in_flight),
                 millis(set.connect_timeout),
                 millis(set.idle_timeout),
             ),
-            table: Table::new(
+            directory: EndpointDirectory::new(
                 config.discovery,
                 boot,
-                Hand::open(&config.state, config.disk),
-                spread,
+                Cordons::open(&config.state, config.disk),
+                jitter,
             ),
             operators: None,
             peers,
@@ -257,21 +261,23 @@
             handle: handle.clone(),
             own,
         };
-        if let Some((estate, mut fds)) = passed {
-            driver.carry_on(estate, &mut fds).map_err(failed)?;
+        if let Some((process_state, mut fds)) = passed {
+            driver
+                .restore_state(process_state, &mut fds)
+                .map_err(failed)?;
             return Ok(driver);
         }
         if config.known.is_object()
-            && let Some(known) = driver.table.line(&config.known)
+            && let Some(known) = driver.directory.apply(&config.known)
         {
             driver.listed(Change {
                 whole: true,
                 ..known
             });
-            driver.table.calm(driver.clock.now());
+            driver.directory.delay_first_watch(driver.clock.now());
         }
-        driver.route.events.extend::<Vec<Event>>(resumed);
-        info!(name = %config.name, resumed = driver.desk.counters.resumed, "started");
+        driver.decision.events.extend::<Vec<Event>>(resumed);
+        info!(name = %config.name, resumed = driver.store.counters.resumed, "started");
         Ok(driver)
     }
 
@@ -306,7 +312,7 @@
         };
         let whole = change.whole;
         let now = self.clock.now();
-        self.regions.hold_back(
+        self.egress.cancel_unsent(
             |_, region| if whole { !on(&region) } else { off(&region) },
             now,
         );
@@ -316,50 +322,52 @@
             debug!(region, destination, stage = ?e.stage, weight = e.weight, whole, "listed");
         }
         // What others know of a route is told in the turn that lists it: before anything can be sent there.
-        let table = &self.table;
-        let hearsay = self
+        let directory = &self.directory;
+        let gossip = self
             .peers
             .as_mut()
-            .map(|p| p.hearsay(&entries, &|region| table.name(region), now));
-        self.route.events.push(if whole {
+            .map(|p| p.gossip(&entries, &|region| directory.endpoint_name(region), now));
+        self.decision.events.push(if whole {
             Event::EndpointList(entries)
         } else {
             Event::EndpointChanges(entries)
         });
-        self.route.events.extend(hearsay.into_iter().flatten());
+        self.decision.events.extend(gossip.into_iter().flatten());
     }
 
     /// How long the loop may sleep, in milliseconds.
     pub fn sleep(&self) -> Millis {
         // Who waits for a buffer is looked at again soon, but not in a busy loop.
-        let spent = [&self.take_in.pool, &self.regions.pool, &self.own]
+        let spent = [&self.ingress.pool, &self.egress.pool, &self.own]
             .into_iter()
-            .any(Pool::spent);
+            .any(BufferPool::spent);
         if !self.again.is_empty()
             && spent
-            && self.route.events.is_empty()
-            && self.regions.done.is_empty()
+            && self.decision.events.is_empty()
+            && self.egress.results.is_empty()
         {
             return WANTS;
         }
-        if !self.again.is_empty() || !self.route.events.is_empty() || !self.regions.done.is_empty()
+        if !self.again.is_empty()
+            || !self.decision.events.is_empty()
+            || !self.egress.results.is_empty()
         {
             return 0.0;
         }
         let dues = [
-            self.regions.due(),
-            self.table.due(),
-            self.relay.due(),
-            self.take_in.due(),
+            self.egress.next_deadline(),
+            self.directory.next_deadline(),
+            self.status_reporter.next_deadline(),
+            self.ingress.next_deadline(),
         ];
-        let due = dues
+        let next_deadline = dues
             .into_iter()
-            .chain(self.route.wake)
-            .chain(self.operators.as_ref().map(Operators::due))
-            .chain(self.peers.as_ref().map(Peers::due))
+            .chain(self.decision.wake)
+            .chain(self.operators.as_ref().map(Operators::next_deadline))
+            .chain(self.peers.as_ref().map(Peers::next_deadline))
             .fold(f64::INFINITY, f64::min);
         // Near its end the sender must not sleep past the instants at which it stops and goes.
-        (due - self.clock.now()).clamp(
+        (next_deadline - self.clock.now()).clamp(
             0.0,
             if self.told_to_end.is_some() {
                 20.0
@@ -370,29 +378,31 @@
     }
 
     pub fn print_counters(&mut self) {
-        self.desk.counters.connections = self.regions.opened;
+        self.store.counters.connections = self.egress.connections_opened;
         if let Some(peers) = &self.peers {
             peers.print_counters();
         }
         info!(
             "counters held={} open={}{}",
-            self.desk.held.len(),
-            self.desk.open,
-            self.desk.counters
+            self.store.held.len(),
+            self.store.open,
+            self.store.counters
         );
         let present = self.present();
-        self.desk.figures.print(&present);
+        self.store.class_metrics.print(&present);
     }
 
     /// What is held and listed now, with all counted that has happened.
-    fn present(&mut self) -> Present {
+    fn present(&mut self) -> Gauges {
         self.count();
         let unhealthy =
-            |(region, out): &(EndpointId, bool)| *out || self.route.policy.is_avoided(*region);
+            |(region, out): &(EndpointId, bool)| *out || self.decision.policy.is_avoided(*region);
         let (healthy, rest): (Vec<_>, Vec<_>) =
-            self.table.listed().partition(|row| !unhealthy(row));
-        Present {
-            current: self.desk.open + self.relay.queue.len() + self.relay.flying.len(),
+            self.directory.endpoints().partition(|row| !unhealthy(row));
+        Gauges {
+            current: self.store.open
+                + self.status_reporter.queue.len()
+                + self.status_reporter.flying.len(),
             cluster_size: healthy.len() + rest.len(),
             cluster_unhealthy: rest.len(),
         }
@@ -400,23 +410,23 @@
 
     /// Counts what was written whole, and who was turned away over half a request, since the last look.
     fn count(&mut self) {
-        for id in std::mem::take(&mut self.regions.written) {
-            let class = self.desk.held.get(&id.0).map(|t| &t.taken.class);
+        for id in std::mem::take(&mut self.egress.sent) {
+            let class = self.store.held.get(&id.0).map(|t| &t.taken.class);
             class
-                .and_then(|c| self.desk.figures.of(c))
+                .and_then(|c| self.store.class_metrics.of(c))
                 .into_iter()
                 .for_each(|g| g.sends += 1);
         }
-        for class in std::mem::take(&mut self.take_in.cut_off) {
-            self.desk.counters.turned_away += 1;
-            let group = self.desk.figures.of(&self.admit.classes[class]);
+        for class in std::mem::take(&mut self.ingress.cut_off) {
+            self.store.counters.turned_away += 1;
+            let group = self.store.class_metrics.of(&self.admission.classes[class]);
             group.into_iter().for_each(|g| g.deferred += 1);
         }
     }
 
     /// An operator takes a region out or puts it back: on disk and in the module's next turn before the yes.
-    fn by_hand(&mut self, id: &str, out: bool) -> Result<String, String> {
-        let change = self.table.by_hand(id, out)?;
+    fn set_cordon(&mut self, id: &str, out: bool) -> Result<String, String> {
+        let change = self.directory.set_cordon(id, out)?;
         let changed = change.is_some();
         change.into_iter().for_each(|c| self.listed(c));
         info!(id, out, changed, "by hand");
@@ -426,16 +436,19 @@
     /// What an operator's call is answered.
     fn called(&mut self, call: Result<Call, String>) -> String {
         let said = call.and_then(|call| match call {
-            Call::Health if self.take_in.listener.is_none() || self.told_to_end.is_some() => {
+            Call::Health if self.ingress.listener.is_none() || self.told_to_end.is_some() => {
                 Err("ending: no more clients are taken".into())
             }
             Call::Health => Ok("serving\n".into()),
             Call::Counters => {
                 let present = self.present();
-                Ok(format!("figures\n{}", self.desk.figures.text(&present)))
+                Ok(format!(
+                    "figures\n{}",
+                    self.store.class_metrics.text(&present)
+                ))
             }
-            Call::Cordon(id) => self.by_hand(&id, true),
-            Call::Uncordon(id) => self.by_hand(&id, false),
+            Call::Cordon(id) => self.set_cordon(&id, true),
+            Call::Uncordon(id) => self.set_cordon(&id, false),
         });
         operator::said(said)
     }
@@ -447,9 +460,9 @@
             Ok(config) => {
                 let now = self.clock.now();
                 info!(discovery = %config.discovery, "configuration read");
-                if config.discovery != self.relay.platform {
-                    self.relay.move_to(config.discovery, now);
-                    self.table.move_to(config.discovery, now);
+                if config.discovery != self.status_reporter.platform {
+                    self.status_reporter.move_to(config.discovery, now);
+                    self.directory.move_to(config.discovery, now);
                 }
             }
             Err(e) => warn!(reason = %e, "configuration kept"),
@@ -460,33 +473,33 @@
     pub fn end(&mut self) {
         if self.told_to_end.is_none() {
             let now = self.clock.now();
-            info!(open = self.desk.open, "ending");
+            info!(open = self.store.open, "ending");
             self.told_to_end = Some(now);
-            self.take_in.ending = true;
+            self.ingress.final_status = true;
             if let Some(peers) = &mut self.peers {
                 peers.leave();
             }
-            self.route
+            self.decision
                 .events
                 .push(Event::ShutdownDeadline(nanos(now + LAST_CALL)));
         }
     }
 
     /// One round: what is ready, what is due, one turn, its actions. False once the sender may exit.
-    pub fn round(&mut self, mut ready: Vec<Key>) -> bool {
+    pub fn round(&mut self, mut ready: Vec<EventSource>) -> bool {
         let now = self.clock.now();
-        self.desk.counters.rounds += 1;
+        self.store.counters.rounds += 1;
         let mut handed = Vec::new();
         ready.append(&mut self.again);
         ready.sort_unstable();
         ready.dedup();
-        if self.take_in.accept_at.is_some_and(|at| at <= now) {
-            ready.push(Key::Listener);
+        if self.ingress.accept_at.is_some_and(|at| at <= now) {
+            ready.push(EventSource::Listener);
         }
         for key in ready {
             let more = match key {
-                Key::Operators => self.operators.as_mut().is_some_and(|o| o.accept(now)),
-                Key::Operator(at) => {
+                EventSource::Operators => self.operators.as_mut().is_some_and(|o| o.accept(now)),
+                EventSource::Operator(at) => {
                     if let Some(call) = self.operators.as_mut().and_then(|o| o.ready(at)) {
                         let said = self.called(call);
                         self.operators
@@ -496,26 +509,27 @@
                     }
                     false
                 }
-                Key::Listener => self.take_in.accept(now, &mut self.desk.counters),
-                Key::Client(at) => {
-                    self.take_in
-                        .ready(at, now, &mut handed, &mut self.desk.counters)
+                EventSource::Listener => self.ingress.accept(now, &mut self.store.counters),
+                EventSource::Client(at) => {
+                    self.ingress
+                        .ready(at, now, &mut handed, &mut self.store.counters)
                 }
-                Key::Region(at) => self.regions.ready(at, now),
-                Key::Watch => {
-                    let (changes, more) = self.table.ready(now);
+                EventSource::Region(at) => self.egress.on_ready(at, now),
+                EventSource::Watch => {
+                    let (changes, more) = self.directory.on_ready(now);
                     changes.into_iter().for_each(|c| self.listed(c));
                     more
                 }
-                Key::Datagrams | Key::Tellers | Key::Talk(_) | Key::Ask(_) => {
-                    self.peers.as_mut().is_some_and(|p| p.ready(key, now))
-                }
-                Key::Offer | Key::Asker | Key::Predecessor => false,
-                Key::Notices => {
-                    let confirmed = self.relay.ready(now);
+                EventSource::Datagrams
+                | EventSource::Tellers
+                | EventSource::Talk(_)
+                | EventSource::Ask(_) => self.peers.as_mut().is_some_and(|p| p.ready(key, now)),
+                EventSource::Offer | EventSource::Asker | EventSource::Predecessor => false,
+                EventSource::Notices => {
+                    let confirmed = self.status_reporter.ready(now);
                     confirmed
                         .into_iter()
-                        .for_each(|no| self.book.confirmed(no, &mut self.desk));
+                        .for_each(|no| self.completion.confirmed(no, &mut self.store));
                     false
                 }
             };
@@ -523,86 +537,90 @@
                 self.again.push(key);
             }
         }
-        self.regions.expire(now);
-        self.again.extend(self.take_in.sweep(now));
+        self.egress.expire_timeouts(now);
+        self.again.extend(self.ingress.sweep(now));
         let stopped = self.told_to_end.is_some_and(|at| now >= at + LAST_WORK);
         if stopped {
             self.again
-                .extend(self.take_in.stop(now, &mut self.desk.counters));
+                .extend(self.ingress.stop(now, &mut self.store.counters));
         }
         // Room is given before the module sees what the round brings: a flood with no time left, which it ends in
         // this round, must not take it from the usual ones.
         handed.sort_by(|a, b| b.deadline.total_cmp(&a.deadline));
         for h in handed {
-            let event = self.admit.admit(
+            let event = self.admission.admit(
                 h,
-                &mut self.desk,
-                &mut self.take_in,
-                &self.table,
+                &mut self.store,
+                &mut self.ingress,
+                &self.directory,
                 stopped,
                 now,
             );
-            self.route.events.extend(event);
+            self.decision.events.extend(event);
         }
         self.outcomes(now);
         // Behind the told waits of this round, which hold back what has not begun.
-        self.send.begin(&mut self.desk, &mut self.regions, now);
+        self.dispatch.begin(&mut self.store, &mut self.egress, now);
         self.overdue(now);
-        self.table.tend(now, &self.handle, &self.own);
-        let actions = self.route.turn(now);
-        self.desk.counters.turns += u64::from(!actions.is_empty());
+        self.directory.run_due(now, &self.handle, &self.own);
+        let actions = self.decision.turn(now);
+        self.store.counters.turns += u64::from(!actions.is_empty());
         self.act(actions, now);
-        self.relay.tend(&self.desk, now);
-        self.book.tidy(&mut self.desk, now);
+        self.status_reporter.run_due(&self.store, now);
+        self.completion.tidy(&mut self.store, now);
         if let Some(peers) = &mut self.peers {
-            let table = &self.table;
-            peers.tend(
+            let directory = &self.directory;
+            peers.run_due(
                 now,
-                Some((&self.route.policy, &|region| table.name(region))),
+                Some((&self.decision.policy, &|region| {
+                    directory.endpoint_name(region)
+                })),
             );
         }
         self.operators
             .as_mut()
             .into_iter()
-            .for_each(|o| o.tend(now));
+            .for_each(|o| o.run_due(now));
         let took = (self.clock.now() - now) as u64;
-        self.desk.counters.longest_round_ms = self.desk.counters.longest_round_ms.max(took);
+        self.store.counters.longest_round_ms = self.store.counters.longest_round_ms.max(took);
         !self.may_exit(now)
     }
 
     /// What came back from regions becomes events. A told wait binds the destination's calls not yet begun.
     fn outcomes(&mut self, now: Millis) {
         self.count();
-        let told = self.regions.done.iter().filter(
+        let told = self.egress.results.iter().filter(
             |d| matches!(d.outcome, Outcome::Overloaded { retry_after } if retry_after > 0),
         );
         let held = told
-            .filter_map(|d| self.desk.held.get(&d.id.0))
+            .filter_map(|d| self.store.held.get(&d.id.0))
             .map(|t| t.taken.destination);
         let waits: Vec<u64> = held.collect();
         if !waits.is_empty() {
-            self.regions
-                .hold_back(|destination, _| waits.contains(&destination), now);
+            self.egress
+                .cancel_unsent(|destination, _| waits.contains(&destination), now);
         }
-        for done in std::mem::take(&mut self.regions.done) {
-            self.route
-                .events
-                .extend(self.book.task(done, &mut self.desk, &mut self.relay));
+        for done in std::mem::take(&mut self.egress.results) {
+            self.decision.events.extend(self.completion.task(
+                done,
+                &mut self.store,
+                &mut self.status_reporter,
+            ));
         }
     }
 
     /// Ends what the module should have ended. Guards the owed notice, whatever goes wrong elsewhere.
     fn overdue(&mut self, now: Millis) {
-        while let Some(no) = self.desk.take_due(now - OVERDUE) {
+        while let Some(no) = self.store.take_due(now - OVERDUE) {
             error!(no, "transaction ended late");
-            self.desk.counters.late += 1;
-            self.book.end(
+            self.store.counters.late += 1;
+            self.completion.end(
                 MessageId(no),
-                Notice::Undeliverable,
-                &mut self.desk,
-                &mut self.relay,
+                FinalStatus::Undeliverable,
+                &mut self.store,
+                &mut self.status_reporter,
             );
-            self.route.events.push(Event::ClientLeft(MessageId(no)));
+            self.decision.events.push(Event::ClientLeft(MessageId(no)));
         }
     }
 
@@ -611,7 +629,7 @@
     fn act(&mut self, actions: Vec<Action>, now: Millis) {
         self.carry_out(actions, now);
         self.outcomes(now);
-        self.send.begin(&mut self.desk, &mut self.regions, now);
+        self.dispatch.begin(&mut self.store, &mut self.egress, now);
     }
 
     fn carry_out(&mut self, actions: Vec<Action>, now: Millis) {
@@ -623,12 +641,13 @@
                     timeout,
                     latest,
                 } => {
-                    let address = self.table.address(endpoint);
-                    let (desk, regions) = (&mut self.desk, &mut self.regions);
-                    let taken = desk.held.get(&id.0).map(|t| &t.taken);
-                    let once = taken.is_none_or(|t| self.admit.promises.once(&t.class, &t.rules));
-                    let kind = self.table.kind(endpoint);
-                    let to = To {
+                    let address = self.directory.address(endpoint);
+                    let (store, egress) = (&mut self.store, &mut self.egress);
+                    let taken = store.held.get(&id.0).map(|t| &t.taken);
+                    let once =
+                        taken.is_none_or(|t| self.admission.class_rules.once(&t.class, &t.rules));
+                    let kind = self.directory.kind(endpoint);
+                    let target = DispatchTarget {
                         id,
                         once,
                         region: endpoint,
@@ -636,21 +655,30 @@
                         address,
                     };
                     let (timeout, latest) = (millis(timeout), millis(latest));
-                    self.send.send(to, timeout, latest, desk, regions, now);
+                    self.dispatch
+                        .send(target, timeout, latest, store, egress, now);
                 }
-                Action::Cancel { id, attempt } => self.regions.cancel(id, attempt, now),
+                Action::Cancel { id, attempt } => self.egress.cancel(id, attempt, now),
                 Action::Reject { id, retry_after } => {
                     let again = retry_after.map(|r| millis(r).round() as u64);
-                    self.book
-                        .end(id, Notice::Deferred(again), &mut self.desk, &mut self.relay);
+                    self.completion.end(
+                        id,
+                        FinalStatus::Deferred(again),
+                        &mut self.store,
+                        &mut self.status_reporter,
+                    );
                 }
                 Action::Fail { id } => {
-                    self.book
-                        .end(id, Notice::Undeliverable, &mut self.desk, &mut self.relay);
+                    self.completion.end(
+                        id,
+                        FinalStatus::Undeliverable,
+                        &mut self.store,
+                        &mut self.status_reporter,
+                    );
                 }
                 // The module counts on its latest wake: it stands for all before it.
-                Action::WakeAfter(span) => self.route.wake = Some(now + millis(span)),
-                Action::CloseIdle(endpoint) => self.regions.close(endpoint),
+                Action::WakeAfter(span) => self.decision.wake = Some(now + millis(span)),
+                Action::CloseIdle(endpoint) => self.egress.close_idle(endpoint),
             }
         }
     }
@@ -660,20 +688,21 @@
         let Some(told) = self.told_to_end.filter(|told| now >= told + LAST_WORK) else {
             return false;
         };
-        let told_all = self.relay.flying.is_empty() && self.relay.queue.is_empty();
-        let calm = self.regions.tasks() == 0 && told_all && self.desk.open == 0;
+        let told_all =
+            self.status_reporter.flying.is_empty() && self.status_reporter.queue.is_empty();
+        let calm = self.egress.active_attempts() == 0 && told_all && self.store.open == 0;
         if !calm && now < told + LAST_CALL + 100.0 {
             return false;
         }
         self.again
-            .extend(self.take_in.stop(now, &mut self.desk.counters));
+            .extend(self.ingress.stop(now, &mut self.store.counters));
         if now >= told + LAST_CALL + 200.0 {
-            self.take_in.turn_all_away(now);
+            self.ingress.turn_all_away(now);
         }
-        let asking = self.take_in.clients.iter().any(|(_, c)| !c.closing);
+        let asking = self.ingress.clients.iter().any(|(_, c)| !c.closing);
         let over = !asking || now >= told + LAST_CALL + 300.0;
         if over {
-            self.regions.last_look(now);
+            self.egress.read_final_responses(now);
             self.outcomes(now);
         }
         over
--- a/crates/sender/src/stages/estate.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -4,55 +4,55 @@
 use std::os::fd::{AsFd, BorrowedFd};
 
 use martenlatch_clock::Millis;
-use martenlatch_ledger::{Place, Taken};
 use martenlatch_policy::Policy;
+use martenlatch_wal::{LogPosition, MessageRecord};
 use serde::{Deserialize, Serialize};
 
 use super::Driver;
-use super::desk::State;
-use super::take_in::Client;
-use crate::key::{Fds, Key, Link};
-use crate::promises::Promises;
-use crate::{Config, regions, table};
+use super::ingress::Client;
+use super::message_store::State;
+use crate::class_rules::ClassRules;
+use crate::event_source::{Connection, EventSource, InheritedDescriptors};
+use crate::{Config, discovery, egress};
 
 /// Descriptors that are in use beside those that pass: the loop, the log, files, operators, the watch and notices.
 const OTHERS: usize = 24;
 
-/// What a process is at a cut. `P` is the module's state, lent or owned, and `L` the ledger's place.
+/// What a process is at a cut. `P` is the module's state, lent or owned, and `L` the wal's place.
 #[derive(Serialize, Deserialize)]
-pub struct Estate<P, L = Place> {
+pub struct ProcessState<P, L = LogPosition> {
     /// When the cut was made.
     at: Millis,
     /// Zones, kinds and classes: what the numbers of the module mean.
     names: [Vec<String>; 3],
     /// What the classes promise, also those of earlier settings behind them.
-    pub(super) promises: Promises,
+    pub(super) class_rules: ClassRules,
     policy: P,
     wake: Option<Millis>,
-    held: Vec<(Taken, State, u32)>,
+    held: Vec<(MessageRecord, State, u32)>,
     pub(super) next: u64,
     place: L,
     /// Ends that the platform has not confirmed.
     owed: Vec<u64>,
-    table: table::Carried,
-    clients: Vec<Client<martenlatch_http::Carried>>,
-    regions: regions::Carried,
+    directory: discovery::ConnectionSnapshot,
+    clients: Vec<Client<martenlatch_http::ConnectionSnapshot>>,
+    egress: egress::ConnectionSnapshot,
 }
 
-impl Estate<Policy> {
+impl ProcessState<Policy> {
     /// Reads what was passed, for a process of this configuration.
     ///
     /// # Errors
     /// What cannot be used of it.
-    pub fn read(bytes: &[u8], config: &Config) -> Result<Estate<Policy>, String> {
-        let estate: Estate<Policy> = postcard::from_bytes(bytes)
+    pub fn read(bytes: &[u8], config: &Config) -> Result<ProcessState<Policy>, String> {
+        let process_state: ProcessState<Policy> = postcard::from_bytes(bytes)
             .map_err(|e| format!("what was passed cannot be read: {e}"))?;
-        if estate.names != names(config) {
+        if process_state.names != names(config) {
             return Err(
                 "settings: other zones, kinds or classes than the process that serves has".into(),
             );
         }
-        Ok(estate)
+        Ok(process_state)
     }
 
     /// When the cut was made.
@@ -60,43 +60,43 @@
         self.at
     }
 
-    /// The module's state and the ledger's place apart from the rest.
-    pub(super) fn split(self) -> (Policy, Place, Estate<(), ()>) {
-        let Estate {
+    /// The module's state and the wal's place apart from the rest.
+    pub(super) fn split(self) -> (Policy, LogPosition, ProcessState<(), ()>) {
+        let ProcessState {
             at,
             names,
-            promises,
+            class_rules,
             policy,
             wake,
             held,
             next,
             place,
             owed,
-            table,
+            directory,
             clients,
-            regions,
+            egress,
         } = self;
-        let rest = Estate {
+        let rest = ProcessState {
             at,
             names,
-            promises,
+            class_rules,
             policy: (),
             wake,
             held,
             next,
             place: (),
             owed,
-            table,
+            directory,
             clients,
-            regions,
+            egress,
         };
         (policy, place, rest)
     }
 }
 
-impl Estate<(), ()> {
+impl ProcessState<(), ()> {
     /// What is held and not over.
-    pub(super) fn open(&self) -> impl Iterator<Item = &Taken> {
+    pub(super) fn open(&self) -> impl Iterator<Item = &MessageRecord> {
         self.held
             .iter()
             .filter(|(_, state, _)| *state != State::Over)
@@ -116,7 +116,7 @@
 impl Driver {
     /// Whether a cut may be made now: nothing has happened that the module has not heard.
     pub fn quiet(&self) -> bool {
-        self.route.events.is_empty() && self.regions.done.is_empty()
+        self.decision.events.is_empty() && self.egress.results.is_empty()
     }
 
     /// Why this process cannot give way, if that is so: it ends, or it knows other senders.
@@ -132,17 +132,19 @@
     ///
     /// # Errors
     /// Where those that are in use are too many.
-    pub fn lighten(&mut self) -> Result<(), String> {
+    pub fn close_idle_connections(&mut self) -> Result<(), String> {
         let most = (self.sockets / 2).saturating_sub(OTHERS);
-        let clients = self.take_in.clients.len();
-        let regions = self.regions.lighten(most.saturating_sub(clients));
+        let clients = self.ingress.clients.len();
+        let egress = self
+            .egress
+            .close_idle_connections(most.saturating_sub(clients));
         let clients = self
-            .take_in
-            .lighten(most.saturating_sub(regions), self.clock.now());
-        if clients + regions > most {
+            .ingress
+            .close_idle_connections(most.saturating_sub(egress), self.clock.now());
+        if clients + egress > most {
             return Err(format!(
                 "{} connections in use are too many to pass at once",
-                clients + regions
+                clients + egress
             ));
         }
         Ok(())
@@ -152,45 +154,49 @@
     ///
     /// # Errors
     /// Where it takes no clients any more, or cannot be written.
-    pub fn estate(&self) -> Result<(Vec<u8>, Vec<BorrowedFd<'_>>), String> {
+    pub fn process_state(&self) -> Result<(Vec<u8>, Vec<BorrowedFd<'_>>), String> {
         let listener = self
-            .take_in
+            .ingress
             .listener
             .as_ref()
             .ok_or("takes no clients any more")?;
-        let (regions, region_fds) = self.regions.carried();
+        let (egress, region_fds) = self.egress.snapshot();
         let held = self
-            .desk
+            .store
             .held
             .values()
             .map(|t| (t.taken.clone(), t.state, t.out));
-        let estate = Estate {
+        let process_state = ProcessState {
             at: self.clock.now(),
             names: self.names.clone(),
-            promises: self.admit.promises.clone(),
-            policy: &self.route.policy,
-            wake: self.route.wake,
+            class_rules: self.admission.class_rules.clone(),
+            policy: &self.decision.policy,
+            wake: self.decision.wake,
             held: held.collect(),
-            next: self.desk.next,
-            place: self.desk.ledger.place(),
+            next: self.store.next,
+            place: self.store.wal.position(),
             owed: self
-                .relay
+                .status_reporter
                 .flying
                 .iter()
-                .chain(&self.relay.queue)
+                .chain(&self.status_reporter.queue)
                 .copied()
                 .collect(),
-            table: self.table.carried(),
+            directory: self.directory.snapshot(),
             clients: self
-                .take_in
+                .ingress
                 .clients
                 .iter()
-                .map(|(_, c)| c.with(c.link.carried()))
+                .map(|(_, c)| c.with(c.connection.snapshot()))
                 .collect(),
-            regions,
+            egress,
         };
-        let bytes = postcard::to_allocvec(&estate).map_err(|e| e.to_string())?;
-        let clients = self.take_in.clients.iter().map(|(_, c)| c.link.as_fd());
+        let bytes = postcard::to_allocvec(&process_state).map_err(|e| e.to_string())?;
+        let clients = self
+            .ingress
+            .clients
+            .iter()
+            .map(|(_, c)| c.connection.as_fd());
         Ok((
             bytes,
             std::iter::once(listener.as_fd())
@@ -200,49 +206,49 @@
         ))
     }
 
-    /// Takes up what passed beside the module, the ledger and the listener. All of its sockets want a look.
-    pub(super) fn carry_on(
+    /// Takes up what passed beside the module, the wal and the listener. All of its sockets want a look.
+    pub(super) fn restore_state(
         &mut self,
-        estate: Estate<(), ()>,
-        fds: &mut Fds,
+        process_state: ProcessState<(), ()>,
+        fds: &mut InheritedDescriptors,
     ) -> std::io::Result<()> {
-        for (taken, state, out) in estate.held {
+        for (taken, state, out) in process_state.held {
             let no = taken.no;
-            self.desk.insert(taken, state);
-            self.desk
+            self.store.insert(taken, state);
+            self.store
                 .held
                 .get_mut(&no)
                 .into_iter()
                 .for_each(|t| t.out = out);
         }
-        self.route.wake = estate.wake;
-        self.relay.queue.extend(estate.owed);
-        self.table.carry_on(estate.table);
-        for client in estate.clients {
-            let take_in = &mut self.take_in;
-            let key = Key::Client(take_in.clients.vacant_key());
-            let link = Link::carried_on(
+        self.decision.wake = process_state.wake;
+        self.status_reporter.queue.extend(process_state.owed);
+        self.directory.restore_state(process_state.directory);
+        for client in process_state.clients {
+            let ingress = &mut self.ingress;
+            let key = EventSource::Client(ingress.clients.vacant_key());
+            let connection = Connection::restore(
                 fds.stream()?,
-                &client.link,
-                &take_in.handle,
-                &take_in.pool,
+                &client.connection,
+                &ingress.handle,
+                &ingress.pool,
                 key,
             )?;
-            take_in.clients.insert(client.with(link));
+            ingress.clients.insert(client.with(connection));
             self.again.push(key);
         }
         self.again
-            .extend(self.regions.carry_on(estate.regions, fds)?);
-        self.again.push(Key::Listener);
+            .extend(self.egress.restore_state(process_state.egress, fds)?);
+        self.again.push(EventSource::Listener);
         Ok(())
     }
 
     /// What a log line tells of a process that passes: connections of clients, calls out, transactions held.
     pub fn load(&self) -> (usize, usize, usize) {
         (
-            self.take_in.clients.len(),
-            self.regions.tasks(),
-            self.desk.held.len(),
+            self.ingress.clients.len(),
+            self.egress.active_attempts(),
+            self.store.held.len(),
         )
     }
 }
--- a/crates/sender/src/stages/tests.rs
+++ b/crates/sender/src/pipeline/tests.rs
@@ -3,11 +3,11 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 
-use martenlatch_ledger::Taken;
 use martenlatch_settings::platform as settings;
+use martenlatch_wal::MessageRecord;
 
-use super::desk::State;
-use super::take_in::NEWCOMER;
+use super::ingress::NEWCOMER;
+use super::message_store::State;
 use super::*;
 
 const SETTINGS: &str = r#"{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"Categories":[
@@ -45,7 +45,7 @@
 ) -> (
     Driver,
     Clock,
-    calloop::EventLoop<'static, crate::key::Ready>,
+    calloop::EventLoop<'static, crate::event_source::Ready>,
 ) {
     resumed_with(story, 2_000.0, region)
 }
@@ -58,7 +58,7 @@
 ) -> (
     Driver,
     Clock,
-    calloop::EventLoop<'static, crate::key::Ready>,
+    calloop::EventLoop<'static, crate::event_source::Ready>,
 ) {
     let state =
         std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
@@ -66,7 +66,7 @@
     std::fs::create_dir_all(&state).unwrap();
     let (id, class, key, body) = (Rc::from("a"), Rc::from("debit"), None, Rc::from(&b"x"[..]));
     let (deadline, tasks, ending) = (START + left, Vec::new(), None);
-    let taken = Taken {
+    let taken = MessageRecord {
         no: 3,
         id,
         class,
@@ -74,11 +74,15 @@
         deadline,
         key,
         body,
-        tasks,
-        ending,
+        attempts: tasks,
+        final_status: ending,
         rules: Rc::from([]),
     };
-    assert!(Ledger::open(&state, 3_000_000).0.take(&taken));
+    assert!(
+        WriteAheadLog::open(&state, 3_000_000)
+            .0
+            .append_message(&taken)
+    );
     let target = format!(
         r#"{{"targets":[{{"uid":"s","endpoint":"{region}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
     );
@@ -99,7 +103,7 @@
         peers: None,
         boot: settings::read(SETTINGS).unwrap(),
     };
-    let events = calloop::EventLoop::<crate::key::Ready>::try_new().unwrap();
+    let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
     let clock = Clock::at(START);
     let driver = Driver::new(
         config,
@@ -113,17 +117,17 @@
 }
 
 /// Plays the transaction's time out: what ended it, and how long after its time.
-fn outlived(story: &str, region: SocketAddr) -> (Option<Notice>, Millis) {
+fn outlived(story: &str, region: SocketAddr) -> (Option<FinalStatus>, Millis) {
     let (mut driver, clock, _events) = resumed(story, region);
-    while driver.desk.open > 0 && clock.now() < START + 9_000.0 {
+    while driver.store.open > 0 && clock.now() < START + 9_000.0 {
         assert!(
-            driver.round(vec![Key::Region(0)]),
+            driver.round(vec![EventSource::Region(0)]),
             "nothing tells it to end"
         );
         clock.set(clock.now() + 10.0);
     }
     (
-        driver.desk.held.get(&3).and_then(|t| t.taken.ending),
+        driver.store.held.get(&3).and_then(|t| t.taken.final_status),
         clock.now() - START - 2_000.0,
     )
 }
@@ -134,7 +138,7 @@
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -148,31 +152,31 @@
     };
     let mut usual = connect();
     usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
-    while driver.take_in.clients.iter().all(|(_, c)| !c.served) {
-        driver.round(vec![Key::Listener, Key::Client(0)]);
+    while driver.ingress.clients.iter().all(|(_, c)| !c.served) {
+        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
     }
     assert!(usual.read(&mut [0; 4096]).unwrap() > 0);
-    let mut crowd: Vec<_> = (1..driver.take_in.most).map(|_| connect()).collect();
-    while driver.take_in.clients.len() < driver.take_in.most {
-        driver.round(vec![Key::Listener]);
+    let mut crowd: Vec<_> = (1..driver.ingress.most).map(|_| connect()).collect();
+    while driver.ingress.clients.len() < driver.ingress.most {
+        driver.round(vec![EventSource::Listener]);
     }
     clock.set(clock.now() + NEWCOMER + 1.0);
     let late = connect();
-    while driver.desk.counters.clients <= driver.take_in.most as u64 {
-        driver.round(vec![Key::Listener]);
+    while driver.store.counters.clients <= driver.ingress.most as u64 {
+        driver.round(vec![EventSource::Listener]);
     }
     assert!(
         open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]),
         "the oldest silent one goes"
     );
-    clock.set(START + driver.take_in.times.request_ms + 1.0);
+    clock.set(START + driver.ingress.times.request_ms + 1.0);
     driver.round(Vec::new());
     assert!(
         open(&mut usual) && crowd.iter_mut().all(|c| !open(c)),
         "3 s are owed"
     );
     assert_eq!(
-        driver.take_in.clients.len(),
+        driver.ingress.clients.len(),
         2,
         "and the one that came late"
     );
@@ -185,7 +189,7 @@
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -194,18 +198,18 @@
     let mut half = std::net::TcpStream::connect(address).unwrap();
     half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
     while driver
-        .take_in
+        .ingress
         .clients
         .iter()
-        .all(|(_, c)| c.link.bytes().is_empty())
+        .all(|(_, c)| c.connection.bytes().is_empty())
     {
-        driver.round(vec![Key::Listener, Key::Client(0)]);
+        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
     }
     driver.end();
     clock.set(clock.now() + LAST_WORK + 1.0);
     (0..3).for_each(|_| assert!(driver.round(Vec::new())));
     assert_eq!(
-        driver.take_in.clients.len(),
+        driver.ingress.clients.len(),
         1,
         "it may still be asked whole"
     );
@@ -218,7 +222,7 @@
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("end", silent.local_addr().unwrap());
     driver.end();
-    while driver.round(vec![Key::Region(0)]) {
+    while driver.round(vec![EventSource::Region(0)]) {
         assert!(driver.sleep() <= 20.0);
         clock.set(clock.now() + driver.sleep().max(1.0) + 5.0);
         assert!(clock.now() < START + 3_690.0, "SIGKILL may come at 3.7 s");
@@ -235,13 +239,16 @@
     let (notice, late) = outlived("silent", silent.local_addr().unwrap());
     assert_eq!(
         notice,
-        Some(Notice::Undeliverable),
+        Some(FinalStatus::Undeliverable),
         "it was out and may have run"
     );
     assert!(late < 100.0, "{late} ms after its time");
     // Nobody listens there: each task is proven never to have run, so the client may come again.
     let (notice, late) = outlived("closed", "127.77.0.1:9".parse().unwrap());
-    assert!(matches!(notice, Some(Notice::Deferred(_))), "{notice:?}");
+    assert!(
+        matches!(notice, Some(FinalStatus::Deferred(_))),
+        "{notice:?}"
+    );
     assert!(late < 100.0, "{late} ms after its time");
 }
 
@@ -252,8 +259,8 @@
     let (mut driver, ..) = resumed("wake", "127.77.0.1:9".parse().unwrap());
     driver.carry_out(vec![Action::WakeAfter(nanos(10.0))], START);
     driver.carry_out(vec![Action::WakeAfter(nanos(300.0))], START + 8.0);
-    driver.route.turn(START + 10.0);
-    assert_eq!(driver.route.wake, Some(START + 308.0));
+    driver.decision.turn(START + 10.0);
+    assert_eq!(driver.decision.wake, Some(START + 308.0));
 }
 
 #[test]
@@ -264,7 +271,7 @@
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("left", silent.local_addr().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -279,25 +286,31 @@
             .unwrap();
         let (now, mut handed) = (clock.now(), Vec::new());
         while handed.is_empty() {
-            driver.take_in.accept(now, &mut driver.desk.counters);
+            driver.ingress.accept(now, &mut driver.store.counters);
             (0..9).for_each(|at| {
                 driver
-                    .take_in
-                    .ready(at, now, &mut handed, &mut driver.desk.counters);
+                    .ingress
+                    .ready(at, now, &mut handed, &mut driver.store.counters);
             });
         }
         let client = (!leaves).then_some(client);
-        while leaves && !driver.take_in.clients[handed[0].client].link.reset() {
+        while leaves
+            && !driver.ingress.clients[handed[0].client]
+                .connection
+                .peer_reset()
+        {
             // Bytes of ours that a closed client never reads have its machine reset the connection.
-            driver.take_in.clients[handed[0].client].link.queue(b" ");
-            driver.take_in.clients[handed[0].client].link.flush();
+            driver.ingress.clients[handed[0].client]
+                .connection
+                .queue(b" ");
+            driver.ingress.clients[handed[0].client].connection.flush();
         }
         let h = handed.pop().unwrap();
-        let event = driver.admit.admit(
+        let event = driver.admission.admit(
             h,
-            &mut driver.desk,
-            &mut driver.take_in,
-            &driver.table,
+            &mut driver.store,
+            &mut driver.ingress,
+            &driver.directory,
             false,
             now,
         );
@@ -307,7 +320,7 @@
     assert!(hand_in(true).is_none(), "it has not heard");
     assert!(hand_in(false).is_some(), "nobody has it");
     assert!(hand_in(false).is_none(), "now it is held");
-    let (_, past) = Ledger::open(
+    let (_, past) = WriteAheadLog::open(
         &std::env::temp_dir().join(format!("martenlatch-stages-left-{}", std::process::id())),
         9,
     );
@@ -323,7 +336,7 @@
     // Clients of a destination that the table does not have yet are turned away together.
     let (mut driver, clock, _events) = resumed("apart", "127.77.0.1:9".parse().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -336,11 +349,11 @@
     crowd
         .iter_mut()
         .for_each(|client| client.write_all(head.as_bytes()).unwrap());
-    while driver.desk.counters.turned_away < 12 {
+    while driver.store.counters.turned_away < 12 {
         driver.round(
-            [Key::Listener]
+            [EventSource::Listener]
                 .into_iter()
-                .chain((0..20).map(Key::Client))
+                .chain((0..20).map(EventSource::Client))
                 .collect(),
         );
     }
@@ -361,10 +374,10 @@
     // Nor do notices of senders with other seeds, once the platform is back.
     let mut tries: Vec<f64> = Vec::new();
     for seed in 0..12 {
-        driver.relay.spread = Spread::new(seed);
-        driver.relay.pause = RETRY.1;
-        driver.relay.failed(clock.now(), "silent");
-        tries.push(driver.relay.next_try - clock.now());
+        driver.status_reporter.jitter = Jitter::new(seed);
+        driver.status_reporter.pause = RETRY.1;
+        driver.status_reporter.failed(clock.now(), "silent");
+        tries.push(driver.status_reporter.next_try - clock.now());
     }
     assert!(
         tries.iter().all(|t| (750.0..=1_250.0).contains(t)),
@@ -379,7 +392,7 @@
     use std::io::Write;
     let (mut driver, clock, _events) = resumed("cut-off", "127.77.0.1:9".parse().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -395,23 +408,23 @@
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(text.as_bytes()).unwrap();
         while driver
-            .take_in
+            .ingress
             .clients
             .iter()
-            .all(|(_, c)| c.link.bytes().is_empty())
+            .all(|(_, c)| c.connection.bytes().is_empty())
         {
-            driver.round(vec![Key::Listener, Key::Client(0)]);
+            driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
         }
-        driver.take_in.evict(clock.now(), false);
+        driver.ingress.evict(clock.now(), false);
         driver.present();
         assert_eq!(
-            driver.desk.figures.of("debit").unwrap().deferred,
+            driver.store.class_metrics.of("debit").unwrap().deferred,
             deferred,
             "{text}"
         );
-        assert!(driver.take_in.clients.is_empty());
+        assert!(driver.ingress.clients.is_empty());
     }
-    assert_eq!(driver.desk.counters.turned_away, 2);
+    assert_eq!(driver.store.counters.turned_away, 2);
 }
 
 #[test]
@@ -420,7 +433,7 @@
     // Guards the room of usual clients against one whose transactions are ended in the round that brings them.
     let (mut driver, clock, _events) = resumed("flood", "127.77.0.1:9".parse().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -443,18 +456,18 @@
     let mut clients: Vec<_> = (0..12).map(|id| hand_in(id, 0.001)).collect();
     clients.push(hand_in(12, 9.0));
     // All that they wrote is read in one round.
-    while driver.take_in.clients.len() < 13 {
+    while driver.ingress.clients.len() < 13 {
         driver
-            .take_in
-            .accept(clock.now(), &mut driver.desk.counters);
+            .ingress
+            .accept(clock.now(), &mut driver.store.counters);
     }
-    driver.round((0..20).map(Key::Client).collect());
+    driver.round((0..20).map(EventSource::Client).collect());
     assert_eq!(
-        driver.desk.counters.taken + driver.desk.counters.turned_away,
+        driver.store.counters.taken + driver.store.counters.turned_away,
         13,
         "each has its answer at once"
     );
-    assert!(driver.desk.open <= 2, "the flood is ended in its round");
+    assert!(driver.store.open <= 2, "the flood is ended in its round");
     let mut answer = [0; 12];
     clients[12].read_exact(&mut answer).unwrap();
     assert_eq!(&answer, b"HTTP/1.1 202", "the usual client is turned away");
@@ -466,14 +479,14 @@
     use std::io::Read;
     let platform = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("buffers", platform.local_addr().unwrap());
-    let lent: Vec<_> = std::iter::from_fn(|| driver.regions.pool.take()).collect();
+    let lent: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
     assert!(!lent.is_empty());
     clock.set(START + 2_000.0 + OVERDUE + 1.0);
     let mut asked = std::collections::BTreeSet::new();
     for _ in 0..2 {
         // Connections come up in the kernel, whoever accepts them: a second round writes what the first could not.
-        assert!(driver.round(vec![Key::Watch, Key::Notices]));
-        assert!(driver.round(vec![Key::Watch, Key::Notices]));
+        assert!(driver.round(vec![EventSource::Watch, EventSource::Notices]));
+        assert!(driver.round(vec![EventSource::Watch, EventSource::Notices]));
         let (mut peer, _) = platform.accept().unwrap();
         let mut text = [0; 512];
         peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
@@ -494,12 +507,12 @@
 fn what_a_restart_finds_untried_is_counted_until_it_is_called_or_ends() {
     let region = TcpListener::bind("127.0.0.1:0").unwrap();
     let counted = |driver: &Driver| {
-        let c = &driver.desk.counters;
+        let c = &driver.store.counters;
         (c.untried, c.untried_called, c.untried_ended)
     };
     let (mut driver, clock, _events) = resumed("called", region.local_addr().unwrap());
     assert_eq!(counted(&driver), (1, 0, 0));
-    while driver.desk.counters.untried_called == 0 && clock.now() < START + 2_000.0 {
+    while driver.store.counters.untried_called == 0 && clock.now() < START + 2_000.0 {
         driver.round(Vec::new());
         clock.set(clock.now() + 10.0);
     }
@@ -533,20 +546,24 @@
         .collect();
     let story = format!("coming-{up}");
     let (mut driver, clock, _events) = resumed(&story, address);
-    while driver.desk.counters.untried_called == 0 && clock.now() < START + 2_000.0 {
-        driver.round(vec![Key::Region(0)]);
+    while driver.store.counters.untried_called == 0 && clock.now() < START + 2_000.0 {
+        driver.round(vec![EventSource::Region(0)]);
         clock.set(clock.now() + 5.0);
     }
-    assert_eq!(driver.regions.tasks(), 1, "its call is out");
+    assert_eq!(driver.egress.active_attempts(), 1, "its call is out");
     if up {
         // Loopback is up at once; a look at it lets the call begin.
-        driver.round(vec![Key::Region(0)]);
+        driver.round(vec![EventSource::Region(0)]);
     }
     drop(driver);
     let state =
         std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
-    let past = martenlatch_ledger::Look::into(&state).unwrap().past;
-    let may_have_run = past.open[&3].tasks.iter().filter(|t| !t.never_ran).count();
+    let past = martenlatch_wal::LogInspection::open(&state).unwrap().past;
+    let may_have_run = past.open[&3]
+        .attempts
+        .iter()
+        .filter(|t| !t.never_ran)
+        .count();
     assert_eq!(may_have_run, usize::from(up));
     drop(crowd);
 }
@@ -562,7 +579,7 @@
     region.set_nonblocking(true).unwrap();
     let (mut peers, mut call) = (Vec::new(), None);
     until(|| {
-        driver.round((0..9).map(Key::Region).collect());
+        driver.round((0..9).map(EventSource::Region).collect());
         if clock.now() < START + 1_500.0 {
             clock.set(clock.now() + 5.0);
         }
@@ -597,11 +614,11 @@
         clock.now(),
     );
     assert_eq!(
-        (driver.relay.queue.len(), driver.desk.open),
+        (driver.status_reporter.queue.len(), driver.store.open),
         (0, 0),
         "it is delivered, and nothing more is owed"
     );
-    assert!(driver.desk.ledger.over.iter().any(|id| &**id == "a"));
+    assert!(driver.store.wal.over.iter().any(|id| &**id == "a"));
 }
 
 #[test]
@@ -610,13 +627,13 @@
     let region = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("loser", region.local_addr().unwrap());
     let mut peer = called(&mut driver, &clock, &region);
-    let other = Taken {
+    let other = MessageRecord {
         no: 4,
         id: Rc::from("b"),
-        tasks: Vec::new(),
-        ..driver.desk.held[&3].taken.clone()
+        attempts: Vec::new(),
+        ..driver.store.held[&3].taken.clone()
     };
-    driver.desk.insert(other, State::Open);
+    driver.store.insert(other, State::Open);
     peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n")
         .unwrap();
     let (now, endpoint, timeout, latest) = (clock.now(), EndpointId(0), nanos(500.0), u64::MAX);
@@ -636,10 +653,15 @@
         ],
         now,
     );
-    driver.round((0..9).map(Key::Region).collect());
+    driver.round((0..9).map(EventSource::Region).collect());
     // It waits as the module has been told, and its connection has brought nothing.
     assert!(
-        driver.regions.tasks() == 0 && driver.desk.held[&4].taken.tasks.iter().all(|t| t.never_ran)
+        driver.egress.active_attempts() == 0
+            && driver.store.held[&4]
+                .taken
+                .attempts
+                .iter()
+                .all(|t| t.never_ran)
     );
     drop(driver);
     region.set_nonblocking(true).unwrap();
@@ -665,12 +687,12 @@
         !driver.round(Vec::new()),
         "it goes, with no word that anything has come"
     );
-    assert_eq!(driver.desk.open, 0);
+    assert_eq!(driver.store.open, 0);
     drop(driver);
     let state =
         std::env::temp_dir().join(format!("martenlatch-stages-exit-{}", std::process::id()));
     assert!(
-        martenlatch_ledger::Look::into(&state)
+        martenlatch_wal::LogInspection::open(&state)
             .unwrap()
             .past
             .open
@@ -684,23 +706,23 @@
     // Guards the answer: a close over bytes that arrive is a reset, which takes it along.
     let (mut driver, clock, _events) = resumed("rest", "127.77.0.1:9".parse().unwrap());
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
         .local_addr()
         .unwrap();
-    let most = driver.take_in.most;
+    let most = driver.ingress.most;
     let begin = |driver: &mut Driver, at: usize| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
         until(|| {
-            driver.round(vec![Key::Listener, Key::Client(at)]);
+            driver.round(vec![EventSource::Listener, EventSource::Client(at)]);
             driver
-                .take_in
+                .ingress
                 .clients
                 .get(at)
-                .is_some_and(|c| !c.link.bytes().is_empty())
+                .is_some_and(|c| !c.connection.bytes().is_empty())
         });
         clock.set(clock.now() + 0.1);
         client
@@ -708,12 +730,12 @@
     let mut crowd: Vec<_> = (0..most).map(|at| begin(&mut driver, at)).collect();
     let _late = begin(&mut driver, most);
     assert!(
-        driver.take_in.clients[0].closing,
+        driver.ingress.clients[0].closing,
         "the one at it the longest is turned away"
     );
     for part in ["quest-ID: a\r\n", "Content-Length: 0\r\n\r\n"] {
         crowd[0].write_all(part.as_bytes()).unwrap();
-        driver.round(vec![Key::Client(0)]);
+        driver.round(vec![EventSource::Client(0)]);
     }
     let mut answer = String::new();
     crowd[0]
@@ -726,16 +748,16 @@
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
         crowd.push(client);
-        let before = driver.desk.counters.clients;
+        let before = driver.store.counters.clients;
         until(|| {
             driver.round(
-                std::iter::once(Key::Listener)
-                    .chain((0..3 * most).map(Key::Client))
+                std::iter::once(EventSource::Listener)
+                    .chain((0..3 * most).map(EventSource::Client))
                     .collect(),
             );
-            driver.desk.counters.clients > before
+            driver.store.counters.clients > before
         });
-        assert!(driver.take_in.clients.len() <= most + most / 8);
+        assert!(driver.ingress.clients.len() <= most + most / 8);
     }
 }
 
@@ -753,9 +775,9 @@
         &format!("advice-{advice:?}"),
         "127.77.0.1:9".parse().unwrap(),
     );
-    driver.take_in.advice = advice;
+    driver.ingress.advice = advice;
     let address = driver
-        .take_in
+        .ingress
         .listener
         .as_ref()
         .unwrap()
@@ -763,17 +785,17 @@
         .unwrap();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
     for _ in 0..8 {
-        let before = driver.desk.counters.turned_away;
+        let before = driver.store.counters.turned_away;
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(head.as_bytes()).unwrap();
         until(|| {
             driver.round(
-                [Key::Listener]
+                [EventSource::Listener]
                     .into_iter()
-                    .chain((0..20).map(Key::Client))
+                    .chain((0..20).map(EventSource::Client))
                     .collect(),
             );
-            driver.desk.counters.turned_away > before
+            driver.store.counters.turned_away > before
         });
         let mut text = [0; 200];
         let count = client.read(&mut text).unwrap();
@@ -796,9 +818,9 @@
     let region = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("spin", region.local_addr().unwrap());
     let mut peer = called(&mut driver, &clock, &region);
-    let lent: Vec<_> = std::iter::from_fn(|| driver.regions.pool.take()).collect();
+    let lent: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
     peer.write_all(b"HTTP/1.1 2").unwrap();
-    let keys = || (0..9).map(Key::Region).collect();
+    let keys = || (0..9).map(EventSource::Region).collect();
     until(|| {
         driver.round(keys());
         !driver.again.is_empty()
@@ -813,9 +835,9 @@
         .unwrap();
     until(|| {
         driver.round(keys());
-        driver.desk.open == 0
+        driver.store.open == 0
     });
-    assert_eq!(driver.desk.counters.success, 1);
+    assert_eq!(driver.store.counters.success, 1);
 }
 
 /// What a client reads until its connection ends.
@@ -836,7 +858,7 @@
     client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
     client.set_nonblocking(true).unwrap();
     until(|| {
-        driver.round(vec![Key::Listener, Key::Client(0)]);
+        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
         client.read(&mut [0; 256]).is_ok()
     });
     // Nothing of it is to be looked at any more.
@@ -862,9 +884,9 @@
     let mut client = resting(&mut driver);
     client.write_all(ASKS).unwrap();
     match moment {
-        "evicted" => driver.take_in.evict(clock.now(), false),
+        "evicted" => driver.ingress.evict(clock.now(), false),
         "swept" => {
-            clock.set(clock.now() + driver.take_in.times.idle_ms + 300.0);
+            clock.set(clock.now() + driver.ingress.times.idle_ms + 300.0);
             driver.round(Vec::new());
         }
         "stopped" => {
@@ -874,26 +896,26 @@
         }
         _ => {
             // Half of it stands before, and its rest never comes in time.
-            driver.round(vec![Key::Client(0)]);
+            driver.round(vec![EventSource::Client(0)]);
             driver.end();
             let told = clock.now();
             clock.set(told + LAST_WORK - 1.0);
             client.write_all(&ASKS[..30]).unwrap();
-            driver.round(vec![Key::Client(0)]);
-            driver.take_in.clients[0].since = told + LAST_CALL - 1_000.0;
+            driver.round(vec![EventSource::Client(0)]);
+            driver.ingress.clients[0].since = told + LAST_CALL - 1_000.0;
             clock.set(told + LAST_CALL + 290.0);
             driver.round(Vec::new());
         }
     }
     if moment == "evicted" || moment == "swept" {
         // The loop hears of it now, and the sender ends some time.
-        driver.round(vec![Key::Client(0)]);
-        driver.take_in.close(0);
+        driver.round(vec![EventSource::Client(0)]);
+        driver.ingress.close(0);
         client
             .write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n")
             .unwrap();
     }
-    driver.round(vec![Key::Client(0)]);
+    driver.round(vec![EventSource::Client(0)]);
     drop(driver);
     let text = all_read(&mut client).expect("reset");
     assert!(
@@ -916,8 +938,8 @@
     driver.end();
     client.write_all(ASKS).unwrap();
     until(|| {
-        driver.round(vec![Key::Client(0)]);
-        driver.desk.counters.taken == 1
+        driver.round(vec![EventSource::Client(0)]);
+        driver.store.counters.taken == 1
     });
     client
         .write_all(
@@ -926,8 +948,8 @@
                 .into_bytes(),
         )
         .unwrap();
-    (0..50).for_each(|_| _ = driver.round(vec![Key::Client(0)]));
-    assert_eq!(driver.desk.counters.taken, 1);
+    (0..50).for_each(|_| _ = driver.round(vec![EventSource::Client(0)]));
+    assert_eq!(driver.store.counters.taken, 1);
     let text = all_read(&mut client).expect("reset");
     assert!(
         text.starts_with("HTTP/1.1 202") && text.contains("Connection: close"),
--- a/crates/sender/src/succession.rs
+++ b/crates/sender/src/process_replacement.rs
@@ -11,8 +11,8 @@
 use tracing::{info, warn};
 
 use crate::Config;
-use crate::key::{Handle, Key};
-use crate::stages::Driver;
+use crate::event_source::{EventSource, Handle};
+use crate::pipeline::Driver;
 
 /// The old process stands still for so long at most; the new one waits a little longer for what it gives.
 const CUT: Millis = 600.0;
@@ -28,7 +28,7 @@
 }
 
 /// A process that serves, and the one that may take its place.
-pub struct Serving {
+pub struct ReplacementListener {
     handle: Handle,
     lock: Option<Lock>,
     offer: Option<(Rc<Offer>, RegistrationToken)>,
@@ -36,10 +36,10 @@
     asked: Option<Ask>,
 }
 
-impl Serving {
+impl ReplacementListener {
     /// Holds the lock, and waits for a successor. Without a lock, or a socket, there can be none.
-    pub fn open(lock: Option<Lock>, state: &Path, handle: &Handle) -> Serving {
-        let mut serving = Serving {
+    pub fn open(lock: Option<Lock>, state: &Path, handle: &Handle) -> ReplacementListener {
+        let mut serving = ReplacementListener {
             handle: handle.clone(),
             lock,
             offer: None,
@@ -49,7 +49,7 @@
         if serving.lock.is_some() {
             let offer = meeting(state).and_then(|path| {
                 let offer = Rc::new(Offer::open(&path)?);
-                let token = martenlatch_http::register(handle, offer.clone(), Key::Offer)?;
+                let token = martenlatch_http::register(handle, offer.clone(), EventSource::Offer)?;
                 Ok((offer, token))
             });
             match offer {
@@ -61,9 +61,9 @@
     }
 
     /// One of its sockets is ready. True if the key is one of those.
-    pub fn ready(&mut self, key: Key) -> bool {
+    pub fn ready(&mut self, key: EventSource) -> bool {
         match key {
-            Key::Offer => {
+            EventSource::Offer => {
                 while let Some(asker) = self.offer.as_ref().and_then(|(offer, _)| offer.accept()) {
                     if self.asked.is_some() {
                         asker.refuse("another replacement is under way");
@@ -72,7 +72,7 @@
                     // One that says nothing makes room.
                     self.forget_asker();
                     let watched = asker.watched().and_then(|stream| {
-                        martenlatch_http::register(&self.handle, stream, Key::Asker)
+                        martenlatch_http::register(&self.handle, stream, EventSource::Asker)
                     });
                     if let Ok(token) = watched {
                         self.asker = Some((asker, token));
@@ -81,7 +81,7 @@
                 }
                 true
             }
-            Key::Asker => {
+            EventSource::Asker => {
                 self.hear();
                 true
             }
@@ -124,7 +124,7 @@
             }
             Some(bound) => Some(bound.to_string()),
             None if !driver.quiet() => return false,
-            None => driver.lighten().err(),
+            None => driver.close_idle_connections().err(),
         };
         let Some(asker) = self.forget_asker() else {
             return false;
@@ -135,8 +135,8 @@
             return false;
         }
         let Some(lock) = &self.lock else { return false };
-        let (bytes, passed) = match driver.estate() {
-            Ok(estate) => estate,
+        let (bytes, passed) = match driver.process_state() {
+            Ok(process_state) => process_state,
             Err(reason) => {
                 warn!(reason, "replacement refused");
                 asker.refuse(&reason);
@@ -174,7 +174,7 @@
 }
 
 /// A process that starts where another may serve.
-pub struct Waiting {
+pub struct ReplacementCandidate {
     handle: Handle,
     state: PathBuf,
     listen: std::net::SocketAddr,
@@ -186,7 +186,7 @@
     alone: bool,
 }
 
-impl Drop for Waiting {
+impl Drop for ReplacementCandidate {
     fn drop(&mut self) {
         self.asking
             .take()
@@ -205,12 +205,12 @@
     Nothing,
 }
 
-impl Waiting {
+impl ReplacementCandidate {
     /// Waits for the process that holds the lock.
     ///
     /// # Errors
     /// One line, where another process waits already.
-    pub fn open(config: &Config, handle: &Handle) -> Result<Waiting, String> {
+    pub fn open(config: &Config, handle: &Handle) -> Result<ReplacementCandidate, String> {
         let turn = Lock::take(&config.state, "successor");
         if matches!(turn, Ok(None)) {
             return Err(
@@ -220,7 +220,7 @@
         let (state, listen) = (config.state.clone(), config.listen);
         let (asking, turn) = (None, turn.ok().flatten());
         info!("waiting for the process that serves");
-        Ok(Waiting {
+        Ok(ReplacementCandidate {
             handle: handle.clone(),
             state,
             listen,
@@ -244,8 +244,11 @@
                     listen: self.listen,
                 };
                 let asking = martenlatch_handover::ask(&path, &ask)?;
-                let token =
-                    martenlatch_http::register(&self.handle, asking.watched()?, Key::Predecessor)?;
+                let token = martenlatch_http::register(
+                    &self.handle,
+                    asking.watched()?,
+                    EventSource::Predecessor,
+                )?;
                 Ok((asking, token))
             });
             match asking {
--- a/crates/ledger/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -19,7 +19,7 @@
 
 /// How a transaction that was not delivered ends.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Notice {
+pub enum FinalStatus {
     Undeliverable,
     /// With the milliseconds after which the client may return, if any.
     Deferred(Option<u64>),
@@ -27,14 +27,14 @@
 
 /// One routed task: when it was sent, and whether it is proven that it never ran.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Task {
+pub struct AttemptRecord {
     pub sent: Millis,
     pub never_ran: bool,
 }
 
 /// What lasts of a transaction.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Taken {
+pub struct MessageRecord {
     /// Its number; never used twice, over all lives.
     pub no: u64,
     pub id: Rc<str>,
@@ -43,9 +43,9 @@
     pub deadline: Millis,
     pub key: Option<Rc<str>>,
     pub body: Rc<[u8]>,
-    pub tasks: Vec<Task>,
+    pub attempts: Vec<AttemptRecord>,
     /// Its end is settled, and the platform has not confirmed it yet.
-    pub ending: Option<Notice>,
+    pub final_status: Option<FinalStatus>,
     /// What its class promised when it was taken on, in the caller's form; empty where no record says it.
     pub rules: Rc<[u8]>,
 }
@@ -57,10 +57,10 @@
 /// Longest record; a longer length is a torn one.
 const LONGEST: usize = 80 * 1024;
 /// Most tasks of a transaction: one behind these has no record, and its call must not start.
-pub const TASKS: usize = 64;
+pub const MAX_ATTEMPTS: usize = 64;
 const MAGIC: &[u8; 8] = b"mlatch1\n";
 
-pub struct Ledger {
+pub struct WriteAheadLog {
     path: PathBuf,
     file: Option<File>,
     size: u64,
@@ -75,9 +75,9 @@
     rest_until: Millis,
 }
 
-/// The place of a ledger that is passed to a later process.
+/// The place of a wal that is passed to a later process.
 #[derive(Serialize, Deserialize)]
-pub struct Place {
+pub struct LogPosition {
     size: u64,
     over: VecDeque<Rc<str>>,
     rest_until: Millis,
@@ -129,7 +129,7 @@
     out
 }
 
-fn taken(t: &Taken) -> Vec<u8> {
+fn encode_message(t: &MessageRecord) -> Vec<u8> {
     let bytes = Bytes(vec![b'T'])
         .num(t.no)
         .num(t.destination)
@@ -168,11 +168,11 @@
     framed(&Bytes(vec![b'N']).num(no).num(attempt as u64).0)
 }
 
-fn ending(no: u64, notice: Notice) -> Vec<u8> {
+fn ending(no: u64, notice: FinalStatus) -> Vec<u8> {
     let (status, again) = match notice {
-        Notice::Undeliverable => (0, 0),
-        Notice::Deferred(None) => (1, 0),
-        Notice::Deferred(Some(ms)) => (2, ms),
+        FinalStatus::Undeliverable => (0, 0),
+        FinalStatus::Deferred(None) => (1, 0),
+        FinalStatus::Deferred(Some(ms)) => (2, ms),
     };
     framed(&Bytes(vec![b'E']).num(no).num(status).num(again).0)
 }
@@ -190,8 +190,8 @@
 
 /// What is left of earlier lives.
 #[derive(Default)]
-pub struct Past {
-    pub open: BTreeMap<u64, Taken>,
+pub struct RecoveredState {
+    pub open: BTreeMap<u64, MessageRecord>,
     pub over: VecDeque<Rc<str>>,
     pub next: u64,
     /// Whole records read.
@@ -201,7 +201,7 @@
     good: u64,
 }
 
-impl Past {
+impl RecoveredState {
     fn record(&mut self, payload: &[u8]) -> Option<()> {
         let mut c = Cursor(payload.get(1..)?);
         let no = c.num()?;
@@ -215,9 +215,8 @@
                     (_, key) => Some(Rc::from(std::str::from_utf8(key).ok()?)),
                 };
                 let body = Rc::from(c.bytes()?);
-                let (tasks, ending) = (Vec::new(), None);
                 let rules = self.rules.get(&class).cloned().unwrap_or_default();
-                let t = Taken {
+                let t = MessageRecord {
                     no,
                     id,
                     class,
@@ -225,8 +224,8 @@
                     deadline,
                     key,
                     body,
-                    tasks,
-                    ending,
+                    attempts: Vec::new(),
+                    final_status: None,
                     rules,
                 };
                 self.open.insert(no, t);
@@ -237,19 +236,19 @@
             }
             b'R' => {
                 let (attempt, sent) = (c.num()? as usize, f64::from_bits(c.num()?));
-                let tasks = self.open.get_mut(&no).map(|t| &mut t.tasks);
-                if let Some(tasks) = tasks.filter(|_| attempt < TASKS) {
+                let tasks = self.open.get_mut(&no).map(|t| &mut t.attempts);
+                if let Some(tasks) = tasks.filter(|_| attempt < MAX_ATTEMPTS) {
                     // One whose record did not fit was never sent. One that a compaction found not yet begun is known
                     // for one that never ran, and begins here.
                     let least = tasks.len().max(attempt + 1);
                     tasks.resize(
                         least,
-                        Task {
+                        AttemptRecord {
                             sent,
                             never_ran: true,
                         },
                     );
-                    tasks[attempt] = Task {
+                    tasks[attempt] = AttemptRecord {
                         sent,
                         never_ran: false,
                     };
@@ -260,19 +259,19 @@
                 let task = self
                     .open
                     .get_mut(&no)
-                    .and_then(|t| t.tasks.get_mut(attempt));
+                    .and_then(|t| t.attempts.get_mut(attempt));
                 task.into_iter().for_each(|t| t.never_ran = true);
             }
             b'E' => {
                 let notice = match (c.num()?, c.num()?) {
-                    (0, _) => Notice::Undeliverable,
-                    (1, _) => Notice::Deferred(None),
-                    (_, ms) => Notice::Deferred(Some(ms)),
+                    (0, _) => FinalStatus::Undeliverable,
+                    (1, _) => FinalStatus::Deferred(None),
+                    (_, ms) => FinalStatus::Deferred(Some(ms)),
                 };
                 self.open
                     .get_mut(&no)
                     .into_iter()
-                    .for_each(|t| t.ending = Some(notice));
+                    .for_each(|t| t.final_status = Some(notice));
             }
             b'O' => {
                 self.open.remove(&no);
@@ -287,8 +286,8 @@
         Some(())
     }
 
-    fn read(bytes: &[u8]) -> Past {
-        let mut past = Past::default();
+    fn read(bytes: &[u8]) -> RecoveredState {
+        let mut past = RecoveredState::default();
         let mut c = Cursor(bytes);
         if c.take(MAGIC.len()) != Some(MAGIC) {
             return past;
@@ -315,20 +314,20 @@
     }
 }
 
-/// A ledger looked into and left as it is, also while a sender writes to it.
+/// A wal looked into and left as it is, also while a sender writes to it.
 #[derive(Default)]
-pub struct Look {
-    pub past: Past,
+pub struct LogInspection {
+    pub past: RecoveredState,
     /// Bytes of the file.
     pub size: u64,
 }
 
-impl Look {
-    /// Reads the ledger of a folder; one that was never written to is empty.
+impl LogInspection {
+    /// Reads the wal of a folder; one that was never written to is empty.
     ///
     /// # Errors
-    /// Where the folder is none, or its ledger cannot be read.
-    pub fn into(folder: &std::path::Path) -> std::io::Result<Look> {
+    /// Where the folder is none, or its wal cannot be read.
+    pub fn open(folder: &std::path::Path) -> std::io::Result<LogInspection> {
         if !folder.is_dir() {
             return Err(std::io::Error::new(
                 std::io::ErrorKind::NotFound,
@@ -336,30 +335,30 @@
             ));
         }
         match std::fs::read(folder.join("ledger")) {
-            Ok(bytes) => Ok(Look {
-                past: Past::read(&bytes),
+            Ok(bytes) => Ok(LogInspection {
+                past: RecoveredState::read(&bytes),
                 size: bytes.len() as u64,
             }),
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Look::default()),
+            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(LogInspection::default()),
             Err(e) => Err(e),
         }
     }
 
     /// Bytes that belong to whole records.
-    pub fn good(&self) -> u64 {
+    pub fn valid_bytes(&self) -> u64 {
         self.past.good
     }
 }
 
-impl Ledger {
+impl WriteAheadLog {
     /// Opens the journal and reads what earlier lives left. An unusable one is told, and starts refusing.
-    pub fn open(folder: &std::path::Path, disk: u64) -> (Ledger, Past) {
+    pub fn open(folder: &std::path::Path, disk: u64) -> (WriteAheadLog, RecoveredState) {
         let path = folder.join("ledger");
         // A compaction that was cut short leaves its new file; the old one is still whole.
         let _ = std::fs::remove_file(folder.join("ledger.new"));
         let mut bytes = Vec::new();
         let read = File::open(&path).and_then(|mut f| f.read_to_end(&mut bytes));
-        let past = Past::read(&bytes);
+        let past = RecoveredState::read(&bytes);
         let read = read
             .map_err(|e| e.kind())
             .err()
@@ -377,7 +376,7 @@
         let (file, size, cap) = (None, past.good, disk as f64 * PARTS.0);
         let (live, over) = (BTreeMap::new(), past.over.clone());
         let rules = past.rules.clone();
-        let mut ledger = Ledger {
+        let mut wal = WriteAheadLog {
             path,
             file,
             size,
@@ -389,29 +388,29 @@
             rest_until: 0.0,
         };
         for t in past.open.values() {
-            ledger.count(t.no, Ledger::whole(t));
+            wal.count(t.no, WriteAheadLog::whole(t));
         }
         // Guards what an unreadable file may still hold: it is never written over, and no work is taken on.
         if unreadable.is_some() {
-            ledger.rest_until = f64::INFINITY;
-            return (ledger, past);
+            wal.rest_until = f64::INFINITY;
+            return (wal, past);
         }
         // A new file at each start: the tail is gone, and so is what is over. Without room for one, the old goes on.
-        if !ledger.compact(past.open.values()) && past.good > 0 {
-            let old = OpenOptions::new().write(true).open(&ledger.path);
-            ledger.file = old.ok().filter(|f| f.set_len(past.good).is_ok());
-            ledger.file = ledger
+        if !wal.compact(past.open.values()) && past.good > 0 {
+            let old = OpenOptions::new().write(true).open(&wal.path);
+            wal.file = old.ok().filter(|f| f.set_len(past.good).is_ok());
+            wal.file = wal
                 .file
                 .take()
                 .filter(|mut f| f.seek(SeekFrom::End(0)).is_ok());
         }
-        (ledger, past)
+        (wal, past)
     }
 
     /// Where this process stands in the file. It must not write to it once another has gone on from there.
-    pub fn place(&self) -> Place {
+    pub fn position(&self) -> LogPosition {
         let (size, over, rest_until) = (self.size, self.over.clone(), self.rest_until);
-        Place {
+        LogPosition {
             size,
             over,
             rest_until,
@@ -423,12 +422,12 @@
     ///
     /// # Errors
     /// Where the file is not as that process left it.
-    pub fn carried_on<'a>(
+    pub fn restore<'a>(
         folder: &std::path::Path,
         disk: u64,
-        place: Place,
-        open: impl Iterator<Item = &'a Taken>,
-    ) -> std::io::Result<Ledger> {
+        place: LogPosition,
+        open: impl Iterator<Item = &'a MessageRecord>,
+    ) -> std::io::Result<WriteAheadLog> {
         let path = folder.join("ledger");
         let file = if place.open {
             let mut file = OpenOptions::new().write(true).open(&path)?;
@@ -442,7 +441,7 @@
         let (size, cap, rest_until) = (place.size, disk as f64 * PARTS.0, place.rest_until);
         // What the file says of classes is said again.
         let (live, over, rules) = (BTreeMap::new(), place.over, HashMap::new());
-        let mut ledger = Ledger {
+        let mut wal = WriteAheadLog {
             path,
             file,
             size,
@@ -454,13 +453,13 @@
             rest_until,
         };
         for t in open {
-            ledger.count(t.no, Ledger::whole(t));
+            wal.count(t.no, WriteAheadLog::whole(t));
         }
-        Ok(ledger)
+        Ok(wal)
     }
 
-    fn whole(t: &Taken) -> u64 {
-        (taken(t).len() + t.tasks.len() * 60 + 40) as u64
+    fn whole(t: &MessageRecord) -> u64 {
+        (encode_message(t).len() + t.attempts.len() * 60 + 40) as u64
     }
 
     fn count(&mut self, no: u64, bytes: u64) {
@@ -495,7 +494,7 @@
     }
 
     /// Records a transaction as taken on. False: it must be refused.
-    pub fn take(&mut self, t: &Taken) -> bool {
+    pub fn append_message(&mut self, t: &MessageRecord) -> bool {
         let known = self
             .rules
             .get(&t.class)
@@ -505,7 +504,7 @@
         } else {
             rules(&t.class, &t.rules)
         };
-        record.extend(taken(t));
+        record.extend(encode_message(t));
         // Leaves room behind it for its tasks and its end, which must not fail for want of it.
         let fits = (self.live_bytes + record.len() as u64) as f64 <= self.cap * PARTS.2;
         if !fits || !self.append(&record, self.cap * (PARTS.1 - 0.06)) {
@@ -514,13 +513,14 @@
         if !known {
             self.rules.insert(t.class.clone(), t.rules.clone());
         }
-        self.count(t.no, Ledger::whole(t));
+        self.count(t.no, WriteAheadLog::whole(t));
         true
     }
 
     /// Records a routed task. False: its call must not start.
-    pub fn route(&mut self, no: u64, attempt: usize, sent: Millis) -> bool {
-        let done = attempt < TASKS && self.append(&task(no, attempt, sent), self.cap * PARTS.1);
+    pub fn append_attempt(&mut self, no: u64, attempt: usize, sent: Millis) -> bool {
+        let done =
+            attempt < MAX_ATTEMPTS && self.append(&task(no, attempt, sent), self.cap * PARTS.1);
         if done {
             self.count(no, 60);
         }
@@ -528,23 +528,23 @@
     }
 
     /// Records that a routed task never ran. Losing this one is safe: the task then counts as one that may have.
-    pub fn never_ran(&mut self, no: u64, attempt: usize) {
+    pub fn append_never_ran(&mut self, no: u64, attempt: usize) {
         self.append(&never_ran(no, attempt), self.cap * PARTS.1);
     }
 
     /// Records how a transaction will end. Losing this one is safe: it comes back, and ends again.
-    pub fn ending(&mut self, no: u64, notice: Notice) {
+    pub fn append_final_status(&mut self, no: u64, notice: FinalStatus) {
         self.append(&ending(no, notice), self.cap * PARTS.1);
     }
 
     /// Records that nothing more is owed.
-    pub fn over(&mut self, no: u64, id: &Rc<str>) {
+    pub fn append_closed(&mut self, no: u64, id: &Rc<str>) {
         self.settle(no, id);
         keep(&mut self.over, id.clone());
     }
 
     /// Records that a transaction was not taken on after all. Its id stays unknown: who hands it in again is new.
-    pub fn never_taken(&mut self, no: u64) {
+    pub fn append_revoked(&mut self, no: u64) {
         self.settle(no, "");
     }
 
@@ -567,7 +567,7 @@
     }
 
     /// Writes what is not over to a new file and puts it in the old one's place. On failure the old one stands.
-    pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a Taken>) -> bool {
+    pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a MessageRecord>) -> bool {
         let mut all = MAGIC.to_vec();
         self.over.iter().for_each(|id| all.extend(over(0, id)));
         let (mut live, mut said) = (BTreeMap::new(), HashMap::new());
@@ -578,15 +578,15 @@
             {
                 all.extend(rules(&t.class, &t.rules));
             }
-            all.extend(taken(t));
-            live.insert(t.no, Ledger::whole(t));
-            for (attempt, done) in t.tasks.iter().enumerate() {
+            all.extend(encode_message(t));
+            live.insert(t.no, WriteAheadLog::whole(t));
+            for (attempt, done) in t.attempts.iter().enumerate() {
                 all.extend(task(t.no, attempt, done.sent));
                 if done.never_ran {
                     all.extend(never_ran(t.no, attempt));
                 }
             }
-            t.ending
+            t.final_status
                 .into_iter()
                 .for_each(|notice| all.extend(ending(t.no, notice)));
         }
@@ -624,14 +624,14 @@
 
     fn folder(name: &str) -> PathBuf {
         let folder =
-            std::env::temp_dir().join(format!("martenlatch-ledger-{name}-{}", std::process::id()));
+            std::env::temp_dir().join(format!("martenlatch-wal-{name}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
         folder
     }
 
-    fn some(no: u64, size: usize) -> Taken {
-        Taken {
+    fn some(no: u64, size: usize) -> MessageRecord {
+        MessageRecord {
             no,
             id: Rc::from(format!("id{no}")),
             class: Rc::from("notice"),
@@ -639,8 +639,8 @@
             deadline: 1_796_121_600_016.25,
             key: Some(Rc::from("")),
             body: Rc::from(vec![9; size]),
-            tasks: Vec::new(),
-            ending: None,
+            attempts: Vec::new(),
+            final_status: None,
             rules: Rc::from([]),
         }
     }
@@ -648,21 +648,21 @@
     #[test]
     fn what_was_taken_on_comes_back_and_a_torn_tail_is_dropped() {
         let folder = folder("torn");
-        let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
+        let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
         for no in 0..3 {
-            assert!(ledger.take(&some(no, 200)));
+            assert!(wal.append_message(&some(no, 200)));
         }
-        assert!(ledger.route(0, 0, 5.0) && ledger.route(0, 1, 6.0));
-        ledger.never_ran(0, 0);
-        ledger.over(1, &Rc::from("id1"));
-        ledger.ending(2, Notice::Deferred(Some(700)));
-        assert!(ledger.take(&some(3, 200)));
-        drop(ledger);
+        assert!(wal.append_attempt(0, 0, 5.0) && wal.append_attempt(0, 1, 6.0));
+        wal.append_never_ran(0, 0);
+        wal.append_closed(1, &Rc::from("id1"));
+        wal.append_final_status(2, FinalStatus::Deferred(Some(700)));
+        assert!(wal.append_message(&some(3, 200)));
+        drop(wal);
         let whole = std::fs::read(folder.join("ledger")).unwrap();
         std::fs::write(folder.join("ledger"), &whole[..whole.len() - 3]).unwrap();
         std::fs::write(folder.join("ledger.new"), b"cut short").unwrap();
         for _ in 0..2 {
-            let (_, past) = Ledger::open(&folder, 3_000_000);
+            let (_, past) = WriteAheadLog::open(&folder, 3_000_000);
             assert_eq!(
                 past.open.keys().copied().collect::<Vec<_>>(),
                 [0, 2],
@@ -670,20 +670,23 @@
             );
             let first = &past.open[&0];
             let tasks = [
-                Task {
+                AttemptRecord {
                     sent: 5.0,
                     never_ran: true,
                 },
-                Task {
+                AttemptRecord {
                     sent: 6.0,
                     never_ran: false,
                 },
             ];
             assert_eq!(
-                (first.tasks.as_slice(), first.key.as_deref()),
+                (first.attempts.as_slice(), first.key.as_deref()),
                 (&tasks[..], Some(""))
             );
-            assert_eq!(past.open[&2].ending, Some(Notice::Deferred(Some(700))));
+            assert_eq!(
+                past.open[&2].final_status,
+                Some(FinalStatus::Deferred(Some(700)))
+            );
             assert_eq!((past.over.len(), &*past.over[0]), (1, "id1"));
             assert!(!folder.join("ledger.new").exists());
         }
@@ -693,16 +696,20 @@
     fn an_unreadable_journal_is_left_alone_and_a_file_that_cannot_be_replaced_is_written_on() {
         let (unreadable, stuck) = (folder("unreadable"), folder("stuck"));
         std::fs::create_dir(unreadable.join("ledger")).unwrap();
-        let (mut ledger, _) = Ledger::open(&unreadable, 3_000_000);
-        assert!(!ledger.take(&some(1, 10)) && !ledger.wants_compaction(1e15));
+        let (mut wal, _) = WriteAheadLog::open(&unreadable, 3_000_000);
+        assert!(!wal.append_message(&some(1, 10)) && !wal.wants_compaction(1e15));
         assert!(unreadable.join("ledger").is_dir());
-        assert!(Ledger::open(&stuck, 3_000_000).0.take(&some(1, 10)));
+        assert!(
+            WriteAheadLog::open(&stuck, 3_000_000)
+                .0
+                .append_message(&some(1, 10))
+        );
         // A folder in the new file's place stands for a disk that has no room for it.
         std::fs::create_dir(stuck.join("ledger.new")).unwrap();
-        let (mut ledger, past) = Ledger::open(&stuck, 3_000_000);
-        assert!(past.open.contains_key(&1) && ledger.route(1, 0, 7.0));
-        let (_, past) = Ledger::open(&stuck, 3_000_000);
-        assert_eq!(past.open[&1].tasks.len(), 1);
+        let (mut wal, past) = WriteAheadLog::open(&stuck, 3_000_000);
+        assert!(past.open.contains_key(&1) && wal.append_attempt(1, 0, 7.0));
+        let (_, past) = WriteAheadLog::open(&stuck, 3_000_000);
+        assert_eq!(past.open[&1].attempts.len(), 1);
     }
 
     #[test]
@@ -711,9 +718,11 @@
         let folder = folder("version");
         let later = b"mlatch2\nwhatever it holds".to_vec();
         std::fs::write(folder.join("ledger"), &later).unwrap();
-        let (mut ledger, past) = Ledger::open(&folder, 3_000_000);
+        let (mut wal, past) = WriteAheadLog::open(&folder, 3_000_000);
         assert!(
-            past.open.is_empty() && !ledger.take(&some(1, 10)) && !ledger.wants_compaction(1e15)
+            past.open.is_empty()
+                && !wal.append_message(&some(1, 10))
+                && !wal.wants_compaction(1e15)
         );
         assert_eq!(std::fs::read(folder.join("ledger")).unwrap(), later);
     }
@@ -721,32 +730,32 @@
     #[test]
     fn the_disk_limit_holds_with_old_and_new_file_and_full_means_refusing() {
         let (folder, disk) = (folder("full"), 1_000_000);
-        let (mut ledger, _) = Ledger::open(&folder, disk);
+        let (mut wal, _) = WriteAheadLog::open(&folder, disk);
         let mut open = BTreeMap::new();
         let mut refused = 0;
         for no in 0..400 {
             let t = some(no, 4_000);
-            match ledger.take(&t) {
+            match wal.append_message(&t) {
                 true => drop(open.insert(no, t)),
                 false => refused += 1,
             }
             if no % 3 == 0
                 && let Some((no, t)) = open.pop_first()
             {
-                ledger.over(no, &t.id);
+                wal.append_closed(no, &t.id);
             }
-            if ledger.wants_compaction(0.0) {
-                let old = ledger.size;
-                assert!(ledger.compact(open.values()));
-                assert!(old + ledger.size < disk, "{old} and {}", ledger.size);
+            if wal.wants_compaction(0.0) {
+                let old = wal.size;
+                assert!(wal.compact(open.values()));
+                assert!(old + wal.size < disk, "{old} and {}", wal.size);
             }
         }
         assert!(refused > 0, "the limit was never met");
         assert!(
-            ledger.route(*open.keys().next().unwrap(), 0, 1.0),
+            wal.append_attempt(*open.keys().next().unwrap(), 0, 1.0),
             "what was taken on can still be sent"
         );
-        let (_, past) = Ledger::open(&folder, disk);
+        let (_, past) = WriteAheadLog::open(&folder, disk);
         assert_eq!(past.open.len(), open.len());
     }
 
@@ -754,16 +763,16 @@
     fn a_task_that_begins_behind_a_compaction_may_have_run() {
         // Guards against a second effect: a compaction that meets it before it begins writes it as one that never ran.
         let folder =
-            std::env::temp_dir().join(format!("martenlatch-ledger-begins-{}", std::process::id()));
+            std::env::temp_dir().join(format!("martenlatch-wal-begins-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).unwrap();
-        let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
-        let tasks = vec![Task {
+        let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+        let tasks = vec![AttemptRecord {
             sent: 5.0,
             never_ran: true,
         }];
         let (id, class, body) = (Rc::from("a"), Rc::from("debit"), Rc::from(&b"x"[..]));
-        let t = Taken {
+        let t = MessageRecord {
             no: 0,
             id,
             class,
@@ -771,28 +780,31 @@
             deadline: 9e3,
             key: None,
             body,
-            tasks,
-            ending: None,
+            attempts: tasks,
+            final_status: None,
             rules: Rc::from([]),
         };
-        assert!(ledger.take(&t) && ledger.compact(std::iter::once(&t)));
+        assert!(wal.append_message(&t) && wal.compact(std::iter::once(&t)));
         assert_eq!(
-            Look::into(&folder).unwrap().past.open[&0].tasks,
-            t.tasks,
+            LogInspection::open(&folder).unwrap().past.open[&0].attempts,
+            t.attempts,
             "it has not begun"
         );
-        assert!(ledger.route(0, 0, 6.0));
-        let begun = [Task {
+        assert!(wal.append_attempt(0, 0, 6.0));
+        let begun = [AttemptRecord {
             sent: 6.0,
             never_ran: false,
         }];
-        assert_eq!(Look::into(&folder).unwrap().past.open[&0].tasks, begun);
+        assert_eq!(
+            LogInspection::open(&folder).unwrap().past.open[&0].attempts,
+            begun
+        );
     }
 
     #[test]
     fn what_a_class_promised_at_intake_comes_back_whatever_the_name_stands_for_since() {
         let folder = folder("rules");
-        let under = |no: u64, rules: &[u8]| Taken {
+        let under = |no: u64, rules: &[u8]| MessageRecord {
             rules: Rc::from(rules),
             ..some(no, 100)
         };
@@ -801,29 +813,29 @@
             [under(2, b"safe"), under(3, b"safe")],
         ];
         for life in &lives {
-            let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
-            assert!(life.iter().all(|t| ledger.take(t)));
+            let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+            assert!(life.iter().all(|t| wal.append_message(t)));
         }
         // Also behind compactions, which write them all anew.
         for _ in 0..2 {
-            let (_, past) = Ledger::open(&folder, 3_000_000);
+            let (_, past) = WriteAheadLog::open(&folder, 3_000_000);
             assert_eq!(past.open.into_values().collect::<Vec<_>>(), lives.concat());
         }
     }
 
     #[test]
     fn what_is_recorded_of_a_task_is_read_again_and_what_would_not_be_is_not_begun() {
-        // Guards against a second effect under settings that allow more attempts than a ledger keeps.
+        // Guards against a second effect under settings that allow more attempts than a wal keeps.
         let folder = folder("many");
-        let (mut ledger, _) = Ledger::open(&folder, 3_000_000);
-        assert!(ledger.take(&some(0, 10)));
-        let begun = (0..2 * TASKS)
-            .filter(|attempt| ledger.route(0, *attempt, 5.0))
+        let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+        assert!(wal.append_message(&some(0, 10)));
+        let begun = (0..2 * MAX_ATTEMPTS)
+            .filter(|attempt| wal.append_attempt(0, *attempt, 5.0))
             .count();
-        let read = &Look::into(&folder).unwrap().past.open[&0].tasks;
+        let read = &LogInspection::open(&folder).unwrap().past.open[&0].attempts;
         assert_eq!(
             (begun, read.iter().filter(|t| !t.never_ran).count()),
-            (TASKS, TASKS)
+            (MAX_ATTEMPTS, MAX_ATTEMPTS)
         );
     }
 }
