Give the HTTP crate typed results, short functions and full documentation

Need: the codec and the connections read as riddles, public items had no documentation, and one function of 50 lines decoded every kind of body. Change: Body::decode returns BodyProgress or Malformed (feed stays as a thin form of it for its callers), chunks, lengths and keep-alive have functions of their own, limits and statuses are named constants, the buffer's methods have the usual names (spare_capacity, advance, append), Malformed is an error type, and the inline tests are test files. Names that other crates use stay.

--- a/crates/http/src/buffer_pool.rs
+++ b/crates/http/src/buffer_pool.rs
@@ -1,49 +1,60 @@
-//! Owns the buffers: all of one size, lent out, and used again. It must never hold more than its cap, whatever
-//! peers send, and never hand out a buffer that still shows another connection's bytes.
+//! A bounded pool of equally sized byte buffers.
+//!
+//! The bound caps the memory that peers can make the process use, whatever they send. A buffer returns to the pool
+//! when it is dropped and is lent again without being zeroed; [`Buffer::bytes`] only shows what its present owner
+//! has put in, so no connection sees the bytes of another.
 
 use std::cell::RefCell;
 use std::rc::Rc;
 
-/// Longest head of a request or an answer.
+/// Longest head of a request or response, in bytes.
 pub const HEAD: usize = 8 * 1024;
-/// Longest body.
+/// Longest body of a request or response, in bytes.
 pub const BODY: usize = 64 * 1024;
-/// One buffer holds one whole message.
+/// Size of each buffer in bytes: room for one message of the greatest size.
 pub const BUFFER_SIZE: usize = HEAD + BODY;
 
 #[derive(Default)]
-struct Shelf {
+struct PoolState {
     free: Vec<Box<[u8]>>,
+    /// Number of buffers that are lent out.
     lent: usize,
-    cap: usize,
+    /// Most buffers that may be lent out at a time.
+    capacity: usize,
 }
 
-/// Where buffers come from and go back to.
+impl PoolState {
+    fn is_exhausted(&self) -> bool {
+        self.lent >= self.capacity
+    }
+}
+
+/// A pool of buffers of [`BUFFER_SIZE`] bytes. Clones share the same buffers.
 #[derive(Clone, Default)]
-pub struct BufferPool(Rc<RefCell<Shelf>>);
+pub struct BufferPool(Rc<RefCell<PoolState>>);
 
 impl BufferPool {
-    pub fn new(cap: usize) -> BufferPool {
-        BufferPool(Rc::new(RefCell::new(Shelf {
-            cap,
-            ..Shelf::default()
+    /// Creates a pool that lends at most `capacity` buffers at a time. Memory is allocated on first use.
+    pub fn new(capacity: usize) -> BufferPool {
+        BufferPool(Rc::new(RefCell::new(PoolState {
+            capacity,
+            ..PoolState::default()
         })))
     }
 
-    /// None is left to lend.
+    /// Whether all buffers are lent out.
     pub fn spent(&self) -> bool {
-        let shelf = self.0.borrow();
-        shelf.lent >= shelf.cap
+        self.0.borrow().is_exhausted()
     }
 
-    /// A buffer, or none while the cap is lent out.
+    /// Lends an empty buffer, or returns `None` if all are lent out.
     pub fn take(&self) -> Option<Buffer> {
-        let mut shelf = self.0.borrow_mut();
-        if shelf.lent >= shelf.cap {
+        let mut state = self.0.borrow_mut();
+        if state.is_exhausted() {
             return None;
         }
-        shelf.lent += 1;
-        let data = shelf
+        state.lent += 1;
+        let data = state
             .free
             .pop()
             .unwrap_or_else(|| vec![0; BUFFER_SIZE].into_boxed_slice());
@@ -51,84 +62,76 @@
             data,
             start: 0,
             end: 0,
-            home: self.clone(),
+            pool: self.clone(),
         })
     }
 }
 
-/// A lent buffer: what is between its two marks has been put in and not yet used.
+/// A buffer on loan: a queue of bytes that are appended at the end and consumed from the front.
 pub struct Buffer {
     data: Box<[u8]>,
+    /// Offset of the first byte that has not been consumed.
     start: usize,
+    /// Offset behind the last byte that has been appended.
     end: usize,
-    home: BufferPool,
+    pool: BufferPool,
 }
 
 impl Buffer {
+    /// The bytes that have been appended and not yet consumed.
     pub fn bytes(&self) -> &[u8] {
         &self.data[self.start..self.end]
     }
 
+    /// Whether there is nothing left to consume.
     pub fn is_empty(&self) -> bool {
         self.start == self.end
     }
 
-    /// Room to read into; what is unused moves to the front first.
-    pub fn room(&mut self) -> &mut [u8] {
+    /// The free space behind the content, which is moved to the front first. Write into it, then call
+    /// [`Buffer::advance`].
+    pub fn spare_capacity(&mut self) -> &mut [u8] {
         if self.start > 0 {
             self.data.copy_within(self.start..self.end, 0);
-            (self.start, self.end) = (0, self.end - self.start);
+            self.end -= self.start;
+            self.start = 0;
         }
         &mut self.data[self.end..]
     }
 
-    pub fn filled(&mut self, count: usize) {
+    /// Adds the first `count` bytes of the spare capacity to the content.
+    pub fn advance(&mut self, count: usize) {
         self.end = (self.end + count).min(self.data.len());
     }
 
+    /// Drops `count` bytes from the front of the content, or all of it if it holds fewer.
     pub fn consume(&mut self, count: usize) {
         self.start = (self.start + count).min(self.end);
         if self.start == self.end {
-            (self.start, self.end) = (0, 0);
+            self.start = 0;
+            self.end = 0;
         }
     }
 
-    /// Appends all of it, or nothing where it does not fit.
-    pub fn put(&mut self, bytes: &[u8]) -> bool {
-        let room = self.room();
-        if room.len() < bytes.len() {
+    /// Appends all of `bytes` and returns true, or appends nothing and returns false if they do not fit.
+    pub fn append(&mut self, bytes: &[u8]) -> bool {
+        let spare = self.spare_capacity();
+        if spare.len() < bytes.len() {
             return false;
         }
-        room[..bytes.len()].copy_from_slice(bytes);
-        self.filled(bytes.len());
+        spare[..bytes.len()].copy_from_slice(bytes);
+        self.advance(bytes.len());
         true
     }
 }
 
 impl Drop for Buffer {
     fn drop(&mut self) {
-        let mut shelf = self.home.0.borrow_mut();
-        shelf.lent -= 1;
-        shelf.free.push(std::mem::take(&mut self.data));
+        let mut state = self.pool.0.borrow_mut();
+        state.lent -= 1;
+        state.free.push(std::mem::take(&mut self.data));
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn buffers_come_back_empty_and_never_exceed_the_cap() {
-        let pool = BufferPool::new(2);
-        let (mut a, b) = (pool.take().unwrap(), pool.take().unwrap());
-        assert!(pool.take().is_none(), "the cap holds");
-        assert!(
-            a.put(b"secret") && !a.put(&[0; BUFFER_SIZE]),
-            "what does not fit is not put in part"
-        );
-        a.consume(2);
-        assert_eq!(a.bytes(), b"cret");
-        drop((a, b));
-        assert!(pool.take().unwrap().is_empty());
-    }
-}
+mod tests;
--- a/crates/http/src/codec.rs
+++ b/crates/http/src/codec.rs
@@ -1,275 +1,403 @@
-//! Owns HTTP/1.1 framing in both directions: heads, bodies and partial reads. It must never decide anything: it
-//! knows no classes, regions or rules, and nothing a peer sends may make it panic or hold more than it was given.
+//! HTTP/1.1 framing in both directions: message heads, response bodies, and partial input.
+//!
+//! All input comes from peers that are not trusted: nothing here panics on it, and nothing grows beyond the limits
+//! of [`crate::buffer_pool`].
 
 use std::rc::Rc;
 
 use crate::buffer_pool::{BODY, HEAD};
 
-/// How a body ends.
+/// Most header lines in one message.
+const MAX_HEADERS: usize = 64;
+/// The line end behind the data of a chunk (`\r\n`), in bytes.
+const CHUNK_LINE_END: usize = 2;
+
+const BAD_REQUEST: u16 = 400;
+const LENGTH_REQUIRED: u16 = 411;
+const CONTENT_TOO_LARGE: u16 = 413;
+const HEADER_FIELDS_TOO_LARGE: u16 = 431;
+
+/// Input that is not a valid HTTP response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("malformed HTTP response")]
+pub struct Malformed;
+
+/// How the end of a response body is found, and how much of it is still to come.
+///
+/// This type is part of the state that is passed to a successor process: the order of variants and fields is fixed.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Body {
+    /// The bytes left of a body of known length.
     Left(usize),
-    /// Chunked: bytes left of this chunk with its line end, or none while a size line is due.
-    Chunks {
-        left: usize,
+    /// Chunked transfer coding.
+    Chunked {
+        /// Bytes left of the present chunk with its line end; 0 while a size line is due.
+        remaining: usize,
+        /// The last chunk (of size 0) has begun: only the trailer is still to come.
         last: bool,
     },
+    /// The body ends with the connection.
     ToEnd,
 }
 
+/// How far one call of [`Body::decode`] has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// Bytes of the input that were used.
+    pub consumed: usize,
+    /// Whether the body is complete.
+    pub complete: bool,
+}
+
 impl Body {
-    /// Passes on what is there. Returns how much was consumed and whether the body is over, or nothing if malformed.
-    pub fn feed(&mut self, input: &[u8], mut out: impl FnMut(&[u8])) -> Option<(usize, bool)> {
+    /// Decodes the body bytes in `input` and passes their content to `output`.
+    ///
+    /// # Errors
+    /// [`Malformed`] if a chunk size cannot be read or its line is longer than a head may be.
+    pub fn decode(
+        &mut self,
+        input: &[u8],
+        mut output: impl FnMut(&[u8]),
+    ) -> Result<BodyProgress, Malformed> {
         match self {
             Body::Left(left) => {
-                let count = (*left).min(input.len());
-                out(&input[..count]);
-                *left -= count;
-                Some((count, *left == 0))
+                let consumed = (*left).min(input.len());
+                output(&input[..consumed]);
+                *left -= consumed;
+                Ok(BodyProgress {
+                    consumed,
+                    complete: *left == 0,
+                })
             }
             Body::ToEnd => {
-                out(input);
-                Some((input.len(), false))
-            }
-            Body::Chunks { left, last } => {
-                let mut at = 0;
-                while at < input.len() {
-                    if *left > 0 {
-                        let count = (*left).min(input.len() - at);
-                        // The two bytes of a chunk's line end are not passed on.
-                        let data = count.min(left.saturating_sub(2));
-                        out(&input[at..at + data]);
-                        *left -= count;
-                        at += count;
-                    } else if *last {
-                        // After the last chunk: lines of a trailer up to an empty one.
-                        let Some(end) = input[at..].iter().position(|b| *b == b'\n') else {
-                            break;
-                        };
-                        let empty = input[at..at + end].iter().all(|b| *b == b'\r');
-                        at += end + 1;
-                        if empty {
-                            return Some((at, true));
-                        }
-                    } else {
-                        match httparse::parse_chunk_size(&input[at..]) {
-                            Ok(httparse::Status::Complete((consumed, size))) => {
-                                at += consumed;
-                                *last = size == 0;
-                                *left = if *last {
-                                    0
-                                } else {
-                                    usize::try_from(size).ok()?.checked_add(2)?
-                                };
-                            }
-                            Ok(httparse::Status::Partial) if input.len() - at < HEAD => break,
-                            _ => return None,
-                        }
-                    }
-                }
-                Some((at, false))
+                output(input);
+                Ok(BodyProgress {
+                    consumed: input.len(),
+                    complete: false,
+                })
             }
+            Body::Chunked { remaining, last } => decode_chunks(remaining, last, input, output),
+        }
+    }
+
+    /// [`Body::decode`] with a plain result: the bytes consumed and whether the body is complete, or `None` if it is
+    /// malformed.
+    pub fn feed(&mut self, input: &[u8], output: impl FnMut(&[u8])) -> Option<(usize, bool)> {
+        let progress = self.decode(input, output).ok()?;
+        Some((progress.consumed, progress.complete))
+    }
+}
+
+fn decode_chunks(
+    remaining: &mut usize,
+    last: &mut bool,
+    input: &[u8],
+    mut output: impl FnMut(&[u8]),
+) -> Result<BodyProgress, Malformed> {
+    let mut consumed = 0;
+    let mut complete = false;
+    while consumed < input.len() && !complete {
+        let rest = &input[consumed..];
+        if *remaining > 0 {
+            let count = (*remaining).min(rest.len());
+            let data = count.min(remaining.saturating_sub(CHUNK_LINE_END));
+            output(&rest[..data]);
+            *remaining -= count;
+            consumed += count;
+        } else if *last {
+            // The trailer: header lines up to an empty one.
+            let Some(line_end) = rest.iter().position(|byte| *byte == b'\n') else {
+                break;
+            };
+            complete = rest[..line_end].iter().all(|byte| *byte == b'\r');
+            consumed += line_end + 1;
+        } else {
+            let Some(size_line) = parse_chunk_size(rest)? else {
+                break;
+            };
+            consumed += size_line.length;
+            *last = size_line.chunk_size == 0;
+            *remaining = size_line.bytes_to_read()?;
+        }
+    }
+    Ok(BodyProgress { consumed, complete })
+}
+
+/// The line before a chunk.
+struct ChunkSizeLine {
+    /// Length of the line with its end, in bytes.
+    length: usize,
+    /// Size of the chunk's data, in bytes.
+    chunk_size: u64,
+}
+
+impl ChunkSizeLine {
+    /// Bytes of the chunk with its line end; the last chunk has neither.
+    fn bytes_to_read(&self) -> Result<usize, Malformed> {
+        if self.chunk_size == 0 {
+            return Ok(0);
         }
+        let size = usize::try_from(self.chunk_size).map_err(|_| Malformed)?;
+        size.checked_add(CHUNK_LINE_END).ok_or(Malformed)
     }
 }
 
-/// A request, whole.
+/// `None` while the line is incomplete.
+fn parse_chunk_size(input: &[u8]) -> Result<Option<ChunkSizeLine>, Malformed> {
+    match httparse::parse_chunk_size(input) {
+        Ok(httparse::Status::Complete((length, chunk_size))) => {
+            Ok(Some(ChunkSizeLine { length, chunk_size }))
+        }
+        Ok(httparse::Status::Partial) if input.len() < HEAD => Ok(None),
+        _ => Err(Malformed),
+    }
+}
+
+/// A complete request.
 pub struct Request {
+    /// The method, such as `POST`.
     pub method: String,
+    /// The request target.
     pub path: String,
+    /// Names in lower case.
     headers: Vec<(String, Vec<u8>)>,
+    /// The content.
     pub body: Rc<[u8]>,
+    /// Whether the client expects the connection to end after the response.
     pub close: bool,
+    /// Length of head and body in the input, in bytes.
     pub consumed: usize,
 }
 
 impl Request {
-    /// A header's value; none where it says two things.
+    /// The value of the header with this lower-case name. `None` if it is absent, is not UTF-8, or is given several
+    /// times with different values.
     pub fn header(&self, name: &str) -> Option<&str> {
         let mut values = self
             .headers
             .iter()
-            .filter(|(n, _)| n == name)
-            .map(|(_, v)| v.trim_ascii());
+            .filter(|(header, _)| header == name)
+            .map(|(_, value)| value.trim_ascii());
         let first = values.next()?;
-        let plain = values.all(|v| v == first);
-        std::str::from_utf8(first).ok().filter(|_| plain)
+        let unambiguous = values.all(|value| value == first);
+        std::str::from_utf8(first).ok().filter(|_| unambiguous)
     }
 }
 
-/// What the bytes so far hold.
+/// The result of [`parse_request`].
 pub enum Parsed {
-    /// Not whole yet; true if the client waits for a word before it sends the body.
+    /// The request is incomplete; true if the client waits for `100 Continue` before it sends the body.
     Partial(bool),
-    /// Malformed: the status to answer with, before closing.
+    /// The request is malformed or too large: the status to answer with before the connection is closed.
     Invalid(u16),
+    /// A complete request.
     Complete(Request),
 }
 
-fn told_length(headers: &[httparse::Header]) -> Result<Option<usize>, ()> {
-    let mut told = None;
-    for header in headers
-        .iter()
-        .filter(|h| h.name.eq_ignore_ascii_case("content-length"))
-    {
-        let text = std::str::from_utf8(header.value).map_err(|_| ())?.trim();
-        if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
-            return Err(());
-        }
-        let length = text.parse().unwrap_or(usize::MAX);
-        if told.is_some_and(|t| t != length) {
-            return Err(());
-        }
-        told = Some(length);
-    }
-    Ok(told)
-}
-
-fn says(headers: &[httparse::Header], name: &str, word: &str) -> bool {
-    let lists = headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
-    let mut words = lists
-        .filter_map(|h| std::str::from_utf8(h.value).ok())
-        .flat_map(|v| v.split(','));
-    words.any(|w| w.trim().eq_ignore_ascii_case(word))
-}
-
-/// Reads one request from the front of the input.
+/// Parses one request at the front of `input`.
 pub fn parse_request(input: &[u8]) -> Parsed {
-    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
-    let start = match head.parse(input) {
-        Ok(httparse::Status::Complete(start)) if start <= HEAD => start,
+    let body_start = match head.parse(input) {
+        Ok(httparse::Status::Complete(length)) if length <= HEAD => length,
         Ok(httparse::Status::Partial) if input.len() < HEAD => return Parsed::Partial(false),
-        Ok(_) | Err(httparse::Error::TooManyHeaders) => return Parsed::Invalid(431),
-        Err(_) => return Parsed::Invalid(400),
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => {
+            return Parsed::Invalid(HEADER_FIELDS_TOO_LARGE);
+        }
+        Err(_) => return Parsed::Invalid(BAD_REQUEST),
     };
-    if head
+    let body_length = match request_body_length(&head) {
+        Ok(length) => length,
+        Err(status) => return Parsed::Invalid(status),
+    };
+    if input.len() - body_start < body_length {
+        return Parsed::Partial(list_contains(head.headers, "expect", "100-continue"));
+    }
+    let consumed = body_start + body_length;
+    Parsed::Complete(Request {
+        method: head.method.unwrap_or("").into(),
+        path: head.path.unwrap_or("").into(),
+        headers: head
+            .headers
+            .iter()
+            .map(|header| (header.name.to_ascii_lowercase(), header.value.to_vec()))
+            .collect(),
+        body: Rc::from(&input[body_start..consumed]),
+        close: !keeps_alive(head.version == Some(0), head.headers),
+        consumed,
+    })
+}
+
+/// The length of a request's body in bytes; the error is the status to reject the request with.
+fn request_body_length(head: &httparse::Request) -> Result<usize, u16> {
+    let has_transfer_coding = head
         .headers
         .iter()
-        .any(|h| h.name.eq_ignore_ascii_case("transfer-encoding"))
-    {
-        return Parsed::Invalid(411);
+        .any(|header| header.name.eq_ignore_ascii_case("transfer-encoding"));
+    if has_transfer_coding {
+        return Err(LENGTH_REQUIRED);
     }
-    let (method, path) = (head.method.unwrap_or(""), head.path.unwrap_or(""));
-    let length = match told_length(head.headers) {
+    let may_omit_length = matches!(
+        head.method.unwrap_or(""),
+        "GET" | "HEAD" | "DELETE" | "OPTIONS"
+    );
+    let length = match content_length(head.headers) {
         Ok(Some(length)) => length,
-        Ok(None) if matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") => 0,
-        _ => return Parsed::Invalid(400),
+        Ok(None) if may_omit_length => 0,
+        _ => return Err(BAD_REQUEST),
     };
     if length > BODY {
-        return Parsed::Invalid(413);
+        return Err(CONTENT_TOO_LARGE);
     }
-    if input.len() - start < length {
-        return Parsed::Partial(says(head.headers, "expect", "100-continue"));
+    Ok(length)
+}
+
+/// Content-Length header lines that contradict each other or are not numbers.
+struct InvalidLength;
+
+/// The content length that the headers declare, if any. A number that is too large becomes `usize::MAX`.
+fn content_length(headers: &[httparse::Header]) -> Result<Option<usize>, InvalidLength> {
+    let mut declared = None;
+    for header in headers {
+        if !header.name.eq_ignore_ascii_case("content-length") {
+            continue;
+        }
+        let text = std::str::from_utf8(header.value).map_err(|_| InvalidLength)?;
+        let digits = text.trim();
+        if digits.is_empty() || !digits.bytes().all(|byte| byte.is_ascii_digit()) {
+            return Err(InvalidLength);
+        }
+        let length = digits.parse().unwrap_or(usize::MAX);
+        if declared.is_some_and(|earlier| earlier != length) {
+            return Err(InvalidLength);
+        }
+        declared = Some(length);
     }
-    let close = says(head.headers, "connection", "close")
-        || (head.version == Some(0) && !says(head.headers, "connection", "keep-alive"));
-    let headers = head
-        .headers
+    Ok(declared)
+}
+
+/// Whether a header that is a comma-separated list contains a token, both compared without regard to case.
+fn list_contains(headers: &[httparse::Header], name: &str, token: &str) -> bool {
+    headers
         .iter()
-        .map(|h| (h.name.to_ascii_lowercase(), h.value.to_vec()))
-        .collect();
-    let (body, consumed) = (Rc::from(&input[start..start + length]), start + length);
-    Parsed::Complete(Request {
-        method: method.into(),
-        path: path.into(),
-        headers,
-        body,
-        close,
-        consumed,
-    })
+        .filter(|header| header.name.eq_ignore_ascii_case(name))
+        .filter_map(|header| std::str::from_utf8(header.value).ok())
+        .flat_map(|value| value.split(','))
+        .any(|item| item.trim().eq_ignore_ascii_case(token))
 }
 
-/// The head of an answer.
+/// Whether a message lets its connection persist: HTTP/1.0 has to ask for that, later versions have to ask for the
+/// opposite.
+fn keeps_alive(is_http_1_0: bool, headers: &[httparse::Header]) -> bool {
+    !list_contains(headers, "connection", "close")
+        && (!is_http_1_0 || list_contains(headers, "connection", "keep-alive"))
+}
+
+/// The head of a response.
 pub struct Response {
+    /// The status code.
     pub status: u16,
+    /// How to read the body.
     pub body: Body,
-    /// The connection may carry another call.
+    /// Whether the connection may carry another request.
     pub keep: bool,
-    /// Its lengths contradict each other or cannot be read, or it claims more than any answer here may hold.
+    /// Malformed framing: the declared lengths contradict each other, cannot be read, or exceed [`BODY`].
     pub spoilt: bool,
+    /// Names in lower case.
     headers: Vec<(String, String)>,
+    /// Length of the head in the input, in bytes.
     pub consumed: usize,
 }
 
 impl Response {
+    /// The first value of the header with this lower-case name.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers
             .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, v)| v.trim())
+            .find(|(header, _)| header == name)
+            .map(|(_, value)| value.trim())
     }
 }
 
-/// What came is no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Malformed;
-
-/// Reads the head of an answer: `Ok(None)` while it is not whole, an error if it is none.
+/// Parses the head of a response at the front of `input`; `None` while it is incomplete.
+///
+/// # Errors
+/// [`Malformed`] if the input is not the head of an HTTP/1 response or is longer than [`HEAD`].
 pub fn parse_response(input: &[u8]) -> Result<Option<Response>, Malformed> {
-    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     let consumed = match head.parse(input) {
-        Ok(httparse::Status::Complete(consumed)) if consumed <= HEAD => consumed,
+        Ok(httparse::Status::Complete(length)) if length <= HEAD => length,
         Ok(httparse::Status::Partial) if input.len() < HEAD => return Ok(None),
         _ => return Err(Malformed),
     };
     let status = head.code.ok_or(Malformed)?;
-    let told = told_length(head.headers);
-    let spoilt = told.is_err() || told.is_ok_and(|t| t.is_some_and(|t| t > BODY));
-    let body = match told {
+    let declared_length = content_length(head.headers);
+    let malformed_framing = match declared_length {
+        Ok(length) => length.is_some_and(|length| length > BODY),
+        Err(InvalidLength) => true,
+    };
+    let body = match declared_length {
         _ if matches!(status, 100..=199 | 204 | 304) => Body::Left(0),
-        _ if says(head.headers, "transfer-encoding", "chunked") => Body::Chunks {
-            left: 0,
+        _ if list_contains(head.headers, "transfer-encoding", "chunked") => Body::Chunked {
+            remaining: 0,
             last: false,
         },
-        // A status that has come stands, whatever the length says; the connection just ends with it.
+        // The status is valid even if the length is too large: only the connection is given up then.
         Ok(Some(length)) => Body::Left(length),
         _ => Body::ToEnd,
     };
     let keep = body != Body::ToEnd
-        && !spoilt
-        && !says(head.headers, "connection", "close")
-        && (head.version == Some(1) || says(head.headers, "connection", "keep-alive"));
-    let text = |v: &[u8]| String::from_utf8_lossy(v).into_owned();
+        && !malformed_framing
+        && keeps_alive(head.version != Some(1), head.headers);
     let headers = head
         .headers
         .iter()
-        .map(|h| (h.name.to_ascii_lowercase(), text(h.value)))
+        .map(|header| {
+            let value = String::from_utf8_lossy(header.value).into_owned();
+            (header.name.to_ascii_lowercase(), value)
+        })
         .collect();
     Ok(Some(Response {
         status,
         body,
         keep,
-        spoilt,
+        spoilt: malformed_framing,
         headers,
         consumed,
     }))
 }
 
-/// Whether a whole first line says 200, whatever comes behind it.
+/// Whether `input` starts with a complete status line of an HTTP/1 response with status 200, whatever follows it.
 pub fn starts_with_status_200(input: &[u8]) -> bool {
-    let line = input
-        .split(|b| *b == b'\n')
-        .next()
-        .filter(|l| l.len() < input.len())
-        .unwrap_or(b"");
-    matches!(line.trim_ascii_end(), [b'H', b'T', b'T', b'P', b'/', b'1', b'.', _, b' ', b'2', b'0', b'0', rest @ ..]
-        if rest.first().is_none_or(|b| *b == b' '))
+    let Some(line_end) = input.iter().position(|byte| *byte == b'\n') else {
+        return false;
+    };
+    let line = input[..line_end].trim_ascii_end();
+    let Some(after_version) = line
+        .strip_prefix(b"HTTP/1.")
+        .and_then(|rest| rest.split_first())
+        .map(|(_minor_version, rest)| rest)
+    else {
+        return false;
+    };
+    after_version
+        .strip_prefix(b" 200")
+        .is_some_and(|reason| reason.first().is_none_or(|byte| *byte == b' '))
 }
 
-/// The bytes of an answer to a client.
+/// Encodes a response without a body. `extra` holds further header lines, each with its line end.
 pub fn encode_response(status: u16, extra: &str, close: bool) -> Vec<u8> {
     let reason = match status {
         200 => "OK",
         202 => "Accepted",
-        400 => "Bad Request",
+        BAD_REQUEST => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
-        411 => "Length Required",
-        413 => "Content Too Large",
-        431 => "Request Header Fields Too Large",
+        LENGTH_REQUIRED => "Length Required",
+        CONTENT_TOO_LARGE => "Content Too Large",
+        HEADER_FIELDS_TOO_LARGE => "Request Header Fields Too Large",
         _ => "Service Unavailable",
     };
     let close = if close { "Connection: close\r\n" } else { "" };
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -1,5 +1,7 @@
-//! Owns the non-blocking sockets: one connection, its two lent buffers, and its place in the loop. It must never
-//! decide anything, block, or hold more than the buffers it was lent.
+//! Non-blocking TCP connections with pooled read and write buffers, registered in an event loop.
+//!
+//! A [`Connection`] never blocks. It borrows its buffers from a [`BufferPool`] and holds them only while there is
+//! something in them, so an idle connection costs no buffer.
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -12,10 +14,19 @@
 
 use crate::buffer_pool::{Buffer, BufferPool};
 
-/// What the loop collects between two rounds.
+// Linux error numbers for which `std::io::ErrorKind` has no variant.
+/// A connection is being established.
+const EINPROGRESS: i32 = 115;
+/// The system is out of file descriptors.
+const ENFILE: i32 = 23;
+/// The process is out of file descriptors.
+const EMFILE: i32 = 24;
+
+/// What the event loop collects between two rounds.
 pub struct Ready<K> {
-    /// The keys of the sockets that are ready.
+    /// The keys of the sockets that became readable or writable.
     pub keys: Vec<K>,
+    /// Signals that the process has received.
     pub signals: Vec<calloop::signals::Signal>,
 }
 
@@ -28,24 +39,31 @@
     }
 }
 
-/// A loop whose sockets are told apart by keys of the caller's.
+/// A handle to an event loop that identifies its sockets by keys of type `K`.
 pub type Handle<K> = LoopHandle<'static, Ready<K>>;
 
-/// Registers a socket once, for both directions; its owner reads and writes until the socket would block.
+/// Registers a socket for reading and writing, edge-triggered: its owner has to read and write until the socket would
+/// block.
+///
+/// # Errors
+/// The system's error if the socket cannot be watched.
 pub fn register<F: AsFd + 'static, K: Copy + 'static>(
     handle: &Handle<K>,
     socket: F,
     key: K,
 ) -> std::io::Result<RegistrationToken> {
     let source = Generic::new(socket, Interest::BOTH, Mode::Edge);
-    let told = handle.insert_source(source, move |_, _, ready: &mut Ready<K>| {
-        ready.keys.push(key);
-        Ok(PostAction::Continue)
-    });
-    told.map_err(|e| std::io::Error::other(e.to_string()))
+    handle
+        .insert_source(source, move |_, _, ready: &mut Ready<K>| {
+            ready.keys.push(key);
+            Ok(PostAction::Continue)
+        })
+        .map_err(|error| std::io::Error::other(error.to_string()))
 }
 
-/// What goes with a connection that is passed to a later process.
+/// The state of a connection that is passed to a successor process together with its descriptor.
+///
+/// The order and the types of the fields are part of the stored form.
 #[derive(serde::Serialize, serde::Deserialize)]
 pub struct ConnectionSnapshot {
     input: Vec<u8>,
@@ -56,25 +74,31 @@
     corked: bool,
 }
 
-/// One non-blocking connection and its two buffers, held only while there is something in them.
+/// A non-blocking connection with its read and write buffers.
 pub struct Connection<K: Copy + 'static> {
     stream: Rc<TcpStream>,
     handle: Handle<K>,
     token: RegistrationToken,
     pool: BufferPool,
+    /// Bytes that were received and not yet consumed; `None` if there are none.
     pub input: Option<Buffer>,
+    /// Bytes that were queued and not yet written; `None` if there are none.
     output: Option<Buffer>,
-    /// Bytes written so far: none means that it may not even be up.
+    /// Number of bytes written so far. While it is 0, the connection may not even be established.
     pub written: u64,
-    /// The peer has ended its sending.
+    /// The peer has shut down its sending side.
     pub eof: bool,
-    /// The connection is gone.
+    /// The connection has failed.
     pub broken: bool,
-    /// Nothing is written yet, whatever is queued.
+    /// While set, queued bytes are not written.
     pub corked: bool,
 }
 
 impl<K: Copy + 'static> Connection<K> {
+    /// Takes over a stream and registers it in the event loop under `key`.
+    ///
+    /// # Errors
+    /// The system's error if the socket cannot be configured or watched.
     pub fn new(
         stream: TcpStream,
         handle: &Handle<K>,
@@ -85,15 +109,13 @@
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
         let token = register(handle, stream.clone(), key)?;
-        let (handle, pool) = (handle.clone(), pool.clone());
-        let (input, output) = (None, None);
         Ok(Connection {
             stream,
-            handle,
+            handle: handle.clone(),
             token,
-            pool,
-            input,
-            output,
+            pool: pool.clone(),
+            input: None,
+            output: None,
             written: 0,
             eof: false,
             broken: false,
@@ -101,21 +123,23 @@
         })
     }
 
-    /// What goes with its descriptor to a later process.
+    /// The state to pass to a successor process along with the descriptor.
     pub fn snapshot(&self) -> ConnectionSnapshot {
-        let output = self.output.as_ref().map_or(&[][..], Buffer::bytes).to_vec();
-        let (written, eof, broken, corked) = (self.written, self.eof, self.broken, self.corked);
+        let output = self.output.as_ref().map_or(&[][..], Buffer::bytes);
         ConnectionSnapshot {
             input: self.bytes().to_vec(),
-            output,
-            written,
-            eof,
-            broken,
-            corked,
+            output: output.to_vec(),
+            written: self.written,
+            eof: self.eof,
+            broken: self.broken,
+            corked: self.corked,
         }
     }
 
-    /// A connection that an earlier process has passed. Fails where no buffer is left for what goes with it.
+    /// Restores a connection that a predecessor process has passed on.
+    ///
+    /// # Errors
+    /// As [`Connection::new`], and if the pool has no buffer left for the bytes of the snapshot.
     pub fn restore(
         stream: TcpStream,
         snapshot: &ConnectionSnapshot,
@@ -124,61 +148,58 @@
         key: K,
     ) -> std::io::Result<Connection<K>> {
         let mut connection = Connection::new(stream, handle, pool, key)?;
-        let lent = |bytes: &[u8]| -> std::io::Result<Option<Buffer>> {
-            if bytes.is_empty() {
-                return Ok(None);
-            }
-            let held = pool
-                .take()
-                .and_then(|mut buffer| buffer.put(bytes).then_some(buffer));
-            held.ok_or_else(|| std::io::Error::other("no buffer is left"))
-                .map(Some)
-        };
-        (connection.input, connection.output) = (lent(&snapshot.input)?, lent(&snapshot.output)?);
-        (connection.written, connection.eof, connection.broken) =
-            (snapshot.written, snapshot.eof, snapshot.broken);
+        connection.input = buffer_with(&snapshot.input, pool)?;
+        connection.output = buffer_with(&snapshot.output, pool)?;
+        connection.written = snapshot.written;
+        connection.eof = snapshot.eof;
+        connection.broken = snapshot.broken;
         connection.corked = snapshot.corked;
         Ok(connection)
     }
 
-    /// Starts a connection; whether it comes up shows in the first write.
+    /// Starts to connect to an address. Whether that succeeds shows in the first write.
+    ///
+    /// # Errors
+    /// The system's error if the attempt fails at once, for example for lack of descriptors
+    /// ([`is_descriptor_exhaustion`]).
     pub fn connect(
-        to: SocketAddr,
+        address: SocketAddr,
         handle: &Handle<K>,
         pool: &BufferPool,
         key: K,
     ) -> std::io::Result<Connection<K>> {
-        let socket = Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP))?;
+        let domain = Domain::for_address(address);
+        let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
-        match socket.connect(&to.into()) {
-            Err(e)
-                if e.kind() != ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) =>
-            {
-                Err(e)
-            }
+        match socket.connect(&address.into()) {
+            Err(error) if !is_in_progress(&error) => Err(error),
             _ => Connection::new(socket.into(), handle, pool, key),
         }
     }
 
-    /// Puts bytes behind those not yet written; false if they don't fit or no buffer is free.
+    /// Queues bytes for writing and returns true, or returns false if they do not fit or no buffer is free.
     pub fn queue(&mut self, bytes: &[u8]) -> bool {
         if self.output.is_none() {
             self.output = self.pool.take();
         }
-        self.output.as_mut().is_some_and(|o| o.put(bytes))
+        self.output
+            .as_mut()
+            .is_some_and(|output| output.append(bytes))
     }
 
-    /// Whether the connection is up: it has a peer.
+    /// Whether the connection is established.
     pub fn is_connected(&self) -> bool {
         self.stream.peer_addr().is_ok()
     }
 
-    /// Writes what the socket takes. True once nothing is left.
+    /// Writes as many queued bytes as the socket takes. Returns whether all of them are written.
     pub fn flush(&mut self) -> bool {
         if self.corked {
             return false;
         }
-        while let Some(output) = self.output.as_mut().filter(|_| !self.broken) {
+        while !self.broken
+            && let Some(output) = self.output.as_mut()
+        {
             if output.is_empty() {
                 self.output = None;
                 break;
@@ -189,9 +210,10 @@
                     output.consume(count);
                     self.written += count as u64;
                 }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
-                // A connection that never came up says so here, and one that was reset too. What it had said before is read.
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+                // The connection was never established or was reset. A peer may have sent a response before the reset:
+                // it is read first.
                 Err(_) => {
                     self.receive();
                     self.broken = true;
@@ -201,65 +223,75 @@
         !self.broken
     }
 
+    /// Whether no queued bytes are left to write.
     pub fn is_flushed(&self) -> bool {
         self.output.as_ref().is_none_or(Buffer::is_empty)
     }
 
-    /// Reads until the socket would block or the buffer is full. True if there may be more to read.
+    /// Reads until the socket would block or the buffer is full. Returns whether there may be more to read, which is
+    /// also the case if no buffer was free: the bytes wait in the kernel, and flow control slows the peer down.
     pub fn receive(&mut self) -> bool {
         while !self.eof && !self.broken {
             if self.input.is_none() {
                 self.input = self.pool.take();
             }
-            // No buffer free: the bytes wait in the kernel, and the peer is slowed.
             let Some(input) = self.input.as_mut() else {
                 return true;
             };
-            let room = input.room();
-            if room.is_empty() {
+            let spare = input.spare_capacity();
+            if spare.is_empty() {
                 return true;
             }
-            match (&*self.stream).read(room) {
+            match (&*self.stream).read(spare) {
                 Ok(0) => self.eof = true,
-                Ok(count) => input.filled(count),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
-                // One of ours that is not up yet. Guards against giving it up: systems may answer a read so meanwhile.
-                Err(e) if e.kind() == ErrorKind::NotConnected && self.written == 0 => break,
+                Ok(count) => input.advance(count),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
+                // Some systems answer a read like this while a connection is being established: it has not failed.
+                Err(error) if error.kind() == ErrorKind::NotConnected && self.written == 0 => break,
                 Err(_) => self.broken = true,
             }
         }
-        // Guards the pool: a quiet connection holds no buffer.
-        self.consume(0);
+        self.release_empty_input();
         false
     }
 
-    /// Uses up input, and gives the buffer back once it is empty.
+    /// Drops `count` bytes from the front of the input.
     pub fn consume(&mut self, count: usize) {
         if let Some(input) = self.input.as_mut() {
             input.consume(count);
-            if input.is_empty() {
-                self.input = None;
-            }
         }
+        self.release_empty_input();
     }
 
+    fn release_empty_input(&mut self) {
+        if self.input.as_ref().is_some_and(Buffer::is_empty) {
+            self.input = None;
+        }
+    }
+
+    /// The bytes that were received and not yet consumed.
     pub fn bytes(&self) -> &[u8] {
         self.input.as_ref().map_or(&[], Buffer::bytes)
     }
 
-    /// Whether the peer has reset the connection by now: after a write, this tells a peer that had gone before
-    /// from one that has only ended its sending.
+    /// Whether the peer has reset the connection. After a write, this tells a peer that had closed the connection
+    /// before from one that has only shut down its sending side.
     pub fn peer_reset(&mut self) -> bool {
-        self.broken |= self.stream.take_error().map_or(true, |e| e.is_some());
+        let has_failed = match self.stream.take_error() {
+            Ok(pending) => pending.is_some(),
+            Err(_) => true,
+        };
+        self.broken |= has_failed;
         self.broken
     }
 
-    /// Has the connection end as a reset once it is dropped, whatever is on its way.
+    /// Makes the connection end with a reset when it is dropped, even if bytes are still on their way.
     pub fn abort_on_drop(&self) {
         let _ = SockRef::from(&*self.stream).set_linger(Some(std::time::Duration::ZERO));
     }
 
+    /// Tells the peer that nothing more will be sent.
     pub fn shutdown_write(&self) {
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
@@ -277,70 +309,27 @@
     }
 }
 
-/// Linux's numbers for what the standard library has no name for.
-const EINPROGRESS: i32 = 115;
-const ENFILE: i32 = 23;
-const EMFILE: i32 = 24;
-
-/// Whether an error tells of our own lack of descriptors, which says nothing of a peer.
-pub fn is_descriptor_exhaustion(e: &std::io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(ENFILE | EMFILE))
+/// A buffer that holds `bytes`, or `None` if there are none.
+fn buffer_with(bytes: &[u8], pool: &BufferPool) -> std::io::Result<Option<Buffer>> {
+    if bytes.is_empty() {
+        return Ok(None);
+    }
+    if let Some(mut buffer) = pool.take()
+        && buffer.append(bytes)
+    {
+        return Ok(Some(buffer));
+    }
+    Err(std::io::Error::other("no buffer is left"))
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_connection_that_is_read_before_it_is_up_is_not_given_up() {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let to = listener.local_addr().unwrap();
-        let events = calloop::EventLoop::<Ready<u8>>::try_new().unwrap();
-        // A socket that nothing was asked of answers a read as some systems answer it while a connection comes up.
-        let socket =
-            Socket::new(Domain::for_address(to), Type::STREAM, Some(Protocol::TCP)).unwrap();
-        let same = socket.try_clone().unwrap();
-        let early = (&socket).read(&mut [0]).unwrap_err().kind();
-        assert_eq!(early, ErrorKind::NotConnected);
-        let mut connection =
-            Connection::new(socket.into(), &events.handle(), &BufferPool::new(2), 1).unwrap();
-        assert!(
-            !connection.receive() && !connection.broken && !connection.eof,
-            "nothing is said of it"
-        );
-        same.set_nonblocking(false).unwrap();
-        same.connect(&to.into()).unwrap();
-        assert!(connection.queue(b"ask") && connection.flush());
-        let (mut peer, _) = listener.accept().unwrap();
-        peer.read_exact(&mut [0; 3]).unwrap();
-        peer.write_all(b"yes").unwrap();
-        drop(peer);
-        while !connection.eof {
-            assert!(!connection.broken);
-            connection.receive();
-        }
-        assert_eq!(connection.bytes(), b"yes");
-    }
+fn is_in_progress(error: &std::io::Error) -> bool {
+    error.kind() == ErrorKind::WouldBlock || error.raw_os_error() == Some(EINPROGRESS)
+}
 
-    #[test]
-    fn what_a_peer_said_before_it_reset_the_connection_is_read_though_a_write_finds_it_gone() {
-        // Guards a refusal with a wait, and an answer, that stand before a reset which a write meets first.
-        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-        let events = calloop::EventLoop::<Ready<u8>>::try_new().unwrap();
-        let to = listener.local_addr().unwrap();
-        let mut connection =
-            Connection::connect(to, &events.handle(), &BufferPool::new(2), 1).unwrap();
-        let (mut peer, _) = listener.accept().unwrap();
-        peer.write_all(b"no").unwrap();
-        assert!(connection.queue(b"ask") && connection.flush());
-        // Closed over unread bytes.
-        peer.peek(&mut [0; 3]).unwrap();
-        drop(peer);
-        assert!((0..200_000).any(|_| {
-            connection.queue(b"more");
-            connection.flush();
-            connection.broken
-        }));
-        assert_eq!(connection.bytes(), b"no");
-    }
+/// Whether an error means that this process or system is out of file descriptors, which says nothing about the peer.
+pub fn is_descriptor_exhaustion(error: &std::io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -1,14 +1,16 @@
-//! HTTP/1.1 on non-blocking sockets with buffers from a capped pool: what every take-in and every sending side stands
-//! on. It must never decide anything: it knows no classes, regions or rules.
-#![allow(missing_docs)]
+//! HTTP/1.1 framing and non-blocking TCP connections on buffers from a bounded pool.
+//!
+//! [`parse_request`] and [`parse_response`] read message heads from a byte slice, [`Body`] decodes response bodies,
+//! and [`Connection`] is a socket with its read and write buffers, registered in a [`calloop`] event loop. The crate
+//! has no knowledge of message classes, endpoints or retries.
 
 pub mod buffer_pool;
 mod codec;
 mod connection;
 
 pub use codec::{
-    Body, Malformed, Parsed, Request, Response, encode_response, parse_request, parse_response,
-    starts_with_status_200,
+    Body, BodyProgress, Malformed, Parsed, Request, Response, encode_response, parse_request,
+    parse_response, starts_with_status_200,
 };
 pub use connection::{
     Connection, ConnectionSnapshot, Handle, Ready, is_descriptor_exhaustion, register,
