Split the adapter by concern and type its errors

Need: one file of 470 lines parsed lines, kept lists and instances, and wrote replies, with strings for errors. Change: fields, endpoint lists, messages, one instance, replies and the batch loop are modules; AdapterError and LineError say what went wrong with the same text; the lines on the wire are the same.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -1,18 +1,26 @@
 //! Drives martenlatch's decision module over a line protocol on standard input and output.
 //!
-//! It translates and never decides: names to small integers, lines to events, actions to lines.
+//! The adapter makes no decisions. It translates names into the module's integer ids, input lines into its events, and
+//! its actions into output lines.
 
-mod wire;
+mod adapter;
+mod endpoint_lists;
+mod error;
+mod fields;
+mod instance;
+mod messages;
+mod reply;
 
 use std::io;
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
     let input = io::BufReader::with_capacity(1 << 16, io::stdin().lock());
-    match wire::serve(input, io::BufWriter::new(io::stdout().lock())) {
+    let output = io::BufWriter::new(io::stdout().lock());
+    match adapter::serve(input, output) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(message) => {
-            eprintln!("martenlatch-adapter: {message}");
+        Err(error) => {
+            eprintln!("martenlatch-adapter: {error}");
             ExitCode::FAILURE
         }
     }
