Type the operators' line protocol and document the small sender modules

Need: operator.rs mixed the line protocol with its sockets and used strings for errors; event sources, jitter and the file replacement had no plain docs.

--- a/crates/sender/src/event_source.rs
+++ b/crates/sender/src/event_source.rs
@@ -1,26 +1,27 @@
-//! Owns the names of the loop's sockets. It must never hold one.
+//! The keys by which the event loop identifies its sockets.
 
 use std::os::fd::OwnedFd;
 
-/// Descriptors that an earlier process has passed, in the order in which they are asked for.
+/// File descriptors that a predecessor process has passed on, in the order in which the restored state asks for them.
 pub struct InheritedDescriptors(std::vec::IntoIter<OwnedFd>);
 
 impl InheritedDescriptors {
-    pub fn new(fds: Vec<OwnedFd>) -> InheritedDescriptors {
-        InheritedDescriptors(fds.into_iter())
+    /// Starts with the first descriptor.
+    pub fn new(descriptors: Vec<OwnedFd>) -> InheritedDescriptors {
+        InheritedDescriptors(descriptors.into_iter())
     }
 
-    /// The next one.
+    /// The next descriptor.
     ///
     /// # Errors
-    /// Where fewer were passed than are wanted.
+    /// If fewer descriptors were passed on than the state needs.
     pub fn take(&mut self) -> std::io::Result<OwnedFd> {
         self.0
             .next()
             .ok_or_else(|| std::io::Error::other("a descriptor is missing"))
     }
 
-    /// The next one, as a connection.
+    /// The next descriptor, as a connection.
     ///
     /// # Errors
     /// As [`InheritedDescriptors::take`].
@@ -29,28 +30,45 @@
     }
 }
 
-/// What a socket belongs to; the loop hands it back when the socket is ready.
+/// What a socket belongs to. The event loop reports it when the socket is ready.
+///
+/// The order of the variants is the order in which a round handles ready sockets: operators come first, so that they
+/// are answered even by a busy sender.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EventSource {
-    /// Where operators call, and one of the callers: first, so that a round answers them before all else.
+    /// The listening socket for operators.
     Operators,
+    /// A connection of an operator, by its place in the table of operators' connections.
     Operator(usize),
+    /// The listening socket for clients.
     Listener,
+    /// A connection of a client, by its place in the table of clients.
     Client(usize),
+    /// A connection to an endpoint, by its place in the table of endpoint connections.
     Region(usize),
+    /// The connection to discovery on which the endpoint list is watched.
     Watch,
+    /// The connection for status reports.
     Notices,
-    /// The process that may take this one's place; in one that starts, the one that serves.
+    /// In a serving process: the listening socket for a process that is to replace it.
     Offer,
+    /// In a serving process: the connection of the process that is to replace it.
     Asker,
+    /// In a starting process: the connection to the process that it is to replace.
     Predecessor,
-    /// Other senders: their datagrams, their connections, one of these, one of ours to them.
+    /// The socket for the membership datagrams of peers.
     Datagrams,
+    /// The listening socket on which peers request knowledge.
     Tellers,
+    /// A connection on which a peer requests knowledge, by its place in the table of such connections.
     Talk(usize),
+    /// A connection on which this sender requests a peer's knowledge, by its place in the table of such connections.
     Ask(usize),
 }
 
+/// A handle to the sender's event loop.
 pub type Handle = martenlatch_http::Handle<EventSource>;
+/// A connection in the sender's event loop.
 pub type Connection = martenlatch_http::Connection<EventSource>;
+/// What the sender's event loop collects between two rounds.
 pub type Ready = martenlatch_http::Ready<EventSource>;
--- a/crates/sender/src/jitter.rs
+++ b/crates/sender/src/jitter.rs
@@ -1,5 +1,7 @@
-//! Owns chance in the network code: how far this sender's waits lie from those of others that met the same. It must never
-//! shorten a wait that somebody told, and equal seeds give equal spreads.
+//! Random variation of wait times, so that senders that met the same fault do not all retry at the same time.
+//!
+//! Only waits that the sender chose itself are varied freely; one that a peer asked for (Retry-After) must never be
+//! shortened. Equal seeds give equal sequences.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -8,22 +10,23 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-/// Draws from the sender's own seed. Clones share them.
+/// A seeded source of wait times. Clones draw from the same sequence.
 #[derive(Clone)]
 pub struct Jitter(Rc<RefCell<Pcg32>>);
 
 impl Jitter {
+    /// Starts the sequence of a seed.
     pub fn new(seed: u64) -> Jitter {
         Jitter(Rc::new(RefCell::new(Pcg32::seed_from_u64(seed))))
     }
 
-    /// Any part of a span: for what many begin together.
-    pub fn up_to(&self, span: Millis) -> Millis {
-        span * self.0.borrow_mut().random_range(0.0..1.0)
+    /// A uniform part of a duration, from 0 up to all of it: for actions that many senders begin at the same time.
+    pub fn up_to(&self, duration: Millis) -> Millis {
+        duration * self.0.borrow_mut().random_range(0.0..1.0)
     }
 
-    /// A span within a quarter of this one: for a back-off of our own.
-    pub fn around(&self, span: Millis) -> Millis {
-        span * self.0.borrow_mut().random_range(0.75..1.25)
+    /// A duration within a quarter of the given one, to either side: for backoff.
+    pub fn around(&self, duration: Millis) -> Millis {
+        duration * self.0.borrow_mut().random_range(0.75..1.25)
     }
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -241,7 +241,7 @@
     let mut ready = Ready::default();
     let mut operators = config
         .operator
-        .map(|at| Operators::open(at, &handle))
+        .map(|at| Operators::open(at, &handle).map_err(|error| error.to_string()))
         .transpose()?;
     let state = config.state.clone();
     let Some((mut driver, lock)) = arrive(config, &mut events, &mut ready, &mut operators)? else {
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -501,7 +501,7 @@
                 EventSource::Operators => self.operators.as_mut().is_some_and(|o| o.accept(now)),
                 EventSource::Operator(at) => {
                     if let Some(call) = self.operators.as_mut().and_then(|o| o.ready(at)) {
-                        let said = self.called(call);
+                        let said = self.called(call.map_err(|error| error.to_string()));
                         self.operators
                             .as_mut()
                             .into_iter()
