Split the program into command line, commands and errors; type its errors

Need: main.rs held the command line, its meaning and strings for errors; `WriteAheadLog` named both a command and its subcommands. Change: cli.rs has the commands (WalCommand) and help texts in standard terms, commands.rs runs them, error.rs says what failed with which file or address; the log's limit has named parts; the output of `wal show`, `wal verify` and `members` and all error lines are the same. `wal` keeps its alias `ledger`, and a test now runs both names.

--- a/crates/martenlatch/src/inspect.rs
+++ b/crates/martenlatch/src/inspect.rs
@@ -1,69 +1,99 @@
-//! Owns the read-only commands on a wal. It must never change the folder, or print a body or a key.
+//! The commands that look into a write-ahead log. They change nothing, and print no message bodies or idempotency keys.
 
 use std::path::Path;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use martenlatch_wal::{FinalStatus, LogInspection, MessageRecord};
 
-fn look(folder: &Path) -> Result<LogInspection, String> {
-    LogInspection::open(folder).map_err(|e| format!("ledger: {}: {e}", folder.display()))
-}
+use crate::error::CommandError;
 
-fn end(taken: &MessageRecord) -> &'static str {
-    match taken.final_status {
-        None => "open",
-        Some(FinalStatus::Undeliverable) => "undeliverable",
-        Some(FinalStatus::Deferred(_)) => "deferred",
-    }
-}
+const MILLIS_PER_SECOND: f64 = 1e3;
 
-pub fn show(folder: &Path, json: bool) -> Result<(), String> {
+/// Prints the messages that are not complete, one a line.
+pub fn show(folder: &Path, json: bool) -> Result<(), CommandError> {
     let now = SystemTime::now()
         .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-        .as_secs_f64()
-        * 1e3;
-    let look = look(folder)?;
-    for taken in look.past.open.values() {
-        let may_have_run = taken.attempts.iter().filter(|t| !t.never_ran).count();
-        let (no, id, class, destination) = (taken.no, &taken.id, &taken.class, taken.destination);
-        let (left, tasks, end, bytes) = (
-            taken.deadline - now,
-            taken.attempts.len(),
-            end(taken),
-            taken.body.len(),
-        );
+        .unwrap_or_default();
+    let now = now.as_secs_f64() * MILLIS_PER_SECOND;
+    let log = open(folder)?;
+    for record in log.past.open.values() {
+        let left_ms = record.deadline - now;
         if json {
-            let line = serde_json::json!({"no": no, "id": &**id, "class": &**class, "destination": destination,
-                "left_ms": left.round(), "tasks": tasks, "may_have_run": may_have_run, "end": end, "bytes": bytes});
-            println!("{line}");
+            println!("{}", json_line(record, left_ms));
         } else {
-            println!(
-                "no={no} id={id:?} class={class} destination={destination} left_ms={left:.0} tasks={tasks} \
-                 may_have_run={may_have_run} end={end} bytes={bytes}"
-            );
+            println!("{}", text_line(record, left_ms));
         }
     }
     Ok(())
 }
 
-/// True where every byte belongs to a whole record.
-pub fn verify(folder: &Path) -> Result<bool, String> {
-    let look = look(folder)?;
-    let torn = look.size - look.valid_bytes();
-    let (open, owed) = look
-        .past
-        .open
-        .values()
-        .partition::<Vec<_>, _>(|t| t.final_status.is_none());
+/// Prints what the file holds. Returns whether all of it are complete records.
+pub fn verify(folder: &Path) -> Result<bool, CommandError> {
+    let log = open(folder)?;
+    let damaged_bytes = log.size - log.valid_bytes();
+    let is_intact = damaged_bytes == 0;
+    let messages = log.past.open.values();
+    let open_count = messages
+        .filter(|record| record.final_status.is_none())
+        .count();
     println!(
-        "{} bytes={} records={} open={} ends_owed={} over={} damaged_bytes={torn}",
-        if torn == 0 { "whole" } else { "damaged" },
-        look.size,
-        look.past.records,
-        open.len(),
-        owed.len(),
-        look.past.over.len(),
+        "{} bytes={} records={} open={open_count} ends_owed={} over={} damaged_bytes={damaged_bytes}",
+        if is_intact { "whole" } else { "damaged" },
+        log.size,
+        log.past.records,
+        log.past.open.len() - open_count,
+        log.past.over.len(),
     );
-    Ok(torn == 0)
+    Ok(is_intact)
+}
+
+fn open(folder: &Path) -> Result<LogInspection, CommandError> {
+    LogInspection::open(folder).map_err(|source| CommandError::OpenWriteAheadLog {
+        folder: folder.to_path_buf(),
+        source,
+    })
+}
+
+fn text_line(record: &MessageRecord, left_ms: f64) -> String {
+    format!(
+        "no={} id={:?} class={} destination={} left_ms={left_ms:.0} tasks={} may_have_run={} end={} bytes={}",
+        record.no,
+        record.id,
+        record.class,
+        record.destination,
+        record.attempts.len(),
+        attempts_that_may_have_run(record),
+        final_status(record),
+        record.body.len(),
+    )
+}
+
+fn json_line(record: &MessageRecord, left_ms: f64) -> serde_json::Value {
+    serde_json::json!({
+        "no": record.no,
+        "id": &*record.id,
+        "class": &*record.class,
+        "destination": record.destination,
+        "left_ms": left_ms.round(),
+        "tasks": record.attempts.len(),
+        "may_have_run": attempts_that_may_have_run(record),
+        "end": final_status(record),
+        "bytes": record.body.len(),
+    })
+}
+
+fn attempts_that_may_have_run(record: &MessageRecord) -> usize {
+    record
+        .attempts
+        .iter()
+        .filter(|attempt| !attempt.never_ran)
+        .count()
+}
+
+fn final_status(record: &MessageRecord) -> &'static str {
+    match record.final_status {
+        None => "open",
+        Some(FinalStatus::Undeliverable) => "undeliverable",
+        Some(FinalStatus::Deferred(_)) => "deferred",
+    }
 }
--- a/crates/martenlatch/src/logging.rs
+++ b/crates/martenlatch/src/logging.rs
@@ -1,8 +1,10 @@
-//! Owns the log: its form, its levels and how much of it may be written. It must never stall the sender because
-//! nobody reads it, and never bring it down.
+//! The log: its format, its level, and a limit on the lines a second.
+//!
+//! The limit keeps a fault that repeats from stalling the sender on a full pipe. A line that cannot be written is
+//! dropped: nobody reading the log must not bring the sender down.
 
 use std::io::Write;
-use std::sync::Mutex;
+use std::sync::{Mutex, PoisonError};
 use std::time::Instant;
 
 use martenlatch_settings::program::Log;
@@ -10,38 +12,90 @@
 use tracing_subscriber::filter::LevelFilter;
 use tracing_subscriber::fmt::MakeWriter;
 
-/// What may be written in a second: a fault that repeats must not stall the loop on a full pipe.
-struct Bound {
-    most: u32,
+/// Limits the lines that are written in a second.
+struct RateLimit {
+    lines_per_second: u32,
     start: Instant,
-    /// The present second, lines in it, and lines held back.
-    state: Mutex<(u64, u32, u32)>,
+    window: Mutex<Window>,
 }
 
-impl Bound {
-    /// Whether a line may be written now, and how many were held back before it.
-    fn pass(&self, second: u64) -> (bool, u32) {
-        let mut state = self.state.lock().unwrap_or_else(|e| e.into_inner());
-        let mut told = 0;
-        if state.0 != second {
-            told = std::mem::take(&mut state.2);
-            (state.0, state.1) = (second, 0);
+/// The present second.
+#[derive(Default)]
+struct Window {
+    /// Seconds since the start.
+    second: u64,
+    /// Lines that were written in this second.
+    written: u32,
+    /// Lines that were held back and not yet reported.
+    held_back: u32,
+}
+
+/// What is to be done with a line.
+#[derive(Debug, PartialEq)]
+struct Admission {
+    /// Whether it is written.
+    admitted: bool,
+    /// Lines of earlier seconds that were held back, to be reported before it.
+    held_back_before: u32,
+}
+
+impl RateLimit {
+    fn new(lines_per_second: u32) -> RateLimit {
+        RateLimit {
+            lines_per_second,
+            start: Instant::now(),
+            window: Mutex::new(Window::default()),
+        }
+    }
+
+    /// Decides on a line in a second since the start.
+    fn admit(&self, second: u64) -> Admission {
+        let mut window = self.window.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut held_back_before = 0;
+        if window.second != second {
+            held_back_before = window.held_back;
+            *window = Window {
+                second,
+                ..Window::default()
+            };
+        }
+        let admitted = window.written < self.lines_per_second;
+        if admitted {
+            window.written += 1;
+        } else {
+            window.held_back += 1;
+        }
+        Admission {
+            admitted,
+            held_back_before,
         }
-        let pass = state.1 < self.most;
-        state.1 += u32::from(pass);
-        state.2 += u32::from(!pass);
-        (pass, told)
     }
 }
 
-struct Line {
-    pass: bool,
+impl<'a> MakeWriter<'a> for RateLimit {
+    type Writer = LineWriter;
+
+    fn make_writer(&'a self) -> LineWriter {
+        let admission = self.admit(self.start.elapsed().as_secs());
+        if admission.held_back_before > 0 {
+            let line = format!("log held back lines={}\n", admission.held_back_before);
+            let _ = std::io::stdout().write_all(line.as_bytes());
+        }
+        LineWriter {
+            admitted: admission.admitted,
+        }
+    }
 }
 
-impl Write for Line {
+/// Writes one line to the standard output, or drops it.
+struct LineWriter {
+    admitted: bool,
+}
+
+impl Write for LineWriter {
     fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        if self.pass {
-            // One write a line, so that the lines of two writers do not mix. One that fails is dropped.
+        if self.admitted {
+            // One write a line, so that the lines of two threads do not mix.
             let _ = std::io::stdout().write_all(bytes);
         }
         Ok(bytes.len())
@@ -52,61 +106,33 @@
     }
 }
 
-impl<'a> MakeWriter<'a> for Bound {
-    type Writer = Line;
-
-    fn make_writer(&'a self) -> Line {
-        let (pass, held) = self.pass(self.start.elapsed().as_secs());
-        if held > 0 {
-            let _ = std::io::stdout().write_all(format!("log held back lines={held}\n").as_bytes());
-        }
-        Line { pass }
-    }
-}
-
-/// Starts the log for the life of the process.
+/// Starts the log for the life of the process. A second call changes nothing.
 pub fn start(log: &Log) {
-    let level = match log.level {
-        Level::Error => LevelFilter::ERROR,
-        Level::Warn => LevelFilter::WARN,
-        Level::Debug => LevelFilter::DEBUG,
-        Level::Info | Level::Unset => LevelFilter::INFO,
-    };
-    let bound = Bound {
-        most: log.lines_per_second,
-        start: Instant::now(),
-        state: Mutex::new((0, 0, 0)),
-    };
-    let lines = tracing_subscriber::fmt()
-        .with_max_level(level)
+    let builder = tracing_subscriber::fmt()
+        .with_max_level(level_filter(log.level))
         .with_target(false)
-        .with_ansi(false);
-    let lines = lines.with_writer(bound);
-    // A second start in one process keeps the first log.
+        .with_ansi(false)
+        .with_writer(RateLimit::new(log.lines_per_second));
+    // The only error is that there already is a log.
     let _ = if log.json {
-        lines
+        builder
             .json()
             .flatten_event(true)
             .with_current_span(false)
             .try_init()
     } else {
-        lines.try_init()
+        builder.try_init()
     };
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn lines_over_the_bound_are_held_back_and_told_in_the_next_second() {
-        let bound = Bound {
-            most: 2,
-            start: Instant::now(),
-            state: Mutex::new((0, 0, 0)),
-        };
-        let passed: Vec<(bool, u32)> = (0..5).map(|_| bound.pass(7)).collect();
-        assert_eq!(passed.iter().filter(|(pass, _)| *pass).count(), 2);
-        assert_eq!((bound.pass(8), bound.pass(8)), ((true, 3), (true, 0)));
+fn level_filter(level: Level) -> LevelFilter {
+    match level {
+        Level::Error => LevelFilter::ERROR,
+        Level::Warn => LevelFilter::WARN,
+        Level::Debug => LevelFilter::DEBUG,
+        Level::Info | Level::Unset => LevelFilter::INFO,
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/martenlatch/src/members.rs
+++ b/crates/martenlatch/src/members.rs
@@ -1,87 +1,110 @@
-//! Owns the question whom a running sender holds for members. It must never wait for longer than a few seconds, or
-//! believe an answer that is not keyed.
+//! The `members` command: queries a running sender for the members of its group.
+//!
+//! The query and the response are authenticated with the group's shared secret, and the query is given up after a few
+//! seconds.
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 use martenlatch_peers::membership::{MemberUpdate, State};
-use martenlatch_peers::wire::{Fault, Page};
+use martenlatch_peers::wire::{Fault, Page, Secret};
 use martenlatch_settings::program::Peers;
 use serde_json::json;
 
-const PATIENCE: Duration = Duration::from_secs(3);
+use crate::error::{CommandError, QueryError};
 
-fn ask(peers: &Peers) -> Result<Vec<MemberUpdate>, String> {
-    let secret = martenlatch_sender::secret(&peers.secret_file)?;
-    let failed = |e: std::io::Error| format!("{}: nobody answers: {e}", peers.listen);
-    let mut stream = TcpStream::connect_timeout(&peers.listen, PATIENCE).map_err(failed)?;
-    stream.set_read_timeout(Some(PATIENCE)).map_err(failed)?;
-    // Any number will do that an earlier answer does not bear.
-    let no = u64::from(std::process::id());
-    stream
-        .write_all(&secret.seal_page(&Page::Who { no }))
-        .map_err(failed)?;
-    let (mut bytes, mut all, mut next, start) = (Vec::new(), Vec::new(), 0, Instant::now());
-    while start.elapsed() < PATIENCE {
-        match secret.open_page(&bytes) {
-            Ok((
-                Page::Membership {
-                    no: n,
-                    page,
-                    rumours,
-                },
-                used,
-            )) if (n, page) == (no, next) => {
-                bytes.drain(..used);
-                all.extend(rumours);
-                next += 1;
-            }
-            Ok((Page::End { no: n, pages }, _)) if (n, pages) == (no, next) => return Ok(all),
-            Ok(_) => return Err(format!("{}: the answer is out of order", peers.listen)),
-            Err(Fault::Short) => {
-                let mut part = [0; 4096];
-                let count = stream.read(&mut part).map_err(failed)?;
-                if count == 0 {
-                    return Err(format!(
-                        "{}: closed; is its secret another one?",
-                        peers.listen
-                    ));
-                }
-                bytes.extend(&part[..count]);
-            }
-            Err(fault) => return Err(format!("{}: the answer is {fault}", peers.listen)),
-        }
-    }
-    Err(format!("{}: no whole answer in time", peers.listen))
-}
+/// How long to wait for the connection, for each part of the response, and for all of it.
+const TIMEOUT: Duration = Duration::from_secs(3);
+/// Most bytes that are read at a time.
+const READ_SIZE: usize = 4096;
 
-/// Prints the members as the sender sees them, itself first.
+/// Prints the members that the sender knows, itself first.
 ///
 /// # Errors
-/// Where nobody answers, or not in a way that can be believed.
-pub fn show(peers: &Peers, as_json: bool) -> Result<(), String> {
-    for (at, member) in ask(peers)?.iter().enumerate() {
-        let state = match member.state {
-            State::Alive => "alive",
-            State::Suspect => "suspect",
-            State::Dead => "dead",
-            State::Left => "left",
-        };
+/// If the secret cannot be read, or the sender does not give a response that can be authenticated.
+pub fn show(peers: &Peers, as_json: bool) -> Result<(), CommandError> {
+    let secret = martenlatch_sender::secret(&peers.secret_file)
+        .map_err(|error| CommandError::InvalidSecret(error.into()))?;
+    let members = query(peers, &secret).map_err(|source| CommandError::QueryMembers {
+        address: peers.listen,
+        source,
+    })?;
+    for (index, member) in members.iter().enumerate() {
+        let is_itself = index == 0;
         if as_json {
-            let (address, incarnation) = (member.address.to_string(), member.incarnation);
-            println!(
-                "{}",
-                json!({"name": member.name, "state": state, "address": address, "incarnation": incarnation,
-                    "self": at == 0})
-            );
+            println!("{}", json_line(member, is_itself));
         } else {
-            let own = if at == 0 { " (itself)" } else { "" };
-            println!(
-                "{:<32} {state:<8} {:<24} {}{own}",
-                member.name, member.address, member.incarnation
-            );
+            println!("{}", text_line(member, is_itself));
+        }
+    }
+    Ok(())
+}
+
+fn query(peers: &Peers, secret: &Secret) -> Result<Vec<MemberUpdate>, QueryError> {
+    let mut stream = TcpStream::connect_timeout(&peers.listen, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    // The response repeats this number, so that an earlier one is not taken for it.
+    let query_id = u64::from(std::process::id());
+    stream.write_all(&secret.seal_page(&Page::Who { no: query_id }))?;
+    let start = Instant::now();
+    let mut received = Vec::new();
+    let mut members = Vec::new();
+    let mut next_page = 0;
+    while start.elapsed() < TIMEOUT {
+        match secret.open_page(&received) {
+            Ok((Page::Membership { no, page, rumours }, length))
+                if no == query_id && page == next_page =>
+            {
+                received.drain(..length);
+                members.extend(rumours);
+                next_page += 1;
+            }
+            Ok((Page::End { no, pages }, _)) if no == query_id && pages == next_page => {
+                return Ok(members);
+            }
+            Ok(_) => return Err(QueryError::OutOfOrder),
+            Err(Fault::Short) => read_more(&mut stream, &mut received)?,
+            Err(fault) => return Err(QueryError::Malformed(fault.into())),
         }
     }
+    Err(QueryError::TimedOut)
+}
+
+fn read_more(stream: &mut TcpStream, received: &mut Vec<u8>) -> Result<(), QueryError> {
+    let mut part = [0; READ_SIZE];
+    let count = stream.read(&mut part)?;
+    if count == 0 {
+        return Err(QueryError::Closed);
+    }
+    received.extend(&part[..count]);
     Ok(())
 }
+
+fn text_line(member: &MemberUpdate, is_itself: bool) -> String {
+    let state = state_name(member);
+    let own = if is_itself { " (itself)" } else { "" };
+    format!(
+        "{:<32} {state:<8} {:<24} {}{own}",
+        member.name, member.address, member.incarnation
+    )
+}
+
+fn json_line(member: &MemberUpdate, is_itself: bool) -> serde_json::Value {
+    json!({
+        "name": member.name,
+        "state": state_name(member),
+        "address": member.address.to_string(),
+        "incarnation": member.incarnation,
+        "self": is_itself,
+    })
+}
+
+fn state_name(member: &MemberUpdate) -> &'static str {
+    match member.state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Dead => "dead",
+        State::Left => "left",
+    }
+}
--- a/crates/martenlatch/tests/cli.rs
+++ b/crates/martenlatch/tests/cli.rs
@@ -1,5 +1,5 @@
-//! The command line without a network: what each command says of files that are right, wrong or damaged, and its
-//! exit code.
+//! The command line without a network: what each command prints about valid, invalid and damaged files, and its exit
+//! code.
 
 use std::path::PathBuf;
 use std::process::{Command, Output};
@@ -41,7 +41,7 @@
     ":2: clients.request_ms: 9000 is not within 100 and 2900"
 )]
 #[case::half("clients {\n  idle_ms: 600", ":2: clients.idle_ms: expected")]
-fn settings_are_taken_whole_or_not_at_all(#[case] text: &str, #[case] want: &str) {
+fn settings_are_read_completely_or_rejected(#[case] text: &str, #[case] want: &str) {
     let file = folder(&format!("settings-{}", text.len())).join("own.textproto");
     std::fs::write(&file, text).unwrap();
     let (code, out, err) = run(&["check", "--settings", file.to_str().unwrap()]);
@@ -52,10 +52,14 @@
     );
 }
 
-#[test]
-fn a_ledger_is_shown_and_verified_without_being_changed_and_damage_has_its_own_exit_code() {
-    let state = folder("ledger");
-    let (code, out, _) = run(&["ledger", "verify", state.to_str().unwrap()]);
+#[rstest]
+#[case::name("wal")]
+#[case::alias("ledger")]
+fn a_write_ahead_log_is_shown_and_verified_without_being_changed_and_damage_has_its_own_exit_code(
+    #[case] command: &str,
+) {
+    let state = folder(command);
+    let (code, out, _) = run(&[command, "verify", state.to_str().unwrap()]);
     assert_eq!(
         (code, out.starts_with("whole bytes=0")),
         (Some(0), true),
@@ -64,21 +68,21 @@
     let file = state.join("ledger");
     std::fs::write(&file, b"mlatch1\n\x05\x00\x00\x00torn").unwrap();
     let before = std::fs::read(&file).unwrap();
-    let (code, out, _) = run(&["ledger", "verify", state.to_str().unwrap()]);
+    let (code, out, _) = run(&[command, "verify", state.to_str().unwrap()]);
     assert_eq!(
         (code, out.trim_end().ends_with("damaged_bytes=8")),
         (Some(3), true),
         "{out}"
     );
-    let (code, out, _) = run(&["ledger", "show", state.to_str().unwrap()]);
+    let (code, out, _) = run(&[command, "show", state.to_str().unwrap()]);
     assert_eq!((code, out.as_str()), (Some(0), ""));
     assert_eq!(std::fs::read(&file).unwrap(), before);
-    let (code, _, err) = run(&["ledger", "show", "/no/such/folder"]);
+    let (code, _, err) = run(&[command, "show", "/no/such/folder"]);
     assert!(code == Some(1) && err.contains("/no/such/folder"), "{err}");
 }
 
 #[test]
-fn a_command_line_that_cannot_be_read_is_not_a_start() {
+fn an_invalid_command_line_does_not_start_the_sender() {
     assert_eq!(run(&["srve"]).0, Some(2));
     let (code, out, _) = run(&["--help"]);
     assert!(
