Move body decoding to its own file and shorten the adapter's reply writer

Change: body.rs decodes bodies, error.rs holds Malformed, write_action tracks the message first and then formats one line per action.

--- a/crates/adapter/src/reply.rs
+++ b/crates/adapter/src/reply.rs
@@ -1,7 +1,5 @@
 //! Writes an instance's actions as lines of the reply.
 
-use std::fmt::Write;
-
 use martenlatch_policy::interface::{Action, EndpointId};
 
 use crate::messages::Messages;
@@ -14,63 +12,53 @@
     endpoint_names: &[String],
     reply: &mut String,
 ) {
-    let endpoint_name = |id: &EndpointId| &endpoint_names[id.0 as usize];
     match action {
+        Action::Send { id, .. } => messages.attempt_sent(*id),
+        Action::Reject { id, .. } | Action::Fail { id } => messages.finish(*id),
+        Action::Cancel { .. } | Action::WakeAfter(_) | Action::CloseIdle(_) => {}
+    }
+    let endpoint_name = |id: &EndpointId| &endpoint_names[id.0 as usize];
+    let line = match action {
         Action::Send {
             id,
             endpoint,
             timeout,
             ..
         } => {
-            messages.attempt_sent(*id);
             let message = messages.name(*id);
             let endpoint = endpoint_name(endpoint);
-            write_line(
-                reply,
-                format_args!("deliver {instance} {message} {timeout} {endpoint}"),
-            );
+            format!("deliver {instance} {message} {timeout} {endpoint}")
         }
         Action::Cancel { id, attempt } => {
-            let message = messages.name(*id);
-            write_line(reply, format_args!("revoke {instance} {message} {attempt}"));
+            format!("revoke {instance} {} {attempt}", messages.name(*id))
         }
         Action::Reject { id, retry_after } => {
-            messages.finish(*id);
-            let message = messages.name(*id);
             let retry_after = retry_after.unwrap_or(0);
-            write_line(
-                reply,
-                format_args!("reject {instance} {message} {retry_after}"),
-            );
-        }
-        Action::Fail { id } => {
-            messages.finish(*id);
-            let message = messages.name(*id);
-            write_line(reply, format_args!("report_failure {instance} {message}"));
-        }
-        Action::WakeAfter(delay) => {
-            write_line(reply, format_args!("sleep {instance} {delay} 0"));
+            format!("reject {instance} {} {retry_after}", messages.name(*id))
         }
+        Action::Fail { id } => format!("report_failure {instance} {}", messages.name(*id)),
+        Action::WakeAfter(delay) => format!("sleep {instance} {delay} 0"),
         Action::CloseIdle(endpoint) => {
-            let endpoint = endpoint_name(endpoint);
-            write_line(reply, format_args!("free_links {instance} {endpoint}"));
+            format!("free_links {instance} {}", endpoint_name(endpoint))
         }
-    }
+    };
+    write_line(reply, &line);
 }
 
 /// Writes that an instance's decision module has panicked.
 pub fn write_panic(instance: u64, panic: &(dyn std::any::Any + Send), reply: &mut String) {
     let text = panic_text(panic).replace('\n', " ");
-    write_line(reply, format_args!("give_in {instance} {text}"));
+    write_line(reply, &format!("give_in {instance} {text}"));
 }
 
 /// Writes the last line of a reply.
 pub fn write_end(batch_number: &str, reply: &mut String) {
-    write_line(reply, format_args!("eor {batch_number}"));
+    write_line(reply, &format!("eor {batch_number}"));
 }
 
-fn write_line(reply: &mut String, line: std::fmt::Arguments) {
-    writeln!(reply, "{line}").expect("writing to a String does not fail");
+fn write_line(reply: &mut String, line: &str) {
+    reply.push_str(line);
+    reply.push('\n');
 }
 
 fn panic_text(panic: &(dyn std::any::Any + Send)) -> &str {
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,140 @@
+//! Decodes response bodies piece by piece, as they come in.
+//!
+//! Like the heads, bodies come from peers that are not trusted: nothing here panics on them.
+
+use crate::buffer_pool::HEAD;
+use crate::error::Malformed;
+
+/// The line end behind the data of a chunk (`\r\n`), in bytes.
+const CHUNK_LINE_END: usize = 2;
+
+/// How the end of a response body is found, and how much of it is still to come.
+///
+/// This type is part of the state that is passed to a successor process: the order of variants and fields is fixed.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Body {
+    /// The bytes left of a body of known length.
+    Left(usize),
+    /// Chunked transfer coding.
+    Chunked {
+        /// Bytes left of the present chunk with its line end; 0 while a size line is due.
+        remaining: usize,
+        /// The last chunk (of size 0) has begun: only the trailer is still to come.
+        last: bool,
+    },
+    /// The body ends with the connection.
+    ToEnd,
+}
+
+/// How far one call of [`Body::decode`] has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyProgress {
+    /// Bytes of the input that were used.
+    pub consumed: usize,
+    /// Whether the body is complete.
+    pub complete: bool,
+}
+
+impl Body {
+    /// Decodes the body bytes in `input` and passes their content to `output`.
+    ///
+    /// # Errors
+    /// [`Malformed`] if a chunk size cannot be read or its line is longer than a head may be.
+    pub fn decode(
+        &mut self,
+        input: &[u8],
+        mut output: impl FnMut(&[u8]),
+    ) -> Result<BodyProgress, Malformed> {
+        match self {
+            Body::Left(left) => {
+                let consumed = (*left).min(input.len());
+                output(&input[..consumed]);
+                *left -= consumed;
+                Ok(BodyProgress {
+                    consumed,
+                    complete: *left == 0,
+                })
+            }
+            Body::ToEnd => {
+                output(input);
+                Ok(BodyProgress {
+                    consumed: input.len(),
+                    complete: false,
+                })
+            }
+            Body::Chunked { remaining, last } => decode_chunks(remaining, last, input, output),
+        }
+    }
+
+    /// [`Body::decode`] with a plain result: the bytes consumed and whether the body is complete, or `None` if it is
+    /// malformed.
+    pub fn feed(&mut self, input: &[u8], output: impl FnMut(&[u8])) -> Option<(usize, bool)> {
+        let progress = self.decode(input, output).ok()?;
+        Some((progress.consumed, progress.complete))
+    }
+}
+
+fn decode_chunks(
+    remaining: &mut usize,
+    last: &mut bool,
+    input: &[u8],
+    mut output: impl FnMut(&[u8]),
+) -> Result<BodyProgress, Malformed> {
+    let mut consumed = 0;
+    let mut complete = false;
+    while consumed < input.len() && !complete {
+        let rest = &input[consumed..];
+        if *remaining > 0 {
+            let count = (*remaining).min(rest.len());
+            let data = count.min(remaining.saturating_sub(CHUNK_LINE_END));
+            output(&rest[..data]);
+            *remaining -= count;
+            consumed += count;
+        } else if *last {
+            // The trailer: header lines up to an empty one.
+            let Some(line_end) = rest.iter().position(|byte| *byte == b'\n') else {
+                break;
+            };
+            complete = rest[..line_end].iter().all(|byte| *byte == b'\r');
+            consumed += line_end + 1;
+        } else {
+            let Some(size_line) = parse_chunk_size(rest)? else {
+                break;
+            };
+            consumed += size_line.length;
+            *last = size_line.chunk_size == 0;
+            *remaining = size_line.bytes_to_read()?;
+        }
+    }
+    Ok(BodyProgress { consumed, complete })
+}
+
+/// The line before a chunk.
+struct ChunkSizeLine {
+    /// Length of the line with its end, in bytes.
+    length: usize,
+    /// Size of the chunk's data, in bytes.
+    chunk_size: u64,
+}
+
+impl ChunkSizeLine {
+    /// Bytes of the chunk with its line end; the last chunk has neither.
+    fn bytes_to_read(&self) -> Result<usize, Malformed> {
+        if self.chunk_size == 0 {
+            return Ok(0);
+        }
+        let size = usize::try_from(self.chunk_size).map_err(|_| Malformed)?;
+        size.checked_add(CHUNK_LINE_END).ok_or(Malformed)
+    }
+}
+
+/// `None` while the line is incomplete.
+fn parse_chunk_size(input: &[u8]) -> Result<Option<ChunkSizeLine>, Malformed> {
+    match httparse::parse_chunk_size(input) {
+        Ok(httparse::Status::Complete((length, chunk_size))) => {
+            Ok(Some(ChunkSizeLine { length, chunk_size }))
+        }
+        Ok(httparse::Status::Partial) if input.len() < HEAD => Ok(None),
+        _ => Err(Malformed),
+    }
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -4,14 +4,18 @@
 //! and [`Connection`] is a socket with its read and write buffers, registered in a [`calloop`] event loop. The crate
 //! has no knowledge of message classes, endpoints or retries.
 
+mod body;
 pub mod buffer_pool;
 mod codec;
 mod connection;
+mod error;
 
+pub use body::{Body, BodyProgress};
 pub use codec::{
-    Body, BodyProgress, Malformed, Parsed, Request, Response, encode_response, parse_request,
-    parse_response, starts_with_status_200,
+    Parsed, Request, Response, encode_response, parse_request, parse_response,
+    starts_with_status_200,
 };
 pub use connection::{
     Connection, ConnectionSnapshot, Handle, Ready, is_descriptor_exhaustion, register,
 };
+pub use error::Malformed;
