--- /dev/null
+++ b/crates/peers/src/membership/dissemination.rs
@@ -0,0 +1,143 @@
+//! Dissemination: updates piggybacked on every datagram, and full views for members whose digests keep differing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use super::member::{MemberUpdate, State};
+use super::message::{Body, Datagram};
+use super::{MAX_UPDATES, Membership, SYNC_INTERVAL};
+
+/// An update is piggybacked this many times the binary logarithm of the group's size: enough to reach all members
+/// despite losses.
+const TRANSMISSIONS_FACTOR: u32 = 3;
+/// After this many differing digests in a row the full view of the other member is requested.
+const MAX_DIGEST_MISMATCHES: u32 = 3;
+
+/// Names of the members with updates to disseminate, those that were transmitted least first.
+#[derive(Clone, Debug, Default)]
+pub(super) struct UpdateQueue {
+    queue: BTreeSet<(u32, String)>,
+    /// The number of transmissions by name, which finds the entry in `queue`.
+    transmissions: BTreeMap<String, u32>,
+}
+
+impl UpdateQueue {
+    /// Queues a new update on a member in place of an older one.
+    pub(super) fn push(&mut self, name: &str) {
+        self.remove(name);
+        self.insert(0, name.to_string());
+    }
+
+    /// Drops a member's update.
+    pub(super) fn remove(&mut self, name: &str) {
+        if let Some(transmissions) = self.transmissions.remove(name) {
+            self.queue.remove(&(transmissions, name.to_string()));
+        }
+    }
+
+    fn insert(&mut self, transmissions: u32, name: String) {
+        self.transmissions.insert(name.clone(), transmissions);
+        self.queue.insert((transmissions, name));
+    }
+
+    /// Takes the update with the fewest transmissions: their number, and the member's name.
+    fn pop(&mut self) -> Option<(u32, String)> {
+        let (transmissions, name) = self.queue.pop_first()?;
+        self.transmissions.remove(&name);
+        Some((transmissions, name))
+    }
+}
+
+impl Membership {
+    /// Sends a datagram with piggybacked updates. `about_receiver` is what is known of its receiver: unless that is
+    /// `Alive` it goes first, so that the receiver can refute it.
+    pub(super) fn send(
+        &mut self,
+        to: SocketAddr,
+        body: Body,
+        about_receiver: Option<MemberUpdate>,
+    ) {
+        let first = about_receiver.filter(|update| update.state != State::Alive);
+        let updates = self.next_updates(first);
+        self.queue_datagram(to, body, updates);
+    }
+
+    /// Takes the updates for one datagram from the queue, and queues those again that were not transmitted often enough.
+    fn next_updates(&mut self, first: Option<MemberUpdate>) -> Vec<MemberUpdate> {
+        let mut updates: Vec<MemberUpdate> = first.into_iter().collect();
+        let max_transmissions = self.max_transmissions();
+        let mut requeued = Vec::new();
+        while updates.len() < MAX_UPDATES {
+            let Some((transmissions, name)) = self.update_queue.pop() else {
+                break;
+            };
+            let Some(update) = self.view.get(&name) else {
+                continue;
+            };
+            if updates.first().is_none_or(|first| first.name != name) {
+                updates.push(update.clone());
+            }
+            if transmissions + 1 < max_transmissions {
+                requeued.push((transmissions + 1, name));
+            }
+        }
+        for (transmissions, name) in requeued {
+            self.update_queue.insert(transmissions, name);
+        }
+        updates
+    }
+
+    fn max_transmissions(&self) -> u32 {
+        let group_size = self.live + 1;
+        TRANSMISSIONS_FACTOR * (usize::BITS - group_size.leading_zeros())
+    }
+
+    fn queue_datagram(&mut self, to: SocketAddr, body: Body, updates: Vec<MemberUpdate>) {
+        let datagram = Datagram {
+            from: self.local.clone(),
+            digest: self.digest,
+            body,
+            updates,
+        };
+        self.outgoing.push((to, datagram));
+    }
+
+    /// Sends the full view, in as many datagrams as it takes.
+    pub(super) fn send_full_view(&mut self, to: SocketAddr) {
+        let updates: Vec<MemberUpdate> = self
+            .view
+            .values()
+            .filter(|member| member.address != to || !member.state.is_live())
+            .cloned()
+            .collect();
+        for part in updates.chunks(MAX_UPDATES) {
+            self.queue_datagram(to, Body::View, part.to_vec());
+        }
+        if updates.is_empty() {
+            self.send(to, Body::View, None);
+        }
+    }
+
+    /// Sends what is new to some members without waiting for the next ping.
+    pub(super) fn announce(&mut self, receivers: usize) {
+        for to in self.random_members(receivers, None) {
+            self.send(to, Body::View, None);
+        }
+    }
+
+    /// Anti-entropy: requests the full view of a member after its digest has differed several times in a row, so that
+    /// the halves of a healed network agree again.
+    pub(super) fn compare_digest(&mut self, from: SocketAddr, digest: u64) {
+        if digest == self.digest {
+            self.digest_mismatches = 0;
+        } else {
+            self.digest_mismatches += 1;
+        }
+        let sync_due = self.periods >= self.last_sync + SYNC_INTERVAL;
+        if self.digest_mismatches >= MAX_DIGEST_MISMATCHES && sync_due {
+            self.digest_mismatches = 0;
+            self.last_sync = self.periods;
+            self.send(from, Body::Sync, None);
+        }
+    }
+}
--- /dev/null
+++ b/crates/peers/src/membership/failure_detector.rs
@@ -0,0 +1,231 @@
+//! Failure detection: one member is probed a period, directly and then through others; a member that stays silent is
+//! suspected, and declared dead unless it refutes that in time.
+
+use std::net::SocketAddr;
+
+use martenlatch_clock::Millis;
+use rand::RngExt;
+use rand::seq::SliceRandom;
+
+use super::Membership;
+use super::member::{MemberUpdate, State};
+use super::message::Body;
+
+/// Forwarded pings without an ack yet, at most.
+const MAX_RELAYED_PINGS: usize = 64;
+/// Every so many periods a dead member, or a seed that is not known, is contacted again.
+const RECONNECT_INTERVAL: u64 = 3;
+/// Lost members looked at for one reconnection attempt.
+const RECONNECT_CANDIDATES: usize = 4;
+/// A period that starts later than this part of a period means that this process stalled: nobody is suspected for it.
+const STALL_TOLERANCE: f64 = 0.5;
+
+/// The probe of the current period.
+#[derive(Clone, Debug)]
+pub(super) struct Probe {
+    name: String,
+    sequence: u64,
+    sent_at: Millis,
+    /// Whether other members have been asked to ping the target.
+    indirect: bool,
+    /// Whether the previous probe of the same member already went without an ack.
+    repeated: bool,
+}
+
+impl Probe {
+    /// When other members are to be asked for an indirect ping, if they have not been asked yet.
+    pub(super) fn indirect_at(&self, ack_timeout: Millis) -> Option<Millis> {
+        (!self.indirect).then_some(self.sent_at + ack_timeout)
+    }
+}
+
+/// A ping on behalf of another member.
+#[derive(Clone, Debug)]
+pub(super) struct RelayedPing {
+    sequence: u64,
+    requester: SocketAddr,
+    requester_sequence: u64,
+}
+
+impl Membership {
+    /// Asks other members for an indirect ping, once the ack of the current probe is overdue.
+    pub(super) fn probe_indirectly(&mut self, now: Millis) {
+        let ack_timeout = self.settings.ack_timeout;
+        let Some(probe) = &mut self.probe else {
+            return;
+        };
+        if probe.indirect_at(ack_timeout).is_none_or(|due| now < due) {
+            return;
+        }
+        probe.indirect = true;
+        let sequence = probe.sequence;
+        let target = probe.name.clone();
+        let Some(address) = self.view.get(&target).map(|member| member.address) else {
+            return;
+        };
+        for to in self.random_members(self.settings.indirect_probes, Some(&target)) {
+            self.send(to, Body::PingRequest { sequence, address }, None);
+        }
+    }
+
+    /// Ends the current protocol period and starts the next one.
+    pub(super) fn start_period(&mut self, now: Millis) {
+        let stalled = now > self.next_period + self.settings.period * STALL_TOLERANCE;
+        let scheduled = if stalled { now } else { self.next_period };
+        self.periods += 1;
+        self.next_period = scheduled + self.settings.period;
+        let unanswered = self.probe.take().filter(|_| !stalled);
+        match unanswered {
+            Some(probe) => self.handle_probe_failure(&probe, now),
+            None => self.probe_next(now),
+        }
+        if self.periods % RECONNECT_INTERVAL == 1 {
+            self.reconnect_lost_member();
+            self.reconnect_seed();
+        }
+    }
+
+    fn handle_probe_failure(&mut self, probe: &Probe, now: Millis) {
+        let target = self.view.get(&probe.name).cloned();
+        let Some(target) = target.filter(|member| member.state == State::Alive) else {
+            self.probe_next(now);
+            return;
+        };
+        // On a lossy network one unanswered probe says little; two in a row are the exception.
+        if probe.repeated {
+            self.suspect(target, now);
+        } else {
+            self.start_probe(target, true, now);
+        }
+    }
+
+    fn suspect(&mut self, target: MemberUpdate, now: Millis) {
+        let suspect = target.with_state(State::Suspect);
+        self.merge(suspect.clone(), now);
+        self.probe_next(now);
+        // This ping lets it refute the suspicion at once, before dissemination reaches it.
+        self.ping(suspect);
+    }
+
+    fn start_probe(&mut self, target: MemberUpdate, repeated: bool, now: Millis) {
+        let name = target.name.clone();
+        let sequence = self.ping(target);
+        self.probe = Some(Probe {
+            name,
+            sequence,
+            sent_at: now,
+            indirect: false,
+            repeated,
+        });
+    }
+
+    /// Sends a ping; returns its sequence number.
+    fn ping(&mut self, target: MemberUpdate) -> u64 {
+        let sequence = self.next_sequence();
+        self.send(target.address, Body::Ping { sequence }, Some(target));
+        sequence
+    }
+
+    fn probe_next(&mut self, now: Millis) {
+        while let Some(name) = self.next_target() {
+            let target = self.view.get(&name).cloned();
+            if let Some(target) = target.filter(|member| member.state.is_live()) {
+                self.start_probe(target, false, now);
+                return;
+            }
+        }
+    }
+
+    /// Round robin over the live members, in an order that is shuffled anew for every pass.
+    fn next_target(&mut self) -> Option<String> {
+        if self.probe_order.is_empty() {
+            let live = self.view.values().filter(|member| member.state.is_live());
+            self.probe_order = live.map(|member| member.name.clone()).collect();
+            self.probe_order.shuffle(&mut self.rng);
+        }
+        self.probe_order.pop()
+    }
+
+    /// Pings one member that was declared dead: the halves of a split network find each other again by this.
+    fn reconnect_lost_member(&mut self) {
+        for _ in 0..self.lost.len().min(RECONNECT_CANDIDATES) {
+            let Some(name) = self.lost.pop_front() else {
+                break;
+            };
+            let known = self.view.get(&name).cloned();
+            if let Some(dead) = known.filter(|member| member.state == State::Dead) {
+                self.lost.push_back(name);
+                self.ping(dead);
+                break;
+            }
+        }
+    }
+
+    /// Requests the view of a random seed, unless it is a live member.
+    fn reconnect_seed(&mut self) {
+        if self.seeds.is_empty() {
+            return;
+        }
+        let seed = self.seeds[self.rng.random_range(0..self.seeds.len())];
+        let mut members = self.view.values();
+        if !members.any(|member| member.address == seed && member.state.is_live()) {
+            self.send(seed, Body::Sync, None);
+        }
+    }
+
+    /// Pings a member on behalf of another.
+    pub(super) fn relay_ping(
+        &mut self,
+        requester: SocketAddr,
+        requester_sequence: u64,
+        target: SocketAddr,
+    ) {
+        let sequence = self.next_sequence();
+        if self.relayed_pings.len() >= MAX_RELAYED_PINGS {
+            self.relayed_pings.pop_front();
+        }
+        self.relayed_pings.push_back(RelayedPing {
+            sequence,
+            requester,
+            requester_sequence,
+        });
+        self.send(target, Body::Ping { sequence }, None);
+    }
+
+    /// Takes an ack: it completes the current probe, or is forwarded to the member that requested the ping.
+    pub(super) fn handle_ack(&mut self, sequence: u64) {
+        if self.probe.as_ref().is_some_and(|p| p.sequence == sequence) {
+            self.probe = None;
+        }
+        let position = self
+            .relayed_pings
+            .iter()
+            .position(|ping| ping.sequence == sequence);
+        if let Some(relayed) = position.and_then(|at| self.relayed_pings.remove(at)) {
+            let sequence = relayed.requester_sequence;
+            self.send(relayed.requester, Body::Ack { sequence }, None);
+        }
+    }
+
+    fn next_sequence(&mut self) -> u64 {
+        self.last_sequence += 1;
+        self.last_sequence
+    }
+
+    /// The addresses of up to `count` random alive members other than `excluded`.
+    pub(super) fn random_members(
+        &mut self,
+        count: usize,
+        excluded: Option<&str>,
+    ) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> = self
+            .view
+            .values()
+            .filter(|member| member.state == State::Alive)
+            .filter(|member| Some(member.name.as_str()) != excluded)
+            .map(|member| member.address)
+            .collect();
+        let (drawn, _) = addresses.partial_shuffle(&mut self.rng, count);
+        drawn.to_vec()
+    }
+}
--- /dev/null
+++ b/crates/peers/src/membership/view.rs
@@ -0,0 +1,192 @@
+//! The view: merging updates into it, the deadlines of suspects and of dead members, and the refutation of what others
+//! say about this member.
+
+use martenlatch_clock::Millis;
+use rand::RngExt;
+
+use super::member::{MemberUpdate, MembershipChange, State};
+use super::{MAX_NAME_BYTES, Membership, SYNC_INTERVAL};
+
+/// When a member that is not alive leaves its state: a suspect is declared dead, one that died or left is removed.
+/// It is void if the member's incarnation or state has changed since.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Expiry {
+    /// In whole milliseconds.
+    due: u64,
+    name: String,
+    incarnation: u64,
+    state: State,
+}
+
+impl Expiry {
+    pub(super) fn due(&self) -> Millis {
+        self.due as Millis
+    }
+
+    fn applies_to(&self, member: &MemberUpdate) -> bool {
+        self.incarnation == member.incarnation && self.state == member.state
+    }
+}
+
+impl Membership {
+    /// Declares suspects dead, and removes members that died or left, whose time is over.
+    pub(super) fn expire(&mut self, now: Millis) {
+        while let Some(expiry) = self.next_expiry(now) {
+            let known = self.view.get(&expiry.name).cloned();
+            let Some(member) = known.filter(|member| expiry.applies_to(member)) else {
+                continue;
+            };
+            if expiry.state == State::Suspect {
+                self.merge(member.with_state(State::Dead), now);
+            } else {
+                self.remove(&expiry.name);
+            }
+        }
+    }
+
+    fn next_expiry(&mut self, now: Millis) -> Option<Expiry> {
+        if self.expiries.first()?.due() <= now {
+            self.expiries.pop_first()
+        } else {
+            None
+        }
+    }
+
+    /// Merges an update into the view, unless what is known overrides it.
+    pub(super) fn merge(&mut self, update: MemberUpdate, now: Millis) {
+        if update.name == self.local.name {
+            self.refute(&update);
+            return;
+        }
+        if update.name.is_empty() || update.name.len() > MAX_NAME_BYTES {
+            return;
+        }
+        let previous = self.view.get(&update.name).cloned();
+        if previous.as_ref().is_some_and(|p| !update.overrides(p)) {
+            return;
+        }
+        if previous.is_none() && !self.make_room_for(&update) {
+            self.rejected_updates += 1;
+            return;
+        }
+        self.update_totals(previous.as_ref(), &update);
+        self.record_change(previous.map(|member| member.state), &update);
+        self.schedule_expiry(&update, now);
+        if update.state == State::Dead && !self.lost.contains(&update.name) {
+            self.lost.push_back(update.name.clone());
+        }
+        self.update_queue.push(&update.name);
+        self.view.insert(update.name.clone(), update);
+    }
+
+    /// Updates the digest and the number of live members.
+    fn update_totals(&mut self, previous: Option<&MemberUpdate>, update: &MemberUpdate) {
+        if let Some(previous) = previous.filter(|member| member.state.is_live()) {
+            self.digest ^= previous.digest();
+            self.live -= 1;
+        }
+        if update.state.is_live() {
+            self.digest ^= update.digest();
+            self.live += 1;
+        }
+    }
+
+    fn record_change(&mut self, previous: Option<State>, update: &MemberUpdate) {
+        let was_live = previous.is_some_and(State::is_live);
+        let name = update.name.clone();
+        match update.state {
+            State::Alive if !was_live => {
+                // At a random place of the current pass, so that it is probed soon.
+                let place = self.rng.random_range(0..=self.probe_order.len());
+                self.probe_order.insert(place, name);
+                self.changes.push(MembershipChange::Joined(update.clone()));
+            }
+            State::Alive if previous == Some(State::Suspect) => {
+                self.changes.push(MembershipChange::Refuted(name));
+            }
+            State::Suspect if !was_live => {
+                self.probe_order.push(name.clone());
+                self.changes.push(MembershipChange::Joined(update.clone()));
+                self.changes.push(MembershipChange::Suspected(name));
+            }
+            State::Suspect if previous == Some(State::Alive) => {
+                self.changes.push(MembershipChange::Suspected(name));
+            }
+            State::Dead if was_live => self.changes.push(MembershipChange::Died(name)),
+            State::Left if was_live => self.changes.push(MembershipChange::Left(name)),
+            _ => {}
+        }
+    }
+
+    fn schedule_expiry(&mut self, update: &MemberUpdate, now: Millis) {
+        let after = match update.state {
+            State::Alive => return,
+            State::Suspect => self.suspicion_timeout(),
+            State::Dead | State::Left => self.settings.retention,
+        };
+        self.expiries.insert(Expiry {
+            due: (now + after).ceil() as u64,
+            name: update.name.clone(),
+            incarnation: update.incarnation,
+            state: update.state,
+        });
+    }
+
+    fn suspicion_timeout(&self) -> Millis {
+        let group_size = (self.live + 2) as f64;
+        self.settings.suspicion_periods * group_size.log10().max(1.0) * self.settings.period
+    }
+
+    /// Makes room in a full view: members that died or left give way to live ones.
+    fn make_room_for(&mut self, newcomer: &MemberUpdate) -> bool {
+        if self.view.len() < self.settings.max_members {
+            return true;
+        }
+        if !newcomer.state.is_live() {
+            return false;
+        }
+        let removable = self.expiries.iter().find(|expiry| {
+            let member = self.view.get(&expiry.name);
+            !expiry.state.is_live() && member.is_some_and(|m| expiry.applies_to(m))
+        });
+        let Some(name) = removable.map(|expiry| expiry.name.clone()) else {
+            return false;
+        };
+        self.remove(&name);
+        true
+    }
+
+    fn remove(&mut self, name: &str) {
+        self.view.remove(name);
+        self.lost.retain(|lost| lost != name);
+        self.update_queue.remove(name);
+        self.changes
+            .push(MembershipChange::Forgotten(name.to_string()));
+    }
+
+    /// Refutes an update on this member, or one under its name, by a higher incarnation.
+    pub(super) fn refute(&mut self, update: &MemberUpdate) {
+        let elsewhere = update.address != self.local.address;
+        let alive = update.state == State::Alive;
+        let outdated = update.incarnation < self.local.incarnation;
+        if self.local.state != State::Alive || outdated || (alive && !elsewhere) {
+            return;
+        }
+        if elsewhere && alive {
+            // An earlier incarnation of this member, or a second node of this name: the two must not outbid each other
+            // for ever.
+            let recent = |period| self.periods < period + SYNC_INTERVAL;
+            if self.name_conflict.is_some_and(recent) {
+                return;
+            }
+            self.name_conflict = Some(self.periods);
+            self.changes
+                .push(MembershipChange::NameConflict(update.address));
+        }
+        self.digest ^= self.local.digest();
+        self.local.incarnation = update.incarnation.saturating_add(1);
+        self.digest ^= self.local.digest();
+        // At once, so that a suspicion is refuted before it becomes a death.
+        self.announce(self.settings.indirect_probes);
+    }
+}
--- /dev/null
+++ b/crates/peers/src/partner_knowledge/evidence.rs
@@ -0,0 +1,141 @@
+//! What several reporters have told about one subject. Merging is commutative, associative and idempotent.
+
+use std::cmp::Ordering;
+
+use martenlatch_clock::Millis;
+use serde::{Deserialize, Serialize};
+
+use super::Bounds;
+use super::digest::{Digest, ReportedOutage};
+use crate::latency_sketch::LatencySketch;
+
+/// How many reports on one subject are kept: the latest ones.
+const MAX_REPORTS: usize = 2;
+
+/// What one reporter has told about a subject. Of two reports by one reporter the later replaces the other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct Report {
+    pub(super) reporter: String,
+    /// When the reporter made its latest observation, by the clock of this sender.
+    pub(super) observed_at: Millis,
+    /// The pacing interval in milliseconds.
+    pub(super) gap: f32,
+    /// Calls a second.
+    pub(super) limit: Option<f32>,
+    served: f32,
+    refused: f32,
+    pub(super) latency: LatencySketch,
+}
+
+impl Report {
+    /// Orders reports by their time. The order is total, so that merging in any order gives the same result.
+    fn cmp_age(&self, other: &Report) -> Ordering {
+        let figures = self.figures().into_iter().zip(other.figures());
+        figures
+            .map(|(own, others)| own.total_cmp(&others))
+            .find(|order| order.is_ne())
+            .unwrap_or_else(|| self.latency.cmp(&other.latency))
+            .then_with(|| self.reporter.cmp(&other.reporter))
+    }
+
+    fn figures(&self) -> [f64; 5] {
+        [
+            self.observed_at,
+            self.gap.into(),
+            self.limit.map_or(-1.0, f64::from),
+            self.served.into(),
+            self.refused.into(),
+        ]
+    }
+}
+
+/// All that is known of one subject by gossip. Instants are in milliseconds by the clock of this sender.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct Evidence {
+    /// Nothing may be sent before this.
+    pub(super) wait_until: Millis,
+    /// When the partner was last observed not to respond.
+    pub(super) unresponsive_at: Option<Millis>,
+    /// When it was last observed to reject everything.
+    pub(super) rejecting_at: Option<Millis>,
+    /// When it last began to recover.
+    pub(super) recovering_at: Option<Millis>,
+    /// The latest first.
+    pub(super) reports: Vec<Report>,
+}
+
+/// The later of two instants, if there is any.
+pub(super) fn later(first: Option<Millis>, second: Option<Millis>) -> Option<Millis> {
+    [first, second].into_iter().flatten().reduce(f64::max)
+}
+
+impl Evidence {
+    /// The evidence in a valid digest that was received now.
+    pub(super) fn of(reporter: &str, digest: &Digest, now: Millis, bounds: &Bounds) -> Evidence {
+        let observed_at = now - f64::from(digest.age);
+        let mut evidence = Evidence {
+            wait_until: now + f64::from(digest.wait).min(bounds.max_wait),
+            ..Evidence::default()
+        };
+        match digest.outage {
+            Some(ReportedOutage::Unresponsive) => evidence.unresponsive_at = Some(observed_at),
+            Some(ReportedOutage::Rejecting) => evidence.rejecting_at = Some(observed_at),
+            Some(ReportedOutage::Recovering { since }) => {
+                evidence.recovering_at = Some(now - f64::from(since));
+            }
+            None => {}
+        }
+        evidence.reports.push(Report {
+            reporter: reporter.into(),
+            observed_at,
+            gap: digest.gap,
+            limit: digest.limit,
+            served: digest.served,
+            refused: digest.refused,
+            latency: digest.latency.clone(),
+        });
+        evidence
+    }
+
+    pub(super) fn merge(&mut self, other: &Evidence) {
+        self.wait_until = self.wait_until.max(other.wait_until);
+        self.unresponsive_at = later(self.unresponsive_at, other.unresponsive_at);
+        self.rejecting_at = later(self.rejecting_at, other.rejecting_at);
+        self.recovering_at = later(self.recovering_at, other.recovering_at);
+        for report in &other.reports {
+            self.merge_report(report);
+        }
+        self.reports.sort_by(|a, b| b.cmp_age(a));
+        self.reports.truncate(MAX_REPORTS);
+    }
+
+    fn merge_report(&mut self, report: &Report) {
+        let known = self
+            .reports
+            .iter_mut()
+            .find(|known| known.reporter == report.reporter);
+        match known {
+            Some(known) if known.cmp_age(report).is_lt() => *known = report.clone(),
+            Some(_) => {}
+            None => self.reports.push(report.clone()),
+        }
+    }
+
+    /// When the partner was last observed to fail.
+    pub(super) fn failed_at(&self) -> Option<Millis> {
+        later(self.unresponsive_at, self.rejecting_at)
+    }
+
+    /// When the partner was last observed to fail or to begin to recover.
+    pub(super) fn outage_at(&self) -> Option<Millis> {
+        later(self.failed_at(), self.recovering_at)
+    }
+
+    /// The latest instant that the evidence rests on.
+    pub(super) fn latest(&self) -> Millis {
+        let observed = self.reports.iter().map(|r| r.observed_at);
+        later(self.outage_at(), observed.reduce(f64::max))
+            .unwrap_or(0.0)
+            .max(self.wait_until)
+    }
+}
--- a/crates/peers/src/simulated_network.rs
+++ b/crates/peers/src/simulated_network.rs
@@ -1,6 +1,6 @@
-//! Owns a simulated network of members: datagrams travel, are lost and meet cuts; members are killed, fall deaf and
-//! stall. For tests and the laboratory; no part of a sender. The same seed gives the same history. It must never wait,
-//! or reach into a member past what the network and its clock could do.
+//! A simulated network of members, for tests and experiments: datagrams are delayed, lost and cut off by partitions;
+//! members crash, stop receiving and stall. It is a discrete-event simulation: the same seed gives the same history, and
+//! a member is reached only through its datagrams and its clock.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -9,17 +9,30 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg32;
 
-use crate::membership::{Change, Datagram, Membership, Settings, State};
+use crate::membership::{Datagram, Membership, MembershipChange, Settings, State};
 use crate::wire::Secret;
 
-/// One way between two members.
-const WAY: (Millis, Millis) = (5.0, 15.0);
-/// What UDP over IPv4 adds to a datagram, in bytes.
-const HEADERS: u64 = 28;
+/// Shortest and longest delay of a datagram.
+const MIN_DELAY: Millis = 5.0;
+const MAX_DELAY: Millis = 15.0;
+/// What UDP over IPv4 adds to a datagram.
+const HEADER_BYTES: u64 = 28;
+/// The port of member 0; the others have the next ones.
+const FIRST_PORT: u16 = 7_000;
+/// How often [`SimulatedNetwork::run_until`] looks at its condition.
+const CHECK_INTERVAL: Millis = 50.0;
+/// A datagram to a stalled member is read so long after the stall: after the tick that is due then, as by a process that
+/// was stopped.
+const READ_AFTER_STALL: Millis = 1.0;
 
 /// The address of a member by its number.
 pub fn address(no: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 7_000 + no as u16))
+    SocketAddr::from(([127, 0, 0, 1], FIRST_PORT + no as u16))
+}
+
+/// The number of a member by its address.
+fn number(address: SocketAddr) -> usize {
+    usize::from(address.port()).saturating_sub(FIRST_PORT.into())
 }
 
 /// The name of a member by its number.
@@ -27,210 +40,200 @@
     format!("s{no}")
 }
 
-/// Instants as keys of an ordered map: positive numbers keep their order as bits.
-fn key(at: Millis) -> u64 {
-    at.to_bits()
+/// An instant as the key of an ordered map: the bits of positive floating-point numbers have the numbers' order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Instant(u64);
+
+impl Instant {
+    const NEVER: Instant = Instant(u64::MAX);
+
+    fn new(at: Millis) -> Instant {
+        Instant(at.to_bits())
+    }
+
+    fn millis(self) -> Millis {
+        f64::from_bits(self.0)
+    }
 }
 
-/// Members and what is between them.
+/// A datagram on its way.
+#[derive(Debug)]
+struct InTransit {
+    from: usize,
+    to: usize,
+    datagram: Datagram,
+}
+
+/// Members and the network between them. Members are known by their numbers.
 #[derive(Debug)]
 pub struct SimulatedNetwork {
-    /// Share of datagrams that are lost.
+    /// Share of the datagrams that are lost.
     pub loss: f64,
-    /// Datagrams and bytes sent so far.
+    /// Number of datagrams, and of bytes with headers, sent so far.
     pub sent: (u64, u64),
     nodes: BTreeMap<usize, Membership>,
-    changes: BTreeMap<usize, Vec<Change>>,
-    flying: BTreeMap<(u64, u64), (usize, usize, Datagram)>,
-    /// When each member has something to do, both ways.
-    dues: BTreeSet<(u64, usize)>,
-    due_of: BTreeMap<usize, u64>,
-    /// Until when a member hears nothing, or does nothing.
-    deaf: BTreeMap<usize, Millis>,
-    stalled: BTreeMap<usize, Millis>,
-    split: Option<usize>,
+    changes: BTreeMap<usize, Vec<MembershipChange>>,
+    /// By arrival, then in the order in which they were sent.
+    in_transit: BTreeMap<(Instant, u64), InTransit>,
+    /// When each member has something to do, in order and by member.
+    ticks: BTreeSet<(Instant, usize)>,
+    tick_of: BTreeMap<usize, Instant>,
+    /// Until when nothing reaches a member.
+    deaf_until: BTreeMap<usize, Millis>,
+    /// Until when a member does nothing.
+    stalled_until: BTreeMap<usize, Millis>,
+    /// Members below this number and the others cannot reach each other.
+    partition: Option<usize>,
     now: Millis,
-    seq: u64,
+    last_sequence: u64,
     rng: Pcg32,
-    set: Settings,
+    settings: Settings,
     secret: Secret,
 }
 
 impl SimulatedNetwork {
-    /// So many members that know nobody but the first two.
+    /// A network of `count` members that know only the first two at the start.
     pub fn of(count: usize, loss: f64, seed: u64) -> SimulatedNetwork {
-        let set = Settings {
-            most: 4 * count.max(64),
+        let settings = Settings {
+            max_members: 4 * count.max(64),
             ..Settings::default()
         };
-        let mut net = SimulatedNetwork {
+        let mut network = SimulatedNetwork {
             loss,
             sent: (0, 0),
             nodes: BTreeMap::new(),
             changes: BTreeMap::new(),
-            flying: BTreeMap::new(),
-            dues: BTreeSet::new(),
-            due_of: BTreeMap::new(),
-            deaf: BTreeMap::new(),
-            stalled: BTreeMap::new(),
-            split: None,
+            in_transit: BTreeMap::new(),
+            ticks: BTreeSet::new(),
+            tick_of: BTreeMap::new(),
+            deaf_until: BTreeMap::new(),
+            stalled_until: BTreeMap::new(),
+            partition: None,
             now: 0.0,
-            seq: 0,
+            last_sequence: 0,
             rng: Pcg32::seed_from_u64(seed),
-            set,
+            settings,
             secret: Secret::new(b"a simulated network"),
         };
-        (0..count).for_each(|no| net.add(no));
-        net
+        for no in 0..count {
+            network.add(no);
+        }
+        network
     }
 
     /// Starts a member.
     pub fn add(&mut self, no: usize) {
-        self.add_as(no, no);
+        self.add_with_name_of(no, no);
     }
 
-    /// Starts a member at its own address under another's name.
-    pub fn add_as(&mut self, no: usize, called: usize) {
-        let (seeds, seed, set) = (
-            [address(0), address(1)],
-            self.rng.random(),
-            self.set.clone(),
+    /// Starts a member at its own address under the name of another.
+    pub fn add_with_name_of(&mut self, no: usize, other: usize) {
+        let seeds = [address(0), address(1)];
+        let rng_seed = self.rng.random();
+        let mut membership = Membership::new(
+            &name(other),
+            address(no),
+            1,
+            &seeds,
+            self.settings.clone(),
+            rng_seed,
+            self.now,
         );
-        let mut members =
-            Membership::new(&name(called), address(no), 1, &seeds, set, seed, self.now);
-        members.join();
-        self.nodes.insert(no, members);
+        membership.join();
+        self.nodes.insert(no, membership);
         self.collect(no);
     }
 
-    /// One that runs.
+    /// A member that runs.
+    ///
+    /// # Panics
+    /// If the member does not run.
     pub fn node(&self, no: usize) -> &Membership {
         &self.nodes[&no]
     }
 
-    /// What has changed in a member's view, since the beginning.
-    pub fn changes(&self, no: usize) -> &[Change] {
+    /// All changes in a member's view so far.
+    pub fn changes(&self, no: usize) -> &[MembershipChange] {
         self.changes.get(&no).map_or(&[], Vec::as_slice)
     }
 
-    /// The time.
+    /// The simulated time.
     pub fn now(&self) -> Millis {
         self.now
     }
 
-    /// Ends a member without a word.
+    /// Crashes a member.
     pub fn kill(&mut self, no: usize) {
         self.nodes.remove(&no);
-        if let Some(due) = self.due_of.remove(&no) {
-            self.dues.remove(&(due, no));
+        if let Some(due) = self.tick_of.remove(&no) {
+            self.ticks.remove(&(due, no));
         }
     }
 
-    /// Ends a member in good order.
+    /// Shuts a member down gracefully.
     pub fn leave(&mut self, no: usize) {
-        if let Some(members) = self.nodes.get_mut(&no) {
-            members.leave();
+        if let Some(membership) = self.nodes.get_mut(&no) {
+            membership.leave();
         }
         self.collect(no);
         self.kill(no);
     }
 
-    /// Nothing reaches a member for a while.
-    pub fn deafen(&mut self, no: usize, span: Millis) {
-        self.deaf.insert(no, self.now + span);
+    /// Drops all datagrams to a member for a while.
+    pub fn drop_incoming(&mut self, no: usize, span: Millis) {
+        self.deaf_until.insert(no, self.now + span);
     }
 
-    /// A member does nothing for a while; what comes waits in its socket.
+    /// Stops a member's process for a while; datagrams to it wait in its socket.
     pub fn stall(&mut self, no: usize, span: Millis) {
-        self.stalled.insert(no, self.now + span);
+        self.stalled_until.insert(no, self.now + span);
         self.collect(no);
     }
 
-    /// Members under `at` and the others cannot reach one another, or can again.
-    pub fn split(&mut self, at: Option<usize>) {
-        self.split = at;
+    /// Partitions the network between the members below a number and the others, or heals it.
+    pub fn partition(&mut self, at: Option<usize>) {
+        self.partition = at;
     }
 
-    /// How one member sees another.
+    /// The state of a member in the view of another, `by`.
     pub fn state(&self, by: usize, no: usize) -> Option<State> {
-        self.nodes[&by]
-            .others()
-            .find(|r| r.name == name(no))
-            .map(|r| r.state)
+        let name = name(no);
+        let mut others = self.nodes[&by].others();
+        others.find(|o| o.name == name).map(|other| other.state)
     }
 
-    /// Pairs of which one does not hold the other for a member.
+    /// The number of pairs of running members of which the first does not see the second as a live member.
     pub fn unknown(&self) -> usize {
-        let knows = |by: &usize| {
-            let live = self.nodes[by].others().filter(|r| r.state.live());
-            let numbers = live.map(|r| usize::from(r.address.port()) - 7_000);
-            numbers
-                .filter(|no| no != by && self.nodes.contains_key(no))
-                .count()
-        };
+        let others = self.nodes.len().saturating_sub(1);
         self.nodes
             .keys()
-            .map(|by| self.nodes.len() - 1 - knows(by))
+            .map(|by| others - self.known_running(*by))
             .sum()
     }
 
-    /// Whether every other member holds one for a member.
+    /// How many of the other running members a member sees as live.
+    fn known_running(&self, by: usize) -> usize {
+        self.nodes[&by]
+            .others()
+            .filter(|member| member.state.is_live())
+            .map(|member| number(member.address))
+            .filter(|no| *no != by && self.nodes.contains_key(no))
+            .count()
+    }
+
+    /// Whether all others see a member as live.
     pub fn all_know(&self, no: usize) -> bool {
         self.nodes
             .keys()
-            .all(|by| *by == no || self.state(*by, no).is_some_and(State::live))
+            .all(|by| *by == no || self.state(*by, no).is_some_and(State::is_live))
     }
 
-    /// Times that a death was seen so far, over all members.
+    /// How often a member was declared dead so far, in all views.
     pub fn deaths(&self) -> usize {
-        let all = self.changes.values().flatten();
-        all.filter(|c| matches!(c, Change::Died(_))).count()
-    }
-
-    fn stalled(&self, no: usize) -> Option<Millis> {
-        self.stalled
-            .get(&no)
-            .copied()
-            .filter(|until| self.now < *until)
-    }
-
-    fn collect(&mut self, no: usize) {
-        let stalled = self.stalled(no);
-        let Some(members) = self.nodes.get_mut(&no) else {
-            return;
-        };
-        self.changes
-            .entry(no)
-            .or_default()
-            .extend(members.take_changes());
-        let (out, due) = (
-            members.take_out(),
-            key(members.due().max(stalled.unwrap_or(0.0))),
-        );
-        if let Some(old) = self.due_of.insert(no, due) {
-            self.dues.remove(&(old, no));
-        }
-        self.dues.insert((due, no));
-        for (to, datagram) in out {
-            let bytes = self.secret.seal_datagram(&datagram).len() as u64 + HEADERS;
-            self.sent = (self.sent.0 + 1, self.sent.1 + bytes);
-            let (lost, way) = (
-                self.rng.random::<f64>() < self.loss,
-                self.rng.random::<f64>(),
-            );
-            if !lost {
-                let at = self.now + WAY.0 + (WAY.1 - WAY.0) * way;
-                self.fly(
-                    at,
-                    (no, usize::from(to.port()).saturating_sub(7_000), datagram),
-                );
-            }
-        }
-    }
-
-    fn fly(&mut self, at: Millis, what: (usize, usize, Datagram)) {
-        self.seq += 1;
-        self.flying.insert((key(at), self.seq), what);
+        let changes = self.changes.values().flatten();
+        changes
+            .filter(|change| matches!(change, MembershipChange::Died(_)))
+            .count()
     }
 
     /// Lets time pass.
@@ -240,7 +243,7 @@
         self.now = end;
     }
 
-    /// Lets time pass until `done` says so, looked at every 50 ms: when that was.
+    /// Lets time pass until `done` returns true, for `span` at most; returns when that was.
     pub fn run_until(
         &mut self,
         span: Millis,
@@ -248,7 +251,7 @@
     ) -> Option<Millis> {
         let end = self.now + span;
         while self.now < end {
-            self.run(50.0);
+            self.run(CHECK_INTERVAL);
             if done(self) {
                 return Some(self.now);
             }
@@ -256,38 +259,102 @@
         None
     }
 
-    /// The next thing that happens before an instant; false where nothing does.
+    /// Lets the next event before `end` happen; returns false if there is none.
     fn step(&mut self, end: Millis) -> bool {
-        let tick = self.dues.first().copied().unwrap_or((u64::MAX, 0));
-        let next = self.flying.first_key_value().map(|(k, _)| *k);
-        let arrives = next.map_or(u64::MAX, |k| k.0);
-        let at = tick.0.min(arrives);
-        if at > key(end) {
+        let next_tick = self.ticks.first().copied();
+        let next_tick = next_tick.unwrap_or((Instant::NEVER, 0));
+        let next_arrival = self.in_transit.first_key_value().map(|(key, _)| key.0);
+        let next_arrival = next_arrival.unwrap_or(Instant::NEVER);
+        let at = next_tick.0.min(next_arrival);
+        if at > Instant::new(end) {
             return false;
         }
-        self.now = self.now.max(f64::from_bits(at));
-        let now = self.now;
-        if arrives > tick.0 {
-            if let Some(members) = self.nodes.get_mut(&tick.1) {
-                members.tick(now);
-            }
-            self.collect(tick.1);
+        self.now = self.now.max(at.millis());
+        if next_arrival > next_tick.0 {
+            self.tick(next_tick.1);
             return true;
         }
-        let Some((from, to, datagram)) = next.and_then(|k| self.flying.remove(&k)) else {
+        let Some((_, arrived)) = self.in_transit.pop_first() else {
             return false;
         };
-        if let Some(until) = self.stalled(to) {
-            // Read after the tick that is due then, as by a process that was stopped.
-            self.fly(until + 1.0, (from, to, datagram));
-            return true;
+        self.deliver(arrived);
+        true
+    }
+
+    fn tick(&mut self, no: usize) {
+        if let Some(membership) = self.nodes.get_mut(&no) {
+            membership.tick(self.now);
         }
-        let cut = self.split.is_some_and(|s| (from < s) != (to < s));
-        let deaf = self.deaf.get(&to).is_some_and(|until| now < *until);
-        if let Some(members) = self.nodes.get_mut(&to).filter(|_| !cut && !deaf) {
-            members.hear(datagram, now);
+        self.collect(no);
+    }
+
+    fn deliver(&mut self, arrived: InTransit) {
+        let to = arrived.to;
+        if let Some(until) = self.stalled_until(to) {
+            self.put_in_transit(until + READ_AFTER_STALL, arrived);
+            return;
+        }
+        let cut_off = self
+            .partition
+            .is_some_and(|at| (arrived.from < at) != (to < at));
+        let deaf = self
+            .deaf_until
+            .get(&to)
+            .is_some_and(|until| self.now < *until);
+        if cut_off || deaf {
+            return;
+        }
+        if let Some(membership) = self.nodes.get_mut(&to) {
+            membership.handle_datagram(arrived.datagram, self.now);
             self.collect(to);
         }
-        true
+    }
+
+    fn stalled_until(&self, no: usize) -> Option<Millis> {
+        let until = self.stalled_until.get(&no).copied();
+        until.filter(|until| self.now < *until)
+    }
+
+    /// Takes what a member has to say after it did something: changes, its next deadline, and datagrams.
+    fn collect(&mut self, no: usize) {
+        let stalled_until = self.stalled_until(no).unwrap_or(0.0);
+        let Some(membership) = self.nodes.get_mut(&no) else {
+            return;
+        };
+        let changes = self.changes.entry(no).or_default();
+        changes.extend(membership.take_changes());
+        let outgoing = membership.take_outgoing();
+        let due = Instant::new(membership.next_deadline().max(stalled_until));
+        if let Some(previous) = self.tick_of.insert(no, due) {
+            self.ticks.remove(&(previous, no));
+        }
+        self.ticks.insert((due, no));
+        for (to, datagram) in outgoing {
+            let to = number(to);
+            self.send(InTransit {
+                from: no,
+                to,
+                datagram,
+            });
+        }
+    }
+
+    /// Counts a datagram, and loses or delays it.
+    fn send(&mut self, sent: InTransit) {
+        let frame = self.secret.seal_datagram(&sent.datagram);
+        self.sent.0 += 1;
+        self.sent.1 += frame.len() as u64 + HEADER_BYTES;
+        let lost = self.rng.random::<f64>() < self.loss;
+        let delay = self.rng.random::<f64>();
+        if !lost {
+            let arrival = self.now + MIN_DELAY + (MAX_DELAY - MIN_DELAY) * delay;
+            self.put_in_transit(arrival, sent);
+        }
+    }
+
+    fn put_in_transit(&mut self, arrival: Millis, sent: InTransit) {
+        self.last_sequence += 1;
+        let key = (Instant::new(arrival), self.last_sequence);
+        self.in_transit.insert(key, sent);
     }
 }
--- a/crates/peers/src/wire.rs
+++ b/crates/peers/src/wire.rs
@@ -1,6 +1,14 @@
-//! Owns the form of datagrams and of told knowledge on the network: a version, a length, a body encoded by postcard,
-//! and a keyed hash over all of it (HMAC-SHA-256, RFC 2104, cut to 16 bytes). What does not hold together is turned
-//! away with its reason before any of it is believed. It must never open a socket.
+//! The encoding of datagrams and pages on the network. A frame is, in this order:
+//!
+//! | bytes  | content                                                                             |
+//! |--------|-------------------------------------------------------------------------------------|
+//! | 1      | the version, [`VERSION`]                                                             |
+//! | 1      | the kind: 1 for a [`Datagram`], 2 for a [`Page`]                                     |
+//! | 2      | the length of the body, little endian                                               |
+//! | length | the body, encoded by postcard                                                       |
+//! | 16     | a keyed hash of all before: HMAC-SHA-256 (RFC 2104) with the shared secret, truncated |
+//!
+//! A frame is verified before its body is decoded.
 
 use hmac::{Hmac, KeyInit, Mac};
 use serde::de::DeserializeOwned;
@@ -10,78 +18,88 @@
 use crate::membership::{Datagram, MemberUpdate};
 use crate::partner_knowledge::Digest;
 
-/// The version of the form. Others are turned away: an older sender and a newer one share nothing.
+/// The version of the encoding. Frames of other versions are rejected: there is no compatibility between versions.
 pub const VERSION: u8 = 1;
-/// Largest datagram, in bytes.
-pub const DATAGRAM: usize = 1_400;
-/// Largest page of told knowledge, and most tellings in one.
-pub const PAGE: usize = 16 << 10;
-/// Most tellings in one page: with the longest names and sketches they fit.
-pub const MAX_DIGESTS: usize = 32;
+/// Largest frame of a datagram, in bytes.
+pub const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Largest frame of a page, in bytes.
+pub const MAX_PAGE_BYTES: usize = 16 << 10;
+/// Most digests in one page: with the longest names and the largest sketches they fit into [`MAX_PAGE_BYTES`].
+pub const MAX_DIGESTS_PER_PAGE: usize = 32;
 /// Most members in one page.
-pub const MEMBERS: usize = 128;
-/// Version, kind, length; and the hash at the end.
-const HEAD: usize = 4;
-const TAG: usize = 16;
-
-/// Why bytes were turned away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub const MAX_MEMBERS_PER_PAGE: usize = 128;
+/// Bytes of version, kind and length.
+const HEADER_BYTES: usize = 4;
+/// Bytes of the truncated keyed hash.
+const TAG_BYTES: usize = 16;
+
+/// Why received bytes were rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, thiserror::Error)]
 pub enum Fault {
-    /// More is needed.
+    /// The frame is not complete; over a connection more may come.
+    #[error("cut short")]
     Short,
-    /// Longer than any may be, or than it says.
+    /// The frame is longer than allowed, or bytes follow it in a datagram.
+    #[error("too long")]
     Long,
-    /// Of a version that is not spoken here.
+    /// The frame has another [`VERSION`].
+    #[error("unknown version")]
     Version,
-    /// Of another kind than is wanted here.
+    /// The frame is of another kind than expected.
+    #[error("unknown kind")]
     Kind,
-    /// Not keyed by the shared secret.
+    /// The keyed hash does not verify with the shared secret.
+    #[error("not keyed by our secret")]
     Key,
-    /// Keyed, and not what its kind should be.
+    /// The keyed hash verifies, but the body does not decode.
+    #[error("malformed")]
     Form,
 }
 
-impl std::fmt::Display for Fault {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Fault::Short => "cut short",
-            Fault::Long => "too long",
-            Fault::Version => "unknown version",
-            Fault::Kind => "unknown kind",
-            Fault::Key => "not keyed by our secret",
-            Fault::Form => "malformed",
-        })
-    }
-}
-
-impl std::error::Error for Fault {}
-
-/// What is said over a connection.
+/// A message over a connection. `no` is the number of a request; its answers repeat it, so that answers to an earlier
+/// request are not mistaken for them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[allow(missing_docs)]
 pub enum Page {
-    /// Tell me what you have seen. The number is the asker's, and in every answer: pages of another asking are not
-    /// taken for this one's.
-    Ask { no: u64, name: String },
-    /// The next page, and which it is from 0.
+    /// Requests the digests of all partners that the receiver has observed.
+    Ask {
+        /// The number of the request.
+        no: u64,
+        /// The name of the requester.
+        name: String,
+    },
+    /// Answers [`Page::Ask`]: a part of the digests.
     Digests {
+        /// The number of the request.
         no: u64,
+        /// The index of this page, from 0.
         page: u32,
+        /// At most [`MAX_DIGESTS_PER_PAGE`].
         digests: Vec<Digest>,
     },
-    /// That was all: so many pages.
-    End { no: u64, pages: u32 },
-    /// Tell me whom you hold for members: an operator's question.
-    Who { no: u64 },
-    /// The answer, the asked one first; the next page, and which it is from 0.
+    /// Completes an answer.
+    End {
+        /// The number of the request.
+        no: u64,
+        /// How many pages came before.
+        pages: u32,
+    },
+    /// Requests the receiver's view of the membership, for an operator.
+    Who {
+        /// The number of the request.
+        no: u64,
+    },
+    /// Answers [`Page::Who`]: a part of the view, which begins with the answering member itself.
     Membership {
+        /// The number of the request.
         no: u64,
+        /// The index of this page, from 0.
         page: u32,
+        /// At most [`MAX_MEMBERS_PER_PAGE`].
         rumours: Vec<MemberUpdate>,
     },
 }
 
-/// The shared secret.
+/// The secret that all members share, as the key of the hash.
 #[derive(Clone)]
 pub struct Secret(Hmac<Sha256>);
 
@@ -99,120 +117,129 @@
 }
 
 impl Secret {
-    /// From the bytes that all members share; RFC 2104 takes any length.
+    /// A secret from the bytes that all members share, of any length.
     pub fn new(bytes: &[u8]) -> Secret {
-        Secret(Hmac::new_from_slice(bytes).expect("a key of any length"))
+        Secret(Hmac::new_from_slice(bytes).expect("RFC 2104 takes a key of any length"))
+    }
+
+    /// The frame of a datagram.
+    pub fn seal_datagram(&self, datagram: &Datagram) -> Vec<u8> {
+        self.seal(Kind::Datagram, datagram)
+    }
+
+    /// Verifies and decodes a received datagram.
+    ///
+    /// # Errors
+    /// Why it was rejected.
+    pub fn open_datagram(&self, bytes: &[u8]) -> Result<Datagram, Fault> {
+        let (datagram, used) = self.open(Kind::Datagram, MAX_DATAGRAM_BYTES, bytes)?;
+        if used == bytes.len() {
+            Ok(datagram)
+        } else {
+            Err(Fault::Long)
+        }
+    }
+
+    /// The frame of a page.
+    pub fn seal_page(&self, page: &Page) -> Vec<u8> {
+        self.seal(Kind::Page, page)
+    }
+
+    /// Verifies and decodes the page at the start of the bytes that a connection has received; returns it and the
+    /// length of its frame.
+    ///
+    /// # Errors
+    /// [`Fault::Short`] if more bytes are needed, otherwise why it was rejected.
+    pub fn open_page(&self, bytes: &[u8]) -> Result<(Page, usize), Fault> {
+        self.open(Kind::Page, MAX_PAGE_BYTES, bytes)
     }
 
     fn seal(&self, kind: Kind, value: &impl Serialize) -> Vec<u8> {
-        let mut bytes = vec![VERSION, kind as u8, 0, 0];
-        bytes = postcard::to_extend(value, bytes).expect("no value of ours that cannot be encoded");
-        let length = u16::try_from(bytes.len() - HEAD).expect("no value of ours that is so long");
-        bytes[2..HEAD].copy_from_slice(&length.to_le_bytes());
+        let header = vec![VERSION, kind as u8, 0, 0];
+        let mut bytes = postcard::to_extend(value, header)
+            .expect("datagrams and pages consist of types that postcard encodes");
+        let length = u16::try_from(bytes.len() - HEADER_BYTES)
+            .expect("the bounds on names and lists keep a body under 64 KiB");
+        bytes[2..HEADER_BYTES].copy_from_slice(&length.to_le_bytes());
         let tag = self.0.clone().chain_update(&bytes).finalize().into_bytes();
-        bytes.extend(&tag[..TAG]);
+        bytes.extend(&tag[..TAG_BYTES]);
         bytes
     }
 
-    /// Opens the frame at the start of `bytes`: the value and how many bytes it took.
+    /// Opens the frame at the start of `bytes`: the value, and the length of the frame.
     fn open<T: DeserializeOwned>(
         &self,
         kind: Kind,
-        most: usize,
+        max_bytes: usize,
         bytes: &[u8],
     ) -> Result<(T, usize), Fault> {
-        let head = bytes.get(..HEAD).ok_or(Fault::Short)?;
-        if head[0] != VERSION {
+        let header = bytes.get(..HEADER_BYTES).ok_or(Fault::Short)?;
+        if header[0] != VERSION {
             return Err(Fault::Version);
         }
-        if head[1] != kind as u8 {
+        if header[1] != kind as u8 {
             return Err(Fault::Kind);
         }
-        let length = usize::from(u16::from_le_bytes([head[2], head[3]]));
-        if HEAD + length + TAG > most {
+        let body_end = HEADER_BYTES + usize::from(u16::from_le_bytes([header[2], header[3]]));
+        let frame_end = body_end + TAG_BYTES;
+        if frame_end > max_bytes {
             return Err(Fault::Long);
         }
-        let body = bytes.get(..HEAD + length).ok_or(Fault::Short)?;
-        let tag = bytes
-            .get(HEAD + length..HEAD + length + TAG)
-            .ok_or(Fault::Short)?;
+        let frame = bytes.get(..frame_end).ok_or(Fault::Short)?;
+        let (signed, tag) = frame.split_at(body_end);
         self.0
             .clone()
-            .chain_update(body)
+            .chain_update(signed)
             .verify_truncated_left(tag)
             .map_err(|_| Fault::Key)?;
-        let (value, rest) = postcard::take_from_bytes(&body[HEAD..]).map_err(|_| Fault::Form)?;
+        let body = &signed[HEADER_BYTES..];
+        let (value, rest) = postcard::take_from_bytes(body).map_err(|_| Fault::Form)?;
         if !rest.is_empty() {
             return Err(Fault::Form);
         }
-        Ok((value, HEAD + length + TAG))
-    }
-
-    /// A datagram's bytes.
-    pub fn seal_datagram(&self, datagram: &Datagram) -> Vec<u8> {
-        self.seal(Kind::Datagram, datagram)
-    }
-
-    /// Reads a datagram.
-    ///
-    /// # Errors
-    /// What is wrong with it.
-    pub fn open_datagram(&self, bytes: &[u8]) -> Result<Datagram, Fault> {
-        let (datagram, used) = self.open(Kind::Datagram, DATAGRAM, bytes)?;
-        if used == bytes.len() {
-            Ok(datagram)
-        } else {
-            Err(Fault::Long)
-        }
-    }
-
-    /// A page's bytes.
-    pub fn seal_page(&self, page: &Page) -> Vec<u8> {
-        self.seal(Kind::Page, page)
-    }
-
-    /// Reads the page at the start of what a connection has brought, and how many bytes it took.
-    ///
-    /// # Errors
-    /// [`Fault::Short`] where more is to come; what is wrong otherwise.
-    pub fn open_page(&self, bytes: &[u8]) -> Result<(Page, usize), Fault> {
-        self.open(Kind::Page, PAGE, bytes)
+        Ok((value, frame_end))
     }
 }
 
-/// Gathers the pages of one asking in their order.
+/// Checks that the pages that answer a request come complete and in order.
 #[derive(Debug)]
 pub struct PageAssembler {
-    no: u64,
-    next: u32,
-    /// All has come.
-    pub whole: bool,
+    request: u64,
+    next_page: u32,
+    complete: bool,
 }
 
 impl PageAssembler {
-    /// Of this number.
-    pub fn new(no: u64) -> PageAssembler {
+    /// For the answer to the request of this number.
+    pub fn new(request: u64) -> PageAssembler {
         PageAssembler {
-            no,
-            next: 0,
-            whole: false,
+            request,
+            next_page: 0,
+            complete: false,
         }
     }
 
-    /// Takes a page: its tellings, or nothing where it is not the next of this asking.
-    pub fn take(&mut self, page: Page) -> Option<Vec<Digest>> {
+    /// Whether the whole answer was received.
+    pub fn is_complete(&self) -> bool {
+        self.complete
+    }
+
+    /// Takes a page: its digests, or `None` if it is not the next page of this answer.
+    pub fn accept(&mut self, page: Page) -> Option<Vec<Digest>> {
         match page {
-            Page::Digests { no, page, digests }
-                if (no, page) == (self.no, self.next) && !self.whole =>
-            {
-                self.next += 1;
+            Page::Digests { no, page, digests } if self.expects(no, page) && !self.complete => {
+                self.next_page += 1;
                 Some(digests)
             }
-            Page::End { no, pages } if (no, pages) == (self.no, self.next) => {
-                self.whole = true;
+            Page::End { no, pages } if self.expects(no, pages) => {
+                self.complete = true;
                 Some(Vec::new())
             }
             _ => None,
         }
     }
+
+    fn expects(&self, request: u64, page: u32) -> bool {
+        request == self.request && page == self.next_page
+    }
 }
--- a/crates/peers/tests/known.rs
+++ b/crates/peers/tests/known.rs
@@ -3,7 +3,9 @@
 
 use martenlatch_peers::latency_sketch::LatencySketch;
 use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge, ReportedOutage};
-use martenlatch_peers::wire::{Fault, MAX_DIGESTS, PAGE, Page, PageAssembler, Secret};
+use martenlatch_peers::wire::{
+    Fault, MAX_DIGESTS_PER_PAGE, MAX_PAGE_BYTES, Page, PageAssembler, Secret,
+};
 use martenlatch_policy::interface::{EndpointId, GossipedState, Outage};
 use proptest::prelude::*;
 
@@ -223,7 +225,7 @@
     let (mut known, bounds) = (
         PartnerKnowledge::default(),
         Bounds {
-            most: 100,
+            max_subjects: 100,
             ..Bounds::default()
         },
     );
@@ -356,7 +358,7 @@
     fn a_sketch_stands_for_what_it_was_made_of(latencies in prop::collection::vec(1.0f64..50_000.0, 1..40)) {
         let mut sorted = latencies.clone();
         sorted.sort_by(f64::total_cmp);
-        let stands = LatencySketch::of(latencies).stand_for(sorted.len());
+        let stands = LatencySketch::of(latencies).quantiles(sorted.len());
         for (a, b) in sorted.iter().zip(&stands) {
             prop_assert!((a / b).log2().abs() < 0.26, "{a} and {b}");
         }
@@ -389,8 +391,10 @@
 
 #[test]
 fn the_largest_page_and_datagram_fit() {
-    use martenlatch_peers::membership::{Body, Datagram, MAX_UPDATES, MemberUpdate, NAME, State};
-    use martenlatch_peers::wire::DATAGRAM;
+    use martenlatch_peers::membership::{
+        Body, Datagram, MAX_NAME_BYTES, MAX_UPDATES, MemberUpdate, State,
+    };
+    use martenlatch_peers::wire::MAX_DATAGRAM_BYTES;
     let secret = Secret::new(b"ours");
     let latency = LatencySketch::of((0..64).map(|i| 2f64.powf((f64::from(i) + 0.5) / 4.0)));
     let largest = Digest {
@@ -404,29 +408,33 @@
     let page = Page::Digests {
         no: u64::MAX,
         page: u32::MAX,
-        digests: vec![largest; MAX_DIGESTS],
+        digests: vec![largest; MAX_DIGESTS_PER_PAGE],
     };
-    assert!(secret.seal_page(&page).len() <= PAGE);
-    let rumour = MemberUpdate {
-        name: "n".repeat(NAME),
+    assert!(secret.seal_page(&page).len() <= MAX_PAGE_BYTES);
+    let update = MemberUpdate {
+        name: "n".repeat(MAX_NAME_BYTES),
         address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
             .parse()
             .unwrap(),
         incarnation: u64::MAX,
         state: State::Left,
     };
-    let body = Body::Ask {
-        no: u64::MAX,
-        address: rumour.address,
+    let body = Body::PingRequest {
+        sequence: u64::MAX,
+        address: update.address,
     };
-    let rumours = vec![rumour.clone(); MAX_UPDATES];
+    let updates = vec![update.clone(); MAX_UPDATES];
     let bytes = secret.seal_datagram(&Datagram {
-        from: rumour,
+        from: update,
         digest: u64::MAX,
         body,
-        rumours,
+        updates,
     });
-    assert!(bytes.len() <= 1_200 && 1_200 <= DATAGRAM, "{}", bytes.len());
+    assert!(
+        bytes.len() <= 1_200 && 1_200 <= MAX_DATAGRAM_BYTES,
+        "{}",
+        bytes.len()
+    );
     assert!(secret.open_datagram(&bytes).is_ok());
 }
 
@@ -452,10 +460,10 @@
         page,
         digests: vec![digest(page.into())],
     };
-    assert_eq!(asking.take(page(0)).map(|t| t.len()), Some(1));
-    assert_eq!(asking.take(page(2)), None, "a page is missing");
+    assert_eq!(asking.accept(page(0)).map(|t| t.len()), Some(1));
+    assert_eq!(asking.accept(page(2)), None, "a page is missing");
     assert_eq!(
-        asking.take(Page::Digests {
+        asking.accept(Page::Digests {
             no: 8,
             page: 1,
             digests: vec![]
@@ -463,8 +471,8 @@
         None,
         "of another asking"
     );
-    assert_eq!(asking.take(Page::End { no: 9, pages: 5 }), None);
-    assert!(!asking.whole);
-    assert_eq!(asking.take(page(1)).map(|t| t.len()), Some(1));
-    assert!(asking.take(Page::End { no: 9, pages: 2 }).is_some() && asking.whole);
+    assert_eq!(asking.accept(Page::End { no: 9, pages: 5 }), None);
+    assert!(!asking.is_complete());
+    assert_eq!(asking.accept(page(1)).map(|t| t.len()), Some(1));
+    assert!(asking.accept(Page::End { no: 9, pages: 2 }).is_some() && asking.is_complete());
 }
--- a/crates/peers/tests/members.rs
+++ b/crates/peers/tests/members.rs
@@ -1,7 +1,7 @@
 //! Stories of the membership protocol, each over a simulated network that loses, cuts and delays: one a failure.
 
 use martenlatch_peers::membership::{
-    Body, Change, Datagram, MemberUpdate, Membership, Settings, State,
+    Body, Datagram, MemberUpdate, Membership, MembershipChange, Settings, State,
 };
 use martenlatch_peers::simulated_network::{SimulatedNetwork, address, name};
 
@@ -43,23 +43,28 @@
     net.add(2);
     net.run(10_000.0);
     assert_eq!(net.unknown(), 0);
-    assert!(net.node(2).me().incarnation > 1, "it has refuted its death");
+    assert!(
+        net.node(2).local().incarnation > 1,
+        "it has refuted its death"
+    );
 }
 
 #[test]
 fn a_suspect_that_lives_refutes_it() {
     let mut net = net(5, 0.0, 4);
     net.run(6_000.0);
-    net.deafen(2, 900.0);
+    net.drop_incoming(2, 900.0);
     net.run(15_000.0);
     assert!(
         net.changes(0)
             .iter()
-            .any(|c| *c == Change::Suspected(name(2))),
+            .any(|c| *c == MembershipChange::Suspected(name(2))),
         "it was suspected"
     );
     assert!(
-        net.changes(0).iter().all(|c| *c != Change::Died(name(2))),
+        net.changes(0)
+            .iter()
+            .all(|c| *c != MembershipChange::Died(name(2))),
         "it never died"
     );
     assert_eq!(net.state(0, 2), Some(State::Alive));
@@ -69,11 +74,11 @@
 fn halves_of_a_split_network_meet_again() {
     let mut net = net(8, 0.0, 5);
     net.run(8_000.0);
-    net.split(Some(4));
+    net.partition(Some(4));
     net.run(30_000.0);
     assert_eq!(net.state(0, 7), Some(State::Dead));
     assert_eq!(net.state(7, 0), Some(State::Dead));
-    net.split(None);
+    net.partition(None);
     net.run(20_000.0);
     assert_eq!(net.unknown(), 0);
 }
@@ -90,7 +95,7 @@
 #[test]
 fn a_view_is_bounded_and_the_dead_give_way_to_the_living() {
     let set = Settings {
-        most: 4,
+        max_members: 4,
         ..Settings::default()
     };
     let mut members = Membership::new("s0", address(0), 1, &[], set, 1, 0.0);
@@ -101,16 +106,16 @@
             incarnation: 1,
             state: State::Alive,
         };
-        let rumours = vec![MemberUpdate {
+        let updates = vec![MemberUpdate {
             state,
             ..from.clone()
         }];
-        members.hear(
+        members.handle_datagram(
             Datagram {
                 from,
                 digest: 0,
                 body: Body::View,
-                rumours,
+                updates,
             },
             0.0,
         );
@@ -118,7 +123,7 @@
     (1..=4).for_each(|no| tell(&mut members, no, State::Alive));
     tell(&mut members, 5, State::Alive);
     assert_eq!(
-        (members.others().count(), members.turned_away),
+        (members.others().count(), members.rejected_updates),
         (4, 2),
         "the living stay; its own word and the rumour do not count"
     );
@@ -131,7 +136,7 @@
     assert_eq!(members.others().count(), 4);
     for no in 10..10_000 {
         tell(&mut members, no, State::Alive);
-        members.take_out();
+        members.take_outgoing();
     }
     assert_eq!(members.others().count(), 4);
 }
@@ -140,18 +145,18 @@
 fn a_second_sender_of_the_name_is_said_and_does_not_make_them_outbid_each_other() {
     let mut net = net(4, 0.0, 7);
     net.run(6_000.0);
-    net.add_as(9, 1);
+    net.add_with_name_of(9, 1);
     net.run(30_000.0);
     let taken = net
         .changes(1)
         .iter()
-        .filter(|c| matches!(c, Change::NameTaken(_)))
+        .filter(|c| matches!(c, MembershipChange::NameConflict(_)))
         .count();
     assert!((1..=10).contains(&taken), "{taken} times in 30 s");
     assert!(
-        net.node(1).me().incarnation < 40,
+        net.node(1).local().incarnation < 40,
         "{}",
-        net.node(1).me().incarnation
+        net.node(1).local().incarnation
     );
 }
 
@@ -164,7 +169,7 @@
     let suspected = net
         .changes(0)
         .iter()
-        .filter(|c| matches!(c, Change::Suspected(n) if *n != name(0)))
+        .filter(|c| matches!(c, MembershipChange::Suspected(n) if *n != name(0)))
         .count();
     assert_eq!(suspected, 0);
     assert_eq!(net.unknown(), 0, "and it is a member still");
@@ -181,24 +186,24 @@
             state: State::Alive,
         };
         let body = if no % 2 == 0 {
-            Body::Ask {
-                no,
+            Body::PingRequest {
+                sequence: no,
                 address: address(2),
             }
         } else {
-            Body::Ack { no }
+            Body::Ack { sequence: no }
         };
-        members.hear(
+        members.handle_datagram(
             Datagram {
                 from,
                 digest: no,
                 body,
-                rumours: vec![],
+                updates: vec![],
             },
             no as f64,
         );
         assert!(
-            members.take_out().len() <= 2,
+            members.take_outgoing().len() <= 2,
             "one answer each, and at times a question"
         );
     }
--- a/crates/peers/tests/model.rs
+++ b/crates/peers/tests/model.rs
@@ -21,11 +21,11 @@
 fn settings() -> Settings {
     Settings {
         period: 100.0,
-        ack: 50.0,
-        asked: 1,
-        suspect: 3.0,
-        forget: 1e9,
-        most: 8,
+        ack_timeout: 50.0,
+        indirect_probes: 1,
+        suspicion_periods: 3.0,
+        retention: 1e9,
+        max_members: 8,
     }
 }
 
@@ -105,7 +105,7 @@
         was: Option<&Membership>,
     ) {
         let mut members = members;
-        for (to, datagram) in members.take_out() {
+        for (to, datagram) in members.take_outgoing() {
             let to = usize::from(to.port() - 7_000);
             if net.nodes.get(to).is_some_and(|n| n.is_some()) && !self.apart(net.step, no, to) {
                 net.flying.push((to, datagram));
@@ -141,17 +141,17 @@
             for other in (0..3).filter(|o| *o != no) {
                 let from =
                     Membership::new(&name(other), address(other), 1, &[], settings(), 0, 0.0)
-                        .me()
+                        .local()
                         .clone();
                 let datagram = Datagram {
                     from,
                     digest: 0,
                     body: Body::View,
-                    rumours: vec![],
+                    updates: vec![],
                 };
-                members.hear(datagram, 0.0);
+                members.handle_datagram(datagram, 0.0);
             }
-            members.take_out();
+            members.take_outgoing();
             members.take_changes();
             Some(Node::new(members))
         });
@@ -189,7 +189,7 @@
                     return Some(net);
                 };
                 let mut members = was.clone();
-                members.hear(datagram, now);
+                members.handle_datagram(datagram, now);
                 self.collect(&mut net, to, members, Some(&was));
             }
             Act::Lose(at) => {
@@ -266,7 +266,7 @@
 fn lives(members: &Membership, no: usize) -> bool {
     members
         .others()
-        .any(|r| r.name == name(no) && r.state.live())
+        .any(|r| r.name == name(no) && r.state.is_live())
 }
 
 /// Pairs of running members of which one does not hold the other for a member.
@@ -292,7 +292,7 @@
 fn dead(net: &SimulatedNetwork) -> Vec<String> {
     let views = net.nodes.iter().flatten().flat_map(|n| n.0.others());
     views
-        .filter(|r| !r.state.live())
+        .filter(|r| !r.state.is_live())
         .map(|r| r.name.clone())
         .collect()
 }
--- a/crates/sender/src/peer_service.rs
+++ b/crates/sender/src/peer_service.rs
@@ -12,9 +12,12 @@
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_http::register;
-use martenlatch_peers::membership::{Change, Membership, Settings};
-use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge};
-use martenlatch_peers::wire::{DATAGRAM, Fault, MAX_DIGESTS, MEMBERS, Page, PageAssembler, Secret};
+use martenlatch_peers::membership::{Membership, MembershipChange, Settings};
+use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge, Subject};
+use martenlatch_peers::wire::{
+    Fault, MAX_DATAGRAM_BYTES, MAX_DIGESTS_PER_PAGE, MAX_MEMBERS_PER_PAGE, Page, PageAssembler,
+    Secret,
+};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     DestinationId, EndpointEntry, EndpointId, EndpointState, Event, KindId,
@@ -172,7 +175,7 @@
         register(handle, listener.clone(), EventSource::Tellers).map_err(failed)?;
         let bounds = Bounds {
             half_life: set.half_life_ms,
-            wait: set.longest_wait_ms,
+            max_wait: set.longest_wait_ms,
             ..Bounds::default()
         };
         let (mut kept, past) = PeerSnapshotFile::open(folder, now);
@@ -190,8 +193,8 @@
         }
         let protocol = Settings {
             period: set.period_ms,
-            ack: set.period_ms * 0.3,
-            suspect: set.suspect_periods,
+            ack_timeout: set.period_ms * 0.3,
+            suspicion_periods: set.suspect_periods,
             ..Settings::default()
         };
         let mut members = Membership::new(
@@ -205,7 +208,7 @@
         );
         members.join();
         info!(
-            name = %members.me().name, address = %address, incarnation = members.me().incarnation,
+            name = %members.local().name, address = %address, incarnation = members.local().incarnation,
             kept = known.len(), seeds = set.seeds.len(), "peers started"
         );
         // Each newcomer begins at another seed, so that they do not all ask the same.
@@ -249,7 +252,7 @@
     fn ask_next(&mut self, at: usize) {
         while let Some(teller) = self.waiting.pop_front() {
             self.next_no = self.next_no.wrapping_add(1);
-            let (no, name) = (self.next_no, self.members.me().name.clone());
+            let (no, name) = (self.next_no, self.members.local().name.clone());
             let Ok(mut connection) =
                 Connection::connect(teller, &self.handle, &self.pool, EventSource::Ask(at))
             else {
@@ -295,7 +298,7 @@
             return 0.0;
         }
         let slow = self.talks.iter().map(|(_, t)| t.late_at());
-        slow.chain([self.members.due()])
+        slow.chain([self.members.next_deadline()])
             .fold(f64::INFINITY, f64::min)
     }
 
@@ -311,11 +314,11 @@
     }
 
     fn datagrams(&mut self, now: Millis) -> bool {
-        let mut bytes = [0; DATAGRAM + 1];
+        let mut bytes = [0; MAX_DATAGRAM_BYTES + 1];
         for _ in 0..READ {
             match self.socket.recv_from(&mut bytes) {
                 Ok((count, _)) => match self.secret.open_datagram(&bytes[..count]) {
-                    Ok(datagram) => self.members.hear(datagram, now),
+                    Ok(datagram) => self.members.handle_datagram(datagram, now),
                     Err(fault) => self.turned_away.count(fault),
                 },
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
@@ -398,7 +401,7 @@
             match self.secret.open_page(ask.connection.bytes()) {
                 Ok((page, used)) => {
                     ask.connection.consume(used);
-                    let Some(digests) = ask.asking.take(page) else {
+                    let Some(digests) = ask.asking.accept(page) else {
                         break Some("out of order");
                     };
                     let teller = format!("asked {at}");
@@ -406,7 +409,7 @@
                         self.learned +=
                             u64::from(self.known.hear(&teller, digest, now, &self.bounds));
                     }
-                    if ask.asking.whole {
+                    if ask.asking.is_complete() {
                         return false;
                     }
                 }
@@ -435,7 +438,7 @@
     /// Does what is due: pings, the next page of each telling, and what is kept. There is no policy yet while this
     /// sender itself learns: it has seen nothing, and says so.
     pub fn run_due(&mut self, now: Millis, seen: Option<(&Policy, Names)>) {
-        if now >= self.members.due() {
+        if now >= self.members.next_deadline() {
             self.members.tick(now);
         }
         self.flush();
@@ -460,12 +463,12 @@
             };
             let (no, page) = (tale.no, tale.page);
             let told = if tale.who {
-                let from = page as usize * MEMBERS;
-                let me = std::iter::once(self.members.me());
+                let from = page as usize * MAX_MEMBERS_PER_PAGE;
+                let me = std::iter::once(self.members.local());
                 let rumours: Vec<_> = me
                     .chain(self.members.others())
                     .skip(from)
-                    .take(MEMBERS)
+                    .take(MAX_MEMBERS_PER_PAGE)
                     .cloned()
                     .collect();
                 (!rumours.is_empty()).then_some(Page::Membership { no, page, rumours })
@@ -473,7 +476,7 @@
                 let first = page == 0 || tale.after.is_some();
                 seen.filter(|_| first).map(|(policy, name)| {
                     let (observations, after) =
-                        policy.observations(nanos(now), tale.after, MAX_DIGESTS);
+                        policy.observations(nanos(now), tale.after, MAX_DIGESTS_PER_PAGE);
                     tale.after = after;
                     let digests: Vec<Digest> = observations
                         .iter()
@@ -505,7 +508,7 @@
             return;
         }
         let (after, mut digests) = self.gathering.take().unwrap_or_default();
-        let (observations, next) = policy.observations(nanos(now), after, MAX_DIGESTS);
+        let (observations, next) = policy.observations(nanos(now), after, MAX_DIGESTS_PER_PAGE);
         digests.extend(
             observations
                 .iter()
@@ -516,14 +519,17 @@
             return;
         }
         self.next_keep = now + KEEP_EVERY;
-        if let Err(reason) = self.kept.write(self.members.me().incarnation, now, digests) {
+        if let Err(reason) = self
+            .kept
+            .write(self.members.local().incarnation, now, digests)
+        {
             warn!(reason, "knowledge not kept");
         }
     }
 
     /// Sends what the membership has to say, and logs what has changed in it.
     fn flush(&mut self) {
-        for (to, datagram) in self.members.take_out() {
+        for (to, datagram) in self.members.take_outgoing() {
             // One that is lost is one lost: the protocol reckons with it.
             let _ = self
                 .socket
@@ -531,16 +537,18 @@
         }
         for change in self.members.take_changes() {
             match change {
-                Change::Joined(who) => {
+                MembershipChange::Joined(who) => {
                     info!(name = %who.name, address = %who.address, incarnation = who.incarnation, "member joined");
                 }
-                Change::Suspected(name) => info!(name = %name, "member suspected"),
-                Change::Refuted(name) => info!(name = %name, "member refuted the suspicion"),
-                Change::Died(name) => warn!(name = %name, "member died"),
-                Change::Left(name) => info!(name = %name, "member left"),
-                Change::Forgotten(name) => info!(name = %name, "member forgotten"),
-                Change::NameTaken(address) => {
-                    warn!(name = %self.members.me().name, address = %address, "another goes by our name");
+                MembershipChange::Suspected(name) => info!(name = %name, "member suspected"),
+                MembershipChange::Refuted(name) => {
+                    info!(name = %name, "member refuted the suspicion")
+                }
+                MembershipChange::Died(name) => warn!(name = %name, "member died"),
+                MembershipChange::Left(name) => info!(name = %name, "member left"),
+                MembershipChange::Forgotten(name) => info!(name = %name, "member forgotten"),
+                MembershipChange::NameConflict(address) => {
+                    warn!(name = %self.members.local().name, address = %address, "another goes by our name");
                 }
             }
         }
@@ -566,8 +574,15 @@
                 Some(endpoint) => Some(name(endpoint)?),
                 None => None,
             };
-            self.known
-                .take_told(&(destination.0, named), endpoint, now, &self.bounds)
+            self.known.take_prior(
+                &Subject {
+                    destination: destination.0,
+                    endpoint: named,
+                },
+                endpoint,
+                now,
+                &self.bounds,
+            )
         };
         told.into_iter()
             .filter_map(one)
@@ -593,7 +608,7 @@
             other_version = t.version,
             malformed = t.form,
             talks_refused = t.talks,
-            view_full = self.members.turned_away,
+            view_full = self.members.rejected_updates,
             "counters of peers"
         );
     }
