--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -1,110 +1,136 @@
-//! Owns what clients want: their messages, whom they hand them to, and when they come again. It must never wait for
-//! an answer before the next message comes, nor hand in again what may not be repeated.
+//! What clients want: their messages, which senders they hand them to, and when they retry. Clients never wait for an
+//! answer before the next message comes, and do not hand in again what may not be repeated.
 
 use martenlatch_clock::Millis;
 
-use crate::draw::{Stream, draw, within};
-use crate::experiment::{Effect, Experiment};
-use crate::load::Intended;
+use crate::experiment::{Class, Effect, Experiment};
+use crate::load::PlannedMessage;
+use crate::sampling::{Span, Stream, rng_for, uniform};
 
-/// A client that nobody listens to comes again so often at most.
-const KNOCKS: u32 = 100;
+/// A client whose connections are refused retries so often beyond its usual limit.
+const CONNECTION_RETRIES: u32 = 100;
+/// How long a message takes to its sender, in milliseconds.
+const HAND_IN_LATENCY: Span = Span::new(0.28, 1.0);
+/// A client that was given a Retry-After waits at most so many milliseconds longer.
+const RETRY_AFTER_SLACK: Millis = 100.0;
+/// A client does not retry within so many milliseconds of the message's end.
+const LEAST_TIME_LEFT: Millis = 50.0;
+/// Keeps a draw over the places of a list within it.
+const INDEX_MARGIN: f64 = 0.001;
+/// Numbers the draws of backoffs, apart from those of the choice of a sender.
+const BACKOFF_DRAW: u64 = 1_000;
 
-/// A message over all its handings in.
+/// A message of a client, over all its attempts to hand it in.
 #[derive(Clone, Copy, Debug)]
-pub struct Origin {
-    /// As it was meant to come.
-    pub planned: Intended,
+pub struct ClientMessage {
+    /// As it was planned.
+    pub planned: PlannedMessage,
     /// When its time is up.
     pub deadline: Millis,
-    tries: u32,
-    /// A keyed one that may have run is not handed in again after this.
-    until: Millis,
+    retries: u32,
+    /// One with an idempotency key that may have run is not handed in again after this.
+    key_valid_until: Millis,
 }
 
-/// All messages of a run.
+/// The sender that a message is handed to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HandIn {
+    /// The sender's number.
+    pub sender: u32,
+    /// How long the message takes there.
+    pub latency: Millis,
+}
+
+/// All messages of a run, by their numbers.
 #[derive(Debug)]
 pub struct Clients<'a> {
-    x: &'a Experiment,
+    experiment: &'a Experiment,
     seed: u64,
-    origins: Vec<Origin>,
+    messages: Vec<ClientMessage>,
 }
 
 impl<'a> Clients<'a> {
     /// Clients that have handed in nothing yet.
-    pub fn new(x: &'a Experiment, seed: u64) -> Clients<'a> {
+    pub fn new(experiment: &'a Experiment, seed: u64) -> Clients<'a> {
         Clients {
-            x,
+            experiment,
             seed,
-            origins: Vec::new(),
+            messages: Vec::new(),
         }
     }
 
-    /// A message comes for the first time; its number.
-    pub fn comes(&mut self, planned: Intended) -> u64 {
-        let deadline = planned.at + self.x.world.classes[planned.class as usize].deadline;
-        self.origins.push(Origin {
+    /// Notes a message that comes for the first time, and returns its number.
+    pub fn register(&mut self, planned: PlannedMessage) -> u64 {
+        let deadline = planned.at + self.class_of(&planned).deadline;
+        self.messages.push(ClientMessage {
             planned,
             deadline,
-            tries: 0,
-            until: f64::INFINITY,
+            retries: 0,
+            key_valid_until: f64::INFINITY,
         });
-        self.origins.len() as u64 - 1
+        self.messages.len() as u64 - 1
     }
 
     /// A message by its number.
-    pub fn origin(&self, origin: u64) -> &Origin {
-        &self.origins[origin as usize]
+    pub fn message(&self, origin: u64) -> &ClientMessage {
+        &self.messages[origin as usize]
     }
 
-    /// What a repeat of a message does.
+    fn class_of(&self, planned: &PlannedMessage) -> &'a Class {
+        &self.experiment.world.classes[planned.class as usize]
+    }
+
+    /// Whether a message may be repeated.
     pub fn effect(&self, origin: u64) -> Effect {
-        self.x.world.classes[self.origin(origin).planned.class as usize].effect
+        self.class_of(&self.message(origin).planned).effect
     }
 
-    /// Whom of those that are up a message is handed to, through a front that deals them out, and how long that takes.
-    pub fn dealt(&self, origin: u64, up: &[u32]) -> Option<(u32, Millis)> {
-        let mut rng = draw(
-            self.seed,
-            Stream::Client,
-            origin,
-            self.origin(origin).tries.into(),
-        );
-        let place = within(&mut rng, (0.0, up.len() as f64 - 0.001)) as usize;
-        up.get(place)
-            .map(|sender| (*sender, within(&mut rng, (0.28, 1.0))))
+    /// Chooses which of the senders that are up a message is handed to, as a load balancer would; none where none is up.
+    pub fn choose_sender(&self, origin: u64, up: &[u32]) -> Option<HandIn> {
+        let retries = self.message(origin).retries;
+        let mut rng = rng_for(self.seed, Stream::Client, origin, retries.into());
+        let places = Span::new(0.0, up.len() as f64 - INDEX_MARGIN);
+        let place = uniform(&mut rng, places) as usize;
+        let sender = *up.get(place)?;
+        Some(HandIn {
+            sender,
+            latency: uniform(&mut rng, HAND_IN_LATENCY),
+        })
     }
 
-    /// It was sent at an instant, and that call may have run: its key is remembered from then.
+    /// Notes that a call of a message that was sent at an instant may have run: partners know its key from then on.
     pub fn may_have_run(&mut self, origin: u64, sent: Millis) {
-        if self.effect(origin) == Effect::Keyed {
-            let window = self.x.world.classes[self.origin(origin).planned.class as usize].window;
-            let o = &mut self.origins[origin as usize];
-            o.until = o.until.min(sent + window);
+        let class = self.class_of(&self.message(origin).planned);
+        if class.effect == Effect::Keyed {
+            let message = &mut self.messages[origin as usize];
+            message.key_valid_until = message.key_valid_until.min(sent + class.window);
         }
     }
 
-    /// When a message is handed in again that was refused, or that nobody heard of (`heard` is false); none: never.
-    pub fn again(
+    /// When a message is handed in again that was rejected, with the Retry-After that was given, or for which no sender
+    /// was there to listen (`heard` is false); none: never.
+    pub fn retry_at(
         &mut self,
         origin: u64,
-        told: Option<Millis>,
+        retry_after: Option<Millis>,
         heard: bool,
         now: Millis,
     ) -> Option<Millis> {
-        let o = &mut self.origins[origin as usize];
-        if o.tries >= self.x.load.retries + if heard { 0 } else { KNOCKS } {
+        let load = &self.experiment.load;
+        let most = load.retries + if heard { 0 } else { CONNECTION_RETRIES };
+        let message = &mut self.messages[origin as usize];
+        if message.retries >= most {
             return None;
         }
-        o.tries += 1;
-        let mut rng = draw(
-            self.seed,
-            Stream::Client,
-            origin,
-            1_000 + u64::from(o.tries),
-        );
-        let own = within(&mut rng, self.x.load.backoff);
-        let at = now + told.map_or(own, |told| told.max(own.min(told + 100.0)));
-        (at + 50.0 < o.deadline.min(o.until)).then_some(at)
+        message.retries += 1;
+        let draw = BACKOFF_DRAW + u64::from(message.retries);
+        let mut rng = rng_for(self.seed, Stream::Client, origin, draw);
+        let backoff = uniform(&mut rng, load.backoff);
+        let wait = retry_after.map_or(backoff, |told| {
+            told.max(backoff.min(told + RETRY_AFTER_SLACK))
+        });
+        let at = now + wait;
+        let end = message.deadline.min(message.key_valid_until);
+        (at + LEAST_TIME_LEFT < end).then_some(at)
     }
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -7,14 +7,22 @@
 use martenlatch_settings::schema::experiment as schema;
 use martenlatch_settings::text::{self, Fault, Read};
 
-use crate::draw;
+use crate::sampling::{Stream, rng_for, uniform};
 
 pub use schema::class::Effect;
 pub use schema::failure::What;
 pub use schema::kind::Limit;
 
-/// Least and most.
-pub type Span = (f64, f64);
+pub use crate::sampling::Span;
+
+/// The distribution of the work of a class's messages.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkDistribution {
+    /// The mean, in milliseconds.
+    pub mean: Millis,
+    /// The coefficient of variation.
+    pub variation: f64,
+}
 
 /// A checked experiment.
 #[derive(Clone, Debug)]
@@ -154,7 +162,7 @@
 
 impl Experiment {
     /// When a sender starts that is not there from the beginning.
-    pub fn joins(&self, sender: u32) -> Option<Millis> {
+    pub fn join_time(&self, sender: u32) -> Option<Millis> {
         let join = self
             .failures
             .iter()
@@ -174,11 +182,14 @@
         Experiment::read(&name, &file.display().to_string(), &text).map_err(|e| e.to_string())
     }
 
-    /// The mean work of a class's messages in milliseconds, drawn once for a world, and its spread.
-    pub fn work(&self, seed: u64, class: u32) -> (f64, f64) {
-        let class_of = &self.world.classes[class as usize];
-        let mut rng = draw::draw(seed, draw::Stream::Work, u64::MAX, class.into());
-        (draw::within(&mut rng, class_of.work), class_of.cv)
+    /// The work of a class's messages; its mean is drawn once for a world.
+    pub fn work(&self, seed: u64, class: u32) -> WorkDistribution {
+        let work_class = &self.world.classes[class as usize];
+        let mut rng = rng_for(seed, Stream::Work, u64::MAX, class.into());
+        WorkDistribution {
+            mean: uniform(&mut rng, work_class.work),
+            variation: work_class.cv,
+        }
     }
 
     /// Reads an experiment's text.
@@ -243,13 +254,15 @@
     read: &In,
     field: &str,
     told: Option<&schema::Span>,
-    absent: Span,
-    bounds: Span,
+    absent: (f64, f64),
+    bounds: (f64, f64),
 ) -> Result<Span, Fault> {
-    let Some(told) = told else { return Ok(absent) };
+    let Some(told) = told else {
+        return Ok(Span::new(absent.0, absent.1));
+    };
     read.within(&format!("{field}.least"), told.least, bounds.0, bounds.1)?;
     read.within(&format!("{field}.most"), told.most, told.least, bounds.1)?;
-    Ok((told.least, told.most))
+    Ok(Span::new(told.least, told.most))
 }
 
 fn world(read: &In) -> Result<World, Fault> {
@@ -373,9 +386,10 @@
     let number = |field: &str, told: Option<f64>, absent: f64, least: f64, most: f64| {
         read.within(&at(field), told.unwrap_or(absent), least, most)
     };
-    let within = |field: &str, told: &Option<schema::Span>, absent: Span, bounds: Span| {
-        span(read, &at(field), told.as_ref(), absent, bounds)
-    };
+    let within =
+        |field: &str, told: &Option<schema::Span>, absent: (f64, f64), bounds: (f64, f64)| {
+            span(read, &at(field), told.as_ref(), absent, bounds)
+        };
     if it.name.is_empty() {
         return Err(read.fault(&at("name"), "a name is wanted"));
     }
--- a/crates/lab/src/judge.rs
+++ b/crates/lab/src/judge.rs
@@ -8,9 +8,9 @@
 use martenlatch_clock::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::event_log::{Fact, Silence, What};
 use crate::experiment::Effect;
-use crate::fact::{Fact, Silence, What};
-use crate::model::partner::{FALL, Reply};
+use crate::model::partner::{COLLAPSE_WINDOW, Reply};
 
 /// Every time limit is so much longer than the rule says.
 const SLACK: Millis = 50.0;
@@ -428,7 +428,10 @@
         self.in_turn(id, at);
         let recent = self.recent.entry(partner).or_default();
         recent.push_back((at, sender));
-        while recent.front().is_some_and(|(t, _)| *t < at - FALL.1) {
+        while recent
+            .front()
+            .is_some_and(|(t, _)| *t < at - COLLAPSE_WINDOW)
+        {
             recent.pop_front();
         }
     }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,11 +1,10 @@
-//! The laboratory: our own model of partners and their failures, a judge of the rules that reads only what crossed,
-//! and experiments that compare variants of the sender on the same seeds. It measures and never decides; nothing in
-//! it is part of the sender.
+//! The laboratory: a model of partners and their faults, a judge of the rules that reads only what crossed between the
+//! parties, and experiments that compare variants of the sender on the same seeds. Nothing in it is part of the sender.
 
 pub mod clients;
-pub mod draw;
+pub mod delay_queue;
+pub mod event_log;
 pub mod experiment;
-pub mod fact;
 pub mod judge;
 pub mod load;
 pub mod members;
@@ -15,8 +14,8 @@
 pub mod report;
 pub mod roof;
 pub mod run;
+pub mod sampling;
 pub mod sim;
 pub mod sockets;
 pub mod tally;
-pub mod timed;
-pub mod turns;
+pub mod turn_cost;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -9,15 +9,15 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use clap::{Parser, Subcommand};
+use martenlatch_lab::event_log::Fact;
 use martenlatch_lab::experiment::Experiment;
-use martenlatch_lab::fact::Fact;
 use martenlatch_lab::judge::{ClassRule, Judge};
 use martenlatch_lab::outcome::{FIGURES, Outcome, paired, spread};
 use martenlatch_lab::roof::Turn;
 use martenlatch_lab::run::{Machine, Use};
 use martenlatch_lab::sockets::beside;
 use martenlatch_lab::sockets::child::Used;
-use martenlatch_lab::{members, relay, report, roof, run, sim, turns};
+use martenlatch_lab::{members, relay, report, roof, run, sim, turn_cost};
 
 const AFTER: &str = "Exit codes:
   0  done, and every rule was kept
@@ -359,7 +359,7 @@
     );
     let mut line = Vec::new();
     for held in held {
-        let cost = turns::measure(*held, turns.max(1))?;
+        let cost = turn_cost::measure(*held, turns.max(1))?;
         println!(
             "{:>8} {:>13} {:>11.1} {:>11.1} {:>11.1}",
             cost.held, cost.destinations, cost.median, cost.p99, cost.longest
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -1,7 +1,7 @@
-//! One model of partners and what goes wrong with them, for simulated time and for sockets alike: pure, seeded, in
-//! its own time. It must never do I/O, look at a clock, or know who asks.
+//! The model that a run plays against: partners with their limits, queues and slow start, and the faults that hit them.
 
-pub mod ground;
+pub mod environment;
+pub mod fault_schedule;
 pub mod partner;
+pub mod rate_limit;
 pub mod site;
-pub mod weather;
--- a/crates/lab/src/model/partner.rs
+++ b/crates/lab/src/model/partner.rs
@@ -1,329 +1,412 @@
-//! Owns one partner as it runs: its limit, its endpoints' queues, its cold return and its fall. It must never know
-//! what carries its calls: it is told of a call once its last byte has come, and tells what it writes and when.
+//! One partner as it runs: its rate limit, the queues of its endpoints, its slow start after an outage, and its collapse
+//! under too much load while it is still warming up.
+//!
+//! The model does not know what carries its calls. It is told of a call once the call's last byte has come, and says
+//! what it writes and when.
 
 use std::collections::{BTreeMap, VecDeque};
 
 use martenlatch_clock::Millis;
 
-use crate::draw::{Stream, draw, happens, spread, within};
-use crate::experiment::{Kind, Limit};
-use crate::model::site::Drawn;
-use crate::model::weather::Weather;
+use crate::experiment::{Kind, WorkDistribution};
+use crate::model::fault_schedule::ActiveFaults;
+use crate::model::rate_limit::{LimitDecision, RateLimiter};
+use crate::model::site::PartnerProfile;
+use crate::sampling::{Stream, bernoulli, gamma_factor, rng_for, uniform};
 
-/// Sent over so many times its capacity of the moment for so long, a cold partner falls over.
-pub const FALL: (f64, Millis) = (2.0, 3_000.0);
+/// A partner that is warming up collapses under so many times its capacity of the moment ...
+pub const COLLAPSE_FACTOR: f64 = 2.0;
+/// ... sustained over so many milliseconds.
+pub const COLLAPSE_WINDOW: Millis = 3_000.0;
+
+/// Spread of a call's service time around the work of its message.
+const SERVICE_TIME_VARIATION: f64 = 0.3;
+/// The shortest service time, in milliseconds.
+const LEAST_SERVICE_TIME: Millis = 0.1;
+
+/// Numbers that tell apart the random draws for one call or message.
+mod draw_index {
+    pub const TELLS_WAIT: u64 = 1;
+    pub const WAIT: u64 = 2;
+    pub const ANSWER: u64 = 3;
+    /// Plus the number of the attempt.
+    pub const SERVICE_TIME: u64 = 100;
+}
 
 /// What a partner writes to a call.
 #[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
 pub enum Reply {
-    /// It has run.
+    /// The call has run.
     Served,
-    /// An error; it has run.
+    /// An error; the call has run.
     Failed,
-    /// It has run, and the answer cannot be read.
+    /// The call has run, and its answer is malformed.
     Spoilt,
-    /// It has not run. With the wait that is told, in milliseconds.
+    /// The call has not run. With the Retry-After that is given, in milliseconds.
     Refused(Option<Millis>),
 }
 
 /// A call as a partner sees it.
 #[derive(Clone, Copy, Debug)]
 pub struct Call {
-    /// Its number; never used twice.
-    pub no: u64,
-    /// Whose message it carries; draws of its luck are named by it.
+    /// Its number, unique within a run.
+    pub number: u64,
+    /// The client's message that it carries.
     pub origin: u64,
     /// How many calls of that message came before.
     pub attempt: u32,
-    /// Its class's mean work and spread.
-    pub work: (f64, f64),
+    /// The work of its class.
+    pub work: WorkDistribution,
+}
+
+/// What became of a call that has come.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Admission {
+    /// It is answered at once.
+    Answered(Reply),
+    /// It runs now.
+    Running,
+    /// It waits in a queue.
+    Queued,
+}
+
+/// The answer to a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Answer {
+    /// The call's number.
+    pub call: u64,
+    /// What is written.
+    pub reply: Reply,
+}
+
+/// What a partner has done up to an instant.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// Calls that are answered now.
+    pub answers: Vec<Answer>,
+    /// Numbers of the queued calls that have begun to run.
+    pub started: Vec<u64>,
+}
+
+/// When a running call is done; ordered by that instant, then by the call's number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CompletionKey {
+    /// The bits of the instant: positive floating-point numbers keep their order as bits.
+    at_bits: u64,
+    call: u64,
+}
+
+impl CompletionKey {
+    fn new(at: Millis, call: u64) -> CompletionKey {
+        CompletionKey {
+            at_bits: at.to_bits(),
+            call,
+        }
+    }
+
+    fn at(self) -> Millis {
+        f64::from_bits(self.at_bits)
+    }
 }
 
 #[derive(Debug, Default)]
 struct Endpoint {
-    /// What runs: when it is done, and the call.
-    running: BTreeMap<(u64, u64), Call>,
+    running: BTreeMap<CompletionKey, Call>,
     queue: VecDeque<Call>,
     draining: bool,
 }
 
-/// What became of a call that has come.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Taken {
-    /// It is answered at once.
-    Reply(Reply),
-    /// It runs now.
-    Runs,
-    /// It will.
-    Queued,
+impl Endpoint {
+    /// The first running call that is done by `now`, taken out.
+    fn take_completed(&mut self, now: Millis) -> Option<Call> {
+        let first = self.running.first_entry()?;
+        if first.key().at_bits > now.to_bits() {
+            return None;
+        }
+        Some(first.remove())
+    }
+
+    fn drop_all_calls(&mut self) {
+        self.running.clear();
+        self.queue.clear();
+    }
+
+    fn is_finished(&self) -> bool {
+        self.draining && self.running.is_empty() && self.queue.is_empty()
+    }
 }
 
 /// A partner as it runs.
 #[derive(Debug)]
 pub struct Partner {
-    drawn: Drawn,
+    profile: PartnerProfile,
     kind: Kind,
     seed: u64,
+    /// Calls a second when it is warm.
     capacity: f64,
     endpoints: BTreeMap<u32, Endpoint>,
-    /// The span of a window limit, and how many it has taken in it.
-    window: (u64, f64),
-    /// Calls of the last span where refused ones count too: who goes on asking keeps it shut.
-    counted: VecDeque<Millis>,
-    /// Tokens of a rate limit, and when they were last filled.
-    tokens: (f64, Millis),
-    /// Since when it is out, or back.
+    limiter: RateLimiter,
     out: bool,
-    back: Option<Millis>,
-    /// Calls that came in the last span of the rule on falling.
-    sent: VecDeque<Millis>,
-    toppled: bool,
-}
-
-/// Instants as keys of an ordered map: positive numbers keep their order as bits.
-fn key(at: Millis) -> u64 {
-    at.to_bits()
+    /// When its last outage ended; none where it has had none, or is in one.
+    recovered_at: Option<Millis>,
+    /// Calls that came within the last collapse window while it was warming up.
+    recent_arrivals: VecDeque<Millis>,
+    collapsed: bool,
 }
 
 impl Partner {
-    /// A partner that has long been there, with its first endpoints.
+    /// A warm partner with its first endpoints. `mean_work` is the mean work of a call, in milliseconds.
     pub fn new(
-        drawn: &Drawn,
+        profile: &PartnerProfile,
         kind: &Kind,
-        work: f64,
+        mean_work: f64,
         seed: u64,
         endpoints: impl IntoIterator<Item = u32>,
     ) -> Partner {
         Partner {
-            capacity: drawn.capacity(work),
-            drawn: drawn.clone(),
+            capacity: profile.capacity(mean_work),
+            profile: profile.clone(),
             kind: kind.clone(),
             seed,
             endpoints: endpoints
                 .into_iter()
-                .map(|e| (e, Endpoint::default()))
+                .map(|endpoint| (endpoint, Endpoint::default()))
                 .collect(),
-            window: (0, 0.0),
-            counted: VecDeque::new(),
-            tokens: (f64::INFINITY, 0.0),
+            limiter: RateLimiter::new(kind),
             out: false,
-            back: None,
-            sent: VecDeque::new(),
-            toppled: false,
+            recovered_at: None,
+            recent_arrivals: VecDeque::new(),
+            collapsed: false,
         }
     }
 
-    /// The weather may have changed: an outage begins, or ends, which leaves the partner cold.
-    pub fn turn_out(&mut self, out: bool, now: Millis) {
+    /// Says whether the partner is in an outage from `now` on. One that comes back starts cold.
+    pub fn set_out(&mut self, out: bool, now: Millis) {
         if self.out && !out {
-            self.back = Some(now);
-            self.sent.clear();
+            self.recovered_at = Some(now);
+            self.recent_arrivals.clear();
         }
         if out && !self.out {
             // What ran or waited there is lost, and its answers never come.
-            self.endpoints.values_mut().for_each(|e| {
-                e.running.clear();
-                e.queue.clear();
-            });
-            self.back = None;
+            self.drop_all_calls();
+            self.recovered_at = None;
         }
         self.out = out;
     }
 
-    /// Whether it has fallen over, and stays down.
-    pub fn toppled(&self) -> bool {
-        self.toppled
+    /// Whether it has collapsed; it does not come back from that.
+    pub fn collapsed(&self) -> bool {
+        self.collapsed
     }
 
-    /// An endpoint is added, or drains and then goes once it is empty.
-    pub fn endpoint(&mut self, endpoint: u32, on: bool) {
-        if on {
-            self.endpoints.entry(endpoint).or_default();
-        } else if let Some(e) = self.endpoints.get_mut(&endpoint) {
-            e.draining = true;
+    /// Adds an endpoint.
+    pub fn add_endpoint(&mut self, endpoint: u32) {
+        self.endpoints.entry(endpoint).or_default();
+    }
+
+    /// Has an endpoint drain: it takes no more calls, and goes once it is empty.
+    pub fn drain_endpoint(&mut self, endpoint: u32) {
+        if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+            endpoint.draining = true;
         }
     }
 
-    /// The share of its capacity that it has.
+    /// The share of its capacity that it has at an instant: less than one while it is warming up.
     pub fn warmth(&self, now: Millis) -> f64 {
-        let Some(back) = self.back.filter(|_| self.kind.cold > 0.0) else {
+        let Some(recovered_at) = self.recovered_at.filter(|_| self.kind.cold > 0.0) else {
             return 1.0;
         };
-        let warm = ((now - back) / self.kind.cold).clamp(0.0, 1.0);
-        self.kind.cold_from + (1.0 - self.kind.cold_from) * warm
+        let progress = ((now - recovered_at) / self.kind.cold).clamp(0.0, 1.0);
+        self.kind.cold_from + (1.0 - self.kind.cold_from) * progress
     }
 
-    fn refusal(&self, call: &Call, told: Millis) -> Reply {
-        let mut rng = draw(self.seed, Stream::Call, call.no, 1);
-        Reply::Refused(happens(&mut rng, self.kind.tells_wait).then_some(told))
+    /// Takes a call whose last byte has come to an endpoint.
+    pub fn deliver(
+        &mut self,
+        endpoint: u32,
+        call: Call,
+        faults: &ActiveFaults,
+        now: Millis,
+    ) -> Admission {
+        if self.collapsed || self.collapses_under_load(faults, now) {
+            return Admission::Answered(Reply::Refused(None));
+        }
+        if let Some(until) = faults.rejects_until {
+            return Admission::Answered(self.refusal(&call, until - now));
+        }
+        if self.endpoints.get(&endpoint).is_none_or(|it| it.draining) {
+            return Admission::Answered(Reply::Refused(None));
+        }
+        if let Some(wait) = self.wait_over_limit(&call, faults, now) {
+            return Admission::Answered(self.refusal(&call, wait));
+        }
+        if faults.hung {
+            return Admission::Queued;
+        }
+        self.run_or_queue(endpoint, call, faults, now)
     }
 
-    /// Takes one off the limit: nothing where there was room, else how long until there is some again.
-    fn over_limit(&mut self, call: &Call, weather: &Weather, now: Millis) -> Option<Millis> {
-        let rate = self.drawn.limit? * weather.limit;
-        match self.kind.limit {
-            Limit::None => None,
-            Limit::Window if self.kind.refused_count => {
-                while self
-                    .counted
-                    .front()
-                    .is_some_and(|at| *at <= now - self.kind.window)
-                {
-                    self.counted.pop_front();
-                }
-                let most = (rate * self.kind.window / 1e3).max(1.0) as usize;
-                self.counted.push_back(now);
-                // There is room again once as many have left the span as are over the limit.
-                let over = self.counted.len().checked_sub(most + 1)?;
-                Some(self.counted[over] + self.kind.window - now)
-            }
-            Limit::Window => {
-                let span = (now / self.kind.window) as u64;
-                if self.window.0 != span {
-                    self.window = (span, 0.0);
-                }
-                let full = self.window.1 + 1.0 > (rate * self.kind.window / 1e3).max(1.0);
-                if !full {
-                    self.window.1 += 1.0;
-                }
-                full.then(|| (span + 1) as f64 * self.kind.window - now)
-            }
-            Limit::Rate => {
-                // Half a second's worth may come at once.
-                let depth = (rate * 0.5).max(1.0);
-                let filled = self.tokens.0 + (now - self.tokens.1) / 1e3 * rate;
-                self.tokens = (filled.min(depth), now);
-                if self.tokens.0 >= 1.0 {
-                    self.tokens.0 -= 1.0;
-                    return None;
-                }
-                Some(within(
-                    &mut draw(self.seed, Stream::Call, call.no, 2),
-                    self.kind.wait,
-                ))
-            }
+    /// Counts an arrival while the partner is warming up, and says whether it collapses under it.
+    fn collapses_under_load(&mut self, faults: &ActiveFaults, now: Millis) -> bool {
+        let warming = self
+            .recovered_at
+            .filter(|recovered_at| now < recovered_at + self.kind.cold);
+        let Some(recovered_at) = warming else {
+            return false;
+        };
+        self.recent_arrivals.push_back(now);
+        let oldest = now - COLLAPSE_WINDOW;
+        while self.recent_arrivals.front().is_some_and(|at| *at < oldest) {
+            self.recent_arrivals.pop_front();
+        }
+        let sustainable =
+            self.capacity * faults.limit_factor * self.warmth(now) * COLLAPSE_WINDOW / 1e3;
+        let most = (COLLAPSE_FACTOR * sustainable).max(COLLAPSE_FACTOR);
+        if now < recovered_at + COLLAPSE_WINDOW || self.recent_arrivals.len() as f64 <= most {
+            return false;
         }
+        self.collapsed = true;
+        self.drop_all_calls();
+        true
     }
 
-    /// A call's last byte has come to an endpoint.
-    pub fn call(&mut self, endpoint: u32, call: Call, weather: &Weather, now: Millis) -> Taken {
-        let refused = |told| Taken::Reply(Reply::Refused(told));
-        if self.toppled {
-            return refused(None);
+    fn drop_all_calls(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.drop_all_calls();
         }
-        if let Some(back) = self.back.filter(|b| now < b + self.kind.cold) {
-            self.sent.push_back(now);
-            while self.sent.front().is_some_and(|at| *at < now - FALL.1) {
-                self.sent.pop_front();
-            }
-            let can = self.capacity * weather.limit * self.warmth(now) * FALL.1 / 1e3;
-            if now >= back + FALL.1 && self.sent.len() as f64 > (FALL.0 * can).max(FALL.0) {
-                self.toppled = true;
-                self.endpoints.values_mut().for_each(|e| {
-                    e.running.clear();
-                    e.queue.clear();
-                });
-                return refused(None);
+    }
+
+    /// A rejection; whether it gives a Retry-After is drawn.
+    fn refusal(&self, call: &Call, wait: Millis) -> Reply {
+        let mut rng = rng_for(self.seed, Stream::Call, call.number, draw_index::TELLS_WAIT);
+        let tells = bernoulli(&mut rng, self.kind.tells_wait);
+        Reply::Refused(tells.then_some(wait))
+    }
+
+    /// Counts a call against the rate limit. Where it is over the limit: how long until there is capacity again.
+    fn wait_over_limit(
+        &mut self,
+        call: &Call,
+        faults: &ActiveFaults,
+        now: Millis,
+    ) -> Option<Millis> {
+        let rate = self.profile.rate_limit? * faults.limit_factor;
+        match self.limiter.admit(rate, now) {
+            LimitDecision::Within => None,
+            LimitDecision::OverUntil(wait) => Some(wait),
+            LimitDecision::OverWithOwnWait => {
+                let mut rng = rng_for(self.seed, Stream::Call, call.number, draw_index::WAIT);
+                Some(uniform(&mut rng, self.kind.wait))
             }
         }
-        if let Some(until) = weather.shut {
-            return Taken::Reply(self.refusal(&call, until - now));
-        }
-        if self.endpoints.get(&endpoint).is_none_or(|e| e.draining) {
-            return refused(None);
-        }
-        if let Some(wait) = self.over_limit(&call, weather, now) {
-            return Taken::Reply(self.refusal(&call, wait));
-        }
-        let (cores, room) = (self.drawn.cores as usize, self.drawn.queue as usize);
-        if weather.hung {
-            return Taken::Queued;
-        }
-        let Some(e) = self.endpoints.get_mut(&endpoint) else {
-            return refused(None);
+    }
+
+    fn run_or_queue(
+        &mut self,
+        endpoint: u32,
+        call: Call,
+        faults: &ActiveFaults,
+        now: Millis,
+    ) -> Admission {
+        let cores = self.profile.cores as usize;
+        let queue_capacity = self.profile.queue as usize;
+        let Some(target) = self.endpoints.get_mut(&endpoint) else {
+            return Admission::Answered(Reply::Refused(None));
         };
-        if e.running.len() < cores {
-            self.start(endpoint, call, weather, now);
-            return Taken::Runs;
+        if target.running.len() < cores {
+            self.start(endpoint, call, faults, now);
+            return Admission::Running;
         }
-        if e.queue.len() >= room {
-            return refused(None);
+        if target.queue.len() >= queue_capacity {
+            return Admission::Answered(Reply::Refused(None));
         }
-        e.queue.push_back(call);
-        Taken::Queued
+        target.queue.push_back(call);
+        Admission::Queued
     }
 
-    fn start(&mut self, endpoint: u32, call: Call, weather: &Weather, now: Millis) {
-        let mut noise = draw(
-            self.seed,
-            Stream::Call,
-            call.origin,
-            100 + u64::from(call.attempt),
-        );
-        // A message has its work; each call of it takes that with a noise of its own.
-        let own = spread(
-            &mut draw(self.seed, Stream::Work, call.origin, 0),
-            call.work.1,
-        );
-        let mut took =
-            call.work.0 * own * spread(&mut noise, 0.3) * self.drawn.speed * weather.slow;
-        if happens(&mut noise, weather.tail.0) {
-            took *= weather.tail.1;
+    fn start(&mut self, endpoint: u32, call: Call, faults: &ActiveFaults, now: Millis) {
+        let service_time = self.service_time(&call, faults, now);
+        let starts_at = faults.paused_until.unwrap_or(now).max(now);
+        let done_at = starts_at + service_time.max(LEAST_SERVICE_TIME);
+        if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
+            let key = CompletionKey::new(done_at, call.number);
+            endpoint.running.insert(key, call);
         }
-        took /= self.warmth(now);
-        let from = weather.still.unwrap_or(now).max(now);
-        if let Some(e) = self.endpoints.get_mut(&endpoint) {
-            e.running.insert((key(from + took.max(0.1)), call.no), call);
+    }
+
+    /// Draws the service time of a call. The message has its work; each call of it adds a variation of its own.
+    fn service_time(&self, call: &Call, faults: &ActiveFaults, now: Millis) -> Millis {
+        let attempt = draw_index::SERVICE_TIME + u64::from(call.attempt);
+        let mut call_rng = rng_for(self.seed, Stream::Call, call.origin, attempt);
+        let mut message_rng = rng_for(self.seed, Stream::Work, call.origin, 0);
+        let message_factor = gamma_factor(&mut message_rng, call.work.variation);
+        let call_factor = gamma_factor(&mut call_rng, SERVICE_TIME_VARIATION);
+        let mut took =
+            call.work.mean * message_factor * call_factor * self.profile.speed * faults.slowdown;
+        if bernoulli(&mut call_rng, faults.tail.share) {
+            took *= faults.tail.factor;
         }
+        took / self.warmth(now)
     }
 
-    /// When the next call is done.
-    pub fn due(&self) -> Option<Millis> {
-        let first = |e: &Endpoint| e.running.first_key_value().map(|((at, _), _)| *at);
+    /// When the next running call is done.
+    pub fn next_completion(&self) -> Option<Millis> {
+        let first = |endpoint: &Endpoint| endpoint.running.first_key_value().map(|(key, _)| *key);
         self.endpoints
             .values()
             .filter_map(first)
-            .min()
-            .map(f64::from_bits)
+            .min_by_key(|key| key.at_bits)
+            .map(CompletionKey::at)
     }
 
-    /// Finishes what is done by an instant, and starts what waited. Returns the answers, and the calls that run now.
-    pub fn advance(&mut self, weather: &Weather, now: Millis) -> (Vec<(u64, Reply)>, Vec<u64>) {
-        let (mut answers, mut begun) = (Vec::new(), Vec::new());
+    /// Finishes the calls that are done by an instant, and starts queued ones in their place.
+    pub fn advance(&mut self, faults: &ActiveFaults, now: Millis) -> Progress {
+        let mut progress = Progress::default();
         let names: Vec<u32> = self.endpoints.keys().copied().collect();
         for name in names {
-            while let Some(e) = self.endpoints.get_mut(&name) {
-                let Some((&(at, no), _)) = e
-                    .running
-                    .first_key_value()
-                    .filter(|((at, _), _)| *at <= key(now))
-                else {
-                    break;
-                };
-                let Some(call) = e.running.remove(&(at, no)) else {
-                    break;
-                };
-                if let Some(until) = weather.still.filter(|until| *until > now) {
-                    e.running.insert((key(until), no), call);
-                    continue;
-                }
-                let mut rng = draw(self.seed, Stream::Call, no, 3);
-                let reply = if happens(&mut rng, weather.spoilt) {
-                    Reply::Spoilt
-                } else if happens(&mut rng, self.kind.errors) {
-                    Reply::Failed
-                } else {
-                    Reply::Served
-                };
-                answers.push((no, reply));
-                if let Some(next) = e.queue.pop_front() {
-                    begun.push(next.no);
-                    self.start(name, next, weather, now);
-                }
+            self.advance_endpoint(name, faults, now, &mut progress);
+        }
+        self.endpoints.retain(|_, endpoint| !endpoint.is_finished());
+        progress
+    }
+
+    fn advance_endpoint(
+        &mut self,
+        name: u32,
+        faults: &ActiveFaults,
+        now: Millis,
+        progress: &mut Progress,
+    ) {
+        while let Some(endpoint) = self.endpoints.get_mut(&name) {
+            let Some(call) = endpoint.take_completed(now) else {
+                return;
+            };
+            if let Some(until) = faults.paused_until.filter(|until| *until > now) {
+                let key = CompletionKey::new(until, call.number);
+                endpoint.running.insert(key, call);
+                continue;
+            }
+            let next = endpoint.queue.pop_front();
+            progress.answers.push(Answer {
+                call: call.number,
+                reply: self.answer(&call, faults),
+            });
+            if let Some(next) = next {
+                progress.started.push(next.number);
+                self.start(name, next, faults, now);
             }
         }
-        self.endpoints
-            .retain(|_, e| !e.draining || !e.running.is_empty() || !e.queue.is_empty());
-        (answers, begun)
+    }
+
+    /// Draws the answer to a call that has run.
+    fn answer(&self, call: &Call, faults: &ActiveFaults) -> Reply {
+        let mut rng = rng_for(self.seed, Stream::Call, call.number, draw_index::ANSWER);
+        if bernoulli(&mut rng, faults.malformed_share) {
+            Reply::Spoilt
+        } else if bernoulli(&mut rng, self.kind.errors) {
+            Reply::Failed
+        } else {
+            Reply::Served
+        }
     }
 }
--- a/crates/lab/src/model/site.rs
+++ b/crates/lab/src/model/site.rs
@@ -1,22 +1,40 @@
-//! Owns the drawing of a site: its partners, how much of the traffic each gets, what each can take, and what senders
-//! are told of that. It must never change once it is drawn.
+//! The site that a seed draws: its partners, how much of the traffic each gets, what each can take, and what senders are
+//! told of that.
 
 use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
 
-use crate::draw::{Stream, draw, within};
 use crate::experiment::{Kind, Limit, World};
+use crate::sampling::{Stream, rng_for, uniform};
+
+/// How strongly a kind's `lean` moves its partners in the ranking by traffic.
+const LEAN_WEIGHT: f64 = 0.3;
+/// A partner has at most so many endpoints.
+const MOST_ENDPOINTS: f64 = 4.0;
+/// A partner has cores for so many times its limit ...
+const LEAST_SPARE: f64 = 1.2;
+/// ... and for up to so much more.
+const SPARE_RANGE: f64 = 0.3;
+/// The advertised weight is off by a power of two whose exponent is uniform in a range of this width around zero.
+const WEIGHT_ERROR_EXPONENT: f64 = 1.17;
+
+/// First numbers of the draws for a site.
+mod draw_index {
+    pub const RANK: u64 = 1;
+    pub const PARTNER: u64 = 2;
+}
 
 /// A partner as drawn.
 #[derive(Clone, Debug)]
-pub struct Drawn {
+pub struct PartnerProfile {
     /// Place among the world's kinds.
     pub kind: usize,
-    /// Part of the traffic.
-    pub part: f64,
+    /// Share of the traffic.
+    pub traffic_share: f64,
     /// Calls a second at full load.
-    pub full: f64,
+    pub full_rate: f64,
     /// Calls a second that it takes at most; none: only its capacity limits it.
-    pub limit: Option<f64>,
+    pub rate_limit: Option<f64>,
     /// Service times are so many times the class's.
     pub speed: f64,
     /// Endpoints that it starts with.
@@ -25,15 +43,15 @@
     pub cores: u32,
     /// Calls that may queue at an endpoint.
     pub queue: u32,
-    /// The rough figure for its rate that the list gives.
-    pub hint: f64,
+    /// The rough figure for its rate that the endpoint list gives.
+    pub advertised_weight: f64,
 }
 
-impl Drawn {
+impl PartnerProfile {
     /// Calls a second that it can do when it is warm, given the mean work of a call in milliseconds.
     pub fn capacity(&self, work: f64) -> f64 {
         let served = f64::from(self.cores * self.endpoints) * 1e3 / (work * self.speed);
-        self.limit.map_or(served, |l| l.min(served))
+        self.rate_limit.map_or(served, |limit| limit.min(served))
     }
 }
 
@@ -41,7 +59,7 @@
 #[derive(Clone, Debug)]
 pub struct Site {
     /// Every partner, by its number.
-    pub partners: Vec<Drawn>,
+    pub partners: Vec<PartnerProfile>,
     /// Mean work of a message, in milliseconds.
     pub work: f64,
 }
@@ -49,99 +67,139 @@
 impl Site {
     /// Draws the site that a seed gives.
     pub fn new(world: &World, seed: u64) -> Site {
-        let work = {
-            let all: f64 = world.classes.iter().map(|c| c.share).sum();
-            let mean = |c: &crate::experiment::Class| c.share / all * (c.work.0 + c.work.1) / 2.0;
-            world.classes.iter().map(mean).sum::<f64>()
-        };
-        let shares: f64 = world.kinds.iter().map(|k| k.share).sum();
-        // Kinds in proportion, dealt out so that every seed has the same number of each.
-        let mut kinds: Vec<usize> = Vec::new();
-        let mut owed = 0.0;
-        for (i, kind) in world.kinds.iter().enumerate() {
-            owed += kind.share / shares * f64::from(world.partners);
-            while (kinds.len() as f64) + 0.5 <= owed {
-                kinds.push(i);
-            }
-        }
-        kinds.resize(world.partners as usize, world.kinds.len() - 1);
-        let mut parts: Vec<f64> = Vec::new();
-        let mut order: Vec<(usize, f64)> = kinds
-            .iter()
-            .enumerate()
-            .map(|(at, kind)| {
-                (
-                    at,
-                    draw(seed, Stream::World, 1, at as u64).random::<f64>()
-                        - 0.3 * world.kinds[*kind].lean,
-                )
-            })
-            .collect();
-        order.sort_by(|a, b| a.1.total_cmp(&b.1).then(a.0.cmp(&b.0)));
-        let ranks: Vec<usize> = {
-            let mut ranks = vec![0; kinds.len()];
-            order
-                .iter()
-                .enumerate()
-                .for_each(|(rank, (at, _))| ranks[*at] = rank);
-            ranks
-        };
-        for rank in &ranks {
-            parts.push(1.0 / ((rank + 1) as f64).powf(world.zipf));
-        }
-        let all: f64 = parts.iter().sum();
-        let partner = |at: usize| {
-            let kind: &Kind = &world.kinds[kinds[at]];
-            let mut rng = draw(seed, Stream::World, 2, at as u64);
-            let part = parts[at] / all;
-            let full = part * world.full_rate;
-            let (headroom, least) = (
-                within(&mut rng, kind.headroom),
-                within(&mut rng, kind.least_rate),
-            );
-            let limit = (headroom * full).max(least);
-            let speed = within(&mut rng, kind.speed);
-            // Busier partners have more endpoints: the upper half by rank gets those over the mean.
-            let more =
-                2.0 * (world.endpoints - 1.0) * (1.0 - ranks[at] as f64 / parts.len() as f64);
-            let endpoints = (1.0 + more + rng.random::<f64>() - 0.5)
-                .round()
-                .clamp(1.0, 4.0) as u32;
-            let spare = 1.2 + 0.3 * rng.random::<f64>();
-            let busy = limit * work * speed / 1e3 * spare;
-            let cores = (busy / f64::from(endpoints)).ceil().max(1.0) as u32;
-            let queue = (within(&mut rng, kind.queue) * f64::from(cores)).round() as u32;
-            let rough = 2f64.powf(1.17 * (rng.random::<f64>() - 0.5));
-            let told = (kind.limit != Limit::None).then_some(limit);
-            let mut drawn = Drawn {
-                kind: kinds[at],
-                part,
-                full,
-                limit: told,
-                speed,
-                endpoints,
-                cores,
-                queue,
-                hint: 0.0,
-            };
-            drawn.hint = drawn.capacity(work) * rough;
-            drawn
-        };
+        let draft = Draft::new(world, seed);
         Site {
-            partners: (0..kinds.len()).map(partner).collect(),
-            work,
+            partners: (0..draft.kinds.len())
+                .map(|number| draft.partner(number, seed))
+                .collect(),
+            work: draft.work,
         }
     }
 
     /// The partners' numbers, the one with the most traffic first.
     pub fn by_traffic(&self) -> Vec<usize> {
+        let share = |number: usize| self.partners[number].traffic_share;
         let mut ranked: Vec<usize> = (0..self.partners.len()).collect();
-        ranked.sort_by(|a, b| {
-            self.partners[*b]
-                .part
-                .total_cmp(&self.partners[*a].part)
-                .then(a.cmp(b))
-        });
+        ranked.sort_by(|left, right| share(*right).total_cmp(&share(*left)).then(left.cmp(right)));
         ranked
     }
 }
+
+/// What is settled of a site before its partners are drawn one by one.
+struct Draft<'a> {
+    world: &'a World,
+    /// Mean work of a message, in milliseconds.
+    work: f64,
+    /// The kind of each partner.
+    kinds: Vec<usize>,
+    /// The rank of each partner by traffic, from zero.
+    ranks: Vec<usize>,
+    /// The traffic of each partner, in parts of `all_parts`.
+    parts: Vec<f64>,
+    all_parts: f64,
+}
+
+impl<'a> Draft<'a> {
+    fn new(world: &'a World, seed: u64) -> Draft<'a> {
+        let kinds = deal_kinds(world);
+        let ranks = rank_by_traffic(world, &kinds, seed);
+        let parts: Vec<f64> = ranks
+            .iter()
+            .map(|rank| 1.0 / ((rank + 1) as f64).powf(world.zipf))
+            .collect();
+        Draft {
+            world,
+            work: mean_work(world),
+            kinds,
+            ranks,
+            all_parts: parts.iter().sum(),
+            parts,
+        }
+    }
+
+    /// Draws a partner. The order of the draws is part of what a seed means.
+    fn partner(&self, number: usize, seed: u64) -> PartnerProfile {
+        let kind: &Kind = &self.world.kinds[self.kinds[number]];
+        let mut rng = rng_for(seed, Stream::World, draw_index::PARTNER, number as u64);
+        let traffic_share = self.parts[number] / self.all_parts;
+        let full_rate = traffic_share * self.world.full_rate;
+        let headroom = uniform(&mut rng, kind.headroom);
+        let least_rate = uniform(&mut rng, kind.least_rate);
+        let limit = (headroom * full_rate).max(least_rate);
+        let speed = uniform(&mut rng, kind.speed);
+        let endpoints = self.endpoints(number, &mut rng);
+        let spare = LEAST_SPARE + SPARE_RANGE * rng.random::<f64>();
+        let busy = limit * self.work * speed / 1e3 * spare;
+        let cores = (busy / f64::from(endpoints)).ceil().max(1.0) as u32;
+        let queue = (uniform(&mut rng, kind.queue) * f64::from(cores)).round() as u32;
+        let weight_error = 2f64.powf(WEIGHT_ERROR_EXPONENT * (rng.random::<f64>() - 0.5));
+        let mut profile = PartnerProfile {
+            kind: self.kinds[number],
+            traffic_share,
+            full_rate,
+            rate_limit: (kind.limit != Limit::None).then_some(limit),
+            speed,
+            endpoints,
+            cores,
+            queue,
+            advertised_weight: 0.0,
+        };
+        profile.advertised_weight = profile.capacity(self.work) * weight_error;
+        profile
+    }
+
+    /// Draws how many endpoints a partner has. Busier partners have more: the upper half by rank gets those over the
+    /// mean.
+    fn endpoints(&self, number: usize, rng: &mut Pcg64Mcg) -> u32 {
+        let place = 1.0 - self.ranks[number] as f64 / self.parts.len() as f64;
+        let more = 2.0 * (self.world.endpoints - 1.0) * place;
+        (1.0 + more + rng.random::<f64>() - 0.5)
+            .round()
+            .clamp(1.0, MOST_ENDPOINTS) as u32
+    }
+}
+
+/// The mean work of a message over all classes, in milliseconds.
+fn mean_work(world: &World) -> f64 {
+    let all: f64 = world.classes.iter().map(|class| class.share).sum();
+    world
+        .classes
+        .iter()
+        .map(|class| class.share / all * (class.work.least + class.work.most) / 2.0)
+        .sum()
+}
+
+/// The kind of each partner: in proportion to the kinds' shares, so that every seed has the same number of each.
+fn deal_kinds(world: &World) -> Vec<usize> {
+    let shares: f64 = world.kinds.iter().map(|kind| kind.share).sum();
+    let mut kinds: Vec<usize> = Vec::new();
+    let mut owed = 0.0;
+    for (number, kind) in world.kinds.iter().enumerate() {
+        owed += kind.share / shares * f64::from(world.partners);
+        while (kinds.len() as f64) + 0.5 <= owed {
+            kinds.push(number);
+        }
+    }
+    kinds.resize(world.partners as usize, world.kinds.len() - 1);
+    kinds
+}
+
+/// Draws the rank of each partner by traffic, from zero. Kinds that lean to the top are more likely to be there.
+fn rank_by_traffic(world: &World, kinds: &[usize], seed: u64) -> Vec<usize> {
+    let place = |number: usize| {
+        let mut rng = rng_for(seed, Stream::World, draw_index::RANK, number as u64);
+        rng.random::<f64>() - LEAN_WEIGHT * world.kinds[kinds[number]].lean
+    };
+    let places: Vec<f64> = (0..kinds.len()).map(place).collect();
+    let mut order: Vec<usize> = (0..kinds.len()).collect();
+    order.sort_by(|left, right| {
+        places[*left]
+            .total_cmp(&places[*right])
+            .then(left.cmp(right))
+    });
+    let mut ranks = vec![0; kinds.len()];
+    for (rank, number) in order.iter().enumerate() {
+        ranks[*number] = rank;
+    }
+    ranks
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -16,17 +16,19 @@
     ZoneId,
 };
 
-use crate::clients::{Clients, Origin};
-use crate::draw::{Stream, draw, happens, within};
+use crate::clients::{ClientMessage, Clients, HandIn};
+use crate::delay_queue::Scheduled;
+use crate::event_log::{Fact, Silence, What};
 use crate::experiment::{Effect, Experiment, Variant, What as Fails};
-use crate::fact::{Fact, Silence, What};
 use crate::judge::{ClassRule, Judge, Verdict};
-use crate::load::{self, Intended};
-use crate::model::ground::{Ground, REPLACED, State};
-use crate::model::partner::{self, Reply, Taken};
+use crate::load::{self, PlannedMessage};
+use crate::model::environment::{
+    Delivery, Environment, ListedState, OutageChange, REPLACEMENT_OVERLAP, Replacement,
+};
+use crate::model::partner::{self, Admission, Answer, Progress, Reply};
 use crate::model::site::Site;
+use crate::sampling::{Stream, bernoulli, rng_for, uniform};
 use crate::tally::{Figures, Tally};
-use crate::timed::Timed;
 
 /// The module's clock at the start of a run.
 const ORIGIN: Millis = 1e6;
@@ -207,14 +209,14 @@
 struct Sim<'a> {
     x: &'a Experiment,
     seed: u64,
-    ground: Ground,
+    ground: Environment,
     clients: Clients<'a>,
     settings: Settings,
     connections: Vec<u32>,
     now: Millis,
     seq: u64,
-    queue: BinaryHeap<Reverse<Timed<Ev>>>,
-    plan: Vec<Intended>,
+    queue: BinaryHeap<Reverse<Scheduled<Ev>>>,
+    plan: Vec<PlannedMessage>,
     senders: Vec<Sender>,
     calls: HashMap<u64, Call>,
     next_call: u64,
@@ -231,7 +233,14 @@
 pub fn settings(experiment: &Experiment, variant: &Variant, site: &Site) -> Settings {
     let world = &experiment.world;
     let each = world.full_rate / f64::from(world.senders);
-    let busy = site.partners.iter().map(|p| p.part * p.speed).sum::<f64>() * each * site.work / 1e3;
+    let busy = site
+        .partners
+        .iter()
+        .map(|p| p.traffic_share * p.speed)
+        .sum::<f64>()
+        * each
+        * site.work
+        / 1e3;
     let ms = |at: Millis| nanos(at);
     Settings {
         senders: world.senders,
@@ -275,8 +284,8 @@
         may_hedge: variant.second_copies,
         max_retry_after: Some(ms(3_000.0)),
         recovery: RecoveryRamp {
-            overload_factor: partner::FALL.0,
-            overload_window: ms(partner::FALL.1),
+            overload_factor: partner::COLLAPSE_FACTOR,
+            overload_window: ms(partner::COLLAPSE_WINDOW),
             initial_share: world.kinds.iter().map(|k| k.cold_from).fold(1.0, f64::min),
             duration: ms(world.kinds.iter().map(|k| k.cold).fold(0.0, f64::max)),
         },
@@ -330,7 +339,7 @@
             return Err("stopped".into());
         }
         sim.now = next.at.max(sim.now);
-        sim.take(next.ev);
+        sim.take(next.event);
     }
     Ok(Played {
         figures: sim.tally.end(),
@@ -346,7 +355,7 @@
         seed: u64,
         sink: Option<Sink<'a>>,
     ) -> Result<Sim<'a>, String> {
-        let ground = Ground::new(x, seed);
+        let ground = Environment::new(x, seed);
         let settings = settings(x, v, &ground.site);
         settings
             .check()
@@ -365,7 +374,7 @@
             senders: (0..x.world.senders).map(|_| Sender::default()).collect(),
             judge: Judge::new(rules, v.max_attempts),
             tally: Tally::new(&x.world.classes, 0.0, x.length),
-            plan: load::plan(x, &ground.site, &ground.forecast, seed),
+            plan: load::plan(x, &ground.site, &ground.faults, seed),
             clients: Clients::new(x, seed),
             turns: Turns::default(),
             calls: HashMap::new(),
@@ -386,10 +395,10 @@
 
     fn at(&mut self, at: Millis, ev: Ev) {
         self.seq += 1;
-        self.queue.push(Reverse(Timed {
+        self.queue.push(Reverse(Scheduled {
             at,
-            seq: self.seq,
-            ev,
+            sequence: self.seq,
+            event: ev,
         }));
     }
 
@@ -404,8 +413,8 @@
 
     /// One way between two machines.
     fn travel(&self, a: u64, b: u64) -> Millis {
-        within(
-            &mut draw(self.seed, Stream::Travel, a, b),
+        uniform(
+            &mut rng_for(self.seed, Stream::Travel, a, b),
             self.x.world.latency,
         )
     }
@@ -416,7 +425,7 @@
                 let entry = self.entry(endpoint, EndpointState::Active);
                 self.senders[sender as usize].known.insert(endpoint, entry);
             }
-            match self.x.joins(sender) {
+            match self.x.join_time(sender) {
                 None => self.begin(sender),
                 Some(at) if self.learns && self.told_age > 0.0 => {
                     self.at((at - self.told_age).max(0.0), Ev::Ask { sender });
@@ -443,7 +452,7 @@
     }
 
     fn entry(&self, endpoint: u32, stage: EndpointState) -> EndpointEntry {
-        let partner = self.ground.partner(endpoint);
+        let partner = self.ground.partner_of(endpoint);
         let drawn = &self.ground.site.partners[partner as usize];
         EndpointEntry {
             endpoint: EndpointId(endpoint),
@@ -451,7 +460,7 @@
             kind: KindId(drawn.kind),
             destination: DestinationId(partner.into()),
             stage,
-            weight: drawn.hint,
+            weight: drawn.advertised_weight,
         }
     }
 
@@ -513,7 +522,7 @@
             .iter()
             .filter(|(_, h)| h.open)
             .map(|(id, h)| {
-                let planned = self.clients.origin(h.origin).planned;
+                let planned = self.clients.message(h.origin).planned;
                 (*id, planned.class, planned.partner)
             })
             .collect();
@@ -574,7 +583,7 @@
     fn take(&mut self, ev: Ev) {
         match ev {
             Ev::Come(at) => {
-                let origin = self.clients.comes(self.plan[at]);
+                let origin = self.clients.register(self.plan[at]);
                 self.hand_in(origin);
                 if at + 1 < self.plan.len() {
                     self.at(self.plan[at + 1].at, Ev::Come(at + 1));
@@ -651,23 +660,26 @@
         let up: Vec<u32> = (0..self.senders.len() as u32)
             .filter(|s| self.senders[*s as usize].policy.is_some())
             .collect();
-        match self.clients.dealt(origin, &up) {
-            Some((sender, way)) => self.at(self.now + way, Ev::HandIn { origin, sender }),
+        match self.clients.choose_sender(origin, &up) {
+            Some(HandIn {
+                sender,
+                latency: way,
+            }) => self.at(self.now + way, Ev::HandIn { origin, sender }),
             // Nobody listens: the connection is refused, and the client comes again.
             None => self.again(origin, None, false),
         }
     }
 
     fn again(&mut self, origin: u64, told: Option<Millis>, heard: bool) {
-        if let Some(at) = self.clients.again(origin, told, heard, self.now) {
+        if let Some(at) = self.clients.retry_at(origin, told, heard, self.now) {
             self.at(at, Ev::Again { origin });
         }
     }
 
     fn handed_in(&mut self, origin: u64, sender: u32) {
-        let Origin {
+        let ClientMessage {
             planned, deadline, ..
-        } = *self.clients.origin(origin);
+        } = *self.clients.message(origin);
         if self.senders[sender as usize].policy.is_none() {
             return self.again(origin, None, false);
         }
@@ -684,7 +696,7 @@
             deadline,
             key: None,
         });
-        let full_disk = self.ground.forecast.disk_full(self.now);
+        let full_disk = self.ground.faults.disk_full(self.now);
         let s = &mut self.senders[sender as usize];
         let stopped = s
             .told_to_end
@@ -835,8 +847,8 @@
     }
 
     fn send(&mut self, sender: u32, id: u64, endpoint: u32, timeout: Millis) {
-        let partner = self.ground.partner(endpoint);
-        let weather = self.ground.weather(partner, self.now);
+        let partner = self.ground.partner_of(endpoint);
+        let weather = self.ground.faults_at(partner, self.now);
         let idle_limit = self.x.world.idle * 0.9;
         let s = &mut self.senders[sender as usize];
         let Some(h) = s.held.get_mut(&id) else { return };
@@ -874,10 +886,10 @@
         self.connections[endpoint as usize] -= gone as u32;
         self.connections[endpoint as usize] += u32::from(fresh);
         let arrived = false;
-        let mut rng = draw(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
+        let mut rng = rng_for(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
         let (before, after) = (
-            happens(&mut rng, weather.reset.0),
-            happens(&mut rng, weather.reset.1),
+            bernoulli(&mut rng, weather.reset.before),
+            bernoulli(&mut rng, weather.reset.after),
         );
         let sent = self.now;
         self.calls.insert(
@@ -906,8 +918,8 @@
         let way = self.travel(call, 0);
         // A new connection has its own round trip first.
         let there = self.now + way * if fresh { 3.0 } else { 1.0 };
-        let stale = kept.is_some_and(|since| self.now - since >= weather.closes);
-        if weather.cut {
+        let stale = kept.is_some_and(|since| self.now - since >= weather.idle_close_after);
+        if weather.partitioned {
             if fresh {
                 let (how, outcome) = (Silence::NeverSent, Outcome::Unreachable);
                 self.at(self.now + CONNECT, Ev::SilentIn { call, how, outcome });
@@ -1039,9 +1051,9 @@
         let (origin, attempt, partner, endpoint, breaks) =
             (c.origin, c.attempt, c.partner, c.endpoint, c.breaks);
         self.fact(What::Arrived { call });
-        let class = self.clients.origin(origin).planned.class;
+        let class = self.clients.message(origin).planned.class;
         let told = partner::Call {
-            no: call,
+            number: call,
             origin,
             attempt,
             work: self.x.work(self.seed, class),
@@ -1049,13 +1061,16 @@
         if self.connections[endpoint as usize] > self.x.world.connections {
             return self.reply(call, Reply::Refused(None));
         }
-        let (taken, toppled) = self.ground.call(endpoint, told, self.now);
+        let Delivery {
+            admission: taken,
+            collapsed: toppled,
+        } = self.ground.deliver(endpoint, told, self.now);
         if toppled {
             self.fact(What::Toppled { partner });
         }
         match taken {
-            Taken::Reply(reply) => self.reply(call, reply),
-            Taken::Runs => {
+            Admission::Answered(reply) => self.reply(call, reply),
+            Admission::Running => {
                 self.fact(What::Ran { call });
                 if breaks {
                     let way = self.travel(call, 1);
@@ -1064,7 +1079,7 @@
                 }
                 self.look_at(partner);
             }
-            Taken::Queued => {}
+            Admission::Queued => {}
         }
     }
 
@@ -1078,14 +1093,17 @@
     }
 
     fn look_at(&mut self, partner: u32) {
-        if let Some(at) = self.ground.sooner(partner) {
+        if let Some(at) = self.ground.earlier_completion(partner) {
             self.at(at.max(self.now), Ev::Due { partner });
         }
     }
 
     fn partner_due(&mut self, partner: u32) {
-        let (answers, begun) = self.ground.advance(partner, self.now);
-        for (call, reply) in answers {
+        let Progress {
+            answers,
+            started: begun,
+        } = self.ground.advance(partner, self.now);
+        for Answer { call, reply } in answers {
             if self.calls.get(&call).is_none_or(|c| !c.breaks) {
                 self.reply(call, reply);
             }
@@ -1102,7 +1120,7 @@
 
     /// A failure has begun or ended: partners go out, or come back.
     fn edge(&mut self) {
-        for (partner, out) in self.ground.edge(self.now) {
+        for OutageChange { partner, out } in self.ground.update_outages(self.now) {
             self.fact(What::Out { partner, out });
         }
     }
@@ -1138,13 +1156,13 @@
     }
 
     /// Tells every sender of an endpoint, as late as the list is now.
-    fn list(&mut self, endpoint: u32, state: State) {
+    fn list(&mut self, endpoint: u32, state: ListedState) {
         for sender in 0..self.senders.len() as u32 {
-            let at = self.ground.heard(sender, endpoint, state, self.now);
+            let at = self.ground.notified_at(sender, endpoint, state, self.now);
             let stage = match state {
-                State::On => EndpointState::Active,
-                State::Draining => EndpointState::Draining,
-                State::Gone => EndpointState::Removed,
+                ListedState::Active => EndpointState::Active,
+                ListedState::Draining => EndpointState::Draining,
+                ListedState::Removed => EndpointState::Removed,
             };
             self.at(
                 at,
@@ -1163,12 +1181,12 @@
             return;
         }
         if let Some(partner) = self.ground.next_replaced(failure, turn) {
-            let (old, new) = self.ground.replace(partner);
+            let Replacement { old, new } = self.ground.replace_endpoint(partner);
             self.connections.push(0);
-            self.list(new, State::On);
-            self.list(old, State::Draining);
-            self.list(old, State::Gone);
-            self.at(self.now + REPLACED, Ev::Retire { endpoint: old });
+            self.list(new, ListedState::Active);
+            self.list(old, ListedState::Draining);
+            self.list(old, ListedState::Removed);
+            self.at(self.now + REPLACEMENT_OVERLAP, Ev::Retire { endpoint: old });
         }
         self.at(
             self.now + f.every,
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -20,17 +20,19 @@
 use serde_json::{Value, json};
 use slab::Slab;
 
-use crate::clients::{Clients, Origin};
-use crate::draw::{Stream, draw, happens, within};
+use crate::clients::{ClientMessage, Clients, HandIn};
+use crate::delay_queue::Scheduled;
+use crate::event_log::{Fact, Silence, What};
 use crate::experiment::{Effect, Experiment, Variant, What as Fails};
-use crate::fact::{Fact, Silence, What};
 use crate::judge::{ClassRule, Judge, Verdict};
-use crate::load::{self, Intended};
-use crate::model::ground::{Ground, REPLACED, State};
-use crate::model::partner::{self, Reply, Taken};
+use crate::load::{self, PlannedMessage};
+use crate::model::environment::{
+    Delivery, Environment, ListedState, OutageChange, REPLACEMENT_OVERLAP, Replacement,
+};
+use crate::model::partner::{self, Admission, Answer, Progress, Reply};
+use crate::sampling::{Stream, bernoulli, rng_for, uniform};
 use crate::sim;
 use crate::tally::{Figures, Tally};
-use crate::timed::Timed;
 use child::{Sender, Used};
 
 /// A client waits so long for the answer to a handing in.
@@ -174,15 +176,15 @@
 struct Rig<'a> {
     x: &'a Experiment,
     seed: u64,
-    ground: Ground,
+    ground: Environment,
     clients: Clients<'a>,
     addresses: Vec<SocketAddr>,
     open: Vec<u32>,
     clock: Clock,
     start: Millis,
-    queue: BinaryHeap<Reverse<Timed<Ev>>>,
+    queue: BinaryHeap<Reverse<Scheduled<Ev>>>,
     seq: u64,
-    plan: Vec<Intended>,
+    plan: Vec<PlannedMessage>,
     held: HashMap<u64, Held>,
     calls: HashMap<u64, Call>,
     next_call: u64,
@@ -301,7 +303,7 @@
         seed: u64,
         handle: Handle<usize>,
     ) -> Result<Rig<'a>, String> {
-        let ground = Ground::new(x, seed);
+        let ground = Environment::new(x, seed);
         let settings = sim::settings(x, v, &ground.site);
         settings
             .check()
@@ -319,7 +321,7 @@
             })
             .collect();
         let mut rig = Rig {
-            plan: load::plan(x, &ground.site, &ground.forecast, seed),
+            plan: load::plan(x, &ground.site, &ground.faults, seed),
             clients: Clients::new(x, seed),
             addresses: Vec::new(),
             open: Vec::new(),
@@ -408,11 +410,11 @@
     }
 
     fn entry(&self, endpoint: u32, state: &str) -> Value {
-        let partner = self.ground.partner(endpoint);
+        let partner = self.ground.partner_of(endpoint);
         let drawn = &self.ground.site.partners[partner as usize];
         json!({"uid": format!("s-{endpoint}"), "endpoint": self.addresses[endpoint as usize].to_string(), "az": "a",
             "model": self.x.world.kinds[drawn.kind].name, "pod_group": partner, "state": state,
-            "capacity_hint": drawn.hint, "boot_ms": 0})
+            "capacity_hint": drawn.advertised_weight, "boot_ms": 0})
     }
 
     fn now(&self) -> Millis {
@@ -421,10 +423,10 @@
 
     fn at(&mut self, at: Millis, ev: Ev) {
         self.seq += 1;
-        self.queue.push(Reverse(Timed {
+        self.queue.push(Reverse(Scheduled {
             at,
-            seq: self.seq,
-            ev,
+            sequence: self.seq,
+            event: ev,
         }));
     }
 
@@ -438,8 +440,8 @@
     }
 
     fn travel(&self, a: u64, b: u64) -> Millis {
-        within(
-            &mut draw(self.seed, Stream::Travel, a, b),
+        uniform(
+            &mut rng_for(self.seed, Stream::Travel, a, b),
             self.x.world.latency,
         )
     }
@@ -447,7 +449,7 @@
     /// Starts every sender, waits until all serve, and begins the run's time.
     fn begin(&mut self) -> Result<(), String> {
         let first: Vec<usize> = (0..self.seats.len())
-            .filter(|no| self.x.joins(*no as u32).is_none())
+            .filter(|no| self.x.join_time(*no as u32).is_none())
             .collect();
         for no in &first {
             self.launch(*no as u32)?;
@@ -517,7 +519,7 @@
             .collect();
         known.sort_unstable();
         for (endpoint, on) in known {
-            let partner = self.ground.partner(endpoint);
+            let partner = self.ground.partner_of(endpoint);
             self.fact(What::Listed {
                 sender,
                 endpoint,
@@ -541,7 +543,7 @@
                 break;
             };
             self.late = self.late.max(self.now() - next.at);
-            self.take(next.ev);
+            self.take(next.event);
         }
         for no in 0..self.seats.len() {
             match self.seats[no].child.ready() {
@@ -555,7 +557,7 @@
     fn take(&mut self, ev: Ev) {
         match ev {
             Ev::Come(at) => {
-                let origin = self.clients.comes(self.plan[at]);
+                let origin = self.clients.register(self.plan[at]);
                 self.hand_in(origin);
                 if at + 1 < self.plan.len() {
                     self.at(self.plan[at + 1].at, Ev::Come(at + 1));
@@ -591,7 +593,7 @@
             Ev::Sample => self.sample(),
             Ev::Beat => {
                 let now = self.now();
-                if self.ground.forecast.list(now).is_ok() {
+                if self.ground.faults.discovery_up(now) {
                     let watches: Vec<usize> = self.watches(None);
                     watches
                         .into_iter()
@@ -639,14 +641,14 @@
         match self.peers.get_mut(at) {
             Some(Peer::Endpoint { endpoint, listener }) => {
                 let (endpoint, listener) = (*endpoint, listener.clone());
-                let partner = self.ground.partner(endpoint);
+                let partner = self.ground.partner_of(endpoint);
                 // Nobody is there any more: a connection is refused as far as a listener can do so.
                 if self.vacant.contains(&at) {
                     while listener.accept().is_ok() {}
                     return;
                 }
                 // One that cannot be reached says nothing: what comes stays where the system keeps it.
-                while !self.ground.weather(partner, self.now()).cut
+                while !self.ground.faults_at(partner, self.now()).partitioned
                     && let Ok((stream, _)) = listener.accept()
                 {
                     let since = self.now();
@@ -727,17 +729,18 @@
         connection.flush();
         while connection.receive() && connection.bytes().len() < http::buffer_pool::BUFFER_SIZE {}
         let endpoint = *endpoint;
-        let partner = self.ground.partner(endpoint);
-        let weather = self.ground.weather(partner, now);
-        if weather.cut {
+        let partner = self.ground.partner_of(endpoint);
+        let weather = self.ground.faults_at(partner, now);
+        if weather.partitioned {
             // What is sent there is never heard of.
             let count = connection.bytes().len();
             connection.consume(count);
             *dead = true;
             return;
         }
-        *dead |=
-            busy.is_none() && *calls > 0 && now - *since >= weather.closes.min(self.x.world.idle);
+        *dead |= busy.is_none()
+            && *calls > 0
+            && now - *since >= weather.idle_close_after.min(self.x.world.idle);
         if connection.eof || connection.broken {
             let out = *busy;
             self.drop_call(at, false);
@@ -786,10 +789,10 @@
                 let call = self.next_call;
                 self.next_call += 1;
                 *busy = Some(call);
-                let mut rng = draw(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
+                let mut rng = rng_for(self.seed, Stream::Call, origin, 500 + u64::from(attempt));
                 let (before, after) = (
-                    happens(&mut rng, weather.reset.0),
-                    happens(&mut rng, weather.reset.1),
+                    bernoulli(&mut rng, weather.reset.before),
+                    bernoulli(&mut rng, weather.reset.after),
                 );
                 self.calls.insert(
                     call,
@@ -852,9 +855,9 @@
         };
         let (origin, attempt) = (held.origin, held.attempts - 1);
         held.ran.get_or_insert(now);
-        let class = self.clients.origin(origin).planned.class;
+        let class = self.clients.message(origin).planned.class;
         let told = partner::Call {
-            no: call,
+            number: call,
             origin,
             attempt,
             work: self.x.work(self.seed, class),
@@ -862,13 +865,16 @@
         if self.open[endpoint as usize] > self.x.world.connections {
             return self.reply(call, Reply::Refused(None));
         }
-        let (taken, toppled) = self.ground.call(endpoint, told, now);
+        let Delivery {
+            admission: taken,
+            collapsed: toppled,
+        } = self.ground.deliver(endpoint, told, now);
         if toppled {
             self.fact(What::Toppled { partner });
         }
         match taken {
-            Taken::Reply(reply) => self.reply(call, reply),
-            Taken::Runs => {
+            Admission::Answered(reply) => self.reply(call, reply),
+            Admission::Running => {
                 self.fact(What::Ran { call });
                 self.look_at(partner);
                 if breaks {
@@ -880,7 +886,7 @@
                     self.drop_call(peer, true);
                 }
             }
-            Taken::Queued => {}
+            Admission::Queued => {}
         }
     }
 
@@ -895,7 +901,7 @@
             return;
         };
         let now = self.now();
-        if self.ground.weather(c.partner, now).cut {
+        if self.ground.faults_at(c.partner, now).partitioned {
             self.calls.insert(call, c);
             return;
         }
@@ -945,14 +951,17 @@
     }
 
     fn look_at(&mut self, partner: u32) {
-        if let Some(at) = self.ground.sooner(partner) {
+        if let Some(at) = self.ground.earlier_completion(partner) {
             self.at(at, Ev::Due { partner });
         }
     }
 
     fn partner_due(&mut self, partner: u32) {
-        let (answers, begun) = self.ground.advance(partner, self.now());
-        for (call, reply) in answers {
+        let Progress {
+            answers,
+            started: begun,
+        } = self.ground.advance(partner, self.now());
+        for Answer { call, reply } in answers {
             if self.calls.contains_key(&call) {
                 self.reply(call, reply);
             }
@@ -1080,7 +1089,7 @@
             + "\n";
         let watches = self.watches(Some(sender));
         if self.seats[sender as usize].up && !watches.is_empty() {
-            let partner = self.ground.partner(endpoint);
+            let partner = self.ground.partner_of(endpoint);
             self.fact(What::Listed {
                 sender,
                 endpoint,
@@ -1097,13 +1106,17 @@
 
     fn hand_in(&mut self, origin: u64) {
         let now = self.now();
-        let Origin {
+        let ClientMessage {
             planned, deadline, ..
-        } = *self.clients.origin(origin);
+        } = *self.clients.message(origin);
         let up: Vec<u32> = (0..self.seats.len() as u32)
             .filter(|s| self.seats[*s as usize].up)
             .collect();
-        let Some((sender, _)) = self.clients.dealt(origin, &up).filter(|_| now < deadline) else {
+        let Some(HandIn { sender, .. }) = self
+            .clients
+            .choose_sender(origin, &up)
+            .filter(|_| now < deadline)
+        else {
             return self.again(origin, None, false);
         };
         let id = self.next_id;
@@ -1263,7 +1276,7 @@
     }
 
     fn again(&mut self, origin: u64, told: Option<Millis>, heard: bool) {
-        if let Some(at) = self.clients.again(origin, told, heard, self.now()) {
+        if let Some(at) = self.clients.retry_at(origin, told, heard, self.now()) {
             self.at(at, Ev::HandIn { origin });
         }
     }
@@ -1273,7 +1286,7 @@
     fn edge(&mut self) {
         let now = self.now();
         self.full_disk(now);
-        for (partner, out) in self.ground.edge(now) {
+        for OutageChange { partner, out } in self.ground.update_outages(now) {
             self.fact(What::Out { partner, out });
         }
         // Those that could not be reached hear now what waited for them.
@@ -1288,7 +1301,7 @@
 
     /// Fills the senders' disks, or frees them.
     fn full_disk(&mut self, now: Millis) {
-        let full = self.ground.forecast.disk_full(now);
+        let full = self.ground.faults.disk_full(now);
         if std::mem::replace(&mut self.full, full) != full {
             for seat in &self.seats {
                 if let Err(e) = seat.child.full_disk(full) {
@@ -1328,14 +1341,14 @@
     }
 
     /// Tells every sender of an endpoint, as late as the list is now.
-    fn list(&mut self, endpoint: u32, state: State) {
+    fn list(&mut self, endpoint: u32, state: ListedState) {
         let now = self.now();
         for sender in 0..self.seats.len() as u32 {
-            let at = self.ground.heard(sender, endpoint, state, now);
+            let at = self.ground.notified_at(sender, endpoint, state, now);
             let state = match state {
-                State::On => "in_service",
-                State::Draining => "terminating",
-                State::Gone => "terminated",
+                ListedState::Active => "in_service",
+                ListedState::Draining => "terminating",
+                ListedState::Removed => "terminated",
             };
             self.at(
                 at,
@@ -1402,16 +1415,16 @@
             return;
         }
         if let Some(partner) = self.ground.next_replaced(failure, turn) {
-            let (old, new) = self.ground.replace(partner);
+            let Replacement { old, new } = self.ground.replace_endpoint(partner);
             if !(f.reuse && self.moved_in(new))
                 && let Err(e) = self.endpoint(new)
             {
                 return self.fault = Some(e);
             }
-            self.list(new, State::On);
-            self.list(old, State::Draining);
-            self.list(old, State::Gone);
-            self.at(now + REPLACED, Ev::Retire { endpoint: old });
+            self.list(new, ListedState::Active);
+            self.list(old, ListedState::Draining);
+            self.list(old, ListedState::Removed);
+            self.at(now + REPLACEMENT_OVERLAP, Ev::Retire { endpoint: old });
         }
         self.at(
             now + f.every,
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -8,8 +8,8 @@
 use martenlatch_clock::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::event_log::{Fact, What};
 use crate::experiment::Class;
-use crate::fact::{Fact, What};
 use crate::model::partner::Reply;
 
 /// Figures of one second.
--- a/crates/lab/tests/hostile.rs
+++ b/crates/lab/tests/hostile.rs
@@ -3,8 +3,8 @@
 
 use std::collections::HashMap;
 
+use martenlatch_lab::event_log::{Fact, What};
 use martenlatch_lab::experiment::Experiment;
-use martenlatch_lab::fact::{Fact, What};
 use martenlatch_lab::model::partner::Reply;
 use martenlatch_lab::model::site::Site;
 use martenlatch_lab::sim;
@@ -27,7 +27,7 @@
     let parts: Vec<f64> = Site::new(&x.world, seed)
         .partners
         .iter()
-        .map(|p| p.part)
+        .map(|p| p.traffic_share)
         .collect();
     let hostile = (0..parts.len())
         .max_by(|a, b| parts[*a].total_cmp(&parts[*b]))
--- a/crates/lab/tests/judge.rs
+++ b/crates/lab/tests/judge.rs
@@ -1,7 +1,7 @@
 //! The judge against histories written by hand: one that breaks each rule, and one beside it that only nearly does.
 
+use martenlatch_lab::event_log::{Fact, Silence, What};
 use martenlatch_lab::experiment::Effect;
-use martenlatch_lab::fact::{Fact, Silence, What};
 use martenlatch_lab::judge::{ClassRule, Judge, Rule};
 use martenlatch_lab::model::partner::Reply;
 use rstest::rstest;
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -1,18 +1,18 @@
-//! The model of a partner by itself, and the drawing of sites, loads and weather.
+//! The model of a partner by itself, and the drawing of sites, loads and faults.
 
-use martenlatch_lab::experiment::{Experiment, Limit};
+use martenlatch_lab::experiment::{Experiment, Limit, WorkDistribution};
 use martenlatch_lab::load;
-use martenlatch_lab::model::partner::{Call, Partner, Reply, Taken};
+use martenlatch_lab::model::fault_schedule::{ActiveFaults, FaultSchedule};
+use martenlatch_lab::model::partner::{Admission, Call, Partner, Reply};
 use martenlatch_lab::model::site::Site;
-use martenlatch_lab::model::weather::{Forecast, Weather};
 
 fn experiment(rest: &str) -> Experiment {
     let text = format!("length_s: 60 load {{ level: 0.5 }} {rest}");
     Experiment::read("t", "t", &text).unwrap_or_else(|e| panic!("{e}"))
 }
 
-fn fair(x: &Experiment, site: &Site) -> Weather {
-    Forecast::new(x, site).at(0, 0.0)
+fn no_faults(x: &Experiment, site: &Site) -> ActiveFaults {
+    FaultSchedule::new(x, site).active_at(0, 0.0)
 }
 
 /// A lone partner of a kind, with one endpoint named 0.
@@ -28,10 +28,13 @@
 
 fn call(no: u64) -> Call {
     Call {
-        no,
+        number: no,
         origin: no,
         attempt: 0,
-        work: (100.0, 0.01),
+        work: WorkDistribution {
+            mean: 100.0,
+            variation: 0.01,
+        },
     }
 }
 
@@ -39,23 +42,26 @@
 fn a_window_takes_so_many_and_tells_to_wait_to_its_end() {
     let kind = "limit: WINDOW window_ms: 2000 headroom { least: 1 most: 1 } least_rate { } tells_wait: 1 queue { least: 99 most: 99 }";
     let (x, site, mut partner) = lone(kind);
-    assert_eq!(site.partners[0].limit, Some(10.0));
-    let weather = fair(&x, &site);
-    let taken: Vec<Taken> = (0..25)
-        .map(|no| partner.call(0, call(no), &weather, 2_500.0))
+    assert_eq!(site.partners[0].rate_limit, Some(10.0));
+    let faults = no_faults(&x, &site);
+    let taken: Vec<Admission> = (0..25)
+        .map(|no| partner.deliver(0, call(no), &faults, 2_500.0))
         .collect();
     assert_eq!(
         taken
             .iter()
-            .filter(|t| !matches!(t, Taken::Reply(_)))
+            .filter(|t| !matches!(t, Admission::Answered(_)))
             .count(),
         20
     );
-    assert_eq!(taken[24], Taken::Reply(Reply::Refused(Some(1_500.0))));
+    assert_eq!(
+        taken[24],
+        Admission::Answered(Reply::Refused(Some(1_500.0)))
+    );
     assert!(
         !matches!(
-            partner.call(0, call(30), &weather, 4_000.0),
-            Taken::Reply(_)
+            partner.deliver(0, call(30), &faults, 4_000.0),
+            Admission::Answered(_)
         ),
         "a new span"
     );
@@ -70,12 +76,12 @@
              refused_count: {counts} queue {{ least: 99 most: 99 }}"
         );
         let (x, site, mut partner) = lone(&kind);
-        let weather = fair(&x, &site);
-        let call = |no: u64| partner.call(0, call(no), &weather, 50.0 * no as f64);
+        let faults = no_faults(&x, &site);
+        let call = |no: u64| partner.deliver(0, call(no), &faults, 50.0 * no as f64);
         assert_eq!(
             (0..120)
                 .map(call)
-                .filter(|taken| !matches!(taken, Taken::Reply(_)))
+                .filter(|taken| !matches!(taken, Admission::Answered(_)))
                 .count(),
             want
         );
@@ -86,21 +92,21 @@
 fn an_endpoint_runs_so_many_queues_some_and_refuses_the_rest() {
     let (x, site, mut partner) = lone("limit: NONE queue { least: 2 most: 2 }");
     assert_eq!(
-        (x.world.kinds[0].limit, site.partners[0].limit),
+        (x.world.kinds[0].limit, site.partners[0].rate_limit),
         (Limit::None, None)
     );
-    let (weather, cores) = (fair(&x, &site), u64::from(site.partners[0].cores));
-    let taken: Vec<Taken> = (0..cores * 4)
-        .map(|no| partner.call(0, call(no), &weather, 0.0))
+    let (faults, cores) = (no_faults(&x, &site), u64::from(site.partners[0].cores));
+    let taken: Vec<Admission> = (0..cores * 4)
+        .map(|no| partner.deliver(0, call(no), &faults, 0.0))
         .collect();
-    let count = |of: fn(&Taken) -> bool| taken.iter().filter(|t| of(t)).count() as u64;
-    assert_eq!(count(|t| *t == Taken::Runs), cores);
-    assert_eq!(count(|t| *t == Taken::Queued), 2 * cores);
+    let count = |of: fn(&Admission) -> bool| taken.iter().filter(|t| of(t)).count() as u64;
+    assert_eq!(count(|t| *t == Admission::Running), cores);
+    assert_eq!(count(|t| *t == Admission::Queued), 2 * cores);
     let (mut answers, mut now) = (Vec::new(), 0.0);
-    while let Some(due) = partner.due() {
+    while let Some(due) = partner.next_completion() {
         assert!(due > now && due < 5_000.0);
         now = due;
-        answers.extend(partner.advance(&weather, now).0);
+        answers.extend(partner.advance(&faults, now).answers);
     }
     assert_eq!(
         answers.len() as u64,
@@ -113,11 +119,11 @@
 fn an_outage_loses_what_runs_and_a_cold_partner_that_is_pushed_falls_over_for_good() {
     let (x, site, mut partner) =
         lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
-    let weather = fair(&x, &site);
-    partner.call(0, call(1), &weather, 0.0);
-    partner.turn_out(true, 1.0);
-    assert_eq!(partner.due(), None, "what ran there is lost");
-    partner.turn_out(false, 10_000.0);
+    let faults = no_faults(&x, &site);
+    partner.deliver(0, call(1), &faults, 0.0);
+    partner.set_out(true, 1.0);
+    assert_eq!(partner.next_completion(), None, "what ran there is lost");
+    partner.set_out(false, 10_000.0);
     assert_eq!(
         (partner.warmth(10_000.0), partner.warmth(18_000.0)),
         (0.25, 1.0)
@@ -126,14 +132,14 @@
     let push = |times: f64| {
         let (_, _, mut partner) =
             lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
-        partner.turn_out(true, 1.0);
-        partner.turn_out(false, 10_000.0);
+        partner.set_out(true, 1.0);
+        partner.set_out(false, 10_000.0);
         let gap = 1e3 / (can * times);
         let count = (4_000.0 / gap) as u64;
         (0..count).for_each(|no| {
-            let _ = partner.call(0, call(no), &weather, 10_000.0 + gap * no as f64);
+            let _ = partner.deliver(0, call(no), &faults, 10_000.0 + gap * no as f64);
         });
-        partner.toppled()
+        partner.collapsed()
     };
     assert!(!push(0.4) && push(3.0));
 }
@@ -148,26 +154,29 @@
          failure { what: RESET_AFTER start_s: 40 length_s: 5 part: 0.5 } failure { what: RESET_AFTER start_s: 40 length_s: 5 part: 0.5 }",
     );
     let site = Site::new(&x.world, 3);
-    let forecast = Forecast::new(&x, &site);
+    let faults = FaultSchedule::new(&x, &site);
     let ranked = site.by_traffic();
-    let slow = |at: f64| forecast.at(ranked[5], at * 1e3).slow;
+    let slow = |at: f64| faults.active_at(ranked[5], at * 1e3).slowdown;
     assert_eq!(
         [slow(9.0), slow(12.0), slow(17.0), slow(22.0), slow(26.0)],
         [1.0, 2.0, 6.0, 3.0, 1.0]
     );
     assert!(
-        forecast.out(ranked[0], 12e3)
-            && !forecast.out(ranked[1], 12e3)
-            && !forecast.out(ranked[0], 15e3)
+        faults.is_out(ranked[0], 12e3)
+            && !faults.is_out(ranked[1], 12e3)
+            && !faults.is_out(ranked[0], 15e3)
+    );
+    assert_eq!(
+        faults.active_at(ranked[0], 32_100.0).paused_until,
+        Some(32_300.0)
     );
-    assert_eq!(forecast.at(ranked[0], 32_100.0).still, Some(32_300.0));
-    assert_eq!(forecast.at(ranked[0], 32_400.0).still, None);
+    assert_eq!(faults.active_at(ranked[0], 32_400.0).paused_until, None);
     assert_eq!(
-        forecast.at(ranked[9], 32_100.0).still,
+        faults.active_at(ranked[9], 32_100.0).paused_until,
         None,
         "the smallest is not among half of the traffic"
     );
-    assert_eq!(forecast.at(ranked[9], 41e3).reset.1, 0.75);
+    assert_eq!(faults.active_at(ranked[9], 41e3).reset.after, 0.75);
 }
 
 #[test]
@@ -176,7 +185,7 @@
         "world { partners: 20 full_rate: 100 } failure { what: BURST start_s: 30 length_s: 10 size: 3 }",
     );
     let site = Site::new(&x.world, 7);
-    let plan = load::plan(&x, &site, &Forecast::new(&x, &site), 7);
+    let plan = load::plan(&x, &site, &FaultSchedule::new(&x, &site), 7);
     let within = |from: f64, to: f64| {
         plan.iter()
             .filter(|m| m.at >= from * 1e3 && m.at < to * 1e3)
@@ -198,7 +207,7 @@
         .count() as f64
         / plan.len() as f64;
     assert!(
-        (share / site.partners[biggest].part - 1.0).abs() < 0.35,
+        (share / site.partners[biggest].traffic_share - 1.0).abs() < 0.35,
         "{share}"
     );
     assert!(plan.is_sorted_by(|a, b| a.at <= b.at));
--- a/crates/lab/tests/orders.rs
+++ b/crates/lab/tests/orders.rs
@@ -7,10 +7,10 @@
 use std::rc::Rc;
 
 use martenlatch_clock::{Millis, millis, nanos};
+use martenlatch_lab::event_log::{Fact, Silence, What};
 use martenlatch_lab::experiment::Effect;
-use martenlatch_lab::fact::{Fact, Silence, What};
 use martenlatch_lab::judge::{ClassRule, Judge, Rule};
-use martenlatch_lab::model::partner::{FALL, Reply};
+use martenlatch_lab::model::partner::{COLLAPSE_FACTOR, COLLAPSE_WINDOW, Reply};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{
     Action, ClassId, Decay, DestinationId, DestinationKind, EndpointEntry, EndpointId,
@@ -152,8 +152,8 @@
         may_hedge: true,
         max_retry_after: Some(nanos(3_000.0)),
         recovery: RecoveryRamp {
-            overload_factor: FALL.0,
-            overload_window: nanos(FALL.1),
+            overload_factor: COLLAPSE_FACTOR,
+            overload_window: nanos(COLLAPSE_WINDOW),
             initial_share: COLD.0,
             duration: nanos(COLD.1),
         },
@@ -449,8 +449,10 @@
             let warmth = COLD.0 + (1.0 - COLD.0) * (now - back) / COLD.1;
             let came = self.came.entry(partner).or_default();
             came.push(now);
-            came.retain(|at| *at >= now - FALL.1);
-            if came.len() as f64 > FALL.0 * CAPACITY * warmth * FALL.1 / 1e3 && !self.toppled {
+            came.retain(|at| *at >= now - COLLAPSE_WINDOW);
+            if came.len() as f64 > COLLAPSE_FACTOR * CAPACITY * warmth * COLLAPSE_WINDOW / 1e3
+                && !self.toppled
+            {
                 self.toppled = true;
                 self.fact(What::Toppled { partner });
             }
@@ -785,7 +787,7 @@
     f.send(0, 14, 0, 1_000.0);
 })]
 #[case::none_toppled(Rule::NoneToppled, |f: &mut Fleet| {
-    f.pass(FALL.1);
+    f.pass(COLLAPSE_WINDOW);
     f.take(Step::Out(0));
     f.hand_in(0, KEYED, 0, true);
     f.take(Step::Back(0));
