Give the cordons a typed error and small steps for their file

Need: cordons.rs reported failures as strings and read its file in one nested expression. Change: CordonError (thiserror) has the four replies to an operator, to the letter; decoding and encoding of the file are functions of their own; the share of the disk and the longest name are named constants; the test moves beside the module.

--- a/crates/sender/src/cordons.rs
+++ b/crates/sender/src/cordons.rs
@@ -1,158 +1,163 @@
-//! Owns which regions operators have taken out, by the names that discovery lists, and the file that outlasts the
-//! process. It must never say that a ban holds which is not on disk, or let a damaged line cost another.
+//! Cordons: the endpoints that operators have taken out of service by hand, and the file that keeps them over a
+//! restart.
+//!
+//! An endpoint is cordoned by the name under which discovery lists it. A change counts only once the file has been
+//! replaced. Each line of the file carries its own checksum, so that a damaged line costs one cordon and not all.
 
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use thiserror::Error;
 use tracing::error;
 
-/// Says what the file is, and in which version.
-const MAGIC: &str = "mlhand1";
-/// Part of the disk limit that the file may take, old and new together: the wal leaves that much.
-const PART: f64 = 0.06;
-/// Longest name that can be taken out; a caller's line is not much longer.
-pub const NAME: usize = 256;
+use crate::atomic_file;
 
-/// The bans.
-pub struct Cordons {
-    file: PathBuf,
-    /// Bytes that the file may have.
-    most: usize,
-    out: BTreeSet<Rc<str>>,
+/// The first line of the file: its kind and format version.
+const FILE_HEADER: &str = "mlhand1";
+/// Part of the disk limit that the file may take, its old and its new version together. The write-ahead log leaves
+/// that much free.
+const DISK_SHARE: f64 = 0.06;
+/// The old and the new version of the file stand on disk together while it is replaced.
+const FILE_VERSIONS: f64 = 2.0;
+/// Longest endpoint name that can be cordoned, in bytes: the line in which an operator names it is not much longer.
+pub const MAX_NAME_BYTES: usize = 256;
+
+/// Why an endpoint could not be cordoned or uncordoned. The text is the reply to the operator.
+#[derive(Debug, Error)]
+pub enum CordonError {
+    /// The endpoint has never been listed by discovery; the name is escaped and shortened for display.
+    #[error("{0} was never listed")]
+    NeverListed(String),
+    /// The name is longer than [`MAX_NAME_BYTES`].
+    #[error("the id is over {} bytes", MAX_NAME_BYTES)]
+    NameTooLong,
+    /// The file would exceed its share of the disk limit.
+    #[error("no room on disk for more than the {cordoned} that are out")]
+    FileFull {
+        /// How many endpoints are cordoned already.
+        cordoned: usize,
+    },
+    /// The file could not be replaced; the cordons are what they were before.
+    #[error("the ban cannot be written: {0}")]
+    NotWritten(#[from] std::io::Error),
 }
 
-fn sum(name: &str) -> u32 {
-    crc32fast::hash(name.as_bytes())
+/// Two errors are equal if an operator is told the same.
+impl PartialEq for CordonError {
+    fn eq(&self, other: &CordonError) -> bool {
+        self.to_string() == other.to_string()
+    }
+}
+
+/// The names of the cordoned endpoints, and their file.
+pub struct Cordons {
+    file: PathBuf,
+    max_file_bytes: usize,
+    cordoned: BTreeSet<Rc<str>>,
 }
 
 impl Cordons {
-    /// Reads the bans of earlier lives. What cannot be read is said, and costs nothing else.
-    pub fn open(folder: &Path, disk: u64) -> Cordons {
+    /// Reads the cordons of earlier processes from the state directory `folder`. `disk_limit` is the disk space of
+    /// the whole sender, in bytes.
+    ///
+    /// A file that cannot be read in whole or in part is logged; whatever can be read of it counts.
+    pub fn open(folder: &Path, disk_limit: u64) -> Cordons {
         let file = folder.join("cordons");
-        let mut out = BTreeSet::new();
-        match std::fs::read(&file) {
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => {}
-            Err(e) => error!(error = ?e.kind(), "cordons unreadable"),
-            Ok(bytes) => {
-                let text = String::from_utf8_lossy(&bytes);
-                let mut lines = text.lines();
-                let known = lines.next() == Some(MAGIC);
-                let name = |line: &str| {
-                    let (told, name) = line.split_once(' ')?;
-                    (u32::from_str_radix(told, 16).ok()? == sum(name)).then(|| Rc::from(name))
-                };
-                let (good, bad): (Vec<_>, Vec<_>) = lines.map(name).partition(Option::is_some);
-                out.extend(good.into_iter().flatten());
-                if !known || !bad.is_empty() {
-                    error!(lines = bad.len(), kept = out.len(), "cordons damaged");
+        let cordoned = match std::fs::read(&file) {
+            Ok(bytes) => decode_file(&String::from_utf8_lossy(&bytes)),
+            Err(error) => {
+                if error.kind() != std::io::ErrorKind::NotFound {
+                    error!(error = ?error.kind(), "cordons unreadable");
                 }
+                BTreeSet::new()
             }
-        }
+        };
         Cordons {
             file,
-            most: (disk as f64 * PART / 2.0) as usize,
-            out,
+            max_file_bytes: (disk_limit as f64 * DISK_SHARE / FILE_VERSIONS) as usize,
+            cordoned,
         }
     }
 
-    /// Whether operators have taken out the region of that name.
+    /// Whether the endpoint of that name is cordoned.
     pub fn holds(&self, name: &str) -> bool {
-        self.out.contains(name)
+        self.cordoned.contains(name)
     }
 
+    /// The names of the cordoned endpoints, in order.
     #[cfg(test)]
     fn names(&self) -> impl Iterator<Item = &Rc<str>> {
-        self.out.iter()
+        self.cordoned.iter()
     }
 
-    /// Takes a region out, or puts it back, on disk first. Whether that changed anything.
+    /// Cordons an endpoint, or uncordons it, on disk first. Returns whether that changed anything.
     ///
     /// # Errors
-    /// Why it could not be written; what held before holds on.
-    pub fn put(&mut self, name: &Rc<str>, out: bool) -> Result<bool, String> {
-        if self.holds(name) == out {
+    /// [`CordonError::FileFull`] or [`CordonError::NotWritten`]; the cordons are what they were before.
+    pub fn put(&mut self, name: &Rc<str>, cordoned: bool) -> Result<bool, CordonError> {
+        if self.holds(name) == cordoned {
             return Ok(false);
         }
-        let mut next = self.out.clone();
-        if out {
-            next.insert(name.clone())
+        let mut changed = self.cordoned.clone();
+        if cordoned {
+            changed.insert(name.clone());
         } else {
-            next.remove(name)
-        };
-        let lines = next
-            .iter()
-            .map(|name| format!("{:08x} {name}\n", sum(name)));
-        let text: String = std::iter::once(format!("{MAGIC}\n")).chain(lines).collect();
-        if out && text.len() > self.most {
-            return Err(format!(
-                "no room on disk for more than the {} that are out",
-                self.out.len()
-            ));
+            changed.remove(name);
+        }
+        let text = encode_file(&changed);
+        // Only a new cordon needs space: an endpoint can always be uncordoned.
+        if cordoned && text.len() > self.max_file_bytes {
+            return Err(CordonError::FileFull {
+                cordoned: self.cordoned.len(),
+            });
         }
-        crate::atomic_file::replace(&self.file, text.as_bytes())
-            .map_err(|e| format!("the ban cannot be written: {e}"))?;
-        self.out = next;
+        atomic_file::replace(&self.file, text.as_bytes())?;
+        self.cordoned = changed;
         Ok(true)
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn bans_last_and_neither_damage_nor_a_full_disk_costs_more_than_it_must() {
-        let folder = std::env::temp_dir().join(format!("martenlatch-hand-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).unwrap();
-        let name = |n: &str| Rc::<str>::from(n);
-        let mut cordons = Cordons::open(&folder, 3_000_000);
-        for (id, out, changed) in [
-            ("a", true, true),
-            ("a", true, false),
-            ("b", true, true),
-            ("c", true, true),
-        ] {
-            assert_eq!(cordons.put(&name(id), out), Ok(changed));
-        }
-        assert_eq!(cordons.put(&name("c"), false), Ok(true));
-        let names = || {
-            Cordons::open(&folder, 3_000_000)
-                .names()
-                .map(|n| n.to_string())
-                .collect::<Vec<_>>()
-        };
-        assert_eq!(names(), ["a", "b"]);
-        // A disk that takes no new file: the call fails, and what held before holds.
-        std::fs::create_dir(folder.join("cordons.new")).unwrap();
-        assert!(cordons.put(&name("d"), true).is_err() && cordons.put(&name("a"), false).is_err());
-        assert!(cordons.holds("a") && !cordons.holds("d"));
-        std::fs::remove_dir(folder.join("cordons.new")).unwrap();
-        // However it is damaged: no panic, no name that was not there, and a line costs itself alone.
-        let whole = std::fs::read(folder.join("cordons")).unwrap();
-        for at in 0..whole.len() {
-            let mut spoilt = whole.clone();
-            spoilt[at] ^= 0x20;
-            std::fs::write(folder.join("cordons"), &spoilt).unwrap();
-            let left = names();
-            // A damaged line end makes one damaged line of two.
-            assert!(
-                (whole[at] == b'\n' || !left.is_empty())
-                    && left.iter().all(|n| n == "a" || n == "b"),
-                "byte {at}: {left:?}"
-            );
-            std::fs::write(folder.join("cordons"), &whole[..at]).unwrap();
-            assert!(names().iter().all(|n| n == "a" || n == "b"), "cut at {at}");
+fn checksum(name: &str) -> u32 {
+    crc32fast::hash(name.as_bytes())
+}
+
+fn encode_file(cordoned: &BTreeSet<Rc<str>>) -> String {
+    let mut text = format!("{FILE_HEADER}\n");
+    for name in cordoned {
+        text.push_str(&format!("{:08x} {name}\n", checksum(name)));
+    }
+    text
+}
+
+/// Reads every line of the file that is intact, whatever the others hold, and logs damage.
+fn decode_file(text: &str) -> BTreeSet<Rc<str>> {
+    let mut lines = text.lines();
+    let header_known = lines.next() == Some(FILE_HEADER);
+    let mut cordoned = BTreeSet::new();
+    let mut damaged_lines: usize = 0;
+    for line in lines {
+        match decode_line(line) {
+            Some(name) => _ = cordoned.insert(Rc::from(name)),
+            None => damaged_lines += 1,
         }
-        let mut full = Cordons::open(&folder, 1_000);
-        let more = (0..9)
-            .map(|n| full.put(&name(&format!("long-{n}")), true).is_ok())
-            .collect::<Vec<_>>();
-        assert!(
-            !more[8] && full.put(&name("long-0"), false).is_ok(),
-            "{more:?}: putting back needs no room"
+    }
+    if !header_known || damaged_lines > 0 {
+        error!(
+            lines = damaged_lines,
+            kept = cordoned.len(),
+            "cordons damaged"
         );
-        let _ = std::fs::remove_dir_all(&folder);
     }
+    cordoned
 }
+
+/// The name on a line of the file, if its checksum is right.
+fn decode_line(line: &str) -> Option<&str> {
+    let (stored_checksum, name) = line.split_once(' ')?;
+    let stored_checksum = u32::from_str_radix(stored_checksum, 16).ok()?;
+    (stored_checksum == checksum(name)).then_some(name)
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -13,7 +13,7 @@
 use serde_json::Value;
 use tracing::warn;
 
-use crate::cordons::{self, Cordons};
+use crate::cordons::{CordonError, Cordons, MAX_NAME_BYTES};
 use crate::event_source::{Connection, EventSource, Handle};
 use crate::jitter::Jitter;
 use martenlatch_clock::Millis;
@@ -282,7 +282,7 @@
     ///
     /// # Errors
     /// Why that does not hold.
-    pub fn set_cordon(&mut self, name: &str, out: bool) -> Result<Option<Change>, String> {
+    pub fn set_cordon(&mut self, name: &str, out: bool) -> Result<Option<Change>, CordonError> {
         let listed = self.numbers.get(name).copied();
         if listed.is_none() && !self.gone_names.contains(name) && !self.cordons.holds(name) {
             let shown: String = name
@@ -290,10 +290,10 @@
                 .take(80)
                 .flat_map(char::escape_default)
                 .collect();
-            return Err(format!("{shown} was never listed"));
+            return Err(CordonError::NeverListed(shown));
         }
-        if name.len() > cordons::NAME {
-            return Err(format!("the id is over {} bytes", cordons::NAME));
+        if name.len() > MAX_NAME_BYTES {
+            return Err(CordonError::NameTooLong);
         }
         if !self.cordons.put(&Rc::from(name), out)? {
             return Ok(None);
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -426,7 +426,10 @@
 
     /// An operator takes a region out or puts it back: on disk and in the module's next turn before the yes.
     fn set_cordon(&mut self, id: &str, out: bool) -> Result<String, String> {
-        let change = self.directory.set_cordon(id, out)?;
+        let change = self
+            .directory
+            .set_cordon(id, out)
+            .map_err(|error| error.to_string())?;
         let changed = change.is_some();
         change.into_iter().for_each(|c| self.listed(c));
         info!(id, out, changed, "by hand");
