Split egress by concern: pool, exchange, response, outcome, faults, scarcity

Need: egress was one file of 1,383 lines in which the pool, the exchange, the outcome and the detection of stale connections were one, with magic pairs and house words. The order of fields, system calls and decisions is as before.

--- a/crates/sender/src/egress/connection_scarcity.rs
+++ b/crates/sender/src/egress/connection_scarcity.rs
@@ -1,53 +1,82 @@
-//! Owns what is known of how crowded regions are: whether those of a kind turn calls away for want of connections. It knows no
-//! sockets, and must never judge a region's health or load: those show on connections that are kept, too.
+//! Detection of endpoints that have no connections to spare, for each kind of endpoint.
+//!
+//! An endpoint holds few connections, and does not say how many. One whose connections are all taken rejects requests
+//! on new connections and serves those on the connections that it has. So a sender that holds a connection never meets
+//! a rejection, and one that holds none is never served. A sender that sees this at any endpoint of a kind keeps no
+//! idle connection to endpoints of that kind: each would keep another sender out.
+//!
+//! It says nothing of an endpoint's health or load: those show on reused connections, too.
 
 use serde::{Deserialize, Serialize};
 
-/// What an answer on a connection takes off what is remembered of those before it.
-const MEMORY: f64 = 0.9;
-/// So much of the calls on new connections must be turned away, so many of them, and at most so much on kept ones.
-const CROWDED: (f64, f64, f64) = (0.6, 2.0, 0.2);
+/// What each response leaves of the weight of those before it.
+const DECAY: f64 = 0.9;
+/// Scarcity: at least this part of the requests on new connections is rejected...
+const MIN_REJECTED_ON_NEW: f64 = 0.6;
+/// ...and at least this many of them, weighted, so that it is no chance...
+const MIN_REJECTIONS_ON_NEW: f64 = 2.0;
+/// ...and at most this part of the requests on reused connections.
+const MAX_REJECTED_ON_REUSED: f64 = 0.2;
 
-/// Calls answered, fading: turned away, and all.
+/// Weighted counts of recent responses.
 #[derive(Clone, Copy, Default, Serialize, Deserialize)]
-struct Share {
-    turned_away: f64,
-    all: f64,
+struct ResponseCounts {
+    rejected: f64,
+    total: f64,
 }
 
-impl Share {
-    fn learn(&mut self, turned_away: bool) {
-        self.turned_away = self.turned_away * MEMORY + f64::from(turned_away);
-        self.all = self.all * MEMORY + 1.0;
+impl ResponseCounts {
+    fn record(&mut self, rejected: bool) {
+        self.rejected = self.rejected * DECAY + f64::from(rejected);
+        self.total = self.total * DECAY + 1.0;
     }
 }
 
-/// For each kind of region, how calls fare on new connections and on kept ones.
-///
-/// A region holds few connections, and says nowhere how many. One that holds no more turns away what comes on a new one, and
-/// serves what comes on those it has: so who has one never meets a refusal, and who has none is never served. A sender that
-/// sees this at any region of a kind keeps no idle connection to those of that kind: each is another sender's call.
+/// Responses of the endpoints of one kind, by the connection that they came on.
+#[derive(Clone, Copy, Default, Serialize, Deserialize)]
+struct KindCounts {
+    new_connections: ResponseCounts,
+    reused_connections: ResponseCounts,
+}
+
+/// A response, as far as it says something of an endpoint's spare connections.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionResponse {
+    /// The connection had carried an admitted request before.
+    pub reused: bool,
+    /// The endpoint rejected the request.
+    pub rejected: bool,
+    /// The rejection named a time to wait: it comes from a rate limit, and says nothing of connections.
+    pub retry_after_given: bool,
+}
+
+/// For each kind of endpoint, whether its endpoints lack spare connections. Serialized for a process replacement.
 #[derive(Clone, Default, Serialize, Deserialize)]
-pub struct ConnectionScarcity(Vec<[Share; 2]>);
+pub struct ConnectionScarcity(Vec<KindCounts>);
 
 impl ConnectionScarcity {
-    /// A call was answered. A told wait is a limit's, and no lack of connections.
-    pub fn learn(&mut self, kind: usize, kept: bool, turned_away: bool, told_wait: bool) {
+    /// Takes account of a response of an endpoint of the kind with that index in the settings.
+    pub fn record(&mut self, kind: usize, response: ConnectionResponse) {
         if kind >= self.0.len() {
             self.0.resize_with(kind + 1, Default::default);
         }
-        if !told_wait || kept {
-            self.0[kind][usize::from(kept)].learn(turned_away);
+        let counts = &mut self.0[kind];
+        if response.reused {
+            counts.reused_connections.record(response.rejected);
+        } else if !response.retry_after_given {
+            counts.new_connections.record(response.rejected);
         }
     }
 
-    /// Whether an idle connection to a region of a kind keeps others out.
-    pub fn is(&self, kind: usize) -> bool {
-        let Some([new, kept]) = self.0.get(kind) else {
+    /// Whether an idle connection to an endpoint of the kind keeps other senders out.
+    pub fn is_scarce(&self, kind: usize) -> bool {
+        let Some(counts) = self.0.get(kind) else {
             return false;
         };
-        new.turned_away >= CROWDED.1
-            && new.turned_away >= CROWDED.0 * new.all
-            && kept.turned_away <= CROWDED.2 * kept.all
+        let new = counts.new_connections;
+        let reused = counts.reused_connections;
+        new.rejected >= MIN_REJECTIONS_ON_NEW
+            && new.rejected >= MIN_REJECTED_ON_NEW * new.total
+            && reused.rejected <= MAX_REJECTED_ON_REUSED * reused.total
     }
 }
--- /dev/null
+++ b/crates/sender/src/egress/tests/attempt_end.rs
@@ -0,0 +1,53 @@
+//! Tests of the outcome of attempts that end without a complete response.
+
+use super::super::attempt_end::{EndCause, EndedAttempt, STALE_DETECTION_WINDOW};
+use super::*;
+
+/// A completely sent request on a new connection that was lost without a response.
+fn lost() -> EndedAttempt {
+    EndedAttempt {
+        cause: EndCause::ConnectionLost,
+        connected: true,
+        flushed: true,
+        last_byte_held_back: false,
+        fully_sent: true,
+        response_begun: false,
+        status_line_is_200: false,
+        idle_before: None,
+        started_at: 100.0,
+        ended_at: 110.0,
+    }
+}
+
+#[rstest::rstest]
+#[case::sent(lost(), Outcome::ConnectionLost)]
+#[case::partly_sent(EndedAttempt { flushed: false, fully_sent: false, ..lost() }, Outcome::Unreachable)]
+#[case::not_established(EndedAttempt { connected: false, ..lost() }, Outcome::Unreachable)]
+#[case::last_byte_held_back(EndedAttempt { last_byte_held_back: true, ..lost() }, Outcome::NotSent)]
+#[case::confirmed(EndedAttempt { response_begun: true, status_line_is_200: true, ..lost() }, Outcome::Success)]
+#[case::confirmed_too_early(
+    EndedAttempt { cause: EndCause::SuccessStatusLine, flushed: false, fully_sent: false, status_line_is_200: true, ..lost() },
+    Outcome::NotSent)]
+#[case::timed_out(EndedAttempt { cause: EndCause::TimedOut, ..lost() }, Outcome::TimedOut)]
+#[case::timed_out_in_a_response(
+    EndedAttempt { cause: EndCause::TimedOut, response_begun: true, ..lost() }, Outcome::Failure)]
+#[case::malformed(EndedAttempt { cause: EndCause::MalformedResponse, ..lost() }, Outcome::Failure)]
+#[case::cancelled(EndedAttempt { cause: EndCause::Cancelled, ..lost() }, Outcome::Cancelled)]
+#[case::withdrawn(EndedAttempt { cause: EndCause::Withdrawn, flushed: false, ..lost() }, Outcome::NotSent)]
+#[case::stale(EndedAttempt { idle_before: Some(9.0), ..lost() }, Outcome::StaleConnection)]
+#[case::stale_and_partly_sent(EndedAttempt { idle_before: Some(9.0), flushed: false, ..lost() }, Outcome::NotSent)]
+#[case::reused_but_lost_later(
+    EndedAttempt { idle_before: Some(9.0), ended_at: 100.0 + STALE_DETECTION_WINDOW, ..lost() }, Outcome::ConnectionLost)]
+#[case::reused_but_a_response_had_begun(
+    EndedAttempt { idle_before: Some(9.0), response_begun: true, ..lost() }, Outcome::ConnectionLost)]
+fn the_outcome_follows_from_what_was_written_and_what_came_back(
+    #[case] end: EndedAttempt,
+    #[case] outcome: Outcome,
+) {
+    let classification = end.classify();
+    assert_eq!(classification.outcome, outcome);
+    let lost = end.cause == EndCause::ConnectionLost;
+    assert_eq!(classification.connection_lost, lost);
+    let stale = lost && end.idle_before.is_some() && !end.response_begun && end.ended_at < 150.0;
+    assert_eq!(classification.stale_after, stale.then_some(9.0));
+}
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -9,7 +9,7 @@
 use tracing::debug;
 
 use super::message_store::MessageStore;
-use crate::egress::{AttemptResult, Call, Egress};
+use crate::egress::{AttemptRequest, AttemptResult, Egress};
 
 /// A routed task's transaction and its goal.
 pub struct DispatchTarget {
@@ -87,15 +87,15 @@
         let (head, body, destination) = (head.as_bytes(), &*taken.body, taken.destination);
         // A further attempt has failed once, and should not do so again for the sake of a connection.
         let (dear, attempt) = (once || attempt > 0, attempt as u32);
-        let call = Call {
+        let call = AttemptRequest {
             id,
             attempt,
-            region,
+            endpoint: region,
             kind,
             destination,
             timeout,
             latest,
-            dear,
+            must_not_be_lost: dear,
             head,
             body,
         };
