Split the write-ahead log into record, codec, file, recovery and compaction

Its record types had bare tag bytes in several functions, its limits stood in a triple of numbers, and a log that could not be opened was an io::Error without its path.

Each concern is now a module: record types with named tags, one codec with one loop over frames, the file, the limits, recovery, compaction and inspection. Opening reports a typed LogError; the texts that users see are the same. The bytes, the order of writes and the postcard form of LogPosition are unchanged. The log lines say "write-ahead log" in place of "ledger".

--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -157,7 +157,7 @@
                 (
                     listener,
                     policy,
-                    wal.map_err(failed)?,
+                    wal.map_err(|e| failed(std::io::Error::other(e)))?,
                     past,
                     Some((process_state, fds)),
                 )
--- /dev/null
+++ b/crates/wal/src/compaction.rs
@@ -0,0 +1,105 @@
+//! Compaction: a new file that holds only what is still needed takes the place of the old one.
+
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use martenlatch_clock::Millis;
+use tracing::error;
+
+use crate::codec::{self, MAGIC};
+use crate::record::{LogRecord, MessageRecord, NO_MESSAGE};
+use crate::space::OpenMessages;
+use crate::write_ahead_log::WriteAheadLog;
+
+/// Milliseconds after a failed compaction before the next one.
+const FAILURE_BACKOFF: Millis = 1_000.0;
+
+impl WriteAheadLog {
+    /// Whether a compaction would free space, or must be tried because there is no file to write to. False during the
+    /// backoff after a failure.
+    pub fn wants_compaction(&self, now: Millis) -> bool {
+        let worth_it =
+            self.limits
+                .worth_compacting(self.file.size(), &self.open_messages, self.over.len());
+        (worth_it || !self.file.is_open()) && now >= self.write_backoff_until
+    }
+
+    /// Starts the backoff after a failed compaction; `now` is in milliseconds of Unix time.
+    pub fn compaction_failed(&mut self, now: Millis) {
+        self.write_backoff_until = now + FAILURE_BACKOFF;
+    }
+
+    /// Writes the open messages and the recently closed ids to a new file, which replaces the old one. False: the old
+    /// file stays.
+    pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a MessageRecord>) -> bool {
+        let snapshot = Snapshot::of(&self.over, open);
+        match self.file.replace(&snapshot.file) {
+            Ok(()) => {
+                self.open_messages = snapshot.open_messages;
+                self.class_rules = snapshot.class_rules;
+                true
+            }
+            Err(error) => {
+                error!(error = ?error.kind(), "write-ahead log compaction failed");
+                self.file.remove_replacement();
+                false
+            }
+        }
+    }
+}
+
+/// A compacted file, and what the log must know of it.
+struct Snapshot {
+    file: Vec<u8>,
+    open_messages: OpenMessages,
+    class_rules: HashMap<Rc<str>, Rc<[u8]>>,
+}
+
+impl Snapshot {
+    fn of<'a>(
+        recently_closed: &VecDeque<Rc<str>>,
+        open: impl Iterator<Item = &'a MessageRecord>,
+    ) -> Snapshot {
+        let mut snapshot = Snapshot {
+            file: MAGIC.to_vec(),
+            open_messages: OpenMessages::default(),
+            class_rules: HashMap::new(),
+        };
+        for id in recently_closed {
+            snapshot.write(&LogRecord::closed(NO_MESSAGE, id));
+        }
+        for message in open {
+            snapshot.write_message(message);
+        }
+        snapshot
+    }
+
+    fn write(&mut self, record: &LogRecord<'_>) {
+        self.file.extend(codec::encode(record));
+    }
+
+    fn write_message(&mut self, message: &MessageRecord) {
+        self.write_rules_if_changed(message);
+        self.write(&LogRecord::message(message));
+        self.open_messages.add_message(message);
+        for (number, attempt) in message.attempts.iter().enumerate() {
+            self.write(&LogRecord::attempt(message.no, number, attempt.sent));
+            if attempt.never_ran {
+                self.write(&LogRecord::never_ran(message.no, number));
+            }
+        }
+        if let Some(status) = message.final_status {
+            self.write(&LogRecord::final_status(message.no, status));
+        }
+    }
+
+    /// Writes the rules of the message's class, unless they are the last ones written of it.
+    fn write_rules_if_changed(&mut self, message: &MessageRecord) {
+        let previous = self
+            .class_rules
+            .insert(message.class.clone(), message.rules.clone());
+        if previous.as_ref() != Some(&message.rules) {
+            self.write(&LogRecord::class_rules(&message.class, &message.rules));
+        }
+    }
+}
--- /dev/null
+++ b/crates/wal/src/record.rs
@@ -0,0 +1,169 @@
+//! What the log records: the public types of messages and attempts, and the records as they are stored.
+
+use std::rc::Rc;
+
+use martenlatch_clock::Millis;
+use serde::{Deserialize, Serialize};
+
+/// Most recorded attempts of a message. A further attempt has no record, so it must not start.
+pub const MAX_ATTEMPTS: usize = 64;
+
+/// How a message that was not delivered ends.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub enum FinalStatus {
+    /// It will not be delivered.
+    Undeliverable,
+    /// It was not delivered; the client may hand it in again, after this many milliseconds if any are given.
+    Deferred(Option<u64>),
+}
+
+/// A delivery attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AttemptRecord {
+    /// When it was sent, in milliseconds of Unix time.
+    pub sent: Millis,
+    /// Whether it is proven that the endpoint never processed it.
+    pub never_ran: bool,
+}
+
+/// What the log stores of an accepted message.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MessageRecord {
+    /// The message's number; no number is used twice, also across restarts.
+    pub no: u64,
+    /// The id that the client gave it.
+    pub id: Rc<str>,
+    /// The name of its message class.
+    pub class: Rc<str>,
+    /// The partner that it goes to.
+    pub destination: u64,
+    /// When its delivery must be over, in milliseconds of Unix time.
+    pub deadline: Millis,
+    /// Its idempotency key, if it has one.
+    pub key: Option<Rc<str>>,
+    /// The bytes to deliver.
+    pub body: Rc<[u8]>,
+    /// Its attempts so far, in the order of their numbers.
+    pub attempts: Vec<AttemptRecord>,
+    /// Its final status, once decided; the message stays open until the platform has confirmed it.
+    pub final_status: Option<FinalStatus>,
+    /// The rules of its class when it was accepted, in the caller's encoding; empty if none were recorded.
+    pub rules: Rc<[u8]>,
+}
+
+/// The tag bytes of the stored record types.
+pub(crate) mod tag {
+    pub(crate) const MESSAGE: u8 = b'T';
+    pub(crate) const CLASS_RULES: u8 = b'C';
+    pub(crate) const ATTEMPT: u8 = b'R';
+    pub(crate) const NEVER_RAN: u8 = b'N';
+    pub(crate) const FINAL_STATUS: u8 = b'E';
+    pub(crate) const CLOSED: u8 = b'O';
+}
+
+/// The message number in records that belong to no open message.
+pub(crate) const NO_MESSAGE: u64 = 0;
+
+/// A stored record: the number of the message that it belongs to, and what it says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct LogRecord<'a> {
+    pub(crate) number: u64,
+    pub(crate) entry: Entry<'a>,
+}
+
+/// What a record says.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Entry<'a> {
+    /// The message was accepted.
+    Message(MessageFields<'a>),
+    /// The rules of a class, which hold for the messages accepted after this record.
+    ClassRules { class: &'a str, rules: &'a [u8] },
+    /// An attempt is about to start.
+    Attempt { attempt: usize, sent: Millis },
+    /// An attempt is proven never to have run.
+    NeverRan { attempt: usize },
+    /// The message's final status is decided.
+    FinalStatus(FinalStatus),
+    /// Nothing more is owed. The id is empty if the message's acceptance was revoked.
+    Closed { id: &'a str },
+    /// A record type of a later version.
+    Unknown { tag: u8 },
+}
+
+/// The stored fields of an accepted message.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct MessageFields<'a> {
+    pub(crate) destination: u64,
+    pub(crate) deadline: Millis,
+    pub(crate) id: &'a str,
+    pub(crate) class: &'a str,
+    pub(crate) key: Option<&'a str>,
+    pub(crate) body: &'a [u8],
+}
+
+impl Entry<'_> {
+    /// The tag byte of this record type.
+    pub(crate) fn tag(&self) -> u8 {
+        match self {
+            Entry::Message(_) => tag::MESSAGE,
+            Entry::ClassRules { .. } => tag::CLASS_RULES,
+            Entry::Attempt { .. } => tag::ATTEMPT,
+            Entry::NeverRan { .. } => tag::NEVER_RAN,
+            Entry::FinalStatus(_) => tag::FINAL_STATUS,
+            Entry::Closed { .. } => tag::CLOSED,
+            Entry::Unknown { tag } => *tag,
+        }
+    }
+}
+
+impl<'a> LogRecord<'a> {
+    pub(crate) fn message(message: &'a MessageRecord) -> LogRecord<'a> {
+        let fields = MessageFields {
+            destination: message.destination,
+            deadline: message.deadline,
+            id: &message.id,
+            class: &message.class,
+            key: message.key.as_deref(),
+            body: &message.body,
+        };
+        LogRecord {
+            number: message.no,
+            entry: Entry::Message(fields),
+        }
+    }
+
+    pub(crate) fn class_rules(class: &'a str, rules: &'a [u8]) -> LogRecord<'a> {
+        LogRecord {
+            number: NO_MESSAGE,
+            entry: Entry::ClassRules { class, rules },
+        }
+    }
+
+    pub(crate) fn attempt(number: u64, attempt: usize, sent: Millis) -> LogRecord<'a> {
+        LogRecord {
+            number,
+            entry: Entry::Attempt { attempt, sent },
+        }
+    }
+
+    pub(crate) fn never_ran(number: u64, attempt: usize) -> LogRecord<'a> {
+        LogRecord {
+            number,
+            entry: Entry::NeverRan { attempt },
+        }
+    }
+
+    pub(crate) fn final_status(number: u64, status: FinalStatus) -> LogRecord<'a> {
+        LogRecord {
+            number,
+            entry: Entry::FinalStatus(status),
+        }
+    }
+
+    pub(crate) fn closed(number: u64, id: &'a str) -> LogRecord<'a> {
+        LogRecord {
+            number,
+            entry: Entry::Closed { id },
+        }
+    }
+}
--- /dev/null
+++ b/crates/wal/src/recovery.rs
@@ -0,0 +1,138 @@
+//! Recovery: the state that the records of a log file add up to.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::rc::Rc;
+
+use martenlatch_clock::Millis;
+
+use crate::codec::{Payloads, RecordHeader};
+use crate::recently_closed;
+use crate::record::{
+    AttemptRecord, Entry, FinalStatus, MAX_ATTEMPTS, MessageFields, MessageRecord, tag,
+};
+
+/// What earlier processes left in the log.
+#[derive(Default)]
+pub struct RecoveredState {
+    /// The messages that are not closed, by number.
+    pub open: BTreeMap<u64, MessageRecord>,
+    /// The ids of recently closed messages, oldest first.
+    pub over: VecDeque<Rc<str>>,
+    /// The next message number.
+    pub next: u64,
+    /// Complete records that were read.
+    pub records: u64,
+    /// The rules of each class, as last recorded.
+    pub(crate) class_rules: HashMap<Rc<str>, Rc<[u8]>>,
+    /// Bytes of the file that hold complete records.
+    pub(crate) valid_bytes: u64,
+}
+
+impl RecoveredState {
+    /// Replays a log file up to its end or the first torn record. Nothing behind a torn record was ever confirmed.
+    pub(crate) fn replay(file: &[u8]) -> RecoveredState {
+        let mut state = RecoveredState::default();
+        let Some(mut payloads) = Payloads::new(file) else {
+            return state;
+        };
+        state.valid_bytes = payloads.offset();
+        while let Some(payload) = payloads.next() {
+            if !state.replay_record(payload) {
+                break;
+            }
+            state.records += 1;
+            state.valid_bytes = payloads.offset();
+        }
+        state
+    }
+
+    /// Replays a record. False if it cannot be decoded.
+    fn replay_record(&mut self, payload: &[u8]) -> bool {
+        let Some(header) = RecordHeader::decode(payload) else {
+            return false;
+        };
+        let number = header.number;
+        // The number is taken, and a closed message closed, also where the rest of the record cannot be decoded.
+        self.next = self.next.max(number.saturating_add(1));
+        if header.tag == tag::CLOSED {
+            self.open.remove(&number);
+        }
+        let Some(entry) = header.decode_entry() else {
+            return false;
+        };
+        self.apply(number, entry);
+        true
+    }
+
+    fn apply(&mut self, number: u64, entry: Entry<'_>) {
+        match entry {
+            Entry::Message(fields) => self.insert_message(number, &fields),
+            Entry::ClassRules { class, rules } => {
+                self.class_rules.insert(Rc::from(class), Rc::from(rules));
+            }
+            Entry::Attempt { attempt, sent } => self.start_attempt(number, attempt, sent),
+            Entry::NeverRan { attempt } => self.mark_never_ran(number, attempt),
+            Entry::FinalStatus(status) => self.set_final_status(number, status),
+            // The message itself was removed before its id was decoded.
+            Entry::Closed { id } => {
+                if !id.is_empty() {
+                    recently_closed::remember(&mut self.over, Rc::from(id));
+                }
+            }
+            Entry::Unknown { .. } => {}
+        }
+    }
+
+    fn insert_message(&mut self, number: u64, fields: &MessageFields<'_>) {
+        let rules = self.class_rules.get(fields.class);
+        let message = MessageRecord {
+            no: number,
+            id: Rc::from(fields.id),
+            class: Rc::from(fields.class),
+            destination: fields.destination,
+            deadline: fields.deadline,
+            key: fields.key.map(Rc::from),
+            body: Rc::from(fields.body),
+            attempts: Vec::new(),
+            final_status: None,
+            rules: rules.cloned().unwrap_or_default(),
+        };
+        self.open.insert(number, message);
+    }
+
+    fn start_attempt(&mut self, number: u64, attempt: usize, sent: Millis) {
+        let Some(message) = self.open.get_mut(&number) else {
+            return;
+        };
+        if attempt >= MAX_ATTEMPTS {
+            return;
+        }
+        let attempts = &mut message.attempts;
+        // An earlier attempt without a record was never sent: it may not start before its record is written.
+        if attempts.len() <= attempt {
+            let unsent = AttemptRecord {
+                sent,
+                never_ran: true,
+            };
+            attempts.resize(attempt + 1, unsent);
+        }
+        // A compaction writes an attempt that has not started yet as one that never ran. Here it starts after all.
+        attempts[attempt] = AttemptRecord {
+            sent,
+            never_ran: false,
+        };
+    }
+
+    fn mark_never_ran(&mut self, number: u64, attempt: usize) {
+        let message = self.open.get_mut(&number);
+        if let Some(record) = message.and_then(|message| message.attempts.get_mut(attempt)) {
+            record.never_ran = true;
+        }
+    }
+
+    fn set_final_status(&mut self, number: u64, status: FinalStatus) {
+        if let Some(message) = self.open.get_mut(&number) {
+            message.final_status = Some(status);
+        }
+    }
+}
--- /dev/null
+++ b/crates/wal/src/tests.rs
@@ -0,0 +1,233 @@
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use super::*;
+
+fn folder(name: &str) -> PathBuf {
+    let folder =
+        std::env::temp_dir().join(format!("martenlatch-wal-{name}-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn message(no: u64, size: usize) -> MessageRecord {
+    MessageRecord {
+        no,
+        id: Rc::from(format!("id{no}")),
+        class: Rc::from("notice"),
+        destination: 7,
+        deadline: 1_796_121_600_016.25,
+        key: Some(Rc::from("")),
+        body: Rc::from(vec![9; size]),
+        attempts: Vec::new(),
+        final_status: None,
+        rules: Rc::from([]),
+    }
+}
+
+#[test]
+fn accepted_messages_are_recovered_and_a_torn_tail_is_dropped() {
+    let folder = folder("torn");
+    let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+    for no in 0..3 {
+        assert!(wal.append_message(&message(no, 200)));
+    }
+    assert!(wal.append_attempt(0, 0, 5.0) && wal.append_attempt(0, 1, 6.0));
+    wal.append_never_ran(0, 0);
+    wal.append_closed(1, &Rc::from("id1"));
+    wal.append_final_status(2, FinalStatus::Deferred(Some(700)));
+    assert!(wal.append_message(&message(3, 200)));
+    drop(wal);
+    let complete = std::fs::read(folder.join("ledger")).unwrap();
+    std::fs::write(folder.join("ledger"), &complete[..complete.len() - 3]).unwrap();
+    std::fs::write(folder.join("ledger.new"), b"cut short").unwrap();
+    for _ in 0..2 {
+        let (_, recovered) = WriteAheadLog::open(&folder, 3_000_000);
+        assert_eq!(
+            recovered.open.keys().copied().collect::<Vec<_>>(),
+            [0, 2],
+            "the torn one was not confirmed"
+        );
+        let first = &recovered.open[&0];
+        let attempts = [
+            AttemptRecord {
+                sent: 5.0,
+                never_ran: true,
+            },
+            AttemptRecord {
+                sent: 6.0,
+                never_ran: false,
+            },
+        ];
+        assert_eq!(
+            (first.attempts.as_slice(), first.key.as_deref()),
+            (&attempts[..], Some(""))
+        );
+        assert_eq!(
+            recovered.open[&2].final_status,
+            Some(FinalStatus::Deferred(Some(700)))
+        );
+        assert_eq!((recovered.over.len(), &*recovered.over[0]), (1, "id1"));
+        assert!(!folder.join("ledger.new").exists());
+    }
+}
+
+#[test]
+fn an_unreadable_log_is_left_alone_and_a_file_that_cannot_be_replaced_is_appended_to() {
+    let (unreadable, stuck) = (folder("unreadable"), folder("stuck"));
+    std::fs::create_dir(unreadable.join("ledger")).unwrap();
+    let (mut wal, _) = WriteAheadLog::open(&unreadable, 3_000_000);
+    assert!(!wal.append_message(&message(1, 10)) && !wal.wants_compaction(1e15));
+    assert!(unreadable.join("ledger").is_dir());
+    assert!(
+        WriteAheadLog::open(&stuck, 3_000_000)
+            .0
+            .append_message(&message(1, 10))
+    );
+    // A folder in the place of the compacted file stands for a disk that has no space for it.
+    std::fs::create_dir(stuck.join("ledger.new")).unwrap();
+    let (mut wal, recovered) = WriteAheadLog::open(&stuck, 3_000_000);
+    assert!(recovered.open.contains_key(&1) && wal.append_attempt(1, 0, 7.0));
+    let (_, recovered) = WriteAheadLog::open(&stuck, 3_000_000);
+    assert_eq!(recovered.open[&1].attempts.len(), 1);
+}
+
+#[test]
+fn a_log_of_another_version_is_left_as_it_is_and_rejects_messages() {
+    // A later release may have open messages in the log when an earlier one is started on its folder.
+    let folder = folder("version");
+    let later = b"mlatch2\nwhatever it holds".to_vec();
+    std::fs::write(folder.join("ledger"), &later).unwrap();
+    let (mut wal, recovered) = WriteAheadLog::open(&folder, 3_000_000);
+    assert!(
+        recovered.open.is_empty()
+            && !wal.append_message(&message(1, 10))
+            && !wal.wants_compaction(1e15)
+    );
+    assert_eq!(std::fs::read(folder.join("ledger")).unwrap(), later);
+}
+
+#[test]
+fn the_disk_limit_holds_during_compaction_and_a_full_log_rejects_messages() {
+    let (folder, disk) = (folder("full"), 1_000_000);
+    let (mut wal, _) = WriteAheadLog::open(&folder, disk);
+    let mut open = BTreeMap::new();
+    let mut rejected = 0;
+    for no in 0..400 {
+        let message = message(no, 4_000);
+        match wal.append_message(&message) {
+            true => drop(open.insert(no, message)),
+            false => rejected += 1,
+        }
+        if no % 3 == 0
+            && let Some((no, closed)) = open.pop_first()
+        {
+            wal.append_closed(no, &closed.id);
+        }
+        if wal.wants_compaction(0.0) {
+            let old = wal.file.size();
+            assert!(wal.compact(open.values()));
+            assert!(
+                old + wal.file.size() < disk,
+                "{old} and {}",
+                wal.file.size()
+            );
+        }
+    }
+    assert!(rejected > 0, "the limit was never met");
+    assert!(
+        wal.append_attempt(*open.keys().next().unwrap(), 0, 1.0),
+        "an accepted message can still be sent"
+    );
+    let (_, recovered) = WriteAheadLog::open(&folder, disk);
+    assert_eq!(recovered.open.len(), open.len());
+}
+
+#[test]
+fn an_attempt_that_starts_after_a_compaction_may_have_run() {
+    // A compaction writes an attempt that has not started yet as one that never ran. Taken for such a one after it has
+    // started, it would be repeated, with a second effect.
+    let folder = folder("begins");
+    let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+    let attempts = vec![AttemptRecord {
+        sent: 5.0,
+        never_ran: true,
+    }];
+    let (id, class, body) = (Rc::from("a"), Rc::from("debit"), Rc::from(&b"x"[..]));
+    let message = MessageRecord {
+        no: 0,
+        id,
+        class,
+        destination: 7,
+        deadline: 9e3,
+        key: None,
+        body,
+        attempts,
+        final_status: None,
+        rules: Rc::from([]),
+    };
+    assert!(wal.append_message(&message) && wal.compact(std::iter::once(&message)));
+    assert_eq!(
+        LogInspection::open(&folder).unwrap().past.open[&0].attempts,
+        message.attempts,
+        "it has not started"
+    );
+    assert!(wal.append_attempt(0, 0, 6.0));
+    let started = [AttemptRecord {
+        sent: 6.0,
+        never_ran: false,
+    }];
+    assert_eq!(
+        LogInspection::open(&folder).unwrap().past.open[&0].attempts,
+        started
+    );
+}
+
+#[test]
+fn the_class_rules_at_admission_are_recovered_after_the_class_was_redefined() {
+    let folder = folder("rules");
+    let with_rules = |no: u64, rules: &[u8]| MessageRecord {
+        rules: Rc::from(rules),
+        ..message(no, 100)
+    };
+    let batches = [
+        [with_rules(0, b"once"), with_rules(1, b"once")],
+        [with_rules(2, b"safe"), with_rules(3, b"safe")],
+    ];
+    for batch in &batches {
+        let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+        assert!(batch.iter().all(|message| wal.append_message(message)));
+    }
+    // Also after compactions, which write all of them anew.
+    for _ in 0..2 {
+        let (_, recovered) = WriteAheadLog::open(&folder, 3_000_000);
+        assert_eq!(
+            recovered.open.into_values().collect::<Vec<_>>(),
+            batches.concat()
+        );
+    }
+}
+
+#[test]
+fn every_recorded_attempt_is_recovered_and_one_beyond_the_limit_must_not_start() {
+    // The settings may allow more attempts than the log records; one without a record could be repeated after it ran.
+    let folder = folder("many");
+    let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+    assert!(wal.append_message(&message(0, 10)));
+    let started = (0..2 * MAX_ATTEMPTS)
+        .filter(|attempt| wal.append_attempt(0, *attempt, 5.0))
+        .count();
+    let recovered = &LogInspection::open(&folder).unwrap().past.open[&0].attempts;
+    assert_eq!(
+        (
+            started,
+            recovered
+                .iter()
+                .filter(|attempt| !attempt.never_ran)
+                .count()
+        ),
+        (MAX_ATTEMPTS, MAX_ATTEMPTS)
+    );
+}
--- /dev/null
+++ b/crates/wal/src/write_ahead_log.rs
@@ -0,0 +1,198 @@
+//! The log itself: opening it, passing it on to a successor, and one method for each record that is appended.
+
+use std::collections::{HashMap, VecDeque};
+use std::io::ErrorKind;
+use std::path::Path;
+use std::rc::Rc;
+
+use martenlatch_clock::Millis;
+use serde::{Deserialize, Serialize};
+use tracing::{error, warn};
+
+use crate::codec::{self, MAGIC};
+use crate::error::LogError;
+use crate::log_file::LogFile;
+use crate::recently_closed;
+use crate::record::{FinalStatus, LogRecord, MAX_ATTEMPTS, MessageRecord};
+use crate::recovery::RecoveredState;
+use crate::space::{ATTEMPT_BYTES, Limits, OpenMessages};
+
+/// The id of a message whose acceptance was revoked.
+const REVOKED_ID: &str = "";
+
+/// A log that records are appended to.
+pub struct WriteAheadLog {
+    pub(crate) file: LogFile,
+    pub(crate) limits: Limits,
+    pub(crate) open_messages: OpenMessages,
+    /// The ids of recently closed messages, oldest first.
+    pub over: VecDeque<Rc<str>>,
+    /// The rules of each class as the file last says them: a message that follows is recovered with these.
+    pub(crate) class_rules: HashMap<Rc<str>, Rc<[u8]>>,
+    /// No compaction is attempted before this instant.
+    pub(crate) write_backoff_until: Millis,
+}
+
+/// Where a process stands in its log, to be passed on to its successor.
+#[derive(Serialize, Deserialize)]
+pub struct LogPosition {
+    size: u64,
+    recently_closed: VecDeque<Rc<str>>,
+    write_backoff_until: Millis,
+    /// Whether there is a file to write to.
+    has_file: bool,
+}
+
+impl WriteAheadLog {
+    /// Opens the log in a state folder, recovers what earlier processes left, and compacts it.
+    ///
+    /// The log uses at most `disk` bytes. One that cannot be read, or that another version wrote, is logged and left
+    /// as it is; the returned log then rejects every record.
+    pub fn open(folder: &Path, disk: u64) -> (WriteAheadLog, RecoveredState) {
+        let file = LogFile::closed(folder, 0);
+        // A compaction that was cut short leaves its file; the log itself is still complete.
+        file.remove_replacement();
+        let mut bytes = Vec::new();
+        let unreadable = match file.read_into(&mut bytes) {
+            Err(error) => Some(error.kind()),
+            // A file is put in place complete: one without our magic bytes belongs to another version, and may hold
+            // open messages.
+            Ok(()) if !bytes.is_empty() && !bytes.starts_with(MAGIC) => {
+                Some(ErrorKind::InvalidData)
+            }
+            Ok(()) => None,
+        };
+        let recovered = RecoveredState::replay(&bytes);
+        let mut log = WriteAheadLog::recovered(file, disk, &recovered);
+        if let Some(error) = unreadable {
+            error!(?error, "write-ahead log unreadable");
+            // An unreadable file is never overwritten, so no message can be accepted.
+            log.write_backoff_until = f64::INFINITY;
+            return (log, recovered);
+        }
+        let torn_bytes = bytes.len() as u64 - recovered.valid_bytes;
+        if torn_bytes > 0 {
+            warn!(bytes = torn_bytes, "write-ahead log tail cut");
+        }
+        // The new file has neither the torn tail nor the closed messages. Without space for it, the old one goes on.
+        if !log.compact(recovered.open.values()) && recovered.valid_bytes > 0 {
+            log.file.continue_existing();
+        }
+        (log, recovered)
+    }
+
+    /// A log with this recovered state, which has no file to write to yet.
+    fn recovered(mut file: LogFile, disk: u64, recovered: &RecoveredState) -> WriteAheadLog {
+        file.set_size(recovered.valid_bytes);
+        WriteAheadLog {
+            file,
+            limits: Limits::new(disk),
+            open_messages: OpenMessages::count(recovered.open.values()),
+            over: recovered.over.clone(),
+            class_rules: recovered.class_rules.clone(),
+            write_backoff_until: 0.0,
+        }
+    }
+
+    /// Where this process stands. It must not write to the log once a successor continues from there.
+    pub fn position(&self) -> LogPosition {
+        LogPosition {
+            size: self.file.size(),
+            recently_closed: self.over.clone(),
+            write_backoff_until: self.write_backoff_until,
+            has_file: self.file.is_open(),
+        }
+    }
+
+    /// Continues where an earlier process stood, with its open messages. Writes nothing.
+    ///
+    /// # Errors
+    /// [`LogError::Reopen`] if the file cannot be opened, [`LogError::SizeChanged`] if it is not as that process left
+    /// it.
+    pub fn restore<'a>(
+        folder: &Path,
+        disk: u64,
+        place: LogPosition,
+        open: impl Iterator<Item = &'a MessageRecord>,
+    ) -> Result<WriteAheadLog, LogError> {
+        let file = if place.has_file {
+            LogFile::reopen(folder, place.size)?
+        } else {
+            LogFile::closed(folder, place.size)
+        };
+        Ok(WriteAheadLog {
+            file,
+            limits: Limits::new(disk),
+            open_messages: OpenMessages::count(open),
+            over: place.recently_closed,
+            // The rules of each class are recorded anew before its next message.
+            class_rules: HashMap::new(),
+            write_backoff_until: place.write_backoff_until,
+        })
+    }
+
+    /// Records that a message is accepted. False: it must be rejected.
+    pub fn append_message(&mut self, message: &MessageRecord) -> bool {
+        let rules_recorded = self.class_rules.get(&message.class) == Some(&message.rules);
+        let mut records = Vec::new();
+        if !rules_recorded {
+            let rules = LogRecord::class_rules(&message.class, &message.rules);
+            records.extend(codec::encode(&rules));
+        }
+        records.extend(codec::encode(&LogRecord::message(message)));
+        let open_bytes = self.open_messages.total_bytes() + records.len() as u64;
+        let fits = open_bytes as f64 <= self.limits.open_messages();
+        if !fits
+            || !self
+                .file
+                .append(&records, self.limits.file_for_new_messages())
+        {
+            return false;
+        }
+        if !rules_recorded {
+            self.class_rules
+                .insert(message.class.clone(), message.rules.clone());
+        }
+        self.open_messages.add_message(message);
+        true
+    }
+
+    /// Records that an attempt is about to start, at `sent` in milliseconds of Unix time. False: it must not start.
+    pub fn append_attempt(&mut self, no: u64, attempt: usize, sent: Millis) -> bool {
+        if attempt >= MAX_ATTEMPTS || !self.append(&LogRecord::attempt(no, attempt, sent)) {
+            return false;
+        }
+        self.open_messages.add_bytes(no, ATTEMPT_BYTES);
+        true
+    }
+
+    /// Records that an attempt never ran. Losing this record is safe: the attempt then counts as one that may have run.
+    pub fn append_never_ran(&mut self, no: u64, attempt: usize) {
+        self.append(&LogRecord::never_ran(no, attempt));
+    }
+
+    /// Records a message's final status. Losing this record is safe: the message is recovered, and ends again.
+    pub fn append_final_status(&mut self, no: u64, notice: FinalStatus) {
+        self.append(&LogRecord::final_status(no, notice));
+    }
+
+    /// Records that a message is closed: nothing more is owed. Its id is remembered as a recently closed one.
+    pub fn append_closed(&mut self, no: u64, id: &Rc<str>) {
+        self.close(no, id);
+        recently_closed::remember(&mut self.over, id.clone());
+    }
+
+    /// Records that a message was not accepted after all. Its id is not remembered, so that it may be handed in again.
+    pub fn append_revoked(&mut self, no: u64) {
+        self.close(no, REVOKED_ID);
+    }
+
+    fn close(&mut self, number: u64, id: &str) {
+        self.append(&LogRecord::closed(number, id));
+        self.open_messages.remove(number);
+    }
+
+    fn append(&mut self, record: &LogRecord<'_>) -> bool {
+        self.file.append(&codec::encode(record), self.limits.file())
+    }
+}
