--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -79,7 +79,8 @@
         config.seed,
         &handle,
         clock.now(),
-    )?;
+    )
+    .map_err(|e| e.to_string())?;
     // A signal to end is taken up as soon as the sender can.
     while peers.learning(clock.now()) && ready.signals.is_empty() {
         events
--- /dev/null
+++ b/crates/sender/src/peer_service/datagrams.rs
@@ -0,0 +1,69 @@
+//! Carries the datagrams of the membership protocol, and logs the changes of the membership.
+
+use std::io::ErrorKind;
+
+use martenlatch_clock::Millis;
+use martenlatch_peers::membership::MembershipChange;
+use martenlatch_peers::wire::MAX_DATAGRAM_BYTES;
+use tracing::{info, warn};
+
+use super::Peers;
+
+/// Datagrams read in one round at most, so that a flood does not stall the event loop.
+const MAX_DATAGRAMS_PER_ROUND: usize = 64;
+
+impl Peers {
+    /// Reads datagrams; returns true if there may be more.
+    pub(super) fn receive_datagrams(&mut self, now: Millis) -> bool {
+        // One byte more than allowed, so that a datagram that is too long shows.
+        let mut bytes = [0; MAX_DATAGRAM_BYTES + 1];
+        for _ in 0..MAX_DATAGRAMS_PER_ROUND {
+            match self.sockets.udp.recv_from(&mut bytes) {
+                Ok((length, _)) => self.handle_datagram(&bytes[..length], now),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                // The system reports that an earlier datagram of this sender met a closed port. Others may follow.
+                Err(_) => {}
+            }
+        }
+        true
+    }
+
+    fn handle_datagram(&mut self, bytes: &[u8], now: Millis) {
+        match self.secret.open_datagram(bytes) {
+            Ok(datagram) => self.membership.handle_datagram(datagram, now),
+            Err(fault) => self.rejections.count(fault),
+        }
+    }
+
+    /// Sends the datagrams of the membership protocol, and logs the changes of the membership.
+    pub(super) fn send_datagrams(&mut self) {
+        for (to, datagram) in self.membership.take_outgoing() {
+            // An error is the same as a lost datagram, which the protocol tolerates.
+            let _ = self
+                .sockets
+                .udp
+                .send_to(&self.secret.seal_datagram(&datagram), to);
+        }
+        for change in self.membership.take_changes() {
+            self.log_change(&change);
+        }
+    }
+
+    fn log_change(&self, change: &MembershipChange) {
+        match change {
+            MembershipChange::Joined(member) => {
+                let incarnation = member.incarnation;
+                info!(name = %member.name, address = %member.address, incarnation, "member joined");
+            }
+            MembershipChange::Suspected(name) => info!(name = %name, "member suspected"),
+            MembershipChange::Refuted(name) => info!(name = %name, "member refuted the suspicion"),
+            MembershipChange::Died(name) => warn!(name = %name, "member died"),
+            MembershipChange::Left(name) => info!(name = %name, "member left"),
+            MembershipChange::Forgotten(name) => info!(name = %name, "member forgotten"),
+            MembershipChange::NameConflict(address) => {
+                let name = &self.membership.local().name;
+                warn!(name = %name, address = %address, "another goes by our name");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/peer_service/mod.rs
@@ -0,0 +1,239 @@
+//! The connection of this sender to its peers, the other senders: UDP datagrams for the group membership, and TCP
+//! connections for what they know of partners. Off unless the settings name an address to listen on.
+//!
+//! At its start a sender queries some seeds for what they have observed (`seed_queries`), and tells its decision
+//! module of each partner once it is listed (`gossip`). It serves such queries itself (`page_server`), and saves its
+//! own observations for its next start (`snapshot_writer`).
+
+mod datagrams;
+mod error;
+mod gossip;
+mod page_server;
+mod rejections;
+mod seed_queries;
+mod shared_secret;
+mod snapshot_writer;
+mod sockets;
+
+use std::path::Path;
+
+use martenlatch_clock::Millis;
+use martenlatch_http::buffer_pool::BufferPool;
+use martenlatch_peers::membership::{Membership, Settings};
+use martenlatch_peers::partner_knowledge::{Bounds, PartnerKnowledge};
+use martenlatch_peers::wire::Secret;
+use martenlatch_policy::Policy;
+use martenlatch_settings::program;
+use tracing::info;
+
+use crate::event_source::{EventSource, Handle};
+pub use error::PeerServiceError;
+use gossip::{EndpointNames, OwnObservations};
+use page_server::PageServer;
+use rejections::Rejections;
+use seed_queries::{Learning, SeedQueries};
+pub use shared_secret::secret;
+use snapshot_writer::SnapshotWriter;
+use sockets::Sockets;
+
+/// Buffers for all connections: each may hold one for input and one for output.
+const BUFFERS: usize = 2 * (page_server::MAX_CONNECTIONS + seed_queries::MAX_QUERIES);
+/// How long a ping may go without an ack, as a part of the protocol period.
+const ACK_TIMEOUT_PERIODS: f64 = 0.3;
+/// What was learned at the start is dropped after so many half-lives: it weighs nothing any more.
+const KNOWLEDGE_HALF_LIVES: f64 = 4.0;
+
+/// The other senders, as this one knows them.
+pub struct Peers {
+    settings: program::Peers,
+    secret: Secret,
+    sockets: Sockets,
+    membership: Membership,
+    /// What was learned from peers, or from the snapshot of an earlier process, and not yet passed to the decision
+    /// module.
+    knowledge: PartnerKnowledge,
+    bounds: Bounds,
+    /// For each kind of destination, whether limits apply to each endpoint separately.
+    per_endpoint: Vec<bool>,
+    seed_queries: SeedQueries,
+    page_server: PageServer,
+    snapshot_writer: SnapshotWriter,
+    started_at: Millis,
+    rejections: Rejections,
+}
+
+impl Peers {
+    /// Listens, reads the snapshot of an earlier process from `folder`, joins the group, and queries the seeds.
+    /// `per_endpoint` says for each kind of destination whether limits apply to each endpoint separately.
+    ///
+    /// # Errors
+    /// If the shared secret cannot be read, or the address to listen on cannot be bound.
+    pub fn open(
+        settings: &program::Peers,
+        name: &str,
+        folder: &Path,
+        per_endpoint: Vec<bool>,
+        seed: u64,
+        handle: &Handle,
+        now: Millis,
+    ) -> Result<Peers, PeerServiceError> {
+        let secret = secret(&settings.secret_file)?;
+        let sockets = Sockets::bind(settings.listen, handle)?;
+        let bounds = Bounds {
+            half_life: settings.half_life_ms,
+            max_wait: settings.longest_wait_ms,
+            ..Bounds::default()
+        };
+        let (mut snapshot_writer, snapshot) = SnapshotWriter::open(folder, settings.keep, now);
+        let knowledge = snapshot_writer.restore(&snapshot, now, &bounds);
+        let incarnation = snapshot_writer.begin_incarnation(snapshot, now);
+        let membership = join(settings, name, incarnation, seed, now);
+        let local = membership.local();
+        info!(
+            name = %local.name, address = %settings.listen, incarnation = local.incarnation,
+            kept = knowledge.len(), seeds = settings.seeds.len(), "peers started"
+        );
+        let pool = BufferPool::new(BUFFERS);
+        let mut peers = Peers {
+            seed_queries: SeedQueries::new(settings, local.name.clone(), seed, handle, &pool),
+            page_server: PageServer::new(handle, &pool),
+            settings: settings.clone(),
+            secret,
+            sockets,
+            membership,
+            knowledge,
+            bounds,
+            per_endpoint,
+            snapshot_writer,
+            started_at: now,
+            rejections: Rejections::default(),
+        };
+        peers.seed_queries.start(&peers.secret);
+        peers.send_datagrams();
+        Ok(peers)
+    }
+
+    /// Whether a query to a seed runs, and there is time left for it. If no seed responds it is over at once.
+    pub fn learning(&self, now: Millis) -> bool {
+        now < self.started_at + self.settings.learn_ms && self.seed_queries.is_running()
+    }
+
+    /// Ends the queries to the seeds, and logs what was learned.
+    pub fn learned(&mut self, now: Millis) {
+        self.seed_queries.abort();
+        let took_ms = (now - self.started_at) as u64;
+        info!(
+            partners = self.knowledge.len(),
+            digests = self.seed_queries.digests_received(),
+            took_ms,
+            "learned from peers"
+        );
+    }
+
+    /// When [`Peers::run_due`] has something to do next.
+    pub fn next_deadline(&self) -> Millis {
+        if self.page_server.can_send() || self.snapshot_writer.is_gathering() {
+            return 0.0;
+        }
+        self.page_server
+            .timeouts()
+            .chain([self.membership.next_deadline()])
+            .fold(f64::INFINITY, f64::min)
+    }
+
+    /// Reads what a socket has received. Returns true if there may be more to read.
+    pub fn ready(&mut self, source: EventSource, now: Millis) -> bool {
+        match source {
+            EventSource::Datagrams => self.receive_datagrams(now),
+            EventSource::Tellers => {
+                self.page_server
+                    .accept(&self.sockets.listener, now, &mut self.rejections)
+            }
+            EventSource::Talk(key) => {
+                self.page_server
+                    .receive(key, &self.secret, &mut self.rejections)
+            }
+            EventSource::Ask(slot) => {
+                let learning = Learning {
+                    knowledge: &mut self.knowledge,
+                    bounds: &self.bounds,
+                    now,
+                };
+                self.seed_queries.receive(slot, &self.secret, learning)
+            }
+            _ => false,
+        }
+    }
+
+    /// Does what is due: the membership protocol, the next page of each response, and the snapshot. `observed` is
+    /// absent while this sender itself still queries its seeds: it has observed nothing yet, and its responses are
+    /// empty.
+    pub fn run_due(&mut self, now: Millis, observed: Option<(&Policy, EndpointNames)>) {
+        let observed = observed.map(|(policy, endpoint_names)| OwnObservations {
+            policy,
+            endpoint_names,
+        });
+        if now >= self.membership.next_deadline() {
+            self.membership.tick(now);
+        }
+        self.send_datagrams();
+        self.page_server
+            .run_due(&self.secret, &self.membership, observed, now);
+        if let Some(observed) = observed {
+            let incarnation = self.membership.local().incarnation;
+            self.snapshot_writer.run_due(observed, incarnation, now);
+        }
+        let expires_at = self.started_at + KNOWLEDGE_HALF_LIVES * self.bounds.half_life;
+        if now > expires_at {
+            self.knowledge = PartnerKnowledge::default();
+        }
+    }
+
+    /// Prepares for the end of this process: leaves the group, and makes the next [`Peers::run_due`] save a snapshot.
+    pub fn leave(&mut self) {
+        self.snapshot_writer.save_soon();
+        self.membership.leave();
+        self.send_datagrams();
+    }
+
+    /// Logs the counters.
+    pub fn print_counters(&self) {
+        info!(
+            members = self.membership.live() + 1,
+            told = self.page_server.digests_sent(),
+            learned = self.seed_queries.digests_received(),
+            not_keyed = self.rejections.unauthenticated,
+            other_version = self.rejections.other_version,
+            malformed = self.rejections.malformed,
+            talks_refused = self.rejections.connections,
+            view_full = self.membership.rejected_updates,
+            "counters of peers"
+        );
+    }
+}
+
+fn join(
+    settings: &program::Peers,
+    name: &str,
+    incarnation: u64,
+    rng_seed: u64,
+    now: Millis,
+) -> Membership {
+    let protocol = Settings {
+        period: settings.period_ms,
+        ack_timeout: settings.period_ms * ACK_TIMEOUT_PERIODS,
+        suspicion_periods: settings.suspect_periods,
+        ..Settings::default()
+    };
+    let mut membership = Membership::new(
+        name,
+        settings.listen,
+        incarnation,
+        &settings.seeds,
+        protocol,
+        rng_seed,
+        now,
+    );
+    membership.join();
+    membership
+}
--- /dev/null
+++ b/crates/sender/src/peer_service/page_server.rs
@@ -0,0 +1,277 @@
+//! Serves queries over connections: by senders that start, for this sender's own observations; and by operators, for
+//! the members of the group.
+
+use std::io::ErrorKind;
+use std::net::TcpListener;
+
+use martenlatch_clock::Millis;
+use martenlatch_http::buffer_pool::BufferPool;
+use martenlatch_peers::membership::Membership;
+use martenlatch_peers::wire::{Fault, MAX_MEMBERS_PER_PAGE, Page, Secret};
+use slab::Slab;
+
+use super::gossip::{ObservationCursor, OwnObservations};
+use super::rejections::Rejections;
+use crate::event_source::{Connection, EventSource, Handle};
+
+/// Connections served at a time, and accepted in one round.
+pub(super) const MAX_CONNECTIONS: usize = 4;
+/// A connection without a request by then is closed.
+const REQUEST_TIMEOUT: Millis = 1_000.0;
+/// A connection whose peer has not taken the whole response by then is closed; counted from its start.
+const RESPONSE_TIMEOUT: Millis = 10_000.0;
+
+/// One connection that carries one request and its response.
+struct ServedConnection {
+    connection: Connection,
+    accepted_at: Millis,
+    /// From the request on.
+    response: Option<Response>,
+    /// The request was rejected.
+    rejected: bool,
+}
+
+/// How far a response has come.
+struct Response {
+    request: u64,
+    content: Content,
+    /// The index of the next page.
+    next_page: u32,
+    /// The last page has been queued.
+    complete: bool,
+}
+
+/// What was requested.
+#[derive(Clone, Copy)]
+enum Content {
+    /// This sender's own observations; the next page begins after the cursor.
+    Digests(Option<ObservationCursor>),
+    /// The members of the group.
+    Members,
+}
+
+impl Response {
+    fn new(request: u64, content: Content) -> Response {
+        Response {
+            request,
+            content,
+            next_page: 0,
+            complete: false,
+        }
+    }
+
+    /// The next page; the last one is [`Page::End`].
+    fn next_page(
+        &mut self,
+        membership: &Membership,
+        observed: Option<OwnObservations>,
+        now: Millis,
+    ) -> Page {
+        let page = match self.content {
+            Content::Digests(after) => self.digests_page(after, observed, now),
+            Content::Members => self.members_page(membership),
+        };
+        let page = page.unwrap_or_else(|| {
+            self.complete = true;
+            Page::End {
+                no: self.request,
+                pages: self.next_page,
+            }
+        });
+        self.next_page += 1;
+        page
+    }
+
+    fn digests_page(
+        &mut self,
+        after: Option<ObservationCursor>,
+        observed: Option<OwnObservations>,
+        now: Millis,
+    ) -> Option<Page> {
+        let has_more = self.next_page == 0 || after.is_some();
+        let observed = observed.filter(|_| has_more)?;
+        let page = observed.digests(after, now);
+        self.content = Content::Digests(page.next);
+        Some(Page::Digests {
+            no: self.request,
+            page: self.next_page,
+            digests: page.digests,
+        })
+    }
+
+    fn members_page(&self, membership: &Membership) -> Option<Page> {
+        let members = std::iter::once(membership.local()).chain(membership.others());
+        let sent = self.next_page as usize * MAX_MEMBERS_PER_PAGE;
+        let page = members.skip(sent).take(MAX_MEMBERS_PER_PAGE);
+        let rumours: Vec<_> = page.cloned().collect();
+        (!rumours.is_empty()).then_some(Page::Membership {
+            no: self.request,
+            page: self.next_page,
+            rumours,
+        })
+    }
+}
+
+impl ServedConnection {
+    fn timeout(&self) -> Millis {
+        let limit = if self.response.is_some() {
+            RESPONSE_TIMEOUT
+        } else {
+            REQUEST_TIMEOUT
+        };
+        self.accepted_at + limit
+    }
+
+    fn is_finished(&self, now: Millis) -> bool {
+        let complete = self.response.as_ref().is_some_and(|r| r.complete);
+        now > self.timeout()
+            || self.rejected
+            || self.connection.broken
+            || (complete && self.connection.is_flushed())
+    }
+
+    /// The response, if its next page can be queued: earlier ones have been written.
+    fn sendable_response(&mut self) -> Option<&mut Response> {
+        let flushed = self.connection.is_flushed();
+        self.response.as_mut().filter(|r| flushed && !r.complete)
+    }
+
+    fn can_send(&self) -> bool {
+        let response = self.response.as_ref();
+        self.connection.is_flushed() && response.is_some_and(|r| !r.complete)
+    }
+
+    /// Reads the request from what was received; none if more has to be received first.
+    fn read_request(&self, secret: &Secret) -> Result<Option<Response>, Fault> {
+        match secret.open_page(self.connection.bytes()) {
+            Ok((Page::Ask { no, .. }, _)) => Ok(Some(Response::new(no, Content::Digests(None)))),
+            Ok((Page::Who { no }, _)) => Ok(Some(Response::new(no, Content::Members))),
+            Ok(_) => Err(Fault::Kind),
+            Err(Fault::Short) if !self.connection.eof => Ok(None),
+            Err(fault) => Err(fault),
+        }
+    }
+}
+
+/// The connections that are served.
+pub(super) struct PageServer {
+    connections: Slab<ServedConnection>,
+    handle: Handle,
+    pool: BufferPool,
+    digests_sent: u64,
+}
+
+impl PageServer {
+    pub(super) fn new(handle: &Handle, pool: &BufferPool) -> PageServer {
+        PageServer {
+            connections: Slab::new(),
+            handle: handle.clone(),
+            pool: pool.clone(),
+            digests_sent: 0,
+        }
+    }
+
+    /// Number of digests sent so far.
+    pub(super) fn digests_sent(&self) -> u64 {
+        self.digests_sent
+    }
+
+    /// Whether a page can be sent at once.
+    pub(super) fn can_send(&self) -> bool {
+        self.connections.iter().any(|(_, served)| served.can_send())
+    }
+
+    /// When each connection is given up.
+    pub(super) fn timeouts(&self) -> impl Iterator<Item = Millis> {
+        self.connections.iter().map(|(_, served)| served.timeout())
+    }
+
+    /// Accepts connections; returns true if there may be more.
+    pub(super) fn accept(
+        &mut self,
+        listener: &TcpListener,
+        now: Millis,
+        rejections: &mut Rejections,
+    ) -> bool {
+        for _ in 0..MAX_CONNECTIONS {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return false,
+                Err(_) => continue,
+            };
+            let entry = self.connections.vacant_entry();
+            if entry.key() >= MAX_CONNECTIONS {
+                rejections.connections += 1;
+                continue;
+            }
+            let source = EventSource::Talk(entry.key());
+            if let Ok(connection) = Connection::new(stream, &self.handle, &self.pool, source) {
+                entry.insert(ServedConnection {
+                    connection,
+                    accepted_at: now,
+                    response: None,
+                    rejected: false,
+                });
+            }
+        }
+        true
+    }
+
+    /// Reads what a connection has received; returns true if there may be more to read.
+    pub(super) fn receive(
+        &mut self,
+        key: usize,
+        secret: &Secret,
+        rejections: &mut Rejections,
+    ) -> bool {
+        let Some(served) = self.connections.get_mut(key) else {
+            return false;
+        };
+        let may_have_more = served.connection.receive();
+        if served.response.is_none() && !served.rejected {
+            match served.read_request(secret) {
+                Ok(Some(response)) => served.response = Some(response),
+                Ok(None) => return may_have_more,
+                Err(fault) => {
+                    rejections.count(fault);
+                    served.rejected = true;
+                    return false;
+                }
+            }
+        }
+        // A connection carries one request; what follows it is ignored.
+        let received = served.connection.bytes().len();
+        served.connection.consume(received);
+        served.connection.flush();
+        may_have_more && !served.connection.broken
+    }
+
+    /// Closes connections that are finished, and sends each of the others its next page.
+    pub(super) fn run_due(
+        &mut self,
+        secret: &Secret,
+        membership: &Membership,
+        observed: Option<OwnObservations>,
+        now: Millis,
+    ) {
+        for key in 0..MAX_CONNECTIONS {
+            let Some(served) = self.connections.get_mut(key) else {
+                continue;
+            };
+            served.connection.flush();
+            if served.is_finished(now) {
+                self.connections.remove(key);
+                continue;
+            }
+            let Some(response) = served.sendable_response() else {
+                continue;
+            };
+            let page = response.next_page(membership, observed, now);
+            if let Page::Digests { digests, .. } = &page {
+                self.digests_sent += digests.len() as u64;
+            }
+            served.connection.queue(&secret.seal_page(&page));
+            served.connection.flush();
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/peer_service/seed_queries.rs
@@ -0,0 +1,207 @@
+//! Queries a starting sender's seeds for what they have observed of partners. Some queries run at a time; a query that
+//! fails is followed by one to the next seed.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+
+use martenlatch_clock::Millis;
+use martenlatch_http::buffer_pool::BufferPool;
+use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge};
+use martenlatch_peers::wire::{Fault, Page, PageAssembler, Secret};
+use martenlatch_settings::program;
+use tracing::{info, warn};
+
+use crate::event_source::{Connection, EventSource, Handle};
+
+/// Queries that run at a time.
+pub(super) const MAX_QUERIES: usize = 3;
+
+/// A query that runs.
+struct Query {
+    connection: Connection,
+    pages: PageAssembler,
+    seed: SocketAddr,
+}
+
+/// Why a query failed.
+#[derive(Debug, thiserror::Error)]
+enum QueryError {
+    #[error("out of order")]
+    OutOfOrder,
+    #[error("not reached, or closed")]
+    Closed,
+    #[error("not keyed by our secret")]
+    Unauthenticated,
+    #[error("malformed")]
+    Malformed,
+}
+
+/// How far a query has come.
+#[derive(PartialEq, Eq)]
+enum Progress {
+    Incomplete,
+    Complete,
+}
+
+/// Where the digests in a response go.
+pub(super) struct Learning<'a> {
+    pub(super) knowledge: &'a mut PartnerKnowledge,
+    pub(super) bounds: &'a Bounds,
+    pub(super) now: Millis,
+}
+
+impl Learning<'_> {
+    /// Takes the digests of one page; returns how many of them were accepted.
+    fn hear(&mut self, reporter: &str, digests: &[Digest]) -> u64 {
+        let mut accepted = 0;
+        for digest in digests {
+            let heard = self.knowledge.hear(reporter, digest, self.now, self.bounds);
+            accepted += u64::from(heard);
+        }
+        accepted
+    }
+}
+
+/// The queries that run, and the seeds that were not queried yet.
+pub(super) struct SeedQueries {
+    running: [Option<Query>; MAX_QUERIES],
+    waiting: VecDeque<SocketAddr>,
+    local_name: String,
+    handle: Handle,
+    pool: BufferPool,
+    last_request: u64,
+    digests_received: u64,
+}
+
+impl SeedQueries {
+    /// No query runs yet. `rng_seed` selects the first seed, so that starting senders do not all query the same one.
+    pub(super) fn new(
+        settings: &program::Peers,
+        local_name: String,
+        rng_seed: u64,
+        handle: &Handle,
+        pool: &BufferPool,
+    ) -> SeedQueries {
+        let seeds = settings.seeds.iter().copied();
+        let mut waiting: VecDeque<SocketAddr> = seeds.filter(|s| *s != settings.listen).collect();
+        let first = (rng_seed as usize).checked_rem(waiting.len()).unwrap_or(0);
+        waiting.rotate_left(first);
+        SeedQueries {
+            running: [const { None }; MAX_QUERIES],
+            waiting,
+            local_name,
+            handle: handle.clone(),
+            pool: pool.clone(),
+            last_request: rng_seed | 1,
+            digests_received: 0,
+        }
+    }
+
+    /// Starts the first queries.
+    pub(super) fn start(&mut self, secret: &Secret) {
+        for slot in 0..MAX_QUERIES {
+            self.start_next(slot, secret);
+        }
+    }
+
+    /// Whether any query runs.
+    pub(super) fn is_running(&self) -> bool {
+        self.running.iter().any(Option::is_some)
+    }
+
+    /// Number of digests that were received and accepted.
+    pub(super) fn digests_received(&self) -> u64 {
+        self.digests_received
+    }
+
+    /// Ends all queries that are not complete.
+    pub(super) fn abort(&mut self) {
+        for query in self.running.iter_mut().filter_map(Option::take) {
+            warn!(teller = %query.seed, reason = "not whole in time", "snapshot cut");
+        }
+    }
+
+    /// Starts a query to the next seed to which a connection can be opened, if any is left.
+    fn start_next(&mut self, slot: usize, secret: &Secret) {
+        while let Some(seed) = self.waiting.pop_front() {
+            self.last_request = self.last_request.wrapping_add(1);
+            let source = EventSource::Ask(slot);
+            let connection = Connection::connect(seed, &self.handle, &self.pool, source);
+            let Ok(mut connection) = connection else {
+                continue;
+            };
+            let request = Page::Ask {
+                no: self.last_request,
+                name: self.local_name.clone(),
+            };
+            connection.queue(&secret.seal_page(&request));
+            connection.flush();
+            self.running[slot] = Some(Query {
+                connection,
+                pages: PageAssembler::new(self.last_request),
+                seed,
+            });
+            return;
+        }
+    }
+
+    /// Reads what a seed has sent; returns true if there may be more to read.
+    pub(super) fn receive(&mut self, slot: usize, secret: &Secret, mut learning: Learning) -> bool {
+        let Some(mut query) = self.running.get_mut(slot).and_then(Option::take) else {
+            return false;
+        };
+        query.connection.flush();
+        let may_have_more = query.connection.receive();
+        match self.read_pages(&mut query, slot, secret, &mut learning) {
+            Ok(Progress::Complete) => false,
+            Ok(Progress::Incomplete) => {
+                self.running[slot] = Some(query);
+                may_have_more
+            }
+            // The digests received before count: each is complete by itself.
+            Err(error) => {
+                let reason = error.to_string();
+                let learned = self.digests_received;
+                info!(teller = %query.seed, reason, learned, "snapshot cut");
+                self.start_next(slot, secret);
+                false
+            }
+        }
+    }
+
+    fn read_pages(
+        &mut self,
+        query: &mut Query,
+        slot: usize,
+        secret: &Secret,
+        learning: &mut Learning,
+    ) -> Result<Progress, QueryError> {
+        while let Some(page) = next_page(&mut query.connection, secret)? {
+            let digests = query.pages.accept(page).ok_or(QueryError::OutOfOrder)?;
+            self.digests_received += learning.hear(&reporter_name(slot), &digests);
+            if query.pages.is_complete() {
+                return Ok(Progress::Complete);
+            }
+        }
+        Ok(Progress::Incomplete)
+    }
+}
+
+/// The name of a seed as a reporter. Its real name is not part of a response.
+fn reporter_name(slot: usize) -> String {
+    format!("asked {slot}")
+}
+
+/// Takes the next page out of a connection's input; none if more has to be received first.
+fn next_page(connection: &mut Connection, secret: &Secret) -> Result<Option<Page>, QueryError> {
+    match secret.open_page(connection.bytes()) {
+        Ok((page, length)) => {
+            connection.consume(length);
+            Ok(Some(page))
+        }
+        Err(Fault::Short) if connection.eof || connection.broken => Err(QueryError::Closed),
+        Err(Fault::Short) => Ok(None),
+        Err(Fault::Key) => Err(QueryError::Unauthenticated),
+        Err(_) => Err(QueryError::Malformed),
+    }
+}
--- /dev/null
+++ b/crates/sender/src/peer_service/shared_secret.rs
@@ -0,0 +1,29 @@
+//! Reads the secret that all members of the group share.
+
+use std::path::Path;
+
+use martenlatch_peers::wire::Secret;
+
+use super::PeerServiceError;
+
+/// Least length of the secret, in bytes.
+const MIN_SECRET_BYTES: usize = 16;
+
+/// Reads the secret that all members share. White space at its ends, such as a line's end, does not count.
+///
+/// # Errors
+/// If the file cannot be read, or the secret is too short.
+pub fn secret(file: &Path) -> Result<Secret, PeerServiceError> {
+    let bytes = std::fs::read(file).map_err(|source| PeerServiceError::ReadSecret {
+        file: file.into(),
+        source,
+    })?;
+    let bytes = bytes.trim_ascii();
+    if bytes.len() < MIN_SECRET_BYTES {
+        return Err(PeerServiceError::ShortSecret {
+            file: file.into(),
+            least: MIN_SECRET_BYTES,
+        });
+    }
+    Ok(Secret::new(bytes))
+}
--- /dev/null
+++ b/crates/sender/src/peer_service/snapshot_writer.rs
@@ -0,0 +1,109 @@
+//! Saves this sender's incarnation and own observations at intervals, and restores those of an earlier process.
+
+use std::path::Path;
+
+use martenlatch_clock::Millis;
+use martenlatch_peers::partner_knowledge::{Bounds, Digest, PartnerKnowledge};
+use tracing::warn;
+
+use super::gossip::{ObservationCursor, OwnObservations};
+use crate::peer_snapshot::{PeerSnapshot, PeerSnapshotFile};
+
+/// How often a snapshot is saved.
+const SAVE_INTERVAL: Millis = 10_000.0;
+/// The reporter of observations that an earlier process of this sender made.
+const EARLIER_PROCESS: &str = "before";
+
+/// A snapshot that is being gathered, one page a round.
+#[derive(Default)]
+struct Gathering {
+    after: Option<ObservationCursor>,
+    digests: Vec<Digest>,
+}
+
+/// Saves snapshots.
+pub(super) struct SnapshotWriter {
+    file: PeerSnapshotFile,
+    /// Whether observations are saved, and restored. The incarnation always is.
+    enabled: bool,
+    gathering: Option<Gathering>,
+    next_save: Millis,
+}
+
+impl SnapshotWriter {
+    /// Reads the snapshot of an earlier process from a folder.
+    pub(super) fn open(
+        folder: &Path,
+        enabled: bool,
+        now: Millis,
+    ) -> (SnapshotWriter, PeerSnapshot) {
+        let (file, snapshot) = PeerSnapshotFile::open(folder, now);
+        let writer = SnapshotWriter {
+            file,
+            enabled,
+            gathering: None,
+            next_save: now + SAVE_INTERVAL,
+        };
+        (writer, snapshot)
+    }
+
+    /// What a restored snapshot says of partners.
+    pub(super) fn restore(
+        &self,
+        snapshot: &PeerSnapshot,
+        now: Millis,
+        bounds: &Bounds,
+    ) -> PartnerKnowledge {
+        let mut knowledge = PartnerKnowledge::default();
+        if self.enabled {
+            for digest in &snapshot.digests {
+                knowledge.hear(EARLIER_PROCESS, digest, now, bounds);
+            }
+            // A wait that the earlier process was told to keep does not bind this one.
+            knowledge.forget_waits();
+        }
+        knowledge
+    }
+
+    /// Begins and saves a new incarnation, before any other member sees it. If it cannot be saved, the other members
+    /// will make this one raise it.
+    pub(super) fn begin_incarnation(&mut self, snapshot: PeerSnapshot, now: Millis) -> u64 {
+        let incarnation = snapshot.incarnation + 1;
+        self.save(incarnation, snapshot.digests, now);
+        incarnation
+    }
+
+    /// Whether a snapshot is being gathered.
+    pub(super) fn is_gathering(&self) -> bool {
+        self.gathering.is_some()
+    }
+
+    /// Makes the next [`SnapshotWriter::run_due`] save a snapshot.
+    pub(super) fn save_soon(&mut self) {
+        self.next_save = 0.0;
+    }
+
+    /// Gathers the next page of a snapshot that is due, and saves the snapshot once it is complete.
+    pub(super) fn run_due(&mut self, observed: OwnObservations, incarnation: u64, now: Millis) {
+        if !self.enabled || (self.gathering.is_none() && now < self.next_save) {
+            return;
+        }
+        let mut gathering = self.gathering.take().unwrap_or_default();
+        let page = observed.digests(gathering.after, now);
+        gathering.digests.extend(page.digests);
+        if page.next.is_some() && gathering.digests.len() < PeerSnapshotFile::MAX_DIGESTS {
+            gathering.after = page.next;
+            self.gathering = Some(gathering);
+            return;
+        }
+        self.next_save = now + SAVE_INTERVAL;
+        self.save(incarnation, gathering.digests, now);
+    }
+
+    fn save(&mut self, incarnation: u64, digests: Vec<Digest>, now: Millis) {
+        if let Err(error) = self.file.write(incarnation, now, digests) {
+            let reason = error.to_string();
+            warn!(reason, "knowledge not kept");
+        }
+    }
+}
--- a/crates/sender/src/peer_snapshot.rs
+++ b/crates/sender/src/peer_snapshot.rs
@@ -1,7 +1,9 @@
-//! Owns the small file in the folder that lasts in which a sender keeps its incarnation and what it has itself seen of
-//! partners. It must never grow past its bound, leave a half-written file in place of a whole one, or stop a sender
-//! because what it held cannot be read.
+//! The file in the state folder in which a sender keeps its incarnation and its own observations of partners.
+//!
+//! The file holds [`MAGIC`], a CRC-32 of the rest in little endian, and a [`PeerSnapshot`] encoded by postcard. It is
+//! replaced as a whole, and a file that cannot be read never keeps a sender from starting.
 
+use std::io;
 use std::path::{Path, PathBuf};
 
 use martenlatch_clock::Millis;
@@ -9,129 +11,160 @@
 use serde::{Deserialize, Serialize};
 use tracing::warn;
 
-/// Says what the file is, and in which version.
+#[cfg(test)]
+mod tests;
+
+/// The first bytes of the file, with its version.
 const MAGIC: &[u8; 8] = b"mlpeer1\n";
+/// The file's name in the state folder.
+const FILE_NAME: &str = "peers";
 
-/// What an earlier life has left.
+/// What an earlier process of this sender has saved.
 #[derive(Default, Serialize, Deserialize)]
-pub struct Past {
+pub struct PeerSnapshot {
+    /// The incarnation of that process.
     pub incarnation: u64,
-    /// When it was written, in milliseconds of Unix time.
-    at: Millis,
+    /// When it was saved, in milliseconds of Unix time.
+    saved_at: Millis,
+    /// What that process had observed of partners.
     pub digests: Vec<Digest>,
 }
 
-/// The file.
-pub struct PeerSnapshotFile {
-    file: PathBuf,
+/// Why a snapshot cannot be read.
+#[derive(Debug, thiserror::Error)]
+pub enum ReadSnapshotError {
+    /// The file cannot be read.
+    #[error("{0}")]
+    Io(io::Error),
+    /// The file does not begin with [`MAGIC`].
+    #[error("not of this version")]
+    OtherVersion,
+    /// The file ends before its checksum.
+    #[error("cut short")]
+    Truncated,
+    /// The checksum does not match.
+    #[error("damaged")]
+    Damaged,
+    /// The checksum matches, but the content does not decode.
+    #[error("malformed")]
+    Malformed,
 }
 
-impl PeerSnapshotFile {
-    /// Most partners that are kept.
-    pub const MOST: usize = 4_096;
+/// Why a snapshot cannot be written.
+#[derive(Debug, thiserror::Error)]
+pub enum WriteSnapshotError {
+    /// The snapshot cannot be encoded.
+    #[error("{}: {source}", file.display())]
+    Encode {
+        /// The file.
+        file: PathBuf,
+        /// What the encoder said.
+        source: postcard::Error,
+    },
+    /// The file cannot be written.
+    #[error("{}: {source}", file.display())]
+    Io {
+        /// The file.
+        file: PathBuf,
+        /// What the system said.
+        source: io::Error,
+    },
+}
 
-    /// Finds what an earlier life has left, as old as it is now. What cannot be read is said and passed over.
-    pub fn open(folder: &Path, now: Millis) -> (PeerSnapshotFile, Past) {
-        let file = folder.join("peers");
-        let past = match std::fs::read(&file) {
-            Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(Past::default()),
-            Err(e) => Err(e.to_string()),
-            Ok(bytes) => PeerSnapshotFile::read(&bytes, now).map_err(str::to_string),
-        };
-        let past = past.unwrap_or_else(|reason| {
-            warn!(file = %file.display(), reason, "knowledge passed over");
-            Past::default()
-        });
-        (PeerSnapshotFile { file }, past)
+impl PeerSnapshot {
+    /// Decodes a file, and ages its digests from the time of the snapshot to now.
+    fn decode(bytes: &[u8], now: Millis) -> Result<PeerSnapshot, ReadSnapshotError> {
+        let rest = bytes
+            .strip_prefix(MAGIC)
+            .ok_or(ReadSnapshotError::OtherVersion)?;
+        let (checksum, body) = rest
+            .split_first_chunk::<4>()
+            .ok_or(ReadSnapshotError::Truncated)?;
+        if crc32fast::hash(body).to_le_bytes() != *checksum {
+            return Err(ReadSnapshotError::Damaged);
+        }
+        let mut snapshot: PeerSnapshot =
+            postcard::from_bytes(body).map_err(|_| ReadSnapshotError::Malformed)?;
+        snapshot.age(now);
+        Ok(snapshot)
     }
 
-    fn read(bytes: &[u8], now: Millis) -> Result<Past, &'static str> {
-        let rest = bytes.strip_prefix(MAGIC).ok_or("not of this version")?;
-        let (sum, body) = rest.split_first_chunk::<4>().ok_or("cut short")?;
-        if crc32fast::hash(body).to_le_bytes() != *sum {
-            return Err("damaged");
+    fn age(&mut self, now: Millis) {
+        let elapsed = (now - self.saved_at) as f32;
+        if elapsed.is_nan() || elapsed < 0.0 {
+            // The clock was put back, so the age of the digests is unknown.
+            self.digests.clear();
         }
-        let mut past: Past = postcard::from_bytes(body).map_err(|_| "malformed")?;
-        let passed = (now - past.at) as f32;
-        if passed.is_nan() || passed < 0.0 {
-            // The clock was put back: how old it is cannot be told.
-            past.digests.clear();
-        }
-        for digest in &mut past.digests {
-            digest.age += passed;
+        for digest in &mut self.digests {
+            digest.age += elapsed;
             if let Some(ReportedOutage::Recovering { since }) = &mut digest.outage {
-                *since += passed;
+                *since += elapsed;
             }
         }
-        Ok(past)
     }
 
-    /// Puts down what is known now.
+    fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let body = postcard::to_allocvec(self)?;
+        let mut bytes = MAGIC.to_vec();
+        bytes.extend(crc32fast::hash(&body).to_le_bytes());
+        bytes.extend(body);
+        Ok(bytes)
+    }
+}
+
+/// The file of the snapshot.
+pub struct PeerSnapshotFile {
+    path: PathBuf,
+}
+
+impl PeerSnapshotFile {
+    /// Most digests in a snapshot.
+    pub const MAX_DIGESTS: usize = 4_096;
+
+    /// Reads the snapshot in a folder, aged to now. If there is none, or it cannot be read, which is logged, it is
+    /// empty.
+    pub fn open(folder: &Path, now: Millis) -> (PeerSnapshotFile, PeerSnapshot) {
+        let path = folder.join(FILE_NAME);
+        let snapshot = read(&path, now).unwrap_or_else(|error| {
+            let reason = error.to_string();
+            warn!(file = %path.display(), reason, "knowledge passed over");
+            PeerSnapshot::default()
+        });
+        (PeerSnapshotFile { path }, snapshot)
+    }
+
+    /// Replaces the snapshot.
     ///
     /// # Errors
-    /// Where it cannot be written; what was there before stands.
+    /// If it cannot be written; the snapshot that was there before remains.
     pub fn write(
         &mut self,
         incarnation: u64,
-        at: Millis,
+        now: Millis,
         digests: Vec<Digest>,
-    ) -> Result<(), String> {
-        let past = Past {
+    ) -> Result<(), WriteSnapshotError> {
+        let snapshot = PeerSnapshot {
             incarnation,
-            at,
+            saved_at: now,
             digests,
         };
-        let body =
-            postcard::to_allocvec(&past).map_err(|e| format!("{}: {e}", self.file.display()))?;
-        let mut bytes = MAGIC.to_vec();
-        bytes.extend(crc32fast::hash(&body).to_le_bytes());
-        bytes.extend(body);
-        crate::atomic_file::replace(&self.file, &bytes)
-            .map_err(|e| format!("{}: {e}", self.file.display()))
+        let bytes = snapshot
+            .encode()
+            .map_err(|source| WriteSnapshotError::Encode {
+                file: self.path.clone(),
+                source,
+            })?;
+        crate::atomic_file::replace(&self.path, &bytes).map_err(|source| WriteSnapshotError::Io {
+            file: self.path.clone(),
+            source,
+        })
     }
 }
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn digest() -> Digest {
-        Digest {
-            age: 500.0,
-            outage: Some(ReportedOutage::Recovering { since: 2_000.0 }),
-            ..Digest::new(7)
-        }
-    }
-
-    #[test]
-    fn what_was_kept_has_aged_and_a_damaged_file_is_passed_over() {
-        let folder = std::env::temp_dir().join(format!("martenlatch-kept-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&folder);
-        std::fs::create_dir_all(&folder).unwrap();
-        let open = |now: Millis| PeerSnapshotFile::open(&folder, now);
-        assert_eq!(open(1e6).1.incarnation, 0, "nothing yet");
-        open(1e6).0.write(4, 1e6, vec![digest()]).unwrap();
-        let past = open(1e6 + 3_000.0).1;
-        assert_eq!((past.incarnation, past.digests[0].age), (4, 3_500.0));
-        assert_eq!(
-            past.digests[0].outage,
-            Some(ReportedOutage::Recovering { since: 5_000.0 })
-        );
-        let past = open(1e6 - 1.0).1;
-        assert_eq!(
-            (past.incarnation, past.digests.len()),
-            (4, 0),
-            "the clock was put back"
-        );
-        let whole = std::fs::read(folder.join("peers")).unwrap();
-        for at in 0..whole.len() {
-            let mut spoilt = whole.clone();
-            spoilt[at] ^= 0x20;
-            std::fs::write(folder.join("peers"), &spoilt).unwrap();
-            assert_eq!(open(1e6).1.incarnation, 0, "byte {at}");
-            std::fs::write(folder.join("peers"), &whole[..at]).unwrap();
-            assert_eq!(open(1e6).1.incarnation, 0, "cut at {at}");
-        }
-        let _ = std::fs::remove_dir_all(&folder);
+fn read(path: &Path, now: Millis) -> Result<PeerSnapshot, ReadSnapshotError> {
+    match std::fs::read(path) {
+        Ok(bytes) => PeerSnapshot::decode(&bytes, now),
+        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(PeerSnapshot::default()),
+        Err(e) => Err(ReadSnapshotError::Io(e)),
     }
 }
