--- a/crates/martenlatch/src/main.rs
+++ b/crates/martenlatch/src/main.rs
@@ -95,7 +95,7 @@
 
 fn configured(file: Option<&PathBuf>) -> Result<(Program, Config), String> {
     let program = own(file)?;
-    let config = Config::read()?;
+    let config = Config::read().map_err(|error| error.to_string())?;
     Ok((
         program.clone(),
         Config {
@@ -111,7 +111,7 @@
         Command::Serve => {
             let (program, config) = configured(cli.own.settings.as_ref())?;
             logging::start(&program.log);
-            martenlatch_sender::run(config)?;
+            martenlatch_sender::run(config).map_err(|error| error.to_string())?;
         }
         Command::Check => {
             let (_, config) = configured(cli.own.settings.as_ref())?;
--- a/crates/martenlatch/tests/stories.rs
+++ b/crates/martenlatch/tests/stories.rs
@@ -234,7 +234,7 @@
     assert_eq!(region.call().id(), "s2");
     let counters = sender.counters();
     assert!(
-        counters.contains(" failure=1 ") && counters.contains(" broken=0 "),
+        counters.contains(" failure=1 ") && counters.contains(" connection_lost=0 "),
         "{counters}"
     );
 }
@@ -505,7 +505,7 @@
         .collect();
     assert_eq!(counters.len(), 2, "on request and at exit: {log}");
     assert!(
-        counters[1].contains(" taken=1 ") && counters[1].contains(" success=1 "),
+        counters[1].contains(" accepted=1 ") && counters[1].contains(" success=1 "),
         "{log}"
     );
     assert!(!log.contains("k-t1"), "no key in the log");
--- a/crates/sender/src/class_metrics.rs
+++ b/crates/sender/src/class_metrics.rs
@@ -1,78 +1,104 @@
-//! Owns the figures that operators are told: per class what became of transactions, and what is held and listed now. It
-//! must never count an end twice, nor keep a second count of what is counted elsewhere.
+//! The metrics that operators read: per class what became of its messages, and gauges of the present state.
+//!
+//! The names in [`ClassMetrics::text`] are a public interface; monitoring systems read them.
 
 use std::fmt::Write;
 use std::rc::Rc;
 
-/// What became of the transactions of one class, since the start of the process.
+/// What became of the messages of one class since the start of the process. Each message is counted once.
 pub struct ClassCounts {
     name: Rc<str>,
-    /// Delivered: a first line 200 was read while it was open.
+    /// Delivered: an endpoint answered 200 while the message was open.
     pub answered: u64,
-    /// Refused at the door, or handed back by a notice that the platform has confirmed.
+    /// Rejected on arrival, or returned to the client by a confirmed status report.
     pub deferred: u64,
-    /// Failed: by a confirmed notice, called over by a region, or of a destination that nothing lists.
+    /// Failed: by a confirmed status report, by an endpoint's 410, or for an unknown destination.
     pub errored: u64,
-    /// Calls written whole to regions, copies and repeats too.
+    /// Attempts whose last byte was sent, retries and hedged requests included.
     pub sends: u64,
 }
 
-/// The figures of all classes, each there from the start.
+impl ClassCounts {
+    fn new(name: &str) -> ClassCounts {
+        ClassCounts {
+            name: Rc::from(name),
+            answered: 0,
+            deferred: 0,
+            errored: 0,
+            sends: 0,
+        }
+    }
+}
+
+/// The counts of all classes of the settings, in their order.
 pub struct ClassMetrics {
-    groups: Vec<ClassCounts>,
+    classes: Vec<ClassCounts>,
 }
 
-/// What is computed when it is asked for.
+/// The state at one instant, computed when it is asked for.
 pub struct Gauges {
-    /// Transactions taken on whose end the platform does not have.
+    /// Accepted messages whose end the platform has not confirmed.
     pub current: usize,
-    /// Regions in the service table, and those of them that get nothing now.
+    /// Endpoints in the endpoint list.
     pub cluster_size: usize,
+    /// Endpoints in the endpoint list that get no messages now.
     pub cluster_unhealthy: usize,
 }
 
 impl ClassMetrics {
+    /// Zero counts for classes of these names.
     pub fn new(classes: &[String]) -> ClassMetrics {
-        let group = |name: &String| ClassCounts {
-            name: Rc::from(name.as_str()),
-            answered: 0,
-            deferred: 0,
-            errored: 0,
-            sends: 0,
-        };
         ClassMetrics {
-            groups: classes.iter().map(group).collect(),
+            classes: classes.iter().map(|name| ClassCounts::new(name)).collect(),
+        }
+    }
+
+    /// The counts of a class; none for a class that the settings no longer have.
+    pub fn get_mut(&mut self, class: &str) -> Option<&mut ClassCounts> {
+        self.classes
+            .iter_mut()
+            .find(|counts| *counts.name == *class)
+    }
+
+    /// Counts a message that is returned to its client.
+    pub fn count_deferred(&mut self, class: &str) {
+        if let Some(counts) = self.get_mut(class) {
+            counts.deferred += 1;
+        }
+    }
+
+    /// Counts a message that has failed.
+    pub fn count_errored(&mut self, class: &str) {
+        if let Some(counts) = self.get_mut(class) {
+            counts.errored += 1;
         }
     }
 
-    /// The counts of a class; none for one that the settings no longer have.
-    pub fn of(&mut self, class: &str) -> Option<&mut ClassCounts> {
-        self.groups.iter_mut().find(|g| *g.name == *class)
+    /// Counts a message that is delivered.
+    pub fn count_answered(&mut self, class: &str) {
+        if let Some(counts) = self.get_mut(class) {
+            counts.answered += 1;
+        }
     }
 
-    /// The answer to operators: a figure a line, then the line that ends them.
-    pub fn text(&self, present: &Gauges) -> String {
+    /// Counts an attempt that was sent.
+    pub fn count_sent(&mut self, class: &str) {
+        if let Some(counts) = self.get_mut(class) {
+            counts.sends += 1;
+        }
+    }
+
+    /// The answer to an operator: one metric a line, then the line `--`.
+    pub fn text(&self, gauges: &Gauges) -> String {
         let mut text = String::new();
-        for g in &self.groups {
-            let states = [
-                ("answered", g.answered),
-                ("deferred", g.deferred),
-                ("errored", g.errored),
-            ];
-            for (state, count) in states {
-                let _ = writeln!(
-                    text,
-                    "sender_transactions{{group=\"{}\",state=\"{state}\"}} {count}",
-                    g.name
-                );
-            }
-            let _ = writeln!(text, "sender_sends{{group=\"{}\"}} {}", g.name, g.sends);
+        for counts in &self.classes {
+            write_class(&mut text, counts);
         }
         let Gauges {
             current,
             cluster_size,
             cluster_unhealthy,
-        } = present;
+        } = gauges;
         let _ = writeln!(
             text,
             "sender_current {current}\nsender_cluster_size {cluster_size}\n\
@@ -81,27 +107,44 @@
         text
     }
 
-    /// The same figures for the log, a line a class.
-    pub fn print(&self, present: &Gauges) {
-        for g in &self.groups {
+    /// Writes the same metrics to the log, a line per class.
+    pub fn print(&self, gauges: &Gauges) {
+        for counts in &self.classes {
             let ClassCounts {
                 name,
                 answered,
                 deferred,
                 errored,
                 sends,
-            } = g;
+            } = counts;
             tracing::info!(
-                "figures group={name} answered={answered} deferred={deferred} errored={errored} sends={sends}"
+                "metrics class={name} answered={answered} deferred={deferred} errored={errored} sends={sends}"
             );
         }
         let Gauges {
             current,
             cluster_size,
             cluster_unhealthy,
-        } = present;
+        } = gauges;
         tracing::info!(
-            "figures current={current} cluster_size={cluster_size} cluster_unhealthy={cluster_unhealthy}"
+            "metrics current={current} cluster_size={cluster_size} cluster_unhealthy={cluster_unhealthy}"
+        );
+    }
+}
+
+/// Writes the lines of one class. Writing to a string cannot fail.
+fn write_class(text: &mut String, counts: &ClassCounts) {
+    let name = &counts.name;
+    let by_state = [
+        ("answered", counts.answered),
+        ("deferred", counts.deferred),
+        ("errored", counts.errored),
+    ];
+    for (state, count) in by_state {
+        let _ = writeln!(
+            text,
+            "sender_transactions{{group=\"{name}\",state=\"{state}\"}} {count}"
         );
     }
+    let _ = writeln!(text, "sender_sends{{group=\"{name}\"}} {}", counts.sends);
 }
--- a/crates/sender/src/class_rules.rs
+++ b/crates/sender/src/class_rules.rs
@@ -1,26 +1,42 @@
-//! Owns what classes promise: those of the settings, and behind them those of earlier settings under which something held was
-//! taken on. It must never let one configuration's rules stand for another's that shares a name.
+//! The rules of message classes: those of the settings, followed by those of earlier settings under which a message
+//! that is still held was accepted. A message keeps the rules under which it was accepted, also where the current
+//! settings give another class the same name.
 
 use std::rc::Rc;
 
 use martenlatch_policy::interface::{Idempotency, MessageClass, Settings};
 use serde::{Deserialize, Serialize};
 
-/// A class by its name, with its rules as the wal keeps them.
+/// A class: its name, and its rules in the form that the write-ahead log keeps. Serialized by field order.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClassRule {
+    /// The name of the class.
     pub name: Rc<str>,
+    /// The [`MessageClass`] in postcard form.
     pub rules: Rc<[u8]>,
-    /// What may have run must not be repeated.
-    once: bool,
+    /// Messages must not be sent again once an attempt may have run.
+    non_idempotent: bool,
 }
 
-/// The classes, in the places by which the module knows them.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+impl ClassRule {
+    fn new(name: Rc<str>, class: &MessageClass) -> ClassRule {
+        let rules = postcard::to_allocvec(class)
+            .map(Rc::from)
+            .unwrap_or_default();
+        ClassRule {
+            name,
+            rules,
+            non_idempotent: class.idempotency == Idempotency::NonIdempotent,
+        }
+    }
+}
+
+/// All classes, in the order by which the decision module numbers them.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct ClassRules(Vec<ClassRule>);
 
 impl ClassRules {
-    /// Those of the settings alone.
+    /// The classes of the settings alone.
     pub fn new(names: &[String], classes: &[MessageClass]) -> ClassRules {
         let named = names.iter().zip(classes);
         ClassRules(
@@ -30,74 +46,64 @@
         )
     }
 
-    /// Those of the settings, with what an earlier process had behind its own. None where that had other classes.
-    pub fn restore(self, passed: ClassRules, set: &mut Settings) -> Option<ClassRules> {
-        let (own, earlier) = passed.0.split_at_checked(self.0.len())?;
-        if own != self.0 {
+    /// The classes of a predecessor, whose classes of earlier settings are added to `settings`. None if its own
+    /// classes differ from these.
+    pub fn restore(self, predecessor: ClassRules, settings: &mut Settings) -> Option<ClassRules> {
+        let (current, earlier) = predecessor.0.split_at_checked(self.0.len())?;
+        if current != self.0 {
             return None;
         }
-        let classes = earlier
+        let earlier = earlier
             .iter()
-            .map(|p| postcard::from_bytes::<MessageClass>(&p.rules).ok());
-        set.classes.extend(classes.collect::<Option<Vec<_>>>()?);
-        Some(passed)
+            .map(|rule| postcard::from_bytes::<MessageClass>(&rule.rules).ok())
+            .collect::<Option<Vec<_>>>()?;
+        settings.classes.extend(earlier);
+        Some(predecessor)
     }
 
-    /// Where a class stands that something was taken on under; the settings get it behind theirs where they lack it. What was
-    /// taken on by a version that kept no rules goes by the class that has its name, if any.
-    pub fn keep(&mut self, name: &Rc<str>, rules: &Rc<[u8]>, set: &mut Settings) -> Option<usize> {
-        let known = self.place(name, rules);
+    /// Adds the class of a recovered message, here and in `settings`, unless it is there already. A message that was
+    /// recorded without rules goes by the class of its name.
+    pub fn add_recovered(&mut self, name: &Rc<str>, rules: &Rc<[u8]>, settings: &mut Settings) {
         let Ok(class) = postcard::from_bytes::<MessageClass>(rules) else {
-            return known;
+            return;
         };
-        if known.is_some_and(|at| self.0[at].rules == *rules) {
-            return known;
+        let known = self.index_of(name, rules);
+        if known.is_some_and(|index| self.0[index].rules == *rules) {
+            return;
         }
-        set.classes.push(MessageClass {
+        settings.classes.push(MessageClass {
             ordered: false,
             ..class
         });
-        if set.check().is_err() {
-            set.classes.pop();
-            return known;
+        if settings.check().is_err() {
+            settings.classes.pop();
+            return;
         }
         self.0.push(ClassRule {
             name: name.clone(),
             rules: rules.clone(),
-            once: class.idempotency == Idempotency::NonIdempotent,
+            non_idempotent: class.idempotency == Idempotency::NonIdempotent,
         });
-        Some(self.0.len() - 1)
     }
 
-    /// Where a class stands: the one of these rules, else the one of this name in the settings.
-    pub fn place(&self, name: &str, rules: &[u8]) -> Option<usize> {
-        let same = self
-            .0
+    /// The number of a class: of the one with these rules, else of the first one of this name.
+    pub fn index_of(&self, name: &str, rules: &[u8]) -> Option<usize> {
+        let same_rules = |rule: &ClassRule| *rule.name == *name && *rule.rules == *rules;
+        let same_name = |rule: &ClassRule| *rule.name == *name;
+        self.0
             .iter()
-            .position(|p| *p.name == *name && *p.rules == *rules);
-        same.or_else(|| self.0.iter().position(|p| *p.name == *name))
+            .position(same_rules)
+            .or_else(|| self.0.iter().position(same_name))
     }
 
-    /// Whether what may have run must not be repeated; so it is where nothing is known of the class.
-    pub fn once(&self, name: &str, rules: &[u8]) -> bool {
-        self.place(name, rules).is_none_or(|at| self.0[at].once)
+    /// Whether messages of a class must not be sent again once an attempt may have run. True for an unknown class.
+    pub fn is_non_idempotent(&self, name: &str, rules: &[u8]) -> bool {
+        self.index_of(name, rules)
+            .is_none_or(|index| self.0[index].non_idempotent)
     }
 
-    /// A class by its place.
-    pub fn at(&self, place: usize) -> &ClassRule {
-        &self.0[place]
-    }
-}
-
-impl ClassRule {
-    fn new(name: Rc<str>, class: &MessageClass) -> ClassRule {
-        let rules = postcard::to_allocvec(class)
-            .map(Rc::from)
-            .unwrap_or_default();
-        ClassRule {
-            name,
-            rules,
-            once: class.idempotency == Idempotency::NonIdempotent,
-        }
+    /// The class of a number that [`ClassRules::index_of`] gave.
+    pub fn get(&self, index: usize) -> &ClassRule {
+        &self.0[index]
     }
 }
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -1,17 +1,20 @@
-//! Owns the counts of what happens on the way; what became of transactions is in `class_metrics`. It must never decide anything.
+//! Counters of what this process has done since its start, for the log. The counts per class that operators read are
+//! in [`crate::class_metrics`].
 
 use std::fmt;
 
+/// Declares the counters once: as fields, and as the ` name=value` pairs of the log line, in this order.
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident),* $(,)?) => {
+        /// Counts since the start of the process. `Display` gives them as ` name=value` pairs.
         #[derive(Default)]
         pub struct Counters {
             $($(#[$doc])* pub $name: u64,)*
         }
 
         impl fmt::Display for Counters {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                $(write!(f, concat!(" ", stringify!($name), "={}"), self.$name)?;)*
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                $(write!(formatter, concat!(" ", stringify!($name), "={}"), self.$name)?;)*
                 Ok(())
             }
         }
@@ -20,41 +23,53 @@
 
 counters! {
     /// Client connections accepted.
-    clients,
-    /// Transactions taken on.
-    taken,
-    /// Transactions brought back from an earlier life.
+    client_connections,
+    /// Messages accepted: answered 202 and held.
+    accepted,
+    /// Messages recovered from an earlier process of this sender.
     resumed,
-    /// Of these, without a call in any life and without an end; those called since; those ended with no call.
-    untried,
-    untried_called,
-    untried_ended,
-    /// Requests that named a transaction already taken on.
-    repeated,
+    /// Of the resumed messages, those that no process had attempted yet.
+    unattempted,
+    /// Of the unattempted messages, those attempted since.
+    unattempted_started,
+    /// Of the unattempted messages, those that ended without any attempt.
+    unattempted_ended,
+    /// Requests whose id is that of a message accepted before.
+    duplicates,
     /// Requests answered 503.
-    turned_away,
-    /// Requests answered with a fault of theirs.
-    bad,
-    /// Clients that had left before they could hear.
-    left,
-    /// Connections opened to regions.
-    connections,
-    /// How routed tasks ended.
+    rejected,
+    /// Requests answered with another error status.
+    bad_requests,
+    /// Clients that disconnected before their answer.
+    clients_left,
+    /// Connections opened to endpoints.
+    endpoint_connections,
+    /// Attempts that ended with success.
     success,
+    /// Attempts that ended with a failure that the endpoint reported.
     failure,
-    short_on_capacity,
+    /// Attempts that ended with an overloaded response.
+    overloaded,
+    /// Attempts that ended by their timeout.
     timed_out,
+    /// Attempts that ended because no connection came up.
     unreachable,
-    broken,
-    stale,
-    withdrawn,
+    /// Attempts that ended because their connection was lost.
+    connection_lost,
+    /// Attempts that ended at once because a reused connection was stale.
+    stale_connection,
+    /// Attempts that were cancelled.
+    cancelled,
+    /// Attempts that ended before a byte was sent.
     not_sent,
-    /// Transactions that a region called over.
-    called_over,
-    /// Transactions that had to be ended after their time.
-    late,
-    /// Rounds of the loop, turns of the decision module with actions, and the longest round in whole milliseconds.
+    /// Messages that an endpoint ended by answering 410.
+    gone,
+    /// Messages that had to be ended after their deadline.
+    ended_late,
+    /// Rounds of the event loop.
     rounds,
+    /// Turns of the decision module that returned actions.
     turns,
+    /// The longest round, in whole milliseconds.
     longest_round_ms,
 }
--- /dev/null
+++ b/crates/sender/src/pipeline/actions.rs
@@ -0,0 +1,75 @@
+//! Carries out what the decision module wants done.
+
+use martenlatch_clock::{Millis, Nanos, millis};
+use martenlatch_policy::interface::{Action, EndpointId, MessageId};
+use martenlatch_wal::FinalStatus;
+
+use super::dispatch::Attempt;
+use super::driver::Driver;
+use super::{completion, dispatch};
+
+impl Driver {
+    /// Carries the actions of a turn out, and begins the attempts whose connections are up. What an action brings to
+    /// light, such as the Retry-After of a cancelled attempt, holds for all that begins in this round.
+    pub(super) fn perform(&mut self, actions: Vec<Action>, now: Millis) {
+        for action in actions {
+            self.perform_one(action, now);
+        }
+        self.process_attempt_results(now);
+        dispatch::send_ready(&mut self.store, &mut self.egress, now);
+    }
+
+    /// Carries one action out.
+    pub(super) fn perform_one(&mut self, action: Action, now: Millis) {
+        match action {
+            Action::Send {
+                id,
+                endpoint,
+                timeout,
+                latest,
+            } => self.start_attempt(id, endpoint, timeout, latest, now),
+            Action::Cancel { id, attempt } => self.egress.cancel(id, attempt, now),
+            Action::Reject { id, retry_after } => {
+                let retry_after_ms = retry_after.map(|span| millis(span).round() as u64);
+                self.give_up(id, FinalStatus::Deferred(retry_after_ms));
+            }
+            Action::Fail { id } => self.give_up(id, FinalStatus::Undeliverable),
+            // The module counts on its latest request alone: it replaces all earlier ones.
+            Action::WakeAfter(span) => self.decision.wake_at = Some(now + millis(span)),
+            Action::CloseIdle(endpoint) => self.egress.close_idle(endpoint),
+        }
+    }
+
+    fn start_attempt(
+        &mut self,
+        id: MessageId,
+        endpoint: EndpointId,
+        timeout: Nanos,
+        latest: Nanos,
+        now: Millis,
+    ) {
+        let attempt = Attempt {
+            id,
+            non_idempotent: self.is_non_idempotent(id),
+            endpoint,
+            kind: self.directory.kind(endpoint),
+            address: self.directory.address(endpoint),
+            timeout: millis(timeout),
+            start_before: millis(latest),
+        };
+        dispatch::start_attempt(&attempt, &mut self.store, &mut self.egress, now);
+    }
+
+    /// Whether a message must not be sent again once an attempt may have run.
+    fn is_non_idempotent(&self, id: MessageId) -> bool {
+        let rules = &self.admission.class_rules;
+        self.store
+            .record(id.0)
+            .is_none_or(|record| rules.is_non_idempotent(&record.class, &record.rules))
+    }
+
+    /// Ends a message undelivered.
+    pub(super) fn give_up(&mut self, id: MessageId, status: FinalStatus) {
+        completion::give_up(id, status, &mut self.store, &mut self.status_reporter);
+    }
+}
--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -1,160 +1,195 @@
-//! Owns the step from a request to a transaction: the record first, the answer then. It decides nothing but whether
-//! there is room, and must never answer 202 before the wal has the record.
+//! Admission: whether a message that a client has sent is accepted.
+//!
+//! An accepted message is recorded in the write-ahead log before its client is answered. It counts as accepted only
+//! once the client has been answered; a client that had left by then will send it again, so its record is revoked.
 
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_policy::interface::{ClassId, DestinationId, Event, MessageId};
 use martenlatch_wal::MessageRecord;
 use tracing::debug;
 
-use super::ingress::{IncomingMessage, Ingress};
-use super::message_store::{MessageStore, State};
+use super::ingress::IncomingMessage;
+use super::message_store::{MessageState, MessageStore};
 use super::status_reports::StatusReporter;
 use crate::class_rules::ClassRules;
 use crate::discovery::EndpointDirectory;
 
-/// Decides nothing but whether there is room: records first, answers then.
+/// What is decided on an incoming message.
+pub(super) enum AdmissionDecision {
+    /// It is recorded, and may be answered.
+    Accepted(RecordedMessage),
+    /// It was accepted before.
+    Duplicate,
+    /// There is no room for it now; the client may send it again later.
+    Rejected,
+    /// Discovery has never listed its destination.
+    UnknownDestination,
+}
+
+/// A message that is recorded in the write-ahead log, and not yet held.
+pub(super) struct RecordedMessage {
+    record: MessageRecord,
+    class: ClassId,
+}
+
+/// The limits and rules by which messages are accepted.
 pub struct Admission {
+    /// The most open messages.
     pub(super) max_held: usize,
+    /// The classes of the settings by name.
     pub(super) classes: Vec<String>,
     pub(super) class_rules: ClassRules,
 }
 
 impl Admission {
-    pub(super) fn admit(
+    /// Decides on an incoming message. One that is accepted is recorded here.
+    pub(super) fn decide(
         &self,
-        h: IncomingMessage,
+        message: IncomingMessage,
         store: &mut MessageStore,
-        ingress: &mut Ingress,
         directory: &EndpointDirectory,
         stopped: bool,
-        now: Millis,
-    ) -> Option<Event> {
-        if store.numbers.contains_key(&h.id) || store.wal.over.contains(&h.id) {
-            store.counters.repeated += 1;
-            ingress.answer(h.client, 202, "", now);
-            return None;
+    ) -> AdmissionDecision {
+        if store.is_known(&message.id) {
+            store.counters.duplicates += 1;
+            return AdmissionDecision::Duplicate;
         }
-        // A destination that discovery has never listed cannot be served; until it has spoken in this life, it
-        // may be a new one.
-        match directory.serves(h.destination) {
-            Some(true) => {}
+        match directory.serves(message.destination) {
+            Some(true) => self.record(message, store, stopped),
             Some(false) => {
-                store.counters.bad += 1;
-                store
-                    .class_metrics
-                    .of(&self.classes[h.class])
-                    .into_iter()
-                    .for_each(|g| g.errored += 1);
-                ingress.close(h.client);
-                ingress.answer(h.client, 404, "", now);
-                return None;
-            }
-            None => {
-                self.turn_away(h.class, h.client, store, ingress, now);
-                return None;
+                store.counters.bad_requests += 1;
+                let class = &self.classes[message.class];
+                store.class_metrics.count_errored(class);
+                AdmissionDecision::UnknownDestination
             }
+            // Until discovery has answered this process, the destination may be a new one.
+            None => self.reject(message.class, store),
         }
-        let (no, attempts, class, client) = (store.next, Vec::new(), h.class, h.client);
-        let promise = self.class_rules.at(class);
-        let (name, rules) = (promise.name.clone(), promise.rules.clone());
-        let (id, destination, deadline, final_status) = (h.id, h.destination, h.deadline, None);
-        let taken = MessageRecord {
-            no,
-            id,
-            class: name,
-            destination,
-            deadline,
-            key: h.key,
-            body: h.body,
-            attempts,
-            final_status,
-            rules,
-        };
-        if stopped || store.open >= self.max_held || !store.wal.append_message(&taken) {
-            self.turn_away(class, client, store, ingress, now);
-            return None;
-        }
-        store.next += 1;
-        if !ingress.answer(client, 202, "", now) {
-            // Nobody has it: the same request on a new connection must not be taken for one that is over.
-            store.counters.left += 1;
-            store.wal.append_revoked(no);
-            return None;
-        }
-        store.counters.taken += 1;
-        let (id, destination, class) = (
-            MessageId(no),
-            DestinationId(taken.destination),
-            ClassId(class),
-        );
-        let deadline = nanos(taken.deadline);
-        let (left_ms, to) = ((taken.deadline - now) as u64, taken.destination);
-        debug!(no, destination = to, class = %taken.class, left_ms, "taken on");
-        store.insert(taken, State::Open);
-        Some(Event::MessageAccepted {
-            id,
-            destination,
-            class,
-            deadline,
-            key: None,
-        })
     }
 
-    fn turn_away(
+    /// Accepts a message if there is room in memory and in the log.
+    fn record(
         &self,
-        class: usize,
-        client: usize,
+        message: IncomingMessage,
         store: &mut MessageStore,
-        ingress: &mut Ingress,
-        now: Millis,
-    ) {
-        debug!(class = %self.classes[class], open = store.open, "turned away");
-        store.counters.turned_away += 1;
-        store
-            .class_metrics
-            .of(&self.classes[class])
-            .into_iter()
-            .for_each(|g| g.deferred += 1);
-        ingress.busy(client, now);
+        stopped: bool,
+    ) -> AdmissionDecision {
+        let class = message.class;
+        let record = self.new_record(message, store.next_number);
+        if stopped || store.open >= self.max_held || !store.wal.append_message(&record) {
+            return self.reject(class, store);
+        }
+        store.next_number += 1;
+        AdmissionDecision::Accepted(RecordedMessage {
+            record,
+            class: ClassId(class),
+        })
     }
 
-    /// What an earlier life took on and did not end.
+    fn new_record(&self, message: IncomingMessage, number: u64) -> MessageRecord {
+        let class = self.class_rules.get(message.class);
+        MessageRecord {
+            no: number,
+            id: message.id,
+            class: class.name.clone(),
+            destination: message.destination,
+            deadline: message.deadline,
+            key: message.key,
+            body: message.body,
+            attempts: Vec::new(),
+            final_status: None,
+            rules: class.rules.clone(),
+        }
+    }
+
+    fn reject(&self, class: usize, store: &mut MessageStore) -> AdmissionDecision {
+        let class = &self.classes[class];
+        debug!(class = %class, open = store.open, "rejected");
+        store.counters.rejected += 1;
+        store.class_metrics.count_deferred(class);
+        AdmissionDecision::Rejected
+    }
+
+    /// Holds a message that an earlier process accepted and did not end. Returns the event for the decision module,
+    /// unless the message is settled and only its status report is owed.
     pub(super) fn resume(
         &self,
-        taken: MessageRecord,
+        record: MessageRecord,
         store: &mut MessageStore,
         status_reporter: &mut StatusReporter,
     ) -> Option<Event> {
         store.counters.resumed += 1;
-        let class = self.class_rules.place(&taken.class, &taken.rules);
-        let event = class.map(|class| Event::MessageResumed {
-            id: MessageId(taken.no),
-            destination: DestinationId(taken.destination),
-            class: ClassId(class),
-            deadline: nanos(taken.deadline),
-            attempts: taken.attempts.len() as u32,
-            ran: taken
-                .attempts
-                .iter()
-                .find(|t| !t.never_ran)
-                .map(|t| nanos(t.sent)),
-        });
-        let (no, settled) = (taken.no, taken.final_status.is_some() || event.is_none());
-        let (attempts, to) = (taken.attempts.len(), taken.destination);
-        debug!(no, destination = to, class = %taken.class, attempts, settled, "resumed");
-        store.insert(taken, if settled { State::Ending } else { State::Open });
-        let untried = attempts == 0 && !settled;
-        store.counters.untried += u64::from(untried);
-        store
-            .held
-            .get_mut(&no)
-            .into_iter()
-            .for_each(|t| t.untried = untried);
+        let number = record.no;
+        let event = self.resumed_event(&record);
+        // Its end was decided before, or nothing says what its class promised.
+        let settled = record.final_status.is_some() || event.is_none();
+        let unattempted = record.attempts.is_empty() && !settled;
+        debug!(
+            number,
+            destination = record.destination,
+            class = %record.class,
+            attempts = record.attempts.len(),
+            settled,
+            "resumed"
+        );
+        let state = if settled {
+            MessageState::Reporting
+        } else {
+            MessageState::Open
+        };
+        store.insert(record, state);
+        store.counters.unattempted += u64::from(unattempted);
+        if let Some(message) = store.messages.get_mut(&number) {
+            message.unattempted = unattempted;
+        }
         if settled {
-            // Its end was decided, or nothing says what its class promised.
-            status_reporter.queue.push_back(no);
+            status_reporter.queue.push_back(number);
             return None;
         }
         event
     }
+
+    /// What the decision module is told of a resumed message; none if its class is unknown.
+    fn resumed_event(&self, record: &MessageRecord) -> Option<Event> {
+        let class = self.class_rules.index_of(&record.class, &record.rules)?;
+        let first_run = record.attempts.iter().find(|attempt| !attempt.never_ran);
+        Some(Event::MessageResumed {
+            id: MessageId(record.no),
+            destination: DestinationId(record.destination),
+            class: ClassId(class),
+            deadline: nanos(record.deadline),
+            attempts: record.attempts.len() as u32,
+            ran: first_run.map(|attempt| nanos(attempt.sent)),
+        })
+    }
+}
+
+impl RecordedMessage {
+    /// The client has been answered: the message is held from here on. Returns the event for the decision module.
+    pub(super) fn hold(self, store: &mut MessageStore, now: Millis) -> Event {
+        store.counters.accepted += 1;
+        let record = self.record;
+        debug!(
+            number = record.no,
+            destination = record.destination,
+            class = %record.class,
+            left_ms = (record.deadline - now) as u64,
+            "accepted"
+        );
+        let event = Event::MessageAccepted {
+            id: MessageId(record.no),
+            destination: DestinationId(record.destination),
+            class: self.class,
+            deadline: nanos(record.deadline),
+            key: None,
+        };
+        store.insert(record, MessageState::Open);
+        event
+    }
+
+    /// The client had left before its answer: when it sends the message again, that must not pass for a duplicate.
+    pub(super) fn revoke(self, store: &mut MessageStore) {
+        store.counters.clients_left += 1;
+        store.wal.append_revoked(self.record.no);
+    }
 }
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -1,133 +1,169 @@
-//! Owns the entries of how routed tasks and transactions end, and the wal's compaction. It must never end a
-//! transaction twice.
+//! The ends of attempts and messages: their records, their counts, and what the decision module is told of them.
 
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_policy::interface::{Event, MessageId, Outcome};
 use martenlatch_wal::FinalStatus;
 use tracing::debug;
 
-use super::message_store::{MessageStore, State};
+use super::message_store::{MessageState, MessageStore, StoredMessage};
 use super::status_reports::StatusReporter;
+use crate::counters::Counters;
 use crate::egress::AttemptResult;
 
-/// Enters how routed tasks and transactions end.
-pub struct Completion;
+/// An attempt has ended. Returns the event for the decision module, if the message is still held.
+pub(super) fn end_attempt(
+    result: &AttemptResult,
+    store: &mut MessageStore,
+    status_reporter: &mut StatusReporter,
+) -> Option<Event> {
+    let number = result.id.0;
+    count_outcome(&mut store.counters, result.outcome);
+    let message = store.messages.get_mut(&number)?;
+    debug!(
+        number,
+        attempt = result.attempt,
+        destination = message.record.destination,
+        outcome = ?result.outcome,
+        took_ms = result.took as u64,
+        "attempt ended"
+    );
+    message.attempts_in_flight = message.attempts_in_flight.saturating_sub(1);
+    if result.outcome.never_ran() && mark_never_ran(message, result.attempt as usize) {
+        store.wal.append_never_ran(number, result.attempt as usize);
+    }
+    let ends_message = is_unreported(message, result.outcome, status_reporter)
+        && (result.outcome == Outcome::Success || result.over);
+    if ends_message {
+        close_message(number, result.over, store);
+    } else {
+        store.remove_if_finished(number);
+    }
+    Some(Event::AttemptEnded {
+        id: result.id,
+        attempt: result.attempt,
+        outcome: result.outcome,
+        took: nanos(result.took),
+        finished: !is_open(store, number),
+    })
+}
 
-impl Completion {
-    /// A routed task has ended: the record of a proof that it never ran, and what the module is told.
-    pub(super) fn task(
-        &self,
-        done: AttemptResult,
-        store: &mut MessageStore,
-        status_reporter: &mut StatusReporter,
-    ) -> Option<Event> {
-        let (id, attempt, outcome) = (done.id, done.attempt, done.outcome);
-        let count = &mut store.counters;
-        *match outcome {
-            Outcome::Success => &mut count.success,
-            Outcome::Failure => &mut count.failure,
-            Outcome::Overloaded { .. } => &mut count.short_on_capacity,
-            Outcome::TimedOut => &mut count.timed_out,
-            Outcome::Unreachable => &mut count.unreachable,
-            Outcome::ConnectionLost => &mut count.broken,
-            Outcome::StaleConnection => &mut count.stale,
-            Outcome::Cancelled => &mut count.withdrawn,
-            Outcome::NotSent | Outcome::AttemptsExhausted => &mut count.not_sent,
-        } += 1;
-        let t = store.held.get_mut(&id.0)?;
-        let (no, took_ms, to) = (id.0, done.took as u64, t.taken.destination);
-        debug!(
-            no,
-            attempt,
-            destination = to,
-            ?outcome,
-            took_ms,
-            "came back"
-        );
-        t.out = t.out.saturating_sub(1);
-        if outcome.never_ran()
-            && let Some(task) = t
-                .taken
-                .attempts
-                .get_mut(attempt as usize)
-                .filter(|t| !t.never_ran)
-        {
-            task.never_ran = true;
-            store.wal.append_never_ran(id.0, attempt as usize);
+fn count_outcome(counters: &mut Counters, outcome: Outcome) {
+    let counter = match outcome {
+        Outcome::Success => &mut counters.success,
+        Outcome::Failure => &mut counters.failure,
+        Outcome::Overloaded { .. } => &mut counters.overloaded,
+        Outcome::TimedOut => &mut counters.timed_out,
+        Outcome::Unreachable => &mut counters.unreachable,
+        Outcome::ConnectionLost => &mut counters.connection_lost,
+        Outcome::StaleConnection => &mut counters.stale_connection,
+        Outcome::Cancelled => &mut counters.cancelled,
+        Outcome::NotSent | Outcome::AttemptsExhausted => &mut counters.not_sent,
+    };
+    *counter += 1;
+}
+
+/// Marks an attempt as proven never to have run. False if it was marked before, or has no record.
+fn mark_never_ran(message: &mut StoredMessage, attempt: usize) -> bool {
+    match message.record.attempts.get_mut(attempt) {
+        Some(record) if !record.never_ran => {
+            record.never_ran = true;
+            true
         }
-        // One that is answered as it is given up has its one end by the answer, while the platform has not been told.
-        let open = t.state == State::Open
-            || (t.state == State::Ending
-                && outcome == Outcome::Success
-                && status_reporter.withdraw(id.0));
-        if open && (outcome == Outcome::Success || done.over) {
-            store.counters.called_over += u64::from(done.over);
-            if let Some(group) = store.class_metrics.of(&t.taken.class) {
-                *if done.over {
-                    &mut group.errored
-                } else {
-                    &mut group.answered
-                } += 1;
-            }
-            store.pass(id.0, State::Over);
+        _ => false,
+    }
+}
+
+/// Whether an answer can still end the message. If it was given up in the same round, a success counts as its one end,
+/// provided that the status report has not been sent: it is withdrawn then.
+fn is_unreported(
+    message: &StoredMessage,
+    outcome: Outcome,
+    status_reporter: &mut StatusReporter,
+) -> bool {
+    match message.state {
+        MessageState::Open => true,
+        MessageState::Reporting => {
+            outcome == Outcome::Success && status_reporter.withdraw(message.record.no)
+        }
+        MessageState::Closed => false,
+    }
+}
+
+/// An endpoint's answer ends a message: it is delivered, or the endpoint says that it is gone.
+fn close_message(number: u64, gone: bool, store: &mut MessageStore) {
+    let class = store.record(number).map(|record| record.class.clone());
+    if gone {
+        store.counters.gone += 1;
+    }
+    if let Some(class) = class {
+        if gone {
+            store.class_metrics.count_errored(&class);
         } else {
-            store.forget(id.0);
+            store.class_metrics.count_answered(&class);
         }
-        let finished = store.held.get(&id.0).is_none_or(|t| t.state != State::Open);
-        let took = nanos(done.took);
-        Some(Event::AttemptEnded {
-            id,
-            attempt,
-            outcome,
-            took,
-            finished,
-        })
     }
+    store.advance(number, MessageState::Closed);
+}
+
+fn is_open(store: &MessageStore, number: u64) -> bool {
+    store
+        .messages
+        .get(&number)
+        .is_some_and(|message| message.state == MessageState::Open)
+}
 
-    /// A transaction ends undelivered: its notice is owed from here on.
-    pub(super) fn end(
-        &self,
-        id: MessageId,
-        notice: FinalStatus,
-        store: &mut MessageStore,
-        status_reporter: &mut StatusReporter,
-    ) {
-        let Some(t) = store.held.get_mut(&id.0).filter(|t| t.state == State::Open) else {
-            return;
-        };
-        t.taken.final_status = Some(notice);
-        store.counters.untried_ended += u64::from(std::mem::take(&mut t.untried));
-        debug!(
-            no = id.0,
-            destination = t.taken.destination,
-            ?notice,
-            "ends"
-        );
-        store.wal.append_final_status(id.0, notice);
-        store.pass(id.0, State::Ending);
-        status_reporter.queue.push_back(id.0);
+/// Gives an open message up: it ends undelivered, and from here on its status report is owed.
+pub(super) fn give_up(
+    id: MessageId,
+    status: FinalStatus,
+    store: &mut MessageStore,
+    status_reporter: &mut StatusReporter,
+) {
+    let number = id.0;
+    let Some(message) = store.messages.get_mut(&number) else {
+        return;
+    };
+    if message.state != MessageState::Open {
+        return;
     }
+    message.record.final_status = Some(status);
+    if std::mem::take(&mut message.unattempted) {
+        store.counters.unattempted_ended += 1;
+    }
+    debug!(
+        number,
+        destination = message.record.destination,
+        ?status,
+        "message given up"
+    );
+    store.wal.append_final_status(number, status);
+    store.advance(number, MessageState::Reporting);
+    status_reporter.queue.push_back(number);
+}
 
-    /// The platform has confirmed an end.
-    pub(super) fn confirmed(&self, no: u64, store: &mut MessageStore) {
-        let told = store.held.get(&no).map(|t| &t.taken);
-        if let Some((taken, group)) =
-            told.and_then(|t| Some((t, store.class_metrics.of(&t.class)?)))
-        {
-            match taken.final_status {
-                Some(FinalStatus::Deferred(_)) => group.deferred += 1,
-                _ => group.errored += 1,
-            }
+/// The platform has confirmed the status report of a message.
+pub(super) fn confirm_report(number: u64, store: &mut MessageStore) {
+    if let Some(message) = store.messages.get(&number) {
+        let class = &message.record.class;
+        match message.record.final_status {
+            Some(FinalStatus::Deferred(_)) => store.class_metrics.count_deferred(class),
+            _ => store.class_metrics.count_errored(class),
         }
-        store.pass(no, State::Over);
     }
+    store.advance(number, MessageState::Closed);
+}
 
-    pub(super) fn tidy(&self, store: &mut MessageStore, now: Millis) {
-        if store.wal.wants_compaction(now) {
-            let held = store.held.values().filter(|t| t.state != State::Over);
-            if !store.wal.compact(held.map(|t| &t.taken)) {
-                store.wal.compaction_failed(now);
-            }
-        }
+/// Compacts the write-ahead log when it has grown enough.
+pub(super) fn compact_log(store: &mut MessageStore, now: Millis) {
+    if !store.wal.wants_compaction(now) {
+        return;
+    }
+    let unfinished = store
+        .messages
+        .values()
+        .filter(|message| message.state != MessageState::Closed)
+        .map(|message| &message.record);
+    if !store.wal.compact(unfinished) {
+        store.wal.compaction_failed(now);
     }
 }
--- a/crates/sender/src/pipeline/crash_recovery_tests.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
@@ -8,7 +8,16 @@
 use martenlatch_settings::platform as settings;
 use martenlatch_wal::{AttemptRecord, LogInspection, MessageRecord};
 
-use super::*;
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use martenlatch_clock::{Clock, Millis};
+use martenlatch_policy::interface::{Idempotency, MessageClass};
+use martenlatch_wal::WriteAheadLog;
+
+use super::{Driver, Start};
+use crate::Config;
+use crate::event_source::EventSource;
 
 const START: Millis = 1_796_121_600_000.0;
 /// How long a transaction has; and how far a step goes on.
@@ -333,7 +342,7 @@
     let mut left = (TIME + 4_500.0) / STEP;
     while driver.store.open
         + driver.status_reporter.queue.len()
-        + driver.status_reporter.flying.len()
+        + driver.status_reporter.in_flight.len()
         > 0
         || left > (TIME + 4_000.0) / STEP
     {
@@ -453,10 +462,13 @@
     assert_eq!((world.calls.len(), world.notices.len()), (calls, 1 - calls));
     // What is taken on now goes by the settings, also where that name stands for both.
     assert_eq!(driver.store.open, 0);
-    let current = driver.admission.class_rules.at(0);
+    let current = driver.admission.class_rules.get(0);
     assert!(
         current.name.as_ref() == "debit"
-            && driver.admission.class_rules.once("debit", &current.rules)
+            && driver
+                .admission
+                .class_rules
+                .is_non_idempotent("debit", &current.rules)
     );
 }
 
@@ -515,10 +527,14 @@
     let count = &driver.store.counters;
     println!(
         "untried {} called {} ended {}",
-        count.untried, count.untried_called, count.untried_ended
+        count.unattempted, count.unattempted_started, count.unattempted_ended
     );
     assert_eq!(
-        (count.untried, count.untried_called, count.untried_ended),
+        (
+            count.unattempted,
+            count.unattempted_started,
+            count.unattempted_ended
+        ),
         (HOLD as u64, HOLD as u64, 0)
     );
 }
--- a/crates/sender/src/pipeline/decision.rs
+++ b/crates/sender/src/pipeline/decision.rs
@@ -1,20 +1,32 @@
-//! Owns the module: gathers a round's events and calls it once. It must never add a decision of its own.
+//! The decision module within the pipeline: collects the events of a round, and runs the module once on all of them.
 
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{Action, Event};
 
-/// Owns the module: gathers a round's events, and calls it once.
+/// The decision module, its events and its timer.
 pub struct Decision {
     pub(super) policy: Policy,
+    /// Events that the module has not seen yet, in the order in which they happened.
     pub(super) events: Vec<Event>,
-    pub(super) wake: Option<Millis>,
+    /// When the module wants to run next, if nothing else happens.
+    pub(super) wake_at: Option<Millis>,
 }
 
 impl Decision {
+    /// A module that has seen nothing yet, or what its state says.
+    pub(super) fn new(policy: Policy) -> Decision {
+        Decision {
+            policy,
+            events: Vec::new(),
+            wake_at: None,
+        }
+    }
+
+    /// Runs the module on the events so far, if there are any. Returns what it wants done.
     pub(super) fn turn(&mut self, now: Millis) -> Vec<Action> {
-        if self.wake.is_some_and(|at| at <= now) {
-            self.wake = None;
+        if self.wake_at.is_some_and(|wake_at| wake_at <= now) {
+            self.wake_at = None;
             self.events.push(Event::Wake);
         }
         let mut actions = Vec::new();
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -1,126 +1,136 @@
-//! Owns the step from an action to a call: its connection, the routed task's record, then its first byte. It must never send
-//! what has no record.
+//! Starts attempts: from the module's action to the request's first byte.
+//!
+//! An attempt is recorded in the write-ahead log once its connection is up and before its first byte. A request that
+//! is not recorded is not sent: after a crash it would count as one that never ran.
 
 use std::net::SocketAddr;
 
 use martenlatch_clock::Millis;
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
-use martenlatch_wal::AttemptRecord;
+use martenlatch_wal::{AttemptRecord, MessageRecord};
 use tracing::debug;
 
-use super::message_store::MessageStore;
+use super::message_store::{MessageStore, StoredMessage};
 use crate::egress::{AttemptResult, Call, Egress};
 
-/// A routed task's transaction and its goal.
-pub struct DispatchTarget {
+/// One attempt that the decision module wants.
+pub struct Attempt {
     pub(super) id: MessageId,
-    /// Its class must not be repeated once it may have run.
-    pub(super) once: bool,
-    pub(super) region: EndpointId,
-    /// Its kind, by its place in the settings.
+    /// The message must not be sent again once an attempt may have run.
+    pub(super) non_idempotent: bool,
+    pub(super) endpoint: EndpointId,
+    /// The endpoint's kind, by its index in the settings.
     pub(super) kind: usize,
-    /// None where the table lists it no more.
+    /// None if the endpoint is no longer listed.
     pub(super) address: Option<SocketAddr>,
+    /// How long the endpoint may take, in milliseconds.
+    pub(super) timeout: Millis,
+    /// The last instant at which the request may begin.
+    pub(super) start_before: Millis,
 }
 
-/// Carries a routed task to its region: its connection, its record, then its first byte.
-pub struct Dispatch;
+/// Starts an attempt: egress finds it a connection. It begins in [`send_ready`], once that is up.
+pub(super) fn start_attempt(
+    attempt: &Attempt,
+    store: &mut MessageStore,
+    egress: &mut Egress,
+    now: Millis,
+) {
+    let Some(message) = store.messages.get_mut(&attempt.id.0) else {
+        return;
+    };
+    let number = add_attempt(message, now);
+    if std::mem::take(&mut message.unattempted) {
+        store.counters.unattempted_started += 1;
+    }
+    let Some(address) = attempt.address else {
+        egress.results.push(not_sent(attempt.id, number));
+        return;
+    };
+    let record = &message.record;
+    debug!(
+        number = attempt.id.0,
+        attempt = number,
+        destination = record.destination,
+        endpoint = attempt.endpoint.0,
+        hedge = message.attempts_in_flight > 1,
+        "attempt started"
+    );
+    let head = request_head(record, address, attempt.timeout);
+    let call = Call {
+        id: attempt.id,
+        attempt: number,
+        region: attempt.endpoint,
+        kind: attempt.kind,
+        destination: record.destination,
+        timeout: attempt.timeout,
+        latest: attempt.start_before,
+        // A retry has failed once already, and should not fail again because of a stale connection.
+        dear: attempt.non_idempotent || number > 0,
+        head: head.as_bytes(),
+        body: &record.body,
+    };
+    egress.start(&call, address, now);
+}
 
-impl Dispatch {
-    pub(super) fn send(
-        &self,
-        target: DispatchTarget,
-        timeout: Millis,
-        latest: Millis,
-        store: &mut MessageStore,
-        egress: &mut Egress,
-        now: Millis,
-    ) {
-        let DispatchTarget {
-            id,
-            once,
-            region,
-            kind,
-            address,
-        } = target;
-        let Some(t) = store.held.get_mut(&id.0) else {
-            return;
-        };
-        let attempt = t.taken.attempts.len();
-        // It has not begun: its record comes once its connection is up, and before its first byte.
-        t.taken.attempts.push(AttemptRecord {
-            sent: now,
-            never_ran: true,
-        });
-        t.out += 1;
-        store.counters.untried_called += u64::from(std::mem::take(&mut t.untried));
-        let Some(address) = address else {
-            let (attempt, outcome) = (attempt as u32, Outcome::NotSent);
-            return egress.results.push(AttemptResult {
-                id,
-                attempt,
-                outcome,
-                took: 0.0,
-                over: false,
-            });
-        };
-        let (taken, no, at) = (&t.taken, id.0, region.0);
-        debug!(
-            no,
-            attempt,
-            destination = taken.destination,
-            region = at,
-            copy = t.out > 1,
-            "routed"
-        );
-        let key = taken
-            .key
-            .as_ref()
-            .map_or(String::new(), |k| format!("Idempotency-Key: {k}\r\n"));
-        let head = format!(
-            "POST /v1/messages HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {}\r\n{key}X-Timeout: {:.3}\r\n\
-             Content-Length: {}\r\n\r\n",
-            taken.id,
-            timeout / 1e3,
-            taken.body.len()
-        );
-        let (head, body, destination) = (head.as_bytes(), &*taken.body, taken.destination);
-        // A further attempt has failed once, and should not do so again for the sake of a connection.
-        let (dear, attempt) = (once || attempt > 0, attempt as u32);
-        let call = Call {
-            id,
-            attempt,
-            region,
-            kind,
-            destination,
-            timeout,
-            latest,
-            dear,
-            head,
-            body,
-        };
-        egress.start(&call, address, now);
+/// Adds an attempt to a message and returns its number. Until it begins, it counts as one that never ran.
+fn add_attempt(message: &mut StoredMessage, now: Millis) -> u32 {
+    let number = message.record.attempts.len() as u32;
+    message.record.attempts.push(AttemptRecord {
+        sent: now,
+        never_ran: true,
+    });
+    message.attempts_in_flight += 1;
+    number
+}
+
+/// The result of an attempt whose endpoint is no longer listed.
+fn not_sent(id: MessageId, attempt: u32) -> AttemptResult {
+    AttemptResult {
+        id,
+        attempt,
+        outcome: Outcome::NotSent,
+        took: 0.0,
+        over: false,
     }
+}
+
+fn request_head(record: &MessageRecord, address: SocketAddr, timeout: Millis) -> String {
+    let idempotency_key = match &record.key {
+        Some(key) => format!("Idempotency-Key: {key}\r\n"),
+        None => String::new(),
+    };
+    format!(
+        "POST /v1/messages HTTP/1.1\r\nHost: {address}\r\nX-Request-ID: {}\r\n{idempotency_key}X-Timeout: {:.3}\r\n\
+         Content-Length: {}\r\n\r\n",
+        record.id,
+        timeout / 1e3,
+        record.body.len()
+    )
+}
+
+/// Sends the requests whose connections are up, each behind its record.
+pub(super) fn send_ready(store: &mut MessageStore, egress: &mut Egress, now: Millis) {
+    egress.send_ready(
+        |id, attempt| record_attempt(store, id, attempt as usize, now),
+        now,
+    );
+}
 
-    /// Begins the calls whose connections are up. What has no record is not sent: after a crash it would be taken for one
-    /// that never ran.
-    pub(super) fn begin(&self, store: &mut MessageStore, egress: &mut Egress, now: Millis) {
-        let MessageStore { held, wal, .. } = store;
-        egress.send_ready(
-            |id, attempt| {
-                let task = held
-                    .get_mut(&id.0)
-                    .and_then(|t| t.taken.attempts.get_mut(attempt as usize));
-                let recorded = task.is_some() && wal.append_attempt(id.0, attempt as usize, now);
-                task.filter(|_| recorded).into_iter().for_each(|t| {
-                    *t = AttemptRecord {
-                        sent: now,
-                        never_ran: false,
-                    }
-                });
-                recorded
-            },
-            now,
-        );
+/// Records that an attempt begins now. False if that is not possible.
+fn record_attempt(store: &mut MessageStore, id: MessageId, attempt: usize, now: Millis) -> bool {
+    let Some(message) = store.messages.get_mut(&id.0) else {
+        return false;
+    };
+    let Some(record) = message.record.attempts.get_mut(attempt) else {
+        return false;
+    };
+    if !store.wal.append_attempt(id.0, attempt, now) {
+        return false;
     }
+    *record = AttemptRecord {
+        sent: now,
+        never_ran: false,
+    };
+    true
 }
--- /dev/null
+++ b/crates/sender/src/pipeline/driver.rs
@@ -0,0 +1,311 @@
+//! The driver: holds the stages of the pipeline, and runs them once in each round of the event loop.
+
+use std::net::SocketAddr;
+
+use martenlatch_clock::{Clock, Millis};
+use martenlatch_http::buffer_pool::BufferPool;
+use martenlatch_policy::interface::{Event, MessageId, Outcome};
+use martenlatch_wal::FinalStatus;
+use tracing::error;
+
+use super::admission::{Admission, AdmissionDecision};
+use super::decision::Decision;
+use super::ingress::{IncomingMessage, Ingress};
+use super::message_store::MessageStore;
+use super::process_state::SettingsNames;
+use super::status_reports::StatusReporter;
+use super::{completion, dispatch};
+use crate::discovery::EndpointDirectory;
+use crate::egress::Egress;
+use crate::event_source::{EventSource, Handle};
+use crate::operator::Operators;
+use crate::peer_service::Peers;
+
+/// A message that is still open so long after its deadline is ended here. The decision module should have ended it;
+/// this makes sure that its status report leaves before the platform counts the message as lost.
+pub(super) const OVERDUE_AFTER: Millis = 120.0;
+/// How long the loop sleeps when there is more to read, and no buffer to read it into.
+const BUFFER_WAIT: Millis = 3.0;
+/// The longest sleep of the loop.
+const MAX_SLEEP: Millis = 250.0;
+/// The longest sleep during shutdown, whose instants must not be slept past.
+const MAX_SLEEP_IN_SHUTDOWN: Millis = 20.0;
+
+/// Runs the pipeline, a round at a time.
+pub struct Driver {
+    pub(super) names: SettingsNames,
+    /// The address on which clients connect.
+    pub(super) listen: SocketAddr,
+    /// The most descriptors the process may have open.
+    pub(super) descriptor_limit: usize,
+    pub(super) clock: Clock,
+    pub(super) handle: Handle,
+    /// Buffers for the watch and the status reports, of which attempts must not take the last one.
+    pub(super) control_buffers: BufferPool,
+    pub(super) ingress: Ingress,
+    pub(super) admission: Admission,
+    pub(super) decision: Decision,
+    pub(super) status_reporter: StatusReporter,
+    pub(super) store: MessageStore,
+    pub(super) egress: Egress,
+    pub(super) directory: EndpointDirectory,
+    /// The operators' connections, if there is an address for them.
+    pub(super) operators: Option<Operators>,
+    /// The other senders, where senders know one another.
+    pub(super) peers: Option<Peers>,
+    /// Sockets that had more to read than one round takes.
+    pub(super) unfinished_sources: Vec<EventSource>,
+    /// When the process was told to shut down.
+    pub(super) shutdown_started: Option<Millis>,
+}
+
+impl Driver {
+    /// Answers operators from now on.
+    pub fn answer_operators(&mut self, operators: Option<Operators>) {
+        self.operators = operators;
+    }
+
+    /// The clock of the process.
+    pub fn clock(&self) -> Clock {
+        self.clock.clone()
+    }
+
+    /// The address on which clients connect.
+    pub fn listens(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Runs one round: reads what is ready, runs what is due, lets the decision module decide, and carries its actions
+    /// out. False once the process may exit.
+    pub fn round(&mut self, ready: Vec<EventSource>) -> bool {
+        let now = self.clock.now();
+        self.store.counters.rounds += 1;
+        let messages = self.read_ready_sources(ready, now);
+        self.egress.expire_timeouts(now);
+        self.unfinished_sources.extend(self.ingress.sweep(now));
+        let stopped = self.stop_ingress_when_due(now);
+        self.admit_messages(messages, stopped, now);
+        self.process_attempt_results(now);
+        // After the results, whose Retry-After holds back attempts that have not begun.
+        dispatch::send_ready(&mut self.store, &mut self.egress, now);
+        self.end_overdue_messages(now);
+        self.directory
+            .run_due(now, &self.handle, &self.control_buffers);
+        self.decide(now);
+        self.status_reporter.run_due(&self.store, now);
+        completion::compact_log(&mut self.store, now);
+        self.run_due_peers(now);
+        self.run_due_operators(now);
+        self.measure_round(now);
+        !self.may_exit(now)
+    }
+
+    /// Reads every source that is ready or was not finished in the last round. Returns the messages of clients.
+    fn read_ready_sources(
+        &mut self,
+        mut ready: Vec<EventSource>,
+        now: Millis,
+    ) -> Vec<IncomingMessage> {
+        let mut messages = Vec::new();
+        ready.append(&mut self.unfinished_sources);
+        ready.sort_unstable();
+        ready.dedup();
+        if self.ingress.accept_retry_at.is_some_and(|at| at <= now) {
+            ready.push(EventSource::Listener);
+        }
+        for source in ready {
+            if self.read_source(source, &mut messages, now) {
+                self.unfinished_sources.push(source);
+            }
+        }
+        messages
+    }
+
+    /// Reads one source. True if there is more to read.
+    fn read_source(
+        &mut self,
+        source: EventSource,
+        messages: &mut Vec<IncomingMessage>,
+        now: Millis,
+    ) -> bool {
+        let counters = &mut self.store.counters;
+        match source {
+            EventSource::Operators => match &mut self.operators {
+                Some(operators) => operators.accept(now),
+                None => false,
+            },
+            EventSource::Operator(index) => {
+                self.answer_operator(index, now);
+                false
+            }
+            EventSource::Listener => self.ingress.accept(now, counters),
+            EventSource::Client(index) => self.ingress.on_ready(index, now, messages, counters),
+            EventSource::Region(index) => self.egress.on_ready(index, now),
+            EventSource::Watch => self.read_watch(now),
+            EventSource::Datagrams
+            | EventSource::Tellers
+            | EventSource::Talk(_)
+            | EventSource::Ask(_) => match &mut self.peers {
+                Some(peers) => peers.ready(source, now),
+                None => false,
+            },
+            EventSource::Offer | EventSource::Asker | EventSource::Predecessor => false,
+            EventSource::Notices => {
+                self.read_report_confirmations(now);
+                false
+            }
+        }
+    }
+
+    fn read_report_confirmations(&mut self, now: Millis) {
+        for number in self.status_reporter.on_ready(now) {
+            completion::confirm_report(number, &mut self.store);
+        }
+    }
+
+    /// Decides on the messages of this round, those of the latest deadline first: a flood of messages with no time
+    /// left, which the decision module ends in this round, must not take the room of usual ones.
+    fn admit_messages(&mut self, mut messages: Vec<IncomingMessage>, stopped: bool, now: Millis) {
+        messages.sort_by(|a, b| b.deadline.total_cmp(&a.deadline));
+        for message in messages {
+            let event = self.admit(message, stopped, now);
+            self.decision.events.extend(event);
+        }
+    }
+
+    /// Decides on a message and answers its client. An accepted message is recorded, then answered, then held.
+    pub(super) fn admit(
+        &mut self,
+        message: IncomingMessage,
+        stopped: bool,
+        now: Millis,
+    ) -> Option<Event> {
+        let client = message.client;
+        let decision = self
+            .admission
+            .decide(message, &mut self.store, &self.directory, stopped);
+        let answered = self.ingress.answer_decision(client, &decision, now);
+        match decision {
+            AdmissionDecision::Accepted(message) if answered => {
+                Some(message.hold(&mut self.store, now))
+            }
+            AdmissionDecision::Accepted(message) => {
+                message.revoke(&mut self.store);
+                None
+            }
+            AdmissionDecision::Duplicate
+            | AdmissionDecision::Rejected
+            | AdmissionDecision::UnknownDestination => None,
+        }
+    }
+
+    /// Turns the results of attempts into events. A Retry-After holds back the destination's attempts that have not
+    /// begun.
+    pub(super) fn process_attempt_results(&mut self, now: Millis) {
+        self.count_metrics();
+        let held_back = self.held_back_destinations();
+        if !held_back.is_empty() {
+            self.egress
+                .cancel_unsent(|destination, _| held_back.contains(&destination), now);
+        }
+        for result in std::mem::take(&mut self.egress.results) {
+            let event =
+                completion::end_attempt(&result, &mut self.store, &mut self.status_reporter);
+            self.decision.events.extend(event);
+        }
+    }
+
+    /// The destinations whose endpoints have just answered with a Retry-After.
+    fn held_back_destinations(&self) -> Vec<u64> {
+        self.egress
+            .results
+            .iter()
+            .filter(|result| {
+                matches!(result.outcome, Outcome::Overloaded { retry_after } if retry_after > 0)
+            })
+            .filter_map(|result| self.store.record(result.id.0))
+            .map(|record| record.destination)
+            .collect()
+    }
+
+    /// Ends messages that are still open well after their deadlines, so that their status reports are sent whatever
+    /// goes wrong elsewhere.
+    fn end_overdue_messages(&mut self, now: Millis) {
+        while let Some(number) = self.store.pop_overdue(now - OVERDUE_AFTER) {
+            error!(number, "message ended after its deadline");
+            self.store.counters.ended_late += 1;
+            self.give_up(MessageId(number), FinalStatus::Undeliverable);
+            self.decision
+                .events
+                .push(Event::ClientLeft(MessageId(number)));
+        }
+    }
+
+    /// Runs the decision module, and carries its actions out.
+    fn decide(&mut self, now: Millis) {
+        let actions = self.decision.turn(now);
+        if !actions.is_empty() {
+            self.store.counters.turns += 1;
+        }
+        self.perform(actions, now);
+    }
+
+    fn run_due_peers(&mut self, now: Millis) {
+        if let Some(peers) = &mut self.peers {
+            let directory = &self.directory;
+            let endpoint_name = |endpoint| directory.endpoint_name(endpoint);
+            peers.run_due(now, Some((&self.decision.policy, &endpoint_name)));
+        }
+    }
+
+    fn run_due_operators(&mut self, now: Millis) {
+        if let Some(operators) = &mut self.operators {
+            operators.run_due(now);
+        }
+    }
+
+    fn measure_round(&mut self, started: Millis) {
+        let took_ms = (self.clock.now() - started) as u64;
+        let longest = &mut self.store.counters.longest_round_ms;
+        *longest = took_ms.max(*longest);
+    }
+
+    /// How long the loop may sleep, in milliseconds, if nothing becomes ready.
+    pub fn sleep(&self) -> Millis {
+        let unseen = !self.decision.events.is_empty() || !self.egress.results.is_empty();
+        let unfinished = !self.unfinished_sources.is_empty();
+        if unfinished && !unseen && self.lacks_buffers() {
+            return BUFFER_WAIT;
+        }
+        if unfinished || unseen {
+            return 0.0;
+        }
+        let longest = if self.shutdown_started.is_some() {
+            MAX_SLEEP_IN_SHUTDOWN
+        } else {
+            MAX_SLEEP
+        };
+        (self.next_deadline() - self.clock.now()).clamp(0.0, longest)
+    }
+
+    /// Whether a pool has no buffer left, so that what is unfinished has to wait for one.
+    fn lacks_buffers(&self) -> bool {
+        self.ingress.pool.spent() || self.egress.pool.spent() || self.control_buffers.spent()
+    }
+
+    /// When the next stage has something to do.
+    fn next_deadline(&self) -> Millis {
+        let deadlines = [
+            self.egress.next_deadline(),
+            self.directory.next_deadline(),
+            self.status_reporter.next_deadline(),
+            self.ingress.next_deadline(),
+        ];
+        deadlines
+            .into_iter()
+            .chain(self.decision.wake_at)
+            .chain(self.operators.as_ref().map(Operators::next_deadline))
+            .chain(self.peers.as_ref().map(Peers::next_deadline))
+            .fold(f64::INFINITY, f64::min)
+    }
+}
--- /dev/null
+++ b/crates/sender/src/pipeline/endpoint_updates.rs
@@ -0,0 +1,74 @@
+//! Updates of the endpoint list: from discovery's watch, and from operators' cordons.
+
+use martenlatch_clock::Millis;
+use martenlatch_policy::interface::{EndpointEntry, EndpointId, EndpointState, Event};
+use tracing::debug;
+
+use super::driver::Driver;
+use crate::discovery::Change;
+
+impl Driver {
+    /// Reads the watch. True if there is more to read.
+    pub(super) fn read_watch(&mut self, now: Millis) -> bool {
+        let (changes, more) = self.directory.on_ready(now);
+        for change in changes {
+            self.apply_endpoint_change(change);
+        }
+        more
+    }
+
+    /// Passes a change of the endpoint list to the decision module, in the round that brings it. Attempts that have
+    /// not begun are cancelled where they may no longer go.
+    pub(super) fn apply_endpoint_change(&mut self, change: Change) {
+        let now = self.clock.now();
+        self.cancel_attempts_to_removed(&change, now);
+        let Change { whole, entries } = change;
+        for entry in &entries {
+            debug!(
+                endpoint = entry.endpoint.0,
+                destination = entry.destination.0,
+                state = ?entry.stage,
+                weight = entry.weight,
+                complete = whole,
+                "endpoint listed"
+            );
+        }
+        let gossip = self.gossip_about(&entries, now);
+        self.decision.events.push(if whole {
+            Event::EndpointList(entries)
+        } else {
+            Event::EndpointChanges(entries)
+        });
+        self.decision.events.extend(gossip);
+    }
+
+    /// Cancels attempts that have not begun, to endpoints that are no longer active. A complete list also removes
+    /// those that it does not name.
+    fn cancel_attempts_to_removed(&mut self, change: &Change, now: Millis) {
+        let is_listed = |endpoint: EndpointId, active: bool| {
+            change.entries.iter().any(|entry| {
+                entry.endpoint == endpoint && (entry.stage == EndpointState::Active) == active
+            })
+        };
+        let is_removed = |endpoint: EndpointId| {
+            if change.whole {
+                !is_listed(endpoint, true)
+            } else {
+                is_listed(endpoint, false)
+            }
+        };
+        self.egress
+            .cancel_unsent(|_, endpoint| is_removed(endpoint), now);
+    }
+
+    /// What peers know of endpoints that were just listed. The decision module hears it together with the list, before
+    /// anything can be sent to them.
+    fn gossip_about(&mut self, entries: &[EndpointEntry], now: Millis) -> Vec<Event> {
+        let directory = &self.directory;
+        let endpoint_name = |endpoint| directory.endpoint_name(endpoint);
+        match &mut self.peers {
+            Some(peers) => peers.gossip(entries, &endpoint_name, now),
+            None => Vec::new(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/pipeline/ingress/accept.rs
@@ -0,0 +1,65 @@
+//! Accepting the connections of clients.
+
+use std::io::{Error, ErrorKind};
+use std::net::TcpStream;
+
+use martenlatch_clock::Millis;
+use tracing::warn;
+
+use super::{Client, Ingress};
+use crate::counters::Counters;
+use crate::event_source::{Connection, EventSource};
+
+/// Most connections accepted in one round: a burst must not stall the loop.
+const MAX_ACCEPTS_PER_ROUND: usize = 64;
+/// How long accepting pauses when the process is out of descriptors.
+const ACCEPT_PAUSE: Millis = 50.0;
+
+impl Ingress {
+    /// Accepts the connections that wait. True if there may be more.
+    pub(in crate::pipeline) fn accept(&mut self, now: Millis, counters: &mut Counters) -> bool {
+        self.accept_retry_at = None;
+        let Some(listener) = self.listener.clone() else {
+            return false;
+        };
+        for _ in 0..MAX_ACCEPTS_PER_ROUND {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    counters.client_connections += 1;
+                    self.add_client(stream, now);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
+                // The client has gone again, or a signal has come.
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
+                    ) => {}
+                Err(error) => {
+                    self.pause_accepting(&error, now);
+                    return false;
+                }
+            }
+        }
+        true
+    }
+
+    fn add_client(&mut self, stream: TcpStream, now: Millis) {
+        if self.clients.len() >= self.limits.max_clients {
+            self.evict(now, true);
+        }
+        let entry = self.clients.vacant_entry();
+        let source = EventSource::Client(entry.key());
+        if let Ok(connection) = Connection::new(stream, &self.handle, &self.pool, source) {
+            entry.insert(Client::new(connection, now));
+        }
+    }
+
+    /// Out of descriptors, or the like. The event loop will not report the waiting connections again, so accepting is
+    /// tried again soon, but not at once; meanwhile an idle client makes room.
+    fn pause_accepting(&mut self, error: &Error, now: Millis) {
+        warn!(error = ?error.kind(), "accepting paused");
+        self.evict(now, false);
+        self.accept_retry_at = Some(now + ACCEPT_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/sender/src/pipeline/ingress/answers.rs
@@ -0,0 +1,121 @@
+//! Answers to clients.
+
+use martenlatch_clock::Millis;
+use martenlatch_http as http;
+
+use super::Ingress;
+use crate::pipeline::admission::AdmissionDecision;
+
+const STATUS_ACCEPTED: u16 = 202;
+const STATUS_NOT_FOUND: u16 = 404;
+const STATUS_UNAVAILABLE: u16 = 503;
+
+/// The shortest Retry-After of a rejection. Nothing here knows when there will be room.
+const MIN_RETRY_AFTER: Millis = 1_000.0;
+/// Clients that were rejected together are spread up to this Retry-After.
+const MAX_RETRY_AFTER: Millis = MIN_RETRY_AFTER * 1.5;
+/// Where clients follow only a shorter Retry-After, they are spread from this part of it on.
+const SHORT_RETRY_AFTER_PART: f64 = 0.75;
+const MILLISECONDS_PER_SECOND: f64 = 1e3;
+
+impl Ingress {
+    /// Answers a message as admission has decided. False if the client had left before it could be answered.
+    pub(in crate::pipeline) fn answer_decision(
+        &mut self,
+        client: usize,
+        decision: &AdmissionDecision,
+        now: Millis,
+    ) -> bool {
+        match decision {
+            AdmissionDecision::Accepted(_) | AdmissionDecision::Duplicate => {
+                self.answer(client, STATUS_ACCEPTED, "", now)
+            }
+            AdmissionDecision::Rejected => self.answer_unavailable(client, now),
+            AdmissionDecision::UnknownDestination => {
+                self.close_after_answer(client);
+                self.answer(client, STATUS_NOT_FOUND, "", now)
+            }
+        }
+    }
+
+    /// Answers a client. False if it had left before it could be answered.
+    pub(super) fn answer(&mut self, index: usize, status: u16, headers: &str, now: Millis) -> bool {
+        let shutting_down = self.shutting_down;
+        let Some(client) = self.clients.get_mut(index) else {
+            return false;
+        };
+        client.awaiting_answer = false;
+        client.close_after_answer |= shutting_down;
+        let answer = http::encode_response(status, headers, client.close_after_answer);
+        let queued = client.connection.queue(&answer);
+        client.connection.flush();
+        // A client that has closed its side may only have sent all it wants to send. If it has left, it has reset the
+        // connection in reply to the answer.
+        let left = !queued
+            || client.connection.broken
+            || (client.connection.eof && client.connection.peer_reset());
+        if left {
+            self.clients.remove(index);
+        } else if client.close_after_answer {
+            client.connection.shutdown_write();
+            client.closing = true;
+            client.since = now;
+        }
+        !left
+    }
+
+    /// Rejects a client's request for now.
+    fn answer_unavailable(&mut self, index: usize, now: Millis) -> bool {
+        let retry_after = match self.retry_after() {
+            Some(span) => format!("Retry-After: {:.3}\r\n", span / MILLISECONDS_PER_SECOND),
+            None => String::new(),
+        };
+        self.answer(index, STATUS_UNAVAILABLE, &retry_after, now)
+    }
+
+    /// A random Retry-After, so that clients that were rejected together do not return together; none if clients
+    /// follow none.
+    fn retry_after(&self) -> Option<Millis> {
+        let limit = self.limits.max_retry_after.filter(|limit| *limit > 0.0)?;
+        let least = MIN_RETRY_AFTER.min(limit * SHORT_RETRY_AFTER_PART);
+        let most = MAX_RETRY_AFTER.min(limit);
+        Some(least + self.jitter.up_to(most - least))
+    }
+
+    /// Ends a client's connection with its next answer.
+    pub(in crate::pipeline) fn close_after_answer(&mut self, index: usize) {
+        if let Some(client) = self.clients.get_mut(index) {
+            client.close_after_answer = true;
+        }
+    }
+
+    /// Rejects a client whose request is not complete, and ends its connection.
+    pub(super) fn reject_partial_request(&mut self, index: usize, now: Millis) {
+        let class = self.class_of_partial_request(index);
+        self.rejected_partial.extend(class);
+        self.clients[index].close_after_answer = true;
+        self.answer_unavailable(index, now);
+    }
+
+    /// The class of an incomplete request. It is known once the whole path is there, with the space behind it.
+    fn class_of_partial_request(&self, index: usize) -> Option<usize> {
+        let request = std::str::from_utf8(self.clients[index].connection.bytes()).ok()?;
+        let (_method, rest) = request.split_once(' ')?;
+        let (path, _rest) = rest.split_once(' ')?;
+        self.class_of(path)
+    }
+
+    /// Rejects every client whose request has begun, as the process is about to exit: the last byte of such a request
+    /// may be on its way, and the client must get an answer.
+    pub(in crate::pipeline) fn reject_partial_requests(&mut self, now: Millis) {
+        let begun: Vec<usize> = self
+            .clients
+            .iter()
+            .filter(|(_, client)| !client.closing && !client.awaiting_answer && client.has_input())
+            .map(|(index, _)| index)
+            .collect();
+        for index in begun {
+            self.reject_partial_request(index, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/pipeline/ingress/request.rs
@@ -0,0 +1,139 @@
+//! From an HTTP request to a message.
+
+use std::rc::Rc;
+
+use martenlatch_clock::Millis;
+use martenlatch_http as http;
+
+use super::Ingress;
+
+/// The path of the health check.
+const HEALTH_PATH: &str = "/healthz";
+/// The longest id and idempotency key, in bytes.
+const MAX_NAME_LENGTH: usize = 256;
+/// The longest time that a client may grant, in seconds.
+const MAX_TIMEOUT_SECONDS: f64 = 86_400.0;
+const MILLISECONDS_PER_SECOND: f64 = 1e3;
+
+/// A message that a client has sent.
+pub struct IncomingMessage {
+    /// The index of the client that waits for the answer.
+    pub(in crate::pipeline) client: usize,
+    pub(in crate::pipeline) id: Rc<str>,
+    /// The class, by its index in the settings.
+    pub(in crate::pipeline) class: usize,
+    pub(in crate::pipeline) destination: u64,
+    pub(in crate::pipeline) deadline: Millis,
+    pub(in crate::pipeline) key: Option<Rc<str>>,
+    pub(in crate::pipeline) body: Rc<[u8]>,
+}
+
+/// A request that can be used.
+pub(super) enum ClientRequest {
+    /// The client asks whether the sender serves.
+    HealthCheck,
+    /// The client sends a message.
+    Message(IncomingMessage),
+}
+
+/// Why a request cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub(super) enum RequestError {
+    /// A header is missing or cannot be read, or more bytes follow the request.
+    #[error("malformed request")]
+    Malformed,
+    /// The path names no class.
+    #[error("unknown path")]
+    UnknownPath,
+    /// The path does not take this method.
+    #[error("method not allowed")]
+    MethodNotAllowed,
+}
+
+impl RequestError {
+    /// The status that answers the request.
+    pub(super) fn status(self) -> u16 {
+        match self {
+            RequestError::Malformed => 400,
+            RequestError::UnknownPath => 404,
+            RequestError::MethodNotAllowed => 405,
+        }
+    }
+
+    /// The additional headers of the answer.
+    pub(super) fn headers(self) -> &'static str {
+        match self {
+            RequestError::MethodNotAllowed => "Allow: POST\r\n",
+            RequestError::Malformed | RequestError::UnknownPath => "",
+        }
+    }
+}
+
+impl Ingress {
+    /// What a request asks for.
+    pub(super) fn parse_request(
+        &self,
+        request: &http::Request,
+        client: usize,
+        now: Millis,
+    ) -> Result<ClientRequest, RequestError> {
+        let path = request.path.split(['?', '#']).next().unwrap_or("");
+        if path == HEALTH_PATH {
+            return match request.method.as_str() {
+                "GET" | "HEAD" => Ok(ClientRequest::HealthCheck),
+                _ => Err(RequestError::MethodNotAllowed),
+            };
+        }
+        let class = self.class_of(path).ok_or(RequestError::UnknownPath)?;
+        if request.method != "POST" {
+            return Err(RequestError::MethodNotAllowed);
+        }
+        let id = name_header(request, "x-request-id").ok_or(RequestError::Malformed)?;
+        let timeout = timeout_header(request).ok_or(RequestError::Malformed)?;
+        let destination = destination_header(request).ok_or(RequestError::Malformed)?;
+        let key = name_header(request, "idempotency-key");
+        if self.classes[class].requires_idempotency_key && key.is_none() {
+            return Err(RequestError::Malformed);
+        }
+        Ok(ClientRequest::Message(IncomingMessage {
+            client,
+            id,
+            class,
+            destination,
+            deadline: now + timeout,
+            key,
+            body: request.body.clone(),
+        }))
+    }
+
+    /// The class that the first part of a path names.
+    pub(super) fn class_of(&self, path: &str) -> Option<usize> {
+        let first = path.strip_prefix('/')?.split(['/', '?', '#']).next()?;
+        self.classes.iter().position(|class| class.name == first)
+    }
+}
+
+/// A header that holds an id or a key: printable ASCII of bounded length.
+fn name_header(request: &http::Request, header: &str) -> Option<Rc<str>> {
+    let value = request.header(header)?;
+    let printable = |byte: u8| byte.is_ascii_graphic() || byte == b' ';
+    let valid = !value.is_empty() && value.len() <= MAX_NAME_LENGTH && value.bytes().all(printable);
+    valid.then(|| Rc::from(value))
+}
+
+/// How long the client grants for the message, in milliseconds.
+fn timeout_header(request: &http::Request) -> Option<Millis> {
+    let seconds: f64 = request.header("x-timeout")?.parse().ok()?;
+    let valid = seconds > 0.0 && seconds <= MAX_TIMEOUT_SECONDS;
+    valid.then_some(seconds * MILLISECONDS_PER_SECOND)
+}
+
+/// The destination: the first `dest=` among the parts of the route.
+fn destination_header(request: &http::Request) -> Option<u64> {
+    request
+        .header("x-route-to")?
+        .split([',', ';', ' '])
+        .find_map(|part| part.trim().strip_prefix("dest="))?
+        .parse()
+        .ok()
+}
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -1,5 +1,7 @@
-//! Owns what the stages share: the transactions that are not over, by number and by id. It must never lose one that
-//! the wal holds, nor keep one that is over and has no routed task out.
+//! The messages that this process holds, and what all stages of the pipeline share: the write-ahead log and the
+//! counters.
+//!
+//! A message is held from its record in the log until it is over and none of its attempts is in flight.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -10,87 +12,131 @@
 use crate::class_metrics::ClassMetrics;
 use crate::counters::Counters;
 
-#[derive(Clone, Copy, PartialEq, serde::Serialize, serde::Deserialize)]
-pub enum State {
+/// How far a message has come. Passed to a successor: the order of the variants is fixed.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+pub enum MessageState {
+    /// Neither delivered nor given up.
     Open,
-    /// Its notice is on the way.
-    Ending,
-    Over,
+    /// Given up; the platform has not confirmed the status report yet.
+    Reporting,
+    /// Delivered, or given up with a confirmed status report.
+    Closed,
 }
 
-/// A transaction that we have taken on.
+/// A message that has been accepted.
 pub struct StoredMessage {
-    pub(super) taken: MessageRecord,
-    pub(super) state: State,
-    /// Routed tasks without an outcome.
-    pub(super) out: u32,
-    /// An earlier life took it on, and none has called yet.
-    pub(super) untried: bool,
+    pub(super) record: MessageRecord,
+    pub(super) state: MessageState,
+    /// Attempts that have no result yet.
+    pub(super) attempts_in_flight: u32,
+    /// Recovered from an earlier process, and not attempted by any process yet.
+    pub(super) unattempted: bool,
 }
 
-/// What the stages share: the transactions that are not over.
+/// The deadline of a message as an ordered key, with its number.
+type DeadlineKey = (u64, u64);
+
+/// All held messages, by number and by id.
 pub struct MessageStore {
-    pub(super) held: BTreeMap<u64, StoredMessage>,
+    pub(super) messages: BTreeMap<u64, StoredMessage>,
     pub(super) numbers: HashMap<Rc<str>, u64>,
-    /// The open ones by deadline: positive numbers keep their order as bits.
-    pub(super) by_deadline: BTreeSet<(u64, u64)>,
+    /// The open messages in the order of their deadlines.
+    by_deadline: BTreeSet<DeadlineKey>,
+    /// How many messages are open.
     pub(super) open: usize,
-    pub(super) next: u64,
+    /// The number of the next message.
+    pub(super) next_number: u64,
     pub(super) wal: WriteAheadLog,
     pub(super) counters: Counters,
     pub(super) class_metrics: ClassMetrics,
 }
 
+/// The bits of a non-negative float have the order of the float itself.
+fn deadline_key(record: &MessageRecord) -> DeadlineKey {
+    (record.deadline.max(0.0).to_bits(), record.no)
+}
+
 impl MessageStore {
-    pub(super) fn insert(&mut self, taken: MessageRecord, state: State) {
-        self.numbers.insert(taken.id.clone(), taken.no);
-        if state == State::Open {
+    /// A store that holds nothing yet.
+    pub(super) fn new(
+        wal: WriteAheadLog,
+        next_number: u64,
+        class_metrics: ClassMetrics,
+    ) -> MessageStore {
+        MessageStore {
+            messages: BTreeMap::new(),
+            numbers: HashMap::new(),
+            by_deadline: BTreeSet::new(),
+            open: 0,
+            next_number,
+            wal,
+            counters: Counters::default(),
+            class_metrics,
+        }
+    }
+
+    /// Holds a message that the log has.
+    pub(super) fn insert(&mut self, record: MessageRecord, state: MessageState) {
+        self.numbers.insert(record.id.clone(), record.no);
+        if state == MessageState::Open {
             self.open += 1;
-            self.by_deadline
-                .insert((taken.deadline.max(0.0).to_bits(), taken.no));
+            self.by_deadline.insert(deadline_key(&record));
         }
-        self.held.insert(
-            taken.no,
+        self.messages.insert(
+            record.no,
             StoredMessage {
-                taken,
+                record,
                 state,
-                out: 0,
-                untried: false,
+                attempts_in_flight: 0,
+                unattempted: false,
             },
         );
     }
 
-    /// Takes a transaction from one state to the next.
-    pub(super) fn pass(&mut self, no: u64, to: State) {
-        let Some(t) = self.held.get_mut(&no) else {
+    /// The record of a held message.
+    pub(super) fn record(&self, number: u64) -> Option<&MessageRecord> {
+        self.messages.get(&number).map(|message| &message.record)
+    }
+
+    /// Whether a message of this id is held, or is among the last ones that were closed.
+    pub(super) fn is_known(&self, id: &Rc<str>) -> bool {
+        self.numbers.contains_key(id) || self.wal.over.contains(id)
+    }
+
+    /// Moves a message to a later state; the log learns of its close.
+    pub(super) fn advance(&mut self, number: u64, state: MessageState) {
+        let Some(message) = self.messages.get_mut(&number) else {
             return;
         };
-        if t.state == State::Open {
+        if message.state == MessageState::Open {
             self.open -= 1;
-            self.by_deadline
-                .remove(&(t.taken.deadline.max(0.0).to_bits(), no));
+            self.by_deadline.remove(&deadline_key(&message.record));
         }
-        t.state = to;
-        if to == State::Over {
-            self.wal.append_closed(no, &t.taken.id);
+        message.state = state;
+        if state == MessageState::Closed {
+            self.wal.append_closed(number, &message.record.id);
         }
-        self.forget(no);
+        self.remove_if_finished(number);
     }
 
-    /// Takes the open transaction whose deadline is first out of the order, if that is before an instant.
-    pub(super) fn take_due(&mut self, before: Millis) -> Option<u64> {
+    /// Takes the open message of the earliest deadline out of the order of deadlines, if that is before an instant.
+    pub(super) fn pop_overdue(&mut self, before: Millis) -> Option<u64> {
         let first = *self.by_deadline.first()?;
-        (f64::from_bits(first.0) < before && self.by_deadline.remove(&first)).then_some(first.1)
+        let (deadline_bits, number) = first;
+        if f64::from_bits(deadline_bits) >= before {
+            return None;
+        }
+        self.by_deadline.remove(&first);
+        Some(number)
     }
 
-    pub(super) fn forget(&mut self, no: u64) {
-        if self
-            .held
-            .get(&no)
-            .is_some_and(|t| t.state == State::Over && t.out == 0)
-            && let Some(t) = self.held.remove(&no)
-        {
-            self.numbers.remove(&t.taken.id);
+    /// Lets go of a message that is closed and has no attempt in flight.
+    pub(super) fn remove_if_finished(&mut self, number: u64) {
+        let finished = self.messages.get(&number).is_some_and(|message| {
+            message.state == MessageState::Closed && message.attempts_in_flight == 0
+        });
+        if finished && let Some(message) = self.messages.remove(&number) {
+            self.numbers.remove(&message.record.id);
         }
     }
 }
--- /dev/null
+++ b/crates/sender/src/pipeline/operator_calls.rs
@@ -0,0 +1,76 @@
+//! Calls of operators, and reloading the configuration.
+
+use martenlatch_clock::Millis;
+use tracing::{info, warn};
+
+use super::driver::Driver;
+use crate::Config;
+use crate::config::ConfigError;
+use crate::operator::{self, Call};
+
+impl Driver {
+    /// Reads an operator's call, and answers it once it is complete.
+    pub(super) fn answer_operator(&mut self, index: usize, now: Millis) {
+        let Some(operators) = &mut self.operators else {
+            return;
+        };
+        let Some(call) = operators.ready(index) else {
+            return;
+        };
+        let answer = operator::said(call.and_then(|call| self.perform_call(call)));
+        if let Some(operators) = &mut self.operators {
+            operators.answer(index, &answer, now);
+        }
+    }
+
+    /// Performs a call. The error is the reason that the operator is told.
+    fn perform_call(&mut self, call: Call) -> Result<String, String> {
+        match call {
+            Call::Health => self.health(),
+            Call::Counters => {
+                let gauges = self.gauges();
+                let text = self.store.class_metrics.text(&gauges);
+                Ok(format!("figures\n{text}"))
+            }
+            Call::Cordon(endpoint) => self.set_cordon(&endpoint, true),
+            Call::Uncordon(endpoint) => self.set_cordon(&endpoint, false),
+        }
+    }
+
+    fn health(&self) -> Result<String, String> {
+        if self.ingress.listener.is_none() || self.shutdown_started.is_some() {
+            return Err("ending: no more clients are taken".into());
+        }
+        Ok("serving\n".into())
+    }
+
+    /// Cordons an endpoint, or lifts its cordon: on disk and in the decision module's events before the answer.
+    fn set_cordon(&mut self, endpoint: &str, cordoned: bool) -> Result<String, String> {
+        let change = self
+            .directory
+            .set_cordon(endpoint, cordoned)
+            .map_err(|error| error.to_string())?;
+        let changed = change.is_some();
+        if let Some(change) = change {
+            self.apply_endpoint_change(change);
+        }
+        info!(endpoint, cordoned, changed, "cordon set");
+        Ok(if cordoned { "out\n" } else { "in\n" }.into())
+    }
+
+    /// SIGHUP: the configuration was read again. Of it, `discovery` takes effect at once, the rest at the next start. A
+    /// configuration that cannot be used changes nothing.
+    pub fn reload(&mut self, config: Result<Config, ConfigError>) {
+        match config {
+            Ok(config) => {
+                let now = self.clock.now();
+                info!(discovery = %config.discovery, "configuration read");
+                if config.discovery != self.status_reporter.platform {
+                    self.status_reporter.move_to(config.discovery, now);
+                    self.directory.move_to(config.discovery, now);
+                }
+            }
+            Err(error) => warn!(reason = %error, "configuration kept"),
+        }
+    }
+}
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -1,5 +1,7 @@
-//! Owns what passes from one process of the sender to the next: all that it is at a cut between two rounds. It must never
-//! touch anything outside while it is taken up, as the process that gave it may yet go on.
+//! The state that one process of the sender passes to its successor, cut between two rounds.
+//!
+//! The state is in postcard form: the order of fields and variants is fixed, their names are not. Restoring it touches
+//! nothing outside the process, because the predecessor may still decide to go on.
 
 use std::os::fd::{AsFd, BorrowedFd};
 
@@ -8,247 +10,276 @@
 use martenlatch_wal::{LogPosition, MessageRecord};
 use serde::{Deserialize, Serialize};
 
-use super::Driver;
+use super::driver::Driver;
 use super::ingress::Client;
-use super::message_store::State;
+use super::message_store::MessageState;
 use crate::class_rules::ClassRules;
+use crate::error::SenderError;
 use crate::event_source::{Connection, EventSource, InheritedDescriptors};
 use crate::{Config, discovery, egress};
 
-/// Descriptors that are in use beside those that pass: the loop, the log, files, operators, the watch and notices.
-const OTHERS: usize = 24;
+/// Descriptors in use beside the connections that are passed: the event loop, the log, files, operators, the watch and
+/// the status reports.
+const OTHER_DESCRIPTORS: usize = 24;
 
-/// What a process is at a cut. `P` is the module's state, lent or owned, and `L` the wal's place.
+/// The names behind the numbers that the decision module uses.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct SettingsNames {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    classes: Vec<String>,
+}
+
+impl SettingsNames {
+    /// The names of a configuration.
+    pub(super) fn of(config: &Config) -> SettingsNames {
+        SettingsNames {
+            zones: config.boot.zones.clone(),
+            kinds: config.boot.kinds.clone(),
+            classes: config.boot.classes.clone(),
+        }
+    }
+}
+
+/// A held message as it is passed.
+#[derive(Serialize, Deserialize)]
+struct HeldMessage {
+    record: MessageRecord,
+    state: MessageState,
+    attempts_in_flight: u32,
+}
+
+/// The state of a process between two rounds. `P` is the decision module, owned or borrowed, and `L` the position in
+/// the write-ahead log; both are `()` once they have been taken out.
 #[derive(Serialize, Deserialize)]
 pub struct ProcessState<P, L = LogPosition> {
-    /// When the cut was made.
+    /// When the state was cut.
     at: Millis,
-    /// Zones, kinds and classes: what the numbers of the module mean.
-    names: [Vec<String>; 3],
-    /// What the classes promise, also those of earlier settings behind them.
+    names: SettingsNames,
+    /// The classes of the settings, followed by those of earlier settings.
     pub(super) class_rules: ClassRules,
     policy: P,
-    wake: Option<Millis>,
-    held: Vec<(MessageRecord, State, u32)>,
-    pub(super) next: u64,
-    place: L,
-    /// Ends that the platform has not confirmed.
-    owed: Vec<u64>,
+    wake_at: Option<Millis>,
+    held: Vec<HeldMessage>,
+    pub(super) next_number: u64,
+    log_position: L,
+    /// Messages whose status reports the platform has not confirmed.
+    unconfirmed: Vec<u64>,
     directory: discovery::ConnectionSnapshot,
     clients: Vec<Client<martenlatch_http::ConnectionSnapshot>>,
     egress: egress::ConnectionSnapshot,
 }
 
+/// What is left of the state once the decision module and the log's position have been taken out.
+pub(super) type RemainingState = ProcessState<(), ()>;
+
 impl ProcessState<Policy> {
-    /// Reads what was passed, for a process of this configuration.
+    /// Decodes the state of a predecessor for a process of this configuration.
     ///
     /// # Errors
-    /// What cannot be used of it.
-    pub fn read(bytes: &[u8], config: &Config) -> Result<ProcessState<Policy>, String> {
-        let process_state: ProcessState<Policy> = postcard::from_bytes(bytes)
-            .map_err(|e| format!("what was passed cannot be read: {e}"))?;
-        if process_state.names != names(config) {
-            return Err(
-                "settings: other zones, kinds or classes than the process that serves has".into(),
-            );
+    /// Where the state cannot be decoded, or belongs to a configuration of other names.
+    pub fn read(bytes: &[u8], config: &Config) -> Result<ProcessState<Policy>, SenderError> {
+        let state: ProcessState<Policy> =
+            postcard::from_bytes(bytes).map_err(SenderError::DecodeState)?;
+        if state.names != SettingsNames::of(config) {
+            return Err(SenderError::DifferentNames);
         }
-        Ok(process_state)
+        Ok(state)
     }
 
-    /// When the cut was made.
+    /// When the state was cut.
     pub fn at(&self) -> Millis {
         self.at
     }
 
-    /// The module's state and the wal's place apart from the rest.
-    pub(super) fn split(self) -> (Policy, LogPosition, ProcessState<(), ()>) {
-        let ProcessState {
-            at,
-            names,
-            class_rules,
-            policy,
-            wake,
-            held,
-            next,
-            place,
-            owed,
-            directory,
-            clients,
-            egress,
-        } = self;
-        let rest = ProcessState {
-            at,
-            names,
-            class_rules,
+    /// Takes the decision module and the log's position out.
+    pub(super) fn split(self) -> (Policy, LogPosition, RemainingState) {
+        let remaining = ProcessState {
+            at: self.at,
+            names: self.names,
+            class_rules: self.class_rules,
             policy: (),
-            wake,
-            held,
-            next,
-            place: (),
-            owed,
-            directory,
-            clients,
-            egress,
+            wake_at: self.wake_at,
+            held: self.held,
+            next_number: self.next_number,
+            log_position: (),
+            unconfirmed: self.unconfirmed,
+            directory: self.directory,
+            clients: self.clients,
+            egress: self.egress,
         };
-        (policy, place, rest)
+        (self.policy, self.log_position, remaining)
     }
 }
 
-impl ProcessState<(), ()> {
-    /// What is held and not over.
-    pub(super) fn open(&self) -> impl Iterator<Item = &MessageRecord> {
+impl RemainingState {
+    /// The records of the messages that are not closed.
+    pub(super) fn unfinished(&self) -> impl Iterator<Item = &MessageRecord> {
         self.held
             .iter()
-            .filter(|(_, state, _)| *state != State::Over)
-            .map(|(taken, ..)| taken)
+            .filter(|message| message.state != MessageState::Closed)
+            .map(|message| &message.record)
     }
 }
 
-/// Zones, kinds and classes by name.
-pub fn names(config: &Config) -> [Vec<String>; 3] {
-    [
-        config.boot.zones.clone(),
-        config.boot.kinds.clone(),
-        config.boot.classes.clone(),
-    ]
+/// What a process holds, for the log lines of a replacement.
+pub struct ProcessLoad {
+    /// Connections of clients.
+    pub client_connections: usize,
+    /// Attempts in flight.
+    pub active_attempts: usize,
+    /// Held messages.
+    pub held_messages: usize,
 }
 
 impl Driver {
-    /// Whether a cut may be made now: nothing has happened that the module has not heard.
+    /// Whether the state can be cut now: the decision module has seen all that has happened.
     pub fn quiet(&self) -> bool {
         self.decision.events.is_empty() && self.egress.results.is_empty()
     }
 
-    /// Why this process cannot give way, if that is so: it ends, or it knows other senders.
+    /// Why this process cannot be replaced, if so: it is shutting down, or its peers know it by its address.
     pub fn bound(&self) -> Option<&'static str> {
-        match (self.told_to_end, &self.peers) {
-            (Some(_), _) => Some("ending"),
-            (None, Some(_)) => Some("knows other senders, whose addresses it holds"),
-            (None, None) => None,
+        if self.shutdown_started.is_some() {
+            Some("ending")
+        } else if self.peers.is_some() {
+            Some("knows other senders, whose addresses it holds")
+        } else {
+            None
         }
     }
 
     /// Closes idle connections until both processes together keep within the limit on descriptors.
     ///
     /// # Errors
-    /// Where those that are in use are too many.
-    pub fn close_idle_connections(&mut self) -> Result<(), String> {
-        let most = (self.sockets / 2).saturating_sub(OTHERS);
+    /// Where more connections than that are in use.
+    pub fn close_idle_connections(&mut self) -> Result<(), SenderError> {
+        let limit = (self.descriptor_limit / 2).saturating_sub(OTHER_DESCRIPTORS);
         let clients = self.ingress.clients.len();
         let egress = self
             .egress
-            .close_idle_connections(most.saturating_sub(clients));
+            .close_idle_connections(limit.saturating_sub(clients));
         let clients = self
             .ingress
-            .close_idle_connections(most.saturating_sub(egress), self.clock.now());
-        if clients + egress > most {
-            return Err(format!(
-                "{} connections in use are too many to pass at once",
-                clients + egress
-            ));
+            .close_idle_connections(limit.saturating_sub(egress), self.clock.now());
+        if clients + egress > limit {
+            return Err(SenderError::TooManyConnections(clients + egress));
         }
         Ok(())
     }
 
-    /// All that this process is, and the descriptors that go with it behind those of the lock.
+    /// The encoded state of this process, and the descriptors that go with it: the listener, the clients' connections
+    /// and the endpoints' connections.
     ///
     /// # Errors
-    /// Where it takes no clients any more, or cannot be written.
-    pub fn process_state(&self) -> Result<(Vec<u8>, Vec<BorrowedFd<'_>>), String> {
+    /// Where the listener is closed, or the state cannot be encoded.
+    pub fn process_state(&self) -> Result<(Vec<u8>, Vec<BorrowedFd<'_>>), SenderError> {
         let listener = self
             .ingress
             .listener
             .as_ref()
-            .ok_or("takes no clients any more")?;
-        let (egress, region_fds) = self.egress.snapshot();
-        let held = self
-            .store
-            .held
-            .values()
-            .map(|t| (t.taken.clone(), t.state, t.out));
-        let process_state = ProcessState {
+            .ok_or(SenderError::NotAccepting)?;
+        let (egress, endpoint_descriptors) = self.egress.snapshot();
+        let state = self.snapshot(egress);
+        let bytes = postcard::to_allocvec(&state).map_err(SenderError::EncodeState)?;
+        let client_descriptors = self
+            .ingress
+            .clients
+            .iter()
+            .map(|(_, client)| client.connection.as_fd());
+        let descriptors = std::iter::once(listener.as_fd())
+            .chain(client_descriptors)
+            .chain(endpoint_descriptors)
+            .collect();
+        Ok((bytes, descriptors))
+    }
+
+    fn snapshot(&self, egress: egress::ConnectionSnapshot) -> ProcessState<&Policy> {
+        let held = self.store.messages.values().map(|message| HeldMessage {
+            record: message.record.clone(),
+            state: message.state,
+            attempts_in_flight: message.attempts_in_flight,
+        });
+        let in_flight_reports = self.status_reporter.in_flight.iter();
+        let clients = self
+            .ingress
+            .clients
+            .iter()
+            .map(|(_, client)| client.with_connection(client.connection.snapshot()));
+        ProcessState {
             at: self.clock.now(),
             names: self.names.clone(),
             class_rules: self.admission.class_rules.clone(),
             policy: &self.decision.policy,
-            wake: self.decision.wake,
+            wake_at: self.decision.wake_at,
             held: held.collect(),
-            next: self.store.next,
-            place: self.store.wal.position(),
-            owed: self
-                .status_reporter
-                .flying
-                .iter()
+            next_number: self.store.next_number,
+            log_position: self.store.wal.position(),
+            unconfirmed: in_flight_reports
                 .chain(&self.status_reporter.queue)
                 .copied()
                 .collect(),
             directory: self.directory.snapshot(),
-            clients: self
-                .ingress
-                .clients
-                .iter()
-                .map(|(_, c)| c.with(c.connection.snapshot()))
-                .collect(),
+            clients: clients.collect(),
             egress,
-        };
-        let bytes = postcard::to_allocvec(&process_state).map_err(|e| e.to_string())?;
-        let clients = self
-            .ingress
-            .clients
-            .iter()
-            .map(|(_, c)| c.connection.as_fd());
-        Ok((
-            bytes,
-            std::iter::once(listener.as_fd())
-                .chain(clients)
-                .chain(region_fds)
-                .collect(),
-        ))
+        }
     }
 
-    /// Takes up what passed beside the module, the wal and the listener. All of its sockets want a look.
+    /// Restores what the predecessor passed beside its decision module, its log and its listener. All restored sockets
+    /// are looked at in the first round.
     pub(super) fn restore_state(
         &mut self,
-        process_state: ProcessState<(), ()>,
-        fds: &mut InheritedDescriptors,
+        state: RemainingState,
+        descriptors: &mut InheritedDescriptors,
     ) -> std::io::Result<()> {
-        for (taken, state, out) in process_state.held {
-            let no = taken.no;
-            self.store.insert(taken, state);
-            self.store
-                .held
-                .get_mut(&no)
-                .into_iter()
-                .for_each(|t| t.out = out);
+        self.restore_messages(state.held);
+        self.decision.wake_at = state.wake_at;
+        self.status_reporter.queue.extend(state.unconfirmed);
+        self.directory.restore_state(state.directory);
+        for client in state.clients {
+            self.restore_client(&client, descriptors)?;
         }
-        self.decision.wake = process_state.wake;
-        self.status_reporter.queue.extend(process_state.owed);
-        self.directory.restore_state(process_state.directory);
-        for client in process_state.clients {
-            let ingress = &mut self.ingress;
-            let key = EventSource::Client(ingress.clients.vacant_key());
-            let connection = Connection::restore(
-                fds.stream()?,
-                &client.connection,
-                &ingress.handle,
-                &ingress.pool,
-                key,
-            )?;
-            ingress.clients.insert(client.with(connection));
-            self.again.push(key);
+        let endpoint_sources = self.egress.restore_state(state.egress, descriptors)?;
+        self.unfinished_sources.extend(endpoint_sources);
+        self.unfinished_sources.push(EventSource::Listener);
+        Ok(())
+    }
+
+    fn restore_messages(&mut self, held: Vec<HeldMessage>) {
+        for message in held {
+            let number = message.record.no;
+            self.store.insert(message.record, message.state);
+            if let Some(stored) = self.store.messages.get_mut(&number) {
+                stored.attempts_in_flight = message.attempts_in_flight;
+            }
         }
-        self.again
-            .extend(self.egress.restore_state(process_state.egress, fds)?);
-        self.again.push(EventSource::Listener);
+    }
+
+    fn restore_client(
+        &mut self,
+        client: &Client<martenlatch_http::ConnectionSnapshot>,
+        descriptors: &mut InheritedDescriptors,
+    ) -> std::io::Result<()> {
+        let ingress = &mut self.ingress;
+        let source = EventSource::Client(ingress.clients.vacant_key());
+        let connection = Connection::restore(
+            descriptors.stream()?,
+            &client.connection,
+            &ingress.handle,
+            &ingress.pool,
+            source,
+        )?;
+        ingress.clients.insert(client.with_connection(connection));
+        self.unfinished_sources.push(source);
         Ok(())
     }
 
-    /// What a log line tells of a process that passes: connections of clients, calls out, transactions held.
-    pub fn load(&self) -> (usize, usize, usize) {
-        (
-            self.ingress.clients.len(),
-            self.egress.active_attempts(),
-            self.store.held.len(),
-        )
+    /// What this process holds now.
+    pub fn load(&self) -> ProcessLoad {
+        ProcessLoad {
+            client_connections: self.ingress.clients.len(),
+            active_attempts: self.egress.active_attempts(),
+            held_messages: self.store.messages.len(),
+        }
     }
 }
--- /dev/null
+++ b/crates/sender/src/pipeline/shutdown.rs
@@ -0,0 +1,93 @@
+//! Graceful shutdown.
+//!
+//! SIGKILL follows SIGTERM after 3.7 s at the earliest. Until then, in this order: messages are still accepted; the
+//! listener and idle connections are closed; no attempt begins that cannot end in time; what is open is left to the
+//! next process; clients without an answer are rejected; the process exits.
+
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_policy::interface::Event;
+use tracing::info;
+
+use super::driver::Driver;
+
+/// How long after SIGTERM messages are still accepted: clients learn only by their connections that this sender ends.
+pub(super) const ACCEPT_UNTIL: Millis = 600.0;
+/// When attempts have to be over, which leaves 400 ms for the steps below.
+pub(super) const ATTEMPTS_END: Millis = 3_300.0;
+/// When open messages and unconfirmed reports are no longer waited for. The results of the last attempts have been
+/// read and recorded by then.
+const STOP_WAITING: Millis = ATTEMPTS_END + 100.0;
+/// When clients whose requests are incomplete are rejected. They may use the time before to complete them.
+const REJECT_PARTIAL_REQUESTS: Millis = ATTEMPTS_END + 200.0;
+/// When the process exits, whether or not clients have read their answers: 100 ms before SIGKILL.
+const EXIT: Millis = ATTEMPTS_END + 300.0;
+
+impl Driver {
+    /// SIGTERM: starts the shutdown.
+    pub fn end(&mut self) {
+        if self.shutdown_started.is_some() {
+            return;
+        }
+        let now = self.clock.now();
+        info!(open = self.store.open, "ending");
+        self.shutdown_started = Some(now);
+        self.ingress.shutting_down = true;
+        if let Some(peers) = &mut self.peers {
+            peers.leave();
+        }
+        let deadline = nanos(now + ATTEMPTS_END);
+        self.decision.events.push(Event::ShutdownDeadline(deadline));
+    }
+
+    /// Closes the listener and idle connections once messages are no longer accepted. True from then on.
+    pub(super) fn stop_ingress_when_due(&mut self, now: Millis) -> bool {
+        let stopped = self
+            .shutdown_started
+            .is_some_and(|started| now >= started + ACCEPT_UNTIL);
+        if stopped {
+            self.stop_ingress(now);
+        }
+        stopped
+    }
+
+    fn stop_ingress(&mut self, now: Millis) {
+        let to_read = self.ingress.stop(now, &mut self.store.counters);
+        self.unfinished_sources.extend(to_read);
+    }
+
+    /// Whether the process may exit: everything is done, or the time is up, and no client is left without an answer.
+    pub(super) fn may_exit(&mut self, now: Millis) -> bool {
+        let Some(started) = self.shutdown_started else {
+            return false;
+        };
+        if now < started + ACCEPT_UNTIL {
+            return false;
+        }
+        if !self.is_idle() && now < started + STOP_WAITING {
+            return false;
+        }
+        self.stop_ingress(now);
+        if now >= started + REJECT_PARTIAL_REQUESTS {
+            self.ingress.reject_partial_requests(now);
+        }
+        if self.has_unanswered_clients() && now < started + EXIT {
+            return false;
+        }
+        self.egress.read_final_responses(now);
+        self.process_attempt_results(now);
+        true
+    }
+
+    /// Whether no message is open, no attempt in flight and every status report confirmed.
+    fn is_idle(&self) -> bool {
+        self.egress.active_attempts() == 0 && self.status_reporter.is_done() && self.store.open == 0
+    }
+
+    /// Whether a client is connected that has not had its last answer.
+    fn has_unanswered_clients(&self) -> bool {
+        self.ingress
+            .clients
+            .iter()
+            .any(|(_, client)| !client.closing)
+    }
+}
--- /dev/null
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -0,0 +1,234 @@
+//! Clients: eviction, and requests that cross the end of their connection.
+
+use super::*;
+
+#[test]
+fn silent_clients_are_evicted_before_usual_ones_and_closed_within_their_time() {
+    use std::io::{Read, Write};
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
+    let address = driver
+        .ingress
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let connect = || std::net::TcpStream::connect(address).unwrap();
+    let open = |s: &mut std::net::TcpStream| {
+        s.set_nonblocking(true).unwrap();
+        s.read(&mut [0; 4096])
+            .is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+    };
+    let mut usual = connect();
+    usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+    while driver.ingress.clients.iter().all(|(_, c)| !c.served) {
+        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+    }
+    assert!(usual.read(&mut [0; 4096]).unwrap() > 0);
+    let mut crowd: Vec<_> = (1..driver.ingress.limits.max_clients)
+        .map(|_| connect())
+        .collect();
+    while driver.ingress.clients.len() < driver.ingress.limits.max_clients {
+        driver.round(vec![EventSource::Listener]);
+    }
+    clock.set(clock.now() + NEWCOMER_GRACE + 1.0);
+    let late = connect();
+    while driver.store.counters.client_connections <= driver.ingress.limits.max_clients as u64 {
+        driver.round(vec![EventSource::Listener]);
+    }
+    assert!(
+        open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]),
+        "the oldest silent one goes"
+    );
+    clock.set(START + driver.ingress.limits.timeouts.request_ms + 1.0);
+    driver.round(Vec::new());
+    assert!(
+        open(&mut usual) && crowd.iter_mut().all(|c| !open(c)),
+        "3 s are owed"
+    );
+    assert_eq!(
+        driver.ingress.clients.len(),
+        2,
+        "and the one that came late"
+    );
+    drop(late);
+}
+
+#[test]
+fn a_client_that_left_before_its_202_may_send_the_same_message_again() {
+    use std::io::Write;
+    // Guards the request that a front sends once more on a new connection: answered 202 as one that is over, nobody
+    // would deliver it.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("left", silent.local_addr().unwrap());
+    let address = driver
+        .ingress
+        .listener
+        .as_ref()
+        .unwrap()
+        .local_addr()
+        .unwrap();
+    let mut hand_in = |leaves: bool| {
+        let mut client = std::net::TcpStream::connect(address).unwrap();
+        let head =
+            "POST /debit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\n";
+        client
+            .write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes())
+            .unwrap();
+        let (now, mut handed) = (clock.now(), Vec::new());
+        while handed.is_empty() {
+            driver.ingress.accept(now, &mut driver.store.counters);
+            (0..9).for_each(|at| {
+                driver
+                    .ingress
+                    .on_ready(at, now, &mut handed, &mut driver.store.counters);
+            });
+        }
+        let client = (!leaves).then_some(client);
+        while leaves
+            && !driver.ingress.clients[handed[0].client]
+                .connection
+                .peer_reset()
+        {
+            // Bytes of ours that a closed client never reads have its machine reset the connection.
+            driver.ingress.clients[handed[0].client]
+                .connection
+                .queue(b" ");
+            driver.ingress.clients[handed[0].client].connection.flush();
+        }
+        let message = handed.pop().unwrap();
+        let event = driver.admit(message, false, now);
+        drop(client);
+        event
+    };
+    assert!(hand_in(true).is_none(), "it has not heard");
+    assert!(hand_in(false).is_some(), "nobody has it");
+    assert!(hand_in(false).is_none(), "now it is held");
+    let (_, past) = WriteAheadLog::open(
+        &std::env::temp_dir().join(format!("martenlatch-stages-left-{}", std::process::id())),
+        9,
+    );
+    assert!(
+        past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"),
+        "and in a next life too"
+    );
+}
+
+const ASKS: &[u8] = b"POST /debit HTTP/1.1\r\nX-Request-ID: q\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n\r\n";
+
+/// A client that has been served once and rests.
+fn resting(driver: &mut Driver) -> std::net::TcpStream {
+    use std::io::{Read, Write};
+    let mut client = std::net::TcpStream::connect(driver.listens()).unwrap();
+    client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
+    client.set_nonblocking(true).unwrap();
+    until(|| {
+        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+        client.read(&mut [0; 256]).is_ok()
+    });
+    // Nothing of it is to be looked at any more.
+    until(|| {
+        driver.round(Vec::new());
+        driver.unfinished_sources.is_empty()
+    });
+    client
+}
+
+/// What a client reads until its connection ends.
+fn all_read(client: &mut std::net::TcpStream) -> std::io::Result<String> {
+    use std::io::Read;
+    client.set_nonblocking(false)?;
+    client.set_read_timeout(Some(std::time::Duration::from_secs(20)))?;
+    let mut text = String::new();
+    client.read_to_string(&mut text).map(|_| text)
+}
+
+#[rstest::rstest]
+#[case::as_room_is_made("evicted")]
+#[case::as_it_has_rested_too_long("swept")]
+#[case::as_the_sender_stops("stopped")]
+#[case::as_the_sender_goes("gone")]
+fn a_request_that_arrives_as_its_connection_is_to_end_is_answered(#[case] moment: &str) {
+    use std::io::Write;
+    // Guards the request whose last byte is there: nothing has told the loop of it yet.
+    let (mut driver, clock, _events) = resumed(
+        &format!("crossing-{moment}"),
+        "127.77.0.1:9".parse().unwrap(),
+    );
+    let mut client = resting(&mut driver);
+    client.write_all(ASKS).unwrap();
+    match moment {
+        "evicted" => driver.ingress.evict(clock.now(), false),
+        "swept" => {
+            clock.set(clock.now() + driver.ingress.limits.timeouts.idle_ms + 300.0);
+            driver.round(Vec::new());
+        }
+        "stopped" => {
+            driver.end();
+            clock.set(clock.now() + ACCEPT_UNTIL + 1.0);
+            driver.round(Vec::new());
+        }
+        _ => {
+            // Half of it stands before, and its rest never comes in time.
+            driver.round(vec![EventSource::Client(0)]);
+            driver.end();
+            let told = clock.now();
+            clock.set(told + ACCEPT_UNTIL - 1.0);
+            client.write_all(&ASKS[..30]).unwrap();
+            driver.round(vec![EventSource::Client(0)]);
+            driver.ingress.clients[0].since = told + ATTEMPTS_END - 1_000.0;
+            clock.set(told + ATTEMPTS_END + 290.0);
+            driver.round(Vec::new());
+        }
+    }
+    if moment == "evicted" || moment == "swept" {
+        // The loop hears of it now, and the sender ends some time.
+        driver.round(vec![EventSource::Client(0)]);
+        driver.ingress.close_after_answer(0);
+        client
+            .write_all(b"GET /healthz HTTP/1.1\r\nConnection: close\r\n\r\n")
+            .unwrap();
+    }
+    driver.round(vec![EventSource::Client(0)]);
+    drop(driver);
+    let text = all_read(&mut client).expect("reset");
+    assert!(
+        text.starts_with("HTTP/1.1 202") || text.starts_with("HTTP/1.1 503"),
+        "{moment}: {text:?}"
+    );
+    assert_eq!(
+        text.contains("HTTP/1.1 503"),
+        moment == "stopped" || moment == "gone",
+        "{text}"
+    );
+}
+
+#[test]
+fn a_request_behind_the_last_answer_of_its_connection_is_not_accepted() {
+    use std::io::Write;
+    // Guards against a transaction that nobody hears of: its connection has ended on our side.
+    let (mut driver, _clock, _events) = resumed("behind", "127.77.0.1:9".parse().unwrap());
+    let mut client = resting(&mut driver);
+    driver.end();
+    client.write_all(ASKS).unwrap();
+    until(|| {
+        driver.round(vec![EventSource::Client(0)]);
+        driver.store.counters.accepted == 1
+    });
+    client
+        .write_all(
+            &String::from_utf8_lossy(ASKS)
+                .replace("ID: q", "ID: r")
+                .into_bytes(),
+        )
+        .unwrap();
+    (0..50).for_each(|_| _ = driver.round(vec![EventSource::Client(0)]));
+    assert_eq!(driver.store.counters.accepted, 1);
+    let text = all_read(&mut client).expect("reset");
+    assert!(
+        text.starts_with("HTTP/1.1 202") && text.contains("Connection: close"),
+        "{text}"
+    );
+    assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+}
--- a/crates/sender/src/process_replacement.rs
+++ b/crates/sender/src/process_replacement.rs
@@ -124,7 +124,10 @@
             }
             Some(bound) => Some(bound.to_string()),
             None if !driver.quiet() => return false,
-            None => driver.close_idle_connections().err(),
+            None => driver
+                .close_idle_connections()
+                .err()
+                .map(|error| error.to_string()),
         };
         let Some(asker) = self.forget_asker() else {
             return false;
@@ -135,7 +138,7 @@
             return false;
         }
         let Some(lock) = &self.lock else { return false };
-        let (bytes, passed) = match driver.process_state() {
+        let (bytes, passed) = match driver.process_state().map_err(|error| error.to_string()) {
             Ok(process_state) => process_state,
             Err(reason) => {
                 warn!(reason, "replacement refused");
@@ -146,14 +149,14 @@
         let fds: Vec<_> = std::iter::once(std::os::fd::AsFd::as_fd(lock))
             .chain(passed)
             .collect();
-        let (clock, (clients, calls, held)) = (driver.clock(), driver.load());
+        let (clock, load) = (driver.clock(), driver.load());
         let until = clock.now() + CUT;
         match asker.give(&bytes, &fds, &|| until - clock.now()) {
             Given::Taken => {
                 info!(
-                    clients,
-                    calls,
-                    held,
+                    clients = load.client_connections,
+                    attempts = load.active_attempts,
+                    held = load.held_messages,
                     descriptors = fds.len(),
                     bytes = bytes.len(),
                     "gave way"
--- /dev/null
+++ b/crates/sender/src/serve.rs
@@ -0,0 +1,113 @@
+//! The event loop of a process that serves, and its signals.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use martenlatch_clock::Millis;
+
+use crate::Config;
+use crate::error::SenderError;
+use crate::event_source::{Handle, Ready};
+use crate::operator::Operators;
+use crate::pipeline::Driver;
+use crate::process_replacement::ReplacementListener;
+use crate::startup::{Started, StartingProcess};
+
+const MILLISECONDS_PER_SECOND: f64 = 1e3;
+
+/// Serves until the process is told to end, or a successor has taken its place.
+///
+/// # Errors
+/// Where the process cannot start, or its event loop fails.
+pub fn run(config: Config) -> Result<(), SenderError> {
+    let mut events = EventLoop::<Ready>::try_new().map_err(SenderError::CreateEventLoop)?;
+    let handle = events.handle();
+    watch_signals(&handle)?;
+    let operators = open_operators(&config, &handle)?;
+    let state: PathBuf = config.state.clone();
+    let mut starting = StartingProcess::new(config, &mut events, operators);
+    let Some(started) = starting.start()? else {
+        return Ok(());
+    };
+    let (mut ready, operators) = starting.into_parts();
+    let mut driver = serve(started, operators, &state, &mut events, &mut ready)?;
+    driver.print_counters();
+    Ok(())
+}
+
+/// Has the event loop collect the signals that the sender acts on.
+fn watch_signals(handle: &Handle) -> Result<(), SenderError> {
+    let watched = [
+        Signal::SIGTERM,
+        Signal::SIGINT,
+        Signal::SIGUSR1,
+        Signal::SIGHUP,
+    ];
+    let signals =
+        Signals::new(&watched).map_err(|error| SenderError::WatchSignals(error.to_string()))?;
+    handle
+        .insert_source(signals, |event, _, ready: &mut Ready| {
+            ready.signals.push(event.signal());
+        })
+        .map_err(|error| SenderError::WatchSignals(error.to_string()))?;
+    Ok(())
+}
+
+/// Listens for operators, if the configuration names an address for them.
+fn open_operators(config: &Config, handle: &Handle) -> Result<Option<Operators>, SenderError> {
+    config
+        .operator
+        .map(|address| Operators::open(address, handle))
+        .transpose()
+        .map_err(|error| SenderError::Operators(error.to_string()))
+}
+
+/// Runs round after round until the process ends or is replaced. Returns the driver for its last counters.
+fn serve(
+    started: Started,
+    operators: Option<Operators>,
+    state: &Path,
+    events: &mut EventLoop<'static, Ready>,
+    ready: &mut Ready,
+) -> Result<Driver, SenderError> {
+    let mut driver = started.driver;
+    driver.answer_operators(operators);
+    let mut replacement = ReplacementListener::open(started.lock, state, &events.handle());
+    loop {
+        for signal in std::mem::take(&mut ready.signals) {
+            on_signal(signal, &mut driver);
+        }
+        let mut sources = std::mem::take(&mut ready.keys);
+        sources.retain(|source| !replacement.ready(*source));
+        if !driver.round(sources) {
+            replacement.close();
+            return Ok(driver);
+        }
+        if replacement.give_way(&mut driver) {
+            return Ok(driver);
+        }
+        wait(events, ready, driver.sleep())?;
+    }
+}
+
+fn on_signal(signal: Signal, driver: &mut Driver) {
+    match signal {
+        Signal::SIGUSR1 => driver.print_counters(),
+        Signal::SIGHUP => driver.reload(Config::read_again()),
+        _ => driver.end(),
+    }
+}
+
+/// Waits until something is ready, at most for so long.
+pub(crate) fn wait(
+    events: &mut EventLoop<'static, Ready>,
+    ready: &mut Ready,
+    longest: Millis,
+) -> Result<(), SenderError> {
+    let longest = Duration::from_secs_f64(longest / MILLISECONDS_PER_SECOND);
+    events
+        .dispatch(longest, ready)
+        .map_err(SenderError::EventLoop)
+}
--- /dev/null
+++ b/crates/sender/src/startup.rs
@@ -0,0 +1,302 @@
+//! The start of a process: alone, or beside one that serves from the same folder and is to be replaced.
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use calloop::EventLoop;
+use calloop::signals::Signal;
+use martenlatch_clock::{Clock, Millis};
+use martenlatch_handover::{Lock, Passed};
+use martenlatch_settings::program::Peers as PeerSettings;
+use socket2::{Domain, Protocol, Socket, Type};
+use tracing::{info, warn};
+
+use crate::Config;
+use crate::error::SenderError;
+use crate::event_source::{EventSource, Handle, InheritedDescriptors, Ready};
+use crate::operator::Operators;
+use crate::peer_service::Peers;
+use crate::pipeline::{Driver, ProcessLoad, ProcessState, Start};
+use crate::process_replacement::{LOOK, Look, ReplacementCandidate};
+use crate::serve::wait;
+
+/// Connections that may wait to be accepted: a burst of clients must not be dropped.
+const LISTEN_BACKLOG: i32 = 1024;
+/// How long a process that has ended may still hold its address, although its lock is free.
+const ADDRESS_RELEASE_TIMEOUT: Millis = 2_000.0;
+/// How often the loop wakes while peers are asked for what they know.
+const LEARNING_INTERVAL: Millis = 5.0;
+const MILLISECONDS_PER_SECOND: f64 = 1e3;
+
+/// What operators are told while the process starts.
+const NOT_SERVING: &str = "not serving yet";
+
+/// Listens on an address without blocking.
+pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(LISTEN_BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// A process that may serve from here on.
+pub(crate) struct Started {
+    pub(crate) driver: Driver,
+    /// The lock on the folder; none where the folder takes no lock, and the process cannot be replaced.
+    pub(crate) lock: Option<Lock>,
+}
+
+/// A process that does not serve yet.
+pub(crate) struct StartingProcess<'a> {
+    config: Config,
+    clock: Clock,
+    events: &'a mut EventLoop<'static, Ready>,
+    ready: Ready,
+    operators: Option<Operators>,
+}
+
+/// Who may serve from the folder.
+enum FolderLock {
+    /// This process; without a lock where the folder takes none.
+    Ours(Option<Lock>),
+    /// Another process.
+    Taken,
+}
+
+impl<'a> StartingProcess<'a> {
+    /// A process of this configuration. Operators are told that it does not serve.
+    pub(crate) fn new(
+        config: Config,
+        events: &'a mut EventLoop<'static, Ready>,
+        operators: Option<Operators>,
+    ) -> StartingProcess<'a> {
+        StartingProcess {
+            config,
+            clock: Clock::system(),
+            events,
+            ready: Ready::default(),
+            operators,
+        }
+    }
+
+    /// What became ready and was not handled during the start, and the operators' connections.
+    pub(crate) fn into_parts(self) -> (Ready, Option<Operators>) {
+        (self.ready, self.operators)
+    }
+
+    /// Waits until this process may serve: the folder's lock is free, or the process that held it has given way. None
+    /// if this process is told to end first.
+    ///
+    /// # Errors
+    /// Where this process cannot serve, or another one waits already.
+    pub(crate) fn start(&mut self) -> Result<Option<Started>, SenderError> {
+        match take_folder_lock(&self.config) {
+            FolderLock::Ours(lock) => {
+                let driver = self.start_fresh(0.0)?;
+                Ok(Some(Started { driver, lock }))
+            }
+            FolderLock::Taken => self.wait_for_predecessor(),
+        }
+    }
+
+    /// Starts from the write-ahead log. The address may be in use for so long still.
+    fn start_fresh(&mut self, address_timeout: Millis) -> Result<Driver, SenderError> {
+        let peers = match self.config.peers.clone() {
+            Some(settings) => Some(self.learn_from_peers(&settings)?),
+            None => None,
+        };
+        let listener = self.listen_for_clients(address_timeout)?;
+        Driver::new(
+            self.config.clone(),
+            Start::Fresh(listener),
+            peers,
+            &self.events.handle(),
+            self.clock.clone(),
+        )
+    }
+
+    /// Asks the peers for what they know before clients can connect: for a bounded time, and not at all if no peer is
+    /// there. A signal ends this early, so that it is acted on soon.
+    fn learn_from_peers(&mut self, settings: &PeerSettings) -> Result<Peers, SenderError> {
+        let mut peers = self.open_peers(settings)?;
+        while peers.learning(self.clock.now()) && self.ready.signals.is_empty() {
+            wait(self.events, &mut self.ready, LEARNING_INTERVAL)?;
+            let now = self.clock.now();
+            let mut unfinished = Vec::new();
+            for source in std::mem::take(&mut self.ready.keys) {
+                if !self.turn_operator_down(source, now) && peers.ready(source, now) {
+                    unfinished.push(source);
+                }
+            }
+            self.ready.keys = unfinished;
+            peers.run_due(now, None);
+        }
+        peers.learned(self.clock.now());
+        Ok(peers)
+    }
+
+    fn open_peers(&self, settings: &PeerSettings) -> Result<Peers, SenderError> {
+        let config = &self.config;
+        let per_endpoint = config
+            .boot
+            .settings
+            .kinds
+            .iter()
+            .map(|kind| kind.per_endpoint)
+            .collect();
+        Peers::open(
+            settings,
+            &config.name,
+            &config.state,
+            per_endpoint,
+            config.seed,
+            &self.events.handle(),
+            self.clock.now(),
+        )
+        .map_err(|error| SenderError::Peers(error.to_string()))
+    }
+
+    /// Binds the address for clients, which a process that has just ended may still hold.
+    fn listen_for_clients(&self, timeout: Millis) -> Result<TcpListener, SenderError> {
+        let address = self.config.listen;
+        let until = self.clock.now() + timeout;
+        loop {
+            match listen(address) {
+                Ok(listener) => return Ok(listener),
+                Err(error) if error.kind() == ErrorKind::AddrInUse && self.clock.now() < until => {
+                    std::thread::sleep(Duration::from_secs_f64(LOOK / MILLISECONDS_PER_SECOND));
+                }
+                Err(reason) => return Err(SenderError::Bind { address, reason }),
+            }
+        }
+    }
+
+    /// Waits beside a process that serves, until that one has given way or ended. None if this process is told to end
+    /// first: nothing has been begun.
+    fn wait_for_predecessor(&mut self) -> Result<Option<Started>, SenderError> {
+        let mut candidate = ReplacementCandidate::open(&self.config, &self.events.handle())
+            .map_err(|error| SenderError::Replacement(error.to_string()))?;
+        while !self.is_told_to_end() {
+            match self.look_for_predecessor(&mut candidate) {
+                Look::Nothing => {}
+                Look::Free(lock) => {
+                    info!("the process that served has ended");
+                    let driver = self.start_fresh(ADDRESS_RELEASE_TIMEOUT)?;
+                    let lock = Some(lock);
+                    return Ok(Some(Started { driver, lock }));
+                }
+                Look::Passed(passed) => {
+                    if let Some(started) = self.take_over(passed, &mut candidate) {
+                        return Ok(Some(started));
+                    }
+                }
+            }
+            wait(self.events, &mut self.ready, LOOK)?;
+        }
+        Ok(None)
+    }
+
+    fn is_told_to_end(&self) -> bool {
+        let ends = |signal: &Signal| matches!(signal, Signal::SIGTERM | Signal::SIGINT);
+        self.ready.signals.iter().any(ends)
+    }
+
+    /// Looks at the lock, and at what the predecessor has sent.
+    fn look_for_predecessor(&mut self, candidate: &mut ReplacementCandidate) -> Look {
+        let now = self.clock.now();
+        let mut found = candidate.look(now);
+        for source in std::mem::take(&mut self.ready.keys) {
+            if !self.turn_operator_down(source, now) && source == EventSource::Predecessor {
+                found = candidate.ready(&self.clock);
+            }
+        }
+        if let Some(operators) = &mut self.operators {
+            operators.run_due(now);
+        }
+        found
+    }
+
+    /// Tells an operator that the process does not serve. True if the source is one of the operators'.
+    fn turn_operator_down(&mut self, source: EventSource, now: Millis) -> bool {
+        match &mut self.operators {
+            Some(operators) => operators.turn_down(source, NOT_SERVING, now),
+            None => false,
+        }
+    }
+
+    /// Takes over from the predecessor with the state that it has passed. None if that cannot be used, or the
+    /// predecessor has gone on meanwhile.
+    fn take_over(
+        &mut self,
+        mut passed: Passed,
+        candidate: &mut ReplacementCandidate,
+    ) -> Option<Started> {
+        let started = match restore(&self.config, &mut passed, &self.events.handle()) {
+            Ok(started) => started,
+            Err(error) => {
+                warn!(reason = error.to_string(), "not taken over");
+                candidate.rest();
+                return None;
+            }
+        };
+        // The predecessor goes on, or it has died: it is asked again, or its lock is free.
+        if let Err(error) = passed.taken() {
+            warn!(error = ?error.kind(), "taken too late");
+            return None;
+        }
+        let ProcessLoad {
+            client_connections,
+            active_attempts,
+            held_messages,
+        } = started.driver.load();
+        info!(
+            name = %self.config.name,
+            clients = client_connections,
+            attempts = active_attempts,
+            held = held_messages,
+            "taking over"
+        );
+        Some(started)
+    }
+}
+
+/// Takes the lock on the folder. A folder that takes no file must not stop a sender, which then cannot be replaced.
+fn take_folder_lock(config: &Config) -> FolderLock {
+    match Lock::take(&config.state, "lock") {
+        Ok(Some(lock)) => FolderLock::Ours(Some(lock)),
+        Ok(None) => FolderLock::Taken,
+        Err(error) => {
+            warn!(error = ?error.kind(), "no lock");
+            FolderLock::Ours(None)
+        }
+    }
+}
+
+/// Builds this process from the state of the predecessor. Nothing outside this process is touched.
+fn restore(config: &Config, passed: &mut Passed, handle: &Handle) -> Result<Started, SenderError> {
+    let mut descriptors = InheritedDescriptors::new(std::mem::take(&mut passed.fds));
+    let lock = descriptors
+        .take()
+        .map_err(SenderError::InheritedDescriptor)?;
+    let lock = Lock::passed(lock);
+    let state = ProcessState::read(&passed.bytes, config)?;
+    let clock = Clock::restore(state.at());
+    let driver = Driver::new(
+        config.clone(),
+        Start::Passed(Box::new(state), descriptors),
+        None,
+        handle,
+        clock,
+    )?;
+    Ok(Started {
+        driver,
+        lock: Some(lock),
+    })
+}
