--- a/crates/martenlatch/tests/operation.rs
+++ b/crates/martenlatch/tests/operation.rs
@@ -1,58 +1,53 @@
-//! Stories of operators: what they call, what they are told, and that it is what the peers saw. Over loopback, with
-//! scripted peers, one for each failure.
+//! Operators' calls: their answers, and that the counters and cordons match what the scripted peers see.
+
+mod support;
+use support::*;
 
-mod peers;
-use peers::*;
 use rstest::rstest;
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 
 const CLASSES: [&str; 2] = ["debit", "meter"];
 
-/// What peers have seen become of transactions: per class answered, deferred, errored and sends.
+/// The counters that are expected of a sender, from what its peers have seen.
 #[derive(Default)]
-struct Seen(BTreeMap<String, u64>);
+struct ExpectedCounters(BTreeMap<String, u64>);
 
-impl Seen {
-    fn add(&mut self, class: &str, state: &str, count: u64) {
-        let name = match state {
+impl ExpectedCounters {
+    fn name(class: &str, state: &str) -> String {
+        match state {
             "sends" => format!("sends{{group=\"{class}\"}}"),
             _ => format!("transactions{{group=\"{class}\",state=\"{state}\"}}"),
-        };
-        *self.0.entry(name).or_default() += count;
+        }
+    }
+
+    /// One more message of a class was answered, deferred or errored, or one more attempt of it sent.
+    fn add(&mut self, class: &str, state: &str) {
+        let name = ExpectedCounters::name(class, state);
+        *self.0.entry(name).or_default() += 1;
     }
 
-    /// Holds every figure against what was seen.
-    fn hold(&self, figures: &BTreeMap<String, u64>, current: u64) {
+    /// Compares all counters of a sender. `current` is the expected number of messages that are not complete.
+    fn check(&self, sender: &Sender, current: u64) {
+        let counters = sender.operator_counters();
         for class in CLASSES {
             for state in ["answered", "deferred", "errored", "sends"] {
-                let mut name = Seen::default();
-                name.add(class, state, 0);
-                let name = name.0.into_keys().next().unwrap();
+                let name = ExpectedCounters::name(class, state);
                 let want = self.0.get(&name).copied().unwrap_or(0);
-                assert_eq!(figures.get(&name), Some(&want), "{name} of {figures:?}");
+                assert_eq!(counters.get(&name), Some(&want), "{name} of {counters:?}");
             }
         }
-        assert_eq!(figures["current"], current, "{figures:?}");
+        assert_eq!(counters["current"], current, "{counters:?}");
     }
 }
 
-#[test]
-fn figures_are_what_the_peers_saw_at_every_moment() {
-    let script = |no: usize, heard: &Heard| match (heard.id().split('-').next().unwrap(), no) {
-        ("over", _) => status(410, ""),
-        ("fails", _) => status(500, ""),
-        ("spent", _) => status(504, ""),
-        ("hangs", _) => silence(),
-        _ => status(200, ""),
-    };
-    let region = Region::new(script);
-    let known = table(1, true, &[listed("s-1", region.address, "in_service")]);
-    let platform = Platform::new(&[]);
-    let sender = Sender::start("figures", &platform, &known, 3.0);
-    let mut seen = Seen::default();
-    seen.hold(&sender.figures(), 0);
-    assert_eq!(sender.figures()["cluster_size"], 1);
+/// Submits messages that end in each way, one after the other, and compares the counters after each.
+fn submit_one_of_each_end(
+    sender: &Sender,
+    endpoint: &Endpoint,
+    platform: &Platform,
+    expected: &mut ExpectedCounters,
+) {
     for (id, class, state) in [
         ("well-1", "debit", "answered"),
         ("well-2", "meter", "answered"),
@@ -60,57 +55,74 @@
         ("fails-1", "debit", "errored"),
         ("spent-1", "debit", "deferred"),
     ] {
-        assert_eq!(sender.hand_in(class, id, "16.0"), 202, "{id}");
-        assert_eq!(region.call().id(), id);
+        assert_eq!(sender.submit(class, id, "16.0"), 202, "{id}");
+        assert_eq!(endpoint.next_request().id(), id);
         if matches!(id, "fails-1" | "spent-1") {
-            platform.notice();
+            platform.next_status_report();
         }
-        seen.add(class, state, 1);
-        seen.add(class, "sends", 1);
-        // A repeated id is answered once more, and is no second transaction.
-        assert_eq!(sender.hand_in(class, id, "16.0"), 202, "{id}");
-        seen.hold(&sender.figures(), 0);
+        expected.add(class, state);
+        expected.add(class, "sends");
+        // A repeated id is confirmed once more, and is no second message.
+        assert_eq!(sender.submit(class, id, "16.0"), 202, "{id}");
+        expected.check(sender, 0);
     }
-    // A request that cannot be served is a failure of its class; one that names no class is nobody's.
+}
+
+#[test]
+fn operator_counters_match_what_the_peers_saw_at_every_moment() {
+    let script = |_, request: &HttpMessage| match request.id().split('-').next().unwrap() {
+        "over" => reply(410, ""),
+        "fails" => reply(500, ""),
+        "spent" => reply(504, ""),
+        "hangs" => no_reply(),
+        _ => reply(200, ""),
+    };
+    let (endpoint, known) = one_endpoint(script);
+    let platform = Platform::new(&[]);
+    let sender = Sender::start("figures", &platform, &known);
+    let mut expected = ExpectedCounters::default();
+    expected.check(&sender, 0);
+    assert_eq!(sender.operator_counters()["cluster_size"], 1);
+    submit_one_of_each_end(&sender, &endpoint, &platform, &mut expected);
+    // A request that cannot be served is an error of its class; one that names no class counts for none.
     platform.push(&known);
-    let other = request("meter", "lost", "16.0", "x").replace("dest=7", "dest=8");
-    assert_eq!(sender.exchange(&other), 404);
+    let unlisted = request("meter", "lost", "16.0", "x").replace("dest=7", "dest=8");
+    assert_eq!(sender.exchange(&unlisted), 404);
     assert_eq!(sender.exchange(&request("nothing", "x", "16.0", "x")), 404);
-    seen.add("meter", "errored", 1);
-    // Held until its time is over: a call that may have run, of a class that must not be repeated.
-    assert_eq!(sender.hand_in("debit", "hangs-1", "1.0"), 202);
-    assert_eq!(region.call().id(), "hangs-1");
-    seen.add("debit", "sends", 1);
-    seen.hold(&sender.figures(), 1);
-    platform.notice();
-    seen.add("debit", "errored", 1);
-    seen.hold(&sender.figures(), 0);
-    // A later life counts from its own start, what it resumes too.
-    assert_eq!(sender.hand_in("debit", "hangs-2", "16.0"), 202);
-    assert_eq!(region.call().id(), "hangs-2");
+    expected.add("meter", "errored");
+    // Stored until its deadline: an attempt that may have run, of a class that must not be repeated.
+    assert_eq!(sender.submit("debit", "hangs-1", "1.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "hangs-1");
+    expected.add("debit", "sends");
+    expected.check(&sender, 1);
+    platform.next_status_report();
+    expected.add("debit", "errored");
+    expected.check(&sender, 0);
+    // A restarted sender counts from its own start, and counts what it resumes too.
+    assert_eq!(sender.submit("debit", "hangs-2", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "hangs-2");
     let sender = sender.kill_and_restart();
-    platform.notice();
-    let mut seen = Seen::default();
-    seen.add("debit", "errored", 1);
-    seen.hold(&sender.figures(), 0);
+    platform.next_status_report();
+    let mut expected = ExpectedCounters::default();
+    expected.add("debit", "errored");
+    expected.check(&sender, 0);
 }
 
 #[test]
-fn refusals_at_the_door_are_deferred_and_what_is_held_is_current() {
-    let region = Region::new(|_, _| silence());
-    let platform = Platform::new(&[]);
-    let known = table(1, true, &[listed("s-1", region.address, "in_service")]);
-    let sender = Sender::start("figures-door", &platform, &known, 3.0);
-    let mut seen = Seen::default();
-    for no in 0..4 {
-        // Discovery has not spoken in this life: a destination that is not listed may be a new one.
-        let unlisted = request("meter", &format!("d{no}"), "16.0", "x").replace("dest=7", "dest=8");
+fn rejected_requests_count_as_deferred_and_stored_messages_as_current() {
+    let (endpoint, _platform, sender) = sender_with_endpoint("figures-door", |_, _| no_reply());
+    let mut expected = ExpectedCounters::default();
+    for number in 0..4 {
+        // Discovery has not pushed a list yet: a destination that is not listed may be a new one.
+        let unlisted =
+            request("meter", &format!("d{number}"), "16.0", "x").replace("dest=7", "dest=8");
         assert_eq!(sender.exchange(&unlisted), 503);
-        assert_eq!(sender.hand_in("debit", &format!("h{no}"), "16.0"), 202);
-        assert_eq!(region.call().id(), format!("h{no}"));
-        seen.add("meter", "deferred", 1);
-        seen.add("debit", "sends", 1);
-        seen.hold(&sender.figures(), no + 1);
+        let id = format!("h{number}");
+        assert_eq!(sender.submit("debit", &id, "16.0"), 202);
+        assert_eq!(endpoint.next_request().id(), id);
+        expected.add("meter", "deferred");
+        expected.add("debit", "sends");
+        expected.check(&sender, number + 1);
     }
 }
 
@@ -127,23 +139,22 @@
 #[case::no_id("cordon\r\n", "NAK cordon wants the id of an endpoint\n")]
 #[case::http("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "NAK unknown call GET; ")]
 #[case::long(&"x".repeat(100_000), "NAK the line is over 512 bytes\n")]
-#[case::whole("health\r\ncounters\n", "ACK serving\n")]
-fn a_call_has_one_answer_and_a_bad_one_is_told_why(#[case] text: &str, #[case] want: &str) {
+#[case::complete("health\r\ncounters\n", "ACK serving\n")]
+fn an_operator_call_gets_one_answer_and_an_invalid_one_the_reason(
+    #[case] text: &str,
+    #[case] want: &str,
+) {
     let platform = Platform::new(&[]);
-    let case = text
-        .bytes()
-        .take(99)
-        .fold(7u64, |h, b| h.wrapping_mul(31) ^ u64::from(b));
+    let case = case_name(text);
     let sender = Sender::start(
-        &format!("call-{case:x}"),
+        &format!("call-{case}"),
         &platform,
-        &table(1, true, &[]),
-        3.0,
+        &endpoint_list(1, true, &[]),
     );
-    let said = sender.operate(text);
-    assert!(said.starts_with(want), "{said:?}");
+    let answer = sender.call_operator(text);
+    assert!(answer.starts_with(want), "{answer:?}");
     assert_eq!(
-        sender.operate("health\n"),
+        sender.call_operator("health\n"),
         "ACK serving\n",
         "the sender still answers"
     );
@@ -153,147 +164,172 @@
         stream.write_all(&[*byte]).unwrap();
     }
     stream.shutdown(std::net::Shutdown::Write).unwrap();
-    let mut said = String::new();
-    stream.read_to_string(&mut said).unwrap();
-    assert_eq!(said, "ACK serving\n");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert_eq!(answer, "ACK serving\n");
 }
 
 #[test]
-fn callers_that_finish_no_line_take_no_room_from_others() {
+fn callers_that_finish_no_line_take_no_capacity_from_others() {
     let platform = Platform::new(&[]);
-    let sender = Sender::start("callers", &platform, &table(1, true, &[]), 3.0);
+    let sender = Sender::start("callers", &platform, &endpoint_list(1, true, &[]));
     let silent: Vec<_> = (0..60)
-        .map(|no| {
+        .map(|number| {
             let mut stream = std::net::TcpStream::connect(sender.operator).unwrap();
-            stream.write_all(&b"healt"[..no % 6]).unwrap();
+            stream.write_all(&b"healt"[..number % 6]).unwrap();
             stream
         })
         .collect();
-    assert_eq!(sender.operate("health\n"), "ACK serving\n");
+    assert_eq!(sender.call_operator("health\n"), "ACK serving\n");
     assert_eq!(sender.exchange("GET /healthz HTTP/1.1\r\n\r\n"), 200);
     drop(silent);
-    assert_eq!(sender.operate("health\n"), "ACK serving\n");
+    assert_eq!(sender.call_operator("health\n"), "ACK serving\n");
 }
 
 #[test]
-fn an_address_that_cannot_be_had_ends_the_start_with_one_line_that_names_the_field() {
+fn an_unusable_operator_address_ends_the_start_with_one_line_that_names_the_field() {
     let platform = Platform::new(&[]);
-    let sender = Sender::start("no-operator", &platform, &table(1, true, &[]), 3.0);
-    let (from, to) = (
-        format!("\"operator\":\"{}\"", sender.operator),
-        "\"operator\":7".to_string(),
-    );
-    let (code, said) = sender.restart_with(&from, &to);
-    assert_eq!(code, Some(1), "{said}");
+    let sender = Sender::start("no-operator", &platform, &endpoint_list(1, true, &[]));
+    let from = format!("\"operator\":\"{}\"", sender.operator);
+    let exit = sender.restart_with_bad_config(&from, "\"operator\":7");
+    let errors = exit.output;
+    assert_eq!(exit.code, Some(1), "{errors}");
     assert!(
-        said.starts_with("martenlatch: operator: ") && said.lines().count() == 1,
-        "{said}"
+        errors.starts_with("martenlatch: operator: ") && errors.lines().count() == 1,
+        "{errors}"
     );
 }
 
-#[test]
-fn a_region_out_by_hand_gets_nothing_whatever_the_list_says_until_one_call_puts_it_back() {
-    let (a, b) = (
-        Region::new(|_, _| status(200, "")),
-        Region::new(|_, _| status(200, "")),
-    );
-    let moved = Region::new(|_, _| status(200, ""));
-    let both = [
-        listed("s-a", a.address, "in_service"),
-        listed("s-b", b.address, "in_service"),
-    ];
-    let platform = Platform::new(&[]);
-    let mut sender = Sender::start("hand", &platform, &table(1, true, &both), 3.0);
-    for bad in ["cordon s-c\n", "uncordon s-c\n", "cordon \u{1b}[0m\n"] {
-        let said = sender.operate(bad);
-        assert!(
-            said.starts_with("NAK ") && said.ends_with(" was never listed\n"),
-            "{said:?}"
-        );
+/// Two endpoints of one destination, of which the first is cordoned, and an address to which that one moves.
+struct CordonedEndpoint {
+    cordoned: Endpoint,
+    moved: Endpoint,
+    other: Endpoint,
+    /// Messages that were submitted so far.
+    submitted: usize,
+}
+
+impl CordonedEndpoint {
+    fn new() -> CordonedEndpoint {
+        CordonedEndpoint {
+            cordoned: Endpoint::new(|_, _| reply(200, "")),
+            moved: Endpoint::new(|_, _| reply(200, "")),
+            other: Endpoint::new(|_, _| reply(200, "")),
+            submitted: 0,
+        }
     }
-    assert_eq!(
-        sender.operate("uncordon s-a\n"),
-        "ACK in\n",
-        "not out: a harmless yes"
-    );
-    (0..3).for_each(|_| assert_eq!(sender.operate("cordon s-a\n"), "ACK out\n"));
-    let mut handed = 0;
-    let mut only_b = |sender: &Sender, when: &str| {
+
+    fn entries(&self) -> [String; 2] {
+        [
+            endpoint_entry("s-a", self.cordoned.address, "in_service"),
+            endpoint_entry("s-b", self.other.address, "in_service"),
+        ]
+    }
+
+    /// Submits messages, all of which have to go to the endpoint that is not cordoned.
+    fn check_is_avoided(&mut self, sender: &Sender, when: &str) {
         for _ in 0..6 {
-            handed += 1;
-            assert_eq!(sender.hand_in("debit", &format!("h{handed}"), "16.0"), 202);
-            assert_eq!(b.call().id(), format!("h{handed}"), "{when}");
+            self.submitted += 1;
+            let id = format!("h{}", self.submitted);
+            assert_eq!(sender.submit("debit", &id, "16.0"), 202);
+            assert_eq!(self.other.next_request().id(), id, "{when}");
         }
-        assert_eq!(a.calls_so_far() + moved.calls_so_far(), 0, "{when}");
-        assert_eq!(sender.figures()["cluster_unhealthy"], 1, "{when}");
-    };
-    only_b(&sender, "from the yes");
-    platform.push(&table(2, true, &both));
-    only_b(&sender, "a whole new list names it as in service");
-    platform.push_raw(&chunk(&table(
-        3,
-        false,
-        &[listed("s-a", a.address, "terminated")],
-    )));
-    until("one is listed", || sender.figures()["cluster_size"] == 1);
-    platform.push_raw(&chunk(&table(
-        4,
-        false,
-        &[listed("s-a", moved.address, "in_service")],
-    )));
-    until("both are listed", || sender.figures()["cluster_size"] == 2);
-    only_b(
-        &sender,
-        "it was removed, and is listed anew at another address",
-    );
-    sender = sender.kill_and_restart();
-    only_b(&sender, "after a kill");
-    sender = sender.end_and_restart();
-    only_b(&sender, "after a restart");
-    // A disk that takes no file: the ban can neither be lifted nor another put in force, and the caller is told.
-    sender = sender.restart_after(|state| std::fs::create_dir(state.join("cordons.new")).unwrap());
-    for call in ["cordon s-b\n", "uncordon s-a\n"] {
+        let requests = self.cordoned.request_count() + self.moved.request_count();
+        assert_eq!(requests, 0, "{when}");
+        let unhealthy = sender.operator_counters()["cluster_unhealthy"];
+        assert_eq!(unhealthy, 1, "{when}");
+    }
+
+    /// Removes the cordoned endpoint from the list, and lists it again at another address.
+    fn remove_and_list_again(&self, sender: &Sender, platform: &Platform) {
+        let removed = endpoint_entry("s-a", self.cordoned.address, "terminated");
+        platform.push_raw(&chunk(&endpoint_list(3, false, &[removed])));
+        wait_until("one is listed", || {
+            sender.operator_counters()["cluster_size"] == 1
+        });
+        let moved = endpoint_entry("s-a", self.moved.address, "in_service");
+        platform.push_raw(&chunk(&endpoint_list(4, false, &[moved])));
+        wait_until("both are listed", || {
+            sender.operator_counters()["cluster_size"] == 2
+        });
+    }
+}
+
+fn check_unknown_ids_are_rejected(sender: &Sender) {
+    for unknown in ["cordon s-c\n", "uncordon s-c\n", "cordon \u{1b}[0m\n"] {
+        let answer = sender.call_operator(unknown);
         assert!(
-            sender
-                .operate(call)
-                .starts_with("NAK the ban cannot be written: "),
-            "{call}"
+            answer.starts_with("NAK ") && answer.ends_with(" was never listed\n"),
+            "{answer:?}"
         );
     }
-    only_b(&sender, "after a refused call");
-    sender = sender.restart_after(|state| std::fs::remove_dir(state.join("cordons.new")).unwrap());
+}
+
+#[test]
+fn a_cordoned_endpoint_gets_nothing_whatever_the_list_says_until_it_is_uncordoned() {
+    let mut endpoints = CordonedEndpoint::new();
+    let both = endpoints.entries();
+    let platform = Platform::new(&[]);
+    let mut sender = Sender::start("hand", &platform, &endpoint_list(1, true, &both));
+    check_unknown_ids_are_rejected(&sender);
+    let not_cordoned = sender.call_operator("uncordon s-a\n");
+    assert_eq!(not_cordoned, "ACK in\n", "not cordoned: harmless");
+    for _ in 0..3 {
+        assert_eq!(sender.call_operator("cordon s-a\n"), "ACK out\n");
+    }
+    endpoints.check_is_avoided(&sender, "from the confirmation on");
+    platform.push(&endpoint_list(2, true, &both));
+    endpoints.check_is_avoided(&sender, "a complete new list names it as in service");
+    endpoints.remove_and_list_again(&sender, &platform);
+    endpoints.check_is_avoided(&sender, "it was removed and is listed at another address");
+    sender = sender.kill_and_restart();
+    endpoints.check_is_avoided(&sender, "after a kill");
+    sender = sender.terminate_and_restart();
+    endpoints.check_is_avoided(&sender, "after a restart");
+    // A disk that takes no file: cordons can neither be lifted nor added, and the caller is told.
+    sender = sender.restart_with_state(|state| {
+        std::fs::create_dir(state.join("cordons.new")).unwrap();
+    });
+    for call in ["cordon s-b\n", "uncordon s-a\n"] {
+        let answer = sender.call_operator(call);
+        let reason = "NAK the ban cannot be written: ";
+        assert!(answer.starts_with(reason), "{call}");
+    }
+    endpoints.check_is_avoided(&sender, "after a rejected call");
+    sender = sender.restart_with_state(|state| {
+        std::fs::remove_dir(state.join("cordons.new")).unwrap();
+    });
+    let uncordoned = sender.call_operator("uncordon s-a\n");
     assert_eq!(
-        sender.operate("uncordon s-a\n"),
-        "ACK in\n",
-        "one call, however many took it out"
+        uncordoned, "ACK in\n",
+        "once, however often it was cordoned"
     );
-    assert_eq!(sender.operate("cordon s-b\n"), "ACK out\n");
-    assert_eq!(sender.hand_in("debit", "back", "16.0"), 202);
-    assert_eq!(a.call().id(), "back");
+    assert_eq!(sender.call_operator("cordon s-b\n"), "ACK out\n");
+    assert_eq!(sender.submit("debit", "back", "16.0"), 202);
+    assert_eq!(endpoints.cordoned.next_request().id(), "back");
 }
 
 #[test]
-fn a_damaged_file_of_bans_is_told_and_the_lines_that_stand_hold() {
-    let region = Region::new(|_, _| status(200, ""));
+fn a_damaged_cordon_file_is_logged_and_its_intact_lines_hold() {
+    let endpoint = Endpoint::new(|_, _| reply(200, ""));
     let platform = Platform::new(&[]);
-    let known = table(
+    let known = endpoint_list(
         1,
         true,
         &[
-            listed("s-a", region.address, "in_service"),
-            listed("s-b", region.address, "in_service"),
+            endpoint_entry("s-a", endpoint.address, "in_service"),
+            endpoint_entry("s-b", endpoint.address, "in_service"),
         ],
     );
-    let sender = Sender::start("hand-damaged", &platform, &known, 3.0);
-    assert_eq!(sender.operate("cordon s-a\n"), "ACK out\n");
-    assert_eq!(sender.operate("cordon s-b\n"), "ACK out\n");
-    let sender = sender.restart_after(|state| {
+    let sender = Sender::start("hand-damaged", &platform, &known);
+    assert_eq!(sender.call_operator("cordon s-a\n"), "ACK out\n");
+    assert_eq!(sender.call_operator("cordon s-b\n"), "ACK out\n");
+    let sender = sender.restart_with_state(|state| {
         let text = std::fs::read_to_string(state.join("cordons")).unwrap();
         std::fs::write(state.join("cordons"), text.replace("s-b", "s-x")).unwrap();
     });
-    assert_eq!(sender.figures()["cluster_unhealthy"], 1);
-    sender.signal("TERM");
-    let log = sender.finish().1;
+    assert_eq!(sender.operator_counters()["cluster_unhealthy"], 1);
+    let log = sender.terminate().output;
     assert!(
         log.contains("ERROR cordons damaged lines=1 kept=1"),
         "{log}"
@@ -301,36 +337,46 @@
 }
 
 #[test]
-fn requests_and_lists_may_come_byte_by_byte_and_a_request_cut_at_any_byte_is_nothing() {
-    let region = Region::new(|_, _| status(200, ""));
+fn requests_and_lists_may_come_byte_by_byte_and_a_request_cut_at_any_byte_is_ignored() {
+    let endpoint = Endpoint::new(|_, _| reply(200, ""));
     let platform = Platform::new(&[]);
-    let known = table(1, true, &[listed("s-1", region.address, "in_service")]);
-    let sender = Sender::start("pieces", &platform, &known, 3.0);
-    let whole = request("debit", "pieces", "16.0", "body");
-    // A request cut short is never taken on, whichever byte was its last.
-    for cut in 0..whole.len() {
+    let known = endpoint_list(
+        1,
+        true,
+        &[endpoint_entry("s-1", endpoint.address, "in_service")],
+    );
+    let sender = Sender::start("pieces", &platform, &known);
+    let complete = request("debit", "pieces", "16.0", "body");
+    // A request cut short is never accepted, whichever byte was its last.
+    for cut in 0..complete.len() {
         let mut client = sender.connect();
         client
             .get_mut()
-            .write_all(&whole.as_bytes()[..cut])
+            .write_all(&complete.as_bytes()[..cut])
             .unwrap();
     }
     let mut client = sender.connect();
     client.get_ref().set_nodelay(true).unwrap();
-    for byte in whole.bytes() {
+    for byte in complete.bytes() {
         client.get_mut().write_all(&[byte]).unwrap();
     }
-    assert_eq!(answered(&read(&mut client, 0).unwrap()), 202);
-    assert_eq!(region.call().id(), "pieces");
+    assert_eq!(read_status(&mut client), 202);
+    assert_eq!(endpoint.next_request().id(), "pieces");
     assert_eq!(
         (
-            region.calls_so_far(),
-            sender.figures()["transactions{group=\"debit\",state=\"answered\"}"]
+            endpoint.request_count(),
+            sender.operator_counters()["transactions{group=\"debit\",state=\"answered\"}"]
         ),
         (0, 1)
     );
-    platform.watch();
-    let more = table(2, false, &[listed("s-2", region.address, "in_service")]);
+    platform.next_watch();
+    let more = endpoint_list(
+        2,
+        false,
+        &[endpoint_entry("s-2", endpoint.address, "in_service")],
+    );
     platform.push_raw(&chunk(&more));
-    until("both are listed", || sender.figures()["cluster_size"] == 2);
+    wait_until("both are listed", || {
+        sender.operator_counters()["cluster_size"] == 2
+    });
 }
--- /dev/null
+++ b/crates/martenlatch/tests/replacement_failures.rs
@@ -0,0 +1,223 @@
+//! What may go wrong at each step of replacing a process: one of the two goes on serving, and no message is lost.
+
+mod support;
+use support::*;
+
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::os::unix::net::UnixStream;
+
+/// A process that connects as a replacement, sends `query`, reads as many bytes and goes away. What it reads starts with
+/// `want`.
+#[rstest]
+#[case::silent("", 0, "")]
+#[case::gone_after_its_query("martenlatch 1 LISTEN\n", 0, "")]
+#[case::gone_halfway("martenlatch 1 LISTEN\n", 40, "yes ")]
+#[case::other_version("martenlatch 9 LISTEN\n", 35, "no version 1 is spoken here, not 9\n")]
+#[case::other_address("martenlatch 1 127.0.0.1:9\n", 22, "no clients connect to ")]
+#[case::nonsense("GET / HTTP/1.1\r\n\r\n", 0, "")]
+fn a_process_goes_on_serving_whatever_a_replacement_does(
+    #[case] query: &str,
+    #[case] bytes: usize,
+    #[case] want: &str,
+) {
+    let case = case_name(query);
+    let (endpoint, _platform, mut sender) =
+        sender_with_endpoint(&format!("query-{case}-{bytes}"), |_, _| reply(200, ""));
+    let query = query.replace("LISTEN", &sender.address.to_string());
+    let mut client = sender.connect();
+    for number in 0..3 {
+        let mut stream = UnixStream::connect(sender.replacement_socket()).unwrap();
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).unwrap();
+        stream.write_all(query.as_bytes()).unwrap();
+        let mut answer = vec![0; bytes];
+        stream.read_exact(&mut answer).unwrap();
+        assert!(
+            String::from_utf8_lossy(&answer).starts_with(want),
+            "{answer:?}"
+        );
+        drop(stream);
+        let id = format!("a{number}");
+        send(&mut client, &request("debit", &id, "16.0", "x"));
+        assert_eq!(read_status(&mut client), 202);
+        assert_eq!(endpoint.next_request().id(), id);
+    }
+    assert_eq!(sender.replace().code, Some(0), "it can still be replaced");
+    send(&mut client, &request("debit", "last", "16.0", "x"));
+    assert_eq!(read_status(&mut client), 202);
+}
+
+#[test]
+fn a_replacement_waits_for_a_stopped_process_and_a_third_process_is_rejected() {
+    let (endpoint, _platform, mut sender) =
+        sender_with_endpoint("replace-third", |_, _| reply(200, ""));
+    sender.signal("STOP");
+    let second = sender.start_replacement();
+    // It answers operators, but takes no clients.
+    second.wait_until_not_serving();
+    let third = sender.start_replacement().process;
+    let third = third.wait_with_output().unwrap();
+    let errors = String::from_utf8(third.stderr).unwrap();
+    assert_eq!(third.status.code(), Some(1), "{errors}");
+    assert!(
+        errors.starts_with("martenlatch: PROXY_STATE: ") && errors.lines().count() == 1,
+        "{errors}"
+    );
+    sender.signal("CONT");
+    assert_eq!(sender.be_replaced_by(second).code, Some(0));
+    assert_eq!(sender.submit("debit", "t", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "t");
+}
+
+#[test]
+fn a_process_that_shuts_down_is_not_replaced_and_the_next_one_starts_as_after_a_restart() {
+    let (endpoint, platform, mut sender) = sender_with_endpoint("replace-ending", |_, request| {
+        if request.id() == "out" {
+            no_reply()
+        } else {
+            reply(200, "")
+        }
+    });
+    assert_eq!(sender.submit("debit", "out", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "out");
+    sender.signal("TERM");
+    let next = sender.start_replacement();
+    let exit = sender.be_replaced_by(next);
+    let log = exit.output;
+    assert_eq!(exit.code, Some(0));
+    assert!(
+        log.contains(" ending ") && !log.contains(" gave way "),
+        "{log}"
+    );
+    assert_eq!(
+        platform.next_status_report(),
+        r#"{"id":"out","status":"undeliverable"}"#,
+        "it may have run"
+    );
+    assert_eq!(sender.submit("debit", "next", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "next");
+}
+
+#[rstest]
+#[case::killed("KILL")]
+#[case::told_to_end("TERM")]
+fn a_replacement_that_dies_just_after_it_took_over_has_lost_nothing(#[case] signal: &str) {
+    let (endpoint, platform, mut sender) =
+        sender_with_endpoint(&format!("replace-{signal}"), |_, request| {
+            if request.id().starts_with("out") && !request.id().ends_with("ok") {
+                no_reply()
+            } else {
+                reply(200, "")
+            }
+        });
+    assert_eq!(sender.submit("debit", "out", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "out");
+    assert_eq!(sender.call_operator("cordon s-1\n"), "ACK out\n");
+    assert_eq!(sender.submit("debit", "held", "16.0"), 202);
+    assert_eq!(sender.replace().code, Some(0));
+    sender.signal(signal);
+    let sender = sender.restart_after_exit();
+    assert_eq!(
+        platform.next_status_report(),
+        r#"{"id":"out","status":"undeliverable"}"#,
+        "it may have run"
+    );
+    assert_eq!(sender.call_operator("uncordon s-1\n"), "ACK in\n");
+    assert_eq!(endpoint.next_request().id(), "held");
+}
+
+#[rstest]
+#[case::other_names("names", r#""Name":"meter""#, r#""Name":"gauge""#)]
+#[case::other_rules_of_a_name("rules", r#""Effect":"side_effect""#, r#""Effect":"pure""#)]
+fn a_replacement_with_other_settings_takes_nothing_over_and_the_serving_process_goes_on(
+    #[case] test: &str,
+    #[case] from: &str,
+    #[case] to: &str,
+) {
+    let (endpoint, _platform, sender) =
+        sender_with_endpoint(&format!("replace-settings-{test}"), |_, _| reply(200, ""));
+    sender.change_config(from, to);
+    let mut second = sender.start_replacement();
+    second.wait_until_not_serving();
+    assert_eq!(
+        sender.submit("meter", "m", "16.0"),
+        202,
+        "the old classes stand"
+    );
+    assert_eq!(endpoint.next_request().id(), "m");
+    let second_id = second.process.id().to_string();
+    std::process::Command::new("kill")
+        .arg(second_id)
+        .status()
+        .unwrap();
+    let mut log = String::new();
+    let mut stdout = second.process.stdout.take().unwrap();
+    stdout.read_to_string(&mut log).unwrap();
+    assert_eq!(second.process.wait().unwrap().code(), Some(0), "{log}");
+    assert_eq!(sender.submit("debit", "d", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "d");
+}
+
+#[test]
+fn a_replacement_that_fails_to_take_over_starts_once_the_other_process_has_ended() {
+    let (endpoint, _platform, mut sender) =
+        sender_with_endpoint("replace-broken", |_, _| reply(200, ""));
+    assert_eq!(sender.submit("debit", "before", "16.0"), 202);
+    wait_until("nothing is to be written", || {
+        sender.operator_counters()["current"] == 0
+    });
+    // The write-ahead log is not as the old process knows it: the new one finds that after it was given everything.
+    std::fs::OpenOptions::new()
+        .append(true)
+        .open(sender.state_folder().join("ledger"))
+        .unwrap()
+        .write_all(b"torn")
+        .unwrap();
+    let next = sender.start_replacement();
+    next.wait_until_not_serving();
+    assert_eq!(
+        sender.submit("debit", "between", "16.0"),
+        202,
+        "the old process goes on"
+    );
+    sender.signal("TERM");
+    let exit = sender.be_replaced_by(next);
+    let log = exit.output;
+    assert!(
+        exit.code == Some(0) && log.contains(" replacement broke off; serving on "),
+        "{log}"
+    );
+    assert_eq!(sender.submit("debit", "after", "16.0"), 202);
+    let ids: Vec<String> = (0..3)
+        .map(|_| endpoint.next_request().id().to_string())
+        .collect();
+    assert_eq!(ids, ["before", "between", "after"]);
+}
+
+#[test]
+fn a_process_told_to_end_during_a_replacement_ends_and_the_next_one_sends_its_status_reports() {
+    // The platform confirms no status report until the old process is told to end.
+    let platform = Platform::new(&[500; 3]);
+    let mut sender = Sender::start("replace-asked", &platform, &endpoint_list(1, true, &[]));
+    assert_eq!(sender.submit("debit", "owed-1", "0.3"), 202);
+    assert!(platform.next_status_report().contains("owed-1"));
+    assert_eq!(sender.submit("meter", "owed-2", "16.0"), 202);
+    sender.signal("STOP");
+    let next = sender.start_replacement();
+    next.wait_until_not_serving();
+    sender.signal("TERM");
+    sender.signal("CONT");
+    let exit = sender.be_replaced_by(next);
+    let log = exit.output;
+    assert!(
+        exit.code == Some(0) && log.contains(" ending ") && !log.contains(" gave way "),
+        "{log}"
+    );
+    assert_eq!(sender.operator_counters()["current"], 1, "resumed");
+    // Another replacement, this time while a report is on its way.
+    assert_eq!(sender.submit("debit", "owed-3", "0.3"), 202);
+    assert_eq!(sender.replace().code, Some(0));
+    let report = platform.next_status_report();
+    assert!(report.contains("owed-3"), "{report}");
+    assert!(platform.status_reports.try_recv().is_err(), "once");
+}
--- /dev/null
+++ b/crates/martenlatch/tests/support/endpoint.rs
@@ -0,0 +1,144 @@
+//! A partner's endpoint, and the endpoint lists that name it.
+
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+
+use super::TEST_TIMEOUT;
+use super::http::{HttpMessage, Reply, read_message};
+
+/// An endpoint that replies by a script, which is given the number of the request among all of them, from 0.
+pub struct Endpoint {
+    pub address: SocketAddr,
+    requests: Receiver<HttpMessage>,
+    /// The numbers of the connections that the sender has closed.
+    pub closed_connections: Receiver<usize>,
+}
+
+impl Endpoint {
+    pub fn new(script: impl Fn(usize, &HttpMessage) -> Reply + Send + Sync + 'static) -> Endpoint {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (request_sender, requests) = channel();
+        let (closed_sender, closed_connections) = channel();
+        let script = Arc::new(script);
+        let count = Arc::new(AtomicUsize::new(0));
+        thread::spawn(move || {
+            for (connection, stream) in listener.incoming().enumerate() {
+                let stream = stream.unwrap();
+                let script = script.clone();
+                let count = count.clone();
+                let request_sender = request_sender.clone();
+                let closed_sender = closed_sender.clone();
+                thread::spawn(move || {
+                    if serve(stream, connection, &*script, &count, &request_sender) {
+                        let _ = closed_sender.send(connection);
+                    }
+                });
+            }
+        });
+        Endpoint {
+            address,
+            requests,
+            closed_connections,
+        }
+    }
+
+    /// Waits for the next request.
+    pub fn next_request(&self) -> HttpMessage {
+        self.requests
+            .recv_timeout(TEST_TIMEOUT)
+            .expect("no request came")
+    }
+
+    /// The requests that have come and were not yet looked at.
+    pub fn requests_so_far(&self) -> Vec<HttpMessage> {
+        self.requests.try_iter().collect()
+    }
+
+    /// The number of [`Endpoint::requests_so_far`].
+    pub fn request_count(&self) -> usize {
+        self.requests.try_iter().count()
+    }
+}
+
+/// Replies to the requests of one connection. Returns whether the sender ended it.
+fn serve(
+    stream: TcpStream,
+    connection: usize,
+    script: &(impl Fn(usize, &HttpMessage) -> Reply + ?Sized),
+    count: &AtomicUsize,
+    requests: &Sender<HttpMessage>,
+) -> bool {
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = read_message(&mut stream, connection) {
+        let number = count.fetch_add(1, Ordering::SeqCst);
+        let reply = script(number, &request);
+        // The test sees a request only once its response, or its end, has been written.
+        let _ = stream.get_mut().write_all(reply.bytes.as_bytes());
+        if reply.close {
+            let _ = stream.get_ref().shutdown(Shutdown::Both);
+        }
+        let _ = requests.send(request);
+        if reply.close {
+            return false;
+        }
+    }
+    true
+}
+
+/// One entry of an endpoint list.
+pub fn endpoint_entry(uid: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"k","pod_group":7,"state":"{state}","capacity_hint":20.0,"boot_ms":0}}"#
+    )
+}
+
+/// An endpoint list of a revision: a complete one, or one of changes.
+pub fn endpoint_list(revision: u64, complete: bool, entries: &[String]) -> String {
+    format!(
+        r#"{{"rev":{revision},"all":{complete},"targets":[{}]}}"#,
+        entries.join(",")
+    )
+}
+
+/// An endpoint, and a list of only that.
+pub fn one_endpoint(
+    script: impl Fn(usize, &HttpMessage) -> Reply + Send + Sync + 'static,
+) -> (Endpoint, String) {
+    let endpoint = Endpoint::new(script);
+    let entry = endpoint_entry("s-1", endpoint.address, "in_service");
+    let list = endpoint_list(1, true, &[entry]);
+    (endpoint, list)
+}
+
+/// Holds replies back until it is opened.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<GateState>);
+
+#[derive(Default)]
+struct GateState {
+    is_open: Mutex<bool>,
+    opened: Condvar,
+}
+
+impl Gate {
+    /// Lets all that wait pass, and all that come later.
+    pub fn open(&self) {
+        *self.0.is_open.lock().unwrap() = true;
+        self.0.opened.notify_all();
+    }
+
+    /// Waits until the gate is open.
+    pub fn pass(&self) {
+        let is_open = self.0.is_open.lock().unwrap();
+        let waited = self
+            .0
+            .opened
+            .wait_timeout_while(is_open, TEST_TIMEOUT, |is_open| !*is_open);
+        drop(waited.unwrap());
+    }
+}
--- /dev/null
+++ b/crates/martenlatch/tests/support/mod.rs
@@ -0,0 +1,41 @@
+//! What the tests of the program share: the program under test as a process, and scripted peers, all on loopback.
+//!
+//! Timeouts here only end a test that hangs; no verdict depends on a clock. Each test file uses a part of this module.
+#![allow(dead_code, unused_imports)]
+
+mod endpoint;
+mod group;
+mod http;
+mod launch;
+mod platform;
+mod sender;
+
+use std::time::{Duration, Instant};
+
+pub use endpoint::{Endpoint, Gate, endpoint_entry, endpoint_list, one_endpoint};
+pub use group::{Group, digest, log_line, number_in, scripted_peer, seal, secret};
+pub use http::{
+    HttpMessage, Reply, no_reply, read_message, read_status, reply, request, send, status_of,
+};
+pub use platform::{Platform, chunk};
+pub use sender::{Exit, Replacement, Sender, call_operator, sender_with_endpoint};
+
+/// How long a test waits for anything before it fails.
+pub const TEST_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Waits until a condition holds.
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !condition() {
+        assert!(start.elapsed() < TEST_TIMEOUT, "never seen: {what}");
+        std::thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A short name for a test case, from its text: each case needs a directory of its own.
+pub fn case_name(text: &str) -> String {
+    let hash = text
+        .bytes()
+        .fold(7u64, |hash, byte| hash.wrapping_mul(31) ^ u64::from(byte));
+    format!("{hash:x}")
+}
