Split the takeover between processes by side; give it standard names and typed errors

The crate is now the lock, the protocol's lines, the socket, the channel and one module for each side, with a typed HandoverError. The sender's half is a listener and a candidate, each a list of named steps with typed reasons. The bytes on the socket, VERSION, the order of steps, the texts and the log lines are unchanged.

--- /dev/null
+++ b/crates/handover/src/successor.rs
@@ -0,0 +1,73 @@
+//! The successor's side: the request to take over, and the state that it brings.
+
+use std::io::{self, ErrorKind, Write};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
+use std::path::Path;
+
+use crate::channel::{Channel, TimeLeft};
+use crate::error::HandoverError;
+use crate::protocol::TakeoverRequest;
+use crate::socket;
+
+/// Sends a request to the process that listens at a path.
+///
+/// # Errors
+/// If no process of this user listens there, or the request cannot be written.
+pub fn request_takeover(path: &Path, request: &TakeoverRequest) -> io::Result<PendingTakeover> {
+    let mut stream = socket::connect(path)?;
+    if !socket::is_same_user(&stream) {
+        return Err(ErrorKind::PermissionDenied.into());
+    }
+    stream.write_all(request.encode().as_bytes())?;
+    Ok(PendingTakeover { stream })
+}
+
+/// A request that has been sent and not yet been answered.
+pub struct PendingTakeover {
+    stream: UnixStream,
+}
+
+impl PendingTakeover {
+    /// A second handle of the connection, for an event loop to watch.
+    ///
+    /// # Errors
+    /// If there is no descriptor for it.
+    pub fn try_clone_stream(&self) -> io::Result<UnixStream> {
+        self.stream.try_clone()
+    }
+
+    /// Receives the state of the serving process within `time_left`; to be called once the connection is readable.
+    ///
+    /// # Errors
+    /// [`HandoverError::Refused`] with the reason of the serving process, or what went wrong. What had been received is
+    /// dropped.
+    pub fn receive(self, time_left: &TimeLeft<'_>) -> Result<ReceivedState, HandoverError> {
+        let mut channel = Channel::new(self.stream)?;
+        let (state, descriptors) = channel.receive_state(time_left)?;
+        Ok(ReceivedState {
+            state,
+            descriptors,
+            channel,
+        })
+    }
+}
+
+/// The state of the serving process, which still serves until [`ReceivedState::commit`].
+pub struct ReceivedState {
+    /// The state, in the form of the process that sent it.
+    pub state: Vec<u8>,
+    /// Its descriptors, in the order in which they were sent.
+    pub descriptors: Vec<OwnedFd>,
+    channel: Channel,
+}
+
+impl ReceivedState {
+    /// Takes over. Once this has succeeded, the process that sent the state does not serve any more.
+    ///
+    /// # Errors
+    /// If that process has ended or serves on: nothing of the received state may be used.
+    pub fn commit(mut self) -> io::Result<()> {
+        self.channel.send_commit()
+    }
+}
--- a/crates/handover/tests/steps.rs
+++ b/crates/handover/tests/steps.rs
@@ -1,5 +1,5 @@
-//! Both sides of a hand-over over a real socket, with either of them gone or silent at every step: afterwards exactly one
-//! of them holds that it serves.
+//! Both sides of a takeover over a real socket, with either of them gone or silent at every step: afterwards exactly one
+//! of them serves.
 
 use std::cell::Cell;
 use std::io::{Read, Write};
@@ -9,18 +9,21 @@
 use std::path::Path;
 use std::thread;
 
-use martenlatch_handover::{Ask, Asker, Asking, Given, Heard, Lock, Offer, VERSION, ask};
+use martenlatch_handover::{
+    HandoverError, Lock, PendingTakeover, RequestProgress, SuccessorConnection, TakeoverListener,
+    TakeoverRequest, TransferOutcome, VERSION, request_takeover,
+};
 use rstest::rstest;
 
-fn asking(version: u32) -> Ask {
-    Ask {
+fn request(version: u32) -> TakeoverRequest {
+    TakeoverRequest {
         version,
         listen: "127.0.0.1:7".parse().unwrap(),
     }
 }
 
-/// Time that is over after so many looks at it: no clock decides.
-fn looks(count: u32) -> impl Fn() -> f64 {
+/// A time limit that is over after it was checked so many times, whatever the clock says.
+fn checks(count: u32) -> impl Fn() -> f64 {
     let left = Cell::new(count);
     move || {
         left.set(left.get().saturating_sub(1));
@@ -28,135 +31,146 @@
     }
 }
 
-/// The first that comes of what is looked for again and again, for some seconds at most.
-fn soon<T>(mut look: impl FnMut() -> Option<T>) -> T {
-    let again = || {
+/// Polls for a value, for some seconds at most.
+fn wait_for<T>(mut poll: impl FnMut() -> Option<T>) -> T {
+    let delayed_poll = || {
         thread::sleep(std::time::Duration::from_millis(1));
-        look()
+        poll()
     };
-    std::iter::repeat_with(again)
+    std::iter::repeat_with(delayed_poll)
         .take(20_000)
         .flatten()
         .next()
         .expect("it came")
 }
 
-fn heard(offer: &Offer) -> (Asker, Ask) {
-    let mut asker = soon(|| offer.accept());
-    let heard = soon(|| Some(asker.hear()).filter(|heard| *heard != Heard::Part));
-    let Heard::Whole(ask) = heard else {
-        panic!("it asked")
+/// Reads until the request is complete or invalid.
+fn read_request(connection: &mut SuccessorConnection) -> RequestProgress {
+    wait_for(|| match connection.read_request() {
+        RequestProgress::Incomplete => None,
+        progress => Some(progress),
+    })
+}
+
+fn accept_request(listener: &TakeoverListener) -> (SuccessorConnection, TakeoverRequest) {
+    let mut connection = wait_for(|| listener.accept());
+    let RequestProgress::Complete(request) = read_request(&mut connection) else {
+        panic!("it sent a request")
     };
-    (asker, ask)
+    (connection, request)
 }
 
-fn meet(folder: &Path) -> (Offer, Asking) {
-    let path = folder.join("meet.sock");
-    let offer = Offer::open(&path).unwrap();
-    let asked = ask(&path, &asking(VERSION)).unwrap();
-    (offer, asked)
+fn listen_and_request(folder: &Path) -> (TakeoverListener, PendingTakeover) {
+    let path = folder.join("takeover.sock");
+    let listener = TakeoverListener::open(&path).unwrap();
+    let pending = request_takeover(&path, &request(VERSION)).unwrap();
+    (listener, pending)
 }
 
 #[test]
-fn bytes_and_descriptors_pass_whole_and_both_agree_on_who_serves() {
+fn state_and_descriptors_arrive_complete_and_both_agree_on_who_serves() {
     let folder = tempfile::tempdir().unwrap();
-    let (offer, asked) = meet(folder.path());
+    let (listener, pending) = listen_and_request(folder.path());
     let sockets: Vec<TcpListener> = (0..150)
         .map(|_| TcpListener::bind("127.0.0.1:0").unwrap())
         .collect();
     let bytes: Vec<u8> = (0..3_000_000u32).map(|n| (n % 251) as u8).collect();
-    let wanted = bytes.clone();
+    let expected = bytes.clone();
     let addresses: Vec<_> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
-    let new = thread::spawn(move || {
-        let mut passed = asked.receive(&looks(1_000)).unwrap();
-        assert!(passed.bytes == wanted, "the bytes are other ones");
-        let fds = std::mem::take(&mut passed.fds);
-        let got: Vec<_> = fds
+    let successor = thread::spawn(move || {
+        let mut received = pending.receive(&checks(1_000)).unwrap();
+        assert!(received.state == expected, "the bytes differ");
+        let descriptors = std::mem::take(&mut received.descriptors);
+        let received_addresses: Vec<_> = descriptors
             .into_iter()
-            .map(|fd| TcpListener::from(fd).local_addr().unwrap())
+            .map(|descriptor| TcpListener::from(descriptor).local_addr().unwrap())
             .collect();
-        assert_eq!(got, addresses, "in their order");
-        passed.taken().unwrap();
+        assert_eq!(received_addresses, addresses, "in their order");
+        received.commit().unwrap();
     });
-    let (asker, said) = heard(&offer);
-    assert_eq!(said, asking(VERSION));
-    let fds: Vec<_> = sockets.iter().map(|s| s.as_fd()).collect();
-    assert_eq!(asker.give(&bytes, &fds, &looks(1_000)), Given::Taken);
-    new.join().unwrap();
+    let (connection, received_request) = accept_request(&listener);
+    assert_eq!(received_request, request(VERSION));
+    let descriptors: Vec<_> = sockets.iter().map(|s| s.as_fd()).collect();
+    let outcome = connection.transfer(&bytes, &descriptors, &checks(1_000));
+    assert!(matches!(outcome, TransferOutcome::Committed), "{outcome:?}");
+    successor.join().unwrap();
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum New {
-    GoneBeforeAll,
+enum Successor {
+    GoneBeforeTheState,
     GoneHalfway,
-    GoneWithAll,
-    SilentWithAll,
-    Nonsense,
-    TakesLate,
+    GoneWithTheState,
+    SilentWithTheState,
+    InvalidCommit,
+    CommitsLate,
 }
 
 #[rstest]
-fn an_old_process_goes_on_wherever_the_new_one_dies_or_falls_silent(
+fn the_serving_process_goes_on_wherever_the_successor_dies_or_falls_silent(
     #[values(
-        New::GoneBeforeAll,
-        New::GoneHalfway,
-        New::GoneWithAll,
-        New::SilentWithAll,
-        New::Nonsense,
-        New::TakesLate
+        Successor::GoneBeforeTheState,
+        Successor::GoneHalfway,
+        Successor::GoneWithTheState,
+        Successor::SilentWithTheState,
+        Successor::InvalidCommit,
+        Successor::CommitsLate
     )]
-    new: New,
+    successor: Successor,
 ) {
     let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("meet.sock");
-    let offer = Offer::open(&path).unwrap();
+    let path = folder.path().join("takeover.sock");
+    let listener = TakeoverListener::open(&path).unwrap();
     let bytes = vec![
         7;
-        if new == New::GoneHalfway {
+        if successor == Successor::GoneHalfway {
             4 << 20
         } else {
             100
         }
     ];
-    let (done, over) = std::sync::mpsc::channel::<()>();
+    let (end, ended) = std::sync::mpsc::channel::<()>();
     let other = thread::spawn(move || {
-        if matches!(new, New::GoneHalfway | New::Nonsense | New::GoneBeforeAll) {
+        if matches!(
+            successor,
+            Successor::GoneHalfway | Successor::InvalidCommit | Successor::GoneBeforeTheState
+        ) {
             let mut stream = UnixStream::connect(&path).unwrap();
             stream
                 .write_all(format!("martenlatch {VERSION} 127.0.0.1:7\n").as_bytes())
                 .unwrap();
-            if new != New::GoneBeforeAll {
+            if successor != Successor::GoneBeforeTheState {
                 stream.read_exact(&mut [0; 100]).unwrap();
             }
-            if new == New::Nonsense {
+            if successor == Successor::InvalidCommit {
                 stream.write_all(b"takes\n").unwrap();
             }
-            let _ = (new == New::Nonsense).then(|| over.recv());
+            let _ = (successor == Successor::InvalidCommit).then(|| ended.recv());
             return None;
         }
-        let passed = ask(&path, &asking(VERSION))
+        let received = request_takeover(&path, &request(VERSION))
             .unwrap()
-            .receive(&looks(1_000))
+            .receive(&checks(1_000))
             .unwrap();
-        if new == New::GoneWithAll {
+        if successor == Successor::GoneWithTheState {
             return None;
         }
-        over.recv().unwrap();
-        Some(passed.taken())
+        ended.recv().unwrap();
+        Some(received.commit())
     });
-    let (asker, _) = heard(&offer);
-    let lock = Lock::take(folder.path(), "lock").unwrap().unwrap();
-    let given = asker.give(&bytes, &[lock.as_fd()], &looks(25));
-    assert!(matches!(given, Given::Kept(_)), "{given:?}");
-    let _ = done.send(());
-    let late = other.join().unwrap();
+    let (connection, _) = accept_request(&listener);
+    let lock = Lock::try_acquire(folder.path(), "lock").unwrap().unwrap();
+    let outcome = connection.transfer(&bytes, &[lock.as_fd()], &checks(25));
+    assert!(matches!(outcome, TransferOutcome::Failed(_)), "{outcome:?}");
+    let _ = end.send(());
+    let late_commit = other.join().unwrap();
     assert!(
-        late.is_none_or(|taken| taken.is_err()),
-        "a word that comes late cannot be written"
+        late_commit.is_none_or(|commit| commit.is_err()),
+        "a late commit cannot be written"
     );
     assert!(
-        Lock::take(folder.path(), "lock").unwrap().is_none(),
-        "the old process holds the lock still"
+        Lock::try_acquire(folder.path(), "lock").unwrap().is_none(),
+        "the serving process still holds the lock"
     );
 }
 
@@ -176,56 +190,60 @@
 #[case::short("yes 100 0\nabc", "broke off")]
 #[case::no_descriptors("yes 3 2\n+abc", "more or less")]
 #[case::more("yes 3 0\nabcd", "more or less")]
-fn a_new_process_takes_nothing_that_is_not_whole(#[case] answer: &str, #[case] reason: &str) {
+fn a_successor_accepts_no_incomplete_state(#[case] answer: &str, #[case] reason: &str) {
     let folder = tempfile::tempdir().unwrap();
-    let path = folder.path().join("meet.sock");
+    let path = folder.path().join("takeover.sock");
     let listener = std::os::unix::net::UnixListener::bind(&path).unwrap();
-    let asked = ask(&path, &asking(VERSION)).unwrap();
-    let (mut old, _) = listener.accept().unwrap();
-    old.write_all(answer.as_bytes()).unwrap();
-    drop(old);
-    let said = asked
-        .receive(&looks(50))
+    let pending = request_takeover(&path, &request(VERSION)).unwrap();
+    let (mut serving, _) = listener.accept().unwrap();
+    serving.write_all(answer.as_bytes()).unwrap();
+    drop(serving);
+    let error = pending
+        .receive(&checks(50))
         .map(|_| ())
-        .expect_err("there is nothing to take");
-    assert!(said.contains(reason), "{said}");
+        .expect_err("there is no complete state");
+    let error = error.to_string();
+    assert!(error.contains(reason), "{error}");
 }
 
 #[test]
-fn an_old_process_that_dies_leaves_the_lock_to_the_new_one_and_the_word_cannot_be_written() {
+fn a_serving_process_that_dies_leaves_the_lock_to_the_successor_which_cannot_commit() {
     let folder = tempfile::tempdir().unwrap();
-    let (offer, asked) = meet(folder.path());
-    let lock = Lock::take(folder.path(), "lock").unwrap().unwrap();
-    let (asker, _) = heard(&offer);
-    let old = thread::spawn(move || {
-        // It dies with everything written: its time is over at the first look, and its socket ends with it.
-        asker.give(b"all", &[lock.as_fd()], &looks(8))
+    let (listener, pending) = listen_and_request(folder.path());
+    let lock = Lock::try_acquire(folder.path(), "lock").unwrap().unwrap();
+    let (connection, _) = accept_request(&listener);
+    let serving = thread::spawn(move || {
+        // It ends with everything sent: its time is soon over, and its socket is closed with it.
+        connection.transfer(b"all", &[lock.as_fd()], &checks(8))
     });
-    let passed = asked.receive(&looks(1_000)).unwrap();
-    assert!(matches!(old.join().unwrap(), Given::Kept(_)));
+    let received = pending.receive(&checks(1_000)).unwrap();
+    assert!(matches!(
+        serving.join().unwrap(),
+        TransferOutcome::Failed(_)
+    ));
     assert!(
-        Lock::take(folder.path(), "lock").unwrap().is_none(),
-        "what was passed holds it yet"
+        Lock::try_acquire(folder.path(), "lock").unwrap().is_none(),
+        "the received descriptor still holds it"
     );
-    assert!(passed.taken().is_err());
+    assert!(received.commit().is_err());
     assert!(
-        Lock::take(folder.path(), "lock").unwrap().is_some(),
-        "free, once that is dropped"
+        Lock::try_acquire(folder.path(), "lock").unwrap().is_some(),
+        "free once that is dropped"
     );
 }
 
 #[test]
-fn a_stale_socket_a_deep_folder_and_askers_who_say_nonsense_do_no_harm() {
+fn a_stale_socket_a_deep_folder_and_invalid_requests_do_no_harm() {
     let folder = tempfile::tempdir().unwrap();
     let deep = folder.path().join("x".repeat(120));
     std::fs::create_dir(&deep).unwrap();
-    let path = deep.join("meet.sock");
-    drop(Offer::open(&path).unwrap());
+    let path = deep.join("takeover.sock");
+    drop(TakeoverListener::open(&path).unwrap());
     assert!(
-        ask(&path, &asking(VERSION)).is_err(),
+        request_takeover(&path, &request(VERSION)).is_err(),
         "its process has gone"
     );
-    let offer = Offer::open(&path).unwrap();
+    let listener = TakeoverListener::open(&path).unwrap();
     for text in [
         "\n",
         "martenlatch\n",
@@ -237,22 +255,18 @@
         let _ = std::fs::remove_file(&short);
         std::os::unix::fs::symlink(&path, &short).unwrap();
         let mut stream = UnixStream::connect(&short).unwrap();
-        let mut asker = soon(|| offer.accept());
-        assert_eq!(asker.hear(), Heard::Part);
+        let mut connection = wait_for(|| listener.accept());
+        assert_eq!(connection.read_request(), RequestProgress::Incomplete);
         let _ = stream.write_all(text.as_bytes());
-        assert_eq!(
-            soon(|| Some(asker.hear()).filter(|heard| *heard != Heard::Part)),
-            Heard::Nonsense
-        );
+        assert_eq!(read_request(&mut connection), RequestProgress::Invalid);
     }
-    let asked = ask(&path, &asking(VERSION + 1)).unwrap();
-    let (asker, said) = heard(&offer);
-    assert_eq!(said.version, VERSION + 1);
-    asker.refuse("version 1 is spoken here");
-    assert_eq!(
-        asked.receive(&looks(50)).map(|_| ()),
-        Err("version 1 is spoken here".into())
-    );
-    offer.close();
+    let pending = request_takeover(&path, &request(VERSION + 1)).unwrap();
+    let (connection, received_request) = accept_request(&listener);
+    assert_eq!(received_request.version, VERSION + 1);
+    connection.refuse("version 1 is spoken here");
+    let error = pending.receive(&checks(50)).map(|_| ()).unwrap_err();
+    assert!(matches!(error, HandoverError::Refused(_)), "{error:?}");
+    assert_eq!(error.to_string(), "version 1 is spoken here");
+    listener.close();
     assert!(!path.exists());
 }
--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -28,12 +28,14 @@
 pub use config::Config;
 use event_source::{EventSource, Handle, InheritedDescriptors, Ready};
 use martenlatch_clock::{Clock, Millis};
-use martenlatch_handover::{Lock, Passed};
+use martenlatch_handover::{Lock, ReceivedState};
 use martenlatch_settings::program::Peers;
 use operator::Operators;
 pub use peer_service::secret;
 use pipeline::{Driver, ProcessState, Start};
-use process_replacement::{LOOK, Look, ReplacementCandidate, ReplacementListener};
+use process_replacement::{
+    CandidateState, POLL_INTERVAL, ReplacementCandidate, ReplacementListener,
+};
 use tracing::{info, warn};
 
 /// Connections that may wait to be accepted: a burst of clients must not be met with silence.
@@ -120,7 +122,7 @@
         match listen(config.listen) {
             Ok(listener) => break listener,
             Err(e) if e.kind() == ErrorKind::AddrInUse && clock.now() < until => {
-                std::thread::sleep(Duration::from_secs_f64(LOOK / 1e3));
+                std::thread::sleep(Duration::from_secs_f64(POLL_INTERVAL / 1e3));
             }
             Err(e) => return Err(format!("listen: cannot bind {}: {e}", config.listen)),
         }
@@ -135,10 +137,14 @@
 }
 
 /// Builds this process from all that the one before it was. Nothing outside is touched before that is told.
-fn build(config: &Config, passed: &mut Passed, handle: &Handle) -> Result<(Driver, Lock), String> {
-    let mut fds = InheritedDescriptors::new(std::mem::take(&mut passed.fds));
-    let lock = Lock::passed(fds.take().map_err(|e| e.to_string())?);
-    let process_state = ProcessState::read(&passed.bytes, config)?;
+fn build(
+    config: &Config,
+    passed: &mut ReceivedState,
+    handle: &Handle,
+) -> Result<(Driver, Lock), String> {
+    let mut fds = InheritedDescriptors::new(std::mem::take(&mut passed.descriptors));
+    let lock = Lock::inherited(fds.take().map_err(|e| e.to_string())?);
+    let process_state = ProcessState::read(&passed.state, config)?;
     let clock = Clock::restore(process_state.at());
     let driver = Driver::new(
         config.clone(),
@@ -159,7 +165,7 @@
     operators: &mut Option<Operators>,
 ) -> Result<Option<(Driver, Option<Lock>)>, String> {
     let clock = Clock::system();
-    let lock = match Lock::take(&config.state, "lock") {
+    let lock = match Lock::try_acquire(&config.state, "lock") {
         Ok(Some(lock)) => Some(Some(lock)),
         Ok(None) => None,
         // A folder that takes no file must stop no sender, which then cannot be replaced while it serves.
@@ -174,7 +180,8 @@
             lock,
         )));
     }
-    let mut waiting = ReplacementCandidate::open(&config, &events.handle())?;
+    let mut waiting =
+        ReplacementCandidate::open(&config, &events.handle()).map_err(|e| e.to_string())?;
     // A signal to end is taken up at once: nothing has been begun.
     while !ready
         .signals
@@ -182,40 +189,42 @@
         .any(|s| matches!(s, Signal::SIGTERM | Signal::SIGINT))
     {
         let now = clock.now();
-        let mut found = waiting.look(now);
+        let mut found = waiting.poll(now);
         for key in std::mem::take(&mut ready.keys) {
             let called = operators
                 .as_mut()
                 .is_some_and(|o| o.turn_down(key, "not serving yet", now));
             if !called && key == EventSource::Predecessor {
-                found = waiting.ready(&clock);
+                found = waiting.receive(&clock);
             }
         }
         operators.as_mut().into_iter().for_each(|o| o.run_due(now));
         match found {
-            Look::Nothing => {}
-            Look::Free(lock) => {
+            CandidateState::Waiting => {}
+            CandidateState::LockAcquired(lock) => {
                 info!("the process that served has ended");
                 let driver = begin(config, events, ready, operators, &clock, LEFT)?;
                 return Ok(Some((driver, Some(lock))));
             }
-            Look::Passed(mut passed) => match build(&config, &mut passed, &events.handle()) {
-                Ok((driver, lock)) => match passed.taken() {
-                    Ok(()) => {
-                        let (clients, calls, held) = driver.load();
-                        info!(name = %config.name, clients, calls, held, "taking over");
-                        return Ok(Some((driver, Some(lock))));
+            CandidateState::StateReceived(mut passed) => {
+                match build(&config, &mut passed, &events.handle()) {
+                    Ok((driver, lock)) => match passed.commit() {
+                        Ok(()) => {
+                            let (clients, calls, held) = driver.load();
+                            info!(name = %config.name, clients, calls, held, "taking over");
+                            return Ok(Some((driver, Some(lock))));
+                        }
+                        // It went on, or it has died: asked again, or the lock is free.
+                        Err(e) => warn!(error = ?e.kind(), "taken too late"),
+                    },
+                    Err(reason) => {
+                        warn!(reason, "not taken over");
+                        waiting.stop_requesting();
                     }
-                    // It went on, or it has died: asked again, or the lock is free.
-                    Err(e) => warn!(error = ?e.kind(), "taken too late"),
-                },
-                Err(reason) => {
-                    warn!(reason, "not taken over");
-                    waiting.rest();
                 }
-            },
+            }
         }
-        let look = Duration::from_secs_f64(LOOK / 1e3);
+        let look = Duration::from_secs_f64(POLL_INTERVAL / 1e3);
         events
             .dispatch(look, ready)
             .map_err(|e| format!("the event loop failed: {e}"))?;
@@ -263,7 +272,7 @@
             serving.close();
             break;
         }
-        if serving.give_way(&mut driver) {
+        if serving.hand_over(&mut driver) {
             break;
         }
         let sleep = Duration::from_secs_f64(driver.sleep() / 1e3);
--- /dev/null
+++ b/crates/sender/src/process_replacement/candidate.rs
@@ -0,0 +1,147 @@
+//! A process that starts while another one serves: it waits for the lock, and requests the state of the other one.
+
+use std::path::PathBuf;
+
+use calloop::RegistrationToken;
+use martenlatch_clock::{Clock, Millis};
+use martenlatch_handover::{
+    Lock, PendingTakeover, ReceivedState, TakeoverRequest, VERSION, request_takeover,
+};
+use tracing::{info, warn};
+
+use super::socket_path;
+use crate::Config;
+use crate::event_source::{EventSource, Handle};
+
+/// Milliseconds between two looks at the lock.
+pub const POLL_INTERVAL: Millis = 20.0;
+/// Milliseconds between two requests to take over.
+const REQUEST_INTERVAL: Millis = 1_000.0;
+/// Longest time in milliseconds to receive the state: a little longer than the serving process takes to send it.
+const RECEIVE_TIMEOUT: Millis = 900.0;
+
+/// The lock of the process that serves.
+const SERVING_LOCK: &str = "lock";
+/// The lock of the process that is the next to serve.
+const SUCCESSOR_LOCK: &str = "successor";
+
+/// Why a process cannot be a candidate.
+#[derive(Debug, thiserror::Error)]
+pub enum CandidateError {
+    /// Another candidate waits already.
+    #[error("PROXY_STATE: a process serves from there, and another one is replacing it")]
+    AnotherCandidate,
+}
+
+/// What a candidate has reached.
+pub enum CandidateState {
+    /// The lock was free; this process holds it from now on.
+    LockAcquired(Lock),
+    /// The process that serves has sent its state.
+    StateReceived(ReceivedState),
+    /// Neither yet.
+    Waiting,
+}
+
+/// A process that waits to serve in place of another one.
+pub struct ReplacementCandidate {
+    handle: Handle,
+    state_folder: PathBuf,
+    request: TakeoverRequest,
+    /// Held while this process waits, so that there is only one candidate. None if the folder takes no file.
+    _successor_lock: Option<Lock>,
+    pending: Option<(PendingTakeover, RegistrationToken)>,
+    next_request_at: Millis,
+    /// No request was tried so far.
+    first_request: bool,
+}
+
+impl ReplacementCandidate {
+    /// Becomes the candidate to succeed the process that holds the lock.
+    ///
+    /// # Errors
+    /// If another process is the candidate already.
+    pub fn open(config: &Config, handle: &Handle) -> Result<ReplacementCandidate, CandidateError> {
+        let successor_lock = match Lock::try_acquire(&config.state, SUCCESSOR_LOCK) {
+            Ok(None) => return Err(CandidateError::AnotherCandidate),
+            Ok(Some(lock)) => Some(lock),
+            Err(_) => None,
+        };
+        info!("waiting for the process that serves");
+        Ok(ReplacementCandidate {
+            handle: handle.clone(),
+            state_folder: config.state.clone(),
+            request: TakeoverRequest {
+                version: VERSION,
+                listen: config.listen,
+            },
+            _successor_lock: successor_lock,
+            pending: None,
+            next_request_at: 0.0,
+            first_request: true,
+        })
+    }
+
+    /// Tries to acquire the lock; otherwise sends a request to take over, if one is due.
+    pub fn poll(&mut self, now: Millis) -> CandidateState {
+        if let Ok(Some(lock)) = Lock::try_acquire(&self.state_folder, SERVING_LOCK) {
+            return CandidateState::LockAcquired(lock);
+        }
+        if self.pending.is_none() && now >= self.next_request_at {
+            self.next_request_at = now + REQUEST_INTERVAL;
+            self.send_request();
+        }
+        CandidateState::Waiting
+    }
+
+    fn send_request(&mut self) {
+        match self.try_send_request() {
+            Ok(pending) => self.pending = Some(pending),
+            Err(error) if self.first_request => {
+                warn!(%error, "nobody to ask; the lock is waited for");
+            }
+            Err(_) => {}
+        }
+        self.first_request = false;
+    }
+
+    fn try_send_request(&self) -> std::io::Result<(PendingTakeover, RegistrationToken)> {
+        let path = socket_path(&self.state_folder)?;
+        let pending = request_takeover(&path, &self.request)?;
+        let stream = pending.try_clone_stream()?;
+        let token = martenlatch_http::register(&self.handle, stream, EventSource::Predecessor)?;
+        Ok((pending, token))
+    }
+
+    /// Receives the answer of the process that serves, whose connection is ready. Received state must be built upon
+    /// first, and then committed.
+    pub fn receive(&mut self, clock: &Clock) -> CandidateState {
+        let Some((pending, token)) = self.pending.take() else {
+            return CandidateState::Waiting;
+        };
+        self.handle.remove(token);
+        let deadline = clock.now() + RECEIVE_TIMEOUT;
+        match pending.receive(&|| deadline - clock.now()) {
+            Ok(state) => CandidateState::StateReceived(state),
+            Err(error) => {
+                let reason = error.to_string();
+                warn!(reason, "not given way to; asking again");
+                CandidateState::Waiting
+            }
+        }
+    }
+
+    /// Waits for the lock alone from now on, as the received state could not be used: each request halts the process
+    /// that serves.
+    pub fn stop_requesting(&mut self) {
+        self.next_request_at = f64::INFINITY;
+    }
+}
+
+impl Drop for ReplacementCandidate {
+    fn drop(&mut self) {
+        if let Some((_, token)) = self.pending.take() {
+            self.handle.remove(token);
+        }
+    }
+}
--- /dev/null
+++ b/crates/sender/src/process_replacement/listener.rs
@@ -0,0 +1,229 @@
+//! The serving process: it listens for a successor, and hands its state over between two rounds.
+
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, BorrowedFd};
+use std::path::Path;
+use std::rc::Rc;
+
+use calloop::RegistrationToken;
+use martenlatch_clock::Millis;
+use martenlatch_handover::{
+    Lock, RequestProgress, SuccessorConnection, TakeoverListener, TakeoverRequest, TransferOutcome,
+    VERSION,
+};
+use tracing::{info, warn};
+
+use super::socket_path;
+use crate::event_source::{EventSource, Handle};
+use crate::pipeline::Driver;
+
+/// Longest time in milliseconds that this process stands still for a transfer.
+const TRANSFER_TIMEOUT: Millis = 600.0;
+
+/// Why a request to take over is refused; the successor gets and logs the text.
+#[derive(Debug, thiserror::Error)]
+enum RefusalReason {
+    #[error("another replacement is under way")]
+    AnotherReplacement,
+    #[error("version {VERSION} is spoken here, not {0}")]
+    OtherVersion(u32),
+    #[error("clients connect to {0}")]
+    OtherAddress(SocketAddr),
+    /// What the rest of the sender says against it.
+    #[error("{0}")]
+    NotTransferable(String),
+}
+
+/// The place where a successor of this process can request to take over.
+pub struct ReplacementListener {
+    handle: Handle,
+    lock: Option<Lock>,
+    listener: Option<Rc<TakeoverListener>>,
+    successor: Option<(SuccessorConnection, RegistrationToken)>,
+    /// The successor's request, once it is complete.
+    request: Option<TakeoverRequest>,
+}
+
+impl ReplacementListener {
+    /// Keeps the lock, and listens for a successor. Without a lock or a socket this process cannot be replaced while it
+    /// serves.
+    pub fn open(lock: Option<Lock>, state_folder: &Path, handle: &Handle) -> ReplacementListener {
+        let mut listener = None;
+        if lock.is_some() {
+            match listen(state_folder, handle) {
+                Ok(opened) => listener = Some(opened),
+                Err(error) => warn!(%error, "no replacement while serving"),
+            }
+        }
+        ReplacementListener {
+            handle: handle.clone(),
+            lock,
+            listener,
+            successor: None,
+            request: None,
+        }
+    }
+
+    /// Handles a socket that is ready. False if the key belongs to none of this listener's sockets.
+    pub fn ready(&mut self, key: EventSource) -> bool {
+        match key {
+            EventSource::Offer => self.accept_successors(),
+            EventSource::Asker => self.read_request(),
+            _ => return false,
+        }
+        true
+    }
+
+    fn accept_successors(&mut self) {
+        while let Some(connection) = self.accept() {
+            if self.request.is_some() {
+                connection.refuse(&RefusalReason::AnotherReplacement.to_string());
+                continue;
+            }
+            // A successor that has not sent its request makes way for the next one.
+            self.take_successor();
+            self.watch(connection);
+        }
+    }
+
+    fn accept(&self) -> Option<SuccessorConnection> {
+        self.listener.as_ref()?.accept()
+    }
+
+    fn watch(&mut self, connection: SuccessorConnection) {
+        let registered = connection.try_clone_stream().and_then(|stream| {
+            martenlatch_http::register(&self.handle, stream, EventSource::Asker)
+        });
+        if let Ok(token) = registered {
+            self.successor = Some((connection, token));
+            self.read_request();
+        }
+    }
+
+    fn read_request(&mut self) {
+        if self.request.is_some() {
+            return;
+        }
+        let Some((connection, _)) = &mut self.successor else {
+            return;
+        };
+        match connection.read_request() {
+            RequestProgress::Complete(request) => self.request = Some(request),
+            RequestProgress::Invalid => drop(self.take_successor()),
+            RequestProgress::Incomplete => {}
+        }
+    }
+
+    /// Ends the watch over the successor's connection and forgets its request.
+    fn take_successor(&mut self) -> Option<SuccessorConnection> {
+        self.request = None;
+        let (connection, token) = self.successor.take()?;
+        self.handle.remove(token);
+        Some(connection)
+    }
+
+    /// Answers a successor's request, if there is one: refuses it, or transfers the state. To be called between two
+    /// rounds. True once the successor serves; this process must not serve any more.
+    pub fn hand_over(&mut self, driver: &mut Driver) -> bool {
+        let Some(request) = &self.request else {
+            return false;
+        };
+        let prepared = match check_request(request, driver) {
+            Ok(()) if !driver.quiet() => return false,
+            Ok(()) => driver
+                .close_idle_connections()
+                .map_err(|error| RefusalReason::NotTransferable(error.to_string())),
+            Err(reason) => Err(reason),
+        };
+        let Some(successor) = self.take_successor() else {
+            return false;
+        };
+        if let Err(reason) = prepared {
+            refuse(successor, &reason);
+            return false;
+        }
+        let Some(lock) = &self.lock else {
+            return false;
+        };
+        match driver.process_state() {
+            Ok((state, descriptors)) => transfer(successor, driver, lock, &state, descriptors),
+            Err(error) => {
+                refuse(
+                    successor,
+                    &RefusalReason::NotTransferable(error.to_string()),
+                );
+                false
+            }
+        }
+    }
+
+    /// Removes the socket, as this process ends without a successor.
+    pub fn close(self) {
+        if let Some(listener) = self.listener {
+            listener.close();
+        }
+    }
+}
+
+fn listen(state_folder: &Path, handle: &Handle) -> std::io::Result<Rc<TakeoverListener>> {
+    let path = socket_path(state_folder)?;
+    let listener = Rc::new(TakeoverListener::open(&path)?);
+    martenlatch_http::register(handle, listener.clone(), EventSource::Offer)?;
+    Ok(listener)
+}
+
+/// Whether the request fits this process, and nothing in it speaks against a replacement.
+fn check_request(request: &TakeoverRequest, driver: &Driver) -> Result<(), RefusalReason> {
+    if request.version != VERSION {
+        return Err(RefusalReason::OtherVersion(request.version));
+    }
+    if request.listen != driver.listens() {
+        return Err(RefusalReason::OtherAddress(driver.listens()));
+    }
+    match driver.bound() {
+        Some(reason) => Err(RefusalReason::NotTransferable(reason.to_string())),
+        None => Ok(()),
+    }
+}
+
+fn refuse(successor: SuccessorConnection, reason: &RefusalReason) {
+    let reason = reason.to_string();
+    warn!(reason, "replacement refused");
+    successor.refuse(&reason);
+}
+
+/// Transfers the state, with the lock as the first descriptor. True if the successor has taken over.
+fn transfer(
+    successor: SuccessorConnection,
+    driver: &Driver,
+    lock: &Lock,
+    state: &[u8],
+    state_descriptors: Vec<BorrowedFd<'_>>,
+) -> bool {
+    let mut descriptors = vec![lock.as_fd()];
+    descriptors.extend(state_descriptors);
+    let (clients, calls, held) = driver.load();
+    let clock = driver.clock();
+    let deadline = clock.now() + TRANSFER_TIMEOUT;
+    let time_left = || deadline - clock.now();
+    match successor.transfer(state, &descriptors, &time_left) {
+        TransferOutcome::Committed => {
+            info!(
+                clients,
+                calls,
+                held,
+                descriptors = descriptors.len(),
+                bytes = state.len(),
+                "gave way"
+            );
+            true
+        }
+        TransferOutcome::Failed(error) => {
+            warn!(
+                reason = error.to_string(),
+                "replacement broke off; serving on"
+            );
+            false
+        }
+    }
+}
