--- a/crates/sender/src/serve.rs
+++ b/crates/sender/src/serve.rs
@@ -85,7 +85,7 @@
             replacement.close();
             return Ok(driver);
         }
-        if replacement.give_way(&mut driver) {
+        if replacement.hand_over(&mut driver) {
             return Ok(driver);
         }
         wait(events, ready, driver.sleep())?;
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -7,7 +7,7 @@
 use calloop::EventLoop;
 use calloop::signals::Signal;
 use martenlatch_clock::{Clock, Millis};
-use martenlatch_handover::{Lock, Passed};
+use martenlatch_handover::{Lock, ReceivedState};
 use martenlatch_settings::program::Peers as PeerSettings;
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{info, warn};
@@ -18,7 +18,7 @@
 use crate::operator::Operators;
 use crate::peer_service::Peers;
 use crate::pipeline::{Driver, ProcessLoad, ProcessState, Start};
-use crate::process_replacement::{LOOK, Look, ReplacementCandidate};
+use crate::process_replacement::{CandidateState, POLL_INTERVAL, ReplacementCandidate};
 use crate::serve::wait;
 
 /// Connections that may wait to be accepted: a burst of clients must not be dropped.
@@ -171,7 +171,9 @@
             match listen(address) {
                 Ok(listener) => return Ok(listener),
                 Err(error) if error.kind() == ErrorKind::AddrInUse && self.clock.now() < until => {
-                    std::thread::sleep(Duration::from_secs_f64(LOOK / MILLISECONDS_PER_SECOND));
+                    std::thread::sleep(Duration::from_secs_f64(
+                        POLL_INTERVAL / MILLISECONDS_PER_SECOND,
+                    ));
                 }
                 Err(reason) => return Err(SenderError::Bind { address, reason }),
             }
@@ -185,20 +187,20 @@
             .map_err(|error| SenderError::Replacement(error.to_string()))?;
         while !self.is_told_to_end() {
             match self.look_for_predecessor(&mut candidate) {
-                Look::Nothing => {}
-                Look::Free(lock) => {
+                CandidateState::Waiting => {}
+                CandidateState::LockAcquired(lock) => {
                     info!("the process that served has ended");
                     let driver = self.start_fresh(ADDRESS_RELEASE_TIMEOUT)?;
                     let lock = Some(lock);
                     return Ok(Some(Started { driver, lock }));
                 }
-                Look::Passed(passed) => {
+                CandidateState::StateReceived(passed) => {
                     if let Some(started) = self.take_over(passed, &mut candidate) {
                         return Ok(Some(started));
                     }
                 }
             }
-            wait(self.events, &mut self.ready, LOOK)?;
+            wait(self.events, &mut self.ready, POLL_INTERVAL)?;
         }
         Ok(None)
     }
@@ -209,12 +211,12 @@
     }
 
     /// Looks at the lock, and at what the predecessor has sent.
-    fn look_for_predecessor(&mut self, candidate: &mut ReplacementCandidate) -> Look {
+    fn look_for_predecessor(&mut self, candidate: &mut ReplacementCandidate) -> CandidateState {
         let now = self.clock.now();
-        let mut found = candidate.look(now);
+        let mut found = candidate.poll(now);
         for source in std::mem::take(&mut self.ready.keys) {
             if !self.turn_operator_down(source, now) && source == EventSource::Predecessor {
-                found = candidate.ready(&self.clock);
+                found = candidate.receive(&self.clock);
             }
         }
         if let Some(operators) = &mut self.operators {
@@ -235,19 +237,19 @@
     /// predecessor has gone on meanwhile.
     fn take_over(
         &mut self,
-        mut passed: Passed,
+        mut passed: ReceivedState,
         candidate: &mut ReplacementCandidate,
     ) -> Option<Started> {
         let started = match restore(&self.config, &mut passed, &self.events.handle()) {
             Ok(started) => started,
             Err(error) => {
                 warn!(reason = error.to_string(), "not taken over");
-                candidate.rest();
+                candidate.stop_requesting();
                 return None;
             }
         };
         // The predecessor goes on, or it has died: it is asked again, or its lock is free.
-        if let Err(error) = passed.taken() {
+        if let Err(error) = passed.commit() {
             warn!(error = ?error.kind(), "taken too late");
             return None;
         }
@@ -269,7 +271,7 @@
 
 /// Takes the lock on the folder. A folder that takes no file must not stop a sender, which then cannot be replaced.
 fn take_folder_lock(config: &Config) -> FolderLock {
-    match Lock::take(&config.state, "lock") {
+    match Lock::try_acquire(&config.state, "lock") {
         Ok(Some(lock)) => FolderLock::Ours(Some(lock)),
         Ok(None) => FolderLock::Taken,
         Err(error) => {
@@ -280,13 +282,17 @@
 }
 
 /// Builds this process from the state of the predecessor. Nothing outside this process is touched.
-fn restore(config: &Config, passed: &mut Passed, handle: &Handle) -> Result<Started, SenderError> {
-    let mut descriptors = InheritedDescriptors::new(std::mem::take(&mut passed.fds));
+fn restore(
+    config: &Config,
+    passed: &mut ReceivedState,
+    handle: &Handle,
+) -> Result<Started, SenderError> {
+    let mut descriptors = InheritedDescriptors::new(std::mem::take(&mut passed.descriptors));
     let lock = descriptors
         .take()
         .map_err(SenderError::InheritedDescriptor)?;
-    let lock = Lock::passed(lock);
-    let state = ProcessState::read(&passed.bytes, config)?;
+    let lock = Lock::inherited(lock);
+    let state = ProcessState::read(&passed.state, config)?;
     let clock = Clock::restore(state.at());
     let driver = Driver::new(
         config.clone(),
