Split discovery by concern: watch, schedule, framer, updates, endpoint list

Need: discovery was one file of 871 lines in which the watch, its pauses, the parsing and the list were one struct, with magic pairs and errors that were strings. Order of draws, system calls and fields as before.

--- /dev/null
+++ b/crates/sender/src/discovery/snapshot.rs
@@ -0,0 +1,57 @@
+//! Passing the endpoint list to a successor process.
+
+use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
+
+use martenlatch_policy::interface::EndpointId;
+use serde::{Deserialize, Serialize};
+
+use super::EndpointDirectory;
+use super::endpoint_list::ListedEndpoint;
+
+/// The endpoint list for a successor process, without the cordons, which are read from their file. Passed between
+/// processes of different versions: the order of the fields is fixed.
+#[derive(Serialize, Deserialize)]
+pub struct ConnectionSnapshot {
+    pub(super) version: u64,
+    pub(super) destinations: BTreeSet<u64>,
+    pub(super) discovery_heard: bool,
+    pub(super) endpoints: Vec<(EndpointId, ListedEndpoint)>,
+    pub(super) next_id: u32,
+    /// The most recently removed last.
+    pub(super) removed_names: VecDeque<Rc<str>>,
+}
+
+impl EndpointDirectory {
+    /// The state for a successor process.
+    pub fn snapshot(&self) -> ConnectionSnapshot {
+        let endpoints = self.list.endpoints.iter();
+        ConnectionSnapshot {
+            version: self.version,
+            destinations: self.list.destinations.clone(),
+            discovery_heard: self.discovery_heard,
+            endpoints: endpoints
+                .map(|(id, listed)| (*id, listed.clone()))
+                .collect(),
+            next_id: self.list.next_id,
+            removed_names: self.list.removed.in_order.clone(),
+        }
+    }
+
+    /// Takes over what a predecessor process has passed on. The watch is opened anew, from the version of its list.
+    pub fn restore_state(&mut self, snapshot: ConnectionSnapshot) {
+        self.version = snapshot.version;
+        self.discovery_heard = snapshot.discovery_heard;
+        self.list.destinations = snapshot.destinations;
+        self.list.ids = snapshot
+            .endpoints
+            .iter()
+            .map(|(id, listed)| (listed.name.clone(), *id))
+            .collect();
+        self.list.endpoints = snapshot.endpoints.into_iter().collect();
+        self.list.next_id = snapshot.next_id;
+        for name in snapshot.removed_names {
+            self.list.removed.remember(name);
+        }
+    }
+}
