Document every item of egress and discovery; name the pool's slots

Need: the fields and methods that only these modules see had no doc comments, and connections.connections read badly.

--- a/crates/sender/src/discovery/endpoint_list.rs
+++ b/crates/sender/src/discovery/endpoint_list.rs
@@ -24,8 +24,11 @@
 /// An endpoint that discovery lists. Serialized for a process replacement: the order of the fields is fixed.
 #[derive(Clone, Serialize, Deserialize)]
 pub(super) struct ListedEndpoint {
+    /// The name under which discovery lists it.
     pub name: Rc<str>,
+    /// Where it is reached.
     pub address: SocketAddr,
+    /// Its entry, without regard to cordons.
     pub entry: EndpointEntry,
 }
 
@@ -39,6 +42,7 @@
 }
 
 impl RemovedNames {
+    /// Adds a name, and forgets the oldest one if there are too many.
     pub fn remember(&mut self, name: Rc<str>) {
         if self.names.insert(name.clone()) {
             self.in_order.push_back(name);
@@ -58,6 +62,7 @@
 /// The entries of an update as the decision module is to see them.
 #[derive(Default)]
 pub(super) struct AppliedUpdate {
+    /// The entries that could be read, with regard to cordons.
     pub entries: Vec<EndpointEntry>,
     /// An entry could not be read, and should be requested again.
     pub unreadable: bool,
@@ -68,15 +73,19 @@
     names: SettingsNames,
     /// The numbers of the endpoints in `endpoints` by their names.
     pub ids: HashMap<Rc<str>, EndpointId>,
+    /// The endpoints that are listed.
     pub endpoints: HashMap<EndpointId, ListedEndpoint>,
+    /// The number of the next new endpoint.
     pub next_id: u32,
     /// Destinations that were ever listed: one without endpoints may have new ones soon.
     pub destinations: BTreeSet<u64>,
+    /// The names of endpoints that have been removed.
     pub removed: RemovedNames,
     cordons: Cordons,
 }
 
 impl EndpointList {
+    /// An empty list.
     pub fn new(names: SettingsNames, cordons: Cordons) -> EndpointList {
         EndpointList {
             names,
@@ -214,6 +223,7 @@
             .map(|(id, listed)| (*id, self.cordons.holds(&listed.name)))
     }
 
+    /// The address of an endpoint; none if it is not listed.
     pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         self.endpoints.get(&endpoint).map(|listed| listed.address)
     }
--- a/crates/sender/src/discovery/list_update.rs
+++ b/crates/sender/src/discovery/list_update.rs
@@ -8,6 +8,7 @@
 
 /// One object of a watch: the complete list, or changes of it.
 pub(super) struct ListUpdate<'a> {
+    /// The entries as they came.
     pub entries: &'a [Value],
     /// An endpoint that is not among the entries has been removed.
     pub complete: bool,
@@ -96,11 +97,17 @@
 
 /// Which endpoint an entry is about, and its state.
 pub(super) struct EntryIdentity<'a> {
+    /// The name under which discovery lists the endpoint.
     pub name: &'a str,
+    /// The state that discovery tells.
     pub state: EndpointState,
 }
 
 impl<'a> EntryIdentity<'a> {
+    /// Reads the name and the state.
+    ///
+    /// # Errors
+    /// The field that cannot be read.
     pub fn parse(json: &'a Value) -> Result<EntryIdentity<'a>, EntryError> {
         let name = text(json, EntryField::Name)?;
         let state = match text(json, EntryField::State)? {
@@ -115,16 +122,23 @@
 
 /// The names of zones and kinds; an entry's zone and kind are indexes into them.
 pub(super) struct SettingsNames {
+    /// The zones in the order of their indexes.
     pub zones: Vec<String>,
+    /// The kinds in the order of their indexes.
     pub kinds: Vec<String>,
 }
 
 /// All else that an entry says of its endpoint.
 pub(super) struct EntryDetails {
+    /// Where the endpoint is reached.
     pub address: SocketAddr,
+    /// The zone it is in.
     pub zone: ZoneId,
+    /// Its kind.
     pub kind: KindId,
+    /// The destination it serves.
     pub destination: DestinationId,
+    /// Its relative capacity; zero if the entry does not say.
     pub weight: f64,
 }
 
--- a/crates/sender/src/discovery/snapshot.rs
+++ b/crates/sender/src/discovery/snapshot.rs
@@ -13,10 +13,15 @@
 /// processes of different versions: the order of the fields is fixed.
 #[derive(Serialize, Deserialize)]
 pub struct ConnectionSnapshot {
+    /// The version of the list.
     pub(super) version: u64,
+    /// Destinations that were ever listed.
     pub(super) destinations: BTreeSet<u64>,
+    /// Discovery has sent something.
     pub(super) discovery_heard: bool,
+    /// The endpoints that are listed, in no order.
     pub(super) endpoints: Vec<(EndpointId, ListedEndpoint)>,
+    /// The number of the next new endpoint.
     pub(super) next_id: u32,
     /// The most recently removed last.
     pub(super) removed_names: VecDeque<Rc<str>>,
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -33,6 +33,7 @@
 
 /// A watch that has been opened.
 pub(super) struct Watch {
+    /// The connection to discovery.
     pub connection: Connection,
     /// The body of the response, once its head has come.
     body: Option<http::Body>,
--- a/crates/sender/src/egress/attempt.rs
+++ b/crates/sender/src/egress/attempt.rs
@@ -47,10 +47,15 @@
 /// An attempt in flight. Serialized for a process replacement: the order of the fields is fixed.
 #[derive(Clone, Copy, Serialize, Deserialize)]
 pub(super) struct ActiveAttempt {
+    /// The message.
     pub id: MessageId,
+    /// The number of the message's attempt, from 0.
     pub attempt: u32,
+    /// The destination that the endpoint serves.
     pub destination: u64,
+    /// When it was started.
     pub started_at: Millis,
+    /// When it times out.
     pub deadline: Millis,
     /// The last instant at which the request may begin to be written.
     pub latest_start: Millis,
@@ -59,6 +64,7 @@
 }
 
 impl ActiveAttempt {
+    /// An attempt that starts now.
     pub fn new(request: &AttemptRequest, now: Millis) -> ActiveAttempt {
         ActiveAttempt {
             id: request.id,
@@ -71,6 +77,7 @@
         }
     }
 
+    /// The result of the attempt if it ends now.
     pub fn result(&self, outcome: Outcome, now: Millis) -> AttemptResult {
         AttemptResult {
             id: self.id,
--- a/crates/sender/src/egress/attempt_end.rs
+++ b/crates/sender/src/egress/attempt_end.rs
@@ -57,6 +57,7 @@
 /// What had been written and received when an attempt ended.
 #[derive(Clone, Copy, Debug)]
 pub struct EndedAttempt {
+    /// Why the attempt ended.
     pub cause: EndCause,
     /// The connection was established.
     pub connected: bool,
@@ -72,13 +73,16 @@
     pub status_line_is_200: bool,
     /// How long the connection had been idle before the request, if it was reused.
     pub idle_before: Option<Millis>,
+    /// When the attempt was started, in milliseconds.
     pub started_at: Millis,
+    /// When it ended, in milliseconds.
     pub ended_at: Millis,
 }
 
 /// What the end of an attempt says about it and about its connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndClassification {
+    /// How the attempt ended, for the decision module.
     pub outcome: Outcome,
     /// The connection was lost under the request.
     pub connection_lost: bool,
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -14,45 +14,53 @@
 
 /// All connections to endpoints, each in a numbered slot under which the event loop reports it.
 pub(super) struct ConnectionPool {
+    /// The event loop in which the connections are registered.
     pub handle: Handle,
+    /// The buffers of the connections.
     pub buffers: BufferPool,
     /// Most connections, idle ones included, before a new one replaces the one that has been idle the longest.
     pub max_connections: usize,
-    pub connections: Slab<EndpointConnection>,
+    /// The connections by their slots.
+    pub slots: Slab<EndpointConnection>,
     /// The slots of idle connections, the most recently used last.
     pub idle: Vec<usize>,
 }
 
 impl ConnectionPool {
+    /// An empty pool.
     pub fn new(handle: &Handle, buffers: &BufferPool, max_connections: usize) -> ConnectionPool {
         ConnectionPool {
             handle: handle.clone(),
             buffers: buffers.clone(),
             max_connections,
-            connections: Slab::new(),
+            slots: Slab::new(),
             idle: Vec::new(),
         }
     }
 
+    /// Whether a slot holds a connection.
     pub fn contains(&self, slot: usize) -> bool {
-        self.connections.contains(slot)
+        self.slots.contains(slot)
     }
 
+    /// The connection in a slot, if there is one.
     pub fn get(&self, slot: usize) -> Option<&EndpointConnection> {
-        self.connections.get(slot)
+        self.slots.get(slot)
     }
 
+    /// The connection in a slot, if there is one, to change.
     pub fn get_mut(&mut self, slot: usize) -> Option<&mut EndpointConnection> {
-        self.connections.get_mut(slot)
+        self.slots.get_mut(slot)
     }
 
+    /// All connections in the order of their slots.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointConnection> {
-        self.connections.iter().map(|(_, connection)| connection)
+        self.slots.iter().map(|(_, connection)| connection)
     }
 
     /// The slot of the first connection for which a condition holds.
     pub fn slot_where(&self, condition: impl Fn(&EndpointConnection) -> bool) -> Option<usize> {
-        self.connections
+        self.slots
             .iter()
             .find(|(_, connection)| condition(connection))
             .map(|(slot, _)| slot)
@@ -60,7 +68,7 @@
 
     /// The slots of the connections for which a condition holds.
     pub fn slots_where(&self, condition: impl Fn(&EndpointConnection) -> bool) -> Vec<usize> {
-        self.connections
+        self.slots
             .iter()
             .filter(|(_, connection)| condition(connection))
             .map(|(slot, _)| slot)
@@ -78,13 +86,13 @@
         while let Some(place) = self
             .idle
             .iter()
-            .rposition(|slot| self.connections[*slot].endpoint == endpoint)
+            .rposition(|slot| self.slots[*slot].endpoint == endpoint)
         {
-            if self.connections[self.idle[place]].idle_since < used_since {
+            if self.slots[self.idle[place]].idle_since < used_since {
                 return None;
             }
             let slot = self.idle.remove(place);
-            let candidate = &mut self.connections[slot];
+            let candidate = &mut self.slots[slot];
             candidate.connection.receive();
             if candidate.address == address
                 && !candidate.is_closed()
@@ -92,7 +100,7 @@
             {
                 return Some(slot);
             }
-            self.connections.remove(slot);
+            self.slots.remove(slot);
         }
         None
     }
@@ -109,7 +117,7 @@
         address: SocketAddr,
         now: Millis,
     ) -> std::io::Result<usize> {
-        if self.connections.len() >= self.max_connections {
+        if self.slots.len() >= self.max_connections {
             self.close_longest_idle();
         }
         let connection = match self.connect(address) {
@@ -119,7 +127,7 @@
             connected => connected,
         }?;
         let connection = EndpointConnection::new(connection, endpoint, kind, address, now);
-        Ok(self.connections.insert(connection))
+        Ok(self.slots.insert(connection))
     }
 
     fn connect(&self, address: SocketAddr) -> std::io::Result<Connection> {
@@ -128,18 +136,18 @@
 
     /// The key under which the event loop will report the next connection of this pool.
     pub fn next_key(&self) -> EventSource {
-        EventSource::Region(self.connections.vacant_key())
+        EventSource::Region(self.slots.vacant_key())
     }
 
     /// Puts a connection that has carried its exchange among the idle ones.
     pub fn mark_idle(&mut self, slot: usize, now: Millis) {
-        self.connections[slot].idle_since = now;
+        self.slots[slot].idle_since = now;
         self.idle.push(slot);
     }
 
     /// Takes a connection out of the pool; it is closed when it is dropped.
     pub fn remove(&mut self, slot: usize) -> Option<EndpointConnection> {
-        let removed = self.connections.try_remove(slot)?;
+        let removed = self.slots.try_remove(slot)?;
         self.idle.retain(|idle| *idle != slot);
         Some(removed)
     }
@@ -150,24 +158,24 @@
             return false;
         }
         let oldest = self.idle.remove(0);
-        self.connections.remove(oldest);
+        self.slots.remove(oldest);
         true
     }
 
     /// Closes idle connections, the longest idle first, until there are at most `max_connections`. Returns how many
     /// connections are left.
     pub fn close_idle_above(&mut self, max_connections: usize) -> usize {
-        while self.connections.len() > max_connections && self.close_longest_idle() {}
-        self.connections.len()
+        while self.slots.len() > max_connections && self.close_longest_idle() {}
+        self.slots.len()
     }
 
     /// Closes the idle connections for which a condition holds.
     pub fn close_idle_where(&mut self, condition: impl Fn(&EndpointConnection) -> bool) {
-        let connections = &mut self.connections;
+        let slots = &mut self.slots;
         self.idle.retain(|slot| {
-            let keep = !condition(&connections[*slot]);
+            let keep = !condition(&slots[*slot]);
             if !keep {
-                connections.remove(*slot);
+                slots.remove(*slot);
             }
             keep
         });
@@ -178,12 +186,12 @@
     type Output = EndpointConnection;
 
     fn index(&self, slot: usize) -> &EndpointConnection {
-        &self.connections[slot]
+        &self.slots[slot]
     }
 }
 
 impl IndexMut<usize> for ConnectionPool {
     fn index_mut(&mut self, slot: usize) -> &mut EndpointConnection {
-        &mut self.connections[slot]
+        &mut self.slots[slot]
     }
 }
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -21,6 +21,7 @@
 /// The last byte of a request, held back so that the request cannot run yet.
 #[derive(Clone, Copy, Serialize, Deserialize)]
 pub(super) struct HeldBackByte {
+    /// The byte.
     pub byte: u8,
     /// The instant from which it may be written; infinite until the bytes before it have been written.
     pub release_at: Millis,
@@ -32,20 +33,27 @@
 /// the fields is fixed.
 #[derive(Serialize, Deserialize)]
 pub(super) struct EndpointConnection<L = Connection> {
+    /// The connection, or its snapshot.
     pub connection: L,
+    /// The endpoint it leads to.
     pub endpoint: EndpointId,
     /// The endpoint's kind, by its index in the settings.
     pub kind: usize,
+    /// The endpoint's address when it was opened.
     pub address: SocketAddr,
+    /// The attempt in flight on it.
     pub attempt: Option<ActiveAttempt>,
     /// Bytes have been written to it: it is established.
     pub connected: bool,
     /// The endpoint has admitted a request on it.
     pub admitted: bool,
+    /// The last byte of the request, while it is held back.
     pub held_back_byte: Option<HeldBackByte>,
     /// How long it had been idle when its request came, if it had carried one before.
     pub idle_before: Option<Millis>,
+    /// When it was opened.
     pub opened_at: Millis,
+    /// What is still to be read of a response whose outcome has been reported.
     pub remaining_response: Option<RemainingResponse>,
     /// When it became idle, or when the outcome of the response that remains was reported.
     pub idle_since: Millis,
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -92,6 +92,7 @@
 /// What a response means for its attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ResponseMeaning {
+    /// How the attempt ended.
     pub outcome: Outcome,
     /// The message is finished, and no final status is owed.
     pub message_over: bool,
@@ -100,6 +101,7 @@
 }
 
 impl ResponseMeaning {
+    /// Reads the status and the headers of a response.
     pub fn of(response: &http::Response) -> ResponseMeaning {
         let retry_after = retry_after(response);
         let outcome = match response.status {
--- a/crates/sender/src/egress/snapshot.rs
+++ b/crates/sender/src/egress/snapshot.rs
@@ -16,11 +16,15 @@
 /// versions: the order of the fields is fixed.
 #[derive(Serialize, Deserialize)]
 pub struct ConnectionSnapshot {
+    /// Each connection with the snapshot of its socket state.
     pub(super) connections: Vec<EndpointConnection<http::ConnectionSnapshot>>,
     /// The places of the idle ones among them, the most recently used last.
     pub(super) idle: Vec<usize>,
+    /// What is known of stale connections.
     pub(super) stale_connections: StaleConnectionDetector,
+    /// What is known of connection resets.
     pub(super) resets: ResetDetector,
+    /// What is known of the spare connections of each kind of endpoint.
     pub(super) scarcity: ConnectionScarcity,
 }
 
@@ -29,7 +33,7 @@
     pub fn snapshot(&self) -> (ConnectionSnapshot, Vec<BorrowedFd<'_>>) {
         let places: HashMap<usize, usize> = self
             .connections
-            .connections
+            .slots
             .iter()
             .map(|(slot, _)| slot)
             .zip(0..)
@@ -80,7 +84,7 @@
                 key,
             )?;
             let restored = passed.with_connection(connection);
-            self.connections.connections.insert(restored);
+            self.connections.slots.insert(restored);
             keys.push(key);
         }
         // The pool was empty, so that the slots of the connections are their places in the snapshot.
--- a/crates/sender/src/egress/tests/connection_reuse.rs
+++ b/crates/sender/src/egress/tests/connection_reuse.rs
@@ -106,7 +106,7 @@
         assert_eq!(egress.results.pop().unwrap().outcome, Outcome::Success);
         assert_eq!(
             (
-                egress.connections.connections.len(),
+                egress.connections.slots.len(),
                 egress.connections.idle.len()
             ),
             (1, 1),
@@ -119,7 +119,7 @@
     );
     egress.expire_timeouts(egress.next_deadline());
     assert!(
-        egress.connections.connections.is_empty()
+        egress.connections.slots.is_empty()
             && egress.connections.idle.is_empty()
             && egress.results.is_empty()
     );
--- a/crates/sender/src/egress/tests/last_byte.rs
+++ b/crates/sender/src/egress/tests/last_byte.rs
@@ -23,7 +23,7 @@
         let (mut peer, _) = listener.accept().unwrap();
         while egress
             .connections
-            .connections
+            .slots
             .iter()
             .any(|(slot, c)| !c.connected || !c.connection.is_flushed() || slot > 0)
         {
