Type operators' call errors and the parts of a predecessor's state

Change: CallError names the reasons; SplitState and Inheritance replace tuples; the builder's assembly uses one small function for each stage. Two log lines of a failed takeover get plain words.

--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -16,7 +16,7 @@
 use super::driver::Driver;
 use super::ingress::{ClientLimits, Ingress, IngressClass};
 use super::message_store::MessageStore;
-use super::process_state::{ProcessState, RemainingState, SettingsNames};
+use super::process_state::{ProcessState, RemainingState, SettingsNames, SplitState};
 use super::status_reports::StatusReporter;
 use crate::Config;
 use crate::class_metrics::ClassMetrics;
@@ -84,8 +84,11 @@
     }
 }
 
-/// The state of the predecessor that is restored once the driver stands, and its descriptors.
-type Inheritance = (RemainingState, InheritedDescriptors);
+/// What the predecessor has passed that is restored once the driver stands.
+struct Inheritance {
+    state: RemainingState,
+    descriptors: InheritedDescriptors,
+}
 
 /// What a fresh start and a takeover differ in.
 struct Foundation {
@@ -146,7 +149,11 @@
         class_rules: ClassRules,
     ) -> Result<Foundation, SenderError> {
         let listener = descriptors.take().map_err(SenderError::RestoreState)?;
-        let (policy, log_position, mut state) = state.split();
+        let SplitState {
+            policy,
+            log_position,
+            remaining: mut state,
+        } = state.split();
         let class_rules = class_rules
             .restore(std::mem::take(&mut state.class_rules), &mut settings)
             .ok_or(SenderError::DifferentClassRules)?;
@@ -164,7 +171,7 @@
             wal,
             next_number: state.next_number,
             recovered: BTreeMap::new(),
-            inheritance: Some((state, descriptors)),
+            inheritance: Some(Inheritance { state, descriptors }),
         })
     }
 }
@@ -185,9 +192,9 @@
         let recovered = std::mem::take(&mut foundation.recovered);
         let inheritance = foundation.inheritance.take();
         let mut driver = Driver::assemble(&config, foundation, peers, handle, clock)?;
-        if let Some((state, mut descriptors)) = inheritance {
+        if let Some(mut inherited) = inheritance {
             driver
-                .restore_state(state, &mut descriptors)
+                .restore_state(inherited.state, &mut inherited.descriptors)
                 .map_err(SenderError::RestoreState)?;
             return Ok(driver);
         }
@@ -206,42 +213,24 @@
         handle: &Handle,
         clock: Clock,
     ) -> Result<Driver, SenderError> {
-        let Foundation {
-            listener,
-            settings,
-            class_rules,
-            policy,
-            wal,
-            next_number,
-            ..
-        } = foundation;
-        let capacity = Capacity::new(config, &settings);
+        let settings = &foundation.settings;
+        let capacity = Capacity::new(config, settings);
         let control_buffers = BufferPool::new(CONTROL_BUFFERS);
         let jitter = Jitter::new(config.seed);
-        let ingress = build_ingress(
-            config,
-            listener,
-            &settings,
-            capacity.max_clients,
-            handle,
-            &jitter,
-        )?;
+        let limits = client_limits(config, settings, &capacity);
+        let classes = ingress_classes(config);
+        let ingress = Ingress::open(foundation.listener, handle, limits, classes, jitter.clone())?;
         let class_metrics = ClassMetrics::new(&config.boot.classes);
         Ok(Driver {
             names: SettingsNames::of(config),
             listen: config.listen,
             descriptor_limit: config.sockets,
-            admission: build_admission(config, &settings, class_rules),
-            decision: Decision::new(policy),
-            status_reporter: StatusReporter::new(
-                config.discovery,
-                handle.clone(),
-                control_buffers.clone(),
-                jitter.clone(),
-            ),
-            store: MessageStore::new(wal, next_number, class_metrics),
+            admission: build_admission(config, settings, foundation.class_rules),
+            decision: Decision::new(foundation.policy),
+            status_reporter: build_status_reporter(config, handle, &control_buffers, &jitter),
+            store: MessageStore::new(foundation.wal, foundation.next_number, class_metrics),
             ingress,
-            egress: build_egress(&settings, &capacity, handle),
+            egress: build_egress(settings, &capacity, handle),
             directory: build_directory(config, jitter),
             operators: None,
             peers,
@@ -280,22 +269,18 @@
     }
 }
 
-fn build_ingress(
-    config: &Config,
-    listener: TcpListener,
-    settings: &Settings,
-    max_clients: usize,
-    handle: &Handle,
-    jitter: &Jitter,
-) -> Result<Ingress, SenderError> {
-    let limits = ClientLimits {
-        max_clients,
+fn client_limits(config: &Config, settings: &Settings, capacity: &Capacity) -> ClientLimits {
+    ClientLimits {
+        max_clients: capacity.max_clients,
         timeouts: config.clients,
         max_retry_after: settings.max_retry_after.map(millis),
-    };
+    }
+}
+
+fn ingress_classes(config: &Config) -> Vec<IngressClass> {
     let requires_key =
         |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
-    let classes = config
+    config
         .boot
         .classes
         .iter()
@@ -304,8 +289,21 @@
             name: name.clone(),
             requires_idempotency_key: requires_key(class),
         })
-        .collect();
-    Ingress::open(listener, handle, limits, classes, jitter.clone())
+        .collect()
+}
+
+fn build_status_reporter(
+    config: &Config,
+    handle: &Handle,
+    buffers: &BufferPool,
+    jitter: &Jitter,
+) -> StatusReporter {
+    StatusReporter::new(
+        config.discovery,
+        handle.clone(),
+        buffers.clone(),
+        jitter.clone(),
+    )
 }
 
 fn build_admission(config: &Config, settings: &Settings, class_rules: ClassRules) -> Admission {
--- a/crates/sender/src/pipeline/ingress/mod.rs
+++ b/crates/sender/src/pipeline/ingress/mod.rs
@@ -15,8 +15,8 @@
 use std::rc::Rc;
 
 use martenlatch_clock::Millis;
+use martenlatch_http as http;
 use martenlatch_http::buffer_pool::BufferPool;
-use martenlatch_http::{self as http};
 use martenlatch_settings::program::Clients;
 use slab::Slab;
 
--- a/crates/sender/src/pipeline/ingress/receive.rs
+++ b/crates/sender/src/pipeline/ingress/receive.rs
@@ -103,7 +103,7 @@
         self.answer(index, status, "", now);
     }
 
-    /// A request has arrived whole.
+    /// A request is complete.
     fn on_request(
         &mut self,
         index: usize,
--- a/crates/sender/src/pipeline/operator_calls.rs
+++ b/crates/sender/src/pipeline/operator_calls.rs
@@ -8,6 +8,20 @@
 use crate::config::ConfigError;
 use crate::operator::{self, Call};
 
+/// Why a call is refused. `Display` is the reason that the operator gets.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    /// The call cannot be read.
+    #[error("{0}")]
+    Unreadable(String),
+    /// The health check of a process that accepts no more clients.
+    #[error("ending: no more clients are taken")]
+    ShuttingDown,
+    /// A cordon cannot be set or lifted.
+    #[error("{0}")]
+    Cordon(String),
+}
+
 impl Driver {
     /// Reads an operator's call, and answers it once it is complete.
     pub(super) fn answer_operator(&mut self, index: usize, now: Millis) {
@@ -17,14 +31,18 @@
         let Some(call) = operators.ready(index) else {
             return;
         };
-        let answer = operator::said(call.and_then(|call| self.perform_call(call)));
+        let result = match call {
+            Ok(call) => self.perform_call(call),
+            Err(error) => Err(CallError::Unreadable(error.to_string())),
+        };
+        let answer = operator::said(result.map_err(|error| error.to_string()));
         if let Some(operators) = &mut self.operators {
             operators.answer(index, &answer, now);
         }
     }
 
-    /// Performs a call. The error is the reason that the operator is told.
-    fn perform_call(&mut self, call: Call) -> Result<String, String> {
+    /// Performs a call. Returns the lines of its answer.
+    fn perform_call(&mut self, call: Call) -> Result<String, CallError> {
         match call {
             Call::Health => self.health(),
             Call::Counters => {
@@ -37,19 +55,19 @@
         }
     }
 
-    fn health(&self) -> Result<String, String> {
+    fn health(&self) -> Result<String, CallError> {
         if self.ingress.listener.is_none() || self.shutdown_started.is_some() {
-            return Err("ending: no more clients are taken".into());
+            return Err(CallError::ShuttingDown);
         }
         Ok("serving\n".into())
     }
 
     /// Cordons an endpoint, or lifts its cordon: on disk and in the decision module's events before the answer.
-    fn set_cordon(&mut self, endpoint: &str, cordoned: bool) -> Result<String, String> {
+    fn set_cordon(&mut self, endpoint: &str, cordoned: bool) -> Result<String, CallError> {
         let change = self
             .directory
             .set_cordon(endpoint, cordoned)
-            .map_err(|error| error.to_string())?;
+            .map_err(|error| CallError::Cordon(error.to_string()))?;
         let changed = change.is_some();
         if let Some(change) = change {
             self.apply_endpoint_change(change);
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -73,6 +73,13 @@
 /// What is left of the state once the decision module and the log's position have been taken out.
 pub(super) type RemainingState = ProcessState<(), ()>;
 
+/// A predecessor's state in the parts that are restored one after the other.
+pub(super) struct SplitState {
+    pub(super) policy: Policy,
+    pub(super) log_position: LogPosition,
+    pub(super) remaining: RemainingState,
+}
+
 impl ProcessState<Policy> {
     /// Decodes the state of a predecessor for a process of this configuration.
     ///
@@ -93,7 +100,7 @@
     }
 
     /// Takes the decision module and the log's position out.
-    pub(super) fn split(self) -> (Policy, LogPosition, RemainingState) {
+    pub(super) fn split(self) -> SplitState {
         let remaining = ProcessState {
             at: self.at,
             names: self.names,
@@ -108,7 +115,11 @@
             clients: self.clients,
             egress: self.egress,
         };
-        (self.policy, self.log_position, remaining)
+        SplitState {
+            policy: self.policy,
+            log_position: self.log_position,
+            remaining,
+        }
     }
 }
 
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -241,14 +241,14 @@
         let started = match restore(&self.config, &mut passed, &self.events.handle()) {
             Ok(started) => started,
             Err(error) => {
-                warn!(reason = error.to_string(), "not taken over");
+                warn!(reason = error.to_string(), "takeover failed");
                 candidate.rest();
                 return None;
             }
         };
-        // The predecessor goes on, or it has died: it is asked again, or its lock is free.
+        // On an error the predecessor goes on, or it has died: it is asked again, or its lock is free.
         if let Err(error) = passed.taken() {
-            warn!(error = ?error.kind(), "taken too late");
+            warn!(error = ?error.kind(), "takeover too late");
             return None;
         }
         let ProcessLoad {
