--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -24,6 +24,8 @@
 mod shutdown;
 mod status_reports;
 #[cfg(test)]
+mod test_support;
+#[cfg(test)]
 mod tests;
 
 pub use builder::Start;
--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -2,13 +2,13 @@
 
 use super::*;
 
-/// Plays the transaction's time out: what ended it, and how long after its time.
-fn outlived(story: &str, region: SocketAddr) -> (Option<FinalStatus>, Millis) {
-    let (mut driver, clock, _events) = resumed(story, region);
+/// Runs until the message has ended: its final status, and how long after its deadline it ended.
+fn run_to_the_end(name: &str, endpoint: SocketAddr) -> (Option<FinalStatus>, Millis) {
+    let (mut driver, clock, _events) = resumed(name, endpoint);
     while driver.store.open > 0 && clock.now() < START + 9_000.0 {
         assert!(
             driver.round(vec![EventSource::Region(0)]),
-            "nothing tells it to end"
+            "nothing tells the process to end"
         );
         clock.set(clock.now() + 10.0);
     }
@@ -25,26 +25,26 @@
 #[test]
 fn an_unanswered_message_ends_at_its_deadline_by_what_may_have_run() {
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (notice, late) = outlived("silent", silent.local_addr().unwrap());
+    let (status, late) = run_to_the_end("silent", silent.local_addr().unwrap());
     assert_eq!(
-        notice,
+        status,
         Some(FinalStatus::Undeliverable),
-        "it was out and may have run"
+        "an attempt was in flight and may have run"
     );
-    assert!(late < 100.0, "{late} ms after its time");
-    // Nobody listens there: each task is proven never to have run, so the client may come again.
-    let (notice, late) = outlived("closed", "127.77.0.1:9".parse().unwrap());
+    assert!(late < 100.0, "{late} ms after its deadline");
+    // Nobody listens there: no attempt can have run, so the client may send the message again.
+    let (status, late) = run_to_the_end("closed", "127.77.0.1:9".parse().unwrap());
     assert!(
-        matches!(notice, Some(FinalStatus::Deferred(_))),
-        "{notice:?}"
+        matches!(status, Some(FinalStatus::Deferred(_))),
+        "{status:?}"
     );
-    assert!(late < 100.0, "{late} ms after its time");
+    assert!(late < 100.0, "{late} ms after its deadline");
 }
 
 #[test]
 fn the_latest_wake_of_the_decision_module_replaces_an_earlier_one() {
-    // Guards a quiet sender: the module counts on its latest wake alone. Lost behind an earlier one, nothing looks at
-    // what waits before the next event, or before its time is over.
+    // The module counts on its latest wake alone. If an earlier one displaced it, waiting messages would not be looked
+    // at before the next event or their deadlines.
     let (mut driver, ..) = resumed("wake", "127.77.0.1:9".parse().unwrap());
     driver.perform_one(Action::WakeAfter(nanos(10.0)), START);
     driver.perform_one(Action::WakeAfter(nanos(300.0)), START + 8.0);
@@ -54,36 +54,46 @@
 
 #[test]
 fn a_resumed_unattempted_message_is_counted_until_it_is_attempted_or_ends() {
-    let region = TcpListener::bind("127.0.0.1:0").unwrap();
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
     let counted = |driver: &Driver| {
         let c = &driver.store.counters;
         (c.unattempted, c.unattempted_started, c.unattempted_ended)
     };
-    let (mut driver, clock, _events) = resumed("called", region.local_addr().unwrap());
+    let (mut driver, clock, _events) = resumed("attempted", endpoint.local_addr().unwrap());
     assert_eq!(counted(&driver), (1, 0, 0));
     while driver.store.counters.unattempted_started == 0 && clock.now() < START + 2_000.0 {
         driver.round(Vec::new());
         clock.set(clock.now() + 10.0);
     }
-    assert_eq!(counted(&driver), (1, 1, 0), "it is called within its time");
-    let (mut driver, clock, _events) = resumed("ended", region.local_addr().unwrap());
+    assert_eq!(
+        counted(&driver),
+        (1, 1, 0),
+        "it is attempted before its deadline"
+    );
+    let (mut driver, clock, _events) = resumed("ended", endpoint.local_addr().unwrap());
     clock.set(START + 2_000.0 + OVERDUE_AFTER + 1.0);
     driver.round(Vec::new());
-    assert_eq!(counted(&driver), (1, 0, 1), "its time was up before");
+    assert_eq!(
+        counted(&driver),
+        (1, 0, 1),
+        "its deadline had passed before"
+    );
 }
 
 #[rstest::rstest]
 #[case::while_its_connection_comes_up(false)]
 #[case::once_it_is_up(true)]
 fn a_kill_leaves_a_record_of_an_attempt_only_once_its_connection_is_up(#[case] up: bool) {
-    // Guards an unsafe message: with a record from before its connection was up it ended with no call.
-    let region = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
-    region
+    // A non-idempotent message with a recorded attempt is not attempted again. If the record were written before the
+    // connection is up, the message would end without any attempt.
+    let endpoint =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    endpoint
         .bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into())
         .unwrap();
-    region.listen(if up { 9 } else { 0 }).unwrap();
-    let address = region.local_addr().unwrap().as_socket().unwrap();
-    // Where its queue is full, a further connection waits.
+    endpoint.listen(if up { 9 } else { 0 }).unwrap();
+    let address = endpoint.local_addr().unwrap().as_socket().unwrap();
+    // With the backlog full, a further connection stays pending.
     let crowd: Vec<_> = (0..if up { 0 } else { 2 })
         .map(|_| {
             let one =
@@ -93,21 +103,23 @@
             one
         })
         .collect();
-    let story = format!("coming-{up}");
-    let (mut driver, clock, _events) = resumed(&story, address);
+    let name = format!("coming-{up}");
+    let (mut driver, clock, _events) = resumed(&name, address);
     while driver.store.counters.unattempted_started == 0 && clock.now() < START + 2_000.0 {
         driver.round(vec![EventSource::Region(0)]);
         clock.set(clock.now() + 5.0);
     }
-    assert_eq!(driver.egress.active_attempts(), 1, "its call is out");
+    assert_eq!(
+        driver.egress.active_attempts(),
+        1,
+        "its attempt is in flight"
+    );
     if up {
-        // Loopback is up at once; a look at it lets the call begin.
+        // On loopback the connection is up at once; a round lets the request begin.
         driver.round(vec![EventSource::Region(0)]);
     }
     drop(driver);
-    let state =
-        std::env::temp_dir().join(format!("martenlatch-stages-{story}-{}", std::process::id()));
-    let past = martenlatch_wal::LogInspection::open(&state).unwrap().past;
+    let past = logged(&name);
     let may_have_run = past.open[&3]
         .attempts
         .iter()
@@ -120,10 +132,10 @@
 #[test]
 fn a_message_answered_as_it_is_given_up_has_one_end() {
     use std::io::Write;
-    // Guards the platform against word of a failure that was none: the answer had come before the notice left.
-    let region = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (mut driver, clock, _events) = resumed("given-up", region.local_addr().unwrap());
-    let mut peer = called(&mut driver, &clock, &region);
+    // The answer arrived before the status report was sent, so the platform must not hear of a failure.
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("given-up", endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
     peer.write_all(OK).unwrap();
     let (id, attempt) = (MessageId(3), 0);
     driver.perform(
@@ -133,7 +145,7 @@
     assert_eq!(
         (driver.status_reporter.queue.len(), driver.store.open),
         (0, 0),
-        "it is delivered, and nothing more is owed"
+        "it is delivered, and there is nothing to report"
     );
     assert!(driver.store.wal.over.iter().any(|id| &**id == "a"));
 }
@@ -141,9 +153,9 @@
 #[test]
 fn the_retry_after_of_a_cancelled_attempt_holds_for_the_same_round() {
     use std::io::{Read, Write};
-    let region = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (mut driver, clock, _events) = resumed("loser", region.local_addr().unwrap());
-    let mut peer = called(&mut driver, &clock, &region);
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("cancelled", endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
     let other = MessageRecord {
         no: 4,
         id: Rc::from("b"),
@@ -153,25 +165,20 @@
     driver.store.insert(other, MessageState::Open);
     peer.write_all(b"HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n")
         .unwrap();
-    let (now, endpoint, timeout, latest) = (clock.now(), EndpointId(0), nanos(500.0), u64::MAX);
-    let off = Action::Cancel {
+    let now = clock.now();
+    let send = Action::Send {
+        id: MessageId(4),
+        endpoint: EndpointId(0),
+        timeout: nanos(500.0),
+        latest: u64::MAX,
+    };
+    let cancel = Action::Cancel {
         id: MessageId(3),
         attempt: 0,
     };
-    driver.perform(
-        vec![
-            Action::Send {
-                id: MessageId(4),
-                endpoint,
-                timeout,
-                latest,
-            },
-            off,
-        ],
-        now,
-    );
+    driver.perform(vec![send, cancel], now);
     driver.round((0..9).map(EventSource::Region).collect());
-    // It waits as the module has been told, and its connection has brought nothing.
+    // The second message waits as well, and nothing was sent on its connection.
     assert!(
         driver.egress.active_attempts() == 0
             && driver.store.messages[&4]
@@ -181,8 +188,8 @@
                 .all(|t| t.never_ran)
     );
     drop(driver);
-    region.set_nonblocking(true).unwrap();
-    while let Ok((mut peer, _)) = region.accept() {
+    endpoint.set_nonblocking(true).unwrap();
+    while let Ok((mut peer, _)) = endpoint.accept() {
         let mut text = String::new();
         peer.set_nonblocking(false).unwrap();
         let _ = peer.read_to_string(&mut text);
@@ -193,26 +200,26 @@
 #[test]
 fn without_free_buffers_the_loop_does_not_spin() {
     use std::io::Write;
-    let region = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (mut driver, clock, _events) = resumed("spin", region.local_addr().unwrap());
-    let mut peer = called(&mut driver, &clock, &region);
-    let lent: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("spin", endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
+    let taken_buffers: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
     peer.write_all(b"HTTP/1.1 2").unwrap();
-    let keys = || (0..9).map(EventSource::Region).collect();
+    let sources = || (0..9).map(EventSource::Region).collect();
     until(|| {
-        driver.round(keys());
+        driver.round(sources());
         !driver.unfinished_sources.is_empty()
     });
     assert!(
         driver.sleep() > 0.0,
         "there is more to read, and nothing to read it into"
     );
-    drop(lent);
-    driver.round(keys());
+    drop(taken_buffers);
+    driver.round(sources());
     peer.write_all(b"00 OK\r\nContent-Length: 0\r\n\r\n")
         .unwrap();
     until(|| {
-        driver.round(keys());
+        driver.round(sources());
         driver.store.open == 0
     });
     assert_eq!(driver.store.counters.success, 1);
--- a/crates/sender/src/pipeline/tests/ingress.rs
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -7,13 +7,7 @@
     use std::io::{Read, Write};
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let address = driver.listens();
     let connect = || std::net::TcpStream::connect(address).unwrap();
     let open = |s: &mut std::net::TcpStream| {
         s.set_nonblocking(true).unwrap();
@@ -39,18 +33,18 @@
     }
     assert!(
         open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]),
-        "the oldest silent one goes"
+        "the oldest silent client is evicted"
     );
     clock.set(START + driver.ingress.limits.timeouts.request_ms + 1.0);
     driver.round(Vec::new());
     assert!(
         open(&mut usual) && crowd.iter_mut().all(|c| !open(c)),
-        "3 s are owed"
+        "a request may take 3 s"
     );
     assert_eq!(
         driver.ingress.clients.len(),
         2,
-        "and the one that came late"
+        "and the one that connected late"
     );
     drop(late);
 }
@@ -58,67 +52,60 @@
 #[test]
 fn a_client_that_left_before_its_202_may_send_the_same_message_again() {
     use std::io::Write;
-    // Guards the request that a front sends once more on a new connection: answered 202 as one that is over, nobody
-    // would deliver it.
+    // A client that got no answer sends its request again on a new connection. If that were answered 202 as a
+    // duplicate, nobody would deliver the message.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("left", silent.local_addr().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    let mut hand_in = |leaves: bool| {
+    let address = driver.listens();
+    let mut send_message = |leaves: bool| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         let head =
             "POST /debit HTTP/1.1\r\nX-Request-ID: b\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\n";
         client
             .write_all(format!("{head}Content-Length: 0\r\n\r\n").as_bytes())
             .unwrap();
-        let (now, mut handed) = (clock.now(), Vec::new());
-        while handed.is_empty() {
+        let (now, mut received) = (clock.now(), Vec::new());
+        while received.is_empty() {
             driver.ingress.accept(now, &mut driver.store.counters);
             (0..9).for_each(|at| {
                 driver
                     .ingress
-                    .on_ready(at, now, &mut handed, &mut driver.store.counters);
+                    .on_ready(at, now, &mut received, &mut driver.store.counters);
             });
         }
         let client = (!leaves).then_some(client);
         while leaves
-            && !driver.ingress.clients[handed[0].client]
+            && !driver.ingress.clients[received[0].client]
                 .connection
                 .peer_reset()
         {
-            // Bytes of ours that a closed client never reads have its machine reset the connection.
-            driver.ingress.clients[handed[0].client]
+            // Bytes that a closed client does not read make its kernel reset the connection.
+            driver.ingress.clients[received[0].client]
                 .connection
                 .queue(b" ");
-            driver.ingress.clients[handed[0].client].connection.flush();
+            driver.ingress.clients[received[0].client]
+                .connection
+                .flush();
         }
-        let message = handed.pop().unwrap();
+        let message = received.pop().unwrap();
         let event = driver.admit(message, false, now);
         drop(client);
         event
     };
-    assert!(hand_in(true).is_none(), "it has not heard");
-    assert!(hand_in(false).is_some(), "nobody has it");
-    assert!(hand_in(false).is_none(), "now it is held");
-    let (_, past) = WriteAheadLog::open(
-        &std::env::temp_dir().join(format!("martenlatch-stages-left-{}", std::process::id())),
-        9,
-    );
+    assert!(send_message(true).is_none(), "it got no answer");
+    assert!(send_message(false).is_some(), "it is not held");
+    assert!(send_message(false).is_none(), "now it is held");
+    let (_, past) = WriteAheadLog::open(&folder_path(&folder_name("left")), 9);
     assert!(
         past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"),
-        "and in a next life too"
+        "and recovered by the next process"
     );
 }
 
-const ASKS: &[u8] = b"POST /debit HTTP/1.1\r\nX-Request-ID: q\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n\r\n";
+const REQUEST: &[u8] = b"POST /debit HTTP/1.1\r\nX-Request-ID: q\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n\r\n";
 
-/// A client that has been served once and rests.
-fn resting(driver: &mut Driver) -> std::net::TcpStream {
+/// A client that has been served once and is idle.
+fn idle_client(driver: &mut Driver) -> std::net::TcpStream {
     use std::io::{Read, Write};
     let mut client = std::net::TcpStream::connect(driver.listens()).unwrap();
     client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
@@ -127,7 +114,7 @@
         driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
         client.read(&mut [0; 256]).is_ok()
     });
-    // Nothing of it is to be looked at any more.
+    // Nothing is left to read from it.
     until(|| {
         driver.round(Vec::new());
         driver.unfinished_sources.is_empty()
@@ -136,7 +123,7 @@
 }
 
 /// What a client reads until its connection ends.
-fn all_read(client: &mut std::net::TcpStream) -> std::io::Result<String> {
+fn read_to_end(client: &mut std::net::TcpStream) -> std::io::Result<String> {
     use std::io::Read;
     client.set_nonblocking(false)?;
     client.set_read_timeout(Some(std::time::Duration::from_secs(20)))?;
@@ -145,19 +132,19 @@
 }
 
 #[rstest::rstest]
-#[case::as_room_is_made("evicted")]
-#[case::as_it_has_rested_too_long("swept")]
+#[case::as_it_is_evicted("evicted")]
+#[case::as_it_has_been_idle_too_long("swept")]
 #[case::as_the_sender_stops("stopped")]
-#[case::as_the_sender_goes("gone")]
+#[case::as_the_sender_exits("gone")]
 fn a_request_that_arrives_as_its_connection_is_to_end_is_answered(#[case] moment: &str) {
     use std::io::Write;
-    // Guards the request whose last byte is there: nothing has told the loop of it yet.
+    // The request has arrived, and the event loop has not reported it yet.
     let (mut driver, clock, _events) = resumed(
         &format!("crossing-{moment}"),
         "127.77.0.1:9".parse().unwrap(),
     );
-    let mut client = resting(&mut driver);
-    client.write_all(ASKS).unwrap();
+    let mut client = idle_client(&mut driver);
+    client.write_all(REQUEST).unwrap();
     match moment {
         "evicted" => driver.ingress.evict(clock.now(), false),
         "swept" => {
@@ -170,20 +157,20 @@
             driver.round(Vec::new());
         }
         _ => {
-            // Half of it stands before, and its rest never comes in time.
+            // Half of a second request arrives, and the rest does not arrive in time.
             driver.round(vec![EventSource::Client(0)]);
             driver.end();
-            let told = clock.now();
-            clock.set(told + ACCEPT_UNTIL - 1.0);
-            client.write_all(&ASKS[..30]).unwrap();
+            let started = clock.now();
+            clock.set(started + ACCEPT_UNTIL - 1.0);
+            client.write_all(&REQUEST[..30]).unwrap();
             driver.round(vec![EventSource::Client(0)]);
-            driver.ingress.clients[0].since = told + ATTEMPTS_END - 1_000.0;
-            clock.set(told + ATTEMPTS_END + 290.0);
+            driver.ingress.clients[0].since = started + ATTEMPTS_END - 1_000.0;
+            clock.set(started + ATTEMPTS_END + 290.0);
             driver.round(Vec::new());
         }
     }
     if moment == "evicted" || moment == "swept" {
-        // The loop hears of it now, and the sender ends some time.
+        // The event loop reports the request now, and later the connection ends.
         driver.round(vec![EventSource::Client(0)]);
         driver.ingress.close_after_answer(0);
         client
@@ -192,7 +179,7 @@
     }
     driver.round(vec![EventSource::Client(0)]);
     drop(driver);
-    let text = all_read(&mut client).expect("reset");
+    let text = read_to_end(&mut client).expect("reset");
     assert!(
         text.starts_with("HTTP/1.1 202") || text.starts_with("HTTP/1.1 503"),
         "{moment}: {text:?}"
@@ -207,25 +194,25 @@
 #[test]
 fn a_request_behind_the_last_answer_of_its_connection_is_not_accepted() {
     use std::io::Write;
-    // Guards against a transaction that nobody hears of: its connection has ended on our side.
+    // The message could not be answered: the sender has closed its side of the connection.
     let (mut driver, _clock, _events) = resumed("behind", "127.77.0.1:9".parse().unwrap());
-    let mut client = resting(&mut driver);
+    let mut client = idle_client(&mut driver);
     driver.end();
-    client.write_all(ASKS).unwrap();
+    client.write_all(REQUEST).unwrap();
     until(|| {
         driver.round(vec![EventSource::Client(0)]);
         driver.store.counters.accepted == 1
     });
     client
         .write_all(
-            &String::from_utf8_lossy(ASKS)
+            &String::from_utf8_lossy(REQUEST)
                 .replace("ID: q", "ID: r")
                 .into_bytes(),
         )
         .unwrap();
     (0..50).for_each(|_| _ = driver.round(vec![EventSource::Client(0)]));
     assert_eq!(driver.store.counters.accepted, 1);
-    let text = all_read(&mut client).expect("reset");
+    let text = read_to_end(&mut client).expect("reset");
     assert!(
         text.starts_with("HTTP/1.1 202") && text.contains("Connection: close"),
         "{text}"
--- a/crates/sender/src/pipeline/tests/rejection.rs
+++ b/crates/sender/src/pipeline/tests/rejection.rs
@@ -5,15 +5,9 @@
 #[test]
 fn clients_rejected_together_do_not_return_together() {
     use std::io::{Read, Write};
-    // Clients of a destination that the table does not have yet are turned away together.
-    let (mut driver, clock, _events) = resumed("apart", "127.77.0.1:9".parse().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    // Messages for a destination that is not listed yet are rejected together.
+    let (mut driver, clock, _events) = resumed("spread", "127.77.0.1:9".parse().unwrap());
+    let address = driver.listens();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
     let mut crowd: Vec<_> = (0..12)
         .map(|_| std::net::TcpStream::connect(address).unwrap())
@@ -43,40 +37,34 @@
     told.sort_by(f64::total_cmp);
     told.dedup();
     assert!(told.len() > 8, "{told:?}");
-    // Nor do notices of senders with other seeds, once the platform is back.
-    let mut tries: Vec<f64> = Vec::new();
+    // Nor do status reports of senders with other seeds, once the platform is back.
+    let mut waits: Vec<f64> = Vec::new();
     for seed in 0..12 {
         driver.status_reporter.jitter = Jitter::new(seed);
         driver.status_reporter.backoff = MAX_BACKOFF;
         driver.status_reporter.retry_later(clock.now(), "silent");
-        tries.push(driver.status_reporter.next_attempt - clock.now());
+        waits.push(driver.status_reporter.next_attempt - clock.now());
     }
     assert!(
-        tries.iter().all(|t| (750.0..=1_250.0).contains(t)),
-        "{tries:?}"
+        waits.iter().all(|t| (750.0..=1_250.0).contains(t)),
+        "{waits:?}"
     );
-    tries.sort_by(f64::total_cmp);
-    assert!(tries[11] - tries[0] > 200.0, "{tries:?}");
+    waits.sort_by(f64::total_cmp);
+    assert!(waits[11] - waits[0] > 200.0, "{waits:?}");
 }
 
 #[test]
 fn a_rejected_partial_request_counts_as_deferred_where_its_class_could_be_read() {
     use std::io::Write;
     let (mut driver, clock, _events) = resumed("cut-off", "127.77.0.1:9".parse().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    let half = [
+    let address = driver.listens();
+    let partial_requests = [
         ("POST /debit?x HTTP/1.1\r\nX-", 1),
         ("POST /deb", 1),
         ("POST /other HTTP", 1),
         ("GET /debit H", 2),
     ];
-    for (text, deferred) in half {
+    for (text, deferred) in partial_requests {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(text.as_bytes()).unwrap();
         while driver
@@ -107,20 +95,14 @@
 #[test]
 fn a_flood_with_no_time_left_takes_no_capacity_from_usual_clients() {
     use std::io::{Read, Write};
-    // Guards the room of usual clients against one whose transactions are ended in the round that brings them.
+    // Messages that end in the round that brings them must not take the capacity of usual clients.
     let (mut driver, clock, _events) = resumed("flood", "127.77.0.1:9".parse().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
-    // What it resumed has left.
+    let address = driver.listens();
+    // The resumed message has been attempted.
     driver.round(vec![]);
     clock.set(START + 100.0);
     driver.round(vec![]);
-    let hand_in = |id: usize, seconds: f64| {
+    let send_message = |id: usize, seconds: f64| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         let head = "POST /debit HTTP/1.1\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
         client
@@ -130,9 +112,9 @@
             .unwrap();
         client
     };
-    let mut clients: Vec<_> = (0..12).map(|id| hand_in(id, 0.001)).collect();
-    clients.push(hand_in(12, 9.0));
-    // All that they wrote is read in one round.
+    let mut clients: Vec<_> = (0..12).map(|id| send_message(id, 0.001)).collect();
+    clients.push(send_message(12, 9.0));
+    // All requests are read in one round.
     while driver.ingress.clients.len() < 13 {
         driver
             .ingress
@@ -142,26 +124,20 @@
     assert_eq!(
         driver.store.counters.accepted + driver.store.counters.rejected,
         13,
-        "each has its answer at once"
+        "each is answered at once"
     );
     assert!(driver.store.open <= 2, "the flood is ended in its round");
     let mut answer = [0; 12];
     clients[12].read_exact(&mut answer).unwrap();
-    assert_eq!(&answer, b"HTTP/1.1 202", "the usual client is turned away");
+    assert_eq!(&answer, b"HTTP/1.1 202", "the usual client is rejected");
 }
 
 #[test]
 fn a_client_rejected_over_a_partial_request_can_read_the_answer_while_the_rest_arrives() {
     use std::io::{Read, Write};
-    // Guards the answer: a close over bytes that arrive is a reset, which takes it along.
+    // Closing while bytes still arrive resets the connection, which destroys the answer.
     let (mut driver, clock, _events) = resumed("rest", "127.77.0.1:9".parse().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let address = driver.listens();
     let most = driver.ingress.limits.max_clients;
     let begin = |driver: &mut Driver, at: usize| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
@@ -181,7 +157,7 @@
     let _late = begin(&mut driver, most);
     assert!(
         driver.ingress.clients[0].closing,
-        "the one at it the longest is turned away"
+        "the one that has taken the longest is rejected"
     );
     for part in ["quest-ID: a\r\n", "Content-Length: 0\r\n\r\n"] {
         crowd[0].write_all(part.as_bytes()).unwrap();
@@ -193,7 +169,7 @@
         .unwrap();
     crowd[0].read_to_string(&mut answer).expect("reset");
     assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
-    // There is an end to it: however many come, few linger.
+    // However many clients come, few may linger.
     for _ in 0..most {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
@@ -217,22 +193,16 @@
 #[case::of_no_length(Some(0.0), None)]
 #[case::where_none_may_be_given(None, None)]
 fn retry_after_of_a_rejection_is_as_the_settings_allow(
-    #[case] advice: Option<Millis>,
+    #[case] max_retry_after: Option<Millis>,
     #[case] told: Option<(f64, f64)>,
 ) {
     use std::io::{Read, Write};
     let (mut driver, _clock, _events) = resumed(
-        &format!("advice-{advice:?}"),
+        &format!("retry-after-{max_retry_after:?}"),
         "127.77.0.1:9".parse().unwrap(),
     );
-    driver.ingress.limits.max_retry_after = advice;
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    driver.ingress.limits.max_retry_after = max_retry_after;
+    let address = driver.listens();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
     for _ in 0..8 {
         let before = driver.store.counters.rejected;
--- a/crates/sender/src/pipeline/tests/shutdown.rs
+++ b/crates/sender/src/pipeline/tests/shutdown.rs
@@ -7,13 +7,7 @@
     use std::io::Write;
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
-    let address = driver
-        .ingress
-        .listener
-        .as_ref()
-        .unwrap()
-        .local_addr()
-        .unwrap();
+    let address = driver.listens();
     let mut half = std::net::TcpStream::connect(address).unwrap();
     half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
     while driver
@@ -30,14 +24,14 @@
     assert_eq!(
         driver.ingress.clients.len(),
         1,
-        "it may still be asked whole"
+        "it may still complete its request"
     );
     assert!(driver.unfinished_sources.is_empty() && driver.sleep() > 0.0);
 }
 
 #[test]
 fn a_shutdown_is_over_before_the_process_can_be_killed() {
-    // Guards against sleeping past the last instant: the loop looks again within 20 ms, whatever is due.
+    // The loop must not sleep past the last instant: it wakes within 20 ms, whatever is due.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("end", silent.local_addr().unwrap());
     driver.end();
@@ -48,33 +42,26 @@
     }
     assert!(
         clock.now() >= START + ACCEPT_UNTIL,
-        "clients may come for a moment more"
+        "messages are accepted for a moment more"
     );
 }
 
 #[test]
 fn an_answer_that_has_arrived_before_the_exit_is_recorded() {
     use std::io::Write;
-    // Guards an unsafe message that has been delivered: not heard, it ends as undeliverable in the next life.
-    let region = TcpListener::bind("127.0.0.1:0").unwrap();
-    let (mut driver, clock, _events) = resumed_with("exit", 9_000.0, region.local_addr().unwrap());
-    let mut peer = called(&mut driver, &clock, &region);
+    // A delivered non-idempotent message whose answer is not read would end as undeliverable in the next process.
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) =
+        resumed_with("exit", 9_000.0, endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
     driver.end();
     clock.set(clock.now() + ATTEMPTS_END + 101.0);
     peer.write_all(OK).unwrap();
     assert!(
         !driver.round(Vec::new()),
-        "it goes, with no word that anything has come"
+        "it exits, without an event that says that bytes have arrived"
     );
     assert_eq!(driver.store.open, 0);
     drop(driver);
-    let state =
-        std::env::temp_dir().join(format!("martenlatch-stages-exit-{}", std::process::id()));
-    assert!(
-        martenlatch_wal::LogInspection::open(&state)
-            .unwrap()
-            .past
-            .open
-            .is_empty()
-    );
+    assert!(logged("exit").open.is_empty());
 }
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -4,23 +4,23 @@
 
 #[test]
 fn status_reports_and_the_watch_are_sent_though_attempts_hold_every_buffer() {
-    // Guards what is owed: answers that never end hold the regions' buffers for as long as they please.
+    // Answers that never end may hold the buffers of attempts for as long as they like.
     use std::io::Read;
     let platform = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("buffers", platform.local_addr().unwrap());
-    let lent: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
-    assert!(!lent.is_empty());
+    let taken_buffers: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
+    assert!(!taken_buffers.is_empty());
     clock.set(START + 2_000.0 + OVERDUE_AFTER + 1.0);
     let mut asked = std::collections::BTreeSet::new();
     for _ in 0..2 {
-        // Connections come up in the kernel, whoever accepts them: a second round writes what the first could not.
+        // The kernel completes connections before they are accepted: the second round writes what the first could not.
         assert!(driver.round(vec![EventSource::Watch, EventSource::Notices]));
         assert!(driver.round(vec![EventSource::Watch, EventSource::Notices]));
         let (mut peer, _) = platform.accept().unwrap();
         let mut text = [0; 512];
         peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
             .unwrap();
-        let count = peer.read(&mut text).expect("nothing was asked");
+        let count = peer.read(&mut text).expect("no request arrived");
         asked.insert(
             String::from_utf8_lossy(&text[..count])
                 .split(' ')
