--- a/crates/sender/src/error.rs
+++ b/crates/sender/src/error.rs
@@ -7,6 +7,9 @@
 use martenlatch_policy::interface::SettingsError;
 
 use crate::config::ConfigError;
+use crate::operator::OperatorError;
+use crate::peer_service::PeerServiceError;
+use crate::process_replacement::CandidateError;
 
 /// Why the sender cannot start, serve or be replaced.
 #[derive(Debug, thiserror::Error)]
@@ -38,14 +41,14 @@
     #[error("settings: {0}")]
     Settings(SettingsError),
     /// The operators' address cannot be opened.
-    #[error("{0}")]
-    Operators(String),
+    #[error(transparent)]
+    Operators(#[from] OperatorError),
     /// The connection to the other senders cannot be opened.
-    #[error("{0}")]
-    Peers(String),
+    #[error(transparent)]
+    Peers(#[from] PeerServiceError),
     /// This process can neither serve nor wait for the one that does.
-    #[error("{0}")]
-    Replacement(String),
+    #[error(transparent)]
+    Replacement(#[from] CandidateError),
     /// A descriptor that the predecessor passed is missing.
     #[error("{0}")]
     InheritedDescriptor(std::io::Error),
--- a/crates/sender/src/serve.rs
+++ b/crates/sender/src/serve.rs
@@ -61,7 +61,7 @@
         .operator
         .map(|address| Operators::open(address, handle))
         .transpose()
-        .map_err(|error| SenderError::Operators(error.to_string()))
+        .map_err(SenderError::Operators)
 }
 
 /// Runs round after round until the process ends or is replaced. Returns the driver for its last counters.
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -160,7 +160,7 @@
             &self.events.handle(),
             self.clock.now(),
         )
-        .map_err(|error| SenderError::Peers(error.to_string()))
+        .map_err(SenderError::Peers)
     }
 
     /// Binds the address for clients, which a process that has just ended may still hold.
@@ -184,7 +184,7 @@
     /// first: nothing has been begun.
     fn wait_for_predecessor(&mut self) -> Result<Option<Started>, SenderError> {
         let mut candidate = ReplacementCandidate::open(&self.config, &self.events.handle())
-            .map_err(|error| SenderError::Replacement(error.to_string()))?;
+            .map_err(SenderError::Replacement)?;
         while !self.is_told_to_end() {
             match self.look_for_predecessor(&mut candidate) {
                 CandidateState::Waiting => {}
@@ -243,14 +243,14 @@
         let started = match restore(&self.config, &mut passed, &self.events.handle()) {
             Ok(started) => started,
             Err(error) => {
-                warn!(reason = error.to_string(), "not taken over");
+                warn!(reason = error.to_string(), "takeover failed");
                 candidate.stop_requesting();
                 return None;
             }
         };
-        // The predecessor goes on, or it has died: it is asked again, or its lock is free.
+        // On an error the predecessor goes on, or it has died: it is asked again, or its lock is free.
         if let Err(error) = passed.commit() {
-            warn!(error = ?error.kind(), "taken too late");
+            warn!(error = ?error.kind(), "takeover too late");
             return None;
         }
         let ProcessLoad {
