Type the errors of the settings readers and split the text reader

The reader of the platform's settings returned strings from functions of up to 80 lines, and the reader of the protobuf text format mixed the scanner for positions with the explanation of errors.

PlatformError replaces the strings, with the same text; the settings are read by a short function for each part, in the same order. Tests moved to test files.

--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -94,7 +94,7 @@
             .get("settings")
             .filter(|s| s.is_object())
             .ok_or("settings: an object is wanted")?;
-        let boot = platform::read(&told.to_string())?;
+        let boot = platform::read(&told.to_string()).map_err(|e| e.to_string())?;
         // The protocol has nothing by which a client could name what its messages are about.
         if boot.settings.classes.iter().any(|c| c.ordered) {
             return Err(
--- a/crates/sender/src/pipeline/tests.rs
+++ b/crates/sender/src/pipeline/tests.rs
@@ -31,7 +31,7 @@
     );
     let wrong = priced.replace("0.06", "\"dear\"");
     assert!(
-        settings::read(&wrong).is_err_and(|e| e.contains("Deductions.Handshake")),
+        settings::read(&wrong).is_err_and(|e| e.to_string().contains("Deductions.Handshake")),
         "it names the field"
     );
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,19 +1,22 @@
-//! What a sender is told: the platform's settings as JSON ([`platform`]), and the program's own files as protobuf
-//! text format ([`text`] reads any of them, [`program`] the sender's). It reads and checks, and must never decide,
-//! open a socket or look at a clock.
+//! Readers of a sender's settings.
+//!
+//! - [`platform`]: the platform's settings, a JSON object.
+//! - [`program`]: the sender's own settings file, in the protobuf text format.
+//! - [`text`]: a reader for any file in the protobuf text format that is described by the schemas in `proto/`.
+//!
+//! The crate parses text that it is given and checks it; it opens no files.
 
 pub mod platform;
 pub mod program;
 pub mod text;
 
-/// Types made from the schemas in `proto/`.
-#[allow(missing_docs)]
+/// The messages that are generated from the schemas in `proto/`, where they and their fields are documented.
 pub mod schema {
-    /// `proto/settings.proto`.
+    /// The sender's own settings, `proto/settings.proto`.
     pub mod settings {
         include!(concat!(env!("OUT_DIR"), "/martenlatch.settings.rs"));
     }
-    /// `proto/experiment.proto`.
+    /// The laboratory's experiments, `proto/experiment.proto`.
     pub mod experiment {
         include!(concat!(env!("OUT_DIR"), "/martenlatch.experiment.rs"));
     }
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -1,199 +1,354 @@
-//! Reads the settings object, which the adapter finds on its wire and the sender in its configuration: one reader
-//! for both. It owns the names of the settings and must never decide, open a file or look at a clock.
+//! The platform's settings: a JSON object, which the sender finds in its configuration and the adapter in its input.
 
 use martenlatch_policy::interface::{
     Decay, DestinationKind, EndpointWeights, Idempotency, MessageClass, RecoveryRamp, Settings,
-    ZoneId,
+    SettingsError, ZoneId,
 };
 use serde_json::Value;
 
-/// Settings, with the names that the wire uses for places in their lists.
+/// The time between two turns of the decision module if the settings give none, in nanoseconds.
+const DEFAULT_TURN_INTERVAL: u64 = 1_000_000;
+
+/// The settings of the decision module, and the names by which the platform calls what they number.
 #[derive(Clone, Debug)]
 pub struct Boot {
-    /// What the module works with.
+    /// The settings of the decision module.
     pub settings: Settings,
-    /// Names of the zones, in their places.
+    /// The names of the zones, by number.
     pub zones: Vec<String>,
-    /// Names of the kinds.
+    /// The names of the kinds of destination, by number.
     pub kinds: Vec<String>,
-    /// Names of the classes.
+    /// The names of the classes of message, by number.
     pub classes: Vec<String>,
-    /// Changes of the list come only to who asks or watches.
+    /// Whether changes of the endpoint list have to be polled or watched; otherwise they are pushed.
     pub asked: bool,
 }
 
-/// One JSON object, and its path for messages.
-struct Node<'a>(&'a Value, &'a str);
+/// Why the platform's settings cannot be used. `Display` is one line that names the setting.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// The settings are not JSON.
+    #[error("the settings are not JSON: {0}")]
+    NotJson(#[source] serde_json::Error),
+    /// A required setting is missing.
+    #[error("setting {0} is missing")]
+    Missing(String),
+    /// A setting has a value of another type, or one that is not known.
+    #[error("setting {setting} should be {expected}")]
+    Invalid {
+        /// The path of the setting.
+        setting: String,
+        /// What its value should be.
+        expected: &'static str,
+    },
+    /// The sender's zone is not among the zones.
+    #[error("setting Zone names {0:?}, which Areas does not list")]
+    UnknownZone(String),
+    /// The decision module cannot work with the settings.
+    #[error("{0}")]
+    Unusable(#[source] SettingsError),
+}
 
-impl<'a> Node<'a> {
-    fn get(&self, key: &str) -> Result<&'a Value, String> {
-        self.0
-            .get(key)
-            .ok_or_else(|| format!("setting {}{key} is missing", self.1))
+/// One JSON object of the settings.
+struct SettingsObject<'a> {
+    value: &'a Value,
+    /// The path of the object in messages, with a dot at its end; empty for the settings as a whole.
+    path: &'static str,
+}
+
+impl<'a> SettingsObject<'a> {
+    fn get(&self, key: &str) -> Option<&'a Value> {
+        self.value.get(key)
     }
-    fn wrong<T>(&self, key: &str, want: &str) -> Result<T, String> {
-        Err(format!("setting {}{key} should be {want}", self.1))
+
+    fn required(&self, key: &str) -> Result<&'a Value, PlatformError> {
+        self.get(key)
+            .ok_or_else(|| PlatformError::Missing(format!("{}{key}", self.path)))
     }
-    fn object(&self, key: &'a str, path: &'a str) -> Result<Node<'a>, String> {
-        let value = self.get(key)?;
+
+    fn invalid(&self, key: &str, expected: &'static str) -> PlatformError {
+        PlatformError::Invalid {
+            setting: format!("{}{key}", self.path),
+            expected,
+        }
+    }
+
+    fn object(&self, key: &str, path: &'static str) -> Result<SettingsObject<'a>, PlatformError> {
+        let value = self.required(key)?;
         if value.is_object() {
-            Ok(Node(value, path))
+            Ok(SettingsObject { value, path })
         } else {
-            self.wrong(key, "an object")
+            Err(self.invalid(key, "an object"))
         }
     }
-    fn int(&self, key: &str) -> Result<u64, String> {
-        self.get(key)?
+
+    fn integer(&self, key: &str) -> Result<u64, PlatformError> {
+        self.required(key)?
             .as_u64()
-            .map_or_else(|| self.wrong(key, "a whole number, not negative"), Ok)
+            .ok_or_else(|| self.invalid(key, "a whole number, not negative"))
     }
-    fn int_or(&self, key: &str, absent: u64) -> Result<u64, String> {
-        if self.0.get(key).is_some() {
-            self.int(key)
-        } else {
-            Ok(absent)
+
+    fn integer_or(&self, key: &str, default: u64) -> Result<u64, PlatformError> {
+        match self.get(key) {
+            Some(_) => self.integer(key),
+            None => Ok(default),
         }
     }
-    fn num(&self, key: &str) -> Result<f64, String> {
-        self.get(key)?
+
+    /// An integer, or the largest number of 32 bits if it is larger.
+    fn integer_of_32_bits(&self, key: &str) -> Result<u32, PlatformError> {
+        let integer = self.integer(key)?;
+        Ok(u32::try_from(integer).unwrap_or(u32::MAX))
+    }
+
+    fn number(&self, key: &str) -> Result<f64, PlatformError> {
+        self.required(key)?
             .as_f64()
-            .map_or_else(|| self.wrong(key, "a number"), Ok)
+            .ok_or_else(|| self.invalid(key, "a number"))
     }
-    fn num_or(&self, key: &str, absent: f64) -> Result<f64, String> {
-        if self.0.get(key).is_some() {
-            self.num(key)
-        } else {
-            Ok(absent)
+
+    fn number_or(&self, key: &str, default: f64) -> Result<f64, PlatformError> {
+        match self.get(key) {
+            Some(_) => self.number(key),
+            None => Ok(default),
         }
     }
-    fn flag(&self, key: &str) -> Result<bool, String> {
-        match self.0.get(key) {
-            None => Ok(false),
-            Some(value) => value
-                .as_bool()
-                .map_or_else(|| self.wrong(key, "true or false"), Ok),
-        }
+
+    fn flag(&self, key: &str) -> Result<bool, PlatformError> {
+        let Some(value) = self.get(key) else {
+            return Ok(false);
+        };
+        value
+            .as_bool()
+            .ok_or_else(|| self.invalid(key, "true or false"))
     }
-    fn text_or(&self, key: &str, absent: &'a str) -> Result<&'a str, String> {
-        match self.0.get(key) {
-            None => Ok(absent),
-            Some(value) => value.as_str().map_or_else(|| self.wrong(key, "text"), Ok),
-        }
+
+    fn text_or(&self, key: &str, default: &'a str) -> Result<&'a str, PlatformError> {
+        let Some(value) = self.get(key) else {
+            return Ok(default);
+        };
+        value.as_str().ok_or_else(|| self.invalid(key, "text"))
     }
-    fn list(&self, key: &str) -> Result<&'a [Value], String> {
-        match self.0.get(key) {
+
+    fn list(&self, key: &str) -> Result<&'a [Value], PlatformError> {
+        match self.get(key) {
             None => Ok(&[]),
             Some(Value::Array(list)) => Ok(list),
-            Some(_) => self.wrong(key, "a list"),
+            Some(_) => Err(self.invalid(key, "a list")),
         }
     }
-    fn names(&self, key: &str) -> Result<Vec<String>, String> {
-        let name = |v: &Value| v.as_str().map(str::to_string);
-        self.list(key)?
-            .iter()
-            .map(|v| name(v).map_or_else(|| self.wrong(key, "a list of names"), Ok))
-            .collect()
-    }
-}
-
-/// Reads the settings; keys that are not known are skipped.
-pub fn read(text: &str) -> Result<Boot, String> {
-    let json: Value =
-        serde_json::from_str(text).map_err(|e| format!("the settings are not JSON: {e}"))?;
-    let root = Node(&json, "");
-    let family = root.object("FamilyInfo", "FamilyInfo.")?;
-    let limits = root.object("Limits", "Limits.")?;
-    let rules = root.object("Guarantees", "Guarantees.")?;
-    let zones = root.names("Areas")?;
-    let kinds = root.names("Kinds")?;
-    let zone_name = root.text_or("Zone", "")?;
-    let zone = zones.iter().position(|z| z == zone_name);
-    let zone =
-        zone.ok_or_else(|| format!("setting Zone names {zone_name:?}, which Areas does not list"))?;
-    let (mut classes, mut class_names) = (Vec::new(), Vec::new());
-    for value in root.list("Categories")? {
-        let node = Node(value, "Categories[].");
-        class_names.push(node.text_or("Name", "")?.to_string());
-        classes.push(class(&node)?);
-    }
-    let (apart, toll) = (family.list("OwnLimits")?, family.list("Toll")?);
-    let kind = |i: usize| DestinationKind {
-        per_endpoint: apart.get(i).and_then(Value::as_bool).unwrap_or(false),
-    };
-    let deductions = root
-        .object("Deductions", "Deductions.")
-        .unwrap_or(Node(&Value::Null, "Deductions."));
-    let settings = Settings {
-        senders: root.int("Balancers")?.min(u32::MAX.into()) as u32,
-        zone: ZoneId(zone),
-        zone_prices: (0..zones.len())
-            .map(|i| toll.get(i).and_then(Value::as_f64).unwrap_or(0.0))
-            .collect(),
-        kinds: (0..kinds.len()).map(kind).collect(),
-        classes,
-        decay: match family.text_or("LosesWorth", "linear")? {
-            "halving" => Decay::Halving,
-            _ => Decay::Linear,
-        },
-        weight_meaning: match root.text_or("WeightKind", "off")? {
-            "nominal" => EndpointWeights::Nominal,
-            "rough" => EndpointWeights::Approximate,
-            _ => EndpointWeights::Ignored,
-        },
-        max_in_flight: family.int("CallsOut")? as usize,
-        max_held: limits.int("OpenCap")? as usize,
-        max_attempts: limits.int("AttemptsCap")?.min(u32::MAX.into()) as u32,
-        may_cancel: limits.flag("Cancel")?,
-        may_hedge: limits.flag("SecondCopies")?,
-        max_retry_after: limits
-            .flag("RetryAfter")?
-            .then_some(limits.int_or("MaxRetryAfter", 0)?),
-        recovery: RecoveryRamp {
-            overload_factor: rules.num("OverloadFactor")?,
-            overload_window: rules.int("OverloadFor")?,
-            initial_share: rules.num("ColdFrom")?,
-            duration: rules.int("Cold")?,
-        },
-        key_quiet_period: rules.int_or("KeyQuiet", 0)?,
-        connect_timeout: limits.int("ConnectTimeout")?,
-        idle_timeout: limits.int_or("ConnIdle", u64::MAX)?,
-        turn_interval: root.int_or("Tick", 1_000_000)?,
-        cross_zone_price: deductions.num_or("CrossZone", 0.0)?,
-        handshake_price: deductions.num_or("Handshake", 0.0)?,
-    };
-    settings.check().map_err(|e| e.to_string())?;
-    let asked = root.text_or("RegistryMode", "push")? == "ask";
+
+    fn names(&self, key: &str) -> Result<Vec<String>, PlatformError> {
+        let mut names = Vec::new();
+        for value in self.list(key)? {
+            let name = value
+                .as_str()
+                .ok_or_else(|| self.invalid(key, "a list of names"))?;
+            names.push(name.to_string());
+        }
+        Ok(names)
+    }
+}
+
+/// The objects that the settings consist of.
+struct Sections<'a> {
+    root: SettingsObject<'a>,
+    family: SettingsObject<'a>,
+    limits: SettingsObject<'a>,
+    guarantees: SettingsObject<'a>,
+    deductions: SettingsObject<'a>,
+}
+
+impl<'a> Sections<'a> {
+    fn of(json: &'a Value) -> Result<Sections<'a>, PlatformError> {
+        let root = SettingsObject {
+            value: json,
+            path: "",
+        };
+        // Without deductions their defaults hold.
+        let deductions = root
+            .object("Deductions", "Deductions.")
+            .unwrap_or(SettingsObject {
+                value: &Value::Null,
+                path: "Deductions.",
+            });
+        Ok(Sections {
+            family: root.object("FamilyInfo", "FamilyInfo.")?,
+            limits: root.object("Limits", "Limits.")?,
+            guarantees: root.object("Guarantees", "Guarantees.")?,
+            deductions,
+            root,
+        })
+    }
+}
+
+/// What the settings list by name.
+struct Lists {
+    zones: Vec<String>,
+    /// The sender's own zone.
+    zone: ZoneId,
+    kinds: Vec<String>,
+    class_names: Vec<String>,
+    classes: Vec<MessageClass>,
+}
+
+impl Lists {
+    fn read(root: &SettingsObject) -> Result<Lists, PlatformError> {
+        let zones = root.names("Areas")?;
+        let kinds = root.names("Kinds")?;
+        let zone = read_zone(root, &zones)?;
+        let mut class_names = Vec::new();
+        let mut classes = Vec::new();
+        for value in root.list("Categories")? {
+            let class = SettingsObject {
+                value,
+                path: "Categories[].",
+            };
+            class_names.push(class.text_or("Name", "")?.to_string());
+            classes.push(read_class(&class)?);
+        }
+        Ok(Lists {
+            zones,
+            zone,
+            kinds,
+            class_names,
+            classes,
+        })
+    }
+}
+
+/// Reads the settings from their JSON text. Keys that are not known are skipped.
+///
+/// # Errors
+/// If the text is not JSON, a setting is missing or has an invalid value, or the decision module cannot work with the
+/// settings.
+pub fn read(text: &str) -> Result<Boot, PlatformError> {
+    let json: Value = serde_json::from_str(text).map_err(PlatformError::NotJson)?;
+    let sections = Sections::of(&json)?;
+    let lists = Lists::read(&sections.root)?;
+    let settings = read_settings(&sections, &lists)?;
+    settings.check().map_err(PlatformError::Unusable)?;
+    let asked = sections.root.text_or("RegistryMode", "push")? == "ask";
     Ok(Boot {
         settings,
-        zones,
-        kinds,
-        classes: class_names,
+        zones: lists.zones,
+        kinds: lists.kinds,
+        classes: lists.class_names,
         asked,
     })
 }
 
-fn class(node: &Node) -> Result<MessageClass, String> {
-    if node.flag("Stream")? {
-        return node.wrong("Stream", "false: answers are whole");
+fn read_settings(sections: &Sections, lists: &Lists) -> Result<Settings, PlatformError> {
+    let Sections {
+        root,
+        family,
+        limits,
+        guarantees,
+        deductions,
+    } = sections;
+    let per_endpoint = family.list("OwnLimits")?;
+    let zone_prices = family.list("Toll")?;
+    Ok(Settings {
+        senders: root.integer_of_32_bits("Balancers")?,
+        zone: lists.zone,
+        zone_prices: read_zone_prices(zone_prices, lists.zones.len()),
+        kinds: read_kinds(per_endpoint, lists.kinds.len()),
+        classes: lists.classes.clone(),
+        decay: read_decay(family)?,
+        weight_meaning: read_weight_meaning(root)?,
+        max_in_flight: family.integer("CallsOut")? as usize,
+        max_held: limits.integer("OpenCap")? as usize,
+        max_attempts: limits.integer_of_32_bits("AttemptsCap")?,
+        may_cancel: limits.flag("Cancel")?,
+        may_hedge: limits.flag("SecondCopies")?,
+        max_retry_after: read_max_retry_after(limits)?,
+        recovery: read_recovery(guarantees)?,
+        key_quiet_period: guarantees.integer_or("KeyQuiet", 0)?,
+        connect_timeout: limits.integer("ConnectTimeout")?,
+        idle_timeout: limits.integer_or("ConnIdle", u64::MAX)?,
+        turn_interval: root.integer_or("Tick", DEFAULT_TURN_INTERVAL)?,
+        cross_zone_price: deductions.number_or("CrossZone", 0.0)?,
+        handshake_price: deductions.number_or("Handshake", 0.0)?,
+    })
+}
+
+fn read_zone(root: &SettingsObject, zones: &[String]) -> Result<ZoneId, PlatformError> {
+    let name = root.text_or("Zone", "")?;
+    zones
+        .iter()
+        .position(|zone| zone == name)
+        .map(ZoneId)
+        .ok_or_else(|| PlatformError::UnknownZone(name.to_string()))
+}
+
+fn read_zone_prices(prices: &[Value], zones: usize) -> Vec<f64> {
+    (0..zones)
+        .map(|zone| prices.get(zone).and_then(Value::as_f64).unwrap_or(0.0))
+        .collect()
+}
+
+fn read_kinds(per_endpoint: &[Value], kinds: usize) -> Vec<DestinationKind> {
+    let flag = |kind: usize| per_endpoint.get(kind).and_then(Value::as_bool);
+    (0..kinds)
+        .map(|kind| DestinationKind {
+            per_endpoint: flag(kind).unwrap_or(false),
+        })
+        .collect()
+}
+
+fn read_decay(family: &SettingsObject) -> Result<Decay, PlatformError> {
+    Ok(match family.text_or("LosesWorth", "linear")? {
+        "halving" => Decay::Halving,
+        _ => Decay::Linear,
+    })
+}
+
+fn read_weight_meaning(root: &SettingsObject) -> Result<EndpointWeights, PlatformError> {
+    Ok(match root.text_or("WeightKind", "off")? {
+        "nominal" => EndpointWeights::Nominal,
+        "rough" => EndpointWeights::Approximate,
+        _ => EndpointWeights::Ignored,
+    })
+}
+
+fn read_max_retry_after(limits: &SettingsObject) -> Result<Option<u64>, PlatformError> {
+    let honoured = limits.flag("RetryAfter")?;
+    let max = limits.integer_or("MaxRetryAfter", 0)?;
+    Ok(honoured.then_some(max))
+}
+
+fn read_recovery(guarantees: &SettingsObject) -> Result<RecoveryRamp, PlatformError> {
+    Ok(RecoveryRamp {
+        overload_factor: guarantees.number("OverloadFactor")?,
+        overload_window: guarantees.integer("OverloadFor")?,
+        initial_share: guarantees.number("ColdFrom")?,
+        duration: guarantees.integer("Cold")?,
+    })
+}
+
+fn read_class(class: &SettingsObject) -> Result<MessageClass, PlatformError> {
+    if class.flag("Stream")? {
+        return Err(class.invalid("Stream", "false: answers are whole"));
     }
-    let effect = match node.text_or("Effect", "")? {
-        "pure" => Idempotency::Idempotent,
-        "side_effect" => Idempotency::NonIdempotent,
-        "token" => {
-            let per_zone = node.text_or("KeyScope", "all")? != "all";
-            Idempotency::IdempotencyKey {
-                per_zone,
-                window: node.int("MemorySpan")?,
-            }
-        }
-        _ => return node.wrong("Effect", "pure, token or side_effect"),
-    };
+    let idempotency = read_idempotency(class)?;
     Ok(MessageClass {
-        latency_objective: node.int("Target")?,
-        deadline: node.int("Deadline")?,
-        priority_weight: node.num("Worth")?,
-        late_weight_share: node.num_or("LateWorth", 0.0)?,
-        idempotency: effect,
-        ordered: node.flag("SerialByKey")?,
+        latency_objective: class.integer("Target")?,
+        deadline: class.integer("Deadline")?,
+        priority_weight: class.number("Worth")?,
+        late_weight_share: class.number_or("LateWorth", 0.0)?,
+        idempotency,
+        ordered: class.flag("SerialByKey")?,
     })
 }
+
+fn read_idempotency(class: &SettingsObject) -> Result<Idempotency, PlatformError> {
+    match class.text_or("Effect", "")? {
+        "pure" => Ok(Idempotency::Idempotent),
+        "side_effect" => Ok(Idempotency::NonIdempotent),
+        "token" => Ok(Idempotency::IdempotencyKey {
+            per_zone: class.text_or("KeyScope", "all")? != "all",
+            window: class.integer("MemorySpan")?,
+        }),
+        _ => Err(class.invalid("Effect", "pure, token or side_effect")),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/text/mod.rs
@@ -0,0 +1,140 @@
+//! Reads files in the protobuf text format. A file is taken as a whole or not at all; a fault names the file, line and
+//! field, and for an unknown name the nearest known one.
+
+mod field_positions;
+mod parse_errors;
+#[cfg(test)]
+mod tests;
+
+use std::sync::LazyLock;
+
+use field_positions::{FieldPosition, field_positions};
+use prost_reflect::{DescriptorPool, DynamicMessage};
+
+static SCHEMAS: LazyLock<DescriptorPool> = LazyLock::new(|| {
+    let bytes = include_bytes!(concat!(env!("OUT_DIR"), "/descriptors.bin"));
+    DescriptorPool::decode(&bytes[..]).expect("the build script encoded these descriptors")
+});
+
+/// What is wrong with a file. `Display` is one line of text.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{file}:{line}: {}{reason}", field_prefix(field))]
+pub struct Fault {
+    /// The file's name, as it was given.
+    pub file: String,
+    /// The line in the file, from 1.
+    pub line: usize,
+    /// The field, by its path from the top; empty if the fault is before the first field.
+    pub field: String,
+    /// What is wrong, and what is expected.
+    pub reason: String,
+}
+
+fn field_prefix(field: &str) -> String {
+    if field.is_empty() {
+        String::new()
+    } else {
+        format!("{field}: ")
+    }
+}
+
+/// A message that was read, with the positions of its fields for checks that follow.
+#[derive(Debug)]
+pub struct Read<T> {
+    /// The message.
+    pub message: T,
+    file: String,
+    text: String,
+    positions: Vec<FieldPosition>,
+}
+
+impl<T> Read<T> {
+    /// A fault of a field, given by its path (`clients.idle_ms`, `failure[1].part`). The fault of an absent field is
+    /// placed at the nearest parent in the file.
+    pub fn fault(&self, field: &str, reason: impl Into<String>) -> Fault {
+        Fault {
+            file: self.file.clone(),
+            line: line_at(&self.text, self.offset_of(field)),
+            field: field.into(),
+            reason: reason.into(),
+        }
+    }
+
+    /// Where a field, or its nearest parent in the file, begins.
+    fn offset_of(&self, field: &str) -> usize {
+        let mut path = with_all_indices(field);
+        loop {
+            if let Some(position) = self.positions.iter().find(|p| p.path == path) {
+                return position.offset;
+            }
+            match path.rfind('.') {
+                Some(parent_end) => path.truncate(parent_end),
+                None => return 0,
+            }
+        }
+    }
+
+    /// Checks that a field's value lies within bounds, which are included.
+    ///
+    /// # Errors
+    /// A fault that names the field and the bounds.
+    pub fn within(&self, field: &str, value: f64, least: f64, most: f64) -> Result<f64, Fault> {
+        if (least..=most).contains(&value) {
+            return Ok(value);
+        }
+        Err(self.fault(field, format!("{value} is not within {least} and {most}")))
+    }
+}
+
+/// Adds the index to each part of a path that has none: `a.b[1]` becomes `a[0].b[1]`.
+fn with_all_indices(path: &str) -> String {
+    let with_index = |part: &str| {
+        if part.ends_with(']') {
+            part.to_string()
+        } else {
+            format!("{part}[0]")
+        }
+    };
+    let parts: Vec<String> = path.split('.').map(with_index).collect();
+    parts.join(".")
+}
+
+/// Removes the indices that are 0 from a path, as a person would write it.
+fn without_first_indices(path: &str) -> String {
+    path.replace("[0]", "")
+}
+
+/// The line, from 1, of an offset into a text.
+fn line_at(text: &str, offset: usize) -> usize {
+    let before = text.bytes().take(offset);
+    1 + before.filter(|byte| *byte == b'\n').count()
+}
+
+/// Reads the text of a file as a message of the schemas, given by its full name (`martenlatch.settings.Settings`).
+///
+/// # Errors
+/// The first fault of the text.
+///
+/// # Panics
+/// If the schemas have no message of that name, or it is not the message `T`.
+pub fn read<T: prost::Message + Default>(
+    file: &str,
+    text: &str,
+    name: &str,
+) -> Result<Read<T>, Fault> {
+    let descriptor = SCHEMAS
+        .get_message_by_name(name)
+        .expect("the caller names a message of the schemas");
+    let positions = field_positions(text);
+    let dynamic = DynamicMessage::parse_text_format(descriptor.clone(), text)
+        .map_err(|error| parse_errors::fault(file, text, &descriptor, &positions, &error))?;
+    let message = dynamic
+        .transcode_to()
+        .expect("the type and the descriptor are generated from one schema");
+    Ok(Read {
+        message,
+        file: file.into(),
+        text: text.into(),
+        positions,
+    })
+}
--- /dev/null
+++ b/crates/settings/src/text/tests.rs
@@ -0,0 +1,64 @@
+//! Tests of the faults that the text reader reports.
+
+use super::*;
+use crate::schema::settings::Settings;
+
+fn fault_of(text: &str) -> String {
+    read::<Settings>("f", text, "martenlatch.settings.Settings")
+        .unwrap_err()
+        .to_string()
+}
+
+#[test]
+fn faults_name_file_line_field_and_the_nearest_known_name() {
+    let cases = [
+        (
+            "log {\n  levle: INFO\n}",
+            "f:2: log.levle: no such field; the nearest is \"level\"",
+        ),
+        (
+            "\n\nclientz {}",
+            "f:3: clientz: no such field; the nearest is \"clients\"",
+        ),
+        (
+            "log {\n level: LOUD }",
+            "f:2: log.level: \"LOUD\" is not one of UNSET, ERROR, WARN, INFO, DEBUG",
+        ),
+        (
+            "# a \"{\nclients {\n idle_ms: \"x\" }",
+            "f:3: clients.idle_ms: expected",
+        ),
+        (
+            "log { level: INFO\n level: WARN }",
+            "f:2: log.level[1]: 'level' is already set",
+        ),
+        ("log {\n level: INFO\n", "f:3: log.level: expected"),
+        (
+            "log { lines_per_second: -1 }",
+            "f:1: log.lines_per_second: expected",
+        ),
+        ("log: \u{e9}", "f:1: log: "),
+    ];
+    for (text, want) in cases {
+        let got = fault_of(text);
+        assert!(got.starts_with(want), "{text:?} gave {got}");
+    }
+}
+
+#[test]
+fn faults_of_later_checks_are_placed_too() {
+    let text = "log { }\nclients {\n  request_ms: 5\n}";
+    let read = read::<Settings>("f", text, "martenlatch.settings.Settings").unwrap();
+    let fault = read
+        .within("clients.request_ms", 5.0, 100.0, 2900.0)
+        .unwrap_err();
+    assert_eq!(
+        fault.to_string(),
+        "f:3: clients.request_ms: 5 is not within 100 and 2900"
+    );
+    assert_eq!(
+        read.fault("clients.idle_ms", "absent").line,
+        2,
+        "at its parent"
+    );
+}
