Name the gossip tests by what they check and split the largest test file

The tests of the gossip crate used the withdrawn words, and one file of 478 lines held partner knowledge, property tests and the wire format.

They are now the modules of one test target, membership tests have the protocol's terms, and the model checker's states have whole names. No assertion changed; 34 tests before and after.

Checked by the tests of martenlatch-peers (34 passed) and the peer tests of martenlatch-sender.

--- /dev/null
+++ b/crates/peers/tests/gossip/wire.rs
@@ -0,0 +1,125 @@
+//! The wire format: damaged, truncated and foreign bytes, and the bounds on sizes.
+
+use crate::generators::{any_received, digest};
+use martenlatch_peers::latency_sketch::LatencySketch;
+use martenlatch_peers::partner_knowledge::{Digest, ReportedOutage};
+use martenlatch_peers::wire::{
+    Fault, MAX_DIGESTS_PER_PAGE, MAX_PAGE_BYTES, Page, PageAssembler, Secret,
+};
+use proptest::prelude::*;
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn arbitrary_bytes_are_rejected(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        let secret = Secret::new(b"ours");
+        prop_assert!(secret.open_datagram(&bytes).is_err());
+        prop_assert!(secret.open_page(&bytes).is_err());
+    }
+
+    #[test]
+    fn a_damaged_or_truncated_page_is_rejected(
+        received in prop::collection::vec(any_received(), 0..4), at in any::<prop::sample::Index>(), flip in 1u8..=255,
+    ) {
+        let secret = Secret::new(b"ours");
+        let digests: Vec<Digest> = received.into_iter().map(|r| r.digest).collect();
+        let page = Page::Digests { no: 7, page: 0, digests };
+        let bytes = secret.seal_page(&page);
+        prop_assert_eq!(secret.open_page(&bytes), Ok((page, bytes.len())));
+        let at = at.index(bytes.len());
+        prop_assert_eq!(secret.open_page(&bytes[..at]), Err(Fault::Short));
+        let mut spoilt = bytes.clone();
+        spoilt[at] ^= flip;
+        prop_assert!(secret.open_page(&spoilt).is_err());
+        prop_assert_eq!(Secret::new(b"theirs").open_page(&bytes), Err(Fault::Key));
+    }
+}
+
+#[test]
+fn the_largest_page_and_datagram_fit() {
+    use martenlatch_peers::membership::{
+        Body, Datagram, MAX_NAME_BYTES, MAX_UPDATES, MemberUpdate, State,
+    };
+    use martenlatch_peers::wire::MAX_DATAGRAM_BYTES;
+    let secret = Secret::new(b"ours");
+    let latency = LatencySketch::of((0..64).map(|i| 2f64.powf((f64::from(i) + 0.5) / 4.0)));
+    let largest = Digest {
+        destination: u64::MAX,
+        endpoint: Some("e".repeat(128)),
+        limit: Some(1.0),
+        latency,
+        outage: Some(ReportedOutage::Recovering { since: 1.0 }),
+        ..digest(1)
+    };
+    let page = Page::Digests {
+        no: u64::MAX,
+        page: u32::MAX,
+        digests: vec![largest; MAX_DIGESTS_PER_PAGE],
+    };
+    assert!(secret.seal_page(&page).len() <= MAX_PAGE_BYTES);
+    let update = MemberUpdate {
+        name: "n".repeat(MAX_NAME_BYTES),
+        address: "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535"
+            .parse()
+            .unwrap(),
+        incarnation: u64::MAX,
+        state: State::Left,
+    };
+    let body = Body::PingRequest {
+        sequence: u64::MAX,
+        address: update.address,
+    };
+    let updates = vec![update.clone(); MAX_UPDATES];
+    let bytes = secret.seal_datagram(&Datagram {
+        from: update,
+        digest: u64::MAX,
+        body,
+        updates,
+    });
+    assert!(
+        bytes.len() <= 1_200 && 1_200 <= MAX_DATAGRAM_BYTES,
+        "{}",
+        bytes.len()
+    );
+    assert!(secret.open_datagram(&bytes).is_ok());
+}
+
+#[test]
+fn another_version_and_an_excessive_length_are_reported() {
+    let secret = Secret::new(b"ours");
+    let mut bytes = secret.seal_page(&Page::End { no: 1, pages: 0 });
+    bytes[0] = 2;
+    assert_eq!(secret.open_page(&bytes), Err(Fault::Version));
+    (bytes[0], bytes[3]) = (1, 0xff);
+    assert_eq!(
+        secret.open_page(&bytes),
+        Err(Fault::Long),
+        "before more of it is waited for"
+    );
+}
+
+#[test]
+fn an_interrupted_response_keeps_its_digests_and_is_incomplete() {
+    let mut asking = PageAssembler::new(9);
+    let page = |page: u32| Page::Digests {
+        no: 9,
+        page,
+        digests: vec![digest(page.into())],
+    };
+    assert_eq!(asking.accept(page(0)).map(|t| t.len()), Some(1));
+    assert_eq!(asking.accept(page(2)), None, "a page is missing");
+    assert_eq!(
+        asking.accept(Page::Digests {
+            no: 8,
+            page: 1,
+            digests: vec![]
+        }),
+        None,
+        "of another asking"
+    );
+    assert_eq!(asking.accept(Page::End { no: 9, pages: 5 }), None);
+    assert!(!asking.is_complete());
+    assert_eq!(asking.accept(page(1)).map(|t| t.len()), Some(1));
+    assert!(asking.accept(Page::End { no: 9, pages: 2 }).is_some() && asking.is_complete());
+}
--- a/crates/peers/tests/members.rs
+++ b/crates/peers/tests/membership.rs
@@ -1,4 +1,4 @@
-//! Stories of the membership protocol, each over a simulated network that loses, cuts and delays: one a failure.
+//! The membership protocol over a simulated network with delays, losses and partitions: one test for each failure.
 
 use martenlatch_peers::membership::{
     Body, Datagram, MemberUpdate, Membership, MembershipChange, Settings, State,
@@ -11,7 +11,7 @@
 }
 
 #[test]
-fn newcomers_are_known_to_all_and_know_all() {
+fn newcomers_learn_of_all_members_and_all_learn_of_them() {
     let mut net = net(12, 0.0, 1);
     net.run(8_000.0);
     assert_eq!(net.unknown(), 0, "pairs that do not know each other");
@@ -21,7 +21,7 @@
 }
 
 #[test]
-fn one_that_is_killed_is_held_for_dead_and_one_that_leaves_for_left() {
+fn a_crashed_member_is_declared_dead_and_a_leaving_one_left() {
     let mut net = net(8, 0.0, 2);
     net.run(8_000.0);
     net.kill(3);
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn one_that_comes_back_under_its_name_is_a_member_again() {
+fn a_restarted_member_rejoins_under_its_name() {
     let mut net = net(5, 0.0, 3);
     net.run(6_000.0);
     net.kill(2);
@@ -50,7 +50,7 @@
 }
 
 #[test]
-fn a_suspect_that_lives_refutes_it() {
+fn a_live_suspect_refutes_the_suspicion() {
     let mut net = net(5, 0.0, 4);
     net.run(6_000.0);
     net.drop_incoming(2, 900.0);
@@ -71,7 +71,7 @@
 }
 
 #[test]
-fn halves_of_a_split_network_meet_again() {
+fn a_healed_partition_merges_again() {
     let mut net = net(8, 0.0, 5);
     net.run(8_000.0);
     net.partition(Some(4));
@@ -84,7 +84,7 @@
 }
 
 #[test]
-fn a_lossy_network_kills_few_and_none_for_good() {
+fn nobody_stays_dead_after_a_lossy_phase() {
     let mut net = net(16, 0.2, 6);
     net.run(60_000.0);
     net.loss = 0.0;
@@ -93,7 +93,7 @@
 }
 
 #[test]
-fn a_view_is_bounded_and_the_dead_give_way_to_the_living() {
+fn the_view_is_bounded_and_dead_members_give_way_to_live_ones() {
     let set = Settings {
         max_members: 4,
         ..Settings::default()
@@ -142,7 +142,7 @@
 }
 
 #[test]
-fn a_second_sender_of_the_name_is_said_and_does_not_make_them_outbid_each_other() {
+fn a_name_conflict_is_reported_and_incarnations_stay_bounded() {
     let mut net = net(4, 0.0, 7);
     net.run(6_000.0);
     net.add_with_name_of(9, 1);
@@ -161,7 +161,7 @@
 }
 
 #[test]
-fn our_own_stall_makes_nobody_a_suspect() {
+fn a_stalled_member_suspects_nobody() {
     let mut net = net(4, 0.0, 8);
     net.run(6_000.0);
     net.stall(0, 3_000.0);
@@ -176,7 +176,7 @@
 }
 
 #[test]
-fn a_flood_of_keyed_datagrams_grows_nothing() {
+fn a_flood_of_authenticated_datagrams_does_not_grow_the_state() {
     let mut members = Membership::new("s0", address(0), 1, &[], Settings::default(), 1, 0.0);
     for no in 0..100_000u64 {
         let from = MemberUpdate {
--- a/crates/peers/tests/model.rs
+++ b/crates/peers/tests/model.rs
@@ -1,5 +1,5 @@
-//! The protocol under a model checker: three members, every order in which the datagrams of a step can come, losses,
-//! a death, a split and its end. The bounds searched and the number of states are printed.
+//! Model checking of the membership protocol: three members, every order in which the datagrams of a step can arrive,
+//! losses, a crash, and a partition that heals. The searched bounds and the number of states are printed.
 
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
@@ -29,7 +29,7 @@
     }
 }
 
-/// A member as a part of a state; two are the same where they are the same in everything.
+/// A member as a part of a state, with all of its own state as text, by which nodes are compared.
 #[derive(Clone, Debug)]
 struct Node(Membership, String);
 
@@ -57,18 +57,18 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct SimulatedNetwork {
     nodes: Vec<Option<Node>>,
-    /// Where to, and what.
-    flying: Vec<(usize, Datagram)>,
+    /// Datagrams on their way, with their receivers.
+    in_transit: Vec<(usize, Datagram)>,
     step: u32,
     losses: u32,
     /// Steps since anything was lost.
     quiet: u32,
-    /// What is known of a member has gone back, or a death has come over a life of a higher incarnation.
-    back: bool,
+    /// Some view went back to an earlier incarnation, or to an earlier state within one.
+    regressed: bool,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Act {
+enum Transition {
     Deliver(usize),
     Lose(usize),
     Step,
@@ -77,7 +77,7 @@
 struct Bounds {
     steps: u32,
     losses: u32,
-    /// In these steps the first member and the others cannot reach one another.
+    /// In these steps the first member and the others cannot reach each other.
     split: std::ops::Range<u32>,
     /// In these steps nothing reaches the first member, and what it sends arrives.
     deaf: std::ops::Range<u32>,
@@ -90,8 +90,8 @@
 }
 
 impl Bounds {
-    /// Whether what one sends in a step cannot come to another.
-    fn apart(&self, step: u32, from: usize, to: usize) -> bool {
+    /// Whether a datagram that is sent in a step cannot arrive.
+    fn cut_off(&self, step: u32, from: usize, to: usize) -> bool {
         (self.split.contains(&step) && (from == 0) != (to == 0))
             || (self.deaf.contains(&step) && to == 0)
     }
@@ -107,24 +107,25 @@
         let mut members = members;
         for (to, datagram) in members.take_outgoing() {
             let to = usize::from(to.port() - 7_000);
-            if net.nodes.get(to).is_some_and(|n| n.is_some()) && !self.apart(net.step, no, to) {
-                net.flying.push((to, datagram));
+            if net.nodes.get(to).is_some_and(|n| n.is_some()) && !self.cut_off(net.step, no, to) {
+                net.in_transit.push((to, datagram));
             }
         }
         members.take_changes();
         for old in was.into_iter().flat_map(|w| w.others()) {
             let new = members.others().find(|r| r.name == old.name);
-            net.back |= new.is_none_or(|n| (n.incarnation, n.state) < (old.incarnation, old.state));
+            net.regressed |=
+                new.is_none_or(|n| (n.incarnation, n.state) < (old.incarnation, old.state));
         }
         net.nodes[no] = Some(Node::new(members));
         // Which of two equal sets it is does not matter.
-        net.flying.sort_by_cached_key(|f| format!("{f:?}"));
+        net.in_transit.sort_by_cached_key(|f| format!("{f:?}"));
     }
 }
 
 impl Model for Bounds {
     type State = SimulatedNetwork;
-    type Action = Act;
+    type Action = Transition;
 
     fn init_states(&self) -> Vec<SimulatedNetwork> {
         let nodes = (0..3).map(|no| {
@@ -158,33 +159,37 @@
         let nodes = nodes.collect();
         vec![SimulatedNetwork {
             nodes,
-            flying: vec![],
+            in_transit: vec![],
             step: 0,
             losses: 0,
             quiet: 0,
-            back: false,
+            regressed: false,
         }]
     }
 
-    fn actions(&self, net: &SimulatedNetwork, acts: &mut Vec<Act>) {
+    fn actions(&self, net: &SimulatedNetwork, acts: &mut Vec<Transition>) {
         // All that is on the way in a step comes or is lost in it, in any order.
-        let first = net.flying.iter().map(|f| f.0).min();
-        let open = |at: &usize| self.any_order || Some(net.flying[*at].0) == first;
-        acts.extend((0..net.flying.len()).filter(open).map(Act::Deliver));
+        let first = net.in_transit.iter().map(|f| f.0).min();
+        let open = |at: &usize| self.any_order || Some(net.in_transit[*at].0) == first;
+        acts.extend(
+            (0..net.in_transit.len())
+                .filter(open)
+                .map(Transition::Deliver),
+        );
         if net.losses < self.losses {
-            acts.extend((0..net.flying.len()).map(Act::Lose));
+            acts.extend((0..net.in_transit.len()).map(Transition::Lose));
         }
-        if net.flying.is_empty() && net.step < self.steps {
-            acts.push(Act::Step);
+        if net.in_transit.is_empty() && net.step < self.steps {
+            acts.push(Transition::Step);
         }
     }
 
-    fn next_state(&self, last: &SimulatedNetwork, act: Act) -> Option<SimulatedNetwork> {
+    fn next_state(&self, last: &SimulatedNetwork, act: Transition) -> Option<SimulatedNetwork> {
         let mut net = last.clone();
         let now = f64::from(net.step) * STEP;
         match act {
-            Act::Deliver(at) => {
-                let (to, datagram) = net.flying.remove(at);
+            Transition::Deliver(at) => {
+                let (to, datagram) = net.in_transit.remove(at);
                 let Some(Node(was, _)) = net.nodes[to].clone() else {
                     return Some(net);
                 };
@@ -192,12 +197,12 @@
                 members.handle_datagram(datagram, now);
                 self.collect(&mut net, to, members, Some(&was));
             }
-            Act::Lose(at) => {
-                net.flying.remove(at);
+            Transition::Lose(at) => {
+                net.in_transit.remove(at);
                 net.losses += 1;
                 net.quiet = 0;
             }
-            Act::Step => {
+            Transition::Step => {
                 net.step += 1;
                 net.quiet = if self.split.contains(&net.step) {
                     0
@@ -224,13 +229,13 @@
         vec![
             Property::always(
                 "a refuted suspicion never kills, and nothing known goes back",
-                |_, net: &SimulatedNetwork| !net.back,
+                |_, net: &SimulatedNetwork| !net.regressed,
             ),
             Property::always(
                 "none that runs and is reached is forgotten for good",
                 |b: &Bounds, net: &SimulatedNetwork| {
-                    let settled = net.quiet >= b.settles && net.flying.is_empty();
-                    !settled || apart_from(net).is_empty()
+                    let settled = net.quiet >= b.settles && net.in_transit.is_empty();
+                    !settled || unknown_pairs(net).is_empty()
                 },
             ),
             Property::always(
@@ -252,8 +257,8 @@
                     let late = b.dies.is_some_and(|at| net.step >= at + b.settles)
                         && net.quiet >= b.settles;
                     !late
-                        || !net.flying.is_empty()
-                        || net.nodes.iter().flatten().all(|n| !lives(&n.0, 2))
+                        || !net.in_transit.is_empty()
+                        || net.nodes.iter().flatten().all(|n| !sees_as_live(&n.0, 2))
                 },
             ),
             Property::sometimes("somebody is suspected", |_, net: &SimulatedNetwork| {
@@ -263,21 +268,25 @@
     }
 }
 
-fn lives(members: &Membership, no: usize) -> bool {
+fn sees_as_live(members: &Membership, no: usize) -> bool {
     members
         .others()
         .any(|r| r.name == name(no) && r.state.is_live())
 }
 
 /// Pairs of running members of which one does not hold the other for a member.
-fn apart_from(net: &SimulatedNetwork) -> BTreeSet<(usize, usize)> {
+fn unknown_pairs(net: &SimulatedNetwork) -> BTreeSet<(usize, usize)> {
     let running: Vec<usize> = (0..3).filter(|n| net.nodes[*n].is_some()).collect();
     let pairs = running
         .iter()
         .flat_map(|a| running.iter().map(|b| (*a, *b)))
         .filter(|(a, b)| a != b);
     pairs
-        .filter(|(a, b)| net.nodes[*a].as_ref().is_some_and(|n| !lives(&n.0, *b)))
+        .filter(|(a, b)| {
+            net.nodes[*a]
+                .as_ref()
+                .is_some_and(|n| !sees_as_live(&n.0, *b))
+        })
         .collect()
 }
 
@@ -341,7 +350,7 @@
 }
 
 #[test]
-fn any_two_datagrams_lost_and_any_order() {
+fn two_lost_datagrams_in_any_order() {
     check(
         "two losses",
         Bounds {
@@ -353,7 +362,7 @@
 }
 
 #[test]
-fn a_member_dies_and_any_one_datagram_is_lost() {
+fn a_crash_and_one_lost_datagram() {
     check(
         "a death",
         Bounds {
@@ -366,7 +375,7 @@
 }
 
 #[test]
-fn a_member_that_hears_nothing_for_a_while_refutes_what_was_said_of_it() {
+fn a_member_without_incoming_datagrams_refutes_its_suspicion() {
     check(
         "a deaf member",
         Bounds {
@@ -378,7 +387,7 @@
 }
 
 #[test]
-fn two_halves_that_had_held_each_other_for_dead_meet_again() {
+fn two_halves_that_declared_each_other_dead_merge_again() {
     check(
         "a split",
         Bounds {
--- a/crates/sender/src/peer_snapshot/tests.rs
+++ b/crates/sender/src/peer_snapshot/tests.rs
@@ -11,7 +11,7 @@
 }
 
 #[test]
-fn what_was_kept_has_aged_and_a_damaged_file_is_passed_over() {
+fn a_snapshot_ages_and_a_damaged_one_is_ignored() {
     let folder = std::env::temp_dir().join(format!("martenlatch-kept-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&folder);
     std::fs::create_dir_all(&folder).unwrap();
