--- a/crates/martenlatch/src/error.rs
+++ b/crates/martenlatch/src/error.rs
@@ -47,7 +47,7 @@
         /// The state directory.
         folder: PathBuf,
         /// The system's error.
-        source: io::Error,
+        source: martenlatch_wal::LogError,
     },
 }
 
