--- a/crates/sender/src/pipeline/tests/settings.rs
+++ b/crates/sender/src/pipeline/tests/settings.rs
@@ -16,7 +16,7 @@
     );
     let wrong = priced.replace("0.06", "\"dear\"");
     assert!(
-        platform::read(&wrong).is_err_and(|e| e.contains("Deductions.Handshake")),
+        platform::read(&wrong).is_err_and(|e| e.to_string().contains("Deductions.Handshake")),
         "it names the field"
     );
 }
