--- a/crates/lab/src/delay_queue.rs
+++ b/crates/lab/src/delay_queue.rs
@@ -64,11 +64,6 @@
         }));
     }
 
-    /// When the next event is due.
-    pub fn next_at(&self) -> Option<Millis> {
-        self.heap.peek().map(|Reverse(next)| next.at)
-    }
-
     /// Takes out the event that is due first.
     pub fn pop(&mut self) -> Option<Scheduled<E>> {
         self.heap.pop().map(|Reverse(next)| next)
--- /dev/null
+++ b/crates/lab/src/experiment/failure_reader.rs
@@ -0,0 +1,150 @@
+//! The reading of the failures of an experiment's text. Which fields a failure uses depends on what it is.
+
+use martenlatch_clock::Millis;
+use martenlatch_settings::schema::experiment as schema;
+use martenlatch_settings::text::Fault;
+
+use super::rules::{self, NumberRule, number};
+use super::section::{Section, Text};
+use super::{Failure, What, World};
+use crate::sampling::Span;
+
+/// Milliseconds of a second.
+const SECOND: Millis = 1e3;
+
+/// The fields that a failure uses, with the defaults of each; none: not used.
+#[derive(Default)]
+struct UsedFields {
+    size: Option<NumberRule>,
+    /// Default of the share that is hit.
+    part: Option<f64>,
+    /// Default of the time between repetitions, in seconds.
+    every: Option<f64>,
+}
+
+impl UsedFields {
+    const fn size(default: f64, least: f64, most: f64) -> UsedFields {
+        UsedFields {
+            size: Some(number(default, least, most)),
+            part: None,
+            every: None,
+        }
+    }
+
+    const fn part(default: f64) -> UsedFields {
+        UsedFields {
+            size: None,
+            part: Some(default),
+            every: None,
+        }
+    }
+
+    const fn every(default: f64) -> UsedFields {
+        UsedFields {
+            size: None,
+            part: None,
+            every: Some(default),
+        }
+    }
+
+    fn of(what: What) -> UsedFields {
+        match what {
+            What::Pauses => UsedFields {
+                every: Some(2.3),
+                ..UsedFields::size(300.0, 1.0, 60_000.0)
+            },
+            What::Burst => UsedFields::size(2.0, 0.0, 1_000.0),
+            What::HeavyTail => UsedFields {
+                part: Some(0.02),
+                ..UsedFields::size(10.0, 1.0, 1_000.0)
+            },
+            What::Slow => UsedFields::size(2.0, 1.0, 1_000.0),
+            What::ResetBefore | What::ResetAfter | What::Spoilt => UsedFields::part(0.1),
+            What::SilentClose => UsedFields::size(1_000.0, 1.0, 3.6e6),
+            What::DiscoveryLate => UsedFields::size(3.0, 1.0, 1_000.0),
+            What::Replace => UsedFields::every(2.0),
+            What::Sigterm | What::Sigkill => UsedFields::size(600.0, 1.0, 600_000.0),
+            What::Tight => UsedFields::size(0.5, 0.01, 100.0),
+            _ => UsedFields::default(),
+        }
+    }
+}
+
+/// Reads the failures of a run of so many seconds.
+///
+/// # Errors
+/// The first fault.
+pub(super) fn failures(text: &Text, world: &World, seconds: f64) -> Result<Vec<Failure>, Fault> {
+    let numbered = text.message.failure.iter().enumerate();
+    numbered
+        .map(|(number, given)| failure(text, number, given, world, seconds))
+        .collect()
+}
+
+fn failure(
+    text: &Text,
+    number: usize,
+    given: &schema::Failure,
+    world: &World,
+    seconds: f64,
+) -> Result<Failure, Fault> {
+    use rules::failure as rule;
+    let at = Section::new(text, format!("failure[{number}]"));
+    let what = given.what();
+    let used = UsedFields::of(what);
+    check_used(&at, given, &used)?;
+    let start = at.checked("start_s", given.start_s, Span::new(0.0, seconds))?;
+    let length = at.checked("length_s", given.length_s, rule::LENGTH_S)?;
+    check_partners(&at, given, world)?;
+    let sender = given.sender.unwrap_or(0);
+    let senders = Span::new(0.0, f64::from(world.senders) - 1.0);
+    at.checked("sender", sender.into(), senders)?;
+    let traffic = given
+        .traffic
+        .map(|share| at.checked("traffic", share, rules::SHARE))
+        .transpose()?;
+    let part = given.part.or(used.part).unwrap_or(rule::NO_PART);
+    let every = given.every_s.or(used.every).unwrap_or(rule::NO_EVERY_S);
+    Ok(Failure {
+        what,
+        start: start * SECOND,
+        end: (start + length) * SECOND,
+        size: at.number("size", given.size, used.size.unwrap_or(rule::NO_SIZE))?,
+        part: at.checked("part", part, rules::SHARE)?,
+        every: at.checked("every_s", every, rule::EVERY_S)? * SECOND,
+        partners: given.partner.clone(),
+        traffic,
+        sender,
+        reuse: given.reuse,
+    })
+}
+
+/// Checks that a failure is named, and that no field is given that it does not use.
+fn check_used(at: &Section, given: &schema::Failure, used: &UsedFields) -> Result<(), Fault> {
+    let what = given.what();
+    if what == What::Nothing {
+        return Err(at.fault("what", "a failure is wanted"));
+    }
+    let check = |field: &str, is_given: bool, is_used: bool| {
+        if is_given && !is_used {
+            let reason = format!("{} does not use it", what.as_str_name());
+            return Err(at.fault(field, reason));
+        }
+        Ok(())
+    };
+    check("reuse", given.reuse, what == What::Replace)?;
+    check("size", given.size.is_some(), used.size.is_some())?;
+    check("part", given.part.is_some(), used.part.is_some())?;
+    check("every_s", given.every_s.is_some(), used.every.is_some())
+}
+
+fn check_partners(at: &Section, given: &schema::Failure, world: &World) -> Result<(), Fault> {
+    let unknown = given.partner.iter().find(|rank| **rank >= world.partners);
+    match unknown {
+        Some(rank) => {
+            let reason = format!("{rank} is not under {}", world.partners);
+            Err(at.fault("partner", reason))
+        }
+        None => Ok(()),
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod clients;
 pub mod delay_queue;
+pub mod error;
 pub mod event_log;
 pub mod experiment;
 pub mod judge;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -14,7 +14,8 @@
 use martenlatch_lab::judge::{ClassRule, Judge};
 use martenlatch_lab::outcome::{FIGURES, Outcome, paired, spread};
 use martenlatch_lab::roof::Turn;
-use martenlatch_lab::run::{Machine, Use};
+use martenlatch_lab::run::{Machine, RunUsage, Use, VariantTurns};
+use martenlatch_lab::sim::TurnStatistics;
 use martenlatch_lab::sockets::beside;
 use martenlatch_lab::sockets::child::Used;
 use martenlatch_lab::{members, relay, report, roof, run, sim, turn_cost};
@@ -171,9 +172,21 @@
         "<h2>Turns of the decision module on this machine</h2><table><tr><th>variant<th>held up to<th>turns\
          <th>mean µs<th>longest µs",
     );
-    for (name, turns) in machine {
+    for VariantTurns {
+        variant: name,
+        turns,
+    } in machine
+    {
         let name = report::escaped(name);
-        for (bits, (count, total, longest)) in &turns.by_held {
+        for (
+            bits,
+            TurnStatistics {
+                count,
+                total,
+                longest,
+            },
+        ) in &turns.by_held
+        {
             let (most, mean) = ((1u64 << bits) - 1, *total as f64 / *count as f64 / 1e3);
             html += &format!(
                 "<tr><td>{name}<td>{most}<td>{count}<td>{mean:.1}<td>{:.1}",
@@ -188,10 +201,16 @@
 fn uses(used: &Use) -> String {
     let line = |of: fn(&[Used], usize) -> f64| {
         used.iter()
-            .map(|(name, seed, all)| {
-                let line = (1..all.len()).map(|at| (at as f64, of(all, at))).collect();
-                (format!("{name}, seed {seed}"), line)
-            })
+            .map(
+                |RunUsage {
+                     variant: name,
+                     seed,
+                     used: all,
+                 }| {
+                    let line = (1..all.len()).map(|at| (at as f64, of(all, at))).collect();
+                    (format!("{name}, seed {seed}"), line)
+                },
+            )
             .collect::<Vec<_>>()
     };
     let memory = line(|all, at| all[at].memory_kb as f64 / 1024.0);
@@ -220,15 +239,17 @@
 
 fn play(told: &Play) -> Result<bool, String> {
     let file = find(told.file);
-    let mut experiment = Experiment::open(&file)?;
+    let mut experiment = Experiment::open(&file).map_err(|e| e.to_string())?;
     experiment.seed = told.seed.unwrap_or(experiment.seed);
     experiment.repeats = told.repeats.unwrap_or(experiment.repeats).max(1);
     let stop = stop_on_signal()?;
     let (outcome, machine) = if told.sockets {
-        let (outcome, used) = run::on_sockets(&experiment, &stop, told.quiet)?;
+        let (outcome, used) =
+            run::on_sockets(&experiment, &stop, told.quiet).map_err(|e| e.to_string())?;
         (outcome, uses(&used))
     } else {
-        let (outcome, machine) = run::simulate(&experiment, &stop, told.quiet)?;
+        let (outcome, machine) =
+            run::simulate(&experiment, &stop, told.quiet).map_err(|e| e.to_string())?;
         (outcome, costs(&machine))
     };
     let out = told.out;
@@ -269,7 +290,8 @@
         &experiment.variants[0],
         experiment.seed,
         Some(Box::new(sink)),
-    )?;
+    )
+    .map_err(|e| e.to_string())?;
     to.flush().map_err(|e| failed(&e))?;
     if let Some(e) = fault {
         return Err(failed(&e));
@@ -280,7 +302,8 @@
 }
 
 fn judge(dir: &Path) -> Result<bool, String> {
-    let experiment = Experiment::open(&dir.join("experiment.textproto"))?;
+    let experiment =
+        Experiment::open(&dir.join("experiment.textproto")).map_err(|e| e.to_string())?;
     let path = dir.join("facts.jsonl");
     let lines =
         BufReader::new(std::fs::File::open(&path).map_err(|e| format!("{}: {e}", path.display()))?);
@@ -359,7 +382,7 @@
     );
     let mut line = Vec::new();
     for held in held {
-        let cost = turn_cost::measure(*held, turns.max(1))?;
+        let cost = turn_cost::measure(*held, turns.max(1)).map_err(|e| e.to_string())?;
         println!(
             "{:>8} {:>13} {:>11.1} {:>11.1} {:>11.1}",
             cost.held, cost.destinations, cost.median, cost.p99, cost.longest
@@ -477,7 +500,7 @@
 
 fn list() -> Result<(), String> {
     for file in experiments()? {
-        let experiment = Experiment::open(&file)?;
+        let experiment = Experiment::open(&file).map_err(|e| e.to_string())?;
         println!("{:<22}{}", experiment.name, experiment.about);
     }
     Ok(())
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -1,15 +1,16 @@
-//! Owns the measurement of membership at size, in simulated time: what it costs on the network, how soon a death and a
-//! join are known to all, and how often one that runs is held for dead. Its figures are a seed's, not the machine's.
+//! Membership at size, in simulated time: what it costs on the network, how soon a death and a join are known to all, and
+//! how often a running member is held for dead. The figures are a seed's, not the machine's.
 
 use martenlatch_clock::Millis;
 use martenlatch_peers::membership::State;
 use martenlatch_peers::simulated_network::SimulatedNetwork;
 
-/// From an empty network until figures are taken, how long they are taken for, and for how long a death or a join is
-/// waited for.
-const SETTLE: Millis = 30_000.0;
-const STEADY: Millis = 60_000.0;
-const PATIENCE: Millis = 60_000.0;
+/// Time from an empty network until figures are taken.
+const SETTLING_TIME: Millis = 30_000.0;
+/// Time over which figures are taken.
+const STEADY_TIME: Millis = 60_000.0;
+/// Longest wait for a death or a join to be known to all.
+const LONGEST_WAIT: Millis = 60_000.0;
 
 /// What was measured with one number of members, one loss and one seed.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -20,38 +21,62 @@
     pub datagrams: f64,
     /// Until a death is known to all others, in milliseconds; none where it was not within a minute.
     pub death: Option<Millis>,
-    /// Until a newcomer and all others know each other.
+    /// Until a newcomer and all others know each other, in milliseconds; none where they did not within a minute.
     pub join: Option<Millis>,
-    /// Times that any member held one that ran for dead, while nobody died.
+    /// Times that any member held a running one for dead, while nobody died.
     pub false_deaths: u64,
-    /// Pairs that did not hold each other for members when the steady time was over.
+    /// Pairs that did not know each other as members when the steady time was over.
     pub unknown: usize,
 }
 
-/// Measures one network. The same figures for the same seed.
+/// Measures one network. `loss` is the share of the datagrams that is lost. The same seed gives the same figures.
 pub fn measure(members: usize, loss: f64, seed: u64) -> Figures {
-    let mut net = SimulatedNetwork::of(members, loss, seed);
-    net.run(SETTLE);
-    let (before, deaths) = (net.sent, net.deaths());
-    net.run(STEADY);
-    let seconds = STEADY / 1e3 * members as f64;
-    let mut figures = Figures {
-        datagrams: (net.sent.0 - before.0) as f64 / seconds,
-        bytes: (net.sent.1 - before.1) as f64 / seconds,
-        false_deaths: (net.deaths() - deaths) as u64,
-        unknown: net.unknown(),
+    let mut network = SimulatedNetwork::of(members, loss, seed);
+    network.run(SETTLING_TIME);
+    let figures = measure_steady(&mut network, members);
+    let newcomer = members;
+    let join = measure_join(&mut network, newcomer, members);
+    let death = measure_death(&mut network, newcomer, members);
+    Figures {
+        join,
+        death,
+        ..figures
+    }
+}
+
+fn measure_steady(network: &mut SimulatedNetwork, members: usize) -> Figures {
+    let (datagrams_before, bytes_before) = network.sent;
+    let deaths_before = network.deaths();
+    network.run(STEADY_TIME);
+    let (datagrams, bytes) = network.sent;
+    let member_seconds = STEADY_TIME / 1e3 * members as f64;
+    Figures {
+        datagrams: (datagrams - datagrams_before) as f64 / member_seconds,
+        bytes: (bytes - bytes_before) as f64 / member_seconds,
+        false_deaths: (network.deaths() - deaths_before) as u64,
+        unknown: network.unknown(),
         ..Figures::default()
+    }
+}
+
+fn measure_join(network: &mut SimulatedNetwork, newcomer: usize, members: usize) -> Option<Millis> {
+    let joined_at = network.now();
+    network.add(newcomer);
+    let known = network.run_until(LONGEST_WAIT, |network| {
+        network.all_know(newcomer) && network.node(newcomer).live() >= members
+    });
+    known.map(|at| at - joined_at)
+}
+
+fn measure_death(network: &mut SimulatedNetwork, died: usize, members: usize) -> Option<Millis> {
+    let died_at = network.now();
+    network.kill(died);
+    let knows_death = |network: &SimulatedNetwork, by: usize| {
+        let state = network.state(by, died);
+        state.is_none_or(|state| state == State::Dead)
     };
-    let (newcomer, joined) = (members, net.now());
-    net.add(newcomer);
-    let knows_all =
-        |net: &SimulatedNetwork| net.all_know(newcomer) && net.node(newcomer).live() >= members;
-    figures.join = net.run_until(PATIENCE, knows_all).map(|at| at - joined);
-    let died = net.now();
-    net.kill(newcomer);
-    let gone =
-        |net: &SimulatedNetwork, by| net.state(by, newcomer).is_none_or(|s| s == State::Dead);
-    let known = net.run_until(PATIENCE, |net| (0..members).all(|by| gone(net, by)));
-    figures.death = known.map(|at| at - died);
-    figures
+    let known = network.run_until(LONGEST_WAIT, |network| {
+        (0..members).all(|by| knows_death(network, by))
+    });
+    known.map(|at| at - died_at)
 }
--- /dev/null
+++ b/crates/lab/src/sim/calls.rs
@@ -0,0 +1,244 @@
+//! Calls of simulated senders: how they leave, what the network does to them, and how they end for their sender.
+
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_policy::interface::{Event, MessageId, Outcome};
+
+use super::event::SimEvent;
+use super::sender::Connection;
+use super::simulation::Simulation;
+use super::variant_settings::CONNECT_TIMEOUT;
+use crate::event_log::{Silence, What};
+use crate::model::fault_schedule::ActiveFaults;
+use crate::model::partner::Reply;
+use crate::sampling::{Stream, bernoulli, rng_for};
+
+/// A sender closes connections that have been idle for this share of the time after which partners do.
+const IDLE_LIMIT_SHARE: f64 = 0.9;
+/// Plus the number of the attempt: numbers the draws of connection resets.
+const RESET_DRAW: u64 = 500;
+/// One-way latencies until the last byte of a call is there, on a connection that is open.
+const OPEN_CONNECTION_TRIPS: f64 = 1.0;
+/// The same on a new connection, which has its own round trip first.
+const NEW_CONNECTION_TRIPS: f64 = 3.0;
+
+/// Tells the latencies of a call's two ways apart.
+mod direction {
+    pub const TO_PARTNER: u64 = 0;
+    pub const TO_SENDER: u64 = 1;
+}
+
+/// A call in flight.
+pub(super) struct Call {
+    /// The message's number at its sender.
+    pub id: u64,
+    /// The client's message.
+    pub origin: u64,
+    pub attempt: u32,
+    pub sender: u32,
+    pub partner: u32,
+    pub endpoint: u32,
+    pub sent_at: Millis,
+    /// Its connection is reset after its last byte.
+    pub reset_after: bool,
+}
+
+/// Which resets are drawn for a call.
+struct DrawnResets {
+    before: bool,
+    after: bool,
+}
+
+impl Simulation<'_> {
+    /// A sender sends an attempt of a message to an endpoint.
+    pub(super) fn send(&mut self, sender: u32, id: u64, endpoint: u32, timeout: Millis) {
+        let max_in_flight = self.settings.max_in_flight;
+        let state = &mut self.senders[sender as usize];
+        let Some(attempt) = state.start_attempt(id, max_in_flight, self.now) else {
+            return;
+        };
+        if attempt.at_capacity {
+            let not_sent = Event::AttemptEnded {
+                id: MessageId(id),
+                attempt: attempt.number,
+                outcome: Outcome::NotSent,
+                took: 0,
+                finished: attempt.finished,
+            };
+            return self.notify(sender, not_sent);
+        }
+        let partner = self.environment.partner_of(endpoint);
+        let faults = self.environment.faults_at(partner, self.now);
+        let resets = self.draw_resets(attempt.origin, attempt.number, &faults);
+        let connection = self.take_connection(sender, endpoint);
+        let call = self.add_call(Call {
+            id,
+            origin: attempt.origin,
+            attempt: attempt.number,
+            sender,
+            partner,
+            endpoint,
+            sent_at: self.now,
+            reset_after: resets.after,
+        });
+        self.record(What::Call {
+            call,
+            id,
+            sender,
+            partner,
+            endpoint,
+            fresh: connection.is_new(),
+        });
+        self.schedule(self.now + timeout, SimEvent::CallTimeout { call });
+        self.cross_network(call, connection, &faults, resets.before);
+    }
+
+    fn draw_resets(&self, origin: u64, attempt: u32, faults: &ActiveFaults) -> DrawnResets {
+        let draw = RESET_DRAW + u64::from(attempt);
+        let mut rng = rng_for(self.seed, Stream::Call, origin, draw);
+        DrawnResets {
+            before: bernoulli(&mut rng, faults.reset.before),
+            after: bernoulli(&mut rng, faults.reset.after),
+        }
+    }
+
+    fn take_connection(&mut self, sender: u32, endpoint: u32) -> Connection {
+        let idle_limit = self.experiment.world.idle * IDLE_LIMIT_SHARE;
+        let state = &mut self.senders[sender as usize];
+        let connection = state.take_connection(endpoint, idle_limit, self.now);
+        let open = &mut self.connections[endpoint as usize];
+        *open -= connection.expired as u32;
+        *open += u32::from(connection.is_new());
+        connection
+    }
+
+    /// Notes a call that leaves now, and returns its number.
+    fn add_call(&mut self, call: Call) -> u64 {
+        let number = self.next_call;
+        self.next_call += 1;
+        let sender = &mut self.senders[call.sender as usize];
+        sender.calls_in_flight += 1;
+        if let Some(message) = sender.held.get_mut(&call.id) {
+            message.calls.insert(call.attempt, number);
+        }
+        self.calls.insert(number, call);
+        number
+    }
+
+    /// Schedules what the network does to a call: it reaches its partner, or is lost on the way.
+    fn cross_network(
+        &mut self,
+        call: u64,
+        connection: Connection,
+        faults: &ActiveFaults,
+        reset_before: bool,
+    ) {
+        let trip = self.latency(call, direction::TO_PARTNER);
+        let is_new = connection.is_new();
+        let trips = if is_new {
+            NEW_CONNECTION_TRIPS
+        } else {
+            OPEN_CONNECTION_TRIPS
+        };
+        let arrives_at = self.now + trip * trips;
+        let is_stale = connection
+            .idle_since
+            .is_some_and(|since| self.now - since >= faults.idle_close_after);
+        if faults.partitioned {
+            // On an open connection, the call times out.
+            if is_new {
+                let at = self.now + CONNECT_TIMEOUT;
+                self.schedule_loss(at, call, Silence::NeverSent, Outcome::Unreachable);
+            }
+        } else if is_stale {
+            let at = arrives_at + trip;
+            self.schedule_loss(at, call, Silence::Reset, Outcome::StaleConnection);
+        } else if reset_before {
+            let outcome = if is_new {
+                Outcome::Unreachable
+            } else {
+                Outcome::NotSent
+            };
+            self.schedule_loss(arrives_at, call, Silence::NeverSent, outcome);
+        } else {
+            self.schedule(arrives_at, SimEvent::CallAtPartner { call });
+        }
+    }
+
+    fn schedule_loss(&mut self, at: Millis, call: u64, how: Silence, outcome: Outcome) {
+        self.schedule(at, SimEvent::CallLost { call, how, outcome });
+    }
+
+    /// The connection of a call is reset after its last byte: its sender notices one latency later.
+    pub(super) fn reset_call(&mut self, call: u64) {
+        let at = self.now + self.latency(call, direction::TO_SENDER);
+        self.schedule_loss(at, call, Silence::Reset, Outcome::ConnectionLost);
+    }
+
+    /// A partner writes its answer, which reaches the sender one latency later.
+    pub(super) fn reply(&mut self, call: u64, reply: Reply) {
+        if self.calls.contains_key(&call) {
+            self.record(What::Replied { call, reply });
+            let at = self.now + self.latency(call, direction::TO_SENDER);
+            self.schedule(at, SimEvent::AnswerAtSender { call, reply });
+        }
+    }
+
+    /// A call ends for its sender without an answer, and its connection is closed.
+    pub(super) fn lose_call(&mut self, call: u64, how: Silence, outcome: Outcome) {
+        if !self.calls.contains_key(&call) {
+            return;
+        }
+        self.record(What::Ended { call, how });
+        if let Some(ended) = self.end_call(call, outcome) {
+            self.connections[ended.endpoint as usize] -= 1;
+        }
+    }
+
+    /// The answer to a call has come; its connection is kept, unless the answer was malformed.
+    pub(super) fn answer_at_sender(&mut self, call: u64, reply: Reply) {
+        let outcome = match reply {
+            Reply::Served => Outcome::Success,
+            Reply::Failed | Reply::Spoilt => Outcome::Failure,
+            Reply::Refused(wait) => Outcome::Overloaded {
+                retry_after: nanos(wait.unwrap_or(0.0)),
+            },
+        };
+        let Some(ended) = self.end_call(call, outcome) else {
+            return;
+        };
+        if reply == Reply::Spoilt {
+            self.connections[ended.endpoint as usize] -= 1;
+            return;
+        }
+        let idle_connections = &mut self.senders[ended.sender as usize].idle_connections;
+        let idle = idle_connections.entry(ended.endpoint).or_default();
+        idle.push(self.now);
+    }
+
+    /// A call has ended for its sender, whose decision module is told.
+    fn end_call(&mut self, call: u64, outcome: Outcome) -> Option<Call> {
+        let ended = self.calls.remove(&call)?;
+        let sender = &mut self.senders[ended.sender as usize];
+        sender.calls_in_flight -= 1;
+        let message = sender.held.get_mut(&ended.id)?;
+        message.calls.remove(&ended.attempt);
+        if outcome.never_ran() {
+            message.attempts[ended.attempt as usize].never_ran = true;
+        }
+        if outcome == Outcome::Success && message.open {
+            message.open = false;
+            sender.open_messages -= 1;
+        }
+        let finished = !message.open;
+        sender.forget_if_finished(ended.id);
+        let attempt_ended = Event::AttemptEnded {
+            id: MessageId(ended.id),
+            attempt: ended.attempt,
+            outcome,
+            took: nanos(self.now - ended.sent_at),
+            finished,
+        };
+        self.notify(ended.sender, attempt_ended);
+        Some(ended)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/lifecycle.rs
@@ -0,0 +1,199 @@
+//! Processes of simulated senders: start, shutdown and death; and messages that the decision module has not ended in
+//! time.
+
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_peers::partner_knowledge::{Bounds, PartnerKnowledge};
+use martenlatch_policy::Policy;
+use martenlatch_policy::interface::{EndpointEntry, EndpointId, EndpointState, Event, MessageId};
+
+use super::CLOCK_ORIGIN;
+use super::event::{SimEvent, StatusReport};
+use super::simulation::Simulation;
+use super::variant_settings::TURN_INTERVAL;
+use crate::event_log::{Silence, What};
+
+/// A message that the decision module has not ended so long after its deadline is ended for it.
+pub(super) const OVERDUE_AFTER: Millis = 120.0;
+/// How long a sender that is asked to shut down may take.
+const SHUTDOWN_TIME: Millis = 3_300.0;
+/// A sender that is still there so long after that is killed.
+const KILL_AFTER: Millis = 100.0;
+/// How long a status report takes to the platform.
+const REPORT_LATENCY: Millis = 1.0;
+
+impl Simulation<'_> {
+    /// A sender's process starts, with what its folder and its agent hold.
+    pub(super) fn start_sender(&mut self, sender: u32) {
+        let incarnation = self.senders[sender as usize].incarnation;
+        let seed = self.seed ^ (u64::from(sender) << 32) ^ u64::from(incarnation);
+        let Ok(policy) = Policy::new(self.settings.clone(), seed) else {
+            return;
+        };
+        let listed: Vec<EndpointEntry> = self.senders[sender as usize]
+            .known_endpoints
+            .values()
+            .cloned()
+            .collect();
+        for entry in &listed {
+            self.record(What::Listed {
+                sender,
+                endpoint: entry.endpoint.0,
+                partner: entry.destination.0 as u32,
+                on: entry.stage == EndpointState::Active,
+            });
+        }
+        let mut events = vec![Event::EndpointList(listed)];
+        events.extend(self.gossip_events(sender));
+        events.extend(self.resumed_events(sender));
+        self.senders[sender as usize].begin_process(policy, events, self.now);
+        self.record(What::Ready { sender });
+        self.schedule_turn(sender);
+    }
+
+    /// The gossip that a process is told when it starts.
+    fn gossip_events(&mut self, sender: u32) -> Vec<Event> {
+        let known = match self.senders[sender as usize].collected_gossip.take() {
+            Some(collected) => collected,
+            None if self.learns && self.now > 0.0 => self.gossip_for(sender),
+            None => PartnerKnowledge::default(),
+        };
+        let endpoint_number = |_, name: Option<&str>| match name {
+            Some(name) => name.parse().ok().map(|number| Some(EndpointId(number))),
+            None => Some(None),
+        };
+        known
+            .told(self.now, &Bounds::default(), endpoint_number)
+            .into_iter()
+            .map(Event::Gossip)
+            .collect()
+    }
+
+    /// The messages that the folder of a sender kept over a restart.
+    fn resumed_events(&self, sender: u32) -> Vec<Event> {
+        self.senders[sender as usize]
+            .held
+            .iter()
+            .filter(|(_, message)| message.open)
+            .map(|(id, message)| {
+                message.resumed(*id, &self.clients.message(message.origin).planned)
+            })
+            .collect()
+    }
+
+    /// Schedules the next turn of a sender's decision module, unless one is.
+    pub(super) fn schedule_turn(&mut self, sender: u32) {
+        let state = &mut self.senders[sender as usize];
+        if !state.is_up() || state.turn_scheduled {
+            return;
+        }
+        state.turn_scheduled = true;
+        let at = self.now.max(state.last_turn + TURN_INTERVAL);
+        let incarnation = state.incarnation;
+        self.schedule(
+            at,
+            SimEvent::Turn {
+                sender,
+                incarnation,
+            },
+        );
+    }
+
+    /// Tells the decision module of a sender of an event, at its next turn.
+    pub(super) fn notify(&mut self, sender: u32, event: Event) {
+        self.senders[sender as usize].events.push(event);
+        self.schedule_turn(sender);
+    }
+
+    /// The decision module has given a message up: a status report goes to the platform.
+    pub(super) fn give_up(
+        &mut self,
+        sender: u32,
+        id: u64,
+        deferred: bool,
+        retry_after: Option<Millis>,
+    ) {
+        if !self.senders[sender as usize].close_message(id) {
+            return;
+        }
+        let report = StatusReport {
+            sender,
+            id,
+            deferred,
+            retry_after,
+        };
+        let at = self.now + REPORT_LATENCY;
+        self.schedule(at, SimEvent::StatusReport(report));
+    }
+
+    /// Ends what the decision module should have ended, as the sender does.
+    pub(super) fn message_overdue(&mut self, sender: u32, id: u64) {
+        let state = &self.senders[sender as usize];
+        if state.held.get(&id).is_none_or(|message| !message.open) {
+            return;
+        }
+        if !state.is_up() || self.now < state.started_at + OVERDUE_AFTER {
+            let again = SimEvent::MessageOverdue { sender, id };
+            return self.schedule(self.now + OVERDUE_AFTER, again);
+        }
+        self.give_up(sender, id, false, None);
+        self.notify(sender, Event::ClientLeft(MessageId(id)));
+    }
+
+    /// A sender is asked to shut down; a new process starts so long after it has ended.
+    pub(super) fn shut_down(&mut self, sender: u32, restart_after: Millis) {
+        let state = &mut self.senders[sender as usize];
+        if !state.is_up() || state.shutdown_at.is_some() {
+            return;
+        }
+        state.shutdown_at = Some(self.now);
+        state.restart_after = restart_after;
+        let incarnation = state.incarnation;
+        let deadline = self.now + SHUTDOWN_TIME;
+        self.record(What::Told { sender });
+        let shutdown = Event::ShutdownDeadline(nanos(CLOCK_ORIGIN + self.now + SHUTDOWN_TIME));
+        self.notify(sender, shutdown);
+        self.schedule(
+            deadline + KILL_AFTER,
+            SimEvent::ShutdownTimeout {
+                sender,
+                incarnation,
+            },
+        );
+    }
+
+    /// The time of a sender that shuts down is up.
+    pub(super) fn shutdown_timeout(&mut self, sender: u32, incarnation: u32) {
+        if self.senders[sender as usize].incarnation == incarnation {
+            self.end_process(sender);
+        }
+    }
+
+    /// A sender is killed; a new process starts so long after.
+    pub(super) fn kill(&mut self, sender: u32, restart_after: Millis) {
+        self.senders[sender as usize].restart_after = restart_after;
+        self.end_process(sender);
+    }
+
+    /// A sender's process ends, in whatever way: its calls end with it, and only its folder stays.
+    pub(super) fn end_process(&mut self, sender: u32) {
+        let state = &mut self.senders[sender as usize];
+        if state.policy.take().is_none() {
+            return;
+        }
+        let calls = state.end_process();
+        let restart_after = state.restart_after;
+        for (endpoint, idle) in state.idle_connections.drain() {
+            self.connections[endpoint as usize] -= idle.len() as u32;
+        }
+        for call in calls {
+            let how = Silence::Died;
+            self.record(What::Ended { call, how });
+            if let Some(ended) = self.calls.remove(&call) {
+                self.connections[ended.endpoint as usize] -= 1;
+            }
+        }
+        self.record(What::Gone { sender });
+        let at = self.now + restart_after;
+        self.schedule(at, SimEvent::StartSender { sender });
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/mod.rs
@@ -0,0 +1,85 @@
+//! Runs in simulated time: the decision module of each sender against the model of the partners, with no sockets and no
+//! waiting.
+//!
+//! The simulation carries out the decision module's actions as the sender does (attempts, records, restarts) and decides
+//! nothing itself. Every fact goes to the judge and to the figures in the order of time, and equal seeds give equal
+//! facts.
+
+mod calls;
+mod clients;
+mod discovery;
+mod event;
+mod faults;
+mod gossip;
+mod lifecycle;
+mod partners;
+mod sender;
+mod simulation;
+mod turn;
+mod turn_statistics;
+mod variant_settings;
+
+use std::sync::atomic::AtomicBool;
+
+use martenlatch_clock::Millis;
+
+use crate::error::LabError;
+use crate::event_log::Fact;
+use crate::experiment::{Experiment, Variant};
+use crate::judge::Verdict;
+use crate::tally::Figures;
+
+use simulation::Simulation;
+
+pub use turn_statistics::{TurnStatistics, Turns};
+pub use variant_settings::settings;
+
+/// The decision module's clock at the start of a run.
+const CLOCK_ORIGIN: Millis = 1e6;
+/// A run goes on for so long after the last deadline.
+const SETTLING_TIME: Millis = 6_000.0;
+
+/// Where a run's facts also go.
+pub type Sink<'a> = Box<dyn FnMut(&Fact) + 'a>;
+
+/// The result of a run.
+#[derive(Debug)]
+pub struct Played {
+    /// Its figures.
+    pub figures: Figures,
+    /// What the judge found.
+    pub verdict: Verdict,
+    /// What turns of the decision module took.
+    pub turns: Turns,
+}
+
+/// Runs one variant with one seed to its end. Every fact also goes to `sink`.
+///
+/// # Errors
+/// Where the decision module rejects the settings.
+pub fn play<'a>(
+    experiment: &'a Experiment,
+    variant: &'a Variant,
+    seed: u64,
+    sink: Option<Sink<'a>>,
+) -> Result<Played, LabError> {
+    play_until(experiment, variant, seed, sink, &AtomicBool::new(false))
+}
+
+/// Runs one variant with one seed, unless `stop` is set before its end. Every fact also goes to `sink`.
+///
+/// # Errors
+/// Where the decision module rejects the settings, or the run was stopped.
+pub fn play_until<'a>(
+    experiment: &'a Experiment,
+    variant: &'a Variant,
+    seed: u64,
+    sink: Option<Sink<'a>>,
+    stop: &AtomicBool,
+) -> Result<Played, LabError> {
+    let deadlines = experiment.world.classes.iter().map(|class| class.deadline);
+    let end = experiment.length + deadlines.fold(0.0, f64::max) + SETTLING_TIME;
+    let mut simulation = Simulation::new(experiment, variant, seed, sink)?;
+    simulation.run(end, stop)?;
+    Ok(simulation.finish(end))
+}
--- /dev/null
+++ b/crates/lab/src/sim/simulation.rs
@@ -0,0 +1,264 @@
+//! The state of a simulated run, and its loop over the events.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use martenlatch_clock::Millis;
+use martenlatch_policy::interface::{EndpointState, Event, Outcome, Settings};
+
+use super::calls::Call;
+use super::event::SimEvent;
+use super::sender::Sender;
+use super::turn_statistics::Turns;
+use super::{Played, Sink, variant_settings};
+use crate::clients::Clients;
+use crate::delay_queue::DelayQueue;
+use crate::error::LabError;
+use crate::event_log::{Fact, Silence, What};
+use crate::experiment::{Experiment, Failure, Variant, What as FailureKind};
+use crate::judge::{ClassRule, Judge};
+use crate::load::{self, PlannedMessage};
+use crate::model::environment::Environment;
+use crate::sampling::{Stream, rng_for, uniform};
+use crate::tally::Tally;
+
+/// Time between two samples of the number of messages held.
+const SAMPLE_INTERVAL: Millis = 100.0;
+
+/// A simulated run. Its clock starts at zero.
+pub(super) struct Simulation<'a> {
+    pub experiment: &'a Experiment,
+    pub seed: u64,
+    pub environment: Environment,
+    pub clients: Clients<'a>,
+    /// The settings of every sender.
+    pub settings: Settings,
+    /// Open connections to each endpoint, over all senders.
+    pub connections: Vec<u32>,
+    pub now: Millis,
+    queue: DelayQueue<SimEvent>,
+    plan: Vec<PlannedMessage>,
+    pub senders: Vec<Sender>,
+    /// Calls in flight.
+    pub calls: HashMap<u64, Call>,
+    pub next_call: u64,
+    pub next_message: u64,
+    judge: Judge,
+    tally: Tally,
+    sink: Option<Sink<'a>>,
+    pub turns: Turns,
+    /// A sender that starts is told the gossip of those that run.
+    pub learns: bool,
+    /// How old that gossip is.
+    gossip_age: Millis,
+}
+
+impl<'a> Simulation<'a> {
+    /// Draws a run.
+    ///
+    /// # Errors
+    /// Where the decision module rejects the settings.
+    pub fn new(
+        experiment: &'a Experiment,
+        variant: &'a Variant,
+        seed: u64,
+        sink: Option<Sink<'a>>,
+    ) -> Result<Simulation<'a>, LabError> {
+        let environment = Environment::new(experiment, seed);
+        let settings = variant_settings::settings(experiment, variant, &environment.site);
+        settings
+            .check()
+            .map_err(|source| LabError::VariantSettings {
+                variant: variant.name.clone(),
+                source,
+            })?;
+        let world = &experiment.world;
+        Ok(Simulation {
+            connections: vec![0; environment.owner.len()],
+            senders: (0..world.senders).map(|_| Sender::default()).collect(),
+            judge: Judge::new(class_rules(experiment), variant.max_attempts),
+            tally: Tally::new(&world.classes, 0.0, experiment.length),
+            plan: load::plan(experiment, &environment.site, &environment.faults, seed),
+            clients: Clients::new(experiment, seed),
+            turns: Turns::default(),
+            calls: HashMap::new(),
+            queue: DelayQueue::new(),
+            now: 0.0,
+            next_call: 0,
+            next_message: 0,
+            experiment,
+            seed,
+            environment,
+            settings,
+            sink,
+            learns: variant.learns,
+            gossip_age: variant.told_age,
+        })
+    }
+
+    /// Runs until `end`.
+    ///
+    /// # Errors
+    /// Where `stop` was set before.
+    pub fn run(&mut self, end: Millis, stop: &AtomicBool) -> Result<(), LabError> {
+        self.start();
+        while let Some(next) = self.queue.pop() {
+            if next.at > end {
+                break;
+            }
+            if stop.load(Ordering::Relaxed) {
+                return Err(LabError::Stopped);
+            }
+            self.now = next.at.max(self.now);
+            self.handle(next.event);
+        }
+        Ok(())
+    }
+
+    /// The result of a run that has ended at `end`.
+    pub fn finish(self, end: Millis) -> Played {
+        Played {
+            figures: self.tally.end(),
+            verdict: self.judge.end(end),
+            turns: self.turns,
+        }
+    }
+
+    /// Schedules an event.
+    pub fn schedule(&mut self, at: Millis, event: SimEvent) {
+        self.queue.push(at, event);
+    }
+
+    /// Hands a fact to all that follow the run.
+    pub fn record(&mut self, what: What) {
+        let fact = Fact { at: self.now, what };
+        self.judge.hear(&fact);
+        self.tally.hear(&fact);
+        if let Some(sink) = self.sink.as_mut() {
+            sink(&fact);
+        }
+    }
+
+    /// One-way latency of a call; `direction` tells its two ways apart.
+    pub fn latency(&self, call: u64, direction: u64) -> Millis {
+        let mut rng = rng_for(self.seed, Stream::Travel, call, direction);
+        uniform(&mut rng, self.experiment.world.latency)
+    }
+
+    fn start(&mut self) {
+        for sender in 0..self.senders.len() as u32 {
+            self.start_with_all_endpoints(sender);
+        }
+        if let Some(first) = self.plan.first() {
+            self.schedule(first.at, SimEvent::PlannedMessage { index: 0 });
+        }
+        let experiment = self.experiment;
+        for (number, failure) in experiment.failures.iter().enumerate() {
+            self.schedule_failure(number, failure);
+        }
+        self.schedule(0.0, SimEvent::Sample);
+    }
+
+    fn start_with_all_endpoints(&mut self, sender: u32) {
+        for endpoint in 0..self.environment.owner.len() as u32 {
+            let entry = self.endpoint_entry(endpoint, EndpointState::Active);
+            let known = &mut self.senders[sender as usize].known_endpoints;
+            known.insert(endpoint, entry);
+        }
+        match self.experiment.join_time(sender) {
+            None => self.start_sender(sender),
+            Some(at) if self.learns && self.gossip_age > 0.0 => {
+                let at = (at - self.gossip_age).max(0.0);
+                self.schedule(at, SimEvent::CollectGossip { sender });
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn schedule_failure(&mut self, number: usize, failure: &Failure) {
+        let first = if failure.what == FailureKind::Replace {
+            SimEvent::ReplaceEndpoint {
+                failure: number,
+                turn: 0,
+            }
+        } else {
+            SimEvent::FailureBegins { failure: number }
+        };
+        self.schedule(failure.start, first);
+        self.schedule(failure.end, SimEvent::OutagesChange);
+    }
+
+    fn handle(&mut self, event: SimEvent) {
+        match event {
+            SimEvent::PlannedMessage { index } => self.planned_message(index),
+            SimEvent::MessageAtSender { origin, sender } => self.message_at_sender(origin, sender),
+            SimEvent::ClientRetry { origin } => self.hand_in(origin),
+            SimEvent::Turn {
+                sender,
+                incarnation,
+            } => self.take_turn(sender, incarnation),
+            SimEvent::Wake {
+                sender,
+                incarnation,
+            } => self.wake(sender, incarnation),
+            SimEvent::CallAtPartner { call } => self.call_at_partner(call),
+            SimEvent::PartnerDue { partner } => self.partner_due(partner),
+            SimEvent::AnswerAtSender { call, reply } => self.answer_at_sender(call, reply),
+            SimEvent::CallLost { call, how, outcome } => self.lose_call(call, how, outcome),
+            SimEvent::CallTimeout { call } => {
+                self.lose_call(call, Silence::TimedOut, Outcome::TimedOut)
+            }
+            SimEvent::StatusReport(report) => self.status_report(report),
+            SimEvent::OutagesChange => self.update_outages(),
+            SimEvent::FailureBegins { failure } => self.failure_begins(failure),
+            SimEvent::ReplaceEndpoint { failure, turn } => self.replace_endpoint(failure, turn),
+            SimEvent::RetireEndpoint { endpoint } => self.environment.retire(endpoint),
+            SimEvent::EndpointChange {
+                sender,
+                endpoint,
+                state,
+            } => self.endpoint_change(sender, endpoint, state),
+            SimEvent::ShutdownTimeout {
+                sender,
+                incarnation,
+            } => self.shutdown_timeout(sender, incarnation),
+            SimEvent::StartSender { sender } => self.start_sender(sender),
+            SimEvent::CollectGossip { sender } => self.collect_gossip(sender),
+            SimEvent::MessageOverdue { sender, id } => self.message_overdue(sender, id),
+            SimEvent::Sample => self.sample(),
+        }
+    }
+
+    fn planned_message(&mut self, index: usize) {
+        let origin = self.clients.register(self.plan[index]);
+        self.hand_in(origin);
+        if let Some(next) = self.plan.get(index + 1) {
+            self.schedule(next.at, SimEvent::PlannedMessage { index: index + 1 });
+        }
+    }
+
+    fn wake(&mut self, sender: u32, incarnation: u32) {
+        if self.senders[sender as usize].incarnation == incarnation {
+            self.notify(sender, Event::Wake);
+        }
+    }
+
+    fn sample(&mut self) {
+        let open = self
+            .senders
+            .iter()
+            .map(|sender| sender.open_messages as u64);
+        self.tally.held(self.now, open.sum());
+        if self.now < self.experiment.length {
+            self.schedule(self.now + SAMPLE_INTERVAL, SimEvent::Sample);
+        }
+    }
+}
+
+fn class_rules(experiment: &Experiment) -> Vec<ClassRule> {
+    let rule = |class: &crate::experiment::Class| ClassRule {
+        effect: class.effect,
+        window: class.window,
+    };
+    experiment.world.classes.iter().map(rule).collect()
+}
--- /dev/null
+++ b/crates/lab/src/sim/variant_settings.rs
@@ -0,0 +1,99 @@
+//! The settings that the senders of a variant get in a world.
+
+use martenlatch_clock::{Millis, nanos};
+use martenlatch_policy::interface::{
+    Decay, DestinationKind, EndpointWeights, Idempotency, MessageClass, RecoveryRamp, Settings,
+    ZoneId,
+};
+
+use crate::experiment::{Class, Effect, Experiment, Variant, World};
+use crate::model::partner::{COLLAPSE_FACTOR, COLLAPSE_WINDOW};
+use crate::model::site::Site;
+
+/// Time between two turns of the decision module.
+pub(super) const TURN_INTERVAL: Millis = 5.0;
+/// How long an attempt waits for its connection.
+pub(super) const CONNECT_TIMEOUT: Millis = 1_000.0;
+
+/// Without a setting, a sender has so many times the attempts in flight that a full load keeps busy ...
+const IN_FLIGHT_FACTOR: f64 = 2.2;
+/// ... and at least so many.
+const LEAST_IN_FLIGHT: usize = 3;
+/// Without a setting, a sender holds the messages of so many seconds of full load ...
+const HELD_SECONDS: f64 = 9.0;
+/// ... and at least so many.
+const LEAST_HELD: usize = 8;
+/// The longest Retry-After that a client is given.
+const MOST_RETRY_AFTER: Millis = 3_000.0;
+
+/// The settings that a variant's senders get in a world.
+pub fn settings(experiment: &Experiment, variant: &Variant, site: &Site) -> Settings {
+    let world = &experiment.world;
+    let rate_per_sender = world.full_rate / f64::from(world.senders);
+    let work_share = site
+        .partners
+        .iter()
+        .map(|partner| partner.traffic_share * partner.speed)
+        .sum::<f64>();
+    let busy = work_share * rate_per_sender * site.work / 1e3;
+    let in_flight = ((IN_FLIGHT_FACTOR * busy).round() as usize).max(LEAST_IN_FLIGHT);
+    let held = ((HELD_SECONDS * rate_per_sender).round() as usize).max(LEAST_HELD);
+    Settings {
+        senders: world.senders,
+        zone: ZoneId(0),
+        zone_prices: vec![0.0],
+        kinds: world
+            .kinds
+            .iter()
+            .map(|_| DestinationKind {
+                per_endpoint: false,
+            })
+            .collect(),
+        classes: world.classes.iter().map(message_class).collect(),
+        decay: Decay::Halving,
+        weight_meaning: EndpointWeights::Approximate,
+        max_in_flight: variant.slots.unwrap_or(in_flight),
+        max_held: variant.hold_limit.unwrap_or(held),
+        max_attempts: variant.max_attempts,
+        may_cancel: variant.cancel,
+        may_hedge: variant.second_copies,
+        max_retry_after: Some(nanos(MOST_RETRY_AFTER)),
+        recovery: recovery_ramp(world),
+        key_quiet_period: 0,
+        connect_timeout: nanos(CONNECT_TIMEOUT),
+        idle_timeout: nanos(world.idle),
+        turn_interval: nanos(TURN_INTERVAL),
+        cross_zone_price: 0.0,
+        handshake_price: 0.0,
+    }
+}
+
+fn message_class(class: &Class) -> MessageClass {
+    MessageClass {
+        latency_objective: nanos(class.aim),
+        deadline: nanos(class.deadline),
+        priority_weight: 1.0,
+        late_weight_share: class.late_worth,
+        idempotency: match class.effect {
+            Effect::Safe => Idempotency::Idempotent,
+            Effect::Keyed => Idempotency::IdempotencyKey {
+                per_zone: false,
+                window: nanos(class.window),
+            },
+            Effect::Unsafe => Idempotency::NonIdempotent,
+        },
+        ordered: false,
+    }
+}
+
+/// The recovery ramp of the slowest kind of partner.
+fn recovery_ramp(world: &World) -> RecoveryRamp {
+    let initial_shares = world.kinds.iter().map(|kind| kind.cold_from);
+    let durations = world.kinds.iter().map(|kind| kind.cold);
+    RecoveryRamp {
+        overload_factor: COLLAPSE_FACTOR,
+        overload_window: nanos(COLLAPSE_WINDOW),
+        initial_share: initial_shares.fold(1.0, f64::min),
+        duration: nanos(durations.fold(0.0, f64::max)),
+    }
+}
--- a/crates/lab/src/turn_cost.rs
+++ b/crates/lab/src/turn_cost.rs
@@ -1,6 +1,5 @@
-//! Owns the measurement of one turn of the decision module against what is held: an outage holds so many messages,
-//! and one ends as another is handed in. It must never touch a result that a seed decides: its figures are the
-//! machine's.
+//! The cost of one turn of the decision module by the number of messages held: an outage holds many messages, and one
+//! ends as another is handed in. The figures are the machine's, not a seed's.
 
 use std::time::Instant;
 
@@ -10,113 +9,182 @@
     MessageId, Outcome, ZoneId,
 };
 
+use crate::error::LabError;
 use crate::experiment::Experiment;
 use crate::model::site::Site;
 use crate::sim;
 
-const MS: u64 = 1_000_000;
+/// Nanoseconds in a millisecond.
+const MILLISECOND: u64 = 1_000_000;
+const CLOCK_ORIGIN: u64 = 1_000_000 * MILLISECOND;
+const TURN_INTERVAL: u64 = 5 * MILLISECOND;
+const DEADLINE: u64 = 16_000 * MILLISECOND;
+const ENDPOINTS_PER_DESTINATION: usize = 2;
+/// A prime, so that consecutive messages go to destinations that are far apart.
+const DESTINATION_STRIDE: u64 = 7919;
+const ENDPOINT_WEIGHT: f64 = 1e3;
 
 /// What a turn costs with so many messages held, in microseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
-#[allow(missing_docs)]
 pub struct Cost {
+    /// Messages held.
     pub held: usize,
+    /// Destinations that they are for.
     pub destinations: usize,
+    /// Turns that were measured.
     pub turns: usize,
+    /// Median of a turn, in microseconds.
     pub median: f64,
+    /// 99th percentile, in microseconds.
     pub p99: f64,
+    /// The longest, in microseconds.
     pub longest: f64,
 }
 
 /// Measures turns with `held` messages, for a quarter as many destinations with two endpoints each: in every turn a
-/// call ends, a message is handed in, and what was refused or sent in the turn before is carried out.
+/// call ends, a message is handed in, and what was rejected or sent in the turn before is carried out.
 ///
 /// # Errors
-/// Where the module turns the settings down.
-pub fn measure(held: usize, turns: usize) -> Result<Cost, String> {
+/// Where the decision module rejects the settings.
+pub fn measure(held: usize, turns: usize) -> Result<Cost, LabError> {
     let destinations = (held / 4).max(1);
-    let text = format!(
-        "length_s: 1 world {{ senders: 1 partners: {destinations} full_rate: {} }} load {{ level: 1 }} \
-         variant {{ name: \"v\" slots: {} hold_limit: {} }}",
-        held.max(1),
-        (held / 16).max(4),
-        held * 2
-    );
-    let experiment = Experiment::read("turns", "turns", &text).map_err(|e| e.to_string())?;
-    let site = Site::new(&experiment.world, 1);
-    let settings = sim::settings(&experiment, &experiment.variants[0], &site);
-    let mut policy = Policy::new(settings, 1).map_err(|e| e.to_string())?;
-    let entry = |i: usize| EndpointEntry {
-        endpoint: EndpointId(i as u32),
-        zone: ZoneId(0),
-        kind: KindId(0),
-        destination: DestinationId((i / 2) as u64),
-        stage: EndpointState::Active,
-        weight: 1e3,
-    };
-    let mut now = 1_000_000 * MS;
-    let (mut out, mut next, mut open) = (Vec::new(), 0u64, 0usize);
-    let mut actions = Vec::new();
-    policy.turn(
-        now,
-        &[Event::EndpointList(
-            (0..destinations * 2).map(entry).collect(),
-        )],
-        &mut actions,
-    );
-    let mut message = |now: u64| {
-        next += 1;
-        Event::MessageAccepted {
-            id: MessageId(next),
-            destination: DestinationId(next * 7919 % destinations as u64),
-            class: ClassId((next % 2) as usize),
-            deadline: now + 16_000 * MS,
-            key: None,
-        }
-    };
-    let mut took = Vec::with_capacity(turns);
-    for turn in 0..turns + 1 {
-        now += 5 * MS;
+    let mut bench = Bench::new(held, destinations)?;
+    // The first turn fills the store; each later one replaces what has ended.
+    bench.turn(false);
+    let mut took: Vec<f64> = (0..turns).map(|_| bench.turn(true)).collect();
+    took.sort_by(f64::total_cmp);
+    let quantile = |share: f64| took[((took.len() - 1) as f64 * share) as usize];
+    Ok(Cost {
+        held,
+        destinations,
+        turns,
+        median: quantile(0.5),
+        p99: quantile(0.99),
+        longest: quantile(1.0),
+    })
+}
+
+/// An attempt in flight.
+struct InFlight {
+    id: MessageId,
+    attempt: u32,
+}
+
+/// A decision module with many messages held.
+struct Bench {
+    policy: Policy,
+    held: usize,
+    destinations: usize,
+    /// The module's clock, in nanoseconds.
+    now: u64,
+    /// Attempts in flight, the oldest last.
+    in_flight: Vec<InFlight>,
+    last_message: u64,
+    /// Messages that have not ended.
+    open: usize,
+    actions: Vec<Action>,
+}
+
+impl Bench {
+    fn new(held: usize, destinations: usize) -> Result<Bench, LabError> {
+        let experiment = experiment(held, destinations)?;
+        let site = Site::new(&experiment.world, 1);
+        let settings = sim::settings(&experiment, &experiment.variants[0], &site);
+        let mut policy = Policy::new(settings, 1).map_err(LabError::MeasurementSettings)?;
+        let endpoints = destinations * ENDPOINTS_PER_DESTINATION;
+        let list = Event::EndpointList((0..endpoints).map(endpoint_entry).collect());
+        let mut actions = Vec::new();
+        policy.turn(CLOCK_ORIGIN, &[list], &mut actions);
+        Ok(Bench {
+            policy,
+            held,
+            destinations,
+            now: CLOCK_ORIGIN,
+            in_flight: Vec::new(),
+            last_message: 0,
+            open: 0,
+            actions,
+        })
+    }
+
+    /// Takes one turn, and returns its microseconds. With `end_attempt`, an attempt ends in it.
+    fn turn(&mut self, end_attempt: bool) -> f64 {
+        self.now += TURN_INTERVAL;
         let mut events = Vec::new();
-        // The first turn fills the hold; each later one replaces what has ended.
-        while open < held {
-            events.push(message(now));
-            open += 1;
+        while self.open < self.held {
+            events.push(self.next_message());
+            self.open += 1;
         }
-        if let Some((id, attempt)) = out.pop().filter(|_| turn > 0) {
-            let outcome = Outcome::Success;
-            events.push(Event::AttemptEnded {
-                id,
-                attempt,
-                outcome,
-                took: 5 * MS,
-                finished: true,
-            });
-            open -= 1;
+        if end_attempt && let Some(attempt) = self.in_flight.pop() {
+            events.push(delivered(&attempt));
+            self.open -= 1;
         }
         events.push(Event::Wake);
-        actions.clear();
+        self.actions.clear();
         let clock = Instant::now();
-        policy.turn(now, &events, &mut actions);
-        if turn > 0 {
-            took.push(clock.elapsed().as_nanos() as f64 / 1e3);
+        self.policy.turn(self.now, &events, &mut self.actions);
+        let took = clock.elapsed().as_nanos() as f64 / 1e3;
+        self.carry_out();
+        took
+    }
+
+    fn next_message(&mut self) -> Event {
+        self.last_message += 1;
+        let number = self.last_message;
+        Event::MessageAccepted {
+            id: MessageId(number),
+            destination: DestinationId(number * DESTINATION_STRIDE % self.destinations as u64),
+            class: ClassId((number % 2) as usize),
+            deadline: self.now + DEADLINE,
+            key: None,
         }
-        for action in &actions {
+    }
+
+    fn carry_out(&mut self) {
+        for action in &self.actions {
             match action {
-                Action::Send { id, .. } => out.insert(0, (*id, 0)),
-                Action::Reject { .. } | Action::Fail { .. } => open -= 1,
+                Action::Send { id, .. } => self.in_flight.insert(
+                    0,
+                    InFlight {
+                        id: *id,
+                        attempt: 0,
+                    },
+                ),
+                Action::Reject { .. } | Action::Fail { .. } => self.open -= 1,
                 _ => {}
             }
         }
     }
-    took.sort_by(f64::total_cmp);
-    let at = |q: f64| took[((took.len() - 1) as f64 * q) as usize];
-    Ok(Cost {
-        held,
-        destinations,
-        turns,
-        median: at(0.5),
-        p99: at(0.99),
-        longest: at(1.0),
-    })
+}
+
+fn experiment(held: usize, destinations: usize) -> Result<Experiment, LabError> {
+    let text = format!(
+        "length_s: 1 world {{ senders: 1 partners: {destinations} full_rate: {} }} load {{ level: 1 }} \
+         variant {{ name: \"v\" slots: {} hold_limit: {} }}",
+        held.max(1),
+        (held / 16).max(4),
+        held * 2
+    );
+    Ok(Experiment::read("turns", "turns", &text)?)
+}
+
+fn endpoint_entry(number: usize) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId(number as u32),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        destination: DestinationId((number / ENDPOINTS_PER_DESTINATION) as u64),
+        stage: EndpointState::Active,
+        weight: ENDPOINT_WEIGHT,
+    }
+}
+
+fn delivered(attempt: &InFlight) -> Event {
+    Event::AttemptEnded {
+        id: attempt.id,
+        attempt: attempt.attempt,
+        outcome: Outcome::Success,
+        took: TURN_INTERVAL,
+        finished: true,
+    }
 }
--- a/crates/lab/tests/runs.rs
+++ b/crates/lab/tests/runs.rs
@@ -104,7 +104,9 @@
     let x = shipped("calm");
     let stop = Arc::new(AtomicBool::new(true));
     assert_eq!(
-        sim::play_until(&x, &x.variants[0], 1, None, &stop).unwrap_err(),
+        sim::play_until(&x, &x.variants[0], 1, None, &stop)
+            .unwrap_err()
+            .to_string(),
         "stopped"
     );
     let (outcome, _) = martenlatch_lab::run::simulate(&x, &stop, true).unwrap();
