Document every field of the event log; give a partner's endpoint a module of its own

The event log's variants had no field docs behind an allow(missing_docs), and the model of a partner was over 400 lines. Names and JSON of facts are unchanged.

--- a/crates/lab/src/model/partner.rs
+++ b/crates/lab/src/model/partner.rs
@@ -9,6 +9,7 @@
 use martenlatch_clock::Millis;
 
 use crate::experiment::{Kind, WorkDistribution};
+use crate::model::endpoint::{CompletionKey, Endpoint};
 use crate::model::fault_schedule::ActiveFaults;
 use crate::model::rate_limit::{LimitDecision, RateLimiter};
 use crate::model::site::PartnerProfile;
@@ -88,54 +89,6 @@
     pub started: Vec<u64>,
 }
 
-/// When a running call is done; ordered by that instant, then by the call's number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct CompletionKey {
-    /// The bits of the instant: positive floating-point numbers keep their order as bits.
-    at_bits: u64,
-    call: u64,
-}
-
-impl CompletionKey {
-    fn new(at: Millis, call: u64) -> CompletionKey {
-        CompletionKey {
-            at_bits: at.to_bits(),
-            call,
-        }
-    }
-
-    fn at(self) -> Millis {
-        f64::from_bits(self.at_bits)
-    }
-}
-
-#[derive(Debug, Default)]
-struct Endpoint {
-    running: BTreeMap<CompletionKey, Call>,
-    queue: VecDeque<Call>,
-    draining: bool,
-}
-
-impl Endpoint {
-    /// The first running call that is done by `now`, taken out.
-    fn take_completed(&mut self, now: Millis) -> Option<Call> {
-        let first = self.running.first_entry()?;
-        if first.key().at_bits > now.to_bits() {
-            return None;
-        }
-        Some(first.remove())
-    }
-
-    fn drop_all_calls(&mut self) {
-        self.running.clear();
-        self.queue.clear();
-    }
-
-    fn is_finished(&self) -> bool {
-        self.draining && self.running.is_empty() && self.queue.is_empty()
-    }
-}
-
 /// A partner as it runs.
 #[derive(Debug)]
 pub struct Partner {
