Split the laboratory's sockets, judge, metrics and commands by concern

Runs on sockets are now a testbed with a module each for partners' servers, calls, discovery, status reports, clients, sender processes, faults and the event loop. The judge has a file for each group of rules. tally is metrics, roof is throughput_ceiling, relay is baseline_relay; the report's plots and the program's commands have files of their own, and the command line stands apart from what the commands do. LabError takes the place of strings in the library, miette does so at the program's edge, with the same lines to the letter. Names on the command line, printed lines and JSON keys are unchanged.

--- /dev/null
+++ b/crates/lab/src/commands/roof.rs
@@ -0,0 +1,48 @@
+//! `roof`: the sender's throughput ceiling against the baseline relay.
+
+use std::time::Duration;
+
+use martenlatch_lab::outcome::Spread;
+use martenlatch_lab::sockets::beside;
+use martenlatch_lab::throughput_ceiling::{self, Plan, ThroughputCeiling, Turn};
+use miette::miette;
+
+use super::{Conclusion, report};
+use crate::cli::RoofOptions;
+
+/// Measures both programs, and prints their figures and ratios.
+pub fn roof(options: &RoofOptions) -> miette::Result<Conclusion> {
+    if !(0.1..=600.0).contains(&options.seconds) || !(1..=1_000).contains(&options.turns) {
+        return Err(miette!("--seconds is 0.1 to 600, --turns 1 to 1000"));
+    }
+    let program = options.program.clone().unwrap_or_else(beside);
+    let ceiling = throughput_ceiling::measure(&Plan {
+        program: &program,
+        turns: options.turns,
+        span: Duration::from_secs_f64(options.seconds),
+        max_in_flight: options.held.max(1),
+    })
+    .map_err(report)?;
+    println!(
+        "{:<28}{:>18}{:>18}{:>16}",
+        "", "sender", "relay", "sender/relay"
+    );
+    print_figure("messages a second", &ceiling, |turn| turn.rate);
+    print_figure("processor us a message", &ceiling, |turn| turn.cost_us);
+    Ok(Conclusion::RulesKept)
+}
+
+fn print_figure(name: &str, ceiling: &ThroughputCeiling, read: fn(&Turn) -> f64) {
+    let values = |turns: &[Turn]| Spread::of(&turns.iter().map(read).collect::<Vec<_>>());
+    let pairs = ceiling.sender.iter().zip(&ceiling.relay);
+    let ratios: Vec<f64> = pairs
+        .map(|(sender, relay)| read(sender) / read(relay))
+        .collect();
+    let sender = values(&ceiling.sender);
+    let relay = values(&ceiling.relay);
+    let ratio = Spread::of(&ratios);
+    println!(
+        "{name:<28}{:>10.1} ±{:<6.1}{:>10.1} ±{:<6.1}{:>9.3} ±{:<.3}",
+        sender.mean, sender.deviation, relay.mean, relay.deviation, ratio.mean, ratio.deviation
+    );
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,21 +1,22 @@
 //! The laboratory: a model of partners and their faults, a judge of the rules that reads only what crossed between the
 //! parties, and experiments that compare variants of the sender on the same seeds. Nothing in it is part of the sender.
 
+pub mod baseline_relay;
 pub mod clients;
 pub mod delay_queue;
+pub mod error;
 pub mod event_log;
 pub mod experiment;
 pub mod judge;
 pub mod load;
 pub mod members;
+pub mod metrics;
 pub mod model;
 pub mod outcome;
-pub mod relay;
 pub mod report;
-pub mod roof;
 pub mod run;
 pub mod sampling;
 pub mod sim;
 pub mod sockets;
-pub mod tally;
+pub mod throughput_ceiling;
 pub mod turn_cost;
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,104 +1,148 @@
-//! Owns what an experiment leaves behind: the runs of every variant, the comparison of each with the first over the
-//! same seeds, and the files that hold them. It must never put a machine's figures (time, memory) into what a seed
-//! alone decides.
+//! What an experiment leaves behind: the runs of every variant, the comparison of each with the first over the same
+//! seeds, and the file that holds them. It has only what the seeds decide, and no figures of the machine.
 
 use std::path::Path;
 
 use serde::{Deserialize, Serialize};
 
+use crate::error::LabError;
 use crate::judge::Verdict;
-use crate::tally::Figures;
+use crate::metrics::Figures;
 
 /// One variant with one seed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[allow(missing_docs)]
 pub struct Run {
+    /// The seed.
     pub seed: u64,
+    /// The run's figures.
     pub figures: Figures,
+    /// What the judge found.
     pub verdict: Verdict,
 }
 
 /// All runs of one variant.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[allow(missing_docs)]
 pub struct Variant {
+    /// The variant's name.
     pub name: String,
+    /// Its runs, by their seeds.
     pub runs: Vec<Run>,
 }
 
+impl Variant {
+    /// A figure of all runs.
+    pub fn values(&self, figure: fn(&Figures) -> f64) -> Vec<f64> {
+        self.runs.iter().map(|run| figure(&run.figures)).collect()
+    }
+
+    /// The differences of a figure from that of another variant, seed by seed where both have played it.
+    pub fn differences(&self, base: &Variant, figure: fn(&Figures) -> f64) -> Vec<f64> {
+        self.runs
+            .iter()
+            .filter_map(|run| {
+                let base = base.runs.iter().find(|base| base.seed == run.seed)?;
+                Some(figure(&run.figures) - figure(&base.figures))
+            })
+            .collect()
+    }
+
+    fn breaches(&self) -> u64 {
+        self.runs.iter().map(|run| run.verdict.total()).sum()
+    }
+}
+
 /// A stretch of time in which something went wrong, for the plots.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[allow(missing_docs)]
 pub struct Shade {
+    /// What went wrong.
     pub what: String,
+    /// When it began, in seconds from the start of the run.
     pub start_s: f64,
+    /// When it was over.
     pub end_s: f64,
 }
 
 /// An experiment as played. The same file, seeds and program give the same bytes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[allow(missing_docs)]
 pub struct Outcome {
+    /// The experiment's name.
     pub experiment: String,
+    /// What it is about.
     pub about: String,
     /// `sim` or `sockets`.
     pub form: String,
+    /// The length of a run in seconds.
     pub length_s: f64,
     /// Not all runs were played.
     pub cut_short: bool,
+    /// What went wrong when.
     pub shades: Vec<Shade>,
+    /// The variants; the others are compared with the first.
     pub variants: Vec<Variant>,
 }
 
-/// The name of a figure, and how it is read from a run.
-pub type Figure = (&'static str, fn(&Figures) -> f64);
+/// A figure that is compared.
+#[derive(Clone, Copy, Debug)]
+pub struct ComparedFigure {
+    /// Its name in tables.
+    pub name: &'static str,
+    /// How it is read from a run.
+    pub read: fn(&Figures) -> f64,
+}
+
+const fn compared(name: &'static str, read: fn(&Figures) -> f64) -> ComparedFigure {
+    ComparedFigure { name, read }
+}
 
 /// The figures that are compared.
-pub const FIGURES: &[Figure] = &[
-    ("score", |f| f.score),
-    ("share served", |f| f.share),
-    ("worst 10 s", |f| f.worst_window),
-    ("worst class", |f| f.worst_class),
-    ("p50 ms", |f| f.p50),
-    ("p90 ms", |f| f.p90),
-    ("p99 ms", |f| f.p99),
-    ("calls a message", |f| f.calls),
-    ("refusals a message", |f| f.refusals),
-    ("wasted calls a message", |f| f.wasted),
-    ("connections a message", |f| f.connections),
-    ("held at most", |f| f.held_most as f64),
-    ("toppled", |f| f.toppled as f64),
-    ("newcomer refused in 10 s", |f| f.newcomer_refused as f64),
-    ("newcomer calls in 10 s", |f| f.newcomer_calls as f64),
-    ("calls into known waits", |f| f.into_waits as f64),
+pub const FIGURES: &[ComparedFigure] = &[
+    compared("score", |f| f.score),
+    compared("share served", |f| f.share),
+    compared("worst 10 s", |f| f.worst_window),
+    compared("worst class", |f| f.worst_class),
+    compared("p50 ms", |f| f.p50),
+    compared("p90 ms", |f| f.p90),
+    compared("p99 ms", |f| f.p99),
+    compared("calls a message", |f| f.calls),
+    compared("refusals a message", |f| f.refusals),
+    compared("wasted calls a message", |f| f.wasted),
+    compared("connections a message", |f| f.connections),
+    compared("held at most", |f| f.held_most as f64),
+    compared("toppled", |f| f.toppled as f64),
+    compared("newcomer refused in 10 s", |f| f.newcomer_refused as f64),
+    compared("newcomer calls in 10 s", |f| f.newcomer_calls as f64),
+    compared("calls into known waits", |f| f.into_waits as f64),
 ];
 
-/// Mean and standard deviation (of a sample).
-pub fn spread(values: &[f64]) -> (f64, f64) {
-    let count = values.len() as f64;
-    if values.is_empty() {
-        return (f64::NAN, f64::NAN);
-    }
-    let mean = values.iter().sum::<f64>() / count;
-    let square = values.iter().map(|v| (v - mean).powi(2)).sum::<f64>();
-    (
-        mean,
-        if values.len() > 1 {
-            (square / (count - 1.0)).sqrt()
-        } else {
-            0.0
-        },
-    )
+/// Values over the seeds, in short.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Spread {
+    /// The mean; not a number where there are no values.
+    pub mean: f64,
+    /// The standard deviation of a sample; zero for a single value.
+    pub deviation: f64,
 }
 
-/// The differences of a figure between two variants, seed by seed where both have played it.
-pub fn paired(base: &Variant, other: &Variant, figure: fn(&Figures) -> f64) -> Vec<f64> {
-    let of = |seed| base.runs.iter().find(|r: &&Run| r.seed == seed);
-    other
-        .runs
-        .iter()
-        .filter_map(|r| of(r.seed).map(|b| figure(&r.figures) - figure(&b.figures)))
-        .collect()
+impl Spread {
+    /// Mean and deviation of values.
+    pub fn of(values: &[f64]) -> Spread {
+        if values.is_empty() {
+            return Spread {
+                mean: f64::NAN,
+                deviation: f64::NAN,
+            };
+        }
+        let count = values.len() as f64;
+        let mean = values.iter().sum::<f64>() / count;
+        let squares = values.iter().map(|value| (value - mean).powi(2));
+        let sum = squares.sum::<f64>();
+        let deviation = if values.len() > 1 {
+            (sum / (count - 1.0)).sqrt()
+        } else {
+            0.0
+        };
+        Spread { mean, deviation }
+    }
 }
 
 impl Outcome {
@@ -106,34 +150,33 @@
     pub fn clean(&self) -> bool {
         self.variants
             .iter()
-            .all(|v| v.runs.iter().all(|r| r.verdict.clean()))
+            .flat_map(|variant| &variant.runs)
+            .all(|run| run.verdict.clean())
     }
 
     /// Writes `result.json` into a folder.
     ///
     /// # Errors
     /// Where the folder cannot be written to; the text names the file.
-    pub fn write(&self, folder: &Path) -> Result<(), String> {
-        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+    pub fn write(&self, folder: &Path) -> Result<(), LabError> {
+        std::fs::create_dir_all(folder).map_err(LabError::file(folder))?;
         let file = folder.join("result.json");
-        let text =
-            serde_json::to_string_pretty(self).map_err(|e| format!("{}: {e}", file.display()))?;
-        // Whole or not at all, whatever ends us.
+        let text = serde_json::to_string_pretty(self).map_err(LabError::json(&file))?;
+        // Complete or not at all, whatever ends us.
         let fresh = folder.join("result.json.new");
-        let done =
-            std::fs::write(&fresh, text + "\n").and_then(|()| std::fs::rename(&fresh, &file));
-        done.map_err(|e| format!("{}: {e}", file.display()))
+        std::fs::write(&fresh, text + "\n")
+            .and_then(|()| std::fs::rename(&fresh, &file))
+            .map_err(LabError::file(&file))
     }
 
     /// Reads `result.json` from a folder.
     ///
     /// # Errors
     /// Where it is not there, or is none; the text names the file.
-    pub fn open(folder: &Path) -> Result<Outcome, String> {
+    pub fn open(folder: &Path) -> Result<Outcome, LabError> {
         let file = folder.join("result.json");
-        let text =
-            std::fs::read_to_string(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-        serde_json::from_str(&text).map_err(|e| format!("{}: {e}", file.display()))
+        let text = std::fs::read_to_string(&file).map_err(LabError::file(&file))?;
+        serde_json::from_str(&text).map_err(LabError::json(&file))
     }
 
     /// A table in plain text: each variant, and its difference from the first with the spread over the seeds.
@@ -143,27 +186,31 @@
             return text;
         };
         for variant in &self.variants {
-            let broken: u64 = variant
-                .runs
-                .iter()
-                .flat_map(|r| r.verdict.counts.values())
-                .sum();
             text += &format!(
-                "\n{} ({} seeds, {broken} breaches)\n",
+                "\n{} ({} seeds, {} breaches)\n",
                 variant.name,
-                variant.runs.len()
+                variant.runs.len(),
+                variant.breaches()
             );
-            for (name, figure) in FIGURES {
-                let own: Vec<f64> = variant.runs.iter().map(|r| figure(&r.figures)).collect();
-                let (mean, dev) = spread(&own);
-                text += &format!("  {name:<24}{mean:>10.3} ±{dev:<8.3}");
-                if variant.name != base.name {
-                    let (diff, dev) = spread(&paired(base, variant, *figure));
-                    text += &format!(" {diff:>+9.3} ±{dev:<8.3} against {}", base.name);
-                }
-                text = text.trim_end().to_string() + "\n";
+            for figure in FIGURES {
+                text += table_line(variant, base, figure).trim_end();
+                text += "\n";
             }
         }
         text
     }
 }
+
+fn table_line(variant: &Variant, base: &Variant, figure: &ComparedFigure) -> String {
+    let name = figure.name;
+    let own = Spread::of(&variant.values(figure.read));
+    let mut line = format!("  {name:<24}{:>10.3} ±{:<8.3}", own.mean, own.deviation);
+    if variant.name != base.name {
+        let difference = Spread::of(&variant.differences(base, figure.read));
+        line += &format!(
+            " {:>+9.3} ±{:<8.3} against {}",
+            difference.mean, difference.deviation, base.name
+        );
+    }
+    line
+}
--- /dev/null
+++ b/crates/lab/src/report/mod.rs
@@ -0,0 +1,183 @@
+//! The report of an outcome: one page of HTML that needs nothing else, with plots in it.
+
+mod html;
+mod plot;
+
+use std::fmt::Write;
+
+use crate::metrics::{Figures, Second};
+use crate::outcome::{FIGURES, Outcome, Shade, Spread, Variant};
+pub use html::escaped;
+pub use plot::{Axes, Line, Point, plot};
+
+/// A variant's runs are listed with so many breaches each at most.
+const BREACHES_PER_RUN: usize = 20;
+
+/// The page. `machine` holds what is the machine's and not the seeds', as ready parts of the page.
+pub fn page(outcome: &Outcome, machine: &[String]) -> String {
+    let mut page = html::head(outcome);
+    page += &comparison(outcome);
+    page += &plots_over_time(outcome);
+    page += &latency_plot(outcome);
+    page += &failures(&outcome.shades);
+    page += &breaches(&outcome.variants);
+    for part in machine {
+        page += part;
+    }
+    page += "</html>\n";
+    page
+}
+
+/// The table that compares the variants with the first.
+fn comparison(outcome: &Outcome) -> String {
+    let mut table = String::from("<h2>Compared</h2><table><tr><th>");
+    for (number, variant) in outcome.variants.iter().enumerate() {
+        let _ = write!(table, "<th>{}", escaped(&variant.name));
+        if number > 0 {
+            table += "<th>against the first";
+        }
+    }
+    for figure in FIGURES {
+        let _ = write!(table, "<tr><td>{}", figure.name);
+        for (number, variant) in outcome.variants.iter().enumerate() {
+            let own = Spread::of(&variant.values(figure.read));
+            let _ = write!(table, "<td>{:.3} ± {:.3}", own.mean, own.deviation);
+            if number > 0 {
+                let base = &outcome.variants[0];
+                let difference = Spread::of(&variant.differences(base, figure.read));
+                let Spread { mean, deviation } = difference;
+                let _ = write!(table, "<td>{mean:+.3} ± {deviation:.3}");
+            }
+        }
+    }
+    table
+        + "</table><p>Means over the seeds, with their standard deviation; differences are taken seed by seed.</p>"
+}
+
+/// A line of each variant.
+fn lines(outcome: &Outcome, points: impl Fn(&Variant) -> Vec<Point>) -> Vec<Line> {
+    outcome
+        .variants
+        .iter()
+        .map(|variant| Line {
+            name: variant.name.clone(),
+            points: points(variant),
+        })
+        .collect()
+}
+
+fn plots_over_time(outcome: &Outcome) -> String {
+    let plot = |title: &str, points: &dyn Fn(&Variant) -> Vec<Point>| {
+        let axes = Axes::linear("seconds");
+        plot(title, axes, &lines(outcome, points), &outcome.shades)
+    };
+    let mut plots = String::new();
+    plots += &plot(
+        "Share served, by when it was first handed in",
+        &share_served,
+    );
+    plots += &plot("Worth delivered a second", &|v| over_time(v, |s| s.got));
+    plots += &plot("Calls a second", &|v| over_time(v, |s| s.calls as f64));
+    plots += &plot("Refusals a second", &|v| over_time(v, |s| s.refused as f64));
+    plots += &plot("Messages held", &|v| over_time(v, |s| s.held as f64));
+    plots
+}
+
+/// One figure of each second, the mean over the seeds.
+fn over_time(variant: &Variant, read: fn(&Second) -> f64) -> Vec<Point> {
+    let seconds = |run: &crate::outcome::Run| run.figures.seconds.len();
+    let longest = variant.runs.iter().map(seconds).max().unwrap_or(0);
+    (0..longest)
+        .map(|number| {
+            let values: Vec<f64> = variant
+                .runs
+                .iter()
+                .filter_map(|run| run.figures.seconds.get(number))
+                .map(read)
+                .collect();
+            Point {
+                x: number as f64 + 0.5,
+                y: Spread::of(&values).mean,
+            }
+        })
+        .collect()
+}
+
+/// The share that was delivered of the worth asked for in each second, smoothed over three.
+fn share_served(variant: &Variant) -> Vec<Point> {
+    let asked = over_time(variant, |second| second.asked);
+    let got = over_time(variant, |second| second.got);
+    let smoothed = |line: &[Point], at: usize| {
+        line[at.saturating_sub(1)..(at + 2).min(line.len())]
+            .iter()
+            .map(|point| point.y)
+            .sum::<f64>()
+    };
+    (0..asked.len())
+        .filter(|at| smoothed(&asked, *at) > 0.0)
+        .map(|at| Point {
+            x: asked[at].x,
+            y: smoothed(&got, at) / smoothed(&asked, at),
+        })
+        .collect()
+}
+
+fn latency_plot(outcome: &Outcome) -> String {
+    let quantiles = |variant: &Variant| {
+        let point = |percentile: f64, read: fn(&Figures) -> f64| Point {
+            x: percentile,
+            y: Spread::of(&variant.values(read)).mean,
+        };
+        vec![
+            point(50.0, |figures| figures.p50),
+            point(90.0, |figures| figures.p90),
+            point(99.0, |figures| figures.p99),
+        ]
+    };
+    plot(
+        "Latency from the intended arrival, ms",
+        Axes::linear("percentile"),
+        &lines(outcome, quantiles),
+        &[],
+    )
+}
+
+fn failures(shades: &[Shade]) -> String {
+    if shades.is_empty() {
+        return String::new();
+    }
+    let mut list = String::from("<h2>What went wrong</h2><ul>");
+    for shade in shades {
+        let what = escaped(&shade.what);
+        let _ = write!(
+            list,
+            "<li>{what}: {:.1} to {:.1} s</li>",
+            shade.start_s, shade.end_s
+        );
+    }
+    list + "</ul>"
+}
+
+fn breaches(variants: &[Variant]) -> String {
+    let mut html = String::from("<h2>The rules</h2>");
+    for variant in variants {
+        let name = escaped(&variant.name);
+        let _ = write!(html, "<h3>{name}</h3>{}", breaches_of(variant));
+    }
+    html
+}
+
+fn breaches_of(variant: &Variant) -> String {
+    let mut list = String::new();
+    for run in &variant.runs {
+        for breach in run.verdict.breaches.iter().take(BREACHES_PER_RUN) {
+            let text = escaped(&breach.to_string());
+            let _ = writeln!(list, "<li>seed {}: {text}</li>", run.seed);
+        }
+    }
+    if list.is_empty() {
+        "<p>Every rule was kept.</p>".into()
+    } else {
+        format!("<ul class=bad>{list}</ul>")
+    }
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -9,7 +9,7 @@
 use crate::experiment::{self, Experiment};
 use crate::outcome::{Outcome, Run, Shade, Variant};
 use crate::sim::{self, Turns};
-use crate::sockets::{self, child::Used};
+use crate::sockets::{self, resource_usage::ResourceUsage};
 
 /// What a machine measured beside the outcome: turns by messages held, one entry a variant.
 pub type Machine = Vec<(String, Turns)>;
@@ -84,7 +84,7 @@
 }
 
 /// What senders used in each run on sockets: the variant, the seed, and the use by the second.
-pub type Use = Vec<(String, u64, Vec<Used>)>;
+pub type Use = Vec<(String, u64, Vec<ResourceUsage>)>;
 
 /// Plays an experiment on sockets, a run at a time, as each wants the machine for itself. Once `stop` is set, the run
 /// that is on ends and counts for nothing; what was played is kept.
@@ -137,7 +137,7 @@
 ) -> Result<sockets::Played, String> {
     let mut late = 0.0;
     for _ in 0..3 {
-        let played = sockets::play(experiment, variant, seed, stop)?;
+        let played = sockets::play(experiment, variant, seed, stop).map_err(|e| e.to_string())?;
         if played.late <= sockets::LATE {
             return Ok(played);
         }
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -22,13 +22,13 @@
 use crate::experiment::{Effect, Experiment, Variant, What as Fails};
 use crate::judge::{ClassRule, Judge, Verdict};
 use crate::load::{self, PlannedMessage};
+use crate::metrics::{Figures, Metrics};
 use crate::model::environment::{
     Delivery, Environment, ListedState, OutageChange, REPLACEMENT_OVERLAP, Replacement,
 };
 use crate::model::partner::{self, Admission, Answer, Progress, Reply};
 use crate::model::site::Site;
 use crate::sampling::{Stream, bernoulli, rng_for, uniform};
-use crate::tally::{Figures, Tally};
 
 /// The module's clock at the start of a run.
 const ORIGIN: Millis = 1e6;
@@ -222,7 +222,7 @@
     next_call: u64,
     next_id: u64,
     judge: Judge,
-    tally: Tally,
+    tally: Metrics,
     sink: Option<Sink<'a>>,
     turns: Turns,
     learns: bool,
@@ -373,7 +373,7 @@
             connections: vec![0; ground.owner.len()],
             senders: (0..x.world.senders).map(|_| Sender::default()).collect(),
             judge: Judge::new(rules, v.max_attempts),
-            tally: Tally::new(&x.world.classes, 0.0, x.length),
+            tally: Metrics::new(&x.world.classes, 0.0, x.length),
             plan: load::plan(x, &ground.site, &ground.faults, seed),
             clients: Clients::new(x, seed),
             turns: Turns::default(),
--- /dev/null
+++ b/crates/lab/src/sockets/partners.rs
@@ -0,0 +1,220 @@
+//! The partners' servers: connections of senders to endpoints, and the calls that come on them.
+
+use std::net::TcpListener;
+
+use martenlatch_clock::Millis;
+use martenlatch_http::{self as http, Parsed, Request};
+
+use super::Connection;
+use super::clients::{body_of, message_number};
+use super::event::Event;
+use super::peer::{EndpointConnection, Peer, is_closed};
+use super::testbed::{Call, Testbed};
+use crate::error::LabError;
+use crate::event_log::{Silence, What};
+use crate::experiment::Effect;
+use crate::model::fault_schedule::ConnectionResets;
+
+/// The first call on a connection comes after the connection's own round trip: so many ways in all.
+const WAYS_ON_NEW_CONNECTION: f64 = 3.0;
+
+/// How an endpoint's side of a connection ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Closing {
+    /// What is on its way still comes.
+    Orderly,
+    /// What is on its way is lost.
+    Reset,
+}
+
+impl Testbed<'_> {
+    /// Accepts what has come to an endpoint's listener.
+    pub fn accept_calls(&mut self, key: usize, endpoint: u32, listener: &TcpListener) {
+        let partner = self.environment.partner_of(endpoint);
+        // Nobody is there any more: a connection is refused as far as a listener can do so.
+        if self.vacant_listeners.contains(&key) {
+            while listener.accept().is_ok() {}
+            return;
+        }
+        // One that cannot be reached says nothing: what comes stays where the system keeps it.
+        while !self.is_partitioned(partner)
+            && let Ok((stream, _)) = listener.accept()
+        {
+            let now = self.now();
+            let accepted = self.insert_connection(stream, |connection| {
+                Peer::Endpoint(EndpointConnection::new(endpoint, connection, now))
+            });
+            if let Some(key) = accepted {
+                self.endpoints[endpoint as usize].connections += 1;
+                self.read_call(key);
+            }
+        }
+    }
+
+    /// Whether a partner cannot be reached now.
+    pub fn is_partitioned(&self, partner: u32) -> bool {
+        self.environment.faults_at(partner, self.now()).partitioned
+    }
+
+    /// Registers an accepted connection; none where the system does not allow that.
+    pub fn insert_connection(
+        &mut self,
+        stream: std::net::TcpStream,
+        peer: impl FnOnce(Connection) -> Peer,
+    ) -> Option<usize> {
+        let key = self.peers.vacant_key();
+        let connection = Connection::new(stream, &self.handle, &self.buffers, key).ok()?;
+        Some(self.peers.insert(peer(connection)))
+    }
+
+    /// Ends a sender's connection to an endpoint.
+    pub fn drop_endpoint_connection(&mut self, key: usize, closing: Closing) {
+        let Some(Peer::Endpoint(socket)) = self.peers.try_remove(key) else {
+            return;
+        };
+        self.endpoints[socket.endpoint as usize].connections -= 1;
+        if closing == Closing::Reset {
+            socket.connection.abort_on_drop();
+        }
+    }
+
+    /// Reads what a sender wrote on a connection to an endpoint.
+    pub fn read_call(&mut self, key: usize) {
+        let now = self.now();
+        let Some(Peer::Endpoint(socket)) = self.peers.get_mut(key) else {
+            return;
+        };
+        socket.transfer();
+        let endpoint = socket.endpoint;
+        let partner = self.environment.partner_of(endpoint);
+        let faults = self.environment.faults_at(partner, now);
+        if faults.partitioned {
+            socket.discard_input();
+            return;
+        }
+        let idle_limit = faults.idle_close_after.min(self.experiment.world.idle);
+        socket.expire(now, idle_limit);
+        if is_closed(&socket.connection) {
+            let call = socket.call;
+            self.drop_endpoint_connection(key, Closing::Orderly);
+            if let Some(call) = call {
+                self.call_cancelled(call);
+            }
+            return;
+        }
+        if socket.call.is_some() || socket.connection.bytes().is_empty() {
+            return;
+        }
+        match http::parse_request(socket.connection.bytes()) {
+            Parsed::Partial(_) => {}
+            Parsed::Invalid(_) => self.fail(LabError::NoRequest { endpoint }),
+            Parsed::Complete(request) => {
+                socket.connection.consume(request.consumed);
+                match self.check_request(endpoint, &request) {
+                    Ok(message) => self.begin_call(key, message, faults.reset, now),
+                    Err(error) => self.fail(error),
+                }
+            }
+        }
+    }
+
+    /// The message that a request carries.
+    ///
+    /// # Errors
+    /// Where no client handed it in, or not in this form.
+    fn check_request(&self, endpoint: u32, request: &Request) -> Result<u64, LabError> {
+        let known = request
+            .header("x-request-id")
+            .and_then(message_number)
+            .and_then(|number| Some((number, self.messages.get(&number)?)));
+        let Some((number, message)) = known else {
+            return Err(LabError::UnknownMessage { endpoint });
+        };
+        let origin = message.origin;
+        let has_key = self.clients.effect(origin) == Effect::Keyed;
+        let key = request.header("idempotency-key").unwrap_or("");
+        let same_key = !has_key || key == format!("k{origin}");
+        let same_body = *request.body == *body_of(number).as_bytes();
+        let same_target = request.method == "POST" && request.path == "/v1/messages";
+        if same_key && same_body && same_target {
+            Ok(number)
+        } else {
+            Err(LabError::AlteredMessage {
+                message: number,
+                endpoint,
+            })
+        }
+    }
+
+    /// The first byte of a call has come on a connection.
+    fn begin_call(&mut self, key: usize, number: u64, resets: ConnectionResets, now: Millis) {
+        let Some(message) = self.messages.get_mut(&number) else {
+            return;
+        };
+        let sender = message.sender;
+        let origin = message.origin;
+        let attempt = message.calls;
+        message.calls += 1;
+        let Some(Peer::Endpoint(socket)) = self.peers.get_mut(key) else {
+            return;
+        };
+        let call = self.next_call;
+        self.next_call += 1;
+        let endpoint = socket.endpoint;
+        let stale = socket.stale;
+        let fresh = socket.calls == 0;
+        socket.calls += 1;
+        socket.call = Some(call);
+        let partner = self.environment.partner_of(endpoint);
+        let resets = self.draw_resets(origin, attempt, resets);
+        let started = Call {
+            message: number,
+            connection: key,
+            partner,
+            endpoint,
+            reset_when_running: resets.after,
+        };
+        self.calls.insert(call, started);
+        self.record(What::Call {
+            call,
+            id: number,
+            sender,
+            partner,
+            endpoint,
+            fresh,
+        });
+        if resets.before || stale {
+            // Its sender cannot tell this from one that has run.
+            self.reset_call(call, key);
+            return;
+        }
+        let ways = if fresh { WAYS_ON_NEW_CONNECTION } else { 1.0 };
+        let arrival = now + self.travel_time(call, 0) * ways;
+        self.events.push(arrival, Event::CallArrived { call });
+    }
+
+    /// Ends a call by a reset of its connection.
+    pub fn reset_call(&mut self, call: u64, connection: usize) {
+        self.record(What::Ended {
+            call,
+            how: Silence::Reset,
+        });
+        self.calls.remove(&call);
+        self.drop_endpoint_connection(connection, Closing::Reset);
+    }
+
+    /// A sender has closed a connection with a call on it.
+    fn call_cancelled(&mut self, call: u64) {
+        let Some(cancelled) = self.calls.remove(&call) else {
+            return;
+        };
+        let message = self.messages.get(&cancelled.message);
+        let sender = message.map_or(0, |message| message.sender);
+        let how = if self.senders[sender as usize].up {
+            Silence::CalledOff
+        } else {
+            Silence::Died
+        };
+        self.record(What::Ended { call, how });
+    }
+}
