--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -10,7 +10,7 @@
 use crate::experiment::{self, Experiment};
 use crate::outcome::{Outcome, Run, Shade, Variant};
 use crate::sim::{self, Played, Turns};
-use crate::sockets::{self, child::Used};
+use crate::sockets::{self, resource_usage::ResourceUsage};
 
 /// A run on sockets is repeated at most so often in all where the machine was too busy.
 const SOCKET_ATTEMPTS: u32 = 3;
@@ -37,7 +37,7 @@
     /// The run's seed.
     pub seed: u64,
     /// The use by the second.
-    pub used: Vec<Used>,
+    pub used: Vec<ResourceUsage>,
 }
 
 /// What senders used in each run on sockets.
@@ -188,8 +188,7 @@
 ) -> Result<sockets::Played, LabError> {
     let mut late = 0.0;
     for _ in 0..SOCKET_ATTEMPTS {
-        let played = sockets::play(experiment, variant, seed, stop)
-            .map_err(|error| LabError::Other(error.to_string()))?;
+        let played = sockets::play(experiment, variant, seed, stop)?;
         if played.late <= sockets::LATE {
             return Ok(played);
         }
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -27,7 +27,7 @@
 use crate::event_log::Fact;
 use crate::experiment::{Experiment, Variant};
 use crate::judge::Verdict;
-use crate::tally::Figures;
+use crate::metrics::Figures;
 
 use simulation::Simulation;
 
--- a/crates/lab/src/sim/simulation.rs
+++ b/crates/lab/src/sim/simulation.rs
@@ -16,11 +16,11 @@
 use crate::error::LabError;
 use crate::event_log::{Fact, Silence, What};
 use crate::experiment::{Experiment, Failure, Variant, What as FailureKind};
-use crate::judge::{ClassRule, Judge};
+use crate::judge::Judge;
 use crate::load::{self, PlannedMessage};
+use crate::metrics::Metrics;
 use crate::model::environment::Environment;
 use crate::sampling::{Stream, rng_for, uniform};
-use crate::tally::Tally;
 
 /// Time between two samples of the number of messages held.
 const SAMPLE_INTERVAL: Millis = 100.0;
@@ -44,7 +44,7 @@
     pub next_call: u64,
     pub next_message: u64,
     judge: Judge,
-    tally: Tally,
+    metrics: Metrics,
     sink: Option<Sink<'a>>,
     pub turns: Turns,
     /// A sender that starts is told the gossip of those that run.
@@ -76,8 +76,8 @@
         Ok(Simulation {
             connections: vec![0; environment.owner.len()],
             senders: (0..world.senders).map(|_| Sender::default()).collect(),
-            judge: Judge::new(class_rules(experiment), variant.max_attempts),
-            tally: Tally::new(&world.classes, 0.0, experiment.length),
+            judge: Judge::for_variant(experiment, variant),
+            metrics: Metrics::new(&world.classes, 0.0, experiment.length),
             plan: load::plan(experiment, &environment.site, &environment.faults, seed),
             clients: Clients::new(experiment, seed),
             turns: Turns::default(),
@@ -118,7 +118,7 @@
     /// The result of a run that has ended at `end`.
     pub fn finish(self, end: Millis) -> Played {
         Played {
-            figures: self.tally.end(),
+            figures: self.metrics.end(),
             verdict: self.judge.end(end),
             turns: self.turns,
         }
@@ -133,7 +133,7 @@
     pub fn record(&mut self, what: What) {
         let fact = Fact { at: self.now, what };
         self.judge.hear(&fact);
-        self.tally.hear(&fact);
+        self.metrics.hear(&fact);
         if let Some(sink) = self.sink.as_mut() {
             sink(&fact);
         }
@@ -248,17 +248,9 @@
             .senders
             .iter()
             .map(|sender| sender.open_messages as u64);
-        self.tally.held(self.now, open.sum());
+        self.metrics.held(self.now, open.sum());
         if self.now < self.experiment.length {
             self.schedule(self.now + SAMPLE_INTERVAL, SimEvent::Sample);
         }
     }
 }
-
-fn class_rules(experiment: &Experiment) -> Vec<ClassRule> {
-    let rule = |class: &crate::experiment::Class| ClassRule {
-        effect: class.effect,
-        window: class.window,
-    };
-    experiment.world.classes.iter().map(rule).collect()
-}
