--- a/crates/sender/src/egress/tests/connection_reuse.rs
+++ b/crates/sender/src/egress/tests/connection_reuse.rs
@@ -4,125 +4,112 @@
 
 use super::*;
 
+fn start_and_send(fixture: &mut Fixture, must_not_be_lost: bool, now: Millis) {
+    fixture.start(&two_byte_request(must_not_be_lost), now);
+    // Once a reset has been met, the last byte is written a little later.
+    fixture.step_all(now);
+    fixture.step_all(now + LAST_BYTE_DELAY);
+}
+
+fn respond(peer: &mut TcpStream) {
+    peer.read_exact(&mut [0; 2]).unwrap();
+    peer.write_all(SUCCESS_RESPONSE).unwrap();
+}
+
 #[test]
 fn a_reused_connection_that_ends_at_once_is_stale_and_such_idle_times_are_then_avoided() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
-    let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
-    let start = |egress: &mut Egress, must_not_be_lost: bool, now: Millis| {
-        egress.start(&two_byte_request(must_not_be_lost), address, now);
-        // Once a reset has been met, the last byte is written a little later.
-        for now in [now, now + LAST_BYTE_DELAY] {
-            for at in 0..9 {
-                step(egress, at, now);
-            }
-        }
-    };
-    let ended = |egress: &mut Egress, now: Millis| {
-        while egress.results.is_empty() {
-            for at in 0..9 {
-                step(egress, at, now);
-            }
-        }
-        egress.results.pop().unwrap().outcome
-    };
-    let answer = |peer: &mut std::net::TcpStream| {
-        peer.read_exact(&mut [0; 2]).unwrap();
-        peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            .unwrap();
-    };
+    let mut fixture = Fixture::new(SLOTS);
     for _ in 0..2 {
-        start(&mut egress, false, 0.0);
-        let (mut peer, _) = listener.accept().unwrap();
-        for at in 0..9 {
-            step(&mut egress, at, 0.0);
-        }
-        answer(&mut peer);
-        assert_eq!(ended(&mut egress, 5.0), Outcome::Success);
-        start(&mut egress, true, 105.0);
+        start_and_send(&mut fixture, false, 0.0);
+        let mut peer = fixture.accept();
+        fixture.step_all(0.0);
+        respond(&mut peer);
+        assert_eq!(fixture.outcome(5.0), Outcome::Success);
+        start_and_send(&mut fixture, true, 105.0);
         peer.read_exact(&mut [0; 2]).unwrap();
         drop(peer);
         assert_eq!(
-            ended(&mut egress, 106.0),
+            fixture.outcome(106.0),
             Outcome::StaleConnection,
             "it had been idle for 100 ms"
         );
     }
-    start(&mut egress, true, 1_000.0);
-    let (mut peer, _) = listener.accept().unwrap();
-    for at in 0..9 {
-        step(&mut egress, at, 1_000.0);
-    }
-    answer(&mut peer);
-    assert_eq!(ended(&mut egress, 1_000.0), Outcome::Success);
+    start_and_send(&mut fixture, true, 1_000.0);
+    let mut peer = fixture.accept();
+    fixture.step_all(1_000.0);
+    respond(&mut peer);
+    assert_eq!(fixture.outcome(1_000.0), Outcome::Success);
     for (must_not_be_lost, idle, opened) in [(true, 79.0, 3), (false, 200.0, 3), (true, 90.0, 4)] {
-        let now = 1_000.0 + idle;
-        start(&mut egress, must_not_be_lost, now);
+        start_and_send(&mut fixture, must_not_be_lost, 1_000.0 + idle);
         assert_eq!(
-            egress.connections_opened, opened,
+            fixture.egress.connections_opened, opened,
             "must_not_be_lost={must_not_be_lost} after {idle} ms"
         );
         if opened == 3 {
-            answer(&mut peer);
-            assert_eq!(ended(&mut egress, 1_000.0), Outcome::Success);
+            respond(&mut peer);
+            assert_eq!(fixture.outcome(1_000.0), Outcome::Success);
         }
     }
 }
 
 #[test]
 fn idle_connections_make_room_for_new_ones_and_are_closed_at_the_idle_limit() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
-    let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 1, 1_000.0, 15_000.0);
+    let mut fixture = Fixture::new(1);
     for endpoint in 0..3 {
-        egress.start(
-            &AttemptRequest {
-                id: MessageId(endpoint.into()),
-                endpoint: EndpointId(endpoint),
-                head: b"x",
-                ..two_byte_request(false)
-            },
-            address,
-            5.0,
-        );
-        let (mut peer, _) = listener.accept().unwrap();
-        while egress
-            .connections
-            .iter()
-            .any(|c| !c.connection.is_flushed())
-        {
-            step(&mut egress, 0, 5.0);
-            step(&mut egress, 1, 5.0);
+        let request = AttemptRequest {
+            id: MessageId(endpoint.into()),
+            endpoint: EndpointId(endpoint),
+            head: b"x",
+            ..two_byte_request(false)
+        };
+        fixture.start(&request, 5.0);
+        let mut peer = fixture.accept();
+        let flushed = |c: &EndpointConnection| c.connection.is_flushed();
+        while !fixture.egress.connections.iter().all(flushed) {
+            fixture.step_all(5.0);
         }
         peer.read_exact(&mut [0]).unwrap();
-        peer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-            .unwrap();
-        while egress.results.is_empty() {
-            step(&mut egress, 0, 6.0);
-            step(&mut egress, 1, 6.0);
-        }
-        assert_eq!(egress.results.pop().unwrap().outcome, Outcome::Success);
+        peer.write_all(SUCCESS_RESPONSE).unwrap();
+        assert_eq!(fixture.outcome(6.0), Outcome::Success);
+        let pool = &fixture.egress.connections;
         assert_eq!(
-            (
-                egress.connections.slots.len(),
-                egress.connections.idle.len()
-            ),
+            (pool.slots.len(), pool.idle.len()),
             (1, 1),
             "the one before was closed"
         );
     }
+    let egress = &mut fixture.egress;
     assert!(
         egress.next_deadline() < 15_000.0,
         "before the endpoint's own limit"
     );
     egress.expire_timeouts(egress.next_deadline());
-    assert!(
-        egress.connections.slots.is_empty()
-            && egress.connections.idle.is_empty()
-            && egress.results.is_empty()
-    );
+    assert!(egress.connections.slots.is_empty() && egress.connections.idle.is_empty());
+    assert!(egress.results.is_empty());
+}
+
+/// One exchange with an endpoint at an address of its own, on a new connection. Returns the endpoint's side, and how
+/// many connections are idle then.
+fn exchange(
+    fixture: &mut Fixture,
+    listener: &TcpListener,
+    request: &AttemptRequest,
+    response: &[u8],
+) -> (TcpStream, usize) {
+    let opened = fixture.egress.connections_opened;
+    let address = listener.local_addr().unwrap();
+    fixture.egress.start(request, address, 0.0);
+    // An endpoint that has rejected a request has ended the connection.
+    assert_eq!(fixture.egress.connections_opened, opened + 1);
+    let (mut peer, _) = listener.accept().unwrap();
+    while fixture.egress.sent.is_empty() {
+        fixture.step_all(0.0);
+    }
+    fixture.egress.sent.clear();
+    peer.read_exact(&mut [0; 2]).unwrap();
+    peer.write_all(response).unwrap();
+    fixture.outcome(0.0);
+    (peer, fixture.egress.connections.idle.len())
 }
 
 #[rstest::rstest]
@@ -136,41 +123,25 @@
     #[case] closed: bool,
 ) {
     // Who holds a connection never meets a rejection, and would otherwise keep it for good from those that have none.
-    let listener = || std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let endpoints = [listener(), listener()];
-    let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
-    let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
-    let mut exchange = |endpoint: usize, kind: usize, response: &str| {
-        let address = endpoints[endpoint].local_addr().unwrap();
-        let opened = egress.connections_opened;
-        let request = AttemptRequest {
-            endpoint: EndpointId(endpoint as u32),
-            kind,
-            ..two_byte_request(false)
-        };
-        egress.start(&request, address, 0.0);
-        // Each has a connection of its own, which the endpoint ends if it has rejected the request.
-        assert_eq!(egress.connections_opened, opened + 1);
-        let (mut peer, _) = endpoints[endpoint].accept().unwrap();
-        while egress.sent.is_empty() {
-            (0..9).for_each(|at| _ = step(&mut egress, at, 0.0));
-        }
-        egress.sent.clear();
-        peer.read_exact(&mut [0; 2]).unwrap();
-        peer.write_all(response.as_bytes()).unwrap();
-        while egress.results.pop().is_none() {
-            (0..9).for_each(|at| _ = step(&mut egress, at, 0.0));
-        }
-        (peer, egress.connections.idle.len())
+    let mut fixture = Fixture::new(SLOTS);
+    let request = |endpoint, kind| AttemptRequest {
+        endpoint: EndpointId(endpoint),
+        kind,
+        ..two_byte_request(false)
     };
-    let (mut kept, idle) = exchange(0, 0, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
+    let serving = listener();
+    let (mut kept, idle) = exchange(&mut fixture, &serving, &request(0, 0), SUCCESS_RESPONSE);
     assert_eq!(idle, 1, "it is kept while nothing speaks against it");
-    let away = format!("HTTP/1.1 {status}\r\n{wait}Content-Length: 0\r\nConnection: close\r\n\r\n");
-    let left = (0..3)
-        .map(|_| exchange(1, kind, &away).1)
-        .collect::<Vec<_>>();
+    let rejecting = listener();
+    let rejection =
+        format!("HTTP/1.1 {status}\r\n{wait}Content-Length: 0\r\nConnection: close\r\n\r\n");
+    let mut reject = || {
+        let request = request(1, kind);
+        exchange(&mut fixture, &rejecting, &request, rejection.as_bytes()).1
+    };
     assert_eq!(
-        left,
+        [reject(), reject(), reject()],
         [1, 1, usize::from(!closed)],
         "from the third on it is beyond chance"
     );
--- a/crates/sender/src/egress/tests/last_byte.rs
+++ b/crates/sender/src/egress/tests/last_byte.rs
@@ -4,66 +4,51 @@
 
 use super::*;
 
+/// One request that must not be lost, whose connection the endpoint closes: once its last byte has been sent, or
+/// otherwise once all the others have.
+fn lose_connection(fixture: &mut Fixture, now: Millis, last_byte_sent: bool) -> Outcome {
+    let request = AttemptRequest {
+        head: b"he",
+        body: b"body",
+        ..two_byte_request(true)
+    };
+    fixture.start(&request, now);
+    let mut peer = fixture.accept();
+    let egress = &mut fixture.egress;
+    let is_sent = |(slot, c): (usize, &EndpointConnection)| {
+        c.connected && c.connection.is_flushed() && slot == 0
+    };
+    while !egress.connections.slots.iter().all(is_sent) {
+        step(egress, 0, now);
+    }
+    peer.read_exact(&mut [0; 5]).unwrap();
+    if !last_byte_sent {
+        drop(peer);
+        return fixture.outcome(now);
+    }
+    let later = now + LAST_BYTE_DELAY;
+    assert!(egress.next_deadline() <= later, "it is not forgotten");
+    egress.expire_timeouts(later);
+    peer.read_exact(&mut [0]).unwrap();
+    drop(peer);
+    fixture.outcome(later)
+}
+
 #[test]
 fn while_resets_are_expected_a_request_that_must_not_be_lost_is_proven_never_to_have_run() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
-    let mut egress = Egress::new(&events.handle(), &BufferPool::new(8), 9, 1_000.0, 15_000.0);
-    let mut guarded_request = |now: Millis, fully_sent: bool| {
-        egress.start(
-            &AttemptRequest {
-                head: b"he",
-                body: b"body",
-                ..two_byte_request(true)
-            },
-            address,
-            now,
-        );
-        let (mut peer, _) = listener.accept().unwrap();
-        while egress
-            .connections
-            .slots
-            .iter()
-            .any(|(slot, c)| !c.connected || !c.connection.is_flushed() || slot > 0)
-        {
-            step(&mut egress, 0, now);
-        }
-        peer.read_exact(&mut [0; 5]).unwrap();
-        if fully_sent {
-            assert!(
-                egress.next_deadline() <= now + LAST_BYTE_DELAY,
-                "it is not forgotten"
-            );
-            egress.expire_timeouts(now + LAST_BYTE_DELAY);
-            peer.read_exact(&mut [0]).unwrap();
-        }
-        drop(peer);
-        while egress.results.is_empty() {
-            step(
-                &mut egress,
-                0,
-                if fully_sent {
-                    now + LAST_BYTE_DELAY
-                } else {
-                    now
-                },
-            );
-        }
-        egress.results.pop().unwrap().outcome
-    };
+    let mut fixture = Fixture::new(SLOTS);
     assert_eq!(
-        guarded_request(0.0, false),
+        lose_connection(&mut fixture, 0.0, false),
         Outcome::ConnectionLost,
         "nothing was known: all of it had been sent"
     );
     assert_eq!(
-        guarded_request(10.0, false),
+        lose_connection(&mut fixture, 10.0, false),
         Outcome::NotSent,
         "its last byte had not been sent"
     );
     assert_eq!(
-        guarded_request(20.0, true),
+        lose_connection(&mut fixture, 20.0, true),
         Outcome::ConnectionLost,
         "it had"
     );
@@ -77,7 +62,8 @@
     #[case] received: &[u8],
 ) {
     // The endpoint would have forgotten its idempotency key by then, and it would take effect twice.
-    let (mut egress, peer, _events) = egress_with_one_request(latest);
+    let (mut fixture, peer) = one_request(latest);
+    let egress = &mut fixture.egress;
     for _ in 0..100_000 {
         if !egress.results.is_empty() || !egress.sent.is_empty() {
             break;
@@ -87,10 +73,10 @@
         egress.on_ready(0, 100.0 + LAST_BYTE_DELAY);
     }
     assert_eq!(
-        egress.results.pop().map(|d| d.outcome),
+        egress.results.pop().map(|result| result.outcome),
         received.is_empty().then_some(Outcome::NotSent)
     );
-    drop(egress);
+    drop(fixture);
     assert_eq!(everything_received(peer), received);
 }
 
@@ -105,8 +91,9 @@
 ) {
     // A time to wait counts from when it was written. But nothing runs before its last byte: a stray 200 must not end
     // a message that never ran.
-    let (mut egress, mut peer, _events) = egress_with_one_request(f64::INFINITY);
-    peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
+    let (mut fixture, mut peer) = one_request(f64::INFINITY);
+    let egress = &mut fixture.egress;
+    peer.set_read_timeout(Some(Duration::from_secs(20)))
         .unwrap();
     for _ in 0..100_000 {
         if egress.connections[0].connection.written > 0 {
@@ -120,15 +107,20 @@
         format!("HTTP/1.1 {status}\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n").as_bytes(),
     )
     .unwrap();
-    match cancelled {
-        true => egress.cancel(MessageId(1), 0, 2.0),
-        false => egress.expire_timeouts(500.0),
+    if cancelled {
+        egress.cancel(MessageId(1), 0, 2.0);
+    } else {
+        egress.expire_timeouts(500.0);
     }
     assert_eq!(
-        egress.results.iter().map(|d| d.outcome).collect::<Vec<_>>(),
+        egress
+            .results
+            .iter()
+            .map(|result| result.outcome)
+            .collect::<Vec<_>>(),
         [outcome]
     );
-    drop(egress);
+    drop(fixture);
     assert_eq!(
         everything_received(peer),
         b"",
@@ -146,20 +138,21 @@
     #[case] withdrawn: bool,
 ) {
     // A connection that is established behind a drain or a time to wait must not carry a request into it.
-    let (mut egress, peer, _events) = egress_with_one_request(f64::INFINITY);
+    let (mut fixture, peer) = one_request(f64::INFINITY);
+    let egress = &mut fixture.egress;
     egress.cancel_unsent(
         |destination, endpoint| endpoint == draining || destination == waiting,
         1.0,
     );
     assert_eq!(
-        egress.results.pop().map(|d| d.outcome),
+        egress.results.pop().map(|result| result.outcome),
         withdrawn.then_some(Outcome::NotSent)
     );
     for _ in 0..100 {
-        step(&mut egress, 0, 1.0);
-        step(&mut egress, 0, 1.0 + LAST_BYTE_DELAY);
+        step(egress, 0, 1.0);
+        step(egress, 0, 1.0 + LAST_BYTE_DELAY);
     }
-    drop(egress);
+    drop(fixture);
     assert_eq!(
         everything_received(peer),
         if withdrawn { &b""[..] } else { b"xy" }
