Split the cordons test by what it holds, and hold the replies to operators

Need: one test of 52 lines held four things, and its full file took no cordon back that was there. Change: four tests with every assertion of the old one; new ones hold the text of both errors and that a real cordon is taken back from a full file. read_watch shares its set-up. Items that only egress or discovery see say so.

--- a/crates/sender/src/cordons/tests.rs
+++ b/crates/sender/src/cordons/tests.rs
@@ -1,59 +1,87 @@
 //! Tests of the cordons and their file.
 
-use std::rc::Rc;
+use tempfile::TempDir;
 
 use super::*;
 
-#[test]
-fn bans_last_and_neither_damage_nor_a_full_disk_costs_more_than_it_must() {
-    let folder = std::env::temp_dir().join(format!("martenlatch-hand-{}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
-    let name = |n: &str| Rc::<str>::from(n);
-    let mut cordons = Cordons::open(&folder, 3_000_000);
-    for (id, out, changed) in [
-        ("a", true, true),
-        ("a", true, false),
-        ("b", true, true),
-        ("c", true, true),
-    ] {
-        assert_eq!(cordons.put(&name(id), out), Ok(changed));
+const DISK_LIMIT: u64 = 3_000_000;
+
+fn names(folder: &TempDir) -> Vec<String> {
+    let cordons = Cordons::open(folder.path(), DISK_LIMIT);
+    cordons.names().map(|name| name.to_string()).collect()
+}
+
+/// A folder in which "a" and "b" are cordoned.
+fn two_cordoned() -> (TempDir, Cordons) {
+    let folder = tempfile::tempdir().unwrap();
+    let mut cordons = Cordons::open(folder.path(), DISK_LIMIT);
+    for name in ["a", "b"] {
+        assert_eq!(cordons.put(&Rc::from(name), true), Ok(true));
     }
-    assert_eq!(cordons.put(&name("c"), false), Ok(true));
-    let names = || {
-        Cordons::open(&folder, 3_000_000)
-            .names()
-            .map(|n| n.to_string())
-            .collect::<Vec<_>>()
-    };
-    assert_eq!(names(), ["a", "b"]);
-    // A disk that takes no new file: the call fails, and what held before holds.
-    std::fs::create_dir(folder.join("cordons.new")).unwrap();
-    assert!(cordons.put(&name("d"), true).is_err() && cordons.put(&name("a"), false).is_err());
+    (folder, cordons)
+}
+
+#[test]
+fn cordons_last_until_they_are_taken_back() {
+    let (folder, mut cordons) = two_cordoned();
+    assert_eq!(cordons.put(&Rc::from("a"), true), Ok(false));
+    assert_eq!(cordons.put(&Rc::from("c"), true), Ok(true));
+    assert_eq!(cordons.put(&Rc::from("c"), false), Ok(true));
+    assert_eq!(names(&folder), ["a", "b"]);
+}
+
+#[test]
+fn a_disk_that_takes_no_file_leaves_the_cordons_as_they_were() {
+    let (folder, mut cordons) = two_cordoned();
+    std::fs::create_dir(folder.path().join("cordons.new")).unwrap();
+    let failed = cordons.put(&Rc::from("d"), true).unwrap_err();
+    assert!(
+        failed
+            .to_string()
+            .starts_with("the ban cannot be written: ")
+    );
+    assert!(cordons.put(&Rc::from("a"), false).is_err());
     assert!(cordons.holds("a") && !cordons.holds("d"));
-    std::fs::remove_dir(folder.join("cordons.new")).unwrap();
-    // However it is damaged: no panic, no name that was not there, and a line costs itself alone.
-    let whole = std::fs::read(folder.join("cordons")).unwrap();
+    assert_eq!(names(&folder), ["a", "b"]);
+}
+
+#[test]
+fn a_damaged_line_costs_itself_alone() {
+    let (folder, _) = two_cordoned();
+    let file = folder.path().join("cordons");
+    let whole = std::fs::read(&file).unwrap();
+    let known = |left: &[String]| left.iter().all(|name| name == "a" || name == "b");
     for at in 0..whole.len() {
-        let mut spoilt = whole.clone();
-        spoilt[at] ^= 0x20;
-        std::fs::write(folder.join("cordons"), &spoilt).unwrap();
-        let left = names();
+        let mut damaged = whole.clone();
+        damaged[at] ^= 0x20;
+        std::fs::write(&file, &damaged).unwrap();
+        let left = names(&folder);
         // A damaged line end makes one damaged line of two.
-        assert!(
-            (whole[at] == b'\n' || !left.is_empty()) && left.iter().all(|n| n == "a" || n == "b"),
-            "byte {at}: {left:?}"
+        assert!(whole[at] == b'\n' || !left.is_empty(), "byte {at}: none");
+        assert!(known(&left), "byte {at}: {left:?}");
+        std::fs::write(&file, &whole[..at]).unwrap();
+        assert!(known(&names(&folder)), "cut at {at}");
+    }
+}
+
+#[test]
+fn a_full_file_takes_no_more_cordons_but_they_can_be_taken_back() {
+    let (folder, _) = two_cordoned();
+    // The file may have 30 bytes, as many as it has.
+    let mut full = Cordons::open(folder.path(), 1_000);
+    for index in 0..9 {
+        let name = Rc::from(format!("long-{index}"));
+        let refused = full.put(&name, true).unwrap_err();
+        assert_eq!(
+            refused.to_string(),
+            "no room on disk for more than the 2 that are out"
         );
-        std::fs::write(folder.join("cordons"), &whole[..at]).unwrap();
-        assert!(names().iter().all(|n| n == "a" || n == "b"), "cut at {at}");
     }
-    let mut full = Cordons::open(&folder, 1_000);
-    let more = (0..9)
-        .map(|n| full.put(&name(&format!("long-{n}")), true).is_ok())
-        .collect::<Vec<_>>();
-    assert!(
-        !more[8] && full.put(&name("long-0"), false).is_ok(),
-        "{more:?}: putting back needs no room"
+    assert_eq!(full.put(&Rc::from("long-0"), false), Ok(false));
+    assert_eq!(
+        full.put(&Rc::from("a"), false),
+        Ok(true),
+        "it needs no room"
     );
-    let _ = std::fs::remove_dir_all(&folder);
+    assert_eq!(names(&folder), ["b"]);
 }
--- a/crates/sender/src/discovery/tests/updates.rs
+++ b/crates/sender/src/discovery/tests/updates.rs
@@ -1,60 +1,54 @@
 //! Tests of reading the updates that a watch brings.
 
 use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
 
 use super::super::list_update::{EntryError, EntryField};
 use super::super::watch::WatchInput;
 use super::*;
 
-/// What a directory makes of the text of a watch: for each change whether it is complete and its number of entries; the
-/// version; and whether the watch goes on.
-fn read_watch(text: &str) -> (Vec<(bool, usize)>, u64, bool) {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+/// A directory with one endpoint at version 5, and discovery's side of its watch.
+fn watching() -> (EndpointDirectory, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
-    let (handle, pool) = (events.handle(), BufferPool::new(8));
-    let boot = boot(Settings::default(), false);
     let mut directory = EndpointDirectory::new(
         listener.local_addr().unwrap(),
-        &boot,
+        &boot(Settings::default(), false),
         no_cordons(),
         Jitter::new(1),
     );
     let first = serde_json::json!({"rev": 5, "all": true, "targets": [
         {"uid": "a", "endpoint": "127.0.0.1:9", "az": "x", "model": "x", "pod_group": 7, "state": "in_service"}]});
     directory.apply(&first).unwrap();
-    directory.run_due(0.0, &handle, &pool);
+    directory.run_due(0.0, &events.handle(), &BufferPool::new(8));
     let (mut peer, _) = listener.accept().unwrap();
-    while directory
-        .watch
-        .as_ref()
-        .is_some_and(|w| !w.connection.is_flushed())
-    {
+    let is_flushed = |watch: &Watch| watch.connection.is_flushed();
+    while !directory.watch.as_ref().is_none_or(is_flushed) {
         directory.on_ready(0.0);
     }
     assert!(peer.read(&mut [0; 512]).unwrap() > 0);
+    (directory, peer)
+}
+
+/// What a directory makes of the text of a watch: for each change whether it is complete and its number of entries; the
+/// version; and whether the watch goes on.
+fn read_watch(text: &str) -> (Vec<(bool, usize)>, u64, bool) {
+    let (mut directory, mut peer) = watching();
     peer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         .unwrap();
     write!(peer, "{:x}\r\n{text}\r\n", text.len()).unwrap();
     // The response ends behind the text.
     peer.write_all(b"0\r\n\r\n").unwrap();
-    let (mut changes, mut reason) = (Vec::new(), None);
-    while reason.is_none() {
-        let mut watch = directory.watch.take().unwrap();
-        let WatchInput { objects, fault, .. } = watch.receive();
-        directory.watch = Some(watch);
+    let mut changes = Vec::new();
+    loop {
+        let WatchInput { objects, fault, .. } = directory.watch.as_mut().unwrap().receive();
         let (applied, unreadable) = directory.apply_objects(&objects);
         changes.extend(applied.iter().map(|c| (c.whole, c.entries.len())));
-        reason = if unreadable {
-            Some(WatchFault::UnreadableUpdate)
-        } else {
-            fault
-        };
+        if unreadable || fault.is_some() {
+            let goes_on = !unreadable && fault == Some(WatchFault::Ended);
+            return (changes, directory.version, goes_on);
+        }
     }
-    (
-        changes,
-        directory.version,
-        reason == Some(WatchFault::Ended),
-    )
 }
 
 const DRAIN: &str = r#"{"rev":6,"all":false,"targets":[{"uid":"a","endpoint":"127.0.0.1:9","az":"x","model":"x","pod_group":7,"state":"terminating"}]}"#;
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -15,18 +15,25 @@
 /// Why a watch ended. The text is logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub(super) enum WatchFault {
+    /// Nothing came for too long.
     #[error("silent")]
     Silent,
+    /// The response has another status than 200.
     #[error("refused")]
     Refused,
+    /// What came is no valid HTTP response.
     #[error("malformed")]
     MalformedResponse,
+    /// An object is longer than [`MAX_OBJECT_BYTES`].
     #[error("line too long")]
     ObjectTooLong,
+    /// Discovery has ended the response.
     #[error("ended")]
     Ended,
+    /// An update could not be read, and is to be requested again.
     #[error("unreadable")]
     UnreadableUpdate,
+    /// The connection has ended.
     #[error("closed")]
     ConnectionClosed,
 }
--- a/crates/sender/src/discovery/watch_schedule.rs
+++ b/crates/sender/src/discovery/watch_schedule.rs
@@ -10,7 +10,7 @@
 /// The pause after the first failure, in milliseconds; it doubles with each further one.
 const MIN_BACKOFF: Millis = 100.0;
 /// The longest backoff, in milliseconds.
-pub const MAX_BACKOFF: Millis = 2_000.0;
+pub(super) const MAX_BACKOFF: Millis = 2_000.0;
 /// How the backoff grows with each failure.
 const BACKOFF_GROWTH: f64 = 2.0;
 
@@ -34,7 +34,7 @@
 
 /// Where the endpoint list comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ListSource {
+pub(super) enum ListSource {
     /// A discovery service that all senders ask for the list: each watch costs it something.
     Service,
     /// An agent on this machine, to which the list is pushed.
@@ -42,7 +42,7 @@
 }
 
 /// Decides when the next watch is opened.
-pub struct WatchSchedule {
+pub(super) struct WatchSchedule {
     source: ListSource,
     /// How many senders share the discovery service.
     senders: f64,
--- a/crates/sender/src/egress/attempt_end.rs
+++ b/crates/sender/src/egress/attempt_end.rs
@@ -6,11 +6,11 @@
 
 /// A reused connection that ends this soon under a new request, in milliseconds and without a byte of a response, was
 /// stale before the request.
-pub const STALE_DETECTION_WINDOW: Millis = 50.0;
+pub(super) const STALE_DETECTION_WINDOW: Millis = 50.0;
 
 /// Why an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndCause {
+pub(super) enum EndCause {
     /// The request was withdrawn before its first byte.
     Withdrawn,
     /// The decision module called the attempt off.
@@ -56,7 +56,7 @@
 
 /// What had been written and received when an attempt ended.
 #[derive(Clone, Copy, Debug)]
-pub struct EndedAttempt {
+pub(super) struct EndedAttempt {
     /// Why the attempt ended.
     pub cause: EndCause,
     /// The connection was established.
@@ -81,7 +81,7 @@
 
 /// What the end of an attempt says about it and about its connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct EndClassification {
+pub(super) struct EndClassification {
     /// How the attempt ended, for the decision module.
     pub outcome: Outcome,
     /// The connection was lost under the request.
--- a/crates/sender/src/egress/connection_faults.rs
+++ b/crates/sender/src/egress/connection_faults.rs
@@ -18,7 +18,7 @@
 const SAFE_IDLE_GROWTH: f64 = 1.01;
 
 /// From this weighted count of resets on, a further one is expected.
-pub const RESETS_EXPECTED_FROM: f64 = 0.5;
+pub(super) const RESETS_EXPECTED_FROM: f64 = 0.5;
 /// What a good exchange leaves of the count of resets.
 const RESET_DECAY: f64 = 0.98;
 
@@ -26,7 +26,7 @@
 ///
 /// Serialized as a part of the egress state: the order of the fields is fixed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct StaleConnectionDetector {
+pub(super) struct StaleConnectionDetector {
     /// Weighted count of connections that were stale.
     pub recent_stale: f64,
     /// Connections that have been idle for long are suspected of being stale.
@@ -76,7 +76,7 @@
 
 /// Whether connections are being reset under requests.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-pub struct ResetDetector {
+pub(super) struct ResetDetector {
     /// Weighted count of connections that were lost under a request.
     pub recent_resets: f64,
 }
--- a/crates/sender/src/egress/connection_scarcity.rs
+++ b/crates/sender/src/egress/connection_scarcity.rs
@@ -41,7 +41,7 @@
 
 /// A response, as far as it says something of an endpoint's spare connections.
 #[derive(Clone, Copy, Debug)]
-pub struct ConnectionResponse {
+pub(super) struct ConnectionResponse {
     /// The connection had carried an admitted request before.
     pub reused: bool,
     /// The endpoint rejected the request.
@@ -52,7 +52,7 @@
 
 /// For each kind of endpoint, whether its endpoints lack spare connections. Serialized for a process replacement.
 #[derive(Clone, Default, Serialize, Deserialize)]
-pub struct ConnectionScarcity(Vec<KindCounts>);
+pub(super) struct ConnectionScarcity(Vec<KindCounts>);
 
 impl ConnectionScarcity {
     /// Takes account of a response of an endpoint of the kind with that index in the settings.
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -15,6 +15,7 @@
 pub(super) enum RemainingResponse {
     /// Its head, behind a status line of 200, and the body that the head announces.
     Head,
+    /// Its body.
     Body(Body),
 }
 
--- a/crates/sender/src/egress/tests/last_byte.rs
+++ b/crates/sender/src/egress/tests/last_byte.rs
@@ -121,11 +121,8 @@
         [outcome]
     );
     drop(fixture);
-    assert_eq!(
-        everything_received(peer),
-        b"",
-        "its last byte has not been sent"
-    );
+    let received = everything_received(peer);
+    assert_eq!(received, b"", "its last byte has not been sent");
 }
 
 #[rstest::rstest]
