Hold the takeover's lines by tests of their literal form

The tests of the takeover compare what both sides of the same build exchange, so a changed line would have passed. Three tests now hold the request, the answers and the commit to the form that earlier versions write. The test's failing successors become methods, one for each way to reach the state.

--- a/crates/handover/src/protocol.rs
+++ b/crates/handover/src/protocol.rs
@@ -80,3 +80,6 @@
         small_enough.then_some(Answer::Accepted { bytes, descriptors })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/handover/src/protocol/tests.rs
@@ -0,0 +1,32 @@
+//! The lines as processes of earlier versions write and expect them.
+
+use super::*;
+
+#[test]
+fn a_request_is_written_and_read_in_the_form_of_earlier_versions() {
+    let request = TakeoverRequest {
+        version: VERSION,
+        listen: "127.0.0.1:7".parse().unwrap(),
+    };
+    assert_eq!(request.encode(), "martenlatch 1 127.0.0.1:7\n");
+    let decoded = TakeoverRequest::decode(b"martenlatch 1 127.0.0.1:7\n");
+    assert_eq!(decoded, Some(request));
+}
+
+#[test]
+fn an_answer_is_written_and_read_in_the_form_of_earlier_versions() {
+    let accepted = Answer::Accepted {
+        bytes: 100,
+        descriptors: 2,
+    };
+    let refused = Answer::Refused("ending".to_string());
+    assert_eq!(accepted.encode(), "yes 100 2\n");
+    assert_eq!(refused.encode(), "no ending\n");
+    assert_eq!(Answer::decode(b"yes 100 2"), Some(accepted));
+    assert_eq!(Answer::decode(b"no ending"), Some(refused));
+}
+
+#[test]
+fn a_commit_has_the_form_of_earlier_versions() {
+    assert_eq!(COMMIT, b"taken\n");
+}
--- a/crates/handover/tests/steps.rs
+++ b/crates/handover/tests/steps.rs
@@ -7,11 +7,12 @@
 use std::os::fd::AsFd;
 use std::os::unix::net::UnixStream;
 use std::path::Path;
+use std::sync::mpsc::Receiver;
 use std::thread;
 
 use martenlatch_handover::{
-    HandoverError, Lock, PendingTakeover, RequestProgress, SuccessorConnection, TakeoverListener,
-    TakeoverRequest, TransferOutcome, VERSION, request_takeover,
+    HandoverError, Lock, PendingTakeover, ReceivedState, RequestProgress, SuccessorConnection,
+    TakeoverListener, TakeoverRequest, TransferOutcome, VERSION, request_takeover,
 };
 use rstest::rstest;
 
@@ -106,6 +107,47 @@
     CommitsLate,
 }
 
+impl Successor {
+    /// Requests to take over, and fails in its way; one that does not end by itself waits until the transfer is over.
+    /// The result of its late commit, if it tries one.
+    fn run(self, path: &Path, transfer_over: &Receiver<()>) -> Option<std::io::Result<()>> {
+        match self {
+            Successor::GoneBeforeTheState | Successor::GoneHalfway | Successor::InvalidCommit => {
+                self.run_on_the_bare_stream(path, transfer_over);
+                None
+            }
+            Successor::GoneWithTheState => {
+                receive_state(path);
+                None
+            }
+            Successor::SilentWithTheState | Successor::CommitsLate => {
+                let received = receive_state(path);
+                transfer_over.recv().unwrap();
+                Some(received.commit())
+            }
+        }
+    }
+
+    fn run_on_the_bare_stream(self, path: &Path, transfer_over: &Receiver<()>) {
+        let mut stream = UnixStream::connect(path).unwrap();
+        let line = format!("martenlatch {VERSION} 127.0.0.1:7\n");
+        stream.write_all(line.as_bytes()).unwrap();
+        if self == Successor::GoneBeforeTheState {
+            return;
+        }
+        stream.read_exact(&mut [0; 100]).unwrap();
+        if self == Successor::InvalidCommit {
+            stream.write_all(b"takes\n").unwrap();
+            let _ = transfer_over.recv();
+        }
+    }
+}
+
+fn receive_state(path: &Path) -> ReceivedState {
+    let pending = request_takeover(path, &request(VERSION)).unwrap();
+    pending.receive(&checks(1_000)).unwrap()
+}
+
 #[rstest]
 fn the_serving_process_goes_on_wherever_the_successor_dies_or_falls_silent(
     #[values(
@@ -121,43 +163,15 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("takeover.sock");
     let listener = TakeoverListener::open(&path).unwrap();
-    let bytes = vec![
-        7;
-        if successor == Successor::GoneHalfway {
-            4 << 20
-        } else {
-            100
-        }
-    ];
+    // Half of a large state cannot wait in the socket's buffers.
+    let size = if successor == Successor::GoneHalfway {
+        4 << 20
+    } else {
+        100
+    };
+    let bytes = vec![7; size];
     let (end, ended) = std::sync::mpsc::channel::<()>();
-    let other = thread::spawn(move || {
-        if matches!(
-            successor,
-            Successor::GoneHalfway | Successor::InvalidCommit | Successor::GoneBeforeTheState
-        ) {
-            let mut stream = UnixStream::connect(&path).unwrap();
-            stream
-                .write_all(format!("martenlatch {VERSION} 127.0.0.1:7\n").as_bytes())
-                .unwrap();
-            if successor != Successor::GoneBeforeTheState {
-                stream.read_exact(&mut [0; 100]).unwrap();
-            }
-            if successor == Successor::InvalidCommit {
-                stream.write_all(b"takes\n").unwrap();
-            }
-            let _ = (successor == Successor::InvalidCommit).then(|| ended.recv());
-            return None;
-        }
-        let received = request_takeover(&path, &request(VERSION))
-            .unwrap()
-            .receive(&checks(1_000))
-            .unwrap();
-        if successor == Successor::GoneWithTheState {
-            return None;
-        }
-        ended.recv().unwrap();
-        Some(received.commit())
-    });
+    let other = thread::spawn(move || successor.run(&path, &ended));
     let (connection, _) = accept_request(&listener);
     let lock = Lock::try_acquire(folder.path(), "lock").unwrap().unwrap();
     let outcome = connection.transfer(&bytes, &[lock.as_fd()], &checks(25));
