--- /dev/null
+++ b/crates/sender/src/pipeline/tests/mod.rs
@@ -0,0 +1,115 @@
+//! The driver against sockets on loopback, on a clock that the test sets.
+
+mod attempts;
+mod ingress;
+mod rejection;
+mod settings;
+mod shutdown;
+mod status_reports;
+
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use martenlatch_clock::{Clock, Millis, nanos};
+use martenlatch_policy::interface::{Action, EndpointId, MessageId};
+use martenlatch_settings::platform;
+use martenlatch_wal::{FinalStatus, LogInspection, MessageRecord, RecoveredState, WriteAheadLog};
+
+use super::Driver;
+use super::driver::OVERDUE_AFTER;
+use super::ingress::NEWCOMER_GRACE;
+use super::message_store::MessageState;
+use super::shutdown::{ACCEPT_UNTIL, ATTEMPTS_END};
+use super::status_reports::MAX_BACKOFF;
+use super::test_support::{DISK_LIMIT, Events, START, empty_folder, folder_path, start_driver};
+use crate::event_source::EventSource;
+use crate::jitter::Jitter;
+
+const SETTINGS: &str = r#"{"Areas":["a"],"Zone":"a","Balancers":1,"Kinds":["k"],"Categories":[
+    {"Name":"debit","Target":3000000000,"Deadline":16000000000,"Effect":"side_effect","Worth":1}],
+    "FamilyInfo":{"CallsOut":4},
+    "Limits":{"OpenCap":9,"AttemptsCap":8,"Cancel":true,"RetryAfter":true,"MaxRetryAfter":3000000000,"ConnectTimeout":1000000000},
+    "Guarantees":{"OverloadFactor":2,
+    "OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000},"Tick":5000000}"#;
+
+/// A driver on a clock that the test sets, which resumes one non-idempotent message with two seconds left.
+fn resumed(name: &str, endpoint: SocketAddr) -> (Driver, Clock, Events) {
+    resumed_with(name, 2_000.0, endpoint)
+}
+
+/// The same with so many milliseconds left.
+fn resumed_with(name: &str, left: Millis, endpoint: SocketAddr) -> (Driver, Clock, Events) {
+    let state = empty_folder(&folder_name(name));
+    let (mut wal, _) = WriteAheadLog::open(&state, DISK_LIMIT);
+    assert!(wal.append_message(&unattempted_message(left)));
+    drop(wal);
+    let known = format!(
+        r#"{{"targets":[{{"uid":"s","endpoint":"{endpoint}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
+    );
+    let clock = Clock::at(START);
+    let (driver, events) = start_driver(&state, SETTINGS, &known, endpoint, &clock);
+    (driver, clock, events)
+}
+
+fn folder_name(test: &str) -> String {
+    format!("stages-{test}")
+}
+
+fn unattempted_message(left: Millis) -> MessageRecord {
+    MessageRecord {
+        no: 3,
+        id: Rc::from("a"),
+        class: Rc::from("debit"),
+        destination: 7,
+        deadline: START + left,
+        key: None,
+        body: Rc::from(&b"x"[..]),
+        attempts: Vec::new(),
+        final_status: None,
+        rules: Rc::from([]),
+    }
+}
+
+/// What the log in the folder of a test holds.
+fn logged(test: &str) -> RecoveredState {
+    let folder = folder_path(&folder_name(test));
+    LogInspection::open(&folder).unwrap().past
+}
+
+/// Repeats something until it holds. The number of times is bounded: what is written on loopback arrives soon.
+fn until(mut holds: impl FnMut() -> bool) {
+    assert!((0..200_000).any(|_| holds()), "it never holds");
+}
+
+/// Runs rounds until the message's request has arrived at the endpoint. Returns its connection.
+fn receive_request(
+    driver: &mut Driver,
+    clock: &Clock,
+    endpoint: &TcpListener,
+) -> std::net::TcpStream {
+    use std::io::Read;
+    endpoint.set_nonblocking(true).unwrap();
+    let mut peers = Vec::new();
+    let mut request = None;
+    until(|| {
+        driver.round((0..9).map(EventSource::Region).collect());
+        if clock.now() < START + 1_500.0 {
+            clock.set(clock.now() + 5.0);
+        }
+        peers.extend(endpoint.accept().ok().map(|(peer, _)| (peer, Vec::new())));
+        for (peer, text) in &mut peers {
+            peer.set_nonblocking(true).unwrap();
+            let mut buffer = [0; 512];
+            text.extend(peer.read(&mut buffer).map_or(&[][..], |n| &buffer[..n]));
+        }
+        // Its body is one byte.
+        let is_complete =
+            |text: &[u8]| text.starts_with(b"POST /v1/messages") && text.ends_with(b"\r\n\r\nx");
+        request = peers.iter().position(|(_, text)| is_complete(text));
+        request.is_some()
+    });
+    peers.swap_remove(request.unwrap()).0
+}
+
+const OK: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
--- /dev/null
+++ b/crates/sender/src/pipeline/tests/shutdown.rs
@@ -0,0 +1,67 @@
+//! Graceful shutdown.
+
+use super::*;
+
+#[test]
+fn a_partial_request_does_not_keep_the_loop_awake_during_shutdown() {
+    use std::io::Write;
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
+    let address = driver.listens();
+    let mut half = std::net::TcpStream::connect(address).unwrap();
+    half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
+    while driver
+        .ingress
+        .clients
+        .iter()
+        .all(|(_, c)| c.connection.bytes().is_empty())
+    {
+        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+    }
+    driver.end();
+    clock.set(clock.now() + ACCEPT_UNTIL + 1.0);
+    (0..3).for_each(|_| assert!(driver.round(Vec::new())));
+    assert_eq!(
+        driver.ingress.clients.len(),
+        1,
+        "it may still complete its request"
+    );
+    assert!(driver.unfinished_sources.is_empty() && driver.sleep() > 0.0);
+}
+
+#[test]
+fn a_shutdown_is_over_before_the_process_can_be_killed() {
+    // The loop must not sleep past the last instant: it wakes within 20 ms, whatever is due.
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("end", silent.local_addr().unwrap());
+    driver.end();
+    while driver.round(vec![EventSource::Region(0)]) {
+        assert!(driver.sleep() <= 20.0);
+        clock.set(clock.now() + driver.sleep().max(1.0) + 5.0);
+        assert!(clock.now() < START + 3_690.0, "SIGKILL may come at 3.7 s");
+    }
+    assert!(
+        clock.now() >= START + ACCEPT_UNTIL,
+        "messages are accepted for a moment more"
+    );
+}
+
+#[test]
+fn an_answer_that_has_arrived_before_the_exit_is_recorded() {
+    use std::io::Write;
+    // A delivered non-idempotent message whose answer is not read would end as undeliverable in the next process.
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) =
+        resumed_with("exit", 9_000.0, endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
+    driver.end();
+    clock.set(clock.now() + ATTEMPTS_END + 101.0);
+    peer.write_all(OK).unwrap();
+    assert!(
+        !driver.round(Vec::new()),
+        "it exits, without an event that says that bytes have arrived"
+    );
+    assert_eq!(driver.store.open, 0);
+    drop(driver);
+    assert!(logged("exit").open.is_empty());
+}
--- a/crates/sender/src/process_replacement.rs
+++ b/crates/sender/src/process_replacement.rs
@@ -11,7 +11,7 @@
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 
-pub use candidate::{CandidateState, POLL_INTERVAL, ReplacementCandidate};
+pub use candidate::{CandidateError, CandidateState, POLL_INTERVAL, ReplacementCandidate};
 pub use listener::ReplacementListener;
 
 /// The socket where the processes of a state folder meet. Its name is short enough for a socket's address, and the
--- a/crates/sender/src/process_replacement/listener.rs
+++ b/crates/sender/src/process_replacement/listener.rs
@@ -202,16 +202,16 @@
 ) -> bool {
     let mut descriptors = vec![lock.as_fd()];
     descriptors.extend(state_descriptors);
-    let (clients, calls, held) = driver.load();
+    let load = driver.load();
     let clock = driver.clock();
     let deadline = clock.now() + TRANSFER_TIMEOUT;
     let time_left = || deadline - clock.now();
     match successor.transfer(state, &descriptors, &time_left) {
         TransferOutcome::Committed => {
             info!(
-                clients,
-                calls,
-                held,
+                clients = load.client_connections,
+                attempts = load.active_attempts,
+                held = load.held_messages,
                 descriptors = descriptors.len(),
                 bytes = state.len(),
                 "gave way"
