Give the refusal of a replacement the typed errors of the sender

The listener turned the sender's errors into strings before it refused a successor, as they were strings when it was written. They are SenderError now, so the reason keeps them; the text that the successor gets is the same.

--- a/crates/sender/src/process_replacement/listener.rs
+++ b/crates/sender/src/process_replacement/listener.rs
@@ -14,6 +14,7 @@
 use tracing::{info, warn};
 
 use super::socket_path;
+use crate::error::SenderError;
 use crate::event_source::{EventSource, Handle};
 use crate::pipeline::Driver;
 
@@ -29,9 +30,12 @@
     OtherVersion(u32),
     #[error("clients connect to {0}")]
     OtherAddress(SocketAddr),
-    /// What the rest of the sender says against it.
+    /// This process cannot be replaced at all.
     #[error("{0}")]
-    NotTransferable(String),
+    NotReplaceable(&'static str),
+    /// The state of this process cannot be transferred.
+    #[error(transparent)]
+    State(SenderError),
 }
 
 /// The place where a successor of this process can request to take over.
@@ -132,7 +136,7 @@
             Ok(()) if !driver.quiet() => return false,
             Ok(()) => driver
                 .close_idle_connections()
-                .map_err(|error| RefusalReason::NotTransferable(error.to_string())),
+                .map_err(RefusalReason::State),
             Err(reason) => Err(reason),
         };
         let Some(successor) = self.take_successor() else {
@@ -148,10 +152,7 @@
         match driver.process_state() {
             Ok((state, descriptors)) => transfer(successor, driver, lock, &state, descriptors),
             Err(error) => {
-                refuse(
-                    successor,
-                    &RefusalReason::NotTransferable(error.to_string()),
-                );
+                refuse(successor, &RefusalReason::State(error));
                 false
             }
         }
@@ -181,7 +182,7 @@
         return Err(RefusalReason::OtherAddress(driver.listens()));
     }
     match driver.bound() {
-        Some(reason) => Err(RefusalReason::NotTransferable(reason.to_string())),
+        Some(reason) => Err(RefusalReason::NotReplaceable(reason)),
         None => Ok(()),
     }
 }
