Merge the split simulation; share network draws between simulated runs and sockets

Runs in simulated time and on sockets each had their own latencies, connection resets, settings check and last deadline, and both error enums and the metrics had to meet.

network now holds the latencies, the trips of a new connection and the draws of resets for both; checked_settings and Experiment::last_deadline stand once; LabError has the variants of both halves and no bare text any more; the simulation uses Metrics and Judge::for_variant.

--- a/crates/lab/src/commands/run.rs
+++ b/crates/lab/src/commands/run.rs
@@ -10,14 +10,15 @@
 use martenlatch_lab::experiment::Experiment;
 use martenlatch_lab::outcome::Outcome;
 use martenlatch_lab::report::{self, Axes, Line, Point};
-use martenlatch_lab::run::{self, Machine, Use};
-use martenlatch_lab::sim;
+use martenlatch_lab::run::{self, Machine, Use, VariantTurns};
+use martenlatch_lab::sim::{self, TurnStatistics};
 use martenlatch_lab::sockets::resource_usage::ResourceUsage;
 use miette::miette;
 
 use super::{Conclusion, file_report, report, shipped_experiments};
 use crate::cli::RunOptions;
 
+const NANOSECONDS_PER_MICROSECOND: f64 = 1e3;
 /// So many breaches of each run are printed.
 const BREACHES_PER_RUN: usize = 5;
 
@@ -79,12 +80,17 @@
         "<h2>Turns of the decision module on this machine</h2><table><tr><th>variant<th>held up to<th>turns\
          <th>mean µs<th>longest µs",
     );
-    for (name, turns) in machine {
-        let name = report::escaped(name);
-        for (bits, (count, total, longest)) in &turns.by_held {
+    for VariantTurns { variant, turns } in machine {
+        let name = report::escaped(variant);
+        for (bits, statistics) in &turns.by_held {
+            let TurnStatistics {
+                count,
+                total,
+                longest,
+            } = *statistics;
             let most_held = (1u64 << bits) - 1;
-            let mean = *total as f64 / *count as f64 / 1e3;
-            let longest = *longest as f64 / 1e3;
+            let mean = total as f64 / count as f64 / NANOSECONDS_PER_MICROSECOND;
+            let longest = longest as f64 / NANOSECONDS_PER_MICROSECOND;
             html +=
                 &format!("<tr><td>{name}<td>{most_held}<td>{count}<td>{mean:.1}<td>{longest:.1}");
         }
@@ -106,12 +112,15 @@
 /// A line of each run, of what was used by each second and the one before it.
 fn usage_lines(used: &Use, value: fn(&ResourceUsage, &ResourceUsage) -> f64) -> Vec<Line> {
     used.iter()
-        .map(|(name, seed, by_second)| Line {
-            name: format!("{name}, seed {seed}"),
-            points: (1..by_second.len())
-                .map(|second| Point {
-                    x: second as f64,
-                    y: value(&by_second[second], &by_second[second - 1]),
+        .map(|run| Line {
+            name: format!("{}, seed {}", run.variant, run.seed),
+            points: run
+                .used
+                .windows(2)
+                .zip(1_u32..)
+                .map(|(pair, second)| Point {
+                    x: f64::from(second),
+                    y: value(&pair[1], &pair[0]),
                 })
                 .collect(),
         })
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -4,7 +4,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 
+use martenlatch_clock::Millis;
 use martenlatch_policy::interface::SettingsError;
+use martenlatch_settings::text::Fault;
 
 /// How a sender's process ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -36,6 +38,9 @@
     /// The event loop broke off.
     #[error("the loop failed: {0}")]
     Dispatch(#[source] calloop::Error),
+    /// An experiment's text is wrong.
+    #[error("{0}")]
+    Experiment(#[from] Fault),
     /// The decision module rejects the settings that a variant leads to.
     #[error("variant {variant:?}: {source}")]
     VariantSettings {
@@ -44,6 +49,17 @@
         /// What is wrong with the settings.
         source: SettingsError,
     },
+    /// The decision module rejects the settings of a measurement.
+    #[error("{0}")]
+    MeasurementSettings(#[source] SettingsError),
+    /// The machine was too busy for the laboratory to keep its own times, however often it tried.
+    #[error(
+        "the machine is too busy: three times the laboratory itself was late, at last by {late:.0} ms"
+    )]
+    MachineTooBusy {
+        /// How late the laboratory was the last time, in milliseconds.
+        late: Millis,
+    },
     /// A file or folder cannot be read or written.
     #[error("{}: {source}", .path.display())]
     File {
@@ -185,9 +201,6 @@
         /// What the system said.
         source: Box<dyn std::error::Error + Send + Sync>,
     },
-    /// A failure of a part that reports by its text alone.
-    #[error("{0}")]
-    Other(String),
 }
 
 impl LabError {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod members;
 pub mod metrics;
 pub mod model;
+pub mod network;
 pub mod outcome;
 pub mod report;
 pub mod run;
