--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -223,6 +223,12 @@
 }
 
 impl Experiment {
+    /// When the last message that can come has its deadline, in milliseconds from the start of a run.
+    pub fn last_deadline(&self) -> Millis {
+        let deadlines = self.world.classes.iter().map(|class| class.deadline);
+        self.length + deadlines.fold(0.0, f64::max)
+    }
+
     /// Reads an experiment's file.
     ///
     /// # Errors
--- a/crates/lab/src/sim/calls.rs
+++ b/crates/lab/src/sim/calls.rs
@@ -10,22 +10,10 @@
 use crate::event_log::{Silence, What};
 use crate::model::fault_schedule::ActiveFaults;
 use crate::model::partner::Reply;
-use crate::sampling::{Stream, bernoulli, rng_for};
+use crate::network::{self, Direction};
 
 /// A sender closes connections that have been idle for this share of the time after which partners do.
 const IDLE_LIMIT_SHARE: f64 = 0.9;
-/// Plus the number of the attempt: numbers the draws of connection resets.
-const RESET_DRAW: u64 = 500;
-/// One-way latencies until the last byte of a call is there, on a connection that is open.
-const OPEN_CONNECTION_TRIPS: f64 = 1.0;
-/// The same on a new connection, which has its own round trip first.
-const NEW_CONNECTION_TRIPS: f64 = 3.0;
-
-/// Tells the latencies of a call's two ways apart.
-mod direction {
-    pub const TO_PARTNER: u64 = 0;
-    pub const TO_SENDER: u64 = 1;
-}
 
 /// A call in flight.
 pub(super) struct Call {
@@ -42,12 +30,6 @@
     pub reset_after: bool,
 }
 
-/// Which resets are drawn for a call.
-struct DrawnResets {
-    before: bool,
-    after: bool,
-}
-
 impl Simulation<'_> {
     /// A sender sends an attempt of a message to an endpoint.
     pub(super) fn send(&mut self, sender: u32, id: u64, endpoint: u32, timeout: Millis) {
@@ -68,7 +50,7 @@
         }
         let partner = self.environment.partner_of(endpoint);
         let faults = self.environment.faults_at(partner, self.now);
-        let resets = self.draw_resets(attempt.origin, attempt.number, &faults);
+        let resets = network::draw_resets(self.seed, attempt.origin, attempt.number, faults.reset);
         let connection = self.take_connection(sender, endpoint);
         let call = self.add_call(Call {
             id,
@@ -92,15 +74,6 @@
         self.cross_network(call, connection, &faults, resets.before);
     }
 
-    fn draw_resets(&self, origin: u64, attempt: u32, faults: &ActiveFaults) -> DrawnResets {
-        let draw = RESET_DRAW + u64::from(attempt);
-        let mut rng = rng_for(self.seed, Stream::Call, origin, draw);
-        DrawnResets {
-            before: bernoulli(&mut rng, faults.reset.before),
-            after: bernoulli(&mut rng, faults.reset.after),
-        }
-    }
-
     fn take_connection(&mut self, sender: u32, endpoint: u32) -> Connection {
         let idle_limit = self.experiment.world.idle * IDLE_LIMIT_SHARE;
         let state = &mut self.senders[sender as usize];
@@ -132,14 +105,9 @@
         faults: &ActiveFaults,
         reset_before: bool,
     ) {
-        let trip = self.latency(call, direction::TO_PARTNER);
+        let trip = self.latency(call, Direction::ToPartner);
         let is_new = connection.is_new();
-        let trips = if is_new {
-            NEW_CONNECTION_TRIPS
-        } else {
-            OPEN_CONNECTION_TRIPS
-        };
-        let arrives_at = self.now + trip * trips;
+        let arrives_at = self.now + trip * network::trips(is_new);
         let is_stale = connection
             .idle_since
             .is_some_and(|since| self.now - since >= faults.idle_close_after);
@@ -170,7 +138,7 @@
 
     /// The connection of a call is reset after its last byte: its sender notices one latency later.
     pub(super) fn reset_call(&mut self, call: u64) {
-        let at = self.now + self.latency(call, direction::TO_SENDER);
+        let at = self.now + self.latency(call, Direction::ToSender);
         self.schedule_loss(at, call, Silence::Reset, Outcome::ConnectionLost);
     }
 
@@ -178,7 +146,7 @@
     pub(super) fn reply(&mut self, call: u64, reply: Reply) {
         if self.calls.contains_key(&call) {
             self.record(What::Replied { call, reply });
-            let at = self.now + self.latency(call, direction::TO_SENDER);
+            let at = self.now + self.latency(call, Direction::ToSender);
             self.schedule(at, SimEvent::AnswerAtSender { call, reply });
         }
     }
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -32,7 +32,7 @@
 use simulation::Simulation;
 
 pub use turn_statistics::{TurnStatistics, Turns};
-pub use variant_settings::settings;
+pub use variant_settings::{checked_settings, settings};
 
 /// The decision module's clock at the start of a run.
 const CLOCK_ORIGIN: Millis = 1e6;
@@ -77,8 +77,7 @@
     sink: Option<Sink<'a>>,
     stop: &AtomicBool,
 ) -> Result<Played, LabError> {
-    let deadlines = experiment.world.classes.iter().map(|class| class.deadline);
-    let end = experiment.length + deadlines.fold(0.0, f64::max) + SETTLING_TIME;
+    let end = experiment.last_deadline() + SETTLING_TIME;
     let mut simulation = Simulation::new(experiment, variant, seed, sink)?;
     simulation.run(end, stop)?;
     Ok(simulation.finish(end))
--- a/crates/lab/src/sim/simulation.rs
+++ b/crates/lab/src/sim/simulation.rs
@@ -20,7 +20,7 @@
 use crate::load::{self, PlannedMessage};
 use crate::metrics::Metrics;
 use crate::model::environment::Environment;
-use crate::sampling::{Stream, rng_for, uniform};
+use crate::network::{self, Direction};
 
 /// Time between two samples of the number of messages held.
 const SAMPLE_INTERVAL: Millis = 100.0;
@@ -65,13 +65,7 @@
         sink: Option<Sink<'a>>,
     ) -> Result<Simulation<'a>, LabError> {
         let environment = Environment::new(experiment, seed);
-        let settings = variant_settings::settings(experiment, variant, &environment.site);
-        settings
-            .check()
-            .map_err(|source| LabError::VariantSettings {
-                variant: variant.name.clone(),
-                source,
-            })?;
+        let settings = variant_settings::checked_settings(experiment, variant, &environment.site)?;
         let world = &experiment.world;
         Ok(Simulation {
             connections: vec![0; environment.owner.len()],
@@ -139,10 +133,9 @@
         }
     }
 
-    /// One-way latency of a call; `direction` tells its two ways apart.
-    pub fn latency(&self, call: u64, direction: u64) -> Millis {
-        let mut rng = rng_for(self.seed, Stream::Travel, call, direction);
-        uniform(&mut rng, self.experiment.world.latency)
+    /// One-way latency of a call, or of its reply.
+    pub fn latency(&self, call: u64, direction: Direction) -> Millis {
+        network::latency(self.experiment, self.seed, call, direction)
     }
 
     fn start(&mut self) {
--- a/crates/lab/src/sim/variant_settings.rs
+++ b/crates/lab/src/sim/variant_settings.rs
@@ -6,6 +6,7 @@
     ZoneId,
 };
 
+use crate::error::LabError;
 use crate::experiment::{Class, Effect, Experiment, Variant, World};
 use crate::model::partner::{COLLAPSE_FACTOR, COLLAPSE_WINDOW};
 use crate::model::site::Site;
@@ -97,3 +98,22 @@
         duration: nanos(durations.fold(0.0, f64::max)),
     }
 }
+
+/// The settings that a variant's senders get in a world, once the decision module allows them.
+///
+/// # Errors
+/// Where the decision module rejects them.
+pub fn checked_settings(
+    experiment: &Experiment,
+    variant: &Variant,
+    site: &Site,
+) -> Result<Settings, LabError> {
+    let settings = settings(experiment, variant, site);
+    settings
+        .check()
+        .map_err(|source| LabError::VariantSettings {
+            variant: variant.name.clone(),
+            source,
+        })?;
+    Ok(settings)
+}
--- a/crates/lab/src/sockets/calls.rs
+++ b/crates/lab/src/sockets/calls.rs
@@ -8,6 +8,7 @@
 use crate::event_log::{Silence, What};
 use crate::model::environment::Delivery;
 use crate::model::partner::{self, Admission, Answer, Progress, Reply};
+use crate::network::Direction;
 
 impl Testbed<'_> {
     /// The last byte of a call has come to its endpoint.
@@ -88,7 +89,7 @@
 
     /// Has a reply written once it would have come to its sender.
     fn schedule_reply(&mut self, call: u64, reply: Reply) {
-        let way = self.travel_time(call, 1);
+        let way = self.latency(call, Direction::ToSender);
         self.events
             .push(self.now() + way, Event::WriteReply { call, reply });
     }
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -74,7 +74,7 @@
 ) -> Result<Played, LabError> {
     let mut events = EventLoop::<Ready<usize>>::try_new().map_err(LabError::EventLoop)?;
     let mut testbed = Testbed::new(experiment, variant, seed, events.handle())?;
-    let end = latest_end(experiment);
+    let end = experiment.last_deadline() + TIME_AFTER_LAST_DEADLINE;
     testbed.start_senders()?;
     testbed.schedule_run();
     let mut ready = Ready::default();
@@ -94,14 +94,3 @@
             .map_err(LabError::Dispatch)?;
     }
 }
-
-/// When a run is over at the latest, whatever is still open then.
-fn latest_end(experiment: &Experiment) -> Millis {
-    let longest_deadline = experiment
-        .world
-        .classes
-        .iter()
-        .map(|class| class.deadline)
-        .fold(0.0, f64::max);
-    experiment.length + longest_deadline + TIME_AFTER_LAST_DEADLINE
-}
--- a/crates/lab/src/sockets/partners.rs
+++ b/crates/lab/src/sockets/partners.rs
@@ -14,9 +14,7 @@
 use crate::event_log::{Silence, What};
 use crate::experiment::Effect;
 use crate::model::fault_schedule::ConnectionResets;
-
-/// The first call on a connection comes after the connection's own round trip: so many ways in all.
-const WAYS_ON_NEW_CONNECTION: f64 = 3.0;
+use crate::network::{self, Direction};
 
 /// How an endpoint's side of a connection ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -166,7 +164,7 @@
         socket.calls += 1;
         socket.call = Some(call);
         let partner = self.environment.partner_of(endpoint);
-        let resets = self.draw_resets(origin, attempt, resets);
+        let resets = network::draw_resets(self.seed, origin, attempt, resets);
         let started = Call {
             message: number,
             connection: key,
@@ -188,8 +186,7 @@
             self.reset_call(call, key);
             return;
         }
-        let ways = if fresh { WAYS_ON_NEW_CONNECTION } else { 1.0 };
-        let arrival = now + self.travel_time(call, 0) * ways;
+        let arrival = now + self.latency(call, Direction::ToPartner) * network::trips(fresh);
         self.events.push(arrival, Event::CallArrived { call });
     }
 
--- a/crates/lab/src/sockets/testbed.rs
+++ b/crates/lab/src/sockets/testbed.rs
@@ -25,24 +25,12 @@
 use crate::load::{self, PlannedMessage};
 use crate::metrics::Metrics;
 use crate::model::environment::{Environment, ListedState};
-use crate::model::fault_schedule::ConnectionResets;
-use crate::sampling::{Stream, bernoulli, rng_for, uniform};
+use crate::network::{self, Direction};
 use crate::sim;
 
 /// Buffers of all connections together; it also bounds the connections of clients that may be idle.
 const BUFFERS: usize = 4_096;
 
-/// Numbers the draws of resets, apart from the other draws of a call.
-const RESET_DRAWS: u64 = 500;
-
-/// Whether a call's connection is reset.
-pub(super) struct DrawnResets {
-    /// Before its last byte has come.
-    pub before: bool,
-    /// Once it runs.
-    pub after: bool,
-}
-
 /// A message that was handed in to a sender.
 pub(super) struct HandedIn {
     /// The client's message; the same one may be handed in several times.
@@ -139,13 +127,7 @@
         handle: Handle<usize>,
     ) -> Result<Testbed<'a>, LabError> {
         let environment = Environment::new(experiment, seed);
-        let settings = sim::settings(experiment, variant, &environment.site);
-        settings
-            .check()
-            .map_err(|source| LabError::VariantSettings {
-                variant: variant.name.clone(),
-                source,
-            })?;
+        let settings = sim::checked_settings(experiment, variant, &environment.site)?;
         let mut testbed = Testbed {
             plan: load::plan(experiment, &environment.site, &environment.faults, seed),
             clients: Clients::new(experiment, seed),
@@ -286,20 +268,9 @@
         self.failure = Some(error);
     }
 
-    /// The network's latency of one way, in milliseconds.
-    pub fn travel_time(&self, call: u64, way: u64) -> Millis {
-        let mut rng = rng_for(self.seed, Stream::Travel, call, way);
-        uniform(&mut rng, self.experiment.world.latency)
-    }
-
-    /// Draws whether the connection of an attempt is reset before it comes to its endpoint, or after.
-    pub fn draw_resets(&self, origin: u64, attempt: u32, faults: ConnectionResets) -> DrawnResets {
-        let draw = RESET_DRAWS + u64::from(attempt);
-        let mut rng = rng_for(self.seed, Stream::Call, origin, draw);
-        DrawnResets {
-            before: bernoulli(&mut rng, faults.before),
-            after: bernoulli(&mut rng, faults.after),
-        }
+    /// One-way latency of a call, or of its reply.
+    pub fn latency(&self, call: u64, direction: Direction) -> Millis {
+        network::latency(self.experiment, self.seed, call, direction)
     }
 
     /// A message is over for its client; false where it was before.
