Give the peer service's log lines the standard terms

The lines about peers still spoke of tellers, talks and kept knowledge, which the on-call engineers of another organisation cannot know.

The tests that read these lines hold the new words, no less strictly.

--- a/crates/martenlatch/tests/members.rs
+++ b/crates/martenlatch/tests/members.rs
@@ -63,9 +63,12 @@
     let counters = log_line(&log, "counters of peers");
     let dropped = number_in(&counters, "other_version=")
         + number_in(&counters, "malformed=")
-        + number_in(&counters, "not_keyed=");
+        + number_in(&counters, "not_authenticated=");
     assert!(dropped > 1_000, "{counters}");
-    assert!(number_in(&counters, "talks_refused=") > 0, "{counters}");
+    assert!(
+        number_in(&counters, "connections_rejected=") > 0,
+        "{counters}"
+    );
     assert!(counters.contains("members=1 "), "{counters}");
 }
 
--- a/crates/martenlatch/tests/shared_knowledge.rs
+++ b/crates/martenlatch/tests/shared_knowledge.rs
@@ -100,7 +100,10 @@
     });
     let sender = group.start(0, &platform, &known, "");
     let log = sender.terminate().output;
-    assert!(log_line(&log, "snapshot cut").contains("closed"), "{log}");
+    assert!(
+        log_line(&log, "seed query failed").contains("closed"),
+        "{log}"
+    );
     assert!(
         log_line(&log, "learned from peers").contains("partners=2"),
         "{log}"
@@ -169,7 +172,7 @@
     assert_eq!(sender.submit("meter", "a", "5.0"), 202);
     endpoint.next_request();
     let log = sender.terminate().output;
-    assert!(log_line(&log, "snapshot cut").contains("not whole in time"));
+    assert!(log_line(&log, "seed query failed").contains("not complete in time"));
 }
 
 #[test]
@@ -229,7 +232,7 @@
     endpoint.next_request();
     let log = sender.terminate().output;
     assert!(
-        log.contains("knowledge passed over") && log.contains("knowledge not kept"),
+        log.contains("peer snapshot ignored") && log.contains("peer snapshot not saved"),
         "{log}"
     );
 }
@@ -260,7 +263,7 @@
     let log = sender.terminate().output;
     let started = log_line(&log, "peers started");
     assert!(
-        started.contains("kept=1") && started.contains("incarnation=2"),
+        started.contains("restored=1") && started.contains("incarnation=2"),
         "{started}"
     );
 }
--- a/crates/sender/src/peer_service/datagrams.rs
+++ b/crates/sender/src/peer_service/datagrams.rs
@@ -62,7 +62,7 @@
             MembershipChange::Forgotten(name) => info!(name = %name, "member forgotten"),
             MembershipChange::NameConflict(address) => {
                 let name = &self.membership.local().name;
-                warn!(name = %name, address = %address, "another goes by our name");
+                warn!(name = %name, address = %address, "member name conflict");
             }
         }
     }
--- a/crates/sender/src/peer_service/mod.rs
+++ b/crates/sender/src/peer_service/mod.rs
@@ -91,7 +91,7 @@
         let local = membership.local();
         info!(
             name = %local.name, address = %settings.listen, incarnation = local.incarnation,
-            kept = knowledge.len(), seeds = settings.seeds.len(), "peers started"
+            restored = knowledge.len(), seeds = settings.seeds.len(), "peers started"
         );
         let pool = BufferPool::new(BUFFERS);
         let mut peers = Peers {
@@ -200,13 +200,13 @@
     pub fn print_counters(&self) {
         info!(
             members = self.membership.live() + 1,
-            told = self.page_server.digests_sent(),
-            learned = self.seed_queries.digests_received(),
-            not_keyed = self.rejections.unauthenticated,
+            digests_sent = self.page_server.digests_sent(),
+            digests_received = self.seed_queries.digests_received(),
+            not_authenticated = self.rejections.unauthenticated,
             other_version = self.rejections.other_version,
             malformed = self.rejections.malformed,
-            talks_refused = self.rejections.connections,
-            view_full = self.membership.rejected_updates,
+            connections_rejected = self.rejections.connections,
+            updates_rejected = self.membership.rejected_updates,
             "counters of peers"
         );
     }
--- a/crates/sender/src/peer_service/seed_queries.rs
+++ b/crates/sender/src/peer_service/seed_queries.rs
@@ -28,9 +28,9 @@
 enum QueryError {
     #[error("out of order")]
     OutOfOrder,
-    #[error("not reached, or closed")]
+    #[error("not connected, or closed")]
     Closed,
-    #[error("not keyed by our secret")]
+    #[error("not authenticated with our secret")]
     Unauthenticated,
     #[error("malformed")]
     Malformed,
@@ -117,7 +117,7 @@
     /// Ends all queries that are not complete.
     pub(super) fn abort(&mut self) {
         for query in self.running.iter_mut().filter_map(Option::take) {
-            warn!(teller = %query.seed, reason = "not whole in time", "snapshot cut");
+            warn!(seed = %query.seed, reason = "not complete in time", "seed query failed");
         }
     }
 
@@ -161,8 +161,8 @@
             // The digests received before count: each is complete by itself.
             Err(error) => {
                 let reason = error.to_string();
-                let learned = self.digests_received;
-                info!(teller = %query.seed, reason, learned, "snapshot cut");
+                let digests = self.digests_received;
+                info!(seed = %query.seed, reason, digests, "seed query failed");
                 self.start_next(slot, secret);
                 false
             }
--- a/crates/sender/src/peer_service/snapshot_writer.rs
+++ b/crates/sender/src/peer_service/snapshot_writer.rs
@@ -103,7 +103,7 @@
     fn save(&mut self, incarnation: u64, digests: Vec<Digest>, now: Millis) {
         if let Err(error) = self.file.write(incarnation, now, digests) {
             let reason = error.to_string();
-            warn!(reason, "knowledge not kept");
+            warn!(reason, "peer snapshot not saved");
         }
     }
 }
--- a/crates/sender/src/peer_snapshot.rs
+++ b/crates/sender/src/peer_snapshot.rs
@@ -127,7 +127,7 @@
         let path = folder.join(FILE_NAME);
         let snapshot = read(&path, now).unwrap_or_else(|error| {
             let reason = error.to_string();
-            warn!(file = %path.display(), reason, "knowledge passed over");
+            warn!(file = %path.display(), reason, "peer snapshot ignored");
             PeerSnapshot::default()
         });
         (PeerSnapshotFile { path }, snapshot)
