Name the fields of a read experiment by the terms of the field, and submit messages

The checked experiment repeated the short keys of its file (aim, cold, tells_wait, slots); it has latency_objective, warm_up, retry_after_share, max_in_flight and the like now. The keys in the file stay. Four tests of the model have new names; their checks are the same. Comments speak of submitting messages.

--- a/crates/lab/src/clients.rs
+++ b/crates/lab/src/clients.rs
@@ -1,5 +1,5 @@
-//! What clients want: their messages, which senders they hand them to, and when they retry. Clients never wait for an
-//! answer before the next message comes, and do not hand in again what may not be repeated.
+//! What clients want: their messages, which senders they submit them to, and when they retry. Clients never wait for
+//! an answer before the next message comes, and do not submit again what may not be repeated.
 
 use martenlatch_clock::Millis;
 
@@ -20,7 +20,7 @@
 /// Numbers the draws of backoffs, apart from those of the choice of a sender.
 const BACKOFF_DRAW: u64 = 1_000;
 
-/// A message of a client, over all its attempts to hand it in.
+/// A message of a client, over all its attempts to submit it.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientMessage {
     /// As it was planned.
@@ -32,7 +32,7 @@
     key_valid_until: Millis,
 }
 
-/// The sender that a message is handed to.
+/// The sender that a message is submitted to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HandIn {
     /// The sender's number.
@@ -50,7 +50,7 @@
 }
 
 impl<'a> Clients<'a> {
-    /// Clients that have handed in nothing yet.
+    /// Clients that have submitted nothing yet.
     pub fn new(experiment: &'a Experiment, seed: u64) -> Clients<'a> {
         Clients {
             experiment,
@@ -85,7 +85,8 @@
         self.class_of(&self.message(origin).planned).effect
     }
 
-    /// Chooses which of the senders that are up a message is handed to, as a load balancer would; none where none is up.
+    /// Chooses which of the senders that are up a message is submitted to, as a load balancer would; none where none
+    /// is up.
     pub fn choose_sender(&self, origin: u64, up: &[u32]) -> Option<HandIn> {
         let retries = self.message(origin).retries;
         let mut rng = rng_for(self.seed, Stream::Client, origin, retries.into());
@@ -107,8 +108,8 @@
         }
     }
 
-    /// When a message is handed in again that was rejected, with the Retry-After that was given, or for which no sender
-    /// was there to listen (`heard` is false); none: never.
+    /// When a message is submitted again that was rejected, with the Retry-After that was given, or for which no
+    /// sender was there to listen (`heard` is false); none: never.
     pub fn retry_at(
         &mut self,
         origin: u64,
--- a/crates/lab/src/event_log.rs
+++ b/crates/lab/src/event_log.rs
@@ -1,5 +1,5 @@
-//! The event log of a run: what crossed between clients, senders, partners and the platform, one fact at a time, in the
-//! order of time. Facts say what happened; whether a rule was kept is for the judge to say. Their JSON is stored.
+//! The event log of a run: what crossed between clients, senders, partners and the platform, one fact at a time, in
+//! the order of time. Facts say what happened; whether a rule was kept is for the judge to say. Their JSON is stored.
 
 use martenlatch_clock::Millis;
 use serde::{Deserialize, Serialize};
@@ -30,16 +30,16 @@
     Died,
 }
 
-/// What happened. In all facts, `origin` is the number of a client's message over all its attempts to hand it in, `id`
-/// that of one such attempt, and `call` that of a call; none is used twice. Senders, partners, endpoints and classes go
-/// by their numbers in the run.
+/// What happened. In all facts, `origin` is the number of a client's message over all its attempts to submit it, `id`
+/// that of one such attempt, and `call` that of a call; none is used twice. Senders, partners, endpoints and classes
+/// go by their numbers in the run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum What {
-    /// A client hands a message in.
+    /// A client submits a message.
     HandedIn {
         /// The client's message.
         origin: u64,
-        /// This attempt to hand it in.
+        /// This attempt to submit it.
         id: u64,
         /// The sender that gets it.
         sender: u32,
@@ -47,7 +47,7 @@
         class: u32,
         /// The partner that it is for.
         partner: u32,
-        /// When it was first handed in.
+        /// When it was first submitted.
         first: Millis,
         /// When its time is up.
         deadline: Millis,
@@ -57,7 +57,7 @@
     },
     /// The client has its answer.
     Answered {
-        /// The attempt to hand a message in.
+        /// The attempt to submit a message.
         id: u64,
         /// The HTTP status; 0: the connection ended without an answer.
         status: u16,
@@ -123,7 +123,7 @@
         sender: u32,
         /// The message.
         id: u64,
-        /// The client may hand the message in again.
+        /// The client may submit the message again.
         deferred: bool,
         /// The Retry-After that the client is given, in milliseconds.
         again: Option<Millis>,
--- a/crates/lab/src/experiment/failure_reader.rs
+++ b/crates/lab/src/experiment/failure_reader.rs
@@ -99,21 +99,21 @@
     let sender = given.sender.unwrap_or(0);
     let senders = Span::new(0.0, f64::from(world.senders) - 1.0);
     at.checked("sender", sender.into(), senders)?;
-    let traffic = given
+    let traffic_share = given
         .traffic
         .map(|share| at.checked("traffic", share, rules::SHARE))
         .transpose()?;
-    let part = given.part.or(used.part).unwrap_or(rule::NO_PART);
+    let share = given.part.or(used.part).unwrap_or(rule::NO_PART);
     let every = given.every_s.or(used.every).unwrap_or(rule::NO_EVERY_S);
     Ok(Failure {
         what,
         start: start * SECOND,
         end: (start + length) * SECOND,
         size: at.number("size", given.size, used.size.unwrap_or(rule::NO_SIZE))?,
-        part: at.checked("part", part, rules::SHARE)?,
+        share: at.checked("part", share, rules::SHARE)?,
         every: at.checked("every_s", every, rule::EVERY_S)? * SECOND,
-        partners: given.partner.clone(),
-        traffic,
+        partner_ranks: given.partner.clone(),
+        traffic_share,
         sender,
         reuse: given.reuse,
     })
--- a/crates/lab/src/experiment/mod.rs
+++ b/crates/lab/src/experiment/mod.rs
@@ -1,5 +1,6 @@
-//! Experiments: the world, the load, the failures and the variants that an experiment's file describes, checked and with
-//! the defaults filled in. The fields are described in the schema of experiments; times are in milliseconds here.
+//! Experiments: the world, the load, the failures and the variants that an experiment's file describes, checked and
+//! with the defaults filled in. The fields are described in the schema of experiments; times are in milliseconds
+//! here.
 
 mod defaults;
 mod failure_reader;
@@ -31,7 +32,7 @@
     pub name: String,
     /// What it is meant to show.
     pub about: String,
-    /// How long messages are handed in.
+    /// How long messages are submitted.
     pub length: Millis,
     /// The first seed.
     pub seed: u64,
@@ -55,9 +56,9 @@
     /// Number of partners.
     pub partners: u32,
     /// Mean number of endpoints of a partner.
-    pub endpoints: f64,
+    pub mean_endpoints: f64,
     /// Exponent of the Zipf distribution of traffic over partners.
-    pub zipf: f64,
+    pub zipf_exponent: f64,
     /// Messages a second over all senders at full load.
     pub full_rate: f64,
     /// One-way latency between two machines, in milliseconds.
@@ -67,7 +68,7 @@
     /// Connections that an endpoint takes.
     pub connections: u32,
     /// Lateness of the endpoint list, in milliseconds.
-    pub list: Span,
+    pub list_lateness: Span,
     /// The kinds of partner.
     pub kinds: Vec<Kind>,
     /// The classes of message.
@@ -82,7 +83,7 @@
     /// Its share of the partners, relative to the other kinds.
     pub share: f64,
     /// How strongly it leans to the partners with the most traffic.
-    pub lean: f64,
+    pub traffic_lean: f64,
     /// The form of its rate limit.
     pub limit: Limit,
     /// Its limit is so many times its rate at full load ...
@@ -92,19 +93,19 @@
     /// Length of the window of its limit.
     pub window: Millis,
     /// Rejected calls count against the limit too.
-    pub refused_count: bool,
+    pub rejections_count: bool,
     /// Share of the rejections that give a Retry-After.
-    pub tells_wait: f64,
+    pub retry_after_share: f64,
     /// The Retry-After of a rate limit, in milliseconds.
-    pub wait: Span,
+    pub retry_after: Span,
     /// Its service times are so many times the class's.
-    pub speed: Span,
+    pub service_time_factor: Span,
     /// Calls that may queue at an endpoint, for each core.
-    pub queue: Span,
+    pub queue_per_core: Span,
     /// Share of its capacity that it has right after an outage.
-    pub cold_from: f64,
+    pub initial_share: f64,
     /// How long it takes to warm up.
-    pub cold: Millis,
+    pub warm_up: Millis,
     /// Share of the calls that fail.
     pub errors: f64,
 }
@@ -119,28 +120,28 @@
     /// Range of the mean work, in milliseconds.
     pub work: Span,
     /// Coefficient of variation of the work.
-    pub cv: f64,
+    pub work_variation: f64,
     /// Whether a message may be repeated.
     pub effect: Effect,
     /// How long partners remember an idempotency key.
     pub window: Millis,
     /// The latency objective.
-    pub aim: Millis,
+    pub latency_objective: Millis,
     /// Time until a message is late for good.
     pub deadline: Millis,
     /// The least worth of a message that is delivered by its deadline.
-    pub late_worth: f64,
+    pub late_weight_share: f64,
 }
 
 impl Class {
-    /// Worth of a message delivered so long after it was first handed in: one within the latency objective, then half
+    /// Worth of a message delivered so long after it was first submitted: one within the latency objective, then half
     /// as much with each further objective, at least the late worth, and nothing after the deadline.
     pub fn worth(&self, after: Millis) -> f64 {
         if after > self.deadline {
             return 0.0;
         }
-        let objectives_late = ((after - self.aim) / self.aim).max(0.0);
-        0.5f64.powf(objectives_late).max(self.late_worth)
+        let objectives_late = ((after - self.latency_objective) / self.latency_objective).max(0.0);
+        0.5f64.powf(objectives_late).max(self.late_weight_share)
     }
 }
 
@@ -150,9 +151,9 @@
     /// Share of the full load.
     pub level: f64,
     /// Share of the messages that come in clumps.
-    pub clumps: f64,
+    pub clump_share: f64,
     /// A clump has the messages of so many seconds of its partner's full rate.
-    pub clump: Span,
+    pub clump_seconds: Span,
     /// Relative amplitude of a slow swing of the load.
     pub swing: f64,
     /// Period of that swing.
@@ -175,13 +176,13 @@
     /// Its size: a factor or a time, depending on what it is.
     pub size: f64,
     /// The share that is hit.
-    pub part: f64,
+    pub share: f64,
     /// Time between two repetitions.
     pub every: Millis,
     /// The partners that are hit, by their rank by traffic.
-    pub partners: Vec<u32>,
+    pub partner_ranks: Vec<u32>,
     /// The busiest partners with this share of the traffic are hit.
-    pub traffic: Option<f64>,
+    pub traffic_share: Option<f64>,
     /// The sender that is hit.
     pub sender: u32,
     /// A replacement takes the address of the endpoint that it replaces.
@@ -194,23 +195,23 @@
     /// Its name.
     pub name: String,
     /// Attempts that a sender may have in flight.
-    pub slots: Option<usize>,
+    pub max_in_flight: Option<usize>,
     /// Messages that a sender may hold.
-    pub hold_limit: Option<usize>,
+    pub max_held: Option<usize>,
     /// Attempts that a message may have.
     pub max_attempts: u32,
     /// Whether requests may be hedged.
-    pub second_copies: bool,
+    pub may_hedge: bool,
     /// Whether attempts may be cancelled.
-    pub cancel: bool,
+    pub may_cancel: bool,
     /// The program that is run on sockets; none: the workspace's own.
     pub program: Option<PathBuf>,
     /// A settings file for that program.
     pub settings: Option<PathBuf>,
-    /// A sender that starts is told the gossip of those that run.
+    /// A sender that starts receives the gossip of those that run.
     pub learns: bool,
     /// How old that gossip is, in simulated time.
-    pub told_age: Millis,
+    pub gossip_age: Millis,
 }
 
 /// The distribution of the work of a class's messages.
@@ -258,7 +259,7 @@
         let mut rng = rng_for(seed, Stream::Work, u64::MAX, class.into());
         WorkDistribution {
             mean: uniform(&mut rng, drawn.work),
-            variation: drawn.cv,
+            variation: drawn.work_variation,
         }
     }
 }
--- a/crates/lab/src/experiment/reader.rs
+++ b/crates/lab/src/experiment/reader.rs
@@ -1,5 +1,5 @@
-//! The reading of an experiment's text: every field is checked against its bounds, and absent ones get their defaults.
-//! Fields are checked in the order in which they are written here, and the first fault is reported.
+//! The reading of an experiment's text: every field is checked against its bounds, and absent ones get their
+//! defaults. Fields are checked in the order in which they are written here, and the first fault is reported.
 
 use martenlatch_clock::Millis;
 use martenlatch_settings::schema::experiment as schema;
@@ -48,13 +48,13 @@
     Ok(World {
         senders: at.count("senders", given.senders, rule::SENDERS)?,
         partners: at.count("partners", given.partners, rule::PARTNERS)?,
-        endpoints: at.number("endpoints", given.endpoints, rule::ENDPOINTS)?,
-        zipf: at.number("zipf", given.zipf, rule::ZIPF)?,
+        mean_endpoints: at.number("endpoints", given.endpoints, rule::ENDPOINTS)?,
+        zipf_exponent: at.number("zipf", given.zipf, rule::ZIPF)?,
         full_rate: at.number("full_rate", given.full_rate, rule::FULL_RATE)?,
         latency: at.span("latency_ms", given.latency_ms, rule::LATENCY_MS)?,
         idle: at.number("idle_s", given.idle_s, rule::IDLE_S)? * SECOND,
         connections: at.count("connections", given.connections, rule::CONNECTIONS)?,
-        list: at.span("list_ms", given.list_ms, rule::LIST_MS)?,
+        list_lateness: at.span("list_ms", given.list_ms, rule::LIST_MS)?,
         kinds: kinds(text, given.kind)?,
         classes: classes(text, given.class)?,
     })
@@ -78,18 +78,18 @@
     Ok(Kind {
         name: at.name(&given.name)?,
         share: at.checked("share", given.share, rules::RELATIVE_SHARE)?,
-        lean: at.checked("lean", given.lean, rule::LEAN)?,
+        traffic_lean: at.checked("lean", given.lean, rule::LEAN)?,
         limit: given.limit(),
         headroom: at.span("headroom", given.headroom, rule::HEADROOM)?,
         least_rate: at.span("least_rate", given.least_rate, rule::LEAST_RATE)?,
         window: at.number("window_ms", given.window_ms, rule::WINDOW_MS)?,
-        refused_count: given.refused_count,
-        tells_wait: at.number("tells_wait", given.tells_wait, rule::TELLS_WAIT)?,
-        wait: at.span("wait_ms", given.wait_ms, rule::WAIT_MS)?,
-        speed: at.span("speed", given.speed, rule::SPEED)?,
-        queue: at.span("queue", given.queue, rule::QUEUE)?,
-        cold_from: at.number("cold_from", given.cold_from, rule::COLD_FROM)?,
-        cold: at.number("cold_s", given.cold_s, rule::COLD_S)? * SECOND,
+        rejections_count: given.refused_count,
+        retry_after_share: at.number("tells_wait", given.tells_wait, rule::TELLS_WAIT)?,
+        retry_after: at.span("wait_ms", given.wait_ms, rule::WAIT_MS)?,
+        service_time_factor: at.span("speed", given.speed, rule::SPEED)?,
+        queue_per_core: at.span("queue", given.queue, rule::QUEUE)?,
+        initial_share: at.number("cold_from", given.cold_from, rule::COLD_FROM)?,
+        warm_up: at.number("cold_s", given.cold_s, rule::COLD_S)? * SECOND,
         errors: at.number("errors", given.errors, rule::ERRORS)?,
     })
 }
@@ -111,21 +111,21 @@
     let at = Section::new(text, format!("world.class[{number}]"));
     let name = at.name(&given.name)?;
     let effect = given.effect();
-    let aim = at.number("aim_ms", given.aim_ms, rule::AIM_MS)?;
+    let latency_objective = at.number("aim_ms", given.aim_ms, rule::AIM_MS)?;
     if effect == Effect::Keyed && given.window_ms.is_none() {
         return Err(at.fault("window_ms", "a KEYED class needs it"));
     }
-    let deadline_rule = rule::deadline_ms(aim);
+    let deadline_rule = rule::deadline_ms(latency_objective);
     Ok(Class {
         name,
         share: at.checked("share", given.share, rules::RELATIVE_SHARE)?,
         work: at.span("work_ms", given.work_ms, rule::WORK_MS)?,
-        cv: at.number("cv", given.cv, rule::CV)?,
+        work_variation: at.number("cv", given.cv, rule::CV)?,
         effect,
         window: at.number("window_ms", given.window_ms, rule::WINDOW_MS)?,
-        aim,
+        latency_objective,
         deadline: at.number("deadline_ms", given.deadline_ms, deadline_rule)?,
-        late_worth: at.number("late_worth", given.late_worth, rule::LATE_WORTH)?,
+        late_weight_share: at.number("late_worth", given.late_worth, rule::LATE_WORTH)?,
     })
 }
 
@@ -136,8 +136,8 @@
     let retries = given.retries.map(f64::from);
     Ok(Load {
         level: at.checked("level", given.level, rule::LEVEL)?,
-        clumps: at.number("clump_share", given.clump_share, rule::CLUMP_SHARE)?,
-        clump: at.span("clump_s", given.clump_s, rule::CLUMP_S)?,
+        clump_share: at.number("clump_share", given.clump_share, rule::CLUMP_SHARE)?,
+        clump_seconds: at.span("clump_s", given.clump_s, rule::CLUMP_S)?,
         swing: at.number("swing", given.swing, rule::SWING)?,
         swing_period: at.number("swing_s", given.swing_s, rule::SWING_S)? * SECOND,
         retries: at.number("retries", retries, rule::RETRIES)? as u32,
@@ -173,16 +173,16 @@
     let path = |given: &String| (!given.is_empty()).then(|| given.into());
     Ok(Variant {
         name: at.name(&given.name)?,
-        slots: at.optional_count("slots", given.slots, rule::COUNT)?,
-        hold_limit: at.optional_count("hold_limit", given.hold_limit, rule::COUNT)?,
+        max_in_flight: at.optional_count("slots", given.slots, rule::COUNT)?,
+        max_held: at.optional_count("hold_limit", given.hold_limit, rule::COUNT)?,
         max_attempts: at
             .optional_count("max_attempts", given.max_attempts, rule::COUNT)?
             .unwrap_or(rule::DEFAULT_MAX_ATTEMPTS) as u32,
-        second_copies: given.second_copies.unwrap_or(true),
-        cancel: given.cancel.unwrap_or(true),
+        may_hedge: given.second_copies.unwrap_or(true),
+        may_cancel: given.cancel.unwrap_or(true),
         program: path(&given.program),
         settings: path(&given.settings),
         learns: given.learns,
-        told_age: at.number("told_age_s", given.told_age_s, rule::TOLD_AGE_S)? * SECOND,
+        gossip_age: at.number("told_age_s", given.told_age_s, rule::TOLD_AGE_S)? * SECOND,
     })
 }
--- a/crates/lab/src/experiment/rules.rs
+++ b/crates/lab/src/experiment/rules.rs
@@ -107,8 +107,8 @@
     pub const LATE_WORTH: NumberRule = number(0.4, 0.0, 1.0);
 
     /// The deadline is not before the latency objective.
-    pub const fn deadline_ms(aim_ms: f64) -> NumberRule {
-        number(16_000.0, aim_ms, DAY_MS)
+    pub const fn deadline_ms(latency_objective: f64) -> NumberRule {
+        number(16_000.0, latency_objective, DAY_MS)
     }
 }
 
--- a/crates/lab/src/experiment/section.rs
+++ b/crates/lab/src/experiment/section.rs
@@ -1,4 +1,5 @@
-//! Checked access to the fields of one section of an experiment's text. Errors name the field by its path from the top.
+//! Checked access to the fields of one section of an experiment's text. Errors name the field by its path from the
+//! top.
 
 use martenlatch_settings::schema::experiment as schema;
 use martenlatch_settings::text::{Fault, Read};
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -1,5 +1,5 @@
-//! The load: when each message comes and for whom, drawn before the run. It is an open load, so a slow answer does not
-//! thin it out.
+//! The load: when each message comes and for whom, drawn before the run. It is an open load, so a slow answer does
+//! not thin it out.
 
 use martenlatch_clock::Millis;
 use rand::RngExt;
@@ -17,7 +17,7 @@
 /// The messages of a clump come up to so many milliseconds apart.
 const CLUMP_SPACING: Millis = 2.0;
 
-/// A message as a client means to hand it in.
+/// A message as a client means to submit it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlannedMessage {
     /// When, in milliseconds from the start of the run.
@@ -73,8 +73,8 @@
         let load = &experiment.load;
         let per_clump = messages_per_clump(site, load);
         // Clumps bring several messages at once, so that fewer arrivals make the same load.
-        let clumps = load.clumps / per_clump;
-        let clump_share = clumps / (clumps + (1.0 - load.clumps)).max(1e-9);
+        let clumps = load.clump_share / per_clump;
+        let clump_share = clumps / (clumps + (1.0 - load.clump_share)).max(1e-9);
         let classes = &experiment.world.classes;
         Arrivals {
             experiment,
@@ -116,7 +116,7 @@
         if !bernoulli(rng, self.clump_share) {
             return 1;
         }
-        let seconds = uniform(rng, self.experiment.load.clump);
+        let seconds = uniform(rng, self.experiment.load.clump_seconds);
         let messages = self.site.partners[partner].full_rate * seconds;
         messages.round().max(1.0) as usize
     }
@@ -124,14 +124,15 @@
 
 /// Mean number of messages of a clump, over all partners.
 fn messages_per_clump(site: &Site, load: &Load) -> f64 {
-    let mean_seconds = (load.clump.least + load.clump.most) / 2.0;
+    let mean_seconds = (load.clump_seconds.least + load.clump_seconds.most) / 2.0;
     site.partners
         .iter()
         .map(|partner| partner.traffic_share * (partner.full_rate * mean_seconds).max(1.0))
         .sum()
 }
 
-/// The place of the share in which a point between zero and one falls; the last where rounding leaves it past them all.
+/// The place of the share in which a point between zero and one falls; the last where rounding leaves it past them
+/// all.
 fn index_of_share(shares: impl Iterator<Item = f64>, mut point: f64) -> usize {
     let mut last = 0;
     for (index, share) in shares.enumerate() {
--- a/crates/lab/src/members.rs
+++ b/crates/lab/src/members.rs
@@ -1,5 +1,5 @@
-//! Membership at size, in simulated time: what it costs on the network, how soon a death and a join are known to all, and
-//! how often a running member is held for dead. The figures are a seed's, not the machine's.
+//! Membership at size, in simulated time: what it costs on the network, how soon a death and a join are known to all,
+//! and how often a running member is declared dead by mistake. The figures are a seed's, not the machine's.
 
 use martenlatch_clock::Millis;
 use martenlatch_peers::membership::State;
@@ -23,7 +23,7 @@
     pub death: Option<Millis>,
     /// Until a newcomer and all others know each other, in milliseconds; none where they did not within a minute.
     pub join: Option<Millis>,
-    /// Times that any member held a running one for dead, while nobody died.
+    /// Times that any member declared a running one dead, while nobody died.
     pub false_deaths: u64,
     /// Pairs that did not know each other as members when the steady time was over.
     pub unknown: usize,
--- a/crates/lab/src/model/environment.rs
+++ b/crates/lab/src/model/environment.rs
@@ -1,5 +1,5 @@
-//! All partners of a run together: which endpoint belongs to whom, which partners are in an outage, when the next call is
-//! done, and which endpoint replaces which. The same model serves simulated and real time.
+//! All partners of a run together: which endpoint belongs to whom, which partners are in an outage, when the next
+//! call is done, and which endpoint replaces which. The same model serves simulated and real time.
 
 use martenlatch_clock::Millis;
 
@@ -93,7 +93,7 @@
         Environment {
             out: vec![false; partners.len()],
             next_completion: vec![None; partners.len()],
-            list_lateness: experiment.world.list,
+            list_lateness: experiment.world.list_lateness,
             site,
             faults,
             owner,
--- a/crates/lab/src/model/fault_schedule.rs
+++ b/crates/lab/src/model/fault_schedule.rs
@@ -1,5 +1,5 @@
-//! Which faults hit whom and when: an experiment's failures, combined for one partner at one instant. The schedule has no
-//! state of its own, so the same instant always has the same faults.
+//! Which faults hit whom and when: an experiment's failures, combined for one partner at one instant. The schedule
+//! has no state of its own, so the same instant always has the same faults.
 
 use martenlatch_clock::Millis;
 
@@ -80,14 +80,14 @@
             What::Slow => self.slowdown *= failure.size,
             What::HeavyTail => {
                 self.tail = HeavyTail {
-                    share: failure.part,
+                    share: failure.share,
                     factor: failure.size,
                 }
             }
             What::Tight => self.limit_factor *= failure.size,
-            What::ResetBefore => self.reset.before = either(self.reset.before, failure.part),
-            What::ResetAfter => self.reset.after = either(self.reset.after, failure.part),
-            What::Spoilt => self.malformed_share = either(self.malformed_share, failure.part),
+            What::ResetBefore => self.reset.before = either(self.reset.before, failure.share),
+            What::ResetAfter => self.reset.after = either(self.reset.after, failure.share),
+            What::Spoilt => self.malformed_share = either(self.malformed_share, failure.share),
             What::SilentClose => self.idle_close_after = self.idle_close_after.min(failure.size),
             _ => {}
         }
@@ -224,12 +224,12 @@
 /// Which partners a failure is for: those that it names by their rank, those with its share of the traffic, or all
 /// where it says neither.
 fn partners_hit(failure: &Failure, site: &Site, ranked: &[usize]) -> Vec<bool> {
-    let all = failure.partners.is_empty() && failure.traffic.is_none();
+    let all = failure.partner_ranks.is_empty() && failure.traffic_share.is_none();
     let mut hits = vec![all; site.partners.len()];
-    for rank in &failure.partners {
+    for rank in &failure.partner_ranks {
         hits[ranked[*rank as usize]] = true;
     }
-    let Some(traffic) = failure.traffic else {
+    let Some(traffic) = failure.traffic_share else {
         return hits;
     };
     let mut sum = 0.0;
--- a/crates/lab/src/model/mod.rs
+++ b/crates/lab/src/model/mod.rs
@@ -1,4 +1,5 @@
-//! The model that a run plays against: partners with their limits, queues and slow start, and the faults that hit them.
+//! The model that a run plays against: partners with their limits, queues and slow start, and the faults that hit
+//! them.
 
 mod endpoint;
 pub mod environment;
--- a/crates/lab/src/model/partner.rs
+++ b/crates/lab/src/model/partner.rs
@@ -1,8 +1,8 @@
-//! One partner as it runs: its rate limit, the queues of its endpoints, its slow start after an outage, and its collapse
-//! under too much load while it is still warming up.
+//! One partner as it runs: its rate limit, the queues of its endpoints, its slow start after an outage, and its
+//! collapse under too much load while it is still warming up.
 //!
-//! The model does not know what carries its calls. It is told of a call once the call's last byte has come, and says
-//! what it writes and when.
+//! The model does not know what carries its calls. It is notified of a call once the call's last byte has come, and
+//! says what it writes and when.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -166,11 +166,11 @@
 
     /// The share of its capacity that it has at an instant: less than one while it is warming up.
     pub fn warmth(&self, now: Millis) -> f64 {
-        let Some(recovered_at) = self.recovered_at.filter(|_| self.kind.cold > 0.0) else {
+        let Some(recovered_at) = self.recovered_at.filter(|_| self.kind.warm_up > 0.0) else {
             return 1.0;
         };
-        let progress = ((now - recovered_at) / self.kind.cold).clamp(0.0, 1.0);
-        self.kind.cold_from + (1.0 - self.kind.cold_from) * progress
+        let progress = ((now - recovered_at) / self.kind.warm_up).clamp(0.0, 1.0);
+        self.kind.initial_share + (1.0 - self.kind.initial_share) * progress
     }
 
     /// Takes a call whose last byte has come to an endpoint.
@@ -203,7 +203,7 @@
     fn collapses_under_load(&mut self, faults: &ActiveFaults, now: Millis) -> bool {
         let warming = self
             .recovered_at
-            .filter(|recovered_at| now < recovered_at + self.kind.cold);
+            .filter(|recovered_at| now < recovered_at + self.kind.warm_up);
         let Some(recovered_at) = warming else {
             return false;
         };
@@ -232,7 +232,7 @@
     /// A rejection; whether it gives a Retry-After is drawn.
     fn refusal(&self, call: &Call, wait: Millis) -> Reply {
         let mut rng = rng_for(self.seed, Stream::Call, call.number, draw_index::TELLS_WAIT);
-        let tells = bernoulli(&mut rng, self.kind.tells_wait);
+        let tells = bernoulli(&mut rng, self.kind.retry_after_share);
         Reply::Refused(tells.then_some(wait))
     }
 
@@ -249,7 +249,7 @@
             LimitDecision::OverUntil(wait) => Some(wait),
             LimitDecision::OverWithOwnWait => {
                 let mut rng = rng_for(self.seed, Stream::Call, call.number, draw_index::WAIT);
-                Some(uniform(&mut rng, self.kind.wait))
+                Some(uniform(&mut rng, self.kind.retry_after))
             }
         }
     }
@@ -262,7 +262,7 @@
         now: Millis,
     ) -> Admission {
         let cores = self.profile.cores as usize;
-        let queue_capacity = self.profile.queue as usize;
+        let queue_capacity = self.profile.queue_capacity as usize;
         let Some(target) = self.endpoints.get_mut(&endpoint) else {
             return Admission::Answered(Reply::Refused(None));
         };
@@ -294,8 +294,11 @@
         let mut message_rng = rng_for(self.seed, Stream::Work, call.origin, 0);
         let message_factor = gamma_factor(&mut message_rng, call.work.variation);
         let call_factor = gamma_factor(&mut call_rng, SERVICE_TIME_VARIATION);
-        let mut took =
-            call.work.mean * message_factor * call_factor * self.profile.speed * faults.slowdown;
+        let mut took = call.work.mean
+            * message_factor
+            * call_factor
+            * self.profile.service_time_factor
+            * faults.slowdown;
         if bernoulli(&mut call_rng, faults.tail.share) {
             took *= faults.tail.factor;
         }
--- a/crates/lab/src/model/rate_limit.rs
+++ b/crates/lab/src/model/rate_limit.rs
@@ -1,4 +1,5 @@
-//! The rate limits of a partner: a fixed window, a sliding window in which rejected calls count too, and a token bucket.
+//! The rate limits of a partner: a fixed window, a sliding window in which rejected calls count too, and a token
+//! bucket.
 
 use std::collections::VecDeque;
 
@@ -16,7 +17,7 @@
     Within,
     /// The call is over the limit, which has capacity again after so long.
     OverUntil(Millis),
-    /// The call is over the limit, and the partner draws the wait that it tells from its own range.
+    /// The call is over the limit, and the partner draws the wait from its own range.
     OverWithOwnWait,
 }
 
@@ -41,7 +42,8 @@
     window: Millis,
     rejected_count: bool,
     fixed: FixedWindow,
-    /// Arrivals of the last window; used where rejected calls count too, so that a caller who persists stays rejected.
+    /// Arrivals of the last window; used where rejected calls count too, so that a caller who persists stays
+    /// rejected.
     arrivals: VecDeque<Millis>,
     bucket: TokenBucket,
 }
@@ -52,7 +54,7 @@
         RateLimiter {
             limit: kind.limit,
             window: kind.window,
-            rejected_count: kind.refused_count,
+            rejected_count: kind.rejections_count,
             fixed: FixedWindow::default(),
             arrivals: VecDeque::new(),
             bucket: TokenBucket {
--- a/crates/lab/src/model/site.rs
+++ b/crates/lab/src/model/site.rs
@@ -1,5 +1,5 @@
-//! The site that a seed draws: its partners, how much of the traffic each gets, what each can take, and what senders are
-//! told of that.
+//! The site that a seed draws: its partners, how much of the traffic each gets, what each can take, and what the
+//! endpoint list says of that.
 
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -36,13 +36,13 @@
     /// Calls a second that it takes at most; none: only its capacity limits it.
     pub rate_limit: Option<f64>,
     /// Service times are so many times the class's.
-    pub speed: f64,
+    pub service_time_factor: f64,
     /// Endpoints that it starts with.
     pub endpoints: u32,
     /// Calls that one endpoint runs at a time.
     pub cores: u32,
     /// Calls that may queue at an endpoint.
-    pub queue: u32,
+    pub queue_capacity: u32,
     /// The rough figure for its rate that the endpoint list gives.
     pub advertised_weight: f64,
 }
@@ -50,7 +50,8 @@
 impl PartnerProfile {
     /// Calls a second that it can do when it is warm, given the mean work of a call in milliseconds.
     pub fn capacity(&self, work: f64) -> f64 {
-        let served = f64::from(self.cores * self.endpoints) * 1e3 / (work * self.speed);
+        let served =
+            f64::from(self.cores * self.endpoints) * 1e3 / (work * self.service_time_factor);
         self.rate_limit.map_or(served, |limit| limit.min(served))
     }
 }
@@ -105,7 +106,7 @@
         let ranks = rank_by_traffic(world, &kinds, seed);
         let parts: Vec<f64> = ranks
             .iter()
-            .map(|rank| 1.0 / ((rank + 1) as f64).powf(world.zipf))
+            .map(|rank| 1.0 / ((rank + 1) as f64).powf(world.zipf_exponent))
             .collect();
         Draft {
             world,
@@ -126,22 +127,23 @@
         let headroom = uniform(&mut rng, kind.headroom);
         let least_rate = uniform(&mut rng, kind.least_rate);
         let limit = (headroom * full_rate).max(least_rate);
-        let speed = uniform(&mut rng, kind.speed);
+        let service_time_factor = uniform(&mut rng, kind.service_time_factor);
         let endpoints = self.endpoints(number, &mut rng);
         let spare = LEAST_SPARE + SPARE_RANGE * rng.random::<f64>();
-        let busy = limit * self.work * speed / 1e3 * spare;
+        let busy = limit * self.work * service_time_factor / 1e3 * spare;
         let cores = (busy / f64::from(endpoints)).ceil().max(1.0) as u32;
-        let queue = (uniform(&mut rng, kind.queue) * f64::from(cores)).round() as u32;
+        let queue_capacity =
+            (uniform(&mut rng, kind.queue_per_core) * f64::from(cores)).round() as u32;
         let weight_error = 2f64.powf(WEIGHT_ERROR_EXPONENT * (rng.random::<f64>() - 0.5));
         let mut profile = PartnerProfile {
             kind: self.kinds[number],
             traffic_share,
             full_rate,
             rate_limit: (kind.limit != Limit::None).then_some(limit),
-            speed,
+            service_time_factor,
             endpoints,
             cores,
-            queue,
+            queue_capacity,
             advertised_weight: 0.0,
         };
         profile.advertised_weight = profile.capacity(self.work) * weight_error;
@@ -152,7 +154,7 @@
     /// mean.
     fn endpoints(&self, number: usize, rng: &mut Pcg64Mcg) -> u32 {
         let place = 1.0 - self.ranks[number] as f64 / self.parts.len() as f64;
-        let more = 2.0 * (self.world.endpoints - 1.0) * place;
+        let more = 2.0 * (self.world.mean_endpoints - 1.0) * place;
         (1.0 + more + rng.random::<f64>() - 0.5)
             .round()
             .clamp(1.0, MOST_ENDPOINTS) as u32
@@ -188,7 +190,7 @@
 fn rank_by_traffic(world: &World, kinds: &[usize], seed: u64) -> Vec<usize> {
     let place = |number: usize| {
         let mut rng = rng_for(seed, Stream::World, draw_index::RANK, number as u64);
-        rng.random::<f64>() - LEAN_WEIGHT * world.kinds[kinds[number]].lean
+        rng.random::<f64>() - LEAN_WEIGHT * world.kinds[kinds[number]].traffic_lean
     };
     let places: Vec<f64> = (0..kinds.len()).map(place).collect();
     let mut order: Vec<usize> = (0..kinds.len()).collect();
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -1,5 +1,5 @@
-//! The runs of an experiment: every variant with the same seeds, in simulated time on as many threads as there are cores,
-//! or on sockets one by one. The order in which runs end does not show in the outcome.
+//! The runs of an experiment: every variant with the same seeds, in simulated time on as many threads as there are
+//! cores, or on sockets one by one. The order in which runs end does not show in the outcome.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
--- a/crates/lab/src/sampling.rs
+++ b/crates/lab/src/sampling.rs
@@ -1,5 +1,5 @@
-//! Random draws, each named by a seed, a stream and what it is for. No generator lives on between draws, so two variants
-//! meet the same messages, service times and faults however differently they act.
+//! Random draws, each named by a seed, a stream and what it is for. No generator lives on between draws, so two
+//! variants meet the same messages, service times and faults however differently they act.
 
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Gamma};
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -1,4 +1,4 @@
-//! Clients of a simulated run: they hand messages in, are answered, and retry.
+//! Clients of a simulated run: they submit messages, are answered, and retry.
 
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_policy::interface::{ClassId, DestinationId, Event, MessageId};
@@ -16,8 +16,8 @@
 const UNAVAILABLE: u16 = 503;
 
 impl Simulation<'_> {
-    /// A client hands a message in, through a load balancer in front of the senders that are up.
-    pub(super) fn hand_in(&mut self, origin: u64) {
+    /// A client submits a message, through a load balancer in front of the senders that are up.
+    pub(super) fn submit(&mut self, origin: u64) {
         let up: Vec<u32> = (0..self.senders.len() as u32)
             .filter(|sender| self.senders[*sender as usize].is_up())
             .collect();
@@ -27,7 +27,7 @@
                 let at = self.now + chosen.latency;
                 self.schedule(at, SimEvent::MessageAtSender { origin, sender });
             }
-            // Nobody listens: the connection is refused, and the client comes again.
+            // No sender is up: the connection is refused, and the client retries.
             None => self.retry_unheard(origin),
         }
     }
--- a/crates/lab/src/sim/event.rs
+++ b/crates/lab/src/sim/event.rs
@@ -15,9 +15,9 @@
         /// Its place in the plan.
         index: usize,
     },
-    /// A message that a client hands in reaches a sender.
+    /// A message that a client submits reaches a sender.
     MessageAtSender { origin: u64, sender: u32 },
-    /// A client hands a message in again.
+    /// A client submits a message again.
     ClientRetry { origin: u64 },
     /// The decision module of a sender takes its turn.
     Turn { sender: u32, incarnation: u32 },
@@ -70,7 +70,7 @@
 pub(super) struct StatusReport {
     pub sender: u32,
     pub id: u64,
-    /// The client may hand the message in again.
+    /// The client may submit the message again.
     pub deferred: bool,
     /// The Retry-After that it is given, in milliseconds.
     pub retry_after: Option<Millis>,
--- a/crates/lab/src/sim/lifecycle.rs
+++ b/crates/lab/src/sim/lifecycle.rs
@@ -50,7 +50,7 @@
         self.schedule_turn(sender);
     }
 
-    /// The gossip that a process is told when it starts.
+    /// The gossip that a process receives when it starts.
     fn gossip_events(&mut self, sender: u32) -> Vec<Event> {
         let known = match self.senders[sender as usize].collected_gossip.take() {
             Some(collected) => collected,
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -1,9 +1,9 @@
-//! Runs in simulated time: the decision module of each sender against the model of the partners, with no sockets and no
-//! waiting.
+//! Runs in simulated time: the decision module of each sender against the model of the partners, with no sockets and
+//! no waiting.
 //!
-//! The simulation carries out the decision module's actions as the sender does (attempts, records, restarts) and decides
-//! nothing itself. Every fact goes to the judge and to the figures in the order of time, and equal seeds give equal
-//! facts.
+//! The simulation carries out the decision module's actions as the sender does (attempts, records, restarts) and
+//! decides nothing itself. Every fact goes to the judge and to the figures in the order of time, and equal seeds give
+//! equal facts.
 
 mod calls;
 mod clients;
--- a/crates/lab/src/sim/sender.rs
+++ b/crates/lab/src/sim/sender.rs
@@ -99,7 +99,7 @@
     pub policy: Option<Policy>,
     /// How many processes came before this one.
     pub incarnation: u32,
-    /// What the decision module is told at its next turn.
+    /// Events for the decision module at its next turn.
     pub events: Vec<Event>,
     pub turn_scheduled: bool,
     pub last_turn: Millis,
@@ -135,7 +135,7 @@
         self.open_messages == 0 && self.calls_in_flight == 0
     }
 
-    /// Sets up the state of a new process, which is told `events` at its first turn.
+    /// Sets up the state of a new process, which receives `events` at its first turn.
     pub fn begin_process(&mut self, policy: Policy, events: Vec<Event>, now: Millis) {
         self.policy = Some(policy);
         self.shutdown_at = None;
@@ -201,8 +201,8 @@
         })
     }
 
-    /// Takes the most recently used idle connection to an endpoint, or a new one. Those that have been idle for the limit
-    /// are closed.
+    /// Takes the most recently used idle connection to an endpoint, or a new one. Those that have been idle for the
+    /// limit are closed.
     pub fn take_connection(
         &mut self,
         endpoint: u32,
--- a/crates/lab/src/sim/simulation.rs
+++ b/crates/lab/src/sim/simulation.rs
@@ -47,7 +47,7 @@
     tally: Tally,
     sink: Option<Sink<'a>>,
     pub turns: Turns,
-    /// A sender that starts is told the gossip of those that run.
+    /// A sender that starts receives the gossip of those that run.
     pub learns: bool,
     /// How old that gossip is.
     gossip_age: Millis,
@@ -92,7 +92,7 @@
             settings,
             sink,
             learns: variant.learns,
-            gossip_age: variant.told_age,
+            gossip_age: variant.gossip_age,
         })
     }
 
@@ -192,7 +192,7 @@
         match event {
             SimEvent::PlannedMessage { index } => self.planned_message(index),
             SimEvent::MessageAtSender { origin, sender } => self.message_at_sender(origin, sender),
-            SimEvent::ClientRetry { origin } => self.hand_in(origin),
+            SimEvent::ClientRetry { origin } => self.submit(origin),
             SimEvent::Turn {
                 sender,
                 incarnation,
@@ -231,7 +231,7 @@
 
     fn planned_message(&mut self, index: usize) {
         let origin = self.clients.register(self.plan[index]);
-        self.hand_in(origin);
+        self.submit(origin);
         if let Some(next) = self.plan.get(index + 1) {
             self.schedule(next.at, SimEvent::PlannedMessage { index: index + 1 });
         }
--- a/crates/lab/src/sim/variant_settings.rs
+++ b/crates/lab/src/sim/variant_settings.rs
@@ -33,7 +33,7 @@
     let work_share = site
         .partners
         .iter()
-        .map(|partner| partner.traffic_share * partner.speed)
+        .map(|partner| partner.traffic_share * partner.service_time_factor)
         .sum::<f64>();
     let busy = work_share * rate_per_sender * site.work / 1e3;
     let in_flight = ((IN_FLIGHT_FACTOR * busy).round() as usize).max(LEAST_IN_FLIGHT);
@@ -52,11 +52,11 @@
         classes: world.classes.iter().map(message_class).collect(),
         decay: Decay::Halving,
         weight_meaning: EndpointWeights::Approximate,
-        max_in_flight: variant.slots.unwrap_or(in_flight),
-        max_held: variant.hold_limit.unwrap_or(held),
+        max_in_flight: variant.max_in_flight.unwrap_or(in_flight),
+        max_held: variant.max_held.unwrap_or(held),
         max_attempts: variant.max_attempts,
-        may_cancel: variant.cancel,
-        may_hedge: variant.second_copies,
+        may_cancel: variant.may_cancel,
+        may_hedge: variant.may_hedge,
         max_retry_after: Some(nanos(MOST_RETRY_AFTER)),
         recovery: recovery_ramp(world),
         key_quiet_period: 0,
@@ -70,10 +70,10 @@
 
 fn message_class(class: &Class) -> MessageClass {
     MessageClass {
-        latency_objective: nanos(class.aim),
+        latency_objective: nanos(class.latency_objective),
         deadline: nanos(class.deadline),
         priority_weight: 1.0,
-        late_weight_share: class.late_worth,
+        late_weight_share: class.late_weight_share,
         idempotency: match class.effect {
             Effect::Safe => Idempotency::Idempotent,
             Effect::Keyed => Idempotency::IdempotencyKey {
@@ -88,8 +88,8 @@
 
 /// The recovery ramp of the slowest kind of partner.
 fn recovery_ramp(world: &World) -> RecoveryRamp {
-    let initial_shares = world.kinds.iter().map(|kind| kind.cold_from);
-    let durations = world.kinds.iter().map(|kind| kind.cold);
+    let initial_shares = world.kinds.iter().map(|kind| kind.initial_share);
+    let durations = world.kinds.iter().map(|kind| kind.warm_up);
     RecoveryRamp {
         overload_factor: COLLAPSE_FACTOR,
         overload_window: nanos(COLLAPSE_WINDOW),
--- a/crates/lab/src/turn_cost.rs
+++ b/crates/lab/src/turn_cost.rs
@@ -1,5 +1,5 @@
 //! The cost of one turn of the decision module by the number of messages held: an outage holds many messages, and one
-//! ends as another is handed in. The figures are the machine's, not a seed's.
+//! ends as another is submitted. The figures are the machine's, not a seed's.
 
 use std::time::Instant;
 
@@ -42,7 +42,7 @@
 }
 
 /// Measures turns with `held` messages, for a quarter as many destinations with two endpoints each: in every turn a
-/// call ends, a message is handed in, and what was rejected or sent in the turn before is carried out.
+/// call ends, a message is submitted, and what was rejected or sent in the turn before is carried out.
 ///
 /// # Errors
 /// Where the decision module rejects the settings.
--- a/crates/lab/tests/model.rs
+++ b/crates/lab/tests/model.rs
@@ -39,23 +39,23 @@
 }
 
 #[test]
-fn a_window_takes_so_many_and_tells_to_wait_to_its_end() {
+fn a_fixed_window_admits_its_limit_and_gives_a_retry_after_to_its_end() {
     let kind = "limit: WINDOW window_ms: 2000 headroom { least: 1 most: 1 } least_rate { } tells_wait: 1 queue { least: 99 most: 99 }";
     let (x, site, mut partner) = lone(kind);
     assert_eq!(site.partners[0].rate_limit, Some(10.0));
     let faults = no_faults(&x, &site);
-    let taken: Vec<Admission> = (0..25)
+    let admissions: Vec<Admission> = (0..25)
         .map(|no| partner.deliver(0, call(no), &faults, 2_500.0))
         .collect();
     assert_eq!(
-        taken
+        admissions
             .iter()
             .filter(|t| !matches!(t, Admission::Answered(_)))
             .count(),
         20
     );
     assert_eq!(
-        taken[24],
+        admissions[24],
         Admission::Answered(Reply::Refused(Some(1_500.0)))
     );
     assert!(
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn refused_calls_use_up_a_limit_only_where_they_count() {
+fn rejected_calls_use_up_a_limit_only_where_they_count() {
     // Twice as many as are taken, for 6 s: where refused calls count, asking on keeps the partner shut.
     for (counts, want) in [(false, 60), (true, 20)] {
         let kind = format!(
@@ -89,17 +89,17 @@
 }
 
 #[test]
-fn an_endpoint_runs_so_many_queues_some_and_refuses_the_rest() {
+fn an_endpoint_runs_so_many_queues_some_and_rejects_the_rest() {
     let (x, site, mut partner) = lone("limit: NONE queue { least: 2 most: 2 }");
     assert_eq!(
         (x.world.kinds[0].limit, site.partners[0].rate_limit),
         (Limit::None, None)
     );
     let (faults, cores) = (no_faults(&x, &site), u64::from(site.partners[0].cores));
-    let taken: Vec<Admission> = (0..cores * 4)
+    let admissions: Vec<Admission> = (0..cores * 4)
         .map(|no| partner.deliver(0, call(no), &faults, 0.0))
         .collect();
-    let count = |of: fn(&Admission) -> bool| taken.iter().filter(|t| of(t)).count() as u64;
+    let count = |of: fn(&Admission) -> bool| admissions.iter().filter(|t| of(t)).count() as u64;
     assert_eq!(count(|t| *t == Admission::Running), cores);
     assert_eq!(count(|t| *t == Admission::Queued), 2 * cores);
     let (mut answers, mut now) = (Vec::new(), 0.0);
@@ -116,7 +116,7 @@
 }
 
 #[test]
-fn an_outage_loses_what_runs_and_a_cold_partner_that_is_pushed_falls_over_for_good() {
+fn an_outage_loses_running_calls_and_an_overloaded_partner_that_warms_up_collapses() {
     let (x, site, mut partner) =
         lone("limit: NONE cold_from: 0.25 cold_s: 8 queue { least: 0 most: 0 }");
     let faults = no_faults(&x, &site);
