Split the judge's tests by groups of rules, as its sources are

The histories and the verdict on them are in history.rs, the tests in answers, repeats, waits and endpoints; no case, assertion or test name has changed, names only have their module before them.

--- /dev/null
+++ b/crates/lab/tests/judge/history.rs
@@ -0,0 +1,125 @@
+//! Histories for the judge, and its verdicts on them.
+
+use martenlatch_lab::event_log::{Fact, What};
+use martenlatch_lab::experiment::Effect;
+use martenlatch_lab::judge::{ClassRule, Judge, Rule};
+use martenlatch_lab::model::partner::Reply;
+
+/// The class of non-idempotent messages.
+pub const UNSAFE: u32 = 0;
+
+/// The class of messages with an idempotency key, which lasts 6 s.
+pub const KEYED: u32 = 1;
+
+/// The rules that a judge finds broken in a history that ends at 100 s.
+pub fn verdict(facts: &[(f64, What)]) -> Vec<Rule> {
+    let classes = vec![
+        ClassRule {
+            effect: Effect::Unsafe,
+            window: 0.0,
+        },
+        ClassRule {
+            effect: Effect::Keyed,
+            window: 6_000.0,
+        },
+    ];
+    let mut judge = Judge::new(classes, 3);
+    for (at, what) in facts {
+        judge.hear(&Fact {
+            at: *at,
+            what: what.clone(),
+        });
+    }
+    let verdict = judge.end(100_000.0);
+    for breach in &verdict.breaches {
+        let text = breach.to_string();
+        assert!(
+            text.contains(&format!("{:?} at ", breach.rule)) && text.contains(" ms"),
+            "{text}"
+        );
+    }
+    verdict.counts.into_keys().collect()
+}
+
+/// A message that is handed in at the start of the run and accepted.
+pub fn taken(id: u64, class: u32) -> Vec<(f64, What)> {
+    again(id, id, class, 0.0)
+}
+
+/// A handing in of a message at an instant, taken on; its time is up at 16 s.
+pub fn again(origin: u64, id: u64, class: u32, at: f64) -> Vec<(f64, What)> {
+    let (sender, partner, first, deadline) = (0, 7, 0.0, 16_000.0);
+    vec![
+        (
+            at,
+            What::HandedIn {
+                origin,
+                id,
+                sender,
+                class,
+                partner,
+                first,
+                deadline,
+                key: None,
+            },
+        ),
+        (at, What::Answered { id, status: 202 }),
+    ]
+}
+
+/// A call of a message to an endpoint, whose last byte comes 10 ms later.
+pub fn sent(call: u64, id: u64, endpoint: u32, at: f64) -> Vec<(f64, What)> {
+    let (sender, partner, fresh) = (0, 7, false);
+    vec![
+        (
+            at,
+            What::Call {
+                call,
+                id,
+                sender,
+                partner,
+                endpoint,
+                fresh,
+            },
+        ),
+        (at + 10.0, What::Arrived { call }),
+    ]
+}
+
+/// The reply to a call.
+pub fn replied(call: u64, reply: Reply, at: f64) -> (f64, What) {
+    (at, What::Replied { call, reply })
+}
+
+/// A status report on a message.
+pub fn notice(id: u64, deferred: bool, at: f64) -> (f64, What) {
+    (
+        at,
+        What::Notice {
+            sender: 0,
+            id,
+            deferred,
+            again: None,
+        },
+    )
+}
+
+/// An entry of the endpoint list that sender 0 is notified of.
+pub fn listed(endpoint: u32, partner: u32, on: bool, at: f64) -> (f64, What) {
+    (
+        at,
+        What::Listed {
+            sender: 0,
+            endpoint,
+            partner,
+            on,
+        },
+    )
+}
+
+/// Parts of a history, in the order of time.
+pub fn history(mut parts: Vec<Vec<(f64, What)>>) -> Vec<(f64, What)> {
+    let mut all: Vec<(f64, What)> = parts.drain(..).flatten().collect();
+    all.sort_by(|a, b| a.0.total_cmp(&b.0));
+    all
+}
