--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -8,7 +8,7 @@
 use martenlatch_policy::interface::{
     ClassId, DestinationId, EndpointEntry, EndpointId, Event, KeyId, KindId, Nanos, Outcome, ZoneId,
 };
-use martenlatch_settings::platform::{self as settings, Boot};
+use martenlatch_settings::platform::{self as settings, PlatformSettings};
 
 use crate::endpoint_lists::ListedEndpoint;
 use crate::error::LineError;
@@ -29,7 +29,7 @@
 /// One sender instance.
 pub struct Instance {
     policy: Policy,
-    boot: Boot,
+    platform_settings: PlatformSettings,
     /// Events of the present batch.
     events: Vec<Event>,
     /// Endpoint names, in the places that their ids say.
@@ -41,16 +41,16 @@
 impl Instance {
     /// Opens an instance from its settings, a JSON object.
     pub fn open(settings: &str, seed: u64) -> Result<Instance, LineError> {
-        let boot = settings::read(settings)
+        let platform_settings = settings::read(settings)
             .map_err(|error| LineError::UnreadableSettings(error.into()))?;
-        if boot.asked {
+        if platform_settings.polls_endpoint_list {
             return Err(LineError::PollingUnsupported);
         }
-        let policy =
-            Policy::new(boot.settings.clone(), seed).map_err(LineError::InvalidSettings)?;
+        let policy = Policy::new(platform_settings.settings.clone(), seed)
+            .map_err(LineError::InvalidSettings)?;
         Ok(Instance {
             policy,
-            boot,
+            platform_settings,
             events: Vec::new(),
             endpoint_names: Vec::new(),
             endpoint_ids: HashMap::new(),
@@ -74,8 +74,16 @@
     fn endpoint_entry(&mut self, listed: &ListedEndpoint) -> Result<EndpointEntry, LineError> {
         Ok(EndpointEntry {
             endpoint: self.endpoint_id(&listed.endpoint),
-            zone: ZoneId(position("zone", &self.boot.zones, &listed.zone)?),
-            kind: KindId(position("kind", &self.boot.kinds, &listed.kind)?),
+            zone: ZoneId(position(
+                "zone",
+                &self.platform_settings.zones,
+                &listed.zone,
+            )?),
+            kind: KindId(position(
+                "kind",
+                &self.platform_settings.kinds,
+                &listed.kind,
+            )?),
             destination: DestinationId(listed.destination),
             stage: listed.state,
             weight: listed.weight,
@@ -116,7 +124,11 @@
         let destination = DestinationId(fields.number("Destination")?);
         fields.skip("Attrs")?;
         fields.skip("Org")?;
-        let class = ClassId(position("class", &self.boot.classes, fields.text("Qos")?)?);
+        let class = ClassId(position(
+            "class",
+            &self.platform_settings.classes,
+            fields.text("Qos")?,
+        )?);
         let deadline = fields.number("Deadline")?;
         let id = self.messages.add(name);
         self.events.push(Event::MessageAccepted {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum Body {
     /// The bytes left of a body of known length.
-    Left(usize),
+    ContentLength(usize),
     /// Chunked transfer coding.
     Chunked {
         /// Bytes left of the present chunk with its line end; 0 while a size line is due.
@@ -23,7 +23,7 @@
         last: bool,
     },
     /// The body ends with the connection.
-    ToEnd,
+    UntilClose,
 }
 
 /// How far one call of [`Body::decode`] has come.
@@ -46,7 +46,7 @@
         mut output: impl FnMut(&[u8]),
     ) -> Result<BodyProgress, Malformed> {
         match self {
-            Body::Left(left) => {
+            Body::ContentLength(left) => {
                 let consumed = (*left).min(input.len());
                 output(&input[..consumed]);
                 *left -= consumed;
@@ -55,7 +55,7 @@
                     complete: *left == 0,
                 })
             }
-            Body::ToEnd => {
+            Body::UntilClose => {
                 output(input);
                 Ok(BodyProgress {
                     consumed: input.len(),
--- a/crates/http/src/buffer_pool.rs
+++ b/crates/http/src/buffer_pool.rs
@@ -43,7 +43,7 @@
     }
 
     /// Whether all buffers are lent out.
-    pub fn spent(&self) -> bool {
+    pub fn is_exhausted(&self) -> bool {
         self.0.borrow().is_exhausted()
     }
 
--- a/crates/http/src/codec.rs
+++ b/crates/http/src/codec.rs
@@ -28,7 +28,7 @@
     /// The content.
     pub body: Rc<[u8]>,
     /// Whether the client expects the connection to end after the response.
-    pub close: bool,
+    pub closes_connection: bool,
     /// Length of head and body in the input, in bytes.
     pub consumed: usize,
 }
@@ -87,7 +87,7 @@
             .map(|header| (header.name.to_ascii_lowercase(), header.value.to_vec()))
             .collect(),
         body: Rc::from(&input[body_start..consumed]),
-        close: !keeps_alive(head.version == Some(0), head.headers),
+        closes_connection: !keeps_alive(head.version == Some(0), head.headers),
         consumed,
     })
 }
@@ -164,9 +164,9 @@
     /// How to read the body.
     pub body: Body,
     /// Whether the connection may carry another request.
-    pub keep: bool,
+    pub keep_alive: bool,
     /// Malformed framing: the declared lengths contradict each other, cannot be read, or exceed [`BODY`].
-    pub spoilt: bool,
+    pub malformed: bool,
     /// Names in lower case.
     headers: Vec<(String, String)>,
     /// Length of the head in the input, in bytes.
@@ -202,16 +202,16 @@
         Err(InvalidLength) => true,
     };
     let body = match declared_length {
-        _ if matches!(status, 100..=199 | 204 | 304) => Body::Left(0),
+        _ if matches!(status, 100..=199 | 204 | 304) => Body::ContentLength(0),
         _ if list_contains(head.headers, "transfer-encoding", "chunked") => Body::Chunked {
             remaining: 0,
             last: false,
         },
         // The status is valid even if the length is too large: only the connection is given up then.
-        Ok(Some(length)) => Body::Left(length),
-        _ => Body::ToEnd,
+        Ok(Some(length)) => Body::ContentLength(length),
+        _ => Body::UntilClose,
     };
-    let keep = body != Body::ToEnd
+    let keep_alive = body != Body::UntilClose
         && !malformed_framing
         && keeps_alive(head.version != Some(1), head.headers);
     let headers = head
@@ -225,8 +225,8 @@
     Ok(Some(Response {
         status,
         body,
-        keep,
-        spoilt: malformed_framing,
+        keep_alive,
+        malformed: malformed_framing,
         headers,
         consumed,
     }))
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -174,7 +174,7 @@
         if let Some(Peer::Client(client)) = self.peers.get_mut(key) {
             client.connection.consume(answer.consumed);
             client.message = None;
-            if answer.keep {
+            if answer.keep_alive {
                 self.senders[client.sender as usize].idle_clients.push(key);
             } else {
                 self.peers.remove(key);
--- a/crates/lab/tests/orders/fleet.rs
+++ b/crates/lab/tests/orders/fleet.rs
@@ -328,7 +328,7 @@
 
 fn message_record(id: u64, class: u32, partner: u32, deadline: Millis) -> MessageRecord {
     MessageRecord {
-        no: id,
+        number: id,
         id: Rc::from(id.to_string()),
         class: Rc::from(class.to_string()),
         destination: partner.into(),
--- a/crates/martenlatch/src/commands.rs
+++ b/crates/martenlatch/src/commands.rs
@@ -63,9 +63,9 @@
         "usable: listen={} discovery={} operator={operator} classes={} slots={} hold_limit={}",
         config.listen,
         config.discovery,
-        config.boot.classes.len(),
-        config.boot.settings.max_in_flight,
-        config.boot.settings.max_held
+        config.platform_settings.classes.len(),
+        config.platform_settings.settings.max_in_flight,
+        config.platform_settings.settings.max_held
     );
     Ok(())
 }
--- a/crates/martenlatch/src/inspect.rs
+++ b/crates/martenlatch/src/inspect.rs
@@ -16,7 +16,7 @@
         .unwrap_or_default();
     let now = now.as_secs_f64() * MILLIS_PER_SECOND;
     let log = open(folder)?;
-    for record in log.past.open.values() {
+    for record in log.recovered.open.values() {
         let left_ms = record.deadline - now;
         if json {
             println!("{}", json_line(record, left_ms));
@@ -32,7 +32,7 @@
     let log = open(folder)?;
     let damaged_bytes = log.size - log.valid_bytes();
     let is_intact = damaged_bytes == 0;
-    let messages = log.past.open.values();
+    let messages = log.recovered.open.values();
     let open_count = messages
         .filter(|record| record.final_status.is_none())
         .count();
@@ -40,9 +40,9 @@
         "{} bytes={} records={} open={open_count} ends_owed={} over={} damaged_bytes={damaged_bytes}",
         if is_intact { "whole" } else { "damaged" },
         log.size,
-        log.past.records,
-        log.past.open.len() - open_count,
-        log.past.over.len(),
+        log.recovered.records,
+        log.recovered.open.len() - open_count,
+        log.recovered.recently_closed.len(),
     );
     Ok(is_intact)
 }
@@ -57,7 +57,7 @@
 fn text_line(record: &MessageRecord, left_ms: f64) -> String {
     format!(
         "no={} id={:?} class={} destination={} left_ms={left_ms:.0} tasks={} may_have_run={} end={} bytes={}",
-        record.no,
+        record.number,
         record.id,
         record.class,
         record.destination,
@@ -70,7 +70,7 @@
 
 fn json_line(record: &MessageRecord, left_ms: f64) -> serde_json::Value {
     serde_json::json!({
-        "no": record.no,
+        "no": record.number,
         "id": &*record.id,
         "class": &*record.class,
         "destination": record.destination,
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use martenlatch_settings::platform::{self, Boot};
+use martenlatch_settings::platform::{self, PlatformSettings};
 use martenlatch_settings::program::{Clients, Peers, Program};
 use serde_json::Value;
 
@@ -49,7 +49,7 @@
     /// The endpoint list as this sender last had it; null if it never had one.
     pub known: Value,
     /// The platform's settings.
-    pub boot: Boot,
+    pub platform_settings: PlatformSettings,
     /// The timeouts for clients, from the program's own settings.
     pub clients: Clients,
     /// The other senders, from the program's own settings; none where senders do not know one another.
@@ -132,7 +132,7 @@
     fn from_environment(discovery_variable: Option<&str>) -> Result<Config, ConfigError> {
         let json = read_file()?;
         let state = read_state_folder()?;
-        let boot = read_settings(&json)?;
+        let platform_settings = read_settings(&json)?;
         let known = read_known_endpoints(&json)?;
         Ok(Config {
             name: std::env::var(NAME_VARIABLE).unwrap_or_else(|_| DEFAULT_NAME.into()),
@@ -145,7 +145,7 @@
             disk: read_megabytes(&json, "disk_mb", MIN_DISK_MEGABYTES)?,
             memory: read_megabytes(&json, "memory_mb", MIN_MEMORY_MEGABYTES)?,
             known,
-            boot,
+            platform_settings,
             clients: Program::default().clients,
             peers: None,
         })
@@ -173,17 +173,22 @@
     Ok(state.into())
 }
 
-fn read_settings(json: &Value) -> Result<Boot, ConfigError> {
+fn read_settings(json: &Value) -> Result<PlatformSettings, ConfigError> {
     let settings = json
         .get("settings")
         .filter(|settings| settings.is_object())
         .ok_or(ConfigError::NotAnObject("settings"))?;
-    let boot = platform::read(&settings.to_string())
+    let platform_settings = platform::read(&settings.to_string())
         .map_err(|error| ConfigError::Settings(error.to_string()))?;
-    if boot.settings.classes.iter().any(|class| class.ordered) {
+    if platform_settings
+        .settings
+        .classes
+        .iter()
+        .any(|class| class.ordered)
+    {
         return Err(ConfigError::OrderedClass);
     }
-    Ok(boot)
+    Ok(platform_settings)
 }
 
 fn read_known_endpoints(json: &Value) -> Result<Value, ConfigError> {
--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -24,7 +24,7 @@
 use martenlatch_clock::Millis;
 use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_policy::interface::{EndpointEntry, EndpointId};
-use martenlatch_settings::platform::Boot;
+use martenlatch_settings::platform::PlatformSettings;
 use serde_json::Value;
 use tracing::warn;
 
@@ -42,9 +42,9 @@
 const SILENCE_MARGIN: Millis = 1.0;
 
 /// What an update of the endpoint list changed, for the decision module.
-pub struct Change {
+pub struct EndpointListChange {
     /// The entries are all that there are; endpoints without an entry have been removed.
-    pub whole: bool,
+    pub complete: bool,
     /// The endpoints that were listed, with their new state.
     pub entries: Vec<EndpointEntry>,
 }
@@ -69,15 +69,15 @@
     /// An empty directory, whose first watch at the address `discovery` is due at once.
     pub fn new(
         discovery: SocketAddr,
-        boot: &Boot,
+        platform_settings: &PlatformSettings,
         cordons: Cordons,
         jitter: Jitter,
     ) -> EndpointDirectory {
         let names = SettingsNames {
-            zones: boot.zones.clone(),
-            kinds: boot.kinds.clone(),
+            zones: platform_settings.zones.clone(),
+            kinds: platform_settings.kinds.clone(),
         };
-        let source = if boot.asked {
+        let source = if platform_settings.polls_endpoint_list {
             ListSource::Service
         } else {
             ListSource::LocalAgent
@@ -90,7 +90,7 @@
             discovery_heard: false,
             watch: None,
             last_heard: 0.0,
-            schedule: WatchSchedule::new(source, boot.settings.senders, jitter),
+            schedule: WatchSchedule::new(source, platform_settings.settings.senders, jitter),
         }
     }
 
@@ -98,7 +98,7 @@
     ///
     /// If an entry cannot be read, its endpoint stays as it is, and so does the version: the update is requested
     /// again. This does not apply to an entry that names what the settings lack, which would come back the same.
-    pub fn apply(&mut self, json: &Value) -> Option<Change> {
+    pub fn apply(&mut self, json: &Value) -> Option<EndpointListChange> {
         let Some(update) = ListUpdate::parse(json) else {
             warn!(
                 reason = "no list of targets",
@@ -113,8 +113,8 @@
             self.version = version;
         }
         self.unreadable |= applied.unreadable;
-        Some(Change {
-            whole: update.complete,
+        Some(EndpointListChange {
+            complete: update.complete,
             entries: applied.entries,
         })
     }
@@ -128,10 +128,10 @@
         &mut self,
         name: &str,
         cordoned: bool,
-    ) -> Result<Option<Change>, CordonError> {
+    ) -> Result<Option<EndpointListChange>, CordonError> {
         let entry = self.list.set_cordon(name, cordoned)?;
-        Ok(entry.map(|entry| Change {
-            whole: false,
+        Ok(entry.map(|entry| EndpointListChange {
+            complete: false,
             entries: vec![entry],
         }))
     }
@@ -228,7 +228,7 @@
     }
 
     /// Reads what the watch has brought. Returns the changes of the list, and whether there may be more to read.
-    pub fn on_ready(&mut self, now: Millis) -> (Vec<Change>, bool) {
+    pub fn on_ready(&mut self, now: Millis) -> (Vec<EndpointListChange>, bool) {
         let Some(watch) = self.watch.as_mut() else {
             return (Vec::new(), false);
         };
@@ -254,7 +254,7 @@
 
     /// Takes the objects of a watch, up to one that cannot be read: the updates behind it would move the version past
     /// it. Returns the changes, and whether there was such an object.
-    fn apply_objects(&mut self, objects: &[Vec<u8>]) -> (Vec<Change>, bool) {
+    fn apply_objects(&mut self, objects: &[Vec<u8>]) -> (Vec<EndpointListChange>, bool) {
         let mut changes = Vec::new();
         for object in objects {
             if object.trim_ascii().is_empty() {
--- a/crates/sender/src/discovery/tests/endpoint_list.rs
+++ b/crates/sender/src/discovery/tests/endpoint_list.rs
@@ -4,10 +4,10 @@
 
 #[test]
 fn removed_endpoints_are_dropped_and_their_numbers_are_not_used_again() {
-    let boot = boot(Settings::default(), false);
+    let platform_settings = platform_settings(Settings::default(), false);
     let mut directory = EndpointDirectory::new(
         "127.0.0.1:9".parse().unwrap(),
-        &boot,
+        &platform_settings,
         no_cordons(),
         Jitter::new(1),
     );
--- a/crates/sender/src/discovery/tests/mod.rs
+++ b/crates/sender/src/discovery/tests/mod.rs
@@ -16,13 +16,13 @@
 
 /// A configuration with one zone, one kind and one class, all of the name "x". The list comes from a discovery
 /// service if it is `requested`, or else from an agent.
-fn boot(settings: Settings, requested: bool) -> Boot {
+fn platform_settings(settings: Settings, requested: bool) -> PlatformSettings {
     let names = || vec!["x".to_string()];
-    Boot {
+    PlatformSettings {
         settings,
         zones: names(),
         kinds: names(),
         classes: names(),
-        asked: requested,
+        polls_endpoint_list: requested,
     }
 }
--- a/crates/sender/src/discovery/tests/snapshot.rs
+++ b/crates/sender/src/discovery/tests/snapshot.rs
@@ -13,9 +13,10 @@
     assert_eq!(postcard::to_allocvec(&snapshot).unwrap(), EARLIER_SNAPSHOT);
     assert_eq!((snapshot.version, snapshot.next_id), (6, 2));
     assert!(snapshot.discovery_heard);
-    let boot = boot(Settings::default(), false);
+    let platform_settings = platform_settings(Settings::default(), false);
     let discovery = "127.0.0.1:9".parse().unwrap();
-    let mut directory = EndpointDirectory::new(discovery, &boot, no_cordons(), Jitter::new(1));
+    let mut directory =
+        EndpointDirectory::new(discovery, &platform_settings, no_cordons(), Jitter::new(1));
     directory.restore_state(snapshot);
     assert_eq!(directory.endpoint_name(EndpointId(1)).as_deref(), Some("b"));
     assert_eq!(directory.address(EndpointId(1)), Some(discovery));
--- a/crates/sender/src/discovery/tests/updates.rs
+++ b/crates/sender/src/discovery/tests/updates.rs
@@ -13,7 +13,7 @@
     let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
     let mut directory = EndpointDirectory::new(
         listener.local_addr().unwrap(),
-        &boot(Settings::default(), false),
+        &platform_settings(Settings::default(), false),
         no_cordons(),
         Jitter::new(1),
     );
@@ -43,7 +43,7 @@
     loop {
         let WatchInput { objects, fault, .. } = directory.watch.as_mut().unwrap().receive();
         let (applied, unreadable) = directory.apply_objects(&objects);
-        changes.extend(applied.iter().map(|c| (c.whole, c.entries.len())));
+        changes.extend(applied.iter().map(|c| (c.complete, c.entries.len())));
         if unreadable || fault.is_some() {
             let goes_on = !unreadable && fault == Some(WatchFault::Ended);
             return (changes, directory.version, goes_on);
--- a/crates/sender/src/discovery/tests/watch_schedule.rs
+++ b/crates/sender/src/discovery/tests/watch_schedule.rs
@@ -15,10 +15,10 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
     let (handle, pool) = (events.handle(), BufferPool::new(8));
-    let boot = boot(Settings::default(), requested);
+    let platform_settings = platform_settings(Settings::default(), requested);
     let mut directory = EndpointDirectory::new(
         listener.local_addr().unwrap(),
-        &boot,
+        &platform_settings,
         no_cordons(),
         Jitter::new(1),
     );
@@ -54,12 +54,12 @@
 fn watches_that_become_silent_together_are_not_opened_again_together() {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let events = calloop::EventLoop::<crate::event_source::Ready>::try_new().unwrap();
-    let boot = boot(Settings::default(), true);
+    let platform_settings = platform_settings(Settings::default(), true);
     let again = |seed: u64| {
         let (handle, pool) = (events.handle(), BufferPool::new(8));
         let mut directory = EndpointDirectory::new(
             listener.local_addr().unwrap(),
-            &boot,
+            &platform_settings,
             no_cordons(),
             Jitter::new(seed),
         );
@@ -85,11 +85,15 @@
         senders,
         ..Settings::default()
     };
-    let boot = boot(settings, requested);
+    let platform_settings = platform_settings(settings, requested);
     let one = |seed: u32| {
         let jitter = Jitter::new(seed.into());
-        let mut directory =
-            EndpointDirectory::new("127.0.0.1:9".parse().unwrap(), &boot, no_cordons(), jitter);
+        let mut directory = EndpointDirectory::new(
+            "127.0.0.1:9".parse().unwrap(),
+            &platform_settings,
+            no_cordons(),
+            jitter,
+        );
         directory.delay_first_watch(0.0);
         let mut attempts = Vec::new();
         while directory.next_deadline() < 60_000.0 {
--- a/crates/sender/src/egress/attempt.rs
+++ b/crates/sender/src/egress/attempt.rs
@@ -19,7 +19,7 @@
     /// How long the attempt may take from now on.
     pub timeout: Millis,
     /// The last instant at which the request may begin to be written.
-    pub latest: Millis,
+    pub latest_start: Millis,
     /// The message is non-idempotent or this is a retry: the request must not be lost on a connection that may be
     /// stale.
     pub must_not_be_lost: bool,
@@ -41,7 +41,7 @@
     /// How long it took from its start, in milliseconds.
     pub took: Millis,
     /// The endpoint answered with status 410: the message is finished, and no final status is owed.
-    pub over: bool,
+    pub message_over: bool,
 }
 
 /// An attempt in flight. Serialized for a process replacement: the order of the fields is fixed.
@@ -72,7 +72,7 @@
             destination: request.destination,
             started_at: now,
             deadline: now + request.timeout,
-            latest_start: request.latest,
+            latest_start: request.latest_start,
             fully_sent: false,
         }
     }
@@ -84,7 +84,7 @@
             attempt: self.attempt,
             outcome,
             took: now - self.started_at,
-            over: false,
+            message_over: false,
         }
     }
 }
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -136,7 +136,7 @@
 
     /// The key under which the event loop will report the next connection of this pool.
     pub fn next_key(&self) -> EventSource {
-        EventSource::Region(self.slots.vacant_key())
+        EventSource::Endpoint(self.slots.vacant_key())
     }
 
     /// Puts a connection that has carried its exchange among the idle ones.
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -77,16 +77,20 @@
         };
         connection.connection.consume(response.consumed);
         // After a response that came before the whole request was out, the connection cannot carry another one.
-        let reusable = response.keep
+        let reusable = response.keep_alive
             && connection.connection.is_flushed()
             && connection.held_back_byte.is_none();
         let meaning = ResponseMeaning::of(&response);
-        let body = if reusable { response.body } else { Body::ToEnd };
+        let body = if reusable {
+            response.body
+        } else {
+            Body::UntilClose
+        };
         connection.remaining_response = Some(RemainingResponse::Body(body));
         connection.idle_since = now;
         let idle_before = connection.idle_before;
         self.results.push(AttemptResult {
-            over: meaning.message_over,
+            message_over: meaning.message_over,
             ..attempt.result(meaning.outcome, now)
         });
         self.record_response(idle_before);
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -74,14 +74,14 @@
 /// and may be repeated: a malformed one comes after it has run.
 fn body_state(response: &http::Response, connection: &EndpointConnection) -> BodyState {
     let received = &connection.connection.bytes()[response.consumed..];
-    if response.spoilt {
+    if response.malformed {
         return BodyState::Malformed;
     }
     match response.body.clone().feed(received, |_| {}) {
         None => BodyState::Malformed,
         Some((_, true)) => BodyState::Complete,
         Some((_, false)) if connection.is_closed() => match response.body {
-            Body::ToEnd => BodyState::Complete,
+            Body::UntilClose => BodyState::Complete,
             _ => BodyState::Malformed,
         },
         Some((_, false)) if received.len() >= BODY => BodyState::Malformed,
@@ -148,7 +148,7 @@
     }
     let received = connection.connection.bytes();
     let progress = match connection.remaining_response.as_mut() {
-        Some(RemainingResponse::Head | RemainingResponse::Body(Body::ToEnd)) => None,
+        Some(RemainingResponse::Head | RemainingResponse::Body(Body::UntilClose)) => None,
         Some(RemainingResponse::Body(body)) => body.feed(received, |_| {}),
         None => received.is_empty().then_some((0, true)),
     };
@@ -170,14 +170,14 @@
     let body = match http::parse_response(connection.connection.bytes()) {
         Ok(Some(response)) => {
             connection.connection.consume(response.consumed);
-            if response.keep && !response.spoilt {
+            if response.keep_alive && !response.malformed {
                 response.body
             } else {
-                Body::ToEnd
+                Body::UntilClose
             }
         }
         Ok(None) if !connection.is_closed() => return false,
-        _ => Body::ToEnd,
+        _ => Body::UntilClose,
     };
     connection.remaining_response = Some(RemainingResponse::Body(body));
     true
--- a/crates/sender/src/egress/tests/mod.rs
+++ b/crates/sender/src/egress/tests/mod.rs
@@ -26,7 +26,7 @@
         kind: 0,
         destination: 7,
         timeout: 1e9,
-        latest: f64::INFINITY,
+        latest_start: f64::INFINITY,
         must_not_be_lost,
         head: b"xy",
         body: b"",
@@ -110,7 +110,7 @@
     fixture.egress.resets.recent_resets = RESETS_EXPECTED_FROM;
     let request = AttemptRequest {
         timeout: 500.0,
-        latest,
+        latest_start: latest,
         ..two_byte_request(true)
     };
     fixture.start(&request, 0.0);
--- a/crates/sender/src/event_source.rs
+++ b/crates/sender/src/event_source.rs
@@ -37,33 +37,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EventSource {
     /// The listening socket for operators.
-    Operators,
+    OperatorListener,
     /// A connection of an operator, by its place in the table of operators' connections.
     Operator(usize),
     /// The listening socket for clients.
-    Listener,
+    ClientListener,
     /// A connection of a client, by its place in the table of clients.
     Client(usize),
     /// A connection to an endpoint, by its place in the table of endpoint connections.
-    Region(usize),
+    Endpoint(usize),
     /// The connection to discovery on which the endpoint list is watched.
     Watch,
     /// The connection for status reports.
-    Notices,
+    StatusReports,
     /// In a serving process: the listening socket for a process that is to replace it.
-    Offer,
+    SuccessorListener,
     /// In a serving process: the connection of the process that is to replace it.
-    Asker,
+    Successor,
     /// In a starting process: the connection to the process that it is to replace.
     Predecessor,
     /// The socket for the membership datagrams of peers.
-    Datagrams,
+    PeerDatagrams,
     /// The listening socket on which peers request knowledge.
-    Tellers,
+    PeerListener,
     /// A connection on which a peer requests knowledge, by its place in the table of such connections.
-    Talk(usize),
+    PeerConnection(usize),
     /// A connection on which this sender requests a peer's knowledge, by its place in the table of such connections.
-    Ask(usize),
+    SeedQuery(usize),
 }
 
 /// A handle to the sender's event loop.
--- a/crates/sender/src/operator.rs
+++ b/crates/sender/src/operator.rs
@@ -16,7 +16,7 @@
 use slab::Slab;
 use tracing::warn;
 
-pub use call::{Call, CallError, said};
+pub use call::{Call, CallError, format_answer};
 
 use crate::event_source::{Connection, EventSource, Handle};
 
@@ -98,8 +98,9 @@
         let listener =
             crate::listen(address).map_err(|source| OperatorError::Bind { address, source })?;
         let listener = Rc::new(listener);
-        let token = martenlatch_http::register(handle, listener.clone(), EventSource::Operators)
-            .map_err(OperatorError::Register)?;
+        let token =
+            martenlatch_http::register(handle, listener.clone(), EventSource::OperatorListener)
+                .map_err(OperatorError::Register)?;
         Ok(Operators {
             listener,
             token,
@@ -203,9 +204,9 @@
 
     /// Handles a ready socket by answering every valid call with one reason why it cannot be served. Returns whether the
     /// socket is one of the operators'.
-    pub fn turn_down(&mut self, key: EventSource, reason: &str, now: Millis) -> bool {
+    pub fn reject_all(&mut self, key: EventSource, reason: &str, now: Millis) -> bool {
         match key {
-            EventSource::Operators => {
+            EventSource::OperatorListener => {
                 if self.accept(now) {
                     self.accept_at = Some(now);
                 }
@@ -213,8 +214,8 @@
             EventSource::Operator(index) => {
                 if let Some(call) = self.ready(index) {
                     let text = match call {
-                        Ok(_) => said(Err(reason)),
-                        Err(error) => said(Err(error)),
+                        Ok(_) => format_answer(Err(reason)),
+                        Err(error) => format_answer(Err(error)),
                     };
                     self.answer(index, &text, now);
                 }
--- a/crates/sender/src/operator/call.rs
+++ b/crates/sender/src/operator/call.rs
@@ -97,7 +97,7 @@
 }
 
 /// Formats the answer to a call: the text of a success, which brings its own line end, or the reason of a failure.
-pub fn said(answer: Result<String, impl Display>) -> String {
+pub fn format_answer(answer: Result<String, impl Display>) -> String {
     match answer {
         Ok(text) => format!("ACK {text}"),
         Err(reason) => format!("NAK {reason}\n"),
--- a/crates/sender/src/peer_service/datagrams.rs
+++ b/crates/sender/src/peer_service/datagrams.rs
@@ -7,12 +7,12 @@
 use martenlatch_peers::wire::MAX_DATAGRAM_BYTES;
 use tracing::{info, warn};
 
-use super::Peers;
+use super::PeerService;
 
 /// Datagrams read in one round at most, so that a flood does not stall the event loop.
 const MAX_DATAGRAMS_PER_ROUND: usize = 64;
 
-impl Peers {
+impl PeerService {
     /// Reads datagrams; returns true if there may be more.
     pub(super) fn receive_datagrams(&mut self, now: Millis) -> bool {
         // One byte more than allowed, so that a datagram that is too long shows.
--- a/crates/sender/src/peer_service/gossip.rs
+++ b/crates/sender/src/peer_service/gossip.rs
@@ -9,7 +9,7 @@
     DestinationId, EndpointEntry, EndpointId, EndpointState, Event, KindId,
 };
 
-use super::Peers;
+use super::PeerService;
 
 /// Gives an endpoint the name that the endpoint list gives it, if it is listed.
 pub type EndpointNames<'a> = &'a dyn Fn(EndpointId) -> Option<String>;
@@ -55,7 +55,7 @@
     endpoint: Option<EndpointId>,
 }
 
-impl Peers {
+impl PeerService {
     /// What peers know of endpoints that were just listed, as events for the decision module. Each piece of knowledge is
     /// passed on once.
     pub fn gossip(
--- a/crates/sender/src/peer_service/mod.rs
+++ b/crates/sender/src/peer_service/mod.rs
@@ -44,7 +44,7 @@
 const KNOWLEDGE_HALF_LIVES: f64 = 4.0;
 
 /// The other senders, as this one knows them.
-pub struct Peers {
+pub struct PeerService {
     settings: program::Peers,
     secret: Secret,
     sockets: Sockets,
@@ -62,7 +62,7 @@
     rejections: Rejections,
 }
 
-impl Peers {
+impl PeerService {
     /// Listens, reads the snapshot of an earlier process from `folder`, joins the group, and queries the seeds.
     /// `per_endpoint` says for each kind of destination whether limits apply to each endpoint separately.
     ///
@@ -76,7 +76,7 @@
         seed: u64,
         handle: &Handle,
         now: Millis,
-    ) -> Result<Peers, PeerServiceError> {
+    ) -> Result<PeerService, PeerServiceError> {
         let secret = secret(&settings.secret_file)?;
         let sockets = Sockets::bind(settings.listen, handle)?;
         let bounds = Bounds {
@@ -94,7 +94,7 @@
             restored = knowledge.len(), seeds = settings.seeds.len(), "peers started"
         );
         let pool = BufferPool::new(BUFFERS);
-        let mut peers = Peers {
+        let mut peers = PeerService {
             seed_queries: SeedQueries::new(settings, local.name.clone(), seed, handle, &pool),
             page_server: PageServer::new(handle, &pool),
             settings: settings.clone(),
@@ -130,7 +130,7 @@
         );
     }
 
-    /// When [`Peers::run_due`] has something to do next.
+    /// When [`PeerService::run_due`] has something to do next.
     pub fn next_deadline(&self) -> Millis {
         if self.page_server.can_send() || self.snapshot_writer.is_gathering() {
             return 0.0;
@@ -144,16 +144,16 @@
     /// Reads what a socket has received. Returns true if there may be more to read.
     pub fn ready(&mut self, source: EventSource, now: Millis) -> bool {
         match source {
-            EventSource::Datagrams => self.receive_datagrams(now),
-            EventSource::Tellers => {
+            EventSource::PeerDatagrams => self.receive_datagrams(now),
+            EventSource::PeerListener => {
                 self.page_server
                     .accept(&self.sockets.listener, now, &mut self.rejections)
             }
-            EventSource::Talk(key) => {
+            EventSource::PeerConnection(key) => {
                 self.page_server
                     .receive(key, &self.secret, &mut self.rejections)
             }
-            EventSource::Ask(slot) => {
+            EventSource::SeedQuery(slot) => {
                 let learning = Learning {
                     knowledge: &mut self.knowledge,
                     bounds: &self.bounds,
@@ -189,7 +189,7 @@
         }
     }
 
-    /// Prepares for the end of this process: leaves the group, and makes the next [`Peers::run_due`] save a snapshot.
+    /// Prepares for the end of this process: leaves the group, and makes the next [`PeerService::run_due`] save a snapshot.
     pub fn leave(&mut self) {
         self.snapshot_writer.save_soon();
         self.membership.leave();
--- a/crates/sender/src/peer_service/page_server.rs
+++ b/crates/sender/src/peer_service/page_server.rs
@@ -204,7 +204,7 @@
                 rejections.connections += 1;
                 continue;
             }
-            let source = EventSource::Talk(entry.key());
+            let source = EventSource::PeerConnection(entry.key());
             if let Ok(connection) = Connection::new(stream, &self.handle, &self.pool, source) {
                 entry.insert(ServedConnection {
                     connection,
--- a/crates/sender/src/peer_service/seed_queries.rs
+++ b/crates/sender/src/peer_service/seed_queries.rs
@@ -125,7 +125,7 @@
     fn start_next(&mut self, slot: usize, secret: &Secret) {
         while let Some(seed) = self.waiting.pop_front() {
             self.last_request = self.last_request.wrapping_add(1);
-            let source = EventSource::Ask(slot);
+            let source = EventSource::SeedQuery(slot);
             let connection = Connection::connect(seed, &self.handle, &self.pool, source);
             let Ok(mut connection) = connection else {
                 continue;
--- a/crates/sender/src/peer_service/sockets.rs
+++ b/crates/sender/src/peer_service/sockets.rs
@@ -27,8 +27,8 @@
         let listener = Rc::new(TcpListener::bind(address)?);
         udp.set_nonblocking(true)?;
         listener.set_nonblocking(true)?;
-        register(handle, udp.clone(), EventSource::Datagrams)?;
-        register(handle, listener.clone(), EventSource::Tellers)?;
+        register(handle, udp.clone(), EventSource::PeerDatagrams)?;
+        register(handle, listener.clone(), EventSource::PeerListener)?;
         Ok(Sockets { udp, listener })
     }
 }
--- a/crates/sender/src/peer_snapshot/tests.rs
+++ b/crates/sender/src/peer_snapshot/tests.rs
@@ -32,9 +32,9 @@
     );
     let whole = std::fs::read(folder.join("peers")).unwrap();
     for at in 0..whole.len() {
-        let mut spoilt = whole.clone();
-        spoilt[at] ^= 0x20;
-        std::fs::write(folder.join("peers"), &spoilt).unwrap();
+        let mut malformed = whole.clone();
+        malformed[at] ^= 0x20;
+        std::fs::write(folder.join("peers"), &malformed).unwrap();
         assert_eq!(open(1e6).1.incarnation, 0, "byte {at}");
         std::fs::write(folder.join("peers"), &whole[..at]).unwrap();
         assert_eq!(open(1e6).1.incarnation, 0, "cut at {at}");
--- a/crates/sender/src/pipeline/actions.rs
+++ b/crates/sender/src/pipeline/actions.rs
@@ -55,7 +55,7 @@
             kind: self.directory.kind(endpoint),
             address: self.directory.address(endpoint),
             timeout: millis(timeout),
-            start_before: millis(latest),
+            latest_start: millis(latest),
         };
         dispatch::start_attempt(&attempt, &mut self.store, &mut self.egress, now);
     }
--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -89,7 +89,7 @@
     fn new_record(&self, message: IncomingMessage, number: u64) -> MessageRecord {
         let class = self.class_rules.get(message.class);
         MessageRecord {
-            no: number,
+            number,
             id: message.id,
             class: class.name.clone(),
             destination: message.destination,
@@ -119,7 +119,7 @@
         status_reporter: &mut StatusReporter,
     ) -> Option<Event> {
         store.counters.resumed += 1;
-        let number = record.no;
+        let number = record.number;
         let event = self.resumed_event(&record);
         // Its end was decided before, or nothing says what its class promised.
         let settled = record.final_status.is_some() || event.is_none();
@@ -154,7 +154,7 @@
         let class = self.class_rules.index_of(&record.class, &record.rules)?;
         let first_run = record.attempts.iter().find(|attempt| !attempt.never_ran);
         Some(Event::MessageResumed {
-            id: MessageId(record.no),
+            id: MessageId(record.number),
             destination: DestinationId(record.destination),
             class: ClassId(class),
             deadline: nanos(record.deadline),
@@ -170,14 +170,14 @@
         store.counters.accepted += 1;
         let record = self.record;
         debug!(
-            number = record.no,
+            number = record.number,
             destination = record.destination,
             class = %record.class,
             left_ms = (record.deadline - now) as u64,
             "accepted"
         );
         let event = Event::MessageAccepted {
-            id: MessageId(record.no),
+            id: MessageId(record.number),
             destination: DestinationId(record.destination),
             class: self.class,
             deadline: nanos(record.deadline),
@@ -190,6 +190,6 @@
     /// The client had left before its answer: when it sends the message again, that must not pass for a duplicate.
     pub(super) fn revoke(self, store: &mut MessageStore) {
         store.counters.clients_left += 1;
-        store.wal.append_revoked(self.record.no);
+        store.wal.append_revoked(self.record.number);
     }
 }
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -22,13 +22,13 @@
 use crate::class_metrics::ClassMetrics;
 use crate::class_rules::ClassRules;
 use crate::cordons::Cordons;
-use crate::discovery::{Change, EndpointDirectory};
+use crate::discovery::{EndpointDirectory, EndpointListChange};
 use crate::egress::Egress;
 use crate::error::SenderError;
 use crate::event_source::{Handle, InheritedDescriptors};
 use crate::jitter::Jitter;
 use crate::operator;
-use crate::peer_service::Peers;
+use crate::peer_service::PeerService;
 
 /// An input and an output buffer for each connection.
 const BUFFERS_PER_CONNECTION: usize = 2;
@@ -105,9 +105,9 @@
 
 impl Foundation {
     fn new(config: &Config, start: Start) -> Result<Foundation, SenderError> {
-        let mut settings = config.boot.settings.clone();
+        let mut settings = config.platform_settings.settings.clone();
         settings.max_attempts = settings.max_attempts.min(MAX_ATTEMPTS as u32);
-        let class_rules = ClassRules::new(&config.boot.classes, &settings.classes);
+        let class_rules = ClassRules::new(&config.platform_settings.classes, &settings.classes);
         match start {
             Start::Fresh(listener) => Foundation::fresh(config, listener, settings, class_rules),
             Start::Passed(state, descriptors) => {
@@ -134,7 +134,7 @@
             class_rules,
             policy,
             wal,
-            next_number: recovered.next,
+            next_number: recovered.next_number,
             recovered: recovered.open,
             inheritance: None,
         })
@@ -184,7 +184,7 @@
     pub fn new(
         config: Config,
         start: Start,
-        peers: Option<Peers>,
+        peers: Option<PeerService>,
         handle: &Handle,
         clock: Clock,
     ) -> Result<Driver, SenderError> {
@@ -209,7 +209,7 @@
     fn assemble(
         config: &Config,
         foundation: Foundation,
-        peers: Option<Peers>,
+        peers: Option<PeerService>,
         handle: &Handle,
         clock: Clock,
     ) -> Result<Driver, SenderError> {
@@ -220,7 +220,7 @@
         let limits = client_limits(config, settings, &capacity);
         let classes = ingress_classes(config);
         let ingress = Ingress::open(foundation.listener, handle, limits, classes, jitter.clone())?;
-        let class_metrics = ClassMetrics::new(&config.boot.classes);
+        let class_metrics = ClassMetrics::new(&config.platform_settings.classes);
         Ok(Driver {
             names: SettingsNames::of(config),
             listen: config.listen,
@@ -260,8 +260,8 @@
             return;
         }
         if let Some(known) = self.directory.apply(&config.known) {
-            self.apply_endpoint_change(Change {
-                whole: true,
+            self.apply_endpoint_change(EndpointListChange {
+                complete: true,
                 ..known
             });
             self.directory.delay_first_watch(self.clock.now());
@@ -281,10 +281,10 @@
     let requires_key =
         |class: &MessageClass| matches!(class.idempotency, Idempotency::IdempotencyKey { .. });
     config
-        .boot
+        .platform_settings
         .classes
         .iter()
-        .zip(&config.boot.settings.classes)
+        .zip(&config.platform_settings.settings.classes)
         .map(|(name, class)| IngressClass {
             name: name.clone(),
             requires_idempotency_key: requires_key(class),
@@ -309,7 +309,7 @@
 fn build_admission(config: &Config, settings: &Settings, class_rules: ClassRules) -> Admission {
     Admission {
         max_held: settings.max_held,
-        classes: config.boot.classes.clone(),
+        classes: config.platform_settings.classes.clone(),
         class_rules,
     }
 }
@@ -326,5 +326,5 @@
 
 fn build_directory(config: &Config, jitter: Jitter) -> EndpointDirectory {
     let cordons = Cordons::open(&config.state, config.disk);
-    EndpointDirectory::new(config.discovery, &config.boot, cordons, jitter)
+    EndpointDirectory::new(config.discovery, &config.platform_settings, cordons, jitter)
 }
--- a/crates/sender/src/pipeline/compatibility_tests.rs
+++ b/crates/sender/src/pipeline/compatibility_tests.rs
@@ -30,7 +30,7 @@
     let rules = open[&2].rules.clone();
     assert!(!rules.is_empty(), "the class's rules were stored with it");
     for (number, record) in open {
-        assert_eq!(record.no, *number);
+        assert_eq!(record.number, *number);
         assert_eq!(record.destination, 7 + number);
         assert_eq!(record.deadline, WRITTEN_AT + 1_000.25 * *number as f64);
         assert_eq!(*record.body, *format!("body {number}").as_bytes());
@@ -68,7 +68,7 @@
         Some(FinalStatus::Deferred(Some(1_234))),
     ];
     assert_eq!(statuses, expected);
-    assert_eq!(recovered.next, 9, "no number is used twice");
+    assert_eq!(recovered.next_number, 9, "no number is used twice");
 }
 
 #[test]
@@ -80,15 +80,21 @@
         inspection.size,
         "every record is whole"
     );
-    assert_eq!(inspection.past.records, 19);
-    assert_recovered(&inspection.past);
-    assert!(inspection.past.over.iter().any(|id| **id == *"seventh"));
+    assert_eq!(inspection.recovered.records, 19);
+    assert_recovered(&inspection.recovered);
+    assert!(
+        inspection
+            .recovered
+            .recently_closed
+            .iter()
+            .any(|id| **id == *"seventh")
+    );
     let (log, recovered) = WriteAheadLog::open(folder.path(), DISK_LIMIT);
     assert_recovered(&recovered);
     drop(log);
-    let mut compacted = LogInspection::open(folder.path()).unwrap().past;
+    let mut compacted = LogInspection::open(folder.path()).unwrap().recovered;
     // A compacted log has no records of closed messages, from which the next number follows.
-    compacted.next = recovered.next;
+    compacted.next_number = recovered.next_number;
     assert_recovered(&compacted);
 }
 
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -32,9 +32,9 @@
         store.wal.append_never_ran(number, result.attempt as usize);
     }
     let ends_message = is_unreported(message, result.outcome, status_reporter)
-        && (result.outcome == Outcome::Success || result.over);
+        && (result.outcome == Outcome::Success || result.message_over);
     if ends_message {
-        close_message(number, result.over, store);
+        close_message(number, result.message_over, store);
     } else {
         store.remove_if_finished(number);
     }
@@ -83,7 +83,7 @@
     match message.state {
         MessageState::Open => true,
         MessageState::Reporting => {
-            outcome == Outcome::Success && status_reporter.withdraw(message.record.no)
+            outcome == Outcome::Success && status_reporter.withdraw(message.record.number)
         }
         MessageState::Closed => false,
     }
--- a/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
@@ -71,12 +71,12 @@
 fn step(driver: &mut Driver, peers: &mut ScriptedPeers, clock: &Clock) -> bool {
     peers.answer_all();
     let control = [
-        EventSource::Listener,
+        EventSource::ClientListener,
         EventSource::Watch,
-        EventSource::Notices,
+        EventSource::StatusReports,
     ];
     let connections =
-        (0..9).flat_map(|index| [EventSource::Client(index), EventSource::Region(index)]);
+        (0..9).flat_map(|index| [EventSource::Client(index), EventSource::Endpoint(index)]);
     let stays = driver.round(control.into_iter().chain(connections).collect());
     peers.answer_all();
     clock.set(clock.now() + STEP);
@@ -85,7 +85,7 @@
 
 /// A client that sends one message.
 fn send_message(driver: &Driver, class: &str) -> TcpStream {
-    let mut client = TcpStream::connect(driver.listens()).unwrap();
+    let mut client = TcpStream::connect(driver.listen_address()).unwrap();
     let head =
         "X-Request-ID: a\r\nIdempotency-Key: k\r\nX-Route-To: dest=7\r\nContent-Length: 1\r\n";
     let text = format!(
@@ -99,6 +99,6 @@
 
 /// The message that the log holds, if it holds one.
 fn logged_message(state: &Path) -> Option<MessageRecord> {
-    let recovered = LogInspection::open(state).unwrap().past;
+    let recovered = LogInspection::open(state).unwrap().recovered;
     recovered.open.into_values().next()
 }
--- a/crates/sender/src/pipeline/crash_recovery_tests/resumption.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/resumption.rs
@@ -17,7 +17,7 @@
     for message in messages {
         assert!(wal.append_message(&message));
         for (index, attempt) in message.attempts.iter().enumerate() {
-            assert!(wal.append_attempt(message.no, index, attempt.sent));
+            assert!(wal.append_attempt(message.number, index, attempt.sent));
         }
     }
     state
@@ -25,7 +25,7 @@
 
 fn message(number: u64, class: &str, attempts: Vec<AttemptRecord>, rules: &[u8]) -> MessageRecord {
     MessageRecord {
-        no: number,
+        number,
         id: Rc::from(format!("a{number}")),
         class: Rc::from(class),
         destination: 7,
--- a/crates/sender/src/pipeline/crash_recovery_tests/two_processes.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/two_processes.rs
@@ -114,8 +114,8 @@
     fn assert_recorded_before_visible(&self) {
         let name = &self.name;
         let held = logged_message(&self.state);
-        let recovered = LogInspection::open(&self.state).unwrap().past;
-        let closed = !recovered.over.is_empty();
+        let recovered = LogInspection::open(&self.state).unwrap().recovered;
+        let closed = !recovered.recently_closed.is_empty();
         assert!(
             self.answer.is_empty() || held.is_some() || closed,
             "{name}: 202 before its record"
@@ -253,7 +253,7 @@
     let name = &remains.name;
     let effects = remains.peers.requests.iter().filter(|ran| **ran).count();
     assert!(class != "debit" || effects <= 1, "{name}: a second effect");
-    let left = LogInspection::open(&remains.state).unwrap().past;
+    let left = LogInspection::open(&remains.state).unwrap().recovered;
     assert!(left.open.is_empty(), "{name}: nothing is left");
     std::fs::remove_dir_all(&remains.state).unwrap();
     true
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -26,7 +26,7 @@
     /// How long the endpoint may take, in milliseconds.
     pub(super) timeout: Millis,
     /// The last instant at which the request may begin.
-    pub(super) start_before: Millis,
+    pub(super) latest_start: Millis,
 }
 
 /// Starts an attempt: egress finds it a connection. It begins in [`send_ready`], once that is up.
@@ -64,7 +64,7 @@
         kind: attempt.kind,
         destination: record.destination,
         timeout: attempt.timeout,
-        latest: attempt.start_before,
+        latest_start: attempt.latest_start,
         // A retry has failed once already, and should not fail again because of a stale connection.
         must_not_be_lost: attempt.non_idempotent || number > 0,
         head: head.as_bytes(),
@@ -91,7 +91,7 @@
         attempt,
         outcome: Outcome::NotSent,
         took: 0.0,
-        over: false,
+        message_over: false,
     }
 }
 
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -19,7 +19,7 @@
 use crate::egress::Egress;
 use crate::event_source::{EventSource, Handle};
 use crate::operator::Operators;
-use crate::peer_service::Peers;
+use crate::peer_service::PeerService;
 
 /// A message that is still open so long after its deadline is ended here. The decision module should have ended it;
 /// this makes sure that its status report leaves before the platform counts the message as lost.
@@ -52,7 +52,7 @@
     /// The operators' connections, if there is an address for them.
     pub(super) operators: Option<Operators>,
     /// The other senders, where senders know one another.
-    pub(super) peers: Option<Peers>,
+    pub(super) peers: Option<PeerService>,
     /// Sockets that had more to read than one round takes.
     pub(super) unfinished_sources: Vec<EventSource>,
     /// When the process was told to shut down.
@@ -71,7 +71,7 @@
     }
 
     /// The address on which clients connect.
-    pub fn listens(&self) -> SocketAddr {
+    pub fn listen_address(&self) -> SocketAddr {
         self.listen
     }
 
@@ -111,7 +111,7 @@
         ready.sort_unstable();
         ready.dedup();
         if self.ingress.accept_retry_at.is_some_and(|at| at <= now) {
-            ready.push(EventSource::Listener);
+            ready.push(EventSource::ClientListener);
         }
         for source in ready {
             if self.read_source(source, &mut messages, now) {
@@ -130,7 +130,7 @@
     ) -> bool {
         let counters = &mut self.store.counters;
         match source {
-            EventSource::Operators => match &mut self.operators {
+            EventSource::OperatorListener => match &mut self.operators {
                 Some(operators) => operators.accept(now),
                 None => false,
             },
@@ -138,19 +138,21 @@
                 self.answer_operator(index, now);
                 false
             }
-            EventSource::Listener => self.ingress.accept(now, counters),
+            EventSource::ClientListener => self.ingress.accept(now, counters),
             EventSource::Client(index) => self.ingress.on_ready(index, now, messages, counters),
-            EventSource::Region(index) => self.egress.on_ready(index, now),
+            EventSource::Endpoint(index) => self.egress.on_ready(index, now),
             EventSource::Watch => self.read_watch(now),
-            EventSource::Datagrams
-            | EventSource::Tellers
-            | EventSource::Talk(_)
-            | EventSource::Ask(_) => match &mut self.peers {
+            EventSource::PeerDatagrams
+            | EventSource::PeerListener
+            | EventSource::PeerConnection(_)
+            | EventSource::SeedQuery(_) => match &mut self.peers {
                 Some(peers) => peers.ready(source, now),
                 None => false,
             },
-            EventSource::Offer | EventSource::Asker | EventSource::Predecessor => false,
-            EventSource::Notices => {
+            EventSource::SuccessorListener | EventSource::Successor | EventSource::Predecessor => {
+                false
+            }
+            EventSource::StatusReports => {
                 self.read_report_confirmations(now);
                 false
             }
@@ -290,7 +292,9 @@
 
     /// Whether a pool has no buffer left, so that what is unfinished has to wait for one.
     fn lacks_buffers(&self) -> bool {
-        self.ingress.pool.spent() || self.egress.pool.spent() || self.control_buffers.spent()
+        self.ingress.pool.is_exhausted()
+            || self.egress.pool.is_exhausted()
+            || self.control_buffers.is_exhausted()
     }
 
     /// When the next stage has something to do.
@@ -305,7 +309,7 @@
             .into_iter()
             .chain(self.decision.wake_at)
             .chain(self.operators.as_ref().map(Operators::next_deadline))
-            .chain(self.peers.as_ref().map(Peers::next_deadline))
+            .chain(self.peers.as_ref().map(PeerService::next_deadline))
             .fold(f64::INFINITY, f64::min)
     }
 }
--- a/crates/sender/src/pipeline/endpoint_updates.rs
+++ b/crates/sender/src/pipeline/endpoint_updates.rs
@@ -5,7 +5,7 @@
 use tracing::debug;
 
 use super::driver::Driver;
-use crate::discovery::Change;
+use crate::discovery::EndpointListChange;
 
 impl Driver {
     /// Reads the watch. True if there is more to read.
@@ -19,22 +19,22 @@
 
     /// Passes a change of the endpoint list to the decision module, in the round that brings it. Attempts that have
     /// not begun are cancelled where they may no longer go.
-    pub(super) fn apply_endpoint_change(&mut self, change: Change) {
+    pub(super) fn apply_endpoint_change(&mut self, change: EndpointListChange) {
         let now = self.clock.now();
         self.cancel_attempts_to_removed(&change, now);
-        let Change { whole, entries } = change;
+        let EndpointListChange { complete, entries } = change;
         for entry in &entries {
             debug!(
                 endpoint = entry.endpoint.0,
                 destination = entry.destination.0,
                 state = ?entry.stage,
                 weight = entry.weight,
-                complete = whole,
+                complete,
                 "endpoint listed"
             );
         }
         let gossip = self.gossip_about(&entries, now);
-        self.decision.events.push(if whole {
+        self.decision.events.push(if complete {
             Event::EndpointList(entries)
         } else {
             Event::EndpointChanges(entries)
@@ -44,14 +44,14 @@
 
     /// Cancels attempts that have not begun, to endpoints that are no longer active. A complete list also removes
     /// those that it does not name.
-    fn cancel_attempts_to_removed(&mut self, change: &Change, now: Millis) {
+    fn cancel_attempts_to_removed(&mut self, change: &EndpointListChange, now: Millis) {
         let is_listed = |endpoint: EndpointId, active: bool| {
             change.entries.iter().any(|entry| {
                 entry.endpoint == endpoint && (entry.stage == EndpointState::Active) == active
             })
         };
         let is_removed = |endpoint: EndpointId| {
-            if change.whole {
+            if change.complete {
                 !is_listed(endpoint, true)
             } else {
                 is_listed(endpoint, false)
--- a/crates/sender/src/pipeline/ingress/mod.rs
+++ b/crates/sender/src/pipeline/ingress/mod.rs
@@ -94,7 +94,7 @@
         jitter: Jitter,
     ) -> Result<Ingress, SenderError> {
         let listener = Rc::new(listener);
-        let registration = http::register(handle, listener.clone(), EventSource::Listener)
+        let registration = http::register(handle, listener.clone(), EventSource::ClientListener)
             .map_err(SenderError::WatchListener)?;
         Ok(Ingress {
             listener: Some(listener),
--- a/crates/sender/src/pipeline/ingress/receive.rs
+++ b/crates/sender/src/pipeline/ingress/receive.rs
@@ -117,7 +117,8 @@
         client.connection.consume(request.consumed);
         client.since = now;
         client.continued = false;
-        client.close_after_answer = request.close || client.connection.eof || shutting_down;
+        client.close_after_answer =
+            request.closes_connection || client.connection.eof || shutting_down;
         match self.parse(request, index, now) {
             Ok(ClientRequest::Message(message)) => {
                 let client = &mut self.clients[index];
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -53,7 +53,7 @@
 
 /// The bits of a non-negative float have the order of the float itself.
 fn deadline_key(record: &MessageRecord) -> DeadlineKey {
-    (record.deadline.max(0.0).to_bits(), record.no)
+    (record.deadline.max(0.0).to_bits(), record.number)
 }
 
 impl MessageStore {
@@ -77,13 +77,13 @@
 
     /// Holds a message that the log has.
     pub(super) fn insert(&mut self, record: MessageRecord, state: MessageState) {
-        self.numbers.insert(record.id.clone(), record.no);
+        self.numbers.insert(record.id.clone(), record.number);
         if state == MessageState::Open {
             self.open += 1;
             self.by_deadline.insert(deadline_key(&record));
         }
         self.messages.insert(
-            record.no,
+            record.number,
             StoredMessage {
                 record,
                 state,
@@ -100,7 +100,7 @@
 
     /// Whether a message of this id is held, or is among the last ones that were closed.
     pub(super) fn is_known(&self, id: &Rc<str>) -> bool {
-        self.numbers.contains_key(id) || self.wal.over.contains(id)
+        self.numbers.contains_key(id) || self.wal.recently_closed.contains(id)
     }
 
     /// Moves a message to a later state; the log learns of its close.
--- a/crates/sender/src/pipeline/operator_calls.rs
+++ b/crates/sender/src/pipeline/operator_calls.rs
@@ -30,8 +30,8 @@
             return;
         };
         let answer = match call {
-            Ok(call) => operator::said(self.perform_call(call)),
-            Err(error) => operator::said(Err(error)),
+            Ok(call) => operator::format_answer(self.perform_call(call)),
+            Err(error) => operator::format_answer(Err(error)),
         };
         if let Some(operators) = &mut self.operators {
             operators.answer(index, &answer, now);
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -34,9 +34,9 @@
     /// The names of a configuration.
     pub(super) fn of(config: &Config) -> SettingsNames {
         SettingsNames {
-            zones: config.boot.zones.clone(),
-            kinds: config.boot.kinds.clone(),
-            classes: config.boot.classes.clone(),
+            zones: config.platform_settings.zones.clone(),
+            kinds: config.platform_settings.kinds.clone(),
+            classes: config.platform_settings.classes.clone(),
         }
     }
 }
@@ -145,12 +145,12 @@
 
 impl Driver {
     /// Whether the state can be cut now: the decision module has seen all that has happened.
-    pub fn quiet(&self) -> bool {
+    pub fn is_quiescent(&self) -> bool {
         self.decision.events.is_empty() && self.egress.results.is_empty()
     }
 
     /// Why this process cannot be replaced, if so: it is shutting down, or its peers know it by its address.
-    pub fn bound(&self) -> Option<&'static str> {
+    pub fn replacement_obstacle(&self) -> Option<&'static str> {
         if self.shutdown_started.is_some() {
             Some("ending")
         } else if self.peers.is_some() {
@@ -252,13 +252,13 @@
         }
         let endpoint_sources = self.egress.restore_state(state.egress, descriptors)?;
         self.unfinished_sources.extend(endpoint_sources);
-        self.unfinished_sources.push(EventSource::Listener);
+        self.unfinished_sources.push(EventSource::ClientListener);
         Ok(())
     }
 
     fn restore_messages(&mut self, held: Vec<HeldMessage>) {
         for message in held {
-            let number = message.record.no;
+            let number = message.record.number;
             self.store.insert(message.record, message.state);
             if let Some(stored) = self.store.messages.get_mut(&number) {
                 stored.attempts_in_flight = message.attempts_in_flight;
--- a/crates/sender/src/pipeline/status_reports.rs
+++ b/crates/sender/src/pipeline/status_reports.rs
@@ -123,7 +123,7 @@
                 self.platform,
                 &self.handle,
                 &self.pool,
-                EventSource::Notices,
+                EventSource::StatusReports,
             );
             self.connection = connection.ok();
         }
@@ -231,7 +231,7 @@
         };
         let body = connection.bytes().len() - response.consumed;
         connection.consume(response.consumed + body);
-        response.keep && response.body == http::Body::Left(body)
+        response.keep_alive && response.body == http::Body::ContentLength(body)
     }
 
     /// The platform refuses the batch: the next one is half as large. A report that was refused alone goes behind all
--- a/crates/sender/src/pipeline/test_support.rs
+++ b/crates/sender/src/pipeline/test_support.rs
@@ -60,7 +60,7 @@
         known: serde_json::from_str(known).unwrap(),
         clients: Program::default().clients,
         peers: None,
-        boot: platform::read(settings).unwrap(),
+        platform_settings: platform::read(settings).unwrap(),
     };
     let events = Events::try_new().unwrap();
     let start = Start::Fresh(listener);
--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -7,7 +7,7 @@
     let (mut driver, clock, _events) = resumed(name, endpoint);
     while driver.store.open > 0 && clock.now() < START + 9_000.0 {
         assert!(
-            driver.round(vec![EventSource::Region(0)]),
+            driver.round(vec![EventSource::Endpoint(0)]),
             "nothing tells the process to end"
         );
         clock.set(clock.now() + 10.0);
@@ -106,7 +106,7 @@
     let name = format!("coming-{up}");
     let (mut driver, clock, _events) = resumed(&name, address);
     while driver.store.counters.unattempted_started == 0 && clock.now() < START + 2_000.0 {
-        driver.round(vec![EventSource::Region(0)]);
+        driver.round(vec![EventSource::Endpoint(0)]);
         clock.set(clock.now() + 5.0);
     }
     assert_eq!(
@@ -116,7 +116,7 @@
     );
     if up {
         // On loopback the connection is up at once; a round lets the request begin.
-        driver.round(vec![EventSource::Region(0)]);
+        driver.round(vec![EventSource::Endpoint(0)]);
     }
     drop(driver);
     let past = logged(&name);
@@ -147,7 +147,14 @@
         (0, 0),
         "it is delivered, and there is nothing to report"
     );
-    assert!(driver.store.wal.over.iter().any(|id| &**id == "a"));
+    assert!(
+        driver
+            .store
+            .wal
+            .recently_closed
+            .iter()
+            .any(|id| &**id == "a")
+    );
 }
 
 #[test]
@@ -157,7 +164,7 @@
     let (mut driver, clock, _events) = resumed("cancelled", endpoint.local_addr().unwrap());
     let mut peer = receive_request(&mut driver, &clock, &endpoint);
     let other = MessageRecord {
-        no: 4,
+        number: 4,
         id: Rc::from("b"),
         attempts: Vec::new(),
         ..driver.store.messages[&3].record.clone()
@@ -177,7 +184,7 @@
         attempt: 0,
     };
     driver.perform(vec![send, cancel], now);
-    driver.round((0..9).map(EventSource::Region).collect());
+    driver.round((0..9).map(EventSource::Endpoint).collect());
     // The second message waits as well, and nothing was sent on its connection.
     assert!(
         driver.egress.active_attempts() == 0
@@ -205,7 +212,7 @@
     let mut peer = receive_request(&mut driver, &clock, &endpoint);
     let taken_buffers: Vec<_> = std::iter::from_fn(|| driver.egress.pool.take()).collect();
     peer.write_all(b"HTTP/1.1 2").unwrap();
-    let sources = || (0..9).map(EventSource::Region).collect();
+    let sources = || (0..9).map(EventSource::Endpoint).collect();
     until(|| {
         driver.round(sources());
         !driver.unfinished_sources.is_empty()
--- a/crates/sender/src/pipeline/tests/ingress.rs
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -7,7 +7,7 @@
     use std::io::{Read, Write};
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("crowd", silent.local_addr().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     let connect = || std::net::TcpStream::connect(address).unwrap();
     let open = |s: &mut std::net::TcpStream| {
         s.set_nonblocking(true).unwrap();
@@ -17,19 +17,19 @@
     let mut usual = connect();
     usual.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
     while driver.ingress.clients.iter().all(|(_, c)| !c.served) {
-        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+        driver.round(vec![EventSource::ClientListener, EventSource::Client(0)]);
     }
     assert!(usual.read(&mut [0; 4096]).unwrap() > 0);
     let mut crowd: Vec<_> = (1..driver.ingress.limits.max_clients)
         .map(|_| connect())
         .collect();
     while driver.ingress.clients.len() < driver.ingress.limits.max_clients {
-        driver.round(vec![EventSource::Listener]);
+        driver.round(vec![EventSource::ClientListener]);
     }
     clock.set(clock.now() + NEWCOMER_GRACE + 1.0);
     let late = connect();
     while driver.store.counters.client_connections <= driver.ingress.limits.max_clients as u64 {
-        driver.round(vec![EventSource::Listener]);
+        driver.round(vec![EventSource::ClientListener]);
     }
     assert!(
         open(&mut usual) && !open(&mut crowd[0]) && open(&mut crowd[1]),
@@ -56,7 +56,7 @@
     // duplicate, nobody would deliver the message.
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("left", silent.local_addr().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     let mut send_message = |leaves: bool| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         let head =
@@ -97,7 +97,7 @@
     assert!(send_message(false).is_none(), "now it is held");
     let (_, past) = WriteAheadLog::open(&folder_path(&folder_name("left")), 9);
     assert!(
-        past.over.is_empty() && past.open.values().any(|t| &*t.id == "b"),
+        past.recently_closed.is_empty() && past.open.values().any(|t| &*t.id == "b"),
         "and recovered by the next process"
     );
 }
@@ -107,11 +107,11 @@
 /// A client that has been served once and is idle.
 fn idle_client(driver: &mut Driver) -> std::net::TcpStream {
     use std::io::{Read, Write};
-    let mut client = std::net::TcpStream::connect(driver.listens()).unwrap();
+    let mut client = std::net::TcpStream::connect(driver.listen_address()).unwrap();
     client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
     client.set_nonblocking(true).unwrap();
     until(|| {
-        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+        driver.round(vec![EventSource::ClientListener, EventSource::Client(0)]);
         client.read(&mut [0; 256]).is_ok()
     });
     // Nothing is left to read from it.
--- a/crates/sender/src/pipeline/tests/mod.rs
+++ b/crates/sender/src/pipeline/tests/mod.rs
@@ -58,7 +58,7 @@
 
 fn unattempted_message(left: Millis) -> MessageRecord {
     MessageRecord {
-        no: 3,
+        number: 3,
         id: Rc::from("a"),
         class: Rc::from("debit"),
         destination: 7,
@@ -74,7 +74,7 @@
 /// What the log in the folder of a test holds.
 fn logged(test: &str) -> RecoveredState {
     let folder = folder_path(&folder_name(test));
-    LogInspection::open(&folder).unwrap().past
+    LogInspection::open(&folder).unwrap().recovered
 }
 
 /// Repeats something until it holds. The number of times is bounded: what is written on loopback arrives soon.
@@ -93,7 +93,7 @@
     let mut peers = Vec::new();
     let mut request = None;
     until(|| {
-        driver.round((0..9).map(EventSource::Region).collect());
+        driver.round((0..9).map(EventSource::Endpoint).collect());
         if clock.now() < START + 1_500.0 {
             clock.set(clock.now() + 5.0);
         }
--- a/crates/sender/src/pipeline/tests/rejection.rs
+++ b/crates/sender/src/pipeline/tests/rejection.rs
@@ -7,7 +7,7 @@
     use std::io::{Read, Write};
     // Messages for a destination that is not listed yet are rejected together.
     let (mut driver, clock, _events) = resumed("spread", "127.77.0.1:9".parse().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
     let mut crowd: Vec<_> = (0..12)
         .map(|_| std::net::TcpStream::connect(address).unwrap())
@@ -17,7 +17,7 @@
         .for_each(|client| client.write_all(head.as_bytes()).unwrap());
     while driver.store.counters.rejected < 12 {
         driver.round(
-            [EventSource::Listener]
+            [EventSource::ClientListener]
                 .into_iter()
                 .chain((0..20).map(EventSource::Client))
                 .collect(),
@@ -57,7 +57,7 @@
 fn a_rejected_partial_request_counts_as_deferred_where_its_class_could_be_read() {
     use std::io::Write;
     let (mut driver, clock, _events) = resumed("cut-off", "127.77.0.1:9".parse().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     let partial_requests = [
         ("POST /debit?x HTTP/1.1\r\nX-", 1),
         ("POST /deb", 1),
@@ -73,7 +73,7 @@
             .iter()
             .all(|(_, c)| c.connection.bytes().is_empty())
         {
-            driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+            driver.round(vec![EventSource::ClientListener, EventSource::Client(0)]);
         }
         driver.ingress.evict(clock.now(), false);
         driver.gauges();
@@ -97,7 +97,7 @@
     use std::io::{Read, Write};
     // Messages that end in the round that brings them must not take the capacity of usual clients.
     let (mut driver, clock, _events) = resumed("flood", "127.77.0.1:9".parse().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     // The resumed message has been attempted.
     driver.round(vec![]);
     clock.set(START + 100.0);
@@ -137,13 +137,13 @@
     use std::io::{Read, Write};
     // Closing while bytes still arrive resets the connection, which destroys the answer.
     let (mut driver, clock, _events) = resumed("rest", "127.77.0.1:9".parse().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     let most = driver.ingress.limits.max_clients;
     let begin = |driver: &mut Driver, at: usize| {
         let mut client = std::net::TcpStream::connect(address).unwrap();
         client.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
         until(|| {
-            driver.round(vec![EventSource::Listener, EventSource::Client(at)]);
+            driver.round(vec![EventSource::ClientListener, EventSource::Client(at)]);
             driver
                 .ingress
                 .clients
@@ -177,7 +177,7 @@
         let before = driver.store.counters.client_connections;
         until(|| {
             driver.round(
-                std::iter::once(EventSource::Listener)
+                std::iter::once(EventSource::ClientListener)
                     .chain((0..3 * most).map(EventSource::Client))
                     .collect(),
             );
@@ -202,7 +202,7 @@
         "127.77.0.1:9".parse().unwrap(),
     );
     driver.ingress.limits.max_retry_after = max_retry_after;
-    let address = driver.listens();
+    let address = driver.listen_address();
     let head = "POST /debit HTTP/1.1\r\nX-Request-ID: c\r\nX-Timeout: 9\r\nX-Route-To: dest=8\r\nContent-Length: 0\r\n\r\n";
     for _ in 0..8 {
         let before = driver.store.counters.rejected;
@@ -210,7 +210,7 @@
         client.write_all(head.as_bytes()).unwrap();
         until(|| {
             driver.round(
-                [EventSource::Listener]
+                [EventSource::ClientListener]
                     .into_iter()
                     .chain((0..20).map(EventSource::Client))
                     .collect(),
@@ -220,13 +220,13 @@
         let mut text = [0; 200];
         let count = client.read(&mut text).unwrap();
         let text = String::from_utf8_lossy(&text[..count]).into_owned();
-        let said = text
+        let format_answer = text
             .split("Retry-After: ")
             .nth(1)
             .and_then(|t| t.lines().next()?.parse::<f64>().ok());
-        assert_eq!(said.is_some(), told.is_some(), "{text}");
+        assert_eq!(format_answer.is_some(), told.is_some(), "{text}");
         assert!(
-            said.is_none_or(|s| told.is_some_and(|(least, most)| s >= least && s <= most)),
+            format_answer.is_none_or(|s| told.is_some_and(|(least, most)| s >= least && s <= most)),
             "{text}"
         );
     }
--- a/crates/sender/src/pipeline/tests/shutdown.rs
+++ b/crates/sender/src/pipeline/tests/shutdown.rs
@@ -7,7 +7,7 @@
     use std::io::Write;
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("half", silent.local_addr().unwrap());
-    let address = driver.listens();
+    let address = driver.listen_address();
     let mut half = std::net::TcpStream::connect(address).unwrap();
     half.write_all(b"POST /debit HTTP/1.1\r\nX-Re").unwrap();
     while driver
@@ -16,7 +16,7 @@
         .iter()
         .all(|(_, c)| c.connection.bytes().is_empty())
     {
-        driver.round(vec![EventSource::Listener, EventSource::Client(0)]);
+        driver.round(vec![EventSource::ClientListener, EventSource::Client(0)]);
     }
     driver.end();
     clock.set(clock.now() + ACCEPT_UNTIL + 1.0);
@@ -35,7 +35,7 @@
     let silent = TcpListener::bind("127.0.0.1:0").unwrap();
     let (mut driver, clock, _events) = resumed("end", silent.local_addr().unwrap());
     driver.end();
-    while driver.round(vec![EventSource::Region(0)]) {
+    while driver.round(vec![EventSource::Endpoint(0)]) {
         assert!(driver.sleep() <= 20.0);
         clock.set(clock.now() + driver.sleep().max(1.0) + 5.0);
         assert!(clock.now() < START + 3_690.0, "SIGKILL may come at 3.7 s");
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -14,8 +14,8 @@
     let mut asked = std::collections::BTreeSet::new();
     for _ in 0..2 {
         // The kernel completes connections before they are accepted: the second round writes what the first could not.
-        assert!(driver.round(vec![EventSource::Watch, EventSource::Notices]));
-        assert!(driver.round(vec![EventSource::Watch, EventSource::Notices]));
+        assert!(driver.round(vec![EventSource::Watch, EventSource::StatusReports]));
+        assert!(driver.round(vec![EventSource::Watch, EventSource::StatusReports]));
         let (mut peer, _) = platform.accept().unwrap();
         let mut text = [0; 512];
         peer.set_read_timeout(Some(std::time::Duration::from_secs(20)))
--- a/crates/sender/src/process_replacement/listener.rs
+++ b/crates/sender/src/process_replacement/listener.rs
@@ -71,8 +71,8 @@
     /// Handles a socket that is ready. False if the key belongs to none of this listener's sockets.
     pub fn ready(&mut self, key: EventSource) -> bool {
         match key {
-            EventSource::Offer => self.accept_successors(),
-            EventSource::Asker => self.read_request(),
+            EventSource::SuccessorListener => self.accept_successors(),
+            EventSource::Successor => self.read_request(),
             _ => return false,
         }
         true
@@ -96,7 +96,7 @@
 
     fn watch(&mut self, connection: SuccessorConnection) {
         let registered = connection.try_clone_stream().and_then(|stream| {
-            martenlatch_http::register(&self.handle, stream, EventSource::Asker)
+            martenlatch_http::register(&self.handle, stream, EventSource::Successor)
         });
         if let Ok(token) = registered {
             self.successor = Some((connection, token));
@@ -133,7 +133,7 @@
             return false;
         };
         let prepared = match check_request(request, driver) {
-            Ok(()) if !driver.quiet() => return false,
+            Ok(()) if !driver.is_quiescent() => return false,
             Ok(()) => driver
                 .close_idle_connections()
                 .map_err(RefusalReason::State),
@@ -169,7 +169,7 @@
 fn listen(state_folder: &Path, handle: &Handle) -> std::io::Result<Rc<TakeoverListener>> {
     let path = socket_path(state_folder)?;
     let listener = Rc::new(TakeoverListener::open(&path)?);
-    martenlatch_http::register(handle, listener.clone(), EventSource::Offer)?;
+    martenlatch_http::register(handle, listener.clone(), EventSource::SuccessorListener)?;
     Ok(listener)
 }
 
@@ -178,10 +178,10 @@
     if request.version != VERSION {
         return Err(RefusalReason::OtherVersion(request.version));
     }
-    if request.listen != driver.listens() {
-        return Err(RefusalReason::OtherAddress(driver.listens()));
+    if request.listen != driver.listen_address() {
+        return Err(RefusalReason::OtherAddress(driver.listen_address()));
     }
-    match driver.bound() {
+    match driver.replacement_obstacle() {
         Some(reason) => Err(RefusalReason::NotReplaceable(reason)),
         None => Ok(()),
     }
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -16,7 +16,7 @@
 use crate::error::SenderError;
 use crate::event_source::{EventSource, Handle, InheritedDescriptors, Ready};
 use crate::operator::Operators;
-use crate::peer_service::Peers;
+use crate::peer_service::PeerService;
 use crate::pipeline::{Driver, ProcessLoad, ProcessState, Start};
 use crate::process_replacement::{CandidateState, POLL_INTERVAL, ReplacementCandidate};
 use crate::serve::wait;
@@ -124,7 +124,7 @@
 
     /// Asks the peers for what they know before clients can connect: for a bounded time, and not at all if no peer is
     /// there. A signal ends this early, so that it is acted on soon.
-    fn learn_from_peers(&mut self, settings: &PeerSettings) -> Result<Peers, SenderError> {
+    fn learn_from_peers(&mut self, settings: &PeerSettings) -> Result<PeerService, SenderError> {
         let mut peers = self.open_peers(settings)?;
         while peers.learning(self.clock.now()) && self.ready.signals.is_empty() {
             wait(self.events, &mut self.ready, LEARNING_INTERVAL)?;
@@ -142,16 +142,16 @@
         Ok(peers)
     }
 
-    fn open_peers(&self, settings: &PeerSettings) -> Result<Peers, SenderError> {
+    fn open_peers(&self, settings: &PeerSettings) -> Result<PeerService, SenderError> {
         let config = &self.config;
         let per_endpoint = config
-            .boot
+            .platform_settings
             .settings
             .kinds
             .iter()
             .map(|kind| kind.per_endpoint)
             .collect();
-        Peers::open(
+        PeerService::open(
             settings,
             &config.name,
             &config.state,
@@ -228,7 +228,7 @@
     /// Tells an operator that the process does not serve. True if the source is one of the operators'.
     fn turn_operator_down(&mut self, source: EventSource, now: Millis) -> bool {
         match &mut self.operators {
-            Some(operators) => operators.turn_down(source, NOT_SERVING, now),
+            Some(operators) => operators.reject_all(source, NOT_SERVING, now),
             None => false,
         }
     }
--- a/crates/settings/src/platform.rs
+++ b/crates/settings/src/platform.rs
@@ -11,7 +11,7 @@
 
 /// The settings of the decision module, and the names by which the platform calls what they number.
 #[derive(Clone, Debug)]
-pub struct Boot {
+pub struct PlatformSettings {
     /// The settings of the decision module.
     pub settings: Settings,
     /// The names of the zones, by number.
@@ -21,7 +21,7 @@
     /// The names of the classes of message, by number.
     pub classes: Vec<String>,
     /// Whether changes of the endpoint list have to be polled or watched; otherwise they are pushed.
-    pub asked: bool,
+    pub polls_endpoint_list: bool,
 }
 
 /// Why the platform's settings cannot be used. `Display` is one line that names the setting.
@@ -222,19 +222,19 @@
 /// # Errors
 /// If the text is not JSON, a setting is missing or has an invalid value, or the decision module cannot work with the
 /// settings.
-pub fn read(text: &str) -> Result<Boot, PlatformError> {
+pub fn read(text: &str) -> Result<PlatformSettings, PlatformError> {
     let json: Value = serde_json::from_str(text).map_err(PlatformError::NotJson)?;
     let sections = Sections::of(&json)?;
     let lists = Lists::read(&sections.root)?;
     let settings = read_settings(&sections, &lists)?;
     settings.check().map_err(PlatformError::Unusable)?;
-    let asked = sections.root.text_or("RegistryMode", "push")? == "ask";
-    Ok(Boot {
+    let polls_endpoint_list = sections.root.text_or("RegistryMode", "push")? == "ask";
+    Ok(PlatformSettings {
         settings,
         zones: lists.zones,
         kinds: lists.kinds,
         classes: lists.class_names,
-        asked,
+        polls_endpoint_list,
     })
 }
 
--- a/crates/wal/src/compaction.rs
+++ b/crates/wal/src/compaction.rs
@@ -18,9 +18,11 @@
     /// Whether a compaction would free space, or must be tried because there is no file to write to. False during the
     /// backoff after a failure.
     pub fn wants_compaction(&self, now: Millis) -> bool {
-        let worth_it =
-            self.limits
-                .worth_compacting(self.file.size(), &self.open_messages, self.over.len());
+        let worth_it = self.limits.worth_compacting(
+            self.file.size(),
+            &self.open_messages,
+            self.recently_closed.len(),
+        );
         (worth_it || !self.file.is_open()) && now >= self.write_backoff_until
     }
 
@@ -32,7 +34,7 @@
     /// Writes the open messages and the recently closed ids to a new file, which replaces the old one. False: the old
     /// file stays.
     pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a MessageRecord>) -> bool {
-        let snapshot = Snapshot::of(&self.over, open);
+        let snapshot = Snapshot::of(&self.recently_closed, open);
         match self.file.replace(&snapshot.file) {
             Ok(()) => {
                 self.open_messages = snapshot.open_messages;
@@ -83,13 +85,13 @@
         self.write(&LogRecord::message(message));
         self.open_messages.add_message(message);
         for (number, attempt) in message.attempts.iter().enumerate() {
-            self.write(&LogRecord::attempt(message.no, number, attempt.sent));
+            self.write(&LogRecord::attempt(message.number, number, attempt.sent));
             if attempt.never_ran {
-                self.write(&LogRecord::never_ran(message.no, number));
+                self.write(&LogRecord::never_ran(message.number, number));
             }
         }
         if let Some(status) = message.final_status {
-            self.write(&LogRecord::final_status(message.no, status));
+            self.write(&LogRecord::final_status(message.number, status));
         }
     }
 
--- a/crates/wal/src/inspection.rs
+++ b/crates/wal/src/inspection.rs
@@ -11,7 +11,7 @@
 #[derive(Default)]
 pub struct LogInspection {
     /// What a sender that starts from this log would recover.
-    pub past: RecoveredState,
+    pub recovered: RecoveredState,
     /// Size of the file in bytes.
     pub size: u64,
 }
@@ -29,7 +29,7 @@
         let path = log_file::path_in(folder);
         match std::fs::read(&path) {
             Ok(bytes) => Ok(LogInspection {
-                past: RecoveredState::replay(&bytes),
+                recovered: RecoveredState::replay(&bytes),
                 size: bytes.len() as u64,
             }),
             Err(error) if error.kind() == ErrorKind::NotFound => Ok(LogInspection::default()),
@@ -39,6 +39,6 @@
 
     /// Bytes of the file that hold complete records.
     pub fn valid_bytes(&self) -> u64 {
-        self.past.valid_bytes
+        self.recovered.valid_bytes
     }
 }
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct MessageRecord {
     /// The message's number; no number is used twice, also across restarts.
-    pub no: u64,
+    pub number: u64,
     /// The id that the client gave it.
     pub id: Rc<str>,
     /// The name of its message class.
@@ -127,7 +127,7 @@
             body: &message.body,
         };
         LogRecord {
-            number: message.no,
+            number: message.number,
             entry: Entry::Message(fields),
         }
     }
--- a/crates/wal/src/recovery.rs
+++ b/crates/wal/src/recovery.rs
@@ -17,9 +17,9 @@
     /// The messages that are not closed, by number.
     pub open: BTreeMap<u64, MessageRecord>,
     /// The ids of recently closed messages, oldest first.
-    pub over: VecDeque<Rc<str>>,
+    pub recently_closed: VecDeque<Rc<str>>,
     /// The next message number.
-    pub next: u64,
+    pub next_number: u64,
     /// Complete records that were read.
     pub records: u64,
     /// The rules of each class, as last recorded.
@@ -53,7 +53,7 @@
         };
         let number = header.number;
         // The number is taken, and a closed message closed, also where the rest of the record cannot be decoded.
-        self.next = self.next.max(number.saturating_add(1));
+        self.next_number = self.next_number.max(number.saturating_add(1));
         if header.tag == tag::CLOSED {
             self.open.remove(&number);
         }
@@ -76,7 +76,7 @@
             // The message itself was removed before its id was decoded.
             Entry::Closed { id } => {
                 if !id.is_empty() {
-                    recently_closed::remember(&mut self.over, Rc::from(id));
+                    recently_closed::remember(&mut self.recently_closed, Rc::from(id));
                 }
             }
             Entry::Unknown { .. } => {}
@@ -86,7 +86,7 @@
     fn insert_message(&mut self, number: u64, fields: &MessageFields<'_>) {
         let rules = self.class_rules.get(fields.class);
         let message = MessageRecord {
-            no: number,
+            number,
             id: Rc::from(fields.id),
             class: Rc::from(fields.class),
             destination: fields.destination,
--- a/crates/wal/src/space.rs
+++ b/crates/wal/src/space.rs
@@ -96,7 +96,7 @@
     pub(crate) fn add_message(&mut self, message: &MessageRecord) {
         let record = codec::encode(&LogRecord::message(message)).len() as u64;
         let attempts = message.attempts.len() as u64 * ATTEMPT_BYTES;
-        self.add_bytes(message.no, record + attempts + FINAL_STATUS_BYTES);
+        self.add_bytes(message.number, record + attempts + FINAL_STATUS_BYTES);
     }
 
     pub(crate) fn add_bytes(&mut self, number: u64, bytes: u64) {
--- a/crates/wal/src/tests.rs
+++ b/crates/wal/src/tests.rs
@@ -12,10 +12,10 @@
     folder
 }
 
-fn message(no: u64, size: usize) -> MessageRecord {
+fn message(number: u64, size: usize) -> MessageRecord {
     MessageRecord {
-        no,
-        id: Rc::from(format!("id{no}")),
+        number,
+        id: Rc::from(format!("id{number}")),
         class: Rc::from("notice"),
         destination: 7,
         deadline: 1_796_121_600_016.25,
@@ -31,8 +31,8 @@
 fn accepted_messages_are_recovered_and_a_torn_tail_is_dropped() {
     let folder = folder("torn");
     let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
-    for no in 0..3 {
-        assert!(wal.append_message(&message(no, 200)));
+    for number in 0..3 {
+        assert!(wal.append_message(&message(number, 200)));
     }
     assert!(wal.append_attempt(0, 0, 5.0) && wal.append_attempt(0, 1, 6.0));
     wal.append_never_ran(0, 0);
@@ -69,7 +69,13 @@
             recovered.open[&2].final_status,
             Some(FinalStatus::Deferred(Some(700)))
         );
-        assert_eq!((recovered.over.len(), &*recovered.over[0]), (1, "id1"));
+        assert_eq!(
+            (
+                recovered.recently_closed.len(),
+                &*recovered.recently_closed[0]
+            ),
+            (1, "id1")
+        );
         assert!(!folder.join("ledger.new").exists());
     }
 }
@@ -115,16 +121,16 @@
     let (mut wal, _) = WriteAheadLog::open(&folder, disk);
     let mut open = BTreeMap::new();
     let mut rejected = 0;
-    for no in 0..400 {
-        let message = message(no, 4_000);
+    for number in 0..400 {
+        let message = message(number, 4_000);
         match wal.append_message(&message) {
-            true => drop(open.insert(no, message)),
+            true => drop(open.insert(number, message)),
             false => rejected += 1,
         }
-        if no % 3 == 0
-            && let Some((no, closed)) = open.pop_first()
+        if number % 3 == 0
+            && let Some((number, closed)) = open.pop_first()
         {
-            wal.append_closed(no, &closed.id);
+            wal.append_closed(number, &closed.id);
         }
         if wal.wants_compaction(0.0) {
             let old = wal.file.size();
@@ -157,7 +163,7 @@
     }];
     let (id, class, body) = (Rc::from("a"), Rc::from("debit"), Rc::from(&b"x"[..]));
     let message = MessageRecord {
-        no: 0,
+        number: 0,
         id,
         class,
         destination: 7,
@@ -170,7 +176,7 @@
     };
     assert!(wal.append_message(&message) && wal.compact(std::iter::once(&message)));
     assert_eq!(
-        LogInspection::open(&folder).unwrap().past.open[&0].attempts,
+        LogInspection::open(&folder).unwrap().recovered.open[&0].attempts,
         message.attempts,
         "it has not started"
     );
@@ -180,7 +186,7 @@
         never_ran: false,
     }];
     assert_eq!(
-        LogInspection::open(&folder).unwrap().past.open[&0].attempts,
+        LogInspection::open(&folder).unwrap().recovered.open[&0].attempts,
         started
     );
 }
@@ -188,9 +194,9 @@
 #[test]
 fn the_class_rules_at_admission_are_recovered_after_the_class_was_redefined() {
     let folder = folder("rules");
-    let with_rules = |no: u64, rules: &[u8]| MessageRecord {
+    let with_rules = |number: u64, rules: &[u8]| MessageRecord {
         rules: Rc::from(rules),
-        ..message(no, 100)
+        ..message(number, 100)
     };
     let batches = [
         [with_rules(0, b"once"), with_rules(1, b"once")],
@@ -219,7 +225,7 @@
     let started = (0..2 * MAX_ATTEMPTS)
         .filter(|attempt| wal.append_attempt(0, *attempt, 5.0))
         .count();
-    let recovered = &LogInspection::open(&folder).unwrap().past.open[&0].attempts;
+    let recovered = &LogInspection::open(&folder).unwrap().recovered.open[&0].attempts;
     assert_eq!(
         (
             started,
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -26,7 +26,7 @@
     pub(crate) limits: Limits,
     pub(crate) open_messages: OpenMessages,
     /// The ids of recently closed messages, oldest first.
-    pub over: VecDeque<Rc<str>>,
+    pub recently_closed: VecDeque<Rc<str>>,
     /// The rules of each class as the file last says them: a message that follows is recovered with these.
     pub(crate) class_rules: HashMap<Rc<str>, Rc<[u8]>>,
     /// No compaction is attempted before this instant.
@@ -88,7 +88,7 @@
             file,
             limits: Limits::new(disk),
             open_messages: OpenMessages::count(recovered.open.values()),
-            over: recovered.over.clone(),
+            recently_closed: recovered.recently_closed.clone(),
             class_rules: recovered.class_rules.clone(),
             write_backoff_until: 0.0,
         }
@@ -98,7 +98,7 @@
     pub fn position(&self) -> LogPosition {
         LogPosition {
             size: self.file.size(),
-            recently_closed: self.over.clone(),
+            recently_closed: self.recently_closed.clone(),
             write_backoff_until: self.write_backoff_until,
             has_file: self.file.is_open(),
         }
@@ -124,7 +124,7 @@
             file,
             limits: Limits::new(disk),
             open_messages: OpenMessages::count(open),
-            over: place.recently_closed,
+            recently_closed: place.recently_closed,
             // The rules of each class are recorded anew before its next message.
             class_rules: HashMap::new(),
             write_backoff_until: place.write_backoff_until,
@@ -158,33 +158,33 @@
     }
 
     /// Records that an attempt is about to start, at `sent` in milliseconds of Unix time. False: it must not start.
-    pub fn append_attempt(&mut self, no: u64, attempt: usize, sent: Millis) -> bool {
-        if attempt >= MAX_ATTEMPTS || !self.append(&LogRecord::attempt(no, attempt, sent)) {
+    pub fn append_attempt(&mut self, number: u64, attempt: usize, sent: Millis) -> bool {
+        if attempt >= MAX_ATTEMPTS || !self.append(&LogRecord::attempt(number, attempt, sent)) {
             return false;
         }
-        self.open_messages.add_bytes(no, ATTEMPT_BYTES);
+        self.open_messages.add_bytes(number, ATTEMPT_BYTES);
         true
     }
 
     /// Records that an attempt never ran. Losing this record is safe: the attempt then counts as one that may have run.
-    pub fn append_never_ran(&mut self, no: u64, attempt: usize) {
-        self.append(&LogRecord::never_ran(no, attempt));
+    pub fn append_never_ran(&mut self, number: u64, attempt: usize) {
+        self.append(&LogRecord::never_ran(number, attempt));
     }
 
     /// Records a message's final status. Losing this record is safe: the message is recovered, and ends again.
-    pub fn append_final_status(&mut self, no: u64, notice: FinalStatus) {
-        self.append(&LogRecord::final_status(no, notice));
+    pub fn append_final_status(&mut self, number: u64, notice: FinalStatus) {
+        self.append(&LogRecord::final_status(number, notice));
     }
 
     /// Records that a message is closed: nothing more is owed. Its id is remembered as a recently closed one.
-    pub fn append_closed(&mut self, no: u64, id: &Rc<str>) {
-        self.close(no, id);
-        recently_closed::remember(&mut self.over, id.clone());
+    pub fn append_closed(&mut self, number: u64, id: &Rc<str>) {
+        self.close(number, id);
+        recently_closed::remember(&mut self.recently_closed, id.clone());
     }
 
     /// Records that a message was not accepted after all. Its id is not remembered, so that it may be handed in again.
-    pub fn append_revoked(&mut self, no: u64) {
-        self.close(no, REVOKED_ID);
+    pub fn append_revoked(&mut self, number: u64) {
+        self.close(number, REVOKED_ID);
     }
 
     fn close(&mut self, number: u64, id: &str) {
