Describe the decision crate and its caller's duties in the field's words

The crate's front page still spoke of copies, drains and waits. It now names hedged requests, retries, backoff, slow start and graceful shutdown, and lists the requirements on the caller.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,10 +1,11 @@
-//! Decisions of an outbound gateway: when a repeat-safe delivery has no answer after a delay near its
-//! destination's learned p95 latency, one identical copy goes out, preferably to another endpoint, and the
-//! first successful answer is kept. Around that ordinary path it paces each destination, and keeps the rules on
-//! endings, repeats, drains, returns, waits and order when partners fail.
+//! Decisions of an outbound HTTP gateway: dispatch, hedged requests, retries, pacing, backoff, circuit breaking,
+//! slow start after an outage, in-flight limits and load shedding.
 //!
-//! The library decides and does nothing else: no clock, no network, no threads. A sender feeds [`Policy::turn`]
-//! with all that has happened, in the order in which it happened, and carries out the actions in theirs.
+//! When an idempotent message has no response at its destination's p95 latency, one hedge is sent, preferably to
+//! another endpoint, and the first success counts.
+//!
+//! The crate has no clock, network or threads. A sender calls [`Policy::turn`] with all events in the order in which
+//! they happened, and carries out the returned actions in their order.
 //!
 //! # A sender's loop
 //!
@@ -93,17 +94,17 @@
 //! # Ok::<(), SettingsError>(())
 //! ```
 //!
-//! # What the caller owes
+//! # Requirements on the caller
 //!
 //! * Each [`Action::Send`] ends in exactly one [`Event::AttemptEnded`]; attempts of a message are counted from 0 in the
 //!   order of the sends. The first success finishes the message: say so in `finished`.
-//! * After [`Action::Reject`] or [`Action::Fail`] the client has its answer; outcomes still out are reported as
-//!   before, with `finished` set.
-//! * A sender that starts again names what it had taken on with [`Event::MessageResumed`], after the list; one that is told
-//!   to end says by when with [`Event::ShutdownDeadline`].
-//! * [`Action::WakeAfter`] asks for one later turn with [`interface::Event::Wake`]; the latest stands for all before it. A
-//!   turn may come at any time.
-//! * Events on unknown or finished messages, attempts or endpoints, and outcomes that come twice, are ignored.
+//! * [`Action::Reject`] and [`Action::Fail`] are the final answer to the client; outcomes of attempts still in flight are
+//!   reported as usual, with `finished` set.
+//! * After a restart a sender reports the messages that it had accepted with [`Event::MessageResumed`], after the endpoint
+//!   list. At a graceful shutdown it reports the deadline with [`Event::ShutdownDeadline`].
+//! * [`Action::WakeAfter`] asks for one later turn with [`interface::Event::Wake`] and replaces all earlier ones. A turn may
+//!   come at any time.
+//! * Events about unknown or finished messages, attempts or endpoints, and repeated outcomes, are ignored.
 //!
 //! [`Action::Send`]: interface::Action::Send
 //! [`Event::AttemptEnded`]: interface::Event::AttemptEnded
