--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -76,7 +76,7 @@
     }
 
     /// Turns every 5 ms for a span, and gathers the actions.
-    pub fn pass(&mut self, span: Nanos) -> Vec<Action> {
+    pub fn advance(&mut self, span: Nanos) -> Vec<Action> {
         let (until, mut all) = (self.now + span, Vec::new());
         while self.now < until {
             self.now += 5 * MS;
@@ -109,7 +109,7 @@
     }
 
     /// Hands in a message and runs a turn.
-    pub fn hand_in(&mut self, destination: u64, class: usize) -> (MessageId, Vec<Action>) {
+    pub fn accept(&mut self, destination: u64, class: usize) -> (MessageId, Vec<Action>) {
         let event = self.message(destination, class, 20 * S, None);
         let id = MessageId(self.next);
         let actions = self.turn(&[event]);
@@ -124,7 +124,7 @@
     /// Serves messages so that the destination's usual pace is known.
     pub fn warm(&mut self, destination: u64, class: usize, count: usize, took: Nanos) {
         for _ in 0..count {
-            let (id, actions) = self.hand_in(destination, class);
+            let (id, actions) = self.accept(destination, class);
             assert_eq!(sends(&actions).len(), 1, "a well destination is sent to at once");
             self.now += took;
             self.end(id, 0, Outcome::Success, took);
@@ -140,10 +140,19 @@
     actions.iter().filter_map(send).collect()
 }
 
-pub fn refused(actions: &[Action], id: MessageId) -> bool {
+pub fn rejected(actions: &[Action], id: MessageId) -> bool {
     actions.iter().any(|a| matches!(a, Action::Reject { id: i, .. } if *i == id))
 }
 
 pub fn failed(actions: &[Action], id: MessageId) -> bool {
     actions.iter().any(|a| matches!(a, Action::Fail { id: i } if *i == id))
 }
+
+pub const IDEMPOTENT: Idempotency = Idempotency::Idempotent;
+pub const OVERLOADED: Outcome = Outcome::Overloaded { retry_after: 0 };
+
+pub fn two_endpoints(classes: Vec<MessageClass>) -> Rig {
+    let mut rig = Rig::new(settings(classes));
+    rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
+    rig
+}
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -5,23 +5,14 @@
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::*;
 
-const SAFE: Idempotency = Idempotency::Idempotent;
-const FULL: Outcome = Outcome::Overloaded { retry_after: 0 };
-
-fn two_endpoints(classes: Vec<MessageClass>) -> Rig {
-    let mut rig = Rig::new(settings(classes));
-    rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
-    rig
-}
-
 #[test]
 fn a_slow_call_gets_one_copy_near_p95_at_another_endpoint_and_the_loser_is_cancelled() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     rig.warm(1, 0, 20, 100 * MS);
-    let (id, first) = rig.hand_in(1, 0);
+    let (id, first) = rig.accept(1, 0);
     let first = sends(&first)[0].1;
-    assert!(sends(&rig.pass(90 * MS)).is_empty(), "no copy before p95");
-    let copies = sends(&rig.pass(500 * MS));
+    assert!(sends(&rig.advance(90 * MS)).is_empty(), "no copy before p95");
+    let copies = sends(&rig.advance(500 * MS));
     assert_eq!(copies.len(), 1, "one copy and no more");
     assert_ne!(copies[0].1, first);
     let actions = rig.end(id, 1, Outcome::Success, 100 * MS);
@@ -30,63 +21,63 @@
 
 #[test]
 fn an_error_of_one_waits_for_the_other() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     rig.warm(1, 0, 20, 100 * MS);
-    let (id, _) = rig.hand_in(1, 0);
-    assert_eq!(sends(&rig.pass(200 * MS)).len(), 1);
+    let (id, _) = rig.accept(1, 0);
+    assert_eq!(sends(&rig.advance(200 * MS)).len(), 1);
     let actions = rig.end(id, 0, Outcome::Failure, 200 * MS);
-    assert!(!refused(&actions, id) && !failed(&actions, id) && sends(&actions).is_empty());
+    assert!(!rejected(&actions, id) && !failed(&actions, id) && sends(&actions).is_empty());
 }
 
 #[test]
 fn no_copy_of_an_unsafe_message_nor_where_copies_are_not_allowed() {
-    let mut rig = two_endpoints(vec![class(SAFE), class(Idempotency::NonIdempotent)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT), class(Idempotency::NonIdempotent)]);
     rig.warm(1, 0, 20, 100 * MS);
-    rig.hand_in(1, 1);
-    assert!(sends(&rig.pass(800 * MS)).is_empty());
-    let mut set = settings(vec![class(SAFE)]);
+    rig.accept(1, 1);
+    assert!(sends(&rig.advance(800 * MS)).is_empty());
+    let mut set = settings(vec![class(IDEMPOTENT)]);
     set.may_hedge = false;
     let mut rig = Rig::new(set);
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
     rig.warm(1, 0, 20, 100 * MS);
-    rig.hand_in(1, 0);
-    assert!(sends(&rig.pass(300 * MS)).is_empty());
+    rig.accept(1, 0);
+    assert!(sends(&rig.advance(300 * MS)).is_empty());
 }
 
 #[test]
 fn no_wave_of_copies_after_a_stall() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     rig.warm(1, 0, 20, 100 * MS);
-    rig.hand_in(1, 0);
+    rig.accept(1, 0);
     rig.now += 900 * MS;
     assert!(sends(&rig.turn(&[Event::Wake])).is_empty());
 }
 
 #[test]
 fn no_copies_when_the_whole_destination_is_slow() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     rig.warm(1, 0, 20, 100 * MS);
     for _ in 0..3 {
-        rig.hand_in(1, 0);
+        rig.accept(1, 0);
     }
-    assert!(sends(&rig.pass(350 * MS)).is_empty(), "three slow at once are no single slowness");
+    assert!(sends(&rig.advance(350 * MS)).is_empty(), "three slow at once are no single slowness");
 }
 
 #[test]
 fn the_gap_doubles_on_refusals_is_capped_and_shrinks_when_served() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     rig.warm(1, 0, 10, 50 * MS);
     let mut pauses = Vec::new();
     for _ in 0..8 {
-        let (id, mut actions) = rig.hand_in(1, 0);
+        let (id, mut actions) = rig.accept(1, 0);
         let from = rig.now;
         while sends(&actions).is_empty() {
-            actions = rig.pass(5 * MS);
+            actions = rig.advance(5 * MS);
         }
         pauses.push(rig.now - from);
         let id = sends(&actions).first().map_or(id, |s| s.0);
         let attempt = rig.attempts[&id.0] - 1;
-        rig.end(id, attempt, FULL, 0);
+        rig.end(id, attempt, OVERLOADED, 0);
     }
     assert_eq!(pauses[0], 0, "it starts at nought");
     assert!(pauses[3] > pauses[1], "it grows: {pauses:?}");
@@ -106,7 +97,7 @@
         rig.now += 5 * MS;
         let mut events = vec![Event::Wake];
         for (id, ..) in std::mem::take(&mut out) {
-            let outcome = if refusals < 8 { FULL } else { Outcome::Success };
+            let outcome = if refusals < 8 { OVERLOADED } else { Outcome::Success };
             refusals += 1;
             served.extend((outcome == Outcome::Success).then_some(rig.now));
             let (attempt, finished) = (rig.attempts[&id.0] - 1, outcome == Outcome::Success);
@@ -121,22 +112,22 @@
 
 #[test]
 fn refusals_of_calls_sent_before_the_last_rise_raise_nothing() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
-    let ids: Vec<MessageId> = (0..3).map(|_| rig.hand_in(1, 0).0).collect();
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
+    let ids: Vec<MessageId> = (0..3).map(|_| rig.accept(1, 0).0).collect();
     rig.now += 10 * MS;
     for id in ids {
-        rig.end(id, 0, FULL, 10 * MS);
+        rig.end(id, 0, OVERLOADED, 10 * MS);
     }
     let mut next = vec![];
     while next.is_empty() && rig.now < 2 * S {
-        next = sends(&rig.pass(5 * MS));
+        next = sends(&rig.advance(5 * MS));
     }
     let attempt = rig.attempts[&next[0].0.0] - 1;
     rig.now += 5 * MS;
     let served = rig.end(next[0].0, attempt, Outcome::Success, 5 * MS);
     // A step of 25 ms, less a tenth; four times it, halved, would be 50.
     assert!(
-        !sends(&[served, rig.pass(25 * MS)].concat()).is_empty(),
+        !sends(&[served, rig.advance(25 * MS)].concat()).is_empty(),
         "one rise: the first step, not four times it"
     );
 }
@@ -145,22 +136,22 @@
 fn an_unsafe_message_that_may_have_run_fails_at_once_and_is_never_sent_again() {
     for outcome in [Outcome::Failure, Outcome::TimedOut, Outcome::ConnectionLost, Outcome::Cancelled] {
         let mut rig = two_endpoints(vec![class(Idempotency::NonIdempotent)]);
-        let (id, _) = rig.hand_in(1, 0);
+        let (id, _) = rig.accept(1, 0);
         rig.now += 100 * MS;
         let actions = rig.end(id, 0, outcome, 100 * MS);
-        assert!(failed(&actions, id) && !refused(&actions, id));
-        assert!(sends(&rig.pass(S)).is_empty());
+        assert!(failed(&actions, id) && !rejected(&actions, id));
+        assert!(sends(&rig.advance(S)).is_empty());
     }
 }
 
 #[test]
 fn an_unsafe_message_that_never_ran_is_sent_again() {
-    for outcome in [FULL, Outcome::Unreachable, Outcome::NotSent] {
+    for outcome in [OVERLOADED, Outcome::Unreachable, Outcome::NotSent] {
         let mut rig = two_endpoints(vec![class(Idempotency::NonIdempotent)]);
-        let (id, _) = rig.hand_in(1, 0);
+        let (id, _) = rig.accept(1, 0);
         rig.now += 10 * MS;
         let mut actions = rig.end(id, 0, outcome, 10 * MS);
-        actions.extend(rig.pass(2 * S));
+        actions.extend(rig.advance(2 * S));
         assert_eq!(sends(&actions).first().map(|s| s.0), Some(id));
     }
 }
@@ -169,7 +160,7 @@
 fn a_keyed_message_stays_in_its_zone_and_window_and_is_not_refused_after() {
     let keyed = Idempotency::IdempotencyKey { per_zone: true, window: 6 * S };
     let mut rig = two_endpoints(vec![class(keyed)]);
-    let (id, actions) = rig.hand_in(1, 0);
+    let (id, actions) = rig.accept(1, 0);
     let (first, sent) = (sends(&actions)[0].1, rig.now);
     rig.now += 100 * MS;
     let mut last = rig.now;
@@ -180,23 +171,23 @@
             assert!(rig.now < sent + 6 * S);
             last = rig.now;
             let attempt = rig.attempts[&id.0] - 1;
-            actions.extend(rig.end(id, attempt, FULL, 0));
+            actions.extend(rig.end(id, attempt, OVERLOADED, 0));
         }
         if failed(&actions, id) {
             break;
         }
-        assert!(!refused(&actions, id) && rig.now < sent + 8 * S, "the window ends it");
-        actions = rig.pass(5 * MS);
+        assert!(!rejected(&actions, id) && rig.now < sent + 8 * S, "the window ends it");
+        actions = rig.advance(5 * MS);
     }
     assert!(last > sent + 100 * MS, "it was tried again");
 }
 
 #[test]
 fn nothing_goes_to_a_draining_or_vanished_endpoint() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     rig.list(&[(1, 1, 1, 0)]);
     for _ in 0..4 {
-        let (_, actions) = rig.hand_in(1, 0);
+        let (_, actions) = rig.accept(1, 0);
         assert!(sends(&actions).iter().all(|s| s.1 == EndpointId(1)));
     }
     let drain = EndpointEntry {
@@ -208,22 +199,22 @@
         weight: 20.0,
     };
     rig.turn(&[Event::EndpointChanges(vec![drain])]);
-    assert!(sends(&rig.hand_in(1, 0).1).is_empty());
+    assert!(sends(&rig.accept(1, 0).1).is_empty());
 }
 
 #[test]
 fn a_wait_binds_the_destination_or_only_the_route() {
-    let mut rig = Rig::new(settings(vec![class(SAFE)]));
+    let mut rig = Rig::new(settings(vec![class(IDEMPOTENT)]));
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0), (2, 2, 0, 1), (3, 2, 1, 1)]);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     rig.end(id, 0, Outcome::Overloaded { retry_after: 700 * MS }, 0);
-    rig.hand_in(1, 0);
-    assert!(sends(&rig.pass(690 * MS)).is_empty());
-    assert!(!sends(&rig.pass(800 * MS)).is_empty());
-    let (id, actions) = rig.hand_in(2, 0);
+    rig.accept(1, 0);
+    assert!(sends(&rig.advance(690 * MS)).is_empty());
+    assert!(!sends(&rig.advance(800 * MS)).is_empty());
+    let (id, actions) = rig.accept(2, 0);
     let at = sends(&actions)[0].1;
     let again = rig.end(id, 0, Outcome::Overloaded { retry_after: 700 * MS }, 0);
-    let again = [again, rig.pass(600 * MS)].concat();
+    let again = [again, rig.advance(600 * MS)].concat();
     let other = sends(&again).into_iter().find(|s| s.0 == id).expect("the other route is free");
     assert_ne!(other.1, at);
 }
@@ -236,174 +227,33 @@
     let (a, b) = (rig.message(1, 0, 20 * S, Some(5)), rig.message(1, 0, 20 * S, Some(5)));
     let first = sends(&rig.turn(&[a, b]));
     assert_eq!(first.len(), 1);
-    assert!(sends(&rig.pass(300 * MS)).is_empty());
+    assert!(sends(&rig.advance(300 * MS)).is_empty());
     rig.end(first[0].0, 0, Outcome::TimedOut, 300 * MS);
-    assert!(sends(&rig.pass(290 * MS)).is_empty(), "the key rests");
-    assert_eq!(sends(&rig.pass(50 * MS)).len(), 1);
+    assert!(sends(&rig.advance(290 * MS)).is_empty(), "the key rests");
+    assert_eq!(sends(&rig.advance(50 * MS)).len(), 1);
 }
 
 #[test]
 fn a_message_ends_before_its_time_and_after_a_last_time_out() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     let event = rig.message(7, 0, 500 * MS, None);
     rig.turn(&[event]);
-    let actions = rig.pass(500 * MS);
-    assert!(refused(&actions, MessageId(1)), "no endpoint is known: refused in time");
+    let actions = rig.advance(500 * MS);
+    assert!(rejected(&actions, MessageId(1)), "no endpoint is known: refused in time");
     let event = rig.message(1, 0, 300 * MS, None);
     let id = sends(&rig.turn(&[event]))[0].0;
     rig.now += 300 * MS;
-    assert!(refused(&rig.end(id, 0, Outcome::TimedOut, 300 * MS), id));
+    assert!(rejected(&rig.end(id, 0, Outcome::TimedOut, 300 * MS), id));
 }
 
 #[test]
 fn a_message_whose_partner_opens_only_after_its_time_is_answered_at_once() {
     // Guards against keeping a client waiting for a deadline that nothing can be sent before.
-    let mut rig = two_endpoints(vec![class(SAFE)]);
-    let (id, _) = rig.hand_in(1, 0);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
+    let (id, _) = rig.accept(1, 0);
     let actions = rig.end(id, 0, Outcome::Overloaded { retry_after: 30 * S }, 5 * MS);
-    assert!(refused(&actions, id), "its 20 s are over before the partner opens: {actions:?}");
-    assert!(refused(&rig.hand_in(1, 0).1, MessageId(id.0 + 1)), "and so for one that comes now");
-}
-
-#[test]
-fn an_outage_leaves_single_trials_and_the_return_keeps_to_the_budget() {
-    let mut set = settings(vec![class(SAFE)]);
-    set.may_hedge = false;
-    let mut rig = Rig::new(set);
-    rig.list(&[(0, 1, 0, 0)]);
-    rig.warm(1, 0, 10, 50 * MS);
-    let mut failures = 0;
-    while failures < 4 {
-        let actions = rig.hand_in(1, 0).1;
-        let all = [actions, rig.pass(200 * MS)].concat();
-        for (id, _, _) in sends(&all) {
-            let attempt = rig.attempts[&id.0] - 1;
-            rig.end(id, attempt, Outcome::Unreachable, 0);
-            failures += 1;
-        }
-    }
-    let mut actions: Vec<Action> = (0..30).flat_map(|_| rig.hand_in(1, 0).1).collect();
-    let mut trial = None;
-    for _ in 0..600 {
-        actions.extend(rig.pass(5 * MS));
-        let sent = sends(&std::mem::take(&mut actions));
-        assert!(sent.len() <= 1, "one trial at a time");
-        trial = trial.or(sent.first().copied());
-        if trial.is_some() {
-            break;
-        }
-    }
-    let (id, _, _) = trial.expect("a trial goes out");
-    assert!(sends(&rig.pass(100 * MS)).is_empty(), "nothing beside a trial");
-    let attempt = rig.attempts[&id.0] - 1;
-    let mut out = rig.end(id, attempt, Outcome::Success, 100 * MS);
-    let mut count = 0.0;
-    for _ in 0..360 {
-        out.extend(rig.pass(5 * MS));
-        for (id, _, _) in sends(&std::mem::take(&mut out)) {
-            count += 1.0;
-            let attempt = rig.attempts[&id.0] - 1;
-            out.extend(rig.end(id, attempt, Outcome::Success, 5 * MS));
-        }
-    }
-    let (factor, cold, span_s) = (2.0, 0.2 + 0.8 * 0.2, 2.0);
-    let budget = factor * cold * 20.0 * span_s;
-    assert!(count > 2.0 && count <= budget, "{count} sent within a span, {budget} allowed");
-}
-
-#[test]
-fn a_partner_that_told_when_it_opens_is_cold_then_and_gets_the_budget() {
-    // Found in the laboratory's cold return: the backlog of a told closure came all at once when it ended.
-    let mut set = settings(vec![class(SAFE)]);
-    (set.may_hedge, set.senders) = (false, 3);
-    let mut rig = Rig::new(set);
-    rig.list(&[(0, 1, 0, 0)]);
-    rig.warm(1, 0, 10, 50 * MS);
-    let wait = 6 * S;
-    let (id, _) = rig.hand_in(1, 0);
-    let mut out = rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 0);
-    (0..60).for_each(|_| out.extend(rig.hand_in(1, 0).1));
-    assert!(sends(&rig.pass(wait - 5 * MS)).is_empty() && sends(&out).is_empty(), "the wait is kept");
-    let mut count = 0.0;
-
-    for _ in 0..400 {
-        let out = rig.pass(5 * MS);
-        for (id, _, _) in sends(&out) {
-            count += 1.0;
-            let attempt = rig.attempts[&id.0] - 1;
-            rig.end(id, attempt, Outcome::Success, 5 * MS);
-        }
-    }
-    let (factor, cold, span_s) = (2.0, 0.2 + 0.8 * 0.2, 2.0);
-    let budget = factor * cold * 20.0 * span_s / 3.0;
-    assert!(count > 2.0 && count <= budget, "{count} sent within a span, {budget} allowed");
-}
-
-#[test]
-fn single_lost_calls_are_no_outage() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
-    rig.warm(1, 0, 8, 50 * MS);
-    for round in 0..6 {
-        let (id, _) = rig.hand_in(1, 0);
-        rig.now += 50 * MS;
-        if round % 3 == 0 {
-            rig.end(id, 0, Outcome::ConnectionLost, 50 * MS);
-            rig.now += 200 * MS;
-            let again = sends(&rig.turn(&[]));
-            assert_eq!(again.len(), 1, "it is tried again soon");
-            rig.end(id, 1, Outcome::Success, 50 * MS);
-        } else {
-            rig.end(id, 0, Outcome::Success, 50 * MS);
-        }
-    }
-}
-
-#[test]
-fn stale_connections_are_no_outage_and_an_unsafe_message_that_met_one_is_not_repeated() {
-    let mut rig = two_endpoints(vec![class(Idempotency::Idempotent), class(Idempotency::NonIdempotent)]);
-    rig.warm(1, 0, 10, 100 * MS);
-    for _ in 0..12 {
-        let (id, actions) = rig.hand_in(1, 0);
-        assert_eq!(sends(&actions).len(), 1, "the partner is well");
-        assert_eq!(sends(&rig.end(id, 0, Outcome::StaleConnection, MS)).len(), 1, "it goes again at once");
-        rig.end(id, 1, Outcome::Success, 100 * MS);
-    }
-    let (id, _) = rig.hand_in(1, 1);
-    assert!(failed(&rig.end(id, 0, Outcome::StaleConnection, MS), id), "it may have run");
-}
-
-#[test]
-fn resets_alone_are_no_outage_but_one_that_fails_otherwise_is_still_found() {
-    let mut rig = two_endpoints(vec![class(Idempotency::Idempotent), class(Idempotency::NonIdempotent)]);
-    rig.warm(1, 0, 20, 100 * MS);
-    for _ in 0..10 {
-        let (id, actions) = rig.hand_in(1, 0);
-        assert_eq!(sends(&actions).len(), 1, "it is sent to as before");
-        rig.end(id, 0, Outcome::ConnectionLost, MS);
-        let again = rig.pass(90 * MS);
-        assert_eq!(sends(&again).len(), 1, "and again after a pause");
-        rig.end(id, 1, Outcome::Success, 100 * MS);
-    }
-    let (id, _) = rig.hand_in(1, 1);
-    rig.end(id, 0, Outcome::Unreachable, MS);
-    let mut tries = 1;
-    while sends(&rig.pass(300 * MS)).len() == 1 && tries < 6 {
-        rig.end(id, tries, Outcome::Unreachable, MS);
-        tries += 1;
-    }
-    assert_eq!(tries, 4, "then it rests from it");
-}
-
-#[test]
-fn three_bad_outcomes_in_a_row_are_no_outage_yet() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
-    for _ in 0..3 {
-        let (id, _) = rig.hand_in(1, 0);
-        rig.end(id, 0, Outcome::ConnectionLost, 0);
-        rig.turn(&[Event::ClientLeft(id)]);
-    }
-    let sent: usize = (0..3).map(|_| sends(&rig.hand_in(1, 0).1).len()).sum();
-    assert_eq!(sent, 3, "no single trials yet");
+    assert!(rejected(&actions, id), "its 20 s are over before the partner opens: {actions:?}");
+    assert!(rejected(&rig.accept(1, 0).1, MessageId(id.0 + 1)), "and so for one that comes now");
 }
 
 #[test]
@@ -411,31 +261,31 @@
     let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent)]));
     rig.list(&[(0, 1, 0, 0), (1, 2, 0, 0)]);
     for _ in 0..20 {
-        rig.hand_in(1, 0);
+        rig.accept(1, 0);
     }
-    rig.pass(3 * S);
-    assert_eq!(sends(&rig.hand_in(2, 0).1).len(), 1);
+    rig.advance(3 * S);
+    assert_eq!(sends(&rig.accept(2, 0).1).len(), 1);
 }
 
 #[test]
 fn a_call_is_called_off_once_a_later_one_was_served() {
-    let mut set = settings(vec![class(SAFE)]);
+    let mut set = settings(vec![class(IDEMPOTENT)]);
     set.may_hedge = false;
     let mut rig = Rig::new(set);
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 20, 100 * MS);
-    let (lost, _) = rig.hand_in(1, 0);
+    let (lost, _) = rig.accept(1, 0);
     rig.now += 5 * MS;
     rig.warm(1, 0, 1, 100 * MS);
-    assert!(rig.pass(1500 * MS).contains(&Action::Cancel { id: lost, attempt: 0 }));
+    assert!(rig.advance(1500 * MS).contains(&Action::Cancel { id: lost, attempt: 0 }));
 }
 
 #[test]
 fn one_destination_does_not_fill_the_hold() {
-    let mut rig = Rig::new(settings(vec![class(SAFE)]));
+    let mut rig = Rig::new(settings(vec![class(IDEMPOTENT)]));
     let mut shed = 0;
     for _ in 0..90 {
-        let (_, actions) = rig.hand_in(1, 0);
+        let (_, actions) = rig.accept(1, 0);
         shed += actions.iter().filter(|a| matches!(a, Action::Reject { .. })).count();
     }
     assert!((20..40).contains(&shed), "{shed} shed of 90, with room for 100");
@@ -443,23 +293,23 @@
 
 #[test]
 fn unknown_and_repeated_events_change_nothing() {
-    let mut rig = two_endpoints(vec![class(SAFE)]);
+    let mut rig = two_endpoints(vec![class(IDEMPOTENT)]);
     assert!(rig.end(MessageId(99), 0, Outcome::Success, 0).is_empty());
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     rig.end(id, 0, Outcome::Success, 50 * MS);
     assert!(sends(&rig.end(id, 0, Outcome::Failure, 50 * MS)).is_empty());
     assert!(sends(&rig.turn(&[Event::ClientLeft(id), Event::ClientLeft(MessageId(98))])).is_empty());
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     assert!(sends(&rig.end(id, 7, Outcome::Failure, 0)).is_empty());
 }
 
 #[test]
 fn connections_that_nobody_closes_are_kept_for_good() {
     // Guards settings that name no idle limit: as the longest span it overflowed when added to an instant.
-    let mut rig = Rig::new(Settings { idle_timeout: Nanos::MAX, ..settings(vec![class(SAFE)]) });
+    let mut rig = Rig::new(Settings { idle_timeout: Nanos::MAX, ..settings(vec![class(IDEMPOTENT)]) });
     rig.list(&[(0, 1, 0, 0)]);
     rig.warm(1, 0, 1, 100 * MS);
-    let (id, actions) = rig.hand_in(1, 0);
+    let (id, actions) = rig.accept(1, 0);
     assert_eq!(sends(&actions).len(), 1);
     rig.now += 100 * MS;
     assert!(!rig.end(id, 0, Outcome::Success, 100 * MS).contains(&Action::CloseIdle(EndpointId(0))));
@@ -467,7 +317,7 @@
 
 #[test]
 fn unusable_settings_say_which() {
-    let mut none = settings(vec![class(SAFE)]);
+    let mut none = settings(vec![class(IDEMPOTENT)]);
     none.max_in_flight = 0;
     assert!(Policy::new(none, 1).unwrap_err().to_string().contains("slots"));
     assert!(Policy::new(settings(vec![]), 1).unwrap_err().to_string().contains("classes"));
--- a/crates/policy/tests/fleet.rs
+++ b/crates/policy/tests/fleet.rs
@@ -54,7 +54,7 @@
     let ends: Vec<Nanos> = all
         .iter_mut()
         .map(|rig| {
-            let (id, _) = rig.hand_in(1, 0);
+            let (id, _) = rig.accept(1, 0);
             rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 5 * MS);
             rig.now + wait
         })
@@ -73,7 +73,7 @@
         let mut all = fleet(2);
         let mut told = Vec::new();
         for rig in &mut all {
-            let (id, _) = rig.hand_in(1, 0);
+            let (id, _) = rig.accept(1, 0);
             let mut actions = rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 5 * MS);
             // With no time left behind the wait nothing can be sent any more.
             let late: Vec<Event> = (0..4).map(|_| rig.message(1, 0, wait.min(S), None)).collect();
@@ -97,7 +97,7 @@
 fn trials_of_an_outage_and_the_return_do_not_fall_together() {
     let mut all = fleet(2);
     for rig in &mut all {
-        let ids: Vec<MessageId> = (0..5).map(|_| rig.hand_in(1, 0).0).collect();
+        let ids: Vec<MessageId> = (0..5).map(|_| rig.accept(1, 0).0).collect();
         rig.now += 50 * MS;
         ids.into_iter().for_each(|id| drop(rig.end(id, 0, Outcome::Unreachable, 50 * MS)));
     }
@@ -114,7 +114,7 @@
     let mut landed: BTreeMap<u32, usize> = BTreeMap::new();
     let mut copies = Vec::new();
     for rig in &mut all {
-        let first = sends(&rig.hand_in(1, 0).1)[0].1;
+        let first = sends(&rig.accept(1, 0).1)[0].1;
         let from = rig.now;
         while rig.now < from + 400 * MS {
             rig.now += 5 * MS;
@@ -141,7 +141,7 @@
     for seed in 1..=FLEET {
         let mut rig = Rig::seeded(set(), seed);
         rig.list(&[(0, 1, 0, 0), (1, 1, 0, 0), (2, 1, 0, 0)]);
-        let (id, actions) = rig.hand_in(1, 0);
+        let (id, actions) = rig.accept(1, 0);
         *landed.entry(sends(&actions)[0].1.0).or_default() += 1;
         let from = rig.now;
         while rig.now < from + 900 * MS {
--- a/crates/policy/tests/many.rs
+++ b/crates/policy/tests/many.rs
@@ -9,7 +9,7 @@
 
 const SENDERS: usize = 200;
 const LIMIT: f64 = 10.0;
-const FULL: Outcome = Outcome::Overloaded { retry_after: 0 };
+const OVERLOADED: Outcome = Outcome::Overloaded { retry_after: 0 };
 
 fn entry(endpoint: u32, destination: u64) -> EndpointEntry {
     EndpointEntry {
@@ -123,7 +123,7 @@
     let (begin, mut sent, mut waits) = (rig.now, vec![], false);
     while rig.now < begin + length {
         // One message always waits.
-        let actions = if waits { rig.pass(5 * MS) } else { rig.hand_in(1, 0).1 };
+        let actions = if waits { rig.advance(5 * MS) } else { rig.accept(1, 0).1 };
         waits = !actions.iter().any(|a| matches!(a, Action::Reject { .. }));
         rig.now += MS;
         let end = if rig.now < begin + 5 * S { Outcome::Unreachable } else { Outcome::Success };
@@ -166,13 +166,13 @@
 fn one_refused_connection_rests_the_route_where_shares_are_small() {
     let mut rig = Rig::new(sparse());
     rig.turn(&[Event::EndpointList(vec![entry(0, 1), entry(1, 2)])]);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     rig.end(id, 0, Outcome::Unreachable, 0);
-    assert!(sends(&rig.pass(4 * S)).is_empty(), "all that saw it would come back at once");
-    assert_eq!(sends(&rig.hand_in(2, 0).1).len(), 1, "other destinations are not meant");
-    rig.pass(26 * S);
+    assert!(sends(&rig.advance(4 * S)).is_empty(), "all that saw it would come back at once");
+    assert_eq!(sends(&rig.accept(2, 0).1).len(), 1, "other destinations are not meant");
+    rig.advance(26 * S);
     assert_eq!(
-        sends(&rig.hand_in(1, 0).1).len(),
+        sends(&rig.accept(1, 0).1).len(),
         1,
         "two cold times and a half on at most, it is tried again"
     );
@@ -183,10 +183,10 @@
     // Guards a cold partner against those that rested long: half way back alone would have them think it warm.
     let mut rig = Rig::new(sparse());
     rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     rig.end(id, 0, Outcome::Unreachable, 0);
     rig.now += 40 * S;
-    let (id, actions) = rig.hand_in(1, 0);
+    let (id, actions) = rig.accept(1, 0);
     assert_eq!(sends(&actions).len(), 1);
     rig.end(id, 0, Outcome::Success, MS);
     let outage = rig.policy.observations(rig.now, None, 1).0[0].outage;
@@ -197,9 +197,9 @@
 fn a_single_error_does_not_lock_a_partner_out() {
     let mut rig = Rig::new(sparse());
     rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     rig.end(id, 0, Outcome::Failure, 0);
-    assert_eq!(sends(&rig.pass(2 * S)).len(), 1);
+    assert_eq!(sends(&rig.advance(2 * S)).len(), 1);
 }
 
 #[test]
@@ -208,19 +208,19 @@
     rig.turn(&[Event::EndpointList((0..60).map(|n| entry(n, u64::from(n))).collect())]);
     for destination in 0..59 {
         for _ in 0..2 {
-            let (id, actions) = rig.hand_in(destination, 0);
+            let (id, actions) = rig.accept(destination, 0);
             assert_eq!(sends(&actions).len(), 1);
-            rig.end(id, 0, FULL, 0);
+            rig.end(id, 0, OVERLOADED, 0);
             rig.turn(&[Event::ClientLeft(id)]);
             rig.now += 40 * S; // a refused sender rests
         }
     }
-    let (id, actions) = rig.hand_in(59, 0);
+    let (id, actions) = rig.accept(59, 0);
     assert_eq!(sends(&actions).len(), 1);
     rig.now += 100 * MS;
     rig.end(id, 0, Outcome::Success, 100 * MS);
-    let (_, actions) = rig.hand_in(59, 0);
-    let sent = sends(&[actions, rig.pass(3 * S)].concat());
+    let (_, actions) = rig.accept(59, 0);
+    let sent = sends(&[actions, rig.advance(3 * S)].concat());
     assert!(sent.is_empty(), "a second one would use up the share of others");
 }
 
@@ -241,11 +241,11 @@
         let set = Settings { senders, ..settings(vec![class(Idempotency::Idempotent)]) };
         let mut rig = Rig::seeded(set, seed);
         rig.turn(&[Event::EndpointList(vec![EndpointEntry { weight: 60.0, ..entry(0, 1) }])]);
-        let out: Vec<_> = (0..calls).map(|_| rig.hand_in(1, 0).0).collect();
+        let out: Vec<_> = (0..calls).map(|_| rig.accept(1, 0).0).collect();
         rig.now += MS;
-        out.into_iter().for_each(|id| drop(rig.end(id, 0, FULL, MS)));
+        out.into_iter().for_each(|id| drop(rig.end(id, 0, OVERLOADED, MS)));
         let from = rig.now;
-        while sends(&rig.pass(20 * MS)).is_empty() && rig.now < from + 19 * S {}
+        while sends(&rig.advance(20 * MS)).is_empty() && rig.now < from + 19 * S {}
         rests.push((rig.now - from) / MS);
     }
     let (least, most) = (*rests.iter().min().unwrap(), *rests.iter().max().unwrap());
@@ -269,10 +269,10 @@
     rig.turn(&[Event::MessageResumed { id, destination, class, deadline, attempts: 0, ran: None }]);
     for round in 0..9 {
         for destination in 0..9 {
-            let (id, actions) = rig.hand_in(destination, 0);
-            for (sent, _, _) in sends(&[actions, rig.pass(S)].concat()).into_iter().filter(|s| s.0 == id) {
+            let (id, actions) = rig.accept(destination, 0);
+            for (sent, _, _) in sends(&[actions, rig.advance(S)].concat()).into_iter().filter(|s| s.0 == id) {
                 let (attempt, end) =
-                    (rig.attempts[&sent.0] - 1, if round < 8 { FULL } else { Outcome::Success });
+                    (rig.attempts[&sent.0] - 1, if round < 8 { OVERLOADED } else { Outcome::Success });
                 rig.end(sent, attempt, end, MS);
             }
             rig.turn(&[Event::ClientLeft(id)]);
@@ -306,7 +306,7 @@
         let mut sent =
             sends(&rig.turn(&[Event::MessageResumed { id, destination, class, deadline, attempts, ran }]));
         while sent.is_empty() && rig.now < deadline {
-            sent = sends(&rig.pass(5 * MS));
+            sent = sends(&rig.advance(5 * MS));
         }
         assert_eq!(sent.len(), 1, "it is sent, {} ms on", (rig.now - from) / MS);
         left.push((rig.now - from) / MS);
@@ -325,7 +325,7 @@
     rig.turn(&[Event::EndpointList(vec![entry(0, 1), entry(1, 1)])]);
     let call = |rig: &mut Rig, idle: Nanos, outcome: Outcome| {
         rig.now += idle;
-        let (id, actions) = rig.hand_in(1, 0);
+        let (id, actions) = rig.accept(1, 0);
         rig.end(id, 0, outcome, 100 * MS);
         rig.turn(&[Event::ClientLeft(id)]);
         sends(&actions)[0].1
@@ -333,7 +333,7 @@
     let first = call(&mut rig, S, Outcome::Success);
     assert!((0..12).all(|_| call(&mut rig, S, Outcome::Success) == first), "it stays where it is connected");
     rig.now += S;
-    let pair = [rig.hand_in(1, 0).1, rig.hand_in(1, 0).1].concat();
+    let pair = [rig.accept(1, 0).1, rig.accept(1, 0).1].concat();
     assert_ne!(sends(&pair)[0].1, sends(&pair)[1].1, "a connection with a call out is not free for another");
     for (id, ..) in sends(&pair) {
         rig.end(id, 0, Outcome::Success, 100 * MS);
@@ -357,19 +357,19 @@
     rig.turn(&[Event::EndpointList(vec![EndpointEntry { weight: 600.0, ..entry(0, 1) }])]);
     let call = |rig: &mut Rig, outcome: Outcome| {
         rig.now += 2 * S;
-        let (id, actions) = rig.hand_in(1, 0);
+        let (id, actions) = rig.accept(1, 0);
         assert_eq!(sends(&actions).len(), 1);
         rig.now += 10 * MS;
         rig.end(id, 0, outcome, 10 * MS);
         rig.turn(&[Event::ClientLeft(id)]);
     };
     // A step of 250 ms, then the even share: 300 senders at 600 calls a second.
-    call(&mut rig, FULL);
-    call(&mut rig, FULL);
+    call(&mut rig, OVERLOADED);
+    call(&mut rig, OVERLOADED);
     call(&mut rig, Outcome::Success);
-    rig.hand_in(1, 0);
-    assert!(sends(&rig.pass(465 * MS)).is_empty(), "24 parts in 25 of it are left");
-    assert_eq!(sends(&rig.pass(35 * MS)).len(), 1);
+    rig.accept(1, 0);
+    assert!(sends(&rig.advance(465 * MS)).is_empty(), "24 parts in 25 of it are left");
+    assert_eq!(sends(&rig.advance(35 * MS)).len(), 1);
 }
 
 #[test]
@@ -377,8 +377,8 @@
     let mut rig = Rig::new(Settings { max_in_flight: 3, ..settings(vec![class(Idempotency::Idempotent)]) });
     rig.list(&[(0, 1, 0, 0), (1, 2, 0, 0), (2, 2, 1, 0)]);
     rig.warm(1, 0, 20, 100 * MS);
-    assert_eq!(sends(&rig.hand_in(2, 0).1).len(), 1);
-    assert_eq!(sends(&rig.pass(600 * MS)).len(), 1, "one copy, though two are taken then");
+    assert_eq!(sends(&rig.accept(2, 0).1).len(), 1);
+    assert_eq!(sends(&rig.advance(600 * MS)).len(), 1, "one copy, though two are taken then");
 }
 
 #[test]
@@ -387,7 +387,7 @@
     rig.list(&[(0, 1, 0, 0)]);
     let close = Action::CloseIdle(EndpointId(0));
     let once = |rig: &mut Rig| {
-        let (id, _) = rig.hand_in(1, 0);
+        let (id, _) = rig.accept(1, 0);
         rig.now += 50 * MS;
         rig.end(id, 0, Outcome::Success, 50 * MS).contains(&close)
     };
@@ -408,20 +408,20 @@
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
     rig.warm(1, 0, 6, 100 * MS);
     for _ in 0..3 {
-        let (id, _) = rig.hand_in(1, 0);
+        let (id, _) = rig.accept(1, 0);
         rig.now += 2 * S;
         rig.end(id, 0, Outcome::Success, 2 * S);
     }
-    rig.pass(S);
-    rig.hand_in(1, 0);
-    assert_eq!(sends(&rig.pass(300 * MS)).len(), 1, "the copy still leaves near the p95 learned before");
+    rig.advance(S);
+    rig.accept(1, 0);
+    assert_eq!(sends(&rig.advance(300 * MS)).len(), 1, "the copy still leaves near the p95 learned before");
 }
 
 #[test]
 fn an_idle_sender_is_not_woken() {
     let mut rig = Rig::new(sparse());
     rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     let done = rig.end(id, 0, Outcome::Success, 50 * MS);
     assert!(!done.iter().any(|a| matches!(a, Action::WakeAfter(_))), "{done:?}");
 }
@@ -434,10 +434,10 @@
         let mut rig = Rig::new(sparse());
         std::mem::swap(&mut rig.policy, &mut policy);
         rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
-        let (id, _) = rig.hand_in(1, 0);
+        let (id, _) = rig.accept(1, 0);
         rig.end(id, 0, Outcome::Overloaded { retry_after: wait }, 0);
-        assert!(sends(&rig.pass(wait)).is_empty(), "the wait is kept");
-        early += sends(&rig.pass(2 * S)).len();
+        assert!(sends(&rig.advance(wait)).is_empty(), "the wait is kept");
+        early += sends(&rig.advance(2 * S)).len();
     }
     assert!((1..25).contains(&early), "{early} of 100 within two seconds of the end");
 }
@@ -453,7 +453,7 @@
         rig.warm(destination.into(), 0, 1, 100 * MS);
     }
     rig.turn(&[Event::EndpointList(vec![entry(50, 50)])]);
-    rig.pass(60 * S);
+    rig.advance(60 * S);
     let kept = rig.policy.observations(rig.now, None, 100).0.len();
     assert!(kept <= 1, "{kept} partners that have gone are kept");
 }
@@ -470,7 +470,7 @@
             EndpointEntry { endpoint, zone, kind, destination, stage, weight: 50.0 }
         };
         rig.turn(&[Event::EndpointChanges(vec![entry(no, EndpointState::Active)])]);
-        let (id, actions) = rig.hand_in(destination.0, 0);
+        let (id, actions) = rig.accept(destination.0, 0);
         assert_eq!(sends(&actions)[0].1, EndpointId(no));
         // It goes while its call is out: what is known of it stays until that has ended.
         rig.turn(&[Event::EndpointChanges(vec![entry(no, EndpointState::Removed)])]);
@@ -503,7 +503,7 @@
     while rig.now < deadline {
         events.extend((0..new_a_turn).map(|_| rig.message(0, 0, 3 * S, None)));
         let actions = rig.turn(&std::mem::take(&mut events));
-        assert!((0..held).all(|no| !refused(&actions, MessageId(1_000_000 + no))), "ended with no call");
+        assert!((0..held).all(|no| !rejected(&actions, MessageId(1_000_000 + no))), "ended with no call");
         out.extend(sends(&actions).iter().map(|(id, ..)| (*id, rig.now)));
         called.extend(sends(&actions).iter().map(|(id, ..)| id.0).filter(|id| *id >= 1_000_000));
         rig.now += 5 * MS;
@@ -526,12 +526,12 @@
     let mut rig = Rig::new(Settings { max_in_flight: 1, ..settings(vec![class(Idempotency::Idempotent)]) });
     rig.now = 100 * S;
     rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
-    let (busy, actions) = rig.hand_in(1, 0);
+    let (busy, actions) = rig.accept(1, 0);
     assert_eq!(sends(&actions).len(), 1);
     // Late for its aim, it earns less than a new one; both are ready before the slot is free.
     rig.turn(&[untried(1_000_000, 1, rig.now + 3 * S)]);
-    let (new, actions) = rig.hand_in(1, 0);
-    assert!(sends(&actions).is_empty() && sends(&rig.pass(300 * MS)).is_empty(), "its one slot is taken");
+    let (new, actions) = rig.accept(1, 0);
+    assert!(sends(&actions).is_empty() && sends(&rig.advance(300 * MS)).is_empty(), "its one slot is taken");
     let mut sent = sends(&rig.end(busy, 0, Outcome::Success, 300 * MS));
     assert_eq!(sent.pop().map(|s| s.0), Some(MessageId(1_000_000)));
     let next = sends(&rig.end(MessageId(1_000_000), 0, Outcome::Success, 5 * MS));
@@ -555,12 +555,12 @@
     for seed in 0..20 {
         let mut rig = Rig::seeded(untold.clone(), seed);
         rig.turn(&[Event::EndpointList(vec![entry(0, 1)])]);
-        let (id, _) = rig.hand_in(1, 0);
+        let (id, _) = rig.accept(1, 0);
         let from = rig.now;
         rig.end(id, 0, Outcome::Overloaded { retry_after: 0 }, 5 * MS);
         let mut sent = Vec::new();
         while sent.is_empty() && rig.now < from + 19 * S {
-            sent = sends(&rig.pass(5 * MS));
+            sent = sends(&rig.advance(5 * MS));
         }
         let rested = (rig.now - from) / MS;
         assert!(!sent.is_empty() && rested <= most_ms + 30, "{rested} ms, seed {seed}");
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -234,7 +234,7 @@
         (MessageId(id), DestinationId(1), ClassId(class), rig.now + 10 * S);
     let at_once = rig.turn(&[Event::MessageResumed { id, destination, class, deadline, attempts, ran }]);
     // An even share of a lone sender at ten calls a second.
-    [at_once, rig.pass(100 * MS)].concat()
+    [at_once, rig.advance(100 * MS)].concat()
 }
 
 #[test]
@@ -252,9 +252,9 @@
     rig.end(MessageId(3), 1, Outcome::Success, MS);
     let long_ago = Some(rig.now - 7 * S);
     let actions = resumed(&mut rig, 4, 1, 1, long_ago);
-    assert!(refused(&actions, MessageId(4)) && sends(&actions).is_empty(), "keyed, outside it");
+    assert!(rejected(&actions, MessageId(4)) && sends(&actions).is_empty(), "keyed, outside it");
     let actions = resumed(&mut rig, 5, 1, 6, ran);
-    assert!(refused(&actions, MessageId(5)) && sends(&actions).is_empty(), "all attempts were used");
+    assert!(rejected(&actions, MessageId(5)) && sends(&actions).is_empty(), "all attempts were used");
 }
 
 #[test]
@@ -264,19 +264,19 @@
     rig.warm(1, 0, 10, 400 * MS);
     let end = rig.now + S;
     rig.turn(&[Event::ShutdownDeadline(end)]);
-    let sent = sends(&rig.hand_in(1, 0).1);
+    let sent = sends(&rig.accept(1, 0).1);
     assert!(sent.len() == 1 && rig.now + sent[0].2 <= end, "its time is cut to the end");
     rig.now += 700 * MS;
-    assert!(sends(&rig.hand_in(1, 0).1).is_empty(), "300 ms are less than a call");
+    assert!(sends(&rig.accept(1, 0).1).is_empty(), "300 ms are less than a call");
 }
 
 #[test]
 fn a_message_that_has_had_all_its_attempts_elsewhere_ends_at_once() {
     let mut rig = Rig::new(settings(vec![class(Idempotency::NonIdempotent)]));
     rig.list(&[(0, 1, 0, 0)]);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     let actions = rig.end(id, 0, Outcome::AttemptsExhausted, MS);
-    assert!(refused(&actions, id) && sends(&actions).is_empty(), "it never ran, and none can follow");
+    assert!(rejected(&actions, id) && sends(&actions).is_empty(), "it never ran, and none can follow");
 }
 
 /// What a partner of two endpoints is sent in the span of the fail-back rule with 60 messages held for it: put back after
@@ -327,7 +327,7 @@
         rig.list(&[(0, 1, 0, 0), (1, 2, 0, 0)]);
         let (mut all, mut avoided) = (Vec::new(), 0);
         for no in 0..40 {
-            let (_, actions) = rig.hand_in(1, 0);
+            let (_, actions) = rig.accept(1, 0);
             let outcome = if no < 8 { Outcome::Unreachable } else { Outcome::Success };
             rig.now += 300 * MS;
             for (id, _, _) in sends(&actions) {
--- a/crates/policy/tests/told.rs
+++ b/crates/policy/tests/told.rs
@@ -4,7 +4,7 @@
 use common::*;
 use martenlatch_policy::interface::*;
 
-const SAFE: Idempotency = Idempotency::Idempotent;
+const IDEMPOTENT: Idempotency = Idempotency::Idempotent;
 
 fn told(destination: u64) -> GossipedState {
     GossipedState {
@@ -19,7 +19,7 @@
 }
 
 fn newcomer(told: GossipedState) -> Rig {
-    let mut rig = Rig::new(settings(vec![class(SAFE)]));
+    let mut rig = Rig::new(settings(vec![class(IDEMPOTENT)]));
     rig.now = 100 * S;
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0), (2, 2, 0, 0)]);
     rig.turn(&[Event::Gossip(told)]);
@@ -57,11 +57,11 @@
 #[test]
 fn a_wait_that_was_only_told_of_binds_wholly_and_no_longer() {
     let mut rig = newcomer(GossipedState { wait: 3 * S, ..told(1) });
-    let (id, actions) = rig.hand_in(1, 0);
+    let (id, actions) = rig.accept(1, 0);
     assert!(sends(&actions).is_empty());
-    assert!(sends(&rig.pass(2_990 * MS)).is_empty());
-    assert_eq!(sends(&rig.pass(50 * MS))[0].0, id);
-    assert_eq!(sends(&rig.hand_in(2, 0).1).len(), 1, "another destination is not bound");
+    assert!(sends(&rig.advance(2_990 * MS)).is_empty());
+    assert_eq!(sends(&rig.advance(50 * MS))[0].0, id);
+    assert_eq!(sends(&rig.accept(2, 0).1).len(), 1, "another destination is not bound");
 }
 
 #[test]
@@ -74,8 +74,12 @@
         outage: Some(Outage::Unresponsive),
         ..told(1)
     })]);
-    assert!(sends(&rig.hand_in(1, 0).1).is_empty());
-    assert_eq!(sends(&rig.pass(1_010 * MS)).len(), 1, "but what it has seen itself is not unseen: no outage");
+    assert!(sends(&rig.accept(1, 0).1).is_empty());
+    assert_eq!(
+        sends(&rig.advance(1_010 * MS)).len(),
+        1,
+        "but what it has seen itself is not unseen: no outage"
+    );
 }
 
 #[test]
@@ -117,7 +121,7 @@
 fn what_was_told_before_an_outage_does_not_raise_the_pace_after_it() {
     // Where no limit is listed. The partner fails at the first calls, and comes back.
     let returned = |told: Option<GossipedState>| {
-        let mut set = settings(vec![class(SAFE)]);
+        let mut set = settings(vec![class(IDEMPOTENT)]);
         set.weight_meaning = EndpointWeights::Ignored;
         let mut rig = Rig::new(set);
         rig.now = 100 * S;
@@ -143,8 +147,8 @@
 fn told_latencies_delay_the_first_copies_and_give_way_to_its_own() {
     let rig = |latencies: Vec<Nanos>| newcomer(GossipedState { latencies, ..told(1) });
     let copies = |rig: &mut Rig, span: Nanos| {
-        rig.hand_in(1, 0);
-        sends(&rig.pass(span)).len()
+        rig.accept(1, 0);
+        sends(&rig.advance(span)).len()
     };
     assert_eq!(copies(&mut rig(vec![40 * MS; 12]), 35 * MS), 0);
     assert_eq!(copies(&mut rig(vec![40 * MS; 12]), 50 * MS), 1, "at the told p95");
@@ -158,11 +162,11 @@
     let mut rig = newcomer(GossipedState { latencies: vec![20 * MS; 12], ..told(1) });
     let mut copied = 0;
     for _ in 0..12 {
-        let (id, actions) = rig.hand_in(1, 0);
+        let (id, actions) = rig.accept(1, 0);
         assert_eq!(sends(&actions).len(), 1);
-        copied += sends(&rig.pass(300 * MS)).len();
+        copied += sends(&rig.advance(300 * MS)).len();
         rig.end(id, 0, Outcome::Success, 300 * MS);
-        rig.pass(50 * MS);
+        rig.advance(50 * MS);
     }
     assert!(copied <= 3, "{copied} of 12 had a copy");
 }
@@ -171,14 +175,14 @@
 fn hearsay_of_what_is_not_listed_is_nothing() {
     let mut rig = newcomer(GossipedState { wait: 10 * S, ..told(77) });
     rig.turn(&[Event::Gossip(GossipedState { endpoint: Some(EndpointId(0)), wait: 10 * S, ..told(1) })]);
-    assert_eq!(sends(&rig.hand_in(1, 0).1).len(), 1);
+    assert_eq!(sends(&rig.accept(1, 0).1).len(), 1);
 }
 
 #[test]
 fn what_a_sender_has_seen_is_told_and_hearsay_is_not() {
     let mut rig = newcomer(GossipedState { latencies: vec![300 * MS; 12], gap: 100 * MS, ..told(2) });
     rig.warm(1, 0, 8, 100 * MS);
-    let (id, _) = rig.hand_in(1, 0);
+    let (id, _) = rig.accept(1, 0);
     rig.end(id, 0, Outcome::Overloaded { retry_after: 4 * S }, 10 * MS);
     rig.now += S;
     let (observations, next) = rig.policy.observations(rig.now, None, 100);
@@ -208,7 +212,7 @@
 
 #[test]
 fn sights_come_in_pages_that_together_are_all() {
-    let mut rig = Rig::new(settings(vec![class(SAFE)]));
+    let mut rig = Rig::new(settings(vec![class(IDEMPOTENT)]));
     rig.list(&(0..25).map(|d| (d, u64::from(d), 0, 0)).collect::<Vec<_>>());
     (0..25).filter(|d| d % 3 != 0).for_each(|d| rig.warm(d, 0, 1, 10 * MS));
     let (mut after, mut all, mut pages) = (None, Vec::new(), 0);
