--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -156,3 +156,26 @@
     rig.list(&[(0, 1, 0, 0), (1, 1, 1, 0)]);
     rig
 }
+
+pub const SENDERS: usize = 200;
+pub const LIMIT: f64 = 10.0;
+
+pub fn entry(endpoint: u32, destination: u64) -> EndpointEntry {
+    EndpointEntry {
+        endpoint: EndpointId(endpoint),
+        zone: ZoneId(0),
+        kind: KindId(0),
+        destination: DestinationId(destination),
+        stage: EndpointState::Active,
+        weight: LIMIT,
+    }
+}
+
+pub fn sparse() -> Settings {
+    Settings {
+        senders: SENDERS as u32,
+        max_in_flight: 3,
+        max_held: 12,
+        ..settings(vec![class(Idempotency::Idempotent)])
+    }
+}
--- a/crates/policy/tests/told.rs
+++ b/crates/policy/tests/told.rs
@@ -4,8 +4,6 @@
 use common::*;
 use martenlatch_policy::interface::*;
 
-const IDEMPOTENT: Idempotency = Idempotency::Idempotent;
-
 fn told(destination: u64) -> GossipedState {
     GossipedState {
         destination: DestinationId(destination),
