--- a/crates/adapter/src/instance.rs
+++ b/crates/adapter/src/instance.rs
@@ -85,7 +85,7 @@
                 &listed.kind,
             )?),
             destination: DestinationId(listed.destination),
-            stage: listed.state,
+            state: listed.state,
             weight: listed.weight,
         })
     }
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -45,7 +45,7 @@
     }
 
     /// The machine's time for a process that continues one whose clock stood at `at`. Never before `at`; `at` itself if
-    /// the wall clock was set back, or forward by [`MAX_REPLACEMENT_GAP`] or more.
+    /// the wall clock was set back, or forward by `MAX_REPLACEMENT_GAP` or more.
     pub fn restore(at: Millis) -> Clock {
         let wall = Clock::system().now();
         let is_plausible = (at..at + MAX_REPLACEMENT_GAP).contains(&wall);
--- a/crates/lab/src/sim/discovery.rs
+++ b/crates/lab/src/sim/discovery.rs
@@ -19,7 +19,7 @@
             zone: ZoneId(0),
             kind: KindId(profile.kind),
             destination: DestinationId(partner.into()),
-            stage: state,
+            state,
             weight: profile.advertised_weight,
         }
     }
--- a/crates/lab/src/sim/lifecycle.rs
+++ b/crates/lab/src/sim/lifecycle.rs
@@ -39,7 +39,7 @@
                 sender,
                 endpoint: entry.endpoint.0,
                 partner: entry.destination.0 as u32,
-                on: entry.stage == EndpointState::Active,
+                on: entry.state == EndpointState::Active,
             });
         }
         let mut events = vec![Event::EndpointList(listed)];
--- a/crates/lab/src/turn_cost.rs
+++ b/crates/lab/src/turn_cost.rs
@@ -174,7 +174,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         destination: DestinationId((number / ENDPOINTS_PER_DESTINATION) as u64),
-        stage: EndpointState::Active,
+        state: EndpointState::Active,
         weight: ENDPOINT_WEIGHT,
     }
 }
--- a/crates/lab/tests/orders/fleet.rs
+++ b/crates/lab/tests/orders/fleet.rs
@@ -214,7 +214,7 @@
             zone: ZoneId(0),
             kind: KindId(0),
             destination: DestinationId(OWNER[endpoint as usize].into()),
-            stage: if self.draining.contains(&endpoint) {
+            state: if self.draining.contains(&endpoint) {
                 EndpointState::Draining
             } else {
                 EndpointState::Active
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -80,7 +80,7 @@
     /// Its destination.
     pub destination: DestinationId,
     /// Its state.
-    pub stage: EndpointState,
+    pub state: EndpointState,
     /// Its weight; [`EndpointWeights`] says what it means.
     pub weight: f64,
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -52,7 +52,7 @@
 //!     zone: ZoneId(0),
 //!     kind: KindId(0),
 //!     destination: DestinationId(9),
-//!     stage: EndpointState::Active,
+//!     state: EndpointState::Active,
 //!     weight: 1.0,
 //! };
 //! let message = Event::MessageAccepted {
--- a/crates/policy/src/policy/endpoints.rs
+++ b/crates/policy/src/policy/endpoints.rs
@@ -32,8 +32,8 @@
         let new = Endpoint { destination, zone, kind: kind_id, route, ..Endpoint::default() };
         let endpoint = self.endpoints.entry(id).or_insert(new);
         // Active again after draining it was restarted, and is cold: alone, it is all that its route has.
-        let was_restarted = endpoint.state == EndpointState::Draining && entry.stage == EndpointState::Active;
-        endpoint.state = entry.stage;
+        let was_restarted = endpoint.state == EndpointState::Draining && entry.state == EndpointState::Active;
+        endpoint.state = entry.state;
         let route = self.routes.entry(route).or_default();
         let rate_limit = self.settings.weight_meaning.rate_limit(entry.weight, APPROXIMATE_WEIGHT_ERROR);
         route.rate_limit = rate_limit.filter(|limit| *limit > 0.0).or(route.rate_limit);
--- a/crates/policy/tests/common/mod.rs
+++ b/crates/policy/tests/common/mod.rs
@@ -91,7 +91,7 @@
             zone: ZoneId(zone),
             kind: KindId(kind),
             destination: DestinationId(destination),
-            stage: EndpointState::Active,
+            state: EndpointState::Active,
             weight: 20.0,
         };
         self.turn(&[Event::EndpointList(endpoints.iter().map(entry).collect())]);
@@ -166,7 +166,7 @@
         zone: ZoneId(0),
         kind: KindId(0),
         destination: DestinationId(destination),
-        stage: EndpointState::Active,
+        state: EndpointState::Active,
         weight: LIMIT,
     }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -195,7 +195,7 @@
         zone: ZoneId(1),
         kind: KindId(0),
         destination: DestinationId(1),
-        stage: EndpointState::Draining,
+        state: EndpointState::Draining,
         weight: 20.0,
     };
     rig.turn(&[Event::EndpointChanges(vec![drain])]);
--- a/crates/policy/tests/rules.rs
+++ b/crates/policy/tests/rules.rs
@@ -37,13 +37,13 @@
 const KINDS: [usize; 6] = [0, 0, 0, 1, 1, 0];
 const OWNER: [u64; 6] = [1, 1, 1, 2, 2, 3];
 
-fn entry(at: usize, stage: EndpointState) -> EndpointEntry {
+fn entry(at: usize, state: EndpointState) -> EndpointEntry {
     EndpointEntry {
         endpoint: EndpointId(at as u32),
         zone: ZoneId(at % 2),
         kind: KindId(KINDS[at]),
         destination: DestinationId(OWNER[at]),
-        stage,
+        state,
         weight: 10.0,
     }
 }
@@ -146,8 +146,8 @@
         if dice.roll(600) == 0 {
             let at = dice.roll(6) as usize;
             stopped[at] = !stopped[at];
-            let stage = if stopped[at] { EndpointState::Draining } else { EndpointState::Active };
-            events.push(Event::EndpointChanges(vec![entry(at, stage)]));
+            let state = if stopped[at] { EndpointState::Draining } else { EndpointState::Active };
+            events.push(Event::EndpointChanges(vec![entry(at, state)]));
         }
         events.push(Event::Wake);
         let mut actions = Vec::new();
@@ -283,18 +283,18 @@
 /// a drain, or listed all the time.
 fn put_back(drained: bool) -> usize {
     let mut rig = Rig::new(settings(vec![class(Idempotency::Idempotent)]));
-    let stage = |rig: &mut Rig, which: &[usize], stage| {
-        let entries = which.iter().map(|at| entry(*at, stage)).collect();
+    let state = |rig: &mut Rig, which: &[usize], state| {
+        let entries = which.iter().map(|at| entry(*at, state)).collect();
         rig.turn(&[Event::EndpointChanges(entries)])
     };
-    stage(&mut rig, &[0, 1], EndpointState::Active);
+    state(&mut rig, &[0, 1], EndpointState::Active);
     rig.warm(1, 0, 10, 50 * MS);
     let all = if drained { &[0, 1][..] } else { &[] };
-    stage(&mut rig, all, EndpointState::Draining);
+    state(&mut rig, all, EndpointState::Draining);
     let held: Vec<Event> = (0..60).map(|_| rig.message(1, 0, 60 * S, None)).collect();
     let mut sent = rig.turn(&held);
     assert!(!drained || sends(&sent).is_empty(), "nothing goes to one that drains");
-    sent.extend(stage(&mut rig, all, EndpointState::Active));
+    sent.extend(state(&mut rig, all, EndpointState::Active));
     let until = rig.now + 2 * S;
     let mut count = 0;
     while rig.now < until {
--- a/crates/policy/tests/sparse.rs
+++ b/crates/policy/tests/sparse.rs
@@ -154,9 +154,9 @@
     let mut sizes = Vec::new();
     for no in 0..400 {
         let (kind, destination) = (KindId(no as usize % 2), DestinationId(u64::from(no % 2)));
-        let entry = |no: u32, stage| {
+        let entry = |no: u32, state| {
             let (endpoint, zone) = (EndpointId(no), ZoneId(0));
-            EndpointEntry { endpoint, zone, kind, destination, stage, weight: 50.0 }
+            EndpointEntry { endpoint, zone, kind, destination, state, weight: 50.0 }
         };
         rig.turn(&[Event::EndpointChanges(vec![entry(no, EndpointState::Active)])]);
         let (id, actions) = rig.accept(destination.0, 0);
--- a/crates/sender/src/discovery/endpoint_list.rs
+++ b/crates/sender/src/discovery/endpoint_list.rs
@@ -147,7 +147,7 @@
                 zone: details.zone,
                 kind: details.kind,
                 destination: details.destination,
-                stage: state,
+                state,
                 weight: details.weight,
             },
         };
@@ -170,7 +170,7 @@
     fn drop_removed(&mut self, entries: &[EndpointEntry], complete: bool) {
         let mut removed: Vec<EndpointId> = entries
             .iter()
-            .filter(|entry| entry.stage == EndpointState::Removed)
+            .filter(|entry| entry.state == EndpointState::Removed)
             .map(|entry| entry.endpoint)
             .collect();
         if complete {
@@ -188,8 +188,8 @@
     /// The entry as the decision module is to see it: a cordoned endpoint is draining.
     fn effective_entry(&self, listed: &ListedEndpoint) -> EndpointEntry {
         let mut entry = listed.entry.clone();
-        if entry.stage == EndpointState::Active && self.cordons.holds(&listed.name) {
-            entry.stage = EndpointState::Draining;
+        if entry.state == EndpointState::Active && self.cordons.holds(&listed.name) {
+            entry.state = EndpointState::Draining;
         }
         entry
     }
--- a/crates/sender/src/peer_service/gossip.rs
+++ b/crates/sender/src/peer_service/gossip.rs
@@ -69,7 +69,7 @@
         }
         let active = listed
             .iter()
-            .filter(|entry| entry.stage == EndpointState::Active);
+            .filter(|entry| entry.state == EndpointState::Active);
         let mut routes: Vec<Route> = active.map(|entry| self.route(entry)).collect();
         routes.sort_unstable();
         routes.dedup();
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -297,7 +297,7 @@
             || self.control_buffers.is_exhausted()
     }
 
-    /// When the next stage has something to do.
+    /// When the next state has something to do.
     fn next_deadline(&self) -> Millis {
         let deadlines = [
             self.egress.next_deadline(),
--- a/crates/sender/src/pipeline/endpoint_updates.rs
+++ b/crates/sender/src/pipeline/endpoint_updates.rs
@@ -27,7 +27,7 @@
             debug!(
                 endpoint = entry.endpoint.0,
                 destination = entry.destination.0,
-                state = ?entry.stage,
+                state = ?entry.state,
                 weight = entry.weight,
                 complete,
                 "endpoint listed"
@@ -47,7 +47,7 @@
     fn cancel_attempts_to_removed(&mut self, change: &EndpointListChange, now: Millis) {
         let is_listed = |endpoint: EndpointId, active: bool| {
             change.entries.iter().any(|entry| {
-                entry.endpoint == endpoint && (entry.stage == EndpointState::Active) == active
+                entry.endpoint == endpoint && (entry.state == EndpointState::Active) == active
             })
         };
         let is_removed = |endpoint: EndpointId| {
