--- a/crates/martenlatch/src/commands.rs
+++ b/crates/martenlatch/src/commands.rs
@@ -46,14 +46,13 @@
     let log = settings.log;
     let config = read_config(settings)?;
     logging::start(&log);
-    martenlatch_sender::run(config).map_err(|error| CommandError::Serve(error.into()))
+    martenlatch_sender::run(config).map_err(CommandError::Serve)
 }
 
 fn check(settings_file: Option<&Path>) -> Result<(), CommandError> {
     let config = read_config(read_settings(settings_file)?)?;
     if let Some(peers) = &config.peers {
-        martenlatch_sender::secret(&peers.secret_file)
-            .map_err(|error| CommandError::InvalidSecret(error.into()))?;
+        martenlatch_sender::secret(&peers.secret_file).map_err(CommandError::InvalidSecret)?;
     }
     let operator = match config.operator {
         Some(address) => address.to_string(),
@@ -86,13 +85,12 @@
         file: file.to_path_buf(),
         source,
     })?;
-    program::read(&file.display().to_string(), &text)
-        .map_err(|error| CommandError::InvalidSettings(error.into()))
+    program::read(&file.display().to_string(), &text).map_err(CommandError::InvalidSettings)
 }
 
 /// The platform's configuration, with what the settings add to it.
 fn read_config(settings: Program) -> Result<Config, CommandError> {
-    let config = Config::read().map_err(|error| CommandError::InvalidConfig(error.into()))?;
+    let config = Config::read()?;
     Ok(Config {
         clients: settings.clients,
         peers: settings.peers,
--- a/crates/martenlatch/src/error.rs
+++ b/crates/martenlatch/src/error.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// An error of one of the program's libraries, whose message names the field or file.
-pub type LibraryError = Box<dyn std::error::Error + Send + Sync>;
+use martenlatch_peers::wire;
+use martenlatch_sender::{ConfigError, PeerServiceError, SenderError};
+use martenlatch_settings::text;
 
 /// Why a command failed.
 #[derive(Debug, thiserror::Error)]
@@ -19,17 +20,17 @@
         source: io::Error,
     },
     /// The settings file has a fault of form or bounds.
-    #[error("{0}")]
-    InvalidSettings(#[source] LibraryError),
+    #[error(transparent)]
+    InvalidSettings(#[from] text::Fault),
     /// The platform's configuration cannot be used.
-    #[error("{0}")]
-    InvalidConfig(#[source] LibraryError),
+    #[error(transparent)]
+    InvalidConfig(#[from] ConfigError),
     /// The file with the group's shared secret cannot be used.
-    #[error("{0}")]
-    InvalidSecret(#[source] LibraryError),
+    #[error(transparent)]
+    InvalidSecret(#[from] PeerServiceError),
     /// The sender could not start, or stopped serving.
-    #[error("{0}")]
-    Serve(#[source] LibraryError),
+    #[error(transparent)]
+    Serve(#[from] SenderError),
     /// The settings do not say where a running sender listens for peers.
     #[error("peers: the settings name none; give a file with --settings")]
     NoPeers,
@@ -65,7 +66,7 @@
     OutOfOrder,
     /// The response cannot be authenticated or decoded.
     #[error("the answer is {0}")]
-    Malformed(#[source] LibraryError),
+    Malformed(#[source] wire::Fault),
     /// The response was not complete in time.
     #[error("no whole answer in time")]
     TimedOut,
--- a/crates/martenlatch/src/members.rs
+++ b/crates/martenlatch/src/members.rs
@@ -24,8 +24,7 @@
 /// # Errors
 /// If the secret cannot be read, or the sender does not give a response that can be authenticated.
 pub fn show(peers: &Peers, as_json: bool) -> Result<(), CommandError> {
-    let secret = martenlatch_sender::secret(&peers.secret_file)
-        .map_err(|error| CommandError::InvalidSecret(error.into()))?;
+    let secret = martenlatch_sender::secret(&peers.secret_file)?;
     let members = query(peers, &secret).map_err(|source| CommandError::QueryMembers {
         address: peers.listen,
         source,
@@ -65,7 +64,7 @@
             }
             Ok(_) => return Err(QueryError::OutOfOrder),
             Err(Fault::Short) => read_more(&mut stream, &mut received)?,
-            Err(fault) => return Err(QueryError::Malformed(fault.into())),
+            Err(fault) => return Err(QueryError::Malformed(fault)),
         }
     }
     Err(QueryError::TimedOut)
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -211,9 +211,8 @@
         }
     }
 
-    /// Looks for a response to a request that is about to be given up; returns whether one has come. Nothing of the
-    /// request is written any more. A time to wait that the response names counts from when the endpoint wrote it,
-    /// though nobody waits for the response any more.
+    /// Stops writing a request that is about to be given up, then reads once more: a response that has arrived still
+    /// ends the attempt, and the wait that it asks for still holds. True if the attempt is over.
     fn read_late_response(&mut self, slot: usize, now: Millis) -> bool {
         let connection = &mut self.connections[slot];
         if connection.attempt.is_none() || !connection.connected {
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -8,8 +8,9 @@
 use super::attempt_end::EndCause;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
 
-/// How long no request may be sent to the destination, in milliseconds. Lower-case as all parsed header names.
-const RETRY_AFTER_HEADER: &str = "x-backoff-ms";
+/// How long no request may be sent to the destination, in milliseconds: what HTTP calls Retry-After. Lower-case, as all
+/// parsed header names.
+const BACKOFF_HEADER: &str = "x-backoff-ms";
 /// Longest time that an endpoint may have us wait, in milliseconds.
 const MAX_RETRY_AFTER_MS: f64 = 3.6e6;
 /// Says with the value "1" that a proxy on the way had no capacity, and the endpoint never saw the request.
@@ -122,7 +123,7 @@
 
 fn retry_after(response: &http::Response) -> Nanos {
     let millis = response
-        .header(RETRY_AFTER_HEADER)
+        .header(BACKOFF_HEADER)
         .and_then(|value| value.parse::<f64>().ok())
         .filter(|millis| millis.is_finite() && *millis > 0.0)
         .unwrap_or(0.0);
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -217,7 +217,8 @@
         }
     }
 
-    /// The destinations whose endpoints have just answered with a Retry-After.
+    /// The destinations whose endpoints have just asked for a wait. All unsent attempts to such a destination are
+    /// withdrawn, also where its endpoints are routes of their own: the next turn decides on them anew.
     fn held_back_destinations(&self) -> Vec<u64> {
         self.egress
             .results
