--- a/crates/policy/src/collections/latency_window.rs
+++ b/crates/policy/src/collections/latency_window.rs
@@ -57,7 +57,7 @@
     /// A quantile of this window if it has enough entries; else that of the other window, scaled from its median to the
     /// given one; `None` if neither has enough.
     pub(crate) fn quantile_or_scaled(
-        &self, quantile: f64, enough: usize, other: &LatencyWindow, median: Nanos,
+        &self, quantile: f64, enough: usize, other: &LatencyWindow, median: impl Fn() -> Nanos,
     ) -> Option<Nanos> {
         if self.len() >= enough {
             return Some(self.quantile(quantile));
@@ -66,7 +66,7 @@
             return None;
         }
         let ratio = other.quantile(quantile) as f64 / other.quantile(0.5).max(1) as f64;
-        Some((median as f64 * ratio) as Nanos)
+        Some((median() as f64 * ratio) as Nanos)
     }
 
     /// Number of entries, priors included.
--- a/crates/policy/src/collections/tests.rs
+++ b/crates/policy/src/collections/tests.rs
@@ -176,11 +176,11 @@
 fn a_quantile_without_enough_entries_has_the_spread_of_another_window() {
     let mut own = LatencyWindow::default();
     let mut other = LatencyWindow::default();
-    assert_eq!(own.quantile_or_scaled(1.0, 3, &other, 50), None);
+    assert_eq!(own.quantile_or_scaled(1.0, 3, &other, || 50), None);
     [10, 20, 40].iter().for_each(|latency| other.learn(*latency));
-    assert_eq!(own.quantile_or_scaled(1.0, 3, &other, 50), Some(100));
+    assert_eq!(own.quantile_or_scaled(1.0, 3, &other, || 50), Some(100));
     (0..3).for_each(|_| own.learn(70));
-    assert_eq!(own.quantile_or_scaled(1.0, 3, &other, 50), Some(70));
+    assert_eq!(own.quantile_or_scaled(1.0, 3, &other, || 50), Some(70));
 }
 
 #[test]
--- a/crates/policy/src/policy/dispatch.rs
+++ b/crates/policy/src/policy/dispatch.rs
@@ -153,9 +153,9 @@
     /// A route that was hardly called has the spread of all routes around its typical latency.
     pub(super) fn p95_latency(&self, route: RouteKey) -> Nanos {
         let (own, pooled) = (&self.routes[&route].latencies, &self.pooled_latencies);
-        let typical = self.typical_latency(route);
+        let typical = || self.typical_latency(route);
         let p95 = own.quantile_or_scaled(HEDGE_QUANTILE, MIN_LATENCY_SAMPLES, pooled, typical);
-        p95.unwrap_or(3 * typical)
+        p95.unwrap_or_else(|| 3 * typical())
     }
 
     pub(super) fn overdue_after(&self, route: RouteKey) -> Nanos {
