Answer or leave unread what clients send behind the last answer of a connection

Change: during a shutdown the answer says Connection: close and the connection stays readable, so that a request on it all the same is answered (202 while messages are accepted, 503 after it). Behind other last answers (the client asked for it, 400, 404, 405, 408, rejected partial requests) nothing is read any more: closing resets the connection, and the client knows that it may send again. The sending side is shut only once the answer is written whole. All connections are closed in one place, which counts and logs a connection that is owed an answer (counter violations). The buffer pool covers clients that read their last answer, too. Log at DEBUG: connected, request read with its id, answered, closed and why. The test a_request_behind_the_last_answer_of_its_connection_is_not_accepted held the fault for right during a shutdown; it now holds where the client itself ended its connection, and also asks for the reset; requests_behind_the_answers_of_a_shutdown_are_answered takes the rest.

--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -19,6 +19,7 @@
 mod peer_snapshot;
 mod pipeline;
 mod process_replacement;
+mod safety;
 mod serve;
 mod startup;
 
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -29,6 +29,7 @@
 use crate::jitter::Jitter;
 use crate::operator;
 use crate::peer_service::PeerService;
+use crate::safety::ViolationCounter;
 
 /// An input and an output buffer for each connection.
 const BUFFERS_PER_CONNECTION: usize = 2;
@@ -219,7 +220,15 @@
         let jitter = Jitter::new(config.seed);
         let limits = client_limits(config, settings, &capacity);
         let classes = ingress_classes(config);
-        let ingress = Ingress::open(foundation.listener, handle, limits, classes, jitter.clone())?;
+        let violations = ViolationCounter::default();
+        let ingress = Ingress::open(
+            foundation.listener,
+            handle,
+            limits,
+            classes,
+            jitter.clone(),
+            violations.clone(),
+        )?;
         let class_metrics = ClassMetrics::new(&config.platform_settings.classes);
         Ok(Driver {
             names: SettingsNames::of(config),
@@ -237,6 +246,7 @@
             unfinished_sources: Vec::new(),
             shutdown_started: None,
             clock,
+            violations,
             handle: handle.clone(),
             control_buffers,
         })
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -20,6 +20,7 @@
 use crate::event_source::{EventSource, Handle};
 use crate::operator::Operators;
 use crate::peer_service::PeerService;
+use crate::safety::ViolationCounter;
 
 /// A message that is still open so long after its deadline is ended here. The decision module should have ended it;
 /// this makes sure that its status report leaves before the platform counts the message as lost.
@@ -39,6 +40,8 @@
     /// The most descriptors the process may have open.
     pub(super) descriptor_limit: usize,
     pub(super) clock: Clock,
+    /// Steps that would have broken a safety rule.
+    pub(super) violations: ViolationCounter,
     pub(super) handle: Handle,
     /// Buffers for the watch and the status reports, of which attempts must not take the last one.
     pub(super) control_buffers: BufferPool,
--- a/crates/sender/src/pipeline/ingress/accept.rs
+++ b/crates/sender/src/pipeline/ingress/accept.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 
 use martenlatch_clock::Millis;
-use tracing::warn;
+use tracing::{debug, warn};
 
 use super::{Client, Ingress};
 use crate::counters::Counters;
@@ -50,8 +50,13 @@
         }
         let entry = self.clients.vacant_entry();
         let source = EventSource::Client(entry.key());
-        if let Ok(connection) = Connection::new(stream, &self.handle, &self.pool, source) {
-            entry.insert(Client::new(connection, now));
+        match Connection::new(stream, &self.handle, &self.pool, source) {
+            Ok(connection) => {
+                debug!(client = entry.key(), "client connected");
+                entry.insert(Client::new(connection, now));
+            }
+            // Nothing has been read: the client sees a reset, or the end of a connection on which nothing was done.
+            Err(error) => warn!(error = ?error.kind(), "client connection not watched"),
         }
     }
 
--- a/crates/sender/src/pipeline/ingress/answers.rs
+++ b/crates/sender/src/pipeline/ingress/answers.rs
@@ -2,8 +2,10 @@
 
 use martenlatch_clock::Millis;
 use martenlatch_http as http;
+use tracing::debug;
 
 use super::Ingress;
+use super::closing::CloseReason;
 use crate::pipeline::admission::AdmissionDecision;
 
 const STATUS_ACCEPTED: u16 = 202;
@@ -45,8 +47,8 @@
             return false;
         };
         client.awaiting_answer = false;
-        client.close_after_answer |= shutting_down;
-        let answer = http::encode_response(status, headers, client.close_after_answer);
+        let announces_close = client.close_after_answer || shutting_down;
+        let answer = http::encode_response(status, headers, announces_close);
         let queued = client.connection.queue(&answer);
         client.connection.flush();
         // A client that has closed its side may only have sent all it wants to send. If it has left, it has reset the
@@ -54,14 +56,27 @@
         let left = !queued
             || client.connection.broken
             || (client.connection.eof && client.connection.peer_reset());
+        debug!(
+            client = index,
+            status, announces_close, left, "client answered"
+        );
         if left {
-            self.clients.remove(index);
-        } else if client.close_after_answer {
-            client.connection.shutdown_write();
+            let reason = if queued {
+                CloseReason::ClientLeft
+            } else {
+                CloseReason::NoBuffer
+            };
+            self.close(index, reason);
+            return false;
+        }
+        if client.close_after_answer {
             client.closing = true;
+            client.finish_sending();
+        }
+        if announces_close {
             client.since = now;
         }
-        !left
+        true
     }
 
     /// Rejects a client's request for now.
--- a/crates/sender/src/pipeline/ingress/client.rs
+++ b/crates/sender/src/pipeline/ingress/client.rs
@@ -19,10 +19,11 @@
     pub(in crate::pipeline) served: bool,
     /// When its request began, or its connection, or its closing.
     pub(in crate::pipeline) since: Millis,
-    /// It has had its last answer, which it may still read.
+    /// It has been given its last answer, which it may still read. Nothing more is read from it.
     pub(in crate::pipeline) closing: bool,
-    /// Bytes read, and ignored, since its last answer.
-    pub(in crate::pipeline) drained: usize,
+    /// How often the sending side was shut down behind the last answer: 0 or 1. A number, because an earlier version
+    /// passed a number to its successor here.
+    pub(in crate::pipeline) shutdowns: usize,
 }
 
 impl<C> Client<C> {
@@ -36,7 +37,7 @@
             served: false,
             since: now,
             closing: false,
-            drained: 0,
+            shutdowns: 0,
         }
     }
 
@@ -50,7 +51,7 @@
             served: self.served,
             since: self.since,
             closing: self.closing,
-            drained: self.drained,
+            shutdowns: self.shutdowns,
         }
     }
 }
@@ -61,6 +62,19 @@
         !self.connection.bytes().is_empty()
     }
 
+    /// Whether the client is owed something: the answer to a request that has been read, wholly or in part, or the rest
+    /// of an answer that is not written yet. Its connection must not be closed before.
+    pub(in crate::pipeline) fn is_owed_answer(&self) -> bool {
+        self.awaiting_answer || !self.connection.is_flushed() || (self.has_input() && !self.closing)
+    }
+
+    /// Whether no answer can reach the client any more: it has reset the connection, or it has ended its sending
+    /// before its request was complete.
+    pub(in crate::pipeline) fn has_left(&self) -> bool {
+        let answered = !self.awaiting_answer && self.connection.is_flushed();
+        self.connection.broken || (self.connection.eof && answered)
+    }
+
     /// Reads what has arrived. True if there may be more.
     ///
     /// The time of a request counts from its first byte, not from the end of the last request; that of the first
@@ -69,16 +83,19 @@
         self.connection.flush();
         let was_idle = !self.has_input();
         let more = self.connection.receive();
-        if was_idle && self.served && !self.closing && self.has_input() {
+        if was_idle && self.served && self.has_input() {
             self.since = now;
         }
         more
     }
 
-    /// Ignores all that has arrived.
-    pub(super) fn drain(&mut self) {
-        let length = self.connection.bytes().len();
-        self.connection.consume(length);
-        self.drained += length;
+    /// Goes on with the end of a connection whose last answer is queued: writes the rest of the answer, and shuts the
+    /// sending side down behind it. Nothing is read: what the client may have sent behind its last request stays in
+    /// the kernel, so that closing the connection resets it, and the client knows that it may send that again.
+    pub(super) fn finish_sending(&mut self) {
+        if self.connection.flush() && self.connection.is_flushed() && self.shutdowns == 0 {
+            self.connection.shutdown_write();
+            self.shutdowns = 1;
+        }
     }
 }
--- /dev/null
+++ b/crates/sender/src/pipeline/ingress/closing.rs
@@ -0,0 +1,69 @@
+//! The one place where clients' connections are closed.
+
+use tracing::debug;
+
+use super::Ingress;
+use crate::safety::{self, CloseFacts};
+
+/// Why a client's connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::pipeline) enum CloseReason {
+    /// The client has reset the connection, or ended its sending before its request was complete.
+    ClientLeft,
+    /// The client has had time to read its last answer.
+    Answered,
+    /// The connection was idle for too long.
+    Idle,
+    /// Another client needs its place.
+    Evicted,
+    /// The process is shutting down.
+    Shutdown,
+    /// Its answer found no buffer.
+    NoBuffer,
+    /// The process makes room for its successor.
+    Replacement,
+}
+
+impl Ingress {
+    /// Closes a client's connection. One that is owed an answer must not be closed: this is counted as a violation.
+    pub(in crate::pipeline) fn close(&mut self, index: usize, reason: CloseReason) {
+        let Some(client) = self.clients.try_remove(index) else {
+            return;
+        };
+        debug!(
+            client = index,
+            ?reason,
+            closing = client.closing,
+            unparsed = client.connection.bytes().len(),
+            "client connection closed"
+        );
+        let facts = CloseFacts {
+            answer_owed: client.is_owed_answer(),
+            client_left: client.has_left(),
+        };
+        self.violations
+            .check(safety::may_close(facts), format_args!("client {index}"));
+    }
+
+    /// Closes the connections for which a condition holds.
+    pub(super) fn close_where(
+        &mut self,
+        reason: CloseReason,
+        condition: impl Fn(&super::Client) -> bool,
+    ) {
+        let indices: Vec<usize> = self
+            .clients
+            .iter()
+            .filter(|(_, client)| condition(client))
+            .map(|(index, _)| index)
+            .collect();
+        for index in indices {
+            self.close(index, reason);
+        }
+    }
+
+    /// Closes all connections, as the process is about to exit.
+    pub(in crate::pipeline) fn close_all(&mut self) {
+        self.close_where(CloseReason::Shutdown, |_| true);
+    }
+}
--- a/crates/sender/src/pipeline/ingress/eviction.rs
+++ b/crates/sender/src/pipeline/ingress/eviction.rs
@@ -2,6 +2,7 @@
 
 use martenlatch_clock::Millis;
 
+use super::closing::CloseReason;
 use super::{Client, Ingress};
 
 /// A client that has just connected is about to send its request; after this time it may be evicted first.
@@ -9,6 +10,11 @@
 /// The share of `max_clients` that may be exceeded by clients that read their last answer, as a divisor.
 const LINGERING_DIVISOR: usize = 8;
 
+/// The most connections that there can be, those of clients that read their last answer included.
+pub(super) fn most_connections(max_clients: usize) -> usize {
+    max_clients + max_clients / LINGERING_DIVISOR + 1
+}
+
 /// The groups of clients, in the order in which they are evicted.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionRank {
@@ -46,13 +52,13 @@
 }
 
 impl Ingress {
-    /// The clients that do not wait for an answer, in the order in which they are evicted: within a rank, the longest
+    /// The clients that do not wait for an answer, nor for the rest of one, in the order in which they are evicted: within a rank, the longest
     /// there first.
     fn eviction_order(&self, now: Millis) -> Vec<EvictionCandidate> {
         let mut order: Vec<EvictionCandidate> = self
             .clients
             .iter()
-            .filter(|(_, client)| !client.awaiting_answer)
+            .filter(|(_, client)| !client.awaiting_answer && client.connection.is_flushed())
             .map(|(index, client)| EvictionCandidate {
                 rank: rank(client, now),
                 since: client.since,
@@ -91,7 +97,7 @@
             self.reject_partial_request(slowest.client, now);
             // The rest of its request is on the way. Closing now would reset the connection and destroy the answer.
             if !may_linger {
-                self.clients.try_remove(slowest.client);
+                self.close(slowest.client, CloseReason::Evicted);
             }
         }
     }
@@ -100,7 +106,7 @@
     /// lose a message. False if there is none.
     fn evict_without_request(&mut self, order: &[EvictionCandidate]) -> bool {
         for candidate in order {
-            if self.remove_if_idle(candidate.client) {
+            if self.close_if_idle(candidate.client, CloseReason::Evicted) {
                 return true;
             }
             if candidate.rank == EvictionRank::InRequest {
@@ -111,12 +117,14 @@
     }
 
     /// Closes a connection unless a request has arrived on it, which is looked for first.
-    fn remove_if_idle(&mut self, index: usize) -> bool {
+    fn close_if_idle(&mut self, index: usize, reason: CloseReason) -> bool {
         let client = &mut self.clients[index];
-        client.connection.receive();
+        if !client.closing {
+            client.connection.receive();
+        }
         let idle = client.closing || !client.has_input();
         if idle {
-            self.clients.remove(index);
+            self.close(index, reason);
         }
         idle
     }
@@ -132,7 +140,7 @@
             if self.clients.len() <= limit {
                 break;
             }
-            self.remove_if_idle(candidate.client);
+            self.close_if_idle(candidate.client, CloseReason::Replacement);
         }
         self.clients.len()
     }
--- a/crates/sender/src/pipeline/ingress/mod.rs
+++ b/crates/sender/src/pipeline/ingress/mod.rs
@@ -6,6 +6,7 @@
 mod accept;
 mod answers;
 mod client;
+mod closing;
 mod eviction;
 mod receive;
 mod request;
@@ -23,9 +24,9 @@
 use crate::error::SenderError;
 use crate::event_source::{EventSource, Handle};
 use crate::jitter::Jitter;
+use crate::safety::ViolationCounter;
 
 pub use client::Client;
-#[cfg(test)]
 pub(super) use eviction::NEWCOMER_GRACE;
 pub use request::IncomingMessage;
 
@@ -64,11 +65,13 @@
     next_sweep: Millis,
     /// When to accept again after running out of descriptors.
     pub(super) accept_retry_at: Option<Millis>,
-    /// Each client's next answer is its last.
+    /// The process is shutting down: each answer asks its client to end the connection. Until the connection ends,
+    /// requests that come on it all the same are answered.
     pub(super) shutting_down: bool,
     /// The classes of requests that were rejected before they were complete, until these are counted.
     pub(super) rejected_partial: Vec<usize>,
     jitter: Jitter,
+    violations: ViolationCounter,
 }
 
 impl Drop for Ingress {
@@ -92,6 +95,7 @@
         limits: ClientLimits,
         classes: Vec<IngressClass>,
         jitter: Jitter,
+        violations: ViolationCounter,
     ) -> Result<Ingress, SenderError> {
         let listener = Rc::new(listener);
         let registration = http::register(handle, listener.clone(), EventSource::ClientListener)
@@ -100,7 +104,9 @@
             listener: Some(listener),
             registration: Some(registration),
             handle: handle.clone(),
-            pool: BufferPool::new(BUFFERS_PER_CLIENT * limits.max_clients),
+            pool: BufferPool::new(
+                BUFFERS_PER_CLIENT * eviction::most_connections(limits.max_clients),
+            ),
             clients: Slab::new(),
             limits,
             classes,
@@ -109,6 +115,7 @@
             shutting_down: false,
             rejected_partial: Vec::new(),
             jitter,
+            violations,
         })
     }
 
--- a/crates/sender/src/pipeline/ingress/receive.rs
+++ b/crates/sender/src/pipeline/ingress/receive.rs
@@ -2,15 +2,13 @@
 
 use martenlatch_clock::Millis;
 use martenlatch_http::{self as http, Parsed};
+use tracing::debug;
 
+use super::closing::CloseReason;
 use super::request::{ClientRequest, RequestError};
 use super::{IncomingMessage, Ingress};
 use crate::counters::Counters;
 
-/// The most bytes read from a client after its last answer, so that closing does not destroy the answer. A client that
-/// sends more is not worth the time.
-const MAX_DRAINED_BYTES: usize = 1 << 20;
-
 const STATUS_OK: u16 = 200;
 const CONTINUE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -26,16 +24,17 @@
         let Some(client) = self.clients.get_mut(index) else {
             return false;
         };
-        let more = client.receive(now);
         if client.closing {
-            return self.drain_closing(index) && more;
+            self.finish_closing(index);
+            return false;
         }
+        let more = client.receive(now);
         if client.awaiting_answer {
             return false;
         }
         if client.connection.broken {
             counters.clients_left += u64::from(client.has_input());
-            self.clients.remove(index);
+            self.close(index, CloseReason::ClientLeft);
             return false;
         }
         if !client.has_input() {
@@ -59,23 +58,20 @@
         }
     }
 
-    /// Ignores what a client sends after its last answer. False once its connection is gone.
-    fn drain_closing(&mut self, index: usize) -> bool {
+    /// Goes on with the end of a connection that has been given its last answer. Nothing is read from it.
+    fn finish_closing(&mut self, index: usize) {
         let client = &mut self.clients[index];
-        client.drain();
-        let connection = &client.connection;
-        let done = connection.eof || connection.broken || client.drained > MAX_DRAINED_BYTES;
-        if done {
-            self.clients.remove(index);
+        client.finish_sending();
+        if client.connection.broken {
+            self.close(index, CloseReason::ClientLeft);
         }
-        !done
     }
 
     /// Removes a client that has closed its side before its request was complete. True if it is gone.
     fn remove_if_ended(&mut self, index: usize) -> bool {
         let ended = self.clients[index].connection.eof;
         if ended {
-            self.clients.remove(index);
+            self.close(index, CloseReason::ClientLeft);
         }
         ended
     }
@@ -112,18 +108,17 @@
         received: &mut Vec<IncomingMessage>,
         counters: &mut Counters,
     ) {
-        let shutting_down = self.shutting_down;
         let client = &mut self.clients[index];
         client.connection.consume(request.consumed);
         client.since = now;
         client.continued = false;
-        client.close_after_answer =
-            request.closes_connection || client.connection.eof || shutting_down;
+        client.close_after_answer = request.closes_connection || client.connection.eof;
         match self.parse(request, index, now) {
             Ok(ClientRequest::Message(message)) => {
                 let client = &mut self.clients[index];
                 client.awaiting_answer = true;
                 client.served = true;
+                debug!(client = index, id = %message.id, "request read");
                 received.push(message);
             }
             Ok(ClientRequest::HealthCheck) => {
--- a/crates/sender/src/pipeline/ingress/sweep.rs
+++ b/crates/sender/src/pipeline/ingress/sweep.rs
@@ -3,6 +3,7 @@
 use martenlatch_clock::Millis;
 use martenlatch_settings::program::Clients;
 
+use super::closing::CloseReason;
 use super::{Client, Ingress};
 use crate::counters::Counters;
 use crate::event_source::EventSource;
@@ -29,7 +30,12 @@
 fn judge(client: &Client, timeouts: Clients, now: Millis) -> SweepVerdict {
     let age = now - client.since;
     if client.closing {
-        return if age <= LINGER {
+        let limit = if client.connection.is_flushed() {
+            LINGER
+        } else {
+            timeouts.request_ms
+        };
+        return if age <= limit {
             SweepVerdict::Keep
         } else {
             SweepVerdict::Close
@@ -60,22 +66,25 @@
         }
         self.next_sweep = now + SWEEP_INTERVAL;
         let timeouts = self.limits.timeouts;
-        self.clients
-            .retain(|index, client| match judge(client, timeouts, now) {
-                SweepVerdict::Keep => true,
-                SweepVerdict::Close => false,
-                SweepVerdict::TimeOutRequest => {
-                    timed_out.push(index);
-                    true
-                }
+        let mut to_close = Vec::new();
+        for (index, client) in &mut self.clients {
+            match judge(client, timeouts, now) {
+                SweepVerdict::Keep => {}
+                SweepVerdict::Close => to_close.push((index, CloseReason::Answered)),
+                SweepVerdict::TimeOutRequest => timed_out.push(index),
                 SweepVerdict::CloseIfIdle => {
                     client.connection.receive();
                     if client.has_input() {
                         just_arrived.push(EventSource::Client(index));
+                    } else {
+                        to_close.push((index, CloseReason::Idle));
                     }
-                    client.has_input()
                 }
-            });
+            }
+        }
+        for (index, reason) in to_close {
+            self.close(index, reason);
+        }
         for index in timed_out {
             self.clients[index].close_after_answer = true;
             self.answer(index, STATUS_REQUEST_TIMEOUT, "", now);
@@ -92,17 +101,22 @@
     ) -> Vec<EventSource> {
         self.stop_accepting(now, counters);
         let mut to_read = Vec::new();
-        self.clients.retain(|index, client| {
+        for (index, client) in &mut self.clients {
+            if client.closing {
+                continue;
+            }
             let before = client.connection.bytes().len();
             client.connection.receive();
-            let in_request = !client.closing && client.has_input();
             // An incomplete request is read again only when more of it has arrived: the loop must not spin on it.
-            if in_request && client.connection.bytes().len() > before {
+            if client.connection.bytes().len() > before {
                 to_read.push(EventSource::Client(index));
             }
-            // The request of a client that has just connected may be on its way.
-            let newcomer = now < client.since + SWEEP_INTERVAL;
-            in_request || client.awaiting_answer || client.closing || newcomer
+        }
+        // The request of a client that has just connected may be on its way; one that has just been answered reads its
+        // answer, which a reset could destroy.
+        let recent = |client: &Client| now < client.since + SWEEP_INTERVAL;
+        self.close_where(CloseReason::Shutdown, |client| {
+            !client.is_owed_answer() && !client.closing && !recent(client)
         });
         to_read
     }
--- a/crates/sender/src/pipeline/metrics.rs
+++ b/crates/sender/src/pipeline/metrics.rs
@@ -9,6 +9,7 @@
     /// Writes all counters to the log.
     pub fn print_counters(&mut self) {
         self.store.counters.endpoint_connections = self.egress.connections_opened;
+        self.store.counters.violations = self.violations.total();
         if let Some(peers) = &self.peers {
             peers.print_counters();
         }
--- a/crates/sender/src/pipeline/shutdown.rs
+++ b/crates/sender/src/pipeline/shutdown.rs
@@ -9,6 +9,7 @@
 use tracing::info;
 
 use super::driver::Driver;
+use super::ingress::NEWCOMER_GRACE;
 
 /// How long after SIGTERM messages are still accepted: clients learn only by their connections that this sender ends.
 pub(super) const ACCEPT_UNTIL: Millis = 600.0;
@@ -70,9 +71,10 @@
         if now >= started + REJECT_PARTIAL_REQUESTS {
             self.ingress.reject_partial_requests(now);
         }
-        if self.has_unanswered_clients() && now < started + EXIT {
+        if self.has_unanswered_clients(now) && now < started + EXIT {
             return false;
         }
+        self.ingress.close_all();
         self.egress.read_final_responses(now);
         self.process_attempt_results(now);
         true
@@ -83,11 +85,11 @@
         self.egress.active_attempts() == 0 && self.status_reporter.is_done() && self.store.open == 0
     }
 
-    /// Whether a client is connected that has not had its last answer.
-    fn has_unanswered_clients(&self) -> bool {
-        self.ingress
-            .clients
-            .iter()
-            .any(|(_, client)| !client.closing)
+    /// Whether a client is owed an answer, or has just connected and is about to send its request.
+    fn has_unanswered_clients(&self, now: Millis) -> bool {
+        self.ingress.clients.iter().any(|(_, client)| {
+            let newcomer = !client.served && now < client.since + NEWCOMER_GRACE;
+            client.is_owed_answer() || (newcomer && !client.closing)
+        })
     }
 }
--- a/crates/sender/src/pipeline/tests/ingress.rs
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -191,31 +191,75 @@
     );
 }
 
+/// Like [`REQUEST`], with another id and further header lines.
+fn request_with(id: &str, headers: &str) -> Vec<u8> {
+    String::from_utf8_lossy(REQUEST)
+        .replace(
+            "X-Request-ID: q\r\n",
+            &format!("X-Request-ID: {id}\r\n{headers}"),
+        )
+        .into_bytes()
+}
+
+/// What has come for a client so far.
+fn read_available(client: &mut std::net::TcpStream) -> String {
+    use std::io::Read;
+    client.set_nonblocking(true).unwrap();
+    let mut bytes = Vec::new();
+    let _ = client.read_to_end(&mut bytes);
+    String::from_utf8(bytes).unwrap()
+}
+
 #[test]
 fn a_request_behind_the_last_answer_of_its_connection_is_not_accepted() {
     use std::io::Write;
-    // The message could not be answered: the sender has closed its side of the connection.
-    let (mut driver, _clock, _events) = resumed("behind", "127.77.0.1:9".parse().unwrap());
+    // The client asked for the end of its connection: what it sends behind that is not read, and closing the
+    // connection resets it, so that the client knows that it may send the request again.
+    let (mut driver, clock, _events) = resumed("behind", "127.77.0.1:9".parse().unwrap());
     let mut client = idle_client(&mut driver);
-    driver.end();
-    client.write_all(REQUEST).unwrap();
+    client
+        .write_all(&request_with("q", "Connection: close\r\n"))
+        .unwrap();
     until(|| {
         driver.round(vec![EventSource::Client(0)]);
         driver.store.counters.accepted == 1
     });
-    client
-        .write_all(
-            &String::from_utf8_lossy(REQUEST)
-                .replace("ID: q", "ID: r")
-                .into_bytes(),
-        )
-        .unwrap();
+    client.write_all(&request_with("r", "")).unwrap();
     (0..50).for_each(|_| _ = driver.round(vec![EventSource::Client(0)]));
     assert_eq!(driver.store.counters.accepted, 1);
-    let text = read_to_end(&mut client).expect("reset");
+    let text = read_available(&mut client);
     assert!(
         text.starts_with("HTTP/1.1 202") && text.contains("Connection: close"),
         "{text}"
     );
     assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    assert!(matches!(client.take_error(), Ok(None)), "not reset yet");
+    clock.set(clock.now() + 1_000.0);
+    driver.round(Vec::new());
+    until(|| !matches!(client.take_error(), Ok(None)));
+    assert_eq!(driver.violations.total(), 0);
+}
+
+#[test]
+fn requests_behind_the_answers_of_a_shutdown_are_answered() {
+    use std::io::Write;
+    let (mut driver, clock, _events) = resumed("shutdown-busy", "127.77.0.1:9".parse().unwrap());
+    let mut client = idle_client(&mut driver);
+    driver.end();
+    for (id, stopped, status) in [("q", false, "202"), ("r", false, "202"), ("s", true, "503")] {
+        if stopped {
+            clock.set(clock.now() + ACCEPT_UNTIL + 1.0);
+        }
+        client.write_all(&request_with(id, "")).unwrap();
+        let mut text = String::new();
+        until(|| {
+            driver.round(vec![EventSource::Client(0)]);
+            text += &read_available(&mut client);
+            !text.is_empty()
+        });
+        assert!(text.starts_with(&format!("HTTP/1.1 {status}")), "{text}");
+        assert!(text.contains("Connection: close"), "{text}");
+    }
+    assert_eq!(driver.store.counters.accepted, 2);
+    assert_eq!(driver.violations.total(), 0);
 }
