Reproduce attempts that are sent after the end of their message

An attempt whose connection comes up in the round in which its message is delivered, or in which it is given up, is recorded and sent all the same: record_attempt asks only whether the message is still held, which it is while an attempt is in flight.

--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -231,3 +231,53 @@
     });
     assert_eq!(driver.store.counters.success, 1);
 }
+
+/// An attempt of the resumed message, as the decision module asks for it.
+fn send_action(now: Millis) -> Action {
+    Action::Send {
+        id: MessageId(3),
+        endpoint: EndpointId(0),
+        timeout: nanos(1_000.0),
+        latest: nanos(now + 1_000.0),
+    }
+}
+
+/// Whether any byte comes on a new connection to an endpoint.
+fn receives_bytes(driver: &mut Driver, endpoint: &TcpListener) -> bool {
+    use std::io::Read;
+    endpoint.set_nonblocking(true).unwrap();
+    let mut bytes = Vec::new();
+    for _ in 0..20 {
+        driver.round((0..4).map(EventSource::Endpoint).collect());
+        if let Ok((mut stream, _)) = endpoint.accept() {
+            stream.set_nonblocking(true).unwrap();
+            std::thread::sleep(std::time::Duration::from_millis(20));
+            let _ = stream.read_to_end(&mut bytes);
+        }
+    }
+    !bytes.is_empty()
+}
+
+#[test]
+fn an_attempt_of_a_message_that_is_given_up_in_the_same_turn_is_not_sent() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("sent-behind", endpoint.local_addr().unwrap());
+    let now = clock.now();
+    let id = MessageId(3);
+    driver.perform(vec![send_action(now), Action::Fail { id }], now);
+    assert!(!receives_bytes(&mut driver, &endpoint));
+}
+
+#[test]
+fn a_hedge_that_has_not_begun_is_not_sent_once_its_message_is_delivered() {
+    use std::io::Write;
+    // The answer of the first attempt and the connection of the second come in the same round.
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("late-hedge", endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
+    driver.perform_one(send_action(clock.now()), clock.now());
+    peer.write_all(OK).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    assert!(!receives_bytes(&mut driver, &endpoint));
+    assert_eq!(driver.store.open, 0, "it is delivered");
+}
