Ask one gate before every request's first byte, and send nothing for a message that is over

Cause: record_attempt let an attempt begin whenever its message was still held, which it is while any attempt is in flight; so a hedge whose connection came up in the round of the delivery, or an attempt of a message that was given up in the same turn, went out behind the message's end. Change: when a message ends, its requests whose last byte is not written are withdrawn. What breaks a rule is not sent, is logged and counted (sender_violations in the operators' figures).

--- a/crates/sender/src/class_metrics.rs
+++ b/crates/sender/src/class_metrics.rs
@@ -43,6 +43,8 @@
     pub cluster_size: usize,
     /// Endpoints in the endpoint list that get no messages now.
     pub cluster_unhealthy: usize,
+    /// Steps since the start of the process that would have broken a safety rule; each is a defect.
+    pub violations: u64,
 }
 
 impl ClassMetrics {
@@ -98,11 +100,12 @@
             current,
             cluster_size,
             cluster_unhealthy,
+            violations,
         } = gauges;
         let _ = writeln!(
             text,
             "sender_current {current}\nsender_cluster_size {cluster_size}\n\
-             sender_cluster_unhealthy {cluster_unhealthy}\n--"
+             sender_cluster_unhealthy {cluster_unhealthy}\nsender_violations {violations}\n--"
         );
         text
     }
@@ -125,9 +128,10 @@
             current,
             cluster_size,
             cluster_unhealthy,
+            violations,
         } = gauges;
         tracing::info!(
-            "metrics current={current} cluster_size={cluster_size} cluster_unhealthy={cluster_unhealthy}"
+            "metrics current={current} cluster_size={cluster_size} cluster_unhealthy={cluster_unhealthy} violations={violations}"
         );
     }
 }
--- a/crates/sender/src/class_rules.rs
+++ b/crates/sender/src/class_rules.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use martenlatch_clock::{Millis, millis};
 use martenlatch_policy::interface::{Idempotency, MessageClass, Settings};
 use serde::{Deserialize, Serialize};
 
@@ -102,6 +103,16 @@
             .is_none_or(|index| self.0[index].non_idempotent)
     }
 
+    /// How long endpoints remember the keys of a class, in milliseconds; none if it has none, or it is unknown.
+    pub fn idempotency_window(&self, name: &str, rules: &[u8]) -> Option<Millis> {
+        let index = self.index_of(name, rules)?;
+        let class = postcard::from_bytes::<MessageClass>(&self.0[index].rules).ok()?;
+        match class.idempotency {
+            Idempotency::IdempotencyKey { window, .. } => Some(millis(window)),
+            Idempotency::Idempotent | Idempotency::NonIdempotent => None,
+        }
+    }
+
     /// The class of a number that [`ClassRules::index_of`] gave.
     pub fn get(&self, index: usize) -> &ClassRule {
         &self.0[index]
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -66,8 +66,6 @@
     gone,
     /// Messages that had to be ended after their deadline.
     ended_late,
-    /// Steps that would have broken a safety rule; each is a defect.
-    violations,
     /// Rounds of the event loop.
     rounds,
     /// Turns of the decision module that returned actions.
--- a/crates/sender/src/discovery/endpoint_list.rs
+++ b/crates/sender/src/discovery/endpoint_list.rs
@@ -223,6 +223,13 @@
             .map(|(id, listed)| (*id, self.cordons.holds(&listed.name)))
     }
 
+    /// Whether an endpoint is listed as active, and not cordoned.
+    pub fn is_active(&self, endpoint: EndpointId) -> bool {
+        self.endpoints.get(&endpoint).is_some_and(|listed| {
+            listed.entry.state == EndpointState::Active && !self.cordons.holds(&listed.name)
+        })
+    }
+
     /// The address of an endpoint; none if it is not listed.
     pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
         self.endpoints.get(&endpoint).map(|listed| listed.address)
--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -154,6 +154,11 @@
             .map_or(0, |listed| listed.entry.kind.0)
     }
 
+    /// Whether an endpoint takes new requests: it is listed as active and is not cordoned.
+    pub fn accepts_requests(&self, endpoint: EndpointId) -> bool {
+        self.list.is_active(endpoint)
+    }
+
     /// The name under which discovery lists an endpoint.
     pub fn endpoint_name(&self, endpoint: EndpointId) -> Option<String> {
         let listed = self.list.endpoints.get(&endpoint)?;
--- a/crates/sender/src/egress/attempt.rs
+++ b/crates/sender/src/egress/attempt.rs
@@ -36,6 +36,8 @@
     pub id: MessageId,
     /// The number of the message's attempt, from 0.
     pub attempt: u32,
+    /// The endpoint that it went to; none if it never came to a connection.
+    pub endpoint: Option<EndpointId>,
     /// How it ended.
     pub outcome: Outcome,
     /// How long it took from its start, in milliseconds.
@@ -82,6 +84,7 @@
         AttemptResult {
             id: self.id,
             attempt: self.attempt,
+            endpoint: None,
             outcome,
             took: now - self.started_at,
             message_over: false,
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -90,6 +90,7 @@
         connection.idle_since = now;
         let idle_before = connection.idle_before;
         self.results.push(AttemptResult {
+            endpoint: Some(connection.endpoint),
             message_over: meaning.message_over,
             ..attempt.result(meaning.outcome, now)
         });
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -169,7 +169,11 @@
     ///
     /// The record is not written earlier, before the connection is established: if the process was killed meanwhile,
     /// a message that must not be repeated would count as sent, and end without an attempt.
-    pub fn send_ready(&mut self, mut record: impl FnMut(MessageId, u32) -> bool, now: Millis) {
+    pub fn send_ready(
+        &mut self,
+        mut record: impl FnMut(MessageId, u32, EndpointId) -> bool,
+        now: Millis,
+    ) {
         for slot in std::mem::take(&mut self.established) {
             let Some(connection) = self.connections.get_mut(slot) else {
                 continue;
@@ -180,10 +184,11 @@
             let Some(attempt) = connection.attempt else {
                 continue;
             };
+            let endpoint = connection.endpoint;
             // A connection that was established late must not carry a retry beyond the time for which the endpoint
             // remembers its idempotency key: it would take effect twice.
             let late = now > attempt.latest_start;
-            if late || connection.is_closed() || !record(attempt.id, attempt.attempt) {
+            if late || connection.is_closed() || !record(attempt.id, attempt.attempt, endpoint) {
                 self.end_attempt(slot, EndCause::Withdrawn, now);
                 continue;
             }
@@ -255,6 +260,19 @@
         }
     }
 
+    /// Withdraws the requests of a message that is over, as far as their last byte has not been written: it would run
+    /// in vain.
+    pub fn withdraw_incomplete(&mut self, id: MessageId, now: Millis) {
+        let incomplete = self.connections.slots_where(|connection| {
+            connection
+                .attempt
+                .is_some_and(|attempt| attempt.id == id && !connection.is_fully_sent())
+        });
+        for slot in incomplete {
+            self.end_attempt(slot, EndCause::Withdrawn, now);
+        }
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&mut self, endpoint: EndpointId) {
         self.connections
--- a/crates/sender/src/pipeline/actions.rs
+++ b/crates/sender/src/pipeline/actions.rs
@@ -6,6 +6,7 @@
 
 use super::dispatch::Attempt;
 use super::driver::Driver;
+use super::send_gate::SendGate;
 use super::{completion, dispatch};
 
 impl Driver {
@@ -16,7 +17,7 @@
             self.perform_one(action, now);
         }
         self.process_attempt_results(now);
-        dispatch::send_ready(&mut self.store, &mut self.egress, now);
+        self.send_ready(now);
     }
 
     /// Carries one action out.
@@ -31,9 +32,9 @@
             Action::Cancel { id, attempt } => self.egress.cancel(id, attempt, now),
             Action::Reject { id, retry_after } => {
                 let retry_after_ms = retry_after.map(|span| millis(span).round() as u64);
-                self.give_up(id, FinalStatus::Deferred(retry_after_ms));
+                self.give_up(id, FinalStatus::Deferred(retry_after_ms), now);
             }
-            Action::Fail { id } => self.give_up(id, FinalStatus::Undeliverable),
+            Action::Fail { id } => self.give_up(id, FinalStatus::Undeliverable, now),
             // The module counts on its latest request alone: it replaces all earlier ones.
             Action::WakeAfter(span) => self.decision.wake_at = Some(now + millis(span)),
             Action::CloseIdle(endpoint) => self.egress.close_idle(endpoint),
@@ -68,8 +69,27 @@
             .is_none_or(|record| rules.is_non_idempotent(&record.class, &record.rules))
     }
 
-    /// Ends a message undelivered.
-    pub(super) fn give_up(&mut self, id: MessageId, status: FinalStatus) {
+    /// Sends the requests whose connections are up, as far as the safety rules permit.
+    pub(super) fn send_ready(&mut self, now: Millis) {
+        let gate = SendGate {
+            class_rules: &self.admission.class_rules,
+            directory: &self.directory,
+            waits: &self.waits,
+            violations: &self.violations,
+        };
+        dispatch::send_ready(&mut self.store, &mut self.egress, &gate, now);
+    }
+
+    /// Ends a message undelivered. Its requests that are not completely written are withdrawn.
+    pub(super) fn give_up(&mut self, id: MessageId, status: FinalStatus, now: Millis) {
         completion::give_up(id, status, &mut self.store, &mut self.status_reporter);
+        self.withdraw_incomplete(id, now);
+    }
+
+    /// Withdraws the requests of a message that is over, as far as they are not completely written.
+    pub(super) fn withdraw_incomplete(&mut self, id: MessageId, now: Millis) {
+        if self.store.has_attempts_in_flight(id.0) {
+            self.egress.withdraw_incomplete(id, now);
+        }
     }
 }
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -17,6 +17,7 @@
 use super::ingress::{ClientLimits, Ingress, IngressClass};
 use super::message_store::MessageStore;
 use super::process_state::{ProcessState, RemainingState, SettingsNames, SplitState};
+use super::send_gate::RetryAfterTable;
 use super::status_reports::StatusReporter;
 use crate::Config;
 use crate::class_metrics::ClassMetrics;
@@ -246,6 +247,13 @@
             unfinished_sources: Vec::new(),
             shutdown_started: None,
             clock,
+            waits: RetryAfterTable::new(
+                settings
+                    .kinds
+                    .iter()
+                    .map(|kind| kind.per_endpoint)
+                    .collect(),
+            ),
             violations,
             handle: handle.clone(),
             control_buffers,
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -43,7 +43,7 @@
         attempt: result.attempt,
         outcome: result.outcome,
         took: nanos(result.took),
-        finished: !is_open(store, number),
+        finished: !store.is_open(number),
     })
 }
 
@@ -105,13 +105,6 @@
     store.advance(number, MessageState::Closed);
 }
 
-fn is_open(store: &MessageStore, number: u64) -> bool {
-    store
-        .messages
-        .get(&number)
-        .is_some_and(|message| message.state == MessageState::Open)
-}
-
 /// Gives an open message up: it ends undelivered, and from here on its status report is owed.
 pub(super) fn give_up(
     id: MessageId,
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -11,6 +11,7 @@
 use tracing::debug;
 
 use super::message_store::{MessageStore, StoredMessage};
+use super::send_gate::SendGate;
 use crate::egress::{AttemptRequest, AttemptResult, Egress};
 
 /// One attempt that the decision module wants.
@@ -89,6 +90,7 @@
     AttemptResult {
         id,
         attempt,
+        endpoint: None,
         outcome: Outcome::NotSent,
         took: 0.0,
         message_over: false,
@@ -110,9 +112,20 @@
 }
 
 /// Sends the requests whose connections are up, each behind its record.
-pub(super) fn send_ready(store: &mut MessageStore, egress: &mut Egress, now: Millis) {
+pub(super) fn send_ready(
+    store: &mut MessageStore,
+    egress: &mut Egress,
+    gate: &SendGate,
+    now: Millis,
+) {
     egress.send_ready(
-        |id, attempt| record_attempt(store, id, attempt as usize, now),
+        |id, attempt, endpoint| {
+            let permitted = store
+                .messages
+                .get(&id.0)
+                .is_some_and(|message| gate.permits(message, endpoint, now));
+            permitted && record_attempt(store, id, attempt as usize, now)
+        },
         now,
     );
 }
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -9,14 +9,15 @@
 use tracing::error;
 
 use super::admission::{Admission, AdmissionDecision};
+use super::completion;
 use super::decision::Decision;
 use super::ingress::{IncomingMessage, Ingress};
 use super::message_store::MessageStore;
 use super::process_state::SettingsNames;
+use super::send_gate::RetryAfterTable;
 use super::status_reports::StatusReporter;
-use super::{completion, dispatch};
 use crate::discovery::EndpointDirectory;
-use crate::egress::Egress;
+use crate::egress::{AttemptResult, Egress};
 use crate::event_source::{EventSource, Handle};
 use crate::operator::Operators;
 use crate::peer_service::PeerService;
@@ -40,6 +41,8 @@
     /// The most descriptors the process may have open.
     pub(super) descriptor_limit: usize,
     pub(super) clock: Clock,
+    /// The waits that endpoints have asked for.
+    pub(super) waits: RetryAfterTable,
     /// Steps that would have broken a safety rule.
     pub(super) violations: ViolationCounter,
     pub(super) handle: Handle,
@@ -90,7 +93,7 @@
         self.admit_messages(messages, stopped, now);
         self.process_attempt_results(now);
         // After the results, whose Retry-After holds back attempts that have not begun.
-        dispatch::send_ready(&mut self.store, &mut self.egress, now);
+        self.send_ready(now);
         self.end_overdue_messages(now);
         self.directory
             .run_due(now, &self.handle, &self.control_buffers);
@@ -213,13 +216,31 @@
             self.egress
                 .cancel_unsent(|destination, _| held_back.contains(&destination), now);
         }
-        for result in std::mem::take(&mut self.egress.results) {
-            let event =
-                completion::end_attempt(&result, &mut self.store, &mut self.status_reporter);
-            self.decision.events.extend(event);
+        while !self.egress.results.is_empty() {
+            for result in std::mem::take(&mut self.egress.results) {
+                self.process_attempt_result(&result, now);
+            }
+        }
+    }
+
+    fn process_attempt_result(&mut self, result: &AttemptResult, now: Millis) {
+        self.note_retry_after(result, now);
+        let event = completion::end_attempt(result, &mut self.store, &mut self.status_reporter);
+        self.decision.events.extend(event);
+        if !self.store.is_open(result.id.0) {
+            self.withdraw_incomplete(result.id, now);
         }
     }
 
+    fn note_retry_after(&mut self, result: &AttemptResult, now: Millis) {
+        let (Some(record), Some(endpoint)) = (self.store.record(result.id.0), result.endpoint)
+        else {
+            return;
+        };
+        let kind = self.directory.kind(endpoint);
+        self.waits.note(result, record.destination, kind, now);
+    }
+
     /// The destinations whose endpoints have just asked for a wait. All unsent attempts to such a destination are
     /// withdrawn, also where its endpoints are routes of their own: the next turn decides on them anew.
     fn held_back_destinations(&self) -> Vec<u64> {
@@ -240,7 +261,7 @@
         while let Some(number) = self.store.pop_overdue(now - OVERDUE_AFTER) {
             error!(number, "message ended after its deadline");
             self.store.counters.ended_late += 1;
-            self.give_up(MessageId(number), FinalStatus::Undeliverable);
+            self.give_up(MessageId(number), FinalStatus::Undeliverable, now);
             self.decision
                 .events
                 .push(Event::ClientLeft(MessageId(number)));
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -98,6 +98,20 @@
         self.messages.get(&number).map(|message| &message.record)
     }
 
+    /// Whether a message is neither delivered nor given up.
+    pub(super) fn is_open(&self, number: u64) -> bool {
+        self.messages
+            .get(&number)
+            .is_some_and(|message| message.state == MessageState::Open)
+    }
+
+    /// Whether any attempt of a message has no result yet.
+    pub(super) fn has_attempts_in_flight(&self, number: u64) -> bool {
+        self.messages
+            .get(&number)
+            .is_some_and(|message| message.attempts_in_flight > 0)
+    }
+
     /// Whether a message of this id is held, or is among the last ones that were closed.
     pub(super) fn is_known(&self, id: &Rc<str>) -> bool {
         self.numbers.contains_key(id) || self.wal.recently_closed.contains(id)
--- a/crates/sender/src/pipeline/metrics.rs
+++ b/crates/sender/src/pipeline/metrics.rs
@@ -9,7 +9,6 @@
     /// Writes all counters to the log.
     pub fn print_counters(&mut self) {
         self.store.counters.endpoint_connections = self.egress.connections_opened;
-        self.store.counters.violations = self.violations.total();
         if let Some(peers) = &self.peers {
             peers.print_counters();
         }
@@ -39,6 +38,7 @@
             current: self.store.open + self.status_reporter.unconfirmed(),
             cluster_size,
             cluster_unhealthy,
+            violations: self.violations.total(),
         }
     }
 
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -21,6 +21,7 @@
 mod metrics;
 mod operator_calls;
 mod process_state;
+mod send_gate;
 mod shutdown;
 mod status_reports;
 #[cfg(test)]
--- a/crates/sender/src/safety.rs
+++ b/crates/sender/src/safety.rs
@@ -1,23 +1,97 @@
-//! The safety rules of the sender in one place: whether a client's connection may be closed now.
+//! The safety rules of the sender in one place: whether a request may be sent now, and whether a client's connection may
+//! be closed now.
 //!
-//! The rules are pure functions of what their callers hold, and stand in front of steps that cannot be undone. Every
-//! violation is counted and logged: each is a defect.
+//! The rules are pure functions of what their callers hold. The decision module and the pipeline follow them by design;
+//! the checks here stand in front of the two steps that cannot be undone, the first byte of a request and the close of
+//! a connection. A request that breaks a rule is not sent. Every violation is counted and logged: each is a defect.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::fmt;
 use std::rc::Rc;
 
+use martenlatch_clock::Millis;
 use tracing::error;
 
 /// A step that would have broken a rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
 pub enum Violation {
+    /// A request for a message that is over.
+    #[error("request after the end of its message")]
+    SentAfterEnd,
+    /// A request for a message whose deadline has passed.
+    #[error("request after the deadline")]
+    SentAfterDeadline,
+    /// A request for a non-idempotent message of which an attempt may have run.
+    #[error("non-idempotent message repeated")]
+    RepeatedNonIdempotent,
+    /// A repeat of a keyed message after the endpoints may have forgotten its key.
+    #[error("repeat outside the idempotency window")]
+    RepeatedOutsideWindow,
+    /// A request to an endpoint that is draining, removed or cordoned.
+    #[error("request to an endpoint that takes nothing new")]
+    SentToDrainingEndpoint,
+    /// A request to a destination that has asked for a wait.
+    #[error("request before the Retry-After is over")]
+    SentBeforeRetryAfter,
     /// A client's connection was closed though a request that had been read on it was not answered.
     #[error("connection closed before the answer")]
     ClosedUnanswered,
 }
 
+/// What the rules need to know of a request that is about to be sent. Instants are on the sender's clock.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestFacts {
+    /// The message is neither delivered nor given up.
+    pub message_open: bool,
+    /// When the message is given up.
+    pub deadline: Millis,
+    /// The message must not run twice.
+    pub non_idempotent: bool,
+    /// When the first attempt that may have run was sent; none if surely none has run.
+    pub first_run: Option<Millis>,
+    /// How long endpoints remember the message's key; none if it has none, or they never forget it.
+    pub idempotency_window: Option<Millis>,
+    /// The endpoint takes new requests, by the endpoint list and the cordons.
+    pub endpoint_available: bool,
+    /// Until when the route must not be sent anything; none if it may.
+    pub retry_after_until: Option<Millis>,
+    /// The present instant.
+    pub now: Millis,
+}
+
+/// Whether a request may be sent now.
+///
+/// # Errors
+/// The first rule that it would break.
+pub fn may_send(request: &RequestFacts) -> Result<(), Violation> {
+    if !request.message_open {
+        return Err(Violation::SentAfterEnd);
+    }
+    if request.now > request.deadline {
+        return Err(Violation::SentAfterDeadline);
+    }
+    if let Some(first_run) = request.first_run {
+        if request.non_idempotent {
+            return Err(Violation::RepeatedNonIdempotent);
+        }
+        let window = request.idempotency_window.unwrap_or(f64::INFINITY);
+        if request.now > first_run + window {
+            return Err(Violation::RepeatedOutsideWindow);
+        }
+    }
+    if !request.endpoint_available {
+        return Err(Violation::SentToDrainingEndpoint);
+    }
+    if request
+        .retry_after_until
+        .is_some_and(|until| request.now < until)
+    {
+        return Err(Violation::SentBeforeRetryAfter);
+    }
+    Ok(())
+}
+
 /// What the rules need to know of a client's connection that is about to be closed.
 #[derive(Clone, Copy, Debug)]
 pub struct CloseFacts {
@@ -58,6 +132,12 @@
     pub fn total(&self) -> u64 {
         self.0.borrow().values().sum()
     }
+
+    /// Violations of one rule since the start of the process.
+    #[cfg(test)]
+    pub fn count(&self, violation: Violation) -> u64 {
+        self.0.borrow().get(&violation).copied().unwrap_or(0)
+    }
 }
 
 #[cfg(test)]
