--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -45,6 +45,8 @@
     Relay(RelayOptions),
     /// Measure membership in simulated time: its cost, how soon a death and a join are known, false deaths
     Members(MembersOptions),
+    /// Run many senders as processes under faults that overlap, and judge what crosses their sockets
+    Soak(SoakOptions),
     /// Measure one turn of the decision module with so many messages held
     Turns(TurnsOptions),
 }
@@ -115,6 +117,25 @@
     pub repeats: u64,
 }
 
+#[derive(Args)]
+pub struct SoakOptions {
+    /// The seed that fixes the schedule of faults
+    #[arg(long)]
+    pub seed: u64,
+    /// How long faults are made
+    #[arg(long, default_value_t = 20.0)]
+    pub seconds: f64,
+    /// Senders
+    #[arg(long, default_value_t = 10)]
+    pub processes: usize,
+    /// The sender's program; absent: the one beside the laboratory
+    #[arg(long)]
+    pub program: Option<PathBuf>,
+    /// Where the timelines of violations are written
+    #[arg(long, value_name = "DIR")]
+    pub out: Option<PathBuf>,
+}
+
 #[derive(Args)]
 pub struct TurnsOptions {
     /// Messages held
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -7,6 +7,7 @@
 pub mod relay;
 pub mod roof;
 pub mod run;
+pub mod soak;
 pub mod turns;
 
 use std::fmt::Display;
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -82,6 +82,15 @@
     /// No port can be bound for an endpoint.
     #[error("no port for an endpoint: {0}")]
     EndpointPort(#[source] io::Error),
+    /// The library that makes system calls fail cannot be built.
+    #[error("the library that makes system calls fail cannot be built: {0}")]
+    BuildShim(String),
+    /// The processes of a run take too much memory.
+    #[error("the processes take {used_kb} kB, over half of the machine's memory")]
+    TooMuchMemory {
+        /// What they take.
+        used_kb: u64,
+    },
     /// No port can be bound.
     #[error("no port: {0}")]
     Port(#[source] io::Error),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod run;
 pub mod sampling;
 pub mod sim;
+pub mod soak;
 pub mod sockets;
 pub mod throughput_ceiling;
 pub mod turn_cost;
--- /dev/null
+++ b/crates/lab/src/soak/client.rs
@@ -0,0 +1,252 @@
+//! The clients of a soak: busy ones, which use their connections until these end, and misbehaving ones.
+
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use martenlatch_clock::Millis;
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+use super::history::{Effect, Event, ProcessEvent, Unanswered};
+use super::http::{HttpStream, ReadError};
+use super::processes::Pids;
+use super::schedule::Fault;
+use super::world::{Message, POLL_INTERVAL, World};
+
+/// How long a client waits for an answer.
+const ANSWER_TIMEOUT: Millis = 400.0;
+/// A request that nobody has read brings a reset within this time of the end of the stream.
+const RESET_TIMEOUT: Duration = Duration::from_millis(800);
+/// A client that stops in the middle of its request is answered, or its connection closed, within this time.
+const BAD_CLIENT_TIMEOUT: Millis = 3_000.0;
+/// More for a machine that is busy.
+const BAD_CLIENT_SLACK: Millis = 1_500.0;
+/// How long messages may be delivered.
+const TIMEOUTS: [Millis; 3] = [4_000.0, 2_500.0, 1_200.0];
+/// Between two requests of a busy client.
+const THINK_TIME: std::ops::Range<Millis> = 0.0..160.0;
+/// Between two tries to connect.
+const CONNECT_PAUSE: Duration = Duration::from_millis(40);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Connections of a crowd.
+const CROWD: usize = 120;
+
+/// Busy clients of a sender.
+pub const BUSY_CLIENTS: usize = 6;
+
+/// One client.
+pub struct Client {
+    /// What all threads share.
+    pub world: Arc<World>,
+    /// The processes, of which a client may kill one right behind a 202.
+    pub pids: Arc<Pids>,
+    /// The sender that it hands messages to.
+    pub sender: usize,
+    /// Where that is.
+    pub address: SocketAddr,
+    /// The client's number among those of its sender.
+    pub number: usize,
+}
+
+impl Client {
+    fn random(&self) -> Pcg64 {
+        let place = (self.sender << 8 | self.number) as u64;
+        Pcg64::seed_from_u64(self.world.seed.wrapping_mul(0x9E37_79B9) ^ place)
+    }
+
+    fn is_stopped(&self) -> bool {
+        self.world.clients_stopped.load(Ordering::Relaxed) || self.world.is_over()
+    }
+
+    fn connect(&self) -> Option<HttpStream> {
+        match TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT) {
+            Ok(stream) => Some(HttpStream::new(stream)),
+            Err(_) => {
+                thread::sleep(CONNECT_PAUSE);
+                None
+            }
+        }
+    }
+
+    fn message(&self, count: usize, random: &mut Pcg64) -> (Message, Millis) {
+        let effects = [Effect::NonIdempotent, Effect::Keyed, Effect::Idempotent];
+        let prefix = Message::prefix(effects[random.random_range(0..effects.len())]);
+        let id = format!("{prefix}{}-{}-{count}", self.sender, self.number);
+        let timeout = TIMEOUTS[random.random_range(0..TIMEOUTS.len())];
+        (Message::of(&id).expect("an id of ours"), timeout)
+    }
+
+    /// Keeps a connection busy until it ends, then the next one. Every second client heeds `Connection: close`.
+    pub fn keep_busy(&self) {
+        let mut random = self.random();
+        let heeds_close = self.number.is_multiple_of(2);
+        let mut connection = None;
+        let mut count = 0;
+        while !self.is_stopped() {
+            let Some(mut stream) = connection.take().or_else(|| self.connect()) else {
+                continue;
+            };
+            count += 1;
+            let (message, timeout) = self.message(count, &mut random);
+            if let Some(closes) = self.exchange(&mut stream, &message, timeout, &mut random)
+                && !(closes && heeds_close)
+            {
+                connection = Some(stream);
+            }
+            let pause = random.random_range(THINK_TIME);
+            thread::sleep(Duration::from_secs_f64(pause / 1e3));
+        }
+    }
+
+    /// Hands a message in. Returns whether the answer ends the connection; none if the connection is gone.
+    fn exchange(
+        &self,
+        stream: &mut HttpStream,
+        message: &Message,
+        timeout: Millis,
+        random: &mut Pcg64,
+    ) -> Option<bool> {
+        let text = self.request(message, timeout, random);
+        let at = self.world.now();
+        if !stream.write(&text) {
+            return None;
+        }
+        let submitted = Event::Submitted {
+            effect: message.effect,
+            timeout,
+        };
+        self.world
+            .history
+            .record_at(at, self.sender, &message.id, submitted);
+        let until = at + ANSWER_TIMEOUT;
+        let answer = stream.read_message(|_| self.world.now() > until);
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.record_unanswered(stream, message, error);
+                return None;
+            }
+        };
+        let status = answer.status();
+        if status == 202 {
+            self.on_accepted();
+        }
+        self.record(&message.id, Event::Answered { status });
+        Some(answer.header("connection") == Some("close"))
+    }
+
+    fn request(&self, message: &Message, timeout: Millis, random: &mut Pcg64) -> String {
+        let body = message.body();
+        let destinations = self.world.size.endpoints / super::world::ENDPOINTS_PER_DESTINATION;
+        format!(
+            "POST /{} HTTP/1.1\r\nHost: soak\r\nX-Request-ID: {}\r\nX-Timeout: {:.3}\r\nIdempotency-Key: {}\r\n\
+             X-Route-To: dest={}\r\nContent-Length: {}\r\n\r\n{body}",
+            message.class(),
+            message.id,
+            timeout / 1e3,
+            message.key(),
+            random.random_range(0..destinations),
+            body.len()
+        )
+    }
+
+    /// The sender has taken a message on. It may be killed right behind that.
+    fn on_accepted(&self) {
+        self.world.accepted[self.sender].fetch_add(1, Ordering::Relaxed);
+        if let Some(pid) = self.pids.take_armed(self.sender) {
+            let killed = kill(Pid::from_raw(pid), Signal::SIGKILL);
+            if killed.is_ok() {
+                self.record("", Event::Process(ProcessEvent::Kill));
+            }
+        }
+    }
+
+    fn record(&self, id: &str, event: Event) {
+        self.world.history.record(self.sender, id, event);
+    }
+
+    fn record_unanswered(&self, stream: &HttpStream, message: &Message, error: ReadError) {
+        let at = self.world.now();
+        let end = match error {
+            ReadError::Stopped => Unanswered::TimedOut,
+            ReadError::Reset => Unanswered::Reset,
+            ReadError::Ended if is_reset_soon(&stream.stream) => Unanswered::Reset,
+            ReadError::Ended => Unanswered::EndOfStream,
+        };
+        self.world
+            .history
+            .record_at(at, self.sender, &message.id, Event::Unanswered(end));
+    }
+
+    /// Misbehaves in turns: stops in the middle of a request, leaves behind one, sends two at once, or comes as a crowd.
+    pub fn misbehave(&self) {
+        let mut random = self.random();
+        let mut count = 0;
+        while !self.is_stopped() {
+            count += 1;
+            if self.is_crowded() {
+                self.crowd();
+                continue;
+            }
+            let Some(mut stream) = self.connect() else {
+                continue;
+            };
+            let (message, timeout) = self.message(count, &mut random);
+            let text = self.request(&message, timeout, &mut random);
+            match random.random_range(0..3) {
+                0 => self.stop_in_request(&mut stream, &text, &mut random),
+                1 => _ = stream.write(&text),
+                _ => {
+                    stream.write(&format!("{text}{text}"));
+                    let until = self.world.now() + ANSWER_TIMEOUT;
+                    let _ = stream.read_message(|_| self.world.now() > until);
+                }
+            }
+            thread::sleep(Duration::from_millis(random.random_range(50..600)));
+        }
+    }
+
+    fn stop_in_request(&self, stream: &mut HttpStream, text: &str, random: &mut Pcg64) {
+        let part = random.random_range(1..text.len());
+        if !stream.write(&text[..part]) {
+            return;
+        }
+        let until = self.world.now() + BAD_CLIENT_TIMEOUT + BAD_CLIENT_SLACK;
+        let answer = stream.read_message(|_| self.world.now() > until || self.world.is_over());
+        if matches!(answer, Err(ReadError::Stopped)) && !self.world.is_over() {
+            self.record("", Event::BadClientIgnored);
+        }
+    }
+
+    fn is_crowded(&self) -> bool {
+        let now = self.world.now();
+        self.world.schedule.is_on(Fault::Crowd, self.sender, now)
+    }
+
+    fn crowd(&self) {
+        let connections: Vec<TcpStream> = (0..CROWD)
+            .filter_map(|_| TcpStream::connect_timeout(&self.address, CONNECT_TIMEOUT).ok())
+            .collect();
+        while self.is_crowded() && !self.is_stopped() {
+            thread::sleep(POLL_INTERVAL);
+        }
+        drop(connections);
+        thread::sleep(CONNECT_PAUSE);
+    }
+}
+
+fn is_reset_soon(stream: &TcpStream) -> bool {
+    let until = Instant::now() + RESET_TIMEOUT;
+    while Instant::now() < until {
+        if !matches!(stream.take_error(), Ok(None)) {
+            return true;
+        }
+        thread::sleep(POLL_INTERVAL);
+    }
+    false
+}
--- /dev/null
+++ b/crates/lab/src/soak/endpoint.rs
@@ -0,0 +1,323 @@
+//! The endpoints of a soak, one listener for each pair of sender and endpoint, with the network between them.
+
+use std::collections::HashSet;
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use martenlatch_clock::Millis;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use socket2::{Domain, Socket, Type};
+
+use super::history::Event;
+use super::http::{HttpMessage, HttpStream};
+use super::schedule::Fault;
+use super::world::{ENDPOINTS_PER_DESTINATION, Message, POLL_INTERVAL, World};
+use crate::error::LabError;
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 32;
+/// With so few, others come up late.
+const SHORT_BACKLOG: i32 = 0;
+/// How long an endpoint usually works, in milliseconds.
+const USUAL_WORK: std::ops::Range<Millis> = 2.0..30.0;
+/// How long a slow one works.
+const SLOW_WORK: std::ops::Range<Millis> = 200.0..900.0;
+/// How long a busy endpoint has senders wait.
+const RETRY_AFTER: std::ops::Range<Millis> = 400.0..1_200.0;
+/// How late a last byte comes.
+const LAST_BYTE_DELAY: std::ops::Range<Millis> = 50.0..400.0;
+/// How long an answer goes on that never ends.
+const ENDLESS_ANSWER: Millis = 1_500.0;
+
+/// One endpoint as one sender reaches it.
+#[derive(Clone)]
+struct Link {
+    world: Arc<World>,
+    sender: usize,
+    endpoint: usize,
+}
+
+/// Opens the endpoints of one sender. Returns their addresses.
+///
+/// # Errors
+/// Where no port can be bound.
+pub fn open(world: &Arc<World>, sender: usize) -> Result<Vec<SocketAddr>, LabError> {
+    (0..world.size.endpoints)
+        .map(|endpoint| {
+            let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), BACKLOG)
+                .map_err(LabError::EndpointPort)?;
+            let address = listener.local_addr().map_err(LabError::EndpointPort)?;
+            let link = Link {
+                world: world.clone(),
+                sender,
+                endpoint,
+            };
+            thread::spawn(move || link.accept_all(listener, address));
+            Ok(address)
+        })
+        .collect()
+}
+
+fn listen(address: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(backlog)?;
+    Ok(socket.into())
+}
+
+fn sleep(time: Millis) {
+    thread::sleep(Duration::from_secs_f64(time / 1e3));
+}
+
+impl Link {
+    fn fault(&self) -> Option<Fault> {
+        let now = self.world.now();
+        self.world.schedule.endpoint_fault(self.endpoint, now)
+    }
+
+    fn is_faulty(&self, fault: Fault) -> bool {
+        self.fault() == Some(fault) && !self.world.is_over()
+    }
+
+    fn accept_all(&self, listener: TcpListener, address: SocketAddr) {
+        let mut listener = Some(listener);
+        let mut connections = 0;
+        while !self.world.is_over() {
+            match self.fault() {
+                Some(Fault::EndpointDown) => {
+                    drop(listener.take());
+                    thread::sleep(POLL_INTERVAL);
+                    continue;
+                }
+                Some(Fault::LateConnections) => self.hold_connections(listener.take(), address),
+                _ => {}
+            }
+            let Some(open) = listener.take().or_else(|| listen(address, BACKLOG).ok()) else {
+                thread::sleep(POLL_INTERVAL);
+                continue;
+            };
+            while let Ok((stream, _)) = open.accept() {
+                connections += 1;
+                self.spawn(stream, connections);
+            }
+            listener = Some(open);
+            thread::sleep(POLL_INTERVAL);
+        }
+    }
+
+    /// Lets new connections wait: with a full backlog the system does not answer them, and their next try is late.
+    fn hold_connections(&self, listener: Option<TcpListener>, address: SocketAddr) {
+        drop(listener);
+        let Ok(short) = listen(address, SHORT_BACKLOG) else {
+            return;
+        };
+        let fillers: Vec<TcpStream> = (0..2)
+            .filter_map(|_| TcpStream::connect_timeout(&address, POLL_INTERVAL).ok())
+            .collect();
+        let own: HashSet<SocketAddr> = fillers
+            .iter()
+            .filter_map(|filler| filler.local_addr().ok())
+            .collect();
+        while self.is_faulty(Fault::LateConnections) {
+            thread::sleep(POLL_INTERVAL);
+        }
+        while let Ok((stream, peer)) = short.accept() {
+            if !own.contains(&peer) {
+                self.spawn(stream, 0);
+            }
+        }
+    }
+
+    fn spawn(&self, stream: TcpStream, number: u64) {
+        let link = self.clone();
+        thread::spawn(move || {
+            let seed = link.world.seed ^ (number << 20) ^ ((link.endpoint as u64) << 8);
+            link.serve(HttpStream::new(stream), &mut Pcg64::seed_from_u64(seed));
+        });
+    }
+
+    /// Serves the requests of one connection.
+    fn serve(&self, mut stream: HttpStream, random: &mut Pcg64) {
+        loop {
+            let mut began = None;
+            let request = stream.read_message(|begun| {
+                if begun && began.is_none() {
+                    began = Some(self.world.now());
+                }
+                let cut = begun && self.fault() == Some(Fault::ResetInRequest);
+                cut || self.fault() == Some(Fault::EndpointDown) || self.world.is_over()
+            });
+            let Ok(request) = request else {
+                return stream.reset();
+            };
+            let Some(id) = request.header("x-request-id").map(str::to_string) else {
+                return;
+            };
+            let at = began.unwrap_or_else(|| self.world.now());
+            self.record_at(
+                at,
+                &id,
+                Event::RequestBegan {
+                    endpoint: self.endpoint,
+                    destination: self.destination(),
+                },
+            );
+            if !self.answer(&mut stream, &request, &id, random) {
+                return stream.reset();
+            }
+        }
+    }
+
+    fn destination(&self) -> usize {
+        self.endpoint / ENDPOINTS_PER_DESTINATION
+    }
+
+    fn record(&self, id: &str, event: Event) {
+        self.record_at(self.world.now(), id, event);
+    }
+
+    fn record_at(&self, at: Millis, id: &str, event: Event) {
+        self.world.history.record_at(at, self.sender, id, event);
+    }
+
+    /// Runs a request and answers it, as the fault of the moment has it. False if the connection is to be reset.
+    fn answer(
+        &self,
+        stream: &mut HttpStream,
+        request: &HttpMessage,
+        id: &str,
+        random: &mut Pcg64,
+    ) -> bool {
+        let fault = self.fault();
+        self.record(
+            id,
+            Event::RequestArrived {
+                endpoint: self.endpoint,
+                destination: self.destination(),
+                intact: is_intact(request, id),
+                runs: fault != Some(Fault::EndpointBusy),
+            },
+        );
+        match fault {
+            Some(Fault::EndpointHangs) => self.hang(),
+            Some(Fault::ResetBehindRequest) => false,
+            Some(Fault::HalfAnswer) => {
+                stream.write("HTTP/1.1 ");
+                let _ = stream.stream.shutdown(Shutdown::Both);
+                false
+            }
+            Some(Fault::WrongLength) => {
+                self.respond(
+                    stream,
+                    id,
+                    200,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nhalf",
+                );
+                let _ = stream.stream.shutdown(Shutdown::Both);
+                false
+            }
+            Some(Fault::EndlessAnswer) => self.answer_without_end(stream, id),
+            Some(Fault::EndpointBusy) => self.reject(stream, id, random),
+            Some(Fault::EndpointFails) => self.respond(
+                stream,
+                id,
+                500,
+                "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
+            ),
+            Some(Fault::LastByteLate) => self.answer_late_byte(stream, id, random),
+            Some(Fault::HalfClose) => {
+                self.confirm(stream, id);
+                stream.stream.shutdown(Shutdown::Write).is_ok()
+            }
+            Some(Fault::EndpointSlow) => {
+                sleep(random.random_range(SLOW_WORK));
+                self.confirm(stream, id)
+            }
+            _ => {
+                sleep(random.random_range(USUAL_WORK));
+                self.confirm(stream, id)
+            }
+        }
+    }
+
+    /// Answers nothing while the endpoint hangs, and then ends the connection.
+    fn hang(&self) -> bool {
+        while self.is_faulty(Fault::EndpointHangs) {
+            thread::sleep(POLL_INTERVAL);
+        }
+        false
+    }
+
+    fn confirm(&self, stream: &mut HttpStream, id: &str) -> bool {
+        self.respond(
+            stream,
+            id,
+            200,
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        )
+    }
+
+    /// Writes an answer and records it.
+    fn respond(&self, stream: &mut HttpStream, id: &str, status: u16, text: &str) -> bool {
+        let written = stream.write(text);
+        if written {
+            self.record_response(id, status, None);
+        }
+        written
+    }
+
+    fn record_response(&self, id: &str, status: u16, retry_after: Option<Millis>) {
+        self.record(
+            id,
+            Event::Responded {
+                destination: self.destination(),
+                status,
+                retry_after,
+            },
+        );
+    }
+
+    fn reject(&self, stream: &mut HttpStream, id: &str, random: &mut Pcg64) -> bool {
+        let wait = random.random_range(RETRY_AFTER).round();
+        let text = format!("HTTP/1.1 429 X\r\nX-Backoff-Ms: {wait}\r\nContent-Length: 0\r\n\r\n");
+        let written = stream.write(&text);
+        if written {
+            self.record_response(id, 429, Some(wait));
+        }
+        written
+    }
+
+    fn answer_late_byte(&self, stream: &mut HttpStream, id: &str, random: &mut Pcg64) -> bool {
+        let begun = self.respond(
+            stream,
+            id,
+            200,
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
+        );
+        sleep(random.random_range(LAST_BYTE_DELAY));
+        begun && stream.write("k")
+    }
+
+    fn answer_without_end(&self, stream: &mut HttpStream, id: &str) -> bool {
+        let until = self.world.now() + ENDLESS_ANSWER;
+        let mut going_on = self.respond(stream, id, 200, "HTTP/1.1 200 OK\r\nX-Long: ");
+        while going_on && self.world.now() < until && !self.world.is_over() {
+            going_on = stream.write("aaaaaaaa");
+            thread::sleep(POLL_INTERVAL);
+        }
+        false
+    }
+}
+
+/// Whether a request carries the body and the key of its message.
+fn is_intact(request: &HttpMessage, id: &str) -> bool {
+    Message::of(id).is_some_and(|message| {
+        request.body == message.body().as_bytes()
+            && request.header("idempotency-key") == Some(&*message.key())
+    })
+}
--- /dev/null
+++ b/crates/lab/src/soak/http.rs
@@ -0,0 +1,139 @@
+//! Blocking HTTP for the soak's peers, which look now and then whether the soak is over.
+
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use socket2::SockRef;
+
+/// How long one read waits.
+const READ_SLICE: Duration = Duration::from_millis(25);
+/// More than any message of a soak.
+const MAX_MESSAGE: usize = 256 * 1024;
+
+/// A request or a response.
+pub struct HttpMessage {
+    /// The head, without its last line end.
+    pub head: String,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl HttpMessage {
+    /// A header's value; the name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().skip(1).find_map(|line| {
+            let (header, value) = line.split_once(':')?;
+            header.eq_ignore_ascii_case(name).then_some(value.trim())
+        })
+    }
+
+    /// The status of a response.
+    pub fn status(&self) -> u16 {
+        self.head
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
+    }
+}
+
+/// Why no message came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadError {
+    /// The stream ended.
+    Ended,
+    /// The connection was reset.
+    Reset,
+    /// The reader was told to stop.
+    Stopped,
+}
+
+/// A connection that is read message by message.
+pub struct HttpStream {
+    /// The connection.
+    pub stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+impl HttpStream {
+    /// Reads from a connection.
+    pub fn new(stream: TcpStream) -> HttpStream {
+        // A connection that is gone already shows in the first read.
+        let _ = stream.set_nonblocking(false);
+        let _ = stream.set_read_timeout(Some(READ_SLICE));
+        let _ = stream.set_nodelay(true);
+        HttpStream {
+            stream,
+            buffer: Vec::new(),
+        }
+    }
+
+    /// Reads a message. `stop` is asked now and then, and told whether any byte of the message has come.
+    ///
+    /// # Errors
+    /// Where no whole message comes.
+    pub fn read_message(
+        &mut self,
+        mut stop: impl FnMut(bool) -> bool,
+    ) -> Result<HttpMessage, ReadError> {
+        loop {
+            if let Some(message) = self.take_message() {
+                return Ok(message);
+            }
+            if stop(!self.buffer.is_empty()) {
+                return Err(ReadError::Stopped);
+            }
+            self.read_some()?;
+        }
+    }
+
+    /// Reads what has come, or waits for a moment.
+    fn read_some(&mut self) -> Result<(), ReadError> {
+        let mut bytes = [0; 16 * 1024];
+        match self.stream.read(&mut bytes) {
+            Ok(0) => Err(ReadError::Ended),
+            Ok(count) if self.buffer.len() < MAX_MESSAGE => {
+                self.buffer.extend(&bytes[..count]);
+                Ok(())
+            }
+            Ok(_) => Err(ReadError::Ended),
+            Err(error) => match error.kind() {
+                ErrorKind::WouldBlock | ErrorKind::TimedOut | ErrorKind::Interrupted => Ok(()),
+                _ => Err(ReadError::Reset),
+            },
+        }
+    }
+
+    fn take_message(&mut self) -> Option<HttpMessage> {
+        let end = self
+            .buffer
+            .windows(4)
+            .position(|four| four == b"\r\n\r\n")?;
+        let mut message = HttpMessage {
+            head: String::from_utf8_lossy(&self.buffer[..end]).into_owned(),
+            body: Vec::new(),
+        };
+        let length: usize = message
+            .header("content-length")
+            .and_then(|length| length.parse().ok())
+            .unwrap_or(0);
+        let whole = end + 4 + length;
+        if self.buffer.len() < whole {
+            return None;
+        }
+        message.body = self.buffer[end + 4..whole].to_vec();
+        self.buffer.drain(..whole);
+        Some(message)
+    }
+
+    /// Writes text. False if the connection did not take it.
+    pub fn write(&mut self, text: &str) -> bool {
+        self.stream.write_all(text.as_bytes()).is_ok()
+    }
+
+    /// Ends the connection with a reset.
+    pub fn reset(self) {
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/oracle.rs
@@ -0,0 +1,518 @@
+//! The invariants of a soak, asked of what crossed the sockets and of nothing else.
+//!
+//! The oracle reads the records of all clients, endpoints and agents in the order of time. It takes no sender's word but
+//! for one thing: a sender that logs a violated safety rule, or a panic, has a defect.
+
+use std::collections::{BTreeMap, HashMap};
+use std::fmt;
+
+use martenlatch_clock::Millis;
+
+use super::history::{Effect, Event, ProcessEvent, Record, Unanswered};
+
+/// A message must have its end so long after its time is up.
+const END_GRACE: Millis = 300.0;
+/// No end is overdue until so long after a sender is ready again.
+const RESTART_GRACE: Millis = 1_500.0;
+/// Reports that the platform did not confirm are repeated within this time.
+const REPORT_GRACE: Millis = 1_500.0;
+/// Requests to a draining endpoint must stop so long after the sender was told.
+const DRAIN_GRACE: Millis = 1_050.0;
+/// Requests within this time of the answer that asks for a wait are let through.
+const WAIT_GRACE: Millis = 100.0;
+/// A sender may be held up for so long between reading its clock and writing.
+const HELD_UP: Millis = 150.0;
+/// Every limit is so much longer on sockets.
+const SOCKET_GRACE: Millis = 50.0;
+/// What ends at a kill is seen so much earlier or later.
+const KILL_MARGIN: Millis = 400.0;
+/// SIGKILL follows SIGTERM no earlier; the process must have ended before.
+pub const KILL_AFTER_TERMINATE: Millis = 3_700.0;
+
+/// A rule that a soak can find broken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// An accepted message had no final answer in its time.
+    Lost,
+    /// A message was reported as undelivered well after it had been delivered.
+    TwoEnds,
+    /// A request came after the end of its message.
+    ForwardedAfterEnd,
+    /// A request came for a message whose client was told that it had no effect.
+    ForwardedAfterRejection,
+    /// A request came after the deadline of its message.
+    ForwardedLate,
+    /// A non-idempotent message came again after it may have run.
+    RepeatedNonIdempotent,
+    /// A keyed message came again after its key was forgotten.
+    RepeatedOutsideWindow,
+    /// Body or key were not those of the message.
+    Altered,
+    /// A request came before the end of a wait.
+    RetryAfterIgnored,
+    /// A request came to an endpoint that drains.
+    SentToDraining,
+    /// A request was read, and its connection ended without an answer.
+    ReadAndDropped,
+    /// A client that stopped in the middle of its request was kept for too long.
+    BadClientIgnored,
+    /// A process ended by itself.
+    Crashed,
+    /// A process did not become ready in its time.
+    NotReady,
+    /// A process did not end in its time.
+    ExitedLate,
+    /// A sender's log tells of a defect.
+    LoggedDefect,
+}
+
+/// A broken rule.
+#[derive(Clone, Debug)]
+pub struct Violation {
+    /// The rule.
+    pub rule: Rule,
+    /// When it was broken.
+    pub at: Millis,
+    /// The sender.
+    pub sender: usize,
+    /// The message; empty if the rule concerns none.
+    pub message: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "{:?} at {:.1} n{} {}",
+            self.rule, self.at, self.sender, self.message
+        )
+    }
+}
+
+/// What the oracle must know of the soak's own conditions.
+pub struct Conditions<'a> {
+    /// By how much the laboratory itself was late at most: all limits are longer by this.
+    pub lateness: Millis,
+    /// How long endpoints remember keys.
+    pub idempotency_window: Millis,
+    /// Whether a sender's own system calls failed around an instant, so that an answer may have been lost in it.
+    pub calls_failed: &'a dyn Fn(usize, Millis) -> bool,
+    /// Until when the platform confirms no reports of a sender, if it does not at an instant.
+    pub unconfirmed_until: &'a dyn Fn(usize, Millis) -> Option<Millis>,
+}
+
+/// What is known of one message.
+#[derive(Default)]
+struct Progress {
+    sender: usize,
+    submitted_at: Option<Millis>,
+    timeout: Millis,
+    effect: Option<Effect>,
+    accepted: bool,
+    rejected_at: Option<Millis>,
+    delivered_at: Option<Millis>,
+    reported_at: Option<Millis>,
+    first_run: Option<Millis>,
+    requests: usize,
+}
+
+/// What is known of one sender.
+#[derive(Default)]
+struct SenderState {
+    /// When each endpoint that drains was told to.
+    draining: HashMap<usize, Millis>,
+    /// For each destination, when its wait was written and when it ends.
+    waits: HashMap<usize, (Millis, Millis)>,
+    kills: Vec<Millis>,
+    /// From each signal that ends a process to the instant when the next one was ready.
+    outages: Vec<(Millis, Millis)>,
+    terminated_at: Option<Millis>,
+    killed: bool,
+}
+
+impl SenderState {
+    fn was_disturbed(&self, from: Millis, until: Millis) -> bool {
+        self.outages
+            .iter()
+            .any(|(begin, end)| *begin <= until + KILL_MARGIN && *end >= from - KILL_MARGIN)
+    }
+
+    fn was_killed_around(&self, at: Millis) -> bool {
+        self.kills
+            .iter()
+            .any(|kill| (kill - at).abs() <= KILL_MARGIN)
+    }
+}
+
+/// Figures of a soak, for its last line.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Figures {
+    /// Messages submitted.
+    pub requests: usize,
+    /// Messages accepted.
+    pub accepted: usize,
+    /// Messages delivered.
+    pub delivered: usize,
+    /// Messages ended by a status report.
+    pub reported: usize,
+    /// Of these, messages that no endpoint had seen and whose deadline was over two seconds away.
+    pub ended_early: usize,
+    /// Starts of processes behind the first ones.
+    pub restarts: usize,
+    /// Requests whose clients waited in vain.
+    pub timed_out: usize,
+}
+
+/// Over this time before its deadline, the end of a message without an attempt is early.
+const EARLY: Millis = 2_000.0;
+
+/// Judges a history.
+pub struct Oracle<'a> {
+    conditions: Conditions<'a>,
+    messages: BTreeMap<String, Progress>,
+    senders: BTreeMap<usize, SenderState>,
+    violations: Vec<Violation>,
+    figures: Figures,
+    starts: usize,
+}
+
+impl<'a> Oracle<'a> {
+    /// An oracle that has seen nothing.
+    pub fn new(conditions: Conditions<'a>) -> Oracle<'a> {
+        Oracle {
+            conditions,
+            messages: BTreeMap::new(),
+            senders: BTreeMap::new(),
+            violations: Vec::new(),
+            figures: Figures::default(),
+            starts: 0,
+        }
+    }
+
+    /// Judges all records, which must be in the order of time. Returns the violations and the figures.
+    pub fn judge(mut self, records: &[Record]) -> (Vec<Violation>, Figures) {
+        // Outages are known from the start: what happens shortly before a kill is excused by it.
+        for record in records {
+            if let Event::Process(event) = record.event {
+                self.learn_process(record, event);
+            }
+        }
+        for record in records {
+            self.judge_record(record);
+        }
+        self.judge_ends();
+        self.figures.restarts = self.starts.saturating_sub(self.senders.len());
+        (self.violations, self.figures)
+    }
+
+    /// The messages that are accepted and have no end by these records.
+    pub fn unfinished(records: &[Record]) -> usize {
+        let mut ends: HashMap<&str, (bool, bool)> = HashMap::new();
+        for record in records {
+            let entry = ends.entry(&record.message).or_default();
+            match &record.event {
+                Event::Answered { status: 202 } => entry.0 = true,
+                Event::Responded { status: 200, .. } | Event::Reported { .. } => entry.1 = true,
+                _ => {}
+            }
+        }
+        ends.values()
+            .filter(|(accepted, ended)| *accepted && !ended)
+            .count()
+    }
+
+    fn violate(&mut self, rule: Rule, record: &Record) {
+        self.violations.push(Violation {
+            rule,
+            at: record.at,
+            sender: record.sender,
+            message: record.message.clone(),
+        });
+    }
+
+    fn learn_process(&mut self, record: &Record, event: ProcessEvent) {
+        let state = self.senders.entry(record.sender).or_default();
+        match event {
+            ProcessEvent::Kill | ProcessEvent::Terminate | ProcessEvent::Exited(_) => {
+                if event == ProcessEvent::Kill {
+                    state.kills.push(record.at);
+                }
+                if state.outages.last().is_none_or(|last| last.1.is_finite()) {
+                    state.outages.push((record.at, f64::INFINITY));
+                }
+            }
+            ProcessEvent::Ready => {
+                if let Some(last) = state.outages.last_mut() {
+                    last.1 = last.1.min(record.at);
+                }
+            }
+            ProcessEvent::Started => self.starts += 1,
+            _ => {}
+        }
+    }
+
+    fn judge_record(&mut self, record: &Record) {
+        match &record.event {
+            Event::Submitted { effect, timeout } => self.submitted(record, *effect, *timeout),
+            Event::Answered { status } => self.answered(record, *status),
+            Event::Unanswered(end) => self.unanswered(record, *end),
+            Event::BadClientIgnored => self.violate(Rule::BadClientIgnored, record),
+            Event::RequestBegan {
+                endpoint,
+                destination,
+            } => self.request_began(record, *endpoint, *destination),
+            Event::RequestArrived { intact, runs, .. } => {
+                self.request_arrived(record, *intact, *runs)
+            }
+            Event::Responded {
+                destination,
+                status,
+                retry_after,
+            } => self.responded(record, *destination, *status, *retry_after),
+            Event::Reported { .. } => self.reported(record),
+            Event::ListTold { endpoint, active } => self.list_told(record, *endpoint, *active),
+            Event::Process(event) => self.process(record, *event),
+            Event::LoggedDefect(_) => self.violate(Rule::LoggedDefect, record),
+        }
+    }
+
+    fn progress(&mut self, record: &Record) -> &mut Progress {
+        let progress = self.messages.entry(record.message.clone()).or_default();
+        progress.sender = record.sender;
+        progress
+    }
+
+    fn submitted(&mut self, record: &Record, effect: Effect, timeout: Millis) {
+        self.figures.requests += 1;
+        let progress = self.progress(record);
+        progress.submitted_at = Some(record.at);
+        progress.timeout = timeout;
+        progress.effect = Some(effect);
+    }
+
+    fn answered(&mut self, record: &Record, status: u16) {
+        let progress = self.progress(record);
+        match status {
+            202 => {
+                progress.accepted = true;
+                self.figures.accepted += 1;
+            }
+            429 | 503 => progress.rejected_at = Some(record.at),
+            _ => {}
+        }
+    }
+
+    fn unanswered(&mut self, record: &Record, end: Unanswered) {
+        match end {
+            Unanswered::Reset => {}
+            Unanswered::TimedOut => self.figures.timed_out += 1,
+            Unanswered::EndOfStream => {
+                let state = self.senders.entry(record.sender).or_default();
+                let excused = state.was_killed_around(record.at)
+                    || (self.conditions.calls_failed)(record.sender, record.at);
+                if !excused {
+                    self.violate(Rule::ReadAndDropped, record);
+                }
+            }
+        }
+    }
+
+    fn request_began(&mut self, record: &Record, endpoint: usize, destination: usize) {
+        let late = self.conditions.lateness;
+        let state = self.senders.entry(record.sender).or_default();
+        let told = state.draining.get(&endpoint).copied();
+        let wait = state.waits.get(&destination).copied();
+        if told.is_some_and(|told| record.at > told + DRAIN_GRACE + late) {
+            self.violate(Rule::SentToDraining, record);
+        }
+        let waiting = |(written, until): (Millis, Millis)| {
+            record.at > written + WAIT_GRACE + HELD_UP + late && record.at < until - late
+        };
+        if wait.is_some_and(waiting) {
+            self.violate(Rule::RetryAfterIgnored, record);
+        }
+        self.judge_timing(record);
+    }
+
+    /// Whether a request may still come for its message.
+    fn judge_timing(&mut self, record: &Record) {
+        let late = self.conditions.lateness;
+        let progress = self.progress(record);
+        progress.requests += 1;
+        let deadline = progress
+            .submitted_at
+            .map_or(f64::INFINITY, |at| at + progress.timeout);
+        let (delivered, reported) = (progress.delivered_at, progress.reported_at);
+        let rejected = progress.rejected_at.is_some();
+        if record.at > deadline + SOCKET_GRACE + HELD_UP + late {
+            self.violate(Rule::ForwardedLate, record);
+        }
+        if rejected {
+            self.violate(Rule::ForwardedAfterRejection, record);
+        }
+        let after = |end: Millis| record.at > end + SOCKET_GRACE + HELD_UP + late;
+        let after_report = reported.is_some_and(after);
+        let after_delivery = delivered.is_some_and(after)
+            && delivered.is_some_and(|at| self.end_is_known(record.sender, at, record.at));
+        if after_report || after_delivery {
+            self.violate(Rule::ForwardedAfterEnd, record);
+        }
+    }
+
+    /// Whether the sender surely knows at an instant of an answer that was written earlier.
+    fn end_is_known(&self, sender: usize, written: Millis, now: Millis) -> bool {
+        let disturbed = self
+            .senders
+            .get(&sender)
+            .is_some_and(|state| state.was_disturbed(written, now));
+        !disturbed && !(self.conditions.calls_failed)(sender, written)
+    }
+
+    fn request_arrived(&mut self, record: &Record, intact: bool, runs: bool) {
+        let late = self.conditions.lateness;
+        let window = self.conditions.idempotency_window;
+        if !intact {
+            self.violate(Rule::Altered, record);
+        }
+        let progress = self.progress(record);
+        let first_run = progress.first_run;
+        if runs {
+            progress.first_run.get_or_insert(record.at);
+        }
+        let effect = super::world::Message::of(&record.message).map(|message| message.effect);
+        match (effect, first_run) {
+            (Some(Effect::NonIdempotent), Some(_)) => {
+                self.violate(Rule::RepeatedNonIdempotent, record);
+            }
+            (Some(Effect::Keyed), Some(first))
+                if record.at > first + window + SOCKET_GRACE + late =>
+            {
+                self.violate(Rule::RepeatedOutsideWindow, record);
+            }
+            _ => {}
+        }
+    }
+
+    fn responded(
+        &mut self,
+        record: &Record,
+        destination: usize,
+        status: u16,
+        retry_after: Option<Millis>,
+    ) {
+        if status == 200 {
+            self.progress(record).delivered_at.get_or_insert(record.at);
+        }
+        let lost = (self.conditions.calls_failed)(record.sender, record.at);
+        if let Some(span) = retry_after.filter(|_| !lost) {
+            let state = self.senders.entry(record.sender).or_default();
+            let wait = state.waits.entry(destination).or_insert((record.at, 0.0));
+            if record.at + span > wait.1 {
+                *wait = (record.at, record.at + span);
+            }
+        }
+    }
+
+    fn reported(&mut self, record: &Record) {
+        let progress = self.progress(record);
+        progress.reported_at.get_or_insert(record.at);
+        let delivered = progress.delivered_at;
+        let Some(delivered) = delivered else {
+            return;
+        };
+        let known = record.at > delivered + SOCKET_GRACE + HELD_UP + self.conditions.lateness;
+        if known && self.end_is_known(record.sender, delivered, record.at) {
+            self.violate(Rule::TwoEnds, record);
+        }
+    }
+
+    fn list_told(&mut self, record: &Record, endpoint: usize, active: bool) {
+        let state = self.senders.entry(record.sender).or_default();
+        if active {
+            state.draining.remove(&endpoint);
+        } else {
+            state.draining.entry(endpoint).or_insert(record.at);
+        }
+    }
+
+    fn process(&mut self, record: &Record, event: ProcessEvent) {
+        let state = self.senders.entry(record.sender).or_default();
+        match event {
+            ProcessEvent::Terminate => {
+                state.terminated_at.get_or_insert(record.at);
+            }
+            ProcessEvent::Kill => {
+                let late = state
+                    .terminated_at
+                    .is_some_and(|at| record.at >= at + KILL_AFTER_TERMINATE);
+                state.killed = true;
+                if late {
+                    self.violate(Rule::ExitedLate, record);
+                }
+            }
+            ProcessEvent::Exited(code) => {
+                let asked = state.killed || (state.terminated_at.is_some() && code == Some(0));
+                if !asked {
+                    self.violate(Rule::Crashed, record);
+                }
+            }
+            ProcessEvent::Started => {
+                state.terminated_at = None;
+                state.killed = false;
+                // A restart ends the waits.
+                state.waits.clear();
+            }
+            ProcessEvent::NotReady => self.violate(Rule::NotReady, record),
+            ProcessEvent::Ready
+            | ProcessEvent::Reload
+            | ProcessEvent::Pause
+            | ProcessEvent::WallStep => {}
+        }
+    }
+
+    /// Every accepted message must have its end, in its time.
+    fn judge_ends(&mut self) {
+        for (id, progress) in &self.messages {
+            let Some(submitted_at) = progress.submitted_at.filter(|_| progress.accepted) else {
+                continue;
+            };
+            let deadline = submitted_at + progress.timeout;
+            let end = [progress.delivered_at, progress.reported_at]
+                .into_iter()
+                .flatten()
+                .fold(f64::INFINITY, f64::min);
+            self.figures.delivered += usize::from(progress.delivered_at.is_some());
+            if let Some(reported_at) = progress.reported_at {
+                self.figures.reported += 1;
+                let early = progress.requests == 0 && reported_at < deadline - EARLY;
+                self.figures.ended_early += usize::from(early);
+            }
+            if end > self.due(progress.sender, deadline) {
+                self.violations.push(Violation {
+                    rule: Rule::Lost,
+                    at: deadline,
+                    sender: progress.sender,
+                    message: id.clone(),
+                });
+            }
+        }
+    }
+
+    /// When a message of a sender must have its end: no end is overdue while the sender restarts.
+    fn due(&self, sender: usize, deadline: Millis) -> Millis {
+        let mut due = deadline + END_GRACE + SOCKET_GRACE;
+        let outages = self.senders.get(&sender).map(|state| &state.outages[..]);
+        for (begin, end) in outages.unwrap_or_default() {
+            if *begin <= due {
+                due = due.max(end + RESTART_GRACE);
+            }
+        }
+        if let Some(until) = (self.conditions.unconfirmed_until)(sender, due) {
+            due = due.max(until + REPORT_GRACE);
+        }
+        due + self.conditions.lateness
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -0,0 +1,186 @@
+//! Each rule of the oracle is shown to fail on a small history, and to hold on the like one without the fault.
+
+use super::*;
+
+const ENDPOINT: usize = 0;
+const DESTINATION: usize = 0;
+
+fn record(at: Millis, message: &str, event: Event) -> Record {
+    Record {
+        at,
+        sender: 0,
+        message: message.into(),
+        event,
+    }
+}
+
+fn submitted(at: Millis, id: &str) -> [Record; 2] {
+    let effect = crate::soak::world::Message::of(id).map_or(Effect::Idempotent, |m| m.effect);
+    let timeout = 4_000.0;
+    [
+        record(at, id, Event::Submitted { effect, timeout }),
+        record(at + 1.0, id, Event::Answered { status: 202 }),
+    ]
+}
+
+fn request(at: Millis, id: &str) -> [Record; 2] {
+    let (endpoint, destination) = (ENDPOINT, DESTINATION);
+    [
+        record(
+            at,
+            id,
+            Event::RequestBegan {
+                endpoint,
+                destination,
+            },
+        ),
+        record(
+            at,
+            id,
+            Event::RequestArrived {
+                endpoint,
+                destination,
+                intact: true,
+                runs: true,
+            },
+        ),
+    ]
+}
+
+fn responded(at: Millis, id: &str, status: u16, retry_after: Option<Millis>) -> Record {
+    let destination = DESTINATION;
+    record(
+        at,
+        id,
+        Event::Responded {
+            destination,
+            status,
+            retry_after,
+        },
+    )
+}
+
+fn reported(at: Millis, id: &str) -> Record {
+    let status = "undeliverable".into();
+    record(at, id, Event::Reported { status })
+}
+
+fn process(at: Millis, event: ProcessEvent) -> Record {
+    record(at, "", Event::Process(event))
+}
+
+fn drained(at: Millis) -> Record {
+    let (endpoint, active) = (ENDPOINT, false);
+    record(at, "", Event::ListTold { endpoint, active })
+}
+
+/// The rules that a history breaks.
+fn broken(parts: &[&[Record]]) -> Vec<Rule> {
+    let conditions = Conditions {
+        lateness: 0.0,
+        idempotency_window: 2_000.0,
+        calls_failed: &|_, _| false,
+        unconfirmed_until: &|_, _| None,
+    };
+    let (violations, _) = Oracle::new(conditions).judge(&parts.concat());
+    violations.iter().map(|violation| violation.rule).collect()
+}
+
+#[test]
+fn a_delivered_message_breaks_no_rule() {
+    let parts: [&[Record]; 3] = [
+        &submitted(0.0, "u1"),
+        &request(10.0, "u1"),
+        &[responded(20.0, "u1", 200, None)],
+    ];
+    assert_eq!(broken(&parts), []);
+}
+
+#[test]
+fn a_message_without_an_end_is_lost() {
+    assert_eq!(broken(&[&submitted(0.0, "u1")]), [Rule::Lost]);
+    assert_eq!(
+        broken(&[&submitted(0.0, "u1"), &[reported(4_300.0, "u1")]]),
+        []
+    );
+    assert_eq!(
+        broken(&[&submitted(0.0, "u1"), &[reported(4_400.0, "u1")]]),
+        [Rule::Lost]
+    );
+}
+
+#[test]
+fn an_end_is_not_overdue_while_its_sender_restarts() {
+    let restart = [
+        process(4_000.0, ProcessEvent::Kill),
+        process(4_000.0, ProcessEvent::Exited(None)),
+        process(4_600.0, ProcessEvent::Started),
+        process(4_700.0, ProcessEvent::Ready),
+    ];
+    let report = |at| [reported(at, "u1")];
+    let judged = |at| broken(&[&submitted(0.0, "u1"), &restart, &report(at)]);
+    assert_eq!(judged(6_100.0), []);
+    assert_eq!(judged(6_300.0), [Rule::Lost]);
+}
+
+#[rstest::rstest]
+#[case::reported(&[reported(100.0, "k1")], 400.0, Rule::ForwardedAfterEnd)]
+#[case::delivered(&[responded(100.0, "k1", 200, None)], 400.0, Rule::ForwardedAfterEnd)]
+#[case::rejected(&[record(2.0, "k1", Event::Answered { status: 503 }), reported(5_000.0, "k1")], 50.0, Rule::ForwardedAfterRejection)]
+#[case::late(&[reported(4_100.0, "k1")], 4_250.0, Rule::ForwardedLate)]
+#[case::draining(&[drained(0.0), responded(1_300.0, "k1", 200, None)], 1_200.0, Rule::SentToDraining)]
+#[case::waiting(&[responded(10.0, "k2", 429, Some(900.0)), responded(700.0, "k1", 200, None)], 600.0, Rule::RetryAfterIgnored)]
+fn a_request_that_must_not_come(#[case] before: &[Record], #[case] at: Millis, #[case] rule: Rule) {
+    let mut records = [&submitted(0.0, "k1")[..], before, &request(at, "k1")].concat();
+    records.sort_by(|a, b| a.at.total_cmp(&b.at));
+    assert!(broken(&[&records]).contains(&rule));
+}
+
+#[rstest::rstest]
+#[case::non_idempotent("u1", 100.0, Some(Rule::RepeatedNonIdempotent))]
+#[case::keyed_in_its_window("k1", 2_000.0, None)]
+#[case::keyed_behind_its_window("k1", 2_100.0, Some(Rule::RepeatedOutsideWindow))]
+#[case::idempotent("i1", 3_000.0, None)]
+fn a_repeat(#[case] id: &str, #[case] after: Millis, #[case] rule: Option<Rule>) {
+    let parts: [&[Record]; 4] = [
+        &submitted(0.0, id),
+        &request(10.0, id),
+        &request(10.0 + after, id),
+        &[responded(3_500.0, id, 200, None)],
+    ];
+    assert_eq!(broken(&parts), Vec::from_iter(rule));
+}
+
+#[test]
+fn a_request_that_was_read_and_dropped_is_found_unless_its_sender_was_killed() {
+    let end = [record(
+        500.0,
+        "u1",
+        Event::Unanswered(Unanswered::EndOfStream),
+    )];
+    assert_eq!(broken(&[&end]), [Rule::ReadAndDropped]);
+    let kill = [process(400.0, ProcessEvent::Kill)];
+    assert_eq!(broken(&[&kill, &end]), []);
+    let shutdown = [process(400.0, ProcessEvent::Terminate)];
+    assert_eq!(broken(&[&shutdown, &end]), [Rule::ReadAndDropped]);
+}
+
+#[rstest::rstest]
+#[case::by_itself(&[process(10.0, ProcessEvent::Exited(Some(0)))], Some(Rule::Crashed))]
+#[case::told_to(&[process(5.0, ProcessEvent::Terminate), process(10.0, ProcessEvent::Exited(Some(0)))], None)]
+#[case::told_to_but_failed(&[process(5.0, ProcessEvent::Terminate), process(10.0, ProcessEvent::Exited(Some(101)))], Some(Rule::Crashed))]
+#[case::killed(&[process(5.0, ProcessEvent::Kill), process(10.0, ProcessEvent::Exited(None))], None)]
+#[case::too_late(&[process(5.0, ProcessEvent::Terminate), process(3_705.0, ProcessEvent::Kill), process(3_710.0, ProcessEvent::Exited(None))], Some(Rule::ExitedLate))]
+fn the_end_of_a_process(#[case] records: &[Record], #[case] rule: Option<Rule>) {
+    assert_eq!(broken(&[records]), Vec::from_iter(rule));
+}
+
+#[test]
+fn a_report_well_behind_the_delivery_is_a_second_end() {
+    let parts: [&[Record]; 3] = [
+        &submitted(0.0, "i1"),
+        &request(10.0, "i1"),
+        &[responded(20.0, "i1", 200, None), reported(900.0, "i1")],
+    ];
+    assert_eq!(broken(&parts), [Rule::TwoEnds]);
+}
--- /dev/null
+++ b/crates/lab/src/soak/schedule.rs
@@ -0,0 +1,241 @@
+//! The faults of a soak: a pure function of its seed.
+
+use martenlatch_clock::Millis;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// A fault that lasts for a while.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// An endpoint reads requests and answers none.
+    EndpointHangs,
+    /// An endpoint resets its connections, and refuses new ones.
+    EndpointDown,
+    /// An endpoint writes half an answer and ends the connection.
+    HalfAnswer,
+    /// An endpoint announces a longer body than it sends.
+    WrongLength,
+    /// An endpoint's answer has a head that never ends.
+    EndlessAnswer,
+    /// An endpoint takes long.
+    EndpointSlow,
+    /// An endpoint rejects requests and says how long to wait.
+    EndpointBusy,
+    /// An endpoint answers 500.
+    EndpointFails,
+    /// Connections to an endpoint are reset in the middle of a request.
+    ResetInRequest,
+    /// Connections to an endpoint are reset behind a whole request.
+    ResetBehindRequest,
+    /// Answers of an endpoint come in two parts, the last byte late.
+    LastByteLate,
+    /// An endpoint ends its sending side behind each answer.
+    HalfClose,
+    /// New connections to an endpoint come up late.
+    LateConnections,
+    /// An endpoint drains; afterwards it is replaced by another one at the same address.
+    Drain,
+    /// A sender's watch is open and silent.
+    WatchSilent,
+    /// A sender's agent closes every connection.
+    DiscoveryDown,
+    /// A sender's agent answers late.
+    DiscoverySlow,
+    /// Status reports of a sender are read and not confirmed.
+    ReportsUnconfirmed,
+    /// A sender's folder takes no more bytes.
+    DiskFull,
+    /// Every write to a sender's folder fails.
+    DiskBroken,
+    /// Writes to a sender's folder stop half-way.
+    DiskStopsHalfway,
+    /// Some of a sender's socket calls fail.
+    CallsFail,
+    /// Many clients connect to a sender and say nothing.
+    Crowd,
+}
+
+/// The faults of endpoints.
+const ENDPOINT_FAULTS: [Fault; 14] = [
+    Fault::EndpointHangs,
+    Fault::EndpointDown,
+    Fault::HalfAnswer,
+    Fault::WrongLength,
+    Fault::EndlessAnswer,
+    Fault::EndpointSlow,
+    Fault::EndpointBusy,
+    Fault::EndpointBusy,
+    Fault::EndpointFails,
+    Fault::ResetInRequest,
+    Fault::ResetBehindRequest,
+    Fault::LastByteLate,
+    Fault::HalfClose,
+    Fault::LateConnections,
+];
+
+/// The faults of senders and their agents.
+const SENDER_FAULTS: [Fault; 9] = [
+    Fault::WatchSilent,
+    Fault::DiscoveryDown,
+    Fault::DiscoverySlow,
+    Fault::ReportsUnconfirmed,
+    Fault::DiskFull,
+    Fault::DiskBroken,
+    Fault::DiskStopsHalfway,
+    Fault::CallsFail,
+    Fault::Crowd,
+];
+
+/// A fault of one endpoint or sender, from an instant to another.
+#[derive(Clone, Copy, Debug)]
+pub struct Window {
+    /// What happens.
+    pub fault: Fault,
+    /// The endpoint or sender.
+    pub target: usize,
+    /// When it begins.
+    pub from: Millis,
+    /// When it ends.
+    pub until: Millis,
+}
+
+/// What is done to a sender's process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// SIGTERM; SIGKILL comes as early as the platform allows.
+    Terminate,
+    /// SIGTERM several times, with SIGHUPs between.
+    TerminateInSeries,
+    /// SIGKILL.
+    Kill,
+    /// SIGKILL right behind the next 202.
+    KillBehindAccept,
+    /// SIGHUP.
+    Reload,
+    /// SIGSTOP, and SIGCONT so much later.
+    Pause(Millis),
+    /// The wall clock is stepped by so much.
+    StepWall(Millis),
+}
+
+/// An action on a sender's process.
+#[derive(Clone, Copy, Debug)]
+pub struct Step {
+    /// When.
+    pub at: Millis,
+    /// The sender.
+    pub sender: usize,
+    /// What is done.
+    pub action: Action,
+}
+
+/// The whole schedule.
+#[derive(Clone, Debug, Default)]
+pub struct Schedule {
+    /// Faults that last.
+    pub windows: Vec<Window>,
+    /// Actions, in the order of time.
+    pub steps: Vec<Step>,
+}
+
+/// The size of a soak.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Senders.
+    pub senders: usize,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// How long faults are made.
+    pub length: Millis,
+}
+
+/// No process is ended for so long before the end, so that all messages can have theirs.
+const QUIET_END: Millis = 1_500.0;
+/// Faults that last do so for a span of this range.
+const WINDOW: std::ops::Range<Millis> = 400.0..2_500.0;
+/// Between two actions on the same sender.
+const STEP_GAP: std::ops::Range<Millis> = 600.0..2_800.0;
+/// Between two faults of the same endpoint or sender.
+const FAULT_GAP: std::ops::Range<Millis> = 300.0..5_000.0;
+/// The longest stop of a process.
+const LONGEST_PAUSE: Millis = 150.0;
+/// Steps of the wall clock, in milliseconds.
+const WALL_STEPS: [Millis; 8] = [3_600e3, -3_600e3, 5e3, -5e3, 900e3, -900e3, 2e3, -3e3];
+
+impl Schedule {
+    /// The schedule of a seed.
+    pub fn new(seed: u64, size: Size) -> Schedule {
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut schedule = Schedule::default();
+        for endpoint in 0..size.endpoints {
+            schedule.add_windows(&mut random, &ENDPOINT_FAULTS, endpoint, size.length);
+            // The first endpoint of each destination stays listed.
+            if endpoint % 2 == 1 {
+                schedule.add_windows(&mut random, &[Fault::Drain], endpoint, size.length);
+            }
+        }
+        for sender in 0..size.senders {
+            schedule.add_windows(&mut random, &SENDER_FAULTS, sender, size.length);
+            schedule.add_steps(&mut random, sender, size.length - QUIET_END);
+        }
+        schedule.steps.sort_by(|a, b| a.at.total_cmp(&b.at));
+        schedule
+    }
+
+    fn add_windows(&mut self, random: &mut Pcg64, faults: &[Fault], target: usize, end: Millis) {
+        let mut at = random.random_range(FAULT_GAP);
+        while at < end {
+            let from = at;
+            let until = from + random.random_range(WINDOW);
+            self.windows.push(Window {
+                fault: faults[random.random_range(0..faults.len())],
+                target,
+                from,
+                until,
+            });
+            at = until + random.random_range(FAULT_GAP);
+        }
+    }
+
+    fn add_steps(&mut self, random: &mut Pcg64, sender: usize, end: Millis) {
+        let mut at = random.random_range(STEP_GAP);
+        while at < end {
+            let action = draw_action(random);
+            self.steps.push(Step { at, sender, action });
+            at += random.random_range(STEP_GAP);
+        }
+    }
+
+    /// Whether a fault of a target is on.
+    pub fn is_on(&self, fault: Fault, target: usize, now: Millis) -> bool {
+        self.windows.iter().any(|window| {
+            window.fault == fault
+                && window.target == target
+                && (window.from..window.until).contains(&now)
+        })
+    }
+
+    /// The fault of an endpoint that is on.
+    pub fn endpoint_fault(&self, endpoint: usize, now: Millis) -> Option<Fault> {
+        self.windows
+            .iter()
+            .find(|window| {
+                window.target == endpoint
+                    && ENDPOINT_FAULTS.contains(&window.fault)
+                    && (window.from..window.until).contains(&now)
+            })
+            .map(|window| window.fault)
+    }
+}
+
+fn draw_action(random: &mut Pcg64) -> Action {
+    match random.random_range(0..12) {
+        0 | 1 => Action::Terminate,
+        2 => Action::TerminateInSeries,
+        3 | 4 => Action::Kill,
+        5 | 6 => Action::KillBehindAccept,
+        7 => Action::Reload,
+        8 | 9 => Action::Pause(random.random_range(20.0..LONGEST_PAUSE)),
+        _ => Action::StepWall(WALL_STEPS[random.random_range(0..WALL_STEPS.len())]),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/soak/world.rs
@@ -0,0 +1,246 @@
+//! What all threads of a soak share.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use martenlatch_clock::Millis;
+use serde_json::{Value, json};
+
+use super::history::{Effect, History};
+use super::schedule::{Schedule, Size};
+
+/// How long endpoints remember keys.
+pub const IDEMPOTENCY_WINDOW: Millis = 2_000.0;
+/// Endpoints of one destination.
+pub const ENDPOINTS_PER_DESTINATION: usize = 2;
+/// How long a thread sleeps before it looks again whether the soak is over.
+pub const POLL_INTERVAL: Duration = Duration::from_millis(10);
+
+/// An endpoint as discovery lists it.
+#[derive(Clone, Debug)]
+struct ListedEndpoint {
+    /// How many endpoints there were at this address before it.
+    generation: u32,
+    state: &'static str,
+}
+
+/// The endpoint list.
+pub struct EndpointList {
+    /// Its version.
+    pub version: u64,
+    endpoints: Vec<ListedEndpoint>,
+    /// For each version from the second one on, the endpoint that changed.
+    changes: Vec<usize>,
+}
+
+impl EndpointList {
+    fn new(endpoints: usize) -> EndpointList {
+        let listed = ListedEndpoint {
+            generation: 0,
+            state: "in_service",
+        };
+        EndpointList {
+            version: 1,
+            endpoints: vec![listed; endpoints],
+            changes: Vec::new(),
+        }
+    }
+
+    /// The endpoint drains.
+    pub fn drain(&mut self, endpoint: usize) {
+        self.endpoints[endpoint].state = "terminating";
+        self.changed(endpoint);
+    }
+
+    /// Another endpoint takes the place of one that drained.
+    pub fn replace(&mut self, endpoint: usize) {
+        self.endpoints[endpoint].generation += 1;
+        self.endpoints[endpoint].state = "in_service";
+        self.changed(endpoint);
+    }
+
+    fn changed(&mut self, endpoint: usize) {
+        self.version += 1;
+        self.changes.push(endpoint);
+    }
+
+    /// Whether an endpoint takes requests.
+    pub fn is_active(&self, endpoint: usize) -> bool {
+        self.endpoints[endpoint].state == "in_service"
+    }
+
+    /// The endpoints that changed after a version.
+    pub fn changed_since(&self, version: u64) -> Vec<usize> {
+        let known = (version.max(1) - 1) as usize;
+        let mut changed: Vec<usize> = self.changes.iter().skip(known).copied().collect();
+        changed.sort_unstable();
+        changed.dedup();
+        changed
+    }
+
+    fn entry(&self, endpoint: usize, address: SocketAddr) -> Vec<Value> {
+        let ListedEndpoint { generation, state } = self.endpoints[endpoint];
+        let describe = |generation: u32, state: &str| {
+            json!({
+                "uid": format!("s-{endpoint}-{generation}"),
+                "endpoint": address.to_string(),
+                "az": "a",
+                "model": "k",
+                "pod_group": endpoint / ENDPOINTS_PER_DESTINATION,
+                "state": state,
+                "capacity_hint": 50.0,
+                "boot_ms": 0
+            })
+        };
+        let mut entries = vec![describe(generation, state)];
+        if generation > 0 {
+            entries.push(describe(generation - 1, "terminated"));
+        }
+        entries
+    }
+
+    /// The list, or the changes of some endpoints, as a sender sees it.
+    pub fn describe(&self, endpoints: &[usize], complete: bool, addresses: &[SocketAddr]) -> Value {
+        let targets: Vec<Value> = endpoints
+            .iter()
+            .flat_map(|endpoint| self.entry(*endpoint, addresses[*endpoint]))
+            .filter(|entry| !complete || entry["state"] != "terminated")
+            .collect();
+        json!({"rev": self.version, "all": complete, "targets": targets})
+    }
+}
+
+/// What all threads share.
+pub struct World {
+    /// What happened.
+    pub history: History,
+    /// What happens to whom.
+    pub schedule: Schedule,
+    /// How large the soak is.
+    pub size: Size,
+    /// The seed.
+    pub seed: u64,
+    /// The endpoint list.
+    pub list: Mutex<EndpointList>,
+    /// For each sender, the addresses of its endpoints.
+    pub endpoint_addresses: Mutex<Vec<Vec<SocketAddr>>>,
+    /// Clients submit nothing more.
+    pub clients_stopped: AtomicBool,
+    /// All threads end.
+    pub stopped: AtomicBool,
+    /// For each sender, how many messages it has accepted.
+    pub accepted: Vec<AtomicUsize>,
+}
+
+impl World {
+    /// A world in which nothing runs yet.
+    pub fn new(seed: u64, size: Size) -> World {
+        World {
+            history: History::default(),
+            schedule: Schedule::new(seed, size),
+            size,
+            seed,
+            list: Mutex::new(EndpointList::new(size.endpoints)),
+            endpoint_addresses: Mutex::default(),
+            clients_stopped: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            accepted: (0..size.senders).map(|_| AtomicUsize::new(0)).collect(),
+        }
+    }
+
+    /// Whether all threads are to end.
+    pub fn is_over(&self) -> bool {
+        self.stopped.load(Ordering::Relaxed)
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> Millis {
+        self.history.now()
+    }
+}
+
+/// A message of the soak: all that is told of it follows from its id.
+pub struct Message {
+    /// Its id.
+    pub id: String,
+    /// What a repeat does.
+    pub effect: Effect,
+}
+
+impl Message {
+    /// The message of an id; none if no client of a soak would have given it.
+    pub fn of(id: &str) -> Option<Message> {
+        let effect = match id.chars().next()? {
+            'u' => Effect::NonIdempotent,
+            'k' => Effect::Keyed,
+            'i' => Effect::Idempotent,
+            _ => return None,
+        };
+        Some(Message {
+            id: id.to_string(),
+            effect,
+        })
+    }
+
+    /// The first letter of the ids of messages of an effect.
+    pub fn prefix(effect: Effect) -> char {
+        match effect {
+            Effect::NonIdempotent => 'u',
+            Effect::Keyed => 'k',
+            Effect::Idempotent => 'i',
+        }
+    }
+
+    /// The name of its class.
+    pub fn class(&self) -> &'static str {
+        match self.effect {
+            Effect::NonIdempotent => "debit",
+            Effect::Keyed => "meter",
+            Effect::Idempotent => "notice",
+        }
+    }
+
+    /// Its idempotency key.
+    pub fn key(&self) -> String {
+        format!("key-of-{}", self.id)
+    }
+
+    /// Its body: as long as its id says.
+    pub fn body(&self) -> String {
+        const LONGEST: u32 = 3_000;
+        let length = crc32(&self.id) % LONGEST;
+        self.id
+            .chars()
+            .cycle()
+            .take(length as usize)
+            .collect::<String>()
+    }
+}
+
+/// A number that is the same for the same text.
+fn crc32(text: &str) -> u32 {
+    text.bytes().fold(2_166_136_261, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(16_777_619)
+    })
+}
+
+/// The settings that senders get from the platform.
+pub fn platform_settings(senders: usize) -> Value {
+    let category = |name: &str, effect: &str| {
+        json!({"Name": name, "Target": 1_000_000_000u64, "Deadline": 4_000_000_000u64, "Effect": effect,
+            "KeyScope": "all", "MemorySpan": IDEMPOTENCY_WINDOW as u64 * 1_000_000, "Worth": 1, "LateWorth": 0.4})
+    };
+    json!({
+        "Areas": ["a"], "Zone": "a", "Balancers": senders, "Kinds": ["k"], "WeightKind": "rough",
+        "Categories": [category("debit", "side_effect"), category("meter", "token"), category("notice", "pure")],
+        "FamilyInfo": {"CallsOut": 16, "LosesWorth": "halving"},
+        "Limits": {"OpenCap": 200, "AttemptsCap": 8, "Cancel": true, "SecondCopies": true,
+            "ConnectTimeout": 1_000_000_000u64, "ConnIdle": 15_000_000_000u64, "RetryAfter": true,
+            "MaxRetryAfter": 3_000_000_000u64},
+        "Guarantees": {"StopSendingWithin": 1_000_000_000u64, "GraceToAnswer": 20_000_000u64, "OverloadFactor": 2,
+            "OverloadFor": 3_000_000_000u64, "ColdFrom": 0.22, "Cold": 3_000_000_000u64},
+        "Tick": 5_000_000
+    })
+}
--- a/crates/lab/src/sockets/sender_process.rs
+++ b/crates/lab/src/sockets/sender_process.rs
@@ -1,6 +1,7 @@
 //! A sender under test: its folder, its configuration and its process. Dropping it kills the process and removes the
 //! folder.
 
+use std::ffi::OsString;
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -62,6 +63,8 @@
     settings_file: Option<PathBuf>,
     /// Its configuration, with the endpoint list that it was last given.
     config: Value,
+    /// Variables of its environment beside the usual ones.
+    environment: Vec<(OsString, OsString)>,
     child: Option<Child>,
     /// Tells once after a start whether the process has come to serve.
     health: Option<Receiver<bool>>,
@@ -124,6 +127,7 @@
             program: told.program.to_path_buf(),
             settings_file: told.settings_file.map(Path::to_path_buf),
             config,
+            environment: Vec::new(),
             child: None,
             health: None,
             ended_cpu_ms: 0.0,
@@ -162,6 +166,21 @@
         Ok(())
     }
 
+    /// Sets further variables of its environment, for the next start.
+    pub fn set_environment(&mut self, environment: Vec<(OsString, OsString)>) {
+        self.environment = environment;
+    }
+
+    /// The id of its process; none if none runs.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// The files that hold its log and its errors.
+    pub fn log_files(&self) -> [PathBuf; 2] {
+        ["log", "errors"].map(|name| self.folder.path().join(name))
+    }
+
     /// Writes its configuration, with the endpoint list as it was last told.
     ///
     /// # Errors
@@ -209,6 +228,7 @@
             .stdin(Stdio::null())
             .stdout(self.open_log("log")?)
             .stderr(self.open_log("errors")?);
+        command.envs(self.environment.iter().cloned());
         if let Some(settings) = &self.settings_file {
             command.env("MARTENLATCH_SETTINGS", settings);
         }
