Reproduce ends that a sick folder forgets, and reports of ends that no record has

A final status or a close whose write fails is dropped for good, and the status report goes out all the same.

--- a/crates/wal/src/log_file.rs
+++ b/crates/wal/src/log_file.rs
@@ -25,6 +25,9 @@
     file: Option<File>,
     /// Bytes of complete records.
     size: u64,
+    /// Every write fails as on a full disk, half of it written.
+    #[cfg(test)]
+    pub(crate) writes_fail: bool,
 }
 
 impl LogFile {
@@ -34,6 +37,8 @@
             path: path_in(folder),
             file: None,
             size,
+            #[cfg(test)]
+            writes_fail: false,
         }
     }
 
@@ -54,6 +59,8 @@
                 path,
                 file: Some(file),
                 size,
+                #[cfg(test)]
+                writes_fail: false,
             }),
             Err(source) => Err(LogError::Reopen { path, source }),
         }
@@ -79,9 +86,17 @@
         if size as f64 > limit {
             return false;
         }
+        #[cfg(test)]
+        let writes_fail = self.writes_fail;
         let Some(file) = self.file.as_mut() else {
             return false;
         };
+        #[cfg(test)]
+        if writes_fail {
+            let _ = file.write_all(&records[..records.len() / 2]);
+            self.undo_write();
+            return false;
+        }
         match file.write_all(records) {
             Ok(()) => {
                 self.size = size;
--- a/crates/wal/src/tests.rs
+++ b/crates/wal/src/tests.rs
@@ -237,3 +237,35 @@
         (MAX_ATTEMPTS, MAX_ATTEMPTS)
     );
 }
+
+#[test]
+fn a_record_that_could_not_be_written_is_made_good_once_the_disk_takes_it() {
+    // Otherwise the next process would send what is closed, or decide anew what has a final status.
+    let folder = folder("sick");
+    let (mut wal, _) = WriteAheadLog::open(&folder, 3_000_000);
+    let mut ended = message(2, 10);
+    assert!(wal.append_message(&message(1, 10)) && wal.append_message(&ended));
+    wal.file.writes_fail = true;
+    wal.append_closed(1, &Rc::from("id1"));
+    ended.final_status = Some(FinalStatus::Undeliverable);
+    wal.append_final_status(2, FinalStatus::Undeliverable);
+    wal.file.writes_fail = false;
+    assert!(wal.append_message(&message(3, 10)), "the log goes on");
+    assert!(
+        wal.wants_compaction(5_000.0),
+        "which writes what is missing"
+    );
+    assert!(wal.compact([&ended, &message(3, 10)].into_iter()));
+    assert!(!wal.wants_compaction(6_000.0));
+    drop(wal);
+    let (_, recovered) = WriteAheadLog::open(&folder, 3_000_000);
+    assert_eq!(
+        recovered.open.keys().copied().collect::<Vec<_>>(),
+        [2, 3],
+        "message 1 is closed"
+    );
+    assert_eq!(
+        recovered.open[&2].final_status,
+        Some(FinalStatus::Undeliverable)
+    );
+}
