Make records good that a sick folder refused, and report an end once it is recorded

Cause: append_final_status, append_closed and append_never_ran dropped a record whose write failed; after a kill the next process took the message for an open one and sent it, although the platform had been told of its end. Change: the log remembers that it lacks a record, and a compaction, tried every 100 ms until it succeeds, writes the present state whole. A status report waits meanwhile, at most to the message's deadline, after which nothing is sent for the message in any case.

--- a/crates/sender/src/pipeline/status_reports.rs
+++ b/crates/sender/src/pipeline/status_reports.rs
@@ -22,6 +22,8 @@
 const CONFIRMATION_TIMEOUT: Millis = 1_000.0;
 /// The backoff after a batch that was not confirmed doubles from the first to the second.
 const MIN_BACKOFF: Millis = 50.0;
+/// How often a report is looked at that waits for the record of its final status.
+const RECORD_WAIT: Millis = 50.0;
 pub(super) const MAX_BACKOFF: Millis = 1_000.0;
 
 /// Sends status reports. Messages are named by their numbers.
@@ -82,8 +84,11 @@
         if !self.in_flight.is_empty() || self.queue.is_empty() || now < self.next_attempt {
             return;
         }
-        let body = self.next_batch(store);
+        let body = self.next_batch(store, now);
         if self.in_flight.is_empty() {
+            if !self.queue.is_empty() {
+                self.next_attempt = now + RECORD_WAIT;
+            }
             return;
         }
         self.sent_at = now;
@@ -94,18 +99,28 @@
     }
 
     /// Moves the next batch from the queue into flight. Returns its lines.
-    fn next_batch(&mut self, store: &MessageStore) -> String {
+    ///
+    /// A final status that the log could not take is reported once it is recorded, or once the deadline has passed:
+    /// before, a process that dies would leave a message behind that the next one sends although it has ended.
+    fn next_batch(&mut self, store: &MessageStore, now: Millis) -> String {
+        let recorded = store.wal.is_complete();
         let mut lines = String::new();
-        while let Some(number) = self.queue.pop_front() {
+        let mut waiting = VecDeque::new();
+        while self.in_flight.len() < self.batch_size
+            && let Some(number) = self.queue.pop_front()
+        {
             let Some(record) = store.record(number) else {
                 continue;
             };
-            lines += &report_line(record);
-            self.in_flight.push(number);
-            if self.in_flight.len() >= self.batch_size {
-                break;
+            if recorded || record.deadline <= now {
+                lines += &report_line(record);
+                self.in_flight.push(number);
+            } else {
+                waiting.push_back(number);
             }
         }
+        waiting.append(&mut self.queue);
+        self.queue = waiting;
         lines
     }
 
--- a/crates/wal/src/compaction.rs
+++ b/crates/wal/src/compaction.rs
@@ -13,22 +13,29 @@
 
 /// Milliseconds after a failed compaction before the next one.
 const FAILURE_BACKOFF: Millis = 1_000.0;
+/// The same where a compaction has to write what could not be appended: what is owed depends on it.
+const MISSING_RECORDS_BACKOFF: Millis = 100.0;
 
 impl WriteAheadLog {
-    /// Whether a compaction would free space, or must be tried because there is no file to write to. False during the
-    /// backoff after a failure.
+    /// Whether a compaction would free space, or must be tried because there is no file to write to or the file lacks
+    /// records. False during the backoff after a failure.
     pub fn wants_compaction(&self, now: Millis) -> bool {
         let worth_it = self.limits.worth_compacting(
             self.file.size(),
             &self.open_messages,
             self.recently_closed.len(),
         );
-        (worth_it || !self.file.is_open()) && now >= self.write_backoff_until
+        (worth_it || !self.file.is_open() || self.lacks_records) && now >= self.write_backoff_until
     }
 
     /// Starts the backoff after a failed compaction; `now` is in milliseconds of Unix time.
     pub fn compaction_failed(&mut self, now: Millis) {
-        self.write_backoff_until = now + FAILURE_BACKOFF;
+        let backoff = if self.lacks_records {
+            MISSING_RECORDS_BACKOFF
+        } else {
+            FAILURE_BACKOFF
+        };
+        self.write_backoff_until = now + backoff;
     }
 
     /// Writes the open messages and the recently closed ids to a new file, which replaces the old one. False: the old
@@ -39,6 +46,7 @@
             Ok(()) => {
                 self.open_messages = snapshot.open_messages;
                 self.class_rules = snapshot.class_rules;
+                self.lacks_records = false;
                 true
             }
             Err(error) => {
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -31,6 +31,9 @@
     pub(crate) class_rules: HashMap<Rc<str>, Rc<[u8]>>,
     /// No compaction is attempted before this instant.
     pub(crate) write_backoff_until: Millis,
+    /// A record could not be written that a later process needs: only a compaction, which writes the present state,
+    /// makes it good.
+    pub(crate) lacks_records: bool,
 }
 
 /// Where a process stands in its log, to be passed on to its successor.
@@ -91,9 +94,15 @@
             recently_closed: recovered.recently_closed.clone(),
             class_rules: recovered.class_rules.clone(),
             write_backoff_until: 0.0,
+            lacks_records: false,
         }
     }
 
+    /// Whether a process that started from the file now would know all that was recorded.
+    pub fn is_complete(&self) -> bool {
+        !self.lacks_records
+    }
+
     /// Where this process stands. It must not write to the log once a successor continues from there.
     pub fn position(&self) -> LogPosition {
         LogPosition {
@@ -128,6 +137,8 @@
             // The rules of each class are recorded anew before its next message.
             class_rules: HashMap::new(),
             write_backoff_until: place.write_backoff_until,
+            // What the predecessor could not write is not passed on: the first compaction writes the whole state.
+            lacks_records: true,
         })
     }
 
@@ -166,14 +177,15 @@
         true
     }
 
-    /// Records that an attempt never ran. Losing this record is safe: the attempt then counts as one that may have run.
+    /// Records that an attempt never ran. Until it can be written, the attempt counts as one that may have run.
     pub fn append_never_ran(&mut self, number: u64, attempt: usize) {
-        self.append(&LogRecord::never_ran(number, attempt));
+        self.append_or_remember(&LogRecord::never_ran(number, attempt));
     }
 
-    /// Records a message's final status. Losing this record is safe: the message is recovered, and ends again.
+    /// Records a message's final status. While [`WriteAheadLog::is_complete`] says that it is not written, a process
+    /// that dies would leave the message behind as an open one.
     pub fn append_final_status(&mut self, number: u64, notice: FinalStatus) {
-        self.append(&LogRecord::final_status(number, notice));
+        self.append_or_remember(&LogRecord::final_status(number, notice));
     }
 
     /// Records that a message is closed: nothing more is owed. Its id is remembered as a recently closed one.
@@ -188,10 +200,17 @@
     }
 
     fn close(&mut self, number: u64, id: &str) {
-        self.append(&LogRecord::closed(number, id));
+        self.append_or_remember(&LogRecord::closed(number, id));
         self.open_messages.remove(number);
     }
 
+    /// Appends a record that must not be lost. Where that fails, a compaction is due.
+    fn append_or_remember(&mut self, record: &LogRecord<'_>) {
+        if !self.append(record) {
+            self.lacks_records = true;
+        }
+    }
+
     fn append(&mut self, record: &LogRecord<'_>) -> bool {
         self.file.append(&codec::encode(record), self.limits.file())
     }
