Reproduce accepted messages that a step of the wall clock ends early or keeps for an hour

A real process is killed, its wall clock is stepped by an hour (a preloaded library), and it starts again: forward, an accepted message is not called any more; back, messages get no end in their time.

--- a/crates/martenlatch/tests/support/launch.rs
+++ b/crates/martenlatch/tests/support/launch.rs
@@ -1,5 +1,6 @@
 //! What a process of the program under test is started with: its directories, addresses, configuration and environment.
 
+use super::WallClock;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -22,6 +23,8 @@
     pub settings: Option<PathBuf>,
     /// Outranks the configuration's address for operators, which another process may still have.
     pub operator: Option<SocketAddr>,
+    /// The clock that its processes go by, if not the right one.
+    pub wall_clock: Option<WallClock>,
 }
 
 impl Launch {
@@ -32,6 +35,9 @@
         if let Some(operator) = operator {
             command.env("PROXY_OPERATOR", operator.to_string());
         }
+        if let Some(wall_clock) = &self.wall_clock {
+            command.envs(wall_clock.environment());
+        }
         if let Some(settings) = &self.settings {
             command.env("MARTENLATCH_SETTINGS", settings);
         }
--- a/crates/martenlatch/tests/support/mod.rs
+++ b/crates/martenlatch/tests/support/mod.rs
@@ -9,6 +9,7 @@
 mod launch;
 mod platform;
 mod sender;
+mod wall_clock;
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,7 @@
 };
 pub use platform::{Platform, chunk};
 pub use sender::{Exit, Replacement, Sender, call_operator, sender_with_endpoint};
+pub use wall_clock::WallClock;
 
 /// How long a test waits for anything before it fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(40);
--- a/crates/martenlatch/tests/support/sender.rs
+++ b/crates/martenlatch/tests/support/sender.rs
@@ -10,6 +10,7 @@
 use super::http::{HttpMessage, Reply, read_message, request, status_of};
 use super::launch::{Launch, create_folder, free_addresses, own_ip, write_config};
 use super::platform::Platform;
+use super::wall_clock::WallClock;
 use super::{TEST_TIMEOUT, wait_until};
 
 /// The disk limit of most tests, in MB.
@@ -92,6 +93,7 @@
             name: name.to_string(),
             settings: settings.map(Path::to_path_buf),
             operator: None,
+            wall_clock: None,
         };
         Sender {
             address,
@@ -186,6 +188,15 @@
         self.restart()
     }
 
+    /// Kills it, steps its wall clock, and starts it again.
+    pub fn restart_with_wall_clock(mut self, step: impl FnOnce(&WallClock)) -> Sender {
+        self.kill_and_wait();
+        let wall_clock = WallClock::build(&self.launch.folder);
+        step(&wall_clock);
+        self.launch.wall_clock = Some(wall_clock);
+        self.restart()
+    }
+
     /// Starts it again once it has ended.
     pub fn restart_after_exit(mut self) -> Sender {
         self.process.wait().unwrap();
