Go on with the clock of earlier processes by the time since boot, not by the wall clock

Cause: each process read the wall clock at its start, and the log keeps deadlines and starts of attempts as Unix time; a step between two processes shifted all of them. Change: each process writes an anchor at its start (a new record type, which old programs pass over): boot id, CLOCK_BOOTTIME, its clock. On the same boot the next process goes on by the difference of CLOCK_BOOTTIME alone. On another boot, or behind a log without an anchor, the clock does not go back behind any recorded instant, and the instants of attempts are forgotten: no idempotency window is proven open, so nothing that may have run is repeated. Compactions keep the anchor; a replacement goes on from the predecessor's instant; wal show goes by the same clock. A property test over random steps at random restarts finds every span as with no step.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -1,11 +1,16 @@
 //! The sender's clock, and the conversion between its milliseconds and the decision module's nanoseconds.
 //!
-//! Time is Unix time that never goes back: the wall clock is read once at the start and advanced by the monotonic
-//! clock from there. No other part of the sender asks the system for the time.
+//! Time is Unix time that never goes back. The first process of a state folder reads the wall clock once; from there on
+//! the clock goes by the time that has passed, also over restarts ([`ClockHistory`]): setting the wall clock changes
+//! nothing. No other part of the sender asks the system for the time.
+
+mod hands;
+
+pub use hands::{Anchor, BootId, ClockHistory, ClockStart, Hands};
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::Instant;
 
 /// An instant (since the Unix epoch) or a duration of the decision module, in nanoseconds.
 pub type Nanos = u64;
@@ -14,8 +19,8 @@
 /// keep their meaning after the process has ended.
 pub type Millis = f64;
 
-/// How far the wall clock may be ahead of the instant at which a predecessor process stopped and still be trusted.
-/// Beyond it, the wall clock has been set forward meanwhile.
+/// How far a clock that is not continuous may be ahead of the instant at which a predecessor process stopped and still
+/// be trusted. Beyond it, the wall clock has been set forward meanwhile.
 const MAX_REPLACEMENT_GAP: Millis = 1_000.0;
 
 const MILLIS_PER_SECOND: f64 = 1e3;
@@ -26,39 +31,78 @@
 pub struct Clock(Rc<Source>);
 
 enum Source {
-    /// Unix time at the start, advanced by the monotonic clock: setting the wall clock changes nothing.
+    /// An instant at the start, advanced by the monotonic clock.
     System {
-        started_at: Millis,
+        start: ClockStart,
         started: Instant,
+        boot: Option<BootId>,
+        since_boot: Millis,
     },
     /// Time that a test sets.
     Manual(Cell<Millis>),
 }
 
 impl Clock {
-    /// The machine's time.
+    /// The clock of a process that has none before it.
     pub fn system() -> Clock {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Clock::running_from(since_epoch.as_secs_f64() * MILLIS_PER_SECOND)
+        Clock::after(&ClockHistory::default())
+    }
+
+    /// The clock of a process that comes after others.
+    pub fn after(history: &ClockHistory) -> Clock {
+        let hands = Hands::read();
+        Clock::running_from(history.continue_with(&hands), &hands)
     }
 
-    /// The machine's time for a process that continues one whose clock stood at `at`. Never before `at`; `at` itself if
-    /// the wall clock was set back, or forward by `MAX_REPLACEMENT_GAP` or more.
-    pub fn restore(at: Millis) -> Clock {
-        let wall = Clock::system().now();
-        let is_plausible = (at..at + MAX_REPLACEMENT_GAP).contains(&wall);
-        Clock::running_from(if is_plausible { wall } else { at })
+    /// The clock of a process that takes over from one whose clock stood at `at`. Never before `at`. A clock that is not
+    /// continuous counts only if it is close behind `at`; otherwise `at` itself does.
+    pub fn taking_over(&self, at: Millis) -> Clock {
+        let hands = Hands::read();
+        let now = self.now();
+        let is_plausible = (at..at + MAX_REPLACEMENT_GAP).contains(&now);
+        let trusted = self.is_continuous() || is_plausible;
+        let start = ClockStart {
+            at: if trusted { now.max(at) } else { at },
+            is_continuous: true,
+        };
+        Clock::running_from(start, &hands)
     }
 
-    fn running_from(started_at: Millis) -> Clock {
+    fn running_from(start: ClockStart, hands: &Hands) -> Clock {
         Clock(Rc::new(Source::System {
-            started_at,
+            start,
             started: Instant::now(),
+            boot: hands.boot,
+            since_boot: hands.since_boot,
         }))
     }
 
+    /// Whether spans between instants of earlier processes and of this one are the time that has passed.
+    pub fn is_continuous(&self) -> bool {
+        match &*self.0 {
+            Source::System { start, .. } => start.is_continuous,
+            Source::Manual(_) => true,
+        }
+    }
+
+    /// What the next process needs to go on with this clock; none where the system does not tell its boots apart, and
+    /// for clocks of tests.
+    pub fn anchor(&self) -> Option<Anchor> {
+        match &*self.0 {
+            Source::System {
+                start,
+                boot,
+                since_boot,
+                ..
+            } => boot.map(|boot| Anchor {
+                boot,
+                since_boot: *since_boot,
+                clock: start.at,
+            }),
+            Source::Manual(_) => None,
+        }
+    }
+
     /// A clock for tests that stands still until [`Clock::set`].
     pub fn at(now: Millis) -> Clock {
         Clock(Rc::new(Source::Manual(Cell::new(now))))
@@ -74,10 +118,9 @@
     /// The present instant.
     pub fn now(&self) -> Millis {
         match &*self.0 {
-            Source::System {
-                started_at,
-                started,
-            } => started_at + started.elapsed().as_secs_f64() * MILLIS_PER_SECOND,
+            Source::System { start, started, .. } => {
+                start.at + started.elapsed().as_secs_f64() * MILLIS_PER_SECOND
+            }
             Source::Manual(time) => time.get(),
         }
     }
--- a/crates/martenlatch/src/inspect.rs
+++ b/crates/martenlatch/src/inspect.rs
@@ -1,21 +1,16 @@
 //! The commands that look into a write-ahead log. They change nothing, and print no message bodies or idempotency keys.
 
 use std::path::Path;
-use std::time::{SystemTime, UNIX_EPOCH};
 
+use martenlatch_clock::Clock;
 use martenlatch_wal::{FinalStatus, LogInspection, MessageRecord};
 
 use crate::error::CommandError;
 
-const MILLIS_PER_SECOND: f64 = 1e3;
-
 /// Prints the messages that are not complete, one a line.
 pub fn show(folder: &Path, json: bool) -> Result<(), CommandError> {
-    let now = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    let now = now.as_secs_f64() * MILLIS_PER_SECOND;
     let log = open(folder)?;
+    let now = Clock::after(&log.recovered.clock).now();
     for record in log.recovered.open.values() {
         let left_ms = record.deadline - now;
         if json {
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::TcpListener;
 
-use martenlatch_clock::{Clock, millis};
+use martenlatch_clock::{Clock, Millis, millis};
 use martenlatch_http::buffer_pool::{BUFFER_SIZE, BufferPool};
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{Event, Idempotency, MessageClass, Settings};
@@ -45,6 +45,9 @@
 /// Endpoints may have this part of the descriptors, as a divisor.
 const ENDPOINT_DESCRIPTORS_DIVISOR: usize = 3;
 
+/// An instant before every idempotency window.
+const LONG_AGO: Millis = 0.0;
+
 /// What a process starts with.
 pub enum Start {
     /// Its own listener; the write-ahead log holds what earlier processes have left.
@@ -198,8 +201,10 @@
             driver
                 .restore_state(inherited.state, &mut inherited.descriptors)
                 .map_err(SenderError::RestoreState)?;
+            driver.store.wal.set_anchor(driver.clock.anchor());
             return Ok(driver);
         }
+        driver.store.wal.append_anchor(driver.clock.anchor());
         let resumed = driver.resume(recovered);
         driver.apply_known_endpoints(&config);
         driver.decision.events.extend(resumed);
@@ -263,7 +268,10 @@
     /// Holds what the log has of earlier processes. Returns the events for the decision module.
     fn resume(&mut self, recovered: BTreeMap<u64, MessageRecord>) -> Vec<Event> {
         let mut events = Vec::new();
-        for record in recovered.into_values() {
+        for mut record in recovered.into_values() {
+            if !self.clock.is_continuous() {
+                forget_instants_of_attempts(&mut record);
+            }
             let event = self
                 .admission
                 .resume(record, &mut self.store, &mut self.status_reporter);
@@ -287,6 +295,13 @@
     }
 }
 
+/// The time since the attempts of a message is not known: no idempotency window is proven to be open still.
+fn forget_instants_of_attempts(record: &mut MessageRecord) {
+    for attempt in &mut record.attempts {
+        attempt.sent = LONG_AGO;
+    }
+}
+
 fn client_limits(config: &Config, settings: &Settings, capacity: &Capacity) -> ClientLimits {
     ClientLimits {
         max_clients: capacity.max_clients,
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
+use std::path::Path;
 use std::time::Duration;
 
 use calloop::EventLoop;
@@ -9,6 +10,7 @@
 use martenlatch_clock::{Clock, Millis};
 use martenlatch_handover::{Lock, ReceivedState};
 use martenlatch_settings::program::Peers as PeerSettings;
+use martenlatch_wal::LogInspection;
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{info, warn};
 
@@ -77,9 +79,10 @@
         events: &'a mut EventLoop<'static, Ready>,
         operators: Option<Operators>,
     ) -> StartingProcess<'a> {
+        let clock = clock_after_earlier_processes(&config.state);
         StartingProcess {
             config,
-            clock: Clock::system(),
+            clock,
             events,
             ready: Ready::default(),
             operators,
@@ -240,7 +243,12 @@
         mut passed: ReceivedState,
         candidate: &mut ReplacementCandidate,
     ) -> Option<Started> {
-        let started = match restore(&self.config, &mut passed, &self.events.handle()) {
+        let started = match restore(
+            &self.config,
+            &mut passed,
+            &self.events.handle(),
+            &self.clock,
+        ) {
             Ok(started) => started,
             Err(error) => {
                 warn!(reason = error.to_string(), "takeover failed");
@@ -269,6 +277,16 @@
     }
 }
 
+/// The clock that goes on from what earlier processes wrote. A log that cannot be read is dealt with when it is opened.
+fn clock_after_earlier_processes(state: &Path) -> Clock {
+    let log = LogInspection::open(state).unwrap_or_default();
+    let clock = Clock::after(&log.recovered.clock);
+    if !clock.is_continuous() {
+        warn!("the time since the last process is not known");
+    }
+    clock
+}
+
 /// Takes the lock on the folder. A folder that takes no file must not stop a sender, which then cannot be replaced.
 fn take_folder_lock(config: &Config) -> FolderLock {
     match Lock::try_acquire(&config.state, "lock") {
@@ -286,6 +304,7 @@
     config: &Config,
     passed: &mut ReceivedState,
     handle: &Handle,
+    clock: &Clock,
 ) -> Result<Started, SenderError> {
     let mut descriptors = InheritedDescriptors::new(std::mem::take(&mut passed.descriptors));
     let lock = descriptors
@@ -293,7 +312,7 @@
         .map_err(SenderError::InheritedDescriptor)?;
     let lock = Lock::inherited(lock);
     let state = ProcessState::read(&passed.state, config)?;
-    let clock = Clock::restore(state.at());
+    let clock = clock.taking_over(state.at());
     let driver = Driver::new(
         config.clone(),
         Start::Passed(Box::new(state), descriptors),
--- a/crates/wal/src/codec.rs
+++ b/crates/wal/src/codec.rs
@@ -4,7 +4,7 @@
 //! payload. A payload is a tag byte, a message number (`u64`) and the fields of the record type that the tag names.
 //! Integers are little-endian, instants are the bits of an `f64`, and strings have a `u32` length before them.
 
-use martenlatch_clock::Millis;
+use martenlatch_clock::{Anchor, BootId, Millis};
 
 use crate::record::{Entry, FinalStatus, LogRecord, MessageFields, tag};
 
@@ -44,6 +44,7 @@
         Entry::NeverRan { attempt } => header.integer(attempt as u64),
         Entry::FinalStatus(status) => encode_final_status(header, status),
         Entry::Closed { id } => header.bytes(id.as_bytes()),
+        Entry::Anchor(anchor) => encode_anchor(header, &anchor),
         Entry::Unknown { .. } => header,
     };
     payload.0
@@ -72,6 +73,15 @@
     header.integer(code).integer(delay)
 }
 
+fn encode_anchor(header: PayloadWriter, anchor: &Anchor) -> PayloadWriter {
+    let BootId(boot) = anchor.boot;
+    header
+        .integer(boot as u64)
+        .integer((boot >> u64::BITS) as u64)
+        .instant(anchor.since_boot)
+        .instant(anchor.clock)
+}
+
 /// The part that all payloads share.
 pub(crate) struct RecordHeader<'a> {
     pub(crate) tag: u8,
@@ -110,6 +120,7 @@
             },
             tag::FINAL_STATUS => Entry::FinalStatus(decode_final_status(&mut reader)?),
             tag::CLOSED => Entry::Closed { id: reader.text()? },
+            tag::ANCHOR => Entry::Anchor(decode_anchor(&mut reader)?),
             tag => Entry::Unknown { tag },
         };
         Some(entry)
@@ -140,6 +151,16 @@
     })
 }
 
+fn decode_anchor(reader: &mut Reader<'_>) -> Option<Anchor> {
+    let low = reader.integer()?;
+    let high = reader.integer()?;
+    Some(Anchor {
+        boot: BootId(u128::from(high) << u64::BITS | u128::from(low)),
+        since_boot: reader.instant()?,
+        clock: reader.instant()?,
+    })
+}
+
 /// The payloads of a log file, up to its end or the first torn frame.
 pub(crate) struct Payloads<'a> {
     reader: Reader<'a>,
--- a/crates/wal/src/compaction.rs
+++ b/crates/wal/src/compaction.rs
@@ -3,7 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
-use martenlatch_clock::Millis;
+use martenlatch_clock::{Anchor, Millis};
 use tracing::error;
 
 use crate::codec::{self, MAGIC};
@@ -41,7 +41,7 @@
     /// Writes the open messages and the recently closed ids to a new file, which replaces the old one. False: the old
     /// file stays.
     pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a MessageRecord>) -> bool {
-        let snapshot = Snapshot::of(&self.recently_closed, open);
+        let snapshot = Snapshot::of(self.anchor, &self.recently_closed, open);
         match self.file.replace(&snapshot.file) {
             Ok(()) => {
                 self.open_messages = snapshot.open_messages;
@@ -67,6 +67,7 @@
 
 impl Snapshot {
     fn of<'a>(
+        anchor: Option<Anchor>,
         recently_closed: &VecDeque<Rc<str>>,
         open: impl Iterator<Item = &'a MessageRecord>,
     ) -> Snapshot {
@@ -75,6 +76,9 @@
             open_messages: OpenMessages::default(),
             class_rules: HashMap::new(),
         };
+        if let Some(anchor) = anchor {
+            snapshot.write(&LogRecord::anchor(anchor));
+        }
         for id in recently_closed {
             snapshot.write(&LogRecord::closed(NO_MESSAGE, id));
         }
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use martenlatch_clock::Millis;
+use martenlatch_clock::{Anchor, Millis};
 use serde::{Deserialize, Serialize};
 
 /// Most recorded attempts of a message. A further attempt has no record, so it must not start.
@@ -59,6 +59,7 @@
     pub(crate) const NEVER_RAN: u8 = b'N';
     pub(crate) const FINAL_STATUS: u8 = b'E';
     pub(crate) const CLOSED: u8 = b'O';
+    pub(crate) const ANCHOR: u8 = b'B';
 }
 
 /// The message number in records that belong to no open message.
@@ -86,6 +87,8 @@
     FinalStatus(FinalStatus),
     /// Nothing more is owed. The id is empty if the message's acceptance was revoked.
     Closed { id: &'a str },
+    /// The clock of the process that writes from here on. Programs that do not know this record pass over it.
+    Anchor(Anchor),
     /// A record type of a later version.
     Unknown { tag: u8 },
 }
@@ -111,6 +114,7 @@
             Entry::NeverRan { .. } => tag::NEVER_RAN,
             Entry::FinalStatus(_) => tag::FINAL_STATUS,
             Entry::Closed { .. } => tag::CLOSED,
+            Entry::Anchor(_) => tag::ANCHOR,
             Entry::Unknown { tag } => *tag,
         }
     }
@@ -160,6 +164,13 @@
         }
     }
 
+    pub(crate) fn anchor(anchor: Anchor) -> LogRecord<'a> {
+        LogRecord {
+            number: NO_MESSAGE,
+            entry: Entry::Anchor(anchor),
+        }
+    }
+
     pub(crate) fn closed(number: u64, id: &'a str) -> LogRecord<'a> {
         LogRecord {
             number,
--- a/crates/wal/src/recovery.rs
+++ b/crates/wal/src/recovery.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 
-use martenlatch_clock::Millis;
+use martenlatch_clock::{ClockHistory, Millis};
 
 use crate::codec::{Payloads, RecordHeader};
 use crate::recently_closed;
@@ -18,6 +18,8 @@
     pub open: BTreeMap<u64, MessageRecord>,
     /// The ids of recently closed messages, oldest first.
     pub recently_closed: VecDeque<Rc<str>>,
+    /// The clock of earlier processes.
+    pub clock: ClockHistory,
     /// The next message number.
     pub next_number: u64,
     /// Complete records that were read.
@@ -79,6 +81,10 @@
                     recently_closed::remember(&mut self.recently_closed, Rc::from(id));
                 }
             }
+            Entry::Anchor(anchor) => {
+                self.clock.anchor = Some(anchor);
+                self.clock.latest = self.clock.latest.max(anchor.clock);
+            }
             Entry::Unknown { .. } => {}
         }
     }
@@ -101,6 +107,7 @@
     }
 
     fn start_attempt(&mut self, number: u64, attempt: usize, sent: Millis) {
+        self.clock.latest = self.clock.latest.max(sent);
         let Some(message) = self.open.get_mut(&number) else {
             return;
         };
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::rc::Rc;
 
-use martenlatch_clock::Millis;
+use martenlatch_clock::{Anchor, Millis};
 use serde::{Deserialize, Serialize};
 use tracing::{error, warn};
 
@@ -29,6 +29,8 @@
     pub recently_closed: VecDeque<Rc<str>>,
     /// The rules of each class as the file last says them: a message that follows is recovered with these.
     pub(crate) class_rules: HashMap<Rc<str>, Rc<[u8]>>,
+    /// The clock of the process that wrote last.
+    pub(crate) anchor: Option<Anchor>,
     /// No compaction is attempted before this instant.
     pub(crate) write_backoff_until: Millis,
     /// A record could not be written that a later process needs: only a compaction, which writes the present state,
@@ -93,6 +95,7 @@
             open_messages: OpenMessages::count(recovered.open.values()),
             recently_closed: recovered.recently_closed.clone(),
             class_rules: recovered.class_rules.clone(),
+            anchor: recovered.clock.anchor,
             write_backoff_until: 0.0,
             lacks_records: false,
         }
@@ -136,12 +139,27 @@
             recently_closed: place.recently_closed,
             // The rules of each class are recorded anew before its next message.
             class_rules: HashMap::new(),
+            anchor: None,
             write_backoff_until: place.write_backoff_until,
             // What the predecessor could not write is not passed on: the first compaction writes the whole state.
             lacks_records: true,
         })
     }
 
+    /// Records this process's clock, with which the next process goes on. Without an anchor nothing is recorded: the
+    /// next process then knows of no time that has passed.
+    pub fn append_anchor(&mut self, anchor: Option<Anchor>) {
+        self.anchor = anchor;
+        if let Some(anchor) = anchor {
+            self.append_or_remember(&LogRecord::anchor(anchor));
+        }
+    }
+
+    /// The first compaction records the clock of a process that has taken the log over; nothing is written now.
+    pub fn set_anchor(&mut self, anchor: Option<Anchor>) {
+        self.anchor = anchor;
+    }
+
     /// Records that a message is accepted. False: it must be rejected.
     pub fn append_message(&mut self, message: &MessageRecord) -> bool {
         let rules_recorded = self.class_rules.get(&message.class) == Some(&message.rules);
