Tell the sender's own shortages and one connection's errors from faults of endpoints

Cause: of a failed connect only ENFILE and EMFILE counted as the sender's own trouble; and any error of accept but two paused accepting for 50 ms and evicted an idle client. Change: system_errors.rs says what an errno of a socket call concerns. ENOBUFS, ENOMEM and EADDRNOTAVAIL are local shortages: the attempt never ran and the endpoint is not suspected. An interrupted connect goes on. accept goes on at once behind errors of one connection (EPROTO, ENETDOWN, EHOSTUNREACH and others of accept(2)), and evicts only where descriptors or memory are short. At DEBUG the log tells each request sent, response read and exchange ended.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -13,14 +13,7 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use crate::buffer_pool::{Buffer, BufferPool};
-
-// Linux error numbers for which `std::io::ErrorKind` has no variant.
-/// A connection is being established.
-const EINPROGRESS: i32 = 115;
-/// The system is out of file descriptors.
-const ENFILE: i32 = 23;
-/// The process is out of file descriptors.
-const EMFILE: i32 = 24;
+use crate::system_errors::is_connect_in_progress;
 
 /// What the event loop collects between two rounds.
 pub struct Ready<K> {
@@ -161,7 +154,7 @@
     ///
     /// # Errors
     /// The system's error if the attempt fails at once, for example for lack of descriptors
-    /// ([`is_descriptor_exhaustion`]).
+    /// ([`crate::is_local_shortage`]).
     pub fn connect(
         address: SocketAddr,
         handle: &Handle<K>,
@@ -172,7 +165,7 @@
         let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         match socket.connect(&address.into()) {
-            Err(error) if !is_in_progress(&error) => Err(error),
+            Err(error) if !is_connect_in_progress(&error) => Err(error),
             _ => Connection::new(socket.into(), handle, pool, key),
         }
     }
@@ -322,14 +315,5 @@
     Err(std::io::Error::other("no buffer is left"))
 }
 
-fn is_in_progress(error: &std::io::Error) -> bool {
-    error.kind() == ErrorKind::WouldBlock || error.raw_os_error() == Some(EINPROGRESS)
-}
-
-/// Whether an error means that this process or system is out of file descriptors, which says nothing about the peer.
-pub fn is_descriptor_exhaustion(error: &std::io::Error) -> bool {
-    matches!(error.raw_os_error(), Some(ENFILE | EMFILE))
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/http/src/connection/tests.rs
+++ b/crates/http/src/connection/tests.rs
@@ -58,31 +58,3 @@
     }));
     assert_eq!(connection.bytes(), b"no");
 }
-
-#[test]
-fn a_lack_of_ports_buffers_or_descriptors_says_nothing_of_the_peer() {
-    let own = [
-        (23, "ENFILE"),
-        (24, "EMFILE"),
-        (12, "ENOMEM"),
-        (99, "EADDRNOTAVAIL"),
-        (105, "ENOBUFS"),
-    ];
-    for (number, name) in own {
-        let error = std::io::Error::from_raw_os_error(number);
-        assert!(is_descriptor_exhaustion(&error), "{name}");
-    }
-    for (number, name) in [
-        (111, "ECONNREFUSED"),
-        (113, "EHOSTUNREACH"),
-        (110, "ETIMEDOUT"),
-    ] {
-        let error = std::io::Error::from_raw_os_error(number);
-        assert!(!is_descriptor_exhaustion(&error), "{name}");
-    }
-}
-
-#[test]
-fn a_connect_that_a_signal_interrupts_goes_on() {
-    assert!(is_in_progress(&std::io::Error::from_raw_os_error(4)));
-}
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -121,7 +121,7 @@
             self.close_longest_idle();
         }
         let connection = match self.connect(address) {
-            Err(error) if http::is_descriptor_exhaustion(&error) && self.close_longest_idle() => {
+            Err(error) if http::is_local_shortage(&error) && self.close_longest_idle() => {
                 self.connect(address)
             }
             connected => connected,
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -3,6 +3,7 @@
 use martenlatch_clock::Millis;
 use martenlatch_http::{self as http, Body};
 use martenlatch_policy::interface::Outcome;
+use tracing::debug;
 
 use super::attempt::AttemptResult;
 use super::attempt_end::{EndCause, EndedAttempt};
@@ -89,6 +90,15 @@
         connection.remaining_response = Some(RemainingResponse::Body(body));
         connection.idle_since = now;
         let idle_before = connection.idle_before;
+        debug!(
+            slot,
+            number = attempt.id.0,
+            attempt = attempt.attempt,
+            status = response.status,
+            reusable,
+            behind_head = connection.connection.bytes().len(),
+            "response read"
+        );
         self.results.push(AttemptResult {
             endpoint: Some(connection.endpoint),
             message_over: meaning.message_over,
@@ -116,6 +126,12 @@
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
         let idle_before = connection.idle_before;
+        debug!(
+            slot,
+            number = attempt.id.0,
+            attempt = attempt.attempt,
+            "status line read"
+        );
         self.results.push(attempt.result(Outcome::Success, now));
         self.record_response(idle_before);
         self.record_admission(slot, false, false);
@@ -130,6 +146,14 @@
             return;
         };
         let received = connection.connection.bytes();
+        debug!(
+            slot,
+            number = attempt.id.0,
+            attempt = attempt.attempt,
+            ?cause,
+            received = received.len(),
+            "exchange ended"
+        );
         let end = EndedAttempt {
             cause,
             connected: connection.connected,
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -32,7 +32,7 @@
 use martenlatch_http as http;
 use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
-use tracing::warn;
+use tracing::{debug, warn};
 
 pub use attempt::{AttemptRequest, AttemptResult};
 pub use snapshot::ConnectionSnapshot;
@@ -115,8 +115,8 @@
             Ok(slot) => slot,
             Err(error) => {
                 warn!(error = ?error.kind(), "endpoint not reached");
-                // A lack of descriptors is our own, and says nothing of the endpoint.
-                let outcome = if http::is_descriptor_exhaustion(&error) {
+                // A lack of descriptors or ports is our own, and says nothing of the endpoint.
+                let outcome = if http::is_local_shortage(&error) {
                     Outcome::NotSent
                 } else {
                     Outcome::Unreachable
@@ -192,6 +192,14 @@
                 self.end_attempt(slot, EndCause::Withdrawn, now);
                 continue;
             }
+            debug!(
+                slot,
+                number = attempt.id.0,
+                attempt = attempt.attempt,
+                reused = connection.idle_before.is_some(),
+                last_byte_held_back = connection.held_back_byte.is_some(),
+                "request sent"
+            );
             connection.connection.corked = false;
             self.progress(slot, now);
         }
--- a/crates/sender/src/pipeline/ingress/accept.rs
+++ b/crates/sender/src/pipeline/ingress/accept.rs
@@ -4,6 +4,7 @@
 use std::net::TcpStream;
 
 use martenlatch_clock::Millis;
+use martenlatch_http as http;
 use tracing::{debug, warn};
 
 use super::{Client, Ingress};
@@ -30,11 +31,7 @@
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 // The client has gone again, or a signal has come.
-                Err(error)
-                    if matches!(
-                        error.kind(),
-                        ErrorKind::ConnectionAborted | ErrorKind::Interrupted
-                    ) => {}
+                Err(error) if http::concerns_one_connection(&error) => {}
                 Err(error) => {
                     self.pause_accepting(&error, now);
                     return false;
@@ -60,11 +57,13 @@
         }
     }
 
-    /// Out of descriptors, or the like. The event loop will not report the waiting connections again, so accepting is
-    /// tried again soon, but not at once; meanwhile an idle client makes room.
+    /// The event loop will not report the waiting connections again, so accepting is tried again soon, but not at once.
+    /// Where descriptors or memory are short, an idle client makes room meanwhile.
     fn pause_accepting(&mut self, error: &Error, now: Millis) {
         warn!(error = ?error.kind(), "accepting paused");
-        self.evict(now, false);
+        if http::is_local_shortage(error) {
+            self.evict(now, false);
+        }
         self.accept_retry_at = Some(now + ACCEPT_PAUSE);
     }
 }
