--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -285,8 +285,10 @@
     fn reject(&self, stream: &mut HttpStream, id: &str, random: &mut Pcg64) -> bool {
         let wait = random.random_range(RETRY_AFTER).round();
         let text = format!("HTTP/1.1 429 X\r\nX-Backoff-Ms: {wait}\r\nContent-Length: 0\r\n\r\n");
+        // A sender that has called the request off and closed the connection does not hear of the wait.
+        let heard = !stream.has_ended();
         let written = stream.write(&text);
-        if written {
+        if written && heard {
             self.record_response(id, 429, Some(wait));
         }
         written
--- a/crates/lab/src/soak/http.rs
+++ b/crates/lab/src/soak/http.rs
@@ -127,6 +127,14 @@
         Some(message)
     }
 
+    /// Whether the peer has closed the connection.
+    pub fn has_ended(&self) -> bool {
+        let _ = self.stream.set_nonblocking(true);
+        let next = self.stream.peek(&mut [0]);
+        let _ = self.stream.set_nonblocking(false);
+        matches!(next, Ok(0))
+    }
+
     /// Writes text. False if the connection did not take it.
     pub fn write(&mut self, text: &str) -> bool {
         self.stream.write_all(text.as_bytes()).is_ok()
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -1,6 +1,6 @@
 //! The senders of a soak as processes: signals, restarts, wall clocks, folders and calls, by the schedule.
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicI32, Ordering};
 
@@ -29,6 +29,8 @@
     Signal::SIGTERM,
 ];
 const NANOS_PER_MILLI: f64 = 1e6;
+/// The course of each message goes to the log, for the timelines of violations.
+const LOG_SETTINGS: &str = "log { level: DEBUG lines_per_second: 10000 }\n";
 
 /// The ids of the processes, for clients that kill one right behind a 202.
 pub struct Pids {
@@ -107,6 +109,8 @@
         library: &Path,
     ) -> Result<Processes, LabError> {
         let settings = platform_settings(world.size.senders);
+        let log_settings = folder.join("settings.textproto");
+        std::fs::write(&log_settings, LOG_SETTINGS).map_err(LabError::file(&log_settings))?;
         let mut slots = Vec::new();
         for sender in 0..world.size.senders {
             let addresses = endpoint::open(world, sender)?;
@@ -116,7 +120,7 @@
             let mut process = SenderProcess::prepare(&Preparation {
                 number: sender as u32,
                 program,
-                settings_file: None,
+                settings_file: Some(&log_settings),
                 discovery: agent::open(world, sender)?,
                 platform_settings: &settings,
                 seed: world.seed,
@@ -204,11 +208,20 @@
             .all(|slot| matches!(slot.state, State::Down { .. }))
     }
 
-    /// The files that hold the senders' logs.
-    pub fn log_files(&self) -> Vec<PathBuf> {
+    /// What each sender has written, to its log and to its errors.
+    ///
+    /// # Errors
+    /// Where a file cannot be read.
+    pub fn logs(&self) -> Result<Vec<String>, LabError> {
         self.slots
             .iter()
-            .flat_map(|slot| slot.process.log_files())
+            .map(|slot| {
+                let mut text = String::new();
+                for file in slot.process.log_files() {
+                    text += &std::fs::read_to_string(&file).map_err(LabError::file(&file))?;
+                }
+                Ok(text)
+            })
             .collect()
     }
 
--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -126,6 +126,7 @@
         let unattempted = record.attempts.is_empty() && !settled;
         debug!(
             number,
+            id = %record.id,
             destination = record.destination,
             class = %record.class,
             attempts = record.attempts.len(),
@@ -171,6 +172,7 @@
         let record = self.record;
         debug!(
             number = record.number,
+            id = %record.id,
             destination = record.destination,
             class = %record.class,
             left_ms = (record.deadline - now) as u64,
