--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -262,11 +262,24 @@
         )
     }
 
-    /// Writes an answer and records it.
+    /// Writes an answer and records it. A sender that has called the request off and closed the connection does not
+    /// hear of it.
     fn respond(&self, stream: &mut HttpStream, id: &str, status: u16, text: &str) -> bool {
+        self.respond_with_wait(stream, id, status, None, text)
+    }
+
+    fn respond_with_wait(
+        &self,
+        stream: &mut HttpStream,
+        id: &str,
+        status: u16,
+        retry_after: Option<Millis>,
+        text: &str,
+    ) -> bool {
+        let heard = !stream.has_ended();
         let written = stream.write(text);
-        if written {
-            self.record_response(id, status, None);
+        if written && heard {
+            self.record_response(id, status, retry_after);
         }
         written
     }
@@ -285,13 +298,7 @@
     fn reject(&self, stream: &mut HttpStream, id: &str, random: &mut Pcg64) -> bool {
         let wait = random.random_range(RETRY_AFTER).round();
         let text = format!("HTTP/1.1 429 X\r\nX-Backoff-Ms: {wait}\r\nContent-Length: 0\r\n\r\n");
-        // A sender that has called the request off and closed the connection does not hear of the wait.
-        let heard = !stream.has_ended();
-        let written = stream.write(&text);
-        if written && heard {
-            self.record_response(id, 429, Some(wait));
-        }
-        written
+        self.respond_with_wait(stream, id, 429, Some(wait), &text)
     }
 
     fn answer_late_byte(&self, stream: &mut HttpStream, id: &str, random: &mut Pcg64) -> bool {
--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -281,3 +281,24 @@
     assert!(!receives_message(&mut driver, &endpoint));
     assert_eq!(driver.store.open, 0, "it is delivered");
 }
+
+#[test]
+fn a_message_keeps_its_attempts_while_the_log_takes_no_records() {
+    // An attempt without a record must not begin. If each try counted, a folder that fails for a moment would use up
+    // all attempts of every message.
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("no-records", endpoint.local_addr().unwrap());
+    let sick = empty_folder(&folder_name("no-records-log"));
+    std::fs::create_dir(sick.join("ledger")).unwrap();
+    let (sick_log, _) = WriteAheadLog::open(&sick, DISK_LIMIT);
+    let log = std::mem::replace(&mut driver.store.wal, sick_log);
+    for _ in 0..100 {
+        driver.round((0..4).map(EventSource::Endpoint).collect());
+        clock.set(clock.now() + 10.0);
+    }
+    assert!(driver.store.is_open(3), "it is still owed");
+    assert!(driver.store.messages[&3].record.attempts.len() <= 1);
+    driver.store.wal = log;
+    clock.set(clock.now() + 20.0);
+    assert!(receives_message(&mut driver, &endpoint));
+}
