Keep attempts waiting for their record, and let a start survive a moment without descriptors

Change: such an attempt waits on its connection and is tried every 20 ms, up to its time limit, whose end says nothing of the endpoint. Listening is tried again for 5 s where descriptors or memory are short.

--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -48,11 +48,6 @@
         self.slots.get(slot)
     }
 
-    /// The connection in a slot, if there is one, to change.
-    pub fn get_mut(&mut self, slot: usize) -> Option<&mut EndpointConnection> {
-        self.slots.get_mut(slot)
-    }
-
     /// All connections in the order of their slots.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointConnection> {
         self.slots.iter().map(|(_, connection)| connection)
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -53,6 +53,20 @@
 /// others, in milliseconds. A request whose connection ends before its last byte has been written never ran.
 const LAST_BYTE_DELAY: Millis = 3.0;
 
+/// While attempts cannot be recorded, it is tried again so often, in milliseconds.
+const RECORD_RETRY_INTERVAL: Millis = 20.0;
+
+/// Whether a request may begin.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendPermission {
+    /// It is recorded, and begins.
+    Granted,
+    /// It cannot be recorded now: it is asked again later.
+    Later,
+    /// It must not be sent.
+    Denied,
+}
+
 /// All connections to endpoints, with the attempts on them.
 pub struct Egress {
     /// The buffers of the connections.
@@ -69,6 +83,8 @@
     pub results: Vec<AttemptResult>,
     /// Connections that are established and whose request has not begun: the attempt has to be recorded first.
     established: Vec<usize>,
+    /// When the attempts that could not be recorded are tried again.
+    record_retry_at: Millis,
     /// The messages whose requests were completely written, for the caller to take.
     pub sent: Vec<MessageId>,
     /// Connections opened so far.
@@ -95,6 +111,7 @@
             scarcity: ConnectionScarcity::default(),
             results: Vec::new(),
             established: Vec::new(),
+            record_retry_at: f64::INFINITY,
             sent: Vec::new(),
             connections_opened: 0,
         }
@@ -165,17 +182,19 @@
     }
 
     /// Lets requests begin whose connections are established. Each attempt is recorded first; one without a record
-    /// never runs.
+    /// never runs. One that cannot be recorded now waits on its connection, so that a folder that fails for a moment
+    /// does not use attempts up.
     ///
     /// The record is not written earlier, before the connection is established: if the process was killed meanwhile,
     /// a message that must not be repeated would count as sent, and end without an attempt.
     pub fn send_ready(
         &mut self,
-        mut record: impl FnMut(MessageId, u32, EndpointId) -> bool,
+        mut permit: impl FnMut(MessageId, u32, EndpointId) -> SendPermission,
         now: Millis,
     ) {
+        self.record_retry_at = f64::INFINITY;
         for slot in std::mem::take(&mut self.established) {
-            let Some(connection) = self.connections.get_mut(slot) else {
+            let Some(connection) = self.connections.get(slot) else {
                 continue;
             };
             if !connection.connection.corked || !connection.connection.is_connected() {
@@ -184,14 +203,29 @@
             let Some(attempt) = connection.attempt else {
                 continue;
             };
-            let endpoint = connection.endpoint;
             // A connection that was established late must not carry a retry beyond the time for which the endpoint
             // remembers its idempotency key: it would take effect twice.
             let late = now > attempt.latest_start;
-            if late || connection.is_closed() || !record(attempt.id, attempt.attempt, endpoint) {
-                self.end_attempt(slot, EndCause::Withdrawn, now);
-                continue;
+            let permission = if late || connection.is_closed() {
+                SendPermission::Denied
+            } else {
+                permit(attempt.id, attempt.attempt, connection.endpoint)
+            };
+            match permission {
+                SendPermission::Granted => self.begin_request(slot, now),
+                SendPermission::Denied => self.end_attempt(slot, EndCause::Withdrawn, now),
+                SendPermission::Later => {
+                    self.established.push(slot);
+                    self.record_retry_at = now + RECORD_RETRY_INTERVAL;
+                }
             }
+        }
+    }
+
+    /// Begins to write the request of a connection.
+    fn begin_request(&mut self, slot: usize, now: Millis) {
+        let connection = &mut self.connections[slot];
+        if let Some(attempt) = connection.attempt {
             debug!(
                 slot,
                 number = attempt.id.0,
@@ -200,9 +234,9 @@
                 last_byte_held_back = connection.held_back_byte.is_some(),
                 "request sent"
             );
-            connection.connection.corked = false;
-            self.progress(slot, now);
         }
+        connection.connection.corked = false;
+        self.progress(slot, now);
     }
 
     /// Handles a connection that is ready for reading or writing. Returns whether there may be more to read.
--- a/crates/sender/src/egress/timeouts.rs
+++ b/crates/sender/src/egress/timeouts.rs
@@ -16,7 +16,7 @@
         self.connections
             .iter()
             .map(|connection| self.next_action_at(connection))
-            .fold(f64::INFINITY, f64::min)
+            .fold(self.record_retry_at, f64::min)
     }
 
     /// Writes the last bytes whose delay is over, and ends what has exceeded its time limit.
@@ -27,11 +27,23 @@
         for slot in due {
             self.write_held_back_byte(slot, now);
             if self.is_expired(slot, now) && !self.read_late_response(slot, now) {
-                self.end_attempt(slot, EndCause::TimedOut, now);
+                self.end_attempt(slot, self.timeout_cause(slot), now);
             }
         }
     }
 
+    /// An attempt that waited for its record on an established connection has not been held up by the endpoint.
+    fn timeout_cause(&self, slot: usize) -> EndCause {
+        let awaits_record = self.connections.get(slot).is_some_and(|connection| {
+            connection.connection.corked && connection.connection.is_connected()
+        });
+        if awaits_record {
+            EndCause::Withdrawn
+        } else {
+            EndCause::TimedOut
+        }
+    }
+
     /// Writes a last byte that was held back, but not of an attempt that has exceeded its time: it would run in vain.
     fn write_held_back_byte(&mut self, slot: usize, now: Millis) {
         let due = self.connections.get(slot).is_some_and(|connection| {
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -7,12 +7,12 @@
 
 use martenlatch_clock::Millis;
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
-use martenlatch_wal::{AttemptRecord, MessageRecord};
+use martenlatch_wal::{AttemptRecord, MAX_ATTEMPTS, MessageRecord};
 use tracing::debug;
 
 use super::message_store::{MessageStore, StoredMessage};
 use super::send_gate::SendGate;
-use crate::egress::{AttemptRequest, AttemptResult, Egress};
+use crate::egress::{AttemptRequest, AttemptResult, Egress, SendPermission};
 
 /// One attempt that the decision module wants.
 pub struct Attempt {
@@ -124,26 +124,38 @@
                 .messages
                 .get(&id.0)
                 .is_some_and(|message| gate.permits(message, endpoint, now));
-            permitted && record_attempt(store, id, attempt as usize, now)
+            if permitted {
+                record_attempt(store, id, attempt as usize, now)
+            } else {
+                SendPermission::Denied
+            }
         },
         now,
     );
 }
 
-/// Records that an attempt begins now. False if that is not possible.
-fn record_attempt(store: &mut MessageStore, id: MessageId, attempt: usize, now: Millis) -> bool {
+/// Records that an attempt begins now, if that is possible.
+fn record_attempt(
+    store: &mut MessageStore,
+    id: MessageId,
+    attempt: usize,
+    now: Millis,
+) -> SendPermission {
     let Some(message) = store.messages.get_mut(&id.0) else {
-        return false;
+        return SendPermission::Denied;
     };
     let Some(record) = message.record.attempts.get_mut(attempt) else {
-        return false;
+        return SendPermission::Denied;
     };
+    if attempt >= MAX_ATTEMPTS {
+        return SendPermission::Denied;
+    }
     if !store.wal.append_attempt(id.0, attempt, now) {
-        return false;
+        return SendPermission::Later;
     }
     *record = AttemptRecord {
         sent: now,
         never_ran: false,
     };
-    true
+    SendPermission::Granted
 }
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -9,6 +9,7 @@
 use calloop::signals::Signal;
 use martenlatch_clock::{Clock, Millis};
 use martenlatch_handover::{Lock, ReceivedState};
+use martenlatch_http::is_local_shortage;
 use martenlatch_settings::program::Peers as PeerSettings;
 use martenlatch_wal::LogInspection;
 use socket2::{Domain, Protocol, Socket, Type};
@@ -27,6 +28,8 @@
 const LISTEN_BACKLOG: i32 = 1024;
 /// How long a process that has ended may still hold its address, although its lock is free.
 const ADDRESS_RELEASE_TIMEOUT: Millis = 2_000.0;
+/// How long a start waits for descriptors or memory.
+const SHORTAGE_TIMEOUT: Millis = 5_000.0;
 /// How often the loop wakes while peers are asked for what they know.
 const LEARNING_INTERVAL: Millis = 5.0;
 const MILLISECONDS_PER_SECOND: f64 = 1e3;
@@ -169,18 +172,8 @@
     /// Binds the address for clients, which a process that has just ended may still hold.
     fn listen_for_clients(&self, timeout: Millis) -> Result<TcpListener, SenderError> {
         let address = self.config.listen;
-        let until = self.clock.now() + timeout;
-        loop {
-            match listen(address) {
-                Ok(listener) => return Ok(listener),
-                Err(error) if error.kind() == ErrorKind::AddrInUse && self.clock.now() < until => {
-                    std::thread::sleep(Duration::from_secs_f64(
-                        POLL_INTERVAL / MILLISECONDS_PER_SECOND,
-                    ));
-                }
-                Err(reason) => return Err(SenderError::Bind { address, reason }),
-            }
-        }
+        listen_patiently(|| listen(address), &self.clock, timeout)
+            .map_err(|reason| SenderError::Bind { address, reason })
     }
 
     /// Waits beside a process that serves, until that one has given way or ended. None if this process is told to end
@@ -287,6 +280,34 @@
     clock
 }
 
+/// Tries to listen until it succeeds: a process that has just ended may hold the address for `address_timeout` still,
+/// and a lack of descriptors or memory passes.
+fn listen_patiently(
+    mut listen: impl FnMut() -> std::io::Result<TcpListener>,
+    clock: &Clock,
+    address_timeout: Millis,
+) -> std::io::Result<TcpListener> {
+    let started = clock.now();
+    loop {
+        let error = match listen() {
+            Ok(listener) => return Ok(listener),
+            Err(error) => error,
+        };
+        let patience = match error.kind() {
+            ErrorKind::AddrInUse => address_timeout,
+            ErrorKind::Interrupted => SHORTAGE_TIMEOUT,
+            _ if is_local_shortage(&error) => SHORTAGE_TIMEOUT,
+            _ => 0.0,
+        };
+        if clock.now() >= started + patience {
+            return Err(error);
+        }
+        std::thread::sleep(Duration::from_secs_f64(
+            POLL_INTERVAL / MILLISECONDS_PER_SECOND,
+        ));
+    }
+}
+
 /// Takes the lock on the folder. A folder that takes no file must not stop a sender, which then cannot be replaced.
 fn take_folder_lock(config: &Config) -> FolderLock {
     match Lock::try_acquire(&config.state, "lock") {
@@ -325,3 +346,6 @@
         lock: Some(lock),
     })
 }
+
+#[cfg(test)]
+mod tests;
