--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -131,6 +131,9 @@
     /// The sender's program; absent: the one beside the laboratory
     #[arg(long)]
     pub program: Option<PathBuf>,
+    /// By how many milliseconds limits on time are longer, for a machine that does other work too
+    #[arg(long, default_value_t = 0.0)]
+    pub slack: f64,
     /// Where the timelines of violations are written
     #[arg(long, value_name = "DIR")]
     pub out: Option<PathBuf>,
--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -30,6 +30,7 @@
             seed: options.seed,
             seconds: options.seconds,
             processes: options.processes,
+            slack: options.slack,
             program: options.program.clone().unwrap_or_else(sockets::beside),
         },
         &stop,
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -123,6 +123,31 @@
     assert_eq!(judged(6_300.0), [Rule::Lost]);
 }
 
+#[test]
+fn a_restart_in_the_time_that_the_platform_confirms_nothing_extends_it() {
+    let records = [
+        &submitted(0.0, "u1")[..],
+        &[
+            process(4_600.0, ProcessEvent::Kill),
+            process(4_600.0, ProcessEvent::Exited(None)),
+            process(5_200.0, ProcessEvent::Started),
+            process(5_300.0, ProcessEvent::Ready),
+            reported(6_500.0, "u1"),
+        ],
+    ]
+    .concat();
+    let judged = |unconfirmed: bool| {
+        let conditions = Conditions {
+            lateness: 0.0,
+            idempotency_window: 2_000.0,
+            calls_failed: &|_, _| false,
+            unconfirmed_until: &|_, at| (unconfirmed && at < 4_500.0).then_some(4_500.0),
+        };
+        Oracle::new(conditions).judge(&records).0.len()
+    };
+    assert_eq!((judged(true), judged(false)), (0, 1));
+}
+
 #[rstest::rstest]
 #[case::reported(&[reported(100.0, "k1")], 400.0, Rule::ForwardedAfterEnd)]
 #[case::delivered(&[responded(100.0, "k1", 200, None)], 400.0, Rule::ForwardedAfterEnd)]
