--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -134,6 +134,9 @@
     /// By how many milliseconds limits on time are longer, for a machine that does other work too
     #[arg(long, default_value_t = 0.0)]
     pub slack: f64,
+    /// Leave the senders' wall clocks alone, to compare with
+    #[arg(long)]
+    pub keep_wall_clock: bool,
     /// Where the timelines of violations are written
     #[arg(long, value_name = "DIR")]
     pub out: Option<PathBuf>,
--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -31,6 +31,7 @@
             seconds: options.seconds,
             processes: options.processes,
             slack: options.slack,
+            keep_wall_clock: options.keep_wall_clock,
             program: options.program.clone().unwrap_or_else(sockets::beside),
         },
         &stop,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -65,6 +65,8 @@
     /// By how much every limit on time is longer, in milliseconds, for a machine that does other work too. The
     /// lateness of the laboratory itself is added in any case.
     pub slack: Millis,
+    /// The wall clocks of the senders are left alone; all other faults are those of the seed.
+    pub keep_wall_clock: bool,
 }
 
 /// What a soak found.
@@ -140,7 +142,11 @@
         .tempdir()
         .map_err(LabError::TemporaryFolder)?;
     let library = shim::build(folder.path())?;
-    let world = Arc::new(World::new(options.seed, size));
+    let mut world = World::new(options.seed, size);
+    if options.keep_wall_clock {
+        world.schedule.leave_wall_clocks_alone();
+    }
+    let world = Arc::new(world);
     let pids = Arc::new(Pids::new(size.senders));
     let mut processes =
         Processes::prepare(&world, &pids, &options.program, folder.path(), &library)?;
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -206,6 +206,12 @@
         }
     }
 
+    /// Takes the steps of wall clocks out.
+    pub fn leave_wall_clocks_alone(&mut self) {
+        self.steps
+            .retain(|step| !matches!(step.action, Action::StepWall(_)));
+    }
+
     /// Whether a fault of a target is on.
     pub fn is_on(&self, fault: Fault, target: usize, now: Millis) -> bool {
         self.windows.iter().any(|window| {
--- a/crates/lab/tests/soak.rs
+++ b/crates/lab/tests/soak.rs
@@ -22,6 +22,7 @@
             processes: PROCESSES,
             program: sockets::beside(),
             slack: SLACK,
+            keep_wall_clock: false,
         };
         let played = soak::soak(&options, &AtomicBool::new(false)).unwrap();
         println!("seed {seed}: {:?}", played.figures);
--- a/crates/sender/src/operator.rs
+++ b/crates/sender/src/operator.rs
@@ -12,6 +12,7 @@
 
 use calloop::RegistrationToken;
 use martenlatch_clock::Millis;
+use martenlatch_http as http;
 use martenlatch_http::buffer_pool::BufferPool;
 use slab::Slab;
 use tracing::warn;
@@ -122,17 +123,19 @@
                 }
                 Err(error) => error,
             };
-            match error.kind() {
-                ErrorKind::WouldBlock => return false,
-                ErrorKind::ConnectionAborted | ErrorKind::Interrupted => {}
-                // Out of descriptors. Whoever holds most of them, one caller that has had its time gives way.
-                kind => {
-                    warn!(error = ?kind, "operators' calls paused");
-                    self.evict_caller();
-                    self.accept_at = Some(now + ACCEPT_PAUSE);
-                    return false;
-                }
+            if error.kind() == ErrorKind::WouldBlock {
+                return false;
+            }
+            if http::concerns_one_connection(&error) {
+                continue;
+            }
+            warn!(error = ?error.kind(), "operators' calls paused");
+            // Whoever holds most of the descriptors, one caller that has had its time gives way.
+            if http::is_local_shortage(&error) {
+                self.evict_caller();
             }
+            self.accept_at = Some(now + ACCEPT_PAUSE);
+            return false;
         }
         true
     }
