Name the laboratory's events, submitted messages, runs and statistics by standard terms

Fact is LoggedEvent, HandedIn is Submitted (its stored JSON name stays) and SubmittedMessage, the two Played are SocketRun and SimulatedRun, Shade is FailureSpan, Spread is SampleStatistics.

--- a/crates/lab/src/commands/compare.rs
+++ b/crates/lab/src/commands/compare.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 
-use martenlatch_lab::outcome::{ComparedFigure, FIGURES, Outcome, Spread, Variant};
+use martenlatch_lab::outcome::{ComparedFigure, FIGURES, Outcome, SampleStatistics, Variant};
 use miette::miette;
 
 use super::{Conclusion, report};
@@ -44,7 +44,7 @@
 
 fn print_difference(variant: &Variant, base: &Variant, figure: &ComparedFigure) {
     let differences = variant.differences(base, figure.read);
-    let Spread { mean, deviation } = Spread::of(&differences);
+    let SampleStatistics { mean, deviation } = SampleStatistics::of(&differences);
     let standard_error = deviation / (differences.len() as f64).sqrt();
     let significant = differences.len() > 1 && mean.abs() > SIGNIFICANT_ERRORS * standard_error;
     let mark = if significant { "*" } else { "" };
--- a/crates/lab/src/commands/judge.rs
+++ b/crates/lab/src/commands/judge.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 
 use martenlatch_clock::Millis;
-use martenlatch_lab::event_log::Fact;
+use martenlatch_lab::event_log::LoggedEvent;
 use martenlatch_lab::experiment::Experiment;
 use martenlatch_lab::judge::Judge;
 use miette::miette;
@@ -36,7 +36,7 @@
     for (number, line) in BufReader::new(file).lines().enumerate() {
         let line = line.map_err(file_report(path))?;
         let place = format!("{}:{}", path.display(), number + 1);
-        let fact: Fact =
+        let fact: LoggedEvent =
             serde_json::from_str(&line).map_err(|error| miette!("{place}: {error}"))?;
         if fact.at < last {
             let at = fact.at;
--- a/crates/lab/src/commands/members.rs
+++ b/crates/lab/src/commands/members.rs
@@ -1,7 +1,7 @@
 //! `members`: membership at size, in simulated time.
 
 use martenlatch_lab::members::{self, Figures};
-use martenlatch_lab::outcome::Spread;
+use martenlatch_lab::outcome::SampleStatistics;
 use miette::miette;
 
 use super::Conclusion;
@@ -47,8 +47,9 @@
 }
 
 fn print_line(size: usize, loss: f64, by_seed: &[Figures]) {
-    let mean =
-        |read: fn(&Figures) -> f64| Spread::of(&by_seed.iter().map(read).collect::<Vec<_>>()).mean;
+    let mean = |read: fn(&Figures) -> f64| {
+        SampleStatistics::of(&by_seed.iter().map(read).collect::<Vec<_>>()).mean
+    };
     let spans = |read: fn(&Figures) -> Option<f64>| {
         format_spans(&by_seed.iter().map(read).collect::<Vec<_>>())
     };
--- a/crates/lab/src/commands/roof.rs
+++ b/crates/lab/src/commands/roof.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use martenlatch_lab::outcome::Spread;
+use martenlatch_lab::outcome::SampleStatistics;
 use martenlatch_lab::sockets::beside;
 use martenlatch_lab::throughput_ceiling::{self, Plan, ThroughputCeiling, Turn};
 use miette::miette;
@@ -33,14 +33,14 @@
 }
 
 fn print_figure(name: &str, ceiling: &ThroughputCeiling, read: fn(&Turn) -> f64) {
-    let values = |turns: &[Turn]| Spread::of(&turns.iter().map(read).collect::<Vec<_>>());
+    let values = |turns: &[Turn]| SampleStatistics::of(&turns.iter().map(read).collect::<Vec<_>>());
     let pairs = ceiling.sender.iter().zip(&ceiling.relay);
     let ratios: Vec<f64> = pairs
         .map(|(sender, relay)| read(sender) / read(relay))
         .collect();
     let sender = values(&ceiling.sender);
     let relay = values(&ceiling.relay);
-    let ratio = Spread::of(&ratios);
+    let ratio = SampleStatistics::of(&ratios);
     println!(
         "{name:<28}{:>10.1} ±{:<6.1}{:>10.1} ±{:<6.1}{:>9.3} ±{:<.3}",
         sender.mean, sender.deviation, relay.mean, relay.deviation, ratio.mean, ratio.deviation
--- a/crates/lab/src/commands/run.rs
+++ b/crates/lab/src/commands/run.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use martenlatch_lab::event_log::Fact;
+use martenlatch_lab::event_log::LoggedEvent;
 use martenlatch_lab::experiment::Experiment;
 use martenlatch_lab::outcome::Outcome;
 use martenlatch_lab::report::{self, Axes, Line, Point};
@@ -132,7 +132,7 @@
     let path = out.join("facts.jsonl");
     let mut file = BufWriter::new(File::create(&path).map_err(file_report(&path))?);
     let mut first_error = None;
-    let sink = |fact: &Fact| {
+    let sink = |fact: &LoggedEvent| {
         if let Err(error) = write_fact(&mut file, fact) {
             first_error.get_or_insert(error);
         }
@@ -146,7 +146,7 @@
     }
 }
 
-fn write_fact(file: &mut impl Write, fact: &Fact) -> io::Result<()> {
+fn write_fact(file: &mut impl Write, fact: &LoggedEvent) -> io::Result<()> {
     serde_json::to_writer(&mut *file, fact)?;
     file.write_all(b"\n")
 }
--- a/crates/lab/src/event_log.rs
+++ b/crates/lab/src/event_log.rs
@@ -1,5 +1,5 @@
-//! The event log of a run: what crossed between clients, senders, partners and the platform, one fact at a time, in
-//! the order of time. Facts say what happened; whether a rule was kept is for the judge to say. Their JSON is stored.
+//! The event log of a run: what crossed between clients, senders, partners and the platform, in the order of time. An
+//! event says what happened; whether a rule was kept is for the judge to say. Their JSON is stored.
 
 use martenlatch_clock::Millis;
 use serde::{Deserialize, Serialize};
@@ -8,7 +8,7 @@
 
 /// Something that happened.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Fact {
+pub struct LoggedEvent {
     /// When, in milliseconds from the start of the run.
     pub at: Millis,
     /// What.
@@ -30,13 +30,14 @@
     Died,
 }
 
-/// What happened. In all facts, `origin` is the number of a client's message over all its attempts to submit it, `id`
+/// What happened. In all events, `origin` is the number of a client's message over all its attempts to submit it, `id`
 /// that of one such attempt, and `call` that of a call; none is used twice. Senders, partners, endpoints and classes
 /// go by their numbers in the run.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum What {
     /// A client submits a message.
-    HandedIn {
+    #[serde(rename = "HandedIn")]
+    Submitted {
         /// The client's message.
         origin: u64,
         /// This attempt to submit it.
--- a/crates/lab/src/judge/mod.rs
+++ b/crates/lab/src/judge/mod.rs
@@ -16,7 +16,7 @@
 
 use martenlatch_clock::Millis;
 
-use crate::event_log::{Fact, What};
+use crate::event_log::{LoggedEvent, What};
 use crate::experiment::{Effect, Experiment, Variant};
 use state::{
     BegunCall, Call, DueCheck, KnownEndpoint, Message, OrderingKey, PossibleRuns, RecentCall,
@@ -111,11 +111,11 @@
     }
 
     /// Takes the next fact; facts must come in the order of time.
-    pub fn hear(&mut self, fact: &Fact) {
+    pub fn hear(&mut self, fact: &LoggedEvent) {
         let at = fact.at;
         self.check_deadlines(at);
         match fact.what {
-            What::HandedIn { .. }
+            What::Submitted { .. }
             | What::Answered { .. }
             | What::Notice { .. }
             | What::Withdrawn { .. } => self.hear_of_message(&fact.what, at),
@@ -135,7 +135,7 @@
 
     fn hear_of_message(&mut self, what: &What, at: Millis) {
         match *what {
-            What::HandedIn {
+            What::Submitted {
                 origin,
                 id,
                 sender,
--- a/crates/lab/src/metrics/mod.rs
+++ b/crates/lab/src/metrics/mod.rs
@@ -10,7 +10,7 @@
 use hdrhistogram::Histogram;
 use martenlatch_clock::Millis;
 
-use crate::event_log::{Fact, What};
+use crate::event_log::{LoggedEvent, What};
 use crate::experiment::Class;
 use crate::model::partner::Reply;
 pub use figures::{Figures, Second};
@@ -124,10 +124,10 @@
     }
 
     /// Takes the next fact.
-    pub fn hear(&mut self, fact: &Fact) {
+    pub fn hear(&mut self, fact: &LoggedEvent) {
         let at = fact.at;
         match fact.what {
-            What::HandedIn {
+            What::Submitted {
                 origin,
                 id,
                 class,
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -53,7 +53,7 @@
 
 /// A stretch of time in which something went wrong, for the plots.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Shade {
+pub struct FailureSpan {
     /// What went wrong.
     pub what: String,
     /// When it began, in seconds from the start of the run.
@@ -76,7 +76,7 @@
     /// Not all runs were played.
     pub cut_short: bool,
     /// What went wrong when.
-    pub shades: Vec<Shade>,
+    pub shades: Vec<FailureSpan>,
     /// The variants; the others are compared with the first.
     pub variants: Vec<Variant>,
 }
@@ -116,18 +116,18 @@
 
 /// Values over the seeds, in short.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Spread {
+pub struct SampleStatistics {
     /// The mean; not a number where there are no values.
     pub mean: f64,
     /// The standard deviation of a sample; zero for a single value.
     pub deviation: f64,
 }
 
-impl Spread {
+impl SampleStatistics {
     /// Mean and deviation of values.
-    pub fn of(values: &[f64]) -> Spread {
+    pub fn of(values: &[f64]) -> SampleStatistics {
         if values.is_empty() {
-            return Spread {
+            return SampleStatistics {
                 mean: f64::NAN,
                 deviation: f64::NAN,
             };
@@ -141,7 +141,7 @@
         } else {
             0.0
         };
-        Spread { mean, deviation }
+        SampleStatistics { mean, deviation }
     }
 }
 
@@ -203,10 +203,10 @@
 
 fn table_line(variant: &Variant, base: &Variant, figure: &ComparedFigure) -> String {
     let name = figure.name;
-    let own = Spread::of(&variant.values(figure.read));
+    let own = SampleStatistics::of(&variant.values(figure.read));
     let mut line = format!("  {name:<24}{:>10.3} ±{:<8.3}", own.mean, own.deviation);
     if variant.name != base.name {
-        let difference = Spread::of(&variant.differences(base, figure.read));
+        let difference = SampleStatistics::of(&variant.differences(base, figure.read));
         line += &format!(
             " {:>+9.3} ±{:<8.3} against {}",
             difference.mean, difference.deviation, base.name
--- a/crates/lab/src/report/mod.rs
+++ b/crates/lab/src/report/mod.rs
@@ -6,7 +6,7 @@
 use std::fmt::Write;
 
 use crate::metrics::{Figures, Second};
-use crate::outcome::{FIGURES, Outcome, Shade, Spread, Variant};
+use crate::outcome::{FIGURES, FailureSpan, Outcome, SampleStatistics, Variant};
 pub use html::escaped;
 pub use plot::{Axes, Line, Point, plot};
 
@@ -40,12 +40,12 @@
     for figure in FIGURES {
         let _ = write!(table, "<tr><td>{}", figure.name);
         for (number, variant) in outcome.variants.iter().enumerate() {
-            let own = Spread::of(&variant.values(figure.read));
+            let own = SampleStatistics::of(&variant.values(figure.read));
             let _ = write!(table, "<td>{:.3} ± {:.3}", own.mean, own.deviation);
             if number > 0 {
                 let base = &outcome.variants[0];
-                let difference = Spread::of(&variant.differences(base, figure.read));
-                let Spread { mean, deviation } = difference;
+                let difference = SampleStatistics::of(&variant.differences(base, figure.read));
+                let SampleStatistics { mean, deviation } = difference;
                 let _ = write!(table, "<td>{mean:+.3} ± {deviation:.3}");
             }
         }
@@ -97,7 +97,7 @@
                 .collect();
             Point {
                 x: number as f64 + 0.5,
-                y: Spread::of(&values).mean,
+                y: SampleStatistics::of(&values).mean,
             }
         })
         .collect()
@@ -126,7 +126,7 @@
     let quantiles = |variant: &Variant| {
         let point = |percentile: f64, read: fn(&Figures) -> f64| Point {
             x: percentile,
-            y: Spread::of(&variant.values(read)).mean,
+            y: SampleStatistics::of(&variant.values(read)).mean,
         };
         vec![
             point(50.0, |figures| figures.p50),
@@ -142,7 +142,7 @@
     )
 }
 
-fn failures(shades: &[Shade]) -> String {
+fn failures(shades: &[FailureSpan]) -> String {
     if shades.is_empty() {
         return String::new();
     }
--- a/crates/lab/src/report/plot.rs
+++ b/crates/lab/src/report/plot.rs
@@ -5,7 +5,7 @@
 use plotters::coord::ranged1d::{Ranged, ValueFormatter};
 use plotters::prelude::*;
 
-use crate::outcome::Shade;
+use crate::outcome::FailureSpan;
 
 const SIZE: (u32, u32) = (900, 260);
 const CAPTION_FONT: (&str, i32) = ("sans-serif", 15);
@@ -110,7 +110,7 @@
 }
 
 /// A plot of lines over an x axis, with what went wrong shaded. Empty where nothing can be drawn.
-pub fn plot(title: &str, axes: Axes, lines: &[Line], shades: &[Shade]) -> String {
+pub fn plot(title: &str, axes: Axes, lines: &[Line], shades: &[FailureSpan]) -> String {
     let Some(area) = Area::around(lines, axes.logarithmic) else {
         return String::new();
     };
@@ -156,7 +156,7 @@
 struct Drawing<'a> {
     x_label: &'a str,
     lines: &'a [Line],
-    shades: &'a [Shade],
+    shades: &'a [FailureSpan],
     area: Area,
 }
 
@@ -195,7 +195,7 @@
         Ok(())
     }
 
-    fn shaded(&self, shade: &Shade) -> Rectangle<(f64, f64)> {
+    fn shaded(&self, shade: &FailureSpan) -> Rectangle<(f64, f64)> {
         let Area { least, most } = self.area;
         let corners = [(shade.start_s, least.y), (shade.end_s.min(most.x), most.y)];
         Rectangle::new(corners, BLACK.mix(0.08).filled())
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -8,8 +8,8 @@
 
 use crate::error::LabError;
 use crate::experiment::{self, Experiment};
-use crate::outcome::{Outcome, Run, Shade, Variant};
-use crate::sim::{self, Played, Turns};
+use crate::outcome::{FailureSpan, Outcome, Run, Variant};
+use crate::sim::{self, SimulatedRun, Turns};
 use crate::sockets::{self, resource_usage::ResourceUsage};
 
 /// A run on sockets is repeated at most so often in all where the machine was too busy.
@@ -53,7 +53,7 @@
 /// One run that was done.
 struct Done {
     job: Job,
-    played: Result<Played, LabError>,
+    played: Result<SimulatedRun, LabError>,
 }
 
 /// Runs an experiment in simulated time. Once `stop` is set, no run is begun any more; what was done is kept.
@@ -185,7 +185,7 @@
     variant: &experiment::Variant,
     seed: u64,
     stop: &AtomicBool,
-) -> Result<sockets::Played, LabError> {
+) -> Result<sockets::SocketRun, LabError> {
     let mut late = 0.0;
     for _ in 0..SOCKET_ATTEMPTS {
         let played = sockets::play(experiment, variant, seed, stop)?;
@@ -243,8 +243,8 @@
     }
 }
 
-fn shade(failure: &experiment::Failure) -> Shade {
-    Shade {
+fn shade(failure: &experiment::Failure) -> FailureSpan {
+    FailureSpan {
         what: failure.what.as_str_name().to_lowercase().replace('_', " "),
         start_s: failure.start / 1e3,
         end_s: failure.end.max(failure.start + LEAST_SHADE) / 1e3,
--- a/crates/lab/src/sim/clients.rs
+++ b/crates/lab/src/sim/clients.rs
@@ -51,7 +51,7 @@
         let message = *self.clients.message(origin);
         let id = self.next_message;
         self.next_message += 1;
-        self.record(What::HandedIn {
+        self.record(What::Submitted {
             origin,
             id,
             sender,
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -24,7 +24,7 @@
 use martenlatch_clock::Millis;
 
 use crate::error::LabError;
-use crate::event_log::Fact;
+use crate::event_log::LoggedEvent;
 use crate::experiment::{Experiment, Variant};
 use crate::judge::Verdict;
 use crate::metrics::Figures;
@@ -40,11 +40,11 @@
 const SETTLING_TIME: Millis = 6_000.0;
 
 /// Where a run's facts also go.
-pub type Sink<'a> = Box<dyn FnMut(&Fact) + 'a>;
+pub type Sink<'a> = Box<dyn FnMut(&LoggedEvent) + 'a>;
 
 /// The result of a run.
 #[derive(Debug)]
-pub struct Played {
+pub struct SimulatedRun {
     /// Its figures.
     pub figures: Figures,
     /// What the judge found.
@@ -62,7 +62,7 @@
     variant: &'a Variant,
     seed: u64,
     sink: Option<Sink<'a>>,
-) -> Result<Played, LabError> {
+) -> Result<SimulatedRun, LabError> {
     play_until(experiment, variant, seed, sink, &AtomicBool::new(false))
 }
 
@@ -76,7 +76,7 @@
     seed: u64,
     sink: Option<Sink<'a>>,
     stop: &AtomicBool,
-) -> Result<Played, LabError> {
+) -> Result<SimulatedRun, LabError> {
     let end = experiment.last_deadline() + SETTLING_TIME;
     let mut simulation = Simulation::new(experiment, variant, seed, sink)?;
     simulation.run(end, stop)?;
--- a/crates/lab/src/sim/simulation.rs
+++ b/crates/lab/src/sim/simulation.rs
@@ -10,11 +10,11 @@
 use super::event::SimEvent;
 use super::sender::Sender;
 use super::turn_statistics::Turns;
-use super::{Played, Sink, variant_settings};
+use super::{SimulatedRun, Sink, variant_settings};
 use crate::clients::Clients;
 use crate::delay_queue::DelayQueue;
 use crate::error::LabError;
-use crate::event_log::{Fact, Silence, What};
+use crate::event_log::{LoggedEvent, Silence, What};
 use crate::experiment::{Experiment, Failure, Variant, What as FailureKind};
 use crate::judge::Judge;
 use crate::load::{self, PlannedMessage};
@@ -110,8 +110,8 @@
     }
 
     /// The result of a run that has ended at `end`.
-    pub fn finish(self, end: Millis) -> Played {
-        Played {
+    pub fn finish(self, end: Millis) -> SimulatedRun {
+        SimulatedRun {
             figures: self.metrics.end(),
             verdict: self.judge.end(end),
             turns: self.turns,
@@ -125,7 +125,7 @@
 
     /// Hands a fact to all that follow the run.
     pub fn record(&mut self, what: What) {
-        let fact = Fact { at: self.now, what };
+        let fact = LoggedEvent { at: self.now, what };
         self.judge.hear(&fact);
         self.metrics.hear(&fact);
         if let Some(sink) = self.sink.as_mut() {
--- a/crates/lab/src/sockets/clients.rs
+++ b/crates/lab/src/sockets/clients.rs
@@ -6,7 +6,7 @@
 use super::Connection;
 use super::event::{Event, HandInFailure};
 use super::peer::{ClientConnection, Peer, is_closed};
-use super::testbed::{HandedIn, Testbed};
+use super::testbed::{SubmittedMessage, Testbed};
 use crate::clients::{ClientMessage, HandIn};
 use crate::event_log::What;
 use crate::experiment::Effect;
@@ -97,7 +97,7 @@
         let ClientMessage {
             planned, deadline, ..
         } = *self.clients.message(origin);
-        let handed_in = HandedIn {
+        let handed_in = SubmittedMessage {
             origin,
             sender,
             calls: 0,
@@ -106,7 +106,7 @@
         };
         self.messages.insert(message, handed_in);
         self.open_messages += 1;
-        self.record(What::HandedIn {
+        self.record(What::Submitted {
             origin,
             id: message,
             sender,
--- a/crates/lab/src/sockets/mod.rs
+++ b/crates/lab/src/sockets/mod.rs
@@ -41,7 +41,7 @@
 
 /// What a run on sockets was.
 #[derive(Debug)]
-pub struct Played {
+pub struct SocketRun {
     /// Its figures.
     pub figures: Figures,
     /// What the judge found.
@@ -71,7 +71,7 @@
     variant: &Variant,
     seed: u64,
     stop: &AtomicBool,
-) -> Result<Played, LabError> {
+) -> Result<SocketRun, LabError> {
     let mut events = EventLoop::<Ready<usize>>::try_new().map_err(LabError::EventLoop)?;
     let mut testbed = Testbed::new(experiment, variant, seed, events.handle())?;
     let end = experiment.last_deadline() + TIME_AFTER_LAST_DEADLINE;
--- a/crates/lab/src/sockets/testbed.rs
+++ b/crates/lab/src/sockets/testbed.rs
@@ -15,11 +15,11 @@
 use super::platform_settings::platform_settings;
 use super::resource_usage::ResourceUsage;
 use super::sender_process::{Preparation, SenderProcess};
-use super::{Played, beside};
+use super::{SocketRun, beside};
 use crate::clients::Clients;
 use crate::delay_queue::DelayQueue;
 use crate::error::LabError;
-use crate::event_log::{Fact, What};
+use crate::event_log::{LoggedEvent, What};
 use crate::experiment::{Experiment, Variant};
 use crate::judge::Judge;
 use crate::load::{self, PlannedMessage};
@@ -32,7 +32,7 @@
 const BUFFERS: usize = 4_096;
 
 /// A message that was handed in to a sender.
-pub(super) struct HandedIn {
+pub(super) struct SubmittedMessage {
     /// The client's message; the same one may be handed in several times.
     pub origin: u64,
     pub sender: u32,
@@ -89,7 +89,7 @@
     pub endpoints: Vec<EndpointSocket>,
     pub events: DelayQueue<Event>,
     pub plan: Vec<PlannedMessage>,
-    pub messages: HashMap<u64, HandedIn>,
+    pub messages: HashMap<u64, SubmittedMessage>,
     pub calls: HashMap<u64, Call>,
     pub next_call: u64,
     pub next_message: u64,
@@ -255,7 +255,7 @@
 
     /// Gives a fact of this instant to the judge and the metrics.
     pub fn record(&mut self, what: What) {
-        let fact = Fact {
+        let fact = LoggedEvent {
             at: self.now(),
             what,
         };
@@ -287,9 +287,9 @@
     }
 
     /// What the run was.
-    pub fn finish(self, end: Millis) -> Played {
+    pub fn finish(self, end: Millis) -> SocketRun {
         let now = self.now();
-        Played {
+        SocketRun {
             figures: self.metrics.end(),
             verdict: self.judge.end(end.max(now)),
             used: self.used,
--- a/crates/lab/tests/hostile.rs
+++ b/crates/lab/tests/hostile.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use martenlatch_lab::event_log::{Fact, What};
+use martenlatch_lab::event_log::{LoggedEvent, What};
 use martenlatch_lab::experiment::Experiment;
 use martenlatch_lab::model::partner::Reply;
 use martenlatch_lab::model::site::Site;
@@ -34,8 +34,8 @@
         .unwrap() as u32;
     let mut first: HashMap<u64, Option<f64>> = HashMap::new();
     let (mut origins, mut calls, mut sum) = (HashMap::new(), HashMap::new(), Others::default());
-    let sink = |fact: &Fact| match fact.what {
-        What::HandedIn {
+    let sink = |fact: &LoggedEvent| match fact.what {
+        What::Submitted {
             origin,
             id,
             partner,
--- a/crates/lab/tests/judge/history.rs
+++ b/crates/lab/tests/judge/history.rs
@@ -1,6 +1,6 @@
 //! Histories for the judge, and its verdicts on them.
 
-use martenlatch_lab::event_log::{Fact, What};
+use martenlatch_lab::event_log::{LoggedEvent, What};
 use martenlatch_lab::experiment::Effect;
 use martenlatch_lab::judge::{ClassRule, Judge, Rule};
 use martenlatch_lab::model::partner::Reply;
@@ -25,7 +25,7 @@
     ];
     let mut judge = Judge::new(classes, 3);
     for (at, what) in facts {
-        judge.hear(&Fact {
+        judge.hear(&LoggedEvent {
             at: *at,
             what: what.clone(),
         });
@@ -52,7 +52,7 @@
     vec![
         (
             at,
-            What::HandedIn {
+            What::Submitted {
                 origin,
                 id,
                 sender,
--- a/crates/lab/tests/orders/fleet.rs
+++ b/crates/lab/tests/orders/fleet.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use martenlatch_clock::{Millis, nanos};
-use martenlatch_lab::event_log::{Fact, Silence, What};
+use martenlatch_lab::event_log::{LoggedEvent, Silence, What};
 use martenlatch_lab::experiment::Effect;
 use martenlatch_lab::judge::{ClassRule, Judge};
 use martenlatch_lab::model::partner::{COLLAPSE_FACTOR, COLLAPSE_WINDOW};
@@ -205,7 +205,7 @@
     }
 
     pub fn fact(&mut self, what: What) {
-        self.judge.hear(&Fact { at: self.now, what });
+        self.judge.hear(&LoggedEvent { at: self.now, what });
     }
 
     pub fn entry(&self, endpoint: u32) -> EndpointEntry {
@@ -292,7 +292,7 @@
         self.next_id += 1;
         let deadline = self.now + DEADLINE;
         let key = (class == ORDERED).then_some(1);
-        self.fact(What::HandedIn {
+        self.fact(What::Submitted {
             origin: id,
             id,
             sender: sender as u32,
--- a/crates/lab/tests/runs.rs
+++ b/crates/lab/tests/runs.rs
@@ -41,7 +41,7 @@
     let x = shipped("network");
     let facts = |seed: u64| {
         let mut all = String::new();
-        let sink = |f: &martenlatch_lab::event_log::Fact| all += &format!("{f:?}\n");
+        let sink = |f: &martenlatch_lab::event_log::LoggedEvent| all += &format!("{f:?}\n");
         let played = sim::play(&x, &x.variants[0], seed, Some(Box::new(sink))).unwrap();
         (all, serde_json::to_string(&played.figures).unwrap())
     };
@@ -55,7 +55,7 @@
     // Guards against an experiment that passes since its failures never come.
     let count = |name: &str, of: fn(&What) -> bool| {
         let (x, mut seen) = (shipped(name), 0);
-        let sink = |f: &martenlatch_lab::event_log::Fact| seen += usize::from(of(&f.what));
+        let sink = |f: &martenlatch_lab::event_log::LoggedEvent| seen += usize::from(of(&f.what));
         sim::play(&x, &x.variants[0], 1, Some(Box::new(sink))).unwrap();
         seen
     };
