Test that a last answer is written whole before the sending side is shut

The third candidate of the incident: with a socket that takes nothing for a moment the old order (shutdown behind the first flush) ends the stream without the answer. The test passes, and fails with the order of before put back.

--- a/crates/sender/src/pipeline/tests/ingress.rs
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -263,3 +263,32 @@
     assert_eq!(driver.store.counters.accepted, 2);
     assert_eq!(driver.violations.total(), 0);
 }
+
+#[test]
+fn a_last_answer_that_the_socket_takes_late_is_written_whole_before_the_end_of_the_stream() {
+    use std::io::Write;
+    let (mut driver, _clock, _events) = resumed("late-write", "127.77.0.1:9".parse().unwrap());
+    let mut client = idle_client(&mut driver);
+    client
+        .write_all(&request_with("q", "Connection: close\r\n"))
+        .unwrap();
+    // The socket takes nothing for now.
+    driver.ingress.clients[0].connection.corked = true;
+    until(|| {
+        driver.round(vec![EventSource::Client(0)]);
+        driver.store.counters.accepted == 1
+    });
+    let closed_early = matches!(client.peek(&mut [0]), Ok(0));
+    assert!(
+        !closed_early,
+        "the sending side is open until the answer is written"
+    );
+    driver.ingress.clients[0].connection.corked = false;
+    driver.round(vec![EventSource::Client(0)]);
+    let text = read_to_end(&mut client).unwrap();
+    assert!(
+        text.starts_with("HTTP/1.1 202") && text.ends_with("\r\n\r\n"),
+        "{text:?}"
+    );
+    assert_eq!(driver.violations.total(), 0);
+}
