--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -60,14 +60,11 @@
     text
 }
 
-/// Writes the timelines and, where a rule was broken, everything that happened.
+/// Writes the timelines, and everything that happened.
 fn write_out(folder: &Path, seed: u64, timelines: &str, played: &Report) -> miette::Result<()> {
     std::fs::create_dir_all(folder).map_err(file_report(folder))?;
     let file = folder.join(format!("soak-{seed}.txt"));
     std::fs::write(&file, timelines).map_err(file_report(&file))?;
-    if played.violations.is_empty() {
-        return Ok(());
-    }
     let mut history = String::new();
     for record in &played.records {
         let _ = writeln!(history, "{record}");
