--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -14,7 +14,7 @@
 
 use super::history::{Effect, Event, ProcessEvent, Unanswered};
 use super::http::{HttpStream, ReadError};
-use super::processes::Pids;
+use super::pids::Pids;
 use super::schedule::Fault;
 use super::world::{Message, POLL_INTERVAL, World};
 
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -1,5 +1,6 @@
 //! What crossed the sockets during a soak, as every thread of the laboratory recorded it.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::sync::Mutex;
 use std::time::Instant;
@@ -188,3 +189,19 @@
         records
     }
 }
+
+/// The messages that are accepted and have no end by these records.
+pub fn unfinished_messages(records: &[Record]) -> usize {
+    let mut ends: HashMap<&str, (bool, bool)> = HashMap::new();
+    for record in records {
+        let entry = ends.entry(&record.message).or_default();
+        match &record.event {
+            Event::Answered { status: 202 } => entry.0 = true,
+            Event::Responded { status: 200, .. } | Event::Reported { .. } => entry.1 = true,
+            _ => {}
+        }
+    }
+    ends.values()
+        .filter(|(accepted, ended)| *accepted && !ended)
+        .count()
+}
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -13,6 +13,7 @@
 pub mod history;
 mod http;
 pub mod oracle;
+mod pids;
 mod processes;
 pub mod schedule;
 mod shim;
@@ -31,7 +32,8 @@
 use client::{BUSY_CLIENTS, Client};
 use history::{Event, Record};
 use oracle::{Conditions, Figures, Oracle, Violation};
-use processes::{Pids, Processes};
+use pids::Pids;
+use processes::Processes;
 use schedule::{Fault, Size};
 use world::{IDEMPOTENCY_WINDOW, World};
 
@@ -178,7 +180,7 @@
     while world.now() < until {
         watch.tick(processes, stop)?;
         processes.run_due()?;
-        if processes.all_running() && Oracle::unfinished(&world.history.sorted()) == 0 {
+        if processes.all_running() && history::unfinished_messages(&world.history.sorted()) == 0 {
             break;
         }
     }
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -3,12 +3,16 @@
 //! The oracle reads the records of all clients, endpoints and agents in the order of time. It takes no sender's word but
 //! for one thing: a sender that logs a violated safety rule, or a panic, has a defect.
 
-use std::collections::{BTreeMap, HashMap};
-use std::fmt;
+mod state;
+mod verdict;
+
+use std::collections::BTreeMap;
 
 use martenlatch_clock::Millis;
 
 use super::history::{Effect, Event, ProcessEvent, Record, Unanswered};
+use state::{Progress, SenderState};
+pub use verdict::{Figures, Rule, Violation};
 
 /// A message must have its end so long after its time is up.
 const END_GRACE: Millis = 300.0;
@@ -24,71 +28,9 @@
 const HELD_UP: Millis = 150.0;
 /// Every limit is so much longer on sockets.
 const SOCKET_GRACE: Millis = 50.0;
-/// What ends at a kill is seen so much earlier or later.
-const KILL_MARGIN: Millis = 400.0;
 /// SIGKILL follows SIGTERM no earlier; the process must have ended before.
 pub const KILL_AFTER_TERMINATE: Millis = 3_700.0;
 
-/// A rule that a soak can find broken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Rule {
-    /// An accepted message had no final answer in its time.
-    Lost,
-    /// A message was reported as undelivered well after it had been delivered.
-    TwoEnds,
-    /// A request came after the end of its message.
-    ForwardedAfterEnd,
-    /// A request came for a message whose client was told that it had no effect.
-    ForwardedAfterRejection,
-    /// A request came after the deadline of its message.
-    ForwardedLate,
-    /// A non-idempotent message came again after it may have run.
-    RepeatedNonIdempotent,
-    /// A keyed message came again after its key was forgotten.
-    RepeatedOutsideWindow,
-    /// Body or key were not those of the message.
-    Altered,
-    /// A request came before the end of a wait.
-    RetryAfterIgnored,
-    /// A request came to an endpoint that drains.
-    SentToDraining,
-    /// A request was read, and its connection ended without an answer.
-    ReadAndDropped,
-    /// A client that stopped in the middle of its request was kept for too long.
-    BadClientIgnored,
-    /// A process ended by itself.
-    Crashed,
-    /// A process did not become ready in its time.
-    NotReady,
-    /// A process did not end in its time.
-    ExitedLate,
-    /// A sender's log tells of a defect.
-    LoggedDefect,
-}
-
-/// A broken rule.
-#[derive(Clone, Debug)]
-pub struct Violation {
-    /// The rule.
-    pub rule: Rule,
-    /// When it was broken.
-    pub at: Millis,
-    /// The sender.
-    pub sender: usize,
-    /// The message; empty if the rule concerns none.
-    pub message: String,
-}
-
-impl fmt::Display for Violation {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            formatter,
-            "{:?} at {:.1} n{} {}",
-            self.rule, self.at, self.sender, self.message
-        )
-    }
-}
-
 /// What the oracle must know of the soak's own conditions.
 pub struct Conditions<'a> {
     /// By how much the laboratory itself was late at most: all limits are longer by this.
@@ -101,68 +43,6 @@
     pub unconfirmed_until: &'a dyn Fn(usize, Millis) -> Option<Millis>,
 }
 
-/// What is known of one message.
-#[derive(Default)]
-struct Progress {
-    sender: usize,
-    submitted_at: Option<Millis>,
-    timeout: Millis,
-    effect: Option<Effect>,
-    accepted: bool,
-    rejected_at: Option<Millis>,
-    delivered_at: Option<Millis>,
-    reported_at: Option<Millis>,
-    first_run: Option<Millis>,
-    requests: usize,
-}
-
-/// What is known of one sender.
-#[derive(Default)]
-struct SenderState {
-    /// When each endpoint that drains was told to.
-    draining: HashMap<usize, Millis>,
-    /// For each destination, when its wait was written and when it ends.
-    waits: HashMap<usize, (Millis, Millis)>,
-    kills: Vec<Millis>,
-    /// From each signal that ends a process to the instant when the next one was ready.
-    outages: Vec<(Millis, Millis)>,
-    terminated_at: Option<Millis>,
-    killed: bool,
-}
-
-impl SenderState {
-    fn was_disturbed(&self, from: Millis, until: Millis) -> bool {
-        self.outages
-            .iter()
-            .any(|(begin, end)| *begin <= until + KILL_MARGIN && *end >= from - KILL_MARGIN)
-    }
-
-    fn was_killed_around(&self, at: Millis) -> bool {
-        self.kills
-            .iter()
-            .any(|kill| (kill - at).abs() <= KILL_MARGIN)
-    }
-}
-
-/// Figures of a soak, for its last line.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Figures {
-    /// Messages submitted.
-    pub requests: usize,
-    /// Messages accepted.
-    pub accepted: usize,
-    /// Messages delivered.
-    pub delivered: usize,
-    /// Messages ended by a status report.
-    pub reported: usize,
-    /// Of these, messages that no endpoint had seen and whose deadline was over two seconds away.
-    pub ended_early: usize,
-    /// Starts of processes behind the first ones.
-    pub restarts: usize,
-    /// Requests whose clients waited in vain.
-    pub timed_out: usize,
-}
-
 /// Over this time before its deadline, the end of a message without an attempt is early.
 const EARLY: Millis = 2_000.0;
 
@@ -205,22 +85,6 @@
         (self.violations, self.figures)
     }
 
-    /// The messages that are accepted and have no end by these records.
-    pub fn unfinished(records: &[Record]) -> usize {
-        let mut ends: HashMap<&str, (bool, bool)> = HashMap::new();
-        for record in records {
-            let entry = ends.entry(&record.message).or_default();
-            match &record.event {
-                Event::Answered { status: 202 } => entry.0 = true,
-                Event::Responded { status: 200, .. } | Event::Reported { .. } => entry.1 = true,
-                _ => {}
-            }
-        }
-        ends.values()
-            .filter(|(accepted, ended)| *accepted && !ended)
-            .count()
-    }
-
     fn violate(&mut self, rule: Rule, record: &Record) {
         self.violations.push(Violation {
             rule,
--- /dev/null
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -0,0 +1,54 @@
+//! What the oracle knows of each message and of each sender.
+
+use std::collections::HashMap;
+
+use martenlatch_clock::Millis;
+
+use super::Effect;
+
+/// What ends at a kill is seen so much earlier or later.
+const KILL_MARGIN: Millis = 400.0;
+/// What is known of one message.
+#[derive(Default)]
+pub(super) struct Progress {
+    pub sender: usize,
+    pub submitted_at: Option<Millis>,
+    pub timeout: Millis,
+    pub effect: Option<Effect>,
+    pub accepted: bool,
+    pub rejected_at: Option<Millis>,
+    pub delivered_at: Option<Millis>,
+    pub reported_at: Option<Millis>,
+    pub first_run: Option<Millis>,
+    pub requests: usize,
+}
+
+/// What is known of one sender.
+#[derive(Default)]
+pub(super) struct SenderState {
+    /// When each endpoint that drains was told to.
+    pub draining: HashMap<usize, Millis>,
+    /// For each destination, when its wait was written and when it ends.
+    pub waits: HashMap<usize, (Millis, Millis)>,
+    pub kills: Vec<Millis>,
+    /// From each signal that ends a process to the instant when the next one was ready.
+    pub outages: Vec<(Millis, Millis)>,
+    pub terminated_at: Option<Millis>,
+    pub killed: bool,
+}
+
+impl SenderState {
+    /// Whether the sender was ended or restarted in a span of time.
+    pub fn was_disturbed(&self, from: Millis, until: Millis) -> bool {
+        self.outages
+            .iter()
+            .any(|(begin, end)| *begin <= until + KILL_MARGIN && *end >= from - KILL_MARGIN)
+    }
+
+    /// Whether the sender was killed at about an instant.
+    pub fn was_killed_around(&self, at: Millis) -> bool {
+        self.kills
+            .iter()
+            .any(|kill| (kill - at).abs() <= KILL_MARGIN)
+    }
+}
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -2,13 +2,13 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicI32, Ordering};
 
 use martenlatch_clock::Millis;
 use nix::sys::signal::Signal;
 
 use super::history::{Event, ProcessEvent};
 use super::oracle::KILL_AFTER_TERMINATE;
+use super::pids::Pids;
 use super::schedule::{Action, Fault, Step};
 use super::shim::{Control, DiskFault};
 use super::world::{World, platform_settings};
@@ -32,38 +32,6 @@
 /// The course of each message goes to the log, for the timelines of violations.
 const LOG_SETTINGS: &str = "log { level: DEBUG lines_per_second: 10000 }\n";
 
-/// The ids of the processes, for clients that kill one right behind a 202.
-pub struct Pids {
-    pids: Vec<AtomicI32>,
-    armed: Vec<AtomicBool>,
-}
-
-impl Pids {
-    /// No process runs yet.
-    pub fn new(senders: usize) -> Pids {
-        Pids {
-            pids: (0..senders).map(|_| AtomicI32::new(0)).collect(),
-            armed: (0..senders).map(|_| AtomicBool::new(false)).collect(),
-        }
-    }
-
-    /// The process to kill, if one is to be killed right behind the next 202. It is given once.
-    pub fn take_armed(&self, sender: usize) -> Option<i32> {
-        let armed = self.armed[sender].swap(false, Ordering::SeqCst);
-        let pid = self.pids[sender].load(Ordering::SeqCst);
-        (armed && pid > 0).then_some(pid)
-    }
-
-    fn arm(&self, sender: usize) {
-        self.armed[sender].store(true, Ordering::SeqCst);
-    }
-
-    fn set(&self, sender: usize, pid: i32) {
-        self.armed[sender].store(false, Ordering::SeqCst);
-        self.pids[sender].store(pid, Ordering::SeqCst);
-    }
-}
-
 /// What a process is doing.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum State {
@@ -146,7 +114,7 @@
             slots,
             next_step: steps.next(),
             steps,
-            drains: drains(world),
+            drains: world.schedule.drains(),
             kill_after: KILL_AFTER_TERMINATE,
         })
     }
@@ -422,19 +390,3 @@
         self.record(sender, event);
     }
 }
-
-/// When which endpoint drains (true) or is replaced.
-fn drains(world: &World) -> Vec<(Millis, usize, bool)> {
-    world
-        .schedule
-        .windows
-        .iter()
-        .filter(|window| window.fault == Fault::Drain)
-        .flat_map(|window| {
-            [
-                (window.from, window.target, true),
-                (window.until, window.target, false),
-            ]
-        })
-        .collect()
-}
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -206,6 +206,20 @@
         }
     }
 
+    /// When which endpoint drains (true) or is replaced.
+    pub fn drains(&self) -> Vec<(Millis, usize, bool)> {
+        self.windows
+            .iter()
+            .filter(|window| window.fault == Fault::Drain)
+            .flat_map(|window| {
+                [
+                    (window.from, window.target, true),
+                    (window.until, window.target, false),
+                ]
+            })
+            .collect()
+    }
+
     /// Takes the steps of wall clocks out.
     pub fn leave_wall_clocks_alone(&mut self) {
         self.steps
