--- a/crates/sender/src/pipeline/tests/ingress.rs
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -102,10 +102,10 @@
     );
 }
 
-const REQUEST: &[u8] = b"POST /debit HTTP/1.1\r\nX-Request-ID: q\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n\r\n";
+pub(super) const REQUEST: &[u8] = b"POST /debit HTTP/1.1\r\nX-Request-ID: q\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n\r\n";
 
 /// A client that has been served once and is idle.
-fn idle_client(driver: &mut Driver) -> std::net::TcpStream {
+pub(super) fn idle_client(driver: &mut Driver) -> std::net::TcpStream {
     use std::io::{Read, Write};
     let mut client = std::net::TcpStream::connect(driver.listen_address()).unwrap();
     client.write_all(b"GET /healthz HTTP/1.1\r\n\r\n").unwrap();
--- a/crates/sender/src/pipeline/tests/mod.rs
+++ b/crates/sender/src/pipeline/tests/mod.rs
@@ -6,6 +6,7 @@
 mod settings;
 mod shutdown;
 mod status_reports;
+mod unread_requests;
 
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -63,3 +63,135 @@
     }
     assert!(is_sent(&mut driver));
 }
+
+/// What a platform does with a request that reports final statuses.
+#[derive(Clone, Copy, PartialEq)]
+enum PlatformReply {
+    /// It confirms.
+    Confirms,
+    /// Its connection ends without an answer.
+    Ends,
+    /// It never answers.
+    IsSilent,
+}
+
+/// A platform whose replies to reports follow a script.
+struct ScriptedPlatform {
+    listener: TcpListener,
+    connections: Vec<(std::net::TcpStream, Vec<u8>)>,
+    requests: usize,
+}
+
+impl ScriptedPlatform {
+    fn new(listener: TcpListener) -> ScriptedPlatform {
+        listener.set_nonblocking(true).unwrap();
+        ScriptedPlatform {
+            listener,
+            connections: Vec::new(),
+            requests: 0,
+        }
+    }
+
+    /// Reads what has come, and replies to reports as the script says by their number. True if one was confirmed.
+    fn serve(&mut self, reply: impl Fn(usize) -> PlatformReply) -> bool {
+        use std::io::{Read, Write};
+        while let Ok((stream, _)) = self.listener.accept() {
+            stream.set_nonblocking(true).unwrap();
+            self.connections.push((stream, Vec::new()));
+        }
+        let mut confirmed = false;
+        let requests = &mut self.requests;
+        self.connections.retain_mut(|(stream, text)| {
+            let mut buffer = [0; 4_096];
+            text.extend(stream.read(&mut buffer).map_or(&[][..], |n| &buffer[..n]));
+            if !text.starts_with(b"POST /reports") || !text.ends_with(b"}\n") {
+                return true;
+            }
+            *requests += 1;
+            match reply(*requests - 1) {
+                PlatformReply::Ends => false,
+                PlatformReply::IsSilent => {
+                    text.clear();
+                    true
+                }
+                PlatformReply::Confirms => {
+                    confirmed = true;
+                    stream
+                        .write_all(b"HTTP/1.1 204 No Content\r\n\r\n")
+                        .unwrap();
+                    text.clear();
+                    true
+                }
+            }
+        });
+        confirmed
+    }
+}
+
+/// The platform counts a message as lost whose end it has not heard so long after its deadline. Of these 300 ms, 150 are
+/// kept for a sender that is held up.
+const REPORT_BOUND: Millis = 150.0;
+/// The message of [`resumed`] ends at this instant.
+const DEADLINE: Millis = START + 2_000.0;
+
+/// Runs rounds, a millisecond apart, until the platform has confirmed the report of the message, which is given up at
+/// an instant. Returns when that was.
+fn confirmed_at(
+    name: &str,
+    given_up_at: Millis,
+    reply: impl Fn(usize, Millis) -> PlatformReply,
+) -> Millis {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed(name, listener.local_addr().unwrap());
+    let mut platform = ScriptedPlatform::new(listener);
+    clock.set(given_up_at);
+    driver.perform(vec![Action::Fail { id: MessageId(3) }], given_up_at);
+    for _ in 0..5_000 {
+        driver.round(vec![EventSource::StatusReports]);
+        let now = clock.now();
+        if platform.serve(|number| reply(number, now)) {
+            return now;
+        }
+        clock.set(now + 1.0);
+    }
+    panic!("no report was confirmed");
+}
+
+/// Guards against reports that come too late because they fail at the end of their message's time.
+#[test]
+fn a_report_that_fails_at_the_deadline_still_comes_in_time() {
+    let cases = [
+        (2, PlatformReply::Ends),
+        (4, PlatformReply::Ends),
+        (6, PlatformReply::Ends),
+        (1, PlatformReply::IsSilent),
+        (2, PlatformReply::IsSilent),
+    ];
+    for (failures, failure) in cases {
+        let silent = failure == PlatformReply::IsSilent;
+        let name = format!("late-report-{failures}-{silent}");
+        let confirmed = confirmed_at(&name, DEADLINE, |number, _| {
+            if number < failures {
+                failure
+            } else {
+                PlatformReply::Confirms
+            }
+        });
+        let late = confirmed - DEADLINE;
+        assert!(late <= REPORT_BOUND, "{name}: {late} ms");
+    }
+}
+
+/// Guards against a backoff from before the deadline that outlasts the time in which the report is due.
+#[test]
+fn a_report_that_has_failed_for_long_is_tried_again_at_the_deadline() {
+    let confirmed = confirmed_at("failed-for-long", DEADLINE - 1_500.0, |_, now| {
+        if now < DEADLINE {
+            PlatformReply::Ends
+        } else {
+            PlatformReply::Confirms
+        }
+    });
+    let late = confirmed - DEADLINE;
+    assert!(late <= REPORT_BOUND, "{late} ms");
+}
