Add the log level TRACE: the first bytes of all that crosses a socket

The logs could not answer what a client's connection carried when a request is said to have been lost: DEBUG names requests and ends, not bytes. TRACE writes the first 96 bytes, length, local and peer address of each read, write, end, reset and close of every connection, within the log's bound on lines, off by default; while it is off it costs one comparison a call.

--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -13,6 +13,7 @@
 use socket2::{Domain, Protocol, SockRef, Socket, Type};
 
 use crate::buffer_pool::{Buffer, BufferPool};
+use crate::socket_trace::{self, SocketEvent};
 use crate::system_errors::is_connect_in_progress;
 
 /// What the event loop collects between two rounds.
@@ -102,6 +103,7 @@
         stream.set_nodelay(true)?;
         let stream = Rc::new(stream);
         let token = register(handle, stream.clone(), key)?;
+        socket_trace::record(&stream, SocketEvent::Opened);
         Ok(Connection {
             stream,
             handle: handle.clone(),
@@ -200,6 +202,10 @@
             match (&*self.stream).write(output.bytes()) {
                 Ok(0) => self.broken = true,
                 Ok(count) => {
+                    socket_trace::record(
+                        &self.stream,
+                        SocketEvent::Written(&output.bytes()[..count]),
+                    );
                     output.consume(count);
                     self.written += count as u64;
                 }
@@ -207,7 +213,8 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 // The connection was never established or was reset. A peer may have sent a response before the reset:
                 // it is read first.
-                Err(_) => {
+                Err(error) => {
+                    socket_trace::record(&self.stream, SocketEvent::Failed(&error));
                     self.receive();
                     self.broken = true;
                 }
@@ -236,13 +243,23 @@
                 return true;
             }
             match (&*self.stream).read(spare) {
-                Ok(0) => self.eof = true,
-                Ok(count) => input.advance(count),
+                Ok(0) => {
+                    socket_trace::record(&self.stream, SocketEvent::End);
+                    self.eof = true;
+                }
+                Ok(count) => {
+                    input.advance(count);
+                    let read = &input.bytes()[input.bytes().len() - count..];
+                    socket_trace::record(&self.stream, SocketEvent::Read(read));
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
                 // Some systems answer a read like this while a connection is being established: it has not failed.
                 Err(error) if error.kind() == ErrorKind::NotConnected && self.written == 0 => break,
-                Err(_) => self.broken = true,
+                Err(error) => {
+                    socket_trace::record(&self.stream, SocketEvent::Failed(&error));
+                    self.broken = true;
+                }
             }
         }
         self.release_empty_input();
@@ -286,6 +303,7 @@
 
     /// Tells the peer that nothing more will be sent.
     pub fn shutdown_write(&self) {
+        socket_trace::record(&self.stream, SocketEvent::ShutDown);
         let _ = self.stream.shutdown(std::net::Shutdown::Write);
     }
 }
@@ -298,6 +316,7 @@
 
 impl<K: Copy + 'static> Drop for Connection<K> {
     fn drop(&mut self) {
+        socket_trace::record(&self.stream, SocketEvent::Closed);
         self.handle.remove(self.token);
     }
 }
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -9,6 +9,7 @@
 mod codec;
 mod connection;
 mod error;
+mod socket_trace;
 mod system_errors;
 
 pub use body::{Body, BodyProgress};
--- a/crates/martenlatch/src/logging.rs
+++ b/crates/martenlatch/src/logging.rs
@@ -130,6 +130,7 @@
         Level::Error => LevelFilter::ERROR,
         Level::Warn => LevelFilter::WARN,
         Level::Debug => LevelFilter::DEBUG,
+        Level::Trace => LevelFilter::TRACE,
         Level::Info | Level::Unset => LevelFilter::INFO,
     }
 }
--- a/crates/settings/src/text/tests.rs
+++ b/crates/settings/src/text/tests.rs
@@ -22,7 +22,7 @@
         ),
         (
             "log {\n level: LOUD }",
-            "f:2: log.level: \"LOUD\" is not one of UNSET, ERROR, WARN, INFO, DEBUG",
+            "f:2: log.level: \"LOUD\" is not one of UNSET, ERROR, WARN, INFO, DEBUG, TRACE",
         ),
         (
             "# a \"{\nclients {\n idle_ms: \"x\" }",
