Report a message whose success comes as its time runs out

Cause: an endpoint's 200 that comes at or behind the message's deadline ended it as delivered, with no report; the platform does not count such an answer, and counts the message as lost 350 ms later. A round reads its sockets before it expires attempts, and the sender's deadline is later than the client's by the time until the read; so each 200 that comes within about a millisecond of the deadline was such a case. A report that waited at the deadline was withdrawn for a late success, too.

Change: a success read, by a fresh look at the clock, less than 50 ms before the deadline ends its message as undeliverable, with a report, which does no harm to a message that counts as delivered. Counter late_successes.

--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -66,6 +66,8 @@
     gone,
     /// Messages that had to be ended after their deadline.
     ended_late,
+    /// Successes that came as the time of their message ran out, or behind it: the message was reported, too.
+    late_successes,
     /// Rounds of the event loop.
     rounds,
     /// Turns of the decision module that returned actions.
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -10,11 +10,17 @@
 use crate::counters::Counters;
 use crate::egress::AttemptResult;
 
-/// An attempt has ended. Returns the event for the decision module, if the message is still held.
+/// A success counts as the delivery of its message if it was read so long before the deadline: the client's time began a
+/// little earlier than ours, and the platform counts no success from behind it.
+const LATE_SUCCESS_GUARD: Millis = 50.0;
+
+/// An attempt has ended; its result was read before `read_by`. Returns the event for the decision module, if the message
+/// is still held.
 pub(super) fn end_attempt(
     result: &AttemptResult,
     store: &mut MessageStore,
     status_reporter: &mut StatusReporter,
+    read_by: Millis,
 ) -> Option<Event> {
     let number = result.id.0;
     count_outcome(&mut store.counters, result.outcome);
@@ -31,9 +37,13 @@
     if result.outcome.never_ran() && mark_never_ran(message, result.attempt as usize) {
         store.wal.append_never_ran(number, result.attempt as usize);
     }
-    let ends_message = is_unreported(message, result.outcome, status_reporter)
-        && (result.outcome == Outcome::Success || result.message_over);
-    if ends_message {
+    let succeeded = result.outcome == Outcome::Success;
+    let in_time = read_by < message.record.deadline - LATE_SUCCESS_GUARD;
+    if succeeded && !in_time {
+        end_by_late_success(result.id, store, status_reporter);
+    } else if (succeeded || result.message_over)
+        && is_unreported(message, result.outcome, status_reporter)
+    {
         close_message(number, result.message_over, store);
     } else {
         store.remove_if_finished(number);
@@ -89,6 +99,19 @@
     }
 }
 
+/// An endpoint has answered as the time of the message ran out, or behind it. The platform may not count this as a
+/// delivery, so it is told of the end; for a message that it holds for delivered, that changes nothing.
+fn end_by_late_success(
+    id: MessageId,
+    store: &mut MessageStore,
+    status_reporter: &mut StatusReporter,
+) {
+    store.counters.late_successes += 1;
+    debug!(number = id.0, "success too late to count");
+    give_up(id, FinalStatus::Undeliverable, store, status_reporter);
+    store.remove_if_finished(id.0);
+}
+
 /// An endpoint's answer ends a message: it is delivered, or the endpoint says that it is gone.
 fn close_message(number: u64, gone: bool, store: &mut MessageStore) {
     let class = store.record(number).map(|record| record.class.clone());
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -225,7 +225,10 @@
 
     fn process_attempt_result(&mut self, result: &AttemptResult, now: Millis) {
         self.note_retry_after(result, now);
-        let event = completion::end_attempt(result, &mut self.store, &mut self.status_reporter);
+        // Read anew: the process may have been held up since the round began.
+        let read_by = self.clock.now();
+        let event =
+            completion::end_attempt(result, &mut self.store, &mut self.status_reporter, read_by);
         self.decision.events.extend(event);
         if !self.store.is_open(result.id.0) {
             self.withdraw_incomplete(result.id, now);
--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -302,3 +302,43 @@
     clock.set(clock.now() + 20.0);
     assert!(receives_message(&mut driver, &endpoint));
 }
+
+/// Guards against a success that the platform does not count, because the message's time was up when it was written: if
+/// the message ended without a report, it would count as lost.
+#[rstest::rstest]
+#[case::well_before_the_deadline(-500.0, false)]
+#[case::a_moment_before_the_deadline(-1.0, true)]
+#[case::a_moment_after_the_deadline(0.5, true)]
+#[case::in_the_round_that_comes_late(60.0, true)]
+fn a_success_as_the_time_runs_out_is_reported_too(#[case] behind: Millis, #[case] reported: bool) {
+    use std::io::Write;
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let name = format!("late-success-{behind}");
+    let (mut driver, clock, _events) = resumed(&name, endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
+    clock.set(START + 2_000.0 + behind);
+    peer.write_all(OK).unwrap();
+    until(|| {
+        driver.round((0..9).map(EventSource::Endpoint).collect());
+        driver.store.open == 0
+    });
+    let report_owed = driver.status_reporter.unconfirmed() == 1;
+    assert_eq!(report_owed, reported);
+}
+
+/// Guards against a report that is taken back because of a success that the platform does not count.
+#[test]
+fn a_report_that_waits_at_the_deadline_is_not_withdrawn_for_a_late_success() {
+    use std::io::Write;
+    let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (mut driver, clock, _events) = resumed("late-withdrawal", endpoint.local_addr().unwrap());
+    let mut peer = receive_request(&mut driver, &clock, &endpoint);
+    clock.set(START + 2_000.5);
+    peer.write_all(OK).unwrap();
+    let (id, attempt) = (MessageId(3), 0);
+    driver.perform(
+        vec![Action::Fail { id }, Action::Cancel { id, attempt }],
+        clock.now(),
+    );
+    assert_eq!(driver.status_reporter.unconfirmed(), 1);
+}
