Repeat status reports soon while their messages' time runs out

What callers saw: a report that met a failure at the end of its message's time came after the platform had counted the message as lost. Cause: one batch in flight; a silent confirmation was waited for for 1 s; failures backed off from 50 ms to 1 s, and reports that became due behind a failed one inherited its backoff.

Change: each report has its own times (status_reports/timing.rs, pure). Around its deadline, and for 1.5 s behind the start of a process, it is urgent: the backoff is 20 ms (100 ms behind ten failures in a row), and a batch that is not confirmed in 40, 80, 160 ms is sent again on another connection, of up to four; other reports do not wait behind it. At other times backoff (to 1 s) and confirmation time (1 s) are as before. A report that was sent is not withdrawn any more.

Buffers of the watch and the reports grow from 4 to 10.

--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -138,16 +138,15 @@
         } else {
             MessageState::Open
         };
+        if settled {
+            status_reporter.enqueue(&record);
+        }
         store.insert(record, state);
         store.counters.unattempted += u64::from(unattempted);
         if let Some(message) = store.messages.get_mut(&number) {
             message.unattempted = unattempted;
         }
-        if settled {
-            status_reporter.queue.push_back(number);
-            return None;
-        }
-        event
+        event.filter(|_| !settled)
     }
 
     /// What the decision module is told of a resumed message; none if its class is unknown.
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -18,7 +18,7 @@
 use super::message_store::MessageStore;
 use super::process_state::{ProcessState, RemainingState, SettingsNames, SplitState};
 use super::send_gate::RetryAfterTable;
-use super::status_reports::StatusReporter;
+use super::status_reports::{MAX_LANES, StatusReporter};
 use crate::Config;
 use crate::class_metrics::ClassMetrics;
 use crate::class_rules::ClassRules;
@@ -34,8 +34,8 @@
 
 /// An input and an output buffer for each connection.
 const BUFFERS_PER_CONNECTION: usize = 2;
-/// Buffers for two connections: the watch and the status reports.
-const CONTROL_BUFFERS: usize = 2 * BUFFERS_PER_CONNECTION;
+/// Buffers for the connections of the watch and of the status reports.
+const CONTROL_BUFFERS: usize = (1 + MAX_LANES) * BUFFERS_PER_CONNECTION;
 /// The part of the memory limit for buffers, as a divisor.
 const BUFFER_MEMORY_DIVISOR: u64 = 2;
 /// Clients may have this part of the descriptors, as a divisor; the rest is for endpoints, discovery and files.
@@ -242,7 +242,13 @@
             descriptor_limit: config.sockets,
             admission: build_admission(config, settings, foundation.class_rules),
             decision: Decision::new(foundation.policy),
-            status_reporter: build_status_reporter(config, handle, &control_buffers, &jitter),
+            status_reporter: build_status_reporter(
+                config,
+                handle,
+                &control_buffers,
+                &jitter,
+                clock.now(),
+            ),
             store: MessageStore::new(foundation.wal, foundation.next_number, class_metrics),
             ingress,
             egress: build_egress(settings, &capacity, handle),
@@ -330,12 +336,14 @@
     handle: &Handle,
     buffers: &BufferPool,
     jitter: &Jitter,
+    started: Millis,
 ) -> StatusReporter {
     StatusReporter::new(
         config.discovery,
         handle.clone(),
         buffers.clone(),
         jitter.clone(),
+        started,
     )
 }
 
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -153,8 +153,8 @@
         "message given up"
     );
     store.wal.append_final_status(number, status);
+    status_reporter.enqueue(&message.record);
     store.advance(number, MessageState::Reporting);
-    status_reporter.queue.push_back(number);
 }
 
 /// The platform has confirmed the status report of a message.
--- a/crates/sender/src/pipeline/crash_recovery_tests/two_processes.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/two_processes.rs
@@ -177,7 +177,7 @@
         self.peers.disconnect();
         let (mut driver, _events) = start(&self.state, MAX_HELD, &self.peers, true, &self.clock);
         let mut steps = 0;
-        while driver.store.open + driver.status_reporter.unconfirmed() > 0
+        while driver.store.open + driver.status_reporter.unconfirmed().len() > 0
             || steps < MIN_STEPS_AFTERWARDS
         {
             step(&mut driver, &mut self.peers, &self.clock);
--- a/crates/sender/src/pipeline/metrics.rs
+++ b/crates/sender/src/pipeline/metrics.rs
@@ -35,7 +35,7 @@
             }
         }
         Gauges {
-            current: self.store.open + self.status_reporter.unconfirmed(),
+            current: self.store.open + self.status_reporter.unconfirmed().len(),
             cluster_size,
             cluster_unhealthy,
             violations: self.violations.total(),
--- a/crates/sender/src/pipeline/operator_calls.rs
+++ b/crates/sender/src/pipeline/operator_calls.rs
@@ -78,7 +78,7 @@
                 let now = self.clock.now();
                 info!(discovery = %config.discovery, "configuration read");
                 if config.discovery != self.status_reporter.platform {
-                    self.status_reporter.move_to(config.discovery, now);
+                    self.status_reporter.move_to(config.discovery);
                     self.directory.move_to(config.discovery, now);
                 }
             }
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -211,7 +211,6 @@
             state: message.state,
             attempts_in_flight: message.attempts_in_flight,
         });
-        let in_flight_reports = self.status_reporter.in_flight.iter();
         let clients = self
             .ingress
             .clients
@@ -226,10 +225,7 @@
             held: held.collect(),
             next_number: self.store.next_number,
             log_position: self.store.wal.position(),
-            unconfirmed: in_flight_reports
-                .chain(&self.status_reporter.queue)
-                .copied()
-                .collect(),
+            unconfirmed: self.status_reporter.unconfirmed().collect(),
             directory: self.directory.snapshot(),
             clients: clients.collect(),
             egress,
@@ -245,7 +241,11 @@
     ) -> std::io::Result<()> {
         self.restore_messages(state.held);
         self.decision.wake_at = state.wake_at;
-        self.status_reporter.queue.extend(state.unconfirmed);
+        for number in state.unconfirmed {
+            if let Some(record) = self.store.record(number) {
+                self.status_reporter.enqueue(record);
+            }
+        }
         self.directory.restore_state(state.directory);
         for client in state.clients {
             self.restore_client(&client, descriptors)?;
--- /dev/null
+++ b/crates/sender/src/pipeline/status_reports/lane.rs
@@ -0,0 +1,94 @@
+//! One connection to the platform, with the batch of reports on it.
+
+use std::net::SocketAddr;
+
+use martenlatch_clock::Millis;
+use martenlatch_http as http;
+
+use crate::event_source::Connection;
+
+/// A connection to the platform. It carries one batch at a time.
+pub(super) struct Lane {
+    connection: Connection,
+    /// The messages whose reports were sent on it and are not confirmed.
+    pub(super) numbers: Vec<u64>,
+    /// When the batch was sent.
+    pub(super) sent_at: Millis,
+}
+
+/// What has come of a batch.
+pub(super) enum BatchProgress {
+    /// Nothing so far.
+    Pending,
+    /// The platform has confirmed it.
+    Confirmed,
+    /// The platform refuses it.
+    Refused,
+    /// The connection has ended.
+    ConnectionLost,
+}
+
+impl Lane {
+    /// A lane without a batch.
+    pub(super) fn new(connection: Connection) -> Lane {
+        Lane {
+            connection,
+            numbers: Vec::new(),
+            sent_at: 0.0,
+        }
+    }
+
+    /// Whether it carries no batch.
+    pub(super) fn is_idle(&self) -> bool {
+        self.numbers.is_empty()
+    }
+
+    /// Whether a batch can still be sent on it. Reading from it first shows whether the platform has closed it, before
+    /// a batch is lost on it.
+    pub(super) fn is_usable(&mut self) -> bool {
+        self.connection.receive();
+        !self.connection.eof && !self.connection.broken
+    }
+
+    /// Writes a batch. False if the connection did not take it.
+    pub(super) fn send(&mut self, platform: SocketAddr, lines: &str) -> bool {
+        let head = format!(
+            "POST /reports HTTP/1.1\r\nHost: {platform}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
+            lines.len()
+        );
+        if !self.connection.queue(head.as_bytes()) || !self.connection.queue(lines.as_bytes()) {
+            return false;
+        }
+        self.connection.flush();
+        !self.connection.broken
+    }
+
+    /// Goes on writing, and reads what the platform has answered.
+    pub(super) fn progress(&mut self) -> BatchProgress {
+        self.connection.flush();
+        self.connection.receive();
+        match http::parse_response(self.connection.bytes()) {
+            Ok(Some(response)) if !self.is_idle() => self.on_response(&response),
+            Ok(None) if !self.connection.eof && !self.connection.broken => BatchProgress::Pending,
+            _ => BatchProgress::ConnectionLost,
+        }
+    }
+
+    fn on_response(&mut self, response: &http::Response) -> BatchProgress {
+        if !(200..300).contains(&response.status) {
+            return BatchProgress::Refused;
+        }
+        if !self.consume_response(response) {
+            self.connection.broken = true;
+        }
+        BatchProgress::Confirmed
+    }
+
+    /// Takes an answer off the connection. False if the connection cannot be used again: a body that has not arrived
+    /// yet is not waited for.
+    fn consume_response(&mut self, response: &http::Response) -> bool {
+        let body = self.connection.bytes().len() - response.consumed;
+        self.connection.consume(response.consumed + body);
+        response.keep_alive && response.body == http::Body::ContentLength(body)
+    }
+}
--- /dev/null
+++ b/crates/sender/src/pipeline/status_reports/mod.rs
@@ -0,0 +1,373 @@
+//! Reports the final status of undelivered messages to the platform, each until the platform has confirmed it.
+//!
+//! Reports go out in batches. A batch that is not confirmed in time is sent again on another connection, so that a
+//! connection that has fallen silent holds up no report; [`timing`] says when. A batch that the platform refuses is
+//! sent again in halves, so that a report that it cannot read does not hold up the others.
+
+mod lane;
+mod timing;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use martenlatch_clock::Millis;
+use martenlatch_http::buffer_pool::BufferPool;
+use martenlatch_wal::{FinalStatus, MessageRecord};
+use tracing::warn;
+
+use super::message_store::MessageStore;
+use crate::event_source::{Connection, EventSource, Handle};
+use crate::jitter::Jitter;
+use lane::{BatchProgress, Lane};
+use timing::{CONFIRMATION_TIMEOUT, Failures, ReportTiming};
+
+/// Most connections to the platform.
+pub(super) const MAX_LANES: usize = 4;
+/// Another connection is opened once all others have carried their batches for so long.
+const LANE_PATIENCE: Millis = 10.0;
+/// Most reports in one batch.
+const MAX_BATCH: usize = 32;
+/// How often a report is looked at that waits for the record of its final status.
+const RECORD_WAIT: Millis = 50.0;
+
+/// Sends status reports. Messages are named by their numbers.
+pub struct StatusReporter {
+    pub(super) platform: SocketAddr,
+    handle: Handle,
+    pool: BufferPool,
+    /// When the process started.
+    started: Millis,
+    /// The reports that the platform has not confirmed.
+    owed: BTreeMap<u64, ReportTiming>,
+    lanes: Vec<Lane>,
+    failures: Failures,
+    batch_size: usize,
+    /// No report is due before this instant.
+    next_due: Millis,
+    pub(super) jitter: Jitter,
+}
+
+impl StatusReporter {
+    /// A reporter with nothing to report.
+    pub(super) fn new(
+        platform: SocketAddr,
+        handle: Handle,
+        pool: BufferPool,
+        jitter: Jitter,
+        started: Millis,
+    ) -> StatusReporter {
+        StatusReporter {
+            platform,
+            handle,
+            pool,
+            started,
+            owed: BTreeMap::new(),
+            lanes: Vec::new(),
+            failures: Failures::none(),
+            batch_size: MAX_BATCH,
+            next_due: f64::INFINITY,
+            jitter,
+        }
+    }
+
+    /// A message has ended undelivered: its report is owed from here on.
+    pub(super) fn enqueue(&mut self, record: &MessageRecord) {
+        let timing = ReportTiming {
+            deadline: record.deadline,
+            sent_at: None,
+            sends: 0,
+        };
+        self.owed.insert(record.number, timing);
+        self.next_due = f64::NEG_INFINITY;
+    }
+
+    /// Whether a report is on a connection.
+    #[cfg(test)]
+    pub(super) fn is_sent(&self, number: u64) -> bool {
+        let report = self.owed.get(&number);
+        report.is_some_and(|report| report.sent_at.is_some())
+    }
+
+    /// How long reports that are not urgent wait after so many failures in a row.
+    #[cfg(test)]
+    pub(super) fn backoff_after_failures(&mut self, failures: u32, now: Millis) -> Millis {
+        for _ in 0..failures {
+            self.count_failure(now, 0, "test");
+        }
+        self.failures.over_at(false) - now
+    }
+
+    /// Whether every report is confirmed.
+    pub(super) fn is_done(&self) -> bool {
+        self.owed.is_empty()
+    }
+
+    /// The messages whose reports are not confirmed.
+    pub(super) fn unconfirmed(&self) -> impl ExactSizeIterator<Item = u64> {
+        self.owed.keys().copied()
+    }
+
+    /// Takes back a report that has not been sent. False if there is none.
+    pub(super) fn withdraw(&mut self, number: u64) -> bool {
+        let unsent = self
+            .owed
+            .get(&number)
+            .is_some_and(|report| report.sends == 0);
+        unsent && self.owed.remove(&number).is_some()
+    }
+
+    /// Reports to another address from now on, unconfirmed reports included. The platform may get such a report
+    /// twice, which does no harm; waiting for the old address might be too late.
+    pub(super) fn move_to(&mut self, platform: SocketAddr) {
+        self.platform = platform;
+        self.lanes.clear();
+        self.failures = Failures::none();
+        for report in self.owed.values_mut() {
+            report.sent_at = None;
+        }
+        self.next_due = f64::NEG_INFINITY;
+    }
+
+    /// Sends what is due.
+    pub(super) fn run_due(&mut self, store: &MessageStore, now: Millis) {
+        if self.owed.is_empty() || now < self.next_due {
+            return;
+        }
+        self.close_silent_lanes(now);
+        while let Some(lane) = self.free_lane(now)
+            && self.send_batch(lane, store, now)
+        {}
+        self.schedule(store, now);
+    }
+
+    /// When [`StatusReporter::run_due`] has something to do next.
+    pub(super) fn next_deadline(&self) -> Millis {
+        if self.owed.is_empty() {
+            f64::INFINITY
+        } else {
+            self.next_due
+        }
+    }
+
+    /// Closes the connections on which the platform has been silent for too long.
+    fn close_silent_lanes(&mut self, now: Millis) {
+        let silent = |lane: &Lane| !lane.is_idle() && now >= lane.sent_at + CONFIRMATION_TIMEOUT;
+        while let Some(index) = self.lanes.iter().position(silent) {
+            self.fail_lane(index, now, "silent");
+        }
+    }
+
+    /// A lane for the next batch, which is removed from the others. None while a batch that has just been sent may
+    /// still be confirmed, or if no connection can be opened.
+    fn free_lane(&mut self, now: Millis) -> Option<FreeLane> {
+        while let Some(index) = self.lanes.iter().position(Lane::is_idle) {
+            let mut lane = self.lanes.swap_remove(index);
+            if lane.is_usable() {
+                return Some(FreeLane::Open(lane));
+            }
+        }
+        let just_sent = |lane: &Lane| now < lane.sent_at + LANE_PATIENCE;
+        if self.lanes.iter().any(just_sent) {
+            return None;
+        }
+        Some(FreeLane::ToBeOpened)
+    }
+
+    /// Sends a batch of the reports that are due, urgent ones first. False if there are none, or if that failed.
+    fn send_batch(&mut self, lane: FreeLane, store: &MessageStore, now: Millis) -> bool {
+        let batch = self.due_batch(store, now);
+        let lane = match lane {
+            FreeLane::Open(lane) if batch.numbers.is_empty() => {
+                self.keep_idle(lane);
+                return false;
+            }
+            FreeLane::Open(lane) => Some(lane),
+            FreeLane::ToBeOpened if batch.numbers.is_empty() => return false,
+            FreeLane::ToBeOpened if self.lanes.len() >= MAX_LANES && !batch.urgent => return false,
+            FreeLane::ToBeOpened => self.open_lane(),
+        };
+        let numbers = batch.numbers;
+        let Some(mut lane) = lane else {
+            self.count_failure(now, numbers.len(), "no connection");
+            return false;
+        };
+        if !lane.send(self.platform, &report_lines(&numbers, store)) {
+            self.count_failure(now, numbers.len(), "no connection");
+            return false;
+        }
+        for number in &numbers {
+            if let Some(report) = self.owed.get_mut(number) {
+                report.sent_at = Some(now);
+                report.sends += 1;
+            }
+        }
+        lane.numbers = numbers;
+        lane.sent_at = now;
+        self.lanes.push(lane);
+        true
+    }
+
+    /// Keeps one connection for the reports to come.
+    fn keep_idle(&mut self, lane: Lane) {
+        if !self.lanes.iter().any(Lane::is_idle) {
+            self.lanes.push(lane);
+        }
+    }
+
+    /// The reports of the next batch.
+    ///
+    /// A final status that the log could not take is reported once it is recorded, or once the deadline has passed:
+    /// before, a process that dies would leave a message behind that the next one sends although it has ended.
+    fn due_batch(&mut self, store: &MessageStore, now: Millis) -> Batch {
+        let recorded = store.wal.is_complete();
+        self.owed
+            .retain(|number, _| store.record(*number).is_some());
+        let mut urgent = Vec::new();
+        let mut others = Vec::new();
+        for (number, report) in &self.owed {
+            let may_be_sent = recorded || report.deadline <= now;
+            if !may_be_sent || report.due_at(&self.failures, self.started) > now {
+                continue;
+            }
+            if report.is_urgent(self.started, now) {
+                urgent.push(*number);
+            } else {
+                others.push(*number);
+            }
+        }
+        let has_urgent = !urgent.is_empty();
+        urgent.append(&mut others);
+        urgent.truncate(self.batch_size);
+        Batch {
+            numbers: urgent,
+            urgent: has_urgent,
+        }
+    }
+
+    /// A new connection. Where there are too many, the one that has carried its batch for the longest gives way.
+    fn open_lane(&mut self) -> Option<Lane> {
+        if self.lanes.len() >= MAX_LANES {
+            let oldest = (0..self.lanes.len())
+                .min_by(|a, b| self.lanes[*a].sent_at.total_cmp(&self.lanes[*b].sent_at))?;
+            self.lanes.swap_remove(oldest);
+        }
+        let connection = Connection::connect(
+            self.platform,
+            &self.handle,
+            &self.pool,
+            EventSource::StatusReports,
+        );
+        connection.ok().map(Lane::new)
+    }
+
+    /// Finds out when the next report is due.
+    fn schedule(&mut self, store: &MessageStore, now: Millis) {
+        let recorded = store.wal.is_complete();
+        let due = self.owed.values().map(|report| {
+            let due_at = report.due_at(&self.failures, self.started);
+            if recorded || report.deadline <= now {
+                due_at
+            } else {
+                due_at.max((now + RECORD_WAIT).min(report.deadline))
+            }
+        });
+        // What is due already waits for a connection.
+        self.next_due = due.fold(f64::INFINITY, f64::min).max(now + LANE_PATIENCE);
+    }
+
+    /// Reads the platform's answers. Returns the messages whose reports it has confirmed.
+    pub(super) fn on_ready(&mut self, now: Millis) -> Vec<u64> {
+        let mut confirmed = Vec::new();
+        let mut index = 0;
+        while index < self.lanes.len() {
+            match self.lanes[index].progress() {
+                BatchProgress::Pending => index += 1,
+                BatchProgress::Confirmed => {
+                    confirmed.append(&mut self.lanes[index].numbers);
+                    index += 1;
+                }
+                BatchProgress::Refused => self.on_refusal(index, now),
+                BatchProgress::ConnectionLost if self.lanes[index].is_idle() => {
+                    self.lanes.swap_remove(index);
+                }
+                BatchProgress::ConnectionLost => self.fail_lane(index, now, "connection lost"),
+            }
+        }
+        if !confirmed.is_empty() {
+            self.failures = Failures::none();
+            self.batch_size = MAX_BATCH;
+            self.next_due = f64::NEG_INFINITY;
+        }
+        // One that was sent on several connections is confirmed once.
+        confirmed.retain(|number| self.owed.remove(number).is_some());
+        confirmed
+    }
+
+    /// The batch of a lane was not confirmed: the lane is closed, and the batch is sent again after a backoff.
+    fn fail_lane(&mut self, index: usize, now: Millis, reason: &str) {
+        let lane = self.lanes.swap_remove(index);
+        self.count_failure(now, lane.numbers.len(), reason);
+        for number in &lane.numbers {
+            if let Some(report) = self.owed.get_mut(number) {
+                report.sent_at = None;
+            }
+        }
+    }
+
+    fn count_failure(&mut self, now: Millis, count: usize, reason: &str) {
+        warn!(count, reason, "status reports unconfirmed");
+        self.failures = Failures {
+            in_a_row: self.failures.in_a_row + 1,
+            last_at: now,
+            spread: self.jitter.around(1.0),
+        };
+        self.next_due = f64::NEG_INFINITY;
+    }
+
+    /// The platform refuses a batch: the next one is half as large. One that is refused alone does not hold up the
+    /// others: it is due again only after the time for a confirmation.
+    fn on_refusal(&mut self, index: usize, now: Millis) {
+        self.batch_size = (self.batch_size / 2).max(1);
+        let refused_alone = match self.lanes[index].numbers.as_slice() {
+            [number] => Some(*number),
+            _ => None,
+        };
+        self.fail_lane(index, now, "refused");
+        if let Some(report) = refused_alone.and_then(|number| self.owed.get_mut(&number)) {
+            report.sent_at = Some(now);
+        }
+    }
+}
+
+/// A connection for the next batch.
+enum FreeLane {
+    Open(Lane),
+    ToBeOpened,
+}
+
+/// Reports that are due.
+struct Batch {
+    /// Their messages, those of urgent reports first.
+    numbers: Vec<u64>,
+    /// Whether any of them is urgent.
+    urgent: bool,
+}
+
+fn report_lines(numbers: &[u64], store: &MessageStore) -> String {
+    let records = numbers.iter().filter_map(|number| store.record(*number));
+    records.map(report_line).collect()
+}
+
+/// The line that reports a message's final status.
+fn report_line(record: &MessageRecord) -> String {
+    let id = serde_json::Value::from(&*record.id);
+    match record.final_status.unwrap_or(FinalStatus::Undeliverable) {
+        FinalStatus::Undeliverable => {
+            format!("{{\"id\":{id},\"status\":\"undeliverable\"}}\n")
+        }
+        FinalStatus::Deferred(None) => format!("{{\"id\":{id},\"status\":\"deferred\"}}\n"),
+        FinalStatus::Deferred(Some(milliseconds)) => {
+            format!("{{\"id\":{id},\"status\":\"deferred\",\"again_ms\":{milliseconds}}}\n")
+        }
+    }
+}
--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -143,7 +143,10 @@
         clock.now(),
     );
     assert_eq!(
-        (driver.status_reporter.queue.len(), driver.store.open),
+        (
+            driver.status_reporter.unconfirmed().len(),
+            driver.store.open
+        ),
         (0, 0),
         "it is delivered, and there is nothing to report"
     );
@@ -322,7 +325,7 @@
         driver.round((0..9).map(EventSource::Endpoint).collect());
         driver.store.open == 0
     });
-    let report_owed = driver.status_reporter.unconfirmed() == 1;
+    let report_owed = driver.status_reporter.unconfirmed().len() == 1;
     assert_eq!(report_owed, reported);
 }
 
@@ -340,5 +343,5 @@
         vec![Action::Fail { id }, Action::Cancel { id, attempt }],
         clock.now(),
     );
-    assert_eq!(driver.status_reporter.unconfirmed(), 1);
+    assert_eq!(driver.status_reporter.unconfirmed().len(), 1);
 }
--- a/crates/sender/src/pipeline/tests/rejection.rs
+++ b/crates/sender/src/pipeline/tests/rejection.rs
@@ -41,9 +41,11 @@
     let mut waits: Vec<f64> = Vec::new();
     for seed in 0..12 {
         driver.status_reporter.jitter = Jitter::new(seed);
-        driver.status_reporter.backoff = MAX_BACKOFF;
-        driver.status_reporter.retry_later(clock.now(), "silent");
-        waits.push(driver.status_reporter.next_attempt - clock.now());
+        waits.push(
+            driver
+                .status_reporter
+                .backoff_after_failures(10, clock.now()),
+        );
     }
     assert!(
         waits.iter().all(|t| (750.0..=1_250.0).contains(t)),
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -49,7 +49,7 @@
     driver.perform(vec![Action::Fail { id: MessageId(3) }], now);
     let is_sent = |driver: &mut Driver| {
         driver.round(Vec::new());
-        driver.status_reporter.in_flight.contains(&3)
+        driver.status_reporter.is_sent(3)
     };
     for _ in 0..10 {
         clock.set(clock.now() + 100.0);
@@ -182,6 +182,84 @@
     }
 }
 
+/// Guards against a fresh report that waits behind a batch on which the platform is silent.
+#[test]
+fn a_fresh_report_does_not_wait_behind_a_silent_batch() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let name = "behind-silent";
+    let (mut driver, clock, _events) = resumed(name, listener.local_addr().unwrap());
+    let mut platform = ScriptedPlatform::new(listener);
+    let second = MessageRecord {
+        number: 4,
+        id: Rc::from("b"),
+        ..unattempted_message(2_000.0)
+    };
+    driver.store.insert(second, MessageState::Open);
+    clock.set(DEADLINE - 800.0);
+    driver.perform(vec![Action::Fail { id: MessageId(3) }], clock.now());
+    until(|| {
+        driver.round(vec![EventSource::StatusReports]);
+        platform.serve(|_| PlatformReply::IsSilent);
+        platform.requests == 1
+    });
+    clock.set(DEADLINE - 700.0);
+    driver.perform(vec![Action::Fail { id: MessageId(4) }], clock.now());
+    until(|| {
+        driver.round(vec![EventSource::StatusReports]);
+        platform.serve(|_| PlatformReply::Confirms)
+    });
+}
+
+/// A driver that comes back with the reports of so many messages, whose deadlines have passed.
+fn with_reports_owed(name: &str, count: u64, platform: SocketAddr) -> (Driver, Clock, Events) {
+    let state = empty_folder(&folder_name(name));
+    let (mut wal, _) = WriteAheadLog::open(&state, DISK_LIMIT);
+    for number in 1..=count {
+        let message = MessageRecord {
+            number,
+            id: Rc::from(format!("owed-{number}")),
+            ..unattempted_message(-10.0)
+        };
+        assert!(wal.append_message(&message));
+        wal.append_final_status(number, FinalStatus::Undeliverable);
+    }
+    drop(wal);
+    let clock = Clock::at(START);
+    let (driver, events) = start_driver(&state, SETTINGS, "{}", platform, &clock);
+    assert_eq!(driver.status_reporter.unconfirmed().len() as u64, count);
+    (driver, clock, events)
+}
+
+/// Guards against a platform that is flooded while it is down, and against reports that are not all sent once it is back.
+#[rstest::rstest]
+#[case::connections_end(PlatformReply::Ends, 40)]
+#[case::it_is_silent(PlatformReply::IsSilent, 200)]
+fn the_platform_is_not_flooded_while_it_is_down(
+    #[case] failure: PlatformReply,
+    #[case] most_requests: usize,
+) {
+    const OWED: u64 = 3_000;
+    const DOWN: usize = 5_000;
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let silent = failure == PlatformReply::IsSilent;
+    let address = listener.local_addr().unwrap();
+    let (mut driver, clock, _events) = with_reports_owed(&format!("flood-{silent}"), OWED, address);
+    let mut platform = ScriptedPlatform::new(listener);
+    for _ in 0..DOWN {
+        driver.round(vec![EventSource::StatusReports]);
+        platform.serve(|_| failure);
+        clock.set(clock.now() + 1.0);
+    }
+    let requests = platform.requests;
+    assert!(requests <= most_requests, "{requests} requests");
+    for _ in 0..3_000 {
+        driver.round(vec![EventSource::StatusReports]);
+        platform.serve(|_| PlatformReply::Confirms);
+        clock.set(clock.now() + 1.0);
+    }
+    assert!(driver.status_reporter.is_done());
+}
+
 /// Guards against a backoff from before the deadline that outlasts the time in which the report is due.
 #[test]
 fn a_report_that_has_failed_for_long_is_tried_again_at_the_deadline() {
