Count a message's time from the earliest instant at which its request can have come

What callers saw: a process that is held up while a request comes (stopped, a long round, a start, a crowd in the accept queue) read it late, and gave its message the whole X-Timeout from the read; its report then came after the platform had counted the message as lost.

Cause: the deadline was the instant of the read plus X-Timeout. The system does not say when bytes came. Change: what one poll of the event loop reports and the poll before it did not has come after that earlier poll began (poll_history.rs). Each client's connection, and the listener, keeps since when bytes may wait unread, until it has been read dry; a connection is read as it is accepted. The loop sleeps 50 ms at most, 250 before, which bounds what an idle sender takes off.

--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -16,6 +16,7 @@
 use super::driver::Driver;
 use super::ingress::{ClientLimits, Ingress, IngressClass};
 use super::message_store::MessageStore;
+use super::poll_history::PollHistory;
 use super::process_state::{ProcessState, RemainingState, SettingsNames, SplitState};
 use super::send_gate::RetryAfterTable;
 use super::status_reports::{MAX_LANES, StatusReporter};
@@ -258,6 +259,7 @@
             unfinished_sources: Vec::new(),
             shutdown_started: None,
             clock,
+            polls: PollHistory::new(),
             waits: RetryAfterTable::new(
                 settings
                     .kinds
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -12,7 +12,7 @@
 
 /// A success counts as the delivery of its message if it was read so long before the deadline: the client's time began a
 /// little earlier than ours, and the platform counts no success from behind it.
-const LATE_SUCCESS_GUARD: Millis = 50.0;
+pub(super) const LATE_SUCCESS_GUARD: Millis = 50.0;
 
 /// An attempt has ended; its result was read before `read_by`. Returns the event for the decision module, if the message
 /// is still held.
--- a/crates/sender/src/pipeline/crash_recovery_tests/two_processes.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/two_processes.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 
 use super::*;
+use crate::pipeline::completion::LATE_SUCCESS_GUARD;
 
 /// How the first process is stopped.
 #[derive(Clone, Copy, Debug)]
@@ -171,19 +172,26 @@
         true
     }
 
-    /// Runs the next process, half a second later and with a healthy endpoint, until it has nothing left to do.
-    fn run_next_process(&mut self) {
+    /// Runs the next process, half a second later and with a healthy endpoint, until it has nothing left to do. Returns
+    /// when the endpoint answered last, if it did.
+    fn run_next_process(&mut self) -> Option<Millis> {
         self.peers.script = Script::Serves;
         self.peers.disconnect();
         let (mut driver, _events) = start(&self.state, MAX_HELD, &self.peers, true, &self.clock);
         let mut steps = 0;
+        let mut answered_at = None;
         while driver.store.open + driver.status_reporter.unconfirmed().len() > 0
             || steps < MIN_STEPS_AFTERWARDS
         {
+            let requests = self.peers.requests.len();
             step(&mut driver, &mut self.peers, &self.clock);
+            if self.peers.requests.len() > requests {
+                answered_at = Some(self.clock.now());
+            }
             steps += 1;
             assert!(steps < MAX_STEPS_AFTERWARDS, "{}: it never ends", self.name);
         }
+        answered_at
     }
 
     /// What the next process had to do with the message that it found.
@@ -192,6 +200,7 @@
         found: Option<&MessageRecord>,
         class: &str,
         started: Millis,
+        answered_at: Option<Millis>,
         requests: usize,
         reports: usize,
     ) {
@@ -208,6 +217,8 @@
             assert_eq!(done, (0, 1), "{name}: it may have run");
         } else if message.deadline > started + 700.0 {
             assert_eq!(done, (1, 0), "{name}: it is attempted and delivered");
+        } else if answered_at.is_some_and(|at| at >= message.deadline - LATE_SUCCESS_GUARD) {
+            assert_eq!(done, (1, 1), "{name}: a late success is reported, too");
         } else {
             assert_eq!(usize::from(requests > 0) + reports, 1, "{name}: one end");
         }
@@ -246,10 +257,17 @@
     let reports = remains.peers.reports.len();
     remains.clock.set(remains.clock.now() + 500.0);
     let started = remains.clock.now();
-    remains.run_next_process();
+    let answered_at = remains.run_next_process();
     let new_requests = remains.peers.requests.len() - requests;
     let new_reports = remains.peers.reports.len() - reports;
-    remains.assert_finished(found.as_ref(), class, started, new_requests, new_reports);
+    remains.assert_finished(
+        found.as_ref(),
+        class,
+        started,
+        answered_at,
+        new_requests,
+        new_reports,
+    );
     let name = &remains.name;
     let effects = remains.peers.requests.iter().filter(|ran| **ran).count();
     assert!(class != "debit" || effects <= 1, "{name}: a second effect");
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -13,6 +13,7 @@
 use super::decision::Decision;
 use super::ingress::{IncomingMessage, Ingress};
 use super::message_store::MessageStore;
+use super::poll_history::PollHistory;
 use super::process_state::SettingsNames;
 use super::send_gate::RetryAfterTable;
 use super::status_reports::StatusReporter;
@@ -28,8 +29,8 @@
 pub(super) const OVERDUE_AFTER: Millis = 120.0;
 /// How long the loop sleeps when there is more to read, and no buffer to read it into.
 const BUFFER_WAIT: Millis = 3.0;
-/// The longest sleep of the loop.
-const MAX_SLEEP: Millis = 250.0;
+/// The longest sleep of the loop. Two of them bound what is not known of the age of a request that an idle sender reads.
+const MAX_SLEEP: Millis = 50.0;
 /// The longest sleep during shutdown, whose instants must not be slept past.
 const MAX_SLEEP_IN_SHUTDOWN: Millis = 20.0;
 
@@ -41,6 +42,7 @@
     /// The most descriptors the process may have open.
     pub(super) descriptor_limit: usize,
     pub(super) clock: Clock,
+    pub(super) polls: PollHistory,
     /// The waits that endpoints have asked for.
     pub(super) waits: RetryAfterTable,
     /// Steps that would have broken a safety rule.
@@ -86,6 +88,7 @@
     pub fn round(&mut self, ready: Vec<EventSource>) -> bool {
         let now = self.clock.now();
         self.store.counters.rounds += 1;
+        self.ingress.readable_since = self.polls.readable_since();
         let messages = self.read_ready_sources(ready, now);
         self.egress.expire_timeouts(now);
         self.unfinished_sources.extend(self.ingress.sweep(now));
@@ -103,7 +106,9 @@
         self.run_due_peers(now);
         self.run_due_operators(now);
         self.measure_round(now);
-        !self.may_exit(now)
+        let goes_on = !self.may_exit(now);
+        self.polls.poll_begins(self.clock.now());
+        goes_on
     }
 
     /// Reads every source that is ready or was not finished in the last round. Returns the messages of clients.
@@ -124,6 +129,11 @@
                 self.unfinished_sources.push(source);
             }
         }
+        for source in self.ingress.take_arrived() {
+            if self.read_source(source, &mut messages, now) {
+                self.unfinished_sources.push(source);
+            }
+        }
         messages
     }
 
--- a/crates/sender/src/pipeline/ingress/accept.rs
+++ b/crates/sender/src/pipeline/ingress/accept.rs
@@ -23,13 +23,18 @@
         let Some(listener) = self.listener.clone() else {
             return false;
         };
+        let waiting_since = self.waiting_since.unwrap_or(self.readable_since);
+        self.waiting_since = Some(waiting_since);
         for _ in 0..MAX_ACCEPTS_PER_ROUND {
             match listener.accept() {
                 Ok((stream, _)) => {
                     counters.client_connections += 1;
-                    self.add_client(stream, now);
+                    self.add_client(stream, now, waiting_since);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.waiting_since = None;
+                    return false;
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return false,
                 // The client has gone again, or a signal has come.
                 Err(error) if http::concerns_one_connection(&error) => {}
                 Err(error) => {
@@ -41,7 +46,9 @@
         true
     }
 
-    fn add_client(&mut self, stream: TcpStream, now: Millis) {
+    /// Adds a client that may have waited since an instant. It is read from at once: what comes later is younger than
+    /// its connection.
+    fn add_client(&mut self, stream: TcpStream, now: Millis, waiting_since: Millis) {
         if self.clients.len() >= self.limits.max_clients {
             self.evict(now, true);
         }
@@ -50,7 +57,11 @@
         match Connection::new(stream, &self.handle, &self.pool, source) {
             Ok(connection) => {
                 debug!(client = entry.key(), "client connected");
-                entry.insert(Client::new(connection, now));
+                let client = entry.insert(Client::new(connection, now));
+                client.receive(now, waiting_since);
+                if client.has_input() || client.has_left() || client.unread_since.is_some() {
+                    self.arrived.push(source);
+                }
             }
             // Nothing has been read: the client sees a reset, or the end of a connection on which nothing was done.
             Err(error) => warn!(error = ?error.kind(), "client connection not watched"),
--- a/crates/sender/src/pipeline/ingress/client.rs
+++ b/crates/sender/src/pipeline/ingress/client.rs
@@ -24,6 +24,21 @@
     /// How often the sending side was shut down behind the last answer: 0 or 1. A number, because an earlier version
     /// passed a number to its successor here.
     pub(in crate::pipeline) shutdowns: usize,
+    /// Bytes may wait unread since this instant; none if all that had come was read.
+    #[serde(skip, default = "unknown_instant")]
+    pub(super) unread_since: Option<Millis>,
+    /// What was read last came after this instant.
+    #[serde(skip, default = "long_ago")]
+    pub(super) input_since: Millis,
+}
+
+/// The successor of a process does not know how long bytes have waited.
+fn unknown_instant() -> Option<Millis> {
+    Some(long_ago())
+}
+
+fn long_ago() -> Millis {
+    f64::NEG_INFINITY
 }
 
 impl<C> Client<C> {
@@ -38,6 +53,8 @@
             since: now,
             closing: false,
             shutdowns: 0,
+            unread_since: None,
+            input_since: now,
         }
     }
 
@@ -52,6 +69,8 @@
             since: self.since,
             closing: self.closing,
             shutdowns: self.shutdowns,
+            unread_since: self.unread_since,
+            input_since: self.input_since,
         }
     }
 }
@@ -75,14 +94,26 @@
         self.connection.broken || (self.connection.eof && answered)
     }
 
-    /// Reads what has arrived. True if there may be more.
+    /// Reads what has arrived, since an instant unless it waits for longer. True if there may be more.
+    pub(super) fn read(&mut self, readable_since: Millis) -> bool {
+        let since = self.unread_since.unwrap_or(readable_since);
+        let before = self.connection.bytes().len();
+        let more = self.connection.receive();
+        if self.connection.bytes().len() > before {
+            self.input_since = since;
+        }
+        self.unread_since = more.then_some(since);
+        more
+    }
+
+    /// Reads what has arrived, and goes on writing. True if there may be more to read.
     ///
-    /// The time of a request counts from its first byte, not from the end of the last request; that of the first
-    /// request counts from the connection.
-    pub(super) fn receive(&mut self, now: Millis) -> bool {
+    /// The time that a client may take for a request counts from its first byte, not from the end of the last request;
+    /// that of the first request counts from the connection.
+    pub(super) fn receive(&mut self, now: Millis, readable_since: Millis) -> bool {
         self.connection.flush();
         let was_idle = !self.has_input();
-        let more = self.connection.receive();
+        let more = self.read(readable_since);
         if was_idle && self.served && self.has_input() {
             self.since = now;
         }
--- a/crates/sender/src/pipeline/ingress/eviction.rs
+++ b/crates/sender/src/pipeline/ingress/eviction.rs
@@ -120,7 +120,7 @@
     fn close_if_idle(&mut self, index: usize, reason: CloseReason) -> bool {
         let client = &mut self.clients[index];
         if !client.closing {
-            client.connection.receive();
+            client.read(self.readable_since);
         }
         let idle = client.closing || !client.has_input();
         if idle {
--- a/crates/sender/src/pipeline/ingress/mod.rs
+++ b/crates/sender/src/pipeline/ingress/mod.rs
@@ -65,6 +65,12 @@
     next_sweep: Millis,
     /// When to accept again after running out of descriptors.
     pub(super) accept_retry_at: Option<Millis>,
+    /// What the event loop has reported for this round came after this instant.
+    pub(super) readable_since: Millis,
+    /// Connections may wait to be accepted since this instant; none if all that waited are accepted.
+    waiting_since: Option<Millis>,
+    /// Clients that have just been accepted, and whose first bytes were there already.
+    arrived: Vec<EventSource>,
     /// The process is shutting down: each answer asks its client to end the connection. Until the connection ends,
     /// requests that come on it all the same are answered.
     pub(super) shutting_down: bool,
@@ -112,6 +118,9 @@
             classes,
             next_sweep: 0.0,
             accept_retry_at: None,
+            readable_since: f64::NEG_INFINITY,
+            waiting_since: None,
+            arrived: Vec::new(),
             shutting_down: false,
             rejected_partial: Vec::new(),
             jitter,
@@ -119,6 +128,11 @@
         })
     }
 
+    /// Takes the clients that were accepted with bytes that have to be looked at.
+    pub(super) fn take_arrived(&mut self) -> Vec<EventSource> {
+        std::mem::take(&mut self.arrived)
+    }
+
     /// When ingress has something to do next, if nothing arrives.
     pub(super) fn next_deadline(&self) -> Millis {
         self.next_sweep
--- a/crates/sender/src/pipeline/ingress/receive.rs
+++ b/crates/sender/src/pipeline/ingress/receive.rs
@@ -28,7 +28,7 @@
             self.finish_closing(index);
             return false;
         }
-        let more = client.receive(now);
+        let more = client.receive(now, self.readable_since);
         if client.awaiting_answer {
             return false;
         }
--- a/crates/sender/src/pipeline/ingress/request.rs
+++ b/crates/sender/src/pipeline/ingress/request.rs
@@ -14,6 +14,8 @@
 /// The longest time that a client may grant, in seconds.
 const MAX_TIMEOUT_SECONDS: f64 = 86_400.0;
 const MILLISECONDS_PER_SECOND: f64 = 1e3;
+/// A client waits so long for its answer. A request that has waited for longer counts for nothing.
+const CLIENT_PATIENCE: Millis = 400.0;
 
 /// A message that a client has sent.
 pub struct IncomingMessage {
@@ -100,12 +102,20 @@
             id,
             class,
             destination,
-            deadline: now + timeout,
+            deadline: self.earliest_arrival(client, now) + timeout,
             key,
             body: request.body.clone(),
         }))
     }
 
+    /// The earliest instant at which the request of a client may have arrived. Its time counts from there: an end that is
+    /// reported by the time of the read would come too late where the process was held up.
+    fn earliest_arrival(&self, client: usize, now: Millis) -> Millis {
+        self.clients[client]
+            .input_since
+            .clamp(now - CLIENT_PATIENCE, now)
+    }
+
     /// The class that the first part of a path names.
     pub(super) fn class_of(&self, path: &str) -> Option<usize> {
         let first = path.strip_prefix('/')?.split(['/', '?', '#']).next()?;
--- a/crates/sender/src/pipeline/ingress/sweep.rs
+++ b/crates/sender/src/pipeline/ingress/sweep.rs
@@ -66,6 +66,7 @@
         }
         self.next_sweep = now + SWEEP_INTERVAL;
         let timeouts = self.limits.timeouts;
+        let readable_since = self.readable_since;
         let mut to_close = Vec::new();
         for (index, client) in &mut self.clients {
             match judge(client, timeouts, now) {
@@ -73,7 +74,7 @@
                 SweepVerdict::Close => to_close.push((index, CloseReason::Answered)),
                 SweepVerdict::TimeOutRequest => timed_out.push(index),
                 SweepVerdict::CloseIfIdle => {
-                    client.connection.receive();
+                    client.read(readable_since);
                     if client.has_input() {
                         just_arrived.push(EventSource::Client(index));
                     } else {
@@ -101,12 +102,13 @@
     ) -> Vec<EventSource> {
         self.stop_accepting(now, counters);
         let mut to_read = Vec::new();
+        let readable_since = self.readable_since;
         for (index, client) in &mut self.clients {
             if client.closing {
                 continue;
             }
             let before = client.connection.bytes().len();
-            client.connection.receive();
+            client.read(readable_since);
             // An incomplete request is read again only when more of it has arrived: the loop must not spin on it.
             if client.connection.bytes().len() > before {
                 to_read.push(EventSource::Client(index));
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -20,6 +20,7 @@
 mod message_store;
 mod metrics;
 mod operator_calls;
+mod poll_history;
 mod process_state;
 mod send_gate;
 mod shutdown;
--- a/crates/sender/src/pipeline/shutdown.rs
+++ b/crates/sender/src/pipeline/shutdown.rs
@@ -54,6 +54,7 @@
     fn stop_ingress(&mut self, now: Millis) {
         let to_read = self.ingress.stop(now, &mut self.store.counters);
         self.unfinished_sources.extend(to_read);
+        self.unfinished_sources.extend(self.ingress.take_arrived());
     }
 
     /// Whether the process may exit: everything is done, or the time is up, and no client is left without an answer.
--- a/crates/sender/src/pipeline/tests/unread_requests.rs
+++ b/crates/sender/src/pipeline/tests/unread_requests.rs
@@ -8,6 +8,8 @@
 
 /// What [`REQUEST`] grants.
 const TIMEOUT: Millis = 9_000.0;
+/// A client waits so long for the answer to its request; what it hears later counts for nothing.
+const CLIENT_PATIENCE: Millis = 400.0;
 
 fn driver(name: &str) -> (Driver, Clock, Events) {
     let endpoint = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -58,6 +60,16 @@
     }
 }
 
+/// Guards against an unknown age that passes for none: before the first poll, nothing is known of when bytes came.
+#[test]
+fn the_age_of_a_request_that_the_first_round_finds_is_unknown() {
+    let (mut driver, clock, _events) = driver("unread-at-start");
+    let mut client = TcpStream::connect(driver.listen_address()).unwrap();
+    client.write_all(REQUEST).unwrap();
+    let handed_in = clock.now() - CLIENT_PATIENCE;
+    assert!(deadline_once_read(&mut driver) <= handed_in + TIMEOUT);
+}
+
 /// Guards against an age that takes from the time of requests that are read at once.
 #[test]
 fn a_request_that_is_read_at_once_keeps_its_time() {
