Report the end of a message again when it is handed in again behind its report

What callers saw, or could: the first 202 is destroyed by a reset or a kill, the message ends by a report that counts for nothing, and the same id comes again on a new connection. It was answered 202 and nothing more, so that its end was owed by nobody: lost.

Change: a message that is handed in again while its report is not confirmed has it sent once more behind the answer, whatever is on its way; one whose report was confirmed is recorded anew with its final status before the 202, and reported until 204. A delivered message is answered 202 and nothing more, as before.

Tests: one of the log (restart, compaction, takeover), three of the pipeline.

--- a/crates/martenlatch/tests/delivery.rs
+++ b/crates/martenlatch/tests/delivery.rs
@@ -46,10 +46,18 @@
     // end before the kill, so that the confirmation has been read and recorded.
     sender.complete_round();
     let sender = sender.kill_and_restart();
-    assert_eq!(sender.submit("debit", "u1", "16.0"), 202);
     assert_eq!(sender.submit("debit", "u2", "16.0"), 202);
     assert_eq!(endpoint.next_request().id(), "u2");
     assert!(platform.status_reports.try_recv().is_err());
+    // Handed in again, its end is reported again, and once.
+    assert_eq!(sender.submit("debit", "u1", "16.0"), 202);
+    assert_eq!(
+        platform.next_status_report(),
+        r#"{"id":"u1","status":"undeliverable"}"#
+    );
+    assert_eq!(sender.submit("debit", "u3", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "u3");
+    assert!(platform.status_reports.try_recv().is_err());
 }
 
 #[test]
--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -18,14 +18,25 @@
 pub(super) enum AdmissionDecision {
     /// It is recorded, and may be answered.
     Accepted(RecordedMessage),
-    /// It was accepted before.
+    /// It was accepted before, and its end is still to come, or it was delivered.
     Duplicate,
+    /// It was accepted before, and has ended undelivered. The client may hear only now that it was accepted: its report
+    /// is owed once more behind the answer, as the platform may have counted the first one for nothing.
+    Ended(EndedMessage),
     /// There is no room for it now; the client may send it again later.
     Rejected,
     /// Discovery has never listed its destination.
     UnknownDestination,
 }
 
+/// A message that has ended undelivered and was handed in again.
+pub(super) enum EndedMessage {
+    /// Its report is not confirmed yet.
+    Reporting(u64),
+    /// Its report was confirmed. This is what is recorded of it anew.
+    Reported(MessageRecord),
+}
+
 /// A message that is recorded in the write-ahead log, and not yet held.
 pub(super) struct RecordedMessage {
     record: MessageRecord,
@@ -52,7 +63,7 @@
     ) -> AdmissionDecision {
         if store.is_known(&message.id) {
             store.counters.duplicates += 1;
-            return AdmissionDecision::Duplicate;
+            return self.decide_on_duplicate(message, store);
         }
         match directory.serves(message.destination) {
             Some(true) => self.record(message, store, stopped),
@@ -67,6 +78,25 @@
         }
     }
 
+    /// A message is handed in again. Where it has ended by a report, this is recorded anew before the answer.
+    fn decide_on_duplicate(
+        &self,
+        message: IncomingMessage,
+        store: &mut MessageStore,
+    ) -> AdmissionDecision {
+        if let Some(number) = store.reporting(&message.id) {
+            return AdmissionDecision::Ended(EndedMessage::Reporting(number));
+        }
+        let Some(status) = store.wal.recently_closed.reported_status(&message.id) else {
+            return AdmissionDecision::Duplicate;
+        };
+        let mut record = self.new_record(message, store.next_number);
+        record.final_status = Some(status);
+        store.next_number += 1;
+        store.wal.append_ended(&record, status);
+        AdmissionDecision::Ended(EndedMessage::Reported(record))
+    }
+
     /// Accepts a message if there is room in memory and in the log.
     fn record(
         &self,
@@ -164,6 +194,34 @@
     }
 }
 
+impl EndedMessage {
+    /// The client has been answered: the report is owed once more.
+    pub(super) fn report_again(
+        self,
+        store: &mut MessageStore,
+        status_reporter: &mut StatusReporter,
+    ) {
+        match self {
+            EndedMessage::Reporting(number) => {
+                if let Some(record) = store.record(number) {
+                    status_reporter.repeat(record);
+                }
+            }
+            EndedMessage::Reported(record) => {
+                status_reporter.enqueue(&record);
+                store.insert(record, MessageState::Reporting);
+            }
+        }
+    }
+
+    /// The client had left before its answer: it will hand the message in once more.
+    pub(super) fn revoke(self, store: &mut MessageStore) {
+        if let EndedMessage::Reported(record) = self {
+            store.wal.append_revoked(record.number);
+        }
+    }
+}
+
 impl RecordedMessage {
     /// The client has been answered: the message is held from here on. Returns the event for the decision module.
     pub(super) fn hold(self, store: &mut MessageStore, now: Millis) -> Event {
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -114,7 +114,12 @@
 
 /// An endpoint's answer ends a message: it is delivered, or the endpoint says that it is gone.
 fn close_message(number: u64, gone: bool, store: &mut MessageStore) {
-    let class = store.record(number).map(|record| record.class.clone());
+    let mut class = None;
+    if let Some(message) = store.messages.get_mut(&number) {
+        // It may have been given up in this round, and its report withdrawn.
+        message.record.final_status = None;
+        class = Some(message.record.class.clone());
+    }
     if gone {
         store.counters.gone += 1;
     }
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -211,6 +211,14 @@
                 message.revoke(&mut self.store);
                 None
             }
+            AdmissionDecision::Ended(message) if answered => {
+                message.report_again(&mut self.store, &mut self.status_reporter);
+                None
+            }
+            AdmissionDecision::Ended(message) => {
+                message.revoke(&mut self.store);
+                None
+            }
             AdmissionDecision::Duplicate
             | AdmissionDecision::Rejected
             | AdmissionDecision::UnknownDestination => None,
--- a/crates/sender/src/pipeline/ingress/answers.rs
+++ b/crates/sender/src/pipeline/ingress/answers.rs
@@ -29,9 +29,9 @@
         now: Millis,
     ) -> bool {
         match decision {
-            AdmissionDecision::Accepted(_) | AdmissionDecision::Duplicate => {
-                self.answer(client, STATUS_ACCEPTED, "", now)
-            }
+            AdmissionDecision::Accepted(_)
+            | AdmissionDecision::Duplicate
+            | AdmissionDecision::Ended(_) => self.answer(client, STATUS_ACCEPTED, "", now),
             AdmissionDecision::Rejected => self.answer_unavailable(client, now),
             AdmissionDecision::UnknownDestination => {
                 self.close_after_answer(client);
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -105,6 +105,13 @@
             .is_some_and(|message| message.state == MessageState::Open)
     }
 
+    /// The number of a held message of this id that was given up and whose report the platform has not confirmed.
+    pub(super) fn reporting(&self, id: &Rc<str>) -> Option<u64> {
+        let number = *self.numbers.get(id)?;
+        let message = self.messages.get(&number)?;
+        (message.state == MessageState::Reporting).then_some(number)
+    }
+
     /// Whether any attempt of a message has no result yet.
     pub(super) fn has_attempts_in_flight(&self, number: u64) -> bool {
         self.messages
@@ -128,7 +135,11 @@
         }
         message.state = state;
         if state == MessageState::Closed {
-            self.wal.append_closed(number, &message.record.id);
+            let id = &message.record.id;
+            match message.record.final_status {
+                Some(status) => self.wal.append_closed_by_report(number, id, status),
+                None => self.wal.append_closed(number, id),
+            }
         }
         self.remove_if_finished(number);
     }
--- a/crates/sender/src/pipeline/status_reports/lane.rs
+++ b/crates/sender/src/pipeline/status_reports/lane.rs
@@ -7,6 +7,9 @@
 
 use crate::event_source::Connection;
 
+/// Stands for a report whose confirmation does not count. No message has this number.
+const DISOWNED: u64 = u64::MAX;
+
 /// A connection to the platform. It carries one batch at a time.
 pub(super) struct Lane {
     connection: Connection,
@@ -50,6 +53,15 @@
         !self.connection.eof && !self.connection.broken
     }
 
+    /// The confirmation of its batch does not count for this message.
+    pub(super) fn disown(&mut self, number: u64) {
+        for carried in &mut self.numbers {
+            if *carried == number {
+                *carried = DISOWNED;
+            }
+        }
+    }
+
     /// Writes a batch. False if the connection did not take it.
     pub(super) fn send(&mut self, platform: SocketAddr, lines: &str) -> bool {
         let head = format!(
--- a/crates/sender/src/pipeline/status_reports/mod.rs
+++ b/crates/sender/src/pipeline/status_reports/mod.rs
@@ -81,6 +81,14 @@
         self.next_due = f64::NEG_INFINITY;
     }
 
+    /// A report is owed once more from here on, even if it was sent: a confirmation of that does not count any more.
+    pub(super) fn repeat(&mut self, record: &MessageRecord) {
+        for lane in &mut self.lanes {
+            lane.disown(record.number);
+        }
+        self.enqueue(record);
+    }
+
     /// Whether a report is on a connection.
     #[cfg(test)]
     pub(super) fn is_sent(&self, number: u64) -> bool {
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -182,6 +182,78 @@
     }
 }
 
+/// Hands the message of [`with_reports_owed`] in again, which is answered 202.
+fn hand_in_again(driver: &mut Driver, id: &str) {
+    use std::io::{Read, Write};
+    let mut client = std::net::TcpStream::connect(driver.listen_address()).unwrap();
+    client.set_nonblocking(true).unwrap();
+    let head =
+        "POST /debit HTTP/1.1\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
+    let text = format!("{head}X-Request-ID: {id}\r\n\r\n");
+    client.write_all(text.as_bytes()).unwrap();
+    let mut answer = [0; 256];
+    until(|| {
+        driver.round(vec![EventSource::ClientListener]);
+        client.read(&mut answer).is_ok()
+    });
+    assert!(answer.starts_with(b"HTTP/1.1 202"));
+}
+
+/// Runs rounds until the platform has confirmed all reports. Returns how many requests it got for that.
+fn confirm_all(driver: &mut Driver, platform: &mut ScriptedPlatform, clock: &Clock) -> usize {
+    let before = platform.requests;
+    until(|| {
+        driver.round(vec![EventSource::StatusReports]);
+        platform.serve(|_| PlatformReply::Confirms);
+        clock.set(clock.now() + 1.0);
+        driver.status_reporter.is_done()
+    });
+    platform.requests - before
+}
+
+/// Guards against a second 202 for a message whose end was reported before its client heard the first one: that report
+/// may have counted for nothing.
+#[rstest::rstest]
+#[case::in_the_same_process(false)]
+#[case::after_a_restart(true)]
+fn a_message_that_is_handed_in_again_behind_its_report_is_reported_again(#[case] restart: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let name = format!("again-{restart}");
+    let (mut driver, mut clock, mut events) = with_reports_owed(&name, 1, address);
+    let mut platform = ScriptedPlatform::new(listener);
+    assert_eq!(confirm_all(&mut driver, &mut platform, &clock), 1);
+    if restart {
+        drop((driver, events));
+        let state = folder_path(&folder_name(&name));
+        clock = Clock::at(START + 9_000.0);
+        (driver, events) = start_driver(&state, SETTINGS, "{}", address, &clock);
+    }
+    assert!(driver.status_reporter.is_done(), "nothing is owed");
+    hand_in_again(&mut driver, "owed-1");
+    let numbers: Vec<u64> = driver.status_reporter.unconfirmed().collect();
+    let record = driver.store.record(numbers[0]).unwrap();
+    assert_eq!(record.final_status, Some(FinalStatus::Undeliverable));
+    assert_eq!(driver.store.open, 0, "and it is not attempted");
+    assert_eq!(confirm_all(&mut driver, &mut platform, &clock), 1);
+    drop(events);
+}
+
+/// Guards against a report on its way that is confirmed for a message whose client hears 202 only now.
+#[test]
+fn a_message_that_is_handed_in_again_under_its_report_is_reported_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (mut driver, clock, _events) = with_reports_owed("again-under", 1, address);
+    let mut platform = ScriptedPlatform::new(listener);
+    until(|| {
+        driver.round(vec![EventSource::StatusReports]);
+        driver.status_reporter.is_sent(1)
+    });
+    hand_in_again(&mut driver, "owed-1");
+    assert_eq!(confirm_all(&mut driver, &mut platform, &clock), 2);
+}
+
 /// Guards against a fresh report that waits behind a batch on which the platform is silent.
 #[test]
 fn a_fresh_report_does_not_wait_behind_a_silent_batch() {
--- a/crates/wal/src/compaction.rs
+++ b/crates/wal/src/compaction.rs
@@ -1,12 +1,13 @@
 //! Compaction: a new file that holds only what is still needed takes the place of the old one.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use martenlatch_clock::{Anchor, Millis};
 use tracing::error;
 
 use crate::codec::{self, MAGIC};
+use crate::recently_closed::RecentlyClosed;
 use crate::record::{LogRecord, MessageRecord, NO_MESSAGE};
 use crate::space::OpenMessages;
 use crate::write_ahead_log::WriteAheadLog;
@@ -68,7 +69,7 @@
 impl Snapshot {
     fn of<'a>(
         anchor: Option<Anchor>,
-        recently_closed: &VecDeque<Rc<str>>,
+        recently_closed: &RecentlyClosed,
         open: impl Iterator<Item = &'a MessageRecord>,
     ) -> Snapshot {
         let mut snapshot = Snapshot {
@@ -79,8 +80,11 @@
         if let Some(anchor) = anchor {
             snapshot.write(&LogRecord::anchor(anchor));
         }
-        for id in recently_closed {
+        for id in recently_closed.iter() {
             snapshot.write(&LogRecord::closed(NO_MESSAGE, id));
+            if let Some(status) = recently_closed.reported_status(id) {
+                snapshot.write(&LogRecord::reported(NO_MESSAGE, status));
+            }
         }
         for message in open {
             snapshot.write_message(message);
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub use error::LogError;
 pub use inspection::LogInspection;
+pub use recently_closed::RecentlyClosed;
 pub use record::{AttemptRecord, FinalStatus, MAX_ATTEMPTS, MessageRecord};
 pub use recovery::RecoveredState;
 pub use write_ahead_log::{LogPosition, WriteAheadLog};
--- a/crates/wal/src/record.rs
+++ b/crates/wal/src/record.rs
@@ -60,6 +60,7 @@
     pub(crate) const FINAL_STATUS: u8 = b'E';
     pub(crate) const CLOSED: u8 = b'O';
     pub(crate) const ANCHOR: u8 = b'B';
+    pub(crate) const REPORTED: u8 = b'S';
 }
 
 /// The message number in records that belong to no open message.
@@ -87,6 +88,9 @@
     FinalStatus(FinalStatus),
     /// Nothing more is owed. The id is empty if the message's acceptance was revoked.
     Closed { id: &'a str },
+    /// The message that the record before this one closes has ended by the report of this status. Programs that do not
+    /// know this record pass over it.
+    Reported(FinalStatus),
     /// The clock of the process that writes from here on. Programs that do not know this record pass over it.
     Anchor(Anchor),
     /// A record type of a later version.
@@ -114,6 +118,7 @@
             Entry::NeverRan { .. } => tag::NEVER_RAN,
             Entry::FinalStatus(_) => tag::FINAL_STATUS,
             Entry::Closed { .. } => tag::CLOSED,
+            Entry::Reported(_) => tag::REPORTED,
             Entry::Anchor(_) => tag::ANCHOR,
             Entry::Unknown { tag } => *tag,
         }
@@ -171,6 +176,13 @@
         }
     }
 
+    pub(crate) fn reported(number: u64, status: FinalStatus) -> LogRecord<'a> {
+        LogRecord {
+            number,
+            entry: Entry::Reported(status),
+        }
+    }
+
     pub(crate) fn closed(number: u64, id: &'a str) -> LogRecord<'a> {
         LogRecord {
             number,
--- a/crates/wal/src/recovery.rs
+++ b/crates/wal/src/recovery.rs
@@ -1,12 +1,12 @@
 //! Recovery: the state that the records of a log file add up to.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 
 use martenlatch_clock::{ClockHistory, Millis};
 
 use crate::codec::{Payloads, RecordHeader};
-use crate::recently_closed;
+use crate::recently_closed::RecentlyClosed;
 use crate::record::{
     AttemptRecord, Entry, FinalStatus, MAX_ATTEMPTS, MessageFields, MessageRecord, tag,
 };
@@ -16,8 +16,8 @@
 pub struct RecoveredState {
     /// The messages that are not closed, by number.
     pub open: BTreeMap<u64, MessageRecord>,
-    /// The ids of recently closed messages, oldest first.
-    pub recently_closed: VecDeque<Rc<str>>,
+    /// The ids of recently closed messages.
+    pub recently_closed: RecentlyClosed,
     /// The clock of earlier processes.
     pub clock: ClockHistory,
     /// The next message number.
@@ -78,9 +78,10 @@
             // The message itself was removed before its id was decoded.
             Entry::Closed { id } => {
                 if !id.is_empty() {
-                    recently_closed::remember(&mut self.recently_closed, Rc::from(id));
+                    self.recently_closed.remember(Rc::from(id));
                 }
             }
+            Entry::Reported(status) => self.recently_closed.mark_reported(status),
             Entry::Anchor(anchor) => {
                 self.clock.anchor = Some(anchor);
                 self.clock.latest = self.clock.latest.max(anchor.clock);
--- a/crates/wal/src/tests.rs
+++ b/crates/wal/src/tests.rs
@@ -72,7 +72,7 @@
         assert_eq!(
             (
                 recovered.recently_closed.len(),
-                &*recovered.recently_closed[0]
+                &**recovered.recently_closed.iter().next().unwrap()
             ),
             (1, "id1")
         );
@@ -269,3 +269,26 @@
         Some(FinalStatus::Undeliverable)
     );
 }
+
+/// Guards against a final status that is forgotten with its message: handed in again, its end would be owed by nobody.
+#[test]
+fn the_reported_status_of_a_closed_message_outlasts_restarts_compactions_and_takeovers() {
+    const DISK: u64 = 3_000_000;
+    let folder = folder("reported");
+    let (reported, delivered): (Rc<str>, Rc<str>) = (Rc::from("reported"), Rc::from("delivered"));
+    let status = FinalStatus::Deferred(Some(700));
+    let (mut wal, _) = WriteAheadLog::open(&folder, DISK);
+    wal.append_closed_by_report(1, &reported, status);
+    wal.append_closed(2, &delivered);
+    let position = wal.position();
+    let passed = WriteAheadLog::restore(&folder, DISK, position, std::iter::empty()).unwrap();
+    drop(wal);
+    // The first restart reads the records, and compacts them; the second one reads the compacted file.
+    let (restarted, _) = WriteAheadLog::open(&folder, DISK);
+    let (compacted, _) = WriteAheadLog::open(&folder, DISK);
+    for wal in [passed, restarted, compacted] {
+        assert_eq!(wal.recently_closed.reported_status(&reported), Some(status));
+        assert_eq!(wal.recently_closed.reported_status(&delivered), None);
+        assert!(wal.recently_closed.contains(&delivered));
+    }
+}
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -12,7 +12,7 @@
 use crate::codec::{self, MAGIC};
 use crate::error::LogError;
 use crate::log_file::LogFile;
-use crate::recently_closed;
+use crate::recently_closed::RecentlyClosed;
 use crate::record::{FinalStatus, LogRecord, MAX_ATTEMPTS, MessageRecord};
 use crate::recovery::RecoveredState;
 use crate::space::{ATTEMPT_BYTES, Limits, OpenMessages};
@@ -25,8 +25,8 @@
     pub(crate) file: LogFile,
     pub(crate) limits: Limits,
     pub(crate) open_messages: OpenMessages,
-    /// The ids of recently closed messages, oldest first.
-    pub recently_closed: VecDeque<Rc<str>>,
+    /// The ids of recently closed messages.
+    pub recently_closed: RecentlyClosed,
     /// The rules of each class as the file last says them: a message that follows is recovered with these.
     pub(crate) class_rules: HashMap<Rc<str>, Rc<[u8]>>,
     /// The clock of the process that wrote last.
@@ -110,7 +110,7 @@
     pub fn position(&self) -> LogPosition {
         LogPosition {
             size: self.file.size(),
-            recently_closed: self.recently_closed.clone(),
+            recently_closed: self.recently_closed.ids().clone(),
             write_backoff_until: self.write_backoff_until,
             has_file: self.file.is_open(),
         }
@@ -132,11 +132,17 @@
         } else {
             LogFile::closed(folder, place.size)
         };
+        // A log that cannot be read now says nothing of how messages ended, and is not needed for anything else.
+        let mut bytes = Vec::new();
+        let logged = match file.read_into(&mut bytes) {
+            Ok(()) => RecoveredState::replay(&bytes).recently_closed,
+            Err(_) => RecentlyClosed::default(),
+        };
         Ok(WriteAheadLog {
             file,
             limits: Limits::new(disk),
             open_messages: OpenMessages::count(open),
-            recently_closed: place.recently_closed,
+            recently_closed: RecentlyClosed::passed(place.recently_closed, logged),
             // The rules of each class are recorded anew before its next message.
             class_rules: HashMap::new(),
             anchor: None,
@@ -209,7 +215,22 @@
     /// Records that a message is closed: nothing more is owed. Its id is remembered as a recently closed one.
     pub fn append_closed(&mut self, number: u64, id: &Rc<str>) {
         self.close(number, id);
-        recently_closed::remember(&mut self.recently_closed, id.clone());
+        self.recently_closed.remember(id.clone());
+    }
+
+    /// The same for a message that has ended by the report of its final status, which is remembered with its id.
+    pub fn append_closed_by_report(&mut self, number: u64, id: &Rc<str>, status: FinalStatus) {
+        self.append_closed(number, id);
+        self.append_or_remember(&LogRecord::reported(number, status));
+        self.recently_closed.mark_reported(status);
+    }
+
+    /// Records a message that has ended already and whose report is owed once more. Where it cannot be written now, a
+    /// compaction makes it good.
+    pub fn append_ended(&mut self, message: &MessageRecord, status: FinalStatus) {
+        self.append_or_remember(&LogRecord::message(message));
+        self.append_or_remember(&LogRecord::final_status(message.number, status));
+        self.open_messages.add_message(message);
     }
 
     /// Records that a message was not accepted after all. Its id is not remembered, so that it may be handed in again.
