--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -208,8 +208,12 @@
                 }
             }
             EndedMessage::Reported(record) => {
+                let number = record.number;
                 status_reporter.enqueue(&record);
                 store.insert(record, MessageState::Reporting);
+                if let Some(message) = store.messages.get_mut(&number) {
+                    message.end_counted = true;
+                }
             }
         }
     }
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -165,7 +165,9 @@
 /// The platform has confirmed the status report of a message.
 pub(super) fn confirm_report(number: u64, store: &mut MessageStore) {
     debug!(number, "status report confirmed");
-    if let Some(message) = store.messages.get(&number) {
+    if let Some(message) = store.messages.get(&number)
+        && !message.end_counted
+    {
         let class = &message.record.class;
         match message.record.final_status {
             Some(FinalStatus::Deferred(_)) => store.class_metrics.count_deferred(class),
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -31,6 +31,8 @@
     pub(super) attempts_in_flight: u32,
     /// Recovered from an earlier process, and not attempted by any process yet.
     pub(super) unattempted: bool,
+    /// Its end was counted before: its report is only sent again.
+    pub(super) end_counted: bool,
 }
 
 /// The deadline of a message as an ordered key, with its number.
@@ -89,6 +91,7 @@
                 state,
                 attempts_in_flight: 0,
                 unattempted: false,
+                end_counted: false,
             },
         );
     }
