Tell a client that has left by the first byte of its answer, not behind the whole

Found by reading: a client that had ended its sending counted as gone if a reset was seen right behind its 202. A client that half-closes, reads the 202 and resets at once (or any time while the sender is held up just there) looked the same; its message was revoked although it knew it as accepted: lost.

Change: to a client that has ended its sending the first byte is written alone; a client that is gone resets in reply to that, and cannot have read the answer. Behind the whole answer a reset says nothing. A client that left is still told from one that half-closed (the test of that stands).

Test: 50 clients that half-close, read the 202 and reset in the same moment; what they have read is held.

--- a/crates/sender/src/pipeline/ingress/answers.rs
+++ b/crates/sender/src/pipeline/ingress/answers.rs
@@ -49,19 +49,21 @@
         client.awaiting_answer = false;
         let announces_close = client.close_after_answer || shutting_down;
         let answer = http::encode_response(status, headers, announces_close);
-        let queued = client.connection.queue(&answer);
+        let gone = client.connection.eof && client.resets_on_first_byte(&answer);
+        let rest = if client.connection.eof {
+            &answer[1..]
+        } else {
+            &answer[..]
+        };
+        let queued = !gone && client.connection.queue(rest);
         client.connection.flush();
-        // A client that has closed its side may only have sent all it wants to send. If it has left, it has reset the
-        // connection in reply to the answer.
-        let left = !queued
-            || client.connection.broken
-            || (client.connection.eof && client.connection.peer_reset());
+        let left = !queued || client.connection.broken;
         debug!(
             client = index,
             status, announces_close, left, "client answered"
         );
         if left {
-            let reason = if queued {
+            let reason = if queued || gone {
                 CloseReason::ClientLeft
             } else {
                 CloseReason::NoBuffer
--- a/crates/sender/src/pipeline/ingress/client.rs
+++ b/crates/sender/src/pipeline/ingress/client.rs
@@ -94,6 +94,13 @@
         self.connection.broken || (self.connection.eof && answered)
     }
 
+    /// Whether a client that has ended its sending has left: it resets the connection in reply to the first byte of its
+    /// answer, which is written here. Behind the whole answer, a reset would not tell whether the client has read it.
+    pub(super) fn resets_on_first_byte(&mut self, answer: &[u8]) -> bool {
+        let written = self.connection.queue(&answer[..1]) && self.connection.flush();
+        self.connection.peer_reset() || (!written && self.connection.broken)
+    }
+
     /// Reads what has arrived, since an instant unless it waits for longer. True if there may be more.
     pub(super) fn read(&mut self, readable_since: Millis) -> bool {
         let since = self.unread_since.unwrap_or(readable_since);
--- a/crates/sender/src/pipeline/tests/ingress.rs
+++ b/crates/sender/src/pipeline/tests/ingress.rs
@@ -102,6 +102,42 @@
     );
 }
 
+/// Guards against a message that is revoked although its client has read the 202: a reset behind the answer does not say
+/// that it was not read.
+#[test]
+fn a_message_whose_client_has_read_the_202_is_held_though_it_resets_at_once() {
+    use std::io::{Read, Write};
+    let silent = TcpListener::bind("127.0.0.1:0").unwrap();
+    for round in 0..50 {
+        let name = format!("read-and-reset-{round}");
+        let (mut driver, clock, _events) = resumed(&name, silent.local_addr().unwrap());
+        let mut client = std::net::TcpStream::connect(driver.listen_address()).unwrap();
+        client.write_all(REQUEST).unwrap();
+        client.shutdown(std::net::Shutdown::Write).unwrap();
+        let reader = std::thread::spawn(move || {
+            socket2::SockRef::from(&client)
+                .set_linger(Some(std::time::Duration::ZERO))
+                .unwrap();
+            let mut answer = Vec::new();
+            let mut byte = [0];
+            while !answer.ends_with(b"\r\n\r\n") && client.read(&mut byte).is_ok_and(|n| n == 1) {
+                answer.push(byte[0]);
+            }
+            answer.starts_with(b"HTTP/1.1 202")
+        });
+        let (now, mut received) = (clock.now(), Vec::new());
+        until(|| {
+            driver.ingress.accept(now, &mut driver.store.counters);
+            driver
+                .ingress
+                .on_ready(0, now, &mut received, &mut driver.store.counters);
+            !received.is_empty()
+        });
+        let held = driver.admit(received.remove(0), false, now).is_some();
+        assert_eq!(reader.join().unwrap(), held);
+    }
+}
+
 pub(super) const REQUEST: &[u8] = b"POST /debit HTTP/1.1\r\nX-Request-ID: q\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n\r\n";
 
 /// A client that has been served once and is idle.
