Have the figures' test take the second report of a message that is handed in again

The test hands each id in twice and took the second report of one message for the first of a later one. It asks for that second report now, by its id, and for the same figures as before.

--- a/crates/martenlatch/tests/operation.rs
+++ b/crates/martenlatch/tests/operation.rs
@@ -62,8 +62,12 @@
         }
         expected.add(class, state);
         expected.add(class, "sends");
-        // A repeated id is confirmed once more, and is no second message.
+        // A repeated id is confirmed once more, and is no second message; its report is sent again.
         assert_eq!(sender.submit(class, id, "16.0"), 202, "{id}");
+        if matches!(id, "fails-1" | "spent-1") {
+            assert!(platform.next_status_report().contains(id), "{id}");
+            sender.complete_round();
+        }
         expected.check(sender, 0);
     }
 }
