Wait at a start for a log that cannot be read for a moment

What callers saw: a start in a moment in which the folder's log could not be read served without it until the next start; all messages of earlier processes were owed by nobody meanwhile, and new ones were rejected.

Change: both reads of a start (for the clock, and to recover) are tried every 100 ms for up to 10 s each, before clients can connect; another version's log is not waited for.

--- a/crates/sender/src/lib.rs
+++ b/crates/sender/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod event_source;
 mod jitter;
+mod log_recovery;
 mod operator;
 mod peer_service;
 mod peer_snapshot;
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -29,6 +29,7 @@
 use crate::error::SenderError;
 use crate::event_source::{Handle, InheritedDescriptors};
 use crate::jitter::Jitter;
+use crate::log_recovery;
 use crate::operator;
 use crate::peer_service::PeerService;
 use crate::safety::ViolationCounter;
@@ -129,7 +130,7 @@
         mut settings: Settings,
         mut class_rules: ClassRules,
     ) -> Result<Foundation, SenderError> {
-        let (wal, recovered) = WriteAheadLog::open(&config.state, config.disk);
+        let (wal, recovered) = log_recovery::open(&config.state, config.disk);
         for record in recovered.open.values() {
             class_rules.add_recovered(&record.class, &record.rules, &mut settings);
         }
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -11,13 +11,13 @@
 use martenlatch_handover::{Lock, ReceivedState};
 use martenlatch_http::is_local_shortage;
 use martenlatch_settings::program::Peers as PeerSettings;
-use martenlatch_wal::LogInspection;
 use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{info, warn};
 
 use crate::Config;
 use crate::error::SenderError;
 use crate::event_source::{EventSource, Handle, InheritedDescriptors, Ready};
+use crate::log_recovery;
 use crate::operator::Operators;
 use crate::peer_service::PeerService;
 use crate::pipeline::{Driver, ProcessLoad, ProcessState, Start};
@@ -272,7 +272,7 @@
 
 /// The clock that goes on from what earlier processes wrote. A log that cannot be read is dealt with when it is opened.
 fn clock_after_earlier_processes(state: &Path) -> Clock {
-    let log = LogInspection::open(state).unwrap_or_default();
+    let log = log_recovery::inspect(state);
     let clock = Clock::after(&log.recovered.clock);
     if !clock.is_continuous() {
         warn!("the time since the last process is not known");
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -36,6 +36,8 @@
     /// A record could not be written that a later process needs: only a compaction, which writes the present state,
     /// makes it good.
     pub(crate) lacks_records: bool,
+    /// The file could not be read as the log was opened.
+    failed_to_read: bool,
 }
 
 /// Where a process stands in its log, to be passed on to its successor.
@@ -73,6 +75,7 @@
             error!(?error, "write-ahead log unreadable");
             // An unreadable file is never overwritten, so no message can be accepted.
             log.write_backoff_until = f64::INFINITY;
+            log.failed_to_read = error != ErrorKind::InvalidData;
             return (log, recovered);
         }
         let torn_bytes = bytes.len() as u64 - recovered.valid_bytes;
@@ -98,9 +101,15 @@
             anchor: recovered.clock.anchor,
             write_backoff_until: 0.0,
             lacks_records: false,
+            failed_to_read: false,
         }
     }
 
+    /// Whether the file could not be read as the log was opened, which may pass.
+    pub fn failed_to_read(&self) -> bool {
+        self.failed_to_read
+    }
+
     /// Whether a process that started from the file now would know all that was recorded.
     pub fn is_complete(&self) -> bool {
         !self.lacks_records
@@ -149,6 +158,7 @@
             write_backoff_until: place.write_backoff_until,
             // What the predecessor could not write is not passed on: the first compaction writes the whole state.
             lacks_records: true,
+            failed_to_read: false,
         })
     }
 
