--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -29,6 +29,8 @@
 const RETRY_AFTER: std::ops::Range<Millis> = 400.0..1_200.0;
 /// How late a last byte comes.
 const LAST_BYTE_DELAY: std::ops::Range<Millis> = 50.0..400.0;
+/// When an endpoint answers that answers as the time of a message runs out, from the deadline.
+const AROUND_DEADLINE: std::ops::Range<Millis> = -2.0..6.0;
 /// How long an answer goes on that never ends.
 const ENDLESS_ANSWER: Millis = 1_500.0;
 
@@ -234,6 +236,10 @@
                 self.confirm(stream, id);
                 stream.stream.shutdown(Shutdown::Write).is_ok()
             }
+            Some(Fault::AnswersAsTimeRunsOut) => {
+                self.wait_for_deadline(id, random);
+                self.confirm(stream, id)
+            }
             Some(Fault::EndpointSlow) => {
                 sleep(random.random_range(SLOW_WORK));
                 self.confirm(stream, id)
@@ -253,6 +259,18 @@
         false
     }
 
+    /// Waits until the time of a message is about to run out, or just has.
+    fn wait_for_deadline(&self, id: &str, random: &mut Pcg64) {
+        let Some(deadline) = self.world.deadline(id) else {
+            return;
+        };
+        let at = deadline + random.random_range(AROUND_DEADLINE);
+        let left = at - self.world.now();
+        if left > 0.0 {
+            sleep(left);
+        }
+    }
+
     fn confirm(&self, stream: &mut HttpStream, id: &str) -> bool {
         self.respond(
             stream,
@@ -277,22 +295,18 @@
         text: &str,
     ) -> bool {
         let heard = !stream.has_ended();
+        // What begins to be written behind a message's time counts for nothing, however soon.
+        let at = self.world.now();
         let written = stream.write(text);
         if written && heard {
-            self.record_response(id, status, retry_after);
-        }
-        written
-    }
-
-    fn record_response(&self, id: &str, status: u16, retry_after: Option<Millis>) {
-        self.record(
-            id,
-            Event::Responded {
+            let event = Event::Responded {
                 destination: self.destination(),
                 status,
                 retry_after,
-            },
-        );
+            };
+            self.record_at(at, id, event);
+        }
+        written
     }
 
     fn reject(&self, stream: &mut HttpStream, id: &str, random: &mut Pcg64) -> bool {
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -38,8 +38,10 @@
     Kill,
     /// SIGHUP was sent.
     Reload,
-    /// The process was stopped and continued.
+    /// The process was stopped.
     Pause,
+    /// The process goes on.
+    Continue,
     /// Its wall clock was stepped.
     WallStep,
     /// It exited.
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -8,6 +8,8 @@
 
 /// What ends at a kill is seen so much earlier or later.
 const KILL_MARGIN: Millis = 400.0;
+/// What a process decided before it was stopped is done within this time of its going on.
+const PAUSE_EFFECT: Millis = 300.0;
 /// What is known of one message.
 #[derive(Default)]
 pub(super) struct Progress {
@@ -33,11 +35,30 @@
     pub kills: Vec<Millis>,
     /// From each signal that ends a process to the instant when the next one was ready.
     pub outages: Vec<(Millis, Millis)>,
+    /// When the process was stopped, and when it went on.
+    pub pauses: Vec<(Millis, Millis)>,
     pub terminated_at: Option<Millis>,
     pub killed: bool,
 }
 
+impl Progress {
+    /// When the message's time is up; never if it is not known.
+    pub fn deadline(&self) -> Millis {
+        self.submitted_at
+            .map_or(f64::INFINITY, |at| at + self.timeout)
+    }
+}
+
 impl SenderState {
+    /// For how long the process was stopped shortly before an instant.
+    pub fn held_up(&self, at: Millis) -> Millis {
+        self.pauses
+            .iter()
+            .filter(|(from, until)| *from <= at && *until >= at - PAUSE_EFFECT)
+            .map(|(from, until)| until - from)
+            .sum()
+    }
+
     /// Whether the sender was ended or restarted in a span of time.
     pub fn was_disturbed(&self, from: Millis, until: Millis) -> bool {
         self.outages
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -209,3 +209,49 @@
     ];
     assert_eq!(broken(&parts), [Rule::TwoEnds]);
 }
+
+/// An answer that is written behind its message's time counts for nothing: the message is owed its report.
+#[rstest::rstest]
+#[case::in_time(3_999.0, false, None)]
+#[case::behind_its_time(4_001.0, false, Some(Rule::Lost))]
+#[case::behind_its_time_and_reported(4_001.0, true, None)]
+#[case::in_the_last_moment_and_reported(3_990.0, true, None)]
+fn an_answer_as_the_time_runs_out(
+    #[case] answered_at: Millis,
+    #[case] is_reported: bool,
+    #[case] rule: Option<Rule>,
+) {
+    let report = [reported(4_300.0, "u1")];
+    let parts: [&[Record]; 4] = [
+        &submitted(0.0, "u1"),
+        &request(10.0, "u1"),
+        &[responded(answered_at, "u1", 200, None)],
+        if is_reported { &report } else { &[] },
+    ];
+    assert_eq!(broken(&parts), Vec::from_iter(rule));
+}
+
+/// A report from before the client heard that its message is accepted counts for nothing.
+#[test]
+fn a_message_that_is_handed_in_again_behind_its_report_is_owed_another() {
+    let first = [submitted(0.0, "u1")[0].clone()];
+    let again = submitted(5_000.0, "u1");
+    let parts = |last: &[Record]| broken(&[&first, &[reported(4_000.0, "u1")], &again, last]);
+    assert_eq!(parts(&[]), [Rule::Lost]);
+    assert_eq!(parts(&[reported(5_002.0, "u1")]), []);
+}
+
+/// An end that falls into a long pause of its sender is due behind that, and one behind it as ever.
+#[test]
+fn a_long_pause_excuses_what_falls_into_it() {
+    let judged = |paused_at: Millis, ended_at: Millis| {
+        let pause = [
+            process(paused_at, ProcessEvent::Pause),
+            process(paused_at + 390.0, ProcessEvent::Continue),
+        ];
+        broken(&[&submitted(0.0, "u1"), &pause, &[reported(ended_at, "u1")]])
+    };
+    assert_eq!(judged(4_100.0, 4_700.0), []);
+    assert_eq!(judged(4_100.0, 4_900.0), [Rule::Lost]);
+    assert_eq!(judged(3_000.0, 4_700.0), [Rule::Lost]);
+}
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -1,5 +1,6 @@
 //! The senders of a soak as processes: signals, restarts, wall clocks, folders and calls, by the schedule.
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 
@@ -44,6 +45,8 @@
 /// One sender.
 struct Slot {
     process: SenderProcess,
+    /// The addresses of its agents.
+    agents: Vec<SocketAddr>,
     control: Control,
     state: State,
     /// When it is continued after a pause.
@@ -87,11 +90,12 @@
             if let Ok(mut all) = world.endpoint_addresses.lock() {
                 all.push(addresses);
             }
+            let agents = agent::open(world, sender)?;
             let mut process = SenderProcess::prepare(&Preparation {
                 number: sender as u32,
                 program,
                 settings_file: Some(&log_settings),
-                discovery: agent::open(world, sender)?,
+                discovery: agents[0],
                 platform_settings: &settings,
                 seed: world.seed,
             })?;
@@ -99,6 +103,7 @@
             process.set_environment(control.environment(library));
             slots.push(Slot {
                 process,
+                agents,
                 control,
                 state: State::Down { start_at: 0.0 },
                 continue_at: None,
@@ -125,7 +130,7 @@
     }
 
     /// Where clients reach a sender.
-    pub fn address(&self, sender: usize) -> std::net::SocketAddr {
+    pub fn address(&self, sender: usize) -> SocketAddr {
         self.slots[sender].process.address
     }
 
@@ -246,6 +251,7 @@
                 self.slots[sender].process.signal(Signal::SIGHUP);
                 self.record(sender, ProcessEvent::Reload);
             }
+            Action::MoveDiscovery => self.move_discovery(sender)?,
             Action::Pause(span) => {
                 self.slots[sender].process.signal(Signal::SIGSTOP);
                 self.slots[sender].continue_at = Some(now + span);
@@ -256,6 +262,18 @@
         Ok(())
     }
 
+    fn move_discovery(&mut self, sender: usize) -> Result<(), LabError> {
+        let known = self.known_list(sender);
+        let agent = self.world.move_discovery(sender);
+        let slot = &mut self.slots[sender];
+        let address = slot.agents[agent];
+        slot.process.set_discovery(address);
+        slot.process.configure(known)?;
+        slot.process.signal(Signal::SIGHUP);
+        self.record(sender, ProcessEvent::Reload);
+        Ok(())
+    }
+
     fn terminate(&mut self, sender: usize, now: Millis) {
         self.record(sender, ProcessEvent::Terminate);
         self.slots[sender].process.signal(Signal::SIGTERM);
@@ -274,6 +292,7 @@
             (Fault::DiskFull, DiskFault::Full),
             (Fault::DiskBroken, DiskFault::Broken),
             (Fault::DiskStopsHalfway, DiskFault::StopsHalfway),
+            (Fault::LogUnreadable, DiskFault::Unreadable),
         ]
         .into_iter()
         .find(|(fault, _)| schedule.is_on(*fault, sender, now))
@@ -326,6 +345,7 @@
         let slot = &mut self.slots[sender];
         if slot.continue_at.take_if(|at| *at <= now).is_some() {
             slot.process.signal(Signal::SIGCONT);
+            self.record(sender, ProcessEvent::Continue);
         }
     }
 
--- a/crates/lab/src/soak/shim.rs
+++ b/crates/lab/src/soak/shim.rs
@@ -23,6 +23,8 @@
     Broken = 2,
     /// Every second write stops half-way, the next one fails.
     StopsHalfway = 3,
+    /// The log cannot be opened for reading.
+    Unreadable = 4,
 }
 
 /// What a sender's control block says.
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -1,5 +1,6 @@
 //! What all threads of a soak share.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -15,6 +16,8 @@
 pub const IDEMPOTENCY_WINDOW: Millis = 2_000.0;
 /// Endpoints of one destination.
 pub const ENDPOINTS_PER_DESTINATION: usize = 2;
+/// Agents of one sender, of which discovery is one at a time.
+pub const AGENTS_PER_SENDER: usize = 2;
 /// How long a thread sleeps before it looks again whether the soak is over.
 pub const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -132,6 +135,19 @@
     pub stopped: AtomicBool,
     /// For each sender, how many messages it has accepted.
     pub accepted: Vec<AtomicUsize>,
+    /// When the time of each message is up, by its id.
+    pub deadlines: Mutex<HashMap<String, Millis>>,
+    /// For each sender, where discovery is.
+    pub discovery: Vec<Mutex<DiscoveryPlace>>,
+}
+
+/// Which of its agents a sender's discovery is.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DiscoveryPlace {
+    /// The agent.
+    pub agent: usize,
+    /// Since when.
+    pub since: Millis,
 }
 
 impl World {
@@ -147,6 +163,8 @@
             clients_stopped: AtomicBool::new(false),
             stopped: AtomicBool::new(false),
             accepted: (0..size.senders).map(|_| AtomicUsize::new(0)).collect(),
+            deadlines: Mutex::default(),
+            discovery: (0..size.senders).map(|_| Mutex::default()).collect(),
         }
     }
 
@@ -155,6 +173,31 @@
         self.stopped.load(Ordering::Relaxed)
     }
 
+    /// Notes that a message is handed in at an instant.
+    pub fn note_deadline(&self, id: &str, deadline: Millis) {
+        if let Ok(mut deadlines) = self.deadlines.lock() {
+            deadlines.insert(id.to_string(), deadline);
+        }
+    }
+
+    /// When the time of a message is up; none if no client has handed it in.
+    pub fn deadline(&self, id: &str) -> Option<Millis> {
+        self.deadlines.lock().ok()?.get(id).copied()
+    }
+
+    /// Moves the discovery of a sender to the next of its agents. Returns that.
+    pub fn move_discovery(&self, sender: usize) -> usize {
+        let now = self.now();
+        let Ok(mut place) = self.discovery[sender].lock() else {
+            return 0;
+        };
+        *place = DiscoveryPlace {
+            agent: (place.agent + 1) % AGENTS_PER_SENDER,
+            since: now,
+        };
+        place.agent
+    }
+
     /// Milliseconds since the start.
     pub fn now(&self) -> Millis {
         self.history.now()
--- a/crates/lab/src/sockets/sender_process.rs
+++ b/crates/lab/src/sockets/sender_process.rs
@@ -191,6 +191,11 @@
         std::fs::write(&file, self.config.to_string()).map_err(LabError::file(&file))
     }
 
+    /// Has it ask another discovery agent, from the next time that its configuration is written and read.
+    pub fn set_discovery(&mut self, discovery: SocketAddr) {
+        self.config["discovery"] = Value::from(discovery.to_string());
+    }
+
     /// Starts its process; [`SenderProcess::has_come_up`] tells when it serves.
     ///
     /// # Errors
