Do not go on with an answer whose first byte found no buffer

Left by, found by reading: where no buffer was free for the first byte that is written alone, the rest of the answer could still have been written without it. Writing an answer is one function of the client now, which says why the connection has to be closed.

--- a/crates/sender/src/pipeline/ingress/answers.rs
+++ b/crates/sender/src/pipeline/ingress/answers.rs
@@ -5,7 +5,6 @@
 use tracing::debug;
 
 use super::Ingress;
-use super::closing::CloseReason;
 use crate::pipeline::admission::AdmissionDecision;
 
 const STATUS_ACCEPTED: u16 = 202;
@@ -49,25 +48,15 @@
         client.awaiting_answer = false;
         let announces_close = client.close_after_answer || shutting_down;
         let answer = http::encode_response(status, headers, announces_close);
-        let gone = client.connection.eof && client.resets_on_first_byte(&answer);
-        let rest = if client.connection.eof {
-            &answer[1..]
-        } else {
-            &answer[..]
-        };
-        let queued = !gone && client.connection.queue(rest);
-        client.connection.flush();
-        let left = !queued || client.connection.broken;
+        let sent = client.send_answer(&answer);
         debug!(
             client = index,
-            status, announces_close, left, "client answered"
+            status,
+            announces_close,
+            ?sent,
+            "client answered"
         );
-        if left {
-            let reason = if queued || gone {
-                CloseReason::ClientLeft
-            } else {
-                CloseReason::NoBuffer
-            };
+        if let Err(reason) = sent {
             self.close(index, reason);
             return false;
         }
--- a/crates/sender/src/pipeline/ingress/client.rs
+++ b/crates/sender/src/pipeline/ingress/client.rs
@@ -3,6 +3,7 @@
 use martenlatch_clock::Millis;
 use serde::{Deserialize, Serialize};
 
+use super::closing::CloseReason;
 use crate::event_source::Connection;
 
 /// A client. Passed to a successor, `C` is the connection's snapshot: the order of the fields is fixed.
@@ -94,11 +95,36 @@
         self.connection.broken || (self.connection.eof && answered)
     }
 
-    /// Whether a client that has ended its sending has left: it resets the connection in reply to the first byte of its
-    /// answer, which is written here. Behind the whole answer, a reset would not tell whether the client has read it.
-    pub(super) fn resets_on_first_byte(&mut self, answer: &[u8]) -> bool {
-        let written = self.connection.queue(&answer[..1]) && self.connection.flush();
-        self.connection.peer_reset() || (!written && self.connection.broken)
+    /// Writes an answer.
+    ///
+    /// A client that has ended its sending may have left; it resets the connection in reply to the first byte then, which
+    /// is therefore written alone. Behind the whole answer, a reset would not tell whether the client has read it.
+    ///
+    /// # Errors
+    /// Why the connection has to be closed, where the client cannot have read the answer.
+    pub(super) fn send_answer(&mut self, answer: &[u8]) -> Result<(), CloseReason> {
+        let mut rest = answer;
+        if self.connection.eof
+            && let Some((first, others)) = answer.split_at_checked(1)
+        {
+            self.write(first)?;
+            if self.connection.peer_reset() {
+                return Err(CloseReason::ClientLeft);
+            }
+            rest = others;
+        }
+        self.write(rest)
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> Result<(), CloseReason> {
+        if !self.connection.queue(bytes) {
+            return Err(CloseReason::NoBuffer);
+        }
+        self.connection.flush();
+        if self.connection.broken {
+            return Err(CloseReason::ClientLeft);
+        }
+        Ok(())
     }
 
     /// Reads what has arrived, since an instant unless it waits for longer. True if there may be more.
