Heal the unreadable log of a test at one stroke

Both tests of log_recovery failed once, beside other tests: they removed what stood in the log's place and then renamed the log there, and a read between the two found no log, which is a folder that was never used. Traced by reading; a link to itself now stands in the place, which one rename replaces.

--- a/crates/sender/src/log_recovery/tests.rs
+++ b/crates/sender/src/log_recovery/tests.rs
@@ -10,7 +10,7 @@
 
 const DISK: u64 = 3_000_000;
 
-/// A folder with a log of one message, which cannot be read: a folder stands in its place.
+/// A folder with a log of one message, which cannot be read: a link to itself stands in its place.
 fn unreadable(name: &str) -> PathBuf {
     let state = std::env::temp_dir().join(format!("martenlatch-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&state);
@@ -31,15 +31,14 @@
     assert!(log.append_message(&message));
     drop(log);
     std::fs::rename(state.join("ledger"), state.join("aside")).unwrap();
-    std::fs::create_dir(state.join("ledger")).unwrap();
+    std::os::unix::fs::symlink("ledger", state.join("ledger")).unwrap();
     state
 }
 
-/// Makes the log readable again a little later.
+/// Makes the log readable again a little later, at one stroke.
 fn heal_soon(state: PathBuf) -> thread::JoinHandle<()> {
     thread::spawn(move || {
         thread::sleep(3 * READ_INTERVAL);
-        std::fs::remove_dir(state.join("ledger")).unwrap();
         std::fs::rename(state.join("aside"), state.join("ledger")).unwrap();
     })
 }
