--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -32,7 +32,7 @@
                     return true;
                 }
                 ResponseProgress::Ended(cause) => {
-                    self.end_attempt(slot, cause, now);
+                    self.end_exchange(slot, cause, now);
                     return false;
                 }
                 ResponseProgress::Received(response) => self.finish_attempt(slot, response, now),
@@ -121,7 +121,7 @@
             .attempt
             .take_if(|attempt| attempt.fully_sent && !closed)
         else {
-            return self.end_attempt(slot, EndCause::SuccessStatusLine, now);
+            return self.end_exchange(slot, EndCause::SuccessStatusLine, now);
         };
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
@@ -138,7 +138,7 @@
     }
 
     /// Closes a connection, and reports the outcome of the attempt on it, if there is one.
-    pub(super) fn end_attempt(&mut self, slot: usize, cause: EndCause, now: Millis) {
+    pub(super) fn end_exchange(&mut self, slot: usize, cause: EndCause, now: Millis) {
         let Some(connection) = self.connections.remove(slot) else {
             return;
         };
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -187,7 +187,7 @@
     ///
     /// The record is not written earlier, before the connection is established: if the process was killed meanwhile,
     /// a message that must not be repeated would count as sent, and end without an attempt.
-    pub fn send_ready(
+    pub fn begin_established(
         &mut self,
         mut permit: impl FnMut(MessageId, u32, EndpointId) -> SendPermission,
         now: Millis,
@@ -213,7 +213,7 @@
             };
             match permission {
                 SendPermission::Granted => self.begin_request(slot, now),
-                SendPermission::Denied => self.end_attempt(slot, EndCause::Withdrawn, now),
+                SendPermission::Denied => self.end_exchange(slot, EndCause::Withdrawn, now),
                 SendPermission::Later => {
                     self.established.push(slot);
                     self.record_retry_at = now + RECORD_RETRY_INTERVAL;
@@ -254,7 +254,7 @@
         if let Some(slot) = slot
             && !self.read_late_response(slot, now)
         {
-            self.end_attempt(slot, EndCause::Cancelled, now);
+            self.end_exchange(slot, EndCause::Cancelled, now);
         }
     }
 
@@ -298,7 +298,7 @@
                     .is_some_and(|attempt| condition(attempt.destination, connection.endpoint))
         });
         for slot in unsent {
-            self.end_attempt(slot, EndCause::Withdrawn, now);
+            self.end_exchange(slot, EndCause::Withdrawn, now);
         }
     }
 
@@ -311,7 +311,7 @@
                 .is_some_and(|attempt| attempt.id == id && !connection.is_fully_sent())
         });
         for slot in incomplete {
-            self.end_attempt(slot, EndCause::Withdrawn, now);
+            self.end_exchange(slot, EndCause::Withdrawn, now);
         }
     }
 
--- a/crates/sender/src/egress/timeouts.rs
+++ b/crates/sender/src/egress/timeouts.rs
@@ -27,7 +27,7 @@
         for slot in due {
             self.write_held_back_byte(slot, now);
             if self.is_expired(slot, now) && !self.read_late_response(slot, now) {
-                self.end_attempt(slot, self.timeout_cause(slot), now);
+                self.end_exchange(slot, self.timeout_cause(slot), now);
             }
         }
     }
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -16,7 +16,7 @@
 
 /// An attempt has ended; its result was read before `read_by`. Returns the event for the decision module, if the message
 /// is still held.
-pub(super) fn end_attempt(
+pub(super) fn record_outcome(
     result: &AttemptResult,
     store: &mut MessageStore,
     status_reporter: &mut StatusReporter,
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -118,7 +118,7 @@
     gate: &SendGate,
     now: Millis,
 ) {
-    egress.send_ready(
+    egress.begin_established(
         |id, attempt, endpoint| {
             let permitted = store
                 .messages
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -246,7 +246,7 @@
         // Read anew: the process may have been held up since the round began.
         let read_by = self.clock.now();
         let event =
-            completion::end_attempt(result, &mut self.store, &mut self.status_reporter, read_by);
+            completion::record_outcome(result, &mut self.store, &mut self.status_reporter, read_by);
         self.decision.events.extend(event);
         if !self.store.is_open(result.id.0) {
             self.withdraw_incomplete(result.id, now);
