--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -80,7 +80,12 @@
 
     fn message(&self, count: usize, random: &mut Pcg64) -> (Message, Millis) {
         let effects = [Effect::NonIdempotent, Effect::Keyed, Effect::Idempotent];
-        let prefix = Message::prefix(effects[random.random_range(0..effects.len())]);
+        let effect = match effects[random.random_range(0..effects.len())] {
+            // Of every other message with a key, that holds in one zone only.
+            Effect::Keyed if count.is_multiple_of(2) => Effect::KeyedInZone,
+            effect => effect,
+        };
+        let prefix = Message::prefix(effect);
         let id = format!("{prefix}{}-{}-{count}", self.sender, self.number);
         let timeout = TIMEOUTS[random.random_range(0..TIMEOUTS.len())];
         (Message::of(&id).expect("an id of ours"), timeout)
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -14,6 +14,8 @@
     NonIdempotent,
     /// A repeat is dropped while the key is remembered.
     Keyed,
+    /// A repeat is dropped while the key is remembered, by endpoints of the zone that has seen it.
+    KeyedInZone,
     /// A repeat is harmless.
     Idempotent,
 }
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -11,6 +11,7 @@
 use martenlatch_clock::Millis;
 
 use super::history::{Effect, Event, ProcessEvent, Record, Unanswered};
+use super::world::zone_of;
 use state::{Progress, SenderState};
 pub use verdict::{Figures, Rule, Violation};
 
@@ -140,9 +141,12 @@
                 endpoint,
                 destination,
             } => self.request_began(record, *endpoint, *destination),
-            Event::RequestArrived { intact, runs, .. } => {
-                self.request_arrived(record, *intact, *runs)
-            }
+            Event::RequestArrived {
+                endpoint,
+                intact,
+                runs,
+                ..
+            } => self.request_arrived(record, *endpoint, *intact, *runs),
             Event::Responded {
                 destination,
                 status,
@@ -255,7 +259,7 @@
         !disturbed && !(self.conditions.calls_failed)(sender, written)
     }
 
-    fn request_arrived(&mut self, record: &Record, intact: bool, runs: bool) {
+    fn request_arrived(&mut self, record: &Record, endpoint: usize, intact: bool, runs: bool) {
         let late = self.conditions.lateness;
         let window = self.conditions.idempotency_window;
         if !intact {
@@ -263,15 +267,20 @@
         }
         let progress = self.progress(record);
         let first_run = progress.first_run;
+        let first_zone = progress.first_zone;
         if runs {
             progress.first_run.get_or_insert(record.at);
+            progress.first_zone.get_or_insert(zone_of(endpoint));
         }
         let effect = super::world::Message::of(&record.message).map(|message| message.effect);
         match (effect, first_run) {
             (Some(Effect::NonIdempotent), Some(_)) => {
                 self.violate(Rule::RepeatedNonIdempotent, record);
             }
-            (Some(Effect::Keyed), Some(first))
+            (Some(Effect::KeyedInZone), Some(_)) if first_zone != Some(zone_of(endpoint)) => {
+                self.violate(Rule::RepeatedInOtherZone, record);
+            }
+            (Some(Effect::Keyed | Effect::KeyedInZone), Some(first))
                 if record.at > first + window + SOCKET_GRACE + late =>
             {
                 self.violate(Rule::RepeatedOutsideWindow, record);
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -22,6 +22,7 @@
     pub delivered_at: Option<Millis>,
     pub reported_at: Option<Millis>,
     pub first_run: Option<Millis>,
+    pub first_zone: Option<&'static str>,
     pub requests: usize,
 }
 
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -255,3 +255,25 @@
     assert_eq!(judged(4_100.0, 4_900.0), [Rule::Lost]);
     assert_eq!(judged(3_000.0, 4_700.0), [Rule::Lost]);
 }
+
+/// A key that holds in one zone stops no repeat in another.
+#[rstest::rstest]
+#[case::in_the_same_zone("z1", ENDPOINT, None)]
+#[case::in_the_other_zone("z1", ENDPOINT + 1, Some(Rule::RepeatedInOtherZone))]
+#[case::of_a_key_that_holds_everywhere("k1", ENDPOINT + 1, None)]
+fn a_repeat_at_an_endpoint(#[case] id: &str, #[case] endpoint: usize, #[case] rule: Option<Rule>) {
+    let mut repeat = request(20.0, id);
+    repeat[1].event = Event::RequestArrived {
+        endpoint,
+        destination: DESTINATION,
+        intact: true,
+        runs: true,
+    };
+    let parts: [&[Record]; 4] = [
+        &submitted(0.0, id),
+        &request(10.0, id),
+        &repeat,
+        &[responded(30.0, id, 200, None)],
+    ];
+    assert_eq!(broken(&parts), Vec::from_iter(rule));
+}
--- a/crates/lab/src/soak/oracle/verdict.rs
+++ b/crates/lab/src/soak/oracle/verdict.rs
@@ -21,6 +21,8 @@
     RepeatedNonIdempotent,
     /// A keyed message came again after its key was forgotten.
     RepeatedOutsideWindow,
+    /// A message whose key holds in one zone came to another one after it may have run.
+    RepeatedInOtherZone,
     /// Body or key were not those of the message.
     Altered,
     /// A request came before the end of a wait.
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -89,7 +89,7 @@
             json!({
                 "uid": format!("s-{endpoint}-{generation}"),
                 "endpoint": address.to_string(),
-                "az": "a",
+                "az": zone_of(endpoint),
                 "model": "k",
                 "pod_group": endpoint / ENDPOINTS_PER_DESTINATION,
                 "state": state,
@@ -115,6 +115,15 @@
     }
 }
 
+/// The zone of an endpoint: those of one destination are in different ones.
+pub fn zone_of(endpoint: usize) -> &'static str {
+    if endpoint.is_multiple_of(ENDPOINTS_PER_DESTINATION) {
+        "a"
+    } else {
+        "b"
+    }
+}
+
 /// What all threads share.
 pub struct World {
     /// What happened.
@@ -218,6 +227,7 @@
         let effect = match id.chars().next()? {
             'u' => Effect::NonIdempotent,
             'k' => Effect::Keyed,
+            'z' => Effect::KeyedInZone,
             'i' => Effect::Idempotent,
             _ => return None,
         };
@@ -232,6 +242,7 @@
         match effect {
             Effect::NonIdempotent => 'u',
             Effect::Keyed => 'k',
+            Effect::KeyedInZone => 'z',
             Effect::Idempotent => 'i',
         }
     }
@@ -241,6 +252,7 @@
         match self.effect {
             Effect::NonIdempotent => "debit",
             Effect::Keyed => "meter",
+            Effect::KeyedInZone => "reading",
             Effect::Idempotent => "notice",
         }
     }
@@ -271,13 +283,14 @@
 
 /// The settings that senders get from the platform.
 pub fn platform_settings(senders: usize) -> Value {
-    let category = |name: &str, effect: &str| {
+    let category = |name: &str, effect: &str, key_scope: &str| {
         json!({"Name": name, "Target": 1_000_000_000u64, "Deadline": 4_000_000_000u64, "Effect": effect,
-            "KeyScope": "all", "MemorySpan": IDEMPOTENCY_WINDOW as u64 * 1_000_000, "Worth": 1, "LateWorth": 0.4})
+            "KeyScope": key_scope, "MemorySpan": IDEMPOTENCY_WINDOW as u64 * 1_000_000, "Worth": 1, "LateWorth": 0.4})
     };
     json!({
-        "Areas": ["a"], "Zone": "a", "Balancers": senders, "Kinds": ["k"], "WeightKind": "rough",
-        "Categories": [category("debit", "side_effect"), category("meter", "token"), category("notice", "pure")],
+        "Areas": ["a", "b"], "Zone": "a", "Balancers": senders, "Kinds": ["k"], "WeightKind": "rough",
+        "Categories": [category("debit", "side_effect", "all"), category("meter", "token", "all"),
+            category("reading", "token", "zone"), category("notice", "pure", "all")],
         "FamilyInfo": {"CallsOut": 16, "LosesWorth": "halving"},
         "Limits": {"OpenCap": 200, "AttemptsCap": 8, "Cancel": true, "SecondCopies": true,
             "ConnectTimeout": 1_000_000_000u64, "ConnIdle": 15_000_000_000u64, "RetryAfter": true,
