Start without the given endpoint list where the start took longer than that may be used

Cause: the list that a process is started with counts as of the start, and was used however long the start took; a process that waited for its predecessor's lock did the same. What the agent has counts as told from the first moment of a process.

Change: the given list is used for 400 ms from the process's beginning; later, discovery is asked first, and what is accepted waits for its answer.

Test: a_start_that_was_held_up_waits_for_discovery_before_it_sends (real processes, a log that heals after 0.8 s) failed before, and passes. 12 tests of lifecycle pass.

--- a/crates/martenlatch/tests/lifecycle.rs
+++ b/crates/martenlatch/tests/lifecycle.rs
@@ -3,6 +3,9 @@
 mod support;
 use support::*;
 
+use std::thread;
+use std::time::Duration;
+
 use rstest::rstest;
 
 #[test]
@@ -173,3 +176,36 @@
         "{errors}"
     );
 }
+
+/// Guards against requests to endpoints that drained while a start waited: the list that a process is started with grows
+/// old.
+#[test]
+fn a_start_that_was_held_up_waits_for_discovery_before_it_sends() {
+    let (endpoint, platform, sender) = sender_with_endpoint("late-start", |_, _| no_reply());
+    assert_eq!(sender.submit("meter", "before", "16.0"), 202);
+    assert_eq!(endpoint.next_request().id(), "before");
+    let mut healing = None;
+    let sender = sender.restart_with_state(|state| {
+        // A log that cannot be read: a link to itself.
+        let (log, aside) = (state.join("ledger"), state.join("aside"));
+        std::fs::rename(&log, &aside).unwrap();
+        std::os::unix::fs::symlink("ledger", &log).unwrap();
+        healing = Some(thread::spawn(move || {
+            thread::sleep(Duration::from_millis(800));
+            std::fs::rename(aside, log).unwrap();
+        }));
+    });
+    healing.unwrap().join().unwrap();
+    assert_eq!(sender.submit("meter", "held-back", "16.0"), 202);
+    sender.complete_round();
+    assert_eq!(endpoint.request_count(), 0, "nothing is sent yet");
+    platform.push(&endpoint_list(
+        2,
+        true,
+        &[endpoint_entry("s-1", endpoint.address, "in_service")],
+    ));
+    let mut ids =
+        [endpoint.next_request(), endpoint.next_request()].map(|call| call.id().to_string());
+    ids.sort();
+    assert_eq!(ids, ["before", "held-back"]);
+}
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use calloop::EventLoop;
 use calloop::signals::Signal;
@@ -30,6 +30,9 @@
 const ADDRESS_RELEASE_TIMEOUT: Millis = 2_000.0;
 /// How long a start waits for descriptors or memory.
 const SHORTAGE_TIMEOUT: Millis = 5_000.0;
+/// The endpoint list that a process is started with is used for so long. Endpoints may drain meanwhile, and requests to
+/// them must stop 1 s later; the first answer of discovery takes some of that.
+const KNOWN_LIST_LIFETIME: Duration = Duration::from_millis(400);
 /// How often the loop wakes while peers are asked for what they know.
 const LEARNING_INTERVAL: Millis = 5.0;
 const MILLISECONDS_PER_SECOND: f64 = 1e3;
@@ -60,6 +63,7 @@
 
 /// A process that does not serve yet.
 pub(crate) struct StartingProcess<'a> {
+    started: Instant,
     config: Config,
     clock: Clock,
     events: &'a mut EventLoop<'static, Ready>,
@@ -82,8 +86,10 @@
         events: &'a mut EventLoop<'static, Ready>,
         operators: Option<Operators>,
     ) -> StartingProcess<'a> {
+        let started = Instant::now();
         let clock = clock_after_earlier_processes(&config.state);
         StartingProcess {
+            started,
             config,
             clock,
             events,
@@ -119,8 +125,13 @@
             None => None,
         };
         let listener = self.listen_for_clients(address_timeout)?;
+        let mut config = self.config.clone();
+        if self.started.elapsed() > KNOWN_LIST_LIFETIME {
+            info!("the endpoint list of the start is too old to be used");
+            config.known = serde_json::Value::Null;
+        }
         Driver::new(
-            self.config.clone(),
+            config,
             Start::Fresh(listener),
             peers,
             &self.events.handle(),
