Promise a repeated report only behind its record

Cause: the record of the report owed anew was only remembered for the next compaction, which the kill forestalled.

Change: without the record the answer says what the report said: 503 for a deferred message, 500 for an undeliverable one.

--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -5,7 +5,7 @@
 
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_policy::interface::{ClassId, DestinationId, Event, MessageId};
-use martenlatch_wal::MessageRecord;
+use martenlatch_wal::{FinalStatus, MessageRecord};
 use tracing::debug;
 
 use super::ingress::IncomingMessage;
@@ -23,6 +23,8 @@
     /// It was accepted before, and has ended undelivered. The client may hear only now that it was accepted: its report
     /// is owed once more behind the answer, as the platform may have counted the first one for nothing.
     Ended(EndedMessage),
+    /// It was accepted before, and has ended undelivered; no record can be written of another report.
+    Undeliverable,
     /// There is no room for it now; the client may send it again later.
     Rejected,
     /// Discovery has never listed its destination.
@@ -90,11 +92,18 @@
         let Some(status) = store.wal.recently_closed.reported_status(&message.id) else {
             return AdmissionDecision::Duplicate;
         };
+        let class = message.class;
         let mut record = self.new_record(message, store.next_number);
         record.final_status = Some(status);
-        store.next_number += 1;
-        store.wal.append_ended(&record, status);
-        AdmissionDecision::Ended(EndedMessage::Reported(record))
+        if store.wal.append_ended(&record, status) {
+            store.next_number += 1;
+            return AdmissionDecision::Ended(EndedMessage::Reported(record));
+        }
+        // Without a record nothing can be promised. The answer says what the report said.
+        match status {
+            FinalStatus::Deferred(_) => self.reject(class, store),
+            FinalStatus::Undeliverable => AdmissionDecision::Undeliverable,
+        }
     }
 
     /// Accepts a message if there is room in memory and in the log.
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -220,6 +220,7 @@
                 None
             }
             AdmissionDecision::Duplicate
+            | AdmissionDecision::Undeliverable
             | AdmissionDecision::Rejected
             | AdmissionDecision::UnknownDestination => None,
         }
--- a/crates/sender/src/pipeline/ingress/answers.rs
+++ b/crates/sender/src/pipeline/ingress/answers.rs
@@ -9,6 +9,7 @@
 
 const STATUS_ACCEPTED: u16 = 202;
 const STATUS_NOT_FOUND: u16 = 404;
+const STATUS_FAILED: u16 = 500;
 const STATUS_UNAVAILABLE: u16 = 503;
 
 /// The shortest Retry-After of a rejection. Nothing here knows when there will be room.
@@ -31,6 +32,7 @@
             AdmissionDecision::Accepted(_)
             | AdmissionDecision::Duplicate
             | AdmissionDecision::Ended(_) => self.answer(client, STATUS_ACCEPTED, "", now),
+            AdmissionDecision::Undeliverable => self.answer(client, STATUS_FAILED, "", now),
             AdmissionDecision::Rejected => self.answer_unavailable(client, now),
             AdmissionDecision::UnknownDestination => {
                 self.close_after_answer(client);
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -182,15 +182,19 @@
     }
 }
 
+/// The request with which a message of [`with_reports_owed`] is handed in again.
+fn second_request(id: &str) -> Vec<u8> {
+    let head =
+        "POST /debit HTTP/1.1\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
+    format!("{head}X-Request-ID: {id}\r\n\r\n").into_bytes()
+}
+
 /// Hands the message of [`with_reports_owed`] in again, which is answered 202.
 fn hand_in_again(driver: &mut Driver, id: &str) {
     use std::io::{Read, Write};
     let mut client = std::net::TcpStream::connect(driver.listen_address()).unwrap();
     client.set_nonblocking(true).unwrap();
-    let head =
-        "POST /debit HTTP/1.1\r\nX-Timeout: 9\r\nX-Route-To: dest=7\r\nContent-Length: 0\r\n";
-    let text = format!("{head}X-Request-ID: {id}\r\n\r\n");
-    client.write_all(text.as_bytes()).unwrap();
+    client.write_all(&second_request(id)).unwrap();
     let mut answer = [0; 256];
     until(|| {
         driver.round(vec![EventSource::ClientListener]);
@@ -239,6 +243,31 @@
     drop(events);
 }
 
+/// Guards against a second 202 that no record stands behind: a process killed right then would owe its report to nobody.
+#[test]
+fn a_message_that_is_handed_in_again_fails_where_its_report_cannot_be_recorded() {
+    use std::io::{Read, Write};
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (mut driver, clock, _events) = with_reports_owed("again-sick", 1, address);
+    let mut platform = ScriptedPlatform::new(listener);
+    confirm_all(&mut driver, &mut platform, &clock);
+    let sick = empty_folder(&folder_name("again-sick-log"));
+    std::fs::create_dir(sick.join("ledger")).unwrap();
+    let (mut sick_log, _) = WriteAheadLog::open(&sick, DISK_LIMIT);
+    sick_log.recently_closed = driver.store.wal.recently_closed.clone();
+    driver.store.wal = sick_log;
+    let mut client = std::net::TcpStream::connect(driver.listen_address()).unwrap();
+    client.set_nonblocking(true).unwrap();
+    client.write_all(&second_request("owed-1")).unwrap();
+    let mut answer = [0; 256];
+    until(|| {
+        driver.round(vec![EventSource::ClientListener]);
+        client.read(&mut answer).is_ok()
+    });
+    assert!(answer.starts_with(b"HTTP/1.1 500"));
+}
+
 /// Guards against a report on its way that is confirmed for a message whose client hears 202 only now.
 #[test]
 fn a_message_that_is_handed_in_again_under_its_report_is_reported_again() {
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -235,12 +235,19 @@
         self.recently_closed.mark_reported(status);
     }
 
-    /// Records a message that has ended already and whose report is owed once more. Where it cannot be written now, a
-    /// compaction makes it good.
-    pub fn append_ended(&mut self, message: &MessageRecord, status: FinalStatus) {
-        self.append_or_remember(&LogRecord::message(message));
-        self.append_or_remember(&LogRecord::final_status(message.number, status));
-        self.open_messages.add_message(message);
+    /// Records a message that has ended already and whose report is owed once more. False: it must not be answered as
+    /// accepted.
+    pub fn append_ended(&mut self, message: &MessageRecord, status: FinalStatus) -> bool {
+        let records = [
+            codec::encode(&LogRecord::message(message)),
+            codec::encode(&LogRecord::final_status(message.number, status)),
+        ]
+        .concat();
+        let recorded = self.file.append(&records, self.limits.file());
+        if recorded {
+            self.open_messages.add_message(message);
+        }
+        recorded
     }
 
     /// Records that a message was not accepted after all. Its id is not remembered, so that it may be handed in again.
