--- a/crates/lab/src/soak/agent.rs
+++ b/crates/lab/src/soak/agent.rs
@@ -154,6 +154,10 @@
         let mut last_line = self.world.now();
         while !self.world.is_over() && !self.is_left() && !self.is_faulty(Fault::DiscoveryDown) {
             thread::sleep(POLL_INTERVAL);
+            // What is written to a process that has ended is told to nobody.
+            if stream.has_ended() {
+                return;
+            }
             if self.is_faulty(Fault::WatchSilent) {
                 continue;
             }
--- a/crates/lab/src/soak/http.rs
+++ b/crates/lab/src/soak/http.rs
@@ -132,7 +132,10 @@
         let _ = self.stream.set_nonblocking(true);
         let next = self.stream.peek(&mut [0]);
         let _ = self.stream.set_nonblocking(false);
-        matches!(next, Ok(0))
+        match next {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
     }
 
     /// Writes text. False if the connection did not take it.
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -4,7 +4,7 @@
 
 use martenlatch_clock::Millis;
 
-use super::Effect;
+use super::{Effect, HELD_UP};
 
 /// What ends at a kill is seen so much earlier or later.
 const KILL_MARGIN: Millis = 400.0;
@@ -20,6 +20,8 @@
     pub accepted: bool,
     pub rejected_at: Option<Millis>,
     pub delivered_at: Option<Millis>,
+    /// The delivery came so early that its sender had to count it.
+    pub surely_delivered: bool,
     pub reported_at: Option<Millis>,
     pub first_run: Option<Millis>,
     pub first_zone: Option<&'static str>,
@@ -60,6 +62,13 @@
             .sum()
     }
 
+    /// Whether the process was stopped for longer than the platform does, behind an instant.
+    pub fn was_stopped_for_long_since(&self, since: Millis) -> bool {
+        self.pauses
+            .iter()
+            .any(|(from, until)| *until >= since && until - from > HELD_UP)
+    }
+
     /// Whether the sender was ended or restarted in a span of time.
     pub fn was_disturbed(&self, from: Millis, until: Millis) -> bool {
         self.outages
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -277,3 +277,32 @@
     ];
     assert_eq!(broken(&parts), Vec::from_iter(rule));
 }
+
+/// A process that is stopped for longer than the platform does may take as much longer to end, and no other.
+#[rstest::rstest]
+#[case::for_long(300.0, &[])]
+#[case::as_the_platform_does(150.0, &[Rule::ExitedLate])]
+fn a_process_that_was_stopped_as_it_was_told_to_end(#[case] span: Millis, #[case] rules: &[Rule]) {
+    let records = [
+        process(0.0, ProcessEvent::Pause),
+        process(5.0, ProcessEvent::Terminate),
+        process(span, ProcessEvent::Continue),
+        process(3_705.0, ProcessEvent::Kill),
+        process(3_710.0, ProcessEvent::Exited(None)),
+    ];
+    assert_eq!(broken(&[&records]), rules);
+}
+
+/// The report of an answer in a message's last moment may be sent again with the message, which is no second end.
+#[test]
+fn a_message_answered_in_its_last_moment_may_be_reported_whenever_it_comes_again() {
+    let first = [submitted(0.0, "u1")[0].clone()];
+    let parts: [&[Record]; 5] = [
+        &first,
+        &request(10.0, "u1"),
+        &[responded(3_999.0, "u1", 200, None)],
+        &submitted(4_400.0, "u1"),
+        &[reported(4_402.0, "u1")],
+    ];
+    assert_eq!(broken(&parts), []);
+}
--- a/crates/lab/src/soak/world.rs
+++ b/crates/lab/src/soak/world.rs
@@ -194,6 +194,13 @@
         self.deadlines.lock().ok()?.get(id).copied()
     }
 
+    /// Whether the discovery of a sender has moved since an instant.
+    pub fn has_moved_since(&self, sender: usize, since: Millis) -> bool {
+        self.discovery[sender]
+            .lock()
+            .is_ok_and(|place| place.since > 0.0 && place.since >= since)
+    }
+
     /// Moves the discovery of a sender to the next of its agents. Returns that.
     pub fn move_discovery(&self, sender: usize) -> usize {
         let now = self.now();
