--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -298,7 +298,8 @@
         // What begins to be written behind a message's time counts for nothing, however soon.
         let at = self.world.now();
         let written = stream.write(text);
-        if written && heard {
+        // A connection that was closed in the same moment resets in reply: nobody has read the answer.
+        if written && heard && !stream.is_reset() {
             let event = Event::Responded {
                 destination: self.destination(),
                 status,
--- a/crates/lab/src/soak/http.rs
+++ b/crates/lab/src/soak/http.rs
@@ -127,15 +127,23 @@
         Some(message)
     }
 
-    /// Whether the peer has closed the connection.
+    /// Whether the peer has closed the connection, or reset it.
     pub fn has_ended(&self) -> bool {
+        matches!(self.peek(), Ok(0)) || self.is_reset()
+    }
+
+    /// Whether the connection is reset.
+    pub fn is_reset(&self) -> bool {
+        self.peek()
+            .is_err_and(|error| error.kind() != ErrorKind::WouldBlock)
+    }
+
+    /// How many bytes wait to be read, at most one.
+    fn peek(&self) -> std::io::Result<usize> {
         let _ = self.stream.set_nonblocking(true);
         let next = self.stream.peek(&mut [0]);
         let _ = self.stream.set_nonblocking(false);
-        match next {
-            Ok(count) => count == 0,
-            Err(error) => error.kind() != ErrorKind::WouldBlock,
-        }
+        next
     }
 
     /// Writes text. False if the connection did not take it.
