--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -3,6 +3,8 @@
 //! The oracle reads the records of all clients, endpoints and agents in the order of time. It takes no sender's word but
 //! for one thing: a sender that logs a violated safety rule, or a panic, has a defect.
 
+mod due;
+mod process_events;
 mod state;
 mod verdict;
 
@@ -10,7 +12,7 @@
 
 use martenlatch_clock::Millis;
 
-use super::history::{Effect, Event, ProcessEvent, Record, Unanswered};
+use super::history::{Effect, Event, Record, Unanswered};
 use super::world::zone_of;
 use state::{Progress, SenderState};
 pub use verdict::{Figures, Rule, Violation};
@@ -98,39 +100,6 @@
         });
     }
 
-    fn learn_process(&mut self, record: &Record, event: ProcessEvent) {
-        let state = self.senders.entry(record.sender).or_default();
-        match event {
-            ProcessEvent::Kill | ProcessEvent::Terminate | ProcessEvent::Exited(_) => {
-                if event == ProcessEvent::Kill {
-                    state.kills.push(record.at);
-                }
-                if state.outages.last().is_none_or(|last| last.1.is_finite()) {
-                    state.outages.push((record.at, f64::INFINITY));
-                }
-            }
-            ProcessEvent::Ready => {
-                if let Some(last) = state.outages.last_mut() {
-                    last.1 = last.1.min(record.at);
-                }
-            }
-            ProcessEvent::Started => self.starts += 1,
-            ProcessEvent::Pause => state.pauses.push((record.at, record.at)),
-            ProcessEvent::Continue => {
-                if let Some(last) = state.pauses.last_mut() {
-                    last.1 = record.at;
-                }
-            }
-            _ => {}
-        }
-    }
-
-    /// For how long a sender may have been held up when it did something at an instant.
-    fn held_up(&self, sender: usize, at: Millis) -> Millis {
-        let state = self.senders.get(&sender);
-        state.map_or(HELD_UP, |state| state.held_up(at).max(HELD_UP))
-    }
-
     fn judge_record(&mut self, record: &Record) {
         match &record.event {
             Event::Submitted { effect, timeout } => self.submitted(record, *effect, *timeout),
@@ -336,43 +305,6 @@
         }
     }
 
-    fn process(&mut self, record: &Record, event: ProcessEvent) {
-        let state = self.senders.entry(record.sender).or_default();
-        match event {
-            ProcessEvent::Terminate => {
-                state.terminated_at.get_or_insert(record.at);
-            }
-            ProcessEvent::Kill => {
-                // A process that was stopped for long as it was told to end, or since, may take as much longer.
-                let late = state.terminated_at.is_some_and(|at| {
-                    record.at >= at + KILL_AFTER_TERMINATE && !state.was_stopped_for_long_since(at)
-                });
-                state.killed = true;
-                if late {
-                    self.violate(Rule::ExitedLate, record);
-                }
-            }
-            ProcessEvent::Exited(code) => {
-                let asked = state.killed || (state.terminated_at.is_some() && code == Some(0));
-                if !asked {
-                    self.violate(Rule::Crashed, record);
-                }
-            }
-            ProcessEvent::Started => {
-                state.terminated_at = None;
-                state.killed = false;
-                // A restart ends the waits.
-                state.waits.clear();
-            }
-            ProcessEvent::NotReady => self.violate(Rule::NotReady, record),
-            ProcessEvent::Ready
-            | ProcessEvent::Reload
-            | ProcessEvent::Pause
-            | ProcessEvent::Continue
-            | ProcessEvent::WallStep => {}
-        }
-    }
-
     /// Every accepted message must have its end, in its time.
     fn judge_ends(&mut self) {
         for (id, progress) in &self.messages {
@@ -400,41 +332,6 @@
             }
         }
     }
-
-    /// When a message of a sender must have its end: no end is overdue while the sender restarts, or while the platform
-    /// confirms nothing; one may begin in the time that the other grants.
-    fn due(&self, sender: usize, deadline: Millis) -> Millis {
-        let mut due = deadline + END_GRACE + SOCKET_GRACE;
-        loop {
-            let later = self.excused_until(sender, due);
-            if later <= due {
-                return due + self.conditions.lateness;
-            }
-            due = later;
-        }
-    }
-
-    /// Until when an end that is due at an instant is excused; that instant itself if it is not.
-    fn excused_until(&self, sender: usize, due: Millis) -> Millis {
-        let unconfirmed = (self.conditions.unconfirmed_until)(sender, due);
-        let state = self.senders.get(&sender);
-        let outages = state.map_or(&[][..], |state| &state.outages);
-        let pauses = state.map_or(&[][..], |state| &state.pauses);
-        // A long pause in the time in which an end is due.
-        let held_up = pauses
-            .iter()
-            .filter(|(from, until)| {
-                until - from > HELD_UP && *from <= due && *until >= due - END_GRACE - SOCKET_GRACE
-            })
-            .map(|(_, until)| until + END_GRACE);
-        outages
-            .iter()
-            .filter(|(begin, _)| *begin <= due)
-            .map(|(_, end)| end + RESTART_GRACE)
-            .chain(unconfirmed.map(|until| until + REPORT_GRACE))
-            .chain(held_up)
-            .fold(due, f64::max)
-    }
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/lab/src/soak/oracle/due.rs
@@ -0,0 +1,42 @@
+//! When the end of a message is due.
+
+use martenlatch_clock::Millis;
+
+use super::{END_GRACE, HELD_UP, Oracle, REPORT_GRACE, RESTART_GRACE, SOCKET_GRACE};
+
+impl Oracle<'_> {
+    /// When a message of a sender must have its end: no end is overdue while the sender restarts, or while the platform
+    /// confirms nothing; one may begin in the time that the other grants.
+    pub(super) fn due(&self, sender: usize, deadline: Millis) -> Millis {
+        let mut due = deadline + END_GRACE + SOCKET_GRACE;
+        loop {
+            let later = self.excused_until(sender, due);
+            if later <= due {
+                return due + self.conditions.lateness;
+            }
+            due = later;
+        }
+    }
+
+    /// Until when an end that is due at an instant is excused; that instant itself if it is not.
+    fn excused_until(&self, sender: usize, due: Millis) -> Millis {
+        let unconfirmed = (self.conditions.unconfirmed_until)(sender, due);
+        let state = self.senders.get(&sender);
+        let outages = state.map_or(&[][..], |state| &state.outages);
+        let pauses = state.map_or(&[][..], |state| &state.pauses);
+        // A long pause in the time in which an end is due.
+        let held_up = pauses
+            .iter()
+            .filter(|(from, until)| {
+                until - from > HELD_UP && *from <= due && *until >= due - END_GRACE - SOCKET_GRACE
+            })
+            .map(|(_, until)| until + END_GRACE);
+        outages
+            .iter()
+            .filter(|(begin, _)| *begin <= due)
+            .map(|(_, end)| end + RESTART_GRACE)
+            .chain(unconfirmed.map(|until| until + REPORT_GRACE))
+            .chain(held_up)
+            .fold(due, f64::max)
+    }
+}
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -1,6 +1,7 @@
 //! Each rule of the oracle is shown to fail on a small history, and to hold on the like one without the fault.
 
 use super::*;
+use crate::soak::history::ProcessEvent;
 
 const ENDPOINT: usize = 0;
 const DESTINATION: usize = 0;
--- a/crates/lab/src/soak/processes.rs
+++ b/crates/lab/src/soak/processes.rs
@@ -1,5 +1,7 @@
 //! The senders of a soak as processes: signals, restarts, wall clocks, folders and calls, by the schedule.
 
+mod told_changes;
+
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -30,10 +32,6 @@
     Signal::SIGTERM,
 ];
 const NANOS_PER_MILLI: f64 = 1e6;
-/// A change of the list is told behind its instant, when a fault may have begun.
-const TOLD_MARGIN: Millis = 1_000.0;
-/// What discovery has at its new address counts so long after a move.
-const MOVE_GRACE: Millis = 4_000.0;
 /// The course of each message goes to the log, for the timelines of violations.
 const LOG_SETTINGS: &str = "log { level: DEBUG lines_per_second: 10000 }\n";
 
@@ -214,48 +212,6 @@
         self.world.history.record(sender, "", Event::Process(event));
     }
 
-    fn apply_drains(&mut self, now: Millis) {
-        let due: Vec<(Millis, usize, bool)> =
-            self.drains.extract_if(.., |(at, ..)| *at <= now).collect();
-        if let Ok(mut list) = self.world.list.lock() {
-            for (_, endpoint, drains) in &due {
-                if *drains {
-                    list.drain(*endpoint);
-                } else {
-                    list.replace(*endpoint);
-                }
-            }
-        }
-        for (_, endpoint, drains) in due {
-            self.record_told(endpoint, !drains, now);
-        }
-    }
-
-    /// What an agent has counts as told, whether or not a watch is open, from the first moment of a process: but not
-    /// while the agent or the sender's calls fail, nor soon after discovery has moved.
-    fn record_told(&self, endpoint: usize, active: bool, now: Millis) {
-        const EXCUSES: [Fault; 4] = [
-            Fault::WatchSilent,
-            Fault::DiscoveryDown,
-            Fault::DiscoverySlow,
-            Fault::CallsFail,
-        ];
-        for (sender, slot) in self.slots.iter().enumerate() {
-            let is_near = |instant: Millis| {
-                let schedule = &self.world.schedule;
-                EXCUSES
-                    .iter()
-                    .any(|fault| schedule.is_on(*fault, sender, instant))
-            };
-            let excused = [now, now + TOLD_MARGIN].into_iter().any(is_near)
-                || self.world.has_moved_since(sender, now - MOVE_GRACE);
-            if !excused && !matches!(slot.state, State::Down { .. }) {
-                let event = Event::ListTold { endpoint, active };
-                self.world.history.record(sender, "", event);
-            }
-        }
-    }
-
     fn take_step(&mut self, step: Step, now: Millis) -> Result<(), LabError> {
         let sender = step.sender;
         if let Action::StepWall(span) = step.action {
@@ -412,26 +368,6 @@
         Ok(())
     }
 
-    /// What a process is started with counts as told.
-    fn record_known_list(&self, sender: usize) {
-        let Ok(list) = self.world.list.lock() else {
-            return;
-        };
-        for endpoint in 0..self.world.size.endpoints {
-            let active = list.is_active(endpoint);
-            let event = Event::ListTold { endpoint, active };
-            self.world.history.record(sender, "", event);
-        }
-    }
-
-    fn known_list(&self, sender: usize) -> serde_json::Value {
-        let all: Vec<usize> = (0..self.world.size.endpoints).collect();
-        match (self.world.list.lock(), self.world.endpoint_addresses.lock()) {
-            (Ok(list), Ok(addresses)) => list.describe(&all, true, &addresses[sender]),
-            _ => serde_json::Value::Null,
-        }
-    }
-
     fn poll_start(&mut self, sender: usize) {
         let event = match self.slots[sender].process.has_come_up() {
             Ok(false) => return,
