Ask discovery first behind any start that was held up, for a second

Change: the time counts from the process's beginning to where the list is used; behind 400 ms, discovery is asked for up to 1 s, and the list is used then, as a silent agent has nothing new to tell (known_list.rs). All tests of sender (156) and program pass.

--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -172,6 +172,11 @@
         (listed || self.discovery_heard).then_some(listed)
     }
 
+    /// Whether discovery has answered this process.
+    pub fn has_heard_discovery(&self) -> bool {
+        self.discovery_heard
+    }
+
     /// Discovery has another address from now on. Its versions may differ there, so the complete list is requested;
     /// until it comes, the list stays as it is.
     pub fn move_to(&mut self, discovery: SocketAddr, now: Millis) {
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::TcpListener;
+use std::time::Instant;
 
 use martenlatch_clock::{Clock, Millis, millis};
 use martenlatch_http::buffer_pool::{BUFFER_SIZE, BufferPool};
@@ -24,7 +25,7 @@
 use crate::class_metrics::ClassMetrics;
 use crate::class_rules::ClassRules;
 use crate::cordons::Cordons;
-use crate::discovery::{EndpointDirectory, EndpointListChange};
+use crate::discovery::EndpointDirectory;
 use crate::egress::Egress;
 use crate::error::SenderError;
 use crate::event_source::{Handle, InheritedDescriptors};
@@ -52,8 +53,13 @@
 
 /// What a process starts with.
 pub enum Start {
-    /// Its own listener; the write-ahead log holds what earlier processes have left.
-    Fresh(TcpListener),
+    /// The write-ahead log holds what earlier processes have left.
+    Fresh {
+        /// Its own listener.
+        listener: TcpListener,
+        /// When the process began.
+        began: Instant,
+    },
     /// The state of the process before it, and its descriptors, the listener's first.
     Passed(Box<ProcessState<Policy>>, InheritedDescriptors),
 }
@@ -116,7 +122,9 @@
         settings.max_attempts = settings.max_attempts.min(MAX_ATTEMPTS as u32);
         let class_rules = ClassRules::new(&config.platform_settings.classes, &settings.classes);
         match start {
-            Start::Fresh(listener) => Foundation::fresh(config, listener, settings, class_rules),
+            Start::Fresh { listener, .. } => {
+                Foundation::fresh(config, listener, settings, class_rules)
+            }
             Start::Passed(state, descriptors) => {
                 Foundation::takeover(config, *state, descriptors, settings, class_rules)
             }
@@ -195,6 +203,10 @@
         handle: &Handle,
         clock: Clock,
     ) -> Result<Driver, SenderError> {
+        let began = match &start {
+            Start::Fresh { began, .. } => *began,
+            Start::Passed(..) => Instant::now(),
+        };
         let mut foundation = Foundation::new(&config, start)?;
         let recovered = std::mem::take(&mut foundation.recovered);
         let inheritance = foundation.inheritance.take();
@@ -208,7 +220,7 @@
         }
         driver.store.wal.append_anchor(driver.clock.anchor());
         let resumed = driver.resume(recovered);
-        driver.apply_known_endpoints(&config);
+        driver.apply_or_defer_known_list(&config, began);
         driver.decision.events.extend(resumed);
         info!(name = %config.name, resumed = driver.store.counters.resumed, "started");
         Ok(driver)
@@ -261,6 +273,7 @@
             shutdown_started: None,
             clock,
             polls: PollHistory::new(),
+            deferred_list: None,
             waits: RetryAfterTable::new(
                 settings
                     .kinds
@@ -288,20 +301,6 @@
         }
         events
     }
-
-    /// Starts with the endpoint list that the platform says this sender last had, until discovery has answered.
-    fn apply_known_endpoints(&mut self, config: &Config) {
-        if !config.known.is_object() {
-            return;
-        }
-        if let Some(known) = self.directory.apply(&config.known) {
-            self.apply_endpoint_change(EndpointListChange {
-                complete: true,
-                ..known
-            });
-            self.directory.delay_first_watch(self.clock.now());
-        }
-    }
 }
 
 /// The time since the attempts of a message is not known: no idempotency window is proven to be open still.
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -12,6 +12,7 @@
 use super::completion;
 use super::decision::Decision;
 use super::ingress::{IncomingMessage, Ingress};
+use super::known_list::DeferredList;
 use super::message_store::MessageStore;
 use super::poll_history::PollHistory;
 use super::process_state::SettingsNames;
@@ -43,6 +44,8 @@
     pub(super) descriptor_limit: usize,
     pub(super) clock: Clock,
     pub(super) polls: PollHistory,
+    /// The endpoint list of a start that was held up, until it is used.
+    pub(super) deferred_list: Option<DeferredList>,
     /// The waits that endpoints have asked for.
     pub(super) waits: RetryAfterTable,
     /// Steps that would have broken a safety rule.
@@ -100,6 +103,7 @@
         self.end_overdue_messages(now);
         self.directory
             .run_due(now, &self.handle, &self.control_buffers);
+        self.apply_deferred_list(now);
         self.decide(now);
         self.status_reporter.run_due(&self.store, now);
         completion::compact_log(&mut self.store, now);
@@ -355,6 +359,7 @@
         deadlines
             .into_iter()
             .chain(self.decision.wake_at)
+            .chain(self.deferred_list_at())
             .chain(self.operators.as_ref().map(Operators::next_deadline))
             .chain(self.peers.as_ref().map(PeerService::next_deadline))
             .fold(f64::INFINITY, f64::min)
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -17,6 +17,7 @@
 mod driver;
 mod endpoint_updates;
 mod ingress;
+mod known_list;
 mod message_store;
 mod metrics;
 mod operator_calls;
--- a/crates/sender/src/pipeline/test_support.rs
+++ b/crates/sender/src/pipeline/test_support.rs
@@ -2,6 +2,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
 
 use martenlatch_clock::{Clock, Millis};
 use martenlatch_settings::platform;
@@ -63,7 +64,11 @@
         platform_settings: platform::read(settings).unwrap(),
     };
     let events = Events::try_new().unwrap();
-    let start = Start::Fresh(listener);
+    let start = Start::Fresh {
+        listener,
+        // However busy the machine is, the start is not held up.
+        began: Instant::now() + Duration::from_secs(3_600),
+    };
     let driver = Driver::new(config, start, None, &events.handle(), clock.clone()).unwrap();
     (driver, events)
 }
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -30,9 +30,6 @@
 const ADDRESS_RELEASE_TIMEOUT: Millis = 2_000.0;
 /// How long a start waits for descriptors or memory.
 const SHORTAGE_TIMEOUT: Millis = 5_000.0;
-/// The endpoint list that a process is started with is used for so long. Endpoints may drain meanwhile, and requests to
-/// them must stop 1 s later; the first answer of discovery takes some of that.
-const KNOWN_LIST_LIFETIME: Duration = Duration::from_millis(400);
 /// How often the loop wakes while peers are asked for what they know.
 const LEARNING_INTERVAL: Millis = 5.0;
 const MILLISECONDS_PER_SECOND: f64 = 1e3;
@@ -125,14 +122,12 @@
             None => None,
         };
         let listener = self.listen_for_clients(address_timeout)?;
-        let mut config = self.config.clone();
-        if self.started.elapsed() > KNOWN_LIST_LIFETIME {
-            info!("the endpoint list of the start is too old to be used");
-            config.known = serde_json::Value::Null;
-        }
         Driver::new(
-            config,
-            Start::Fresh(listener),
+            self.config.clone(),
+            Start::Fresh {
+                listener,
+                began: self.started,
+            },
             peers,
             &self.events.handle(),
             self.clock.clone(),
