--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -141,6 +141,7 @@
         let submitted = Event::Submitted {
             effect: message.effect,
             timeout,
+            writing: self.world.now() - at,
         };
         self.world
             .history
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -65,6 +65,8 @@
         effect: Effect,
         /// How long the message may still be delivered.
         timeout: Millis,
+        /// How long the write took, in which the message was handed in at some instant.
+        writing: Millis,
     },
     /// The client read an answer.
     Answered {
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -102,7 +102,11 @@
 
     fn judge_record(&mut self, record: &Record) {
         match &record.event {
-            Event::Submitted { effect, timeout } => self.submitted(record, *effect, *timeout),
+            Event::Submitted {
+                effect,
+                timeout,
+                writing,
+            } => self.submitted(record, *effect, *timeout, *writing),
             Event::Answered { status } => self.answered(record, *status),
             Event::Unanswered(end) => self.unanswered(record, *end),
             Event::BadClientIgnored => self.violate(Rule::BadClientIgnored, record),
@@ -134,7 +138,7 @@
         progress
     }
 
-    fn submitted(&mut self, record: &Record, effect: Effect, timeout: Millis) {
+    fn submitted(&mut self, record: &Record, effect: Effect, timeout: Millis, writing: Millis) {
         self.figures.requests += 1;
         let progress = self.progress(record);
         if !progress.accepted {
@@ -143,6 +147,7 @@
         }
         progress.submitted_at = Some(record.at);
         progress.timeout = timeout;
+        progress.writing = writing;
         progress.effect = Some(effect);
     }
 
@@ -266,7 +271,8 @@
         retry_after: Option<Millis>,
     ) {
         let progress = self.progress(record);
-        if status == 200 && record.at <= progress.deadline() && progress.delivered_at.is_none() {
+        let in_time = record.at <= progress.deadline() + progress.writing;
+        if status == 200 && in_time && progress.delivered_at.is_none() {
             progress.delivered_at = Some(record.at);
             // Handed in again, a message has a later deadline, which says nothing of this delivery.
             progress.surely_delivered = record.at < progress.deadline() - UNCERTAIN_DELIVERY;
@@ -311,7 +317,7 @@
             let Some(submitted_at) = progress.submitted_at.filter(|_| progress.accepted) else {
                 continue;
             };
-            let deadline = submitted_at + progress.timeout;
+            let deadline = submitted_at + progress.writing + progress.timeout;
             let end = [progress.delivered_at, progress.reported_at]
                 .into_iter()
                 .flatten()
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -16,6 +16,8 @@
     pub sender: usize,
     pub submitted_at: Option<Millis>,
     pub timeout: Millis,
+    /// How long its client took to write it: its time began at some instant of that.
+    pub writing: Millis,
     pub effect: Option<Effect>,
     pub accepted: bool,
     pub rejected_at: Option<Millis>,
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -19,7 +19,15 @@
     let effect = crate::soak::world::Message::of(id).map_or(Effect::Idempotent, |m| m.effect);
     let timeout = 4_000.0;
     [
-        record(at, id, Event::Submitted { effect, timeout }),
+        record(
+            at,
+            id,
+            Event::Submitted {
+                effect,
+                timeout,
+                writing: 0.0,
+            },
+        ),
         record(at + 1.0, id, Event::Answered { status: 202 }),
     ]
 }
@@ -307,3 +315,24 @@
     ];
     assert_eq!(broken(&parts), []);
 }
+
+/// A client that was held up as it wrote its request handed it in at an instant that nobody knows.
+#[test]
+fn the_time_of_a_message_may_begin_as_late_as_its_client_had_written_it() {
+    let judged = |writing: Millis| {
+        let (effect, timeout) = (Effect::NonIdempotent, 4_000.0);
+        let slow = Event::Submitted {
+            effect,
+            timeout,
+            writing,
+        };
+        let answered = Event::Answered { status: 202 };
+        broken(&[
+            &[record(0.0, "u1", slow), record(101.0, "u1", answered)],
+            &request(102.0, "u1"),
+            &[responded(4_003.0, "u1", 200, None)],
+        ])
+    };
+    assert_eq!(judged(100.0), []);
+    assert_eq!(judged(1.0), [Rule::Lost]);
+}
