Wait five seconds for discovery behind a start that was held up

What the agent has counts as told although it is silent then, so that the wait is longer now: 5 s, behind which an old list is better than none.

--- a/crates/sender/src/pipeline/known_list.rs
+++ b/crates/sender/src/pipeline/known_list.rs
@@ -1,7 +1,7 @@
 //! The endpoint list that a process is started with, as the sender last had it.
 //!
 //! It counts as of the start. Endpoints may drain while a start is held up, and requests to them must stop 1 s later:
-//! behind a slow start, discovery is asked first. Where it stays silent it has nothing new to tell, and the list is used.
+//! behind a slow start, discovery is asked first. Only where it stays silent for long, an old list is better than none.
 
 use std::time::{Duration, Instant};
 
@@ -16,7 +16,7 @@
 /// The list is used at once where the start took no longer than this. Discovery's first answer may take another 500 ms.
 const LIST_LIFETIME: Duration = Duration::from_millis(400);
 /// How long discovery is waited for behind a start that took longer.
-const DISCOVERY_PATIENCE: Millis = 1_000.0;
+const DISCOVERY_PATIENCE: Millis = 5_000.0;
 
 /// A list that is used unless discovery answers first.
 pub struct DeferredList {
