Do not wait longer for a silent answer because other connections ended before

Found on reading: each further send doubled the time for an answer, whatever had failed before it. A report under which three connections ended, and the fourth was silent, was confirmed 373 ms behind its deadline: lost. Only silences in a row count now; an ended connection begins anew.

--- a/crates/sender/src/pipeline/status_reports/mod.rs
+++ b/crates/sender/src/pipeline/status_reports/mod.rs
@@ -72,11 +72,7 @@
 
     /// A message has ended undelivered: its report is owed from here on.
     pub(super) fn enqueue(&mut self, record: &MessageRecord) {
-        let timing = ReportTiming {
-            deadline: record.deadline,
-            sent_at: None,
-            sends: 0,
-        };
+        let timing = ReportTiming::new(record.deadline);
         self.owed.insert(record.number, timing);
         self.next_due = f64::NEG_INFINITY;
     }
@@ -120,7 +116,7 @@
         let unsent = self
             .owed
             .get(&number)
-            .is_some_and(|report| report.sends == 0);
+            .is_some_and(|report| !report.was_sent);
         unsent && self.owed.remove(&number).is_some()
     }
 
@@ -205,8 +201,7 @@
         }
         for number in &numbers {
             if let Some(report) = self.owed.get_mut(number) {
-                report.sent_at = Some(now);
-                report.sends += 1;
+                report.sent(now);
             }
         }
         lane.numbers = numbers;
--- a/crates/sender/src/pipeline/status_reports/timing.rs
+++ b/crates/sender/src/pipeline/status_reports/timing.rs
@@ -33,8 +33,10 @@
     pub(super) deadline: Millis,
     /// When it was sent last; none if it is on no connection.
     pub(super) sent_at: Option<Millis>,
-    /// How often it was sent.
-    pub(super) sends: u32,
+    /// How often it was sent again because no answer came to the time before.
+    pub(super) silences: u32,
+    /// Whether it was ever sent.
+    pub(super) was_sent: bool,
 }
 
 /// The failures in a row, up to now.
@@ -81,6 +83,26 @@
 }
 
 impl ReportTiming {
+    /// A report that was never sent.
+    pub(super) fn new(deadline: Millis) -> ReportTiming {
+        ReportTiming {
+            deadline,
+            sent_at: None,
+            silences: 0,
+            was_sent: false,
+        }
+    }
+
+    /// It is sent, once more if it is on a connection already.
+    pub(super) fn sent(&mut self, now: Millis) {
+        self.silences = match self.sent_at {
+            Some(_) => self.silences + 1,
+            None => 0,
+        };
+        self.sent_at = Some(now);
+        self.was_sent = true;
+    }
+
     /// Whether the report is urgent, in a process that started at an instant.
     pub(super) fn is_urgent(&self, started: Millis, now: Millis) -> bool {
         now >= self.urgent_from() && now <= self.urgent_until(started)
@@ -91,7 +113,7 @@
         let patient = self
             .repeated_at(CONFIRMATION_TIMEOUT)
             .max(failures.over_at(false));
-        let doublings = self.sends.saturating_sub(1).min(u32::BITS / 2);
+        let doublings = self.silences.min(u32::BITS / 2);
         let confirmation_timeout = URGENT_CONFIRMATION_TIMEOUT * f64::from(1_u32 << doublings);
         let urgent = self
             .repeated_at(confirmation_timeout)
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -283,6 +283,18 @@
     assert_eq!(confirm_all(&mut driver, &mut platform, &clock), 2);
 }
 
+/// Guards against ended connections that make the wait for a silent one longer.
+#[test]
+fn a_report_that_meets_both_kinds_of_failure_still_comes_in_time() {
+    let confirmed = confirmed_at("ended-then-silent", DEADLINE, |number, _| match number {
+        0..3 => PlatformReply::Ends,
+        3 => PlatformReply::IsSilent,
+        _ => PlatformReply::Confirms,
+    });
+    let late = confirmed - DEADLINE;
+    assert!(late <= REPORT_BOUND, "{late} ms");
+}
+
 /// Guards against a fresh report that waits behind a batch on which the platform is silent.
 #[test]
 fn a_fresh_report_does_not_wait_behind_a_silent_batch() {
