Keep no stand-in for a message's number on a report's connection, and look up only what is sent

Each due batch looked every owed report up in the store; only those of the batch are now, as a record is held as long as its report is owed.

--- a/crates/sender/src/pipeline/status_reports/lane.rs
+++ b/crates/sender/src/pipeline/status_reports/lane.rs
@@ -7,14 +7,13 @@
 
 use crate::event_source::Connection;
 
-/// Stands for a report whose confirmation does not count. No message has this number.
-const DISOWNED: u64 = u64::MAX;
-
 /// A connection to the platform. It carries one batch at a time.
 pub(super) struct Lane {
     connection: Connection,
-    /// The messages whose reports were sent on it and are not confirmed.
-    pub(super) numbers: Vec<u64>,
+    /// A batch was sent, and is not answered.
+    awaits_answer: bool,
+    /// The messages whose reports an answer confirms.
+    numbers: Vec<u64>,
     /// When the batch was sent.
     pub(super) sent_at: Millis,
 }
@@ -36,6 +35,7 @@
     pub(super) fn new(connection: Connection) -> Lane {
         Lane {
             connection,
+            awaits_answer: false,
             numbers: Vec::new(),
             sent_at: 0.0,
         }
@@ -43,7 +43,18 @@
 
     /// Whether it carries no batch.
     pub(super) fn is_idle(&self) -> bool {
-        self.numbers.is_empty()
+        !self.awaits_answer
+    }
+
+    /// The messages whose reports an answer confirms.
+    pub(super) fn numbers(&self) -> &[u64] {
+        &self.numbers
+    }
+
+    /// The batch is answered: these messages are confirmed.
+    pub(super) fn take_confirmed(&mut self) -> Vec<u64> {
+        self.awaits_answer = false;
+        std::mem::take(&mut self.numbers)
     }
 
     /// Whether a batch can still be sent on it. Reading from it first shows whether the platform has closed it, before
@@ -55,15 +66,17 @@
 
     /// The confirmation of its batch does not count for this message.
     pub(super) fn disown(&mut self, number: u64) {
-        for carried in &mut self.numbers {
-            if *carried == number {
-                *carried = DISOWNED;
-            }
-        }
+        self.numbers.retain(|carried| *carried != number);
     }
 
     /// Writes a batch. False if the connection did not take it.
-    pub(super) fn send(&mut self, platform: SocketAddr, lines: &str) -> bool {
+    pub(super) fn send(
+        &mut self,
+        platform: SocketAddr,
+        numbers: Vec<u64>,
+        lines: &str,
+        now: Millis,
+    ) -> bool {
         let head = format!(
             "POST /reports HTTP/1.1\r\nHost: {platform}\r\nContent-Type: application/x-ndjson\r\nContent-Length: {}\r\n\r\n",
             lines.len()
@@ -72,6 +85,9 @@
             return false;
         }
         self.connection.flush();
+        self.awaits_answer = true;
+        self.numbers = numbers;
+        self.sent_at = now;
         !self.connection.broken
     }
 
--- a/crates/sender/src/pipeline/status_reports/mod.rs
+++ b/crates/sender/src/pipeline/status_reports/mod.rs
@@ -195,17 +195,17 @@
             self.count_failure(now, numbers.len(), "no connection");
             return false;
         };
-        if !lane.send(self.platform, &report_lines(&numbers, store)) {
-            self.count_failure(now, numbers.len(), "no connection");
+        let count = numbers.len();
+        let lines = report_lines(&numbers, store);
+        if !lane.send(self.platform, numbers, &lines, now) {
+            self.count_failure(now, count, "no connection");
             return false;
         }
-        for number in &numbers {
+        for number in lane.numbers() {
             if let Some(report) = self.owed.get_mut(number) {
                 report.sent(now);
             }
         }
-        lane.numbers = numbers;
-        lane.sent_at = now;
         self.lanes.push(lane);
         true
     }
@@ -223,8 +223,6 @@
     /// before, a process that dies would leave a message behind that the next one sends although it has ended.
     fn due_batch(&mut self, store: &MessageStore, now: Millis) -> Batch {
         let recorded = store.wal.is_complete();
-        self.owed
-            .retain(|number, _| store.record(*number).is_some());
         let mut urgent = Vec::new();
         let mut others = Vec::new();
         for (number, report) in &self.owed {
@@ -286,7 +284,7 @@
             match self.lanes[index].progress() {
                 BatchProgress::Pending => index += 1,
                 BatchProgress::Confirmed => {
-                    confirmed.append(&mut self.lanes[index].numbers);
+                    confirmed.append(&mut self.lanes[index].take_confirmed());
                     index += 1;
                 }
                 BatchProgress::Refused => self.on_refusal(index, now),
@@ -309,8 +307,8 @@
     /// The batch of a lane was not confirmed: the lane is closed, and the batch is sent again after a backoff.
     fn fail_lane(&mut self, index: usize, now: Millis, reason: &str) {
         let lane = self.lanes.swap_remove(index);
-        self.count_failure(now, lane.numbers.len(), reason);
-        for number in &lane.numbers {
+        self.count_failure(now, lane.numbers().len(), reason);
+        for number in lane.numbers() {
             if let Some(report) = self.owed.get_mut(number) {
                 report.sent_at = None;
             }
@@ -331,7 +329,7 @@
     /// others: it is due again only after the time for a confirmation.
     fn on_refusal(&mut self, index: usize, now: Millis) {
         self.batch_size = (self.batch_size / 2).max(1);
-        let refused_alone = match self.lanes[index].numbers.as_slice() {
+        let refused_alone = match self.lanes[index].numbers() {
             [number] => Some(*number),
             _ => None,
         };
