Log and count bytes that an endpoint, the platform or discovery sends out of turn

Need: in the incident of 4 December nothing told whether an endpoint had written more than one answer; the bytes were dropped with their connection and no line. Change: a warning and the counter surplus_responses for bytes on an idle connection to an endpoint, with the endpoint and the message answered last; a warning for such bytes on a report connection, and for a list version older than the one in use.

--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -69,6 +69,8 @@
     /// Successes that arrived just before the deadline of their message or after it, so that the message was reported,
     /// too.
     late_successes,
+    /// Times that an endpoint sent bytes on an idle connection, which was closed.
+    surplus_responses,
     /// Rounds of the event loop.
     rounds,
     /// Turns of the decision module that returned actions.
--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -107,6 +107,14 @@
             );
             return None;
         };
+        if update.version.is_some_and(|version| version < self.version) {
+            warn!(
+                rev = update.version,
+                current = self.version,
+                complete = update.complete,
+                "endpoint list update is older than the list"
+            );
+        }
         let applied = self.list.apply(&update);
         if let Some(version) = update.version
             && !applied.has_unreadable_entry
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -10,6 +10,7 @@
 use slab::Slab;
 
 use super::endpoint_connection::EndpointConnection;
+use super::surplus_bytes::SurplusBytes;
 use crate::event_source::{Connection, EventLoopHandle, EventSource};
 
 /// All connections to endpoints, each in a slot whose number identifies it in the event loop.
@@ -25,6 +26,8 @@
     pub slots: Slab<EndpointConnection>,
     /// The slots of idle connections, the most recently used last.
     pub idle: Vec<usize>,
+    /// Bytes found on idle connections that were about to be reused.
+    pub surplus: Vec<SurplusBytes>,
 }
 
 impl ConnectionPool {
@@ -40,6 +43,7 @@
             max_connections,
             slots: Slab::new(),
             idle: Vec::new(),
+            surplus: Vec::new(),
         }
     }
 
@@ -101,7 +105,8 @@
             {
                 return Some(slot);
             }
-            self.slots.remove(slot);
+            let candidate = self.slots.remove(slot);
+            self.surplus.extend(SurplusBytes::on(&candidate));
         }
         None
     }
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -4,7 +4,7 @@
 
 use martenlatch_clock::Millis;
 use martenlatch_http::Body;
-use martenlatch_policy::interface::EndpointId;
+use martenlatch_policy::interface::{EndpointId, MessageId};
 use serde::{Deserialize, Serialize};
 
 use super::attempt::ActiveAttempt;
@@ -58,6 +58,9 @@
     pub remaining_response: Option<RemainingResponse>,
     /// When the connection became idle, or when the outcome of the response in `remaining_response` was reported.
     pub idle_since: Millis,
+    /// The message whose request the connection answered last. Not passed to a successor process.
+    #[serde(skip)]
+    pub last_answered: Option<MessageId>,
 }
 
 impl EndpointConnection {
@@ -82,6 +85,7 @@
             opened_at: now,
             remaining_response: None,
             idle_since: now,
+            last_answered: None,
         }
     }
 
@@ -112,6 +116,7 @@
             opened_at: self.opened_at,
             remaining_response: self.remaining_response.clone(),
             idle_since: self.idle_since,
+            last_answered: self.last_answered,
         }
     }
 }
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -13,6 +13,7 @@
 use super::response::{
     RemainderProgress, ResponseClassification, ResponseProgress, read_remainder, read_response,
 };
+use super::surplus_bytes::SurplusBytes;
 use super::timeouts::RESPONSE_COMPLETION_TIMEOUT;
 use super::{Egress, LAST_BYTE_DELAY};
 
@@ -90,6 +91,7 @@
         };
         connection.remaining_response = Some(RemainingResponse::Body(body));
         connection.idle_since = now;
+        connection.last_answered = Some(attempt.id);
         let idle_before = connection.idle_before;
         debug!(
             slot,
@@ -126,6 +128,7 @@
         };
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
+        connection.last_answered = Some(attempt.id);
         let idle_before = connection.idle_before;
         debug!(
             slot,
@@ -219,6 +222,7 @@
                 }
             }
             RemainderProgress::Unusable => {
+                self.surplus.extend(SurplusBytes::on(connection));
                 self.connections.remove(slot);
             }
         }
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -8,6 +8,7 @@
 //! - [`exchange`]: one exchange on a connection
 //! - [`response`]: parsing responses
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
+//! - [`surplus_bytes`]: bytes of an endpoint that belong to no request in flight
 //! - [`connection_faults`]: detection of stale connections and connection resets
 //! - [`connection_scarcity`]: detection of endpoints without spare connections
 //! - [`timeouts`]: time limits
@@ -22,6 +23,7 @@
 mod exchange;
 mod response;
 mod snapshot;
+mod surplus_bytes;
 #[cfg(test)]
 mod tests;
 mod timeouts;
@@ -36,6 +38,7 @@
 
 pub use attempt::{AttemptRequest, AttemptResult};
 pub use snapshot::EgressSnapshot;
+pub use surplus_bytes::SurplusBytes;
 
 use crate::event_source::EventLoopHandle;
 use attempt::ActiveAttempt;
@@ -81,6 +84,8 @@
     scarcity: ConnectionScarcityDetector,
     /// The results of attempts that have ended, for the caller to take.
     pub results: Vec<AttemptResult>,
+    /// The bytes that endpoints sent on idle connections, for the caller to take. The connections are closed.
+    pub surplus: Vec<SurplusBytes>,
     /// The slots of established connections whose requests have not begun, as their attempts must be recorded first.
     awaiting_permission: Vec<usize>,
     /// When permission is requested again for attempts that could not be recorded; infinite if there are none.
@@ -110,6 +115,7 @@
             resets: ResetDetector::default(),
             scarcity: ConnectionScarcityDetector::default(),
             results: Vec::new(),
+            surplus: Vec::new(),
             awaiting_permission: Vec::new(),
             record_retry_at: f64::INFINITY,
             sent_messages: Vec::new(),
@@ -172,6 +178,7 @@
         let idle = self
             .connections
             .take_idle(request.endpoint, address, now - max_idle);
+        self.surplus.append(&mut self.connections.surplus);
         if let Some(slot) = idle {
             return Ok(slot);
         }
--- a/crates/sender/src/pipeline/status_reports/mod.rs
+++ b/crates/sender/src/pipeline/status_reports/mod.rs
@@ -307,7 +307,11 @@
                 }
                 BatchProgress::Refused => self.on_refusal(index, now),
                 BatchProgress::ConnectionLost if self.connections[index].is_idle() => {
-                    self.connections.swap_remove(index);
+                    let connection = self.connections.swap_remove(index);
+                    if connection.unread_bytes() > 0 {
+                        let bytes = connection.unread_bytes();
+                        warn!(bytes, "unexpected bytes from the platform");
+                    }
                 }
                 BatchProgress::ConnectionLost => {
                     self.fail_connection(index, now, "connection lost")
--- a/crates/sender/src/pipeline/status_reports/report_connection.rs
+++ b/crates/sender/src/pipeline/status_reports/report_connection.rs
@@ -64,6 +64,11 @@
         !self.connection.eof && !self.connection.broken
     }
 
+    /// The number of bytes received and not consumed.
+    pub(super) fn unread_bytes(&self) -> usize {
+        self.connection.bytes().len()
+    }
+
     /// Excludes a message from its batch, so that the batch's confirmation does not count for that message.
     pub(super) fn exclude(&mut self, number: u64) {
         self.numbers.retain(|batch_number| *batch_number != number);
