--- a/crates/martenlatch/tests/support/mod.rs
+++ b/crates/martenlatch/tests/support/mod.rs
@@ -10,6 +10,7 @@
 mod launch;
 mod platform;
 mod sender;
+mod timed_endpoint;
 mod wall_clock;
 
 use std::time::{Duration, Instant};
@@ -21,6 +22,7 @@
 };
 pub use platform::{Platform, watch_chunk};
 pub use sender::{ProcessExit, Replacement, Sender, call_operator, sender_with_endpoint};
+pub use timed_endpoint::{TimedEndpoint, TimedWrite};
 pub use wall_clock::WallClock;
 
 /// How long a test waits for any single condition before it fails.
