Have the soak's endpoints answer each message with bytes of its own

Need: all usual answers of the soak had the same bytes, so that no sender could ever tell a repeated answer from the next one; the coming checks need both kinds. Change: the usual answer carries the message's id as its body; faults and checks are as they were.

--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -275,12 +275,7 @@
     }
 
     fn respond_ok(&self, stream: &mut HttpStream, id: &str) -> bool {
-        self.respond(
-            stream,
-            id,
-            200,
-            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-        )
+        self.respond(stream, id, 200, &success(id))
     }
 
     /// Writes an answer and records it, unless the sender has cancelled the request by closing the connection. Returns
@@ -325,14 +320,11 @@
         id: &str,
         rng: &mut Pcg64,
     ) -> bool {
-        let is_written = self.respond(
-            stream,
-            id,
-            200,
-            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no",
-        );
+        let answer = success(id);
+        let (beginning, last_byte) = answer.split_at(answer.len() - 1);
+        let is_written = self.respond(stream, id, 200, beginning);
         sleep(rng.random_range(LAST_BYTE_DELAY));
-        is_written && stream.write("k")
+        is_written && stream.write(last_byte)
     }
 
     fn answer_without_end(&self, stream: &mut HttpStream, id: &str) -> bool {
@@ -346,6 +338,14 @@
     }
 }
 
+/// The usual answer to a message, which differs from all other answers.
+fn success(id: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}",
+        id.len()
+    )
+}
+
 /// Whether a request has the body and the idempotency key of its message.
 fn is_intact(request: &HttpMessage, id: &str) -> bool {
     Message::from_id(id).is_some_and(|message| {
