--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -68,6 +68,13 @@
     corked: bool,
 }
 
+impl ConnectionSnapshot {
+    /// Replaces the bytes that were received and not consumed.
+    pub fn set_input(&mut self, input: &[u8]) {
+        self.input = input.to_vec();
+    }
+}
+
 /// A non-blocking connection with its read and write buffers.
 pub struct Connection<K: Copy + 'static> {
     stream: Rc<TcpStream>,
--- a/crates/lab/src/sockets/calls.rs
+++ b/crates/lab/src/sockets/calls.rs
@@ -114,7 +114,9 @@
         };
         socket.call = None;
         socket.idle_since = now;
-        let queued = socket.connection.queue(response_text(reply).as_bytes());
+        let queued = socket
+            .connection
+            .queue(response_text(number, reply).as_bytes());
         socket.connection.flush();
         if !queued || socket.connection.broken {
             let cause = CallFailure::Cancelled;
@@ -142,16 +144,17 @@
     }
 }
 
-/// The HTTP response for a reply.
-fn response_text(reply: Reply) -> String {
+/// The HTTP response for the reply to a call. Each names its call, so that no response can be taken for a repeated one.
+fn response_text(call: u64, reply: Reply) -> String {
+    let end = format!("X-Call: {call}\r\nContent-Length: 0\r\n\r\n");
     match reply {
-        Reply::Served => "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into(),
-        Reply::Failed => "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n".into(),
+        Reply::Served => format!("HTTP/1.1 200 OK\r\n{end}"),
+        Reply::Failed => format!("HTTP/1.1 500 Error\r\n{end}"),
         Reply::Malformed => "\x01\x02 no answer at all \r\n\r\n".into(),
         Reply::Rejected(Some(backoff)) => {
             let backoff_ms = backoff.ceil() as u64;
-            format!("HTTP/1.1 429 Wait\r\nX-Backoff-Ms: {backoff_ms}\r\nContent-Length: 0\r\n\r\n")
+            format!("HTTP/1.1 429 Wait\r\nX-Backoff-Ms: {backoff_ms}\r\n{end}")
         }
-        Reply::Rejected(None) => "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n".into(),
+        Reply::Rejected(None) => format!("HTTP/1.1 503 Full\r\n{end}"),
     }
 }
--- a/crates/martenlatch/tests/operation.rs
+++ b/crates/martenlatch/tests/operation.rs
@@ -30,6 +30,9 @@
 
     /// Compares all counters of a sender. `current` is the expected number of incomplete messages.
     fn check(&self, sender: &Sender, current: u64) {
+        wait_until("the number of incomplete messages is as expected", || {
+            sender.operator_counters()["current"] == current
+        });
         let counters = sender.operator_counters();
         for class in CLASSES {
             for state in ["answered", "deferred", "errored", "sends"] {
--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -3,14 +3,24 @@
 mod support;
 use support::*;
 
+use rstest::rstest;
 use std::collections::BTreeMap;
+use std::sync::Mutex;
 use std::time::Duration;
 
 /// The time of each message, which its client sends.
 const TIMEOUT_HEADER: &str = "2.0";
 /// When no further request or status report is expected.
 const QUIET_TIME: Duration = Duration::from_millis(3_500);
+/// How long the endpoint takes for an answer, and after what time it writes a copy, in milliseconds.
+const SERVICE: u64 = 80;
+const LONG_SERVICE: u64 = 600;
+const COPY_DELAY: u64 = 5;
 const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const OK_WITH_BODY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
+const EXHAUSTED: &str = "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n";
+const FAILURE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
 const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
 /// What the endpoint and the platform have seen of each message.
@@ -34,13 +44,29 @@
     ends
 }
 
-/// An endpoint that answers `first` and all later requests with 200, but `refused` with 503 after a while; a copy of the
-/// earlier 200 comes before that 503.
-fn endpoint_with_a_copy_before_a_rejection() -> TimedEndpoint {
-    TimedEndpoint::new(|request| match request.id() {
-        "first" => vec![TimedWrite::after(0, OK)],
-        "refused" => vec![TimedWrite::after(5, OK), TimedWrite::after(80, BUSY)],
-        _ => vec![TimedWrite::after(200, OK)],
+/// An endpoint that answers the first request for `first` with one answer and later ones with 200. Before its answer to
+/// `second`, it writes a copy on the connection that has carried that answer. Other messages are answered 200.
+fn endpoint_with_a_copy(
+    service: u64,
+    first: &'static str,
+    copy: &'static str,
+    second: &'static str,
+) -> TimedEndpoint {
+    let first_connection = Mutex::new(None);
+    TimedEndpoint::new(move |request| {
+        let mut first_connection = first_connection.lock().unwrap();
+        match request.id() {
+            "first" if first_connection.is_none() => {
+                *first_connection = Some(request.connection);
+                vec![TimedWrite::after(service, first)]
+            }
+            "second" if *first_connection == Some(request.connection) => vec![
+                TimedWrite::after(COPY_DELAY, copy),
+                TimedWrite::after(service, second),
+            ],
+            "second" => vec![TimedWrite::after(service, second)],
+            _ => vec![TimedWrite::after(2 * service, OK)],
+        }
     })
 }
 
@@ -49,44 +75,113 @@
     Sender::start(test, platform, &endpoint_list(1, true, &[entry]))
 }
 
-/// Guards against losing a refused message: a second copy of an earlier 200 ended it, and it was neither sent again nor
-/// reported.
-#[test]
-fn a_message_that_a_copy_of_an_earlier_success_precedes_is_reported() {
-    let endpoint = endpoint_with_a_copy_before_a_rejection();
-    let platform = Platform::new(&[]);
-    let sender = start_sender("copy-lost", &endpoint, &platform);
+/// Submits `first` and, once it has been answered, `second`. Returns when the copy has arrived.
+fn submit_two(sender: &Sender, class: &str, service: u64) {
     assert_eq!(sender.submit("debit", "first", TIMEOUT_HEADER), 202);
-    std::thread::sleep(Duration::from_millis(50));
-    assert_eq!(sender.submit("debit", "refused", TIMEOUT_HEADER), 202);
+    std::thread::sleep(Duration::from_millis(service + 40));
+    assert_eq!(sender.submit(class, "second", TIMEOUT_HEADER), 202);
+    std::thread::sleep(Duration::from_millis(COPY_DELAY + 20));
+}
+
+/// Guards against losing a refused message: a second copy of an earlier answer ended it, and it was neither sent again
+/// nor reported.
+#[rstest]
+#[case::success(OK, OK)]
+#[case::status_line_of_a_success(OK, "HTTP/1.1 200 OK\r\n")]
+#[case::part_of_the_head_of_a_success(OK, "HTTP/1.1 200 OK\r\nContent-Le")]
+#[case::success_without_its_body(OK_WITH_BODY, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n")]
+#[case::gone(GONE, GONE)]
+#[case::attempts_used_up(EXHAUSTED, EXHAUSTED)]
+#[case::failure(FAILURE, FAILURE)]
+fn a_message_that_a_copy_of_an_earlier_answer_precedes_is_reported(
+    #[case] first: &'static str,
+    #[case] copy: &'static str,
+) {
+    let endpoint = endpoint_with_a_copy(SERVICE, first, copy, BUSY);
+    let platform = Platform::new(&[]);
+    let test = case_name(&format!("lost{first}{copy}"));
+    let sender = start_sender(&test, &endpoint, &platform);
+    submit_two(&sender, "debit", SERVICE);
     let ends = collect_ends(&endpoint, &platform);
-    assert_eq!(
-        endpoint
-            .connections
-            .load(std::sync::atomic::Ordering::SeqCst),
-        1
-    );
     assert!(
-        ends["refused"].reports > 0,
+        ends["second"].reports > 0,
         "the message was refused and not reported: {ends:?}"
     );
 }
 
+/// Guards against losing a refused message that may be sent again.
+#[test]
+fn an_idempotent_message_that_a_copy_of_an_earlier_success_precedes_is_sent_again() {
+    let endpoint = endpoint_with_a_copy(SERVICE, OK, OK, BUSY);
+    let platform = Platform::new(&[]);
+    let sender = start_sender("copy-again", &endpoint, &platform);
+    submit_two(&sender, "meter", SERVICE);
+    let ends = collect_ends(&endpoint, &platform);
+    assert!(ends["second"].requests > 1, "{ends:?}");
+}
+
+/// Guards against running a non-idempotent message twice: a copy of an earlier rejection counted as its own.
+#[test]
+fn a_non_idempotent_message_is_not_sent_again_after_a_copy_of_an_earlier_rejection() {
+    let endpoint = endpoint_with_a_copy(SERVICE, BUSY, BUSY, OK);
+    let platform = Platform::new(&[]);
+    let sender = start_sender("copy-rejection", &endpoint, &platform);
+    submit_two(&sender, "debit", SERVICE);
+    let ends = collect_ends(&endpoint, &platform);
+    assert_eq!(
+        ends["second"].requests, 1,
+        "the message was sent again while its first request ran: {ends:?}"
+    );
+}
+
 /// Guards against running a non-idempotent message twice: the answer to the request before it, late by one request on
 /// its connection, counted as its own rejection.
 #[test]
 fn a_non_idempotent_message_is_not_sent_again_after_the_rejection_of_an_earlier_request() {
-    let endpoint = endpoint_with_a_copy_before_a_rejection();
+    let endpoint = endpoint_with_a_copy(SERVICE, OK, OK, BUSY);
     let platform = Platform::new(&[]);
     let sender = start_sender("copy-twice", &endpoint, &platform);
-    assert_eq!(sender.submit("debit", "first", TIMEOUT_HEADER), 202);
-    std::thread::sleep(Duration::from_millis(50));
-    assert_eq!(sender.submit("debit", "refused", TIMEOUT_HEADER), 202);
-    std::thread::sleep(Duration::from_millis(30));
-    assert_eq!(sender.submit("debit", "runs", TIMEOUT_HEADER), 202);
+    submit_two(&sender, "debit", SERVICE);
+    assert_eq!(sender.submit("debit", "third", TIMEOUT_HEADER), 202);
     let ends = collect_ends(&endpoint, &platform);
     assert_eq!(
-        ends["runs"].requests, 1,
+        ends["third"].requests, 1,
         "the message was sent again while its first request ran: {ends:?}"
     );
 }
+
+/// What happens to the sender between the copy and the answer that shows it.
+#[derive(Clone, Copy, Debug)]
+enum Interruption {
+    Kill,
+    Termination,
+    Replacement,
+}
+
+/// Guards against forgetting what is in doubt: a process that ended between the copy and the answer that shows it had
+/// recorded the message as delivered.
+#[rstest]
+#[case::kill(Interruption::Kill)]
+#[case::termination(Interruption::Termination)]
+#[case::replacement(Interruption::Replacement)]
+fn a_doubtful_end_outlives_the_process(#[case] interruption: Interruption) {
+    let endpoint = endpoint_with_a_copy(LONG_SERVICE, OK, OK, BUSY);
+    let platform = Platform::new(&[]);
+    let test = format!("copy-{interruption:?}");
+    let mut sender = start_sender(&test, &endpoint, &platform);
+    submit_two(&sender, "debit", LONG_SERVICE);
+    let _sender = match interruption {
+        Interruption::Kill => sender.kill_and_restart(),
+        Interruption::Termination => sender.terminate_and_restart(),
+        Interruption::Replacement => {
+            assert_eq!(sender.replace().code, Some(0));
+            sender
+        }
+    };
+    let ends = collect_ends(&endpoint, &platform);
+    assert_eq!(ends["second"].requests, 1, "{ends:?}");
+    assert!(
+        ends["second"].reports > 0,
+        "the message was refused and not reported: {ends:?}"
+    );
+}
--- a/crates/martenlatch/tests/support/endpoint.rs
+++ b/crates/martenlatch/tests/support/endpoint.rs
@@ -99,8 +99,17 @@
 
 /// One entry of an endpoint list.
 pub fn endpoint_entry(uid: &str, address: SocketAddr, state: &str) -> String {
+    entry(7, uid, address, state, 20.0)
+}
+
+/// The entry of an endpoint of another destination, which is in service and takes many requests.
+pub fn endpoint_entry_of(destination: u64, uid: &str, address: SocketAddr) -> String {
+    entry(destination, uid, address, "in_service", 200.0)
+}
+
+fn entry(destination: u64, uid: &str, address: SocketAddr, state: &str, capacity: f64) -> String {
     format!(
-        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"k","pod_group":7,"state":"{state}","capacity_hint":20.0,"boot_ms":0}}"#
+        r#"{{"uid":"{uid}","endpoint":"{address}","az":"a","model":"k","pod_group":{destination},"state":"{state}","capacity_hint":{capacity:.1},"boot_ms":0}}"#
     )
 }
 
--- a/crates/martenlatch/tests/support/http.rs
+++ b/crates/martenlatch/tests/support/http.rs
@@ -1,7 +1,11 @@
 //! HTTP requests and responses, as the tests' clients, endpoints and platforms read and write them.
 
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How long a client waits for the answer to its request.
+const CLIENT_PATIENCE: Duration = Duration::from_millis(400);
 
 /// A request or a response that was read.
 #[derive(Debug)]
@@ -78,6 +82,14 @@
     status_of(&read_message(client, 0).expect("the connection was closed"))
 }
 
+/// Writes a request on a new connection as a client. Returns the status of the response; `None` if none arrived.
+pub(super) fn try_exchange(address: SocketAddr, text: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(CLIENT_PATIENCE)).ok()?;
+    stream.write_all(text.as_bytes()).ok()?;
+    read_message(&mut BufReader::new(stream), 0).map(|response| status_of(&response))
+}
+
 /// How a scripted endpoint replies to a request.
 pub struct Reply {
     /// The bytes that it writes; empty for no response.
--- a/crates/martenlatch/tests/support/launch.rs
+++ b/crates/martenlatch/tests/support/launch.rs
@@ -1,6 +1,7 @@
 //! How a process of the program under test is started: its directories, addresses, configuration and environment.
 
 use super::WallClock;
+use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -49,13 +50,22 @@
             .env("TMPDIR", self.folder.join("tmp"))
             .env("PROXY_NAME", &self.name)
             .env("PROXY_DISCOVERY", self.discovery.to_string())
-            .stdout(Stdio::piped())
+            .stdout(log_output())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap()
     }
 }
 
+/// Where a process writes its log: to the test or, to trace a failure, to the file that `MARTENLATCH_TEST_LOG` names.
+fn log_output() -> Stdio {
+    let Ok(file) = std::env::var("MARTENLATCH_TEST_LOG") else {
+        return Stdio::piped();
+    };
+    let file = File::options().create(true).append(true).open(file);
+    Stdio::from(file.expect("the file for the log can be opened"))
+}
+
 /// Writes a sender's configuration file. `known_endpoints` is the endpoint list that the sender starts with.
 pub(super) fn write_config(
     folder: &Path,
--- /dev/null
+++ b/crates/martenlatch/tests/support/workload.rs
@@ -0,0 +1,289 @@
+//! Random load on a sender whose endpoints write some answers more than once, and a count of what became of each message.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64;
+
+use super::endpoint::{endpoint_entry_of, endpoint_list};
+use super::platform::Platform;
+use super::sender::Sender;
+use super::timed_endpoint::{TimedEndpoint, TimedWrite};
+
+/// Requests per second of all clients together.
+const REQUESTS_PER_SECOND: f64 = 55.0;
+/// The time of each message, which its client sends.
+const TIMEOUT_HEADER: &str = "3.0";
+/// When all messages have ended: their time and the platform's tolerance.
+const END_WAIT: Duration = Duration::from_millis(4_000);
+/// The shortest time in which an endpoint answers, and the mean of what is added to it, in milliseconds.
+const SHORTEST_SERVICE: f64 = 60.0;
+const MEAN_EXTRA_SERVICE: f64 = 30.0;
+/// The destinations, each with two endpoints.
+const DESTINATIONS: [u64; 2] = [7, 8];
+/// The answers and their shares; the rest is answered 200.
+const REJECTED_SHARE: f64 = 0.15;
+const FAILED_SHARE: f64 = 0.02;
+/// The fewest bytes of a copy that is cut off.
+const SHORTEST_COPY: usize = 12;
+
+/// Which answers are written again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Copies {
+    /// None.
+    Nothing,
+    /// Answers with status 200.
+    Successes,
+    /// Answers of any status.
+    AnyAnswer,
+    /// One of the last three answers of the connection.
+    OneOfLastThree,
+    /// The first bytes of an answer of any status.
+    FirstBytes,
+}
+
+/// The parameters of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Workload {
+    pub seed: u64,
+    pub copies: Copies,
+    /// The share of answers after which a copy is written.
+    pub share: f64,
+    /// The longest delay of a copy behind its answer, in milliseconds.
+    pub span: f64,
+    pub duration: Duration,
+    /// Whether the sender is killed and started again every 1 to 2.5 s.
+    pub kills: bool,
+    /// Whether each answer has a body of its own.
+    pub distinct_answers: bool,
+}
+
+/// What became of the messages of a run.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub accepted: usize,
+    pub delivered: usize,
+    /// Accepted, and neither delivered nor reported.
+    pub lost: Vec<String>,
+    /// Non-idempotent and run more than once.
+    pub run_twice: Vec<String>,
+    pub calls: usize,
+    pub connections: usize,
+    pub copies: usize,
+    /// Reported although they had been delivered.
+    pub needless_reports: usize,
+}
+
+/// What the endpoints have done with each message.
+#[derive(Default)]
+struct Calls {
+    runs: BTreeMap<String, usize>,
+    delivered: BTreeMap<String, usize>,
+    count: usize,
+    copies: usize,
+    /// The answers of each connection, by endpoint and connection.
+    answers: BTreeMap<(usize, usize), Vec<String>>,
+}
+
+impl Workload {
+    /// Runs the load and counts the ends of all accepted messages.
+    pub fn run(self, test: &str) -> Tally {
+        println!("{self:?}");
+        let calls = Arc::new(Mutex::new(Calls::default()));
+        let endpoints: Vec<TimedEndpoint> = (0..2 * DESTINATIONS.len())
+            .map(|number| self.endpoint(number, calls.clone()))
+            .collect();
+        let entries: Vec<String> = endpoints
+            .iter()
+            .enumerate()
+            .map(|(number, endpoint)| {
+                let name = format!("s-{number}");
+                endpoint_entry_of(DESTINATIONS[number / 2], &name, endpoint.address)
+            })
+            .collect();
+        let platform = Platform::new(&[]);
+        let settings = write_settings(test);
+        let known_endpoints = endpoint_list(1, true, &entries);
+        let mut sender = Sender::start_named(test, &platform, &known_endpoints, "n0", &settings);
+        sender.change_config("\"CallsOut\":8", "\"CallsOut\":20");
+        sender.change_config("\"OpenCap\":50", "\"OpenCap\":229");
+        sender = sender.kill_and_restart();
+        let (accepted, _sender) = self.submit_all(sender);
+        thread::sleep(END_WAIT);
+        let reported: Vec<String> = platform.status_reports.try_iter().collect();
+        let connections = endpoints
+            .iter()
+            .map(|endpoint| endpoint.connections.load(Ordering::SeqCst))
+            .sum();
+        let calls = calls.lock().unwrap();
+        tally(&accepted, &calls, &reported, connections)
+    }
+
+    fn endpoint(self, number: usize, calls: Arc<Mutex<Calls>>) -> TimedEndpoint {
+        let rng = Mutex::new(Pcg64::seed_from_u64(self.seed ^ ((number as u64) << 32)));
+        TimedEndpoint::new(move |request| {
+            let mut calls = calls.lock().unwrap();
+            let mut rng = rng.lock().unwrap();
+            let draw = rng.random::<f64>();
+            let status = match draw {
+                _ if draw < REJECTED_SHARE => 503,
+                _ if draw < REJECTED_SHARE + FAILED_SHARE => 500,
+                _ => 200,
+            };
+            let id = request.id().to_string();
+            calls.count += 1;
+            if status != 503 {
+                *calls.runs.entry(id.clone()).or_default() += 1;
+            }
+            if status == 200 {
+                *calls.delivered.entry(id).or_default() += 1;
+            }
+            let body = if self.distinct_answers {
+                format!("{:016x}", rng.random::<u64>())
+            } else {
+                String::new()
+            };
+            let length = body.len();
+            let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
+            let extra = Exp::new(1.0 / MEAN_EXTRA_SERVICE)
+                .unwrap()
+                .sample(&mut *rng);
+            let service = SHORTEST_SERVICE + extra;
+            let earlier = calls
+                .answers
+                .entry((number, request.connection))
+                .or_default();
+            earlier.push(answer.clone());
+            let copy = self.copy(status, earlier, &mut rng);
+            let mut writes = vec![write_at(service, answer)];
+            if let Some(copy) = copy {
+                calls.copies += 1;
+                let delay = rng.random_range(0.0..self.span);
+                writes.push(write_at(service + delay, copy));
+            }
+            writes
+        })
+    }
+
+    /// The copy that follows the latest of the answers of a connection, if one follows.
+    fn copy(self, status: u16, answers: &[String], rng: &mut Pcg64) -> Option<String> {
+        let is_copied = match self.copies {
+            Copies::Nothing => false,
+            Copies::Successes => status == 200,
+            Copies::AnyAnswer | Copies::OneOfLastThree | Copies::FirstBytes => true,
+        };
+        if !is_copied || rng.random::<f64>() >= self.share {
+            return None;
+        }
+        let latest = answers.last()?;
+        match self.copies {
+            Copies::OneOfLastThree => {
+                let first = answers.len().saturating_sub(3);
+                Some(answers[rng.random_range(first..answers.len())].clone())
+            }
+            Copies::FirstBytes => {
+                let length = rng.random_range(SHORTEST_COPY..latest.len());
+                Some(latest[..length].to_string())
+            }
+            _ => Some(latest.clone()),
+        }
+    }
+
+    /// Submits messages at random times, half of them non-idempotent. Returns the ids of the accepted ones.
+    fn submit_all(self, mut sender: Sender) -> (Vec<String>, Sender) {
+        let mut rng = Pcg64::seed_from_u64(self.seed);
+        let accepted = Arc::new(Mutex::new(Vec::new()));
+        let started = Instant::now();
+        let mut next_kill = rng.random_range(1.0..2.5);
+        let submitted = AtomicUsize::new(0);
+        let mut clients = Vec::new();
+        let mut at = 0.0;
+        while at < self.duration.as_secs_f64() {
+            at += Exp::new(REQUESTS_PER_SECOND).unwrap().sample(&mut rng);
+            thread::sleep(Duration::from_secs_f64(at).saturating_sub(started.elapsed()));
+            if self.kills && at > next_kill {
+                sender = sender.kill_and_restart();
+                next_kill = started.elapsed().as_secs_f64() + rng.random_range(1.0..2.5);
+            }
+            let number = submitted.fetch_add(1, Ordering::Relaxed);
+            let class = if rng.random::<bool>() {
+                "debit"
+            } else {
+                "meter"
+            };
+            let id = format!("{class}-{number}");
+            let destination = DESTINATIONS[rng.random_range(0..DESTINATIONS.len())];
+            let text = format!(
+                "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id}\r\nX-Timeout: {TIMEOUT_HEADER}\r\n\
+                 Idempotency-Key: k-{id}\r\nContent-Length: 2\r\nX-Route-To: dest={destination}\r\n\r\nhi"
+            );
+            let address = sender.address;
+            let accepted = accepted.clone();
+            clients.push(thread::spawn(move || {
+                if super::http::try_exchange(address, &text) == Some(202) {
+                    accepted.lock().unwrap().push(id);
+                }
+            }));
+        }
+        for client in clients {
+            client.join().unwrap();
+        }
+        let accepted = std::mem::take(&mut *accepted.lock().unwrap());
+        (accepted, sender)
+    }
+}
+
+/// Writes settings with which the sender logs so little that its log, which nobody reads, does not block it; or all it
+/// can, if the log goes to a file.
+fn write_settings(test: &str) -> PathBuf {
+    let name = format!("martenlatch-{test}-{}.textproto", std::process::id());
+    let file = std::env::temp_dir().join(name);
+    let log = match std::env::var("MARTENLATCH_TEST_LOG") {
+        Ok(_) => "log { level: TRACE lines_per_second: 10000 }\n",
+        Err(_) => "log { level: ERROR }\n",
+    };
+    std::fs::write(&file, log).unwrap();
+    file
+}
+
+fn write_at(milliseconds: f64, bytes: String) -> TimedWrite {
+    TimedWrite {
+        delay: Duration::from_secs_f64(milliseconds / 1e3),
+        bytes,
+        close: false,
+    }
+}
+
+fn tally(accepted: &[String], calls: &Calls, reports: &[String], connections: usize) -> Tally {
+    let mut tally = Tally {
+        accepted: accepted.len(),
+        calls: calls.count,
+        copies: calls.copies,
+        connections,
+        ..Tally::default()
+    };
+    let reported: std::collections::BTreeSet<&str> = reports
+        .iter()
+        .filter_map(|line| line.split('"').nth(3))
+        .collect();
+    for id in accepted {
+        let delivered = calls.delivered.contains_key(id);
+        let is_reported = reported.contains(id.as_str());
+        tally.delivered += usize::from(delivered);
+        tally.needless_reports += usize::from(delivered && is_reported);
+        if !delivered && !is_reported {
+            tally.lost.push(id.clone());
+        }
+        let runs = calls.runs.get(id).copied().unwrap_or(0);
+        if id.starts_with("debit") && runs > 1 {
+            tally.run_twice.push(id.clone());
+        }
+    }
+    tally
+}
--- a/crates/policy/src/interface.rs
+++ b/crates/policy/src/interface.rs
@@ -222,7 +222,9 @@
         /// Its ordering key, if its class is ordered.
         key: Option<KeyId>,
     },
-    /// A message was resumed: an earlier process of this sender accepted it and did not finish it.
+    /// A message was resumed: an earlier process of this sender accepted it and did not finish it, or it was not
+    /// finished after all, as the response that seemed to end it or to reject an attempt may belong to another
+    /// message.
     MessageResumed {
         /// Its id.
         id: MessageId,
@@ -237,6 +239,13 @@
         /// Instant at which the first attempt that may have run was sent; `None` if no attempt can have run.
         may_have_run_since: Option<Nanos>,
     },
+    /// A response that belongs to no known attempt asks to send nothing on the route of an endpoint.
+    RetryAfterReceived {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// How long nothing may be sent on its route.
+        retry_after: Nanos,
+    },
     /// Observations by other senders of a route that has an endpoint in the endpoint list.
     Gossip(GossipedState),
     /// Graceful shutdown: no attempt may be in flight after this instant.
--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -15,6 +15,7 @@
 mod endpoints;
 mod messages;
 mod outcomes;
+mod resumption;
 mod route;
 
 const MILLISECOND: Nanos = 1_000_000;
@@ -172,6 +173,10 @@
                 };
                 self.resume(id, message, attempts, may_have_run_since);
             }
+            &Event::RetryAfterReceived {
+                endpoint,
+                retry_after,
+            } => self.keep_retry_after(endpoint, retry_after),
             Event::Gossip(gossip) => self.apply_gossip(gossip),
             Event::ShutdownDeadline(deadline) => self.shutdown_deadline = Some(*deadline),
             Event::AttemptEnded { .. } => self.end_attempt(event, actions),
--- a/crates/policy/src/policy/endpoints.rs
+++ b/crates/policy/src/policy/endpoints.rs
@@ -91,6 +91,16 @@
         }
     }
 
+    /// Sends nothing on the route of an endpoint for a time.
+    pub(super) fn keep_retry_after(&mut self, endpoint: EndpointId, retry_after: Nanos) {
+        let Some(endpoint) = self.endpoints.get(&endpoint) else {
+            return;
+        };
+        if let Some(route) = self.routes.get_mut(&endpoint.route) {
+            route.retry_after_until = route.retry_after_until.max(self.now + retry_after);
+        }
+    }
+
     /// Applies what other senders observed of a route. Its Retry-After applies at once; the rest is used only
     /// if this sender has neither called the route nor received gossip with latencies of it.
     pub(super) fn apply_gossip(&mut self, gossip: &GossipedState) {
--- a/crates/sender/src/class_rules.rs
+++ b/crates/sender/src/class_rules.rs
@@ -109,6 +109,19 @@
             .is_none_or(|index| self.0[index].non_idempotent)
     }
 
+    /// Whether messages of a class may be repeated at any endpoint of their destination although an attempt may have
+    /// run. False for an unknown class.
+    pub fn may_repeat_anywhere(&self, name: &str, encoded_rules: &[u8]) -> bool {
+        let class = self.index_of(name, encoded_rules).and_then(|index| {
+            postcard::from_bytes::<MessageClass>(&self.0[index].encoded_rules).ok()
+        });
+        class.is_some_and(|class| match class.idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::IdempotencyKey { per_zone, .. } => !per_zone,
+            Idempotency::NonIdempotent => false,
+        })
+    }
+
     /// The time in milliseconds for which endpoints remember the idempotency keys of a class. `None` if the class has
     /// no keys or is unknown.
     pub fn idempotency_window(&self, name: &str, encoded_rules: &[u8]) -> Option<Millis> {
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -71,6 +71,14 @@
     late_successes,
     /// Times that an endpoint sent bytes on an idle connection, which was closed.
     surplus_responses,
+    /// Responses that could have been copies of earlier ones on their connections.
+    uncertain_responses,
+    /// Of these, those after which another response followed, or whose connection ended too early.
+    doubtful_responses,
+    /// Messages that had ended by a doubtful response and were opened again.
+    reopened,
+    /// Messages that were reported because they might have ended by a response to another request.
+    reported_in_doubt,
     /// Rounds of the event loop.
     rounds,
     /// Turns of the decision module that returned actions.
--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -163,6 +163,12 @@
             .map_or(0, |listed| listed.entry.kind.0)
     }
 
+    /// The destination that an endpoint serves; `None` if it is not listed.
+    pub fn destination(&self, endpoint: EndpointId) -> Option<u64> {
+        let listed = self.list.endpoints.get(&endpoint)?;
+        Some(listed.entry.destination.0)
+    }
+
     /// Whether requests may be sent to an endpoint: it is listed as active and not cordoned.
     pub fn accepts_requests(&self, endpoint: EndpointId) -> bool {
         self.list.is_active(endpoint)
--- a/crates/sender/src/egress/attempt.rs
+++ b/crates/sender/src/egress/attempt.rs
@@ -4,6 +4,8 @@
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
 use serde::{Deserialize, Serialize};
 
+use super::response_history::Evidence;
+
 /// An attempt to start. Instants and durations are in milliseconds.
 pub struct AttemptRequest<'a> {
     /// The message.
@@ -23,6 +25,8 @@
     /// Whether the message is non-idempotent or this is a retry, so that the request must not be lost on a stale
     /// connection.
     pub must_not_be_lost: bool,
+    /// Whether the message must not be sent again once an attempt may have run.
+    pub non_idempotent: bool,
     /// The head of the HTTP request.
     pub head: &'a [u8],
     /// The body of the HTTP request.
@@ -44,10 +48,12 @@
     pub took: Millis,
     /// Whether the endpoint responded with status 410: the message is finished, and no final status is due.
     pub message_finished: bool,
+    /// How certain it is that the response belongs to the attempt.
+    pub evidence: Evidence,
 }
 
 /// An attempt in flight. Serialized for a process replacement: the order of the fields is fixed.
-#[derive(Clone, Copy, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct ActiveAttempt {
     /// The message.
     pub id: MessageId,
@@ -89,6 +95,7 @@
             outcome,
             took: now - self.started_at,
             message_finished: false,
+            evidence: Evidence::Certain,
         }
     }
 }
--- a/crates/sender/src/egress/attempt_end.rs
+++ b/crates/sender/src/egress/attempt_end.rs
@@ -23,6 +23,9 @@
     MalformedResponse,
     /// A response with status 200 arrived before the request had been sent: it belongs to an earlier request.
     PrematureSuccess,
+    /// The received bytes are the beginning of an earlier response and another one behind it: which of them belongs to
+    /// the request is unknown.
+    MixedResponses,
     /// A status line of 200 was received, but the request had not been sent completely or the connection has ended.
     SuccessStatusLine,
 }
@@ -35,7 +38,9 @@
             EndCause::Cancelled => Outcome::Cancelled,
             EndCause::TimedOut => Outcome::TimedOut,
             EndCause::ConnectionLost => Outcome::ConnectionLost,
-            EndCause::MalformedResponse | EndCause::PrematureSuccess => Outcome::Failure,
+            EndCause::MalformedResponse | EndCause::MixedResponses | EndCause::PrematureSuccess => {
+                Outcome::Failure
+            }
             EndCause::SuccessStatusLine => Outcome::Success,
         }
     }
@@ -48,6 +53,7 @@
             }
             EndCause::Withdrawn
             | EndCause::Cancelled
+            | EndCause::MixedResponses
             | EndCause::PrematureSuccess
             | EndCause::SuccessStatusLine => Outcome::NotSent,
         }
@@ -114,7 +120,8 @@
 
     fn outcome(&self, stale: bool) -> Outcome {
         // A status line of 200 has confirmed the message. A malformed rest must not cause it to be retried or to fail.
-        if self.fully_sent && self.status_line_is_200 {
+        let is_mixed = self.cause == EndCause::MixedResponses;
+        if self.fully_sent && self.status_line_is_200 && !is_mixed {
             return Outcome::Success;
         }
         let sent = self.flushed && self.connected && !self.last_byte_held_back;
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -10,7 +10,8 @@
 use slab::Slab;
 
 use super::endpoint_connection::EndpointConnection;
-use super::surplus_bytes::SurplusBytes;
+use super::response_history::Settlement;
+use super::surplus_bytes::{SurplusBytes, unread_surplus};
 use crate::event_source::{Connection, EventLoopHandle, EventSource};
 
 /// All connections to endpoints, each in a slot whose number identifies it in the event loop.
@@ -26,8 +27,38 @@
     pub slots: Slab<EndpointConnection>,
     /// The slots of idle connections, the most recently used last.
     pub idle: Vec<usize>,
-    /// Bytes found on idle connections that were about to be reused.
+    /// Bytes found on idle connections that were closed for them.
     pub surplus: Vec<SurplusBytes>,
+    /// What became of uncertain responses on connections that were closed.
+    pub settlements: Vec<Settlement>,
+}
+
+/// The idle connection that a request needs.
+pub(super) struct WantedConnection {
+    /// The endpoint at its other end.
+    pub endpoint: EndpointId,
+    /// The endpoint's current address.
+    pub address: SocketAddr,
+    /// The earliest instant at which it may have become idle.
+    pub earliest_idle_since: Millis,
+    /// Whether it must not have carried a rejection, of which a copy could follow.
+    pub without_rejection: bool,
+    /// Whether it may be one that has not rested since an uncertain response.
+    pub may_be_unrested: bool,
+    /// The current instant.
+    pub now: Millis,
+}
+
+impl WantedConnection {
+    fn fits(&self, connection: &EndpointConnection) -> bool {
+        let history = &connection.history;
+        let is_usable =
+            history.is_rested(self.now) || (self.may_be_unrested && history.may_carry_repeatable());
+        connection.endpoint == self.endpoint
+            && is_usable
+            && !connection.close_when_rested
+            && (!self.without_rejection || history.has_no_rejection())
+    }
 }
 
 impl ConnectionPool {
@@ -44,6 +75,7 @@
             slots: Slab::new(),
             idle: Vec::new(),
             surplus: Vec::new(),
+            settlements: Vec::new(),
         }
     }
 
@@ -57,6 +89,11 @@
         self.slots.get(slot)
     }
 
+    /// The connection in a slot; `None` if the slot is empty.
+    pub fn get_mut(&mut self, slot: usize) -> Option<&mut EndpointConnection> {
+        self.slots.get_mut(slot)
+    }
+
     /// All connections in slot order.
     pub fn iter(&self) -> impl Iterator<Item = &EndpointConnection> {
         self.slots.iter().map(|(_, connection)| connection)
@@ -79,34 +116,29 @@
             .collect()
     }
 
-    /// Takes the most recently used idle connection to the endpoint, and returns its slot. Returns `None` if there is
-    /// none, or if it became idle before `earliest_idle_since`. A connection that the endpoint has closed is detected
+    /// Takes the most recently used idle connection that fits, and returns its slot. Returns `None` if there is none,
+    /// or if it became idle before `earliest_idle_since`. A connection that the endpoint has closed is detected
     /// and removed here, before a request is lost on it, and the next one is tried.
-    pub fn take_idle(
-        &mut self,
-        endpoint: EndpointId,
-        address: SocketAddr,
-        earliest_idle_since: Millis,
-    ) -> Option<usize> {
+    pub fn take_idle(&mut self, wanted: &WantedConnection) -> Option<usize> {
         while let Some(position) = self
             .idle
             .iter()
-            .rposition(|slot| self.slots[*slot].endpoint == endpoint)
+            .rposition(|slot| wanted.fits(&self.slots[*slot]))
         {
-            if self.slots[self.idle[position]].idle_since < earliest_idle_since {
+            let slot = self.idle[position];
+            if self.slots[slot].idle_since < wanted.earliest_idle_since {
                 return None;
             }
-            let slot = self.idle.remove(position);
             let candidate = &mut self.slots[slot];
             candidate.socket.receive();
-            if candidate.address == address
+            if candidate.address == wanted.address
                 && !candidate.is_closed()
                 && candidate.socket.bytes().is_empty()
             {
+                self.idle.remove(position);
                 return Some(slot);
             }
-            let candidate = self.slots.remove(slot);
-            self.surplus.extend(SurplusBytes::on(&candidate));
+            self.remove(slot, wanted.now);
         }
         None
     }
@@ -124,10 +156,10 @@
         now: Millis,
     ) -> std::io::Result<usize> {
         if self.slots.len() >= self.max_connections {
-            self.close_longest_idle();
+            self.close_longest_idle(now);
         }
         let socket = match self.connect(address) {
-            Err(error) if http::is_local_shortage(&error) && self.close_longest_idle() => {
+            Err(error) if http::is_local_shortage(&error) && self.close_longest_idle(now) => {
                 self.connect(address)
             }
             result => result,
@@ -157,39 +189,51 @@
     }
 
     /// Removes a connection from the pool. It is closed when the returned value is dropped.
-    pub fn remove(&mut self, slot: usize) -> Option<EndpointConnection> {
-        let removed = self.slots.try_remove(slot)?;
+    pub fn remove(&mut self, slot: usize, now: Millis) -> Option<EndpointConnection> {
+        let mut removed = self.slots.try_remove(slot)?;
         self.idle.retain(|idle| *idle != slot);
+        self.surplus.extend(SurplusBytes::on(&removed));
+        let mut history = std::mem::take(&mut removed.history);
+        self.settlements
+            .extend(history.end(unread_surplus(&removed), now));
         Some(removed)
     }
 
-    /// Closes the connection that has been idle the longest. Returns false if none is idle.
-    fn close_longest_idle(&mut self) -> bool {
-        if self.idle.is_empty() {
+    /// Closes the connection that has been idle the longest, preferably a rested one. Returns false if none is idle.
+    fn close_longest_idle(&mut self, now: Millis) -> bool {
+        let is_rested = |slot: &&usize| self.slots[**slot].history.rests_until().is_none();
+        let longest_idle = self.idle.iter().find(is_rested).or(self.idle.first());
+        let Some(slot) = longest_idle.copied() else {
             return false;
-        }
-        let longest_idle = self.idle.remove(0);
-        self.slots.remove(longest_idle);
+        };
+        self.remove(slot, now);
         true
     }
 
     /// Closes idle connections, the longest idle first, until at most `max_connections` connections are left or none
     /// is idle. Returns the number of connections left.
-    pub fn close_idle_above(&mut self, max_connections: usize) -> usize {
-        while self.slots.len() > max_connections && self.close_longest_idle() {}
+    pub fn close_idle_above(&mut self, max_connections: usize, now: Millis) -> usize {
+        while self.slots.len() > max_connections && self.close_longest_idle(now) {}
         self.slots.len()
     }
 
-    /// Closes the idle connections that match `predicate`.
-    pub fn close_idle_matching(&mut self, predicate: impl Fn(&EndpointConnection) -> bool) {
-        let slots = &mut self.slots;
-        self.idle.retain(|slot| {
-            let keep = !predicate(&slots[*slot]);
-            if !keep {
-                slots.remove(*slot);
+    /// Closes the idle connections that match `predicate`, those that rest once they have rested.
+    pub fn close_idle_matching(
+        &mut self,
+        now: Millis,
+        predicate: impl Fn(&EndpointConnection) -> bool,
+    ) {
+        for slot in self.idle.clone() {
+            let connection = &mut self.slots[slot];
+            if !predicate(connection) {
+                continue;
             }
-            keep
-        });
+            if connection.history.rests_until().is_some() {
+                connection.close_when_rested = true;
+            } else {
+                self.remove(slot, now);
+            }
+        }
     }
 }
 
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::attempt::ActiveAttempt;
+use super::response_history::ResponseHistory;
 use crate::event_source::Connection;
 
 /// The unread remainder of a response whose outcome has been reported.
@@ -61,6 +62,18 @@
     /// The message whose request the connection answered last. Not passed to a successor process.
     #[serde(skip)]
     pub last_answered: Option<MessageId>,
+    /// The responses so far. Not passed to a successor process.
+    #[serde(skip)]
+    pub history: ResponseHistory,
+    /// When the last byte of the latest request was written. Not passed to a successor process.
+    #[serde(skip)]
+    pub sent_at: Option<Millis>,
+    /// Whether the latest request must not be sent again once it may have run. Not passed to a successor process.
+    #[serde(skip)]
+    pub non_idempotent: bool,
+    /// Whether the connection is closed once it has rested. Not passed to a successor process.
+    #[serde(skip)]
+    pub close_when_rested: bool,
 }
 
 impl EndpointConnection {
@@ -86,6 +99,10 @@
             remaining_response: None,
             idle_since: now,
             last_answered: None,
+            history: ResponseHistory::of_new_connection(),
+            sent_at: None,
+            non_idempotent: false,
+            close_when_rested: false,
         }
     }
 
@@ -101,7 +118,8 @@
 }
 
 impl<S> EndpointConnection<S> {
-    /// A copy of the state with another socket, or with a snapshot in place of the socket.
+    /// A copy of the state with another socket, or with a snapshot in place of the socket. The history of the responses
+    /// stays behind.
     pub fn with_socket<T>(&self, socket: T) -> EndpointConnection<T> {
         EndpointConnection {
             socket,
@@ -117,6 +135,10 @@
             remaining_response: self.remaining_response.clone(),
             idle_since: self.idle_since,
             last_answered: self.last_answered,
+            history: ResponseHistory::default(),
+            sent_at: self.sent_at,
+            non_idempotent: self.non_idempotent,
+            close_when_rested: self.close_when_rested,
         }
     }
 }
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -13,7 +13,7 @@
 use super::response::{
     RemainderProgress, ResponseClassification, ResponseProgress, read_remainder, read_response,
 };
-use super::surplus_bytes::SurplusBytes;
+use super::response_history::{AnsweredAttempt, Evidence, ObservedResponse, Settlement, bytes_of};
 use super::timeouts::RESPONSE_COMPLETION_TIMEOUT;
 use super::{Egress, LAST_BYTE_DELAY};
 
@@ -67,6 +67,7 @@
             && fully_sent
         {
             attempt.fully_sent = true;
+            connection.sent_at = Some(now);
             self.sent_messages.push(attempt.id);
         }
         has_more
@@ -78,12 +79,24 @@
         let Some(attempt) = connection.attempt.take() else {
             return;
         };
+        let classification = ResponseClassification::of(&response);
+        let received = connection.socket.bytes();
+        let complete = bytes_of(&response, received);
+        let observed = ObservedResponse {
+            attempt: &attempt,
+            received,
+            head: &received[..response.consumed],
+            complete,
+            is_followed: complete.is_some_and(|bytes| bytes.len() < received.len()),
+            rejects: classification.outcome.never_ran(),
+        };
+        let rejects = observed.rejects;
+        let evidence = connection.history.observe(observed);
         connection.socket.consume(response.consumed);
         // After a response to an incompletely written request, the connection cannot be reused.
         let reusable = response.keep_alive
             && connection.socket.is_flushed()
             && connection.held_back_byte.is_none();
-        let classification = ResponseClassification::of(&response);
         let body = if reusable {
             response.body
         } else {
@@ -100,18 +113,22 @@
             status = response.status,
             reusable,
             behind_head = connection.socket.bytes().len(),
+            ?evidence,
             "response read"
         );
         self.results.push(AttemptResult {
             endpoint: Some(connection.endpoint),
             message_finished: classification.message_finished,
+            evidence,
             ..attempt.result(classification.outcome, now)
         });
+        self.note_answered(slot, &attempt, evidence, rejects, now);
         self.record_response(idle_before);
         self.record_admission(
             slot,
             matches!(classification.outcome, Outcome::Overloaded { .. }),
             classification.retry_after > 0,
+            now,
         );
     }
 
@@ -126,6 +143,14 @@
         else {
             return self.end_exchange(slot, EndCause::SuccessStatusLine, now);
         };
+        let evidence = connection.history.observe(ObservedResponse {
+            attempt: &attempt,
+            received: connection.socket.bytes(),
+            head: connection.socket.bytes(),
+            complete: None,
+            is_followed: false,
+            rejects: false,
+        });
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
         connection.last_answered = Some(attempt.id);
@@ -134,16 +159,25 @@
             slot,
             number = attempt.id.0,
             attempt = attempt.attempt,
+            ?evidence,
             "status line read"
         );
-        self.results.push(attempt.result(Outcome::Success, now));
+        self.results.push(AttemptResult {
+            evidence,
+            ..attempt.result(Outcome::Success, now)
+        });
+        self.note_answered(slot, &attempt, evidence, false, now);
         self.record_response(idle_before);
-        self.record_admission(slot, false, false);
+        self.record_admission(slot, false, false, now);
     }
 
     /// Closes a connection and reports the outcome of the attempt on it, if it carries one.
     pub(super) fn end_exchange(&mut self, slot: usize, cause: EndCause, now: Millis) {
-        let Some(connection) = self.connections.remove(slot) else {
+        let may_be_repeated = self.connections.get(slot).is_some_and(|connection| {
+            let history = &connection.history;
+            history.may_repeat() && history.begins_like_earlier(connection.socket.bytes())
+        });
+        let Some(connection) = self.connections.remove(slot, now) else {
             return;
         };
         let Some(attempt) = connection.attempt else {
@@ -177,7 +211,19 @@
         if end.connection_lost {
             self.resets.record_reset();
         }
-        self.results.push(attempt.result(end.outcome, now));
+        let is_uncertain = may_be_repeated && end.outcome == Outcome::Success;
+        if !is_uncertain {
+            self.results.push(attempt.result(end.outcome, now));
+            return;
+        }
+        self.results.push(AttemptResult {
+            evidence: Evidence::Uncertain,
+            ..attempt.result(end.outcome, now)
+        });
+        self.settlements.push(Settlement::Doubtful(AnsweredAttempt {
+            id: attempt.id,
+            attempt: attempt.attempt,
+        }));
     }
 
     /// Records that a connection has carried a response; `idle_before` is its idle time before the request, if it was
@@ -191,7 +237,13 @@
 
     /// Records whether the endpoint has admitted or rejected a request. If a rejection shows that its kind lacks spare
     /// connections, the idle connections to endpoints of that kind are closed.
-    fn record_admission(&mut self, slot: usize, rejected: bool, retry_after_given: bool) {
+    fn record_admission(
+        &mut self,
+        slot: usize,
+        rejected: bool,
+        retry_after_given: bool,
+        now: Millis,
+    ) {
         let connection = &mut self.connections[slot];
         let kind = connection.kind;
         let response = ResponseObservation {
@@ -203,28 +255,36 @@
         self.scarcity.record(kind, response);
         if rejected && self.scarcity.is_scarce(kind) {
             self.connections
-                .close_idle_matching(|idle| idle.kind == kind);
+                .close_idle_matching(now, |idle| idle.kind == kind);
         }
     }
 
     /// Reads the rest of a response. Once it is complete, the connection becomes idle or is closed.
     fn read_rest_of_response(&mut self, slot: usize, now: Millis) {
-        let connection = &mut self.connections[slot];
-        match read_remainder(connection) {
-            RemainderProgress::Pending => {}
-            // While connections are scarce, an idle one would exclude another sender.
-            RemainderProgress::Done if self.scarcity.is_scarce(connection.kind) => {
-                self.connections.remove(slot);
-            }
-            RemainderProgress::Done => {
-                if connection.remaining_response.take().is_some() {
-                    self.connections.mark_idle(slot, now);
+        loop {
+            let connection = &mut self.connections[slot];
+            let has_remainder = connection.remaining_response.is_some();
+            match read_remainder(connection) {
+                RemainderProgress::Pending => return,
+                RemainderProgress::Unusable => {
+                    self.connections.remove(slot, now);
+                    return;
                 }
+                RemainderProgress::Done if !has_remainder => return,
+                RemainderProgress::Done => {}
             }
-            RemainderProgress::Unusable => {
-                self.surplus.extend(SurplusBytes::on(connection));
-                self.connections.remove(slot);
+            connection.remaining_response = None;
+            let is_scarce = self.scarcity.is_scarce(connection.kind);
+            let rests = connection.history.rests_until().is_some();
+            // Bytes behind the response end the connection, which the next pass does.
+            let is_empty = connection.socket.bytes().is_empty();
+            // While connections are scarce, an idle one would exclude another sender.
+            if is_scarce && !rests && is_empty {
+                self.connections.remove(slot, now);
+                return;
             }
+            connection.close_when_rested |= is_scarce;
+            self.connections.mark_idle(slot, now);
         }
     }
 }
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -8,6 +8,9 @@
 //! - [`exchange`]: one exchange on a connection
 //! - [`response`]: parsing responses
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
+//! - [`response_history`]: which request a response belongs to
+//! - [`response_times`]: how long endpoints take to respond
+//! - [`settling`]: when an uncertain response counts
 //! - [`surplus_bytes`]: bytes of an endpoint that belong to no request in flight
 //! - [`connection_faults`]: detection of stale connections and connection resets
 //! - [`connection_scarcity`]: detection of endpoints without spare connections
@@ -22,6 +25,9 @@
 mod endpoint_connection;
 mod exchange;
 mod response;
+mod response_history;
+mod response_times;
+mod settling;
 mod snapshot;
 mod surplus_bytes;
 #[cfg(test)]
@@ -37,6 +43,7 @@
 use tracing::{debug, warn};
 
 pub use attempt::{AttemptRequest, AttemptResult};
+pub use response_history::{AnsweredAttempt, Evidence, Settlement};
 pub use snapshot::EgressSnapshot;
 pub use surplus_bytes::SurplusBytes;
 
@@ -44,9 +51,10 @@
 use attempt::ActiveAttempt;
 use attempt_end::EndCause;
 use connection_faults::{ResetDetector, StaleConnectionDetector};
-use connection_pool::ConnectionPool;
+use connection_pool::{ConnectionPool, WantedConnection};
 use connection_scarcity::ConnectionScarcityDetector;
 use endpoint_connection::{EndpointConnection, HeldBackByte};
+use response_times::ResponseTimes;
 
 /// The fraction of the endpoints' idle limit after which an idle connection is closed. The rest allows for network
 /// latency: a request that crosses the endpoint's close on the way ends in a reset.
@@ -84,8 +92,8 @@
     scarcity: ConnectionScarcityDetector,
     /// The results of attempts that have ended, for the caller to take.
     pub results: Vec<AttemptResult>,
-    /// The bytes that endpoints sent on idle connections, for the caller to take. The connections are closed.
-    pub surplus: Vec<SurplusBytes>,
+    response_times: ResponseTimes,
+    settlements: Vec<Settlement>,
     /// The slots of established connections whose requests have not begun, as their attempts must be recorded first.
     awaiting_permission: Vec<usize>,
     /// When permission is requested again for attempts that could not be recorded; infinite if there are none.
@@ -115,7 +123,8 @@
             resets: ResetDetector::default(),
             scarcity: ConnectionScarcityDetector::default(),
             results: Vec::new(),
-            surplus: Vec::new(),
+            response_times: ResponseTimes::default(),
+            settlements: Vec::new(),
             awaiting_permission: Vec::new(),
             record_retry_at: f64::INFINITY,
             sent_messages: Vec::new(),
@@ -152,11 +161,13 @@
         let hold_back = request.must_not_be_lost && self.resets.expects_reset();
         let connection = &mut self.connections[slot];
         if !queue_request(connection, request, hold_back) {
-            self.connections.remove(slot);
+            self.connections.remove(slot, now);
             self.results.push(attempt.result(Outcome::NotSent, now));
             return;
         }
         connection.socket.written = 0;
+        connection.sent_at = None;
+        connection.non_idempotent = request.non_idempotent;
         connection.idle_before = connection.connected.then_some(now - connection.idle_since);
         connection.attempt = Some(attempt);
         connection.socket.corked = true;
@@ -175,11 +186,25 @@
         } else {
             f64::INFINITY
         };
-        let idle = self
-            .connections
-            .take_idle(request.endpoint, address, now - max_idle);
-        self.surplus.append(&mut self.connections.surplus);
+        let times = &self.response_times;
+        let wanted = WantedConnection {
+            endpoint: request.endpoint,
+            address,
+            earliest_idle_since: now - max_idle,
+            without_rejection: request.non_idempotent,
+            may_be_unrested: !request.non_idempotent && !times.is_suspected(request.endpoint, now),
+            now,
+        };
+        let with_rejection = WantedConnection {
+            without_rejection: false,
+            ..wanted
+        };
+        let mut idle = self.connections.take_idle(&wanted);
+        if !times.repeats_rejections(request.endpoint, now) {
+            idle = idle.or_else(|| self.connections.take_idle(&with_rejection));
+        }
         if let Some(slot) = idle {
+            self.settle_if_rested(slot, now);
             return Ok(slot);
         }
         let slot = self
@@ -325,15 +350,15 @@
     }
 
     /// Closes the idle connections to an endpoint.
-    pub fn close_idle(&mut self, endpoint: EndpointId) {
+    pub fn close_idle(&mut self, endpoint: EndpointId, now: Millis) {
         self.connections
-            .close_idle_matching(|connection| connection.endpoint == endpoint);
+            .close_idle_matching(now, |connection| connection.endpoint == endpoint);
     }
 
     /// Closes idle connections, the longest idle first, until at most `max_connections` connections are left or none
     /// is idle. Returns the number of connections left.
-    pub fn close_idle_connections(&mut self, max_connections: usize) -> usize {
-        self.connections.close_idle_above(max_connections)
+    pub fn close_idle_connections(&mut self, max_connections: usize, now: Millis) -> usize {
+        self.connections.close_idle_above(max_connections, now)
     }
 }
 
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -7,6 +7,7 @@
 
 use super::attempt_end::EndCause;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
+use super::response_history::are_mixed;
 
 /// The header with the time for which no request may be sent to the destination, in milliseconds; the equivalent of
 /// HTTP's Retry-After. Lower-case, as are all parsed header names.
@@ -34,6 +35,9 @@
 /// Parses the bytes received so far of the response to the request on a connection.
 pub(super) fn read_response(connection: &EndpointConnection, fully_sent: bool) -> ResponseProgress {
     let bytes = connection.socket.bytes();
+    if connection.history.may_repeat() && are_mixed(bytes) {
+        return ResponseProgress::Ended(EndCause::MixedResponses);
+    }
     match http::parse_response(bytes) {
         Ok(Some(response)) => read_body(response, connection, fully_sent),
         Ok(None) if http::starts_with_status_200(bytes) => ResponseProgress::SuccessStatusLine,
@@ -122,7 +126,8 @@
     }
 }
 
-fn retry_after(response: &http::Response) -> Nanos {
+/// How long a response asks to send nothing to the destination; zero if it does not.
+pub(super) fn retry_after(response: &http::Response) -> Nanos {
     let millis = response
         .header(BACKOFF_HEADER)
         .and_then(|value| value.parse::<f64>().ok())
@@ -170,7 +175,10 @@
 /// Reads the rest of a head whose status line has already determined the outcome. Returns false while the head is
 /// incomplete.
 fn read_remaining_head(connection: &mut EndpointConnection) -> bool {
-    let body = match http::parse_response(connection.socket.bytes()) {
+    let bytes = connection.socket.bytes();
+    let is_mixed = connection.history.may_repeat() && are_mixed(bytes);
+    let body = match http::parse_response(bytes) {
+        _ if is_mixed => Body::UntilClose,
         Ok(Some(response)) => {
             connection.socket.consume(response.consumed);
             if response.keep_alive && !response.malformed_framing {
--- /dev/null
+++ b/crates/sender/src/egress/response_history.rs
@@ -0,0 +1,381 @@
+//! Which request a response belongs to: what the earlier responses of a connection say about the latest one.
+//!
+//! HTTP/1.1 matches responses to requests by their order on the connection only. An endpoint, or a proxy before it, that
+//! writes a response twice shifts that order: the copy arrives in the place of the next response, and that response
+//! arrives as a surplus or in the place of the one after it. So a response that could be a copy proves nothing by
+//! itself. It is settled once its connection has rested for as long as the endpoint may take for the real response; a
+//! connection carries no further request before that. The rules are in `docs/design/response-matching.md`.
+
+use std::hash::{DefaultHasher, Hasher};
+use std::rc::Rc;
+
+use martenlatch_clock::Millis;
+use martenlatch_http as http;
+use martenlatch_policy::interface::MessageId;
+
+use super::attempt::ActiveAttempt;
+
+/// The number of earlier responses that are remembered for each connection. Once there are more, every response could
+/// be a copy.
+const MAX_FINGERPRINTS: usize = 256;
+/// The number of settled responses that are remembered for each connection, in case a surplus contradicts them later.
+const MAX_SETTLED: usize = 64;
+/// The longest response, in bytes, that is kept until it is settled.
+const MAX_KEPT_RESPONSE: usize = 1_024;
+/// The number of unsettled responses after which a connection carries no request before it has rested.
+const MAX_UNSETTLED: usize = 3;
+/// The number of different heads of responses that are remembered for each connection, and how many bytes of each. Once
+/// there are as many, any incomplete response could be a copy.
+const MAX_HEADS: usize = 16;
+const KEPT_HEAD_BYTES: usize = 128;
+/// The beginning of each status line, without the minor version, and the length of a status line up to its code.
+const STATUS_LINE_START: &[u8] = b"HTTP/1.";
+const SUCCESS_STATUS_LINE: &[u8] = b"HTTP/1.1 200";
+const STATUS_LINE_LENGTH: usize = SUCCESS_STATUS_LINE.len();
+
+/// How certain it is that a response answers the request in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// No earlier response of the connection can have been repeated in its place.
+    Certain,
+    /// It could be a copy of an earlier response. A [`Settlement`] follows.
+    Uncertain,
+}
+
+/// An attempt whose response was uncertain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnsweredAttempt {
+    /// The message.
+    pub id: MessageId,
+    /// The number of the attempt within the message, from 0.
+    pub attempt: u32,
+}
+
+/// An uncertain response, or one after it on the same connection.
+#[derive(Clone, Debug)]
+struct TrackedResponse {
+    attempt: AnsweredAttempt,
+    /// Until when any further response on the connection may be the real one.
+    doubted_until: Millis,
+    /// The exchange as it was before the response was read, until it is settled.
+    exchange: Option<Rc<UnreadExchange>>,
+}
+
+/// An exchange as it was when its response had arrived and was not read yet. A successor process gets an unsettled one
+/// in this form, and reads the response again.
+#[derive(Debug)]
+pub(super) struct UnreadExchange {
+    /// The attempt in flight.
+    pub attempt: ActiveAttempt,
+    /// The bytes of the response.
+    pub response: Vec<u8>,
+}
+
+/// When an uncertain response is settled.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SettlementTimes {
+    /// Until when the connection rests.
+    pub rests_until: Millis,
+    /// Until when any further response on the connection may be the real one.
+    pub doubted_until: Millis,
+}
+
+/// What became of an uncertain response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settlement {
+    /// The connection rested without another response: the response belonged to the attempt.
+    Confirmed(AnsweredAttempt),
+    /// Another response followed, or the connection ended too early: the attempt may have ended in any way.
+    Doubtful(AnsweredAttempt),
+}
+
+/// A response that ends an attempt, as far as it has been received.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ObservedResponse<'a> {
+    /// The attempt that it ends.
+    pub attempt: &'a ActiveAttempt,
+    /// The bytes received so far, and those of a following response.
+    pub received: &'a [u8],
+    /// Those of its head.
+    pub head: &'a [u8],
+    /// All of its bytes, or `None` if it is incomplete.
+    pub complete: Option<&'a [u8]>,
+    /// Whether further bytes follow it.
+    pub is_followed: bool,
+    /// Whether it says that the request never ran.
+    pub rejects: bool,
+}
+
+/// The responses of one connection.
+#[derive(Debug, Default)]
+pub(super) struct ResponseHistory {
+    /// Whether all responses since the connection was opened are known; not after a process replacement.
+    is_known: bool,
+    /// The fingerprints of the earlier responses, if all of them are known.
+    fingerprints: Vec<u64>,
+    /// Whether an earlier response has no fingerprint.
+    has_unrecorded: bool,
+    /// The first bytes of the heads of the earlier responses, without repetitions.
+    heads: Vec<Vec<u8>>,
+    /// Whether any response has said that its request never ran.
+    has_rejected: bool,
+    /// The attempts whose responses are not settled yet, the oldest first.
+    unsettled: Vec<TrackedResponse>,
+    /// Whether a wrong conclusion from an unsettled response could not be undone.
+    is_final: bool,
+    /// The attempts since the first settled response that had been uncertain, the oldest first.
+    settled: Vec<TrackedResponse>,
+    /// The exchange of the response that was observed last, if it is uncertain and short.
+    latest_exchange: Option<UnreadExchange>,
+    /// Until when the connection must not carry another request.
+    rests_until: Option<Millis>,
+}
+
+impl ResponseHistory {
+    /// The history of a new connection.
+    pub fn of_new_connection() -> ResponseHistory {
+        ResponseHistory {
+            is_known: true,
+            ..ResponseHistory::default()
+        }
+    }
+
+    /// The history of a connection that a predecessor process has passed on. It rests first.
+    pub fn of_inherited_connection(rests_until: Millis) -> ResponseHistory {
+        ResponseHistory {
+            rests_until: Some(rests_until),
+            ..ResponseHistory::default()
+        }
+    }
+
+    /// Whether a response that arrives now could be a copy of an earlier one.
+    pub fn may_repeat(&self) -> bool {
+        !self.is_known || self.has_unrecorded || !self.fingerprints.is_empty()
+    }
+
+    /// Records a response and decides how certain it is that it answers the request in flight.
+    pub fn observe(&mut self, response: ObservedResponse) -> Evidence {
+        let is_first = !self.may_repeat();
+        let fingerprint = response.complete.map(fingerprint);
+        // A copy that is cut off in its body takes the first bytes of the real response for the rest of it.
+        let may_be_cut_off =
+            response.is_followed || response.complete.is_some_and(ends_in_status_line);
+        let is_new = match fingerprint {
+            Some(print) => {
+                !self.has_unrecorded && !may_be_cut_off && !self.fingerprints.contains(&print)
+            }
+            None => !self.begins_like_earlier(response.received),
+        };
+        let is_new = is_new && self.is_known && self.unsettled.is_empty();
+        self.record(fingerprint, response.head);
+        self.has_rejected |= response.rejects;
+        if is_first || is_new {
+            return Evidence::Certain;
+        }
+        self.latest_exchange = response
+            .complete
+            .filter(|bytes| bytes.len() <= MAX_KEPT_RESPONSE)
+            .map(|bytes| UnreadExchange {
+                attempt: *response.attempt,
+                response: bytes.to_vec(),
+            });
+        Evidence::Uncertain
+    }
+
+    /// Whether an incomplete response could be the beginning of an earlier one.
+    pub fn begins_like_earlier(&self, received: &[u8]) -> bool {
+        !self.is_known
+            || self.heads.len() >= MAX_HEADS
+            || self.heads.iter().any(|head| {
+                let common = head.len().min(received.len());
+                head[..common] == received[..common]
+            })
+    }
+
+    fn record(&mut self, fingerprint: Option<u64>, head: &[u8]) {
+        let head = &head[..head.len().min(KEPT_HEAD_BYTES)];
+        let is_known = self.heads.iter().any(|known| known == head);
+        if !is_known && self.heads.len() < MAX_HEADS {
+            self.heads.push(head.to_vec());
+        }
+        match fingerprint {
+            Some(print) if self.fingerprints.contains(&print) => {}
+            Some(print) if self.fingerprints.len() < MAX_FINGERPRINTS => {
+                self.fingerprints.push(print)
+            }
+            _ => self.has_unrecorded = true,
+        }
+    }
+
+    /// Notes the attempt that a response has ended. After an uncertain response, the connection rests. `is_final` says that a wrong conclusion from it could not be undone.
+    pub fn answered(
+        &mut self,
+        attempt: AnsweredAttempt,
+        evidence: Evidence,
+        times: SettlementTimes,
+        is_final: bool,
+    ) {
+        let response = TrackedResponse {
+            attempt,
+            doubted_until: times.doubted_until,
+            exchange: self.latest_exchange.take().map(Rc::new),
+        };
+        if evidence == Evidence::Uncertain {
+            self.unsettled.push(response);
+            self.is_final |= is_final;
+            let earliest = self.rests_until.unwrap_or(f64::NEG_INFINITY);
+            self.rests_until = Some(times.rests_until.max(earliest));
+        } else if !self.settled.is_empty() {
+            self.add_settled(response);
+        }
+    }
+
+    /// When the latest response is settled; `None` if it is.
+    pub fn rests_until(&self) -> Option<Millis> {
+        self.rests_until
+    }
+
+    /// Whether the connection may carry another request.
+    pub fn is_rested(&self, now: Millis) -> bool {
+        self.rests_until.is_none_or(|until| until <= now)
+    }
+
+    /// Whether the connection may carry a request that can be sent again, although it has not rested. If the responses
+    /// are shifted, such a request is shifted too, until the connection rests.
+    pub fn may_carry_repeatable(&self) -> bool {
+        self.is_known && !self.is_final && self.unsettled.len() < MAX_UNSETTLED
+    }
+
+    /// Whether no rejection on the connection could be a copy of an earlier rejection.
+    pub fn has_no_rejection(&self) -> bool {
+        self.is_known && !self.has_unrecorded && !self.has_rejected
+    }
+
+    /// Settles the latest responses: nothing has followed them.
+    pub fn settle(&mut self) -> Vec<Settlement> {
+        self.rests_until = None;
+        self.is_final = false;
+        let responses = std::mem::take(&mut self.unsettled);
+        self.confirm(responses)
+    }
+
+    /// Settles the responses that a successor process cannot read again: all but the latest.
+    pub fn settle_earlier(&mut self) -> Vec<Settlement> {
+        let has_exchange = self.unread_exchange().is_some();
+        let kept = self.unsettled.len() - usize::from(has_exchange);
+        let latest = self.unsettled.split_off(kept);
+        let earlier = std::mem::replace(&mut self.unsettled, latest);
+        self.confirm(earlier)
+    }
+
+    /// The exchange of the latest response, if it is unsettled and can be read again.
+    pub fn unread_exchange(&self) -> Option<&UnreadExchange> {
+        self.unsettled.last()?.exchange.as_deref()
+    }
+
+    fn confirm(&mut self, responses: Vec<TrackedResponse>) -> Vec<Settlement> {
+        let attempts: Vec<AnsweredAttempt> =
+            responses.iter().map(|response| response.attempt).collect();
+        for response in responses {
+            self.add_settled(response);
+        }
+        attempts.into_iter().map(Settlement::Confirmed).collect()
+    }
+
+    fn add_settled(&mut self, mut response: TrackedResponse) {
+        response.exchange = None;
+        if self.settled.len() >= MAX_SETTLED {
+            self.settled.remove(0);
+        }
+        self.settled.push(response);
+    }
+
+    /// The settlements that follow from the end of the connection. `surplus` are the bytes on it that belong to no
+    /// request in flight. An end alone confirms nothing: the endpoint may have ended the connection in place of the real
+    /// response.
+    pub fn end(&mut self, surplus: &[u8], now: Millis) -> Vec<Settlement> {
+        let is_new = self.is_new_response(surplus);
+        let contradicted = std::mem::take(&mut self.settled)
+            .into_iter()
+            .filter(|response| !surplus.is_empty() && (is_new || response.doubted_until > now));
+        contradicted
+            .chain(std::mem::take(&mut self.unsettled))
+            .map(|response| Settlement::Doubtful(response.attempt))
+            .collect()
+    }
+
+    /// Whether the wait for which a surplus response asks may be one that no earlier response has asked for.
+    pub fn may_ask_to_wait(&self, surplus: &[u8]) -> bool {
+        !self.unsettled.is_empty() || self.is_new_response(surplus)
+    }
+
+    /// Whether surplus bytes show that rejections are repeated: nothing is unsettled, so they are a copy.
+    pub fn repeats_rejection(&self, surplus: &[u8]) -> bool {
+        self.unsettled.is_empty() && !surplus.is_empty() && !begins_with_success(surplus)
+    }
+
+    /// Whether bytes begin with a complete response that is no copy: it answers a request for which an earlier response
+    /// was taken.
+    fn is_new_response(&self, bytes: &[u8]) -> bool {
+        self.is_known
+            && !self.has_unrecorded
+            && complete_response(bytes)
+                .is_some_and(|response| !self.fingerprints.contains(&fingerprint(response)))
+    }
+}
+
+/// The bytes of the response with which `bytes` begin; `None` if it is incomplete or malformed.
+fn complete_response(bytes: &[u8]) -> Option<&[u8]> {
+    let response = http::parse_response(bytes).ok()??;
+    bytes_of(&response, bytes)
+}
+
+/// The bytes of a parsed response with which `bytes` begin; `None` if its body is incomplete or malformed.
+pub(super) fn bytes_of<'a>(response: &http::Response, bytes: &'a [u8]) -> Option<&'a [u8]> {
+    let body = bytes.get(response.consumed..)?;
+    match response.body.clone().try_decode(body, |_| {})? {
+        (consumed, true) => bytes.get(..response.consumed + consumed),
+        _ => None,
+    }
+}
+
+/// Whether bytes are the beginning of a response with status 200, however short.
+fn begins_with_success(bytes: &[u8]) -> bool {
+    let length = bytes.len().min(SUCCESS_STATUS_LINE.len());
+    bytes[..length] == SUCCESS_STATUS_LINE[..length]
+}
+
+fn fingerprint(response: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    hasher.write(response);
+    hasher.finish()
+}
+
+/// Whether another response begins inside the first one in `bytes`: a copy was cut off, and the real response follows.
+pub(super) fn are_mixed(bytes: &[u8]) -> bool {
+    contains_second_status_line(bytes)
+        && complete_response(bytes).is_none_or(contains_second_status_line)
+}
+
+fn contains_second_status_line(bytes: &[u8]) -> bool {
+    bytes
+        .windows(STATUS_LINE_LENGTH)
+        .skip(1)
+        .any(is_status_line)
+}
+
+/// Whether the last bytes of a response could be the beginning of another one.
+fn ends_in_status_line(response: &[u8]) -> bool {
+    (1..STATUS_LINE_LENGTH).any(|length| {
+        let start = response.len().saturating_sub(length);
+        let end = &response[start..];
+        let known = end.len().min(STATUS_LINE_START.len());
+        end[..known] == STATUS_LINE_START[..known]
+    })
+}
+
+fn is_status_line(bytes: &[u8]) -> bool {
+    bytes
+        .strip_prefix(STATUS_LINE_START)
+        .is_some_and(|rest| matches!(rest, [minor, b' ', code @ ..] if minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit)))
+}
--- /dev/null
+++ b/crates/sender/src/egress/settling.rs
@@ -0,0 +1,93 @@
+//! When a response counts that could be a copy of an earlier one: once its connection has rested without another one.
+
+use martenlatch_clock::Millis;
+
+use super::Egress;
+use super::attempt::ActiveAttempt;
+use super::response_history::{AnsweredAttempt, Evidence, Settlement, SettlementTimes};
+use super::surplus_bytes::SurplusBytes;
+
+impl Egress {
+    /// Notes that a response has ended an attempt: an uncertain one has to be settled.
+    pub(super) fn note_answered(
+        &mut self,
+        slot: usize,
+        attempt: &ActiveAttempt,
+        evidence: Evidence,
+        rejects: bool,
+        now: Millis,
+    ) {
+        let connection = &mut self.connections[slot];
+        let sent_at = connection.sent_at.unwrap_or(attempt.started_at);
+        let is_final = rejects && connection.non_idempotent;
+        let rest = self.response_times.rest(connection.endpoint, is_final, now);
+        let long_rest = self.response_times.long_rest(connection.endpoint);
+        let times = SettlementTimes {
+            rests_until: sent_at + rest,
+            doubted_until: sent_at + long_rest,
+        };
+        let answered = AnsweredAttempt {
+            id: attempt.id,
+            attempt: attempt.attempt,
+        };
+        connection
+            .history
+            .answered(answered, evidence, times, is_final);
+        self.response_times
+            .record(connection.endpoint, now - sent_at);
+        let connections = &self.connections;
+        self.response_times.prune(|endpoint| {
+            connections
+                .iter()
+                .any(|connection| connection.endpoint == endpoint)
+        });
+    }
+
+    /// Settles the responses of an idle connection that has rested and on which nothing has arrived.
+    pub(super) fn settle_if_rested(&mut self, slot: usize, now: Millis) {
+        let Some(connection) = self.connections.get_mut(slot) else {
+            return;
+        };
+        if connection.history.rests_until().is_none() || !connection.history.is_rested(now) {
+            return;
+        }
+        self.settlements.extend(connection.history.settle());
+        if connection.close_when_rested {
+            self.connections.remove(slot, now);
+        }
+    }
+
+    /// Takes the bytes that endpoints have sent on idle connections. The connections are closed.
+    pub fn take_surplus(&mut self, now: Millis) -> Vec<SurplusBytes> {
+        let surplus = std::mem::take(&mut self.connections.surplus);
+        for bytes in &surplus {
+            self.response_times
+                .record_surplus(bytes.endpoint, bytes.repeats_rejection, now);
+        }
+        surplus
+    }
+
+    /// Whether any endpoint has sent surplus bytes recently.
+    pub fn has_recent_surplus(&self, now: Millis) -> bool {
+        self.response_times.has_recent_surplus(now)
+    }
+
+    /// Takes what became of uncertain responses.
+    pub fn take_settlements(&mut self) -> Vec<Settlement> {
+        let mut settlements = std::mem::take(&mut self.settlements);
+        settlements.append(&mut self.connections.settlements);
+        settlements
+    }
+
+    /// Whether a settlement has not been taken.
+    pub fn has_settlements(&self) -> bool {
+        !self.settlements.is_empty() || !self.connections.settlements.is_empty()
+    }
+
+    /// Settles the responses that a successor process cannot read again.
+    pub fn settle_for_replacement(&mut self) {
+        for (_, connection) in &mut self.connections.slots {
+            self.settlements.extend(connection.history.settle_earlier());
+        }
+    }
+}
--- a/crates/sender/src/egress/snapshot.rs
+++ b/crates/sender/src/egress/snapshot.rs
@@ -3,15 +3,22 @@
 use std::collections::HashMap;
 use std::os::fd::{AsFd, BorrowedFd};
 
+use martenlatch_clock::Millis;
 use martenlatch_http as http;
+use martenlatch_policy::interface::MessageId;
 use serde::{Deserialize, Serialize};
 
 use super::Egress;
 use super::connection_faults::{ResetDetector, StaleConnectionDetector};
 use super::connection_scarcity::ConnectionScarcityDetector;
 use super::endpoint_connection::EndpointConnection;
+use super::response_history::{ResponseHistory, UnreadExchange};
 use crate::event_source::{Connection, EventSource, InheritedDescriptors};
 
+/// How long an inherited connection rests before it carries another request: a response that the predecessor had not
+/// settled may be followed by another one.
+const INHERITED_REST: Millis = 1_000.0;
+
 /// The state of all connections to endpoints, without their descriptors. It is passed between processes of different
 /// versions, so the order of the fields is fixed.
 #[derive(Serialize, Deserialize)]
@@ -28,7 +35,38 @@
     pub(super) scarcity: ConnectionScarcityDetector,
 }
 
+/// The exchange on an idle connection whose response is unsettled: a successor process reads the response again.
+fn unread_exchange(connection: &EndpointConnection) -> Option<&UnreadExchange> {
+    let is_idle = connection.attempt.is_none() && connection.remaining_response.is_none();
+    connection
+        .history
+        .unread_exchange()
+        .filter(|_| is_idle && connection.socket.bytes().is_empty())
+}
+
+fn snapshot_of_connection(
+    connection: &EndpointConnection,
+) -> EndpointConnection<http::ConnectionSnapshot> {
+    let mut socket = connection.socket.snapshot();
+    let Some(exchange) = unread_exchange(connection) else {
+        return connection.with_socket(socket);
+    };
+    socket.set_input(&exchange.response);
+    EndpointConnection {
+        attempt: Some(exchange.attempt),
+        ..connection.with_socket(socket)
+    }
+}
+
 impl Egress {
+    /// The messages whose attempts the snapshot shows as in flight although their responses have been read.
+    pub fn unread_messages(&self) -> impl Iterator<Item = MessageId> {
+        self.connections
+            .iter()
+            .filter_map(unread_exchange)
+            .map(|exchange| exchange.attempt.id)
+    }
+
     /// The state for a successor process, and the descriptors of the connections in the order of the snapshot.
     pub fn snapshot(&self) -> (EgressSnapshot, Vec<BorrowedFd<'_>>) {
         let positions: HashMap<usize, usize> = self
@@ -41,7 +79,7 @@
         let connections = self
             .connections
             .iter()
-            .map(|connection| connection.with_socket(connection.socket.snapshot()))
+            .map(snapshot_of_connection)
             .collect();
         let descriptors = self
             .connections
@@ -54,6 +92,7 @@
                 .connections
                 .idle
                 .iter()
+                .filter(|slot| unread_exchange(&self.connections[**slot]).is_none())
                 .map(|slot| positions[slot])
                 .collect(),
             stale_connections: self.stale_connections.clone(),
@@ -72,8 +111,10 @@
         &mut self,
         snapshot: EgressSnapshot,
         descriptors: &mut InheritedDescriptors,
+        now: Millis,
     ) -> std::io::Result<Vec<EventSource>> {
         let mut sources = Vec::new();
+        let rests_until = now + INHERITED_REST;
         for entry in snapshot.connections {
             let source = self.connections.next_event_source();
             let socket = Connection::restore(
@@ -83,7 +124,8 @@
                 &self.buffers,
                 source,
             )?;
-            let restored = entry.with_socket(socket);
+            let mut restored = entry.with_socket(socket);
+            restored.history = ResponseHistory::of_inherited_connection(rests_until);
             self.connections.slots.insert(restored);
             sources.push(source);
         }
--- a/crates/sender/src/egress/tests/mod.rs
+++ b/crates/sender/src/egress/tests/mod.rs
@@ -4,6 +4,7 @@
 mod connection_faults;
 mod connection_reuse;
 mod last_byte;
+mod repeated_responses;
 mod responses;
 mod snapshot;
 
@@ -28,6 +29,7 @@
         timeout: 1e9,
         latest_start: f64::INFINITY,
         must_not_be_lost,
+        non_idempotent: false,
         head: b"xy",
         body: b"",
     }
--- /dev/null
+++ b/crates/sender/src/egress/tests/repeated_responses.rs
@@ -0,0 +1,333 @@
+//! Endpoints that write responses more than once: every order of requests, responses and copies on one connection.
+
+use std::io::{Read, Write};
+
+use super::*;
+
+/// How long the endpoint takes for each response.
+const SERVICE_TIME: Millis = 60.0;
+/// How long after a request its copy of an earlier response arrives.
+const COPY_TIME: Millis = 5.0;
+/// Longer than any rest.
+const LONG_TIME: Millis = 5_000.0;
+/// The number of requests of each case.
+const REQUESTS: usize = 3;
+
+const SUCCESS: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+const REJECTION: &str = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull";
+const FAILURE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+const RESPONSES: [&str; 3] = [SUCCESS, REJECTION, FAILURE];
+
+/// When a copy is written.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum CopyPlace {
+    /// Before the response to the request.
+    BeforeResponse,
+    /// Together with the response, before it.
+    WithResponse,
+    /// Right after the response.
+    AfterResponse,
+    /// While the connection rests.
+    WhileResting,
+}
+
+const PLACES: [CopyPlace; 4] = [
+    CopyPlace::BeforeResponse,
+    CopyPlace::WithResponse,
+    CopyPlace::AfterResponse,
+    CopyPlace::WhileResting,
+];
+
+/// A copy of an earlier response, or of its first bytes.
+#[derive(Clone, Copy, Debug)]
+struct Copy {
+    /// The request during whose exchange it is written.
+    during: usize,
+    place: CopyPlace,
+    /// The request whose response is copied.
+    of: usize,
+    /// The number of bytes; `None` for all.
+    length: Option<usize>,
+}
+
+/// When the next request follows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Pace {
+    /// After the connection has rested. The requests must not be sent again.
+    Rested,
+    /// At once. The requests can be sent again.
+    Quick,
+}
+
+/// What is concluded about the attempt of each request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Conclusion {
+    /// Nothing yet, or no more than that it may have run.
+    Open,
+    Outcome(Outcome),
+    Doubtful,
+}
+
+struct Case {
+    fixture: Fixture,
+    peer: Option<TcpStream>,
+    now: Millis,
+    conclusions: [Conclusion; REQUESTS],
+    pending: [Option<Outcome>; REQUESTS],
+    /// The first request of the current connection.
+    first_request: usize,
+}
+
+impl Case {
+    fn new() -> Case {
+        Case {
+            fixture: Fixture::new(MAX_CONNECTIONS),
+            peer: None,
+            now: 0.0,
+            conclusions: [Conclusion::Open; REQUESTS],
+            pending: [None; REQUESTS],
+            first_request: 0,
+        }
+    }
+
+    fn send(&mut self, number: usize, pace: Pace) {
+        let request = AttemptRequest {
+            id: MessageId(number as u64),
+            non_idempotent: pace == Pace::Rested,
+            ..two_byte_request(true)
+        };
+        let opened = self.fixture.egress.connections_opened;
+        self.fixture.start(&request, self.now);
+        if self.fixture.egress.connections_opened > opened {
+            self.peer = Some(self.fixture.accept());
+            self.first_request = number;
+        }
+        while self.fixture.egress.sent_messages.is_empty() {
+            self.fixture.step_all(self.now);
+        }
+        self.fixture.egress.sent_messages.clear();
+        let peer = self.peer.as_mut().unwrap();
+        peer.set_nodelay(true).unwrap();
+        peer.read_exact(&mut [0; 2]).unwrap();
+    }
+
+    /// Writes as the endpoint, and waits until the sender has read it or has closed the connection.
+    fn write(&mut self, bytes: &str) {
+        if self.fixture.egress.connections.slots.is_empty() {
+            return;
+        }
+        self.fixture.clear_events();
+        if self
+            .peer
+            .as_mut()
+            .unwrap()
+            .write_all(bytes.as_bytes())
+            .is_err()
+        {
+            return;
+        }
+        self.fixture.wait_for_event();
+        self.fixture.step_all(self.now);
+        self.collect();
+    }
+
+    fn pass(&mut self, time: Millis) {
+        self.now += time;
+        self.fixture.egress.expire_timeouts(self.now);
+        self.fixture.step_all(self.now);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        let egress = &mut self.fixture.egress;
+        for result in egress.results.drain(..) {
+            let number = result.id.0 as usize;
+            match result.evidence {
+                Evidence::Certain => self.conclusions[number] = Conclusion::Outcome(result.outcome),
+                Evidence::Uncertain => self.pending[number] = Some(result.outcome),
+            }
+        }
+        for surplus in egress.take_surplus(self.now) {
+            assert!(surplus.length > 0);
+        }
+        for settlement in egress.take_settlements() {
+            match settlement {
+                Settlement::Confirmed(answered) => {
+                    let number = answered.id.0 as usize;
+                    let outcome = self.pending[number].take().expect("an uncertain response");
+                    self.conclusions[number] = Conclusion::Outcome(outcome);
+                }
+                Settlement::Doubtful(answered) => {
+                    self.conclusions[answered.id.0 as usize] = Conclusion::Doubtful;
+                }
+            }
+        }
+    }
+}
+
+/// Whether a conclusion about an attempt is allowed, given its real response.
+fn is_allowed(conclusion: Conclusion, response: &str) -> bool {
+    match conclusion {
+        Conclusion::Outcome(Outcome::Success) => response == SUCCESS,
+        Conclusion::Outcome(outcome) if outcome.never_ran() => response == REJECTION,
+        Conclusion::Outcome(_) | Conclusion::Open | Conclusion::Doubtful => true,
+    }
+}
+
+fn play(responses: [&str; REQUESTS], copies: &[Copy], pace: Pace) -> Case {
+    let mut case = Case::new();
+    for number in 0..REQUESTS {
+        case.send(number, pace);
+        // A connection repeats its own responses only.
+        let first_request = case.first_request;
+        let copy_at = |place: CopyPlace| {
+            copies
+                .iter()
+                .filter(move |copy| {
+                    copy.during == number && copy.place == place && copy.of >= first_request
+                })
+                .map(|copy| {
+                    let text = responses[copy.of];
+                    text[..copy.length.unwrap_or(text.len()).min(text.len())].to_string()
+                })
+                .collect::<String>()
+        };
+        case.pass(COPY_TIME);
+        let before = copy_at(CopyPlace::BeforeResponse);
+        if !before.is_empty() {
+            case.write(&before);
+        }
+        case.pass(SERVICE_TIME - COPY_TIME);
+        let together = copy_at(CopyPlace::WithResponse) + responses[number];
+        case.write(&together);
+        let after = copy_at(CopyPlace::AfterResponse);
+        if !after.is_empty() {
+            case.write(&after);
+        }
+        case.pass(COPY_TIME);
+        let resting = copy_at(CopyPlace::WhileResting);
+        if !resting.is_empty() {
+            case.write(&resting);
+        }
+        if pace == Pace::Rested || number + 1 == REQUESTS {
+            case.pass(LONG_TIME);
+        }
+    }
+    for (conclusion, response) in case.conclusions.iter().zip(responses) {
+        assert!(
+            is_allowed(*conclusion, response),
+            "{responses:?} with {copies:?} ({pace:?}): {:?}",
+            case.conclusions
+        );
+    }
+    case
+}
+
+fn all_responses() -> impl Iterator<Item = [&'static str; REQUESTS]> {
+    RESPONSES.into_iter().flat_map(|first| {
+        RESPONSES.into_iter().flat_map(move |second| {
+            RESPONSES
+                .into_iter()
+                .map(move |third| [first, second, third])
+        })
+    })
+}
+
+fn all_copies(length: Option<usize>) -> Vec<Copy> {
+    let mut copies = Vec::new();
+    for during in 0..REQUESTS {
+        for place in PLACES {
+            let last = match place {
+                CopyPlace::BeforeResponse | CopyPlace::WithResponse => during,
+                CopyPlace::AfterResponse | CopyPlace::WhileResting => during + 1,
+            };
+            copies.extend((0..last).map(|of| Copy {
+                during,
+                place,
+                of,
+                length,
+            }));
+        }
+    }
+    copies
+}
+
+/// Guards against an outcome that belongs to another request: of all orders of three requests, their responses and one
+/// or two copies, none may end in a success or a rejection that the endpoint did not give for that request.
+#[test]
+fn no_order_of_responses_and_copies_gives_a_request_the_outcome_of_another_one() {
+    for pace in [Pace::Rested, Pace::Quick] {
+        for responses in all_responses() {
+            for first in all_copies(None) {
+                play(responses, &[first], pace);
+            }
+        }
+        let responses = [SUCCESS, REJECTION, SUCCESS];
+        for first in all_copies(None) {
+            for second in all_copies(None) {
+                play(responses, &[first, second], pace);
+            }
+        }
+    }
+}
+
+/// Guards against a copy that is cut off anywhere and runs into the real response.
+#[rstest::rstest]
+#[case::success_then_rejection([SUCCESS, REJECTION, SUCCESS])]
+#[case::rejection_then_success([REJECTION, SUCCESS, SUCCESS])]
+fn no_cut_off_copy_gives_a_request_the_outcome_of_another_one(
+    #[case] responses: [&'static str; REQUESTS],
+) {
+    for length in 1..REJECTION.len() {
+        for copy in all_copies(Some(length)) {
+            play(responses, &[copy], Pace::Rested);
+            play(responses, &[copy], Pace::Quick);
+        }
+    }
+}
+
+/// Guards against doubts without a reason: with no copies, every response counts.
+#[test]
+fn without_copies_every_response_counts() {
+    for responses in all_responses() {
+        let case = play(responses, &[], Pace::Rested);
+        for (conclusion, response) in case.conclusions.iter().zip(responses) {
+            let expected = match response {
+                SUCCESS => Outcome::Success,
+                REJECTION => Outcome::Overloaded { retry_after: 0 },
+                _ => Outcome::Failure,
+            };
+            assert_eq!(*conclusion, Conclusion::Outcome(expected), "{responses:?}");
+        }
+        assert_eq!(case.fixture.egress.connections_opened, 1);
+    }
+}
+
+/// Guards against a wait that counts twice or not at all: a copy of a rejection on an idle connection asks for nothing, a
+/// rejection in the place of another response does.
+#[rstest::rstest]
+#[case::copy_of_a_rejection_that_was_read(false)]
+#[case::rejection_behind_a_copy_of_a_success(true)]
+fn a_surplus_rejection_asks_to_wait_only_if_it_may_be_the_real_one(#[case] behind_copy: bool) {
+    const WAIT: &str = "HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n";
+    let mut case = Case::new();
+    case.send(0, Pace::Rested);
+    case.pass(SERVICE_TIME);
+    case.write(if behind_copy { SUCCESS } else { WAIT });
+    case.pass(LONG_TIME);
+    if behind_copy {
+        case.send(1, Pace::Rested);
+        case.write(SUCCESS);
+    }
+    case.fixture.clear_events();
+    case.peer
+        .as_mut()
+        .unwrap()
+        .write_all(WAIT.as_bytes())
+        .unwrap();
+    case.fixture.wait_for_event();
+    case.fixture.step_all(case.now);
+    let surplus = case.fixture.egress.take_surplus(case.now);
+    let waits: Vec<u64> = surplus.iter().map(|bytes| bytes.retry_after).collect();
+    assert_eq!(waits, [if behind_copy { 900_000_000 } else { 0 }]);
+}
--- a/crates/sender/src/egress/timeouts.rs
+++ b/crates/sender/src/egress/timeouts.rs
@@ -28,12 +28,26 @@
             .find_slots(|connection| self.next_action_at(connection) <= now);
         for slot in due {
             self.write_held_back_byte(slot, now);
+            self.settle_if_due(slot, now);
             if self.is_expired(slot, now) && !self.read_late_response(slot, now) {
                 self.end_exchange(slot, self.timeout_cause(slot), now);
             }
         }
     }
 
+    /// Settles the latest response of an idle connection whose rest is over, unless another response has arrived.
+    fn settle_if_due(&mut self, slot: usize, now: Millis) {
+        let is_due = self.connections.get(slot).is_some_and(|connection| {
+            let rests_until = connection.history.rests_until();
+            is_idle(connection) && rests_until.is_some_and(|until| until <= now)
+        });
+        if !is_due {
+            return;
+        }
+        self.advance(slot, now);
+        self.settle_if_rested(slot, now);
+    }
+
     /// The cause with which a connection at its time limit is closed. An attempt that still waits to be recorded on an
     /// established connection was not delayed by the endpoint, so it does not count as timed out.
     fn timeout_cause(&self, slot: usize) -> EndCause {
@@ -85,6 +99,15 @@
         let release_at = connection
             .held_back_byte
             .map_or(f64::INFINITY, |held_back| held_back.release_at);
-        self.expires_at(connection).min(release_at)
+        let rests_until = connection
+            .history
+            .rests_until()
+            .filter(|_| is_idle(connection))
+            .unwrap_or(f64::INFINITY);
+        self.expires_at(connection).min(release_at).min(rests_until)
     }
 }
+
+fn is_idle(connection: &EndpointConnection) -> bool {
+    connection.attempt.is_none() && connection.remaining_response.is_none()
+}
--- a/crates/sender/src/pipeline/actions.rs
+++ b/crates/sender/src/pipeline/actions.rs
@@ -37,7 +37,7 @@
             Action::Fail { id } => self.give_up(id, FinalStatus::Undeliverable, now),
             // The module relies on its latest wake-up request only, which replaces all earlier ones.
             Action::WakeAfter(span) => self.decision.wake_at = Some(now + millis(span)),
-            Action::CloseIdle(endpoint) => self.egress.close_idle(endpoint),
+            Action::CloseIdle(endpoint) => self.egress.close_idle(endpoint, now),
         }
     }
 
--- a/crates/sender/src/pipeline/admission.rs
+++ b/crates/sender/src/pipeline/admission.rs
@@ -195,7 +195,7 @@
     }
 
     /// The event for the decision module about a resumed message. `None` if the message's class is unknown.
-    fn resumed_event(&self, record: &MessageRecord) -> Option<Event> {
+    pub(super) fn resumed_event(&self, record: &MessageRecord) -> Option<Event> {
         let class = self
             .class_rules
             .index_of(&record.class, &record.class_rules)?;
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -20,6 +20,7 @@
 use super::poll_history::PollHistory;
 use super::process_state::{ProcessState, RemainingState, SettingsNames, SplitState};
 use super::send_gate::RetryAfterTable;
+use super::settlement::ClosedMessages;
 use super::status_reports::{MAX_REPORT_CONNECTIONS, StatusReporter};
 use crate::Config;
 use crate::class_metrics::ClassMetrics;
@@ -273,6 +274,7 @@
                 clock.now(),
             ),
             store: MessageStore::new(parts.wal, parts.next_number, class_metrics),
+            closed_in_doubt: ClosedMessages::default(),
             ingress,
             egress: build_egress(settings, &capacity, handle),
             directory: build_directory(config, jitter),
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -5,10 +5,10 @@
 use martenlatch_wal::FinalStatus;
 use tracing::debug;
 
-use super::message_store::{MessageState, MessageStore, StoredMessage};
+use super::message_store::{MessageState, MessageStore, StoredMessage, UnsettledEnd};
 use super::status_reports::StatusReporter;
 use crate::counters::Counters;
-use crate::egress::AttemptResult;
+use crate::egress::{AttemptResult, Evidence};
 
 /// How long before the deadline a success must have been read to count as the delivery of its message. The client began
 /// to measure the message's time slightly earlier than the sender, so this time also ends earlier for the client, and
@@ -35,13 +35,23 @@
         "attempt ended"
     );
     message.attempts_in_flight = message.attempts_in_flight.saturating_sub(1);
-    if result.outcome.never_ran() && mark_never_ran(message, result.attempt as usize) {
-        store.wal.append_never_ran(number, result.attempt as usize);
+    let is_certain = result.evidence == Evidence::Certain;
+    if !is_certain {
+        store.counters.uncertain_responses += 1;
+    }
+    if result.outcome.never_ran() {
+        if !is_certain {
+            message.unsettled_rejections.push(result.attempt);
+        } else if mark_never_ran(message, result.attempt as usize) {
+            store.wal.append_never_ran(number, result.attempt as usize);
+        }
     }
     let succeeded = result.outcome == Outcome::Success;
     let in_time = read_by < message.record.deadline - LATE_SUCCESS_GUARD;
     if succeeded && !in_time {
         end_by_late_success(result.id, store, status_reporter);
+    } else if !is_certain && (succeeded || result.message_finished) {
+        end_unsettled(result, store);
     } else if (succeeded || result.message_finished)
         && prepare_to_close(message, result.outcome, status_reporter)
     {
@@ -74,7 +84,7 @@
 }
 
 /// Marks an attempt as proven never to have run. Returns false if it was already marked or has no record.
-fn mark_never_ran(message: &mut StoredMessage, attempt: usize) -> bool {
+pub(super) fn mark_never_ran(message: &mut StoredMessage, attempt: usize) -> bool {
     match message.record.attempts.get_mut(attempt) {
         Some(record) if !record.never_ran => {
             record.never_ran = true;
@@ -92,7 +102,7 @@
     status_reporter: &mut StatusReporter,
 ) -> bool {
     match message.state {
-        MessageState::Open => true,
+        MessageState::Open | MessageState::Unsettled => true,
         MessageState::Reporting => {
             outcome == Outcome::Success && status_reporter.withdraw(message.record.number)
         }
@@ -100,6 +110,23 @@
     }
 }
 
+/// Ends a message by a response that is not settled yet.
+fn end_unsettled(result: &AttemptResult, store: &mut MessageStore) {
+    let number = result.id.0;
+    let Some(message) = store.messages.get_mut(&number) else {
+        return;
+    };
+    message.unsettled_ends.push(UnsettledEnd {
+        attempt: result.attempt,
+        gone: result.message_finished,
+    });
+    match message.state {
+        MessageState::Open => store.advance(number, MessageState::Unsettled),
+        MessageState::Closed => store.remove_if_finished(number),
+        MessageState::Unsettled | MessageState::Reporting => {}
+    }
+}
+
 /// Gives up a message whose endpoint answered just before or after the deadline. The platform may not count this as a
 /// delivery, so a status report is sent; if the platform has counted the delivery, the report changes nothing.
 fn end_by_late_success(
@@ -114,7 +141,7 @@
 }
 
 /// Closes a message after an endpoint's answer: it is delivered, or it is `gone` (status 410).
-fn close_message(number: u64, gone: bool, store: &mut MessageStore) {
+pub(super) fn close_message(number: u64, gone: bool, store: &mut MessageStore) {
     let mut class = None;
     if let Some(message) = store.messages.get_mut(&number) {
         // The message may have been given up in this round and its report withdrawn.
@@ -134,7 +161,7 @@
     store.advance(number, MessageState::Closed);
 }
 
-/// Gives up an open message: it ends as undelivered, and its status report is queued.
+/// Gives up a message that is open or unsettled: it ends as undelivered, and its status report is queued.
 pub(super) fn give_up(
     id: MessageId,
     status: FinalStatus,
@@ -145,9 +172,15 @@
     let Some(message) = store.messages.get_mut(&number) else {
         return;
     };
-    if message.state != MessageState::Open {
+    if !matches!(message.state, MessageState::Open | MessageState::Unsettled) {
         return;
     }
+    // A deferred message is handed in again, so no attempt may have run.
+    let status = if message.unsettled_rejections.is_empty() {
+        status
+    } else {
+        FinalStatus::Undeliverable
+    };
     message.record.final_status = Some(status);
     if std::mem::take(&mut message.unattempted) {
         store.counters.unattempted_ended += 1;
--- a/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
@@ -23,6 +23,8 @@
 const MESSAGE_TIMEOUT: Millis = 2_000.0;
 /// The time by which one step advances the clock.
 const STEP: Millis = 5.0;
+/// The number of clients' and of endpoints' connections that a step handles.
+const POLLED_CONNECTIONS: usize = 64;
 /// The limit on open messages in tests that do not depend on it.
 const MAX_OPEN_MESSAGES: usize = 9;
 
@@ -77,8 +79,8 @@
         EventSource::Watch,
         EventSource::StatusReports,
     ];
-    let connections =
-        (0..9).flat_map(|index| [EventSource::Client(index), EventSource::Endpoint(index)]);
+    let connections = (0..POLLED_CONNECTIONS)
+        .flat_map(|index| [EventSource::Client(index), EventSource::Endpoint(index)]);
     let keeps_running = driver.round(control.into_iter().chain(connections).collect());
     peers.answer_all();
     clock.set(clock.now() + STEP);
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -12,7 +12,7 @@
 
 use super::message_store::{MessageStore, StoredMessage};
 use super::send_gate::SendGate;
-use crate::egress::{AttemptRequest, AttemptResult, Egress, SendPermission};
+use crate::egress::{AttemptRequest, AttemptResult, Egress, Evidence, SendPermission};
 
 /// An attempt that the decision module has requested.
 pub struct Attempt {
@@ -69,6 +69,7 @@
         latest_start: attempt.latest_start,
         // A message that has failed once should not fail again because of a stale connection.
         must_not_be_lost: attempt.non_idempotent || number > 0,
+        non_idempotent: attempt.non_idempotent,
         head: head.as_bytes(),
         body: &record.body,
     };
@@ -96,6 +97,7 @@
         outcome: Outcome::NotSent,
         took: 0.0,
         message_finished: false,
+        evidence: Evidence::Certain,
     }
 }
 
@@ -122,6 +124,13 @@
 ) {
     egress.begin_established_requests(
         |id, attempt, endpoint| {
+            let must_wait = store
+                .messages
+                .get(&id.0)
+                .is_some_and(|message| gate.awaits_settlement(message));
+            if must_wait {
+                return SendPermission::RetryLater;
+            }
             let permitted = store
                 .messages
                 .get(&id.0)
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -17,6 +17,7 @@
 use super::poll_history::PollHistory;
 use super::process_state::SettingsNames;
 use super::send_gate::RetryAfterTable;
+use super::settlement::ClosedMessages;
 use super::status_reports::StatusReporter;
 use crate::discovery::EndpointDirectory;
 use crate::egress::{AttemptResult, Egress};
@@ -59,6 +60,8 @@
     pub(super) decision: Decision,
     pub(super) status_reporter: StatusReporter,
     pub(super) store: MessageStore,
+    /// The messages that were closed by responses that had been uncertain.
+    pub(super) closed_in_doubt: ClosedMessages,
     pub(super) egress: Egress,
     pub(super) directory: EndpointDirectory,
     /// The operators' connections, if the configuration has an address for them.
@@ -101,6 +104,7 @@
         self.process_attempt_results(now);
         // After the results have been processed: a Retry-After among them holds back attempts that have not begun.
         self.send_ready(now);
+        self.end_unsettled(now);
         self.end_overdue_messages(now);
         self.directory
             .run_due(now, &self.handle, &self.control_buffers);
@@ -250,7 +254,9 @@
             for result in std::mem::take(&mut self.egress.results) {
                 self.process_attempt_result(&result, now);
             }
+            self.process_settlements(now);
         }
+        self.process_settlements(now);
     }
 
     fn process_attempt_result(&mut self, result: &AttemptResult, now: Millis) {
@@ -333,7 +339,9 @@
 
     /// How long the event loop may wait for a socket to become ready.
     pub fn poll_timeout(&self) -> Millis {
-        let has_unprocessed = !self.decision.events.is_empty() || !self.egress.results.is_empty();
+        let has_unprocessed = !self.decision.events.is_empty()
+            || !self.egress.results.is_empty()
+            || self.egress.has_settlements();
         let has_unfinished = !self.unfinished_sources.is_empty();
         if has_unfinished && !has_unprocessed && self.lacks_buffers() {
             return BUFFER_WAIT;
@@ -367,6 +375,7 @@
         deadlines
             .into_iter()
             .chain(self.decision.wake_at)
+            .chain([self.unsettled_deadline()])
             .chain(self.deferred_list_deadline())
             .chain(self.operators.as_ref().map(OperatorService::next_deadline))
             .chain(self.peers.as_ref().map(PeerService::next_deadline))
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -22,6 +22,29 @@
     Reporting,
     /// Delivered, or given up with a confirmed status report.
     Closed,
+    /// An endpoint's response has ended it, but that response is not settled yet: it may belong to another request. A
+    /// successor process gets it as [`MessageState::Open`].
+    #[serde(skip)]
+    Unsettled,
+}
+
+impl MessageState {
+    /// The state that a successor process gets, which does not know what is unsettled.
+    pub(super) fn for_successor(self) -> MessageState {
+        match self {
+            MessageState::Unsettled => MessageState::Open,
+            state => state,
+        }
+    }
+}
+
+/// A response that has ended a message and is not settled yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UnsettledEnd {
+    /// The number of the attempt.
+    pub(super) attempt: u32,
+    /// Whether the endpoint said that the message is finished (status 410).
+    pub(super) gone: bool,
 }
 
 /// A message that has been accepted and is held.
@@ -34,6 +57,10 @@
     pub(super) unattempted: bool,
     /// Its end was counted before, and only its report is sent again.
     pub(super) end_counted: bool,
+    /// The responses that have ended it and are not settled yet.
+    pub(super) unsettled_ends: Vec<UnsettledEnd>,
+    /// The attempts whose rejections are not settled yet: they count as attempts that may have run.
+    pub(super) unsettled_rejections: Vec<u32>,
 }
 
 /// The deadline of a message as an ordered key, followed by the message's number.
@@ -45,6 +72,8 @@
     pub(super) numbers_by_id: HashMap<Rc<str>, u64>,
     /// The open messages, earliest deadline first.
     by_deadline: BTreeSet<DeadlineKey>,
+    /// The unsettled messages, earliest deadline first.
+    unsettled_by_deadline: BTreeSet<DeadlineKey>,
     /// The number of open messages.
     pub(super) open_count: usize,
     /// The number of the next message.
@@ -70,6 +99,7 @@
             messages: BTreeMap::new(),
             numbers_by_id: HashMap::new(),
             by_deadline: BTreeSet::new(),
+            unsettled_by_deadline: BTreeSet::new(),
             open_count: 0,
             next_number,
             wal,
@@ -93,6 +123,8 @@
                 attempts_in_flight: 0,
                 unattempted: false,
                 end_counted: false,
+                unsettled_ends: Vec::new(),
+                unsettled_rejections: Vec::new(),
             },
         );
     }
@@ -128,14 +160,27 @@
         self.numbers_by_id.contains_key(id) || self.wal.recently_closed.contains(id)
     }
 
-    /// Moves a message to a later state. If it is closed, this is recorded in the log.
+    /// Moves a message to another state. If it is closed, this is recorded in the log.
     pub(super) fn advance(&mut self, number: u64, state: MessageState) {
         let Some(message) = self.messages.get_mut(&number) else {
             return;
         };
-        if message.state == MessageState::Open {
-            self.open_count -= 1;
-            self.by_deadline.remove(&deadline_key(&message.record));
+        let key = deadline_key(&message.record);
+        match message.state {
+            MessageState::Open => {
+                self.open_count -= 1;
+                self.by_deadline.remove(&key);
+            }
+            MessageState::Unsettled => _ = self.unsettled_by_deadline.remove(&key),
+            MessageState::Reporting | MessageState::Closed => {}
+        }
+        match state {
+            MessageState::Open => {
+                self.open_count += 1;
+                self.by_deadline.insert(key);
+            }
+            MessageState::Unsettled => _ = self.unsettled_by_deadline.insert(key),
+            MessageState::Reporting | MessageState::Closed => {}
         }
         message.state = state;
         if state == MessageState::Closed {
@@ -160,12 +205,26 @@
         Some(number)
     }
 
+    /// The unsettled message with the earliest deadline, and that deadline.
+    pub(super) fn first_unsettled(&self) -> Option<(u64, Millis)> {
+        let (deadline_bits, number) = self.unsettled_by_deadline.first()?;
+        Some((*number, f64::from_bits(*deadline_bits)))
+    }
+
+    /// The number of messages that a response has ended which is not settled yet.
+    pub(super) fn unsettled_count(&self) -> usize {
+        self.unsettled_by_deadline.len()
+    }
+
     /// Removes a message if it is closed and has no attempt in flight.
     pub(super) fn remove_if_finished(&mut self, number: u64) {
         let finished = self.messages.get(&number).is_some_and(|message| {
             message.state == MessageState::Closed && message.attempts_in_flight == 0
         });
-        if finished && let Some(message) = self.messages.remove(&number) {
+        if finished
+            && let Some(message) = self.messages.remove(&number)
+            && self.numbers_by_id.get(&message.record.id) == Some(&number)
+        {
             self.numbers_by_id.remove(&message.record.id);
         }
     }
--- a/crates/sender/src/pipeline/metrics.rs
+++ b/crates/sender/src/pipeline/metrics.rs
@@ -1,6 +1,6 @@
 //! The counters and gauges of the running process.
 
-use tracing::{info, warn};
+use tracing::info;
 
 use super::driver::Driver;
 use crate::class_metrics::Gauges;
@@ -35,7 +35,9 @@
             }
         }
         Gauges {
-            current: self.store.open_count + self.status_reporter.unconfirmed().len(),
+            current: self.store.open_count
+                + self.store.unsettled_count()
+                + self.status_reporter.unconfirmed().len(),
             cluster_size,
             cluster_unhealthy,
             violations: self.violations.total(),
@@ -56,20 +58,5 @@
             let class = &self.admission.classes[class];
             self.store.class_metrics.count_deferred(class);
         }
-        self.log_surplus_bytes();
-    }
-
-    /// Logs the bytes that endpoints have sent on idle connections since the last call.
-    fn log_surplus_bytes(&mut self) {
-        for surplus in std::mem::take(&mut self.egress.surplus) {
-            self.store.counters.surplus_responses += 1;
-            let endpoint = self.directory.endpoint_name(surplus.endpoint);
-            warn!(
-                endpoint = endpoint.as_deref().unwrap_or("unlisted"),
-                bytes = surplus.length,
-                last_answered = surplus.last_answered.map(|id| id.0),
-                "unexpected bytes from an endpoint, connection closed"
-            );
-        }
     }
 }
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -24,6 +24,7 @@
 mod poll_history;
 mod process_state;
 mod send_gate;
+mod settlement;
 mod shutdown;
 mod status_reports;
 #[cfg(test)]
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -7,6 +7,7 @@
 
 use martenlatch_clock::Millis;
 use martenlatch_policy::Policy;
+use martenlatch_policy::interface::MessageId;
 use martenlatch_wal::{LogPosition, MessageRecord};
 use serde::{Deserialize, Serialize};
 
@@ -147,7 +148,9 @@
 impl Driver {
     /// Whether the state can be captured now: the decision module has processed all events and results.
     pub fn is_quiescent(&self) -> bool {
-        self.decision.events.is_empty() && self.egress.results.is_empty()
+        self.decision.events.is_empty()
+            && self.egress.results.is_empty()
+            && !self.egress.has_settlements()
     }
 
     /// The reason why this process cannot be replaced, if there is one: it is shutting down, or its peers know it by
@@ -169,12 +172,16 @@
     pub fn close_idle_connections(&mut self) -> Result<(), SenderError> {
         let limit = (self.descriptor_limit / 2).saturating_sub(OTHER_DESCRIPTORS);
         let clients = self.ingress.clients.len();
+        let now = self.clock.now();
+        self.egress.settle_for_replacement();
+        self.process_settlements(now);
         let egress = self
             .egress
-            .close_idle_connections(limit.saturating_sub(clients));
+            .close_idle_connections(limit.saturating_sub(clients), now);
         let clients = self
             .ingress
-            .close_idle_connections(limit.saturating_sub(egress), self.clock.now());
+            .close_idle_connections(limit.saturating_sub(egress), now);
+        self.process_settlements(now);
         if clients + egress > limit {
             return Err(SenderError::TooManyConnections(clients + egress));
         }
@@ -208,10 +215,15 @@
     }
 
     fn snapshot(&self, egress: egress::EgressSnapshot) -> ProcessState<&Policy> {
+        let unread: Vec<MessageId> = self.egress.unread_messages().collect();
         let held_messages = self.store.messages.values().map(|message| HeldMessage {
             record: message.record.clone(),
-            state: message.state,
-            attempts_in_flight: message.attempts_in_flight,
+            state: message.state.for_successor(),
+            attempts_in_flight: message.attempts_in_flight
+                + unread
+                    .iter()
+                    .filter(|id| id.0 == message.record.number)
+                    .count() as u32,
         });
         let clients = self
             .ingress
@@ -248,11 +260,14 @@
                 self.status_reporter.enqueue(record);
             }
         }
+        self.resume_inherited();
         self.directory.restore_state(state.directory);
         for client in state.clients {
             self.restore_client(&client, descriptors)?;
         }
-        let endpoint_sources = self.egress.restore_state(state.egress, descriptors)?;
+        let endpoint_sources =
+            self.egress
+                .restore_state(state.egress, descriptors, self.clock.now())?;
         self.unfinished_sources.extend(endpoint_sources);
         self.unfinished_sources.push(EventSource::ClientListener);
         Ok(())
--- a/crates/sender/src/pipeline/send_gate.rs
+++ b/crates/sender/src/pipeline/send_gate.rs
@@ -72,12 +72,25 @@
         if retry_after == 0 {
             return;
         }
+        let until = now + millis(retry_after);
+        self.extend(destination, endpoint, kind, until, now);
+    }
+
+    /// Records that nothing may be sent on the route of an endpoint until an instant.
+    pub(super) fn extend(
+        &mut self,
+        destination: u64,
+        endpoint: EndpointId,
+        kind: usize,
+        until: Millis,
+        now: Millis,
+    ) {
         if self.until_by_route.len() >= RETRY_AFTER_PRUNE_THRESHOLD {
             self.until_by_route.retain(|_, until| *until > now);
         }
         let route = self.route(destination, endpoint, kind);
-        let until = self.until_by_route.entry(route).or_insert(now);
-        *until = until.max(now + millis(retry_after) - ROUNDING_TOLERANCE);
+        let recorded = self.until_by_route.entry(route).or_insert(now);
+        *recorded = recorded.max(until - ROUNDING_TOLERANCE);
     }
 
     fn until(&self, destination: u64, endpoint: EndpointId, kind: usize) -> Option<Millis> {
@@ -95,6 +108,15 @@
 }
 
 impl SendGate<'_> {
+    /// Whether a message must not be repeated anywhere before the rejections of its earlier attempts are settled.
+    pub(super) fn awaits_settlement(&self, message: &StoredMessage) -> bool {
+        let record = &message.record;
+        !message.unsettled_rejections.is_empty()
+            && !self
+                .class_rules
+                .may_repeat_anywhere(&record.class, &record.class_rules)
+    }
+
     /// Whether a request for a message may be sent to an endpoint now. A refusal counts as a violation.
     pub(super) fn permits(
         &self,
--- /dev/null
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -0,0 +1,277 @@
+//! What follows once it is known whether a response belonged to its request.
+//!
+//! A response that could be a copy of an earlier one on its connection is uncertain when it arrives
+//! ([`crate::egress::Evidence`]). A message that it ends is held until the response is settled, and a rejection does not
+//! yet prove that its attempt never ran. If a response turns out to be doubtful, its message is opened again and the
+//! decision module decides on it as after a restart: it is sent again where that is safe, else reported. A message that
+//! was closed before the doubt arose is reported. A report of a message that was delivered after all does no harm.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use martenlatch_clock::{Millis, Nanos, millis};
+use martenlatch_policy::interface::{Event, MessageId};
+use martenlatch_wal::{FinalStatus, MessageRecord};
+use tracing::warn;
+
+use super::completion::{self, LATE_SUCCESS_GUARD};
+use super::driver::Driver;
+use super::message_store::{MessageState, MessageStore, StoredMessage, UnsettledEnd};
+use crate::egress::{AnsweredAttempt, Settlement, SurplusBytes};
+
+/// The largest number of closed messages that are remembered in case of a later doubt.
+const MAX_CLOSED: usize = 4_096;
+/// How long before its deadline an unsettled message is reported, so that its report comes in time.
+const REPORT_LEAD: Millis = LATE_SUCCESS_GUARD;
+
+/// A message that was closed by a response that had been uncertain.
+struct ClosedMessage {
+    number: u64,
+    id: Rc<str>,
+    class: Rc<str>,
+    destination: u64,
+    deadline: Millis,
+    class_rules: Rc<[u8]>,
+}
+
+/// The messages that were closed by responses that had been uncertain, until their deadlines.
+#[derive(Default)]
+pub(super) struct ClosedMessages(VecDeque<ClosedMessage>);
+
+impl ClosedMessages {
+    fn remember(&mut self, record: &MessageRecord, now: Millis) {
+        self.0.retain(|message| message.deadline > now);
+        if self.0.len() >= MAX_CLOSED {
+            self.0.pop_front();
+        }
+        self.0.push_back(ClosedMessage {
+            number: record.number,
+            id: record.id.clone(),
+            class: record.class.clone(),
+            destination: record.destination,
+            deadline: record.deadline,
+            class_rules: record.class_rules.clone(),
+        });
+    }
+
+    fn take(&mut self, number: u64) -> Option<ClosedMessage> {
+        let position = self.0.iter().position(|message| message.number == number)?;
+        self.0.remove(position)
+    }
+}
+
+impl Driver {
+    /// Processes what is known since the last call about uncertain responses.
+    pub(super) fn process_settlements(&mut self, now: Millis) {
+        for surplus in self.egress.take_surplus(now) {
+            self.process_surplus(&surplus, now);
+        }
+        for settlement in self.egress.take_settlements() {
+            match settlement {
+                Settlement::Confirmed(answered) => self.confirm_response(answered, now),
+                Settlement::Doubtful(answered) => self.doubt_response(answered, now),
+            }
+        }
+    }
+
+    /// Logs bytes that belong to no request, and keeps to the wait for which they may ask.
+    fn process_surplus(&mut self, surplus: &SurplusBytes, now: Millis) {
+        self.store.counters.surplus_responses += 1;
+        let endpoint = self.directory.endpoint_name(surplus.endpoint);
+        warn!(
+            endpoint = endpoint.as_deref().unwrap_or("unlisted"),
+            bytes = surplus.length,
+            last_answered = surplus.last_answered.map(|id| id.0),
+            "unexpected bytes from an endpoint, connection closed"
+        );
+        if surplus.retry_after > 0 {
+            self.keep_to_wait(surplus, surplus.retry_after, now);
+        }
+    }
+
+    fn keep_to_wait(&mut self, surplus: &SurplusBytes, retry_after: Nanos, now: Millis) {
+        let endpoint = surplus.endpoint;
+        let Some(destination) = self.directory.destination(endpoint) else {
+            return;
+        };
+        let kind = self.directory.kind(endpoint);
+        self.retry_after_table
+            .extend(destination, endpoint, kind, now + millis(retry_after), now);
+        self.egress
+            .cancel_unsent(|unsent, _| unsent == destination, now);
+        self.decision.events.push(Event::RetryAfterReceived {
+            endpoint,
+            retry_after,
+        });
+    }
+
+    /// A response belonged to its request: its message is closed, or its attempt never ran.
+    fn confirm_response(&mut self, answered: AnsweredAttempt, now: Millis) {
+        let (number, attempt) = (answered.id.0, answered.attempt);
+        let Some(message) = self.store.messages.get_mut(&number) else {
+            return;
+        };
+        if take_rejection(&mut message.unsettled_rejections, attempt)
+            && completion::mark_never_ran(message, attempt as usize)
+        {
+            self.store.wal.append_never_ran(number, attempt as usize);
+            return;
+        }
+        let Some(end) = take_end(&mut message.unsettled_ends, attempt) else {
+            return;
+        };
+        if message.state == MessageState::Unsettled {
+            self.closed_in_doubt.remember(&message.record, now);
+            completion::close_message(number, end.gone, &mut self.store);
+        }
+    }
+
+    /// A response may belong to another request: its message is opened again or reported.
+    fn doubt_response(&mut self, answered: AnsweredAttempt, now: Millis) {
+        let (number, attempt) = (answered.id.0, answered.attempt);
+        self.store.counters.doubtful_responses += 1;
+        let Some(message) = self.store.messages.get_mut(&number) else {
+            return self.report_closed(number, now);
+        };
+        let was_rejected = take_rejection(&mut message.unsettled_rejections, attempt);
+        let had_ended = take_end(&mut message.unsettled_ends, attempt).is_some();
+        let was_never_ran = !was_rejected && mark_may_have_run(message, attempt as usize);
+        if was_never_ran {
+            let sent_at = message.record.attempts[attempt as usize].sent_at;
+            self.store
+                .wal
+                .append_attempt(number, attempt as usize, sent_at);
+        }
+        warn!(
+            number,
+            id = %message.record.id,
+            attempt,
+            was_rejected,
+            had_ended,
+            "response may belong to another request"
+        );
+        match message.state {
+            MessageState::Open if was_rejected || was_never_ran => self.reopen(answered.id, now),
+            MessageState::Unsettled if message.unsettled_ends.is_empty() => {
+                self.store.advance(number, MessageState::Open);
+                self.reopen(answered.id, now);
+            }
+            MessageState::Closed if !had_ended && !was_rejected => self.report_closed(number, now),
+            _ => {}
+        }
+    }
+
+    /// Has the decision module decide on a message again, some attempt of which may have run.
+    fn reopen(&mut self, id: MessageId, now: Millis) {
+        self.store.counters.reopened += 1;
+        self.egress.withdraw_incomplete(id, now);
+        let event = self
+            .store
+            .record(id.0)
+            .and_then(|record| self.admission.resumed_event(record));
+        match event {
+            Some(event) => self.decision.events.push(event),
+            None => self.give_up(id, FinalStatus::Undeliverable, now),
+        }
+    }
+
+    /// Reports a message that was closed by a response that turns out to be doubtful.
+    fn report_closed(&mut self, number: u64, now: Millis) {
+        let Some(closed) = self.closed_in_doubt.take(number) else {
+            return;
+        };
+        if closed.deadline <= now {
+            return;
+        }
+        warn!(number, id = %closed.id, "closed message reported, its response may belong to another request");
+        self.store.counters.reported_in_doubt += 1;
+        let record = closed.into_record(&mut self.store);
+        self.status_reporter.enqueue(&record);
+        let new_number = record.number;
+        self.store.insert(record, MessageState::Reporting);
+        if let Some(message) = self.store.messages.get_mut(&new_number) {
+            message.end_counted = true;
+        }
+    }
+
+    /// Ends the messages whose deadlines come before their responses are settled: they are reported if any endpoint has
+    /// repeated responses recently, else they count as delivered.
+    pub(super) fn end_unsettled(&mut self, now: Millis) {
+        while let Some((number, deadline)) = self.store.first_unsettled()
+            && deadline - REPORT_LEAD <= now
+        {
+            if self.egress.has_recent_surplus(now) {
+                self.store.counters.reported_in_doubt += 1;
+                self.give_up(MessageId(number), FinalStatus::Undeliverable, now);
+            } else {
+                completion::close_message(number, false, &mut self.store);
+            }
+        }
+    }
+
+    /// When [`Driver::end_unsettled`] has something to do next.
+    pub(super) fn unsettled_deadline(&self) -> Millis {
+        self.store
+            .first_unsettled()
+            .map_or(f64::INFINITY, |(_, deadline)| deadline - REPORT_LEAD)
+    }
+
+    /// The events about messages that a predecessor process had not settled, or whose attempts it knew more about.
+    pub(super) fn resume_inherited(&mut self) {
+        let may_have_run =
+            |record: &MessageRecord| record.attempts.iter().any(|attempt| !attempt.never_ran);
+        let events: Vec<Event> = self
+            .store
+            .messages
+            .values()
+            .filter(|message| message.state == MessageState::Open)
+            .filter(|message| message.attempts_in_flight == 0 && may_have_run(&message.record))
+            .filter_map(|message| self.admission.resumed_event(&message.record))
+            .collect();
+        self.decision.events.extend(events);
+    }
+}
+
+impl ClosedMessage {
+    /// A new record of the message, with a status that is still to be reported.
+    fn into_record(self, store: &mut MessageStore) -> MessageRecord {
+        let record = MessageRecord {
+            number: store.next_number,
+            id: self.id,
+            class: self.class,
+            destination: self.destination,
+            deadline: self.deadline,
+            idempotency_key: None,
+            body: Rc::from([]),
+            attempts: Vec::new(),
+            final_status: Some(FinalStatus::Undeliverable),
+            class_rules: self.class_rules,
+        };
+        store.next_number += 1;
+        store
+            .wal
+            .append_message_with_final_status(&record, FinalStatus::Undeliverable);
+        record
+    }
+}
+
+/// Marks an attempt that seemed never to have run as one that may have run. Returns false if it already was.
+fn mark_may_have_run(message: &mut StoredMessage, attempt: usize) -> bool {
+    match message.record.attempts.get_mut(attempt) {
+        Some(record) if record.never_ran => {
+            record.never_ran = false;
+            true
+        }
+        _ => false,
+    }
+}
+
+fn take_rejection(rejections: &mut Vec<u32>, attempt: u32) -> bool {
+    let position = rejections.iter().position(|number| *number == attempt);
+    position.map(|index| rejections.remove(index)).is_some()
+}
+
+fn take_end(ends: &mut Vec<UnsettledEnd>, attempt: u32) -> Option<UnsettledEnd> {
+    let position = ends.iter().position(|end| end.attempt == attempt)?;
+    Some(ends.remove(position))
+}
--- a/crates/sender/src/pipeline/shutdown.rs
+++ b/crates/sender/src/pipeline/shutdown.rs
@@ -90,6 +90,7 @@
         self.egress.active_attempts() == 0
             && self.status_reporter.is_done()
             && self.store.open_count == 0
+            && self.store.unsettled_count() == 0
     }
 
     /// Whether any client is waiting for an answer, or has just connected and is about to send its request.
