Send each batch of status reports on a connection of its own

Cause: the answer to a batch was matched to it by its place on the connection. A second copy of an earlier 204 confirmed reports that the platform had not read.

Change: a connection carries one batch and is closed when it is answered, so its answer can be a copy of nothing. The handling of idle connections goes with it, and so does its log line.

Measured: the new test fails before and passes now; the tests of the sender pass (report timings under faults among them).

--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -185,3 +185,21 @@
         "the message was refused and not reported: {ends:?}"
     );
 }
+
+/// Guards against a report that the platform never read: a copy of the confirmation of an earlier report counted as its
+/// own.
+#[test]
+fn a_report_is_repeated_if_only_a_copy_of_an_earlier_confirmation_answers_it() {
+    let endpoint = TimedEndpoint::new(|_| vec![TimedWrite::after(0, FAILURE)]);
+    let platform = Platform::repeating_confirmations();
+    let sender = start_sender("copy-confirmation", &endpoint, &platform);
+    for id in ["first", "second", "third"] {
+        assert_eq!(sender.submit("debit", id, TIMEOUT_HEADER), 202);
+        std::thread::sleep(Duration::from_millis(SERVICE));
+    }
+    let ends = collect_ends(&endpoint, &platform);
+    for (id, ends) in &ends {
+        assert!(ends.reports > 0, "{id} was never reported: {ends:?}");
+    }
+    assert_eq!(ends.len(), 3);
+}
--- a/crates/martenlatch/tests/support/platform.rs
+++ b/crates/martenlatch/tests/support/platform.rs
@@ -26,6 +26,9 @@
 struct Connections {
     /// The statuses of the replies to the first reports; all later ones are confirmed.
     first_statuses: &'static [u16],
+    /// Whether a further request with reports on a connection meets a copy of the confirmation before it, and the end of
+    /// the connection.
+    repeats: bool,
     report_count: Arc<Mutex<usize>>,
     report_sender: Sender<String>,
     watchers: Arc<Mutex<Vec<TcpStream>>>,
@@ -36,6 +39,16 @@
     /// A platform that replies to the first reports with the given statuses and confirms all others. Status 0 closes
     /// the connection without a reply.
     pub fn new(first_statuses: &'static [u16]) -> Platform {
+        Platform::start(first_statuses, false)
+    }
+
+    /// A platform that confirms the first reports on each connection twice: the copy arrives with the next reports, which
+    /// it does not read, and then it closes the connection.
+    pub fn repeating_confirmations() -> Platform {
+        Platform::start(&[], true)
+    }
+
+    fn start(first_statuses: &'static [u16], repeats: bool) -> Platform {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let (report_sender, status_reports) = channel();
@@ -43,6 +56,7 @@
         let watchers = Arc::new(Mutex::new(Vec::new()));
         let connections = Connections {
             first_statuses,
+            repeats,
             report_count: Arc::default(),
             report_sender,
             watchers: watchers.clone(),
@@ -93,11 +107,20 @@
 impl Connections {
     fn serve(&self, stream: TcpStream) {
         let mut stream = BufReader::new(stream);
+        let mut confirmed_on_connection = 0;
         while let Some(request) = read_message(&mut stream, 0) {
             if request.first_line.starts_with("GET /v1/servers?watch=1") {
                 self.add_watcher(stream.get_mut(), request.first_line);
                 continue;
             }
+            if self.repeats && confirmed_on_connection > 0 {
+                write_in_pieces(
+                    stream.get_mut(),
+                    "HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n",
+                );
+                return;
+            }
+            confirmed_on_connection += 1;
             let mut report_count = self.report_count.lock().unwrap();
             let status = self.first_statuses.get(*report_count).copied();
             let status = status.unwrap_or(CONFIRMED);
--- a/crates/sender/src/pipeline/status_reports/mod.rs
+++ b/crates/sender/src/pipeline/status_reports/mod.rs
@@ -1,6 +1,7 @@
 //! Reports the final status of undelivered messages to the platform, and repeats each report until it is confirmed.
 //!
-//! Reports are sent in batches. A batch that is not confirmed in time is sent again on another connection, so that a
+//! Reports are sent in batches, each on a connection of its own: on one that has carried a confirmation, a copy of it
+//! could be taken for the next one. A batch that is not confirmed in time is sent again on another connection, so that a
 //! silent connection delays no report; [`timing`] defines the times. A batch that the platform refuses is sent again in
 //! halves, so that a report that the platform cannot read does not delay the others.
 
@@ -137,9 +138,7 @@
             return;
         }
         self.close_silent_connections(now);
-        while let Some(connection) = self.free_connection(now)
-            && self.send_batch(connection, store, now)
-        {}
+        while !self.has_just_sent(now) && self.send_batch(store, now) {}
         self.schedule(store, now);
     }
 
@@ -154,65 +153,38 @@
 
     /// Closes the connections on which the platform has been silent for too long.
     fn close_silent_connections(&mut self, now: Millis) {
-        let silent = |connection: &ReportConnection| {
-            !connection.is_idle() && now >= connection.sent_at + CONFIRMATION_TIMEOUT
-        };
+        let silent =
+            |connection: &ReportConnection| now >= connection.sent_at + CONFIRMATION_TIMEOUT;
         while let Some(index) = self.connections.iter().position(silent) {
             self.fail_connection(index, now, "silent");
         }
     }
 
-    /// The connection for the next batch. An open one is removed from the list. `None` if a batch was sent so recently
-    /// that its confirmation may be about to arrive.
-    fn free_connection(&mut self, now: Millis) -> Option<FreeConnection> {
-        while let Some(index) = self.connections.iter().position(ReportConnection::is_idle) {
-            let mut connection = self.connections.swap_remove(index);
-            if connection.is_usable() {
-                return Some(FreeConnection::Open(connection));
-            }
-        }
-        let just_sent =
-            |connection: &ReportConnection| now < connection.sent_at + NEW_CONNECTION_DELAY;
-        if self.connections.iter().any(just_sent) {
-            return None;
-        }
-        Some(FreeConnection::ToBeOpened)
+    /// Whether a batch was sent so recently that its confirmation may be about to arrive.
+    fn has_just_sent(&self, now: Millis) -> bool {
+        self.connections
+            .iter()
+            .any(|connection| now < connection.sent_at + NEW_CONNECTION_DELAY)
     }
 
     /// Sends a batch of the reports that are due, urgent ones first. Returns false if no report is due, the batch could
     /// not be sent, or it is not urgent and all connections are in use.
-    fn send_batch(
-        &mut self,
-        connection: FreeConnection,
-        store: &MessageStore,
-        now: Millis,
-    ) -> bool {
+    fn send_batch(&mut self, store: &MessageStore, now: Millis) -> bool {
         let batch = self.due_batch(store, now);
-        let connection = match connection {
-            FreeConnection::Open(connection) if batch.numbers.is_empty() => {
-                self.keep_idle(connection);
-                return false;
-            }
-            FreeConnection::Open(connection) => Some(connection),
-            FreeConnection::ToBeOpened if batch.numbers.is_empty() => return false,
-            FreeConnection::ToBeOpened
-                if self.connections.len() >= MAX_REPORT_CONNECTIONS && !batch.urgent =>
-            {
-                return false;
-            }
-            FreeConnection::ToBeOpened => self.open_connection(),
-        };
-        let numbers = batch.numbers;
-        let Some(mut connection) = connection else {
-            self.count_failure(now, numbers.len(), "no connection");
+        let is_full = self.connections.len() >= MAX_REPORT_CONNECTIONS;
+        if batch.numbers.is_empty() || (is_full && !batch.urgent) {
             return false;
-        };
+        }
+        let numbers = batch.numbers;
         let count = numbers.len();
         let lines = report_lines(&numbers, store);
-        if !connection.send(self.platform, numbers, &lines, now) {
+        let connection = self.open_connection().and_then(|connection| {
+            ReportConnection::send(connection, self.platform, numbers, &lines, now)
+        });
+        let Some(connection) = connection else {
             self.count_failure(now, count, "no connection");
             return false;
-        }
+        };
         for number in connection.numbers() {
             if let Some(report) = self.unconfirmed.get_mut(number) {
                 report.mark_sent(now);
@@ -222,13 +194,6 @@
         true
     }
 
-    /// Keeps an idle connection for later reports, unless another one is kept already.
-    fn keep_idle(&mut self, connection: ReportConnection) {
-        if !self.connections.iter().any(ReportConnection::is_idle) {
-            self.connections.push(connection);
-        }
-    }
-
     /// The reports of the next batch.
     ///
     /// A final status that the log could not record is reported only once it is recorded or the deadline has passed. If
@@ -259,7 +224,7 @@
 
     /// Opens a new connection. If there are already [`MAX_REPORT_CONNECTIONS`], the one whose batch has waited the
     /// longest is closed.
-    fn open_connection(&mut self) -> Option<ReportConnection> {
+    fn open_connection(&mut self) -> Option<Connection> {
         if self.connections.len() >= MAX_REPORT_CONNECTIONS {
             let oldest = (0..self.connections.len()).min_by(|a, b| {
                 self.connections[*a]
@@ -274,7 +239,7 @@
             &self.pool,
             EventSource::StatusReports,
         );
-        connection.ok().map(ReportConnection::new)
+        connection.ok()
     }
 
     /// Determines when the next report is due.
@@ -302,17 +267,10 @@
             match self.connections[index].progress() {
                 BatchProgress::Pending => index += 1,
                 BatchProgress::Confirmed => {
-                    confirmed.append(&mut self.connections[index].take_confirmed());
-                    index += 1;
-                }
-                BatchProgress::Refused => self.on_refusal(index, now),
-                BatchProgress::ConnectionLost if self.connections[index].is_idle() => {
                     let connection = self.connections.swap_remove(index);
-                    if connection.unread_bytes() > 0 {
-                        let bytes = connection.unread_bytes();
-                        warn!(bytes, "unexpected bytes from the platform");
-                    }
+                    confirmed.extend(connection.numbers());
                 }
+                BatchProgress::Refused => self.on_refusal(index, now),
                 BatchProgress::ConnectionLost => {
                     self.fail_connection(index, now, "connection lost")
                 }
@@ -364,12 +322,6 @@
     }
 }
 
-/// The connection for the next batch.
-enum FreeConnection {
-    Open(ReportConnection),
-    ToBeOpened,
-}
-
 /// The reports of one batch.
 struct Batch {
     /// The numbers of their messages, urgent reports first.
