Take no older endpoint list for a newer one, and ask again what holds

Cause: discovery's updates were applied in the order in which they came, whatever their version.

Change: an update with an older version is not used.

Why it works: the first answer on a new connection answers the request on it; a repetition on the old watch is gone with it.

--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -203,3 +203,66 @@
     }
     assert_eq!(ends.len(), 3);
 }
+
+/// Guards against requests to an endpoint that drains: a repetition of the first list, behind the change, brought it
+/// back. A discovery that starts again with lower versions is believed once it has said so on a new watch.
+#[test]
+fn a_repeated_list_brings_no_draining_endpoint_back_and_a_restarted_discovery_is_believed() {
+    let drained = TimedEndpoint::new(|_| vec![TimedWrite::after(0, OK)]);
+    let kept = TimedEndpoint::new(|_| vec![TimedWrite::after(0, OK)]);
+    let platform = Platform::new(&[]);
+    let entry = |uid: &str, endpoint: &TimedEndpoint, state: &str| {
+        endpoint_entry(uid, endpoint.address, state)
+    };
+    let both = [
+        entry("s-1", &drained, "in_service"),
+        entry("s-2", &kept, "in_service"),
+    ];
+    let drain = endpoint_list(41, false, &[entry("s-1", &drained, "terminating")]);
+    let first = endpoint_list(40, true, &both);
+    let after_drain = endpoint_list(
+        41,
+        true,
+        &[entry("s-1", &drained, "terminating"), both[1].clone()],
+    );
+    let sender = Sender::start("copy-list", &platform, &first);
+    platform.push_line(&first);
+    platform.push_bytes(&watch_chunk(&drain));
+    platform.push_bytes(&watch_chunk(&first));
+    // The sender asks for the whole list.
+    assert!(platform.next_watch_request().contains("from=0 "));
+    platform.push_bytes(&watch_chunk(&after_drain));
+    sender.wait_for_round_end();
+    submit_many(&sender, "before");
+    assert_eq!(drained.requests.try_iter().count(), 0);
+    assert_eq!(kept.requests.try_iter().count(), 20);
+    // Discovery starts again: both its connection and its versions are new.
+    platform.close_watches();
+    platform.push_line(&endpoint_list(
+        1,
+        true,
+        &[entry("s-1", &drained, "in_service")],
+    ));
+    assert!(platform.next_watch_request().contains("from=0 "));
+    platform.push_bytes(&watch_chunk(&endpoint_list(
+        1,
+        true,
+        &[entry("s-1", &drained, "in_service")],
+    )));
+    sender.wait_for_round_end();
+    submit_many(&sender, "after");
+    assert_eq!(kept.requests.try_iter().count(), 0);
+    assert_eq!(drained.requests.try_iter().count(), 20);
+}
+
+/// Submits messages one after another, and waits until they have been sent.
+fn submit_many(sender: &Sender, prefix: &str) {
+    for number in 0..20 {
+        let id = format!("{prefix}-{number}");
+        assert_eq!(sender.submit("meter", &id, "16.0"), 202);
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    wait_until("all messages are complete", || {
+        sender.operator_counters()["current"] == 0
+    });
+}
--- a/crates/martenlatch/tests/support/platform.rs
+++ b/crates/martenlatch/tests/support/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: discovery, which pushes endpoint lists, and the receiver of status reports.
 
 use std::io::{BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -96,6 +96,13 @@
             .expect("no watch was opened")
     }
 
+    /// Closes all watches.
+    pub fn close_watches(&self) {
+        for stream in self.watchers.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Sends bytes to all watches.
     pub fn push_bytes(&self, bytes: &str) {
         for stream in self.watchers.lock().unwrap().iter_mut() {
--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -7,6 +7,7 @@
 //! - [`watch_schedule`]: when watches are opened, and how long they may be silent
 //! - [`object_framer`]: splitting the response into JSON objects
 //! - [`list_update`]: parsing an update and its entries
+//! - [`version_guard`]: which updates are outdated
 //! - [`endpoint_list`]: the list itself, with the operators' cordons
 //! - [`snapshot`]: handing over the list to a successor process
 
@@ -16,6 +17,7 @@
 mod snapshot;
 #[cfg(test)]
 mod tests;
+mod version_guard;
 mod watch;
 mod watch_schedule;
 
@@ -35,6 +37,7 @@
 use crate::jitter::Jitter;
 use endpoint_list::EndpointList;
 use list_update::{ListUpdate, ZoneAndKindNames};
+use version_guard::{VersionGuard, VersionVerdict};
 use watch::{Watch, WatchError};
 use watch_schedule::{ListSource, WatchSchedule};
 
@@ -55,8 +58,11 @@
     list: EndpointList,
     /// The version of the list, from which the next watch continues.
     version: u64,
+    version_guard: VersionGuard,
     /// Whether an update of the current watch could not be read.
     has_unreadable_update: bool,
+    /// Whether an update of the current watch is outdated, so that the whole list has to be requested.
+    has_outdated_update: bool,
     /// Whether discovery has sent anything to this process or to its predecessors.
     discovery_responded: bool,
     watch: Option<Watch>,
@@ -86,7 +92,9 @@
             discovery_address,
             list: EndpointList::new(names, cordons),
             version: 0,
+            version_guard: VersionGuard::default(),
             has_unreadable_update: false,
+            has_outdated_update: false,
             discovery_responded: false,
             watch: None,
             last_received: 0.0,
@@ -107,14 +115,6 @@
             );
             return None;
         };
-        if update.version.is_some_and(|version| version < self.version) {
-            warn!(
-                rev = update.version,
-                current = self.version,
-                complete = update.complete,
-                "endpoint list update is older than the list"
-            );
-        }
         let applied = self.list.apply(&update);
         if let Some(version) = update.version
             && !applied.has_unreadable_entry
@@ -128,6 +128,30 @@
         })
     }
 
+    /// Applies an update that a watch has brought, unless it is outdated.
+    fn apply_watched(&mut self, json: &Value, now: Millis) -> Option<EndpointListChange> {
+        let Some(update) = ListUpdate::parse(json) else {
+            return self.apply(json);
+        };
+        let verdict = self
+            .version_guard
+            .judge(update.version, update.complete, self.version, now);
+        if verdict == VersionVerdict::Apply {
+            return self.apply(json);
+        }
+        warn!(
+            rev = update.version,
+            current = self.version,
+            complete = update.complete,
+            "endpoint list update is older than the list"
+        );
+        self.has_outdated_update |= verdict == VersionVerdict::Verify;
+        Some(EndpointListChange {
+            complete: false,
+            entries: Vec::new(),
+        })
+    }
+
     /// Cordons or uncordons an endpoint by its name. Returns the change for the decision module, if there is one and
     /// the endpoint is listed.
     ///
@@ -217,6 +241,9 @@
         {
             self.close_watch(now, WatchError::Silent);
         }
+        if self.watch.is_some() && self.version_guard.verifies_now(now) {
+            self.request_whole_list(now);
+        }
         if self.watch.is_none() && now >= self.schedule.next_watch_at() {
             self.open_watch(now, handle, buffers);
         }
@@ -225,7 +252,13 @@
     fn open_watch(&mut self, now: Millis, handle: &EventLoopHandle, buffers: &BufferPool) {
         self.last_received = now;
         self.has_unreadable_update = false;
-        match Watch::open(self.discovery_address, self.version, handle, buffers) {
+        self.has_outdated_update = false;
+        let version = if self.version_guard.on_watch_opened(now) {
+            0
+        } else {
+            self.version
+        };
+        match Watch::open(self.discovery_address, version, handle, buffers) {
             Ok(watch) => self.watch = Some(watch),
             Err(error) => {
                 warn!(error = ?error.kind(), "watch not opened");
@@ -242,6 +275,12 @@
         self.schedule.back_off(now);
     }
 
+    /// Closes the watch and opens another one at once, which requests the whole list.
+    fn request_whole_list(&mut self, now: Millis) {
+        self.watch = None;
+        self.schedule.watch_at(now);
+    }
+
     /// The instant after which the watch will have been silent for too long; `None` without a watch.
     fn silence_deadline(&self) -> Option<Millis> {
         let watch = self.watch.as_ref()?;
@@ -251,7 +290,7 @@
     /// When [`EndpointDirectory::run_due`] has something to do, in milliseconds.
     pub fn next_deadline(&self) -> Millis {
         match self.silence_deadline() {
-            Some(deadline) => deadline + SILENCE_MARGIN,
+            Some(deadline) => (deadline + SILENCE_MARGIN).min(self.version_guard.deadline()),
             None => self.schedule.next_watch_at(),
         }
     }
@@ -264,7 +303,7 @@
         };
         let input = watch.receive();
         let closed = watch.is_closed();
-        let (changes, has_unreadable) = self.apply_objects(&input.objects);
+        let (changes, has_unreadable) = self.apply_objects(&input.objects, now);
         if !input.objects.is_empty() {
             self.discovery_responded = true;
             self.last_received = now;
@@ -278,23 +317,29 @@
             .or(closed.then_some(WatchError::ConnectionClosed));
         if let Some(error) = error {
             self.close_watch(now, error);
+        } else if self.has_outdated_update {
+            self.request_whole_list(now);
         }
-        (changes, input.has_more && error.is_none())
+        (changes, input.has_more && self.watch.is_some())
     }
 
     /// Applies the objects of a watch, and stops at one that cannot be read: the updates after it would move the
     /// version past it. Returns the changes, and whether there was an unreadable object.
-    fn apply_objects(&mut self, objects: &[Vec<u8>]) -> (Vec<EndpointListChange>, bool) {
+    fn apply_objects(
+        &mut self,
+        objects: &[Vec<u8>],
+        now: Millis,
+    ) -> (Vec<EndpointListChange>, bool) {
         let mut changes = Vec::new();
         for object in objects {
             if object.trim_ascii().is_empty() {
                 continue;
             }
             let json = serde_json::from_slice::<Value>(object).ok();
-            let change = json.and_then(|json| self.apply(&json));
+            let change = json.and_then(|json| self.apply_watched(&json, now));
             self.has_unreadable_update |= change.is_none();
             changes.extend(change);
-            if self.has_unreadable_update {
+            if self.has_unreadable_update || self.has_outdated_update {
                 break;
             }
         }
--- a/crates/sender/src/discovery/tests/mod.rs
+++ b/crates/sender/src/discovery/tests/mod.rs
@@ -4,6 +4,7 @@
 mod object_framer;
 mod snapshot;
 mod updates;
+mod version_guard;
 mod watch_schedule;
 
 use martenlatch_policy::interface::Settings;
--- a/crates/sender/src/discovery/tests/updates.rs
+++ b/crates/sender/src/discovery/tests/updates.rs
@@ -42,7 +42,7 @@
     let mut changes = Vec::new();
     loop {
         let WatchInput { objects, error, .. } = directory.watch.as_mut().unwrap().receive();
-        let (applied, has_unreadable) = directory.apply_objects(&objects);
+        let (applied, has_unreadable) = directory.apply_objects(&objects, 0.0);
         changes.extend(
             applied
                 .iter()
--- a/crates/sender/src/discovery/watch_schedule.rs
+++ b/crates/sender/src/discovery/watch_schedule.rs
@@ -80,6 +80,11 @@
         self.next_watch_at = now + self.jitter.up_to(spread);
     }
 
+    /// Schedules the next watch for an instant.
+    pub fn watch_at(&mut self, at: Millis) {
+        self.next_watch_at = at;
+    }
+
     /// Schedules the next watch after one was lost or could not be opened.
     pub fn back_off(&mut self, now: Millis) {
         let (slowdown, max_pause) = match self.source {
