Repeat answers, confirmations and lists in the soak; discard certain copies

Need: the soak knew no endpoint, platform or discovery that says something twice, so that it could not see the faults of the incident of 4 December.

Change in the soak: endpoints whose answers are alike and are written again later, whole or cut off, one of the last three; agents that confirm reports twice and end connections under reports; lists that come again and again. A report or a harmless repeat of a message whose answer could not be told from another one is no violation (traces: a copy or a cut-off answer on its connection); lost messages, repeated non-idempotent ones, windows, zones, waits and drains are asked as ever.

Change in the sender, found by this: where all successes of an endpoint differ, one that the connection has carried before is discarded and the real one awaited; messages whose keys hold in one zone are treated like non-idempotent ones when connections are chosen and rejections settled; while an endpoint repeats rejections, silence does not prove that such a request never ran.

--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -104,6 +104,9 @@
         /// The retry-after, if the response has one.
         retry_after: Option<Millis>,
     },
+    /// An endpoint answers a message with the bytes of an earlier answer, or writes an answer again on the connection
+    /// that carries the message's answer: the sender cannot know which answer belongs to it.
+    AnswerUncertain,
     /// The platform confirmed a status report.
     Reported {
         /// The status in the report.
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -15,6 +15,7 @@
 pub mod oracle;
 mod pids;
 mod processes;
+mod repetition;
 pub mod schedule;
 mod shim;
 mod world;
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -126,6 +126,7 @@
                 status,
                 retry_after,
             } => self.on_responded(record, *destination, *status, *retry_after),
+            Event::AnswerUncertain => self.progress(record).answer_uncertain = true,
             Event::Reported { .. } => self.on_reported(record),
             Event::ListTold { endpoint, active } => self.on_list_update(record, *endpoint, *active),
             Event::Process(event) => self.judge_process_event(record, *event),
@@ -219,7 +220,9 @@
         }
         let is_after = |end: Millis| record.at > end + SOCKET_GRACE + delay + lateness;
         let after_report = reported.is_some_and(is_after);
+        let may_repeat = self.progress(record).answer_uncertain;
         let after_delivery = delivered.is_some_and(is_after)
+            && !may_repeat
             && delivered.is_some_and(|at| self.end_is_known(record.sender, at, record.at));
         if after_report || after_delivery {
             self.add_violation(Rule::ForwardedAfterEnd, record);
@@ -297,7 +300,8 @@
         let progress = self.progress(record);
         progress.reported_at.get_or_insert(record.at);
         // Close to the deadline, a sender cannot know whether an answer was in time, and a second end does no harm.
-        let delivered = progress.delivered_at.filter(|_| progress.surely_delivered);
+        let is_sure = progress.surely_delivered && !progress.answer_uncertain;
+        let delivered = progress.delivered_at.filter(|_| is_sure);
         let Some(delivered) = delivered else {
             return;
         };
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -26,6 +26,9 @@
     /// The delivery was early enough that the sender must count it as in time.
     pub surely_delivered: bool,
     pub reported_at: Option<Millis>,
+    /// The sender cannot know which answer belongs to the message: a report does no harm, nor does a repeat that has no
+    /// further effect.
+    pub answer_uncertain: bool,
     pub first_run: Option<Millis>,
     pub first_zone: Option<&'static str>,
     pub requests: usize,
--- a/crates/lab/src/soak/schedule.rs
+++ b/crates/lab/src/soak/schedule.rs
@@ -59,6 +59,12 @@
     ReportsStutter,
     /// A sender's write-ahead log cannot be read.
     LogUnreadable,
+    /// An endpoint's answers are alike, and some are written again later, whole or in part. Adds to other faults.
+    RepeatsAnswers,
+    /// A sender's agent confirms some status reports twice and ends some connections in place of a confirmation.
+    ReportsRepeated,
+    /// A sender's agent sends its first list again and again.
+    ListRepeated,
 }
 
 /// The faults of endpoints; one that is listed twice is drawn twice as often.
@@ -98,6 +104,13 @@
 /// Extra faults of senders and their agents, drawn from the stream of [`EXTRA_FAULT_STREAM`].
 const EXTRA_SENDER_FAULTS: [FaultKind; 2] = [FaultKind::ReportsStutter, FaultKind::LogUnreadable];
 
+/// Faults of endpoints that repeat, drawn from the stream of [`REPETITION_STREAM`].
+const REPEATING_ENDPOINT_FAULTS: [FaultKind; 1] = [FaultKind::RepeatsAnswers];
+
+/// Faults of agents that repeat, drawn from the stream of [`REPETITION_STREAM`].
+const REPEATING_SENDER_FAULTS: [FaultKind; 2] =
+    [FaultKind::ReportsRepeated, FaultKind::ListRepeated];
+
 /// A fault of one endpoint or sender and the time span in which it is active.
 #[derive(Clone, Copy, Debug)]
 pub struct FaultWindow {
@@ -180,6 +193,8 @@
 const EXTRA_ACTION_GAP: std::ops::Range<Millis> = 1_500.0..4_500.0;
 /// Gives the extra faults a random stream of their own, so that they do not change the other faults of a seed.
 const EXTRA_FAULT_STREAM: u64 = 0x5851_F42D_4C95_7F2D;
+/// Gives the faults that repeat something a random stream of their own.
+const REPETITION_STREAM: u64 = 0x1405_7B7E_F767_814F;
 /// Steps of the wall clock, in milliseconds.
 const WALL_CLOCK_STEPS: [Millis; 8] = [3_600e3, -3_600e3, 5e3, -5e3, 900e3, -900e3, 2e3, -3e3];
 
@@ -200,6 +215,7 @@
             schedule.add_actions(&mut rng, sender, size.duration - QUIET_END);
         }
         schedule.add_extra_faults(seed, size);
+        schedule.add_repeating_faults(seed, size);
         schedule.actions.sort_by(|a, b| a.at.total_cmp(&b.at));
         schedule
     }
@@ -226,6 +242,18 @@
         }
     }
 
+    fn add_repeating_faults(&mut self, seed: u64, size: SoakSize) {
+        let mut rng = Pcg64::seed_from_u64(seed ^ REPETITION_STREAM);
+        for endpoint in 0..size.endpoints {
+            let faults = &REPEATING_ENDPOINT_FAULTS;
+            self.add_windows(&mut rng, faults, endpoint, size.duration);
+        }
+        for sender in 0..size.senders {
+            let faults = &REPEATING_SENDER_FAULTS;
+            self.add_windows(&mut rng, faults, sender, size.duration);
+        }
+    }
+
     fn add_windows(&mut self, rng: &mut Pcg64, faults: &[FaultKind], target: usize, end: Millis) {
         let mut at = rng.random_range(FAULT_GAP);
         while at < end {
--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -229,13 +229,13 @@
     platform.push_line(&first);
     platform.push_bytes(&watch_chunk(&drain));
     platform.push_bytes(&watch_chunk(&first));
-    // The sender asks for the whole list.
-    assert!(platform.next_watch_request().contains("from=0 "));
-    platform.push_bytes(&watch_chunk(&after_drain));
     sender.wait_for_round_end();
     submit_many(&sender, "before");
     assert_eq!(drained.requests.try_iter().count(), 0);
     assert_eq!(kept.requests.try_iter().count(), 20);
+    // The sender asks for the whole list.
+    assert!(platform.next_watch_request().contains("from=0 "));
+    platform.push_bytes(&watch_chunk(&after_drain));
     // Discovery starts again: both its connection and its versions are new.
     platform.close_watches();
     platform.push_line(&endpoint_list(
@@ -266,3 +266,26 @@
         sender.operator_counters()["current"] == 0
     });
 }
+
+/// Guards against losing a message that was never answered: a copy of an earlier success stands in the place of an answer
+/// that does not come in the message's time.
+#[test]
+fn a_message_whose_answer_never_comes_is_reported_despite_a_copy_of_an_earlier_success() {
+    const NEVER: u64 = 60_000;
+    let endpoint = TimedEndpoint::new(|request| match request.id() {
+        "first" => vec![TimedWrite::after(SERVICE, OK)],
+        "second" => vec![
+            TimedWrite::after(COPY_DELAY, OK),
+            TimedWrite::after(NEVER, BUSY),
+        ],
+        _ => vec![TimedWrite::after(SERVICE, OK)],
+    });
+    let platform = Platform::new(&[]);
+    let sender = start_sender("copy-never", &endpoint, &platform);
+    submit_two(&sender, "debit", SERVICE);
+    let ends = collect_ends(&endpoint, &platform);
+    assert!(
+        ends["second"].reports > 0,
+        "the message was not answered and not reported: {ends:?}"
+    );
+}
--- a/crates/sender/src/egress/attempt.rs
+++ b/crates/sender/src/egress/attempt.rs
@@ -25,8 +25,8 @@
     /// Whether the message is non-idempotent or this is a retry, so that the request must not be lost on a stale
     /// connection.
     pub must_not_be_lost: bool,
-    /// Whether the message must not be sent again once an attempt may have run.
-    pub non_idempotent: bool,
+    /// Whether the message may be sent again to any endpoint of its destination although an attempt may have run.
+    pub is_repeatable: bool,
     /// The head of the HTTP request.
     pub head: &'a [u8],
     /// The body of the HTTP request.
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -68,9 +68,13 @@
     /// When the last byte of the latest request was written. Not passed to a successor process.
     #[serde(skip)]
     pub sent_at: Option<Millis>,
-    /// Whether the latest request must not be sent again once it may have run. Not passed to a successor process.
+    /// Whether the message of the latest request may be sent again anywhere. Not passed to a successor process.
     #[serde(skip)]
-    pub non_idempotent: bool,
+    pub is_repeatable: bool,
+    /// Whether a copy of an earlier response was discarded since the latest request was sent. Not passed to a successor
+    /// process.
+    #[serde(skip)]
+    pub has_discarded: bool,
     /// Whether the connection is closed once it has rested. Not passed to a successor process.
     #[serde(skip)]
     pub close_when_rested: bool,
@@ -101,7 +105,8 @@
             last_answered: None,
             history: ResponseHistory::of_new_connection(),
             sent_at: None,
-            non_idempotent: false,
+            is_repeatable: false,
+            has_discarded: false,
             close_when_rested: false,
         }
     }
@@ -137,7 +142,8 @@
             last_answered: self.last_answered,
             history: ResponseHistory::default(),
             sent_at: self.sent_at,
-            non_idempotent: self.non_idempotent,
+            is_repeatable: self.is_repeatable,
+            has_discarded: self.has_discarded,
             close_when_rested: self.close_when_rested,
         }
     }
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -14,6 +14,7 @@
     RemainderProgress, ResponseClassification, ResponseProgress, read_remainder, read_response,
 };
 use super::response_history::{AnsweredAttempt, Evidence, ObservedResponse, Settlement, bytes_of};
+use super::surplus_bytes::SurplusBytes;
 use super::timeouts::RESPONSE_COMPLETION_TIMEOUT;
 use super::{Egress, LAST_BYTE_DELAY};
 
@@ -37,6 +38,9 @@
                     self.end_exchange(slot, cause, now);
                     return false;
                 }
+                ResponseProgress::Received(response) if self.discard_copy(slot, &response) => {
+                    return true;
+                }
                 ResponseProgress::Received(response) => self.finish_attempt(slot, response, now),
                 ResponseProgress::SuccessStatusLine => self.finish_by_status_line(slot, now),
             }
@@ -73,6 +77,35 @@
         has_more
     }
 
+    /// Discards a success that is certainly a copy of an earlier one, as all successes of the endpoint differ. The real
+    /// response is still to come.
+    fn discard_copy(&mut self, slot: usize, response: &http::Response) -> bool {
+        let connection = &mut self.connections[slot];
+        let Some(bytes) = bytes_of(response, connection.socket.bytes()) else {
+            return false;
+        };
+        let is_copy = response.status == 200
+            && connection.history.has_carried(bytes)
+            && self
+                .response_times
+                .has_distinct_successes(connection.endpoint);
+        if !is_copy {
+            return false;
+        }
+        let length = bytes.len();
+        connection.socket.consume(length);
+        connection.has_discarded = true;
+        let surplus = SurplusBytes {
+            endpoint: connection.endpoint,
+            last_answered: connection.last_answered,
+            length,
+            retry_after: 0,
+            repeats_rejection: false,
+        };
+        self.connections.surplus.push(surplus);
+        true
+    }
+
     /// Reports the outcome of an attempt whose response has been received.
     fn finish_attempt(&mut self, slot: usize, response: http::Response, now: Millis) {
         let connection = &mut self.connections[slot];
@@ -91,7 +124,13 @@
             rejects: classification.outcome.never_ran(),
         };
         let rejects = observed.rejects;
+        let carried_another = connection.history.may_repeat();
         let evidence = connection.history.observe(observed);
+        if response.status == 200 && complete.is_some() && carried_another {
+            let is_distinct = evidence == Evidence::Certain;
+            self.response_times
+                .record_success(connection.endpoint, is_distinct);
+        }
         connection.socket.consume(response.consumed);
         // After a response to an incompletely written request, the connection cannot be reused.
         let reusable = response.keep_alive
@@ -183,6 +222,11 @@
         let Some(attempt) = connection.attempt else {
             return;
         };
+        if connection.has_discarded {
+            // What was discarded may have been the real response.
+            self.response_times
+                .record_success(connection.endpoint, false);
+        }
         let received = connection.socket.bytes();
         debug!(
             slot,
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -167,7 +167,8 @@
         }
         connection.socket.written = 0;
         connection.sent_at = None;
-        connection.non_idempotent = request.non_idempotent;
+        connection.is_repeatable = request.is_repeatable;
+        connection.has_discarded = false;
         connection.idle_before = connection.connected.then_some(now - connection.idle_since);
         connection.attempt = Some(attempt);
         connection.socket.corked = true;
@@ -191,8 +192,8 @@
             endpoint: request.endpoint,
             address,
             earliest_idle_since: now - max_idle,
-            without_rejection: request.non_idempotent,
-            may_be_unrested: !request.non_idempotent && !times.is_suspected(request.endpoint, now),
+            without_rejection: !request.is_repeatable,
+            may_be_unrested: request.is_repeatable && !times.is_suspected(request.endpoint, now),
             now,
         };
         let with_rejection = WantedConnection {
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -153,6 +153,11 @@
         !self.is_known || self.has_unrecorded || !self.fingerprints.is_empty()
     }
 
+    /// Whether the connection has carried a response with the same bytes.
+    pub fn has_carried(&self, response: &[u8]) -> bool {
+        self.fingerprints.contains(&fingerprint(response))
+    }
+
     /// Records a response and decides how certain it is that it answers the request in flight.
     pub fn observe(&mut self, response: ObservedResponse) -> Evidence {
         let is_first = !self.may_repeat();
@@ -251,6 +256,11 @@
         self.is_known && !self.has_unrecorded && !self.has_rejected
     }
 
+    /// Whether a wrong conclusion from an unsettled response could not be undone.
+    pub fn is_final(&self) -> bool {
+        self.is_final
+    }
+
     /// Settles the latest responses: nothing has followed them.
     pub fn settle(&mut self) -> Vec<Settlement> {
         self.rests_until = None;
@@ -259,6 +269,15 @@
         self.confirm(responses)
     }
 
+    /// Puts the latest responses in doubt although nothing has followed them.
+    pub fn doubt(&mut self) -> Vec<Settlement> {
+        self.rests_until = None;
+        self.is_final = false;
+        let responses = std::mem::take(&mut self.unsettled);
+        let attempts = responses.into_iter().map(|response| response.attempt);
+        attempts.map(Settlement::Doubtful).collect()
+    }
+
     /// Settles the responses that a successor process cannot read again: all but the latest.
     pub fn settle_earlier(&mut self) -> Vec<Settlement> {
         let has_exchange = self.unread_exchange().is_some();
--- a/crates/sender/src/egress/response_times.rs
+++ b/crates/sender/src/egress/response_times.rs
@@ -22,6 +22,8 @@
 /// The factors by which each response reduces the memory of the slowest recent one and of the slowest one.
 const RECENT_DECAY: f64 = 0.95;
 const SLOWEST_DECAY: f64 = 0.98;
+/// The number of successes after which an endpoint is known to give each one bytes of its own.
+const DISTINCT_SUCCESSES: u32 = 16;
 /// How long an endpoint is suspected to repeat its responses after surplus bytes.
 const SUSPICION_TIME: Millis = 60_000.0;
 /// Endpoints without connections are forgotten once this number of endpoints is known.
@@ -36,6 +38,10 @@
     slowest: Millis,
     /// The number of responses.
     responses: u32,
+    /// The number of successes that differ from all earlier responses of their connection, which is not their first.
+    distinct_successes: u32,
+    /// Whether a success has the bytes of an earlier one and may be real.
+    repeats_successes: bool,
     /// When the endpoint last sent surplus bytes.
     surplus_at: Option<Millis>,
     /// When the endpoint last repeated a rejection.
@@ -69,6 +75,23 @@
         }
     }
 
+    /// Records whether a success on a connection that had carried one has bytes of its own.
+    pub fn record_success(&mut self, endpoint: EndpointId, is_distinct: bool) {
+        let times = self.by_endpoint.entry(endpoint).or_default();
+        if is_distinct {
+            times.distinct_successes = times.distinct_successes.saturating_add(1);
+        } else {
+            times.repeats_successes = true;
+        }
+    }
+
+    /// Whether all successes of an endpoint have bytes of their own, so that a success that the connection has carried
+    /// before is a copy.
+    pub fn has_distinct_successes(&self, endpoint: EndpointId) -> bool {
+        let times = self.times(endpoint);
+        times.distinct_successes >= DISTINCT_SUCCESSES && !times.repeats_successes
+    }
+
     /// Whether an endpoint has repeated a rejection recently.
     pub fn repeats_rejections(&self, endpoint: EndpointId, now: Millis) -> bool {
         is_recent(self.times(endpoint).repeated_rejection_at, now)
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -19,7 +19,7 @@
     ) {
         let connection = &mut self.connections[slot];
         let sent_at = connection.sent_at.unwrap_or(attempt.started_at);
-        let is_final = rejects && connection.non_idempotent;
+        let is_final = rejects && !connection.is_repeatable;
         let rest = self.response_times.rest(connection.endpoint, is_final, now);
         let long_rest = self.response_times.long_rest(connection.endpoint);
         let times = SettlementTimes {
@@ -51,7 +51,16 @@
         if connection.history.rests_until().is_none() || !connection.history.is_rested(now) {
             return;
         }
-        self.settlements.extend(connection.history.settle());
+        // While rejections are repeated, silence does not prove that a request never ran.
+        let is_doubtful = connection.history.is_final()
+            && self
+                .response_times
+                .repeats_rejections(connection.endpoint, now);
+        self.settlements.extend(if is_doubtful {
+            connection.history.doubt()
+        } else {
+            connection.history.settle()
+        });
         if connection.close_when_rested {
             self.connections.remove(slot, now);
         }
--- a/crates/sender/src/pipeline/actions.rs
+++ b/crates/sender/src/pipeline/actions.rs
@@ -52,6 +52,7 @@
         let attempt = Attempt {
             id,
             non_idempotent: self.is_non_idempotent(id),
+            is_repeatable: self.is_repeatable(id),
             endpoint,
             kind: self.directory.kind(endpoint),
             address: self.directory.address(endpoint),
@@ -69,6 +70,14 @@
             .is_none_or(|record| rules.is_non_idempotent(&record.class, &record.class_rules))
     }
 
+    /// Whether a message may be sent again to any endpoint of its destination although an attempt may have run.
+    fn is_repeatable(&self, id: MessageId) -> bool {
+        let rules = &self.admission.class_rules;
+        self.store
+            .record(id.0)
+            .is_some_and(|record| rules.may_repeat_anywhere(&record.class, &record.class_rules))
+    }
+
     /// Sends the requests whose connections are established, as far as the safety rules permit.
     pub(super) fn send_ready(&mut self, now: Millis) {
         let gate = SendGate {
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -19,6 +19,8 @@
     pub(super) id: MessageId,
     /// The message must not be sent again once an attempt may have run.
     pub(super) non_idempotent: bool,
+    /// The message may be sent again to any endpoint of its destination although an attempt may have run.
+    pub(super) is_repeatable: bool,
     pub(super) endpoint: EndpointId,
     /// The endpoint's kind, by its index in the settings.
     pub(super) kind: usize,
@@ -69,7 +71,7 @@
         latest_start: attempt.latest_start,
         // A message that has failed once should not fail again because of a stale connection.
         must_not_be_lost: attempt.non_idempotent || number > 0,
-        non_idempotent: attempt.non_idempotent,
+        is_repeatable: attempt.is_repeatable,
         head: head.as_bytes(),
         body: &record.body,
     };
