--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -177,15 +177,18 @@
             // An endpoint that repeats an answer while the real one takes much longer than ever cannot be told from one
             // that has answered: see KNOWN-RED.txt.
             if answered.are_uncertain() && self.fault().is_some() {
+                // The copies that are still to be written hold the connection open, too.
+                let _ = stream.stream.shutdown(Shutdown::Both);
                 return stream.reset();
             }
+            let fault = self.fault();
             let keeps_open = if self.repeats_answers() {
                 self.answer_repeatedly(&mut stream, &request, &id, &mut answered, rng)
             } else {
                 self.answer(&mut stream, &request, &id, rng)
             };
             // An answer without its last byte could be an earlier one that is cut off.
-            let was_cut_off = self.fault() == Some(FaultKind::LastByteLate) && !answered.is_empty();
+            let was_cut_off = fault == Some(FaultKind::LastByteLate) && !answered.is_empty();
             answered.add(&id);
             if answered.are_uncertain() || was_cut_off {
                 self.record(&id, Event::AnswerUncertain);
--- a/crates/lab/src/soak/oracle/process_events.rs
+++ b/crates/lab/src/soak/oracle/process_events.rs
@@ -24,6 +24,8 @@
                 }
             }
             ProcessEvent::Started => self.starts += 1,
+            // A pause that begins in another one does not end that one.
+            ProcessEvent::Pause if state.is_paused() => {}
             ProcessEvent::Pause => state.pauses.push((record.at, record.at)),
             ProcessEvent::Continue => {
                 if let Some(last) = state.pauses.last_mut() {
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -59,6 +59,13 @@
 }
 
 impl SenderState {
+    /// Whether the process is paused, according to the events so far.
+    pub fn is_paused(&self) -> bool {
+        self.pauses
+            .last()
+            .is_some_and(|(from, until)| from == until)
+    }
+
     /// How long the process was paused shortly before an instant, over all pauses.
     pub fn recent_pause_time(&self, at: Millis) -> Millis {
         self.pauses
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -41,6 +41,13 @@
                 ResponseProgress::Received(response) if self.discard_copy(slot, &response) => {
                     return true;
                 }
+                // If the discarded one was the real response after all, this one is a copy.
+                ResponseProgress::Received(response)
+                    if self.connections[slot].has_discarded && response.status != 200 =>
+                {
+                    self.end_exchange(slot, EndCause::MixedResponses, now);
+                    return false;
+                }
                 ResponseProgress::Received(response) => self.finish_attempt(slot, response, now),
                 ResponseProgress::SuccessStatusLine => self.finish_by_status_line(slot, now),
             }
@@ -119,6 +126,7 @@
             attempt: &attempt,
             received,
             head: &received[..response.consumed],
+            is_head_consumed: true,
             complete,
             is_followed: complete.is_some_and(|bytes| bytes.len() < received.len()),
             rejects: classification.outcome.never_ran(),
@@ -186,6 +194,7 @@
             attempt: &attempt,
             received: connection.socket.bytes(),
             head: connection.socket.bytes(),
+            is_head_consumed: false,
             complete: None,
             is_followed: false,
             rejects: false,
@@ -222,7 +231,7 @@
         let Some(attempt) = connection.attempt else {
             return;
         };
-        if connection.has_discarded {
+        if connection.has_discarded && cause != EndCause::MixedResponses {
             // What was discarded may have been the real response.
             self.response_times
                 .record_success(connection.endpoint, false);
@@ -318,6 +327,9 @@
                 RemainderProgress::Done => {}
             }
             connection.remaining_response = None;
+            let is_followed = !connection.socket.bytes().is_empty();
+            let settlements = connection.history.complete_rest(is_followed);
+            self.settlements.extend(settlements);
             let is_scarce = self.scarcity.is_scarce(connection.kind);
             let rests = connection.history.rests_until().is_some();
             // Bytes behind the response end the connection, which the next pass does.
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -161,6 +161,7 @@
     };
     match progress {
         Some((consumed, complete)) if !connection.is_closed() => {
+            connection.history.add_rest(&received[..consumed]);
             connection.socket.consume(consumed);
             if complete {
                 RemainderProgress::Done
@@ -180,6 +181,7 @@
     let body = match http::parse_response(bytes) {
         _ if is_mixed => Body::UntilClose,
         Ok(Some(response)) => {
+            connection.history.add_rest(&bytes[..response.consumed]);
             connection.socket.consume(response.consumed);
             if response.keep_alive && !response.malformed_framing {
                 response.body
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -26,7 +26,7 @@
 const MAX_UNSETTLED: usize = 3;
 /// The number of different heads of responses that are remembered for each connection, and how many bytes of each. Once
 /// there are as many, any incomplete response could be a copy.
-const MAX_HEADS: usize = 16;
+const MAX_HEADS: usize = 32;
 const KEPT_HEAD_BYTES: usize = 128;
 /// The beginning of each status line, without the minor version, and the length of a status line up to its code.
 const STATUS_LINE_START: &[u8] = b"HTTP/1.";
@@ -100,6 +100,8 @@
     pub head: &'a [u8],
     /// All of its bytes, or `None` if it is incomplete.
     pub complete: Option<&'a [u8]>,
+    /// Whether the bytes of its head are consumed when it ends its attempt.
+    pub is_head_consumed: bool,
     /// Whether further bytes follow it.
     pub is_followed: bool,
     /// Whether it says that the request never ran.
@@ -117,6 +119,8 @@
     has_unrecorded: bool,
     /// The first bytes of the heads of the earlier responses, without repetitions.
     heads: Vec<Vec<u8>>,
+    /// The consumed bytes of a response that had been incomplete when it ended its attempt.
+    partial: Option<Vec<u8>>,
     /// Whether any response has said that its request never ran.
     has_rejected: bool,
     /// The attempts whose responses are not settled yet, the oldest first.
@@ -150,7 +154,7 @@
 
     /// Whether a response that arrives now could be a copy of an earlier one.
     pub fn may_repeat(&self) -> bool {
-        !self.is_known || self.has_unrecorded || !self.fingerprints.is_empty()
+        !self.is_known || self.has_unrecorded || !self.heads.is_empty()
     }
 
     /// Whether the connection has carried a response with the same bytes.
@@ -172,7 +176,13 @@
             None => !self.begins_like_earlier(response.received),
         };
         let is_new = is_new && self.is_known && self.unsettled.is_empty();
-        self.record(fingerprint, response.head);
+        self.partial = None;
+        match fingerprint {
+            Some(print) => self.record(print),
+            None if response.is_head_consumed => self.partial = Some(response.head.to_vec()),
+            None => self.partial = Some(Vec::new()),
+        }
+        self.record_head(response.head);
         self.has_rejected |= response.rejects;
         if is_first || is_new {
             return Evidence::Certain;
@@ -197,18 +207,57 @@
             })
     }
 
-    fn record(&mut self, fingerprint: Option<u64>, head: &[u8]) {
+    /// Adds consumed bytes of the response that was observed last, which was incomplete.
+    pub fn add_rest(&mut self, bytes: &[u8]) {
+        if let Some(partial) = &mut self.partial {
+            partial.extend_from_slice(bytes);
+        }
+        if self
+            .partial
+            .as_ref()
+            .is_some_and(|partial| partial.len() > MAX_KEPT_RESPONSE)
+        {
+            self.partial = None;
+            self.has_unrecorded = true;
+        }
+    }
+
+    /// Records the response that was incomplete and now is not; `is_followed` says whether further bytes follow it. If it
+    /// is like no earlier one after all, it is settled.
+    pub fn complete_rest(&mut self, is_followed: bool) -> Vec<Settlement> {
+        let Some(response) = self.partial.take() else {
+            return Vec::new();
+        };
+        let print = fingerprint(&response);
+        let is_new = self.is_known
+            && !self.has_unrecorded
+            && !is_followed
+            && !ends_in_status_line(&response)
+            && !self.fingerprints.contains(&print);
+        self.record(print);
+        if is_new && self.unsettled.len() == 1 {
+            self.settle()
+        } else {
+            Vec::new()
+        }
+    }
+
+    fn record_head(&mut self, head: &[u8]) {
         let head = &head[..head.len().min(KEPT_HEAD_BYTES)];
         let is_known = self.heads.iter().any(|known| known == head);
         if !is_known && self.heads.len() < MAX_HEADS {
             self.heads.push(head.to_vec());
         }
-        match fingerprint {
-            Some(print) if self.fingerprints.contains(&print) => {}
-            Some(print) if self.fingerprints.len() < MAX_FINGERPRINTS => {
-                self.fingerprints.push(print)
-            }
-            _ => self.has_unrecorded = true,
+    }
+
+    fn record(&mut self, fingerprint: u64) {
+        if self.fingerprints.contains(&fingerprint) {
+            return;
+        }
+        if self.fingerprints.len() < MAX_FINGERPRINTS {
+            self.fingerprints.push(fingerprint);
+        } else {
+            self.has_unrecorded = true;
         }
     }
 
