--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -10,13 +10,13 @@
 use martenlatch_clock::Millis;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use socket2::{Domain, Socket, Type};
 
+use super::endpoint_helpers::{is_intact, listen, success};
 use super::history::Event;
 use super::http::{HttpMessage, HttpStream};
 use super::repetition::{AnsweredRequests, RepeatedAnswer};
 use super::schedule::FaultKind;
-use super::world::{ENDPOINTS_PER_DESTINATION, Message, POLL_INTERVAL, World};
+use super::world::{ENDPOINTS_PER_DESTINATION, POLL_INTERVAL, World};
 use crate::error::LabError;
 
 /// Usual limit on connections that wait to be accepted.
@@ -65,15 +65,6 @@
         .collect()
 }
 
-fn listen(address: SocketAddr, backlog: i32) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(backlog)?;
-    Ok(socket.into())
-}
-
 fn sleep(time: Millis) {
     thread::sleep(Duration::from_secs_f64(time / 1e3));
 }
@@ -407,19 +398,3 @@
         false
     }
 }
-
-/// The usual answer to a message, which differs from all other answers.
-fn success(id: &str) -> String {
-    format!(
-        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}",
-        id.len()
-    )
-}
-
-/// Whether a request has the body and the idempotency key of its message.
-fn is_intact(request: &HttpMessage, id: &str) -> bool {
-    Message::from_id(id).is_some_and(|message| {
-        request.body == message.body().as_bytes()
-            && request.header("idempotency-key") == Some(&*message.key())
-    })
-}
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod agent;
 mod client;
 mod endpoint;
+mod endpoint_helpers;
 pub mod history;
 mod http;
 pub mod oracle;
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -13,7 +13,8 @@
 use super::response::{
     RemainderProgress, ResponseClassification, ResponseProgress, read_remainder, read_response,
 };
-use super::response_history::{AnsweredAttempt, Evidence, ObservedResponse, Settlement, bytes_of};
+use super::response_bytes::bytes_of;
+use super::response_history::{AnsweredAttempt, Evidence, ObservedResponse, Settlement};
 use super::surplus_bytes::SurplusBytes;
 use super::timeouts::RESPONSE_COMPLETION_TIMEOUT;
 use super::{Egress, LAST_BYTE_DELAY};
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -8,6 +8,7 @@
 //! - [`exchange`]: one exchange on a connection
 //! - [`response`]: parsing responses
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
+//! - [`response_bytes`]: where a response ends
 //! - [`response_history`]: which request a response belongs to
 //! - [`response_times`]: how long endpoints take to respond
 //! - [`settling`]: when an uncertain response counts
@@ -25,6 +26,7 @@
 mod endpoint_connection;
 mod exchange;
 mod response;
+mod response_bytes;
 mod response_history;
 mod response_times;
 mod settling;
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -7,7 +7,7 @@
 
 use super::attempt_end::EndCause;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
-use super::response_history::are_mixed;
+use super::response_bytes::are_mixed;
 
 /// The header with the time for which no request may be sent to the destination, in milliseconds; the equivalent of
 /// HTTP's Retry-After. Lower-case, as are all parsed header names.
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -6,14 +6,15 @@
 //! itself. It is settled once its connection has rested for as long as the endpoint may take for the real response; a
 //! connection carries no further request before that. The rules are in `docs/design/response-matching.md`.
 
-use std::hash::{DefaultHasher, Hasher};
 use std::rc::Rc;
 
 use martenlatch_clock::Millis;
-use martenlatch_http as http;
 use martenlatch_policy::interface::MessageId;
 
 use super::attempt::ActiveAttempt;
+use super::response_bytes::{
+    begins_with_success, complete_response, ends_in_status_line, fingerprint,
+};
 
 /// The number of earlier responses that are remembered for each connection. Once there are more, every response could
 /// be a copy.
@@ -28,11 +29,6 @@
 /// there are as many, any incomplete response could be a copy.
 const MAX_HEADS: usize = 32;
 const KEPT_HEAD_BYTES: usize = 128;
-/// The beginning of each status line, without the minor version, and the length of a status line up to its code.
-const STATUS_LINE_START: &[u8] = b"HTTP/1.";
-const SUCCESS_STATUS_LINE: &[u8] = b"HTTP/1.1 200";
-const STATUS_LINE_LENGTH: usize = SUCCESS_STATUS_LINE.len();
-
 /// How certain it is that a response answers the request in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -391,59 +387,3 @@
                 .is_some_and(|response| !self.fingerprints.contains(&fingerprint(response)))
     }
 }
-
-/// The bytes of the response with which `bytes` begin; `None` if it is incomplete or malformed.
-fn complete_response(bytes: &[u8]) -> Option<&[u8]> {
-    let response = http::parse_response(bytes).ok()??;
-    bytes_of(&response, bytes)
-}
-
-/// The bytes of a parsed response with which `bytes` begin; `None` if its body is incomplete or malformed.
-pub(super) fn bytes_of<'a>(response: &http::Response, bytes: &'a [u8]) -> Option<&'a [u8]> {
-    let body = bytes.get(response.consumed..)?;
-    match response.body.clone().try_decode(body, |_| {})? {
-        (consumed, true) => bytes.get(..response.consumed + consumed),
-        _ => None,
-    }
-}
-
-/// Whether bytes are the beginning of a response with status 200, however short.
-fn begins_with_success(bytes: &[u8]) -> bool {
-    let length = bytes.len().min(SUCCESS_STATUS_LINE.len());
-    bytes[..length] == SUCCESS_STATUS_LINE[..length]
-}
-
-fn fingerprint(response: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    hasher.write(response);
-    hasher.finish()
-}
-
-/// Whether another response begins inside the first one in `bytes`: a copy was cut off, and the real response follows.
-pub(super) fn are_mixed(bytes: &[u8]) -> bool {
-    contains_second_status_line(bytes)
-        && complete_response(bytes).is_none_or(contains_second_status_line)
-}
-
-fn contains_second_status_line(bytes: &[u8]) -> bool {
-    bytes
-        .windows(STATUS_LINE_LENGTH)
-        .skip(1)
-        .any(is_status_line)
-}
-
-/// Whether the last bytes of a response could be the beginning of another one.
-fn ends_in_status_line(response: &[u8]) -> bool {
-    (1..STATUS_LINE_LENGTH).any(|length| {
-        let start = response.len().saturating_sub(length);
-        let end = &response[start..];
-        let known = end.len().min(STATUS_LINE_START.len());
-        end[..known] == STATUS_LINE_START[..known]
-    })
-}
-
-fn is_status_line(bytes: &[u8]) -> bool {
-    bytes
-        .strip_prefix(STATUS_LINE_START)
-        .is_some_and(|rest| matches!(rest, [minor, b' ', code @ ..] if minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit)))
-}
