Defer a repeatable message while its rejection is unsettled

What callers saw: nothing yet; found by reading the change again. A message that may be sent again anyhow, given up right behind a rejection with the bytes of an earlier one, was reported as undeliverable instead of deferred, so that its client would not come again. Cause: the rule that a message which may have run is not deferred was applied to all classes. It holds for those that must not be repeated anywhere. Evidence and result: the new test of both kinds fails for the idempotent one before and passes now.

--- a/crates/sender/src/pipeline/actions.rs
+++ b/crates/sender/src/pipeline/actions.rs
@@ -78,6 +78,13 @@
             .is_some_and(|record| rules.may_repeat_anywhere(&record.class, &record.class_rules))
     }
 
+    /// Whether a message must not be repeated anywhere and has a rejection that is not settled.
+    fn may_have_run_unsettled(&self, id: MessageId) -> bool {
+        let message = self.store.messages.get(&id.0);
+        message.is_some_and(|message| !message.unsettled_rejections.is_empty())
+            && !self.is_repeatable(id)
+    }
+
     /// Sends the requests whose connections are established, as far as the safety rules permit.
     pub(super) fn send_ready(&mut self, now: Millis) {
         let gate = SendGate {
@@ -91,6 +98,12 @@
 
     /// Ends a message as undelivered. Its requests that are not completely written are withdrawn.
     pub(super) fn give_up(&mut self, id: MessageId, status: FinalStatus, now: Millis) {
+        // A deferred message is handed in again, so none that must not be repeated may have run.
+        let status = if self.may_have_run_unsettled(id) {
+            FinalStatus::Undeliverable
+        } else {
+            status
+        };
         completion::give_up(id, status, &mut self.store, &mut self.status_reporter);
         self.withdraw_incomplete(id, now);
     }
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -175,12 +175,6 @@
     if !matches!(message.state, MessageState::Open | MessageState::Unsettled) {
         return;
     }
-    // A deferred message is handed in again, so no attempt may have run.
-    let status = if message.unsettled_rejections.is_empty() {
-        status
-    } else {
-        FinalStatus::Undeliverable
-    };
     message.record.final_status = Some(status);
     if std::mem::take(&mut message.unattempted) {
         store.counters.unattempted_ended += 1;
--- a/crates/sender/src/pipeline/tests/attempts.rs
+++ b/crates/sender/src/pipeline/tests/attempts.rs
@@ -358,3 +358,31 @@
     );
     assert_eq!(driver.status_reporter.unconfirmed().len(), 1);
 }
+
+/// Guards against a deferral of a message that may have run, and against an end that keeps the client of any other message
+/// from coming again.
+#[rstest::rstest]
+#[case::non_idempotent("side_effect", FinalStatus::Undeliverable)]
+#[case::idempotent("pure", FinalStatus::Deferred(Some(700)))]
+fn while_a_rejection_is_unsettled_only_a_message_that_may_be_repeated_is_deferred(
+    #[case] effect: &str,
+    #[case] expected: FinalStatus,
+) {
+    let (mut driver, ..) = resumed_driver_with_settings(
+        &format!("unsettled-{effect}"),
+        2_000.0,
+        "127.77.0.1:9".parse().unwrap(),
+        &SETTINGS.replace("side_effect", effect),
+    );
+    let message = driver.store.messages.get_mut(&3).unwrap();
+    message.unsettled_rejections.push(0);
+    let reject = Action::Reject {
+        id: MessageId(3),
+        retry_after: Some(nanos(700.0)),
+    };
+    driver.perform_one(reject, START);
+    assert_eq!(
+        driver.store.messages[&3].record.final_status,
+        Some(expected)
+    );
+}
--- a/crates/sender/src/pipeline/tests/mod.rs
+++ b/crates/sender/src/pipeline/tests/mod.rs
@@ -43,6 +43,16 @@
     name: &str,
     timeout: Millis,
     endpoint: SocketAddr,
+) -> (Driver, Clock, TestLoop) {
+    resumed_driver_with_settings(name, timeout, endpoint, SETTINGS)
+}
+
+/// Like [`resumed_driver_with_timeout`], with other settings of the platform.
+fn resumed_driver_with_settings(
+    name: &str,
+    timeout: Millis,
+    endpoint: SocketAddr,
+    settings: &str,
 ) -> (Driver, Clock, TestLoop) {
     let state = empty_folder(&folder_name(name));
     let (mut wal, _) = WriteAheadLog::open(&state, DISK_LIMIT);
@@ -52,7 +62,7 @@
         r#"{{"targets":[{{"uid":"s","endpoint":"{endpoint}","az":"a","model":"k","pod_group":7,"state":"in_service"}}]}}"#
     );
     let clock = Clock::manual(START);
-    let (driver, events) = start_driver(&state, SETTINGS, &known, endpoint, &clock);
+    let (driver, events) = start_driver(&state, settings, &known, endpoint, &clock);
     (driver, clock, events)
 }
 
