Take a rejection before the last byte as proof whatever its bytes

What callers saw: nothing yet; found by reading the change again. A non-idempotent request that was rejected while its last byte was held back, with the bytes of an earlier rejection, ended its connection and so counted as one that may have run: the message was reported instead of sent again. Cause: the evidence was judged by the bytes alone. A request whose last byte was not written never ran. Evidence and result: the new test fails before (Uncertain) and passes now; the tests of the sender pass.

--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -134,7 +134,11 @@
         };
         let rejects = observed.rejects;
         let carried_another = connection.history.may_repeat();
-        let evidence = connection.history.observe(observed);
+        let evidence = match connection.history.observe(observed) {
+            // Whatever was rejected, a request whose last byte was not written never ran.
+            Evidence::Uncertain if rejects && !attempt.fully_sent => Evidence::Certain,
+            evidence => evidence,
+        };
         if response.status == 200 && complete.is_some() && carried_another {
             let is_distinct = evidence == Evidence::Certain;
             self.response_times
--- a/crates/sender/src/egress/tests/last_byte.rs
+++ b/crates/sender/src/egress/tests/last_byte.rs
@@ -155,3 +155,38 @@
         if withdrawn { &b""[..] } else { b"xy" }
     );
 }
+
+/// Guards against doubt where there is none: a request whose last byte was held back never ran, whatever the bytes of its
+/// rejection.
+#[test]
+fn a_rejection_before_the_last_byte_is_certain_even_if_it_is_like_an_earlier_one() {
+    const REJECTION: &[u8] = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    let mut fixture = Fixture::new(MAX_CONNECTIONS);
+    let request = AttemptRequest {
+        is_repeatable: false,
+        ..two_byte_request(true)
+    };
+    fixture.start(&request, 0.0);
+    let mut peer = fixture.accept();
+    while fixture.egress.sent_messages.is_empty() {
+        fixture.step_all(0.0);
+    }
+    peer.read_exact(&mut [0; 2]).unwrap();
+    peer.write_all(REJECTION).unwrap();
+    fixture.wait_for_outcome(0.0);
+    fixture.egress.resets.recent_resets = RESET_EXPECTED_THRESHOLD;
+    fixture.start(&request, 0.0);
+    assert_eq!(fixture.egress.connections_opened, 1);
+    fixture.step_all(0.0);
+    peer.read_exact(&mut [0]).unwrap();
+    peer.write_all(REJECTION).unwrap();
+    while fixture.egress.results.is_empty() {
+        fixture.step_all(0.0);
+    }
+    let result = fixture.egress.results.pop().unwrap();
+    assert_eq!(
+        (result.outcome, result.evidence),
+        (Outcome::Overloaded { retry_after: 0 }, Evidence::Certain)
+    );
+    assert_eq!(fixture.egress.take_settlements(), []);
+}
