Pause before asking again where discovery answers with outdated changes

What callers saw: nothing yet; found by reading the change again. An agent that answers a request for the whole list with changes of an older version was asked again at once, and so without end and without a pause. Cause: each outdated update led to a new watch at once, also one that answers such a watch. Change: an outdated answer counts as a lost watch, with its backoff; the question stays open. Evidence and result: the rule's test asked for the immediate question before and now asks for the later one (stricter: it also asks that the question stays); the tests of the sender pass.

--- a/crates/sender/src/discovery/mod.rs
+++ b/crates/sender/src/discovery/mod.rs
@@ -63,6 +63,8 @@
     has_unreadable_update: bool,
     /// Whether an update of the current watch is outdated, so that the whole list has to be requested.
     has_outdated_update: bool,
+    /// Whether that update answers the request for the whole list.
+    has_outdated_answer: bool,
     /// Whether discovery has sent anything to this process or to its predecessors.
     discovery_responded: bool,
     watch: Option<Watch>,
@@ -95,6 +97,7 @@
             version_guard: VersionGuard::default(),
             has_unreadable_update: false,
             has_outdated_update: false,
+            has_outdated_answer: false,
             discovery_responded: false,
             watch: None,
             last_received: 0.0,
@@ -145,7 +148,8 @@
             complete = update.complete,
             "endpoint list update is older than the list"
         );
-        self.has_outdated_update |= verdict == VersionVerdict::Verify;
+        self.has_outdated_update |= verdict != VersionVerdict::Ignore;
+        self.has_outdated_answer |= verdict == VersionVerdict::VerifyLater;
         Some(EndpointListChange {
             complete: false,
             entries: Vec::new(),
@@ -253,6 +257,7 @@
         self.last_received = now;
         self.has_unreadable_update = false;
         self.has_outdated_update = false;
+        self.has_outdated_answer = false;
         let version = if self.version_guard.on_watch_opened(now) {
             0
         } else {
@@ -307,7 +312,7 @@
         if !input.objects.is_empty() {
             self.discovery_responded = true;
             self.last_received = now;
-            if !has_unreadable {
+            if !has_unreadable && !self.has_outdated_answer {
                 self.schedule.reset_backoff();
             }
         }
@@ -317,6 +322,8 @@
             .or(closed.then_some(WatchError::ConnectionClosed));
         if let Some(error) = error {
             self.close_watch(now, error);
+        } else if self.has_outdated_answer {
+            self.close_watch(now, WatchError::OutdatedAnswer);
         } else if self.has_outdated_update {
             self.request_whole_list(now);
         }
--- a/crates/sender/src/discovery/tests/version_guard.rs
+++ b/crates/sender/src/discovery/tests/version_guard.rs
@@ -50,6 +50,8 @@
     assert!(guard.on_watch_opened(1.0));
     assert_eq!(
         guard.judge(Some(8), false, CURRENT, 1.0),
-        VersionVerdict::Verify
+        VersionVerdict::VerifyLater,
+        "an agent that answers like this must not be asked without a pause"
     );
+    assert!(guard.on_watch_opened(101.0), "it is still in question");
 }
--- a/crates/sender/src/discovery/version_guard.rs
+++ b/crates/sender/src/discovery/version_guard.rs
@@ -16,8 +16,10 @@
     Apply,
     /// Ignore it for now; the list is requested again later.
     Ignore,
-    /// Ignore it, and request the whole list on a new watch.
+    /// Ignore it, and request the whole list on a new watch at once.
     Verify,
+    /// It answers such a request, and is no answer. Request the whole list again after a backoff.
+    VerifyLater,
 }
 
 /// Judges the updates of one watch after another.
@@ -53,8 +55,9 @@
         now: Millis,
     ) -> VersionVerdict {
         let is_first = std::mem::replace(&mut self.is_first, false);
-        let answers_request = is_first && self.is_verifying && is_complete;
-        if version.is_none_or(|version| version >= current) || answers_request {
+        let answers_request = is_first && self.is_verifying;
+        let is_valid_answer = answers_request && is_complete;
+        if version.is_none_or(|version| version >= current) || is_valid_answer {
             self.is_verifying = false;
             return VersionVerdict::Apply;
         }
@@ -63,7 +66,11 @@
             return VersionVerdict::Ignore;
         }
         self.is_verifying = true;
-        VersionVerdict::Verify
+        if answers_request {
+            VersionVerdict::VerifyLater
+        } else {
+            VersionVerdict::Verify
+        }
     }
 
     /// Whether the whole list has to be requested now, because of an update that was ignored.
--- a/crates/sender/src/discovery/watch.rs
+++ b/crates/sender/src/discovery/watch.rs
@@ -33,6 +33,9 @@
     /// An update could not be read and has to be requested again.
     #[error("unreadable")]
     UnreadableUpdate,
+    /// The answer to a request for the whole list is older than the list, and not whole.
+    #[error("outdated")]
+    OutdatedAnswer,
     /// The connection was closed by discovery or has failed.
     #[error("closed")]
     ConnectionClosed,
