--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -194,6 +194,17 @@
         self.endpoint / ENDPOINTS_PER_DESTINATION
     }
 
+    /// Records that a complete request has arrived, and whether it takes effect.
+    fn record_arrival(&self, request: &HttpMessage, id: &str, runs: bool) {
+        let event = Event::RequestArrived {
+            endpoint: self.endpoint,
+            destination: self.destination(),
+            intact: is_intact(request, id),
+            runs,
+        };
+        self.record(id, event);
+    }
+
     fn record(&self, id: &str, event: Event) {
         self.record_at(self.world.now(), id, event);
     }
@@ -223,15 +234,7 @@
         rng: &mut Pcg64,
     ) -> bool {
         let answer = RepeatedAnswer::draw(rng);
-        self.record(
-            id,
-            Event::RequestArrived {
-                endpoint: self.endpoint,
-                destination: self.destination(),
-                intact: is_intact(request, id),
-                runs: answer.runs,
-            },
-        );
+        self.record_arrival(request, id, answer.runs);
         sleep(rng.random_range(USUAL_WORK_TIME));
         for message in answered.make_uncertain() {
             self.record(message, Event::AnswerUncertain);
@@ -260,15 +263,7 @@
         rng: &mut Pcg64,
     ) -> bool {
         let fault = self.fault();
-        self.record(
-            id,
-            Event::RequestArrived {
-                endpoint: self.endpoint,
-                destination: self.destination(),
-                intact: is_intact(request, id),
-                runs: fault != Some(FaultKind::EndpointBusy),
-            },
-        );
+        self.record_arrival(request, id, fault != Some(FaultKind::EndpointBusy));
         match fault {
             Some(FaultKind::EndpointHangs) => self.hang(),
             Some(FaultKind::ResetBehindRequest) => false,
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -107,6 +107,7 @@
             endpoint: connection.endpoint,
             last_answered: connection.last_answered,
             length,
+            is_closed: false,
             retry_after: 0,
             repeats_rejection: false,
         };
--- a/crates/sender/src/egress/response_bytes.rs
+++ b/crates/sender/src/egress/response_bytes.rs
@@ -30,6 +30,7 @@
     bytes[..length] == SUCCESS_STATUS_LINE[..length]
 }
 
+/// A number that equal responses share and different ones practically never do.
 pub(super) fn fingerprint(response: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
     hasher.write(response);
@@ -60,7 +61,8 @@
 }
 
 fn is_status_line(bytes: &[u8]) -> bool {
-    bytes
-        .strip_prefix(STATUS_LINE_START)
-        .is_some_and(|rest| matches!(rest, [minor, b' ', code @ ..] if minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit)))
+    let Some([minor_version, b' ', code @ ..]) = bytes.strip_prefix(STATUS_LINE_START) else {
+        return false;
+    };
+    minor_version.is_ascii_digit() && code.iter().all(u8::is_ascii_digit)
 }
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -3,8 +3,8 @@
 //! HTTP/1.1 matches responses to requests by their order on the connection only. An endpoint, or a proxy before it, that
 //! writes a response twice shifts that order: the copy arrives in the place of the next response, and that response
 //! arrives as a surplus or in the place of the one after it. So a response that could be a copy proves nothing by
-//! itself. It is settled once its connection has rested for as long as the endpoint may take for the real response; a
-//! connection carries no further request before that. The rules are in `docs/design/response-matching.md`.
+//! itself. It is settled once its connection has rested for as long as the endpoint may take for the real response; only
+//! requests that can be sent again may use the connection before that. The rules are in `docs/design/response-matching.md`.
 
 use std::rc::Rc;
 
@@ -29,6 +29,7 @@
 /// there are as many, any incomplete response could be a copy.
 const MAX_HEADS: usize = 32;
 const KEPT_HEAD_BYTES: usize = 128;
+
 /// How certain it is that a response answers the request in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
@@ -257,7 +258,8 @@
         }
     }
 
-    /// Notes the attempt that a response has ended. After an uncertain response, the connection rests. `is_final` says that a wrong conclusion from it could not be undone.
+    /// Notes the attempt that a response has ended. After an uncertain response, the connection rests. `is_final` says
+    /// that a wrong conclusion from it could not be undone.
     pub fn answered(
         &mut self,
         attempt: AnsweredAttempt,
--- a/crates/sender/src/egress/surplus_bytes.rs
+++ b/crates/sender/src/egress/surplus_bytes.rs
@@ -20,6 +20,8 @@
     /// How long nothing may be sent to the endpoint's destination, if the bytes are a response that may ask for this
     /// for the first time; else zero.
     pub retry_after: Nanos,
+    /// Whether the connection is closed for them; not if they are certainly a copy.
+    pub is_closed: bool,
     /// Whether the bytes repeat an earlier rejection.
     pub repeats_rejection: bool,
 }
@@ -37,6 +39,7 @@
             endpoint: connection.endpoint,
             last_answered: connection.last_answered,
             length: bytes.len(),
+            is_closed: true,
             repeats_rejection: connection.history.repeats_rejection(bytes),
             retry_after: response
                 .filter(|_| asks_to_wait)
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -64,7 +64,7 @@
 }
 
 /// The deadline of a message as an ordered key, followed by the message's number.
-type DeadlineKey = (u64, u64);
+pub(super) type DeadlineKey = (u64, u64);
 
 /// All held messages, by number and by id.
 pub struct MessageStore {
@@ -84,7 +84,7 @@
 }
 
 /// The key by which a message is ordered. A non-negative float's bits have the same order as the float itself.
-fn deadline_key(record: &MessageRecord) -> DeadlineKey {
+pub(super) fn deadline_key(record: &MessageRecord) -> DeadlineKey {
     (record.deadline.max(0.0).to_bits(), record.number)
 }
 
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -6,7 +6,7 @@
 //! decision module decides on it as after a restart: it is sent again where that is safe, else reported. A message that
 //! was closed before the doubt arose is reported. A report of a message that was delivered after all does no harm.
 
-use std::collections::VecDeque;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use martenlatch_clock::{Millis, Nanos, millis};
@@ -16,7 +16,9 @@
 
 use super::completion::{self, LATE_SUCCESS_GUARD};
 use super::driver::Driver;
-use super::message_store::{MessageState, MessageStore, StoredMessage, UnsettledEnd};
+use super::message_store::{
+    DeadlineKey, MessageState, MessageStore, StoredMessage, UnsettledEnd, deadline_key,
+};
 use crate::egress::{AnsweredAttempt, Settlement, SurplusBytes};
 
 /// The largest number of closed messages that are remembered in case of a later doubt.
@@ -26,7 +28,6 @@
 
 /// A message that was closed by a response that had been uncertain.
 struct ClosedMessage {
-    number: u64,
     id: Rc<str>,
     class: Rc<str>,
     destination: u64,
@@ -34,29 +35,33 @@
     class_rules: Rc<[u8]>,
 }
 
-/// The messages that were closed by responses that had been uncertain, until their deadlines.
+/// The messages that were closed by responses that had been uncertain, until their deadlines; earliest deadline first.
 #[derive(Default)]
-pub(super) struct ClosedMessages(VecDeque<ClosedMessage>);
+pub(super) struct ClosedMessages(BTreeMap<DeadlineKey, ClosedMessage>);
 
 impl ClosedMessages {
     fn remember(&mut self, record: &MessageRecord, now: Millis) {
-        self.0.retain(|message| message.deadline > now);
+        while let Some(first) = self.0.first_entry()
+            && first.get().deadline <= now
+        {
+            first.remove();
+        }
         if self.0.len() >= MAX_CLOSED {
-            self.0.pop_front();
+            self.0.pop_first();
         }
-        self.0.push_back(ClosedMessage {
-            number: record.number,
+        let closed = ClosedMessage {
             id: record.id.clone(),
             class: record.class.clone(),
             destination: record.destination,
             deadline: record.deadline,
             class_rules: record.class_rules.clone(),
-        });
+        };
+        self.0.insert(deadline_key(record), closed);
     }
 
     fn take(&mut self, number: u64) -> Option<ClosedMessage> {
-        let position = self.0.iter().position(|message| message.number == number)?;
-        self.0.remove(position)
+        let key = *self.0.keys().find(|(_, closed)| *closed == number)?;
+        self.0.remove(&key)
     }
 }
 
@@ -81,8 +86,9 @@
         warn!(
             endpoint = endpoint.as_deref().unwrap_or("unlisted"),
             bytes = surplus.length,
+            closed = surplus.is_closed,
             last_answered = surplus.last_answered.map(|id| id.0),
-            "unexpected bytes from an endpoint, connection closed"
+            "unexpected bytes from an endpoint"
         );
         if surplus.retry_after > 0 {
             self.keep_to_wait(surplus, surplus.retry_after, now);
