--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use std::collections::HashSet;
-use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -11,7 +11,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::endpoint_helpers::{is_intact, listen, success};
+use super::endpoint_helpers::{is_intact, listen, own_loopback_address, success};
 use super::history::Event;
 use super::http::{HttpMessage, HttpStream};
 use super::repetition::{AnsweredRequests, RepeatedAnswer};
@@ -51,7 +51,7 @@
 pub fn open(world: &Arc<World>, sender: usize) -> Result<Vec<SocketAddr>, LabError> {
     (0..world.size.endpoints)
         .map(|endpoint| {
-            let listener = listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), BACKLOG)
+            let listener = listen(SocketAddr::from((own_loopback_address(), 0)), BACKLOG)
                 .map_err(LabError::EndpointPort)?;
             let address = listener.local_addr().map_err(LabError::EndpointPort)?;
             let link = EndpointLink {
--- a/crates/lab/src/soak/endpoint_helpers.rs
+++ b/crates/lab/src/soak/endpoint_helpers.rs
@@ -1,12 +1,19 @@
 //! What the endpoints of a soak listen on, check and answer.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 use socket2::{Domain, Socket, Type};
 
 use super::http::HttpMessage;
 use super::world::Message;
 
+/// A loopback address that soaks side by side do not share: the port of an endpoint that is down may otherwise go to an
+/// endpoint of another soak.
+pub(super) fn own_loopback_address() -> Ipv4Addr {
+    let [.., high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, high | 0x80, middle, low)
+}
+
 /// Opens a listener with a limit on connections that wait to be accepted.
 ///
 /// # Errors
