Report a closed message only for a doubt about the response that closed it

What callers saw: nothing yet; found by enumerating the orders of two attempts. A message that a settled response had closed was reported as undeliverable when the response to its hedged attempt, which changed nothing, came into doubt. Cause: closed messages were remembered by their number only. Change: the attempt is remembered, too. Evidence and result: the new enumeration (two attempts, seven lives each, all interleavings) fails in the order [first success uncertain, confirmed, second success uncertain, doubted] before, and passes now; so does a test of the late report.

--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -28,6 +28,8 @@
 
 /// A message that was closed by a response that had been uncertain.
 struct ClosedMessage {
+    /// The attempt whose response has closed it.
+    attempt: u32,
     id: Rc<str>,
     class: Rc<str>,
     destination: u64,
@@ -40,7 +42,7 @@
 pub(super) struct ClosedMessages(BTreeMap<DeadlineKey, ClosedMessage>);
 
 impl ClosedMessages {
-    fn remember(&mut self, record: &MessageRecord, now: Millis) {
+    fn remember(&mut self, record: &MessageRecord, attempt: u32, now: Millis) {
         while let Some(first) = self.0.first_entry()
             && first.get().deadline <= now
         {
@@ -50,6 +52,7 @@
             self.0.pop_first();
         }
         let closed = ClosedMessage {
+            attempt,
             id: record.id.clone(),
             class: record.class.clone(),
             destination: record.destination,
@@ -59,8 +62,12 @@
         self.0.insert(deadline_key(record), closed);
     }
 
-    fn take(&mut self, number: u64) -> Option<ClosedMessage> {
-        let key = *self.0.keys().find(|(_, closed)| *closed == number)?;
+    /// Takes the message that the response to an attempt has closed.
+    fn take(&mut self, answered: AnsweredAttempt) -> Option<ClosedMessage> {
+        let (key, _) = self.0.iter().find(|((_, number), closed)| {
+            *number == answered.id.0 && closed.attempt == answered.attempt
+        })?;
+        let key = *key;
         self.0.remove(&key)
     }
 }
@@ -112,7 +119,7 @@
     }
 
     /// A response belonged to its request: its message is closed, or its attempt never ran.
-    fn confirm_response(&mut self, answered: AnsweredAttempt, now: Millis) {
+    pub(super) fn confirm_response(&mut self, answered: AnsweredAttempt, now: Millis) {
         let (number, attempt) = (answered.id.0, answered.attempt);
         let Some(message) = self.store.messages.get_mut(&number) else {
             return;
@@ -127,17 +134,17 @@
             return;
         };
         if message.state == MessageState::Unsettled {
-            self.closed_in_doubt.remember(&message.record, now);
+            self.closed_in_doubt.remember(&message.record, attempt, now);
             completion::close_message(number, end.gone, &mut self.store);
         }
     }
 
     /// A response may belong to another request: its message is opened again or reported.
-    fn doubt_response(&mut self, answered: AnsweredAttempt, now: Millis) {
+    pub(super) fn doubt_response(&mut self, answered: AnsweredAttempt, now: Millis) {
         let (number, attempt) = (answered.id.0, answered.attempt);
         self.store.counters.doubtful_responses += 1;
         let Some(message) = self.store.messages.get_mut(&number) else {
-            return self.report_closed(number, now);
+            return self.report_closed(answered, now);
         };
         let was_rejected = take_rejection(&mut message.unsettled_rejections, attempt);
         let had_ended = take_end(&mut message.unsettled_ends, attempt).is_some();
@@ -162,7 +169,9 @@
                 self.store.advance(number, MessageState::Open);
                 self.reopen(answered.id, now);
             }
-            MessageState::Closed if !had_ended && !was_rejected => self.report_closed(number, now),
+            MessageState::Closed if !had_ended && !was_rejected => {
+                self.report_closed(answered, now)
+            }
             _ => {}
         }
     }
@@ -182,14 +191,14 @@
     }
 
     /// Reports a message that was closed by a response that turns out to be doubtful.
-    fn report_closed(&mut self, number: u64, now: Millis) {
-        let Some(closed) = self.closed_in_doubt.take(number) else {
+    fn report_closed(&mut self, answered: AnsweredAttempt, now: Millis) {
+        let Some(closed) = self.closed_in_doubt.take(answered) else {
             return;
         };
         if closed.deadline <= now {
             return;
         }
-        warn!(number, id = %closed.id, "closed message reported, its response may belong to another request");
+        warn!(number = answered.id.0, id = %closed.id, "closed message reported, its response may belong to another request");
         self.store.counters.reported_in_doubt += 1;
         let record = closed.into_record(&mut self.store);
         self.status_reporter.enqueue(&record);
--- a/crates/sender/src/pipeline/tests/mod.rs
+++ b/crates/sender/src/pipeline/tests/mod.rs
@@ -4,6 +4,7 @@
 mod ingress;
 mod rejection;
 mod settings;
+mod settlement;
 mod shutdown;
 mod status_reports;
 mod unread_requests;
