Play endpoints without service time and bytes that are no answer in the random load

Need: two kinds of endpoints that were named and that no test caused. Change: the service time is a parameter of the load, junk in place of a copy a kind of its own.

--- a/crates/martenlatch/tests/support/workload.rs
+++ b/crates/martenlatch/tests/support/workload.rs
@@ -22,9 +22,10 @@
 const TIMEOUT_HEADER: &str = "3.0";
 /// When all messages have ended: their time and the platform's tolerance.
 const END_WAIT: Duration = Duration::from_millis(4_000);
-/// The shortest time in which an endpoint answers, and the mean of what is added to it, in milliseconds.
-const SHORTEST_SERVICE: f64 = 60.0;
-const MEAN_EXTRA_SERVICE: f64 = 30.0;
+/// The mean of what is added to the shortest service time, as a share of it.
+const EXTRA_SERVICE: f64 = 0.5;
+/// Bytes that are no answer.
+const JUNK: &str = "\r\nno answer at all\r\n\r\n";
 /// The destinations, each with two endpoints.
 const DESTINATIONS: [u64; 2] = [7, 8];
 /// The answers and their shares; the rest is answered 200.
@@ -46,6 +47,8 @@
     OneOfLastThree,
     /// The first bytes of an answer of any status.
     FirstBytes,
+    /// Bytes that are no answer, in place of a copy.
+    Junk,
 }
 
 /// The parameters of a run.
@@ -60,6 +63,8 @@
     pub duration: Duration,
     /// Whether the sender is killed and started again every 1 to 2.5 s.
     pub kills: bool,
+    /// The shortest time in which an endpoint answers, in milliseconds.
+    pub service: f64,
     /// Whether each answer has a body of its own.
     pub distinct_answers: bool,
 }
@@ -151,10 +156,8 @@
             };
             let length = body.len();
             let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
-            let extra = Exp::new(1.0 / MEAN_EXTRA_SERVICE)
-                .unwrap()
-                .sample(&mut *rng);
-            let service = SHORTEST_SERVICE + extra;
+            let extra: f64 = Exp::new(1.0).unwrap().sample(&mut *rng);
+            let service = self.service * (1.0 + EXTRA_SERVICE * extra);
             let earlier = calls
                 .answers
                 .entry((number, request.connection))
@@ -176,7 +179,7 @@
         let is_copied = match self.copies {
             Copies::Nothing => false,
             Copies::Successes => status == 200,
-            Copies::AnyAnswer | Copies::OneOfLastThree | Copies::FirstBytes => true,
+            Copies::AnyAnswer | Copies::OneOfLastThree | Copies::FirstBytes | Copies::Junk => true,
         };
         if !is_copied || rng.random::<f64>() >= self.share {
             return None;
@@ -191,6 +194,7 @@
                 let length = rng.random_range(SHORTEST_COPY..latest.len());
                 Some(latest[..length].to_string())
             }
+            Copies::Junk => Some(JUNK.to_string()),
             _ => Some(latest.clone()),
         }
     }
