Repeat an overdue report at unequal intervals

Cause: traced in the history and the schedule: the platform confirmed nothing for 2.4 s, and then was silent for 120 ms of every second. A report that is past its urgent time was repeated exactly one second behind a send that nothing answered, and so met the same silence again and again. Change: the first wait for an answer is 300 ms and doubles up to the second.

--- a/crates/sender/src/pipeline/status_reports/timing.rs
+++ b/crates/sender/src/pipeline/status_reports/timing.rs
@@ -14,6 +14,9 @@
 
 /// How long the platform may take to confirm a report that is not urgent.
 pub(super) const CONFIRMATION_TIMEOUT: Millis = 1_000.0;
+/// The same for a report that was sent once; doubles each time it is sent again, up to [`CONFIRMATION_TIMEOUT`]. Unequal
+/// times do not meet a platform that is silent at equal intervals in the same silence again and again.
+const FIRST_CONFIRMATION_TIMEOUT: Millis = 300.0;
 /// How long the platform may take to confirm an urgent report that was sent once. Doubles each time the report is sent
 /// again.
 const URGENT_CONFIRMATION_TIMEOUT: Millis = 40.0;
@@ -113,13 +116,14 @@
 
     /// When the report is due to be sent next. In the past if it is due already.
     pub(super) fn due_at(&self, failures: &FailureStreak, process_started: Millis) -> Millis {
+        let doublings = self.unanswered_sends.min(u32::BITS / 2);
+        let growth = f64::from(1_u32 << doublings);
+        let regular_timeout = (FIRST_CONFIRMATION_TIMEOUT * growth).min(CONFIRMATION_TIMEOUT);
         let regular = self
-            .repeat_at(CONFIRMATION_TIMEOUT)
+            .repeat_at(regular_timeout)
             .max(failures.backoff_until(false));
-        let doublings = self.unanswered_sends.min(u32::BITS / 2);
-        let confirmation_timeout = URGENT_CONFIRMATION_TIMEOUT * f64::from(1_u32 << doublings);
         let urgent = self
-            .repeat_at(confirmation_timeout)
+            .repeat_at(URGENT_CONFIRMATION_TIMEOUT * growth)
             .max(failures.backoff_until(true))
             .max(self.urgent_from());
         if urgent <= self.urgent_until(process_started) {
--- a/crates/sender/src/pipeline/tests/status_reports.rs
+++ b/crates/sender/src/pipeline/tests/status_reports.rs
@@ -395,3 +395,21 @@
     let late = confirmed - DEADLINE;
     assert!(late <= MAX_REPORT_DELAY, "{late} ms");
 }
+
+/// Guards against a report that meets a platform's regular silences again and again: an overdue report was repeated at the
+/// interval of the silences.
+#[test]
+fn an_overdue_report_is_confirmed_by_a_platform_that_is_silent_at_the_same_time_each_second() {
+    const PERIOD: Millis = 1_000.0;
+    const SILENCE: Millis = 120.0;
+    const OVERDUE: Millis = DEADLINE + 2_000.0;
+    let confirmed = confirmation_time("regular-silence", OVERDUE, |_, now| {
+        if (now - OVERDUE) % PERIOD < SILENCE {
+            PlatformReply::NeverAnswers
+        } else {
+            PlatformReply::Confirms
+        }
+    });
+    let waited = confirmed - OVERDUE;
+    assert!(waited <= PERIOD, "{waited} ms");
+}
