Play slow answers, an unreliable platform and repeated requests in the random load

Change: the cases are values of the load with a usual one; the platform of the tests says how it answers reports by type. The draws of the cases there were are as before.

--- a/crates/martenlatch/tests/support/http.rs
+++ b/crates/martenlatch/tests/support/http.rs
@@ -82,12 +82,20 @@
     status_of(&read_message(client, 0).expect("the connection was closed"))
 }
 
-/// Writes a request on a new connection as a client. Returns the status of the response; `None` if none arrived.
-pub(super) fn try_exchange(address: SocketAddr, text: &str) -> Option<u16> {
-    let mut stream = TcpStream::connect(address).ok()?;
+/// Writes a request on a new connection as a client. Returns the connection and the status of the response; `None` if
+/// none arrived.
+pub(super) fn try_exchange(address: SocketAddr, text: &str) -> Option<(BufReader<TcpStream>, u16)> {
+    let stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(CLIENT_PATIENCE)).ok()?;
-    stream.write_all(text.as_bytes()).ok()?;
-    read_message(&mut BufReader::new(stream), 0).map(|response| status_of(&response))
+    let mut connection = BufReader::new(stream);
+    let status = try_exchange_on(&mut connection, text)?;
+    Some((connection, status))
+}
+
+/// Writes a request on a connection as a client. Returns the status of the response; `None` if none arrived.
+pub(super) fn try_exchange_on(connection: &mut BufReader<TcpStream>, text: &str) -> Option<u16> {
+    connection.get_mut().write_all(text.as_bytes()).ok()?;
+    read_message(connection, 0).map(|response| status_of(&response))
 }
 
 /// How a scripted endpoint replies to a request.
--- a/crates/martenlatch/tests/support/workload.rs
+++ b/crates/martenlatch/tests/support/workload.rs
@@ -1,6 +1,7 @@
 //! Random load on a sender whose endpoints write some answers more than once, and a count of what became of each message.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,6 +13,7 @@
 use rand_pcg::Pcg64;
 
 use super::endpoint::{endpoint_entry_of, endpoint_list};
+use super::http::{try_exchange, try_exchange_on};
 use super::platform::Platform;
 use super::sender::Sender;
 use super::timed_endpoint::{TimedEndpoint, TimedWrite};
@@ -24,13 +26,16 @@
 const END_WAIT: Duration = Duration::from_millis(4_000);
 /// The mean of what is added to the shortest service time, as a share of it.
 const EXTRA_SERVICE: f64 = 0.5;
+/// The longest delay of a request that is written again, behind its answer, in seconds.
+const LONGEST_REQUEST_DELAY: f64 = 1.0;
+/// How much longer a slow answer takes.
+const SLOW_FACTOR: f64 = 10.0;
 /// Bytes that are no answer.
 const JUNK: &str = "\r\nno answer at all\r\n\r\n";
 /// The destinations, each with two endpoints.
 const DESTINATIONS: [u64; 2] = [7, 8];
-/// The answers and their shares; the rest is answered 200.
+/// The share of requests that are answered 503.
 const REJECTED_SHARE: f64 = 0.15;
-const FAILED_SHARE: f64 = 0.02;
 /// The fewest bytes of a copy that is cut off.
 const SHORTEST_COPY: usize = 12;
 
@@ -65,8 +70,36 @@
     pub kills: bool,
     /// The shortest time in which an endpoint answers, in milliseconds.
     pub service: f64,
+    /// The share of requests that are answered 500.
+    pub failed_share: f64,
+    /// The share of answers that take [`SLOW_FACTOR`] times as long.
+    pub slow_share: f64,
     /// Whether each answer has a body of its own.
     pub distinct_answers: bool,
+    /// Whether the platform confirms some reports twice and ends the connection under others.
+    pub unreliable_platform: bool,
+    /// The share of requests that a client writes a second time on its connection.
+    pub repeated_requests: f64,
+}
+
+impl Default for Workload {
+    /// Four endpoints that repeat nothing and take 60 ms or more.
+    fn default() -> Workload {
+        Workload {
+            seed: 1,
+            copies: Copies::Nothing,
+            share: 0.0,
+            span: 50.0,
+            duration: Duration::from_secs(4),
+            kills: false,
+            service: 60.0,
+            failed_share: 0.02,
+            slow_share: 0.0,
+            distinct_answers: false,
+            unreliable_platform: false,
+            repeated_requests: 0.0,
+        }
+    }
 }
 
 /// What became of the messages of a run.
@@ -112,7 +145,10 @@
                 endpoint_entry_of(DESTINATIONS[number / 2], &name, endpoint.address)
             })
             .collect();
-        let platform = Platform::new(&[]);
+        let platform = match self.unreliable_platform {
+            true => Platform::unreliable(self.seed),
+            false => Platform::new(&[]),
+        };
         let settings = write_settings(test);
         let known_endpoints = endpoint_list(1, true, &entries);
         let mut sender = Sender::start_named(test, &platform, &known_endpoints, "n0", &settings);
@@ -132,13 +168,14 @@
 
     fn endpoint(self, number: usize, calls: Arc<Mutex<Calls>>) -> TimedEndpoint {
         let rng = Mutex::new(Pcg64::seed_from_u64(self.seed ^ ((number as u64) << 32)));
+        let slow_rng = Mutex::new(Pcg64::seed_from_u64(!self.seed ^ ((number as u64) << 32)));
         TimedEndpoint::new(move |request| {
             let mut calls = calls.lock().unwrap();
             let mut rng = rng.lock().unwrap();
             let draw = rng.random::<f64>();
             let status = match draw {
                 _ if draw < REJECTED_SHARE => 503,
-                _ if draw < REJECTED_SHARE + FAILED_SHARE => 500,
+                _ if draw < REJECTED_SHARE + self.failed_share => 500,
                 _ => 200,
             };
             let id = request.id().to_string();
@@ -157,7 +194,9 @@
             let length = body.len();
             let answer = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n\r\n{body}");
             let extra: f64 = Exp::new(1.0).unwrap().sample(&mut *rng);
-            let service = self.service * (1.0 + EXTRA_SERVICE * extra);
+            let usual = self.service * (1.0 + EXTRA_SERVICE * extra);
+            let is_slow = slow_rng.lock().unwrap().random::<f64>() < self.slow_share;
+            let service = if is_slow { usual * SLOW_FACTOR } else { usual };
             let earlier = calls
                 .answers
                 .entry((number, request.connection))
@@ -202,6 +241,7 @@
     /// Submits messages at random times, half of them non-idempotent. Returns the ids of the accepted ones.
     fn submit_all(self, mut sender: Sender) -> (Vec<String>, Sender) {
         let mut rng = Pcg64::seed_from_u64(self.seed);
+        let mut repeat_rng = Pcg64::seed_from_u64(!self.seed);
         let accepted = Arc::new(Mutex::new(Vec::new()));
         let started = Instant::now();
         let mut next_kill = rng.random_range(1.0..2.5);
@@ -227,10 +267,17 @@
                 "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nX-Request-ID: {id}\r\nX-Timeout: {TIMEOUT_HEADER}\r\n\
                  Idempotency-Key: k-{id}\r\nContent-Length: 2\r\nX-Route-To: dest={destination}\r\n\r\nhi"
             );
-            let address = sender.address;
+            let is_repeated = repeat_rng.random::<f64>() < self.repeated_requests;
+            let delay = repeat_rng.random_range(0.0..LONGEST_REQUEST_DELAY);
+            let delay = Duration::from_secs_f64(delay);
+            let client = Client {
+                address: sender.address,
+                text,
+                repeat_after: is_repeated.then_some(delay),
+            };
             let accepted = accepted.clone();
             clients.push(thread::spawn(move || {
-                if super::http::try_exchange(address, &text) == Some(202) {
+                if client.submit() {
                     accepted.lock().unwrap().push(id);
                 }
             }));
@@ -243,6 +290,30 @@
     }
 }
 
+/// The client of one message.
+struct Client {
+    address: SocketAddr,
+    text: String,
+    /// When the request is written again on its connection, counted from its answer.
+    repeat_after: Option<Duration>,
+}
+
+impl Client {
+    /// Submits the message. Returns whether it was accepted.
+    fn submit(self) -> bool {
+        let Some((mut connection, status)) = try_exchange(self.address, &self.text) else {
+            return false;
+        };
+        let mut is_accepted = status == 202;
+        if let Some(delay) = self.repeat_after {
+            thread::sleep(delay);
+            let status = try_exchange_on(&mut connection, &self.text);
+            is_accepted |= status == Some(202);
+        }
+        is_accepted
+    }
+}
+
 /// Writes settings with which the sender logs so little that its log, which nobody reads, does not block it; or all it
 /// can, if the log goes to a file.
 fn write_settings(test: &str) -> PathBuf {
