Keep a wait that a rejection behind a cut-off or discarded copy asks for

Cause: traced in the log of a second hit: a copy of a success, cut off in its head, had ended the attempt by its status line; the real 429 came behind it in the same exchange, the two counted as mixed, and the connection was closed with the 429 unread. The same where the two come in one read, where a copy was discarded before the 429, and where a copy and a new 429 come together on an idle connection. The bytes were also missing from the log and from what suspects an endpoint. Change: what follows such a copy is recorded like a surplus, and the wait that any of its header lines asks for is kept; a second response whose head is incomplete is read on.

--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -22,6 +22,8 @@
 const EXHAUSTED: &str = "HTTP/1.1 504 No\r\nContent-Length: 0\r\n\r\n";
 const FAILURE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
 const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+/// A rejection that asks to wait for longer than any message has time.
+const LONG_WAIT: &str = "HTTP/1.1 429 X\r\nX-Backoff-Ms: 9000\r\nContent-Length: 0\r\n\r\n";
 
 /// What the endpoint and the platform have seen of each message.
 #[derive(Debug, Default)]
@@ -109,6 +111,27 @@
     );
 }
 
+/// Guards against requests during a wait that an endpoint has asked for: the rejection that asks for it follows a copy of
+/// an earlier answer in the same exchange.
+#[rstest]
+#[case::success(OK)]
+#[case::status_line_of_a_success("HTTP/1.1 200 OK\r\n")]
+#[case::part_of_the_status_line("HTTP/1.1 20")]
+#[case::part_of_the_head_of_a_success("HTTP/1.1 200 OK\r\nContent-Le")]
+fn a_wait_that_follows_a_copy_of_an_earlier_answer_is_kept(#[case] copy: &'static str) {
+    let endpoint = endpoint_with_a_copy(SERVICE, OK, copy, LONG_WAIT);
+    let platform = Platform::new(&[]);
+    let sender = start_sender(&case_name(&format!("wait{copy}")), &endpoint, &platform);
+    submit_two(&sender, "debit", SERVICE);
+    std::thread::sleep(Duration::from_millis(2 * SERVICE));
+    // Accepted or not, it must not reach the endpoint.
+    sender.submit("meter", "third", TIMEOUT_HEADER);
+    let ends = collect_ends(&endpoint, &platform);
+    let requests = ends.get("third").map_or(0, |ends| ends.requests);
+    assert_eq!(requests, 0, "{ends:?}");
+    assert_eq!(ends["second"].requests, 1, "{ends:?}");
+}
+
 /// Guards against losing a refused message that may be sent again.
 #[test]
 fn an_idempotent_message_that_a_copy_of_an_earlier_success_precedes_is_sent_again() {
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::attempt::ActiveAttempt;
+use super::response_bytes::response_inside_another;
 use super::response_history::ResponseHistory;
 use crate::event_source::Connection;
 
@@ -116,6 +117,15 @@
         self.socket.eof || self.socket.broken
     }
 
+    /// The response that begins inside the one that is being received, which then is a copy that was cut off.
+    pub fn second_response(&self) -> Option<&[u8]> {
+        if self.history.may_repeat() {
+            response_inside_another(self.socket.bytes())
+        } else {
+            None
+        }
+    }
+
     /// Whether all bytes of the request have been written to an established connection.
     pub fn is_fully_sent(&self) -> bool {
         self.connected && self.held_back_byte.is_none() && self.socket.is_flushed()
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -7,7 +7,6 @@
 
 use super::attempt_end::EndCause;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
-use super::response_bytes::are_mixed;
 
 /// The header with the time for which no request may be sent to the destination, in milliseconds; the equivalent of
 /// HTTP's Retry-After. Lower-case, as are all parsed header names.
@@ -35,8 +34,10 @@
 /// Parses the bytes received so far of the response to the request on a connection.
 pub(super) fn read_response(connection: &EndpointConnection, fully_sent: bool) -> ResponseProgress {
     let bytes = connection.socket.bytes();
-    if connection.history.may_repeat() && are_mixed(bytes) {
-        return ResponseProgress::Ended(EndCause::MixedResponses);
+    match mixed_responses(connection) {
+        MixedResponses::None => {}
+        MixedResponses::Incomplete => return ResponseProgress::Pending,
+        MixedResponses::Complete => return ResponseProgress::Ended(EndCause::MixedResponses),
     }
     match http::parse_response(bytes) {
         Ok(Some(response)) => read_body(response, connection, fully_sent),
@@ -48,6 +49,26 @@
     }
 }
 
+/// Whether another response begins inside the one that is being received.
+enum MixedResponses {
+    /// None does, as far as is known.
+    None,
+    /// One does, and its head, which may ask to wait, is incomplete.
+    Incomplete,
+    /// One does, and no more of it is needed.
+    Complete,
+}
+
+fn mixed_responses(connection: &EndpointConnection) -> MixedResponses {
+    let Some(second) = connection.second_response() else {
+        return MixedResponses::None;
+    };
+    match http::parse_response(second) {
+        Ok(None) if !connection.is_closed() => MixedResponses::Incomplete,
+        _ => MixedResponses::Complete,
+    }
+}
+
 /// Decides whether the body of a response has to be received before the outcome is known.
 fn read_body(
     response: http::Response,
@@ -128,9 +149,25 @@
 
 /// How long a response asks to send nothing to the destination; zero if it does not.
 pub(super) fn retry_after(response: &http::Response) -> Nanos {
-    let millis = response
-        .header(BACKOFF_HEADER)
-        .and_then(|value| value.parse::<f64>().ok())
+    response.header(BACKOFF_HEADER).map_or(0, parse_backoff)
+}
+
+/// The longest time that any header line in `bytes` asks to send nothing to the destination; zero if none does. The
+/// beginning of the response that contains the line may be missing.
+pub(super) fn longest_retry_after(bytes: &[u8]) -> Nanos {
+    let lines = bytes.split(|byte| *byte == b'\n');
+    let waits = lines.filter_map(|line| {
+        let (name, value) = std::str::from_utf8(line).ok()?.split_once(':')?;
+        let is_backoff = name.eq_ignore_ascii_case(BACKOFF_HEADER);
+        is_backoff.then(|| parse_backoff(value.trim()))
+    });
+    waits.max().unwrap_or(0)
+}
+
+fn parse_backoff(value: &str) -> Nanos {
+    let millis = value
+        .parse::<f64>()
+        .ok()
         .filter(|millis| millis.is_finite() && *millis > 0.0)
         .unwrap_or(0.0);
     nanos(millis.min(MAX_RETRY_AFTER_MS))
@@ -176,10 +213,11 @@
 /// Reads the rest of a head whose status line has already determined the outcome. Returns false while the head is
 /// incomplete.
 fn read_remaining_head(connection: &mut EndpointConnection) -> bool {
+    let mixed = mixed_responses(connection);
     let bytes = connection.socket.bytes();
-    let is_mixed = connection.history.may_repeat() && are_mixed(bytes);
     let body = match http::parse_response(bytes) {
-        _ if is_mixed => Body::UntilClose,
+        _ if matches!(mixed, MixedResponses::Incomplete) => return false,
+        _ if matches!(mixed, MixedResponses::Complete) => Body::UntilClose,
         Ok(Some(response)) => {
             connection.history.add_rest(&bytes[..response.consumed]);
             connection.socket.consume(response.consumed);
--- a/crates/sender/src/egress/response_bytes.rs
+++ b/crates/sender/src/egress/response_bytes.rs
@@ -37,17 +37,17 @@
     hasher.finish()
 }
 
-/// Whether another response begins inside the first one in `bytes`: a copy was cut off, and the real response follows.
-pub(super) fn are_mixed(bytes: &[u8]) -> bool {
-    contains_second_status_line(bytes)
-        && complete_response(bytes).is_none_or(contains_second_status_line)
+/// The response that begins inside the first one in `bytes`: a copy was cut off, and the real response follows.
+pub(super) fn response_inside_another(bytes: &[u8]) -> Option<&[u8]> {
+    let start = second_status_line(bytes)?;
+    let is_behind = complete_response(bytes).is_some_and(|first| first.len() <= start);
+    (!is_behind).then(|| &bytes[start..])
 }
 
-fn contains_second_status_line(bytes: &[u8]) -> bool {
-    bytes
-        .windows(STATUS_LINE_LENGTH)
-        .skip(1)
-        .any(is_status_line)
+fn second_status_line(bytes: &[u8]) -> Option<usize> {
+    let mut behind_first_byte = bytes.windows(STATUS_LINE_LENGTH).skip(1);
+    let distance = behind_first_byte.position(is_status_line)?;
+    Some(distance + 1)
 }
 
 /// Whether the last bytes of a response could be the beginning of another one.
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -380,12 +380,19 @@
         self.unsettled.is_empty() && !surplus.is_empty() && !begins_with_success(surplus)
     }
 
-    /// Whether bytes begin with a complete response that is no copy: it answers a request for which an earlier response
-    /// was taken.
+    /// Whether a complete response in `bytes`, at their beginning or behind others, is no copy: it answers a request for
+    /// which an earlier response was taken.
     fn is_new_response(&self, bytes: &[u8]) -> bool {
-        self.is_known
-            && !self.has_unrecorded
-            && complete_response(bytes)
-                .is_some_and(|response| !self.fingerprints.contains(&fingerprint(response)))
+        if !self.is_known || self.has_unrecorded {
+            return false;
+        }
+        let mut remaining = bytes;
+        while let Some(response) = complete_response(remaining) {
+            if !self.has_carried(response) {
+                return true;
+            }
+            remaining = &remaining[response.len()..];
+        }
+        false
     }
 }
--- a/crates/sender/src/egress/surplus_bytes.rs
+++ b/crates/sender/src/egress/surplus_bytes.rs
@@ -1,11 +1,10 @@
-//! Bytes that an endpoint sends while no request is in flight on the connection.
+//! Bytes that an endpoint sends while no request is in flight on the connection, or behind a copy of an earlier response.
 
 use martenlatch_clock::Nanos;
-use martenlatch_http as http;
 use martenlatch_policy::interface::{EndpointId, MessageId};
 
 use super::endpoint_connection::EndpointConnection;
-use super::response::retry_after;
+use super::response::longest_retry_after;
 
 /// Bytes that belong to no request in flight. HTTP matches responses to requests by their order only, so the connection
 /// cannot carry another request.
@@ -27,27 +26,46 @@
 }
 
 impl SurplusBytes {
-    /// The unread bytes of a connection on which no request has been sent; `None` if there are none.
+    /// The unread bytes of a connection that belong to no request in flight, or of which it is unknown where the response
+    /// begins; `None` if there are none.
     pub(super) fn on(connection: &EndpointConnection) -> Option<SurplusBytes> {
-        let bytes = unread_surplus(connection);
+        let follows_copy = bytes_behind_copy(connection);
+        let bytes = follows_copy.unwrap_or(unread_surplus(connection));
         if bytes.is_empty() {
             return None;
         }
-        let asks_to_wait = connection.history.may_ask_to_wait(bytes);
-        let response = http::parse_response(bytes).ok().flatten();
+        let history = &connection.history;
+        let may_be_response = follows_copy.is_some() && connection.attempt.is_some();
+        let asks_to_wait = may_be_response || history.may_ask_to_wait(bytes);
         Some(SurplusBytes {
             endpoint: connection.endpoint,
             last_answered: connection.last_answered,
             length: bytes.len(),
             is_closed: true,
-            repeats_rejection: connection.history.repeats_rejection(bytes),
-            retry_after: response
-                .filter(|_| asks_to_wait)
-                .map_or(0, |response| retry_after(&response)),
+            repeats_rejection: !follows_discarded(connection)
+                && history.repeats_rejection(connection.socket.bytes()),
+            retry_after: if asks_to_wait {
+                longest_retry_after(bytes)
+            } else {
+                0
+            },
         })
     }
 }
 
+/// The bytes that follow a copy of an earlier response, which was discarded or cut off, in the same exchange.
+fn bytes_behind_copy(connection: &EndpointConnection) -> Option<&[u8]> {
+    if follows_discarded(connection) {
+        Some(connection.socket.bytes())
+    } else {
+        connection.second_response()
+    }
+}
+
+fn follows_discarded(connection: &EndpointConnection) -> bool {
+    connection.attempt.is_some() && connection.has_discarded
+}
+
 /// The bytes of a connection that belong to no request in flight.
 pub(super) fn unread_surplus(connection: &EndpointConnection) -> &[u8] {
     let awaits_response = connection.attempt.is_some_and(|attempt| attempt.fully_sent);
--- a/crates/sender/src/egress/tests/repeated_responses.rs
+++ b/crates/sender/src/egress/tests/repeated_responses.rs
@@ -2,6 +2,8 @@
 
 use std::io::{Read, Write};
 
+use martenlatch_clock::Nanos;
+
 use super::*;
 
 /// How long the endpoint takes for each response.
@@ -16,6 +18,7 @@
 const SUCCESS: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const REJECTION: &str = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull";
 const FAILURE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+const WAIT: &str = "HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n";
 const RESPONSES: [&str; 3] = [SUCCESS, REJECTION, FAILURE];
 
 /// When a copy is written.
@@ -76,6 +79,8 @@
     pending: [Option<Outcome>; REQUESTS],
     /// The first request of the current connection.
     first_request: usize,
+    /// The longest wait that the endpoint has asked for, in nanoseconds.
+    longest_wait: Nanos,
 }
 
 impl Case {
@@ -87,6 +92,7 @@
             conclusions: [Conclusion::Open; REQUESTS],
             pending: [None; REQUESTS],
             first_request: 0,
+            longest_wait: 0,
         }
     }
 
@@ -142,6 +148,9 @@
         let egress = &mut self.fixture.egress;
         for result in egress.results.drain(..) {
             let number = result.id.0 as usize;
+            if let Outcome::Overloaded { retry_after } = result.outcome {
+                self.longest_wait = self.longest_wait.max(retry_after);
+            }
             match result.evidence {
                 Evidence::Certain => self.conclusions[number] = Conclusion::Outcome(result.outcome),
                 Evidence::Uncertain => self.pending[number] = Some(result.outcome),
@@ -149,6 +158,7 @@
         }
         for surplus in egress.take_surplus(self.now) {
             assert!(surplus.length > 0);
+            self.longest_wait = self.longest_wait.max(surplus.retry_after);
         }
         for settlement in egress.take_settlements() {
             match settlement {
@@ -309,7 +319,6 @@
 #[case::copy_of_a_rejection_that_was_read(false)]
 #[case::rejection_behind_a_copy_of_a_success(true)]
 fn a_surplus_rejection_asks_to_wait_only_if_it_may_be_the_real_one(#[case] behind_copy: bool) {
-    const WAIT: &str = "HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n";
     let mut case = Case::new();
     case.send(0, Pace::Rested);
     case.pass(SERVICE_TIME);
@@ -331,3 +340,84 @@
     let waits: Vec<u64> = surplus.iter().map(|bytes| bytes.retry_after).collect();
     assert_eq!(waits, [if behind_copy { 900_000_000 } else { 0 }]);
 }
+
+/// Guards against a wait that is not heard because the rejection that asks for it follows a copy that is cut off, at any
+/// byte. Behind a copy with a whole head, the connection is closed after the next read.
+#[rstest::rstest]
+#[case::in_one_read(1)]
+#[case::in_two_reads(2)]
+#[case::in_three_reads(3)]
+fn a_rejection_behind_a_cut_off_copy_asks_to_wait(#[case] reads: usize) {
+    const WAIT_STATUS_LINE: usize = 19;
+    for earlier in [SUCCESS, REJECTION] {
+        let longest = match reads {
+            1 | 2 => earlier.len(),
+            _ => earlier.find("\r\n\r\n").unwrap(),
+        };
+        for length in 1..=longest {
+            let mut case = Case::new();
+            case.send(0, Pace::Rested);
+            case.write(earlier);
+            case.pass(LONG_TIME);
+            case.send(1, Pace::Rested);
+            let copy = &earlier[..length];
+            let (status_line, rest) = WAIT.split_at(WAIT_STATUS_LINE);
+            let pieces = match reads {
+                1 => vec![format!("{copy}{WAIT}")],
+                2 => vec![copy.to_string(), WAIT.to_string()],
+                _ => vec![copy.to_string(), status_line.to_string(), rest.to_string()],
+            };
+            for piece in pieces {
+                case.write(&piece);
+            }
+            assert_eq!(case.longest_wait, 900_000_000, "behind {copy:?}");
+        }
+    }
+}
+
+/// Guards against a wait that counts although nothing has asked for it, or for the second time: a cut-off copy of a
+/// rejection comes before a success.
+#[test]
+fn a_cut_off_copy_of_a_rejection_asks_for_no_further_wait() {
+    for length in 1..WAIT.len() {
+        let mut case = Case::new();
+        case.send(0, Pace::Rested);
+        case.write(WAIT);
+        case.pass(LONG_TIME);
+        case.longest_wait = 0;
+        case.send(1, Pace::Rested);
+        case.write(&WAIT[..length]);
+        case.write(SUCCESS);
+        assert_eq!(case.longest_wait, 0, "behind {:?}", &WAIT[..length]);
+    }
+}
+
+/// Guards against a wait that is not heard because a copy of an earlier response precedes it on an idle connection.
+#[test]
+fn a_new_rejection_behind_a_copy_on_an_idle_connection_asks_to_wait() {
+    let mut case = Case::new();
+    case.send(0, Pace::Rested);
+    case.write(SUCCESS);
+    case.pass(LONG_TIME);
+    case.write(&format!("{SUCCESS}{WAIT}"));
+    assert_eq!(case.longest_wait, 900_000_000);
+}
+
+/// Guards against a wait that is not heard because the rejection that asks for it follows a copy that was discarded.
+#[test]
+fn a_rejection_behind_a_discarded_copy_asks_to_wait() {
+    const DISTINCT_SUCCESSES: usize = 20;
+    let mut case = Case::new();
+    let mut latest = String::new();
+    for number in 0..DISTINCT_SUCCESSES {
+        latest = format!("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{number:02}");
+        case.send(0, Pace::Rested);
+        case.write(&latest);
+        case.pass(LONG_TIME);
+    }
+    case.send(1, Pace::Rested);
+    case.write(&latest);
+    assert_eq!(case.conclusions[1], Conclusion::Open);
+    case.write(WAIT);
+    assert_eq!(case.longest_wait, 900_000_000);
+}
