Move the bytes of a connection's responses to a file of their own

Change: KnownResponses holds the first; the two functions that record a whole response and a finished one share what they had twice.

--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -10,6 +10,7 @@
 use super::attempt_end::{EndCause, EndedAttempt};
 use super::connection_scarcity::ResponseObservation;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
+use super::known_responses::ReceivedResponse;
 use super::response::{
     RemainderProgress, ResponseClassification, ResponseProgress, read_remainder, read_response,
 };
@@ -126,11 +127,13 @@
         let complete = bytes_of(&response, received);
         let observed = ObservedResponse {
             attempt: &attempt,
-            received,
-            head: &received[..response.consumed],
-            is_head_consumed: true,
-            complete,
-            is_followed: complete.is_some_and(|bytes| bytes.len() < received.len()),
+            bytes: ReceivedResponse {
+                received,
+                head: &received[..response.consumed],
+                complete,
+                is_head_consumed: true,
+                is_followed: complete.is_some_and(|bytes| bytes.len() < received.len()),
+            },
             rejects: classification.outcome.never_ran(),
         };
         let rejects = observed.rejects;
@@ -198,11 +201,13 @@
         };
         let evidence = connection.history.observe(ObservedResponse {
             attempt: &attempt,
-            received: connection.socket.bytes(),
-            head: connection.socket.bytes(),
-            is_head_consumed: false,
-            complete: None,
-            is_followed: false,
+            bytes: ReceivedResponse {
+                received: connection.socket.bytes(),
+                head: connection.socket.bytes(),
+                complete: None,
+                is_head_consumed: false,
+                is_followed: false,
+            },
             rejects: false,
         });
         connection.remaining_response = Some(RemainingResponse::Head);
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -25,6 +25,7 @@
 mod connection_scarcity;
 mod endpoint_connection;
 mod exchange;
+mod known_responses;
 mod response;
 mod response_bytes;
 mod response_history;
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -12,23 +12,15 @@
 use martenlatch_policy::interface::MessageId;
 
 use super::attempt::ActiveAttempt;
-use super::response_bytes::{
-    begins_with_success, complete_response, ends_in_status_line, fingerprint,
-};
+use super::known_responses::{KnownResponses, ReceivedResponse};
+use super::response_bytes::{begins_with_success, complete_response};
 
-/// The number of earlier responses that are remembered for each connection. Once there are more, every response could
-/// be a copy.
-const MAX_FINGERPRINTS: usize = 256;
 /// The number of settled responses that are remembered for each connection, in case a surplus contradicts them later.
 const MAX_SETTLED: usize = 64;
 /// The longest response, in bytes, that is kept until it is settled.
 const MAX_KEPT_RESPONSE: usize = 1_024;
 /// The number of unsettled responses after which a connection carries no request before it has rested.
 const MAX_UNSETTLED: usize = 3;
-/// The number of different heads of responses that are remembered for each connection, and how many bytes of each. Once
-/// there are as many, any incomplete response could be a copy.
-const MAX_HEADS: usize = 32;
-const KEPT_HEAD_BYTES: usize = 128;
 
 /// How certain it is that a response answers the request in flight.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,21 +78,13 @@
     Doubtful(AnsweredAttempt),
 }
 
-/// A response that ends an attempt, as far as it has been received.
+/// A response that ends an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedResponse<'a> {
     /// The attempt that it ends.
     pub attempt: &'a ActiveAttempt,
-    /// The bytes received so far, and those of a following response.
-    pub received: &'a [u8],
-    /// Those of its head.
-    pub head: &'a [u8],
-    /// All of its bytes, or `None` if it is incomplete.
-    pub complete: Option<&'a [u8]>,
-    /// Whether the bytes of its head are consumed when it ends its attempt.
-    pub is_head_consumed: bool,
-    /// Whether further bytes follow it.
-    pub is_followed: bool,
+    /// Its bytes.
+    pub bytes: ReceivedResponse<'a>,
     /// Whether it says that the request never ran.
     pub rejects: bool,
 }
@@ -110,14 +94,8 @@
 pub(super) struct ResponseHistory {
     /// Whether all responses since the connection was opened are known; not after a process replacement.
     is_known: bool,
-    /// The fingerprints of the earlier responses, if all of them are known.
-    fingerprints: Vec<u64>,
-    /// Whether an earlier response has no fingerprint.
-    has_unrecorded: bool,
-    /// The first bytes of the heads of the earlier responses, without repetitions.
-    heads: Vec<Vec<u8>>,
-    /// The consumed bytes of a response that had been incomplete when it ended its attempt.
-    partial: Option<Vec<u8>>,
+    /// The earlier responses.
+    known: KnownResponses,
     /// Whether any response has said that its request never ran.
     has_rejected: bool,
     /// The attempts whose responses are not settled yet, the oldest first.
@@ -151,40 +129,26 @@
 
     /// Whether a response that arrives now could be a copy of an earlier one.
     pub fn may_repeat(&self) -> bool {
-        !self.is_known || self.has_unrecorded || !self.heads.is_empty()
+        !self.is_known || !self.known.is_empty()
     }
 
     /// Whether the connection has carried a response with the same bytes.
     pub fn has_carried(&self, response: &[u8]) -> bool {
-        self.fingerprints.contains(&fingerprint(response))
+        self.known.contains(response)
     }
 
     /// Records a response and decides how certain it is that it answers the request in flight.
     pub fn observe(&mut self, response: ObservedResponse) -> Evidence {
         let is_first = !self.may_repeat();
-        let fingerprint = response.complete.map(fingerprint);
-        // A copy that is cut off in its body takes the first bytes of the real response for the rest of it.
-        let may_be_cut_off =
-            response.is_followed || response.complete.is_some_and(ends_in_status_line);
-        let is_new = match fingerprint {
-            Some(print) => {
-                !self.has_unrecorded && !may_be_cut_off && !self.fingerprints.contains(&print)
-            }
-            None => !self.begins_like_earlier(response.received),
-        };
-        let is_new = is_new && self.is_known && self.unsettled.is_empty();
-        self.partial = None;
-        match fingerprint {
-            Some(print) => self.record(print),
-            None if response.is_head_consumed => self.partial = Some(response.head.to_vec()),
-            None => self.partial = Some(Vec::new()),
-        }
-        self.record_head(response.head);
+        let is_new =
+            self.is_known && self.unsettled.is_empty() && self.known.is_new(&response.bytes);
+        self.known.record(&response.bytes);
         self.has_rejected |= response.rejects;
         if is_first || is_new {
             return Evidence::Certain;
         }
         self.latest_exchange = response
+            .bytes
             .complete
             .filter(|bytes| bytes.len() <= MAX_KEPT_RESPONSE)
             .map(|bytes| UnreadExchange {
@@ -196,68 +160,25 @@
 
     /// Whether an incomplete response could be the beginning of an earlier one.
     pub fn begins_like_earlier(&self, received: &[u8]) -> bool {
-        !self.is_known
-            || self.heads.len() >= MAX_HEADS
-            || self.heads.iter().any(|head| {
-                let common = head.len().min(received.len());
-                head[..common] == received[..common]
-            })
+        !self.is_known || self.known.begins_like_any(received)
     }
 
     /// Adds consumed bytes of the response that was observed last, which was incomplete.
     pub fn add_rest(&mut self, bytes: &[u8]) {
-        if let Some(partial) = &mut self.partial {
-            partial.extend_from_slice(bytes);
-        }
-        if self
-            .partial
-            .as_ref()
-            .is_some_and(|partial| partial.len() > MAX_KEPT_RESPONSE)
-        {
-            self.partial = None;
-            self.has_unrecorded = true;
-        }
+        self.known.add_rest(bytes);
     }
 
     /// Records the response that was incomplete and now is not; `is_followed` says whether further bytes follow it. If it
     /// is like no earlier one after all, it is settled.
     pub fn complete_rest(&mut self, is_followed: bool) -> Vec<Settlement> {
-        let Some(response) = self.partial.take() else {
-            return Vec::new();
-        };
-        let print = fingerprint(&response);
-        let is_new = self.is_known
-            && !self.has_unrecorded
-            && !is_followed
-            && !ends_in_status_line(&response)
-            && !self.fingerprints.contains(&print);
-        self.record(print);
-        if is_new && self.unsettled.len() == 1 {
+        let is_new = self.known.complete_rest(is_followed);
+        if is_new && self.is_known && self.unsettled.len() == 1 {
             self.settle()
         } else {
             Vec::new()
         }
     }
 
-    fn record_head(&mut self, head: &[u8]) {
-        let head = &head[..head.len().min(KEPT_HEAD_BYTES)];
-        let is_known = self.heads.iter().any(|known| known == head);
-        if !is_known && self.heads.len() < MAX_HEADS {
-            self.heads.push(head.to_vec());
-        }
-    }
-
-    fn record(&mut self, fingerprint: u64) {
-        if self.fingerprints.contains(&fingerprint) {
-            return;
-        }
-        if self.fingerprints.len() < MAX_FINGERPRINTS {
-            self.fingerprints.push(fingerprint);
-        } else {
-            self.has_unrecorded = true;
-        }
-    }
-
     /// Notes the attempt that a response has ended. After an uncertain response, the connection rests. `is_final` says
     /// that a wrong conclusion from it could not be undone.
     pub fn answered(
@@ -300,7 +221,7 @@
 
     /// Whether no rejection on the connection could be a copy of an earlier rejection.
     pub fn has_no_rejection(&self) -> bool {
-        self.is_known && !self.has_unrecorded && !self.has_rejected
+        self.is_known && self.known.are_all_recorded() && !self.has_rejected
     }
 
     /// Whether a wrong conclusion from an unsettled response could not be undone.
@@ -383,7 +304,7 @@
     /// Whether a complete response in `bytes`, at their beginning or behind others, is no copy: it answers a request for
     /// which an earlier response was taken.
     fn is_new_response(&self, bytes: &[u8]) -> bool {
-        if !self.is_known || self.has_unrecorded {
+        if !self.is_known || !self.known.are_all_recorded() {
             return false;
         }
         let mut remaining = bytes;
