--- a/crates/lab/src/soak/client.rs
+++ b/crates/lab/src/soak/client.rs
@@ -199,9 +199,11 @@
     fn on_accepted(&self) {
         self.world.accepted[self.sender].fetch_add(1, Ordering::Relaxed);
         if let Some(pid) = self.pids.take_kill_target(self.sender) {
-            let killed = kill(Pid::from_raw(pid), Signal::SIGKILL);
-            if killed.is_ok() {
-                self.record("", Event::Process(ProcessEvent::Kill));
+            // The process may have ended, and its end may be recorded, before `kill` returns.
+            let at = self.world.now();
+            if kill(Pid::from_raw(pid), Signal::SIGKILL).is_ok() {
+                let event = Event::Process(ProcessEvent::Kill);
+                self.world.history.record_at(at, self.sender, "", event);
             }
         }
     }
