--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -95,6 +95,7 @@
         pod_group: group,
         state: "in_service".into(),
         capacity_hint: 60.0,
+        boot_ms: 0,
     };
     let mut targets = vec![
         target("s-e1", east, "east-wing", PARTNER, "speaker-platform"),
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -108,6 +108,13 @@
     }
 }
 
+/// The wall clock, as Unix time in milliseconds.
+pub fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64)
+}
+
 pub fn could_not_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
     kill_children();
@@ -241,19 +248,22 @@
     pub pod_group: u64,
     pub state: String,
     pub capacity_hint: f64,
+    /// Unix time in milliseconds; 0 means long ago.
+    pub boot_ms: u64,
 }
 
 impl Target {
     pub fn json(&self) -> String {
         format!(
-            "{{\"uid\":\"{}\",\"endpoint\":\"{}\",\"az\":\"{}\",\"model\":\"{}\",\"pod_group\":{},\"state\":\"{}\",\"capacity_hint\":{:.1},\"boot_ms\":0}}",
+            "{{\"uid\":\"{}\",\"endpoint\":\"{}\",\"az\":\"{}\",\"model\":\"{}\",\"pod_group\":{},\"state\":\"{}\",\"capacity_hint\":{:.1},\"boot_ms\":{}}}",
             self.uid,
             self.endpoint,
             self.az,
             self.model,
             self.pod_group,
             self.state,
-            self.capacity_hint
+            self.capacity_hint,
+            self.boot_ms
         )
     }
 }
@@ -280,8 +290,11 @@
     pub address: SocketAddr,
     /// All changes: the version after each, and the entry.
     changes: Mutex<Vec<(u64, Target)>>,
-    /// Told to the senders when not silent.
-    pub silent: AtomicBool,
+    /// Watches with a lower number than this have fallen silent.
+    silent_below: AtomicU64,
+    watches: AtomicU64,
+    /// When an empty line was last written to a watch, in milliseconds of the run.
+    last_empty_line: AtomicU64,
     pub notices: Mutex<BTreeMap<String, Vec<Notice>>>,
 }
 
@@ -292,7 +305,9 @@
             world: world.clone(),
             address: listener.local_addr().unwrap(),
             changes: Mutex::new(targets.into_iter().map(|target| (1, target)).collect()),
-            silent: AtomicBool::new(false),
+            silent_below: AtomicU64::new(0),
+            watches: AtomicU64::new(0),
+            last_empty_line: AtomicU64::new(0),
             notices: Mutex::default(),
         });
         let serving = agent.clone();
@@ -387,7 +402,21 @@
         }
     }
 
+    /// Waits for the next empty line on a watch, then has all open watches fall silent. Their connections stay open.
+    pub fn silence_open_watches(&self) {
+        let before = self.last_empty_line.load(Ordering::Relaxed);
+        while self.last_empty_line.load(Ordering::Relaxed) == before {
+            sleep_ms(5);
+        }
+        self.silent_below
+            .store(self.watches.load(Ordering::Relaxed), Ordering::Relaxed);
+        self.world.note("the open watch falls silent");
+    }
+
     fn watch(&self, http: &mut Http, from: u64) {
+        let number = self.watches.fetch_add(1, Ordering::Relaxed);
+        self.world
+            .note(format!("watch {number} opened with from={from}"));
         if !http.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n") {
             return;
         }
@@ -402,7 +431,7 @@
         let mut open = write_chunk(http, &(first + "\n"));
         while open && !self.world.stop.load(Ordering::Relaxed) {
             sleep_ms(20);
-            if self.silent.load(Ordering::Relaxed) {
+            if number < self.silent_below.load(Ordering::Relaxed) {
                 continue;
             }
             let (rev, changed) = self.changes_after(told);
@@ -412,6 +441,8 @@
                 next_line = self.world.now() + 2_000.0;
             } else if self.world.now() >= next_line {
                 open = write_chunk(http, "\n");
+                self.last_empty_line
+                    .store(self.world.now() as u64, Ordering::Relaxed);
                 next_line += 2_000.0;
             }
         }
@@ -565,6 +596,8 @@
     root: PathBuf,
     pub folder: PathBuf,
     pub listen: SocketAddr,
+    /// The limit on descriptors in the configuration.
+    pub sockets: u32,
     run: String,
 }
 
@@ -604,6 +637,7 @@
             root,
             folder,
             listen: world.free_address(),
+            sockets: 1024,
             run,
         }
     }
@@ -611,8 +645,8 @@
     /// Writes the configuration file.
     pub fn configure(&self, discovery: SocketAddr, known: &str, settings: &str) {
         let text = format!(
-            "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024,\"disk_mb\":3}},\"known\":{known},\"settings\":{settings}}}",
-            self.listen
+            "{{\"name\":\"n0\",\"listen\":\"{}\",\"discovery\":\"{discovery}\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":{},\"disk_mb\":3}},\"known\":{known},\"settings\":{settings}}}",
+            self.listen, self.sockets
         );
         let path = self.folder.join("config.json");
         let next = self.folder.join("config.next");
@@ -700,6 +734,10 @@
 }
 
 impl Process {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn signal(&self, signal: i32) {
         self.world.note(format!("signal {signal} to {}", self.name));
         // SAFETY: the child is not reaped before it is dropped, so its id names this process only.
