--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,255 +1,203 @@
-//! Case 1: a second copy of a refusal is taken for the answer to the next direct debit, which then runs twice.
+//! Case 1: a message whose key holds in one wing is applied in two wings after the process was replaced.
 
 #[path = "../common/mod.rs"]
 mod common;
 use common::*;
 
 use std::collections::BTreeMap;
-use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-/// Partners with an endpoint each; each gets one clump of messages.
-const PARTNERS: u64 = 4;
-/// One way of the network between sender and endpoint, in milliseconds (the site: 5 to 15).
-const ONE_WAY: u64 = 5;
-/// How long behind a refusal its second copy is written, in milliseconds.
-const COPY_AFTER: u64 = 10;
-/// Calls that the endpoint works on and queues; more are refused.
-const QUEUE: usize = 5;
-/// Times of calls, in milliseconds: the usual ones, the first of a clump, and of one message in a clump (17 times the usual).
-const USUAL: u64 = 120;
-const SHORT: u64 = 12;
-const LONG: u64 = 2_040;
-/// The quiet time before the clumps, the time between two of them, and their size.
-const QUIET_MESSAGES: u64 = 80;
-const QUIET_UNTIL: f64 = 22_000.0;
-const CLUMP_EVERY: f64 = 4_000.0;
-const CLUMP: u64 = 24;
+/// How long the endpoints of a wing drop a repeat, in milliseconds.
+const MEMORY_SPAN: f64 = 4_000.0;
+const PARTNER: u64 = 7;
+/// The times of the run, in milliseconds since its start.
+const FULL_FROM: f64 = 4_000.0;
+const FULL_UNTIL: f64 = 5_300.0;
+/// One endpoint takes calls and answers none for 6.5 s (the pages name 6.4 to 18 s).
+const HANGS_FROM: f64 = 4_000.0;
+const HANGS_UNTIL: f64 = 10_500.0;
+const REPLACED_AT: f64 = 5_900.0;
+const LAST_HANDED_IN: f64 = 7_000.0;
 
-const SETTINGS: &str = r#"{"Areas":["swansea-dc"],"Zone":"swansea-dc","Balancers":1,
-"Kinds":["payment-processor","housing-assoc","council"],"WeightKind":"rough","RegistryMode":"push","Tick":5000000,
+const SETTINGS: &str = r#"{"Areas":["east-wing","west-wing","north-wing"],"Zone":"east-wing","Balancers":1,
+"Kinds":["speaker-platform","car-audio","station-site"],"WeightKind":"rough","RegistryMode":"push","Tick":5000000,
 "Categories":[
-{"Name":"direct-debit","Target":3000000000,"Deadline":16000000000,"Effect":"side_effect","Worth":1,"LateWorth":0.4,"Stream":false},
-{"Name":"meter-reading","Target":3000000000,"Deadline":16000000000,"Effect":"token","KeyScope":"all","MemorySpan":6000000000,"Worth":1,"LateWorth":0.4,"Stream":false}],
-"FamilyInfo":{"CallsOut":12,"LosesWorth":"halving","OwnLimits":[false,false,false],"PerCall":[1,1,1],"Toll":[0],"TurnedAwayPrice":0.05},
-"Deductions":{"Handshake":0.06,"Waste":0.05,"LateFail":0.024},
-"Limits":{"OpenCap":229,"AttemptsCap":8,"Cancel":true,"SecondCopies":true,"Probes":false,"ConnectTimeout":1000000000,"ConnIdle":15000000000,"RetryAfter":true,"MaxRetryAfter":3000000000},
-"Guarantees":{"StopSendingWithin":1000000000,"GraceToAnswer":20000000,"OverloadFactor":2,"OverloadFor":3000000000,"ColdFrom":0.22,"Cold":9200000000}}"#;
+{"Name":"listen-count","Target":2000000000,"Deadline":16000000000,"Effect":"token","KeyScope":"zone","MemorySpan":4000000000,"Worth":2,"LateWorth":0.5,"Stream":false},
+{"Name":"episode-status","Target":1000000000,"Deadline":5000000000,"Effect":"pure","Worth":1,"LateWorth":0.1,"Stream":false}],
+"FamilyInfo":{"CallsOut":15,"LosesWorth":"linear","OwnLimits":[true,false,false],"PerCall":[20,1,1],"Toll":[0,0,0],"TurnedAwayPrice":0.03},
+"Deductions":{"CrossZone":0.03,"Handshake":0.02,"Waste":0.08,"LateFail":0.02,"Probe":0.01},
+"Limits":{"OpenCap":600,"AttemptsCap":12,"Cancel":true,"SecondCopies":true,"Probes":true,"ConnectTimeout":1500000000,"ConnIdle":15000000000,"RetryAfter":true,"MaxRetryAfter":2000000000},
+"Guarantees":{"StopSendingWithin":500000000,"GraceToAnswer":20000000,"OverloadFactor":2.5,"OverloadFor":1500000000,"ColdFrom":0.17,"Cold":14000000000}}"#;
 
-/// The endpoint of a partner, behind a network that delays each way.
-struct Endpoint {
-    world: Arc<World>,
-    partner: u64,
-    in_work: Mutex<usize>,
-    /// When the last second copy was written, in milliseconds of the run.
-    copied_at: Mutex<f64>,
-    /// The times at which each message ran.
-    runs: Mutex<BTreeMap<String, Vec<f64>>>,
-    copies: AtomicU64,
-    slow: AtomicU64,
+/// One run of a message at an endpoint.
+#[derive(Clone)]
+struct Run {
+    at: f64,
+    wing: &'static str,
+    /// Whether the wing knew the key and dropped the repeat.
+    dropped: bool,
 }
 
-impl Endpoint {
-    fn answer(&self, status: u16) -> Vec<u8> {
-        // Each answer has a line of its own, so that only a second copy equals an earlier answer.
-        let now = self.world.now();
-        format!("HTTP/1.1 {status} X\r\nX-Answer: {now:.3}\r\nContent-Length: 0\r\n\r\n")
-            .into_bytes()
-    }
+/// What the endpoints of all wings have run, by idempotency key.
+type Runs = Arc<Mutex<BTreeMap<String, Vec<Run>>>>;
 
-    fn serve(self: Arc<Self>, stream: TcpStream) {
-        let mut http = Http::new(stream);
-        let arrivals = Arc::new(AtomicU64::new(0));
-        let was_refused = Arc::new(AtomicBool::new(false));
-        while let Ok(call) = http.read(std::time::Duration::from_secs(30)) {
-            // The last byte reaches the endpoint.
-            sleep_ms(ONE_WAY);
-            arrivals.fetch_add(1, Ordering::SeqCst);
-            let id = call.header("x-request-id").to_string();
-            let mut in_work = self.in_work.lock().unwrap();
-            if *in_work >= QUEUE {
-                drop(in_work);
-                let Ok(stream) = http.stream.try_clone() else {
-                    return;
-                };
-                let (endpoint, arrivals, was_refused) =
-                    (self.clone(), arrivals.clone(), was_refused.clone());
-                thread::spawn(move || {
-                    endpoint.refuse(Http::new(stream), &id, &arrivals, &was_refused)
-                });
-                continue;
-            }
-            let is_first = *in_work == 0 && self.world.now() > QUIET_UNTIL;
-            *in_work += 1;
-            drop(in_work);
-            self.world
-                .note(format!("endpoint {}: runs id={id}", self.partner));
-            self.runs
-                .lock()
-                .unwrap()
-                .entry(id.clone())
-                .or_default()
-                .push(self.world.now());
-            // One message of a clump takes long: the one behind the refusal.
-            let time = if was_refused.swap(false, Ordering::SeqCst) {
-                self.slow.fetch_add(1, Ordering::SeqCst);
-                LONG
-            } else if is_first {
-                SHORT
-            } else {
-                USUAL
-            };
-            sleep_ms(time);
-            *self.in_work.lock().unwrap() -= 1;
-            let answer = self.answer(200);
-            self.world
-                .note(format!("endpoint {}: 200 id={id}", self.partner));
-            sleep_ms(ONE_WAY);
-            if !http.write(&answer) {
-                return;
-            }
-        }
-    }
-
-    /// Refuses a call as the queue is full. Once in a clump a second copy follows right behind, unless something waits on
-    /// the connection by then.
-    fn refuse(&self, mut http: Http, id: &str, arrivals: &AtomicU64, was_refused: &AtomicBool) {
-        let before = arrivals.load(Ordering::SeqCst);
-        let written_at = self.world.now();
-        let answer = self.answer(503);
-        self.world
-            .note(format!("endpoint {}: 503 id={id}", self.partner));
-        let repeats = {
-            let mut copied_at = self.copied_at.lock().unwrap();
-            let due = written_at > QUIET_UNTIL && written_at > *copied_at + 2_000.0;
-            if due {
-                *copied_at = written_at;
-            }
-            due
-        };
-        was_refused.store(repeats, Ordering::SeqCst);
-        self.world.sleep_until(written_at + ONE_WAY as f64);
-        if !http.write(&answer) || !repeats || !has_trouble() {
-            return;
-        }
-        self.world.sleep_until(written_at + COPY_AFTER as f64);
-        if arrivals.load(Ordering::SeqCst) != before {
-            self.world.note(format!(
-                "endpoint: no second copy behind id={id}, a call waits"
-            ));
-            return;
-        }
-        self.copies.fetch_add(1, Ordering::SeqCst);
-        self.world
-            .note(format!("endpoint: second copy of the 503 to id={id}"));
-        self.world
-            .sleep_until(written_at + (COPY_AFTER + ONE_WAY) as f64);
-        http.write(&answer);
-    }
+/// Runs a call in a wing: the wing drops it if it has run the same key within its memory.
+fn run(world: &World, runs: &Runs, wing: &'static str, call: &Message) {
+    let at = world.now();
+    let key = call.header("idempotency-key").to_string();
+    let mut runs = runs.lock().unwrap();
+    let earlier = runs.entry(key.clone()).or_default();
+    let dropped = earlier
+        .iter()
+        .any(|run| run.wing == wing && !run.dropped && at < run.at + MEMORY_SPAN);
+    earlier.push(Run { at, wing, dropped });
+    let what = if dropped { "repeat dropped" } else { "applied" };
+    world.note(format!(
+        "{wing}: {what} id={} key={key}",
+        call.header("x-request-id")
+    ));
 }
 
 fn main() {
     let world = World::new();
     let machine = Machine::new(&world);
-    let mut endpoints = Vec::new();
-    let mut targets = Vec::new();
-    for partner in 0..PARTNERS {
-        let endpoint = Arc::new(Endpoint {
-            world: world.clone(),
-            partner,
-            in_work: Mutex::new(0),
-            copied_at: Mutex::new(0.0),
-            runs: Mutex::default(),
-            copies: AtomicU64::new(0),
-            slow: AtomicU64::new(0),
-        });
-        let listener = world.listen();
-        targets.push(Target {
-            uid: format!("s-{partner}"),
-            endpoint: listener.local_addr().unwrap(),
-            az: "swansea-dc".into(),
-            model: "payment-processor".into(),
-            pod_group: partner,
-            state: "in_service".into(),
-            capacity_hint: 400.0,
-            boot_ms: 0,
-        });
-        endpoints.push(endpoint.clone());
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let endpoint = endpoint.clone();
-                thread::spawn(move || endpoint.serve(stream));
-            }
-        });
+    let runs: Runs = Arc::default();
+    let (east_world, east_runs) = (world.clone(), runs.clone());
+    let east = start_endpoint(&world, move |call| {
+        let now = east_world.now();
+        if (FULL_FROM..FULL_UNTIL).contains(&now) {
+            // Its queue is full: turned away, never run.
+            east_world.note(format!("east-wing: 503 id={}", call.header("x-request-id")));
+            return Reply::Answer(5, 503, "");
+        }
+        run(&east_world, &east_runs, "east-wing", call);
+        Reply::Answer(120, 200, "")
+    });
+    let (west_world, west_runs) = (world.clone(), runs.clone());
+    let west = start_endpoint(&world, move |call| {
+        let now = west_world.now();
+        run(&west_world, &west_runs, "west-wing", call);
+        if (HANGS_FROM..HANGS_UNTIL).contains(&now) {
+            west_world.note(format!(
+                "west-wing: no answer to id={}",
+                call.header("x-request-id")
+            ));
+            return Reply::Silence((HANGS_UNTIL - now) as u64);
+        }
+        Reply::Answer(120, 200, "")
+    });
+    let target = |uid: &str, endpoint, az: &str, group, kind: &str| Target {
+        uid: uid.into(),
+        endpoint,
+        az: az.into(),
+        model: kind.into(),
+        pod_group: group,
+        state: "in_service".into(),
+        capacity_hint: 60.0,
+        boot_ms: 0,
+    };
+    let mut targets = vec![
+        target("s-e1", east, "east-wing", PARTNER, "speaker-platform"),
+        target("s-w1", west, "west-wing", PARTNER, "speaker-platform"),
+    ];
+    // Other partners, which get four in five messages.
+    for number in 0..4 {
+        let other = start_endpoint(&world, |_| Reply::Answer(100, 200, ""));
+        targets.push(target(
+            &format!("s-o{number}"),
+            other,
+            "east-wing",
+            20 + number,
+            "station-site",
+        ));
     }
     let agent = Agent::start(&world, targets.clone());
     machine.configure(agent.address, &list_json(1, true, &targets), SETTINGS);
-    let mut process = machine.start("sender", None);
+    let operators = [world.free_address(), world.free_address()];
+    let mut first = machine.start("first", Some(operators[0]));
     machine.wait_until_ready(30_000);
 
-    let taken_on = Arc::new(AtomicU64::new(0));
-    let mut client = Client::new(machine.listen);
-    let hand_in = |client: &mut Client, id: String, partner: u64| {
-        let heard = client.hand_in("direct-debit", &id, partner, 16.0, None, b"debit");
-        world.note(format!("client: id={id} {heard:?}"));
-        if heard == Heard::Status(202) {
-            taken_on.fetch_add(1, Ordering::SeqCst);
-        }
-    };
-    for count in 0..QUIET_MESSAGES {
-        hand_in(&mut client, format!("00{count:014x}"), count % PARTNERS);
-        sleep_ms(130);
-    }
-    let first_clump = world.now().max(QUIET_UNTIL + 500.0);
-    let workers: Vec<_> = (0..CLUMP)
+    let accepted: Arc<Mutex<Vec<String>>> = Arc::default();
+    let clients: Vec<_> = (0..4_u64)
         .map(|number| {
-            let (world, listen, taken_on) = (world.clone(), machine.listen, taken_on.clone());
+            let (world, accepted, listen) = (world.clone(), accepted.clone(), machine.listen);
             thread::spawn(move || {
                 let mut client = Client::new(listen);
-                for clump in 0..PARTNERS {
-                    world.sleep_until(first_clump + clump as f64 * CLUMP_EVERY);
-                    let id = format!("{:02x}{number:014x}", clump + 1);
-                    let heard = client.hand_in("direct-debit", &id, clump, 16.0, None, b"debit");
-                    world.note(format!("client: id={id} {heard:?}"));
-                    if heard == Heard::Status(202) {
-                        taken_on.fetch_add(1, Ordering::SeqCst);
+                for count in 0_u64.. {
+                    if world.now() > LAST_HANDED_IN {
+                        return;
+                    }
+                    let id = format!("{number:x}{count:07x}9b1f03aa");
+                    let key = format!("{number:x}{count:07x}5c0f6e1a2b3d4c59a8b7c6d5");
+                    if count % 5 == number {
+                        let heard = client.hand_in(
+                            "listen-count",
+                            &id,
+                            PARTNER,
+                            16.0,
+                            Some(&key),
+                            b"count=1",
+                        );
+                        world.note(format!("client: id={id} partner {PARTNER} {heard:?}"));
+                        if heard == Heard::Status(202) {
+                            accepted.lock().unwrap().push(key);
+                        }
+                    } else {
+                        let other = 20 + count % 4;
+                        let heard =
+                            client.hand_in("episode-status", &id, other, 5.0, None, b"status=new");
+                        world.note(format!("client: id={id} partner {other} {heard:?}"));
                     }
+                    sleep_ms(50);
                 }
             })
         })
         .collect();
-    for worker in workers {
-        let _ = worker.join();
+
+    if has_trouble() {
+        world.sleep_until(REPLACED_AT);
+        let second = machine.start("second", Some(operators[1]));
+        let started = world.now();
+        while operate(operators[1], "health").is_none_or(|answer| !answer.starts_with("ACK")) {
+            if world.now() > started + 6_000.0 {
+                machine.finish(COULD_NOT_RUN, "the new process did not say yes within 6 s");
+            }
+            sleep_ms(5);
+        }
+        world.note("the new process has said yes");
+        if !first.wait_for_end(1_000) {
+            first.signal(SIGTERM);
+            first.wait_for_end(3_700);
+        }
+        std::mem::forget(second);
+    }
+    for client in clients {
+        let _ = client.join();
     }
-    sleep_ms(6_000);
+    world.sleep_until(LAST_HANDED_IN + 17_500.0);
 
+    let runs = runs.lock().unwrap().clone();
     let mut twice = 0;
-    let (mut copies, mut slow) = (0, 0);
-    for endpoint in &endpoints {
-        copies += endpoint.copies.load(Ordering::SeqCst);
-        slow += endpoint.slow.load(Ordering::SeqCst);
-        for (id, times) in endpoint
-            .runs
-            .lock()
-            .unwrap()
-            .iter()
-            .filter(|(_, times)| times.len() > 1)
-        {
+    for (key, all) in &runs {
+        let applied: Vec<&Run> = all.iter().filter(|run| !run.dropped).collect();
+        if applied.len() > 1 {
             twice += 1;
+            let places: Vec<String> = applied
+                .iter()
+                .map(|run| format!("{} at {:.0} ms", run.wing, run.at))
+                .collect();
             world.note(format!(
-                "ran {} times: id={id} at {times:.0?} ms",
-                times.len()
+                "applied {} times: key={key}: {}",
+                applied.len(),
+                places.join(", ")
             ));
         }
     }
-    if let Some(status) = process.ended() {
-        machine.finish(BROKEN, &format!("the sender has ended: {status}"));
-    }
+    let taken_on = accepted.lock().unwrap().len();
     let text = format!(
-        "{} direct debits taken on, {copies} second copies, {slow} slow calls, {twice} direct debits ran more than once",
-        taken_on.load(Ordering::SeqCst),
+        "{taken_on} messages for partner {PARTNER} taken on, {} run, {twice} applied more than once",
+        runs.len()
     );
     machine.finish(if twice > 0 { BROKEN } else { HELD }, &text)
 }
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -8,7 +8,7 @@
 # The program has a process group of its own, so that all processes that it starts end with it.
 "$program" "$here" "$here/../.." &
 group=$!
-trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'kill -KILL -- "-$group" 2>/dev/null; rm -rf "${TMPDIR:-/tmp}/review-$group"' EXIT
 trap 'exit 2' INT TERM HUP
 wait "$group"
 code=$?
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -20,6 +20,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn waitpid(pid: i32, status: *mut i32, options: i32) -> i32;
 }
 
 pub const SIGHUP: i32 = 1;
@@ -118,16 +119,25 @@
 pub fn could_not_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
     kill_children();
+    let _ = std::fs::remove_dir_all(case_folder());
     std::process::exit(COULD_NOT_RUN)
 }
 
+/// The temporary folder of this run.
+fn case_folder() -> PathBuf {
+    std::env::temp_dir().join(format!("review-{}", std::process::id()))
+}
+
 /// The ids of the processes that were started and not reaped yet.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
 fn kill_children() {
     for id in CHILDREN.lock().unwrap().drain(..) {
         // SAFETY: a process that is not reaped keeps its id.
-        unsafe { kill(id as i32, SIGKILL) };
+        unsafe {
+            kill(id as i32, SIGKILL);
+            waitpid(id as i32, std::ptr::null_mut(), 0);
+        }
     }
 }
 
@@ -626,7 +636,7 @@
         if !root.join("target/release/martenlatch").exists() {
             could_not_run("the program is not built");
         }
-        let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
+        let folder = case_folder();
         let _ = std::fs::remove_dir_all(&folder);
         for part in ["state", "tmp"] {
             std::fs::create_dir_all(folder.join(part))
