--- /dev/null
+++ b/crates/martenlatch/tests/withdrawn_messages.rs
@@ -0,0 +1,100 @@
+//! Messages that an endpoint answers with 410: they are over, so no further request for them may be sent.
+
+mod support;
+use support::*;
+
+use rstest::rstest;
+use std::time::Duration;
+
+/// The time of each message, which its client sends.
+const TIMEOUT_HEADER: &str = "2.0";
+/// When no further request or status report is expected.
+const QUIET_TIME: Duration = Duration::from_millis(3_500);
+/// How long the endpoint takes for an answer, and the time between two of its writes, in milliseconds.
+const SERVICE: u64 = 40;
+const LATER: u64 = SERVICE + 15;
+const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 4\r\n\r\ngone";
+
+/// What the endpoint writes for the second message, whose answer has the bytes of the first one's.
+#[derive(Clone, Copy, Debug)]
+enum SecondAnswer {
+    /// The answer, and nothing more.
+    Alone,
+    /// The answer, and the end of the connection behind it.
+    End,
+}
+
+fn writes_of(answer: SecondAnswer) -> Vec<TimedWrite> {
+    let closing = |delay, bytes| TimedWrite {
+        close: true,
+        ..TimedWrite::after(delay, bytes)
+    };
+    match answer {
+        SecondAnswer::Alone => vec![TimedWrite::after(SERVICE, GONE)],
+        SecondAnswer::End => vec![TimedWrite::after(SERVICE, GONE), closing(LATER, "")],
+    }
+}
+
+/// An endpoint for which all messages are over; it answers the second one in its own way.
+fn endpoint_without_messages(answer: SecondAnswer) -> TimedEndpoint {
+    TimedEndpoint::new(move |request| match request.id() {
+        "second" => writes_of(answer),
+        _ => vec![TimedWrite::after(SERVICE, GONE)],
+    })
+}
+
+fn start_sender(test: &str, endpoint: &TimedEndpoint, platform: &Platform) -> Sender {
+    let entry = endpoint_entry("s-1", endpoint.address, "in_service");
+    Sender::start(test, platform, &endpoint_list(1, true, &[entry]))
+}
+
+/// Submits two messages that may be sent again, one after the other. Returns when the second one has been answered.
+fn submit_two(sender: &Sender) {
+    for id in ["first", "second"] {
+        assert_eq!(sender.submit("meter", id, TIMEOUT_HEADER), 202);
+        std::thread::sleep(Duration::from_millis(LATER + 20));
+    }
+}
+
+/// Waits until nothing more happens, and counts the requests for the second message.
+fn requests_for_second(endpoint: &TimedEndpoint) -> usize {
+    std::thread::sleep(QUIET_TIME);
+    let requests = endpoint.requests.try_iter();
+    requests.filter(|request| request.id() == "second").count()
+}
+
+/// Guards against a request for a message that is over: its 410 had the bytes of an earlier one, and the end of the
+/// connection opened the message again.
+#[rstest]
+#[case::end_of_the_connection(SecondAnswer::End)]
+fn a_message_answered_with_410_is_not_sent_again_whatever_follows(#[case] answer: SecondAnswer) {
+    let endpoint = endpoint_without_messages(answer);
+    let platform = Platform::new(&[]);
+    let test = case_name(&format!("gone{answer:?}"));
+    let sender = start_sender(&test, &endpoint, &platform);
+    submit_two(&sender);
+    assert_eq!(requests_for_second(&endpoint), 1);
+}
+
+/// What happens to the sender behind the second answer.
+#[derive(Clone, Copy, Debug)]
+enum Interruption {
+    Kill,
+}
+
+/// Guards against a request for a message that is over: a later process found a message open whose 410 had the bytes of an
+/// earlier one.
+#[rstest]
+#[case::kill(Interruption::Kill)]
+fn a_message_answered_with_410_is_not_sent_again_by_a_later_process(
+    #[case] interruption: Interruption,
+) {
+    let endpoint = endpoint_without_messages(SecondAnswer::Alone);
+    let platform = Platform::new(&[]);
+    let sender = start_sender(&format!("gone-{interruption:?}"), &endpoint, &platform);
+    submit_two(&sender);
+    let _sender = match interruption {
+        Interruption::Kill => sender.kill_and_restart(),
+    };
+    assert_eq!(requests_for_second(&endpoint), 1);
+}
