Report a message at once whose 410 could be a copy, and send it no more

Cause: a 410 with the bytes of an earlier answer on its connection was uncertain, and its message was held until nothing more had come. When the connection ended first, also because this process ended it under a later request, or a second answer came, the message was opened again and sent. The log and a successor's state had it open, so that a restart or a replacement sent it, too. Evidence: in the failing test the log has 'response may belong to another request ... had_ended=true' and then the second request. Why this mends it: a doubt has two readings. If the 410 was real, a further request breaks the rule; if it was a copy, closing loses the message. A report is right in both, as a report of a message that is over does no harm. So the end is recorded and reported when the 410 is read; nothing waits, nothing is opened again, and the log and a successor have it as ended. The conclusion is a pure function now (pipeline/conclusion.rs), with a test of one line for each cell. Tests: withdrawn_messages.rs; without the change the cases end_of_the_connection, second_answer and kill fail (2 requests).

--- a/crates/martenlatch/tests/withdrawn_messages.rs
+++ b/crates/martenlatch/tests/withdrawn_messages.rs
@@ -22,6 +22,8 @@
     Alone,
     /// The answer, and the end of the connection behind it.
     End,
+    /// The answer twice.
+    Twice,
 }
 
 fn writes_of(answer: SecondAnswer) -> Vec<TimedWrite> {
@@ -32,6 +34,10 @@
     match answer {
         SecondAnswer::Alone => vec![TimedWrite::after(SERVICE, GONE)],
         SecondAnswer::End => vec![TimedWrite::after(SERVICE, GONE), closing(LATER, "")],
+        SecondAnswer::Twice => vec![
+            TimedWrite::after(SERVICE, GONE),
+            TimedWrite::after(LATER, GONE),
+        ],
     }
 }
 
@@ -64,9 +70,11 @@
 }
 
 /// Guards against a request for a message that is over: its 410 had the bytes of an earlier one, and the end of the
-/// connection opened the message again.
+/// connection or a second 410 opened the message again.
 #[rstest]
+#[case::nothing(SecondAnswer::Alone)]
 #[case::end_of_the_connection(SecondAnswer::End)]
+#[case::second_answer(SecondAnswer::Twice)]
 fn a_message_answered_with_410_is_not_sent_again_whatever_follows(#[case] answer: SecondAnswer) {
     let endpoint = endpoint_without_messages(answer);
     let platform = Platform::new(&[]);
@@ -80,21 +88,37 @@
 #[derive(Clone, Copy, Debug)]
 enum Interruption {
     Kill,
+    Termination,
+    Replacement,
+    TwoReplacements,
 }
 
 /// Guards against a request for a message that is over: a later process found a message open whose 410 had the bytes of an
 /// earlier one.
 #[rstest]
 #[case::kill(Interruption::Kill)]
+#[case::termination(Interruption::Termination)]
+#[case::replacement(Interruption::Replacement)]
+#[case::two_replacements(Interruption::TwoReplacements)]
 fn a_message_answered_with_410_is_not_sent_again_by_a_later_process(
     #[case] interruption: Interruption,
 ) {
     let endpoint = endpoint_without_messages(SecondAnswer::Alone);
     let platform = Platform::new(&[]);
-    let sender = start_sender(&format!("gone-{interruption:?}"), &endpoint, &platform);
+    let mut sender = start_sender(&format!("gone-{interruption:?}"), &endpoint, &platform);
     submit_two(&sender);
     let _sender = match interruption {
         Interruption::Kill => sender.kill_and_restart(),
+        Interruption::Termination => sender.terminate_and_restart(),
+        Interruption::Replacement => {
+            assert_eq!(sender.replace().code, Some(0));
+            sender
+        }
+        Interruption::TwoReplacements => {
+            assert_eq!(sender.replace().code, Some(0));
+            assert_eq!(sender.replace().code, Some(0));
+            sender
+        }
     };
     assert_eq!(requests_for_second(&endpoint), 1);
 }
--- a/crates/sender/src/counters.rs
+++ b/crates/sender/src/counters.rs
@@ -64,6 +64,8 @@
     not_sent,
     /// Messages that ended because an endpoint answered 410.
     gone,
+    /// Messages that were reported because an endpoint may have answered 410.
+    possibly_gone,
     /// Messages that were still open well after their deadline and had to be ended by the driver.
     ended_late,
     /// Successes that arrived just before the deadline of their message or after it, so that the message was reported,
--- a/crates/sender/src/egress/attempt.rs
+++ b/crates/sender/src/egress/attempt.rs
@@ -4,6 +4,7 @@
 use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
 use serde::{Deserialize, Serialize};
 
+use super::gone::MessageGone;
 use super::response_history::Evidence;
 
 /// An attempt to start. Instants and durations are in milliseconds.
@@ -46,8 +47,8 @@
     pub outcome: Outcome,
     /// The time from the start of the attempt to its end, in milliseconds.
     pub took: Millis,
-    /// Whether the endpoint responded with status 410: the message is finished, and no final status is due.
-    pub message_finished: bool,
+    /// Whether the message is over by the endpoint's word.
+    pub gone: MessageGone,
     /// How certain it is that the response belongs to the attempt.
     pub evidence: Evidence,
 }
@@ -94,7 +95,7 @@
             endpoint: None,
             outcome,
             took: now - self.started_at,
-            message_finished: false,
+            gone: MessageGone::No,
             evidence: Evidence::Certain,
         }
     }
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -10,6 +10,7 @@
 use super::attempt_end::{EndCause, EndedAttempt};
 use super::connection_scarcity::ResponseObservation;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
+use super::gone::{GONE_STATUS, MessageGone};
 use super::known_responses::ReceivedResponse;
 use super::response::{
     RemainderProgress, ResponseClassification, ResponseProgress, read_remainder, read_response,
@@ -148,6 +149,11 @@
             self.response_times
                 .record_success(connection.endpoint, is_distinct);
         }
+        let gone = match evidence {
+            _ if response.status != GONE_STATUS => MessageGone::No,
+            Evidence::Certain => MessageGone::Certainly,
+            Evidence::Uncertain => MessageGone::Possibly,
+        };
         connection.socket.consume(response.consumed);
         // After a response to an incompletely written request, the connection cannot be reused.
         let reusable = response.keep_alive
@@ -174,7 +180,7 @@
         );
         self.results.push(AttemptResult {
             endpoint: Some(connection.endpoint),
-            message_finished: classification.message_finished,
+            gone,
             evidence,
             ..attempt.result(classification.outcome, now)
         });
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`connection_pool`]: opening, reusing and closing connections
 //! - [`exchange`]: one exchange on a connection
+//! - [`gone`]: whether a message is over by an endpoint's word
 //! - [`response`]: parsing responses
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
 //! - [`response_bytes`]: where a response ends
@@ -25,6 +26,7 @@
 mod connection_scarcity;
 mod endpoint_connection;
 mod exchange;
+mod gone;
 mod known_responses;
 mod response;
 mod response_bytes;
@@ -46,6 +48,7 @@
 use tracing::{debug, warn};
 
 pub use attempt::{AttemptRequest, AttemptResult};
+pub use gone::MessageGone;
 pub use response_history::{AnsweredAttempt, Evidence, Settlement};
 pub use response_times::ResponseTimes;
 pub use snapshot::EgressSnapshot;
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -7,6 +7,7 @@
 
 use super::attempt_end::EndCause;
 use super::endpoint_connection::{EndpointConnection, RemainingResponse};
+use super::gone::GONE_STATUS;
 
 /// The header with the time for which no request may be sent to the destination, in milliseconds; the equivalent of
 /// HTTP's Retry-After. Lower-case, as are all parsed header names.
@@ -116,13 +117,11 @@
     }
 }
 
-/// The consequences of a response for its attempt and message.
+/// The consequences of a response for its attempt and its destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ResponseClassification {
     /// The outcome of the attempt.
     pub outcome: Outcome,
-    /// Whether the message is finished and no final status is due.
-    pub message_finished: bool,
     /// How long no request may be sent to the destination; zero if the response does not say.
     pub retry_after: Nanos,
 }
@@ -136,12 +135,11 @@
             503 if response.header(PROXY_FULL_HEADER) == Some("1") => Outcome::NotSent,
             429 | 503 => Outcome::Overloaded { retry_after },
             504 => Outcome::AttemptsExhausted,
-            410 => Outcome::NotSent,
+            GONE_STATUS => Outcome::NotSent,
             _ => Outcome::Failure,
         };
         ResponseClassification {
             outcome,
-            message_finished: response.status == 410,
             retry_after,
         }
     }
--- a/crates/sender/src/pipeline/attempt_owners.rs
+++ b/crates/sender/src/pipeline/attempt_owners.rs
@@ -9,7 +9,7 @@
 use martenlatch_policy::interface::{Event, MessageId, Outcome};
 
 use super::driver::Driver;
-use crate::egress::{AttemptResult, Evidence};
+use crate::egress::{AttemptResult, Evidence, MessageGone};
 use crate::safety::Violation;
 
 /// A message and the number of its attempt.
@@ -77,7 +77,7 @@
             endpoint: None,
             outcome,
             took: 0.0,
-            message_finished: false,
+            gone: MessageGone::No,
             evidence: Evidence::Certain,
         });
     }
--- a/crates/sender/src/pipeline/completion.rs
+++ b/crates/sender/src/pipeline/completion.rs
@@ -3,12 +3,13 @@
 use martenlatch_clock::{Millis, nanos};
 use martenlatch_policy::interface::{Event, MessageId, Outcome};
 use martenlatch_wal::FinalStatus;
-use tracing::debug;
+use tracing::{debug, info};
 
-use super::message_store::{MessageState, MessageStore, StoredMessage, UnsettledEnd};
+use super::conclusion::{Conclusion, conclude};
+use super::message_store::{MessageState, MessageStore, StoredMessage};
 use super::status_reports::StatusReporter;
 use crate::counters::Counters;
-use crate::egress::{AttemptResult, Evidence};
+use crate::egress::{AttemptResult, Evidence, MessageGone};
 
 /// How long before the deadline a success must have been read to count as the delivery of its message. The client began
 /// to measure the message's time slightly earlier than the sender, so this time also ends earlier for the client, and
@@ -35,30 +36,16 @@
         "attempt ended"
     );
     message.attempts_in_flight = message.attempts_in_flight.saturating_sub(1);
-    let is_certain = result.evidence == Evidence::Certain;
-    if !is_certain {
-        store.counters.uncertain_responses += 1;
-    }
-    if result.outcome.never_ran() {
-        if !is_certain {
-            message.unsettled_rejections.push(result.attempt);
-        } else if mark_never_ran(message, result.attempt as usize) {
-            store.wal.append_never_ran(number, result.attempt as usize);
-        }
-    }
-    let succeeded = result.outcome == Outcome::Success;
-    let in_time = read_by < message.record.deadline - LATE_SUCCESS_GUARD;
-    if succeeded && !in_time {
-        end_by_late_success(result.id, store, status_reporter);
-    } else if !is_certain && (succeeded || result.message_finished) {
-        end_unsettled(result, store);
-    } else if (succeeded || result.message_finished)
-        && prepare_to_close(message, result.outcome, status_reporter)
-    {
-        close_message(number, result.message_finished, store);
-    } else {
-        store.remove_if_finished(number);
+    note_evidence(result, store);
+    let in_time = read_by < store.record(number)?.deadline - LATE_SUCCESS_GUARD;
+    match conclude(result, in_time) {
+        Conclusion::Undecided => {}
+        Conclusion::Delivered => end_by_success(number, store, status_reporter),
+        Conclusion::HeldUntilSettled => hold_until_settled(result, store),
+        Conclusion::Gone => end_as_gone(number, store),
+        Conclusion::Reported => end_by_report(result, store, status_reporter),
     }
+    store.remove_if_finished(number);
     Some(Event::AttemptEnded {
         id: result.id,
         attempt: result.attempt,
@@ -68,6 +55,26 @@
     })
 }
 
+/// Records what a result proves about its attempt.
+fn note_evidence(result: &AttemptResult, store: &mut MessageStore) {
+    let number = result.id.0;
+    let Some(message) = store.messages.get_mut(&number) else {
+        return;
+    };
+    let is_certain = result.evidence == Evidence::Certain;
+    if !is_certain {
+        store.counters.uncertain_responses += 1;
+    }
+    if !result.outcome.never_ran() {
+        return;
+    }
+    if !is_certain {
+        message.unsettled_rejections.push(result.attempt);
+    } else if mark_never_ran(message, result.attempt as usize) {
+        store.wal.append_never_ran(number, result.attempt as usize);
+    }
+}
+
 fn count_outcome(counters: &mut Counters, outcome: Outcome) {
     let counter = match outcome {
         Outcome::Success => &mut counters.success,
@@ -94,69 +101,80 @@
     }
 }
 
-/// Returns whether an endpoint's answer can still close the message. A success also closes a message that was given up
-/// in the same round, if its status report has not been sent yet: this withdraws the report.
-fn prepare_to_close(
-    message: &StoredMessage,
-    outcome: Outcome,
-    status_reporter: &mut StatusReporter,
-) -> bool {
-    match message.state {
+/// Ends a message by a success. This also closes a message that was given up in the same round, if its status report has
+/// not been sent yet: the report is withdrawn.
+fn end_by_success(number: u64, store: &mut MessageStore, status_reporter: &mut StatusReporter) {
+    let Some(message) = store.messages.get(&number) else {
+        return;
+    };
+    let can_be_closed = match message.state {
         MessageState::Open | MessageState::Unsettled => true,
-        MessageState::Reporting => {
-            outcome == Outcome::Success && status_reporter.withdraw(message.record.number)
-        }
+        MessageState::Reporting => status_reporter.withdraw(number),
         MessageState::Closed => false,
+    };
+    if can_be_closed {
+        close_delivered(number, store);
     }
 }
 
-/// Ends a message by a response that is not settled yet.
-fn end_unsettled(result: &AttemptResult, store: &mut MessageStore) {
+/// Holds a message until it is known whether the success belongs to it.
+fn hold_until_settled(result: &AttemptResult, store: &mut MessageStore) {
     let number = result.id.0;
     let Some(message) = store.messages.get_mut(&number) else {
         return;
     };
-    message.unsettled_ends.push(UnsettledEnd {
-        attempt: result.attempt,
-        gone: result.message_finished,
-    });
-    match message.state {
-        MessageState::Open => store.advance(number, MessageState::Unsettled),
-        MessageState::Closed => store.remove_if_finished(number),
-        MessageState::Unsettled | MessageState::Reporting => {}
+    message.unsettled_successes.push(result.attempt);
+    if message.state == MessageState::Open {
+        store.advance(number, MessageState::Unsettled);
     }
 }
 
-/// Gives up a message whose endpoint answered just before or after the deadline. The platform may not count this as a
-/// delivery, so a status report is sent; if the platform has counted the delivery, the report changes nothing.
-fn end_by_late_success(
-    id: MessageId,
+/// Closes a message that is over by an endpoint's word: nothing is owed.
+fn end_as_gone(number: u64, store: &mut MessageStore) {
+    let Some(message) = store.messages.get(&number) else {
+        return;
+    };
+    if !matches!(message.state, MessageState::Open | MessageState::Unsettled) {
+        return;
+    }
+    store.counters.gone += 1;
+    store.class_metrics.count_errored(&message.record.class);
+    store.advance(number, MessageState::Closed);
+}
+
+/// Ends a message that may be over, or whose endpoint answered just before or after the deadline, so that the platform may
+/// not count this as a delivery. If the message was over or delivered before, the report changes nothing.
+fn end_by_report(
+    result: &AttemptResult,
     store: &mut MessageStore,
     status_reporter: &mut StatusReporter,
 ) {
-    store.counters.late_successes += 1;
-    debug!(number = id.0, "success too late to count");
-    give_up(id, FinalStatus::Undeliverable, store, status_reporter);
-    store.remove_if_finished(id.0);
+    let number = result.id.0;
+    if result.gone == MessageGone::Possibly {
+        store.counters.possibly_gone += 1;
+        info!(
+            number,
+            attempt = result.attempt,
+            "message may be over, reported and not sent again"
+        );
+    } else {
+        store.counters.late_successes += 1;
+        debug!(number, "success too late to count");
+    }
+    give_up(
+        result.id,
+        FinalStatus::Undeliverable,
+        store,
+        status_reporter,
+    );
 }
 
-/// Closes a message after an endpoint's answer: it is delivered, or it is `gone` (status 410).
-pub(super) fn close_message(number: u64, gone: bool, store: &mut MessageStore) {
-    let mut class = None;
+/// Closes a message that an endpoint has answered with a success.
+pub(super) fn close_delivered(number: u64, store: &mut MessageStore) {
     if let Some(message) = store.messages.get_mut(&number) {
         // The message may have been given up in this round and its report withdrawn.
         message.record.final_status = None;
-        class = Some(message.record.class.clone());
-    }
-    if gone {
-        store.counters.gone += 1;
-    }
-    if let Some(class) = class {
-        if gone {
-            store.class_metrics.count_errored(&class);
-        } else {
-            store.class_metrics.count_answered(&class);
-        }
+        store.class_metrics.count_answered(&message.record.class);
     }
     store.advance(number, MessageState::Closed);
 }
--- a/crates/sender/src/pipeline/dispatch.rs
+++ b/crates/sender/src/pipeline/dispatch.rs
@@ -12,7 +12,7 @@
 
 use super::message_store::{MessageStore, StoredMessage};
 use super::send_gate::SendGate;
-use crate::egress::{AttemptRequest, AttemptResult, Egress, Evidence, SendPermission};
+use crate::egress::{AttemptRequest, AttemptResult, Egress, Evidence, MessageGone, SendPermission};
 
 /// An attempt that the decision module has requested.
 pub struct Attempt {
@@ -101,7 +101,7 @@
         endpoint: None,
         outcome: Outcome::NotSent,
         took: 0.0,
-        message_finished: false,
+        gone: MessageGone::No,
         evidence: Evidence::Certain,
     }
 }
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -23,8 +23,8 @@
     Reporting,
     /// Delivered, or given up with a confirmed status report.
     Closed,
-    /// An endpoint's response has ended it, but that response is not settled yet: it may belong to another request. A
-    /// successor process gets it as [`MessageState::Open`].
+    /// Delivered by a success that is not settled yet: it may belong to another request. A successor process gets it as
+    /// [`MessageState::Open`].
     #[serde(skip)]
     Unsettled,
 }
@@ -39,15 +39,6 @@
     }
 }
 
-/// A response that has ended a message and is not settled yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct UnsettledEnd {
-    /// The number of the attempt.
-    pub(super) attempt: u32,
-    /// Whether the endpoint said that the message is finished (status 410).
-    pub(super) gone: bool,
-}
-
 /// A message that has been accepted and is held.
 pub struct StoredMessage {
     pub(super) record: MessageRecord,
@@ -60,8 +51,8 @@
     pub(super) unattempted: bool,
     /// Its end was counted before, and only its report is sent again.
     pub(super) end_counted: bool,
-    /// The responses that have ended it and are not settled yet.
-    pub(super) unsettled_ends: Vec<UnsettledEnd>,
+    /// The attempts whose successes are not settled yet.
+    pub(super) unsettled_successes: Vec<u32>,
     /// The attempts whose rejections are not settled yet: they count as attempts that may have run.
     pub(super) unsettled_rejections: Vec<u32>,
 }
@@ -127,7 +118,7 @@
                 attempts_in_flight: 0,
                 unattempted: false,
                 end_counted: false,
-                unsettled_ends: Vec::new(),
+                unsettled_successes: Vec::new(),
                 unsettled_rejections: Vec::new(),
             },
         );
@@ -215,7 +206,7 @@
         Some((*number, f64::from_bits(*deadline_bits)))
     }
 
-    /// The number of messages that a response has ended which is not settled yet.
+    /// The number of messages that are delivered by successes that are not settled yet.
     pub(super) fn unsettled_count(&self) -> usize {
         self.unsettled_by_deadline.len()
     }
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -11,6 +11,7 @@
 #[cfg(test)]
 mod compatibility_tests;
 mod completion;
+mod conclusion;
 #[cfg(test)]
 mod crash_recovery_tests;
 mod decision;
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -1,7 +1,7 @@
 //! What follows once it is known whether a response belonged to its request.
 //!
 //! A response that could be a copy of an earlier one on its connection is uncertain when it arrives
-//! ([`crate::egress::Evidence`]). A message that it ends is held until the response is settled, and a rejection does not
+//! ([`crate::egress::Evidence`]). A message that it delivers is held until the response is settled, and a rejection does not
 //! yet prove that its attempt never ran. If a response turns out to be doubtful, its message is opened again and the
 //! decision module decides on it as after a restart: it is sent again where that is safe, else reported. A message that
 //! was closed before the doubt arose is reported. A report of a message that was delivered after all does no harm.
@@ -16,9 +16,7 @@
 
 use super::completion::{self, LATE_SUCCESS_GUARD};
 use super::driver::Driver;
-use super::message_store::{
-    DeadlineKey, MessageState, MessageStore, StoredMessage, UnsettledEnd, deadline_key,
-};
+use super::message_store::{DeadlineKey, MessageState, MessageStore, StoredMessage, deadline_key};
 use crate::egress::{AnsweredAttempt, Settlement, SurplusBytes};
 
 /// The largest number of closed messages that are remembered in case of a later doubt.
@@ -124,18 +122,16 @@
         let Some(message) = self.store.messages.get_mut(&number) else {
             return;
         };
-        if take_rejection(&mut message.unsettled_rejections, attempt)
+        if take_attempt(&mut message.unsettled_rejections, attempt)
             && completion::mark_never_ran(message, attempt as usize)
         {
             self.store.wal.append_never_ran(number, attempt as usize);
             return;
         }
-        let Some(end) = take_end(&mut message.unsettled_ends, attempt) else {
-            return;
-        };
-        if message.state == MessageState::Unsettled {
+        let had_succeeded = take_attempt(&mut message.unsettled_successes, attempt);
+        if had_succeeded && message.state == MessageState::Unsettled {
             self.closed_in_doubt.remember(&message.record, attempt, now);
-            completion::close_message(number, end.gone, &mut self.store);
+            completion::close_delivered(number, &mut self.store);
         }
     }
 
@@ -146,8 +142,8 @@
         let Some(message) = self.store.messages.get_mut(&number) else {
             return self.report_closed(answered, now);
         };
-        let was_rejected = take_rejection(&mut message.unsettled_rejections, attempt);
-        let had_ended = take_end(&mut message.unsettled_ends, attempt).is_some();
+        let was_rejected = take_attempt(&mut message.unsettled_rejections, attempt);
+        let had_succeeded = take_attempt(&mut message.unsettled_successes, attempt);
         let was_never_ran = !was_rejected && mark_may_have_run(message, attempt as usize);
         if was_never_ran {
             let sent_at = message.record.attempts[attempt as usize].sent_at;
@@ -160,16 +156,16 @@
             id = %message.record.id,
             attempt,
             was_rejected,
-            had_ended,
+            had_ended = had_succeeded,
             "response may belong to another request"
         );
         match message.state {
             MessageState::Open if was_rejected || was_never_ran => self.reopen(answered.id, now),
-            MessageState::Unsettled if message.unsettled_ends.is_empty() => {
+            MessageState::Unsettled if message.unsettled_successes.is_empty() => {
                 self.store.advance(number, MessageState::Open);
                 self.reopen(answered.id, now);
             }
-            MessageState::Closed if !had_ended && !was_rejected => {
+            MessageState::Closed if !had_succeeded && !was_rejected => {
                 self.report_closed(answered, now)
             }
             _ => {}
@@ -219,7 +215,7 @@
                 self.store.counters.reported_in_doubt += 1;
                 self.give_up(MessageId(number), FinalStatus::Undeliverable, now);
             } else {
-                completion::close_message(number, false, &mut self.store);
+                completion::close_delivered(number, &mut self.store);
             }
         }
     }
@@ -295,12 +291,8 @@
     }
 }
 
-fn take_rejection(rejections: &mut Vec<u32>, attempt: u32) -> bool {
-    let position = rejections.iter().position(|number| *number == attempt);
-    position.map(|index| rejections.remove(index)).is_some()
-}
-
-fn take_end(ends: &mut Vec<UnsettledEnd>, attempt: u32) -> Option<UnsettledEnd> {
-    let position = ends.iter().position(|end| end.attempt == attempt)?;
-    Some(ends.remove(position))
+/// Removes an attempt from a list. Returns whether it was in the list.
+fn take_attempt(attempts: &mut Vec<u32>, attempt: u32) -> bool {
+    let position = attempts.iter().position(|number| *number == attempt);
+    position.map(|index| attempts.remove(index)).is_some()
 }
--- a/crates/sender/src/pipeline/tests/mod.rs
+++ b/crates/sender/src/pipeline/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt_owners;
 mod attempts;
+mod conclusion;
 mod ingress;
 mod rejection;
 mod repeats;
--- a/crates/sender/src/pipeline/tests/repeats.rs
+++ b/crates/sender/src/pipeline/tests/repeats.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::egress::{AnsweredAttempt, AttemptResult, Evidence, SendPermission};
+use crate::egress::{AnsweredAttempt, AttemptResult, Evidence, MessageGone, SendPermission};
 use crate::pipeline::{completion, dispatch, send_gate::SendGate};
 
 const NUMBER: u64 = 3;
@@ -302,7 +302,7 @@
             endpoint: None,
             outcome,
             took: 5.0,
-            message_finished: false,
+            gone: MessageGone::No,
             evidence: Evidence::Certain,
         });
         self.driver.process_attempt_results(self.now());
@@ -377,7 +377,7 @@
             self.rewrite(turn.rewrite);
             self.check_gate(order);
         }
-        completion::close_message(NUMBER, false, &mut self.driver.store);
+        completion::close_delivered(NUMBER, &mut self.driver.store);
         assert!(self.driver.store.messages.is_empty(), "{order:?}");
     }
 }
--- a/crates/sender/src/pipeline/tests/settlement.rs
+++ b/crates/sender/src/pipeline/tests/settlement.rs
@@ -3,7 +3,7 @@
 use martenlatch_policy::interface::{Event, Outcome};
 
 use super::*;
-use crate::egress::{AnsweredAttempt, AttemptResult, Evidence};
+use crate::egress::{AnsweredAttempt, AttemptResult, Evidence, MessageGone};
 
 /// A step in the life of a message with two attempts in flight.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,7 +45,7 @@
                 endpoint: None,
                 outcome,
                 took: 5.0,
-                message_finished: false,
+                gone: MessageGone::No,
                 evidence,
             });
             driver.process_attempt_results(START);
