--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -8,6 +8,7 @@
 //! - [`exchange`]: one exchange on a connection
 //! - [`gone`]: whether a message is over by an endpoint's word
 //! - [`response`]: parsing responses
+//! - [`attempt_completion`]: the end of an attempt
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
 //! - [`response_bytes`]: where a response ends
 //! - [`response_history`]: which request a response belongs to
@@ -20,6 +21,7 @@
 //! - [`snapshot`]: handing over all connections to a successor process
 
 mod attempt;
+mod attempt_completion;
 mod attempt_end;
 mod connection_faults;
 mod connection_pool;
