End a message by the status line of a 410, also if the rest never comes

Callers saw: a request for a message behind a 410 that was cut off, or whose rest came late. Cause: a 410 counted only once its last byte had come. One that was cut off was a failure, a reason to try again; while one was arriving, the message was hedged. Why this mends it: from the status line on the message is over or may be; unless the answer is whole and certain, its end is reported, which is right under both readings. Bytes that could only be the beginning of a 410 (its first digit has been read) count the same at the end of an exchange, wherever they stand in it. The status code of 200 and 410 have names now.

--- a/crates/http/src/codec.rs
+++ b/crates/http/src/codec.rs
@@ -235,8 +235,8 @@
     }))
 }
 
-/// Whether `input` starts with a complete status line of an HTTP/1 response with status 200, whatever follows it.
-pub fn starts_with_status_200(input: &[u8]) -> bool {
+/// Whether `input` starts with a complete status line of an HTTP/1 response with this status, whatever follows it.
+pub fn starts_with_status(input: &[u8], status: u16) -> bool {
     let Some(line_end) = input.iter().position(|byte| *byte == b'\n') else {
         return false;
     };
@@ -249,7 +249,7 @@
         return false;
     };
     after_version
-        .strip_prefix(b" 200")
+        .strip_prefix(format!(" {status}").as_bytes())
         .is_some_and(|reason| reason.first().is_none_or(|byte| *byte == b' '))
 }
 
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -15,7 +15,7 @@
 pub use body::{Body, BodyProgress};
 pub use codec::{
     ParsedRequest, Request, Response, encode_response, parse_request, parse_response,
-    starts_with_status_200,
+    starts_with_status,
 };
 pub use connection::{Connection, ConnectionSnapshot, EventLoopHandle, ReadyEvents, register};
 pub use error::MalformedResponse;
--- a/crates/martenlatch/tests/withdrawn_messages.rs
+++ b/crates/martenlatch/tests/withdrawn_messages.rs
@@ -24,6 +24,8 @@
     End,
     /// The answer twice.
     Twice,
+    /// Only so many bytes of it, and the end of the connection.
+    CutOff(usize),
 }
 
 fn writes_of(answer: SecondAnswer) -> Vec<TimedWrite> {
@@ -38,6 +40,7 @@
             TimedWrite::after(SERVICE, GONE),
             TimedWrite::after(LATER, GONE),
         ],
+        SecondAnswer::CutOff(length) => vec![closing(SERVICE, &GONE[..length])],
     }
 }
 
@@ -45,6 +48,7 @@
 fn endpoint_without_messages(answer: SecondAnswer) -> TimedEndpoint {
     TimedEndpoint::new(move |request| match request.id() {
         "second" => writes_of(answer),
+        "slow" => vec![TimedWrite::after(10 * SERVICE, GONE)],
         _ => vec![TimedWrite::after(SERVICE, GONE)],
     })
 }
@@ -69,12 +73,16 @@
     requests.filter(|request| request.id() == "second").count()
 }
 
-/// Guards against a request for a message that is over: its 410 had the bytes of an earlier one, and the end of the
-/// connection or a second 410 opened the message again.
+/// Guards against a request for a message that is over: its 410 had the bytes of an earlier one or was cut off, and the
+/// end of the connection or a second 410 opened the message again.
 #[rstest]
 #[case::nothing(SecondAnswer::Alone)]
 #[case::end_of_the_connection(SecondAnswer::End)]
 #[case::second_answer(SecondAnswer::Twice)]
+#[case::cut_off_in_its_status_code(SecondAnswer::CutOff("HTTP/1.1 4".len()))]
+#[case::cut_off_in_its_status_line(SecondAnswer::CutOff("HTTP/1.1 410 G".len()))]
+#[case::cut_off_in_its_head(SecondAnswer::CutOff("HTTP/1.1 410 Gone\r\nContent".len()))]
+#[case::cut_off_in_its_body(SecondAnswer::CutOff(GONE.len() - 1))]
 fn a_message_answered_with_410_is_not_sent_again_whatever_follows(#[case] answer: SecondAnswer) {
     let endpoint = endpoint_without_messages(answer);
     let platform = Platform::new(&[]);
@@ -91,6 +99,8 @@
     Termination,
     Replacement,
     TwoReplacements,
+    /// A replacement while the connection carries another request.
+    ReplacementInUse,
 }
 
 /// Guards against a request for a message that is over: a later process found a message open whose 410 had the bytes of an
@@ -100,6 +110,7 @@
 #[case::termination(Interruption::Termination)]
 #[case::replacement(Interruption::Replacement)]
 #[case::two_replacements(Interruption::TwoReplacements)]
+#[case::replacement_while_the_connection_is_in_use(Interruption::ReplacementInUse)]
 fn a_message_answered_with_410_is_not_sent_again_by_a_later_process(
     #[case] interruption: Interruption,
 ) {
@@ -114,6 +125,12 @@
             assert_eq!(sender.replace().code, Some(0));
             sender
         }
+        Interruption::ReplacementInUse => {
+            assert_eq!(sender.submit("meter", "slow", TIMEOUT_HEADER), 202);
+            std::thread::sleep(Duration::from_millis(SERVICE / 4));
+            assert_eq!(sender.replace().code, Some(0));
+            sender
+        }
         Interruption::TwoReplacements => {
             assert_eq!(sender.replace().code, Some(0));
             assert_eq!(sender.replace().code, Some(0));
@@ -122,3 +139,44 @@
     };
     assert_eq!(requests_for_second(&endpoint), 1);
 }
+
+/// Guards against a hedged request for a message that is over: the 410 to its first request had arrived in part.
+#[test]
+fn a_message_whose_410_arrives_in_pieces_is_not_hedged() {
+    const SECOND_PIECE: u64 = 700;
+    const SENT_BEFORE: usize = 40;
+    let answer_in_pieces = |request: &HttpMessage| match request.id() {
+        id if id.starts_with("over") => vec![
+            TimedWrite::after(SERVICE / 4, &GONE[..GONE.len() - 5]),
+            TimedWrite::after(SECOND_PIECE, &GONE[GONE.len() - 5..]),
+        ],
+        _ => vec![TimedWrite::after(
+            SERVICE,
+            "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        )],
+    };
+    let endpoints = [(); 2].map(|()| TimedEndpoint::new(answer_in_pieces));
+    let platform = Platform::new(&[]);
+    let entries = [
+        endpoint_entry("s-1", endpoints[0].address, "in_service"),
+        endpoint_entry("s-2", endpoints[1].address, "in_service"),
+    ];
+    let list = endpoint_list(1, true, &entries);
+    let sender = Sender::start("gone-pieces", &platform, &list);
+    // These let the sender learn how long an answer takes.
+    for number in 0..SENT_BEFORE {
+        let id = format!("before-{number}");
+        assert_eq!(sender.submit("meter", &id, TIMEOUT_HEADER), 202);
+        std::thread::sleep(Duration::from_millis(SERVICE));
+    }
+    for number in 0..3 {
+        let id = format!("over-{number}");
+        assert_eq!(sender.submit("meter", &id, TIMEOUT_HEADER), 202);
+    }
+    std::thread::sleep(QUIET_TIME);
+    let requests = endpoints
+        .iter()
+        .flat_map(|endpoint| endpoint.requests.try_iter());
+    let sent = requests.filter(|request| request.id().starts_with("over"));
+    assert_eq!(sent.count(), 3, "a message was hedged behind its 410");
+}
--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -10,9 +10,9 @@
 use super::attempt_end::{EndCause, EndedAttempt};
 use super::connection_scarcity::ResponseObservation;
 use super::endpoint_connection::RemainingResponse;
-use super::gone::{GONE_STATUS, MessageGone};
+use super::gone::{GONE_STATUS, MessageGone, gone_by_incomplete_response};
 use super::known_responses::ReceivedResponse;
-use super::response::ResponseClassification;
+use super::response::{ResponseClassification, SUCCESS_STATUS};
 use super::response_bytes::bytes_of;
 use super::response_history::{AnsweredAttempt, Evidence, ObservedResponse, Settlement};
 
@@ -44,15 +44,15 @@
             Evidence::Uncertain if rejects && !attempt.fully_sent => Evidence::Certain,
             evidence => evidence,
         };
-        if response.status == 200 && complete.is_some() && carried_another {
+        if response.status == SUCCESS_STATUS && complete.is_some() && carried_another {
             let is_distinct = evidence == Evidence::Certain;
             self.response_times
                 .record_success(connection.endpoint, is_distinct);
         }
-        let gone = match evidence {
+        let gone = match (complete, evidence) {
             _ if response.status != GONE_STATUS => MessageGone::No,
-            Evidence::Certain => MessageGone::Certainly,
-            Evidence::Uncertain => MessageGone::Possibly,
+            (Some(_), Evidence::Certain) => MessageGone::Certainly,
+            _ => MessageGone::Possibly,
         };
         connection.socket.consume(response.consumed);
         // After a response to an incompletely written request, the connection cannot be reused.
@@ -94,16 +94,30 @@
         );
     }
 
-    /// Reports the success of an attempt whose response so far has a status line of 200 and an incomplete head. The
-    /// connection is kept, so that a response that arrives in pieces does not cost a new connection.
-    pub(super) fn finish_by_status_line(&mut self, slot: usize, now: Millis) {
+    /// Reports the outcome of an attempt whose response so far has a status line of 200 or 410 and an incomplete head.
+    /// The connection is kept, so that a response that arrives in pieces does not cost a new connection.
+    pub(super) fn finish_by_status_line(&mut self, slot: usize, status: u16, now: Millis) {
         let connection = &mut self.connections[slot];
         let closed = connection.is_closed();
+        let is_gone = status == GONE_STATUS;
+        let (cause, outcome, gone) = if is_gone {
+            (
+                EndCause::IncompleteGone,
+                Outcome::NotSent,
+                MessageGone::Possibly,
+            )
+        } else {
+            (
+                EndCause::SuccessStatusLine,
+                Outcome::Success,
+                MessageGone::No,
+            )
+        };
         let Some(attempt) = connection
             .attempt
             .take_if(|attempt| attempt.fully_sent && !closed)
         else {
-            return self.end_exchange(slot, EndCause::SuccessStatusLine, now);
+            return self.end_exchange(slot, cause, now);
         };
         let evidence = connection.history.observe(ObservedResponse {
             attempt: &attempt,
@@ -114,7 +128,7 @@
                 is_head_consumed: false,
                 is_followed: false,
             },
-            rejects: false,
+            rejects: is_gone,
         });
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
@@ -125,13 +139,15 @@
             number = attempt.id.0,
             attempt = attempt.attempt,
             ?evidence,
+            status,
             "status line read"
         );
         self.results.push(AttemptResult {
+            gone,
             evidence,
-            ..attempt.result(Outcome::Success, now)
+            ..attempt.result(outcome, now)
         });
-        self.note_answered(slot, &attempt, evidence, false, now);
+        self.note_answered(slot, &attempt, evidence, is_gone, now);
         self.record_response(idle_before);
         self.record_admission(slot, false, false, now);
     }
@@ -169,7 +185,7 @@
             last_byte_held_back: connection.held_back_byte.is_some(),
             fully_sent: attempt.fully_sent,
             response_begun: !received.is_empty(),
-            status_line_is_200: http::starts_with_status_200(received),
+            status_line_is_200: http::starts_with_status(received, SUCCESS_STATUS),
             idle_before: connection.idle_before,
             started_at: attempt.started_at,
             ended_at: now,
@@ -182,14 +198,19 @@
             self.resets.record_reset();
         }
         let is_uncertain = may_be_repeated && end.outcome == Outcome::Success;
-        if !is_uncertain {
-            self.results.push(attempt.result(end.outcome, now));
-            return;
-        }
+        let evidence = if is_uncertain {
+            Evidence::Uncertain
+        } else {
+            Evidence::Certain
+        };
         self.results.push(AttemptResult {
-            evidence: Evidence::Uncertain,
+            gone: gone_by_incomplete_response(received),
+            evidence,
             ..attempt.result(end.outcome, now)
         });
+        if !is_uncertain {
+            return;
+        }
         self.settlements.push(Settlement::Doubtful(AnsweredAttempt {
             id: attempt.id,
             attempt: attempt.attempt,
--- a/crates/sender/src/egress/attempt_end.rs
+++ b/crates/sender/src/egress/attempt_end.rs
@@ -28,6 +28,8 @@
     MixedResponses,
     /// A status line of 200 was received, but the request had not been sent completely or the connection has ended.
     SuccessStatusLine,
+    /// The same with a status line of 410, after which no request may follow.
+    IncompleteGone,
 }
 
 impl EndCause {
@@ -38,9 +40,10 @@
             EndCause::Cancelled => Outcome::Cancelled,
             EndCause::TimedOut => Outcome::TimedOut,
             EndCause::ConnectionLost => Outcome::ConnectionLost,
-            EndCause::MalformedResponse | EndCause::MixedResponses | EndCause::PrematureSuccess => {
-                Outcome::Failure
-            }
+            EndCause::MalformedResponse
+            | EndCause::MixedResponses
+            | EndCause::PrematureSuccess
+            | EndCause::IncompleteGone => Outcome::Failure,
             EndCause::SuccessStatusLine => Outcome::Success,
         }
     }
@@ -55,7 +58,8 @@
             | EndCause::Cancelled
             | EndCause::MixedResponses
             | EndCause::PrematureSuccess
-            | EndCause::SuccessStatusLine => Outcome::NotSent,
+            | EndCause::SuccessStatusLine
+            | EndCause::IncompleteGone => Outcome::NotSent,
         }
     }
 }
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -6,7 +6,9 @@
 
 use super::attempt_end::EndCause;
 use super::endpoint_connection::EndpointConnection;
-use super::response::{RemainderProgress, ResponseProgress, read_remainder, read_response};
+use super::response::{
+    RemainderProgress, ResponseProgress, SUCCESS_STATUS, read_remainder, read_response,
+};
 use super::response_bytes::bytes_of;
 use super::surplus_bytes::SurplusBytes;
 use super::timeouts::RESPONSE_COMPLETION_TIMEOUT;
@@ -37,13 +39,16 @@
                 }
                 // If the discarded one was the real response after all, this one is a copy.
                 ResponseProgress::Received(response)
-                    if self.connections[slot].has_discarded && response.status != 200 =>
+                    if self.connections[slot].has_discarded
+                        && response.status != SUCCESS_STATUS =>
                 {
                     self.end_exchange(slot, EndCause::MixedResponses, now);
                     return false;
                 }
                 ResponseProgress::Received(response) => self.finish_attempt(slot, response, now),
-                ResponseProgress::SuccessStatusLine => self.finish_by_status_line(slot, now),
+                ResponseProgress::StatusLine { status } => {
+                    self.finish_by_status_line(slot, status, now);
+                }
             }
         }
         if !self.connections.contains(slot) {
@@ -85,7 +90,7 @@
         let Some(bytes) = bytes_of(response, connection.socket.bytes()) else {
             return false;
         };
-        let is_copy = response.status == 200
+        let is_copy = response.status == SUCCESS_STATUS
             && connection.history.has_carried(bytes)
             && self
                 .response_times
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -14,6 +14,8 @@
 const BACKOFF_HEADER: &str = "x-backoff-ms";
 /// The limit on the backoff that an endpoint asks for, in milliseconds. A longer one is reduced to it.
 const MAX_RETRY_AFTER_MS: f64 = 3.6e6;
+/// The status of a delivery.
+pub(super) const SUCCESS_STATUS: u16 = 200;
 /// The header whose value "1" says that a proxy on the path had no capacity and did not forward the request to the
 /// endpoint.
 const PROXY_FULL_HEADER: &str = "x-egress-full";
@@ -24,10 +26,13 @@
     Pending,
     /// An informational response (1xx) of `consumed` bytes, which precedes the final response.
     Informational { consumed: usize },
-    /// The head of a response with status 200, or a complete response with another status.
+    /// The head of a response with status 200 or 410, or a complete response with another status.
     Received(http::Response),
-    /// An incomplete head with a status line of 200. That suffices, as the rest of the head may never arrive.
-    SuccessStatusLine,
+    /// An incomplete head with a status line of 200 or 410. That suffices, as the rest of the head may never arrive.
+    StatusLine {
+        /// The status.
+        status: u16,
+    },
     /// No valid response will be received.
     Ended(EndCause),
 }
@@ -42,7 +47,14 @@
     }
     match http::parse_response(bytes) {
         Ok(Some(response)) => read_body(response, connection, fully_sent),
-        Ok(None) if http::starts_with_status_200(bytes) => ResponseProgress::SuccessStatusLine,
+        Ok(None) if http::starts_with_status(bytes, SUCCESS_STATUS) => {
+            ResponseProgress::StatusLine {
+                status: SUCCESS_STATUS,
+            }
+        }
+        Ok(None) if http::starts_with_status(bytes, GONE_STATUS) => ResponseProgress::StatusLine {
+            status: GONE_STATUS,
+        },
         Ok(None) if connection.is_closed() => ResponseProgress::Ended(EndCause::ConnectionLost),
         Ok(None) => ResponseProgress::Pending,
         // The endpoint is up and has run the request, so this is not handled as a lost connection.
@@ -82,8 +94,8 @@
         },
         // A request runs only once its last byte has been sent, so this 200 is left over from an earlier exchange.
         // Taking it for this request's response would report a message as delivered that was never sent.
-        200 if !fully_sent => ResponseProgress::Ended(EndCause::PrematureSuccess),
-        200 => ResponseProgress::Received(response),
+        SUCCESS_STATUS if !fully_sent => ResponseProgress::Ended(EndCause::PrematureSuccess),
+        SUCCESS_STATUS | GONE_STATUS => ResponseProgress::Received(response),
         _ => match body_state(&response, connection) {
             BodyState::Complete => ResponseProgress::Received(response),
             BodyState::Incomplete => ResponseProgress::Pending,
@@ -98,7 +110,7 @@
     Malformed,
 }
 
-/// Whether a response with another status than 200 is complete. Only a complete response proves that the request was
+/// Whether a response with another status than 200 or 410 is complete. Only a complete response proves that the request was
 /// rejected and may be repeated: after a malformed one, the request may have run.
 fn body_state(response: &http::Response, connection: &EndpointConnection) -> BodyState {
     let received = &connection.socket.bytes()[response.consumed..];
@@ -131,7 +143,7 @@
     pub fn of(response: &http::Response) -> ResponseClassification {
         let retry_after = retry_after(response);
         let outcome = match response.status {
-            200 => Outcome::Success,
+            SUCCESS_STATUS => Outcome::Success,
             503 if response.header(PROXY_FULL_HEADER) == Some("1") => Outcome::NotSent,
             429 | 503 => Outcome::Overloaded { retry_after },
             504 => Outcome::AttemptsExhausted,
