Report a message in doubt if the real answer may be a 410

Callers would see: a request for a message that is over, where a copy of an earlier answer stood in the place of its 410 and the 410 came as a surplus, in the place of the next answer, behind a copy that was cut off, or as its rest. Cause: a doubt opened the message again whatever had followed on the connection. Why this mends it: if anything behind an answer in doubt may be a 410, its message may be over, and a report is right whatever is true. Until that is settled, nothing is sent for it (the gate's awaits_settlement). The last twelve bytes that an answer has taken up count as well, as a copy without its body takes up the beginning of the real answer.

--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -10,7 +10,7 @@
 use super::attempt_end::{EndCause, EndedAttempt};
 use super::connection_scarcity::ResponseObservation;
 use super::endpoint_connection::RemainingResponse;
-use super::gone::{GONE_STATUS, MessageGone, gone_by_incomplete_response};
+use super::gone::{GONE_STATUS, MessageGone};
 use super::known_responses::ReceivedResponse;
 use super::response::{ResponseClassification, SUCCESS_STATUS};
 use super::response_bytes::bytes_of;
@@ -64,6 +64,10 @@
         } else {
             Body::UntilClose
         };
+        if gone != MessageGone::No {
+            self.settlements
+                .extend(connection.history.contest_earlier());
+        }
         connection.remaining_response = Some(RemainingResponse::Body(body));
         connection.idle_since = now;
         connection.last_answered = Some(attempt.id);
@@ -130,6 +134,10 @@
             },
             rejects: is_gone,
         });
+        if gone != MessageGone::No {
+            self.settlements
+                .extend(connection.history.contest_earlier());
+        }
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
         connection.last_answered = Some(attempt.id);
@@ -154,10 +162,13 @@
 
     /// Closes a connection and reports the outcome of the attempt on it, if it carries one.
     pub(super) fn end_exchange(&mut self, slot: usize, cause: EndCause, now: Millis) {
-        let may_be_repeated = self.connections.get(slot).is_some_and(|connection| {
-            let history = &connection.history;
-            history.may_repeat() && history.begins_like_earlier(connection.socket.bytes())
-        });
+        let Some(connection) = self.connections.get(slot) else {
+            return;
+        };
+        let history = &connection.history;
+        let gone = history.gone_by(connection.socket.bytes());
+        let may_be_repeated =
+            history.may_repeat() && history.begins_like_earlier(connection.socket.bytes());
         let Some(connection) = self.connections.remove(slot, now) else {
             return;
         };
@@ -204,17 +215,20 @@
             Evidence::Certain
         };
         self.results.push(AttemptResult {
-            gone: gone_by_incomplete_response(received),
+            gone,
             evidence,
             ..attempt.result(end.outcome, now)
         });
         if !is_uncertain {
             return;
         }
-        self.settlements.push(Settlement::Doubtful(AnsweredAttempt {
-            id: attempt.id,
-            attempt: attempt.attempt,
-        }));
+        self.settlements.push(Settlement::Doubtful {
+            answered: AnsweredAttempt {
+                id: attempt.id,
+                attempt: attempt.attempt,
+            },
+            gone: MessageGone::No,
+        });
     }
 
     /// Records that a connection has carried a response; `idle_before` is its idle time before the request, if it was
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -194,8 +194,9 @@
         self.idle.retain(|idle| *idle != slot);
         self.surplus.extend(SurplusBytes::on(&removed));
         let mut history = std::mem::take(&mut removed.history);
+        let gone = history.gone_by(removed.socket.bytes());
         self.settlements
-            .extend(history.end(unread_surplus(&removed), now));
+            .extend(history.end(unread_surplus(&removed), gone, now));
         Some(removed)
     }
 
--- a/crates/sender/src/egress/response_bytes.rs
+++ b/crates/sender/src/egress/response_bytes.rs
@@ -30,6 +30,11 @@
     bytes[..length] == SUCCESS_STATUS_LINE[..length]
 }
 
+/// The last bytes of a response, as many as a status line has up to its code.
+pub(super) fn last_bytes(response: &[u8]) -> Vec<u8> {
+    response[response.len().saturating_sub(STATUS_LINE_LENGTH)..].to_vec()
+}
+
 /// A number that equal responses share and different ones practically never do.
 pub(super) fn fingerprint(response: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -12,8 +12,9 @@
 use martenlatch_policy::interface::MessageId;
 
 use super::attempt::ActiveAttempt;
+use super::gone::{MessageGone, gone_by_incomplete_response};
 use super::known_responses::{KnownResponses, ReceivedResponse};
-use super::response_bytes::{begins_with_success, complete_response};
+use super::response_bytes::{begins_with_success, complete_response, last_bytes};
 
 /// The number of settled responses that are remembered for each connection, in case a surplus contradicts them later.
 const MAX_SETTLED: usize = 64;
@@ -44,12 +45,27 @@
 #[derive(Clone, Debug)]
 struct TrackedResponse {
     attempt: AnsweredAttempt,
+    /// Whether a later response on the connection says that a message is over. It may answer this attempt.
+    is_contested: bool,
     /// Until when any further response on the connection may be the real one.
     doubted_until: Millis,
     /// The exchange as it was before the response was read, until it is settled.
     exchange: Option<Rc<UnreadExchange>>,
 }
 
+impl TrackedResponse {
+    fn in_doubt(&self) -> Settlement {
+        Settlement::Doubtful {
+            answered: self.attempt,
+            gone: if self.is_contested {
+                MessageGone::Possibly
+            } else {
+                MessageGone::No
+            },
+        }
+    }
+}
+
 /// An exchange as it was when its response had arrived and was not read yet. A successor process gets an unsettled one
 /// in this form, and reads the response again.
 #[derive(Debug)]
@@ -74,8 +90,16 @@
 pub enum Settlement {
     /// The connection rested without another response: the response belonged to the attempt.
     Confirmed(AnsweredAttempt),
+    /// A later response on the connection says that a message is over, which may be this attempt's. Another settlement
+    /// follows.
+    Contested(AnsweredAttempt),
     /// Another response followed, or the connection ended too early: the attempt may have ended in any way.
-    Doubtful(AnsweredAttempt),
+    Doubtful {
+        /// The attempt.
+        answered: AnsweredAttempt,
+        /// Whether a later response may say that its message is over.
+        gone: MessageGone,
+    },
 }
 
 /// A response that ends an attempt.
@@ -104,6 +128,9 @@
     is_final: bool,
     /// The attempts since the first settled response that had been uncertain, the oldest first.
     settled: Vec<TrackedResponse>,
+    /// The last bytes that responses have taken up. A copy that is cut off takes the first bytes of the real response for
+    /// its own last ones.
+    tail: Vec<u8>,
     /// The exchange of the response that was observed last, if it is uncertain and short.
     latest_exchange: Option<UnreadExchange>,
     /// Until when the connection must not carry another request.
@@ -139,6 +166,9 @@
 
     /// Records a response and decides how certain it is that it answers the request in flight.
     pub fn observe(&mut self, response: ObservedResponse) -> Evidence {
+        if let Some(bytes) = response.bytes.complete {
+            self.tail = last_bytes(bytes);
+        }
         let is_first = !self.may_repeat();
         let is_new =
             self.is_known && self.unsettled.is_empty() && self.known.is_new(&response.bytes);
@@ -166,6 +196,13 @@
     /// Adds consumed bytes of the response that was observed last, which was incomplete.
     pub fn add_rest(&mut self, bytes: &[u8]) {
         self.known.add_rest(bytes);
+        self.tail.extend_from_slice(bytes);
+        self.tail = last_bytes(&self.tail);
+    }
+
+    /// What unread bytes on the connection say, whose first ones may have been taken for the end of a response.
+    pub fn gone_by(&self, unread: &[u8]) -> MessageGone {
+        gone_by_incomplete_response(&[&self.tail, unread].concat())
     }
 
     /// Records the response that was incomplete and now is not; `is_followed` says whether further bytes follow it. If it
@@ -190,6 +227,7 @@
     ) {
         let response = TrackedResponse {
             attempt,
+            is_contested: false,
             doubted_until: times.doubted_until,
             exchange: self.latest_exchange.take().map(Rc::new),
         };
@@ -203,6 +241,17 @@
         }
     }
 
+    /// Notes that the next response says, or may say, that a message is over: that may be the message of an earlier
+    /// attempt. Returns the attempts of which this is not settled.
+    pub fn contest_earlier(&mut self) -> Vec<Settlement> {
+        let unsettled = self.unsettled.iter_mut();
+        for response in unsettled.chain(&mut self.settled) {
+            response.is_contested = true;
+        }
+        let attempts = self.unsettled.iter().map(|response| response.attempt);
+        attempts.map(Settlement::Contested).collect()
+    }
+
     /// When the latest response is settled; `None` if it is.
     pub fn rests_until(&self) -> Option<Millis> {
         self.rests_until
@@ -242,17 +291,22 @@
         self.rests_until = None;
         self.is_final = false;
         let responses = std::mem::take(&mut self.unsettled);
-        let attempts = responses.into_iter().map(|response| response.attempt);
-        attempts.map(Settlement::Doubtful).collect()
+        responses.iter().map(TrackedResponse::in_doubt).collect()
     }
 
-    /// Settles the responses that a successor process cannot read again: all but the latest.
+    /// Settles the responses that a successor process cannot read again: all but the latest. Those that a later response
+    /// contests are in doubt.
     pub fn settle_earlier(&mut self) -> Vec<Settlement> {
         let has_exchange = self.unread_exchange().is_some();
         let kept = self.unsettled.len() - usize::from(has_exchange);
         let latest = self.unsettled.split_off(kept);
         let earlier = std::mem::replace(&mut self.unsettled, latest);
-        self.confirm(earlier)
+        let (contested, others): (Vec<_>, Vec<_>) = earlier
+            .into_iter()
+            .partition(|response| response.is_contested);
+        let mut settlements = self.confirm(others);
+        settlements.extend(contested.iter().map(TrackedResponse::in_doubt));
+        settlements
     }
 
     /// The exchange of the latest response, if it is unsettled and can be read again.
@@ -278,16 +332,19 @@
     }
 
     /// The settlements that follow from the end of the connection. `surplus` are the bytes on it that belong to no
-    /// request in flight. An end alone confirms nothing: the endpoint may have ended the connection in place of the real
-    /// response.
-    pub fn end(&mut self, surplus: &[u8], now: Millis) -> Vec<Settlement> {
+    /// request in flight, and `gone` is what all unread bytes say. An end alone confirms nothing: the endpoint may have
+    /// ended the connection in place of the real response.
+    pub fn end(&mut self, surplus: &[u8], gone: MessageGone, now: Millis) -> Vec<Settlement> {
+        if gone != MessageGone::No {
+            self.contest_earlier();
+        }
         let is_new = self.is_new_response(surplus);
         let contradicted = std::mem::take(&mut self.settled)
             .into_iter()
             .filter(|response| !surplus.is_empty() && (is_new || response.doubted_until > now));
         contradicted
             .chain(std::mem::take(&mut self.unsettled))
-            .map(|response| Settlement::Doubtful(response.attempt))
+            .map(|response| response.in_doubt())
             .collect()
     }
 
--- a/crates/sender/src/egress/tests/repeated_responses.rs
+++ b/crates/sender/src/egress/tests/repeated_responses.rs
@@ -18,8 +18,9 @@
 const SUCCESS: &str = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 const REJECTION: &str = "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull";
 const FAILURE: &str = "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n";
+const GONE: &str = "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n";
 const WAIT: &str = "HTTP/1.1 429 Full\r\nX-Backoff-Ms: 900\r\nContent-Length: 0\r\n\r\n";
-const RESPONSES: [&str; 3] = [SUCCESS, REJECTION, FAILURE];
+const RESPONSES: [&str; 4] = [SUCCESS, REJECTION, FAILURE, GONE];
 
 /// When a copy is written.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -69,6 +70,8 @@
     Open,
     Outcome(Outcome),
     Doubtful,
+    /// The message is over, or it may be.
+    Gone(MessageGone),
 }
 
 struct Case {
@@ -77,6 +80,8 @@
     now: Millis,
     conclusions: [Conclusion; REQUESTS],
     pending: [Option<Outcome>; REQUESTS],
+    /// Whether nothing may be sent for the message of each request until its response is settled.
+    contested: [bool; REQUESTS],
     /// The first request of the current connection.
     first_request: usize,
     /// The longest wait that the endpoint has asked for, in nanoseconds.
@@ -91,6 +96,7 @@
             now: 0.0,
             conclusions: [Conclusion::Open; REQUESTS],
             pending: [None; REQUESTS],
+            contested: [false; REQUESTS],
             first_request: 0,
             longest_wait: 0,
         }
@@ -145,42 +151,73 @@
     }
 
     fn collect(&mut self) {
-        let egress = &mut self.fixture.egress;
-        for result in egress.results.drain(..) {
-            let number = result.id.0 as usize;
-            if let Outcome::Overloaded { retry_after } = result.outcome {
-                self.longest_wait = self.longest_wait.max(retry_after);
-            }
-            match result.evidence {
-                Evidence::Certain => self.conclusions[number] = Conclusion::Outcome(result.outcome),
-                Evidence::Uncertain => self.pending[number] = Some(result.outcome),
-            }
+        for result in std::mem::take(&mut self.fixture.egress.results) {
+            self.note_result(&result);
         }
-        for surplus in egress.take_surplus(self.now) {
+        for surplus in self.fixture.egress.take_surplus(self.now) {
             assert!(surplus.length > 0);
             self.longest_wait = self.longest_wait.max(surplus.retry_after);
         }
-        for settlement in egress.take_settlements() {
-            match settlement {
-                Settlement::Confirmed(answered) => {
-                    let number = answered.id.0 as usize;
-                    let outcome = self.pending[number].take().expect("an uncertain response");
-                    self.conclusions[number] = Conclusion::Outcome(outcome);
-                }
-                Settlement::Doubtful(answered) => {
-                    self.conclusions[answered.id.0 as usize] = Conclusion::Doubtful;
+        for settlement in self.fixture.egress.take_settlements() {
+            self.note_settlement(settlement);
+        }
+    }
+
+    fn note_result(&mut self, result: &AttemptResult) {
+        let number = result.id.0 as usize;
+        if let Outcome::Overloaded { retry_after } = result.outcome {
+            self.longest_wait = self.longest_wait.max(retry_after);
+        }
+        match (result.gone, result.evidence) {
+            (MessageGone::No, Evidence::Certain) => {
+                self.conclude(number, Conclusion::Outcome(result.outcome));
+            }
+            (MessageGone::No, Evidence::Uncertain) => self.pending[number] = Some(result.outcome),
+            (gone, _) => self.conclude(number, Conclusion::Gone(gone)),
+        }
+    }
+
+    fn note_settlement(&mut self, settlement: Settlement) {
+        match settlement {
+            Settlement::Confirmed(answered) => {
+                let number = answered.id.0 as usize;
+                self.contested[number] = false;
+                if matches!(self.conclusions[number], Conclusion::Gone(_)) {
+                    return;
                 }
+                let outcome = self.pending[number].take().expect("an uncertain response");
+                self.conclude(number, Conclusion::Outcome(outcome));
+            }
+            Settlement::Contested(answered) => self.contested[answered.id.0 as usize] = true,
+            Settlement::Doubtful { answered, gone } => {
+                let number = answered.id.0 as usize;
+                self.contested[number] = false;
+                let conclusion = match gone {
+                    MessageGone::No => Conclusion::Doubtful,
+                    gone => Conclusion::Gone(gone),
+                };
+                self.conclude(number, conclusion);
             }
         }
     }
+
+    /// Replaces the conclusion about an attempt. That its message is over is final.
+    fn conclude(&mut self, number: usize, conclusion: Conclusion) {
+        if !matches!(self.conclusions[number], Conclusion::Gone(_)) {
+            self.conclusions[number] = conclusion;
+        }
+    }
 }
 
 /// Whether a conclusion about an attempt is allowed, given its real response.
 fn is_allowed(conclusion: Conclusion, response: &str) -> bool {
     match conclusion {
         Conclusion::Outcome(Outcome::Success) => response == SUCCESS,
+        Conclusion::Gone(MessageGone::Certainly) => response == GONE,
         Conclusion::Outcome(outcome) if outcome.never_ran() => response == REJECTION,
-        Conclusion::Outcome(_) | Conclusion::Open | Conclusion::Doubtful => true,
+        // A report is right whatever is true.
+        Conclusion::Gone(_) => true,
+        Conclusion::Outcome(_) | Conclusion::Open | Conclusion::Doubtful => response != GONE,
     }
 }
 
@@ -230,6 +267,10 @@
             case.conclusions
         );
     }
+    assert_eq!(
+        case.contested, [false; REQUESTS],
+        "{responses:?} with {copies:?}"
+    );
     case
 }
 
@@ -263,7 +304,8 @@
 }
 
 /// Guards against an outcome that belongs to another request: of all orders of three requests, their responses and one
-/// or two copies, none may end in a success or a rejection that the endpoint did not give for that request.
+/// or two copies, none may end in a success or a rejection that the endpoint did not give for that request, and none whose
+/// message is over may end in a way that lets it be sent again.
 #[test]
 fn no_order_of_responses_and_copies_gives_a_request_the_outcome_of_another_one() {
     for pace in [Pace::Rested, Pace::Quick] {
@@ -285,6 +327,8 @@
 #[rstest::rstest]
 #[case::success_then_rejection([SUCCESS, REJECTION, SUCCESS])]
 #[case::rejection_then_success([REJECTION, SUCCESS, SUCCESS])]
+#[case::success_then_gone([SUCCESS, GONE, SUCCESS])]
+#[case::gone_then_rejection([GONE, REJECTION, GONE])]
 fn no_cut_off_copy_gives_a_request_the_outcome_of_another_one(
     #[case] responses: [&'static str; REQUESTS],
 ) {
@@ -305,6 +349,10 @@
             let expected = match response {
                 SUCCESS => Outcome::Success,
                 REJECTION => Outcome::Overloaded { retry_after: 0 },
+                GONE => {
+                    assert!(matches!(conclusion, Conclusion::Gone(_)), "{responses:?}");
+                    continue;
+                }
                 _ => Outcome::Failure,
             };
             assert_eq!(*conclusion, Conclusion::Outcome(expected), "{responses:?}");
--- a/crates/sender/src/pipeline/message_store.rs
+++ b/crates/sender/src/pipeline/message_store.rs
@@ -53,6 +53,9 @@
     pub(super) end_counted: bool,
     /// The attempts whose successes are not settled yet.
     pub(super) unsettled_successes: Vec<u32>,
+    /// The attempts whose connections have carried a later response that may say that this message is over. Nothing is
+    /// sent for it until they are settled.
+    pub(super) contested_attempts: Vec<u32>,
     /// The attempts whose rejections are not settled yet: they count as attempts that may have run.
     pub(super) unsettled_rejections: Vec<u32>,
 }
@@ -119,6 +122,7 @@
                 unattempted: false,
                 end_counted: false,
                 unsettled_successes: Vec::new(),
+                contested_attempts: Vec::new(),
                 unsettled_rejections: Vec::new(),
             },
         );
--- a/crates/sender/src/pipeline/send_gate.rs
+++ b/crates/sender/src/pipeline/send_gate.rs
@@ -122,13 +122,15 @@
 }
 
 impl SendGate<'_> {
-    /// Whether a message must not be repeated anywhere before the rejections of its earlier attempts are settled.
+    /// Whether nothing may be sent for a message before the responses to its earlier attempts are settled: it may be
+    /// over, or it must not be repeated anywhere and was rejected.
     pub(super) fn awaits_settlement(&self, message: &StoredMessage) -> bool {
         let record = &message.record;
-        !message.unsettled_rejections.is_empty()
-            && !self
-                .class_rules
-                .may_repeat_anywhere(&record.class, &record.class_rules)
+        let may_repeat_anywhere = self
+            .class_rules
+            .may_repeat_anywhere(&record.class, &record.class_rules);
+        !message.contested_attempts.is_empty()
+            || (!message.unsettled_rejections.is_empty() && !may_repeat_anywhere)
     }
 
     /// Whether a request for a message may be sent to an endpoint now. A refusal counts as a violation.
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -17,7 +17,7 @@
 use super::completion::{self, LATE_SUCCESS_GUARD};
 use super::driver::Driver;
 use super::message_store::{DeadlineKey, MessageState, MessageStore, StoredMessage, deadline_key};
-use crate::egress::{AnsweredAttempt, Settlement, SurplusBytes};
+use crate::egress::{AnsweredAttempt, MessageGone, Settlement, SurplusBytes};
 
 /// The largest number of closed messages that are remembered in case of a later doubt.
 const MAX_CLOSED: usize = 4_096;
@@ -79,7 +79,8 @@
         for settlement in self.egress.take_settlements() {
             match settlement {
                 Settlement::Confirmed(answered) => self.confirm_response(answered, now),
-                Settlement::Doubtful(answered) => self.doubt_response(answered, now),
+                Settlement::Contested(answered) => self.contest_response(answered),
+                Settlement::Doubtful { answered, gone } => self.doubt_response(answered, gone, now),
             }
         }
     }
@@ -122,6 +123,7 @@
         let Some(message) = self.store.messages.get_mut(&number) else {
             return;
         };
+        take_attempt(&mut message.contested_attempts, attempt);
         if take_attempt(&mut message.unsettled_rejections, attempt)
             && completion::mark_never_ran(message, attempt as usize)
         {
@@ -135,13 +137,27 @@
         }
     }
 
-    /// A response may belong to another request: its message is opened again or reported.
-    pub(super) fn doubt_response(&mut self, answered: AnsweredAttempt, now: Millis) {
+    /// A later response may say that the message of an attempt is over: nothing is sent for it until that is settled.
+    pub(super) fn contest_response(&mut self, answered: AnsweredAttempt) {
+        if let Some(message) = self.store.messages.get_mut(&answered.id.0) {
+            message.contested_attempts.push(answered.attempt);
+        }
+    }
+
+    /// A response may belong to another request: its message is opened again or reported. `gone` says whether the real
+    /// response may say that the message is over.
+    pub(super) fn doubt_response(
+        &mut self,
+        answered: AnsweredAttempt,
+        gone: MessageGone,
+        now: Millis,
+    ) {
         let (number, attempt) = (answered.id.0, answered.attempt);
         self.store.counters.doubtful_responses += 1;
         let Some(message) = self.store.messages.get_mut(&number) else {
             return self.report_closed(answered, now);
         };
+        take_attempt(&mut message.contested_attempts, attempt);
         let was_rejected = take_attempt(&mut message.unsettled_rejections, attempt);
         let had_succeeded = take_attempt(&mut message.unsettled_successes, attempt);
         let was_never_ran = !was_rejected && mark_may_have_run(message, attempt as usize);
@@ -157,9 +173,15 @@
             attempt,
             was_rejected,
             had_ended = had_succeeded,
+            ?gone,
             "response may belong to another request"
         );
         match message.state {
+            MessageState::Open | MessageState::Unsettled if gone == MessageGone::Possibly => {
+                self.store.counters.possibly_gone += 1;
+                self.give_up(answered.id, FinalStatus::Undeliverable, now);
+                self.decision.events.push(Event::ClientLeft(answered.id));
+            }
             MessageState::Open if was_rejected || was_never_ran => self.reopen(answered.id, now),
             MessageState::Unsettled if message.unsettled_successes.is_empty() => {
                 self.store.advance(number, MessageState::Open);
--- a/crates/sender/src/pipeline/tests/repeats.rs
+++ b/crates/sender/src/pipeline/tests/repeats.rs
@@ -360,7 +360,8 @@
             id: MessageId(NUMBER),
             attempt: attempt as u32,
         };
-        self.driver.doubt_response(answered, self.now());
+        self.driver
+            .doubt_response(answered, MessageGone::No, self.now());
     }
 
     fn play(&mut self, order: &[Turn]) {
--- a/crates/sender/src/pipeline/tests/settlement.rs
+++ b/crates/sender/src/pipeline/tests/settlement.rs
@@ -4,6 +4,7 @@
 
 use super::*;
 use crate::egress::{AnsweredAttempt, AttemptResult, Evidence, MessageGone};
+use crate::pipeline::send_gate::SendGate;
 
 /// A step in the life of a message with two attempts in flight.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -12,6 +13,19 @@
     Ends(u32, Outcome, Evidence),
     /// The uncertain response of an attempt is settled: it belonged to the attempt, or may belong to another request.
     Settles(u32, bool),
+    /// An attempt ends with an answer that says, or may say, that the message is over.
+    EndsAsGone(u32, MessageGone),
+    /// A later response on the connection of an attempt says that a message is over.
+    IsContested(u32),
+    /// The uncertain response of an attempt belongs to another request, and the real one may say that the message is over.
+    SettlesAsGone(u32),
+}
+
+impl Step {
+    /// Whether the message may be over from this step on.
+    fn may_end_message(self) -> bool {
+        matches!(self, Step::EndsAsGone(..) | Step::SettlesAsGone(_))
+    }
 }
 
 const REJECTED: Outcome = Outcome::Overloaded { retry_after: 0 };
@@ -37,33 +51,47 @@
 }
 
 fn perform(driver: &mut Driver, step: Step) {
+    let answered = |attempt| AnsweredAttempt {
+        id: MessageId(3),
+        attempt,
+    };
     match step {
         Step::Ends(attempt, outcome, evidence) => {
-            driver.egress.results.push(AttemptResult {
-                id: MessageId(3),
-                attempt,
-                endpoint: None,
-                outcome,
-                took: 5.0,
-                gone: MessageGone::No,
-                evidence,
-            });
-            driver.process_attempt_results(START);
+            end_attempt(driver, attempt, outcome, evidence, MessageGone::No);
         }
-        Step::Settles(attempt, confirmed) => {
-            let answered = AnsweredAttempt {
-                id: MessageId(3),
-                attempt,
-            };
-            if confirmed {
-                driver.confirm_response(answered, START);
-            } else {
-                driver.doubt_response(answered, START);
-            }
+        Step::EndsAsGone(attempt, gone) => {
+            end_attempt(driver, attempt, Outcome::NotSent, Evidence::Certain, gone);
+        }
+        Step::Settles(attempt, true) => driver.confirm_response(answered(attempt), START),
+        Step::Settles(attempt, false) => {
+            driver.doubt_response(answered(attempt), MessageGone::No, START);
+        }
+        Step::IsContested(attempt) => driver.contest_response(answered(attempt)),
+        Step::SettlesAsGone(attempt) => {
+            driver.doubt_response(answered(attempt), MessageGone::Possibly, START);
         }
     }
 }
 
+fn end_attempt(
+    driver: &mut Driver,
+    attempt: u32,
+    outcome: Outcome,
+    evidence: Evidence,
+    gone: MessageGone,
+) {
+    driver.egress.results.push(AttemptResult {
+        id: MessageId(3),
+        attempt,
+        endpoint: None,
+        outcome,
+        took: 5.0,
+        gone,
+        evidence,
+    });
+    driver.process_attempt_results(START);
+}
+
 /// All orders of the steps of both attempts in which each response precedes its settlement.
 fn orders(first: &[Step], second: &[Step]) -> Vec<Vec<Step>> {
     match (first, second) {
@@ -102,6 +130,65 @@
     lives
 }
 
+/// The steps of an attempt behind which the message may be over.
+fn lives_of_gone_message(attempt: u32) -> Vec<Vec<Step>> {
+    let mut lives = vec![
+        vec![Step::EndsAsGone(attempt, MessageGone::Possibly)],
+        vec![Step::EndsAsGone(attempt, MessageGone::Certainly)],
+    ];
+    for outcome in [Outcome::Success, REJECTED, Outcome::Failure] {
+        lives.push(vec![
+            Step::Ends(attempt, outcome, Evidence::Uncertain),
+            Step::IsContested(attempt),
+            Step::SettlesAsGone(attempt),
+        ]);
+    }
+    lives
+}
+
+/// Whether the gate lets a request for the message begin.
+fn may_be_sent(driver: &Driver) -> bool {
+    let gate = SendGate {
+        class_rules: &driver.admission.class_rules,
+        directory: &driver.directory,
+        retry_after_table: &driver.retry_after_table,
+        violations: &driver.violations,
+    };
+    driver.store.messages.get(&3).is_some_and(|message| {
+        message.state == MessageState::Open && !gate.awaits_settlement(message)
+    })
+}
+
+/// Guards against a request for a message that may be over: in every order of its two attempts' ends, nothing opens it
+/// again, and while that is not settled nothing is sent for it.
+#[test]
+fn in_every_order_a_message_that_may_be_over_is_sent_no_more() {
+    for first in lives_of_gone_message(0) {
+        for second in [lives(1), lives_of_gone_message(1)].concat() {
+            for order in orders(&first, &second) {
+                let (mut driver, ..) = driver_with_two_attempts("settlement-gone");
+                let mut may_be_over = false;
+                let mut is_contested = false;
+                for step in &order {
+                    driver.decision.events.clear();
+                    perform(&mut driver, *step);
+                    may_be_over |= step.may_end_message();
+                    is_contested |= matches!(step, Step::IsContested(_));
+                    let events = &driver.decision.events;
+                    let is_resumed = events
+                        .iter()
+                        .any(|event| matches!(event, Event::MessageResumed { .. }));
+                    assert!(!(may_be_over && is_resumed), "{step:?} of {order:?}");
+                    if may_be_over || is_contested {
+                        assert!(!may_be_sent(&driver), "{step:?} of {order:?}");
+                    }
+                }
+                assert!(!driver.store.is_open(3), "{order:?}");
+            }
+        }
+    }
+}
+
 /// Whether the life of an attempt proves that the message was delivered.
 fn delivers(life: &[Step]) -> bool {
     matches!(
