--- a/crates/sender/src/egress/tests/mod.rs
+++ b/crates/sender/src/egress/tests/mod.rs
@@ -14,7 +14,10 @@
 
 use calloop::EventLoop;
 
+use martenlatch_policy::interface::Outcome;
+
 use super::connection_faults::RESET_EXPECTED_THRESHOLD;
+use super::endpoint_connection::EndpointConnection;
 use super::*;
 use crate::event_source::ReadyEvents;
 
