Do not close a message by a copy of a 410 before its last byte is written

Callers would see: an accepted message that is neither delivered nor reported. Cause: whatever rejects a request whose last byte is held back, the request never ran; that certainty was taken for the message's end, too. A copy of an earlier 410 on the connection closed the message. Evidence: the case gone of a_rejection_before_the_last_byte_is_certain_even_if_it_is_like_an_earlier_one fails without the change (Certainly in place of Possibly). Why this mends it: whether the message is over is judged by the bytes of the answer alone; in doubt it is reported. Measured: the last_byte tests pass.

--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -39,7 +39,8 @@
         };
         let rejects = observed.rejects;
         let carried_another = connection.history.may_repeat();
-        let evidence = match connection.history.observe(observed) {
+        let evidence_of_bytes = connection.history.observe(observed);
+        let evidence = match evidence_of_bytes {
             // Whatever was rejected, a request whose last byte was not written never ran.
             Evidence::Uncertain if rejects && !attempt.fully_sent => Evidence::Certain,
             evidence => evidence,
@@ -49,7 +50,7 @@
             self.response_times
                 .record_success(connection.endpoint, is_distinct);
         }
-        let gone = match (complete, evidence) {
+        let gone = match (complete, evidence_of_bytes) {
             _ if response.status != GONE_STATUS => MessageGone::No,
             (Some(_), Evidence::Certain) => MessageGone::Certainly,
             _ => MessageGone::Possibly,
--- a/crates/sender/src/egress/tests/last_byte.rs
+++ b/crates/sender/src/egress/tests/last_byte.rs
@@ -158,9 +158,19 @@
 
 /// Guards against doubt where there is none: a request whose last byte was held back never ran, whatever the bytes of its
 /// rejection.
-#[test]
-fn a_rejection_before_the_last_byte_is_certain_even_if_it_is_like_an_earlier_one() {
-    const REJECTION: &[u8] = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+/// Guards against a loss, too: a copy of an earlier 410 does not close the message.
+#[rstest::rstest]
+#[case::refused(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n", Outcome::Overloaded { retry_after: 0 }, MessageGone::No)]
+#[case::gone(
+    b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n",
+    Outcome::NotSent,
+    MessageGone::Possibly
+)]
+fn a_rejection_before_the_last_byte_is_certain_even_if_it_is_like_an_earlier_one(
+    #[case] rejection: &[u8],
+    #[case] outcome: Outcome,
+    #[case] gone: MessageGone,
+) {
     let mut fixture = Fixture::new(MAX_CONNECTIONS);
     let request = AttemptRequest {
         is_repeatable: false,
@@ -172,21 +182,21 @@
         fixture.step_all(0.0);
     }
     peer.read_exact(&mut [0; 2]).unwrap();
-    peer.write_all(REJECTION).unwrap();
+    peer.write_all(rejection).unwrap();
     fixture.wait_for_outcome(0.0);
     fixture.egress.resets.recent_resets = RESET_EXPECTED_THRESHOLD;
     fixture.start(&request, 0.0);
     assert_eq!(fixture.egress.connections_opened, 1);
     fixture.step_all(0.0);
     peer.read_exact(&mut [0]).unwrap();
-    peer.write_all(REJECTION).unwrap();
+    peer.write_all(rejection).unwrap();
     while fixture.egress.results.is_empty() {
         fixture.step_all(0.0);
     }
     let result = fixture.egress.results.pop().unwrap();
     assert_eq!(
-        (result.outcome, result.evidence),
-        (Outcome::Overloaded { retry_after: 0 }, Evidence::Certain)
+        (result.outcome, result.evidence, result.gone),
+        (outcome, Evidence::Certain, gone)
     );
     assert_eq!(fixture.egress.take_settlements(), []);
 }
