Read what has arrived for a message before a byte is sent for it

Callers would see: a hedged request or a retry for a message whose 410 had reached the sender's machine before. Cause: a round reads its sockets first and sends later. A process that was held up in between (0.15 s are allowed) sent the first byte, or the last one that it had held back, although the 410 to another attempt, or behind an answer in doubt, had arrived. Evidence: egress/tests/other_attempts.rs; its three cases fail without the change: the request is sent and the 410 stays unread. Why this mends it: before the first byte, and before the rest of a request that is partly sent, the other connections on which an answer concerning the message may arrive are read. If anything has, it is processed first; the request then goes or is withdrawn. What is open: an answer that arrives between that read and the write.

--- a/crates/sender/src/egress/attempt_start.rs
+++ b/crates/sender/src/egress/attempt_start.rs
@@ -125,6 +125,14 @@
             let Some(attempt) = connection.attempt else {
                 continue;
             };
+            if self.read_other_attempts(slot, now) {
+                self.awaiting_permission.push(slot);
+                self.record_retry_at = now;
+                continue;
+            }
+            let Some(connection) = self.connections.get(slot) else {
+                continue;
+            };
             // A retry that begins after the endpoint has forgotten its idempotency key would take effect twice, so a
             // connection that was established too late must not carry it.
             let late = now > attempt.latest_start;
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -18,6 +18,9 @@
     /// Advances an exchange as far as possible without blocking: writes, reads, and reports the outcome. Returns
     /// whether there may be more to read.
     pub(super) fn advance(&mut self, slot: usize, now: Millis) -> bool {
+        if self.must_not_complete_request(slot, now) {
+            return true;
+        }
         let has_more = self.transfer(slot, now);
         let connection = &mut self.connections[slot];
         if let Some(fully_sent) = connection.attempt.map(|attempt| attempt.fully_sent) {
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -11,6 +11,7 @@
 //! - [`response`]: parsing responses
 //! - [`attempt_completion`]: the end of an attempt
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
+//! - [`other_attempts`]: reading what has arrived for a message before a byte is sent for it
 //! - [`response_bytes`]: where a response ends
 //! - [`response_history`]: which request a response belongs to
 //! - [`response_times`]: how long endpoints take to respond
@@ -32,6 +33,7 @@
 mod exchange;
 mod gone;
 mod known_responses;
+mod other_attempts;
 mod response;
 mod response_bytes;
 mod response_history;
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -102,6 +102,18 @@
     },
 }
 
+impl Settlement {
+    /// Whether it may be a reason to send nothing more for a message.
+    pub(super) fn is_against_sending(&self, id: MessageId) -> bool {
+        match self {
+            Settlement::Confirmed(_) => false,
+            Settlement::Contested(answered) | Settlement::Doubtful { answered, .. } => {
+                answered.id == id
+            }
+        }
+    }
+}
+
 /// A response that ends an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedResponse<'a> {
@@ -252,6 +264,13 @@
         attempts.map(Settlement::Contested).collect()
     }
 
+    /// Whether a response to an attempt of a message is not settled.
+    pub fn has_unsettled(&self, id: MessageId) -> bool {
+        self.unsettled
+            .iter()
+            .any(|response| response.attempt.id == id)
+    }
+
     /// When the latest response is settled; `None` if it is.
     pub fn rests_until(&self) -> Option<Millis> {
         self.rests_until
--- a/crates/sender/src/egress/tests/mod.rs
+++ b/crates/sender/src/egress/tests/mod.rs
@@ -4,6 +4,7 @@
 mod connection_faults;
 mod connection_reuse;
 mod last_byte;
+mod other_attempts;
 mod repeated_responses;
 mod responses;
 mod snapshot;
