Have the soak's endpoints answer 410, and nothing may follow one

Need: the incident needed an answer that the protocol's table lists and the soak never gave. Change: one message of twelve is over; endpoints without a fault answer it with the same 410, whole, in pieces, cut off from the status code's first digit on, followed by the end of the connection or a reset, or, where they repeat answers, by copies. The oracle counts a request behind a 410 (150 ms and the sender's possible delay) as ForwardedAfterEnd, whatever else is uncertain; a test shows it.

--- a/crates/lab/src/soak/endpoint.rs
+++ b/crates/lab/src/soak/endpoint.rs
@@ -17,6 +17,7 @@
 use super::http::{HttpMessage, HttpStream};
 use super::repetition::{AnsweredRequests, RepeatedAnswer};
 use super::schedule::FaultKind;
+use super::withdrawal::{WithdrawalAnswer, is_withdrawn};
 use super::world::{ENDPOINTS_PER_DESTINATION, POLL_INTERVAL, World};
 use crate::error::LabError;
 
@@ -247,7 +248,7 @@
         answered: &mut AnsweredRequests,
         rng: &mut Pcg64,
     ) -> bool {
-        let answer = RepeatedAnswer::draw(rng);
+        let answer = RepeatedAnswer::draw(id, rng);
         self.record_arrival(request, id, answer.runs);
         sleep(rng.random_range(USUAL_WORK_TIME));
         for message in answered.make_uncertain() {
@@ -277,6 +278,9 @@
         rng: &mut Pcg64,
     ) -> bool {
         let fault = self.fault();
+        if fault.is_none() && is_withdrawn(id) {
+            return self.answer_withdrawn(stream, request, id, rng);
+        }
         let is_refused = matches!(
             fault,
             Some(FaultKind::EndpointBusy | FaultKind::EndpointRefuses)
@@ -334,6 +338,20 @@
         }
     }
 
+    /// Answers a message that is over. Returns false if the connection must be reset.
+    fn answer_withdrawn(
+        &self,
+        stream: &mut HttpStream,
+        request: &HttpMessage,
+        id: &str,
+        rng: &mut Pcg64,
+    ) -> bool {
+        self.record_arrival(request, id, false);
+        sleep(rng.random_range(USUAL_WORK_TIME));
+        let answer = WithdrawalAnswer::draw(rng);
+        self.respond(stream, id, 410, answer.first_bytes()) && answer.finish(stream, rng)
+    }
+
     /// Sends no answer while the endpoint hangs, and then ends the connection.
     fn hang(&self) -> bool {
         while self.has_fault(FaultKind::EndpointHangs) {
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -19,6 +19,7 @@
 mod repetition;
 pub mod schedule;
 mod shim;
+mod withdrawal;
 mod world;
 
 use std::collections::BTreeMap;
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -50,6 +50,8 @@
     pub unconfirmed_until: &'a dyn Fn(usize, Millis) -> Option<Millis>,
 }
 
+/// The status that says that a message is over.
+const GONE_STATUS: u16 = 410;
 /// A message that ends without an attempt ends early if its deadline is further away than this.
 const EARLY_END_MARGIN: Millis = 2_000.0;
 
@@ -211,6 +213,7 @@
             .submitted_at
             .map_or(f64::INFINITY, |at| at + progress.timeout);
         let (delivered, reported) = (progress.delivered_at, progress.reported_at);
+        let gone = progress.gone_at;
         let rejected = progress.rejected_at.is_some();
         if record.at > deadline + SOCKET_GRACE + delay + lateness {
             self.add_violation(Rule::ForwardedLate, record);
@@ -224,7 +227,10 @@
         let after_delivery = delivered.is_some_and(is_after)
             && !may_repeat
             && delivered.is_some_and(|at| self.end_is_known(record.sender, at, record.at));
-        if after_report || after_delivery {
+        // Whatever else may be true, nothing may follow an answer that the message is over.
+        let after_gone = gone.is_some_and(is_after)
+            && gone.is_some_and(|at| self.end_is_known(record.sender, at, record.at));
+        if after_report || after_delivery || after_gone {
             self.add_violation(Rule::ForwardedAfterEnd, record);
         }
     }
@@ -282,6 +288,9 @@
             // Stored now, because another submission of the message sets a later deadline.
             progress.surely_delivered = record.at < progress.deadline() - UNCERTAIN_DELIVERY;
         }
+        if status == GONE_STATUS {
+            progress.gone_at.get_or_insert(record.at);
+        }
         let may_be_lost = (self.conditions.calls_failed)(record.sender, record.at);
         if let Some(span) = retry_after.filter(|_| !may_be_lost) {
             let state = self.senders.entry(record.sender).or_default();
@@ -327,10 +336,14 @@
                 continue;
             };
             let deadline = submitted_at + progress.writing + progress.timeout;
-            let end = [progress.delivered_at, progress.reported_at]
-                .into_iter()
-                .flatten()
-                .fold(f64::INFINITY, f64::min);
+            let end = [
+                progress.delivered_at,
+                progress.gone_at,
+                progress.reported_at,
+            ]
+            .into_iter()
+            .flatten()
+            .fold(f64::INFINITY, f64::min);
             self.figures.delivered += usize::from(progress.delivered_at.is_some());
             if let Some(reported_at) = progress.reported_at {
                 self.figures.reported += 1;
--- a/crates/lab/src/soak/oracle/state.rs
+++ b/crates/lab/src/soak/oracle/state.rs
@@ -23,6 +23,8 @@
     pub accepted: bool,
     pub rejected_at: Option<Millis>,
     pub delivered_at: Option<Millis>,
+    /// When an endpoint first answered that the message is over.
+    pub gone_at: Option<Millis>,
     /// The delivery was early enough that the sender must count it as in time.
     pub surely_delivered: bool,
     pub reported_at: Option<Millis>,
--- a/crates/lab/src/soak/oracle/tests.rs
+++ b/crates/lab/src/soak/oracle/tests.rs
@@ -161,6 +161,7 @@
 #[rstest::rstest]
 #[case::after_report(&[reported(100.0, "k1")], 400.0, Rule::ForwardedAfterEnd)]
 #[case::after_delivery(&[responded(100.0, "k1", 200, None)], 400.0, Rule::ForwardedAfterEnd)]
+#[case::after_an_answer_that_it_is_over(&[responded(100.0, "k1", 410, None)], 400.0, Rule::ForwardedAfterEnd)]
 #[case::after_rejection(
     &[record(2.0, "k1", Event::Answered { status: 503 }), reported(5_000.0, "k1")],
     50.0,
--- a/crates/lab/src/soak/repetition.rs
+++ b/crates/lab/src/soak/repetition.rs
@@ -9,6 +9,7 @@
 use rand_pcg::Pcg64;
 
 use super::http::HttpStream;
+use super::withdrawal::{GONE, is_withdrawn};
 
 /// The share of answers after which a copy is written.
 const COPIED_SHARE: f64 = 0.3;
@@ -58,10 +59,18 @@
     text: "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
 };
 
+const WITHDRAWN: RepeatedAnswer = RepeatedAnswer {
+    status: 410,
+    runs: false,
+    retry_after: None,
+    text: GONE,
+};
+
 impl RepeatedAnswer {
-    /// Draws an answer: mostly a success.
-    pub fn draw(rng: &mut Pcg64) -> RepeatedAnswer {
+    /// Draws an answer to a message: mostly a success, unless the message is over.
+    pub fn draw(id: &str, rng: &mut Pcg64) -> RepeatedAnswer {
         match rng.random_range(0..100) {
+            _ if is_withdrawn(id) => WITHDRAWN,
             0..15 => REJECTION,
             15..17 => WAIT,
             17..20 => FAILURE,
