Doubt at a replacement what a successor cannot read again

Cause: unsettled responses that the state cannot carry, incomplete ones and those before the latest, were taken for settled at a replacement, although their connections had not rested. The message was closed by the first bytes of a copied 200; the real 503 came 7 ms later. Evidence: its log has 'status line read ... evidence=Uncertain status=200' and nothing more, the process is replaced 6 ms behind it. Why this mends it: a doubt is right whatever is true: the message is sent again where that is safe, else reported. Test: a_response_that_a_successor_cannot_read_again_is_in_doubt_at_a_replacement; before, its conclusion was Outcome(Success).

--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -313,19 +313,14 @@
         responses.iter().map(TrackedResponse::in_doubt).collect()
     }
 
-    /// Settles the responses that a successor process cannot read again: all but the latest. Those that a later response
-    /// contests are in doubt.
-    pub fn settle_earlier(&mut self) -> Vec<Settlement> {
+    /// Puts the responses in doubt that a successor process cannot read again: all but the latest, or all if that was
+    /// incomplete. Nobody waits any longer for what may follow them.
+    pub fn doubt_unreadable(&mut self) -> Vec<Settlement> {
         let has_exchange = self.unread_exchange().is_some();
         let kept = self.unsettled.len() - usize::from(has_exchange);
         let latest = self.unsettled.split_off(kept);
-        let earlier = std::mem::replace(&mut self.unsettled, latest);
-        let (contested, others): (Vec<_>, Vec<_>) = earlier
-            .into_iter()
-            .partition(|response| response.is_contested);
-        let mut settlements = self.confirm(others);
-        settlements.extend(contested.iter().map(TrackedResponse::in_doubt));
-        settlements
+        let unreadable = std::mem::replace(&mut self.unsettled, latest);
+        unreadable.iter().map(TrackedResponse::in_doubt).collect()
     }
 
     /// The exchange of the latest response, if it is unsettled and can be read again.
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -93,10 +93,11 @@
         !self.settlements.is_empty() || !self.connections.settlements.is_empty()
     }
 
-    /// Settles the responses that a successor process cannot read again.
-    pub fn settle_for_replacement(&mut self) {
+    /// Puts the responses in doubt that a successor process cannot read again.
+    pub fn doubt_for_replacement(&mut self) {
         for (_, connection) in &mut self.connections.slots {
-            self.settlements.extend(connection.history.settle_earlier());
+            self.settlements
+                .extend(connection.history.doubt_unreadable());
         }
     }
 }
--- a/crates/sender/src/egress/tests/repeated_responses.rs
+++ b/crates/sender/src/egress/tests/repeated_responses.rs
@@ -469,3 +469,19 @@
     case.write(WAIT);
     assert_eq!(case.longest_wait, 900_000_000);
 }
+
+/// Guards against a message that counts as delivered by a part of an earlier answer: a replacement of the process came
+/// before the real answer, and a successor cannot read that part again.
+#[test]
+fn a_response_that_a_successor_cannot_read_again_is_in_doubt_at_a_replacement() {
+    let mut case = Case::new();
+    case.send(0, Pace::Rested);
+    case.write(SUCCESS);
+    case.pass(LONG_TIME);
+    case.send(1, Pace::Rested);
+    case.write("HTTP/1.1 200 OK\r\n");
+    assert_eq!(case.pending[1], Some(Outcome::Success));
+    case.fixture.egress.doubt_for_replacement();
+    case.collect();
+    assert_eq!(case.conclusions[1], Conclusion::Doubtful);
+}
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -202,7 +202,7 @@
         let limit = (self.descriptor_limit / 2).saturating_sub(OTHER_DESCRIPTORS);
         let clients = self.ingress.clients.len();
         let now = self.clock.now();
-        self.egress.settle_for_replacement();
+        self.egress.doubt_for_replacement();
         self.process_settlements(now);
         let egress = self
             .egress
