Follow discovery where the SIGHUP for it reached a replaced process

What callers saw: after a change of `discovery` at the moment of a replacement, a sender kept watching and reporting to the old address.

Cause: a process whose successor has committed reads no more signals, and the successor had read the file before the change. Nobody acted on the signal. The same holds until the parent has collected the exit status, as signals to an exited process succeed.

Why this works: whoever signals has written the file before. The successor reads it at the takeover, each second while the replaced process still exists (60 s at most), and once more when it no longer does, so that no lost signal is younger than the last reading. Only a changed `discovery` field of the file counts, so that an override by PROXY_DISCOVERY stays as it was. A file changed without any signal in that time is followed a little early.

Tests: both cases of a_successor_follows_discovery_that_moved_when_no_process_handled_the_signal failed before ("no watch was opened"): the change before the takeover, and behind it with a SIGHUP to the exited process.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -11,6 +11,7 @@
 mod channel;
 mod error;
 mod lock;
+mod peer_process;
 mod protocol;
 mod serving;
 mod socket;
@@ -19,6 +20,7 @@
 pub use channel::TimeLeft;
 pub use error::HandoverError;
 pub use lock::Lock;
+pub use peer_process::PeerProcess;
 pub use protocol::{TakeoverRequest, VERSION};
 pub use serving::{RequestProgress, SuccessorConnection, TakeoverListener, TransferOutcome};
 pub use successor::{PendingTakeover, ReceivedState, request_takeover};
--- a/crates/handover/src/successor.rs
+++ b/crates/handover/src/successor.rs
@@ -7,6 +7,7 @@
 
 use crate::channel::{Channel, TimeLeft};
 use crate::error::HandoverError;
+use crate::peer_process::PeerProcess;
 use crate::protocol::TakeoverRequest;
 use crate::socket;
 
@@ -43,11 +44,13 @@
     /// [`HandoverError::Refused`] with the reason of the serving process, or the error of the transfer. A partially
     /// received state is dropped.
     pub fn receive(self, time_left: &TimeLeft<'_>) -> Result<ReceivedState, HandoverError> {
+        let serving_process = PeerProcess::of(&self.stream);
         let mut channel = Channel::new(self.stream)?;
         let (state, descriptors) = channel.receive_state(time_left)?;
         Ok(ReceivedState {
             state,
             descriptors,
+            serving_process,
             channel,
         })
     }
@@ -59,6 +62,8 @@
     pub state: Vec<u8>,
     /// Its descriptors, in the order in which they were sent.
     pub descriptors: Vec<OwnedFd>,
+    /// The process that sent it, if the system can tell.
+    pub serving_process: Option<PeerProcess>,
     channel: Channel,
 }
 
--- a/crates/martenlatch/tests/replacement_failures.rs
+++ b/crates/martenlatch/tests/replacement_failures.rs
@@ -294,3 +294,34 @@
     assert_eq!(sender.submit("meter", "reported", "1.0"), 202);
     assert!(next_platform.next_status_report().contains("reported"));
 }
+
+/// Guards against reports and a watch that stay at an address which discovery has left: the SIGHUP for the new address
+/// reached a process that had already given way, and its successor had read its configuration before the change.
+#[rstest]
+#[case::before_the_takeover("replace-moved-before", true)]
+#[case::after_the_takeover("replace-moved-after", false)]
+fn a_successor_follows_discovery_that_moved_when_no_process_handled_the_signal(
+    #[case] name: &str,
+    #[case] before_takeover: bool,
+) {
+    let (_endpoint, platform, mut sender) = sender_with_endpoint(name, |_, _| reply(503, ""));
+    let next_platform = Platform::new(&[]);
+    let address = |platform: &Platform| format!(r#""discovery":"{}""#, platform.address);
+    let (from, to) = (address(&platform), address(&next_platform));
+    sender.signal("STOP");
+    let successor = sender.start_replacement();
+    successor.wait_until_not_serving();
+    if before_takeover {
+        sender.change_config(&from, &to);
+        sender.signal("CONT");
+    } else {
+        sender.signal("CONT");
+        successor.wait_until_serving();
+        sender.change_config(&from, &to);
+        sender.signal("HUP");
+    }
+    assert_eq!(sender.wait_until_replaced_by(successor).code, Some(0));
+    next_platform.next_watch_request();
+    assert_eq!(sender.submit("meter", "reported", "1.0"), 202);
+    assert!(next_platform.next_status_report().contains("reported"));
+}
--- a/crates/martenlatch/tests/support/sender.rs
+++ b/crates/martenlatch/tests/support/sender.rs
@@ -51,6 +51,13 @@
             call_operator(self.operator, "health\n") == "NAK not serving yet\n"
         });
     }
+
+    /// Waits until its answer to operators is that it serves.
+    pub fn wait_until_serving(&self) {
+        wait_until("the replacement serves", || {
+            call_operator(self.operator, "health\n").starts_with("ACK")
+        });
+    }
 }
 
 impl Sender {
@@ -149,12 +156,9 @@
 
     /// Waits until a replacement serves and the replaced process has exited.
     pub fn wait_until_replaced_by(&mut self, replacement: Replacement) -> ProcessExit {
-        let operator = replacement.operator;
-        wait_until("the replacement serves", || {
-            call_operator(operator, "health\n").starts_with("ACK")
-        });
-        self.operator = operator;
-        self.launch.operator = Some(operator);
+        replacement.wait_until_serving();
+        self.operator = replacement.operator;
+        self.launch.operator = Some(replacement.operator);
         let mut replaced = std::mem::replace(&mut self.process, replacement.process);
         let output = read_stdout(&mut replaced);
         ProcessExit {
--- a/crates/sender/src/config.rs
+++ b/crates/sender/src/config.rs
@@ -35,6 +35,8 @@
     pub listen: SocketAddr,
     /// The address of discovery, which also receives the status reports.
     pub discovery: SocketAddr,
+    /// The address of discovery in the file, which a variable may override. `None` if the file has no valid one.
+    pub discovery_in_file: Option<SocketAddr>,
     /// The address on which operators connect, if there is one.
     pub operator: Option<SocketAddr>,
     /// The folder for persistent state.
@@ -139,6 +141,7 @@
             name: std::env::var(NAME_VARIABLE).unwrap_or_else(|_| DEFAULT_NAME.into()),
             listen: read_address(&json, "listen", Some(LISTEN_VARIABLE))?,
             discovery: read_address(&json, "discovery", discovery_variable)?,
+            discovery_in_file: read_address(&json, "discovery", None).ok(),
             operator: read_operator_address(&json)?,
             state_folder,
             seed: read_seed(&json)?,
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -278,6 +278,7 @@
             ingress,
             egress: build_egress(settings, &capacity, handle),
             directory: build_directory(config, jitter),
+            discovery_in_file: config.discovery_in_file,
             discovery_reload: None,
             operators: None,
             peers,
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -64,6 +64,9 @@
     pub(super) closed_in_doubt: ClosedMessages,
     pub(super) egress: Egress,
     pub(super) directory: EndpointDirectory,
+    /// The address of discovery in the configuration file when this process or a predecessor has read it last. `None` if
+    /// the file had no valid one.
+    pub(super) discovery_in_file: Option<SocketAddr>,
     /// The latest address of discovery that this process or a predecessor has read while it served.
     pub(super) discovery_reload: Option<DiscoveryReload>,
     /// The operators' connections, if the configuration has an address for them.
--- a/crates/sender/src/pipeline/operator_commands.rs
+++ b/crates/sender/src/pipeline/operator_commands.rs
@@ -88,6 +88,7 @@
                     at: now,
                     address: config.discovery,
                 });
+                self.discovery_in_file = Some(config.discovery);
                 self.move_discovery(config.discovery, now);
             }
             Err(error) => warn!(reason = %error, "configuration kept"),
@@ -101,10 +102,22 @@
             return;
         };
         if reload.at >= config_read_at - SAME_READING {
+            self.discovery_in_file = Some(reload.address);
             self.move_discovery(reload.address, self.clock.now());
         }
     }
 
+    /// Applies the configuration that was read without a signal, if its `discovery` field has changed.
+    pub fn reload_if_changed(&mut self, config: Result<Config, ConfigError>) {
+        let Ok(config) = config else {
+            return;
+        };
+        if self.discovery_in_file != config.discovery_in_file {
+            info!("discovery has moved; no signal arrived");
+            self.reload(Ok(config));
+        }
+    }
+
     fn move_discovery(&mut self, address: SocketAddr, now: Millis) {
         if address != self.status_reporter.platform {
             self.status_reporter.move_to(address);
--- a/crates/sender/src/pipeline/test_support.rs
+++ b/crates/sender/src/pipeline/test_support.rs
@@ -50,6 +50,7 @@
         name: "n0".into(),
         listen: listener.local_addr().unwrap(),
         discovery,
+        discovery_in_file: Some(discovery),
         operator: None,
         state_folder: state.into(),
         seed: 1,
--- a/crates/sender/src/process_replacement.rs
+++ b/crates/sender/src/process_replacement.rs
@@ -7,6 +7,7 @@
 
 mod candidate;
 mod listener;
+mod replaced_process;
 
 use std::os::unix::fs::MetadataExt;
 use std::os::unix::net::UnixStream;
@@ -16,6 +17,7 @@
 
 pub use candidate::{CandidateError, CandidateState, POLL_INTERVAL, ReplacementCandidate};
 pub use listener::ReplacementListener;
+pub use replaced_process::ReplacedProcess;
 
 /// The file name of the lock of the process that serves.
 pub const SERVING_LOCK: &str = "lock";
--- a/crates/sender/src/serve.rs
+++ b/crates/sender/src/serve.rs
@@ -77,11 +77,15 @@
 ) -> Result<Driver, SenderError> {
     let mut driver = started.driver;
     driver.set_operators(operators);
+    let mut replaced = started.replaced;
     let mut replacement = ReplacementListener::open(started.lock, state_folder, &events.handle());
     loop {
         for signal in std::mem::take(&mut ready.signals) {
             handle_signal(signal, &mut driver);
         }
+        if replaced.is_reading_due(driver.clock().now()) {
+            driver.reload_if_changed(Config::read_again());
+        }
         let mut sources = std::mem::take(&mut ready.keys);
         sources.retain(|source| !replacement.on_ready(*source));
         if !driver.round(sources) {
--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -22,7 +22,7 @@
 use crate::peer_service::PeerService;
 use crate::pipeline::{Driver, ProcessLoad, ProcessState, StartMode};
 use crate::process_replacement::{
-    CandidateState, POLL_INTERVAL, ReplacementCandidate, SERVING_LOCK, is_served,
+    CandidateState, POLL_INTERVAL, ReplacedProcess, ReplacementCandidate, SERVING_LOCK, is_served,
 };
 use crate::serve::wait_for_events;
 
@@ -58,6 +58,18 @@
     pub(crate) driver: Driver,
     /// The lock on the state folder. `None` if no lock can be created there; the process then cannot be replaced.
     pub(crate) lock: Option<Lock>,
+    pub(crate) replaced: ReplacedProcess,
+}
+
+impl StartedProcess {
+    /// A process that has replaced no other one.
+    fn without_predecessor(driver: Driver, lock: Option<Lock>) -> StartedProcess {
+        StartedProcess {
+            driver,
+            lock,
+            replaced: ReplacedProcess::none(),
+        }
+    }
 }
 
 /// A process that does not serve yet, and rejects operators' commands.
@@ -119,8 +131,10 @@
         match acquire_folder_lock(&self.config) {
             FolderLock::Acquired(lock) => {
                 let driver = self.start_fresh(0.0)?;
-                let lock = Some(lock);
-                Ok(Some(StartedProcess { driver, lock }))
+                Ok(Some(StartedProcess::without_predecessor(
+                    driver,
+                    Some(lock),
+                )))
             }
             FolderLock::HeldByAnother | FolderLock::Unavailable => self.wait_for_predecessor(),
         }
@@ -128,7 +142,7 @@
 
     fn start_without_lock(&mut self) -> Result<Option<StartedProcess>, SenderError> {
         let driver = self.start_fresh(ADDRESS_RELEASE_TIMEOUT)?;
-        Ok(Some(StartedProcess { driver, lock: None }))
+        Ok(Some(StartedProcess::without_predecessor(driver, None)))
     }
 
     /// Whether this process could listen on the address for clients, or could never. False while another process does,
@@ -223,8 +237,10 @@
                 CandidateState::LockAcquired(lock) => {
                     info!("the process that served has ended");
                     let driver = self.start_fresh(ADDRESS_RELEASE_TIMEOUT)?;
-                    let lock = Some(lock);
-                    return Ok(Some(StartedProcess { driver, lock }));
+                    return Ok(Some(StartedProcess::without_predecessor(
+                        driver,
+                        Some(lock),
+                    )));
                 }
                 CandidateState::StateReceived(received) => {
                     if let Some(started) = self.take_over(received, &mut candidate) {
@@ -385,6 +401,7 @@
         clock,
     )?;
     Ok(StartedProcess {
+        replaced: ReplacedProcess::new(received.serving_process, driver.clock().now()),
         driver,
         lock: Some(lock),
     })
