Keep the wait that an incomplete rejection asks for

What partners saw: an endpoint answers 429 with X-Backoff-Ms, and the response is cut off, is malformed behind that line, or its body comes late. Requests to the destination went on at once, 2 to 5 ms behind it.

Cause: a wait was read from complete responses and from surplus bytes only. A response that is incomplete proves nothing of its request, and so all of it was dropped with the attempt (`Failure`); while its body was awaited, for a second at most, nothing was held back either.

Why this works: whether the request ran and whether to wait are two questions. For the first one nothing changes. The wait is right under both readings: if the response is real it must be kept, if it is a copy it costs time. It is noted from the head as far as it has come, for a partial value its prefix, which is at most the real one; it goes the way of waits in surplus bytes (gate, withdrawal of unsent requests, RetryAfterReceived). A request that is partly sent waits until a requested wait has been processed, as for other findings.

--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -163,6 +163,7 @@
 
     /// Closes a connection and reports the outcome of the attempt on it, if it carries one.
     pub(super) fn end_exchange(&mut self, slot: usize, cause: EndCause, now: Millis) {
+        self.note_requested_wait(slot);
         let Some(connection) = self.connections.get(slot) else {
             return;
         };
--- a/crates/sender/src/egress/attempt_start.rs
+++ b/crates/sender/src/egress/attempt_start.rs
@@ -57,6 +57,7 @@
         connection.sent_at = None;
         connection.is_repeatable = request.is_repeatable;
         connection.has_discarded = false;
+        connection.noted_wait = 0;
         connection.idle_before = connection.connected.then_some(now - connection.idle_since);
         connection.attempt = Some(attempt);
         connection.socket.corked = true;
--- a/crates/sender/src/egress/endpoint_connection.rs
+++ b/crates/sender/src/egress/endpoint_connection.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use martenlatch_clock::Millis;
+use martenlatch_clock::{Millis, Nanos};
 use martenlatch_http::Body;
 use martenlatch_policy::interface::{EndpointId, MessageId};
 use serde::{Deserialize, Serialize};
@@ -76,6 +76,10 @@
     /// process.
     #[serde(skip)]
     pub has_discarded: bool,
+    /// The longest wait that the incomplete response to the latest request has asked for so far. Not passed to a
+    /// successor process.
+    #[serde(skip)]
+    pub noted_wait: Nanos,
     /// Whether the connection is closed once it has rested. Not passed to a successor process.
     #[serde(skip)]
     pub close_when_rested: bool,
@@ -108,6 +112,7 @@
             sent_at: None,
             is_repeatable: false,
             has_discarded: false,
+            noted_wait: 0,
             close_when_rested: false,
         }
     }
@@ -154,6 +159,7 @@
             sent_at: self.sent_at,
             is_repeatable: self.is_repeatable,
             has_discarded: self.has_discarded,
+            noted_wait: self.noted_wait,
             close_when_rested: self.close_when_rested,
         }
     }
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -27,6 +27,7 @@
             match read_response(connection, fully_sent) {
                 ResponseProgress::Pending => {
                     limit_response_time(connection, now);
+                    self.note_requested_wait(slot);
                     return has_more;
                 }
                 ResponseProgress::Informational { consumed } => {
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -34,6 +34,7 @@
 mod gone;
 mod known_responses;
 mod other_attempts;
+mod requested_waits;
 mod response;
 mod response_bytes;
 mod response_history;
@@ -52,6 +53,7 @@
 pub use attempt::{AttemptRequest, AttemptResult};
 pub use attempt_start::SendPermission;
 pub use gone::MessageGone;
+pub use requested_waits::RequestedWait;
 pub use response_history::{AnsweredAttempt, Evidence, Settlement};
 pub use response_times::ResponseTimes;
 pub use snapshot::EgressSnapshot;
@@ -87,6 +89,7 @@
     pub results: Vec<AttemptResult>,
     response_times: ResponseTimes,
     settlements: Vec<Settlement>,
+    requested_waits: Vec<RequestedWait>,
     /// The slots of established connections whose requests have not begun, as their attempts must be recorded first.
     awaiting_permission: Vec<usize>,
     /// When permission is requested again for attempts that could not be recorded; infinite if there are none.
@@ -118,6 +121,7 @@
             results: Vec::new(),
             response_times: ResponseTimes::default(),
             settlements: Vec::new(),
+            requested_waits: Vec::new(),
             awaiting_permission: Vec::new(),
             record_retry_at: f64::INFINITY,
             sent_messages: Vec::new(),
--- a/crates/sender/src/egress/other_attempts.rs
+++ b/crates/sender/src/egress/other_attempts.rs
@@ -31,10 +31,11 @@
         self.has_unprocessed(id)
     }
 
-    /// Whether a result or a settlement of an attempt of the message has not been taken.
+    /// Whether a result or a settlement of an attempt of the message, or any requested wait, has not been taken.
     fn has_unprocessed(&self, id: MessageId) -> bool {
         let mut settlements = self.settlements.iter().chain(&self.connections.settlements);
-        self.results.iter().any(|result| result.id == id)
+        !self.requested_waits.is_empty()
+            || self.results.iter().any(|result| result.id == id)
             || settlements.any(|settlement| settlement.is_against_sending(id))
     }
 
--- a/crates/sender/src/egress/response.rs
+++ b/crates/sender/src/egress/response.rs
@@ -16,6 +16,8 @@
 const MAX_RETRY_AFTER_MS: f64 = 3.6e6;
 /// The status of a delivery.
 pub(super) const SUCCESS_STATUS: u16 = 200;
+/// The statuses that say that a request was not run, and that may ask to wait.
+pub(super) const REJECTION_STATUSES: [u16; 2] = [429, 503];
 /// The header whose value "1" says that a proxy on the path had no capacity and did not forward the request to the
 /// endpoint.
 const PROXY_FULL_HEADER: &str = "x-egress-full";
@@ -145,7 +147,7 @@
         let outcome = match response.status {
             SUCCESS_STATUS => Outcome::Success,
             503 if response.header(PROXY_FULL_HEADER) == Some("1") => Outcome::NotSent,
-            429 | 503 => Outcome::Overloaded { retry_after },
+            status if REJECTION_STATUSES.contains(&status) => Outcome::Overloaded { retry_after },
             504 => Outcome::AttemptsExhausted,
             GONE_STATUS => Outcome::NotSent,
             _ => Outcome::Failure,
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -88,9 +88,12 @@
         settlements
     }
 
-    /// Whether a settlement has not been taken.
-    pub fn has_settlements(&self) -> bool {
-        !self.settlements.is_empty() || !self.connections.settlements.is_empty()
+    /// Whether the caller has not taken everything that was found out: results, settlements, waits.
+    pub fn has_findings(&self) -> bool {
+        !self.results.is_empty()
+            || !self.settlements.is_empty()
+            || !self.requested_waits.is_empty()
+            || !self.connections.settlements.is_empty()
     }
 
     /// Puts the responses in doubt that a successor process cannot read again.
--- a/crates/sender/src/pipeline/driver.rs
+++ b/crates/sender/src/pipeline/driver.rs
@@ -355,9 +355,7 @@
 
     /// How long the event loop may wait for a socket to become ready.
     pub fn poll_timeout(&self) -> Millis {
-        let has_unprocessed = !self.decision.events.is_empty()
-            || !self.egress.results.is_empty()
-            || self.egress.has_settlements();
+        let has_unprocessed = !self.decision.events.is_empty() || self.egress.has_findings();
         let has_unfinished = !self.unfinished_sources.is_empty();
         if has_unfinished && !has_unprocessed && self.lacks_buffers() {
             return BUFFER_WAIT;
--- a/crates/sender/src/pipeline/process_state.rs
+++ b/crates/sender/src/pipeline/process_state.rs
@@ -174,9 +174,7 @@
 impl Driver {
     /// Whether the state can be captured now: the decision module has processed all events and results.
     pub fn is_quiescent(&self) -> bool {
-        self.decision.events.is_empty()
-            && self.egress.results.is_empty()
-            && !self.egress.has_settlements()
+        self.decision.events.is_empty() && !self.egress.has_findings()
     }
 
     /// The reason why this process cannot be replaced, if there is one: it is shutting down, or its peers know it by
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use martenlatch_clock::{Millis, Nanos, millis};
+use martenlatch_clock::{Millis, millis};
 use martenlatch_policy::interface::{Event, MessageId};
 use martenlatch_wal::{FinalStatus, MessageRecord};
 use tracing::warn;
@@ -17,7 +17,7 @@
 use super::completion::{self, LATE_SUCCESS_GUARD};
 use super::driver::Driver;
 use super::message_store::{DeadlineKey, MessageState, MessageStore, StoredMessage, deadline_key};
-use crate::egress::{AnsweredAttempt, MessageGone, Settlement, SurplusBytes};
+use crate::egress::{AnsweredAttempt, MessageGone, RequestedWait, Settlement, SurplusBytes};
 
 /// The largest number of closed messages that are remembered in case of a later doubt.
 const MAX_CLOSED: usize = 4_096;
@@ -76,6 +76,9 @@
         for surplus in self.egress.take_surplus(now) {
             self.process_surplus(&surplus, now);
         }
+        for wait in self.egress.take_requested_waits() {
+            self.keep_to_wait(wait, now);
+        }
         for settlement in self.egress.take_settlements() {
             match settlement {
                 Settlement::Confirmed(answered) => self.confirm_response(answered, now),
@@ -97,12 +100,19 @@
             "unexpected bytes from an endpoint"
         );
         if surplus.retry_after > 0 {
-            self.keep_to_wait(surplus, surplus.retry_after, now);
+            let wait = RequestedWait {
+                endpoint: surplus.endpoint,
+                retry_after: surplus.retry_after,
+            };
+            self.keep_to_wait(wait, now);
         }
     }
 
-    fn keep_to_wait(&mut self, surplus: &SurplusBytes, retry_after: Nanos, now: Millis) {
-        let endpoint = surplus.endpoint;
+    fn keep_to_wait(&mut self, wait: RequestedWait, now: Millis) {
+        let RequestedWait {
+            endpoint,
+            retry_after,
+        } = wait;
         let Some(destination) = self.directory.destination(endpoint) else {
             return;
         };
