Process surplus bytes before the next sleep and before a replacement

Nobody saw it: found by reading, while the wait of an incomplete rejection was given its way. The table of what a process passes on says that surplus bytes are shown to be empty; the check named results and settlements only.

Cause: surplus bytes that a round finds behind the step that processes them (an idle connection that is read as a new attempt starts, or when a hedge is cancelled) were left for the next round, which could be 50 ms later, or never, if a successor took over in between. With them went the wait that a surplus 429 may ask for.

Why this works: one function, Egress::has_findings, says what is still to be processed. The sleep and the replacement both ask it.

Test: the case copy_of_a_rejection_that_was_read of the test of surplus rejections failed before at the new assertion; its other case has a settlement beside the surplus bytes and passed.

--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -88,12 +88,13 @@
         settlements
     }
 
-    /// Whether the caller has not taken everything that was found out: results, settlements, waits.
+    /// Whether the caller has not taken everything that was found out: results, settlements, surplus bytes, waits.
     pub fn has_findings(&self) -> bool {
         !self.results.is_empty()
             || !self.settlements.is_empty()
             || !self.requested_waits.is_empty()
             || !self.connections.settlements.is_empty()
+            || !self.connections.surplus.is_empty()
     }
 
     /// Puts the responses in doubt that a successor process cannot read again.
--- a/crates/sender/src/egress/tests/repeated_responses.rs
+++ b/crates/sender/src/egress/tests/repeated_responses.rs
@@ -384,6 +384,10 @@
         .unwrap();
     case.fixture.wait_for_event();
     case.fixture.step_all(case.now);
+    assert!(
+        case.fixture.egress.has_findings(),
+        "a replacement would lose the surplus bytes"
+    );
     let surplus = case.fixture.egress.take_surplus(case.now);
     let waits: Vec<u64> = surplus.iter().map(|bytes| bytes.retry_after).collect();
     assert_eq!(waits, [if behind_copy { 900_000_000 } else { 0 }]);
