Play all orders of answers, copies, ends, kills and replacements of one message

Change: answer_orders.rs runs the driver with its log, its sockets and a clock that the test sets, on two connections that have carried an answer before. Thirteen events (the real answer 200, 410, 503 or 500; a 410 that is cut off; a copy on either connection; the end of either; another message; a rest; SIGKILL with a start; a replacement) in all orders of three that can happen, for a non-idempotent and an idempotent message and three earlier answers: 5,731 orders. After each round: nothing is sent behind a 410, no safety rule is violated; at the end: one end, no second run. A copy in the place of an answer that comes behind the rest is exempt, as response-matching.md says (HTTP cannot tell them apart).

The first form of the test blamed the sender for answers that its own endpoint had given out of order; the endpoint now answers each connection's requests in their order.

--- a/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/mod.rs
@@ -3,6 +3,8 @@
 //!
 //! The peers are scripted and on loopback, and the test sets the clock. The tests never sleep and are deterministic.
 
+mod answer_orders;
+mod manual_endpoint;
 mod resumption;
 mod scripted_peers;
 mod two_processes;
--- a/crates/sender/src/pipeline/test_support.rs
+++ b/crates/sender/src/pipeline/test_support.rs
@@ -8,9 +8,9 @@
 use martenlatch_settings::platform;
 use martenlatch_settings::program::ProgramSettings;
 
-use super::{Driver, StartMode};
+use super::{Driver, ProcessState, StartMode};
 use crate::Config;
-use crate::event_source::ReadyEvents;
+use crate::event_source::{InheritedDescriptors, ReadyEvents};
 
 /// The start time of the test clocks, in milliseconds of Unix time.
 pub(super) const START: Millis = 1_796_121_600_000.0;
@@ -37,18 +37,24 @@
     crate::listen(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap()
 }
 
-/// Starts a driver from the state in a folder. `known` is the endpoint list that the configuration contains, in JSON.
-pub(super) fn start_driver(
+/// A process that the tests run round by round.
+pub(super) struct TestProcess {
+    pub(super) driver: Driver,
+    pub(super) events: TestLoop,
+    pub(super) config: Config,
+}
+
+/// The configuration of a sender. `known` is the endpoint list that it contains, in JSON.
+fn config(
+    listen: SocketAddr,
     state: &Path,
     settings: &str,
     known: &str,
     discovery: SocketAddr,
-    clock: &Clock,
-) -> (Driver, TestLoop) {
-    let listener = listener();
-    let config = Config {
+) -> Config {
+    Config {
         name: "n0".into(),
-        listen: listener.local_addr().unwrap(),
+        listen,
         discovery,
         discovery_in_file: Some(discovery),
         operator: None,
@@ -61,13 +67,77 @@
         clients: ProgramSettings::default().clients,
         peers: None,
         platform_settings: platform::read(settings).unwrap(),
-    };
-    let events = TestLoop::try_new().unwrap();
-    let start = StartMode::Fresh {
-        listener,
-        // An instant in the future, so that the start never counts as delayed, however busy the machine is.
-        process_started: Instant::now() + Duration::from_secs(3_600),
-    };
-    let driver = Driver::new(config, start, None, &events.handle(), clock.clone()).unwrap();
-    (driver, events)
+    }
+}
+
+/// Starts a driver from the state in a folder. `known` is the endpoint list that the configuration contains, in JSON.
+pub(super) fn start_driver(
+    state: &Path,
+    settings: &str,
+    known: &str,
+    discovery: SocketAddr,
+    clock: &Clock,
+) -> (Driver, TestLoop) {
+    let process = TestProcess::start(state, settings, known, discovery, clock);
+    (process.driver, process.events)
+}
+
+impl TestProcess {
+    /// Starts a process from the state in a folder, with the arguments of [`start_driver`].
+    pub(super) fn start(
+        state: &Path,
+        settings: &str,
+        known: &str,
+        discovery: SocketAddr,
+        clock: &Clock,
+    ) -> TestProcess {
+        let listener = listener();
+        let config = config(
+            listener.local_addr().unwrap(),
+            state,
+            settings,
+            known,
+            discovery,
+        );
+        let events = TestLoop::try_new().unwrap();
+        let start = StartMode::Fresh {
+            listener,
+            // An instant in the future, so that the start never counts as delayed, however busy the machine is.
+            process_started: Instant::now() + Duration::from_secs(3_600),
+        };
+        let handle = events.handle();
+        let driver = Driver::new(config.clone(), start, None, &handle, clock.clone()).unwrap();
+        TestProcess {
+            driver,
+            events,
+            config,
+        }
+    }
+
+    /// The process that takes over. `None` if this process has something to process first.
+    pub(super) fn replacement(&mut self, clock: &Clock) -> Option<TestProcess> {
+        if !self.driver.is_quiescent() {
+            return None;
+        }
+        self.driver.prepare_for_successor().unwrap();
+        if !self.driver.is_quiescent() {
+            return None;
+        }
+        let (state, descriptors) = self.driver.encode_state().unwrap();
+        let state = ProcessState::decode(&state, &self.config).unwrap();
+        let descriptors = descriptors
+            .into_iter()
+            .map(|descriptor| descriptor.try_clone_to_owned().unwrap())
+            .collect();
+        let start = StartMode::Takeover(Box::new(state), InheritedDescriptors::new(descriptors));
+        let events = TestLoop::try_new().unwrap();
+        let config = self.config.clone();
+        let handle = events.handle();
+        let driver = Driver::new(config.clone(), start, None, &handle, clock.clone()).unwrap();
+        Some(TestProcess {
+            driver,
+            events,
+            config,
+        })
+    }
 }
