Move what becomes of a response to a file of its own

Change: the settlements and the tracked response are in tracked_response.rs; contest_earlier takes what the response says and does nothing if that is nothing. No change of what the program does.

--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -14,7 +14,8 @@
 use super::known_responses::ReceivedResponse;
 use super::response::{ResponseClassification, SUCCESS_STATUS};
 use super::response_bytes::bytes_of;
-use super::response_history::{AnsweredAttempt, Evidence, ObservedResponse, Settlement};
+use super::response_history::{Evidence, ObservedResponse};
+use super::tracked_response::{AnsweredAttempt, Settlement};
 
 impl Egress {
     /// Reports the outcome of an attempt whose response has been received.
@@ -65,10 +66,8 @@
         } else {
             Body::UntilClose
         };
-        if gone != MessageGone::No {
-            self.settlements
-                .extend(connection.history.contest_earlier());
-        }
+        self.settlements
+            .extend(connection.history.contest_earlier(gone));
         connection.remaining_response = Some(RemainingResponse::Body(body));
         connection.idle_since = now;
         connection.last_answered = Some(attempt.id);
@@ -135,10 +134,8 @@
             },
             rejects: is_gone,
         });
-        if gone != MessageGone::No {
-            self.settlements
-                .extend(connection.history.contest_earlier());
-        }
+        self.settlements
+            .extend(connection.history.contest_earlier(gone));
         connection.remaining_response = Some(RemainingResponse::Head);
         connection.idle_since = now;
         connection.last_answered = Some(attempt.id);
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -10,8 +10,8 @@
 use slab::Slab;
 
 use super::endpoint_connection::EndpointConnection;
-use super::response_history::Settlement;
 use super::surplus_bytes::{SurplusBytes, unread_surplus};
+use super::tracked_response::Settlement;
 use crate::event_source::{Connection, EventLoopHandle, EventSource};
 
 /// All connections to endpoints, each in a slot whose number identifies it in the event loop.
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -45,6 +45,7 @@
 #[cfg(test)]
 mod tests;
 mod timeouts;
+mod tracked_response;
 
 use martenlatch_clock::Millis;
 use martenlatch_http::buffer_pool::BufferPool;
@@ -54,10 +55,11 @@
 pub use attempt_start::SendPermission;
 pub use gone::MessageGone;
 pub use requested_waits::RequestedWait;
-pub use response_history::{AnsweredAttempt, Evidence, Settlement};
+pub use response_history::Evidence;
 pub use response_times::ResponseTimes;
 pub use snapshot::EgressSnapshot;
 pub use surplus_bytes::SurplusBytes;
+pub use tracked_response::{AnsweredAttempt, Settlement};
 
 use crate::event_source::EventLoopHandle;
 use attempt_end::EndCause;
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -15,6 +15,7 @@
 use super::gone::{MessageGone, gone_by_incomplete_response};
 use super::known_responses::{KnownResponses, ReceivedResponse};
 use super::response_bytes::{begins_with_success, complete_response, last_bytes};
+use super::tracked_response::{AnsweredAttempt, Settlement, TrackedResponse};
 
 /// The number of settled responses that are remembered for each connection, in case a surplus contradicts them later.
 const MAX_SETTLED: usize = 64;
@@ -32,40 +33,6 @@
     Uncertain,
 }
 
-/// An attempt whose response was uncertain.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AnsweredAttempt {
-    /// The message.
-    pub id: MessageId,
-    /// The number of the attempt within the message, from 0.
-    pub attempt: u32,
-}
-
-/// An uncertain response, or one after it on the same connection.
-#[derive(Clone, Debug)]
-struct TrackedResponse {
-    attempt: AnsweredAttempt,
-    /// Whether a later response on the connection says that a message is over. It may answer this attempt.
-    is_contested: bool,
-    /// Until when any further response on the connection may be the real one.
-    doubted_until: Millis,
-    /// The exchange as it was before the response was read, until it is settled.
-    exchange: Option<Rc<UnreadExchange>>,
-}
-
-impl TrackedResponse {
-    fn in_doubt(&self) -> Settlement {
-        Settlement::Doubtful {
-            answered: self.attempt,
-            gone: if self.is_contested {
-                MessageGone::Possibly
-            } else {
-                MessageGone::No
-            },
-        }
-    }
-}
-
 /// An exchange as it was when its response had arrived and was not read yet. A successor process gets an unsettled one
 /// in this form, and reads the response again.
 #[derive(Debug)]
@@ -85,35 +52,6 @@
     pub doubted_until: Millis,
 }
 
-/// What became of an uncertain response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Settlement {
-    /// The connection rested without another response: the response belonged to the attempt.
-    Confirmed(AnsweredAttempt),
-    /// A later response on the connection says that a message is over, which may be this attempt's. Another settlement
-    /// follows.
-    Contested(AnsweredAttempt),
-    /// Another response followed, or the connection ended too early: the attempt may have ended in any way.
-    Doubtful {
-        /// The attempt.
-        answered: AnsweredAttempt,
-        /// Whether a later response may say that its message is over.
-        gone: MessageGone,
-    },
-}
-
-impl Settlement {
-    /// Whether it may be a reason to send nothing more for a message.
-    pub(super) fn is_against_sending(&self, id: MessageId) -> bool {
-        match self {
-            Settlement::Confirmed(_) => false,
-            Settlement::Contested(answered) | Settlement::Doubtful { answered, .. } => {
-                answered.id == id
-            }
-        }
-    }
-}
-
 /// A response that ends an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedResponse<'a> {
@@ -253,9 +191,12 @@
         }
     }
 
-    /// Notes that the next response says, or may say, that a message is over: that may be the message of an earlier
-    /// attempt. Returns the attempts of which this is not settled.
-    pub fn contest_earlier(&mut self) -> Vec<Settlement> {
+    /// Notes what the next response says of the end of a message, which may be the message of an earlier attempt. Returns
+    /// the attempts of which this is not settled.
+    pub fn contest_earlier(&mut self, gone: MessageGone) -> Vec<Settlement> {
+        if gone == MessageGone::No {
+            return Vec::new();
+        }
         let unsettled = self.unsettled.iter_mut();
         for response in unsettled.chain(&mut self.settled) {
             response.is_contested = true;
@@ -349,9 +290,7 @@
     /// request in flight, and `gone` is what all unread bytes say. An end alone confirms nothing: the endpoint may have
     /// ended the connection in place of the real response.
     pub fn end(&mut self, surplus: &[u8], gone: MessageGone, now: Millis) -> Vec<Settlement> {
-        if gone != MessageGone::No {
-            self.contest_earlier();
-        }
+        self.contest_earlier(gone);
         let is_new = self.is_new_response(surplus);
         let contradicted = std::mem::take(&mut self.settled)
             .into_iter()
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -4,8 +4,9 @@
 
 use super::Egress;
 use super::attempt::ActiveAttempt;
-use super::response_history::{AnsweredAttempt, Evidence, Settlement, SettlementTimes};
+use super::response_history::{Evidence, SettlementTimes};
 use super::surplus_bytes::SurplusBytes;
+use super::tracked_response::{AnsweredAttempt, Settlement};
 
 impl Egress {
     /// Notes that a response has ended an attempt: an uncertain one has to be settled.
