End a message whose believed rejection is followed by what may be its 410

What partners saw: a request behind a 410. Found by playing all orders of four events, not by a caller: an endpoint takes longer than ever for an answer, a copy of an earlier 503 comes in its place, and the real answer is a 410 with the bytes of one that the connection has carried, or is cut off.

Cause: the copy comes behind the connection's rest and is settled at once, so the message is tried again. The 410 behind it is a surplus with known bytes, later than the long rest: nothing was contradicted by it, and the retry was sent although the 410 had been read before.

Evidence: the driver's log of that order: response 503 `Uncertain` 1165 ms behind its request, `unexpected bytes ... bytes=44 closed=true last_answered=2`, then `request sent` of attempt 2 of message 2.

Why this works: the surplus 410 may be a copy of the earlier one, then a report costs one delivery; or it is the message's own, then any request breaks a rule. A surplus proves that something was written twice on this connection, so the report is made (PossiblyGone); only for messages that are still open, and not for a 410 that answers a request, which usually is that request's own.

Test: the four cases of a_410_behind_a_copy_that_was_believed_ends_its_message failed before ("sent behind its 410").

--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -292,12 +292,21 @@
     pub fn end(&mut self, surplus: &[u8], gone: MessageGone, now: Millis) -> Vec<Settlement> {
         self.contest_earlier(gone);
         let is_new = self.is_new_response(surplus);
-        let contradicted = std::mem::take(&mut self.settled)
-            .into_iter()
-            .filter(|response| !surplus.is_empty() && (is_new || response.doubted_until > now));
-        contradicted
-            .chain(std::mem::take(&mut self.unsettled))
-            .map(|response| response.in_doubt())
+        let settled = std::mem::take(&mut self.settled).into_iter();
+        let behind_settled = settled.filter_map(|response| {
+            if surplus.is_empty() {
+                None
+            } else if is_new || response.doubted_until > now {
+                Some(response.in_doubt())
+            } else if gone != MessageGone::No {
+                Some(Settlement::PossiblyGone(response.attempt))
+            } else {
+                None
+            }
+        });
+        let unsettled = std::mem::take(&mut self.unsettled);
+        behind_settled
+            .chain(unsettled.iter().map(TrackedResponse::in_doubt))
             .collect()
     }
 
--- a/crates/sender/src/egress/tests/repeated_responses.rs
+++ b/crates/sender/src/egress/tests/repeated_responses.rs
@@ -188,6 +188,7 @@
                 let outcome = self.pending[number].take().expect("an uncertain response");
                 self.conclude(number, Conclusion::Outcome(outcome));
             }
+            Settlement::PossiblyGone(_) => {}
             Settlement::Contested(answered) => self.contested[answered.id.0 as usize] = true,
             Settlement::Doubtful { answered, gone } => {
                 let number = answered.id.0 as usize;
--- a/crates/sender/src/egress/tracked_response.rs
+++ b/crates/sender/src/egress/tracked_response.rs
@@ -32,6 +32,8 @@
         /// Whether a later response may say that its message is over.
         gone: MessageGone,
     },
+    /// The response was settled, but bytes behind it that belong to no request may say that the message is over.
+    PossiblyGone(AnsweredAttempt),
 }
 
 impl Settlement {
@@ -39,9 +41,9 @@
     pub(super) fn is_against_sending(&self, id: MessageId) -> bool {
         match self {
             Settlement::Confirmed(_) => false,
-            Settlement::Contested(answered) | Settlement::Doubtful { answered, .. } => {
-                answered.id == id
-            }
+            Settlement::Contested(answered)
+            | Settlement::Doubtful { answered, .. }
+            | Settlement::PossiblyGone(answered) => answered.id == id,
         }
     }
 }
--- a/crates/sender/src/pipeline/crash_recovery_tests/answer_orders.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/answer_orders.rs
@@ -1,6 +1,7 @@
 //! All orders of answers, copies, ends of connections, kills and replacements around one message on two connections. The
 //! rules are checked after each of them. `MARTENLATCH_ORDER_LENGTH` sets the number of events of an order.
 
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 
 use super::manual_endpoint::ManualPeers;
@@ -23,6 +24,8 @@
 const TOLERANCE: Millis = 300.0;
 /// How long the steps wait for a connection to rest.
 const REST: Millis = 1_200.0;
+/// The shortest time for which a connection rests whose endpoint is little known.
+const SHORTEST_REST: Millis = 100.0;
 /// The steps of the clock in which the end of the message is waited for.
 const LONG_STEP: Millis = 50.0;
 /// The number of clients' and of endpoints' connections that a round reads.
@@ -80,8 +83,8 @@
     gone: bool,
     /// The number of requests that ran, or may have.
     runs: usize,
-    /// A copy stood in the place of an answer that came only after the rest, or never: HTTP cannot tell such a copy from
-    /// the answer (`docs/design/response-matching.md`).
+    /// Behind a copy, an answer on a connection of the message came only after the rest, or never: HTTP cannot tell such a
+    /// copy from an answer (`docs/design/response-matching.md`).
     is_indistinguishable: bool,
 }
 
@@ -96,10 +99,8 @@
     checked: usize,
     /// The connection of the latest request for the message.
     connection: usize,
-    /// Whether a copy has been written while its request waits for an answer.
-    is_copied: bool,
-    /// Whether connections have rested while its request waits for an answer.
-    has_rested: bool,
+    /// The connections of all requests for the message.
+    connections: BTreeSet<usize>,
     others: usize,
     deadline: Millis,
     /// What has happened, for the messages of failed checks.
@@ -121,8 +122,7 @@
             truth: Truth::default(),
             checked: 0,
             connection: 0,
-            is_copied: false,
-            has_rested: false,
+            connections: BTreeSet::new(),
             others: 0,
             deadline: 0.0,
             happened: Vec::new(),
@@ -175,16 +175,26 @@
     }
 
     fn round(&mut self, time: Millis) {
-        self.peers.poll();
+        let now = self.clock.now();
+        self.peers.poll(now);
         let driver = &mut self.process().driver;
         driver.round(all_sources());
         let violations = driver.violations.total();
         assert_eq!(violations, 0, "a rule was broken: {:?}", self.happened);
-        self.peers.poll();
+        self.peers.poll(now);
+        self.note_late_answers(now);
         self.check_requests();
         self.clock.set(self.clock.now() + time);
     }
 
+    /// Notes that an answer comes late behind a copy, on a connection that has carried the message.
+    fn note_late_answers(&mut self, now: Millis) {
+        let peers = &self.peers;
+        let mut connections = self.connections.iter();
+        self.truth.is_indistinguishable |= connections
+            .any(|connection| peers.is_late_behind_copy(*connection, now, SHORTEST_REST));
+    }
+
     /// Checks the requests for the message that have arrived since the last call.
     fn check_requests(&mut self) {
         let new = self.peers.requests.split_at(self.checked).1;
@@ -197,8 +207,7 @@
         for connection in of_message {
             assert!(!self.truth.gone, "sent behind its 410: {:?}", self.happened);
             self.connection = connection;
-            self.is_copied = false;
-            self.has_rested = false;
+            self.connections.insert(connection);
             self.truth.runs += 1;
         }
     }
@@ -239,9 +248,6 @@
                 true
             }
             Happening::Rest => {
-                self.truth.is_indistinguishable |=
-                    self.is_copied && self.peers.unanswered(MESSAGE).is_some();
-                self.has_rested = true;
                 self.wait(REST);
                 true
             }
@@ -264,24 +270,12 @@
             _ => {}
         }
         self.truth.runs -= usize::from([GONE, REFUSED].contains(&answer));
-        self.is_copied = false;
         self.peers.answer(connection, answer);
         true
     }
 
     fn copy(&mut self, connection: Option<usize>) -> bool {
-        let Some(connection) = connection.filter(|number| self.peers.is_open(*number)) else {
-            return false;
-        };
-        let Some(answer) = self.peers.last_answer(connection) else {
-            return false;
-        };
-        if self.peers.unanswered(MESSAGE) == Some(connection) {
-            self.is_copied = true;
-            self.truth.is_indistinguishable |= self.has_rested;
-        }
-        self.peers.write(connection, answer);
-        true
+        connection.is_some_and(|connection| self.peers.copy(connection))
     }
 
     fn end(&mut self, connection: Option<usize>) -> bool {
@@ -390,3 +384,19 @@
     println!("{class} {earlier:?}: {played} orders");
     assert!(played > 50, "{played}");
 }
+
+/// Guards against a request behind a 410: a copied rejection came later than any earlier response and so was believed, and
+/// the 410 behind it had the bytes of an earlier one.
+#[rstest::rstest]
+fn a_410_behind_a_copy_that_was_believed_ends_its_message(
+    #[values("debit", "reading")] class: &str,
+    #[values(Happening::Answered(GONE), Happening::CutOffGone)] end: Happening,
+) {
+    let order = [
+        Happening::Answered(REFUSED),
+        Happening::Rest,
+        Happening::CopyOnItsConnection,
+        end,
+    ];
+    assert!(play(class, GONE, &order));
+}
--- a/crates/sender/src/pipeline/crash_recovery_tests/manual_endpoint.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/manual_endpoint.rs
@@ -4,16 +4,26 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
+use martenlatch_clock::Millis;
+
 use crate::pipeline::test_support::listener;
 
 const CONFIRMATION: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
+/// A request that has not been answered.
+struct WaitingRequest {
+    id: String,
+    arrived_at: Millis,
+}
+
 /// A connection of the sender.
 struct PeerConnection {
     stream: TcpStream,
     received: Vec<u8>,
-    /// The messages whose requests were read and not answered, in the order in which they are answered.
-    unanswered: VecDeque<String>,
+    /// The requests that were read and not answered, in the order in which they are answered.
+    unanswered: VecDeque<WaitingRequest>,
+    /// Whether a copy of an earlier answer has been written while a request waited.
+    is_shifted: bool,
     /// The latest answer.
     last_answer: Option<&'static str>,
     is_open: bool,
@@ -65,14 +75,17 @@
     }
 
     /// Accepts connections and reads everything that has arrived. Reports are confirmed.
-    pub fn poll(&mut self) {
+    pub fn poll(&mut self, now: Millis) {
         accept_all(&self.endpoint, &mut self.connections);
         accept_all(&self.platform, &mut self.platform_connections);
         for (number, connection) in self.connections.iter_mut().enumerate() {
             connection.receive();
             while let Some((head, _)) = connection.take_request() {
                 let id = header(&head, "X-Request-ID: ").to_string();
-                connection.unanswered.push_back(id.clone());
+                connection.unanswered.push_back(WaitingRequest {
+                    id: id.clone(),
+                    arrived_at: now,
+                });
                 self.requests.push(ArrivedRequest {
                     id,
                     connection: number,
@@ -111,11 +124,6 @@
             .next_back()
     }
 
-    /// The latest answer on a connection.
-    pub fn last_answer(&self, connection: usize) -> Option<&'static str> {
-        self.connections[connection].last_answer
-    }
-
     /// Writes the answer to the first request that waits on a connection.
     pub fn answer(&mut self, connection: usize, answer: &'static str) {
         let connection = &mut self.connections[connection];
@@ -124,6 +132,25 @@
         connection.write(answer);
     }
 
+    /// Writes the latest answer on a connection again. Returns false if there is none.
+    pub fn copy(&mut self, connection: usize) -> bool {
+        let connection = &mut self.connections[connection];
+        let Some(answer) = connection.last_answer.filter(|_| connection.is_open) else {
+            return false;
+        };
+        connection.is_shifted |= !connection.unanswered.is_empty();
+        connection.write(answer);
+        true
+    }
+
+    /// Whether an answer behind a copy has been waited for on a connection for longer than this.
+    pub fn is_late_behind_copy(&self, connection: usize, now: Millis, time: Millis) -> bool {
+        let connection = &self.connections[connection];
+        let first = connection.unanswered.front();
+        let may_answer = connection.is_open && connection.is_shifted;
+        may_answer && first.is_some_and(|first| first.arrived_at < now - time)
+    }
+
     /// Writes bytes that answer no request.
     pub fn write(&mut self, connection: usize, bytes: &str) {
         self.connections[connection].write(bytes);
@@ -151,7 +178,7 @@
 impl PeerConnection {
     /// Whether the next answer is for a message.
     fn is_next(&self, id: &str) -> bool {
-        self.is_open && self.unanswered.front().is_some_and(|first| first == id)
+        self.is_open && self.unanswered.front().is_some_and(|first| first.id == id)
     }
 
     fn receive(&mut self) {
@@ -198,6 +225,7 @@
             stream,
             received: Vec::new(),
             unanswered: VecDeque::new(),
+            is_shifted: false,
             last_answer: None,
             is_open: true,
         });
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -84,6 +84,7 @@
                 Settlement::Confirmed(answered) => self.confirm_response(answered, now),
                 Settlement::Contested(answered) => self.contest_response(answered),
                 Settlement::Doubtful { answered, gone } => self.doubt_response(answered, gone, now),
+                Settlement::PossiblyGone(answered) => self.end_if_open(answered, now),
             }
         }
     }
@@ -188,9 +189,7 @@
         );
         match message.state {
             MessageState::Open | MessageState::Unsettled if gone == MessageGone::Possibly => {
-                self.store.counters.possibly_gone += 1;
-                self.give_up(answered.id, FinalStatus::Undeliverable, now);
-                self.decision.events.push(Event::ClientLeft(answered.id));
+                self.end_if_open(answered, now);
             }
             MessageState::Open if was_rejected || was_never_ran => self.reopen(answered.id, now),
             MessageState::Unsettled if message.unsettled_successes.is_empty() => {
@@ -204,6 +203,20 @@
         }
     }
 
+    /// Reports a message that may be over, unless it has ended: no further request may be sent for it.
+    fn end_if_open(&mut self, answered: AnsweredAttempt, now: Millis) {
+        let message = self.store.messages.get(&answered.id.0);
+        let is_open = message.is_some_and(|message| {
+            matches!(message.state, MessageState::Open | MessageState::Unsettled)
+        });
+        if !is_open {
+            return;
+        }
+        self.store.counters.possibly_gone += 1;
+        self.give_up(answered.id, FinalStatus::Undeliverable, now);
+        self.decision.events.push(Event::ClientLeft(answered.id));
+    }
+
     /// Has the decision module decide on a message again, some attempt of which may have run.
     fn reopen(&mut self, id: MessageId, now: Millis) {
         self.store.counters.reopened += 1;
