Report at once a message whose success may be a copy with its 410 behind it

What partners saw: a request behind a 410, by the process behind a SIGKILL. Found by playing all orders of four events: a copy of an earlier 200, another request on the connection, the 410 that answers the first one, SIGKILL.

Cause: the 410 stands in the place of the next answer. The message before it was contested, and nothing was sent for it until that was settled.

Why this works: two readings. The 200 was real: the message is over, and a report does no harm. The 200 was a copy: the 410 may be the message's own, and only a record of its end keeps the next process from sending it. The report is right under both, so it is made at once; its record is in the log before anything else happens. A contested rejection still waits: there a report would cost a delivery in the likely reading.

Test: a_410_behind_a_copied_success_ends_its_message_before_a_kill, case reading, failed before ("sent behind its 410"); the non-idempotent case passed, as its next process reports it.

--- a/crates/sender/src/pipeline/crash_recovery_tests/answer_orders.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/answer_orders.rs
@@ -400,3 +400,18 @@
     ];
     assert!(play(class, GONE, &order));
 }
+
+/// Guards against a request behind a 410: it stood in the place of the answer to the next request, behind a copy of an
+/// earlier success, and a kill came before that was settled.
+#[rstest::rstest]
+fn a_410_behind_a_copied_success_ends_its_message_before_a_kill(
+    #[values("debit", "reading")] class: &str,
+) {
+    let order = [
+        Happening::CopyOnItsConnection,
+        Happening::NextMessage,
+        Happening::Answered(GONE),
+        Happening::Kill,
+    ];
+    assert!(play(class, OK, &order));
+}
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -82,7 +82,7 @@
         for settlement in self.egress.take_settlements() {
             match settlement {
                 Settlement::Confirmed(answered) => self.confirm_response(answered, now),
-                Settlement::Contested(answered) => self.contest_response(answered),
+                Settlement::Contested(answered) => self.contest_response(answered, now),
                 Settlement::Doubtful { answered, gone } => self.doubt_response(answered, gone, now),
                 Settlement::PossiblyGone(answered) => self.end_if_open(answered, now),
             }
@@ -148,9 +148,15 @@
         }
     }
 
-    /// A later response may say that the message of an attempt is over: nothing is sent for it until that is settled.
-    pub(super) fn contest_response(&mut self, answered: AnsweredAttempt) {
-        if let Some(message) = self.store.messages.get_mut(&answered.id.0) {
+    /// A later response may say that the message of an attempt is over. If the message seems to be delivered, it is
+    /// reported, which is right either way; else nothing is sent for it until that is settled.
+    pub(super) fn contest_response(&mut self, answered: AnsweredAttempt, now: Millis) {
+        let Some(message) = self.store.messages.get_mut(&answered.id.0) else {
+            return;
+        };
+        if message.state == MessageState::Unsettled {
+            self.end_if_open(answered, now);
+        } else {
             message.contested_attempts.push(answered.attempt);
         }
     }
