Report at a replacement a success that its successor cannot read again

What partners saw: a request behind a 410, by a successor. Found by playing all orders of four events: a copy of an earlier 200, another request on the connection, a replacement, the 410 that answers the first request.

Cause: the process passes on one request in flight for each connection. With another request on it, the uncertain 200 before that was passed on neither as unread nor as in doubt (the check for the latest response did not ask whether the connection was idle), only its message as open, so that the successor sent it again behind its pause. It took the 410 for the answer to the other request, as it knows nothing of earlier ones.

Why this works: the answer that is still to come on the connection may be the message's own and say anything. Sending again is right only if that is no 410, a report is right in any case, and where the 200 was real it also saves the partner a call. So such a message is reported before the state is passed on (contested, then doubted). A rejected one is put in doubt as before: a report of it would cost its delivery at each replacement under refusals. The form of the state is as it was.

Test: both cases reading of a_410_behind_a_copied_success_ends_its_message_across_a_replacement failed before ("sent behind its 410"); the non-idempotent ones passed, as their message is reported.

--- a/crates/martenlatch/tests/repeated_answers_workload.rs
+++ b/crates/martenlatch/tests/repeated_answers_workload.rs
@@ -6,12 +6,6 @@
 use support::*;
 
 use rstest::rstest;
-use std::time::Duration;
-
-fn from_environment(name: &str, usual: u64) -> u64 {
-    let value = std::env::var(name).ok();
-    value.and_then(|text| text.parse().ok()).unwrap_or(usual)
-}
 
 /// Endpoints that write 30% of their answers again, up to 50 ms later.
 fn copies(copies: Copies) -> Workload {
@@ -35,7 +29,7 @@
 #[case::first_bytes(copies(Copies::FirstBytes))]
 #[case::distinct_answers(Workload { distinct_answers: true, ..copies(Copies::AnyAnswer) })]
 #[case::distinct_first_bytes(Workload { distinct_answers: true, ..copies(Copies::FirstBytes) })]
-#[case::with_kills(Workload { kills: true, ..copies(Copies::AnyAnswer) })]
+#[case::with_kills(Workload { interruptions: Interruptions::Kills, ..copies(Copies::AnyAnswer) })]
 #[case::no_service_time(Workload { service: 0.0, ..copies(Copies::AnyAnswer) })]
 #[case::junk(copies(Copies::Junk))]
 #[case::slow_answers(Workload { slow_share: 0.01, ..copies(Copies::AnyAnswer) })]
@@ -44,14 +38,7 @@
 #[case::repeated_requests(Workload { repeated_requests: 0.2, ..Workload::default() })]
 #[case::repeated_requests_and_answers(Workload { repeated_requests: 0.2, ..copies(Copies::AnyAnswer) })]
 fn each_message_has_one_end_when_answers_are_repeated(#[case] usual: Workload) {
-    let workload = Workload {
-        seed: from_environment("MARTENLATCH_WORKLOAD_SEED", usual.seed),
-        duration: Duration::from_secs(from_environment(
-            "MARTENLATCH_WORKLOAD_SECONDS",
-            usual.duration.as_secs(),
-        )),
-        ..usual
-    };
+    let workload = usual.with_environment();
     let name = case_name(&format!("{workload:?}"));
     let tally = workload.run(&name);
     println!("{workload:?} {tally:?}");
--- a/crates/martenlatch/tests/support/mod.rs
+++ b/crates/martenlatch/tests/support/mod.rs
@@ -12,6 +12,7 @@
 mod sender;
 mod timed_endpoint;
 mod wall_clock;
+mod withdrawals;
 mod workload;
 
 use std::time::{Duration, Instant};
@@ -23,9 +24,10 @@
 };
 pub use platform::{Platform, watch_chunk};
 pub use sender::{ProcessExit, Replacement, Sender, call_operator, sender_with_endpoint};
-pub use timed_endpoint::{TimedEndpoint, TimedWrite};
+pub use timed_endpoint::{AfterWrite, TimedEndpoint, TimedWrite};
 pub use wall_clock::WallClock;
-pub use workload::{Copies, Tally, Workload};
+pub use withdrawals::Withdrawals;
+pub use workload::{Copies, Interruptions, Tally, Workload};
 
 /// How long a test waits for any single condition before it fails.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(40);
--- a/crates/martenlatch/tests/support/timed_endpoint.rs
+++ b/crates/martenlatch/tests/support/timed_endpoint.rs
@@ -10,21 +10,39 @@
 
 use super::http::{HttpMessage, read_message};
 
+/// What happens to the connection after a write.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum AfterWrite {
+    /// It stays open.
+    Nothing,
+    /// It is closed.
+    Close,
+    /// It is reset.
+    Reset,
+}
+
 /// One write of an endpoint.
 pub struct TimedWrite {
     /// The time from the moment at which the request was read.
     pub delay: Duration,
     pub bytes: String,
-    /// Whether the connection is closed after the write.
-    pub close: bool,
+    pub then: AfterWrite,
+    /// Called once the bytes are written, unless the sender has closed the connection before.
+    pub when_written: Option<Box<dyn FnOnce() + Send>>,
 }
 
 impl TimedWrite {
     pub fn after(milliseconds: u64, bytes: &str) -> TimedWrite {
+        TimedWrite::at(milliseconds as f64, bytes)
+    }
+
+    /// A write after a time in milliseconds.
+    pub fn at(milliseconds: f64, bytes: &str) -> TimedWrite {
         TimedWrite {
-            delay: Duration::from_millis(milliseconds),
+            delay: Duration::from_secs_f64(milliseconds / 1e3),
             bytes: bytes.to_string(),
-            close: false,
+            then: AfterWrite::Nothing,
+            when_written: None,
         }
     }
 }
@@ -80,7 +98,7 @@
         let read_at = Instant::now();
         for write in script(&request) {
             let writer = writer.try_clone().unwrap();
-            thread::spawn(move || perform(&write, read_at, writer));
+            thread::spawn(move || perform(write, read_at, writer));
         }
         if requests.send(request).is_err() {
             return;
@@ -89,11 +107,21 @@
     let _ = writer.shutdown(Shutdown::Both);
 }
 
-fn perform(write: &TimedWrite, read_at: Instant, mut stream: TcpStream) {
+fn perform(write: TimedWrite, read_at: Instant, mut stream: TcpStream) {
     let at = read_at + write.delay;
     thread::sleep(at.saturating_duration_since(Instant::now()));
-    let _ = stream.write_all(write.bytes.as_bytes());
-    if write.close {
-        let _ = stream.shutdown(Shutdown::Both);
+    let is_written = stream.write_all(write.bytes.as_bytes()).is_ok();
+    if let Some(when_written) = write.when_written.filter(|_| is_written) {
+        when_written();
     }
+    match write.then {
+        AfterWrite::Nothing => {}
+        AfterWrite::Close => drop(stream.shutdown(Shutdown::Both)),
+        AfterWrite::Reset => reset(&stream),
+    }
+}
+
+/// Resets a connection, also while another thread reads from it: dissolving the association of a socket does.
+fn reset(stream: &TcpStream) {
+    let _ = rustix::net::connect_unspec(stream);
 }
--- a/crates/martenlatch/tests/support/workload.rs
+++ b/crates/martenlatch/tests/support/workload.rs
@@ -17,6 +17,7 @@
 use super::platform::Platform;
 use super::sender::Sender;
 use super::timed_endpoint::{TimedEndpoint, TimedWrite};
+use super::withdrawals::{Withdrawals, WithdrawnMessages};
 
 /// Requests per second of all clients together.
 const REQUESTS_PER_SECOND: f64 = 55.0;
@@ -34,8 +35,6 @@
 const JUNK: &str = "\r\nno answer at all\r\n\r\n";
 /// The destinations, each with two endpoints.
 const DESTINATIONS: [u64; 2] = [7, 8];
-/// The share of requests that are answered 503.
-const REJECTED_SHARE: f64 = 0.15;
 /// The fewest bytes of a copy that is cut off.
 const SHORTEST_COPY: usize = 12;
 
@@ -56,6 +55,18 @@
     Junk,
 }
 
+/// What happens to the sender's process again and again.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Interruptions {
+    Nothing,
+    /// It is killed and started again.
+    Kills,
+    /// It gets SIGTERM and is started again.
+    Terminations,
+    /// Another process replaces it.
+    Replacements,
+}
+
 /// The parameters of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Workload {
@@ -66,10 +77,16 @@
     /// The longest delay of a copy behind its answer, in milliseconds.
     pub span: f64,
     pub duration: Duration,
-    /// Whether the sender is killed and started again every 1 to 2.5 s.
-    pub kills: bool,
+    /// What happens to the sender's process every 1 to 2.5 s.
+    pub interruptions: Interruptions,
     /// The shortest time in which an endpoint answers, in milliseconds.
     pub service: f64,
+    /// The share of requests that are answered 503.
+    pub rejected_share: f64,
+    /// The share of requests that are not answered.
+    pub hanging_share: f64,
+    /// The messages that are over.
+    pub withdrawals: Withdrawals,
     /// The share of requests that are answered 500.
     pub failed_share: f64,
     /// The share of answers that take [`SLOW_FACTOR`] times as long.
@@ -91,8 +108,11 @@
             share: 0.0,
             span: 50.0,
             duration: Duration::from_secs(4),
-            kills: false,
+            interruptions: Interruptions::Nothing,
             service: 60.0,
+            rejected_share: 0.15,
+            hanging_share: 0.0,
+            withdrawals: Withdrawals::default(),
             failed_share: 0.02,
             slow_share: 0.0,
             distinct_answers: false,
@@ -116,6 +136,10 @@
     pub copies: usize,
     /// Reported although they had been delivered.
     pub needless_reports: usize,
+    /// Answered with 410.
+    pub withdrawn: usize,
+    /// Sent again although they had been answered with 410, and how long after that.
+    pub sent_after_end: Vec<(String, Duration)>,
 }
 
 /// What the endpoints have done with each message.
@@ -129,13 +153,29 @@
     answers: BTreeMap<(usize, usize), Vec<String>>,
 }
 
+fn from_environment(name: &str, usual: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
 impl Workload {
+    /// The workload with the seed and the duration that the environment asks for.
+    pub fn with_environment(self) -> Workload {
+        let seconds = from_environment("MARTENLATCH_WORKLOAD_SECONDS", self.duration.as_secs());
+        Workload {
+            seed: from_environment("MARTENLATCH_WORKLOAD_SEED", self.seed),
+            duration: Duration::from_secs(seconds),
+            ..self
+        }
+    }
+
     /// Runs the load and counts the ends of all accepted messages.
     pub fn run(self, test: &str) -> Tally {
         println!("{self:?}");
         let calls = Arc::new(Mutex::new(Calls::default()));
+        let withdrawn = WithdrawnMessages::default();
         let endpoints: Vec<TimedEndpoint> = (0..2 * DESTINATIONS.len())
-            .map(|number| self.endpoint(number, calls.clone()))
+            .map(|number| self.endpoint(number, calls.clone(), withdrawn.clone()))
             .collect();
         let entries: Vec<String> = endpoints
             .iter()
@@ -155,7 +195,7 @@
         sender.change_config("\"CallsOut\":8", "\"CallsOut\":20");
         sender.change_config("\"OpenCap\":50", "\"OpenCap\":229");
         sender = sender.kill_and_restart();
-        let (accepted, _sender) = self.submit_all(sender);
+        let (accepted, _sender) = self.submit_all(sender, &withdrawn);
         thread::sleep(END_WAIT);
         let reported: Vec<String> = platform.status_reports.try_iter().collect();
         let connections = endpoints
@@ -163,23 +203,41 @@
             .map(|endpoint| endpoint.connections.load(Ordering::SeqCst))
             .sum();
         let calls = calls.lock().unwrap();
-        tally(&accepted, &calls, &reported, connections)
+        tally(&accepted, &calls, &reported, connections, &withdrawn)
     }
 
-    fn endpoint(self, number: usize, calls: Arc<Mutex<Calls>>) -> TimedEndpoint {
+    fn endpoint(
+        self,
+        number: usize,
+        calls: Arc<Mutex<Calls>>,
+        withdrawn: WithdrawnMessages,
+    ) -> TimedEndpoint {
         let rng = Mutex::new(Pcg64::seed_from_u64(self.seed ^ ((number as u64) << 32)));
+        let withdrawal_rng = Mutex::new(Pcg64::seed_from_u64(
+            self.seed.rotate_left(16) ^ ((number as u64) << 32),
+        ));
         let slow_rng = Mutex::new(Pcg64::seed_from_u64(!self.seed ^ ((number as u64) << 32)));
         TimedEndpoint::new(move |request| {
             let mut calls = calls.lock().unwrap();
             let mut rng = rng.lock().unwrap();
+            let id = request.id().to_string();
+            calls.count += 1;
+            let mut withdrawal_rng = withdrawal_rng.lock().unwrap();
+            if let Some(writes) =
+                withdrawn.answer(&self.withdrawals, &id, self.service, &mut withdrawal_rng)
+            {
+                return writes;
+            }
             let draw = rng.random::<f64>();
             let status = match draw {
-                _ if draw < REJECTED_SHARE => 503,
-                _ if draw < REJECTED_SHARE + self.failed_share => 500,
+                _ if draw < self.rejected_share => 503,
+                _ if draw < self.rejected_share + self.failed_share => 500,
                 _ => 200,
             };
-            let id = request.id().to_string();
-            calls.count += 1;
+            if status == 200 && withdrawal_rng.random::<f64>() < self.hanging_share {
+                *calls.runs.entry(id).or_default() += 1;
+                return Vec::new();
+            }
             if status != 503 {
                 *calls.runs.entry(id.clone()).or_default() += 1;
             }
@@ -239,7 +297,11 @@
     }
 
     /// Submits messages at random times, half of them non-idempotent. Returns the ids of the accepted ones.
-    fn submit_all(self, mut sender: Sender) -> (Vec<String>, Sender) {
+    fn submit_all(
+        self,
+        mut sender: Sender,
+        withdrawn: &WithdrawnMessages,
+    ) -> (Vec<String>, Sender) {
         let mut rng = Pcg64::seed_from_u64(self.seed);
         let mut repeat_rng = Pcg64::seed_from_u64(!self.seed);
         let accepted = Arc::new(Mutex::new(Vec::new()));
@@ -251,8 +313,8 @@
         while at < self.duration.as_secs_f64() {
             at += Exp::new(REQUESTS_PER_SECOND).unwrap().sample(&mut rng);
             thread::sleep(Duration::from_secs_f64(at).saturating_sub(started.elapsed()));
-            if self.kills && at > next_kill {
-                sender = sender.kill_and_restart();
+            if self.interruptions != Interruptions::Nothing && at > next_kill {
+                sender = self.interruptions.perform(sender, withdrawn);
                 next_kill = started.elapsed().as_secs_f64() + rng.random_range(1.0..2.5);
             }
             let number = submitted.fetch_add(1, Ordering::Relaxed);
@@ -290,6 +352,23 @@
     }
 }
 
+impl Interruptions {
+    fn perform(self, mut sender: Sender, withdrawn: &WithdrawnMessages) -> Sender {
+        match self {
+            Interruptions::Nothing => sender,
+            Interruptions::Kills => {
+                withdrawn.note_kill();
+                sender.kill_and_restart()
+            }
+            Interruptions::Terminations => sender.terminate_and_restart(),
+            Interruptions::Replacements => {
+                sender.replace();
+                sender
+            }
+        }
+    }
+}
+
 /// The client of one message.
 struct Client {
     address: SocketAddr,
@@ -328,15 +407,19 @@
 }
 
 fn write_at(milliseconds: f64, bytes: String) -> TimedWrite {
-    TimedWrite {
-        delay: Duration::from_secs_f64(milliseconds / 1e3),
-        bytes,
-        close: false,
-    }
+    TimedWrite::at(milliseconds, &bytes)
 }
 
-fn tally(accepted: &[String], calls: &Calls, reports: &[String], connections: usize) -> Tally {
+fn tally(
+    accepted: &[String],
+    calls: &Calls,
+    reports: &[String],
+    connections: usize,
+    withdrawn: &WithdrawnMessages,
+) -> Tally {
     let mut tally = Tally {
+        withdrawn: withdrawn.count(),
+        sent_after_end: withdrawn.sent_after_end(),
         accepted: accepted.len(),
         calls: calls.count,
         copies: calls.copies,
@@ -352,7 +435,7 @@
         let is_reported = reported.contains(id.as_str());
         tally.delivered += usize::from(delivered);
         tally.needless_reports += usize::from(delivered && is_reported);
-        if !delivered && !is_reported {
+        if !delivered && !is_reported && !withdrawn.contains(id) {
             tally.lost.push(id.clone());
         }
         let runs = calls.runs.get(id).copied().unwrap_or(0);
--- a/crates/martenlatch/tests/withdrawn_messages.rs
+++ b/crates/martenlatch/tests/withdrawn_messages.rs
@@ -22,6 +22,8 @@
     Alone,
     /// The answer, and the end of the connection behind it.
     End,
+    /// The answer, and a reset of the connection behind it.
+    Reset,
     /// The answer twice.
     Twice,
     /// Only so many bytes of it, and the end of the connection.
@@ -29,13 +31,18 @@
 }
 
 fn writes_of(answer: SecondAnswer) -> Vec<TimedWrite> {
-    let closing = |delay, bytes| TimedWrite {
-        close: true,
+    let ending = |delay, bytes, then| TimedWrite {
+        then,
         ..TimedWrite::after(delay, bytes)
     };
+    let closing = |delay, bytes| ending(delay, bytes, AfterWrite::Close);
     match answer {
         SecondAnswer::Alone => vec![TimedWrite::after(SERVICE, GONE)],
         SecondAnswer::End => vec![TimedWrite::after(SERVICE, GONE), closing(LATER, "")],
+        SecondAnswer::Reset => vec![
+            TimedWrite::after(SERVICE, GONE),
+            ending(LATER, "", AfterWrite::Reset),
+        ],
         SecondAnswer::Twice => vec![
             TimedWrite::after(SERVICE, GONE),
             TimedWrite::after(LATER, GONE),
@@ -78,6 +85,7 @@
 #[rstest]
 #[case::nothing(SecondAnswer::Alone)]
 #[case::end_of_the_connection(SecondAnswer::End)]
+#[case::reset_of_the_connection(SecondAnswer::Reset)]
 #[case::second_answer(SecondAnswer::Twice)]
 #[case::cut_off_in_its_status_code(SecondAnswer::CutOff("HTTP/1.1 4".len()))]
 #[case::cut_off_in_its_status_line(SecondAnswer::CutOff("HTTP/1.1 410 G".len()))]
@@ -101,6 +109,10 @@
     TwoReplacements,
     /// A replacement while the connection carries another request.
     ReplacementInUse,
+    /// An operator cordons the endpoint, and then no longer does.
+    Cordon,
+    /// The endpoint list names the endpoint no longer, and then again.
+    EndpointRemoved,
 }
 
 /// Guards against a request for a message that is over: a later process found a message open whose 410 had the bytes of an
@@ -111,6 +123,8 @@
 #[case::replacement(Interruption::Replacement)]
 #[case::two_replacements(Interruption::TwoReplacements)]
 #[case::replacement_while_the_connection_is_in_use(Interruption::ReplacementInUse)]
+#[case::cordon(Interruption::Cordon)]
+#[case::endpoint_removed(Interruption::EndpointRemoved)]
 fn a_message_answered_with_410_is_not_sent_again_by_a_later_process(
     #[case] interruption: Interruption,
 ) {
@@ -131,6 +145,22 @@
             assert_eq!(sender.replace().code, Some(0));
             sender
         }
+        Interruption::Cordon => {
+            assert_eq!(sender.call_operator("cordon s-1\n"), "ACK out\n");
+            assert_eq!(sender.call_operator("uncordon s-1\n"), "ACK in\n");
+            sender
+        }
+        Interruption::EndpointRemoved => {
+            let entry = |state| endpoint_entry("s-1", endpoint.address, state);
+            platform.push_line(&endpoint_list(2, false, &[entry("terminated")]));
+            sender.wait_for_round_end();
+            platform.push_bytes(&watch_chunk(&endpoint_list(
+                3,
+                false,
+                &[entry("in_service")],
+            )));
+            sender
+        }
         Interruption::TwoReplacements => {
             assert_eq!(sender.replace().code, Some(0));
             assert_eq!(sender.replace().code, Some(0));
@@ -180,3 +210,20 @@
     let sent = requests.filter(|request| request.id().starts_with("over"));
     assert_eq!(sent.count(), 3, "a message was hedged behind its 410");
 }
+
+/// Guards against a request for a message that is over, and against one whose end the platform never hears: its 410 had the
+/// bytes of an earlier one, and the platform did not confirm the report before the process was killed.
+#[test]
+fn a_message_answered_with_410_is_only_reported_while_the_platform_does_not_confirm() {
+    let endpoint = endpoint_without_messages(SecondAnswer::End);
+    let platform = Platform::new(&[0, 0, 0]);
+    let sender = start_sender("gone-unconfirmed", &endpoint, &platform);
+    submit_two(&sender);
+    let _sender = sender.kill_and_restart();
+    assert_eq!(requests_for_second(&endpoint), 1);
+    let reports: Vec<String> = platform.status_reports.try_iter().collect();
+    assert!(
+        reports.iter().any(|report| report.contains("\"second\"")),
+        "{reports:?}"
+    );
+}
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -254,16 +254,26 @@
         responses.iter().map(TrackedResponse::in_doubt).collect()
     }
 
-    /// Puts the responses in doubt that a successor process cannot read again: all but the latest, or all if that was
-    /// incomplete. Nobody waits any longer for what may follow them.
-    pub fn doubt_unreadable(&mut self) -> Vec<Settlement> {
-        let has_exchange = self.unread_exchange().is_some();
-        let kept = self.unsettled.len() - usize::from(has_exchange);
+    /// Puts all responses in doubt but the latest, which a successor process reads again. Nobody waits any longer for what
+    /// may follow them.
+    pub fn doubt_before_latest(&mut self) -> Vec<Settlement> {
+        let kept = self.unsettled.len().saturating_sub(1);
         let latest = self.unsettled.split_off(kept);
         let unreadable = std::mem::replace(&mut self.unsettled, latest);
         unreadable.iter().map(TrackedResponse::in_doubt).collect()
     }
 
+    /// Puts all responses in doubt, as a successor process can read none of them again. The response that is still to come
+    /// on the connection may say that a message is over, and the successor would not know whose message.
+    pub fn contest_and_doubt(&mut self) -> Vec<Settlement> {
+        let responses = std::mem::take(&mut self.unsettled);
+        let contested = responses
+            .iter()
+            .map(|response| Settlement::Contested(response.attempt));
+        let doubted = responses.iter().map(TrackedResponse::in_doubt);
+        contested.chain(doubted).collect()
+    }
+
     /// The exchange of the latest response, if it is unsettled and can be read again.
     pub fn unread_exchange(&self) -> Option<&UnreadExchange> {
         self.unsettled.last()?.exchange.as_deref()
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -5,6 +5,7 @@
 use super::Egress;
 use super::attempt::ActiveAttempt;
 use super::response_history::{Evidence, SettlementTimes};
+use super::snapshot::unread_exchange;
 use super::surplus_bytes::SurplusBytes;
 use super::tracked_response::{AnsweredAttempt, Settlement};
 
@@ -101,8 +102,13 @@
     /// Puts the responses in doubt that a successor process cannot read again.
     pub fn doubt_for_replacement(&mut self) {
         for (_, connection) in &mut self.connections.slots {
-            self.settlements
-                .extend(connection.history.doubt_unreadable());
+            let is_latest_readable = unread_exchange(connection).is_some();
+            let history = &mut connection.history;
+            self.settlements.extend(if is_latest_readable {
+                history.doubt_before_latest()
+            } else {
+                history.contest_and_doubt()
+            });
         }
     }
 }
--- a/crates/sender/src/egress/snapshot.rs
+++ b/crates/sender/src/egress/snapshot.rs
@@ -37,7 +37,7 @@
 }
 
 /// The exchange on an idle connection whose response is unsettled: a successor process reads the response again.
-fn unread_exchange(connection: &EndpointConnection) -> Option<&UnreadExchange> {
+pub(super) fn unread_exchange(connection: &EndpointConnection) -> Option<&UnreadExchange> {
     let is_idle = connection.attempt.is_none() && connection.remaining_response.is_none();
     connection
         .history
--- a/crates/sender/src/pipeline/crash_recovery_tests/answer_orders.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/answer_orders.rs
@@ -415,3 +415,19 @@
     ];
     assert!(play(class, OK, &order));
 }
+
+/// Guards against a request behind a 410: a copied success was not settled at a replacement, as its connection carried
+/// another request, and the successor took the 410 for the answer to that one.
+#[rstest::rstest]
+fn a_410_behind_a_copied_success_ends_its_message_across_a_replacement(
+    #[values("debit", "reading")] class: &str,
+    #[values(Happening::Answered(GONE), Happening::CutOffGone)] end: Happening,
+) {
+    let order = [
+        Happening::CopyOnItsConnection,
+        Happening::NextMessage,
+        Happening::Replacement,
+        end,
+    ];
+    assert!(play(class, OK, &order));
+}
