Record the end of a contested success in the log in place of reporting it at once

What operators would have seen: delivered messages reported as undeliverable.

Cause: answers that are alike are uncertain, and the next answer on their connection is often another message's 410.

Change: the contested message stays held until that is settled, as before, but its final status goes to the log at once. A process that starts behind a SIGKILL finds it ended and reports it; a settled one is closed as delivered, which the log has had a form for. A doubt about a message with a recorded end reports it, also at a replacement.

All orders of three events and the ones of four that failed before pass.

--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -82,7 +82,7 @@
         for settlement in self.egress.take_settlements() {
             match settlement {
                 Settlement::Confirmed(answered) => self.confirm_response(answered, now),
-                Settlement::Contested(answered) => self.contest_response(answered, now),
+                Settlement::Contested(answered) => self.contest_response(answered),
                 Settlement::Doubtful { answered, gone } => self.doubt_response(answered, gone, now),
                 Settlement::PossiblyGone(answered) => self.end_if_open(answered, now),
             }
@@ -148,16 +148,19 @@
         }
     }
 
-    /// A later response may say that the message of an attempt is over. If the message seems to be delivered, it is
-    /// reported, which is right either way; else nothing is sent for it until that is settled.
-    pub(super) fn contest_response(&mut self, answered: AnsweredAttempt, now: Millis) {
-        let Some(message) = self.store.messages.get_mut(&answered.id.0) else {
+    /// A later response may say that the message of an attempt is over: nothing is sent for it until that is settled. If it
+    /// seems to be delivered, its end is recorded now, so that no later process sends it either; the record counts for
+    /// nothing once the message is closed.
+    pub(super) fn contest_response(&mut self, answered: AnsweredAttempt) {
+        let number = answered.id.0;
+        let Some(message) = self.store.messages.get_mut(&number) else {
             return;
         };
+        message.contested_attempts.push(answered.attempt);
         if message.state == MessageState::Unsettled {
-            self.end_if_open(answered, now);
-        } else {
-            message.contested_attempts.push(answered.attempt);
+            let status = FinalStatus::Undeliverable;
+            message.record.final_status = Some(status);
+            self.store.wal.append_final_status(number, status);
         }
     }
 
@@ -193,8 +196,11 @@
             ?gone,
             "response may belong to another request"
         );
+        let has_recorded_end = message.record.final_status.is_some();
         match message.state {
-            MessageState::Open | MessageState::Unsettled if gone == MessageGone::Possibly => {
+            MessageState::Open | MessageState::Unsettled
+                if gone == MessageGone::Possibly || has_recorded_end =>
+            {
                 self.end_if_open(answered, now);
             }
             MessageState::Open if was_rejected || was_never_ran => self.reopen(answered.id, now),
--- a/crates/sender/src/pipeline/tests/settlement.rs
+++ b/crates/sender/src/pipeline/tests/settlement.rs
@@ -66,7 +66,7 @@
         Step::Settles(attempt, false) => {
             driver.doubt_response(answered(attempt), MessageGone::No, START);
         }
-        Step::IsContested(attempt) => driver.contest_response(answered(attempt), START),
+        Step::IsContested(attempt) => driver.contest_response(answered(attempt)),
         Step::SettlesAsGone(attempt) => {
             driver.doubt_response(answered(attempt), MessageGone::Possibly, START);
         }
