Have the soak answer with every line of the protocol, and count what it has met

Need: five incidents came from outside, the last one by an answer that the soak did not know; nobody could say which answers it meets, and what follows them.

--- a/crates/lab/src/commands/soak.rs
+++ b/crates/lab/src/commands/soak.rs
@@ -67,7 +67,7 @@
     text
 }
 
-/// Writes the timelines, the whole history, and the logs of the senders with violations to files in a folder.
+/// Writes the timelines, the whole history, the answers that were met, and the logs of the senders with violations to files in a folder.
 fn write_out(folder: &Path, seed: u64, timelines: &str, result: &SoakReport) -> miette::Result<()> {
     std::fs::create_dir_all(folder).map_err(file_report(folder))?;
     let file = folder.join(format!("soak-{seed}.txt"));
@@ -78,6 +78,9 @@
     }
     let file = folder.join(format!("soak-{seed}-history.txt"));
     std::fs::write(&file, history).map_err(file_report(&file))?;
+    let file = folder.join(format!("soak-{seed}-answers.txt"));
+    let coverage = result.answer_coverage.to_string();
+    std::fs::write(&file, coverage).map_err(file_report(&file))?;
     for (sender, log) in result.logs_of_violations() {
         let file = folder.join(format!("soak-{seed}-n{sender}.log"));
         std::fs::write(&file, log).map_err(file_report(&file))?;
--- a/crates/lab/src/soak/history.rs
+++ b/crates/lab/src/soak/history.rs
@@ -7,6 +7,8 @@
 
 use martenlatch_clock::Millis;
 
+use super::answer_coverage::{AnswerEvidence, FollowUp};
+
 /// The effect of a repeat of a message, by which the soak's message classes differ.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Effect {
@@ -110,6 +112,17 @@
         /// The retry-after, if the response has one.
         retry_after: Option<Millis>,
     },
+    /// Something followed an answer on its connection.
+    AnswerFollowed {
+        /// The answer's status.
+        status: u16,
+        /// Whether the sender can be sure that the answer belongs to its request.
+        evidence: AnswerEvidence,
+        /// What followed.
+        follow_up: FollowUp,
+        /// How long after the answer.
+        after: Millis,
+    },
     /// An endpoint answers a message with the bytes of an earlier answer, or writes an answer again on the connection
     /// that carries the message's answer: the sender cannot know which answer belongs to it.
     AnswerUncertain,
--- a/crates/lab/src/soak/mod.rs
+++ b/crates/lab/src/soak/mod.rs
@@ -6,16 +6,20 @@
 //! - `endpoint`, `agent`, `client`: the peers of the senders, with the network's faults
 //! - `processes`: the senders themselves; signals, restarts, clocks, folders and failing system calls (`shim`)
 //! - `history`, `oracle`: the recorded events, and the invariants checked against them
+//! - `answer_coverage`: which answers a soak has met, and what followed them
 
 mod agent;
+pub mod answer_coverage;
 mod client;
 mod endpoint;
+mod endpoint_connection;
 mod endpoint_helpers;
 pub mod history;
 mod http;
 pub mod oracle;
 mod pids;
 mod processes;
+mod refusal;
 mod repetition;
 pub mod schedule;
 mod shim;
@@ -32,6 +36,7 @@
 use martenlatch_clock::Millis;
 
 use crate::error::LabError;
+use answer_coverage::AnswerCoverage;
 use client::{BUSY_CLIENTS, Client};
 use history::{Event, Record};
 use oracle::{Conditions, Figures, Oracle, Violation};
@@ -84,6 +89,8 @@
     pub faults: BTreeMap<String, usize>,
     /// The longest delay of the laboratory itself, in milliseconds.
     pub lateness: Millis,
+    /// How often each kind of answer was met, and what followed it.
+    pub answer_coverage: AnswerCoverage,
     /// All recorded events, in order of time.
     pub records: Vec<Record>,
     logs: Vec<String>,
@@ -365,6 +372,7 @@
         figures,
         faults,
         lateness,
+        answer_coverage: AnswerCoverage::of(&records),
         records,
         logs,
     }
--- a/crates/lab/src/soak/oracle.rs
+++ b/crates/lab/src/soak/oracle.rs
@@ -128,6 +128,7 @@
                 status,
                 retry_after,
             } => self.on_responded(record, *destination, *status, *retry_after),
+            Event::AnswerFollowed { .. } => {}
             Event::AnswerUncertain => self.progress(record).answer_uncertain = true,
             Event::Reported { .. } => self.on_reported(record),
             Event::ListTold { endpoint, active } => self.on_list_update(record, *endpoint, *active),
--- a/crates/lab/src/soak/repetition.rs
+++ b/crates/lab/src/soak/repetition.rs
@@ -59,6 +59,12 @@
     text: "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n",
 };
 
+const EXHAUSTED: RepeatedAnswer = RepeatedAnswer {
+    status: 504,
+    runs: false,
+    retry_after: None,
+    text: "HTTP/1.1 504 X\r\nContent-Length: 0\r\n\r\n",
+};
 const WITHDRAWN: RepeatedAnswer = RepeatedAnswer {
     status: 410,
     runs: false,
@@ -74,6 +80,7 @@
             0..15 => REJECTION,
             15..17 => WAIT,
             17..20 => FAILURE,
+            20..22 => EXHAUSTED,
             _ => SUCCESS,
         }
     }
--- a/crates/lab/src/soak/withdrawal.rs
+++ b/crates/lab/src/soak/withdrawal.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Whether the connection is reset behind it.
+    pub fn is_reset(self) -> bool {
+        matches!(self, WithdrawalAnswer::Reset)
+    }
+
     /// Does what follows the first bytes. Returns false if the connection must be reset.
     pub fn finish(self, stream: &mut HttpStream, rng: &mut Pcg64) -> bool {
         let pause = Duration::from_secs_f64(rng.random_range(PAUSE) / 1e3);
