--- a/crates/sender/src/startup.rs
+++ b/crates/sender/src/startup.rs
@@ -1,9 +1,11 @@
 //! The start of a process: on its own, or as the successor of a process that serves from the same state folder.
 
+mod listening;
+
 use std::io::ErrorKind;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 use std::path::Path;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use calloop::EventLoop;
 use calloop::signals::Signal;
@@ -11,7 +13,6 @@
 use martenlatch_handover::{Lock, ReceivedState};
 use martenlatch_http::is_local_shortage;
 use martenlatch_settings::program::PeerSettings;
-use socket2::{Domain, Protocol, Socket, Type};
 use tracing::{info, warn};
 
 use crate::Config;
@@ -25,13 +26,11 @@
     CandidateState, POLL_INTERVAL, ReplacedProcess, ReplacementCandidate, SERVING_LOCK, is_served,
 };
 use crate::serve::wait_for_events;
+pub(crate) use listening::listen;
+use listening::listen_with_retries;
 
-/// Number of connections that may wait to be accepted, so that a burst of clients is not dropped.
-const LISTEN_BACKLOG: i32 = 1024;
 /// The time for which the address of a process may still be in use after its lock has been released.
 const ADDRESS_RELEASE_TIMEOUT: Millis = 2_000.0;
-/// The time for which a start retries while descriptors or memory are short.
-const SHORTAGE_TIMEOUT: Millis = 5_000.0;
 /// The longest wait for events while peers are queried for their observations.
 const LEARNING_INTERVAL: Millis = 5.0;
 const MILLISECONDS_PER_SECOND: f64 = 1e3;
@@ -39,20 +38,6 @@
 /// The reason with which operators' commands are rejected while the process starts.
 const NOT_SERVING: &str = "not serving yet";
 
-/// Opens a non-blocking listener on an address.
-pub(crate) fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(LISTEN_BACKLOG)?;
-    Ok(socket.into())
-}
-
 /// A process that has completed its start and may serve.
 pub(crate) struct StartedProcess {
     pub(crate) driver: Driver,
@@ -336,34 +321,6 @@
     clock
 }
 
-/// Retries `listen` for a limited time: a process that has just ended may still use the address for `address_timeout`,
-/// and a shortage of descriptors or memory may pass.
-fn listen_with_retries(
-    mut listen: impl FnMut() -> std::io::Result<TcpListener>,
-    clock: &Clock,
-    address_timeout: Millis,
-) -> std::io::Result<TcpListener> {
-    let started_at = clock.now();
-    loop {
-        let error = match listen() {
-            Ok(listener) => return Ok(listener),
-            Err(error) => error,
-        };
-        let retry_time = match error.kind() {
-            ErrorKind::AddrInUse => address_timeout,
-            ErrorKind::Interrupted => SHORTAGE_TIMEOUT,
-            _ if is_local_shortage(&error) => SHORTAGE_TIMEOUT,
-            _ => 0.0,
-        };
-        if clock.now() >= started_at + retry_time {
-            return Err(error);
-        }
-        std::thread::sleep(Duration::from_secs_f64(
-            POLL_INTERVAL / MILLISECONDS_PER_SECOND,
-        ));
-    }
-}
-
 /// Acquires the lock on the state folder. A folder in which no file can be created must not prevent a sender from
 /// serving, but the sender then cannot be replaced.
 fn acquire_folder_lock(config: &Config) -> FolderLock {
@@ -406,6 +363,3 @@
         lock: Some(lock),
     })
 }
-
-#[cfg(test)]
-mod tests;
