Give the peers of the orders of events a loopback address of their own

Seen: a whole run of the checks failed in two_processes.rs, reading, ClosesFirst, KillAfterRecords(1): "a status report was sent before its record". Its scripted platform held a report that its own process had no record of.

Suspected, not shown: a driver of a test that had ended still reported to a port which had become this test's platform; the orders of events open two listeners for each of 5,731 cases, so that ports come round much sooner.

Change: those peers listen on 127.77.0.2, so that they neither take nor free ports of the other tests' address. No check is changed. The 258 tests of the sender pass, once; the whole checks were not run on this commit.

--- a/crates/sender/src/pipeline/crash_recovery_tests/manual_endpoint.rs
+++ b/crates/sender/src/pipeline/crash_recovery_tests/manual_endpoint.rs
@@ -2,12 +2,12 @@
 
 use std::collections::VecDeque;
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 
 use martenlatch_clock::Millis;
 
-use crate::pipeline::test_support::listener;
-
+/// The loopback address of these peers.
+const OWN_ADDRESS: Ipv4Addr = Ipv4Addr::new(127, 77, 0, 2);
 const CONFIRMATION: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 
 /// A request that has not been answered.
@@ -53,8 +53,8 @@
 impl ManualPeers {
     pub fn new() -> ManualPeers {
         ManualPeers {
-            endpoint: listener(),
-            platform: listener(),
+            endpoint: own_listener(),
+            platform: own_listener(),
             connections: Vec::new(),
             platform_connections: Vec::new(),
             requests: Vec::new(),
@@ -217,6 +217,11 @@
     }
 }
 
+/// A listener on an address that no other test uses: a sender of a test that has ended may still report to a port.
+fn own_listener() -> TcpListener {
+    crate::listen(SocketAddr::from((OWN_ADDRESS, 0))).unwrap()
+}
+
 fn accept_all(listener: &TcpListener, connections: &mut Vec<PeerConnection>) {
     while let Ok((stream, _)) = listener.accept() {
         stream.set_nonblocking(true).unwrap();
