Review case 6: a copy of an answer ends a message that a hung partner never answers

Cause: the first answer on a new connection is taken as certain and the connection is reused at once; a copy of it then stands in the place of the next answer, and silence for up to 3 s settles it as the real one, though the partner hangs. Nothing of the program is changed.

--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -16,7 +16,7 @@
 pub fn run(name: &str, record: &Record, trouble: bool) -> i32 {
     match name {
         "resets" => failback(record, trouble),
-        "old-list" => old_list(record, trouble),
+        "copies" => copies(record, trouble),
         _ => {
             eprintln!("no case {name}");
             2
@@ -30,8 +30,8 @@
 const CAPACITY: f64 = 14.0;
 
 /// An entry of the list for an endpoint that is in service.
-fn target(uid: &str, endpoint: &Endpoint, destination: u64, hint: f64) -> Target {
-    let (uid, address, state) = (uid.into(), endpoint.address, "in_service");
+fn target(uid: &str, address: SocketAddr, destination: u64, hint: f64) -> Target {
+    let (uid, state) = (uid.into(), "in_service");
     Target { uid, address, destination, state, hint }
 }
 
@@ -70,8 +70,8 @@
     });
     let second = Endpoint::start(record, "s-3", 13, handler, Arc::new(|_| {}));
     let targets = vec![
-        target("s-7", &first, SMALL, small.capacity),
-        target("s-3", &second, LARGE, large.capacity),
+        target("s-7", first.address, SMALL, small.capacity),
+        target("s-3", second.address, LARGE, large.capacity),
     ];
     let platform = Platform::start(record, 2, targets);
     // 2.4 times the slots that 120 messages a second of 0.35 s keep busy.
@@ -146,72 +146,97 @@
     }
 }
 
-/// An endpoint begins to drain while the sender is down, and discovery is down when it starts again.
-fn old_list(record: &Record, trouble: bool) -> i32 {
-    let draining = Flag::default();
-    let calls: Arc<Mutex<Vec<f64>>> = Arc::default();
-    let (drains, seen) = (draining.clone(), calls.clone());
-    let leaving: Handler = Arc::new(move |call| {
-        if drains.load(SeqCst) {
-            seen.lock().unwrap().push(call.at);
-            return Reply::Answer(call.at + 0.02, "503 Service Unavailable\r\n".into());
-        }
-        Reply::Answer(call.at + 0.3, "200 OK\r\n".into())
-    });
-    let staying: Handler = Arc::new(|call| Reply::Answer(call.at + 0.3, "200 OK\r\n".into()));
-    let nobody: GaveUp = Arc::new(|_| {});
-    let first = Endpoint::start(record, "s-1", 11, leaving, nobody.clone());
-    let second = Endpoint::start(record, "s-2", 12, staying, nobody);
-    let targets = vec![target("s-1", &first, SMALL, 60.0), target("s-2", &second, SMALL, 60.0)];
+/// One answer in so many comes twice.
+const COPIED: u64 = 4;
+
+/// Some answers come twice, and a destination stops answering in the middle of a clump.
+fn copies(record: &Record, trouble: bool) -> i32 {
+    let hung = Flag::default();
+    let served: Arc<Mutex<HashMap<String, f64>>> = Arc::default();
+    let answers = Arc::new(AtomicU64::new(0));
+    let endpoint = |uid: &str, part: u8, capacity: f64, can_hang: bool| {
+        let destination = ColdDestination::new(capacity, 0.35, RAMP);
+        let (hung, served, answers) = (hung.clone(), served.clone(), answers.clone());
+        let handler: Handler = Arc::new(move |call| {
+            let Some(at) = destination.serve(&mut destination.state.lock().unwrap(), call.at) else {
+                return Reply::Answer(call.at, "503 Service Unavailable\r\n".into());
+            };
+            let (id, hung, served, answers) = (call.id.clone(), hung.clone(), served.clone(), answers.clone());
+            let decide = move || {
+                if can_hang && hung.load(SeqCst) {
+                    return None;
+                }
+                served.lock().unwrap().insert(id, at);
+                let copied = trouble && answers.fetch_add(1, SeqCst) % COPIED == 0;
+                Some(("200 OK\r\n".into(), copied))
+            };
+            Reply::Later(at, Box::new(decide))
+        });
+        let endpoint = Endpoint::start(record, uid, part, handler, Arc::new(|_| {}));
+        network(endpoint.address, part + 1, ms(10))
+    };
+    // Destination 7 takes 45 calls a second; destination 3 stands for all others.
+    let capacity = 45.0;
+    let small = endpoint("s-7", 17, capacity, true);
+    let large = endpoint("s-3", 13, 150.0, false);
+    let targets = vec![target("s-7", small, SMALL, capacity), target("s-3", large, LARGE, 150.0)];
     let platform = Platform::start(record, 2, targets);
-    let mut sender = Sender::start(record, &Setup::new(&platform, SETTINGS));
+    let limit = 10.0;
+    let settings = SETTINGS.replace("\"Deadline\":16000000000", "\"Deadline\":10000000000");
+    let mut sender = Sender::start(record, &Setup::new(&platform, &settings));
     let clients = Clients::new(record, sender.address);
-    let stop = Flag::default();
-    let (traffic, stopped) = (clients.clone(), stop.clone());
-    let clients_run = thread::spawn(move || {
-        for number in 0.. {
-            if stopped.load(SeqCst) {
-                return;
+    let start = record.now();
+    let (clump_at, hang_at, stop, end) = (start + 18.0, start + 20.0, start + 21.0, start + 32.0);
+    let (mut next, mut turn, mut clumped) = (start, 0, false);
+    while record.now() < end {
+        let now = record.now();
+        if !clumped && now >= clump_at {
+            clumped = true;
+            record.line("a clump: as many messages as destination 7 takes in 3.5 s");
+            for number in 0..(3.5 * capacity) as usize {
+                clients.submit(class(number), SMALL, limit);
+                if number % 8 == 7 {
+                    sleep(ms(1));
+                }
             }
-            traffic.submit(class(number), SMALL, 16.0);
-            sleep(ms(100));
         }
-    });
-    record.until(6.0);
-    sender.signal(SIGKILL);
-    sender.wait();
-    let killed = record.now();
-    record.until(killed + 0.1);
-    draining.store(true, SeqCst);
-    platform.change(&[Target { state: "terminating", ..target("s-1", &first, SMALL, 60.0) }]);
-    record.until(killed + 0.3);
-    if trouble {
-        record.line("discovery is down: the agent is silent");
-        platform.silent.store(true, SeqCst);
+        if now >= hang_at && !hung.load(SeqCst) {
+            record.line("destination 7 takes calls and answers none from now on");
+            hung.store(true, SeqCst);
+        }
+        // The usual traffic: 50 messages a second, a tenth of them for destination 7.
+        if now >= next && now < stop {
+            next += 0.02;
+            turn += 1;
+            clients.submit(class(turn / 10 + turn), if turn % 10 == 0 { SMALL } else { LARGE }, limit);
+        }
+        sleep(ms(2));
     }
-    record.until(killed + 0.6);
-    let started = record.now();
-    sender.spawn();
-    record.until(killed + 8.3);
-    record.line("discovery is back");
-    platform.silent.store(false, SeqCst);
-    record.until(killed + 12.0);
-    stop.store(true, SeqCst);
-    let _ = clients_run.join();
     if sender.has_ended() {
         record.line("the sender has ended");
         return 2;
     }
     sender.signal(SIGKILL);
     sender.wait();
-    let calls = calls.lock().unwrap();
-    let late: Vec<f64> = calls.iter().map(|at| at - started).filter(|after| *after > 1.05).collect();
+    sleep(ms(100));
+    let accepted = clients.accepted.lock().unwrap();
+    let served = served.lock().unwrap();
+    let notices = platform.notices.lock().unwrap();
+    let mut lost = 0;
+    for (id, at) in accepted.iter() {
+        let due = at + limit + 0.35;
+        let ended = notices.iter().any(|notice| notice.text.contains(id.as_str()) && notice.at <= due);
+        if !served.contains_key(id) && !ended {
+            record.line(format!("LOST {id}: taken on at {at:.3}, neither delivered nor ended by a notice by {due:.3}"));
+            lost += 1;
+        }
+    }
     record.line(format!(
-        "{} calls to s-1 since it drains, {} of them over 1.05 s behind the start of the process, the last after {:.2} s",
-        calls.len(),
-        late.len(),
-        late.last().copied().unwrap_or(0.0)
+        "{} messages taken on, {} delivered, {} notices, {lost} lost",
+        accepted.len(),
+        accepted.keys().filter(|id| served.contains_key(*id)).count(),
+        notices.len()
     ));
-    record.line(if late.is_empty() { "held" } else { "BROKEN" });
-    i32::from(!late.is_empty())
+    record.line(if lost > 0 { "BROKEN" } else { "held" });
+    i32::from(lost > 0)
 }
--- a/review/rig-2/rig.rs
+++ b/review/rig-2/rig.rs
@@ -272,6 +272,9 @@
 pub enum Reply {
     /// An answer at an instant (seconds since the start): status line without the version, further header lines.
     Answer(f64, String),
+    /// At an instant, what is decided then: no answer, or an answer and whether a second copy comes right behind it
+    /// (unless a further call has arrived by then).
+    Later(f64, Box<dyn FnOnce() -> Option<(String, bool)>>),
     /// The connection is reset at an instant.
     ResetAt(f64),
     /// No answer; the connection stays open.
@@ -315,13 +318,26 @@
             at: record.now(),
         };
         record.line(format!("{name} call {} id={} key={}", call.number, call.id, call.key));
-        let (until, last) = match handler(&call) {
-            Reply::Answer(at, answer) => (at, Some(answer)),
-            Reply::ResetAt(at) => (at, None),
-            Reply::Nothing => (f64::INFINITY, None),
-        };
+        let (mut until, mut last, mut later) = (f64::INFINITY, None, None);
+        match handler(&call) {
+            Reply::Answer(at, answer) => (until, last) = (at, Some(answer)),
+            Reply::Later(at, decide) => (until, later) = (at, Some(decide)),
+            Reply::ResetAt(at) => until = at,
+            Reply::Nothing => {}
+        }
+        let mut twice = false;
         let _ = stream.set_read_timeout(Some(ms(4)));
-        while record.now() < until {
+        loop {
+            if record.now() >= until {
+                let Some(decide) = later.take() else {
+                    break;
+                };
+                match decide() {
+                    Some((answer, copied)) => (last, twice) = (Some(answer), copied),
+                    None => until = f64::INFINITY,
+                }
+                continue;
+            }
             let mut byte = [0; 1];
             match stream.peek(&mut byte) {
                 Ok(0) => {
@@ -349,9 +365,62 @@
         if stream.write_all(text.as_bytes()).is_err() {
             return;
         }
+        if twice {
+            // The copy is a write of its own.
+            sleep(ms(3));
+            let _ = stream.set_nonblocking(true);
+            let nothing_waits = matches!(stream.peek(&mut [0]), Err(error) if error.kind() == ErrorKind::WouldBlock);
+            let _ = stream.set_nonblocking(false);
+            if nothing_waits && buffer.is_empty() {
+                record.line(format!("{name} call {} answered once more", call.number));
+                if stream.write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        }
     }
 }
 
+/// The network on the way to an endpoint: passes on all bytes, each `delay` later.
+pub fn network(target: SocketAddr, part: u8, delay: Duration) -> SocketAddr {
+    let listener = TcpListener::bind(free_address(part)).expect("an address for the network");
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for near in listener.incoming().flatten() {
+            let Ok(far) = TcpStream::connect(target) else {
+                continue;
+            };
+            for stream in [&near, &far] {
+                let _ = stream.set_nodelay(true);
+            }
+            pass_on(near.try_clone().unwrap(), far.try_clone().unwrap(), delay);
+            pass_on(far, near, delay);
+        }
+    });
+    address
+}
+
+fn pass_on(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+    let (sender, receiver) = std::sync::mpsc::channel::<(Instant, Vec<u8>)>();
+    thread::spawn(move || {
+        let mut chunk = [0; 65536];
+        while let Ok(count @ 1..) = from.read(&mut chunk) {
+            if sender.send((Instant::now() + delay, chunk[..count].to_vec())).is_err() {
+                return;
+            }
+        }
+    });
+    thread::spawn(move || {
+        for (at, bytes) in receiver {
+            sleep(at.saturating_duration_since(Instant::now()));
+            if to.write_all(&bytes).is_err() {
+                break;
+            }
+        }
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    });
+}
+
 // ---- Clients --------------------------------------------------------------------------------------------------------
 
 #[derive(Clone)]
@@ -478,6 +547,8 @@
             .stderr(log)
             .spawn()
             .expect("the sender");
+        // For run.sh, should this program be ended from outside.
+        let _ = std::fs::write(self.folder.join("pid"), child.id().to_string());
         self.child = Some(child);
         let deadline = Instant::now() + ms(15_000);
         while !self.is_healthy() {
@@ -510,6 +581,7 @@
     pub fn wait(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.wait();
+            let _ = std::fs::remove_file(self.folder.join("pid"));
             self.record.line("sender ended");
         }
     }
