--- a/review/rig-2/cases.rs
+++ b/review/rig-2/cases.rs
@@ -74,8 +74,13 @@
         target("s-3", second.address, LARGE, large.capacity),
     ];
     let platform = Platform::start(record, 2, targets);
-    // 2.4 times the slots that 120 messages a second of 0.35 s keep busy.
-    let settings = SETTINGS.replace("\"CallsOut\":60", "\"CallsOut\":102");
+    // A sender of 120 messages a second at full load: 2.4 times the slots that these keep busy at 0.35 s each, room for
+    // 8.3 s of them, and deadlines of 12 s.
+    let limit = 12.0;
+    let settings = SETTINGS
+        .replace("\"CallsOut\":60", "\"CallsOut\":102")
+        .replace("\"OpenCap\":600", "\"OpenCap\":1000")
+        .replace("\"Deadline\":16000000000", "\"Deadline\":12000000000");
     let mut sender = Sender::start(record, &Setup::new(&platform, &settings));
     let clients = Clients::new(record, sender.address);
 
@@ -103,18 +108,19 @@
             clumped = true;
             record.line("a clump: as many messages as destination 7 takes in 3.5 s");
             for number in 0..(3.5 * CAPACITY) as usize {
-                clients.submit(class(number), SMALL, 16.0);
+                clients.submit(class(number), SMALL, limit);
             }
         }
+        // The usual traffic: 48 messages a second, 40% of the full load.
         if now >= next_large {
-            next_large += 0.05;
+            next_large += 1.0 / 45.0;
             turn += 1;
-            clients.submit(class(turn), LARGE, 16.0);
+            clients.submit(class(turn), LARGE, limit);
         }
         if now >= next_small {
             next_small = now + 0.3;
             turn += 1;
-            clients.submit(class(turn), SMALL, 16.0);
+            clients.submit(class(turn), SMALL, limit);
         }
         sleep(ms(2));
     }
