Let no copy of an answer end the next request on its connection while the endpoint hangs

Cause: a connection whose latest answer was certain took the next request at once. The copy of that answer was on its way, was read in the place of the next one, and the silence of an endpoint that had stopped to answer settled it as real.

Evidence: the case at DEBUG on, four messages lost, all alike: `response read ... evidence=Certain`, 0.1 ms later `request sent ... reused=true`, 3 ms later `response read ... evidence=Uncertain`, where the way there and back takes 20 ms.

Change: while any endpoint repeats answers, a connection carries no request behind any answer until twice the longest delay of a copy has passed (copy_delays.rs). Before a copy was ever seen, a success in under a quarter of the quickest time of its endpoint is not settled by silence: the endpoint has to answer another request behind it, else the message is sent again where that is safe, or reported at its deadline (answer_times.rs).

Why it works: a copy shows itself on the idle connection, which is closed, before a request could be met by it; and a hang answers no other request either.

--- /dev/null
+++ b/crates/martenlatch/tests/copies_and_hangs.rs
@@ -0,0 +1,91 @@
+//! Endpoints that write answers twice and then stop to answer: a message that they never answer must be reported, and one
+//! that they have answered must not.
+
+mod support;
+use support::*;
+
+use rstest::rstest;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// How long an endpoint takes for an answer, and how much later it writes a copy, in milliseconds.
+const SERVICE: u64 = 120;
+const COPY_DELAY: u64 = 3;
+const OK: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+/// The requests that the configuration allows in flight.
+const SLOTS: usize = 8;
+
+/// How often a message was requested and reported.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+struct Counts {
+    requests: usize,
+    reports: usize,
+}
+
+fn start_sender(test: &str, endpoint: &TimedEndpoint, platform: &Platform) -> Sender {
+    let entry = endpoint_entry("s-1", endpoint.address, "in_service");
+    Sender::start(test, platform, &endpoint_list(1, true, &[entry]))
+}
+
+/// Waits for `quiet_time`, and counts the requests and the status reports of each message.
+fn count_after(
+    quiet_time: Duration,
+    endpoint: &TimedEndpoint,
+    platform: &Platform,
+) -> BTreeMap<String, Counts> {
+    std::thread::sleep(quiet_time);
+    let mut counts = BTreeMap::<String, Counts>::new();
+    for request in endpoint.requests.try_iter() {
+        counts.entry(request.id().to_string()).or_default().requests += 1;
+    }
+    for line in platform.status_reports.try_iter() {
+        let id = line.split('"').nth(3).expect("an id").to_string();
+        counts.entry(id).or_default().reports += 1;
+    }
+    counts
+}
+
+/// Guards against losing messages: each answer came twice, and the request that took the freed connection at once was ended
+/// by the copy, while the endpoint had stopped to answer.
+#[rstest]
+#[case::non_idempotent("debit")]
+#[case::with_a_key("meter")]
+fn no_copy_ends_a_message_that_a_hung_endpoint_never_answers(#[case] class: &str) {
+    let endpoint = TimedEndpoint::new(|request| {
+        if request.id().starts_with("hung") {
+            return Vec::new();
+        }
+        vec![
+            TimedWrite::after(SERVICE, OK),
+            TimedWrite::after(SERVICE + COPY_DELAY, OK),
+        ]
+    });
+    let platform = Platform::new(&[]);
+    let sender = start_sender(&format!("hung-{class}"), &endpoint, &platform);
+    // Shows that the endpoint repeats its answers.
+    assert_eq!(sender.submit("debit", "repeated", "16.0"), 202);
+    std::thread::sleep(Duration::from_millis(2 * SERVICE));
+    sender.wait_for_round_end();
+    for number in 0..SLOTS {
+        let id = format!("answered-{number}");
+        assert_eq!(sender.submit("debit", &id, "2.0"), 202);
+    }
+    for number in 0..SLOTS {
+        let id = format!("hung-{number}");
+        assert_eq!(sender.submit(class, &id, "2.0"), 202);
+    }
+    let counts = count_after(Duration::from_millis(3_500), &endpoint, &platform);
+    for number in 0..SLOTS {
+        let answered = counts[&format!("answered-{number}")];
+        let expected = Counts {
+            requests: 1,
+            reports: 0,
+        };
+        assert_eq!(answered, expected, "an answered message: {counts:?}");
+        let hung = counts[&format!("hung-{number}")];
+        assert!(hung.reports > 0, "a lost message: {counts:?}");
+        if class == "debit" {
+            assert!(hung.requests <= 1, "a message sent twice: {counts:?}");
+        }
+    }
+}
--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -88,7 +88,7 @@
             evidence,
             ..attempt.result(classification.outcome, now)
         });
-        self.note_answered(slot, &attempt, evidence, rejects, now);
+        self.note_answered(slot, &attempt, evidence, classification.outcome, now);
         self.record_response(idle_before);
         self.record_admission(
             slot,
@@ -153,7 +153,7 @@
             evidence,
             ..attempt.result(outcome, now)
         });
-        self.note_answered(slot, &attempt, evidence, is_gone, now);
+        self.note_answered(slot, &attempt, evidence, outcome, now);
         self.record_response(idle_before);
         self.record_admission(slot, false, false, now);
     }
--- a/crates/sender/src/egress/attempt_start.rs
+++ b/crates/sender/src/egress/attempt_start.rs
@@ -76,11 +76,13 @@
         } else {
             f64::INFINITY
         };
+        let reuse_rest = self.reuse_rest(now);
         let times = &self.response_times;
         let wanted = WantedConnection {
             endpoint: request.endpoint,
             address,
             earliest_idle_since: now - max_idle,
+            latest_idle_since: now - reuse_rest,
             without_rejection: !request.is_repeatable,
             may_be_unrested: request.is_repeatable && !times.is_suspected(request.endpoint, now),
             now,
--- a/crates/sender/src/egress/connection_pool.rs
+++ b/crates/sender/src/egress/connection_pool.rs
@@ -41,6 +41,8 @@
     pub address: SocketAddr,
     /// The earliest instant at which it may have become idle.
     pub earliest_idle_since: Millis,
+    /// The latest instant at which it may have become idle: a copy of its last response has arrived by now.
+    pub latest_idle_since: Millis,
     /// Whether it must not have carried a rejection, of which a copy could follow.
     pub without_rejection: bool,
     /// Whether it may be one that has not rested since an uncertain response.
@@ -56,6 +58,7 @@
             history.is_rested(self.now) || (self.may_be_unrested && history.may_carry_repeatable());
         connection.endpoint == self.endpoint
             && is_usable
+            && connection.idle_since <= self.latest_idle_since
             && !connection.close_when_rested
             && (!self.without_rejection || history.has_no_rejection())
     }
@@ -192,7 +195,7 @@
     pub fn remove(&mut self, slot: usize, now: Millis) -> Option<EndpointConnection> {
         let mut removed = self.slots.try_remove(slot)?;
         self.idle.retain(|idle| *idle != slot);
-        self.surplus.extend(SurplusBytes::on(&removed));
+        self.surplus.extend(SurplusBytes::on(&removed, now));
         let mut history = std::mem::take(&mut removed.history);
         let gone = history.gone_by(removed.socket.bytes());
         self.settlements
--- a/crates/sender/src/egress/exchange.rs
+++ b/crates/sender/src/egress/exchange.rs
@@ -38,7 +38,7 @@
                     self.end_exchange(slot, cause, now);
                     return false;
                 }
-                ResponseProgress::Received(response) if self.discard_copy(slot, &response) => {
+                ResponseProgress::Received(response) if self.discard_copy(slot, &response, now) => {
                     return true;
                 }
                 // If the discarded one was the real response after all, this one is a copy.
@@ -89,7 +89,7 @@
 
     /// Discards a success that is certainly a copy of an earlier one, as all successes of the endpoint differ. The real
     /// response is still to come.
-    fn discard_copy(&mut self, slot: usize, response: &http::Response) -> bool {
+    fn discard_copy(&mut self, slot: usize, response: &http::Response, now: Millis) -> bool {
         let connection = &mut self.connections[slot];
         let Some(bytes) = bytes_of(response, connection.socket.bytes()) else {
             return false;
@@ -109,6 +109,7 @@
             endpoint: connection.endpoint,
             last_answered: connection.last_answered,
             length,
+            delay: now - connection.idle_since,
             is_closed: false,
             retry_after: 0,
             repeats_rejection: false,
--- a/crates/sender/src/egress/mod.rs
+++ b/crates/sender/src/egress/mod.rs
@@ -8,6 +8,8 @@
 //! - [`exchange`]: one exchange on a connection
 //! - [`gone`]: whether a message is over by an endpoint's word
 //! - [`attempt_start`]: the start of an attempt
+//! - [`answer_times`]: when the endpoints have answered last, and how quickly they can
+//! - [`copy_delays`]: how long a connection rests behind each response while endpoints repeat theirs
 //! - [`response`]: parsing responses
 //! - [`attempt_completion`]: the end of an attempt
 //! - [`attempt_end`]: the outcome of an attempt without a complete response
@@ -22,6 +24,7 @@
 //! - [`timeouts`]: time limits
 //! - [`snapshot`]: handing over all connections to a successor process
 
+mod answer_times;
 mod attempt;
 mod attempt_completion;
 mod attempt_end;
@@ -29,6 +32,7 @@
 mod connection_faults;
 mod connection_pool;
 mod connection_scarcity;
+mod copy_delays;
 mod endpoint_connection;
 mod exchange;
 mod gone;
@@ -62,10 +66,12 @@
 pub use tracked_response::{AnsweredAttempt, Settlement};
 
 use crate::event_source::EventLoopHandle;
+use answer_times::AnswerTimes;
 use attempt_end::EndCause;
 use connection_faults::{ResetDetector, StaleConnectionDetector};
 use connection_pool::ConnectionPool;
 use connection_scarcity::ConnectionScarcityDetector;
+use copy_delays::CopyDelays;
 
 /// The fraction of the endpoints' idle limit after which an idle connection is closed. The rest allows for network
 /// latency: a request that crosses the endpoint's close on the way ends in a reset.
@@ -90,6 +96,8 @@
     /// The results of attempts that have ended, for the caller to take.
     pub results: Vec<AttemptResult>,
     response_times: ResponseTimes,
+    answer_times: AnswerTimes,
+    copy_delays: CopyDelays,
     settlements: Vec<Settlement>,
     requested_waits: Vec<RequestedWait>,
     /// The slots of established connections whose requests have not begun, as their attempts must be recorded first.
@@ -122,6 +130,8 @@
             scarcity: ConnectionScarcityDetector::default(),
             results: Vec::new(),
             response_times: ResponseTimes::default(),
+            answer_times: AnswerTimes::default(),
+            copy_delays: CopyDelays::default(),
             settlements: Vec::new(),
             requested_waits: Vec::new(),
             awaiting_permission: Vec::new(),
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -15,7 +15,7 @@
 use super::gone::{MessageGone, gone_by_incomplete_response};
 use super::known_responses::{KnownResponses, ReceivedResponse};
 use super::response_bytes::{begins_with_success, complete_response, last_bytes};
-use super::tracked_response::{AnsweredAttempt, Settlement, TrackedResponse};
+use super::tracked_response::{AnsweredAttempt, Settlement, SettlementTerms, TrackedResponse};
 
 /// The number of settled responses that are remembered for each connection, in case a surplus contradicts them later.
 const MAX_SETTLED: usize = 64;
@@ -43,15 +43,6 @@
     pub response: Vec<u8>,
 }
 
-/// When an uncertain response is settled.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct SettlementTimes {
-    /// Until when the connection rests.
-    pub rests_until: Millis,
-    /// Until when any further response on the connection may be the real one.
-    pub doubted_until: Millis,
-}
-
 /// A response that ends an attempt.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ObservedResponse<'a> {
@@ -166,26 +157,24 @@
         }
     }
 
-    /// Notes the attempt that a response has ended. After an uncertain response, the connection rests. `is_final` says
-    /// that a wrong conclusion from it could not be undone.
+    /// Notes the attempt that a response has ended. After an uncertain response, the connection rests.
     pub fn answered(
         &mut self,
         attempt: AnsweredAttempt,
         evidence: Evidence,
-        times: SettlementTimes,
-        is_final: bool,
+        terms: SettlementTerms,
     ) {
         let response = TrackedResponse {
             attempt,
             is_contested: false,
-            doubted_until: times.doubted_until,
+            terms,
             exchange: self.latest_exchange.take().map(Rc::new),
         };
         if evidence == Evidence::Uncertain {
             self.unsettled.push(response);
-            self.is_final |= is_final;
+            self.is_final |= terms.is_final;
             let earliest = self.rests_until.unwrap_or(f64::NEG_INFINITY);
-            self.rests_until = Some(times.rests_until.max(earliest));
+            self.rests_until = Some(terms.rests_until.max(earliest));
         } else if !self.settled.is_empty() {
             self.add_settled(response);
         }
@@ -219,13 +208,56 @@
 
     /// Whether the connection may carry another request.
     pub fn is_rested(&self, now: Millis) -> bool {
+        self.has_rested_until(now) && self.answer_needed_after().is_none()
+    }
+
+    /// Whether the time for which the connection rests is over.
+    pub fn has_rested_until(&self, now: Millis) -> bool {
         self.rests_until.is_none_or(|until| until <= now)
     }
 
+    /// After which instant the endpoint has to answer another request before silence settles the latest responses;
+    /// `None` if silence alone does.
+    pub fn answer_needed_after(&self) -> Option<Millis> {
+        self.unsettled
+            .iter()
+            .filter_map(|response| response.terms.answer_needed_after)
+            .reduce(f64::max)
+    }
+
+    /// Whether the success of a message is one that silence alone does not settle.
+    pub fn needs_answer_for(&self, id: MessageId) -> bool {
+        self.unsettled.iter().any(|response| {
+            response.attempt.id == id && response.terms.answer_needed_after.is_some()
+        })
+    }
+
+    /// Whether all messages with unsettled responses may be sent again.
+    pub fn is_all_repeatable(&self) -> bool {
+        self.unsettled
+            .iter()
+            .all(|response| response.terms.is_repeatable)
+    }
+
+    /// The times that the unsettled successes took.
+    pub fn unsettled_success_times(&self) -> impl Iterator<Item = Millis> {
+        self.unsettled
+            .iter()
+            .filter_map(|response| response.terms.success_took)
+    }
+
+    /// Lets the connection rest for longer.
+    pub fn rest_until(&mut self, until: Millis) {
+        self.rests_until = Some(until);
+    }
+
     /// Whether the connection may carry a request that can be sent again, although it has not rested. If the responses
     /// are shifted, such a request is shifted too, until the connection rests.
     pub fn may_carry_repeatable(&self) -> bool {
-        self.is_known && !self.is_final && self.unsettled.len() < MAX_UNSETTLED
+        self.is_known
+            && !self.is_final
+            && self.answer_needed_after().is_none()
+            && self.unsettled.len() < MAX_UNSETTLED
     }
 
     /// Whether no rejection on the connection could be a copy of an earlier rejection.
@@ -274,8 +306,12 @@
         contested.chain(doubted).collect()
     }
 
-    /// The exchange of the latest response, if it is unsettled and can be read again.
+    /// The exchange of the latest response, if it is unsettled and can be read again. A successor process would not know
+    /// that silence alone does not settle a response.
     pub fn unread_exchange(&self) -> Option<&UnreadExchange> {
+        if self.answer_needed_after().is_some() {
+            return None;
+        }
         self.unsettled.last()?.exchange.as_deref()
     }
 
@@ -306,7 +342,7 @@
         let behind_settled = settled.filter_map(|response| {
             if surplus.is_empty() {
                 None
-            } else if is_new || response.doubted_until > now {
+            } else if is_new || response.terms.doubted_until > now {
                 Some(response.in_doubt())
             } else if gone != MessageGone::No {
                 Some(Settlement::PossiblyGone(response.attempt))
--- a/crates/sender/src/egress/response_times.rs
+++ b/crates/sender/src/egress/response_times.rs
@@ -122,6 +122,11 @@
         (times.slowest_recent * REST_FACTOR).clamp(MIN_REST, MAX_USUAL_REST)
     }
 
+    /// The slowest response of an endpoint.
+    pub fn slowest(&self, endpoint: EndpointId) -> Millis {
+        self.times(endpoint).slowest
+    }
+
     /// The rest after which a further response to the request is very unlikely, from when the request was sent.
     pub fn long_rest(&self, endpoint: EndpointId) -> Millis {
         let slowest = self.times(endpoint).slowest;
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -1,13 +1,18 @@
-//! When a response counts that could be a copy of an earlier one: once its connection has rested without another one.
+//! When a response counts that could be a copy of an earlier one: once its connection has rested without another one. An
+//! early success counts only once its endpoint has answered another request as well.
 
 use martenlatch_clock::Millis;
+use martenlatch_policy::interface::{EndpointId, MessageId, Outcome};
 
 use super::Egress;
 use super::attempt::ActiveAttempt;
-use super::response_history::{Evidence, SettlementTimes};
+use super::response_history::Evidence;
 use super::snapshot::unread_exchange;
 use super::surplus_bytes::SurplusBytes;
-use super::tracked_response::{AnsweredAttempt, Settlement};
+use super::tracked_response::{AnsweredAttempt, Settlement, SettlementTerms};
+
+/// How often it is asked whether an endpoint with an early success has answered another request.
+const RECHECK_INTERVAL: Millis = 100.0;
 
 impl Egress {
     /// Notes that a response has ended an attempt: an uncertain one has to be settled.
@@ -16,33 +21,63 @@
         slot: usize,
         attempt: &ActiveAttempt,
         evidence: Evidence,
-        rejects: bool,
+        outcome: Outcome,
         now: Millis,
     ) {
-        let connection = &mut self.connections[slot];
+        let connection = &self.connections[slot];
+        let endpoint = connection.endpoint;
         let sent_at = connection.sent_at.unwrap_or(attempt.started_at);
-        let is_final = rejects && !connection.is_repeatable;
-        let rest = self.response_times.rest(connection.endpoint, is_final, now);
-        let long_rest = self.response_times.long_rest(connection.endpoint);
-        let times = SettlementTimes {
-            rests_until: sent_at + rest,
-            doubted_until: sent_at + long_rest,
+        let took = (now - sent_at).max(0.0);
+        let is_repeatable = connection.is_repeatable;
+        let is_final = outcome.never_ran() && !is_repeatable;
+        let success_took = (outcome == Outcome::Success).then_some(took);
+        let is_early = success_took.is_some_and(|took| self.answer_times.is_early(endpoint, took));
+        // By then the real response would have come, if the endpoint had gone on to answer.
+        let due_at = now.max(sent_at + self.response_times.slowest(endpoint));
+        let terms = SettlementTerms {
+            rests_until: sent_at + self.response_times.rest(endpoint, is_final, now),
+            doubted_until: sent_at + self.response_times.long_rest(endpoint),
+            success_took,
+            answer_needed_after: is_early.then_some(due_at),
+            is_final,
+            is_repeatable,
         };
         let answered = AnsweredAttempt {
             id: attempt.id,
             attempt: attempt.attempt,
         };
-        connection
-            .history
-            .answered(answered, evidence, times, is_final);
-        self.response_times
-            .record(connection.endpoint, now - sent_at);
+        let history = &mut self.connections[slot].history;
+        history.answered(answered, evidence, terms);
+        self.response_times.record(endpoint, took);
+        self.answer_times.record_answer(endpoint, now);
+        if evidence == Evidence::Certain
+            && let Some(took) = success_took
+        {
+            self.answer_times.record_success(endpoint, took);
+        }
+        self.forget_unconnected();
+    }
+
+    /// Forgets what is known of endpoints without connections, if there are many.
+    fn forget_unconnected(&mut self) {
         let connections = &self.connections;
-        self.response_times.prune(|endpoint| {
+        let is_connected = |endpoint: EndpointId| {
             connections
                 .iter()
                 .any(|connection| connection.endpoint == endpoint)
-        });
+        };
+        self.response_times.prune(is_connected);
+        self.answer_times.prune(is_connected);
+    }
+
+    /// How long a connection carries no request behind a response, although that was certain: where endpoints repeat
+    /// their responses, a copy of it may still be on its way.
+    pub(super) fn reuse_rest(&self, now: Millis) -> Millis {
+        if self.response_times.has_recent_surplus(now) {
+            self.copy_delays.rest()
+        } else {
+            0.0
+        }
     }
 
     /// Settles the responses of an idle connection that has rested and on which nothing has arrived.
@@ -50,19 +85,30 @@
         let Some(connection) = self.connections.get_mut(slot) else {
             return;
         };
-        if connection.history.rests_until().is_none() || !connection.history.is_rested(now) {
+        let endpoint = connection.endpoint;
+        let history = &mut connection.history;
+        if history.rests_until().is_none() || !history.has_rested_until(now) {
             return;
         }
         // While rejections are repeated, silence does not prove that a request never ran.
-        let is_doubtful = connection.history.is_final()
-            && self
-                .response_times
-                .repeats_rejections(connection.endpoint, now);
-        self.settlements.extend(if is_doubtful {
-            connection.history.doubt()
-        } else {
-            connection.history.settle()
-        });
+        let is_repeated_rejection =
+            history.is_final() && self.response_times.repeats_rejections(endpoint, now);
+        let lacks_answer = history
+            .answer_needed_after()
+            .is_some_and(|instant| !self.answer_times.has_answered_since(endpoint, instant));
+        if lacks_answer && !history.is_all_repeatable() {
+            history.rest_until(now + RECHECK_INTERVAL);
+            return;
+        }
+        self.settlements
+            .extend(if is_repeated_rejection || lacks_answer {
+                history.doubt()
+            } else {
+                for took in history.unsettled_success_times() {
+                    self.answer_times.record_success(endpoint, took);
+                }
+                history.settle()
+            });
         if connection.close_when_rested {
             self.connections.remove(slot, now);
         }
@@ -74,6 +120,7 @@
         for bytes in &surplus {
             self.response_times
                 .record_surplus(bytes.endpoint, bytes.repeats_rejection, now);
+            self.copy_delays.record(bytes.delay);
         }
         surplus
     }
@@ -83,6 +130,13 @@
         self.response_times.has_recent_surplus(now)
     }
 
+    /// Whether the success of a message is early, and the endpoint has answered nothing behind it.
+    pub fn lacks_answer_behind(&self, id: MessageId) -> bool {
+        self.connections
+            .iter()
+            .any(|connection| connection.history.needs_answer_for(id))
+    }
+
     /// Takes what became of uncertain responses.
     pub fn take_settlements(&mut self) -> Vec<Settlement> {
         let mut settlements = std::mem::take(&mut self.settlements);
--- a/crates/sender/src/egress/surplus_bytes.rs
+++ b/crates/sender/src/egress/surplus_bytes.rs
@@ -1,6 +1,6 @@
 //! Bytes that an endpoint sends while no request is in flight on the connection, or behind a copy of an earlier response.
 
-use martenlatch_clock::Nanos;
+use martenlatch_clock::{Millis, Nanos};
 use martenlatch_policy::interface::{EndpointId, MessageId};
 
 use super::endpoint_connection::EndpointConnection;
@@ -8,7 +8,7 @@
 
 /// Bytes that belong to no request in flight. HTTP matches responses to requests by their order only, so the connection
 /// cannot carry another request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SurplusBytes {
     /// The endpoint that sent them.
     pub endpoint: EndpointId,
@@ -16,6 +16,8 @@
     pub last_answered: Option<MessageId>,
     /// How many bytes had been read.
     pub length: usize,
+    /// How long after the last response on the connection they were found, in milliseconds.
+    pub delay: Millis,
     /// How long nothing may be sent to the endpoint's destination, if the bytes are a response that may ask for this
     /// for the first time; else zero.
     pub retry_after: Nanos,
@@ -28,7 +30,7 @@
 impl SurplusBytes {
     /// The unread bytes of a connection that belong to no request in flight, or of which it is unknown where the response
     /// begins; `None` if there are none.
-    pub(super) fn on(connection: &EndpointConnection) -> Option<SurplusBytes> {
+    pub(super) fn on(connection: &EndpointConnection, now: Millis) -> Option<SurplusBytes> {
         let follows_copy = bytes_behind_copy(connection);
         let bytes = follows_copy.unwrap_or(unread_surplus(connection));
         if bytes.is_empty() {
@@ -41,6 +43,7 @@
             endpoint: connection.endpoint,
             last_answered: connection.last_answered,
             length: bytes.len(),
+            delay: now - connection.idle_since,
             is_closed: true,
             repeats_rejection: !follows_discarded(connection)
                 && history.repeats_rejection(connection.socket.bytes()),
--- a/crates/sender/src/egress/tracked_response.rs
+++ b/crates/sender/src/egress/tracked_response.rs
@@ -48,6 +48,23 @@
     }
 }
 
+/// What settles an uncertain response.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SettlementTerms {
+    /// Until when the connection rests.
+    pub rests_until: Millis,
+    /// Until when any further response on the connection may be the real one.
+    pub doubted_until: Millis,
+    /// The time that the response took, if it is a success.
+    pub success_took: Option<Millis>,
+    /// After which instant the endpoint has to answer another request, if silence alone does not settle the response.
+    pub answer_needed_after: Option<Millis>,
+    /// Whether a wrong conclusion could not be undone.
+    pub is_final: bool,
+    /// Whether the message may be sent again anywhere although the attempt may have run.
+    pub is_repeatable: bool,
+}
+
 /// An uncertain response, or one after it on the same connection.
 #[derive(Clone, Debug)]
 pub(super) struct TrackedResponse {
@@ -55,8 +72,8 @@
     pub attempt: AnsweredAttempt,
     /// Whether a later response on the connection says that a message is over. It may answer this attempt.
     pub is_contested: bool,
-    /// Until when any further response on the connection may be the real one.
-    pub doubted_until: Millis,
+    /// What settles it.
+    pub terms: SettlementTerms,
     /// The exchange as it was before the response was read, until it is settled.
     pub exchange: Option<Rc<UnreadExchange>>,
 }
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -263,14 +263,15 @@
     }
 
     /// Ends the messages whose deadlines come before their responses are settled: they are reported if any endpoint has
-    /// repeated responses recently, else they count as delivered.
+    /// repeated responses recently or silence alone does not settle the response, else they count as delivered.
     pub(super) fn end_unsettled(&mut self, now: Millis) {
         while let Some((number, deadline)) = self.store.first_unsettled()
             && deadline - REPORT_LEAD <= now
         {
-            if self.egress.has_recent_surplus(now) {
+            let id = MessageId(number);
+            if self.egress.has_recent_surplus(now) || self.egress.lacks_answer_behind(id) {
                 self.store.counters.reported_in_doubt += 1;
-                self.give_up(MessageId(number), FinalStatus::Undeliverable, now);
+                self.give_up(id, FinalStatus::Undeliverable, now);
             } else {
                 completion::close_delivered(number, &mut self.store);
             }
