Settle an answered message before its connection is closed under a later request

Callers saw: a message that was answered 200 was reported as undeliverable, or sent again, although no answer had come twice.

Cause: a request that may be sent again went on a connection that rested behind another message's answer. When it was cancelled or timed out, the end of its exchange put the earlier answer in doubt, also where that had rested for long enough.

Change: an exchange that this process ends and in which nothing has arrived settles what has rested, like an idle connection; and a request takes a resting connection only where all unsettled messages may be sent again.

The two cases of an_answered_message_is_neither_reported_nor_repeated_... fail without the change and pass with it.

--- a/crates/martenlatch/tests/copies_and_hangs.rs
+++ b/crates/martenlatch/tests/copies_and_hangs.rs
@@ -89,3 +89,33 @@
         }
     }
 }
+
+/// Guards against needless reports and repeats: a message was answered, and a later request on the same connection got no
+/// answer and timed out.
+#[rstest]
+#[case::non_idempotent("debit")]
+#[case::with_a_key("meter")]
+fn an_answered_message_is_neither_reported_nor_repeated_when_the_next_request_gets_no_answer(
+    #[case] class: &str,
+) {
+    let endpoint = TimedEndpoint::new(|request| {
+        if request.id() == "hung" {
+            return Vec::new();
+        }
+        vec![TimedWrite::after(SERVICE, OK)]
+    });
+    let platform = Platform::new(&[]);
+    let sender = start_sender(&format!("answered-{class}"), &endpoint, &platform);
+    for id in ["first", "answered"] {
+        assert_eq!(sender.submit(class, id, "16.0"), 202);
+        std::thread::sleep(Duration::from_millis(SERVICE + 40));
+    }
+    assert_eq!(sender.submit("meter", "hung", "16.0"), 202);
+    let counts = count_after(Duration::from_millis(4_000), &endpoint, &platform);
+    let expected = Counts {
+        requests: 1,
+        reports: 0,
+    };
+    assert_eq!(counts["answered"], expected, "{counts:?}");
+    assert!(counts["hung"].requests > 1, "it has timed out: {counts:?}");
+}
--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -164,6 +164,14 @@
         let Some(connection) = self.connections.get(slot) else {
             return;
         };
+        let is_silent = connection.socket.bytes().is_empty() && !connection.is_closed();
+        if is_silent {
+            // Nothing has followed the earlier responses, as if the connection had been idle.
+            self.settle_rested_responses(slot, now);
+        }
+        let Some(connection) = self.connections.get(slot) else {
+            return;
+        };
         let history = &connection.history;
         let gone = history.gone_by(connection.socket.bytes());
         let may_be_repeated =
--- a/crates/sender/src/egress/response_history.rs
+++ b/crates/sender/src/egress/response_history.rs
@@ -252,11 +252,13 @@
     }
 
     /// Whether the connection may carry a request that can be sent again, although it has not rested. If the responses
-    /// are shifted, such a request is shifted too, until the connection rests.
+    /// are shifted, such a request is shifted too, until the connection rests. The messages with unsettled responses must
+    /// be such as well: the end of the request's exchange may put them in doubt.
     pub fn may_carry_repeatable(&self) -> bool {
         self.is_known
             && !self.is_final
             && self.answer_needed_after().is_none()
+            && self.is_all_repeatable()
             && self.unsettled.len() < MAX_UNSETTLED
     }
 
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -82,6 +82,18 @@
 
     /// Settles the responses of an idle connection that has rested and on which nothing has arrived.
     pub(super) fn settle_if_rested(&mut self, slot: usize, now: Millis) {
+        self.settle_rested_responses(slot, now);
+        let must_close = self.connections.get(slot).is_some_and(|connection| {
+            connection.close_when_rested && connection.history.rests_until().is_none()
+        });
+        if must_close {
+            self.connections.remove(slot, now);
+        }
+    }
+
+    /// Settles the responses of a connection that has rested and on which nothing has arrived, also if a request is in
+    /// flight on it.
+    pub(super) fn settle_rested_responses(&mut self, slot: usize, now: Millis) {
         let Some(connection) = self.connections.get_mut(slot) else {
             return;
         };
@@ -109,9 +121,6 @@
                 }
                 history.settle()
             });
-        if connection.close_when_rested {
-            self.connections.remove(slot, now);
-        }
     }
 
     /// Takes the bytes that endpoints have sent on idle connections. The connections are closed.
