Take calls that lose their connections one after another for an outage

Cause: a lost connection counted for the choice among endpoints only. It reached neither the route's circuit breaker nor the slow start.

Change: a call whose connection is lost counts if it was sent behind the latest loss that counted, so that a fault that breaks many connections at once counts once.

Why it works: an open breaker lets one probe out at a time, and its first success starts the recovery ramp, whose budget the clump has to keep.

--- a/crates/policy/src/policy.rs
+++ b/crates/policy/src/policy.rs
@@ -13,6 +13,7 @@
 mod admission;
 mod dispatch;
 mod endpoints;
+mod faults;
 mod messages;
 mod outcomes;
 mod repeats;
--- a/crates/policy/src/policy/route.rs
+++ b/crates/policy/src/policy/route.rs
@@ -61,6 +61,9 @@
     pub(super) recent_sends: SendWindow,
     /// Successes and failures. Rejections are not part of it.
     pub(super) outcome_history: OutcomeHistory,
+    /// Lost connections, which are no failures by themselves. Not passed to a successor process.
+    #[serde(skip)]
+    pub(super) lost_connections: LostConnections,
     /// Number of rejections since the latest success, counting only those that increased the pacing interval.
     pub(super) consecutive_rejections: u32,
     /// Instant of the first of the consecutive rejections.
@@ -85,6 +88,21 @@
         self.is_down() || self.consecutive_rejections >= BREAKER_FAILURES
     }
 
+    /// Whether most of the latest calls have failed, or have lost their connections.
+    pub(super) fn fails_most_calls(&self) -> bool {
+        let failures = self.outcome_history.failures();
+        failures.max(self.lost_connections.recent()) >= SLOW_START_FAILURES
+    }
+
+    /// Opens the circuit breaker if the latest calls have failed, some of them by lost connections.
+    pub(super) fn open_if_all_calls_fail(&mut self) {
+        let lost = self.lost_connections.consecutive();
+        let failures = self.outcome_history.consecutive_failures();
+        if lost > 0 && failures < BREAKER_FAILURES && failures + lost >= BREAKER_FAILURES {
+            self.outcome_history.assume_failures(BREAKER_FAILURES);
+        }
+    }
+
     /// Whether the sender backs off, or has backed off, because it suspects an outage.
     pub(super) fn is_backing_off_on_suspicion(&self) -> bool {
         self.suspicion >= SUSPICION_THRESHOLD && self.backoff_until > 0
@@ -104,6 +122,7 @@
         self.pacing_interval.decrease(decrease, min_interval);
         let ends_outage = self.is_down() || self.is_backing_off_on_suspicion();
         self.outcome_history.record_success();
+        self.lost_connections.record_success();
         self.consecutive_rejections = 0;
         self.backoff_until = 0;
         self.latest_success_sent_at = self.latest_success_sent_at.max(sent_at);
