Keep the log, and with it the backlog, within a quarter of the memory limit

Operators would see: the process passes its memory limit and is killed, where disk_mb is not small against memory_mb and clients hand in large messages for an endpoint that does not answer.

Cause: open messages, the file that a start reads and the copy that a compaction writes were limited by the disk and by the number of messages, not by the memory.

Evidence: with memory_mb 32, disk_mb 200 and room for 1,000, 900 messages of 64 KiB were all taken on, 48,108 KiB at most.

Change: the log's limit is the smaller of disk_mb and a quarter of memory_mb; what the limits allow has a file of its own (capacity.rs), out of builder.rs, which had passed 400 lines.

--- a/crates/martenlatch/tests/support/mod.rs
+++ b/crates/martenlatch/tests/support/mod.rs
@@ -53,7 +53,7 @@
 }
 
 /// A number from the environment, or the usual one.
-fn from_environment(name: &str, usual: u64) -> u64 {
+pub fn from_environment(name: &str, usual: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.and_then(|text| text.parse().ok()).unwrap_or(usual)
 }
--- a/crates/martenlatch/tests/support/sender.rs
+++ b/crates/martenlatch/tests/support/sender.rs
@@ -286,13 +286,31 @@
 
     /// Its resident memory in KiB.
     pub fn memory_kb(&self) -> u64 {
+        self.memory_figure("VmRSS:")
+    }
+
+    /// The most resident memory that it has had so far, in KiB.
+    pub fn peak_memory_kb(&self) -> u64 {
+        self.memory_figure("VmHWM:")
+    }
+
+    fn memory_figure(&self, name: &str) -> u64 {
         let file = format!("/proc/{}/status", self.process.id());
         let status = std::fs::read_to_string(file).unwrap();
-        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let line = status.lines().find(|line| line.starts_with(name));
         let value = line.unwrap().split_whitespace().nth(1);
         value.unwrap().parse().unwrap()
     }
 
+    /// Kills it, replaces texts in its configuration, and starts it again.
+    pub fn restart_with_config(mut self, changes: &[(&str, &str)]) -> Sender {
+        self.kill_and_wait();
+        for (from, to) in changes {
+            self.change_config(from, to);
+        }
+        self.restart()
+    }
+
     /// Sends it SIGTERM and waits until it has exited.
     pub fn terminate(self) -> ProcessExit {
         self.signal("TERM");
--- a/crates/sender/src/pipeline/builder.rs
+++ b/crates/sender/src/pipeline/builder.rs
@@ -6,13 +6,14 @@
 use std::time::Instant;
 
 use martenlatch_clock::{Clock, Millis, millis};
-use martenlatch_http::buffer_pool::{BUFFER_SIZE, BufferPool};
+use martenlatch_http::buffer_pool::BufferPool;
 use martenlatch_policy::Policy;
 use martenlatch_policy::interface::{Event, Idempotency, MessageClass, Settings};
 use martenlatch_wal::{MAX_ATTEMPTS, MessageRecord, WriteAheadLog};
 use tracing::info;
 
 use super::admission::Admission;
+use super::capacity::{CONTROL_BUFFERS, ConnectionCapacity, log_limit};
 use super::decision::Decision;
 use super::driver::Driver;
 use super::ingress::{ClientLimits, Ingress, IngressClass};
@@ -21,7 +22,7 @@
 use super::process_state::{ProcessState, RemainingState, SettingsNames, SplitState};
 use super::send_gate::RetryAfterTable;
 use super::settlement::ClosedMessages;
-use super::status_reports::{MAX_REPORT_CONNECTIONS, StatusReporter};
+use super::status_reports::StatusReporter;
 use crate::Config;
 use crate::class_metrics::ClassMetrics;
 use crate::class_rules::ClassRules;
@@ -32,23 +33,9 @@
 use crate::event_source::{EventLoopHandle, InheritedDescriptors};
 use crate::jitter::Jitter;
 use crate::log_recovery;
-use crate::operator;
 use crate::peer_service::PeerService;
 use crate::safety::ViolationCounter;
 
-/// Each connection has an input and an output buffer.
-const BUFFERS_PER_CONNECTION: usize = 2;
-/// Buffers for the connections of the watch and of the status reports.
-const CONTROL_BUFFERS: usize = (1 + MAX_REPORT_CONNECTIONS) * BUFFERS_PER_CONNECTION;
-/// The share of the memory limit for buffers, as a divisor.
-const BUFFER_MEMORY_DIVISOR: u64 = 2;
-/// The share of the descriptors for clients, as a divisor. The rest is for endpoints, discovery and files.
-const CLIENT_DESCRIPTORS_DIVISOR: usize = 2;
-/// Each client uses two buffers, and a third is left for endpoints.
-const BUFFERS_CLAIMED_PER_CLIENT: usize = 3;
-/// The share of the descriptors for endpoints, as a divisor.
-const ENDPOINT_DESCRIPTORS_DIVISOR: usize = 3;
-
 /// An instant before every idempotency window.
 const LONG_AGO: Millis = 0.0;
 
@@ -65,40 +52,6 @@
     Takeover(Box<ProcessState<Policy>>, InheritedDescriptors),
 }
 
-/// The numbers of connections and buffers that the limits on descriptors and memory allow.
-struct ConnectionCapacity {
-    max_clients: usize,
-    endpoint_buffers: usize,
-    max_endpoint_connections: usize,
-}
-
-impl ConnectionCapacity {
-    /// Computes the capacity. Clients and endpoints have separate buffers, so that slow clients cannot starve
-    /// endpoints.
-    fn new(config: &Config, settings: &Settings) -> ConnectionCapacity {
-        let operator_connections = match config.operator {
-            Some(_) => operator::MAX_OPERATOR_CONNECTIONS + 1,
-            None => 0,
-        };
-        let buffers = (config.memory_limit / BUFFER_MEMORY_DIVISOR / BUFFER_SIZE as u64) as usize;
-        let buffers = buffers.saturating_sub(BUFFERS_PER_CONNECTION * operator_connections);
-        let buffered_clients = buffers / BUFFERS_CLAIMED_PER_CLIENT;
-        let max_clients = (config.descriptor_limit / CLIENT_DESCRIPTORS_DIVISOR)
-            .saturating_sub(operator_connections)
-            .min(buffered_clients)
-            .max(1);
-        let client_buffers = BUFFERS_PER_CONNECTION * max_clients.min(buffered_clients);
-        ConnectionCapacity {
-            max_clients,
-            endpoint_buffers: (buffers - client_buffers)
-                .saturating_sub(CONTROL_BUFFERS)
-                .max(1),
-            max_endpoint_connections: (config.descriptor_limit / ENDPOINT_DESCRIPTORS_DIVISOR)
-                .max(settings.max_in_flight),
-        }
-    }
-}
-
 /// The part of the predecessor's state that is restored once the driver has been assembled.
 struct InheritedState {
     state: RemainingState,
@@ -140,7 +93,7 @@
         mut settings: Settings,
         mut class_rules: ClassRules,
     ) -> Result<DriverParts, SenderError> {
-        let (wal, recovered) = log_recovery::open(&config.state_folder, config.disk_limit);
+        let (wal, recovered) = log_recovery::open(&config.state_folder, log_limit(config));
         for record in recovered.open_messages.values() {
             class_rules.add_recovered(&record.class, &record.class_rules, &mut settings);
         }
@@ -181,7 +134,7 @@
             .map_err(SenderError::Settings)?;
         let wal = WriteAheadLog::restore(
             &config.state_folder,
-            config.disk_limit,
+            log_limit(config),
             log_position,
             state.unfinished(),
         )
--- a/crates/sender/src/pipeline/mod.rs
+++ b/crates/sender/src/pipeline/mod.rs
@@ -8,6 +8,7 @@
 mod admission;
 mod attempt_owners;
 mod builder;
+mod capacity;
 #[cfg(test)]
 mod compatibility_tests;
 mod completion;
