Remember the ids of 16,384 ended messages in place of 512

Callers would see: a message that is not safe to repeat runs twice when its id comes again after its client has left, and others have handed in more than 512 messages in between.

Cause: the ids of the last 512 ended messages were known. One client at full speed ends 8,000 a second, so that an id was known for 60 ms.

Change: 16,384 ids, at most 1 MiB of them, with an index in place of a search through the list. A compacted log keeps the latest that fit into a twentieth of its space, 512 at least. The forms of the log and of the state for a successor stay.

--- a/crates/wal/src/compaction.rs
+++ b/crates/wal/src/compaction.rs
@@ -25,7 +25,9 @@
         let frees_space = self.limits.worth_compacting(
             self.file.size(),
             &self.open_message_sizes,
-            self.recently_closed.len(),
+            self.recently_closed
+                .len()
+                .min(self.limits.kept_closed_ids()),
         );
         (frees_space || !self.file.is_open() || self.lacks_records)
             && now >= self.compaction_backoff_until
@@ -44,7 +46,8 @@
     /// Writes the open messages and the recently closed ids to a new file, which replaces the old one. Returns false
     /// and keeps the old file if that fails.
     pub fn compact<'a>(&mut self, open: impl Iterator<Item = &'a MessageRecord>) -> bool {
-        let snapshot = Snapshot::of(self.anchor, &self.recently_closed, open);
+        let kept_ids = self.limits.kept_closed_ids();
+        let snapshot = Snapshot::of(self.anchor, &self.recently_closed, kept_ids, open);
         match self.file.replace(&snapshot.file) {
             Ok(()) => {
                 self.open_message_sizes = snapshot.open_message_sizes;
@@ -72,6 +75,7 @@
     fn of<'a>(
         anchor: Option<Anchor>,
         recently_closed: &RecentlyClosed,
+        kept_ids: usize,
         open: impl Iterator<Item = &'a MessageRecord>,
     ) -> Snapshot {
         let mut snapshot = Snapshot {
@@ -82,7 +86,8 @@
         if let Some(anchor) = anchor {
             snapshot.write(&LogRecord::anchor(anchor));
         }
-        for id in recently_closed.iter() {
+        let forgotten_ids = recently_closed.len().saturating_sub(kept_ids);
+        for id in recently_closed.iter().skip(forgotten_ids) {
             snapshot.write(&LogRecord::closed(NO_MESSAGE, id));
             if let Some(status) = recently_closed.reported_status(id) {
                 snapshot.write(&LogRecord::reported(NO_MESSAGE, status));
--- a/crates/wal/src/recently_closed.rs
+++ b/crates/wal/src/recently_closed.rs
@@ -1,18 +1,25 @@
 //! The ids of recently closed messages, by which a message that is submitted again is recognized.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 
 use crate::record::FinalStatus;
 
-/// Maximum number of ids that are remembered.
-const MAX_IDS: usize = 512;
+/// Maximum number of ids that are remembered. A client may come again some seconds later, and others may hand in
+/// thousands of messages a second meanwhile.
+const MAX_IDS: usize = 16_384;
+/// Maximum number of bytes of all remembered ids.
+const MAX_BYTES: usize = 1024 * 1024;
 
 /// Recently closed messages, and the final statuses of those that ended with a status report.
 #[derive(Clone, Debug, Default)]
 pub struct RecentlyClosed {
-    /// Oldest first.
+    /// Oldest first, without repetitions.
     ids: VecDeque<Rc<str>>,
+    /// The same ids.
+    index: HashSet<Rc<str>>,
+    /// The number of their bytes.
+    bytes: usize,
     reported: HashMap<Rc<str>, FinalStatus>,
 }
 
@@ -23,20 +30,32 @@
         ids: VecDeque<Rc<str>>,
         logged: RecentlyClosed,
     ) -> RecentlyClosed {
-        let mut reported = logged.reported;
-        reported.retain(|id, _| ids.contains(id));
-        RecentlyClosed { ids, reported }
+        let mut closed = RecentlyClosed::default();
+        for id in ids {
+            closed.remember(id);
+        }
+        closed.add_reported(logged.reported.into_iter().collect());
+        closed
     }
 
-    /// Remembers the id of a closed message, and forgets the oldest id if there are more than [`MAX_IDS`].
+    /// Remembers the id of a closed message, and forgets the oldest ids that exceed [`MAX_IDS`] or [`MAX_BYTES`].
     pub(crate) fn remember(&mut self, id: Rc<str>) {
-        if self.reported.remove(&id).is_some() {
+        self.reported.remove(&id);
+        if self.index.insert(id.clone()) {
+            self.bytes += id.len();
+        } else {
             self.ids.retain(|known| *known != id);
         }
         self.ids.push_back(id);
-        if self.ids.len() > MAX_IDS
-            && let Some(oldest) = self.ids.pop_front()
-        {
+        while self.ids.len() > MAX_IDS || self.bytes > MAX_BYTES {
+            self.forget_oldest();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some(oldest) = self.ids.pop_front() {
+            self.bytes -= oldest.len();
+            self.index.remove(&oldest);
             self.reported.remove(&oldest);
         }
     }
@@ -69,7 +88,7 @@
 
     /// Whether a message with this id was closed recently.
     pub fn contains(&self, id: &Rc<str>) -> bool {
-        self.ids.contains(id)
+        self.index.contains(id)
     }
 
     /// The final statuses that were reported, each with the id of its message.
@@ -79,7 +98,9 @@
 
     /// Adds the final statuses that a predecessor knows, for the ids that are remembered.
     pub fn add_reported(&mut self, statuses: Vec<(Rc<str>, FinalStatus)>) {
-        let known = statuses.into_iter().filter(|(id, _)| self.ids.contains(id));
+        let known = statuses
+            .into_iter()
+            .filter(|(id, _)| self.index.contains(id));
         self.reported.extend(known);
     }
 
--- a/crates/wal/src/space.rs
+++ b/crates/wal/src/space.rs
@@ -31,6 +31,10 @@
 const FINAL_STATUS_BYTES: u64 = 40;
 /// Estimated bytes for the id of a closed message.
 const CLOSED_ID_BYTES: f64 = 60.0;
+/// Share of the usable space for the ids of closed messages in a compacted file.
+const CLOSED_IDS_SHARE: f64 = 0.05;
+/// The number of ids that a compacted file has at least, if there are as many.
+const MIN_CLOSED_IDS: usize = 512;
 
 /// The limits, in bytes, that are derived from the log's disk limit.
 #[derive(Clone, Copy, Debug)]
@@ -60,6 +64,12 @@
         self.usable * OPEN_MESSAGES_SHARE
     }
 
+    /// The number of ids of closed messages that a compacted file has at most, the latest ones.
+    pub(crate) fn kept_closed_ids(self) -> usize {
+        let fitting = self.usable * CLOSED_IDS_SHARE / CLOSED_ID_BYTES;
+        (fitting as usize).max(MIN_CLOSED_IDS)
+    }
+
     /// Whether compacting a file of this size would free enough space to be worth it.
     pub(crate) fn worth_compacting(
         self,
