Declare a member dead at whose address another one has come up

Operators would see: among senders that know one another, one that has ended counts as alive for as long as another one runs at its address.

Cause: an ack completes a probe by its sequence number, whoever has sent it, so that the new member's acks answered the probes of the old one.

Change: a member that sends a datagram from an address is the only live one there. One that lives elsewhere refutes its death as ever. The datagrams keep their form.

--- a/crates/peers/src/membership/mod.rs
+++ b/crates/peers/src/membership/mod.rs
@@ -197,7 +197,11 @@
         }
         let name = from.name.clone();
         let address = from.address;
+        let is_live = from.state.is_live();
         self.merge(from, now);
+        if is_live {
+            self.declare_others_dead_at(address, &name, now);
+        }
         for update in updates.into_iter().take(MAX_UPDATES) {
             self.merge(update, now);
         }
--- a/crates/peers/src/membership/view.rs
+++ b/crates/peers/src/membership/view.rs
@@ -1,6 +1,8 @@
 //! The view of the group: merging updates, expiring the states of suspects and of members that died or left, and
 //! refuting updates on the local member.
 
+use std::net::SocketAddr;
+
 use martenlatch_clock::Millis;
 use rand::RngExt;
 
@@ -44,6 +46,21 @@
         }
     }
 
+    /// Declares the other members at an address dead, from which the member with this name has sent a datagram: its process
+    /// has come up where theirs had been. One that lives at another address refutes this.
+    pub(super) fn declare_others_dead_at(&mut self, address: SocketAddr, name: &str, now: Millis) {
+        let replaced: Vec<MemberUpdate> = self
+            .view
+            .values()
+            .filter(|member| member.address == address && member.name != name)
+            .filter(|member| member.state.is_live())
+            .cloned()
+            .collect();
+        for member in replaced {
+            self.merge(member.with_state(MemberState::Dead), now);
+        }
+    }
+
     fn next_expiry(&mut self, now: Millis) -> Option<Expiry> {
         if self.expiries.first()?.due() <= now {
             self.expiries.pop_first()
--- a/crates/peers/tests/membership.rs
+++ b/crates/peers/tests/membership.rs
@@ -58,6 +58,29 @@
     );
 }
 
+/// Guards against taking a new process for the one that has gone: it came up at the same address under another name, and
+/// its acks kept the old member alive.
+#[test]
+fn a_member_at_whose_address_another_one_comes_up_is_seen_as_dead() {
+    let mut net = simulated_network(8, 0.0, 5);
+    net.run(8_000.0);
+    net.crash(3);
+    net.add_with_name_of(3, 20);
+    net.run(30_000.0);
+    for observer in [0, 1, 2, 4, 5, 6, 7] {
+        assert_eq!(
+            net.state(observer, 3),
+            Some(MemberState::Dead),
+            "the old one, seen by {observer}"
+        );
+        assert_eq!(
+            net.state(observer, 20),
+            Some(MemberState::Alive),
+            "the new one, seen by {observer}"
+        );
+    }
+}
+
 #[test]
 fn a_live_suspect_refutes_the_suspicion() {
     let mut net = simulated_network(5, 0.0, 4);
