Doubt an endpoint's much quicker answers on used connections once, not each time

Callers would see: where a new connection costs its first request much time, and little else is sent, each message on a used connection is reported, or sent again up to its last attempt.

Cause: the time of an early success was never learned unless another answer followed it.

Change: once its connection has rested, such a time counts as one that the endpoint can take. An exchange in which a copy was discarded does not settle what came before it. The rest while no delay of a copy is known is 250 ms, as a replacement begins with it.

--- a/crates/martenlatch/tests/copies_and_hangs.rs
+++ b/crates/martenlatch/tests/copies_and_hangs.rs
@@ -90,6 +90,45 @@
     }
 }
 
+/// Guards against reports of answered messages without end: an endpoint answers much sooner on used connections, and
+/// nothing else shows that it goes on to answer. Only the first such answer is in doubt.
+#[rstest]
+// Reported at its deadline.
+#[case::non_idempotent("debit", "1.0", Counts { requests: 1, reports: 1 })]
+// Sent again once its connection has rested.
+#[case::with_a_key("meter", "3.0", Counts { requests: 2, reports: 0 })]
+fn an_endpoint_that_answers_much_sooner_than_at_first_is_doubted_once(
+    #[case] class: &str,
+    #[case] timeout: &str,
+    #[case] first_quick: Counts,
+) {
+    let endpoint = TimedEndpoint::new(|request| {
+        let delay = if request.id() == "slow" {
+            4 * SERVICE
+        } else {
+            2
+        };
+        vec![TimedWrite::after(delay, OK)]
+    });
+    let platform = Platform::new(&[]);
+    let sender = start_sender(&format!("sooner-{class}"), &endpoint, &platform);
+    for id in ["slow", "quick-1", "quick-2", "quick-3"] {
+        assert_eq!(sender.submit(class, id, timeout), 202);
+        // No other answer comes before that.
+        std::thread::sleep(Duration::from_millis(1_200));
+    }
+    let counts = count_after(Duration::from_millis(500), &endpoint, &platform);
+    let expected = Counts {
+        requests: 1,
+        reports: 0,
+    };
+    assert_eq!(counts["slow"], expected, "{counts:?}");
+    assert_eq!(counts["quick-1"], first_quick, "{counts:?}");
+    for id in ["quick-2", "quick-3"] {
+        assert_eq!(counts[id], expected, "{id}: {counts:?}");
+    }
+}
+
 /// Guards against needless reports and repeats: a message was answered, and a later request on the same connection got no
 /// answer and timed out.
 #[rstest]
--- a/crates/sender/src/egress/attempt_completion.rs
+++ b/crates/sender/src/egress/attempt_completion.rs
@@ -164,7 +164,9 @@
         let Some(connection) = self.connections.get(slot) else {
             return;
         };
-        let is_silent = connection.socket.bytes().is_empty() && !connection.is_closed();
+        let is_silent = connection.socket.bytes().is_empty()
+            && !connection.is_closed()
+            && !connection.has_discarded;
         if is_silent {
             // Nothing has followed the earlier responses, as if the connection had been idle.
             self.settle_rested_responses(slot, now);
--- a/crates/sender/src/egress/copy_delays.rs
+++ b/crates/sender/src/egress/copy_delays.rs
@@ -7,7 +7,7 @@
 const REST_FACTOR: f64 = 2.0;
 const REST_MARGIN: Millis = 50.0;
 /// The rest while no delay is known, which is so behind a process replacement.
-const UNKNOWN_DELAY_REST: Millis = 1_000.0;
+const UNKNOWN_DELAY_REST: Millis = 250.0;
 /// The longest rest.
 const MAX_REST: Millis = 3_000.0;
 /// The factor by which each delay reduces the memory of the longest one.
--- a/crates/sender/src/egress/settling.rs
+++ b/crates/sender/src/egress/settling.rs
@@ -108,6 +108,11 @@
         let lacks_answer = history
             .answer_needed_after()
             .is_some_and(|instant| !self.answer_times.has_answered_since(endpoint, instant));
+        // Also if an answer is lacking: nothing has contradicted this time, and an endpoint that answers so quickly on used
+        // connections only would be doubted each time.
+        for took in history.unsettled_success_times() {
+            self.answer_times.record_success(endpoint, took);
+        }
         if lacks_answer && !history.is_all_repeatable() {
             history.rest_until(now + RECHECK_INTERVAL);
             return;
@@ -116,9 +121,6 @@
             .extend(if is_repeated_rejection || lacks_answer {
                 history.doubt()
             } else {
-                for took in history.unsettled_success_times() {
-                    self.answer_times.record_success(endpoint, took);
-                }
                 history.settle()
             });
     }
