--- a/crates/martenlatch/tests/copies_and_hangs.rs
+++ b/crates/martenlatch/tests/copies_and_hangs.rs
@@ -5,7 +5,6 @@
 use support::*;
 
 use rstest::rstest;
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 /// How long an endpoint takes for an answer, and how much later it writes a copy, in milliseconds.
@@ -15,36 +14,11 @@
 /// The requests that the configuration allows in flight.
 const SLOTS: usize = 8;
 
-/// How often a message was requested and reported.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Counts {
-    requests: usize,
-    reports: usize,
-}
-
 fn start_sender(test: &str, endpoint: &TimedEndpoint, platform: &Platform) -> Sender {
     let entry = endpoint_entry("s-1", endpoint.address, "in_service");
     Sender::start(test, platform, &endpoint_list(1, true, &[entry]))
 }
 
-/// Waits for `quiet_time`, and counts the requests and the status reports of each message.
-fn count_after(
-    quiet_time: Duration,
-    endpoint: &TimedEndpoint,
-    platform: &Platform,
-) -> BTreeMap<String, Counts> {
-    std::thread::sleep(quiet_time);
-    let mut counts = BTreeMap::<String, Counts>::new();
-    for request in endpoint.requests.try_iter() {
-        counts.entry(request.id().to_string()).or_default().requests += 1;
-    }
-    for line in platform.status_reports.try_iter() {
-        let id = line.split('"').nth(3).expect("an id").to_string();
-        counts.entry(id).or_default().reports += 1;
-    }
-    counts
-}
-
 /// Guards against losing messages: each answer came twice, and the request that took the freed connection at once was ended
 /// by the copy, while the endpoint had stopped to answer.
 #[rstest]
@@ -74,10 +48,10 @@
         let id = format!("hung-{number}");
         assert_eq!(sender.submit(class, &id, "2.0"), 202);
     }
-    let counts = count_after(Duration::from_millis(3_500), &endpoint, &platform);
+    let counts = collect_ends_after(Duration::from_millis(3_500), &endpoint, &platform);
     for number in 0..SLOTS {
         let answered = counts[&format!("answered-{number}")];
-        let expected = Counts {
+        let expected = Ends {
             requests: 1,
             reports: 0,
         };
@@ -94,13 +68,13 @@
 /// nothing else shows that it goes on to answer. Only the first such answer is in doubt.
 #[rstest]
 // Reported at its deadline.
-#[case::non_idempotent("debit", "1.0", Counts { requests: 1, reports: 1 })]
+#[case::non_idempotent("debit", "1.0", Ends { requests: 1, reports: 1 })]
 // Sent again once its connection has rested.
-#[case::with_a_key("meter", "3.0", Counts { requests: 2, reports: 0 })]
+#[case::with_a_key("meter", "3.0", Ends { requests: 2, reports: 0 })]
 fn an_endpoint_that_answers_much_sooner_than_at_first_is_doubted_once(
     #[case] class: &str,
     #[case] timeout: &str,
-    #[case] first_quick: Counts,
+    #[case] first_quick: Ends,
 ) {
     let endpoint = TimedEndpoint::new(|request| {
         let delay = if request.id() == "slow" {
@@ -117,8 +91,8 @@
         // No other answer comes before that.
         std::thread::sleep(Duration::from_millis(1_200));
     }
-    let counts = count_after(Duration::from_millis(500), &endpoint, &platform);
-    let expected = Counts {
+    let counts = collect_ends_after(Duration::from_millis(500), &endpoint, &platform);
+    let expected = Ends {
         requests: 1,
         reports: 0,
     };
@@ -150,8 +124,8 @@
         std::thread::sleep(Duration::from_millis(SERVICE + 40));
     }
     assert_eq!(sender.submit("meter", "hung", "16.0"), 202);
-    let counts = count_after(Duration::from_millis(4_000), &endpoint, &platform);
-    let expected = Counts {
+    let counts = collect_ends_after(Duration::from_millis(4_000), &endpoint, &platform);
+    let expected = Ends {
         requests: 1,
         reports: 0,
     };
--- a/crates/martenlatch/tests/ids_that_come_again.rs
+++ b/crates/martenlatch/tests/ids_that_come_again.rs
@@ -32,21 +32,23 @@
     format!("unread-{number}")
 }
 
-/// Hands in the unread requests again, each on a connection of its own, and checks that each has run once by then.
-fn hand_in_again(sender: &Sender, endpoint: &Endpoint, mut runs_before: BTreeMap<String, usize>) {
+/// Lets the stopped sender go on behind the end of a client, and checks that none of its unread requests runs, and that
+/// each runs once when it comes again on a connection of its own.
+fn assert_only_later_requests_run(sender: &Sender, endpoint: &Endpoint) {
+    sender.signal("CONT");
+    sender.wait_for_round_end();
+    wait_until_idle(sender);
+    let runs_before = runs(endpoint);
+    assert!(runs_before.is_empty(), "{runs_before:?}");
     for number in 0..UNREAD {
-        assert_eq!(
-            sender.submit("debit", &unread_id(number), TIMEOUT_HEADER),
-            202
-        );
+        let status = sender.submit("debit", &unread_id(number), TIMEOUT_HEADER);
+        assert_eq!(status, 202);
     }
     wait_until_idle(sender);
-    for (id, count) in runs(endpoint) {
-        *runs_before.entry(id).or_default() += count;
-    }
+    let runs = runs(endpoint);
     for number in 0..UNREAD {
         let id = unread_id(number);
-        assert_eq!(runs_before.get(&id), Some(&1), "{id}: {runs_before:?}");
+        assert_eq!(runs.get(&id), Some(&1), "{id}: {runs:?}");
     }
 }
 
@@ -65,12 +67,7 @@
         );
     }
     drop(client);
-    sender.signal("CONT");
-    sender.wait_for_round_end();
-    wait_until_idle(&sender);
-    let runs_before = runs(&endpoint);
-    assert!(runs_before.is_empty(), "{runs_before:?}");
-    hand_in_again(&sender, &endpoint, runs_before);
+    assert_only_later_requests_run(&sender, &endpoint);
 }
 
 /// The same for a client that has not read the answer to an earlier request, so that the system resets its connection.
@@ -89,12 +86,7 @@
         client.write_all(text.as_bytes()).unwrap();
     }
     drop(client);
-    sender.signal("CONT");
-    sender.wait_for_round_end();
-    wait_until_idle(&sender);
-    let runs_before = runs(&endpoint);
-    assert!(runs_before.is_empty(), "{runs_before:?}");
-    hand_in_again(&sender, &endpoint, runs_before);
+    assert_only_later_requests_run(&sender, &endpoint);
 }
 
 /// Guards against a second run: an id came again after its client had left, and so many messages had ended in between that
--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -25,25 +25,9 @@
 /// A rejection that asks to wait for longer than any message has time.
 const LONG_WAIT: &str = "HTTP/1.1 429 X\r\nX-Backoff-Ms: 9000\r\nContent-Length: 0\r\n\r\n";
 
-/// What the endpoint and the platform have seen of each message.
-#[derive(Debug, Default)]
-struct Ends {
-    requests: usize,
-    reports: usize,
-}
-
 /// Waits until nothing more happens, and counts the requests and the status reports of each message.
 fn collect_ends(endpoint: &TimedEndpoint, platform: &Platform) -> BTreeMap<String, Ends> {
-    let mut ends = BTreeMap::<String, Ends>::new();
-    std::thread::sleep(QUIET_TIME);
-    for request in endpoint.requests.try_iter() {
-        ends.entry(request.id().to_string()).or_default().requests += 1;
-    }
-    for line in platform.status_reports.try_iter() {
-        let id = line.split('"').nth(3).expect("an id").to_string();
-        ends.entry(id).or_default().reports += 1;
-    }
-    ends
+    collect_ends_after(QUIET_TIME, endpoint, platform)
 }
 
 /// An endpoint that answers the first request for `first` with one answer and later ones with 200. Before its answer to
--- a/crates/martenlatch/tests/support/mod.rs
+++ b/crates/martenlatch/tests/support/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code, unused_imports)]
 
 mod endpoint;
+mod ends;
 mod group;
 mod http;
 mod launch;
@@ -18,6 +19,7 @@
 use std::time::{Duration, Instant};
 
 pub use endpoint::{Endpoint, ReplyGate, endpoint_and_list, endpoint_entry, endpoint_list};
+pub use ends::{Ends, collect_ends_after};
 pub use group::{SenderGroup, digest, log_line, number_after, scripted_peer, seal, secret};
 pub use http::{
     HttpMessage, Reply, no_reply, read_message, read_status, reply, request, send, status_of,
