Remember an id that is closed again without a search through all ids

Result on arm64: the new test closes one id 20,000 times among 20,000 others and asks for the order, the limits and the final status; the tests of the log and of ids that come again pass.

--- a/crates/wal/src/tests.rs
+++ b/crates/wal/src/tests.rs
@@ -312,3 +312,29 @@
         assert!(wal.recently_closed.contains(&delivered));
     }
 }
+
+/// Guards against memory that grows with an id that comes again and again, and against forgetting the latest ids.
+#[test]
+fn the_latest_ids_are_remembered_in_order_however_often_they_are_closed() {
+    let mut closed = RecentlyClosed::default();
+    let again: Rc<str> = Rc::from("again");
+    for number in 0..20_000 {
+        closed.remember(Rc::from(format!("id-{number}")));
+        closed.remember(again.clone());
+        closed.mark_reported(FinalStatus::Undeliverable);
+    }
+    assert_eq!(closed.len(), 16_384);
+    let ids: Vec<&Rc<str>> = closed.iter().collect();
+    assert_eq!(ids.len(), closed.len());
+    assert_eq!(&**ids[ids.len() - 2], "id-19999");
+    assert_eq!(ids[ids.len() - 1], &again);
+    assert!(closed.reported_status(&again).is_some());
+    let long = "x".repeat(200);
+    for number in 0..20_000 {
+        closed.remember(Rc::from(format!("{long}-{number}")));
+    }
+    let bytes: usize = closed.iter().map(|id| id.len()).sum();
+    assert!(bytes <= 1024 * 1024, "{bytes}");
+    assert!(!closed.contains(&again));
+    assert_eq!(closed.reported_status(&again), None);
+}
--- a/crates/wal/src/write_ahead_log.rs
+++ b/crates/wal/src/write_ahead_log.rs
@@ -121,7 +121,7 @@
     pub fn position(&self) -> LogPosition {
         LogPosition {
             size: self.file.size(),
-            recently_closed: self.recently_closed.ids().clone(),
+            recently_closed: self.recently_closed.iter().cloned().collect(),
             compaction_backoff_until: self.compaction_backoff_until,
             has_file: self.file.is_open(),
         }
