Report a message closed at its deadline when its answer turns out to be a copy

Callers would see: a message that was refused right before its time ended is neither delivered nor reported.

Cause: a success that may be a copy and has not been settled by the message's deadline closes it where no endpoint is known to repeat answers. Nothing remembered the message, so that the real answer behind the copy, still in its time, could not contradict it.

Change: such a message is remembered like one that a settled answer has closed, and all of them until 200 ms behind their deadlines.

--- a/crates/martenlatch/tests/repeated_answers.rs
+++ b/crates/martenlatch/tests/repeated_answers.rs
@@ -275,6 +275,37 @@
     });
 }
 
+/// Guards against losing a message whose time ended before its connection had rested: it was closed by a copy, and the real
+/// answer that followed in its time was ignored.
+#[test]
+fn a_message_that_is_refused_right_before_its_deadline_is_reported_despite_a_copy() {
+    const FIRST_SERVICE: u64 = 5;
+    const REFUSED_AFTER: u64 = 130;
+    let endpoint = endpoint_with_a_copy_in_time(FIRST_SERVICE, REFUSED_AFTER);
+    let platform = Platform::new(&[]);
+    let sender = start_sender("copy-deadline", &endpoint, &platform);
+    assert_eq!(sender.submit("debit", "first", TIMEOUT_HEADER), 202);
+    std::thread::sleep(Duration::from_millis(SERVICE));
+    assert_eq!(sender.submit("debit", "second", "0.15"), 202);
+    let ends = collect_ends(&endpoint, &platform);
+    assert_eq!(ends["second"].requests, 1, "{ends:?}");
+    assert!(
+        ends["second"].reports > 0,
+        "the message was refused and not reported: {ends:?}"
+    );
+}
+
+/// An endpoint that answers `first` soon, and refuses `second` behind a copy of that answer.
+fn endpoint_with_a_copy_in_time(service: u64, refused_after: u64) -> TimedEndpoint {
+    TimedEndpoint::new(move |request| match request.id() {
+        "second" => vec![
+            TimedWrite::after(service, OK),
+            TimedWrite::after(refused_after, BUSY),
+        ],
+        _ => vec![TimedWrite::after(service, OK)],
+    })
+}
+
 /// Guards against losing a message that was never answered: a copy of an earlier success stands in the place of an answer
 /// that does not come in the message's time.
 #[test]
--- a/crates/sender/src/pipeline/settlement.rs
+++ b/crates/sender/src/pipeline/settlement.rs
@@ -21,6 +21,8 @@
 
 /// The largest number of closed messages that are remembered in case of a later doubt.
 const MAX_CLOSED: usize = 4_096;
+/// How long behind its deadline a closed message is still reported when its response turns out to be doubtful.
+const LATE_DOUBT_GRACE: Millis = 200.0;
 /// How long before its deadline an unsettled message is reported, so that its report comes in time.
 const REPORT_LEAD: Millis = LATE_SUCCESS_GUARD;
 
@@ -35,14 +37,15 @@
     class_rules: Rc<[u8]>,
 }
 
-/// The messages that were closed by responses that had been uncertain, until their deadlines; earliest deadline first.
+/// The messages that were closed by responses that had been uncertain, until shortly behind their deadlines; earliest
+/// deadline first.
 #[derive(Default)]
 pub(super) struct ClosedMessages(BTreeMap<DeadlineKey, ClosedMessage>);
 
 impl ClosedMessages {
     fn remember(&mut self, record: &MessageRecord, attempt: u32, now: Millis) {
         while let Some(first) = self.0.first_entry()
-            && first.get().deadline <= now
+            && !first.get().may_be_reported(now)
         {
             first.remove();
         }
@@ -248,7 +251,7 @@
         let Some(closed) = self.closed_in_doubt.take(answered) else {
             return;
         };
-        if closed.deadline <= now {
+        if !closed.may_be_reported(now) {
             return;
         }
         warn!(number = answered.id.0, id = %closed.id, "closed message reported, its response may belong to another request");
@@ -273,11 +276,22 @@
                 self.store.counters.reported_in_doubt += 1;
                 self.give_up(id, FinalStatus::Undeliverable, now);
             } else {
-                completion::close_delivered(number, &mut self.store);
+                self.close_unsettled(number, now);
             }
         }
     }
 
+    /// Closes an unsettled message as delivered. Its response may still turn out to be doubtful.
+    fn close_unsettled(&mut self, number: u64, now: Millis) {
+        if let Some(message) = self.store.messages.get(&number)
+            && let Some(attempt) = message.unsettled_successes.last()
+        {
+            self.closed_in_doubt
+                .remember(&message.record, *attempt, now);
+        }
+        completion::close_delivered(number, &mut self.store);
+    }
+
     /// When [`Driver::end_unsettled`] has something to do next.
     pub(super) fn unsettled_deadline(&self) -> Millis {
         self.store
@@ -316,6 +330,11 @@
 }
 
 impl ClosedMessage {
+    /// Whether a report of the message would still come in time.
+    fn may_be_reported(&self, now: Millis) -> bool {
+        now < self.deadline + LATE_DOUBT_GRACE
+    }
+
     /// A new record of the message, with a status that is still to be reported.
     fn into_record(self, store: &mut MessageStore) -> MessageRecord {
         let record = MessageRecord {
